--- /dev/null
+++ b/src/core/error.c
@@ -0,0 +1,7 @@
+/* The one error domain, registered with GLib. */
+#include "core/error.h"
+
+GQuark sw_error_quark(void)
+{
+    return g_quark_from_static_string("swiftworks-error");
+}
--- /dev/null
+++ b/src/core/types.h
@@ -0,0 +1,79 @@
+/* Plain types shared by every part: log positions, database roles and the routing view of a group.
+ * Nothing here allocates, locks or knows a socket. */
+#ifndef SW_CORE_TYPES_H
+#define SW_CORE_TYPES_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Databases in one replicated group, at most. */
+#define GROUP_DATABASES_MAX 9
+
+#define NANOSECONDS_PER_MILLISECOND UINT64_C(1000000)
+#define NANOSECONDS_PER_SECOND      UINT64_C(1000000000)
+
+/* Monotonic time in nanoseconds; the shell that drives the core supplies it. */
+typedef uint64_t time_ns;
+
+/* A place in a group's replicated log. Ordered by term first, then offset: every entry that a
+ * majority held in an older term is a prefix of the log of any newer term. */
+struct log_position {
+    uint64_t term;
+    uint64_t offset;
+};
+
+/* Orders two positions: negative, zero or positive, as a stands before, at or after b. */
+static inline int log_position_compare(struct log_position a, struct log_position b)
+{
+    if (a.term != b.term) {
+        return a.term < b.term ? -1 : 1;
+    }
+    if (a.offset != b.offset) {
+        return a.offset < b.offset ? -1 : 1;
+    }
+    return 0;
+}
+
+/* True if a database at `have` has everything up to `need`. */
+static inline bool log_position_covers(struct log_position have, struct log_position need)
+{
+    return log_position_compare(have, need) >= 0;
+}
+
+enum database_role {
+    DATABASE_ROLE_UNKNOWN,
+    DATABASE_ROLE_PRIMARY,
+    DATABASE_ROLE_REPLICA,
+};
+
+/* What a database says of itself in one probe. */
+struct database_status {
+    enum database_role role;
+    uint64_t term;               /* term in which it leads or follows */
+    uint64_t promised_term;      /* it refuses anything of a lower term */
+    struct log_position held;    /* last entry in its log */
+    struct log_position applied; /* last entry visible to reads */
+    bool leaving;                /* marked for removal: no new work */
+};
+
+/* One database as routing sees it. Immutable once published. */
+struct database_view {
+    struct database_status status;
+    bool reachable;
+    uint32_t zone;
+    time_ns observed_at;   /* when status was true at the latest */
+    uint32_t round_trip_us; /* smoothed round-trip time of probes, microseconds */
+};
+
+/* One group as routing sees it. Immutable once published; readers hold it under RCU. */
+struct group_view {
+    uint32_t group;
+    uint64_t term;          /* highest term with a known primary; 0 if none yet */
+    int32_t primary;        /* index into databases, or -1 */
+    bool writes_paused;     /* a planned change of primary is under way */
+    uint32_t database_count;
+    struct database_view databases[GROUP_DATABASES_MAX];
+};
+
+#endif
