--- /dev/null
+++ b/src/core/read_flow.h
@@ -0,0 +1,74 @@
+/* The life of one read, as a state machine: route, read under a guard, discard an answer that falls
+ * short, try another database, answer. Reads are repeatable, so a lost answer is simply tried
+ * elsewhere. */
+#ifndef SW_CORE_READ_FLOW_H
+#define SW_CORE_READ_FLOW_H
+
+#include "core/route.h"
+#include "core/types.h"
+#include "generated/errors.h"
+#include "generated/messages.h"
+
+enum read_step_kind {
+    READ_STEP_READ,   /* read at step.database with step.guard and step.guard_wait_ms */
+    READ_STEP_WAIT,   /* wait for a new view or until step.until, then feed TIMER */
+    READ_STEP_ANSWER, /* final */
+};
+
+struct read_step {
+    enum read_step_kind kind;
+    int32_t database;
+    struct log_position guard;
+    uint32_t guard_wait_ms;
+    time_ns until;
+    enum outcome outcome;
+    enum error_kind error;
+    uint32_t retry_after_ms;
+    enum route_reason reason;
+    struct log_position seen; /* with outcome done: what the session has now seen */
+    enum route_reason refused[GROUP_DATABASES_MAX];
+};
+
+enum read_event_kind {
+    READ_EVENT_START,
+    READ_EVENT_TIMER,
+    READ_EVENT_NOT_SENT, /* no connection or slot */
+    READ_EVENT_LOST,     /* sent, and no answer or a truncated one */
+    READ_EVENT_FAILED,   /* the database reported an error in the statement */
+    READ_EVENT_ANSWERED, /* a whole answer, with the status read before it in the same round trip */
+};
+
+struct read_event {
+    enum read_event_kind kind;
+    time_ns now;
+    struct database_status status;
+};
+
+struct read_options {
+    struct route_read_request
+        route; /* now, excluded, in_flight and random are set anew at each step */
+    time_ns deadline;
+    uint32_t attempts_max;
+    bool ignore_guard; /* TEST ONLY: take any answer (mutation) */
+};
+
+/* One read. Owned by one driver; no locks. */
+struct read_flow {
+    struct read_options options;
+    uint32_t attempts;
+    uint32_t excluded;
+    bool answered;
+    int32_t database;
+    struct log_position guard;
+    enum route_reason reason;
+    enum route_reason refused[GROUP_DATABASES_MAX];
+};
+
+void read_flow_init(struct read_flow *flow, const struct read_options *options);
+
+/* Takes an event and the newest view, and says what to do next. The caller refreshes
+ * flow->options.route's now, in_flight, primary_allowed and random before each call. */
+struct read_step read_flow_next(struct read_flow *flow, const struct read_event *event,
+                                const struct group_view *view);
+
+#endif
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -62,18 +62,29 @@
     struct database_status status;
     bool reachable;
     uint32_t zone;
-    time_ns observed_at;   /* when status was true at the latest */
+    time_ns observed_at;    /* when status was true at the latest */
     uint32_t round_trip_us; /* smoothed round-trip time of probes, microseconds */
 };
 
+/* Where the primary's log stood at a moment: maps log positions to time. */
+struct position_sample {
+    time_ns at;
+    struct log_position held;
+};
+
+/* Samples kept per group, newest first; with one every 250 ms they reach back 8 s. */
+#define GROUP_SAMPLES_MAX 32
+
 /* One group as routing sees it. Immutable once published; readers hold it under RCU. */
 struct group_view {
     uint32_t group;
-    uint64_t term;          /* highest term with a known primary; 0 if none yet */
-    int32_t primary;        /* index into databases, or -1 */
-    bool writes_paused;     /* a planned change of primary is under way */
+    uint64_t term;      /* highest term with a known primary; 0 if none yet */
+    int32_t primary;    /* index into databases, or -1 */
+    bool writes_paused; /* a planned change of primary is under way */
     uint32_t database_count;
     struct database_view databases[GROUP_DATABASES_MAX];
+    uint32_t sample_count;
+    struct position_sample samples[GROUP_SAMPLES_MAX]; /* newest first */
 };
 
 #endif
