Implement routing, the acknowledgement rule and the request flows

Reads choose the nearest replica that has applied, or by its measured lag will soon have applied, what the session needs. Writes run again only under a key; an error told after a lost answer closes the key first, since the lost attempt could still arrive.

--- a/src/core/read_flow.h
+++ b/src/core/read_flow.h
@@ -35,6 +35,7 @@
     READ_EVENT_NOT_SENT, /* no connection or slot */
     READ_EVENT_LOST,     /* sent, and no answer or a truncated one */
     READ_EVENT_FAILED,   /* the database reported an error in the statement */
+    READ_EVENT_GIVE_UP,  /* instead of performing a step: no retry budget or slot is left */
     READ_EVENT_ANSWERED, /* a whole answer, with the status read before it in the same round trip */
 };
 
@@ -42,12 +43,15 @@
     enum read_event_kind kind;
     time_ns now;
     struct database_status status;
+    enum error_kind error; /* of GIVE_UP */
+    uint32_t retry_after_ms;
 };
 
 struct read_options {
     struct route_read_request
         route; /* now, excluded, in_flight and random are set anew at each step */
     time_ns deadline;
+    uint32_t unavailable_wait_ms; /* longest wait for a fresh database */
     uint32_t attempts_max;
     bool ignore_guard; /* TEST ONLY: take any answer (mutation) */
 };
@@ -57,7 +61,7 @@
     struct read_options options;
     uint32_t attempts;
     uint32_t excluded;
-    bool answered;
+    time_ns unavailable_since;
     int32_t database;
     struct log_position guard;
     enum route_reason reason;
--- a/src/core/route.h
+++ b/src/core/route.h
@@ -59,9 +59,15 @@
 };
 
 /* Position that a read must see: the session's, and what the primary held before the staleness
- * bound. */
-struct log_position route_needed_position(const struct group_view *view,
-                                          const struct route_read_request *request);
+ * bound. False if the bound can't be kept by what the view knows: then only the primary may answer.
+ */
+bool route_needed_position(const struct group_view *view, const struct route_read_request *request,
+                           struct log_position *needed);
+
+/* When the primary held `position`, by interpolation between samples; `now` if later than all
+ * samples, zero if earlier than all of them. */
+time_ns route_time_of_position(const struct group_view *view, struct log_position position,
+                               time_ns now);
 
 /* Chooses where a read goes. */
 struct route_decision route_read(const struct group_view *view,
--- a/src/core/write_flow.h
+++ b/src/core/write_flow.h
@@ -61,6 +61,8 @@
     int32_t database;
     struct log_position position;
     struct database_status status;
+    enum error_kind error; /* of GIVE_UP: what to tell if nothing was run */
+    uint32_t retry_after_ms;
 };
 
 /* States of the flow; see the drawing above. */
@@ -77,7 +79,9 @@
 /* Fixed bounds of one write. */
 struct write_options {
     time_ns deadline;
-    bool keyed;       /* carries an idempotency key: safe to run again */
+    uint32_t unavailable_wait_ms; /* longest wait for a primary, counted from the first step without
+                                     one */
+    bool keyed;                   /* carries an idempotency key: safe to run again */
     bool commit_only; /* ends an interactive transaction: it can't be run again, only resolved */
     uint32_t attempts_max;
     bool trust_commit;   /* TEST ONLY: acknowledge without evidence (mutation) */
@@ -91,6 +95,10 @@
     uint32_t attempts;
     bool maybe_run; /* an attempt was sent and its outcome is not known */
     bool replayed;  /* the outcome came from the ledger */
+    bool closing;   /* after a wait, close the key instead of running again */
+    bool failed;    /* the database reported an error; told once the key is closed */
+    enum error_kind failure;
+    time_ns unavailable_since; /* zero while a primary is known */
     struct acknowledge_evidence evidence;
 };
 
