--- /dev/null
+++ b/tools/generate.py
@@ -0,0 +1,80 @@
+#!/usr/bin/env python3
+"""Generates the committed C code under src/generated/ from the schema.
+
+Use:
+    tools/generate.py            write the generated files that changed
+    tools/generate.py --check    fail, naming the files, if any would change
+
+To add a message:
+    1. schema/messages.json, "structs": add the struct, after the structs that it uses.
+         {"name": "probe", "comment": "...", "fields": [
+           {"id": 1, "name": "daemon", "type": "text", "max": 64},
+           {"id": 2, "name": "zones", "type": "u32[]", "max": 8},
+           {"id": 3, "name": "load", "type": "u32", "optional": true, "comment": "..."}]}
+       Types: u32 u64 i64 bool text bytes, the name of an enum or of an earlier struct, and T[].
+       "max" bounds text and bytes in octets and T[] in items; text[] and bytes[] also need
+       "item_max", in octets. Field ids run from 1 to 255 and are never given to another field.
+    2. "messages": add {"id": 3, "name": "probe", "struct": "probe"} if it travels on its own.
+    3. Run tools/generate.py and commit the schema together with src/generated/.
+
+Errors name the file and the place in the schema. clang-format formats the output if it is there.
+"""
+
+import argparse
+import pathlib
+import shutil
+import subprocess
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from generator import errors, messages
+from generator.schema import SchemaError, read_json
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+def generate():
+    """Returns the generated files: a dict from path below the root to text."""
+    files = {}
+    error_schema = read_json(ROOT, "schema/errors.json")
+    files.update(errors.generate(error_schema, "schema/errors.json"))
+    message_schema = read_json(ROOT, "schema/messages.json")
+    files.update(messages.generate(message_schema, "schema/messages.json"))
+    return files
+
+
+def clang_format(text, path):
+    """Formats C by the project's style, or returns it as it is where clang-format is missing."""
+    program = shutil.which("clang-format")
+    if program is None or not path.endswith((".c", ".h")):
+        return text
+    command = [program, "--style=file", f"--assume-filename={ROOT / path}"]
+    return subprocess.run(command, input=text, capture_output=True, text=True, check=True).stdout
+
+
+def main():
+    parser = argparse.ArgumentParser(description="Generates C code from the schema.")
+    parser.add_argument("--check", action="store_true", help="fail if a file would change")
+    options = parser.parse_args()
+    try:
+        files = generate()
+    except SchemaError as error:
+        sys.exit(f"generate: {error}")
+    stale = []
+    for path, text in sorted(files.items()):
+        target = ROOT / path
+        text = clang_format(text, path)
+        if target.exists() and target.read_text() == text:
+            continue
+        stale.append(path)
+        if not options.check:
+            target.parent.mkdir(parents=True, exist_ok=True)
+            target.write_text(text)
+            print(f"generate: wrote {path}")
+    if options.check and stale:
+        sys.exit("generate: not up to date, run tools/generate.py: " + " ".join(stale))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/generator/__init__.py
@@ -0,0 +1,1 @@
+"""The code generator: schema in, C out."""
--- /dev/null
+++ b/tools/generator/schema.py
@@ -0,0 +1,53 @@
+"""Reading of the schema files, and the checks that all of them share."""
+
+import json
+import re
+
+C_KEYWORDS = frozenset(
+    "auto bool break case char const continue default do double else enum extern false float for goto "
+    "if inline int long register restrict return short signed sizeof static struct switch true "
+    "typedef union unsigned void volatile while".split()
+)
+
+
+class SchemaError(Exception):
+    """A fault in a schema file; the text names the file and the place."""
+
+
+def read_json(root, path):
+    """Reads one schema file."""
+    try:
+        return json.loads((root / path).read_text())
+    except (OSError, json.JSONDecodeError) as error:
+        raise SchemaError(f"{path}: {error}") from error
+
+
+def require(condition, place, reason):
+    """Raises a SchemaError that names the place unless the condition holds."""
+    if not condition:
+        raise SchemaError(f"{place}: {reason}")
+
+
+def check_keys(entry, required, optional, place):
+    """Refuses an entry with keys that are missing or not known."""
+    require(isinstance(entry, dict), place, "must be an object")
+    for key in required:
+        require(key in entry, place, f"'{key}' is missing")
+    for key in entry:
+        allowed = list(required) + list(optional)
+        require(key in allowed, place, f"'{key}' is not known; known are {', '.join(allowed)}")
+
+
+def check_name(name, place):
+    """Refuses what is not a lower-case C identifier."""
+    valid = isinstance(name, str) and re.fullmatch(r"[a-z][a-z0-9_]*", name)
+    require(valid, place, f"{name!r} is not a lower-case name")
+    require(name not in C_KEYWORDS, place, f"'{name}' is a C keyword")
+
+
+def check_unique(values, place):
+    """Refuses a value that stands twice."""
+    seen = set()
+    for value in values:
+        require(value not in seen, place, f"'{value}' stands twice")
+        seen.add(value)
