--- a/src/core/route.c
+++ b/src/core/route.c
@@ -198,10 +198,8 @@
         if (reason == ROUTE_REASON_NONE && distance < best) {
             best = distance;
             decision->database = (int32_t)index;
-            bool covers =
-                log_position_covers(view->databases[index].status.applied, needed);
-            decision->reason =
-                covers ? ROUTE_REASON_REPLICA_FRESH : ROUTE_REASON_REPLICA_GUARDED;
+            bool covers = log_position_covers(view->databases[index].status.applied, needed);
+            decision->reason = covers ? ROUTE_REASON_REPLICA_FRESH : ROUTE_REASON_REPLICA_GUARDED;
         }
     }
 }
--- a/src/core/write_flow.h
+++ b/src/core/write_flow.h
@@ -53,6 +53,7 @@
     WRITE_EVENT_LOST,         /* sent, and no answer */
     WRITE_EVENT_EVIDENCE,     /* event.database answered event.status after the commit */
     WRITE_EVENT_EVIDENCE_END, /* nobody else will answer before the step's end */
+    WRITE_EVENT_GIVE_UP,      /* instead of performing a step: no retry budget or slot is left */
 };
 
 struct write_event {
@@ -79,8 +80,7 @@
 /* Fixed bounds of one write. */
 struct write_options {
     time_ns deadline;
-    uint32_t unavailable_wait_ms; /* longest wait for a primary, counted from the first step without
-                                     one */
+    uint32_t unavailable_wait_ms; /* longest wait for a primary */
     bool keyed;                   /* carries an idempotency key: safe to run again */
     bool commit_only; /* ends an interactive transaction: it can't be run again, only resolved */
     uint32_t attempts_max;
--- /dev/null
+++ b/tests/core/read_flow_test.c
@@ -0,0 +1,95 @@
+/* Scenarios of one read: a short answer is never passed on, a lost one is tried elsewhere. */
+#include "core/read_flow.h"
+
+#include <glib.h>
+#include <string.h>
+
+static void make_view(struct group_view *view)
+{
+    memset(view, 0, sizeof(*view));
+    view->term = 1;
+    view->database_count = 3;
+    for (uint32_t i = 0; i < 3; i++) {
+        view->databases[i].reachable = true;
+        view->databases[i].status.term = 1;
+        view->databases[i].status.applied = (struct log_position){1, 10};
+    }
+}
+
+static struct read_step start(struct read_flow *flow, const struct group_view *view)
+{
+    struct read_options options = {
+        .deadline = NANOSECONDS_PER_SECOND,
+        .attempts_max = 4,
+        .unavailable_wait_ms = 100,
+        .route = {.session = {1, 10}, .replicas_allowed = true, .primary_allowed = true},
+    };
+    read_flow_init(flow, &options);
+    struct read_event event = {.kind = READ_EVENT_START, .now = 1};
+    return read_flow_next(flow, &event, view);
+}
+
+static struct read_step feed(struct read_flow *flow, const struct group_view *view,
+                             enum read_event_kind kind, uint64_t applied)
+{
+    struct read_event event = {.kind = kind, .now = 2, .status = {.applied = {1, applied}}};
+    return read_flow_next(flow, &event, view);
+}
+
+static void test_short_answer_goes_elsewhere(void)
+{
+    struct group_view view;
+    struct read_flow flow;
+    make_view(&view);
+    struct read_step first = start(&flow, &view);
+    g_assert_cmpint(first.kind, ==, READ_STEP_READ);
+    struct read_step second = feed(&flow, &view, READ_EVENT_ANSWERED, 9);
+    g_assert_cmpint(second.kind, ==, READ_STEP_READ);
+    g_assert_cmpint(second.database, !=, first.database);
+    struct read_step last = feed(&flow, &view, READ_EVENT_ANSWERED, 12);
+    g_assert_cmpint(last.outcome, ==, OUTCOME_DONE);
+    g_assert_cmpuint(last.seen.offset, ==, 12);
+}
+
+static void test_lost_answers_try_each_database_once(void)
+{
+    struct group_view view;
+    struct read_flow flow;
+    uint32_t tried = 0;
+    make_view(&view);
+    struct read_step step = start(&flow, &view);
+    while (step.kind == READ_STEP_READ) {
+        g_assert_false(tried & (1u << step.database));
+        tried |= 1u << step.database;
+        step = feed(&flow, &view, READ_EVENT_LOST, 0);
+    }
+    g_assert_cmpuint(tried, ==, 7);
+    g_assert_cmpint(step.kind, ==, READ_STEP_WAIT);
+}
+
+static void test_nothing_reachable_is_refused_with_retry_after(void)
+{
+    struct group_view view;
+    struct read_flow flow;
+    make_view(&view);
+    for (uint32_t i = 0; i < 3; i++) {
+        view.databases[i].reachable = false;
+    }
+    struct read_step step = start(&flow, &view);
+    while (step.kind == READ_STEP_WAIT) {
+        struct read_event event = {.kind = READ_EVENT_TIMER, .now = step.until};
+        step = read_flow_next(&flow, &event, &view);
+    }
+    g_assert_cmpint(step.outcome, ==, OUTCOME_REFUSED);
+    g_assert_cmpint(step.error, ==, ERROR_KIND_NO_FRESH_REPLICA);
+    g_assert_cmpuint(step.retry_after_ms, >, 0);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/read-flow/short-answer", test_short_answer_goes_elsewhere);
+    g_test_add_func("/read-flow/lost-answers", test_lost_answers_try_each_database_once);
+    g_test_add_func("/read-flow/unreachable", test_nothing_reachable_is_refused_with_retry_after);
+    return g_test_run();
+}
