--- /dev/null
+++ b/tests/core/admission_test.c
@@ -0,0 +1,151 @@
+/* Admission: slots, order of service, fair shares, refusal at once; and the retry budget. */
+#include "core/admission.h"
+#include "core/retry_budget.h"
+
+#include <string.h>
+
+static const time_ns far_deadline = 100 * NANOSECONDS_PER_SECOND;
+
+static struct admission_ticket ticket_of(enum admission_class rank, uint32_t tenant)
+{
+    struct admission_ticket ticket = {
+        .rank = rank, .tenant = tenant, .weight = 1, .deadline = far_deadline};
+    return ticket;
+}
+
+static enum admission_verdict enter(struct admission *admission, struct admission_ticket *ticket)
+{
+    uint32_t retry_after_ms = 0;
+    return admission_enter(admission, ticket, 0, &retry_after_ms);
+}
+
+static struct admission_ticket *serve_next(struct admission *admission)
+{
+    bool admitted = false;
+    admission_leave(admission, 5 * NANOSECONDS_PER_MILLISECOND);
+    struct admission_ticket *next = admission_next(admission, 0, &admitted);
+    g_assert_true(next == NULL || admitted);
+    return next;
+}
+
+static void test_slots_then_queue_then_refusal(void)
+{
+    struct admission admission;
+    struct admission_ticket tickets[4];
+    admission_init(&admission, 2, 1);
+    for (int i = 0; i < 4; i++) {
+        tickets[i] = ticket_of(ADMISSION_CLASS_READ, 0);
+    }
+    g_assert_cmpint(enter(&admission, &tickets[0]), ==, ADMISSION_ADMITTED);
+    g_assert_cmpint(enter(&admission, &tickets[1]), ==, ADMISSION_ADMITTED);
+    g_assert_cmpint(enter(&admission, &tickets[2]), ==, ADMISSION_QUEUED);
+    g_assert_cmpint(enter(&admission, &tickets[3]), ==, ADMISSION_REFUSED);
+    g_assert_true(serve_next(&admission) == &tickets[2]);
+    g_assert_null(serve_next(&admission));
+    admission_clear(&admission);
+}
+
+static void test_unrepeatable_writes_go_first(void)
+{
+    struct admission admission;
+    admission_init(&admission, 1, 10);
+    struct admission_ticket running = ticket_of(ADMISSION_CLASS_READ, 0);
+    struct admission_ticket read = ticket_of(ADMISSION_CLASS_READ, 1);
+    struct admission_ticket keyed = ticket_of(ADMISSION_CLASS_KEYED_WRITE, 1);
+    struct admission_ticket commit = ticket_of(ADMISSION_CLASS_UNREPEATABLE, 1);
+    enter(&admission, &running);
+    enter(&admission, &read);
+    enter(&admission, &keyed);
+    enter(&admission, &commit);
+    g_assert_true(serve_next(&admission) == &commit);
+    g_assert_true(serve_next(&admission) == &keyed);
+    g_assert_true(serve_next(&admission) == &read);
+    admission_clear(&admission);
+}
+
+/* A tenant with many queued requests waits behind another's first one. */
+static void test_tenants_share_equally(void)
+{
+    struct admission admission;
+    struct admission_ticket greedy[6];
+    struct admission_ticket modest = ticket_of(ADMISSION_CLASS_READ, 2);
+    admission_init(&admission, 1, 10);
+    for (int i = 0; i < 6; i++) {
+        greedy[i] = ticket_of(ADMISSION_CLASS_READ, 1);
+        enter(&admission, &greedy[i]);
+    }
+    enter(&admission, &modest);
+    g_assert_true(serve_next(&admission) == &greedy[1]);
+    g_assert_true(serve_next(&admission) == &modest);
+    g_assert_true(serve_next(&admission) == &greedy[2]);
+    while (serve_next(&admission) != NULL) {
+    }
+    admission_clear(&admission);
+}
+
+static void test_hopeless_deadline_is_refused_at_once(void)
+{
+    struct admission admission;
+    struct admission_ticket running = ticket_of(ADMISSION_CLASS_READ, 0);
+    struct admission_ticket queued[4];
+    struct admission_ticket late = ticket_of(ADMISSION_CLASS_READ, 0);
+    uint32_t retry_after_ms = 0;
+    admission_init(&admission, 1, 100);
+    enter(&admission, &running);
+    for (int i = 0; i < 4; i++) {
+        queued[i] = ticket_of(ADMISSION_CLASS_READ, 0);
+        enter(&admission, &queued[i]);
+    }
+    late.deadline = 10 * NANOSECONDS_PER_MILLISECOND;
+    g_assert_cmpint(admission_enter(&admission, &late, 0, &retry_after_ms), ==, ADMISSION_REFUSED);
+    g_assert_cmpuint(retry_after_ms, >=, 20);
+    while (serve_next(&admission) != NULL) {
+    }
+    admission_clear(&admission);
+}
+
+static void test_expired_in_queue_is_handed_back(void)
+{
+    struct admission admission;
+    struct admission_ticket running = ticket_of(ADMISSION_CLASS_READ, 0);
+    struct admission_ticket queued = ticket_of(ADMISSION_CLASS_READ, 0);
+    bool admitted = true;
+    admission_init(&admission, 1, 100);
+    enter(&admission, &running);
+    queued.deadline = NANOSECONDS_PER_SECOND;
+    g_assert_cmpint(enter(&admission, &queued), ==, ADMISSION_QUEUED);
+    g_assert_true(admission_next(&admission, NANOSECONDS_PER_SECOND, &admitted) == &queued);
+    g_assert_false(admitted);
+    g_assert_cmpuint(admission.in_flight, ==, 1);
+    admission_leave(&admission, 1);
+    admission_clear(&admission);
+}
+
+static void test_retry_budget_is_a_ratio(void)
+{
+    struct retry_budget budget;
+    uint32_t spent = 0;
+    retry_budget_init(&budget);
+    while (retry_budget_spend(&budget)) {
+        spent++;
+    }
+    g_assert_cmpuint(spent, ==, RETRY_BUDGET_SAVED_MAX / 1000);
+    for (int attempt = 0; attempt < 10; attempt++) {
+        retry_budget_earn(&budget);
+    }
+    g_assert_true(retry_budget_spend(&budget));
+    g_assert_true(retry_budget_spend(&budget));
+    g_assert_false(retry_budget_spend(&budget));
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/admission/slots", test_slots_then_queue_then_refusal);
+    g_test_add_func("/admission/order", test_unrepeatable_writes_go_first);
+    g_test_add_func("/admission/fair", test_tenants_share_equally);
+    g_test_add_func("/admission/hopeless", test_hopeless_deadline_is_refused_at_once);
+    g_test_add_func("/admission/expired", test_expired_in_queue_is_handed_back);
+    g_test_add_func("/retry-budget/ratio", test_retry_budget_is_a_ratio);
+    return g_test_run();
+}
