--- /dev/null
+++ b/src/daemon/group_runtime.c
@@ -0,0 +1,180 @@
+/* One database group at run time; see the header. */
+#include "daemon/group_runtime.h"
+
+#include <glib.h>
+#include <urcu-bp.h>
+
+/* Control probes and evidence keep this many connections per database and daemon outside the pool. */
+#define CONTROL_CONNECTIONS 3
+
+/* Warm connections kept per database. */
+#define IDLE_CONNECTIONS_MIN 1
+
+/* Old views are freed after a grace period, by the RCU helper thread. */
+struct published_view {
+    struct rcu_head head;
+    struct group_view view;
+};
+
+static void free_published_view(struct rcu_head *head)
+{
+    g_free(caa_container_of(head, struct published_view, head));
+}
+
+/* This daemon's part of a database's connections. */
+static uint32_t pool_limit_of(const struct database_configuration *database, uint32_t owner_count)
+{
+    uint32_t part = database->connections / MAX(owner_count, 1);
+    return part > CONTROL_CONNECTIONS ? part - CONTROL_CONNECTIONS : 1;
+}
+
+static void start_database(struct database_runtime *database,
+                           const struct database_configuration *configuration,
+                           const struct group_runtime_options *options)
+{
+    g_autofree char *application =
+        g_strdup_printf("swiftworks/%s@%s", options->daemon_name, options->zone_name);
+    struct pool_options pool_options = {
+        .connection = {.host = configuration->host,
+                       .port = configuration->port,
+                       .database_name = "swiftworks",
+                       .user = "swiftworks",
+                       .application_name = application},
+        .limit = pool_limit_of(configuration, options->owner_count),
+        .idle_min = IDLE_CONNECTIONS_MIN,
+        .open_rate_per_second = options->open_rate_per_second,
+    };
+    database->configuration = *configuration;
+    database->pool = pool_new(&pool_options);
+    pthread_mutex_init(&database->admission_lock, NULL);
+    admission_init(&database->admission, configuration->slots, options->queue_limit);
+}
+
+static void stop_database(struct database_runtime *database)
+{
+    pool_free(database->pool);
+    admission_clear(&database->admission);
+    pthread_mutex_destroy(&database->admission_lock);
+}
+
+static struct evidence_service *start_evidence(const struct group_configuration *group,
+                                               const struct group_runtime_options *options)
+{
+    g_autofree char *application =
+        g_strdup_printf("swiftworks/%s@%s", options->daemon_name, options->zone_name);
+    struct connection_settings members[GROUP_DATABASES_MAX];
+    for (uint32_t i = 0; i < group->database_count; i++) {
+        members[i] = (struct connection_settings){
+            .host = group->databases[i].host,
+            .port = group->databases[i].port,
+            .database_name = "swiftworks",
+            .user = "swiftworks",
+            .application_name = application,
+        };
+    }
+    struct evidence_service *service = evidence_service_new();
+    evidence_service_add_group(service, group->id, members, group->database_count);
+    return service;
+}
+
+struct group_runtime *group_runtime_new(struct configuration *configuration,
+                                        const struct group_configuration *group,
+                                        const struct group_runtime_options *options)
+{
+    struct group_runtime *runtime = g_atomic_rc_box_new0(struct group_runtime);
+    runtime->configuration = configuration_ref(configuration);
+    runtime->group = group;
+    runtime->database_count = group->database_count;
+    pthread_mutex_init(&runtime->writes_lock, NULL);
+    retry_budget_init(&runtime->retry_budget);
+    struct published_view *first = g_new0(struct published_view, 1);
+    first->view.group = group->id;
+    first->view.primary = -1;
+    first->view.database_count = group->database_count;
+    runtime->view = &first->view;
+    for (uint32_t i = 0; i < group->database_count; i++) {
+        start_database(&runtime->databases[i], &group->databases[i], options);
+    }
+    runtime->evidence = start_evidence(group, options);
+    return runtime;
+}
+
+struct group_runtime *group_runtime_ref(struct group_runtime *runtime)
+{
+    return g_atomic_rc_box_acquire(runtime);
+}
+
+static void clear_runtime(gpointer data)
+{
+    struct group_runtime *runtime = data;
+    evidence_service_free(runtime->evidence);
+    for (uint32_t i = 0; i < runtime->database_count; i++) {
+        stop_database(&runtime->databases[i]);
+    }
+    struct published_view *last = caa_container_of(runtime->view, struct published_view, view);
+    call_rcu(&last->head, free_published_view);
+    pthread_mutex_destroy(&runtime->writes_lock);
+    configuration_unref(runtime->configuration);
+}
+
+void group_runtime_unref(struct group_runtime *runtime)
+{
+    g_atomic_rc_box_release_full(runtime, clear_runtime);
+}
+
+void group_runtime_read_view(struct group_runtime *runtime, struct group_view *view)
+{
+    rcu_read_lock();
+    *view = *rcu_dereference(runtime->view);
+    rcu_read_unlock();
+}
+
+/* Reports a drained change if nothing runs any more. Called with writes_lock held. */
+static void report_if_drained(struct group_runtime *runtime)
+{
+    if (!runtime->drain_armed || runtime->drain_change == 0 || runtime->writes_running > 0) {
+        return;
+    }
+    uint64_t change = runtime->drain_change;
+    runtime->drain_change = 0;
+    runtime->drain_armed = false;
+    runtime->on_drained(runtime->on_drained_user, runtime->group->id, change);
+}
+
+void group_runtime_publish(struct group_runtime *runtime, const struct group_view *view,
+                           uint64_t change)
+{
+    struct published_view *next = g_new0(struct published_view, 1);
+    next->view = *view;
+    struct published_view *previous =
+        caa_container_of(runtime->view, struct published_view, view);
+    /* A writer checks the view and counts itself under this lock, so a paused view published
+     * here is seen by every later writer. */
+    pthread_mutex_lock(&runtime->writes_lock);
+    rcu_assign_pointer(runtime->view, &next->view);
+    runtime->drain_change = change;
+    runtime->drain_armed = change != 0;
+    report_if_drained(runtime);
+    pthread_mutex_unlock(&runtime->writes_lock);
+    call_rcu(&previous->head, free_published_view);
+}
+
+bool group_runtime_begin_write(struct group_runtime *runtime, struct group_view *view)
+{
+    pthread_mutex_lock(&runtime->writes_lock);
+    group_runtime_read_view(runtime, view);
+    bool accepted = !view->writes_paused;
+    if (accepted) {
+        runtime->writes_running++;
+    }
+    pthread_mutex_unlock(&runtime->writes_lock);
+    return accepted;
+}
+
+void group_runtime_end_write(struct group_runtime *runtime)
+{
+    pthread_mutex_lock(&runtime->writes_lock);
+    runtime->writes_running--;
+    report_if_drained(runtime);
+    pthread_mutex_unlock(&runtime->writes_lock);
+}
--- /dev/null
+++ b/src/daemon/group_runtime.h
@@ -0,0 +1,82 @@
+/* One database group at run time on this daemon: the published routing view, the connection pools, the
+ * slots, and what its requests share. Created by the control thread; read by request threads. */
+#ifndef SW_DAEMON_GROUP_RUNTIME_H
+#define SW_DAEMON_GROUP_RUNTIME_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "backend/evidence.h"
+#include "backend/pool.h"
+#include "configuration/configuration.h"
+#include "core/admission.h"
+#include "core/retry_budget.h"
+#include "core/types.h"
+
+/* One database of the group. */
+struct database_runtime {
+    struct database_configuration configuration; /* strings owned by the group's configuration */
+    struct pool *pool;
+    pthread_mutex_t admission_lock; /* guards admission */
+    struct admission admission;
+    _Atomic uint32_t in_flight; /* slots taken by this daemon, for routing without the lock */
+};
+
+/* Fixed settings of a group's run time. */
+struct group_runtime_options {
+    const char *daemon_name;
+    const char *zone_name;
+    uint32_t owner_count;       /* daemons that share the databases' connections */
+    uint32_t queue_limit;       /* requests queued before one database */
+    uint32_t open_rate_per_second;
+};
+
+/* Told when no write that began before a paused view runs any more. */
+typedef void (*group_drained_callback)(void *user, uint32_t group, uint64_t change);
+
+/* Reference counted: the control thread holds one, every task one. */
+struct group_runtime {
+    struct configuration *configuration; /* holds the strings; one reference */
+    const struct group_configuration *group;
+    struct group_view *view; /* RCU: read by group_runtime_read_view, written by the control thread */
+    uint32_t database_count;
+    struct database_runtime databases[GROUP_DATABASES_MAX];
+    struct retry_budget retry_budget;
+    struct evidence_service *evidence;
+    _Atomic uint64_t reads;         /* answered reads */
+    _Atomic uint64_t primary_reads; /* of these, by the primary although replicas were allowed */
+
+    pthread_mutex_t writes_lock; /* guards the three below */
+    uint32_t writes_running;     /* writes and write transactions begun under an unpaused view */
+    uint64_t drain_change;       /* planned change that waits for writes_running to be 0; or 0 */
+    bool drain_armed;            /* every thread sees the paused view */
+    group_drained_callback on_drained;
+    void *on_drained_user;
+};
+
+/* Starts pools and evidence for a group. The view is empty until one is published. */
+struct group_runtime *group_runtime_new(struct configuration *configuration,
+                                        const struct group_configuration *group,
+                                        const struct group_runtime_options *options);
+
+struct group_runtime *group_runtime_ref(struct group_runtime *runtime);
+
+/* The last reference closes the pools; no connection may be out. */
+void group_runtime_unref(struct group_runtime *runtime);
+
+/* Copies the newest view. Any thread, no lock (RCU). */
+void group_runtime_read_view(struct group_runtime *runtime, struct group_view *view);
+
+/* Publishes a view; control thread only. With `change`, on_drained is called once every write that
+ * began earlier has ended. */
+void group_runtime_publish(struct group_runtime *runtime, const struct group_view *view,
+                           uint64_t change);
+
+/* Copies the newest view and, if it takes writes, counts one write as running. False if it is
+ * paused: nothing was counted. */
+bool group_runtime_begin_write(struct group_runtime *runtime, struct group_view *view);
+
+/* Ends a counted write. */
+void group_runtime_end_write(struct group_runtime *runtime);
+
+#endif
--- /dev/null
+++ b/src/daemon/task.c
@@ -0,0 +1,273 @@
+/* Start, slots and answer of a task; see the header. */
+#include "daemon/task.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "backend/clock.h"
+#include "daemon/daemon.h"
+#include "daemon/forward.h"
+#include "daemon/metrics.h"
+
+/* When a caller should come back after the daemon itself had no room or was not ready. */
+#define DAEMON_RETRY_AFTER_MS 500
+
+/* A slot queue's Retry-After is spread by up to this part of it, in percent. */
+#define RETRY_AFTER_JITTER_PERCENT 50
+
+static void free_task(struct task *task)
+{
+    execute_answer_clear(&task->run);
+    execute_answer_clear(&task->failure);
+    reply_clear(&task->reply);
+    request_clear(task->request);
+    g_free(task->request);
+    g_free(task->ledger_key);
+    if (task->group != NULL) {
+        group_runtime_unref(task->group);
+    }
+    configuration_unref(task->configuration);
+    g_free(task);
+}
+
+void task_finish(struct task *task)
+{
+    task_give_slot(task);
+    if (task->counts_as_write) {
+        group_runtime_end_write(task->group);
+        task->counts_as_write = false;
+    }
+    task->state = TASK_STATE_ANSWERED;
+    struct reply *reply = &task->reply;
+    reply->request_id = g_strdup(task->request->request_id);
+    reply->served_by_daemon = g_strdup(daemon_name(task->daemon));
+    metrics_count_reply(task->daemon->metrics, task, backend_now());
+    task->answer(task->origin, reply);
+    daemon_task_ended(task->daemon);
+    free_task(task);
+}
+
+void task_refuse(struct task *task, enum outcome outcome, enum error_kind error, const char *text,
+                 uint32_t retry_after_ms)
+{
+    const struct error_entry *entry = error_entry_of(error);
+    task->reply.outcome = outcome;
+    task->reply.error_kind = (uint32_t)error;
+    g_free(task->reply.error_text);
+    task->reply.error_text = g_strdup(text != NULL ? text : entry->text);
+    bool may_retry = entry->retry != ERROR_RETRY_NO;
+    task->reply.retry_after_ms = may_retry ? MAX(retry_after_ms, 1) : 0;
+    task_finish(task);
+}
+
+/* Adds jitter, so that refused callers do not come back together. */
+static uint32_t spread(uint32_t retry_after_ms)
+{
+    uint32_t width = retry_after_ms * RETRY_AFTER_JITTER_PERCENT / 100 + 1;
+    return retry_after_ms + (uint32_t)g_random_int_range(0, (gint32)width);
+}
+
+static void run_task(struct worker_job *job)
+{
+    struct task *task = (struct task *)job;
+    switch (task->state) {
+    case TASK_STATE_STARTING:
+        forward_or_run(task);
+        break;
+    case TASK_STATE_READING:
+        task_run_read(task);
+        break;
+    case TASK_STATE_WRITING:
+        task_run_write(task);
+        break;
+    case TASK_STATE_ANSWERED:
+        g_assert_not_reached();
+    }
+}
+
+static bool has_key(const struct request *request)
+{
+    return request->idempotency_key != NULL && request->idempotency_key[0] != '\0';
+}
+
+/* Finds route and group, or says why there is none. */
+static bool resolve(struct task *task, enum error_kind *error)
+{
+    task->configuration = daemon_take_configuration(task->daemon);
+    if (task->configuration == NULL) {
+        *error = ERROR_KIND_NOT_READY;
+        return false;
+    }
+    const char *tenant = task->request->tenant;
+    task->route = configuration_find_tenant(task->configuration, tenant != NULL ? tenant : "");
+    if (task->route == NULL) {
+        *error = ERROR_KIND_UNKNOWN_TENANT;
+        return false;
+    }
+    task->group = daemon_take_group(task->daemon, task->route->group);
+    if (task->group == NULL) {
+        *error = ERROR_KIND_NOT_READY;
+        return false;
+    }
+    return true;
+}
+
+static void prepare(struct task *task)
+{
+    struct request *request = task->request;
+    request->group = task->route->group;
+    uint32_t budget_ms = MIN(request->budget_ms, task->route->request_timeout_ms);
+    task->deadline = task->started_at + budget_ms * NANOSECONDS_PER_MILLISECOND;
+    if (has_key(request)) {
+        task->ledger_key = g_strdup_printf("%s/%s", request->tenant, request->idempotency_key);
+    }
+    task->ticket.tenant = (uint32_t)XXH3_64bits(request->tenant, strlen(request->tenant));
+    task->ticket.weight = task->route->weight;
+    task->ticket.deadline = task->deadline;
+}
+
+void task_submit(struct daemon *daemon, struct request *request, task_answer_function answer,
+                 void *origin)
+{
+    struct task *task = g_new0(struct task, 1);
+    task->job.run = run_task;
+    task->daemon = daemon;
+    task->request = request;
+    task->answer = answer;
+    task->origin = origin;
+    task->started_at = backend_now();
+    task->slot_database = -1;
+    reply_init(&task->reply);
+    execute_answer_init(&task->run);
+    execute_answer_init(&task->failure);
+    if (!daemon_task_begins(daemon, request)) {
+        task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_STOPPING, NULL, DAEMON_RETRY_AFTER_MS);
+        return;
+    }
+    enum error_kind error;
+    if (!resolve(task, &error)) {
+        task_refuse(task, OUTCOME_REFUSED, error, NULL, DAEMON_RETRY_AFTER_MS);
+        return;
+    }
+    prepare(task);
+    if (!worker_pool_submit(daemon->workers, &task->job)) {
+        task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_OVERLOADED, NULL,
+                    spread(DAEMON_RETRY_AFTER_MS));
+    }
+}
+
+bool task_take_slot(struct task *task, uint32_t database, enum admission_class rank, bool *refused,
+                    uint32_t *retry_after_ms)
+{
+    struct database_runtime *runtime = &task->group->databases[database];
+    *refused = false;
+    if (task->slot_database == (int32_t)database) {
+        return true;
+    }
+    if (task->ticket_expired) {
+        task->ticket_expired = false;
+        pthread_mutex_lock(&runtime->admission_lock);
+        *retry_after_ms = spread(admission_drain_ms(&runtime->admission));
+        pthread_mutex_unlock(&runtime->admission_lock);
+        *refused = true;
+        return false;
+    }
+    time_ns now = backend_now();
+    task->ticket.rank = rank;
+    pthread_mutex_lock(&runtime->admission_lock);
+    enum admission_verdict verdict =
+        admission_enter(&runtime->admission, &task->ticket, now, retry_after_ms);
+    if (verdict == ADMISSION_ADMITTED) {
+        task->slot_database = (int32_t)database;
+        task->slot_since = now;
+        atomic_fetch_add(&runtime->in_flight, 1);
+    }
+    pthread_mutex_unlock(&runtime->admission_lock);
+    /* Once queued, another thread may run the task: nothing of it may be touched any more. */
+    if (verdict == ADMISSION_REFUSED) {
+        *refused = true;
+        *retry_after_ms = spread(*retry_after_ms);
+    }
+    return verdict == ADMISSION_ADMITTED;
+}
+
+/* Starts the queued tasks that are due at a database. Called with its admission_lock held. */
+static void start_queued(struct daemon *daemon, struct database_runtime *runtime,
+                         uint32_t database, time_ns now)
+{
+    bool admitted = false;
+    struct admission_ticket *ticket = admission_next(&runtime->admission, now, &admitted);
+    while (ticket != NULL) {
+        struct task *task = caa_container_of(ticket, struct task, ticket);
+        task->ticket_expired = !admitted;
+        if (admitted) {
+            task->slot_database = (int32_t)database;
+            task->slot_since = now;
+            atomic_fetch_add(&runtime->in_flight, 1);
+        }
+        worker_pool_resume(daemon->workers, &task->job);
+        ticket = admission_next(&runtime->admission, now, &admitted);
+    }
+}
+
+void task_give_slot(struct task *task)
+{
+    if (task->slot_database < 0) {
+        return;
+    }
+    uint32_t database = (uint32_t)task->slot_database;
+    struct database_runtime *runtime = &task->group->databases[database];
+    time_ns now = backend_now();
+    task->slot_database = -1;
+    pthread_mutex_lock(&runtime->admission_lock);
+    atomic_fetch_sub(&runtime->in_flight, 1);
+    admission_leave(&runtime->admission, now - task->slot_since);
+    start_queued(task->daemon, runtime, database, now);
+    pthread_mutex_unlock(&runtime->admission_lock);
+}
+
+struct log_position task_session_position(const struct task *task)
+{
+    struct log_position position = {0, 0};
+    for (size_t i = 0; i < task->request->session_count; i++) {
+        const struct group_position *seen = &task->request->session[i];
+        if (seen->group == task->request->group) {
+            position.term = seen->term;
+            position.offset = seen->offset;
+        }
+    }
+    return position;
+}
+
+void task_note_seen(struct task *task, struct log_position position)
+{
+    if (position.term == 0) {
+        return;
+    }
+    task->reply.session = g_new0(struct group_position, 1);
+    task->reply.session_count = 1;
+    task->reply.session[0].group = task->request->group;
+    task->reply.session[0].term = position.term;
+    task->reply.session[0].offset = position.offset;
+}
+
+void task_note_served(struct task *task, int32_t database, const char *role)
+{
+    if (database < 0) {
+        return;
+    }
+    g_free(task->reply.served_by_database);
+    g_free(task->reply.served_by_role);
+    task->reply.served_by_database =
+        g_strdup(task->group->databases[database].configuration.name);
+    task->reply.served_by_role = g_strdup(role);
+}
+
+void task_take_results(struct task *task, struct execute_answer *answer)
+{
+    task->reply.results = answer->results;
+    task->reply.results_count = answer->results_count;
+    answer->results = NULL;
+    answer->results_count = 0;
+}
--- /dev/null
+++ b/src/daemon/task.h
@@ -0,0 +1,101 @@
+/* One caller's request while this daemon serves it: the request, its flow, its slot and its answer. A task
+ * is always in one place: with one worker, parked, queued for a slot, or answered. */
+#ifndef SW_DAEMON_TASK_H
+#define SW_DAEMON_TASK_H
+
+#include "backend/adapter.h"
+#include "core/admission.h"
+#include "core/read_flow.h"
+#include "core/write_flow.h"
+#include "daemon/group_runtime.h"
+#include "daemon/worker_pool.h"
+#include "generated/messages.h"
+
+struct daemon;
+struct transaction;
+
+/* Takes the answer of a task; `reply` is the task's. Called once, on a worker. */
+typedef void (*task_answer_function)(void *origin, const struct reply *reply);
+
+enum task_state {
+    TASK_STATE_STARTING, /* no step taken yet */
+    TASK_STATE_READING,  /* read_step is to be performed */
+    TASK_STATE_WRITING,  /* write_step is to be performed */
+    TASK_STATE_ANSWERED,
+};
+
+/* Owned by whoever runs it; no locks. */
+struct task {
+    struct worker_job job; /* first: a job is its task */
+    struct daemon *daemon;
+    struct request *request; /* owned */
+    task_answer_function answer;
+    void *origin;
+
+    struct configuration *configuration; /* one reference; holds the route */
+    const struct tenant_route *route;
+    struct group_runtime *group; /* one reference */
+    time_ns started_at;
+    time_ns deadline;
+
+    enum task_state state;
+    struct read_flow read_flow;
+    struct read_step read_step;
+    struct write_flow write_flow;
+    struct write_step write_step;
+
+    struct admission_ticket ticket;
+    int32_t slot_database; /* whose slot the task holds, or -1 */
+    bool ticket_expired;   /* the queue handed the ticket back without a slot */
+    time_ns slot_since;
+    bool counts_as_write; /* in the group's writes_running */
+
+    struct transaction *transaction; /* being used, or NULL */
+    char *ledger_key;                /* tenant and idempotency key, or NULL */
+    struct execute_answer run;       /* of the last step */
+    struct execute_answer failure;   /* the error to tell once the key is closed */
+    struct reply reply;
+};
+
+/* Starts a task for a valid request, which it takes over. Answered with STOPPING, NOT_READY,
+ * UNKNOWN_TENANT or OVERLOADED at once where it can't run. Any thread. */
+void task_submit(struct daemon *daemon, struct request *request, task_answer_function answer,
+                 void *origin);
+
+/* Answers and frees the task. */
+void task_finish(struct task *task);
+
+/* Fills the reply with an outcome that is not done, and finishes. */
+void task_refuse(struct task *task, enum outcome outcome, enum error_kind error,
+                 const char *text, uint32_t retry_after_ms);
+
+/* Runs the read flow until the task is answered, parked or queued. */
+void task_run_read(struct task *task);
+
+/* Runs the write flow until the task is answered, parked or queued. */
+void task_run_write(struct task *task);
+
+/* Runs a request of an interactive transaction. */
+void task_run_transaction(struct task *task);
+
+/* Takes a slot of a database. True: held. False: the task was queued (it will run again), or
+ * refused: then *refused is true and *retry_after_ms set. */
+bool task_take_slot(struct task *task, uint32_t database, enum admission_class rank, bool *refused,
+                    uint32_t *retry_after_ms);
+
+/* Gives the slot back, if one is held, and starts the next in the queue. */
+void task_give_slot(struct task *task);
+
+/* What the session has seen in the task's group; zero if nothing. */
+struct log_position task_session_position(const struct task *task);
+
+/* Notes in the reply what the session has now seen. */
+void task_note_seen(struct task *task, struct log_position position);
+
+/* Names the database that served in the reply. */
+void task_note_served(struct task *task, int32_t database, const char *role);
+
+/* Moves the results of a run into the reply. */
+void task_take_results(struct task *task, struct execute_answer *answer);
+
+#endif
