--- a/src/wire/codec.c
+++ b/src/wire/codec.c
@@ -259,6 +259,36 @@
     return true;
 }
 
+bool codec_check_size(size_t size, const char *field, size_t max, GError **error)
+{
+    if (size > max) {
+        codec_set_error(error, field, "over its bound");
+        return false;
+    }
+    return true;
+}
+
+bool codec_check_enum(unsigned value, const char *field, unsigned count, GError **error)
+{
+    if (value >= count) {
+        codec_set_error(error, field, "not a known value");
+        return false;
+    }
+    return true;
+}
+
+bool codec_check_text(const char *value, const char *field, size_t max, GError **error)
+{
+    if (value == NULL) {
+        return true;
+    }
+    if (!g_utf8_validate(value, -1, NULL)) {
+        codec_set_error(error, field, "text is not UTF-8");
+        return false;
+    }
+    return codec_check_size(strlen(value), field, max, error);
+}
+
 GByteArray *codec_serialize(cbor_item_t *item)
 {
     unsigned char *buffer = NULL;
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -59,6 +59,11 @@
 bool codec_read_map(const cbor_item_t *item, const char *name, codec_field_reader reader, void *out,
                     GError **error);
 
+/* Checks of a content before it is encoded, by the decoder's bounds. */
+bool codec_check_size(size_t size, const char *field, size_t max, GError **error);
+bool codec_check_enum(unsigned value, const char *field, unsigned count, GError **error);
+bool codec_check_text(const char *value, const char *field, size_t max, GError **error);
+
 /* Serializes an item; takes the caller's reference. */
 GByteArray *codec_serialize(cbor_item_t *item);
 
--- /dev/null
+++ b/src/wire/peer_pool.c
@@ -0,0 +1,247 @@
+/* Idle connections are kept in stacks by address, newest on top, so that a pool larger than its
+ * need lets the older ones lapse. */
+#include "wire/peer_pool.h"
+
+#include "core/error.h"
+#include "generated/errors.h"
+#include "wire/connection.h"
+
+#define STRIPE_COUNT 64
+
+struct idle_connection {
+    struct wire_connection *connection;
+    time_ns idle_since;
+};
+
+/* A part of the pool with its own lock. */
+struct pool_stripe {
+    GMutex mutex;
+    GHashTable *peers; /* address -> GQueue of idle_connection, newest at the head */
+};
+
+struct peer_pool {
+    unsigned idle_max;
+    struct pool_stripe stripes[STRIPE_COUNT];
+};
+
+static void idle_connection_free(void *data)
+{
+    struct idle_connection *idle = data;
+    wire_close(idle->connection);
+    g_free(idle);
+}
+
+static void idle_queue_free(void *data)
+{
+    g_queue_free_full(data, idle_connection_free);
+}
+
+static struct pool_stripe *stripe_of(struct peer_pool *pool, const char *address)
+{
+    return &pool->stripes[g_str_hash(address) % STRIPE_COUNT];
+}
+
+struct peer_pool *peer_pool_new(unsigned idle_max)
+{
+    struct peer_pool *pool = g_new0(struct peer_pool, 1);
+    pool->idle_max = idle_max;
+    for (size_t i = 0; i < STRIPE_COUNT; i++) {
+        g_mutex_init(&pool->stripes[i].mutex);
+        pool->stripes[i].peers =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, idle_queue_free);
+    }
+    return pool;
+}
+
+void peer_pool_free(struct peer_pool *pool)
+{
+    for (size_t i = 0; i < STRIPE_COUNT; i++) {
+        g_hash_table_unref(pool->stripes[i].peers);
+        g_mutex_clear(&pool->stripes[i].mutex);
+    }
+    g_free(pool);
+}
+
+/* Takes the newest idle connection out of the pool; NULL if there is none. */
+static struct idle_connection *take_idle(struct peer_pool *pool, const char *address)
+{
+    struct pool_stripe *stripe = stripe_of(pool, address);
+    struct idle_connection *idle = NULL;
+    g_mutex_lock(&stripe->mutex);
+    GQueue *queue = g_hash_table_lookup(stripe->peers, address);
+    if (queue != NULL) {
+        idle = g_queue_pop_head(queue);
+    }
+    g_mutex_unlock(&stripe->mutex);
+    return idle;
+}
+
+/* Puts a connection back, or closes it where the peer has its share of idle ones. */
+static void put_idle(struct peer_pool *pool, const char *address,
+                     struct wire_connection *connection)
+{
+    struct pool_stripe *stripe = stripe_of(pool, address);
+    bool kept = false;
+    struct idle_connection *idle = g_new0(struct idle_connection, 1);
+    idle->connection = connection;
+    idle->idle_since = wire_clock_now();
+    g_mutex_lock(&stripe->mutex);
+    GQueue *queue = g_hash_table_lookup(stripe->peers, address);
+    if (queue == NULL) {
+        queue = g_queue_new();
+        g_hash_table_insert(stripe->peers, g_strdup(address), queue);
+    }
+    if (queue->length < pool->idle_max) {
+        g_queue_push_head(queue, idle);
+        kept = true;
+    }
+    g_mutex_unlock(&stripe->mutex);
+    if (!kept) {
+        idle_connection_free(idle);
+    }
+}
+
+/* True while an idle connection may carry another request: it is young, and nothing has come in,
+ * neither CLOSING nor its end. */
+static bool is_usable(const struct idle_connection *idle, time_ns idle_since_min)
+{
+    return idle->idle_since >= idle_since_min && wire_is_quiet(idle->connection);
+}
+
+/* Takes a usable connection out of the pool and closes those found unusable on the way. */
+static struct wire_connection *take_usable(struct peer_pool *pool, const char *address)
+{
+    time_ns now = wire_clock_now();
+    time_ns idle_since_min = now > PEER_POOL_IDLE_NS ? now - PEER_POOL_IDLE_NS : 0;
+    struct idle_connection *idle = NULL;
+    while ((idle = take_idle(pool, address)) != NULL) {
+        if (is_usable(idle, idle_since_min)) {
+            struct wire_connection *connection = idle->connection;
+            g_free(idle);
+            return connection;
+        }
+        idle_connection_free(idle);
+    }
+    return NULL;
+}
+
+/* One request and its answer; puts the connection back or closes it. */
+static enum peer_call_result exchange(struct peer_pool *pool, const char *address,
+                                      struct wire_connection *connection, const GByteArray *frame,
+                                      struct message *reply, time_ns deadline, GError **error)
+{
+    uint64_t sent_before = connection->octets_sent;
+    if (!wire_send_frame(connection, frame, deadline, error)) {
+        bool untouched = connection->octets_sent == sent_before;
+        g_prefix_error(error, "%s: ", address);
+        wire_close(connection);
+        return untouched ? PEER_CALL_NOT_SENT : PEER_CALL_SENT_NO_ANSWER;
+    }
+    if (!wire_receive(connection, reply, deadline, error)) {
+        g_prefix_error(error, "%s: ", address);
+        wire_close(connection);
+        return PEER_CALL_SENT_NO_ANSWER;
+    }
+    if (connection->peer_closing) {
+        wire_close(connection);
+    } else {
+        put_idle(pool, address, connection);
+    }
+    return PEER_CALL_ANSWERED;
+}
+
+/* Hands an error on; NULL is none. */
+static void move_error(GError **error, GError *from)
+{
+    if (from != NULL) {
+        g_propagate_error(error, from);
+    }
+}
+
+enum peer_call_result peer_call(struct peer_pool *pool, const char *address,
+                                const struct message *request, struct message *reply,
+                                time_ns deadline, GError **error)
+{
+    message_init(reply, MESSAGE_KIND_NONE);
+    g_autoptr(GByteArray) frame = wire_frame_new(request, error);
+    if (frame == NULL) {
+        return PEER_CALL_NOT_SENT;
+    }
+    if (wire_clock_now() >= deadline) {
+        g_set_error(error, SW_ERROR, ERROR_KIND_DEADLINE, "the deadline has passed");
+        return PEER_CALL_NOT_SENT;
+    }
+    struct wire_connection *connection = take_usable(pool, address);
+    if (connection != NULL) {
+        GError *pooled_error = NULL;
+        enum peer_call_result result =
+            exchange(pool, address, connection, frame, reply, deadline, &pooled_error);
+        if (result != PEER_CALL_NOT_SENT) {
+            move_error(error, pooled_error);
+            return result;
+        }
+        g_clear_error(&pooled_error);
+    }
+    connection = wire_connect(address, deadline, error);
+    if (connection == NULL) {
+        return PEER_CALL_NOT_SENT;
+    }
+    return exchange(pool, address, connection, frame, reply, deadline, error);
+}
+
+/* Moves the unusable connections of one peer to `closing`. */
+static void collect_unusable(GQueue *queue, time_ns idle_since_min, GQueue *closing)
+{
+    GList *link = queue->head;
+    while (link != NULL) {
+        GList *next = link->next;
+        if (!is_usable(link->data, idle_since_min)) {
+            g_queue_push_tail(closing, link->data);
+            g_queue_delete_link(queue, link);
+        }
+        link = next;
+    }
+}
+
+/* Takes the unusable connections out of a stripe and drops peers without any. */
+static void collect_stripe(struct pool_stripe *stripe, time_ns idle_since_min, GQueue *closing)
+{
+    GHashTableIter iterator;
+    void *queue = NULL;
+    g_mutex_lock(&stripe->mutex);
+    g_hash_table_iter_init(&iterator, stripe->peers);
+    while (g_hash_table_iter_next(&iterator, NULL, &queue)) {
+        collect_unusable(queue, idle_since_min, closing);
+        if (g_queue_is_empty(queue)) {
+            g_hash_table_iter_remove(&iterator);
+        }
+    }
+    g_mutex_unlock(&stripe->mutex);
+}
+
+void peer_pool_close_idle(struct peer_pool *pool, time_ns idle_since)
+{
+    GQueue closing = G_QUEUE_INIT;
+    for (size_t i = 0; i < STRIPE_COUNT; i++) {
+        collect_stripe(&pool->stripes[i], idle_since, &closing);
+    }
+    g_queue_clear_full(&closing, idle_connection_free);
+}
+
+void peer_pool_forget(struct peer_pool *pool, const char *address)
+{
+    struct pool_stripe *stripe = stripe_of(pool, address);
+    g_mutex_lock(&stripe->mutex);
+    g_hash_table_remove(stripe->peers, address);
+    g_mutex_unlock(&stripe->mutex);
+}
+
+unsigned peer_pool_idle_count(struct peer_pool *pool, const char *address)
+{
+    struct pool_stripe *stripe = stripe_of(pool, address);
+    g_mutex_lock(&stripe->mutex);
+    GQueue *queue = g_hash_table_lookup(stripe->peers, address);
+    unsigned count = queue == NULL ? 0 : queue->length;
+    g_mutex_unlock(&stripe->mutex);
+    return count;
+}
--- /dev/null
+++ b/src/wire/peer_server.c
@@ -0,0 +1,282 @@
+/* The accept loop and the connections' threads.
+ *
+ * `stop_descriptor` is an eventfd that stays readable from the stop on; threads see it in their
+ * poll. Connections are listed under `mutex`, so that peer_server_free can shut their sockets. */
+#include "wire/peer_server.h"
+
+#include "wire/connection.h"
+#include "wire/listener.h"
+
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Pause after a failed accept, e.g. for want of descriptors. */
+#define ACCEPT_PAUSE_NS (100 * NANOSECONDS_PER_MILLISECOND)
+
+/* Bound for sending one control word. */
+#define CONTROL_TIMEOUT_NS (1 * NANOSECONDS_PER_SECOND)
+
+struct peer_server {
+    struct peer_server_options options;
+    struct wire_listener *listener;
+    GThread *accept_thread; /* NULL once joined */
+    int stop_descriptor;
+    GMutex mutex;
+    GCond finished;          /* a connection has ended */
+    GHashTable *connections; /* set of struct served_connection; under mutex */
+};
+
+/* One accepted connection; owned by its thread. */
+struct served_connection {
+    struct peer_server *server;
+    struct wire_connection *connection;
+};
+
+static time_ns deadline_after(time_ns duration)
+{
+    return wire_clock_now() + duration;
+}
+
+/* Receives, handles and answers one request. False ends the connection. */
+static bool serve_request(struct peer_server *server, struct wire_connection *connection)
+{
+    struct message request;
+    g_autoptr(GError) error = NULL;
+    time_ns deadline = deadline_after(PEER_SERVER_TRANSFER_NS);
+    if (!wire_receive(connection, &request, deadline, &error)) {
+        g_debug("wire: request not received: %s", error->message);
+        return false;
+    }
+    struct message reply;
+    message_init(&reply, MESSAGE_KIND_NONE);
+    server->options.handler(&request, &reply, server->options.user);
+    message_clear(&request);
+    bool answered = false;
+    if (reply.kind != MESSAGE_KIND_NONE) {
+        deadline = deadline_after(PEER_SERVER_TRANSFER_NS);
+        answered = wire_send(connection, &reply, deadline, &error);
+    }
+    if (error != NULL) {
+        g_info("wire: answer not sent: %s", error->message);
+    }
+    message_clear(&reply);
+    return answered;
+}
+
+/* Serves until the connection fails or should be closed; true in the latter case. */
+static bool serve_until_stop(struct peer_server *server, struct wire_connection *connection)
+{
+    for (;;) {
+        enum wire_wait wait = wire_wait_input(connection, server->stop_descriptor,
+                                              deadline_after(PEER_SERVER_IDLE_NS));
+        if (wait == WIRE_WAIT_STOPPED || wait == WIRE_WAIT_DEADLINE) {
+            return true;
+        }
+        if (wait == WIRE_WAIT_FAILED || !serve_request(server, connection)) {
+            return false;
+        }
+    }
+}
+
+/* Tells the peer that the connection closes and serves the requests that crossed this notice. */
+static void serve_closing(struct peer_server *server, struct wire_connection *connection)
+{
+    if (!wire_send_closing(connection, deadline_after(CONTROL_TIMEOUT_NS), NULL)) {
+        return;
+    }
+    while (wire_wait_input(connection, -1, deadline_after(PEER_SERVER_CLOSING_NS)) ==
+           WIRE_WAIT_READABLE) {
+        if (!serve_request(server, connection)) {
+            return;
+        }
+    }
+}
+
+/* Takes the connection off the list and closes it. Under the mutex, so that peer_server_free never
+ * shuts a descriptor that was closed and given to another. */
+static void finish_connection(struct served_connection *served)
+{
+    struct peer_server *server = served->server;
+    g_mutex_lock(&server->mutex);
+    g_hash_table_remove(server->connections, served);
+    wire_close(served->connection);
+    g_cond_broadcast(&server->finished);
+    g_mutex_unlock(&server->mutex);
+    g_free(served);
+}
+
+static void *connection_thread(void *data)
+{
+    struct served_connection *served = data;
+    struct peer_server *server = served->server;
+    if (server->options.thread_started != NULL) {
+        server->options.thread_started(server->options.user);
+    }
+    bool ready = wire_send_ready(served->connection, deadline_after(CONTROL_TIMEOUT_NS), NULL);
+    if (ready && serve_until_stop(server, served->connection)) {
+        serve_closing(server, served->connection);
+    }
+    if (server->options.thread_ending != NULL) {
+        server->options.thread_ending(server->options.user);
+    }
+    finish_connection(served);
+    return NULL;
+}
+
+/* Refuses a connection before its first request. */
+static void refuse_connection(struct wire_connection *connection)
+{
+    wire_send_closing(connection, deadline_after(CONTROL_TIMEOUT_NS), NULL);
+    wire_close(connection);
+}
+
+/* Lists a connection; NULL if the server has its bound of them. */
+static struct served_connection *list_connection(struct peer_server *server,
+                                                 struct wire_connection *connection)
+{
+    struct served_connection *served = NULL;
+    g_mutex_lock(&server->mutex);
+    if (g_hash_table_size(server->connections) < server->options.connections_max) {
+        served = g_new0(struct served_connection, 1);
+        served->server = server;
+        served->connection = connection;
+        g_hash_table_add(server->connections, served);
+    }
+    g_mutex_unlock(&server->mutex);
+    return served;
+}
+
+static void start_connection(struct peer_server *server, struct wire_connection *connection)
+{
+    struct served_connection *served = list_connection(server, connection);
+    if (served == NULL) {
+        g_info("wire: connection refused: %u are open", server->options.connections_max);
+        refuse_connection(connection);
+        return;
+    }
+    g_autoptr(GError) error = NULL;
+    GThread *thread = g_thread_try_new("peer", connection_thread, served, &error);
+    if (thread == NULL) {
+        g_info("wire: connection refused: %s", error->message);
+        finish_connection(served);
+        return;
+    }
+    g_thread_unref(thread);
+}
+
+/* Waits a moment, or less if the server stops. */
+static void pause_accepting(struct peer_server *server)
+{
+    struct pollfd entry = {.fd = server->stop_descriptor, .events = POLLIN};
+    poll(&entry, 1, wire_poll_timeout(deadline_after(ACCEPT_PAUSE_NS)));
+}
+
+static void *accept_thread(void *data)
+{
+    struct peer_server *server = data;
+    for (;;) {
+        g_autoptr(GError) error = NULL;
+        struct wire_connection *connection =
+            wire_listener_accept(server->listener, server->stop_descriptor, &error);
+        if (connection != NULL) {
+            start_connection(server, connection);
+        } else if (error != NULL) {
+            g_info("wire: no connection accepted: %s", error->message);
+            pause_accepting(server);
+        } else {
+            return NULL;
+        }
+    }
+}
+
+struct peer_server *peer_server_start(const char *address,
+                                      const struct peer_server_options *options, GError **error)
+{
+    struct wire_listener *listener = wire_listener_open(address, error);
+    if (listener == NULL) {
+        return NULL;
+    }
+    struct peer_server *server = g_new0(struct peer_server, 1);
+    server->options = *options;
+    server->listener = listener;
+    server->stop_descriptor = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    g_assert(server->stop_descriptor >= 0);
+    g_mutex_init(&server->mutex);
+    g_cond_init(&server->finished);
+    server->connections = g_hash_table_new(NULL, NULL);
+    server->accept_thread = g_thread_new("peer-accept", accept_thread, server);
+    return server;
+}
+
+const char *peer_server_address(const struct peer_server *server)
+{
+    return server->listener->address;
+}
+
+unsigned peer_server_connection_count(struct peer_server *server)
+{
+    g_mutex_lock(&server->mutex);
+    unsigned count = g_hash_table_size(server->connections);
+    g_mutex_unlock(&server->mutex);
+    return count;
+}
+
+/* Waits until no connection is left or the deadline has passed; returns how many are left. */
+static unsigned wait_connections(struct peer_server *server, time_ns deadline)
+{
+    gint64 deadline_us = G_MAXINT64;
+    if (deadline != WIRE_NO_DEADLINE) {
+        deadline_us = (gint64)(deadline / (NANOSECONDS_PER_MILLISECOND / 1000));
+    }
+    g_mutex_lock(&server->mutex);
+    bool in_time = true;
+    while (in_time && g_hash_table_size(server->connections) > 0) {
+        if (deadline == WIRE_NO_DEADLINE) {
+            g_cond_wait(&server->finished, &server->mutex);
+        } else {
+            in_time = g_cond_wait_until(&server->finished, &server->mutex, deadline_us);
+        }
+    }
+    unsigned left = g_hash_table_size(server->connections);
+    g_mutex_unlock(&server->mutex);
+    return left;
+}
+
+unsigned peer_server_stop(struct peer_server *server, time_ns deadline)
+{
+    if (server->accept_thread != NULL) {
+        eventfd_write(server->stop_descriptor, 1);
+        g_thread_join(server->accept_thread);
+        server->accept_thread = NULL;
+        wire_listener_stop(server->listener);
+    }
+    return wait_connections(server, deadline);
+}
+
+/* Shuts the sockets of all connections; their threads then end. */
+static void cut_connections(struct peer_server *server)
+{
+    GHashTableIter iterator;
+    void *served = NULL;
+    g_mutex_lock(&server->mutex);
+    g_hash_table_iter_init(&iterator, server->connections);
+    while (g_hash_table_iter_next(&iterator, &served, NULL)) {
+        shutdown(((struct served_connection *)served)->connection->socket, SHUT_RDWR);
+    }
+    g_mutex_unlock(&server->mutex);
+}
+
+void peer_server_free(struct peer_server *server)
+{
+    peer_server_stop(server, 0);
+    cut_connections(server);
+    wait_connections(server, WIRE_NO_DEADLINE);
+    wire_listener_close(server->listener);
+    g_hash_table_unref(server->connections);
+    close(server->stop_descriptor);
+    g_cond_clear(&server->finished);
+    g_mutex_clear(&server->mutex);
+    g_free(server);
+}
--- a/tools/generator/messages.py
+++ b/tools/generator/messages.py
@@ -91,6 +91,18 @@
             return f"codec_build_bytes({value}, {value}_length)"
         return f"codec_build_u64({value})"
 
+    def check(self, value, quoted):
+        """An expression that is false if one value breaks a bound; None where it can't."""
+        if self.is_struct:
+            return f"{self.type}_check(&{value}, error)"
+        if self.is_enum:
+            return f"codec_check_enum({value}, {quoted}, {self.type.upper()}_COUNT, error)"
+        if self.type == "text":
+            return f"codec_check_text({value}, {quoted}, {self.item_max}, error)"
+        if self.type == "bytes":
+            return f"codec_check_size({value}_length, {quoted}, {self.item_max}, error)"
+        return None
+
     def present(self):
         """The condition under which the field is encoded; None for always."""
         value = f"from->{self.name}"
@@ -136,6 +148,7 @@
         text += f"void {name}_init(struct {name} *value);\n"
         text += f"void {name}_clear(struct {name} *value);\n"
         text += self._copy_head(";") + "\n"
+        text += self._check_head(";") + "\n"
         text += f"cbor_item_t *{name}_to_cbor(const struct {name} *from);\n"
         text += self._from_head(";") + "\n"
         text += f"GByteArray *{name}_encode(const struct {name} *from);\n"
@@ -146,6 +159,10 @@
         return writer.signature(f"void {self.name}_copy",
                                 [f"struct {self.name} *to", f"const struct {self.name} *from"], tail)
 
+    def _check_head(self, tail):
+        return writer.signature(f"bool {self.name}_check",
+                                [f"const struct {self.name} *value", "GError **error"], tail)
+
     def _from_head(self, tail):
         return writer.signature(f"bool {self.name}_from_cbor",
                                 ["const cbor_item_t *item", f"struct {self.name} *out",
@@ -158,7 +175,7 @@
 
     def definition(self):
         """The functions on the struct."""
-        parts = [self._init(), self._clear(), self._copy()]
+        parts = [self._init(), self._clear(), self._copy(), self._check()]
         parts += [self._build_array(field) for field in self.fields if field.is_array]
         parts.append(self._to_cbor())
         parts += [self._read_array(field) for field in self.fields if field.is_array]
@@ -210,6 +227,22 @@
                 text += f"    to->{name} = g_memdup2(from->{name}, from->{name}_length);\n"
         return text + "}\n"
 
+    def _check(self):
+        text = self._check_head("") + "\n{\n"
+        for field in self.fields:
+            value = f"value->{field.name}"
+            quoted = writer.string(field.path)
+            if field.is_array:
+                text += f"    if (!codec_check_size({value}_count, {quoted}, {field.max}, error)) {{\n"
+                text += "        return false;\n    }\n"
+                check = field.check(f"{value}[i]", quoted)
+                if check:
+                    text += f"    for (size_t i = 0; i < {value}_count; i++) {{\n"
+                    text += f"        if (!{check}) {{\n            return false;\n        }}\n    }}\n"
+            elif field.check(value, quoted):
+                text += f"    if (!{field.check(value, quoted)}) {{\n        return false;\n    }}\n"
+        return text + "    return true;\n}\n"
+
     def _build_array(self, field):
         head = writer.signature(f"static cbor_item_t *{self.name}_build_{field.name}",
                                 [f"const struct {self.name} *from"], "")
@@ -361,6 +394,9 @@
 /* Frees the content and leaves a message of no kind. */
 void message_clear(struct message *message);
 
+/* Checks the content's bounds as the decoder will; false with `error` if one is broken. */
+bool message_check(const struct message *message, GError **error);
+
 /* Encodes as the CBOR array [kind, body]. The caller owns the result. */
 GByteArray *message_encode(const struct message *message);
 
@@ -401,6 +437,13 @@
                            lambda e: [f"{e['struct']}_clear(&message->{e['name']});", "break;"],
                            ["break;"])
     text += "    message_init(message, MESSAGE_KIND_NONE);\n}\n\n"
+    text += "bool message_check(const struct message *message, GError **error)\n{\n"
+    text += "    switch (message->kind) {\n"
+    text += message_switch(entries,
+                           lambda e: [f"return {e['struct']}_check(&message->{e['name']}, error);"],
+                           ['codec_set_error(error, "message", "not a known kind");',
+                            "return false;"])
+    text += "}\n\n"
     text += "static cbor_item_t *message_build_body(const struct message *message)\n{\n"
     text += "    switch (message->kind) {\n"
     text += message_switch(entries,
@@ -458,11 +501,12 @@
 
 PURPOSE = """Messages between the system's own processes and their CBOR codecs. For each struct T: \
 T_init makes it empty; T_clear frees its content and leaves it empty; T_copy overwrites `to` with a \
-deep copy and frees nothing first; T_to_cbor and T_encode build what the caller then owns; \
+deep copy and frees nothing first; T_check tells whether the decoder would accept the content; \
+T_to_cbor and T_encode build what the caller then owns; \
 T_from_cbor and T_decode overwrite `out`, and on failure leave it empty and raise SW_ERROR, code \
 ERROR_KIND_BAD_REQUEST, naming the field. A struct owns all it points to, by g_malloc; NULL text is \
 the empty text. On the wire a struct is a map from field id to value without fields of zero value; \
-bounds are checked by the decoder only. No function shares state: any thread may use any struct \
+bounds are checked by the decoder and by T_check. No function shares state: any thread may use any struct \
 that no other thread changes."""
 
 
