Serve callers over HTTP with session tokens

The frontend parses POST requests into struct request, suspends the connection until the daemon answers, and writes replies as JSON with a signed session token. Thin first version: statements are not yet classified, and JSON is checked only as strictly as json-glib does.

--- /dev/null
+++ b/src/frontend/call.c
@@ -0,0 +1,374 @@
+#include "frontend/call.h"
+
+#include "core/error.h"
+#include "frontend/reply_headers.h"
+#include "frontend/request_body.h"
+#include "frontend/request_head.h"
+#include "generated/errors.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define MICROSECONDS_PER_MILLISECOND 1000
+
+/* A body that will be refused is read up to this, so that the caller gets its answer rather than a
+ * reset connection. */
+#define DISCARDED_OCTETS_MAX (16 * 1024 * 1024)
+
+static void call_unref(struct frontend_call *call)
+{
+    if (atomic_fetch_sub(&call->references, 1) != 1) {
+        return;
+    }
+    g_free(call->request_id);
+    request_path_clear(&call->path);
+    g_free(call->session);
+    g_byte_array_unref(call->body);
+    if (call->request != NULL) {
+        request_clear(call->request);
+        g_free(call->request);
+    }
+    g_clear_error(&call->refusal);
+    if (call->response != NULL) {
+        MHD_destroy_response(call->response);
+    }
+    g_free(call);
+}
+
+static void make_response(struct frontend_call *call, const struct reply *reply)
+{
+    const struct call_shared *shared = call->shared;
+    struct reply_context context = {
+        .request_id = call->request_id,
+        .group = call->tenant.group,
+        .session = call->session,
+        .session_count = call->session_count,
+        .token_keys = shared->options.token_keys,
+        .reason_name = shared->options.reason_name,
+        .closes = atomic_load(&shared->stopping),
+    };
+    GString *body = reply_to_json(reply, &call->shape);
+    size_t length = body->len;
+    char *text = g_string_free(body, FALSE);
+    call->response = MHD_create_response_from_buffer_with_free_callback(length, text, g_free);
+    reply_headers_add(call->response, reply, &call->shape, &context);
+    call->status = reply->outcome == OUTCOME_DONE ? MHD_HTTP_OK
+                                                  : error_entry_of(reply->error_kind)->http_status;
+}
+
+/* Queues the response that was made; the connection's thread. */
+static enum MHD_Result queue_response(struct frontend_call *call)
+{
+    call->state = CALL_STATE_DONE;
+    return MHD_queue_response(call->connection, call->status, call->response);
+}
+
+/* Answers with the call's refusal; the connection's thread. */
+static enum MHD_Result queue_refusal(struct frontend_call *call)
+{
+    struct reply reply;
+    reply_init(&reply);
+    reply.outcome = OUTCOME_REFUSED;
+    reply.error_kind = (uint32_t)call->refusal->code;
+    reply.error_text = call->refusal->message;
+    reply.error_position = call->refusal_position;
+    make_response(call, &reply);
+    return queue_response(call);
+}
+
+static void refuse(struct frontend_call *call, enum error_kind kind, const char *text)
+{
+    if (call->refusal == NULL) {
+        call->refusal = g_error_new_literal(SW_ERROR, (int)kind, text);
+    }
+}
+
+static bool find_tenant(struct frontend_call *call)
+{
+    const struct frontend_options *options = &call->shared->options;
+    call->tenant.limits = options->limits;
+    return options->find_tenant(call->path.tenant, &call->tenant, options->user, &call->refusal);
+}
+
+/* Reads all that stands before the body; leaves the first fault in call->refusal. */
+static void read_head(struct frontend_call *call, const struct request_head *head,
+                      const char *method, const char *url)
+{
+    const struct frontend_options *options = &call->shared->options;
+    if (strcmp(method, MHD_HTTP_METHOD_POST) != 0) {
+        refuse(call, ERROR_KIND_BAD_REQUEST, "the method is not POST");
+        return;
+    }
+    if (!request_path_parse(url, &call->path, &call->refusal) || !find_tenant(call)) {
+        return;
+    }
+    if (MHD_get_connection_values(call->connection, MHD_GET_ARGUMENT_KIND, NULL, NULL) > 0) {
+        refuse(call, ERROR_KIND_BAD_REQUEST, "the path takes no query");
+        return;
+    }
+    const struct frontend_limits *limits = &call->tenant.limits;
+    if (!request_head_parse(head, options->token_keys, limits->timeout_ms, limits->timeout_ms_max,
+                            call->request, &call->refusal)) {
+        return;
+    }
+    call->session = g_memdup2(call->request->session,
+                              call->request->session_count * sizeof(struct group_position));
+    call->session_count = call->request->session_count;
+    call->shape.keyed = call->request->idempotency_key != NULL;
+}
+
+static struct frontend_call *call_new(struct call_shared *shared, struct MHD_Connection *connection,
+                                      const struct request_head *head)
+{
+    struct frontend_call *call = g_new0(struct frontend_call, 1);
+    atomic_init(&call->references, 1);
+    atomic_init(&call->answered, false);
+    call->shared = shared;
+    call->connection = connection;
+    call->began_us = g_get_monotonic_time();
+    call->request_id = request_head_id(head);
+    call->body = g_byte_array_new();
+    call->request = g_new0(struct request, 1);
+    request_init(call->request);
+    atomic_fetch_add(&shared->in_flight, 1);
+    return call;
+}
+
+/* True where the caller waits for leave to send its body. */
+static bool expects_continue(struct MHD_Connection *connection)
+{
+    return MHD_lookup_connection_value(connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_EXPECT) != NULL;
+}
+
+static bool announces_too_large(const struct frontend_call *call)
+{
+    const char *text = MHD_lookup_connection_value(call->connection, MHD_HEADER_KIND,
+                                                   MHD_HTTP_HEADER_CONTENT_LENGTH);
+    return text != NULL && g_ascii_strtoull(text, NULL, 10) > call->tenant.limits.body_octets_max;
+}
+
+static void refuse_too_large(struct frontend_call *call)
+{
+    if (call->refusal == NULL) {
+        call->refusal = g_error_new(SW_ERROR, ERROR_KIND_TOO_LARGE, "the body is over %u octets",
+                                    call->tenant.limits.body_octets_max);
+    }
+}
+
+static enum MHD_Result begin_call(struct call_shared *shared, struct MHD_Connection *connection,
+                                  const char *url, const char *method, void **request_state)
+{
+    struct request_head head;
+    request_head_collect(connection, &head);
+    struct frontend_call *call = call_new(shared, connection, &head);
+    *request_state = call;
+    read_head(call, &head, method, url);
+    if (call->refusal == NULL && announces_too_large(call)) {
+        refuse_too_large(call);
+    }
+    if (call->refusal != NULL && expects_continue(connection)) {
+        return queue_refusal(call);
+    }
+    return MHD_YES;
+}
+
+static enum MHD_Result receive_body(struct frontend_call *call, const char *data, size_t length)
+{
+    call->body_octets += length;
+    if (call->refusal == NULL && call->body_octets > call->tenant.limits.body_octets_max) {
+        refuse_too_large(call);
+        g_byte_array_set_size(call->body, 0);
+    }
+    if (call->refusal == NULL) {
+        g_byte_array_append(call->body, (const guint8 *)data, (guint)length);
+        return MHD_YES;
+    }
+    return call->body_octets > DISCARDED_OCTETS_MAX ? MHD_NO : MHD_YES;
+}
+
+/* Time already spent is taken off the caller's budget. */
+static bool spend_budget(struct frontend_call *call)
+{
+    gint64 spent_us = g_get_monotonic_time() - call->began_us;
+    gint64 spent_ms = spent_us / MICROSECONDS_PER_MILLISECOND;
+    if (spent_ms >= call->request->budget_ms) {
+        refuse(call, ERROR_KIND_DEADLINE, "the request took longer to arrive than its timeout");
+        return false;
+    }
+    call->request->budget_ms -= (uint32_t)spent_ms;
+    return true;
+}
+
+/* Reads the body and completes the request; leaves the first fault in call->refusal. */
+static bool complete_request(struct frontend_call *call)
+{
+    const struct request_body_limits limits = {
+        .statements_max = call->tenant.limits.statements_max,
+        .parameters_max = call->tenant.limits.parameters_max,
+    };
+    struct request *request = call->request;
+    const char *body = call->body->data == NULL ? "" : (const char *)call->body->data;
+    if (!request_body_parse(body, call->body->len, call->path.endpoint, &limits, request,
+                            &call->refusal_position, &call->refusal)) {
+        return false;
+    }
+    call->shape.kind = request->kind;
+    request->request_id = g_strdup(call->request_id);
+    request->tenant = g_strdup(call->path.tenant);
+    request->transaction_id = g_strdup(call->path.transaction_id);
+    request->group = call->tenant.group;
+    request->fingerprint = XXH3_64bits(body, call->body->len);
+    return spend_budget(call);
+}
+
+/* Enters the call among those that wait for the daemon; false once the frontend closes. The
+ * connection is suspended under the mutex, so that whoever finds the call there may resume it. */
+static bool suspend_call(struct frontend_call *call)
+{
+    struct call_shared *shared = call->shared;
+    g_mutex_lock(&shared->mutex);
+    bool open = !shared->closed;
+    if (open) {
+        g_hash_table_add(shared->suspended, call);
+        MHD_suspend_connection(call->connection);
+    }
+    g_mutex_unlock(&shared->mutex);
+    return open;
+}
+
+static enum MHD_Result submit_call(struct frontend_call *call)
+{
+    struct call_shared *shared = call->shared;
+    struct request *request = g_steal_pointer(&call->request);
+    g_byte_array_set_size(call->body, 0);
+    call->state = CALL_STATE_SUBMITTED;
+    atomic_fetch_add(&call->references, 1);
+    if (!suspend_call(call)) {
+        call->request = request;
+        atomic_fetch_sub(&call->references, 1);
+        refuse(call, ERROR_KIND_STOPPING, error_entry_of(ERROR_KIND_STOPPING)->text);
+        return queue_refusal(call);
+    }
+    shared->options.submit(call, request, shared->options.user);
+    return MHD_YES;
+}
+
+static enum MHD_Result end_body(struct frontend_call *call)
+{
+    if (call->refusal != NULL || !complete_request(call)) {
+        return queue_refusal(call);
+    }
+    return submit_call(call);
+}
+
+enum MHD_Result call_on_access(void *user, struct MHD_Connection *connection, const char *url,
+                               const char *method, const char *version, const char *upload_data,
+                               size_t *upload_data_size, void **request_state)
+{
+    struct frontend_call *call = *request_state;
+    if (call == NULL) {
+        return begin_call(user, connection, url, method, request_state);
+    }
+    switch (call->state) {
+    case CALL_STATE_RECEIVING:
+        if (*upload_data_size > 0) {
+            size_t length = *upload_data_size;
+            *upload_data_size = 0;
+            return receive_body(call, upload_data, length);
+        }
+        return end_body(call);
+    case CALL_STATE_SUBMITTED:
+        return queue_response(call);
+    case CALL_STATE_DONE:
+    default:
+        return MHD_YES;
+    }
+}
+
+void call_on_completed(void *user, struct MHD_Connection *connection, void **request_state,
+                       enum MHD_RequestTerminationCode reason)
+{
+    struct call_shared *shared = user;
+    struct frontend_call *call = *request_state;
+    if (call == NULL) {
+        return;
+    }
+    *request_state = NULL;
+    call_unref(call);
+    atomic_fetch_sub(&shared->in_flight, 1);
+}
+
+/* Takes the call out of the set; the connection stays suspended until resume_call. Under the
+ * mutex. */
+static void begin_resuming(struct frontend_call *call)
+{
+    g_hash_table_remove(call->shared->suspended, call);
+    call->shared->resuming++;
+}
+
+/* Makes the answer and wakes the connection. Only for who set `answered`, after begin_resuming. */
+static void resume_call(struct frontend_call *call, const struct reply *reply)
+{
+    struct call_shared *shared = call->shared;
+    make_response(call, reply);
+    MHD_resume_connection(call->connection);
+    g_mutex_lock(&shared->mutex);
+    shared->resuming--;
+    g_cond_broadcast(&shared->resumed);
+    g_mutex_unlock(&shared->mutex);
+}
+
+void frontend_answer(struct frontend_call *call, const struct reply *reply)
+{
+    if (!atomic_exchange(&call->answered, true)) {
+        struct call_shared *shared = call->shared;
+        g_mutex_lock(&shared->mutex);
+        begin_resuming(call);
+        g_mutex_unlock(&shared->mutex);
+        resume_call(call, reply);
+    }
+    call_unref(call);
+}
+
+/* Claims all calls that nobody has answered yet; each has a reference more. */
+static GPtrArray *claim_suspended(struct call_shared *shared)
+{
+    GPtrArray *claimed = g_ptr_array_new();
+    g_mutex_lock(&shared->mutex);
+    shared->closed = true;
+    GHashTableIter iterator;
+    gpointer call = NULL;
+    g_hash_table_iter_init(&iterator, shared->suspended);
+    while (g_hash_table_iter_next(&iterator, &call, NULL)) {
+        struct frontend_call *waiting = call;
+        if (!atomic_exchange(&waiting->answered, true)) {
+            atomic_fetch_add(&waiting->references, 1);
+            g_ptr_array_add(claimed, waiting);
+        }
+    }
+    for (guint i = 0; i < claimed->len; i++) {
+        begin_resuming(g_ptr_array_index(claimed, i));
+    }
+    g_mutex_unlock(&shared->mutex);
+    return claimed;
+}
+
+unsigned call_cut_all(struct call_shared *shared)
+{
+    g_autoptr(GPtrArray) claimed = claim_suspended(shared);
+    struct reply reply;
+    reply_init(&reply);
+    reply.outcome = OUTCOME_UNKNOWN;
+    reply.error_kind = ERROR_KIND_OUTCOME_UNKNOWN;
+    for (guint i = 0; i < claimed->len; i++) {
+        struct frontend_call *call = g_ptr_array_index(claimed, i);
+        resume_call(call, &reply);
+        call_unref(call);
+    }
+    g_mutex_lock(&shared->mutex);
+    while (g_hash_table_size(shared->suspended) > 0 || shared->resuming > 0) {
+        g_cond_wait(&shared->resumed, &shared->mutex);
+    }
+    g_mutex_unlock(&shared->mutex);
+    return claimed->len;
+}
--- /dev/null
+++ b/tests/frontend/harness.c
@@ -0,0 +1,189 @@
+#include "harness.h"
+
+#include "core/error.h"
+#include "generated/errors.h"
+
+#include <curl/curl.h>
+#include <string.h>
+
+static const char key_text[] =
+    "1 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f\n";
+
+static bool find_tenant(const char *name, struct frontend_tenant *tenant, void *user,
+                        GError **error)
+{
+    if (strcmp(name, "hut") != 0) {
+        g_set_error(error, SW_ERROR, ERROR_KIND_UNKNOWN_TENANT, "no tenant \"%s\"", name);
+        return false;
+    }
+    tenant->group = HARNESS_GROUP;
+    return true;
+}
+
+static void submit(struct frontend_call *call, struct request *request, void *user)
+{
+    struct harness *harness = user;
+    struct submitted *submitted = g_new0(struct submitted, 1);
+    submitted->call = call;
+    submitted->request = request;
+    g_async_queue_push(harness->submitted, submitted);
+}
+
+void harness_start(struct harness *harness, void (*adjust)(struct frontend_options *options))
+{
+    GError *error = NULL;
+    harness->submitted = g_async_queue_new();
+    harness->keys = token_keys_parse(key_text, "test keys", &error);
+    g_assert_no_error(error);
+    struct frontend_options options;
+    frontend_options_init(&options);
+    options.token_keys = harness->keys;
+    options.find_tenant = find_tenant;
+    options.submit = submit;
+    options.user = harness;
+    if (adjust != NULL) {
+        adjust(&options);
+    }
+    harness->frontend = frontend_start(&options, &error);
+    g_assert_no_error(error);
+    g_assert_cmpuint(frontend_port(harness->frontend), !=, 0);
+}
+
+unsigned harness_stop(struct harness *harness)
+{
+    unsigned cut = frontend_stop(harness->frontend);
+    g_assert_cmpint(g_async_queue_length(harness->submitted), ==, 0);
+    g_async_queue_unref(harness->submitted);
+    token_keys_free(harness->keys);
+    return cut;
+}
+
+struct submitted *harness_take(struct harness *harness)
+{
+    return g_async_queue_pop(harness->submitted);
+}
+
+void harness_answer_text(struct submitted *submitted, const char *text, uint64_t term,
+                         uint64_t offset)
+{
+    char *cell_text = (char *)text;
+    struct sql_value cell = {.text = cell_text};
+    struct sql_row row = {.cells = &cell, .cells_count = 1};
+    char column_name[] = "note";
+    struct sql_column column = {.name = column_name, .type_oid = 25};
+    char command[] = "SELECT 1";
+    struct sql_result result = {
+        .command = command, .columns = &column, .columns_count = 1, .rows = &row, .rows_count = 1};
+    struct group_position seen = {.group = HARNESS_GROUP, .term = term, .offset = offset};
+    char daemon[] = "d1";
+    char database[] = "g7-b";
+    char role[] = "replica";
+    struct reply reply;
+    reply_init(&reply);
+    reply.outcome = OUTCOME_DONE;
+    reply.results = &result;
+    reply.results_count = 1;
+    reply.session = &seen;
+    reply.session_count = 1;
+    reply.served_by_daemon = daemon;
+    reply.served_by_database = database;
+    reply.served_by_role = role;
+    frontend_answer(submitted->call, &reply);
+    request_clear(submitted->request);
+    g_free(submitted->request);
+    g_free(submitted);
+}
+
+static size_t append_data(char *data, size_t size, size_t count, void *user)
+{
+    g_string_append_len(user, data, (gssize)(size * count));
+    return size * count;
+}
+
+void harness_post(struct harness *harness, const char *path, const char *body, size_t length,
+                  const char *const *headers, struct exchange *exchange)
+{
+    exchange->status = 0;
+    exchange->body = g_string_new(NULL);
+    exchange->head = g_string_new(NULL);
+    g_autofree char *url =
+        g_strdup_printf("http://127.0.0.1:%u%s", frontend_port(harness->frontend), path);
+    struct curl_slist *list = NULL;
+    for (size_t i = 0; headers != NULL && headers[i] != NULL; i++) {
+        list = curl_slist_append(list, headers[i]);
+    }
+    CURL *client = curl_easy_init();
+    curl_easy_setopt(client, CURLOPT_URL, url);
+    curl_easy_setopt(client, CURLOPT_PROXY, "");
+    curl_easy_setopt(client, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)length);
+    curl_easy_setopt(client, CURLOPT_POSTFIELDS, body);
+    curl_easy_setopt(client, CURLOPT_HTTPHEADER, list);
+    curl_easy_setopt(client, CURLOPT_WRITEFUNCTION, append_data);
+    curl_easy_setopt(client, CURLOPT_WRITEDATA, exchange->body);
+    curl_easy_setopt(client, CURLOPT_HEADERFUNCTION, append_data);
+    curl_easy_setopt(client, CURLOPT_HEADERDATA, exchange->head);
+    curl_easy_setopt(client, CURLOPT_NOSIGNAL, 1L);
+    if (curl_easy_perform(client) == CURLE_OK) {
+        curl_easy_getinfo(client, CURLINFO_RESPONSE_CODE, &exchange->status);
+    }
+    curl_easy_cleanup(client);
+    curl_slist_free_all(list);
+}
+
+struct poster {
+    struct harness *harness;
+    char *path;
+    char *body;
+    char **headers;
+    struct exchange exchange;
+    GThread *thread;
+};
+
+static gpointer run_poster(gpointer data)
+{
+    struct poster *poster = data;
+    harness_post(poster->harness, poster->path, poster->body, strlen(poster->body),
+                 (const char *const *)poster->headers, &poster->exchange);
+    return NULL;
+}
+
+struct poster *harness_post_start(struct harness *harness, const char *path, const char *body,
+                                  const char *const *headers)
+{
+    struct poster *poster = g_new0(struct poster, 1);
+    poster->harness = harness;
+    poster->path = g_strdup(path);
+    poster->body = g_strdup(body);
+    poster->headers = g_strdupv((char **)headers);
+    poster->thread = g_thread_new("poster", run_poster, poster);
+    return poster;
+}
+
+void harness_join(struct poster *poster, struct exchange *exchange)
+{
+    g_thread_join(poster->thread);
+    *exchange = poster->exchange;
+    g_free(poster->path);
+    g_free(poster->body);
+    g_strfreev(poster->headers);
+    g_free(poster);
+}
+
+char *exchange_header(const struct exchange *exchange, const char *name)
+{
+    g_auto(GStrv) lines = g_strsplit(exchange->head->str, "\r\n", 0);
+    size_t length = strlen(name);
+    for (size_t i = 0; lines[i] != NULL; i++) {
+        if (g_ascii_strncasecmp(lines[i], name, length) == 0 && lines[i][length] == ':') {
+            return g_strdup(g_strstrip(lines[i] + length + 1));
+        }
+    }
+    return NULL;
+}
+
+void exchange_clear(struct exchange *exchange)
+{
+    g_string_free(exchange->body, TRUE);
+    g_string_free(exchange->head, TRUE);
+    memset(exchange, 0, sizeof(*exchange));
+}
--- /dev/null
+++ b/tests/frontend/harness.h
@@ -0,0 +1,61 @@
+/* A frontend on a loopback port with a fake daemon behind it, and an HTTP client in front. */
+#ifndef SW_TESTS_FRONTEND_HARNESS_H
+#define SW_TESTS_FRONTEND_HARNESS_H
+
+#include "frontend/frontend.h"
+
+#include <glib.h>
+
+/* Group of the tenant "hut"; no other tenant exists. */
+#define HARNESS_GROUP 7
+
+/* A frontend whose requests queue up for the test to answer. */
+struct harness {
+    struct token_keys *keys;
+    struct frontend *frontend;
+    GAsyncQueue *submitted; /* of struct submitted */
+};
+
+/* A request that reached the fake daemon. */
+struct submitted {
+    struct frontend_call *call;
+    struct request *request;
+};
+
+/* Starts with default limits where `adjust` is NULL. */
+void harness_start(struct harness *harness, void (*adjust)(struct frontend_options *options));
+
+/* Stops the frontend, frees all, and returns the number of requests cut. */
+unsigned harness_stop(struct harness *harness);
+
+/* Waits for the next request. */
+struct submitted *harness_take(struct harness *harness);
+
+/* Answers with one row of one text cell, `text`, seen at (term, offset), and frees `submitted`. */
+void harness_answer_text(struct submitted *submitted, const char *text, uint64_t term,
+                         uint64_t offset);
+
+/* An HTTP exchange. */
+struct exchange {
+    long status; /* 0 where no answer came */
+    GString *body;
+    GString *head; /* all header lines */
+};
+
+/* Posts `body` to a path with headers (a NULL-terminated list, or NULL), and waits for the answer
+ * or the connection's end. */
+void harness_post(struct harness *harness, const char *path, const char *body, size_t length,
+                  const char *const *headers, struct exchange *exchange);
+
+/* The same from a thread of its own; harness_join waits for it. */
+struct poster;
+struct poster *harness_post_start(struct harness *harness, const char *path, const char *body,
+                                  const char *const *headers);
+void harness_join(struct poster *poster, struct exchange *exchange);
+
+/* The value of a header, or NULL; the caller frees it. */
+char *exchange_header(const struct exchange *exchange, const char *name);
+
+void exchange_clear(struct exchange *exchange);
+
+#endif
