--- /dev/null
+++ b/src/backend/adapter.c
@@ -0,0 +1,298 @@
+#include "backend/adapter.h"
+
+#include <string.h>
+
+#include "backend/adapter_internal.h"
+
+/* Columns of a status row, in the order of STATUS_COLUMNS. */
+enum status_column {
+    STATUS_COLUMN_ROLE,
+    STATUS_COLUMN_TERM,
+    STATUS_COLUMN_PROMISED_TERM,
+    STATUS_COLUMN_HELD_TERM,
+    STATUS_COLUMN_HELD_OFFSET,
+    STATUS_COLUMN_APPLIED_TERM,
+    STATUS_COLUMN_APPLIED_OFFSET,
+    STATUS_COLUMN_LEAVING,
+    STATUS_COLUMN_COUNT,
+};
+
+#define COMMAND_PARAMETERS_MAX 3
+
+/* A command's SQL and how many parameters it takes. */
+struct command_text {
+    const char *sql;
+    size_t parameters_count;
+};
+
+static const struct command_text COMMAND_TEXTS[] = {
+    [ADAPTER_COMMAND_STATUS] = {SQL_STATUS, 0},
+    [ADAPTER_COMMAND_FENCE] = {"SELECT " STATUS_COLUMNS " FROM swiftworks_fence($1, $2)", 2},
+    [ADAPTER_COMMAND_PROMOTE] = {"SELECT " STATUS_COLUMNS " FROM swiftworks_promote($1, $2)", 2},
+    [ADAPTER_COMMAND_FOLLOW] = {"SELECT " STATUS_COLUMNS " FROM swiftworks_follow($1, $2, $3)", 3},
+    [ADAPTER_COMMAND_SET_LEAVING] = {"SELECT " STATUS_COLUMNS " FROM swiftworks_set_leaving($1)",
+                                     1},
+    [ADAPTER_COMMAND_WAIT_HELD] = {"SELECT " STATUS_COLUMNS
+                                   " FROM swiftworks_wait_held($1, $2, $3)",
+                                   3},
+    [ADAPTER_COMMAND_WAIT_APPLIED] = {SQL_WAIT_APPLIED, 3},
+};
+
+/* Error classes that decide what a caller is told. */
+#define SQLSTATE_READ_ONLY             "25006"
+#define SQLSTATE_SERIALIZATION_FAILURE "40001"
+#define SQLSTATE_DEADLOCK              "40P01"
+#define SQLSTATE_LOCK_NOT_AVAILABLE    "55P03"
+#define SQLSTATE_TOO_MANY_CONNECTIONS  "53300"
+
+const char *execute_result_name(enum execute_result result)
+{
+    static const char *const names[] = {
+        [EXECUTE_DONE] = "done",
+        [EXECUTE_GUARD_SHORT] = "guard_short",
+        [EXECUTE_NOT_SENT] = "not_sent",
+        [EXECUTE_LOST] = "lost",
+        [EXECUTE_FAILED] = "failed",
+        [EXECUTE_CONFLICT] = "conflict",
+        [EXECUTE_NOT_PRIMARY] = "not_primary",
+        [EXECUTE_ALREADY_DONE] = "already_done",
+        [EXECUTE_KEY_CLOSED] = "key_closed",
+        [EXECUTE_KEY_REUSED] = "key_reused",
+        [EXECUTE_ANSWER_TOO_LARGE] = "answer_too_large",
+    };
+    return result < G_N_ELEMENTS(names) ? names[result] : "invalid";
+}
+
+void execute_answer_init(struct execute_answer *answer)
+{
+    memset(answer, 0, sizeof *answer);
+}
+
+void execute_answer_clear(struct execute_answer *answer)
+{
+    for (size_t i = 0; i < answer->results_count; i++) {
+        sql_result_clear(&answer->results[i]);
+    }
+    g_free(answer->results);
+    g_free(answer->error_text);
+    execute_answer_init(answer);
+}
+
+bool adapter_send_simple(struct backend_connection *connection, const char *sql)
+{
+    return pipeline_send(connection, sql, NULL, 0);
+}
+
+bool adapter_send_statements(struct backend_connection *connection,
+                             const struct sql_statement *statements, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        const struct sql_statement *statement = &statements[i];
+        const char *sql = statement->sql != NULL ? statement->sql : "";
+        if (!pipeline_send(connection, sql, statement->parameters, statement->parameters_count)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool parse_number(const struct sql_value *cell, uint64_t *number)
+{
+    if (cell->is_null || cell->text == NULL) {
+        return false;
+    }
+    return g_ascii_string_to_unsigned(cell->text, 10, 0, G_MAXINT64, number, NULL);
+}
+
+static bool parse_position(const struct sql_value *cells, struct log_position *position)
+{
+    return parse_number(&cells[0], &position->term) && parse_number(&cells[1], &position->offset);
+}
+
+bool adapter_parse_position(const struct sql_result *result, struct log_position *position)
+{
+    if (result->rows_count != 1 || result->rows[0].cells_count != 2) {
+        return false;
+    }
+    return parse_position(result->rows[0].cells, position);
+}
+
+static enum database_role parse_role(const struct sql_value *cell)
+{
+    if (g_strcmp0(cell->text, "primary") == 0) {
+        return DATABASE_ROLE_PRIMARY;
+    }
+    if (g_strcmp0(cell->text, "replica") == 0) {
+        return DATABASE_ROLE_REPLICA;
+    }
+    return DATABASE_ROLE_UNKNOWN;
+}
+
+bool adapter_parse_status(const struct sql_result *result, struct database_status *status)
+{
+    memset(status, 0, sizeof *status);
+    if (result->rows_count != 1 || result->rows[0].cells_count != STATUS_COLUMN_COUNT) {
+        return false;
+    }
+    const struct sql_value *cells = result->rows[0].cells;
+    status->role = parse_role(&cells[STATUS_COLUMN_ROLE]);
+    status->leaving = g_strcmp0(cells[STATUS_COLUMN_LEAVING].text, "t") == 0;
+    return parse_number(&cells[STATUS_COLUMN_TERM], &status->term) &&
+           parse_number(&cells[STATUS_COLUMN_PROMISED_TERM], &status->promised_term) &&
+           parse_position(&cells[STATUS_COLUMN_HELD_TERM], &status->held) &&
+           parse_position(&cells[STATUS_COLUMN_APPLIED_TERM], &status->applied);
+}
+
+/* What an error means, given that its transaction is rolled back. */
+static enum execute_result classify(const char *sqlstate)
+{
+    if (strcmp(sqlstate, SQLSTATE_READ_ONLY) == 0) {
+        return EXECUTE_NOT_PRIMARY;
+    }
+    if (strcmp(sqlstate, SQLSTATE_SERIALIZATION_FAILURE) == 0 ||
+        strcmp(sqlstate, SQLSTATE_DEADLOCK) == 0 ||
+        strcmp(sqlstate, SQLSTATE_LOCK_NOT_AVAILABLE) == 0) {
+        return EXECUTE_CONFLICT;
+    }
+    if (strcmp(sqlstate, SQLSTATE_TOO_MANY_CONNECTIONS) == 0) {
+        return EXECUTE_NOT_SENT;
+    }
+    return EXECUTE_FAILED;
+}
+
+enum execute_result adapter_take_error(const struct query_reply *reply,
+                                       struct execute_answer *answer)
+{
+    g_free(answer->error_text);
+    answer->error_text = g_strdup(reply->error_text);
+    g_strlcpy(answer->sqlstate, reply->sqlstate, sizeof answer->sqlstate);
+    answer->error_position = reply->error_position;
+    return classify(reply->sqlstate);
+}
+
+void adapter_take_results(struct query_reply *replies, size_t count, struct execute_answer *answer)
+{
+    answer->results = g_new0(struct sql_result, count);
+    answer->results_count = count;
+    for (size_t i = 0; i < count; i++) {
+        answer->results[i] = replies[i].result;
+        sql_result_init(&replies[i].result);
+    }
+}
+
+void adapter_take_nonsense(struct backend_connection *connection, const char *text,
+                           struct execute_answer *answer)
+{
+    backend_connection_break(connection);
+    g_free(answer->error_text);
+    answer->error_text = g_strdup(text);
+}
+
+void adapter_take_loss(const struct backend_connection *connection, struct execute_answer *answer)
+{
+    if (answer->error_text != NULL) {
+        return;
+    }
+    g_autofree char *text = backend_connection_error(connection);
+    answer->error_text = text[0] != '\0' ? g_steal_pointer(&text) : g_strdup("no answer in time");
+}
+
+void adapter_abandon(struct backend_connection *connection, time_ns deadline)
+{
+    struct query_reply reply;
+    if (connection->state == CONNECTION_STATE_BROKEN ||
+        PQtransactionStatus(connection->pg) == PQTRANS_IDLE) {
+        return;
+    }
+    if (!adapter_send_simple(connection, "ROLLBACK")) {
+        return;
+    }
+    pipeline_finish(connection, deadline, NULL, &reply, 1);
+    pipeline_replies_clear(&reply, 1);
+    if (PQtransactionStatus(connection->pg) != PQTRANS_IDLE) {
+        backend_connection_break(connection);
+    }
+}
+
+/* A parameter for each text; NULL ends the list. */
+static bool send_with_texts(struct backend_connection *connection, const char *sql,
+                            const char *const *texts, size_t count)
+{
+    struct sql_value parameters[COMMAND_PARAMETERS_MAX];
+    for (size_t i = 0; i < count; i++) {
+        parameters[i].is_null = texts[i] == NULL;
+        parameters[i].text = (char *)texts[i];
+    }
+    return pipeline_send(connection, sql, parameters, count);
+}
+
+bool adapter_send(struct backend_connection *connection, const struct adapter_call *call)
+{
+    const struct command_text *command = &COMMAND_TEXTS[call->command];
+    const char *texts[COMMAND_PARAMETERS_MAX] = {NULL};
+    char term[NUMBER_TEXT_SIZE];
+    char offset[NUMBER_TEXT_SIZE];
+    char wait_ms[NUMBER_TEXT_SIZE];
+    bool waits =
+        call->command == ADAPTER_COMMAND_WAIT_HELD || call->command == ADAPTER_COMMAND_WAIT_APPLIED;
+    uint64_t term_number = waits ? call->position.term : call->term;
+    g_snprintf(term, sizeof term, "%" G_GUINT64_FORMAT, term_number);
+    g_snprintf(offset, sizeof offset, "%" G_GUINT64_FORMAT, call->position.offset);
+    g_snprintf(wait_ms, sizeof wait_ms, "%u", (unsigned)call->wait_ms);
+    texts[0] = term;
+    if (call->command == ADAPTER_COMMAND_SET_LEAVING) {
+        texts[0] = call->leaving ? "t" : "f";
+    } else if (call->command == ADAPTER_COMMAND_FOLLOW) {
+        texts[1] = call->address;
+        texts[2] = call->coordinator;
+    } else if (waits) {
+        texts[1] = offset;
+        texts[2] = wait_ms;
+    } else {
+        texts[1] = call->coordinator;
+    }
+    return send_with_texts(connection, command->sql, texts, command->parameters_count);
+}
+
+bool adapter_send_wait_applied(struct backend_connection *connection, struct log_position position,
+                               uint32_t wait_ms)
+{
+    struct adapter_call call = {
+        .command = ADAPTER_COMMAND_WAIT_APPLIED,
+        .position = position,
+        .wait_ms = wait_ms,
+    };
+    return adapter_send(connection, &call);
+}
+
+/* Reads what a command answered. */
+static enum execute_result take_command_reply(struct backend_connection *connection,
+                                              const struct query_reply *reply,
+                                              struct execute_answer *answer)
+{
+    if (reply->status == QUERY_STATUS_ERROR) {
+        adapter_take_error(reply, answer);
+        return EXECUTE_FAILED;
+    }
+    if (!adapter_parse_status(&reply->result, &answer->status)) {
+        adapter_take_nonsense(connection, "not a status row", answer);
+        return EXECUTE_LOST;
+    }
+    return EXECUTE_DONE;
+}
+
+enum execute_result adapter_run(struct backend_connection *connection,
+                                const struct adapter_call *call, time_ns deadline,
+                                struct execute_answer *answer)
+{
+    struct query_reply reply;
+    enum execute_result result = EXECUTE_LOST;
+    adapter_send(connection, call);
+    if (pipeline_finish(connection, deadline, NULL, &reply, 1) == PIPELINE_WHOLE) {
+        result = take_command_reply(connection, &reply, answer);
+    } else {
+        adapter_take_loss(connection, answer);
+    }
+    pipeline_replies_clear(&reply, 1);
+    return result;
+}
--- /dev/null
+++ b/src/backend/adapter_write.c
@@ -0,0 +1,188 @@
+/* Writes: one transaction, in two round trips, with the key's ledger row in it. */
+#include <string.h>
+
+#include "backend/adapter.h"
+#include "backend/adapter_internal.h"
+#include "backend/clock.h"
+#include "backend/ledger.h"
+
+/* Answers of the second round trip, counted from its end. */
+#define COMMIT_QUERIES 3
+
+enum {
+    COMMIT_QUERY_COMMIT,
+    COMMIT_QUERY_POSITION,
+    COMMIT_QUERY_STATUS,
+};
+
+/* Errors of these classes end the session; at COMMIT they leave open whether it was done. */
+#define SQLSTATE_CLASS_CONNECTION   "08"
+#define SQLSTATE_CLASS_OPERATOR     "57P"
+#define SQLSTATE_COMPLETION_UNKNOWN "40003"
+#define SQLSTATE_RESOLUTION_UNKNOWN "08007"
+
+static bool leaves_commit_open(const char *sqlstate)
+{
+    return g_str_has_prefix(sqlstate, SQLSTATE_CLASS_CONNECTION) ||
+           g_str_has_prefix(sqlstate, SQLSTATE_CLASS_OPERATOR) ||
+           strcmp(sqlstate, SQLSTATE_COMPLETION_UNKNOWN) == 0;
+}
+
+static bool has_key(const struct adapter_key *key)
+{
+    return key != NULL && key->key != NULL;
+}
+
+/* Reads the answers of a batch that can't have committed anything; the transaction stays open only
+ * with DONE. */
+static enum execute_result finish_uncommitted(struct backend_connection *connection,
+                                              time_ns deadline, const struct result_limits *limits,
+                                              struct query_reply *replies, size_t count,
+                                              struct execute_answer *answer)
+{
+    switch (pipeline_finish(connection, deadline, limits, replies, count)) {
+    case PIPELINE_LOST:
+        adapter_take_loss(connection, answer);
+        return EXECUTE_NOT_SENT;
+    case PIPELINE_TOO_LARGE:
+        return EXECUTE_ANSWER_TOO_LARGE;
+    default:
+        break;
+    }
+    const struct query_reply *failed = pipeline_first_error(replies, count);
+    if (failed != NULL) {
+        return adapter_take_error(failed, answer);
+    }
+    if (PQtransactionStatus(connection->pg) != PQTRANS_INTRANS) {
+        /* A statement ended the transaction by itself, and may have committed. */
+        adapter_take_nonsense(connection, "a statement ended the transaction", answer);
+        return EXECUTE_LOST;
+    }
+    return EXECUTE_DONE;
+}
+
+/* Judges the answer to COMMIT itself. */
+static enum execute_result take_commit(const struct query_reply *reply,
+                                       struct execute_answer *answer)
+{
+    if (reply->status == QUERY_STATUS_ERROR) {
+        enum execute_result result = adapter_take_error(reply, answer);
+        return leaves_commit_open(reply->sqlstate) ? EXECUTE_LOST : result;
+    }
+    if (g_strcmp0(reply->result.command, "COMMIT") != 0) {
+        /* PostgreSQL answers ROLLBACK to the COMMIT of a failed transaction. */
+        answer->error_text = g_strdup("the transaction had failed and was rolled back");
+        return EXECUTE_FAILED;
+    }
+    return EXECUTE_DONE;
+}
+
+/* Judges the second round trip. */
+static enum execute_result take_commit_batch(struct backend_connection *connection,
+                                             const struct query_reply *record,
+                                             const struct query_reply *replies,
+                                             struct execute_answer *answer)
+{
+    if (record != NULL && record->status == QUERY_STATUS_ERROR) {
+        return adapter_take_error(record, answer);
+    }
+    enum execute_result result = take_commit(&replies[COMMIT_QUERY_COMMIT], answer);
+    if (result != EXECUTE_DONE) {
+        return result;
+    }
+    if (!adapter_parse_position(&replies[COMMIT_QUERY_POSITION].result, &answer->position) ||
+        !adapter_parse_status(&replies[COMMIT_QUERY_STATUS].result, &answer->status)) {
+        adapter_take_nonsense(connection, "committed at an unknown position", answer);
+        return EXECUTE_LOST;
+    }
+    return EXECUTE_DONE;
+}
+
+/* Sends COMMIT and reads where it was done. The results are recorded in the key's row before. */
+static enum execute_result commit(struct backend_connection *connection,
+                                  const struct adapter_key *key, const struct sql_result *results,
+                                  size_t results_count, time_ns deadline,
+                                  struct execute_answer *answer)
+{
+    struct query_reply replies[COMMIT_QUERIES + 1];
+    size_t record_count = has_key(key) && results_count > 0 ? 1 : 0;
+    size_t count = COMMIT_QUERIES + record_count;
+    enum execute_result result = EXECUTE_LOST;
+    if (connection->state == CONNECTION_STATE_BROKEN || backend_now() >= deadline) {
+        return EXECUTE_NOT_SENT;
+    }
+    if (record_count > 0) {
+        ledger_send_results(connection, key, results, results_count);
+    }
+    adapter_send_simple(connection, "COMMIT");
+    adapter_send_simple(connection, SQL_LAST_COMMIT);
+    adapter_send_simple(connection, SQL_STATUS);
+    if (pipeline_finish(connection, deadline, NULL, replies, count) == PIPELINE_WHOLE) {
+        const struct query_reply *record = record_count > 0 ? &replies[0] : NULL;
+        result = take_commit_batch(connection, record, replies + record_count, answer);
+    } else {
+        adapter_take_loss(connection, answer);
+    }
+    pipeline_replies_clear(replies, count);
+    return result;
+}
+
+/* Reads the answers of BEGIN, the claim if there is a key, and the statements. */
+static enum execute_result finish_statements(struct backend_connection *connection,
+                                             const struct adapter_key *key, size_t count,
+                                             time_ns deadline, const struct result_limits *limits,
+                                             struct execute_answer *answer)
+{
+    size_t before = has_key(key) ? 2 : 1;
+    size_t total = before + count;
+    g_autofree struct query_reply *replies = g_new0(struct query_reply, total);
+    enum execute_result result =
+        finish_uncommitted(connection, deadline, limits, replies, total, answer);
+    bool claimed =
+        !has_key(key) || replies[1].status != QUERY_STATUS_DONE || ledger_claim_won(&replies[1]);
+    if (!claimed && connection->state != CONNECTION_STATE_BROKEN) {
+        /* The statements ran against a key that is taken: whatever they gave is rolled back. */
+        adapter_abandon(connection, deadline);
+        execute_answer_clear(answer);
+        result = ledger_resolve(connection, key, deadline, answer);
+    } else if (result == EXECUTE_DONE) {
+        adapter_take_results(&replies[before], count, answer);
+    }
+    pipeline_replies_clear(replies, total);
+    return result;
+}
+
+enum execute_result adapter_write(struct backend_connection *connection,
+                                  const struct adapter_key *key,
+                                  const struct sql_statement *statements, size_t count,
+                                  time_ns deadline, const struct result_limits *limits,
+                                  struct execute_answer *answer)
+{
+    adapter_send_simple(connection, "BEGIN");
+    if (has_key(key)) {
+        ledger_send_claim(connection, key, LEDGER_STATE_DONE);
+    }
+    adapter_send_statements(connection, statements, count);
+    enum execute_result result =
+        finish_statements(connection, key, count, deadline, limits, answer);
+    if (result == EXECUTE_DONE) {
+        result = commit(connection, key, answer->results, answer->results_count, deadline, answer);
+    }
+    adapter_abandon(connection, deadline);
+    return result;
+}
+
+enum execute_result adapter_close_key(struct backend_connection *connection,
+                                      const struct adapter_key *key, time_ns deadline,
+                                      struct execute_answer *answer)
+{
+    adapter_send_simple(connection, "BEGIN");
+    ledger_send_claim(connection, key, LEDGER_STATE_CLOSED);
+    enum execute_result result = finish_statements(connection, key, 0, deadline, NULL, answer);
+    if (result == EXECUTE_DONE) {
+        result = commit(connection, key, NULL, 0, deadline, answer);
+        result = result == EXECUTE_DONE ? EXECUTE_KEY_CLOSED : result;
+    }
+    adapter_abandon(connection, deadline);
+    return result;
+}
--- /dev/null
+++ b/src/backend/connection.c
@@ -0,0 +1,189 @@
+#include "backend/connection.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "backend/clock.h"
+#include "core/error.h"
+#include "generated/errors.h"
+
+#define PORT_TEXT_SIZE 8
+
+struct backend_connection *backend_connection_start(const struct connection_settings *settings)
+{
+    struct backend_connection *connection = g_new0(struct backend_connection, 1);
+    char port[PORT_TEXT_SIZE];
+    g_snprintf(port, sizeof port, "%u", (unsigned)settings->port);
+    const char *const keywords[] = {
+        "hostaddr", "port",       "dbname",          "user", "password", "application_name",
+        "sslmode",  "gssencmode", "client_encoding", NULL};
+    const char *const values[] = {settings->host,
+                                  port,
+                                  settings->database_name,
+                                  settings->user,
+                                  settings->password != NULL ? settings->password : "",
+                                  settings->application_name,
+                                  "disable",
+                                  "disable",
+                                  "UTF8",
+                                  NULL};
+    connection->state = CONNECTION_STATE_OPENING;
+    connection->pg = PQconnectStartParams(keywords, values, 0);
+    if (connection->pg == NULL || PQstatus(connection->pg) == CONNECTION_BAD) {
+        connection->state = CONNECTION_STATE_BROKEN;
+    }
+    return connection;
+}
+
+/* Ends the opening: the connection stays in non-blocking pipeline mode from here on. */
+static void finish_opening(struct backend_connection *connection)
+{
+    bool ready = PQsetnonblocking(connection->pg, 1) == 0;
+    ready = ready && PQenterPipelineMode(connection->pg) == 1;
+    connection->state = ready ? CONNECTION_STATE_IDLE : CONNECTION_STATE_BROKEN;
+}
+
+short backend_connection_continue(struct backend_connection *connection)
+{
+    if (connection->state != CONNECTION_STATE_OPENING) {
+        return 0;
+    }
+    switch (PQconnectPoll(connection->pg)) {
+    case PGRES_POLLING_READING:
+        return POLLIN;
+    case PGRES_POLLING_WRITING:
+        return POLLOUT;
+    case PGRES_POLLING_OK:
+        finish_opening(connection);
+        return 0;
+    default:
+        connection->state = CONNECTION_STATE_BROKEN;
+        return 0;
+    }
+}
+
+/* Raises why opening ended without a connection, and closes what there is. */
+static void raise_open_error(struct backend_connection *connection, GError **error)
+{
+    g_autofree char *text = backend_connection_error(connection);
+    const char *cause = connection->state == CONNECTION_STATE_OPENING ? "timed out" : text;
+    g_set_error(error, SW_ERROR, ERROR_KIND_OVERLOADED, "connection not opened: %s", cause);
+    backend_connection_close(connection);
+}
+
+struct backend_connection *backend_connection_open(const struct connection_settings *settings,
+                                                   time_ns deadline, GError **error)
+{
+    struct backend_connection *connection = backend_connection_start(settings);
+    short events = POLLOUT;
+    while (connection->state == CONNECTION_STATE_OPENING) {
+        if (!backend_connection_wait(connection, events, deadline)) {
+            break;
+        }
+        events = backend_connection_continue(connection);
+    }
+    if (connection->state != CONNECTION_STATE_IDLE) {
+        raise_open_error(connection, error);
+        return NULL;
+    }
+    return connection;
+}
+
+void backend_connection_close(struct backend_connection *connection)
+{
+    if (connection == NULL) {
+        return;
+    }
+    PQfinish(connection->pg);
+    g_free(connection);
+}
+
+/* Waits for the peer's end of stream on a socket, dropping what still arrives. */
+static bool wait_for_end_of_stream(int socket_fd, time_ns deadline)
+{
+    char dropped[512];
+    for (;;) {
+        struct pollfd poll_fd = {.fd = socket_fd, .events = POLLIN};
+        int ready = poll(&poll_fd, 1, backend_poll_ms(deadline, backend_now()));
+        if (ready < 0 && errno == EINTR) {
+            continue;
+        }
+        if (ready <= 0) {
+            return false;
+        }
+        ssize_t received = recv(socket_fd, dropped, sizeof dropped, MSG_DONTWAIT);
+        if (received == 0 || (received < 0 && errno == ECONNRESET)) {
+            return true;
+        }
+        if (received < 0 && errno != EAGAIN && errno != EINTR) {
+            return false;
+        }
+    }
+}
+
+bool backend_connection_close_confirmed(struct backend_connection *connection, time_ns deadline)
+{
+    int socket_fd = connection->pg != NULL ? PQsocket(connection->pg) : -1;
+    /* PQfinish sends the terminate message and closes its descriptor; the copy stays to see the
+     * database's end of stream. */
+    int copy = socket_fd >= 0 ? dup(socket_fd) : -1;
+    backend_connection_close(connection);
+    if (copy < 0) {
+        return false;
+    }
+    shutdown(copy, SHUT_WR);
+    bool confirmed = wait_for_end_of_stream(copy, deadline);
+    close(copy);
+    return confirmed;
+}
+
+void backend_connection_break(struct backend_connection *connection)
+{
+    connection->state = CONNECTION_STATE_BROKEN;
+}
+
+bool backend_connection_is_clean(const struct backend_connection *connection)
+{
+    if (connection->state == CONNECTION_STATE_BROKEN ||
+        connection->state == CONNECTION_STATE_OPENING) {
+        return false;
+    }
+    if (connection->unread_answers > 0 || PQstatus(connection->pg) != CONNECTION_OK) {
+        return false;
+    }
+    return PQtransactionStatus(connection->pg) == PQTRANS_IDLE &&
+           PQpipelineStatus(connection->pg) == PQ_PIPELINE_ON;
+}
+
+bool backend_connection_is_healthy(const struct backend_connection *connection)
+{
+    if (!backend_connection_is_clean(connection)) {
+        return false;
+    }
+    char byte;
+    ssize_t received = recv(PQsocket(connection->pg), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+bool backend_connection_wait(const struct backend_connection *connection, short events,
+                             time_ns deadline)
+{
+    for (;;) {
+        struct pollfd poll_fd = {.fd = PQsocket(connection->pg), .events = events};
+        int ready = poll(&poll_fd, 1, backend_poll_ms(deadline, backend_now()));
+        if (ready > 0) {
+            return true;
+        }
+        if (ready == 0 || errno != EINTR) {
+            return false;
+        }
+    }
+}
+
+char *backend_connection_error(const struct backend_connection *connection)
+{
+    const char *text = connection->pg != NULL ? PQerrorMessage(connection->pg) : "out of memory";
+    return g_strchomp(g_strdup(text));
+}
--- /dev/null
+++ b/src/backend/connection.h
@@ -0,0 +1,73 @@
+/* One connection to a database, on libpq's asynchronous calls and in pipeline mode for its whole
+ * life. It exists so that every wait has a deadline and that a connection whose state is not known
+ * for certain is closed instead of used again. */
+#ifndef SW_BACKEND_CONNECTION_H
+#define SW_BACKEND_CONNECTION_H
+
+#include <glib.h>
+#include <libpq-fe.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/types.h"
+
+enum connection_state {
+    CONNECTION_STATE_OPENING,
+    CONNECTION_STATE_IDLE,
+    CONNECTION_STATE_IN_USE,
+    CONNECTION_STATE_BROKEN, /* only closing is left */
+};
+
+/* Where and as whom to connect. The strings belong to whoever fills it in. */
+struct connection_settings {
+    const char *host; /* an IP number */
+    uint16_t port;
+    const char *database_name;
+    const char *user;
+    const char *password;         /* or NULL */
+    const char *application_name; /* "swiftworks/<daemon>@<zone>" */
+};
+
+/* Owned by one thread at a time; no locks. */
+struct backend_connection {
+    PGconn *pg;
+    enum connection_state state;
+    uint32_t unread_answers; /* queries and syncs sent, whose answers are not read yet */
+};
+
+/* Starts to open without waiting; drive it by backend_connection_continue. Never NULL: a failure
+ * at once shows as CONNECTION_STATE_BROKEN. */
+struct backend_connection *backend_connection_start(const struct connection_settings *settings);
+
+/* Takes the next step of opening once the socket is ready. Returns the poll events to wait for,
+ * or 0 when the state is no longer OPENING. */
+short backend_connection_continue(struct backend_connection *connection);
+
+/* Opens and waits until `deadline`. On failure returns NULL with SW_ERROR and libpq's text. */
+struct backend_connection *backend_connection_open(const struct connection_settings *settings,
+                                                   time_ns deadline, GError **error);
+
+/* Closes and frees. NULL is allowed. An open transaction is rolled back by the database. */
+void backend_connection_close(struct backend_connection *connection);
+
+/* Closes and frees, and waits until the database has closed its end too, so that it no longer
+ * counts the connection. Returns false if that was not seen by `deadline`. */
+bool backend_connection_close_confirmed(struct backend_connection *connection, time_ns deadline);
+
+/* Marks that nothing more may be sent: the state at the database is not known. */
+void backend_connection_break(struct backend_connection *connection);
+
+/* True if it may serve another request: all answers read and no transaction open. */
+bool backend_connection_is_clean(const struct backend_connection *connection);
+
+/* Cheap check before use, without a round trip: clean, the socket open and nothing to read. */
+bool backend_connection_is_healthy(const struct backend_connection *connection);
+
+/* Waits until the socket is ready for one of `events`; false at the deadline. */
+bool backend_connection_wait(const struct backend_connection *connection, short events,
+                             time_ns deadline);
+
+/* libpq's last error text, without its final newline; never NULL. The caller frees it. */
+char *backend_connection_error(const struct backend_connection *connection);
+
+#endif
--- /dev/null
+++ b/src/backend/ledger.c
@@ -0,0 +1,203 @@
+#include "backend/ledger.h"
+
+#include <string.h>
+
+#include "backend/adapter_internal.h"
+
+#define SQL_CREATE_TABLE                                                                           \
+    "CREATE TABLE IF NOT EXISTS swiftworks_ledger (key text PRIMARY KEY, fingerprint text NOT "    \
+    "NULL, state text NOT NULL, request_id text, results text, created_at bigint NOT NULL)"
+#define SQL_CREATE_INDEX                                                                           \
+    "CREATE INDEX IF NOT EXISTS swiftworks_ledger_created_at ON swiftworks_ledger (created_at)"
+#define SQL_CLAIM                                                                                  \
+    "INSERT INTO swiftworks_ledger (key, fingerprint, state, request_id, created_at) "             \
+    "VALUES ($1, $2, $3, $4, $5) ON CONFLICT (key) DO NOTHING"
+#define SQL_RECORD  "UPDATE swiftworks_ledger SET results = $2 WHERE key = $1"
+#define SQL_RESOLVE "SELECT fingerprint, state, results FROM swiftworks_ledger WHERE key = $1"
+#define SQL_EXPIRE                                                                                 \
+    "DELETE FROM swiftworks_ledger WHERE key IN (SELECT key FROM swiftworks_ledger "               \
+    "WHERE created_at < $1 ORDER BY created_at LIMIT $2)"
+
+#define SECONDS_PER_DAY 86400
+
+static const char *const LEDGER_STATE_TEXTS[] = {
+    [LEDGER_STATE_DONE] = "done",
+    [LEDGER_STATE_CLOSED] = "closed",
+};
+
+/* Columns of SQL_RESOLVE. */
+enum resolve_column {
+    RESOLVE_COLUMN_FINGERPRINT,
+    RESOLVE_COLUMN_STATE,
+    RESOLVE_COLUMN_RESULTS,
+    RESOLVE_COLUMN_COUNT,
+};
+
+static struct sql_value text_value(const char *text)
+{
+    struct sql_value value = {.is_null = text == NULL, .text = (char *)text};
+    return value;
+}
+
+/* Seconds of the wall clock: the age of a row is counted in days, so small differences between
+ * daemons don't matter. */
+static uint64_t wall_clock_seconds(void)
+{
+    return (uint64_t)(g_get_real_time() / G_USEC_PER_SEC);
+}
+
+bool ledger_send_claim(struct backend_connection *connection, const struct adapter_key *key,
+                       enum ledger_state state)
+{
+    char fingerprint[NUMBER_TEXT_SIZE];
+    char created_at[NUMBER_TEXT_SIZE];
+    g_snprintf(fingerprint, sizeof fingerprint, "%" G_GUINT64_FORMAT, key->fingerprint);
+    g_snprintf(created_at, sizeof created_at, "%" G_GUINT64_FORMAT, wall_clock_seconds());
+    const struct sql_value parameters[] = {
+        text_value(key->key),        text_value(fingerprint), text_value(LEDGER_STATE_TEXTS[state]),
+        text_value(key->request_id), text_value(created_at),
+    };
+    return pipeline_send(connection, SQL_CLAIM, parameters, G_N_ELEMENTS(parameters));
+}
+
+bool ledger_claim_won(const struct query_reply *reply)
+{
+    return g_strcmp0(reply->result.command, "INSERT 0 1") == 0;
+}
+
+/* The results as text, or NULL if they are too large to be kept. */
+static char *encode_results(const struct sql_result *results, size_t count)
+{
+    struct reply reply;
+    reply_init(&reply);
+    reply.results = (struct sql_result *)results;
+    reply.results_count = count;
+    GByteArray *encoded = reply_encode(&reply);
+    char *text = NULL;
+    if (encoded->len <= LEDGER_RESULTS_MAX / 4 * 3) {
+        text = g_base64_encode(encoded->data, encoded->len);
+    }
+    g_byte_array_unref(encoded);
+    return text;
+}
+
+/* The reverse; false if the text is none of ours. */
+static bool decode_results(const char *text, struct execute_answer *answer)
+{
+    struct reply reply;
+    gsize length;
+    g_autofree guchar *encoded = g_base64_decode(text, &length);
+    if (!reply_decode(encoded, length, &reply, NULL)) {
+        return false;
+    }
+    answer->results = g_steal_pointer(&reply.results);
+    answer->results_count = reply.results_count;
+    reply.results_count = 0;
+    reply_clear(&reply);
+    return true;
+}
+
+bool ledger_send_results(struct backend_connection *connection, const struct adapter_key *key,
+                         const struct sql_result *results, size_t count)
+{
+    g_autofree char *text = encode_results(results, count);
+    const struct sql_value parameters[] = {text_value(key->key), text_value(text)};
+    return pipeline_send(connection, SQL_RECORD, parameters, G_N_ELEMENTS(parameters));
+}
+
+/* Says what a key's row means. */
+static enum execute_result judge_row(const struct sql_row *row, const struct adapter_key *key,
+                                     struct execute_answer *answer)
+{
+    char fingerprint[NUMBER_TEXT_SIZE];
+    g_snprintf(fingerprint, sizeof fingerprint, "%" G_GUINT64_FORMAT, key->fingerprint);
+    if (g_strcmp0(row->cells[RESOLVE_COLUMN_FINGERPRINT].text, fingerprint) != 0) {
+        return EXECUTE_KEY_REUSED;
+    }
+    const char *state = row->cells[RESOLVE_COLUMN_STATE].text;
+    if (g_strcmp0(state, LEDGER_STATE_TEXTS[LEDGER_STATE_CLOSED]) == 0) {
+        return EXECUTE_KEY_CLOSED;
+    }
+    const struct sql_value *results = &row->cells[RESOLVE_COLUMN_RESULTS];
+    answer->results_not_kept = results->text == NULL || !decode_results(results->text, answer);
+    return EXECUTE_ALREADY_DONE;
+}
+
+/* Judges the answers to SQL_RESOLVE and SQL_STATUS. */
+static enum execute_result take_resolution(struct backend_connection *connection,
+                                           const struct query_reply *replies,
+                                           const struct adapter_key *key,
+                                           struct execute_answer *answer)
+{
+    const struct query_reply *failed = pipeline_first_error(replies, 2);
+    if (failed != NULL) {
+        return adapter_take_error(failed, answer);
+    }
+    if (!adapter_parse_status(&replies[1].result, &answer->status)) {
+        adapter_take_nonsense(connection, "not a status row", answer);
+        return EXECUTE_NOT_SENT;
+    }
+    const struct sql_result *found = &replies[0].result;
+    if (found->rows_count != 1 || found->rows[0].cells_count != RESOLVE_COLUMN_COUNT) {
+        return EXECUTE_CONFLICT;
+    }
+    answer->position = answer->status.held;
+    return judge_row(&found->rows[0], key, answer);
+}
+
+enum execute_result ledger_resolve(struct backend_connection *connection,
+                                   const struct adapter_key *key, time_ns deadline,
+                                   struct execute_answer *answer)
+{
+    struct query_reply replies[2];
+    const struct sql_value parameters[] = {text_value(key->key)};
+    enum execute_result result = EXECUTE_NOT_SENT;
+    pipeline_send(connection, SQL_RESOLVE, parameters, G_N_ELEMENTS(parameters));
+    /* The status is read after the row, so that what it holds includes the row. */
+    adapter_send_simple(connection, SQL_STATUS);
+    if (pipeline_finish(connection, deadline, NULL, replies, 2) == PIPELINE_WHOLE) {
+        result = take_resolution(connection, replies, key, answer);
+    } else {
+        adapter_take_loss(connection, answer);
+    }
+    pipeline_replies_clear(replies, 2);
+    return result;
+}
+
+enum execute_result adapter_create_ledger(struct backend_connection *connection, time_ns deadline,
+                                          struct execute_answer *answer)
+{
+    struct sql_statement statements[] = {
+        {.sql = (char *)SQL_CREATE_TABLE},
+        {.sql = (char *)SQL_CREATE_INDEX},
+    };
+    return adapter_write(connection, NULL, statements, G_N_ELEMENTS(statements), deadline, NULL,
+                         answer);
+}
+
+enum execute_result adapter_expire_ledger(struct backend_connection *connection, uint32_t days,
+                                          uint32_t limit, time_ns deadline, uint64_t *removed,
+                                          struct execute_answer *answer)
+{
+    char before[NUMBER_TEXT_SIZE];
+    char limit_text[NUMBER_TEXT_SIZE];
+    uint64_t age = (uint64_t)days * SECONDS_PER_DAY;
+    uint64_t now = wall_clock_seconds();
+    g_snprintf(before, sizeof before, "%" G_GUINT64_FORMAT, now > age ? now - age : 0);
+    g_snprintf(limit_text, sizeof limit_text, "%u", (unsigned)limit);
+    struct sql_value parameters[] = {text_value(before), text_value(limit_text)};
+    struct sql_statement statement = {
+        .sql = (char *)SQL_EXPIRE,
+        .parameters = parameters,
+        .parameters_count = G_N_ELEMENTS(parameters),
+    };
+    enum execute_result result =
+        adapter_write(connection, NULL, &statement, 1, deadline, NULL, answer);
+    if (removed != NULL) {
+        *removed = 0;
+        if (result == EXECUTE_DONE && g_str_has_prefix(answer->results[0].command, "DELETE ")) {
+            *removed = g_ascii_strtoull(answer->results[0].command + strlen("DELETE "), NULL, 10);
+        }
+    }
+    return result;
+}
