Parse configuration bundles into derived routes

Templates declare bounded parameters, tenants fill them in, and each route follows from both. Every fault is collected with file, JSON Pointer, value and allowed range.

--- /dev/null
+++ b/src/configuration/bundle_reader.c
@@ -0,0 +1,336 @@
+/* Typed reading of JSON with a place for every value. */
+#include "configuration/bundle_reader.h"
+
+#include <string.h>
+
+#include "configuration/problem.h"
+
+/* json-glib parses by recursion, so depth is bounded before it starts. */
+#define BUNDLE_DEPTH_MAX 16
+
+/* Characters of a value that a problem shows. */
+#define BUNDLE_VALUE_SHOWN_MAX 60
+
+/* Names that a problem lists as allowed. */
+#define BUNDLE_NAMES_SHOWN_MAX 8
+
+/* Members counted for each object while parsing, to find one given twice. */
+struct duplicate_check {
+    struct bundle_reader *reader;
+    GHashTable *member_counts; /* JsonObject (one reference held) -> count */
+};
+
+static void append_pointer(GString *text, const struct bundle_place *place)
+{
+    if (place == NULL || place->name == NULL) {
+        return;
+    }
+    append_pointer(text, place->parent);
+    g_string_append_c(text, '/');
+    for (const char *character = place->name; *character != '\0'; character++) {
+        if (*character == '~') {
+            g_string_append(text, "~0");
+        } else if (*character == '/') {
+            g_string_append(text, "~1");
+        } else {
+            g_string_append_c(text, *character);
+        }
+    }
+}
+
+/* The JSON Pointer of a place; "/" stands for the whole document. */
+static char *place_text(const struct bundle_place *place)
+{
+    GString *text = g_string_new(NULL);
+
+    append_pointer(text, place);
+    if (text->len == 0) {
+        g_string_append_c(text, '/');
+    }
+    return g_string_free(text, FALSE);
+}
+
+/* The value as JSON, cut at a character's border. */
+static char *value_text(JsonNode *node)
+{
+    g_autofree char *json = json_to_string(node, FALSE);
+
+    if (g_utf8_strlen(json, -1) <= BUNDLE_VALUE_SHOWN_MAX) {
+        return g_steal_pointer(&json);
+    }
+    g_autofree char *start = g_utf8_substring(json, 0, BUNDLE_VALUE_SHOWN_MAX);
+    return g_strconcat(start, "...", NULL);
+}
+
+void bundle_reader_fault(struct bundle_reader *reader, const struct bundle_place *place,
+                         JsonNode *node, const char *fault, const char *allowed)
+{
+    g_autofree char *path = place_text(place);
+    g_autofree char *value = node != NULL ? value_text(node) : NULL;
+
+    configuration_problems_add(reader->problems, reader->source, path, value, fault, allowed);
+}
+
+/* True if brackets outside strings nest no deeper than the bound. */
+static bool depth_is_bounded(const char *json, gsize length)
+{
+    guint depth = 0;
+    bool in_string = false;
+
+    for (gsize i = 0; i < length; i++) {
+        char character = json[i];
+        if (in_string && character == '\\') {
+            i++;
+        } else if (character == '"') {
+            in_string = !in_string;
+        } else if (!in_string && (character == '{' || character == '[')) {
+            depth++;
+        } else if (!in_string && (character == '}' || character == ']') && depth > 0) {
+            depth--;
+        }
+        if (depth > BUNDLE_DEPTH_MAX) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* json-glib keeps the last of two members of one name; here that is a fault. */
+static void on_object_member(JsonParser *parser, JsonObject *object, const char *name,
+                             gpointer user_data)
+{
+    struct duplicate_check *check = user_data;
+    guint count = GPOINTER_TO_UINT(g_hash_table_lookup(check->member_counts, object)) + 1;
+
+    if (count > json_object_get_size(object)) {
+        g_autofree char *line = g_strdup_printf("line %u", json_parser_get_current_line(parser));
+        g_autofree char *quoted = g_strdup_printf("\"%s\"", name);
+        configuration_problems_add(check->reader->problems, check->reader->source, line, quoted,
+                                   "is given twice in one object", "each member once");
+        count = json_object_get_size(object);
+    }
+    g_hash_table_insert(check->member_counts, json_object_ref(object), GUINT_TO_POINTER(count));
+}
+
+static void add_parse_fault(struct bundle_reader *reader, JsonParser *parser, const GError *error)
+{
+    g_autofree char *line = g_strdup_printf("line %u", json_parser_get_current_line(parser));
+    /* json-glib starts its text with "<data>:LINE:COLUMN: ". */
+    const char *text = g_strrstr(error->message, "<data>:");
+    const char *reason = text != NULL ? strstr(text, ": ") : NULL;
+    g_autofree char *fault =
+        g_strdup_printf("is not JSON (%s)", reason != NULL ? reason + 2 : error->message);
+
+    configuration_problems_add(reader->problems, reader->source, line, "the text", fault,
+                               "JSON in UTF-8");
+}
+
+JsonNode *bundle_reader_load(struct bundle_reader *reader, const char *json, gsize length)
+{
+    struct bundle_place root = {NULL, NULL};
+
+    if (!depth_is_bounded(json, length)) {
+        g_autofree char *allowed = g_strdup_printf("at most %u levels", BUNDLE_DEPTH_MAX);
+        bundle_reader_fault(reader, &root, NULL, "nested too deep", allowed);
+        return NULL;
+    }
+
+    guint problems_before = reader->problems->len;
+    struct duplicate_check check = {
+        .reader = reader,
+        .member_counts = g_hash_table_new_full(NULL, NULL, (GDestroyNotify)json_object_unref, NULL),
+    };
+    g_autoptr(JsonParser) parser = json_parser_new_immutable();
+    g_autoptr(GError) error = NULL;
+    g_signal_connect(parser, "object-member", G_CALLBACK(on_object_member), &check);
+    if (!json_parser_load_from_data(parser, json, (gssize)length, &error)) {
+        add_parse_fault(reader, parser, error);
+    }
+    g_hash_table_unref(check.member_counts);
+    if (reader->problems->len > problems_before) {
+        return NULL;
+    }
+    JsonNode *node = json_parser_steal_root(parser);
+    if (node == NULL) {
+        bundle_reader_fault(reader, &root, NULL, "the text is empty", "an object");
+    }
+    return node;
+}
+
+JsonObject *bundle_reader_object(struct bundle_reader *reader, const struct bundle_place *place,
+                                 JsonNode *node)
+{
+    if (!JSON_NODE_HOLDS_OBJECT(node)) {
+        bundle_reader_fault(reader, place, node, "is not an object", "an object");
+        return NULL;
+    }
+    return json_node_get_object(node);
+}
+
+JsonArray *bundle_reader_array(struct bundle_reader *reader, const struct bundle_place *place,
+                               JsonNode *node, guint minimum, guint maximum)
+{
+    g_autofree char *allowed = g_strdup_printf("an array of %u to %u", minimum, maximum);
+
+    if (!JSON_NODE_HOLDS_ARRAY(node)) {
+        bundle_reader_fault(reader, place, node, "is not an array", allowed);
+        return NULL;
+    }
+    JsonArray *array = json_node_get_array(node);
+    guint length = json_array_get_length(array);
+    if (length < minimum || length > maximum) {
+        g_autofree char *fault = g_strdup_printf("has %u elements", length);
+        bundle_reader_fault(reader, place, NULL, fault, allowed);
+        return NULL;
+    }
+    return array;
+}
+
+bool bundle_reader_integer(struct bundle_reader *reader, const struct bundle_place *place,
+                           JsonNode *node, int64_t minimum, int64_t maximum, int64_t *value)
+{
+    g_autofree char *allowed = bundle_integer_allowed(minimum, maximum);
+
+    if (!JSON_NODE_HOLDS_VALUE(node) || json_node_get_value_type(node) != G_TYPE_INT64) {
+        bundle_reader_fault(reader, place, node, "is not an integer", allowed);
+        return false;
+    }
+    int64_t number = json_node_get_int(node);
+    if (number < minimum || number > maximum) {
+        bundle_reader_fault(reader, place, node, "is out of range", allowed);
+        return false;
+    }
+    *value = number;
+    return true;
+}
+
+bool bundle_reader_boolean(struct bundle_reader *reader, const struct bundle_place *place,
+                           JsonNode *node, bool *value)
+{
+    if (!JSON_NODE_HOLDS_VALUE(node) || json_node_get_value_type(node) != G_TYPE_BOOLEAN) {
+        bundle_reader_fault(reader, place, node, "is not a boolean", "true or false");
+        return false;
+    }
+    *value = json_node_get_boolean(node);
+    return true;
+}
+
+const char *bundle_reader_string(struct bundle_reader *reader, const struct bundle_place *place,
+                                 JsonNode *node, const char *allowed)
+{
+    if (!JSON_NODE_HOLDS_VALUE(node) || json_node_get_value_type(node) != G_TYPE_STRING) {
+        bundle_reader_fault(reader, place, node, "is not a string", allowed);
+        return NULL;
+    }
+    return json_node_get_string(node);
+}
+
+JsonNode *bundle_reader_member(struct bundle_reader *reader, const struct bundle_place *place,
+                               JsonObject *object, const char *name, const char *allowed)
+{
+    JsonNode *node = json_object_get_member(object, name);
+
+    if (node == NULL) {
+        struct bundle_place member_place = {place, name};
+        bundle_reader_fault(reader, &member_place, NULL, "missing", allowed);
+    }
+    return node;
+}
+
+bool bundle_reader_member_integer(struct bundle_reader *reader, const struct bundle_place *place,
+                                  JsonObject *object, const char *name, int64_t minimum,
+                                  int64_t maximum, int64_t *value)
+{
+    g_autofree char *allowed = bundle_integer_allowed(minimum, maximum);
+    struct bundle_place member_place = {place, name};
+    JsonNode *node = bundle_reader_member(reader, place, object, name, allowed);
+
+    return node != NULL &&
+           bundle_reader_integer(reader, &member_place, node, minimum, maximum, value);
+}
+
+const char *bundle_reader_member_string(struct bundle_reader *reader,
+                                        const struct bundle_place *place, JsonObject *object,
+                                        const char *name, const char *allowed)
+{
+    struct bundle_place member_place = {place, name};
+    JsonNode *node = bundle_reader_member(reader, place, object, name, allowed);
+
+    return node != NULL ? bundle_reader_string(reader, &member_place, node, allowed) : NULL;
+}
+
+JsonObject *bundle_reader_member_object(struct bundle_reader *reader,
+                                        const struct bundle_place *place, JsonObject *object,
+                                        const char *name)
+{
+    struct bundle_place member_place = {place, name};
+    JsonNode *node = bundle_reader_member(reader, place, object, name, "an object");
+
+    return node != NULL ? bundle_reader_object(reader, &member_place, node) : NULL;
+}
+
+void bundle_reader_refuse_unknown(struct bundle_reader *reader, const struct bundle_place *place,
+                                  JsonObject *object, const char *const *known)
+{
+    JsonObjectIter iterator;
+    const char *name = NULL;
+    JsonNode *node = NULL;
+
+    json_object_iter_init_ordered(&iterator, object);
+    while (json_object_iter_next_ordered(&iterator, &name, &node)) {
+        if (!g_strv_contains(known, name)) {
+            struct bundle_place member_place = {place, name};
+            g_autofree char *allowed = g_strjoinv(", ", (char **)known);
+            bundle_reader_fault(reader, &member_place, NULL, "unknown member", allowed);
+        }
+    }
+}
+
+static bool name_is_valid(const char *name)
+{
+    size_t length = strlen(name);
+
+    if (length == 0 || length > BUNDLE_NAME_BYTES_MAX || name[0] == '-') {
+        return false;
+    }
+    for (size_t i = 0; i < length; i++) {
+        bool allowed = g_ascii_islower(name[i]) || g_ascii_isdigit(name[i]) || name[i] == '-';
+        if (!allowed) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool bundle_reader_check_name(struct bundle_reader *reader, const struct bundle_place *place,
+                              const char *name)
+{
+    if (name_is_valid(name)) {
+        return true;
+    }
+    g_autoptr(JsonNode) node = json_node_init_string(json_node_alloc(), name);
+    bundle_reader_fault(reader, place, node, "is not a name", BUNDLE_NAME_ALLOWED);
+    return false;
+}
+
+char *bundle_integer_allowed(int64_t minimum, int64_t maximum)
+{
+    return g_strdup_printf("integer %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT, minimum, maximum);
+}
+
+char *bundle_names_allowed(const GPtrArray *names)
+{
+    GString *text = g_string_new(NULL);
+
+    for (guint i = 0; i < names->len && i < BUNDLE_NAMES_SHOWN_MAX; i++) {
+        g_string_append(text, i > 0 ? ", " : "");
+        g_string_append(text, g_ptr_array_index(names, i));
+    }
+    if (names->len == 0) {
+        g_string_append(text, "none");
+    }
+    if (names->len > BUNDLE_NAMES_SHOWN_MAX) {
+        g_string_append_printf(text, ", ... (%u in all)", names->len);
+    }
+    return g_string_free(text, FALSE);
+}
--- /dev/null
+++ b/src/configuration/configuration.h
@@ -0,0 +1,136 @@
+/* The configuration: shared templates, database groups, and tenants that fill templates in with
+ * parameters. Every tenant's route is derived from these; none is written by hand.
+ *
+ * A struct configuration is immutable once parsed, so threads share it without locks; it is
+ * reference counted, and readers under RCU need no reference of their own. */
+#ifndef SW_CONFIGURATION_CONFIGURATION_H
+#define SW_CONFIGURATION_CONFIGURATION_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "core/types.h"
+
+/* Size limits of one bundle. */
+#define CONFIGURATION_BYTES_MAX      (16 * 1024 * 1024)
+#define CONFIGURATION_ZONES_MAX      32
+#define CONFIGURATION_GROUPS_MAX     4096
+#define CONFIGURATION_TEMPLATES_MAX  256
+#define CONFIGURATION_PARAMETERS_MAX 64
+#define CONFIGURATION_TENANTS_MAX    100000
+
+/* Characters of a content hash: SHA-256 in lower-case hexadecimal. */
+#define CONFIGURATION_HASH_LENGTH 64
+
+/* A part of the network that fails as one. */
+struct zone_configuration {
+    char *name;
+    uint32_t id;
+};
+
+/* One database server of a group. */
+struct database_configuration {
+    char *name;           /* unique in the bundle */
+    uint32_t zone;        /* id of its zone */
+    char *host;           /* IP number */
+    uint16_t port;        /* TCP port */
+    uint32_t slots;       /* statements it can run at the same time */
+    uint32_t connections; /* connections it accepts in all; above slots */
+};
+
+/* One replicated group of databases. */
+struct group_configuration {
+    uint32_t id; /* unique in the bundle; messages carry it */
+    char *name;
+    uint32_t database_count;
+    struct database_configuration databases[GROUP_DATABASES_MAX];
+    uint32_t zone_count;
+    uint32_t zones[GROUP_DATABASES_MAX]; /* ids of the databases' zones, ascending, each once */
+};
+
+/* How one tenant's requests are served. Derived from its template and parameters. */
+struct tenant_route {
+    char *tenant;
+    const char *template_name;           /* owned by the configuration */
+    uint32_t group;                      /* id of the tenant's database group */
+    uint32_t max_staleness_ms;           /* oldest data a read without a session may see */
+    uint32_t read_wait_ms;               /* longest wait for a replica to catch up */
+    uint32_t read_primary_share_percent; /* most of its reads that may fall back to the primary */
+    bool reads_from_replicas;            /* false: every read goes to the primary */
+    uint32_t weight;                     /* share of a group's slots, relative to other tenants */
+    uint32_t in_flight_limit;            /* requests at the same time, for each owner daemon */
+    uint32_t request_timeout_ms;         /* longest time to answer one request */
+    uint32_t transaction_idle_ms;        /* longest pause between a transaction's statements */
+    uint32_t transaction_total_ms;       /* longest life of a transaction */
+    bool writes_require_key;             /* a write without an idempotency key is refused */
+    uint32_t idempotency_days;           /* how long an idempotency key is remembered */
+};
+
+struct configuration_template;
+
+/* One bundle. Immutable; arrays are sorted, so that equal bundles read equal. */
+struct configuration {
+    GBytes *canonical;             /* the bundle's canonical JSON */
+    char *hash;                    /* content hash of the canonical JSON */
+    GPtrArray *zones;              /* struct zone_configuration by id */
+    GPtrArray *groups;             /* struct group_configuration by id */
+    GPtrArray *templates;          /* struct configuration_template by name */
+    GPtrArray *tenants;            /* struct tenant_route by name */
+    GHashTable *zones_by_name;     /* name -> struct zone_configuration */
+    GHashTable *groups_by_id;      /* id as pointer -> struct group_configuration */
+    GHashTable *groups_by_name;    /* name -> struct group_configuration */
+    GHashTable *templates_by_name; /* name -> struct configuration_template */
+    GHashTable *tenants_by_name;   /* name -> struct tenant_route */
+};
+
+/* Parses and checks a bundle. On success returns true and a configuration with one reference in
+ * `out`. Otherwise returns false and adds every fault found to `problems` (an array of
+ * configuration_problems_new). `source` names the file in the problems. */
+bool configuration_parse(const char *json, gsize length, const char *source,
+                         struct configuration **out, GPtrArray *problems);
+
+/* Takes one more reference; from any thread. */
+struct configuration *configuration_ref(struct configuration *configuration);
+
+/* Gives one reference back; from any thread. NULL is allowed. */
+void configuration_unref(struct configuration *configuration);
+
+/* The route of a tenant, or NULL. O(1). */
+const struct tenant_route *configuration_find_tenant(const struct configuration *configuration,
+                                                     const char *tenant);
+
+/* The group with this id, or NULL. O(1). */
+const struct group_configuration *
+configuration_find_group(const struct configuration *configuration, uint32_t group);
+
+/* The group with this name, or NULL. O(1). */
+const struct group_configuration *
+configuration_find_group_by_name(const struct configuration *configuration, const char *name);
+
+/* The zone with this name, or NULL. O(1). */
+const struct zone_configuration *
+configuration_find_zone_by_name(const struct configuration *configuration, const char *name);
+
+/* The group that has a database of this name, and the database's index in it; or NULL. Linear in
+ * the number of databases: for operators' calls. */
+const struct group_configuration *
+configuration_find_database(const struct configuration *configuration, const char *database,
+                            uint32_t *index);
+
+/* The routes derived from a template, by tenant name. The caller frees the array, not its
+ * elements. */
+GPtrArray *configuration_tenants_of_template(const struct configuration *configuration,
+                                             const char *template_name);
+
+/* The canonical JSON: members sorted by name, no white space. Owned by the configuration. */
+GBytes *configuration_canonical(const struct configuration *configuration);
+
+/* The content hash of the canonical JSON. Owned by the configuration. */
+const char *configuration_hash(const struct configuration *configuration);
+
+/* True if two routes serve requests in the same way; their templates' names may differ. */
+bool tenant_route_equal(const struct tenant_route *left, const struct tenant_route *right);
+
+#endif
--- /dev/null
+++ b/src/configuration/parse.c
@@ -0,0 +1,185 @@
+/* Parsing a bundle: the sections in the order in which they refer to each other, then the
+ * bundle's canonical form. */
+#include "configuration/bundle_parser.h"
+
+#include <string.h>
+
+#include "configuration/canonical.h"
+#include "configuration/problem.h"
+
+static void tenant_route_free(gpointer data)
+{
+    struct tenant_route *route = data;
+
+    g_free(route->tenant);
+    g_free(route);
+}
+
+static void zone_free(gpointer data)
+{
+    struct zone_configuration *zone = data;
+
+    g_free(zone->name);
+    g_free(zone);
+}
+
+static void group_free(gpointer data)
+{
+    struct group_configuration *group = data;
+
+    for (uint32_t i = 0; i < group->database_count; i++) {
+        g_free(group->databases[i].name);
+        g_free(group->databases[i].host);
+    }
+    g_free(group->name);
+    g_free(group);
+}
+
+static struct configuration *configuration_new(void)
+{
+    struct configuration *configuration = g_atomic_rc_box_new0(struct configuration);
+
+    configuration->zones = g_ptr_array_new_with_free_func(zone_free);
+    configuration->groups = g_ptr_array_new_with_free_func(group_free);
+    configuration->templates =
+        g_ptr_array_new_with_free_func((GDestroyNotify)configuration_template_free);
+    configuration->tenants = g_ptr_array_new_with_free_func(tenant_route_free);
+    configuration->zones_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    configuration->groups_by_id = g_hash_table_new(NULL, NULL);
+    configuration->groups_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    configuration->templates_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    configuration->tenants_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    return configuration;
+}
+
+JsonObject *bundle_parse_section(struct bundle_parser *parser, const struct bundle_place *root,
+                                 JsonObject *bundle, const char *name, guint maximum)
+{
+    JsonObject *section = bundle_reader_member_object(&parser->reader, root, bundle, name);
+
+    if (section == NULL) {
+        return NULL;
+    }
+    guint size = json_object_get_size(section);
+    if (size > maximum) {
+        struct bundle_place place = {root, name};
+        g_autofree char *fault = g_strdup_printf("has %u members", size);
+        g_autofree char *allowed = g_strdup_printf("at most %u", maximum);
+        bundle_reader_fault(&parser->reader, &place, NULL, fault, allowed);
+        return NULL;
+    }
+    return section;
+}
+
+char *bundle_parse_description(struct bundle_parser *parser, const struct bundle_place *place,
+                               JsonObject *object)
+{
+    struct bundle_place member_place = {place, "description"};
+    JsonNode *node = json_object_get_member(object, "description");
+
+    if (node == NULL) {
+        return NULL;
+    }
+    return g_strdup(bundle_reader_string(&parser->reader, &member_place, node, "a string"));
+}
+
+static void parse_sections(struct bundle_parser *parser, JsonNode *node)
+{
+    static const char *const members[] = {"description", "zones",   "groups",
+                                          "templates",   "tenants", NULL};
+    struct bundle_place root = {NULL, NULL};
+    JsonObject *bundle = bundle_reader_object(&parser->reader, &root, node);
+
+    if (bundle == NULL) {
+        return;
+    }
+    bundle_reader_refuse_unknown(&parser->reader, &root, bundle, members);
+    g_free(bundle_parse_description(parser, &root, bundle));
+    bundle_parse_zones(parser, &root, bundle);
+    bundle_parse_groups(parser, &root, bundle);
+    bundle_parse_templates(parser, &root, bundle);
+    bundle_parse_tenants(parser, &root, bundle);
+}
+
+static gint compare_zones(gconstpointer left, gconstpointer right)
+{
+    const struct zone_configuration *const *a = left;
+    const struct zone_configuration *const *b = right;
+
+    return ((*a)->id > (*b)->id) - ((*a)->id < (*b)->id);
+}
+
+static gint compare_groups(gconstpointer left, gconstpointer right)
+{
+    const struct group_configuration *const *a = left;
+    const struct group_configuration *const *b = right;
+
+    return ((*a)->id > (*b)->id) - ((*a)->id < (*b)->id);
+}
+
+static gint compare_templates(gconstpointer left, gconstpointer right)
+{
+    const struct configuration_template *const *a = left;
+    const struct configuration_template *const *b = right;
+
+    return strcmp((*a)->name, (*b)->name);
+}
+
+static gint compare_tenants(gconstpointer left, gconstpointer right)
+{
+    const struct tenant_route *const *a = left;
+    const struct tenant_route *const *b = right;
+
+    return strcmp((*a)->tenant, (*b)->tenant);
+}
+
+/* Sorts what was read and keeps the canonical form beside it. */
+static void finish(struct configuration *configuration, JsonNode *node)
+{
+    g_ptr_array_sort(configuration->zones, compare_zones);
+    g_ptr_array_sort(configuration->groups, compare_groups);
+    g_ptr_array_sort(configuration->templates, compare_templates);
+    g_ptr_array_sort(configuration->tenants, compare_tenants);
+    configuration->canonical = canonical_json(node);
+    configuration->hash = canonical_hash(configuration->canonical);
+}
+
+static bool size_is_allowed(const char *source, gsize length, GPtrArray *problems)
+{
+    if (length <= CONFIGURATION_BYTES_MAX) {
+        return true;
+    }
+    g_autofree char *fault = g_strdup_printf("has %" G_GSIZE_FORMAT " bytes", length);
+    g_autofree char *allowed = g_strdup_printf("at most %d bytes", CONFIGURATION_BYTES_MAX);
+    configuration_problems_add(problems, source, "/", NULL, fault, allowed);
+    return false;
+}
+
+bool configuration_parse(const char *json, gsize length, const char *source,
+                         struct configuration **out, GPtrArray *problems)
+{
+    guint problems_before = problems->len;
+    struct bundle_parser parser = {.reader = {source, problems}};
+
+    *out = NULL;
+    if (!size_is_allowed(source, length, problems)) {
+        return false;
+    }
+    g_autoptr(JsonNode) node = bundle_reader_load(&parser.reader, json, length);
+    if (node == NULL) {
+        return false;
+    }
+    parser.configuration = configuration_new();
+    parser.database_names = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    parser.database_addresses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    parse_sections(&parser, node);
+    g_hash_table_unref(parser.database_names);
+    g_hash_table_unref(parser.database_addresses);
+    if (problems->len > problems_before) {
+        configuration_unref(parser.configuration);
+        return false;
+    }
+    finish(parser.configuration, node);
+    *out = parser.configuration;
+    return true;
+}
