--- a/src/configuration/bundle_parser.h
+++ b/src/configuration/bundle_parser.h
@@ -11,6 +11,9 @@
 struct bundle_parser {
     struct bundle_reader reader;
     struct configuration *configuration; /* being filled; dropped if a fault is found */
+    bool zones_known;                    /* "zones" could be read, so references can be checked */
+    bool groups_known;                   /* "groups" likewise */
+    bool templates_known;                /* "templates" likewise */
     GHashTable *database_names;          /* name -> place text, to find doubles */
     GHashTable *database_addresses;      /* "host:port" -> place text */
 };
--- a/src/configuration/bundle_reader.c
+++ b/src/configuration/bundle_reader.c
@@ -1,6 +1,7 @@
 /* Typed reading of JSON with a place for every value. */
 #include "configuration/bundle_reader.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #include "configuration/problem.h"
@@ -112,17 +113,23 @@
     g_hash_table_insert(check->member_counts, json_object_ref(object), GUINT_TO_POINTER(count));
 }
 
-static void add_parse_fault(struct bundle_reader *reader, JsonParser *parser, const GError *error)
+/* json-glib starts the text of a syntax error with "<data>:LINE:COLUMN: ". */
+static void add_parse_fault(struct bundle_reader *reader, const GError *error)
 {
-    g_autofree char *line = g_strdup_printf("line %u", json_parser_get_current_line(parser));
-    /* json-glib starts its text with "<data>:LINE:COLUMN: ". */
-    const char *text = g_strrstr(error->message, "<data>:");
-    const char *reason = text != NULL ? strstr(text, ": ") : NULL;
-    g_autofree char *fault =
-        g_strdup_printf("is not JSON (%s)", reason != NULL ? reason + 2 : error->message);
-
-    configuration_problems_add(reader->problems, reader->source, line, "the text", fault,
-                               "JSON in UTF-8");
+    unsigned line = 0;
+    unsigned column = 0;
+    int prefix_length = 0;
+    const char *reason = error->message;
+    g_autofree char *place = NULL;
+
+    if (sscanf(error->message, "<data>:%u:%u: %n", &line, &column, &prefix_length) == 2 &&
+        prefix_length > 0) {
+        reason += prefix_length;
+        place = g_strdup_printf("line %u, column %u", line, column);
+    }
+    g_autofree char *fault = g_strdup_printf("is not JSON (%s)", reason);
+    configuration_problems_add(reader->problems, reader->source, place != NULL ? place : "/",
+                               "the text", fault, "JSON in UTF-8");
 }
 
 JsonNode *bundle_reader_load(struct bundle_reader *reader, const char *json, gsize length)
@@ -144,7 +151,7 @@
     g_autoptr(GError) error = NULL;
     g_signal_connect(parser, "object-member", G_CALLBACK(on_object_member), &check);
     if (!json_parser_load_from_data(parser, json, (gssize)length, &error)) {
-        add_parse_fault(reader, parser, error);
+        add_parse_fault(reader, error);
     }
     g_hash_table_unref(check.member_counts);
     if (reader->problems->len > problems_before) {
@@ -281,20 +288,22 @@
         if (!g_strv_contains(known, name)) {
             struct bundle_place member_place = {place, name};
             g_autofree char *allowed = g_strjoinv(", ", (char **)known);
-            bundle_reader_fault(reader, &member_place, NULL, "unknown member", allowed);
+            bundle_reader_fault(reader, &member_place, NULL, "unknown member",
+                                known[0] != NULL ? allowed : "none");
         }
     }
 }
 
-static bool name_is_valid(const char *name)
+/* True if `name` is made of a-z, 0-9 and, but for the first place, the separator. */
+static bool name_is_valid(const char *name, char separator)
 {
     size_t length = strlen(name);
 
-    if (length == 0 || length > BUNDLE_NAME_BYTES_MAX || name[0] == '-') {
+    if (length == 0 || length > BUNDLE_NAME_BYTES_MAX || name[0] == separator) {
         return false;
     }
     for (size_t i = 0; i < length; i++) {
-        bool allowed = g_ascii_islower(name[i]) || g_ascii_isdigit(name[i]) || name[i] == '-';
+        bool allowed = g_ascii_islower(name[i]) || g_ascii_isdigit(name[i]) || name[i] == separator;
         if (!allowed) {
             return false;
         }
@@ -302,17 +311,29 @@
     return true;
 }
 
-bool bundle_reader_check_name(struct bundle_reader *reader, const struct bundle_place *place,
-                              const char *name)
+static bool check_name(struct bundle_reader *reader, const struct bundle_place *place,
+                       const char *name, char separator, const char *allowed)
 {
-    if (name_is_valid(name)) {
+    if (name_is_valid(name, separator)) {
         return true;
     }
     g_autoptr(JsonNode) node = json_node_init_string(json_node_alloc(), name);
-    bundle_reader_fault(reader, place, node, "is not a name", BUNDLE_NAME_ALLOWED);
+    bundle_reader_fault(reader, place, node, "is not a name", allowed);
     return false;
 }
 
+bool bundle_reader_check_name(struct bundle_reader *reader, const struct bundle_place *place,
+                              const char *name)
+{
+    return check_name(reader, place, name, '-', BUNDLE_NAME_ALLOWED);
+}
+
+bool bundle_reader_check_identifier(struct bundle_reader *reader, const struct bundle_place *place,
+                                    const char *name)
+{
+    return check_name(reader, place, name, '_', BUNDLE_IDENTIFIER_ALLOWED);
+}
+
 char *bundle_integer_allowed(int64_t minimum, int64_t maximum)
 {
     return g_strdup_printf("integer %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT, minimum, maximum);
--- a/src/configuration/bundle_reader.h
+++ b/src/configuration/bundle_reader.h
@@ -13,6 +13,10 @@
 #define BUNDLE_NAME_ALLOWED                                                                        \
     "1 to 63 characters of a-z, 0-9 and '-', starting with a letter or a digit"
 
+/* What a parameter's name may be. */
+#define BUNDLE_IDENTIFIER_ALLOWED                                                                  \
+    "1 to 63 characters of a-z, 0-9 and '_', starting with a letter or a digit"
+
 /* Where faults go. Borrowed by all calls; used by one thread. */
 struct bundle_reader {
     const char *source;
@@ -80,6 +84,10 @@
 bool bundle_reader_check_name(struct bundle_reader *reader, const struct bundle_place *place,
                               const char *name);
 
+/* As above, for the name of a parameter. */
+bool bundle_reader_check_identifier(struct bundle_reader *reader, const struct bundle_place *place,
+                                    const char *name);
+
 /* "integer 1 to 10". The caller frees it. */
 char *bundle_integer_allowed(int64_t minimum, int64_t maximum);
 
--- a/src/configuration/canonical.c
+++ b/src/configuration/canonical.c
@@ -20,7 +20,9 @@
         JsonNode *member = json_object_get_member(object, name->data);
         json_object_set_member(copy, name->data, sorted_copy(member));
     }
-    return json_node_init_object(json_node_alloc(), copy);
+    JsonNode *node = json_node_new(JSON_NODE_OBJECT);
+    json_node_take_object(node, copy);
+    return node;
 }
 
 static JsonNode *sorted_array(JsonArray *array)
@@ -31,7 +33,9 @@
     for (guint i = 0; i < length; i++) {
         json_array_add_element(copy, sorted_copy(json_array_get_element(array, i)));
     }
-    return json_node_init_array(json_node_alloc(), copy);
+    JsonNode *node = json_node_new(JSON_NODE_ARRAY);
+    json_node_take_array(node, copy);
+    return node;
 }
 
 static JsonNode *sorted_copy(JsonNode *node)
--- a/src/configuration/parse_groups.c
+++ b/src/configuration/parse_groups.c
@@ -20,6 +20,7 @@
                         "an id used once");
 }
 
+/* Id 0 stands for one that could not be read. */
 static const struct zone_configuration *find_zone_by_id(struct configuration *configuration,
                                                         uint32_t id)
 {
@@ -36,9 +37,13 @@
                        const char *name, JsonNode *node)
 {
     static const char *const members[] = {"description", "id", NULL};
-    JsonObject *object = bundle_reader_object(&parser->reader, place, node);
+    struct zone_configuration *zone = g_new0(struct zone_configuration, 1);
     int64_t id = 0;
 
+    zone->name = g_strdup(name);
+    g_hash_table_insert(parser->configuration->zones_by_name, zone->name, zone);
+    g_ptr_array_add(parser->configuration->zones, zone);
+    JsonObject *object = bundle_reader_object(&parser->reader, place, node);
     if (object == NULL) {
         return;
     }
@@ -50,13 +55,9 @@
         has_id ? find_zone_by_id(parser->configuration, (uint32_t)id) : NULL;
     if (taken != NULL) {
         fault_id_taken(parser, place, object, taken->name);
+        return;
     }
-
-    struct zone_configuration *zone = g_new0(struct zone_configuration, 1);
-    zone->name = g_strdup(name);
     zone->id = (uint32_t)id;
-    g_ptr_array_add(parser->configuration->zones, zone);
-    g_hash_table_insert(parser->configuration->zones_by_name, zone->name, zone);
 }
 
 void bundle_parse_zones(struct bundle_parser *parser, const struct bundle_place *root,
@@ -72,6 +73,7 @@
     if (section == NULL) {
         return;
     }
+    parser->zones_known = true;
     json_object_iter_init_ordered(&iterator, section);
     while (json_object_iter_next_ordered(&iterator, &name, &node)) {
         struct bundle_place place = {&section_place, name};
@@ -97,12 +99,11 @@
     }
     const struct zone_configuration *zone =
         configuration_find_zone_by_name(parser->configuration, name);
-    if (zone == NULL) {
+    if (zone == NULL && parser->zones_known) {
         bundle_reader_fault(&parser->reader, &zone_place, json_object_get_member(object, "zone"),
                             "is not a zone", allowed);
-        return 0;
     }
-    return zone->id;
+    return zone != NULL ? zone->id : 0;
 }
 
 static char *parse_database_name(struct bundle_parser *parser, const struct bundle_place *place,
@@ -296,6 +297,7 @@
     if (section == NULL) {
         return;
     }
+    parser->groups_known = true;
     json_object_iter_init_ordered(&iterator, section);
     while (json_object_iter_next_ordered(&iterator, &name, &node)) {
         struct bundle_place place = {&section_place, name};
--- a/src/configuration/parse_templates.c
+++ b/src/configuration/parse_templates.c
@@ -81,7 +81,9 @@
     const struct group_configuration *group =
         configuration_find_group_by_name(parser->configuration, name);
     if (group == NULL) {
-        bundle_reader_fault(&parser->reader, place, node, "is not a group", allowed);
+        if (parser->groups_known) {
+            bundle_reader_fault(&parser->reader, place, node, "is not a group", allowed);
+        }
         return false;
     }
     if (!group_is_allowed(bounds, name)) {
@@ -240,7 +242,10 @@
         struct template_parameter *parameter = g_new0(struct template_parameter, 1);
         parameter->name = g_strdup(name);
         g_ptr_array_add(template_entry->parameters, parameter);
+        guint problems_before = parser->reader.problems->len;
+        bundle_reader_check_identifier(&parser->reader, &parameter_place, name);
         parse_parameter(parser, &parameter_place, node, parameter);
+        parameter->valid = parser->reader.problems->len == problems_before;
     }
 }
 
@@ -252,6 +257,9 @@
     const struct value_bounds *bounds = &parameter->bounds;
     g_autofree char *allowed = bundle_value_allowed(parser, &info->bounds);
 
+    if (!parameter->valid) {
+        return;
+    }
     if (bounds->type != info->bounds.type) {
         g_autofree char *fault = g_strdup_printf("parameter \"%s\" is of type %s", parameter->name,
                                                  value_type_name(bounds->type));
@@ -403,10 +411,10 @@
     template_entry->description = bundle_parse_description(parser, place, object);
     parse_parameters(parser, place, object, template_entry);
     parse_route(parser, place, object, template_entry);
-    template_entry->valid = parser->reader.problems->len == problems_before;
-    if (template_entry->valid) {
+    if (parser->reader.problems->len == problems_before) {
         refuse_unused_parameters(parser, place, template_entry);
     }
+    template_entry->valid = parser->reader.problems->len == problems_before;
 }
 
 void bundle_parse_templates(struct bundle_parser *parser, const struct bundle_place *root,
@@ -422,6 +430,7 @@
     if (section == NULL) {
         return;
     }
+    parser->templates_known = true;
     json_object_iter_init_ordered(&iterator, section);
     while (json_object_iter_next_ordered(&iterator, &name, &node)) {
         struct bundle_place place = {&section_place, name};
--- a/src/configuration/parse_tenants.c
+++ b/src/configuration/parse_tenants.c
@@ -26,7 +26,7 @@
     }
     const struct configuration_template *template_entry =
         configuration_find_template(parser->configuration, name);
-    if (template_entry == NULL) {
+    if (template_entry == NULL && parser->templates_known) {
         bundle_reader_fault(&parser->reader, &template_place,
                             json_object_get_member(object, "template"), "is not a template",
                             allowed);
--- a/src/configuration/template.h
+++ b/src/configuration/template.h
@@ -11,6 +11,7 @@
     struct value_bounds bounds;
     bool has_default; /* false: each tenant must give it */
     int64_t default_value;
+    bool valid; /* false while parsing a bundle with a fault here */
 };
 
 /* Where a route's field comes from. */
--- /dev/null
+++ b/tests/configuration/test_parse.c
@@ -0,0 +1,221 @@
+/* Parsing of good bundles: derived routes, look-ups, canonical form. */
+#include "configuration/configuration.h"
+
+#include <string.h>
+
+#include "configuration/problem.h"
+
+static struct configuration *parse_text(const char *text)
+{
+    g_autoptr(GPtrArray) problems = configuration_problems_new();
+    struct configuration *configuration = NULL;
+
+    bool valid = configuration_parse(text, strlen(text), "test.json", &configuration, problems);
+    g_autofree char *faults = configuration_problems_text(problems);
+    g_assert_cmpstr(faults, ==, "");
+    g_assert_true(valid);
+    return configuration;
+}
+
+static char *example_text(const char *directory)
+{
+    g_autofree char *path =
+        g_build_filename(g_getenv("CONFIGURATION_EXAMPLES"), directory, "configuration.json", NULL);
+    char *text = NULL;
+    g_autoptr(GError) error = NULL;
+
+    g_file_get_contents(path, &text, NULL, &error);
+    g_assert_no_error(error);
+    return text;
+}
+
+static struct configuration *parse_example(const char *directory)
+{
+    g_autofree char *text = example_text(directory);
+
+    return parse_text(text);
+}
+
+static void assert_sizes(const struct configuration *configuration, guint zones, uint32_t slots,
+                         uint32_t connections)
+{
+    g_assert_cmpuint(configuration->zones->len, ==, zones);
+    g_assert_cmpuint(configuration->groups->len, ==, 3);
+    for (guint i = 0; i < configuration->groups->len; i++) {
+        const struct group_configuration *group = g_ptr_array_index(configuration->groups, i);
+        g_assert_cmpuint(group->database_count, ==, 3);
+        g_assert_cmpuint(group->zone_count, ==, 3);
+        for (uint32_t j = 0; j < group->database_count; j++) {
+            g_assert_cmpuint(group->databases[j].slots, ==, slots);
+            g_assert_cmpuint(group->databases[j].connections, ==, connections);
+        }
+    }
+}
+
+static void test_atlas_example(void)
+{
+    struct configuration *configuration = parse_example("atlas-huts");
+
+    assert_sizes(configuration, 3, 5, 35);
+    const struct tenant_route *route =
+        configuration_find_tenant(configuration, "agency-marrakech-medina");
+    g_assert_nonnull(route);
+    g_assert_cmpstr(route->template_name, ==, "agency");
+    g_assert_cmpuint(route->group, ==, 1);
+    g_assert_cmpuint(route->max_staleness_ms, ==, 250);
+    g_assert_cmpuint(route->weight, ==, 300);
+    g_assert_cmpuint(route->request_timeout_ms, ==, 2500);
+    g_assert_true(route->reads_from_replicas);
+    g_assert_true(route->writes_require_key);
+    g_assert_cmpuint(route->idempotency_days, ==, 30);
+    configuration_unref(configuration);
+}
+
+static void test_meters_example(void)
+{
+    struct configuration *configuration = parse_example("kitakaze-meters");
+
+    assert_sizes(configuration, 4, 4, 65);
+    const struct tenant_route *resident =
+        configuration_find_tenant(configuration, "residents-phone");
+    const struct tenant_route *prepayment =
+        configuration_find_tenant(configuration, "prepayment-east");
+    g_assert_cmpuint(resident->max_staleness_ms, ==, 60000);
+    g_assert_cmpuint(resident->read_primary_share_percent, ==, 2);
+    g_assert_cmpuint(prepayment->max_staleness_ms, ==, 0);
+    g_assert_cmpuint(prepayment->idempotency_days, ==, 90);
+    g_assert_true(prepayment->writes_require_key);
+    configuration_unref(configuration);
+}
+
+static void test_look_ups(void)
+{
+    struct configuration *configuration = parse_example("atlas-huts");
+    uint32_t index = 0;
+
+    const struct group_configuration *group = configuration_find_group(configuration, 2);
+    g_assert_cmpstr(group->name, ==, "bookings-mgoun");
+    g_assert_true(configuration_find_group_by_name(configuration, "bookings-mgoun") == group);
+    g_assert_true(configuration_find_database(configuration, "mgoun-3", &index) == group);
+    g_assert_cmpuint(index, ==, 2);
+    g_assert_cmpuint(group->databases[index].port, ==, 21012);
+    g_assert_cmpuint(configuration_find_zone_by_name(configuration, "marrakech")->id, ==, 2);
+    g_assert_null(configuration_find_group(configuration, 9));
+    g_assert_null(configuration_find_group_by_name(configuration, "mgoun"));
+    g_assert_null(configuration_find_database(configuration, "mgoun-4", &index));
+    g_assert_null(configuration_find_tenant(configuration, "nobody"));
+    g_assert_null(configuration_find_zone_by_name(configuration, "paris"));
+    configuration_unref(configuration);
+}
+
+static void test_tenants_of_template(void)
+{
+    struct configuration *configuration = parse_example("atlas-huts");
+    g_autoptr(GPtrArray) guides = configuration_tenants_of_template(configuration, "guide");
+    g_autoptr(GPtrArray) nobody = configuration_tenants_of_template(configuration, "absent");
+
+    g_assert_cmpuint(guides->len, ==, 2);
+    const struct tenant_route *first = g_ptr_array_index(guides, 0);
+    const struct tenant_route *second = g_ptr_array_index(guides, 1);
+    g_assert_cmpstr(first->tenant, ==, "guides-ait-bougmez");
+    g_assert_cmpstr(second->tenant, ==, "guides-imlil");
+    g_assert_cmpuint(nobody->len, ==, 0);
+    configuration_unref(configuration);
+}
+
+#define SMALL_GROUPS                                                                               \
+    "\"groups\":{\"main\":{\"id\":7,\"databases\":[{\"name\":\"a\",\"zone\":\"z\","                \
+    "\"host\":\"::1\",\"port\":1,\"slots\":1,\"connections\":2}]}}"
+
+static const char ordered[] =
+    "{" SMALL_GROUPS ",\"templates\":{\"t\":{\"parameters\":{},\"route\":{\"group\":\"main\","
+    "\"weight\":5}}},\"tenants\":{\"x\":{\"template\":\"t\"}},\"zones\":{\"z\":{\"id\":1}}}";
+
+static const char reordered[] =
+    " {\"zones\": {\"z\": {\"id\": 1}}, \"tenants\":\n{\"x\":{\"template\":\"t\"}},"
+    "\"templates\":{\"t\":{\"route\":{\"weight\":5,\"group\":\"main\"},\"parameters\":{}}},"
+    "" SMALL_GROUPS "}\n";
+
+static void test_canonical_ignores_order_and_space(void)
+{
+    struct configuration *first = parse_text(ordered);
+    struct configuration *second = parse_text(reordered);
+
+    g_assert_true(g_bytes_equal(configuration_canonical(first), configuration_canonical(second)));
+    g_assert_cmpstr(configuration_hash(first), ==, configuration_hash(second));
+    g_assert_cmpuint(strlen(configuration_hash(first)), ==, CONFIGURATION_HASH_LENGTH);
+    configuration_unref(first);
+    configuration_unref(second);
+}
+
+/* What is stored and fetched by hash is the canonical form itself. */
+static void test_canonical_is_a_fixed_point(void)
+{
+    struct configuration *configuration = parse_example("kitakaze-meters");
+    gsize length = 0;
+    const char *canonical = g_bytes_get_data(configuration_canonical(configuration), &length);
+    g_autofree char *checksum =
+        g_compute_checksum_for_data(G_CHECKSUM_SHA256, (const guchar *)canonical, length);
+    g_autofree char *copy = g_strndup(canonical, length);
+    struct configuration *again = parse_text(copy);
+
+    g_assert_cmpstr(checksum, ==, configuration_hash(configuration));
+    g_assert_cmpstr(configuration_hash(again), ==, configuration_hash(configuration));
+    configuration_unref(configuration);
+    configuration_unref(again);
+}
+
+static void test_defaults_of_the_route(void)
+{
+    struct configuration *configuration = parse_text(ordered);
+    const struct tenant_route *route = configuration_find_tenant(configuration, "x");
+
+    g_assert_cmpuint(route->group, ==, 7);
+    g_assert_cmpuint(route->weight, ==, 5);
+    g_assert_cmpuint(route->max_staleness_ms, ==, 0);
+    g_assert_cmpuint(route->request_timeout_ms, ==, 5000);
+    g_assert_true(route->reads_from_replicas);
+    g_assert_false(route->writes_require_key);
+    g_assert_cmpuint(route->idempotency_days, ==, 7);
+    configuration_unref(configuration);
+}
+
+static void test_routes_compare_by_content(void)
+{
+    struct configuration *first = parse_text(ordered);
+    struct configuration *second = parse_text(ordered);
+    const struct tenant_route *left = configuration_find_tenant(first, "x");
+    struct tenant_route right = *configuration_find_tenant(second, "x");
+
+    g_assert_true(tenant_route_equal(left, &right));
+    right.writes_require_key = true;
+    g_assert_false(tenant_route_equal(left, &right));
+    configuration_unref(first);
+    configuration_unref(second);
+}
+
+static void test_references_keep_it_alive(void)
+{
+    struct configuration *configuration = parse_text(ordered);
+    struct configuration *second = configuration_ref(configuration);
+
+    configuration_unref(configuration);
+    g_assert_nonnull(configuration_find_tenant(second, "x"));
+    configuration_unref(second);
+    configuration_unref(NULL);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/configuration/example/atlas-huts", test_atlas_example);
+    g_test_add_func("/configuration/example/kitakaze-meters", test_meters_example);
+    g_test_add_func("/configuration/look-ups", test_look_ups);
+    g_test_add_func("/configuration/tenants-of-template", test_tenants_of_template);
+    g_test_add_func("/configuration/canonical/order", test_canonical_ignores_order_and_space);
+    g_test_add_func("/configuration/canonical/fixed-point", test_canonical_is_a_fixed_point);
+    g_test_add_func("/configuration/route/defaults", test_defaults_of_the_route);
+    g_test_add_func("/configuration/route/equal", test_routes_compare_by_content);
+    g_test_add_func("/configuration/references", test_references_keep_it_alive);
+    return g_test_run();
+}
