Add membership of daemons by zone-aware gossip

Members of a zone probe each other and alone decide on death; relays carry news between zones and track their reachability, so a cut zone is one flag and not hundreds of suspicions.

--- /dev/null
+++ b/src/core/membership.c
@@ -0,0 +1,364 @@
+/* Membership's life cycle, its entry points and what it tells about the members. */
+#include "core/membership_internal.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Time between two looks for tombstones and members to forget. */
+#define SWEEP_INTERVAL (5 * NANOSECONDS_PER_SECOND)
+
+void membership_options_default(struct membership_options *options)
+{
+    *options = (struct membership_options){
+        .deployment = 1,
+        .random_seed = 1,
+        .probe_period = 500 * NANOSECONDS_PER_MILLISECOND,
+        .probe_wait = 150 * NANOSECONDS_PER_MILLISECOND,
+        .probe_helpers = 3,
+        .suspicion_factor = 4,
+        .relays = 3,
+        .zone_timeout = 4 * NANOSECONDS_PER_SECOND,
+        .transmit_factor = 3,
+        .push_fanout = 3,
+        .push_interval = 200 * NANOSECONDS_PER_MILLISECOND,
+        .sync_interval = 10 * NANOSECONDS_PER_SECOND,
+        .sync_retry = 250 * NANOSECONDS_PER_MILLISECOND,
+        .sync_datagrams = 8,
+        .tombstone_time = 2 * 3600 * NANOSECONDS_PER_SECOND,
+        .forget_time = 6 * 3600 * NANOSECONDS_PER_SECOND,
+    };
+}
+
+uint64_t membership_id_of_name(const char *name)
+{
+    uint64_t id = XXH64(name, strlen(name), 0);
+    return id == 0 ? 1 : id;
+}
+
+static void insert_self(struct membership *membership, const struct membership_self *self,
+                        time_ns now)
+{
+    struct member_record record = {
+        .id = self->id,
+        .start = self->start,
+        .address = self->address.address,
+        .port = self->address.port,
+        .zone = self->zone,
+        .region = self->region,
+        .state = MEMBER_STATE_ALIVE,
+        .changed_at = now,
+    };
+    membership_enqueue(membership, membership_insert(membership, &record));
+}
+
+struct membership *membership_new(const struct membership_options *options,
+                                  const struct membership_self *self, time_ns now)
+{
+    g_assert(self->id != 0 && self->zone < MEMBERSHIP_ZONES_MAX);
+    struct membership *membership = g_new0(struct membership, 1);
+    membership->options = *options;
+    membership->random = options->random_seed ^ self->id ^ self->start;
+    membership->self_id = self->id;
+    membership->self_zone = self->zone;
+    membership->records = g_array_new(FALSE, FALSE, sizeof(struct member_record));
+    membership->ring = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    membership->probes = g_array_new(FALSE, FALSE, sizeof(struct probe));
+    membership->helped_probes = g_array_new(FALSE, FALSE, sizeof(struct helped_probe));
+    membership->suspicions = g_array_new(FALSE, FALSE, sizeof(struct suspicion));
+    g_queue_init(&membership->queue);
+    insert_self(membership, self, now);
+    uint32_t period_ms = (uint32_t)(options->probe_period / NANOSECONDS_PER_MILLISECOND) + 1;
+    membership->next_probe =
+        now + membership_random(membership, period_ms) * NANOSECONDS_PER_MILLISECOND;
+    membership->next_sync = now;
+    membership->next_sweep = now + SWEEP_INTERVAL;
+    return membership;
+}
+
+void membership_free(struct membership *membership)
+{
+    if (membership == NULL) {
+        return;
+    }
+    g_array_free(membership->records, TRUE);
+    g_array_free(membership->ring, TRUE);
+    g_array_free(membership->probes, TRUE);
+    g_array_free(membership->helped_probes, TRUE);
+    g_array_free(membership->suspicions, TRUE);
+    g_queue_clear_full(&membership->queue, g_free);
+    g_free(membership->seeds);
+    g_free(membership);
+}
+
+void membership_set_seeds(struct membership *membership, const struct member_address *seeds,
+                          size_t count)
+{
+    g_free(membership->seeds);
+    membership->seeds = g_memdup2(seeds, count * sizeof(*seeds));
+    membership->seeds_count = count;
+}
+
+/* True once this daemon takes no further part. */
+static bool is_silent(const struct membership *membership)
+{
+    return membership->left || membership->superseded;
+}
+
+/* Takes in what stands in every datagram: the sender, its configuration, zones and updates. */
+static void merge_message(struct membership *membership, const struct gossip_message *message,
+                          struct member_address from, time_ns now,
+                          struct membership_actions *actions)
+{
+    const struct gossip_member *sender = &message->sender;
+    membership_merge(membership, sender, now, actions);
+    struct configuration_mark in_force = {sender->configuration_version,
+                                          message->configuration_hash};
+    struct configuration_mark heard = {message->heard_version, message->heard_hash};
+    membership_merge_configuration(membership, in_force, sender, actions);
+    membership_merge_configuration(membership, heard, sender, actions);
+    struct member_record *record = membership_record(membership, sender->member);
+    if (record != NULL && record->configuration.version == in_force.version) {
+        record->configuration.hash = in_force.hash;
+    }
+    membership_hear_zones(membership, message, from, now, actions);
+    for (size_t i = 0; i < message->updates_count; i++) {
+        membership_merge(membership, &message->updates[i], now, actions);
+    }
+}
+
+/* Gives the answer that the kind of datagram asks for. */
+static void answer_message(struct membership *membership, const struct gossip_message *message,
+                           struct member_address from, time_ns now,
+                           struct membership_actions *actions)
+{
+    switch (message->kind) {
+    case GOSSIP_KIND_PING:
+        membership_receive_ping(membership, message, from, now, actions);
+        return;
+    case GOSSIP_KIND_PING_REQUEST:
+        membership_receive_ping_request(membership, message, from, now, actions);
+        return;
+    case GOSSIP_KIND_ACK:
+        membership_receive_ack(membership, message, now, actions);
+        return;
+    case GOSSIP_KIND_SYNC:
+        membership_receive_sync(membership, message, from, now, actions);
+        return;
+    case GOSSIP_KIND_SYNC_REPLY:
+        membership_receive_sync_reply(membership, message, from, now, actions);
+        return;
+    case GOSSIP_KIND_PUSH:
+    case GOSSIP_KIND_SYNC_RECORDS:
+    case GOSSIP_KIND_COUNT:
+        return;
+    }
+}
+
+void membership_receive(struct membership *membership, const struct gossip_message *message,
+                        struct member_address from, time_ns now, struct membership_actions *actions)
+{
+    bool foreign = message->deployment != membership->options.deployment ||
+                   message->sender.member == membership->self_id ||
+                   message->sender.zone >= MEMBERSHIP_ZONES_MAX;
+    if (foreign || is_silent(membership)) {
+        return;
+    }
+    answer_message(membership, message, from, now, actions);
+    merge_message(membership, message, from, now, actions);
+}
+
+/* Drops what has been remembered for long enough. */
+static void sweep(struct membership *membership, time_ns now)
+{
+    for (size_t i = membership->records->len; i > 0; i--) {
+        const struct member_record *record = membership_record_at(membership, i - 1);
+        if (record->id == membership->self_id) {
+            continue;
+        }
+        bool expired;
+        if (member_record_live(record)) {
+            time_ns heard = MAX(membership->zone_heard[record->zone], record->changed_at);
+            expired = now > heard + membership->options.forget_time;
+        } else {
+            expired = now > record->changed_at + membership->options.tombstone_time;
+        }
+        if (expired) {
+            membership_remove_at(membership, i - 1);
+        }
+    }
+}
+
+void membership_tick(struct membership *membership, time_ns now, struct membership_actions *actions)
+{
+    if (is_silent(membership)) {
+        return;
+    }
+    if (now > membership->next_probe + membership->options.probe_period) {
+        membership_forgive_pause(membership, now - membership->next_probe);
+    }
+    if (membership->relays_stale) {
+        membership_work_out_relays(membership);
+    }
+    membership_probe_tick(membership, now, actions);
+    membership_sync_tick(membership, now, actions);
+    membership_zones_tick(membership, now, actions);
+    if (now >= membership->next_sweep) {
+        membership->next_sweep = now + SWEEP_INTERVAL;
+        membership_work_out_relays(membership);
+        sweep(membership, now);
+    }
+    if (now >= membership_push_due(membership)) {
+        membership_push(membership, now, actions);
+    }
+}
+
+time_ns membership_next_wakeup(const struct membership *membership)
+{
+    if (is_silent(membership)) {
+        return UINT64_MAX;
+    }
+    time_ns wakeup = membership_probe_wakeup(membership);
+    wakeup = MIN(wakeup, membership->next_sync);
+    wakeup = MIN(wakeup, membership->next_sweep);
+    return MIN(wakeup, membership_push_due(membership));
+}
+
+bool membership_superseded(const struct membership *membership)
+{
+    return membership->superseded;
+}
+
+void membership_set_leaving(struct membership *membership, bool leaving, time_ns now,
+                            struct membership_actions *actions)
+{
+    struct member_record *self = membership_self_record(membership);
+    if (self->leaving == leaving || is_silent(membership)) {
+        return;
+    }
+    membership_discount(membership, self);
+    self->leaving = leaving;
+    membership_count_in(membership, self);
+    membership_announce_self(membership);
+    membership_push(membership, now, actions);
+}
+
+void membership_leave(struct membership *membership, time_ns now,
+                      struct membership_actions *actions)
+{
+    if (is_silent(membership)) {
+        return;
+    }
+    struct member_record *self = membership_self_record(membership);
+    membership_discount(membership, self);
+    self->state = MEMBER_STATE_LEFT;
+    self->changed_at = now;
+    membership_enqueue(membership, self);
+    membership_push(membership, now, actions);
+    membership->left = true;
+}
+
+void membership_set_configuration(struct membership *membership, struct configuration_mark in_force,
+                                  time_ns now, struct membership_actions *actions)
+{
+    membership_self_record(membership)->configuration = in_force;
+    membership_hear_configuration(membership, in_force, now, actions);
+}
+
+void membership_hear_configuration(struct membership *membership, struct configuration_mark heard,
+                                   time_ns now, struct membership_actions *actions)
+{
+    if (heard.version <= membership->heard.version || is_silent(membership)) {
+        return;
+    }
+    membership->heard = heard;
+    membership_push(membership, now, actions);
+}
+
+struct configuration_mark membership_heard_configuration(const struct membership *membership)
+{
+    return membership->heard;
+}
+
+struct member membership_self(const struct membership *membership)
+{
+    return member_of_record(membership_self_record(membership));
+}
+
+size_t membership_count(const struct membership *membership)
+{
+    return membership->records->len;
+}
+
+struct member membership_get(const struct membership *membership, size_t index)
+{
+    return member_of_record(membership_record_at(membership, index));
+}
+
+bool membership_find(const struct membership *membership, uint64_t id, struct member *out)
+{
+    const struct member_record *record = membership_record(membership, id);
+    if (record == NULL) {
+        return false;
+    }
+    *out = member_of_record(record);
+    return true;
+}
+
+/* True if a live member is in reach: this daemon itself always is. */
+static bool record_in_reach(const struct membership *membership, const struct member_record *record,
+                            time_ns now, time_ns within)
+{
+    if (record->id == membership->self_id) {
+        return true;
+    }
+    time_ns heard = membership->zone_heard[record->zone];
+    return member_record_live(record) && heard != 0 && now <= heard + within;
+}
+
+void membership_reach(const struct membership *membership, time_ns now, time_ns within,
+                      size_t *reachable, size_t *known)
+{
+    *reachable = 0;
+    *known = 0;
+    for (size_t i = 0; i < membership->records->len; i++) {
+        const struct member_record *record = membership_record_at(membership, i);
+        if (record->state == MEMBER_STATE_LEFT) {
+            continue;
+        }
+        (*known)++;
+        if (record_in_reach(membership, record, now, within)) {
+            (*reachable)++;
+        }
+    }
+}
+
+bool membership_majority_reachable(const struct membership *membership, time_ns now, time_ns within)
+{
+    size_t reachable = 0;
+    size_t known = 0;
+    membership_reach(membership, now, within, &reachable, &known);
+    return 2 * reachable > known;
+}
+
+bool membership_synced(const struct membership *membership)
+{
+    return membership->synced;
+}
+
+size_t membership_memory(const struct membership *membership)
+{
+    size_t memory = sizeof(*membership);
+    memory += membership->records->len * sizeof(struct member_record);
+    memory += membership->ring->len * sizeof(uint64_t);
+    memory += membership->probes->len * sizeof(struct probe);
+    memory += membership->helped_probes->len * sizeof(struct helped_probe);
+    memory += membership->suspicions->len * sizeof(struct suspicion);
+    memory += membership->queue.length * (sizeof(GList) + sizeof(uint64_t));
+    memory += membership->seeds_count * sizeof(struct member_address);
+    return memory;
+}
+
+uint64_t membership_suspicions(const struct membership *membership)
+{
+    return membership->suspicions_raised;
+}
--- /dev/null
+++ b/src/core/membership_sync.c
@@ -0,0 +1,239 @@
+/* Anti-entropy: two members compare digests of their lists and send each other the records of the
+ * buckets that differ. This heals what datagrams lost, tells a fresh daemon of all others, and
+ * brings zones together after a cut. */
+#include "core/membership_internal.h"
+
+/* Of a peer's live members, this share (in sixteenths) must be known for the list to be whole. */
+#define COMPLETE_SIXTEENTHS 15
+
+/* One in this many rounds goes to a member of any zone. */
+#define FAR_SYNC_INTERVAL 4
+
+/* One in this many rounds also tries a seed, in case that the deployment fell in two. */
+#define SEED_SYNC_INTERVAL 4
+
+static void add_digests(const struct membership *membership, struct gossip_message *message)
+{
+    message->digests = g_memdup2(membership->digests, sizeof(membership->digests));
+    message->digests_count = MEMBERSHIP_BUCKETS;
+}
+
+void membership_sync_with(struct membership *membership, struct member_address to, time_ns now,
+                          struct membership_actions *actions)
+{
+    struct gossip_message message;
+    membership_begin(membership, GOSSIP_KIND_SYNC, now, false, &message);
+    add_digests(membership, &message);
+    membership_send_plain(&message, to, actions);
+}
+
+/* Bit per bucket whose digest differs from the peer's. */
+static uint32_t differing_buckets(const struct membership *membership,
+                                  const struct gossip_message *message)
+{
+    uint32_t differing = 0;
+    for (size_t i = 0; i < MIN(message->digests_count, MEMBERSHIP_BUCKETS); i++) {
+        if (message->digests[i] != membership->digests[i]) {
+            differing |= UINT32_C(1) << i;
+        }
+    }
+    return differing;
+}
+
+/* Records on their way to a peer. */
+struct record_stream {
+    struct membership *membership;
+    struct member_address to;
+    time_ns now;
+    struct membership_actions *actions;
+    struct gossip_message message;
+    size_t size;
+    uint32_t datagrams; /* sent so far */
+};
+
+/* The most updates that fit: no live record is shorter than this many octets. */
+#define RECORDS_PER_DATAGRAM_MAX 64
+
+static void stream_send(struct record_stream *stream)
+{
+    membership_send_plain(&stream->message, stream->to, stream->actions);
+    stream->datagrams++;
+    membership_begin(stream->membership, GOSSIP_KIND_SYNC_RECORDS, stream->now, false,
+                     &stream->message);
+    stream->size = membership_message_size(&stream->message);
+}
+
+static void stream_add(struct record_stream *stream, const struct member_record *record)
+{
+    struct gossip_member update = membership_update_of(record);
+    update.configuration_version = record->configuration.version;
+    size_t added = membership_update_size(&update);
+    bool full = stream->size + added > MEMBERSHIP_DATAGRAM_MAX ||
+                stream->message.updates_count == RECORDS_PER_DATAGRAM_MAX;
+    if (full) {
+        stream_send(stream);
+    }
+    if (stream->message.updates == NULL) {
+        stream->message.updates = g_new0(struct gossip_member, RECORDS_PER_DATAGRAM_MAX);
+    }
+    stream->message.updates[stream->message.updates_count] = update;
+    stream->message.updates_count++;
+    stream->size += added;
+}
+
+/* Sends the records of the buckets, from a random bucket on, up to the limit of datagrams. */
+static void stream_records(struct record_stream *stream, uint32_t buckets)
+{
+    struct membership *membership = stream->membership;
+    uint32_t first = membership_random(membership, MEMBERSHIP_BUCKETS);
+    for (uint32_t i = 0; i < MEMBERSHIP_BUCKETS; i++) {
+        uint32_t bucket = (first + i) % MEMBERSHIP_BUCKETS;
+        if ((buckets >> bucket & 1) == 0) {
+            continue;
+        }
+        for (size_t j = 0; j < membership->records->len; j++) {
+            const struct member_record *record = membership_record_at(membership, j);
+            if (record->id % MEMBERSHIP_BUCKETS == bucket) {
+                stream_add(stream, record);
+            }
+            if (stream->datagrams >= membership->options.sync_datagrams) {
+                return;
+            }
+        }
+    }
+}
+
+/* Sends a first message with the records of differing buckets behind it. */
+static void answer_with_records(struct membership *membership, struct gossip_message *first,
+                                uint32_t buckets, struct member_address to, time_ns now,
+                                struct membership_actions *actions)
+{
+    struct record_stream stream = {
+        .membership = membership,
+        .to = to,
+        .now = now,
+        .actions = actions,
+        .message = *first,
+        .size = membership_message_size(first),
+    };
+    stream_records(&stream, buckets);
+    bool unsent = stream.datagrams == 0 || stream.message.updates_count > 0;
+    if (unsent) {
+        membership_send_plain(&stream.message, to, actions);
+    }
+    gossip_message_clear(&stream.message);
+}
+
+/* Live members known. */
+static uint32_t live_members(const struct membership *membership)
+{
+    uint32_t live = 0;
+    for (uint32_t zone = 0; zone < MEMBERSHIP_ZONES_MAX; zone++) {
+        live += membership->live_in_zone[zone];
+    }
+    return live;
+}
+
+void membership_receive_sync(struct membership *membership, const struct gossip_message *message,
+                             struct member_address from, time_ns now,
+                             struct membership_actions *actions)
+{
+    struct gossip_message answer;
+    membership_begin(membership, GOSSIP_KIND_SYNC_REPLY, now, false, &answer);
+    add_digests(membership, &answer);
+    answer.live_members = live_members(membership);
+    uint32_t buckets = differing_buckets(membership, message);
+    answer_with_records(membership, &answer, buckets, from, now, actions);
+}
+
+void membership_receive_sync_reply(struct membership *membership,
+                                   const struct gossip_message *message, struct member_address from,
+                                   time_ns now, struct membership_actions *actions)
+{
+    uint64_t needed = (uint64_t)message->live_members * COMPLETE_SIXTEENTHS / 16;
+    if (live_members(membership) >= needed) {
+        membership->synced = true;
+    }
+    uint32_t buckets = differing_buckets(membership, message);
+    if (buckets == 0) {
+        return;
+    }
+    struct gossip_message records;
+    membership_begin(membership, GOSSIP_KIND_SYNC_RECORDS, now, false, &records);
+    answer_with_records(membership, &records, buckets, from, now, actions);
+}
+
+static void sync_with_seed(struct membership *membership, time_ns now,
+                           struct membership_actions *actions)
+{
+    if (membership->seeds_count == 0) {
+        return;
+    }
+    uint32_t index = membership_random(membership, (uint32_t)membership->seeds_count);
+    membership_sync_with(membership, membership->seeds[index], now, actions);
+}
+
+/* A live member of any zone, or NULL. */
+static const struct member_record *random_live(struct membership *membership)
+{
+    guint count = membership->records->len;
+    guint first = membership_random(membership, count);
+    for (guint i = 0; i < count; i++) {
+        const struct member_record *record = membership_record_at(membership, (first + i) % count);
+        if (member_record_live(record) && record->id != membership->self_id) {
+            return record;
+        }
+    }
+    return NULL;
+}
+
+/* A dead member may be alive behind a cut that has healed: it is told so that it can refute. */
+static void try_dead_member(struct membership *membership, time_ns now,
+                            struct membership_actions *actions)
+{
+    guint count = membership->records->len;
+    guint first = membership_random(membership, count);
+    for (guint i = 0; i < count; i++) {
+        const struct member_record *record = membership_record_at(membership, (first + i) % count);
+        if (record->state != MEMBER_STATE_DEAD) {
+            continue;
+        }
+        struct gossip_message message;
+        membership_begin(membership, GOSSIP_KIND_PING, now, false, &message);
+        membership_send(membership, &message, record, member_record_address(record), actions);
+        return;
+    }
+}
+
+/* A wait with jitter, so that daemons started together spread out. */
+static time_ns jittered(struct membership *membership, time_ns interval)
+{
+    uint32_t half_ms = (uint32_t)(interval / 2 / NANOSECONDS_PER_MILLISECOND) + 1;
+    time_ns jitter = membership_random(membership, half_ms) * NANOSECONDS_PER_MILLISECOND;
+    return interval * 3 / 4 + jitter;
+}
+
+void membership_sync_tick(struct membership *membership, time_ns now,
+                          struct membership_actions *actions)
+{
+    if (now < membership->next_sync) {
+        return;
+    }
+    time_ns interval =
+        membership->synced ? membership->options.sync_interval : membership->options.sync_retry;
+    membership->next_sync = now + jittered(membership, interval);
+    bool far = membership_random(membership, FAR_SYNC_INTERVAL) == 0;
+    const struct member_record *peer =
+        far ? random_live(membership)
+            : membership_random_in_zone(membership, membership->self_zone);
+    if (peer == NULL) {
+        peer = random_live(membership);
+    }
+    if (peer != NULL) {
+        membership_sync_with(membership, member_record_address(peer), now, actions);
+    }
+    if (peer == NULL || membership_random(membership, SEED_SYNC_INTERVAL) == 0) {
+        sync_with_seed(membership, now, actions);
+    }
+    try_dead_member(membership, now, actions);
+}
--- /dev/null
+++ b/src/core/membership_zones.c
@@ -0,0 +1,112 @@
+/* Which zones can be reached. Relays speak to other zones directly; every datagram within a zone
+ * carries the time since each other zone was last heard of, so that all its members know. */
+#include "core/membership_internal.h"
+
+#include <xxhash.h>
+
+bool membership_zone_reachable(const struct membership *membership, uint16_t zone, time_ns now)
+{
+    if (zone >= MEMBERSHIP_ZONES_MAX) {
+        return false;
+    }
+    if (zone == membership->self_zone && membership->live_in_zone[zone] <= 1) {
+        return true;
+    }
+    time_ns heard = membership->zone_heard[zone];
+    return heard != 0 && now <= heard + membership->options.zone_timeout;
+}
+
+/* Notes that a zone showed a sign of life; tells whether it was out of reach before. */
+static bool hear_zone(struct membership *membership, uint16_t zone, time_ns at)
+{
+    if (at <= membership->zone_heard[zone]) {
+        return false;
+    }
+    membership->zone_heard[zone] = at;
+    return (membership->zones_reachable >> zone & 1) == 0;
+}
+
+/* Takes the ages that a member of the own zone gives. */
+static void hear_ages(struct membership *membership, const struct gossip_message *message,
+                      time_ns now)
+{
+    for (size_t i = 0; i < message->zones_count; i++) {
+        const struct gossip_zone_age *age = &message->zones[i];
+        uint64_t nanoseconds = (uint64_t)age->age_ms * NANOSECONDS_PER_MILLISECOND;
+        if (age->zone < MEMBERSHIP_ZONES_MAX && nanoseconds < now) {
+            hear_zone(membership, (uint16_t)age->zone, now - nanoseconds);
+        }
+    }
+}
+
+void membership_hear_zones(struct membership *membership, const struct gossip_message *message,
+                           struct member_address from, time_ns now,
+                           struct membership_actions *actions)
+{
+    uint16_t zone = (uint16_t)message->sender.zone;
+    bool back = hear_zone(membership, zone, now);
+    if (zone == membership->self_zone) {
+        hear_ages(membership, message, now);
+    }
+    if (back && membership->synced) {
+        membership_sync_with(membership, from, now, actions);
+    }
+    membership_zones_tick(membership, now, actions);
+}
+
+void membership_zones_tick(struct membership *membership, time_ns now,
+                           struct membership_actions *actions)
+{
+    for (uint16_t zone = 0; zone < MEMBERSHIP_ZONES_MAX; zone++) {
+        if (membership->zone_heard[zone] == 0) {
+            continue;
+        }
+        bool reachable = membership_zone_reachable(membership, zone, now);
+        uint64_t bit = UINT64_C(1) << zone;
+        if (reachable == ((membership->zones_reachable & bit) != 0)) {
+            continue;
+        }
+        membership->zones_reachable ^= bit;
+        struct membership_action *action =
+            membership_actions_add(actions, MEMBERSHIP_ACTION_ZONE_CHANGED);
+        action->zone = zone;
+        action->reachable = reachable;
+    }
+}
+
+/* Rank of a member as relay to a zone: the highest speak to it. */
+static uint64_t relay_rank(uint64_t id, uint16_t zone)
+{
+    return XXH64(&id, sizeof(id), zone);
+}
+
+/* True if fewer than `relays` other live members of the own zone rank above this daemon. */
+static bool is_relay_to(const struct membership *membership, uint16_t zone)
+{
+    uint64_t own = relay_rank(membership->self_id, zone);
+    uint32_t above = 0;
+    for (guint i = 0; i < membership->ring->len; i++) {
+        uint64_t id = g_array_index(membership->ring, uint64_t, i);
+        const struct member_record *record = membership_record(membership, id);
+        bool counts =
+            record != NULL && member_record_live(record) && record->zone == membership->self_zone;
+        if (counts && relay_rank(id, zone) > own) {
+            above++;
+        }
+    }
+    return above < membership->options.relays;
+}
+
+void membership_work_out_relays(struct membership *membership)
+{
+    membership->relays_stale = false;
+    membership->relay_zones = 0;
+    for (uint16_t zone = 0; zone < MEMBERSHIP_ZONES_MAX; zone++) {
+        if (zone == membership->self_zone || membership->live_in_zone[zone] == 0) {
+            continue;
+        }
+        if (is_relay_to(membership, zone)) {
+            membership->relay_zones |= UINT64_C(1) << zone;
+        }
+    }
+}
