--- a/src/core/write_flow.c
+++ b/src/core/write_flow.c
@@ -14,6 +14,8 @@
     memset(flow, 0, sizeof(*flow));
     flow->options = *options;
     flow->state = WRITE_STATE_IDLE;
+    flow->closing = options->resolve_only;
+    flow->maybe_run = options->resolve_only;
 }
 
 static struct write_step answer(struct write_flow *flow, enum outcome outcome,
--- /dev/null
+++ b/src/daemon/control.h
@@ -0,0 +1,51 @@
+/* The control thread: it alone drives the core's control state machines (one group_control per
+ * owned group, membership of daemons) with events from the prober, the datagram socket and the
+ * clock, performs their actions, and publishes views for the request threads. */
+#ifndef SW_DAEMON_CONTROL_H
+#define SW_DAEMON_CONTROL_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/types.h"
+
+struct control;
+struct daemon;
+
+/* Owners of one group that a request may be sent to, at most. */
+#define OWNERS_MAX 9
+
+/* Room for "255.255.255.255:65535". */
+#define ADDRESS_TEXT_SIZE 24
+
+/* Who owns a group now. */
+struct owner_list {
+    bool self; /* this daemon is one of them */
+    uint32_t count;
+    char addresses[OWNERS_MAX][ADDRESS_TEXT_SIZE]; /* the others' peer addresses, nearest first */
+};
+
+/* Starts the thread. The daemon's configuration is in force already. */
+struct control *control_start(struct daemon *daemon, GError **error);
+
+/* Ends the thread; with `leave`, tells the other daemons first. */
+void control_stop(struct control *control);
+
+/* Marks this daemon as leaving: others hand it nothing more, and its groups go to others. */
+void control_leave(struct control *control);
+
+/* Who owns a group. Any thread. */
+void control_owners_of(struct control *control, uint32_t group, struct owner_list *owners);
+
+/* Peer address of a daemon by name, or NULL; the caller frees it. Any thread. */
+char *control_address_of(struct control *control, const char *daemon_name);
+
+/* Asks for a database to be drained or taken back. Any thread. */
+void control_drain_database(struct control *control, uint32_t group, uint32_t database,
+                            bool leaving);
+
+/* Adds status of groups and members to a JSON builder object; see docs/http-api.md. Any thread. */
+char *control_status_json(struct control *control);
+
+#endif
--- /dev/null
+++ b/src/daemon/daemon.c
@@ -0,0 +1,387 @@
+/* The daemon's parts, in order of dependence; see the header. */
+#include "daemon/daemon.h"
+
+#include <string.h>
+#include <urcu-bp.h>
+
+#include "backend/adapter.h"
+#include "backend/clock.h"
+#include "core/error.h"
+#include "core/route.h"
+#include "daemon/admin_api.h"
+#include "daemon/control.h"
+#include "daemon/metrics.h"
+#include "daemon/task.h"
+#include "daemon/transaction.h"
+#include "wire/address.h"
+
+/* Bounds of one answer: what fits a forwarded reply. */
+static const struct result_limits result_limits = {.rows_max = 10000, .bytes_max = 4 << 20};
+
+/* Pause between two looks at whether everything has ended. */
+#define STOP_POLL_US 5000
+
+/* Inbound connections from other daemons, at most. */
+#define PEER_CONNECTIONS_MAX 4096
+
+const struct result_limits *daemon_result_limits(void)
+{
+    return &result_limits;
+}
+
+struct configuration *daemon_take_configuration(struct daemon *daemon)
+{
+    rcu_read_lock();
+    struct routing_table *table = rcu_dereference(daemon->table);
+    struct configuration *configuration =
+        table != NULL ? configuration_ref(table->configuration) : NULL;
+    rcu_read_unlock();
+    return configuration;
+}
+
+struct group_runtime *daemon_take_group(struct daemon *daemon, uint32_t group)
+{
+    rcu_read_lock();
+    struct routing_table *table = rcu_dereference(daemon->table);
+    struct group_runtime *runtime =
+        table != NULL ? g_hash_table_lookup(table->groups, GUINT_TO_POINTER(group)) : NULL;
+    if (runtime != NULL) {
+        group_runtime_ref(runtime);
+    }
+    rcu_read_unlock();
+    return runtime;
+}
+
+static void free_table(struct routing_table *table)
+{
+    if (table == NULL) {
+        return;
+    }
+    g_hash_table_destroy(table->groups);
+    configuration_unref(table->configuration);
+    g_free(table);
+}
+
+static void release_group(gpointer data)
+{
+    group_runtime_unref(data);
+}
+
+/* True if a group's run time can go on under a new configuration. */
+static bool same_databases(const struct group_configuration *left,
+                           const struct group_configuration *right)
+{
+    if (left->database_count != right->database_count) {
+        return false;
+    }
+    for (uint32_t i = 0; i < left->database_count; i++) {
+        const struct database_configuration *a = &left->databases[i];
+        const struct database_configuration *b = &right->databases[i];
+        bool same = strcmp(a->name, b->name) == 0 && strcmp(a->host, b->host) == 0 &&
+                    a->port == b->port && a->zone == b->zone && a->slots == b->slots &&
+                    a->connections == b->connections;
+        if (!same) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static struct group_runtime *take_or_start_group(struct daemon *daemon,
+                                                 struct configuration *configuration,
+                                                 const struct group_configuration *group)
+{
+    struct group_runtime *standing = daemon_take_group(daemon, group->id);
+    if (standing != NULL && same_databases(standing->group, group)) {
+        return standing;
+    }
+    if (standing != NULL) {
+        group_runtime_unref(standing);
+    }
+    struct group_runtime_options options = {
+        .daemon_name = daemon->settings.daemon.name,
+        .zone_name = daemon->settings.daemon.zone,
+        .owner_count = daemon->settings.ownership.owners_per_group,
+        .queue_limit = daemon->settings.routing.queue_limit,
+        .open_rate_per_second = daemon->settings.backend.open_rate_per_second,
+    };
+    return group_runtime_new(configuration, group, &options);
+}
+
+void daemon_set_configuration(struct daemon *daemon, struct configuration *configuration)
+{
+    struct routing_table *next = g_new0(struct routing_table, 1);
+    next->configuration = configuration_ref(configuration);
+    next->groups = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, release_group);
+    for (guint i = 0; i < configuration->groups->len; i++) {
+        const struct group_configuration *group = g_ptr_array_index(configuration->groups, i);
+        g_hash_table_insert(next->groups, GUINT_TO_POINTER(group->id),
+                            take_or_start_group(daemon, configuration, group));
+    }
+    struct routing_table *previous = daemon->table;
+    rcu_assign_pointer(daemon->table, next);
+    synchronize_rcu();
+    free_table(previous);
+}
+
+bool daemon_task_begins(struct daemon *daemon, const struct request *request)
+{
+    atomic_fetch_add(&daemon->tasks_open, 1);
+    bool continues = request->transaction_id != NULL && request->transaction_id[0] != '\0';
+    return continues || !atomic_load(&daemon->stopping);
+}
+
+void daemon_task_ended(struct daemon *daemon)
+{
+    atomic_fetch_sub(&daemon->tasks_open, 1);
+}
+
+/* Callers' requests. */
+
+static bool find_tenant(const char *name, struct frontend_tenant *tenant, void *user,
+                        GError **error)
+{
+    struct daemon *daemon = user;
+    bool found = false;
+    rcu_read_lock();
+    struct routing_table *table = rcu_dereference(daemon->table);
+    const struct tenant_route *route =
+        table != NULL ? configuration_find_tenant(table->configuration, name) : NULL;
+    if (route != NULL) {
+        tenant->group = route->group;
+        tenant->limits.timeout_ms = MIN(tenant->limits.timeout_ms, route->request_timeout_ms);
+        found = true;
+    }
+    rcu_read_unlock();
+    if (!found) {
+        enum error_kind kind = table == NULL ? ERROR_KIND_NOT_READY : ERROR_KIND_UNKNOWN_TENANT;
+        g_set_error_literal(error, SW_ERROR, (gint)kind, error_entry_of(kind)->text);
+    }
+    return found;
+}
+
+static void answer_caller(void *origin, const struct reply *reply)
+{
+    frontend_answer(origin, reply);
+}
+
+static void submit_request(struct frontend_call *call, struct request *request, void *user)
+{
+    task_submit(user, request, answer_caller, call);
+}
+
+static const char *reason_name(uint32_t reason)
+{
+    return route_reason_name((enum route_reason)reason);
+}
+
+/* Other daemons' requests: the connection's thread waits for its task. */
+
+struct peer_wait {
+    pthread_mutex_t lock;
+    pthread_cond_t answered;
+    bool done;
+    struct reply *reply;
+};
+
+static void answer_peer(void *origin, const struct reply *reply)
+{
+    struct peer_wait *wait = origin;
+    pthread_mutex_lock(&wait->lock);
+    reply_copy(wait->reply, reply);
+    wait->done = true;
+    pthread_cond_signal(&wait->answered);
+    pthread_mutex_unlock(&wait->lock);
+}
+
+static void serve_peer(const struct message *request, struct message *reply, void *user)
+{
+    if (request->kind != MESSAGE_KIND_REQUEST) {
+        return;
+    }
+    struct peer_wait wait = {.lock = PTHREAD_MUTEX_INITIALIZER,
+                             .answered = PTHREAD_COND_INITIALIZER};
+    struct request *own = g_new0(struct request, 1);
+    request_copy(own, &request->request);
+    message_init(reply, MESSAGE_KIND_REPLY);
+    wait.reply = &reply->reply;
+    task_submit(user, own, answer_peer, &wait);
+    pthread_mutex_lock(&wait.lock);
+    while (!wait.done) {
+        pthread_cond_wait(&wait.answered, &wait.lock);
+    }
+    pthread_mutex_unlock(&wait.lock);
+}
+
+/* Start. */
+
+static bool start_peer_server(struct daemon *daemon, GError **error)
+{
+    struct peer_server_options options = {
+        .handler = serve_peer,
+        .user = daemon,
+        .connections_max = PEER_CONNECTIONS_MAX,
+    };
+    daemon->peers = peer_pool_new(PEER_POOL_IDLE_MAX_DEFAULT);
+    daemon->peer_server = peer_server_start(daemon->settings.daemon.peer_listen, &options, error);
+    return daemon->peer_server != NULL;
+}
+
+static bool start_frontend(struct daemon *daemon, GError **error)
+{
+    struct sockaddr_in address;
+    char host[INET_ADDRSTRLEN];
+    parse_address(daemon->settings.daemon.listen, &address);
+    inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host));
+    struct frontend_options options;
+    frontend_options_init(&options);
+    options.address = host;
+    options.port = ntohs(address.sin_port);
+    options.threads = daemon->settings.daemon.http_threads;
+    options.limits.body_octets_max = (uint32_t)daemon->settings.request.body_limit;
+    options.limits.timeout_ms = daemon->settings.request.default_timeout_ms;
+    options.limits.timeout_ms_max = daemon->settings.request.max_timeout_ms;
+    options.token_keys = daemon->token_keys;
+    options.reason_name = reason_name;
+    options.find_tenant = find_tenant;
+    options.submit = submit_request;
+    options.user = daemon;
+    daemon->frontend = frontend_start(&options, error);
+    return daemon->frontend != NULL;
+}
+
+static bool load_configuration(struct daemon *daemon, GError **error)
+{
+    const char *path = daemon->settings.configuration.file;
+    g_autofree char *text = NULL;
+    gsize length = 0;
+    if (!g_file_get_contents(path, &text, &length, error)) {
+        return false;
+    }
+    struct configuration *configuration = NULL;
+    g_autoptr(GPtrArray) problems = configuration_problems_new();
+    if (!configuration_parse(text, length, path, &configuration, problems)) {
+        g_autofree char *list = configuration_problems_text(problems);
+        g_set_error_literal(error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION, list);
+        return false;
+    }
+    const struct zone_configuration *zone =
+        configuration_find_zone_by_name(configuration, daemon->settings.daemon.zone);
+    if (zone == NULL) {
+        g_set_error(error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION,
+                    "%s: zone \"%s\" of setting daemon.zone is not in the configuration", path,
+                    daemon->settings.daemon.zone);
+        configuration_unref(configuration);
+        return false;
+    }
+    daemon->zone = zone->id;
+    daemon_set_configuration(daemon, configuration);
+    configuration_unref(configuration);
+    return true;
+}
+
+static bool start_parts(struct daemon *daemon, GError **error)
+{
+    daemon->token_keys = token_keys_load(daemon->settings.session.token_keys_file, error);
+    if (daemon->token_keys == NULL || !load_configuration(daemon, error)) {
+        return false;
+    }
+    daemon->control = control_start(daemon, error);
+    if (daemon->control == NULL) {
+        return false;
+    }
+    return start_peer_server(daemon, error) && admin_api_start(daemon, error) &&
+           start_frontend(daemon, error);
+}
+
+struct daemon *daemon_start(const struct settings *settings, GError **error)
+{
+    struct daemon *daemon = g_new0(struct daemon, 1);
+    daemon->settings = *settings;
+    daemon->incarnation = (uint64_t)g_get_real_time();
+    daemon->metrics = metrics_new();
+    daemon->workers = worker_pool_new(daemon->settings.daemon.worker_threads,
+                                      daemon->settings.daemon.request_queue);
+    daemon->transactions = transaction_table_new(daemon->settings.daemon.name, daemon->incarnation);
+    if (!start_parts(daemon, error)) {
+        daemon_stop(daemon, backend_now());
+        return NULL;
+    }
+    return daemon;
+}
+
+/* Stop. */
+
+static bool everything_ended(struct daemon *daemon)
+{
+    return atomic_load(&daemon->tasks_open) == 0 &&
+           transaction_table_count(daemon->transactions) == 0 &&
+           (daemon->frontend == NULL || frontend_in_flight(daemon->frontend) == 0);
+}
+
+/* Waits until all has ended. Returns what is left at the deadline. */
+static uint32_t wait_for_end(struct daemon *daemon, time_ns deadline)
+{
+    while (!everything_ended(daemon) && backend_now() < deadline) {
+        g_usleep(STOP_POLL_US);
+    }
+    return atomic_load(&daemon->tasks_open) + transaction_table_count(daemon->transactions);
+}
+
+static void stop_listeners(struct daemon *daemon)
+{
+    if (daemon->frontend != NULL) {
+        frontend_stop(daemon->frontend);
+    }
+    if (daemon->peer_server != NULL) {
+        peer_server_free(daemon->peer_server);
+    }
+    admin_api_stop(daemon);
+}
+
+/* Ends what the deadline has cut: tasks end by their own deadlines, which are short. */
+static void wait_for_tasks(struct daemon *daemon)
+{
+    while (atomic_load(&daemon->tasks_open) > 0) {
+        worker_pool_wake(daemon->workers);
+        g_usleep(STOP_POLL_US);
+    }
+}
+
+static void free_parts(struct daemon *daemon)
+{
+    if (daemon->control != NULL) {
+        control_stop(daemon->control);
+    }
+    transaction_table_expire(daemon->transactions, backend_now(), true);
+    transaction_table_free(daemon->transactions);
+    worker_pool_free(daemon->workers);
+    if (daemon->peers != NULL) {
+        peer_pool_free(daemon->peers);
+    }
+    free_table(daemon->table);
+    token_keys_free(daemon->token_keys);
+    metrics_free(daemon->metrics);
+    rcu_barrier();
+    settings_clear(&daemon->settings);
+    g_free(daemon);
+}
+
+uint32_t daemon_stop(struct daemon *daemon, time_ns deadline)
+{
+    if (daemon->control != NULL) {
+        control_leave(daemon->control);
+    }
+    atomic_store(&daemon->stopping, true);
+    if (daemon->frontend != NULL) {
+        frontend_stop_accepting(daemon->frontend);
+    }
+    uint32_t cut = wait_for_end(daemon, deadline);
+    if (daemon->peer_server != NULL) {
+        cut += peer_server_stop(daemon->peer_server, deadline);
+    }
+    wait_for_tasks(daemon);
+    stop_listeners(daemon);
+    free_parts(daemon);
+    return cut;
+}
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,76 @@
+/* The daemon: one struct that holds its parts, and what they share. Parts are created in
+ * daemon_start, in order of dependence, and ended in daemon_stop. */
+#ifndef SW_DAEMON_DAEMON_H
+#define SW_DAEMON_DAEMON_H
+
+#include <glib.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+
+#include "configuration/configuration.h"
+#include "daemon/group_runtime.h"
+#include "daemon/worker_pool.h"
+#include "frontend/frontend.h"
+#include "generated/messages.h"
+#include "generated/settings.h"
+#include "session/token.h"
+#include "wire/peer_pool.h"
+#include "wire/peer_server.h"
+
+struct control;
+struct daemon_metrics;
+struct transaction_table;
+
+/* Groups and tenants in force: replaced as a whole, read under RCU. */
+struct routing_table {
+    struct configuration *configuration; /* one reference */
+    GHashTable *groups;                  /* id as pointer -> struct group_runtime, one reference */
+};
+
+/* Lives from daemon_start to daemon_stop. Fields are set before threads start, except atomics and
+ * the routing table. */
+struct daemon {
+    struct settings settings;
+    uint32_t zone;        /* id of settings.daemon.zone in the configuration */
+    uint64_t incarnation; /* wall-clock microseconds at the start */
+    struct token_keys *token_keys;
+    struct routing_table *table; /* RCU */
+    struct worker_pool *workers;
+    struct transaction_table *transactions;
+    struct peer_pool *peers;
+    struct peer_server *peer_server;
+    struct frontend *frontend;
+    struct control *control;
+    struct daemon_metrics *metrics;
+    struct admin *admin;
+    _Atomic bool stopping;       /* takes no new work */
+    _Atomic uint32_t tasks_open; /* begun and not answered */
+};
+
+/* Starts all parts from checked settings, which it takes over. NULL with SW_ERROR where one can't.
+ */
+struct daemon *daemon_start(const struct settings *settings, GError **error);
+
+/* Planned stop: refuses new work, lets what runs end until `deadline`, then frees everything.
+ * Returns the number of requests and transactions that were cut. */
+uint32_t daemon_stop(struct daemon *daemon, time_ns deadline);
+
+/* The configuration in force with one reference, or NULL. Any thread. */
+struct configuration *daemon_take_configuration(struct daemon *daemon);
+
+/* A group's run time with one reference, or NULL. Any thread. */
+struct group_runtime *daemon_take_group(struct daemon *daemon, uint32_t group);
+
+/* Puts a configuration in force; control thread, or before threads start. Takes a reference. */
+void daemon_set_configuration(struct daemon *daemon, struct configuration *configuration);
+
+/* Counts a task in. False if the daemon is stopping and the request starts new work; the task is
+ * counted all the same until daemon_task_ended. */
+bool daemon_task_begins(struct daemon *daemon, const struct request *request);
+
+void daemon_task_ended(struct daemon *daemon);
+
+/* Bounds of one answer. */
+const struct result_limits *daemon_result_limits(void);
+
+#endif
--- a/src/daemon/group_runtime.c
+++ b/src/daemon/group_runtime.c
@@ -4,7 +4,8 @@
 #include <glib.h>
 #include <urcu-bp.h>
 
-/* Control probes and evidence keep this many connections per database and daemon outside the pool. */
+/* Control probes and evidence keep this many connections per database and daemon outside the pool.
+ */
 #define CONTROL_CONNECTIONS 3
 
 /* Warm connections kept per database. */
@@ -146,8 +147,7 @@
 {
     struct published_view *next = g_new0(struct published_view, 1);
     next->view = *view;
-    struct published_view *previous =
-        caa_container_of(runtime->view, struct published_view, view);
+    struct published_view *previous = caa_container_of(runtime->view, struct published_view, view);
     /* A writer checks the view and counts itself under this lock, so a paused view published
      * here is seen by every later writer. */
     pthread_mutex_lock(&runtime->writes_lock);
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -1,5 +1,6 @@
-/* One database group at run time on this daemon: the published routing view, the connection pools, the
- * slots, and what its requests share. Created by the control thread; read by request threads. */
+/* One database group at run time on this daemon: the published routing view, the connection pools,
+ * the slots, and what its requests share. Created by the control thread; read by request threads.
+ */
 #ifndef SW_DAEMON_GROUP_RUNTIME_H
 #define SW_DAEMON_GROUP_RUNTIME_H
 
@@ -26,8 +27,8 @@
 struct group_runtime_options {
     const char *daemon_name;
     const char *zone_name;
-    uint32_t owner_count;       /* daemons that share the databases' connections */
-    uint32_t queue_limit;       /* requests queued before one database */
+    uint32_t owner_count; /* daemons that share the databases' connections */
+    uint32_t queue_limit; /* requests queued before one database */
     uint32_t open_rate_per_second;
 };
 
@@ -38,7 +39,8 @@
 struct group_runtime {
     struct configuration *configuration; /* holds the strings; one reference */
     const struct group_configuration *group;
-    struct group_view *view; /* RCU: read by group_runtime_read_view, written by the control thread */
+    struct group_view
+        *view; /* RCU: read by group_runtime_read_view, written by the control thread */
     uint32_t database_count;
     struct database_runtime databases[GROUP_DATABASES_MAX];
     struct retry_budget retry_budget;
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -41,7 +41,9 @@
     task->state = TASK_STATE_ANSWERED;
     struct reply *reply = &task->reply;
     reply->request_id = g_strdup(task->request->request_id);
-    reply->served_by_daemon = g_strdup(daemon_name(task->daemon));
+    if (reply->served_by_daemon == NULL) {
+        reply->served_by_daemon = g_strdup(task->daemon->settings.daemon.name);
+    }
     metrics_count_reply(task->daemon->metrics, task, backend_now());
     task->answer(task->origin, reply);
     daemon_task_ended(task->daemon);
@@ -138,6 +140,7 @@
     task->origin = origin;
     task->started_at = backend_now();
     task->slot_database = -1;
+    task->run_database = -1;
     reply_init(&task->reply);
     execute_answer_init(&task->run);
     execute_answer_init(&task->failure);
@@ -193,8 +196,8 @@
 }
 
 /* Starts the queued tasks that are due at a database. Called with its admission_lock held. */
-static void start_queued(struct daemon *daemon, struct database_runtime *runtime,
-                         uint32_t database, time_ns now)
+static void start_queued(struct daemon *daemon, struct database_runtime *runtime, uint32_t database,
+                         time_ns now)
 {
     bool admitted = false;
     struct admission_ticket *ticket = admission_next(&runtime->admission, now, &admitted);
@@ -259,8 +262,7 @@
     }
     g_free(task->reply.served_by_database);
     g_free(task->reply.served_by_role);
-    task->reply.served_by_database =
-        g_strdup(task->group->databases[database].configuration.name);
+    task->reply.served_by_database = g_strdup(task->group->databases[database].configuration.name);
     task->reply.served_by_role = g_strdup(role);
 }
 
--- a/src/daemon/task.h
+++ b/src/daemon/task.h
@@ -1,5 +1,5 @@
-/* One caller's request while this daemon serves it: the request, its flow, its slot and its answer. A task
- * is always in one place: with one worker, parked, queued for a slot, or answered. */
+/* One caller's request while this daemon serves it: the request, its flow, its slot and its answer.
+ * A task is always in one place: with one worker, parked, queued for a slot, or answered. */
 #ifndef SW_DAEMON_TASK_H
 #define SW_DAEMON_TASK_H
 
@@ -48,6 +48,8 @@
     int32_t slot_database; /* whose slot the task holds, or -1 */
     bool ticket_expired;   /* the queue handed the ticket back without a slot */
     time_ns slot_since;
+    int32_t run_database; /* where the last step ran, or -1 */
+    bool resolve_only;    /* a commit whose transaction is gone */
     bool counts_as_write; /* in the group's writes_running */
 
     struct transaction *transaction; /* being used, or NULL */
@@ -66,8 +68,8 @@
 void task_finish(struct task *task);
 
 /* Fills the reply with an outcome that is not done, and finishes. */
-void task_refuse(struct task *task, enum outcome outcome, enum error_kind error,
-                 const char *text, uint32_t retry_after_ms);
+void task_refuse(struct task *task, enum outcome outcome, enum error_kind error, const char *text,
+                 uint32_t retry_after_ms);
 
 /* Runs the read flow until the task is answered, parked or queued. */
 void task_run_read(struct task *task);
--- a/src/daemon/task_read.c
+++ b/src/daemon/task_read.c
@@ -81,10 +81,9 @@
         return EXECUTE_NOT_SENT;
     }
     execute_answer_clear(&task->run);
-    enum execute_result result =
-        adapter_read(connection, step->guard, step->guard_wait_ms, task->request->statements,
-                     task->request->statements_count, task->deadline, daemon_result_limits(),
-                     &task->run);
+    enum execute_result result = adapter_read(
+        connection, step->guard, step->guard_wait_ms, task->request->statements,
+        task->request->statements_count, task->deadline, daemon_result_limits(), &task->run);
     pool_release(pool, connection, backend_connection_is_clean(connection));
     return result;
 }
@@ -177,14 +176,14 @@
 {
     struct read_options options = {
         .deadline = task->deadline,
-        .unavailable_wait_ms = daemon_settings(task->daemon)->routing_unavailable_wait_ms,
+        .unavailable_wait_ms = task->daemon->settings.routing.unavailable_wait_ms,
         .attempts_max = READ_ATTEMPTS_MAX,
     };
     options.route.session = task_session_position(task);
     options.route.max_staleness_ms = task->route->max_staleness_ms;
     options.route.zone = task->daemon->zone;
-    options.route.guard_wait_max_ms = MIN(
-        task->route->read_wait_ms, daemon_settings(task->daemon)->routing_guard_wait_max_ms);
+    options.route.guard_wait_max_ms =
+        MIN(task->route->read_wait_ms, task->daemon->settings.routing.guard_wait_max_ms);
     options.route.replicas_allowed = task->route->reads_from_replicas;
     read_flow_init(&task->read_flow, &options);
     struct read_event event = {.kind = READ_EVENT_START, .now = backend_now()};
--- a/src/daemon/task_write.c
+++ b/src/daemon/task_write.c
@@ -1,5 +1,5 @@
-/* The write path: drives write_flow. A write holds a slot while it runs at the primary, and none while
- * evidence is gathered or while it waits. */
+/* The write path: drives write_flow. A write holds a slot while it runs at the primary, and none
+ * while evidence is gathered or while it waits. */
 #include "daemon/task.h"
 
 #include <glib.h>
@@ -101,6 +101,7 @@
     struct adapter_key key = key_of(task);
     enum execute_result result;
     execute_answer_clear(&task->run);
+    task->run_database = task->write_step.database;
     if (task->write_step.kind == WRITE_STEP_CLOSE_KEY) {
         result = adapter_close_key(connection, &key, task->deadline, &task->run);
     } else {
@@ -129,19 +130,25 @@
 
 static bool retry_allowed(struct task *task)
 {
+    if (task->slot_database >= 0) {
+        return true; /* asked before it was queued for the slot */
+    }
     if (task->write_flow.attempts <= 1) {
         retry_budget_earn(&task->group->retry_budget);
         return true;
     }
-    return task->slot_database >= 0 || retry_budget_spend(&task->group->retry_budget);
+    return retry_budget_spend(&task->group->retry_budget);
 }
 
 /* The commit of an interactive transaction runs on the transaction's own connection. */
 static void perform_commit(struct task *task)
 {
     execute_answer_clear(&task->run);
-    enum execute_result result =
-        transaction_commit(task->transaction, task->deadline, &task->run);
+    task->run_database = task->transaction->database;
+    enum execute_result result = transaction_commit(task->transaction, task->deadline, &task->run);
+    /* Whatever came of it, the transaction has ended: only its key may be asked for now. */
+    transaction_table_end(task->daemon->transactions, task->transaction);
+    task->transaction = NULL;
     keep_failure(task, result);
     feed(task, event_of(result));
 }
@@ -156,9 +163,8 @@
         give_up(task, ERROR_KIND_OVERLOADED, RETRY_BUDGET_RETRY_AFTER_MS);
         return true;
     }
-    enum admission_class rank = task->ledger_key == NULL || closing
-                                    ? ADMISSION_CLASS_UNREPEATABLE
-                                    : ADMISSION_CLASS_KEYED_WRITE;
+    enum admission_class rank = task->ledger_key == NULL || closing ? ADMISSION_CLASS_UNREPEATABLE
+                                                                    : ADMISSION_CLASS_KEYED_WRITE;
     if (!task_take_slot(task, (uint32_t)task->write_step.database, rank, &refused,
                         &retry_after_ms)) {
         if (refused) {
@@ -226,7 +232,7 @@
         answer_failed(task);
         return;
     }
-    task_note_served(task, task->write_step.database, "primary");
+    task_note_served(task, task->run_database, "primary");
     task_note_seen(task, step->position);
     task_take_results(task, &task->run);
     task->reply.replayed = task->write_flow.replayed;
@@ -238,9 +244,10 @@
 {
     struct write_options options = {
         .deadline = task->deadline,
-        .unavailable_wait_ms = daemon_settings(task->daemon)->routing_unavailable_wait_ms,
+        .unavailable_wait_ms = task->daemon->settings.routing.unavailable_wait_ms,
         .keyed = task->ledger_key != NULL,
-        .commit_only = task->transaction != NULL,
+        .commit_only = task->transaction != NULL || task->resolve_only,
+        .resolve_only = task->resolve_only,
         .attempts_max = WRITE_ATTEMPTS_MAX,
     };
     write_flow_init(&task->write_flow, &options);
--- /dev/null
+++ b/src/daemon/transaction.h
@@ -0,0 +1,75 @@
+/* Interactive transactions: each holds one connection, exclusively, from its begin to its end. The
+ * id names the daemon and its incarnation, so that any daemon can send the next request to the
+ * owner, and so that a restarted owner is known not to have it. */
+#ifndef SW_DAEMON_TRANSACTION_H
+#define SW_DAEMON_TRANSACTION_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "backend/adapter.h"
+#include "core/types.h"
+#include "daemon/group_runtime.h"
+
+struct transaction_table;
+
+/* One open transaction. Used by the one task that took it; between requests by the table. */
+struct transaction {
+    char *id;
+    char *tenant;
+    char *ledger_key;            /* or NULL */
+    struct group_runtime *group; /* one reference */
+    int32_t database;
+    struct backend_connection *connection;
+    struct adapter_transaction_options options; /* its strings are ledger_key and id */
+    struct log_position seen; /* of a read-only one: what its snapshot may have shown */
+    bool counts_as_write;     /* in the group's writes_running */
+    bool in_use;              /* the table's */
+    time_ns idle;             /* longest pause between requests */
+    time_ns idle_until;       /* the table's */
+    time_ns total_until;
+};
+
+/* Whether a transaction of an id can be used. */
+enum transaction_lookup {
+    TRANSACTION_TAKEN,    /* the caller has it until transaction_put or transaction_end */
+    TRANSACTION_BUSY,     /* another request uses it */
+    TRANSACTION_NOT_OPEN, /* this daemon does not have it (any more) */
+};
+
+/* A table for a daemon of this name and incarnation (its start in wall-clock microseconds). */
+struct transaction_table *transaction_table_new(const char *daemon_name, uint64_t incarnation);
+
+/* Frees an empty table. */
+void transaction_table_free(struct transaction_table *table);
+
+/* Daemon name in a transaction id, NULL if it is none. The caller frees it. */
+char *transaction_owner_of(const char *id);
+
+/* A new id. The caller frees it. */
+char *transaction_table_make_id(struct transaction_table *table);
+
+/* Adds a begun transaction, in use by the caller; it has its id. */
+void transaction_table_add(struct transaction_table *table, struct transaction *transaction);
+
+/* Takes a tenant's transaction for one request. */
+enum transaction_lookup transaction_table_take(struct transaction_table *table, const char *id,
+                                               const char *tenant, struct transaction **out);
+
+/* Gives a transaction back after a request; it waits for the next one. */
+void transaction_table_put(struct transaction_table *table, struct transaction *transaction);
+
+/* Ends a transaction in use: its connection goes back, or is closed unless clean. */
+void transaction_table_end(struct transaction_table *table, struct transaction *transaction);
+
+/* Rolls back those whose time is over; with `all`, every one not in use. Returns how many. */
+uint32_t transaction_table_expire(struct transaction_table *table, time_ns now, bool all);
+
+/* Open transactions. */
+uint32_t transaction_table_count(struct transaction_table *table);
+
+/* Commits; see adapter_commit. */
+enum execute_result transaction_commit(struct transaction *transaction, time_ns deadline,
+                                       struct execute_answer *answer);
+
+#endif
