Add the stand-in database: protocol, transactions, replication

Other parts need a PostgreSQL server of a replicated group to talk to, and none may be brought in. The admin listener, delays by admin call and the rest of the tests are still to come.

--- /dev/null
+++ b/standins/database/replication.h
@@ -0,0 +1,18 @@
+/* Keeps a replica up with its primary: one thread pulls log entries over the PostgreSQL protocol,
+ * another applies them after the replication lag. */
+#ifndef STANDIN_DATABASE_REPLICATION_H
+#define STANDIN_DATABASE_REPLICATION_H
+
+#include "database.h"
+#include "faults.h"
+
+struct replication;
+
+/* Starts both threads. The database and the faults must outlive them. */
+struct replication *replication_start(struct database *database, struct faults *faults,
+                                      const char *zone);
+
+/* Waits for both threads; the database must have been told to stop. Frees. */
+void replication_join(struct replication *replication);
+
+#endif
--- /dev/null
+++ b/standins/database/session.c
@@ -0,0 +1,334 @@
+/* A connection's bytes, startup and message loop. See session.h. */
+#include "session.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "control.h"
+
+#define PROTOCOL_VERSION_3  196608
+#define CODE_CANCEL_REQUEST 80877102
+#define CODE_SSL_REQUEST    80877103
+#define CODE_GSSENC_REQUEST 80877104
+#define MESSAGE_LENGTH_MAX  (64u << 20)
+#define READ_CHUNK          16384
+
+static void prepared_free(void *data)
+{
+    struct prepared *prepared = data;
+    statement_free(prepared->statement);
+    g_array_unref(prepared->oids);
+    g_free(prepared);
+}
+
+static void portal_free(void *data)
+{
+    struct portal *portal = data;
+    statement_free(portal->statement);
+    parameters_free(portal->parameters);
+    g_free(portal);
+}
+
+struct session *session_new(struct server *server, int socket)
+{
+    struct session *session = g_new0(struct session, 1);
+    session->server = server;
+    session->interrupt.socket = socket;
+    session->secret = g_random_int();
+    session->in = g_byte_array_new();
+    session->out = g_byte_array_new();
+    session->transaction.interrupt = &session->interrupt;
+    session->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, prepared_free);
+    session->portals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, portal_free);
+    return session;
+}
+
+void session_free(struct session *session)
+{
+    g_hash_table_unref(session->prepared);
+    g_hash_table_unref(session->portals);
+    g_byte_array_unref(session->in);
+    g_byte_array_unref(session->out);
+    g_free(session->zone);
+    g_free(session);
+}
+
+/* True if the client is known to be in another zone than the database. */
+static bool is_remote(const struct session *session)
+{
+    return session->zone != NULL && session->zone[0] != '\0' &&
+           !g_str_equal(session->zone, session->server->options.zone);
+}
+
+/* Spends the time that bytes take from zone to zone. */
+static void travel(struct session *session)
+{
+    if (is_remote(session)) {
+        interrupt_sleep(&session->interrupt, session->server->options.zone_delay_us);
+    }
+    faults_wait(&session->server->faults, session->zone, &session->interrupt);
+}
+
+static void send_all(struct session *session, const guint8 *data, size_t length)
+{
+    size_t sent = 0;
+    while (sent < length) {
+        ssize_t count = send(session->interrupt.socket, data + sent, length - sent, MSG_NOSIGNAL);
+        if (count < 0 && errno == EINTR) {
+            continue;
+        }
+        if (count <= 0) {
+            session->closing = true;
+            return;
+        }
+        sent += (size_t)count;
+    }
+}
+
+void session_flush(struct session *session)
+{
+    switch (session->answer_fault) {
+    case ANSWER_FAULT_DROP:
+    case ANSWER_FAULT_CLOSE:
+        g_byte_array_set_size(session->out, 0);
+        return;
+    case ANSWER_FAULT_TRUNCATE:
+        return;
+    default:
+        break;
+    }
+    if (session->out->len > 0) {
+        travel(session);
+        send_all(session, session->out->data, session->out->len);
+        g_byte_array_set_size(session->out, 0);
+    }
+}
+
+/* Takes in and forgets all the client sends, until it closes. */
+static void hang(struct session *session)
+{
+    char ignored[READ_CHUNK];
+    while (recv(session->interrupt.socket, ignored, sizeof ignored, 0) > 0) {
+    }
+}
+
+static void carry_out_answer_fault(struct session *session)
+{
+    if (session->answer_fault == ANSWER_FAULT_DROP) {
+        hang(session);
+    }
+    if (session->answer_fault == ANSWER_FAULT_TRUNCATE) {
+        travel(session);
+        send_all(session, session->out->data, session->out->len / 2);
+    }
+    session->closing = true;
+}
+
+void session_ready(struct session *session)
+{
+    char status = 'I';
+    if (session->transaction.state == TRANSACTION_OPEN) {
+        status = 'T';
+    } else if (session->transaction.state == TRANSACTION_FAILED) {
+        status = 'E';
+    }
+    message_ready(session->out, status);
+    session_flush(session);
+    if (session->answer_fault != ANSWER_FAULT_NONE) {
+        carry_out_answer_fault(session);
+    }
+}
+
+/* Waits for bytes. Returns false if an open transaction was idle for too long. */
+static bool wait_readable(struct session *session)
+{
+    int64_t limit = session->server->options.idle_transaction_ms;
+    bool open = session->transaction.state != TRANSACTION_IDLE;
+    struct pollfd watch = {.fd = session->interrupt.socket, .events = POLLIN};
+    return poll(&watch, 1, open && limit > 0 ? (int)limit : -1) != 0;
+}
+
+static void end_idle_transaction(struct session *session)
+{
+    struct sql_error error = {0};
+    database_rollback(session->server->database, &session->transaction);
+    sql_error_set(&error, "25P03", "terminating connection due to idle-in-transaction timeout");
+    message_error(session->out, "FATAL", &error);
+    sql_error_clear(&error);
+    session_flush(session);
+}
+
+static bool read_more(struct session *session)
+{
+    if (session->in_start > 0) {
+        g_byte_array_remove_range(session->in, 0, session->in_start);
+        session->in_start = 0;
+    }
+    if (!wait_readable(session)) {
+        end_idle_transaction(session);
+        return false;
+    }
+    guint8 chunk[READ_CHUNK];
+    ssize_t count = recv(session->interrupt.socket, chunk, sizeof chunk, 0);
+    travel(session);
+    if (count <= 0) {
+        return count < 0 && errno == EINTR;
+    }
+    g_byte_array_append(session->in, chunk, (guint)count);
+    return true;
+}
+
+/* Reads until `length` bytes are there. */
+static bool need(struct session *session, size_t length)
+{
+    while (session->in->len - session->in_start < length) {
+        if (session->closing || !read_more(session)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool session_read_message(struct session *session, bool typed, char *type,
+                          struct message_reader *reader)
+{
+    size_t prefix = typed ? 1 : 0;
+    if (!need(session, prefix + 4)) {
+        return false;
+    }
+    guint8 *start = session->in->data + session->in_start;
+    struct message_reader head = {.data = start + prefix, .length = 4};
+    guint32 length = message_read_int32(&head);
+    if (length < 4 || length > MESSAGE_LENGTH_MAX || !need(session, prefix + length)) {
+        return false;
+    }
+    start = session->in->data + session->in_start;
+    *type = typed ? (char)start[0] : '\0';
+    memset(reader, 0, sizeof *reader);
+    reader->data = start + prefix + 4;
+    reader->length = length - 4;
+    session->in_start += (guint)(prefix + length);
+    return true;
+}
+
+/* Takes the zone from an application_name such as "swiftworks/NAME@ZONE". */
+static void read_client(struct session *session, struct message_reader *reader)
+{
+    g_autofree char *application = g_strdup("");
+    while (!reader->malformed && reader->offset < reader->length) {
+        const char *name = message_read_string(reader);
+        if (name[0] == '\0') {
+            break;
+        }
+        const char *value = message_read_string(reader);
+        if (g_str_equal(name, "application_name")) {
+            g_free(application);
+            application = g_strdup(value);
+        }
+    }
+    const char *at = strrchr(application, '@');
+    session->zone = g_strdup(at != NULL ? at + 1 : "");
+    session->is_replica = g_str_has_prefix(application, REPLICATION_CLIENT_PREFIX);
+}
+
+static bool refuse(struct session *session)
+{
+    struct sql_error error = {0};
+    sql_error_set(&error, "53300", "sorry, too many clients already");
+    message_error(session->out, "FATAL", &error);
+    sql_error_clear(&error);
+    session_flush(session);
+    return false;
+}
+
+static void greet(struct session *session)
+{
+    static const char *const PARAMETERS[][2] = {
+        {"server_version", "15.0"},
+        {"server_encoding", "UTF8"},
+        {"client_encoding", "UTF8"},
+        {"DateStyle", "ISO, MDY"},
+        {"TimeZone", "UTC"},
+        {"integer_datetimes", "on"},
+        {"standard_conforming_strings", "on"},
+    };
+    message_authentication_ok(session->out);
+    for (size_t i = 0; i < G_N_ELEMENTS(PARAMETERS); i++) {
+        message_parameter_status(session->out, PARAMETERS[i][0], PARAMETERS[i][1]);
+    }
+    message_parameter_status(session->out, ZONE_PARAMETER, session->server->options.zone);
+    message_backend_key(session->out, session->process, session->secret);
+    session_ready(session);
+}
+
+/* Reads requests until the real startup message. Returns false if there is none. */
+static bool read_startup(struct session *session, struct message_reader *reader)
+{
+    char type = '\0';
+    while (session_read_message(session, false, &type, reader)) {
+        guint32 code = message_read_int32(reader);
+        if (code == PROTOCOL_VERSION_3) {
+            return true;
+        }
+        if (code == CODE_CANCEL_REQUEST) {
+            guint32 process = message_read_int32(reader);
+            server_cancel(session->server, process, message_read_int32(reader));
+            return false;
+        }
+        if (code != CODE_SSL_REQUEST && code != CODE_GSSENC_REQUEST) {
+            return false;
+        }
+        g_byte_array_append(session->out, (const guint8 *)"N", 1);
+        session_flush(session);
+    }
+    return false;
+}
+
+bool session_start_up(struct session *session)
+{
+    struct message_reader reader;
+    if (!read_startup(session, &reader)) {
+        return false;
+    }
+    read_client(session, &reader);
+    bool waited = faults_wait(&session->server->faults, session->zone, &session->interrupt);
+    if (waited && interrupt_hung_up(&session->interrupt)) {
+        return false;
+    }
+    if (!session->is_replica && !server_admit(session->server, session)) {
+        return refuse(session);
+    }
+    interrupt_sleep(&session->interrupt, session->server->options.open_delay_ms * 1000);
+    greet(session);
+    return true;
+}
+
+static void serve_message(struct session *session, char type, struct message_reader *reader)
+{
+    switch (type) {
+    case 'X':
+        session->closing = true;
+        return;
+    case 'Q':
+        atomic_store(&session->interrupt.cancelled, false);
+        session_simple_query(session, reader);
+        return;
+    default:
+        session_extended_query(session, type, reader);
+    }
+}
+
+void session_run(struct session *session)
+{
+    char type = '\0';
+    struct message_reader reader;
+    if (session_start_up(session)) {
+        while (!session->closing && session_read_message(session, true, &type, &reader)) {
+            serve_message(session, type, &reader);
+        }
+    }
+    database_rollback(session->server->database, &session->transaction);
+}
