--- a/standins/database/faults.c
+++ b/standins/database/faults.c
@@ -69,6 +69,14 @@
     return blocked;
 }
 
+bool faults_frozen(struct faults *faults)
+{
+    pthread_mutex_lock(&faults->lock);
+    bool frozen = g_get_monotonic_time() < faults->frozen_until_us;
+    pthread_mutex_unlock(&faults->lock);
+    return frozen;
+}
+
 bool faults_wait(struct faults *faults, const char *zone, const struct interrupt *interrupt)
 {
     bool waited = false;
--- a/standins/database/faults.h
+++ b/standins/database/faults.h
@@ -56,6 +56,9 @@
 /* True while connections of the zone are cut or frozen. */
 bool faults_blocks(struct faults *faults, const char *zone);
 
+/* True while frozen. */
+bool faults_frozen(struct faults *faults);
+
 /* The fault the answer to this statement meets. Counts it down. */
 enum answer_fault faults_next_answer(struct faults *faults, const char *sql);
 
--- a/standins/database/query.c
+++ b/standins/database/query.c
@@ -72,6 +72,22 @@
     message_command_complete(session->out, tag);
 }
 
+/* Runs a statement after its time in a slot. */
+static bool execute_in_slot(struct session *session, const struct statement *statement,
+                            const struct parameters *parameters, struct result *result,
+                            struct sql_error *error)
+{
+    slots_pass(&session->server->slots, &session->interrupt);
+    if (atomic_load(&session->interrupt.cancelled)) {
+        return sql_error_set(error, "57014", "canceling statement due to user request");
+    }
+    if (session->transaction.state == TRANSACTION_IDLE) {
+        session->transaction.state = TRANSACTION_IMPLICIT;
+    }
+    return database_execute(session->server->database, &session->transaction, statement, parameters,
+                            result, error);
+}
+
 /* Runs a statement that may give rows. */
 static bool run_sql(struct session *session, const struct statement *statement,
                     const struct parameters *parameters, bool describe, struct sql_error *error)
@@ -83,12 +99,7 @@
         done = control_execute(session->server->database, &session->transaction, statement,
                                parameters, &result, error);
     } else {
-        slots_pass(&session->server->slots, &session->interrupt);
-        if (session->transaction.state == TRANSACTION_IDLE) {
-            session->transaction.state = TRANSACTION_IMPLICIT;
-        }
-        done = database_execute(session->server->database, &session->transaction, statement,
-                                parameters, &result, error);
+        done = execute_in_slot(session, statement, parameters, &result, error);
     }
     if (done) {
         if (describe && result.names->len > 0) {
--- a/standins/database/replication.c
+++ b/standins/database/replication.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "control.h"
+#include "server.h"
 
 /* How long a pull waits at the primary for new entries. */
 #define PULL_WAIT_MS "1000"
@@ -17,6 +18,7 @@
 #define RETRY_PAUSE_US 20000
 
 #define POLL_SLICE_MS 20
+#define CUT_PAUSE_US  2000
 
 enum log_column { LOG_LEADER_TERM, LOG_TERM, LOG_OFFSET, LOG_PAYLOAD };
 
@@ -67,15 +69,25 @@
     return current;
 }
 
+/* True while a fault keeps the primary's zone away from here. */
+static bool primary_cut(struct replication *replication, PGconn *connection)
+{
+    return faults_blocks(replication->faults, PQparameterStatus(connection, ZONE_PARAMETER));
+}
+
 /* Waits for the socket. Returns false if the pull is outdated or too late. */
 static bool wait_socket(struct replication *replication, const struct pull *pull,
                         PGconn *connection, short events, int64_t deadline)
 {
     while (pull_current(replication->database, pull) && g_get_monotonic_time() < deadline) {
         struct pollfd watch = {.fd = PQsocket(connection), .events = events};
-        if (poll(&watch, 1, POLL_SLICE_MS) > 0) {
+        bool ready = poll(&watch, 1, POLL_SLICE_MS) > 0;
+        if (ready && !primary_cut(replication, connection)) {
             return true;
         }
+        if (ready) {
+            g_usleep(CUT_PAUSE_US);
+        }
     }
     return false;
 }
@@ -166,7 +178,7 @@
     while (shared < MIN(first->len, second->len)) {
         const struct log_entry *a = g_ptr_array_index(first, shared);
         const struct log_entry *b = g_ptr_array_index(second, shared);
-        if (a->position.term != b->position.term) {
+        if (a->position.term != b->position.term || a->random_seed != b->random_seed) {
             break;
         }
         shared++;
@@ -285,10 +297,10 @@
     pthread_mutex_lock(&database->lock);
     while (!database->stopping) {
         int64_t due = next_apply_time(database);
-        if (due <= g_get_monotonic_time()) {
+        if (due <= g_get_monotonic_time() && !faults_frozen(replication->faults)) {
             database_apply_next(database);
         } else {
-            database_wait_slice(database, due);
+            database_wait_slice(database, MAX(due, g_get_monotonic_time() + CUT_PAUSE_US));
         }
     }
     pthread_mutex_unlock(&database->lock);
--- a/standins/database/server.c
+++ b/standins/database/server.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "admin.h"
 #include "core/error.h"
 #include "session.h"
 
@@ -195,6 +196,13 @@
     server->database->replication_lag_ms = options->replication_lag_ms;
     server->replication = replication_start(server->database, &server->faults, options->zone);
     pthread_create(&server->acceptor, NULL, run_acceptor, server);
+    if (options->admin != NULL) {
+        server->admin = admin_start(server, error);
+    }
+    if (options->admin != NULL && server->admin == NULL) {
+        server_stop(server);
+        return NULL;
+    }
     return server;
 }
 
@@ -203,6 +211,19 @@
     return server->port;
 }
 
+guint16 server_admin_port(const struct server *server)
+{
+    return server->admin != NULL ? admin_port(server->admin) : 0;
+}
+
+struct server_counters server_counters(struct server *server)
+{
+    pthread_mutex_lock(&server->lock);
+    struct server_counters counters = server->counters;
+    pthread_mutex_unlock(&server->lock);
+    return counters;
+}
+
 static void end_sessions(struct server *server)
 {
     GHashTableIter iterator;
@@ -222,6 +243,7 @@
 
 void server_stop(struct server *server)
 {
+    admin_stop(server->admin);
     atomic_store(&server->stopping, true);
     pthread_join(server->acceptor, NULL);
     close(server->listener);
--- a/standins/database/server.h
+++ b/standins/database/server.h
@@ -66,6 +66,12 @@
 /* The port it listens on. */
 guint16 server_port(const struct server *server);
 
+/* The port of its admin listener; 0 if it has none. */
+guint16 server_admin_port(const struct server *server);
+
+/* The counters as they stand. */
+struct server_counters server_counters(struct server *server);
+
 /* Ends all sessions and threads. Frees. */
 void server_stop(struct server *server);
 
--- a/standins/database/session.c
+++ b/standins/database/session.c
@@ -16,6 +16,10 @@
 #define MESSAGE_LENGTH_MAX  (64u << 20)
 #define READ_CHUNK          16384
 
+/* How often a wait for bytes looks at its time limit, and at faults. */
+#define POLL_SLICE_MS    50
+#define BLOCKED_PAUSE_US 2000
+
 static void prepared_free(void *data)
 {
     struct prepared *prepared = data;
@@ -69,7 +73,6 @@
     if (is_remote(session)) {
         interrupt_sleep(&session->interrupt, session->server->options.zone_delay_us);
     }
-    faults_wait(&session->server->faults, session->zone, &session->interrupt);
 }
 
 static void send_all(struct session *session, const guint8 *data, size_t length)
@@ -88,6 +91,14 @@
     }
 }
 
+/* Sends the first `length` bytes of `out`, once they get through. */
+static void send_answer(struct session *session, size_t length)
+{
+    travel(session);
+    faults_wait(&session->server->faults, session->zone, &session->interrupt);
+    send_all(session, session->out->data, length);
+}
+
 void session_flush(struct session *session)
 {
     switch (session->answer_fault) {
@@ -101,17 +112,40 @@
         break;
     }
     if (session->out->len > 0) {
-        travel(session);
-        send_all(session, session->out->data, session->out->len);
+        send_answer(session, session->out->len);
         g_byte_array_set_size(session->out, 0);
     }
 }
 
+/* Waits for bytes that no fault holds back. Returns false if an open transaction was idle for too
+ * long. */
+static bool wait_readable(struct session *session)
+{
+    int64_t limit_ms = session->server->options.idle_transaction_ms;
+    bool limited = session->transaction.state != TRANSACTION_IDLE && limit_ms > 0;
+    int64_t deadline = g_get_monotonic_time() + limit_ms * 1000;
+    struct pollfd watch = {.fd = session->interrupt.socket, .events = POLLIN};
+    while (!limited || g_get_monotonic_time() < deadline) {
+        bool ready = poll(&watch, 1, limited ? POLL_SLICE_MS : -1) > 0;
+        if (ready && !faults_blocks(&session->server->faults, session->zone)) {
+            return true;
+        }
+        if (ready && atomic_load(&session->interrupt.stopping)) {
+            return true;
+        }
+        if (ready) {
+            g_usleep(BLOCKED_PAUSE_US);
+        }
+    }
+    return false;
+}
+
 /* Takes in and forgets all the client sends, until it closes. */
 static void hang(struct session *session)
 {
     char ignored[READ_CHUNK];
-    while (recv(session->interrupt.socket, ignored, sizeof ignored, 0) > 0) {
+    while (wait_readable(session) &&
+           recv(session->interrupt.socket, ignored, sizeof ignored, 0) > 0) {
     }
 }
 
@@ -121,8 +155,7 @@
         hang(session);
     }
     if (session->answer_fault == ANSWER_FAULT_TRUNCATE) {
-        travel(session);
-        send_all(session, session->out->data, session->out->len / 2);
+        send_answer(session, session->out->len / 2);
     }
     session->closing = true;
 }
@@ -135,6 +168,7 @@
     } else if (session->transaction.state == TRANSACTION_FAILED) {
         status = 'E';
     }
+    atomic_store(&session->interrupt.cancelled, false);
     message_ready(session->out, status);
     session_flush(session);
     if (session->answer_fault != ANSWER_FAULT_NONE) {
@@ -142,15 +176,6 @@
     }
 }
 
-/* Waits for bytes. Returns false if an open transaction was idle for too long. */
-static bool wait_readable(struct session *session)
-{
-    int64_t limit = session->server->options.idle_transaction_ms;
-    bool open = session->transaction.state != TRANSACTION_IDLE;
-    struct pollfd watch = {.fd = session->interrupt.socket, .events = POLLIN};
-    return poll(&watch, 1, open && limit > 0 ? (int)limit : -1) != 0;
-}
-
 static void end_idle_transaction(struct session *session)
 {
     struct sql_error error = {0};
@@ -173,7 +198,9 @@
     }
     guint8 chunk[READ_CHUNK];
     ssize_t count = recv(session->interrupt.socket, chunk, sizeof chunk, 0);
-    travel(session);
+    if (!session->is_replica) {
+        travel(session); /* a replica's pull stands for a stream, which needs no request */
+    }
     if (count <= 0) {
         return count < 0 && errno == EINTR;
     }
@@ -313,7 +340,6 @@
         session->closing = true;
         return;
     case 'Q':
-        atomic_store(&session->interrupt.cancelled, false);
         session_simple_query(session, reader);
         return;
     default:
