--- a/standins/database/session.c
+++ b/standins/database/session.c
@@ -126,7 +126,7 @@
     int64_t deadline = g_get_monotonic_time() + limit_ms * 1000;
     struct pollfd watch = {.fd = session->interrupt.socket, .events = POLLIN};
     while (!limited || g_get_monotonic_time() < deadline) {
-        bool ready = poll(&watch, 1, limited ? POLL_SLICE_MS : -1) > 0;
+        bool ready = poll(&watch, 1, limited ? (int)MIN(limit_ms, POLL_SLICE_MS) : -1) > 0;
         if (ready && !faults_blocks(&session->server->faults, session->zone)) {
             return true;
         }
