Add the control of one group: detection, failover, planned change, healing

Safety rests on promises of a majority of the databases, each given to one coordinator only; time decides no more than when an attempt starts. Zones vote on a suspicion, so that one isolated zone deposes nothing.

--- /dev/null
+++ b/src/core/group_control_heal.c
@@ -0,0 +1,123 @@
+/* Healing: members that came back, were cut off or led an older term are told to follow the current
+ * primary; leaving marks are set as operators wish. Every command is safe to repeat, and refused by
+ * a database that promised a higher term. */
+#include "core/group_control_internal.h"
+
+static bool needs_to_follow(const struct group_control *control, uint32_t database)
+{
+    const struct member *member = &control->members[database];
+
+    if (!observe_is_reachable(control, database) || (int32_t)database == control->known_primary) {
+        return false;
+    }
+    if (member->status.promised_term > control->known_term) {
+        return false;
+    }
+    return member->status.role != DATABASE_ROLE_REPLICA ||
+           member->status.term < control->known_term;
+}
+
+static void send_follow(struct group_control *control, uint32_t database)
+{
+    struct member *member = &control->members[database];
+    struct group_action *action = control_add_command(control, GROUP_ACTION_FOLLOW, database);
+
+    action->term = control->known_term;
+    action->primary = (uint32_t)control->known_primary;
+    member->heal_command = action->command;
+    member->heal_after = control->now + control->options.heal_interval;
+    control_record(control, GROUP_RECORD_FOLLOW, GROUP_REASON_NONE, control->known_term,
+                   (int32_t)database, member->status.held);
+}
+
+void heal_follow_all(struct group_control *control)
+{
+    for (uint32_t i = 0; i < control->options.database_count; i++) {
+        if ((int32_t)i != control->known_primary) {
+            send_follow(control, i);
+        }
+    }
+}
+
+static void set_leaving(struct group_control *control, uint32_t database, bool leaving)
+{
+    struct member *member = &control->members[database];
+    struct group_action *action = control_add_command(control, GROUP_ACTION_SET_LEAVING, database);
+
+    action->leaving = leaving;
+    member->heal_command = action->command;
+    member->heal_after = control->now + control->options.heal_interval;
+    control_record(control, leaving ? GROUP_RECORD_LEAVING : GROUP_RECORD_RETURNED,
+                   GROUP_REASON_DRAIN, control->known_term, (int32_t)database, member->status.held);
+}
+
+/* The primary is marked only once another leads. */
+static void heal_leaving(struct group_control *control, uint32_t database)
+{
+    struct member *member = &control->members[database];
+
+    if (!observe_is_reachable(control, database) || control->options.ignore_leaving ||
+        control->now < member->heal_after) {
+        return;
+    }
+    if (member->wish == MEMBER_WISH_DRAIN && !member->status.leaving &&
+        (int32_t)database != control->known_primary) {
+        set_leaving(control, database, true);
+    } else if (member->wish == MEMBER_WISH_SERVE && member->status.leaving) {
+        set_leaving(control, database, false);
+    }
+}
+
+static void heal_follow(struct group_control *control, uint32_t database)
+{
+    struct member *member = &control->members[database];
+    time_ns due;
+
+    if (!needs_to_follow(control, database)) {
+        member->stale_since = 0;
+        return;
+    }
+    if (member->stale_since == 0) {
+        member->stale_since = control->now;
+    }
+    due = member->stale_since + observe_rank(control, false) * control->options.rank_step;
+    if (due < member->heal_after) {
+        due = member->heal_after;
+    }
+    if (control->now < due) {
+        control_wake_at(control, due);
+        return;
+    }
+    send_follow(control, database);
+}
+
+void heal_advance(struct group_control *control)
+{
+    if (!control->in_membership || control->attempt.state != ATTEMPT_STATE_IDLE) {
+        return;
+    }
+    if (observe_primary(control) == NO_DATABASE) {
+        return;
+    }
+    for (uint32_t i = 0; i < control->options.database_count; i++) {
+        heal_follow(control, i);
+        heal_leaving(control, i);
+    }
+}
+
+bool heal_take_command(struct group_control *control, const struct group_event *event)
+{
+    for (uint32_t i = 0; i < control->options.database_count; i++) {
+        struct member *member = &control->members[i];
+
+        if (member->heal_command == 0 || member->heal_command != event->command) {
+            continue;
+        }
+        member->heal_command = 0;
+        if (event->result != GROUP_COMMAND_LOST) {
+            observe_status(control, i, &event->status, 0);
+        }
+        return true;
+    }
+    return false;
+}
--- /dev/null
+++ b/src/core/group_control_observe.c
@@ -0,0 +1,322 @@
+/* What a watcher knows of its group: probes, other watchers' opinions, and the suspicion that
+ * follows from them. */
+#include "core/group_control_internal.h"
+
+#include <string.h>
+
+/* A daemon that stood still (paused, starved) has not watched: its time without good probes must
+ * not count against the databases. */
+void observe_own_stall(struct group_control *control)
+{
+    time_ns gap = control->now - control->last_event_at;
+
+    if (gap <= control->options.own_stall_after) {
+        return;
+    }
+    control->led_at += gap;
+    for (uint32_t i = 0; i < control->options.database_count; i++) {
+        control->members[i].good_at += gap;
+    }
+}
+
+bool observe_is_reachable(const struct group_control *control, uint32_t database)
+{
+    const struct member *member = &control->members[database];
+
+    if (!member->seen || member->failures >= 2) {
+        return false;
+    }
+    return control->now < member->good_at + control->options.unreachable_after;
+}
+
+uint32_t observe_reachable_mask(const struct group_control *control)
+{
+    uint32_t mask = 0;
+
+    for (uint32_t i = 0; i < control->options.database_count; i++) {
+        if (observe_is_reachable(control, i)) {
+            mask |= UINT32_C(1) << i;
+        }
+    }
+    return mask;
+}
+
+/* Members known to have promised a higher term. */
+static uint32_t count_promised_beyond(const struct group_control *control, uint64_t term)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < control->options.database_count; i++) {
+        if (control->members[i].seen && control->members[i].status.promised_term > term) {
+            count += 1;
+        }
+    }
+    return count;
+}
+
+bool observe_deposed(const struct group_control *control)
+{
+    return count_promised_beyond(control, control->known_term) >=
+           majority_of(control->options.database_count);
+}
+
+bool observe_leads(const struct group_control *control, uint32_t database)
+{
+    const struct database_status *status = &control->members[database].status;
+
+    if (!control->members[database].seen || status->role != DATABASE_ROLE_PRIMARY) {
+        return false;
+    }
+    if (status->term != control->known_term || status->promised_term != status->term) {
+        return false;
+    }
+    return !observe_deposed(control);
+}
+
+int32_t observe_primary(const struct group_control *control)
+{
+    int32_t primary = control->known_primary;
+
+    if (primary == NO_DATABASE || !observe_leads(control, (uint32_t)primary)) {
+        return NO_DATABASE;
+    }
+    return primary;
+}
+
+static void learn_primary(struct group_control *control, uint64_t term, uint32_t database,
+                          struct log_position position)
+{
+    control->known_term = term;
+    control->known_primary = (int32_t)database;
+    control->led_at = control->now;
+    control->publish_due = true;
+    control->opinion_due = true;
+    control_record(control, GROUP_RECORD_PRIMARY_LEARNED, GROUP_REASON_NONE, term,
+                   (int32_t)database, position);
+}
+
+/* Promises and terms never go back, so an answer that says otherwise is an old one. */
+static bool status_is_older(const struct member *member, const struct database_status *status)
+{
+    if (!member->seen) {
+        return false;
+    }
+    if (status->promised_term != member->status.promised_term) {
+        return status->promised_term < member->status.promised_term;
+    }
+    return status->term < member->status.term;
+}
+
+void observe_status(struct group_control *control, uint32_t database,
+                    const struct database_status *status, time_ns observed_at)
+{
+    struct member *member = &control->members[database];
+
+    if (status_is_older(member, status)) {
+        return;
+    }
+    if (!member->seen || member->status.leaving != status->leaving ||
+        member->status.role != status->role || member->status.term != status->term) {
+        control->publish_due = true;
+    }
+    member->status = *status;
+    member->seen = true;
+    if (observed_at > member->observed_at) {
+        member->observed_at = observed_at;
+    }
+    if (status->promised_term > control->promised_max) {
+        control->promised_max = status->promised_term;
+    }
+    if (status->role == DATABASE_ROLE_PRIMARY && status->promised_term == status->term &&
+        status->term > control->known_term) {
+        learn_primary(control, status->term, database, status->held);
+    }
+    control->positions_due = true;
+}
+
+static void smooth_round_trip(struct member *member, time_ns round_trip)
+{
+    uint32_t sample_us = (uint32_t)(round_trip / 1000);
+
+    if (member->round_trip_us == 0) {
+        member->round_trip_us = sample_us;
+        return;
+    }
+    member->round_trip_us = (uint32_t)(((uint64_t)member->round_trip_us * 7 + sample_us) / 8);
+}
+
+void observe_probe(struct group_control *control, const struct group_event *event)
+{
+    struct member *member = &control->members[event->database];
+
+    if (!event->reachable) {
+        member->failures += 1;
+        return;
+    }
+    member->failures = 0;
+    member->good_at = control->now;
+    smooth_round_trip(member, event->round_trip);
+    observe_status(control, event->database, &event->status, control->now - event->round_trip);
+    if ((int32_t)event->database == control->known_primary &&
+        observe_leads(control, event->database)) {
+        control->led_at = control->now;
+    }
+}
+
+static struct peer *find_peer(struct group_control *control, uint64_t watcher)
+{
+    for (uint32_t i = 0; i < control->peer_count; i++) {
+        if (control->peers[i].watcher.id == watcher) {
+            return &control->peers[i];
+        }
+    }
+    return NULL;
+}
+
+void observe_opinion(struct group_control *control, const struct group_opinion *opinion)
+{
+    struct peer *peer = find_peer(control, opinion->watcher);
+
+    if (peer == NULL || (peer->heard && opinion->sequence <= peer->opinion.sequence)) {
+        return;
+    }
+    peer->heard = true;
+    peer->heard_at = control->now;
+    peer->opinion = *opinion;
+    if (opinion->promised > control->promised_max) {
+        control->promised_max = opinion->promised;
+    }
+    if (opinion->term > control->known_term && opinion->primary >= 0 &&
+        (uint32_t)opinion->primary < control->options.database_count) {
+        struct log_position unknown = {0, 0};
+
+        learn_primary(control, opinion->term, (uint32_t)opinion->primary, unknown);
+        control_add_action(control, GROUP_ACTION_PROBE)->database = (uint32_t)opinion->primary;
+    }
+    change_take_pause(control, opinion);
+}
+
+void observe_watchers(struct group_control *control, const struct group_event *event)
+{
+    struct peer old[GROUP_WATCHERS_MAX];
+    uint32_t old_count = control->peer_count;
+    uint32_t count = event->watcher_count;
+
+    if (count > GROUP_WATCHERS_MAX) {
+        count = GROUP_WATCHERS_MAX;
+    }
+    memcpy(old, control->peers, sizeof(old));
+    memset(control->peers, 0, sizeof(control->peers));
+    memcpy(control->watchers, event->watchers, sizeof(control->watchers));
+    control->watcher_count = count;
+    control->in_membership = false;
+    control->peer_count = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        struct peer *peer = &control->peers[control->peer_count];
+
+        if (event->watchers[i].id == control->options.watcher) {
+            control->in_membership = true;
+            continue;
+        }
+        for (uint32_t j = 0; j < old_count; j++) {
+            if (old[j].watcher.id == event->watchers[i].id) {
+                *peer = old[j];
+            }
+        }
+        peer->watcher = event->watchers[i];
+        control->peer_count += 1;
+    }
+    control->opinion_due = true;
+}
+
+bool observe_peer_alive(const struct group_control *control, const struct peer *peer)
+{
+    return peer->heard && control->now < peer->heard_at + control->options.peer_alive;
+}
+
+static bool peer_suspects(const struct group_control *control, const struct peer *peer)
+{
+    return peer->heard && control->now < peer->heard_at + control->options.suspicion_expiry &&
+           peer->opinion.suspects && peer->opinion.term == control->known_term;
+}
+
+static uint32_t count_bits(uint32_t mask)
+{
+    return (uint32_t)__builtin_popcount(mask);
+}
+
+uint32_t observe_rank(const struct group_control *control, bool suspecting_only)
+{
+    uint64_t others[GROUP_WATCHERS_MAX];
+    size_t count = 0;
+
+    for (uint32_t i = 0; i < control->peer_count; i++) {
+        const struct peer *peer = &control->peers[i];
+        bool takes_part = suspecting_only ? peer_suspects(control, peer)
+                                          : observe_peer_alive(control, peer) &&
+                                                peer->opinion.term == control->known_term;
+
+        if (takes_part &&
+            count_bits(peer->opinion.reachable) >= majority_of(control->options.database_count)) {
+            others[count] = peer->watcher.id;
+            count += 1;
+        }
+    }
+    return suspicion_rank(control->options.group, control->known_term, control->options.watcher,
+                          others, count);
+}
+
+static bool own_suspicion(const struct group_control *control)
+{
+    time_ns wait = control->options.suspect_after;
+
+    if (control->known_primary == NO_DATABASE) {
+        wait = control->options.bootstrap_wait;
+    }
+    return control->now >= control->led_at + wait;
+}
+
+static bool zones_agree(const struct group_control *control)
+{
+    struct suspicion_vote votes[GROUP_WATCHERS_MAX];
+    size_t count = 0;
+
+    if (!control->in_membership || !control->suspects) {
+        return false;
+    }
+    if (control->options.single_watcher_deposes) {
+        return true;
+    }
+    for (uint32_t i = 0; i < control->peer_count; i++) {
+        votes[count].zone = control->peers[i].watcher.zone;
+        votes[count].suspects = peer_suspects(control, &control->peers[i]);
+        count += 1;
+    }
+    votes[count].zone = control->options.zone;
+    votes[count].suspects = true;
+    count += 1;
+    return suspicion_confirmed(votes, count);
+}
+
+void observe_suspicion(struct group_control *control)
+{
+    struct log_position none = {0, 0};
+    bool suspects = own_suspicion(control);
+    bool confirmed;
+
+    if (suspects != control->suspects) {
+        control->suspects = suspects;
+        control->opinion_due = true;
+        control_record(control, suspects ? GROUP_RECORD_SUSPECTED : GROUP_RECORD_CLEARED,
+                       GROUP_REASON_NONE, control->known_term, control->known_primary, none);
+    }
+    if (!suspects) {
+        control_wake_at(control, control->led_at + control->options.suspect_after);
+    }
+    confirmed = zones_agree(control);
+    if (confirmed && !control->confirmed) {
+        control_record(control, GROUP_RECORD_CONFIRMED, GROUP_REASON_NONE, control->known_term,
+                       control->known_primary, none);
+    }
+    control->confirmed = confirmed;
+}
