--- a/src/backend/adapter.c
+++ b/src/backend/adapter.c
@@ -4,19 +4,6 @@
 
 #include "backend/adapter_internal.h"
 
-/* Columns of a status row, in the order of STATUS_COLUMNS. */
-enum status_column {
-    STATUS_COLUMN_ROLE,
-    STATUS_COLUMN_TERM,
-    STATUS_COLUMN_PROMISED_TERM,
-    STATUS_COLUMN_HELD_TERM,
-    STATUS_COLUMN_HELD_OFFSET,
-    STATUS_COLUMN_APPLIED_TERM,
-    STATUS_COLUMN_APPLIED_OFFSET,
-    STATUS_COLUMN_LEAVING,
-    STATUS_COLUMN_COUNT,
-};
-
 #define COMMAND_PARAMETERS_MAX 3
 
 /* A command's SQL and how many parameters it takes. */
@@ -27,15 +14,12 @@
 
 static const struct command_text COMMAND_TEXTS[] = {
     [ADAPTER_COMMAND_STATUS] = {SQL_STATUS, 0},
-    [ADAPTER_COMMAND_FENCE] = {"SELECT " STATUS_COLUMNS " FROM swiftworks_fence($1, $2)", 2},
-    [ADAPTER_COMMAND_PROMOTE] = {"SELECT " STATUS_COLUMNS " FROM swiftworks_promote($1, $2)", 2},
-    [ADAPTER_COMMAND_FOLLOW] = {"SELECT " STATUS_COLUMNS " FROM swiftworks_follow($1, $2, $3)", 3},
-    [ADAPTER_COMMAND_SET_LEAVING] = {"SELECT " STATUS_COLUMNS " FROM swiftworks_set_leaving($1)",
-                                     1},
-    [ADAPTER_COMMAND_WAIT_HELD] = {"SELECT " STATUS_COLUMNS
-                                   " FROM swiftworks_wait_held($1, $2, $3)",
-                                   3},
-    [ADAPTER_COMMAND_WAIT_APPLIED] = {SQL_WAIT_APPLIED, 3},
+    [ADAPTER_COMMAND_FENCE] = {"SELECT * FROM swiftworks_fence($1, $2)", 2},
+    [ADAPTER_COMMAND_PROMOTE] = {"SELECT * FROM swiftworks_promote($1, $2)", 2},
+    [ADAPTER_COMMAND_FOLLOW] = {"SELECT * FROM swiftworks_follow($1, $2, $3)", 3},
+    [ADAPTER_COMMAND_SET_LEAVING] = {"SELECT * FROM swiftworks_set_leaving($1)", 1},
+    [ADAPTER_COMMAND_WAIT_HELD] = {"SELECT * FROM swiftworks_wait_held($1, $2, $3)", 3},
+    [ADAPTER_COMMAND_WAIT_APPLIED] = {"SELECT * FROM swiftworks_wait_applied($1, $2, $3)", 3},
 };
 
 /* Error classes that decide what a caller is told. */
@@ -96,33 +80,39 @@
     return true;
 }
 
-static bool parse_number(const struct sql_value *cell, uint64_t *number)
+/* The text of a named column in a one-row result; NULL if it is missing or null. */
+static const char *cell_text(const struct sql_result *result, const char *column)
 {
-    if (cell->is_null || cell->text == NULL) {
-        return false;
+    if (result->rows_count != 1) {
+        return NULL;
+    }
+    const struct sql_row *row = &result->rows[0];
+    for (size_t i = 0; i < result->columns_count && i < row->cells_count; i++) {
+        if (g_strcmp0(result->columns[i].name, column) == 0) {
+            return row->cells[i].is_null ? NULL : row->cells[i].text;
+        }
     }
-    return g_ascii_string_to_unsigned(cell->text, 10, 0, G_MAXINT64, number, NULL);
+    return NULL;
 }
 
-static bool parse_position(const struct sql_value *cells, struct log_position *position)
+static bool parse_number(const struct sql_result *result, const char *column, uint64_t *number)
 {
-    return parse_number(&cells[0], &position->term) && parse_number(&cells[1], &position->offset);
+    const char *text = cell_text(result, column);
+    return text != NULL && g_ascii_string_to_unsigned(text, 10, 0, G_MAXINT64, number, NULL);
 }
 
 bool adapter_parse_position(const struct sql_result *result, struct log_position *position)
 {
-    if (result->rows_count != 1 || result->rows[0].cells_count != 2) {
-        return false;
-    }
-    return parse_position(result->rows[0].cells, position);
+    return parse_number(result, "term", &position->term) &&
+           parse_number(result, "offset", &position->offset);
 }
 
-static enum database_role parse_role(const struct sql_value *cell)
+static enum database_role parse_role(const char *text)
 {
-    if (g_strcmp0(cell->text, "primary") == 0) {
+    if (g_strcmp0(text, "primary") == 0) {
         return DATABASE_ROLE_PRIMARY;
     }
-    if (g_strcmp0(cell->text, "replica") == 0) {
+    if (g_strcmp0(text, "replica") == 0) {
         return DATABASE_ROLE_REPLICA;
     }
     return DATABASE_ROLE_UNKNOWN;
@@ -131,16 +121,14 @@
 bool adapter_parse_status(const struct sql_result *result, struct database_status *status)
 {
     memset(status, 0, sizeof *status);
-    if (result->rows_count != 1 || result->rows[0].cells_count != STATUS_COLUMN_COUNT) {
-        return false;
-    }
-    const struct sql_value *cells = result->rows[0].cells;
-    status->role = parse_role(&cells[STATUS_COLUMN_ROLE]);
-    status->leaving = g_strcmp0(cells[STATUS_COLUMN_LEAVING].text, "t") == 0;
-    return parse_number(&cells[STATUS_COLUMN_TERM], &status->term) &&
-           parse_number(&cells[STATUS_COLUMN_PROMISED_TERM], &status->promised_term) &&
-           parse_position(&cells[STATUS_COLUMN_HELD_TERM], &status->held) &&
-           parse_position(&cells[STATUS_COLUMN_APPLIED_TERM], &status->applied);
+    status->role = parse_role(cell_text(result, "role"));
+    status->leaving = g_strcmp0(cell_text(result, "leaving"), "t") == 0;
+    return parse_number(result, "term", &status->term) &&
+           parse_number(result, "promised_term", &status->promised_term) &&
+           parse_number(result, "held_term", &status->held.term) &&
+           parse_number(result, "held_offset", &status->held.offset) &&
+           parse_number(result, "applied_term", &status->applied.term) &&
+           parse_number(result, "applied_offset", &status->applied.offset);
 }
 
 /* What an error means, given that its transaction is rolled back. */
@@ -239,17 +227,18 @@
     g_snprintf(term, sizeof term, "%" G_GUINT64_FORMAT, term_number);
     g_snprintf(offset, sizeof offset, "%" G_GUINT64_FORMAT, call->position.offset);
     g_snprintf(wait_ms, sizeof wait_ms, "%u", (unsigned)call->wait_ms);
+    const char *coordinator = call->coordinator != NULL ? call->coordinator : "";
     texts[0] = term;
     if (call->command == ADAPTER_COMMAND_SET_LEAVING) {
         texts[0] = call->leaving ? "t" : "f";
     } else if (call->command == ADAPTER_COMMAND_FOLLOW) {
         texts[1] = call->address;
-        texts[2] = call->coordinator;
+        texts[2] = coordinator;
     } else if (waits) {
         texts[1] = offset;
         texts[2] = wait_ms;
     } else {
-        texts[1] = call->coordinator;
+        texts[1] = coordinator;
     }
     return send_with_texts(connection, command->sql, texts, command->parameters_count);
 }
--- a/src/backend/adapter_internal.h
+++ b/src/backend/adapter_internal.h
@@ -4,11 +4,9 @@
 
 #include "backend/adapter.h"
 
-#define STATUS_COLUMNS                                                                             \
-    "role, term, promised_term, held_term, held_offset, applied_term, applied_offset, leaving"
-#define SQL_STATUS       "SELECT " STATUS_COLUMNS " FROM swiftworks_status()"
-#define SQL_LAST_COMMIT  "SELECT term, \"offset\" FROM swiftworks_last_commit()"
-#define SQL_WAIT_APPLIED "SELECT " STATUS_COLUMNS " FROM swiftworks_wait_applied($1, $2, $3)"
+/* Columns are found by name, so a database may add others. */
+#define SQL_STATUS      "SELECT * FROM swiftworks_status()"
+#define SQL_LAST_COMMIT "SELECT * FROM swiftworks_last_commit()"
 
 /* Room for a number as text. */
 #define NUMBER_TEXT_SIZE 24
@@ -24,7 +22,7 @@
 bool adapter_send_statements(struct backend_connection *connection,
                              const struct sql_statement *statements, size_t count);
 
-/* Reads a position out of a one-row result of two columns. */
+/* Reads the position of a one-row result. */
 bool adapter_parse_position(const struct sql_result *result, struct log_position *position);
 
 /* Copies an error into the answer and says what it means for a transaction rolled back by it. */
--- a/src/backend/adapter_write.c
+++ b/src/backend/adapter_write.c
@@ -19,7 +19,6 @@
 #define SQLSTATE_CLASS_CONNECTION   "08"
 #define SQLSTATE_CLASS_OPERATOR     "57P"
 #define SQLSTATE_COMPLETION_UNKNOWN "40003"
-#define SQLSTATE_RESOLUTION_UNKNOWN "08007"
 
 static bool leaves_commit_open(const char *sqlstate)
 {
--- a/src/backend/connection.c
+++ b/src/backend/connection.c
@@ -79,7 +79,7 @@
     struct backend_connection *connection = backend_connection_start(settings);
     short events = POLLOUT;
     while (connection->state == CONNECTION_STATE_OPENING) {
-        if (!backend_connection_wait(connection, events, deadline)) {
+        if (backend_connection_wait(connection, events, deadline) == 0) {
             break;
         }
         events = backend_connection_continue(connection);
@@ -167,17 +167,17 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-bool backend_connection_wait(const struct backend_connection *connection, short events,
-                             time_ns deadline)
+short backend_connection_wait(const struct backend_connection *connection, short events,
+                              time_ns deadline)
 {
     for (;;) {
         struct pollfd poll_fd = {.fd = PQsocket(connection->pg), .events = events};
         int ready = poll(&poll_fd, 1, backend_poll_ms(deadline, backend_now()));
         if (ready > 0) {
-            return true;
+            return poll_fd.revents;
         }
         if (ready == 0 || errno != EINTR) {
-            return false;
+            return 0;
         }
     }
 }
--- a/src/backend/connection.h
+++ b/src/backend/connection.h
@@ -63,9 +63,9 @@
 /* Cheap check before use, without a round trip: clean, the socket open and nothing to read. */
 bool backend_connection_is_healthy(const struct backend_connection *connection);
 
-/* Waits until the socket is ready for one of `events`; false at the deadline. */
-bool backend_connection_wait(const struct backend_connection *connection, short events,
-                             time_ns deadline);
+/* Waits until the socket is ready; returns the poll events that came, or 0 at the deadline. */
+short backend_connection_wait(const struct backend_connection *connection, short events,
+                              time_ns deadline);
 
 /* libpq's last error text, without its final newline; never NULL. The caller frees it. */
 char *backend_connection_error(const struct backend_connection *connection);
--- a/src/backend/pipeline.c
+++ b/src/backend/pipeline.c
@@ -12,19 +12,8 @@
 #define CELL_OVERHEAD      8
 /* An answer over its limit is read to its end, without keeping it, up to this multiple: closing the
  * connection costs the database more than the rest of a slightly too large answer. */
-#define DISCARD_FACTOR    4
-#define BYTES_MAX_DEFAULT (16 * 1024 * 1024)
-
-/* Progress of reading one batch. */
-struct reader {
-    struct backend_connection *connection;
-    time_ns deadline;
-    size_t rows_max;
-    size_t bytes_max;
-    size_t rows;
-    size_t bytes;
-    bool too_large;
-};
+#define DISCARD_FACTOR 4
+#define BYTES_MAX      (16 * 1024 * 1024)
 
 bool pipeline_send(struct backend_connection *connection, const char *sql,
                    const struct sql_value *parameters, size_t parameters_count)
@@ -46,36 +35,15 @@
     return true;
 }
 
-/* Sends what is queued, reading meanwhile so that neither side blocks on a full socket. */
-static bool flush(struct reader *reader)
+bool pipeline_end(struct backend_connection *connection)
 {
-    PGconn *pg = reader->connection->pg;
-    for (;;) {
-        int pending = PQflush(pg);
-        if (pending == 0) {
-            return true;
-        }
-        if (pending < 0 ||
-            !backend_connection_wait(reader->connection, POLLIN | POLLOUT, reader->deadline)) {
-            return false;
-        }
-        if (PQconsumeInput(pg) != 1) {
-            return false;
-        }
+    if (connection->state == CONNECTION_STATE_BROKEN) {
+        return false;
     }
-}
-
-/* Waits until libpq has a result, or knows that there is none. */
-static bool wait_for_result(struct reader *reader)
-{
-    PGconn *pg = reader->connection->pg;
-    while (PQisBusy(pg)) {
-        if (!backend_connection_wait(reader->connection, POLLIN, reader->deadline)) {
-            return false;
-        }
-        if (PQconsumeInput(pg) != 1) {
-            return false;
-        }
+    connection->unread_answers++;
+    if (PQpipelineSync(connection->pg) != 1) {
+        backend_connection_break(connection);
+        return false;
     }
     return true;
 }
@@ -91,23 +59,30 @@
 }
 
 /* Counts a row against the limits; false if it must not be kept. */
-static bool count_row(struct reader *reader, const PGresult *from, int row)
+static bool count_row(struct pipeline_reader *reader, const PGresult *from, int row)
 {
     int columns = PQnfields(from);
     bool cell_too_large = false;
     for (int i = 0; i < columns; i++) {
         size_t length = (size_t)PQgetlength(from, row, i);
         cell_too_large = cell_too_large || length > SCHEMA_CELL_MAX;
-        reader->bytes += length + CELL_OVERHEAD;
+        reader->bytes_total += length + CELL_OVERHEAD;
     }
-    reader->rows++;
-    if (cell_too_large || columns > SCHEMA_COLUMNS_MAX || reader->rows > reader->rows_max ||
-        reader->bytes > reader->bytes_max) {
+    reader->rows_total++;
+    if (cell_too_large || columns > SCHEMA_COLUMNS_MAX || reader->rows_total > reader->rows_max ||
+        reader->bytes_total > reader->bytes_max) {
         reader->too_large = true;
     }
     return !reader->too_large;
 }
 
+/* True while it is worth reading on, although rows are dropped. */
+static bool within_discard(const struct pipeline_reader *reader)
+{
+    return reader->bytes_total / DISCARD_FACTOR <= reader->bytes_max &&
+           reader->rows_total / DISCARD_FACTOR <= reader->rows_max;
+}
+
 static void append_row(GArray *rows, const PGresult *from, int row)
 {
     struct sql_row copy;
@@ -146,38 +121,42 @@
     return g_ascii_strtoull(tag + strlen("SELECT "), NULL, 10) == rows;
 }
 
-/* Takes one libpq result of a query into its reply. False if the stream makes no sense. */
-static bool take_result(struct reader *reader, const PGresult *from, struct query_reply *reply,
-                        GArray *rows, size_t *rows_seen)
+static void take_rows(struct pipeline_reader *reader, const PGresult *from,
+                      struct sql_result *result)
 {
-    ExecStatusType status = PQresultStatus(from);
-    if (reply->result.columns == NULL && PQnfields(from) > 0 &&
-        (status == PGRES_SINGLE_TUPLE || status == PGRES_TUPLES_OK)) {
-        copy_columns(from, &reply->result);
+    if (result->columns == NULL && PQnfields(from) > 0) {
+        copy_columns(from, result);
+    }
+    for (int row = 0; row < PQntuples(from); row++) {
+        reader->reply_rows++;
+        if (count_row(reader, from, row)) {
+            append_row(reader->rows, from, row);
+        }
     }
-    switch (status) {
+}
+
+static void take_command(const PGresult *from, struct query_reply *reply)
+{
+    g_free(reply->result.command);
+    reply->result.command = g_strdup(PQcmdStatus((PGresult *)from));
+    reply->status = QUERY_STATUS_DONE;
+}
+
+/* Takes one libpq result of a query into its reply. False if the answer can't be whole. */
+static bool take_result(struct pipeline_reader *reader, const PGresult *from)
+{
+    struct query_reply *reply = &reader->replies[reader->next];
+    switch (PQresultStatus(from)) {
     case PGRES_SINGLE_TUPLE:
+        take_rows(reader, from, &reply->result);
+        return within_discard(reader);
     case PGRES_TUPLES_OK:
-        for (int row = 0; row < PQntuples(from); row++) {
-            (*rows_seen)++;
-            if (count_row(reader, from, row)) {
-                append_row(rows, from, row);
-            }
-        }
-        if (status == PGRES_TUPLES_OK) {
-            reply->result.command = g_strdup(PQcmdStatus((PGresult *)from));
-            reply->status = QUERY_STATUS_DONE;
-            return row_count_matches(from, *rows_seen);
-        }
-        return reader->bytes / DISCARD_FACTOR <= reader->bytes_max &&
-               reader->rows / DISCARD_FACTOR <= reader->rows_max;
+        take_rows(reader, from, &reply->result);
+        take_command(from, reply);
+        return row_count_matches(from, reader->reply_rows);
     case PGRES_COMMAND_OK:
-        reply->result.command = g_strdup(PQcmdStatus((PGresult *)from));
-        reply->status = QUERY_STATUS_DONE;
-        return true;
     case PGRES_EMPTY_QUERY:
-        reply->result.command = g_strdup("");
-        reply->status = QUERY_STATUS_DONE;
+        take_command(from, reply);
         return true;
     case PGRES_PIPELINE_ABORTED:
         reply->status = QUERY_STATUS_SKIPPED;
@@ -185,59 +164,101 @@
     case PGRES_FATAL_ERROR:
         copy_error(from, reply);
         return PQstatus(reader->connection->pg) == CONNECTION_OK;
-    default: /* COPY and others that are not served */
+    default: /* COPY, and a sync before its time */
         return false;
     }
 }
 
-/* Reads all results of one query, up to the NULL that ends them. */
-static bool read_query(struct reader *reader, struct query_reply *reply)
+/* Readies the next reply; rows then come one by one, so that too large an answer is noticed before
+ * all of it is in memory. */
+static void start_reply(struct pipeline_reader *reader)
 {
-    PGconn *pg = reader->connection->pg;
-    GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct sql_row));
-    size_t rows_seen = 0;
-    bool good = true;
-    PQsetSingleRowMode(pg);
-    while (good) {
-        good = wait_for_result(reader);
-        if (!good) {
-            break;
-        }
-        PGresult *result = PQgetResult(pg);
-        if (result == NULL) {
-            break;
-        }
-        good = take_result(reader, result, reply, rows, &rows_seen);
-        PQclear(result);
+    reader->reply_rows = 0;
+    if (reader->next < reader->count) {
+        reader->rows = g_array_new(FALSE, TRUE, sizeof(struct sql_row));
+        PQsetSingleRowMode(reader->connection->pg);
     }
-    reply->result.rows_count = rows->len;
-    reply->result.rows = (struct sql_row *)g_array_free(rows, FALSE);
-    return good && reply->status != QUERY_STATUS_PENDING;
 }
 
-/* Reads the sync that ends the batch. */
-static bool read_sync(struct reader *reader)
+/* Moves the rows read into the reply. */
+static void end_reply(struct pipeline_reader *reader)
 {
-    if (!wait_for_result(reader)) {
-        return false;
+    if (reader->rows == NULL) {
+        return;
     }
+    struct sql_result *result = &reader->replies[reader->next].result;
+    result->rows_count = reader->rows->len;
+    result->rows = (struct sql_row *)g_array_free(g_steal_pointer(&reader->rows), FALSE);
+}
+
+void pipeline_reader_abandon(struct pipeline_reader *reader)
+{
+    end_reply(reader);
+    backend_connection_break(reader->connection);
+    reader->outcome = reader->too_large ? PIPELINE_TOO_LARGE : PIPELINE_LOST;
+}
+
+/* Takes what libpq has next: a result, the end of a reply, or the sync that ends the batch. False
+ * if the batch can't become whole. */
+static bool take_next(struct pipeline_reader *reader)
+{
     PGresult *result = PQgetResult(reader->connection->pg);
-    bool synced = PQresultStatus(result) == PGRES_PIPELINE_SYNC;
+    bool good;
+    if (reader->next == reader->count) {
+        good = PQresultStatus(result) == PGRES_PIPELINE_SYNC;
+        reader->next++;
+    } else if (result == NULL) {
+        good = reader->replies[reader->next].status != QUERY_STATUS_PENDING;
+        end_reply(reader);
+        reader->connection->unread_answers--;
+        reader->next++;
+        start_reply(reader);
+    } else {
+        good = take_result(reader, result);
+    }
     PQclear(result);
-    return synced;
+    return good;
 }
 
-static bool read_batch(struct reader *reader, struct query_reply *replies, size_t count)
+/* Sends and reads until nothing more is there; the poll events that would bring more, 0 at the
+ * sync, or -1 if the batch can't become whole. */
+static int advance(struct pipeline_reader *reader, short ready)
 {
-    if (!flush(reader)) {
-        return false;
+    PGconn *pg = reader->connection->pg;
+    if (reader->connection->state == CONNECTION_STATE_BROKEN) {
+        return -1;
     }
-    for (size_t i = 0; i < count; i++) {
-        if (!read_query(reader, &replies[i])) {
-            return false;
+    if ((ready & ~POLLOUT) != 0 && PQconsumeInput(pg) != 1) {
+        return -1;
+    }
+    int unsent = PQflush(pg);
+    if (unsent < 0) {
+        return -1;
+    }
+    while (!PQisBusy(pg)) {
+        if (!take_next(reader)) {
+            return -1;
+        }
+        if (reader->next > reader->count) {
+            reader->connection->unread_answers--;
+            return 0;
         }
     }
-    return read_sync(reader);
+    return unsent > 0 ? POLLIN | POLLOUT : POLLIN;
+}
+
+short pipeline_reader_advance(struct pipeline_reader *reader, short ready)
+{
+    int events = advance(reader, ready);
+    if (events > 0) {
+        return (short)events;
+    }
+    if (events < 0) {
+        pipeline_reader_abandon(reader);
+    } else {
+        reader->outcome = reader->too_large ? PIPELINE_TOO_LARGE : PIPELINE_WHOLE;
+    }
+    return 0;
 }
 
 static size_t limit_or(size_t limit, size_t most)
@@ -245,27 +266,38 @@
     return limit > 0 && limit < most ? limit : most;
 }
 
+void pipeline_reader_start(struct pipeline_reader *reader, struct backend_connection *connection,
+                           const struct result_limits *limits, struct query_reply *replies,
+                           size_t count)
+{
+    memset(reader, 0, sizeof *reader);
+    memset(replies, 0, count * sizeof *replies);
+    reader->connection = connection;
+    reader->replies = replies;
+    reader->count = count;
+    reader->outcome = PIPELINE_LOST;
+    reader->rows_max = limit_or(limits != NULL ? limits->rows_max : 0, SCHEMA_ROWS_MAX);
+    reader->bytes_max = limit_or(limits != NULL ? limits->bytes_max : 0, BYTES_MAX);
+    start_reply(reader);
+}
+
 enum pipeline_outcome pipeline_finish(struct backend_connection *connection, time_ns deadline,
                                       const struct result_limits *limits,
                                       struct query_reply *replies, size_t count)
 {
-    struct reader reader = {
-        .connection = connection,
-        .deadline = deadline,
-        .rows_max = limit_or(limits != NULL ? limits->rows_max : 0, SCHEMA_ROWS_MAX),
-        .bytes_max = limit_or(limits != NULL ? limits->bytes_max : 0, BYTES_MAX_DEFAULT),
-    };
-    memset(replies, 0, count * sizeof *replies);
-    connection->unread_answers++;
-    bool whole = connection->state != CONNECTION_STATE_BROKEN;
-    whole = whole && PQpipelineSync(connection->pg) == 1;
-    whole = whole && read_batch(&reader, replies, count);
-    if (whole) {
-        connection->unread_answers = 0;
-        return reader.too_large ? PIPELINE_TOO_LARGE : PIPELINE_WHOLE;
+    struct pipeline_reader reader;
+    pipeline_end(connection);
+    pipeline_reader_start(&reader, connection, limits, replies, count);
+    short events = pipeline_reader_advance(&reader, 0);
+    while (events != 0) {
+        short ready = backend_connection_wait(connection, events, deadline);
+        if (ready == 0) {
+            pipeline_reader_abandon(&reader);
+            break;
+        }
+        events = pipeline_reader_advance(&reader, ready);
     }
-    backend_connection_break(connection);
-    return reader.too_large ? PIPELINE_TOO_LARGE : PIPELINE_LOST;
+    return reader.outcome;
 }
 
 void pipeline_replies_clear(struct query_reply *replies, size_t count)
