--- a/src/backend/adapter_read.c
+++ b/src/backend/adapter_read.c
@@ -6,6 +6,10 @@
 #define QUERIES_BEFORE 2
 #define QUERIES_AFTER  2
 
+/* Room for the status rows, which are ours and don't count against the caller's limits. */
+#define STATUS_ROWS  2
+#define STATUS_BYTES 1024
+
 enum {
     QUERY_BEGIN,
     QUERY_GUARD,
@@ -61,6 +65,19 @@
     return EXECUTE_DONE;
 }
 
+/* The caller's limits with room for our own rows; 0 stays 0. */
+static struct result_limits extend_limits(const struct result_limits *limits)
+{
+    struct result_limits extended = {0};
+    if (limits != NULL && limits->rows_max > 0) {
+        extended.rows_max = limits->rows_max + STATUS_ROWS;
+    }
+    if (limits != NULL && limits->bytes_max > 0) {
+        extended.bytes_max = limits->bytes_max + STATUS_BYTES;
+    }
+    return extended;
+}
+
 enum execute_result adapter_read(struct backend_connection *connection, struct log_position guard,
                                  uint32_t guard_wait_ms, const struct sql_statement *statements,
                                  size_t count, time_ns deadline, const struct result_limits *limits,
@@ -68,9 +85,11 @@
 {
     size_t total = QUERIES_BEFORE + count + QUERIES_AFTER;
     g_autofree struct query_reply *replies = g_new0(struct query_reply, total);
+    struct result_limits extended = extend_limits(limits);
     enum execute_result result = EXECUTE_LOST;
     send_read(connection, guard, guard_wait_ms, statements, count);
-    enum pipeline_outcome outcome = pipeline_finish(connection, deadline, limits, replies, total);
+    enum pipeline_outcome outcome =
+        pipeline_finish(connection, deadline, &extended, replies, total);
     if (outcome == PIPELINE_LOST) {
         adapter_take_loss(connection, answer);
     } else if (is_guard_short(replies, guard, answer)) {
--- a/src/backend/adapter_write.c
+++ b/src/backend/adapter_write.c
@@ -27,17 +27,15 @@
            strcmp(sqlstate, SQLSTATE_COMPLETION_UNKNOWN) == 0;
 }
 
-static bool has_key(const struct adapter_key *key)
+bool adapter_has_key(const struct adapter_key *key)
 {
     return key != NULL && key->key != NULL;
 }
 
-/* Reads the answers of a batch that can't have committed anything; the transaction stays open only
- * with DONE. */
-static enum execute_result finish_uncommitted(struct backend_connection *connection,
-                                              time_ns deadline, const struct result_limits *limits,
-                                              struct query_reply *replies, size_t count,
-                                              struct execute_answer *answer)
+enum execute_result adapter_finish_uncommitted(struct backend_connection *connection,
+                                               time_ns deadline, const struct result_limits *limits,
+                                               struct query_reply *replies, size_t count,
+                                               struct execute_answer *answer)
 {
     switch (pipeline_finish(connection, deadline, limits, replies, count)) {
     case PIPELINE_LOST:
@@ -97,14 +95,13 @@
     return EXECUTE_DONE;
 }
 
-/* Sends COMMIT and reads where it was done. The results are recorded in the key's row before. */
-static enum execute_result commit(struct backend_connection *connection,
-                                  const struct adapter_key *key, const struct sql_result *results,
-                                  size_t results_count, time_ns deadline,
-                                  struct execute_answer *answer)
+enum execute_result adapter_send_commit(struct backend_connection *connection,
+                                        const struct adapter_key *key,
+                                        const struct sql_result *results, size_t results_count,
+                                        time_ns deadline, struct execute_answer *answer)
 {
     struct query_reply replies[COMMIT_QUERIES + 1];
-    size_t record_count = has_key(key) && results_count > 0 ? 1 : 0;
+    size_t record_count = adapter_has_key(key) && results_count > 0 ? 1 : 0;
     size_t count = COMMIT_QUERIES + record_count;
     enum execute_result result = EXECUTE_LOST;
     if (connection->state == CONNECTION_STATE_BROKEN || backend_now() >= deadline) {
@@ -126,19 +123,18 @@
     return result;
 }
 
-/* Reads the answers of BEGIN, the claim if there is a key, and the statements. */
-static enum execute_result finish_statements(struct backend_connection *connection,
-                                             const struct adapter_key *key, size_t count,
-                                             time_ns deadline, const struct result_limits *limits,
-                                             struct execute_answer *answer)
+enum execute_result adapter_finish_start(struct backend_connection *connection,
+                                         const struct adapter_key *key, size_t count,
+                                         time_ns deadline, const struct result_limits *limits,
+                                         struct execute_answer *answer)
 {
-    size_t before = has_key(key) ? 2 : 1;
+    size_t before = adapter_has_key(key) ? 2 : 1;
     size_t total = before + count;
     g_autofree struct query_reply *replies = g_new0(struct query_reply, total);
     enum execute_result result =
-        finish_uncommitted(connection, deadline, limits, replies, total, answer);
-    bool claimed =
-        !has_key(key) || replies[1].status != QUERY_STATUS_DONE || ledger_claim_won(&replies[1]);
+        adapter_finish_uncommitted(connection, deadline, limits, replies, total, answer);
+    bool claimed = !adapter_has_key(key) || replies[1].status != QUERY_STATUS_DONE ||
+                   ledger_claim_won(&replies[1]);
     if (!claimed && connection->state != CONNECTION_STATE_BROKEN) {
         /* The statements ran against a key that is taken: whatever they gave is rolled back. */
         adapter_abandon(connection, deadline);
@@ -151,6 +147,16 @@
     return result;
 }
 
+/* Drops the results of a transaction that is not known to be committed. */
+static void clear_results(struct execute_answer *answer)
+{
+    for (size_t i = 0; i < answer->results_count; i++) {
+        sql_result_clear(&answer->results[i]);
+    }
+    g_clear_pointer(&answer->results, g_free);
+    answer->results_count = 0;
+}
+
 enum execute_result adapter_write(struct backend_connection *connection,
                                   const struct adapter_key *key,
                                   const struct sql_statement *statements, size_t count,
@@ -158,14 +164,18 @@
                                   struct execute_answer *answer)
 {
     adapter_send_simple(connection, "BEGIN");
-    if (has_key(key)) {
+    if (adapter_has_key(key)) {
         ledger_send_claim(connection, key, LEDGER_STATE_DONE);
     }
     adapter_send_statements(connection, statements, count);
     enum execute_result result =
-        finish_statements(connection, key, count, deadline, limits, answer);
+        adapter_finish_start(connection, key, count, deadline, limits, answer);
     if (result == EXECUTE_DONE) {
-        result = commit(connection, key, answer->results, answer->results_count, deadline, answer);
+        result = adapter_send_commit(connection, key, answer->results, answer->results_count,
+                                     deadline, answer);
+        if (result != EXECUTE_DONE) {
+            clear_results(answer);
+        }
     }
     adapter_abandon(connection, deadline);
     return result;
@@ -177,9 +187,9 @@
 {
     adapter_send_simple(connection, "BEGIN");
     ledger_send_claim(connection, key, LEDGER_STATE_CLOSED);
-    enum execute_result result = finish_statements(connection, key, 0, deadline, NULL, answer);
+    enum execute_result result = adapter_finish_start(connection, key, 0, deadline, NULL, answer);
     if (result == EXECUTE_DONE) {
-        result = commit(connection, key, NULL, 0, deadline, answer);
+        result = adapter_send_commit(connection, key, NULL, 0, deadline, answer);
         result = result == EXECUTE_DONE ? EXECUTE_KEY_CLOSED : result;
     }
     adapter_abandon(connection, deadline);
