Add the platform stand-in

DynamoDB JSON, a subset of S3 REST and a list of machines that lags, in memory, with faults on demand: down, slow, answer lost after the effect, throttled.

--- /dev/null
+++ b/standins/platform/standin.h
@@ -0,0 +1,55 @@
+/* Stand-in for the platform in tests: a table service (DynamoDB JSON), an object store (S3 REST)
+ * and the list of machines, on one HTTP port of the loopback, in memory. It keeps the published
+ * protocols' shapes, checks no signatures, and shows faults on demand. */
+#ifndef SW_STANDINS_PLATFORM_STANDIN_H
+#define SW_STANDINS_PLATFORM_STANDIN_H
+
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "standins/platform/fault.h"
+
+/* Tables that exist from the start. Listings of the second lag. */
+#define PLATFORM_STANDIN_TABLE         "swiftworks"
+#define PLATFORM_STANDIN_MACHINE_TABLE "machines"
+
+struct platform_standin_options {
+    const char *host;             /* IPv4 number to listen at */
+    uint16_t port;                /* 0: any free port */
+    uint32_t table_rate;          /* requests a second, also the burst; 0: no limit */
+    uint32_t object_rate;         /* likewise, for objects */
+    uint32_t machine_list_lag_ms; /* age of what listings of machines show */
+    int64_t (*now_us)(void);      /* clock; NULL: the monotonic clock */
+};
+
+/* Requests that arrived, and those that met a limit. */
+struct platform_standin_counts {
+    uint64_t table_requests;
+    uint64_t object_requests;
+    uint64_t throttled;
+};
+
+struct platform_standin;
+
+/* Starts serving in threads of its own; NULL with `error` set if it can't listen. */
+struct platform_standin *platform_standin_start(const struct platform_standin_options *options,
+                                                GError **error);
+
+/* Stops serving and frees everything. */
+void platform_standin_stop(struct platform_standin *standin);
+
+/* The port it listens at. */
+uint16_t platform_standin_port(const struct platform_standin *standin);
+
+/* Adds a fault. From any thread. */
+void platform_standin_add_fault(struct platform_standin *standin,
+                                const struct platform_fault *fault);
+
+/* Drops all faults. From any thread. */
+void platform_standin_heal(struct platform_standin *standin);
+
+/* Counts so far. From any thread. */
+struct platform_standin_counts platform_standin_counts(struct platform_standin *standin);
+
+#endif
