Add clients of the table service and the object store

Results are typed by what a caller may do next: only UNKNOWN leaves open whether a write took effect.

--- /dev/null
+++ b/src/platform/machine_list.h
@@ -0,0 +1,32 @@
+/* The platform's list of machines: a hint for first contact that lags behind reality, and never a
+ * source of truth. */
+#ifndef SW_PLATFORM_MACHINE_LIST_H
+#define SW_PLATFORM_MACHINE_LIST_H
+
+#include "platform/table_client.h"
+
+/* One machine of the list. */
+struct machine {
+    char *id;      /* name of the daemon that runs there */
+    char *zone;    /* name of its zone */
+    char *address; /* IP:PORT of the daemon's internal listener */
+    bool leaving;  /* marked by the platform for removal */
+};
+
+/* An array of struct machine that frees its elements. */
+GPtrArray *machine_list_new(void);
+
+/* Reads the whole list into `machines`. Rows that lack an attribute are skipped. On a failure the
+ * array is left as it was. */
+enum platform_result machine_list_read(struct table_client *client, const char *table,
+                                       GPtrArray *machines, GError **error);
+
+/* Writes or replaces a machine's row, as the platform does when it starts or marks a machine. */
+enum platform_result machine_list_write(struct table_client *client, const char *table,
+                                        const struct machine *machine, GError **error);
+
+/* Removes a machine's row. */
+enum platform_result machine_list_remove(struct table_client *client, const char *table,
+                                         const char *id, GError **error);
+
+#endif
--- /dev/null
+++ b/src/platform/object_client.h
@@ -0,0 +1,23 @@
+/* Client of the object store: a subset of the published S3 REST protocol, with typed results. */
+#ifndef SW_PLATFORM_OBJECT_CLIENT_H
+#define SW_PLATFORM_OBJECT_CLIENT_H
+
+#include "platform/http_client.h"
+#include "platform/result.h"
+
+struct object_client;
+
+struct object_client *object_client_new(const struct platform_settings *settings);
+
+void object_client_free(struct object_client *client);
+
+/* Writes an object unless one of this key exists, which gives CONDITION_FAILED. `key` is made of
+ * unreserved URL characters and '/'. Any thread. */
+enum platform_result object_client_put_new(struct object_client *client, const char *key,
+                                           GBytes *bytes, GError **error);
+
+/* Reads an object of at most `bytes_max`; OK: `bytes` is the caller's. Any thread. */
+enum platform_result object_client_get(struct object_client *client, const char *key,
+                                       gsize bytes_max, GBytes **bytes, GError **error);
+
+#endif
--- a/standins/platform/standin.c
+++ b/standins/platform/standin.c
@@ -26,7 +26,9 @@
     struct MHD_Daemon *daemon;
     uint16_t port;
     int64_t (*now_us)(void);
-    GMutex lock; /* guards all below */
+    GMutex lock;  /* guards all below */
+    GCond healed; /* ends the waits of slow requests */
+    uint32_t heals;
     GHashTable *tables;
     GHashTable *objects;
     GArray *faults;
@@ -67,6 +69,16 @@
     return send_answer(connection, status, content_type, text, strlen(text));
 }
 
+/* Waits under the lock for a time or until the faults are healed. */
+static void wait_slow(struct platform_standin *standin, uint32_t delay_ms)
+{
+    gint64 end = g_get_monotonic_time() + (gint64)delay_ms * 1000;
+    uint32_t heals = standin->heals;
+
+    while (standin->heals == heals && g_cond_wait_until(&standin->healed, &standin->lock, end)) {
+    }
+}
+
 /* Counts the request and finds what it meets; rate limits count as throttling. */
 static struct platform_fault_effect begin_request(struct platform_standin *standin,
                                                   enum platform_service service)
@@ -82,10 +94,10 @@
         standin->counts.object_requests++;
     }
     standin->counts.throttled += effect.throttled ? 1 : 0;
-    g_mutex_unlock(&standin->lock);
     if (effect.delay_ms > 0) {
-        g_usleep((gulong)effect.delay_ms * 1000);
+        wait_slow(standin, effect.delay_ms);
     }
+    g_mutex_unlock(&standin->lock);
     return effect;
 }
 
@@ -260,6 +272,7 @@
     struct platform_standin *standin = g_new0(struct platform_standin, 1);
 
     g_mutex_init(&standin->lock);
+    g_cond_init(&standin->healed);
     standin->now_us = options->now_us != NULL ? options->now_us : g_get_monotonic_time;
     standin->tables =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)table_free);
@@ -282,6 +295,7 @@
     g_hash_table_unref(standin->tables);
     g_hash_table_unref(standin->objects);
     g_array_unref(standin->faults);
+    g_cond_clear(&standin->healed);
     g_mutex_clear(&standin->lock);
     g_free(standin);
 }
@@ -313,6 +327,7 @@
 
 void platform_standin_stop(struct platform_standin *standin)
 {
+    platform_standin_heal(standin);
     MHD_stop_daemon(standin->daemon);
     standin_free(standin);
 }
@@ -334,6 +349,8 @@
 {
     g_mutex_lock(&standin->lock);
     g_array_set_size(standin->faults, 0);
+    standin->heals++;
+    g_cond_broadcast(&standin->healed);
     g_mutex_unlock(&standin->lock);
 }
 
--- a/standins/platform/standin.h
+++ b/standins/platform/standin.h
@@ -46,7 +46,7 @@
 void platform_standin_add_fault(struct platform_standin *standin,
                                 const struct platform_fault *fault);
 
-/* Drops all faults. From any thread. */
+/* Drops all faults and lets slow requests go on. From any thread. */
 void platform_standin_heal(struct platform_standin *standin);
 
 /* Counts so far. From any thread. */
--- /dev/null
+++ b/tests/platform/platform_fixture.c
@@ -0,0 +1,41 @@
+/* A platform stand-in in the test's own process. */
+#include "platform_fixture.h"
+
+void platform_fixture_start(struct platform_fixture *fixture,
+                            const struct platform_standin_options *options)
+{
+    g_autoptr(GError) error = NULL;
+
+    fixture->standin = platform_standin_start(options, &error);
+    g_assert_no_error(error);
+    fixture->url = g_strdup_printf("http://127.0.0.1:%u", platform_standin_port(fixture->standin));
+    fixture->settings = platform_settings_default();
+    fixture->settings.table_url = fixture->url;
+    fixture->settings.object_url = fixture->url;
+    fixture->settings.access_key = "test";
+    fixture->settings.secret_key = "test";
+    fixture->settings.connect_timeout_ms = FIXTURE_CALL_TIMEOUT_MS;
+    fixture->settings.call_timeout_ms = FIXTURE_CALL_TIMEOUT_MS;
+}
+
+void platform_fixture_start_plain(struct platform_fixture *fixture)
+{
+    const struct platform_standin_options options = {.host = "127.0.0.1"};
+
+    platform_fixture_start(fixture, &options);
+}
+
+void platform_fixture_stop(struct platform_fixture *fixture)
+{
+    platform_standin_stop(fixture->standin);
+    g_free(fixture->url);
+}
+
+void platform_fixture_fault(struct platform_fixture *fixture, enum platform_fault_kind kind,
+                            enum platform_service service, uint32_t after, uint32_t count)
+{
+    const struct platform_fault fault = {
+        .kind = kind, .service = service, .after = after, .count = count};
+
+    platform_standin_add_fault(fixture->standin, &fault);
+}
