--- /dev/null
+++ b/tools/summarize_tests.py
@@ -0,0 +1,132 @@
+#!/usr/bin/env python3
+"""Counts the test results in a log of `meson test` and ends with the line "N passed, N failed".
+
+Every TAP subtest counts. A program without subtests, or one that failed without a failing subtest
+(it died, timed out or broke its plan), counts as one test under the program's name.
+
+The file of known failures has lines "test-name: cause, issue", three at most. A failure of such a
+test is printed and passed over; a listed test that passes, or that was not run, is reported.
+
+Usage: summarize_tests.py TESTLOG.JSON KNOWN_RED.TXT
+"""
+
+import json
+import re
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+KNOWN_RED_MAX = 3
+TAP_LINE = re.compile(r"^(not ok|ok)\b\s*\d*\s*-?\s*([^#]*?)\s*(?:#\s*(.*))?$")
+PROGRAM_PASSED = ("OK", "EXPECTEDFAIL")
+PROGRAM_SKIPPED = "SKIP"
+
+
+@dataclass
+class Result:
+    """The outcome of one test: "passed", "failed" or "skipped"."""
+
+    name: str
+    outcome: str
+
+
+class KnownRedError(Exception):
+    """The list of known failures is not valid."""
+
+
+def parse_tap(output):
+    """Results of the subtests in a TAP stream. An unfinished test (TODO) counts as failed."""
+    results = []
+    for line in output.splitlines():
+        match = TAP_LINE.match(line)
+        if not match:
+            continue
+        verdict, name, directive = match.groups()
+        if verdict != "ok":
+            outcome = "failed"
+        elif directive and directive.upper().startswith("SKIP"):
+            outcome = "skipped"
+        else:
+            outcome = "passed"
+        results.append(Result(name, outcome))
+    return results
+
+
+def program_results(entry):
+    """Results of one test program, from its entry in the log."""
+    name = entry["name"]
+    results = parse_tap(entry.get("stdout") or "")
+    if entry["result"] == PROGRAM_SKIPPED:
+        return results or [Result(name, "skipped")]
+    if entry["result"] in PROGRAM_PASSED:
+        return results or [Result(name, "passed")]
+    if not any(result.outcome == "failed" for result in results):
+        results.append(Result(name, "failed"))
+    return results
+
+
+def read_log(path):
+    """All results in a log of `meson test`; none if there is no log."""
+    results = []
+    for line in path.read_text(encoding="utf-8").splitlines():
+        if line.strip():
+            results.extend(program_results(json.loads(line)))
+    return results
+
+
+def read_known_red(path):
+    """The known failures: test name to "cause, issue"."""
+    if not path.exists():
+        return {}
+    known = {}
+    for line in path.read_text(encoding="utf-8").splitlines():
+        if not line.strip():
+            continue
+        name, separator, cause = line.partition(": ")
+        if not separator or "," not in cause:
+            raise KnownRedError(f'{path.name}: not "test-name: cause, issue": {line}')
+        known[name.strip()] = cause.strip()
+    if len(known) > KNOWN_RED_MAX:
+        raise KnownRedError(f"{path.name}: {len(known)} lines, at most {KNOWN_RED_MAX} are allowed")
+    return known
+
+
+def summarize(results, known):
+    """Prints the failures and the counts. Returns the exit code."""
+    passed = sum(result.outcome == "passed" for result in results)
+    skipped = sum(result.outcome == "skipped" for result in results)
+    failures = [result.name for result in results if result.outcome == "failed"]
+    red = [name for name in failures if name in known]
+    unexpected = [name for name in failures if name not in known]
+    for name in unexpected:
+        print(f"failed: {name}")
+    for name in red:
+        print(f"known red: {name}: {known[name]}")
+    for name in sorted(set(known) - set(failures)):
+        ran = any(result.name == name and result.outcome == "passed" for result in results)
+        print(f"known red, but {'passed' if ran else 'not run'}: {name}")
+    if skipped:
+        print(f"{skipped} skipped")
+    if red:
+        print(f"{len(red)} known red, not counted as failed")
+    print(f"{passed} passed, {len(unexpected)} failed")
+    return 1 if unexpected else 0
+
+
+def main(arguments):
+    """Entry point; returns the exit code."""
+    if len(arguments) != 2:
+        print("usage: summarize_tests.py TESTLOG.JSON KNOWN_RED.TXT", file=sys.stderr)
+        return 2
+    try:
+        known = read_known_red(Path(arguments[1]))
+        results = read_log(Path(arguments[0]))
+    except (KnownRedError, OSError, json.JSONDecodeError) as error:
+        print(f"failed: {error}")
+        print("0 passed, 1 failed")
+        return 1
+    return summarize(results, known)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
