--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Generates the committed C code under src/generated/ from the schema.
+"""Generates the committed C code under src/generated/, and docs/settings.md, from the schema.
 
 Use:
     tools/generate.py            write the generated files that changed
@@ -17,7 +17,11 @@
     2. "messages": add {"id": 3, "name": "probe", "struct": "probe"} if it travels on its own.
     3. Run tools/generate.py and commit the schema together with src/generated/.
 
-Errors name the file and the place in the schema. clang-format formats the output if it is there.
+To add a setting: add it to schema/settings.json, whose comment tells the types, and run this; the
+reference page docs/settings.md is generated too.
+
+Errors name the file and the place in the schema. clang-format lays
+out the code if it is installed; without it the code is the same but for line breaks.
 """
 
 import argparse
@@ -28,7 +32,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from generator import errors, messages
+from generator import errors, messages, settings
 from generator.schema import SchemaError, read_json
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -41,11 +45,13 @@
     files.update(errors.generate(error_schema, "schema/errors.json"))
     message_schema = read_json(ROOT, "schema/messages.json")
     files.update(messages.generate(message_schema, "schema/messages.json"))
+    setting_schema = read_json(ROOT, "schema/settings.json")
+    files.update(settings.generate(setting_schema, "schema/settings.json"))
     return files
 
 
 def clang_format(text, path):
-    """Formats C by the project's style, or returns it as it is where clang-format is missing."""
+    """Formats C by the project's style; returns it as it is where clang-format is missing."""
     program = shutil.which("clang-format")
     if program is None or not path.endswith((".c", ".h")):
         return text
@@ -53,6 +59,16 @@
     return subprocess.run(command, input=text, capture_output=True, text=True, check=True).stdout
 
 
+def is_current(target, text):
+    """Whether a file holds the text; without clang-format, line breaks and spaces don't count."""
+    if not target.exists():
+        return False
+    present = target.read_text()
+    if shutil.which("clang-format") is None:
+        return "".join(present.split()) == "".join(text.split())
+    return present == text
+
+
 def main():
     parser = argparse.ArgumentParser(description="Generates C code from the schema.")
     parser.add_argument("--check", action="store_true", help="fail if a file would change")
@@ -65,7 +81,7 @@
     for path, text in sorted(files.items()):
         target = ROOT / path
         text = clang_format(text, path)
-        if target.exists() and target.read_text() == text:
+        if is_current(target, text):
             continue
         stale.append(path)
         if not options.check:
--- a/tools/generator/errors.py
+++ b/tools/generator/errors.py
@@ -87,13 +87,13 @@
     source += "static const struct error_entry entries[ERROR_KIND_COUNT] = {\n"
     for kind in kinds:
         constant = f"ERROR_KIND_{kind['name'].upper()}"
-        source += f"    [{constant}] = {{\n"
-        source += f"        .kind = {constant},\n"
-        source += f"        .name = {writer.string(kind['name'])},\n"
-        source += f"        .http_status = {kind['status']},\n"
-        source += f"        .ran = ERROR_RAN_{kind['ran'].upper()},\n"
-        source += f"        .retry = ERROR_RETRY_{kind['retry'].upper()},\n"
-        source += f"        .text = {writer.string(kind['text'])},\n"
-        source += "    },\n"
+        source += f"    [{constant}] =\n        {{\n"
+        source += f"            .kind = {constant},\n"
+        source += f"            .name = {writer.string(kind['name'])},\n"
+        source += f"            .http_status = {kind['status']},\n"
+        source += f"            .ran = ERROR_RAN_{kind['ran'].upper()},\n"
+        source += f"            .retry = ERROR_RETRY_{kind['retry'].upper()},\n"
+        source += f"            .text = {writer.string(kind['text'])},\n"
+        source += "        },\n"
     source += "};\n" + SOURCE_TAIL
     return {"src/generated/errors.h": header, "src/generated/errors.c": source}
--- a/tools/generator/messages.py
+++ b/tools/generator/messages.py
@@ -60,13 +60,14 @@
 
     def declaration(self):
         """The member lines of this field."""
-        lines = [f"    bool has_{self.name};\n"] if self.optional else []
+        lines = [writer.comment(self.comment, 4)] if self.comment else []
+        if self.optional:
+            lines.append(f"    bool has_{self.name};\n")
         if self.is_array:
-            pointer = self.c_type if self.c_type.endswith("*") else self.c_type
-            lines.append(writer.trailing_comment(f"    {pointer}*{self.name};", self.comment))
+            lines.append(f"    {self.c_type}*{self.name};\n")
             lines.append(f"    size_t {self.name}_count;\n")
         else:
-            lines.append(writer.trailing_comment(f"    {self.c_type}{self.name};", self.comment))
+            lines.append(f"    {self.c_type}{self.name};\n")
             if self.type == "bytes":
                 lines.append(f"    size_t {self.name}_length;\n")
         return "".join(lines)
--- a/tools/generator/writer.py
+++ b/tools/generator/writer.py
@@ -17,16 +17,6 @@
     return pad + "/* " + ("\n" + pad + " * ").join(lines) + " */\n"
 
 
-def trailing_comment(line, text):
-    """A declaration with its comment behind it, or above where the line would be too long."""
-    if not text:
-        return line + "\n"
-    joined = f"{line} /* {text} */"
-    if len(joined) <= COLUMNS:
-        return joined + "\n"
-    return comment(text, len(line) - len(line.lstrip())) + line + "\n"
-
-
 def signature(head, parameters, tail):
     """A function's head, its parameters broken as clang-format breaks them."""
     whole = f"{head}({', '.join(parameters)}){tail}"
