Count a closed connection until the database has closed its end

The pool's limit is the database's: a connection opened while the database still counts the closed one would be over it. Tests of the pool and of transactions.

--- a/src/backend/connection.c
+++ b/src/backend/connection.c
@@ -1,15 +1,16 @@
 #include "backend/connection.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <poll.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "backend/clock.h"
 #include "core/error.h"
 #include "generated/errors.h"
 
 #define PORT_TEXT_SIZE 8
+#define DROPPED_SIZE   65536
 
 struct backend_connection *backend_connection_start(const struct connection_settings *settings)
 {
@@ -100,43 +101,25 @@
     g_free(connection);
 }
 
-/* Waits for the peer's end of stream on a socket, dropping what still arrives. */
-static bool wait_for_end_of_stream(int socket_fd, time_ns deadline)
+int backend_connection_close_watched(struct backend_connection *connection)
 {
-    char dropped[512];
-    for (;;) {
-        struct pollfd poll_fd = {.fd = socket_fd, .events = POLLIN};
-        int ready = poll(&poll_fd, 1, backend_poll_ms(deadline, backend_now()));
-        if (ready < 0 && errno == EINTR) {
-            continue;
-        }
-        if (ready <= 0) {
-            return false;
-        }
-        ssize_t received = recv(socket_fd, dropped, sizeof dropped, MSG_DONTWAIT);
-        if (received == 0 || (received < 0 && errno == ECONNRESET)) {
-            return true;
-        }
-        if (received < 0 && errno != EAGAIN && errno != EINTR) {
-            return false;
-        }
+    int socket_fd = connection->pg != NULL ? PQsocket(connection->pg) : -1;
+    int copy = socket_fd >= 0 ? fcntl(socket_fd, F_DUPFD_CLOEXEC, 0) : -1;
+    backend_connection_close(connection);
+    if (copy >= 0) {
+        shutdown(copy, SHUT_WR);
     }
+    return copy;
 }
 
-bool backend_connection_close_confirmed(struct backend_connection *connection, time_ns deadline)
+bool backend_connection_has_ended(int socket_fd)
 {
-    int socket_fd = connection->pg != NULL ? PQsocket(connection->pg) : -1;
-    /* PQfinish sends the terminate message and closes its descriptor; the copy stays to see the
-     * database's end of stream. */
-    int copy = socket_fd >= 0 ? dup(socket_fd) : -1;
-    backend_connection_close(connection);
-    if (copy < 0) {
-        return false;
+    char dropped[DROPPED_SIZE];
+    ssize_t received = recv(socket_fd, dropped, sizeof dropped, MSG_DONTWAIT);
+    if (received >= 0) {
+        return received == 0;
     }
-    shutdown(copy, SHUT_WR);
-    bool confirmed = wait_for_end_of_stream(copy, deadline);
-    close(copy);
-    return confirmed;
+    return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
 }
 
 void backend_connection_break(struct backend_connection *connection)
--- a/src/backend/connection.h
+++ b/src/backend/connection.h
@@ -50,9 +50,13 @@
 /* Closes and frees. NULL is allowed. An open transaction is rolled back by the database. */
 void backend_connection_close(struct backend_connection *connection);
 
-/* Closes and frees, and waits until the database has closed its end too, so that it no longer
- * counts the connection. Returns false if that was not seen by `deadline`. */
-bool backend_connection_close_confirmed(struct backend_connection *connection, time_ns deadline);
+/* Closes and frees, but keeps a copy of the socket to see when the database has closed its end too:
+ * until then it may still count the connection. Returns the copy, for the caller to close, or -1.
+ */
+int backend_connection_close_watched(struct backend_connection *connection);
+
+/* True if the database has closed its end of a socket that is being closed. Never waits. */
+bool backend_connection_has_ended(int socket_fd);
 
 /* Marks that nothing more may be sent: the state at the database is not known. */
 void backend_connection_break(struct backend_connection *connection);
--- a/src/backend/pool.c
+++ b/src/backend/pool.c
@@ -2,13 +2,24 @@
 
 #include <pthread.h>
 #include <stdatomic.h>
+#include <unistd.h>
 
 #include "backend/clock.h"
 #include "core/error.h"
 #include "generated/errors.h"
 
-/* How long a planned close may wait to see the database close its end. */
-#define CLOSE_TIMEOUT_MS 250
+/* A closed connection counts against the limit until the database has closed its end, for so long
+ * at most: a database that takes longer is frozen or cut off. */
+#define ENDING_MAX_MS 5000
+
+/* How often the sockets being closed are looked at, while there are any. */
+#define ENDING_CHECK_MS 2
+
+/* A closed connection whose end at the database has not been seen yet. */
+struct ending {
+    int socket_fd;
+    time_ns until;
+};
 
 /* A thread waiting in pool_acquire, on its own stack. */
 struct waiter {
@@ -37,6 +48,7 @@
     GQueue waiters;       /* of struct waiter */
     GQueue idle;          /* of struct backend_connection; the most recently used at the head */
     GQueue closing;       /* of struct backend_connection, for the maintenance thread to close */
+    GArray *endings;      /* of struct ending; of the maintenance thread */
     uint32_t failures;    /* to open, in a row */
     time_ns next_open_at; /* earliest time of the next opening */
 
@@ -67,9 +79,11 @@
     pthread_cond_signal(&pool->work);
 }
 
+/* True if there are too many connections besides those being closed already. */
 static bool over_limit(const struct pool *pool)
 {
-    return pool->open - g_queue_get_length((GQueue *)&pool->closing) > pool->limit;
+    uint32_t closing = g_queue_get_length((GQueue *)&pool->closing) + pool->endings->len;
+    return pool->open - closing > pool->limit;
 }
 
 /* Leaves a connection to the maintenance thread; it counts as open until it is closed. */
@@ -208,30 +222,56 @@
     offer(pool, connection);
 }
 
-/* Closes one connection, with the lock released meanwhile. */
+static void close_socket(int socket_fd)
+{
+    if (socket_fd >= 0) {
+        close(socket_fd);
+    }
+}
+
+/* Closes one connection; it counts as open until the database has closed its end. */
 static void close_one(struct pool *pool)
 {
     struct backend_connection *connection = g_queue_pop_head(&pool->closing);
-    pthread_mutex_unlock(&pool->lock);
-    if (connection->state == CONNECTION_STATE_BROKEN) {
-        backend_connection_close(connection);
-    } else {
-        time_ns timeout = CLOSE_TIMEOUT_MS * NANOSECONDS_PER_MILLISECOND;
-        backend_connection_close_confirmed(connection, backend_now() + timeout);
+    struct ending ending = {
+        .socket_fd = backend_connection_close_watched(connection),
+        .until = backend_now() + ENDING_MAX_MS * NANOSECONDS_PER_MILLISECOND,
+    };
+    g_array_append_val(pool->endings, ending);
+}
+
+/* Stops counting the connections that have ended. */
+static void check_endings(struct pool *pool)
+{
+    time_ns now = backend_now();
+    for (guint i = pool->endings->len; i > 0; i--) {
+        struct ending *ending = &g_array_index(pool->endings, struct ending, i - 1);
+        bool ended = ending->socket_fd < 0 || backend_connection_has_ended(ending->socket_fd);
+        if (ended || now >= ending->until) {
+            close_socket(ending->socket_fd);
+            g_array_remove_index_fast(pool->endings, i - 1);
+            pool->open--;
+        }
     }
-    pthread_mutex_lock(&pool->lock);
-    pool->open--;
 }
 
-/* Sleeps until there is work, or until an opening that is wanted may start. */
+/* Sleeps until there is work, or an opening that is wanted may start, or sockets being closed are
+ * to be looked at. */
 static void wait_for_work(struct pool *pool)
 {
-    if (!wants_open(pool)) {
+    time_ns until = UINT64_MAX;
+    if (wants_open(pool)) {
+        until = pool->next_open_at;
+    }
+    if (pool->endings->len > 0) {
+        until = MIN(until, backend_now() + ENDING_CHECK_MS * NANOSECONDS_PER_MILLISECOND);
+    }
+    if (until == UINT64_MAX) {
         pthread_cond_wait(&pool->work, &pool->lock);
         return;
     }
-    struct timespec until = backend_timespec(pool->next_open_at);
-    pthread_cond_timedwait(&pool->work, &pool->lock, &until);
+    struct timespec time = backend_timespec(until);
+    pthread_cond_timedwait(&pool->work, &pool->lock, &time);
 }
 
 static void close_idle_over_limit(struct pool *pool)
@@ -241,11 +281,21 @@
     }
 }
 
+/* Forgets the sockets being closed. */
+static void clear_endings(struct pool *pool)
+{
+    for (guint i = 0; i < pool->endings->len; i++) {
+        close_socket(g_array_index(pool->endings, struct ending, i).socket_fd);
+    }
+    g_array_unref(pool->endings);
+}
+
 static void *maintain(void *data)
 {
     struct pool *pool = data;
     pthread_mutex_lock(&pool->lock);
     while (!pool->stopping || !g_queue_is_empty(&pool->closing)) {
+        check_endings(pool);
         if (!g_queue_is_empty(&pool->closing)) {
             close_one(pool);
         } else if (wants_open(pool) && backend_now() >= pool->next_open_at) {
@@ -284,6 +334,7 @@
     copy_options(pool, options);
     pool->reachable = true;
     pool->limit = options->limit;
+    pool->endings = g_array_new(FALSE, FALSE, sizeof(struct ending));
     g_queue_init(&pool->waiters);
     g_queue_init(&pool->idle);
     g_queue_init(&pool->closing);
@@ -304,6 +355,7 @@
     wake_maintenance(pool);
     pthread_mutex_unlock(&pool->lock);
     pthread_join(pool->thread, NULL);
+    clear_endings(pool);
     pthread_cond_destroy(&pool->work);
     pthread_mutex_destroy(&pool->lock);
     g_free(pool->host);
