Add ownership of groups and the connection budget

Owners come from rendezvous hashing with one in each zone of a group; a join costs a hash per group, a loss only the groups that were owned. The budget numbers the connections: a number is a lock at the database itself, so the limit does not depend on views, pauses or clocks.

--- /dev/null
+++ b/src/core/budget.c
@@ -0,0 +1,369 @@
+/* The state machine of one database's connection budget: which numbers to try, keep and give up. */
+#include "core/budget.h"
+
+/* One owner may be replaced by another in each of two views: so many may open at one time. */
+#define OPENERS_PER_OWNER 2
+
+/* Of the limit, one part in this many is kept for new owners that warm up. */
+#define HANDOVER_PART 8
+
+#define DEFAULT_RETRY_WAIT    (500 * NANOSECONDS_PER_MILLISECOND)
+#define DEFAULT_HANDOVER_TIME (5 * NANOSECONDS_PER_SECOND)
+
+struct budget_slot {
+    enum budget_slot_state state;
+    time_ns retry_at; /* not to be tried before */
+};
+
+struct budget {
+    struct budget_options options;
+    int32_t position;
+    bool handing_over; /* the last change of place leaves the old owner alive */
+    bool warm_told;
+    bool released_told;
+    time_ns close_by; /* end of the time for hand-over after the last change of place */
+    struct budget_slot slots[BUDGET_CONNECTIONS_MAX];
+};
+
+void budget_options_for(struct budget_options *options, uint32_t limit, uint32_t owners)
+{
+    g_assert(owners > 0);
+    options->limit = MIN(limit, BUDGET_CONNECTIONS_MAX);
+    options->owners = owners;
+    options->opening_reserve = MIN(OPENERS_PER_OWNER * owners, options->limit / 2);
+    options->handover = options->limit / HANDOVER_PART;
+    options->retry_wait = DEFAULT_RETRY_WAIT;
+    options->handover_time = DEFAULT_HANDOVER_TIME;
+}
+
+uint32_t budget_numbers(const struct budget_options *options)
+{
+    return options->limit - options->opening_reserve;
+}
+
+uint32_t budget_share(const struct budget_options *options)
+{
+    return (budget_numbers(options) - options->handover) / options->owners;
+}
+
+struct budget *budget_new(const struct budget_options *options)
+{
+    struct budget *budget = g_new0(struct budget, 1);
+    budget->options = *options;
+    budget->position = -1;
+    budget->released_told = true;
+    return budget;
+}
+
+void budget_free(struct budget *budget)
+{
+    g_free(budget);
+}
+
+static void add_action(GArray *actions, enum budget_action_kind kind, uint32_t number)
+{
+    struct budget_action action = {kind, number};
+    g_array_append_val(actions, action);
+}
+
+static uint32_t count_state(const struct budget *budget, enum budget_slot_state state)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < budget_numbers(&budget->options); i++) {
+        count += budget->slots[i].state == state;
+    }
+    return count;
+}
+
+uint32_t budget_held(const struct budget *budget)
+{
+    return count_state(budget, BUDGET_SLOT_HELD);
+}
+
+uint32_t budget_counted(const struct budget *budget)
+{
+    return budget_numbers(&budget->options) - count_state(budget, BUDGET_SLOT_FREE);
+}
+
+enum budget_slot_state budget_slot(const struct budget *budget, uint32_t number)
+{
+    return budget->slots[number].state;
+}
+
+bool budget_serving(const struct budget *budget)
+{
+    bool wanted = budget->position >= 0 || budget->handing_over;
+    return wanted && budget_held(budget) > 0;
+}
+
+/* First number of this daemon's share, and the one behind its last. */
+static uint32_t share_start(const struct budget *budget)
+{
+    return (uint32_t)budget->position * budget_share(&budget->options);
+}
+
+static uint32_t share_end(const struct budget *budget)
+{
+    return share_start(budget) + budget_share(&budget->options);
+}
+
+static uint32_t handover_start(const struct budget *budget)
+{
+    return budget_numbers(&budget->options) - budget->options.handover;
+}
+
+static bool in_share(const struct budget *budget, uint32_t number)
+{
+    return budget->position >= 0 && number >= share_start(budget) && number < share_end(budget);
+}
+
+static uint32_t held_in_share(const struct budget *budget)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < budget_numbers(&budget->options); i++) {
+        count += in_share(budget, i) && budget->slots[i].state == BUDGET_SLOT_HELD;
+    }
+    return count;
+}
+
+/* Connections with which a new owner can serve. */
+static uint32_t warm_count(const struct budget *budget)
+{
+    uint32_t share = budget_share(&budget->options);
+    return MAX(1, MIN(share, budget->options.handover));
+}
+
+/* The first free number of a span that may be tried now, or -1. */
+static int32_t free_number(const struct budget *budget, uint32_t start, uint32_t end, time_ns now)
+{
+    for (uint32_t i = start; i < end; i++) {
+        bool free = budget->slots[i].state == BUDGET_SLOT_FREE;
+        if (free && budget->slots[i].retry_at <= now) {
+            return (int32_t)i;
+        }
+    }
+    return -1;
+}
+
+/* The number to try next, or -1. The share comes first, save where the old owner still holds it;
+ * numbers for hand-over only until this daemon is warm. */
+static int32_t next_number(const struct budget *budget, time_ns now)
+{
+    bool cold = budget_held(budget) < warm_count(budget);
+    int32_t spare = -1;
+    if (cold) {
+        spare = free_number(budget, handover_start(budget), budget_numbers(&budget->options), now);
+    }
+    if (budget->handing_over && spare >= 0) {
+        return spare;
+    }
+    int32_t own = free_number(budget, share_start(budget), share_end(budget), now);
+    return own >= 0 ? own : spare;
+}
+
+/* Opens the next connection. One at a time: only one of this daemon's connections to the database
+ * has no number yet, which is what the opening reserve counts on. */
+static void open_next(struct budget *budget, time_ns now, GArray *actions)
+{
+    if (budget->position < 0 || count_state(budget, BUDGET_SLOT_OPENING) > 0) {
+        return;
+    }
+    int32_t number = next_number(budget, now);
+    if (number < 0) {
+        return;
+    }
+    budget->slots[number].state = BUDGET_SLOT_OPENING;
+    add_action(actions, BUDGET_ACTION_OPEN, (uint32_t)number);
+}
+
+static void close_slot(struct budget *budget, uint32_t number, GArray *actions)
+{
+    if (budget->slots[number].state != BUDGET_SLOT_HELD) {
+        return;
+    }
+    budget->slots[number].state = BUDGET_SLOT_CLOSING;
+    add_action(actions, BUDGET_ACTION_CLOSE, number);
+}
+
+static void close_all(struct budget *budget, GArray *actions)
+{
+    for (uint32_t i = 0; i < budget_numbers(&budget->options); i++) {
+        close_slot(budget, i, actions);
+    }
+}
+
+static bool in_handover(const struct budget *budget, uint32_t number)
+{
+    return number >= handover_start(budget);
+}
+
+/* Connections held on numbers that belong to another owner's share. */
+static uint32_t held_of_others(const struct budget *budget)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < handover_start(budget); i++) {
+        count += !in_share(budget, i) && budget->slots[i].state == BUDGET_SLOT_HELD;
+    }
+    return count;
+}
+
+/* After a change of place, gives back the numbers of other owners' shares: once this daemon is warm
+ * without them, and at the latest when the time for hand-over ends, as two owners may each wait for
+ * the other's. */
+static void close_others_numbers(struct budget *budget, time_ns now, GArray *actions)
+{
+    uint32_t others = held_of_others(budget);
+    bool warm = budget_held(budget) - others >= warm_count(budget);
+    if (others == 0 || (!warm && now < budget->close_by)) {
+        return;
+    }
+    for (uint32_t i = 0; i < handover_start(budget); i++) {
+        if (!in_share(budget, i)) {
+            close_slot(budget, i, actions);
+        }
+    }
+}
+
+/* Gives back the numbers for hand-over once the share itself is held. */
+static void close_handover_numbers(struct budget *budget, GArray *actions)
+{
+    if (held_in_share(budget) < budget_share(&budget->options)) {
+        return;
+    }
+    for (uint32_t i = 0; i < budget_numbers(&budget->options); i++) {
+        if (in_handover(budget, i)) {
+            close_slot(budget, i, actions);
+        }
+    }
+}
+
+/* Without a place: serves on until another is warm or the time is over, then closes. */
+static void advance_without_place(struct budget *budget, time_ns now, GArray *actions)
+{
+    if (!budget->handing_over || now >= budget->close_by) {
+        budget->handing_over = false;
+        close_all(budget, actions);
+    }
+    if (budget_counted(budget) == 0 && !budget->released_told) {
+        budget->released_told = true;
+        add_action(actions, BUDGET_ACTION_RELEASED, 0);
+    }
+}
+
+static void advance(struct budget *budget, time_ns now, GArray *actions)
+{
+    if (budget->position < 0) {
+        advance_without_place(budget, now, actions);
+        return;
+    }
+    if (!budget->warm_told && budget_held(budget) >= warm_count(budget)) {
+        budget->warm_told = true;
+        add_action(actions, BUDGET_ACTION_WARM, 0);
+    }
+    close_others_numbers(budget, now, actions);
+    close_handover_numbers(budget, actions);
+    open_next(budget, now, actions);
+}
+
+/* Makes all numbers worth another try. */
+static void forget_refusals(struct budget *budget)
+{
+    for (uint32_t i = 0; i < BUDGET_CONNECTIONS_MAX; i++) {
+        budget->slots[i].retry_at = 0;
+    }
+}
+
+void budget_set_position(struct budget *budget, int32_t position, bool handing_over, time_ns now,
+                         GArray *actions)
+{
+    g_assert(position < (int32_t)budget->options.owners);
+    if (position != budget->position) {
+        budget->position = position;
+        budget->handing_over = handing_over;
+        budget->close_by = now + budget->options.handover_time;
+        budget->warm_told = position < 0;
+        budget->released_told = position < 0 && budget_counted(budget) == 0;
+        forget_refusals(budget);
+    }
+    advance(budget, now, actions);
+}
+
+void budget_peer_warm(struct budget *budget, time_ns now, GArray *actions)
+{
+    if (budget->position < 0) {
+        budget->handing_over = false;
+    }
+    advance(budget, now, actions);
+}
+
+void budget_peer_released(struct budget *budget, time_ns now, GArray *actions)
+{
+    if (budget->position >= 0) {
+        budget->handing_over = false;
+    }
+    forget_refusals(budget);
+    advance(budget, now, actions);
+}
+
+void budget_opened(struct budget *budget, uint32_t number, time_ns now, GArray *actions)
+{
+    budget->slots[number].state = BUDGET_SLOT_HELD;
+    advance(budget, now, actions);
+}
+
+/* A number that could not be had is left alone for a while. */
+static void set_free(struct budget *budget, uint32_t number, time_ns retry_at)
+{
+    budget->slots[number].state = BUDGET_SLOT_FREE;
+    budget->slots[number].retry_at = retry_at;
+}
+
+void budget_number_taken(struct budget *budget, uint32_t number, time_ns now, GArray *actions)
+{
+    set_free(budget, number, now + budget->options.retry_wait);
+    advance(budget, now, actions);
+}
+
+void budget_failed(struct budget *budget, uint32_t number, time_ns now, GArray *actions)
+{
+    set_free(budget, number, now + budget->options.retry_wait);
+    for (uint32_t i = 0; i < BUDGET_CONNECTIONS_MAX; i++) {
+        budget->slots[i].retry_at =
+            MAX(budget->slots[i].retry_at, now + budget->options.retry_wait);
+    }
+    advance(budget, now, actions);
+}
+
+void budget_closed(struct budget *budget, uint32_t number, time_ns now, GArray *actions)
+{
+    set_free(budget, number, now);
+    advance(budget, now, actions);
+}
+
+void budget_tick(struct budget *budget, time_ns now, GArray *actions)
+{
+    advance(budget, now, actions);
+}
+
+time_ns budget_next_wakeup(const struct budget *budget)
+{
+    if (budget->position < 0) {
+        bool waiting = budget->handing_over && budget_counted(budget) > 0;
+        return waiting ? budget->close_by : UINT64_MAX;
+    }
+    time_ns wakeup = held_of_others(budget) > 0 ? budget->close_by : UINT64_MAX;
+    if (count_state(budget, BUDGET_SLOT_OPENING) > 0) {
+        return wakeup;
+    }
+    for (uint32_t i = share_start(budget); i < share_end(budget); i++) {
+        if (budget->slots[i].state == BUDGET_SLOT_FREE) {
+            wakeup = MIN(wakeup, budget->slots[i].retry_at);
+        }
+    }
+    return wakeup;
+}
+
+size_t budget_memory(const struct budget *budget)
+{
+    return sizeof(*budget);
+}
--- /dev/null
+++ b/src/core/ownership.h
@@ -0,0 +1,81 @@
+/* Owners of database groups. Each group has a few owner daemons that hold its connections and watch
+ * it; all daemons work them out alike from the members, by rendezvous hashing with one owner in
+ * each zone of the group. A joining member costs one hash per group; a member that goes costs the
+ * groups that it owned. See docs/design/ownership.md. */
+#ifndef SW_CORE_OWNERSHIP_H
+#define SW_CORE_OWNERSHIP_H
+
+#include "core/membership.h"
+#include "core/types.h"
+
+#include <glib.h>
+
+/* Owners of one group, at most. */
+#define OWNERSHIP_OWNERS_MAX 9
+
+/* A daemon that may own groups: alive and not leaving. */
+struct ownership_member {
+    uint64_t id;
+    uint16_t zone;
+};
+
+/* Where the databases of a group are: each zone once. */
+struct ownership_group {
+    uint32_t group;
+    uint32_t zone_count;
+    uint16_t zones[GROUP_DATABASES_MAX];
+};
+
+struct ownership_options {
+    uint32_t owners;        /* per group, at most OWNERSHIP_OWNERS_MAX */
+    uint32_t all_own_up_to; /* with this many members or fewer, each owns every group */
+};
+
+/* The owners of a group among the members, into `owners` (room for OWNERSHIP_OWNERS_MAX): the
+ * highest ranked of each zone of the group in the order of its zones, then the highest ranked of
+ * those left in its zones, then any. Returns how many. Depends on the members' set only, not on
+ * their order. */
+size_t ownership_owners_of(const struct ownership_options *options,
+                           const struct ownership_group *group,
+                           const struct ownership_member *members, size_t member_count,
+                           uint64_t *owners);
+
+/* A group whose owners changed. */
+struct ownership_change {
+    uint32_t group;
+    int32_t position_before; /* of this daemon among the owners, or -1 */
+    int32_t position;
+};
+
+/* Owners of all groups, kept up to date. One thread only: the control thread. */
+struct ownership;
+
+void ownership_options_default(struct ownership_options *options);
+
+struct ownership *ownership_new(const struct ownership_options *options, uint64_t self_id);
+void ownership_free(struct ownership *ownership);
+
+/* Replaces the groups. Appends what changed to `changes` (struct ownership_change). */
+void ownership_set_groups(struct ownership *ownership, const struct ownership_group *groups,
+                          size_t count, GArray *changes);
+
+/* Takes in what membership tells of a member: adds it while it is alive or suspect and not leaving,
+ * else removes it. Appends what changed to `changes`. */
+void ownership_set_member(struct ownership *ownership, const struct member *member,
+                          GArray *changes);
+
+/* Removes a member that membership has forgotten. */
+void ownership_remove_member(struct ownership *ownership, uint64_t id, GArray *changes);
+
+/* Owners of a group, into `owners` (room for OWNERSHIP_OWNERS_MAX). Returns how many; 0 if the
+ * group is not known. */
+size_t ownership_owners(const struct ownership *ownership, uint32_t group, uint64_t *owners);
+
+/* This daemon's place among the group's owners, or -1. */
+int32_t ownership_position(const struct ownership *ownership, uint32_t group);
+
+/* Octets of memory held, and rank computations made so far. */
+size_t ownership_memory(const struct ownership *ownership);
+uint64_t ownership_ranks_computed(const struct ownership *ownership);
+
+#endif
