--- a/tests/core/budget_test.c
+++ b/tests/core/budget_test.c
@@ -67,6 +67,16 @@
     g_assert_cmpuint(count, <=, world->database.limit);
 }
 
+/* The opening reserve counts on it that a daemon has one connection without a number at most. */
+static void check_one_opening(const struct world *world, const struct pending *opening)
+{
+    for (guint i = 0; i < world->pending->len; i++) {
+        const struct pending *other = &g_array_index(world->pending, struct pending, i);
+        bool same = other->daemon == opening->daemon && other->life == opening->life;
+        g_assert_false(same && other->kind == STEP_LOCK);
+    }
+}
+
 static void add_pending(struct world *world, enum step_kind kind, uint32_t daemon, uint32_t number)
 {
     struct pending pending = {kind, daemon, world->daemons[daemon].life, number, false};
@@ -158,6 +168,7 @@
         }
         world->database.unnumbered++;
         check_limit(world);
+        check_one_opening(world, &pending);
         add_pending(world, STEP_LOCK, pending.daemon, pending.number);
         return;
     case STEP_LOCK:
