Publish configurations by a conditional move of the head

The decisions are a state machine apart from input and output. After a move without an answer only the head or the history, read by request id, decides the outcome; a deadline before that ends as unknown.

--- /dev/null
+++ b/src/configuration/publish.c
@@ -0,0 +1,179 @@
+/* Publishing a configuration. */
+#include "configuration/publish.h"
+
+#include <inttypes.h>
+
+#include "core/error.h"
+
+/* One run of the flow. */
+struct publish_run {
+    struct version_store *store;
+    const struct publish_order *order;
+    struct publish_flow flow;
+    struct version_row *last_row; /* what was read last; the winner on a conflict */
+    GError *last_error;           /* of the last call that failed */
+};
+
+static uint64_t now_ms(void)
+{
+    return (uint64_t)g_get_monotonic_time() / 1000;
+}
+
+static struct publish_moment this_moment(void)
+{
+    return (struct publish_moment){now_ms(), g_random_int()};
+}
+
+static void keep_row(struct publish_run *run, struct version_row *row)
+{
+    version_row_free(run->last_row);
+    run->last_row = row;
+}
+
+static void read_head(struct publish_run *run)
+{
+    struct version_row *row = NULL;
+    enum platform_result result = version_store_read_head(run->store, &row, &run->last_error);
+
+    publish_flow_on_head(&run->flow, result, row, this_moment());
+    keep_row(run, row);
+}
+
+static void read_version(struct publish_run *run)
+{
+    struct version_row *row = NULL;
+    enum platform_result result =
+        version_store_read_version(run->store, run->flow.request.base + 1, &row, &run->last_error);
+
+    publish_flow_on_version(&run->flow, result, row, this_moment());
+    keep_row(run, row);
+}
+
+static void put_bundle(struct publish_run *run)
+{
+    const struct configuration *configuration = run->order->configuration;
+    enum platform_result result =
+        version_store_put_bundle(run->store, configuration_hash(configuration),
+                                 configuration_canonical(configuration), &run->last_error);
+
+    publish_flow_on_bundle(&run->flow, result, this_moment());
+}
+
+static void move_head(struct publish_run *run)
+{
+    const struct publish_order *order = run->order;
+    const struct version_row row = {
+        .version = run->flow.request.base + 1,
+        .hash = (char *)configuration_hash(order->configuration),
+        .request_id = (char *)order->request_id,
+        .author = (char *)order->author,
+        .message = (char *)order->message,
+        .published_at = (uint64_t)(g_get_real_time() / G_USEC_PER_SEC),
+    };
+    enum platform_result result = version_store_move_head(run->store, &row, &run->last_error);
+
+    publish_flow_on_move(&run->flow, result, this_moment());
+}
+
+static void take_step(struct publish_run *run)
+{
+    g_clear_error(&run->last_error);
+    switch (run->flow.action) {
+    case PUBLISH_ACTION_READ_HEAD:
+        read_head(run);
+        return;
+    case PUBLISH_ACTION_READ_VERSION:
+        read_version(run);
+        return;
+    case PUBLISH_ACTION_PUT_BUNDLE:
+        put_bundle(run);
+        return;
+    case PUBLISH_ACTION_MOVE_HEAD:
+        move_head(run);
+        return;
+    case PUBLISH_ACTION_WAIT:
+    case PUBLISH_ACTION_FINISH:
+        return;
+    }
+}
+
+/* Waits keep the last error, which explains an outcome by the deadline. */
+static void run_flow(struct publish_run *run)
+{
+    while (run->flow.action != PUBLISH_ACTION_FINISH) {
+        if (run->flow.action == PUBLISH_ACTION_WAIT) {
+            g_usleep((gulong)run->flow.wait_ms * 1000);
+            publish_flow_on_waited(&run->flow);
+        } else {
+            take_step(run);
+        }
+    }
+}
+
+static void set_conflict(const struct version_row *winner, GError **error)
+{
+    g_set_error(error, SW_ERROR, ERROR_KIND_PUBLISH_CONFLICT,
+                "version %" PRIu64 " was published by %s (request %s): %s", winner->version,
+                winner->author, winner->request_id, winner->message);
+}
+
+static void set_error(const struct publish_run *run, GError **error)
+{
+    const struct publish_flow *flow = &run->flow;
+    const char *cause = run->last_error != NULL ? run->last_error->message : "no answer";
+
+    switch (flow->status) {
+    case PUBLISH_STATUS_CONFLICT:
+        set_conflict(run->last_row, error);
+        return;
+    case PUBLISH_STATUS_NO_BASE:
+        g_set_error(error, SW_ERROR, ERROR_KIND_BAD_REQUEST,
+                    "version %" PRIu64 " does not exist; the newest is %" PRIu64,
+                    flow->request.base, flow->version);
+        return;
+    case PUBLISH_STATUS_UNKNOWN:
+        g_set_error(error, SW_ERROR, ERROR_KIND_OUTCOME_UNKNOWN,
+                    "the move to version %" PRIu64 " got no answer (%s); ask again with request "
+                    "id %s and base %" PRIu64,
+                    flow->request.base + 1, cause, flow->request.request_id, flow->request.base);
+        return;
+    default:
+        g_set_error(error, SW_ERROR, ERROR_KIND_STORE_UNAVAILABLE, "not published: %s", cause);
+        return;
+    }
+}
+
+bool publish_configuration(struct version_store *store, const struct publish_order *order,
+                           struct publish_outcome *outcome, GError **error)
+{
+    struct publish_run run = {.store = store, .order = order};
+    const struct publish_request request = {
+        .request_id = order->request_id,
+        .hash = configuration_hash(order->configuration),
+        .has_base = order->has_base,
+        .base = order->base,
+        .deadline_ms = now_ms() + order->timeout_ms,
+        .retries_max = order->retries_max,
+        .backoff = order->backoff,
+    };
+
+    publish_flow_start(&run.flow, &request);
+    run_flow(&run);
+    *outcome = (struct publish_outcome){.status = run.flow.status, .version = run.flow.version};
+    bool in_force =
+        run.flow.status == PUBLISH_STATUS_ACCEPTED || run.flow.status == PUBLISH_STATUS_UNCHANGED;
+    if (!in_force) {
+        set_error(&run, error);
+    }
+    if (run.flow.status == PUBLISH_STATUS_CONFLICT) {
+        outcome->winner = g_steal_pointer(&run.last_row);
+    }
+    version_row_free(run.last_row);
+    g_clear_error(&run.last_error);
+    return in_force;
+}
+
+void publish_outcome_clear(struct publish_outcome *outcome)
+{
+    g_clear_pointer(&outcome->winner, version_row_free);
+}
--- /dev/null
+++ b/tests/configuration/test_publish.c
@@ -0,0 +1,331 @@
+/* Publishing against the platform stand-in: races, lost answers, throttling, a store that is down.
+ */
+#include "configuration/publish.h"
+
+#include <string.h>
+
+#include "configuration/problem.h"
+#include "core/error.h"
+#include "platform_fixture.h"
+
+/* A stand-in, a store, and two bundles that differ. */
+struct publish_test {
+    struct platform_fixture platform;
+    struct version_store *store;
+    struct configuration *first;
+    struct configuration *second;
+};
+
+static struct configuration *parse_example(const char *directory)
+{
+    g_autofree char *path =
+        g_build_filename(g_getenv("CONFIGURATION_EXAMPLES"), directory, "configuration.json", NULL);
+    g_autofree char *text = NULL;
+    g_autoptr(GPtrArray) problems = configuration_problems_new();
+    struct configuration *configuration = NULL;
+
+    g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+    g_assert_true(configuration_parse(text, strlen(text), path, &configuration, problems));
+    return configuration;
+}
+
+static void set_up(struct publish_test *test, gconstpointer unused)
+{
+    platform_fixture_start_plain(&test->platform);
+    test->store = version_store_new(&test->platform.settings);
+    test->first = parse_example("atlas-huts");
+    test->second = parse_example("kitakaze-meters");
+}
+
+static void tear_down(struct publish_test *test, gconstpointer unused)
+{
+    version_store_free(test->store);
+    configuration_unref(test->first);
+    configuration_unref(test->second);
+    platform_fixture_stop(&test->platform);
+}
+
+static struct publish_order make_order(const struct configuration *configuration,
+                                       const char *request_id, uint64_t base)
+{
+    return (struct publish_order){
+        .configuration = configuration,
+        .request_id = request_id,
+        .author = "amina",
+        .message = "more beds",
+        .has_base = true,
+        .base = base,
+        .timeout_ms = FIXTURE_CALL_TIMEOUT_MS,
+        .backoff = {.base_ms = 1, .maximum_ms = 4},
+    };
+}
+
+static void assert_published(struct publish_test *test, const struct publish_order *order,
+                             uint64_t version)
+{
+    struct publish_outcome outcome;
+    g_autoptr(GError) error = NULL;
+
+    bool in_force = publish_configuration(test->store, order, &outcome, &error);
+    g_assert_no_error(error);
+    g_assert_true(in_force);
+    g_assert_cmpuint(outcome.version, ==, version);
+    publish_outcome_clear(&outcome);
+}
+
+static void assert_refused(struct publish_test *test, const struct publish_order *order,
+                           enum error_kind kind, const char *message)
+{
+    struct publish_outcome outcome;
+    g_autoptr(GError) error = NULL;
+
+    g_assert_false(publish_configuration(test->store, order, &outcome, &error));
+    g_assert_error(error, SW_ERROR, (gint)kind);
+    g_assert_cmpstr(error->message, ==, message);
+    publish_outcome_clear(&outcome);
+}
+
+static guint count_versions(struct publish_test *test)
+{
+    g_autoptr(GPtrArray) rows = g_ptr_array_new_with_free_func((GDestroyNotify)version_row_free);
+
+    g_assert_cmpint(version_store_list(test->store, 0, 0, rows, NULL), ==, PLATFORM_RESULT_OK);
+    return rows->len;
+}
+
+static void test_versions_follow_each_other(struct publish_test *test, gconstpointer unused)
+{
+    struct publish_order order = make_order(test->first, "r1", 0);
+    struct version_row *head = NULL;
+    g_autoptr(GBytes) bundle = NULL;
+
+    assert_published(test, &order, 1);
+    order = make_order(test->second, "r2", 1);
+    assert_published(test, &order, 2);
+    g_assert_cmpint(version_store_read_head(test->store, &head, NULL), ==, PLATFORM_RESULT_OK);
+    g_assert_cmpuint(head->version, ==, 2);
+    g_assert_cmpstr(head->author, ==, "amina");
+    g_assert_cmpint(version_store_get_bundle(test->store, head->hash, &bundle, NULL), ==,
+                    PLATFORM_RESULT_OK);
+    g_assert_true(g_bytes_equal(bundle, configuration_canonical(test->second)));
+    g_assert_cmpuint(count_versions(test), ==, 2);
+    version_row_free(head);
+}
+
+static void test_history_pages(struct publish_test *test, gconstpointer unused)
+{
+    g_autoptr(GPtrArray) rows = g_ptr_array_new_with_free_func((GDestroyNotify)version_row_free);
+
+    for (uint64_t base = 0; base < 5; base++) {
+        g_autofree char *request_id = g_strdup_printf("r%u", (unsigned)base);
+        struct publish_order order =
+            make_order(base % 2 == 0 ? test->first : test->second, request_id, base);
+        assert_published(test, &order, base + 1);
+    }
+    version_store_list(test->store, 0, 2, rows, NULL);
+    version_store_list(test->store, 4, 2, rows, NULL);
+    g_assert_cmpuint(rows->len, ==, 4);
+    for (guint i = 0; i < rows->len; i++) {
+        const struct version_row *row = g_ptr_array_index(rows, i);
+        g_assert_cmpuint(row->version, ==, 5 - i);
+    }
+}
+
+static void test_conflict_names_the_winner(struct publish_test *test, gconstpointer unused)
+{
+    struct publish_order winner = make_order(test->first, "r1", 0);
+    struct publish_order loser = make_order(test->second, "r2", 0);
+
+    winner.author = "kenji";
+    winner.message = "winter rates";
+    assert_published(test, &winner, 1);
+    assert_refused(test, &loser, ERROR_KIND_PUBLISH_CONFLICT,
+                   "version 1 was published by kenji (request r1): winter rates");
+}
+
+static void test_base_that_does_not_exist(struct publish_test *test, gconstpointer unused)
+{
+    struct publish_order order = make_order(test->first, "r1", 7);
+
+    assert_refused(test, &order, ERROR_KIND_BAD_REQUEST,
+                   "version 7 does not exist; the newest is 0");
+}
+
+static void test_same_bundle_makes_no_version(struct publish_test *test, gconstpointer unused)
+{
+    struct publish_order order = make_order(test->first, "r1", 0);
+
+    assert_published(test, &order, 1);
+    order = make_order(test->first, "r2", 1);
+    assert_published(test, &order, 1);
+    g_assert_cmpuint(count_versions(test), ==, 1);
+}
+
+/* Asking again with the same request id and base, even after others went on, finds the version. */
+static void test_asking_again_finds_the_version(struct publish_test *test, gconstpointer unused)
+{
+    struct publish_order first = make_order(test->first, "r1", 0);
+    struct publish_order second = make_order(test->second, "r2", 1);
+    struct publish_order third = make_order(test->first, "r3", 2);
+
+    assert_published(test, &first, 1);
+    assert_published(test, &first, 1);
+    assert_published(test, &second, 2);
+    assert_published(test, &third, 3);
+    assert_published(test, &first, 1);
+    g_assert_cmpuint(count_versions(test), ==, 3);
+}
+
+/* The calls of an undisturbed publication: read the head, put the bundle, move the head. Each fault
+ * hits each call once; the version is made once all the same. */
+static void test_fault_at_each_call(struct publish_test *test, gconstpointer unused)
+{
+    static const enum platform_fault_kind kinds[] = {PLATFORM_FAULT_ANSWER_LOST,
+                                                     PLATFORM_FAULT_DOWN, PLATFORM_FAULT_THROTTLE};
+    uint64_t base = 0;
+
+    for (guint kind = 0; kind < G_N_ELEMENTS(kinds); kind++) {
+        for (uint32_t call = 0; call < 3; call++) {
+            g_autofree char *request_id = g_strdup_printf("r%u", (unsigned)base);
+            struct publish_order order =
+                make_order(base % 2 == 0 ? test->first : test->second, request_id, base);
+            platform_fixture_fault(&test->platform, kinds[kind], PLATFORM_SERVICE_BOTH, call, 1);
+            assert_published(test, &order, base + 1);
+            base++;
+            g_assert_cmpuint(count_versions(test), ==, base);
+        }
+    }
+}
+
+static void test_throttling_is_waited_out(struct publish_test *test, gconstpointer unused)
+{
+    struct publish_order order = make_order(test->first, "r1", 0);
+
+    platform_fixture_fault(&test->platform, PLATFORM_FAULT_THROTTLE, PLATFORM_SERVICE_BOTH, 1, 6);
+    assert_published(test, &order, 1);
+    g_assert_cmpuint(platform_standin_counts(test->platform.standin).throttled, ==, 6);
+}
+
+static void test_store_that_throttles_for_good(struct publish_test *test, gconstpointer unused)
+{
+    struct publish_order order = make_order(test->first, "r1", 0);
+
+    order.retries_max = 5;
+    platform_fixture_fault(&test->platform, PLATFORM_FAULT_THROTTLE, PLATFORM_SERVICE_TABLE, 0, 0);
+    assert_refused(
+        test, &order, ERROR_KIND_STORE_UNAVAILABLE,
+        "not published: table service: ProvisionedThroughputExceededException: The level "
+        "of configured provisioned throughput for the table was exceeded");
+    platform_standin_heal(test->platform.standin);
+    g_assert_cmpuint(count_versions(test), ==, 0);
+}
+
+static void test_unreachable_store(void)
+{
+    struct publish_test test;
+    struct publish_outcome outcome;
+    g_autoptr(GError) error = NULL;
+
+    set_up(&test, NULL);
+    platform_standin_stop(test.platform.standin);
+    struct publish_order order = make_order(test.first, "r1", 0);
+    order.retries_max = 5;
+    g_assert_false(publish_configuration(test.store, &order, &outcome, &error));
+    g_assert_error(error, SW_ERROR, ERROR_KIND_STORE_UNAVAILABLE);
+    g_assert_true(g_str_has_prefix(error->message, "not published: http://127.0.0.1:"));
+    version_store_free(test.store);
+    configuration_unref(test.first);
+    configuration_unref(test.second);
+    g_free(test.platform.url);
+}
+
+/* The move took effect, and no later call is answered: the outcome stays open until asked again. */
+static void test_lost_answer_with_the_store_down(struct publish_test *test, gconstpointer unused)
+{
+    struct publish_order order = make_order(test->first, "r1", 0);
+    struct publish_outcome outcome;
+    g_autoptr(GError) error = NULL;
+
+    platform_fixture_fault(&test->platform, PLATFORM_FAULT_ANSWER_LOST, PLATFORM_SERVICE_TABLE, 1,
+                           1);
+    platform_fixture_fault(&test->platform, PLATFORM_FAULT_DOWN, PLATFORM_SERVICE_TABLE, 2, 0);
+    order.retries_max = 3;
+    g_assert_false(publish_configuration(test->store, &order, &outcome, &error));
+    g_assert_error(error, SW_ERROR, ERROR_KIND_OUTCOME_UNKNOWN);
+    g_assert_nonnull(strstr(error->message, "ask again with request id r1 and base 0"));
+    platform_standin_heal(test->platform.standin);
+    order.retries_max = 0;
+    assert_published(test, &order, 1);
+}
+
+/* One racing operator. */
+struct racer {
+    struct publish_test *test;
+    const struct configuration *configuration;
+    char request_id[16];
+    enum publish_status status;
+    uint64_t version;
+    GThread *thread;
+};
+
+static gpointer race(gpointer data)
+{
+    struct racer *racer = data;
+    struct version_store *store = version_store_new(&racer->test->platform.settings);
+    struct publish_order order = make_order(racer->configuration, racer->request_id, 0);
+    struct publish_outcome outcome;
+    g_autoptr(GError) error = NULL;
+
+    publish_configuration(store, &order, &outcome, &error);
+    racer->status = outcome.status;
+    racer->version = outcome.version;
+    publish_outcome_clear(&outcome);
+    version_store_free(store);
+    return NULL;
+}
+
+static void test_racing_operators(struct publish_test *test, gconstpointer unused)
+{
+    struct racer racers[4];
+    guint accepted = 0;
+
+    platform_fixture_fault(&test->platform, PLATFORM_FAULT_ANSWER_LOST, PLATFORM_SERVICE_BOTH, 6,
+                           3);
+    for (guint i = 0; i < G_N_ELEMENTS(racers); i++) {
+        racers[i] =
+            (struct racer){.test = test, .configuration = i % 2 == 0 ? test->first : test->second};
+        g_snprintf(racers[i].request_id, sizeof(racers[i].request_id), "r%u", i);
+        racers[i].thread = g_thread_new("racer", race, &racers[i]);
+    }
+    for (guint i = 0; i < G_N_ELEMENTS(racers); i++) {
+        g_thread_join(racers[i].thread);
+        accepted += racers[i].status == PUBLISH_STATUS_ACCEPTED ? 1 : 0;
+        g_assert_true(racers[i].status == PUBLISH_STATUS_ACCEPTED ||
+                      racers[i].status == PUBLISH_STATUS_CONFLICT);
+    }
+    g_assert_cmpuint(accepted, ==, 1);
+    g_assert_cmpuint(count_versions(test), ==, 1);
+}
+
+static void add(const char *path, void (*function)(struct publish_test *, gconstpointer))
+{
+    g_test_add(path, struct publish_test, NULL, set_up, function, tear_down);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    add("/publish/versions", test_versions_follow_each_other);
+    add("/publish/history", test_history_pages);
+    add("/publish/conflict", test_conflict_names_the_winner);
+    add("/publish/no-base", test_base_that_does_not_exist);
+    add("/publish/unchanged", test_same_bundle_makes_no_version);
+    add("/publish/ask-again", test_asking_again_finds_the_version);
+    add("/publish/fault-at-each-call", test_fault_at_each_call);
+    add("/publish/throttled/passing", test_throttling_is_waited_out);
+    add("/publish/throttled/lasting", test_store_that_throttles_for_good);
+    g_test_add_func("/publish/unreachable", test_unreachable_store);
+    add("/publish/lost-answer/store-down", test_lost_answer_with_the_store_down);
+    add("/publish/race", test_racing_operators);
+    return g_test_run();
+}
