Test codecs, errors, settings and the generator

Mutated inputs found that libcbor asserts on a float where a boolean is read; the decoder now refuses it. Text is checked to be UTF-8 in the scan, before libcbor sees it. Translated keys of a key file are refused instead of dropped, and spaces behind a value don't count.

--- a/src/settings/setting_table.c
+++ b/src/settings/setting_table.c
@@ -10,6 +10,9 @@
 
 #define OVERRIDE_PLACE "--set"
 
+/* Keys such as name[de] are kept, so that they are refused and not dropped in silence. */
+#define FILE_FLAGS G_KEY_FILE_KEEP_TRANSLATIONS
+
 /* One reading: what is read into, and the faults so far. */
 struct reading {
     const struct setting_table *table;
@@ -17,6 +20,7 @@
     enum setting_source *sources;
     GPtrArray *faults; /* texts */
     bool *faulty;      /* by entry: its text was refused */
+    bool file_failed;  /* the file can't be read or parsed: what it sets is not known */
 };
 
 struct size_suffix {
@@ -246,7 +250,7 @@
             add_fault(reading, "%s: %s: %s", file, name, error->message);
             continue;
         }
-        set_value(reading, file, SETTING_SOURCE_FILE, name, text);
+        set_value(reading, file, SETTING_SOURCE_FILE, name, g_strstrip(text));
     }
 }
 
@@ -254,10 +258,11 @@
 {
     g_autoptr(GError) error = NULL;
     g_autoptr(GKeyFile) key_file = g_key_file_new();
-    if (!g_key_file_load_from_data(key_file, text, strlen(text), G_KEY_FILE_NONE, &error)) {
+    if (!g_key_file_load_from_data(key_file, text, strlen(text), FILE_FLAGS, &error)) {
         /* An empty file has no group, which GLib calls not found; it is a file of defaults. */
         if (!g_error_matches(error, G_KEY_FILE_ERROR, G_KEY_FILE_ERROR_NOT_FOUND)) {
             add_fault(reading, "%s: %s", file, error->message);
+            reading->file_failed = true;
         }
         return;
     }
@@ -273,6 +278,7 @@
     g_autoptr(GError) error = NULL;
     if (!g_file_get_contents(file, &text, NULL, &error)) {
         add_fault(reading, "%s", error->message);
+        reading->file_failed = true;
         return;
     }
     read_key_file(reading, file, text);
@@ -375,7 +381,7 @@
 {
     g_autoptr(GPtrArray) faults = g_ptr_array_new_with_free_func(g_free);
     g_autofree bool *faulty = g_new0(bool, table->count);
-    struct reading reading = {table, settings, sources, faults, faulty};
+    struct reading reading = {table, settings, sources, faults, faulty, false};
     if (text != NULL) {
         read_key_file(&reading, file, text);
     } else if (file != NULL) {
@@ -384,7 +390,7 @@
     for (size_t i = 0; overrides != NULL && overrides[i] != NULL; i++) {
         read_override(&reading, overrides[i]);
     }
-    for (size_t i = 0; i < table->count; i++) {
+    for (size_t i = 0; i < table->count && !reading.file_failed; i++) {
         check_entry(&reading, &table->entries[i]);
     }
     return report(&reading, error);
--- a/src/wire/codec.c
+++ b/src/wire/codec.c
@@ -135,7 +135,8 @@
 
 bool codec_read_bool(const cbor_item_t *item, const char *field, bool *out, GError **error)
 {
-    if (!cbor_isa_float_ctrl(item) || !cbor_is_bool(item)) {
+    /* libcbor asserts that the item of cbor_is_bool is a control value, not a float. */
+    if (!cbor_isa_float_ctrl(item) || !cbor_float_ctrl_is_ctrl(item) || !cbor_is_bool(item)) {
         codec_set_error(error, field, "not a boolean");
         return false;
     }
@@ -343,6 +344,14 @@
     scan->fault = "an indefinite length";
 }
 
+static void scan_text(void *context, const unsigned char *text, size_t length)
+{
+    struct scan *scan = context;
+    if (!g_utf8_validate_len((const char *)text, length, NULL)) {
+        scan->fault = "a text is not UTF-8";
+    }
+}
+
 static void scan_tag(void *context, uint64_t tag)
 {
     struct scan *scan = context;
@@ -362,6 +371,7 @@
         callbacks.string_start = scan_indefinite;
         callbacks.byte_string_start = scan_indefinite;
         callbacks.indef_break = scan_indefinite;
+        callbacks.string = scan_text;
         callbacks.tag = scan_tag;
         g_once_init_leave(&ready, 1);
     }
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,5 +1,6 @@
 #!/usr/bin/env python3
-"""Generates the committed C code under src/generated/, and docs/settings.md, from the schema.
+"""Generates committed files from the schema: the C code under src/generated/, the page
+docs/settings.md, and the parts of tests/generated/ that cover every struct.
 
 Use:
     tools/generate.py            write the generated files that changed
@@ -32,11 +33,14 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from generator import errors, messages, settings
+from generator import cases, errors, messages, settings
 from generator.schema import SchemaError, read_json
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
+# A schema with every type that the generator knows, for its tests.
+SAMPLE_SCHEMA = "tests/generated/sample.json"
+
 
 def generate():
     """Returns the generated files: a dict from path below the root to text."""
@@ -45,6 +49,11 @@
     files.update(errors.generate(error_schema, "schema/errors.json"))
     message_schema = read_json(ROOT, "schema/messages.json")
     files.update(messages.generate(message_schema, "schema/messages.json"))
+    files.update(cases.generate(message_schema, "schema/messages.json",
+                                "generated/messages.h", "message_cases"))
+    sample_schema = read_json(ROOT, SAMPLE_SCHEMA)
+    files.update(messages.generate(sample_schema, SAMPLE_SCHEMA, "tests/generated/sample"))
+    files.update(cases.generate(sample_schema, SAMPLE_SCHEMA, "sample.h", "sample_cases"))
     setting_schema = read_json(ROOT, "schema/settings.json")
     files.update(settings.generate(setting_schema, "schema/settings.json"))
     return files
--- a/tools/generator/messages.py
+++ b/tools/generator/messages.py
@@ -511,8 +511,8 @@
 that no other thread changes."""
 
 
-def generate(schema, path):
-    """Returns the files made from the schema of messages."""
+def parse(schema, path):
+    """Checks the schema; returns its enums and its structs, dicts by name."""
     check_keys(schema, ["enums", "structs", "messages"], ["comment"], path)
     enums = check_enums(schema, path)
     structs = {}
@@ -522,19 +522,29 @@
                 f"{path}: struct '{struct.name}'", "stands twice")
         structs[struct.name] = struct
     check_messages(schema, structs, path)
+    return enums, structs
+
+
+def generate(schema, path, base="src/generated/messages"):
+    """Returns the files made from a schema of messages: `base`.h and .c."""
+    enums, structs = parse(schema, path)
+    include = base.removeprefix("src/").removeprefix("tests/generated/")
     body = ""
     for name, entry in enums.items():
         constants = [f"{name.upper()}_{value.upper()}" for value in entry["values"]]
         body += writer.enum_block(name, entry.get("comment"), constants + [f"{name.upper()}_COUNT"])
         body += f"\nconst char *{name}_name(enum {name} value);\n\n"
     body += "\n".join(struct.declaration() for struct in structs.values())
-    body += "\n" + message_declaration(schema["messages"])
-    header = writer.header("SW_GENERATED_MESSAGES_H", path, PURPOSE,
+    if schema["messages"]:
+        body += "\n" + message_declaration(schema["messages"])
+    guard = "SW_" + include.replace("/", "_").upper() + "_H"
+    header = writer.header(guard, path, PURPOSE,
                            ["<cbor.h>", "<glib.h>", "<stdbool.h>", "<stddef.h>", "<stdint.h>"], body)
     parts = [enum_name_function(name, entry) for name, entry in enums.items()]
     parts += [struct.definition() for struct in structs.values()]
-    parts.append(message_definition(schema["messages"]))
+    if schema["messages"]:
+        parts.append(message_definition(schema["messages"]))
     source = writer.banner(path, "Codecs of the messages.")
-    source += '#include "generated/messages.h"\n\n#include "wire/codec.h"\n\n#include <string.h>\n\n'
+    source += f'#include "{include}.h"\n\n#include "wire/codec.h"\n\n#include <string.h>\n\n'
     source += "\n".join(parts)
-    return {"src/generated/messages.h": header, "src/generated/messages.c": source}
+    return {f"{base}.h": header, f"{base}.c": source}
