--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -12,6 +12,7 @@
 #include "core/error.h"
 #include "daemon/control_internal.h"
 #include "daemon/daemon.h"
+#include "daemon/transaction.h"
 #include "generated/errors.h"
 
 /* The loop looks at everything at least this often. */
--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -8,8 +8,10 @@
 #include <xxhash.h>
 
 #include "backend/clock.h"
+#include "core/error.h"
 #include "daemon/control_internal.h"
 #include "daemon/daemon.h"
+#include "generated/errors.h"
 #include "wire/address.h"
 #include "wire/datagram.h"
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -1,11 +1,13 @@
 /* The daemon's parts, in order of dependence; see the header. */
 #include "daemon/daemon.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 #include <urcu-bp.h>
 
 #include "backend/adapter.h"
 #include "backend/clock.h"
+#include "configuration/problem.h"
 #include "core/error.h"
 #include "core/route.h"
 #include "daemon/admin_api.h"
@@ -18,6 +20,12 @@
 /* Bounds of one answer: what fits a forwarded reply. */
 static const struct result_limits result_limits = {.rows_max = 10000, .bytes_max = 4 << 20};
 
+/* How long a member waits for a position, and how much later its connection is given up. */
+#define EVIDENCE_WAIT_MS         500
+#define EVIDENCE_TIMEOUT_MS      300
+#define EVIDENCE_OPEN_TIMEOUT_MS 500
+#define EVIDENCE_REOPEN_MS       50
+
 /* Pause between two looks at whether everything has ended. */
 #define STOP_POLL_US 5000
 
@@ -101,6 +109,7 @@
     struct group_runtime_options options = {
         .daemon_name = daemon->settings.daemon.name,
         .zone_name = daemon->settings.daemon.zone,
+        .evidence = daemon->evidence,
         .owner_count = daemon->settings.ownership.owners_per_group,
         .queue_limit = daemon->settings.routing.queue_limit,
         .open_rate_per_second = daemon->settings.backend.open_rate_per_second,
@@ -196,7 +205,8 @@
 
 static void serve_peer(const struct message *request, struct message *reply, void *user)
 {
-    if (request->kind != MESSAGE_KIND_REQUEST) {
+    struct daemon *daemon = user;
+    if (request->kind != MESSAGE_KIND_REQUEST || !atomic_load(&daemon->ready)) {
         return;
     }
     struct peer_wait wait = {.lock = PTHREAD_MUTEX_INITIALIZER,
@@ -205,7 +215,7 @@
     request_copy(own, &request->request);
     message_init(reply, MESSAGE_KIND_REPLY);
     wait.reply = &reply->reply;
-    task_submit(user, own, answer_peer, &wait);
+    task_submit(daemon, own, answer_peer, &wait);
     pthread_mutex_lock(&wait.lock);
     while (!wait.done) {
         pthread_cond_wait(&wait.answered, &wait.lock);
@@ -283,15 +293,16 @@
 static bool start_parts(struct daemon *daemon, GError **error)
 {
     daemon->token_keys = token_keys_load(daemon->settings.session.token_keys_file, error);
-    if (daemon->token_keys == NULL || !load_configuration(daemon, error)) {
+    if (daemon->token_keys == NULL || !load_configuration(daemon, error) ||
+        !start_peer_server(daemon, error)) {
         return false;
     }
     daemon->control = control_start(daemon, error);
     if (daemon->control == NULL) {
         return false;
     }
-    return start_peer_server(daemon, error) && admin_api_start(daemon, error) &&
-           start_frontend(daemon, error);
+    atomic_store(&daemon->ready, true);
+    return admin_api_start(daemon, error) && start_frontend(daemon, error);
 }
 
 struct daemon *daemon_start(const struct settings *settings, GError **error)
@@ -302,6 +313,13 @@
     daemon->metrics = metrics_new();
     daemon->workers = worker_pool_new(daemon->settings.daemon.worker_threads,
                                       daemon->settings.daemon.request_queue);
+    struct evidence_options evidence = {
+        .wait_ms = EVIDENCE_WAIT_MS,
+        .timeout_ms = EVIDENCE_TIMEOUT_MS,
+        .open_timeout_ms = EVIDENCE_OPEN_TIMEOUT_MS,
+        .reopen_ms = EVIDENCE_REOPEN_MS,
+    };
+    daemon->evidence = evidence_new(&evidence);
     daemon->transactions = transaction_table_new(daemon->settings.daemon.name, daemon->incarnation);
     if (!start_parts(daemon, error)) {
         daemon_stop(daemon, backend_now());
@@ -360,6 +378,7 @@
         peer_pool_free(daemon->peers);
     }
     free_table(daemon->table);
+    evidence_free(daemon->evidence);
     token_keys_free(daemon->token_keys);
     metrics_free(daemon->metrics);
     rcu_barrier();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -36,6 +36,7 @@
     struct token_keys *token_keys;
     struct routing_table *table; /* RCU */
     struct worker_pool *workers;
+    struct evidence_service *evidence;
     struct transaction_table *transactions;
     struct peer_pool *peers;
     struct peer_server *peer_server;
@@ -43,6 +44,7 @@
     struct control *control;
     struct daemon_metrics *metrics;
     struct admin *admin;
+    _Atomic bool ready;          /* the control thread runs: other daemons are served */
     _Atomic bool stopping;       /* takes no new work */
     _Atomic uint32_t tasks_open; /* begun and not answered */
 };
--- a/src/daemon/group_runtime.c
+++ b/src/daemon/group_runtime.c
@@ -58,8 +58,9 @@
     pthread_mutex_destroy(&database->admission_lock);
 }
 
-static struct evidence_service *start_evidence(const struct group_configuration *group,
-                                               const struct group_runtime_options *options)
+/* Lets the evidence service connect to the group's members. */
+static void add_evidence(struct evidence_service *evidence, const struct group_configuration *group,
+                         const struct group_runtime_options *options)
 {
     g_autofree char *application =
         g_strdup_printf("swiftworks/%s@%s", options->daemon_name, options->zone_name);
@@ -73,9 +74,7 @@
             .application_name = application,
         };
     }
-    struct evidence_service *service = evidence_service_new();
-    evidence_service_add_group(service, group->id, members, group->database_count);
-    return service;
+    evidence_add_group(evidence, group->id, members, group->database_count);
 }
 
 struct group_runtime *group_runtime_new(struct configuration *configuration,
@@ -96,7 +95,8 @@
     for (uint32_t i = 0; i < group->database_count; i++) {
         start_database(&runtime->databases[i], &group->databases[i], options);
     }
-    runtime->evidence = start_evidence(group, options);
+    runtime->evidence = options->evidence;
+    add_evidence(runtime->evidence, group, options);
     return runtime;
 }
 
@@ -108,7 +108,6 @@
 static void clear_runtime(gpointer data)
 {
     struct group_runtime *runtime = data;
-    evidence_service_free(runtime->evidence);
     for (uint32_t i = 0; i < runtime->database_count; i++) {
         stop_database(&runtime->databases[i]);
     }
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -27,8 +27,9 @@
 struct group_runtime_options {
     const char *daemon_name;
     const char *zone_name;
-    uint32_t owner_count; /* daemons that share the databases' connections */
-    uint32_t queue_limit; /* requests queued before one database */
+    struct evidence_service *evidence; /* outlives the group */
+    uint32_t owner_count;              /* daemons that share the databases' connections */
+    uint32_t queue_limit;              /* requests queued before one database */
     uint32_t open_rate_per_second;
 };
 
@@ -44,9 +45,9 @@
     uint32_t database_count;
     struct database_runtime databases[GROUP_DATABASES_MAX];
     struct retry_budget retry_budget;
-    struct evidence_service *evidence;
-    _Atomic uint64_t reads;         /* answered reads */
-    _Atomic uint64_t primary_reads; /* of these, by the primary although replicas were allowed */
+    struct evidence_service *evidence; /* the daemon's */
+    _Atomic uint64_t reads;            /* answered reads */
+    _Atomic uint64_t primary_reads;    /* of these, by the primary although replicas were allowed */
 
     pthread_mutex_t writes_lock; /* guards the three below */
     uint32_t writes_running;     /* writes and write transactions begun under an unpaused view */
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -1,6 +1,6 @@
-/* The log: GLib's structured messages, written as lines of text or JSON on standard error, or to the
- * journal. The log domain of each file is the fixed prefix of its part. Repeated lines are counted, not
- * written. */
+/* The log: GLib's structured messages, written as lines of text or JSON on standard error, or to
+ * the journal. The log domain of each file is the fixed prefix of its part. Repeated lines are
+ * counted, not written. */
 #ifndef SW_DAEMON_LOG_H
 #define SW_DAEMON_LOG_H
 
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -1,4 +1,5 @@
-/* swiftworksd: reads its settings, starts the daemon, and stops it in a planned way on SIGTERM or SIGINT. */
+/* swiftworksd: reads its settings, starts the daemon, and stops it in a planned way on SIGTERM or
+ * SIGINT. */
 #define G_LOG_DOMAIN "daemon"
 #include <glib.h>
 #include <pthread.h>
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 #include <string.h>
+#include <urcu/compiler.h>
 #include <xxhash.h>
 
 #include "backend/clock.h"
