--- a/src/backend/connection.c
+++ b/src/backend/connection.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <poll.h>
+#include <string.h>
 #include <sys/socket.h>
 
 #include "backend/clock.h"
@@ -12,6 +13,27 @@
 #define PORT_TEXT_SIZE 8
 #define DROPPED_SIZE   65536
 
+void connection_settings_copy(struct connection_settings *to,
+                              const struct connection_settings *from)
+{
+    to->host = g_strdup(from->host);
+    to->port = from->port;
+    to->database_name = g_strdup(from->database_name);
+    to->user = g_strdup(from->user);
+    to->password = g_strdup(from->password);
+    to->application_name = g_strdup(from->application_name);
+}
+
+void connection_settings_clear(struct connection_settings *settings)
+{
+    g_free((char *)settings->host);
+    g_free((char *)settings->database_name);
+    g_free((char *)settings->user);
+    g_free((char *)settings->password);
+    g_free((char *)settings->application_name);
+    memset(settings, 0, sizeof *settings);
+}
+
 struct backend_connection *backend_connection_start(const struct connection_settings *settings)
 {
     struct backend_connection *connection = g_new0(struct backend_connection, 1);
--- a/src/backend/connection.h
+++ b/src/backend/connection.h
@@ -18,7 +18,7 @@
     CONNECTION_STATE_BROKEN, /* only closing is left */
 };
 
-/* Where and as whom to connect. The strings belong to whoever fills it in. */
+/* Where and as whom to connect. The strings belong to whoever filled it in. */
 struct connection_settings {
     const char *host; /* an IP number */
     uint16_t port;
@@ -28,6 +28,11 @@
     const char *application_name; /* "swiftworks/<daemon>@<zone>" */
 };
 
+/* Copies the settings with their strings; free the copy by connection_settings_clear. */
+void connection_settings_copy(struct connection_settings *to,
+                              const struct connection_settings *from);
+void connection_settings_clear(struct connection_settings *settings);
+
 /* Owned by one thread at a time; no locks. */
 struct backend_connection {
     PGconn *pg;
--- a/src/backend/pool.c
+++ b/src/backend/pool.c
@@ -33,11 +33,6 @@
  * being opened and no request thread waits for either. */
 struct pool {
     struct pool_options options;
-    char *host;
-    char *database_name;
-    char *user;
-    char *password;
-    char *application_name;
 
     pthread_mutex_t lock;
     pthread_cond_t work; /* wakes the maintenance thread */
@@ -211,8 +206,8 @@
     if (connection == NULL) {
         pool->open--;
         pool->open_failed_total++;
-        g_debug("pool: %s:%u: %s", pool->host, (unsigned)pool->options.connection.port,
-                error->message);
+        g_debug("pool: %s:%u: %s", pool->options.connection.host,
+                (unsigned)pool->options.connection.port, error->message);
         if (pool->open == 0) {
             refuse_waiters(pool);
         }
@@ -315,14 +310,8 @@
 
 static void copy_options(struct pool *pool, const struct pool_options *options)
 {
-    struct connection_settings *connection = &pool->options.connection;
     pool->options = *options;
-    connection->host = pool->host = g_strdup(options->connection.host);
-    connection->database_name = pool->database_name = g_strdup(options->connection.database_name);
-    connection->user = pool->user = g_strdup(options->connection.user);
-    connection->password = pool->password = g_strdup(options->connection.password);
-    connection->application_name = pool->application_name =
-        g_strdup(options->connection.application_name);
+    connection_settings_copy(&pool->options.connection, &options->connection);
     pool->options.open_timeout_ms = value_or(options->open_timeout_ms, POOL_OPEN_TIMEOUT_MS);
     pool->options.backoff_min_ms = value_or(options->backoff_min_ms, POOL_BACKOFF_MIN_MS);
     pool->options.backoff_max_ms = value_or(options->backoff_max_ms, POOL_BACKOFF_MAX_MS);
@@ -358,11 +347,7 @@
     clear_endings(pool);
     pthread_cond_destroy(&pool->work);
     pthread_mutex_destroy(&pool->lock);
-    g_free(pool->host);
-    g_free(pool->database_name);
-    g_free(pool->user);
-    g_free(pool->password);
-    g_free(pool->application_name);
+    connection_settings_clear(&pool->options.connection);
     g_free(pool);
 }
 
