--- a/src/frontend/call.c
+++ b/src/frontend/call.c
@@ -186,6 +186,15 @@
     return call->body_octets > DISCARDED_OCTETS_MAX ? MHD_NO : MHD_YES;
 }
 
+/* Tells a request from another under the same key: its path and body. */
+static uint64_t fingerprint_of(const struct frontend_call *call, const char *body)
+{
+    const char *transaction = call->path.transaction_id == NULL ? "" : call->path.transaction_id;
+    g_autofree char *path =
+        g_strdup_printf("%s/%d/%s", call->path.tenant, (int)call->path.endpoint, transaction);
+    return XXH3_64bits_withSeed(body, call->body->len, XXH3_64bits(path, strlen(path)));
+}
+
 /* Time already spent is taken off the caller's budget. */
 static bool spend_budget(struct frontend_call *call)
 {
@@ -199,6 +208,36 @@
     return true;
 }
 
+/* Finds the class of one statement and the access to serve it with. */
+static bool classify_statement(struct frontend_call *call, struct sql_statement *statement)
+{
+    struct sql_class found;
+    if (!sql_cache_classify(call->shared->sql_cache, statement->sql, &found, &call->refusal)) {
+        call->refusal_position = found.error_position;
+        return false;
+    }
+    return sql_access_resolve(&found, statement->access, &statement->access, &call->refusal);
+}
+
+static bool classify_statements(struct frontend_call *call)
+{
+    struct request *request = call->request;
+    bool read_only = true;
+    for (size_t i = 0; i < request->statements_count; i++) {
+        if (!classify_statement(call, &request->statements[i])) {
+            if (request->kind == REQUEST_KIND_BATCH) {
+                g_prefix_error(&call->refusal, "statements[%zu]: ", i);
+            }
+            return false;
+        }
+        read_only = read_only && request->statements[i].access == ACCESS_MODE_READ;
+    }
+    if (request->statements_count > 0) {
+        request->read_only = read_only;
+    }
+    return true;
+}
+
 /* Reads the body and completes the request; leaves the first fault in call->refusal. */
 static bool complete_request(struct frontend_call *call)
 {
@@ -209,7 +248,8 @@
     struct request *request = call->request;
     const char *body = call->body->data == NULL ? "" : (const char *)call->body->data;
     if (!request_body_parse(body, call->body->len, call->path.endpoint, &limits, request,
-                            &call->refusal_position, &call->refusal)) {
+                            &call->refusal_position, &call->refusal) ||
+        !classify_statements(call)) {
         return false;
     }
     call->shape.kind = request->kind;
@@ -217,7 +257,7 @@
     request->tenant = g_strdup(call->path.tenant);
     request->transaction_id = g_strdup(call->path.transaction_id);
     request->group = call->tenant.group;
-    request->fingerprint = XXH3_64bits(body, call->body->len);
+    request->fingerprint = fingerprint_of(call, body);
     return spend_budget(call);
 }
 
--- a/src/frontend/call.h
+++ b/src/frontend/call.h
@@ -11,6 +11,7 @@
 #include "frontend/frontend.h"
 #include "frontend/reply_json.h"
 #include "frontend/request_path.h"
+#include "sql/cache.h"
 
 #include <glib.h>
 #include <microhttpd.h>
@@ -19,6 +20,7 @@
 /* What all calls of a frontend share. */
 struct call_shared {
     struct frontend_options options;
+    struct sql_cache *sql_cache;
     atomic_bool stopping;
     atomic_uint in_flight;
     GMutex mutex;
--- a/src/frontend/frontend.c
+++ b/src/frontend/frontend.c
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "frontend/call.h"
 #include "generated/errors.h"
+#include "sql/classify.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -17,6 +18,8 @@
 #define DEFAULT_THREADS         4
 #define DEFAULT_CONNECTIONS_MAX 8192
 #define DEFAULT_IDLE_S          120
+#define DEFAULT_SQL_ENTRIES     16384
+#define DEFAULT_SQL_OCTETS      (4 * 1024 * 1024)
 #define DEFAULT_BODY_OCTETS_MAX (1024 * 1024)
 #define DEFAULT_STATEMENTS_MAX  64
 #define DEFAULT_PARAMETERS_MAX  256
@@ -39,6 +42,8 @@
     options->threads = DEFAULT_THREADS;
     options->connections_max = DEFAULT_CONNECTIONS_MAX;
     options->idle_s = DEFAULT_IDLE_S;
+    options->sql_cache_entries = DEFAULT_SQL_ENTRIES;
+    options->sql_cache_octets = DEFAULT_SQL_OCTETS;
     options->limits = (struct frontend_limits){
         .body_octets_max = DEFAULT_BODY_OCTETS_MAX,
         .statements_max = DEFAULT_STATEMENTS_MAX,
@@ -94,6 +99,7 @@
         MHD_OPTION_EXTERNAL_LOGGER, log_message, NULL, MHD_OPTION_SOCK_ADDR, &address->any,
         MHD_OPTION_THREAD_POOL_SIZE, threads > 1 ? threads : 0, MHD_OPTION_CONNECTION_LIMIT,
         MAX(options->connections_max, threads), MHD_OPTION_CONNECTION_TIMEOUT, options->idle_s,
+        MHD_OPTION_THREAD_STACK_SIZE, (size_t)SQL_CLASSIFY_STACK_OCTETS,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_OCTETS,
         MHD_OPTION_NOTIFY_COMPLETED, call_on_completed, &frontend->shared, MHD_OPTION_END);
 }
@@ -106,10 +112,12 @@
     g_mutex_init(&shared->mutex);
     g_cond_init(&shared->resumed);
     shared->suspended = g_hash_table_new(NULL, NULL);
+    shared->sql_cache = sql_cache_new(options->sql_cache_entries, options->sql_cache_octets);
 }
 
 static void frontend_free(struct frontend *frontend)
 {
+    sql_cache_free(frontend->shared.sql_cache);
     g_hash_table_destroy(frontend->shared.suspended);
     g_cond_clear(&frontend->shared.resumed);
     g_mutex_clear(&frontend->shared.mutex);
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -49,7 +49,9 @@
     uint16_t port;       /* 0: any free one, see frontend_port */
     unsigned threads;
     unsigned connections_max;
-    unsigned idle_s; /* a connection without traffic is closed after this; 0: never */
+    unsigned idle_s;          /* a connection without traffic is closed after this; 0: never */
+    size_t sql_cache_entries; /* classes of statements kept */
+    size_t sql_cache_octets;  /* of their text */
     struct frontend_limits limits;
     const struct token_keys *token_keys;         /* outlives the frontend */
     const char *(*reason_name)(uint32_t reason); /* may be NULL */
--- a/src/frontend/request_body.c
+++ b/src/frontend/request_body.c
@@ -1,6 +1,7 @@
 #include "frontend/request_body.h"
 
 #include "core/error.h"
+#include "frontend/json_check.h"
 #include "generated/errors.h"
 
 #include <json-glib/json-glib.h>
@@ -10,6 +11,7 @@
 /* What is being read: where errors are told and the bounds. */
 struct body_reader {
     const struct request_body_limits *limits;
+    uint32_t *position;
     GError **error;
 };
 
@@ -277,23 +279,126 @@
     return false;
 }
 
+/* What json-glib found wrong, in words of our own: its messages carry its own places. */
+static const char *grammar_fault(const GError *cause)
+{
+    if (!g_error_matches(cause, JSON_PARSER_ERROR, cause->code)) {
+        return "it can not be parsed";
+    }
+    switch (cause->code) {
+    case JSON_PARSER_ERROR_TRAILING_COMMA:
+        return "a comma is followed by nothing";
+    case JSON_PARSER_ERROR_MISSING_COMMA:
+        return "a comma is missing";
+    case JSON_PARSER_ERROR_MISSING_COLON:
+        return "a colon is missing";
+    case JSON_PARSER_ERROR_EMPTY_MEMBER_NAME:
+        return "a member's name is empty";
+    case JSON_PARSER_ERROR_INVALID_BAREWORD:
+    case JSON_PARSER_ERROR_PARSE:
+    default:
+        return "it can not be parsed";
+    }
+}
+
+/* Where json-glib stopped: a line from 1 and an octet in it. */
+struct grammar_place {
+    unsigned line;
+    unsigned octet;
+};
+
+/* Called by json-glib while it still knows the place. */
+static void note_place(JsonParser *parser, gpointer error, gpointer user)
+{
+    struct grammar_place *place = user;
+    place->line = json_parser_get_current_line(parser);
+    place->octet = json_parser_get_current_pos(parser);
+}
+
+/* The 1-based octet in the body of a place. */
+static uint32_t position_of(const char *body, size_t length, const struct grammar_place *place)
+{
+    size_t begin = 0;
+    for (unsigned line = 1; line < place->line; line++) {
+        const char *end = memchr(body + begin, '\n', length - begin);
+        if (end == NULL) {
+            break;
+        }
+        begin = (size_t)(end - body) + 1;
+    }
+    return (uint32_t)MIN(MAX(begin + place->octet, 1), length);
+}
+
+/* json-glib keeps the last of two members of one name and tells each by a signal. */
+static void count_member(JsonParser *parser, JsonObject *object, const char *name, gpointer user)
+{
+    unsigned *count = user;
+    (*count)++;
+}
+
+/* Members of all objects in the tree. */
+static unsigned tree_members(JsonNode *node)
+{
+    unsigned count = 0;
+    if (JSON_NODE_HOLDS_OBJECT(node)) {
+        JsonObjectIter iterator;
+        JsonNode *value = NULL;
+        json_object_iter_init(&iterator, json_node_get_object(node));
+        while (json_object_iter_next(&iterator, NULL, &value)) {
+            count += 1 + tree_members(value);
+        }
+    } else if (JSON_NODE_HOLDS_ARRAY(node)) {
+        JsonArray *array = json_node_get_array(node);
+        for (guint i = 0; i < json_array_get_length(array); i++) {
+            count += tree_members(json_array_get_element(array, i));
+        }
+    }
+    return count;
+}
+
+/* Parses the text into an object; the caller frees the node. */
+static JsonNode *parse_object(struct body_reader *reader, const char *body, size_t length)
+{
+    struct json_fault fault;
+    if (!json_check(body, length, &fault)) {
+        *reader->position = (uint32_t)fault.octet + 1;
+        fail(reader, ERROR_KIND_BAD_REQUEST, "the body is not valid JSON: %s", fault.text);
+        return NULL;
+    }
+    g_autoptr(JsonParser) parser = json_parser_new();
+    unsigned members = 0;
+    g_signal_connect(parser, "object-member", G_CALLBACK(count_member), &members);
+    struct grammar_place place = {0, 0};
+    g_signal_connect(parser, "error", G_CALLBACK(note_place), &place);
+    g_autoptr(GError) cause = NULL;
+    if (!json_parser_load_from_data(parser, body, (gssize)length, &cause)) {
+        *reader->position = position_of(body, length, &place);
+        fail(reader, ERROR_KIND_BAD_REQUEST, "the body is not valid JSON: %s",
+             grammar_fault(cause));
+        return NULL;
+    }
+    JsonNode *root = json_parser_get_root(parser);
+    if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
+        fail(reader, ERROR_KIND_BAD_REQUEST, "the body is not a JSON object");
+        return NULL;
+    }
+    if (tree_members(root) != members) {
+        fail(reader, ERROR_KIND_BAD_REQUEST, "a member of an object is given twice");
+        return NULL;
+    }
+    return json_parser_steal_root(parser);
+}
+
 bool request_body_parse(const char *body, size_t length, enum endpoint endpoint,
                         const struct request_body_limits *limits, struct request *request,
                         uint32_t *position, GError **error)
 {
-    struct body_reader reader = {.limits = limits, .error = error};
+    struct body_reader reader = {.limits = limits, .position = position, .error = error};
     *position = 0;
     if (length == 0) {
         body = "{}";
         length = strlen(body);
     }
-    g_autoptr(JsonParser) parser = json_parser_new();
-    if (!json_parser_load_from_data(parser, body, (gssize)length, NULL)) {
-        return fail(&reader, ERROR_KIND_BAD_REQUEST, "the body is not valid JSON");
-    }
-    JsonNode *root = json_parser_get_root(parser);
-    if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
-        return fail(&reader, ERROR_KIND_BAD_REQUEST, "the body is not a JSON object");
-    }
-    return read_object(&reader, json_node_get_object(root), endpoint, request);
+    g_autoptr(JsonNode) root = parse_object(&reader, body, length);
+    return root != NULL && read_object(&reader, json_node_get_object(root), endpoint, request);
 }
