--- a/src/frontend/frontend.c
+++ b/src/frontend/frontend.c
@@ -1,18 +1,14 @@
 #include "frontend/frontend.h"
 
-#include "core/error.h"
 #include "frontend/call.h"
-#include "generated/errors.h"
+#include "frontend/listen.h"
 #include "sql/classify.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
-#define G_LOG_DOMAIN_FRONTEND "frontend"
+#define LOG_PREFIX "frontend"
 
 /* Defaults of struct frontend_options. */
 #define DEFAULT_THREADS         4
@@ -53,55 +49,22 @@
     };
 }
 
-/* Where to listen, as libmicrohttpd takes it. */
-union listen_address {
-    struct sockaddr any;
-    struct sockaddr_in v4;
-    struct sockaddr_in6 v6;
-};
-
-static bool parse_address(const char *text, uint16_t port, union listen_address *address,
-                          GError **error)
-{
-    memset(address, 0, sizeof(*address));
-    if (inet_pton(AF_INET, text, &address->v4.sin_addr) == 1) {
-        address->v4.sin_family = AF_INET;
-        address->v4.sin_port = htons(port);
-        return true;
-    }
-    if (inet_pton(AF_INET6, text, &address->v6.sin6_addr) == 1) {
-        address->v6.sin6_family = AF_INET6;
-        address->v6.sin6_port = htons(port);
-        return true;
-    }
-    g_set_error(error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION, "%s is not an IP number", text);
-    return false;
-}
-
-static void log_message(void *user, const char *format, va_list arguments)
-{
-    g_autofree char *text = g_strdup_vprintf(format, arguments);
-    g_log_structured(G_LOG_DOMAIN_FRONTEND, G_LOG_LEVEL_INFO, "MESSAGE", "frontend: %s",
-                     g_strchomp(text));
-}
-
 static struct MHD_Daemon *start_daemon(struct frontend *frontend,
                                        const union listen_address *address)
 {
     const struct frontend_options *options = &frontend->shared.options;
-    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
-    if (address->any.sa_family == AF_INET6) {
-        flags |= MHD_USE_IPv6;
-    }
+    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG |
+                     listen_address_flags(address);
     unsigned threads = MAX(options->threads, 1);
-    return MHD_start_daemon(
-        flags, options->port, NULL, NULL, call_on_access, &frontend->shared,
-        MHD_OPTION_EXTERNAL_LOGGER, log_message, NULL, MHD_OPTION_SOCK_ADDR, &address->any,
-        MHD_OPTION_THREAD_POOL_SIZE, threads > 1 ? threads : 0, MHD_OPTION_CONNECTION_LIMIT,
-        MAX(options->connections_max, threads), MHD_OPTION_CONNECTION_TIMEOUT, options->idle_s,
-        MHD_OPTION_THREAD_STACK_SIZE, (size_t)SQL_CLASSIFY_STACK_OCTETS,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_OCTETS,
-        MHD_OPTION_NOTIFY_COMPLETED, call_on_completed, &frontend->shared, MHD_OPTION_END);
+    return MHD_start_daemon(flags, options->port, NULL, NULL, call_on_access, &frontend->shared,
+                            MHD_OPTION_EXTERNAL_LOGGER, listen_log, (void *)LOG_PREFIX,
+                            MHD_OPTION_SOCK_ADDR, &address->any, MHD_OPTION_THREAD_POOL_SIZE,
+                            threads > 1 ? threads : 0, MHD_OPTION_CONNECTION_LIMIT,
+                            MAX(options->connections_max, threads), MHD_OPTION_CONNECTION_TIMEOUT,
+                            options->idle_s, MHD_OPTION_THREAD_STACK_SIZE,
+                            (size_t)SQL_CLASSIFY_STACK_OCTETS, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                            (size_t)CONNECTION_MEMORY_OCTETS, MHD_OPTION_NOTIFY_COMPLETED,
+                            call_on_completed, &frontend->shared, MHD_OPTION_END);
 }
 
 static void shared_init(struct call_shared *shared, const struct frontend_options *options)
@@ -127,7 +90,7 @@
 struct frontend *frontend_start(const struct frontend_options *options, GError **error)
 {
     union listen_address address;
-    if (!parse_address(options->address, options->port, &address, error)) {
+    if (!listen_address_parse(options->address, options->port, &address, error)) {
         return NULL;
     }
     struct frontend *frontend = g_new0(struct frontend, 1);
@@ -135,9 +98,7 @@
     errno = 0;
     frontend->daemon = start_daemon(frontend, &address);
     if (frontend->daemon == NULL) {
-        g_set_error(error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION,
-                    "can not listen at %s port %u: %s", options->address, options->port,
-                    errno == 0 ? "unknown cause" : g_strerror(errno));
+        listen_set_error(options->address, options->port, error);
         frontend_free(frontend);
         return NULL;
     }
