--- a/src/wire/codec.c
+++ b/src/wire/codec.c
@@ -358,25 +358,32 @@
     scan->fault = "a tag";
 }
 
-static const struct cbor_callbacks *scan_callbacks(void)
-{
-    static struct cbor_callbacks callbacks;
-    static gsize ready;
-    if (g_once_init_enter(&ready)) {
-        callbacks = cbor_empty_callbacks;
-        callbacks.array_start = scan_array;
-        callbacks.map_start = scan_map;
-        callbacks.indef_array_start = scan_indefinite;
-        callbacks.indef_map_start = scan_indefinite;
-        callbacks.string_start = scan_indefinite;
-        callbacks.byte_string_start = scan_indefinite;
-        callbacks.indef_break = scan_indefinite;
-        callbacks.string = scan_text;
-        callbacks.tag = scan_tag;
-        g_once_init_leave(&ready, 1);
-    }
-    return &callbacks;
-}
+static const struct cbor_callbacks scan_callbacks = {
+    .uint8 = cbor_null_uint8_callback,
+    .uint16 = cbor_null_uint16_callback,
+    .uint32 = cbor_null_uint32_callback,
+    .uint64 = cbor_null_uint64_callback,
+    .negint8 = cbor_null_negint8_callback,
+    .negint16 = cbor_null_negint16_callback,
+    .negint32 = cbor_null_negint32_callback,
+    .negint64 = cbor_null_negint64_callback,
+    .byte_string_start = scan_indefinite,
+    .byte_string = cbor_null_byte_string_callback,
+    .string = scan_text,
+    .string_start = scan_indefinite,
+    .indef_array_start = scan_indefinite,
+    .array_start = scan_array,
+    .indef_map_start = scan_indefinite,
+    .map_start = scan_map,
+    .tag = scan_tag,
+    .float2 = cbor_null_float2_callback,
+    .float4 = cbor_null_float4_callback,
+    .float8 = cbor_null_float8_callback,
+    .undefined = cbor_null_undefined_callback,
+    .null = cbor_null_null_callback,
+    .boolean = cbor_null_boolean_callback,
+    .indef_break = scan_indefinite,
+};
 
 /* Counts one item as read in the innermost container and closes those that are complete. */
 static void scan_count_item(struct scan *scan)
@@ -399,7 +406,7 @@
         size_t depth = scan.depth;
         scan.octets_left = length - offset;
         struct cbor_decoder_result result =
-            cbor_stream_decode(data + offset, length - offset, scan_callbacks(), &scan);
+            cbor_stream_decode(data + offset, length - offset, &scan_callbacks, &scan);
         if (result.status != CBOR_DECODER_FINISHED) {
             return result.status == CBOR_DECODER_NEDATA ? "cut short" : "not CBOR";
         }
--- a/src/wire/peer_pool.c
+++ b/src/wire/peer_pool.c
@@ -6,6 +6,8 @@
 #include "generated/errors.h"
 #include "wire/connection.h"
 
+#include <pthread.h>
+
 #define STRIPE_COUNT 64
 
 struct idle_connection {
@@ -15,7 +17,7 @@
 
 /* A part of the pool with its own lock. */
 struct pool_stripe {
-    GMutex mutex;
+    pthread_mutex_t mutex;
     GHashTable *peers; /* address -> GQueue of idle_connection, newest at the head */
 };
 
@@ -46,7 +48,7 @@
     struct peer_pool *pool = g_new0(struct peer_pool, 1);
     pool->idle_max = idle_max;
     for (size_t i = 0; i < STRIPE_COUNT; i++) {
-        g_mutex_init(&pool->stripes[i].mutex);
+        pthread_mutex_init(&pool->stripes[i].mutex, NULL);
         pool->stripes[i].peers =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, idle_queue_free);
     }
@@ -57,7 +59,7 @@
 {
     for (size_t i = 0; i < STRIPE_COUNT; i++) {
         g_hash_table_unref(pool->stripes[i].peers);
-        g_mutex_clear(&pool->stripes[i].mutex);
+        pthread_mutex_destroy(&pool->stripes[i].mutex);
     }
     g_free(pool);
 }
@@ -67,12 +69,12 @@
 {
     struct pool_stripe *stripe = stripe_of(pool, address);
     struct idle_connection *idle = NULL;
-    g_mutex_lock(&stripe->mutex);
+    pthread_mutex_lock(&stripe->mutex);
     GQueue *queue = g_hash_table_lookup(stripe->peers, address);
     if (queue != NULL) {
         idle = g_queue_pop_head(queue);
     }
-    g_mutex_unlock(&stripe->mutex);
+    pthread_mutex_unlock(&stripe->mutex);
     return idle;
 }
 
@@ -85,7 +87,7 @@
     struct idle_connection *idle = g_new0(struct idle_connection, 1);
     idle->connection = connection;
     idle->idle_since = wire_clock_now();
-    g_mutex_lock(&stripe->mutex);
+    pthread_mutex_lock(&stripe->mutex);
     GQueue *queue = g_hash_table_lookup(stripe->peers, address);
     if (queue == NULL) {
         queue = g_queue_new();
@@ -95,7 +97,7 @@
         g_queue_push_head(queue, idle);
         kept = true;
     }
-    g_mutex_unlock(&stripe->mutex);
+    pthread_mutex_unlock(&stripe->mutex);
     if (!kept) {
         idle_connection_free(idle);
     }
@@ -208,7 +210,7 @@
 {
     GHashTableIter iterator;
     void *queue = NULL;
-    g_mutex_lock(&stripe->mutex);
+    pthread_mutex_lock(&stripe->mutex);
     g_hash_table_iter_init(&iterator, stripe->peers);
     while (g_hash_table_iter_next(&iterator, NULL, &queue)) {
         collect_unusable(queue, idle_since_min, closing);
@@ -216,7 +218,7 @@
             g_hash_table_iter_remove(&iterator);
         }
     }
-    g_mutex_unlock(&stripe->mutex);
+    pthread_mutex_unlock(&stripe->mutex);
 }
 
 void peer_pool_close_idle(struct peer_pool *pool, time_ns idle_since)
@@ -231,17 +233,17 @@
 void peer_pool_forget(struct peer_pool *pool, const char *address)
 {
     struct pool_stripe *stripe = stripe_of(pool, address);
-    g_mutex_lock(&stripe->mutex);
+    pthread_mutex_lock(&stripe->mutex);
     g_hash_table_remove(stripe->peers, address);
-    g_mutex_unlock(&stripe->mutex);
+    pthread_mutex_unlock(&stripe->mutex);
 }
 
 unsigned peer_pool_idle_count(struct peer_pool *pool, const char *address)
 {
     struct pool_stripe *stripe = stripe_of(pool, address);
-    g_mutex_lock(&stripe->mutex);
+    pthread_mutex_lock(&stripe->mutex);
     GQueue *queue = g_hash_table_lookup(stripe->peers, address);
     unsigned count = queue == NULL ? 0 : queue->length;
-    g_mutex_unlock(&stripe->mutex);
+    pthread_mutex_unlock(&stripe->mutex);
     return count;
 }
--- a/src/wire/peer_server.c
+++ b/src/wire/peer_server.c
@@ -4,10 +4,13 @@
  * poll. Connections are listed under `mutex`, so that peer_server_free can shut their sockets. */
 #include "wire/peer_server.h"
 
+#include "core/error.h"
+#include "generated/errors.h"
 #include "wire/connection.h"
 #include "wire/listener.h"
 
 #include <poll.h>
+#include <pthread.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -21,10 +24,11 @@
 struct peer_server {
     struct peer_server_options options;
     struct wire_listener *listener;
-    GThread *accept_thread; /* NULL once joined */
+    pthread_t accept_thread;
+    bool accepting; /* accept_thread is not joined yet */
     int stop_descriptor;
-    GMutex mutex;
-    GCond finished;          /* a connection has ended */
+    pthread_mutex_t mutex;
+    pthread_cond_t finished; /* a connection has ended */
     GHashTable *connections; /* set of struct served_connection; under mutex */
 };
 
@@ -99,11 +103,11 @@
 static void finish_connection(struct served_connection *served)
 {
     struct peer_server *server = served->server;
-    g_mutex_lock(&server->mutex);
+    pthread_mutex_lock(&server->mutex);
     g_hash_table_remove(server->connections, served);
     wire_close(served->connection);
-    g_cond_broadcast(&server->finished);
-    g_mutex_unlock(&server->mutex);
+    pthread_cond_broadcast(&server->finished);
+    pthread_mutex_unlock(&server->mutex);
     g_free(served);
 }
 
@@ -137,17 +141,29 @@
                                                  struct wire_connection *connection)
 {
     struct served_connection *served = NULL;
-    g_mutex_lock(&server->mutex);
+    pthread_mutex_lock(&server->mutex);
     if (g_hash_table_size(server->connections) < server->options.connections_max) {
         served = g_new0(struct served_connection, 1);
         served->server = server;
         served->connection = connection;
         g_hash_table_add(server->connections, served);
     }
-    g_mutex_unlock(&server->mutex);
+    pthread_mutex_unlock(&server->mutex);
     return served;
 }
 
+/* Starts a thread that nobody joins; returns an error number. */
+static int start_detached(void *(*function)(void *), void *data)
+{
+    pthread_t thread;
+    pthread_attr_t attributes;
+    pthread_attr_init(&attributes);
+    pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
+    int failure = pthread_create(&thread, &attributes, function, data);
+    pthread_attr_destroy(&attributes);
+    return failure;
+}
+
 static void start_connection(struct peer_server *server, struct wire_connection *connection)
 {
     struct served_connection *served = list_connection(server, connection);
@@ -156,14 +172,11 @@
         refuse_connection(connection);
         return;
     }
-    g_autoptr(GError) error = NULL;
-    GThread *thread = g_thread_try_new("peer", connection_thread, served, &error);
-    if (thread == NULL) {
-        g_info("wire: connection refused: %s", error->message);
+    int failure = start_detached(connection_thread, served);
+    if (failure != 0) {
+        g_info("wire: connection refused: %s", g_strerror(failure));
         finish_connection(served);
-        return;
     }
-    g_thread_unref(thread);
 }
 
 /* Waits a moment, or less if the server stops. */
@@ -191,6 +204,16 @@
     }
 }
 
+/* A condition whose timed wait takes monotonic time. */
+static void init_condition(pthread_cond_t *condition)
+{
+    pthread_condattr_t attributes;
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(condition, &attributes);
+    pthread_condattr_destroy(&attributes);
+}
+
 struct peer_server *peer_server_start(const char *address,
                                       const struct peer_server_options *options, GError **error)
 {
@@ -203,10 +226,17 @@
     server->listener = listener;
     server->stop_descriptor = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
     g_assert(server->stop_descriptor >= 0);
-    g_mutex_init(&server->mutex);
-    g_cond_init(&server->finished);
+    pthread_mutex_init(&server->mutex, NULL);
+    init_condition(&server->finished);
     server->connections = g_hash_table_new(NULL, NULL);
-    server->accept_thread = g_thread_new("peer-accept", accept_thread, server);
+    int failure = pthread_create(&server->accept_thread, NULL, accept_thread, server);
+    if (failure != 0) {
+        g_set_error(error, SW_ERROR, ERROR_KIND_INTERNAL, "no thread to accept connections: %s",
+                    g_strerror(failure));
+        peer_server_free(server);
+        return NULL;
+    }
+    server->accepting = true;
     return server;
 }
 
@@ -217,39 +247,39 @@
 
 unsigned peer_server_connection_count(struct peer_server *server)
 {
-    g_mutex_lock(&server->mutex);
+    pthread_mutex_lock(&server->mutex);
     unsigned count = g_hash_table_size(server->connections);
-    g_mutex_unlock(&server->mutex);
+    pthread_mutex_unlock(&server->mutex);
     return count;
 }
 
 /* Waits until no connection is left or the deadline has passed; returns how many are left. */
 static unsigned wait_connections(struct peer_server *server, time_ns deadline)
 {
-    gint64 deadline_us = G_MAXINT64;
-    if (deadline != WIRE_NO_DEADLINE) {
-        deadline_us = (gint64)(deadline / (NANOSECONDS_PER_MILLISECOND / 1000));
-    }
-    g_mutex_lock(&server->mutex);
-    bool in_time = true;
-    while (in_time && g_hash_table_size(server->connections) > 0) {
+    struct timespec until = {
+        .tv_sec = (time_t)(deadline / NANOSECONDS_PER_SECOND),
+        .tv_nsec = (long)(deadline % NANOSECONDS_PER_SECOND),
+    };
+    int failure = 0;
+    pthread_mutex_lock(&server->mutex);
+    while (failure == 0 && g_hash_table_size(server->connections) > 0) {
         if (deadline == WIRE_NO_DEADLINE) {
-            g_cond_wait(&server->finished, &server->mutex);
+            failure = pthread_cond_wait(&server->finished, &server->mutex);
         } else {
-            in_time = g_cond_wait_until(&server->finished, &server->mutex, deadline_us);
+            failure = pthread_cond_timedwait(&server->finished, &server->mutex, &until);
         }
     }
     unsigned left = g_hash_table_size(server->connections);
-    g_mutex_unlock(&server->mutex);
+    pthread_mutex_unlock(&server->mutex);
     return left;
 }
 
 unsigned peer_server_stop(struct peer_server *server, time_ns deadline)
 {
-    if (server->accept_thread != NULL) {
+    if (server->accepting) {
         eventfd_write(server->stop_descriptor, 1);
-        g_thread_join(server->accept_thread);
-        server->accept_thread = NULL;
+        pthread_join(server->accept_thread, NULL);
+        server->accepting = false;
         wire_listener_stop(server->listener);
     }
     return wait_connections(server, deadline);
@@ -260,12 +290,12 @@
 {
     GHashTableIter iterator;
     void *served = NULL;
-    g_mutex_lock(&server->mutex);
+    pthread_mutex_lock(&server->mutex);
     g_hash_table_iter_init(&iterator, server->connections);
     while (g_hash_table_iter_next(&iterator, &served, NULL)) {
         shutdown(((struct served_connection *)served)->connection->socket, SHUT_RDWR);
     }
-    g_mutex_unlock(&server->mutex);
+    pthread_mutex_unlock(&server->mutex);
 }
 
 void peer_server_free(struct peer_server *server)
@@ -276,7 +306,7 @@
     wire_listener_close(server->listener);
     g_hash_table_unref(server->connections);
     close(server->stop_descriptor);
-    g_cond_clear(&server->finished);
-    g_mutex_clear(&server->mutex);
+    pthread_cond_destroy(&server->finished);
+    pthread_mutex_destroy(&server->mutex);
     g_free(server);
 }
--- a/tests/wire/test_connection.c
+++ b/tests/wire/test_connection.c
@@ -4,6 +4,7 @@
 #include "wire/address.h"
 #include "wire_fixture.h"
 
+#include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -89,9 +90,11 @@
     for (size_t i = 0; i < statement->parameters_count; i++) {
         statement->parameters[i].text = g_strnfill(1048576, (char)('a' + i));
     }
-    GThread *thread = g_thread_new("receive", receive_thread, pair.right);
+    pthread_t thread;
+    g_assert_cmpint(pthread_create(&thread, NULL, receive_thread, pair.right), ==, 0);
     g_assert_true(wire_send(pair.left, &message, fixture_deadline(), NULL));
-    struct message *received = g_thread_join(thread);
+    struct message *received = NULL;
+    pthread_join(thread, (void **)&received);
     for (size_t i = 0; i < statement->parameters_count; i++) {
         g_assert_cmpstr(received->request.statements[0].parameters[i].text, ==,
                         statement->parameters[i].text);
--- a/tests/wire/test_peer_call.c
+++ b/tests/wire/test_peer_call.c
@@ -4,6 +4,8 @@
 #include "wire/peer_pool.h"
 #include "wire_fixture.h"
 
+#include <pthread.h>
+
 /* One call and the result it must have; `code` is checked unless the result is ANSWERED. */
 static void expect_call(struct peer_pool *pool, const char *address, time_ns deadline,
                         enum peer_call_result expected, int code)
@@ -88,12 +90,13 @@
 {
     struct wire_listener *listener = wire_listener_open("127.0.0.1:0", NULL);
     struct peer_pool *pool = peer_pool_new(PEER_POOL_IDLE_MAX_DEFAULT);
-    GThread *thread = g_thread_new("peer", fall_silent, listener);
+    pthread_t thread;
+    g_assert_cmpint(pthread_create(&thread, NULL, fall_silent, listener), ==, 0);
     expect_call(pool, listener->address, fixture_deadline(), PEER_CALL_ANSWERED, 0);
     time_ns deadline = wire_clock_now() + NANOSECONDS_PER_SECOND / 2;
     expect_call(pool, listener->address, deadline, PEER_CALL_SENT_NO_ANSWER, ERROR_KIND_DEADLINE);
     g_assert_cmpuint(peer_pool_idle_count(pool, listener->address), ==, 0);
-    g_thread_join(thread);
+    pthread_join(thread, NULL);
     peer_pool_free(pool);
     wire_listener_close(listener);
 }
@@ -198,12 +201,13 @@
 {
     struct wire_listener *listener = wire_listener_open("127.0.0.1:0", NULL);
     struct peer_pool *pool = peer_pool_new(PEER_POOL_IDLE_MAX_DEFAULT);
-    GThread *thread = g_thread_new("peer", close_after_second_read, listener);
+    pthread_t thread;
+    g_assert_cmpint(pthread_create(&thread, NULL, close_after_second_read, listener), ==, 0);
     expect_call(pool, listener->address, fixture_deadline(), PEER_CALL_ANSWERED, 0);
     expect_call(pool, listener->address, fixture_deadline(), PEER_CALL_SENT_NO_ANSWER,
                 ERROR_KIND_PEER_UNREACHABLE);
     g_assert_cmpuint(peer_pool_idle_count(pool, listener->address), ==, 0);
-    g_thread_join(thread);
+    pthread_join(thread, NULL);
     peer_pool_free(pool);
     wire_listener_close(listener);
 }
--- a/tests/wire/test_peer_server.c
+++ b/tests/wire/test_peer_server.c
@@ -5,6 +5,7 @@
 #include "wire/peer_server.h"
 #include "wire_fixture.h"
 
+#include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -13,8 +14,8 @@
 /* A server that echoes request ids, and can hold its handlers at a gate. */
 struct echo {
     struct peer_server *server;
-    GMutex mutex;
-    GCond changed;
+    pthread_mutex_t mutex;
+    pthread_cond_t changed;
     bool gate_closed; /* under mutex */
     unsigned arrived; /* requests that have reached the gate; under mutex */
     unsigned handled; /* under mutex */
@@ -27,14 +28,14 @@
     if (g_strcmp0(request->request.request_id, "no answer") == 0) {
         return;
     }
-    g_mutex_lock(&echo->mutex);
+    pthread_mutex_lock(&echo->mutex);
     echo->arrived++;
-    g_cond_broadcast(&echo->changed);
+    pthread_cond_broadcast(&echo->changed);
     while (echo->gate_closed) {
-        g_cond_wait(&echo->changed, &echo->mutex);
+        pthread_cond_wait(&echo->changed, &echo->mutex);
     }
     echo->handled++;
-    g_mutex_unlock(&echo->mutex);
+    pthread_mutex_unlock(&echo->mutex);
     fixture_reply(reply, request->request.request_id);
 }
 
@@ -61,35 +62,35 @@
     };
     g_autoptr(GError) error = NULL;
     memset(echo, 0, sizeof(*echo));
-    g_mutex_init(&echo->mutex);
-    g_cond_init(&echo->changed);
+    pthread_mutex_init(&echo->mutex, NULL);
+    pthread_cond_init(&echo->changed, NULL);
     echo->server = peer_server_start("127.0.0.1:0", &options, &error);
     g_assert_no_error(error);
 }
 
 static void echo_set_gate(struct echo *echo, bool closed)
 {
-    g_mutex_lock(&echo->mutex);
+    pthread_mutex_lock(&echo->mutex);
     echo->gate_closed = closed;
-    g_cond_broadcast(&echo->changed);
-    g_mutex_unlock(&echo->mutex);
+    pthread_cond_broadcast(&echo->changed);
+    pthread_mutex_unlock(&echo->mutex);
 }
 
 static void echo_await_arrived(struct echo *echo, unsigned count)
 {
-    g_mutex_lock(&echo->mutex);
+    pthread_mutex_lock(&echo->mutex);
     while (echo->arrived < count) {
-        g_cond_wait(&echo->changed, &echo->mutex);
+        pthread_cond_wait(&echo->changed, &echo->mutex);
     }
-    g_mutex_unlock(&echo->mutex);
+    pthread_mutex_unlock(&echo->mutex);
 }
 
 static void echo_free(struct echo *echo)
 {
     peer_server_free(echo->server);
     g_assert_cmpint(g_atomic_int_get(&echo->threads), ==, 0);
-    g_mutex_clear(&echo->mutex);
-    g_cond_clear(&echo->changed);
+    pthread_mutex_destroy(&echo->mutex);
+    pthread_cond_destroy(&echo->changed);
 }
 
 /* A thread that calls, once or until the peer takes no more. */
@@ -130,7 +131,7 @@
 
 struct callers {
     struct caller callers[CALLER_COUNT];
-    GThread *threads[CALLER_COUNT];
+    pthread_t threads[CALLER_COUNT];
 };
 
 static void callers_start(struct callers *callers, struct peer_pool *pool, const char *address,
@@ -140,14 +141,15 @@
     for (unsigned i = 0; i < CALLER_COUNT; i++) {
         struct caller *caller = &callers->callers[i];
         *caller = (struct caller){.pool = pool, .address = address, .index = i, .repeat = repeat};
-        callers->threads[i] = g_thread_new("caller", caller_thread, caller);
+        int failure = pthread_create(&callers->threads[i], NULL, caller_thread, caller);
+        g_assert_cmpint(failure, ==, 0);
     }
 }
 
 static void callers_join(struct callers *callers)
 {
     for (unsigned i = 0; i < CALLER_COUNT; i++) {
-        g_thread_join(callers->threads[i]);
+        pthread_join(callers->threads[i], NULL);
     }
 }
 
@@ -317,9 +319,10 @@
     callers_start(&callers, pool, peer_server_address(echo.server), false);
     echo_await_arrived(&echo, CALLER_COUNT);
     g_assert_cmpuint(peer_server_stop(echo.server, fixture_short_deadline()), ==, CALLER_COUNT);
-    GThread *opener = g_thread_new("open", open_gate, &echo);
+    pthread_t opener;
+    g_assert_cmpint(pthread_create(&opener, NULL, open_gate, &echo), ==, 0);
     g_assert_cmpuint(peer_server_stop(echo.server, fixture_deadline()), ==, 0);
-    g_thread_join(opener);
+    pthread_join(opener, NULL);
     callers_join(&callers);
     g_assert_cmpuint(callers_count(&callers, PEER_CALL_ANSWERED), ==, CALLER_COUNT);
     peer_pool_free(pool);
--- a/tests/wire/wire_fixture.c
+++ b/tests/wire/wire_fixture.c
@@ -97,9 +97,9 @@
     if (!wire_receive(connection, &request, fixture_deadline(), NULL)) {
         return;
     }
-    g_mutex_lock(&peer->mutex);
+    pthread_mutex_lock(&peer->mutex);
     peer->requests_read++;
-    g_mutex_unlock(&peer->mutex);
+    pthread_mutex_unlock(&peer->mutex);
     fixture_reply(&reply, request.request.request_id);
     answer(connection, &reply, step);
     message_clear(&reply);
@@ -124,10 +124,10 @@
         break;
     }
     wire_close(connection);
-    g_mutex_lock(&peer->mutex);
+    pthread_mutex_lock(&peer->mutex);
     peer->steps_done++;
-    g_cond_broadcast(&peer->stepped);
-    g_mutex_unlock(&peer->mutex);
+    pthread_cond_broadcast(&peer->stepped);
+    pthread_mutex_unlock(&peer->mutex);
 }
 
 static void *scripted_thread(void *data)
@@ -152,36 +152,36 @@
     g_assert_no_error(error);
     peer->steps = steps;
     peer->stop_descriptor = eventfd(0, EFD_CLOEXEC);
-    g_mutex_init(&peer->mutex);
-    g_cond_init(&peer->stepped);
-    peer->thread = g_thread_new("scripted", scripted_thread, peer);
+    pthread_mutex_init(&peer->mutex, NULL);
+    pthread_cond_init(&peer->stepped, NULL);
+    g_assert_cmpint(pthread_create(&peer->thread, NULL, scripted_thread, peer), ==, 0);
     return peer;
 }
 
 void scripted_peer_wait(struct scripted_peer *peer, unsigned steps)
 {
-    g_mutex_lock(&peer->mutex);
+    pthread_mutex_lock(&peer->mutex);
     while (peer->steps_done < steps) {
-        g_cond_wait(&peer->stepped, &peer->mutex);
+        pthread_cond_wait(&peer->stepped, &peer->mutex);
     }
-    g_mutex_unlock(&peer->mutex);
+    pthread_mutex_unlock(&peer->mutex);
 }
 
 unsigned scripted_peer_requests_read(struct scripted_peer *peer)
 {
-    g_mutex_lock(&peer->mutex);
+    pthread_mutex_lock(&peer->mutex);
     unsigned count = peer->requests_read;
-    g_mutex_unlock(&peer->mutex);
+    pthread_mutex_unlock(&peer->mutex);
     return count;
 }
 
 void scripted_peer_free(struct scripted_peer *peer)
 {
     eventfd_write(peer->stop_descriptor, 1);
-    g_thread_join(peer->thread);
+    pthread_join(peer->thread, NULL);
     wire_listener_close(peer->listener);
     close(peer->stop_descriptor);
-    g_mutex_clear(&peer->mutex);
-    g_cond_clear(&peer->stepped);
+    pthread_mutex_destroy(&peer->mutex);
+    pthread_cond_destroy(&peer->stepped);
     g_free(peer);
 }
--- a/tests/wire/wire_fixture.h
+++ b/tests/wire/wire_fixture.h
@@ -6,6 +6,8 @@
 #include "wire/connection.h"
 #include "wire/listener.h"
 
+#include <pthread.h>
+
 /* Long enough that no passing test reaches it. */
 #define FIXTURE_PATIENCE_NS (30 * NANOSECONDS_PER_SECOND)
 
@@ -40,10 +42,10 @@
 struct scripted_peer {
     struct wire_listener *listener;
     const enum scripted_step *steps;
-    GThread *thread;
+    pthread_t thread;
     int stop_descriptor;
-    GMutex mutex;
-    GCond stepped;
+    pthread_mutex_t mutex;
+    pthread_cond_t stepped;
     unsigned steps_done;    /* under mutex; a step is done once its connection is closed */
     unsigned requests_read; /* under mutex */
 };
