--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -14,8 +14,8 @@
 /* No datagram that membership makes is longer when encoded, in octets. */
 #define MEMBERSHIP_DATAGRAM_MAX 1200
 
-/* Zones that one deployment may have. */
-#define MEMBERSHIP_ZONES_MAX 64
+/* Zones that one deployment may have, numbered from 0. */
+#define MEMBERSHIP_ZONES_MAX 63
 
 /* Where a daemon's gossip listener is: IPv4 address and port, host order. */
 struct member_address {
@@ -78,7 +78,7 @@
     MEMBERSHIP_ACTION_MEMBER_CHANGED,      /* state or leaving mark changed otherwise */
     MEMBERSHIP_ACTION_MEMBER_GONE,         /* dead, left or forgotten */
     MEMBERSHIP_ACTION_ZONE_CHANGED,        /* zone became reachable or unreachable from here */
-    MEMBERSHIP_ACTION_CONFIGURATION_HEARD, /* a newer configuration exists; member told of it */
+    MEMBERSHIP_ACTION_CONFIGURATION_HEARD, /* one newer than in force here exists */
     MEMBERSHIP_ACTION_SUPERSEDED           /* a later process runs under this daemon's id */
 };
 
@@ -91,6 +91,7 @@
     uint16_t zone;                           /* ZONE_CHANGED */
     bool reachable;                          /* ZONE_CHANGED */
     struct configuration_mark configuration; /* CONFIGURATION_HEARD */
+    bool holder; /* CONFIGURATION_HEARD: the member has it in force and can give it */
 };
 
 /* An ordered list of actions. Owns their messages. */
@@ -145,13 +146,26 @@
 void membership_leave(struct membership *membership, time_ns now,
                       struct membership_actions *actions);
 
-/* States the configuration in force here, to be told to others. */
+/* States the configuration in force here, and tells others at once that it can be had here. */
 void membership_set_configuration(struct membership *membership, struct configuration_mark in_force,
                                   time_ns now, struct membership_actions *actions);
 
-/* Makes a configuration heard of elsewhere (the store, a publisher) known to the members. */
-void membership_hear_configuration(struct membership *membership, struct configuration_mark heard,
-                                   time_ns now, struct membership_actions *actions);
+/* Makes a configuration heard of elsewhere (the store, a publisher) known to the members, with the
+ * next datagrams. */
+void membership_hear_configuration(struct membership *membership, struct configuration_mark heard);
+
+/* The platform's store answered just now and named no configuration that is newer than the newest
+ * heard of here. Members of the zone learn of it, so that few need to ask the store. */
+void membership_hear_store(struct membership *membership, time_ns now);
+
+/* True if this daemon is one of the few of its zone that ask the store for all. */
+bool membership_asks_store(const struct membership *membership);
+
+/* When the newest configuration heard of was last known to be the newest: by the store as told in
+ * this zone; and by more than half of the known members, counted by zones; a lone daemon has no
+ * such peers. 0: never. */
+time_ns membership_store_confirmed_at(const struct membership *membership);
+time_ns membership_peers_confirmed_at(const struct membership *membership, time_ns now);
 
 /* The newest configuration heard of. */
 struct configuration_mark membership_heard_configuration(const struct membership *membership);
--- a/src/core/membership_zones.c
+++ b/src/core/membership_zones.c
@@ -4,6 +4,9 @@
 
 #include <xxhash.h>
 
+/* Members of each zone that ask the store. */
+#define STORE_ASKERS 2
+
 bool membership_zone_reachable(const struct membership *membership, uint16_t zone, time_ns now)
 {
     if (zone >= MEMBERSHIP_ZONES_MAX) {
@@ -33,7 +36,7 @@
     for (size_t i = 0; i < message->zones_count; i++) {
         const struct gossip_zone_age *age = &message->zones[i];
         uint64_t nanoseconds = (uint64_t)age->age_ms * NANOSECONDS_PER_MILLISECOND;
-        if (age->zone < MEMBERSHIP_ZONES_MAX && nanoseconds < now) {
+        if (age->zone < MEMBERSHIP_AGE_COUNT && nanoseconds < now) {
             hear_zone(membership, (uint16_t)age->zone, now - nanoseconds);
         }
     }
@@ -80,8 +83,8 @@
     return XXH64(&id, sizeof(id), zone);
 }
 
-/* True if fewer than `relays` other live members of the own zone rank above this daemon. */
-static bool is_relay_to(const struct membership *membership, uint16_t zone)
+/* True if fewer than `places` other live members of the own zone rank above this daemon. */
+static bool ranks_within(const struct membership *membership, uint16_t zone, uint32_t places)
 {
     uint64_t own = relay_rank(membership->self_id, zone);
     uint32_t above = 0;
@@ -94,19 +97,63 @@
             above++;
         }
     }
-    return above < membership->options.relays;
+    return above < places;
 }
 
 void membership_work_out_relays(struct membership *membership)
 {
     membership->relays_stale = false;
     membership->relay_zones = 0;
+    membership->asks_store = ranks_within(membership, MEMBERSHIP_STORE, STORE_ASKERS);
     for (uint16_t zone = 0; zone < MEMBERSHIP_ZONES_MAX; zone++) {
         if (zone == membership->self_zone || membership->live_in_zone[zone] == 0) {
             continue;
         }
-        if (is_relay_to(membership, zone)) {
+        if (ranks_within(membership, zone, membership->options.relays)) {
             membership->relay_zones |= UINT64_C(1) << zone;
         }
     }
 }
+
+bool membership_asks_store(const struct membership *membership)
+{
+    return membership->asks_store;
+}
+
+void membership_hear_store(struct membership *membership, time_ns now)
+{
+    hear_zone(membership, MEMBERSHIP_STORE, now);
+}
+
+time_ns membership_store_confirmed_at(const struct membership *membership)
+{
+    return membership->zone_heard[MEMBERSHIP_STORE];
+}
+
+/* The latest time not after `before` at which a zone was heard of; 0 if there is none. */
+static time_ns latest_heard_before(const struct membership *membership, time_ns before)
+{
+    time_ns latest = 0;
+    for (uint32_t zone = 0; zone < MEMBERSHIP_ZONES_MAX; zone++) {
+        time_ns heard = membership->zone_heard[zone];
+        if (heard < before) {
+            latest = MAX(latest, heard);
+        }
+    }
+    return latest;
+}
+
+time_ns membership_peers_confirmed_at(const struct membership *membership, time_ns now)
+{
+    time_ns at = now + 1;
+    do {
+        size_t reachable = 0;
+        size_t known = 0;
+        at = latest_heard_before(membership, at);
+        membership_reach(membership, now, now - at, &reachable, &known);
+        if (2 * reachable > known && known > 1) {
+            return at;
+        }
+    } while (at > 0);
+    return 0;
+}
