--- a/src/core/ownership.c
+++ b/src/core/ownership.c
@@ -8,13 +8,15 @@
 struct group_owners {
     struct ownership_group group;
     uint32_t owner_count;
-    bool filled; /* its zones had too few members, so that any member may own it */
+    int32_t position; /* of this daemon if it may take it, or -1 */
+    bool filled;      /* its zones had too few members, so that any member may own it */
     uint64_t owners[OWNERSHIP_OWNERS_MAX];
 };
 
 struct ownership {
     struct ownership_options options;
     uint64_t self_id;
+    bool settled;
     GArray *groups;  /* struct group_owners, by group number */
     GArray *members; /* struct ownership_member, by zone, then id */
     uint64_t ranks_computed;
@@ -219,6 +221,36 @@
     return members;
 }
 
+/* This daemon's place among the owners, as far as it may take it now. */
+static int32_t allowed_position(const struct ownership *ownership, const struct group_owners *entry)
+{
+    bool may_take = ownership->settled || entry->position >= 0;
+    return may_take ? position_of(entry->owners, entry->owner_count, ownership->self_id) : -1;
+}
+
+/* An owner before that is none now, or 0. */
+static uint64_t removed_owner(const struct group_owners *before, const struct group_owners *after)
+{
+    for (uint32_t i = 0; i < before->owner_count; i++) {
+        if (!owners_contain(after->owners, after->owner_count, before->owners[i])) {
+            return before->owners[i];
+        }
+    }
+    return 0;
+}
+
+static void report_change(const struct group_owners *before, const struct group_owners *after,
+                          GArray *changes)
+{
+    struct ownership_change change = {
+        .group = after->group.group,
+        .position_before = before->position,
+        .position = after->position,
+        .removed = removed_owner(before, after),
+    };
+    g_array_append_val(changes, change);
+}
+
 /* Works out one group's owners and appends the change, if there is one. */
 static void work_out_group(struct ownership *ownership, struct group_owners *entry, GArray *changes)
 {
@@ -237,15 +269,11 @@
     };
     entry->owner_count = (uint32_t)select_owners(&selection);
     ownership->ranks_computed += members->len;
-    if (memcmp(before.owners, entry->owners, sizeof(entry->owners)) == 0) {
-        return;
+    entry->position = allowed_position(ownership, entry);
+    bool same = memcmp(before.owners, entry->owners, sizeof(entry->owners)) == 0;
+    if (!same || before.position != entry->position) {
+        report_change(&before, entry, changes);
     }
-    struct ownership_change change = {
-        .group = entry->group.group,
-        .position_before = position_of(before.owners, before.owner_count, ownership->self_id),
-        .position = position_of(entry->owners, entry->owner_count, ownership->self_id),
-    };
-    g_array_append_val(changes, change);
 }
 
 static void work_out_all(struct ownership *ownership, GArray *changes)
@@ -285,7 +313,7 @@
         }
         struct ownership_change change = {
             .group = entry->group.group,
-            .position_before = position_of(entry->owners, entry->owner_count, ownership->self_id),
+            .position_before = entry->position,
             .position = -1,
         };
         g_array_append_val(changes, change);
@@ -299,7 +327,7 @@
     ownership->groups = g_array_sized_new(FALSE, TRUE, sizeof(struct group_owners), (guint)count);
     g_array_sort(before, compare_groups);
     for (size_t i = 0; i < count; i++) {
-        struct group_owners entry = {.group = groups[i]};
+        struct group_owners entry = {.group = groups[i], .position = -1};
         guint index = 0;
         if (g_array_binary_search(before, &entry, compare_groups, &index)) {
             entry = g_array_index(before, struct group_owners, index);
@@ -418,10 +446,26 @@
     return entry->owner_count;
 }
 
+void ownership_set_settled(struct ownership *ownership, bool settled, GArray *changes)
+{
+    if (settled == ownership->settled) {
+        return;
+    }
+    ownership->settled = settled;
+    for (guint i = 0; i < ownership->groups->len; i++) {
+        struct group_owners *entry = group_at(ownership, i);
+        struct group_owners before = *entry;
+        entry->position = allowed_position(ownership, entry);
+        if (entry->position != before.position) {
+            report_change(&before, entry, changes);
+        }
+    }
+}
+
 int32_t ownership_position(const struct ownership *ownership, uint32_t group)
 {
     const struct group_owners *entry = find_group(ownership, group);
-    return entry == NULL ? -1 : position_of(entry->owners, entry->owner_count, ownership->self_id);
+    return entry == NULL ? -1 : entry->position;
 }
 
 size_t ownership_memory(const struct ownership *ownership)
--- a/src/core/ownership.h
+++ b/src/core/ownership.h
@@ -40,11 +40,12 @@
                            const struct ownership_member *members, size_t member_count,
                            uint64_t *owners);
 
-/* A group whose owners changed. */
+/* A group whose owners changed, or which this daemon may now own. */
 struct ownership_change {
     uint32_t group;
-    int32_t position_before; /* of this daemon among the owners, or -1 */
+    int32_t position_before; /* of this daemon, see ownership_position */
     int32_t position;
+    uint64_t removed; /* an owner that is none any more, or 0 */
 };
 
 /* Owners of all groups, kept up to date. One thread only: the control thread. */
@@ -67,11 +68,17 @@
 /* Removes a member that membership has forgotten. */
 void ownership_remove_member(struct ownership *ownership, uint64_t id, GArray *changes);
 
+/* Tells whether this daemon's view can be relied on: its member list is whole and a majority is in
+ * reach. Until then, and while it can't, it takes no group that it does not own already; a fresh or
+ * cut-off daemon would else think that it owns them all. Appends what changed to `changes`. */
+void ownership_set_settled(struct ownership *ownership, bool settled, GArray *changes);
+
 /* Owners of a group, into `owners` (room for OWNERSHIP_OWNERS_MAX). Returns how many; 0 if the
  * group is not known. */
 size_t ownership_owners(const struct ownership *ownership, uint32_t group, uint64_t *owners);
 
-/* This daemon's place among the group's owners, or -1. */
+/* This daemon's place among the group's owners if it may take it, see ownership_set_settled, or
+ * -1. */
 int32_t ownership_position(const struct ownership *ownership, uint32_t group);
 
 /* Octets of memory held, and rank computations made so far. */
--- a/tests/core/ownership_test.c
+++ b/tests/core/ownership_test.c
@@ -32,6 +32,7 @@
         groups[i] = group_number(i);
     }
     g_autoptr(GArray) changes = g_array_new(FALSE, FALSE, sizeof(struct ownership_change));
+    ownership_set_settled(ownership, true, changes);
     ownership_set_groups(ownership, groups, GROUPS, changes);
 }
 
@@ -174,6 +175,36 @@
     ownership_free(ownership);
 }
 
+/* A fresh or cut-off daemon takes nothing new, keeps what it has, and gives up what it lost. */
+static void test_unsettled_takes_nothing_new(void)
+{
+    struct ownership *ownership = ownership_new(&options, member_number(0).id);
+    set_groups(ownership);
+    g_autoptr(GArray) changes = g_array_new(FALSE, FALSE, sizeof(struct ownership_change));
+    ownership_set_settled(ownership, false, changes);
+    set_member(ownership, 0, MEMBER_STATE_ALIVE, false);
+    for (uint32_t i = 0; i < GROUPS; i++) {
+        g_assert_cmpint(ownership_position(ownership, i), ==, -1);
+    }
+    ownership_set_settled(ownership, true, changes);
+    g_assert_cmpuint(changes->len, ==, GROUPS);
+    ownership_set_settled(ownership, false, changes);
+    g_assert_cmpint(ownership_position(ownership, 0), ==, 0);
+    for (uint32_t i = 1; i < MEMBERS; i++) {
+        set_member(ownership, i, MEMBER_STATE_ALIVE, false);
+    }
+    uint64_t owners[OWNERSHIP_OWNERS_MAX];
+    for (uint32_t i = 0; i < GROUPS; i++) {
+        size_t count = ownership_owners(ownership, i, owners);
+        bool owned = false;
+        for (size_t j = 0; j < count; j++) {
+            owned |= owners[j] == member_number(0).id;
+        }
+        g_assert_cmpint(ownership_position(ownership, i) >= 0, ==, owned);
+    }
+    ownership_free(ownership);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -185,5 +216,6 @@
                     test_a_leaver_moves_only_its_groups);
     g_test_add_func("/ownership/a-join-is-cheap", test_a_join_is_cheap);
     g_test_add_func("/ownership/groups-come-and-go", test_groups_come_and_go);
+    g_test_add_func("/ownership/unsettled-takes-nothing-new", test_unsettled_takes_nothing_new);
     return g_test_run();
 }
