Serve reads within a tight staleness bound from replicas

Cause: with a bound of 100 ms and samples of the primary every 250 ms, routing mostly could not tell what the bound asks for and took the primary, up to its read allowance; and a replica's lag was overestimated by the sample interval, as it was measured from the last entry applied instead of the first missing. Ruled out: the guard wait (40 ms against 20 ms of lag) and the allowance.

--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -2,6 +2,7 @@
  */
 #include "core/group_control.h"
 #include "core/group_control_internal.h"
+#include "core/position_samples.h"
 
 #include <glib.h>
 #include <string.h>
@@ -34,8 +35,8 @@
     options->pause_poll = 4 * ms;
     options->own_stall_after = 200 * ms;
     options->tick_interval = 100 * ms;
-    options->sample_interval = 250 * ms;
-    options->publish_interval = 20 * ms;
+    options->sample_interval = 5 * ms;
+    options->publish_interval = 5 * ms;
     options->planned_attempts = 3;
 }
 
@@ -163,20 +164,6 @@
     control_wake_at(control, control->opinion_at);
 }
 
-/* Adds a sample of the primary's log to the view, newest first. */
-static void take_sample(struct group_view *view, time_ns at, struct log_position held)
-{
-    uint32_t kept = view->sample_count;
-
-    if (kept == GROUP_SAMPLES_MAX) {
-        kept -= 1;
-    }
-    memmove(&view->samples[1], &view->samples[0], kept * sizeof(view->samples[0]));
-    view->samples[0].at = at;
-    view->samples[0].held = held;
-    view->sample_count = kept + 1;
-}
-
 static void fill_view(struct group_control *control)
 {
     struct group_view *view = &control->view;
@@ -207,7 +194,7 @@
     const struct member *leader = &control->members[primary];
     time_ns last = view->sample_count > 0 ? view->samples[0].at : 0;
     if (view->sample_count == 0 || leader->observed_at >= last + control->options.sample_interval) {
-        take_sample(view, leader->observed_at, leader->status.held);
+        position_samples_add(view, leader->observed_at, leader->status.held);
     }
 }
 
--- a/src/core/read_flow.c
+++ b/src/core/read_flow.c
@@ -6,6 +6,9 @@
 /* Pause before looking at the view again when no database can serve. */
 #define UNAVAILABLE_POLL_MS 20
 
+/* Longest wait for the primary's position. */
+#define FRESHEN_WAIT_MS 30
+
 /* When a caller should come back after no database could serve. */
 #define UNAVAILABLE_RETRY_AFTER_MS 200
 
@@ -54,6 +57,18 @@
     return step;
 }
 
+/* Replicas could serve if the primary's position were known: asks for it once. */
+static struct read_step freshen(struct read_flow *flow, time_ns now)
+{
+    flow->freshened = true;
+    struct read_step step = {
+        .kind = READ_STEP_FRESHEN,
+        .database = -1,
+        .until = now + FRESHEN_WAIT_MS * NANOSECONDS_PER_MILLISECOND,
+    };
+    return step;
+}
+
 static struct read_step route_again(struct read_flow *flow, time_ns now,
                                     const struct group_view *view)
 {
@@ -65,6 +80,9 @@
     route->excluded = flow->excluded;
     struct route_decision decision = route_read(view, route);
     memcpy(flow->refused, decision.refused, sizeof(flow->refused));
+    if (decision.bound_unknown && view->primary >= 0 && !flow->freshened) {
+        return freshen(flow, now);
+    }
     if (decision.database < 0) {
         return wait_or_refuse(flow, now);
     }
--- a/src/core/read_flow.h
+++ b/src/core/read_flow.h
@@ -10,9 +10,10 @@
 #include "generated/messages.h"
 
 enum read_step_kind {
-    READ_STEP_READ,   /* read at step.database with step.guard and step.guard_wait_ms */
-    READ_STEP_WAIT,   /* wait for a new view or until step.until, then feed TIMER */
-    READ_STEP_ANSWER, /* final */
+    READ_STEP_READ,    /* read at step.database with step.guard and step.guard_wait_ms */
+    READ_STEP_FRESHEN, /* have the primary probed now; then as WAIT */
+    READ_STEP_WAIT,    /* wait for a new view or until step.until, then feed TIMER */
+    READ_STEP_ANSWER,  /* final */
 };
 
 struct read_step {
@@ -60,6 +61,7 @@
 struct read_flow {
     struct read_options options;
     uint32_t attempts;
+    bool freshened; /* asked for newer samples once */
     uint32_t excluded;
     time_ns unavailable_since;
     int32_t database;
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -1,6 +1,7 @@
 /* Routing decisions; see the header. */
 #include "core/route.h"
 
+#include "core/position_samples.h"
 #include "core/types.h"
 
 /* What a running statement adds to a database's distance when all its slots would be taken. */
@@ -42,55 +43,6 @@
     return log_position_compare(a, b) >= 0 ? a : b;
 }
 
-/* Moment between two samples at which the log passed `position`. */
-static time_ns interpolate(const struct position_sample *older, const struct position_sample *newer,
-                           struct log_position position)
-{
-    bool one_term = older->held.term == position.term && newer->held.term == position.term;
-    if (!one_term || newer->held.offset == older->held.offset) {
-        return older->at;
-    }
-    double part = (double)(position.offset - older->held.offset) /
-                  (double)(newer->held.offset - older->held.offset);
-    return older->at + (time_ns)(part * (double)(newer->at - older->at));
-}
-
-time_ns route_time_of_position(const struct group_view *view, struct log_position position,
-                               time_ns now)
-{
-    if (view->sample_count == 0 || !log_position_covers(view->samples[0].held, position)) {
-        return now;
-    }
-    if (log_position_covers(position, view->samples[0].held)) {
-        return view->samples[0].at;
-    }
-    for (uint32_t i = 1; i < view->sample_count; i++) {
-        if (log_position_covers(position, view->samples[i].held)) {
-            return interpolate(&view->samples[i], &view->samples[i - 1], position);
-        }
-    }
-    return 0;
-}
-
-/* What the primary held `bound` before now, from samples; false if no sample tells. */
-static bool position_before(const struct group_view *view, time_ns now, time_ns bound,
-                            struct log_position *position)
-{
-    if (view->sample_count == 0 || view->samples[0].at + bound < now) {
-        return false;
-    }
-    uint32_t chosen = view->sample_count - 1;
-    for (uint32_t i = 0; i < view->sample_count; i++) {
-        if (view->samples[i].at + bound <= now) {
-            /* The next newer sample is within the bound: it is what must be seen at most. */
-            chosen = i;
-            break;
-        }
-    }
-    *position = view->samples[chosen].held;
-    return true;
-}
-
 bool route_needed_position(const struct group_view *view, const struct route_read_request *request,
                            struct log_position *needed)
 {
@@ -100,13 +52,27 @@
     }
     struct log_position bounded;
     time_ns bound = request->max_staleness_ms * NANOSECONDS_PER_MILLISECOND;
-    if (!position_before(view, request->now, bound, &bounded)) {
+    time_ns moment = request->now > bound ? request->now - bound : 0;
+    if (!position_samples_at(view, moment, &bounded)) {
         return false;
     }
     *needed = later_position(*needed, bounded);
     return true;
 }
 
+/* How far the replica was behind the primary when it was observed: the time since the primary held
+ * an entry that the replica had not applied. False if that is farther back than the samples reach.
+ */
+static bool replica_lag(const struct group_view *view, const struct database_view *replica,
+                        time_ns now, time_ns *lag)
+{
+    struct log_position missing = replica->status.applied;
+    missing.offset++;
+    time_ns missing_since = position_samples_time_of(view, missing, now);
+    *lag = replica->observed_at > missing_since ? replica->observed_at - missing_since : 0;
+    return missing_since != 0;
+}
+
 /* How long after now the replica is expected to have applied `needed`; UINT64_MAX if unknown. */
 static time_ns expected_wait(const struct group_view *view, const struct database_view *replica,
                              struct log_position needed, time_ns now)
@@ -117,12 +83,11 @@
     if (replica->status.term < view->term || view->sample_count == 0) {
         return UINT64_MAX;
     }
-    time_ns applied_at = route_time_of_position(view, replica->status.applied, now);
-    if (applied_at == 0) {
+    time_ns lag;
+    if (!replica_lag(view, replica, now, &lag)) {
         return UINT64_MAX;
     }
-    time_ns lag = replica->observed_at > applied_at ? replica->observed_at - applied_at : 0;
-    time_ns written_at = route_time_of_position(view, needed, now);
+    time_ns written_at = position_samples_time_of(view, needed, now);
     time_ns due = written_at + lag;
     return due > now ? due - now : 0;
 }
@@ -234,6 +199,7 @@
     if (request->replicas_allowed && bounded && view->database_count > 0) {
         choose_replica(view, request, needed, &decision);
     }
+    decision.bound_unknown = request->replicas_allowed && !bounded;
     if (decision.database < 0 && view->primary >= 0) {
         choose_primary(view, request, &decision);
     }
--- a/src/core/route.h
+++ b/src/core/route.h
@@ -54,7 +54,9 @@
     int32_t database; /* index into the view, or -1 */
     enum route_reason reason;
     struct log_position guard; /* a read must be discarded if the database has not applied this */
-    uint32_t guard_wait_ms;    /* how long the database may wait to apply it */
+    bool bound_unknown; /* replicas were passed over only since the samples are too old to tell what
+                           the staleness bound asks for */
+    uint32_t guard_wait_ms; /* how long the database may wait to apply it */
     enum route_reason refused[GROUP_DATABASES_MAX];
 };
 
@@ -64,11 +66,6 @@
 bool route_needed_position(const struct group_view *view, const struct route_read_request *request,
                            struct log_position *needed);
 
-/* When the primary held `position`, by interpolation between samples; `now` if later than all
- * samples, zero if earlier than all of them. */
-time_ns route_time_of_position(const struct group_view *view, struct log_position position,
-                               time_ns now);
-
 /* Chooses where a read goes. */
 struct route_decision route_read(const struct group_view *view,
                                  const struct route_read_request *request);
--- a/src/core/write_flow.h
+++ b/src/core/write_flow.h
@@ -82,7 +82,7 @@
     time_ns deadline;
     uint32_t unavailable_wait_ms; /* longest wait for a primary */
     bool keyed;                   /* carries an idempotency key: safe to run again */
-    bool commit_only; /* ends an interactive transaction: it can't be run again, only resolved */
+    bool commit_only;  /* ends an interactive transaction: it can't be run again, only resolved */
     bool resolve_only; /* nothing is run: the key's outcome is looked up, or the key closed */
     uint32_t attempts_max;
     bool trust_commit;   /* TEST ONLY: acknowledge without evidence (mutation) */
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -12,6 +12,7 @@
 
 struct control;
 struct daemon;
+struct group_runtime;
 
 /* Owners of one group that a request may be sent to, at most. */
 #define OWNERS_MAX 9
@@ -41,6 +42,10 @@
 /* Peer address of a daemon by name, or NULL; the caller frees it. Any thread. */
 char *control_address_of(struct control *control, const char *daemon_name);
 
+/* Has the group's primary probed now, if that was not asked for in the last few milliseconds. Any
+ * thread. */
+void control_probe_primary(struct control *control, struct group_runtime *group);
+
 /* Asks for a database to be drained or taken back. Any thread. */
 void control_drain_database(struct control *control, uint32_t group, uint32_t database,
                             bool leaving);
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -13,6 +13,9 @@
 /* A fence, promotion or follow without an answer for so long is lost. */
 #define COMMAND_TIMEOUT_MS 300
 
+/* Probes of a primary that reads ask for are at least so far apart. */
+#define PRIMARY_PROBE_INTERVAL_MS 10
+
 /* Opening a control connection may take so long. */
 #define OPEN_TIMEOUT_MS 500
 
@@ -293,6 +296,21 @@
     }
 }
 
+void control_probe_primary(struct control *control, struct group_runtime *group)
+{
+    time_ns now = backend_now();
+    time_ns last = atomic_load(&group->primary_probed_at);
+    bool due = now >= last + PRIMARY_PROBE_INTERVAL_MS * NANOSECONDS_PER_MILLISECOND;
+    if (!due || !atomic_compare_exchange_strong(&group->primary_probed_at, &last, now)) {
+        return;
+    }
+    struct group_view view;
+    group_runtime_read_view(group, &view);
+    if (view.primary >= 0) {
+        prober_probe_now(control->prober, group->group->id, (uint32_t)view.primary);
+    }
+}
+
 /* Called under the group's writes lock, on any thread. */
 static void on_drained(void *user, uint32_t group, uint64_t change)
 {
--- a/src/daemon/task_read.c
+++ b/src/daemon/task_read.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "backend/clock.h"
+#include "daemon/control.h"
 #include "daemon/daemon.h"
 
 /* Databases that one read may try, at most. */
@@ -195,7 +196,7 @@
 {
     if (task->state == TASK_STATE_STARTING) {
         start_read(task);
-    } else if (task->read_step.kind == READ_STEP_WAIT) {
+    } else if (task->read_step.kind != READ_STEP_READ) {
         struct read_event event = {.kind = READ_EVENT_TIMER, .now = backend_now()};
         next_step(task, &event);
     }
@@ -204,7 +205,10 @@
             return;
         }
     }
-    if (task->read_step.kind == READ_STEP_WAIT) {
+    if (task->read_step.kind == READ_STEP_FRESHEN) {
+        control_probe_primary(task->daemon->control, task->group);
+    }
+    if (task->read_step.kind != READ_STEP_ANSWER) {
         worker_pool_park(task->daemon->workers, &task->job, task->read_step.until);
         return;
     }
