Add swiftctl and the difference of configurations

Commands: validate, diff, publish, history, show on configurations and the store; status, drain, undrain, stop, explain and events on a daemon's admin listener. Exit codes tell a script what it may do next; publish asks for the version that was changed, so that a file can't silently undo a newer one. Whole outputs are held by golden files.

--- a/src/configuration/route_field.c
+++ b/src/configuration/route_field.c
@@ -80,6 +80,22 @@
     return *(const uint32_t *)place;
 }
 
+char *route_field_text(const struct configuration *configuration, const struct tenant_route *route,
+                       enum route_field field)
+{
+    int64_t value = route_field_get(route, field);
+
+    switch (route_field_info(field)->bounds.type) {
+    case VALUE_TYPE_GROUP:
+        return g_strdup(configuration_find_group(configuration, (uint32_t)value)->name);
+    case VALUE_TYPE_BOOLEAN:
+        return g_strdup(value != 0 ? "true" : "false");
+    case VALUE_TYPE_INTEGER:
+        break;
+    }
+    return g_strdup_printf("%" G_GINT64_FORMAT, value);
+}
+
 const char *value_type_name(enum value_type type)
 {
     return type_names[type];
--- a/src/configuration/route_field.h
+++ b/src/configuration/route_field.h
@@ -63,6 +63,10 @@
 /* Reads a field of a route, as it is set. */
 int64_t route_field_get(const struct tenant_route *route, enum route_field field);
 
+/* A field of a route as people read it: a group by its name. The caller frees it. */
+char *route_field_text(const struct configuration *configuration, const struct tenant_route *route,
+                       enum route_field field);
+
 /* "integer", "boolean" or "group". */
 const char *value_type_name(enum value_type type);
 
--- /dev/null
+++ b/src/ctl/command.h
@@ -0,0 +1,72 @@
+/* What all commands of swiftctl share: their description, the parsing of their options, and where
+ * their output goes. */
+#ifndef SW_CTL_COMMAND_H
+#define SW_CTL_COMMAND_H
+
+#include <stdbool.h>
+
+#include <glib.h>
+
+#include "ctl/exit_code.h"
+#include "platform/http_client.h"
+
+/* Groups of options that a command takes besides its own and --output. */
+enum command_options {
+    COMMAND_OPTIONS_NONE = 0,
+    COMMAND_OPTIONS_PLATFORM = 1 << 0, /* how to reach the platform's store */
+    COMMAND_OPTIONS_ADMIN = 1 << 1,    /* how to reach a daemon */
+};
+
+/* One run of swiftctl. Used by one thread. */
+struct invocation {
+    char **arguments; /* after the command's name; only operands once options are parsed */
+    GString *output;  /* for standard output */
+    GString *errors;  /* for standard error */
+    char *format;     /* --output */
+    bool json;
+    char *table_url;
+    char *object_url;
+    char *bucket;
+    char *table;
+    char *region;
+    char *admin_url;
+    gint timeout_ms;
+};
+
+/* One command. */
+struct command {
+    const char *name;
+    const char *operands; /* as shown by --help, such as "OLD NEW" */
+    const char *summary;  /* one short sentence */
+    const char *details;  /* more for --help, or NULL */
+    const char *examples; /* lines, each ended */
+    guint operands_min;
+    guint operands_max;
+    guint options; /* of enum command_options */
+    enum exit_code (*run)(const struct command *command, struct invocation *invocation);
+};
+
+/* Parses the options and checks the number of operands. True: go on. False: help or an error was
+ * written; end with `exit_code`. `entries` are the command's own options, NULL if none. */
+bool command_parse(const struct command *command, struct invocation *invocation,
+                   const GOptionEntry *entries, enum exit_code *exit_code);
+
+/* The operand at an index, or NULL. */
+const char *command_operand(const struct invocation *invocation, guint index);
+
+/* Writes an error and returns the exit code that fits it. */
+enum exit_code command_fail(struct invocation *invocation, const GError *error);
+
+/* As command_fail, with a text of its own. */
+enum exit_code command_fail_text(struct invocation *invocation, enum exit_code exit_code,
+                                 const char *kind, const char *text);
+
+/* Settings of the platform from options, else the environment, else defaults; strings are owned by
+ * the invocation or the environment. It is an error of usage to give no table service. */
+bool command_platform_settings(struct invocation *invocation, struct platform_settings *settings,
+                               GError **error);
+
+/* The daemon's admin URL from the option, else the environment, else the default. */
+const char *command_admin_url(const struct invocation *invocation);
+
+#endif
--- /dev/null
+++ b/src/ctl/command_admin.c
@@ -0,0 +1,151 @@
+/* swiftctl status, drain, undrain, stop, explain and events: calls of a daemon's admin listener. */
+#include <string.h>
+
+#include "ctl/admin_client.h"
+#include "ctl/commands.h"
+
+static enum exit_code run_plain(const struct command *command, struct invocation *invocation,
+                                const char *method, const char *path)
+{
+    enum exit_code exit_code = EXIT_CODE_DONE;
+
+    if (!command_parse(command, invocation, NULL, &exit_code)) {
+        return exit_code;
+    }
+    return admin_client_call(invocation, method, path, NULL);
+}
+
+static enum exit_code run_status(const struct command *command, struct invocation *invocation)
+{
+    return run_plain(command, invocation, "GET", "/v1/status");
+}
+
+static enum exit_code run_events(const struct command *command, struct invocation *invocation)
+{
+    return run_plain(command, invocation, "GET", "/v1/events");
+}
+
+static enum exit_code run_stop(const struct command *command, struct invocation *invocation)
+{
+    return run_plain(command, invocation, "POST", "/v1/stop");
+}
+
+/* Drain and undrain take "database NAME" or "daemon". */
+static enum exit_code run_drain_path(const struct command *command, struct invocation *invocation,
+                                     const char *path)
+{
+    enum exit_code exit_code = EXIT_CODE_DONE;
+    g_autoptr(GString) query = g_string_new(NULL);
+
+    if (!command_parse(command, invocation, NULL, &exit_code)) {
+        return exit_code;
+    }
+    const char *what = command_operand(invocation, 0);
+    const char *name = command_operand(invocation, 1);
+    if (strcmp(what, "database") == 0 && name != NULL) {
+        admin_query_add(query, "database", name);
+    } else if (strcmp(what, "daemon") == 0 && name == NULL) {
+        admin_query_add(query, "daemon", "self");
+    } else {
+        g_autofree char *text =
+            g_strconcat(command->name, " database NAME, or ", command->name, " daemon", NULL);
+        return command_fail_text(invocation, EXIT_CODE_USAGE, "usage", text);
+    }
+    return admin_client_call(invocation, "POST", path, query->str);
+}
+
+static enum exit_code run_drain(const struct command *command, struct invocation *invocation)
+{
+    return run_drain_path(command, invocation, "/v1/drain");
+}
+
+static enum exit_code run_undrain(const struct command *command, struct invocation *invocation)
+{
+    return run_drain_path(command, invocation, "/v1/undrain");
+}
+
+static enum exit_code run_explain(const struct command *command, struct invocation *invocation)
+{
+    enum exit_code exit_code = EXIT_CODE_DONE;
+    g_autofree char *access = NULL;
+    g_autoptr(GString) query = g_string_new(NULL);
+    const GOptionEntry entries[] = {
+        {"access", 0, 0, G_OPTION_ARG_STRING, &access, "Explain a read (the default) or a write",
+         "read|write"},
+        {NULL, 0, 0, 0, NULL, NULL, NULL},
+    };
+
+    if (!command_parse(command, invocation, entries, &exit_code)) {
+        return exit_code;
+    }
+    if (access != NULL && strcmp(access, "read") != 0 && strcmp(access, "write") != 0) {
+        return command_fail_text(invocation, EXIT_CODE_USAGE, "usage",
+                                 "--access must be read or write");
+    }
+    admin_query_add(query, "tenant", command_operand(invocation, 0));
+    admin_query_add(query, "access", access != NULL ? access : "read");
+    return admin_client_call(invocation, "GET", "/v1/explain", query->str);
+}
+
+const struct command command_status = {
+    .name = "status",
+    .operands = "",
+    .summary = "Shows a daemon's state: its configuration, members, groups and databases.",
+    .examples = "  swiftctl status --admin http://10.0.0.7:7070\n",
+    .options = COMMAND_OPTIONS_ADMIN,
+    .run = run_status,
+};
+
+const struct command command_drain = {
+    .name = "drain",
+    .operands = "database NAME | daemon",
+    .summary = "Marks a database, or the daemon asked, as leaving.",
+    .details = "It gets no new work, and what runs there ends undisturbed.",
+    .examples = "  swiftctl drain database toubkal-1\n"
+                "  swiftctl drain daemon --admin http://10.0.0.7:7070\n",
+    .operands_min = 1,
+    .operands_max = 2,
+    .options = COMMAND_OPTIONS_ADMIN,
+    .run = run_drain,
+};
+
+const struct command command_undrain = {
+    .name = "undrain",
+    .operands = "database NAME | daemon",
+    .summary = "Takes the mark of leaving back.",
+    .examples = "  swiftctl undrain database toubkal-1\n",
+    .operands_min = 1,
+    .operands_max = 2,
+    .options = COMMAND_OPTIONS_ADMIN,
+    .run = run_undrain,
+};
+
+const struct command command_stop = {
+    .name = "stop",
+    .operands = "",
+    .summary = "Stops a daemon as planned.",
+    .details = "It hands over what it owns, ends what is in flight, and leaves.",
+    .examples = "  swiftctl stop --admin http://10.0.0.7:7070\n",
+    .options = COMMAND_OPTIONS_ADMIN,
+    .run = run_stop,
+};
+
+const struct command command_explain = {
+    .name = "explain",
+    .operands = "TENANT",
+    .summary = "Shows where a tenant's read or write would go now, and why.",
+    .examples = "  swiftctl explain hut-lepiney --access write\n",
+    .operands_min = 1,
+    .operands_max = 1,
+    .options = COMMAND_OPTIONS_ADMIN,
+    .run = run_explain,
+};
+
+const struct command command_events = {
+    .name = "events",
+    .operands = "",
+    .summary = "Shows a daemon's latest events: failovers, drains, configurations.",
+    .examples = "  swiftctl events --output json\n",
+    .options = COMMAND_OPTIONS_ADMIN,
+    .run = run_events,
+};
--- /dev/null
+++ b/src/ctl/main.c
@@ -0,0 +1,17 @@
+/* swiftctl: the operators' program. */
+#include <locale.h>
+#include <stdio.h>
+
+#include "ctl/ctl.h"
+
+int main(int argc, char **argv)
+{
+    g_autoptr(GString) output = g_string_new(NULL);
+    g_autoptr(GString) errors = g_string_new(NULL);
+
+    setlocale(LC_ALL, "");
+    enum exit_code exit_code = ctl_run((const char *const *)argv + 1, output, errors);
+    fputs(output->str, stdout);
+    fputs(errors->str, stderr);
+    return exit_code;
+}
--- /dev/null
+++ b/src/ctl/output.c
@@ -0,0 +1,165 @@
+/* Output of swiftctl. */
+#include "ctl/output.h"
+
+#include <inttypes.h>
+
+#define COLUMN_GAP  2
+#define ABSENT_TEXT "-"
+
+struct output_table *output_table_new(const char *const *columns)
+{
+    struct output_table *table = g_new0(struct output_table, 1);
+
+    table->columns = columns;
+    table->column_count = g_strv_length((char **)columns);
+    table->cells = g_ptr_array_new_with_free_func(g_free);
+    return table;
+}
+
+void output_table_free(struct output_table *table)
+{
+    g_ptr_array_unref(table->cells);
+    g_free(table);
+}
+
+void output_table_add(struct output_table *table, const char *text)
+{
+    g_ptr_array_add(table->cells, g_strdup(text != NULL ? text : ABSENT_TEXT));
+}
+
+void output_table_add_number(struct output_table *table, uint64_t number)
+{
+    g_ptr_array_add(table->cells, g_strdup_printf("%" PRIu64, number));
+}
+
+/* Characters of the widest text in a column. */
+static glong column_width(const struct output_table *table, guint column)
+{
+    glong width = g_utf8_strlen(table->columns[column], -1);
+
+    for (guint i = column; i < table->cells->len; i += table->column_count) {
+        width = MAX(width, g_utf8_strlen(g_ptr_array_index(table->cells, i), -1));
+    }
+    return width;
+}
+
+/* The last column is not padded. */
+static void write_cell(const struct output_table *table, guint column, const char *text,
+                       GString *output)
+{
+    g_string_append(output, text);
+    if (column + 1 == table->column_count) {
+        g_string_append_c(output, '\n');
+        return;
+    }
+    glong padding = column_width(table, column) + COLUMN_GAP - g_utf8_strlen(text, -1);
+    for (glong i = 0; i < padding; i++) {
+        g_string_append_c(output, ' ');
+    }
+}
+
+void output_table_write(const struct output_table *table, GString *output)
+{
+    for (guint column = 0; column < table->column_count; column++) {
+        g_autofree char *heading = g_ascii_strup(table->columns[column], -1);
+        write_cell(table, column, heading, output);
+    }
+    for (guint i = 0; i < table->cells->len; i++) {
+        write_cell(table, i % table->column_count, g_ptr_array_index(table->cells, i), output);
+    }
+}
+
+void output_json(JsonObject *object, GString *output)
+{
+    g_autoptr(JsonNode) node = json_node_new(JSON_NODE_OBJECT);
+
+    json_node_take_object(node, object);
+    g_autofree char *text = json_to_string(node, TRUE);
+    g_string_append(output, text);
+    g_string_append_c(output, '\n');
+}
+
+/* A value in one line: a string bare, all else as JSON. */
+static char *value_text(JsonNode *node)
+{
+    if (JSON_NODE_HOLDS_VALUE(node) && json_node_get_value_type(node) == G_TYPE_STRING) {
+        return json_node_dup_string(node);
+    }
+    return json_to_string(node, FALSE);
+}
+
+static bool is_table(JsonNode *node)
+{
+    if (!JSON_NODE_HOLDS_ARRAY(node)) {
+        return false;
+    }
+    JsonArray *array = json_node_get_array(node);
+    return json_array_get_length(array) > 0 &&
+           JSON_NODE_HOLDS_OBJECT(json_array_get_element(array, 0));
+}
+
+/* Columns are the members of the first row. */
+static void write_array(JsonArray *array, GString *output)
+{
+    g_autoptr(GList) names = json_object_get_members(json_array_get_object_element(array, 0));
+    g_autoptr(GPtrArray) columns = g_ptr_array_new();
+
+    for (GList *name = names; name != NULL; name = name->next) {
+        g_ptr_array_add(columns, name->data);
+    }
+    g_ptr_array_add(columns, NULL);
+    struct output_table *table = output_table_new((const char *const *)columns->pdata);
+    for (guint i = 0; i < json_array_get_length(array); i++) {
+        JsonNode *row = json_array_get_element(array, i);
+        JsonObject *object = JSON_NODE_HOLDS_OBJECT(row) ? json_node_get_object(row) : NULL;
+        for (guint column = 0; column < table->column_count; column++) {
+            JsonNode *value =
+                object != NULL ? json_object_get_member(object, table->columns[column]) : NULL;
+            g_autofree char *text = value != NULL ? value_text(value) : NULL;
+            output_table_add(table, text);
+        }
+    }
+    output_table_write(table, output);
+    output_table_free(table);
+}
+
+static void write_object(JsonObject *object, GString *output)
+{
+    static const char *const columns[] = {"key", "value", NULL};
+    struct output_table *table = output_table_new(columns);
+    g_autoptr(GString) tables = g_string_new(NULL);
+    JsonObjectIter iterator;
+    const char *name = NULL;
+    JsonNode *value = NULL;
+
+    json_object_iter_init_ordered(&iterator, object);
+    while (json_object_iter_next_ordered(&iterator, &name, &value)) {
+        if (is_table(value)) {
+            g_string_append_printf(tables, "\n%s:\n", name);
+            write_array(json_node_get_array(value), tables);
+        } else {
+            g_autofree char *text = value_text(value);
+            output_table_add(table, name);
+            output_table_add(table, text);
+        }
+    }
+    if (table->cells->len > 0) {
+        output_table_write(table, output);
+    }
+    g_string_append(output, tables->str);
+    output_table_free(table);
+}
+
+void output_json_as_text(JsonNode *node, GString *output)
+{
+    if (JSON_NODE_HOLDS_OBJECT(node)) {
+        write_object(json_node_get_object(node), output);
+        return;
+    }
+    if (is_table(node)) {
+        write_array(json_node_get_array(node), output);
+        return;
+    }
+    g_autofree char *text = value_text(node);
+    g_string_append_printf(output, "%s\n", text);
+}
--- a/src/platform/http_client.c
+++ b/src/platform/http_client.c
@@ -143,7 +143,9 @@
 
     curl_easy_reset(client->handle);
     set_bounds(client);
-    set_signing(client, request->service);
+    if (request->service != NULL) {
+        set_signing(client, request->service);
+    }
     set_request(client, request);
     curl_easy_setopt(client->handle, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(client->handle, CURLOPT_WRITEFUNCTION, on_answer_bytes);
--- a/src/platform/http_client.h
+++ b/src/platform/http_client.h
@@ -35,7 +35,7 @@
 struct http_request {
     const char *method;
     const char *url;
-    const char *service;        /* service name in the signature: "dynamodb", "s3" */
+    const char *service; /* service name in the signature: "dynamodb", "s3"; NULL: not signed */
     const char *const *headers; /* NULL-ended "Name: value" */
     const void *body;           /* NULL if none */
     gsize body_length;
--- /dev/null
+++ b/tests/ctl/test_golden.c
@@ -0,0 +1,259 @@
+/* swiftctl's whole output, exit codes included, against golden files. Runs from the root of the
+ * source tree. */
+#include "ctl/ctl.h"
+
+#include <string.h>
+
+#include <microhttpd.h>
+
+#include "platform_fixture.h"
+
+#define GOLDEN_DIRECTORY "tests/ctl/golden"
+#define ATLAS            "examples/atlas-huts/configuration.json"
+#define CHANGED          "tests/ctl/data/changed.json"
+#define INVALID          "tests/ctl/data/invalid.json"
+#define WORDS_MAX        16
+
+/* A run of swiftctl and the golden file that holds its output. */
+struct golden_run {
+    const char *golden;
+    const char *words[WORDS_MAX];
+};
+
+/* Answers of a daemon's admin listener, by method and URL. */
+struct admin_answer {
+    const char *call;
+    unsigned status;
+    const char *body;
+};
+
+static const struct admin_answer admin_answers[] = {
+    {"GET /v1/status", 200,
+     "{\"daemon\":\"d1\",\"zone\":\"imlil\",\"configuration\":{\"version\":3},"
+     "\"databases\":[{\"name\":\"toubkal-1\",\"role\":\"primary\",\"term\":4},"
+     "{\"name\":\"toubkal-2\",\"role\":\"replica\",\"term\":4}]}"},
+    {"POST /v1/drain?database=toubkal-1", 200, "{\"draining\":\"toubkal-1\"}"},
+    {"POST /v1/drain?daemon=self", 200, "{\"draining\":\"d1\"}"},
+    {"POST /v1/undrain?database=a%20b", 404,
+     "{\"error\":\"bad_request\",\"message\":\"no database a b\"}"},
+    {"POST /v1/stop", 503, "{\"error\":\"stopping\",\"message\":\"The daemon is stopping.\"}"},
+    {"GET /v1/explain?tenant=hut-lepiney&access=write", 200,
+     "{\"database\":\"toubkal-1\",\"reason\":\"current_primary\"}"},
+    {"GET /v1/events", 200, "[{\"at\":1,\"event\":\"started\"}]"},
+};
+
+/* Keeps the URL with its query, as sent. */
+static void *on_uri(void *user_data, const char *uri, struct MHD_Connection *connection)
+{
+    return g_strdup(uri);
+}
+
+static void on_completed(void *user_data, struct MHD_Connection *connection, void **request_state,
+                         enum MHD_RequestTerminationCode code)
+{
+    g_free(*request_state);
+}
+
+static enum MHD_Result on_admin_call(void *user_data, struct MHD_Connection *connection,
+                                     const char *path, const char *method, const char *version,
+                                     const char *upload, size_t *upload_size, void **request_state)
+{
+    g_autofree char *call = g_strdup_printf("%s %s", method, (const char *)*request_state);
+    unsigned status = 500;
+    const char *body = "unexpected call";
+
+    for (gsize i = 0; i < G_N_ELEMENTS(admin_answers); i++) {
+        if (strcmp(admin_answers[i].call, call) == 0) {
+            status = admin_answers[i].status;
+            body = admin_answers[i].body;
+        }
+    }
+    struct MHD_Response *response =
+        MHD_create_response_from_buffer(strlen(body), (void *)body, MHD_RESPMEM_PERSISTENT);
+    enum MHD_Result result = MHD_queue_response(connection, status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+static struct MHD_Daemon *start_admin(void)
+{
+    struct MHD_Daemon *daemon =
+        MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL, on_admin_call, NULL,
+                         MHD_OPTION_URI_LOG_CALLBACK, on_uri, NULL, MHD_OPTION_NOTIFY_COMPLETED,
+                         on_completed, NULL, MHD_OPTION_END);
+
+    g_assert_nonnull(daemon);
+    return daemon;
+}
+
+/* Times and ports differ from run to run. */
+static char *normalize(const char *text)
+{
+    g_autoptr(GRegex) times = g_regex_new("[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:]{8}Z", 0, 0, NULL);
+    g_autoptr(GRegex) ports = g_regex_new("http://127.0.0.1:[0-9]{5}", 0, 0, NULL);
+    g_autofree char *without_times =
+        g_regex_replace_literal(times, text, -1, 0, "2000-01-01T00:00:00Z", 0, NULL);
+
+    return g_regex_replace_literal(ports, without_times, -1, 0, "http://127.0.0.1:PORT", 0, NULL);
+}
+
+static void compare_golden(const char *name, const char *text)
+{
+    g_autofree char *file = g_strconcat(name, ".txt", NULL);
+    g_autofree char *path = g_build_filename(GOLDEN_DIRECTORY, file, NULL);
+    g_autofree char *expected = NULL;
+    g_autoptr(GError) error = NULL;
+
+    if (g_getenv("SWIFTCTL_GOLDEN_WRITE") != NULL) {
+        g_file_set_contents(path, text, -1, &error);
+        g_assert_no_error(error);
+        return;
+    }
+    g_file_get_contents(path, &expected, NULL, &error);
+    g_assert_no_error(error);
+    g_assert_cmpstr(text, ==, expected);
+}
+
+static void run_golden(const struct golden_run *run)
+{
+    g_autoptr(GString) output = g_string_new(NULL);
+    g_autoptr(GString) errors = g_string_new(NULL);
+    g_autofree char *command = g_strjoinv(" ", (char **)run->words);
+
+    enum exit_code exit_code = ctl_run(run->words, output, errors);
+    g_autofree char *text = g_strdup_printf("$ swiftctl %s\n%s--- errors\n%s--- exit %d\n", command,
+                                            output->str, errors->str, exit_code);
+    g_autofree char *normalized = normalize(text);
+    compare_golden(run->golden, normalized);
+}
+
+static void run_all(const struct golden_run *runs, gsize count)
+{
+    for (gsize i = 0; i < count; i++) {
+        run_golden(&runs[i]);
+    }
+}
+
+static void test_help(void)
+{
+    static const char *const commands[] = {"validate", "diff",  "publish", "history",
+                                           "show",     "drain", "explain"};
+    static const struct golden_run overview = {"help", {"--help"}};
+    static const struct golden_run nothing = {"no-command", {NULL}};
+    static const struct golden_run unknown = {"unknown-command", {"frobnicate"}};
+
+    run_golden(&overview);
+    run_golden(&nothing);
+    run_golden(&unknown);
+    for (gsize i = 0; i < G_N_ELEMENTS(commands); i++) {
+        g_autofree char *golden = g_strconcat("help-", commands[i], NULL);
+        struct golden_run run = {golden, {commands[i], "--help"}};
+        run_golden(&run);
+    }
+}
+
+static void test_files(void)
+{
+    static const struct golden_run runs[] = {
+        {"validate", {"validate", ATLAS}},
+        {"validate-json", {"validate", ATLAS, "--output", "json"}},
+        {"validate-invalid", {"validate", INVALID}},
+        {"validate-invalid-json", {"validate", INVALID, "-o", "json"}},
+        {"validate-absent", {"validate", "tests/ctl/data/absent.json"}},
+        {"validate-no-operand", {"validate"}},
+        {"validate-bad-option", {"validate", "--colour", ATLAS}},
+        {"validate-bad-output", {"validate", "--output", "yaml", ATLAS}},
+        {"diff", {"diff", ATLAS, CHANGED}},
+        {"diff-json", {"diff", ATLAS, CHANGED, "--output", "json"}},
+        {"diff-same", {"diff", ATLAS, ATLAS}},
+        {"diff-invalid", {"diff", ATLAS, INVALID}},
+        {"show-tenant", {"show", "tenant", "hut-lepiney", "--from", ATLAS}},
+        {"show-tenant-json", {"show", "tenant", "hut-lepiney", "--from", ATLAS, "-o", "json"}},
+        {"show-tenant-absent", {"show", "tenant", "nobody", "--from", ATLAS}},
+        {"show-group", {"show", "group", "availability", "--from", ATLAS}},
+        {"show-usage", {"show", "group", "--from", ATLAS}},
+    };
+
+    run_all(runs, G_N_ELEMENTS(runs));
+}
+
+static void test_store(void)
+{
+    static const struct golden_run runs[] = {
+        {"history-empty", {"history"}},
+        {"show-unpublished", {"show", "tenant", "hut-lepiney"}},
+        {"publish-no-base", {"publish", ATLAS, "--message", "first"}},
+        {"publish-bad-base", {"publish", ATLAS, "--message", "first", "--base", "x"}},
+        {"publish-invalid", {"publish", INVALID, "--message", "first", "--base", "0"}},
+        {"publish",
+         {"publish", ATLAS, "--message", "first beds", "--author", "amina", "--base", "0",
+          "--request-id", "r1"}},
+        {"publish-conflict",
+         {"publish", CHANGED, "--message", "mine", "--author", "kenji", "--base", "0"}},
+        {"publish-conflict-json",
+         {"publish", CHANGED, "--message", "mine", "--author", "kenji", "--base", "0", "-o",
+          "json"}},
+        {"publish-json",
+         {"publish", CHANGED, "--message", "winter rates", "--author", "kenji", "--base", "1",
+          "--request-id", "r2", "-o", "json"}},
+        {"publish-unchanged", {"publish", CHANGED, "--message", "again", "--base", "latest"}},
+        {"publish-back",
+         {"publish", "@1", "--message", "back", "--author", "amina", "--base", "latest"}},
+        {"publish-future", {"publish", ATLAS, "--message", "x", "--base", "99"}},
+        {"publish-again-latest",
+         {"publish", ATLAS, "--message", "x", "--base", "latest", "--request-id", "r1"}},
+        {"history", {"history", "--limit", "2"}},
+        {"history-json", {"history", "--before", "3", "--limit", "1", "-o", "json"}},
+        {"diff-versions", {"diff", "@1", "@2"}},
+        {"diff-absent-version", {"diff", "@1", "@9"}},
+        {"diff-bad-version", {"diff", "@x", "@1"}},
+        {"show-latest", {"show", "tenant", "search-desks"}},
+        {"show-version", {"show", "tenant", "search-kiosk", "--from", "@2"}},
+    };
+    static const struct golden_run no_store = {"store-not-given", {"history"}};
+    static const struct golden_run down = {"store-down", {"history"}};
+    struct platform_fixture platform;
+
+    g_unsetenv("SWIFTWORKS_TABLE_URL");
+    run_golden(&no_store);
+    platform_fixture_start_plain(&platform);
+    g_setenv("SWIFTWORKS_TABLE_URL", platform.url, TRUE);
+    run_all(runs, G_N_ELEMENTS(runs));
+    platform_fixture_stop(&platform);
+    run_golden(&down);
+}
+
+static void test_admin(void)
+{
+    static const struct golden_run runs[] = {
+        {"status", {"status"}},
+        {"status-json", {"status", "--output", "json"}},
+        {"drain-database", {"drain", "database", "toubkal-1"}},
+        {"drain-daemon", {"drain", "daemon"}},
+        {"drain-usage", {"drain", "toubkal-1"}},
+        {"undrain-refused", {"undrain", "database", "a b"}},
+        {"stop-refused", {"stop", "-o", "json"}},
+        {"explain", {"explain", "hut-lepiney", "--access", "write"}},
+        {"explain-usage", {"explain", "hut-lepiney", "--access", "delete"}},
+        {"events", {"events"}},
+    };
+    static const struct golden_run down = {"daemon-down", {"status"}};
+    struct MHD_Daemon *daemon = start_admin();
+    g_autofree char *url = g_strdup_printf(
+        "http://127.0.0.1:%u", MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT)->port);
+
+    g_setenv("SWIFTWORKS_ADMIN_URL", url, TRUE);
+    run_all(runs, G_N_ELEMENTS(runs));
+    MHD_stop_daemon(daemon);
+    run_golden(&down);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/ctl/help", test_help);
+    g_test_add_func("/ctl/files", test_files);
+    g_test_add_func("/ctl/store", test_store);
+    g_test_add_func("/ctl/admin", test_admin);
+    return g_test_run();
+}
