--- a/tests/ctl/test_golden.c
+++ b/tests/ctl/test_golden.c
@@ -2,6 +2,7 @@
  * source tree. */
 #include "ctl/ctl.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 
 #include <microhttpd.h>
@@ -77,10 +78,11 @@
 
 static struct MHD_Daemon *start_admin(void)
 {
+    struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
     struct MHD_Daemon *daemon =
         MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL, on_admin_call, NULL,
-                         MHD_OPTION_URI_LOG_CALLBACK, on_uri, NULL, MHD_OPTION_NOTIFY_COMPLETED,
-                         on_completed, NULL, MHD_OPTION_END);
+                         MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_URI_LOG_CALLBACK, on_uri, NULL,
+                         MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_END);
 
     g_assert_nonnull(daemon);
     return daemon;
