Make texts of what is allowed for faults only

Every value of a group listed all groups' names beforehand, which costs tenants x groups. The canonical form now sorts the parsed tree in place of a second copy of it.

--- a/src/configuration/bundle_reader.c
+++ b/src/configuration/bundle_reader.c
@@ -147,7 +147,7 @@
         .reader = reader,
         .member_counts = g_hash_table_new_full(NULL, NULL, (GDestroyNotify)json_object_unref, NULL),
     };
-    g_autoptr(JsonParser) parser = json_parser_new_immutable();
+    g_autoptr(JsonParser) parser = json_parser_new();
     g_autoptr(GError) error = NULL;
     g_signal_connect(parser, "object-member", G_CALLBACK(on_object_member), &check);
     if (!json_parser_load_from_data(parser, json, (gssize)length, &error)) {
@@ -177,38 +177,33 @@
 JsonArray *bundle_reader_array(struct bundle_reader *reader, const struct bundle_place *place,
                                JsonNode *node, guint minimum, guint maximum)
 {
-    g_autofree char *allowed = g_strdup_printf("an array of %u to %u", minimum, maximum);
+    JsonArray *array = JSON_NODE_HOLDS_ARRAY(node) ? json_node_get_array(node) : NULL;
+    guint length = array != NULL ? json_array_get_length(array) : 0;
 
-    if (!JSON_NODE_HOLDS_ARRAY(node)) {
-        bundle_reader_fault(reader, place, node, "is not an array", allowed);
-        return NULL;
-    }
-    JsonArray *array = json_node_get_array(node);
-    guint length = json_array_get_length(array);
-    if (length < minimum || length > maximum) {
-        g_autofree char *fault = g_strdup_printf("has %u elements", length);
-        bundle_reader_fault(reader, place, NULL, fault, allowed);
-        return NULL;
+    if (array != NULL && length >= minimum && length <= maximum) {
+        return array;
     }
-    return array;
+    g_autofree char *allowed = g_strdup_printf("an array of %u to %u", minimum, maximum);
+    g_autofree char *fault =
+        array != NULL ? g_strdup_printf("has %u elements", length) : g_strdup("is not an array");
+    bundle_reader_fault(reader, place, array != NULL ? NULL : node, fault, allowed);
+    return NULL;
 }
 
 bool bundle_reader_integer(struct bundle_reader *reader, const struct bundle_place *place,
                            JsonNode *node, int64_t minimum, int64_t maximum, int64_t *value)
 {
-    g_autofree char *allowed = bundle_integer_allowed(minimum, maximum);
+    bool is_integer = JSON_NODE_HOLDS_VALUE(node) && json_node_get_value_type(node) == G_TYPE_INT64;
+    int64_t number = is_integer ? json_node_get_int(node) : 0;
 
-    if (!JSON_NODE_HOLDS_VALUE(node) || json_node_get_value_type(node) != G_TYPE_INT64) {
-        bundle_reader_fault(reader, place, node, "is not an integer", allowed);
-        return false;
-    }
-    int64_t number = json_node_get_int(node);
-    if (number < minimum || number > maximum) {
-        bundle_reader_fault(reader, place, node, "is out of range", allowed);
-        return false;
+    if (is_integer && number >= minimum && number <= maximum) {
+        *value = number;
+        return true;
     }
-    *value = number;
-    return true;
+    g_autofree char *allowed = bundle_integer_allowed(minimum, maximum);
+    bundle_reader_fault(reader, place, node, is_integer ? "is out of range" : "is not an integer",
+                        allowed);
+    return false;
 }
 
 bool bundle_reader_boolean(struct bundle_reader *reader, const struct bundle_place *place,
@@ -248,12 +243,15 @@
                                   JsonObject *object, const char *name, int64_t minimum,
                                   int64_t maximum, int64_t *value)
 {
-    g_autofree char *allowed = bundle_integer_allowed(minimum, maximum);
     struct bundle_place member_place = {place, name};
-    JsonNode *node = bundle_reader_member(reader, place, object, name, allowed);
+    JsonNode *node = json_object_get_member(object, name);
 
-    return node != NULL &&
-           bundle_reader_integer(reader, &member_place, node, minimum, maximum, value);
+    if (node != NULL) {
+        return bundle_reader_integer(reader, &member_place, node, minimum, maximum, value);
+    }
+    g_autofree char *allowed = bundle_integer_allowed(minimum, maximum);
+    bundle_reader_fault(reader, &member_place, NULL, "missing", allowed);
+    return false;
 }
 
 const char *bundle_reader_member_string(struct bundle_reader *reader,
@@ -266,6 +264,17 @@
     return node != NULL ? bundle_reader_string(reader, &member_place, node, allowed) : NULL;
 }
 
+const char *bundle_reader_peek_string(JsonObject *object, const char *name)
+{
+    JsonNode *node = json_object_get_member(object, name);
+
+    if (node == NULL || !JSON_NODE_HOLDS_VALUE(node) ||
+        json_node_get_value_type(node) != G_TYPE_STRING) {
+        return NULL;
+    }
+    return json_node_get_string(node);
+}
+
 JsonObject *bundle_reader_member_object(struct bundle_reader *reader,
                                         const struct bundle_place *place, JsonObject *object,
                                         const char *name)
--- a/src/configuration/bundle_reader.h
+++ b/src/configuration/bundle_reader.h
@@ -91,6 +91,10 @@
 /* "integer 1 to 10". The caller frees it. */
 char *bundle_integer_allowed(int64_t minimum, int64_t maximum);
 
+/* The string of a member, owned by the object; NULL if it is absent or not a string, without a
+ * fault. For look-ups whose list of allowed names is long and made for a fault only. */
+const char *bundle_reader_peek_string(JsonObject *object, const char *name);
+
 /* "a, b, c", shortened after some names to "... (N in all)"; "none" if empty. The caller frees it.
  */
 char *bundle_names_allowed(const GPtrArray *names);
--- a/src/configuration/canonical.c
+++ b/src/configuration/canonical.c
@@ -3,57 +3,49 @@
 
 #include <string.h>
 
-static JsonNode *sorted_copy(JsonNode *node);
-
 static gint compare_names(gconstpointer left, gconstpointer right)
 {
     return strcmp(left, right);
 }
 
-static JsonNode *sorted_object(JsonObject *object)
+static void sort_node(JsonNode *node);
+
+/* An object keeps its members in the order in which they were set, and removing one is linear: so
+ * the node gets a new object with the same member nodes. */
+static void sort_object(JsonNode *node)
 {
-    JsonObject *copy = json_object_new();
+    JsonObject *object = json_node_get_object(node);
+    JsonObject *sorted = json_object_new();
     g_autoptr(GList) names = json_object_get_members(object);
 
     names = g_list_sort(names, compare_names);
     for (GList *name = names; name != NULL; name = name->next) {
         JsonNode *member = json_object_get_member(object, name->data);
-        json_object_set_member(copy, name->data, sorted_copy(member));
+        sort_node(member);
+        json_object_set_member(sorted, name->data, json_node_ref(member));
     }
-    JsonNode *node = json_node_new(JSON_NODE_OBJECT);
-    json_node_take_object(node, copy);
-    return node;
+    json_node_take_object(node, sorted);
 }
 
-static JsonNode *sorted_array(JsonArray *array)
-{
-    JsonArray *copy = json_array_new();
-    guint length = json_array_get_length(array);
-
-    for (guint i = 0; i < length; i++) {
-        json_array_add_element(copy, sorted_copy(json_array_get_element(array, i)));
-    }
-    JsonNode *node = json_node_new(JSON_NODE_ARRAY);
-    json_node_take_array(node, copy);
-    return node;
-}
-
-static JsonNode *sorted_copy(JsonNode *node)
+static void sort_node(JsonNode *node)
 {
     if (JSON_NODE_HOLDS_OBJECT(node)) {
-        return sorted_object(json_node_get_object(node));
+        sort_object(node);
+        return;
     }
-    if (JSON_NODE_HOLDS_ARRAY(node)) {
-        return sorted_array(json_node_get_array(node));
+    if (!JSON_NODE_HOLDS_ARRAY(node)) {
+        return;
+    }
+    JsonArray *array = json_node_get_array(node);
+    for (guint i = 0; i < json_array_get_length(array); i++) {
+        sort_node(json_array_get_element(array, i));
     }
-    return json_node_copy(node);
 }
 
 GBytes *canonical_json(JsonNode *root)
 {
-    g_autoptr(JsonNode) sorted = sorted_copy(root);
-    char *text = json_to_string(sorted, FALSE);
-
+    sort_node(root);
+    char *text = json_to_string(root, FALSE);
     return g_bytes_new_take(text, strlen(text));
 }
 
--- a/src/configuration/canonical.h
+++ b/src/configuration/canonical.h
@@ -5,7 +5,8 @@
 
 #include <json-glib/json-glib.h>
 
-/* Members sorted by name at every level, no white space, one ending. The caller owns it. */
+/* The canonical text of a tree that may be changed: sorts members by name at every level, in place,
+ * and writes it without white space. The caller owns the bytes. */
 GBytes *canonical_json(JsonNode *root);
 
 /* SHA-256 of the bytes in lower-case hexadecimal: the bundle's name in the object store. The
--- a/src/configuration/parse_groups.c
+++ b/src/configuration/parse_groups.c
@@ -82,28 +82,35 @@
     }
 }
 
-static uint32_t parse_database_zone(struct bundle_parser *parser, const struct bundle_place *place,
-                                    JsonObject *object)
+static char *zone_names_allowed(const struct configuration *configuration)
 {
     g_autoptr(GPtrArray) names = g_ptr_array_new();
-    struct bundle_place zone_place = {place, "zone"};
 
-    for (guint i = 0; i < parser->configuration->zones->len; i++) {
-        struct zone_configuration *zone = g_ptr_array_index(parser->configuration->zones, i);
+    for (guint i = 0; i < configuration->zones->len; i++) {
+        struct zone_configuration *zone = g_ptr_array_index(configuration->zones, i);
         g_ptr_array_add(names, zone->name);
     }
-    g_autofree char *allowed = bundle_names_allowed(names);
-    const char *name = bundle_reader_member_string(&parser->reader, place, object, "zone", allowed);
-    if (name == NULL) {
-        return 0;
-    }
+    return bundle_names_allowed(names);
+}
+
+static uint32_t parse_database_zone(struct bundle_parser *parser, const struct bundle_place *place,
+                                    JsonObject *object)
+{
+    struct bundle_place zone_place = {place, "zone"};
+    const char *name = bundle_reader_peek_string(object, "zone");
     const struct zone_configuration *zone =
-        configuration_find_zone_by_name(parser->configuration, name);
-    if (zone == NULL && parser->zones_known) {
+        name != NULL ? configuration_find_zone_by_name(parser->configuration, name) : NULL;
+
+    if (zone != NULL) {
+        return zone->id;
+    }
+    g_autofree char *allowed = zone_names_allowed(parser->configuration);
+    name = bundle_reader_member_string(&parser->reader, place, object, "zone", allowed);
+    if (name != NULL && parser->zones_known) {
         bundle_reader_fault(&parser->reader, &zone_place, json_object_get_member(object, "zone"),
                             "is not a zone", allowed);
     }
-    return zone != NULL ? zone->id : 0;
+    return 0;
 }
 
 static char *parse_database_name(struct bundle_parser *parser, const struct bundle_place *place,
--- a/src/configuration/parse_templates.c
+++ b/src/configuration/parse_templates.c
@@ -69,25 +69,32 @@
            g_ptr_array_find_with_equal_func(bounds->groups, name, g_str_equal, NULL);
 }
 
-static bool parse_group_value(struct bundle_parser *parser, const struct bundle_place *place,
-                              JsonNode *node, const struct value_bounds *bounds, int64_t *value)
+/* Adds the fault of a group's name that is unknown, not allowed or no string. */
+static void fault_group_value(struct bundle_parser *parser, const struct bundle_place *place,
+                              JsonNode *node, const struct value_bounds *bounds, bool is_known)
 {
     g_autofree char *allowed = group_names_allowed(parser, bounds);
-    const char *name = bundle_reader_string(&parser->reader, place, node, allowed);
 
-    if (name == NULL) {
-        return false;
-    }
-    const struct group_configuration *group =
-        configuration_find_group_by_name(parser->configuration, name);
-    if (group == NULL) {
-        if (parser->groups_known) {
-            bundle_reader_fault(&parser->reader, place, node, "is not a group", allowed);
-        }
-        return false;
+    if (bundle_reader_string(&parser->reader, place, node, allowed) == NULL) {
+        return;
     }
-    if (!group_is_allowed(bounds, name)) {
+    if (is_known) {
         bundle_reader_fault(&parser->reader, place, node, "is not an allowed group", allowed);
+    } else if (parser->groups_known) {
+        bundle_reader_fault(&parser->reader, place, node, "is not a group", allowed);
+    }
+}
+
+static bool parse_group_value(struct bundle_parser *parser, const struct bundle_place *place,
+                              JsonNode *node, const struct value_bounds *bounds, int64_t *value)
+{
+    bool is_text = JSON_NODE_HOLDS_VALUE(node) && json_node_get_value_type(node) == G_TYPE_STRING;
+    const char *name = is_text ? json_node_get_string(node) : NULL;
+    const struct group_configuration *group =
+        name != NULL ? configuration_find_group_by_name(parser->configuration, name) : NULL;
+
+    if (group == NULL || !group_is_allowed(bounds, name)) {
+        fault_group_value(parser, place, node, bounds, group != NULL);
         return false;
     }
     *value = group->id;
--- a/src/configuration/parse_tenants.c
+++ b/src/configuration/parse_tenants.c
@@ -6,32 +6,38 @@
     int64_t values[CONFIGURATION_PARAMETERS_MAX];
 };
 
-static const struct configuration_template *parse_template_name(struct bundle_parser *parser,
-                                                                const struct bundle_place *place,
-                                                                JsonObject *object)
+static char *template_names_allowed(const struct configuration *configuration)
 {
     g_autoptr(GPtrArray) names = g_ptr_array_new();
-    struct bundle_place template_place = {place, "template"};
 
-    for (guint i = 0; i < parser->configuration->templates->len; i++) {
+    for (guint i = 0; i < configuration->templates->len; i++) {
         struct configuration_template *template_entry =
-            g_ptr_array_index(parser->configuration->templates, i);
+            g_ptr_array_index(configuration->templates, i);
         g_ptr_array_add(names, template_entry->name);
     }
-    g_autofree char *allowed = bundle_names_allowed(names);
-    const char *name =
-        bundle_reader_member_string(&parser->reader, place, object, "template", allowed);
-    if (name == NULL) {
-        return NULL;
-    }
+    return bundle_names_allowed(names);
+}
+
+static const struct configuration_template *parse_template_name(struct bundle_parser *parser,
+                                                                const struct bundle_place *place,
+                                                                JsonObject *object)
+{
+    struct bundle_place template_place = {place, "template"};
+    const char *name = bundle_reader_peek_string(object, "template");
     const struct configuration_template *template_entry =
-        configuration_find_template(parser->configuration, name);
-    if (template_entry == NULL && parser->templates_known) {
+        name != NULL ? configuration_find_template(parser->configuration, name) : NULL;
+
+    if (template_entry != NULL) {
+        return template_entry;
+    }
+    g_autofree char *allowed = template_names_allowed(parser->configuration);
+    name = bundle_reader_member_string(&parser->reader, place, object, "template", allowed);
+    if (name != NULL && parser->templates_known) {
         bundle_reader_fault(&parser->reader, &template_place,
                             json_object_get_member(object, "template"), "is not a template",
                             allowed);
     }
-    return template_entry;
+    return NULL;
 }
 
 static void parse_parameter_value(struct bundle_parser *parser, const struct bundle_place *place,
