--- /dev/null
+++ b/src/daemon/control_internal.h
@@ -0,0 +1,98 @@
+/* What the files of the control thread share. Nothing else includes it. */
+#ifndef SW_DAEMON_CONTROL_INTERNAL_H
+#define SW_DAEMON_CONTROL_INTERNAL_H
+
+#include <netinet/in.h>
+#include <pthread.h>
+
+#include "backend/prober.h"
+#include "core/group_control.h"
+#include "core/membership.h"
+#include "daemon/control.h"
+#include "daemon/group_runtime.h"
+#include "daemon/journal.h"
+
+enum control_event_kind {
+    CONTROL_EVENT_GROUP, /* an event for a group's control */
+    CONTROL_EVENT_LEAVE, /* this daemon is to be marked as leaving */
+};
+
+/* One input from another thread. */
+struct control_event {
+    enum control_event_kind kind;
+    uint32_t group;
+    struct group_event event; /* GROUP */
+};
+
+/* One group that this daemon controls. Control thread only. */
+struct controlled_group {
+    struct control *control;
+    uint32_t id;
+    struct group_runtime *runtime; /* one reference */
+    struct group_control *machine;
+    time_ns wake_at;
+    bool ledger_ready; /* the ledger table was made sure of */
+};
+
+/* One daemon, as request threads see it. */
+struct member_entry {
+    uint64_t id;
+    uint64_t watcher; /* id of its incarnation in group_control */
+    uint32_t zone;
+    struct sockaddr_in address;
+    char address_text[ADDRESS_TEXT_SIZE];
+    bool usable; /* alive or suspect, and not leaving */
+    bool self;
+};
+
+/* All daemons at a moment. Immutable; replaced under RCU. */
+struct member_table {
+    uint32_t count;
+    struct member_entry entries[];
+};
+
+struct control {
+    struct daemon *daemon;
+    pthread_t thread;
+    int wake_fd; /* eventfd: the inbox has something */
+    int socket;  /* UDP to other daemons */
+    pthread_mutex_t inbox_lock;
+    GQueue inbox;  /* struct control_event, owned */
+    bool stopping; /* under inbox_lock */
+
+    /* Control thread only. */
+    GHashTable *groups; /* id as pointer -> struct controlled_group */
+    struct membership *membership;
+    struct membership_actions *actions;
+    bool members_changed;
+    uint64_t watcher_self;
+
+    struct prober *prober;
+    struct journal *journal;
+    struct member_table *members; /* RCU */
+};
+
+/* Queues an event; any thread. */
+void control_post(struct control *control, const struct control_event *event);
+
+/* Groups: control_groups.c. */
+void control_groups_start(struct control *control);
+void control_groups_stop(struct control *control);
+void control_groups_feed(struct control *control, uint32_t group, const struct group_event *event);
+void control_groups_tick(struct control *control, time_ns now);
+time_ns control_groups_next_wakeup(struct control *control);
+/* Tells every group who its watchers are. */
+void control_groups_set_watchers(struct control *control, time_ns now);
+
+/* Members: control_members.c. */
+bool control_members_start(struct control *control, GError **error);
+void control_members_stop(struct control *control);
+void control_members_receive(struct control *control, time_ns now);
+void control_members_tick(struct control *control, time_ns now);
+time_ns control_members_next_wakeup(struct control *control);
+void control_members_leave(struct control *control, time_ns now);
+/* Owners of a group under the present member table. Any thread, under RCU. */
+void control_members_owners(struct control *control, uint32_t group, struct member_entry *owners,
+                            uint32_t *count);
+
+#endif
