Add the hollow fleet and test membership on it

Daemons that started together and seeded each other formed an island and took their list for whole; a fresh daemon now goes on trying unknown seeds for its first seconds.

--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -23,6 +23,7 @@
         .push_interval = 200 * NANOSECONDS_PER_MILLISECOND,
         .sync_interval = 10 * NANOSECONDS_PER_SECOND,
         .sync_retry = 250 * NANOSECONDS_PER_MILLISECOND,
+        .settle_time = 10 * NANOSECONDS_PER_SECOND,
         .sync_datagrams = 8,
         .tombstone_time = 2 * 3600 * NANOSECONDS_PER_SECOND,
         .forget_time = 6 * 3600 * NANOSECONDS_PER_SECOND,
@@ -58,6 +59,7 @@
     struct membership *membership = g_new0(struct membership, 1);
     membership->options = *options;
     membership->random = options->random_seed ^ self->id ^ self->start;
+    membership->started = now;
     membership->self_id = self->id;
     membership->self_zone = self->zone;
     membership->records = g_array_new(FALSE, FALSE, sizeof(struct member_record));
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -57,6 +57,7 @@
     time_ns push_interval;     /* between two pushes, at least */
     time_ns sync_interval;     /* between two rounds of anti-entropy */
     time_ns sync_retry;        /* the same while the member list is not yet complete */
+    time_ns settle_time;       /* a fresh daemon tries its seeds at sync_retry for so long */
     uint32_t sync_datagrams;   /* records sent in answer to one sync, in datagrams at most */
     time_ns tombstone_time;    /* dead and left members are remembered for this long */
     time_ns forget_time;       /* members of a zone that is unreachable for longer are dropped */
--- a/src/core/membership_internal.h
+++ b/src/core/membership_internal.h
@@ -56,6 +56,7 @@
 struct membership {
     struct membership_options options;
     uint64_t random;
+    time_ns started;
     uint64_t self_id;
     uint16_t self_zone;
     bool left;
--- a/src/core/membership_sync.c
+++ b/src/core/membership_sync.c
@@ -9,9 +9,6 @@
 /* One in this many rounds goes to a member of any zone. */
 #define FAR_SYNC_INTERVAL 4
 
-/* One in this many rounds also tries a seed, in case that the deployment fell in two. */
-#define SEED_SYNC_INTERVAL 4
-
 static void add_digests(const struct membership *membership, struct gossip_message *message)
 {
     message->digests = g_memdup2(membership->digests, sizeof(membership->digests));
@@ -163,14 +160,34 @@
     answer_with_records(membership, &records, buckets, from, now, actions);
 }
 
-static void sync_with_seed(struct membership *membership, time_ns now,
-                           struct membership_actions *actions)
+/* True if a live member has the address. */
+static bool is_address_known(const struct membership *membership, struct member_address address)
+{
+    for (guint i = 0; i < membership->records->len; i++) {
+        const struct member_record *record = membership_record_at(membership, i);
+        bool same = record->address == address.address && record->port == address.port;
+        if (same && member_record_live(record)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A random seed at which no live member is known, or NULL. */
+static const struct member_address *unknown_seed(struct membership *membership)
 {
     if (membership->seeds_count == 0) {
-        return;
+        return NULL;
     }
-    uint32_t index = membership_random(membership, (uint32_t)membership->seeds_count);
-    membership_sync_with(membership, membership->seeds[index], now, actions);
+    uint32_t count = (uint32_t)membership->seeds_count;
+    uint32_t first = membership_random(membership, count);
+    for (uint32_t i = 0; i < count; i++) {
+        const struct member_address *seed = &membership->seeds[(first + i) % count];
+        if (!is_address_known(membership, *seed)) {
+            return seed;
+        }
+    }
+    return NULL;
 }
 
 /* A live member of any zone, or NULL. */
@@ -213,27 +230,41 @@
     return interval * 3 / 4 + jitter;
 }
 
+/* The member to compare lists with: mostly of the own zone. */
+static const struct member_record *choose_sync_peer(struct membership *membership)
+{
+    const struct member_record *peer = NULL;
+    if (membership_random(membership, FAR_SYNC_INTERVAL) > 0) {
+        peer = membership_random_in_zone(membership, membership->self_zone);
+    }
+    return peer != NULL ? peer : random_live(membership);
+}
+
+/* Time to the next round. Daemons that start together may first find only each other, so that each
+ * goes on trying its seeds for a while though its list equals its peer's. */
+static time_ns sync_wait(struct membership *membership, bool seed_unknown, time_ns now)
+{
+    bool settling = seed_unknown && now < membership->started + membership->options.settle_time;
+    if (settling || !membership->synced) {
+        return jittered(membership, membership->options.sync_retry);
+    }
+    return jittered(membership, membership->options.sync_interval);
+}
+
 void membership_sync_tick(struct membership *membership, time_ns now,
                           struct membership_actions *actions)
 {
     if (now < membership->next_sync) {
         return;
     }
-    time_ns interval =
-        membership->synced ? membership->options.sync_interval : membership->options.sync_retry;
-    membership->next_sync = now + jittered(membership, interval);
-    bool far = membership_random(membership, FAR_SYNC_INTERVAL) == 0;
-    const struct member_record *peer =
-        far ? random_live(membership)
-            : membership_random_in_zone(membership, membership->self_zone);
-    if (peer == NULL) {
-        peer = random_live(membership);
-    }
+    const struct member_record *peer = choose_sync_peer(membership);
     if (peer != NULL) {
         membership_sync_with(membership, member_record_address(peer), now, actions);
     }
-    if (peer == NULL || membership_random(membership, SEED_SYNC_INTERVAL) == 0) {
-        sync_with_seed(membership, now, actions);
+    const struct member_address *seed = unknown_seed(membership);
+    if (seed != NULL) {
+        membership_sync_with(membership, *seed, now, actions);
     }
+    membership->next_sync = now + sync_wait(membership, seed != NULL, now);
     try_dead_member(membership, now, actions);
 }
--- /dev/null
+++ b/src/sim/scale_fleet_internal.h
@@ -0,0 +1,173 @@
+/* Shared by the files of the hollow fleet only: its state and the steps they call in each other. */
+#ifndef SW_SIM_SCALE_FLEET_INTERNAL_H
+#define SW_SIM_SCALE_FLEET_INTERNAL_H
+
+#include "core/budget.h"
+#include "sim/scale_fleet.h"
+
+/* Kinds of events in the network's queue. */
+enum scale_event_kind {
+    SCALE_EVENT_DATAGRAM, /* payload: struct scale_payload; from */
+    SCALE_EVENT_WAKEUP,   /* of the daemon's core objects */
+    SCALE_EVENT_FORWARD,  /* the daemon forwards work on every group */
+    SCALE_EVENT_HEAD,     /* the store answers with its newest version: number; 0: no answer */
+    SCALE_EVENT_FETCHED,  /* the store answers with a configuration: number; 0: no answer */
+    SCALE_EVENT_CONNECT,  /* a connection reaches a database; number: see connection_number */
+    SCALE_EVENT_LOCK,     /* it asks for its number's lock */
+    SCALE_EVENT_OPENED,   /* the daemon learns that it has the number */
+    SCALE_EVENT_TAKEN,    /* the daemon learns that another has it */
+    SCALE_EVENT_FAILED,   /* the daemon learns that no connection came about */
+    SCALE_EVENT_CLOSE,    /* the close reaches the database */
+    SCALE_EVENT_CLOSED,   /* the daemon learns of the end */
+    SCALE_EVENT_LEAVE,    /* a planned stop ends; number: time until the next start, or 0 */
+    SCALE_EVENT_START,    /* number: 1 for a replaced machine */
+};
+
+/* A message on its way: encoded, or as it is. */
+struct scale_payload {
+    GByteArray *octets; /* NULL if not encoded */
+    struct message message;
+};
+
+void scale_payload_free(gpointer data);
+
+/* The connections of one group at a daemon that owns it or hands it over. */
+struct scale_holding {
+    uint32_t group;
+    uint64_t removed; /* owner that the last change removed, or 0 */
+    struct budget *budgets[SCALE_GROUP_DATABASES];
+};
+
+struct scale_daemon {
+    uint64_t id;
+    uint64_t start;
+    uint32_t index;
+    uint32_t life;       /* raised at each start and end: events of an earlier life are void */
+    uint32_t generation; /* raised when the machine is replaced */
+    uint16_t zone;
+    bool running;
+    bool paused;
+    bool leaving;
+    time_ns started_at;
+    time_ns ended_at;
+    time_ns mark_at; /* when it began to leave */
+    time_ns wake_at; /* of its newest wake-up event */
+    struct membership *membership;
+    struct ownership *ownership;
+    struct dissemination *dissemination;
+    struct currency *currency;
+    GHashTable *holdings; /* group -> struct scale_holding */
+    GArray *waiting;      /* struct scale_event that came while paused */
+    struct scale_counters counters;
+    time_ns counted_from;
+};
+
+struct scale_database {
+    uint16_t zone;
+    uint32_t unnumbered; /* connections without a number */
+    uint32_t numbered;
+    int32_t holder[BUDGET_CONNECTIONS_MAX]; /* daemon, or -1 */
+    uint32_t holder_life[BUDGET_CONNECTIONS_MAX];
+};
+
+/* What is true of a group. */
+struct scale_group {
+    struct ownership_group ownership;
+    uint64_t term;
+    time_ns changed_at;
+    uint16_t changed_in; /* zone of the owner that published it */
+    time_ns known_worst; /* longest time until a daemon that was not cut off knew */
+};
+
+/* One published configuration; its version is its index. */
+struct scale_publication {
+    time_ns at;
+    time_ns worst; /* longest time until in force at a daemon that was not cut off */
+};
+
+struct scale_fleet {
+    struct scale_fleet_options options;
+    struct scale_network *network;
+    struct scale_daemon *daemons;
+    GHashTable *by_id; /* uint64_t * -> struct scale_daemon */
+    struct scale_group *groups;
+    uint32_t group_count;
+    struct scale_database *databases;
+    struct budget_options budget;
+    bool store_up;
+    GArray *publications;                    /* struct scale_publication; the first is unused */
+    time_ns zone_healed_at[SCALE_ZONES_MAX]; /* end of the zone's last cut */
+    bool zone_cut[SCALE_ZONES_MAX];
+    bool zone_split[SCALE_ZONES_MAX];
+    struct scale_measures measures;
+
+    struct membership_actions *actions; /* reused */
+    time_ns cpu_mark;                   /* processor time when the present step began */
+    uint64_t cpu_codec;                 /* of it, spent in the codec */
+};
+
+/* -- scale_daemon.c: one hollow daemon -- */
+
+void scale_daemon_start(struct scale_fleet *fleet, struct scale_daemon *daemon);
+void scale_daemon_end(struct scale_fleet *fleet, struct scale_daemon *daemon);
+void scale_daemon_handle(struct scale_fleet *fleet, struct scale_daemon *daemon,
+                         struct scale_event *event);
+void scale_daemon_leave_begin(struct scale_fleet *fleet, struct scale_daemon *daemon);
+void scale_daemon_leave_end(struct scale_fleet *fleet, struct scale_daemon *daemon);
+void scale_daemon_publish_status(struct scale_fleet *fleet, struct scale_daemon *daemon,
+                                 const struct group_status *status);
+
+/* -- scale_transport.c: messages between daemons -- */
+
+struct member_address scale_daemon_address(const struct scale_daemon *daemon);
+
+/* The daemon of an address or id; NULL if no such daemon exists any more. */
+struct scale_daemon *scale_daemon_at(struct scale_fleet *fleet, struct member_address address);
+struct scale_daemon *scale_daemon_of_id(struct scale_fleet *fleet, uint64_t id);
+
+/* Sends a copy of the message. */
+void scale_transport_send(struct scale_fleet *fleet, struct scale_daemon *from,
+                          struct scale_daemon *to, const struct message *message,
+                          enum scale_traffic traffic, bool reliable);
+
+/* Takes the message out of a payload. False if it can't be decoded. */
+bool scale_transport_open(struct scale_fleet *fleet, struct scale_daemon *to,
+                          struct scale_payload *payload, struct message *out);
+
+/* True if something sent now from one daemon can't reach the other. */
+bool scale_transport_cut(const struct scale_fleet *fleet, const struct scale_daemon *from,
+                         const struct scale_daemon *to);
+
+/* Processor time: marks the start of a step, and books what it took. */
+void scale_cpu_begin(struct scale_fleet *fleet);
+void scale_cpu_end(struct scale_fleet *fleet, struct scale_daemon *daemon);
+
+/* -- scale_holdings.c: groups owned, their budgets and the databases' side -- */
+
+void scale_holdings_init(struct scale_fleet *fleet);
+void scale_holdings_changed(struct scale_fleet *fleet, struct scale_daemon *daemon,
+                            const GArray *changes, bool handing_over);
+void scale_holdings_tick(struct scale_fleet *fleet, struct scale_daemon *daemon);
+time_ns scale_holdings_wakeup(const struct scale_daemon *daemon);
+void scale_holdings_notice(struct scale_fleet *fleet, struct scale_daemon *daemon,
+                           const struct budget_notice *notice);
+void scale_holdings_end(struct scale_fleet *fleet, struct scale_daemon *daemon, time_ns noticed);
+void scale_holdings_event(struct scale_fleet *fleet, struct scale_daemon *daemon,
+                          const struct scale_event *event);
+size_t scale_holdings_memory(const struct scale_daemon *daemon);
+
+/* -- scale_observe.c: what is written down -- */
+
+void scale_observe_applied(struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                           uint64_t before, uint64_t version);
+void scale_observe_status(struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                          const struct group_status *status);
+void scale_observe_member(struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                          const struct membership_action *action);
+void scale_observe_serving(struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                           bool serving);
+
+/* True if the zone is cut off, or was at some time since `since`. */
+bool scale_was_cut(const struct scale_fleet *fleet, uint16_t zone, time_ns since);
+
+#endif
--- /dev/null
+++ b/src/sim/scale_measure.h
@@ -0,0 +1,81 @@
+/* What a hollow fleet measures: traffic, processor time and state per daemon, times of spread, and
+ * violations. */
+#ifndef SW_SIM_SCALE_MEASURE_H
+#define SW_SIM_SCALE_MEASURE_H
+
+#include "core/types.h"
+
+#include <glib.h>
+
+/* Classes of traffic. */
+enum scale_traffic {
+    SCALE_TRAFFIC_GOSSIP,
+    SCALE_TRAFFIC_CONFIGURATION,
+    SCALE_TRAFFIC_GROUP_STATUS,
+    SCALE_TRAFFIC_BUDGET,
+    SCALE_TRAFFIC_COUNT,
+};
+
+const char *scale_traffic_name(enum scale_traffic traffic);
+
+/* Parts of a daemon's state. */
+enum scale_part {
+    SCALE_PART_MEMBERSHIP,
+    SCALE_PART_OWNERSHIP,
+    SCALE_PART_BUDGETS,
+    SCALE_PART_DISSEMINATION,
+    SCALE_PART_CURRENCY,
+    SCALE_PART_COUNT,
+};
+
+const char *scale_part_name(enum scale_part part);
+
+/* Counters of one daemon since the measurement started. */
+struct scale_counters {
+    uint64_t sent[SCALE_TRAFFIC_COUNT];
+    uint64_t sent_octets[SCALE_TRAFFIC_COUNT]; /* encoded, without UDP, TCP and IP headers */
+    uint64_t received;
+    uint64_t received_octets;
+    uint64_t core_ns;  /* processor time in core objects */
+    uint64_t codec_ns; /* processor time to encode and decode */
+    uint64_t store_reads;
+    time_ns running; /* virtual time that the daemon was up */
+};
+
+/* A list of durations, for percentiles. */
+struct scale_samples {
+    GArray *values; /* uint64_t ns */
+    bool sorted;
+};
+
+void scale_samples_init(struct scale_samples *samples);
+void scale_samples_clear(struct scale_samples *samples);
+void scale_samples_add(struct scale_samples *samples, uint64_t value);
+
+/* The value that this share (0 to 1) of the samples does not exceed; 0 without samples. */
+uint64_t scale_samples_percentile(struct scale_samples *samples, double share);
+
+struct scale_measures {
+    time_ns started;
+    struct scale_samples configuration;     /* per daemon and change: until in force */
+    struct scale_samples configuration_all; /* per change: until in force at all not cut off */
+    struct scale_samples
+        configuration_healed;        /* per daemon cut off: from the heal until in force */
+    struct scale_samples status;     /* per daemon and change of primary: until known */
+    struct scale_samples status_all; /* per change: until known to all not cut off */
+    struct scale_samples status_healed;
+    struct scale_samples death_noticed; /* per observer: until it holds the daemon dead */
+    struct scale_samples leave_noticed; /* per observer: until it holds the daemon leaving */
+    uint64_t suspicions;                /* raised by any daemon */
+    uint64_t false_suspicions;          /* of a daemon that ran and could be reached */
+    uint64_t false_deaths;
+    uint64_t stops;             /* a daemon that was not cut off stopped serving */
+    uint64_t budget_violations; /* connections over a database's limit */
+    uint32_t connections_most;  /* seen at any database */
+    uint64_t numbers_refused;   /* opened, but another held the number */
+};
+
+void scale_measures_init(struct scale_measures *measures, time_ns now);
+void scale_measures_clear(struct scale_measures *measures);
+
+#endif
--- /dev/null
+++ b/src/sim/scale_observe.c
@@ -0,0 +1,136 @@
+/* What the hollow fleet writes down of spread, detection and serving. */
+#include "sim/scale_fleet_internal.h"
+
+bool scale_was_cut(const struct scale_fleet *fleet, uint16_t zone, time_ns since)
+{
+    return fleet->zone_cut[zone] || fleet->zone_healed_at[zone] > since;
+}
+
+static struct scale_publication *publication_at(struct scale_fleet *fleet, uint64_t version)
+{
+    return &g_array_index(fleet->publications, struct scale_publication, version);
+}
+
+/* One configuration came into force at one daemon. */
+static void observe_version(struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                            uint64_t version)
+{
+    time_ns now = scale_network_now(fleet->network);
+    struct scale_publication *publication = publication_at(fleet, version);
+    bool counts =
+        publication->at >= fleet->measures.started && publication->at >= daemon->started_at;
+    if (!counts) {
+        return;
+    }
+    if (fleet->zone_cut[daemon->zone]) {
+        return;
+    }
+    if (scale_was_cut(fleet, daemon->zone, publication->at)) {
+        time_ns since = MAX(publication->at, fleet->zone_healed_at[daemon->zone]);
+        scale_samples_add(&fleet->measures.configuration_healed, now - since);
+        return;
+    }
+    scale_samples_add(&fleet->measures.configuration, now - publication->at);
+    publication->worst = MAX(publication->worst, now - publication->at);
+}
+
+void scale_observe_applied(struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                           uint64_t before, uint64_t version)
+{
+    for (uint64_t i = before + 1; i <= version; i++) {
+        observe_version(fleet, daemon, i);
+    }
+}
+
+void scale_observe_status(struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                          const struct group_status *status)
+{
+    time_ns now = scale_network_now(fleet->network);
+    struct scale_group *group = &fleet->groups[status->group];
+    bool counts = status->term == group->term && group->changed_at >= daemon->started_at &&
+                  group->changed_at >= fleet->measures.started;
+    if (!counts) {
+        return;
+    }
+    bool cut = scale_was_cut(fleet, daemon->zone, group->changed_at) ||
+               scale_was_cut(fleet, group->changed_in, group->changed_at);
+    if (cut) {
+        time_ns healed =
+            MAX(fleet->zone_healed_at[daemon->zone], fleet->zone_healed_at[group->changed_in]);
+        scale_samples_add(&fleet->measures.status_healed,
+                          now - MIN(now, MAX(healed, group->changed_at)));
+        return;
+    }
+    scale_samples_add(&fleet->measures.status, now - group->changed_at);
+    group->known_worst = MAX(group->known_worst, now - group->changed_at);
+}
+
+/* True if the daemon ran and the observer could reach it. */
+static bool is_well(const struct scale_fleet *fleet, const struct scale_daemon *observer,
+                    const struct scale_daemon *daemon)
+{
+    return daemon->running && !daemon->paused && !scale_transport_cut(fleet, observer, daemon) &&
+           !scale_transport_cut(fleet, daemon, observer);
+}
+
+static void observe_gone(struct scale_fleet *fleet, const struct scale_daemon *observer,
+                         const struct scale_daemon *gone, const struct member *member)
+{
+    time_ns now = scale_network_now(fleet->network);
+    if (member->state != MEMBER_STATE_DEAD || gone->start != member->start) {
+        return;
+    }
+    if (is_well(fleet, observer, gone)) {
+        fleet->measures.false_deaths++;
+        return;
+    }
+    bool counts = !gone->running && gone->ended_at >= fleet->measures.started &&
+                  gone->ended_at >= observer->started_at &&
+                  !scale_was_cut(fleet, observer->zone, gone->ended_at) &&
+                  !scale_was_cut(fleet, gone->zone, gone->ended_at);
+    if (counts) {
+        scale_samples_add(&fleet->measures.death_noticed, now - gone->ended_at);
+    }
+}
+
+static void observe_changed(struct scale_fleet *fleet, const struct scale_daemon *observer,
+                            const struct scale_daemon *daemon, const struct member *member)
+{
+    time_ns now = scale_network_now(fleet->network);
+    if (member->start != daemon->start) {
+        return;
+    }
+    bool counts = member->leaving && daemon->mark_at >= fleet->measures.started &&
+                  daemon->mark_at >= observer->started_at &&
+                  !scale_was_cut(fleet, observer->zone, daemon->mark_at) &&
+                  !scale_was_cut(fleet, daemon->zone, daemon->mark_at);
+    if (counts && member->state == MEMBER_STATE_ALIVE) {
+        scale_samples_add(&fleet->measures.leave_noticed, now - daemon->mark_at);
+    }
+}
+
+void scale_observe_member(struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                          const struct membership_action *action)
+{
+    const struct scale_daemon *about = scale_daemon_of_id(fleet, action->member.id);
+    if (about == NULL) {
+        return;
+    }
+    if (action->kind == MEMBERSHIP_ACTION_MEMBER_GONE) {
+        observe_gone(fleet, daemon, about, &action->member);
+        return;
+    }
+    if (action->kind == MEMBERSHIP_ACTION_MEMBER_CHANGED) {
+        observe_changed(fleet, daemon, about, &action->member);
+    }
+}
+
+void scale_observe_serving(struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                           bool serving)
+{
+    time_ns now = scale_network_now(fleet->network);
+    time_ns recent = now - MIN(now, 2 * fleet->options.currency.bound);
+    if (!serving && !daemon->leaving && !scale_was_cut(fleet, daemon->zone, recent)) {
+        fleet->measures.stops++;
+    }
+}
