--- a/src/backend/adapter.c
+++ b/src/backend/adapter.c
@@ -276,6 +276,7 @@
 {
     struct query_reply reply;
     enum execute_result result = EXECUTE_LOST;
+    execute_answer_clear(answer);
     adapter_send(connection, call);
     if (pipeline_finish(connection, deadline, NULL, &reply, 1) == PIPELINE_WHOLE) {
         result = take_command_reply(connection, &reply, answer);
--- a/src/backend/adapter.h
+++ b/src/backend/adapter.h
@@ -36,7 +36,8 @@
 /* Lower-case name, as in logs. */
 const char *execute_result_name(enum execute_result result);
 
-/* What a call brought back. Owns its content. */
+/* What a call brought back. Owns its content. Start with execute_answer_init; each call clears what
+ * an earlier one left. */
 struct execute_answer {
     struct sql_result *results; /* one for each statement, with DONE and ALREADY_DONE */
     size_t results_count;
--- a/src/backend/adapter_read.c
+++ b/src/backend/adapter_read.c
@@ -83,6 +83,7 @@
                                  size_t count, time_ns deadline, const struct result_limits *limits,
                                  struct execute_answer *answer)
 {
+    execute_answer_clear(answer);
     size_t total = QUERIES_BEFORE + count + QUERIES_AFTER;
     g_autofree struct query_reply *replies = g_new0(struct query_reply, total);
     struct result_limits extended = extend_limits(limits);
--- a/src/backend/adapter_transaction.c
+++ b/src/backend/adapter_transaction.c
@@ -40,6 +40,7 @@
                                   const struct adapter_transaction_options *options,
                                   time_ns deadline, struct execute_answer *answer)
 {
+    execute_answer_clear(answer);
     enum execute_result result = options->read_only
                                      ? begin_read(connection, options, deadline, answer)
                                      : begin_write(connection, options, deadline, answer);
@@ -54,6 +55,7 @@
                                       time_ns deadline, const struct result_limits *limits,
                                       struct execute_answer *answer)
 {
+    execute_answer_clear(answer);
     g_autofree struct query_reply *replies = g_new0(struct query_reply, count);
     adapter_send_statements(connection, statements, count);
     enum execute_result result =
@@ -91,6 +93,7 @@
                                    const struct adapter_transaction_options *options,
                                    time_ns deadline, struct execute_answer *answer)
 {
+    execute_answer_clear(answer);
     enum execute_result result =
         options->read_only
             ? commit_read(connection, deadline, answer)
--- a/src/backend/adapter_write.c
+++ b/src/backend/adapter_write.c
@@ -163,6 +163,7 @@
                                   time_ns deadline, const struct result_limits *limits,
                                   struct execute_answer *answer)
 {
+    execute_answer_clear(answer);
     adapter_send_simple(connection, "BEGIN");
     if (adapter_has_key(key)) {
         ledger_send_claim(connection, key, LEDGER_STATE_DONE);
@@ -185,6 +186,7 @@
                                       const struct adapter_key *key, time_ns deadline,
                                       struct execute_answer *answer)
 {
+    execute_answer_clear(answer);
     adapter_send_simple(connection, "BEGIN");
     ledger_send_claim(connection, key, LEDGER_STATE_CLOSED);
     enum execute_result result = adapter_finish_start(connection, key, 0, deadline, NULL, answer);
