--- /dev/null
+++ b/src/daemon/control_groups.c
@@ -0,0 +1,384 @@
+/* The control thread's groups: feeds each group_control and performs its actions. */
+#define G_LOG_DOMAIN "control"
+#include <string.h>
+#include <urcu-bp.h>
+#include <xxhash.h>
+
+#include "backend/adapter.h"
+#include "backend/clock.h"
+#include "daemon/control_internal.h"
+#include "daemon/daemon.h"
+#include "wire/datagram.h"
+
+/* A fence, promotion or follow without an answer for so long is lost. */
+#define COMMAND_TIMEOUT_MS 300
+
+/* Opening a control connection may take so long. */
+#define OPEN_TIMEOUT_MS 500
+
+/* How long the creation of a ledger table may take. */
+#define LEDGER_TIMEOUT_MS 2000
+
+/* Makes sure of a group's ledger table, on a worker. */
+struct ledger_job {
+    struct worker_job job;
+    struct group_runtime *group;
+    int32_t primary;
+};
+
+static void create_ledger(struct worker_job *job)
+{
+    struct ledger_job *ledger = (struct ledger_job *)job;
+    struct pool *pool = ledger->group->databases[ledger->primary].pool;
+    time_ns deadline = backend_now() + LEDGER_TIMEOUT_MS * NANOSECONDS_PER_MILLISECOND;
+    struct backend_connection *connection = pool_acquire(pool, deadline, NULL);
+    if (connection != NULL) {
+        struct execute_answer answer;
+        execute_answer_init(&answer);
+        enum execute_result result = adapter_create_ledger(connection, deadline, &answer);
+        if (result != EXECUTE_DONE) {
+            g_info("Ledger of group %u not made: %s.", ledger->group->group->id,
+                   execute_result_name(result));
+        }
+        execute_answer_clear(&answer);
+        pool_release(pool, connection, backend_connection_is_clean(connection));
+    }
+    group_runtime_unref(ledger->group);
+    g_free(ledger);
+}
+
+static void make_sure_of_ledger(struct controlled_group *group, const struct group_view *view)
+{
+    if (group->ledger_ready || view->primary < 0) {
+        return;
+    }
+    group->ledger_ready = true;
+    struct ledger_job *ledger = g_new0(struct ledger_job, 1);
+    ledger->job.run = create_ledger;
+    ledger->group = group_runtime_ref(group->runtime);
+    ledger->primary = view->primary;
+    worker_pool_resume(group->control->daemon->workers, &ledger->job);
+}
+
+static struct controlled_group *find_group(struct control *control, uint32_t id)
+{
+    return g_hash_table_lookup(control->groups, GUINT_TO_POINTER(id));
+}
+
+/* A command under way at the prober. */
+struct pending_command {
+    struct control *control;
+    uint64_t id; /* of the core's action */
+};
+
+/* Called on the prober's thread. */
+static void on_command_done(void *user, uint32_t group, uint32_t database,
+                            const struct channel_reply *reply)
+{
+    struct pending_command *pending = user;
+    struct control_event event = {
+        .kind = CONTROL_EVENT_GROUP,
+        .group = group,
+        .event = {.kind = GROUP_EVENT_COMMAND,
+                  .now = reply->received_at,
+                  .database = database,
+                  .command = pending->id,
+                  .status = reply->status},
+    };
+    switch (reply->result) {
+    case EXECUTE_DONE:
+        event.event.result = GROUP_COMMAND_OK;
+        break;
+    case EXECUTE_FAILED:
+        event.event.result = GROUP_COMMAND_REFUSED;
+        break;
+    default:
+        event.event.result = GROUP_COMMAND_LOST;
+        break;
+    }
+    control_post(pending->control, &event);
+    g_free(pending);
+}
+
+/* Called on the prober's thread. */
+static void on_status(void *user, uint32_t group, uint32_t database, bool reachable,
+                      const struct database_status *status, uint32_t round_trip_us, time_ns at)
+{
+    struct control_event event = {
+        .kind = CONTROL_EVENT_GROUP,
+        .group = group,
+        .event = {.kind = GROUP_EVENT_PROBE,
+                  .now = at,
+                  .database = database,
+                  .reachable = reachable,
+                  .round_trip = round_trip_us * UINT64_C(1000)},
+    };
+    if (status != NULL) {
+        event.event.status = *status;
+    }
+    control_post(user, &event);
+}
+
+static void submit_command(struct controlled_group *group, const struct group_action *action,
+                           enum adapter_command command)
+{
+    g_autofree char *coordinator =
+        g_strdup_printf("%" G_GINT64_MODIFIER "x", group->control->watcher_self);
+    g_autofree char *address = NULL;
+    if (command == ADAPTER_COMMAND_FOLLOW) {
+        const struct database_configuration *primary =
+            &group->runtime->databases[action->primary].configuration;
+        address = g_strdup_printf("%s:%u", primary->host, primary->port);
+    }
+    struct adapter_call call = {
+        .command = command,
+        .term = action->term,
+        .coordinator = coordinator,
+        .address = address,
+        .leaving = action->leaving,
+    };
+    struct pending_command *pending = g_new0(struct pending_command, 1);
+    pending->control = group->control;
+    pending->id = action->command;
+    time_ns deadline = backend_now() + COMMAND_TIMEOUT_MS * NANOSECONDS_PER_MILLISECOND;
+    prober_submit(group->control->prober, group->id, action->database, &call, deadline,
+                  on_command_done, pending);
+}
+
+/* Sends this watcher's opinion to the other owners of the group. */
+static void send_opinion(struct controlled_group *group, const struct group_opinion *opinion)
+{
+    struct member_entry owners[OWNERS_MAX];
+    uint32_t count = 0;
+    struct message message;
+    message_init(&message, MESSAGE_KIND_OPINION);
+    message.opinion = (struct watcher_opinion){
+        .group = group->id,
+        .watcher = opinion->watcher,
+        .sequence = opinion->sequence,
+        .term = opinion->term,
+        .primary = opinion->primary,
+        .suspects = opinion->suspects,
+        .reachable = opinion->reachable,
+        .promised = opinion->promised,
+        .change = opinion->change,
+        .drained = opinion->drained,
+    };
+    control_members_owners(group->control, group->id, owners, &count);
+    for (uint32_t i = 0; i < count; i++) {
+        if (!owners[i].self) {
+            wire_datagram_send(group->control->socket, &owners[i].address, &message, NULL);
+        }
+    }
+    message_clear(&message);
+}
+
+static void publish_view(struct controlled_group *group, uint64_t change)
+{
+    const struct group_view *view = group_control_view(group->machine);
+    for (uint32_t i = 0; i < view->database_count; i++) {
+        pool_set_reachable(group->runtime->databases[i].pool, view->databases[i].reachable);
+    }
+    group_runtime_publish(group->runtime, view, change);
+    worker_pool_wake(group->control->daemon->workers);
+    make_sure_of_ledger(group, view);
+}
+
+static void record(struct controlled_group *group, const struct group_record *record)
+{
+    struct journal_entry entry = {
+        .group = group->id,
+        .database = record->database,
+        .term = record->term,
+        .position = record->position,
+    };
+    g_strlcpy(entry.kind, group_record_kind_name(record->kind), sizeof(entry.kind));
+    g_strlcpy(entry.text, group_reason_name(record->reason), sizeof(entry.text));
+    journal_add(group->control->journal, &entry);
+}
+
+static void perform(struct controlled_group *group, const struct group_action *action)
+{
+    switch (action->kind) {
+    case GROUP_ACTION_PROBE:
+        prober_probe_now(group->control->prober, group->id, action->database);
+        break;
+    case GROUP_ACTION_FENCE:
+        submit_command(group, action, ADAPTER_COMMAND_FENCE);
+        break;
+    case GROUP_ACTION_PROMOTE:
+        submit_command(group, action, ADAPTER_COMMAND_PROMOTE);
+        break;
+    case GROUP_ACTION_FOLLOW:
+        submit_command(group, action, ADAPTER_COMMAND_FOLLOW);
+        break;
+    case GROUP_ACTION_SET_LEAVING:
+        submit_command(group, action, ADAPTER_COMMAND_SET_LEAVING);
+        break;
+    case GROUP_ACTION_SEND_OPINION:
+        send_opinion(group, &action->opinion);
+        break;
+    case GROUP_ACTION_PUBLISH_VIEW:
+        publish_view(group, action->change);
+        break;
+    case GROUP_ACTION_RECORD_EVENT:
+        record(group, &action->record);
+        break;
+    }
+}
+
+static void step(struct controlled_group *group, const struct group_event *event)
+{
+    struct group_actions actions;
+    group_control_step(group->machine, event, &actions);
+    group->wake_at = actions.wake_at;
+    for (uint32_t i = 0; i < actions.count; i++) {
+        perform(group, &actions.items[i]);
+    }
+}
+
+void control_groups_feed(struct control *control, uint32_t id, const struct group_event *event)
+{
+    struct controlled_group *group = find_group(control, id);
+    if (group == NULL) {
+        return;
+    }
+    struct group_event current = *event;
+    current.now = backend_now();
+    step(group, &current);
+}
+
+void control_groups_tick(struct control *control, time_ns now)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct controlled_group *group = value;
+        if (now >= group->wake_at) {
+            struct group_event tick = {.kind = GROUP_EVENT_TICK, .now = now};
+            step(group, &tick);
+        }
+    }
+}
+
+time_ns control_groups_next_wakeup(struct control *control)
+{
+    time_ns next = UINT64_MAX;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct controlled_group *group = value;
+        next = MIN(next, group->wake_at);
+    }
+    return next;
+}
+
+void control_groups_set_watchers(struct control *control, time_ns now)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct controlled_group *group = value;
+        struct member_entry owners[OWNERS_MAX];
+        struct group_event event = {.kind = GROUP_EVENT_WATCHERS, .now = now};
+        control_members_owners(control, group->id, owners, &event.watcher_count);
+        for (uint32_t i = 0; i < event.watcher_count; i++) {
+            event.watchers[i].id = owners[i].watcher;
+            event.watchers[i].zone = owners[i].zone;
+        }
+        step(group, &event);
+    }
+}
+
+/* Called under the group's writes lock, on any thread. */
+static void on_drained(void *user, uint32_t group, uint64_t change)
+{
+    struct control_event event = {
+        .kind = CONTROL_EVENT_GROUP,
+        .group = group,
+        .event = {.kind = GROUP_EVENT_WRITES_DRAINED, .now = backend_now(), .change = change},
+    };
+    control_post(user, &event);
+}
+
+static void add_probes(struct control *control, const struct controlled_group *group)
+{
+    const struct settings *settings = &control->daemon->settings;
+    g_autofree char *application =
+        g_strdup_printf("swiftworks/%s@%s", settings->daemon.name, settings->daemon.zone);
+    for (uint32_t i = 0; i < group->runtime->database_count; i++) {
+        const struct database_configuration *database = &group->runtime->databases[i].configuration;
+        struct connection_settings connection = {
+            .host = database->host,
+            .port = database->port,
+            .database_name = "swiftworks",
+            .user = "swiftworks",
+            .application_name = application,
+        };
+        prober_add(control->prober, group->id, i, &connection);
+    }
+}
+
+static void start_group(struct control *control, struct group_runtime *runtime)
+{
+    struct controlled_group *group = g_new0(struct controlled_group, 1);
+    struct group_control_options options;
+    group->control = control;
+    group->id = runtime->group->id;
+    group->runtime = runtime;
+    group_control_options_init(&options);
+    options.group = group->id;
+    options.watcher = control->watcher_self;
+    options.zone = control->daemon->zone;
+    options.database_count = runtime->database_count;
+    for (uint32_t i = 0; i < runtime->database_count; i++) {
+        options.database_zone[i] = runtime->databases[i].configuration.zone;
+    }
+    options.preferred_zone = -1;
+    options.seed = XXH3_64bits_withSeed(&group->id, sizeof(group->id), control->watcher_self);
+    options.suspect_after =
+        control->daemon->settings.failover.suspect_after_ms * NANOSECONDS_PER_MILLISECOND;
+    runtime->on_drained = on_drained;
+    runtime->on_drained_user = control;
+    group->machine = group_control_new(&options, backend_now());
+    g_hash_table_insert(control->groups, GUINT_TO_POINTER(group->id), group);
+    add_probes(control, group);
+}
+
+static void free_group(gpointer data)
+{
+    struct controlled_group *group = data;
+    group_control_free(group->machine);
+    group_runtime_unref(group->runtime);
+    g_free(group);
+}
+
+void control_groups_start(struct control *control)
+{
+    const struct settings *settings = &control->daemon->settings;
+    struct prober_options options = {
+        .interval_ms = settings->backend.probe_interval_ms,
+        .timeout_ms = settings->backend.probe_timeout_ms,
+        .open_timeout_ms = OPEN_TIMEOUT_MS,
+        .on_status = on_status,
+        .user = control,
+    };
+    control->groups = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_group);
+    control->prober = prober_new(&options);
+    struct configuration *configuration = daemon_take_configuration(control->daemon);
+    for (guint i = 0; i < configuration->groups->len; i++) {
+        const struct group_configuration *group = g_ptr_array_index(configuration->groups, i);
+        start_group(control, daemon_take_group(control->daemon, group->id));
+    }
+    configuration_unref(configuration);
+    control_groups_set_watchers(control, backend_now());
+}
+
+void control_groups_stop(struct control *control)
+{
+    prober_free(control->prober);
+    g_hash_table_destroy(control->groups);
+}
