--- a/src/frontend/call.c
+++ b/src/frontend/call.c
@@ -15,6 +15,9 @@
  * reset connection. */
 #define DISCARDED_OCTETS_MAX (16 * 1024 * 1024)
 
+/* Longest wait of a stop for callers to take their answers. */
+#define STOP_WRITE_WAIT_US (2 * G_USEC_PER_SEC)
+
 static void call_unref(struct frontend_call *call)
 {
     if (atomic_fetch_sub(&call->references, 1) != 1) {
@@ -35,6 +38,11 @@
     g_free(call);
 }
 
+static double seconds_since(gint64 began_us)
+{
+    return (double)(g_get_monotonic_time() - began_us) / G_USEC_PER_SEC;
+}
+
 static void make_response(struct frontend_call *call, const struct reply *reply)
 {
     const struct call_shared *shared = call->shared;
@@ -52,6 +60,7 @@
     char *text = g_string_free(body, FALSE);
     call->response = MHD_create_response_from_buffer_with_free_callback(length, text, g_free);
     reply_headers_add(call->response, reply, &call->shape, &context);
+    frontend_metrics_count(&shared->metrics, reply, seconds_since(call->began_us));
     call->status = reply->outcome == OUTCOME_DONE ? MHD_HTTP_OK
                                                   : error_entry_of(reply->error_kind)->http_status;
 }
@@ -90,6 +99,20 @@
     return options->find_tenant(call->path.tenant, &call->tenant, options->user, &call->refusal);
 }
 
+/* Whether the token can note what this request sees: a position must never be lost from it. */
+static bool session_has_room(const struct frontend_call *call)
+{
+    if (call->session_count < TOKEN_GROUPS_MAX) {
+        return true;
+    }
+    for (size_t i = 0; i < call->session_count; i++) {
+        if (call->session[i].group == call->tenant.group) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Reads all that stands before the body; leaves the first fault in call->refusal. */
 static void read_head(struct frontend_call *call, const struct request_head *head,
                       const char *method, const char *url)
@@ -115,6 +138,9 @@
                               call->request->session_count * sizeof(struct group_position));
     call->session_count = call->request->session_count;
     call->shape.keyed = call->request->idempotency_key != NULL;
+    if (!session_has_room(call)) {
+        refuse(call, ERROR_KIND_BAD_SESSION, "the session token holds too many groups");
+    }
 }
 
 static struct frontend_call *call_new(struct call_shared *shared, struct MHD_Connection *connection,
@@ -131,6 +157,7 @@
     call->request = g_new0(struct request, 1);
     request_init(call->request);
     atomic_fetch_add(&shared->in_flight, 1);
+    metric_gauge_add(shared->metrics.in_flight, 1);
     return call;
 }
 
@@ -282,8 +309,10 @@
     struct request *request = g_steal_pointer(&call->request);
     g_byte_array_set_size(call->body, 0);
     call->state = CALL_STATE_SUBMITTED;
+    call->submitted = true;
     atomic_fetch_add(&call->references, 1);
     if (!suspend_call(call)) {
+        call->submitted = false;
         call->request = request;
         atomic_fetch_sub(&call->references, 1);
         refuse(call, ERROR_KIND_STOPPING, error_entry_of(ERROR_KIND_STOPPING)->text);
@@ -325,6 +354,15 @@
     }
 }
 
+/* The answer of a submitted call is written, or its caller is gone. */
+static void note_written(struct call_shared *shared)
+{
+    g_mutex_lock(&shared->mutex);
+    shared->unwritten--;
+    g_cond_broadcast(&shared->changed);
+    g_mutex_unlock(&shared->mutex);
+}
+
 void call_on_completed(void *user, struct MHD_Connection *connection, void **request_state,
                        enum MHD_RequestTerminationCode reason)
 {
@@ -334,7 +372,14 @@
         return;
     }
     *request_state = NULL;
+    if (call->submitted) {
+        note_written(shared);
+    }
+    if (reason != MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+        metric_counter_add(shared->metrics.abandoned, 1);
+    }
     call_unref(call);
+    metric_gauge_add(shared->metrics.in_flight, -1);
     atomic_fetch_sub(&shared->in_flight, 1);
 }
 
@@ -344,6 +389,7 @@
 {
     g_hash_table_remove(call->shared->suspended, call);
     call->shared->resuming++;
+    call->shared->unwritten++;
 }
 
 /* Makes the answer and wakes the connection. Only for who set `answered`, after begin_resuming. */
@@ -354,7 +400,7 @@
     MHD_resume_connection(call->connection);
     g_mutex_lock(&shared->mutex);
     shared->resuming--;
-    g_cond_broadcast(&shared->resumed);
+    g_cond_broadcast(&shared->changed);
     g_mutex_unlock(&shared->mutex);
 }
 
@@ -405,9 +451,14 @@
         resume_call(call, &reply);
         call_unref(call);
     }
+    gint64 until = g_get_monotonic_time() + STOP_WRITE_WAIT_US;
     g_mutex_lock(&shared->mutex);
     while (g_hash_table_size(shared->suspended) > 0 || shared->resuming > 0) {
-        g_cond_wait(&shared->resumed, &shared->mutex);
+        g_cond_wait(&shared->changed, &shared->mutex);
+    }
+    bool in_time = true;
+    while (in_time && shared->unwritten > 0) {
+        in_time = g_cond_wait_until(&shared->changed, &shared->mutex, until);
     }
     g_mutex_unlock(&shared->mutex);
     return claimed->len;
--- a/src/frontend/call.h
+++ b/src/frontend/call.h
@@ -9,6 +9,7 @@
 #define SW_FRONTEND_CALL_H
 
 #include "frontend/frontend.h"
+#include "frontend/frontend_metrics.h"
 #include "frontend/reply_json.h"
 #include "frontend/request_path.h"
 #include "sql/cache.h"
@@ -20,13 +21,15 @@
 /* What all calls of a frontend share. */
 struct call_shared {
     struct frontend_options options;
+    struct frontend_metrics metrics;
     struct sql_cache *sql_cache;
     atomic_bool stopping;
     atomic_uint in_flight;
     GMutex mutex;
-    GCond resumed;         /* signalled when an answer is written */
+    GCond changed;         /* signalled when one of the following falls */
     GHashTable *suspended; /* under mutex: the set of calls submitted and not yet answered */
-    unsigned resuming;     /* under mutex: answers being written */
+    unsigned resuming;     /* under mutex: answers being made */
+    unsigned unwritten;    /* under mutex: answers not yet written to their callers */
     bool closed;           /* under mutex: nothing more is submitted */
 };
 
@@ -42,6 +45,7 @@
     struct call_shared *shared; /* not touched once answered by another */
     struct MHD_Connection *connection;
     enum call_state state; /* of the connection's thread */
+    bool submitted;        /* of the connection's thread: the daemon was given it */
     gint64 began_us;       /* monotonic */
     char *request_id;
     struct request_path path;
@@ -65,8 +69,8 @@
 void call_on_completed(void *user, struct MHD_Connection *connection, void **request_state,
                        enum MHD_RequestTerminationCode reason);
 
-/* Answers all calls that still wait, as of unknown outcome, and waits until no answer is being
- * written to a suspended connection. Returns how many it answered. */
+/* Submits nothing more, answers all calls that still wait, as of unknown outcome, and waits until
+ * all answers are made and, for a bounded time, written. Returns how many calls it answered. */
 unsigned call_cut_all(struct call_shared *shared);
 
 #endif
--- a/src/frontend/frontend.c
+++ b/src/frontend/frontend.c
@@ -5,6 +5,7 @@
 #include "sql/classify.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -27,6 +28,7 @@
 
 struct frontend {
     struct call_shared shared;
+    struct metrics *own_metrics; /* where the options give none */
     struct MHD_Daemon *daemon;
     uint16_t port;
 };
@@ -49,31 +51,48 @@
     };
 }
 
-static struct MHD_Daemon *start_daemon(struct frontend *frontend,
-                                       const union listen_address *address)
+/* Called by libmicrohttpd as a connection begins and ends. */
+static void on_connection(void *user, struct MHD_Connection *connection, void **connection_state,
+                          enum MHD_ConnectionNotificationCode code)
 {
-    const struct frontend_options *options = &frontend->shared.options;
+    const struct call_shared *shared = user;
+    bool begins = code == MHD_CONNECTION_NOTIFY_STARTED;
+    metric_gauge_add(shared->metrics.connections, begins ? 1 : -1);
+}
+
+static struct MHD_Daemon *start_daemon(struct frontend *frontend, union listen_address *address)
+{
+    struct call_shared *shared = &frontend->shared;
+    const struct frontend_options *options = &shared->options;
     unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG |
                      listen_address_flags(address);
     unsigned threads = MAX(options->threads, 1);
-    return MHD_start_daemon(flags, options->port, NULL, NULL, call_on_access, &frontend->shared,
+    unsigned connections_max = MAX(options->connections_max, threads);
+    struct MHD_OptionItem items[] = {
+        {MHD_OPTION_SOCK_ADDR, 0, &address->any},
+        {MHD_OPTION_THREAD_POOL_SIZE, threads > 1 ? threads : 0, NULL},
+        {MHD_OPTION_THREAD_STACK_SIZE, SQL_CLASSIFY_STACK_OCTETS, NULL},
+        {MHD_OPTION_CONNECTION_LIMIT, connections_max, NULL},
+        {MHD_OPTION_CONNECTION_TIMEOUT, options->idle_s, NULL},
+        {MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_OCTETS, NULL},
+        {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)call_on_completed, shared},
+        {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)on_connection, shared},
+        {MHD_OPTION_END, 0, NULL},
+    };
+    return MHD_start_daemon(flags, options->port, NULL, NULL, call_on_access, shared,
                             MHD_OPTION_EXTERNAL_LOGGER, listen_log, (void *)LOG_PREFIX,
-                            MHD_OPTION_SOCK_ADDR, &address->any, MHD_OPTION_THREAD_POOL_SIZE,
-                            threads > 1 ? threads : 0, MHD_OPTION_CONNECTION_LIMIT,
-                            MAX(options->connections_max, threads), MHD_OPTION_CONNECTION_TIMEOUT,
-                            options->idle_s, MHD_OPTION_THREAD_STACK_SIZE,
-                            (size_t)SQL_CLASSIFY_STACK_OCTETS, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-                            (size_t)CONNECTION_MEMORY_OCTETS, MHD_OPTION_NOTIFY_COMPLETED,
-                            call_on_completed, &frontend->shared, MHD_OPTION_END);
+                            MHD_OPTION_ARRAY, items, MHD_OPTION_END);
 }
 
-static void shared_init(struct call_shared *shared, const struct frontend_options *options)
+static void shared_init(struct call_shared *shared, const struct frontend_options *options,
+                        struct metrics *metrics)
 {
     shared->options = *options;
+    frontend_metrics_init(&shared->metrics, metrics);
     atomic_init(&shared->stopping, false);
     atomic_init(&shared->in_flight, 0);
     g_mutex_init(&shared->mutex);
-    g_cond_init(&shared->resumed);
+    g_cond_init(&shared->changed);
     shared->suspended = g_hash_table_new(NULL, NULL);
     shared->sql_cache = sql_cache_new(options->sql_cache_entries, options->sql_cache_octets);
 }
@@ -82,8 +101,9 @@
 {
     sql_cache_free(frontend->shared.sql_cache);
     g_hash_table_destroy(frontend->shared.suspended);
-    g_cond_clear(&frontend->shared.resumed);
+    g_cond_clear(&frontend->shared.changed);
     g_mutex_clear(&frontend->shared.mutex);
+    metrics_free(frontend->own_metrics);
     g_free(frontend);
 }
 
@@ -94,7 +114,11 @@
         return NULL;
     }
     struct frontend *frontend = g_new0(struct frontend, 1);
-    shared_init(&frontend->shared, options);
+    if (options->metrics == NULL) {
+        frontend->own_metrics = metrics_new();
+    }
+    shared_init(&frontend->shared, options,
+                options->metrics == NULL ? frontend->own_metrics : options->metrics);
     errno = 0;
     frontend->daemon = start_daemon(frontend, &address);
     if (frontend->daemon == NULL) {
@@ -111,6 +135,21 @@
     return frontend->port;
 }
 
+/* Callers whose connection the system has made already would be reset when the listener closes. */
+static void take_waiting_connections(struct frontend *frontend, int listener)
+{
+    int flags = fcntl(listener, F_GETFL);
+    fcntl(listener, F_SETFL, flags | O_NONBLOCK);
+    union listen_address peer;
+    socklen_t length = sizeof(peer);
+    int connection = accept4(listener, &peer.any, &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    while (connection >= 0) {
+        MHD_add_connection(frontend->daemon, connection, &peer.any, length);
+        length = sizeof(peer);
+        connection = accept4(listener, &peer.any, &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    }
+}
+
 void frontend_stop_accepting(struct frontend *frontend)
 {
     if (atomic_exchange(&frontend->shared.stopping, true)) {
@@ -118,6 +157,7 @@
     }
     MHD_socket listener = MHD_quiesce_daemon(frontend->daemon);
     if (listener != MHD_INVALID_SOCKET) {
+        take_waiting_connections(frontend, listener);
         close(listener);
     }
 }
@@ -129,8 +169,7 @@
 
 unsigned frontend_connections(const struct frontend *frontend)
 {
-    return MHD_get_daemon_info(frontend->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)
-        ->num_connections;
+    return (unsigned)metric_gauge_value(frontend->shared.metrics.connections);
 }
 
 unsigned frontend_stop(struct frontend *frontend)
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -7,6 +7,7 @@
 #ifndef SW_FRONTEND_FRONTEND_H
 #define SW_FRONTEND_FRONTEND_H
 
+#include "frontend/metrics.h"
 #include "generated/messages.h"
 #include "session/token.h"
 
@@ -54,6 +55,7 @@
     size_t sql_cache_octets;  /* of their text */
     struct frontend_limits limits;
     const struct token_keys *token_keys;         /* outlives the frontend */
+    struct metrics *metrics;                     /* outlives the frontend; NULL: none are shown */
     const char *(*reason_name)(uint32_t reason); /* may be NULL */
     frontend_find_tenant find_tenant;
     frontend_submit submit;
--- a/tests/frontend/harness.c
+++ b/tests/frontend/harness.c
@@ -4,7 +4,10 @@
 #include "generated/errors.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 static const char key_text[] =
     "1 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f\n";
@@ -12,6 +15,9 @@
 static bool find_tenant(const char *name, struct frontend_tenant *tenant, void *user,
                         GError **error)
 {
+    struct harness *harness = user;
+    g_mutex_lock(&harness->gate);
+    g_mutex_unlock(&harness->gate);
     if (strcmp(name, "hut") != 0) {
         g_set_error(error, SW_ERROR, ERROR_KIND_UNKNOWN_TENANT, "no tenant \"%s\"", name);
         return false;
@@ -32,6 +38,7 @@
 void harness_start(struct harness *harness, void (*adjust)(struct frontend_options *options))
 {
     GError *error = NULL;
+    g_mutex_init(&harness->gate);
     harness->submitted = g_async_queue_new();
     harness->keys = token_keys_parse(key_text, "test keys", &error);
     g_assert_no_error(error);
@@ -55,6 +62,7 @@
     g_assert_cmpint(g_async_queue_length(harness->submitted), ==, 0);
     g_async_queue_unref(harness->submitted);
     token_keys_free(harness->keys);
+    g_mutex_clear(&harness->gate);
     return cut;
 }
 
@@ -63,6 +71,14 @@
     return g_async_queue_pop(harness->submitted);
 }
 
+void harness_answer(struct submitted *submitted, const struct reply *reply)
+{
+    frontend_answer(submitted->call, reply);
+    request_clear(submitted->request);
+    g_free(submitted->request);
+    g_free(submitted);
+}
+
 void harness_answer_text(struct submitted *submitted, const char *text, uint64_t term,
                          uint64_t offset)
 {
@@ -88,10 +104,7 @@
     reply.served_by_daemon = daemon;
     reply.served_by_database = database;
     reply.served_by_role = role;
-    frontend_answer(submitted->call, &reply);
-    request_clear(submitted->request);
-    g_free(submitted->request);
-    g_free(submitted);
+    harness_answer(submitted, &reply);
 }
 
 static size_t append_data(char *data, size_t size, size_t count, void *user)
@@ -169,6 +182,47 @@
     g_free(poster);
 }
 
+int harness_connect(struct harness *harness)
+{
+    int connection = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons(frontend_port(harness->frontend)),
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    if (connect(connection, (struct sockaddr *)&address, sizeof(address)) != 0) {
+        close(connection);
+        return -1;
+    }
+    return connection;
+}
+
+void harness_send(int connection, const char *text)
+{
+    size_t length = strlen(text);
+    size_t sent = 0;
+    while (sent < length) {
+        ssize_t part = send(connection, text + sent, length - sent, MSG_NOSIGNAL);
+        g_assert_cmpint(part, >, 0);
+        sent += (size_t)part;
+    }
+}
+
+GString *harness_receive_until(int connection, const char *end)
+{
+    GString *text = g_string_new(NULL);
+    char octet = 0;
+    while (!g_str_has_suffix(text->str, end) && recv(connection, &octet, 1, 0) == 1) {
+        g_string_append_c(text, octet);
+    }
+    return text;
+}
+
+void harness_wait_idle(struct harness *harness)
+{
+    while (frontend_in_flight(harness->frontend) > 0) {
+        g_usleep(1000);
+    }
+}
+
 char *exchange_header(const struct exchange *exchange, const char *name)
 {
     g_auto(GStrv) lines = g_strsplit(exchange->head->str, "\r\n", 0);
--- a/tests/frontend/harness.h
+++ b/tests/frontend/harness.h
@@ -14,6 +14,7 @@
     struct token_keys *keys;
     struct frontend *frontend;
     GAsyncQueue *submitted; /* of struct submitted */
+    GMutex gate;            /* a test that holds it stops the frontend's threads in find_tenant */
 };
 
 /* A request that reached the fake daemon. */
@@ -31,6 +32,9 @@
 /* Waits for the next request. */
 struct submitted *harness_take(struct harness *harness);
 
+/* Answers with a copy of `reply` that owns nothing, and frees `submitted`. */
+void harness_answer(struct submitted *submitted, const struct reply *reply);
+
 /* Answers with one row of one text cell, `text`, seen at (term, offset), and frees `submitted`. */
 void harness_answer_text(struct submitted *submitted, const char *text, uint64_t term,
                          uint64_t offset);
@@ -53,6 +57,16 @@
                                   const char *const *headers);
 void harness_join(struct poster *poster, struct exchange *exchange);
 
+/* A connection of the test's own, for what a well-behaved client does not do. */
+int harness_connect(struct harness *harness);
+void harness_send(int connection, const char *text);
+
+/* Reads up to and with the octets `end`, or to the connection's end. */
+GString *harness_receive_until(int connection, const char *end);
+
+/* Waits until the frontend has no request under way. */
+void harness_wait_idle(struct harness *harness);
+
 /* The value of a header, or NULL; the caller frees it. */
 char *exchange_header(const struct exchange *exchange, const char *name);
 
