--- a/src/daemon/admin_api.c
+++ b/src/daemon/admin_api.c
@@ -1,13 +1,159 @@
-/* The operators' calls; see the header. */
+/* The operators' calls: starting, draining, stopping, health; see the header. */
+#define G_LOG_DOMAIN "admin"
 #include "daemon/admin_api.h"
 
+#include <arpa/inet.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include "core/error.h"
+#include "daemon/admin_status.h"
+#include "daemon/control.h"
 #include "daemon/daemon.h"
+#include "daemon/daemon_metrics.h"
+#include "frontend/admin.h"
+#include "generated/errors.h"
+#include "wire/address.h"
+
+static void refuse(struct admin_answer *answer, enum error_kind kind, const char *text)
+{
+    g_autoptr(GError) error = g_error_new_literal(SW_ERROR, (gint)kind, text);
+    admin_answer_error(answer, error);
+}
+
+/* Marks the named database, or this daemon, as leaving or not. */
+static void mark(const struct admin_request *request, struct admin_answer *answer,
+                 struct daemon *daemon, bool leaving)
+{
+    const char *database = admin_query_text(request, "database");
+    const char *self = admin_query_text(request, "daemon");
+    if (self != NULL) {
+        control_set_leaving(daemon->control, leaving);
+        g_string_append_printf(answer->body, "{\"daemon\":\"%s\",\"leaving\":%s}",
+                               daemon->settings.daemon.name, leaving ? "true" : "false");
+        return;
+    }
+    if (database == NULL) {
+        refuse(answer, ERROR_KIND_BAD_REQUEST, "Name a database, or daemon=self.");
+        return;
+    }
+    struct configuration *configuration = daemon_take_configuration(daemon);
+    uint32_t index = 0;
+    const struct group_configuration *group =
+        configuration_find_database(configuration, database, &index);
+    if (group == NULL) {
+        refuse(answer, ERROR_KIND_BAD_REQUEST, "No database has this name.");
+    } else {
+        control_drain_database(daemon->control, group->id, index, leaving);
+        g_string_append_printf(answer->body,
+                               "{\"database\":\"%s\",\"group\":\"%s\",\"leaving\":%s}", database,
+                               group->name, leaving ? "true" : "false");
+    }
+    configuration_unref(configuration);
+}
+
+static void handle_drain(const struct admin_request *request, struct admin_answer *answer,
+                         void *user)
+{
+    mark(request, answer, user, true);
+}
+
+static void handle_undrain(const struct admin_request *request, struct admin_answer *answer,
+                           void *user)
+{
+    mark(request, answer, user, false);
+}
+
+/* A planned stop is what SIGTERM does. */
+static void handle_stop(const struct admin_request *request, struct admin_answer *answer,
+                        void *user)
+{
+    g_string_append(answer->body, "{\"stopping\":true}");
+    kill(getpid(), SIGTERM);
+}
+
+static void handle_status(const struct admin_request *request, struct admin_answer *answer,
+                          void *user)
+{
+    admin_status_write(user, answer->body);
+}
+
+static void handle_events(const struct admin_request *request, struct admin_answer *answer,
+                          void *user)
+{
+    g_autoptr(GError) error = NULL;
+    uint64_t since = 0;
+    if (!admin_query_number(request, "since", UINT64_MAX, &since, &error)) {
+        admin_answer_error(answer, error);
+        return;
+    }
+    admin_events_write(user, since, answer->body);
+}
+
+static void handle_explain(const struct admin_request *request, struct admin_answer *answer,
+                           void *user)
+{
+    g_autoptr(GError) error = NULL;
+    const char *tenant = admin_query_text(request, "tenant");
+    const char *access = admin_query_text(request, "access");
+    bool write = g_strcmp0(access, "write") == 0;
+    if (tenant == NULL) {
+        refuse(answer, ERROR_KIND_BAD_REQUEST, "Name a tenant.");
+    } else if (!admin_explain_write(user, tenant, write, answer->body, &error)) {
+        admin_answer_error(answer, error);
+    }
+}
+
+static bool is_ready(GString *reason, void *user)
+{
+    struct daemon *daemon = user;
+    if (atomic_load(&daemon->stopping)) {
+        g_string_append(reason, "stopping");
+        return false;
+    }
+    if (daemon->table == NULL) {
+        g_string_append(reason, "no confirmed configuration");
+        return false;
+    }
+    return true;
+}
+
+static void add_routes(struct daemon *daemon)
+{
+    admin_route(daemon->admin, "GET", "/v1/status", handle_status, daemon);
+    admin_route(daemon->admin, "GET", "/v1/events", handle_events, daemon);
+    admin_route(daemon->admin, "GET", "/v1/explain", handle_explain, daemon);
+    admin_route(daemon->admin, "POST", "/v1/drain", handle_drain, daemon);
+    admin_route(daemon->admin, "POST", "/v1/undrain", handle_undrain, daemon);
+    admin_route(daemon->admin, "POST", "/v1/stop", handle_stop, daemon);
+}
 
 bool admin_api_start(struct daemon *daemon, GError **error)
 {
+    struct admin_options options;
+    struct sockaddr_in address;
+    char host[INET_ADDRSTRLEN];
+    admin_options_init(&options);
+    parse_address(daemon->settings.daemon.admin_listen, &address);
+    inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host));
+    options.address = host;
+    options.port = ntohs(address.sin_port);
+    options.metrics = daemon_metrics_registry(daemon->metrics);
+    options.ready = is_ready;
+    options.user = daemon;
+    daemon->admin = admin_new(&options);
+    add_routes(daemon);
+    if (!admin_start(daemon->admin, error)) {
+        return false;
+    }
+    g_message("Operators at port %u.", admin_port(daemon->admin));
     return true;
 }
 
 void admin_api_stop(struct daemon *daemon)
 {
+    if (daemon->admin != NULL) {
+        admin_stop(daemon->admin);
+        daemon->admin = NULL;
+    }
 }
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -51,8 +51,8 @@
     case CONTROL_EVENT_GROUP:
         control_groups_feed(control, event->group, &event->event);
         break;
-    case CONTROL_EVENT_LEAVE:
-        control_members_leave(control, backend_now());
+    case CONTROL_EVENT_LEAVING:
+        control_members_set_leaving(control, event->leaving, backend_now());
         break;
     }
 }
@@ -110,7 +110,6 @@
         event = take_event(control);
     }
     control_members_stop(control);
-    journal_free(control->journal);
     pthread_mutex_destroy(&control->inbox_lock);
     close(control->wake_fd);
     g_free(control);
@@ -124,7 +123,7 @@
     control->socket = -1;
     pthread_mutex_init(&control->inbox_lock, NULL);
     g_queue_init(&control->inbox);
-    control->journal = journal_new();
+    control->journal = daemon->journal;
     if (!control_members_start(control, error)) {
         free_control(control);
         return NULL;
@@ -146,12 +145,32 @@
     free_control(control);
 }
 
-void control_leave(struct control *control)
+void control_set_leaving(struct control *control, bool leaving)
 {
-    struct control_event event = {.kind = CONTROL_EVENT_LEAVE};
+    struct control_event event = {.kind = CONTROL_EVENT_LEAVING, .leaving = leaving};
     control_post(control, &event);
 }
 
+GArray *control_list_members(struct control *control)
+{
+    GArray *members = g_array_new(FALSE, TRUE, sizeof(struct control_member));
+    rcu_read_lock();
+    const struct member_table *table = rcu_dereference(control->members);
+    for (uint32_t i = 0; i < table->count; i++) {
+        const struct member_entry *entry = &table->entries[i];
+        struct control_member member = {
+            .id = entry->id,
+            .zone = entry->zone,
+            .usable = entry->usable,
+            .self = entry->self,
+        };
+        g_strlcpy(member.address, entry->address_text, sizeof(member.address));
+        g_array_append_val(members, member);
+    }
+    rcu_read_unlock();
+    return members;
+}
+
 void control_drain_database(struct control *control, uint32_t group, uint32_t database,
                             bool leaving)
 {
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -33,8 +33,21 @@
 /* Ends the thread; with `leave`, tells the other daemons first. */
 void control_stop(struct control *control);
 
-/* Marks this daemon as leaving: others hand it nothing more, and its groups go to others. */
-void control_leave(struct control *control);
+/* Marks this daemon as leaving, or takes the mark back: others hand a leaving one nothing more, and
+ * its groups go to others. */
+void control_set_leaving(struct control *control, bool leaving);
+
+/* One daemon of the deployment, for operators. */
+struct control_member {
+    uint64_t id;
+    char address[ADDRESS_TEXT_SIZE];
+    uint32_t zone;
+    bool usable; /* may own groups */
+    bool self;
+};
+
+/* All members known, as an array of struct control_member. Any thread. */
+GArray *control_list_members(struct control *control);
 
 /* Who owns a group. Any thread. */
 void control_owners_of(struct control *control, uint32_t group, struct owner_list *owners);
@@ -50,7 +63,4 @@
 void control_drain_database(struct control *control, uint32_t group, uint32_t database,
                             bool leaving);
 
-/* Adds status of groups and members to a JSON builder object; see docs/http-api.md. Any thread. */
-char *control_status_json(struct control *control);
-
 #endif
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -8,6 +8,7 @@
 #include "backend/clock.h"
 #include "daemon/control_internal.h"
 #include "daemon/daemon.h"
+#include "daemon/daemon_metrics.h"
 #include "wire/datagram.h"
 
 /* A fence, promotion or follow without an answer for so long is lost. */
@@ -183,6 +184,8 @@
         pool_set_reachable(group->runtime->databases[i].pool, view->databases[i].reachable);
     }
     group_runtime_publish(group->runtime, view, change);
+    daemon_metrics_group_writable(group->control->daemon->metrics, group->id,
+                                  view->primary >= 0 && !view->writes_paused, backend_now());
     worker_pool_wake(group->control->daemon->workers);
     make_sure_of_ledger(group, view);
 }
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -13,8 +13,8 @@
 #include "daemon/journal.h"
 
 enum control_event_kind {
-    CONTROL_EVENT_GROUP, /* an event for a group's control */
-    CONTROL_EVENT_LEAVE, /* this daemon is to be marked as leaving */
+    CONTROL_EVENT_GROUP,   /* an event for a group's control */
+    CONTROL_EVENT_LEAVING, /* this daemon is to be marked as leaving, or not */
 };
 
 /* One input from another thread. */
@@ -22,6 +22,7 @@
     enum control_event_kind kind;
     uint32_t group;
     struct group_event event; /* GROUP */
+    bool leaving;             /* LEAVING */
 };
 
 /* One group that this daemon controls. Control thread only. */
@@ -68,7 +69,7 @@
     uint64_t watcher_self;
 
     struct prober *prober;
-    struct journal *journal;
+    struct journal *journal;      /* the daemon's */
     struct member_table *members; /* RCU */
 };
 
@@ -90,7 +91,7 @@
 void control_members_receive(struct control *control, time_ns now);
 void control_members_tick(struct control *control, time_ns now);
 time_ns control_members_next_wakeup(struct control *control);
-void control_members_leave(struct control *control, time_ns now);
+void control_members_set_leaving(struct control *control, bool leaving, time_ns now);
 /* Owners of a group under the present member table. Any thread, under RCU. */
 void control_members_owners(struct control *control, uint32_t group, struct member_entry *owners,
                             uint32_t *count);
--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -188,9 +188,9 @@
     return membership_next_wakeup(control->membership);
 }
 
-void control_members_leave(struct control *control, time_ns now)
+void control_members_set_leaving(struct control *control, bool leaving, time_ns now)
 {
-    membership_set_leaving(control->membership, true, now, control->actions);
+    membership_set_leaving(control->membership, leaving, now, control->actions);
     control->members_changed = true;
     perform_all(control);
 }
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -12,7 +12,8 @@
 #include "core/route.h"
 #include "daemon/admin_api.h"
 #include "daemon/control.h"
-#include "daemon/metrics.h"
+#include "daemon/daemon_metrics.h"
+#include "daemon/journal.h"
 #include "daemon/task.h"
 #include "daemon/transaction.h"
 #include "wire/address.h"
@@ -251,6 +252,7 @@
     options.limits.body_octets_max = (uint32_t)daemon->settings.request.body_limit;
     options.limits.timeout_ms = daemon->settings.request.default_timeout_ms;
     options.limits.timeout_ms_max = daemon->settings.request.max_timeout_ms;
+    options.metrics = daemon_metrics_registry(daemon->metrics);
     options.token_keys = daemon->token_keys;
     options.reason_name = reason_name;
     options.find_tenant = find_tenant;
@@ -301,6 +303,7 @@
     if (daemon->control == NULL) {
         return false;
     }
+    daemon_metrics_watch(daemon->metrics, daemon);
     atomic_store(&daemon->ready, true);
     return admin_api_start(daemon, error) && start_frontend(daemon, error);
 }
@@ -310,7 +313,8 @@
     struct daemon *daemon = g_new0(struct daemon, 1);
     daemon->settings = *settings;
     daemon->incarnation = (uint64_t)g_get_real_time();
-    daemon->metrics = metrics_new();
+    daemon->metrics = daemon_metrics_new();
+    daemon->journal = journal_new();
     daemon->workers = worker_pool_new(daemon->settings.daemon.worker_threads,
                                       daemon->settings.daemon.request_queue);
     struct evidence_options evidence = {
@@ -380,7 +384,8 @@
     free_table(daemon->table);
     evidence_free(daemon->evidence);
     token_keys_free(daemon->token_keys);
-    metrics_free(daemon->metrics);
+    journal_free(daemon->journal);
+    daemon_metrics_free(daemon->metrics);
     rcu_barrier();
     settings_clear(&daemon->settings);
     g_free(daemon);
@@ -389,7 +394,7 @@
 uint32_t daemon_stop(struct daemon *daemon, time_ns deadline)
 {
     if (daemon->control != NULL) {
-        control_leave(daemon->control);
+        control_set_leaving(daemon->control, true);
     }
     atomic_store(&daemon->stopping, true);
     if (daemon->frontend != NULL) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -17,8 +17,10 @@
 #include "wire/peer_pool.h"
 #include "wire/peer_server.h"
 
+struct admin;
 struct control;
 struct daemon_metrics;
+struct journal;
 struct transaction_table;
 
 /* Groups and tenants in force: replaced as a whole, read under RCU. */
@@ -44,6 +46,7 @@
     struct control *control;
     struct daemon_metrics *metrics;
     struct admin *admin;
+    struct journal *journal;
     _Atomic bool ready;          /* the control thread runs: other daemons are served */
     _Atomic bool stopping;       /* takes no new work */
     _Atomic uint32_t tasks_open; /* begun and not answered */
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -9,7 +9,7 @@
 #include "backend/clock.h"
 #include "daemon/daemon.h"
 #include "daemon/forward.h"
-#include "daemon/metrics.h"
+#include "daemon/daemon_metrics.h"
 
 /* When a caller should come back after the daemon itself had no room or was not ready. */
 #define DAEMON_RETRY_AFTER_MS 500
@@ -45,7 +45,7 @@
     if (reply->served_by_daemon == NULL) {
         reply->served_by_daemon = g_strdup(task->daemon->settings.daemon.name);
     }
-    metrics_count_reply(task->daemon->metrics, task, backend_now());
+    daemon_metrics_count(task->daemon->metrics, task, backend_now());
     task->answer(task->origin, reply);
     daemon_task_ended(task->daemon);
     free_task(task);
