Own groups by the members of their zones

A daemon starts pools, probes and control only for the groups it owns, and forwards the rest; owners come from the core's ownership, one per zone of the group.

--- a/src/daemon/admin_api.c
+++ b/src/daemon/admin_api.c
@@ -115,6 +115,10 @@
         g_string_append(reason, "no confirmed configuration");
         return false;
     }
+    if (!control_is_settled(daemon->control)) {
+        g_string_append(reason, "the other daemons are not known yet");
+        return false;
+    }
     return true;
 }
 
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -96,6 +96,7 @@
         handle_inbox(control);
         time_ns now = backend_now();
         control_members_tick(control, now);
+        control_ownership_tick(control, now);
         control_groups_tick(control, now);
         transaction_table_expire(control->daemon->transactions, now, false);
     }
@@ -189,7 +190,7 @@
     struct member_entry entries[OWNERS_MAX];
     uint32_t count = 0;
     memset(owners, 0, sizeof(*owners));
-    control_members_owners(control, group, entries, &count);
+    control_ownership_entries(control, group, entries, &count);
     for (uint32_t i = 0; i < count; i++) {
         if (entries[i].self) {
             owners->self = true;
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -49,6 +49,9 @@
 /* All members known, as an array of struct control_member. Any thread. */
 GArray *control_list_members(struct control *control);
 
+/* True once this daemon knows the others well enough to own groups and to forward. Any thread. */
+bool control_is_settled(struct control *control);
+
 /* Who owns a group. Any thread. */
 void control_owners_of(struct control *control, uint32_t group, struct owner_list *owners);
 
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -168,7 +168,7 @@
         .change = opinion->change,
         .drained = opinion->drained,
     };
-    control_members_owners(group->control, group->id, owners, &count);
+    control_ownership_entries(group->control, group->id, owners, &count);
     for (uint32_t i = 0; i < count; i++) {
         if (!owners[i].self) {
             wire_datagram_send(group->control->socket, &owners[i].address, &message, NULL);
@@ -290,7 +290,7 @@
         struct controlled_group *group = value;
         struct member_entry owners[OWNERS_MAX];
         struct group_event event = {.kind = GROUP_EVENT_WATCHERS, .now = now};
-        control_members_owners(control, group->id, owners, &event.watcher_count);
+        control_ownership_entries(control, group->id, owners, &event.watcher_count);
         for (uint32_t i = 0; i < event.watcher_count; i++) {
             event.watchers[i].id = owners[i].watcher;
             event.watchers[i].zone = owners[i].zone;
@@ -389,13 +389,29 @@
     };
     control->groups = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_group);
     control->prober = prober_new(&options);
-    struct configuration *configuration = daemon_take_configuration(control->daemon);
-    for (guint i = 0; i < configuration->groups->len; i++) {
-        const struct group_configuration *group = g_ptr_array_index(configuration->groups, i);
-        start_group(control, daemon_take_group(control->daemon, group->id));
+}
+
+bool control_groups_runs(struct control *control, uint32_t group)
+{
+    return find_group(control, group) != NULL;
+}
+
+void control_groups_begin(struct control *control, uint32_t group)
+{
+    struct group_runtime *runtime = daemon_begin_group(control->daemon, group);
+    if (runtime != NULL) {
+        start_group(control, runtime);
+    }
+}
+
+void control_groups_end(struct control *control, uint32_t id)
+{
+    struct controlled_group *group = find_group(control, id);
+    for (uint32_t i = 0; i < group->runtime->database_count; i++) {
+        prober_remove(control->prober, id, i);
     }
-    configuration_unref(configuration);
-    control_groups_set_watchers(control, backend_now());
+    daemon_end_group(control->daemon, id);
+    g_hash_table_remove(control->groups, GUINT_TO_POINTER(id));
 }
 
 void control_groups_stop(struct control *control)
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -8,6 +8,7 @@
 #include "backend/prober.h"
 #include "core/group_control.h"
 #include "core/membership.h"
+#include "core/ownership.h"
 #include "daemon/control.h"
 #include "daemon/group_runtime.h"
 #include "daemon/journal.h"
@@ -52,6 +53,19 @@
     struct member_entry entries[];
 };
 
+/* Owners of one group, by member id. */
+struct group_owners {
+    uint32_t group;
+    uint32_t count;
+    uint64_t owners[OWNERS_MAX];
+};
+
+/* Owners of all groups at a moment, by group id. Immutable; replaced under RCU. */
+struct owner_table {
+    uint32_t count;
+    struct group_owners groups[];
+};
+
 struct control {
     struct daemon *daemon;
     pthread_t thread;
@@ -71,6 +85,11 @@
     struct prober *prober;
     struct journal *journal;      /* the daemon's */
     struct member_table *members; /* RCU */
+    struct ownership *ownership;  /* control thread only */
+    _Atomic bool owners_settled;  /* the members are known well enough to claim groups */
+    bool view_reliable;           /* see control_ownership_tick */
+    time_ns owners_settle_at;
+    struct owner_table *owners; /* RCU */
 };
 
 /* Queues an event; any thread. */
@@ -82,6 +101,9 @@
 void control_groups_feed(struct control *control, uint32_t group, const struct group_event *event);
 void control_groups_tick(struct control *control, time_ns now);
 time_ns control_groups_next_wakeup(struct control *control);
+bool control_groups_runs(struct control *control, uint32_t group);
+void control_groups_begin(struct control *control, uint32_t group);
+void control_groups_end(struct control *control, uint32_t group);
 /* Tells every group who its watchers are. */
 void control_groups_set_watchers(struct control *control, time_ns now);
 
@@ -92,8 +114,17 @@
 void control_members_tick(struct control *control, time_ns now);
 time_ns control_members_next_wakeup(struct control *control);
 void control_members_set_leaving(struct control *control, bool leaving, time_ns now);
-/* Owners of a group under the present member table. Any thread, under RCU. */
-void control_members_owners(struct control *control, uint32_t group, struct member_entry *owners,
-                            uint32_t *count);
+
+/* Ownership: control_ownership.c. */
+void control_ownership_start(struct control *control, uint64_t self);
+void control_ownership_stop(struct control *control);
+/* The configuration in force has other groups, or the first. */
+void control_ownership_set_groups(struct control *control);
+void control_ownership_members_changed(struct control *control);
+void control_ownership_forget(struct control *control, uint64_t member);
+void control_ownership_tick(struct control *control, time_ns now);
+/* Owners of a group, into `owners` (room for OWNERS_MAX). Any thread (RCU). */
+void control_ownership_entries(struct control *control, uint32_t group, struct member_entry *owners,
+                               uint32_t *count);
 
 #endif
--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -110,6 +110,7 @@
         break;
     case MEMBERSHIP_ACTION_MEMBER_GONE:
         note_change(control, &action->member, "member_gone");
+        control_ownership_forget(control, action->member.id);
         break;
     case MEMBERSHIP_ACTION_SUPERSEDED:
         g_critical("Another daemon runs under this name: this one is silent.");
@@ -129,9 +130,7 @@
     if (control->members_changed) {
         control->members_changed = false;
         publish_members(control);
-        if (control->groups != NULL) {
-            control_groups_set_watchers(control, backend_now());
-        }
+        control_ownership_members_changed(control);
     }
 }
 
@@ -231,6 +230,7 @@
     control->actions = membership_actions_new();
     control->membership = membership_new(&options, &self, backend_now());
     set_seeds(control);
+    control_ownership_start(control, self.id);
     publish_members(control);
     return true;
 }
@@ -240,6 +240,7 @@
     if (control->membership != NULL) {
         membership_leave(control->membership, backend_now(), control->actions);
         perform_all(control);
+        control_ownership_stop(control);
         membership_free(control->membership);
         membership_actions_free(control->actions);
     }
@@ -249,42 +250,3 @@
     synchronize_rcu();
     g_free(control->members);
 }
-
-/* Rendezvous weight of a daemon for a group: the highest own it. */
-static uint64_t owner_weight(uint32_t group, uint64_t member)
-{
-    return XXH3_64bits_withSeed(&member, sizeof(member), group);
-}
-
-/* Puts an entry at its place in a short list ordered by weight, highest first. */
-static void insert_owner(struct member_entry *owners, uint32_t *count, uint32_t limit,
-                         uint32_t group, const struct member_entry *entry)
-{
-    uint32_t place = *count;
-    while (place > 0 &&
-           owner_weight(group, owners[place - 1].id) < owner_weight(group, entry->id)) {
-        place--;
-    }
-    if (place >= limit) {
-        return;
-    }
-    uint32_t kept = MIN(*count, limit - 1);
-    memmove(&owners[place + 1], &owners[place], (kept - place) * sizeof(*owners));
-    owners[place] = *entry;
-    *count = kept + 1;
-}
-
-void control_members_owners(struct control *control, uint32_t group, struct member_entry *owners,
-                            uint32_t *count)
-{
-    uint32_t limit = MIN(control->daemon->settings.ownership.owners_per_group, OWNERS_MAX);
-    *count = 0;
-    rcu_read_lock();
-    const struct member_table *table = rcu_dereference(control->members);
-    for (uint32_t i = 0; i < table->count; i++) {
-        if (table->entries[i].usable) {
-            insert_owner(owners, count, limit, group, &table->entries[i]);
-        }
-    }
-    rcu_read_unlock();
-}
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -96,17 +96,9 @@
     return true;
 }
 
-static struct group_runtime *take_or_start_group(struct daemon *daemon,
-                                                 struct configuration *configuration,
-                                                 const struct group_configuration *group)
+static struct group_runtime *start_group(struct daemon *daemon, struct configuration *configuration,
+                                         const struct group_configuration *group)
 {
-    struct group_runtime *standing = daemon_take_group(daemon, group->id);
-    if (standing != NULL && same_databases(standing->group, group)) {
-        return standing;
-    }
-    if (standing != NULL) {
-        group_runtime_unref(standing);
-    }
     struct group_runtime_options options = {
         .daemon_name = daemon->settings.daemon.name,
         .zone_name = daemon->settings.daemon.zone,
@@ -118,22 +110,66 @@
     return group_runtime_new(configuration, group, &options);
 }
 
-void daemon_set_configuration(struct daemon *daemon, struct configuration *configuration)
+/* A copy of the table in force, with its references; without groups that changed. */
+static struct routing_table *copy_table(struct daemon *daemon, struct configuration *configuration)
 {
     struct routing_table *next = g_new0(struct routing_table, 1);
     next->configuration = configuration_ref(configuration);
     next->groups = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, release_group);
-    for (guint i = 0; i < configuration->groups->len; i++) {
-        const struct group_configuration *group = g_ptr_array_index(configuration->groups, i);
-        g_hash_table_insert(next->groups, GUINT_TO_POINTER(group->id),
-                            take_or_start_group(daemon, configuration, group));
+    if (daemon->table == NULL) {
+        return next;
     }
+    GHashTableIter iterator;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, daemon->table->groups);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        struct group_runtime *runtime = value;
+        const struct group_configuration *group =
+            configuration_find_group(configuration, runtime->group->id);
+        if (group != NULL && same_databases(runtime->group, group)) {
+            g_hash_table_insert(next->groups, key, group_runtime_ref(runtime));
+        }
+    }
+    return next;
+}
+
+static void replace_table(struct daemon *daemon, struct routing_table *next)
+{
     struct routing_table *previous = daemon->table;
     rcu_assign_pointer(daemon->table, next);
     synchronize_rcu();
     free_table(previous);
 }
 
+void daemon_set_configuration(struct daemon *daemon, struct configuration *configuration)
+{
+    replace_table(daemon, copy_table(daemon, configuration));
+}
+
+struct group_runtime *daemon_begin_group(struct daemon *daemon, uint32_t id)
+{
+    struct configuration *configuration = daemon->table->configuration;
+    const struct group_configuration *group = configuration_find_group(configuration, id);
+    if (group == NULL) {
+        return NULL;
+    }
+    struct routing_table *next = copy_table(daemon, configuration);
+    struct group_runtime *runtime = start_group(daemon, next->configuration, group);
+    g_hash_table_insert(next->groups, GUINT_TO_POINTER(id), runtime);
+    group_runtime_ref(runtime);
+    replace_table(daemon, next);
+    return runtime;
+}
+
+void daemon_end_group(struct daemon *daemon, uint32_t id)
+{
+    struct routing_table *next = copy_table(daemon, daemon->table->configuration);
+    g_hash_table_remove(next->groups, GUINT_TO_POINTER(id));
+    replace_table(daemon, next);
+    evidence_remove_group(daemon->evidence, id);
+}
+
 bool daemon_task_begins(struct daemon *daemon, const struct request *request)
 {
     atomic_fetch_add(&daemon->tasks_open, 1);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -63,12 +63,20 @@
 /* The configuration in force with one reference, or NULL. Any thread. */
 struct configuration *daemon_take_configuration(struct daemon *daemon);
 
-/* A group's run time with one reference, or NULL. Any thread. */
+/* A group's run time with one reference, or NULL if this daemon does not own it. Any thread. */
 struct group_runtime *daemon_take_group(struct daemon *daemon, uint32_t group);
 
 /* Puts a configuration in force; control thread, or before threads start. Takes a reference. */
 void daemon_set_configuration(struct daemon *daemon, struct configuration *configuration);
 
+/* Starts a group that this daemon now owns, with one reference for the caller; NULL if the
+ * configuration does not have it. Control thread only. */
+struct group_runtime *daemon_begin_group(struct daemon *daemon, uint32_t group);
+
+/* Ends a group that this daemon owns no more: new requests are forwarded, what runs ends. Control
+ * thread only. */
+void daemon_end_group(struct daemon *daemon, uint32_t group);
+
 /* Counts a task in. False if the daemon is stopping and the request starts new work; the task is
  * counted all the same until daemon_task_ended. */
 bool daemon_task_begins(struct daemon *daemon, const struct request *request);
--- a/src/daemon/forward.c
+++ b/src/daemon/forward.c
@@ -22,6 +22,11 @@
 static void run_here(struct task *task)
 {
     const struct request *request = task->request;
+    if (task->group == NULL) {
+        /* Views of ownership differ for a moment, or nobody has claimed the group yet. */
+        task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_PEER_UNREACHABLE, NULL, PEER_RETRY_AFTER_MS);
+        return;
+    }
     if (request->kind != REQUEST_KIND_STATEMENT && request->kind != REQUEST_KIND_BATCH) {
         task_run_transaction(task);
         return;
@@ -134,11 +139,7 @@
 {
     struct owner_list owners;
     control_owners_of(task->daemon->control, task->request->group, &owners);
-    if (owners.self || owners.count == 0) {
-        return false;
-    }
-    if (task->request->hops >= FORWARD_HOPS_MAX) {
-        /* Views of ownership differ for a moment: this daemon was an owner or will be one. */
+    if (task->group != NULL || owners.count == 0 || task->request->hops >= FORWARD_HOPS_MAX) {
         return false;
     }
     for (uint32_t i = 0; i < owners.count; i++) {
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "backend/clock.h"
+#include "daemon/control.h"
 #include "daemon/daemon.h"
 #include "daemon/forward.h"
 #include "daemon/daemon_metrics.h"
@@ -98,7 +99,7 @@
 static bool resolve(struct task *task, enum error_kind *error)
 {
     task->configuration = daemon_take_configuration(task->daemon);
-    if (task->configuration == NULL) {
+    if (task->configuration == NULL || !control_is_settled(task->daemon->control)) {
         *error = ERROR_KIND_NOT_READY;
         return false;
     }
@@ -108,11 +109,8 @@
         *error = ERROR_KIND_UNKNOWN_TENANT;
         return false;
     }
+    /* NULL where this daemon does not own the group: the task is forwarded. */
     task->group = daemon_take_group(task->daemon, task->route->group);
-    if (task->group == NULL) {
-        *error = ERROR_KIND_NOT_READY;
-        return false;
-    }
     return true;
 }
 
--- a/src/daemon/task.h
+++ b/src/daemon/task.h
@@ -34,7 +34,7 @@
 
     struct configuration *configuration; /* one reference; holds the route */
     const struct tenant_route *route;
-    struct group_runtime *group; /* one reference */
+    struct group_runtime *group; /* one reference; NULL if this daemon does not own the group */
     time_ns started_at;
     time_ns deadline;
 
