Refuse connections by a word while the peer server stops

The test of a stop under load hung in 3 of some 60 runs: the kernel can drop a connection that is just being made, without telling its peer, when the listening socket ends, and the peer then waited for READY until its deadline.

--- a/src/settings/setting_table.c
+++ b/src/settings/setting_table.c
@@ -379,9 +379,10 @@
                         enum setting_source *sources, const char *file, const char *text,
                         const char *const *overrides, GError **error)
 {
-    g_autoptr(GPtrArray) faults = g_ptr_array_new_with_free_func(g_free);
-    g_autofree bool *faulty = g_new0(bool, table->count);
-    struct reading reading = {table, settings, sources, faults, faulty, false};
+    struct reading reading = {.table = table, .settings = settings};
+    reading.sources = sources;
+    reading.faults = g_ptr_array_new_with_free_func(g_free);
+    reading.faulty = g_new0(bool, table->count);
     if (text != NULL) {
         read_key_file(&reading, file, text);
     } else if (file != NULL) {
@@ -393,7 +394,10 @@
     for (size_t i = 0; i < table->count && !reading.file_failed; i++) {
         check_entry(&reading, &table->entries[i]);
     }
-    return report(&reading, error);
+    bool valid = report(&reading, error);
+    g_ptr_array_unref(reading.faults);
+    g_free(reading.faulty);
+    return valid;
 }
 
 static void print_value(const struct setting_entry *entry, const void *settings, GString *out)
--- a/src/wire/connection.c
+++ b/src/wire/connection.c
@@ -181,6 +181,25 @@
     return true;
 }
 
+/* Connects and waits for READY, within the deadline and WIRE_CONNECT_NS. */
+static bool open_connection(struct wire_connection *connection, const struct sockaddr_in *peer,
+                            time_ns deadline, GError **error)
+{
+    GError *failure = NULL;
+    time_ns connect_deadline = MIN(deadline, wire_clock_now() + WIRE_CONNECT_NS);
+    if (connect_socket(connection->socket, peer, connect_deadline, &failure) &&
+        receive_ready(connection, connect_deadline, &failure)) {
+        return true;
+    }
+    bool in_time = connect_deadline < deadline;
+    if (in_time && g_error_matches(failure, SW_ERROR, ERROR_KIND_DEADLINE)) {
+        g_clear_error(&failure);
+        g_set_error(&failure, SW_ERROR, ERROR_KIND_PEER_UNREACHABLE, "the peer does not answer");
+    }
+    g_propagate_error(error, failure);
+    return false;
+}
+
 struct wire_connection *wire_connect(const char *address, time_ns deadline, GError **error)
 {
     struct sockaddr_in peer;
@@ -194,8 +213,7 @@
         return NULL;
     }
     struct wire_connection *connection = wire_connection_new(descriptor);
-    if (!connect_socket(descriptor, &peer, deadline, error) ||
-        !receive_ready(connection, deadline, error)) {
+    if (!open_connection(connection, &peer, deadline, error)) {
         g_prefix_error(error, "%s: ", address);
         wire_close(connection);
         return NULL;
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -28,6 +28,10 @@
 
 #define WIRE_NO_DEADLINE UINT64_MAX
 
+/* A peer that has not sent READY by then counts as unreachable, also if the deadline is later: it
+ * may be paused, or its kernel may have dropped the connection without a word. */
+#define WIRE_CONNECT_NS (1 * NANOSECONDS_PER_SECOND)
+
 /* One end of a connection. Owned and used by one thread at a time. */
 struct wire_connection {
     int socket;           /* non-blocking; owned */
@@ -45,8 +49,8 @@
 /* Monotonic time in nanoseconds. */
 time_ns wire_clock_now(void);
 
-/* Connects to "IP:port" and waits for READY. Returns NULL with `error` on failure; no request has
- * left then. The caller closes the result. */
+/* Connects to "IP:port" and waits for READY, for WIRE_CONNECT_NS at most. Returns NULL with `error`
+ * on failure; no request has left then. The caller closes the result. */
 struct wire_connection *wire_connect(const char *address, time_ns deadline, GError **error);
 
 /* Takes over an accepted socket; READY is not sent yet. */
--- a/src/wire/listener.c
+++ b/src/wire/listener.c
@@ -92,11 +92,6 @@
     }
 }
 
-void wire_listener_stop(struct wire_listener *listener)
-{
-    shutdown(listener->socket, SHUT_RDWR);
-}
-
 void wire_listener_close(struct wire_listener *listener)
 {
     if (listener == NULL) {
--- a/src/wire/listener.h
+++ b/src/wire/listener.h
@@ -21,9 +21,6 @@
 struct wire_connection *wire_listener_accept(struct wire_listener *listener, int stop_descriptor,
                                              GError **error);
 
-/* Ends listening: later connects, and those not accepted yet, are refused by the kernel. */
-void wire_listener_stop(struct wire_listener *listener);
-
 /* Closes and frees; NULL is allowed. No thread may be accepting. */
 void wire_listener_close(struct wire_listener *listener);
 
--- a/src/wire/peer_server.c
+++ b/src/wire/peer_server.c
@@ -1,7 +1,11 @@
 /* The accept loop and the connections' threads.
  *
- * `stop_descriptor` is an eventfd that stays readable from the stop on; threads see it in their
- * poll. Connections are listed under `mutex`, so that peer_server_free can shut their sockets. */
+ * `stop_descriptor` is an eventfd that stays readable from the stop on; the connections' threads
+ * see it in their poll. The accept thread goes on until peer_server_free, to refuse by CLOSING:
+ * when a listening socket ends, the kernel may drop a connection that is just being made without
+ * telling its peer. Connections are listed under `mutex`, so that peer_server_free can shut their
+ * sockets.
+ */
 #include "wire/peer_server.h"
 
 #include "core/error.h"
@@ -25,9 +29,10 @@
     struct peer_server_options options;
     struct wire_listener *listener;
     pthread_t accept_thread;
-    bool accepting; /* accept_thread is not joined yet */
-    int stop_descriptor;
+    int stop_descriptor; /* ends the connections */
+    int end_descriptor;  /* an eventfd that ends the accept thread */
     pthread_mutex_t mutex;
+    bool stopping;           /* no connection is listed any more; under mutex */
     pthread_cond_t finished; /* a connection has ended */
     GHashTable *connections; /* set of struct served_connection; under mutex */
 };
@@ -136,13 +141,14 @@
     wire_close(connection);
 }
 
-/* Lists a connection; NULL if the server has its bound of them. */
+/* Lists a connection; NULL if the server stops or has its bound of them. */
 static struct served_connection *list_connection(struct peer_server *server,
                                                  struct wire_connection *connection)
 {
     struct served_connection *served = NULL;
     pthread_mutex_lock(&server->mutex);
-    if (g_hash_table_size(server->connections) < server->options.connections_max) {
+    unsigned count = g_hash_table_size(server->connections);
+    if (!server->stopping && count < server->options.connections_max) {
         served = g_new0(struct served_connection, 1);
         served->server = server;
         served->connection = connection;
@@ -168,7 +174,8 @@
 {
     struct served_connection *served = list_connection(server, connection);
     if (served == NULL) {
-        g_info("wire: connection refused: %u are open", server->options.connections_max);
+        g_info("wire: connection refused: stopping, or %u are open",
+               server->options.connections_max);
         refuse_connection(connection);
         return;
     }
@@ -179,10 +186,10 @@
     }
 }
 
-/* Waits a moment, or less if the server stops. */
+/* Waits a moment, or less if the server ends. */
 static void pause_accepting(struct peer_server *server)
 {
-    struct pollfd entry = {.fd = server->stop_descriptor, .events = POLLIN};
+    struct pollfd entry = {.fd = server->end_descriptor, .events = POLLIN};
     poll(&entry, 1, wire_poll_timeout(deadline_after(ACCEPT_PAUSE_NS)));
 }
 
@@ -192,7 +199,7 @@
     for (;;) {
         g_autoptr(GError) error = NULL;
         struct wire_connection *connection =
-            wire_listener_accept(server->listener, server->stop_descriptor, &error);
+            wire_listener_accept(server->listener, server->end_descriptor, &error);
         if (connection != NULL) {
             start_connection(server, connection);
         } else if (error != NULL) {
@@ -214,6 +221,18 @@
     pthread_condattr_destroy(&attributes);
 }
 
+/* Frees a server without threads. */
+static void release_server(struct peer_server *server)
+{
+    wire_listener_close(server->listener);
+    g_hash_table_unref(server->connections);
+    close(server->stop_descriptor);
+    close(server->end_descriptor);
+    pthread_cond_destroy(&server->finished);
+    pthread_mutex_destroy(&server->mutex);
+    g_free(server);
+}
+
 struct peer_server *peer_server_start(const char *address,
                                       const struct peer_server_options *options, GError **error)
 {
@@ -225,7 +244,7 @@
     server->options = *options;
     server->listener = listener;
     server->stop_descriptor = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
-    g_assert(server->stop_descriptor >= 0);
+    server->end_descriptor = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
     pthread_mutex_init(&server->mutex, NULL);
     init_condition(&server->finished);
     server->connections = g_hash_table_new(NULL, NULL);
@@ -233,10 +252,9 @@
     if (failure != 0) {
         g_set_error(error, SW_ERROR, ERROR_KIND_INTERNAL, "no thread to accept connections: %s",
                     g_strerror(failure));
-        peer_server_free(server);
+        release_server(server);
         return NULL;
     }
-    server->accepting = true;
     return server;
 }
 
@@ -276,12 +294,10 @@
 
 unsigned peer_server_stop(struct peer_server *server, time_ns deadline)
 {
-    if (server->accepting) {
-        eventfd_write(server->stop_descriptor, 1);
-        pthread_join(server->accept_thread, NULL);
-        server->accepting = false;
-        wire_listener_stop(server->listener);
-    }
+    pthread_mutex_lock(&server->mutex);
+    server->stopping = true;
+    pthread_mutex_unlock(&server->mutex);
+    eventfd_write(server->stop_descriptor, 1);
     return wait_connections(server, deadline);
 }
 
@@ -303,10 +319,7 @@
     peer_server_stop(server, 0);
     cut_connections(server);
     wait_connections(server, WIRE_NO_DEADLINE);
-    wire_listener_close(server->listener);
-    g_hash_table_unref(server->connections);
-    close(server->stop_descriptor);
-    pthread_cond_destroy(&server->finished);
-    pthread_mutex_destroy(&server->mutex);
-    g_free(server);
+    eventfd_write(server->end_descriptor, 1);
+    pthread_join(server->accept_thread, NULL);
+    release_server(server);
 }
--- a/src/wire/peer_server.h
+++ b/src/wire/peer_server.h
@@ -45,9 +45,9 @@
 /* Connections being served now. Any thread. */
 unsigned peer_server_connection_count(struct peer_server *server);
 
-/* Refuses new connections, tells the peers that the others close, serves what is under way, and
- * waits for all of it until `deadline`. Returns the number of connections left unfinished then;
- * peer_server_free cuts these. May be called again to wait on; one thread. */
+/* Refuses new connections from now on, tells the peers that the others close, serves what is under
+ * way, and waits for all of it until `deadline`. Returns the number of connections left unfinished
+ * then; peer_server_free cuts these. May be called again to wait on; one thread. */
 unsigned peer_server_stop(struct peer_server *server, time_ns deadline);
 
 /* Cuts what peer_server_stop has left, waits for handlers that still run, and frees. Stops the
--- a/tests/wire/test_peer_call.c
+++ b/tests/wire/test_peer_call.c
@@ -112,6 +112,17 @@
     wire_listener_close(listener);
 }
 
+/* A peer that says nothing is given up long before a late deadline. */
+static void test_mute_peer(void)
+{
+    struct wire_listener *listener = wire_listener_open("127.0.0.1:0", NULL);
+    struct peer_pool *pool = peer_pool_new(PEER_POOL_IDLE_MAX_DEFAULT);
+    expect_call(pool, listener->address, fixture_deadline(), PEER_CALL_NOT_SENT,
+                ERROR_KIND_PEER_UNREACHABLE);
+    peer_pool_free(pool);
+    wire_listener_close(listener);
+}
+
 static void test_no_listener(void)
 {
     struct wire_listener *listener = wire_listener_open("127.0.0.1:0", NULL);
@@ -239,6 +250,7 @@
     g_test_add_func("/wire/peer-call/answered", test_answered);
     g_test_add_func("/wire/peer-call/silent", test_silent);
     g_test_add_func("/wire/peer-call/paused-peer", test_paused_peer);
+    g_test_add_func("/wire/peer-call/mute-peer", test_mute_peer);
     g_test_add_func("/wire/peer-call/no-listener", test_no_listener);
     g_test_add_func("/wire/peer-call/deadline-passed", test_deadline_passed);
     g_test_add_func("/wire/peer-call/bad-request", test_bad_request);
--- a/tests/wire/test_peer_server.c
+++ b/tests/wire/test_peer_server.c
@@ -302,6 +302,19 @@
     echo_free(&echo);
 }
 
+/* A stopping server refuses a connection by a word, so that its peer need not wait. */
+static void test_refuse_stopping(void)
+{
+    struct echo echo;
+    g_autoptr(GError) error = NULL;
+    echo_start(&echo, 4);
+    g_assert_cmpuint(peer_server_stop(echo.server, fixture_deadline()), ==, 0);
+    g_assert_null(wire_connect(peer_server_address(echo.server), fixture_deadline(), &error));
+    g_assert_error(error, SW_ERROR, ERROR_KIND_PEER_UNREACHABLE);
+    g_assert_true(g_str_has_suffix(error->message, ": the peer takes no connection"));
+    echo_free(&echo);
+}
+
 static void *open_gate(void *data)
 {
     echo_set_gate(data, false);
@@ -339,6 +352,7 @@
     g_test_add_func("/wire/peer-server/no-answer", test_no_answer);
     g_test_add_func("/wire/peer-server/garbage", test_garbage);
     g_test_add_func("/wire/peer-server/stop-under-load", test_stop_under_load);
+    g_test_add_func("/wire/peer-server/refuse-stopping", test_refuse_stopping);
     g_test_add_func("/wire/peer-server/stop-deadline", test_stop_deadline);
     return g_test_run();
 }
--- a/tools/generator/messages.py
+++ b/tools/generator/messages.py
@@ -61,8 +61,6 @@
     def declaration(self):
         """The member lines of this field."""
         lines = [writer.comment(self.comment, 4)] if self.comment else []
-        if self.optional:
-            lines.append(f"    bool has_{self.name};\n")
         if self.is_array:
             lines.append(f"    {self.c_type}*{self.name};\n")
             lines.append(f"    size_t {self.name}_count;\n")
@@ -144,6 +142,8 @@
         text = writer.comment(self.comment) if self.comment else ""
         text += f"struct {self.name} {{\n"
         text += "".join(field.declaration() for field in self.fields)
+        # Together at the end, the flags cost the least padding.
+        text += "".join(f"    bool has_{f.name};\n" for f in self.fields if f.optional)
         text += "};\n\n"
         name = self.name
         text += f"void {name}_init(struct {name} *value);\n"
