--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -114,8 +114,8 @@
     struct configuration_mark in_force = {sender->configuration_version,
                                           message->configuration_hash};
     struct configuration_mark heard = {message->heard_version, message->heard_hash};
-    membership_merge_configuration(membership, in_force, sender, actions);
-    membership_merge_configuration(membership, heard, sender, actions);
+    membership_merge_configuration(membership, in_force, sender, true, actions);
+    membership_merge_configuration(membership, heard, sender, false, actions);
     struct member_record *record = membership_record(membership, sender->member);
     if (record != NULL && record->configuration.version == in_force.version) {
         record->configuration.hash = in_force.hash;
@@ -167,9 +167,13 @@
     merge_message(membership, message, from, now, actions);
 }
 
-/* Drops what has been remembered for long enough. */
+/* Drops what has been remembered for long enough. Not while cut off: a shrinking list would make a
+ * majority of the few that are left. */
 static void sweep(struct membership *membership, time_ns now)
 {
+    if (!membership_majority_reachable(membership, now, membership->options.zone_timeout)) {
+        return;
+    }
     for (size_t i = membership->records->len; i > 0; i--) {
         const struct member_record *record = membership_record_at(membership, i - 1);
         if (record->id == membership->self_id) {
@@ -260,18 +264,20 @@
 void membership_set_configuration(struct membership *membership, struct configuration_mark in_force,
                                   time_ns now, struct membership_actions *actions)
 {
-    membership_self_record(membership)->configuration = in_force;
-    membership_hear_configuration(membership, in_force, now, actions);
+    struct member_record *self = membership_self_record(membership);
+    if (in_force.version <= self->configuration.version || is_silent(membership)) {
+        return;
+    }
+    self->configuration = in_force;
+    membership_hear_configuration(membership, in_force);
+    membership_push(membership, now, actions);
 }
 
-void membership_hear_configuration(struct membership *membership, struct configuration_mark heard,
-                                   time_ns now, struct membership_actions *actions)
+void membership_hear_configuration(struct membership *membership, struct configuration_mark heard)
 {
-    if (heard.version <= membership->heard.version || is_silent(membership)) {
-        return;
+    if (heard.version > membership->heard.version) {
+        membership->heard = heard;
     }
-    membership->heard = heard;
-    membership_push(membership, now, actions);
 }
 
 struct configuration_mark membership_heard_configuration(const struct membership *membership)
--- a/src/core/membership_gossip.c
+++ b/src/core/membership_gossip.c
@@ -186,9 +186,9 @@
 /* Ages of the zones heard of, for members of the own zone. */
 static void add_zones(const struct membership *membership, time_ns now, struct gossip_message *out)
 {
-    struct gossip_zone_age ages[MEMBERSHIP_ZONES_MAX];
+    struct gossip_zone_age ages[MEMBERSHIP_AGE_COUNT];
     size_t count = 0;
-    for (uint32_t zone = 0; zone < MEMBERSHIP_ZONES_MAX; zone++) {
+    for (uint32_t zone = 0; zone < MEMBERSHIP_AGE_COUNT; zone++) {
         time_ns heard = membership->zone_heard[zone];
         if (heard == 0 || zone == membership->self_zone) {
             continue;
--- a/src/core/membership_internal.h
+++ b/src/core/membership_internal.h
@@ -7,6 +7,10 @@
 /* Buckets of the anti-entropy digest; a member's bucket is its id modulo this. */
 #define MEMBERSHIP_BUCKETS 32
 
+/* Ages of zones travel with one more entry: the platform's store, as if it were a zone. */
+#define MEMBERSHIP_STORE     MEMBERSHIP_ZONES_MAX
+#define MEMBERSHIP_AGE_COUNT (MEMBERSHIP_ZONES_MAX + 1)
+
 /* What is kept of one member. State per member: sizeof(struct member_record). */
 struct member_record {
     uint64_t id;
@@ -63,10 +67,11 @@
     uint16_t live_in_zone[MEMBERSHIP_ZONES_MAX];
     uint32_t digests[MEMBERSHIP_BUCKETS];
 
-    time_ns zone_heard[MEMBERSHIP_ZONES_MAX]; /* last sign of life; 0: none yet */
+    time_ns zone_heard[MEMBERSHIP_AGE_COUNT]; /* last sign of life; 0: none yet */
     uint64_t zones_reachable;                 /* bit per zone, as last told to the shell */
     uint64_t relay_zones;                     /* bit per zone that this daemon speaks to */
-    bool relays_stale;                        /* relay_zones must be worked out anew */
+    bool asks_store;
+    bool relays_stale; /* relay_zones must be worked out anew */
 
     GArray *ring; /* uint64_t ids of the own zone's live members, shuffled */
     guint ring_next;
@@ -129,9 +134,9 @@
 /* Raises this daemon's incarnation and passes its record on. */
 void membership_announce_self(struct membership *membership);
 
-/* Takes in a configuration that another told of. */
+/* Takes in a configuration that another told of; `holder`: it has it in force. */
 void membership_merge_configuration(struct membership *membership, struct configuration_mark mark,
-                                    const struct gossip_member *teller,
+                                    const struct gossip_member *teller, bool holder,
                                     struct membership_actions *actions);
 
 /* -- membership_gossip.c: making of datagrams -- */
--- a/src/core/membership_merge.c
+++ b/src/core/membership_merge.c
@@ -208,19 +208,24 @@
 }
 
 void membership_merge_configuration(struct membership *membership, struct configuration_mark mark,
-                                    const struct gossip_member *teller,
+                                    const struct gossip_member *teller, bool holder,
                                     struct membership_actions *actions)
 {
-    if (mark.version <= membership->heard.version) {
+    uint64_t in_force = membership_self_record(membership)->configuration.version;
+    bool newer = mark.version > membership->heard.version;
+    bool obtainable =
+        holder && mark.version > in_force && mark.version >= membership->heard.version;
+    if (newer) {
+        membership->heard = mark;
+    }
+    if (!newer && !obtainable) {
         return;
     }
-    membership->heard = mark;
-    membership->news = true;
     struct membership_action *action =
         membership_actions_add(actions, MEMBERSHIP_ACTION_CONFIGURATION_HEARD);
     action->configuration = mark;
-    const struct member_record *record =
-        teller == NULL ? NULL : membership_record(membership, teller->member);
+    action->holder = holder;
+    const struct member_record *record = membership_record(membership, teller->member);
     if (record != NULL) {
         action->member = member_of_record(record);
     }
--- /dev/null
+++ b/src/daemon/log.c
@@ -0,0 +1,157 @@
+/* The log's writer; see the header. */
+#include "daemon/log.h"
+
+#include <glib.h>
+#include <json-glib/json-glib.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+
+/* A line equal to the one before it is written again only after this long, with its count. */
+#define REPEAT_PERIOD_US (10 * G_USEC_PER_SEC)
+
+struct log_state {
+    pthread_mutex_t lock; /* guards all below */
+    enum log_format format;
+    enum log_level level;
+    GHashTable *part_levels; /* part -> level as pointer */
+    char *last_line;
+    gint64 last_written_us;
+    guint repeated;
+};
+
+static struct log_state state = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+static enum log_level level_of(GLogLevelFlags flags)
+{
+    if (flags & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL)) {
+        return LOG_LEVEL_ERROR;
+    }
+    if (flags & G_LOG_LEVEL_WARNING) {
+        return LOG_LEVEL_WARNING;
+    }
+    if (flags & G_LOG_LEVEL_MESSAGE) {
+        return LOG_LEVEL_MESSAGE;
+    }
+    return flags & G_LOG_LEVEL_INFO ? LOG_LEVEL_INFO : LOG_LEVEL_DEBUG;
+}
+
+static const char *level_name(enum log_level level)
+{
+    static const char *const names[] = {"error", "warning", "message", "info", "debug"};
+    return names[level];
+}
+
+static const char *field_of(const GLogField *fields, gsize count, const char *key)
+{
+    for (gsize i = 0; i < count; i++) {
+        if (strcmp(fields[i].key, key) == 0) {
+            return fields[i].value;
+        }
+    }
+    return NULL;
+}
+
+/* Called with the lock held. */
+static bool is_wanted(const char *part, enum log_level level)
+{
+    gpointer value;
+    if (state.part_levels != NULL &&
+        g_hash_table_lookup_extended(state.part_levels, part, NULL, &value)) {
+        return (int)level <= GPOINTER_TO_INT(value);
+    }
+    return level <= state.level;
+}
+
+/* Called with the lock held. True if the line is to be written; counts it otherwise. */
+static bool is_new(const char *line, gint64 now_us)
+{
+    bool same = state.last_line != NULL && strcmp(state.last_line, line) == 0;
+    if (same && now_us - state.last_written_us < REPEAT_PERIOD_US) {
+        state.repeated++;
+        return false;
+    }
+    g_free(state.last_line);
+    state.last_line = g_strdup(line);
+    state.last_written_us = now_us;
+    return true;
+}
+
+static void write_json(const char *time, const char *part, enum log_level level, const char *text)
+{
+    g_autoptr(JsonBuilder) builder = json_builder_new();
+    json_builder_begin_object(builder);
+    json_builder_set_member_name(builder, "time");
+    json_builder_add_string_value(builder, time);
+    json_builder_set_member_name(builder, "level");
+    json_builder_add_string_value(builder, level_name(level));
+    json_builder_set_member_name(builder, "part");
+    json_builder_add_string_value(builder, part);
+    json_builder_set_member_name(builder, "message");
+    json_builder_add_string_value(builder, text);
+    json_builder_end_object(builder);
+    g_autoptr(JsonNode) root = json_builder_get_root(builder);
+    g_autofree char *line = json_to_string(root, FALSE);
+    fprintf(stderr, "%s\n", line);
+}
+
+static void write_line(const char *part, enum log_level level, const char *text)
+{
+    g_autoptr(GDateTime) now = g_date_time_new_now_utc();
+    g_autofree char *time = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%f");
+    time[23] = '\0'; /* milliseconds */
+    g_autofree char *stamp = g_strconcat(time, "Z", NULL);
+    if (state.format == LOG_FORMAT_JSON) {
+        write_json(stamp, part, level, text);
+        return;
+    }
+    fprintf(stderr, "%s %s: %s\n", stamp, part, text);
+}
+
+static GLogWriterOutput write_log(GLogLevelFlags flags, const GLogField *fields, gsize count,
+                                  gpointer unused)
+{
+    const char *part = field_of(fields, count, "GLIB_DOMAIN");
+    const char *text = field_of(fields, count, "MESSAGE");
+    enum log_level level = level_of(flags);
+    if (part == NULL) {
+        part = "daemon";
+    }
+    pthread_mutex_lock(&state.lock);
+    if (is_wanted(part, level) && text != NULL) {
+        guint repeated = state.repeated;
+        if (is_new(text, g_get_monotonic_time())) {
+            if (repeated > 0) {
+                g_autofree char *note = g_strdup_printf("(%u equal lines left out)", repeated);
+                write_line("log", LOG_LEVEL_MESSAGE, note);
+                state.repeated = 0;
+            }
+            if (state.format == LOG_FORMAT_JOURNALD) {
+                g_log_writer_journald(flags, fields, count, NULL);
+            } else {
+                write_line(part, level, text);
+            }
+        }
+    }
+    pthread_mutex_unlock(&state.lock);
+    return G_LOG_WRITER_HANDLED;
+}
+
+void log_start(enum log_format format, enum log_level level)
+{
+    state.format = format;
+    state.level = level;
+    state.part_levels = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g_log_set_writer_func(write_log, NULL, NULL);
+}
+
+void log_set_level(const char *part, enum log_level level)
+{
+    pthread_mutex_lock(&state.lock);
+    if (part == NULL) {
+        state.level = level;
+    } else {
+        g_hash_table_insert(state.part_levels, g_strdup(part), GINT_TO_POINTER((int)level));
+    }
+    pthread_mutex_unlock(&state.lock);
+}
