--- a/src/backend/prober.c
+++ b/src/backend/prober.c
@@ -59,7 +59,9 @@
     pthread_mutex_t lock; /* guards `inbox` and `stopping` */
     GQueue inbox;         /* of struct inbox_item */
     bool stopping;
-    GHashTable *targets; /* target_key to struct probe_target; of the prober's thread */
+    /* Of the prober's thread. */
+    GHashTable *targets; /* target_key to struct probe_target */
+    GArray *poll_fds;    /* of struct pollfd: the wake descriptor, then one for each target */
 };
 
 static gint64 target_key(uint32_t group, uint32_t database)
@@ -312,33 +314,52 @@
     return !stopping;
 }
 
-/* Waits for any connection, the inbox, or the next time something is due; then lets all go on. */
-static void run_once(struct prober *prober)
+/* Starts what is due, and notes what to poll; returns when something is due next. */
+static time_ns prepare_poll(struct prober *prober, time_ns now)
 {
-    guint count = g_hash_table_size(prober->targets);
-    g_autofree struct pollfd *poll_fds = g_new0(struct pollfd, count + 1);
-    g_autofree struct probe_target **targets = g_new0(struct probe_target *, count + 1);
     GHashTableIter iterator;
     gpointer value;
-    time_ns now = backend_now();
     time_ns wake_at = UINT64_MAX;
-    guint filled = 0;
+    struct pollfd wake_poll = {.fd = prober->wake_fd, .events = POLLIN};
+    g_array_set_size(prober->poll_fds, 0);
+    g_array_append_val(prober->poll_fds, wake_poll);
     g_hash_table_iter_init(&iterator, prober->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        targets[filled] = value;
-        start_due(targets[filled], now);
-        poll_fds[filled] = channel_pollfd(targets[filled]->channel);
-        wake_at = MIN(wake_at, target_wake_at(targets[filled]));
-        filled++;
+        struct probe_target *target = value;
+        start_due(target, now);
+        struct pollfd poll_fd = channel_pollfd(target->channel);
+        g_array_append_val(prober->poll_fds, poll_fd);
+        wake_at = MIN(wake_at, target_wake_at(target));
     }
-    poll_fds[count] = (struct pollfd){.fd = prober->wake_fd, .events = POLLIN};
-    poll(poll_fds, count + 1, backend_poll_ms(wake_at, now));
-    now = backend_now();
-    for (guint i = 0; i < count; i++) {
-        advance_target(targets[i], poll_fds[i].revents, now);
+    return wake_at;
+}
+
+/* Lets all connections go on. The targets come in the order in which they were noted, since only
+ * the inbox changes the table. */
+static void advance_all(struct prober *prober)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    time_ns now = backend_now();
+    guint next = 1;
+    g_hash_table_iter_init(&iterator, prober->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        short ready = g_array_index(prober->poll_fds, struct pollfd, next).revents;
+        advance_target(value, ready, now);
+        next++;
     }
 }
 
+/* Waits for any connection, the inbox, or the next time something is due; then lets all go on. */
+static void run_once(struct prober *prober)
+{
+    time_ns now = backend_now();
+    time_ns wake_at = prepare_poll(prober, now);
+    poll((struct pollfd *)prober->poll_fds->data, prober->poll_fds->len,
+         backend_poll_ms(wake_at, now));
+    advance_all(prober);
+}
+
 static void *run(void *data)
 {
     struct prober *prober = data;
@@ -357,6 +378,7 @@
     prober->options = *options;
     prober->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     prober->targets = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, free_target);
+    prober->poll_fds = g_array_new(FALSE, TRUE, sizeof(struct pollfd));
     g_queue_init(&prober->inbox);
     pthread_mutex_init(&prober->lock, NULL);
     pthread_create(&prober->thread, NULL, run, prober);
@@ -371,6 +393,7 @@
     eventfd_write(prober->wake_fd, 1);
     pthread_join(prober->thread, NULL);
     g_hash_table_unref(prober->targets);
+    g_array_unref(prober->poll_fds);
     close(prober->wake_fd);
     pthread_mutex_destroy(&prober->lock);
     g_free(prober);
