Claim a transaction's key at its commit

Claimed at the start, the key's row would lock for as long as the caller thinks, and every other writer where the database has one writer at a time. The claim now goes in the batch of the commit, as an insert that fails if the key is taken, so that the commit behind it is not run; still one round trip. The start only looks the key up. Tests for conflicts, deadlines and keys closed meanwhile.

--- a/src/backend/adapter.h
+++ b/src/backend/adapter.h
@@ -73,7 +73,8 @@
 
 /* Runs statements in one transaction and commits, in two round trips: statements, then COMMIT. A
  * loss during the first proves that the write was not run, since COMMIT was never sent: that is
- * why they are not one. With a key, the key's ledger row is part of the transaction. */
+ * why they are not one. With a key, the key's ledger row is part of the transaction. No statement
+ * may end the transaction itself: the frontend refuses those. */
 enum execute_result adapter_write(struct backend_connection *connection,
                                   const struct adapter_key *key,
                                   const struct sql_statement *statements, size_t count,
@@ -99,12 +100,14 @@
 /* How a transaction of several requests starts. */
 struct adapter_transaction_options {
     bool read_only;
-    struct adapter_key key;    /* a write's; claimed at the start, resolved after a lost commit */
+    struct adapter_key key;    /* a write's; claimed by the commit */
     struct log_position guard; /* a read's; as in adapter_read */
     uint32_t guard_wait_ms;
 };
 
-/* Starts a transaction. Unless DONE, none is open after. */
+/* Starts a transaction. Unless DONE, none is open after. A key that is taken already gives
+ * ALREADY_DONE, KEY_CLOSED or KEY_REUSED; none of them is certain before the commit, which claims
+ * the key. */
 enum execute_result adapter_begin(struct backend_connection *connection,
                                   const struct adapter_transaction_options *options,
                                   time_ns deadline, struct execute_answer *answer);
--- a/src/backend/adapter_internal.h
+++ b/src/backend/adapter_internal.h
@@ -28,14 +28,6 @@
 /* True if a write carries a key. */
 bool adapter_has_key(const struct adapter_key *key);
 
-/* Reads the answers of BEGIN, of the claim if there is a key, and of `count` statements. With DONE
- * the transaction is open; with any other result it has had no effect, but it may still have to be
- * ended by adapter_abandon. */
-enum execute_result adapter_finish_start(struct backend_connection *connection,
-                                         const struct adapter_key *key, size_t count,
-                                         time_ns deadline, const struct result_limits *limits,
-                                         struct execute_answer *answer);
-
 /* Reads the answers of a batch that can't have committed anything. With DONE the transaction is
  * still open. */
 enum execute_result adapter_finish_uncommitted(struct backend_connection *connection,
@@ -43,12 +35,16 @@
                                                struct query_reply *replies, size_t count,
                                                struct execute_answer *answer);
 
-/* Sends COMMIT and reads where it was done. With a key, `results` are recorded in its row before.
- */
-enum execute_result adapter_send_commit(struct backend_connection *connection,
-                                        const struct adapter_key *key,
-                                        const struct sql_result *results, size_t results_count,
-                                        time_ns deadline, struct execute_answer *answer);
+/* Claims the key, if any, and commits, in one round trip: without the claim nothing is committed,
+ * and the answer is what the ledger says of the key. */
+enum execute_result adapter_commit_claiming(struct backend_connection *connection,
+                                            const struct adapter_key *key, time_ns deadline,
+                                            struct execute_answer *answer);
+
+/* Rolls back a transaction whose key turned out to be taken, and reads the key's row. */
+enum execute_result adapter_resolve_taken(struct backend_connection *connection,
+                                          const struct adapter_key *key, time_ns deadline,
+                                          struct execute_answer *answer);
 
 /* Copies an error into the answer and says what it means for a transaction rolled back by it. */
 enum execute_result adapter_take_error(const struct query_reply *reply,
--- a/src/backend/adapter_transaction.c
+++ b/src/backend/adapter_transaction.c
@@ -25,15 +25,25 @@
     return result;
 }
 
+/* Starts a write. Its key is claimed only by its commit, lest other writers wait meanwhile. */
 static enum execute_result begin_write(struct backend_connection *connection,
                                        const struct adapter_transaction_options *options,
                                        time_ns deadline, struct execute_answer *answer)
 {
+    struct query_reply replies[2];
+    size_t count = adapter_has_key(&options->key) ? 2 : 1;
     adapter_send_simple(connection, "BEGIN");
-    if (adapter_has_key(&options->key)) {
-        ledger_send_claim(connection, &options->key, LEDGER_STATE_DONE);
+    if (count == 2) {
+        ledger_send_lookup(connection, &options->key);
+    }
+    enum execute_result result =
+        adapter_finish_uncommitted(connection, deadline, NULL, replies, count, answer);
+    bool taken = result == EXECUTE_DONE && count == 2 && ledger_lookup_found(&replies[1]);
+    pipeline_replies_clear(replies, count);
+    if (!taken) {
+        return result;
     }
-    return adapter_finish_start(connection, &options->key, 0, deadline, NULL, answer);
+    return adapter_resolve_taken(connection, &options->key, deadline, answer);
 }
 
 enum execute_result adapter_begin(struct backend_connection *connection,
@@ -95,9 +105,8 @@
 {
     execute_answer_clear(answer);
     enum execute_result result =
-        options->read_only
-            ? commit_read(connection, deadline, answer)
-            : adapter_send_commit(connection, &options->key, NULL, 0, deadline, answer);
+        options->read_only ? commit_read(connection, deadline, answer)
+                           : adapter_commit_claiming(connection, &options->key, deadline, answer);
     adapter_abandon(connection, deadline);
     return result;
 }
--- a/src/backend/adapter_write.c
+++ b/src/backend/adapter_write.c
@@ -74,14 +74,14 @@
     return EXECUTE_DONE;
 }
 
-/* Judges the second round trip. */
+/* Judges the second round trip. `ledger` is the answer of the query on the key's row, or NULL. */
 static enum execute_result take_commit_batch(struct backend_connection *connection,
-                                             const struct query_reply *record,
+                                             const struct query_reply *ledger,
                                              const struct query_reply *replies,
                                              struct execute_answer *answer)
 {
-    if (record != NULL && record->status == QUERY_STATUS_ERROR) {
-        return adapter_take_error(record, answer);
+    if (ledger != NULL && ledger->status == QUERY_STATUS_ERROR) {
+        return adapter_take_error(ledger, answer);
     }
     enum execute_result result = take_commit(&replies[COMMIT_QUERY_COMMIT], answer);
     if (result != EXECUTE_DONE) {
@@ -95,24 +95,37 @@
     return EXECUTE_DONE;
 }
 
-enum execute_result adapter_send_commit(struct backend_connection *connection,
-                                        const struct adapter_key *key,
-                                        const struct sql_result *results, size_t results_count,
-                                        time_ns deadline, struct execute_answer *answer)
+/* Queues COMMIT, with what asks where it was done. */
+static void send_commit(struct backend_connection *connection)
+{
+    adapter_send_simple(connection, "COMMIT");
+    adapter_send_simple(connection, SQL_LAST_COMMIT);
+    adapter_send_simple(connection, SQL_STATUS);
+}
+
+/* True if there is no use in sending COMMIT. */
+static bool is_too_late(const struct backend_connection *connection, time_ns deadline)
+{
+    return connection->state == CONNECTION_STATE_BROKEN || backend_now() >= deadline;
+}
+
+/* Commits a transaction whose key, if any, is claimed. Results are recorded in the key's row. */
+static enum execute_result commit_claimed(struct backend_connection *connection,
+                                          const struct adapter_key *key,
+                                          const struct sql_result *results, size_t results_count,
+                                          time_ns deadline, struct execute_answer *answer)
 {
     struct query_reply replies[COMMIT_QUERIES + 1];
     size_t record_count = adapter_has_key(key) && results_count > 0 ? 1 : 0;
     size_t count = COMMIT_QUERIES + record_count;
     enum execute_result result = EXECUTE_LOST;
-    if (connection->state == CONNECTION_STATE_BROKEN || backend_now() >= deadline) {
+    if (is_too_late(connection, deadline)) {
         return EXECUTE_NOT_SENT;
     }
     if (record_count > 0) {
         ledger_send_results(connection, key, results, results_count);
     }
-    adapter_send_simple(connection, "COMMIT");
-    adapter_send_simple(connection, SQL_LAST_COMMIT);
-    adapter_send_simple(connection, SQL_STATUS);
+    send_commit(connection);
     if (pipeline_finish(connection, deadline, NULL, replies, count) == PIPELINE_WHOLE) {
         const struct query_reply *record = record_count > 0 ? &replies[0] : NULL;
         result = take_commit_batch(connection, record, replies + record_count, answer);
@@ -123,10 +136,48 @@
     return result;
 }
 
-enum execute_result adapter_finish_start(struct backend_connection *connection,
-                                         const struct adapter_key *key, size_t count,
-                                         time_ns deadline, const struct result_limits *limits,
-                                         struct execute_answer *answer)
+enum execute_result adapter_commit_claiming(struct backend_connection *connection,
+                                            const struct adapter_key *key, time_ns deadline,
+                                            struct execute_answer *answer)
+{
+    struct query_reply replies[COMMIT_QUERIES + 1];
+    enum execute_result result = EXECUTE_LOST;
+    bool taken = false;
+    if (!adapter_has_key(key)) {
+        return commit_claimed(connection, NULL, NULL, 0, deadline, answer);
+    }
+    if (is_too_late(connection, deadline)) {
+        return EXECUTE_NOT_SENT;
+    }
+    ledger_send_claim_or_fail(connection, key);
+    send_commit(connection);
+    if (pipeline_finish(connection, deadline, NULL, replies, COMMIT_QUERIES + 1) ==
+        PIPELINE_WHOLE) {
+        taken = ledger_claim_failed(&replies[0]);
+        result = take_commit_batch(connection, &replies[0], replies + 1, answer);
+    } else {
+        adapter_take_loss(connection, answer);
+    }
+    pipeline_replies_clear(replies, COMMIT_QUERIES + 1);
+    return taken ? adapter_resolve_taken(connection, key, deadline, answer) : result;
+}
+
+enum execute_result adapter_resolve_taken(struct backend_connection *connection,
+                                          const struct adapter_key *key, time_ns deadline,
+                                          struct execute_answer *answer)
+{
+    adapter_abandon(connection, deadline);
+    execute_answer_clear(answer);
+    return ledger_resolve(connection, key, deadline, answer);
+}
+
+/* Reads the answers of BEGIN, of the claim if there is a key, and of `count` statements. With DONE
+ * the transaction is open; with any other result it has had no effect, but it may still have to be
+ * ended by adapter_abandon. */
+static enum execute_result finish_start(struct backend_connection *connection,
+                                        const struct adapter_key *key, size_t count,
+                                        time_ns deadline, const struct result_limits *limits,
+                                        struct execute_answer *answer)
 {
     size_t before = adapter_has_key(key) ? 2 : 1;
     size_t total = before + count;
@@ -137,9 +188,7 @@
                    ledger_claim_won(&replies[1]);
     if (!claimed && connection->state != CONNECTION_STATE_BROKEN) {
         /* The statements ran against a key that is taken: whatever they gave is rolled back. */
-        adapter_abandon(connection, deadline);
-        execute_answer_clear(answer);
-        result = ledger_resolve(connection, key, deadline, answer);
+        result = adapter_resolve_taken(connection, key, deadline, answer);
     } else if (result == EXECUTE_DONE) {
         adapter_take_results(&replies[before], count, answer);
     }
@@ -169,11 +218,10 @@
         ledger_send_claim(connection, key, LEDGER_STATE_DONE);
     }
     adapter_send_statements(connection, statements, count);
-    enum execute_result result =
-        adapter_finish_start(connection, key, count, deadline, limits, answer);
+    enum execute_result result = finish_start(connection, key, count, deadline, limits, answer);
     if (result == EXECUTE_DONE) {
-        result = adapter_send_commit(connection, key, answer->results, answer->results_count,
-                                     deadline, answer);
+        result = commit_claimed(connection, key, answer->results, answer->results_count, deadline,
+                                answer);
         if (result != EXECUTE_DONE) {
             clear_results(answer);
         }
@@ -189,9 +237,9 @@
     execute_answer_clear(answer);
     adapter_send_simple(connection, "BEGIN");
     ledger_send_claim(connection, key, LEDGER_STATE_CLOSED);
-    enum execute_result result = adapter_finish_start(connection, key, 0, deadline, NULL, answer);
+    enum execute_result result = finish_start(connection, key, 0, deadline, NULL, answer);
     if (result == EXECUTE_DONE) {
-        result = adapter_send_commit(connection, key, NULL, 0, deadline, answer);
+        result = commit_claimed(connection, key, NULL, 0, deadline, answer);
         result = result == EXECUTE_DONE ? EXECUTE_KEY_CLOSED : result;
     }
     adapter_abandon(connection, deadline);
--- a/src/backend/ledger.c
+++ b/src/backend/ledger.c
@@ -9,10 +9,12 @@
     "NULL, state text NOT NULL, request_id text, results text, created_at bigint NOT NULL)"
 #define SQL_CREATE_INDEX                                                                           \
     "CREATE INDEX IF NOT EXISTS swiftworks_ledger_created_at ON swiftworks_ledger (created_at)"
-#define SQL_CLAIM                                                                                  \
+#define SQL_CLAIM_OR_FAIL                                                                          \
     "INSERT INTO swiftworks_ledger (key, fingerprint, state, request_id, created_at) "             \
-    "VALUES ($1, $2, $3, $4, $5) ON CONFLICT (key) DO NOTHING"
+    "VALUES ($1, $2, $3, $4, $5)"
+#define SQL_CLAIM   SQL_CLAIM_OR_FAIL " ON CONFLICT (key) DO NOTHING"
 #define SQL_RECORD  "UPDATE swiftworks_ledger SET results = $2 WHERE key = $1"
+#define SQL_LOOKUP  "SELECT key FROM swiftworks_ledger WHERE key = $1"
 #define SQL_RESOLVE "SELECT fingerprint, state, results FROM swiftworks_ledger WHERE key = $1"
 #define SQL_EXPIRE                                                                                 \
     "DELETE FROM swiftworks_ledger WHERE key IN (SELECT key FROM swiftworks_ledger "               \
@@ -20,6 +22,8 @@
 
 #define SECONDS_PER_DAY 86400
 
+#define SQLSTATE_UNIQUE_VIOLATION "23505"
+
 static const char *const LEDGER_STATE_TEXTS[] = {
     [LEDGER_STATE_DONE] = "done",
     [LEDGER_STATE_CLOSED] = "closed",
@@ -46,8 +50,8 @@
     return (uint64_t)(g_get_real_time() / G_USEC_PER_SEC);
 }
 
-bool ledger_send_claim(struct backend_connection *connection, const struct adapter_key *key,
-                       enum ledger_state state)
+static bool send_claim(struct backend_connection *connection, const char *sql,
+                       const struct adapter_key *key, enum ledger_state state)
 {
     char fingerprint[NUMBER_TEXT_SIZE];
     char created_at[NUMBER_TEXT_SIZE];
@@ -57,7 +61,35 @@
         text_value(key->key),        text_value(fingerprint), text_value(LEDGER_STATE_TEXTS[state]),
         text_value(key->request_id), text_value(created_at),
     };
-    return pipeline_send(connection, SQL_CLAIM, parameters, G_N_ELEMENTS(parameters));
+    return pipeline_send(connection, sql, parameters, G_N_ELEMENTS(parameters));
+}
+
+bool ledger_send_claim(struct backend_connection *connection, const struct adapter_key *key,
+                       enum ledger_state state)
+{
+    return send_claim(connection, SQL_CLAIM, key, state);
+}
+
+bool ledger_send_claim_or_fail(struct backend_connection *connection, const struct adapter_key *key)
+{
+    return send_claim(connection, SQL_CLAIM_OR_FAIL, key, LEDGER_STATE_DONE);
+}
+
+bool ledger_claim_failed(const struct query_reply *reply)
+{
+    return reply->status == QUERY_STATUS_ERROR &&
+           strcmp(reply->sqlstate, SQLSTATE_UNIQUE_VIOLATION) == 0;
+}
+
+bool ledger_send_lookup(struct backend_connection *connection, const struct adapter_key *key)
+{
+    const struct sql_value parameters[] = {text_value(key->key)};
+    return pipeline_send(connection, SQL_LOOKUP, parameters, G_N_ELEMENTS(parameters));
+}
+
+bool ledger_lookup_found(const struct query_reply *reply)
+{
+    return reply->result.rows_count > 0;
 }
 
 bool ledger_claim_won(const struct query_reply *reply)
--- a/src/backend/ledger.h
+++ b/src/backend/ledger.h
@@ -22,6 +22,20 @@
 /* True if the answer to a claim says that the row was inserted. */
 bool ledger_claim_won(const struct query_reply *reply);
 
+/* Queues the claim of a key for a write that is done with it: an error if the key is there already,
+ * so that what follows in the batch is not run. */
+bool ledger_send_claim_or_fail(struct backend_connection *connection,
+                               const struct adapter_key *key);
+
+/* True if the answer to that claim says that the key is taken. */
+bool ledger_claim_failed(const struct query_reply *reply);
+
+/* Queues a look whether the key is taken, without a claim. */
+bool ledger_send_lookup(struct backend_connection *connection, const struct adapter_key *key);
+
+/* True if the answer to the look says that it is. */
+bool ledger_lookup_found(const struct query_reply *reply);
+
 /* Queues the recording of a write's results in the claimed row. */
 bool ledger_send_results(struct backend_connection *connection, const struct adapter_key *key,
                          const struct sql_result *results, size_t count);
--- a/tests/backend/adapter_write_test.c
+++ b/tests/backend/adapter_write_test.c
@@ -288,24 +288,86 @@
     backend_expect(fixture->server, COUNT_SQL, "1");
 }
 
-/* The claim of a key that another transaction holds waits for it, and gives up at the deadline. */
+/* Two transactions under one key: the later commit finds the key taken, and has no effect. */
 static void test_concurrent_same_key(struct fixture *fixture, const void *unused)
 {
     struct adapter_transaction_options options = {.key = KEY};
+    struct backend_connection *other = backend_open(fixture->server);
+    assert_result(adapter_begin(other, &options, backend_far(), &fixture->answer), EXECUTE_DONE);
+    assert_result(write_sql(fixture, &KEY, WRITE_SQL), EXECUTE_DONE);
+    assert_result(adapter_commit(other, &options, backend_far(), &fixture->answer),
+                  EXECUTE_ALREADY_DONE);
+    g_assert_true(backend_connection_is_clean(other));
+    backend_connection_close(other);
+    backend_expect(fixture->server, COUNT_SQL, "1");
+}
+
+/* A key closed while its transaction is open: the commit has no effect. */
+static void test_closed_before_commit(struct fixture *fixture, const void *unused)
+{
+    struct adapter_transaction_options options = {.key = KEY};
+    struct backend_connection *other = backend_open(fixture->server);
+    assert_result(adapter_begin(other, &options, backend_far(), &fixture->answer), EXECUTE_DONE);
+    assert_result(close_key(fixture, &KEY), EXECUTE_KEY_CLOSED);
+    struct sql_statement statement = backend_statement(WRITE_SQL);
+    assert_result(adapter_statement(other, &statement, 1, backend_far(), NULL, &fixture->answer),
+                  EXECUTE_DONE);
+    assert_result(adapter_commit(other, &options, backend_far(), &fixture->answer),
+                  EXECUTE_KEY_CLOSED);
+    backend_connection_close(other);
+    backend_expect(fixture->server, COUNT_SQL, "0");
+}
+
+/* Holds the stand-in's only writer. */
+static struct backend_connection *hold_writer(struct fixture *fixture)
+{
+    struct adapter_transaction_options options = {0};
     struct sql_statement statement = backend_statement(WRITE_SQL);
     struct backend_connection *other = backend_open(fixture->server);
     assert_result(adapter_begin(other, &options, backend_far(), &fixture->answer), EXECUTE_DONE);
+    assert_result(adapter_statement(other, &statement, 1, backend_far(), NULL, &fixture->answer),
+                  EXECUTE_DONE);
+    return other;
+}
+
+/* The deadline passes while the statement waits: it was not committed and never will be. */
+static void test_deadline(struct fixture *fixture, const void *unused)
+{
+    struct sql_statement statement = backend_statement(WRITE_SQL);
+    struct backend_connection *other = hold_writer(fixture);
     enum execute_result result = adapter_write(fixture->connection, &KEY, &statement, 1,
-                                               backend_in(50), NULL, &fixture->answer);
-    g_assert_true(result == EXECUTE_NOT_SENT || result == EXECUTE_CONFLICT);
-    execute_answer_clear(&fixture->answer);
-    assert_result(adapter_commit(other, &options, backend_far(), &fixture->answer), EXECUTE_DONE);
+                                               backend_in(20), NULL, &fixture->answer);
+    assert_result(result, EXECUTE_NOT_SENT);
+    assert_result(adapter_rollback(other, backend_far()), EXECUTE_DONE);
     backend_connection_close(other);
     reconnect(fixture);
-    assert_result(write_sql(fixture, &KEY, WRITE_SQL), EXECUTE_ALREADY_DONE);
+    assert_result(close_key(fixture, &KEY), EXECUTE_KEY_CLOSED);
     backend_expect(fixture->server, COUNT_SQL, "0");
 }
 
+/* A transaction that read a snapshot can't write after another's commit. */
+static void test_conflict(struct fixture *fixture, const void *unused)
+{
+    struct sql_statement statements[] = {
+        backend_statement("ROLLBACK"),
+        backend_statement("BEGIN ISOLATION LEVEL REPEATABLE READ"),
+        backend_statement(COUNT_SQL),
+    };
+    struct sql_statement write = backend_statement(WRITE_SQL);
+    struct adapter_transaction_options options = {0};
+    struct backend_connection *other = backend_open(fixture->server);
+    assert_result(adapter_begin(other, &options, backend_far(), &fixture->answer), EXECUTE_DONE);
+    assert_result(adapter_statement(other, statements, 3, backend_far(), NULL, &fixture->answer),
+                  EXECUTE_DONE);
+    assert_result(write_sql(fixture, NULL, WRITE_SQL), EXECUTE_DONE);
+    assert_result(adapter_statement(other, &write, 1, backend_far(), NULL, &fixture->answer),
+                  EXECUTE_CONFLICT);
+    g_assert_cmpstr(fixture->answer.sqlstate, ==, "40001");
+    assert_result(adapter_rollback(other, backend_far()), EXECUTE_DONE);
+    g_assert_true(backend_connection_is_clean(other));
+    backend_connection_close(other);
+}
+
 static void test_expire(struct fixture *fixture, const void *unused)
 {
     uint64_t removed;
@@ -341,6 +403,9 @@
     ADD("fenced-within-transaction", test_fenced_within_transaction);
     ADD("lost-resolution", test_lost_resolution);
     ADD("concurrent-same-key", test_concurrent_same_key);
+    ADD("closed-before-commit", test_closed_before_commit);
+    ADD("deadline", test_deadline);
+    ADD("conflict", test_conflict);
     ADD("expire", test_expire);
     for (size_t i = 0; i < G_N_ELEMENTS(LOSSES); i++) {
         g_autofree char *path = g_strconcat("/backend/adapter/write/lost/", LOSSES[i].name, NULL);
