--- a/tests/frontend/harness.h
+++ b/tests/frontend/harness.h
@@ -3,6 +3,7 @@
 #define SW_TESTS_FRONTEND_HARNESS_H
 
 #include "frontend/frontend.h"
+#include "http_client.h"
 
 #include <glib.h>
 
@@ -40,13 +41,6 @@
 void harness_answer_text(struct submitted *submitted, const char *text, uint64_t term,
                          uint64_t offset);
 
-/* An HTTP exchange. */
-struct exchange {
-    long status; /* 0 where no answer came */
-    GString *body;
-    GString *head; /* all header lines */
-};
-
 /* Posts `body` to a path with headers (a NULL-terminated list, or NULL), and waits for the answer
  * or the connection's end. */
 void harness_post(struct harness *harness, const char *path, const char *body, size_t length,
@@ -68,9 +62,4 @@
 /* Waits until the frontend has no request under way. */
 void harness_wait_idle(struct harness *harness);
 
-/* The value of a header, or NULL; the caller frees it. */
-char *exchange_header(const struct exchange *exchange, const char *name);
-
-void exchange_clear(struct exchange *exchange);
-
 #endif
