--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -60,10 +60,12 @@
 PYTHON
 }
 
-# cluster_start NAME COMMAND...: starts a process in the background; its output goes to log/NAME.
+# cluster_start NAME COMMAND...: starts a process in the background; its output goes to log/NAME. Not in
+# a subshell: its children could not be told from other processes later.
 cluster_start() {
     local name=$1
     shift
+    [ "$BASHPID" = "$$" ] || cluster_fail "$name would be started in a subshell"
     "$@" >>"$CLUSTER_DIRECTORY/log/$name" 2>&1 </dev/null &
     echo $! >"$CLUSTER_DIRECTORY/pids/$name"
 }
@@ -429,3 +431,11 @@
     fi
     printf 'All promises were kept.\n'
 }
+
+# cluster_reset: ends the processes and forgets their files, for another deployment in the same shell.
+cluster_reset() {
+    cluster_stop_all
+    rm -rf "${CLUSTER_DIRECTORY:?}"/*
+    mkdir "$CLUSTER_DIRECTORY/pids" "$CLUSTER_DIRECTORY/log"
+    CLUSTER_DAEMONS=()
+}
