--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -8,11 +8,15 @@
 #include "backend/clock.h"
 #include "daemon/control_internal.h"
 #include "daemon/daemon.h"
+#include "daemon/daemon_metrics.h"
 #include "wire/datagram.h"
 
 /* A fence, promotion or follow without an answer for so long is lost. */
 #define COMMAND_TIMEOUT_MS 300
 
+/* Probes of a primary that reads ask for are at least so far apart. */
+#define PRIMARY_PROBE_INTERVAL_MS 10
+
 /* Opening a control connection may take so long. */
 #define OPEN_TIMEOUT_MS 500
 
@@ -180,6 +184,8 @@
         pool_set_reachable(group->runtime->databases[i].pool, view->databases[i].reachable);
     }
     group_runtime_publish(group->runtime, view, change);
+    daemon_metrics_group_writable(group->control->daemon->metrics, group->id,
+                                  view->primary >= 0 && !view->writes_paused, backend_now());
     worker_pool_wake(group->control->daemon->workers);
     make_sure_of_ledger(group, view);
 }
@@ -293,6 +299,21 @@
     }
 }
 
+void control_probe_primary(struct control *control, struct group_runtime *group)
+{
+    time_ns now = backend_now();
+    time_ns last = atomic_load(&group->primary_probed_at);
+    bool due = now >= last + PRIMARY_PROBE_INTERVAL_MS * NANOSECONDS_PER_MILLISECOND;
+    if (!due || !atomic_compare_exchange_strong(&group->primary_probed_at, &last, now)) {
+        return;
+    }
+    struct group_view view;
+    group_runtime_read_view(group, &view);
+    if (view.primary >= 0) {
+        prober_probe_now(control->prober, group->group->id, (uint32_t)view.primary);
+    }
+}
+
 /* Called under the group's writes lock, on any thread. */
 static void on_drained(void *user, uint32_t group, uint64_t change)
 {
