--- a/src/configuration/bundle_reader.c
+++ b/src/configuration/bundle_reader.c
@@ -137,7 +137,7 @@
     struct bundle_place root = {NULL, NULL};
 
     if (!depth_is_bounded(json, length)) {
-        g_autofree char *allowed = g_strdup_printf("at most %u levels", BUNDLE_DEPTH_MAX);
+        g_autofree char *allowed = g_strdup_printf("at most %d levels", BUNDLE_DEPTH_MAX);
         bundle_reader_fault(reader, &root, NULL, "nested too deep", allowed);
         return NULL;
     }
--- a/src/configuration/route_field.c
+++ b/src/configuration/route_field.c
@@ -3,16 +3,18 @@
 
 #include <string.h>
 
+/* Row of an integer field. */
 #define INTEGER_FIELD(field_name, low, high, fallback)                                             \
     {                                                                                              \
-        .name = #field_name, .bounds = {VALUE_TYPE_INTEGER, low, high, NULL},                      \
-        .default_value = fallback, .offset = offsetof(struct tenant_route, field_name)             \
+        .name = #field_name, .bounds = {VALUE_TYPE_INTEGER, (low), (high), NULL},                  \
+        .default_value = (fallback), .offset = offsetof(struct tenant_route, field_name)           \
     }
 
+/* Row of a boolean field. */
 #define BOOLEAN_FIELD(field_name, fallback)                                                        \
     {                                                                                              \
         .name = #field_name, .bounds = {VALUE_TYPE_BOOLEAN, 0, 1, NULL},                           \
-        .default_value = fallback, .offset = offsetof(struct tenant_route, field_name)             \
+        .default_value = (fallback), .offset = offsetof(struct tenant_route, field_name)           \
     }
 
 static const struct route_field_info fields[ROUTE_FIELD_COUNT] = {
--- a/src/ctl/admin_client.c
+++ b/src/ctl/admin_client.c
@@ -40,15 +40,24 @@
     return EXIT_CODE_REFUSED;
 }
 
-/* Errors come as {"error": KIND, "message": TEXT}; anything else is shown as it is. */
-static enum exit_code write_refusal(struct invocation *invocation, JsonNode *node, long status)
+/* The object under "error" of an answer such as {"error":{"kind":KIND,"text":TEXT}}, or NULL. */
+static JsonObject *find_error(JsonNode *node)
 {
     JsonObject *object =
         node != NULL && JSON_NODE_HOLDS_OBJECT(node) ? json_node_get_object(node) : NULL;
+    JsonNode *error = object != NULL ? json_object_get_member(object, "error") : NULL;
+
+    return error != NULL && JSON_NODE_HOLDS_OBJECT(error) ? json_node_get_object(error) : NULL;
+}
+
+/* Shows the error that the daemon names, else the status alone. */
+static enum exit_code write_refusal(struct invocation *invocation, JsonNode *node, long status)
+{
+    JsonObject *error = find_error(node);
     const char *kind =
-        object != NULL ? json_object_get_string_member_with_default(object, "error", NULL) : NULL;
+        error != NULL ? json_object_get_string_member_with_default(error, "kind", NULL) : NULL;
     const char *message =
-        object != NULL ? json_object_get_string_member_with_default(object, "message", NULL) : NULL;
+        error != NULL ? json_object_get_string_member_with_default(error, "text", NULL) : NULL;
     g_autofree char *fallback = g_strdup_printf("the daemon answered with status %ld", status);
 
     return command_fail_text(invocation, refused_exit_code(kind, status),
--- a/src/ctl/command.c
+++ b/src/ctl/command.c
@@ -184,8 +184,10 @@
     }
     g_autoptr(JsonNode) node = json_node_new(JSON_NODE_OBJECT);
     JsonObject *object = json_object_new();
-    json_object_set_string_member(object, "error", kind);
-    json_object_set_string_member(object, "message", text);
+    JsonObject *details = json_object_new();
+    json_object_set_string_member(details, "kind", kind);
+    json_object_set_string_member(details, "text", text);
+    json_object_set_object_member(object, "error", details);
     json_node_take_object(node, object);
     g_autofree char *json = json_to_string(node, FALSE);
     g_string_append_printf(invocation->errors, "%s\n", json);
--- a/src/ctl/output.c
+++ b/src/ctl/output.c
@@ -11,7 +11,9 @@
     struct output_table *table = g_new0(struct output_table, 1);
 
     table->columns = columns;
-    table->column_count = g_strv_length((char **)columns);
+    while (columns[table->column_count] != NULL) {
+        table->column_count++;
+    }
     table->cells = g_ptr_array_new_with_free_func(g_free);
     return table;
 }
@@ -32,27 +34,32 @@
     g_ptr_array_add(table->cells, g_strdup_printf("%" PRIu64, number));
 }
 
-/* Characters of the widest text in a column. */
-static glong column_width(const struct output_table *table, guint column)
+/* Characters of the widest text in each column. The caller frees it. */
+static glong *column_widths(const struct output_table *table)
 {
-    glong width = g_utf8_strlen(table->columns[column], -1);
+    glong *widths = g_new0(glong, table->column_count);
 
-    for (guint i = column; i < table->cells->len; i += table->column_count) {
-        width = MAX(width, g_utf8_strlen(g_ptr_array_index(table->cells, i), -1));
+    for (guint column = 0; column < table->column_count; column++) {
+        widths[column] = g_utf8_strlen(table->columns[column], -1);
+    }
+    for (guint i = 0; i < table->cells->len; i++) {
+        guint column = i % table->column_count;
+        const char *text = g_ptr_array_index(table->cells, i);
+        widths[column] = MAX(widths[column], g_utf8_strlen(text, -1));
     }
-    return width;
+    return widths;
 }
 
 /* The last column is not padded. */
-static void write_cell(const struct output_table *table, guint column, const char *text,
-                       GString *output)
+static void write_cell(const struct output_table *table, const glong *widths, guint column,
+                       const char *text, GString *output)
 {
     g_string_append(output, text);
     if (column + 1 == table->column_count) {
         g_string_append_c(output, '\n');
         return;
     }
-    glong padding = column_width(table, column) + COLUMN_GAP - g_utf8_strlen(text, -1);
+    glong padding = widths[column] + COLUMN_GAP - g_utf8_strlen(text, -1);
     for (glong i = 0; i < padding; i++) {
         g_string_append_c(output, ' ');
     }
@@ -60,13 +67,19 @@
 
 void output_table_write(const struct output_table *table, GString *output)
 {
+    if (table->column_count == 0) {
+        return;
+    }
+    glong *widths = column_widths(table);
     for (guint column = 0; column < table->column_count; column++) {
         g_autofree char *heading = g_ascii_strup(table->columns[column], -1);
-        write_cell(table, column, heading, output);
+        write_cell(table, widths, column, heading, output);
     }
     for (guint i = 0; i < table->cells->len; i++) {
-        write_cell(table, i % table->column_count, g_ptr_array_index(table->cells, i), output);
+        write_cell(table, widths, i % table->column_count, g_ptr_array_index(table->cells, i),
+                   output);
     }
+    g_free(widths);
 }
 
 void output_json(JsonObject *object, GString *output)
--- a/src/platform/http_client.c
+++ b/src/platform/http_client.c
@@ -1,6 +1,8 @@
 /* One bounded, signed HTTP request at a time, over libcurl. */
 #include "platform/http_client.h"
 
+#include <pthread.h>
+
 #include <curl/curl.h>
 
 #include "core/error.h"
@@ -10,7 +12,7 @@
 #define DEFAULT_CALL_TIMEOUT_MS    3000
 
 struct http_client {
-    GMutex lock; /* guards the handle */
+    pthread_mutex_t lock; /* guards the handle */
     CURL *handle;
     char *region;
     char *access_key;
@@ -37,19 +39,18 @@
     };
 }
 
-static gpointer initialize_curl(gpointer unused)
+static void initialize_curl(void)
 {
     curl_global_init(CURL_GLOBAL_DEFAULT);
-    return NULL;
 }
 
 struct http_client *http_client_new(const struct platform_settings *settings)
 {
-    static GOnce once = G_ONCE_INIT;
+    static pthread_once_t once = PTHREAD_ONCE_INIT;
     struct http_client *client = g_new0(struct http_client, 1);
 
-    g_once(&once, initialize_curl, NULL);
-    g_mutex_init(&client->lock);
+    pthread_once(&once, initialize_curl);
+    pthread_mutex_init(&client->lock, NULL);
     client->handle = curl_easy_init();
     g_assert(client->handle != NULL);
     client->region = g_strdup(settings->region);
@@ -63,7 +64,7 @@
 void http_client_free(struct http_client *client)
 {
     curl_easy_cleanup(client->handle);
-    g_mutex_clear(&client->lock);
+    pthread_mutex_destroy(&client->lock);
     g_free(client->region);
     g_free(client->access_key);
     g_free(client->secret_key);
@@ -167,8 +168,8 @@
                                    struct http_answer *answer, GError **error)
 {
     *answer = (struct http_answer){0};
-    g_mutex_lock(&client->lock);
+    pthread_mutex_lock(&client->lock);
     enum http_outcome outcome = perform(client, request, answer, error);
-    g_mutex_unlock(&client->lock);
+    pthread_mutex_unlock(&client->lock);
     return outcome;
 }
--- a/standins/platform/standin.c
+++ b/standins/platform/standin.c
@@ -2,7 +2,9 @@
 #include "standins/platform/standin.h"
 
 #include <arpa/inet.h>
+#include <pthread.h>
 #include <string.h>
+#include <time.h>
 
 #include <microhttpd.h>
 
@@ -26,8 +28,8 @@
     struct MHD_Daemon *daemon;
     uint16_t port;
     int64_t (*now_us)(void);
-    GMutex lock;  /* guards all below */
-    GCond healed; /* ends the waits of slow requests */
+    pthread_mutex_t lock;  /* guards all below */
+    pthread_cond_t healed; /* ends the waits of slow requests */
     uint32_t heals;
     GHashTable *tables;
     GHashTable *objects;
@@ -69,13 +71,28 @@
     return send_answer(connection, status, content_type, text, strlen(text));
 }
 
+/* A condition whose timed waits follow the monotonic clock. */
+static void init_monotonic_condition(pthread_cond_t *condition)
+{
+    pthread_condattr_t attributes;
+
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(condition, &attributes);
+    pthread_condattr_destroy(&attributes);
+}
+
 /* Waits under the lock for a time or until the faults are healed. */
 static void wait_slow(struct platform_standin *standin, uint32_t delay_ms)
 {
-    gint64 end = g_get_monotonic_time() + (gint64)delay_ms * 1000;
+    int64_t end_us = g_get_monotonic_time() + (int64_t)delay_ms * 1000;
+    struct timespec end = {.tv_sec = end_us / G_USEC_PER_SEC,
+                           .tv_nsec = end_us % G_USEC_PER_SEC * 1000};
     uint32_t heals = standin->heals;
+    int result = 0;
 
-    while (standin->heals == heals && g_cond_wait_until(&standin->healed, &standin->lock, end)) {
+    while (standin->heals == heals && result == 0) {
+        result = pthread_cond_timedwait(&standin->healed, &standin->lock, &end);
     }
 }
 
@@ -83,7 +100,7 @@
 static struct platform_fault_effect begin_request(struct platform_standin *standin,
                                                   enum platform_service service)
 {
-    g_mutex_lock(&standin->lock);
+    pthread_mutex_lock(&standin->lock);
     struct platform_fault_effect effect = platform_faults_take(standin->faults, service);
     if (!rate_limit_take(&standin->limits[service], standin->now_us())) {
         effect.throttled = true;
@@ -97,7 +114,7 @@
     if (effect.delay_ms > 0) {
         wait_slow(standin, effect.delay_ms);
     }
-    g_mutex_unlock(&standin->lock);
+    pthread_mutex_unlock(&standin->lock);
     return effect;
 }
 
@@ -118,10 +135,10 @@
                                "The level of configured provisioned throughput for the table was "
                                "exceeded");
     }
-    g_mutex_lock(&standin->lock);
+    pthread_mutex_lock(&standin->lock);
     struct table_api_answer answer =
         table_api_call(standin->tables, target, (char *)body->data, body->len, standin->now_us());
-    g_mutex_unlock(&standin->lock);
+    pthread_mutex_unlock(&standin->lock);
     return answer;
 }
 
@@ -153,10 +170,10 @@
     if (throttled) {
         return object_api_error(503, "SlowDown", "Please reduce your request rate.");
     }
-    g_mutex_lock(&standin->lock);
+    pthread_mutex_lock(&standin->lock);
     struct object_api_answer answer =
         object_api_call(standin->objects, method, path, if_none_match, body);
-    g_mutex_unlock(&standin->lock);
+    pthread_mutex_unlock(&standin->lock);
     return answer;
 }
 
@@ -271,8 +288,8 @@
 {
     struct platform_standin *standin = g_new0(struct platform_standin, 1);
 
-    g_mutex_init(&standin->lock);
-    g_cond_init(&standin->healed);
+    pthread_mutex_init(&standin->lock, NULL);
+    init_monotonic_condition(&standin->healed);
     standin->now_us = options->now_us != NULL ? options->now_us : g_get_monotonic_time;
     standin->tables =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)table_free);
@@ -295,8 +312,8 @@
     g_hash_table_unref(standin->tables);
     g_hash_table_unref(standin->objects);
     g_array_unref(standin->faults);
-    g_cond_clear(&standin->healed);
-    g_mutex_clear(&standin->lock);
+    pthread_cond_destroy(&standin->healed);
+    pthread_mutex_destroy(&standin->lock);
     g_free(standin);
 }
 
@@ -340,24 +357,24 @@
 void platform_standin_add_fault(struct platform_standin *standin,
                                 const struct platform_fault *fault)
 {
-    g_mutex_lock(&standin->lock);
+    pthread_mutex_lock(&standin->lock);
     g_array_append_vals(standin->faults, fault, 1);
-    g_mutex_unlock(&standin->lock);
+    pthread_mutex_unlock(&standin->lock);
 }
 
 void platform_standin_heal(struct platform_standin *standin)
 {
-    g_mutex_lock(&standin->lock);
+    pthread_mutex_lock(&standin->lock);
     g_array_set_size(standin->faults, 0);
     standin->heals++;
-    g_cond_broadcast(&standin->healed);
-    g_mutex_unlock(&standin->lock);
+    pthread_cond_broadcast(&standin->healed);
+    pthread_mutex_unlock(&standin->lock);
 }
 
 struct platform_standin_counts platform_standin_counts(struct platform_standin *standin)
 {
-    g_mutex_lock(&standin->lock);
+    pthread_mutex_lock(&standin->lock);
     struct platform_standin_counts counts = standin->counts;
-    g_mutex_unlock(&standin->lock);
+    pthread_mutex_unlock(&standin->lock);
     return counts;
 }
