--- a/tests/configuration/test_parse.c
+++ b/tests/configuration/test_parse.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "configuration/problem.h"
+#include "configuration/route_field.h"
 
 static struct configuration *parse_text(const char *text)
 {
@@ -205,6 +206,39 @@
     configuration_unref(NULL);
 }
 
+/* "| `name` | type and bounds | default |" as the reference has it. */
+static char *documented_row(const struct route_field_info *info)
+{
+    const struct value_bounds *bounds = &info->bounds;
+
+    switch (bounds->type) {
+    case VALUE_TYPE_INTEGER:
+        return g_strdup_printf("| `%s` | integer %d to %d | %d |", info->name, (int)bounds->minimum,
+                               (int)bounds->maximum, (int)info->default_value);
+    case VALUE_TYPE_BOOLEAN:
+        return g_strdup_printf("| `%s` | boolean | %s |", info->name,
+                               info->default_value != 0 ? "true" : "false");
+    case VALUE_TYPE_GROUP:
+        break;
+    }
+    return g_strdup_printf("| `%s` | group | required |", info->name);
+}
+
+static void test_fields_are_documented(void)
+{
+    g_autofree char *path =
+        g_build_filename(g_getenv("CONFIGURATION_EXAMPLES"), "../docs/configuration.md", NULL);
+    g_autofree char *text = NULL;
+
+    g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+    for (guint field = 0; field < ROUTE_FIELD_COUNT; field++) {
+        g_autofree char *row = documented_row(route_field_info(field));
+        if (strstr(text, row) == NULL) {
+            g_error("docs/configuration.md lacks the row: %s", row);
+        }
+    }
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -216,6 +250,7 @@
     g_test_add_func("/configuration/canonical/fixed-point", test_canonical_is_a_fixed_point);
     g_test_add_func("/configuration/route/defaults", test_defaults_of_the_route);
     g_test_add_func("/configuration/route/equal", test_routes_compare_by_content);
+    g_test_add_func("/configuration/route/documented", test_fields_are_documented);
     g_test_add_func("/configuration/references", test_references_keep_it_alive);
     return g_test_run();
 }
