--- a/src/core/ownership.c
+++ b/src/core/ownership.c
@@ -127,10 +127,8 @@
 static size_t select_owners(struct selection *selection)
 {
     while (selection->owner_count < selection->wanted && select_round(selection)) {
-        continue;
     }
     while (selection->owner_count < selection->wanted && select_one(selection, true, 0)) {
-        continue;
     }
     return selection->owner_count;
 }
@@ -295,7 +293,8 @@
 
 static struct group_owners *find_group(const struct ownership *ownership, uint32_t group)
 {
-    struct group_owners key = {.group = {.group = group}};
+    struct group_owners key = {0};
+    key.group.group = group;
     guint index = 0;
     if (!g_array_binary_search(ownership->groups, &key, compare_groups, &index)) {
         return NULL;
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -98,12 +98,12 @@
 /* Groups: control_groups.c. */
 void control_groups_start(struct control *control);
 void control_groups_stop(struct control *control);
-void control_groups_feed(struct control *control, uint32_t group, const struct group_event *event);
+void control_groups_feed(struct control *control, uint32_t id, const struct group_event *event);
 void control_groups_tick(struct control *control, time_ns now);
 time_ns control_groups_next_wakeup(struct control *control);
 bool control_groups_runs(struct control *control, uint32_t group);
 void control_groups_begin(struct control *control, uint32_t group);
-void control_groups_end(struct control *control, uint32_t group);
+void control_groups_end(struct control *control, uint32_t id);
 /* Tells every group who its watchers are. */
 void control_groups_set_watchers(struct control *control, time_ns now);
 
--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -197,7 +197,7 @@
 static void set_seeds(struct control *control)
 {
     const struct address_list *peers = &control->daemon->settings.daemon.peers;
-    g_autofree struct member_address *seeds = g_new0(struct member_address, peers->count + 1);
+    struct member_address *seeds = g_new0(struct member_address, peers->count + 1);
     size_t count = 0;
     for (size_t i = 0; i < peers->count; i++) {
         struct sockaddr_in address;
@@ -206,6 +206,7 @@
         }
     }
     membership_set_seeds(control->membership, seeds, count);
+    g_free(seeds);
 }
 
 bool control_members_start(struct control *control, GError **error)
--- a/src/daemon/control_ownership.c
+++ b/src/daemon/control_ownership.c
@@ -100,12 +100,13 @@
     g_autoptr(GArray) changes = g_array_new(FALSE, FALSE, sizeof(struct ownership_change));
     struct configuration *configuration = daemon_take_configuration(control->daemon);
     guint count = configuration->groups->len;
-    g_autofree struct ownership_group *groups = g_new0(struct ownership_group, count + 1);
+    struct ownership_group *groups = g_new0(struct ownership_group, count + 1);
     for (guint i = 0; i < count; i++) {
         fill_group(&groups[i], g_ptr_array_index(configuration->groups, i));
     }
     configuration_unref(configuration);
     ownership_set_groups(control->ownership, groups, count, changes);
+    g_free(groups);
     apply_changes(control, changes);
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -71,11 +71,11 @@
 
 /* Starts a group that this daemon now owns, with one reference for the caller; NULL if the
  * configuration does not have it. Control thread only. */
-struct group_runtime *daemon_begin_group(struct daemon *daemon, uint32_t group);
+struct group_runtime *daemon_begin_group(struct daemon *daemon, uint32_t id);
 
 /* Ends a group that this daemon owns no more: new requests are forwarded, what runs ends. Control
  * thread only. */
-void daemon_end_group(struct daemon *daemon, uint32_t group);
+void daemon_end_group(struct daemon *daemon, uint32_t id);
 
 /* Counts a task in. False if the daemon is stopping and the request starts new work; the task is
  * counted all the same until daemon_task_ended. */
--- a/tests/frontend/harness.c
+++ b/tests/frontend/harness.c
@@ -31,6 +31,7 @@
     struct submitted *submitted = g_new0(struct submitted, 1);
     submitted->call = call;
     submitted->request = request;
+    /* cppcheck-suppress memleak: the queue owns it now */
     g_async_queue_push(harness->submitted, submitted);
 }
 
--- a/tests/standins/database_protocol_test.c
+++ b/tests/standins/database_protocol_test.c
@@ -41,7 +41,8 @@
     fixture_run_tag(connection, "INSERT INTO beds VALUES (1, 'z', false, 0) ON CONFLICT DO NOTHING",
                     "INSERT 0 0");
     fixture_expect(connection, "INSERT INTO beds VALUES (3, 'z', false, 0) RETURNING guest", "z");
-    g_assert_cmpint(PQresultStatus(result = fixture_query(connection, "")), ==, PGRES_EMPTY_QUERY);
+    result = fixture_query(connection, "");
+    g_assert_cmpint(PQresultStatus(result), ==, PGRES_EMPTY_QUERY);
     PQclear(result);
 }
 
