--- a/tests/frontend/harness.c
+++ b/tests/frontend/harness.c
@@ -52,7 +52,8 @@
     }
     harness->frontend = frontend_start(&options, &error);
     g_assert_no_error(error);
-    g_assert_cmpuint(frontend_port(harness->frontend), !=, 0);
+    harness->port = frontend_port(harness->frontend);
+    g_assert_cmpuint(harness->port, !=, 0);
 }
 
 unsigned harness_stop(struct harness *harness)
@@ -109,7 +110,7 @@
 void harness_post(struct harness *harness, const char *path, const char *body, size_t length,
                   const char *const *headers, struct exchange *exchange)
 {
-    http_exchange(frontend_port(harness->frontend), "POST", path, body, length, headers, exchange);
+    http_exchange(harness->port, "POST", path, body, length, headers, exchange);
 }
 
 struct poster {
@@ -155,7 +156,7 @@
 {
     int connection = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     struct sockaddr_in address = {.sin_family = AF_INET,
-                                  .sin_port = htons(frontend_port(harness->frontend)),
+                                  .sin_port = htons(harness->port),
                                   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
     if (connect(connection, (struct sockaddr *)&address, sizeof(address)) != 0) {
         close(connection);
--- a/tests/frontend/harness.h
+++ b/tests/frontend/harness.h
@@ -14,6 +14,7 @@
 struct harness {
     struct token_keys *keys;
     struct frontend *frontend;
+    uint16_t port;
     GAsyncQueue *submitted; /* of struct submitted */
     GMutex gate;            /* a test that holds it stops the frontend's threads in find_tenant */
 };
