Refuse a read by its reason when its attempts are used up

Cause: a read whose attempts all fell short of its position was refused with "deadline" (504) while its deadline was still far away; callers would lengthen their deadlines in vain. Ruled out: the deadline itself, 20 s in the test of a whole deployment that showed it (replicas far behind, primary reserved). Effect: it is refused with "no_fresh_replica", as after a wait in vain. Seen failing: /read-flow/short-everywhere before the change; passes after.

--- a/src/core/read_flow.c
+++ b/src/core/read_flow.c
@@ -72,9 +72,12 @@
 static struct read_step route_again(struct read_flow *flow, time_ns now,
                                     const struct group_view *view)
 {
-    if (now >= flow->options.deadline || flow->attempts >= flow->options.attempts_max) {
+    if (now >= flow->options.deadline) {
         return answer_refused(flow, ERROR_KIND_DEADLINE, UNAVAILABLE_RETRY_AFTER_MS);
     }
+    if (flow->attempts >= flow->options.attempts_max) {
+        return answer_refused(flow, ERROR_KIND_NO_FRESH_REPLICA, UNAVAILABLE_RETRY_AFTER_MS);
+    }
     struct route_read_request *route = &flow->options.route;
     route->now = now;
     route->excluded = flow->excluded;
--- a/tests/core/read_flow_test.c
+++ b/tests/core/read_flow_test.c
@@ -85,11 +85,30 @@
     g_assert_cmpuint(step.retry_after_ms, >, 0);
 }
 
+/* No replica is fresh in time and the primary is reserved: that is the reason to tell, not a
+ * deadline that is still far away. */
+static void test_short_answers_everywhere_are_no_deadline(void)
+{
+    struct group_view view;
+    struct read_flow flow;
+    make_view(&view);
+    struct read_step step = start(&flow, &view);
+    while (step.kind != READ_STEP_ANSWER) {
+        enum read_event_kind kind =
+            step.kind == READ_STEP_READ ? READ_EVENT_ANSWERED : READ_EVENT_TIMER;
+        step = feed(&flow, &view, kind, 9);
+    }
+    g_assert_cmpint(step.outcome, ==, OUTCOME_REFUSED);
+    g_assert_cmpint(step.error, ==, ERROR_KIND_NO_FRESH_REPLICA);
+    g_assert_cmpuint(step.retry_after_ms, >, 0);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/read-flow/short-answer", test_short_answer_goes_elsewhere);
     g_test_add_func("/read-flow/lost-answers", test_lost_answers_try_each_database_once);
     g_test_add_func("/read-flow/unreachable", test_nothing_reachable_is_refused_with_retry_after);
+    g_test_add_func("/read-flow/short-everywhere", test_short_answers_everywhere_are_no_deadline);
     return g_test_run();
 }
