Test sessions over whole deployments; mend two faults they showed

tests/daemon starts stand-in databases and daemons in one process and speaks HTTP to them; scenarios wait for conditions, not for times.

Fault 1: what a session had read inside an interactive transaction did not count as seen, so that its next read could show an older state from a replica far behind. Cause: adapter_statement asked for no position, and a read-only transaction told the one of its begin. Ruled out: token merging (plain reads and writes kept their order in the same deployment). Each statement's batch now ends with the database's status, and its answer carries that position. Seen failing: monotonic_after_read_transaction and _after_write_transaction (0 stays after 1 was seen); pass after.

Fault 2: the first keyed write at a fresh group was refused with database_error "no such table: swiftworks_ledger", and if making the table failed or a failover lost it, all keyed writes of the group were, for ever. Cause: the table was made once per daemon, in the background, after the view was published. Ruled out: replication (the primary itself lacked the table). A request with a key now makes sure of the table once a term before it sends anything; the background job stays as a warm-up, once a term. Seen failing: daemon_just_started with one worker; passes after.

--- a/src/backend/adapter.h
+++ b/src/backend/adapter.h
@@ -45,8 +45,9 @@
     bool results_not_kept;
     /* Read: as of before the statements. Write: as of after its commit. */
     struct database_status status;
-    /* Write: where it was committed, or, for what the ledger had, a place at or after it. Read:
-     * what the statements may have seen at the most; the session has then seen it. */
+    /* Write: where it was committed, or, for what the ledger had, a place at or after it. Read, and
+     * statements of a transaction: what they may have seen at the most; the session has then seen
+     * it. */
     struct log_position position;
     char *error_text; /* NULL if none */
     char sqlstate[SQLSTATE_SIZE];
@@ -109,7 +110,8 @@
                                   const struct adapter_transaction_options *options,
                                   time_ns deadline, struct execute_answer *answer);
 
-/* Runs statements in the open transaction. After DONE it goes on; after FAILED, CONFLICT and
+/* Runs statements in the open transaction. After DONE it goes on, and answer->position is what the
+ * statements may have seen at the most; after FAILED, CONFLICT and
  * ANSWER_TOO_LARGE only adapter_rollback is of use; after LOST or NOT_SENT it is rolled back. */
 enum execute_result adapter_statement(struct backend_connection *connection,
                                       const struct sql_statement *statements, size_t count,
--- a/src/backend/adapter_internal.h
+++ b/src/backend/adapter_internal.h
@@ -43,6 +43,9 @@
                                                struct query_reply *replies, size_t count,
                                                struct execute_answer *answer);
 
+/* The caller's limits with room for our own status rows; 0 stays 0. */
+struct result_limits adapter_extend_limits(const struct result_limits *limits);
+
 /* Sends COMMIT and reads where it was done. With a key, `results` are recorded in its row before.
  */
 enum execute_result adapter_send_commit(struct backend_connection *connection,
--- a/src/backend/adapter_read.c
+++ b/src/backend/adapter_read.c
@@ -65,8 +65,7 @@
     return EXECUTE_DONE;
 }
 
-/* The caller's limits with room for our own rows; 0 stays 0. */
-static struct result_limits extend_limits(const struct result_limits *limits)
+struct result_limits adapter_extend_limits(const struct result_limits *limits)
 {
     struct result_limits extended = {0};
     if (limits != NULL && limits->rows_max > 0) {
@@ -86,7 +85,7 @@
     execute_answer_clear(answer);
     size_t total = QUERIES_BEFORE + count + QUERIES_AFTER;
     g_autofree struct query_reply *replies = g_new0(struct query_reply, total);
-    struct result_limits extended = extend_limits(limits);
+    struct result_limits extended = adapter_extend_limits(limits);
     enum execute_result result = EXECUTE_LOST;
     send_read(connection, guard, guard_wait_ms, statements, count);
     enum pipeline_outcome outcome =
--- a/src/backend/adapter_transaction.c
+++ b/src/backend/adapter_transaction.c
@@ -55,15 +55,22 @@
                                       time_ns deadline, const struct result_limits *limits,
                                       struct execute_answer *answer)
 {
-    execute_answer_clear(answer);
-    g_autofree struct query_reply *replies = g_new0(struct query_reply, count);
+    size_t total = count + 1;
+    g_autofree struct query_reply *replies = g_new0(struct query_reply, total);
+    struct result_limits extended = adapter_extend_limits(limits);
     adapter_send_statements(connection, statements, count);
+    /* What the statements may have seen is known only after them. */
+    adapter_send_simple(connection, SQL_STATUS);
     enum execute_result result =
-        adapter_finish_uncommitted(connection, deadline, limits, replies, count, answer);
-    if (result == EXECUTE_DONE) {
+        adapter_finish_uncommitted(connection, deadline, &extended, replies, total, answer);
+    if (result == EXECUTE_DONE && !adapter_parse_status(&replies[count].result, &answer->status)) {
+        adapter_take_nonsense(connection, "not a status row", answer);
+        result = EXECUTE_NOT_SENT;
+    } else if (result == EXECUTE_DONE) {
+        answer->position = answer->status.applied;
         adapter_take_results(replies, count, answer);
     }
-    pipeline_replies_clear(replies, count);
+    pipeline_replies_clear(replies, total);
     return result;
 }
 
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -23,11 +23,12 @@
 /* How long the creation of a ledger table may take. */
 #define LEDGER_TIMEOUT_MS 2000
 
-/* Makes sure of a group's ledger table, on a worker. */
+/* Makes sure of a group's ledger table ahead of the writes that need it, on a worker. */
 struct ledger_job {
     struct worker_job job;
     struct group_runtime *group;
     int32_t primary;
+    uint64_t term;
 };
 
 static void create_ledger(struct worker_job *job)
@@ -40,7 +41,9 @@
         struct execute_answer answer;
         execute_answer_init(&answer);
         enum execute_result result = adapter_create_ledger(connection, deadline, &answer);
-        if (result != EXECUTE_DONE) {
+        if (result == EXECUTE_DONE) {
+            atomic_store(&ledger->group->ledger_term, ledger->term);
+        } else {
             g_info("Ledger of group %u not made: %s.", ledger->group->group->id,
                    execute_result_name(result));
         }
@@ -53,14 +56,15 @@
 
 static void make_sure_of_ledger(struct controlled_group *group, const struct group_view *view)
 {
-    if (group->ledger_ready || view->primary < 0) {
+    if (group->ledger_term == view->term || view->primary < 0) {
         return;
     }
-    group->ledger_ready = true;
+    group->ledger_term = view->term;
     struct ledger_job *ledger = g_new0(struct ledger_job, 1);
     ledger->job.run = create_ledger;
     ledger->group = group_runtime_ref(group->runtime);
     ledger->primary = view->primary;
+    ledger->term = view->term;
     worker_pool_resume(group->control->daemon->workers, &ledger->job);
 }
 
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -32,7 +32,7 @@
     struct group_runtime *runtime; /* one reference */
     struct group_control *machine;
     time_ns wake_at;
-    bool ledger_ready; /* the ledger table was made sure of */
+    uint64_t ledger_term; /* last term in which the ledger table was asked for */
 };
 
 /* One daemon, as request threads see it. */
--- a/src/daemon/task_transaction.c
+++ b/src/daemon/task_transaction.c
@@ -7,6 +7,7 @@
 
 #include "backend/clock.h"
 #include "daemon/daemon.h"
+#include "daemon/task_ledger.h"
 #include "daemon/transaction.h"
 
 /* When a caller should come back after the transaction could not begin. */
@@ -118,6 +119,20 @@
     task_finish(task);
 }
 
+/* Starts the transaction on its connection. */
+static enum execute_result begin_on(struct task *task, struct transaction *transaction)
+{
+    if (transaction->ledger_key != NULL && !transaction->options.read_only) {
+        enum execute_result prepared =
+            task_prepare_ledger(task, transaction->connection, (uint32_t)transaction->database);
+        if (prepared != EXECUTE_DONE) {
+            return prepared;
+        }
+    }
+    return adapter_begin(transaction->connection, &transaction->options, task->deadline,
+                         &task->run);
+}
+
 static void run_begin(struct task *task)
 {
     struct group_view view;
@@ -138,8 +153,7 @@
         return;
     }
     struct transaction *transaction = new_transaction(task, &decision, connection);
-    enum execute_result result =
-        adapter_begin(connection, &transaction->options, task->deadline, &task->run);
+    enum execute_result result = begin_on(task, transaction);
     transaction_table_add(task->daemon->transactions, transaction);
     if (result != EXECUTE_DONE) {
         transaction_table_end(task->daemon->transactions, transaction);
@@ -157,6 +171,8 @@
     task_note_served(task, transaction->database,
                      transaction->options.read_only ? "replica" : "primary");
     if (result == EXECUTE_DONE) {
+        transaction->seen = task->run.position;
+        task_note_seen(task, transaction->seen);
         transaction_table_put(task->daemon->transactions, transaction);
         task_take_results(task, &task->run);
         task->reply.outcome = OUTCOME_DONE;
--- a/src/daemon/task_write.c
+++ b/src/daemon/task_write.c
@@ -6,6 +6,7 @@
 
 #include "backend/clock.h"
 #include "daemon/daemon.h"
+#include "daemon/task_ledger.h"
 #include "daemon/transaction.h"
 
 /* Times that one write may be run under its key, at most. */
@@ -90,7 +91,26 @@
     return key;
 }
 
-/* Runs the transaction, or closes its key, at the step's database; the slot is held. */
+/* Runs the transaction, or closes its key, on a connection. */
+static enum execute_result run_on(struct task *task, struct backend_connection *connection)
+{
+    struct adapter_key key = key_of(task);
+    if (key.key != NULL) {
+        enum execute_result prepared =
+            task_prepare_ledger(task, connection, (uint32_t)task->write_step.database);
+        if (prepared != EXECUTE_DONE) {
+            return prepared;
+        }
+    }
+    if (task->write_step.kind == WRITE_STEP_CLOSE_KEY) {
+        return adapter_close_key(connection, &key, task->deadline, &task->run);
+    }
+    return adapter_write(connection, &key, task->request->statements,
+                         task->request->statements_count, task->deadline, daemon_result_limits(),
+                         &task->run);
+}
+
+/* The same at the step's database; the slot is held. */
 static enum execute_result run_at(struct task *task)
 {
     struct pool *pool = task->group->databases[task->write_step.database].pool;
@@ -98,17 +118,9 @@
     if (connection == NULL) {
         return EXECUTE_NOT_SENT;
     }
-    struct adapter_key key = key_of(task);
-    enum execute_result result;
     execute_answer_clear(&task->run);
     task->run_database = task->write_step.database;
-    if (task->write_step.kind == WRITE_STEP_CLOSE_KEY) {
-        result = adapter_close_key(connection, &key, task->deadline, &task->run);
-    } else {
-        result = adapter_write(connection, &key, task->request->statements,
-                               task->request->statements_count, task->deadline,
-                               daemon_result_limits(), &task->run);
-    }
+    enum execute_result result = run_on(task, connection);
     pool_release(pool, connection, backend_connection_is_clean(connection));
     return result;
 }
--- a/src/daemon/transaction.h
+++ b/src/daemon/transaction.h
@@ -22,11 +22,11 @@
     int32_t database;
     struct backend_connection *connection;
     struct adapter_transaction_options options; /* its strings are ledger_key and id */
-    struct log_position seen; /* of a read-only one: what its snapshot may have shown */
-    bool counts_as_write;     /* in the group's writes_running */
-    bool in_use;              /* the table's */
-    time_ns idle;             /* longest pause between requests */
-    time_ns idle_until;       /* the table's */
+    struct log_position seen;                   /* what its statements so far may have shown */
+    bool counts_as_write;                       /* in the group's writes_running */
+    bool in_use;                                /* the table's */
+    time_ns idle;                               /* longest pause between requests */
+    time_ns idle_until;                         /* the table's */
     time_ns total_until;
 };
 
--- /dev/null
+++ b/tests/daemon/http_call.h
@@ -0,0 +1,62 @@
+/* A caller's request to a daemon over HTTP, and its answer. */
+#ifndef SW_TESTS_DAEMON_HTTP_CALL_H
+#define SW_TESTS_DAEMON_HTTP_CALL_H
+
+#include <glib.h>
+#include <json-glib/json-glib.h>
+#include <stdbool.h>
+
+/* One request; members left out take their defaults. Strings belong to the caller. */
+struct http_call {
+    const char *tenant;      /* "refuge" */
+    const char *transaction; /* id: the path then lies below it */
+    const char *path;        /* last segment: "statements" */
+    const char *sql;         /* one statement as the body */
+    const char *body;        /* the whole body, instead of sql */
+    const char *key;         /* Idempotency-Key */
+    const char *session;     /* Swiftworks-Session */
+    unsigned timeout_ms;     /* Request-Timeout-Ms; 0: none given */
+    unsigned give_up_ms;     /* the caller goes away after this; 0: never */
+};
+
+/* What came back. Cleared by http_answer_clear. */
+struct http_answer {
+    long status; /* 0 where no whole answer came */
+    char *outcome;
+    char *error_kind;  /* NULL with outcome done */
+    char *sqlstate;    /* or NULL */
+    char *session;     /* new token, or NULL */
+    char *transaction; /* id, or NULL */
+    char *retry_after; /* Retry-After, or NULL */
+    char *served_by;   /* Swiftworks-Served-By, or NULL */
+    bool replayed;     /* Swiftworks-Replayed */
+    JsonNode *body;    /* NULL if it was no JSON */
+};
+
+/* Sends a request to a port on loopback and waits for its answer, on a connection of its own. */
+void http_post(unsigned port, const struct http_call *call, struct http_answer *answer);
+
+/* The same on a thread of its own; http_join waits for it. The call's strings are copied. */
+struct http_poster;
+struct http_poster *http_post_start(unsigned port, const struct http_call *call);
+void http_join(struct http_poster *poster, struct http_answer *answer);
+
+/* True once the answer is there. */
+bool http_has_ended(struct http_poster *poster);
+
+void http_answer_clear(struct http_answer *answer);
+
+/* Rows of the result, of result `index` in a batch. */
+guint http_rows(const struct http_answer *answer);
+guint http_batch_rows(const struct http_answer *answer, guint index);
+
+/* A cell as text; fails the test if there is none. The caller frees it. */
+char *http_cell(const struct http_answer *answer, guint row, guint column);
+
+/* Fail the test, with the whole answer in the message, unless it is as said. */
+#define http_assert_done(answer)                 http_check_outcome(answer, "done", NULL, G_STRLOC)
+#define http_assert_error(answer, outcome, kind) http_check_outcome(answer, outcome, kind, G_STRLOC)
+void http_check_outcome(const struct http_answer *answer, const char *outcome, const char *kind,
+                        const char *place);
+
+#endif
