Let reads wait for a replica without holding a connection

Cause: a read that waits for its position held a connection, and a worker, for the length of the lag; at 20 ms and more the few connections of a daemon ran out. Now the read is parked and the replica probed, at most every 2 ms, until it has caught up; then it reads.

--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -113,6 +113,32 @@
     return NULL;
 }
 
+static struct admission_ticket *take_expired_of(struct admission *admission, GSequence *queue,
+                                                time_ns now)
+{
+    GSequenceIter *place = g_sequence_get_begin_iter(queue);
+    while (!g_sequence_iter_is_end(place)) {
+        struct admission_ticket *ticket = g_sequence_get(place);
+        if (now >= ticket->deadline) {
+            g_sequence_remove(place);
+            admission->queued--;
+            admission->refused_total++;
+            return ticket;
+        }
+        place = g_sequence_iter_next(place);
+    }
+    return NULL;
+}
+
+struct admission_ticket *admission_take_expired(struct admission *admission, time_ns now)
+{
+    struct admission_ticket *ticket = NULL;
+    for (int rank = 0; rank < ADMISSION_CLASS_COUNT && ticket == NULL; rank++) {
+        ticket = take_expired_of(admission, admission->queues[rank], now);
+    }
+    return ticket;
+}
+
 struct admission_ticket *admission_next(struct admission *admission, time_ns now, bool *admitted)
 {
     GSequenceIter *place = NULL;
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -67,6 +67,11 @@
  * not, its deadline has passed and it must be refused. Call until NULL after each leave. */
 struct admission_ticket *admission_next(struct admission *admission, time_ns now, bool *admitted);
 
+/* Takes a queued ticket whose deadline has passed, wherever it stands; NULL if none. For a janitor
+ * that looks now and then, so that no caller waits past its deadline for a slot that does not come
+ * free. */
+struct admission_ticket *admission_take_expired(struct admission *admission, time_ns now);
+
 /* Time until the present queue is served, in milliseconds, at least 1. */
 uint32_t admission_drain_ms(const struct admission *admission);
 
--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -35,8 +35,8 @@
     options->pause_poll = 4 * ms;
     options->own_stall_after = 200 * ms;
     options->tick_interval = 100 * ms;
-    options->sample_interval = 5 * ms;
-    options->publish_interval = 5 * ms;
+    options->sample_interval = 2 * ms;
+    options->publish_interval = 1 * ms;
     options->planned_attempts = 3;
 }
 
--- a/src/core/read_flow.c
+++ b/src/core/read_flow.c
@@ -6,6 +6,9 @@
 /* Pause before looking at the view again when no database can serve. */
 #define UNAVAILABLE_POLL_MS 20
 
+/* Pause between two looks at whether a replica has caught up. */
+#define CATCH_UP_WAIT_MS 5
+
 /* Longest wait for the primary's position. */
 #define FRESHEN_WAIT_MS 30
 
@@ -57,18 +60,28 @@
     return step;
 }
 
-/* Replicas could serve if the primary's position were known: asks for it once. */
-static struct read_step freshen(struct read_flow *flow, time_ns now)
+/* Has a database probed and waits for what that shows. */
+static struct read_step freshen(int32_t database, time_ns now, uint32_t wait_ms)
 {
-    flow->freshened = true;
     struct read_step step = {
         .kind = READ_STEP_FRESHEN,
-        .database = -1,
-        .until = now + FRESHEN_WAIT_MS * NANOSECONDS_PER_MILLISECOND,
+        .database = database,
+        .until = now + wait_ms * NANOSECONDS_PER_MILLISECOND,
     };
     return step;
 }
 
+/* Part of the guard wait that is left. */
+static uint32_t guard_wait_left_ms(const struct read_flow *flow, time_ns now)
+{
+    uint32_t wait_max_ms = flow->options.guard_wait_max_ms;
+    if (flow->waiting_since == 0) {
+        return wait_max_ms;
+    }
+    uint32_t waited_ms = (uint32_t)((now - flow->waiting_since) / NANOSECONDS_PER_MILLISECOND);
+    return waited_ms < wait_max_ms ? wait_max_ms - waited_ms : 0;
+}
+
 static struct read_step route_again(struct read_flow *flow, time_ns now,
                                     const struct group_view *view)
 {
@@ -81,10 +94,19 @@
     struct route_read_request *route = &flow->options.route;
     route->now = now;
     route->excluded = flow->excluded;
+    route->guard_wait_max_ms = guard_wait_left_ms(flow, now);
     struct route_decision decision = route_read(view, route);
     memcpy(flow->refused, decision.refused, sizeof(flow->refused));
     if (decision.bound_unknown && view->primary >= 0 && !flow->freshened) {
-        return freshen(flow, now);
+        flow->freshened = true;
+        return freshen(view->primary, now, FRESHEN_WAIT_MS);
+    }
+    if (decision.reason == ROUTE_REASON_REPLICA_GUARDED) {
+        if (flow->waiting_since == 0) {
+            flow->waiting_since = now;
+        }
+        flow->waited = true;
+        return freshen(decision.database, now, CATCH_UP_WAIT_MS);
     }
     if (decision.database < 0) {
         return wait_or_refuse(flow, now);
@@ -94,13 +116,15 @@
     flow->database = decision.database;
     flow->guard = decision.guard;
     flow->reason = decision.reason;
+    if (flow->waited && decision.reason == ROUTE_REASON_REPLICA_FRESH) {
+        flow->reason = ROUTE_REASON_REPLICA_GUARDED;
+    }
     struct read_step step = {
         .kind = READ_STEP_READ,
         .database = decision.database,
         .guard = decision.guard,
-        .guard_wait_ms = decision.guard_wait_ms,
         .until = flow->options.deadline,
-        .reason = decision.reason,
+        .reason = flow->reason,
     };
     return step;
 }
--- a/src/core/read_flow.h
+++ b/src/core/read_flow.h
@@ -1,6 +1,7 @@
-/* The life of one read, as a state machine: route, read under a guard, discard an answer that falls
- * short, try another database, answer. Reads are repeatable, so a lost answer is simply tried
- * elsewhere. */
+/* The life of one read, as a state machine: route; wait, without holding a connection or slot,
+ * until the chosen replica is seen to have applied what is needed; read under a guard; discard an
+ * answer that falls short; try another database; answer. Reads are repeatable, so a lost answer is
+ * tried elsewhere. */
 #ifndef SW_CORE_READ_FLOW_H
 #define SW_CORE_READ_FLOW_H
 
@@ -11,7 +12,7 @@
 
 enum read_step_kind {
     READ_STEP_READ,    /* read at step.database with step.guard and step.guard_wait_ms */
-    READ_STEP_FRESHEN, /* have the primary probed now; then as WAIT */
+    READ_STEP_FRESHEN, /* have step.database probed now; then as WAIT */
     READ_STEP_WAIT,    /* wait for a new view or until step.until, then feed TIMER */
     READ_STEP_ANSWER,  /* final */
 };
@@ -19,8 +20,7 @@
 struct read_step {
     enum read_step_kind kind;
     int32_t database;
-    struct log_position guard;
-    uint32_t guard_wait_ms;
+    struct log_position guard; /* the answer counts only if this was applied before */
     time_ns until;
     enum outcome outcome;
     enum error_kind error;
@@ -49,9 +49,10 @@
 };
 
 struct read_options {
-    struct route_read_request
-        route; /* now, excluded, in_flight and random are set anew at each step */
+    struct route_read_request route; /* now, excluded, guard_wait_max_ms, in_flight
+                                                             and random are set anew at each step */
     time_ns deadline;
+    uint32_t guard_wait_max_ms;   /* longest wait for a replica to catch up */
     uint32_t unavailable_wait_ms; /* longest wait for a fresh database */
     uint32_t attempts_max;
     bool ignore_guard; /* TEST ONLY: take any answer (mutation) */
@@ -61,7 +62,9 @@
 struct read_flow {
     struct read_options options;
     uint32_t attempts;
-    bool freshened; /* asked for newer samples once */
+    bool freshened;        /* asked for the primary's position once */
+    bool waited;           /* for a replica to catch up */
+    time_ns waiting_since; /* first wait for a replica to catch up; zero if none */
     uint32_t excluded;
     time_ns unavailable_since;
     int32_t database;
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -58,9 +58,8 @@
 /* Peer address of a daemon by name, or NULL; the caller frees it. Any thread. */
 char *control_address_of(struct control *control, const char *daemon_name);
 
-/* Has the group's primary probed now, if that was not asked for in the last few milliseconds. Any
- * thread. */
-void control_probe_primary(struct control *control, struct group_runtime *group);
+/* Has a database probed now, if that was not asked for in the last few milliseconds. Any thread. */
+void control_probe_now(struct control *control, struct group_runtime *group, uint32_t database);
 
 /* Asks for a database to be drained or taken back. Any thread. */
 void control_drain_database(struct control *control, uint32_t group, uint32_t database,
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -9,13 +9,14 @@
 #include "daemon/control_internal.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_metrics.h"
+#include "daemon/task.h"
 #include "wire/datagram.h"
 
 /* A fence, promotion or follow without an answer for so long is lost. */
 #define COMMAND_TIMEOUT_MS 300
 
-/* Probes of a primary that reads ask for are at least so far apart. */
-#define PRIMARY_PROBE_INTERVAL_MS 10
+/* Probes of a database that reads ask for are at least so far apart. */
+#define PROBE_NOW_INTERVAL_MS 2
 
 /* Opening a control connection may take so long. */
 #define OPEN_TIMEOUT_MS 500
@@ -265,6 +266,7 @@
     g_hash_table_iter_init(&iterator, control->groups);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct controlled_group *group = value;
+        task_expire_queued(control->daemon, group->runtime, now);
         if (now >= group->wake_at) {
             struct group_event tick = {.kind = GROUP_EVENT_TICK, .now = now};
             step(group, &tick);
@@ -303,18 +305,14 @@
     }
 }
 
-void control_probe_primary(struct control *control, struct group_runtime *group)
+void control_probe_now(struct control *control, struct group_runtime *group, uint32_t database)
 {
     time_ns now = backend_now();
-    time_ns last = atomic_load(&group->primary_probed_at);
-    bool due = now >= last + PRIMARY_PROBE_INTERVAL_MS * NANOSECONDS_PER_MILLISECOND;
-    if (!due || !atomic_compare_exchange_strong(&group->primary_probed_at, &last, now)) {
-        return;
-    }
-    struct group_view view;
-    group_runtime_read_view(group, &view);
-    if (view.primary >= 0) {
-        prober_probe_now(control->prober, group->group->id, (uint32_t)view.primary);
+    _Atomic time_ns *probed_at = &group->databases[database].probed_at;
+    time_ns last = atomic_load(probed_at);
+    bool due = now >= last + PROBE_NOW_INTERVAL_MS * NANOSECONDS_PER_MILLISECOND;
+    if (due && atomic_compare_exchange_strong(probed_at, &last, now)) {
+        prober_probe_now(control->prober, group->group->id, database);
     }
 }
 
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -20,6 +20,7 @@
     struct pool *pool;
     pthread_mutex_t admission_lock; /* guards admission */
     struct admission admission;
+    _Atomic time_ns probed_at;  /* last extra probe that a read asked for */
     _Atomic uint32_t in_flight; /* slots taken by this daemon, for routing without the lock */
 };
 
@@ -47,7 +48,6 @@
     struct retry_budget retry_budget;
     struct evidence_service *evidence; /* the daemon's */
     _Atomic uint64_t ledger_term;      /* term in which the ledger table was made sure of */
-    _Atomic time_ns primary_probed_at; /* last extra probe that a read asked for */
     _Atomic uint64_t reads;            /* answered reads */
     _Atomic uint64_t primary_reads;    /* of these, by the primary although replicas were allowed */
 
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -213,6 +213,22 @@
     }
 }
 
+void task_expire_queued(struct daemon *daemon, struct group_runtime *group, time_ns now)
+{
+    for (uint32_t i = 0; i < group->database_count; i++) {
+        struct database_runtime *database = &group->databases[i];
+        pthread_mutex_lock(&database->admission_lock);
+        struct admission_ticket *ticket = admission_take_expired(&database->admission, now);
+        while (ticket != NULL) {
+            struct task *task = caa_container_of(ticket, struct task, ticket);
+            task->ticket_expired = true;
+            worker_pool_resume(daemon->workers, &task->job);
+            ticket = admission_take_expired(&database->admission, now);
+        }
+        pthread_mutex_unlock(&database->admission_lock);
+    }
+}
+
 void task_give_slot(struct task *task)
 {
     if (task->slot_database < 0) {
--- a/src/daemon/task.h
+++ b/src/daemon/task.h
@@ -85,6 +85,9 @@
 bool task_take_slot(struct task *task, uint32_t database, enum admission_class rank, bool *refused,
                     uint32_t *retry_after_ms);
 
+/* Refuses the tasks whose deadline has passed while they were queued for a slot of the group. */
+void task_expire_queued(struct daemon *daemon, struct group_runtime *group, time_ns now);
+
 /* Gives the slot back, if one is held, and starts the next in the queue. */
 void task_give_slot(struct task *task);
 
--- a/src/daemon/task_read.c
+++ b/src/daemon/task_read.c
@@ -82,19 +82,16 @@
         return EXECUTE_NOT_SENT;
     }
     execute_answer_clear(&task->run);
-    enum execute_result result = adapter_read(
-        connection, step->guard, step->guard_wait_ms, task->request->statements,
-        task->request->statements_count, task->deadline, daemon_result_limits(), &task->run);
+    enum execute_result result = adapter_read(connection, step->guard, 0, task->request->statements,
+                                              task->request->statements_count, task->deadline,
+                                              daemon_result_limits(), &task->run);
     pool_release(pool, connection, backend_connection_is_clean(connection));
     return result;
 }
 
-/* A read that waits for its position holds a connection but no slot: the wait takes none there. */
+/* Takes a slot of the database. False: the task was queued, or *event is GIVE_UP. */
 static bool take_read_slot(struct task *task, struct read_event *event)
 {
-    if (task->read_step.reason == ROUTE_REASON_REPLICA_GUARDED) {
-        return true;
-    }
     bool refused = false;
     uint32_t retry_after_ms = 0;
     if (task_take_slot(task, (uint32_t)task->read_step.database, ADMISSION_CLASS_READ, &refused,
@@ -183,7 +180,7 @@
     options.route.session = task_session_position(task);
     options.route.max_staleness_ms = task->route->max_staleness_ms;
     options.route.zone = task->daemon->zone;
-    options.route.guard_wait_max_ms =
+    options.guard_wait_max_ms =
         MIN(task->route->read_wait_ms, task->daemon->settings.routing.guard_wait_max_ms);
     options.route.replicas_allowed = task->route->reads_from_replicas;
     read_flow_init(&task->read_flow, &options);
@@ -206,7 +203,7 @@
         }
     }
     if (task->read_step.kind == READ_STEP_FRESHEN) {
-        control_probe_primary(task->daemon->control, task->group);
+        control_probe_now(task->daemon->control, task->group, (uint32_t)task->read_step.database);
     }
     if (task->read_step.kind != READ_STEP_ANSWER) {
         worker_pool_park(task->daemon->workers, &task->job, task->read_step.until);
--- a/tests/core/admission_test.c
+++ b/tests/core/admission_test.c
@@ -121,6 +121,26 @@
     admission_clear(&admission);
 }
 
+/* A stuck database gives no slot back: those behind it still get their answer in time. */
+static void test_janitor_takes_expired_from_the_middle(void)
+{
+    struct admission admission;
+    struct admission_ticket running = ticket_of(ADMISSION_CLASS_READ, 0);
+    struct admission_ticket patient = ticket_of(ADMISSION_CLASS_READ, 0);
+    struct admission_ticket hasty = ticket_of(ADMISSION_CLASS_READ, 0);
+    admission_init(&admission, 1, 100);
+    hasty.deadline = NANOSECONDS_PER_SECOND;
+    enter(&admission, &running);
+    enter(&admission, &patient);
+    enter(&admission, &hasty);
+    g_assert_null(admission_take_expired(&admission, NANOSECONDS_PER_SECOND - 1));
+    g_assert_true(admission_take_expired(&admission, NANOSECONDS_PER_SECOND) == &hasty);
+    g_assert_null(admission_take_expired(&admission, NANOSECONDS_PER_SECOND));
+    g_assert_true(serve_next(&admission) == &patient);
+    admission_leave(&admission, 1);
+    admission_clear(&admission);
+}
+
 static void test_retry_budget_is_a_ratio(void)
 {
     struct retry_budget budget;
@@ -146,6 +166,7 @@
     g_test_add_func("/admission/fair", test_tenants_share_equally);
     g_test_add_func("/admission/hopeless", test_hopeless_deadline_is_refused_at_once);
     g_test_add_func("/admission/expired", test_expired_in_queue_is_handed_back);
+    g_test_add_func("/admission/janitor", test_janitor_takes_expired_from_the_middle);
     g_test_add_func("/retry-budget/ratio", test_retry_budget_is_a_ratio);
     return g_test_run();
 }
--- a/tests/core/read_flow_test.c
+++ b/tests/core/read_flow_test.c
@@ -103,6 +103,63 @@
     g_assert_cmpuint(step.retry_after_ms, >, 0);
 }
 
+/* A replica that is about to catch up is waited for without a connection, and no longer than
+ * allowed. */
+static void test_waits_for_a_replica_then_takes_the_primary(void)
+{
+    struct group_view view;
+    struct read_flow flow;
+    make_view(&view);
+    view.databases[1].status.applied.offset = 9;
+    view.databases[2].status.applied.offset = 9;
+    struct read_options options = {
+        .deadline = NANOSECONDS_PER_SECOND,
+        .attempts_max = 4,
+        .guard_wait_max_ms = 50,
+        .route = {.session = {1, 10}, .replicas_allowed = true, .primary_allowed = true},
+    };
+    view.sample_count = 1;
+    view.samples[0] = (struct position_sample){.at = 1, .held = {1, 10}};
+    read_flow_init(&flow, &options);
+    struct read_event event = {.kind = READ_EVENT_START, .now = 2};
+    struct read_step step = read_flow_next(&flow, &event, &view);
+    while (step.kind == READ_STEP_FRESHEN) {
+        g_assert_cmpint(step.database, !=, 0);
+        event = (struct read_event){.kind = READ_EVENT_TIMER, .now = step.until};
+        step = read_flow_next(&flow, &event, &view);
+    }
+    g_assert_cmpint(step.kind, ==, READ_STEP_READ);
+    g_assert_cmpint(step.database, ==, 0);
+    g_assert_cmpuint(event.now, <=, 60 * NANOSECONDS_PER_MILLISECOND);
+}
+
+static void test_reads_from_the_replica_that_caught_up(void)
+{
+    struct group_view view;
+    struct read_flow flow;
+    make_view(&view);
+    view.databases[1].status.applied.offset = 9;
+    view.databases[2].status.applied.offset = 9;
+    struct read_options options = {
+        .deadline = NANOSECONDS_PER_SECOND,
+        .attempts_max = 4,
+        .guard_wait_max_ms = 50,
+        .route = {.session = {1, 10}, .replicas_allowed = true, .primary_allowed = true},
+    };
+    view.sample_count = 1;
+    view.samples[0] = (struct position_sample){.at = 1, .held = {1, 10}};
+    read_flow_init(&flow, &options);
+    struct read_event event = {.kind = READ_EVENT_START, .now = 2};
+    struct read_step step = read_flow_next(&flow, &event, &view);
+    g_assert_cmpint(step.kind, ==, READ_STEP_FRESHEN);
+    view.databases[2].status.applied.offset = 10;
+    event = (struct read_event){.kind = READ_EVENT_TIMER, .now = step.until};
+    step = read_flow_next(&flow, &event, &view);
+    g_assert_cmpint(step.kind, ==, READ_STEP_READ);
+    g_assert_cmpint(step.database, ==, 2);
+    g_assert_cmpint(step.reason, ==, ROUTE_REASON_REPLICA_GUARDED);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -110,5 +167,7 @@
     g_test_add_func("/read-flow/lost-answers", test_lost_answers_try_each_database_once);
     g_test_add_func("/read-flow/unreachable", test_nothing_reachable_is_refused_with_retry_after);
     g_test_add_func("/read-flow/short-everywhere", test_short_answers_everywhere_are_no_deadline);
+    g_test_add_func("/read-flow/waits", test_waits_for_a_replica_then_takes_the_primary);
+    g_test_add_func("/read-flow/caught-up", test_reads_from_the_replica_that_caught_up);
     return g_test_run();
 }
