--- a/src/core/route.c
+++ b/src/core/route.c
@@ -1,6 +1,8 @@
 /* Routing decisions; see the header. */
 #include "core/route.h"
 
+#include <glib.h>
+
 #include "core/position_samples.h"
 #include "core/types.h"
 
@@ -89,7 +91,8 @@
     }
     time_ns written_at = position_samples_time_of(view, needed, now);
     time_ns due = written_at + lag;
-    return due > now ? due - now : 0;
+    /* It is not there yet, whatever the estimate: never free where no wait is allowed. */
+    return MAX(due, now + NANOSECONDS_PER_MILLISECOND) - now;
 }
 
 /* Reason that rules a database out whatever its position; NONE if usable. */
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -27,6 +27,10 @@
 #define EVIDENCE_OPEN_TIMEOUT_MS 500
 #define EVIDENCE_REOPEN_MS       50
 
+/* Longest wait at the start for the other daemons to answer. */
+#define SETTLE_TIMEOUT_MS 2000
+#define SETTLE_POLL_US    1000
+
 /* Pause between two looks at whether everything has ended. */
 #define STOP_POLL_US 5000
 
@@ -328,6 +332,15 @@
     return true;
 }
 
+/* Callers are served only once the other daemons are known, or none has answered. */
+static void wait_until_settled(struct daemon *daemon)
+{
+    time_ns deadline = backend_now() + SETTLE_TIMEOUT_MS * NANOSECONDS_PER_MILLISECOND;
+    while (!control_is_settled(daemon->control) && backend_now() < deadline) {
+        g_usleep(SETTLE_POLL_US);
+    }
+}
+
 static bool start_parts(struct daemon *daemon, GError **error)
 {
     daemon->token_keys = token_keys_load(daemon->settings.session.token_keys_file, error);
@@ -341,7 +354,11 @@
     }
     daemon_metrics_watch(daemon->metrics, daemon);
     atomic_store(&daemon->ready, true);
-    return admin_api_start(daemon, error) && start_frontend(daemon, error);
+    if (!admin_api_start(daemon, error)) {
+        return false;
+    }
+    wait_until_settled(daemon);
+    return start_frontend(daemon, error);
 }
 
 struct daemon *daemon_start(const struct settings *settings, GError **error)
