Make the race test and the tests of unreachable stores certain

The answers lost are now among the six calls that every race makes, and the faults are healed before the reading; what is asserted is the same.

--- a/tests/configuration/test_publish.c
+++ b/tests/configuration/test_publish.c
@@ -220,23 +220,23 @@
     g_assert_cmpuint(count_versions(test), ==, 0);
 }
 
-static void test_unreachable_store(void)
+static void test_unreachable_store(struct publish_test *test, gconstpointer unused)
 {
-    struct publish_test test;
+    struct publish_order order = make_order(test->first, "r1", 0);
+    struct platform_settings settings = test->platform.settings;
+    struct refusing_port port;
     struct publish_outcome outcome;
     g_autoptr(GError) error = NULL;
 
-    set_up(&test, NULL);
-    platform_standin_stop(test.platform.standin);
-    struct publish_order order = make_order(test.first, "r1", 0);
+    refusing_port_open(&port);
+    settings.table_url = port.url;
+    struct version_store *store = version_store_new(&settings);
     order.retries_max = 5;
-    g_assert_false(publish_configuration(test.store, &order, &outcome, &error));
+    g_assert_false(publish_configuration(store, &order, &outcome, &error));
     g_assert_error(error, SW_ERROR, ERROR_KIND_STORE_UNAVAILABLE);
     g_assert_true(g_str_has_prefix(error->message, "not published: http://127.0.0.1:"));
-    version_store_free(test.store);
-    configuration_unref(test.first);
-    configuration_unref(test.second);
-    g_free(test.platform.url);
+    version_store_free(store);
+    refusing_port_close(&port);
 }
 
 /* The move took effect, and no later call is answered: the outcome stays open until asked again. */
@@ -289,7 +289,7 @@
     struct racer racers[4];
     guint accepted = 0;
 
-    platform_fixture_fault(&test->platform, PLATFORM_FAULT_ANSWER_LOST, PLATFORM_SERVICE_BOTH, 6,
+    platform_fixture_fault(&test->platform, PLATFORM_FAULT_ANSWER_LOST, PLATFORM_SERVICE_BOTH, 2,
                            3);
     for (guint i = 0; i < G_N_ELEMENTS(racers); i++) {
         racers[i] =
@@ -304,6 +304,7 @@
                       racers[i].status == PUBLISH_STATUS_CONFLICT);
     }
     g_assert_cmpuint(accepted, ==, 1);
+    platform_standin_heal(test->platform.standin);
     g_assert_cmpuint(count_versions(test), ==, 1);
 }
 
@@ -324,7 +325,7 @@
     add("/publish/fault-at-each-call", test_fault_at_each_call);
     add("/publish/throttled/passing", test_throttling_is_waited_out);
     add("/publish/throttled/lasting", test_store_that_throttles_for_good);
-    g_test_add_func("/publish/unreachable", test_unreachable_store);
+    add("/publish/unreachable", test_unreachable_store);
     add("/publish/lost-answer/store-down", test_lost_answer_with_the_store_down);
     add("/publish/race", test_racing_operators);
     return g_test_run();
--- a/tests/ctl/test_golden.c
+++ b/tests/ctl/test_golden.c
@@ -216,6 +216,7 @@
     static const struct golden_run no_store = {"store-not-given", {"history"}};
     static const struct golden_run down = {"store-down", {"history"}};
     struct platform_fixture platform;
+    struct refusing_port refusing;
 
     g_unsetenv("SWIFTWORKS_TABLE_URL");
     run_golden(&no_store);
@@ -223,7 +224,10 @@
     g_setenv("SWIFTWORKS_TABLE_URL", platform.url, TRUE);
     run_all(runs, G_N_ELEMENTS(runs));
     platform_fixture_stop(&platform);
+    refusing_port_open(&refusing);
+    g_setenv("SWIFTWORKS_TABLE_URL", refusing.url, TRUE);
     run_golden(&down);
+    refusing_port_close(&refusing);
 }
 
 static void test_admin(void)
@@ -242,13 +246,17 @@
     };
     static const struct golden_run down = {"daemon-down", {"status"}};
     struct MHD_Daemon *daemon = start_admin();
+    struct refusing_port refusing;
     g_autofree char *url = g_strdup_printf(
         "http://127.0.0.1:%u", MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT)->port);
 
     g_setenv("SWIFTWORKS_ADMIN_URL", url, TRUE);
     run_all(runs, G_N_ELEMENTS(runs));
     MHD_stop_daemon(daemon);
+    refusing_port_open(&refusing);
+    g_setenv("SWIFTWORKS_ADMIN_URL", refusing.url, TRUE);
     run_golden(&down);
+    refusing_port_close(&refusing);
 }
 
 int main(int argc, char **argv)
--- a/tests/platform/platform_fixture.c
+++ b/tests/platform/platform_fixture.c
@@ -1,6 +1,10 @@
 /* A platform stand-in in the test's own process. */
 #include "platform_fixture.h"
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 void platform_fixture_start(struct platform_fixture *fixture,
                             const struct platform_standin_options *options)
 {
@@ -39,3 +43,21 @@
 
     platform_standin_add_fault(fixture->standin, &fault);
 }
+
+void refusing_port_open(struct refusing_port *port)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t length = sizeof(address);
+
+    port->socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    g_assert_cmpint(port->socket, >=, 0);
+    g_assert_cmpint(bind(port->socket, (struct sockaddr *)&address, length), ==, 0);
+    g_assert_cmpint(getsockname(port->socket, (struct sockaddr *)&address, &length), ==, 0);
+    port->url = g_strdup_printf("http://127.0.0.1:%u", ntohs(address.sin_port));
+}
+
+void refusing_port_close(struct refusing_port *port)
+{
+    close(port->socket);
+    g_free(port->url);
+}
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -27,4 +27,15 @@
 void platform_fixture_fault(struct platform_fixture *fixture, enum platform_fault_kind kind,
                             enum platform_service service, uint32_t after, uint32_t count);
 
+/* A port of the loopback that refuses connections for as long as the socket stays open: it is bound
+ * but not listened at, so no other program can get it. */
+struct refusing_port {
+    int socket;
+    char *url; /* "http://127.0.0.1:PORT" */
+};
+
+void refusing_port_open(struct refusing_port *port);
+
+void refusing_port_close(struct refusing_port *port);
+
 #endif
--- a/tests/platform/test_clients.c
+++ b/tests/platform/test_clients.c
@@ -158,20 +158,21 @@
     table_client_free(hasty);
 }
 
-/* Nobody listens at the port of a stand-in that has stopped. */
 static void test_unreachable_store_is_unavailable(void)
 {
-    struct platform_fixture platform;
+    struct platform_settings settings = platform_settings_default();
+    struct refusing_port port;
     g_autoptr(GError) error = NULL;
     struct table_item *item = NULL;
 
-    platform_fixture_start_plain(&platform);
-    struct table_client *client = table_client_new(&platform.settings);
-    platform_fixture_stop(&platform);
+    refusing_port_open(&port);
+    settings.table_url = port.url;
+    struct table_client *client = table_client_new(&settings);
     g_assert_cmpint(table_client_get(client, TABLE, "p", "a", &item, &error), ==,
                     PLATFORM_RESULT_UNAVAILABLE);
     g_assert_cmpint(error->code, ==, ERROR_KIND_STORE_UNAVAILABLE);
     table_client_free(client);
+    refusing_port_close(&port);
 }
 
 static void test_unknown_table_is_refused(struct client_test *test, gconstpointer unused)
