--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -12,7 +12,8 @@
 #include "core/route.h"
 #include "daemon/admin_api.h"
 #include "daemon/control.h"
-#include "daemon/metrics.h"
+#include "daemon/daemon_metrics.h"
+#include "daemon/journal.h"
 #include "daemon/task.h"
 #include "daemon/transaction.h"
 #include "wire/address.h"
@@ -95,17 +96,9 @@
     return true;
 }
 
-static struct group_runtime *take_or_start_group(struct daemon *daemon,
-                                                 struct configuration *configuration,
-                                                 const struct group_configuration *group)
+static struct group_runtime *start_group(struct daemon *daemon, struct configuration *configuration,
+                                         const struct group_configuration *group)
 {
-    struct group_runtime *standing = daemon_take_group(daemon, group->id);
-    if (standing != NULL && same_databases(standing->group, group)) {
-        return standing;
-    }
-    if (standing != NULL) {
-        group_runtime_unref(standing);
-    }
     struct group_runtime_options options = {
         .daemon_name = daemon->settings.daemon.name,
         .zone_name = daemon->settings.daemon.zone,
@@ -117,22 +110,66 @@
     return group_runtime_new(configuration, group, &options);
 }
 
-void daemon_set_configuration(struct daemon *daemon, struct configuration *configuration)
+/* A copy of the table in force, with its references; without groups that changed. */
+static struct routing_table *copy_table(struct daemon *daemon, struct configuration *configuration)
 {
     struct routing_table *next = g_new0(struct routing_table, 1);
     next->configuration = configuration_ref(configuration);
     next->groups = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, release_group);
-    for (guint i = 0; i < configuration->groups->len; i++) {
-        const struct group_configuration *group = g_ptr_array_index(configuration->groups, i);
-        g_hash_table_insert(next->groups, GUINT_TO_POINTER(group->id),
-                            take_or_start_group(daemon, configuration, group));
+    if (daemon->table == NULL) {
+        return next;
     }
+    GHashTableIter iterator;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, daemon->table->groups);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        struct group_runtime *runtime = value;
+        const struct group_configuration *group =
+            configuration_find_group(configuration, runtime->group->id);
+        if (group != NULL && same_databases(runtime->group, group)) {
+            g_hash_table_insert(next->groups, key, group_runtime_ref(runtime));
+        }
+    }
+    return next;
+}
+
+static void replace_table(struct daemon *daemon, struct routing_table *next)
+{
     struct routing_table *previous = daemon->table;
     rcu_assign_pointer(daemon->table, next);
     synchronize_rcu();
     free_table(previous);
 }
 
+void daemon_set_configuration(struct daemon *daemon, struct configuration *configuration)
+{
+    replace_table(daemon, copy_table(daemon, configuration));
+}
+
+struct group_runtime *daemon_begin_group(struct daemon *daemon, uint32_t id)
+{
+    struct configuration *configuration = daemon->table->configuration;
+    const struct group_configuration *group = configuration_find_group(configuration, id);
+    if (group == NULL) {
+        return NULL;
+    }
+    struct routing_table *next = copy_table(daemon, configuration);
+    struct group_runtime *runtime = start_group(daemon, next->configuration, group);
+    g_hash_table_insert(next->groups, GUINT_TO_POINTER(id), runtime);
+    group_runtime_ref(runtime);
+    replace_table(daemon, next);
+    return runtime;
+}
+
+void daemon_end_group(struct daemon *daemon, uint32_t id)
+{
+    struct routing_table *next = copy_table(daemon, daemon->table->configuration);
+    g_hash_table_remove(next->groups, GUINT_TO_POINTER(id));
+    replace_table(daemon, next);
+    evidence_remove_group(daemon->evidence, id);
+}
+
 bool daemon_task_begins(struct daemon *daemon, const struct request *request)
 {
     atomic_fetch_add(&daemon->tasks_open, 1);
@@ -251,6 +288,7 @@
     options.limits.body_octets_max = (uint32_t)daemon->settings.request.body_limit;
     options.limits.timeout_ms = daemon->settings.request.default_timeout_ms;
     options.limits.timeout_ms_max = daemon->settings.request.max_timeout_ms;
+    options.metrics = daemon_metrics_registry(daemon->metrics);
     options.token_keys = daemon->token_keys;
     options.reason_name = reason_name;
     options.find_tenant = find_tenant;
@@ -301,6 +339,7 @@
     if (daemon->control == NULL) {
         return false;
     }
+    daemon_metrics_watch(daemon->metrics, daemon);
     atomic_store(&daemon->ready, true);
     return admin_api_start(daemon, error) && start_frontend(daemon, error);
 }
@@ -310,7 +349,8 @@
     struct daemon *daemon = g_new0(struct daemon, 1);
     daemon->settings = *settings;
     daemon->incarnation = (uint64_t)g_get_real_time();
-    daemon->metrics = metrics_new();
+    daemon->metrics = daemon_metrics_new();
+    daemon->journal = journal_new();
     daemon->workers = worker_pool_new(daemon->settings.daemon.worker_threads,
                                       daemon->settings.daemon.request_queue);
     struct evidence_options evidence = {
@@ -380,7 +420,8 @@
     free_table(daemon->table);
     evidence_free(daemon->evidence);
     token_keys_free(daemon->token_keys);
-    metrics_free(daemon->metrics);
+    journal_free(daemon->journal);
+    daemon_metrics_free(daemon->metrics);
     rcu_barrier();
     settings_clear(&daemon->settings);
     g_free(daemon);
@@ -389,7 +430,7 @@
 uint32_t daemon_stop(struct daemon *daemon, time_ns deadline)
 {
     if (daemon->control != NULL) {
-        control_leave(daemon->control);
+        control_set_leaving(daemon->control, true);
     }
     atomic_store(&daemon->stopping, true);
     if (daemon->frontend != NULL) {
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -7,9 +7,10 @@
 #include <xxhash.h>
 
 #include "backend/clock.h"
+#include "daemon/control.h"
 #include "daemon/daemon.h"
 #include "daemon/forward.h"
-#include "daemon/metrics.h"
+#include "daemon/daemon_metrics.h"
 
 /* When a caller should come back after the daemon itself had no room or was not ready. */
 #define DAEMON_RETRY_AFTER_MS 500
@@ -45,7 +46,7 @@
     if (reply->served_by_daemon == NULL) {
         reply->served_by_daemon = g_strdup(task->daemon->settings.daemon.name);
     }
-    metrics_count_reply(task->daemon->metrics, task, backend_now());
+    daemon_metrics_count(task->daemon->metrics, task, backend_now());
     task->answer(task->origin, reply);
     daemon_task_ended(task->daemon);
     free_task(task);
@@ -98,7 +99,7 @@
 static bool resolve(struct task *task, enum error_kind *error)
 {
     task->configuration = daemon_take_configuration(task->daemon);
-    if (task->configuration == NULL) {
+    if (task->configuration == NULL || !control_is_settled(task->daemon->control)) {
         *error = ERROR_KIND_NOT_READY;
         return false;
     }
@@ -108,11 +109,8 @@
         *error = ERROR_KIND_UNKNOWN_TENANT;
         return false;
     }
+    /* NULL where this daemon does not own the group: the task is forwarded. */
     task->group = daemon_take_group(task->daemon, task->route->group);
-    if (task->group == NULL) {
-        *error = ERROR_KIND_NOT_READY;
-        return false;
-    }
     return true;
 }
 
