--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -27,7 +27,7 @@
                             "  2  wrong options or operands\n"
                             "  3  the configuration is not valid\n"
                             "  4  another version was published first\n"
-                            "  5  no such file, version, tenant, group or database\n"
+                            "  5  no such file, version, tenant or group\n"
                             "  6  the store or daemon did not answer; nothing was changed\n"
                             "  7  the change may have taken effect; ask again\n"
                             "  8  the daemon refused\n");
--- a/src/ctl/output.c
+++ b/src/ctl/output.c
@@ -111,23 +111,39 @@
            JSON_NODE_HOLDS_OBJECT(json_array_get_element(array, 0));
 }
 
-/* Columns are the members of the first row. */
-static void write_array(JsonArray *array, GString *output)
+/* Names of the first row's members that are (or are not) tables themselves, NULL-ended. Owned by
+ * the row's object; the caller frees the array. */
+static GPtrArray *member_names(JsonArray *array, bool of_tables)
 {
-    g_autoptr(GList) names = json_object_get_members(json_array_get_object_element(array, 0));
-    g_autoptr(GPtrArray) columns = g_ptr_array_new();
+    JsonObject *first = json_array_get_object_element(array, 0);
+    g_autoptr(GList) members = json_object_get_members(first);
+    GPtrArray *names = g_ptr_array_new();
 
-    for (GList *name = names; name != NULL; name = name->next) {
-        g_ptr_array_add(columns, name->data);
+    for (GList *member = members; member != NULL; member = member->next) {
+        if (is_table(json_object_get_member(first, member->data)) == of_tables) {
+            g_ptr_array_add(names, member->data);
+        }
     }
-    g_ptr_array_add(columns, NULL);
-    struct output_table *table = output_table_new((const char *const *)columns->pdata);
-    for (guint i = 0; i < json_array_get_length(array); i++) {
-        JsonNode *row = json_array_get_element(array, i);
-        JsonObject *object = JSON_NODE_HOLDS_OBJECT(row) ? json_node_get_object(row) : NULL;
+    g_ptr_array_add(names, NULL);
+    return names;
+}
+
+/* A row's member; NULL if the row lacks it. */
+static JsonNode *row_member(JsonArray *array, guint row, const char *name)
+{
+    JsonNode *node = json_array_get_element(array, row);
+
+    return JSON_NODE_HOLDS_OBJECT(node) ? json_object_get_member(json_node_get_object(node), name)
+                                        : NULL;
+}
+
+static void write_rows(JsonArray *array, const char *const *columns, GString *output)
+{
+    struct output_table *table = output_table_new(columns);
+
+    for (guint row = 0; row < json_array_get_length(array); row++) {
         for (guint column = 0; column < table->column_count; column++) {
-            JsonNode *value =
-                object != NULL ? json_object_get_member(object, table->columns[column]) : NULL;
+            JsonNode *value = row_member(array, row, columns[column]);
             g_autofree char *text = value != NULL ? value_text(value) : NULL;
             output_table_add(table, text);
         }
@@ -136,6 +152,30 @@
     output_table_free(table);
 }
 
+/* Columns are the members of the first row. A member that is a table itself follows after all rows,
+ * under its name and the row's first value. */
+static void write_array(JsonArray *array, GString *output)
+{
+    g_autoptr(GPtrArray) columns = member_names(array, false);
+    g_autoptr(GPtrArray) tables = member_names(array, true);
+
+    write_rows(array, (const char *const *)columns->pdata, output);
+    for (guint row = 0; row < json_array_get_length(array); row++) {
+        for (guint i = 0; i + 1 < tables->len; i++) {
+            const char *name = g_ptr_array_index(tables, i);
+            JsonNode *table = row_member(array, row, name);
+            if (table == NULL || !is_table(table)) {
+                continue;
+            }
+            JsonNode *key =
+                columns->len > 1 ? row_member(array, row, g_ptr_array_index(columns, 0)) : NULL;
+            g_autofree char *key_text = key != NULL ? value_text(key) : g_strdup_printf("%u", row);
+            g_string_append_printf(output, "\n%s of %s:\n", name, key_text);
+            write_array(json_node_get_array(table), output);
+        }
+    }
+}
+
 static void write_object(JsonObject *object, GString *output)
 {
     static const char *const columns[] = {"key", "value", NULL};
--- a/tests/ctl/test_golden.c
+++ b/tests/ctl/test_golden.c
@@ -32,7 +32,11 @@
     {"GET /v1/status", 200,
      "{\"daemon\":\"d1\",\"zone\":\"imlil\",\"configuration\":{\"version\":3},"
      "\"databases\":[{\"name\":\"toubkal-1\",\"role\":\"primary\",\"term\":4},"
-     "{\"name\":\"toubkal-2\",\"role\":\"replica\",\"term\":4}]}"},
+     "{\"name\":\"toubkal-2\",\"role\":\"replica\",\"term\":4}],"
+     "\"groups\":[{\"name\":\"bookings\",\"id\":1,\"databases\":[{\"name\":\"a\",\"role\":"
+     "\"primary\"}]},"
+     "{\"name\":\"empty\",\"id\":2,\"databases\":[]},"
+     "{\"name\":\"search\",\"id\":3,\"databases\":[{\"name\":\"b\",\"role\":\"replica\"}]}]}"},
     {"POST /v1/drain?database=toubkal-1", 200, "{\"draining\":\"toubkal-1\"}"},
     {"POST /v1/drain?daemon=self", 200, "{\"draining\":\"d1\"}"},
     {"POST /v1/undrain?database=a%20b", 404,
@@ -41,7 +45,7 @@
      "{\"error\":{\"kind\":\"stopping\",\"text\":\"The daemon is stopping.\"}}"},
     {"GET /v1/explain?tenant=hut-lepiney&access=write", 200,
      "{\"database\":\"toubkal-1\",\"reason\":\"current_primary\"}"},
-    {"GET /v1/events", 200, "[{\"at\":1,\"event\":\"started\"}]"},
+    {"GET /v1/events?since=0", 200, "[{\"at\":1,\"event\":\"started\"}]"},
 };
 
 /* Keeps the URL with its query, as sent. */
@@ -243,6 +247,7 @@
         {"explain", {"explain", "hut-lepiney", "--access", "write"}},
         {"explain-usage", {"explain", "hut-lepiney", "--access", "delete"}},
         {"events", {"events"}},
+        {"events-usage", {"events", "--since", "-1"}},
     };
     static const struct golden_run down = {"daemon-down", {"status"}};
     struct MHD_Daemon *daemon = start_admin();
