Listen on a socket of our own: MHD_quiesce_daemon can abort the process

Seen in the stop tests, at a rate of about one in forty-five runs under load: libmicrohttpd 0.9.75 panics with 'Failed to remove listen FD from epoll set' when MHD_quiesce_daemon and a worker thread remove the listener at once. An acceptor thread now owns the listener and adds connections to the library; a stop takes what waits in the listener's queue first. Locks are POSIX threads', which the sanitizers see.

--- a/src/frontend/call.c
+++ b/src/frontend/call.c
@@ -7,6 +7,7 @@
 #include "generated/errors.h"
 
 #include <string.h>
+#include <time.h>
 #include <xxhash.h>
 
 #define MICROSECONDS_PER_MILLISECOND 1000
@@ -16,7 +17,7 @@
 #define DISCARDED_OCTETS_MAX (16 * 1024 * 1024)
 
 /* Longest wait of a stop for callers to take their answers. */
-#define STOP_WRITE_WAIT_US (2 * G_USEC_PER_SEC)
+#define STOP_WRITE_WAIT_S 2
 
 static void call_unref(struct frontend_call *call)
 {
@@ -63,6 +64,7 @@
     frontend_metrics_count(&shared->metrics, reply, seconds_since(call->began_us));
     call->status = reply->outcome == OUTCOME_DONE ? MHD_HTTP_OK
                                                   : error_entry_of(reply->error_kind)->http_status;
+    atomic_store_explicit(&call->made, true, memory_order_release);
 }
 
 /* Bounds the time without traffic on the connection; its own thread. libmicrohttpd 0.9.75 misses
@@ -157,6 +159,7 @@
     struct frontend_call *call = g_new0(struct frontend_call, 1);
     atomic_init(&call->references, 1);
     atomic_init(&call->answered, false);
+    atomic_init(&call->made, false);
     call->shared = shared;
     call->connection = connection;
     call->began_us = g_get_monotonic_time();
@@ -302,13 +305,13 @@
 static bool suspend_call(struct frontend_call *call)
 {
     struct call_shared *shared = call->shared;
-    g_mutex_lock(&shared->mutex);
+    pthread_mutex_lock(&shared->mutex);
     bool open = !shared->closed;
     if (open) {
         g_hash_table_add(shared->suspended, call);
         MHD_suspend_connection(call->connection);
     }
-    g_mutex_unlock(&shared->mutex);
+    pthread_mutex_unlock(&shared->mutex);
     return open;
 }
 
@@ -356,7 +359,8 @@
         }
         return end_body(call);
     case CALL_STATE_SUBMITTED:
-        return queue_response(call);
+        return atomic_load_explicit(&call->made, memory_order_acquire) ? queue_response(call)
+                                                                       : MHD_NO;
     case CALL_STATE_DONE:
     default:
         return MHD_YES;
@@ -366,10 +370,10 @@
 /* The answer of a submitted call is written, or its caller is gone. */
 static void note_written(struct call_shared *shared)
 {
-    g_mutex_lock(&shared->mutex);
+    pthread_mutex_lock(&shared->mutex);
     shared->unwritten--;
-    g_cond_broadcast(&shared->changed);
-    g_mutex_unlock(&shared->mutex);
+    pthread_cond_broadcast(&shared->changed);
+    pthread_mutex_unlock(&shared->mutex);
 }
 
 void call_on_completed(void *user, struct MHD_Connection *connection, void **request_state,
@@ -407,19 +411,19 @@
     struct call_shared *shared = call->shared;
     make_response(call, reply);
     MHD_resume_connection(call->connection);
-    g_mutex_lock(&shared->mutex);
+    pthread_mutex_lock(&shared->mutex);
     shared->resuming--;
-    g_cond_broadcast(&shared->changed);
-    g_mutex_unlock(&shared->mutex);
+    pthread_cond_broadcast(&shared->changed);
+    pthread_mutex_unlock(&shared->mutex);
 }
 
 void frontend_answer(struct frontend_call *call, const struct reply *reply)
 {
     if (!atomic_exchange(&call->answered, true)) {
         struct call_shared *shared = call->shared;
-        g_mutex_lock(&shared->mutex);
+        pthread_mutex_lock(&shared->mutex);
         begin_resuming(call);
-        g_mutex_unlock(&shared->mutex);
+        pthread_mutex_unlock(&shared->mutex);
         resume_call(call, reply);
     }
     call_unref(call);
@@ -429,7 +433,7 @@
 static GPtrArray *claim_suspended(struct call_shared *shared)
 {
     GPtrArray *claimed = g_ptr_array_new();
-    g_mutex_lock(&shared->mutex);
+    pthread_mutex_lock(&shared->mutex);
     shared->closed = true;
     GHashTableIter iterator;
     gpointer call = NULL;
@@ -444,7 +448,7 @@
     for (guint i = 0; i < claimed->len; i++) {
         begin_resuming(g_ptr_array_index(claimed, i));
     }
-    g_mutex_unlock(&shared->mutex);
+    pthread_mutex_unlock(&shared->mutex);
     return claimed;
 }
 
@@ -460,15 +464,17 @@
         resume_call(call, &reply);
         call_unref(call);
     }
-    gint64 until = g_get_monotonic_time() + STOP_WRITE_WAIT_US;
-    g_mutex_lock(&shared->mutex);
+    struct timespec until;
+    clock_gettime(CLOCK_MONOTONIC, &until);
+    until.tv_sec += STOP_WRITE_WAIT_S;
+    pthread_mutex_lock(&shared->mutex);
     while (g_hash_table_size(shared->suspended) > 0 || shared->resuming > 0) {
-        g_cond_wait(&shared->changed, &shared->mutex);
+        pthread_cond_wait(&shared->changed, &shared->mutex);
     }
     bool in_time = true;
     while (in_time && shared->unwritten > 0) {
-        in_time = g_cond_wait_until(&shared->changed, &shared->mutex, until);
+        in_time = pthread_cond_timedwait(&shared->changed, &shared->mutex, &until) == 0;
     }
-    g_mutex_unlock(&shared->mutex);
+    pthread_mutex_unlock(&shared->mutex);
     return claimed->len;
 }
--- a/src/frontend/call.h
+++ b/src/frontend/call.h
@@ -16,6 +16,7 @@
 
 #include <glib.h>
 #include <microhttpd.h>
+#include <pthread.h>
 #include <stdatomic.h>
 
 /* What all calls of a frontend share. */
@@ -25,12 +26,12 @@
     struct sql_cache *sql_cache;
     atomic_bool stopping;
     atomic_uint in_flight;
-    GMutex mutex;
-    GCond changed;         /* signalled when one of the following falls */
-    GHashTable *suspended; /* under mutex: the set of calls submitted and not yet answered */
-    unsigned resuming;     /* under mutex: answers being made */
-    unsigned unwritten;    /* under mutex: answers not yet written to their callers */
-    bool closed;           /* under mutex: nothing more is submitted */
+    pthread_mutex_t mutex;
+    pthread_cond_t changed; /* on CLOCK_MONOTONIC; signalled when one of the following falls */
+    GHashTable *suspended;  /* under mutex: the set of calls submitted and not yet answered */
+    unsigned resuming;      /* under mutex: answers being made */
+    unsigned unwritten;     /* under mutex: answers not yet written to their callers */
+    bool closed;            /* under mutex: nothing more is submitted */
 };
 
 enum call_state {
@@ -54,11 +55,12 @@
     struct group_position *session; /* what the request had seen */
     size_t session_count;
     GByteArray *body;
-    size_t body_octets;            /* received, kept or not */
-    struct request *request;       /* until submitted */
-    GError *refusal;               /* the first fault found; ends the call without the daemon */
-    uint32_t refusal_position;     /* 1-based place of the fault; 0: none */
-    struct MHD_Response *response; /* the answer, once made */
+    size_t body_octets;        /* received, kept or not */
+    struct request *request;   /* until submitted */
+    GError *refusal;           /* the first fault found; ends the call without the daemon */
+    uint32_t refusal_position; /* 1-based place of the fault; 0: none */
+    atomic_bool made;          /* publishes the two below to the connection's thread */
+    struct MHD_Response *response;
     unsigned status;
 };
 
--- a/src/frontend/frontend.c
+++ b/src/frontend/frontend.c
@@ -1,13 +1,13 @@
 #include "frontend/frontend.h"
 
+#include "frontend/acceptor.h"
 #include "frontend/call.h"
 #include "frontend/listen.h"
 #include "sql/classify.h"
 
 #include <errno.h>
-#include <fcntl.h>
 #include <string.h>
-#include <unistd.h>
+#include <time.h>
 
 #define LOG_PREFIX "frontend"
 
@@ -31,6 +31,7 @@
     struct call_shared shared;
     struct metrics *own_metrics; /* where the options give none */
     struct MHD_Daemon *daemon;
+    struct acceptor *acceptor; /* NULL once it accepts no more */
     uint16_t port;
 };
 
@@ -62,16 +63,15 @@
     metric_gauge_add(shared->metrics.connections, begins ? 1 : -1);
 }
 
-static struct MHD_Daemon *start_daemon(struct frontend *frontend, union listen_address *address)
+static struct MHD_Daemon *start_daemon(struct frontend *frontend)
 {
     struct call_shared *shared = &frontend->shared;
     const struct frontend_options *options = &shared->options;
     unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG |
-                     listen_address_flags(address);
+                     MHD_USE_NO_LISTEN_SOCKET;
     unsigned threads = MAX(options->threads, 1);
     unsigned connections_max = MAX(options->connections_max, threads);
     struct MHD_OptionItem items[] = {
-        {MHD_OPTION_SOCK_ADDR, 0, &address->any},
         {MHD_OPTION_THREAD_POOL_SIZE, threads > 1 ? threads : 0, NULL},
         {MHD_OPTION_THREAD_STACK_SIZE, SQL_CLASSIFY_STACK_OCTETS, NULL},
         {MHD_OPTION_CONNECTION_LIMIT, connections_max, NULL},
@@ -81,7 +81,7 @@
         {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)on_connection, shared},
         {MHD_OPTION_END, 0, NULL},
     };
-    return MHD_start_daemon(flags, options->port, NULL, NULL, call_on_access, shared,
+    return MHD_start_daemon(flags, 0, NULL, NULL, call_on_access, shared,
                             MHD_OPTION_EXTERNAL_LOGGER, listen_log, (void *)LOG_PREFIX,
                             MHD_OPTION_ARRAY, items, MHD_OPTION_END);
 }
@@ -93,8 +93,12 @@
     frontend_metrics_init(&shared->metrics, metrics);
     atomic_init(&shared->stopping, false);
     atomic_init(&shared->in_flight, 0);
-    g_mutex_init(&shared->mutex);
-    g_cond_init(&shared->changed);
+    pthread_mutex_init(&shared->mutex, NULL);
+    pthread_condattr_t attributes;
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(&shared->changed, &attributes);
+    pthread_condattr_destroy(&attributes);
     shared->suspended = g_hash_table_new(NULL, NULL);
     shared->sql_cache = sql_cache_new(options->sql_cache_entries, options->sql_cache_octets);
 }
@@ -103,32 +107,57 @@
 {
     sql_cache_free(frontend->shared.sql_cache);
     g_hash_table_destroy(frontend->shared.suspended);
-    g_cond_clear(&frontend->shared.changed);
-    g_mutex_clear(&frontend->shared.mutex);
+    pthread_cond_destroy(&frontend->shared.changed);
+    pthread_mutex_destroy(&frontend->shared.mutex);
     metrics_free(frontend->own_metrics);
     g_free(frontend);
 }
 
-struct frontend *frontend_start(const struct frontend_options *options, GError **error)
+/* Hands a connection to libmicrohttpd, which closes it where it can't take it. */
+static void take_connection(int connection, const struct sockaddr *peer, socklen_t length,
+                            void *user)
 {
-    union listen_address address;
-    if (!listen_address_parse(options->address, options->port, &address, error)) {
-        return NULL;
+    struct frontend *frontend = user;
+    MHD_add_connection(frontend->daemon, connection, peer, length);
+}
+
+static bool connections_full(void *user)
+{
+    const struct frontend *frontend = user;
+    return frontend_connections(frontend) >= frontend->shared.options.connections_max;
+}
+
+static bool start_listening(struct frontend *frontend, GError **error)
+{
+    const struct frontend_options *options = &frontend->shared.options;
+    const struct acceptor_callbacks callbacks = {take_connection, connections_full, frontend};
+    errno = 0;
+    frontend->daemon = start_daemon(frontend);
+    if (frontend->daemon == NULL) {
+        listen_set_error(options->address, options->port, error);
+        return false;
+    }
+    frontend->acceptor = acceptor_start(options->address, options->port, &callbacks, error);
+    if (frontend->acceptor == NULL) {
+        MHD_stop_daemon(frontend->daemon);
+        return false;
     }
+    frontend->port = acceptor_port(frontend->acceptor);
+    return true;
+}
+
+struct frontend *frontend_start(const struct frontend_options *options, GError **error)
+{
     struct frontend *frontend = g_new0(struct frontend, 1);
     if (options->metrics == NULL) {
         frontend->own_metrics = metrics_new();
     }
     shared_init(&frontend->shared, options,
                 options->metrics == NULL ? frontend->own_metrics : options->metrics);
-    errno = 0;
-    frontend->daemon = start_daemon(frontend, &address);
-    if (frontend->daemon == NULL) {
-        listen_set_error(options->address, options->port, error);
+    if (!start_listening(frontend, error)) {
         frontend_free(frontend);
         return NULL;
     }
-    frontend->port = MHD_get_daemon_info(frontend->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
     return frontend;
 }
 
@@ -137,31 +166,10 @@
     return frontend->port;
 }
 
-/* Callers whose connection the system has made already would be reset when the listener closes. */
-static void take_waiting_connections(struct frontend *frontend, int listener)
-{
-    int flags = fcntl(listener, F_GETFL);
-    fcntl(listener, F_SETFL, flags | O_NONBLOCK);
-    union listen_address peer;
-    socklen_t length = sizeof(peer);
-    int connection = accept4(listener, &peer.any, &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    while (connection >= 0) {
-        MHD_add_connection(frontend->daemon, connection, &peer.any, length);
-        length = sizeof(peer);
-        connection = accept4(listener, &peer.any, &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    }
-}
-
 void frontend_stop_accepting(struct frontend *frontend)
 {
-    if (atomic_exchange(&frontend->shared.stopping, true)) {
-        return;
-    }
-    MHD_socket listener = MHD_quiesce_daemon(frontend->daemon);
-    if (listener != MHD_INVALID_SOCKET) {
-        take_waiting_connections(frontend, listener);
-        close(listener);
-    }
+    atomic_store(&frontend->shared.stopping, true);
+    acceptor_stop(g_steal_pointer(&frontend->acceptor));
 }
 
 unsigned frontend_in_flight(const struct frontend *frontend)
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -77,7 +77,7 @@
 void frontend_answer(struct frontend_call *call, const struct reply *reply);
 
 /* Planned stop: takes no new connection; connections that stand are served on and closed after
- * their next answer. */
+ * their next answer. May be called again, by the same thread. */
 void frontend_stop_accepting(struct frontend *frontend);
 
 /* Requests that have begun to arrive and whose answers are not yet written. */
--- a/src/frontend/listen.c
+++ b/src/frontend/listen.c
@@ -39,6 +39,11 @@
     return false;
 }
 
+uint16_t listen_address_port(const union listen_address *address)
+{
+    return ntohs(address->any.sa_family == AF_INET6 ? address->v6.sin6_port : address->v4.sin_port);
+}
+
 unsigned listen_address_flags(const union listen_address *address)
 {
     return address->any.sa_family == AF_INET6 ? MHD_USE_IPv6 : 0;
--- a/src/frontend/listen.h
+++ b/src/frontend/listen.h
@@ -23,6 +23,9 @@
 /* True for an address of this machine only. */
 bool listen_address_is_loopback(const struct sockaddr *address);
 
+/* The port, in the host's order. */
+uint16_t listen_address_port(const union listen_address *address);
+
 /* MHD_USE_IPv6 or 0. */
 unsigned listen_address_flags(const union listen_address *address);
 
--- a/src/frontend/metrics.c
+++ b/src/frontend/metrics.c
@@ -1,6 +1,7 @@
 #include "frontend/metrics.h"
 
 #include <math.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <stdbool.h>
 #include <string.h>
@@ -47,8 +48,8 @@
 };
 
 struct metrics {
-    GMutex mutex;        /* of the lists, not of the values */
-    GPtrArray *families; /* of struct metric_family */
+    pthread_mutex_t mutex; /* of the lists, not of the values */
+    GPtrArray *families;   /* of struct metric_family */
 };
 
 static void member_free(gpointer data)
@@ -70,7 +71,7 @@
 struct metrics *metrics_new(void)
 {
     struct metrics *metrics = g_new0(struct metrics, 1);
-    g_mutex_init(&metrics->mutex);
+    pthread_mutex_init(&metrics->mutex, NULL);
     metrics->families = g_ptr_array_new_with_free_func(family_free);
     return metrics;
 }
@@ -81,7 +82,7 @@
         return;
     }
     g_ptr_array_unref(metrics->families);
-    g_mutex_clear(&metrics->mutex);
+    pthread_mutex_destroy(&metrics->mutex);
     g_free(metrics);
 }
 
@@ -176,10 +177,10 @@
                                        const struct metric_label *labels)
 {
     bool made = false;
-    g_mutex_lock(&metrics->mutex);
+    pthread_mutex_lock(&metrics->mutex);
     struct metric_member *member =
         find_member(metrics, name, help, METRIC_TYPE_COUNTER, labels, &made);
-    g_mutex_unlock(&metrics->mutex);
+    pthread_mutex_unlock(&metrics->mutex);
     return &member->counter;
 }
 
@@ -187,10 +188,10 @@
                                    const struct metric_label *labels)
 {
     bool made = false;
-    g_mutex_lock(&metrics->mutex);
+    pthread_mutex_lock(&metrics->mutex);
     struct metric_member *member =
         find_member(metrics, name, help, METRIC_TYPE_GAUGE, labels, &made);
-    g_mutex_unlock(&metrics->mutex);
+    pthread_mutex_unlock(&metrics->mutex);
     return &member->gauge;
 }
 
@@ -199,12 +200,12 @@
                             void *user)
 {
     bool made = false;
-    g_mutex_lock(&metrics->mutex);
+    pthread_mutex_lock(&metrics->mutex);
     struct metric_member *member =
         find_member(metrics, name, help, METRIC_TYPE_GAUGE, labels, &made);
     member->gauge.read = read;
     member->gauge.user = user;
-    g_mutex_unlock(&metrics->mutex);
+    pthread_mutex_unlock(&metrics->mutex);
 }
 
 struct metric_histogram *metrics_histogram(struct metrics *metrics, const char *name,
@@ -213,7 +214,7 @@
 {
     g_assert(bound_count <= METRIC_BUCKETS_MAX);
     bool made = false;
-    g_mutex_lock(&metrics->mutex);
+    pthread_mutex_lock(&metrics->mutex);
     struct metric_member *member =
         find_member(metrics, name, help, METRIC_TYPE_HISTOGRAM, labels, &made);
     struct metric_histogram *histogram = &member->histogram;
@@ -221,7 +222,7 @@
         histogram->bound_count = bound_count;
         memcpy(histogram->bounds, bounds, bound_count * sizeof(bounds[0]));
     }
-    g_mutex_unlock(&metrics->mutex);
+    pthread_mutex_unlock(&metrics->mutex);
     return histogram;
 }
 
@@ -387,9 +388,9 @@
 
 void metrics_render(struct metrics *metrics, GString *out)
 {
-    g_mutex_lock(&metrics->mutex);
+    pthread_mutex_lock(&metrics->mutex);
     for (guint i = 0; i < metrics->families->len; i++) {
         render_family(out, g_ptr_array_index(metrics->families, i));
     }
-    g_mutex_unlock(&metrics->mutex);
+    pthread_mutex_unlock(&metrics->mutex);
 }
--- a/src/sql/cache.c
+++ b/src/sql/cache.c
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 
+#include <pthread.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -17,7 +18,7 @@
 };
 
 struct cache_shard {
-    GMutex mutex; /* of all below */
+    pthread_mutex_t mutex; /* of all below */
     GHashTable *entries;
     GQueue uses; /* most recent first */
     size_t octets;
@@ -59,7 +60,7 @@
     cache->shard_octets_max = octets_max / CACHE_SHARDS;
     for (size_t i = 0; i < CACHE_SHARDS; i++) {
         struct cache_shard *shard = &cache->shards[i];
-        g_mutex_init(&shard->mutex);
+        pthread_mutex_init(&shard->mutex, NULL);
         g_queue_init(&shard->uses);
         shard->entries = g_hash_table_new_full(hash_sql, g_str_equal, NULL, entry_free);
     }
@@ -73,7 +74,7 @@
     }
     for (size_t i = 0; i < CACHE_SHARDS; i++) {
         g_hash_table_destroy(cache->shards[i].entries);
-        g_mutex_clear(&cache->shards[i].mutex);
+        pthread_mutex_destroy(&cache->shards[i].mutex);
     }
     g_free(cache);
 }
@@ -119,7 +120,7 @@
 static bool find_entry(struct cache_shard *shard, const char *sql, struct sql_class *out,
                        bool *served, GError **error)
 {
-    g_mutex_lock(&shard->mutex);
+    pthread_mutex_lock(&shard->mutex);
     struct cache_entry *entry = g_hash_table_lookup(shard->entries, sql);
     if (entry != NULL) {
         shard->hits++;
@@ -129,7 +130,7 @@
     } else {
         shard->misses++;
     }
-    g_mutex_unlock(&shard->mutex);
+    pthread_mutex_unlock(&shard->mutex);
     return entry != NULL;
 }
 
@@ -156,9 +157,9 @@
     }
     struct cache_entry *entry = entry_new(sql);
     served = answer_from(entry, out, error);
-    g_mutex_lock(&shard->mutex);
+    pthread_mutex_lock(&shard->mutex);
     keep_entry(cache, shard, entry);
-    g_mutex_unlock(&shard->mutex);
+    pthread_mutex_unlock(&shard->mutex);
     return served;
 }
 
@@ -167,12 +168,12 @@
     memset(counts, 0, sizeof(*counts));
     for (size_t i = 0; i < CACHE_SHARDS; i++) {
         struct cache_shard *shard = &cache->shards[i];
-        g_mutex_lock(&shard->mutex);
+        pthread_mutex_lock(&shard->mutex);
         counts->hits += shard->hits;
         counts->misses += shard->misses;
         counts->evictions += shard->evictions;
         counts->entries += g_hash_table_size(shard->entries);
         counts->octets += shard->octets;
-        g_mutex_unlock(&shard->mutex);
+        pthread_mutex_unlock(&shard->mutex);
     }
 }
--- a/tests/frontend/harness.c
+++ b/tests/frontend/harness.c
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 static const char key_text[] =
@@ -15,8 +16,8 @@
                         GError **error)
 {
     struct harness *harness = user;
-    g_mutex_lock(&harness->gate);
-    g_mutex_unlock(&harness->gate);
+    pthread_mutex_lock(&harness->gate);
+    pthread_mutex_unlock(&harness->gate);
     if (strcmp(name, "hut") != 0) {
         g_set_error(error, SW_ERROR, ERROR_KIND_UNKNOWN_TENANT, "no tenant \"%s\"", name);
         return false;
@@ -31,14 +32,19 @@
     struct submitted *submitted = g_new0(struct submitted, 1);
     submitted->call = call;
     submitted->request = request;
-    g_async_queue_push(harness->submitted, submitted);
+    pthread_mutex_lock(&harness->lock);
+    g_queue_push_tail(&harness->submitted, submitted);
+    pthread_cond_signal(&harness->arrived);
+    pthread_mutex_unlock(&harness->lock);
 }
 
 void harness_start(struct harness *harness, void (*adjust)(struct frontend_options *options))
 {
     GError *error = NULL;
-    g_mutex_init(&harness->gate);
-    harness->submitted = g_async_queue_new();
+    pthread_mutex_init(&harness->gate, NULL);
+    pthread_mutex_init(&harness->lock, NULL);
+    pthread_cond_init(&harness->arrived, NULL);
+    g_queue_init(&harness->submitted);
     harness->keys = token_keys_parse(key_text, "test keys", &error);
     g_assert_no_error(error);
     struct frontend_options options;
@@ -59,16 +65,48 @@
 unsigned harness_stop(struct harness *harness)
 {
     unsigned cut = harness->frontend == NULL ? 0 : frontend_stop(harness->frontend);
-    g_assert_cmpint(g_async_queue_length(harness->submitted), ==, 0);
-    g_async_queue_unref(harness->submitted);
+    g_assert_cmpuint(harness_waiting(harness), ==, 0);
     token_keys_free(harness->keys);
-    g_mutex_clear(&harness->gate);
+    pthread_cond_destroy(&harness->arrived);
+    pthread_mutex_destroy(&harness->lock);
+    pthread_mutex_destroy(&harness->gate);
     return cut;
 }
 
 struct submitted *harness_take(struct harness *harness)
 {
-    return g_async_queue_pop(harness->submitted);
+    pthread_mutex_lock(&harness->lock);
+    while (g_queue_is_empty(&harness->submitted)) {
+        pthread_cond_wait(&harness->arrived, &harness->lock);
+    }
+    struct submitted *submitted = g_queue_pop_head(&harness->submitted);
+    pthread_mutex_unlock(&harness->lock);
+    return submitted;
+}
+
+struct submitted *harness_take_within(struct harness *harness, unsigned milliseconds)
+{
+    struct timespec until;
+    clock_gettime(CLOCK_REALTIME, &until);
+    uint64_t nanoseconds = (uint64_t)until.tv_nsec + milliseconds * UINT64_C(1000000);
+    until.tv_sec += (time_t)(nanoseconds / UINT64_C(1000000000));
+    until.tv_nsec = (long)(nanoseconds % UINT64_C(1000000000));
+    pthread_mutex_lock(&harness->lock);
+    bool in_time = true;
+    while (in_time && g_queue_is_empty(&harness->submitted)) {
+        in_time = pthread_cond_timedwait(&harness->arrived, &harness->lock, &until) == 0;
+    }
+    struct submitted *submitted = g_queue_pop_head(&harness->submitted);
+    pthread_mutex_unlock(&harness->lock);
+    return submitted;
+}
+
+unsigned harness_waiting(struct harness *harness)
+{
+    pthread_mutex_lock(&harness->lock);
+    unsigned waiting = g_queue_get_length(&harness->submitted);
+    pthread_mutex_unlock(&harness->lock);
+    return waiting;
 }
 
 void harness_answer(struct submitted *submitted, const struct reply *reply)
@@ -119,10 +157,10 @@
     char *body;
     char **headers;
     struct exchange exchange;
-    GThread *thread;
+    pthread_t thread;
 };
 
-static gpointer run_poster(gpointer data)
+static void *run_poster(void *data)
 {
     struct poster *poster = data;
     harness_post(poster->harness, poster->path, poster->body, strlen(poster->body),
@@ -138,13 +176,13 @@
     poster->path = g_strdup(path);
     poster->body = g_strdup(body);
     poster->headers = g_strdupv((char **)headers);
-    poster->thread = g_thread_new("poster", run_poster, poster);
+    g_assert_cmpint(pthread_create(&poster->thread, NULL, run_poster, poster), ==, 0);
     return poster;
 }
 
 void harness_join(struct poster *poster, struct exchange *exchange)
 {
-    g_thread_join(poster->thread);
+    pthread_join(poster->thread, NULL);
     *exchange = poster->exchange;
     g_free(poster->path);
     g_free(poster->body);
--- a/tests/frontend/harness.h
+++ b/tests/frontend/harness.h
@@ -6,6 +6,7 @@
 #include "http_client.h"
 
 #include <glib.h>
+#include <pthread.h>
 
 /* Group of the tenant "hut"; no other tenant exists. */
 #define HARNESS_GROUP 7
@@ -15,8 +16,10 @@
     struct token_keys *keys;
     struct frontend *frontend;
     uint16_t port;
-    GAsyncQueue *submitted; /* of struct submitted */
-    GMutex gate;            /* a test that holds it stops the frontend's threads in find_tenant */
+    GQueue submitted;       /* of struct submitted */
+    pthread_mutex_t lock;   /* of submitted */
+    pthread_cond_t arrived; /* submitted is longer */
+    pthread_mutex_t gate;   /* a test that holds it stops the frontend's threads in find_tenant */
 };
 
 /* A request that reached the fake daemon. */
@@ -35,6 +38,12 @@
 /* Waits for the next request. */
 struct submitted *harness_take(struct harness *harness);
 
+/* The same for a bounded time; NULL where none came. */
+struct submitted *harness_take_within(struct harness *harness, unsigned milliseconds);
+
+/* Requests that wait to be taken. */
+unsigned harness_waiting(struct harness *harness);
+
 /* Answers with a copy of `reply` that owns nothing, and frees `submitted`. */
 void harness_answer(struct submitted *submitted, const struct reply *reply);
 
--- a/tests/frontend/test_frontend_order.c
+++ b/tests/frontend/test_frontend_order.c
@@ -25,10 +25,10 @@
 struct echo_client {
     struct harness *harness;
     unsigned number;
-    GThread *thread;
+    pthread_t thread;
 };
 
-static gpointer run_echo_client(gpointer data)
+static void *run_echo_client(void *data)
 {
     struct echo_client *client = data;
     for (unsigned i = 0; i < REQUESTS_A_CLIENT; i++) {
@@ -66,17 +66,17 @@
     struct harness *harness;
     GRand *random;
     gint *answered; /* by all, under atomic operations */
-    GThread *thread;
+    pthread_t thread;
 };
 
-static gpointer run_answerer(gpointer data)
+static void *run_answerer(void *data)
 {
     struct answerer *answerer = data;
     struct submitted *taken[SHUFFLED_AT_A_TIME];
     while (g_atomic_int_get(answerer->answered) < CLIENTS * REQUESTS_A_CLIENT) {
         size_t count = 0;
         while (count < SHUFFLED_AT_A_TIME) {
-            taken[count] = g_async_queue_timeout_pop(answerer->harness->submitted, 2000);
+            taken[count] = harness_take_within(answerer->harness, 2);
             if (taken[count] == NULL) {
                 break;
             }
@@ -95,19 +95,19 @@
     gint answered = 0;
     struct answerer answerers[ANSWERERS];
     for (guint32 i = 0; i < ANSWERERS; i++) {
-        answerers[i] = (struct answerer){&harness, g_rand_new_with_seed(i), &answered, NULL};
-        answerers[i].thread = g_thread_new("answerer", run_answerer, &answerers[i]);
+        answerers[i] = (struct answerer){&harness, g_rand_new_with_seed(i), &answered, 0};
+        pthread_create(&answerers[i].thread, NULL, run_answerer, &answerers[i]);
     }
     struct echo_client clients[CLIENTS];
     for (unsigned i = 0; i < CLIENTS; i++) {
-        clients[i] = (struct echo_client){&harness, i, NULL};
-        clients[i].thread = g_thread_new("client", run_echo_client, &clients[i]);
+        clients[i] = (struct echo_client){&harness, i, 0};
+        pthread_create(&clients[i].thread, NULL, run_echo_client, &clients[i]);
     }
     for (unsigned i = 0; i < CLIENTS; i++) {
-        g_thread_join(clients[i].thread);
+        pthread_join(clients[i].thread, NULL);
     }
     for (unsigned i = 0; i < ANSWERERS; i++) {
-        g_thread_join(answerers[i].thread);
+        pthread_join(answerers[i].thread, NULL);
         g_rand_free(answerers[i].random);
     }
     g_assert_cmpint(answered, ==, CLIENTS * REQUESTS_A_CLIENT);
@@ -146,7 +146,7 @@
     harness_send(connection, RAW_REQUEST("one") RAW_REQUEST("two"));
     struct submitted *first = harness_take(&harness);
     g_assert_cmpstr(first->request->request_id, ==, "one");
-    g_assert_cmpint(g_async_queue_length(harness.submitted), ==, 0);
+    g_assert_cmpuint(harness_waiting(&harness), ==, 0);
     harness_answer_text(first, "first", 1, 1);
     struct submitted *second = harness_take(&harness);
     g_assert_cmpstr(second->request->request_id, ==, "two");
@@ -289,7 +289,7 @@
 {
     struct harness harness;
     harness_start(&harness, set_one_thread);
-    g_mutex_lock(&harness.gate);
+    pthread_mutex_lock(&harness.gate);
     struct poster *first = harness_post_start(&harness, STATEMENTS, VALID, NULL);
     while (frontend_in_flight(harness.frontend) == 0) {
         g_usleep(1000);
@@ -297,7 +297,7 @@
     int queued = harness_connect(&harness);
     harness_send(queued, RAW_REQUEST("queued"));
     frontend_stop_accepting(harness.frontend);
-    g_mutex_unlock(&harness.gate);
+    pthread_mutex_unlock(&harness.gate);
     harness_answer_text(harness_take(&harness), "served", 1, 1);
     harness_answer_text(harness_take(&harness), "served", 1, 1);
     g_autoptr(GString) answer = harness_receive_until(queued, "}\n");
@@ -310,6 +310,32 @@
     harness_stop(&harness);
 }
 
+static void set_one_connection(struct frontend_options *options)
+{
+    options->threads = 1;
+    options->connections_max = 1;
+}
+
+/* Connections over the bound wait for room; they are not refused. */
+static void test_connections_full(void)
+{
+    struct harness harness;
+    harness_start(&harness, set_one_connection);
+    int first = harness_connect(&harness);
+    g_autoptr(GString) first_answer = exchange_raw(&harness, first);
+    int second = harness_connect(&harness);
+    harness_send(second, RAW_REQUEST("waiting"));
+    g_autoptr(GString) again = exchange_raw(&harness, first);
+    g_assert_cmpuint(harness_waiting(&harness), ==, 0);
+    g_assert_cmpuint(frontend_connections(harness.frontend), ==, 1);
+    close(first);
+    harness_answer_text(harness_take(&harness), "after all", 1, 1);
+    g_autoptr(GString) second_answer = harness_receive_until(second, "}\n");
+    g_assert_nonnull(strstr(second_answer->str, "after all"));
+    close(second);
+    harness_stop(&harness);
+}
+
 /* A stop that can't wait tells callers the outcome is unknown, and drops what comes later. */
 static void test_stop_cuts(void)
 {
@@ -334,18 +360,18 @@
     harness_stop(&harness);
 }
 
-static gpointer answer_all(gpointer data)
+static void *answer_all(void *data)
 {
     struct harness *harness = data;
-    struct submitted *submitted = g_async_queue_timeout_pop(harness->submitted, 100000);
+    struct submitted *submitted = harness_take_within(harness, 100);
     while (submitted != NULL) {
         harness_answer_text(submitted, "x", 1, 1);
-        submitted = g_async_queue_timeout_pop(harness->submitted, 100000);
+        submitted = harness_take_within(harness, 100);
     }
     return NULL;
 }
 
-static gpointer post_until_refused(gpointer data)
+static void *post_until_refused(void *data)
 {
     struct harness *harness = data;
     int connection = harness_connect(harness);
@@ -368,17 +394,18 @@
     for (unsigned round = 0; round < 10; round++) {
         struct harness harness;
         harness_start(&harness, NULL);
-        GThread *clients[4];
+        pthread_t clients[4];
         for (size_t i = 0; i < G_N_ELEMENTS(clients); i++) {
-            clients[i] = g_thread_new("client", post_until_refused, &harness);
+            pthread_create(&clients[i], NULL, post_until_refused, &harness);
         }
-        GThread *answerer = g_thread_new("answerer", answer_all, &harness);
+        pthread_t answerer;
+        pthread_create(&answerer, NULL, answer_all, &harness);
         harness_answer_text(harness_take(&harness), "x", 1, 1);
         frontend_stop(harness.frontend);
         for (size_t i = 0; i < G_N_ELEMENTS(clients); i++) {
-            g_thread_join(clients[i]);
+            pthread_join(clients[i], NULL);
         }
-        g_thread_join(answerer);
+        pthread_join(answerer, NULL);
         harness.frontend = NULL;
         harness_stop(&harness);
     }
@@ -396,6 +423,7 @@
     g_test_add_func("/frontend/caller-gone/in-body", test_caller_gone_in_body);
     g_test_add_func("/frontend/stop-accepting", test_stop_accepting);
     g_test_add_func("/frontend/stop-accepting-with-queue", test_stop_accepting_with_queue);
+    g_test_add_func("/frontend/connections-full", test_connections_full);
     g_test_add_func("/frontend/stop-cuts", test_stop_cuts);
     g_test_add_func("/frontend/stop-under-load", test_stop_under_load);
     int result = g_test_run();
--- a/tests/frontend/test_metrics.c
+++ b/tests/frontend/test_metrics.c
@@ -1,6 +1,7 @@
 /* The metrics registry and its text format. */
 #include "frontend/metrics.h"
 
+#include <pthread.h>
 #include <string.h>
 
 #define THREADS          4
@@ -94,7 +95,7 @@
     struct metric_histogram *histogram;
 };
 
-static gpointer update(gpointer data)
+static void *update(void *data)
 {
     const struct updates *updates = data;
     for (size_t i = 0; i < UPDATES_A_THREAD; i++) {
@@ -116,12 +117,12 @@
     struct updates updates = {metrics, metrics_counter(metrics, "c_total", "C.", NULL),
                               metrics_gauge(metrics, "g", "G.", NULL),
                               metrics_histogram(metrics, "h", "H.", NULL, bounds, 1)};
-    GThread *threads[THREADS];
+    pthread_t threads[THREADS];
     for (size_t i = 0; i < THREADS; i++) {
-        threads[i] = g_thread_new("update", update, &updates);
+        pthread_create(&threads[i], NULL, update, &updates);
     }
     for (size_t i = 0; i < THREADS; i++) {
-        g_thread_join(threads[i]);
+        pthread_join(threads[i], NULL);
     }
     g_assert_cmpuint(metric_counter_value(updates.counter), ==, THREADS * UPDATES_A_THREAD);
     g_assert_cmpint(metric_gauge_value(updates.gauge), ==, 0);
--- a/tests/sql/test_classify.c
+++ b/tests/sql/test_classify.c
@@ -327,7 +327,7 @@
 
 #define CACHE_THREADS 4
 
-static gpointer classify_all(gpointer data)
+static void *classify_all(void *data)
 {
     struct sql_cache *cache = data;
     for (size_t round = 0; round < 5; round++) {
@@ -345,12 +345,12 @@
 static void test_cache_threads(void)
 {
     struct sql_cache *cache = sql_cache_new(64, 4096);
-    GThread *threads[CACHE_THREADS];
+    pthread_t threads[CACHE_THREADS];
     for (size_t i = 0; i < CACHE_THREADS; i++) {
-        threads[i] = g_thread_new("classify", classify_all, cache);
+        pthread_create(&threads[i], NULL, classify_all, cache);
     }
     for (size_t i = 0; i < CACHE_THREADS; i++) {
-        g_thread_join(threads[i]);
+        pthread_join(threads[i], NULL);
     }
     sql_cache_free(cache);
 }
@@ -421,7 +421,7 @@
     g_free(sql);
 }
 
-static gpointer classify_large(gpointer data)
+static void *classify_large(void *data)
 {
     const char *deep = "the statement is nested too deeply";
     assert_too_large(repeat("SELECT ", "1+", 32700, "1"), deep);
