--- a/tests/frontend/test_admin.c
+++ b/tests/frontend/test_admin.c
@@ -1,10 +1,12 @@
 /* The admin listener: its own paths, routes, parameters and bounds. */
 #include "core/error.h"
 #include "frontend/admin.h"
+#include "frontend/listen.h"
 #include "generated/errors.h"
 #include "http_client.h"
 
 #include <curl/curl.h>
+#include <stdatomic.h>
 #include <string.h>
 
 static void answer_echo(const struct admin_request *request, struct admin_answer *answer,
@@ -36,20 +38,20 @@
 
 static bool is_ready(GString *reason, void *user)
 {
-    const bool *ready = user;
+    const atomic_bool *ready = user;
     g_string_append(reason, "no configuration");
-    return *ready;
+    return atomic_load(ready);
 }
 
 struct listener {
     struct admin *admin;
     struct metrics *metrics;
-    bool ready;
+    atomic_bool ready;
 };
 
 static void listener_start(struct listener *listener)
 {
-    listener->ready = false;
+    atomic_init(&listener->ready, false);
     listener->metrics = metrics_new();
     struct admin_options options;
     admin_options_init(&options);
@@ -100,7 +102,7 @@
     assert_answer(&listener, "GET", "/healthz", NULL, 200, TEXT, "ok\n");
     assert_answer(&listener, "HEAD", "/healthz", NULL, 200, TEXT, "");
     assert_answer(&listener, "GET", "/readyz", NULL, 503, TEXT, "not ready: no configuration\n");
-    listener.ready = true;
+    atomic_store(&listener.ready, true);
     assert_answer(&listener, "GET", "/readyz", NULL, 200, TEXT, "ready\n");
     listener_stop(&listener);
 }
@@ -156,6 +158,24 @@
     g_string_free(answer.body, TRUE);
 }
 
+/* Which callers may do more than look. */
+static void test_loopback(void)
+{
+    static const struct {
+        const char *address;
+        bool loopback;
+    } table[] = {
+        {"127.0.0.1", true}, {"127.255.0.9", true}, {"128.0.0.1", false}, {"10.127.0.0", false},
+        {"::1", true},       {"::2", false},        {"::", false},        {"0.0.0.0", false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(table); i++) {
+        union listen_address address;
+        g_assert_true(listen_address_parse(table[i].address, 80, &address, NULL));
+        g_assert_cmpuint(listen_address_port(&address), ==, 80);
+        g_assert_cmpint(listen_address_is_loopback(&address.any), ==, table[i].loopback);
+    }
+}
+
 static void test_start_errors(void)
 {
     struct listener listener;
@@ -180,6 +200,7 @@
     g_test_add_func("/admin/routes", test_routes);
     g_test_add_func("/admin/parameters", test_parameters);
     g_test_add_func("/admin/foreign-error", test_foreign_error);
+    g_test_add_func("/admin/loopback", test_loopback);
     g_test_add_func("/admin/start-errors", test_start_errors);
     int result = g_test_run();
     curl_global_cleanup();
