--- a/src/frontend/request_body.c
+++ b/src/frontend/request_body.c
@@ -15,7 +15,7 @@
     GError **error;
 };
 
-G_GNUC_PRINTF(3, 4)
+__attribute__((format(printf, 3, 4)))
 static bool fail(struct body_reader *reader, enum error_kind kind, const char *format, ...)
 {
     va_list arguments;
--- a/src/frontend/request_head.c
+++ b/src/frontend/request_head.c
@@ -59,7 +59,8 @@
     uint8_t octets[GENERATED_ID_OCTETS];
     randombytes_buf(octets, sizeof(octets));
     char *text = g_malloc(2 * sizeof(octets) + 1);
-    return sodium_bin2hex(text, 2 * sizeof(octets) + 1, octets, sizeof(octets));
+    sodium_bin2hex(text, 2 * sizeof(octets) + 1, octets, sizeof(octets));
+    return text;
 }
 
 char *request_head_id(const struct request_head *head)
--- a/src/session/token.c
+++ b/src/session/token.c
@@ -213,7 +213,8 @@
     g_byte_array_append(token, mac, sizeof(mac));
     size_t size = sodium_base64_encoded_len(token->len, TOKEN_BASE64);
     char *text = g_malloc(size);
-    return sodium_bin2base64(text, size, token->data, token->len, TOKEN_BASE64);
+    sodium_bin2base64(text, size, token->data, token->len, TOKEN_BASE64);
+    return text;
 }
 
 static bool set_token_error(GError **error, const char *reason)
