--- a/src/configuration/route_field.c
+++ b/src/configuration/route_field.c
@@ -3,16 +3,18 @@
 
 #include <string.h>
 
+/* Row of an integer field. */
 #define INTEGER_FIELD(field_name, low, high, fallback)                                             \
     {                                                                                              \
-        .name = #field_name, .bounds = {VALUE_TYPE_INTEGER, low, high, NULL},                      \
-        .default_value = fallback, .offset = offsetof(struct tenant_route, field_name)             \
+        .name = #field_name, .bounds = {VALUE_TYPE_INTEGER, (low), (high), NULL},                  \
+        .default_value = (fallback), .offset = offsetof(struct tenant_route, field_name)           \
     }
 
+/* Row of a boolean field. */
 #define BOOLEAN_FIELD(field_name, fallback)                                                        \
     {                                                                                              \
         .name = #field_name, .bounds = {VALUE_TYPE_BOOLEAN, 0, 1, NULL},                           \
-        .default_value = fallback, .offset = offsetof(struct tenant_route, field_name)             \
+        .default_value = (fallback), .offset = offsetof(struct tenant_route, field_name)           \
     }
 
 static const struct route_field_info fields[ROUTE_FIELD_COUNT] = {
@@ -80,6 +82,22 @@
     return *(const uint32_t *)place;
 }
 
+char *route_field_text(const struct configuration *configuration, const struct tenant_route *route,
+                       enum route_field field)
+{
+    int64_t value = route_field_get(route, field);
+
+    switch (route_field_info(field)->bounds.type) {
+    case VALUE_TYPE_GROUP:
+        return g_strdup(configuration_find_group(configuration, (uint32_t)value)->name);
+    case VALUE_TYPE_BOOLEAN:
+        return g_strdup(value != 0 ? "true" : "false");
+    case VALUE_TYPE_INTEGER:
+        break;
+    }
+    return g_strdup_printf("%" G_GINT64_FORMAT, value);
+}
+
 const char *value_type_name(enum value_type type)
 {
     return type_names[type];
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -23,6 +23,7 @@
         .push_interval = 200 * NANOSECONDS_PER_MILLISECOND,
         .sync_interval = 10 * NANOSECONDS_PER_SECOND,
         .sync_retry = 250 * NANOSECONDS_PER_MILLISECOND,
+        .settle_time = 10 * NANOSECONDS_PER_SECOND,
         .sync_datagrams = 8,
         .tombstone_time = 2 * 3600 * NANOSECONDS_PER_SECOND,
         .forget_time = 6 * 3600 * NANOSECONDS_PER_SECOND,
@@ -58,6 +59,7 @@
     struct membership *membership = g_new0(struct membership, 1);
     membership->options = *options;
     membership->random = options->random_seed ^ self->id ^ self->start;
+    membership->started = now;
     membership->self_id = self->id;
     membership->self_zone = self->zone;
     membership->records = g_array_new(FALSE, FALSE, sizeof(struct member_record));
@@ -114,8 +116,8 @@
     struct configuration_mark in_force = {sender->configuration_version,
                                           message->configuration_hash};
     struct configuration_mark heard = {message->heard_version, message->heard_hash};
-    membership_merge_configuration(membership, in_force, sender, actions);
-    membership_merge_configuration(membership, heard, sender, actions);
+    membership_merge_configuration(membership, in_force, sender, true, actions);
+    membership_merge_configuration(membership, heard, sender, false, actions);
     struct member_record *record = membership_record(membership, sender->member);
     if (record != NULL && record->configuration.version == in_force.version) {
         record->configuration.hash = in_force.hash;
@@ -167,9 +169,13 @@
     merge_message(membership, message, from, now, actions);
 }
 
-/* Drops what has been remembered for long enough. */
+/* Drops what has been remembered for long enough. Not while cut off: a shrinking list would make a
+ * majority of the few that are left. */
 static void sweep(struct membership *membership, time_ns now)
 {
+    if (!membership_majority_reachable(membership, now, membership->options.zone_timeout)) {
+        return;
+    }
     for (size_t i = membership->records->len; i > 0; i--) {
         const struct member_record *record = membership_record_at(membership, i - 1);
         if (record->id == membership->self_id) {
@@ -260,18 +266,20 @@
 void membership_set_configuration(struct membership *membership, struct configuration_mark in_force,
                                   time_ns now, struct membership_actions *actions)
 {
-    membership_self_record(membership)->configuration = in_force;
-    membership_hear_configuration(membership, in_force, now, actions);
+    struct member_record *self = membership_self_record(membership);
+    if (in_force.version <= self->configuration.version || is_silent(membership)) {
+        return;
+    }
+    self->configuration = in_force;
+    membership_hear_configuration(membership, in_force);
+    membership_push(membership, now, actions);
 }
 
-void membership_hear_configuration(struct membership *membership, struct configuration_mark heard,
-                                   time_ns now, struct membership_actions *actions)
+void membership_hear_configuration(struct membership *membership, struct configuration_mark heard)
 {
-    if (heard.version <= membership->heard.version || is_silent(membership)) {
-        return;
+    if (heard.version > membership->heard.version) {
+        membership->heard = heard;
     }
-    membership->heard = heard;
-    membership_push(membership, now, actions);
 }
 
 struct configuration_mark membership_heard_configuration(const struct membership *membership)
--- a/src/wire/peer_server.c
+++ b/src/wire/peer_server.c
@@ -1,13 +1,20 @@
 /* The accept loop and the connections' threads.
  *
- * `stop_descriptor` is an eventfd that stays readable from the stop on; threads see it in their
- * poll. Connections are listed under `mutex`, so that peer_server_free can shut their sockets. */
+ * `stop_descriptor` is an eventfd that stays readable from the stop on; the connections' threads
+ * see it in their poll. The accept thread goes on until peer_server_free, to refuse by CLOSING:
+ * when a listening socket ends, the kernel may drop a connection that is just being made without
+ * telling its peer. Connections are listed under `mutex`, so that peer_server_free can shut their
+ * sockets.
+ */
 #include "wire/peer_server.h"
 
+#include "core/error.h"
+#include "generated/errors.h"
 #include "wire/connection.h"
 #include "wire/listener.h"
 
 #include <poll.h>
+#include <pthread.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -21,10 +28,12 @@
 struct peer_server {
     struct peer_server_options options;
     struct wire_listener *listener;
-    GThread *accept_thread; /* NULL once joined */
-    int stop_descriptor;
-    GMutex mutex;
-    GCond finished;          /* a connection has ended */
+    pthread_t accept_thread;
+    int stop_descriptor; /* ends the connections */
+    int end_descriptor;  /* an eventfd that ends the accept thread */
+    pthread_mutex_t mutex;
+    bool stopping;           /* no connection is listed any more; under mutex */
+    pthread_cond_t finished; /* a connection has ended */
     GHashTable *connections; /* set of struct served_connection; under mutex */
 };
 
@@ -99,11 +108,11 @@
 static void finish_connection(struct served_connection *served)
 {
     struct peer_server *server = served->server;
-    g_mutex_lock(&server->mutex);
+    pthread_mutex_lock(&server->mutex);
     g_hash_table_remove(server->connections, served);
     wire_close(served->connection);
-    g_cond_broadcast(&server->finished);
-    g_mutex_unlock(&server->mutex);
+    pthread_cond_broadcast(&server->finished);
+    pthread_mutex_unlock(&server->mutex);
     g_free(served);
 }
 
@@ -132,44 +141,55 @@
     wire_close(connection);
 }
 
-/* Lists a connection; NULL if the server has its bound of them. */
+/* Lists a connection; NULL if the server stops or has its bound of them. */
 static struct served_connection *list_connection(struct peer_server *server,
                                                  struct wire_connection *connection)
 {
     struct served_connection *served = NULL;
-    g_mutex_lock(&server->mutex);
-    if (g_hash_table_size(server->connections) < server->options.connections_max) {
+    pthread_mutex_lock(&server->mutex);
+    unsigned count = g_hash_table_size(server->connections);
+    if (!server->stopping && count < server->options.connections_max) {
         served = g_new0(struct served_connection, 1);
         served->server = server;
         served->connection = connection;
         g_hash_table_add(server->connections, served);
     }
-    g_mutex_unlock(&server->mutex);
+    pthread_mutex_unlock(&server->mutex);
     return served;
 }
 
+/* Starts a thread that nobody joins; returns an error number. */
+static int start_detached(void *(*function)(void *), void *data)
+{
+    pthread_t thread;
+    pthread_attr_t attributes;
+    pthread_attr_init(&attributes);
+    pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
+    int failure = pthread_create(&thread, &attributes, function, data);
+    pthread_attr_destroy(&attributes);
+    return failure;
+}
+
 static void start_connection(struct peer_server *server, struct wire_connection *connection)
 {
     struct served_connection *served = list_connection(server, connection);
     if (served == NULL) {
-        g_info("wire: connection refused: %u are open", server->options.connections_max);
+        g_info("wire: connection refused: stopping, or %u are open",
+               server->options.connections_max);
         refuse_connection(connection);
         return;
     }
-    g_autoptr(GError) error = NULL;
-    GThread *thread = g_thread_try_new("peer", connection_thread, served, &error);
-    if (thread == NULL) {
-        g_info("wire: connection refused: %s", error->message);
+    int failure = start_detached(connection_thread, served);
+    if (failure != 0) {
+        g_info("wire: connection refused: %s", g_strerror(failure));
         finish_connection(served);
-        return;
     }
-    g_thread_unref(thread);
 }
 
-/* Waits a moment, or less if the server stops. */
+/* Waits a moment, or less if the server ends. */
 static void pause_accepting(struct peer_server *server)
 {
-    struct pollfd entry = {.fd = server->stop_descriptor, .events = POLLIN};
+    struct pollfd entry = {.fd = server->end_descriptor, .events = POLLIN};
     poll(&entry, 1, wire_poll_timeout(deadline_after(ACCEPT_PAUSE_NS)));
 }
 
@@ -179,7 +199,7 @@
     for (;;) {
         g_autoptr(GError) error = NULL;
         struct wire_connection *connection =
-            wire_listener_accept(server->listener, server->stop_descriptor, &error);
+            wire_listener_accept(server->listener, server->end_descriptor, &error);
         if (connection != NULL) {
             start_connection(server, connection);
         } else if (error != NULL) {
@@ -191,6 +211,28 @@
     }
 }
 
+/* A condition whose timed wait takes monotonic time. */
+static void init_condition(pthread_cond_t *condition)
+{
+    pthread_condattr_t attributes;
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(condition, &attributes);
+    pthread_condattr_destroy(&attributes);
+}
+
+/* Frees a server without threads. */
+static void release_server(struct peer_server *server)
+{
+    wire_listener_close(server->listener);
+    g_hash_table_unref(server->connections);
+    close(server->stop_descriptor);
+    close(server->end_descriptor);
+    pthread_cond_destroy(&server->finished);
+    pthread_mutex_destroy(&server->mutex);
+    g_free(server);
+}
+
 struct peer_server *peer_server_start(const char *address,
                                       const struct peer_server_options *options, GError **error)
 {
@@ -202,11 +244,17 @@
     server->options = *options;
     server->listener = listener;
     server->stop_descriptor = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
-    g_assert(server->stop_descriptor >= 0);
-    g_mutex_init(&server->mutex);
-    g_cond_init(&server->finished);
+    server->end_descriptor = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    pthread_mutex_init(&server->mutex, NULL);
+    init_condition(&server->finished);
     server->connections = g_hash_table_new(NULL, NULL);
-    server->accept_thread = g_thread_new("peer-accept", accept_thread, server);
+    int failure = pthread_create(&server->accept_thread, NULL, accept_thread, server);
+    if (failure != 0) {
+        g_set_error(error, SW_ERROR, ERROR_KIND_INTERNAL, "no thread to accept connections: %s",
+                    g_strerror(failure));
+        release_server(server);
+        return NULL;
+    }
     return server;
 }
 
@@ -217,41 +265,39 @@
 
 unsigned peer_server_connection_count(struct peer_server *server)
 {
-    g_mutex_lock(&server->mutex);
+    pthread_mutex_lock(&server->mutex);
     unsigned count = g_hash_table_size(server->connections);
-    g_mutex_unlock(&server->mutex);
+    pthread_mutex_unlock(&server->mutex);
     return count;
 }
 
 /* Waits until no connection is left or the deadline has passed; returns how many are left. */
 static unsigned wait_connections(struct peer_server *server, time_ns deadline)
 {
-    gint64 deadline_us = G_MAXINT64;
-    if (deadline != WIRE_NO_DEADLINE) {
-        deadline_us = (gint64)(deadline / (NANOSECONDS_PER_MILLISECOND / 1000));
-    }
-    g_mutex_lock(&server->mutex);
-    bool in_time = true;
-    while (in_time && g_hash_table_size(server->connections) > 0) {
+    struct timespec until = {
+        .tv_sec = (time_t)(deadline / NANOSECONDS_PER_SECOND),
+        .tv_nsec = (long)(deadline % NANOSECONDS_PER_SECOND),
+    };
+    int failure = 0;
+    pthread_mutex_lock(&server->mutex);
+    while (failure == 0 && g_hash_table_size(server->connections) > 0) {
         if (deadline == WIRE_NO_DEADLINE) {
-            g_cond_wait(&server->finished, &server->mutex);
+            failure = pthread_cond_wait(&server->finished, &server->mutex);
         } else {
-            in_time = g_cond_wait_until(&server->finished, &server->mutex, deadline_us);
+            failure = pthread_cond_timedwait(&server->finished, &server->mutex, &until);
         }
     }
     unsigned left = g_hash_table_size(server->connections);
-    g_mutex_unlock(&server->mutex);
+    pthread_mutex_unlock(&server->mutex);
     return left;
 }
 
 unsigned peer_server_stop(struct peer_server *server, time_ns deadline)
 {
-    if (server->accept_thread != NULL) {
-        eventfd_write(server->stop_descriptor, 1);
-        g_thread_join(server->accept_thread);
-        server->accept_thread = NULL;
-        wire_listener_stop(server->listener);
-    }
+    pthread_mutex_lock(&server->mutex);
+    server->stopping = true;
+    pthread_mutex_unlock(&server->mutex);
+    eventfd_write(server->stop_descriptor, 1);
     return wait_connections(server, deadline);
 }
 
@@ -260,12 +306,12 @@
 {
     GHashTableIter iterator;
     void *served = NULL;
-    g_mutex_lock(&server->mutex);
+    pthread_mutex_lock(&server->mutex);
     g_hash_table_iter_init(&iterator, server->connections);
     while (g_hash_table_iter_next(&iterator, &served, NULL)) {
         shutdown(((struct served_connection *)served)->connection->socket, SHUT_RDWR);
     }
-    g_mutex_unlock(&server->mutex);
+    pthread_mutex_unlock(&server->mutex);
 }
 
 void peer_server_free(struct peer_server *server)
@@ -273,10 +319,7 @@
     peer_server_stop(server, 0);
     cut_connections(server);
     wait_connections(server, WIRE_NO_DEADLINE);
-    wire_listener_close(server->listener);
-    g_hash_table_unref(server->connections);
-    close(server->stop_descriptor);
-    g_cond_clear(&server->finished);
-    g_mutex_clear(&server->mutex);
-    g_free(server);
+    eventfd_write(server->end_descriptor, 1);
+    pthread_join(server->accept_thread, NULL);
+    release_server(server);
 }
