--- a/src/frontend/call.c
+++ b/src/frontend/call.c
@@ -27,7 +27,7 @@
     g_free(call->request_id);
     request_path_clear(&call->path);
     g_free(call->session);
-    g_byte_array_unref(call->body);
+    g_clear_pointer(&call->body, g_byte_array_unref);
     if (call->request != NULL) {
         request_clear(call->request);
         g_free(call->request);
@@ -319,7 +319,7 @@
 {
     struct call_shared *shared = call->shared;
     struct request *request = g_steal_pointer(&call->request);
-    g_byte_array_set_size(call->body, 0);
+    g_clear_pointer(&call->body, g_byte_array_unref);
     call->state = CALL_STATE_SUBMITTED;
     call->submitted = true;
     atomic_fetch_add(&call->references, 1);
--- a/src/frontend/call.h
+++ b/src/frontend/call.h
@@ -54,7 +54,7 @@
     struct reply_shape shape;
     struct group_position *session; /* what the request had seen */
     size_t session_count;
-    GByteArray *body;
+    GByteArray *body;          /* until submitted */
     size_t body_octets;        /* received, kept or not */
     struct request *request;   /* until submitted */
     GError *refusal;           /* the first fault found; ends the call without the daemon */
--- a/src/frontend/request_head.c
+++ b/src/frontend/request_head.c
@@ -92,16 +92,15 @@
     return true;
 }
 
+/* A caller that would wait longer than `timeout_ms_max` is answered by then. */
 static bool parse_timeout(const char *text, uint32_t timeout_ms_max, struct request *request,
                           GError **error)
 {
     guint64 timeout = 0;
-    if (!g_ascii_string_to_unsigned(text, 10, 1, timeout_ms_max, &timeout, NULL)) {
-        g_set_error(error, SW_ERROR, ERROR_KIND_BAD_REQUEST, "%s is not a number from 1 to %u",
-                    HEADER_TIMEOUT, timeout_ms_max);
-        return false;
+    if (!g_ascii_string_to_unsigned(text, 10, 1, G_MAXUINT32, &timeout, NULL)) {
+        return set_head_error(error, HEADER_TIMEOUT, "is not a number from 1 to 4294967295");
     }
-    request->budget_ms = (uint32_t)timeout;
+    request->budget_ms = (uint32_t)MIN(timeout, timeout_ms_max);
     return true;
 }
 
--- a/src/frontend/request_head.h
+++ b/src/frontend/request_head.h
@@ -35,7 +35,7 @@
 char *request_head_id(const struct request_head *head);
 
 /* Checks the headers and fills idempotency_key, session and budget_ms, which is `timeout_ms` where
- * the caller does not say and at most `timeout_ms_max`. Fails with ERROR_KIND_BAD_REQUEST or
+ * the caller does not say and cut to `timeout_ms_max`. Fails with ERROR_KIND_BAD_REQUEST or
  * ERROR_KIND_BAD_SESSION. */
 bool request_head_parse(const struct request_head *head, const struct token_keys *keys,
                         uint32_t timeout_ms, uint32_t timeout_ms_max, struct request *request,
