--- a/src/frontend/call.h
+++ b/src/frontend/call.h
@@ -26,6 +26,7 @@
     struct sql_cache *sql_cache;
     atomic_bool stopping;
     atomic_uint in_flight;
+    atomic_uint connections;
     pthread_mutex_t mutex;
     pthread_cond_t changed; /* on CLOCK_MONOTONIC; signalled when one of the following falls */
     GHashTable *suspended;  /* under mutex: the set of calls submitted and not yet answered */
--- a/src/frontend/frontend.c
+++ b/src/frontend/frontend.c
@@ -58,9 +58,14 @@
 static void on_connection(void *user, struct MHD_Connection *connection, void **connection_state,
                           enum MHD_ConnectionNotificationCode code)
 {
-    const struct call_shared *shared = user;
-    bool begins = code == MHD_CONNECTION_NOTIFY_STARTED;
-    metric_gauge_add(shared->metrics.connections, begins ? 1 : -1);
+    struct call_shared *shared = user;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        atomic_fetch_add(&shared->connections, 1);
+        metric_gauge_add(shared->metrics.connections, 1);
+    } else {
+        atomic_fetch_sub(&shared->connections, 1);
+        metric_gauge_add(shared->metrics.connections, -1);
+    }
 }
 
 static struct MHD_Daemon *start_daemon(struct frontend *frontend)
@@ -93,6 +98,7 @@
     frontend_metrics_init(&shared->metrics, metrics);
     atomic_init(&shared->stopping, false);
     atomic_init(&shared->in_flight, 0);
+    atomic_init(&shared->connections, 0);
     pthread_mutex_init(&shared->mutex, NULL);
     pthread_condattr_t attributes;
     pthread_condattr_init(&attributes);
@@ -179,7 +185,7 @@
 
 unsigned frontend_connections(const struct frontend *frontend)
 {
-    return (unsigned)metric_gauge_value(frontend->shared.metrics.connections);
+    return atomic_load(&frontend->shared.connections);
 }
 
 unsigned frontend_stop(struct frontend *frontend)
--- a/tests/frontend/harness.c
+++ b/tests/frontend/harness.c
@@ -18,6 +18,10 @@
     struct harness *harness = user;
     pthread_mutex_lock(&harness->gate);
     pthread_mutex_unlock(&harness->gate);
+    if (strcmp(name, "early") == 0) {
+        g_set_error_literal(error, SW_ERROR, ERROR_KIND_NOT_READY, "no configuration yet");
+        return false;
+    }
     if (strcmp(name, "hut") != 0) {
         g_set_error(error, SW_ERROR, ERROR_KIND_UNKNOWN_TENANT, "no tenant \"%s\"", name);
         return false;
--- a/tests/frontend/harness.h
+++ b/tests/frontend/harness.h
@@ -8,7 +8,7 @@
 #include <glib.h>
 #include <pthread.h>
 
-/* Group of the tenant "hut"; no other tenant exists. */
+/* Group of the tenant "hut". For "early" there is no configuration; no other tenant exists. */
 #define HARNESS_GROUP 7
 
 /* A frontend whose requests queue up for the test to answer. */
--- a/tests/frontend/test_frontend.c
+++ b/tests/frontend/test_frontend.c
@@ -382,6 +382,60 @@
     harness_stop(&harness);
 }
 
+/* A refusal before the daemon that may be sent again says when. */
+static void test_not_ready(void)
+{
+    struct harness harness;
+    harness_start(&harness, NULL);
+    struct exchange exchange;
+    harness_post(&harness, "/v1/tenants/early/statements", VALID, strlen(VALID), NULL, &exchange);
+    g_assert_cmpint(exchange.status, ==, 503);
+    g_assert_cmpstr(exchange.body->str, ==,
+                    "{\"outcome\":\"refused\",\"error\":{\"kind\":\"not_ready\",\"text\":\"no "
+                    "configuration yet\"},\"retry\":\"yes\"}\n");
+    assert_header(&exchange, "Retry-After", "1");
+    assert_header(&exchange, "Retry-After-Ms", "1000");
+    exchange_clear(&exchange);
+    harness_stop(&harness);
+}
+
+/* The frontend's own metrics after a done and a refused request. */
+static struct metrics *shared_metrics;
+
+static void set_metrics(struct frontend_options *options)
+{
+    options->metrics = shared_metrics;
+}
+
+static void test_metrics(void)
+{
+    static const char *const expected[] = {
+        "swiftworks_frontend_answers_total{outcome=\"done\"} 1\n",
+        "swiftworks_frontend_answers_total{outcome=\"refused\"} 1\n",
+        "swiftworks_frontend_errors_total{kind=\"bad_request\"} 1\n",
+        "swiftworks_frontend_request_seconds_count 2\n",
+        "swiftworks_frontend_requests_in_flight 0\n",
+        "swiftworks_frontend_connections 0\n",
+    };
+    shared_metrics = metrics_new();
+    struct harness harness;
+    harness_start(&harness, set_metrics);
+    struct reply reply;
+    reply_init(&reply);
+    struct exchange exchange;
+    free_request(post_and_answer(&harness, STATEMENTS, VALID, NULL, &reply, &exchange));
+    exchange_clear(&exchange);
+    harness_post(&harness, STATEMENTS, "{}", 2, NULL, &exchange);
+    exchange_clear(&exchange);
+    harness_stop(&harness);
+    g_autoptr(GString) text = g_string_new(NULL);
+    metrics_render(shared_metrics, text);
+    for (size_t i = 0; i < G_N_ELEMENTS(expected); i++) {
+        g_assert_nonnull(strstr(text->str, expected[i]));
+    }
+    metrics_free(shared_metrics);
+}
+
 static void test_repeated_header(void)
 {
     struct harness harness;
@@ -600,6 +654,8 @@
     g_test_add_func("/frontend/session-of-refusal", test_session_of_refusal);
     g_test_add_func("/frontend/session-full", test_session_full);
     g_test_add_func("/frontend/refusals", test_refusals);
+    g_test_add_func("/frontend/not-ready", test_not_ready);
+    g_test_add_func("/frontend/metrics", test_metrics);
     g_test_add_func("/frontend/repeated-header", test_repeated_header);
     g_test_add_func("/frontend/method", test_method);
     g_test_add_func("/frontend/body-limit", test_body_limit);
