--- a/src/load/load_main.c
+++ b/src/load/load_main.c
@@ -152,9 +152,11 @@
 static bool run(const struct command_line *line, GError **error)
 {
     struct runner_options options = options_of(line);
-    if (line->prepare && !prepare_tables(&options, error)) {
+    g_autofree char *token = NULL;
+    if (line->prepare && !prepare_tables(&options, &token, error)) {
         return false;
     }
+    options.token = token;
     if (line->history_path != NULL) {
         options.history = fopen(line->history_path, "we");
         if (options.history == NULL) {
--- a/src/load/prepare.c
+++ b/src/load/prepare.c
@@ -20,13 +20,18 @@
 }
 
 static bool run_statement(const struct runner_options *options, struct client *client,
-                          const struct client_request *request, GError **error)
+                          struct client_request *request, char **token, GError **error)
 {
     uint64_t gives_up_ns =
         clock_now_ns() + options->operation_timeout_ms * NANOSECONDS_PER_MILLISECOND;
     for (;;) {
         struct client_answer answer = {0};
+        request->session_token = *token;
         client->call(client, request, &answer);
+        if (answer.session_token != NULL) {
+            g_free(*token);
+            *token = g_steal_pointer(&answer.session_token);
+        }
         bool done = answer.outcome == ATTEMPT_DONE;
         bool again =
             retry_decide(OPERATION_ENTRY, true, answer.outcome, answer.retry) != RETRY_ACTION_STOP;
@@ -46,17 +51,17 @@
 }
 
 static bool prepare_tenant(const struct runner_options *options, struct client *client,
-                           const char *tenant, GError **error)
+                           const char *tenant, char **token, GError **error)
 {
     for (size_t i = 0; i < OPERATION_SCHEMA_COUNT; i++) {
         struct operation *operation = schema_operation(options, i);
-        const struct client_request request = {
+        struct client_request request = {
             .address = options->addresses[0],
             .tenant = tenant,
             .operation = operation,
             .timeout_ms = options->timeout_ms,
         };
-        bool done = run_statement(options, client, &request, error);
+        bool done = run_statement(options, client, &request, token, error);
         operation_free(operation);
         if (!done) {
             return false;
@@ -65,12 +70,13 @@
     return true;
 }
 
-bool prepare_tables(const struct runner_options *options, GError **error)
+bool prepare_tables(const struct runner_options *options, char **token, GError **error)
 {
     struct client *client = options->client_new();
     bool done = true;
+    *token = NULL;
     for (guint i = 0; done && options->tenants[i] != NULL; i++) {
-        done = prepare_tenant(options, client, options->tenants[i], error);
+        done = prepare_tenant(options, client, options->tenants[i], token, error);
     }
     client->free(client);
     return done;
--- a/src/load/runner.c
+++ b/src/load/runner.c
@@ -225,6 +225,7 @@
         session->runner = runner;
         session->workload = runner->workloads[i];
         session->client = options->client_new();
+        session->token = g_strdup(options->token);
         session->tenant = options->tenants[i % g_strv_length(options->tenants)];
         int failed = pthread_create(&session->thread, &attributes, run_session, session);
         if (failed != 0) {
--- a/src/load/runner.h
+++ b/src/load/runner.h
@@ -20,7 +20,8 @@
     uint32_t timeout_ms;           /* of one attempt */
     uint32_t operation_timeout_ms; /* of an operation with its retries, from when it is due */
     uint32_t gap_threshold_ms;
-    FILE *history; /* NULL for none; borrowed */
+    const char *token; /* session token that every session starts with; NULL for none */
+    FILE *history;     /* NULL for none; borrowed */
 };
 
 /* Runs to the end of the duration, or until runner_stop. Returns the figures, which the caller
--- a/tests/load/test_http_client.c
+++ b/tests/load/test_http_client.c
@@ -254,15 +254,17 @@
     const struct fake_reply replies[] = {
         {503, "{\"outcome\":\"refused\",\"error\":{\"kind\":\"not_ready\"},\"retry\":\"yes\"}",
          NULL},
-        {200, DONE_BODY, NULL},
+        {200, DONE_BODY, SERVED_HEADERS},
     };
     struct fake_daemon *fake = fake_daemon_new(replies, G_N_ELEMENTS(replies));
     char *addresses[] = {(char *)fake_daemon_address(fake), NULL};
     char *tenants[] = {"atlas", NULL};
     struct runner_options options = run_options(addresses, tenants);
     g_autoptr(GError) error = NULL;
-    g_assert_true(prepare_tables(&options, &error));
+    g_autofree char *token = NULL;
+    g_assert_true(prepare_tables(&options, &token, &error));
     g_assert_no_error(error);
+    g_assert_cmpstr(token, ==, "token-2");
     g_assert_cmpuint(fake_daemon_requests(fake), ==, OPERATION_SCHEMA_COUNT + 1);
     fake_daemon_free(fake);
 }
