--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -17,6 +17,9 @@
 /* A slot queue's Retry-After is spread by up to this part of it, in percent. */
 #define RETRY_AFTER_JITTER_PERCENT 50
 
+/* An attempt that can be made again may use up to this part of the time left, in percent. */
+#define ATTEMPT_TIME_PERCENT 75
+
 static void free_task(struct task *task)
 {
     execute_answer_clear(&task->run);
@@ -231,6 +234,15 @@
     pthread_mutex_unlock(&runtime->admission_lock);
 }
 
+time_ns task_attempt_deadline(const struct task *task)
+{
+    time_ns now = backend_now();
+    if (now >= task->deadline) {
+        return task->deadline;
+    }
+    return now + (task->deadline - now) / 100 * ATTEMPT_TIME_PERCENT;
+}
+
 struct log_position task_session_position(const struct task *task)
 {
     struct log_position position = {0, 0};
--- a/src/daemon/task.h
+++ b/src/daemon/task.h
@@ -88,6 +88,10 @@
 /* Gives the slot back, if one is held, and starts the next in the queue. */
 void task_give_slot(struct task *task);
 
+/* Until when one attempt may last that can be made again: a part of the time left is kept to find
+ * out what became of it, or to try elsewhere. */
+time_ns task_attempt_deadline(const struct task *task);
+
 /* What the session has seen in the task's group; zero if nothing. */
 struct log_position task_session_position(const struct task *task);
 
--- a/src/daemon/task_ledger.c
+++ b/src/daemon/task_ledger.c
@@ -15,7 +15,7 @@
 }
 
 enum execute_result task_prepare_ledger(struct task *task, struct backend_connection *connection,
-                                        uint32_t database)
+                                        uint32_t database, time_ns deadline)
 {
     struct group_view view;
     struct execute_answer answer;
@@ -27,7 +27,7 @@
         return EXECUTE_DONE;
     }
     execute_answer_init(&answer);
-    enum execute_result result = adapter_create_ledger(connection, task->deadline, &answer);
+    enum execute_result result = adapter_create_ledger(connection, deadline, &answer);
     execute_answer_clear(&answer);
     if (result != EXECUTE_DONE) {
         return result_for_request(result);
--- a/src/daemon/task_ledger.h
+++ b/src/daemon/task_ledger.h
@@ -8,6 +8,6 @@
  * in each term. DONE: it is there. Otherwise nothing of the request itself was sent; the result is
  * one that says so. */
 enum execute_result task_prepare_ledger(struct task *task, struct backend_connection *connection,
-                                        uint32_t database);
+                                        uint32_t database, time_ns deadline);
 
 #endif
--- a/src/daemon/task_read.c
+++ b/src/daemon/task_read.c
@@ -77,14 +77,15 @@
 {
     const struct read_step *step = &task->read_step;
     struct pool *pool = task->group->databases[step->database].pool;
-    struct backend_connection *connection = pool_acquire(pool, task->deadline, NULL);
+    time_ns deadline = task_attempt_deadline(task);
+    struct backend_connection *connection = pool_acquire(pool, deadline, NULL);
     if (connection == NULL) {
         return EXECUTE_NOT_SENT;
     }
     execute_answer_clear(&task->run);
-    enum execute_result result = adapter_read(
-        connection, step->guard, step->guard_wait_ms, task->request->statements,
-        task->request->statements_count, task->deadline, daemon_result_limits(), &task->run);
+    enum execute_result result =
+        adapter_read(connection, step->guard, step->guard_wait_ms, task->request->statements,
+                     task->request->statements_count, deadline, daemon_result_limits(), &task->run);
     pool_release(pool, connection, backend_connection_is_clean(connection));
     return result;
 }
--- a/src/daemon/task_transaction.c
+++ b/src/daemon/task_transaction.c
@@ -123,8 +123,8 @@
 static enum execute_result begin_on(struct task *task, struct transaction *transaction)
 {
     if (transaction->ledger_key != NULL && !transaction->options.read_only) {
-        enum execute_result prepared =
-            task_prepare_ledger(task, transaction->connection, (uint32_t)transaction->database);
+        enum execute_result prepared = task_prepare_ledger(
+            task, transaction->connection, (uint32_t)transaction->database, task->deadline);
         if (prepared != EXECUTE_DONE) {
             return prepared;
         }
--- a/src/daemon/task_write.c
+++ b/src/daemon/task_write.c
@@ -91,22 +91,24 @@
     return key;
 }
 
-/* Runs the transaction, or closes its key, on a connection. */
+/* Runs the transaction, or closes its key, on a connection. With a key an attempt ends while there
+ * is time to ask the ledger; without one there is nothing to ask, and the answer is waited for. */
 static enum execute_result run_on(struct task *task, struct backend_connection *connection)
 {
     struct adapter_key key = key_of(task);
+    time_ns deadline = key.key != NULL ? task_attempt_deadline(task) : task->deadline;
     if (key.key != NULL) {
         enum execute_result prepared =
-            task_prepare_ledger(task, connection, (uint32_t)task->write_step.database);
+            task_prepare_ledger(task, connection, (uint32_t)task->write_step.database, deadline);
         if (prepared != EXECUTE_DONE) {
             return prepared;
         }
     }
     if (task->write_step.kind == WRITE_STEP_CLOSE_KEY) {
-        return adapter_close_key(connection, &key, task->deadline, &task->run);
+        return adapter_close_key(connection, &key, deadline, &task->run);
     }
     return adapter_write(connection, &key, task->request->statements,
-                         task->request->statements_count, task->deadline, daemon_result_limits(),
+                         task->request->statements_count, deadline, daemon_result_limits(),
                          &task->run);
 }
 
@@ -157,7 +159,8 @@
 {
     execute_answer_clear(&task->run);
     task->run_database = task->transaction->database;
-    enum execute_result result = transaction_commit(task->transaction, task->deadline, &task->run);
+    time_ns deadline = task->ledger_key != NULL ? task_attempt_deadline(task) : task->deadline;
+    enum execute_result result = transaction_commit(task->transaction, deadline, &task->run);
     /* Whatever came of it, the transaction has ended: only its key may be asked for now. */
     transaction_table_end(task->daemon->transactions, task->transaction);
     task->transaction = NULL;
