Give jobs that others wait for lanes of their own

Cause: all requests shared the same workers, so that those which wait could fill them and what they wait for was never run: callers who begin transactions waited for connections while the ends of the open ones were queued behind them; statements waited at the database for a lock while its holder's commit was; and two daemons that forward to each other each waited for the other's workers. All were let go only by deadlines. Ruled out: too few workers (any number is filled by as many callers), and the pool of connections (it had them back at once after the deadline). New work, requests of open transactions and other daemons' requests now have queues and threads of their own; the latter two start threads when none is idle. A timer's thread releases parked jobs, so that it needs no free worker.

--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -145,11 +145,21 @@
     task->ticket.deadline = task->deadline;
 }
 
+static enum worker_lane lane_of(const struct request *request)
+{
+    if (request->hops > 0) {
+        return WORKER_LANE_FORWARDED;
+    }
+    bool in_transaction = request->transaction_id != NULL && request->transaction_id[0] != '\0';
+    return in_transaction ? WORKER_LANE_TRANSACTION : WORKER_LANE_NEW;
+}
+
 void task_submit(struct daemon *daemon, struct request *request, task_answer_function answer,
                  void *origin)
 {
     struct task *task = g_new0(struct task, 1);
     task->job.run = run_task;
+    task->job.lane = lane_of(request);
     task->daemon = daemon;
     task->request = request;
     task->answer = answer;
--- a/src/daemon/worker_pool.c
+++ b/src/daemon/worker_pool.c
@@ -6,17 +6,30 @@
 
 #include "backend/clock.h"
 
-struct worker_pool {
-    pthread_mutex_t lock; /* guards all below */
-    pthread_cond_t changed;
+/* Threads of a lane that starts them when needed, at most. */
+#define LANE_THREADS_MAX 4096
+
+/* One queue with its threads. */
+struct lane {
+    struct worker_pool *pool;
+    pthread_cond_t queued_more; /* or the pool stops */
     struct worker_job *first;
     struct worker_job **last;
     uint32_t queued;
+    uint32_t idle; /* threads that wait for a job */
+    uint32_t threads_max;
+    GArray *threads; /* of pthread_t */
+};
+
+struct worker_pool {
+    pthread_mutex_t lock; /* guards all below, and the lanes */
+    struct lane lanes[WORKER_LANE_COUNT];
     uint32_t queue_limit;
-    GSequence *parked; /* of struct worker_job, by due time */
     bool stopping;
-    uint32_t thread_count;
-    pthread_t *threads;
+
+    GSequence *parked; /* of struct worker_job, by due time */
+    pthread_cond_t parked_changed;
+    pthread_t timer; /* queues parked jobs that are due */
 };
 
 static int compare_due(gconstpointer a, gconstpointer b, gpointer unused)
@@ -29,35 +42,82 @@
     return first->due < second->due ? -1 : 1;
 }
 
-static void append(struct worker_pool *pool, struct worker_job *job)
-{
-    job->next = NULL;
-    *pool->last = job;
-    pool->last = &job->next;
-    pool->queued++;
-}
+/* The steps below are called with the lock held. */
 
-static struct worker_job *take_first(struct worker_pool *pool)
+static struct worker_job *take_first(struct lane *lane)
 {
-    struct worker_job *job = pool->first;
+    struct worker_job *job = lane->first;
     if (job == NULL) {
         return NULL;
     }
-    pool->first = job->next;
-    if (pool->first == NULL) {
-        pool->last = &pool->first;
+    lane->first = job->next;
+    if (lane->first == NULL) {
+        lane->last = &lane->first;
     }
-    pool->queued--;
+    lane->queued--;
     return job;
 }
 
+static void wait_for_job(struct lane *lane)
+{
+    lane->idle++;
+    pthread_cond_wait(&lane->queued_more, &lane->pool->lock);
+    lane->idle--;
+}
+
+static void *worker_main(void *data)
+{
+    struct lane *lane = data;
+    struct worker_pool *pool = lane->pool;
+    pthread_mutex_lock(&pool->lock);
+    for (;;) {
+        struct worker_job *job = take_first(lane);
+        if (job != NULL) {
+            pthread_mutex_unlock(&pool->lock);
+            job->run(job);
+            pthread_mutex_lock(&pool->lock);
+        } else if (pool->stopping) {
+            break;
+        } else {
+            wait_for_job(lane);
+        }
+    }
+    pthread_mutex_unlock(&pool->lock);
+    return NULL;
+}
+
+/* Starts one more thread. Without one at all nothing would run: that is fatal; later the jobs wait
+ * for those there are. */
+static void start_thread(struct lane *lane)
+{
+    pthread_t thread;
+    if (pthread_create(&thread, NULL, worker_main, lane) == 0) {
+        g_array_append_val(lane->threads, thread);
+    } else if (lane->threads->len == 0) {
+        g_error("worker: Can't start a thread.");
+    }
+}
+
+static void append(struct worker_pool *pool, struct worker_job *job)
+{
+    struct lane *lane = &pool->lanes[job->lane];
+    job->next = NULL;
+    *lane->last = job;
+    lane->last = &job->next;
+    lane->queued++;
+    if (lane->queued > lane->idle && lane->threads->len < lane->threads_max) {
+        start_thread(lane);
+    }
+    pthread_cond_signal(&lane->queued_more);
+}
+
 static struct worker_job *first_parked(struct worker_pool *pool)
 {
     GSequenceIter *begin = g_sequence_get_begin_iter(pool->parked);
     return g_sequence_iter_is_end(begin) ? NULL : g_sequence_get(begin);
 }
 
-/* Moves parked jobs that are due to the queue. */
+/* Moves parked jobs that are due to their queues. */
 static void release_parked(struct worker_pool *pool, time_ns now)
 {
     struct worker_job *job = first_parked(pool);
@@ -68,85 +128,101 @@
     }
 }
 
-static void wait_for_work(struct worker_pool *pool)
+static void wait_for_due(struct worker_pool *pool)
 {
-    struct worker_job *parked = first_parked(pool);
-    if (parked == NULL) {
-        pthread_cond_wait(&pool->changed, &pool->lock);
+    struct worker_job *job = first_parked(pool);
+    if (job == NULL) {
+        pthread_cond_wait(&pool->parked_changed, &pool->lock);
         return;
     }
-    struct timespec until = backend_timespec(parked->due);
-    pthread_cond_timedwait(&pool->changed, &pool->lock, &until);
+    struct timespec until = backend_timespec(job->due);
+    pthread_cond_timedwait(&pool->parked_changed, &pool->lock, &until);
 }
 
-static void *worker_main(void *data)
+static void *timer_main(void *data)
 {
     struct worker_pool *pool = data;
     pthread_mutex_lock(&pool->lock);
-    for (;;) {
+    while (!pool->stopping) {
         release_parked(pool, backend_now());
-        struct worker_job *job = take_first(pool);
-        if (job != NULL) {
-            pthread_mutex_unlock(&pool->lock);
-            job->run(job);
-            pthread_mutex_lock(&pool->lock);
-            continue;
-        }
-        if (pool->stopping) {
-            break;
-        }
-        wait_for_work(pool);
+        wait_for_due(pool);
     }
     pthread_mutex_unlock(&pool->lock);
     return NULL;
 }
 
-struct worker_pool *worker_pool_new(uint32_t threads, uint32_t queue_limit)
+static void init_lane(struct worker_pool *pool, enum worker_lane index, uint32_t threads_max)
+{
+    struct lane *lane = &pool->lanes[index];
+    lane->pool = pool;
+    pthread_cond_init(&lane->queued_more, NULL);
+    lane->last = &lane->first;
+    lane->threads_max = threads_max;
+    lane->threads = g_array_new(FALSE, FALSE, sizeof(pthread_t));
+}
+
+static void start_timer(struct worker_pool *pool)
 {
-    struct worker_pool *pool = g_new0(struct worker_pool, 1);
     pthread_condattr_t attributes;
     pthread_condattr_init(&attributes);
     pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(&pool->changed, &attributes);
+    pthread_cond_init(&pool->parked_changed, &attributes);
     pthread_condattr_destroy(&attributes);
-    pthread_mutex_init(&pool->lock, NULL);
-    pool->last = &pool->first;
-    pool->queue_limit = queue_limit;
     pool->parked = g_sequence_new(NULL);
-    pool->thread_count = threads;
-    pool->threads = g_new0(pthread_t, threads);
-    for (uint32_t i = 0; i < threads; i++) {
-        if (pthread_create(&pool->threads[i], NULL, worker_main, pool) != 0) {
-            g_error("worker: Can't start thread %u of %u.", i + 1, threads);
-        }
+    if (pthread_create(&pool->timer, NULL, timer_main, pool) != 0) {
+        g_error("worker: Can't start the timer's thread.");
     }
+}
+
+struct worker_pool *worker_pool_new(uint32_t threads, uint32_t queue_limit)
+{
+    struct worker_pool *pool = g_new0(struct worker_pool, 1);
+    pthread_mutex_init(&pool->lock, NULL);
+    pool->queue_limit = queue_limit;
+    init_lane(pool, WORKER_LANE_NEW, threads);
+    init_lane(pool, WORKER_LANE_TRANSACTION, LANE_THREADS_MAX);
+    init_lane(pool, WORKER_LANE_FORWARDED, LANE_THREADS_MAX);
+    start_timer(pool);
     return pool;
 }
 
+/* Ends a lane's threads after its last job. No thread starts another any more. */
+static void stop_lane(struct lane *lane)
+{
+    for (guint i = 0; i < lane->threads->len; i++) {
+        pthread_join(g_array_index(lane->threads, pthread_t, i), NULL);
+    }
+    g_assert(lane->first == NULL);
+    g_array_unref(lane->threads);
+    pthread_cond_destroy(&lane->queued_more);
+}
+
 void worker_pool_free(struct worker_pool *pool)
 {
     pthread_mutex_lock(&pool->lock);
     pool->stopping = true;
-    pthread_cond_broadcast(&pool->changed);
+    pthread_cond_broadcast(&pool->parked_changed);
+    for (int i = 0; i < WORKER_LANE_COUNT; i++) {
+        pthread_cond_broadcast(&pool->lanes[i].queued_more);
+    }
     pthread_mutex_unlock(&pool->lock);
-    for (uint32_t i = 0; i < pool->thread_count; i++) {
-        pthread_join(pool->threads[i], NULL);
+    pthread_join(pool->timer, NULL);
+    for (int i = 0; i < WORKER_LANE_COUNT; i++) {
+        stop_lane(&pool->lanes[i]);
     }
     g_assert(g_sequence_is_empty(pool->parked));
     g_sequence_free(pool->parked);
-    pthread_cond_destroy(&pool->changed);
+    pthread_cond_destroy(&pool->parked_changed);
     pthread_mutex_destroy(&pool->lock);
-    g_free(pool->threads);
     g_free(pool);
 }
 
 bool worker_pool_submit(struct worker_pool *pool, struct worker_job *job)
 {
     pthread_mutex_lock(&pool->lock);
-    bool accepted = pool->queued < pool->queue_limit;
+    bool accepted = pool->lanes[job->lane].queued < pool->queue_limit;
     if (accepted) {
         append(pool, job);
-        pthread_cond_signal(&pool->changed);
     }
     pthread_mutex_unlock(&pool->lock);
     return accepted;
@@ -156,7 +232,6 @@
 {
     pthread_mutex_lock(&pool->lock);
     append(pool, job);
-    pthread_cond_signal(&pool->changed);
     pthread_mutex_unlock(&pool->lock);
 }
 
@@ -165,7 +240,9 @@
     pthread_mutex_lock(&pool->lock);
     job->due = due;
     g_sequence_insert_sorted(pool->parked, job, compare_due, NULL);
-    pthread_cond_signal(&pool->changed);
+    if (first_parked(pool) == job) {
+        pthread_cond_signal(&pool->parked_changed);
+    }
     pthread_mutex_unlock(&pool->lock);
 }
 
@@ -173,14 +250,16 @@
 {
     pthread_mutex_lock(&pool->lock);
     release_parked(pool, UINT64_MAX);
-    pthread_cond_broadcast(&pool->changed);
     pthread_mutex_unlock(&pool->lock);
 }
 
 uint32_t worker_pool_backlog(struct worker_pool *pool)
 {
     pthread_mutex_lock(&pool->lock);
-    uint32_t backlog = pool->queued + (uint32_t)g_sequence_get_length(pool->parked);
+    uint32_t backlog = (uint32_t)g_sequence_get_length(pool->parked);
+    for (int i = 0; i < WORKER_LANE_COUNT; i++) {
+        backlog += pool->lanes[i].queued;
+    }
     pthread_mutex_unlock(&pool->lock);
     return backlog;
 }
--- a/src/daemon/worker_pool.h
+++ b/src/daemon/worker_pool.h
@@ -1,6 +1,11 @@
-/* The threads that run requests: a bounded queue of jobs, and a list of jobs parked until a moment.
+/* The threads that run requests: bounded queues of jobs, and a list of jobs parked until a moment.
  * A request that has to wait for a new view or a slot is parked or queued elsewhere; it holds no
- * thread meanwhile. */
+ * thread meanwhile.
+ *
+ * Jobs that others may wait for have lanes of their own, so that whatever fills the workers, what
+ * it waits for goes on. New work waits for connections that open transactions hold, and for answers
+ * of other daemons; a transaction's statement waits for locks until another one's commit. Threads
+ * of these lanes are started when none is idle, and stay. */
 #ifndef SW_DAEMON_WORKER_POOL_H
 #define SW_DAEMON_WORKER_POOL_H
 
@@ -11,20 +16,29 @@
 
 struct worker_pool;
 
+enum worker_lane {
+    WORKER_LANE_NEW,         /* new work of own callers, and the daemon's own jobs */
+    WORKER_LANE_TRANSACTION, /* requests of open transactions: one at a time for each */
+    WORKER_LANE_FORWARDED,   /* other daemons' requests: one for each of their connections */
+    WORKER_LANE_COUNT,
+};
+
 /* One piece of work; embedded in its owner, who keeps it valid until it has run. */
 struct worker_job {
     void (*run)(struct worker_job *job);
+    enum worker_lane lane;
     struct worker_job *next; /* the pool's */
     time_ns due;             /* the pool's: moment until which it is parked */
 };
 
-/* Starts `threads` workers; queue_limit bounds jobs submitted and not yet begun. */
+/* Starts `threads` workers for new work; queue_limit bounds jobs of each lane submitted and not yet
+ * begun. */
 struct worker_pool *worker_pool_new(uint32_t threads, uint32_t queue_limit);
 
 /* Runs what is queued, drops nothing, ends the threads. Parked jobs must be gone. */
 void worker_pool_free(struct worker_pool *pool);
 
-/* Queues new work; false if the queue is full. Any thread. */
+/* Queues work in its lane; false if the lane's queue is full. Any thread. */
 bool worker_pool_submit(struct worker_pool *pool, struct worker_job *job);
 
 /* Queues work that was admitted before and must go on, whatever the queue's length. Any thread. */
