--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -10,6 +10,7 @@
 #include "daemon/control.h"
 #include "daemon/daemon.h"
 #include "daemon/forward.h"
+#include "daemon/transaction.h"
 #include "daemon/daemon_metrics.h"
 
 /* When a caller should come back after the daemon itself had no room or was not ready. */
@@ -18,6 +19,9 @@
 /* A slot queue's Retry-After is spread by up to this part of it, in percent. */
 #define RETRY_AFTER_JITTER_PERCENT 50
 
+/* An attempt that can be made again may use up to this part of the time left, in percent. */
+#define ATTEMPT_TIME_PERCENT 75
+
 static void free_task(struct task *task)
 {
     execute_answer_clear(&task->run);
@@ -33,9 +37,20 @@
     g_free(task);
 }
 
+/* Ends a transaction whose commit was never sent. */
+static void roll_back(struct task *task)
+{
+    adapter_rollback(task->transaction->connection, task->deadline);
+    transaction_table_end(task->daemon->transactions, task->transaction);
+    task->transaction = NULL;
+}
+
 void task_finish(struct task *task)
 {
     task_give_slot(task);
+    if (task->transaction != NULL) {
+        roll_back(task);
+    }
     if (task->counts_as_write) {
         group_runtime_end_write(task->group);
         task->counts_as_write = false;
@@ -128,11 +143,21 @@
     task->ticket.deadline = task->deadline;
 }
 
+static enum worker_lane lane_of(const struct request *request)
+{
+    if (request->hops > 0) {
+        return WORKER_LANE_FORWARDED;
+    }
+    bool in_transaction = request->transaction_id != NULL && request->transaction_id[0] != '\0';
+    return in_transaction ? WORKER_LANE_TRANSACTION : WORKER_LANE_NEW;
+}
+
 void task_submit(struct daemon *daemon, struct request *request, task_answer_function answer,
                  void *origin)
 {
     struct task *task = g_new0(struct task, 1);
     task->job.run = run_task;
+    task->job.lane = lane_of(request);
     task->daemon = daemon;
     task->request = request;
     task->answer = answer;
@@ -245,6 +270,15 @@
     pthread_mutex_unlock(&runtime->admission_lock);
 }
 
+time_ns task_attempt_deadline(const struct task *task)
+{
+    time_ns now = backend_now();
+    if (now >= task->deadline) {
+        return task->deadline;
+    }
+    return now + (task->deadline - now) / 100 * ATTEMPT_TIME_PERCENT;
+}
+
 struct log_position task_session_position(const struct task *task)
 {
     struct log_position position = {0, 0};
