Give the stand-in database advisory locks; let tables be named like control calls

Connections are to hold numbered locks at the database, so the stand-in knows pg_try_advisory_lock and pg_advisory_unlock, with one bigint or two integers, at session level. A lock becomes free in the same step in which its connection stops to count against the limit, so a number that can be taken never hides a connection that still counts.

A table such as swiftworks_ledger was taken for a control call by its name alone (SELECT 1 FROM swiftworks_ledger failed with 42883); now only the exact form SELECT * FROM swiftworks_name(...) is one.

--- /dev/null
+++ b/standins/database/advisory.h
@@ -0,0 +1,32 @@
+/* Session-level advisory locks, as PostgreSQL has them: pg_try_advisory_lock(bigint) and (int,
+ * int), and pg_advisory_unlock with the same arguments. A session may take a lock several times,
+ * and gives it back as often, or at its end. */
+#ifndef STANDIN_DATABASE_ADVISORY_H
+#define STANDIN_DATABASE_ADVISORY_H
+
+#include "result.h"
+#include "statement.h"
+
+struct session;
+
+/* Who holds which lock. Guarded by the server's lock. */
+struct advisory_locks {
+    GHashTable *holders; /* key as text to struct advisory_holder */
+};
+
+void advisory_init(struct advisory_locks *locks);
+void advisory_clear(struct advisory_locks *locks);
+
+/* Gives back all that a session holds. The server's lock is held. */
+void advisory_release_all(struct advisory_locks *locks, const struct session *session);
+
+/* Runs "SELECT FUNCTION(arguments)". Arguments are integers, 'text' or $n. */
+bool advisory_execute(struct session *session, const struct statement *statement,
+                      const struct parameters *parameters, struct result *result,
+                      struct sql_error *error);
+
+/* Fills the column such a statement gives. */
+bool advisory_describe(const struct statement *statement, struct result *result,
+                       struct sql_error *error);
+
+#endif
--- a/standins/database/control.c
+++ b/standins/database/control.c
@@ -272,22 +272,6 @@
     return sql_error_set(error, "42883", "no swiftworks function has this name and arguments");
 }
 
-/* The value of one argument, or NULL if it is not valid. */
-static char *argument_value(const char *raw, const struct parameters *parameters)
-{
-    g_autofree char *text = g_strstrip(g_strdup(raw));
-    size_t length = strlen(text);
-    if (text[0] == '$') {
-        unsigned long number = strtoul(text + 1, NULL, 10);
-        bool valid = number > 0 && number <= parameters->values->len;
-        return valid ? g_strdup(g_ptr_array_index(parameters->values, number - 1)) : NULL;
-    }
-    if (length >= 2 && text[0] == '\'' && text[length - 1] == '\'') {
-        return g_strndup(text + 1, length - 2);
-    }
-    return length > 0 ? g_steal_pointer(&text) : NULL;
-}
-
 bool control_describe(const struct statement *statement, struct result *result,
                       struct sql_error *error)
 {
@@ -313,7 +297,7 @@
         .database = database, .transaction = transaction, .result = result, .error = error};
     bool done = true;
     for (; done && call.count < function->arguments; call.count++) {
-        call.arguments[call.count] = argument_value(raw[call.count], parameters);
+        call.arguments[call.count] = parameters_argument(parameters, raw[call.count]);
         done = call.arguments[call.count] != NULL;
     }
     add_columns(function->columns, result);
--- a/standins/database/query.c
+++ b/standins/database/query.c
@@ -1,6 +1,7 @@
 /* The simple and the extended query protocol of a session. See session.h. */
 #include "session.h"
 
+#include "advisory.h"
 #include "control.h"
 
 /* How large an answer grows before it is sent on without a flush being asked for. */
@@ -98,6 +99,8 @@
     if (statement->command == STATEMENT_CONTROL) {
         done = control_execute(session->server->database, &session->transaction, statement,
                                parameters, &result, error);
+    } else if (statement->command == STATEMENT_ADVISORY) {
+        done = advisory_execute(session, statement, parameters, &result, error);
     } else {
         done = execute_in_slot(session, statement, parameters, &result, error);
     }
@@ -146,6 +149,7 @@
     case STATEMENT_REFUSED:
         return sql_error_set(error, "0A000", "%s is not supported", statement->tag);
     case STATEMENT_CONTROL:
+    case STATEMENT_ADVISORY:
     case STATEMENT_SQL:
         return run_sql(session, statement, parameters, describe, error);
     }
@@ -281,6 +285,8 @@
     bool done = true;
     if (statement->command == STATEMENT_CONTROL) {
         done = control_describe(statement, &result, error);
+    } else if (statement->command == STATEMENT_ADVISORY) {
+        done = advisory_describe(statement, &result, error);
     } else if (statement->command == STATEMENT_SQL) {
         done = database_describe(session->server->database, &session->transaction, statement,
                                  parameters, &result, error);
--- a/standins/database/result.c
+++ b/standins/database/result.c
@@ -1,6 +1,7 @@
 /* Plain values between engine and protocol. See result.h. */
 #include "result.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 struct parameters *parameters_new(void)
@@ -37,6 +38,21 @@
     g_free(parameters);
 }
 
+char *parameters_argument(const struct parameters *parameters, const char *raw)
+{
+    g_autofree char *text = g_strstrip(g_strdup(raw));
+    size_t length = strlen(text);
+    if (text[0] == '$') {
+        unsigned long number = strtoul(text + 1, NULL, 10);
+        bool valid = number > 0 && number <= parameters->values->len;
+        return valid ? g_strdup(g_ptr_array_index(parameters->values, number - 1)) : NULL;
+    }
+    if (length >= 2 && text[0] == '\'' && text[length - 1] == '\'') {
+        return g_strndup(text + 1, length - 2);
+    }
+    return length > 0 ? g_steal_pointer(&text) : NULL;
+}
+
 void result_init(struct result *result)
 {
     memset(result, 0, sizeof *result);
--- a/standins/database/result.h
+++ b/standins/database/result.h
@@ -26,6 +26,10 @@
 struct parameters *parameters_copy(const struct parameters *source);
 void parameters_free(struct parameters *parameters);
 
+/* The value of a function's argument as written in SQL: $n, 'text', or any other word as it stands.
+ * NULL if it is null or missing. The caller frees it. */
+char *parameters_argument(const struct parameters *parameters, const char *raw);
+
 /* Columns and rows of an answer. A statement without rows has no columns. */
 struct result {
     GPtrArray *names; /* owned char *: column names */
--- a/standins/database/server.c
+++ b/standins/database/server.c
@@ -28,6 +28,8 @@
     session_run(session);
     pthread_mutex_lock(&server->lock);
     g_hash_table_remove(server->sessions, session);
+    /* A lock becomes free exactly when its connection no longer counts. */
+    advisory_release_all(&server->advisory_locks, session);
     if (session->counted) {
         server->connections--;
     }
@@ -190,6 +192,7 @@
     pthread_mutex_init(&server->lock, NULL);
     pthread_cond_init(&server->session_ended, NULL);
     server->sessions = g_hash_table_new(NULL, NULL);
+    advisory_init(&server->advisory_locks);
     faults_init(&server->faults);
     slots_init(&server->slots, options->slots, options->service_time_us);
     server->database = database_new(options->name, options->role, options->primary);
@@ -253,6 +256,7 @@
     database_free(server->database);
     faults_clear(&server->faults);
     slots_clear(&server->slots);
+    advisory_clear(&server->advisory_locks);
     g_hash_table_unref(server->sessions);
     pthread_cond_destroy(&server->session_ended);
     pthread_mutex_destroy(&server->lock);
--- a/standins/database/server.h
+++ b/standins/database/server.h
@@ -4,6 +4,7 @@
 
 #include <netinet/in.h>
 
+#include "advisory.h"
 #include "database.h"
 #include "faults.h"
 #include "replication.h"
@@ -53,6 +54,7 @@
     GHashTable *sessions; /* set of running struct session * */
     guint connections;    /* counted against the limit */
     guint32 next_process;
+    struct advisory_locks advisory_locks;
     struct server_counters counters;
 };
 
--- a/standins/database/statement.c
+++ b/standins/database/statement.c
@@ -169,6 +169,29 @@
     return g_strdup("SELECT");
 }
 
+/* True for "SELECT" and what matches `pattern`, called with arguments. */
+static bool is_call(const char *sql, const char *pattern)
+{
+    g_autofree char *whole = g_strdup_printf("^\\s*select\\s*%s\\s*\\(", pattern);
+    return g_regex_match_simple(whole, sql, G_REGEX_CASELESS, 0);
+}
+
+/* The words are looked at first, as most statements are none of these. */
+static bool is_control(const GPtrArray *words, const char *sql)
+{
+    return g_str_equal(word_at(words, 0), "SELECT") && g_str_equal(word_at(words, 1), "FROM") &&
+           g_str_has_prefix(word_at(words, 2), "SWIFTWORKS_") &&
+           is_call(sql, "\\*\\s*from\\s+swiftworks_\\w+");
+}
+
+static bool is_advisory(const GPtrArray *words, const char *sql)
+{
+    const char *name = word_at(words, 1);
+    bool named =
+        g_str_equal(name, "PG_TRY_ADVISORY_LOCK") || g_str_equal(name, "PG_ADVISORY_UNLOCK");
+    return named && g_str_equal(word_at(words, 0), "SELECT") && is_call(sql, "\\w+");
+}
+
 static enum statement_command command_of(const GPtrArray *words, const char *sql)
 {
     static const struct {
@@ -193,12 +216,12 @@
             return COMMANDS[i].command;
         }
     }
-    bool control = g_str_equal(word_at(words, 0), "SELECT") &&
-                   g_str_equal(word_at(words, 1), "FROM") &&
-                   g_str_has_prefix(word_at(words, 2), "SWIFTWORKS_");
-    if (control) {
+    if (is_control(words, sql)) {
         return STATEMENT_CONTROL;
     }
+    if (is_advisory(words, sql)) {
+        return STATEMENT_ADVISORY;
+    }
     while (*sql != '\0' &&
            (g_ascii_isspace(*sql) || g_str_has_prefix(sql, "--") || g_str_has_prefix(sql, "/*"))) {
         sql = skip_element(sql);
--- a/standins/database/statement.h
+++ b/standins/database/statement.h
@@ -12,8 +12,9 @@
     STATEMENT_COMMIT,
     STATEMENT_ROLLBACK,
     STATEMENT_SET,
-    STATEMENT_REFUSED, /* SQLite would take it, PostgreSQL would not */
-    STATEMENT_CONTROL, /* SELECT * FROM swiftworks_...(...) */
+    STATEMENT_REFUSED,  /* SQLite would take it, PostgreSQL would not */
+    STATEMENT_CONTROL,  /* SELECT * FROM swiftworks_...(...) */
+    STATEMENT_ADVISORY, /* SELECT pg_try_advisory_lock(...) or pg_advisory_unlock(...) */
     STATEMENT_SQL,
 };
 
