Drive the pool by a connection budget with numbered locks

A pool kept within a fixed limit: connections / owners. While a group moves, the old and the new owner together went past the database's limit. A pool may now follow a core budget: it opens the numbers that the budget asks for, one at a time, and each connection takes the advisory lock of its number right after it opened and before it is handed out. One whose number is taken is closed at once; a closed connection counts until the database has closed its end. The lock is taken when opening and not with the first use: the budget opens ahead of demand, so no request waits for that round trip, and none runs on a connection without a number.

Idle connections are looked at every 500 ms, as one that the database ended has lost its number. A fixed limit is left for uses without owners.

A socket watched for its end comes from dup(), which ThreadSanitizer knows, in place of fcntl(); a socket that never got connected is not watched.

--- a/src/backend/adapter.h
+++ b/src/backend/adapter.h
@@ -128,6 +128,18 @@
 /* Rolls back; whatever the result, nothing of the transaction is ever committed. */
 enum execute_result adapter_rollback(struct backend_connection *connection, time_ns deadline);
 
+/* What came of asking for the lock of a number. */
+enum number_result {
+    NUMBER_HELD,
+    NUMBER_TAKEN,  /* another connection holds it */
+    NUMBER_FAILED, /* not known: the connection is of no use */
+};
+
+/* Takes the lock of one of the database's numbered connections (core/budget.h). It is held until
+ * the connection has ended at the database. */
+enum number_result adapter_take_number(struct backend_connection *connection, uint32_t number,
+                                       time_ns deadline, GError **error);
+
 /* Commands that answer with the database's status. */
 enum adapter_command {
     ADAPTER_COMMAND_STATUS,
--- /dev/null
+++ b/src/backend/adapter_number.c
@@ -0,0 +1,44 @@
+/* The numbered locks that connections hold at their database; see core/budget.h. */
+#include "backend/adapter.h"
+#include "backend/adapter_internal.h"
+#include "core/error.h"
+#include "generated/errors.h"
+
+/* First key of the locks, so that they are no others'; the second is the number. */
+#define LOCK_SPACE 0x73777770
+
+#define SQL_TAKE_NUMBER "SELECT pg_try_advisory_lock($1, $2)"
+
+/* What the one cell of the answer says. */
+static enum number_result take_answer(const struct query_reply *reply, GError **error)
+{
+    const struct sql_result *result = &reply->result;
+    bool row = reply->status == QUERY_STATUS_DONE && result->rows_count == 1 &&
+               result->rows[0].cells_count == 1;
+    if (!row) {
+        g_set_error(error, SW_ERROR, ERROR_KIND_OVERLOADED, "no lock of a number: %s",
+                    reply->error_text != NULL ? reply->error_text : "not a row");
+        return NUMBER_FAILED;
+    }
+    return g_strcmp0(result->rows[0].cells[0].text, "t") == 0 ? NUMBER_HELD : NUMBER_TAKEN;
+}
+
+enum number_result adapter_take_number(struct backend_connection *connection, uint32_t number,
+                                       time_ns deadline, GError **error)
+{
+    char space_text[NUMBER_TEXT_SIZE];
+    char number_text[NUMBER_TEXT_SIZE];
+    g_snprintf(space_text, sizeof space_text, "%d", LOCK_SPACE);
+    g_snprintf(number_text, sizeof number_text, "%u", number);
+    const struct sql_value parameters[] = {{.text = space_text}, {.text = number_text}};
+    struct query_reply reply;
+    enum number_result result = NUMBER_FAILED;
+    pipeline_send(connection, SQL_TAKE_NUMBER, parameters, G_N_ELEMENTS(parameters));
+    if (pipeline_finish(connection, deadline, NULL, &reply, 1) == PIPELINE_WHOLE) {
+        result = take_answer(&reply, error);
+    } else {
+        g_set_error(error, SW_ERROR, ERROR_KIND_OVERLOADED, "no answer to the lock of a number");
+    }
+    pipeline_replies_clear(&reply, 1);
+    return result;
+}
--- a/src/backend/channel.c
+++ b/src/backend/channel.c
@@ -1,6 +1,6 @@
 #include "backend/channel.h"
 
-#include <unistd.h>
+#include "backend/endings.h"
 
 /* A closed connection is taken to have ended after so long at the latest. */
 #define ENDING_MAX_MS 1000
@@ -14,12 +14,6 @@
     void *user;
 };
 
-/* A closed connection whose end at the database has not been seen yet. */
-struct ending {
-    int socket_fd;
-    time_ns until;
-};
-
 struct channel {
     struct channel_options options;
     enum channel_state state;
@@ -29,7 +23,7 @@
     GQueue commands; /* of struct channel_command, oldest first */
     struct pipeline_reader reader;
     bool reading; /* `reader` reads the oldest command's answer */
-    GArray *endings;
+    struct endings endings;
 };
 
 struct channel *channel_new(const struct channel_options *options)
@@ -37,7 +31,7 @@
     struct channel *channel = g_new0(struct channel, 1);
     channel->options = *options;
     connection_settings_copy(&channel->options.connection, &options->connection);
-    channel->endings = g_array_new(FALSE, FALSE, sizeof(struct ending));
+    endings_init(&channel->endings);
     g_queue_init(&channel->commands);
     return channel;
 }
@@ -52,28 +46,11 @@
     return g_queue_get_length((GQueue *)&channel->commands);
 }
 
-/* Forgets the endings that are over, or all. */
-static void purge_endings(struct channel *channel, time_ns now, bool all)
-{
-    for (guint i = channel->endings->len; i > 0; i--) {
-        struct ending ending = g_array_index(channel->endings, struct ending, i - 1);
-        if (all || now >= ending.until || backend_connection_has_ended(ending.socket_fd)) {
-            close(ending.socket_fd);
-            g_array_remove_index_fast(channel->endings, i - 1);
-        }
-    }
-}
-
 /* Closes the connection, and watches for its end at the database. */
 static void close_connection(struct channel *channel, time_ns now)
 {
-    struct ending ending = {
-        .socket_fd = backend_connection_close_watched(channel->connection),
-        .until = now + ENDING_MAX_MS * NANOSECONDS_PER_MILLISECOND,
-    };
-    if (ending.socket_fd >= 0) {
-        g_array_append_val(channel->endings, ending);
-    }
+    time_ns until = now + ENDING_MAX_MS * NANOSECONDS_PER_MILLISECOND;
+    endings_add(&channel->endings, channel->connection, 0, until);
     channel->connection = NULL;
     channel->state = CHANNEL_STATE_CLOSED;
 }
@@ -109,17 +86,19 @@
 void channel_free(struct channel *channel)
 {
     channel_close(channel, 0);
-    purge_endings(channel, 0, true);
-    g_array_unref(channel->endings);
+    endings_clear(&channel->endings);
     connection_settings_clear(&channel->options.connection);
     g_free(channel);
 }
 
 bool channel_open(struct channel *channel, time_ns now)
 {
-    purge_endings(channel, now, false);
+    struct ending ended;
+    while (endings_take(&channel->endings, now, &ended)) {
+        continue;
+    }
     if (channel->state != CHANNEL_STATE_CLOSED ||
-        channel->endings->len > channel->options.endings_max) {
+        endings_count(&channel->endings) > channel->options.endings_max) {
         return false;
     }
     channel->connection = backend_connection_start(&channel->options.connection);
--- a/src/backend/connection.c
+++ b/src/backend/connection.c
@@ -5,6 +5,7 @@
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "backend/clock.h"
 #include "core/error.h"
@@ -53,6 +54,7 @@
                                   "UTF8",
                                   NULL};
     connection->state = CONNECTION_STATE_OPENING;
+    connection->number = -1;
     connection->pg = PQconnectStartParams(keywords, values, 0);
     if (connection->pg == NULL || PQstatus(connection->pg) == CONNECTION_BAD) {
         connection->state = CONNECTION_STATE_BROKEN;
@@ -87,28 +89,32 @@
     }
 }
 
-/* Raises why opening ended without a connection, and closes what there is. */
-static void raise_open_error(struct backend_connection *connection, GError **error)
+bool backend_connection_await_open(struct backend_connection *connection, time_ns deadline,
+                                   GError **error)
 {
+    short events = POLLOUT;
+    while (connection->state == CONNECTION_STATE_OPENING) {
+        if (backend_connection_wait(connection, events, deadline) == 0) {
+            break;
+        }
+        events = backend_connection_continue(connection);
+    }
+    if (connection->state == CONNECTION_STATE_IDLE) {
+        return true;
+    }
     g_autofree char *text = backend_connection_error(connection);
     const char *cause = connection->state == CONNECTION_STATE_OPENING ? "timed out" : text;
     g_set_error(error, SW_ERROR, ERROR_KIND_OVERLOADED, "connection not opened: %s", cause);
-    backend_connection_close(connection);
+    backend_connection_break(connection);
+    return false;
 }
 
 struct backend_connection *backend_connection_open(const struct connection_settings *settings,
                                                    time_ns deadline, GError **error)
 {
     struct backend_connection *connection = backend_connection_start(settings);
-    short events = POLLOUT;
-    while (connection->state == CONNECTION_STATE_OPENING) {
-        if (backend_connection_wait(connection, events, deadline) == 0) {
-            break;
-        }
-        events = backend_connection_continue(connection);
-    }
-    if (connection->state != CONNECTION_STATE_IDLE) {
-        raise_open_error(connection, error);
+    if (!backend_connection_await_open(connection, deadline, error)) {
+        backend_connection_close(connection);
         return NULL;
     }
     return connection;
@@ -126,10 +132,15 @@
 int backend_connection_close_watched(struct backend_connection *connection)
 {
     int socket_fd = connection->pg != NULL ? PQsocket(connection->pg) : -1;
-    int copy = socket_fd >= 0 ? fcntl(socket_fd, F_DUPFD_CLOEXEC, 0) : -1;
-    backend_connection_close(connection);
+    int copy = socket_fd >= 0 ? dup(socket_fd) : -1;
     if (copy >= 0) {
-        shutdown(copy, SHUT_WR);
+        fcntl(copy, F_SETFD, FD_CLOEXEC);
+    }
+    backend_connection_close(connection);
+    if (copy >= 0 && shutdown(copy, SHUT_WR) != 0) {
+        /* Not connected yet: closed for good, it never will be. */
+        close(copy);
+        return -1;
     }
     return copy;
 }
--- a/src/backend/connection.h
+++ b/src/backend/connection.h
@@ -38,6 +38,9 @@
     PGconn *pg;
     enum connection_state state;
     uint32_t unread_answers; /* queries and syncs sent, whose answers are not read yet */
+    /* Of the pool that it belongs to: */
+    int32_t number; /* of the database's numbers, whose lock it holds; -1 for none */
+    bool retiring;  /* to be closed as soon as nobody uses it */
 };
 
 /* Starts to open without waiting; drive it by backend_connection_continue. Never NULL: a failure
@@ -48,6 +51,11 @@
  * or 0 when the state is no longer OPENING. */
 short backend_connection_continue(struct backend_connection *connection);
 
+/* Waits until it is open, or `deadline`. On failure it is BROKEN, with SW_ERROR and libpq's text.
+ */
+bool backend_connection_await_open(struct backend_connection *connection, time_ns deadline,
+                                   GError **error);
+
 /* Opens and waits until `deadline`. On failure returns NULL with SW_ERROR and libpq's text. */
 struct backend_connection *backend_connection_open(const struct connection_settings *settings,
                                                    time_ns deadline, GError **error);
--- a/src/backend/pool.c
+++ b/src/backend/pool.c
@@ -2,9 +2,11 @@
 
 #include <pthread.h>
 #include <stdatomic.h>
-#include <unistd.h>
 
+#include "backend/adapter.h"
 #include "backend/clock.h"
+#include "backend/endings.h"
+#include "backend/pool_budget.h"
 #include "core/error.h"
 #include "generated/errors.h"
 
@@ -12,14 +14,14 @@
  * at most: a database that takes longer is frozen or cut off. */
 #define ENDING_MAX_MS 5000
 
+/* The same for one that never came to be used. */
+#define ENDING_FAILED_MAX_MS 1000
+
 /* How often the sockets being closed are looked at, while there are any. */
 #define ENDING_CHECK_MS 2
 
-/* A closed connection whose end at the database has not been seen yet. */
-struct ending {
-    int socket_fd;
-    time_ns until;
-};
+/* How often idle connections are looked at: one that the database ended has lost its number. */
+#define IDLE_CHECK_MS 500
 
 /* A thread waiting in pool_acquire, on its own stack. */
 struct waiter {
@@ -39,13 +41,15 @@
     pthread_t thread;
     bool stopping;
     bool reachable;
-    bool draining;        /* nothing is kept warm */
-    GQueue waiters;       /* of struct waiter */
-    GQueue idle;          /* of struct backend_connection; the most recently used at the head */
-    GQueue closing;       /* of struct backend_connection, for the maintenance thread to close */
-    GArray *endings;      /* of struct ending; of the maintenance thread */
+    bool draining;  /* nothing is kept warm */
+    GQueue waiters; /* of struct waiter */
+    GQueue idle;    /* of struct backend_connection; the most recently used at the head */
+    GQueue closing; /* of struct backend_connection, for the maintenance thread to close */
+    struct endings endings;
     uint32_t failures;    /* to open, in a row */
     time_ns next_open_at; /* earliest time of the next opening */
+    time_ns next_idle_check_at;
+    struct pool_budget *budget; /* or NULL */
 
     atomic_uint limit;
     atomic_uint open;
@@ -54,6 +58,7 @@
     atomic_uint waiting;
     atomic_uint_fast64_t opened_total;
     atomic_uint_fast64_t open_failed_total;
+    atomic_uint_fast64_t numbers_taken_total;
     atomic_uint_fast64_t refused_total;
     atomic_uint_fast64_t broken_total;
 };
@@ -74,16 +79,28 @@
     pthread_cond_signal(&pool->work);
 }
 
-/* True if there are too many connections besides those being closed already. */
-static bool over_limit(const struct pool *pool)
+/* Connections besides those being closed. */
+static uint32_t count_live(const struct pool *pool)
 {
-    uint32_t closing = g_queue_get_length((GQueue *)&pool->closing) + pool->endings->len;
-    return pool->open - closing > pool->limit;
+    return pool->open - g_queue_get_length((GQueue *)&pool->closing) -
+           endings_count(&pool->endings);
+}
+
+/* True if a connection that nobody uses is to be closed. */
+static bool is_excess(const struct pool *pool, const struct backend_connection *connection)
+{
+    if (pool->stopping) {
+        return true;
+    }
+    return pool->budget != NULL ? connection->retiring : count_live(pool) > pool->limit;
 }
 
 /* Leaves a connection to the maintenance thread; it counts as open until it is closed. */
 static void push_closing(struct pool *pool, struct backend_connection *connection)
 {
+    if (pool->budget != NULL) {
+        pool_budget_closing(pool->budget, connection);
+    }
     g_queue_push_tail(&pool->closing, connection);
     wake_maintenance(pool);
 }
@@ -100,7 +117,7 @@
 /* Makes a clean connection available: to the first waiter, else idle. */
 static void offer(struct pool *pool, struct backend_connection *connection)
 {
-    if (over_limit(pool) || pool->stopping) {
+    if (is_excess(pool, connection)) {
         push_closing(pool, connection);
         return;
     }
@@ -138,10 +155,16 @@
     return NULL;
 }
 
+/* True if this daemon may hold no connection. */
+static bool is_barred(const struct pool *pool)
+{
+    return pool->budget != NULL ? pool_budget_is_empty(pool->budget) : pool->limit == 0;
+}
+
 /* True if no connection can come before `deadline`: none is open, and none will be opened. */
 static bool is_down(const struct pool *pool, time_ns deadline)
 {
-    if (pool->stopping || !pool->reachable || pool->limit == 0) {
+    if (pool->stopping || !pool->reachable || is_barred(pool)) {
         return true;
     }
     return pool->in_use == 0 && pool->failures > 0 && pool->next_open_at >= deadline;
@@ -156,14 +179,19 @@
     }
 }
 
-/* True if a connection must be opened for a waiter or to keep enough of them warm. */
+/* True if a connection must be opened: the budget asks for it, a waiter, or to keep enough of them
+ * warm. */
 static bool wants_open(const struct pool *pool)
 {
-    if (!pool->reachable || pool->stopping || pool->open >= pool->limit) {
+    if (!pool->reachable || pool->stopping) {
         return false;
     }
+    if (pool->budget != NULL) {
+        return pool_budget_wants_open(pool->budget);
+    }
     bool warm = pool->draining || pool->idle_count >= pool->options.idle_min;
-    return !warm || g_queue_get_length((GQueue *)&pool->waiters) > 0;
+    bool wanted = !warm || g_queue_get_length((GQueue *)&pool->waiters) > 0;
+    return wanted && pool->open < pool->limit;
 }
 
 /* Pause after the failures so far: doubled each time, then half of it at random. */
@@ -191,98 +219,144 @@
     pool->next_open_at = rate > 0 ? started_at + NANOSECONDS_PER_SECOND / rate : 0;
 }
 
-/* Opens one connection, with the lock released meanwhile. */
-static void open_one(struct pool *pool)
+/* Closes a connection; it counts as open until the database has closed its end. */
+static void start_ending(struct pool *pool, struct backend_connection *connection,
+                         enum pool_ending cause)
 {
-    g_autoptr(GError) error = NULL;
-    pool->open++;
-    pthread_mutex_unlock(&pool->lock);
-    time_ns started_at = backend_now();
-    time_ns deadline = started_at + pool->options.open_timeout_ms * NANOSECONDS_PER_MILLISECOND;
-    struct backend_connection *connection =
-        backend_connection_open(&pool->options.connection, deadline, &error);
-    pthread_mutex_lock(&pool->lock);
-    schedule_next_open(pool, started_at, connection != NULL);
-    if (connection == NULL) {
-        pool->open--;
-        pool->open_failed_total++;
-        g_debug("pool: %s:%u: %s", pool->options.connection.host,
-                (unsigned)pool->options.connection.port, error->message);
-        if (pool->open == 0) {
-            refuse_waiters(pool);
+    uint64_t most = cause == POOL_ENDING_CLOSED ? ENDING_MAX_MS : ENDING_FAILED_MAX_MS;
+    time_ns until = backend_now() + most * NANOSECONDS_PER_MILLISECOND;
+    endings_add(&pool->endings, connection, (int)cause, until);
+}
+
+/* Closes the idle connections that are to be closed or have ended at the database. */
+static void check_idle(struct pool *pool)
+{
+    GList *link = pool->idle.head;
+    while (link != NULL) {
+        GList *next = link->next;
+        struct backend_connection *connection = link->data;
+        bool healthy = backend_connection_is_healthy(connection);
+        if (!healthy || is_excess(pool, connection)) {
+            g_queue_delete_link(&pool->idle, link);
+            pool->idle_count--;
+            pool->broken_total += !healthy;
+            backend_connection_break(connection);
+            push_closing(pool, connection);
         }
-        return;
+        link = next;
     }
-    pool->opened_total++;
-    offer(pool, connection);
+    pool->next_idle_check_at = backend_now() + IDLE_CHECK_MS * NANOSECONDS_PER_MILLISECOND;
 }
 
-static void close_socket(int socket_fd)
+/* Follows a change of the budget: closes what it gives up, and refuses those who wait in vain. */
+static void follow_budget(struct pool *pool)
 {
-    if (socket_fd >= 0) {
-        close(socket_fd);
+    pool->limit = pool_budget_limit(pool->budget);
+    check_idle(pool);
+    if (is_barred(pool)) {
+        refuse_waiters(pool);
     }
 }
 
-/* Closes one connection; it counts as open until the database has closed its end. */
-static void close_one(struct pool *pool)
+/* Does what is due in the budget. */
+static void tick_budget(struct pool *pool)
 {
-    struct backend_connection *connection = g_queue_pop_head(&pool->closing);
-    struct ending ending = {
-        .socket_fd = backend_connection_close_watched(connection),
-        .until = backend_now() + ENDING_MAX_MS * NANOSECONDS_PER_MILLISECOND,
-    };
-    g_array_append_val(pool->endings, ending);
+    time_ns now = backend_now();
+    if (pool->budget != NULL && now >= pool_budget_wake_at(pool->budget)) {
+        pool_budget_tick(pool->budget, now);
+        follow_budget(pool);
+    }
 }
 
 /* Stops counting the connections that have ended. */
 static void check_endings(struct pool *pool)
 {
-    time_ns now = backend_now();
-    for (guint i = pool->endings->len; i > 0; i--) {
-        struct ending *ending = &g_array_index(pool->endings, struct ending, i - 1);
-        bool ended = ending->socket_fd < 0 || backend_connection_has_ended(ending->socket_fd);
-        if (ended || now >= ending->until) {
-            close_socket(ending->socket_fd);
-            g_array_remove_index_fast(pool->endings, i - 1);
-            pool->open--;
+    struct ending ended;
+    while (endings_take(&pool->endings, backend_now(), &ended)) {
+        pool->open--;
+        if (pool->budget != NULL) {
+            pool_budget_ended(pool->budget, (uint32_t)ended.number, (enum pool_ending)ended.cause,
+                              backend_now());
+            follow_budget(pool);
         }
     }
 }
 
-/* Sleeps until there is work, or an opening that is wanted may start, or sockets being closed are
- * to be looked at. */
-static void wait_for_work(struct pool *pool)
+/* Makes a new connection available. */
+static void take_in(struct pool *pool, struct backend_connection *connection)
 {
-    time_ns until = UINT64_MAX;
-    if (wants_open(pool)) {
-        until = pool->next_open_at;
+    pool->opened_total++;
+    if (pool->budget != NULL) {
+        pool_budget_opened(pool->budget, connection, backend_now());
     }
-    if (pool->endings->len > 0) {
-        until = MIN(until, backend_now() + ENDING_CHECK_MS * NANOSECONDS_PER_MILLISECOND);
+    offer(pool, connection);
+    if (pool->budget != NULL) {
+        follow_budget(pool);
     }
-    if (until == UINT64_MAX) {
-        pthread_cond_wait(&pool->work, &pool->lock);
-        return;
+}
+
+/* Opens a connection and takes its number, if it is to have one. Called without the lock. */
+static bool open_connection(const struct pool *pool, struct backend_connection *connection,
+                            time_ns deadline, enum pool_ending *failure)
+{
+    g_autoptr(GError) error = NULL;
+    *failure = POOL_ENDING_FAILED;
+    bool usable = backend_connection_await_open(connection, deadline, &error);
+    if (usable && connection->number >= 0) {
+        enum number_result result =
+            adapter_take_number(connection, (uint32_t)connection->number, deadline, &error);
+        usable = result == NUMBER_HELD;
+        *failure = result == NUMBER_TAKEN ? POOL_ENDING_TAKEN : POOL_ENDING_FAILED;
     }
-    struct timespec time = backend_timespec(until);
-    pthread_cond_timedwait(&pool->work, &pool->lock, &time);
+    if (error != NULL) {
+        g_debug("pool: %s:%u: %s", pool->options.connection.host,
+                (unsigned)pool->options.connection.port, error->message);
+    }
+    return usable;
 }
 
-static void close_idle_over_limit(struct pool *pool)
+/* Opens one connection, with the lock released meanwhile. */
+static void open_one(struct pool *pool)
 {
-    while (over_limit(pool) && pool->idle_count > 0) {
-        push_closing(pool, pop_idle(pool));
+    int32_t number = pool->budget != NULL ? (int32_t)pool_budget_begin_open(pool->budget) : -1;
+    enum pool_ending failure;
+    pool->open++;
+    pthread_mutex_unlock(&pool->lock);
+    time_ns started_at = backend_now();
+    time_ns deadline = started_at + pool->options.open_timeout_ms * NANOSECONDS_PER_MILLISECOND;
+    struct backend_connection *connection = backend_connection_start(&pool->options.connection);
+    connection->number = number;
+    bool usable = open_connection(pool, connection, deadline, &failure);
+    pthread_mutex_lock(&pool->lock);
+    schedule_next_open(pool, started_at, usable || failure == POOL_ENDING_TAKEN);
+    if (usable) {
+        take_in(pool, connection);
+        return;
+    }
+    pool->open_failed_total += failure == POOL_ENDING_FAILED;
+    pool->numbers_taken_total += failure == POOL_ENDING_TAKEN;
+    start_ending(pool, connection, failure);
+    if (count_live(pool) == 0 && failure == POOL_ENDING_FAILED) {
+        refuse_waiters(pool);
     }
 }
 
-/* Forgets the sockets being closed. */
-static void clear_endings(struct pool *pool)
+/* Sleeps until there is work, or an opening that is wanted may start, or sockets are to be looked
+ * at. */
+static void wait_for_work(struct pool *pool)
 {
-    for (guint i = 0; i < pool->endings->len; i++) {
-        close_socket(g_array_index(pool->endings, struct ending, i).socket_fd);
+    time_ns until = pool->next_idle_check_at;
+    if (wants_open(pool)) {
+        until = MIN(until, pool->next_open_at);
+    }
+    if (endings_count(&pool->endings) > 0) {
+        until = MIN(until, backend_now() + ENDING_CHECK_MS * NANOSECONDS_PER_MILLISECOND);
     }
-    g_array_unref(pool->endings);
+    if (pool->budget != NULL) {
+        until = MIN(until, pool_budget_wake_at(pool->budget));
+    }
+    struct timespec time = backend_timespec(until);
+    pthread_cond_timedwait(&pool->work, &pool->lock, &time);
 }
 
 static void *maintain(void *data)
@@ -291,8 +365,12 @@
     pthread_mutex_lock(&pool->lock);
     while (!pool->stopping || !g_queue_is_empty(&pool->closing)) {
         check_endings(pool);
+        tick_budget(pool);
+        if (backend_now() >= pool->next_idle_check_at) {
+            check_idle(pool);
+        }
         if (!g_queue_is_empty(&pool->closing)) {
-            close_one(pool);
+            start_ending(pool, g_queue_pop_head(&pool->closing), POOL_ENDING_CLOSED);
         } else if (wants_open(pool) && backend_now() >= pool->next_open_at) {
             open_one(pool);
         } else {
@@ -322,8 +400,12 @@
     struct pool *pool = g_new0(struct pool, 1);
     copy_options(pool, options);
     pool->reachable = true;
-    pool->limit = options->limit;
-    pool->endings = g_array_new(FALSE, FALSE, sizeof(struct ending));
+    if (options->budget != NULL) {
+        pool->budget = pool_budget_new(options->budget);
+    } else {
+        pool->limit = options->limit;
+    }
+    endings_init(&pool->endings);
     g_queue_init(&pool->waiters);
     g_queue_init(&pool->idle);
     g_queue_init(&pool->closing);
@@ -344,7 +426,8 @@
     wake_maintenance(pool);
     pthread_mutex_unlock(&pool->lock);
     pthread_join(pool->thread, NULL);
-    clear_endings(pool);
+    endings_clear(&pool->endings);
+    pool_budget_free(pool->budget);
     pthread_cond_destroy(&pool->work);
     pthread_mutex_destroy(&pool->lock);
     connection_settings_clear(&pool->options.connection);
@@ -415,16 +498,59 @@
         backend_connection_break(connection);
         push_closing(pool, connection);
     }
+    pthread_mutex_unlock(&pool->lock);
+}
+
+void pool_set_position(struct pool *pool, int32_t position, bool handing_over)
+{
+    pthread_mutex_lock(&pool->lock);
+    pool_budget_set_position(pool->budget, position, handing_over, backend_now());
+    follow_budget(pool);
+    wake_maintenance(pool);
+    pthread_mutex_unlock(&pool->lock);
+}
+
+void pool_peer_warm(struct pool *pool)
+{
+    pthread_mutex_lock(&pool->lock);
+    pool_budget_peer_warm(pool->budget, backend_now());
+    follow_budget(pool);
+    wake_maintenance(pool);
+    pthread_mutex_unlock(&pool->lock);
+}
+
+void pool_peer_released(struct pool *pool)
+{
+    pthread_mutex_lock(&pool->lock);
+    pool_budget_peer_released(pool->budget, backend_now());
+    follow_budget(pool);
     wake_maintenance(pool);
     pthread_mutex_unlock(&pool->lock);
 }
 
+bool pool_is_warm(struct pool *pool)
+{
+    pthread_mutex_lock(&pool->lock);
+    bool warm = pool_budget_is_warm(pool->budget);
+    pthread_mutex_unlock(&pool->lock);
+    return warm;
+}
+
+bool pool_is_released(struct pool *pool)
+{
+    pthread_mutex_lock(&pool->lock);
+    bool released = pool_budget_is_released(pool->budget) && pool->open == 0;
+    pthread_mutex_unlock(&pool->lock);
+    return released;
+}
+
 void pool_set_limit(struct pool *pool, uint32_t limit)
 {
+    g_assert(pool->budget == NULL);
     pthread_mutex_lock(&pool->lock);
     pool->limit = limit;
     pool->draining = false;
-    close_idle_over_limit(pool);
+    check_idle(pool);
     if (limit == 0) {
         refuse_waiters(pool);
     }
@@ -443,6 +569,7 @@
     if (!reachable) {
         refuse_waiters(pool);
     }
+    check_idle(pool);
     wake_maintenance(pool);
     pthread_mutex_unlock(&pool->lock);
 }
@@ -467,6 +594,7 @@
         .waiting = pool->waiting,
         .opened_total = pool->opened_total,
         .open_failed_total = pool->open_failed_total,
+        .numbers_taken_total = pool->numbers_taken_total,
         .refused_total = pool->refused_total,
         .broken_total = pool->broken_total,
     };
--- a/src/backend/pool.h
+++ b/src/backend/pool.h
@@ -1,6 +1,7 @@
 /* The connections of this daemon to one database: few, slow to open and scarce. The pool keeps
- * within a limit that may change at run time, opens one connection at a time at a bounded rate, and
- * hands connections to waiting threads first come, first served. */
+ * within a budget that all owners of the database share (core/budget.h), or within a limit of its
+ * own, opens one connection at a time at a bounded rate, and hands connections to waiting threads
+ * first come, first served. */
 #ifndef SW_BACKEND_POOL_H
 #define SW_BACKEND_POOL_H
 
@@ -9,6 +10,7 @@
 #include <stdint.h>
 
 #include "backend/connection.h"
+#include "core/budget.h"
 #include "core/types.h"
 
 struct pool;
@@ -16,6 +18,10 @@
 /* Fixed at creation. The strings are copied. */
 struct pool_options {
     struct connection_settings connection;
+    /* The budget of the database, copied; NULL for a fixed limit. With a budget each connection
+     * holds the lock of a number before it is used, all that are in budget are kept open, and the
+     * next two do not matter. */
+    const struct budget_options *budget;
     uint32_t limit;                /* connections at most, the one being opened included */
     uint32_t idle_min;             /* kept open while within the limit */
     uint32_t open_rate_per_second; /* 0 = not bounded */
@@ -37,8 +43,9 @@
     uint32_t waiting;
     uint64_t opened_total;
     uint64_t open_failed_total;
-    uint64_t refused_total; /* acquisitions that got no connection */
-    uint64_t broken_total;  /* connections closed since they were not fit to be used again */
+    uint64_t numbers_taken_total; /* connections closed since another held their number */
+    uint64_t refused_total;       /* acquisitions that got no connection */
+    uint64_t broken_total;        /* connections closed since they were not fit to be used again */
 };
 
 /* Starts a pool with its one thread, which opens and closes connections. */
@@ -56,7 +63,22 @@
  * network. */
 void pool_release(struct pool *pool, struct backend_connection *connection, bool reusable);
 
-/* Changes the limit. Idle connections above it are closed soon, others when released. */
+/* Tells this daemon's place among those that share the budget; see budget_set_position. A pool with
+ * a budget opens nothing before the first call, and lets threads wait. Any thread. */
+void pool_set_position(struct pool *pool, int32_t position, bool handing_over);
+
+/* Another daemon told that it can serve, or that it holds no connection any more. Any thread. */
+void pool_peer_warm(struct pool *pool);
+void pool_peer_released(struct pool *pool);
+
+/* True once enough connections are held to serve from. Any thread. */
+bool pool_is_warm(struct pool *pool);
+
+/* True if the place was lost and all connections have ended at the database. Any thread. */
+bool pool_is_released(struct pool *pool);
+
+/* Changes the limit of a pool without a budget. Idle connections above it are closed soon, others
+ * when released. */
 void pool_set_limit(struct pool *pool, uint32_t limit);
 
 /* Tells what probes know. While not reachable, nothing is opened and waiters are refused. */
