Add the simulator of guarantees: world, model, clients, checker

Virtual time and one seeded random source make a run repeatable. Daemons in it run the core's own control, routing, read and write flows; databases, network and clients are models. A step of the group's control now never asks to be woken at once, which had made the first run spin.

--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -7,6 +7,9 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* A shell is never asked to come back at once: whatever is due now was done in this step. */
+#define WAKE_DELAY_MIN NANOSECONDS_PER_MILLISECOND
+
 void group_control_options_init(struct group_control_options *options)
 {
     const time_ns ms = NANOSECONDS_PER_MILLISECOND;
@@ -116,6 +119,9 @@
 
 void control_wake_at(struct group_control *control, time_ns at)
 {
+    if (at <= control->now) {
+        at = control->now + WAKE_DELAY_MIN;
+    }
     if (at < control->actions->wake_at) {
         control->actions->wake_at = at;
     }
--- a/src/core/group_control_observe.c
+++ b/src/core/group_control_observe.c
@@ -266,14 +266,13 @@
                           others, count);
 }
 
-static bool own_suspicion(const struct group_control *control)
+/* When the primary will be suspected unless it is seen to lead before. */
+static time_ns suspicion_due(const struct group_control *control)
 {
-    time_ns wait = control->options.suspect_after;
-
     if (control->known_primary == NO_DATABASE) {
-        wait = control->options.bootstrap_wait;
+        return control->led_at + control->options.bootstrap_wait;
     }
-    return control->now >= control->led_at + wait;
+    return control->led_at + control->options.suspect_after;
 }
 
 static bool zones_agree(const struct group_control *control)
@@ -301,7 +300,7 @@
 void observe_suspicion(struct group_control *control)
 {
     struct log_position none = {0, 0};
-    bool suspects = own_suspicion(control);
+    bool suspects = control->now >= suspicion_due(control);
     bool confirmed;
 
     if (suspects != control->suspects) {
@@ -311,7 +310,7 @@
                        GROUP_REASON_NONE, control->known_term, control->known_primary, none);
     }
     if (!suspects) {
-        control_wake_at(control, control->led_at + control->options.suspect_after);
+        control_wake_at(control, suspicion_due(control));
     }
     confirmed = zones_agree(control);
     if (confirmed && !control->confirmed) {
--- /dev/null
+++ b/src/sim/measure.h
@@ -0,0 +1,23 @@
+/* Figures of failovers and planned changes in a run: how long no write landed, and which part took
+ * how long. */
+#ifndef SW_SIM_MEASURE_H
+#define SW_SIM_MEASURE_H
+
+#include "sim/sim_run.h"
+
+/* The gap around one replacement of the primary. All times in nanoseconds. */
+struct measure_gap {
+    bool found;
+    time_ns detect;  /* from the fault to the first fence; planned: from the wish to the pause */
+    time_ns promote; /* from there to the new primary's promotion */
+    time_ns learn;   /* from there to the next acknowledged write */
+    time_ns gap;     /* longest time without an acknowledged write, around the replacement */
+};
+
+/* Measures the first replacement after the first fault. */
+struct measure_gap measure_first_gap(const struct sim_run *run);
+
+/* Prints median, 99th percentile and worst of the gaps, in milliseconds. `gaps` is sorted. */
+void measure_print(GArray *gaps, const char *title);
+
+#endif
--- /dev/null
+++ b/src/sim/prove.c
@@ -0,0 +1,176 @@
+/* swiftsim prove: every guarantee with its mechanism on, which must pass, and off, which must
+ * fail. */
+#include <stdio.h>
+
+#include "sim/checker.h"
+#include "sim/explore.h"
+#include "sim/measure.h"
+
+/* A guarantee under a scenario. With the mutation some seed must break one of the rules. */
+struct row {
+    const char *guarantee;
+    const char *scenario;
+    enum sim_mutation mutation; /* NONE: only proved with the mechanism on */
+    enum checker_rule expected;
+};
+
+static const struct row ROWS[] = {
+    {"acknowledged by the current primary", "primary_killed", SIM_MUTATION_TRUST_COMMIT,
+     CHECKER_RULE_ACKNOWLEDGED_LOST},
+    {"acknowledged by the current primary", "primary_cut_with_clients", SIM_MUTATION_TRUST_COMMIT,
+     CHECKER_RULE_ACKNOWLEDGED_LOST},
+    {"acknowledged by the current primary", "zone_cut_and_heal", SIM_MUTATION_NO_FENCE,
+     CHECKER_RULE_ACKNOWLEDGED_LOST},
+    {"acknowledged by the current primary", "coordinator_paused", SIM_MUTATION_NONE, 0},
+    {"acknowledged by the current primary", "two_coordinators", SIM_MUTATION_NO_FENCE,
+     CHECKER_RULE_ACKNOWLEDGED_LOST},
+    {"acknowledged by the current primary", "failover_during_failover", SIM_MUTATION_TRUST_COMMIT,
+     CHECKER_RULE_ACKNOWLEDGED_LOST},
+    {"acknowledged by the current primary", "daemon_paused_before_answer",
+     SIM_MUTATION_TRUST_COMMIT, CHECKER_RULE_ACKNOWLEDGED_LOST},
+    {"healthy primary is not deposed", "pair_cut", SIM_MUTATION_SINGLE_WATCHER_DEPOSES,
+     CHECKER_RULE_FALSE_FAILOVER},
+    {"sessions read their writes", "replicas_lag", SIM_MUTATION_IGNORE_GUARD,
+     CHECKER_RULE_READ_OWN_WRITES},
+    {"reads are monotonic", "replicas_lag", SIM_MUTATION_IGNORE_GUARD,
+     CHECKER_RULE_MONOTONIC_READS},
+    {"not repeatable at most once", "lost_answers", SIM_MUTATION_RESEND_UNKEYED,
+     CHECKER_RULE_AT_MOST_ONCE},
+    {"not repeatable at most once", "daemon_killed_mid_commit", SIM_MUTATION_NONE, 0},
+    {"not run is true, keys are not reused", "same_key_two_daemons", SIM_MUTATION_RESEND_UNKEYED,
+     CHECKER_RULE_AT_MOST_ONCE},
+    {"each caller gets its own answer", "lost_answers", SIM_MUTATION_REUSE_CONNECTION,
+     CHECKER_RULE_ANSWERS_MIXED},
+    {"a leaving database gets no new work", "drain_two", SIM_MUTATION_IGNORE_LEAVING,
+     CHECKER_RULE_LEAVING},
+    {"a planned change fails no request", "drain_primary", SIM_MUTATION_NO_PAUSE,
+     CHECKER_RULE_FAILED_REQUEST},
+    {"a drain races a failover", "drain_during_failover", SIM_MUTATION_TRUST_COMMIT,
+     CHECKER_RULE_ACKNOWLEDGED_LOST},
+};
+
+/* Outcome of one scenario over all seeds. */
+struct tally {
+    uint64_t failing_seeds;
+    uint64_t first_failing;
+    char *first_text;
+};
+
+static void run_seed(const struct sim_scenario *scenario, uint64_t seed, const struct row *row,
+                     enum sim_mutation mutation, struct tally *tally, GArray *gaps)
+{
+    struct sim_run *run = sim_run_new(scenario, seed, mutation, false);
+    struct checker_result result;
+    struct measure_gap gap;
+    bool failed;
+
+    sim_run_execute(run);
+    checker_judge(run, &result);
+    failed =
+        mutation == SIM_MUTATION_NONE ? result.total > 0 : result.violations[row->expected] > 0;
+    if (failed) {
+        tally->failing_seeds += 1;
+        if (tally->first_text == NULL) {
+            tally->first_failing = seed;
+            tally->first_text = g_strdup(result.first);
+        }
+    }
+    gap = measure_first_gap(run);
+    if (gap.found && mutation == SIM_MUTATION_NONE) {
+        g_array_append_val(gaps, gap);
+    }
+    checker_result_clear(&result);
+    sim_run_free(run);
+}
+
+static struct tally run_seeds(const struct sim_scenario *scenario, const struct row *row,
+                              enum sim_mutation mutation, uint64_t seeds, GArray *gaps)
+{
+    struct tally tally = {0};
+
+    for (uint64_t seed = 1; seed <= seeds; seed++) {
+        run_seed(scenario, seed, row, mutation, &tally, gaps);
+    }
+    return tally;
+}
+
+static bool already_run(size_t index)
+{
+    for (size_t i = 0; i < index; i++) {
+        if (g_str_equal(ROWS[i].scenario, ROWS[index].scenario)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Proves one row; false if it is wrong. */
+static bool prove_row(size_t index, const char *directory, uint64_t seeds)
+{
+    const struct row *row = &ROWS[index];
+    g_autofree char *file = g_strconcat(row->scenario, ".ini", NULL);
+    g_autofree char *path = g_build_filename(directory, file, NULL);
+    g_autoptr(GError) error = NULL;
+    g_autoptr(GArray) gaps = g_array_new(FALSE, FALSE, sizeof(struct measure_gap));
+    struct sim_scenario *scenario = sim_scenario_load(path, &error);
+    struct tally on = {0};
+    struct tally off = {0};
+    bool right = true;
+
+    if (scenario == NULL) {
+        fprintf(stderr, "swiftsim: %s: %s\n", path, error->message);
+        return false;
+    }
+    if (!already_run(index)) {
+        on = run_seeds(scenario, row, SIM_MUTATION_NONE, seeds, gaps);
+        right = on.failing_seeds == 0;
+    }
+    if (row->mutation != SIM_MUTATION_NONE) {
+        off = run_seeds(scenario, row, row->mutation, seeds, gaps);
+        right = right && off.failing_seeds > 0;
+    }
+    printf("%-38s %-28s on: %3" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT
+           " fail   %-22s %3" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT " fail   %s\n",
+           row->guarantee, row->scenario, on.failing_seeds, seeds,
+           row->mutation == SIM_MUTATION_NONE ? "-" : sim_mutation_name(row->mutation),
+           off.failing_seeds, row->mutation == SIM_MUTATION_NONE ? 0 : seeds,
+           right ? "right" : "WRONG");
+    if (on.first_text != NULL) {
+        printf("    seed %" G_GUINT64_FORMAT ": %s\n", on.first_failing, on.first_text);
+    }
+    if (gaps->len > 0) {
+        measure_print(gaps, "    gap");
+    }
+    fflush(stdout);
+    g_free(on.first_text);
+    g_free(off.first_text);
+    sim_scenario_free(scenario);
+    return right;
+}
+
+int prove_main(int argc, char **argv)
+{
+    gint64 seeds = 200;
+    g_autofree char *directory = g_strdup("tests/sim/scenarios");
+    const GOptionEntry entries[] = {
+        {"seeds", 0, 0, G_OPTION_ARG_INT64, &seeds, "Seeds per row", "N"},
+        {"scenarios", 0, 0, G_OPTION_ARG_FILENAME, &directory, "Directory of scenarios", "DIR"},
+        G_OPTION_ENTRY_NULL,
+    };
+    g_autoptr(GOptionContext) context = g_option_context_new(NULL);
+    g_autoptr(GError) error = NULL;
+    size_t wrong = 0;
+
+    g_option_context_set_summary(
+        context, "Runs every guarantee with its mechanism on (must pass) and off (must fail).");
+    g_option_context_add_main_entries(context, entries, NULL);
+    if (!g_option_context_parse(context, &argc, &argv, &error)) {
+        fprintf(stderr, "swiftsim: %s\n", error->message);
+        return 2;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(ROWS); i++) {
+        wrong += prove_row(i, directory, (uint64_t)seeds) ? 0 : 1;
+    }
+    printf("%zu of %zu rows are right\n", G_N_ELEMENTS(ROWS) - wrong, G_N_ELEMENTS(ROWS));
+    return wrong == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/src/sim/sim_client.c
@@ -0,0 +1,301 @@
+/* The closed loop of a client. */
+#include "sim/sim_client.h"
+
+/* A client waits so much longer than its deadline for the answer. */
+#define ANSWER_GRACE (500 * SIM_MILLISECOND)
+/* A write is repeated under its key for so long. */
+#define REPEAT_FOR (15 * SIM_SECOND)
+/* Time until a broken connection is noticed, and before another try. */
+#define RESET_DELAY (2 * SIM_MILLISECOND)
+#define RETRY_DELAY (20 * SIM_MILLISECOND)
+
+struct attempt_message {
+    uint64_t request_id;
+};
+
+static void start_next(struct sim_client *client);
+static void send_attempt(struct sim_client *client);
+
+static void on_next(void *object, const void *payload)
+{
+    (void)payload;
+    start_next(object);
+}
+
+static void on_retry(void *object, const void *payload)
+{
+    (void)payload;
+    send_attempt(object);
+}
+
+static void finish_operation(struct sim_client *client)
+{
+    struct sim_world *world = client->node.world;
+    time_ns think = client->run->scenario->think_time;
+
+    sim_node_schedule(&client->node, world->now + think / 2 + sim_random_below(world, think),
+                      on_next, client, NULL, 0);
+}
+
+static void repeat(struct sim_client *client, time_ns delay)
+{
+    struct sim_world *world = client->node.world;
+
+    if (world->now + delay > client->give_up_at) {
+        finish_operation(client);
+        return;
+    }
+    sim_node_schedule(&client->node, world->now + delay, on_retry, client, NULL, 0);
+}
+
+static bool may_repeat(const struct sim_client *client)
+{
+    return client->operation == NULL || client->operation->key != 0;
+}
+
+static void end_attempt(struct sim_client *client, struct sim_attempt *attempt,
+                        enum sim_attempt_state state)
+{
+    attempt->state = state;
+    attempt->ended_at = client->node.world->now;
+}
+
+/* The attempt ended without an answer. */
+static void after_loss(struct sim_client *client)
+{
+    if (may_repeat(client)) {
+        repeat(client, RETRY_DELAY);
+        return;
+    }
+    finish_operation(client);
+}
+
+static void lose_attempt(struct sim_client *client, uint64_t request_id,
+                         enum sim_attempt_state state)
+{
+    struct sim_attempt *attempt = client->attempt;
+    struct sim_attempt *twin = client->twin;
+
+    if (twin != NULL && twin->request_id == request_id && twin->state == SIM_ATTEMPT_PENDING) {
+        end_attempt(client, twin, state);
+        return;
+    }
+    if (attempt == NULL || attempt->request_id != request_id ||
+        attempt->state != SIM_ATTEMPT_PENDING) {
+        return;
+    }
+    end_attempt(client, attempt, state);
+    sim_journal(client->node.world, "client %u: request %" G_GUINT64_FORMAT " %s", client->index,
+                request_id, state == SIM_ATTEMPT_LOST ? "lost" : "not sent");
+    after_loss(client);
+}
+
+static void on_timeout(void *object, const void *payload)
+{
+    const struct attempt_message *message = payload;
+
+    lose_attempt(object, message->request_id, SIM_ATTEMPT_LOST);
+}
+
+static void on_refused_connection(void *object, const void *payload)
+{
+    const struct attempt_message *message = payload;
+
+    lose_attempt(object, message->request_id, SIM_ATTEMPT_NOT_SENT);
+}
+
+static void schedule_loss(struct sim_client *client, const struct sim_attempt *attempt,
+                          time_ns delay, sim_handler handler)
+{
+    struct attempt_message message = {.request_id = attempt->request_id};
+
+    sim_node_schedule(&client->node, client->node.world->now + delay, handler, client, &message,
+                      sizeof(message));
+}
+
+struct send_message {
+    uint32_t daemon;
+    struct sim_client_request request;
+};
+
+static void on_send(void *object, const void *payload)
+{
+    struct sim_client *client = object;
+    const struct send_message *message = payload;
+    struct sim_daemon *daemon = client->run->daemons[message->daemon];
+    struct attempt_message refused = {.request_id = message->request.request_id};
+
+    if (!daemon->node.alive) {
+        sim_node_schedule(&client->node, client->node.world->now + RESET_DELAY,
+                          on_refused_connection, client, &refused, sizeof(refused));
+        return;
+    }
+    sim_network_send(&client->run->network, client->node.zone, &daemon->node,
+                     daemon->node.incarnation, sim_daemon_on_request, daemon, &message->request,
+                     sizeof(message->request));
+}
+
+static struct sim_attempt *send_to(struct sim_client *client, uint32_t daemon)
+{
+    struct sim_run *run = client->run;
+    struct sim_world *world = run->world;
+    const struct sim_scenario *scenario = run->scenario;
+    struct sim_attempt *attempt = sim_world_allocate(world, sizeof(*attempt));
+    struct send_message message = {.daemon = daemon};
+
+    attempt->request_id = sim_world_next_id(world);
+    attempt->client = client->index;
+    attempt->daemon = daemon;
+    attempt->is_read = client->operation == NULL;
+    attempt->operation = client->operation;
+    attempt->started_at = world->now;
+    g_ptr_array_add(run->history.attempts, attempt);
+    message.request.request_id = attempt->request_id;
+    message.request.client = client->index;
+    message.request.is_read = attempt->is_read;
+    message.request.operation = attempt->operation;
+    message.request.session = client->session;
+    message.request.deadline = world->now + scenario->request_deadline;
+    /* The client's distance to the daemons, there and back. */
+    sim_node_schedule(&client->node, world->now + 2 * scenario->client_latency, on_send, client,
+                      &message, sizeof(message));
+    schedule_loss(client, attempt, scenario->request_deadline + ANSWER_GRACE, on_timeout);
+    return attempt;
+}
+
+static void send_attempt(struct sim_client *client)
+{
+    struct sim_world *world = client->node.world;
+    uint32_t count = client->run->daemon_count;
+    uint32_t daemon = (uint32_t)sim_random_below(world, count);
+    bool keyed = client->operation != NULL && client->operation->key != 0;
+
+    client->attempt = send_to(client, daemon);
+    client->twin = NULL;
+    if (keyed && count > 1 && sim_random_chance(world, client->run->scenario->same_key_share)) {
+        client->twin = send_to(client, (daemon + 1) % count);
+    }
+}
+
+static void start_write(struct sim_client *client)
+{
+    struct sim_world *world = client->node.world;
+    const struct sim_scenario *scenario = client->run->scenario;
+    struct sim_operation *operation = sim_world_allocate(world, sizeof(*operation));
+
+    operation->id = sim_world_next_id(world);
+    operation->fingerprint = operation->id;
+    if (!sim_random_chance(world, scenario->unkeyed_share)) {
+        operation->key = operation->id;
+        if (client->last_keyed != NULL && sim_random_chance(world, scenario->reused_key_share)) {
+            operation->key = client->last_keyed->key;
+        }
+        client->last_keyed = operation;
+    }
+    client->operation = operation;
+}
+
+static void start_next(struct sim_client *client)
+{
+    struct sim_world *world = client->node.world;
+
+    if (world->now >= client->run->clients_stop_at) {
+        return;
+    }
+    client->operation = NULL;
+    client->give_up_at = world->now + REPEAT_FOR;
+    if (!sim_random_chance(world, client->run->scenario->read_share)) {
+        start_write(client);
+    }
+    send_attempt(client);
+}
+
+static void remember_session(struct sim_client *client, struct log_position position)
+{
+    if (log_position_compare(position, client->session) > 0) {
+        client->session = position;
+    }
+}
+
+static void after_answer(struct sim_client *client, const struct sim_client_reply *reply)
+{
+    bool final = reply->outcome == OUTCOME_DONE || reply->outcome == OUTCOME_FAILED ||
+                 reply->error == ERROR_KIND_KEY_CLOSED || reply->error == ERROR_KIND_KEY_REUSED;
+
+    if (final || !may_repeat(client)) {
+        finish_operation(client);
+        return;
+    }
+    repeat(client, RETRY_DELAY + reply->retry_after_ms * SIM_MILLISECOND);
+}
+
+static void take_answer(struct sim_client *client, struct sim_attempt *attempt,
+                        const struct sim_client_reply *reply)
+{
+    end_attempt(client, attempt, SIM_ATTEMPT_ANSWERED);
+    attempt->outcome = reply->outcome;
+    attempt->error = reply->error;
+    attempt->answered_id = reply->answered_id;
+    attempt->seen = reply->seen;
+    attempt->by_replica = reply->by_replica;
+    if (reply->outcome == OUTCOME_DONE) {
+        remember_session(client, reply->session);
+    }
+    sim_journal(client->node.world,
+                "client %u: %s %" G_GUINT64_FORMAT
+                " at daemon %u: outcome %d error %d at %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
+                client->index, attempt->is_read ? "read" : "write", attempt->request_id,
+                attempt->daemon, (int)reply->outcome, (int)reply->error, reply->session.term,
+                reply->session.offset);
+}
+
+void sim_client_on_reply(void *object, const void *payload)
+{
+    struct sim_client *client = object;
+    const struct sim_client_reply *reply = payload;
+    struct sim_attempt *twin = client->twin;
+    struct sim_attempt *attempt = client->attempt;
+
+    if (twin != NULL && twin->request_id == reply->request_id &&
+        twin->state == SIM_ATTEMPT_PENDING) {
+        take_answer(client, twin, reply);
+        return;
+    }
+    if (attempt == NULL || attempt->request_id != reply->request_id ||
+        attempt->state != SIM_ATTEMPT_PENDING) {
+        return;
+    }
+    take_answer(client, attempt, reply);
+    after_answer(client, reply);
+}
+
+void sim_client_daemon_died(struct sim_run *run, uint32_t daemon)
+{
+    for (uint32_t i = 0; i < run->client_count; i++) {
+        struct sim_client *client = run->clients[i];
+
+        if (client->attempt != NULL && client->attempt->daemon == daemon) {
+            schedule_loss(client, client->attempt, RESET_DELAY, on_timeout);
+        }
+        if (client->twin != NULL && client->twin->daemon == daemon) {
+            schedule_loss(client, client->twin, RESET_DELAY, on_timeout);
+        }
+    }
+}
+
+struct sim_client *sim_client_new(struct sim_run *run, uint32_t index, uint32_t zone)
+{
+    struct sim_client *client = sim_world_allocate(run->world, sizeof(*client));
+
+    client->run = run;
+    client->index = index;
+    sim_node_init(&client->node, run->world, zone);
+    return client;
+}
+
+void sim_client_start(struct sim_client *client)
+{
+    time_ns delay = sim_random_below(client->node.world, 100 * SIM_MILLISECOND);
+
+    sim_node_schedule(&client->node, client->node.world->now + delay, on_next, client, NULL, 0);
+}
--- /dev/null
+++ b/src/sim/sim_client.h
@@ -0,0 +1,28 @@
+/* A client: one session that moves between daemons, reads and writes without pause, and repeats
+ * what it may repeat. */
+#ifndef SW_SIM_CLIENT_H
+#define SW_SIM_CLIENT_H
+
+#include "sim/sim_daemon.h"
+
+struct sim_client {
+    struct sim_node node; /* first: daemons answer to it */
+    struct sim_run *run;
+    uint32_t index;
+    struct log_position session;
+    struct sim_operation *operation; /* of the write under way; NULL: a read */
+    struct sim_attempt *attempt;     /* under way */
+    struct sim_attempt *twin;        /* the same write at another daemon; may be NULL */
+    time_ns give_up_at;              /* the write is not repeated after this */
+    struct sim_operation *last_keyed;
+};
+
+struct sim_client *sim_client_new(struct sim_run *run, uint32_t index, uint32_t zone);
+
+/* Starts the first request after a short random time. */
+void sim_client_start(struct sim_client *client);
+
+/* Connections to the daemon broke: requests there are lost. */
+void sim_client_daemon_died(struct sim_run *run, uint32_t daemon);
+
+#endif
--- /dev/null
+++ b/src/sim/sim_database.h
@@ -0,0 +1,120 @@
+/* Model of one database of a replicated group: a log of entries with terms, promises to
+ * coordinators, a ledger of idempotency keys, replication with lag, and few slots. */
+#ifndef SW_SIM_DATABASE_H
+#define SW_SIM_DATABASE_H
+
+#include "sim/sim_entry.h"
+#include "sim/sim_network.h"
+
+/* Statements that a database runs at once, at most. */
+#define SIM_SLOTS_MAX 64
+
+struct sim_database_options {
+    uint32_t slots;
+    time_ns service_time; /* a statement holds its slot so long */
+    time_ns open_time;    /* to open a connection */
+    time_ns apply_delay;  /* a replica shows an entry so long after it holds it */
+    time_ns hold_delay;   /* a replica holds an entry so much later than the network needs */
+};
+
+enum sim_request_kind {
+    SIM_REQUEST_STATUS,
+    SIM_REQUEST_FENCE,
+    SIM_REQUEST_PROMOTE,
+    SIM_REQUEST_FOLLOW,
+    SIM_REQUEST_SET_LEAVING,
+    SIM_REQUEST_OPEN,      /* a new connection */
+    SIM_REQUEST_WRITE,     /* with the ledger row, if keyed, in one transaction */
+    SIM_REQUEST_CLOSE_KEY, /* claim the key: recorded outcome, or never to run */
+    SIM_REQUEST_READ,
+    SIM_REQUEST_WAIT_HELD,
+};
+
+/* What a daemon sends to a database. */
+struct sim_database_request {
+    enum sim_request_kind kind;
+    struct sim_node *from;
+    uint64_t from_incarnation;
+    sim_handler on_reply; /* takes a struct sim_database_reply */
+    void *object;
+    uint64_t tag;                    /* of the connection or command: comes back in the reply */
+    uint64_t term;                   /* FENCE, PROMOTE, FOLLOW */
+    uint64_t coordinator;            /* FENCE, PROMOTE, FOLLOW */
+    uint32_t primary;                /* FOLLOW */
+    bool leaving;                    /* SET_LEAVING */
+    struct sim_operation *operation; /* WRITE, CLOSE_KEY */
+    uint64_t request_id;             /* READ, WRITE: whose answer it is */
+    struct log_position wanted;      /* READ, WAIT_HELD */
+    time_ns wait;                    /* READ, WAIT_HELD: longest wait for it */
+};
+
+enum sim_result {
+    SIM_RESULT_OK,
+    SIM_RESULT_REFUSED,
+    SIM_RESULT_NOT_PRIMARY,
+    SIM_RESULT_ALREADY_DONE,
+    SIM_RESULT_KEY_CLOSED,
+    SIM_RESULT_KEY_REUSED,
+};
+
+struct sim_database_reply {
+    uint32_t database;
+    enum sim_result result;
+    uint64_t tag;
+    uint64_t request_id;
+    struct database_status status;
+    struct log_position position; /* of a commit, or of a ledger row or after it */
+    struct sim_entry *seen;       /* READ: last entry visible to it */
+};
+
+struct sim_database {
+    struct sim_node node;
+    struct sim_network *network;
+    struct sim_database_options options;
+    uint32_t index;
+    uint32_t peer_count; /* databases of the group, this one included */
+    struct sim_database **peers;
+    GHashTable *keys; /* of the group: key -> newest struct sim_entry with it, in any log */
+
+    enum database_role role;
+    uint64_t term;
+    uint64_t promised_term;
+    uint64_t promised_to;
+    int32_t following;
+    bool leaving;
+    struct sim_entry *head;    /* log held */
+    struct sim_entry *applied; /* log visible to reads */
+    bool synchronized;         /* the log came from the primary of this term */
+    time_ns synchronized_at;
+    uint32_t followers; /* bit per database that replicates from here */
+
+    time_ns slot_free_at[SIM_SLOTS_MAX];
+    GPtrArray *waiters; /* of struct sim_database_request with a wait */
+
+    double request_loss; /* share of statements lost on the way here */
+    double answer_loss;  /* share of answers to statements lost */
+    time_ns drained_at;  /* an operator wanted it drained then; 0 if not */
+    uint64_t late_work;  /* statements that arrived too long after that */
+};
+
+/* A statement that arrives later than this after the drain is a violation. */
+#define SIM_LEAVING_BOUND (3 * SIM_SECOND)
+
+void sim_database_init(struct sim_database *database, struct sim_network *network, uint32_t index,
+                       uint32_t zone, const struct sim_database_options *options);
+void sim_database_clear(struct sim_database *database);
+
+/* Starts its timers; call after init and after each restart. The log and promises last. */
+void sim_database_start(struct sim_database *database);
+void sim_database_kill(struct sim_database *database);
+
+struct database_status sim_database_status(const struct sim_database *database);
+
+/* Sends a request from its `from` node to the database; the answer comes to on_reply, or never. */
+void sim_database_send(struct sim_database *database, const struct sim_database_request *request);
+
+/* Sends it as a datagram: probes, that may be lost. */
+void sim_database_send_datagram(struct sim_database *database,
+                                const struct sim_database_request *request);
+
+#endif
--- a/tests/core/group_control_test.c
+++ b/tests/core/group_control_test.c
@@ -25,6 +25,7 @@
 {
     event.now = rig->now;
     group_control_step(rig->control, &event, &rig->actions);
+    g_assert_cmpuint(rig->actions.wake_at, >, rig->now);
 }
 
 static const struct group_action *find(const struct rig *rig, enum group_action_kind kind)
