Let transactions go on at a daemon that leaves its groups

Cause: a planned stop marks the daemon as leaving, so it lost its groups, and with them the run time that its open transactions, and the evidence of their commits, need; the next request was refused. Found by daemon-transactions/owner-stops.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -171,7 +171,6 @@
     struct routing_table *next = copy_table(daemon, daemon->table->configuration);
     g_hash_table_remove(next->groups, GUINT_TO_POINTER(id));
     replace_table(daemon, next);
-    evidence_remove_group(daemon->evidence, id);
 }
 
 bool daemon_task_begins(struct daemon *daemon, const struct request *request)
--- a/src/daemon/forward.c
+++ b/src/daemon/forward.c
@@ -22,12 +22,18 @@
 static void run_here(struct task *task)
 {
     const struct request *request = task->request;
+    bool in_transaction = request->transaction_id != NULL && request->transaction_id[0] != '\0';
+    if (in_transaction) {
+        /* It goes on where it began, whoever owns the group now. */
+        task_run_transaction(task);
+        return;
+    }
     if (task->group == NULL) {
         /* Views of ownership differ for a moment, or nobody has claimed the group yet. */
         task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_PEER_UNREACHABLE, NULL, PEER_RETRY_AFTER_MS);
         return;
     }
-    if (request->kind != REQUEST_KIND_STATEMENT && request->kind != REQUEST_KIND_BATCH) {
+    if (request->kind == REQUEST_KIND_BEGIN) {
         task_run_transaction(task);
         return;
     }
@@ -105,11 +111,31 @@
     return true;
 }
 
+/* Sends the request to an owner of its group, nearest first. False if this daemon owns it. */
+static bool forward_to_owner(struct task *task)
+{
+    struct owner_list owners;
+    control_owners_of(task->daemon->control, task->request->group, &owners);
+    if (task->group != NULL || owners.count == 0 || task->request->hops >= FORWARD_HOPS_MAX) {
+        return false;
+    }
+    for (uint32_t i = 0; i < owners.count; i++) {
+        if (forward_to(task, owners.addresses[i])) {
+            return true;
+        }
+    }
+    task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_PEER_UNREACHABLE, NULL, PEER_RETRY_AFTER_MS);
+    return true;
+}
+
 /* The owner of a transaction was named in its id and can't be reached, or is gone. */
 static void answer_owner_gone(struct task *task)
 {
     if (task->request->kind == REQUEST_KIND_COMMIT) {
-        task_resolve_commit(task);
+        /* Its key, if it has one, is looked up where the group is owned. */
+        if (!forward_to_owner(task)) {
+            task_resolve_commit(task);
+        }
         return;
     }
     task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_UNKNOWN_TRANSACTION, NULL, 0);
@@ -134,23 +160,6 @@
     return true;
 }
 
-/* Sends the request to an owner of its group, nearest first. False if this daemon owns it. */
-static bool forward_to_owner(struct task *task)
-{
-    struct owner_list owners;
-    control_owners_of(task->daemon->control, task->request->group, &owners);
-    if (task->group != NULL || owners.count == 0 || task->request->hops >= FORWARD_HOPS_MAX) {
-        return false;
-    }
-    for (uint32_t i = 0; i < owners.count; i++) {
-        if (forward_to(task, owners.addresses[i])) {
-            return true;
-        }
-    }
-    task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_PEER_UNREACHABLE, NULL, PEER_RETRY_AFTER_MS);
-    return true;
-}
-
 void forward_or_run(struct task *task)
 {
     const char *transaction_id = task->request->transaction_id;
--- a/src/daemon/group_runtime.c
+++ b/src/daemon/group_runtime.c
@@ -58,8 +58,12 @@
     pthread_mutex_destroy(&database->admission_lock);
 }
 
+/* Run times of one group follow each other; what still runs on an old one keeps its evidence. */
+static _Atomic uint32_t next_evidence_id = 1;
+
 /* Lets the evidence service connect to the group's members. */
-static void add_evidence(struct evidence_service *evidence, const struct group_configuration *group,
+static void add_evidence(struct evidence_service *evidence, uint32_t evidence_id,
+                         const struct group_configuration *group,
                          const struct group_runtime_options *options)
 {
     g_autofree char *application =
@@ -74,7 +78,7 @@
             .application_name = application,
         };
     }
-    evidence_add_group(evidence, group->id, members, group->database_count);
+    evidence_add_group(evidence, evidence_id, members, group->database_count);
 }
 
 struct group_runtime *group_runtime_new(struct configuration *configuration,
@@ -96,7 +100,8 @@
         start_database(&runtime->databases[i], &group->databases[i], options);
     }
     runtime->evidence = options->evidence;
-    add_evidence(runtime->evidence, group, options);
+    runtime->evidence_id = atomic_fetch_add(&next_evidence_id, 1);
+    add_evidence(runtime->evidence, runtime->evidence_id, group, options);
     return runtime;
 }
 
@@ -108,6 +113,7 @@
 static void clear_runtime(gpointer data)
 {
     struct group_runtime *runtime = data;
+    evidence_remove_group(runtime->evidence, runtime->evidence_id);
     for (uint32_t i = 0; i < runtime->database_count; i++) {
         stop_database(&runtime->databases[i]);
     }
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -47,6 +47,7 @@
     struct database_runtime databases[GROUP_DATABASES_MAX];
     struct retry_budget retry_budget;
     struct evidence_service *evidence; /* the daemon's */
+    uint32_t evidence_id;              /* names this run time there, and no other */
     _Atomic uint64_t ledger_term;      /* term in which the ledger table was made sure of */
     _Atomic uint64_t reads;            /* answered reads */
     _Atomic uint64_t primary_reads;    /* of these, by the primary although replicas were allowed */
--- a/src/daemon/task_read.c
+++ b/src/daemon/task_read.c
@@ -83,11 +83,8 @@
         return EXECUTE_NOT_SENT;
     }
     execute_answer_clear(&task->run);
-    enum execute_result result = adapter_read(connection, step->guard, 0, task->request->statements,
-                                              task->request->statements_count, task->deadline,
-                                              daemon_result_limits(), &task->run);
     enum execute_result result =
-        adapter_read(connection, step->guard, step->guard_wait_ms, task->request->statements,
+        adapter_read(connection, step->guard, 0, task->request->statements,
                      task->request->statements_count, deadline, daemon_result_limits(), &task->run);
     pool_release(pool, connection, backend_connection_is_clean(connection));
     return result;
--- a/src/daemon/task_transaction.c
+++ b/src/daemon/task_transaction.c
@@ -219,7 +219,7 @@
 
 void task_resolve_commit(struct task *task)
 {
-    if (task->ledger_key == NULL) {
+    if (task->ledger_key == NULL || task->group == NULL) {
         task_refuse(task, OUTCOME_UNKNOWN, ERROR_KIND_OUTCOME_UNKNOWN, NULL, BEGIN_RETRY_AFTER_MS);
         return;
     }
@@ -228,6 +228,16 @@
     task_run_write(task);
 }
 
+/* A transaction stays with the run time of its group that it began with. */
+static void use_group_of(struct task *task, const struct transaction *transaction)
+{
+    struct group_runtime *group = group_runtime_ref(transaction->group);
+    if (task->group != NULL) {
+        group_runtime_unref(task->group);
+    }
+    task->group = group;
+}
+
 void task_run_transaction(struct task *task)
 {
     struct request *request = task->request;
@@ -251,6 +261,7 @@
         }
         return;
     }
+    use_group_of(task, transaction);
     if (request->kind == REQUEST_KIND_CONTINUE) {
         run_statements(task, transaction);
     } else if (request->kind == REQUEST_KIND_ROLLBACK) {
--- a/src/sim/sim_daemon.c
+++ b/src/sim/sim_daemon.c
@@ -126,7 +126,7 @@
     probe_ended(object, message->database, message->number, &event);
 }
 
-static void send_probe(struct sim_daemon *daemon, uint32_t database)
+void sim_daemon_probe_now(struct sim_daemon *daemon, uint32_t database)
 {
     struct sim_world *world = daemon->node.world;
     struct sim_probe_state *state = &daemon->probes[database];
@@ -152,7 +152,7 @@
     struct sim_daemon *daemon = object;
     uint32_t database = *(const uint32_t *)payload;
 
-    send_probe(daemon, database);
+    sim_daemon_probe_now(daemon, database);
     sim_node_schedule(&daemon->node, daemon->node.world->now + PROBE_INTERVAL, on_probe_interval,
                       daemon, &database, sizeof(database));
 }
@@ -317,7 +317,7 @@
 {
     switch (action->kind) {
     case GROUP_ACTION_PROBE:
-        send_probe(daemon, action->database);
+        sim_daemon_probe_now(daemon, action->database);
         break;
     case GROUP_ACTION_FENCE:
     case GROUP_ACTION_PROMOTE:
--- a/src/sim/sim_daemon.h
+++ b/src/sim/sim_daemon.h
@@ -124,4 +124,7 @@
 /* sim_fault.c: an event that may set a fault off. */
 void sim_fault_trigger(struct sim_run *run, enum sim_trigger trigger, struct sim_daemon *actor);
 
+/* Probes a database now, ahead of the interval. */
+void sim_daemon_probe_now(struct sim_daemon *daemon, uint32_t database);
+
 #endif
