Keep writes waiting through a failover instead of using up their attempts

Cause: attempts that the dead primary never took counted, so that each of four was gone within 80 ms, long before the view changed: writers were refused as overloaded, or their key was closed.

--- a/src/core/write_flow.c
+++ b/src/core/write_flow.c
@@ -59,15 +59,16 @@
     return step;
 }
 
-/* No primary takes writes now: waits for one, within bounds. */
-static struct write_step wait_for_primary(struct write_flow *flow, time_ns now)
+/* No primary takes the write now: waits for one, within bounds; `error` is told after them. */
+static struct write_step wait_for_primary(struct write_flow *flow, time_ns now,
+                                          enum error_kind error)
 {
     if (flow->unavailable_since == 0) {
         flow->unavailable_since = now;
     }
     time_ns wait = flow->options.unavailable_wait_ms * NANOSECONDS_PER_MILLISECOND;
     if (now >= flow->unavailable_since + wait) {
-        return give_up(flow, ERROR_KIND_NO_PRIMARY, UNAVAILABLE_RETRY_AFTER_MS);
+        return give_up(flow, error, UNAVAILABLE_RETRY_AFTER_MS);
     }
     return wait_step(flow, now);
 }
@@ -83,9 +84,8 @@
     /* An open transaction commits where it is: neither a pause nor a new primary moves it. */
     bool commit_in_place = flow->options.commit_only && !flow->closing;
     if (decision.database < 0 && !commit_in_place) {
-        return wait_for_primary(flow, now);
+        return wait_for_primary(flow, now, ERROR_KIND_NO_PRIMARY);
     }
-    flow->unavailable_since = 0;
     struct write_step step = {
         .kind = WRITE_STEP_EXECUTE,
         .database = decision.database,
@@ -102,20 +102,15 @@
     return step;
 }
 
-/* The attempt certainly left nothing behind: runs again while attempts last. */
+/* The attempt certainly left nothing behind: it does not count, and another is made while the wait
+ * for a primary lasts, since the view may be older than the failure. */
 static struct write_step try_again(struct write_flow *flow, time_ns now, enum error_kind error)
 {
     if (flow->options.commit_only) {
         return give_up(flow, error, 0);
     }
-    if (flow->attempts < flow->options.attempts_max) {
-        return wait_step(flow, now);
-    }
-    if (flow->maybe_run) {
-        flow->closing = true;
-        return wait_step(flow, now);
-    }
-    return give_up(flow, error, UNAVAILABLE_RETRY_AFTER_MS);
+    flow->attempts--;
+    return wait_for_primary(flow, now, error);
 }
 
 /* An attempt's outcome is not known: the ledger tells, if there is a key; nothing else may. */
--- a/src/core/write_flow.h
+++ b/src/core/write_flow.h
@@ -99,7 +99,7 @@
     bool closing;   /* after a wait, close the key instead of running again */
     bool failed;    /* the database reported an error; told once the key is closed */
     enum error_kind failure;
-    time_ns unavailable_since; /* zero while a primary is known */
+    time_ns unavailable_since; /* first step for which no primary took the write; zero if none */
     struct acknowledge_evidence evidence;
 };
 
--- a/tests/core/write_flow_test.c
+++ b/tests/core/write_flow_test.c
@@ -148,6 +148,25 @@
     g_assert_cmpuint(scenario.step.retry_after_ms, >, 0);
 }
 
+/* Attempts that a dead primary never took do not use up those of the next one. */
+static void test_refused_attempts_do_not_count(void)
+{
+    struct scenario scenario;
+    start(&scenario, true);
+    for (int i = 0; i < 20; i++) {
+        g_assert_cmpint(scenario.step.kind, ==, WRITE_STEP_EXECUTE);
+        feed_kind(&scenario, WRITE_EVENT_NOT_SENT);
+        feed_kind(&scenario, WRITE_EVENT_TIMER);
+    }
+    g_assert_cmpint(scenario.step.kind, ==, WRITE_STEP_EXECUTE);
+    g_assert_cmpuint(scenario.flow.attempts, ==, 1);
+    while (scenario.step.kind != WRITE_STEP_ANSWER) {
+        bool executing = scenario.step.kind == WRITE_STEP_EXECUTE;
+        feed_kind(&scenario, executing ? WRITE_EVENT_NOT_SENT : WRITE_EVENT_TIMER);
+    }
+    assert_answer(&scenario, OUTCOME_REFUSED, ERROR_KIND_OVERLOADED);
+}
+
 static void test_lost_then_no_primary_is_unknown(void)
 {
     struct scenario scenario;
@@ -208,6 +227,7 @@
     g_test_add_func("/write-flow/keyed-lost", test_keyed_lost_runs_again_under_its_key);
     g_test_add_func("/write-flow/error-after-lost", test_error_after_lost_closes_the_key);
     g_test_add_func("/write-flow/not-run", test_not_run_only_if_nothing_was_sent);
+    g_test_add_func("/write-flow/refused-attempts", test_refused_attempts_do_not_count);
     g_test_add_func("/write-flow/lost-no-primary", test_lost_then_no_primary_is_unknown);
     g_test_add_func("/write-flow/attempts-spent", test_attempts_spent_closes_the_key);
     g_test_add_func("/write-flow/give-up", test_give_up_tells_not_run_only_before_sending);
