Prove each guarantee with its mechanism on and off

swiftsim prove runs a table of guarantees, scenarios and test-only switches; silent watchers abstain once a majority of the databases is on this side, as a paused and a cut watcher together held up a failover until the pause ended.

--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -21,6 +21,7 @@
     options->suspicion_expiry = 500 * ms;
     options->suspicion_repeat = 100 * ms;
     options->opinion_interval = 1000 * ms;
+    options->abstain_after = 2200 * ms;
     options->peer_alive = 2500 * ms;
     options->bootstrap_wait = 1000 * ms;
     options->rank_step = 200 * ms;
--- a/src/core/group_control.h
+++ b/src/core/group_control.h
@@ -30,6 +30,8 @@
     time_ns suspicion_expiry;  /* a peer's suspicion counts for so long after it was heard */
     time_ns suspicion_repeat;  /* a suspicion is sent again this often */
     time_ns opinion_interval;  /* an opinion is sent at least this often */
+    time_ns abstain_after;     /* a watcher silent for so long has no vote, if this one reaches a
+                                  majority of the databases */
     time_ns peer_alive;        /* a peer heard within this time takes part in coordination */
     time_ns bootstrap_wait;    /* wait before the first primary of a new group is chosen */
     time_ns rank_step;         /* each rank waits this much longer before it coordinates */
--- a/src/core/group_control_failover.c
+++ b/src/core/group_control_failover.c
@@ -272,13 +272,6 @@
     }
 }
 
-static bool reaches_majority(const struct group_control *control)
-{
-    uint32_t reachable = (uint32_t)__builtin_popcount(observe_reachable_mask(control));
-
-    return reachable >= majority_of(control->options.database_count);
-}
-
 /* Rank order keeps coordinators apart; who only sees that the primary was deposed first leaves time
  * to whoever did that. */
 static time_ns first_start(struct group_control *control)
@@ -328,7 +321,7 @@
         control_wake_at(control, control->start_at);
         return;
     }
-    if (!reaches_majority(control)) {
+    if (!observe_reaches_majority(control)) {
         return;
     }
     if (control->known_primary == NO_DATABASE) {
--- a/src/core/group_control_internal.h
+++ b/src/core/group_control_internal.h
@@ -35,7 +35,7 @@
 struct peer {
     struct group_watcher watcher;
     bool heard;
-    time_ns heard_at;
+    time_ns heard_at; /* or when it became known, if it was not heard yet */
     struct group_opinion opinion;
 };
 
@@ -155,6 +155,8 @@
 void observe_suspicion(struct group_control *control);
 bool observe_is_reachable(const struct group_control *control, uint32_t database);
 uint32_t observe_reachable_mask(const struct group_control *control);
+/* True if this watcher reaches a majority of the databases. */
+bool observe_reaches_majority(const struct group_control *control);
 /* True if the database leads `known_term` and no majority has promised it away. */
 bool observe_leads(const struct group_control *control, uint32_t database);
 /* True if a majority promised a term above that of the last known primary: it can confirm no more
--- a/src/core/group_control_observe.c
+++ b/src/core/group_control_observe.c
@@ -223,6 +223,9 @@
                 *peer = old[j];
             }
         }
+        if (peer->heard_at == 0) {
+            peer->heard_at = control->now;
+        }
         peer->watcher = event->watchers[i];
         control->peer_count += 1;
     }
@@ -245,6 +248,12 @@
     return (uint32_t)__builtin_popcount(mask);
 }
 
+bool observe_reaches_majority(const struct group_control *control)
+{
+    return count_bits(observe_reachable_mask(control)) >=
+           majority_of(control->options.database_count);
+}
+
 uint32_t observe_rank(const struct group_control *control, bool suspecting_only)
 {
     uint64_t others[GROUP_WATCHERS_MAX];
@@ -275,6 +284,14 @@
     return control->led_at + control->options.suspect_after;
 }
 
+/* A watcher that died or stands still must not hold up the others. One that only this watcher can't
+ * hear keeps its vote unless a majority of the databases is on this side. */
+static bool abstains(const struct group_control *control, const struct peer *peer)
+{
+    return control->now >= peer->heard_at + control->options.abstain_after &&
+           observe_reaches_majority(control);
+}
+
 static bool zones_agree(const struct group_control *control)
 {
     struct suspicion_vote votes[GROUP_WATCHERS_MAX];
@@ -287,6 +304,9 @@
         return true;
     }
     for (uint32_t i = 0; i < control->peer_count; i++) {
+        if (abstains(control, &control->peers[i])) {
+            continue;
+        }
         votes[count].zone = control->peers[i].watcher.zone;
         votes[count].suspects = peer_suspects(control, &control->peers[i]);
         count += 1;
--- a/src/sim/checker.c
+++ b/src/sim/checker.c
@@ -83,6 +83,16 @@
     return primary;
 }
 
+static const struct sim_entry *final_entry_of(const struct sim_operation *operation)
+{
+    const struct sim_entry *entry = operation->entries;
+
+    while (entry != NULL && !entry->on_final_log) {
+        entry = entry->next_of_operation;
+    }
+    return entry;
+}
+
 static void add_attempt(struct write_summary *summary, const struct sim_attempt *attempt)
 {
     if (attempt->state == SIM_ATTEMPT_NOT_SENT) {
@@ -135,6 +145,26 @@
     }
 }
 
+/* Two requests may not both have run under one key. */
+static void check_keys(const GPtrArray *summaries, struct checker_result *result)
+{
+    g_autoptr(GHashTable) owners = g_hash_table_new(g_int64_hash, g_int64_equal);
+
+    for (guint i = 0; i < summaries->len; i++) {
+        const struct write_summary *summary = g_ptr_array_index(summaries, i);
+        struct sim_operation *operation = summary->operation;
+
+        if (operation->key == 0 || final_entry_of(operation) == NULL) {
+            continue;
+        }
+        if (g_hash_table_lookup(owners, &operation->key) != NULL) {
+            violate(result, CHECKER_RULE_KEY_REUSED,
+                    "writes ran twice under key %" G_GUINT64_FORMAT, operation->key);
+        }
+        g_hash_table_insert(owners, &operation->key, operation);
+    }
+}
+
 static void check_writes(struct sim_run *run, struct checker_result *result)
 {
     g_autoptr(GHashTable) by_operation = g_hash_table_new_full(NULL, NULL, NULL, g_free);
@@ -159,6 +189,7 @@
     for (guint i = 0; i < ordered->len; i++) {
         check_write(g_ptr_array_index(ordered, i), result);
     }
+    check_keys(ordered, result);
 }
 
 /* What a session must see from some time on. */
@@ -179,16 +210,6 @@
     return a->request_id < b->request_id ? -1 : 1;
 }
 
-static const struct sim_entry *final_entry_of(const struct sim_operation *operation)
-{
-    const struct sim_entry *entry = operation->entries;
-
-    while (entry != NULL && !entry->on_final_log) {
-        entry = entry->next_of_operation;
-    }
-    return entry;
-}
-
 static struct sim_entry *final_part(struct sim_entry *log)
 {
     while (log != NULL && !log->on_final_log) {
--- a/src/sim/sim_client.h
+++ b/src/sim/sim_client.h
@@ -1,5 +1,5 @@
-/* A client: one session that moves between daemons, reads and writes without pause, and repeats
- * what it may repeat. */
+/* A client: one session that moves between daemons, reads and writes, and repeats what it may
+ * repeat. A pinned one writes at a single daemon without pause: it measures gaps. */
 #ifndef SW_SIM_CLIENT_H
 #define SW_SIM_CLIENT_H
 
@@ -11,13 +11,16 @@
     uint32_t index;
     struct log_position session;
     struct sim_operation *operation; /* of the write under way; NULL: a read */
-    struct sim_attempt *attempt;     /* under way */
-    struct sim_attempt *twin;        /* the same write at another daemon; may be NULL */
+    struct sim_attempt *attempt;     /* the one that it waits for */
+    GHashTable *pending;             /* request id -> struct sim_attempt without an answer yet */
+    int32_t pinned_daemon;           /* it writes there only, without pause; or -1 */
     time_ns give_up_at;              /* the write is not repeated after this */
     struct sim_operation *last_keyed;
 };
 
-struct sim_client *sim_client_new(struct sim_run *run, uint32_t index, uint32_t zone);
+struct sim_client *sim_client_new(struct sim_run *run, uint32_t index, uint32_t zone,
+                                  int32_t pinned_daemon);
+void sim_client_clear(struct sim_client *client);
 
 /* Starts the first request after a short random time. */
 void sim_client_start(struct sim_client *client);
--- a/src/sim/sim_database.h
+++ b/src/sim/sim_database.h
@@ -76,6 +76,8 @@
     struct sim_database **peers;
     GHashTable *keys; /* of the group: key -> newest struct sim_entry with it, in any log */
 
+    bool no_ledger; /* TEST ONLY: forgets idempotency keys (mutation) */
+
     enum database_role role;
     uint64_t term;
     uint64_t promised_term;
--- a/src/sim/sim_run.c
+++ b/src/sim/sim_run.c
@@ -15,6 +15,8 @@
     [SIM_MUTATION_SINGLE_WATCHER_DEPOSES] = "single_watcher_deposes",
     [SIM_MUTATION_IGNORE_GUARD] = "ignore_guard",
     [SIM_MUTATION_RESEND_UNKEYED] = "resend_unkeyed",
+    [SIM_MUTATION_NO_LEDGER] = "no_ledger",
+    [SIM_MUTATION_LOST_IS_NOT_SENT] = "lost_is_not_sent",
     [SIM_MUTATION_REUSE_CONNECTION] = "reuse_connection",
     [SIM_MUTATION_IGNORE_LEAVING] = "ignore_leaving",
     [SIM_MUTATION_NO_PAUSE] = "no_pause",
@@ -48,6 +50,7 @@
         database->peers = run->database_pointers;
         database->peer_count = run->database_count;
         database->keys = run->keys;
+        database->no_ledger = run->mutation == SIM_MUTATION_NO_LEDGER;
         run->database_pointers[i] = database;
     }
     for (uint32_t i = 0; i < run->database_count; i++) {
@@ -67,12 +70,21 @@
     sim_daemon_spread_membership(run);
 }
 
+/* The pinned writers come after the sessions that move. */
 static void add_clients(struct sim_run *run)
 {
-    run->client_count = run->scenario->clients;
+    const struct sim_scenario *scenario = run->scenario;
+    uint32_t writers = scenario->writers ? scenario->daemons : 0;
+
+    run->client_count = scenario->clients + writers;
     run->clients = sim_world_allocate(run->world, run->client_count * sizeof(struct sim_client *));
-    for (uint32_t i = 0; i < run->client_count; i++) {
-        run->clients[i] = sim_client_new(run, i, i % run->scenario->zones);
+    for (uint32_t i = 0; i < scenario->clients; i++) {
+        run->clients[i] = sim_client_new(run, i, i % scenario->zones, -1);
+    }
+    for (uint32_t i = 0; i < writers; i++) {
+        uint32_t index = scenario->clients + i;
+
+        run->clients[index] = sim_client_new(run, index, i % scenario->zones, (int32_t)i);
     }
 }
 
@@ -116,6 +128,9 @@
     for (uint32_t i = 0; i < run->database_count; i++) {
         sim_database_clear(&run->databases[i]);
     }
+    for (uint32_t i = 0; i < run->client_count; i++) {
+        sim_client_clear(run->clients[i]);
+    }
     g_hash_table_unref(run->keys);
     sim_history_clear(&run->history);
     sim_world_free(run->world);
--- a/src/sim/sim_run.h
+++ b/src/sim/sim_run.h
@@ -22,7 +22,9 @@
     SIM_MUTATION_SINGLE_WATCHER_DEPOSES,
     SIM_MUTATION_IGNORE_GUARD,
     SIM_MUTATION_RESEND_UNKEYED,
-    SIM_MUTATION_REUSE_CONNECTION,
+    SIM_MUTATION_NO_LEDGER,        /* databases keep no idempotency keys */
+    SIM_MUTATION_LOST_IS_NOT_SENT, /* a lost answer is taken for a request that was not sent */
+    SIM_MUTATION_REUSE_CONNECTION, /* a connection is used again after a lost answer */
     SIM_MUTATION_IGNORE_LEAVING,
     SIM_MUTATION_NO_PAUSE,
     SIM_MUTATION_COUNT,
--- a/src/sim/sim_scenario.h
+++ b/src/sim/sim_scenario.h
@@ -75,6 +75,7 @@
     uint32_t daemons;
     uint32_t databases;
     uint32_t clients;
+    bool writers; /* and one at each daemon that writes without pause */
     time_ns client_latency;
     time_ns think_time;
     time_ns request_deadline;
