--- /dev/null
+++ b/src/backend/adapter_transaction.c
@@ -0,0 +1,125 @@
+/* Transactions of several requests, on one connection that is theirs alone until the end. */
+#include "backend/adapter.h"
+#include "backend/adapter_internal.h"
+#include "backend/ledger.h"
+
+/* Starts a read: the guard is checked once, before anything is read. */
+static enum execute_result begin_read(struct backend_connection *connection,
+                                      const struct adapter_transaction_options *options,
+                                      time_ns deadline, struct execute_answer *answer)
+{
+    struct query_reply replies[2];
+    adapter_send_simple(connection, "BEGIN READ ONLY");
+    adapter_send_wait_applied(connection, options->guard, options->guard_wait_ms);
+    enum execute_result result =
+        adapter_finish_uncommitted(connection, deadline, NULL, replies, 2, answer);
+    if (result == EXECUTE_DONE && !adapter_parse_status(&replies[1].result, &answer->status)) {
+        adapter_take_nonsense(connection, "not a status row", answer);
+        result = EXECUTE_NOT_SENT;
+    } else if (result == EXECUTE_DONE &&
+               !log_position_covers(answer->status.applied, options->guard)) {
+        result = EXECUTE_GUARD_SHORT;
+    }
+    answer->position = answer->status.applied;
+    pipeline_replies_clear(replies, 2);
+    return result;
+}
+
+/* Starts a write. Its key is claimed only by its commit, lest other writers wait meanwhile. */
+static enum execute_result begin_write(struct backend_connection *connection,
+                                       const struct adapter_transaction_options *options,
+                                       time_ns deadline, struct execute_answer *answer)
+{
+    struct query_reply replies[2];
+    size_t count = adapter_has_key(&options->key) ? 2 : 1;
+    adapter_send_simple(connection, "BEGIN");
+    if (count == 2) {
+        ledger_send_lookup(connection, &options->key);
+    }
+    enum execute_result result =
+        adapter_finish_uncommitted(connection, deadline, NULL, replies, count, answer);
+    bool taken = result == EXECUTE_DONE && count == 2 && ledger_lookup_found(&replies[1]);
+    pipeline_replies_clear(replies, count);
+    if (!taken) {
+        return result;
+    }
+    return adapter_resolve_taken(connection, &options->key, deadline, answer);
+}
+
+enum execute_result adapter_begin(struct backend_connection *connection,
+                                  const struct adapter_transaction_options *options,
+                                  time_ns deadline, struct execute_answer *answer)
+{
+    execute_answer_clear(answer);
+    enum execute_result result = options->read_only
+                                     ? begin_read(connection, options, deadline, answer)
+                                     : begin_write(connection, options, deadline, answer);
+    if (result != EXECUTE_DONE) {
+        adapter_abandon(connection, deadline);
+    }
+    return result;
+}
+
+enum execute_result adapter_statement(struct backend_connection *connection,
+                                      const struct sql_statement *statements, size_t count,
+                                      time_ns deadline, const struct result_limits *limits,
+                                      struct execute_answer *answer)
+{
+    size_t total = count + 1;
+    g_autofree struct query_reply *replies = g_new0(struct query_reply, total);
+    struct result_limits extended = adapter_extend_limits(limits);
+    adapter_send_statements(connection, statements, count);
+    /* What the statements may have seen is known only after them. */
+    adapter_send_simple(connection, SQL_STATUS);
+    enum execute_result result =
+        adapter_finish_uncommitted(connection, deadline, &extended, replies, total, answer);
+    if (result == EXECUTE_DONE && !adapter_parse_status(&replies[count].result, &answer->status)) {
+        adapter_take_nonsense(connection, "not a status row", answer);
+        result = EXECUTE_NOT_SENT;
+    } else if (result == EXECUTE_DONE) {
+        answer->position = answer->status.applied;
+        adapter_take_results(replies, count, answer);
+    }
+    pipeline_replies_clear(replies, total);
+    return result;
+}
+
+/* Ends a read. What it may have seen is told by the status after its last statement. */
+static enum execute_result commit_read(struct backend_connection *connection, time_ns deadline,
+                                       struct execute_answer *answer)
+{
+    struct query_reply replies[2];
+    enum execute_result result = EXECUTE_LOST;
+    adapter_send_simple(connection, SQL_STATUS);
+    adapter_send_simple(connection, "COMMIT");
+    if (pipeline_finish(connection, deadline, NULL, replies, 2) != PIPELINE_WHOLE) {
+        adapter_take_loss(connection, answer);
+    } else if (pipeline_first_error(replies, 2) != NULL) {
+        result = adapter_take_error(pipeline_first_error(replies, 2), answer);
+    } else if (adapter_parse_status(&replies[0].result, &answer->status)) {
+        answer->position = answer->status.applied;
+        result = EXECUTE_DONE;
+    } else {
+        adapter_take_nonsense(connection, "not a status row", answer);
+    }
+    pipeline_replies_clear(replies, 2);
+    return result;
+}
+
+enum execute_result adapter_commit(struct backend_connection *connection,
+                                   const struct adapter_transaction_options *options,
+                                   time_ns deadline, struct execute_answer *answer)
+{
+    execute_answer_clear(answer);
+    enum execute_result result =
+        options->read_only ? commit_read(connection, deadline, answer)
+                           : adapter_commit_claiming(connection, &options->key, deadline, answer);
+    adapter_abandon(connection, deadline);
+    return result;
+}
+
+enum execute_result adapter_rollback(struct backend_connection *connection, time_ns deadline)
+{
+    adapter_abandon(connection, deadline);
+    return connection->state == CONNECTION_STATE_BROKEN ? EXECUTE_NOT_SENT : EXECUTE_DONE;
+}
--- /dev/null
+++ b/tests/frontend/harness.h
@@ -0,0 +1,75 @@
+/* A frontend on a loopback port with a fake daemon behind it, and an HTTP client in front. */
+#ifndef SW_TESTS_FRONTEND_HARNESS_H
+#define SW_TESTS_FRONTEND_HARNESS_H
+
+#include "frontend/frontend.h"
+#include "http_client.h"
+
+#include <glib.h>
+#include <pthread.h>
+
+/* Group of the tenant "hut". For "early" there is no configuration; no other tenant exists. */
+#define HARNESS_GROUP 7
+
+/* A frontend whose requests queue up for the test to answer. */
+struct harness {
+    struct token_keys *keys;
+    struct frontend *frontend;
+    uint16_t port;
+    GQueue submitted;       /* of struct submitted */
+    pthread_mutex_t lock;   /* of submitted */
+    pthread_cond_t arrived; /* submitted is longer */
+    pthread_mutex_t gate;   /* a test that holds it stops the frontend's threads in find_tenant */
+};
+
+/* A request that reached the fake daemon. */
+struct submitted {
+    struct frontend_call *call;
+    struct request *request;
+};
+
+/* Starts with default limits where `adjust` is NULL. */
+void harness_start(struct harness *harness, void (*adjust)(struct frontend_options *options));
+
+/* Stops the frontend unless the test did and set it to NULL, frees all, and returns the number of
+ * requests cut. */
+unsigned harness_stop(struct harness *harness);
+
+/* Waits for the next request. */
+struct submitted *harness_take(struct harness *harness);
+
+/* The same for a bounded time; NULL where none came. */
+struct submitted *harness_take_within(struct harness *harness, unsigned milliseconds);
+
+/* Requests that wait to be taken. */
+unsigned harness_waiting(struct harness *harness);
+
+/* Answers with a copy of `reply` that owns nothing, and frees `submitted`. */
+void harness_answer(struct submitted *submitted, const struct reply *reply);
+
+/* Answers with one row of one text cell, `text`, seen at (term, offset), and frees `submitted`. */
+void harness_answer_text(struct submitted *submitted, const char *text, uint64_t term,
+                         uint64_t offset);
+
+/* Posts `body` to a path with headers (a NULL-terminated list, or NULL), and waits for the answer
+ * or the connection's end. */
+void harness_post(struct harness *harness, const char *path, const char *body, size_t length,
+                  const char *const *headers, struct exchange *exchange);
+
+/* The same from a thread of its own; harness_join waits for it. */
+struct poster;
+struct poster *harness_post_start(struct harness *harness, const char *path, const char *body,
+                                  const char *const *headers);
+void harness_join(struct poster *poster, struct exchange *exchange);
+
+/* A connection of the test's own, for what a well-behaved client does not do. */
+int harness_connect(struct harness *harness);
+void harness_send(int connection, const char *text);
+
+/* Reads up to and with the octets `end`, or to the connection's end. */
+GString *harness_receive_until(int connection, const char *end);
+
+/* Waits until the frontend has no request under way. */
+void harness_wait_idle(struct harness *harness);
+
+#endif
