--- a/src/core/budget.c
+++ b/src/core/budget.c
@@ -7,8 +7,13 @@
 /* Of the limit, one part in this many is kept for new owners that warm up. */
 #define HANDOVER_PART 8
 
+/* A number that another holds is tried again after this many times the wait of the others. */
+#define TAKEN_RETRY_FACTOR 4
+
 #define DEFAULT_RETRY_WAIT    (500 * NANOSECONDS_PER_MILLISECOND)
-#define DEFAULT_HANDOVER_TIME (5 * NANOSECONDS_PER_SECOND)
+#define DEFAULT_HANDOVER_TIME (10 * NANOSECONDS_PER_SECOND)
+
+#define BUDGET_SLOT_STATES (BUDGET_SLOT_CLOSING + 1)
 
 struct budget_slot {
     enum budget_slot_state state;
@@ -22,6 +27,10 @@
     bool warm_told;
     bool released_told;
     time_ns close_by; /* end of the time for hand-over after the last change of place */
+    time_ns wakeup;
+    uint32_t numbers; /* worked out from the options */
+    uint32_t share;
+    uint32_t count[BUDGET_SLOT_STATES]; /* slots in each state */
     struct budget_slot slots[BUDGET_CONNECTIONS_MAX];
 };
 
@@ -50,8 +59,12 @@
 {
     struct budget *budget = g_new0(struct budget, 1);
     budget->options = *options;
+    budget->numbers = budget_numbers(options);
+    budget->share = budget_share(options);
+    budget->count[BUDGET_SLOT_FREE] = budget->numbers;
     budget->position = -1;
     budget->released_told = true;
+    budget->wakeup = UINT64_MAX;
     return budget;
 }
 
@@ -66,23 +79,21 @@
     g_array_append_val(actions, action);
 }
 
-static uint32_t count_state(const struct budget *budget, enum budget_slot_state state)
+static void set_state(struct budget *budget, uint32_t number, enum budget_slot_state state)
 {
-    uint32_t count = 0;
-    for (uint32_t i = 0; i < budget_numbers(&budget->options); i++) {
-        count += budget->slots[i].state == state;
-    }
-    return count;
+    budget->count[budget->slots[number].state]--;
+    budget->slots[number].state = state;
+    budget->count[state]++;
 }
 
 uint32_t budget_held(const struct budget *budget)
 {
-    return count_state(budget, BUDGET_SLOT_HELD);
+    return budget->count[BUDGET_SLOT_HELD];
 }
 
 uint32_t budget_counted(const struct budget *budget)
 {
-    return budget_numbers(&budget->options) - count_state(budget, BUDGET_SLOT_FREE);
+    return budget->numbers - budget->count[BUDGET_SLOT_FREE];
 }
 
 enum budget_slot_state budget_slot(const struct budget *budget, uint32_t number)
@@ -99,17 +110,17 @@
 /* First number of this daemon's share, and the one behind its last. */
 static uint32_t share_start(const struct budget *budget)
 {
-    return (uint32_t)budget->position * budget_share(&budget->options);
+    return (uint32_t)budget->position * budget->share;
 }
 
 static uint32_t share_end(const struct budget *budget)
 {
-    return share_start(budget) + budget_share(&budget->options);
+    return share_start(budget) + budget->share;
 }
 
 static uint32_t handover_start(const struct budget *budget)
 {
-    return budget_numbers(&budget->options) - budget->options.handover;
+    return budget->numbers - budget->options.handover;
 }
 
 static bool in_share(const struct budget *budget, uint32_t number)
@@ -120,7 +131,7 @@
 static uint32_t held_in_share(const struct budget *budget)
 {
     uint32_t count = 0;
-    for (uint32_t i = 0; i < budget_numbers(&budget->options); i++) {
+    for (uint32_t i = 0; i < budget->numbers; i++) {
         count += in_share(budget, i) && budget->slots[i].state == BUDGET_SLOT_HELD;
     }
     return count;
@@ -129,8 +140,7 @@
 /* Connections with which a new owner can serve. */
 static uint32_t warm_count(const struct budget *budget)
 {
-    uint32_t share = budget_share(&budget->options);
-    return MAX(1, MIN(share, budget->options.handover));
+    return MAX(1, MIN(budget->share, budget->options.handover));
 }
 
 /* The first free number of a span that may be tried now, or -1. */
@@ -152,7 +162,7 @@
     bool cold = budget_held(budget) < warm_count(budget);
     int32_t spare = -1;
     if (cold) {
-        spare = free_number(budget, handover_start(budget), budget_numbers(&budget->options), now);
+        spare = free_number(budget, handover_start(budget), budget->numbers, now);
     }
     if (budget->handing_over && spare >= 0) {
         return spare;
@@ -165,14 +175,14 @@
  * has no number yet, which is what the opening reserve counts on. */
 static void open_next(struct budget *budget, time_ns now, GArray *actions)
 {
-    if (budget->position < 0 || count_state(budget, BUDGET_SLOT_OPENING) > 0) {
+    if (budget->position < 0 || budget->count[BUDGET_SLOT_OPENING] > 0) {
         return;
     }
     int32_t number = next_number(budget, now);
     if (number < 0) {
         return;
     }
-    budget->slots[number].state = BUDGET_SLOT_OPENING;
+    set_state(budget, (uint32_t)number, BUDGET_SLOT_OPENING);
     add_action(actions, BUDGET_ACTION_OPEN, (uint32_t)number);
 }
 
@@ -181,13 +191,13 @@
     if (budget->slots[number].state != BUDGET_SLOT_HELD) {
         return;
     }
-    budget->slots[number].state = BUDGET_SLOT_CLOSING;
+    set_state(budget, number, BUDGET_SLOT_CLOSING);
     add_action(actions, BUDGET_ACTION_CLOSE, number);
 }
 
 static void close_all(struct budget *budget, GArray *actions)
 {
-    for (uint32_t i = 0; i < budget_numbers(&budget->options); i++) {
+    for (uint32_t i = 0; i < budget->numbers; i++) {
         close_slot(budget, i, actions);
     }
 }
@@ -227,10 +237,10 @@
 /* Gives back the numbers for hand-over once the share itself is held. */
 static void close_handover_numbers(struct budget *budget, GArray *actions)
 {
-    if (held_in_share(budget) < budget_share(&budget->options)) {
+    if (held_in_share(budget) < budget->share) {
         return;
     }
-    for (uint32_t i = 0; i < budget_numbers(&budget->options); i++) {
+    for (uint32_t i = 0; i < budget->numbers; i++) {
         if (in_handover(budget, i)) {
             close_slot(budget, i, actions);
         }
@@ -250,21 +260,65 @@
     }
 }
 
-static void advance(struct budget *budget, time_ns now, GArray *actions)
+/* Leaves the numbers of a span alone for a while: each try costs the database a connection, and
+ * where one number is taken, the others mostly are. */
+static void hold_back(struct budget *budget, uint32_t start, uint32_t end, time_ns now)
 {
-    if (budget->position < 0) {
-        advance_without_place(budget, now, actions);
-        return;
+    time_ns retry_at = now + budget->options.retry_wait;
+    for (uint32_t i = start; i < end; i++) {
+        budget->slots[i].retry_at = MAX(budget->slots[i].retry_at, retry_at);
     }
+}
+
+/* Tells that this daemon can serve. An old owner that is still there needs a moment to release. */
+static void tell_warm(struct budget *budget, time_ns now, GArray *actions)
+{
+    budget->warm_told = true;
+    add_action(actions, BUDGET_ACTION_WARM, 0);
+    if (budget->handing_over) {
+        hold_back(budget, share_start(budget), share_end(budget), now);
+    }
+}
+
+static void advance_with_place(struct budget *budget, time_ns now, GArray *actions)
+{
     if (!budget->warm_told && budget_held(budget) >= warm_count(budget)) {
-        budget->warm_told = true;
-        add_action(actions, BUDGET_ACTION_WARM, 0);
+        tell_warm(budget, now, actions);
     }
     close_others_numbers(budget, now, actions);
     close_handover_numbers(budget, actions);
     open_next(budget, now, actions);
 }
 
+/* When something may be due without an event. */
+static time_ns work_out_wakeup(const struct budget *budget)
+{
+    if (budget->position < 0) {
+        bool waiting = budget->handing_over && budget_counted(budget) > 0;
+        return waiting ? budget->close_by : UINT64_MAX;
+    }
+    time_ns wakeup = held_of_others(budget) > 0 ? budget->close_by : UINT64_MAX;
+    if (budget->count[BUDGET_SLOT_OPENING] > 0) {
+        return wakeup;
+    }
+    for (uint32_t i = share_start(budget); i < share_end(budget); i++) {
+        if (budget->slots[i].state == BUDGET_SLOT_FREE) {
+            wakeup = MIN(wakeup, budget->slots[i].retry_at);
+        }
+    }
+    return wakeup;
+}
+
+static void advance(struct budget *budget, time_ns now, GArray *actions)
+{
+    if (budget->position < 0) {
+        advance_without_place(budget, now, actions);
+    } else {
+        advance_with_place(budget, now, actions);
+    }
+    budget->wakeup = work_out_wakeup(budget);
+}
+
 /* Makes all numbers worth another try. */
 static void forget_refusals(struct budget *budget)
 {
@@ -307,30 +361,32 @@
 
 void budget_opened(struct budget *budget, uint32_t number, time_ns now, GArray *actions)
 {
-    budget->slots[number].state = BUDGET_SLOT_HELD;
+    set_state(budget, number, BUDGET_SLOT_HELD);
     advance(budget, now, actions);
 }
 
 /* A number that could not be had is left alone for a while. */
 static void set_free(struct budget *budget, uint32_t number, time_ns retry_at)
 {
-    budget->slots[number].state = BUDGET_SLOT_FREE;
+    set_state(budget, number, BUDGET_SLOT_FREE);
     budget->slots[number].retry_at = retry_at;
 }
 
 void budget_number_taken(struct budget *budget, uint32_t number, time_ns now, GArray *actions)
 {
-    set_free(budget, number, now + budget->options.retry_wait);
+    set_free(budget, number, now + TAKEN_RETRY_FACTOR * budget->options.retry_wait);
+    if (in_handover(budget, number)) {
+        hold_back(budget, handover_start(budget), budget->numbers, now);
+    } else if (in_share(budget, number)) {
+        hold_back(budget, share_start(budget), share_end(budget), now);
+    }
     advance(budget, now, actions);
 }
 
 void budget_failed(struct budget *budget, uint32_t number, time_ns now, GArray *actions)
 {
-    set_free(budget, number, now + budget->options.retry_wait);
-    for (uint32_t i = 0; i < BUDGET_CONNECTIONS_MAX; i++) {
-        budget->slots[i].retry_at =
-            MAX(budget->slots[i].retry_at, now + budget->options.retry_wait);
-    }
+    set_free(budget, number, now);
+    hold_back(budget, 0, budget->numbers, now);
     advance(budget, now, actions);
 }
 
@@ -347,20 +403,7 @@
 
 time_ns budget_next_wakeup(const struct budget *budget)
 {
-    if (budget->position < 0) {
-        bool waiting = budget->handing_over && budget_counted(budget) > 0;
-        return waiting ? budget->close_by : UINT64_MAX;
-    }
-    time_ns wakeup = held_of_others(budget) > 0 ? budget->close_by : UINT64_MAX;
-    if (count_state(budget, BUDGET_SLOT_OPENING) > 0) {
-        return wakeup;
-    }
-    for (uint32_t i = share_start(budget); i < share_end(budget); i++) {
-        if (budget->slots[i].state == BUDGET_SLOT_FREE) {
-            wakeup = MIN(wakeup, budget->slots[i].retry_at);
-        }
-    }
-    return wakeup;
+    return budget->wakeup;
 }
 
 size_t budget_memory(const struct budget *budget)
--- a/src/core/config_currency.c
+++ b/src/core/config_currency.c
@@ -142,8 +142,10 @@
                         GArray *actions)
 {
     currency->next_head = now + currency->options.head_interval;
-    if (head.version > 0) {
+    if (head.version > currency->newest.version) {
         currency_hear(currency, head, 0, now, actions);
+        currency->try_store_at = now;
+        fetch_next(currency, now, actions);
     }
 }
 
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -312,30 +312,19 @@
     return true;
 }
 
-/* True if a live member is in reach: this daemon itself always is. */
-static bool record_in_reach(const struct membership *membership, const struct member_record *record,
-                            time_ns now, time_ns within)
-{
-    if (record->id == membership->self_id) {
-        return true;
-    }
-    time_ns heard = membership->zone_heard[record->zone];
-    return member_record_live(record) && heard != 0 && now <= heard + within;
-}
-
 void membership_reach(const struct membership *membership, time_ns now, time_ns within,
                       size_t *reachable, size_t *known)
 {
     *reachable = 0;
-    *known = 0;
-    for (size_t i = 0; i < membership->records->len; i++) {
-        const struct member_record *record = membership_record_at(membership, i);
-        if (record->state == MEMBER_STATE_LEFT) {
-            continue;
-        }
-        (*known)++;
-        if (record_in_reach(membership, record, now, within)) {
-            (*reachable)++;
+    *known = membership->dead;
+    for (uint32_t zone = 0; zone < MEMBERSHIP_ZONES_MAX; zone++) {
+        uint32_t live = membership->live_in_zone[zone];
+        time_ns heard = membership->zone_heard[zone];
+        *known += live;
+        if (heard != 0 && now <= heard + within) {
+            *reachable += live;
+        } else if (zone == membership->self_zone) {
+            *reachable += 1;
         }
     }
 }
--- a/src/core/membership_internal.h
+++ b/src/core/membership_internal.h
@@ -66,6 +66,7 @@
 
     GArray *records; /* struct member_record, by id */
     uint16_t live_in_zone[MEMBERSHIP_ZONES_MAX];
+    uint32_t dead; /* that are remembered */
     uint32_t digests[MEMBERSHIP_BUCKETS];
 
     time_ns zone_heard[MEMBERSHIP_AGE_COUNT]; /* last sign of life; 0: none yet */
--- a/src/core/membership_sync.c
+++ b/src/core/membership_sync.c
@@ -6,6 +6,9 @@
 /* Of a peer's live members, this share (in sixteenths) must be known for the list to be whole. */
 #define COMPLETE_SIXTEENTHS 15
 
+/* When many daemons start at once, an equal list means little: all may lack the same members. */
+#define FIRST_LOOK_TIME (2 * NANOSECONDS_PER_SECOND)
+
 /* One in this many rounds goes to a member of any zone. */
 #define FAR_SYNC_INTERVAL 4
 
@@ -148,7 +151,8 @@
                                    time_ns now, struct membership_actions *actions)
 {
     uint64_t needed = (uint64_t)message->live_members * COMPLETE_SIXTEENTHS / 16;
-    if (live_members(membership) >= needed) {
+    bool early = now < membership->started + FIRST_LOOK_TIME;
+    if (live_members(membership) >= needed && !early) {
         membership->synced = true;
     }
     uint32_t buckets = differing_buckets(membership, message);
--- a/src/core/membership_table.c
+++ b/src/core/membership_table.c
@@ -57,20 +57,24 @@
 
 void membership_count_in(struct membership *membership, const struct member_record *record)
 {
-    if (!member_record_live(record)) {
-        return;
+    if (record->state == MEMBER_STATE_DEAD) {
+        membership->dead++;
+    }
+    if (member_record_live(record)) {
+        membership->live_in_zone[record->zone]++;
+        membership->digests[record->id % MEMBERSHIP_BUCKETS] ^= record_digest(record);
     }
-    membership->live_in_zone[record->zone]++;
-    membership->digests[record->id % MEMBERSHIP_BUCKETS] ^= record_digest(record);
 }
 
 void membership_discount(struct membership *membership, const struct member_record *record)
 {
-    if (!member_record_live(record)) {
-        return;
+    if (record->state == MEMBER_STATE_DEAD) {
+        membership->dead--;
+    }
+    if (member_record_live(record)) {
+        membership->live_in_zone[record->zone]--;
+        membership->digests[record->id % MEMBERSHIP_BUCKETS] ^= record_digest(record);
     }
-    membership->live_in_zone[record->zone]--;
-    membership->digests[record->id % MEMBERSHIP_BUCKETS] ^= record_digest(record);
 }
 
 struct member_record *membership_insert(struct membership *membership,
--- a/src/sim/scale_daemon.c
+++ b/src/sim/scale_daemon.c
@@ -342,7 +342,7 @@
 {
     uint64_t suspicions = membership_suspicions(daemon->membership);
     membership_tick(daemon->membership, fleet_now(fleet), fleet->actions);
-    fleet->measures.suspicions += membership_suspicions(daemon->membership) - suspicions;
+    scale_observe_suspicions(fleet, daemon, membership_suspicions(daemon->membership) - suspicions);
     perform_membership(fleet, daemon);
     settle_ownership(fleet, daemon);
     tick_currency(fleet, daemon);
--- a/src/sim/scale_fleet.c
+++ b/src/sim/scale_fleet.c
@@ -16,7 +16,8 @@
         .databases = databases,
         .connection_limit = 35,
         .connect_time = 20 * NANOSECONDS_PER_MILLISECOND,
-        .forward_interval = 10 * NANOSECONDS_PER_SECOND,
+        .forward_interval = 2 * NANOSECONDS_PER_SECOND,
+        .publish_time = 50 * NANOSECONDS_PER_MILLISECOND,
         .stop_time = 6 * NANOSECONDS_PER_SECOND,
         .difference_octets = 2048,
         .seeds = 5,
@@ -286,6 +287,28 @@
     fleet->store_up = up;
 }
 
+/* Who publishes also gives the configuration to a daemon that it reaches. */
+static void give_to_one(struct scale_fleet *fleet, uint64_t version)
+{
+    uint32_t first = scale_fleet_random(fleet, fleet->options.daemons);
+    for (uint32_t i = 0; i < fleet->options.daemons; i++) {
+        uint32_t index = (first + i) % fleet->options.daemons;
+        const struct scale_daemon *daemon = &fleet->daemons[index];
+        if (!daemon->running || daemon->paused || fleet->zone_cut[daemon->zone]) {
+            continue;
+        }
+        struct scale_event event = {
+            .at = scale_fleet_now(fleet) + fleet->options.publish_time,
+            .kind = SCALE_EVENT_FETCHED,
+            .daemon = index,
+            .life = daemon->life,
+            .number = version,
+        };
+        scale_network_add(fleet->network, &event);
+        return;
+    }
+}
+
 uint64_t scale_fleet_publish(struct scale_fleet *fleet)
 {
     if (!fleet->store_up) {
@@ -293,6 +316,13 @@
     }
     struct scale_publication publication = {.at = scale_fleet_now(fleet)};
     g_array_append_val(fleet->publications, publication);
+    uint64_t version = fleet->publications->len - 1;
+    give_to_one(fleet, version);
+    return version;
+}
+
+uint64_t scale_fleet_newest(const struct scale_fleet *fleet)
+{
     return fleet->publications->len - 1;
 }
 
--- a/src/sim/scale_fleet.h
+++ b/src/sim/scale_fleet.h
@@ -23,6 +23,7 @@
     uint32_t connection_limit;  /* of each database */
     time_ns connect_time;       /* to open a connection */
     time_ns forward_interval;   /* each daemon forwards work on every group this often */
+    time_ns publish_time;       /* from acceptance until the publisher has given it to a daemon */
     time_ns stop_time;          /* a planned stop takes so long, from the mark to the end */
     uint32_t difference_octets; /* one change of configuration, as it travels */
     uint32_t seeds;             /* addresses in the machine list that a daemon starts with */
@@ -66,9 +67,13 @@
 
 void scale_fleet_set_store_up(struct scale_fleet *fleet, bool up);
 
-/* Publishes a new configuration to the store; its version. 0 if the store is down. */
+/* Publishes a new configuration to the store and gives it to one daemon; its version. 0 if the
+ * store is down. */
 uint64_t scale_fleet_publish(struct scale_fleet *fleet);
 
+/* The version published last; 0: none yet. */
+uint64_t scale_fleet_newest(const struct scale_fleet *fleet);
+
 /* A group gets a new primary, which one of its owners has just brought about. */
 void scale_fleet_change_primary(struct scale_fleet *fleet, uint32_t group);
 
--- a/src/sim/scale_fleet_internal.h
+++ b/src/sim/scale_fleet_internal.h
@@ -164,6 +164,9 @@
                           const struct group_status *status);
 void scale_observe_member(struct scale_fleet *fleet, const struct scale_daemon *daemon,
                           const struct membership_action *action);
+/* The daemon just raised so many suspicions; they stand in the fleet's actions. */
+void scale_observe_suspicions(struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                              uint64_t raised);
 void scale_observe_serving(struct scale_fleet *fleet, const struct scale_daemon *daemon,
                            bool serving);
 
--- /dev/null
+++ b/src/sim/scale_main.c
@@ -0,0 +1,143 @@
+/* Command line of the hollow fleet. */
+#include "sim/scale_main.h"
+
+#include "sim/scale_day.h"
+#include "sim/scale_fleet.h"
+#include "sim/scale_report.h"
+
+#include <stdio.h>
+
+/* Databases of the target, and daemons before them. */
+#define TARGET_DATABASES 1700
+#define TARGET_DAEMONS   760
+
+/* Hollow daemons that one process takes. */
+#define DAEMONS_MAX 20000
+
+struct arguments {
+    gint daemons;
+    gint databases;
+    gint seed;
+    gdouble minutes;
+    gboolean quiet;
+    gint configuration_changes;
+    gint restarts;
+    gint failures;
+    gint primary_changes;
+    gchar *commit;
+};
+
+static bool parse(struct arguments *arguments, int *argc, char ***argv, GError **error)
+{
+    GOptionEntry entries[] = {
+        {"daemons", 'n', 0, G_OPTION_ARG_INT, &arguments->daemons, "hollow daemons", "N"},
+        {"databases", 'm', 0, G_OPTION_ARG_INT, &arguments->databases,
+         "databases; in proportion to the target if not given", "M"},
+        {"seed", 's', 0, G_OPTION_ARG_INT, &arguments->seed, "seed of the run", "S"},
+        {"minutes", 't', 0, G_OPTION_ARG_DOUBLE, &arguments->minutes, "virtual minutes", "T"},
+        {"quiet", 'q', 0, G_OPTION_ARG_NONE, &arguments->quiet, "a day without events", NULL},
+        {"configuration-changes", 0, 0, G_OPTION_ARG_INT, &arguments->configuration_changes,
+         "instead of the day's number", "N"},
+        {"restarts", 0, 0, G_OPTION_ARG_INT, &arguments->restarts, "instead of the day's number",
+         "N"},
+        {"failures", 0, 0, G_OPTION_ARG_INT, &arguments->failures, "instead of the day's number",
+         "N"},
+        {"primary-changes", 0, 0, G_OPTION_ARG_INT, &arguments->primary_changes,
+         "instead of the day's number", "N"},
+        {"commit", 0, 0, G_OPTION_ARG_STRING, &arguments->commit, "commit named in the report",
+         "ID"},
+        G_OPTION_ENTRY_NULL,
+    };
+    g_autoptr(GOptionContext) context = g_option_context_new("- run a fleet of hollow daemons");
+    g_option_context_add_main_entries(context, entries, NULL);
+    return g_option_context_parse(context, argc, argv, error);
+}
+
+static bool check(const struct arguments *arguments)
+{
+    bool daemons = arguments->daemons > 0 && arguments->daemons <= DAEMONS_MAX;
+    return daemons && arguments->databases >= 0 && arguments->minutes > 0;
+}
+
+static void override(uint32_t *number, gint given)
+{
+    if (given >= 0) {
+        *number = (uint32_t)given;
+    }
+}
+
+static void choose_day(const struct arguments *arguments, struct scale_day_options *day)
+{
+    time_ns length = (time_ns)(arguments->minutes * 60 * (double)NANOSECONDS_PER_SECOND);
+    if (arguments->quiet) {
+        scale_day_options_quiet(day, length);
+    } else {
+        scale_day_options_for(day, (uint32_t)arguments->daemons, length);
+    }
+    override(&day->configuration_changes, arguments->configuration_changes);
+    override(&day->restarts, arguments->restarts);
+    override(&day->failures, arguments->failures);
+    override(&day->primary_changes, arguments->primary_changes);
+}
+
+/* True if all settled and no limit was broken. */
+static bool outcome_is_good(struct scale_fleet *fleet, const struct scale_day_outcome *outcome)
+{
+    return outcome->stragglers == 0 && outcome->not_serving == 0 && outcome->views_differing == 0 &&
+           scale_fleet_measures(fleet)->budget_violations == 0;
+}
+
+static int run(const struct arguments *arguments, const char *command)
+{
+    struct scale_fleet_options options;
+    scale_fleet_options_default(&options, (uint32_t)arguments->daemons,
+                                (uint32_t)arguments->databases, (uint32_t)arguments->seed);
+    struct scale_day_options day;
+    choose_day(arguments, &day);
+    g_autoptr(GTimer) timer = g_timer_new();
+    struct scale_fleet *fleet = scale_fleet_new(&options);
+    struct scale_day_outcome outcome;
+    scale_day_run(fleet, &day, &outcome);
+    struct scale_report_run report = {
+        .commit = arguments->commit == NULL ? "unknown" : arguments->commit,
+        .command = command,
+        .databases = (uint32_t)arguments->databases,
+        .seed = (uint32_t)arguments->seed,
+        .wall_seconds = g_timer_elapsed(timer, NULL),
+    };
+    g_autofree char *line = scale_report_line(fleet, &day, &outcome, &report);
+    printf("%s\n", line);
+    bool good = outcome_is_good(fleet, &outcome);
+    scale_fleet_free(fleet);
+    return good ? 0 : 1;
+}
+
+int scale_main(int argc, char **argv)
+{
+    struct arguments arguments = {
+        .daemons = 48,
+        .databases = -1,
+        .seed = 1,
+        .minutes = 10,
+        .configuration_changes = -1,
+        .restarts = -1,
+        .failures = -1,
+        .primary_changes = -1,
+    };
+    g_autofree char *command = g_strjoinv(" ", argv);
+    g_autoptr(GError) error = NULL;
+    if (!parse(&arguments, &argc, &argv, &error)) {
+        fprintf(stderr, "scale: %s\n", error->message);
+        return 2;
+    }
+    if (arguments.databases < 0) {
+        arguments.databases = arguments.daemons * TARGET_DATABASES / TARGET_DAEMONS;
+    }
+    if (!check(&arguments)) {
+        fprintf(stderr, "scale: a number is out of range\n");
+        return 2;
+    }
+    int status = run(&arguments, command);
+    g_free(arguments.commit);
+    return status;
+}
--- a/src/sim/scale_observe.c
+++ b/src/sim/scale_observe.c
@@ -125,6 +125,24 @@
     }
 }
 
+void scale_observe_suspicions(struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                              uint64_t raised)
+{
+    if (raised == 0) {
+        return;
+    }
+    fleet->measures.suspicions += raised;
+    for (size_t i = 0; i < membership_actions_count(fleet->actions); i++) {
+        const struct membership_action *action = membership_actions_get(fleet->actions, i);
+        const struct scale_daemon *about = scale_daemon_of_id(fleet, action->member.id);
+        bool suspected = action->kind == MEMBERSHIP_ACTION_MEMBER_CHANGED &&
+                         action->member.state == MEMBER_STATE_SUSPECT && about != NULL;
+        if (suspected && about->start == action->member.start && is_well(fleet, daemon, about)) {
+            fleet->measures.false_suspicions++;
+        }
+    }
+}
+
 void scale_observe_serving(struct scale_fleet *fleet, const struct scale_daemon *daemon,
                            bool serving)
 {
--- /dev/null
+++ b/src/sim/scale_report.h
@@ -0,0 +1,22 @@
+/* The JSON line that a run of the hollow fleet prints. */
+#ifndef SW_SIM_SCALE_REPORT_H
+#define SW_SIM_SCALE_REPORT_H
+
+#include "sim/scale_day.h"
+#include "sim/scale_fleet.h"
+
+/* What names a run. */
+struct scale_report_run {
+    const char *commit;
+    const char *command;
+    uint32_t databases;
+    uint32_t seed;
+    double wall_seconds;
+};
+
+/* The report as one line of JSON. Free with g_free. */
+char *scale_report_line(struct scale_fleet *fleet, const struct scale_day_options *day,
+                        const struct scale_day_outcome *outcome,
+                        const struct scale_report_run *run);
+
+#endif
