--- a/src/core/config_currency.c
+++ b/src/core/config_currency.c
@@ -234,7 +234,8 @@
     if (now < currency->next_head) {
         return false;
     }
-    bool unconfirmed = now > currency->confirmed_at + currency->options.bound / 2;
+    bool unconfirmed =
+        currency->confirmed_at == 0 || now > currency->confirmed_at + currency->options.bound / 2;
     return evidence->asks_store || unconfirmed;
 }
 
--- a/src/core/membership_sync.c
+++ b/src/core/membership_sync.c
@@ -118,7 +118,7 @@
     };
     stream_records(&stream, buckets);
     bool unsent = stream.datagrams == 0 || stream.message.updates_count > 0;
-    if (unsent) {
+    if (unsent && stream.datagrams < membership->options.sync_datagrams) {
         membership_send_plain(&stream.message, to, actions);
     }
     gossip_message_clear(&stream.message);
--- /dev/null
+++ b/tests/core/membership_test.c
@@ -0,0 +1,146 @@
+/* Membership's datagrams: bounded in size, whatever is known. */
+#include "core/membership.h"
+
+#include <string.h>
+
+#define MEMBERS 400
+
+/* Merges many members by datagrams as another daemon would send them. */
+static void learn_members(struct membership *membership, struct membership_actions *actions)
+{
+    for (uint32_t i = 0; i < MEMBERS; i++) {
+        struct gossip_message message;
+        gossip_message_init(&message);
+        message.kind = GOSSIP_KIND_PING;
+        message.deployment = 1;
+        message.sequence = i;
+        message.sender = (struct gossip_member){
+            .member = UINT64_C(0xF000000000000000) + i,
+            .start = UINT64_C(1) << 40,
+            .incarnation = 70000,
+            .address = 0xC0A80000 + i,
+            .port = 40000,
+            .zone = i % 40,
+            .region = 30,
+            .configuration_version = UINT64_C(1) << 33,
+        };
+        message.configuration_hash = UINT64_MAX;
+        struct member_address from = {message.sender.address, 40000};
+        membership_receive(membership, &message, from, NANOSECONDS_PER_SECOND + i, actions);
+    }
+}
+
+static void check_sizes(const struct membership_actions *actions)
+{
+    for (size_t i = 0; i < membership_actions_count(actions); i++) {
+        const struct membership_action *action = membership_actions_get(actions, i);
+        if (action->kind != MEMBERSHIP_ACTION_SEND) {
+            continue;
+        }
+        struct message message;
+        message_init(&message, MESSAGE_KIND_GOSSIP);
+        message.gossip = action->message;
+        g_autoptr(GByteArray) octets = message_encode(&message);
+        g_assert_cmpuint(octets->len, <=, MEMBERSHIP_DATAGRAM_MAX);
+        struct message decoded;
+        g_autoptr(GError) error = NULL;
+        g_assert_true(message_decode(octets->data, octets->len, &decoded, &error));
+        g_assert_cmpuint(decoded.gossip.updates_count, ==, action->message.updates_count);
+        message_clear(&decoded);
+    }
+}
+
+static struct membership *new_membership(void)
+{
+    struct membership_options options;
+    membership_options_default(&options);
+    struct membership_self self = {
+        .id = membership_id_of_name("one"),
+        .start = UINT64_C(1) << 40,
+        .address = {0x7F000001, 7946},
+        .zone = 3,
+        .region = 30,
+    };
+    return membership_new(&options, &self, NANOSECONDS_PER_SECOND);
+}
+
+static void test_datagrams_are_bounded(void)
+{
+    struct membership *membership = new_membership();
+    struct membership_actions *actions = membership_actions_new();
+    learn_members(membership, actions);
+    check_sizes(actions);
+    size_t sent = 0;
+    for (int i = 0; i < 200; i++) {
+        membership_actions_clear(actions);
+        membership_tick(membership, membership_next_wakeup(membership), actions);
+        check_sizes(actions);
+        sent += membership_actions_count(actions);
+    }
+    g_assert_cmpuint(sent, >, 200);
+    membership_actions_free(actions);
+    membership_free(membership);
+}
+
+/* The answer to a sync from one that knows nobody is bounded in datagrams, too. */
+static void test_sync_answer_is_bounded(void)
+{
+    struct membership *membership = new_membership();
+    struct membership_actions *actions = membership_actions_new();
+    learn_members(membership, actions);
+    membership_actions_clear(actions);
+    struct gossip_message message;
+    gossip_message_init(&message);
+    message.kind = GOSSIP_KIND_SYNC;
+    message.deployment = 1;
+    message.sender = (struct gossip_member){.member = 77, .start = 1, .address = 9, .port = 9};
+    message.digests = g_new0(uint32_t, 32);
+    message.digests_count = 32;
+    struct member_address from = {9, 9};
+    membership_receive(membership, &message, from, 2 * NANOSECONDS_PER_SECOND, actions);
+    struct membership_options options;
+    membership_options_default(&options);
+    size_t datagrams = 0;
+    for (size_t i = 0; i < membership_actions_count(actions); i++) {
+        datagrams += membership_actions_get(actions, i)->kind == MEMBERSHIP_ACTION_SEND;
+    }
+    g_assert_cmpuint(datagrams, ==, options.sync_datagrams);
+    check_sizes(actions);
+    gossip_message_clear(&message);
+    membership_actions_free(actions);
+    membership_free(membership);
+}
+
+/* Fields out of range, from a foreign or broken sender, are not taken in. */
+static void test_bad_updates_are_dropped(void)
+{
+    struct membership *membership = new_membership();
+    struct membership_actions *actions = membership_actions_new();
+    struct gossip_member updates[] = {
+        {.member = 0, .start = 1, .address = 1, .port = 1},
+        {.member = 5, .start = 1, .address = 1, .port = 70000},
+        {.member = 6, .start = 1, .address = 1, .port = 1, .zone = 63},
+        {.member = 7, .start = 1, .address = 1, .port = 1, .region = 70000},
+    };
+    struct gossip_message message;
+    gossip_message_init(&message);
+    message.kind = GOSSIP_KIND_PUSH;
+    message.deployment = 1;
+    message.sender = (struct gossip_member){.member = 77, .start = 1, .address = 9, .port = 9};
+    message.updates = updates;
+    message.updates_count = G_N_ELEMENTS(updates);
+    struct member_address from = {9, 9};
+    membership_receive(membership, &message, from, 2 * NANOSECONDS_PER_SECOND, actions);
+    g_assert_cmpuint(membership_count(membership), ==, 2);
+    membership_actions_free(actions);
+    membership_free(membership);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/membership/datagrams-are-bounded", test_datagrams_are_bounded);
+    g_test_add_func("/membership/sync-answer-is-bounded", test_sync_answer_is_bounded);
+    g_test_add_func("/membership/bad-updates-are-dropped", test_bad_updates_are_dropped);
+    return g_test_run();
+}
