Date what is heard of a zone by the probe that asked, not by its arrival

A paused daemon took the datagrams that had waited for it as fresh, thought itself confirmed and served a replaced configuration; found by the seeded test of configuration under faults. Ages now travel in answers to probes only and count from when the probe was sent. Zones are given 8 s, as ages spread by pulls alone.

--- a/src/core/config_currency.c
+++ b/src/core/config_currency.c
@@ -12,6 +12,7 @@
     struct configuration_mark applied;
     struct configuration_mark newest; /* heard of, at least as new as applied */
     time_ns behind_since;             /* when a newer one than applied was first heard of; 0: not */
+    time_ns started_at;
     time_ns confirmed_at;
     bool serving;
 
@@ -41,6 +42,7 @@
 {
     struct currency *currency = g_new0(struct currency, 1);
     currency->options = *options;
+    currency->started_at = now;
     currency->next_head = now;
     currency->next_check = now;
     return currency;
@@ -186,7 +188,8 @@
 }
 
 /* Time up to which the configuration in force is covered by confirmation. A confirmation counts
- * only while nothing newer is known: what was confirmed is then what is in force. */
+ * only while nothing newer is known, as what was confirmed is then what is in force; and not what
+ * others had confirmed before this daemon started. */
 static void take_evidence(struct currency *currency, const struct currency_evidence *evidence)
 {
     if (is_behind(currency)) {
@@ -196,7 +199,9 @@
     if (evidence->synced) {
         confirmed_at = MAX(confirmed_at, evidence->peers_confirmed_at);
     }
-    currency->confirmed_at = MAX(currency->confirmed_at, confirmed_at);
+    if (confirmed_at > currency->started_at) {
+        currency->confirmed_at = MAX(currency->confirmed_at, confirmed_at);
+    }
 }
 
 static bool may_serve(const struct currency *currency, time_ns now)
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -17,7 +17,7 @@
         .probe_helpers = 3,
         .suspicion_factor = 4,
         .relays = 3,
-        .zone_timeout = 4 * NANOSECONDS_PER_SECOND,
+        .zone_timeout = 8 * NANOSECONDS_PER_SECOND,
         .transmit_factor = 3,
         .push_fanout = 3,
         .push_interval = 200 * NANOSECONDS_PER_MILLISECOND,
@@ -106,10 +106,9 @@
     return membership->left || membership->superseded;
 }
 
-/* Takes in what stands in every datagram: the sender, its configuration, zones and updates. */
+/* Takes in what stands in every datagram: the sender, its configuration and updates. */
 static void merge_message(struct membership *membership, const struct gossip_message *message,
-                          struct member_address from, time_ns now,
-                          struct membership_actions *actions)
+                          time_ns now, struct membership_actions *actions)
 {
     const struct gossip_member *sender = &message->sender;
     membership_merge(membership, sender, now, actions);
@@ -122,7 +121,6 @@
     if (record != NULL && record->configuration.version == in_force.version) {
         record->configuration.hash = in_force.hash;
     }
-    membership_hear_zones(membership, message, from, now, actions);
     for (size_t i = 0; i < message->updates_count; i++) {
         membership_merge(membership, &message->updates[i], now, actions);
     }
@@ -141,7 +139,7 @@
         membership_receive_ping_request(membership, message, from, now, actions);
         return;
     case GOSSIP_KIND_ACK:
-        membership_receive_ack(membership, message, now, actions);
+        membership_receive_ack(membership, message, from, now, actions);
         return;
     case GOSSIP_KIND_SYNC:
         membership_receive_sync(membership, message, from, now, actions);
@@ -166,7 +164,7 @@
         return;
     }
     answer_message(membership, message, from, now, actions);
-    merge_message(membership, message, from, now, actions);
+    merge_message(membership, message, now, actions);
 }
 
 /* Drops what has been remembered for long enough. Not while cut off: a shrinking list would make a
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -155,9 +155,9 @@
  * next datagrams. */
 void membership_hear_configuration(struct membership *membership, struct configuration_mark heard);
 
-/* The platform's store answered just now and named no configuration that is newer than the newest
- * heard of here. Members of the zone learn of it, so that few need to ask the store. */
-void membership_hear_store(struct membership *membership, time_ns now);
+/* The platform's store, asked at `asked_at`, has answered and named no configuration that is newer
+ * than the newest heard of here. Members of the zone learn of it, so that few need to ask. */
+void membership_hear_store(struct membership *membership, time_ns asked_at);
 
 /* True if this daemon is one of the few of its zone that ask the store for all. */
 bool membership_asks_store(const struct membership *membership);
@@ -182,8 +182,8 @@
 /* Finds a member by id. False if it is not known. */
 bool membership_find(const struct membership *membership, uint64_t id, struct member *out);
 
-/* True if something of the zone was heard within zone_timeout, by this daemon or another of its
- * zone. The own zone counts as reachable also when this daemon is alone in it. */
+/* True if someone of the zone answered within zone_timeout, to this daemon or another of its zone.
+ * The own zone counts as reachable also when this daemon is alone in it. */
 bool membership_zone_reachable(const struct membership *membership, uint16_t zone, time_ns now);
 
 /* Counts the members that live in reach: alive or suspect, in a zone heard of within `within`; and
--- a/src/core/membership_gossip.c
+++ b/src/core/membership_gossip.c
@@ -183,27 +183,8 @@
     g_queue_push_head(&membership->queue, g_memdup2(&record->id, sizeof(record->id)));
 }
 
-/* Ages of the zones heard of, for members of the own zone. */
-static void add_zones(const struct membership *membership, time_ns now, struct gossip_message *out)
-{
-    struct gossip_zone_age ages[MEMBERSHIP_AGE_COUNT];
-    size_t count = 0;
-    for (uint32_t zone = 0; zone < MEMBERSHIP_AGE_COUNT; zone++) {
-        time_ns heard = membership->zone_heard[zone];
-        if (heard == 0 || zone == membership->self_zone) {
-            continue;
-        }
-        uint64_t age_ms = (now - MIN(heard, now)) / NANOSECONDS_PER_MILLISECOND;
-        ages[count].zone = zone;
-        ages[count].age_ms = (uint32_t)MIN(age_ms, UINT32_MAX);
-        count++;
-    }
-    out->zones = g_memdup2(ages, count * sizeof(ages[0]));
-    out->zones_count = count;
-}
-
-void membership_begin(struct membership *membership, enum gossip_kind kind, time_ns now,
-                      bool same_zone, struct gossip_message *out)
+void membership_begin(struct membership *membership, enum gossip_kind kind,
+                      struct gossip_message *out)
 {
     const struct member_record *self = membership_self_record(membership);
     gossip_message_init(out);
@@ -216,9 +197,6 @@
         out->heard_version = membership->heard.version;
         out->heard_hash = membership->heard.hash;
     }
-    if (same_zone) {
-        add_zones(membership, now, out);
-    }
 }
 
 void membership_send_plain(struct gossip_message *message, struct member_address to,
@@ -308,12 +286,11 @@
     return membership->last_push + membership->options.push_interval;
 }
 
-static void push_to(struct membership *membership, const struct member_record *record, time_ns now,
+static void push_to(struct membership *membership, const struct member_record *record,
                     struct membership_actions *actions)
 {
     struct gossip_message message;
-    bool same_zone = record->zone == membership->self_zone;
-    membership_begin(membership, GOSSIP_KIND_PUSH, now, same_zone, &message);
+    membership_begin(membership, GOSSIP_KIND_PUSH, &message);
     membership_send(membership, &message, NULL, member_record_address(record), actions);
 }
 
@@ -325,7 +302,7 @@
         const struct member_record *record =
             membership_random_in_zone(membership, membership->self_zone);
         if (record != NULL) {
-            push_to(membership, record, now, actions);
+            push_to(membership, record, actions);
         }
     }
     for (uint16_t zone = 0; zone < MEMBERSHIP_ZONES_MAX; zone++) {
@@ -334,7 +311,7 @@
         }
         const struct member_record *record = membership_random_in_zone(membership, zone);
         if (record != NULL) {
-            push_to(membership, record, now, actions);
+            push_to(membership, record, actions);
         }
     }
 }
--- a/src/core/membership_internal.h
+++ b/src/core/membership_internal.h
@@ -38,8 +38,9 @@
 struct probe {
     uint64_t target;
     uint32_t sequence;
-    bool helped; /* others were asked to probe, too */
-    time_ns due; /* of the next step: ask others, or give up */
+    bool far; /* of a member of another zone: no answer raises no suspicion */
+    time_ns sent_at;
+    time_ns due; /* of the next step: ask others; then, at give_up, suspect */
     time_ns give_up;
 };
 
@@ -69,7 +70,7 @@
     uint32_t dead; /* that are remembered */
     uint32_t digests[MEMBERSHIP_BUCKETS];
 
-    time_ns zone_heard[MEMBERSHIP_AGE_COUNT]; /* last sign of life; 0: none yet */
+    time_ns zone_heard[MEMBERSHIP_AGE_COUNT]; /* when what it last answered was asked; 0: never */
     uint64_t zones_reachable;                 /* bit per zone, as last told to the shell */
     uint64_t relay_zones;                     /* bit per zone that this daemon speaks to */
     bool asks_store;
@@ -147,8 +148,8 @@
 void membership_enqueue(struct membership *membership, struct member_record *record);
 
 /* A message of a kind with this daemon as sender and no updates. */
-void membership_begin(struct membership *membership, enum gossip_kind kind, time_ns now,
-                      bool same_zone, struct gossip_message *out);
+void membership_begin(struct membership *membership, enum gossip_kind kind,
+                      struct gossip_message *out);
 
 /* Fills the message with updates as they fit, `first` (if any) before others, and sends it. */
 void membership_send(struct membership *membership, struct gossip_message *message,
@@ -195,16 +196,22 @@
                                      struct member_address from, time_ns now,
                                      struct membership_actions *actions);
 void membership_receive_ack(struct membership *membership, const struct gossip_message *message,
-                            time_ns now, struct membership_actions *actions);
+                            struct member_address from, time_ns now,
+                            struct membership_actions *actions);
 
 /* Forgives a time in which this process did not run. */
 void membership_forgive_pause(struct membership *membership, time_ns pause);
 
 /* -- membership_zones.c: which zones are heard of, and by whom -- */
 
+/* Adds the ages of the zones heard of. */
+void membership_add_zones(const struct membership *membership, time_ns now,
+                          struct gossip_message *out);
+
+/* Takes what the answer to a probe says of zones. The probe was sent at `asked_at`, so that neither
+ * a late answer nor a pause of this process makes old news look fresh. */
 void membership_hear_zones(struct membership *membership, const struct gossip_message *message,
-                           struct member_address from, time_ns now,
-                           struct membership_actions *actions);
+                           time_ns asked_at);
 void membership_zones_tick(struct membership *membership, time_ns now,
                            struct membership_actions *actions);
 void membership_work_out_relays(struct membership *membership);
@@ -213,7 +220,7 @@
 
 void membership_sync_tick(struct membership *membership, time_ns now,
                           struct membership_actions *actions);
-void membership_sync_with(struct membership *membership, struct member_address to, time_ns now,
+void membership_sync_with(struct membership *membership, struct member_address to,
                           struct membership_actions *actions);
 void membership_receive_sync(struct membership *membership, const struct gossip_message *message,
                              struct member_address from, time_ns now,
--- a/src/core/membership_probe.c
+++ b/src/core/membership_probe.c
@@ -106,37 +106,35 @@
 /* -- Sending of probes -- */
 
 static void send_ping(struct membership *membership, const struct member_record *target,
-                      uint32_t sequence, time_ns now, struct membership_actions *actions)
+                      uint32_t sequence, struct membership_actions *actions)
 {
     struct gossip_message message;
-    bool same_zone = target->zone == membership->self_zone;
-    membership_begin(membership, GOSSIP_KIND_PING, now, same_zone, &message);
+    membership_begin(membership, GOSSIP_KIND_PING, &message);
     message.sequence = sequence;
     const struct member_record *first = target->state == MEMBER_STATE_ALIVE ? NULL : target;
     membership_send(membership, &message, first, member_record_address(target), actions);
 }
 
-static void start_probe(struct membership *membership, time_ns now,
-                        struct membership_actions *actions)
+/* Pings a member and awaits its answer. */
+static void start_probe(struct membership *membership, const struct member_record *target,
+                        time_ns now, struct membership_actions *actions)
 {
-    const struct member_record *target = ring_take(membership);
-    if (target == NULL) {
-        return;
-    }
     struct probe probe = {
         .target = target->id,
         .sequence = ++membership->next_sequence,
+        .far = target->zone != membership->self_zone,
+        .sent_at = now,
         .due = now + membership->options.probe_wait,
         .give_up = now + membership->options.probe_period,
     };
     g_array_append_val(membership->probes, probe);
-    send_ping(membership, target, probe.sequence, now, actions);
+    send_ping(membership, target, probe.sequence, actions);
 }
 
 /* A relay pings one member of each zone that it speaks to. No answer raises no suspicion: that is
  * for the member's own zone to say. */
-static void ping_zones(struct membership *membership, time_ns now,
-                       struct membership_actions *actions)
+static void probe_zones(struct membership *membership, time_ns now,
+                        struct membership_actions *actions)
 {
     for (uint16_t zone = 0; zone < MEMBERSHIP_ZONES_MAX; zone++) {
         if ((membership->relay_zones >> zone & 1) == 0) {
@@ -144,19 +142,18 @@
         }
         const struct member_record *target = membership_random_in_zone(membership, zone);
         if (target != NULL) {
-            send_ping(membership, target, 0, now, actions);
+            start_probe(membership, target, now, actions);
         }
     }
 }
 
 static void send_ping_request(struct membership *membership, const struct probe *probe,
                               const struct member_record *helper,
-                              const struct member_record *target, time_ns now,
+                              const struct member_record *target,
                               struct membership_actions *actions)
 {
     struct gossip_message message;
-    bool same_zone = helper->zone == membership->self_zone;
-    membership_begin(membership, GOSSIP_KIND_PING_REQUEST, now, same_zone, &message);
+    membership_begin(membership, GOSSIP_KIND_PING_REQUEST, &message);
     message.sequence = probe->sequence;
     message.target = target->id;
     message.target_address = target->address;
@@ -176,11 +173,11 @@
     return member_record_live(record) ? record : NULL;
 }
 
-static void ask_helpers(struct membership *membership, const struct probe *probe, time_ns now,
+static void ask_helpers(struct membership *membership, const struct probe *probe,
                         struct membership_actions *actions)
 {
     const struct member_record *target = membership_record(membership, probe->target);
-    if (target == NULL) {
+    if (target == NULL || probe->far) {
         return;
     }
     for (uint32_t i = 0; i < membership->options.probe_helpers; i++) {
@@ -188,7 +185,7 @@
         bool usable =
             helper != NULL && helper->id != target->id && helper->id != membership->self_id;
         if (usable) {
-            send_ping_request(membership, probe, helper, target, now, actions);
+            send_ping_request(membership, probe, helper, target, actions);
         }
     }
 }
@@ -198,12 +195,12 @@
                           struct membership_actions *actions)
 {
     struct member_record *target = membership_record(membership, probe->target);
-    if (target == NULL || target->state != MEMBER_STATE_ALIVE) {
+    if (target == NULL || target->state != MEMBER_STATE_ALIVE || probe->far) {
         return;
     }
     membership->suspicions_raised++;
     membership_set_state(membership, target, MEMBER_STATE_SUSPECT, now, actions);
-    send_ping(membership, target, 0, now, actions);
+    send_ping(membership, target, 0, actions);
 }
 
 static void advance_probes(struct membership *membership, time_ns now,
@@ -216,10 +213,9 @@
             i++;
             continue;
         }
-        if (!probe->helped) {
-            probe->helped = true;
+        if (probe->due < probe->give_up) {
             probe->due = probe->give_up;
-            ask_helpers(membership, probe, now, actions);
+            ask_helpers(membership, probe, actions);
             i++;
             continue;
         }
@@ -251,8 +247,11 @@
     }
     membership->next_probe = now + membership->options.probe_period;
     expire_helped_probes(membership, now);
-    start_probe(membership, now, actions);
-    ping_zones(membership, now, actions);
+    const struct member_record *target = ring_take(membership);
+    if (target != NULL) {
+        start_probe(membership, target, now, actions);
+    }
+    probe_zones(membership, now, actions);
 }
 
 time_ns membership_probe_wakeup(const struct membership *membership)
@@ -290,9 +289,11 @@
                              struct membership_actions *actions)
 {
     struct gossip_message answer;
-    bool same_zone = message->sender.zone == membership->self_zone;
-    membership_begin(membership, GOSSIP_KIND_ACK, now, same_zone, &answer);
+    membership_begin(membership, GOSSIP_KIND_ACK, &answer);
     answer.sequence = message->sequence;
+    if (message->sender.zone == membership->self_zone) {
+        membership_add_zones(membership, now, &answer);
+    }
     membership_send(membership, &answer, record_to_refute(membership, message), from, actions);
 }
 
@@ -313,7 +314,7 @@
     };
     g_array_append_val(membership->helped_probes, helped);
     struct gossip_message ping;
-    membership_begin(membership, GOSSIP_KIND_PING, now, false, &ping);
+    membership_begin(membership, GOSSIP_KIND_PING, &ping);
     ping.sequence = helped.sequence;
     struct member_address to = {message->target_address, (uint16_t)message->target_port};
     membership_send(membership, &ping, NULL, to, actions);
@@ -321,23 +322,43 @@
 
 /* Passes the answer on to the member that asked for help. */
 static void pass_ack_on(struct membership *membership, const struct helped_probe *helped,
-                        time_ns now, struct membership_actions *actions)
+                        struct membership_actions *actions)
 {
     struct gossip_message answer;
-    membership_begin(membership, GOSSIP_KIND_ACK, now, false, &answer);
+    membership_begin(membership, GOSSIP_KIND_ACK, &answer);
     answer.sequence = helped->origin_sequence;
     answer.target = helped->target;
     membership_send(membership, &answer, NULL, helped->origin, actions);
 }
 
+/* An answer to a probe of this daemon. What a helper passes on says nothing of zones. */
+static void end_probe(struct membership *membership, guint index,
+                      const struct gossip_message *message, struct member_address from, time_ns now,
+                      struct membership_actions *actions)
+{
+    struct probe probe = g_array_index(membership->probes, struct probe, index);
+    g_array_remove_index_fast(membership->probes, index);
+    if (message->target != 0) {
+        return;
+    }
+    uint64_t zone_bit = UINT64_C(1) << message->sender.zone;
+    bool back = (membership->zones_reachable & zone_bit) == 0;
+    membership_hear_zones(membership, message, probe.sent_at);
+    membership_zones_tick(membership, now, actions);
+    if (back && membership->synced) {
+        membership_sync_with(membership, from, actions);
+    }
+}
+
 void membership_receive_ack(struct membership *membership, const struct gossip_message *message,
-                            time_ns now, struct membership_actions *actions)
+                            struct member_address from, time_ns now,
+                            struct membership_actions *actions)
 {
     uint64_t answered = message->target != 0 ? message->target : message->sender.member;
     for (guint i = 0; i < membership->probes->len; i++) {
         const struct probe *probe = &g_array_index(membership->probes, struct probe, i);
         if (probe->sequence == message->sequence && probe->target == answered) {
-            g_array_remove_index_fast(membership->probes, i);
+            end_probe(membership, i, message, from, now, actions);
             return;
         }
     }
@@ -346,7 +367,7 @@
             g_array_index(membership->helped_probes, struct helped_probe, i);
         if (helped.sequence == message->sequence && helped.target == answered) {
             g_array_remove_index_fast(membership->helped_probes, i);
-            pass_ack_on(membership, &helped, now, actions);
+            pass_ack_on(membership, &helped, actions);
             return;
         }
     }
--- a/src/core/membership_sync.c
+++ b/src/core/membership_sync.c
@@ -18,11 +18,11 @@
     message->digests_count = MEMBERSHIP_BUCKETS;
 }
 
-void membership_sync_with(struct membership *membership, struct member_address to, time_ns now,
+void membership_sync_with(struct membership *membership, struct member_address to,
                           struct membership_actions *actions)
 {
     struct gossip_message message;
-    membership_begin(membership, GOSSIP_KIND_SYNC, now, false, &message);
+    membership_begin(membership, GOSSIP_KIND_SYNC, &message);
     add_digests(membership, &message);
     membership_send_plain(&message, to, actions);
 }
@@ -44,7 +44,6 @@
 struct record_stream {
     struct membership *membership;
     struct member_address to;
-    time_ns now;
     struct membership_actions *actions;
     struct gossip_message message;
     size_t size;
@@ -58,8 +57,7 @@
 {
     membership_send_plain(&stream->message, stream->to, stream->actions);
     stream->datagrams++;
-    membership_begin(stream->membership, GOSSIP_KIND_SYNC_RECORDS, stream->now, false,
-                     &stream->message);
+    membership_begin(stream->membership, GOSSIP_KIND_SYNC_RECORDS, &stream->message);
     stream->size = membership_message_size(&stream->message);
 }
 
@@ -105,13 +103,12 @@
 
 /* Sends a first message with the records of differing buckets behind it. */
 static void answer_with_records(struct membership *membership, struct gossip_message *first,
-                                uint32_t buckets, struct member_address to, time_ns now,
+                                uint32_t buckets, struct member_address to,
                                 struct membership_actions *actions)
 {
     struct record_stream stream = {
         .membership = membership,
         .to = to,
-        .now = now,
         .actions = actions,
         .message = *first,
         .size = membership_message_size(first),
@@ -139,11 +136,11 @@
                              struct membership_actions *actions)
 {
     struct gossip_message answer;
-    membership_begin(membership, GOSSIP_KIND_SYNC_REPLY, now, false, &answer);
+    membership_begin(membership, GOSSIP_KIND_SYNC_REPLY, &answer);
     add_digests(membership, &answer);
     answer.live_members = live_members(membership);
     uint32_t buckets = differing_buckets(membership, message);
-    answer_with_records(membership, &answer, buckets, from, now, actions);
+    answer_with_records(membership, &answer, buckets, from, actions);
 }
 
 void membership_receive_sync_reply(struct membership *membership,
@@ -160,8 +157,8 @@
         return;
     }
     struct gossip_message records;
-    membership_begin(membership, GOSSIP_KIND_SYNC_RECORDS, now, false, &records);
-    answer_with_records(membership, &records, buckets, from, now, actions);
+    membership_begin(membership, GOSSIP_KIND_SYNC_RECORDS, &records);
+    answer_with_records(membership, &records, buckets, from, actions);
 }
 
 /* True if a live member has the address. */
@@ -209,8 +206,7 @@
 }
 
 /* A dead member may be alive behind a cut that has healed: it is told so that it can refute. */
-static void try_dead_member(struct membership *membership, time_ns now,
-                            struct membership_actions *actions)
+static void try_dead_member(struct membership *membership, struct membership_actions *actions)
 {
     guint count = membership->records->len;
     guint first = membership_random(membership, count);
@@ -220,7 +216,7 @@
             continue;
         }
         struct gossip_message message;
-        membership_begin(membership, GOSSIP_KIND_PING, now, false, &message);
+        membership_begin(membership, GOSSIP_KIND_PING, &message);
         membership_send(membership, &message, record, member_record_address(record), actions);
         return;
     }
@@ -263,12 +259,12 @@
     }
     const struct member_record *peer = choose_sync_peer(membership);
     if (peer != NULL) {
-        membership_sync_with(membership, member_record_address(peer), now, actions);
+        membership_sync_with(membership, member_record_address(peer), actions);
     }
     const struct member_address *seed = unknown_seed(membership);
     if (seed != NULL) {
-        membership_sync_with(membership, *seed, now, actions);
+        membership_sync_with(membership, *seed, actions);
     }
     membership->next_sync = now + sync_wait(membership, seed != NULL, now);
-    try_dead_member(membership, now, actions);
+    try_dead_member(membership, actions);
 }
--- a/src/core/membership_zones.c
+++ b/src/core/membership_zones.c
@@ -1,5 +1,5 @@
-/* Which zones can be reached. Relays speak to other zones directly; every datagram within a zone
- * carries the time since each other zone was last heard of, so that all its members know. */
+/* Which zones can be reached. Relays speak to other zones directly; every answer to a probe within
+ * a zone carries the time since each other zone was last heard of, so that all its members know. */
 #include "core/membership_internal.h"
 
 #include <xxhash.h>
@@ -19,42 +19,52 @@
     return heard != 0 && now <= heard + membership->options.zone_timeout;
 }
 
-/* Notes that a zone showed a sign of life; tells whether it was out of reach before. */
-static bool hear_zone(struct membership *membership, uint16_t zone, time_ns at)
+/* Notes that something was heard of a zone that was true at this time or later. */
+static void hear_zone(struct membership *membership, uint16_t zone, time_ns at)
 {
-    if (at <= membership->zone_heard[zone]) {
-        return false;
+    membership->zone_heard[zone] = MAX(membership->zone_heard[zone], at);
+}
+
+void membership_add_zones(const struct membership *membership, time_ns now,
+                          struct gossip_message *out)
+{
+    struct gossip_zone_age ages[MEMBERSHIP_AGE_COUNT];
+    size_t count = 0;
+    for (uint32_t zone = 0; zone < MEMBERSHIP_AGE_COUNT; zone++) {
+        time_ns heard = membership->zone_heard[zone];
+        if (heard == 0 || zone == membership->self_zone) {
+            continue;
+        }
+        uint64_t age_ms = (now - MIN(heard, now)) / NANOSECONDS_PER_MILLISECOND;
+        ages[count].zone = zone;
+        ages[count].age_ms = (uint32_t)MIN(age_ms, UINT32_MAX);
+        count++;
     }
-    membership->zone_heard[zone] = at;
-    return (membership->zones_reachable >> zone & 1) == 0;
+    out->zones = g_memdup2(ages, count * sizeof(ages[0]));
+    out->zones_count = count;
 }
 
-/* Takes the ages that a member of the own zone gives. */
+/* Takes the ages that a member of the own zone gives, as of the time it was asked. */
 static void hear_ages(struct membership *membership, const struct gossip_message *message,
-                      time_ns now)
+                      time_ns asked_at)
 {
     for (size_t i = 0; i < message->zones_count; i++) {
         const struct gossip_zone_age *age = &message->zones[i];
         uint64_t nanoseconds = (uint64_t)age->age_ms * NANOSECONDS_PER_MILLISECOND;
-        if (age->zone < MEMBERSHIP_AGE_COUNT && nanoseconds < now) {
-            hear_zone(membership, (uint16_t)age->zone, now - nanoseconds);
+        if (age->zone < MEMBERSHIP_AGE_COUNT && nanoseconds < asked_at) {
+            hear_zone(membership, (uint16_t)age->zone, asked_at - nanoseconds);
         }
     }
 }
 
 void membership_hear_zones(struct membership *membership, const struct gossip_message *message,
-                           struct member_address from, time_ns now,
-                           struct membership_actions *actions)
+                           time_ns asked_at)
 {
     uint16_t zone = (uint16_t)message->sender.zone;
-    bool back = hear_zone(membership, zone, now);
+    hear_zone(membership, zone, asked_at);
     if (zone == membership->self_zone) {
-        hear_ages(membership, message, now);
-    }
-    if (back && membership->synced) {
-        membership_sync_with(membership, from, now, actions);
+        hear_ages(membership, message, asked_at);
     }
-    membership_zones_tick(membership, now, actions);
 }
 
 void membership_zones_tick(struct membership *membership, time_ns now,
@@ -120,9 +130,9 @@
     return membership->asks_store;
 }
 
-void membership_hear_store(struct membership *membership, time_ns now)
+void membership_hear_store(struct membership *membership, time_ns asked_at)
 {
-    hear_zone(membership, MEMBERSHIP_STORE, now);
+    hear_zone(membership, MEMBERSHIP_STORE, asked_at);
 }
 
 time_ns membership_store_confirmed_at(const struct membership *membership)
--- a/src/sim/scale_daemon.c
+++ b/src/sim/scale_daemon.c
@@ -86,6 +86,7 @@
             ask_store(fleet, daemon, SCALE_EVENT_FETCHED, STORE_FETCH_TIME);
             break;
         case CURRENCY_ACTION_READ_HEAD:
+            daemon->head_asked_at = fleet_now(fleet);
             ask_store(fleet, daemon, SCALE_EVENT_HEAD, STORE_HEAD_TIME);
             break;
         case CURRENCY_ACTION_APPLY:
@@ -117,7 +118,7 @@
     g_autoptr(GArray) actions = g_array_new(FALSE, FALSE, sizeof(struct currency_action));
     struct configuration_mark head = mark_of_version(version);
     membership_hear_configuration(daemon->membership, head);
-    membership_hear_store(daemon->membership, fleet_now(fleet));
+    membership_hear_store(daemon->membership, daemon->head_asked_at);
     currency_head_read(daemon->currency, head, fleet_now(fleet), actions);
     perform_currency(fleet, daemon, actions);
 }
--- a/src/sim/scale_fleet.c
+++ b/src/sim/scale_fleet.c
@@ -386,6 +386,17 @@
     return fleet->daemons[daemon].running;
 }
 
+bool scale_fleet_is_paused(const struct scale_fleet *fleet, uint32_t daemon)
+{
+    return fleet->daemons[daemon].paused;
+}
+
+bool scale_fleet_serves(const struct scale_fleet *fleet, uint32_t index, uint32_t group)
+{
+    const struct scale_daemon *daemon = &fleet->daemons[index];
+    return daemon->running && scale_holdings_serve(daemon, group);
+}
+
 struct membership *scale_fleet_membership(const struct scale_fleet *fleet, uint32_t daemon)
 {
     return fleet->daemons[daemon].membership;
--- a/src/sim/scale_fleet.h
+++ b/src/sim/scale_fleet.h
@@ -81,6 +81,10 @@
 uint32_t scale_fleet_daemons(const struct scale_fleet *fleet);
 uint32_t scale_fleet_groups(const struct scale_fleet *fleet);
 bool scale_fleet_is_running(const struct scale_fleet *fleet, uint32_t daemon);
+bool scale_fleet_is_paused(const struct scale_fleet *fleet, uint32_t daemon);
+
+/* True if the daemon runs and can serve every database of the group from its own connections. */
+bool scale_fleet_serves(const struct scale_fleet *fleet, uint32_t daemon, uint32_t group);
 struct membership *scale_fleet_membership(const struct scale_fleet *fleet, uint32_t daemon);
 struct ownership *scale_fleet_ownership(const struct scale_fleet *fleet, uint32_t daemon);
 struct currency *scale_fleet_currency(const struct scale_fleet *fleet, uint32_t daemon);
--- a/src/sim/scale_fleet_internal.h
+++ b/src/sim/scale_fleet_internal.h
@@ -51,6 +51,7 @@
     time_ns started_at;
     time_ns ended_at;
     time_ns mark_at; /* when it began to leave */
+    time_ns head_asked_at;
     time_ns wake_at; /* of its newest wake-up event */
     struct membership *membership;
     struct ownership *ownership;
@@ -154,6 +155,7 @@
 void scale_holdings_end(struct scale_fleet *fleet, struct scale_daemon *daemon, time_ns noticed);
 void scale_holdings_event(struct scale_fleet *fleet, struct scale_daemon *daemon,
                           const struct scale_event *event);
+bool scale_holdings_serve(const struct scale_daemon *daemon, uint32_t group);
 size_t scale_holdings_memory(const struct scale_daemon *daemon);
 
 /* -- scale_observe.c: what is written down -- */
--- a/src/sim/scale_holdings.c
+++ b/src/sim/scale_holdings.c
@@ -388,6 +388,20 @@
     }
 }
 
+bool scale_holdings_serve(const struct scale_daemon *daemon, uint32_t group)
+{
+    const struct scale_holding *holding = find_holding(daemon, group);
+    if (holding == NULL) {
+        return false;
+    }
+    for (uint32_t i = 0; i < SCALE_GROUP_DATABASES; i++) {
+        if (!budget_serving(holding->budgets[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
 size_t scale_holdings_memory(const struct scale_daemon *daemon)
 {
     size_t memory = 0;
--- /dev/null
+++ b/tests/sim/scale_configuration_test.c
@@ -0,0 +1,164 @@
+/* Configuration over a modelled network: in force everywhere, never an older one, and refused
+ * service where currency can't be confirmed. */
+#include "scale_fixture.h"
+
+#define ZONES   6
+#define DAEMONS 24
+
+/* A fleet that serves with the first configuration. */
+static struct scale_fleet *serving_fleet(uint32_t seed)
+{
+    struct scale_fleet *fleet = fixture_fleet(ZONES, DAEMONS, 0, seed);
+    scale_fleet_run(fleet, SECONDS(5));
+    uint64_t version = scale_fleet_publish(fleet);
+    scale_fleet_run(fleet, SECONDS(15));
+    g_assert_cmpuint(fixture_count_serving(fleet, version), ==, DAEMONS);
+    return fleet;
+}
+
+static void test_in_force_everywhere(void)
+{
+    for (uint32_t seed = 1; seed <= 5; seed++) {
+        struct scale_fleet *fleet = serving_fleet(seed);
+        uint64_t version = scale_fleet_publish(fleet);
+        scale_fleet_run(fleet, SECONDS(5));
+        g_assert_cmpuint(fixture_count_serving(fleet, version), ==, DAEMONS);
+        scale_fleet_free(fleet);
+    }
+}
+
+/* Daemons that can reach neither a majority nor the store stop within the bound, and come back with
+ * the newest configuration only. */
+static void test_cut_zone_stops_serving(void)
+{
+    struct scale_fleet *fleet = serving_fleet(6);
+    scale_fleet_cut_zone(fleet, 2, true);
+    uint64_t version = scale_fleet_publish(fleet);
+    scale_fleet_run(fleet, SECONDS(12));
+    for (uint32_t i = 0; i < DAEMONS; i++) {
+        bool inside = scale_fleet_zone(fleet, i) == 2;
+        g_assert_cmpint(currency_serving(scale_fleet_currency(fleet, i)), ==, !inside);
+    }
+    scale_fleet_cut_zone(fleet, 2, false);
+    scale_fleet_run(fleet, SECONDS(6));
+    g_assert_cmpuint(fixture_count_serving(fleet, version), ==, DAEMONS);
+    scale_fleet_free(fleet);
+}
+
+/* With the store down, a majority of the members is confirmation enough. */
+static void test_store_down_changes_nothing(void)
+{
+    struct scale_fleet *fleet = serving_fleet(7);
+    scale_fleet_set_store_up(fleet, false);
+    scale_fleet_run(fleet, SECONDS(120));
+    g_assert_cmpuint(fixture_count_serving(fleet, 1), ==, DAEMONS);
+    scale_fleet_free(fleet);
+}
+
+static void test_fresh_daemon_with_the_store_down(void)
+{
+    struct scale_fleet *fleet = serving_fleet(8);
+    uint64_t version = scale_fleet_publish(fleet);
+    scale_fleet_run(fleet, SECONDS(5));
+    scale_fleet_set_store_up(fleet, false);
+    scale_fleet_stop(fleet, 4, SECONDS(2));
+    scale_fleet_run(fleet, SECONDS(20));
+    g_assert_cmpuint(fixture_count_serving(fleet, version), ==, DAEMONS);
+    scale_fleet_free(fleet);
+}
+
+/* A fresh daemon that meets only stale, cut-off ones does not serve what they have. */
+static void test_fresh_daemon_among_the_stale(void)
+{
+    struct scale_fleet *fleet = serving_fleet(9);
+    scale_fleet_cut_zone(fleet, 3, true);
+    uint64_t version = scale_fleet_publish(fleet);
+    uint32_t fresh = 3 + ZONES;
+    g_assert_cmpuint(scale_fleet_zone(fleet, fresh), ==, 3);
+    scale_fleet_kill(fleet, fresh, false);
+    scale_fleet_run(fleet, SECONDS(2));
+    scale_fleet_start(fleet, fresh, false);
+    struct member_address stale = membership_self(scale_fleet_membership(fleet, 3)).address;
+    membership_set_seeds(scale_fleet_membership(fleet, fresh), &stale, 1);
+    for (int i = 0; i < 300; i++) {
+        scale_fleet_run(fleet, SECONDS(1));
+        g_assert_false(currency_serving(scale_fleet_currency(fleet, fresh)));
+    }
+    scale_fleet_cut_zone(fleet, 3, false);
+    scale_fleet_run(fleet, SECONDS(10));
+    g_assert_cmpuint(fixture_count_serving(fleet, version), ==, DAEMONS);
+    scale_fleet_free(fleet);
+}
+
+/* Under churn, cuts and pauses, what a process applied only grows, and any daemon that serves has
+ * all that was accepted more than 12 s before. */
+static void test_never_reverts_under_faults(void)
+{
+    for (uint32_t seed = 1; seed <= 10; seed++) {
+        struct scale_fleet *fleet = serving_fleet(100 + seed);
+        uint64_t applied[DAEMONS] = {0};
+        uint64_t accepted[400] = {0};
+        for (uint32_t second = 0; second < 300; second++) {
+            uint32_t daemon = scale_fleet_random(fleet, DAEMONS);
+            uint16_t zone = (uint16_t)(1 + scale_fleet_random(fleet, ZONES - 1));
+            switch (scale_fleet_random(fleet, 12)) {
+            case 0:
+                scale_fleet_publish(fleet);
+                break;
+            case 1:
+                scale_fleet_kill(fleet, daemon, false);
+                applied[daemon] = 0;
+                break;
+            case 2:
+            case 3:
+                scale_fleet_start(fleet, daemon, scale_fleet_random(fleet, 2) == 0);
+                break;
+            case 4:
+                scale_fleet_pause(fleet, daemon);
+                break;
+            case 5:
+            case 6:
+                scale_fleet_resume(fleet, daemon);
+                break;
+            case 7:
+                scale_fleet_cut_zone(fleet, zone, true);
+                break;
+            case 8:
+            case 9:
+                scale_fleet_cut_zone(fleet, zone, false);
+                break;
+            default:
+                break;
+            }
+            scale_fleet_run(fleet, SECONDS(1));
+            accepted[second] = scale_fleet_newest(fleet);
+            for (uint32_t i = 0; i < DAEMONS; i++) {
+                if (!scale_fleet_is_running(fleet, i)) {
+                    continue;
+                }
+                const struct currency *currency = scale_fleet_currency(fleet, i);
+                uint64_t version = currency_applied(currency).version;
+                g_assert_cmpuint(version, >=, applied[i]);
+                applied[i] = version;
+                bool fresh_enough = second < 12 || version >= accepted[second - 12];
+                bool paused = scale_fleet_is_paused(fleet, i);
+                g_assert_true(paused || !currency_serving(currency) || fresh_enough);
+            }
+        }
+        scale_fleet_free(fleet);
+    }
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/configuration/in-force-everywhere", test_in_force_everywhere);
+    g_test_add_func("/configuration/cut-zone-stops-serving", test_cut_zone_stops_serving);
+    g_test_add_func("/configuration/store-down-changes-nothing", test_store_down_changes_nothing);
+    g_test_add_func("/configuration/fresh-daemon-with-the-store-down",
+                    test_fresh_daemon_with_the_store_down);
+    g_test_add_func("/configuration/fresh-daemon-among-the-stale",
+                    test_fresh_daemon_among_the_stale);
+    g_test_add_func("/configuration/never-reverts-under-faults", test_never_reverts_under_faults);
+    return g_test_run();
+}
