--- a/bench/scale.sh
+++ b/bench/scale.sh
@@ -8,7 +8,7 @@
 mkdir -p "$(dirname "$output")"
 : >"$output.tmp"
 for daemons in 48 95 190 380 760; do
-    "$build/src/sim/swiftsim-scale" --daemons "$daemons" --minutes 10 --commit "$commit" >>"$output.tmp"
-    "$build/src/sim/swiftsim-scale" --daemons "$daemons" --minutes 3 --quiet --commit "$commit" >>"$output.tmp"
+    "$build/src/sim/swiftsim" scale --daemons "$daemons" --minutes 10 --commit "$commit" >>"$output.tmp"
+    "$build/src/sim/swiftsim" scale --daemons "$daemons" --minutes 3 --quiet --commit "$commit" >>"$output.tmp"
 done
 mv "$output.tmp" "$output"
--- a/src/backend/adapter_transaction.c
+++ b/src/backend/adapter_transaction.c
@@ -25,21 +25,32 @@
     return result;
 }
 
+/* Starts a write. Its key is claimed only by its commit, lest other writers wait meanwhile. */
 static enum execute_result begin_write(struct backend_connection *connection,
                                        const struct adapter_transaction_options *options,
                                        time_ns deadline, struct execute_answer *answer)
 {
+    struct query_reply replies[2];
+    size_t count = adapter_has_key(&options->key) ? 2 : 1;
     adapter_send_simple(connection, "BEGIN");
-    if (adapter_has_key(&options->key)) {
-        ledger_send_claim(connection, &options->key, LEDGER_STATE_DONE);
+    if (count == 2) {
+        ledger_send_lookup(connection, &options->key);
     }
-    return adapter_finish_start(connection, &options->key, 0, deadline, NULL, answer);
+    enum execute_result result =
+        adapter_finish_uncommitted(connection, deadline, NULL, replies, count, answer);
+    bool taken = result == EXECUTE_DONE && count == 2 && ledger_lookup_found(&replies[1]);
+    pipeline_replies_clear(replies, count);
+    if (!taken) {
+        return result;
+    }
+    return adapter_resolve_taken(connection, &options->key, deadline, answer);
 }
 
 enum execute_result adapter_begin(struct backend_connection *connection,
                                   const struct adapter_transaction_options *options,
                                   time_ns deadline, struct execute_answer *answer)
 {
+    execute_answer_clear(answer);
     enum execute_result result = options->read_only
                                      ? begin_read(connection, options, deadline, answer)
                                      : begin_write(connection, options, deadline, answer);
@@ -54,14 +65,22 @@
                                       time_ns deadline, const struct result_limits *limits,
                                       struct execute_answer *answer)
 {
-    g_autofree struct query_reply *replies = g_new0(struct query_reply, count);
+    size_t total = count + 1;
+    g_autofree struct query_reply *replies = g_new0(struct query_reply, total);
+    struct result_limits extended = adapter_extend_limits(limits);
     adapter_send_statements(connection, statements, count);
+    /* What the statements may have seen is known only after them. */
+    adapter_send_simple(connection, SQL_STATUS);
     enum execute_result result =
-        adapter_finish_uncommitted(connection, deadline, limits, replies, count, answer);
-    if (result == EXECUTE_DONE) {
+        adapter_finish_uncommitted(connection, deadline, &extended, replies, total, answer);
+    if (result == EXECUTE_DONE && !adapter_parse_status(&replies[count].result, &answer->status)) {
+        adapter_take_nonsense(connection, "not a status row", answer);
+        result = EXECUTE_NOT_SENT;
+    } else if (result == EXECUTE_DONE) {
+        answer->position = answer->status.applied;
         adapter_take_results(replies, count, answer);
     }
-    pipeline_replies_clear(replies, count);
+    pipeline_replies_clear(replies, total);
     return result;
 }
 
@@ -91,10 +110,10 @@
                                    const struct adapter_transaction_options *options,
                                    time_ns deadline, struct execute_answer *answer)
 {
+    execute_answer_clear(answer);
     enum execute_result result =
-        options->read_only
-            ? commit_read(connection, deadline, answer)
-            : adapter_send_commit(connection, &options->key, NULL, 0, deadline, answer);
+        options->read_only ? commit_read(connection, deadline, answer)
+                           : adapter_commit_claiming(connection, &options->key, deadline, answer);
     adapter_abandon(connection, deadline);
     return result;
 }
--- a/src/backend/connection.c
+++ b/src/backend/connection.c
@@ -1,7 +1,9 @@
 #include "backend/connection.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <poll.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -10,6 +12,28 @@
 #include "generated/errors.h"
 
 #define PORT_TEXT_SIZE 8
+#define DROPPED_SIZE   65536
+
+void connection_settings_copy(struct connection_settings *to,
+                              const struct connection_settings *from)
+{
+    to->host = g_strdup(from->host);
+    to->port = from->port;
+    to->database_name = g_strdup(from->database_name);
+    to->user = g_strdup(from->user);
+    to->password = g_strdup(from->password);
+    to->application_name = g_strdup(from->application_name);
+}
+
+void connection_settings_clear(struct connection_settings *settings)
+{
+    g_free((char *)settings->host);
+    g_free((char *)settings->database_name);
+    g_free((char *)settings->user);
+    g_free((char *)settings->password);
+    g_free((char *)settings->application_name);
+    memset(settings, 0, sizeof *settings);
+}
 
 struct backend_connection *backend_connection_start(const struct connection_settings *settings)
 {
@@ -30,6 +54,7 @@
                                   "UTF8",
                                   NULL};
     connection->state = CONNECTION_STATE_OPENING;
+    connection->number = -1;
     connection->pg = PQconnectStartParams(keywords, values, 0);
     if (connection->pg == NULL || PQstatus(connection->pg) == CONNECTION_BAD) {
         connection->state = CONNECTION_STATE_BROKEN;
@@ -64,28 +89,32 @@
     }
 }
 
-/* Raises why opening ended without a connection, and closes what there is. */
-static void raise_open_error(struct backend_connection *connection, GError **error)
+bool backend_connection_await_open(struct backend_connection *connection, time_ns deadline,
+                                   GError **error)
 {
+    short events = POLLOUT;
+    while (connection->state == CONNECTION_STATE_OPENING) {
+        if (backend_connection_wait(connection, events, deadline) == 0) {
+            break;
+        }
+        events = backend_connection_continue(connection);
+    }
+    if (connection->state == CONNECTION_STATE_IDLE) {
+        return true;
+    }
     g_autofree char *text = backend_connection_error(connection);
     const char *cause = connection->state == CONNECTION_STATE_OPENING ? "timed out" : text;
     g_set_error(error, SW_ERROR, ERROR_KIND_OVERLOADED, "connection not opened: %s", cause);
-    backend_connection_close(connection);
+    backend_connection_break(connection);
+    return false;
 }
 
 struct backend_connection *backend_connection_open(const struct connection_settings *settings,
                                                    time_ns deadline, GError **error)
 {
     struct backend_connection *connection = backend_connection_start(settings);
-    short events = POLLOUT;
-    while (connection->state == CONNECTION_STATE_OPENING) {
-        if (backend_connection_wait(connection, events, deadline) == 0) {
-            break;
-        }
-        events = backend_connection_continue(connection);
-    }
-    if (connection->state != CONNECTION_STATE_IDLE) {
-        raise_open_error(connection, error);
+    if (!backend_connection_await_open(connection, deadline, error)) {
+        backend_connection_close(connection);
         return NULL;
     }
     return connection;
@@ -100,43 +129,30 @@
     g_free(connection);
 }
 
-/* Waits for the peer's end of stream on a socket, dropping what still arrives. */
-static bool wait_for_end_of_stream(int socket_fd, time_ns deadline)
+int backend_connection_close_watched(struct backend_connection *connection)
 {
-    char dropped[512];
-    for (;;) {
-        struct pollfd poll_fd = {.fd = socket_fd, .events = POLLIN};
-        int ready = poll(&poll_fd, 1, backend_poll_ms(deadline, backend_now()));
-        if (ready < 0 && errno == EINTR) {
-            continue;
-        }
-        if (ready <= 0) {
-            return false;
-        }
-        ssize_t received = recv(socket_fd, dropped, sizeof dropped, MSG_DONTWAIT);
-        if (received == 0 || (received < 0 && errno == ECONNRESET)) {
-            return true;
-        }
-        if (received < 0 && errno != EAGAIN && errno != EINTR) {
-            return false;
-        }
+    int socket_fd = connection->pg != NULL ? PQsocket(connection->pg) : -1;
+    int copy = socket_fd >= 0 ? dup(socket_fd) : -1;
+    if (copy >= 0) {
+        fcntl(copy, F_SETFD, FD_CLOEXEC);
+    }
+    backend_connection_close(connection);
+    if (copy >= 0 && shutdown(copy, SHUT_WR) != 0) {
+        /* Not connected yet: closed for good, it never will be. */
+        close(copy);
+        return -1;
     }
+    return copy;
 }
 
-bool backend_connection_close_confirmed(struct backend_connection *connection, time_ns deadline)
+bool backend_connection_has_ended(int socket_fd)
 {
-    int socket_fd = connection->pg != NULL ? PQsocket(connection->pg) : -1;
-    /* PQfinish sends the terminate message and closes its descriptor; the copy stays to see the
-     * database's end of stream. */
-    int copy = socket_fd >= 0 ? dup(socket_fd) : -1;
-    backend_connection_close(connection);
-    if (copy < 0) {
-        return false;
+    char dropped[DROPPED_SIZE];
+    ssize_t received = recv(socket_fd, dropped, sizeof dropped, MSG_DONTWAIT);
+    if (received >= 0) {
+        return received == 0;
     }
-    shutdown(copy, SHUT_WR);
-    bool confirmed = wait_for_end_of_stream(copy, deadline);
-    close(copy);
-    return confirmed;
+    return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
 }
 
 void backend_connection_break(struct backend_connection *connection)
--- /dev/null
+++ b/src/daemon/control.c
@@ -0,0 +1,216 @@
+/* The control thread's loop and inbox; see the header. */
+#define G_LOG_DOMAIN "control"
+#include "daemon/control.h"
+
+#include <poll.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <urcu-bp.h>
+
+#include "backend/clock.h"
+#include "core/error.h"
+#include "daemon/control_internal.h"
+#include "daemon/daemon.h"
+#include "daemon/transaction.h"
+#include "generated/errors.h"
+
+/* The loop looks at everything at least this often. */
+#define CONTROL_PERIOD_MS 100
+
+void control_post(struct control *control, const struct control_event *event)
+{
+    struct control_event *copy = g_new(struct control_event, 1);
+    *copy = *event;
+    pthread_mutex_lock(&control->inbox_lock);
+    g_queue_push_tail(&control->inbox, copy);
+    pthread_mutex_unlock(&control->inbox_lock);
+    eventfd_write(control->wake_fd, 1);
+}
+
+/* Takes the oldest event, or NULL. */
+static struct control_event *take_event(struct control *control)
+{
+    pthread_mutex_lock(&control->inbox_lock);
+    struct control_event *event = g_queue_pop_head(&control->inbox);
+    pthread_mutex_unlock(&control->inbox_lock);
+    return event;
+}
+
+static bool is_stopping(struct control *control)
+{
+    pthread_mutex_lock(&control->inbox_lock);
+    bool stopping = control->stopping;
+    pthread_mutex_unlock(&control->inbox_lock);
+    return stopping;
+}
+
+static void handle_event(struct control *control, struct control_event *event)
+{
+    switch (event->kind) {
+    case CONTROL_EVENT_GROUP:
+        control_groups_feed(control, event->group, &event->event);
+        break;
+    case CONTROL_EVENT_LEAVING:
+        control_members_set_leaving(control, event->leaving, backend_now());
+        break;
+    }
+}
+
+static void handle_inbox(struct control *control)
+{
+    struct control_event *event = take_event(control);
+    while (event != NULL) {
+        handle_event(control, event);
+        g_free(event);
+        event = take_event(control);
+    }
+}
+
+static void wait_for_input(struct control *control)
+{
+    struct pollfd waits[] = {
+        {.fd = control->wake_fd, .events = POLLIN},
+        {.fd = control->socket, .events = POLLIN},
+    };
+    time_ns now = backend_now();
+    time_ns until = now + CONTROL_PERIOD_MS * NANOSECONDS_PER_MILLISECOND;
+    until = MIN(until, control_groups_next_wakeup(control));
+    until = MIN(until, control_members_next_wakeup(control));
+    poll(waits, G_N_ELEMENTS(waits), backend_poll_ms(until, now));
+    eventfd_t ignored;
+    if (waits[0].revents != 0) {
+        eventfd_read(control->wake_fd, &ignored);
+    }
+    if (waits[1].revents != 0) {
+        control_members_receive(control, backend_now());
+    }
+}
+
+static void *control_main(void *data)
+{
+    struct control *control = data;
+    control_groups_start(control);
+    while (!is_stopping(control)) {
+        wait_for_input(control);
+        handle_inbox(control);
+        time_ns now = backend_now();
+        control_members_tick(control, now);
+        control_ownership_tick(control, now);
+        control_groups_tick(control, now);
+        transaction_table_expire(control->daemon->transactions, now, false);
+    }
+    return NULL;
+}
+
+static void free_control(struct control *control)
+{
+    struct control_event *event = take_event(control);
+    while (event != NULL) {
+        g_free(event);
+        event = take_event(control);
+    }
+    control_members_stop(control);
+    pthread_mutex_destroy(&control->inbox_lock);
+    close(control->wake_fd);
+    g_free(control);
+}
+
+struct control *control_start(struct daemon *daemon, GError **error)
+{
+    struct control *control = g_new0(struct control, 1);
+    control->daemon = daemon;
+    control->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    control->socket = -1;
+    pthread_mutex_init(&control->inbox_lock, NULL);
+    g_queue_init(&control->inbox);
+    control->journal = daemon->journal;
+    if (!control_members_start(control, error)) {
+        free_control(control);
+        return NULL;
+    }
+    if (pthread_create(&control->thread, NULL, control_main, control) != 0) {
+        g_error("Can't start the control thread.");
+    }
+    return control;
+}
+
+void control_stop(struct control *control)
+{
+    pthread_mutex_lock(&control->inbox_lock);
+    control->stopping = true;
+    pthread_mutex_unlock(&control->inbox_lock);
+    eventfd_write(control->wake_fd, 1);
+    pthread_join(control->thread, NULL);
+    control_groups_stop(control);
+    free_control(control);
+}
+
+void control_set_leaving(struct control *control, bool leaving)
+{
+    struct control_event event = {.kind = CONTROL_EVENT_LEAVING, .leaving = leaving};
+    control_post(control, &event);
+}
+
+GArray *control_list_members(struct control *control)
+{
+    GArray *members = g_array_new(FALSE, TRUE, sizeof(struct control_member));
+    rcu_read_lock();
+    const struct member_table *table = rcu_dereference(control->members);
+    for (uint32_t i = 0; i < table->count; i++) {
+        const struct member_entry *entry = &table->entries[i];
+        struct control_member member = {
+            .id = entry->id,
+            .zone = entry->zone,
+            .usable = entry->usable,
+            .self = entry->self,
+        };
+        g_strlcpy(member.address, entry->address_text, sizeof(member.address));
+        g_array_append_val(members, member);
+    }
+    rcu_read_unlock();
+    return members;
+}
+
+void control_drain_database(struct control *control, uint32_t group, uint32_t database,
+                            bool leaving)
+{
+    struct control_event event = {
+        .kind = CONTROL_EVENT_GROUP,
+        .group = group,
+        .event = {.kind = leaving ? GROUP_EVENT_DRAIN : GROUP_EVENT_UNDRAIN,
+                  .now = backend_now(),
+                  .database = database},
+    };
+    control_post(control, &event);
+}
+
+void control_owners_of(struct control *control, uint32_t group, struct owner_list *owners)
+{
+    struct member_entry entries[OWNERS_MAX];
+    uint32_t count = 0;
+    memset(owners, 0, sizeof(*owners));
+    control_ownership_entries(control, group, entries, &count);
+    for (uint32_t i = 0; i < count; i++) {
+        if (entries[i].self) {
+            owners->self = true;
+            continue;
+        }
+        memcpy(owners->addresses[owners->count++], entries[i].address_text, ADDRESS_TEXT_SIZE);
+    }
+}
+
+char *control_address_of(struct control *control, const char *daemon_name)
+{
+    char *address = NULL;
+    uint64_t id = membership_id_of_name(daemon_name);
+    rcu_read_lock();
+    const struct member_table *table = rcu_dereference(control->members);
+    for (uint32_t i = 0; i < table->count; i++) {
+        if (table->entries[i].id == id) {
+            address = g_strdup(table->entries[i].address_text);
+        }
+    }
+    rcu_read_unlock();
+    return address;
+}
--- /dev/null
+++ b/src/daemon/control_members.c
@@ -0,0 +1,253 @@
+/* The control thread's members: drives membership over the datagram socket, and publishes the
+ * member table from which owners are derived. */
+#define G_LOG_DOMAIN "members"
+#include <arpa/inet.h>
+#include <string.h>
+#include <unistd.h>
+#include <urcu-bp.h>
+#include <xxhash.h>
+
+#include "backend/clock.h"
+#include "core/error.h"
+#include "daemon/control_internal.h"
+#include "daemon/daemon.h"
+#include "generated/errors.h"
+#include "wire/address.h"
+#include "wire/datagram.h"
+
+/* Datagrams taken in one go before other work gets its turn. */
+#define DATAGRAMS_PER_TURN 64
+
+/* Names an incarnation of a daemon as a watcher. */
+static uint64_t watcher_id(uint64_t member, uint64_t start)
+{
+    return XXH3_64bits_withSeed(&member, sizeof(member), start);
+}
+
+static struct sockaddr_in to_socket_address(struct member_address address)
+{
+    struct sockaddr_in result = {
+        .sin_family = AF_INET,
+        .sin_port = htons(address.port),
+        .sin_addr = {.s_addr = htonl(address.address)},
+    };
+    return result;
+}
+
+static struct member_address to_member_address(const struct sockaddr_in *address)
+{
+    struct member_address result = {
+        .address = ntohl(address->sin_addr.s_addr),
+        .port = ntohs(address->sin_port),
+    };
+    return result;
+}
+
+static void fill_entry(struct member_entry *entry, const struct member *member, uint64_t self)
+{
+    entry->id = member->id;
+    entry->watcher = watcher_id(member->id, member->start);
+    entry->zone = member->zone;
+    entry->address = to_socket_address(member->address);
+    g_autofree char *text = format_address(&entry->address);
+    g_strlcpy(entry->address_text, text, sizeof(entry->address_text));
+    bool alive = member->state == MEMBER_STATE_ALIVE || member->state == MEMBER_STATE_SUSPECT;
+    entry->usable = alive && !member->leaving;
+    entry->self = member->id == self;
+}
+
+/* Replaces the member table that request threads read. */
+static void publish_members(struct control *control)
+{
+    size_t count = membership_count(control->membership);
+    uint64_t self = membership_self(control->membership).id;
+    struct member_table *next =
+        g_malloc0(sizeof(struct member_table) + count * sizeof(struct member_entry));
+    for (size_t i = 0; i < count; i++) {
+        struct member member = membership_get(control->membership, i);
+        fill_entry(&next->entries[next->count++], &member, self);
+    }
+    struct member_table *previous = control->members;
+    rcu_assign_pointer(control->members, next);
+    synchronize_rcu();
+    g_free(previous);
+}
+
+static void note_change(struct control *control, const struct member *member, const char *what)
+{
+    struct journal_entry entry = {.database = -1};
+    struct sockaddr_in address = to_socket_address(member->address);
+    g_autofree char *text = format_address(&address);
+    g_strlcpy(entry.kind, what, sizeof(entry.kind));
+    g_snprintf(entry.text, sizeof(entry.text), "member=%" G_GINT64_MODIFIER "x at %s%s", member->id,
+               text, member->leaving ? " leaving" : "");
+    journal_add(control->journal, &entry);
+    control->members_changed = true;
+}
+
+static void send_gossip(struct control *control, const struct membership_action *action)
+{
+    struct sockaddr_in to = to_socket_address(action->to);
+    /* The encoder only reads: the union borrows the list's message. */
+    struct message message = {.kind = MESSAGE_KIND_GOSSIP, .gossip = action->message};
+    wire_datagram_send(control->socket, &to, &message, NULL);
+}
+
+static void perform(struct control *control, const struct membership_action *action)
+{
+    switch (action->kind) {
+    case MEMBERSHIP_ACTION_SEND:
+        send_gossip(control, action);
+        break;
+    case MEMBERSHIP_ACTION_MEMBER_JOINED:
+        note_change(control, &action->member, "member_joined");
+        break;
+    case MEMBERSHIP_ACTION_MEMBER_RESTARTED:
+        note_change(control, &action->member, "member_restarted");
+        break;
+    case MEMBERSHIP_ACTION_MEMBER_CHANGED:
+        note_change(control, &action->member, "member_changed");
+        break;
+    case MEMBERSHIP_ACTION_MEMBER_GONE:
+        note_change(control, &action->member, "member_gone");
+        control_ownership_forget(control, action->member.id);
+        break;
+    case MEMBERSHIP_ACTION_SUPERSEDED:
+        g_critical("Another daemon runs under this name: this one is silent.");
+        break;
+    case MEMBERSHIP_ACTION_ZONE_CHANGED:
+    case MEMBERSHIP_ACTION_CONFIGURATION_HEARD:
+        break;
+    }
+}
+
+static void perform_all(struct control *control)
+{
+    for (size_t i = 0; i < membership_actions_count(control->actions); i++) {
+        perform(control, membership_actions_get(control->actions, i));
+    }
+    membership_actions_clear(control->actions);
+    if (control->members_changed) {
+        control->members_changed = false;
+        publish_members(control);
+        control_ownership_members_changed(control);
+    }
+}
+
+static void receive_opinion(struct control *control, const struct watcher_opinion *opinion)
+{
+    struct group_event event = {
+        .kind = GROUP_EVENT_OPINION,
+        .opinion = {.watcher = opinion->watcher,
+                    .sequence = opinion->sequence,
+                    .term = opinion->term,
+                    .primary = (int32_t)opinion->primary,
+                    .suspects = opinion->suspects,
+                    .reachable = opinion->reachable,
+                    .promised = opinion->promised,
+                    .change = opinion->change,
+                    .drained = opinion->drained},
+    };
+    control_groups_feed(control, opinion->group, &event);
+}
+
+void control_members_receive(struct control *control, time_ns now)
+{
+    for (int i = 0; i < DATAGRAMS_PER_TURN; i++) {
+        struct message message;
+        struct sockaddr_in from;
+        g_autoptr(GError) error = NULL;
+        if (!wire_datagram_receive(control->socket, &message, &from, now, &error)) {
+            if (g_error_matches(error, SW_ERROR, ERROR_KIND_BAD_REQUEST)) {
+                continue;
+            }
+            break;
+        }
+        if (message.kind == MESSAGE_KIND_GOSSIP) {
+            membership_receive(control->membership, &message.gossip, to_member_address(&from), now,
+                               control->actions);
+        } else if (message.kind == MESSAGE_KIND_OPINION) {
+            receive_opinion(control, &message.opinion);
+        }
+        message_clear(&message);
+        perform_all(control);
+    }
+}
+
+void control_members_tick(struct control *control, time_ns now)
+{
+    if (now >= membership_next_wakeup(control->membership)) {
+        membership_tick(control->membership, now, control->actions);
+        perform_all(control);
+    }
+}
+
+time_ns control_members_next_wakeup(struct control *control)
+{
+    return membership_next_wakeup(control->membership);
+}
+
+void control_members_set_leaving(struct control *control, bool leaving, time_ns now)
+{
+    membership_set_leaving(control->membership, leaving, now, control->actions);
+    control->members_changed = true;
+    perform_all(control);
+}
+
+static void set_seeds(struct control *control)
+{
+    const struct address_list *peers = &control->daemon->settings.daemon.peers;
+    struct member_address *seeds = g_new0(struct member_address, peers->count + 1);
+    size_t count = 0;
+    for (size_t i = 0; i < peers->count; i++) {
+        struct sockaddr_in address;
+        if (parse_address(peers->items[i], &address)) {
+            seeds[count++] = to_member_address(&address);
+        }
+    }
+    membership_set_seeds(control->membership, seeds, count);
+    g_free(seeds);
+}
+
+bool control_members_start(struct control *control, GError **error)
+{
+    struct daemon *daemon = control->daemon;
+    const char *listen = peer_server_address(daemon->peer_server);
+    struct sockaddr_in bound;
+    control->socket = wire_datagram_open(listen, &bound, error);
+    if (control->socket < 0) {
+        return false;
+    }
+    struct membership_options options;
+    membership_options_default(&options);
+    options.random_seed = daemon->incarnation;
+    struct membership_self self = {
+        .id = membership_id_of_name(daemon->settings.daemon.name),
+        .start = daemon->incarnation,
+        .address = to_member_address(&bound),
+        .zone = (uint16_t)daemon->zone,
+    };
+    control->watcher_self = watcher_id(self.id, self.start);
+    control->actions = membership_actions_new();
+    control->membership = membership_new(&options, &self, backend_now());
+    set_seeds(control);
+    control_ownership_start(control, self.id);
+    publish_members(control);
+    return true;
+}
+
+void control_members_stop(struct control *control)
+{
+    if (control->membership != NULL) {
+        membership_leave(control->membership, backend_now(), control->actions);
+        perform_all(control);
+        control_ownership_stop(control);
+        membership_free(control->membership);
+        membership_actions_free(control->actions);
+    }
+    if (control->socket >= 0) {
+        close(control->socket);
+    }
+    synchronize_rcu();
+    g_free(control->members);
+}
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -1,16 +1,19 @@
 /* The daemon's parts, in order of dependence; see the header. */
 #include "daemon/daemon.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 #include <urcu-bp.h>
 
 #include "backend/adapter.h"
 #include "backend/clock.h"
+#include "configuration/problem.h"
 #include "core/error.h"
 #include "core/route.h"
 #include "daemon/admin_api.h"
 #include "daemon/control.h"
-#include "daemon/metrics.h"
+#include "daemon/daemon_metrics.h"
+#include "daemon/journal.h"
 #include "daemon/task.h"
 #include "daemon/transaction.h"
 #include "wire/address.h"
@@ -18,6 +21,16 @@
 /* Bounds of one answer: what fits a forwarded reply. */
 static const struct result_limits result_limits = {.rows_max = 10000, .bytes_max = 4 << 20};
 
+/* How long a member waits for a position, and how much later its connection is given up. */
+#define EVIDENCE_WAIT_MS         500
+#define EVIDENCE_TIMEOUT_MS      300
+#define EVIDENCE_OPEN_TIMEOUT_MS 500
+#define EVIDENCE_REOPEN_MS       50
+
+/* Longest wait at the start for the other daemons to answer. */
+#define SETTLE_TIMEOUT_MS 2000
+#define SETTLE_POLL_US    1000
+
 /* Pause between two looks at whether everything has ended. */
 #define STOP_POLL_US 5000
 
@@ -87,20 +100,13 @@
     return true;
 }
 
-static struct group_runtime *take_or_start_group(struct daemon *daemon,
-                                                 struct configuration *configuration,
-                                                 const struct group_configuration *group)
+static struct group_runtime *start_group(struct daemon *daemon, struct configuration *configuration,
+                                         const struct group_configuration *group)
 {
-    struct group_runtime *standing = daemon_take_group(daemon, group->id);
-    if (standing != NULL && same_databases(standing->group, group)) {
-        return standing;
-    }
-    if (standing != NULL) {
-        group_runtime_unref(standing);
-    }
     struct group_runtime_options options = {
         .daemon_name = daemon->settings.daemon.name,
         .zone_name = daemon->settings.daemon.zone,
+        .evidence = daemon->evidence,
         .owner_count = daemon->settings.ownership.owners_per_group,
         .queue_limit = daemon->settings.routing.queue_limit,
         .open_rate_per_second = daemon->settings.backend.open_rate_per_second,
@@ -108,22 +114,65 @@
     return group_runtime_new(configuration, group, &options);
 }
 
-void daemon_set_configuration(struct daemon *daemon, struct configuration *configuration)
+/* A copy of the table in force, with its references; without groups that changed. */
+static struct routing_table *copy_table(struct daemon *daemon, struct configuration *configuration)
 {
     struct routing_table *next = g_new0(struct routing_table, 1);
     next->configuration = configuration_ref(configuration);
     next->groups = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, release_group);
-    for (guint i = 0; i < configuration->groups->len; i++) {
-        const struct group_configuration *group = g_ptr_array_index(configuration->groups, i);
-        g_hash_table_insert(next->groups, GUINT_TO_POINTER(group->id),
-                            take_or_start_group(daemon, configuration, group));
+    if (daemon->table == NULL) {
+        return next;
+    }
+    GHashTableIter iterator;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, daemon->table->groups);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        struct group_runtime *runtime = value;
+        const struct group_configuration *group =
+            configuration_find_group(configuration, runtime->group->id);
+        if (group != NULL && same_databases(runtime->group, group)) {
+            g_hash_table_insert(next->groups, key, group_runtime_ref(runtime));
+        }
     }
+    return next;
+}
+
+static void replace_table(struct daemon *daemon, struct routing_table *next)
+{
     struct routing_table *previous = daemon->table;
     rcu_assign_pointer(daemon->table, next);
     synchronize_rcu();
     free_table(previous);
 }
 
+void daemon_set_configuration(struct daemon *daemon, struct configuration *configuration)
+{
+    replace_table(daemon, copy_table(daemon, configuration));
+}
+
+struct group_runtime *daemon_begin_group(struct daemon *daemon, uint32_t id)
+{
+    struct configuration *configuration = daemon->table->configuration;
+    const struct group_configuration *group = configuration_find_group(configuration, id);
+    if (group == NULL) {
+        return NULL;
+    }
+    struct routing_table *next = copy_table(daemon, configuration);
+    struct group_runtime *runtime = start_group(daemon, next->configuration, group);
+    g_hash_table_insert(next->groups, GUINT_TO_POINTER(id), runtime);
+    group_runtime_ref(runtime);
+    replace_table(daemon, next);
+    return runtime;
+}
+
+void daemon_end_group(struct daemon *daemon, uint32_t id)
+{
+    struct routing_table *next = copy_table(daemon, daemon->table->configuration);
+    g_hash_table_remove(next->groups, GUINT_TO_POINTER(id));
+    replace_table(daemon, next);
+}
+
 bool daemon_task_begins(struct daemon *daemon, const struct request *request)
 {
     atomic_fetch_add(&daemon->tasks_open, 1);
@@ -196,7 +245,8 @@
 
 static void serve_peer(const struct message *request, struct message *reply, void *user)
 {
-    if (request->kind != MESSAGE_KIND_REQUEST) {
+    struct daemon *daemon = user;
+    if (request->kind != MESSAGE_KIND_REQUEST || !atomic_load(&daemon->ready)) {
         return;
     }
     struct peer_wait wait = {.lock = PTHREAD_MUTEX_INITIALIZER,
@@ -205,7 +255,7 @@
     request_copy(own, &request->request);
     message_init(reply, MESSAGE_KIND_REPLY);
     wait.reply = &reply->reply;
-    task_submit(user, own, answer_peer, &wait);
+    task_submit(daemon, own, answer_peer, &wait);
     pthread_mutex_lock(&wait.lock);
     while (!wait.done) {
         pthread_cond_wait(&wait.answered, &wait.lock);
@@ -241,6 +291,7 @@
     options.limits.body_octets_max = (uint32_t)daemon->settings.request.body_limit;
     options.limits.timeout_ms = daemon->settings.request.default_timeout_ms;
     options.limits.timeout_ms_max = daemon->settings.request.max_timeout_ms;
+    options.metrics = daemon_metrics_registry(daemon->metrics);
     options.token_keys = daemon->token_keys;
     options.reason_name = reason_name;
     options.find_tenant = find_tenant;
@@ -280,18 +331,33 @@
     return true;
 }
 
+/* Callers are served only once the other daemons are known, or none has answered. */
+static void wait_until_settled(struct daemon *daemon)
+{
+    time_ns deadline = backend_now() + SETTLE_TIMEOUT_MS * NANOSECONDS_PER_MILLISECOND;
+    while (!control_is_settled(daemon->control) && backend_now() < deadline) {
+        g_usleep(SETTLE_POLL_US);
+    }
+}
+
 static bool start_parts(struct daemon *daemon, GError **error)
 {
     daemon->token_keys = token_keys_load(daemon->settings.session.token_keys_file, error);
-    if (daemon->token_keys == NULL || !load_configuration(daemon, error)) {
+    if (daemon->token_keys == NULL || !load_configuration(daemon, error) ||
+        !start_peer_server(daemon, error)) {
         return false;
     }
     daemon->control = control_start(daemon, error);
     if (daemon->control == NULL) {
         return false;
     }
-    return start_peer_server(daemon, error) && admin_api_start(daemon, error) &&
-           start_frontend(daemon, error);
+    daemon_metrics_watch(daemon->metrics, daemon);
+    atomic_store(&daemon->ready, true);
+    if (!admin_api_start(daemon, error)) {
+        return false;
+    }
+    wait_until_settled(daemon);
+    return start_frontend(daemon, error);
 }
 
 struct daemon *daemon_start(const struct settings *settings, GError **error)
@@ -299,9 +365,17 @@
     struct daemon *daemon = g_new0(struct daemon, 1);
     daemon->settings = *settings;
     daemon->incarnation = (uint64_t)g_get_real_time();
-    daemon->metrics = metrics_new();
+    daemon->metrics = daemon_metrics_new();
+    daemon->journal = journal_new();
     daemon->workers = worker_pool_new(daemon->settings.daemon.worker_threads,
                                       daemon->settings.daemon.request_queue);
+    struct evidence_options evidence = {
+        .wait_ms = EVIDENCE_WAIT_MS,
+        .timeout_ms = EVIDENCE_TIMEOUT_MS,
+        .open_timeout_ms = EVIDENCE_OPEN_TIMEOUT_MS,
+        .reopen_ms = EVIDENCE_REOPEN_MS,
+    };
+    daemon->evidence = evidence_new(&evidence);
     daemon->transactions = transaction_table_new(daemon->settings.daemon.name, daemon->incarnation);
     if (!start_parts(daemon, error)) {
         daemon_stop(daemon, backend_now());
@@ -360,8 +434,10 @@
         peer_pool_free(daemon->peers);
     }
     free_table(daemon->table);
+    evidence_free(daemon->evidence);
     token_keys_free(daemon->token_keys);
-    metrics_free(daemon->metrics);
+    journal_free(daemon->journal);
+    daemon_metrics_free(daemon->metrics);
     rcu_barrier();
     settings_clear(&daemon->settings);
     g_free(daemon);
@@ -370,7 +446,7 @@
 uint32_t daemon_stop(struct daemon *daemon, time_ns deadline)
 {
     if (daemon->control != NULL) {
-        control_leave(daemon->control);
+        control_set_leaving(daemon->control, true);
     }
     atomic_store(&daemon->stopping, true);
     if (daemon->frontend != NULL) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -17,8 +17,10 @@
 #include "wire/peer_pool.h"
 #include "wire/peer_server.h"
 
+struct admin;
 struct control;
 struct daemon_metrics;
+struct journal;
 struct transaction_table;
 
 /* Groups and tenants in force: replaced as a whole, read under RCU. */
@@ -36,6 +38,7 @@
     struct token_keys *token_keys;
     struct routing_table *table; /* RCU */
     struct worker_pool *workers;
+    struct evidence_service *evidence;
     struct transaction_table *transactions;
     struct peer_pool *peers;
     struct peer_server *peer_server;
@@ -43,6 +46,8 @@
     struct control *control;
     struct daemon_metrics *metrics;
     struct admin *admin;
+    struct journal *journal;
+    _Atomic bool ready;          /* the control thread runs: other daemons are served */
     _Atomic bool stopping;       /* takes no new work */
     _Atomic uint32_t tasks_open; /* begun and not answered */
 };
@@ -58,12 +63,20 @@
 /* The configuration in force with one reference, or NULL. Any thread. */
 struct configuration *daemon_take_configuration(struct daemon *daemon);
 
-/* A group's run time with one reference, or NULL. Any thread. */
+/* A group's run time with one reference, or NULL if this daemon does not own it. Any thread. */
 struct group_runtime *daemon_take_group(struct daemon *daemon, uint32_t group);
 
 /* Puts a configuration in force; control thread, or before threads start. Takes a reference. */
 void daemon_set_configuration(struct daemon *daemon, struct configuration *configuration);
 
+/* Starts a group that this daemon now owns, with one reference for the caller; NULL if the
+ * configuration does not have it. Control thread only. */
+struct group_runtime *daemon_begin_group(struct daemon *daemon, uint32_t id);
+
+/* Ends a group that this daemon owns no more: new requests are forwarded, what runs ends. Control
+ * thread only. */
+void daemon_end_group(struct daemon *daemon, uint32_t id);
+
 /* Counts a task in. False if the daemon is stopping and the request starts new work; the task is
  * counted all the same until daemon_task_ended. */
 bool daemon_task_begins(struct daemon *daemon, const struct request *request);
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -3,12 +3,15 @@
 
 #include <glib.h>
 #include <string.h>
+#include <urcu/compiler.h>
 #include <xxhash.h>
 
 #include "backend/clock.h"
+#include "daemon/control.h"
 #include "daemon/daemon.h"
 #include "daemon/forward.h"
-#include "daemon/metrics.h"
+#include "daemon/transaction.h"
+#include "daemon/daemon_metrics.h"
 
 /* When a caller should come back after the daemon itself had no room or was not ready. */
 #define DAEMON_RETRY_AFTER_MS 500
@@ -16,6 +19,9 @@
 /* A slot queue's Retry-After is spread by up to this part of it, in percent. */
 #define RETRY_AFTER_JITTER_PERCENT 50
 
+/* An attempt that can be made again may use up to this part of the time left, in percent. */
+#define ATTEMPT_TIME_PERCENT 75
+
 static void free_task(struct task *task)
 {
     execute_answer_clear(&task->run);
@@ -31,9 +37,20 @@
     g_free(task);
 }
 
+/* Ends a transaction whose commit was never sent. */
+static void roll_back(struct task *task)
+{
+    adapter_rollback(task->transaction->connection, task->deadline);
+    transaction_table_end(task->daemon->transactions, task->transaction);
+    task->transaction = NULL;
+}
+
 void task_finish(struct task *task)
 {
     task_give_slot(task);
+    if (task->transaction != NULL) {
+        roll_back(task);
+    }
     if (task->counts_as_write) {
         group_runtime_end_write(task->group);
         task->counts_as_write = false;
@@ -44,7 +61,7 @@
     if (reply->served_by_daemon == NULL) {
         reply->served_by_daemon = g_strdup(task->daemon->settings.daemon.name);
     }
-    metrics_count_reply(task->daemon->metrics, task, backend_now());
+    daemon_metrics_count(task->daemon->metrics, task, backend_now());
     task->answer(task->origin, reply);
     daemon_task_ended(task->daemon);
     free_task(task);
@@ -97,7 +114,7 @@
 static bool resolve(struct task *task, enum error_kind *error)
 {
     task->configuration = daemon_take_configuration(task->daemon);
-    if (task->configuration == NULL) {
+    if (task->configuration == NULL || !control_is_settled(task->daemon->control)) {
         *error = ERROR_KIND_NOT_READY;
         return false;
     }
@@ -107,11 +124,8 @@
         *error = ERROR_KIND_UNKNOWN_TENANT;
         return false;
     }
+    /* NULL where this daemon does not own the group: the task is forwarded. */
     task->group = daemon_take_group(task->daemon, task->route->group);
-    if (task->group == NULL) {
-        *error = ERROR_KIND_NOT_READY;
-        return false;
-    }
     return true;
 }
 
@@ -129,11 +143,21 @@
     task->ticket.deadline = task->deadline;
 }
 
+static enum worker_lane lane_of(const struct request *request)
+{
+    if (request->hops > 0) {
+        return WORKER_LANE_FORWARDED;
+    }
+    bool in_transaction = request->transaction_id != NULL && request->transaction_id[0] != '\0';
+    return in_transaction ? WORKER_LANE_TRANSACTION : WORKER_LANE_NEW;
+}
+
 void task_submit(struct daemon *daemon, struct request *request, task_answer_function answer,
                  void *origin)
 {
     struct task *task = g_new0(struct task, 1);
     task->job.run = run_task;
+    task->job.lane = lane_of(request);
     task->daemon = daemon;
     task->request = request;
     task->answer = answer;
@@ -214,6 +238,22 @@
     }
 }
 
+void task_expire_queued(struct daemon *daemon, struct group_runtime *group, time_ns now)
+{
+    for (uint32_t i = 0; i < group->database_count; i++) {
+        struct database_runtime *database = &group->databases[i];
+        pthread_mutex_lock(&database->admission_lock);
+        struct admission_ticket *ticket = admission_take_expired(&database->admission, now);
+        while (ticket != NULL) {
+            struct task *task = caa_container_of(ticket, struct task, ticket);
+            task->ticket_expired = true;
+            worker_pool_resume(daemon->workers, &task->job);
+            ticket = admission_take_expired(&database->admission, now);
+        }
+        pthread_mutex_unlock(&database->admission_lock);
+    }
+}
+
 void task_give_slot(struct task *task)
 {
     if (task->slot_database < 0) {
@@ -230,6 +270,15 @@
     pthread_mutex_unlock(&runtime->admission_lock);
 }
 
+time_ns task_attempt_deadline(const struct task *task)
+{
+    time_ns now = backend_now();
+    if (now >= task->deadline) {
+        return task->deadline;
+    }
+    return now + (task->deadline - now) / 100 * ATTEMPT_TIME_PERCENT;
+}
+
 struct log_position task_session_position(const struct task *task)
 {
     struct log_position position = {0, 0};
--- a/src/frontend/call.c
+++ b/src/frontend/call.c
@@ -7,6 +7,7 @@
 #include "generated/errors.h"
 
 #include <string.h>
+#include <time.h>
 #include <xxhash.h>
 
 #define MICROSECONDS_PER_MILLISECOND 1000
@@ -15,6 +16,9 @@
  * reset connection. */
 #define DISCARDED_OCTETS_MAX (16 * 1024 * 1024)
 
+/* Longest wait of a stop for callers to take their answers. */
+#define STOP_WRITE_WAIT_S 2
+
 static void call_unref(struct frontend_call *call)
 {
     if (atomic_fetch_sub(&call->references, 1) != 1) {
@@ -23,7 +27,7 @@
     g_free(call->request_id);
     request_path_clear(&call->path);
     g_free(call->session);
-    g_byte_array_unref(call->body);
+    g_clear_pointer(&call->body, g_byte_array_unref);
     if (call->request != NULL) {
         request_clear(call->request);
         g_free(call->request);
@@ -35,6 +39,11 @@
     g_free(call);
 }
 
+static double seconds_since(gint64 began_us)
+{
+    return (double)(g_get_monotonic_time() - began_us) / G_USEC_PER_SEC;
+}
+
 static void make_response(struct frontend_call *call, const struct reply *reply)
 {
     const struct call_shared *shared = call->shared;
@@ -52,13 +61,23 @@
     char *text = g_string_free(body, FALSE);
     call->response = MHD_create_response_from_buffer_with_free_callback(length, text, g_free);
     reply_headers_add(call->response, reply, &call->shape, &context);
+    frontend_metrics_count(&shared->metrics, reply, seconds_since(call->began_us));
     call->status = reply->outcome == OUTCOME_DONE ? MHD_HTTP_OK
                                                   : error_entry_of(reply->error_kind)->http_status;
+    atomic_store_explicit(&call->made, true, memory_order_release);
+}
+
+/* Bounds the time without traffic on the connection; its own thread. libmicrohttpd 0.9.75 misses
+ * the end of a connection that comes along with part of a request, so that a bound must end it. */
+static void bound_idle_time(struct frontend_call *call, unsigned seconds)
+{
+    MHD_set_connection_option(call->connection, MHD_CONNECTION_OPTION_TIMEOUT, seconds);
 }
 
 /* Queues the response that was made; the connection's thread. */
 static enum MHD_Result queue_response(struct frontend_call *call)
 {
+    bound_idle_time(call, call->shared->options.idle_s);
     call->state = CALL_STATE_DONE;
     return MHD_queue_response(call->connection, call->status, call->response);
 }
@@ -90,6 +109,20 @@
     return options->find_tenant(call->path.tenant, &call->tenant, options->user, &call->refusal);
 }
 
+/* Whether the token can note what this request sees: a position must never be lost from it. */
+static bool session_has_room(const struct frontend_call *call)
+{
+    if (call->session_count < TOKEN_GROUPS_MAX) {
+        return true;
+    }
+    for (size_t i = 0; i < call->session_count; i++) {
+        if (call->session[i].group == call->tenant.group) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Reads all that stands before the body; leaves the first fault in call->refusal. */
 static void read_head(struct frontend_call *call, const struct request_head *head,
                       const char *method, const char *url)
@@ -115,6 +148,9 @@
                               call->request->session_count * sizeof(struct group_position));
     call->session_count = call->request->session_count;
     call->shape.keyed = call->request->idempotency_key != NULL;
+    if (!session_has_room(call)) {
+        refuse(call, ERROR_KIND_BAD_SESSION, "the session token holds too many groups");
+    }
 }
 
 static struct frontend_call *call_new(struct call_shared *shared, struct MHD_Connection *connection,
@@ -123,6 +159,7 @@
     struct frontend_call *call = g_new0(struct frontend_call, 1);
     atomic_init(&call->references, 1);
     atomic_init(&call->answered, false);
+    atomic_init(&call->made, false);
     call->shared = shared;
     call->connection = connection;
     call->began_us = g_get_monotonic_time();
@@ -131,6 +168,7 @@
     call->request = g_new0(struct request, 1);
     request_init(call->request);
     atomic_fetch_add(&shared->in_flight, 1);
+    metric_gauge_add(shared->metrics.in_flight, 1);
     return call;
 }
 
@@ -162,6 +200,7 @@
     request_head_collect(connection, &head);
     struct frontend_call *call = call_new(shared, connection, &head);
     *request_state = call;
+    bound_idle_time(call, shared->options.receive_s);
     read_head(call, &head, method, url);
     if (call->refusal == NULL && announces_too_large(call)) {
         refuse_too_large(call);
@@ -186,6 +225,15 @@
     return call->body_octets > DISCARDED_OCTETS_MAX ? MHD_NO : MHD_YES;
 }
 
+/* Tells a request from another under the same key: its path and body. */
+static uint64_t fingerprint_of(const struct frontend_call *call, const char *body)
+{
+    const char *transaction = call->path.transaction_id == NULL ? "" : call->path.transaction_id;
+    g_autofree char *path =
+        g_strdup_printf("%s/%d/%s", call->path.tenant, (int)call->path.endpoint, transaction);
+    return XXH3_64bits_withSeed(body, call->body->len, XXH3_64bits(path, strlen(path)));
+}
+
 /* Time already spent is taken off the caller's budget. */
 static bool spend_budget(struct frontend_call *call)
 {
@@ -199,6 +247,36 @@
     return true;
 }
 
+/* Finds the class of one statement and the access to serve it with. */
+static bool classify_statement(struct frontend_call *call, struct sql_statement *statement)
+{
+    struct sql_class found;
+    if (!sql_cache_classify(call->shared->sql_cache, statement->sql, &found, &call->refusal)) {
+        call->refusal_position = found.error_position;
+        return false;
+    }
+    return sql_access_resolve(&found, statement->access, &statement->access, &call->refusal);
+}
+
+static bool classify_statements(struct frontend_call *call)
+{
+    struct request *request = call->request;
+    bool read_only = true;
+    for (size_t i = 0; i < request->statements_count; i++) {
+        if (!classify_statement(call, &request->statements[i])) {
+            if (request->kind == REQUEST_KIND_BATCH) {
+                g_prefix_error(&call->refusal, "statements[%zu]: ", i);
+            }
+            return false;
+        }
+        read_only = read_only && request->statements[i].access == ACCESS_MODE_READ;
+    }
+    if (request->statements_count > 0) {
+        request->read_only = read_only;
+    }
+    return true;
+}
+
 /* Reads the body and completes the request; leaves the first fault in call->refusal. */
 static bool complete_request(struct frontend_call *call)
 {
@@ -209,7 +287,8 @@
     struct request *request = call->request;
     const char *body = call->body->data == NULL ? "" : (const char *)call->body->data;
     if (!request_body_parse(body, call->body->len, call->path.endpoint, &limits, request,
-                            &call->refusal_position, &call->refusal)) {
+                            &call->refusal_position, &call->refusal) ||
+        !classify_statements(call)) {
         return false;
     }
     call->shape.kind = request->kind;
@@ -217,7 +296,7 @@
     request->tenant = g_strdup(call->path.tenant);
     request->transaction_id = g_strdup(call->path.transaction_id);
     request->group = call->tenant.group;
-    request->fingerprint = XXH3_64bits(body, call->body->len);
+    request->fingerprint = fingerprint_of(call, body);
     return spend_budget(call);
 }
 
@@ -226,13 +305,13 @@
 static bool suspend_call(struct frontend_call *call)
 {
     struct call_shared *shared = call->shared;
-    g_mutex_lock(&shared->mutex);
+    pthread_mutex_lock(&shared->mutex);
     bool open = !shared->closed;
     if (open) {
         g_hash_table_add(shared->suspended, call);
         MHD_suspend_connection(call->connection);
     }
-    g_mutex_unlock(&shared->mutex);
+    pthread_mutex_unlock(&shared->mutex);
     return open;
 }
 
@@ -240,10 +319,12 @@
 {
     struct call_shared *shared = call->shared;
     struct request *request = g_steal_pointer(&call->request);
-    g_byte_array_set_size(call->body, 0);
+    g_clear_pointer(&call->body, g_byte_array_unref);
     call->state = CALL_STATE_SUBMITTED;
+    call->submitted = true;
     atomic_fetch_add(&call->references, 1);
     if (!suspend_call(call)) {
+        call->submitted = false;
         call->request = request;
         atomic_fetch_sub(&call->references, 1);
         refuse(call, ERROR_KIND_STOPPING, error_entry_of(ERROR_KIND_STOPPING)->text);
@@ -278,13 +359,23 @@
         }
         return end_body(call);
     case CALL_STATE_SUBMITTED:
-        return queue_response(call);
+        return atomic_load_explicit(&call->made, memory_order_acquire) ? queue_response(call)
+                                                                       : MHD_NO;
     case CALL_STATE_DONE:
     default:
         return MHD_YES;
     }
 }
 
+/* The answer of a submitted call is written, or its caller is gone. */
+static void note_written(struct call_shared *shared)
+{
+    pthread_mutex_lock(&shared->mutex);
+    shared->unwritten--;
+    pthread_cond_broadcast(&shared->changed);
+    pthread_mutex_unlock(&shared->mutex);
+}
+
 void call_on_completed(void *user, struct MHD_Connection *connection, void **request_state,
                        enum MHD_RequestTerminationCode reason)
 {
@@ -294,7 +385,14 @@
         return;
     }
     *request_state = NULL;
+    if (call->submitted) {
+        note_written(shared);
+    }
+    if (reason != MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+        metric_counter_add(shared->metrics.abandoned, 1);
+    }
     call_unref(call);
+    metric_gauge_add(shared->metrics.in_flight, -1);
     atomic_fetch_sub(&shared->in_flight, 1);
 }
 
@@ -304,6 +402,7 @@
 {
     g_hash_table_remove(call->shared->suspended, call);
     call->shared->resuming++;
+    call->shared->unwritten++;
 }
 
 /* Makes the answer and wakes the connection. Only for who set `answered`, after begin_resuming. */
@@ -312,19 +411,19 @@
     struct call_shared *shared = call->shared;
     make_response(call, reply);
     MHD_resume_connection(call->connection);
-    g_mutex_lock(&shared->mutex);
+    pthread_mutex_lock(&shared->mutex);
     shared->resuming--;
-    g_cond_broadcast(&shared->resumed);
-    g_mutex_unlock(&shared->mutex);
+    pthread_cond_broadcast(&shared->changed);
+    pthread_mutex_unlock(&shared->mutex);
 }
 
 void frontend_answer(struct frontend_call *call, const struct reply *reply)
 {
     if (!atomic_exchange(&call->answered, true)) {
         struct call_shared *shared = call->shared;
-        g_mutex_lock(&shared->mutex);
+        pthread_mutex_lock(&shared->mutex);
         begin_resuming(call);
-        g_mutex_unlock(&shared->mutex);
+        pthread_mutex_unlock(&shared->mutex);
         resume_call(call, reply);
     }
     call_unref(call);
@@ -334,7 +433,7 @@
 static GPtrArray *claim_suspended(struct call_shared *shared)
 {
     GPtrArray *claimed = g_ptr_array_new();
-    g_mutex_lock(&shared->mutex);
+    pthread_mutex_lock(&shared->mutex);
     shared->closed = true;
     GHashTableIter iterator;
     gpointer call = NULL;
@@ -349,7 +448,7 @@
     for (guint i = 0; i < claimed->len; i++) {
         begin_resuming(g_ptr_array_index(claimed, i));
     }
-    g_mutex_unlock(&shared->mutex);
+    pthread_mutex_unlock(&shared->mutex);
     return claimed;
 }
 
@@ -365,10 +464,17 @@
         resume_call(call, &reply);
         call_unref(call);
     }
-    g_mutex_lock(&shared->mutex);
+    struct timespec until;
+    clock_gettime(CLOCK_MONOTONIC, &until);
+    until.tv_sec += STOP_WRITE_WAIT_S;
+    pthread_mutex_lock(&shared->mutex);
     while (g_hash_table_size(shared->suspended) > 0 || shared->resuming > 0) {
-        g_cond_wait(&shared->resumed, &shared->mutex);
+        pthread_cond_wait(&shared->changed, &shared->mutex);
+    }
+    bool in_time = true;
+    while (in_time && shared->unwritten > 0) {
+        in_time = pthread_cond_timedwait(&shared->changed, &shared->mutex, &until) == 0;
     }
-    g_mutex_unlock(&shared->mutex);
+    pthread_mutex_unlock(&shared->mutex);
     return claimed->len;
 }
--- a/src/frontend/frontend.c
+++ b/src/frontend/frontend.c
@@ -1,22 +1,23 @@
 #include "frontend/frontend.h"
 
-#include "core/error.h"
+#include "frontend/acceptor.h"
 #include "frontend/call.h"
-#include "generated/errors.h"
+#include "frontend/listen.h"
+#include "sql/classify.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <time.h>
 
-#define G_LOG_DOMAIN_FRONTEND "frontend"
+#define LOG_PREFIX "frontend"
 
 /* Defaults of struct frontend_options. */
 #define DEFAULT_THREADS         4
 #define DEFAULT_CONNECTIONS_MAX 8192
 #define DEFAULT_IDLE_S          120
+#define DEFAULT_RECEIVE_S       10
+#define DEFAULT_SQL_ENTRIES     16384
+#define DEFAULT_SQL_OCTETS      (4 * 1024 * 1024)
 #define DEFAULT_BODY_OCTETS_MAX (1024 * 1024)
 #define DEFAULT_STATEMENTS_MAX  64
 #define DEFAULT_PARAMETERS_MAX  256
@@ -28,7 +29,9 @@
 
 struct frontend {
     struct call_shared shared;
+    struct metrics *own_metrics; /* where the options give none */
     struct MHD_Daemon *daemon;
+    struct acceptor *acceptor; /* NULL once it accepts no more */
     uint16_t port;
 };
 
@@ -39,6 +42,9 @@
     options->threads = DEFAULT_THREADS;
     options->connections_max = DEFAULT_CONNECTIONS_MAX;
     options->idle_s = DEFAULT_IDLE_S;
+    options->receive_s = DEFAULT_RECEIVE_S;
+    options->sql_cache_entries = DEFAULT_SQL_ENTRIES;
+    options->sql_cache_octets = DEFAULT_SQL_OCTETS;
     options->limits = (struct frontend_limits){
         .body_octets_max = DEFAULT_BODY_OCTETS_MAX,
         .statements_max = DEFAULT_STATEMENTS_MAX,
@@ -48,92 +54,116 @@
     };
 }
 
-/* Where to listen, as libmicrohttpd takes it. */
-union listen_address {
-    struct sockaddr any;
-    struct sockaddr_in v4;
-    struct sockaddr_in6 v6;
-};
-
-static bool parse_address(const char *text, uint16_t port, union listen_address *address,
-                          GError **error)
+/* Called by libmicrohttpd as a connection begins and ends. */
+static void on_connection(void *user, struct MHD_Connection *connection, void **connection_state,
+                          enum MHD_ConnectionNotificationCode code)
 {
-    memset(address, 0, sizeof(*address));
-    if (inet_pton(AF_INET, text, &address->v4.sin_addr) == 1) {
-        address->v4.sin_family = AF_INET;
-        address->v4.sin_port = htons(port);
-        return true;
+    struct call_shared *shared = user;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        atomic_fetch_add(&shared->connections, 1);
+        metric_gauge_add(shared->metrics.connections, 1);
+    } else {
+        atomic_fetch_sub(&shared->connections, 1);
+        metric_gauge_add(shared->metrics.connections, -1);
     }
-    if (inet_pton(AF_INET6, text, &address->v6.sin6_addr) == 1) {
-        address->v6.sin6_family = AF_INET6;
-        address->v6.sin6_port = htons(port);
-        return true;
-    }
-    g_set_error(error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION, "%s is not an IP number", text);
-    return false;
-}
-
-static void log_message(void *user, const char *format, va_list arguments)
-{
-    g_autofree char *text = g_strdup_vprintf(format, arguments);
-    g_log_structured(G_LOG_DOMAIN_FRONTEND, G_LOG_LEVEL_INFO, "MESSAGE", "frontend: %s",
-                     g_strchomp(text));
 }
 
-static struct MHD_Daemon *start_daemon(struct frontend *frontend,
-                                       const union listen_address *address)
+static struct MHD_Daemon *start_daemon(struct frontend *frontend)
 {
-    const struct frontend_options *options = &frontend->shared.options;
-    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
-    if (address->any.sa_family == AF_INET6) {
-        flags |= MHD_USE_IPv6;
-    }
+    struct call_shared *shared = &frontend->shared;
+    const struct frontend_options *options = &shared->options;
+    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG |
+                     MHD_USE_NO_LISTEN_SOCKET;
     unsigned threads = MAX(options->threads, 1);
-    return MHD_start_daemon(
-        flags, options->port, NULL, NULL, call_on_access, &frontend->shared,
-        MHD_OPTION_EXTERNAL_LOGGER, log_message, NULL, MHD_OPTION_SOCK_ADDR, &address->any,
-        MHD_OPTION_THREAD_POOL_SIZE, threads > 1 ? threads : 0, MHD_OPTION_CONNECTION_LIMIT,
-        MAX(options->connections_max, threads), MHD_OPTION_CONNECTION_TIMEOUT, options->idle_s,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_OCTETS,
-        MHD_OPTION_NOTIFY_COMPLETED, call_on_completed, &frontend->shared, MHD_OPTION_END);
+    unsigned connections_max = MAX(options->connections_max, threads);
+    struct MHD_OptionItem items[] = {
+        {MHD_OPTION_THREAD_POOL_SIZE, threads > 1 ? threads : 0, NULL},
+        {MHD_OPTION_THREAD_STACK_SIZE, SQL_CLASSIFY_STACK_OCTETS, NULL},
+        {MHD_OPTION_CONNECTION_LIMIT, connections_max, NULL},
+        {MHD_OPTION_CONNECTION_TIMEOUT, options->idle_s, NULL},
+        {MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_OCTETS, NULL},
+        {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)call_on_completed, shared},
+        {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)on_connection, shared},
+        {MHD_OPTION_END, 0, NULL},
+    };
+    return MHD_start_daemon(flags, 0, NULL, NULL, call_on_access, shared,
+                            MHD_OPTION_EXTERNAL_LOGGER, listen_log, (void *)LOG_PREFIX,
+                            MHD_OPTION_ARRAY, items, MHD_OPTION_END);
 }
 
-static void shared_init(struct call_shared *shared, const struct frontend_options *options)
+static void shared_init(struct call_shared *shared, const struct frontend_options *options,
+                        struct metrics *metrics)
 {
     shared->options = *options;
+    frontend_metrics_init(&shared->metrics, metrics);
     atomic_init(&shared->stopping, false);
     atomic_init(&shared->in_flight, 0);
-    g_mutex_init(&shared->mutex);
-    g_cond_init(&shared->resumed);
+    atomic_init(&shared->connections, 0);
+    pthread_mutex_init(&shared->mutex, NULL);
+    pthread_condattr_t attributes;
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(&shared->changed, &attributes);
+    pthread_condattr_destroy(&attributes);
     shared->suspended = g_hash_table_new(NULL, NULL);
+    shared->sql_cache = sql_cache_new(options->sql_cache_entries, options->sql_cache_octets);
 }
 
 static void frontend_free(struct frontend *frontend)
 {
+    sql_cache_free(frontend->shared.sql_cache);
     g_hash_table_destroy(frontend->shared.suspended);
-    g_cond_clear(&frontend->shared.resumed);
-    g_mutex_clear(&frontend->shared.mutex);
+    pthread_cond_destroy(&frontend->shared.changed);
+    pthread_mutex_destroy(&frontend->shared.mutex);
+    metrics_free(frontend->own_metrics);
     g_free(frontend);
 }
 
-struct frontend *frontend_start(const struct frontend_options *options, GError **error)
+/* Hands a connection to libmicrohttpd, which closes it where it can't take it. */
+static void take_connection(int connection, const struct sockaddr *peer, socklen_t length,
+                            void *user)
 {
-    union listen_address address;
-    if (!parse_address(options->address, options->port, &address, error)) {
-        return NULL;
-    }
-    struct frontend *frontend = g_new0(struct frontend, 1);
-    shared_init(&frontend->shared, options);
+    struct frontend *frontend = user;
+    MHD_add_connection(frontend->daemon, connection, peer, length);
+}
+
+static bool connections_full(void *user)
+{
+    const struct frontend *frontend = user;
+    return frontend_connections(frontend) >= frontend->shared.options.connections_max;
+}
+
+static bool start_listening(struct frontend *frontend, GError **error)
+{
+    const struct frontend_options *options = &frontend->shared.options;
+    const struct acceptor_callbacks callbacks = {take_connection, connections_full, frontend};
     errno = 0;
-    frontend->daemon = start_daemon(frontend, &address);
+    frontend->daemon = start_daemon(frontend);
     if (frontend->daemon == NULL) {
-        g_set_error(error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION,
-                    "can not listen at %s port %u: %s", options->address, options->port,
-                    errno == 0 ? "unknown cause" : g_strerror(errno));
+        listen_set_error(options->address, options->port, error);
+        return false;
+    }
+    frontend->acceptor = acceptor_start(options->address, options->port, &callbacks, error);
+    if (frontend->acceptor == NULL) {
+        MHD_stop_daemon(frontend->daemon);
+        return false;
+    }
+    frontend->port = acceptor_port(frontend->acceptor);
+    return true;
+}
+
+struct frontend *frontend_start(const struct frontend_options *options, GError **error)
+{
+    struct frontend *frontend = g_new0(struct frontend, 1);
+    if (options->metrics == NULL) {
+        frontend->own_metrics = metrics_new();
+    }
+    shared_init(&frontend->shared, options,
+                options->metrics == NULL ? frontend->own_metrics : options->metrics);
+    if (!start_listening(frontend, error)) {
         frontend_free(frontend);
         return NULL;
     }
-    frontend->port = MHD_get_daemon_info(frontend->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
     return frontend;
 }
 
@@ -144,13 +174,8 @@
 
 void frontend_stop_accepting(struct frontend *frontend)
 {
-    if (atomic_exchange(&frontend->shared.stopping, true)) {
-        return;
-    }
-    MHD_socket listener = MHD_quiesce_daemon(frontend->daemon);
-    if (listener != MHD_INVALID_SOCKET) {
-        close(listener);
-    }
+    atomic_store(&frontend->shared.stopping, true);
+    acceptor_stop(g_steal_pointer(&frontend->acceptor));
 }
 
 unsigned frontend_in_flight(const struct frontend *frontend)
@@ -160,8 +185,7 @@
 
 unsigned frontend_connections(const struct frontend *frontend)
 {
-    return MHD_get_daemon_info(frontend->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)
-        ->num_connections;
+    return atomic_load(&frontend->shared.connections);
 }
 
 unsigned frontend_stop(struct frontend *frontend)
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -7,6 +7,7 @@
 #ifndef SW_FRONTEND_FRONTEND_H
 #define SW_FRONTEND_FRONTEND_H
 
+#include "frontend/metrics.h"
 #include "generated/messages.h"
 #include "session/token.h"
 
@@ -25,7 +26,7 @@
     uint32_t body_octets_max;
     uint32_t statements_max; /* of one transaction sent as a whole */
     uint32_t parameters_max; /* of one statement */
-    uint32_t timeout_ms_max; /* longest a caller may ask for */
+    uint32_t timeout_ms_max; /* a longer one is cut to this */
     uint32_t timeout_ms;     /* where the caller does not say */
 };
 
@@ -49,9 +50,13 @@
     uint16_t port;       /* 0: any free one, see frontend_port */
     unsigned threads;
     unsigned connections_max;
-    unsigned idle_s; /* a connection without traffic is closed after this; 0: never */
+    unsigned idle_s;          /* a connection without traffic is closed after this; 0: never */
+    unsigned receive_s;       /* the same while a request arrives */
+    size_t sql_cache_entries; /* classes of statements kept */
+    size_t sql_cache_octets;  /* of their text */
     struct frontend_limits limits;
     const struct token_keys *token_keys;         /* outlives the frontend */
+    struct metrics *metrics;                     /* outlives the frontend; NULL: none are shown */
     const char *(*reason_name)(uint32_t reason); /* may be NULL */
     frontend_find_tenant find_tenant;
     frontend_submit submit;
@@ -72,7 +77,7 @@
 void frontend_answer(struct frontend_call *call, const struct reply *reply);
 
 /* Planned stop: takes no new connection; connections that stand are served on and closed after
- * their next answer. */
+ * their next answer. May be called again, by the same thread. */
 void frontend_stop_accepting(struct frontend *frontend);
 
 /* Requests that have begun to arrive and whose answers are not yet written. */
--- a/src/sim/scale_main.c
+++ b/src/sim/scale_main.c
@@ -1,5 +1,5 @@
 /* Command line of the hollow fleet. */
-#include "sim/scale_main.h"
+#include "sim/scale.h"
 
 #include "sim/scale_day.h"
 #include "sim/scale_fleet.h"
@@ -124,7 +124,8 @@
         .failures = -1,
         .primary_changes = -1,
     };
-    g_autofree char *command = g_strjoinv(" ", argv);
+    g_autofree char *arguments_text = g_strjoinv(" ", argv);
+    g_autofree char *command = g_strdup_printf("swiftsim %s", arguments_text);
     g_autoptr(GError) error = NULL;
     if (!parse(&arguments, &argc, &argv, &error)) {
         fprintf(stderr, "scale: %s\n", error->message);
--- a/tests/frontend/harness.c
+++ b/tests/frontend/harness.c
@@ -3,8 +3,11 @@
 #include "core/error.h"
 #include "generated/errors.h"
 
-#include <curl/curl.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
 
 static const char key_text[] =
     "1 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f\n";
@@ -12,6 +15,13 @@
 static bool find_tenant(const char *name, struct frontend_tenant *tenant, void *user,
                         GError **error)
 {
+    struct harness *harness = user;
+    pthread_mutex_lock(&harness->gate);
+    pthread_mutex_unlock(&harness->gate);
+    if (strcmp(name, "early") == 0) {
+        g_set_error_literal(error, SW_ERROR, ERROR_KIND_NOT_READY, "no configuration yet");
+        return false;
+    }
     if (strcmp(name, "hut") != 0) {
         g_set_error(error, SW_ERROR, ERROR_KIND_UNKNOWN_TENANT, "no tenant \"%s\"", name);
         return false;
@@ -26,13 +36,19 @@
     struct submitted *submitted = g_new0(struct submitted, 1);
     submitted->call = call;
     submitted->request = request;
-    g_async_queue_push(harness->submitted, submitted);
+    pthread_mutex_lock(&harness->lock);
+    g_queue_push_tail(&harness->submitted, submitted);
+    pthread_cond_signal(&harness->arrived);
+    pthread_mutex_unlock(&harness->lock);
 }
 
 void harness_start(struct harness *harness, void (*adjust)(struct frontend_options *options))
 {
     GError *error = NULL;
-    harness->submitted = g_async_queue_new();
+    pthread_mutex_init(&harness->gate, NULL);
+    pthread_mutex_init(&harness->lock, NULL);
+    pthread_cond_init(&harness->arrived, NULL);
+    g_queue_init(&harness->submitted);
     harness->keys = token_keys_parse(key_text, "test keys", &error);
     g_assert_no_error(error);
     struct frontend_options options;
@@ -46,21 +62,63 @@
     }
     harness->frontend = frontend_start(&options, &error);
     g_assert_no_error(error);
-    g_assert_cmpuint(frontend_port(harness->frontend), !=, 0);
+    harness->port = frontend_port(harness->frontend);
+    g_assert_cmpuint(harness->port, !=, 0);
 }
 
 unsigned harness_stop(struct harness *harness)
 {
-    unsigned cut = frontend_stop(harness->frontend);
-    g_assert_cmpint(g_async_queue_length(harness->submitted), ==, 0);
-    g_async_queue_unref(harness->submitted);
+    unsigned cut = harness->frontend == NULL ? 0 : frontend_stop(harness->frontend);
+    g_assert_cmpuint(harness_waiting(harness), ==, 0);
     token_keys_free(harness->keys);
+    pthread_cond_destroy(&harness->arrived);
+    pthread_mutex_destroy(&harness->lock);
+    pthread_mutex_destroy(&harness->gate);
     return cut;
 }
 
 struct submitted *harness_take(struct harness *harness)
 {
-    return g_async_queue_pop(harness->submitted);
+    pthread_mutex_lock(&harness->lock);
+    while (g_queue_is_empty(&harness->submitted)) {
+        pthread_cond_wait(&harness->arrived, &harness->lock);
+    }
+    struct submitted *submitted = g_queue_pop_head(&harness->submitted);
+    pthread_mutex_unlock(&harness->lock);
+    return submitted;
+}
+
+struct submitted *harness_take_within(struct harness *harness, unsigned milliseconds)
+{
+    struct timespec until;
+    clock_gettime(CLOCK_REALTIME, &until);
+    uint64_t nanoseconds = (uint64_t)until.tv_nsec + milliseconds * UINT64_C(1000000);
+    until.tv_sec += (time_t)(nanoseconds / UINT64_C(1000000000));
+    until.tv_nsec = (long)(nanoseconds % UINT64_C(1000000000));
+    pthread_mutex_lock(&harness->lock);
+    bool in_time = true;
+    while (in_time && g_queue_is_empty(&harness->submitted)) {
+        in_time = pthread_cond_timedwait(&harness->arrived, &harness->lock, &until) == 0;
+    }
+    struct submitted *submitted = g_queue_pop_head(&harness->submitted);
+    pthread_mutex_unlock(&harness->lock);
+    return submitted;
+}
+
+unsigned harness_waiting(struct harness *harness)
+{
+    pthread_mutex_lock(&harness->lock);
+    unsigned waiting = g_queue_get_length(&harness->submitted);
+    pthread_mutex_unlock(&harness->lock);
+    return waiting;
+}
+
+void harness_answer(struct submitted *submitted, const struct reply *reply)
+{
+    frontend_answer(submitted->call, reply);
+    request_clear(submitted->request);
+    g_free(submitted->request);
+    g_free(submitted);
 }
 
 void harness_answer_text(struct submitted *submitted, const char *text, uint64_t term,
@@ -88,46 +146,13 @@
     reply.served_by_daemon = daemon;
     reply.served_by_database = database;
     reply.served_by_role = role;
-    frontend_answer(submitted->call, &reply);
-    request_clear(submitted->request);
-    g_free(submitted->request);
-    g_free(submitted);
-}
-
-static size_t append_data(char *data, size_t size, size_t count, void *user)
-{
-    g_string_append_len(user, data, (gssize)(size * count));
-    return size * count;
+    harness_answer(submitted, &reply);
 }
 
 void harness_post(struct harness *harness, const char *path, const char *body, size_t length,
                   const char *const *headers, struct exchange *exchange)
 {
-    exchange->status = 0;
-    exchange->body = g_string_new(NULL);
-    exchange->head = g_string_new(NULL);
-    g_autofree char *url =
-        g_strdup_printf("http://127.0.0.1:%u%s", frontend_port(harness->frontend), path);
-    struct curl_slist *list = NULL;
-    for (size_t i = 0; headers != NULL && headers[i] != NULL; i++) {
-        list = curl_slist_append(list, headers[i]);
-    }
-    CURL *client = curl_easy_init();
-    curl_easy_setopt(client, CURLOPT_URL, url);
-    curl_easy_setopt(client, CURLOPT_PROXY, "");
-    curl_easy_setopt(client, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)length);
-    curl_easy_setopt(client, CURLOPT_POSTFIELDS, body);
-    curl_easy_setopt(client, CURLOPT_HTTPHEADER, list);
-    curl_easy_setopt(client, CURLOPT_WRITEFUNCTION, append_data);
-    curl_easy_setopt(client, CURLOPT_WRITEDATA, exchange->body);
-    curl_easy_setopt(client, CURLOPT_HEADERFUNCTION, append_data);
-    curl_easy_setopt(client, CURLOPT_HEADERDATA, exchange->head);
-    curl_easy_setopt(client, CURLOPT_NOSIGNAL, 1L);
-    if (curl_easy_perform(client) == CURLE_OK) {
-        curl_easy_getinfo(client, CURLINFO_RESPONSE_CODE, &exchange->status);
-    }
-    curl_easy_cleanup(client);
-    curl_slist_free_all(list);
+    http_exchange(harness->port, "POST", path, body, length, headers, exchange);
 }
 
 struct poster {
@@ -136,10 +161,10 @@
     char *body;
     char **headers;
     struct exchange exchange;
-    GThread *thread;
+    pthread_t thread;
 };
 
-static gpointer run_poster(gpointer data)
+static void *run_poster(void *data)
 {
     struct poster *poster = data;
     harness_post(poster->harness, poster->path, poster->body, strlen(poster->body),
@@ -155,13 +180,13 @@
     poster->path = g_strdup(path);
     poster->body = g_strdup(body);
     poster->headers = g_strdupv((char **)headers);
-    poster->thread = g_thread_new("poster", run_poster, poster);
+    g_assert_cmpint(pthread_create(&poster->thread, NULL, run_poster, poster), ==, 0);
     return poster;
 }
 
 void harness_join(struct poster *poster, struct exchange *exchange)
 {
-    g_thread_join(poster->thread);
+    pthread_join(poster->thread, NULL);
     *exchange = poster->exchange;
     g_free(poster->path);
     g_free(poster->body);
@@ -169,21 +194,43 @@
     g_free(poster);
 }
 
-char *exchange_header(const struct exchange *exchange, const char *name)
+int harness_connect(struct harness *harness)
 {
-    g_auto(GStrv) lines = g_strsplit(exchange->head->str, "\r\n", 0);
-    size_t length = strlen(name);
-    for (size_t i = 0; lines[i] != NULL; i++) {
-        if (g_ascii_strncasecmp(lines[i], name, length) == 0 && lines[i][length] == ':') {
-            return g_strdup(g_strstrip(lines[i] + length + 1));
-        }
+    int connection = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons(harness->port),
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    if (connect(connection, (struct sockaddr *)&address, sizeof(address)) != 0) {
+        close(connection);
+        return -1;
     }
-    return NULL;
+    return connection;
 }
 
-void exchange_clear(struct exchange *exchange)
+void harness_send(int connection, const char *text)
 {
-    g_string_free(exchange->body, TRUE);
-    g_string_free(exchange->head, TRUE);
-    memset(exchange, 0, sizeof(*exchange));
+    size_t length = strlen(text);
+    size_t sent = 0;
+    while (sent < length) {
+        ssize_t part = send(connection, text + sent, length - sent, MSG_NOSIGNAL);
+        g_assert_cmpint(part, >, 0);
+        sent += (size_t)part;
+    }
+}
+
+GString *harness_receive_until(int connection, const char *end)
+{
+    GString *text = g_string_new(NULL);
+    char octet = 0;
+    while (!g_str_has_suffix(text->str, end) && recv(connection, &octet, 1, 0) == 1) {
+        g_string_append_c(text, octet);
+    }
+    return text;
+}
+
+void harness_wait_idle(struct harness *harness)
+{
+    while (frontend_in_flight(harness->frontend) > 0) {
+        g_usleep(1000);
+    }
 }
--- a/tests/wire/test_peer_call.c
+++ b/tests/wire/test_peer_call.c
@@ -4,6 +4,8 @@
 #include "wire/peer_pool.h"
 #include "wire_fixture.h"
 
+#include <pthread.h>
+
 /* One call and the result it must have; `code` is checked unless the result is ANSWERED. */
 static void expect_call(struct peer_pool *pool, const char *address, time_ns deadline,
                         enum peer_call_result expected, int code)
@@ -88,12 +90,13 @@
 {
     struct wire_listener *listener = wire_listener_open("127.0.0.1:0", NULL);
     struct peer_pool *pool = peer_pool_new(PEER_POOL_IDLE_MAX_DEFAULT);
-    GThread *thread = g_thread_new("peer", fall_silent, listener);
+    pthread_t thread;
+    g_assert_cmpint(pthread_create(&thread, NULL, fall_silent, listener), ==, 0);
     expect_call(pool, listener->address, fixture_deadline(), PEER_CALL_ANSWERED, 0);
     time_ns deadline = wire_clock_now() + NANOSECONDS_PER_SECOND / 2;
     expect_call(pool, listener->address, deadline, PEER_CALL_SENT_NO_ANSWER, ERROR_KIND_DEADLINE);
     g_assert_cmpuint(peer_pool_idle_count(pool, listener->address), ==, 0);
-    g_thread_join(thread);
+    pthread_join(thread, NULL);
     peer_pool_free(pool);
     wire_listener_close(listener);
 }
@@ -109,6 +112,17 @@
     wire_listener_close(listener);
 }
 
+/* A peer that says nothing is given up long before a late deadline. */
+static void test_mute_peer(void)
+{
+    struct wire_listener *listener = wire_listener_open("127.0.0.1:0", NULL);
+    struct peer_pool *pool = peer_pool_new(PEER_POOL_IDLE_MAX_DEFAULT);
+    expect_call(pool, listener->address, fixture_deadline(), PEER_CALL_NOT_SENT,
+                ERROR_KIND_PEER_UNREACHABLE);
+    peer_pool_free(pool);
+    wire_listener_close(listener);
+}
+
 static void test_no_listener(void)
 {
     struct wire_listener *listener = wire_listener_open("127.0.0.1:0", NULL);
@@ -198,12 +212,13 @@
 {
     struct wire_listener *listener = wire_listener_open("127.0.0.1:0", NULL);
     struct peer_pool *pool = peer_pool_new(PEER_POOL_IDLE_MAX_DEFAULT);
-    GThread *thread = g_thread_new("peer", close_after_second_read, listener);
+    pthread_t thread;
+    g_assert_cmpint(pthread_create(&thread, NULL, close_after_second_read, listener), ==, 0);
     expect_call(pool, listener->address, fixture_deadline(), PEER_CALL_ANSWERED, 0);
     expect_call(pool, listener->address, fixture_deadline(), PEER_CALL_SENT_NO_ANSWER,
                 ERROR_KIND_PEER_UNREACHABLE);
     g_assert_cmpuint(peer_pool_idle_count(pool, listener->address), ==, 0);
-    g_thread_join(thread);
+    pthread_join(thread, NULL);
     peer_pool_free(pool);
     wire_listener_close(listener);
 }
@@ -235,6 +250,7 @@
     g_test_add_func("/wire/peer-call/answered", test_answered);
     g_test_add_func("/wire/peer-call/silent", test_silent);
     g_test_add_func("/wire/peer-call/paused-peer", test_paused_peer);
+    g_test_add_func("/wire/peer-call/mute-peer", test_mute_peer);
     g_test_add_func("/wire/peer-call/no-listener", test_no_listener);
     g_test_add_func("/wire/peer-call/deadline-passed", test_deadline_passed);
     g_test_add_func("/wire/peer-call/bad-request", test_bad_request);
--- a/tools/generator/messages.py
+++ b/tools/generator/messages.py
@@ -61,8 +61,6 @@
     def declaration(self):
         """The member lines of this field."""
         lines = [writer.comment(self.comment, 4)] if self.comment else []
-        if self.optional:
-            lines.append(f"    bool has_{self.name};\n")
         if self.is_array:
             lines.append(f"    {self.c_type}*{self.name};\n")
             lines.append(f"    size_t {self.name}_count;\n")
@@ -144,6 +142,8 @@
         text = writer.comment(self.comment) if self.comment else ""
         text += f"struct {self.name} {{\n"
         text += "".join(field.declaration() for field in self.fields)
+        # Together at the end, the flags cost the least padding.
+        text += "".join(f"    bool has_{f.name};\n" for f in self.fields if f.optional)
         text += "};\n\n"
         name = self.name
         text += f"void {name}_init(struct {name} *value);\n"
@@ -511,8 +511,8 @@
 that no other thread changes."""
 
 
-def generate(schema, path):
-    """Returns the files made from the schema of messages."""
+def parse(schema, path):
+    """Checks the schema; returns its enums and its structs, dicts by name."""
     check_keys(schema, ["enums", "structs", "messages"], ["comment"], path)
     enums = check_enums(schema, path)
     structs = {}
@@ -522,19 +522,29 @@
                 f"{path}: struct '{struct.name}'", "stands twice")
         structs[struct.name] = struct
     check_messages(schema, structs, path)
+    return enums, structs
+
+
+def generate(schema, path, base="src/generated/messages"):
+    """Returns the files made from a schema of messages: `base`.h and .c."""
+    enums, structs = parse(schema, path)
+    include = base.removeprefix("src/").removeprefix("tests/generated/")
     body = ""
     for name, entry in enums.items():
         constants = [f"{name.upper()}_{value.upper()}" for value in entry["values"]]
         body += writer.enum_block(name, entry.get("comment"), constants + [f"{name.upper()}_COUNT"])
         body += f"\nconst char *{name}_name(enum {name} value);\n\n"
     body += "\n".join(struct.declaration() for struct in structs.values())
-    body += "\n" + message_declaration(schema["messages"])
-    header = writer.header("SW_GENERATED_MESSAGES_H", path, PURPOSE,
+    if schema["messages"]:
+        body += "\n" + message_declaration(schema["messages"])
+    guard = "SW_" + include.replace("/", "_").upper() + "_H"
+    header = writer.header(guard, path, PURPOSE,
                            ["<cbor.h>", "<glib.h>", "<stdbool.h>", "<stddef.h>", "<stdint.h>"], body)
     parts = [enum_name_function(name, entry) for name, entry in enums.items()]
     parts += [struct.definition() for struct in structs.values()]
-    parts.append(message_definition(schema["messages"]))
+    if schema["messages"]:
+        parts.append(message_definition(schema["messages"]))
     source = writer.banner(path, "Codecs of the messages.")
-    source += '#include "generated/messages.h"\n\n#include "wire/codec.h"\n\n#include <string.h>\n\n'
+    source += f'#include "{include}.h"\n\n#include "wire/codec.h"\n\n#include <string.h>\n\n'
     source += "\n".join(parts)
-    return {"src/generated/messages.h": header, "src/generated/messages.c": source}
+    return {f"{base}.h": header, f"{base}.c": source}
