--- a/src/core/membership_internal.h
+++ b/src/core/membership_internal.h
@@ -63,6 +63,7 @@
     bool left;
     bool superseded;
     bool synced;
+    uint32_t complete_with; /* live members when a reply last found the list whole; 0: it did not */
     uint32_t next_sequence;
 
     GArray *records; /* struct member_record, by id */
--- a/src/core/membership_sync.c
+++ b/src/core/membership_sync.c
@@ -6,9 +6,6 @@
 /* Of a peer's live members, this share (in sixteenths) must be known for the list to be whole. */
 #define COMPLETE_SIXTEENTHS 15
 
-/* When many daemons start at once, an equal list means little: all may lack the same members. */
-#define FIRST_LOOK_TIME (2 * NANOSECONDS_PER_SECOND)
-
 /* One in this many rounds goes to a member of any zone. */
 #define FAR_SYNC_INTERVAL 4
 
@@ -143,15 +140,22 @@
     answer_with_records(membership, &answer, buckets, from, actions);
 }
 
+/* The list is whole once two replies in a row found it so, and it did not grow between them: when
+ * many daemons start at once, a single reply means little, as all may lack the same members. */
+static void note_completeness(struct membership *membership, bool complete)
+{
+    uint32_t live = live_members(membership);
+    bool again = complete && live == membership->complete_with;
+    membership->complete_with = complete ? live : 0;
+    membership->synced |= again;
+}
+
 void membership_receive_sync_reply(struct membership *membership,
                                    const struct gossip_message *message, struct member_address from,
                                    time_ns now, struct membership_actions *actions)
 {
     uint64_t needed = (uint64_t)message->live_members * COMPLETE_SIXTEENTHS / 16;
-    bool early = now < membership->started + FIRST_LOOK_TIME;
-    if (live_members(membership) >= needed && !early) {
-        membership->synced = true;
-    }
+    note_completeness(membership, live_members(membership) >= needed);
     uint32_t buckets = differing_buckets(membership, message);
     if (buckets == 0) {
         return;
