--- a/src/backend/adapter_internal.h
+++ b/src/backend/adapter_internal.h
@@ -45,6 +45,14 @@
 enum execute_result adapter_resolve_taken(struct backend_connection *connection,
                                           const struct adapter_key *key, time_ns deadline,
                                           struct execute_answer *answer);
+/* The caller's limits with room for our own status rows; 0 stays 0. */
+struct result_limits adapter_extend_limits(const struct result_limits *limits);
+/* Sends COMMIT and reads where it was done. With a key, `results` are recorded in its row before.
+ */
+enum execute_result adapter_send_commit(struct backend_connection *connection,
+                                        const struct adapter_key *key,
+                                        const struct sql_result *results, size_t results_count,
+                                        time_ns deadline, struct execute_answer *answer);
 
 /* Copies an error into the answer and says what it means for a transaction rolled back by it. */
 enum execute_result adapter_take_error(const struct query_reply *reply,
--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -8,6 +8,9 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* A shell is never asked to come back at once: whatever is due now was done in this step. */
+#define WAKE_DELAY_MIN NANOSECONDS_PER_MILLISECOND
+
 void group_control_options_init(struct group_control_options *options)
 {
     const time_ns ms = NANOSECONDS_PER_MILLISECOND;
@@ -35,8 +38,8 @@
     options->pause_poll = 4 * ms;
     options->own_stall_after = 200 * ms;
     options->tick_interval = 100 * ms;
-    options->sample_interval = 5 * ms;
-    options->publish_interval = 5 * ms;
+    options->sample_interval = 2 * ms;
+    options->publish_interval = 1 * ms;
     options->planned_attempts = 3;
 }
 
@@ -117,6 +120,9 @@
 
 void control_wake_at(struct group_control *control, time_ns at)
 {
+    if (at <= control->now) {
+        at = control->now + WAKE_DELAY_MIN;
+    }
     if (at < control->actions->wake_at) {
         control->actions->wake_at = at;
     }
--- a/src/daemon/task.h
+++ b/src/daemon/task.h
@@ -52,7 +52,7 @@
     bool resolve_only;    /* a commit whose transaction is gone */
     bool counts_as_write; /* in the group's writes_running */
 
-    struct transaction *transaction; /* being used, or NULL */
+    struct transaction *transaction; /* to be committed; rolled back if still here at the end */
     char *ledger_key;                /* tenant and idempotency key, or NULL */
     struct execute_answer run;       /* of the last step */
     struct execute_answer failure;   /* the error to tell once the key is closed */
@@ -64,7 +64,7 @@
 void task_submit(struct daemon *daemon, struct request *request, task_answer_function answer,
                  void *origin);
 
-/* Answers and frees the task. */
+/* Answers and frees the task; a transaction it still has is rolled back first. */
 void task_finish(struct task *task);
 
 /* Fills the reply with an outcome that is not done, and finishes. */
@@ -85,9 +85,16 @@
 bool task_take_slot(struct task *task, uint32_t database, enum admission_class rank, bool *refused,
                     uint32_t *retry_after_ms);
 
+/* Refuses the tasks whose deadline has passed while they were queued for a slot of the group. */
+void task_expire_queued(struct daemon *daemon, struct group_runtime *group, time_ns now);
+
 /* Gives the slot back, if one is held, and starts the next in the queue. */
 void task_give_slot(struct task *task);
 
+/* Until when one attempt may last that can be made again: a part of the time left is kept to find
+ * out what became of it, or to try elsewhere. */
+time_ns task_attempt_deadline(const struct task *task);
+
 /* What the session has seen in the task's group; zero if nothing. */
 struct log_position task_session_position(const struct task *task);
 
--- a/tests/frontend/harness.h
+++ b/tests/frontend/harness.h
@@ -6,16 +6,20 @@
 #include "http_client.h"
 
 #include <glib.h>
+#include <pthread.h>
 
-/* Group of the tenant "hut"; no other tenant exists. */
+/* Group of the tenant "hut". For "early" there is no configuration; no other tenant exists. */
 #define HARNESS_GROUP 7
 
 /* A frontend whose requests queue up for the test to answer. */
 struct harness {
     struct token_keys *keys;
     struct frontend *frontend;
-    GAsyncQueue *submitted; /* of struct submitted */
-    GMutex gate;            /* a test that holds it stops the frontend's threads in find_tenant */
+    uint16_t port;
+    GQueue submitted;       /* of struct submitted */
+    pthread_mutex_t lock;   /* of submitted */
+    pthread_cond_t arrived; /* submitted is longer */
+    pthread_mutex_t gate;   /* a test that holds it stops the frontend's threads in find_tenant */
 };
 
 /* A request that reached the fake daemon. */
@@ -34,6 +38,12 @@
 /* Waits for the next request. */
 struct submitted *harness_take(struct harness *harness);
 
+/* The same for a bounded time; NULL where none came. */
+struct submitted *harness_take_within(struct harness *harness, unsigned milliseconds);
+
+/* Requests that wait to be taken. */
+unsigned harness_waiting(struct harness *harness);
+
 /* Answers with a copy of `reply` that owns nothing, and frees `submitted`. */
 void harness_answer(struct submitted *submitted, const struct reply *reply);
 
