Mend a false race and a test that raced with its answer

The test of a passed deadline expected no answer from a database that was free to give one before the first look (failed once under ThreadSanitizer). Its read now waits for a position that never comes.

--- a/src/backend/connection.c
+++ b/src/backend/connection.c
@@ -132,10 +132,7 @@
 int backend_connection_close_watched(struct backend_connection *connection)
 {
     int socket_fd = connection->pg != NULL ? PQsocket(connection->pg) : -1;
-    int copy = socket_fd >= 0 ? dup(socket_fd) : -1;
-    if (copy >= 0) {
-        fcntl(copy, F_SETFD, FD_CLOEXEC);
-    }
+    int copy = socket_fd >= 0 ? fcntl(socket_fd, F_DUPFD_CLOEXEC, 0) : -1;
     backend_connection_close(connection);
     if (copy >= 0 && shutdown(copy, SHUT_WR) != 0) {
         /* Not connected yet: closed for good, it never will be. */
--- a/src/backend/endings.c
+++ b/src/backend/endings.c
@@ -1,16 +1,18 @@
 #include "backend/endings.h"
 
-#include <unistd.h>
+#include <glib/gstdio.h>
 
 void endings_init(struct endings *endings)
 {
     endings->items = g_array_new(FALSE, FALSE, sizeof(struct ending));
 }
 
+/* By GLib, as libpq's closing of descriptors is hidden from ThreadSanitizer too: it would take a
+ * number that was used again for one that two threads share. */
 static void close_socket(const struct ending *ending)
 {
     if (ending->socket_fd >= 0) {
-        close(ending->socket_fd);
+        g_close(ending->socket_fd, NULL);
     }
 }
 
--- a/tests/backend/pool_test.c
+++ b/tests/backend/pool_test.c
@@ -4,6 +4,9 @@
 
 #define WAITERS 8
 
+/* Longer than any test. */
+#define NEVER_WAIT_MS 600000
+
 static struct pool *new_pool(const struct server *server, uint32_t limit, uint32_t idle_min)
 {
     struct pool_options options = {
@@ -150,14 +153,16 @@
     g_assert_true(pipeline_end(connection));
 }
 
+/* The answer waits for a position that never comes, so that it can't be there at the deadline. */
 static void pass_deadline(struct backend_connection *connection)
 {
     struct sql_statement statement = backend_statement("SELECT 1");
-    struct log_position none = {0};
+    struct log_position never = {.term = 1, .offset = UINT32_MAX};
     struct execute_answer answer;
     execute_answer_init(&answer);
-    assert_result(adapter_read(connection, none, 0, &statement, 1, backend_now(), NULL, &answer),
-                  EXECUTE_LOST);
+    assert_result(
+        adapter_read(connection, never, NEVER_WAIT_MS, &statement, 1, backend_now(), NULL, &answer),
+        EXECUTE_LOST);
     execute_answer_clear(&answer);
 }
 
