--- a/src/daemon/task_transaction.c
+++ b/src/daemon/task_transaction.c
@@ -123,8 +123,8 @@
 static enum execute_result begin_on(struct task *task, struct transaction *transaction)
 {
     if (transaction->ledger_key != NULL && !transaction->options.read_only) {
-        enum execute_result prepared =
-            task_prepare_ledger(task, transaction->connection, (uint32_t)transaction->database);
+        enum execute_result prepared = task_prepare_ledger(
+            task, transaction->connection, (uint32_t)transaction->database, task->deadline);
         if (prepared != EXECUTE_DONE) {
             return prepared;
         }
@@ -180,8 +180,10 @@
         return;
     }
     adapter_rollback(transaction->connection, task->deadline);
+    bool writes_in_read = transaction->options.read_only && result == EXECUTE_NOT_PRIMARY;
     transaction_table_end(task->daemon->transactions, transaction);
-    answer_result(task, result);
+    /* In a read-only transaction the error tells of the statement, not of the database's role. */
+    answer_result(task, writes_in_read ? EXECUTE_FAILED : result);
 }
 
 static void run_rollback(struct task *task, struct transaction *transaction)
@@ -217,7 +219,7 @@
 
 void task_resolve_commit(struct task *task)
 {
-    if (task->ledger_key == NULL) {
+    if (task->ledger_key == NULL || task->group == NULL) {
         task_refuse(task, OUTCOME_UNKNOWN, ERROR_KIND_OUTCOME_UNKNOWN, NULL, BEGIN_RETRY_AFTER_MS);
         return;
     }
@@ -226,6 +228,16 @@
     task_run_write(task);
 }
 
+/* A transaction stays with the run time of its group that it began with. */
+static void use_group_of(struct task *task, const struct transaction *transaction)
+{
+    struct group_runtime *group = group_runtime_ref(transaction->group);
+    if (task->group != NULL) {
+        group_runtime_unref(task->group);
+    }
+    task->group = group;
+}
+
 void task_run_transaction(struct task *task)
 {
     struct request *request = task->request;
@@ -249,6 +261,7 @@
         }
         return;
     }
+    use_group_of(task, transaction);
     if (request->kind == REQUEST_KIND_CONTINUE) {
         run_statements(task, transaction);
     } else if (request->kind == REQUEST_KIND_ROLLBACK) {
