Let requests in flight end on the group they began with

A new configuration dropped a changed group from the table and its evidence at once, and the control went on with the old run time. Now a changed group gets a successor that shares the pools of the same servers (the limit of connections holds for both together) and, where the members are the same, the evidence connections. Probes and events name a run time by a number, so that a late answer of a replaced one is dropped instead of being taken for one of the successor's databases. A run time copies its group, so it keeps no old bundle in memory.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -51,6 +51,9 @@
     case CONTROL_EVENT_GROUP:
         control_groups_feed(control, event->group, &event->event);
         break;
+    case CONTROL_EVENT_RUNTIME:
+        control_groups_feed_runtime(control, event->runtime, &event->event);
+        break;
     case CONTROL_EVENT_LEAVING:
         control_members_set_leaving(control, event->leaving, backend_now());
         break;
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -79,14 +79,14 @@
     uint64_t id; /* of the core's action */
 };
 
-/* Called on the prober's thread. */
-static void on_command_done(void *user, uint32_t group, uint32_t database,
+/* Called on the prober's thread, which knows groups by the number of their run time. */
+static void on_command_done(void *user, uint32_t runtime, uint32_t database,
                             const struct channel_reply *reply)
 {
     struct pending_command *pending = user;
     struct control_event event = {
-        .kind = CONTROL_EVENT_GROUP,
-        .group = group,
+        .kind = CONTROL_EVENT_RUNTIME,
+        .runtime = runtime,
         .event = {.kind = GROUP_EVENT_COMMAND,
                   .now = reply->received_at,
                   .database = database,
@@ -109,12 +109,12 @@
 }
 
 /* Called on the prober's thread. */
-static void on_status(void *user, uint32_t group, uint32_t database, bool reachable,
+static void on_status(void *user, uint32_t runtime, uint32_t database, bool reachable,
                       const struct database_status *status, uint32_t round_trip_us, time_ns at)
 {
     struct control_event event = {
-        .kind = CONTROL_EVENT_GROUP,
-        .group = group,
+        .kind = CONTROL_EVENT_RUNTIME,
+        .runtime = runtime,
         .event = {.kind = GROUP_EVENT_PROBE,
                   .now = at,
                   .database = database,
@@ -149,7 +149,7 @@
     pending->control = group->control;
     pending->id = action->command;
     time_ns deadline = backend_now() + COMMAND_TIMEOUT_MS * NANOSECONDS_PER_MILLISECOND;
-    prober_submit(group->control->prober, group->id, action->database, &call, deadline,
+    prober_submit(group->control->prober, group->runtime->number, action->database, &call, deadline,
                   on_command_done, pending);
 }
 
@@ -185,7 +185,11 @@
 {
     const struct group_view *view = group_control_view(group->machine);
     for (uint32_t i = 0; i < view->database_count; i++) {
-        pool_set_reachable(group->runtime->databases[i].pool, view->databases[i].reachable);
+        /* Of a database not probed yet nothing is known: its pool may be a predecessor's, in use.
+         */
+        if (view->databases[i].observed_at > 0 || view->databases[i].reachable) {
+            pool_set_reachable(group->runtime->databases[i].pool, view->databases[i].reachable);
+        }
     }
     group_runtime_publish(group->runtime, view, change);
     daemon_metrics_group_writable(group->control->daemon->metrics, group->id,
@@ -211,7 +215,7 @@
 {
     switch (action->kind) {
     case GROUP_ACTION_PROBE:
-        prober_probe_now(group->control->prober, group->id, action->database);
+        prober_probe_now(group->control->prober, group->runtime->number, action->database);
         break;
     case GROUP_ACTION_FENCE:
         submit_command(group, action, ADAPTER_COMMAND_FENCE);
@@ -247,9 +251,8 @@
     }
 }
 
-void control_groups_feed(struct control *control, uint32_t id, const struct group_event *event)
+static void feed(struct controlled_group *group, const struct group_event *event)
 {
-    struct controlled_group *group = find_group(control, id);
     if (group == NULL) {
         return;
     }
@@ -258,6 +261,17 @@
     step(group, &current);
 }
 
+void control_groups_feed(struct control *control, uint32_t id, const struct group_event *event)
+{
+    feed(find_group(control, id), event);
+}
+
+void control_groups_feed_runtime(struct control *control, uint32_t runtime,
+                                 const struct group_event *event)
+{
+    feed(g_hash_table_lookup(control->runtimes, GUINT_TO_POINTER(runtime)), event);
+}
+
 void control_groups_tick(struct control *control, time_ns now)
 {
     GHashTableIter iterator;
@@ -314,16 +328,16 @@
     struct group_view view;
     group_runtime_read_view(group, &view);
     if (view.primary >= 0) {
-        prober_probe_now(control->prober, group->group->id, (uint32_t)view.primary);
+        prober_probe_now(control->prober, group->number, (uint32_t)view.primary);
     }
 }
 
 /* Called under the group's writes lock, on any thread. */
-static void on_drained(void *user, uint32_t group, uint64_t change)
+static void on_drained(void *user, uint32_t runtime, uint64_t change)
 {
     struct control_event event = {
-        .kind = CONTROL_EVENT_GROUP,
-        .group = group,
+        .kind = CONTROL_EVENT_RUNTIME,
+        .runtime = runtime,
         .event = {.kind = GROUP_EVENT_WRITES_DRAINED, .now = backend_now(), .change = change},
     };
     control_post(user, &event);
@@ -343,7 +357,7 @@
             .user = "swiftworks",
             .application_name = application,
         };
-        prober_add(control->prober, group->id, i, &connection);
+        prober_add(control->prober, group->runtime->number, i, &connection);
     }
 }
 
@@ -370,6 +384,7 @@
     runtime->on_drained_user = control;
     group->machine = group_control_new(&options, backend_now());
     g_hash_table_insert(control->groups, GUINT_TO_POINTER(group->id), group);
+    g_hash_table_insert(control->runtimes, GUINT_TO_POINTER(runtime->number), group);
     add_probes(control, group);
 }
 
@@ -392,6 +407,7 @@
         .user = control,
     };
     control->groups = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_group);
+    control->runtimes = g_hash_table_new(g_direct_hash, g_direct_equal);
     control->prober = prober_new(&options);
 }
 
@@ -408,18 +424,54 @@
     }
 }
 
-void control_groups_end(struct control *control, uint32_t id)
+/* Ends the control of a group's run time: its view stays as it is for what is in flight. */
+static void release_runtime(struct control *control, struct controlled_group *group)
 {
-    struct controlled_group *group = find_group(control, id);
+    uint32_t number = group->runtime->number;
+    struct group_view last;
     for (uint32_t i = 0; i < group->runtime->database_count; i++) {
-        prober_remove(control->prober, id, i);
+        prober_remove(control->prober, number, i);
     }
+    group_runtime_read_view(group->runtime, &last);
+    group_runtime_publish(group->runtime, &last, 0);
+    g_hash_table_remove(control->runtimes, GUINT_TO_POINTER(number));
+    g_hash_table_remove(control->groups, GUINT_TO_POINTER(group->id));
+}
+
+void control_groups_end(struct control *control, uint32_t id)
+{
+    release_runtime(control, find_group(control, id));
     daemon_end_group(control->daemon, id);
-    g_hash_table_remove(control->groups, GUINT_TO_POINTER(id));
+}
+
+/* The group's run time in the routing table, with one reference, if it is another than the one that
+ * is controlled; else NULL. */
+static struct group_runtime *take_successor(struct control *control,
+                                            const struct controlled_group *group)
+{
+    struct group_runtime *runtime = daemon_take_group(control->daemon, group->id);
+    if (runtime == group->runtime) {
+        group_runtime_unref(runtime);
+        return NULL;
+    }
+    return runtime;
+}
+
+void control_groups_take_successors(struct control *control)
+{
+    g_autoptr(GList) groups = g_hash_table_get_values(control->groups);
+    for (GList *link = groups; link != NULL; link = link->next) {
+        struct group_runtime *successor = take_successor(control, link->data);
+        if (successor != NULL) {
+            release_runtime(control, link->data);
+            start_group(control, successor);
+        }
+    }
 }
 
 void control_groups_stop(struct control *control)
 {
     prober_free(control->prober);
+    g_hash_table_destroy(control->runtimes);
     g_hash_table_destroy(control->groups);
 }
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -15,14 +15,16 @@
 
 enum control_event_kind {
     CONTROL_EVENT_GROUP,   /* an event for a group's control */
+    CONTROL_EVENT_RUNTIME, /* likewise, from a run time; void once that was replaced */
     CONTROL_EVENT_LEAVING, /* this daemon is to be marked as leaving, or not */
 };
 
 /* One input from another thread. */
 struct control_event {
     enum control_event_kind kind;
-    uint32_t group;
-    struct group_event event; /* GROUP */
+    uint32_t group;           /* GROUP: id */
+    uint32_t runtime;         /* RUNTIME: number of the group's run time */
+    struct group_event event; /* GROUP, RUNTIME */
     bool leaving;             /* LEAVING */
 };
 
@@ -77,6 +79,8 @@
 
     /* Control thread only. */
     GHashTable *groups; /* id as pointer -> struct controlled_group */
+    GHashTable
+        *runtimes; /* number of the run time as pointer -> struct controlled_group, borrowed */
     struct membership *membership;
     struct membership_actions *actions;
     bool members_changed;
@@ -99,11 +103,15 @@
 void control_groups_start(struct control *control);
 void control_groups_stop(struct control *control);
 void control_groups_feed(struct control *control, uint32_t group, const struct group_event *event);
+void control_groups_feed_runtime(struct control *control, uint32_t runtime,
+                                 const struct group_event *event);
 void control_groups_tick(struct control *control, time_ns now);
 time_ns control_groups_next_wakeup(struct control *control);
 bool control_groups_runs(struct control *control, uint32_t group);
 void control_groups_begin(struct control *control, uint32_t group);
 void control_groups_end(struct control *control, uint32_t group);
+/* Takes on the successors of run times that a new configuration replaced. */
+void control_groups_take_successors(struct control *control);
 /* Tells every group who its watchers are. */
 void control_groups_set_watchers(struct control *control, time_ns now);
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -76,28 +76,9 @@
     group_runtime_unref(data);
 }
 
-/* True if a group's run time can go on under a new configuration. */
-static bool same_databases(const struct group_configuration *left,
-                           const struct group_configuration *right)
-{
-    if (left->database_count != right->database_count) {
-        return false;
-    }
-    for (uint32_t i = 0; i < left->database_count; i++) {
-        const struct database_configuration *a = &left->databases[i];
-        const struct database_configuration *b = &right->databases[i];
-        bool same = strcmp(a->name, b->name) == 0 && strcmp(a->host, b->host) == 0 &&
-                    a->port == b->port && a->zone == b->zone && a->slots == b->slots &&
-                    a->connections == b->connections;
-        if (!same) {
-            return false;
-        }
-    }
-    return true;
-}
-
-static struct group_runtime *start_group(struct daemon *daemon, struct configuration *configuration,
-                                         const struct group_configuration *group)
+static struct group_runtime *start_group(struct daemon *daemon,
+                                         const struct group_configuration *group,
+                                         struct group_runtime *predecessor)
 {
     struct group_runtime_options options = {
         .daemon_name = daemon->settings.daemon.name,
@@ -107,10 +88,11 @@
         .queue_limit = daemon->settings.routing.queue_limit,
         .open_rate_per_second = daemon->settings.backend.open_rate_per_second,
     };
-    return group_runtime_new(configuration, group, &options);
+    return group_runtime_new(group, &options, predecessor);
 }
 
-/* A copy of the table in force, with its references; without groups that changed. */
+/* The table in force under another or the same configuration, with its references. Groups that
+ * changed get a successor; those that are gone are left out. */
 static struct routing_table *copy_table(struct daemon *daemon, struct configuration *configuration)
 {
     struct routing_table *next = g_new0(struct routing_table, 1);
@@ -127,8 +109,11 @@
         struct group_runtime *runtime = value;
         const struct group_configuration *group =
             configuration_find_group(configuration, runtime->group->id);
-        if (group != NULL && same_databases(runtime->group, group)) {
-            g_hash_table_insert(next->groups, key, group_runtime_ref(runtime));
+        if (group != NULL) {
+            bool fits = group_runtime_fits(runtime, group);
+            g_hash_table_insert(next->groups, key,
+                                fits ? group_runtime_ref(runtime)
+                                     : start_group(daemon, group, runtime));
         }
     }
     return next;
@@ -155,7 +140,7 @@
         return NULL;
     }
     struct routing_table *next = copy_table(daemon, configuration);
-    struct group_runtime *runtime = start_group(daemon, next->configuration, group);
+    struct group_runtime *runtime = start_group(daemon, group, NULL);
     g_hash_table_insert(next->groups, GUINT_TO_POINTER(id), runtime);
     group_runtime_ref(runtime);
     replace_table(daemon, next);
@@ -167,7 +152,6 @@
     struct routing_table *next = copy_table(daemon, daemon->table->configuration);
     g_hash_table_remove(next->groups, GUINT_TO_POINTER(id));
     replace_table(daemon, next);
-    evidence_remove_group(daemon->evidence, id);
 }
 
 bool daemon_task_begins(struct daemon *daemon, const struct request *request)
--- a/src/daemon/group_runtime.c
+++ b/src/daemon/group_runtime.c
@@ -2,6 +2,7 @@
 #include "daemon/group_runtime.h"
 
 #include <glib.h>
+#include <string.h>
 #include <urcu-bp.h>
 
 /* Control probes and evidence keep this many connections per database and daemon outside the pool.
@@ -29,9 +30,81 @@
     return part > CONTROL_CONNECTIONS ? part - CONTROL_CONNECTIONS : 1;
 }
 
-static void start_database(struct database_runtime *database,
-                           const struct database_configuration *configuration,
-                           const struct group_runtime_options *options)
+/* A database's pool, shared by the run times of its group that follow each other. */
+struct shared_pool {
+    struct pool *pool;
+};
+
+/* The evidence service's connections to the members, shared likewise while these are the same. */
+struct evidence_link {
+    struct evidence_service *service;
+    uint32_t group;
+};
+
+static void close_pool(gpointer data)
+{
+    struct shared_pool *shared = data;
+    pool_free(shared->pool);
+}
+
+static void close_evidence(gpointer data)
+{
+    struct evidence_link *link = data;
+    evidence_remove_group(link->service, link->group);
+}
+
+static bool same_server(const struct database_configuration *left,
+                        const struct database_configuration *right)
+{
+    return strcmp(left->host, right->host) == 0 && left->port == right->port;
+}
+
+static bool same_database(const struct database_configuration *left,
+                          const struct database_configuration *right)
+{
+    return same_server(left, right) && strcmp(left->name, right->name) == 0 &&
+           left->zone == right->zone && left->slots == right->slots &&
+           left->connections == right->connections;
+}
+
+bool group_runtime_fits(const struct group_runtime *runtime,
+                        const struct group_configuration *group)
+{
+    const struct group_configuration *own = runtime->group;
+    if (own->database_count != group->database_count || strcmp(own->name, group->name) != 0) {
+        return false;
+    }
+    for (uint32_t i = 0; i < group->database_count; i++) {
+        if (!same_database(&own->databases[i], &group->databases[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static struct group_configuration *copy_group(const struct group_configuration *group)
+{
+    struct group_configuration *copy = g_memdup2(group, sizeof(*group));
+    copy->name = g_strdup(group->name);
+    for (uint32_t i = 0; i < group->database_count; i++) {
+        copy->databases[i].name = g_strdup(group->databases[i].name);
+        copy->databases[i].host = g_strdup(group->databases[i].host);
+    }
+    return copy;
+}
+
+static void free_group(struct group_configuration *group)
+{
+    for (uint32_t i = 0; i < group->database_count; i++) {
+        g_free(group->databases[i].name);
+        g_free(group->databases[i].host);
+    }
+    g_free(group->name);
+    g_free(group);
+}
+
+static struct shared_pool *open_pool(const struct database_configuration *configuration,
+                                     const struct group_runtime_options *options)
 {
     g_autofree char *application =
         g_strdup_printf("swiftworks/%s@%s", options->daemon_name, options->zone_name);
@@ -45,58 +118,133 @@
         .idle_min = IDLE_CONNECTIONS_MIN,
         .open_rate_per_second = options->open_rate_per_second,
     };
+    struct shared_pool *shared = g_atomic_rc_box_new0(struct shared_pool);
+    shared->pool = pool_new(&pool_options);
+    return shared;
+}
+
+/* The pool that the predecessor has of the same server, under the new limit; else a new one. */
+static struct shared_pool *take_pool(const struct database_configuration *configuration,
+                                     const struct group_runtime_options *options,
+                                     struct group_runtime *predecessor)
+{
+    for (uint32_t i = 0; predecessor != NULL && i < predecessor->database_count; i++) {
+        struct database_runtime *database = &predecessor->databases[i];
+        if (same_server(&database->configuration, configuration)) {
+            pool_set_limit(database->pool, pool_limit_of(configuration, options->owner_count));
+            return g_atomic_rc_box_acquire(database->shared);
+        }
+    }
+    return open_pool(configuration, options);
+}
+
+static void start_database(struct database_runtime *database,
+                           const struct database_configuration *configuration,
+                           const struct group_runtime_options *options,
+                           struct group_runtime *predecessor)
+{
     database->configuration = *configuration;
-    database->pool = pool_new(&pool_options);
+    database->shared = take_pool(configuration, options, predecessor);
+    database->pool = database->shared->pool;
     pthread_mutex_init(&database->admission_lock, NULL);
     admission_init(&database->admission, configuration->slots, options->queue_limit);
 }
 
 static void stop_database(struct database_runtime *database)
 {
-    pool_free(database->pool);
+    g_atomic_rc_box_release_full(database->shared, close_pool);
     admission_clear(&database->admission);
     pthread_mutex_destroy(&database->admission_lock);
 }
 
 /* Lets the evidence service connect to the group's members. */
-static void add_evidence(struct evidence_service *evidence, const struct group_configuration *group,
-                         const struct group_runtime_options *options)
+static struct evidence_link *open_evidence(const struct group_runtime *runtime,
+                                           const struct group_runtime_options *options)
 {
     g_autofree char *application =
         g_strdup_printf("swiftworks/%s@%s", options->daemon_name, options->zone_name);
     struct connection_settings members[GROUP_DATABASES_MAX];
-    for (uint32_t i = 0; i < group->database_count; i++) {
+    for (uint32_t i = 0; i < runtime->database_count; i++) {
         members[i] = (struct connection_settings){
-            .host = group->databases[i].host,
-            .port = group->databases[i].port,
+            .host = runtime->group->databases[i].host,
+            .port = runtime->group->databases[i].port,
             .database_name = "swiftworks",
             .user = "swiftworks",
             .application_name = application,
         };
     }
-    evidence_add_group(evidence, group->id, members, group->database_count);
+    struct evidence_link *link = g_atomic_rc_box_new0(struct evidence_link);
+    link->service = options->evidence;
+    link->group = runtime->number;
+    evidence_add_group(link->service, link->group, members, runtime->database_count);
+    return link;
+}
+
+/* True if the members are the same servers in the same order. */
+static bool same_members(const struct group_runtime *left, const struct group_runtime *right)
+{
+    bool same = left->database_count == right->database_count;
+    for (uint32_t i = 0; same && i < left->database_count; i++) {
+        same = same_server(&left->group->databases[i], &right->group->databases[i]);
+    }
+    return same;
+}
+
+static void start_evidence(struct group_runtime *runtime,
+                           const struct group_runtime_options *options,
+                           struct group_runtime *predecessor)
+{
+    runtime->evidence = options->evidence;
+    if (predecessor != NULL && same_members(predecessor, runtime)) {
+        runtime->link = g_atomic_rc_box_acquire(predecessor->link);
+    } else {
+        runtime->link = open_evidence(runtime, options);
+    }
+    runtime->evidence_group = runtime->link->group;
+}
+
+/* Publishes the view of a group of which nothing is known. */
+static void start_view(struct group_runtime *runtime)
+{
+    struct published_view *first = g_new0(struct published_view, 1);
+    first->view.group = runtime->group->id;
+    first->view.primary = -1;
+    first->view.database_count = runtime->database_count;
+    runtime->view = &first->view;
 }
 
-struct group_runtime *group_runtime_new(struct configuration *configuration,
-                                        const struct group_configuration *group,
-                                        const struct group_runtime_options *options)
+/* Keeps no connection warm to the servers that only the predecessor has. */
+static void close_left_pools(const struct group_runtime *runtime, struct group_runtime *predecessor)
 {
+    for (uint32_t i = 0; predecessor != NULL && i < predecessor->database_count; i++) {
+        struct shared_pool *shared = predecessor->databases[i].shared;
+        bool taken = false;
+        for (uint32_t j = 0; j < runtime->database_count; j++) {
+            taken = taken || runtime->databases[j].shared == shared;
+        }
+        if (!taken) {
+            pool_close_idle(shared->pool);
+        }
+    }
+}
+
+struct group_runtime *group_runtime_new(const struct group_configuration *group,
+                                        const struct group_runtime_options *options,
+                                        struct group_runtime *predecessor)
+{
+    static atomic_uint last_number;
     struct group_runtime *runtime = g_atomic_rc_box_new0(struct group_runtime);
-    runtime->configuration = configuration_ref(configuration);
-    runtime->group = group;
+    runtime->number = atomic_fetch_add(&last_number, 1) + 1;
+    runtime->group = copy_group(group);
     runtime->database_count = group->database_count;
     pthread_mutex_init(&runtime->writes_lock, NULL);
     retry_budget_init(&runtime->retry_budget);
-    struct published_view *first = g_new0(struct published_view, 1);
-    first->view.group = group->id;
-    first->view.primary = -1;
-    first->view.database_count = group->database_count;
-    runtime->view = &first->view;
+    start_view(runtime);
     for (uint32_t i = 0; i < group->database_count; i++) {
-        start_database(&runtime->databases[i], &group->databases[i], options);
+        start_database(&runtime->databases[i], &runtime->group->databases[i], options, predecessor);
     }
-    runtime->evidence = options->evidence;
-    add_evidence(runtime->evidence, group, options);
+    start_evidence(runtime, options, predecessor);
+    close_left_pools(runtime, predecessor);
     return runtime;
 }
 
@@ -108,13 +256,14 @@
 static void clear_runtime(gpointer data)
 {
     struct group_runtime *runtime = data;
+    g_atomic_rc_box_release_full(runtime->link, close_evidence);
     for (uint32_t i = 0; i < runtime->database_count; i++) {
         stop_database(&runtime->databases[i]);
     }
     struct published_view *last = caa_container_of(runtime->view, struct published_view, view);
     call_rcu(&last->head, free_published_view);
     pthread_mutex_destroy(&runtime->writes_lock);
-    configuration_unref(runtime->configuration);
+    free_group(runtime->group);
 }
 
 void group_runtime_unref(struct group_runtime *runtime)
@@ -138,7 +287,7 @@
     uint64_t change = runtime->drain_change;
     runtime->drain_change = 0;
     runtime->drain_armed = false;
-    runtime->on_drained(runtime->on_drained_user, runtime->group->id, change);
+    runtime->on_drained(runtime->on_drained_user, runtime->number, change);
 }
 
 void group_runtime_publish(struct group_runtime *runtime, const struct group_view *view,
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -14,11 +14,15 @@
 #include "core/retry_budget.h"
 #include "core/types.h"
 
+struct evidence_link;
+struct shared_pool;
+
 /* One database of the group. */
 struct database_runtime {
     struct database_configuration configuration; /* strings owned by the group's configuration */
-    struct pool *pool;
-    pthread_mutex_t admission_lock; /* guards admission */
+    struct pool *pool;                           /* the one in `shared` */
+    struct shared_pool *shared;                  /* one reference */
+    pthread_mutex_t admission_lock;              /* guards admission */
     struct admission admission;
     _Atomic uint32_t in_flight; /* slots taken by this daemon, for routing without the lock */
 };
@@ -34,18 +38,22 @@
 };
 
 /* Told when no write that began before a paused view runs any more. */
-typedef void (*group_drained_callback)(void *user, uint32_t group, uint64_t change);
+typedef void (*group_drained_callback)(void *user, uint32_t runtime_number, uint64_t change);
 
-/* Reference counted: the control thread holds one, every task one. */
+/* Reference counted: the control thread holds one, every task one. When the configuration changes a
+ * group's databases, a successor takes its place for new requests; those in flight end on the one
+ * that they began with. */
 struct group_runtime {
-    struct configuration *configuration; /* holds the strings; one reference */
-    const struct group_configuration *group;
+    struct group_configuration *group; /* a copy: a bundle lives no longer for it */
+    uint32_t number;                   /* unique in the process; names it to probes and events */
     struct group_view
         *view; /* RCU: read by group_runtime_read_view, written by the control thread */
     uint32_t database_count;
     struct database_runtime databases[GROUP_DATABASES_MAX];
     struct retry_budget retry_budget;
     struct evidence_service *evidence; /* the daemon's */
+    uint32_t evidence_group;           /* its number there */
+    struct evidence_link *link;        /* one reference */
     _Atomic uint64_t ledger_term;      /* term in which the ledger table was made sure of */
     _Atomic time_ns primary_probed_at; /* last extra probe that a read asked for */
     _Atomic uint64_t reads;            /* answered reads */
@@ -59,10 +67,16 @@
     void *on_drained_user;
 };
 
-/* Starts pools and evidence for a group. The view is empty until one is published. */
-struct group_runtime *group_runtime_new(struct configuration *configuration,
-                                        const struct group_configuration *group,
-                                        const struct group_runtime_options *options);
+/* Starts pools and evidence for a group, which is copied. The view is empty until one is published.
+ * What the predecessor (or NULL) has of the same databases is shared with it, so that both together
+ * stay within the databases' limits of connections. */
+struct group_runtime *group_runtime_new(const struct group_configuration *group,
+                                        const struct group_runtime_options *options,
+                                        struct group_runtime *predecessor);
+
+/* True if the run time can go on under a new configuration of its group. */
+bool group_runtime_fits(const struct group_runtime *runtime,
+                        const struct group_configuration *group);
 
 struct group_runtime *group_runtime_ref(struct group_runtime *runtime);
 
--- a/src/daemon/task_write.c
+++ b/src/daemon/task_write.c
@@ -212,7 +212,7 @@
 {
     struct acknowledge_evidence evidence;
     bool known = task->run_database >= 0 && task->run.status.held.term != 0;
-    evidence_gather(task->group->evidence, task->group->group->id, task->write_step.position,
+    evidence_gather(task->group->evidence, task->group->evidence_group, task->write_step.position,
                     (uint32_t)MAX(task->run_database, 0), known ? &task->run.status : NULL,
                     task->write_step.until, &evidence);
     for (uint32_t i = 0; i < task->group->database_count; i++) {
