--- a/src/daemon/admin_api.c
+++ b/src/daemon/admin_api.c
@@ -8,6 +8,7 @@
 
 #include "core/error.h"
 #include "daemon/admin_status.h"
+#include "daemon/control_configuration.h"
 #include "daemon/control.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_metrics.h"
@@ -40,7 +41,7 @@
     struct configuration *configuration = daemon_take_configuration(daemon);
     uint32_t index = 0;
     const struct group_configuration *group =
-        configuration_find_database(configuration, database, &index);
+        configuration != NULL ? configuration_find_database(configuration, database, &index) : NULL;
     if (group == NULL) {
         refuse(answer, ERROR_KIND_BAD_REQUEST, "No database has this name.");
     } else {
@@ -111,8 +112,11 @@
         g_string_append(reason, "stopping");
         return false;
     }
-    if (daemon->table == NULL) {
-        g_string_append(reason, "no confirmed configuration");
+    if (!daemon_may_serve(daemon)) {
+        struct configuration_status status;
+        control_configuration_status(daemon->control, &status);
+        g_string_append(reason, status.reason[0] != '\0' ? status.reason
+                                                         : "the configuration is not confirmed");
         return false;
     }
     if (!control_is_settled(daemon->control)) {
--- a/src/daemon/admin_status.c
+++ b/src/daemon/admin_status.c
@@ -8,6 +8,7 @@
 #include "core/position_samples.h"
 #include "core/route.h"
 #include "daemon/control.h"
+#include "daemon/control_configuration.h"
 #include "daemon/daemon.h"
 #include "daemon/journal.h"
 #include "generated/errors.h"
@@ -155,6 +156,56 @@
     json_builder_end_array(builder);
 }
 
+static void add_stragglers(JsonBuilder *builder, const struct configuration_status *status)
+{
+    add_number(builder, "straggler_count", status->straggler_count);
+    json_builder_set_member_name(builder, "stragglers");
+    json_builder_begin_array(builder);
+    for (uint32_t i = 0; i < MIN(status->straggler_count, CONFIGURATION_STRAGGLERS_MAX); i++) {
+        const struct configuration_straggler *straggler = &status->stragglers[i];
+        g_autofree char *id = g_strdup_printf("%" G_GINT64_MODIFIER "x", straggler->member);
+        json_builder_begin_object(builder);
+        add_text(builder, "id", id);
+        add_text(builder, "address", straggler->address);
+        add_number(builder, "version", straggler->version);
+        json_builder_end_object(builder);
+    }
+    json_builder_end_array(builder);
+}
+
+/* Time since the configuration in force was last known to be the newest; null if it never was. */
+static void add_confirmed_age(JsonBuilder *builder, const struct configuration_status *status)
+{
+    json_builder_set_member_name(builder, "confirmed_age_ms");
+    if (status->confirmed_at == 0) {
+        json_builder_add_null_value(builder);
+        return;
+    }
+    time_ns now = backend_now();
+    time_ns age = now > status->confirmed_at ? now - status->confirmed_at : 0;
+    json_builder_add_int_value(builder, (gint64)(age / NANOSECONDS_PER_MILLISECOND));
+}
+
+static void add_configuration(JsonBuilder *builder, struct daemon *daemon,
+                              const struct configuration *configuration)
+{
+    struct configuration_status status;
+    control_configuration_status(daemon->control, &status);
+    json_builder_set_member_name(builder, "configuration");
+    json_builder_begin_object(builder);
+    add_text(builder, "source", status.published ? "published" : "file");
+    add_text(builder, "hash", configuration != NULL ? configuration_hash(configuration) : "");
+    add_flag(builder, "serving", daemon_may_serve(daemon));
+    if (status.published) {
+        add_number(builder, "version", status.version);
+        add_number(builder, "newest_version", status.newest);
+        add_confirmed_age(builder, &status);
+        add_text(builder, "reason", status.reason);
+        add_stragglers(builder, &status);
+    }
+    json_builder_end_object(builder);
+}
+
 void admin_status_write(struct daemon *daemon, GString *out)
 {
     g_autoptr(JsonBuilder) builder = json_builder_new();
@@ -164,6 +215,7 @@
     add_text(builder, "zone", daemon->settings.daemon.zone);
     add_flag(builder, "stopping", atomic_load(&daemon->stopping));
     add_number(builder, "tasks_open", atomic_load(&daemon->tasks_open));
+    add_configuration(builder, daemon, configuration);
     if (configuration != NULL) {
         add_text(builder, "configuration_hash", configuration_hash(configuration));
         add_members(builder, daemon);
--- /dev/null
+++ b/src/daemon/configuration_fetch.c
@@ -0,0 +1,244 @@
+/* The steps of an attempt to get a configuration; see the header. */
+#include "daemon/configuration_fetch.h"
+
+#include <string.h>
+
+#include "backend/clock.h"
+#include "configuration/canonical.h"
+#include "configuration/problem.h"
+#include "daemon/configuration_content.h"
+#include "daemon/configuration_patch.h"
+
+/* Longest time that one question to another daemon takes. */
+#define PEER_TIMEOUT_MS 2000
+
+/* One attempt. On its thread's stack. */
+struct fetch {
+    const struct fetch_means *means;
+    const struct fetch_order *order;
+    struct published_configuration *have; /* in force as the attempt began; or NULL */
+    struct fetch_result *result;
+};
+
+static struct configuration_mark mark_of_have(const struct fetch *fetch)
+{
+    if (fetch->have == NULL) {
+        return (struct configuration_mark){0};
+    }
+    return published_configuration_mark(fetch->have);
+}
+
+static void fail(struct fetch *fetch, const char *text)
+{
+    fetch->result->outcome = FETCH_OUTCOME_FAILED;
+    g_strlcpy(fetch->result->text, text, FETCH_TEXT_SIZE);
+}
+
+static void refuse(struct fetch *fetch, struct configuration_mark mark, const char *text)
+{
+    fetch->result->outcome = FETCH_OUTCOME_REFUSED;
+    fetch->result->refused = mark;
+    g_strlcpy(fetch->result->text, text, FETCH_TEXT_SIZE);
+}
+
+/* Reads a whole content whose hash was checked. `difference` led to it from what this daemon has,
+ * or is NULL: then it is worked out, for others. */
+static void take_content(struct fetch *fetch, struct configuration_mark mark, GBytes *content,
+                         GBytes *difference)
+{
+    gsize length = 0;
+    const char *text = g_bytes_get_data(content, &length);
+    struct configuration *configuration = NULL;
+    g_autoptr(GPtrArray) problems = configuration_problems_new();
+    if (!configuration_parse(text, length, "published", &configuration, problems)) {
+        g_autofree char *first = configuration_problem_text(g_ptr_array_index(problems, 0));
+        refuse(fetch, mark, first);
+        fetch->result->unfit = true;
+        return;
+    }
+    g_autoptr(GBytes) made = NULL;
+    if (difference == NULL && fetch->have != NULL) {
+        struct configuration *before = published_configuration_content(fetch->have);
+        g_autoptr(GBytes) patch =
+            configuration_patch_make(configuration_canonical(before), content);
+        made = patch != NULL ? configuration_compress(patch) : NULL;
+    }
+    fetch->result->outcome = FETCH_OUTCOME_FOUND;
+    fetch->result->published = published_configuration_new(
+        mark.version, configuration, mark_of_have(fetch), difference != NULL ? difference : made);
+    configuration_unref(configuration);
+}
+
+/* The store. */
+
+static void get_bundle(struct fetch *fetch, const char *hash)
+{
+    g_autoptr(GBytes) content = NULL;
+    g_autoptr(GError) error = NULL;
+    enum platform_result result =
+        version_store_get_bundle(fetch->means->store, hash, &content, &error);
+    if (result == PLATFORM_RESULT_OK) {
+        take_content(fetch, fetch->result->head, content, NULL);
+    } else if (result == PLATFORM_RESULT_REFUSED) {
+        refuse(fetch, fetch->result->head, error->message);
+    } else {
+        fail(fetch, error != NULL ? error->message : platform_result_name(result));
+    }
+}
+
+/* True if the head's content is wanted and not in force already. */
+static bool wants_head(const struct fetch *fetch)
+{
+    uint64_t head = fetch->result->head.version;
+    if (head == 0 || head <= mark_of_have(fetch).version) {
+        return false;
+    }
+    bool news = head > fetch->order->wanted.version;
+    return news ||
+           (fetch->order->source == FETCH_SOURCE_STORE && head == fetch->order->wanted.version);
+}
+
+static void ask_store(struct fetch *fetch)
+{
+    struct version_row *row = NULL;
+    g_autoptr(GError) error = NULL;
+    enum platform_result result = version_store_read_head(fetch->means->store, &row, &error);
+    fetch->result->head_known = result == PLATFORM_RESULT_OK || result == PLATFORM_RESULT_NOT_FOUND;
+    if (row != NULL) {
+        fetch->result->head = configuration_mark_of(row->version, row->hash);
+    }
+    if (!fetch->result->head_known) {
+        fail(fetch, error != NULL ? error->message : platform_result_name(result));
+    } else if (wants_head(fetch)) {
+        get_bundle(fetch, row->hash);
+    }
+    version_row_free(row);
+}
+
+/* Another daemon. */
+
+/* The whole content that a reply gives, or NULL. */
+static GBytes *content_of_reply(const struct fetch *fetch, const struct configuration_reply *reply)
+{
+    g_autoptr(GBytes) content = configuration_decompress(reply->content, reply->content_length);
+    if (content == NULL || reply->base_version == 0) {
+        return g_steal_pointer(&content);
+    }
+    if (fetch->have == NULL || reply->base_version != mark_of_have(fetch).version) {
+        return NULL;
+    }
+    struct configuration *before = published_configuration_content(fetch->have);
+    return configuration_patch_apply(configuration_canonical(before), content);
+}
+
+/* True if a content is what the reply and the order say that it is. */
+static bool is_genuine(const struct fetch *fetch, const struct configuration_reply *reply,
+                       struct configuration_mark mark, const char *hash)
+{
+    const struct configuration_mark *wanted = &fetch->order->wanted;
+    bool wrong = wanted->version == mark.version && wanted->hash != 0 && wanted->hash != mark.hash;
+    return !wrong && g_strcmp0(reply->hash, hash) == 0;
+}
+
+static void take_reply(struct fetch *fetch, const struct configuration_reply *reply)
+{
+    struct configuration_mark told =
+        configuration_mark_of(reply->version, reply->hash != NULL ? reply->hash : "");
+    g_autoptr(GBytes) content = content_of_reply(fetch, reply);
+    if (content == NULL) {
+        refuse(fetch, told, "the content can't be read");
+        return;
+    }
+    g_autofree char *hash = canonical_hash(content);
+    struct configuration_mark mark = configuration_mark_of(reply->version, hash);
+    if (!is_genuine(fetch, reply, mark, hash)) {
+        refuse(fetch, told, "the content has another hash");
+        return;
+    }
+    g_autoptr(GBytes) difference = NULL;
+    if (reply->base_version != 0) {
+        difference = g_bytes_new(reply->content, reply->content_length);
+    }
+    fetch->result->difference = difference != NULL;
+    take_content(fetch, mark, content, difference);
+}
+
+/* Puts the question once. `base` is what a difference may start from; version 0: none. */
+static void ask_peer(struct fetch *fetch, struct configuration_mark base)
+{
+    struct message request;
+    struct message reply;
+    g_autoptr(GError) error = NULL;
+    time_ns deadline = backend_now() + PEER_TIMEOUT_MS * NANOSECONDS_PER_MILLISECOND;
+    message_init(&request, MESSAGE_KIND_CONFIGURATION_REQUEST);
+    request.configuration_request.version = fetch->order->wanted.version;
+    request.configuration_request.have_version = base.version;
+    request.configuration_request.have_hash = base.hash;
+    enum peer_call_result result =
+        peer_call(fetch->means->peers, fetch->order->address, &request, &reply, deadline, &error);
+    message_clear(&request);
+    if (result != PEER_CALL_ANSWERED) {
+        fail(fetch, error->message);
+        return;
+    }
+    const struct configuration_reply *content = &reply.configuration_reply;
+    bool there = reply.kind == MESSAGE_KIND_CONFIGURATION_REPLY && content->version != 0 &&
+                 content->version >= fetch->order->wanted.version;
+    if (there) {
+        take_reply(fetch, content);
+    }
+    message_clear(&reply);
+}
+
+/* Asks for a difference if this daemon has something; whole, if that leads nowhere. */
+static void ask_peer_twice(struct fetch *fetch)
+{
+    struct configuration_mark have = mark_of_have(fetch);
+    ask_peer(fetch, have);
+    bool try_whole = fetch->result->outcome == FETCH_OUTCOME_REFUSED && have.version > 0 &&
+                     !fetch->result->unfit;
+    if (try_whole) {
+        fetch->result->outcome = FETCH_OUTCOME_NONE;
+        fetch->result->difference = false;
+        ask_peer(fetch, (struct configuration_mark){0});
+    }
+}
+
+/* True if what is wanted came into force while the order waited. */
+static bool is_stale(const struct fetch *fetch)
+{
+    uint64_t wanted = fetch->order->wanted.version;
+    return fetch->order->source != FETCH_SOURCE_HEAD && wanted > 0 &&
+           mark_of_have(fetch).version >= wanted;
+}
+
+struct fetch_result *configuration_fetch(const struct fetch_means *means,
+                                         const struct fetch_order *order)
+{
+    struct fetch fetch = {
+        .means = means,
+        .order = order,
+        .have = configuration_share_take(means->share),
+        .result = g_new0(struct fetch_result, 1),
+    };
+    fetch.result->order = *order;
+    fetch.result->asked_at = backend_now();
+    if (is_stale(&fetch)) {
+        fetch.result->outcome = FETCH_OUTCOME_NONE;
+    } else if (order->source == FETCH_SOURCE_PEER) {
+        ask_peer_twice(&fetch);
+    } else {
+        ask_store(&fetch);
+    }
+    published_configuration_unref(fetch.have);
+    return fetch.result;
+}
+
+void fetch_result_free(struct fetch_result *result)
+{
+    if (result == NULL) {
+        return;
+    }
+    published_configuration_unref(result->published);
+    g_free(result);
+}
--- /dev/null
+++ b/src/daemon/configuration_fetcher.c
@@ -0,0 +1,152 @@
+/* The fetcher's threads and their orders; see the header. */
+#define G_LOG_DOMAIN "configuration"
+#include "daemon/configuration_fetcher.h"
+
+#include <pthread.h>
+
+#include "core/error.h"
+
+/* One thread, and what it is to do next. */
+struct fetch_worker {
+    struct configuration_fetcher *fetcher;
+    pthread_t thread;
+    pthread_mutex_t lock; /* guards all below */
+    pthread_cond_t work;
+    bool stopping;
+    bool is_pending[FETCH_SOURCE_COUNT];
+    struct fetch_order pending[FETCH_SOURCE_COUNT];
+};
+
+struct configuration_fetcher {
+    struct fetch_means means;
+    fetch_done_function done;
+    void *user;
+    struct fetch_worker store_worker;
+    struct fetch_worker peer_worker;
+};
+
+/* Takes an order of one source, with the lock held; false if there is none. */
+static bool take_from(struct fetch_worker *worker, enum fetch_source source,
+                      struct fetch_order *order)
+{
+    if (!worker->is_pending[source]) {
+        return false;
+    }
+    worker->is_pending[source] = false;
+    *order = worker->pending[source];
+    return true;
+}
+
+/* Waits for the next order: contents go before heads. False once the fetcher ends. */
+static bool take_order(struct fetch_worker *worker, struct fetch_order *order)
+{
+    bool taken = false;
+    pthread_mutex_lock(&worker->lock);
+    while (!worker->stopping && !taken) {
+        taken = take_from(worker, FETCH_SOURCE_PEER, order) ||
+                take_from(worker, FETCH_SOURCE_STORE, order) ||
+                take_from(worker, FETCH_SOURCE_HEAD, order);
+        if (!taken) {
+            pthread_cond_wait(&worker->work, &worker->lock);
+        }
+    }
+    pthread_mutex_unlock(&worker->lock);
+    return taken;
+}
+
+static void *run_worker(void *data)
+{
+    struct fetch_worker *worker = data;
+    struct configuration_fetcher *fetcher = worker->fetcher;
+    struct fetch_order order;
+    while (take_order(worker, &order)) {
+        fetcher->done(fetcher->user, configuration_fetch(&fetcher->means, &order));
+    }
+    return NULL;
+}
+
+static void start_worker(struct fetch_worker *worker, struct configuration_fetcher *fetcher)
+{
+    worker->fetcher = fetcher;
+    pthread_mutex_init(&worker->lock, NULL);
+    pthread_cond_init(&worker->work, NULL);
+    if (pthread_create(&worker->thread, NULL, run_worker, worker) != 0) {
+        g_error("Can't start a thread that gets configurations.");
+    }
+}
+
+struct configuration_fetcher *
+configuration_fetcher_new(const struct configuration_fetcher_options *options)
+{
+    struct configuration_fetcher *fetcher = g_new0(struct configuration_fetcher, 1);
+    fetcher->means.store = version_store_new(&options->platform);
+    fetcher->means.peers = options->peers;
+    fetcher->means.share = options->share;
+    fetcher->done = options->done;
+    fetcher->user = options->user;
+    start_worker(&fetcher->store_worker, fetcher);
+    start_worker(&fetcher->peer_worker, fetcher);
+    return fetcher;
+}
+
+static void ask_to_stop(struct fetch_worker *worker)
+{
+    pthread_mutex_lock(&worker->lock);
+    worker->stopping = true;
+    pthread_cond_signal(&worker->work);
+    pthread_mutex_unlock(&worker->lock);
+}
+
+static void stop_worker(struct fetch_worker *worker)
+{
+    pthread_join(worker->thread, NULL);
+    pthread_cond_destroy(&worker->work);
+    pthread_mutex_destroy(&worker->lock);
+}
+
+void configuration_fetcher_free(struct configuration_fetcher *fetcher)
+{
+    ask_to_stop(&fetcher->store_worker);
+    ask_to_stop(&fetcher->peer_worker);
+    stop_worker(&fetcher->store_worker);
+    stop_worker(&fetcher->peer_worker);
+    version_store_free(fetcher->means.store);
+    g_free(fetcher);
+}
+
+void configuration_fetcher_submit(struct configuration_fetcher *fetcher,
+                                  const struct fetch_order *order)
+{
+    bool peer = order->source == FETCH_SOURCE_PEER;
+    struct fetch_worker *worker = peer ? &fetcher->peer_worker : &fetcher->store_worker;
+    pthread_mutex_lock(&worker->lock);
+    worker->pending[order->source] = *order;
+    worker->is_pending[order->source] = true;
+    pthread_cond_signal(&worker->work);
+    pthread_mutex_unlock(&worker->lock);
+}
+
+bool configuration_fetcher_read_keys(const char *path, char **access_key, char **secret_key,
+                                     GError **error)
+{
+    g_autofree char *text = NULL;
+    *access_key = NULL;
+    *secret_key = NULL;
+    if (path[0] == '\0') {
+        *access_key = g_strdup("");
+        *secret_key = g_strdup("");
+        return true;
+    }
+    if (!g_file_get_contents(path, &text, NULL, error)) {
+        return false;
+    }
+    g_auto(GStrv) words = g_strsplit_set(g_strstrip(text), " \t\n", -1);
+    if (g_strv_length(words) != 2) {
+        g_set_error(error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION,
+                    "%s: must hold an access key id, a space and the secret", path);
+        return false;
+    }
+    *access_key = g_strdup(words[0]);
+    *secret_key = g_strdup(words[1]);
+    return true;
+}
--- /dev/null
+++ b/src/daemon/configuration_share.c
@@ -0,0 +1,156 @@
+/* What other daemons get of the configuration in force; see the header. */
+#include "daemon/configuration_share.h"
+
+#include <pthread.h>
+
+#include "daemon/configuration_content.h"
+#include "wire/connection.h"
+
+/* Room that a reply needs beside its content, in octets. */
+#define REPLY_OVERHEAD 256
+
+struct published_configuration {
+    struct configuration_mark mark;
+    struct configuration *configuration; /* one reference */
+    struct configuration_mark base;
+    GBytes *difference; /* compressed; NULL: none */
+    pthread_mutex_t lock;
+    GBytes *whole; /* compressed; made when first asked for, under the lock */
+};
+
+struct configuration_share {
+    pthread_mutex_t lock;
+    struct published_configuration *in_force; /* under the lock; one reference, or NULL */
+};
+
+struct published_configuration *published_configuration_new(uint64_t version,
+                                                            struct configuration *configuration,
+                                                            struct configuration_mark base,
+                                                            GBytes *difference)
+{
+    struct published_configuration *published =
+        g_atomic_rc_box_new0(struct published_configuration);
+    published->mark = configuration_mark_of(version, configuration_hash(configuration));
+    published->configuration = configuration_ref(configuration);
+    published->base = base;
+    published->difference = difference != NULL ? g_bytes_ref(difference) : NULL;
+    pthread_mutex_init(&published->lock, NULL);
+    return published;
+}
+
+struct published_configuration *
+published_configuration_ref(struct published_configuration *published)
+{
+    return g_atomic_rc_box_acquire(published);
+}
+
+static void clear_published(gpointer data)
+{
+    struct published_configuration *published = data;
+    configuration_unref(published->configuration);
+    g_clear_pointer(&published->difference, g_bytes_unref);
+    g_clear_pointer(&published->whole, g_bytes_unref);
+    pthread_mutex_destroy(&published->lock);
+}
+
+void published_configuration_unref(struct published_configuration *published)
+{
+    if (published != NULL) {
+        g_atomic_rc_box_release_full(published, clear_published);
+    }
+}
+
+struct configuration_mark
+published_configuration_mark(const struct published_configuration *published)
+{
+    return published->mark;
+}
+
+struct configuration *
+published_configuration_content(const struct published_configuration *published)
+{
+    return published->configuration;
+}
+
+struct configuration_share *configuration_share_new(void)
+{
+    struct configuration_share *share = g_new0(struct configuration_share, 1);
+    pthread_mutex_init(&share->lock, NULL);
+    return share;
+}
+
+void configuration_share_free(struct configuration_share *share)
+{
+    published_configuration_unref(share->in_force);
+    pthread_mutex_destroy(&share->lock);
+    g_free(share);
+}
+
+void configuration_share_set(struct configuration_share *share,
+                             struct published_configuration *published)
+{
+    pthread_mutex_lock(&share->lock);
+    struct published_configuration *previous = share->in_force;
+    share->in_force = published_configuration_ref(published);
+    pthread_mutex_unlock(&share->lock);
+    published_configuration_unref(previous);
+}
+
+struct published_configuration *configuration_share_take(struct configuration_share *share)
+{
+    pthread_mutex_lock(&share->lock);
+    struct published_configuration *published =
+        share->in_force != NULL ? published_configuration_ref(share->in_force) : NULL;
+    pthread_mutex_unlock(&share->lock);
+    return published;
+}
+
+/* The whole content, compressed. Owned by the published configuration. */
+static GBytes *whole_content(struct published_configuration *published)
+{
+    pthread_mutex_lock(&published->lock);
+    if (published->whole == NULL) {
+        published->whole =
+            configuration_compress(configuration_canonical(published->configuration));
+    }
+    pthread_mutex_unlock(&published->lock);
+    return published->whole;
+}
+
+static bool has_difference_for(const struct published_configuration *published,
+                               const struct configuration_request *request)
+{
+    return published->difference != NULL && request->have_version == published->base.version &&
+           request->have_hash == published->base.hash;
+}
+
+static void fill_reply(struct published_configuration *published, GBytes *content,
+                       uint64_t base_version, struct configuration_reply *reply)
+{
+    gsize length = 0;
+    const uint8_t *octets = g_bytes_get_data(content, &length);
+    if (length > WIRE_FRAME_MAX - REPLY_OVERHEAD) {
+        return;
+    }
+    reply->version = published->mark.version;
+    reply->hash = g_strdup(configuration_hash(published->configuration));
+    reply->base_version = base_version;
+    reply->content = g_memdup2(octets, length);
+    reply->content_length = length;
+}
+
+void configuration_share_answer(struct configuration_share *share,
+                                const struct configuration_request *request,
+                                struct configuration_reply *reply)
+{
+    struct published_configuration *published = configuration_share_take(share);
+    if (published == NULL) {
+        return;
+    }
+    if (published->mark.version >= request->version) {
+        bool difference = has_difference_for(published, request);
+        GBytes *content = difference ? published->difference : whole_content(published);
+        fill_reply(published, content, difference ? published->base.version : 0, reply);
+    }
+    published_configuration_unref(published);
+}
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -10,6 +10,7 @@
 
 #include "backend/clock.h"
 #include "core/error.h"
+#include "daemon/control_configuration.h"
 #include "daemon/control_internal.h"
 #include "daemon/daemon.h"
 #include "daemon/transaction.h"
@@ -57,6 +58,9 @@
     case CONTROL_EVENT_LEAVING:
         control_members_set_leaving(control, event->leaving, backend_now());
         break;
+    case CONTROL_EVENT_CONFIGURATION:
+        control_configuration_take(control, event->fetched);
+        break;
     }
 }
 
@@ -80,6 +84,7 @@
     time_ns until = now + CONTROL_PERIOD_MS * NANOSECONDS_PER_MILLISECOND;
     until = MIN(until, control_groups_next_wakeup(control));
     until = MIN(until, control_members_next_wakeup(control));
+    until = MIN(until, control_configuration_next_wakeup(control));
     poll(waits, G_N_ELEMENTS(waits), backend_poll_ms(until, now));
     eventfd_t ignored;
     if (waits[0].revents != 0) {
@@ -99,6 +104,7 @@
         handle_inbox(control);
         time_ns now = backend_now();
         control_members_tick(control, now);
+        control_configuration_tick(control, now);
         control_ownership_tick(control, now);
         control_groups_tick(control, now);
         transaction_table_expire(control->daemon->transactions, now, false);
@@ -108,8 +114,10 @@
 
 static void free_control(struct control *control)
 {
+    control_configuration_stop(control);
     struct control_event *event = take_event(control);
     while (event != NULL) {
+        fetch_result_free(event->fetched);
         g_free(event);
         event = take_event(control);
     }
@@ -128,10 +136,13 @@
     pthread_mutex_init(&control->inbox_lock, NULL);
     g_queue_init(&control->inbox);
     control->journal = daemon->journal;
-    if (!control_members_start(control, error)) {
+    if (!control_members_start(control, error) || !control_configuration_start(control, error)) {
         free_control(control);
         return NULL;
     }
+    if (control->configuration == NULL) {
+        control_members_join(control);
+    }
     if (pthread_create(&control->thread, NULL, control_main, control) != 0) {
         g_error("Can't start the control thread.");
     }
--- /dev/null
+++ b/src/daemon/control_configuration.c
@@ -0,0 +1,628 @@
+/* Currency's shell on the control thread; see the header. */
+#define G_LOG_DOMAIN "configuration"
+#include "daemon/control_configuration.h"
+
+#include <pthread.h>
+#include <string.h>
+
+#include "backend/clock.h"
+#include "core/config_currency.h"
+#include "core/error.h"
+#include "daemon/configuration_fetcher.h"
+#include "daemon/control_internal.h"
+#include "daemon/daemon.h"
+
+/* While no configuration is known, sources are tried this often, give or take the jitter. */
+#define SEARCH_INTERVAL_MS 1000
+#define SEARCH_JITTER_MS   250
+
+/* How often the members' configurations are looked through. */
+#define SURVEY_INTERVAL_MS 1000
+
+/* Of the control thread, but for the status. */
+struct control_configuration {
+    struct control *control;
+    struct configuration_fetcher *fetcher;
+    struct currency *currency;
+
+    /* Until a version was found that names this daemon's zone: there is no membership yet. */
+    bool joined;
+    uint64_t search_from; /* versions before are known not to do */
+    time_ns next_search_at;
+    size_t next_seed;
+    size_t seeds_left; /* of this round */
+
+    uint64_t heard;                            /* newest that the journal has */
+    struct configuration_mark unfit;           /* does not parse: not fetched again */
+    struct published_configuration *candidate; /* just fetched; borrowed while it is judged */
+    const struct fetch_result *origin;         /* where it came from */
+    bool confirmed;                            /* has served */
+    char failure[FETCH_TEXT_SIZE]; /* why the store's content could not be had; empty if it could */
+    bool contradicted;             /* the store has another content under the version in force */
+    time_ns next_survey_at;
+
+    pthread_mutex_t status_lock;
+    struct configuration_status status; /* under status_lock */
+};
+
+static void note(struct control_configuration *self, const char *kind, const char *text)
+{
+    struct journal_entry entry = {.database = -1};
+    g_strlcpy(entry.kind, kind, sizeof(entry.kind));
+    g_strlcpy(entry.text, text, sizeof(entry.text));
+    journal_add(self->control->journal, &entry);
+}
+
+/* What the journal calls a source. */
+static const char *name_of(const struct fetch_order *order)
+{
+    return order->source == FETCH_SOURCE_PEER ? order->address : "the store";
+}
+
+/* Status. */
+
+static void explain(const struct control_configuration *self, char *reason)
+{
+    uint64_t applied = currency_applied(self->currency).version;
+    uint64_t newest = currency_newest(self->currency).version;
+    if (!self->joined && self->search_from > 1) {
+        g_snprintf(reason, CONFIGURATION_REASON_SIZE,
+                   "no usable configuration: version %" G_GUINT64_FORMAT
+                   " does not parse or lacks zone \"%s\"",
+                   self->search_from - 1, self->control->daemon->settings.daemon.zone);
+    } else if (!self->joined) {
+        g_snprintf(reason, CONFIGURATION_REASON_SIZE,
+                   "no configuration: no other daemon gave one, nor did the store%s%s",
+                   self->failure[0] != '\0' ? ": " : "", self->failure);
+    } else if (newest > applied) {
+        g_snprintf(reason, CONFIGURATION_REASON_SIZE,
+                   "version %" G_GUINT64_FORMAT " is accepted, and only version %" G_GUINT64_FORMAT
+                   " could be had",
+                   newest, applied);
+    } else {
+        g_snprintf(reason, CONFIGURATION_REASON_SIZE,
+                   "neither the store nor most daemons confirm that version %" G_GUINT64_FORMAT
+                   " is the newest",
+                   applied);
+    }
+}
+
+/* Makes what request threads and operators see follow the currency. */
+static void publish_status(struct control_configuration *self)
+{
+    struct daemon *daemon = self->control->daemon;
+    time_ns bound = daemon->settings.configuration.currency_bound_ms * NANOSECONDS_PER_MILLISECOND;
+    bool serving = currency_serving(self->currency);
+    time_ns confirmed_at = currency_confirmed_at(self->currency);
+    /* Request threads go by the clock, as the control thread may be paused with its process. */
+    atomic_store(&daemon->serve_until, serving ? confirmed_at + bound : 0);
+    pthread_mutex_lock(&self->status_lock);
+    struct configuration_status *status = &self->status;
+    status->published = true;
+    status->serving = serving;
+    status->version = currency_applied(self->currency).version;
+    status->newest = currency_newest(self->currency).version;
+    status->confirmed_at = confirmed_at;
+    status->reason[0] = '\0';
+    if (!serving) {
+        explain(self, status->reason);
+    }
+    pthread_mutex_unlock(&self->status_lock);
+}
+
+void control_configuration_status(struct control *control, struct configuration_status *status)
+{
+    struct control_configuration *self = control->configuration;
+    if (self == NULL) {
+        *status = (struct configuration_status){.serving = true};
+        return;
+    }
+    pthread_mutex_lock(&self->status_lock);
+    *status = self->status;
+    pthread_mutex_unlock(&self->status_lock);
+}
+
+/* True if a member of this zone was last heard of with an older configuration. */
+static bool is_straggler(const struct member *member, const struct member *self, uint64_t newest)
+{
+    bool alive = member->state == MEMBER_STATE_ALIVE || member->state == MEMBER_STATE_SUSPECT;
+    uint64_t version = member->configuration.version;
+    return alive && member->id != self->id && member->zone == self->zone && version > 0 &&
+           version < newest;
+}
+
+/* Looks for members that lag. Only those of the own zone are heard of often enough. */
+static void survey(struct control_configuration *self)
+{
+    struct membership *membership = self->control->membership;
+    struct member own = membership_self(membership);
+    uint64_t newest = currency_newest(self->currency).version;
+    struct configuration_straggler found[CONFIGURATION_STRAGGLERS_MAX] = {0};
+    uint32_t count = 0;
+    for (size_t i = 0; i < membership_count(membership); i++) {
+        struct member member = membership_get(membership, i);
+        if (!is_straggler(&member, &own, newest)) {
+            continue;
+        }
+        if (count < CONFIGURATION_STRAGGLERS_MAX) {
+            found[count].member = member.id;
+            found[count].version = member.configuration.version;
+            control_members_format(&member, found[count].address);
+        }
+        count++;
+    }
+    pthread_mutex_lock(&self->status_lock);
+    self->status.straggler_count = count;
+    memcpy(self->status.stragglers, found, sizeof(found));
+    pthread_mutex_unlock(&self->status_lock);
+}
+
+/* Actions. */
+
+static void order(struct control_configuration *self, enum fetch_source source,
+                  struct configuration_mark wanted, const char *address)
+{
+    struct fetch_order order = {.source = source, .wanted = wanted};
+    if (address != NULL) {
+        g_strlcpy(order.address, address, sizeof(order.address));
+    }
+    configuration_fetcher_submit(self->fetcher, &order);
+}
+
+static bool is_unfit(const struct control_configuration *self, struct configuration_mark mark)
+{
+    return mark.version != 0 && mark.version == self->unfit.version &&
+           mark.hash == self->unfit.hash;
+}
+
+/* Asks a member or, without one, the store; fails at once where that is in vain. */
+static void fetch(struct control_configuration *self, const struct currency_action *action,
+                  GArray *actions)
+{
+    struct member member;
+    bool from_store = action->kind == CURRENCY_ACTION_FETCH_STORE;
+    bool known = from_store || membership_find(self->control->membership, action->peer, &member);
+    if (!known || is_unfit(self, action->mark)) {
+        currency_fetch_failed(self->currency, backend_now(), actions);
+        return;
+    }
+    if (from_store) {
+        order(self, FETCH_SOURCE_STORE, action->mark, NULL);
+        return;
+    }
+    char address[ADDRESS_TEXT_SIZE];
+    control_members_format(&member, address);
+    order(self, FETCH_SOURCE_PEER, action->mark, address);
+}
+
+/* A configuration without this daemon's zone is in force all the same; the daemon keeps the zone
+ * number that it joined with. */
+static void check_zone(struct control_configuration *self,
+                       const struct configuration *configuration)
+{
+    struct daemon *daemon = self->control->daemon;
+    const struct zone_configuration *zone =
+        configuration_find_zone_by_name(configuration, daemon->settings.daemon.zone);
+    if (zone == NULL || zone->id != atomic_load(&daemon->zone)) {
+        g_warning("Zone \"%s\" is gone from the configuration or has another id: restart this "
+                  "daemon with a zone that is there.",
+                  daemon->settings.daemon.zone);
+    }
+}
+
+static void note_applied(struct control_configuration *self)
+{
+    struct configuration *content = published_configuration_content(self->candidate);
+    g_autofree char *text = g_strdup_printf(
+        "version=%" G_GUINT64_FORMAT " hash=%.16s %s %s",
+        published_configuration_mark(self->candidate).version, configuration_hash(content),
+        self->origin->difference ? "as a difference from" : "from", name_of(&self->origin->order));
+    note(self, "configuration_applied", text);
+}
+
+/* Puts the candidate in force. */
+static void apply(struct control_configuration *self)
+{
+    struct control *control = self->control;
+    struct configuration *content = published_configuration_content(self->candidate);
+    struct configuration_mark mark = published_configuration_mark(self->candidate);
+    check_zone(self, content);
+    daemon_set_configuration(control->daemon, content);
+    control_groups_take_successors(control);
+    if (control_is_settled(control)) {
+        control_ownership_set_groups(control);
+    }
+    configuration_share_set(control->daemon->configuration_share, self->candidate);
+    note_applied(self);
+    membership_set_configuration(control->membership, mark, backend_now(), control->actions);
+    control_members_perform(control);
+}
+
+static void set_serving(struct control_configuration *self, bool serving)
+{
+    char reason[CONFIGURATION_REASON_SIZE] = "";
+    self->confirmed = self->confirmed || serving;
+    if (serving) {
+        g_snprintf(reason, sizeof(reason), "version=%" G_GUINT64_FORMAT,
+                   currency_applied(self->currency).version);
+        note(self, "configuration_serving", reason);
+        return;
+    }
+    explain(self, reason);
+    note(self, "configuration_stopped", reason);
+}
+
+/* Performs actions; those that follow from them are appended meanwhile. */
+static void perform(struct control_configuration *self, GArray *actions)
+{
+    for (guint i = 0; i < actions->len; i++) {
+        struct currency_action action = g_array_index(actions, struct currency_action, i);
+        switch (action.kind) {
+        case CURRENCY_ACTION_FETCH_PEER:
+        case CURRENCY_ACTION_FETCH_STORE:
+            fetch(self, &action, actions);
+            break;
+        case CURRENCY_ACTION_READ_HEAD:
+            order(self, FETCH_SOURCE_HEAD, action.mark, NULL);
+            break;
+        case CURRENCY_ACTION_APPLY:
+            apply(self);
+            break;
+        case CURRENCY_ACTION_SERVE:
+            set_serving(self, true);
+            break;
+        case CURRENCY_ACTION_STOP:
+            set_serving(self, false);
+            break;
+        }
+    }
+    publish_status(self);
+}
+
+/* Events. */
+
+static void note_heard(struct control_configuration *self, struct configuration_mark mark,
+                       const char *from)
+{
+    if (mark.version <= self->heard) {
+        return;
+    }
+    self->heard = mark.version;
+    g_autofree char *text =
+        g_strdup_printf("version=%" G_GUINT64_FORMAT " hash=%016" G_GINT64_MODIFIER "x from %s",
+                        mark.version, mark.hash, from);
+    note(self, "configuration_heard", text);
+}
+
+void control_configuration_hear(struct control *control, struct configuration_mark mark,
+                                uint64_t holder)
+{
+    struct control_configuration *self = control->configuration;
+    if (self == NULL) {
+        return;
+    }
+    g_autoptr(GArray) actions = g_array_new(FALSE, FALSE, sizeof(struct currency_action));
+    note_heard(self, mark, "gossip");
+    currency_hear(self->currency, mark, holder, backend_now(), actions);
+    perform(self, actions);
+}
+
+/* Logs it when the store begins to fail, in what way it does, and when it is well again. */
+static void note_store(struct control_configuration *self, const struct fetch_result *result)
+{
+    bool failed = result->outcome == FETCH_OUTCOME_FAILED;
+    const char *failure = failed ? result->text : "";
+    if (strcmp(failure, self->failure) == 0) {
+        return;
+    }
+    g_strlcpy(self->failure, failure, sizeof(self->failure));
+    if (failed) {
+        g_warning("The store does not give the configuration: %s.", failure);
+    } else {
+        g_message("The store answers.");
+    }
+}
+
+/* The store names another content for the version in force. */
+static bool contradicts(struct control_configuration *self, struct configuration_mark head)
+{
+    struct configuration_mark applied = currency_applied(self->currency);
+    bool contradicted =
+        head.version == applied.version && head.version != 0 && head.hash != applied.hash;
+    if (contradicted && !self->contradicted) {
+        g_autofree char *text = g_strdup_printf("version=%" G_GUINT64_FORMAT
+                                                " the store has another content under this version",
+                                                head.version);
+        note(self, "configuration_refused", text);
+    }
+    self->contradicted = contradicted;
+    return contradicted;
+}
+
+/* Takes in what the store told of its head. */
+static void take_head(struct control_configuration *self, const struct fetch_result *result,
+                      GArray *actions)
+{
+    time_ns now = backend_now();
+    note_store(self, result);
+    if (!result->head_known) {
+        currency_head_failed(self->currency, now);
+        return;
+    }
+    if (contradicts(self, result->head)) {
+        return;
+    }
+    note_heard(self, result->head, "the store");
+    /* An answer that was overtaken by news confirms nothing. */
+    if (result->head.version >= currency_newest(self->currency).version) {
+        membership_hear_configuration(self->control->membership, result->head);
+        membership_hear_store(self->control->membership, result->asked_at);
+    }
+    currency_head_read(self->currency, result->head, now, actions);
+}
+
+static void note_refused(struct control_configuration *self, const struct fetch_result *result)
+{
+    g_autofree char *text =
+        g_strdup_printf("version=%" G_GUINT64_FORMAT " from %s: %s", result->refused.version,
+                        name_of(&result->order), result->text);
+    note(self, "configuration_refused", text);
+    if (result->unfit) {
+        self->unfit = result->refused;
+    }
+}
+
+/* Takes in what a source gave. */
+static void take_content(struct control_configuration *self, const struct fetch_result *result,
+                         GArray *actions)
+{
+    time_ns now = backend_now();
+    if (result->outcome == FETCH_OUTCOME_REFUSED) {
+        note_refused(self, result);
+    }
+    if (result->outcome == FETCH_OUTCOME_FOUND) {
+        struct configuration_mark mark = published_configuration_mark(result->published);
+        note_heard(self, mark, name_of(&result->order));
+        self->candidate = result->published;
+        self->origin = result;
+        currency_fetched(self->currency, mark, now, actions);
+    } else if (result->order.source != FETCH_SOURCE_HEAD) {
+        currency_fetch_failed(self->currency, now, actions);
+    }
+}
+
+static void take_result(struct control_configuration *self, const struct fetch_result *result)
+{
+    g_autoptr(GArray) actions = g_array_new(FALSE, FALSE, sizeof(struct currency_action));
+    take_content(self, result, actions);
+    perform(self, actions);
+    self->candidate = NULL;
+    self->origin = NULL;
+    g_array_set_size(actions, 0);
+    if (result->order.source != FETCH_SOURCE_PEER) {
+        take_head(self, result, actions);
+        perform(self, actions);
+    }
+}
+
+/* The search for a first configuration, which tells the number of this daemon's zone. */
+
+static bool is_own_address(const struct control_configuration *self, const char *address)
+{
+    return strcmp(address, peer_server_address(self->control->daemon->peer_server)) == 0;
+}
+
+/* Asks the next of the other daemons that the settings name, if any is left in this round. */
+static void ask_next_seed(struct control_configuration *self)
+{
+    const struct address_list *peers = &self->control->daemon->settings.daemon.peers;
+    struct configuration_mark wanted = {.version = self->search_from};
+    while (self->seeds_left > 0) {
+        const char *address = peers->items[self->next_seed];
+        self->next_seed = (self->next_seed + 1) % peers->count;
+        self->seeds_left--;
+        if (!is_own_address(self, address)) {
+            order(self, FETCH_SOURCE_PEER, wanted, address);
+            return;
+        }
+    }
+}
+
+static void search(struct control_configuration *self, time_ns now)
+{
+    if (now < self->next_search_at) {
+        return;
+    }
+    uint32_t pause_ms =
+        SEARCH_INTERVAL_MS + (uint32_t)g_random_int_range(-SEARCH_JITTER_MS, SEARCH_JITTER_MS);
+    struct configuration_mark wanted = {.version = self->search_from};
+    self->next_search_at = now + pause_ms * NANOSECONDS_PER_MILLISECOND;
+    order(self, FETCH_SOURCE_STORE, wanted, NULL);
+    if (self->seeds_left == 0) {
+        self->seeds_left = self->control->daemon->settings.daemon.peers.count;
+        ask_next_seed(self);
+    }
+}
+
+/* The zone of this daemon if gossip can carry its number; else NULL. */
+static const struct zone_configuration *own_zone(struct control_configuration *self,
+                                                 const struct configuration *configuration)
+{
+    const struct zone_configuration *zone =
+        configuration_find_zone_by_name(configuration, self->control->daemon->settings.daemon.zone);
+    return zone != NULL && zone->id < MEMBERSHIP_ZONES_MAX ? zone : NULL;
+}
+
+/* Notes that a version does not do, so that only later ones are asked for. */
+static void pass_over(struct control_configuration *self, uint64_t version, const char *why)
+{
+    if (version < self->search_from) {
+        return;
+    }
+    g_autofree char *text = g_strdup_printf("version=%" G_GUINT64_FORMAT " %s", version, why);
+    note(self, "configuration_refused", text);
+    self->search_from = version + 1;
+    publish_status(self);
+}
+
+/* True if the result ends the search: this daemon joined the others. */
+static bool join_by(struct control_configuration *self, const struct fetch_result *result)
+{
+    if (result->order.source != FETCH_SOURCE_PEER) {
+        note_store(self, result);
+        publish_status(self);
+    }
+    if (result->outcome == FETCH_OUTCOME_REFUSED) {
+        pass_over(self, result->unfit ? result->refused.version : 0, result->text);
+    }
+    if (result->outcome != FETCH_OUTCOME_FOUND) {
+        return false;
+    }
+    const struct zone_configuration *zone =
+        own_zone(self, published_configuration_content(result->published));
+    if (zone == NULL) {
+        pass_over(self, published_configuration_mark(result->published).version,
+                  "does not have the zone of this daemon");
+        return false;
+    }
+    atomic_store(&self->control->daemon->zone, zone->id);
+    control_members_join(self->control);
+    self->joined = true;
+    return true;
+}
+
+static void tick_currency(struct control_configuration *self, time_ns now)
+{
+    struct membership *membership = self->control->membership;
+    struct currency_evidence evidence = {
+        .synced = membership_synced(membership),
+        .asks_store = membership_asks_store(membership),
+        .store_confirmed_at = membership_store_confirmed_at(membership),
+        .peers_confirmed_at = membership_peers_confirmed_at(membership, now),
+    };
+    g_autoptr(GArray) actions = g_array_new(FALSE, FALSE, sizeof(struct currency_action));
+    currency_tick(self->currency, &evidence, now, actions);
+    perform(self, actions);
+    if (now >= self->next_survey_at) {
+        self->next_survey_at = now + SURVEY_INTERVAL_MS * NANOSECONDS_PER_MILLISECOND;
+        survey(self);
+    }
+}
+
+void control_configuration_take(struct control *control, struct fetch_result *result)
+{
+    struct control_configuration *self = control->configuration;
+    if (self->joined || join_by(self, result)) {
+        take_result(self, result);
+        tick_currency(self, backend_now());
+    } else if (result->order.source == FETCH_SOURCE_PEER) {
+        ask_next_seed(self);
+    }
+    fetch_result_free(result);
+}
+
+void control_configuration_tick(struct control *control, time_ns now)
+{
+    struct control_configuration *self = control->configuration;
+    if (self == NULL) {
+        return;
+    }
+    if (!self->joined) {
+        search(self, now);
+    } else if (now >= currency_next_wakeup(self->currency)) {
+        tick_currency(self, now);
+    }
+}
+
+time_ns control_configuration_next_wakeup(struct control *control)
+{
+    const struct control_configuration *self = control->configuration;
+    if (self == NULL) {
+        return UINT64_MAX;
+    }
+    return self->joined ? currency_next_wakeup(self->currency) : self->next_search_at;
+}
+
+bool control_configuration_was_confirmed(struct control *control)
+{
+    return control->configuration == NULL || control->configuration->confirmed;
+}
+
+/* Start and stop. */
+
+/* Called on the fetcher's threads. */
+static void on_fetched(void *user, struct fetch_result *result)
+{
+    struct control_event event = {.kind = CONTROL_EVENT_CONFIGURATION, .fetched = result};
+    control_post(user, &event);
+}
+
+/* The object store's URL, without a slash at its end; the table service's if none is set. */
+static char *object_endpoint(const struct settings *settings)
+{
+    const char *own = settings->platform.object_endpoint;
+    char *url = g_strdup(own[0] != '\0' ? own : settings->platform.table_endpoint);
+    while (g_str_has_suffix(url, "/")) {
+        url[strlen(url) - 1] = '\0';
+    }
+    return url;
+}
+
+static bool start_fetcher(struct control_configuration *self, GError **error)
+{
+    struct daemon *daemon = self->control->daemon;
+    g_autofree char *access_key = NULL;
+    g_autofree char *secret_key = NULL;
+    if (!configuration_fetcher_read_keys(daemon->settings.platform.access_key_file, &access_key,
+                                         &secret_key, error)) {
+        return false;
+    }
+    g_autofree char *objects = object_endpoint(&daemon->settings);
+    struct configuration_fetcher_options options = {
+        .platform = platform_settings_default(),
+        .peers = daemon->peers,
+        .share = daemon->configuration_share,
+        .done = on_fetched,
+        .user = self->control,
+    };
+    options.platform.table_url = daemon->settings.platform.table_endpoint;
+    options.platform.object_url = objects;
+    options.platform.access_key = access_key;
+    options.platform.secret_key = secret_key;
+    self->fetcher = configuration_fetcher_new(&options);
+    return true;
+}
+
+bool control_configuration_start(struct control *control, GError **error)
+{
+    const struct settings *settings = &control->daemon->settings;
+    if (settings->configuration.file[0] != '\0') {
+        return true;
+    }
+    struct control_configuration *self = g_new0(struct control_configuration, 1);
+    struct currency_options options;
+    currency_options_default(&options);
+    options.bound = settings->configuration.currency_bound_ms * NANOSECONDS_PER_MILLISECOND;
+    self->control = control;
+    self->currency = currency_new(&options, backend_now());
+    self->search_from = 1;
+    pthread_mutex_init(&self->status_lock, NULL);
+    control->configuration = self;
+    publish_status(self);
+    return start_fetcher(self, error);
+}
+
+void control_configuration_stop(struct control *control)
+{
+    struct control_configuration *self = control->configuration;
+    if (self == NULL) {
+        return;
+    }
+    if (self->fetcher != NULL) {
+        configuration_fetcher_free(self->fetcher);
+    }
+    currency_free(self->currency);
+    pthread_mutex_destroy(&self->status_lock);
+    control->configuration = NULL;
+    g_free(self);
+}
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -9,23 +9,26 @@
 #include "core/group_control.h"
 #include "core/membership.h"
 #include "core/ownership.h"
+#include "daemon/configuration_fetch.h"
 #include "daemon/control.h"
 #include "daemon/group_runtime.h"
 #include "daemon/journal.h"
 
 enum control_event_kind {
-    CONTROL_EVENT_GROUP,   /* an event for a group's control */
-    CONTROL_EVENT_RUNTIME, /* likewise, from a run time; void once that was replaced */
-    CONTROL_EVENT_LEAVING, /* this daemon is to be marked as leaving, or not */
+    CONTROL_EVENT_GROUP,         /* an event for a group's control */
+    CONTROL_EVENT_RUNTIME,       /* likewise, from a run time; void once that was replaced */
+    CONTROL_EVENT_LEAVING,       /* this daemon is to be marked as leaving, or not */
+    CONTROL_EVENT_CONFIGURATION, /* what came of an attempt to get a configuration */
 };
 
 /* One input from another thread. */
 struct control_event {
     enum control_event_kind kind;
-    uint32_t group;           /* GROUP: id */
-    uint32_t runtime;         /* RUNTIME: number of the group's run time */
-    struct group_event event; /* GROUP, RUNTIME */
-    bool leaving;             /* LEAVING */
+    uint32_t group;               /* GROUP: id */
+    uint32_t runtime;             /* RUNTIME: number of the group's run time */
+    struct group_event event;     /* GROUP, RUNTIME */
+    bool leaving;                 /* LEAVING */
+    struct fetch_result *fetched; /* CONFIGURATION; owned */
 };
 
 /* One group that this daemon controls. Control thread only. */
@@ -68,6 +71,8 @@
     struct group_owners groups[];
 };
 
+struct control_configuration;
+
 struct control {
     struct daemon *daemon;
     pthread_t thread;
@@ -81,10 +86,12 @@
     GHashTable *groups; /* id as pointer -> struct controlled_group */
     GHashTable
         *runtimes; /* number of the run time as pointer -> struct controlled_group, borrowed */
-    struct membership *membership;
+    struct membership *membership; /* NULL until the number of this daemon's zone is known */
     struct membership_actions *actions;
     bool members_changed;
     uint64_t watcher_self;
+    bool leaving;                                /* wished for this daemon */
+    struct control_configuration *configuration; /* NULL if it is static */
 
     struct prober *prober;
     struct journal *journal;      /* the daemon's */
@@ -117,6 +124,12 @@
 
 /* Members: control_members.c. */
 bool control_members_start(struct control *control, GError **error);
+/* Joins the other daemons, in the zone that is known by now. */
+void control_members_join(struct control *control);
+/* Performs what membership wants done, after a call that gave it control->actions. */
+void control_members_perform(struct control *control);
+/* Peer address of a member into `text` (room for ADDRESS_TEXT_SIZE). */
+void control_members_format(const struct member *member, char *text);
 void control_members_stop(struct control *control);
 void control_members_receive(struct control *control, time_ns now);
 void control_members_tick(struct control *control, time_ns now);
--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -9,6 +9,7 @@
 
 #include "backend/clock.h"
 #include "core/error.h"
+#include "daemon/control_configuration.h"
 #include "daemon/control_internal.h"
 #include "daemon/daemon.h"
 #include "generated/errors.h"
@@ -43,14 +44,20 @@
     return result;
 }
 
+void control_members_format(const struct member *member, char *text)
+{
+    struct sockaddr_in address = to_socket_address(member->address);
+    g_autofree char *formatted = format_address(&address);
+    g_strlcpy(text, formatted, ADDRESS_TEXT_SIZE);
+}
+
 static void fill_entry(struct member_entry *entry, const struct member *member, uint64_t self)
 {
     entry->id = member->id;
     entry->watcher = watcher_id(member->id, member->start);
     entry->zone = member->zone;
     entry->address = to_socket_address(member->address);
-    g_autofree char *text = format_address(&entry->address);
-    g_strlcpy(entry->address_text, text, sizeof(entry->address_text));
+    control_members_format(member, entry->address_text);
     bool alive = member->state == MEMBER_STATE_ALIVE || member->state == MEMBER_STATE_SUSPECT;
     entry->usable = alive && !member->leaving;
     entry->self = member->id == self;
@@ -115,13 +122,16 @@
     case MEMBERSHIP_ACTION_SUPERSEDED:
         g_critical("Another daemon runs under this name: this one is silent.");
         break;
-    case MEMBERSHIP_ACTION_ZONE_CHANGED:
     case MEMBERSHIP_ACTION_CONFIGURATION_HEARD:
+        control_configuration_hear(control, action->configuration,
+                                   action->holder ? action->member.id : 0);
+        break;
+    case MEMBERSHIP_ACTION_ZONE_CHANGED:
         break;
     }
 }
 
-static void perform_all(struct control *control)
+void control_members_perform(struct control *control)
 {
     for (size_t i = 0; i < membership_actions_count(control->actions); i++) {
         perform(control, membership_actions_get(control->actions, i));
@@ -163,35 +173,39 @@
             }
             break;
         }
-        if (message.kind == MESSAGE_KIND_GOSSIP) {
+        if (message.kind == MESSAGE_KIND_GOSSIP && control->membership != NULL) {
             membership_receive(control->membership, &message.gossip, to_member_address(&from), now,
                                control->actions);
         } else if (message.kind == MESSAGE_KIND_OPINION) {
             receive_opinion(control, &message.opinion);
         }
         message_clear(&message);
-        perform_all(control);
+        control_members_perform(control);
     }
 }
 
 void control_members_tick(struct control *control, time_ns now)
 {
-    if (now >= membership_next_wakeup(control->membership)) {
+    if (now >= control_members_next_wakeup(control)) {
         membership_tick(control->membership, now, control->actions);
-        perform_all(control);
+        control_members_perform(control);
     }
 }
 
 time_ns control_members_next_wakeup(struct control *control)
 {
-    return membership_next_wakeup(control->membership);
+    return control->membership != NULL ? membership_next_wakeup(control->membership) : UINT64_MAX;
 }
 
 void control_members_set_leaving(struct control *control, bool leaving, time_ns now)
 {
+    control->leaving = leaving;
+    if (control->membership == NULL) {
+        return;
+    }
     membership_set_leaving(control->membership, leaving, now, control->actions);
     control->members_changed = true;
-    perform_all(control);
+    control_members_perform(control);
 }
 
 static void set_seeds(struct control *control)
@@ -209,41 +223,48 @@
 }
 
 bool control_members_start(struct control *control, GError **error)
+{
+    const char *listen = peer_server_address(control->daemon->peer_server);
+    uint64_t self = membership_id_of_name(control->daemon->settings.daemon.name);
+    control->socket = wire_datagram_open(listen, NULL, error);
+    control->actions = membership_actions_new();
+    control->members = g_malloc0(sizeof(struct member_table));
+    control->watcher_self = watcher_id(self, control->daemon->incarnation);
+    control_ownership_start(control, self);
+    return control->socket >= 0;
+}
+
+void control_members_join(struct control *control)
 {
     struct daemon *daemon = control->daemon;
-    const char *listen = peer_server_address(daemon->peer_server);
-    struct sockaddr_in bound;
-    control->socket = wire_datagram_open(listen, &bound, error);
-    if (control->socket < 0) {
-        return false;
-    }
+    struct sockaddr_in own_address;
     struct membership_options options;
+    parse_address(peer_server_address(daemon->peer_server), &own_address);
     membership_options_default(&options);
     options.random_seed = daemon->incarnation;
     struct membership_self self = {
         .id = membership_id_of_name(daemon->settings.daemon.name),
         .start = daemon->incarnation,
-        .address = to_member_address(&bound),
+        .address = to_member_address(&own_address),
         .zone = (uint16_t)daemon->zone,
     };
-    control->watcher_self = watcher_id(self.id, self.start);
-    control->actions = membership_actions_new();
     control->membership = membership_new(&options, &self, backend_now());
     set_seeds(control);
-    control_ownership_start(control, self.id);
     publish_members(control);
-    return true;
+    if (control->leaving) {
+        control_members_set_leaving(control, true, backend_now());
+    }
 }
 
 void control_members_stop(struct control *control)
 {
     if (control->membership != NULL) {
         membership_leave(control->membership, backend_now(), control->actions);
-        perform_all(control);
-        control_ownership_stop(control);
+        control_members_perform(control);
         membership_free(control->membership);
-        membership_actions_free(control->actions);
     }
+    control_ownership_stop(control);
+    membership_actions_free(control->actions);
     if (control->socket >= 0) {
         close(control->socket);
     }
--- a/src/daemon/control_ownership.c
+++ b/src/daemon/control_ownership.c
@@ -6,6 +6,7 @@
 #include <urcu-bp.h>
 
 #include "backend/clock.h"
+#include "daemon/control_configuration.h"
 #include "daemon/control_internal.h"
 #include "daemon/daemon.h"
 
@@ -155,6 +156,9 @@
 
 void control_ownership_tick(struct control *control, time_ns now)
 {
+    if (control->membership == NULL || !control_configuration_was_confirmed(control)) {
+        return;
+    }
     bool reliable = view_is_reliable(control, now);
     if (reliable == control->view_reliable) {
         return;
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -11,6 +11,7 @@
 #include "core/error.h"
 #include "core/route.h"
 #include "daemon/admin_api.h"
+#include "daemon/configuration_share.h"
 #include "daemon/control.h"
 #include "daemon/daemon_metrics.h"
 #include "daemon/journal.h"
@@ -154,6 +155,11 @@
     replace_table(daemon, next);
 }
 
+bool daemon_may_serve(struct daemon *daemon)
+{
+    return backend_now() <= atomic_load(&daemon->serve_until);
+}
+
 bool daemon_task_begins(struct daemon *daemon, const struct request *request)
 {
     atomic_fetch_add(&daemon->tasks_open, 1);
@@ -227,6 +233,12 @@
 static void serve_peer(const struct message *request, struct message *reply, void *user)
 {
     struct daemon *daemon = user;
+    if (request->kind == MESSAGE_KIND_CONFIGURATION_REQUEST) {
+        message_init(reply, MESSAGE_KIND_CONFIGURATION_REPLY);
+        configuration_share_answer(daemon->configuration_share, &request->configuration_request,
+                                   &reply->configuration_reply);
+        return;
+    }
     if (request->kind != MESSAGE_KIND_REQUEST || !atomic_load(&daemon->ready)) {
         return;
     }
@@ -282,6 +294,7 @@
     return daemon->frontend != NULL;
 }
 
+/* Reads the static configuration. */
 static bool load_configuration(struct daemon *daemon, GError **error)
 {
     const char *path = daemon->settings.configuration.file;
@@ -306,16 +319,39 @@
         configuration_unref(configuration);
         return false;
     }
-    daemon->zone = zone->id;
+    if (zone->id >= MEMBERSHIP_ZONES_MAX) {
+        g_set_error(error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION,
+                    "%s: zone \"%s\" has an id above %u, which gossip can't carry", path,
+                    zone->name, MEMBERSHIP_ZONES_MAX - 1);
+        configuration_unref(configuration);
+        return false;
+    }
+    atomic_store(&daemon->zone, zone->id);
+    atomic_store(&daemon->serve_until, UINT64_MAX);
     daemon_set_configuration(daemon, configuration);
     configuration_unref(configuration);
     return true;
 }
 
+/* A static configuration is read now; a published one is looked for by the control thread. */
+static bool begin_configuration(struct daemon *daemon, GError **error)
+{
+    const struct settings *settings = &daemon->settings;
+    if (settings->configuration.file[0] != '\0') {
+        return load_configuration(daemon, error);
+    }
+    if (settings->platform.table_endpoint[0] == '\0') {
+        g_set_error(error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION,
+                    "neither configuration.file nor platform.table_endpoint is set");
+        return false;
+    }
+    return true;
+}
+
 static bool start_parts(struct daemon *daemon, GError **error)
 {
     daemon->token_keys = token_keys_load(daemon->settings.session.token_keys_file, error);
-    if (daemon->token_keys == NULL || !load_configuration(daemon, error) ||
+    if (daemon->token_keys == NULL || !begin_configuration(daemon, error) ||
         !start_peer_server(daemon, error)) {
         return false;
     }
@@ -335,6 +371,7 @@
     daemon->incarnation = (uint64_t)g_get_real_time();
     daemon->metrics = daemon_metrics_new();
     daemon->journal = journal_new();
+    daemon->configuration_share = configuration_share_new();
     daemon->workers = worker_pool_new(daemon->settings.daemon.worker_threads,
                                       daemon->settings.daemon.request_queue);
     struct evidence_options evidence = {
@@ -405,6 +442,7 @@
     evidence_free(daemon->evidence);
     token_keys_free(daemon->token_keys);
     journal_free(daemon->journal);
+    configuration_share_free(daemon->configuration_share);
     daemon_metrics_free(daemon->metrics);
     rcu_barrier();
     settings_clear(&daemon->settings);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -18,6 +18,7 @@
 #include "wire/peer_server.h"
 
 struct admin;
+struct configuration_share;
 struct control;
 struct daemon_metrics;
 struct journal;
@@ -33,8 +34,8 @@
  * the routing table. */
 struct daemon {
     struct settings settings;
-    uint32_t zone;        /* id of settings.daemon.zone in the configuration */
-    uint64_t incarnation; /* wall-clock microseconds at the start */
+    _Atomic uint32_t zone; /* id of settings.daemon.zone in the configuration */
+    uint64_t incarnation;  /* wall-clock microseconds at the start */
     struct token_keys *token_keys;
     struct routing_table *table; /* RCU */
     struct worker_pool *workers;
@@ -47,6 +48,8 @@
     struct daemon_metrics *metrics;
     struct admin *admin;
     struct journal *journal;
+    struct configuration_share *configuration_share; /* what other daemons get of it */
+    _Atomic time_ns serve_until; /* latest time up to which the configuration in force may serve */
     _Atomic bool ready;          /* the control thread runs: other daemons are served */
     _Atomic bool stopping;       /* takes no new work */
     _Atomic uint32_t tasks_open; /* begun and not answered */
@@ -77,6 +80,10 @@
  * thread only. */
 void daemon_end_group(struct daemon *daemon, uint32_t group);
 
+/* True while the configuration in force is known to be the newest, or was within the bound. Any
+ * thread. */
+bool daemon_may_serve(struct daemon *daemon);
+
 /* Counts a task in. False if the daemon is stopping and the request starts new work; the task is
  * counted all the same until daemon_task_ended. */
 bool daemon_task_begins(struct daemon *daemon, const struct request *request);
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -98,11 +98,18 @@
     return request->idempotency_key != NULL && request->idempotency_key[0] != '\0';
 }
 
+/* True if it goes on with what was begun, under a configuration that was in force then. */
+static bool continues(const struct task *task)
+{
+    return task->request->transaction_id != NULL && task->request->transaction_id[0] != '\0';
+}
+
 /* Finds route and group, or says why there is none. */
 static bool resolve(struct task *task, enum error_kind *error)
 {
     task->configuration = daemon_take_configuration(task->daemon);
-    if (task->configuration == NULL || !control_is_settled(task->daemon->control)) {
+    if (task->configuration == NULL || !control_is_settled(task->daemon->control) ||
+        !(continues(task) || daemon_may_serve(task->daemon))) {
         *error = ERROR_KIND_NOT_READY;
         return false;
     }
