Test what travels between daemons of a configuration

Differences (fixed and seeded random bundles), compression with its bound, and a share's answers: whole, difference, not there. Empty content is refused before it reaches json-glib, which asserts on it.

--- a/src/daemon/configuration_fetch.c
+++ b/src/daemon/configuration_fetch.c
@@ -48,6 +48,7 @@
 {
     gsize length = 0;
     const char *text = g_bytes_get_data(content, &length);
+    text = text != NULL ? text : "";
     struct configuration *configuration = NULL;
     g_autoptr(GPtrArray) problems = configuration_problems_new();
     if (!configuration_parse(text, length, "published", &configuration, problems)) {
--- a/src/daemon/configuration_patch.c
+++ b/src/daemon/configuration_patch.c
@@ -14,7 +14,7 @@
     const char *text = g_bytes_get_data(json, &length);
     g_autoptr(GPtrArray) problems = configuration_problems_new();
     struct bundle_reader reader = {.source = "patch", .problems = problems};
-    return bundle_reader_load(&reader, text, length);
+    return length > 0 ? bundle_reader_load(&reader, text, length) : NULL;
 }
 
 static bool is_object(JsonNode *node)
