Test published configurations over deployments; let transactions end

Deployments in one process with the stand-in platform: publishing while running, racing publishers, a store that goes down once one daemon has the version, restarts without the store, a daemon cut off from store and peers, a bundle that does not parse, a change of slots under an open transaction. Outages log warnings, so these are not fatal there.

The last one failed first: a commit ran on the group's successor, which then counted one write too few (the old one kept it for good), so that no planned change of primary could have drained. An open transaction now goes on with the run time that it began with. A commit for a group that is not owned here and whose transaction is not open is answered as unknown: it may have been committed earlier, so "not run" was wrong.

--- a/src/daemon/configuration_fetch.c
+++ b/src/daemon/configuration_fetch.c
@@ -6,6 +6,7 @@
 #include "backend/clock.h"
 #include "configuration/canonical.h"
 #include "configuration/problem.h"
+#include "configuration/version_store.h"
 #include "daemon/configuration_content.h"
 #include "daemon/configuration_patch.h"
 
--- a/src/daemon/configuration_fetch.h
+++ b/src/daemon/configuration_fetch.h
@@ -6,11 +6,12 @@
 
 #include <glib.h>
 
-#include "configuration/version_store.h"
 #include "daemon/configuration_share.h"
 #include "daemon/control.h"
 #include "wire/peer_pool.h"
 
+struct version_store;
+
 /* Octets of a reason, its end included. */
 #define FETCH_TEXT_SIZE 96
 
--- a/src/daemon/configuration_fetcher.c
+++ b/src/daemon/configuration_fetcher.c
@@ -4,7 +4,9 @@
 
 #include <pthread.h>
 
+#include "configuration/version_store.h"
 #include "core/error.h"
+#include "generated/errors.h"
 
 /* One thread, and what it is to do next. */
 struct fetch_worker {
--- a/src/daemon/control_configuration.h
+++ b/src/daemon/control_configuration.h
@@ -7,9 +7,10 @@
 #include <glib.h>
 
 #include "core/membership.h"
-#include "daemon/configuration_fetch.h"
 #include "daemon/control.h"
 
+struct fetch_result;
+
 /* Stragglers that are named. */
 #define CONFIGURATION_STRAGGLERS_MAX 16
 
--- a/src/daemon/forward.c
+++ b/src/daemon/forward.c
@@ -22,12 +22,13 @@
 static void run_here(struct task *task)
 {
     const struct request *request = task->request;
-    if (task->group == NULL) {
+    bool single = request->kind == REQUEST_KIND_STATEMENT || request->kind == REQUEST_KIND_BATCH;
+    if (task->group == NULL && (single || request->kind == REQUEST_KIND_BEGIN)) {
         /* Views of ownership differ for a moment, or nobody has claimed the group yet. */
         task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_PEER_UNREACHABLE, NULL, PEER_RETRY_AFTER_MS);
         return;
     }
-    if (request->kind != REQUEST_KIND_STATEMENT && request->kind != REQUEST_KIND_BATCH) {
+    if (!single) {
         task_run_transaction(task);
         return;
     }
--- a/src/daemon/task_transaction.c
+++ b/src/daemon/task_transaction.c
@@ -217,7 +217,7 @@
 
 void task_resolve_commit(struct task *task)
 {
-    if (task->ledger_key == NULL) {
+    if (task->ledger_key == NULL || task->group == NULL) {
         task_refuse(task, OUTCOME_UNKNOWN, ERROR_KIND_OUTCOME_UNKNOWN, NULL, BEGIN_RETRY_AFTER_MS);
         return;
     }
@@ -226,6 +226,17 @@
     task_run_write(task);
 }
 
+/* A transaction goes on with the run time that it began with, also where the group has a successor
+ * by now or is owned by others: its connection and its count among the writes are there. */
+static void adopt_group(struct task *task, struct transaction *transaction)
+{
+    struct group_runtime *group = group_runtime_ref(transaction->group);
+    if (task->group != NULL) {
+        group_runtime_unref(task->group);
+    }
+    task->group = group;
+}
+
 void task_run_transaction(struct task *task)
 {
     struct request *request = task->request;
@@ -249,6 +260,7 @@
         }
         return;
     }
+    adopt_group(task, transaction);
     if (request->kind == REQUEST_KIND_CONTINUE) {
         run_statements(task, transaction);
     } else if (request->kind == REQUEST_KIND_ROLLBACK) {
--- /dev/null
+++ b/tests/daemon/test_configuration.c
@@ -0,0 +1,239 @@
+/* Published configurations over whole deployments: what is accepted is in force on every daemon
+ * soon, through races and outages of the store, and none goes back to an older one. */
+#include "published_fixture.h"
+
+#include <string.h>
+
+#include "backend/clock.h"
+#include "core/error.h"
+#include "generated/errors.h"
+
+#define DAEMONS 3
+
+/* Long enough that no test meets it by chance. */
+#define BOUND_LONG_MS 600000
+
+/* Met on purpose. */
+#define BOUND_SHORT_MS 2000
+
+/* A deployment that serves version 1. */
+static struct published_cluster *start_serving(uint32_t bound_ms, unsigned daemons)
+{
+    struct published_cluster *test = published_start(bound_ms);
+    g_free(published_publish(test, test->bundle, 1));
+    published_start_daemons(test, daemons);
+    published_await(test, 1);
+    return test;
+}
+
+static void test_publish(void)
+{
+    struct published_cluster *test = published_start(BOUND_LONG_MS);
+    published_start_daemons(test, DAEMONS);
+    published_check_read(test, 0, "refuge", "not_ready");
+    g_free(published_publish(test, test->bundle, 1));
+    published_await(test, 1);
+    published_check_read(test, 2, "guide", "unknown_tenant");
+    g_autofree char *bundle = published_with_tenant(test, "guide");
+    g_autofree char *hash = published_publish(test, bundle, 2);
+    AWAIT(published_all_serve(test, 2));
+    for (unsigned i = 0; i < DAEMONS; i++) {
+        published_check_read(test, i, "guide", NULL);
+    }
+    published_check_all_have(test, hash);
+    published_stop(test);
+}
+
+/* One of two operators who publish on the same base. */
+struct racer {
+    struct publisher *publisher;
+    const char *bundle;
+    bool won;
+    GError *error;
+};
+
+static gpointer race(gpointer data)
+{
+    struct racer *racer = data;
+    racer->won = publisher_publish(racer->publisher, racer->bundle, 1, &racer->error);
+    return NULL;
+}
+
+static void test_racing_publishers(void)
+{
+    struct published_cluster *test = start_serving(BOUND_LONG_MS, DAEMONS);
+    g_autofree char *left = published_with_tenant(test, "left");
+    g_autofree char *right = published_with_tenant(test, "right");
+    struct racer racers[] = {
+        {.publisher = test->publisher, .bundle = left},
+        {.publisher = test->publisher, .bundle = right},
+    };
+    GThread *threads[G_N_ELEMENTS(racers)];
+    for (size_t i = 0; i < G_N_ELEMENTS(racers); i++) {
+        threads[i] = g_thread_new("racer", race, &racers[i]);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(racers); i++) {
+        g_thread_join(threads[i]);
+    }
+    g_assert_true(racers[0].won != racers[1].won);
+    const struct racer *winner = racers[0].won ? &racers[0] : &racers[1];
+    struct racer *loser = racers[0].won ? &racers[1] : &racers[0];
+    g_assert_error(loser->error, SW_ERROR, ERROR_KIND_PUBLISH_CONFLICT);
+    g_clear_error(&loser->error);
+    AWAIT(published_all_serve(test, 2));
+    g_autofree char *winning = publisher_hash(winner->bundle);
+    published_check_all_have(test, winning);
+    /* The loser tries again, on top of the winner. */
+    g_autofree char *hash = published_publish(test, loser->bundle, 3);
+    AWAIT(published_all_serve(test, 3));
+    published_check_all_have(test, hash);
+    published_stop(test);
+}
+
+/* The store answers one daemon only, and goes down as soon as that one has the new version. */
+static void test_store_down_after_acceptance(void)
+{
+    struct published_cluster *test = published_start(BOUND_SHORT_MS);
+    g_free(published_publish(test, test->bundle, 1));
+    published_start_daemons(test, 1);
+    test->daemons_lack_store = true;
+    published_start_daemons(test, DAEMONS);
+    published_await(test, 1);
+    g_autofree char *bundle = published_with_tenant(test, "guide");
+    g_autofree char *hash = published_publish(test, bundle, 2);
+    AWAIT(published_status(test, 0).version == 2);
+    publisher_set_down(test->publisher, true);
+    time_ns down_since = backend_now();
+    AWAIT(published_all_serve(test, 2));
+    published_check_all_have(test, hash);
+    for (unsigned i = 1; i < DAEMONS; i++) {
+        g_assert_cmpuint(published_count_events(test, i, "configuration_applied", "store"), ==, 0);
+    }
+    /* Long after the bound all serve on, as most daemons confirm each other. */
+    time_ns past = down_since + 2 * BOUND_SHORT_MS * NANOSECONDS_PER_MILLISECOND;
+    for (unsigned i = 0; i < DAEMONS; i++) {
+        AWAIT(published_status(test, i).confirmed_at > past);
+        published_check_read(test, i, "guide", NULL);
+        g_assert_cmpuint(published_count_events(test, i, "configuration_stopped", ""), ==, 0);
+    }
+    published_stop(test);
+}
+
+/* A daemon that keeps nothing starts again while the store is down. */
+static void test_restart_without_store(void)
+{
+    struct published_cluster *test = start_serving(BOUND_LONG_MS, DAEMONS);
+    g_autofree char *bundle = published_with_tenant(test, "guide");
+    g_autofree char *hash = published_publish(test, bundle, 2);
+    AWAIT(published_all_serve(test, 2));
+    publisher_set_down(test->publisher, true);
+    for (unsigned i = 0; i < DAEMONS; i++) {
+        cluster_stop_daemon(test->cluster, i);
+        published_start_daemons(test, DAEMONS);
+        published_await(test, 2);
+        published_check_read(test, i, "guide", NULL);
+        g_assert_cmpuint(published_count_events(test, i, "configuration_applied", "store"), ==, 0);
+    }
+    published_check_all_have(test, hash);
+    published_stop(test);
+}
+
+/* With neither store nor peers, a daemon stops serving, says why, and comes back with the store. */
+static void test_cut_off(void)
+{
+    struct published_cluster *test = start_serving(BOUND_SHORT_MS, DAEMONS);
+    publisher_set_down(test->publisher, true);
+    cluster_stop_daemon(test->cluster, 1);
+    cluster_stop_daemon(test->cluster, 2);
+    /* Planned stops leave a lone daemon, which nobody confirms. */
+    AWAIT(!published_status(test, 0).serving);
+    struct configuration_status status = published_status(test, 0);
+    g_assert_nonnull(strstr(status.reason, "confirm"));
+    g_assert_cmpuint(published_count_events(test, 0, "configuration_stopped", "confirm"), ==, 1);
+    published_check_read(test, 0, "refuge", "not_ready");
+    publisher_set_down(test->publisher, false);
+    published_await(test, 1);
+    published_check_read(test, 0, "refuge", NULL);
+    published_stop(test);
+}
+
+/* What no daemon can parse is in force nowhere, whatever follows from that, until it is mended. */
+static void test_unfit_bundle(void)
+{
+    struct published_cluster *test = start_serving(BOUND_SHORT_MS, DAEMONS);
+    g_autofree char *first = published_hash(test, 0);
+    publisher_force(test->publisher, "{\"zones\":7}", 2);
+    for (unsigned i = 0; i < DAEMONS; i++) {
+        AWAIT(published_status(test, i).newest == 2);
+        AWAIT(!published_status(test, i).serving);
+        g_assert_nonnull(strstr(published_status(test, i).reason, "version 2 is accepted"));
+        published_check_read(test, i, "refuge", "not_ready");
+    }
+    published_check_all_have(test, first);
+    unsigned refused = 0;
+    for (unsigned i = 0; i < DAEMONS; i++) {
+        refused += published_count_events(test, i, "configuration_refused", "version=2");
+    }
+    g_assert_cmpuint(refused, >, 0);
+    g_autofree char *bundle = published_with_tenant(test, "guide");
+    g_autofree char *hash = published_publish(test, bundle, 3);
+    published_await(test, 3);
+    published_check_all_have(test, hash);
+    published_stop(test);
+}
+
+/* Slots change under an open transaction: it commits, and later requests meet the new slots. */
+static void test_group_change(void)
+{
+    struct published_cluster *test = start_serving(BOUND_LONG_MS, DAEMONS);
+    struct http_answer answer;
+    cluster_call(test->cluster, 0, &answer,
+                 (struct http_call){.path = "transactions", .body = "{\"begin\": true}"});
+    http_assert_done(&answer);
+    g_autofree char *transaction = g_strdup(answer.transaction);
+    http_answer_clear(&answer);
+    cluster_call(test->cluster, 0, &answer,
+                 (struct http_call){.transaction = transaction,
+                                    .sql = "INSERT INTO stays VALUES ('open', 'amina')"});
+    http_assert_done(&answer);
+    http_answer_clear(&answer);
+
+    struct group_runtime *before = daemon_take_group(test->cluster->daemons[0], CLUSTER_GROUP);
+    g_autofree char *bundle = published_edit(test, "\"slots\": 5", "\"slots\": 4");
+    g_free(published_publish(test, bundle, 2));
+    AWAIT(published_all_serve(test, 2));
+    for (unsigned i = 0; i < DAEMONS; i++) {
+        published_check_read(test, i, "refuge", NULL);
+    }
+    struct group_runtime *after = daemon_take_group(test->cluster->daemons[0], CLUSTER_GROUP);
+    g_assert_true(before != after);
+    g_assert_cmpuint(after->databases[0].configuration.slots, ==, 4);
+    g_assert_true(before->databases[0].pool == after->databases[0].pool);
+
+    cluster_call(test->cluster, 0, &answer,
+                 (struct http_call){.transaction = transaction, .path = "commit"});
+    http_assert_done(&answer);
+    http_answer_clear(&answer);
+    g_assert_cmpuint(before->writes_running, ==, 0);
+    g_assert_cmpuint(after->writes_running, ==, 0);
+    group_runtime_unref(before);
+    group_runtime_unref(after);
+    AWAIT(cluster_count(test->cluster, 0, "stays WHERE id = 'open'") == 1);
+    published_stop(test);
+}
+
+int main(int argc, char **argv)
+{
+    cluster_test_init(&argc, &argv);
+    /* The outages made here are worth a warning in the log. */
+    g_log_set_always_fatal(G_LOG_FATAL_MASK | G_LOG_LEVEL_CRITICAL);
+    g_test_add_func("/daemon/configuration/publish", test_publish);
+    g_test_add_func("/daemon/configuration/racing_publishers", test_racing_publishers);
+    g_test_add_func("/daemon/configuration/store_down_after_acceptance",
+                    test_store_down_after_acceptance);
+    g_test_add_func("/daemon/configuration/restart_without_store", test_restart_without_store);
+    g_test_add_func("/daemon/configuration/cut_off", test_cut_off);
+    g_test_add_func("/daemon/configuration/unfit_bundle", test_unfit_bundle);
+    g_test_add_func("/daemon/configuration/group_change", test_group_change);
+    return g_test_run();
+}
