--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -11,6 +11,7 @@
 #include "core/error.h"
 #include "core/route.h"
 #include "daemon/admin_api.h"
+#include "daemon/configuration_share.h"
 #include "daemon/control.h"
 #include "daemon/daemon_metrics.h"
 #include "daemon/journal.h"
@@ -80,28 +81,9 @@
     group_runtime_unref(data);
 }
 
-/* True if a group's run time can go on under a new configuration. */
-static bool same_databases(const struct group_configuration *left,
-                           const struct group_configuration *right)
-{
-    if (left->database_count != right->database_count) {
-        return false;
-    }
-    for (uint32_t i = 0; i < left->database_count; i++) {
-        const struct database_configuration *a = &left->databases[i];
-        const struct database_configuration *b = &right->databases[i];
-        bool same = strcmp(a->name, b->name) == 0 && strcmp(a->host, b->host) == 0 &&
-                    a->port == b->port && a->zone == b->zone && a->slots == b->slots &&
-                    a->connections == b->connections;
-        if (!same) {
-            return false;
-        }
-    }
-    return true;
-}
-
-static struct group_runtime *start_group(struct daemon *daemon, struct configuration *configuration,
-                                         const struct group_configuration *group)
+static struct group_runtime *start_group(struct daemon *daemon,
+                                         const struct group_configuration *group,
+                                         struct group_runtime *predecessor)
 {
     struct group_runtime_options options = {
         .daemon_name = daemon->settings.daemon.name,
@@ -111,10 +93,11 @@
         .queue_limit = daemon->settings.routing.queue_limit,
         .open_rate_per_second = daemon->settings.backend.open_rate_per_second,
     };
-    return group_runtime_new(configuration, group, &options);
+    return group_runtime_new(group, &options, predecessor);
 }
 
-/* A copy of the table in force, with its references; without groups that changed. */
+/* The table in force under another or the same configuration, with its references. Groups that
+ * changed get a successor; those that are gone are left out. */
 static struct routing_table *copy_table(struct daemon *daemon, struct configuration *configuration)
 {
     struct routing_table *next = g_new0(struct routing_table, 1);
@@ -131,8 +114,11 @@
         struct group_runtime *runtime = value;
         const struct group_configuration *group =
             configuration_find_group(configuration, runtime->group->id);
-        if (group != NULL && same_databases(runtime->group, group)) {
-            g_hash_table_insert(next->groups, key, group_runtime_ref(runtime));
+        if (group != NULL) {
+            bool fits = group_runtime_fits(runtime, group);
+            g_hash_table_insert(next->groups, key,
+                                fits ? group_runtime_ref(runtime)
+                                     : start_group(daemon, group, runtime));
         }
     }
     return next;
@@ -159,7 +145,7 @@
         return NULL;
     }
     struct routing_table *next = copy_table(daemon, configuration);
-    struct group_runtime *runtime = start_group(daemon, next->configuration, group);
+    struct group_runtime *runtime = start_group(daemon, group, NULL);
     g_hash_table_insert(next->groups, GUINT_TO_POINTER(id), runtime);
     group_runtime_ref(runtime);
     replace_table(daemon, next);
@@ -173,6 +159,11 @@
     replace_table(daemon, next);
 }
 
+bool daemon_may_serve(struct daemon *daemon)
+{
+    return backend_now() <= atomic_load(&daemon->serve_until);
+}
+
 bool daemon_task_begins(struct daemon *daemon, const struct request *request)
 {
     atomic_fetch_add(&daemon->tasks_open, 1);
@@ -246,6 +237,12 @@
 static void serve_peer(const struct message *request, struct message *reply, void *user)
 {
     struct daemon *daemon = user;
+    if (request->kind == MESSAGE_KIND_CONFIGURATION_REQUEST) {
+        message_init(reply, MESSAGE_KIND_CONFIGURATION_REPLY);
+        configuration_share_answer(daemon->configuration_share, &request->configuration_request,
+                                   &reply->configuration_reply);
+        return;
+    }
     if (request->kind != MESSAGE_KIND_REQUEST || !atomic_load(&daemon->ready)) {
         return;
     }
@@ -301,6 +298,7 @@
     return daemon->frontend != NULL;
 }
 
+/* Reads the static configuration. */
 static bool load_configuration(struct daemon *daemon, GError **error)
 {
     const char *path = daemon->settings.configuration.file;
@@ -325,7 +323,15 @@
         configuration_unref(configuration);
         return false;
     }
-    daemon->zone = zone->id;
+    if (zone->id >= MEMBERSHIP_ZONES_MAX) {
+        g_set_error(error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION,
+                    "%s: zone \"%s\" has an id above %u, which gossip can't carry", path,
+                    zone->name, MEMBERSHIP_ZONES_MAX - 1);
+        configuration_unref(configuration);
+        return false;
+    }
+    atomic_store(&daemon->zone, zone->id);
+    atomic_store(&daemon->serve_until, UINT64_MAX);
     daemon_set_configuration(daemon, configuration);
     configuration_unref(configuration);
     return true;
@@ -340,10 +346,25 @@
     }
 }
 
+/* A static configuration is read now; a published one is looked for by the control thread. */
+static bool begin_configuration(struct daemon *daemon, GError **error)
+{
+    const struct settings *settings = &daemon->settings;
+    if (settings->configuration.file[0] != '\0') {
+        return load_configuration(daemon, error);
+    }
+    if (settings->platform.table_endpoint[0] == '\0') {
+        g_set_error(error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION,
+                    "neither configuration.file nor platform.table_endpoint is set");
+        return false;
+    }
+    return true;
+}
+
 static bool start_parts(struct daemon *daemon, GError **error)
 {
     daemon->token_keys = token_keys_load(daemon->settings.session.token_keys_file, error);
-    if (daemon->token_keys == NULL || !load_configuration(daemon, error) ||
+    if (daemon->token_keys == NULL || !begin_configuration(daemon, error) ||
         !start_peer_server(daemon, error)) {
         return false;
     }
@@ -367,6 +388,7 @@
     daemon->incarnation = (uint64_t)g_get_real_time();
     daemon->metrics = daemon_metrics_new();
     daemon->journal = journal_new();
+    daemon->configuration_share = configuration_share_new();
     daemon->workers = worker_pool_new(daemon->settings.daemon.worker_threads,
                                       daemon->settings.daemon.request_queue);
     struct evidence_options evidence = {
@@ -437,6 +459,7 @@
     evidence_free(daemon->evidence);
     token_keys_free(daemon->token_keys);
     journal_free(daemon->journal);
+    configuration_share_free(daemon->configuration_share);
     daemon_metrics_free(daemon->metrics);
     rcu_barrier();
     settings_clear(&daemon->settings);
--- a/src/daemon/task_transaction.c
+++ b/src/daemon/task_transaction.c
@@ -228,8 +228,9 @@
     task_run_write(task);
 }
 
-/* A transaction stays with the run time of its group that it began with. */
-static void use_group_of(struct task *task, const struct transaction *transaction)
+/* A transaction goes on with the run time that it began with, also where the group has a successor
+ * by now or is owned by others: its connection and its count among the writes are there. */
+static void adopt_group(struct task *task, struct transaction *transaction)
 {
     struct group_runtime *group = group_runtime_ref(transaction->group);
     if (task->group != NULL) {
@@ -261,7 +262,7 @@
         }
         return;
     }
-    use_group_of(task, transaction);
+    adopt_group(task, transaction);
     if (request->kind == REQUEST_KIND_CONTINUE) {
         run_statements(task, transaction);
     } else if (request->kind == REQUEST_KIND_ROLLBACK) {
