--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -9,13 +9,14 @@
 #include "daemon/control_internal.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_metrics.h"
+#include "daemon/task.h"
 #include "wire/datagram.h"
 
 /* A fence, promotion or follow without an answer for so long is lost. */
 #define COMMAND_TIMEOUT_MS 300
 
-/* Probes of a primary that reads ask for are at least so far apart. */
-#define PRIMARY_PROBE_INTERVAL_MS 10
+/* Probes of a database that reads ask for are at least so far apart. */
+#define PROBE_NOW_INTERVAL_MS 2
 
 /* Opening a control connection may take so long. */
 #define OPEN_TIMEOUT_MS 500
@@ -172,7 +173,7 @@
         .change = opinion->change,
         .drained = opinion->drained,
     };
-    control_members_owners(group->control, group->id, owners, &count);
+    control_ownership_entries(group->control, group->id, owners, &count);
     for (uint32_t i = 0; i < count; i++) {
         if (!owners[i].self) {
             wire_datagram_send(group->control->socket, &owners[i].address, &message, NULL);
@@ -265,6 +266,7 @@
     g_hash_table_iter_init(&iterator, control->groups);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct controlled_group *group = value;
+        task_expire_queued(control->daemon, group->runtime, now);
         if (now >= group->wake_at) {
             struct group_event tick = {.kind = GROUP_EVENT_TICK, .now = now};
             step(group, &tick);
@@ -294,7 +296,7 @@
         struct controlled_group *group = value;
         struct member_entry owners[OWNERS_MAX];
         struct group_event event = {.kind = GROUP_EVENT_WATCHERS, .now = now};
-        control_members_owners(control, group->id, owners, &event.watcher_count);
+        control_ownership_entries(control, group->id, owners, &event.watcher_count);
         for (uint32_t i = 0; i < event.watcher_count; i++) {
             event.watchers[i].id = owners[i].watcher;
             event.watchers[i].zone = owners[i].zone;
@@ -303,18 +305,14 @@
     }
 }
 
-void control_probe_primary(struct control *control, struct group_runtime *group)
+void control_probe_now(struct control *control, struct group_runtime *group, uint32_t database)
 {
     time_ns now = backend_now();
-    time_ns last = atomic_load(&group->primary_probed_at);
-    bool due = now >= last + PRIMARY_PROBE_INTERVAL_MS * NANOSECONDS_PER_MILLISECOND;
-    if (!due || !atomic_compare_exchange_strong(&group->primary_probed_at, &last, now)) {
-        return;
-    }
-    struct group_view view;
-    group_runtime_read_view(group, &view);
-    if (view.primary >= 0) {
-        prober_probe_now(control->prober, group->group->id, (uint32_t)view.primary);
+    _Atomic time_ns *probed_at = &group->databases[database].probed_at;
+    time_ns last = atomic_load(probed_at);
+    bool due = now >= last + PROBE_NOW_INTERVAL_MS * NANOSECONDS_PER_MILLISECOND;
+    if (due && atomic_compare_exchange_strong(probed_at, &last, now)) {
+        prober_probe_now(control->prober, group->group->id, database);
     }
 }
 
@@ -393,13 +391,29 @@
     };
     control->groups = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_group);
     control->prober = prober_new(&options);
-    struct configuration *configuration = daemon_take_configuration(control->daemon);
-    for (guint i = 0; i < configuration->groups->len; i++) {
-        const struct group_configuration *group = g_ptr_array_index(configuration->groups, i);
-        start_group(control, daemon_take_group(control->daemon, group->id));
+}
+
+bool control_groups_runs(struct control *control, uint32_t group)
+{
+    return find_group(control, group) != NULL;
+}
+
+void control_groups_begin(struct control *control, uint32_t group)
+{
+    struct group_runtime *runtime = daemon_begin_group(control->daemon, group);
+    if (runtime != NULL) {
+        start_group(control, runtime);
+    }
+}
+
+void control_groups_end(struct control *control, uint32_t id)
+{
+    struct controlled_group *group = find_group(control, id);
+    for (uint32_t i = 0; i < group->runtime->database_count; i++) {
+        prober_remove(control->prober, id, i);
     }
-    configuration_unref(configuration);
-    control_groups_set_watchers(control, backend_now());
+    daemon_end_group(control->daemon, id);
+    g_hash_table_remove(control->groups, GUINT_TO_POINTER(id));
 }
 
 void control_groups_stop(struct control *control)
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "backend/clock.h"
+#include "daemon/control.h"
 #include "daemon/daemon.h"
 #include "daemon/forward.h"
 #include "daemon/transaction.h"
@@ -113,7 +114,7 @@
 static bool resolve(struct task *task, enum error_kind *error)
 {
     task->configuration = daemon_take_configuration(task->daemon);
-    if (task->configuration == NULL) {
+    if (task->configuration == NULL || !control_is_settled(task->daemon->control)) {
         *error = ERROR_KIND_NOT_READY;
         return false;
     }
@@ -123,11 +124,8 @@
         *error = ERROR_KIND_UNKNOWN_TENANT;
         return false;
     }
+    /* NULL where this daemon does not own the group: the task is forwarded. */
     task->group = daemon_take_group(task->daemon, task->route->group);
-    if (task->group == NULL) {
-        *error = ERROR_KIND_NOT_READY;
-        return false;
-    }
     return true;
 }
 
@@ -240,6 +238,22 @@
     }
 }
 
+void task_expire_queued(struct daemon *daemon, struct group_runtime *group, time_ns now)
+{
+    for (uint32_t i = 0; i < group->database_count; i++) {
+        struct database_runtime *database = &group->databases[i];
+        pthread_mutex_lock(&database->admission_lock);
+        struct admission_ticket *ticket = admission_take_expired(&database->admission, now);
+        while (ticket != NULL) {
+            struct task *task = caa_container_of(ticket, struct task, ticket);
+            task->ticket_expired = true;
+            worker_pool_resume(daemon->workers, &task->job);
+            ticket = admission_take_expired(&database->admission, now);
+        }
+        pthread_mutex_unlock(&database->admission_lock);
+    }
+}
+
 void task_give_slot(struct task *task)
 {
     if (task->slot_database < 0) {
--- a/tests/frontend/harness.h
+++ b/tests/frontend/harness.h
@@ -3,6 +3,7 @@
 #define SW_TESTS_FRONTEND_HARNESS_H
 
 #include "frontend/frontend.h"
+#include "http_client.h"
 
 #include <glib.h>
 
@@ -13,6 +14,7 @@
 struct harness {
     struct token_keys *keys;
     struct frontend *frontend;
+    uint16_t port;
     GAsyncQueue *submitted; /* of struct submitted */
     GMutex gate;            /* a test that holds it stops the frontend's threads in find_tenant */
 };
@@ -26,7 +28,8 @@
 /* Starts with default limits where `adjust` is NULL. */
 void harness_start(struct harness *harness, void (*adjust)(struct frontend_options *options));
 
-/* Stops the frontend, frees all, and returns the number of requests cut. */
+/* Stops the frontend unless the test did and set it to NULL, frees all, and returns the number of
+ * requests cut. */
 unsigned harness_stop(struct harness *harness);
 
 /* Waits for the next request. */
@@ -39,13 +42,6 @@
 void harness_answer_text(struct submitted *submitted, const char *text, uint64_t term,
                          uint64_t offset);
 
-/* An HTTP exchange. */
-struct exchange {
-    long status; /* 0 where no answer came */
-    GString *body;
-    GString *head; /* all header lines */
-};
-
 /* Posts `body` to a path with headers (a NULL-terminated list, or NULL), and waits for the answer
  * or the connection's end. */
 void harness_post(struct harness *harness, const char *path, const char *body, size_t length,
@@ -67,9 +63,4 @@
 /* Waits until the frontend has no request under way. */
 void harness_wait_idle(struct harness *harness);
 
-/* The value of a header, or NULL; the caller frees it. */
-char *exchange_header(const struct exchange *exchange, const char *name);
-
-void exchange_clear(struct exchange *exchange);
-
 #endif
