--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -26,7 +26,7 @@
     uint32_t body_octets_max;
     uint32_t statements_max; /* of one transaction sent as a whole */
     uint32_t parameters_max; /* of one statement */
-    uint32_t timeout_ms_max; /* longest a caller may ask for */
+    uint32_t timeout_ms_max; /* a longer one is cut to this */
     uint32_t timeout_ms;     /* where the caller does not say */
 };
 
@@ -77,7 +77,7 @@
 void frontend_answer(struct frontend_call *call, const struct reply *reply);
 
 /* Planned stop: takes no new connection; connections that stand are served on and closed after
- * their next answer. */
+ * their next answer. May be called again, by the same thread. */
 void frontend_stop_accepting(struct frontend *frontend);
 
 /* Requests that have begun to arrive and whose answers are not yet written. */
