Let a drain be taken back at any daemon

Cause: a daemon that was asked to drain a database held to that for ever, also after the database had been marked; an undrain asked for at another daemon was undone by the first within 200 ms, and both went on so. Ruled out: the mark itself (the database took both) and the probes (they showed both in turn). A wish now ends once the database reports it, after the daemon's last command is over; from then on the database's own mark is what counts. Seen failing: /group_control/drain_taken_back_elsewhere; drain/replica of the whole deployment waited 30 s in vain. drain_taken_back_at_once guards the order in which the mark comes after it was taken back.

--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -246,6 +246,7 @@
         return;
     }
     control->members[database].wish = wish;
+    control->members[database].wished_at = control->now;
     control->members[database].heal_after = 0;
     control->change.not_before = 0;
     control->change.blocked_recorded = false;
--- a/src/core/group_control_heal.c
+++ b/src/core/group_control_heal.c
@@ -51,11 +51,25 @@
                    GROUP_REASON_DRAIN, control->known_term, (int32_t)database, member->status.held);
 }
 
+/* A wish ends once the database says so itself, after this watcher's last command: from then on its
+ * mark counts, and any watcher may be asked to change it. */
+static bool wish_is_fulfilled(const struct member *member)
+{
+    bool leaves = member->wish == MEMBER_WISH_DRAIN;
+
+    return member->wish != MEMBER_WISH_NONE && member->heal_command == 0 &&
+           member->observed_at > member->wished_at && member->status.leaving == leaves;
+}
+
 /* The primary is marked only once another leads. */
 static void heal_leaving(struct group_control *control, uint32_t database)
 {
     struct member *member = &control->members[database];
 
+    if (wish_is_fulfilled(member)) {
+        member->wish = MEMBER_WISH_NONE;
+    }
+
     if (!observe_is_reachable(control, database) || control->options.ignore_leaving ||
         control->now < member->heal_after) {
         return;
--- a/tests/core/group_control_test.c
+++ b/tests/core/group_control_test.c
@@ -505,6 +505,41 @@
     stop(&rig);
 }
 
+/* Once the database says that it leaves, it is for any watcher to take that back. */
+static void test_drain_taken_back_elsewhere(void)
+{
+    struct rig rig;
+    start(&rig);
+    drain(&rig, 1);
+    const struct group_action *action = find_for(&rig, GROUP_ACTION_SET_LEAVING, 1);
+    rig.databases[1].leaving = true;
+    complete(&rig, action->command, GROUP_COMMAND_OK, rig.databases[1]);
+    rig.now += 10 * MS;
+    probe(&rig, 1);
+    rig.databases[1].leaving = false; /* by another watcher */
+    g_assert_false(run(&rig, 2000 * MS, GROUP_ACTION_SET_LEAVING));
+    g_assert_false(group_control_view(rig.control)->databases[1].status.leaving);
+    stop(&rig);
+}
+
+/* Taken back before the mark is seen: the mark may still come. */
+static void test_drain_taken_back_at_once(void)
+{
+    struct rig rig;
+    start(&rig);
+    drain(&rig, 1);
+    uint64_t command = find_for(&rig, GROUP_ACTION_SET_LEAVING, 1)->command;
+    feed(&rig, (struct group_event){.kind = GROUP_EVENT_UNDRAIN, .database = 1});
+    rig.now += 10 * MS;
+    probe(&rig, 1);
+    rig.databases[1].leaving = true;
+    complete(&rig, command, GROUP_COMMAND_OK, rig.databases[1]);
+    g_assert_true(find_for(&rig, GROUP_ACTION_SET_LEAVING, 1) != NULL ||
+                  run(&rig, 2000 * MS, GROUP_ACTION_SET_LEAVING));
+    g_assert_false(find_for(&rig, GROUP_ACTION_SET_LEAVING, 1)->leaving);
+    stop(&rig);
+}
+
 /* Starts the drain of the primary up to the pause; returns the change's id. */
 static uint64_t reach_pause(struct rig *rig)
 {
@@ -659,6 +694,8 @@
     g_test_add_func("/group_control/members_are_told_to_follow", test_members_are_told_to_follow);
     g_test_add_func("/group_control/stray_promise_is_repaired", test_stray_promise_is_repaired);
     g_test_add_func("/group_control/drain_replica", test_drain_replica);
+    g_test_add_func("/group_control/drain_taken_back_elsewhere", test_drain_taken_back_elsewhere);
+    g_test_add_func("/group_control/drain_taken_back_at_once", test_drain_taken_back_at_once);
     g_test_add_func("/group_control/drain_primary", test_drain_primary);
     g_test_add_func("/group_control/drain_primary_times_out", test_drain_primary_times_out);
     g_test_add_func("/group_control/pause_asked_by_a_peer", test_pause_asked_by_a_peer);
