--- a/src/daemon/forward.c
+++ b/src/daemon/forward.c
@@ -7,6 +7,7 @@
 #include "backend/clock.h"
 #include "daemon/control.h"
 #include "daemon/daemon.h"
+#include "daemon/task_begin.h"
 #include "daemon/task_transaction.h"
 #include "daemon/transaction.h"
 
@@ -34,7 +35,7 @@
         return;
     }
     if (request->kind == REQUEST_KIND_BEGIN) {
-        task_run_transaction(task);
+        task_run_begin(task);
         return;
     }
     if (request->read_only) {
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -10,6 +10,7 @@
 #include "daemon/control.h"
 #include "daemon/daemon.h"
 #include "daemon/forward.h"
+#include "daemon/task_begin.h"
 #include "daemon/transaction.h"
 #include "daemon/daemon_metrics.h"
 
@@ -100,6 +101,9 @@
     case TASK_STATE_WRITING:
         task_run_write(task);
         break;
+    case TASK_STATE_BEGINNING:
+        task_run_begin(task);
+        break;
     case TASK_STATE_ANSWERED:
         g_assert_not_reached();
     }
--- a/src/daemon/task.h
+++ b/src/daemon/task.h
@@ -18,9 +18,10 @@
 typedef void (*task_answer_function)(void *origin, const struct reply *reply);
 
 enum task_state {
-    TASK_STATE_STARTING, /* no step taken yet */
-    TASK_STATE_READING,  /* read_step is to be performed */
-    TASK_STATE_WRITING,  /* write_step is to be performed */
+    TASK_STATE_STARTING,  /* no step taken yet */
+    TASK_STATE_READING,   /* read_step is to be performed */
+    TASK_STATE_WRITING,   /* write_step is to be performed */
+    TASK_STATE_BEGINNING, /* a database or a connection is waited for */
     TASK_STATE_ANSWERED,
 };
 
@@ -44,6 +45,10 @@
     struct write_flow write_flow;
     struct write_step write_step;
 
+    uint32_t begin_attempts;   /* of BEGINNING, as the next two */
+    uint32_t begin_excluded;   /* bit per database that was tried in vain */
+    time_ns unavailable_since; /* no database can serve since then; 0 if one can */
+
     struct admission_ticket ticket;
     int32_t slot_database; /* whose slot the task holds, or -1 */
     bool ticket_expired;   /* the queue handed the ticket back without a slot */
@@ -77,7 +82,7 @@
 /* Runs the write flow until the task is answered, parked or queued. */
 void task_run_write(struct task *task);
 
-/* Runs a request of an interactive transaction. */
+/* Runs a request of an open interactive transaction. */
 void task_run_transaction(struct task *task);
 
 /* Takes a slot of a database. True: held. False: the task was queued (it will run again), or
--- a/src/daemon/task_transaction.c
+++ b/src/daemon/task_transaction.c
@@ -7,14 +7,9 @@
 
 #include "backend/clock.h"
 #include "daemon/daemon.h"
-#include "daemon/task_ledger.h"
 #include "daemon/transaction.h"
 
-/* When a caller should come back after the transaction could not begin. */
-#define BEGIN_RETRY_AFTER_MS 200
-
-/* Tells a result other than DONE of a step inside a transaction, and finishes. */
-static void answer_result(struct task *task, enum execute_result result)
+void task_answer_transaction_result(struct task *task, enum execute_result result)
 {
     switch (result) {
     case EXECUTE_CONFLICT:
@@ -44,125 +39,11 @@
     }
 }
 
-/* Chooses the database of a new transaction; -1 with the reason. */
-static struct route_decision route_begin(struct task *task, const struct group_view *view)
-{
-    if (!task->request->read_only) {
-        return route_write(view);
-    }
-    struct route_read_request route = {
-        .session = task_session_position(task),
-        .max_staleness_ms = task->route->max_staleness_ms,
-        .zone = task->daemon->zone,
-        .now = backend_now(),
-        .guard_wait_max_ms =
-            MIN(task->route->read_wait_ms, task->daemon->settings.routing.guard_wait_max_ms),
-        .replicas_allowed = task->route->reads_from_replicas,
-        .primary_allowed = true,
-        .random = g_random_int(),
-    };
-    return route_read(view, &route);
-}
-
-/* A transaction's key stands for its id, which the commit names wherever it is resolved. */
-static uint64_t fingerprint_of(const char *transaction_id)
+uint64_t task_fingerprint_of_transaction(const char *transaction_id)
 {
     return XXH3_64bits(transaction_id, strlen(transaction_id));
 }
 
-static struct transaction *new_transaction(struct task *task, const struct route_decision *decision,
-                                           struct backend_connection *connection)
-{
-    struct transaction *transaction = g_new0(struct transaction, 1);
-    transaction->tenant = g_strdup(task->request->tenant);
-    transaction->ledger_key = g_strdup(task->ledger_key);
-    transaction->group = group_runtime_ref(task->group);
-    transaction->database = decision->database;
-    transaction->connection = connection;
-    transaction->options.read_only = task->request->read_only;
-    transaction->options.key.key = transaction->ledger_key;
-    transaction->id = transaction_table_make_id(task->daemon->transactions);
-    transaction->options.key.fingerprint = fingerprint_of(transaction->id);
-    transaction->options.key.request_id = transaction->id;
-    transaction->options.guard = decision->guard;
-    transaction->options.guard_wait_ms = decision->guard_wait_ms;
-    transaction->idle = task->route->transaction_idle_ms * NANOSECONDS_PER_MILLISECOND;
-    transaction->total_until =
-        task->started_at + task->route->transaction_total_ms * NANOSECONDS_PER_MILLISECOND;
-    /* From now on the transaction keeps the group's writes counted, not the task. */
-    transaction->counts_as_write = task->counts_as_write;
-    task->counts_as_write = false;
-    return transaction;
-}
-
-static void refuse_begin(struct task *task, const struct route_decision *decision)
-{
-    enum error_kind error =
-        task->request->read_only ? ERROR_KIND_NO_FRESH_REPLICA : ERROR_KIND_NO_PRIMARY;
-    task->reply.reason = (uint32_t)decision->reason;
-    task_refuse(task, OUTCOME_REFUSED, error, NULL, BEGIN_RETRY_AFTER_MS);
-}
-
-static void answer_begun(struct task *task, struct transaction *transaction,
-                         const struct route_decision *decision)
-{
-    transaction->seen = task->run.position;
-    task->reply.reason = (uint32_t)decision->reason;
-    task->reply.transaction_id = g_strdup(transaction->id);
-    task->reply.outcome = OUTCOME_DONE;
-    task_note_served(task, transaction->database,
-                     transaction->options.read_only ? "replica" : "primary");
-    if (transaction->options.read_only) {
-        task_note_seen(task, transaction->seen);
-    }
-    transaction_table_put(task->daemon->transactions, transaction);
-    task_finish(task);
-}
-
-/* Starts the transaction on its connection. */
-static enum execute_result begin_on(struct task *task, struct transaction *transaction)
-{
-    if (transaction->ledger_key != NULL && !transaction->options.read_only) {
-        enum execute_result prepared = task_prepare_ledger(
-            task, transaction->connection, (uint32_t)transaction->database, task->deadline);
-        if (prepared != EXECUTE_DONE) {
-            return prepared;
-        }
-    }
-    return adapter_begin(transaction->connection, &transaction->options, task->deadline,
-                         &task->run);
-}
-
-static void run_begin(struct task *task)
-{
-    struct group_view view;
-    if (task->request->read_only) {
-        group_runtime_read_view(task->group, &view);
-    } else {
-        task->counts_as_write = group_runtime_begin_write(task->group, &view);
-    }
-    struct route_decision decision = route_begin(task, &view);
-    if (decision.database < 0) {
-        refuse_begin(task, &decision);
-        return;
-    }
-    struct pool *pool = task->group->databases[decision.database].pool;
-    struct backend_connection *connection = pool_acquire(pool, task->deadline, NULL);
-    if (connection == NULL) {
-        task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_OVERLOADED, NULL, BEGIN_RETRY_AFTER_MS);
-        return;
-    }
-    struct transaction *transaction = new_transaction(task, &decision, connection);
-    enum execute_result result = begin_on(task, transaction);
-    transaction_table_add(task->daemon->transactions, transaction);
-    if (result != EXECUTE_DONE) {
-        transaction_table_end(task->daemon->transactions, transaction);
-        answer_result(task, result);
-        return;
-    }
-    answer_begun(task, transaction, &decision);
-}
-
 static void run_statements(struct task *task, struct transaction *transaction)
 {
     enum execute_result result = adapter_statement(
@@ -183,7 +64,7 @@
     bool writes_in_read = transaction->options.read_only && result == EXECUTE_NOT_PRIMARY;
     transaction_table_end(task->daemon->transactions, transaction);
     /* In a read-only transaction the error tells of the statement, not of the database's role. */
-    answer_result(task, writes_in_read ? EXECUTE_FAILED : result);
+    task_answer_transaction_result(task, writes_in_read ? EXECUTE_FAILED : result);
 }
 
 static void run_rollback(struct task *task, struct transaction *transaction)
@@ -224,7 +105,7 @@
         return;
     }
     task->resolve_only = true;
-    task->request->fingerprint = fingerprint_of(task->request->transaction_id);
+    task->request->fingerprint = task_fingerprint_of_transaction(task->request->transaction_id);
     task_run_write(task);
 }
 
@@ -241,10 +122,6 @@
 void task_run_transaction(struct task *task)
 {
     struct request *request = task->request;
-    if (request->kind == REQUEST_KIND_BEGIN) {
-        run_begin(task);
-        return;
-    }
     struct transaction *transaction = NULL;
     enum transaction_lookup lookup = transaction_table_take(
         task->daemon->transactions, request->transaction_id, request->tenant, &transaction);
