--- a/tools/try.sh
+++ b/tools/try.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# A small deployment to try things on, at fixed ports, until Ctrl-C: the stand-in platform, three
-# stand-in databases of one group of the hut franchise, and three daemons. README.md and
-# docs/OPERATIONS.md show calls against it.
+# A small deployment to try things on, at fixed ports, until Ctrl-C: the stand-in platform with a
+# published configuration, three stand-in databases of one group of the hut franchise, and three
+# daemons. README.md and docs/OPERATIONS.md show calls against it.
 # Usage: tools/try.sh [BUILD_DIRECTORY]   CLUSTER_KEEP=1 keeps the logs.
 set -euo pipefail
 
@@ -26,6 +26,11 @@
     cluster_await_port platform "$PLATFORM_PORT"
 }
 
+publish_configuration() {
+    "$CLUSTER_BUILD/src/ctl/swiftctl" publish --table-url "http://127.0.0.1:$PLATFORM_PORT" \
+        --base 0 --message 'the first one' "$CLUSTER_DIRECTORY/configuration.json"
+}
+
 # Gives the daemons the fixed ports in place of free ones.
 fix_daemon_ports() {
     local index
@@ -40,7 +45,8 @@
 
 start_daemons() {
     local index
-    cluster_configure_daemons "$DAEMONS"
+    cluster_configure_daemons "$DAEMONS" configuration.file= \
+        "platform.table_endpoint=http://127.0.0.1:$PLATFORM_PORT"
     fix_daemon_ports
     for ((index = 0; index < DAEMONS; index++)); do
         cluster_start_daemon "$index"
@@ -90,6 +96,7 @@
     cluster_init "${1:-build}"
     cluster_configure "$EXAMPLE" "$GROUP"
     start_platform
+    publish_configuration
     cluster_start_databases --open-delay-ms 10 --zone-delay-us 1500 --replication-lag-ms 20 \
         --service-time-us 300
     start_daemons
