Send requests on until an owner takes them; tell lost hops as they are

Fault 1: while ownership moved, as in a planned stop of the owner, callers of other daemons were refused with "stopping" or "peer_unreachable" at once. Cause: the refusal of an owner that did nothing was passed on, and a transaction's owner under an outdated address was given up at the first try. A request that certainly was not run is now offered to the other owners, and again until unavailable_wait_ms has passed; a read goes on also after a lost hop.

Fault 2: a transaction's statement whose hop was cut was told rolled back, though the transaction was open and could be committed. It is unknown now.

Fault 3: a transaction whose owner could not be reached was told not to be open (404, never to be asked again). It is peer_unreachable now, with when to come back; a commit is unknown, as an earlier one may have been run.

--- a/src/daemon/forward.c
+++ b/src/daemon/forward.c
@@ -17,6 +17,9 @@
 /* Kept back from the forwarded deadline for the way back of the answer. */
 #define FORWARD_MARGIN_MS 5
 
+/* Pause before the owners are looked at again; a new view ends it earlier. */
+#define OWNER_PAUSE_MS 20
+
 /* When a caller should come back after no owner could be reached. */
 #define PEER_RETRY_AFTER_MS 300
 
@@ -50,19 +53,19 @@
     task_run_write(task);
 }
 
+/* True if a request whose answer was lost may be told as not run, and sent again. */
+static bool is_harmless(const struct request *request)
+{
+    return request->read_only && request->kind != REQUEST_KIND_COMMIT;
+}
+
 /* The answer to a forwarded request that got none: what is told depends on what it may have done.
  */
 static void answer_lost_hop(struct task *task)
 {
     const struct request *request = task->request;
-    bool harmless = request->read_only && request->kind != REQUEST_KIND_COMMIT;
-    if (harmless) {
-        task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_PEER_UNREACHABLE, NULL, PEER_RETRY_AFTER_MS);
-        return;
-    }
-    if (request->kind == REQUEST_KIND_BEGIN || request->kind == REQUEST_KIND_CONTINUE ||
-        request->kind == REQUEST_KIND_ROLLBACK) {
-        /* Nothing of it is ever committed without a commit request. */
+    if (request->kind == REQUEST_KIND_BEGIN || request->kind == REQUEST_KIND_ROLLBACK) {
+        /* Nobody can commit the transaction: its id was not told, or its caller gives it up. */
         task_refuse(task, OUTCOME_FAILED, ERROR_KIND_TRANSACTION_ABORTED, NULL,
                     PEER_RETRY_AFTER_MS);
         return;
@@ -70,6 +73,17 @@
     task_refuse(task, OUTCOME_UNKNOWN, ERROR_KIND_OUTCOME_UNKNOWN, NULL, PEER_RETRY_AFTER_MS);
 }
 
+/* True if the other daemon certainly did nothing, for a reason that another may not have. */
+static bool was_turned_away(const struct message *message)
+{
+    if (message->kind != MESSAGE_KIND_REPLY || message->reply.outcome != OUTCOME_REFUSED) {
+        return false;
+    }
+    uint32_t error = message->reply.error_kind;
+    return error == ERROR_KIND_STOPPING || error == ERROR_KIND_NOT_READY ||
+           error == ERROR_KIND_PEER_UNREACHABLE;
+}
+
 static void take_forwarded_reply(struct task *task, struct reply *reply)
 {
     struct reply *own = &task->reply;
@@ -80,57 +94,106 @@
     task_finish(task);
 }
 
-/* Sends the request to one daemon. True if the task was answered. */
-static bool forward_to(struct task *task, const char *address)
+/* Sends the request over one hop; see peer_call. */
+static enum peer_call_result send_request(struct task *task, const char *address, time_ns now,
+                                          struct message *in)
 {
-    time_ns now = backend_now();
-    if (now >= task->deadline) {
-        task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_DEADLINE, NULL, PEER_RETRY_AFTER_MS);
-        return true;
-    }
     uint32_t left_ms = (uint32_t)((task->deadline - now) / NANOSECONDS_PER_MILLISECOND);
     struct message out;
-    struct message in;
     message_init(&out, MESSAGE_KIND_REQUEST);
     request_copy(&out.request, task->request);
     out.request.hops = task->request->hops + 1;
     out.request.budget_ms = left_ms > FORWARD_MARGIN_MS ? left_ms - FORWARD_MARGIN_MS : 1;
     enum peer_call_result result =
-        peer_call(task->daemon->peers, address, &out, &in, task->deadline, NULL);
+        peer_call(task->daemon->peers, address, &out, in, task->deadline, NULL);
     message_clear(&out);
+    return result;
+}
+
+/* Sends the request to one daemon. False if that certainly did nothing, so that another may be
+ * asked; otherwise the task was answered. */
+static bool forward_to(struct task *task, const char *address)
+{
+    struct message in;
+    time_ns now = backend_now();
+    if (now >= task->deadline) {
+        task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_DEADLINE, NULL, PEER_RETRY_AFTER_MS);
+        return true;
+    }
+    enum peer_call_result result = send_request(task, address, now, &in);
     if (result == PEER_CALL_NOT_SENT) {
         return false;
     }
-    if (result == PEER_CALL_SENT_NO_ANSWER || in.kind != MESSAGE_KIND_REPLY) {
+    if (result == PEER_CALL_SENT_NO_ANSWER) {
+        if (is_harmless(task->request)) {
+            return false;
+        }
         answer_lost_hop(task);
-    } else {
+        return true;
+    }
+    bool turned_away = was_turned_away(&in);
+    if (!turned_away && in.kind == MESSAGE_KIND_REPLY) {
         take_forwarded_reply(task, &in.reply);
+    } else if (!turned_away) {
+        answer_lost_hop(task);
     }
-    if (result == PEER_CALL_ANSWERED) {
-        message_clear(&in);
+    message_clear(&in);
+    return !turned_away;
+}
+
+/* Nobody has taken the request: owners or their addresses are changing, or out of reach. True if it
+ * was parked to be sent again soon; false after a bound. */
+static bool wait_for_owner(struct task *task)
+{
+    time_ns now = backend_now();
+    time_ns wait = task->daemon->settings.routing.unavailable_wait_ms * NANOSECONDS_PER_MILLISECOND;
+    if (task->unavailable_since == 0) {
+        task->unavailable_since = now;
     }
+    if (now >= task->unavailable_since + wait || now >= task->deadline) {
+        return false;
+    }
+    time_ns until = now + OWNER_PAUSE_MS * NANOSECONDS_PER_MILLISECOND;
+    worker_pool_park(task->daemon->workers, &task->job, until);
     return true;
 }
 
-/* Sends the request to an owner of its group, nearest first. False if this daemon owns it. */
+/* The answer if no owner of the group takes the request. A commit may have been run by an earlier
+ * request. */
+static void answer_no_owner(struct task *task)
+{
+    if (task->request->kind == REQUEST_KIND_COMMIT) {
+        task_refuse(task, OUTCOME_UNKNOWN, ERROR_KIND_OUTCOME_UNKNOWN, NULL, PEER_RETRY_AFTER_MS);
+        return;
+    }
+    task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_PEER_UNREACHABLE, NULL, PEER_RETRY_AFTER_MS);
+}
+
+/* Sends the request to an owner of its group, nearest first. False if this daemon owns it, or is
+ * taken for an owner by the one that forwarded. */
 static bool forward_to_owner(struct task *task)
 {
     struct owner_list owners;
-    control_owners_of(task->daemon->control, task->request->group, &owners);
-    if (task->group != NULL || owners.count == 0 || task->request->hops >= FORWARD_HOPS_MAX) {
+    if (task->group == NULL) {
+        task->group = daemon_take_group(task->daemon, task->request->group);
+    }
+    if (task->group != NULL || task->request->hops >= FORWARD_HOPS_MAX) {
         return false;
     }
+    control_owners_of(task->daemon->control, task->request->group, &owners);
     for (uint32_t i = 0; i < owners.count; i++) {
         if (forward_to(task, owners.addresses[i])) {
             return true;
         }
     }
-    task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_PEER_UNREACHABLE, NULL, PEER_RETRY_AFTER_MS);
+    if (!wait_for_owner(task)) {
+        answer_no_owner(task);
+    }
     return true;
 }
 
-/* The owner of a transaction was named in its id and can't be reached, or is gone. */
-static void answer_owner_gone(struct task *task)
+/* The owner of a transaction can't be reached, or is no member (any more). */
+static void answer_owner_lost(struct task *task, bool is_member)
 {
     if (task->request->kind == REQUEST_KIND_COMMIT) {
         /* Its key, if it has one, is looked up where the group is owned. */
@@ -139,7 +202,9 @@
         }
         return;
     }
-    task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_UNKNOWN_TRANSACTION, NULL, 0);
+    enum error_kind error =
+        is_member ? ERROR_KIND_PEER_UNREACHABLE : ERROR_KIND_UNKNOWN_TRANSACTION;
+    task_refuse(task, OUTCOME_REFUSED, error, NULL, PEER_RETRY_AFTER_MS);
 }
 
 /* Sends a transaction's request to its owner. False if the owner is this daemon. */
@@ -155,9 +220,10 @@
     }
     g_autofree char *address = control_address_of(task->daemon->control, owner);
     bool may_forward = address != NULL && task->request->hops < FORWARD_HOPS_MAX;
-    if (!may_forward || !forward_to(task, address)) {
-        answer_owner_gone(task);
+    if (may_forward && (forward_to(task, address) || wait_for_owner(task))) {
+        return true;
     }
+    answer_owner_lost(task, may_forward);
     return true;
 }
 
--- a/tests/daemon/test_drain.c
+++ b/tests/daemon/test_drain.c
@@ -179,6 +179,12 @@
     check_stop(NULL);
 }
 
+static void test_stop_of_owners(void)
+{
+    static const char *const overrides[] = {"ownership.owners_per_group=1", NULL};
+    check_stop(overrides);
+}
+
 /* Callers of the stopping daemon itself: each call that reached it gets a whole answer. */
 static void test_stop_with_own_callers(void)
 {
@@ -215,5 +221,6 @@
     g_test_add_func("/daemon/drain/open_transaction", test_primary_with_open_transaction);
     g_test_add_func("/daemon/drain/stop_with_own_callers", test_stop_with_own_callers);
     g_test_add_func("/daemon/drain/stop_of_daemons", test_stop_of_daemons);
+    g_test_add_func("/daemon/drain/stop_of_owners", test_stop_of_owners);
     return g_test_run();
 }
