--- a/tests/daemon/publisher.c
+++ b/tests/daemon/publisher.c
@@ -75,6 +75,14 @@
     return hash;
 }
 
+GBytes *publisher_canonical(const char *bundle)
+{
+    struct configuration *configuration = parse(bundle);
+    GBytes *canonical = g_bytes_ref(configuration_canonical(configuration));
+    configuration_unref(configuration);
+    return canonical;
+}
+
 void publisher_force(struct publisher *publisher, const char *content, uint64_t version)
 {
     g_autoptr(GBytes) bytes = g_bytes_new(content, strlen(content));
--- a/tests/daemon/publisher.h
+++ b/tests/daemon/publisher.h
@@ -20,8 +20,9 @@
 bool publisher_publish(struct publisher *publisher, const char *bundle, uint64_t base,
                        GError **error);
 
-/* Content hash of a bundle. The caller frees it. */
+/* Content hash and canonical JSON of a bundle. The caller frees them. */
 char *publisher_hash(const char *bundle);
+GBytes *publisher_canonical(const char *bundle);
 
 /* Makes a content that need not be a bundle the next version, as no publisher of ours would. */
 void publisher_force(struct publisher *publisher, const char *content, uint64_t version);
