Ask another owner where one does not serve; test slow stores, status

An owner that has just started is in the others' view before it serves: its refusal was passed on as the final answer though another owner could have run the request.

The control thread's configuration is split by job: events and actions, the search for a first configuration, the status.

--- a/src/daemon/control_configuration.c
+++ b/src/daemon/control_configuration.c
@@ -1,51 +1,15 @@
 /* Currency's shell on the control thread; see the header. */
 #define G_LOG_DOMAIN "configuration"
-#include "daemon/control_configuration.h"
-
-#include <pthread.h>
 #include <string.h>
 
 #include "backend/clock.h"
-#include "core/config_currency.h"
 #include "core/error.h"
-#include "daemon/configuration_fetcher.h"
-#include "daemon/control_internal.h"
-#include "daemon/daemon.h"
-
-/* While no configuration is known, sources are tried this often, give or take the jitter. */
-#define SEARCH_INTERVAL_MS 1000
-#define SEARCH_JITTER_MS   250
+#include "daemon/control_configuration_internal.h"
 
 /* How often the members' configurations are looked through. */
 #define SURVEY_INTERVAL_MS 1000
 
-/* Of the control thread, but for the status. */
-struct control_configuration {
-    struct control *control;
-    struct configuration_fetcher *fetcher;
-    struct currency *currency;
-
-    /* Until a version was found that names this daemon's zone: there is no membership yet. */
-    bool joined;
-    uint64_t search_from; /* versions before are known not to do */
-    time_ns next_search_at;
-    size_t next_seed;
-    size_t seeds_left; /* of this round */
-
-    uint64_t heard;                            /* newest that the journal has */
-    struct configuration_mark unfit;           /* does not parse: not fetched again */
-    struct published_configuration *candidate; /* just fetched; borrowed while it is judged */
-    const struct fetch_result *origin;         /* where it came from */
-    bool confirmed;                            /* has served */
-    char failure[FETCH_TEXT_SIZE]; /* why the store's content could not be had; empty if it could */
-    bool contradicted;             /* the store has another content under the version in force */
-    time_ns next_survey_at;
-
-    pthread_mutex_t status_lock;
-    struct configuration_status status; /* under status_lock */
-};
-
-static void note(struct control_configuration *self, const char *kind, const char *text)
+void configuration_note(struct control_configuration *self, const char *kind, const char *text)
 {
     struct journal_entry entry = {.database = -1};
     g_strlcpy(entry.kind, kind, sizeof(entry.kind));
@@ -59,108 +23,26 @@
     return order->source == FETCH_SOURCE_PEER ? order->address : "the store";
 }
 
-/* Status. */
-
-static void explain(const struct control_configuration *self, char *reason)
+void configuration_note_store(struct control_configuration *self, const struct fetch_result *result)
 {
-    uint64_t applied = currency_applied(self->currency).version;
-    uint64_t newest = currency_newest(self->currency).version;
-    if (!self->joined && self->search_from > 1) {
-        g_snprintf(reason, CONFIGURATION_REASON_SIZE,
-                   "no usable configuration: version %" G_GUINT64_FORMAT
-                   " does not parse or lacks zone \"%s\"",
-                   self->search_from - 1, self->control->daemon->settings.daemon.zone);
-    } else if (!self->joined) {
-        g_snprintf(reason, CONFIGURATION_REASON_SIZE,
-                   "no configuration: no other daemon gave one, nor did the store%s%s",
-                   self->failure[0] != '\0' ? ": " : "", self->failure);
-    } else if (newest > applied) {
-        g_snprintf(reason, CONFIGURATION_REASON_SIZE,
-                   "version %" G_GUINT64_FORMAT " is accepted, and only version %" G_GUINT64_FORMAT
-                   " could be had",
-                   newest, applied);
-    } else {
-        g_snprintf(reason, CONFIGURATION_REASON_SIZE,
-                   "neither the store nor most daemons confirm that version %" G_GUINT64_FORMAT
-                   " is the newest",
-                   applied);
-    }
-}
-
-/* Makes what request threads and operators see follow the currency. */
-static void publish_status(struct control_configuration *self)
-{
-    struct daemon *daemon = self->control->daemon;
-    time_ns bound = daemon->settings.configuration.currency_bound_ms * NANOSECONDS_PER_MILLISECOND;
-    bool serving = currency_serving(self->currency);
-    time_ns confirmed_at = currency_confirmed_at(self->currency);
-    /* Request threads go by the clock, as the control thread may be paused with its process. */
-    atomic_store(&daemon->serve_until, serving ? confirmed_at + bound : 0);
-    pthread_mutex_lock(&self->status_lock);
-    struct configuration_status *status = &self->status;
-    status->published = true;
-    status->serving = serving;
-    status->version = currency_applied(self->currency).version;
-    status->newest = currency_newest(self->currency).version;
-    status->confirmed_at = confirmed_at;
-    status->reason[0] = '\0';
-    if (!serving) {
-        explain(self, status->reason);
-    }
-    pthread_mutex_unlock(&self->status_lock);
-}
-
-void control_configuration_status(struct control *control, struct configuration_status *status)
-{
-    struct control_configuration *self = control->configuration;
-    if (self == NULL) {
-        *status = (struct configuration_status){.serving = true};
+    bool failed =
+        result->outcome == FETCH_OUTCOME_FAILED || result->outcome == FETCH_OUTCOME_REFUSED;
+    const char *failure = failed ? result->text : "";
+    if (strcmp(failure, self->failure) == 0) {
         return;
     }
-    pthread_mutex_lock(&self->status_lock);
-    *status = self->status;
-    pthread_mutex_unlock(&self->status_lock);
-}
-
-/* True if a member of this zone was last heard of with an older configuration. */
-static bool is_straggler(const struct member *member, const struct member *self, uint64_t newest)
-{
-    bool alive = member->state == MEMBER_STATE_ALIVE || member->state == MEMBER_STATE_SUSPECT;
-    uint64_t version = member->configuration.version;
-    return alive && member->id != self->id && member->zone == self->zone && version > 0 &&
-           version < newest;
-}
-
-/* Looks for members that lag. Only those of the own zone are heard of often enough. */
-static void survey(struct control_configuration *self)
-{
-    struct membership *membership = self->control->membership;
-    struct member own = membership_self(membership);
-    uint64_t newest = currency_newest(self->currency).version;
-    struct configuration_straggler found[CONFIGURATION_STRAGGLERS_MAX] = {0};
-    uint32_t count = 0;
-    for (size_t i = 0; i < membership_count(membership); i++) {
-        struct member member = membership_get(membership, i);
-        if (!is_straggler(&member, &own, newest)) {
-            continue;
-        }
-        if (count < CONFIGURATION_STRAGGLERS_MAX) {
-            found[count].member = member.id;
-            found[count].version = member.configuration.version;
-            control_members_format(&member, found[count].address);
-        }
-        count++;
+    g_strlcpy(self->failure, failure, sizeof(self->failure));
+    if (failed) {
+        g_warning("The store does not give the configuration: %s.", failure);
+    } else {
+        g_message("The store answers.");
     }
-    pthread_mutex_lock(&self->status_lock);
-    self->status.straggler_count = count;
-    memcpy(self->status.stragglers, found, sizeof(found));
-    pthread_mutex_unlock(&self->status_lock);
 }
 
 /* Actions. */
 
-static void order(struct control_configuration *self, enum fetch_source source,
-                  struct configuration_mark wanted, const char *address)
+void configuration_order(struct control_configuration *self, enum fetch_source source,
+                         struct configuration_mark wanted, const char *address)
 {
     struct fetch_order order = {.source = source, .wanted = wanted};
     if (address != NULL) {
@@ -187,12 +69,12 @@
         return;
     }
     if (from_store) {
-        order(self, FETCH_SOURCE_STORE, action->mark, NULL);
+        configuration_order(self, FETCH_SOURCE_STORE, action->mark, NULL);
         return;
     }
     char address[ADDRESS_TEXT_SIZE];
     control_members_format(&member, address);
-    order(self, FETCH_SOURCE_PEER, action->mark, address);
+    configuration_order(self, FETCH_SOURCE_PEER, action->mark, address);
 }
 
 /* A configuration without this daemon's zone is in force all the same; the daemon keeps the zone
@@ -217,7 +99,7 @@
         "version=%" G_GUINT64_FORMAT " hash=%.16s %s %s",
         published_configuration_mark(self->candidate).version, configuration_hash(content),
         self->origin->difference ? "as a difference from" : "from", name_of(&self->origin->order));
-    note(self, "configuration_applied", text);
+    configuration_note(self, "configuration_applied", text);
 }
 
 /* Puts the candidate in force. */
@@ -245,11 +127,11 @@
     if (serving) {
         g_snprintf(reason, sizeof(reason), "version=%" G_GUINT64_FORMAT,
                    currency_applied(self->currency).version);
-        note(self, "configuration_serving", reason);
+        configuration_note(self, "configuration_serving", reason);
         return;
     }
-    explain(self, reason);
-    note(self, "configuration_stopped", reason);
+    configuration_explain(self, reason);
+    configuration_note(self, "configuration_stopped", reason);
 }
 
 /* Performs actions; those that follow from them are appended meanwhile. */
@@ -263,7 +145,7 @@
             fetch(self, &action, actions);
             break;
         case CURRENCY_ACTION_READ_HEAD:
-            order(self, FETCH_SOURCE_HEAD, action.mark, NULL);
+            configuration_order(self, FETCH_SOURCE_HEAD, action.mark, NULL);
             break;
         case CURRENCY_ACTION_APPLY:
             apply(self);
@@ -276,7 +158,7 @@
             break;
         }
     }
-    publish_status(self);
+    configuration_publish_status(self);
 }
 
 /* Events. */
@@ -291,7 +173,7 @@
     g_autofree char *text =
         g_strdup_printf("version=%" G_GUINT64_FORMAT " hash=%016" G_GINT64_MODIFIER "x from %s",
                         mark.version, mark.hash, from);
-    note(self, "configuration_heard", text);
+    configuration_note(self, "configuration_heard", text);
 }
 
 void control_configuration_hear(struct control *control, struct configuration_mark mark,
@@ -307,22 +189,6 @@
     perform(self, actions);
 }
 
-/* Logs it when the store begins to fail, in what way it does, and when it is well again. */
-static void note_store(struct control_configuration *self, const struct fetch_result *result)
-{
-    bool failed = result->outcome == FETCH_OUTCOME_FAILED;
-    const char *failure = failed ? result->text : "";
-    if (strcmp(failure, self->failure) == 0) {
-        return;
-    }
-    g_strlcpy(self->failure, failure, sizeof(self->failure));
-    if (failed) {
-        g_warning("The store does not give the configuration: %s.", failure);
-    } else {
-        g_message("The store answers.");
-    }
-}
-
 /* The store names another content for the version in force. */
 static bool contradicts(struct control_configuration *self, struct configuration_mark head)
 {
@@ -333,7 +199,7 @@
         g_autofree char *text = g_strdup_printf("version=%" G_GUINT64_FORMAT
                                                 " the store has another content under this version",
                                                 head.version);
-        note(self, "configuration_refused", text);
+        configuration_note(self, "configuration_refused", text);
     }
     self->contradicted = contradicted;
     return contradicted;
@@ -344,7 +210,7 @@
                       GArray *actions)
 {
     time_ns now = backend_now();
-    note_store(self, result);
+    configuration_note_store(self, result);
     if (!result->head_known) {
         currency_head_failed(self->currency, now);
         return;
@@ -366,7 +232,7 @@
     g_autofree char *text =
         g_strdup_printf("version=%" G_GUINT64_FORMAT " from %s: %s", result->refused.version,
                         name_of(&result->order), result->text);
-    note(self, "configuration_refused", text);
+    configuration_note(self, "configuration_refused", text);
     if (result->unfit) {
         self->unfit = result->refused;
     }
@@ -405,92 +271,6 @@
     }
 }
 
-/* The search for a first configuration, which tells the number of this daemon's zone. */
-
-static bool is_own_address(const struct control_configuration *self, const char *address)
-{
-    return strcmp(address, peer_server_address(self->control->daemon->peer_server)) == 0;
-}
-
-/* Asks the next of the other daemons that the settings name, if any is left in this round. */
-static void ask_next_seed(struct control_configuration *self)
-{
-    const struct address_list *peers = &self->control->daemon->settings.daemon.peers;
-    struct configuration_mark wanted = {.version = self->search_from};
-    while (self->seeds_left > 0) {
-        const char *address = peers->items[self->next_seed];
-        self->next_seed = (self->next_seed + 1) % peers->count;
-        self->seeds_left--;
-        if (!is_own_address(self, address)) {
-            order(self, FETCH_SOURCE_PEER, wanted, address);
-            return;
-        }
-    }
-}
-
-static void search(struct control_configuration *self, time_ns now)
-{
-    if (now < self->next_search_at) {
-        return;
-    }
-    uint32_t pause_ms =
-        SEARCH_INTERVAL_MS + (uint32_t)g_random_int_range(-SEARCH_JITTER_MS, SEARCH_JITTER_MS);
-    struct configuration_mark wanted = {.version = self->search_from};
-    self->next_search_at = now + pause_ms * NANOSECONDS_PER_MILLISECOND;
-    order(self, FETCH_SOURCE_STORE, wanted, NULL);
-    if (self->seeds_left == 0) {
-        self->seeds_left = self->control->daemon->settings.daemon.peers.count;
-        ask_next_seed(self);
-    }
-}
-
-/* The zone of this daemon if gossip can carry its number; else NULL. */
-static const struct zone_configuration *own_zone(struct control_configuration *self,
-                                                 const struct configuration *configuration)
-{
-    const struct zone_configuration *zone =
-        configuration_find_zone_by_name(configuration, self->control->daemon->settings.daemon.zone);
-    return zone != NULL && zone->id < MEMBERSHIP_ZONES_MAX ? zone : NULL;
-}
-
-/* Notes that a version does not do, so that only later ones are asked for. */
-static void pass_over(struct control_configuration *self, uint64_t version, const char *why)
-{
-    if (version < self->search_from) {
-        return;
-    }
-    g_autofree char *text = g_strdup_printf("version=%" G_GUINT64_FORMAT " %s", version, why);
-    note(self, "configuration_refused", text);
-    self->search_from = version + 1;
-    publish_status(self);
-}
-
-/* True if the result ends the search: this daemon joined the others. */
-static bool join_by(struct control_configuration *self, const struct fetch_result *result)
-{
-    if (result->order.source != FETCH_SOURCE_PEER) {
-        note_store(self, result);
-        publish_status(self);
-    }
-    if (result->outcome == FETCH_OUTCOME_REFUSED) {
-        pass_over(self, result->unfit ? result->refused.version : 0, result->text);
-    }
-    if (result->outcome != FETCH_OUTCOME_FOUND) {
-        return false;
-    }
-    const struct zone_configuration *zone =
-        own_zone(self, published_configuration_content(result->published));
-    if (zone == NULL) {
-        pass_over(self, published_configuration_mark(result->published).version,
-                  "does not have the zone of this daemon");
-        return false;
-    }
-    atomic_store(&self->control->daemon->zone, zone->id);
-    control_members_join(self->control);
-    self->joined = true;
-    return true;
-}
-
 static void tick_currency(struct control_configuration *self, time_ns now)
 {
     struct membership *membership = self->control->membership;
@@ -505,18 +285,16 @@
     perform(self, actions);
     if (now >= self->next_survey_at) {
         self->next_survey_at = now + SURVEY_INTERVAL_MS * NANOSECONDS_PER_MILLISECOND;
-        survey(self);
+        configuration_survey(self);
     }
 }
 
 void control_configuration_take(struct control *control, struct fetch_result *result)
 {
     struct control_configuration *self = control->configuration;
-    if (self->joined || join_by(self, result)) {
+    if (self->joined || configuration_join_by(self, result)) {
         take_result(self, result);
         tick_currency(self, backend_now());
-    } else if (result->order.source == FETCH_SOURCE_PEER) {
-        ask_next_seed(self);
     }
     fetch_result_free(result);
 }
@@ -528,7 +306,7 @@
         return;
     }
     if (!self->joined) {
-        search(self, now);
+        configuration_search(self, now);
     } else if (now >= currency_next_wakeup(self->currency)) {
         tick_currency(self, now);
     }
@@ -608,7 +386,7 @@
     self->search_from = 1;
     pthread_mutex_init(&self->status_lock, NULL);
     control->configuration = self;
-    publish_status(self);
+    configuration_publish_status(self);
     return start_fetcher(self, error);
 }
 
--- a/tests/daemon/published_fixture.c
+++ b/tests/daemon/published_fixture.c
@@ -1,11 +1,13 @@
 /* A deployment with a published configuration; see the header. */
 #include "published_fixture.h"
 
+#include <curl/curl.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "daemon/control.h"
 #include "daemon/journal.h"
+#include "frontend/admin.h"
 #include "wire/listener.h"
 
 struct published_cluster *published_start(uint32_t bound_ms)
@@ -152,6 +154,29 @@
     http_answer_clear(&answer);
 }
 
+static size_t on_octets(char *data, size_t size, size_t count, void *user)
+{
+    g_string_append_len(user, data, (gssize)(size * count));
+    return size * count;
+}
+
+char *published_admin_get(const struct published_cluster *test, unsigned daemon, const char *path,
+                          long *status)
+{
+    g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u%s",
+                                           admin_port(test->cluster->daemons[daemon]->admin), path);
+    GString *body = g_string_new(NULL);
+    CURL *curl = curl_easy_init();
+    curl_easy_setopt(curl, CURLOPT_URL, url);
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_octets);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, body);
+    CURLcode code = curl_easy_perform(curl);
+    g_assert_cmpint(code, ==, CURLE_OK);
+    curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, status);
+    curl_easy_cleanup(curl);
+    return g_string_free(body, FALSE);
+}
+
 unsigned published_count_events(const struct published_cluster *test, unsigned daemon,
                                 const char *kind, const char *text)
 {
--- a/tests/daemon/published_fixture.h
+++ b/tests/daemon/published_fixture.h
@@ -50,6 +50,10 @@
 void published_check_read(struct published_cluster *test, unsigned daemon, const char *tenant,
                           const char *error_kind);
 
+/* Answer of a daemon's admin listener to a GET. The caller frees it. */
+char *published_admin_get(const struct published_cluster *test, unsigned daemon, const char *path,
+                          long *status);
+
 /* Entries of a kind in a daemon's journal, with `text` in them. */
 unsigned published_count_events(const struct published_cluster *test, unsigned daemon,
                                 const char *kind, const char *text);
--- a/tests/daemon/test_configuration.c
+++ b/tests/daemon/test_configuration.c
@@ -16,6 +16,33 @@
 /* Met on purpose. */
 #define BOUND_SHORT_MS 2000
 
+static void check_readiness(struct published_cluster *test, unsigned daemon, long expected,
+                            const char *reason)
+{
+    long status = 0;
+    g_autofree char *body = published_admin_get(test, daemon, "/readyz", &status);
+    g_assert_cmpint(status, ==, expected);
+    g_assert_nonnull(strstr(body, reason));
+}
+
+/* What /v1/status tells of the configuration. */
+static void check_status(struct published_cluster *test, unsigned daemon, int64_t version,
+                         const char *hash)
+{
+    long status = 0;
+    g_autofree char *body = published_admin_get(test, daemon, "/v1/status", &status);
+    g_autoptr(JsonNode) root = json_from_string(body, NULL);
+    g_assert_nonnull(root);
+    JsonObject *told = json_object_get_object_member(json_node_get_object(root), "configuration");
+    g_assert_cmpstr(json_object_get_string_member(told, "source"), ==, "published");
+    g_assert_cmpstr(json_object_get_string_member(told, "hash"), ==, hash);
+    g_assert_cmpint(json_object_get_int_member(told, "version"), ==, version);
+    g_assert_cmpint(json_object_get_int_member(told, "newest_version"), ==, version);
+    g_assert_cmpint(json_object_get_int_member(told, "straggler_count"), ==, 0);
+    g_assert_true(json_object_get_boolean_member(told, "serving"));
+    g_assert_cmpint(json_object_get_int_member(told, "confirmed_age_ms"), <, BOUND_LONG_MS);
+}
+
 /* A deployment that serves version 1. */
 static struct published_cluster *start_serving(uint32_t bound_ms, unsigned daemons)
 {
@@ -31,8 +58,10 @@
     struct published_cluster *test = published_start(BOUND_LONG_MS);
     published_start_daemons(test, DAEMONS);
     published_check_read(test, 0, "refuge", "not_ready");
+    check_readiness(test, 0, 503, "no configuration");
     g_free(published_publish(test, test->bundle, 1));
     published_await(test, 1);
+    check_readiness(test, 0, 200, "");
     published_check_read(test, 2, "guide", "unknown_tenant");
     g_autofree char *bundle = published_with_tenant(test, "guide");
     g_autofree char *hash = published_publish(test, bundle, 2);
@@ -41,6 +70,8 @@
         published_check_read(test, i, "guide", NULL);
     }
     published_check_all_have(test, hash);
+    AWAIT(published_status(test, 0).straggler_count == 0);
+    check_status(test, 0, 2, hash);
     published_stop(test);
 }
 
@@ -138,6 +169,32 @@
     published_stop(test);
 }
 
+/* A store that takes its time still gives what is accepted. */
+static void test_slow_store(void)
+{
+    struct published_cluster *test = start_serving(BOUND_LONG_MS, DAEMONS);
+    publisher_set_slow(test->publisher, 300);
+    g_autofree char *bundle = published_with_tenant(test, "guide");
+    g_autofree char *hash = published_publish(test, bundle, 2);
+    AWAIT(published_all_serve(test, 2));
+    published_check_all_have(test, hash);
+    published_stop(test);
+}
+
+/* A store that hangs keeps nobody from asking the others. */
+static void test_restart_with_hanging_store(void)
+{
+    struct published_cluster *test = start_serving(BOUND_LONG_MS, DAEMONS);
+    g_autofree char *hash = published_hash(test, 0);
+    publisher_set_slow(test->publisher, BOUND_LONG_MS);
+    cluster_stop_daemon(test->cluster, 1);
+    published_start_daemons(test, DAEMONS);
+    published_await(test, 1);
+    published_check_all_have(test, hash);
+    g_assert_cmpuint(published_count_events(test, 1, "configuration_applied", "store"), ==, 0);
+    published_stop(test);
+}
+
 /* With neither store nor peers, a daemon stops serving, says why, and comes back with the store. */
 static void test_cut_off(void)
 {
@@ -151,6 +208,7 @@
     g_assert_nonnull(strstr(status.reason, "confirm"));
     g_assert_cmpuint(published_count_events(test, 0, "configuration_stopped", "confirm"), ==, 1);
     published_check_read(test, 0, "refuge", "not_ready");
+    check_readiness(test, 0, 503, "confirm");
     publisher_set_down(test->publisher, false);
     published_await(test, 1);
     published_check_read(test, 0, "refuge", NULL);
@@ -232,6 +290,9 @@
     g_test_add_func("/daemon/configuration/store_down_after_acceptance",
                     test_store_down_after_acceptance);
     g_test_add_func("/daemon/configuration/restart_without_store", test_restart_without_store);
+    g_test_add_func("/daemon/configuration/slow_store", test_slow_store);
+    g_test_add_func("/daemon/configuration/restart_with_hanging_store",
+                    test_restart_with_hanging_store);
     g_test_add_func("/daemon/configuration/cut_off", test_cut_off);
     g_test_add_func("/daemon/configuration/unfit_bundle", test_unfit_bundle);
     g_test_add_func("/daemon/configuration/group_change", test_group_change);
--- a/tests/daemon/test_handover.c
+++ b/tests/daemon/test_handover.c
@@ -99,9 +99,41 @@
     cluster_stop(cluster);
 }
 
+/* An owner that has just started, or lost touch, serves nothing: others are asked instead. */
+static void test_owner_not_ready(void)
+{
+    static const char *const overrides[] = {"ownership.owners_per_group=2", NULL};
+    const struct cluster_options options = {.overrides = overrides};
+    struct cluster *cluster = cluster_start_databases(&options);
+    unsigned owner = 0;
+    for (unsigned i = 0; i < DAEMONS; i++) {
+        cluster_start_daemon(cluster, i);
+    }
+    for (unsigned i = 0; i < DAEMONS; i++) {
+        AWAIT(is_done(
+            cluster, i,
+            (struct http_call){.sql = "CREATE TABLE IF NOT EXISTS stays (id text PRIMARY KEY)"}));
+    }
+    AWAIT(count_owners(cluster, &owner) == 2);
+    for (unsigned i = 0; i < DAEMONS; i++) {
+        if (!owns(cluster, i)) {
+            continue;
+        }
+        atomic_store(&cluster->daemons[i]->serve_until, 0);
+        for (unsigned other = 0; other < DAEMONS; other++) {
+            if (!owns(cluster, other)) {
+                check_done(cluster, other, (struct http_call){.sql = "SELECT id FROM stays"});
+            }
+        }
+        atomic_store(&cluster->daemons[i]->serve_until, UINT64_MAX);
+    }
+    cluster_stop(cluster);
+}
+
 int main(int argc, char **argv)
 {
     cluster_test_init(&argc, &argv);
     g_test_add_func("/daemon/handover/open_transaction", test_open_transaction);
+    g_test_add_func("/daemon/handover/owner_not_ready", test_owner_not_ready);
     return g_test_run();
 }
