--- a/tests/daemon/test_configuration.c
+++ b/tests/daemon/test_configuration.c
@@ -240,6 +240,14 @@
     published_stop(test);
 }
 
+static uint32_t count_writes(struct group_runtime *group)
+{
+    pthread_mutex_lock(&group->writes_lock);
+    uint32_t running = group->writes_running;
+    pthread_mutex_unlock(&group->writes_lock);
+    return running;
+}
+
 /* Slots change under an open transaction: it commits, and later requests meet the new slots. */
 static void test_group_change(void)
 {
@@ -272,8 +280,8 @@
                  (struct http_call){.transaction = transaction, .path = "commit"});
     http_assert_done(&answer);
     http_answer_clear(&answer);
-    g_assert_cmpuint(before->writes_running, ==, 0);
-    g_assert_cmpuint(after->writes_running, ==, 0);
+    g_assert_cmpuint(count_writes(before), ==, 0);
+    g_assert_cmpuint(count_writes(after), ==, 0);
     group_runtime_unref(before);
     group_runtime_unref(after);
     AWAIT(cluster_count(test->cluster, 0, "stays WHERE id = 'open'") == 1);
