--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -17,7 +17,7 @@
         .probe_helpers = 3,
         .suspicion_factor = 4,
         .relays = 3,
-        .zone_timeout = 4 * NANOSECONDS_PER_SECOND,
+        .zone_timeout = 8 * NANOSECONDS_PER_SECOND,
         .transmit_factor = 3,
         .push_fanout = 3,
         .push_interval = 200 * NANOSECONDS_PER_MILLISECOND,
@@ -106,10 +106,9 @@
     return membership->left || membership->superseded;
 }
 
-/* Takes in what stands in every datagram: the sender, its configuration, zones and updates. */
+/* Takes in what stands in every datagram: the sender, its configuration and updates. */
 static void merge_message(struct membership *membership, const struct gossip_message *message,
-                          struct member_address from, time_ns now,
-                          struct membership_actions *actions)
+                          time_ns now, struct membership_actions *actions)
 {
     const struct gossip_member *sender = &message->sender;
     membership_merge(membership, sender, now, actions);
@@ -122,7 +121,6 @@
     if (record != NULL && record->configuration.version == in_force.version) {
         record->configuration.hash = in_force.hash;
     }
-    membership_hear_zones(membership, message, from, now, actions);
     for (size_t i = 0; i < message->updates_count; i++) {
         membership_merge(membership, &message->updates[i], now, actions);
     }
@@ -141,7 +139,7 @@
         membership_receive_ping_request(membership, message, from, now, actions);
         return;
     case GOSSIP_KIND_ACK:
-        membership_receive_ack(membership, message, now, actions);
+        membership_receive_ack(membership, message, from, now, actions);
         return;
     case GOSSIP_KIND_SYNC:
         membership_receive_sync(membership, message, from, now, actions);
@@ -166,7 +164,7 @@
         return;
     }
     answer_message(membership, message, from, now, actions);
-    merge_message(membership, message, from, now, actions);
+    merge_message(membership, message, now, actions);
 }
 
 /* Drops what has been remembered for long enough. Not while cut off: a shrinking list would make a
@@ -312,30 +310,19 @@
     return true;
 }
 
-/* True if a live member is in reach: this daemon itself always is. */
-static bool record_in_reach(const struct membership *membership, const struct member_record *record,
-                            time_ns now, time_ns within)
-{
-    if (record->id == membership->self_id) {
-        return true;
-    }
-    time_ns heard = membership->zone_heard[record->zone];
-    return member_record_live(record) && heard != 0 && now <= heard + within;
-}
-
 void membership_reach(const struct membership *membership, time_ns now, time_ns within,
                       size_t *reachable, size_t *known)
 {
     *reachable = 0;
-    *known = 0;
-    for (size_t i = 0; i < membership->records->len; i++) {
-        const struct member_record *record = membership_record_at(membership, i);
-        if (record->state == MEMBER_STATE_LEFT) {
-            continue;
-        }
-        (*known)++;
-        if (record_in_reach(membership, record, now, within)) {
-            (*reachable)++;
+    *known = membership->dead;
+    for (uint32_t zone = 0; zone < MEMBERSHIP_ZONES_MAX; zone++) {
+        uint32_t live = membership->live_in_zone[zone];
+        time_ns heard = membership->zone_heard[zone];
+        *known += live;
+        if (heard != 0 && now <= heard + within) {
+            *reachable += live;
+        } else if (zone == membership->self_zone) {
+            *reachable += 1;
         }
     }
 }
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -109,14 +109,14 @@
 /* Groups: control_groups.c. */
 void control_groups_start(struct control *control);
 void control_groups_stop(struct control *control);
-void control_groups_feed(struct control *control, uint32_t group, const struct group_event *event);
+void control_groups_feed(struct control *control, uint32_t id, const struct group_event *event);
 void control_groups_feed_runtime(struct control *control, uint32_t runtime,
                                  const struct group_event *event);
 void control_groups_tick(struct control *control, time_ns now);
 time_ns control_groups_next_wakeup(struct control *control);
 bool control_groups_runs(struct control *control, uint32_t group);
 void control_groups_begin(struct control *control, uint32_t group);
-void control_groups_end(struct control *control, uint32_t group);
+void control_groups_end(struct control *control, uint32_t id);
 /* Takes on the successors of run times that a new configuration replaced. */
 void control_groups_take_successors(struct control *control);
 /* Tells every group who its watchers are. */
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -24,6 +24,7 @@
     struct shared_pool *shared;                  /* one reference */
     pthread_mutex_t admission_lock;              /* guards admission */
     struct admission admission;
+    _Atomic time_ns probed_at;  /* last extra probe that a read asked for */
     _Atomic uint32_t in_flight; /* slots taken by this daemon, for routing without the lock */
 };
 
@@ -55,7 +56,6 @@
     uint32_t evidence_group;           /* its number there */
     struct evidence_link *link;        /* one reference */
     _Atomic uint64_t ledger_term;      /* term in which the ledger table was made sure of */
-    _Atomic time_ns primary_probed_at; /* last extra probe that a read asked for */
     _Atomic uint64_t reads;            /* answered reads */
     _Atomic uint64_t primary_reads;    /* of these, by the primary although replicas were allowed */
 
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -10,6 +10,8 @@
 #include "daemon/control.h"
 #include "daemon/daemon.h"
 #include "daemon/forward.h"
+#include "daemon/task_begin.h"
+#include "daemon/transaction.h"
 #include "daemon/daemon_metrics.h"
 
 /* When a caller should come back after the daemon itself had no room or was not ready. */
@@ -36,9 +38,20 @@
     g_free(task);
 }
 
+/* Ends a transaction whose commit was never sent. */
+static void roll_back(struct task *task)
+{
+    adapter_rollback(task->transaction->connection, task->deadline);
+    transaction_table_end(task->daemon->transactions, task->transaction);
+    task->transaction = NULL;
+}
+
 void task_finish(struct task *task)
 {
     task_give_slot(task);
+    if (task->transaction != NULL) {
+        roll_back(task);
+    }
     if (task->counts_as_write) {
         group_runtime_end_write(task->group);
         task->counts_as_write = false;
@@ -88,6 +101,9 @@
     case TASK_STATE_WRITING:
         task_run_write(task);
         break;
+    case TASK_STATE_BEGINNING:
+        task_run_begin(task);
+        break;
     case TASK_STATE_ANSWERED:
         g_assert_not_reached();
     }
@@ -138,11 +154,21 @@
     task->ticket.deadline = task->deadline;
 }
 
+static enum worker_lane lane_of(const struct request *request)
+{
+    if (request->hops > 0) {
+        return WORKER_LANE_FORWARDED;
+    }
+    bool in_transaction = request->transaction_id != NULL && request->transaction_id[0] != '\0';
+    return in_transaction ? WORKER_LANE_TRANSACTION : WORKER_LANE_NEW;
+}
+
 void task_submit(struct daemon *daemon, struct request *request, task_answer_function answer,
                  void *origin)
 {
     struct task *task = g_new0(struct task, 1);
     task->job.run = run_task;
+    task->job.lane = lane_of(request);
     task->daemon = daemon;
     task->request = request;
     task->answer = answer;
@@ -223,6 +249,22 @@
     }
 }
 
+void task_expire_queued(struct daemon *daemon, struct group_runtime *group, time_ns now)
+{
+    for (uint32_t i = 0; i < group->database_count; i++) {
+        struct database_runtime *database = &group->databases[i];
+        pthread_mutex_lock(&database->admission_lock);
+        struct admission_ticket *ticket = admission_take_expired(&database->admission, now);
+        while (ticket != NULL) {
+            struct task *task = caa_container_of(ticket, struct task, ticket);
+            task->ticket_expired = true;
+            worker_pool_resume(daemon->workers, &task->job);
+            ticket = admission_take_expired(&database->admission, now);
+        }
+        pthread_mutex_unlock(&database->admission_lock);
+    }
+}
+
 void task_give_slot(struct task *task)
 {
     if (task->slot_database < 0) {
--- a/src/daemon/task.h
+++ b/src/daemon/task.h
@@ -18,9 +18,10 @@
 typedef void (*task_answer_function)(void *origin, const struct reply *reply);
 
 enum task_state {
-    TASK_STATE_STARTING, /* no step taken yet */
-    TASK_STATE_READING,  /* read_step is to be performed */
-    TASK_STATE_WRITING,  /* write_step is to be performed */
+    TASK_STATE_STARTING,  /* no step taken yet */
+    TASK_STATE_READING,   /* read_step is to be performed */
+    TASK_STATE_WRITING,   /* write_step is to be performed */
+    TASK_STATE_BEGINNING, /* a database or a connection is waited for */
     TASK_STATE_ANSWERED,
 };
 
@@ -44,6 +45,10 @@
     struct write_flow write_flow;
     struct write_step write_step;
 
+    uint32_t begin_attempts;   /* of BEGINNING, as the next two */
+    uint32_t begin_excluded;   /* bit per database that was tried in vain */
+    time_ns unavailable_since; /* no database can serve since then; 0 if one can */
+
     struct admission_ticket ticket;
     int32_t slot_database; /* whose slot the task holds, or -1 */
     bool ticket_expired;   /* the queue handed the ticket back without a slot */
@@ -52,7 +57,7 @@
     bool resolve_only;    /* a commit whose transaction is gone */
     bool counts_as_write; /* in the group's writes_running */
 
-    struct transaction *transaction; /* being used, or NULL */
+    struct transaction *transaction; /* to be committed; rolled back if still here at the end */
     char *ledger_key;                /* tenant and idempotency key, or NULL */
     struct execute_answer run;       /* of the last step */
     struct execute_answer failure;   /* the error to tell once the key is closed */
@@ -64,7 +69,7 @@
 void task_submit(struct daemon *daemon, struct request *request, task_answer_function answer,
                  void *origin);
 
-/* Answers and frees the task. */
+/* Answers and frees the task; a transaction it still has is rolled back first. */
 void task_finish(struct task *task);
 
 /* Fills the reply with an outcome that is not done, and finishes. */
@@ -77,7 +82,7 @@
 /* Runs the write flow until the task is answered, parked or queued. */
 void task_run_write(struct task *task);
 
-/* Runs a request of an interactive transaction. */
+/* Runs a request of an open interactive transaction. */
 void task_run_transaction(struct task *task);
 
 /* Takes a slot of a database. True: held. False: the task was queued (it will run again), or
@@ -85,6 +90,9 @@
 bool task_take_slot(struct task *task, uint32_t database, enum admission_class rank, bool *refused,
                     uint32_t *retry_after_ms);
 
+/* Refuses the tasks whose deadline has passed while they were queued for a slot of the group. */
+void task_expire_queued(struct daemon *daemon, struct group_runtime *group, time_ns now);
+
 /* Gives the slot back, if one is held, and starts the next in the queue. */
 void task_give_slot(struct task *task);
 
