--- a/src/core/group_control_change.c
+++ b/src/core/group_control_change.c
@@ -180,15 +180,14 @@
 
     change->state = CHANGE_STATE_PAUSING;
     change->reason = reason;
-    change->id = suspicion_weight(control->options.group, control->last_command + 1,
-                                  control->options.watcher) |
-                 1;
+    change->count += 1;
+    change->id =
+        suspicion_weight(control->options.group, change->count, control->options.watcher) | 1;
     change->term = control->known_term;
     change->target = target;
     change->deadline = control->now + control->options.pause_max;
     change->drained_at = 0;
     change->poll_at = control->now;
-    control->last_command += 1;
     control_record(control, GROUP_RECORD_CHANGE_STARTED, reason, change->term, (int32_t)target,
                    NO_POSITION);
     if (!control->options.no_pause) {
--- a/src/core/group_control_internal.h
+++ b/src/core/group_control_internal.h
@@ -72,6 +72,7 @@
 struct change {
     enum change_state state;
     enum group_reason reason;
+    uint64_t count; /* changes begun */
     uint64_t id;
     uint64_t term; /* being left */
     uint32_t target;
--- a/src/sim/prove.c
+++ b/src/sim/prove.c
@@ -21,7 +21,7 @@
      CHECKER_RULE_ACKNOWLEDGED_LOST},
     {"acknowledged by the current primary", "primary_paused", SIM_MUTATION_NO_FENCE,
      CHECKER_RULE_ACKNOWLEDGED_LOST},
-    {"acknowledged by the current primary", "zone_cut_and_heal", SIM_MUTATION_NO_FENCE,
+    {"acknowledged by the current primary", "zone_cut_and_heal", SIM_MUTATION_TRUST_COMMIT,
      CHECKER_RULE_ACKNOWLEDGED_LOST},
     {"acknowledged by the current primary", "coordinator_paused", SIM_MUTATION_NONE,
      CHECKER_RULE_COUNT},
