--- a/tests/core/dissemination_test.c
+++ b/tests/core/dissemination_test.c
@@ -120,6 +120,36 @@
     dissemination_free(dissemination);
 }
 
+/* Statuses in any order: what is known never goes back, unless the check is off. */
+static uint32_t count_reverts(bool take_older)
+{
+    struct dissemination_options options;
+    dissemination_options_default(&options);
+    options.take_older = take_older;
+    struct dissemination *dissemination = dissemination_new(&options, SELF);
+    g_autoptr(GRand) random = g_rand_new_with_seed(5);
+    g_autoptr(GArray) sends = g_array_new(FALSE, FALSE, sizeof(struct dissemination_send));
+    uint32_t reverts = 0;
+    uint64_t highest = 0;
+    for (int step = 0; step < 1000; step++) {
+        uint64_t term = (uint64_t)g_rand_int_range(random, 1, 50);
+        struct group_status status = status_of(term, 1, 2);
+        dissemination_receive(dissemination, &status, SECONDS(1), sends);
+        struct group_status known;
+        g_assert_true(dissemination_status(dissemination, GROUP, &known));
+        reverts += known.term < highest;
+        highest = MAX(highest, known.term);
+    }
+    dissemination_free(dissemination);
+    return reverts;
+}
+
+static void test_never_goes_back(void)
+{
+    g_assert_cmpuint(count_reverts(false), ==, 0);
+    g_assert_cmpuint(count_reverts(true), >, 0);
+}
+
 /* A daemon that lost its place as owner tells nobody and keeps no list. */
 static void test_no_owner_no_list(void)
 {
@@ -145,6 +175,7 @@
     g_test_add_func("/dissemination/owner-passes-news-on-once", test_owner_passes_news_on_once);
     g_test_add_func("/dissemination/older-is-not-taken-but-answered",
                     test_older_is_not_taken_but_answered);
+    g_test_add_func("/dissemination/never-goes-back", test_never_goes_back);
     g_test_add_func("/dissemination/no-owner-no-list", test_no_owner_no_list);
     return g_test_run();
 }
