Measure watchers and the daemon at rest; let a fresh daemon learn quietly

A fresh daemon passed on every record of the list it was given, which after a start of all 760 at once kept gossip at three times its rest for minutes.

--- a/bench/scale_fit.py
+++ b/bench/scale_fit.py
@@ -3,8 +3,9 @@
 
 Use: bench/scale_fit.py RESULTS.jsonl
 
-For each figure: the measured points, a straight line through those up to 380 daemons, what that line foretells for
-760, and what was measured there. The line is a check of the growth, not a result.
+For each figure: the measured points, and a fit of a + b x daemons + c / daemons (relays share a load that does not
+grow). Fitted to the sizes up to 380 it foretells 760, where it is checked by the measured point; fitted to all it gives
+the growth, and foretells 1,520. What is foretold is no result.
 """
 
 import json
@@ -54,14 +55,41 @@
     return sent["octets_per_s"]["max"] + HEADER_OCTETS * sent["messages_per_s"]["max"]
 
 
-def line_through(points):
-    """Least squares: (intercept, slope)."""
-    count = len(points)
-    mean_x = sum(x for x, _ in points) / count
-    mean_y = sum(y for _, y in points) / count
-    spread = sum((x - mean_x) ** 2 for x, _ in points)
-    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread if spread else 0.0
-    return mean_y - slope * mean_x, slope
+def solve(rows, right):
+    """Solves a small system of linear equations by elimination."""
+    size = len(right)
+    for pivot in range(size):
+        best = max(range(pivot, size), key=lambda row: abs(rows[row][pivot]))
+        rows[pivot], rows[best] = rows[best], rows[pivot]
+        right[pivot], right[best] = right[best], right[pivot]
+        for row in range(pivot + 1, size):
+            factor = rows[row][pivot] / rows[pivot][pivot]
+            rows[row] = [x - factor * y for x, y in zip(rows[row], rows[pivot])]
+            right[row] -= factor * right[pivot]
+    result = [0.0] * size
+    for row in reversed(range(size)):
+        rest = sum(rows[row][column] * result[column] for column in range(row + 1, size))
+        result[row] = (right[row] - rest) / rows[row][row]
+    return result
+
+
+def terms(daemons):
+    """A constant part, a part that grows with the daemons, and one that they share."""
+    return [1.0, daemons / 100.0, 100.0 / daemons]
+
+
+def fit(points):
+    """Least squares over the terms: their factors."""
+    features = [(terms(x), y) for x, y in points]
+    count = len(terms(1))
+    rows = [[sum(f[i] * f[j] for f, _ in features) for j in range(count)] for i in range(count)]
+    right = [sum(f[i] * y for f, y in features) for i in range(count)]
+    return solve(rows, right)
+
+
+def foretell(factors, daemons):
+    """The fitted value at a size."""
+    return sum(factor * term for factor, term in zip(factors, terms(daemons)))
 
 
 def show(value):
@@ -76,18 +104,20 @@
     sizes = [size for size in SIZES if size in runs]
     print(f"\n### {title}\n")
     print("| Figure | unit | " + " | ".join(str(size) for size in sizes)
-          + " | slope per 100 daemons | line at 760 |")
-    print("|---|---|" + "---|" * (len(sizes) + 2))
+          + " | grows per 100 daemons | 760 foretold from the smaller | 1,520 foretold |")
+    print("|---|---|" + "---|" * (len(sizes) + 3))
     for name, unit, read in FIGURES:
-        values = {size: read(runs[size]) for size in sizes}
-        fitted = [(size, values[size]) for size in FITTED if size in values]
-        slope, foretold = "-", "-"
-        if len(fitted) >= 2:
-            intercept, gradient = line_through(fitted)
-            slope = show(100 * gradient)
-            foretold = show(intercept + gradient * 760)
-        cells = " | ".join(show(values[size]) for size in sizes)
-        print(f"| {name} | {unit} | {cells} | {slope} | {foretold} |")
+        points = [(size, read(runs[size])) for size in sizes]
+        smaller = [point for point in points if point[0] in FITTED]
+        grows, at_target, past_target = "-", "-", "-"
+        if len(smaller) == len(FITTED):
+            at_target = show(foretell(fit(smaller), 760))
+        if len(points) == len(SIZES):
+            factors = fit(points)
+            grows = show(factors[1])
+            past_target = show(foretell(factors, 1520))
+        cells = " | ".join(show(value) for _, value in points)
+        print(f"| {name} | {unit} | {cells} | {grows} | {at_target} | {past_target} |")
 
 
 def time_table(runs):
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -106,6 +106,15 @@
     return membership->left || membership->superseded;
 }
 
+/* True for the records of a peer's list while this daemon's own is not yet whole. Passing each of
+ * them on would cost more than all other gossip. */
+static bool is_learning(const struct membership *membership, const struct gossip_message *message)
+{
+    bool list =
+        message->kind == GOSSIP_KIND_SYNC_REPLY || message->kind == GOSSIP_KIND_SYNC_RECORDS;
+    return list && !membership->synced;
+}
+
 /* Takes in what stands in every datagram: the sender, its configuration and updates. */
 static void merge_message(struct membership *membership, const struct gossip_message *message,
                           time_ns now, struct membership_actions *actions)
@@ -121,9 +130,11 @@
     if (record != NULL && record->configuration.version == in_force.version) {
         record->configuration.hash = in_force.hash;
     }
+    membership->learning = is_learning(membership, message);
     for (size_t i = 0; i < message->updates_count; i++) {
         membership_merge(membership, &message->updates[i], now, actions);
     }
+    membership->learning = false;
 }
 
 /* Gives the answer that the kind of datagram asks for. */
--- a/src/core/membership_gossip.c
+++ b/src/core/membership_gossip.c
@@ -174,6 +174,9 @@
 
 void membership_enqueue(struct membership *membership, struct member_record *record)
 {
+    if (membership->learning && record->id != membership->self_id) {
+        return;
+    }
     record->transmissions = 0;
     membership->news = true;
     if (record->queued) {
--- a/src/core/membership_internal.h
+++ b/src/core/membership_internal.h
@@ -63,6 +63,7 @@
     bool left;
     bool superseded;
     bool synced;
+    bool learning; /* a fresh daemon takes in a peer's list: that is no news to anyone else */
     uint32_t complete_with; /* live members when a reply last found the list whole; 0: it did not */
     uint32_t next_sequence;
 
--- a/src/sim/scale_main.c
+++ b/src/sim/scale_main.c
@@ -24,6 +24,7 @@
     gint restarts;
     gint failures;
     gint primary_changes;
+    gint watched_groups;
     gchar *commit;
 };
 
@@ -44,6 +45,8 @@
          "N"},
         {"primary-changes", 0, 0, G_OPTION_ARG_INT, &arguments->primary_changes,
          "instead of the day's number", "N"},
+        {"watched-groups", 0, 0, G_OPTION_ARG_INT, &arguments->watched_groups,
+         "measure one watcher of so many groups instead of a fleet", "N"},
         {"commit", 0, 0, G_OPTION_ARG_STRING, &arguments->commit, "commit named in the report",
          "ID"},
         G_OPTION_ENTRY_NULL,
@@ -56,7 +59,8 @@
 static bool check(const struct arguments *arguments)
 {
     bool daemons = arguments->daemons > 0 && arguments->daemons <= DAEMONS_MAX;
-    return daemons && arguments->databases >= 0 && arguments->minutes > 0;
+    return daemons && arguments->databases >= 0 && arguments->minutes > 0 &&
+           arguments->watched_groups >= 0;
 }
 
 static void override(uint32_t *number, gint given)
@@ -66,9 +70,19 @@
     }
 }
 
+static time_ns run_length(const struct arguments *arguments)
+{
+    return (time_ns)(arguments->minutes * 60 * (double)NANOSECONDS_PER_SECOND);
+}
+
+static const char *commit_of(const struct arguments *arguments)
+{
+    return arguments->commit == NULL ? "unknown" : arguments->commit;
+}
+
 static void choose_day(const struct arguments *arguments, struct scale_day_options *day)
 {
-    time_ns length = (time_ns)(arguments->minutes * 60 * (double)NANOSECONDS_PER_SECOND);
+    time_ns length = run_length(arguments);
     if (arguments->quiet) {
         scale_day_options_quiet(day, length);
     } else {
@@ -99,7 +113,7 @@
     struct scale_day_outcome outcome;
     scale_day_run(fleet, &day, &outcome);
     struct scale_report_run report = {
-        .commit = arguments->commit == NULL ? "unknown" : arguments->commit,
+        .commit = commit_of(arguments),
         .command = command,
         .databases = (uint32_t)arguments->databases,
         .seed = (uint32_t)arguments->seed,
@@ -112,6 +126,29 @@
     return good ? 0 : 1;
 }
 
+/* Between two probes of a database, as the settings have it by default. */
+#define PROBE_INTERVAL (100 * NANOSECONDS_PER_MILLISECOND)
+
+static int run_watcher(const struct arguments *arguments, const char *command)
+{
+    struct scale_watch_options options = {
+        .groups = (uint32_t)arguments->watched_groups,
+        .length = run_length(arguments),
+        .probe_interval = PROBE_INTERVAL,
+    };
+    g_autoptr(GTimer) timer = g_timer_new();
+    struct scale_watch_measures measures;
+    scale_watch_run(&options, &measures);
+    struct scale_report_run report = {
+        .commit = commit_of(arguments),
+        .command = command,
+        .wall_seconds = g_timer_elapsed(timer, NULL),
+    };
+    g_autofree char *line = scale_report_watch_line(&options, &measures, &report);
+    printf("%s\n", line);
+    return 0;
+}
+
 int scale_main(int argc, char **argv)
 {
     struct arguments arguments = {
@@ -138,7 +175,8 @@
         fprintf(stderr, "scale: a number is out of range\n");
         return 2;
     }
-    int status = run(&arguments, command);
+    int status =
+        arguments.watched_groups > 0 ? run_watcher(&arguments, command) : run(&arguments, command);
     g_free(arguments.commit);
     return status;
 }
--- a/src/sim/scale_report.c
+++ b/src/sim/scale_report.c
@@ -214,3 +214,27 @@
     g_autoptr(JsonNode) root = json_builder_get_root(builder);
     return json_to_string(root, FALSE);
 }
+
+char *scale_report_watch_line(const struct scale_watch_options *options,
+                              const struct scale_watch_measures *measures,
+                              const struct scale_report_run *run)
+{
+    g_autoptr(JsonBuilder) builder = json_builder_new();
+    json_builder_begin_object(builder);
+    add_text(builder, "role", "watcher");
+    add_text(builder, "commit", run->commit);
+    add_text(builder, "command", run->command);
+    add_count(builder, "groups", options->groups);
+    add_number(builder, "virtual_seconds",
+               (double)options->length / (double)NANOSECONDS_PER_SECOND);
+    add_number(builder, "probes_per_s", measures->probes);
+    add_number(builder, "opinions_per_s", measures->opinions);
+    add_number(builder, "opinion_octets_per_s", measures->opinion_octets);
+    add_number(builder, "core_percent_of_a_core", measures->core_percent);
+    add_number(builder, "codec_percent_of_a_core", measures->codec_percent);
+    add_number(builder, "state_octets", measures->state_octets);
+    add_number(builder, "wall_seconds", run->wall_seconds);
+    json_builder_end_object(builder);
+    g_autoptr(JsonNode) root = json_builder_get_root(builder);
+    return json_to_string(root, FALSE);
+}
--- a/src/sim/scale_report.h
+++ b/src/sim/scale_report.h
@@ -4,6 +4,7 @@
 
 #include "sim/scale_day.h"
 #include "sim/scale_fleet.h"
+#include "sim/scale_watch.h"
 
 /* What names a run. */
 struct scale_report_run {
@@ -19,4 +20,9 @@
                         const struct scale_day_outcome *outcome,
                         const struct scale_report_run *run);
 
+/* The same for a run that measured a watcher. */
+char *scale_report_watch_line(const struct scale_watch_options *options,
+                              const struct scale_watch_measures *measures,
+                              const struct scale_report_run *run);
+
 #endif
