Let the sanitizer builds see RCU and GLib as they are

ThreadSanitizer sees neither liburcu 0.13's fences nor GLib's atomics and slices: the build includes a header that tells it of publication and grace periods, and G_SLICE=always-malloc ends reuse across threads.

--- a/Makefile
+++ b/Makefile
@@ -37,9 +37,10 @@
 	UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 tools/run-tests.sh build-asan --timeout-multiplier 4
 
 test-tsan: | setup-build
-	[ -f build-tsan/build.ninja ] || meson setup build-tsan -Db_sanitize=thread -Db_lundef=false
+	[ -f build-tsan/build.ninja ] || meson setup build-tsan -Db_sanitize=thread -Db_lundef=false \
+		-Dc_args="-include $(CURDIR)/tools/tsan_rcu.h"
 	ninja -C build-tsan -j $(JOBS)
-	TSAN_OPTIONS="halt_on_error=1 suppressions=$(CURDIR)/tools/tsan-suppressions.txt" \
+	G_SLICE=always-malloc TSAN_OPTIONS="halt_on_error=1 suppressions=$(CURDIR)/tools/tsan-suppressions.txt" \
 		tools/run-tests.sh build-tsan --timeout-multiplier 8
 
 # Every guarantee with its mechanism off (must fail) and on (must pass), in the simulator.
--- a/tests/load/fake_daemon.c
+++ b/tests/load/fake_daemon.c
@@ -3,6 +3,7 @@
 
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <pthread.h>
 #include <string.h>
 
 struct fake_daemon {
@@ -10,7 +11,7 @@
     guint reply_count;
     struct MHD_Daemon *server;
     char *address;
-    GMutex lock; /* guards what follows */
+    pthread_mutex_t lock; /* guards what follows */
     guint requests;
     char *body;
     char *path;
@@ -30,7 +31,7 @@
                                              struct MHD_Connection *connection, const char *path,
                                              const GString *body)
 {
-    g_mutex_lock(&fake->lock);
+    pthread_mutex_lock(&fake->lock);
     guint place = MIN(fake->requests, fake->reply_count - 1);
     fake->requests++;
     g_free(fake->body);
@@ -39,7 +40,7 @@
     fake->path = g_strdup(path);
     g_hash_table_remove_all(fake->headers);
     MHD_get_connection_values(connection, MHD_HEADER_KIND, take_header, fake);
-    g_mutex_unlock(&fake->lock);
+    pthread_mutex_unlock(&fake->lock);
     return &fake->replies[place];
 }
 
@@ -91,7 +92,7 @@
     struct fake_daemon *fake = g_new0(struct fake_daemon, 1);
     fake->replies = replies;
     fake->reply_count = count;
-    g_mutex_init(&fake->lock);
+    pthread_mutex_init(&fake->lock, NULL);
     fake->headers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     struct sockaddr_in loopback = {
         .sin_family = AF_INET,
@@ -111,7 +112,7 @@
 {
     MHD_stop_daemon(fake->server);
     g_hash_table_unref(fake->headers);
-    g_mutex_clear(&fake->lock);
+    pthread_mutex_destroy(&fake->lock);
     g_free(fake->address);
     g_free(fake->body);
     g_free(fake->path);
@@ -125,33 +126,33 @@
 
 guint fake_daemon_requests(struct fake_daemon *fake)
 {
-    g_mutex_lock(&fake->lock);
+    pthread_mutex_lock(&fake->lock);
     guint requests = fake->requests;
-    g_mutex_unlock(&fake->lock);
+    pthread_mutex_unlock(&fake->lock);
     return requests;
 }
 
 char *fake_daemon_body(struct fake_daemon *fake)
 {
-    g_mutex_lock(&fake->lock);
+    pthread_mutex_lock(&fake->lock);
     char *body = g_strdup(fake->body);
-    g_mutex_unlock(&fake->lock);
+    pthread_mutex_unlock(&fake->lock);
     return body;
 }
 
 char *fake_daemon_header(struct fake_daemon *fake, const char *name)
 {
     g_autofree char *key = g_ascii_strdown(name, -1);
-    g_mutex_lock(&fake->lock);
+    pthread_mutex_lock(&fake->lock);
     char *value = g_strdup(g_hash_table_lookup(fake->headers, key));
-    g_mutex_unlock(&fake->lock);
+    pthread_mutex_unlock(&fake->lock);
     return value;
 }
 
 char *fake_daemon_path(struct fake_daemon *fake)
 {
-    g_mutex_lock(&fake->lock);
+    pthread_mutex_lock(&fake->lock);
     char *path = g_strdup(fake->path);
-    g_mutex_unlock(&fake->lock);
+    pthread_mutex_unlock(&fake->lock);
     return path;
 }
