--- a/src/core/membership_sync.c
+++ b/src/core/membership_sync.c
@@ -15,11 +15,11 @@
     message->digests_count = MEMBERSHIP_BUCKETS;
 }
 
-void membership_sync_with(struct membership *membership, struct member_address to, time_ns now,
+void membership_sync_with(struct membership *membership, struct member_address to,
                           struct membership_actions *actions)
 {
     struct gossip_message message;
-    membership_begin(membership, GOSSIP_KIND_SYNC, now, false, &message);
+    membership_begin(membership, GOSSIP_KIND_SYNC, &message);
     add_digests(membership, &message);
     membership_send_plain(&message, to, actions);
 }
@@ -41,7 +41,6 @@
 struct record_stream {
     struct membership *membership;
     struct member_address to;
-    time_ns now;
     struct membership_actions *actions;
     struct gossip_message message;
     size_t size;
@@ -55,8 +54,7 @@
 {
     membership_send_plain(&stream->message, stream->to, stream->actions);
     stream->datagrams++;
-    membership_begin(stream->membership, GOSSIP_KIND_SYNC_RECORDS, stream->now, false,
-                     &stream->message);
+    membership_begin(stream->membership, GOSSIP_KIND_SYNC_RECORDS, &stream->message);
     stream->size = membership_message_size(&stream->message);
 }
 
@@ -102,20 +100,19 @@
 
 /* Sends a first message with the records of differing buckets behind it. */
 static void answer_with_records(struct membership *membership, struct gossip_message *first,
-                                uint32_t buckets, struct member_address to, time_ns now,
+                                uint32_t buckets, struct member_address to,
                                 struct membership_actions *actions)
 {
     struct record_stream stream = {
         .membership = membership,
         .to = to,
-        .now = now,
         .actions = actions,
         .message = *first,
         .size = membership_message_size(first),
     };
     stream_records(&stream, buckets);
     bool unsent = stream.datagrams == 0 || stream.message.updates_count > 0;
-    if (unsent) {
+    if (unsent && stream.datagrams < membership->options.sync_datagrams) {
         membership_send_plain(&stream.message, to, actions);
     }
     gossip_message_clear(&stream.message);
@@ -136,11 +133,21 @@
                              struct membership_actions *actions)
 {
     struct gossip_message answer;
-    membership_begin(membership, GOSSIP_KIND_SYNC_REPLY, now, false, &answer);
+    membership_begin(membership, GOSSIP_KIND_SYNC_REPLY, &answer);
     add_digests(membership, &answer);
     answer.live_members = live_members(membership);
     uint32_t buckets = differing_buckets(membership, message);
-    answer_with_records(membership, &answer, buckets, from, now, actions);
+    answer_with_records(membership, &answer, buckets, from, actions);
+}
+
+/* The list is whole once two replies in a row found it so, and it did not grow between them: when
+ * many daemons start at once, a single reply means little, as all may lack the same members. */
+static void note_completeness(struct membership *membership, bool complete)
+{
+    uint32_t live = live_members(membership);
+    bool again = complete && live == membership->complete_with;
+    membership->complete_with = complete ? live : 0;
+    membership->synced |= again;
 }
 
 void membership_receive_sync_reply(struct membership *membership,
@@ -148,16 +155,14 @@
                                    time_ns now, struct membership_actions *actions)
 {
     uint64_t needed = (uint64_t)message->live_members * COMPLETE_SIXTEENTHS / 16;
-    if (live_members(membership) >= needed) {
-        membership->synced = true;
-    }
+    note_completeness(membership, live_members(membership) >= needed);
     uint32_t buckets = differing_buckets(membership, message);
     if (buckets == 0) {
         return;
     }
     struct gossip_message records;
-    membership_begin(membership, GOSSIP_KIND_SYNC_RECORDS, now, false, &records);
-    answer_with_records(membership, &records, buckets, from, now, actions);
+    membership_begin(membership, GOSSIP_KIND_SYNC_RECORDS, &records);
+    answer_with_records(membership, &records, buckets, from, actions);
 }
 
 /* True if a live member has the address. */
@@ -205,8 +210,7 @@
 }
 
 /* A dead member may be alive behind a cut that has healed: it is told so that it can refute. */
-static void try_dead_member(struct membership *membership, time_ns now,
-                            struct membership_actions *actions)
+static void try_dead_member(struct membership *membership, struct membership_actions *actions)
 {
     guint count = membership->records->len;
     guint first = membership_random(membership, count);
@@ -216,7 +220,7 @@
             continue;
         }
         struct gossip_message message;
-        membership_begin(membership, GOSSIP_KIND_PING, now, false, &message);
+        membership_begin(membership, GOSSIP_KIND_PING, &message);
         membership_send(membership, &message, record, member_record_address(record), actions);
         return;
     }
@@ -259,12 +263,12 @@
     }
     const struct member_record *peer = choose_sync_peer(membership);
     if (peer != NULL) {
-        membership_sync_with(membership, member_record_address(peer), now, actions);
+        membership_sync_with(membership, member_record_address(peer), actions);
     }
     const struct member_address *seed = unknown_seed(membership);
     if (seed != NULL) {
-        membership_sync_with(membership, *seed, now, actions);
+        membership_sync_with(membership, *seed, actions);
     }
     membership->next_sync = now + sync_wait(membership, seed != NULL, now);
-    try_dead_member(membership, now, actions);
+    try_dead_member(membership, actions);
 }
