--- a/bench/scale_daemon.sh
+++ b/bench/scale_daemon.sh
@@ -93,7 +93,7 @@
 main() {
     cluster_init "$1"
     bench_deploy atlas-huts bookings-toubkal "$DAEMONS" "--service-time-us 0" ${SCALE_SETTINGS:-}
-    sleep 3
+    sleep 10
     local rest clients
     rest=$(measure_rest)
     measure_clients "${2:-3816}" >"$CLUSTER_DIRECTORY/clients.json"
--- a/bench/scale_fit.py
+++ b/bench/scale_fit.py
@@ -151,12 +151,32 @@
         print(f"| {name} | {unit} | " + " | ".join(cells) + " |")
 
 
+WATCHER_FIGURES = [
+    ("probes_per_s", "probes answered, 1/s"),
+    ("opinion_octets_per_s", "opinions sent, B/s"),
+    ("core_percent_of_a_core", "control, % of a core"),
+    ("codec_percent_of_a_core", "codec, % of a core"),
+    ("state_octets", "state, B"),
+]
+
+
+def watcher_table(watchers):
+    """One watcher of more and more groups."""
+    print("\n### One watcher, by groups watched\n")
+    print("| Figure | " + " | ".join(str(run["groups"]) for run in watchers) + " |")
+    print("|---|" + "---|" * len(watchers))
+    for name, title in WATCHER_FIGURES:
+        print(f"| {title} | " + " | ".join(show(run[name]) for run in watchers) + " |")
+
+
 def main():
-    runs = [json.loads(line) for line in open(sys.argv[1]) if line.strip()]
+    lines = [json.loads(line) for line in open(sys.argv[1]) if line.strip()]
+    runs = [line for line in lines if "role" not in line]
+    watchers = sorted((line for line in lines if line.get("role") == "watcher"), key=lambda run: run["groups"])
     busy = {run["daemons"]: run for run in runs if run["configuration_changes"] > 0}
     quiet = {run["daemons"]: run for run in runs if run["configuration_changes"] == 0}
     print("Commit " + ", ".join(sorted({run["commit"] for run in runs})) + ". Commands:")
-    for run in runs:
+    for run in runs + watchers:
         print(f"- `{run['command']}` ({run['wall_seconds']:.0f} s)")
     if busy:
         figure_table(busy, "A day compressed into 10 minutes")
@@ -165,6 +185,8 @@
         figure_table(quiet, "Quiet")
     if busy and quiet:
         day_table(busy, quiet)
+    if watchers:
+        watcher_table(watchers)
 
 
 if __name__ == "__main__":
