--- a/src/backend/prober.c
+++ b/src/backend/prober.c
@@ -5,6 +5,8 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <stdatomic.h>
+
 #include "backend/clock.h"
 
 /* The smoothed round trip moves by this fraction of each new one, as TCP's does. */
@@ -56,6 +58,7 @@
     struct prober_options options;
     pthread_t thread;
     int wake_fd;
+    _Atomic uint32_t interval_ms;
     pthread_mutex_t lock; /* guards `inbox` and `stopping` */
     GQueue inbox;         /* of struct inbox_item */
     bool stopping;
@@ -167,7 +170,8 @@
 
 static void schedule_next_probe(struct probe_target *target, time_ns now)
 {
-    target->next_probe_at = now + target->prober->options.interval_ms * NANOSECONDS_PER_MILLISECOND;
+    target->next_probe_at =
+        now + atomic_load(&target->prober->interval_ms) * NANOSECONDS_PER_MILLISECOND;
 }
 
 static void probe(struct probe_target *target, time_ns now)
@@ -381,6 +385,7 @@
     prober->poll_fds = g_array_new(FALSE, TRUE, sizeof(struct pollfd));
     g_queue_init(&prober->inbox);
     pthread_mutex_init(&prober->lock, NULL);
+    atomic_init(&prober->interval_ms, options->interval_ms);
     pthread_create(&prober->thread, NULL, run, prober);
     return prober;
 }
@@ -449,3 +454,8 @@
     item->command = command;
     post(prober, item);
 }
+
+void prober_set_interval(struct prober *prober, uint32_t interval_ms)
+{
+    atomic_store(&prober->interval_ms, interval_ms);
+}
--- a/src/backend/prober.h
+++ b/src/backend/prober.h
@@ -47,6 +47,9 @@
 /* Stops probing a database. A callback that is under way may still come. Any thread. */
 void prober_remove(struct prober *prober, uint32_t group, uint32_t database);
 
+/* Changes the interval, from the next probe of each database on. Any thread. */
+void prober_set_interval(struct prober *prober, uint32_t interval_ms);
+
 /* Probes at once instead of at the interval. Any thread. */
 void prober_probe_now(struct prober *prober, uint32_t group, uint32_t database);
 
--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -318,3 +318,10 @@
     control->last_event_at = control->now;
     control->actions = NULL;
 }
+
+void group_control_set_detection(struct group_control *control, time_ns suspect_after,
+                                 time_ns unreachable_after)
+{
+    control->options.suspect_after = suspect_after;
+    control->options.unreachable_after = unreachable_after;
+}
--- a/src/core/group_control.h
+++ b/src/core/group_control.h
@@ -200,6 +200,11 @@
 struct group_control *group_control_new(const struct group_control_options *options, time_ns now);
 void group_control_free(struct group_control *control);
 
+/* Changes the times after which a primary without good probes is suspected and a database avoided,
+ * as the probe interval changes. */
+void group_control_set_detection(struct group_control *control, time_ns suspect_after,
+                                 time_ns unreachable_after);
+
 /* Takes one event and overwrites `actions` with what the shell must do, in order. */
 void group_control_step(struct group_control *control, const struct group_event *event,
                         struct group_actions *actions);
--- a/src/daemon/admin_api.c
+++ b/src/daemon/admin_api.c
@@ -22,28 +22,38 @@
     admin_answer_error(answer, error);
 }
 
-/* Marks the named database, or this daemon, as leaving or not. */
-static void mark(const struct admin_request *request, struct admin_answer *answer,
-                 struct daemon *daemon, bool leaving)
+/* Refuses a question about a group that other daemons own, and names them. */
+static void refuse_elsewhere(struct admin_answer *answer, struct daemon *daemon, uint32_t group)
 {
-    const char *database = admin_query_text(request, "database");
-    const char *self = admin_query_text(request, "daemon");
-    if (self != NULL) {
-        control_set_leaving(daemon->control, leaving);
-        g_string_append_printf(answer->body, "{\"daemon\":\"%s\",\"leaving\":%s}",
-                               daemon->settings.daemon.name, leaving ? "true" : "false");
-        return;
+    struct owner_list owners;
+    g_autoptr(GString) text = g_string_new("This daemon does not own the group; ask an owner:");
+    control_owners_of(daemon->control, group, &owners);
+    for (uint32_t i = 0; i < owners.count; i++) {
+        g_string_append_printf(text, " %s", owners.addresses[i]);
     }
-    if (database == NULL) {
-        refuse(answer, ERROR_KIND_BAD_REQUEST, "Name a database, or daemon=self.");
-        return;
+    refuse(answer, ERROR_KIND_BAD_REQUEST, text->str);
+}
+
+static bool owns(struct daemon *daemon, uint32_t group)
+{
+    struct group_runtime *runtime = daemon_take_group(daemon, group);
+    if (runtime != NULL) {
+        group_runtime_unref(runtime);
     }
+    return runtime != NULL;
+}
+
+static void mark_database(struct admin_answer *answer, struct daemon *daemon, const char *database,
+                          bool leaving)
+{
     struct configuration *configuration = daemon_take_configuration(daemon);
     uint32_t index = 0;
     const struct group_configuration *group =
         configuration != NULL ? configuration_find_database(configuration, database, &index) : NULL;
     if (group == NULL) {
         refuse(answer, ERROR_KIND_BAD_REQUEST, "No database has this name.");
+    } else if (!owns(daemon, group->id)) {
+        refuse_elsewhere(answer, daemon, group->id);
     } else {
         control_drain_database(daemon->control, group->id, index, leaving);
         g_string_append_printf(answer->body,
@@ -53,6 +63,22 @@
     configuration_unref(configuration);
 }
 
+/* Marks the named database, or this daemon, as leaving or not. */
+static void mark(const struct admin_request *request, struct admin_answer *answer,
+                 struct daemon *daemon, bool leaving)
+{
+    const char *database = admin_query_text(request, "database");
+    if (admin_query_text(request, "daemon") != NULL) {
+        control_set_leaving(daemon->control, leaving);
+        g_string_append_printf(answer->body, "{\"daemon\":\"%s\",\"leaving\":%s}",
+                               daemon->settings.daemon.name, leaving ? "true" : "false");
+    } else if (database != NULL) {
+        mark_database(answer, daemon, database, leaving);
+    } else {
+        refuse(answer, ERROR_KIND_BAD_REQUEST, "Name a database, or daemon=self.");
+    }
+}
+
 static void handle_drain(const struct admin_request *request, struct admin_answer *answer,
                          void *user)
 {
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -6,12 +6,16 @@
 
 #include "backend/adapter.h"
 #include "backend/clock.h"
+#include "core/route.h"
 #include "daemon/control_internal.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_metrics.h"
 #include "daemon/task.h"
 #include "wire/datagram.h"
 
+/* Probe intervals without a good probe before a primary is suspected, at least. */
+#define PROBES_BEFORE_SUSPICION 4
+
 /* A fence, promotion or follow without an answer for so long is lost. */
 #define COMMAND_TIMEOUT_MS 300
 
@@ -194,7 +198,7 @@
     }
     group_runtime_publish(group->runtime, view, change);
     daemon_metrics_group_writable(group->control->daemon->metrics, group->id,
-                                  view->primary >= 0 && !view->writes_paused, backend_now());
+                                  route_write(view).database >= 0, backend_now());
     worker_pool_wake(group->control->daemon->workers);
     make_sure_of_ledger(group, view);
 }
@@ -409,6 +413,30 @@
     control->prober = prober_new(&options);
 }
 
+/* Spreads the probes that this daemon may make over the databases it watches: a daemon that owns
+ * many groups probes each more rarely, and waits longer before it suspects a primary. */
+static void pace_probes(struct control *control)
+{
+    const struct settings *settings = &control->daemon->settings;
+    uint32_t databases = 0;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        databases += ((struct controlled_group *)value)->runtime->database_count;
+    }
+    uint32_t spread_ms = databases * 1000 / settings->backend.probes_per_second;
+    uint32_t interval_ms = MAX(settings->backend.probe_interval_ms, spread_ms);
+    uint32_t suspect_ms =
+        MAX(settings->failover.suspect_after_ms, interval_ms * PROBES_BEFORE_SUSPICION);
+    prober_set_interval(control->prober, interval_ms);
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        time_ns after = suspect_ms * NANOSECONDS_PER_MILLISECOND;
+        group_control_set_detection(((struct controlled_group *)value)->machine, after, after);
+    }
+}
+
 bool control_groups_runs(struct control *control, uint32_t group)
 {
     return find_group(control, group) != NULL;
@@ -419,6 +447,7 @@
     struct group_runtime *runtime = daemon_begin_group(control->daemon, group);
     if (runtime != NULL) {
         start_group(control, runtime);
+        pace_probes(control);
     }
 }
 
@@ -440,6 +469,7 @@
 {
     release_runtime(control, find_group(control, id));
     daemon_end_group(control->daemon, id);
+    pace_probes(control);
 }
 
 /* The group's run time in the routing table, with one reference, if it is another than the one that
--- a/src/daemon/task_begin.c
+++ b/src/daemon/task_begin.c
@@ -104,11 +104,11 @@
                          const struct route_decision *decision)
 {
     transaction->seen = task->run.position;
+    transaction->role = task->run.status.role;
     task->reply.reason = (uint32_t)decision->reason;
     task->reply.transaction_id = g_strdup(transaction->id);
     task->reply.outcome = OUTCOME_DONE;
-    task_note_served(task, transaction->database,
-                     transaction->options.read_only ? "replica" : "primary");
+    task_note_served(task, transaction->database, transaction_role_name(transaction));
     if (transaction->options.read_only) {
         task_note_seen(task, transaction->seen);
     }
--- a/src/daemon/task_read.c
+++ b/src/daemon/task_read.c
@@ -153,6 +153,11 @@
     task->reply.reason = (uint32_t)step->reason;
     note_refused_databases(task);
     if (step->outcome == OUTCOME_REFUSED) {
+        /* A read that found no fresh replica counts too: the primary's share is one of what is
+         * asked, and would never be earned again if only what replicas serve counted. */
+        if (step->error == ERROR_KIND_NO_FRESH_REPLICA) {
+            count_read(task, step->reason);
+        }
         task_refuse(task, step->outcome, step->error, NULL, step->retry_after_ms);
         return;
     }
--- a/src/daemon/task_transaction.c
+++ b/src/daemon/task_transaction.c
@@ -49,8 +49,7 @@
     enum execute_result result = adapter_statement(
         transaction->connection, task->request->statements, task->request->statements_count,
         task->deadline, daemon_result_limits(), &task->run);
-    task_note_served(task, transaction->database,
-                     transaction->options.read_only ? "replica" : "primary");
+    task_note_served(task, transaction->database, transaction_role_name(transaction));
     if (result == EXECUTE_DONE) {
         transaction->seen = task->run.position;
         task_note_seen(task, transaction->seen);
--- a/src/daemon/transaction.c
+++ b/src/daemon/transaction.c
@@ -149,3 +149,9 @@
 {
     return adapter_commit(transaction->connection, &transaction->options, deadline, answer);
 }
+
+const char *transaction_role_name(const struct transaction *transaction)
+{
+    bool replica = transaction->options.read_only && transaction->role == DATABASE_ROLE_REPLICA;
+    return replica ? "replica" : "primary";
+}
--- a/src/daemon/transaction.h
+++ b/src/daemon/transaction.h
@@ -22,6 +22,7 @@
     int32_t database;
     struct backend_connection *connection;
     struct adapter_transaction_options options; /* its strings are ledger_key and id */
+    enum database_role role;                    /* of the database when it began */
     struct log_position seen;                   /* what its statements so far may have shown */
     bool counts_as_write;                       /* in the group's writes_running */
     bool in_use;                                /* the table's */
@@ -68,6 +69,9 @@
 /* Open transactions. */
 uint32_t transaction_table_count(struct transaction_table *table);
 
+/* Role of the database that it began at, as callers are told. */
+const char *transaction_role_name(const struct transaction *transaction);
+
 /* Commits; see adapter_commit. */
 enum execute_result transaction_commit(struct transaction *transaction, time_ns deadline,
                                        struct execute_answer *answer);
--- a/tests/core/config_currency_test.c
+++ b/tests/core/config_currency_test.c
@@ -159,7 +159,12 @@
         if (g_rand_boolean(random)) {
             hear(&fixture, version, (uint64_t)g_rand_int_range(random, 0, 5), now);
         } else {
+            uint64_t applied = currency_applied(fixture.currency).version;
             fetched(&fixture, version, now);
+            if (!options->apply_older) {
+                bool due = version > applied && version >= newest;
+                g_assert_cmpint(has_action(&fixture, CURRENCY_ACTION_APPLY), ==, due);
+            }
             reverts += has_action(&fixture, CURRENCY_ACTION_APPLY) && version < newest;
         }
         newest = MAX(newest, currency_newest(fixture.currency).version);
