Publish the configuration in the demo and the chaos run

Daemons find the configuration by the platform, as operators run them. Two faults more: a lost answer to a publication, and a platform that goes down right after it accepted one.

--- a/tools/chaos.sh
+++ b/tools/chaos.sh
@@ -18,10 +18,11 @@
 readonly SETTLE_SECONDS=5
 readonly PAUSE_SECONDS=8
 readonly LOAD_MAX_SECONDS=270
+readonly IN_FORCE_SECONDS=12
 readonly ALL_FAULTS=(
     pause_primary cut_primary lose_answers truncate_answers pause_replica
-    platform_down_and_pause_primary pause_daemon kill_daemon stop_daemon drain_primary
-    pause_primary_and_daemon kill_primary
+    platform_down_and_pause_primary publish_with_lost_answer pause_daemon kill_daemon stop_daemon drain_primary
+    pause_primary_and_daemon publish_and_platform_down kill_primary
 )
 LOADS=(mixed writers unkeyed)
 
@@ -34,6 +35,8 @@
     # One tenant may write without keys, so that unknown outcomes occur.
     cluster_edit_configuration '.templates.guide.route.writes_require_key = false'
     cluster_start_platform
+    cluster_publish 0 "opening"
+    VERSION=1
     cluster_start_databases --open-delay-ms 10 --zone-delay-us 1500 --replication-lag-ms 50 \
         --service-time-us 300
     cluster_start_daemons "$DAEMONS"
@@ -130,6 +133,45 @@
     cluster_platform_fault name=heal
 }
 
+# publish_change: makes a changed configuration the next version; the operator asks once.
+publish_change() {
+    local status=0
+    cluster_edit_configuration ".description = \"change $VERSION\""
+    cluster_publish "$VERSION" "change $VERSION" || status=$?
+    VERSION=$((VERSION + 1))
+    promise "version $VERSION is accepted (exit code $status)" [ "$status" -eq 0 ]
+}
+
+# The change takes effect, and its answer is lost on the way.
+fault_publish_with_lost_answer() {
+    cluster_platform_fault "name=answer_lost&count=1"
+    publish_change
+    promise "version $VERSION is in force on every daemon within $IN_FORCE_SECONDS s" await_version
+}
+
+# The platform goes down right after it has accepted a version.
+fault_publish_and_platform_down() {
+    publish_change
+    cluster_platform_fault name=down
+    promise "version $VERSION is in force on every daemon within $IN_FORCE_SECONDS s, the platform being down" \
+        await_version
+    cluster_platform_fault name=heal
+}
+
+# Until every daemon has the newest version in force, for IN_FORCE_SECONDS at most.
+await_version() {
+    local tenths index old
+    for ((tenths = 0; tenths < IN_FORCE_SECONDS * 10; tenths += 5)); do
+        old=0
+        for ((index = 0; index < DAEMONS; index++)); do
+            [ "$(cluster_ctl "$index" status --output json | jq .configuration.version)" = "$VERSION" ] || old=1
+        done
+        [ "$old" -ne 0 ] || return 0
+        sleep 0.5
+    done
+    return 1
+}
+
 fault_pause_daemon() {
     cluster_signal daemon-2 STOP
     sleep "$PAUSE_SECONDS"
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -9,6 +9,7 @@
 
 CLUSTER_DIRECTORY=
 CLUSTER_BUILD=
+CLUSTER_PLATFORM_PORT=
 CLUSTER_DATABASES=()
 CLUSTER_DAEMONS=()
 
@@ -165,6 +166,22 @@
     cluster_await_port platform "$CLUSTER_PLATFORM_PORT"
 }
 
+# cluster_publish BASE_VERSION MESSAGE: makes the reduced configuration the next version.
+cluster_publish() {
+    "$CLUSTER_BUILD/src/ctl/swiftctl" publish --base "$1" --message "$2" --author operator \
+        --table-url "http://127.0.0.1:$CLUSTER_PLATFORM_PORT" "$CLUSTER_DIRECTORY/configuration.json"
+}
+
+# Settings by which a daemon finds its configuration: the published one, or without a platform the file.
+cluster_configuration_settings() {
+    if [ -n "$CLUSTER_PLATFORM_PORT" ]; then
+        printf '%s\n' "platform.table_endpoint=http://127.0.0.1:$CLUSTER_PLATFORM_PORT" \
+            "platform.object_endpoint=http://127.0.0.1:$CLUSTER_PLATFORM_PORT"
+    else
+        printf '%s\n' "configuration.file=$CLUSTER_DIRECTORY/configuration.json"
+    fi
+}
+
 # cluster_await_port NAME PORT: until the process listens there.
 cluster_await_port() {
     local tenths
@@ -246,12 +263,12 @@
         "daemon.admin_listen=127.0.0.1:$(cluster_daemon_port "$index" 1)"
         "daemon.peer_listen=127.0.0.1:$(cluster_daemon_port "$index" 2)"
         "daemon.peers=$CLUSTER_PEERS"
-        "configuration.file=$CLUSTER_DIRECTORY/configuration.json"
         "session.token_keys_file=$CLUSTER_DIRECTORY/token-keys"
         "${CLUSTER_DAEMON_SETTINGS[@]}"
     )
-    local -a arguments=()
-    for setting in "${settings[@]}"; do
+    local -a arguments=() from
+    mapfile -t from < <(cluster_configuration_settings)
+    for setting in "${from[@]}" "${settings[@]}"; do
         arguments+=(--set "$setting")
     done
     cluster_start "$name" "$CLUSTER_BUILD/src/daemon/swiftworksd" "${arguments[@]}"
@@ -455,4 +472,5 @@
     rm -rf "${CLUSTER_DIRECTORY:?}"/*
     mkdir "$CLUSTER_DIRECTORY/pids" "$CLUSTER_DIRECTORY/log"
     CLUSTER_DAEMONS=()
+    CLUSTER_PLATFORM_PORT=
 }
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -39,6 +39,7 @@
     say "1. Start: platform, 3 databases of group $GROUP in 3 zones, $DAEMONS daemons."
     cluster_configure "$EXAMPLE" "$GROUP"
     cluster_start_platform
+    cluster_publish 0 "opening" | sed 's/^/  /'
     cluster_start_databases --open-delay-ms 10 --zone-delay-us 1500 --replication-lag-ms 20 \
         --service-time-us 300
     cluster_start_daemons "$DAEMONS"
