--- a/src/daemon/group_runtime.c
+++ b/src/daemon/group_runtime.c
@@ -233,7 +233,8 @@
                                         struct group_runtime *predecessor)
 {
     static atomic_uint last_number;
-    struct group_runtime *runtime = g_atomic_rc_box_new0(struct group_runtime);
+    struct group_runtime *runtime = g_new0(struct group_runtime, 1);
+    atomic_init(&runtime->references, 1);
     runtime->number = atomic_fetch_add(&last_number, 1) + 1;
     runtime->group = copy_group(group);
     runtime->database_count = group->database_count;
@@ -250,12 +251,12 @@
 
 struct group_runtime *group_runtime_ref(struct group_runtime *runtime)
 {
-    return g_atomic_rc_box_acquire(runtime);
+    atomic_fetch_add(&runtime->references, 1);
+    return runtime;
 }
 
-static void clear_runtime(gpointer data)
+static void free_runtime(struct group_runtime *runtime)
 {
-    struct group_runtime *runtime = data;
     g_atomic_rc_box_release_full(runtime->link, close_evidence);
     for (uint32_t i = 0; i < runtime->database_count; i++) {
         stop_database(&runtime->databases[i]);
@@ -264,11 +265,14 @@
     call_rcu(&last->head, free_published_view);
     pthread_mutex_destroy(&runtime->writes_lock);
     free_group(runtime->group);
+    g_free(runtime);
 }
 
 void group_runtime_unref(struct group_runtime *runtime)
 {
-    g_atomic_rc_box_release_full(runtime, clear_runtime);
+    if (atomic_fetch_sub(&runtime->references, 1) == 1) {
+        free_runtime(runtime);
+    }
 }
 
 void group_runtime_read_view(struct group_runtime *runtime, struct group_view *view)
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -45,6 +45,7 @@
  * group's databases, a successor takes its place for new requests; those in flight end on the one
  * that they began with. */
 struct group_runtime {
+    _Atomic uint32_t references;
     struct group_configuration *group; /* a copy: a bundle lives no longer for it */
     uint32_t number;                   /* unique in the process; names it to probes and events */
     struct group_view
