--- a/src/daemon/forward.c
+++ b/src/daemon/forward.c
@@ -80,19 +80,6 @@
     task_finish(task);
 }
 
-/* True if the daemon certainly ran nothing, since it does not serve the group (yet, or any more):
- * another owner may. */
-static bool serves_not(const struct task *task, const struct message *in)
-{
-    bool continues =
-        task->request->transaction_id != NULL && task->request->transaction_id[0] != '\0';
-    if (continues || in->kind != MESSAGE_KIND_REPLY || in->reply.outcome != OUTCOME_REFUSED) {
-        return false;
-    }
-    return in->reply.error_kind == ERROR_KIND_NOT_READY ||
-           in->reply.error_kind == ERROR_KIND_PEER_UNREACHABLE;
-}
-
 /* Sends the request to one daemon. True if the task was answered. */
 static bool forward_to(struct task *task, const char *address)
 {
@@ -114,10 +101,6 @@
     if (result == PEER_CALL_NOT_SENT) {
         return false;
     }
-    if (result == PEER_CALL_ANSWERED && serves_not(task, &in)) {
-        message_clear(&in);
-        return false;
-    }
     if (result == PEER_CALL_SENT_NO_ANSWER || in.kind != MESSAGE_KIND_REPLY) {
         answer_lost_hop(task);
     } else {
