--- a/src/daemon/configuration_fetch.c
+++ b/src/daemon/configuration_fetch.c
@@ -111,7 +111,7 @@
     }
     if (!fetch->result->head_known) {
         fail(fetch, error != NULL ? error->message : platform_result_name(result));
-    } else if (wants_head(fetch)) {
+    } else if (row != NULL && wants_head(fetch)) {
         get_bundle(fetch, row->hash);
     }
     version_row_free(row);
--- a/src/daemon/control_configuration.c
+++ b/src/daemon/control_configuration.c
@@ -92,30 +92,32 @@
     }
 }
 
-static void note_applied(struct control_configuration *self)
+static void note_applied(struct control_configuration *self, const struct fetch_result *origin)
 {
-    struct configuration *content = published_configuration_content(self->candidate);
+    struct configuration *content = published_configuration_content(origin->published);
     g_autofree char *text = g_strdup_printf(
         "version=%" G_GUINT64_FORMAT " hash=%.16s %s %s",
-        published_configuration_mark(self->candidate).version, configuration_hash(content),
-        self->origin->difference ? "as a difference from" : "from", name_of(&self->origin->order));
+        published_configuration_mark(origin->published).version, configuration_hash(content),
+        origin->difference ? "as a difference from" : "from", name_of(&origin->order));
     configuration_note(self, "configuration_applied", text);
 }
 
-/* Puts the candidate in force. */
+/* Puts in force what was just fetched. */
 static void apply(struct control_configuration *self)
 {
     struct control *control = self->control;
-    struct configuration *content = published_configuration_content(self->candidate);
-    struct configuration_mark mark = published_configuration_mark(self->candidate);
+    const struct fetch_result *origin = self->origin;
+    g_assert(origin != NULL);
+    struct configuration *content = published_configuration_content(origin->published);
+    struct configuration_mark mark = published_configuration_mark(origin->published);
     check_zone(self, content);
     daemon_set_configuration(control->daemon, content);
     control_groups_take_successors(control);
     if (control_is_settled(control)) {
         control_ownership_set_groups(control);
     }
-    configuration_share_set(control->daemon->configuration_share, self->candidate);
-    note_applied(self);
+    configuration_share_set(control->daemon->configuration_share, origin->published);
+    note_applied(self, origin);
     membership_set_configuration(control->membership, mark, backend_now(), control->actions);
     control_members_perform(control);
 }
@@ -249,7 +251,6 @@
     if (result->outcome == FETCH_OUTCOME_FOUND) {
         struct configuration_mark mark = published_configuration_mark(result->published);
         note_heard(self, mark, name_of(&result->order));
-        self->candidate = result->published;
         self->origin = result;
         currency_fetched(self->currency, mark, now, actions);
     } else if (result->order.source != FETCH_SOURCE_HEAD) {
@@ -262,7 +263,6 @@
     g_autoptr(GArray) actions = g_array_new(FALSE, FALSE, sizeof(struct currency_action));
     take_content(self, result, actions);
     perform(self, actions);
-    self->candidate = NULL;
     self->origin = NULL;
     g_array_set_size(actions, 0);
     if (result->order.source != FETCH_SOURCE_PEER) {
--- a/src/daemon/control_configuration_internal.h
+++ b/src/daemon/control_configuration_internal.h
@@ -23,11 +23,10 @@
     size_t next_seed;
     size_t seeds_left; /* of this round */
 
-    uint64_t heard;                            /* newest that the journal has */
-    struct configuration_mark unfit;           /* does not parse: not fetched again */
-    struct published_configuration *candidate; /* just fetched; borrowed while it is judged */
-    const struct fetch_result *origin;         /* where it came from */
-    bool confirmed;                            /* has served */
+    uint64_t heard;                    /* newest that the journal has */
+    struct configuration_mark unfit;   /* does not parse: not fetched again */
+    const struct fetch_result *origin; /* what was just fetched, while it is judged */
+    bool confirmed;                    /* has served */
     char failure[FETCH_TEXT_SIZE]; /* why the store's content could not be had; empty if it could */
     bool contradicted;             /* the store has another content under the version in force */
     time_ns next_survey_at;
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -325,7 +325,7 @@
     }
     if (zone->id >= MEMBERSHIP_ZONES_MAX) {
         g_set_error(error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION,
-                    "%s: zone \"%s\" has an id above %u, which gossip can't carry", path,
+                    "%s: zone \"%s\" has an id above %d, which gossip can't carry", path,
                     zone->name, MEMBERSHIP_ZONES_MAX - 1);
         configuration_unref(configuration);
         return false;
--- a/src/daemon/daemon_metrics.c
+++ b/src/daemon/daemon_metrics.c
@@ -1,9 +1,12 @@
 /* What the daemon measures; see the header. */
 #include "daemon/daemon_metrics.h"
 
+#include <math.h>
 #include <pthread.h>
 
+#include "backend/clock.h"
 #include "core/route.h"
+#include "daemon/control_configuration.h"
 #include "daemon/daemon.h"
 #include "daemon/task.h"
 #include "daemon/transaction.h"
@@ -116,6 +119,27 @@
     return transaction_table_count(daemon->transactions);
 }
 
+static double read_configuration_version(void *user)
+{
+    struct daemon *daemon = user;
+    struct configuration_status status;
+    control_configuration_status(daemon->control, &status);
+    return (double)status.version;
+}
+
+/* Not a number while the configuration in force was never confirmed, or is static. */
+static double read_confirmed_age(void *user)
+{
+    struct daemon *daemon = user;
+    struct configuration_status status;
+    control_configuration_status(daemon->control, &status);
+    time_ns now = backend_now();
+    if (status.confirmed_at == 0 || now < status.confirmed_at) {
+        return status.confirmed_at == 0 ? (double)NAN : 0;
+    }
+    return (double)(now - status.confirmed_at) / (double)NANOSECONDS_PER_SECOND;
+}
+
 void daemon_metrics_watch(struct daemon_metrics *metrics, struct daemon *daemon)
 {
     metrics_gauge_function(metrics->registry, "swiftworks_tasks_open",
@@ -125,6 +149,12 @@
                            read_backlog, daemon);
     metrics_gauge_function(metrics->registry, "swiftworks_transactions_open",
                            "Interactive transactions open here.", NULL, read_transactions, daemon);
+    metrics_gauge_function(metrics->registry, "swiftworks_configuration_version",
+                           "Published version in force; 0: none, or static.", NULL,
+                           read_configuration_version, daemon);
+    metrics_gauge_function(metrics->registry, "swiftworks_configuration_confirmed_age_seconds",
+                           "Time since the configuration was last known to be the newest.", NULL,
+                           read_confirmed_age, daemon);
 }
 
 static void count_read_role(struct daemon_metrics *metrics, const struct reply *reply)
