Pause writes shortly first, and end a pause whose coordinator is silent

A drain beside a dead watcher paused writes for 300 ms per aborted change; the first pause is now 75 ms, later ones double. A peer keeps the pause only while it hears of it.

--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -35,7 +35,9 @@
     options->backoff_max = 1000 * ms;
     options->heal_interval = 200 * ms;
     options->repair_after = 2000 * ms;
-    options->pause_max = 300 * ms;
+    options->pause_first = 75 * ms;
+    options->pause_max = 600 * ms;
+    options->pause_lease = 100 * ms;
     options->pause_poll = 4 * ms;
     options->own_stall_after = 200 * ms;
     options->tick_interval = 100 * ms;
--- a/src/core/group_control.h
+++ b/src/core/group_control.h
@@ -44,7 +44,9 @@
     time_ns backoff_max;
     time_ns heal_interval;     /* a member is told to follow at most this often */
     time_ns repair_after;      /* a stray promise is repaired after this time */
-    time_ns pause_max;         /* a planned change pauses writes at most this long */
+    time_ns pause_first;       /* a planned change pauses writes at most this long at first; */
+    time_ns pause_max;         /* doubled after each aborted change, up to this */
+    time_ns pause_lease;       /* others end the pause when its coordinator is silent so long */
     time_ns pause_poll;        /* probes while writes are paused */
     time_ns own_stall_after;   /* a longer gap between events means that this daemon stood still */
     time_ns tick_interval;     /* the shell feeds a tick at least this often */
--- a/src/core/group_control_change.c
+++ b/src/core/group_control_change.c
@@ -3,6 +3,8 @@
  * the group a term above a stray promise. */
 #include "core/group_control_internal.h"
 
+#include <glib.h>
+
 static const struct log_position NO_POSITION = {0, 0};
 
 static void set_pause(struct group_control *control, uint64_t id, uint64_t coordinator,
@@ -46,7 +48,7 @@
     }
     if (opinion->term == control->known_term) {
         set_pause(control, opinion->change, opinion->watcher,
-                  control->now + control->options.pause_max);
+                  control->now + control->options.pause_lease);
     }
 }
 
@@ -174,6 +176,17 @@
     control_wake_at(control, change->deadline);
 }
 
+/* Long pauses are tried only after short ones were not enough for the writes under way. */
+static time_ns pause_bound(const struct group_control *control)
+{
+    time_ns bound = control->options.pause_first;
+
+    for (uint32_t i = 0; i < control->change.aborts && bound < control->options.pause_max; i++) {
+        bound *= 2;
+    }
+    return MIN(bound, control->options.pause_max);
+}
+
 static void start_change(struct group_control *control, enum group_reason reason, uint32_t target)
 {
     struct change *change = &control->change;
@@ -185,7 +198,7 @@
         suspicion_weight(control->options.group, change->count, control->options.watcher) | 1;
     change->term = control->known_term;
     change->target = target;
-    change->deadline = control->now + control->options.pause_max;
+    change->deadline = control->now + pause_bound(control);
     change->drained_at = 0;
     change->poll_at = control->now;
     control_record(control, GROUP_RECORD_CHANGE_STARTED, reason, change->term, (int32_t)target,
@@ -328,6 +341,18 @@
     }
 }
 
+/* The others' pause lasts only while they hear of it. */
+static void keep_pause(struct group_control *control)
+{
+    struct change *change = &control->change;
+
+    if (control->now >= change->poll_at) {
+        change->poll_at = control->now + control->options.pause_lease / 5;
+        control->opinion_due = true;
+    }
+    control_wake_at(control, change->poll_at);
+}
+
 void change_advance(struct group_control *control)
 {
     struct pause *pause = &control->pause;
@@ -337,6 +362,7 @@
         return;
     }
     if (control->change.state == CHANGE_STATE_MOVING) {
+        keep_pause(control);
         return;
     }
     if (pause->id != 0) {
