--- /dev/null
+++ b/src/sim/replay_outcome.c
@@ -0,0 +1,188 @@
+/* Reading and matching of stated outcomes. */
+#include "sim/replay_outcome.h"
+
+#include "core/error.h"
+#include "generated/errors.h"
+
+static const char *const EXPECTATION_NAMES[] = {"some", "none", "view"};
+
+/* A key file being read; the first error stops the rest. */
+struct reader {
+    GKeyFile *file;
+    const char *group;
+    GError **error;
+    bool failed;
+};
+
+static void fail(struct reader *reader, const char *key)
+{
+    if (!reader->failed) {
+        g_set_error(reader->error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION,
+                    "[%s] %s is not valid", reader->group, key);
+    }
+    reader->failed = true;
+}
+
+static bool has(const struct reader *reader, const char *key)
+{
+    return g_key_file_has_key(reader->file, reader->group, key, NULL);
+}
+
+static int64_t read_number(struct reader *reader, const char *key, int64_t fallback)
+{
+    g_autoptr(GError) error = NULL;
+    int64_t value;
+
+    if (!has(reader, key)) {
+        return fallback;
+    }
+    value = g_key_file_get_int64(reader->file, reader->group, key, &error);
+    if (error != NULL) {
+        fail(reader, key);
+    }
+    return value;
+}
+
+static const char *action_name(int value)
+{
+    return group_action_kind_name((enum group_action_kind)value);
+}
+
+static const char *record_name(int value)
+{
+    return group_record_kind_name((enum group_record_kind)value);
+}
+
+static const char *reason_name(int value)
+{
+    return group_reason_name((enum group_reason)value);
+}
+
+static const char *expectation_name(int value)
+{
+    return EXPECTATION_NAMES[value];
+}
+
+static int32_t read_name(struct reader *reader, const char *key, int count,
+                         const char *(*name_of)(int value))
+{
+    g_autofree char *value = NULL;
+
+    if (!has(reader, key)) {
+        return -1;
+    }
+    value = g_key_file_get_string(reader->file, reader->group, key, NULL);
+    for (int i = 0; i < count; i++) {
+        if (g_strcmp0(value, name_of(i)) == 0) {
+            return i;
+        }
+    }
+    fail(reader, key);
+    return -1;
+}
+
+static struct replay_outcome *read_outcome(struct reader *reader)
+{
+    struct replay_outcome *outcome = g_new0(struct replay_outcome, 1);
+    int32_t expect = read_name(reader, "expect", G_N_ELEMENTS(EXPECTATION_NAMES), expectation_name);
+
+    outcome->text = g_key_file_get_string(reader->file, reader->group, "text", NULL);
+    outcome->daemon = (int32_t)read_number(reader, "daemon", -1);
+    outcome->action = read_name(reader, "action", GROUP_ACTION_RECORD_EVENT + 1, action_name);
+    outcome->record = read_name(reader, "record", GROUP_RECORD_COUNT, record_name);
+    outcome->reason = read_name(reader, "reason", GROUP_REASON_COUNT, reason_name);
+    outcome->database = (int32_t)read_number(reader, "database", -1);
+    outcome->term = read_number(reader, "term", -1);
+    outcome->has_primary = has(reader, "primary");
+    outcome->primary = (int32_t)read_number(reader, "primary", -1);
+    outcome->paused = (int32_t)read_number(reader, "paused", -1);
+    outcome->from = (time_ns)read_number(reader, "from_ms", 0) * NANOSECONDS_PER_MILLISECOND;
+    outcome->until = UINT64_MAX;
+    if (has(reader, "until_ms")) {
+        outcome->until = (time_ns)read_number(reader, "until_ms", 0) * NANOSECONDS_PER_MILLISECOND;
+    }
+    if (expect < 0 || outcome->text == NULL) {
+        fail(reader, expect < 0 ? "expect" : "text");
+    }
+    outcome->expect = (enum outcome_expectation)expect;
+    if (outcome->expect == OUTCOME_EXPECT_VIEW && outcome->daemon < 0) {
+        fail(reader, "daemon");
+    }
+    return outcome;
+}
+
+static void free_outcome(gpointer data)
+{
+    struct replay_outcome *outcome = data;
+
+    g_free(outcome->text);
+    g_free(outcome);
+}
+
+GPtrArray *replay_outcomes_load(const char *path, GError **error)
+{
+    g_autoptr(GPtrArray) outcomes = g_ptr_array_new_with_free_func(free_outcome);
+    g_autoptr(GKeyFile) file = g_key_file_new();
+    g_auto(GStrv) groups = NULL;
+    struct reader reader = {.file = file, .error = error};
+
+    if (!g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, error)) {
+        return NULL;
+    }
+    groups = g_key_file_get_groups(file, NULL);
+    for (uint32_t i = 0; groups[i] != NULL; i++) {
+        if (!g_str_has_prefix(groups[i], "outcome")) {
+            continue;
+        }
+        reader.group = groups[i];
+        g_ptr_array_add(outcomes, read_outcome(&reader));
+    }
+    if (reader.failed) {
+        return NULL;
+    }
+    return g_steal_pointer(&outcomes);
+}
+
+static bool any_or(int64_t wanted, int64_t value)
+{
+    return wanted < 0 || wanted == value;
+}
+
+/* Database and term of an action, which a record keeps elsewhere than a command. */
+static bool subject_matches(const struct replay_outcome *outcome, const struct group_action *action)
+{
+    if (action->kind == GROUP_ACTION_RECORD_EVENT) {
+        return any_or(outcome->database, action->record.database) &&
+               any_or(outcome->term, (int64_t)action->record.term);
+    }
+    return any_or(outcome->database, action->database) &&
+           any_or(outcome->term, (int64_t)action->term);
+}
+
+bool replay_outcome_matches(const struct replay_outcome *outcome, uint32_t daemon, time_ns at,
+                            const struct group_action *action)
+{
+    bool is_record = action->kind == GROUP_ACTION_RECORD_EVENT;
+
+    if (outcome->expect == OUTCOME_EXPECT_VIEW || at < outcome->from || at > outcome->until) {
+        return false;
+    }
+    if (!any_or(outcome->daemon, daemon) || !any_or(outcome->action, action->kind)) {
+        return false;
+    }
+    if ((outcome->record >= 0 || outcome->reason >= 0) && !is_record) {
+        return false;
+    }
+    return any_or(outcome->record, is_record ? (int64_t)action->record.kind : -1) &&
+           any_or(outcome->reason, is_record ? (int64_t)action->record.reason : -1) &&
+           subject_matches(outcome, action);
+}
+
+bool replay_outcome_view_holds(const struct replay_outcome *outcome, const struct group_view *view)
+{
+    if (outcome->has_primary && outcome->primary != view->primary) {
+        return false;
+    }
+    return any_or(outcome->term, (int64_t)view->term) &&
+           any_or(outcome->paused, view->writes_paused ? 1 : 0);
+}
--- /dev/null
+++ b/src/sim/replay_outcome.h
@@ -0,0 +1,54 @@
+/* Stated outcomes of a trace: a key file beside it, NAME.outcome, with the groups
+ *
+ *   [trace]       cause = why the trace is kept, found_by =, failing_on =
+ *   [outcome N]   text = what must hold, in a sentence
+ *                 expect = some | none | view
+ *                 daemon =, action =, record =, reason =, database =, term = (any where absent)
+ *                 from_ms =, until_ms = (since the first record)
+ *                 primary =, paused = (of expect = view: the daemon's view at until_ms)
+ */
+#ifndef SW_SIM_REPLAY_OUTCOME_H
+#define SW_SIM_REPLAY_OUTCOME_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "core/group_control.h"
+
+enum outcome_expectation {
+    OUTCOME_EXPECT_SOME, /* at least one matching action */
+    OUTCOME_EXPECT_NONE, /* no matching action */
+    OUTCOME_EXPECT_VIEW, /* the view is as stated */
+};
+
+/* -1 in a field matches anything. */
+struct replay_outcome {
+    char *text;
+    enum outcome_expectation expect;
+    int32_t daemon;
+    int32_t action; /* enum group_action_kind */
+    int32_t record; /* enum group_record_kind */
+    int32_t reason; /* enum group_reason */
+    int32_t database;
+    int64_t term;
+    int32_t primary; /* -1 here means no primary; see has_primary */
+    bool has_primary;
+    int32_t paused;
+    time_ns from; /* since the first record */
+    time_ns until;
+    uint32_t matches; /* counted by the replay */
+    bool view_checked;
+};
+
+/* Reads the outcomes: an array of struct replay_outcome that frees its items. */
+GPtrArray *replay_outcomes_load(const char *path, GError **error);
+
+/* True if the action of a daemon, at a time since the first record, is one that the outcome means.
+ */
+bool replay_outcome_matches(const struct replay_outcome *outcome, uint32_t daemon, time_ns at,
+                            const struct group_action *action);
+
+/* True if the view is as the outcome states. */
+bool replay_outcome_view_holds(const struct replay_outcome *outcome, const struct group_view *view);
+
+#endif
--- a/src/sim/sim_daemon.c
+++ b/src/sim/sim_daemon.c
@@ -3,7 +3,7 @@
 
 #include <string.h>
 
-#include "sim/sim_trace.h"
+#include "sim/trace_file.h"
 
 #define PROBE_INTERVAL  (100 * SIM_MILLISECOND)
 #define PROBE_TIMEOUT   (300 * SIM_MILLISECOND)
@@ -32,12 +32,34 @@
 
 static void perform(struct sim_daemon *daemon, const struct group_actions *actions, uint32_t first);
 
+/* The core numbers its commands from 1, without gaps. */
+static const struct trace_command *issued_command(const struct sim_daemon *daemon, uint64_t id)
+{
+    if (id == 0 || id > daemon->issued->len) {
+        return NULL;
+    }
+    return &g_array_index(daemon->issued, struct trace_command, id - 1);
+}
+
+static void trace_event(const struct sim_daemon *daemon, const struct group_event *event)
+{
+    const struct trace_command *command = NULL;
+
+    if (daemon->run->trace == NULL) {
+        return;
+    }
+    if (event->kind == GROUP_EVENT_COMMAND) {
+        command = issued_command(daemon, event->command);
+    }
+    trace_write_event(daemon->run->trace, daemon->index, event, command);
+}
+
 void sim_daemon_feed(struct sim_daemon *daemon, struct group_event *event)
 {
     struct group_actions actions;
 
     event->now = daemon->node.world->now;
-    sim_trace_event(daemon->run, daemon, event);
+    trace_event(daemon, event);
     group_control_step(daemon->control, event, &actions);
     perform(daemon, &actions, 0);
 }
@@ -211,6 +233,21 @@
     g_assert_not_reached();
 }
 
+/* Commands may be issued out of order only where a fault cut a step short. */
+static void note_issued(struct sim_daemon *daemon, const struct group_action *action)
+{
+    struct trace_command command = {
+        .kind = action->kind,
+        .database = action->database,
+        .term = action->term,
+    };
+
+    if (daemon->issued->len < action->command) {
+        g_array_set_size(daemon->issued, (guint)action->command);
+    }
+    g_array_index(daemon->issued, struct trace_command, action->command - 1) = command;
+}
+
 static void send_command(struct sim_daemon *daemon, const struct group_action *action)
 {
     struct sim_database_request request = {
@@ -240,6 +277,7 @@
         break;
     }
     add_command(daemon, action->command);
+    note_issued(daemon, action);
     sim_database_send(&daemon->run->databases[action->database], &request);
     sim_node_schedule(&daemon->node, daemon->node.world->now + COMMAND_TIMEOUT, on_command_timeout,
                       daemon, &action->command, sizeof(action->command));
@@ -460,6 +498,7 @@
     sim_node_init(&daemon->node, run->world, zone);
     daemon->waiting = g_ptr_array_new();
     daemon->running = g_ptr_array_new();
+    daemon->issued = g_array_new(FALSE, TRUE, sizeof(struct trace_command));
     for (uint32_t i = 0; i < GROUP_DATABASES_MAX; i++) {
         daemon->idle[i] = g_ptr_array_new();
     }
@@ -471,6 +510,7 @@
     group_control_free(daemon->control);
     g_ptr_array_unref(daemon->waiting);
     g_ptr_array_unref(daemon->running);
+    g_array_unref(daemon->issued);
     for (uint32_t i = 0; i < GROUP_DATABASES_MAX; i++) {
         g_ptr_array_unref(daemon->idle[i]);
     }
@@ -489,11 +529,14 @@
     memset(daemon->probes, 0, sizeof(daemon->probes));
     g_ptr_array_set_size(daemon->waiting, 0);
     g_ptr_array_set_size(daemon->running, 0);
+    g_array_set_size(daemon->issued, 0);
     group_control_free(daemon->control);
     control_options(daemon, &options);
     daemon->control = group_control_new(&options, world->now);
     daemon->view = *group_control_view(daemon->control);
-    sim_trace_start(daemon->run, daemon, &options);
+    if (daemon->run->trace != NULL) {
+        trace_write_start(daemon->run->trace, daemon->index, world->now, &options);
+    }
     for (uint32_t i = 0; i < daemon->run->database_count; i++) {
         time_ns phase = sim_random_below(world, PROBE_INTERVAL);
 
--- a/src/sim/sim_daemon.h
+++ b/src/sim/sim_daemon.h
@@ -63,7 +63,6 @@
 /* Outstanding command of the control. */
 struct sim_command {
     uint64_t id; /* 0: free */
-    uint32_t database;
 };
 
 struct sim_probe_state {
@@ -81,6 +80,7 @@
     struct group_view view;
     time_ns wake_at;
     struct sim_command commands[SIM_COMMANDS_MAX];
+    GArray *issued; /* of struct trace_command, by command id */
     struct sim_probe_state probes[GROUP_DATABASES_MAX];
     bool drain_wish[GROUP_DATABASES_MAX];
     GPtrArray *idle[GROUP_DATABASES_MAX]; /* of struct sim_connection */
