Choose members of a zone with equal chances

Picking the next record after a random place favoured members with a large gap before them in the order of ids; a few members were passed over by pushes and learned of a leaving daemon only after seconds, by anti-entropy.

--- a/src/core/membership_internal.h
+++ b/src/core/membership_internal.h
@@ -123,7 +123,7 @@
 /* A random number below `bound`, which is not 0. */
 uint32_t membership_random(struct membership *membership, uint32_t bound);
 
-/* A random live member of a zone, or NULL. */
+/* A random live member of a zone, each as likely as the others; NULL if there is none but this. */
 struct member_record *membership_random_in_zone(struct membership *membership, uint16_t zone);
 
 /* -- membership_merge.c: what others say -- */
--- a/src/core/membership_table.c
+++ b/src/core/membership_table.c
@@ -118,12 +118,19 @@
 
 struct member_record *membership_random_in_zone(struct membership *membership, uint16_t zone)
 {
-    guint count = membership->records->len;
-    guint first = membership_random(membership, count);
-    for (guint i = 0; i < count; i++) {
-        struct member_record *record = membership_record_at(membership, (first + i) % count);
-        bool usable = record->zone == zone && member_record_live(record);
-        if (usable && record->id != membership->self_id) {
+    uint32_t candidates = membership->live_in_zone[zone];
+    if (zone == membership->self_zone && candidates > 0) {
+        candidates--;
+    }
+    if (candidates == 0) {
+        return NULL;
+    }
+    uint32_t skip = membership_random(membership, candidates);
+    for (guint i = 0; i < membership->records->len; i++) {
+        struct member_record *record = membership_record_at(membership, i);
+        bool usable =
+            record->zone == zone && member_record_live(record) && record->id != membership->self_id;
+        if (usable && skip-- == 0) {
             return record;
         }
     }
