--- a/src/core/ownership.c
+++ b/src/core/ownership.c
@@ -1,15 +1,21 @@
-/* Rendezvous hashing of groups over members and zones, from scratch and step by step. */
+/* Rendezvous hashing of groups over members and zones, with a bound on what one member owns. Each
+ * zone is worked out by itself, so that a member's coming or going costs its own zone only. */
 #include "core/ownership.h"
 
 #include <string.h>
 #include <xxhash.h>
 
+/* A member owns at most this many times the mean of its zone, rounded up. Plain hashing gives the
+ * busiest of 84 members more than three times the mean; a tighter bound moves more groups. */
+#define LOAD_BOUND 2
+
 /* Owners of one group as kept. */
 struct group_owners {
     struct ownership_group group;
     uint32_t owner_count;
     int32_t position; /* of this daemon if it may take it, or -1 */
-    bool filled;      /* its zones had too few members, so that any member may own it */
+    uint64_t
+        first[OWNERSHIP_OWNERS_MAX]; /* owner of each of its first zones; 0: none lives there */
     uint64_t owners[OWNERSHIP_OWNERS_MAX];
 };
 
@@ -17,6 +23,7 @@
     struct ownership_options options;
     uint64_t self_id;
     bool settled;
+    size_t wanted;   /* owners that each group should have */
     GArray *groups;  /* struct group_owners, by group number */
     GArray *members; /* struct ownership_member, by zone, then id */
     uint64_t ranks_computed;
@@ -44,109 +51,12 @@
     return false;
 }
 
-/* Which members a search considers. */
-struct search {
-    const struct ownership_group *group;
-    const uint64_t *taken;
-    size_t taken_count;
-    bool any_zone;
-    uint16_t zone;
-};
-
-/* The highest ranked member of a span that is not taken; 0 if there is none. */
-static uint64_t best_of_span(const struct search *search, const struct ownership_member *members,
-                             size_t count, uint64_t *best_rank)
-{
-    uint64_t best = 0;
-    for (size_t i = 0; i < count; i++) {
-        bool in_zone = search->any_zone || members[i].zone == search->zone;
-        if (!in_zone || owners_contain(search->taken, search->taken_count, members[i].id)) {
-            continue;
-        }
-        uint64_t rank = owner_rank(members[i].id, search->group->group);
-        bool better =
-            best == 0 || rank > *best_rank || (rank == *best_rank && members[i].id > best);
-        if (better) {
-            best = members[i].id;
-            *best_rank = rank;
-        }
-    }
-    return best;
-}
-
-/* The members to choose from, and how many owners are wanted. */
-struct selection {
-    const struct ownership_group *group;
-    const struct ownership_member *members;
-    size_t member_count;
-    size_t wanted;
-    uint64_t owners[OWNERSHIP_OWNERS_MAX];
-    size_t owner_count;
-};
-
-/* Appends the best of one zone, or of any zone; false if nobody is left. */
-static bool select_one(struct selection *selection, bool any_zone, uint16_t zone)
-{
-    struct search search = {
-        .group = selection->group,
-        .taken = selection->owners,
-        .taken_count = selection->owner_count,
-        .any_zone = any_zone,
-        .zone = zone,
-    };
-    uint64_t rank = 0;
-    uint64_t best = best_of_span(&search, selection->members, selection->member_count, &rank);
-    if (best == 0) {
-        return false;
-    }
-    selection->owners[selection->owner_count] = best;
-    selection->owner_count++;
-    return true;
-}
-
-/* One round over the zones of the group; false if no zone gave a member. */
-static bool select_round(struct selection *selection)
-{
-    bool found = false;
-    for (uint32_t i = 0; i < selection->group->zone_count; i++) {
-        if (selection->owner_count == selection->wanted) {
-            return found;
-        }
-        found |= select_one(selection, false, selection->group->zones[i]);
-    }
-    return found;
-}
-
 /* How many owners a group has when so many members live. */
-static size_t owners_wanted(const struct ownership_options *options, size_t member_count)
-{
-    size_t wanted = member_count <= options->all_own_up_to ? member_count : options->owners;
-    return MIN(wanted, OWNERSHIP_OWNERS_MAX);
-}
-
-static size_t select_owners(struct selection *selection)
+static size_t owners_wanted(const struct ownership *ownership)
 {
-    while (selection->owner_count < selection->wanted && select_round(selection)) {
-    }
-    while (selection->owner_count < selection->wanted && select_one(selection, true, 0)) {
-    }
-    return selection->owner_count;
-}
-
-size_t ownership_owners_of(const struct ownership_options *options,
-                           const struct ownership_group *group,
-                           const struct ownership_member *members, size_t member_count,
-                           uint64_t *owners)
-{
-    struct selection selection = {
-        .group = group,
-        .members = members,
-        .member_count = member_count,
-        .wanted = owners_wanted(options, member_count),
-    };
-    size_t count = select_owners(&selection);
-    memcpy(owners, selection.owners, sizeof(selection.owners));
-    return count;
+    size_t members = ownership->members->len;
+    bool few = members <= ownership->options.all_own_up_to;
+    return MIN(few ? members : ownership->options.owners, OWNERSHIP_OWNERS_MAX);
 }
 
 struct ownership *ownership_new(const struct ownership_options *options, uint64_t self_id)
@@ -205,21 +115,152 @@
     return low;
 }
 
-/* The members of the group's zones, which is all that most groups need. */
-static GArray *members_of_zones(const struct ownership *ownership,
-                                const struct ownership_group *group)
+/* -- The first owner in each zone -- */
+
+/* The members of one zone, and how many groups each was given so far. */
+struct zone_members {
+    uint16_t zone;
+    guint start; /* of the zone's members */
+    guint count;
+    uint32_t bound; /* groups that one of them may own */
+    uint32_t *loads;
+};
+
+/* Place of a zone among those that the group has an owner of its own in, or -1. */
+static int32_t slot_of_zone(const struct ownership *ownership, const struct ownership_group *group,
+                            uint16_t zone)
+{
+    uint32_t slots = (uint32_t)MIN(group->zone_count, ownership->wanted);
+    for (uint32_t i = 0; i < slots; i++) {
+        if (group->zones[i] == zone) {
+            return (int32_t)i;
+        }
+    }
+    return -1;
+}
+
+/* Groups that have an owner of their own in the zone. */
+static uint32_t count_slots(const struct ownership *ownership, uint16_t zone)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < ownership->groups->len; i++) {
+        count += slot_of_zone(ownership, &group_at(ownership, i)->group, zone) >= 0;
+    }
+    return count;
+}
+
+/* The highest ranked member of the zone that may own one more group. */
+static uint64_t choose_in_zone(struct ownership *ownership, struct zone_members *zone,
+                               uint32_t group)
+{
+    guint best = zone->count;
+    uint64_t best_rank = 0;
+    for (guint i = 0; i < zone->count; i++) {
+        if (zone->loads[i] >= zone->bound) {
+            continue;
+        }
+        uint64_t rank = owner_rank(member_at(ownership, zone->start + i)->id, group);
+        if (best == zone->count || rank > best_rank) {
+            best = i;
+            best_rank = rank;
+        }
+    }
+    ownership->ranks_computed += zone->count;
+    if (best == zone->count) {
+        return 0;
+    }
+    zone->loads[best]++;
+    return member_at(ownership, zone->start + best)->id;
+}
+
+/* So many times the mean of slots per member, rounded up. */
+static uint32_t mean_times(uint32_t factor, uint32_t slots, uint32_t members)
+{
+    return members == 0 ? 0 : (factor * slots + members - 1) / members;
+}
+
+/* Works out the first owners of all groups in one zone, in the order of the groups. */
+static void assign_zone(struct ownership *ownership, uint16_t zone)
+{
+    uint32_t slots = count_slots(ownership, zone);
+    if (slots == 0) {
+        return;
+    }
+    struct zone_members members = {.zone = zone, .start = zone_start(ownership, zone)};
+    members.count = zone_start(ownership, (uint32_t)zone + 1) - members.start;
+    members.bound = mean_times(LOAD_BOUND, slots, members.count);
+    members.loads = g_new0(uint32_t, members.count + 1);
+    for (guint i = 0; i < ownership->groups->len; i++) {
+        struct group_owners *entry = group_at(ownership, i);
+        int32_t slot = slot_of_zone(ownership, &entry->group, zone);
+        if (slot >= 0) {
+            entry->first[slot] = choose_in_zone(ownership, &members, entry->group.group);
+        }
+    }
+    g_free(members.loads);
+}
+
+/* -- Owners beyond the first of each zone -- */
+
+/* Appends the highest ranked member that is no owner yet, of one zone or of all. */
+static bool append_best(struct ownership *ownership, struct group_owners *entry, bool any_zone,
+                        uint16_t zone)
+{
+    uint64_t best = 0;
+    uint64_t best_rank = 0;
+    for (guint i = 0; i < ownership->members->len; i++) {
+        const struct ownership_member *member = member_at(ownership, i);
+        bool in_zone = any_zone || member->zone == zone;
+        if (!in_zone || owners_contain(entry->owners, entry->owner_count, member->id)) {
+            continue;
+        }
+        uint64_t rank = owner_rank(member->id, entry->group.group);
+        ownership->ranks_computed++;
+        if (best == 0 || rank > best_rank) {
+            best = member->id;
+            best_rank = rank;
+        }
+    }
+    if (best == 0) {
+        return false;
+    }
+    entry->owners[entry->owner_count] = best;
+    entry->owner_count++;
+    return true;
+}
+
+/* One more owner from each zone of the group, as far as wanted. False if none was found. */
+static bool append_round(struct ownership *ownership, struct group_owners *entry)
+{
+    bool found = false;
+    for (uint32_t i = 0; i < entry->group.zone_count; i++) {
+        if (entry->owner_count == ownership->wanted) {
+            return found;
+        }
+        found |= append_best(ownership, entry, false, entry->group.zones[i]);
+    }
+    return found;
+}
+
+/* Makes the group's owners of the first ones in its zones, and of others if these are too few. */
+static void complete_owners(struct ownership *ownership, struct group_owners *entry)
 {
-    GArray *members = g_array_new(FALSE, FALSE, sizeof(struct ownership_member));
-    for (uint32_t i = 0; i < group->zone_count; i++) {
-        guint start = zone_start(ownership, group->zones[i]);
-        guint end = zone_start(ownership, (uint32_t)group->zones[i] + 1);
-        g_array_append_vals(members,
-                            ownership->members->data + start * sizeof(struct ownership_member),
-                            end - start);
+    memset(entry->owners, 0, sizeof(entry->owners));
+    entry->owner_count = 0;
+    for (size_t i = 0; i < MIN(entry->group.zone_count, ownership->wanted); i++) {
+        if (entry->first[i] != 0) {
+            entry->owners[entry->owner_count] = entry->first[i];
+            entry->owner_count++;
+        }
+    }
+    while (entry->owner_count < ownership->wanted && append_round(ownership, entry)) {
+    }
+    while (entry->owner_count < ownership->wanted && append_best(ownership, entry, true, 0)) {
     }
-    return members;
 }
 
+/* -- Changes -- */
+
 /* This daemon's place among the owners, as far as it may take it now. */
 static int32_t allowed_position(const struct ownership *ownership, const struct group_owners *entry)
 {
@@ -254,19 +295,7 @@
 static void work_out_group(struct ownership *ownership, struct group_owners *entry, GArray *changes)
 {
     struct group_owners before = *entry;
-    g_autoptr(GArray) candidates = members_of_zones(ownership, &entry->group);
-    size_t wanted = owners_wanted(&ownership->options, ownership->members->len);
-    entry->filled = candidates->len < wanted;
-    const GArray *members = entry->filled ? ownership->members : candidates;
-    struct selection selection = {
-        .group = &entry->group,
-        .members = (const struct ownership_member *)members->data,
-        .member_count = members->len,
-        .wanted = wanted,
-    };
-    entry->owner_count = (uint32_t)select_owners(&selection);
-    memcpy(entry->owners, selection.owners, sizeof(entry->owners));
-    ownership->ranks_computed += members->len;
+    complete_owners(ownership, entry);
     entry->position = allowed_position(ownership, entry);
     bool same = memcmp(before.owners, entry->owners, sizeof(entry->owners)) == 0;
     if (!same || before.position != entry->position) {
@@ -276,11 +305,50 @@
 
 static void work_out_all(struct ownership *ownership, GArray *changes)
 {
+    ownership->wanted = owners_wanted(ownership);
+    for (guint i = 0; i < ownership->groups->len; i++) {
+        memset(group_at(ownership, i)->first, 0, sizeof(group_at(ownership, i)->first));
+    }
+    for (uint16_t zone = 0; zone < MEMBERSHIP_ZONES_MAX; zone++) {
+        assign_zone(ownership, zone);
+    }
     for (guint i = 0; i < ownership->groups->len; i++) {
         work_out_group(ownership, group_at(ownership, i), changes);
     }
 }
 
+/* True if the group has all its owners by its zones, one of each. */
+static bool has_first_owners(const struct ownership *ownership, const struct group_owners *entry)
+{
+    if (entry->group.zone_count < ownership->wanted) {
+        return false;
+    }
+    for (size_t i = 0; i < ownership->wanted; i++) {
+        if (entry->first[i] == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* A zone gained or lost a member: the groups with an owner there may change, and those that have to
+ * take owners from elsewhere. */
+static void work_out_zone(struct ownership *ownership, uint16_t zone, GArray *changes)
+{
+    if (owners_wanted(ownership) != ownership->wanted) {
+        work_out_all(ownership, changes);
+        return;
+    }
+    assign_zone(ownership, zone);
+    for (guint i = 0; i < ownership->groups->len; i++) {
+        struct group_owners *entry = group_at(ownership, i);
+        bool in_zone = slot_of_zone(ownership, &entry->group, zone) >= 0;
+        if (in_zone || !has_first_owners(ownership, entry)) {
+            work_out_group(ownership, entry, changes);
+        }
+    }
+}
+
 static gint compare_groups(gconstpointer a, gconstpointer b)
 {
     const struct group_owners *left = a;
@@ -350,57 +418,16 @@
     return -1;
 }
 
-static bool group_in_zone(const struct ownership_group *group, uint16_t zone)
-{
-    for (uint32_t i = 0; i < group->zone_count; i++) {
-        if (group->zones[i] == zone) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* True if a new member may change the group's owners. If its zone had members before, it can only
- * do so by ranking above one of the owners. */
-static bool joins_group(struct ownership *ownership, const struct group_owners *entry,
-                        const struct ownership_member *member, bool first_of_zone)
-{
-    if (entry->filled) {
-        return true;
-    }
-    if (!group_in_zone(&entry->group, member->zone)) {
-        return false;
-    }
-    if (first_of_zone) {
-        return true;
-    }
-    uint64_t rank = owner_rank(member->id, entry->group.group);
-    ownership->ranks_computed += 1 + entry->owner_count;
-    for (uint32_t i = 0; i < entry->owner_count; i++) {
-        if (rank >= owner_rank(entry->owners[i], entry->group.group)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static void add_member(struct ownership *ownership, const struct ownership_member *member,
                        GArray *changes)
 {
     guint place = zone_start(ownership, member->zone);
-    bool first_of_zone = place == zone_start(ownership, (uint32_t)member->zone + 1);
     while (place < ownership->members->len && member_at(ownership, place)->zone == member->zone &&
            member_at(ownership, place)->id < member->id) {
         place++;
     }
     g_array_insert_val(ownership->members, place, *member);
-    bool few = ownership->members->len <= ownership->options.all_own_up_to + 1;
-    for (guint i = 0; i < ownership->groups->len; i++) {
-        struct group_owners *entry = group_at(ownership, i);
-        if (few || joins_group(ownership, entry, member, first_of_zone)) {
-            work_out_group(ownership, entry, changes);
-        }
-    }
+    work_out_zone(ownership, member->zone, changes);
 }
 
 void ownership_remove_member(struct ownership *ownership, uint64_t id, GArray *changes)
@@ -409,14 +436,9 @@
     if (index < 0) {
         return;
     }
+    uint16_t zone = member_at(ownership, (guint)index)->zone;
     g_array_remove_index(ownership->members, (guint)index);
-    bool few = ownership->members->len <= ownership->options.all_own_up_to;
-    for (guint i = 0; i < ownership->groups->len; i++) {
-        struct group_owners *entry = group_at(ownership, i);
-        if (few || owners_contain(entry->owners, entry->owner_count, id)) {
-            work_out_group(ownership, entry, changes);
-        }
-    }
+    work_out_zone(ownership, zone, changes);
 }
 
 void ownership_set_member(struct ownership *ownership, const struct member *member, GArray *changes)
--- a/src/core/ownership.h
+++ b/src/core/ownership.h
@@ -1,7 +1,8 @@
 /* Owners of database groups. Each group has a few owner daemons that hold its connections and watch
- * it; all daemons work them out alike from the members, by rendezvous hashing with one owner in
- * each zone of the group. A joining member costs one hash per group; a member that goes costs the
- * groups that it owned. See docs/design/ownership.md. */
+ * it; all daemons work them out alike from the members, by rendezvous hashing: the highest ranked
+ * member of each zone of the group that does not own twice the mean of its zone already. Where
+ * zones are too few or empty, the next ranked of the group's zones, then of any. The result depends
+ * on the members and groups only, not on how they came. See docs/design/ownership.md. */
 #ifndef SW_CORE_OWNERSHIP_H
 #define SW_CORE_OWNERSHIP_H
 
@@ -31,15 +32,6 @@
     uint32_t all_own_up_to; /* with this many members or fewer, each owns every group */
 };
 
-/* The owners of a group among the members, into `owners` (room for OWNERSHIP_OWNERS_MAX): the
- * highest ranked of each zone of the group in the order of its zones, then the highest ranked of
- * those left in its zones, then any. Returns how many. Depends on the members' set only, not on
- * their order. */
-size_t ownership_owners_of(const struct ownership_options *options,
-                           const struct ownership_group *group,
-                           const struct ownership_member *members, size_t member_count,
-                           uint64_t *owners);
-
 /* A group whose owners changed, or which this daemon may now own. */
 struct ownership_change {
     uint32_t group;
