Count control datagrams; name the daemon's threads

Cause: on loopback the kernel keeps no traffic figure for a process, and all threads of the daemon bore the process's name, so that neither the octets nor the processor time of the control plane could be told from those of requests. Choice: the datagram calls give the length, the control thread counts it in swiftworks_control_datagrams_total and swiftworks_control_octets_total by direction. Each long-lived thread names itself: control, prober, evidence, pool, worker, worker-timer, peer, peer-accept, acceptor. Effect: both can be read from /metrics and /proc/PID/task/TID/comm. The payload is counted, without the headers of UDP and IP.

--- a/src/backend/evidence.c
+++ b/src/backend/evidence.c
@@ -257,6 +257,7 @@
     struct evidence_service *service = data;
     struct poll_set set = {.poll_fds = g_array_new(FALSE, TRUE, sizeof(struct pollfd))};
     eventfd_t ignored;
+    pthread_setname_np(pthread_self(), "evidence");
     pthread_mutex_lock(&service->lock);
     while (!service->stopping) {
         advance_all(service, &set);
--- a/src/backend/pool.c
+++ b/src/backend/pool.c
@@ -362,6 +362,7 @@
 static void *maintain(void *data)
 {
     struct pool *pool = data;
+    pthread_setname_np(pthread_self(), "pool");
     pthread_mutex_lock(&pool->lock);
     while (!pool->stopping || !g_queue_is_empty(&pool->closing)) {
         check_endings(pool);
--- a/src/backend/prober.c
+++ b/src/backend/prober.c
@@ -364,6 +364,7 @@
 {
     struct prober *prober = data;
     eventfd_t ignored;
+    pthread_setname_np(pthread_self(), "prober");
     do {
         run_once(prober);
         eventfd_read(prober->wake_fd, &ignored);
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -90,6 +90,7 @@
 static void *control_main(void *data)
 {
     struct control *control = data;
+    pthread_setname_np(pthread_self(), "control");
     control_groups_start(control);
     while (!is_stopping(control)) {
         wait_for_input(control);
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -10,7 +10,6 @@
 #include "daemon/daemon.h"
 #include "daemon/daemon_metrics.h"
 #include "daemon/task.h"
-#include "wire/datagram.h"
 
 /* A fence, promotion or follow without an answer for so long is lost. */
 #define COMMAND_TIMEOUT_MS 300
@@ -176,7 +175,7 @@
     control_ownership_entries(group->control, group->id, owners, &count);
     for (uint32_t i = 0; i < count; i++) {
         if (!owners[i].self) {
-            wire_datagram_send(group->control->socket, &owners[i].address, &message, NULL);
+            control_send(group->control, &owners[i].address, &message);
         }
     }
     message_clear(&message);
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -108,6 +108,9 @@
 void control_groups_set_watchers(struct control *control, time_ns now);
 
 /* Members: control_members.c. */
+/* Sends one datagram to another daemon, best effort, and counts it. Control thread only. */
+void control_send(struct control *control, const struct sockaddr_in *to,
+                  const struct message *message);
 bool control_members_start(struct control *control, GError **error);
 void control_members_stop(struct control *control);
 void control_members_receive(struct control *control, time_ns now);
--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -11,6 +11,7 @@
 #include "core/error.h"
 #include "daemon/control_internal.h"
 #include "daemon/daemon.h"
+#include "daemon/daemon_metrics.h"
 #include "generated/errors.h"
 #include "wire/address.h"
 #include "wire/datagram.h"
@@ -85,12 +86,21 @@
     control->members_changed = true;
 }
 
+void control_send(struct control *control, const struct sockaddr_in *to,
+                  const struct message *message)
+{
+    size_t octets = 0;
+    if (wire_datagram_send(control->socket, to, message, &octets, NULL)) {
+        daemon_metrics_datagram(control->daemon->metrics, DATAGRAM_SENT, octets);
+    }
+}
+
 static void send_gossip(struct control *control, const struct membership_action *action)
 {
     struct sockaddr_in to = to_socket_address(action->to);
     /* The encoder only reads: the union borrows the list's message. */
     struct message message = {.kind = MESSAGE_KIND_GOSSIP, .gossip = action->message};
-    wire_datagram_send(control->socket, &to, &message, NULL);
+    control_send(control, &to, &message);
 }
 
 static void perform(struct control *control, const struct membership_action *action)
@@ -156,8 +166,14 @@
     for (int i = 0; i < DATAGRAMS_PER_TURN; i++) {
         struct message message;
         struct sockaddr_in from;
+        size_t octets;
         g_autoptr(GError) error = NULL;
-        if (!wire_datagram_receive(control->socket, &message, &from, now, &error)) {
+        bool decoded =
+            wire_datagram_receive(control->socket, &message, &from, &octets, now, &error);
+        if (decoded || g_error_matches(error, SW_ERROR, ERROR_KIND_BAD_REQUEST)) {
+            daemon_metrics_datagram(control->daemon->metrics, DATAGRAM_RECEIVED, octets);
+        }
+        if (!decoded) {
             if (g_error_matches(error, SW_ERROR, ERROR_KIND_BAD_REQUEST)) {
                 continue;
             }
--- a/src/daemon/daemon_metrics.c
+++ b/src/daemon/daemon_metrics.c
@@ -30,6 +30,8 @@
     struct metric_histogram *seconds[TASK_USE_COUNT];
     struct metric_counter *routes[ROUTE_REASON_COUNT];
     struct metric_counter *replayed;
+    struct metric_counter *datagrams[DATAGRAM_DIRECTION_COUNT];
+    struct metric_counter *octets[DATAGRAM_DIRECTION_COUNT];
     pthread_mutex_t gap_lock; /* guards gap_since */
     GHashTable *gap_since;    /* group as pointer -> time_ns *, of groups without a primary */
 };
@@ -74,6 +76,20 @@
                                         "Outcomes found in the ledger instead of run.", NULL);
 }
 
+static void make_traffic(struct daemon_metrics *metrics)
+{
+    static const char *const directions[] = {"sent", "received"};
+    for (int direction = 0; direction < DATAGRAM_DIRECTION_COUNT; direction++) {
+        const struct metric_label label[] = {{"direction", directions[direction]}, {NULL, NULL}};
+        metrics->datagrams[direction] =
+            metrics_counter(metrics->registry, "swiftworks_control_datagrams_total",
+                            "Datagrams of the control plane between daemons.", label);
+        metrics->octets[direction] =
+            metrics_counter(metrics->registry, "swiftworks_control_octets_total",
+                            "Octets in these datagrams, without headers of UDP and IP.", label);
+    }
+}
+
 struct daemon_metrics *daemon_metrics_new(void)
 {
     struct daemon_metrics *metrics = g_new0(struct daemon_metrics, 1);
@@ -82,6 +98,7 @@
     metrics->gap_since = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     make_measures(metrics);
     make_requests(metrics);
+    make_traffic(metrics);
     return metrics;
 }
 
@@ -156,6 +173,13 @@
     }
 }
 
+void daemon_metrics_datagram(struct daemon_metrics *metrics, enum datagram_direction direction,
+                             size_t octets)
+{
+    metric_counter_add(metrics->datagrams[direction], 1);
+    metric_counter_add(metrics->octets[direction], octets);
+}
+
 void daemon_metrics_group_writable(struct daemon_metrics *metrics, uint32_t group, bool writable,
                                    time_ns now)
 {
--- a/src/daemon/worker_pool.c
+++ b/src/daemon/worker_pool.c
@@ -69,6 +69,7 @@
 {
     struct lane *lane = data;
     struct worker_pool *pool = lane->pool;
+    pthread_setname_np(pthread_self(), "worker");
     pthread_mutex_lock(&pool->lock);
     for (;;) {
         struct worker_job *job = take_first(lane);
@@ -142,6 +143,7 @@
 static void *timer_main(void *data)
 {
     struct worker_pool *pool = data;
+    pthread_setname_np(pthread_self(), "worker-timer");
     pthread_mutex_lock(&pool->lock);
     while (!pool->stopping) {
         release_parked(pool, backend_now());
--- a/src/frontend/acceptor.c
+++ b/src/frontend/acceptor.c
@@ -55,6 +55,7 @@
 static void *run(void *data)
 {
     struct acceptor *acceptor = data;
+    pthread_setname_np(pthread_self(), "acceptor");
     while (!atomic_load(&acceptor->stopping)) {
         bool full = acceptor->callbacks.full(acceptor->callbacks.user);
         wait_for_events(acceptor, full);
--- a/src/wire/datagram.c
+++ b/src/wire/datagram.c
@@ -43,7 +43,7 @@
 }
 
 bool wire_datagram_send(int socket, const struct sockaddr_in *to, const struct message *message,
-                        GError **error)
+                        size_t *octets, GError **error)
 {
     if (!message_check(message, error)) {
         return false;
@@ -63,6 +63,9 @@
         set_error(error, "sendto", errno);
         return false;
     }
+    if (octets != NULL) {
+        *octets = data->len;
+    }
     return true;
 }
 
@@ -94,11 +97,14 @@
 }
 
 bool wire_datagram_receive(int socket, struct message *out, struct sockaddr_in *from,
-                           time_ns deadline, GError **error)
+                           size_t *octets, time_ns deadline, GError **error)
 {
     message_init(out, MESSAGE_KIND_NONE);
     uint8_t buffer[WIRE_DATAGRAM_MAX];
     ssize_t length = receive_datagram(socket, buffer, sizeof(buffer), from, deadline, error);
+    if (octets != NULL) {
+        *octets = (size_t)MAX(length, 0);
+    }
     if (length < 0) {
         return false;
     }
--- a/src/wire/peer_server.c
+++ b/src/wire/peer_server.c
@@ -120,6 +120,7 @@
 {
     struct served_connection *served = data;
     struct peer_server *server = served->server;
+    pthread_setname_np(pthread_self(), "peer");
     if (server->options.thread_started != NULL) {
         server->options.thread_started(server->options.user);
     }
@@ -196,6 +197,7 @@
 static void *accept_thread(void *data)
 {
     struct peer_server *server = data;
+    pthread_setname_np(pthread_self(), "peer-accept");
     for (;;) {
         g_autoptr(GError) error = NULL;
         struct wire_connection *connection =
--- /dev/null
+++ b/tests/daemon/test_traffic.c
@@ -0,0 +1,74 @@
+/* The daemons' own count of the datagrams between them. */
+#include "cluster_fixture.h"
+
+#include <string.h>
+
+#include "daemon/daemon_metrics.h"
+#include "frontend/metrics.h"
+#include "wire/datagram.h"
+
+/* One reading of a daemon's counters in one direction. */
+struct traffic {
+    uint64_t datagrams;
+    uint64_t octets;
+};
+
+/* The value on the line of a metric, as an operator's collector sees it. */
+static uint64_t scrape(const GString *text, const char *name, const char *direction)
+{
+    g_autofree char *start = g_strdup_printf("\n%s{direction=\"%s\"} ", name, direction);
+    const char *line = strstr(text->str, start);
+    g_assert_nonnull(line);
+    return g_ascii_strtoull(line + strlen(start), NULL, 10);
+}
+
+static struct traffic read_traffic(const struct cluster *cluster, unsigned daemon,
+                                   const char *direction)
+{
+    g_autoptr(GString) text = g_string_new("\n");
+    metrics_render(daemon_metrics_registry(cluster->daemons[daemon]->metrics), text);
+    struct traffic traffic = {
+        .datagrams = scrape(text, "swiftworks_control_datagrams_total", direction),
+        .octets = scrape(text, "swiftworks_control_octets_total", direction),
+    };
+    return traffic;
+}
+
+/* With two daemons each gets only what the other has sent. Octets are counted after datagrams, so
+ * a single reading may lack those of the newest. */
+static void check_pair(const struct cluster *cluster, unsigned receiver, unsigned sender)
+{
+    AWAIT(read_traffic(cluster, receiver, "received").octets > 0);
+    struct traffic received = read_traffic(cluster, receiver, "received");
+    g_assert_cmpuint(received.datagrams, >, 0);
+    g_assert_cmpuint(received.octets, <=, received.datagrams * WIRE_DATAGRAM_MAX);
+    AWAIT(read_traffic(cluster, sender, "sent").datagrams >= received.datagrams);
+    AWAIT(read_traffic(cluster, sender, "sent").octets >= received.octets);
+}
+
+static void test_datagrams_are_counted(void)
+{
+    struct cluster_options options = {.daemons = 2};
+    struct cluster *cluster = cluster_start(&options);
+    check_pair(cluster, 0, 1);
+    check_pair(cluster, 1, 0);
+    cluster_stop(cluster);
+}
+
+/* A daemon that knows no other sends nothing. */
+static void test_lone_daemon_is_silent(void)
+{
+    struct cluster_options options = {.daemons = 1};
+    struct cluster *cluster = cluster_start(&options);
+    g_assert_cmpuint(read_traffic(cluster, 0, "sent").datagrams, ==, 0);
+    g_assert_cmpuint(read_traffic(cluster, 0, "received").datagrams, ==, 0);
+    cluster_stop(cluster);
+}
+
+int main(int argc, char **argv)
+{
+    cluster_test_init(&argc, &argv);
+    g_test_add_func("/daemon/traffic/datagrams_are_counted", test_datagrams_are_counted);
+    g_test_add_func("/daemon/traffic/lone_daemon_is_silent", test_lone_daemon_is_silent);
+    return g_test_run();
+}
--- a/tests/wire/test_datagram.c
+++ b/tests/wire/test_datagram.c
@@ -34,14 +34,20 @@
     struct sockets sockets;
     struct message message;
     struct sockaddr_in from = {0};
+    size_t sent = 0;
+    size_t received = 0;
     g_autoptr(GError) error = NULL;
     sockets_open(&sockets);
     fixture_request(&message, "r1");
-    g_assert_true(wire_datagram_send(sockets.left, &sockets.right_address, &message, &error));
+    g_autoptr(GByteArray) encoded = message_encode(&message);
+    g_assert_true(
+        wire_datagram_send(sockets.left, &sockets.right_address, &message, &sent, &error));
     g_assert_no_error(error);
     message_clear(&message);
-    wire_datagram_receive(sockets.right, &message, &from, fixture_deadline(), &error);
+    wire_datagram_receive(sockets.right, &message, &from, &received, fixture_deadline(), &error);
     g_assert_no_error(error);
+    g_assert_cmpuint(sent, ==, encoded->len);
+    g_assert_cmpuint(received, ==, encoded->len);
     g_assert_cmpstr(message.request.request_id, ==, "r1");
     g_assert_cmpint(from.sin_port, ==, sockets.left_address.sin_port);
     message_clear(&message);
@@ -57,12 +63,14 @@
     fixture_request(&message, "r1");
     g_free(message.request.statements[0].sql);
     message.request.statements[0].sql = g_strnfill(WIRE_DATAGRAM_MAX, 'x');
-    g_assert_false(wire_datagram_send(sockets.left, &sockets.right_address, &message, &error));
+    g_assert_false(
+        wire_datagram_send(sockets.left, &sockets.right_address, &message, NULL, &error));
     g_assert_error(error, SW_ERROR, ERROR_KIND_TOO_LARGE);
     g_clear_error(&error);
     g_free(message.request.tenant);
     message.request.tenant = g_strnfill(129, 'x');
-    g_assert_false(wire_datagram_send(sockets.left, &sockets.right_address, &message, &error));
+    g_assert_false(
+        wire_datagram_send(sockets.left, &sockets.right_address, &message, NULL, &error));
     g_assert_error(error, SW_ERROR, ERROR_KIND_BAD_REQUEST);
     message_clear(&message);
     sockets_close(&sockets);
@@ -76,8 +84,10 @@
     const struct sockaddr *to = (const struct sockaddr *)&sockets->right_address;
     gssize sent = sendto(sockets->left, data, length, 0, to, sizeof(sockets->right_address));
     g_assert_cmpint(sent, ==, (gssize)length);
-    g_assert_false(
-        wire_datagram_receive(sockets->right, &message, &from, fixture_deadline(), &error));
+    size_t received = G_MAXSIZE;
+    g_assert_false(wire_datagram_receive(sockets->right, &message, &from, &received,
+                                         fixture_deadline(), &error));
+    g_assert_cmpuint(received, ==, length);
     g_assert_error(error, SW_ERROR, ERROR_KIND_BAD_REQUEST);
     g_assert_cmpint(message.kind, ==, MESSAGE_KIND_NONE);
 }
@@ -95,9 +105,9 @@
     expect_refused(&sockets, "", 0);
     expect_refused(&sockets, oversize, sizeof(oversize));
     fixture_reply(&message, "r2");
-    g_assert_true(wire_datagram_send(sockets.left, &sockets.right_address, &message, &error));
+    g_assert_true(wire_datagram_send(sockets.left, &sockets.right_address, &message, NULL, &error));
     message_clear(&message);
-    wire_datagram_receive(sockets.right, &message, &from, fixture_deadline(), &error);
+    wire_datagram_receive(sockets.right, &message, &from, NULL, fixture_deadline(), &error);
     g_assert_no_error(error);
     g_assert_cmpstr(message.reply.request_id, ==, "r2");
     message_clear(&message);
@@ -110,10 +120,12 @@
     struct message message;
     struct sockaddr_in from;
     g_autoptr(GError) error = NULL;
+    size_t received = G_MAXSIZE;
     sockets_open(&sockets);
-    g_assert_false(
-        wire_datagram_receive(sockets.right, &message, &from, fixture_short_deadline(), &error));
+    g_assert_false(wire_datagram_receive(sockets.right, &message, &from, &received,
+                                         fixture_short_deadline(), &error));
     g_assert_error(error, SW_ERROR, ERROR_KIND_DEADLINE);
+    g_assert_cmpuint(received, ==, 0);
     sockets_close(&sockets);
 }
 
