--- a/src/core/group_control.h
+++ b/src/core/group_control.h
@@ -30,6 +30,8 @@
     time_ns suspicion_expiry;  /* a peer's suspicion counts for so long after it was heard */
     time_ns suspicion_repeat;  /* a suspicion is sent again this often */
     time_ns opinion_interval;  /* an opinion is sent at least this often */
+    time_ns abstain_after;     /* a watcher silent for so long has no vote, if this one reaches a
+                                  majority of the databases */
     time_ns peer_alive;        /* a peer heard within this time takes part in coordination */
     time_ns bootstrap_wait;    /* wait before the first primary of a new group is chosen */
     time_ns rank_step;         /* each rank waits this much longer before it coordinates */
@@ -198,6 +200,11 @@
 struct group_control *group_control_new(const struct group_control_options *options, time_ns now);
 void group_control_free(struct group_control *control);
 
+/* Changes the times after which a primary without good probes is suspected and a database avoided,
+ * as the probe interval changes. */
+void group_control_set_detection(struct group_control *control, time_ns suspect_after,
+                                 time_ns unreachable_after);
+
 /* Takes one event and overwrites `actions` with what the shell must do, in order. */
 void group_control_step(struct group_control *control, const struct group_event *event,
                         struct group_actions *actions);
--- a/src/sim/scale_fleet.c
+++ b/src/sim/scale_fleet.c
@@ -16,7 +16,8 @@
         .databases = databases,
         .connection_limit = 35,
         .connect_time = 20 * NANOSECONDS_PER_MILLISECOND,
-        .forward_interval = 10 * NANOSECONDS_PER_SECOND,
+        .forward_interval = 2 * NANOSECONDS_PER_SECOND,
+        .publish_time = 50 * NANOSECONDS_PER_MILLISECOND,
         .stop_time = 6 * NANOSECONDS_PER_SECOND,
         .difference_octets = 2048,
         .seeds = 5,
@@ -247,7 +248,8 @@
 /* Cuts or joins one zone and all others, or all of other regions. */
 static void set_zone_cut(struct scale_fleet *fleet, uint16_t zone, bool cut, bool whole_region)
 {
-    for (uint16_t other = 0; other < fleet->options.network.zones; other++) {
+    uint16_t zones = (uint16_t)fleet->options.network.zones;
+    for (uint16_t other = 0; other < zones; other++) {
         bool same_region = scale_network_region(fleet->network, other) ==
                            scale_network_region(fleet->network, zone);
         if (other == zone || (whole_region && same_region)) {
@@ -269,7 +271,8 @@
 
 void scale_fleet_cut_region(struct scale_fleet *fleet, uint16_t region, bool cut)
 {
-    for (uint16_t zone = 0; zone < fleet->options.network.zones; zone++) {
+    uint16_t zones = (uint16_t)fleet->options.network.zones;
+    for (uint16_t zone = 0; zone < zones; zone++) {
         if (scale_network_region(fleet->network, zone) == region) {
             set_zone_cut(fleet, zone, cut, true);
         }
@@ -286,6 +289,28 @@
     fleet->store_up = up;
 }
 
+/* Who publishes also gives the configuration to a daemon that it reaches. */
+static void give_to_one(struct scale_fleet *fleet, uint64_t version)
+{
+    uint32_t first = scale_fleet_random(fleet, fleet->options.daemons);
+    for (uint32_t i = 0; i < fleet->options.daemons; i++) {
+        uint32_t index = (first + i) % fleet->options.daemons;
+        const struct scale_daemon *daemon = &fleet->daemons[index];
+        if (!daemon->running || daemon->paused || fleet->zone_cut[daemon->zone]) {
+            continue;
+        }
+        struct scale_event event = {
+            .at = scale_fleet_now(fleet) + fleet->options.publish_time,
+            .kind = SCALE_EVENT_FETCHED,
+            .daemon = index,
+            .life = daemon->life,
+            .number = version,
+        };
+        scale_network_add(fleet->network, &event);
+        return;
+    }
+}
+
 uint64_t scale_fleet_publish(struct scale_fleet *fleet)
 {
     if (!fleet->store_up) {
@@ -293,6 +318,13 @@
     }
     struct scale_publication publication = {.at = scale_fleet_now(fleet)};
     g_array_append_val(fleet->publications, publication);
+    uint64_t version = fleet->publications->len - 1;
+    give_to_one(fleet, version);
+    return version;
+}
+
+uint64_t scale_fleet_newest(const struct scale_fleet *fleet)
+{
     return fleet->publications->len - 1;
 }
 
@@ -356,6 +388,17 @@
     return fleet->daemons[daemon].running;
 }
 
+bool scale_fleet_is_paused(const struct scale_fleet *fleet, uint32_t index)
+{
+    return fleet->daemons[index].paused;
+}
+
+bool scale_fleet_serves(const struct scale_fleet *fleet, uint32_t index, uint32_t group)
+{
+    const struct scale_daemon *daemon = &fleet->daemons[index];
+    return daemon->running && scale_holdings_serve(daemon, group);
+}
+
 struct membership *scale_fleet_membership(const struct scale_fleet *fleet, uint32_t daemon)
 {
     return fleet->daemons[daemon].membership;
