--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -123,6 +123,9 @@
 void control_groups_set_watchers(struct control *control, time_ns now);
 
 /* Members: control_members.c. */
+/* Sends one datagram to another daemon, best effort, and counts it. Control thread only. */
+void control_send(struct control *control, const struct sockaddr_in *to,
+                  const struct message *message);
 bool control_members_start(struct control *control, GError **error);
 /* Joins the other daemons, in the zone that is known by now. */
 void control_members_join(struct control *control);
