--- a/tests/daemon/test_transactions.c
+++ b/tests/daemon/test_transactions.c
@@ -233,7 +233,7 @@
     struct cluster *cluster = cluster_start(NULL);
     struct http_answer answer;
     g_autofree char *id = begin(cluster, 0, NULL, "write");
-    cluster_set_service_time(cluster, 0, 400000);
+    cluster_set_service_time(cluster, 0, 2000000);
     struct http_call insert = {.transaction = id, .sql = "INSERT INTO stays VALUES ('a', '')"};
     struct http_poster *poster = http_post_start(cluster_port(cluster, 0), &insert);
     AWAIT(slots_used(cluster, 0) == 1);
