--- a/tests/daemon/fake_peer.c
+++ b/tests/daemon/fake_peer.c
@@ -122,7 +122,8 @@
     bool answered = false;
     struct message message;
     struct sockaddr_in from;
-    while (!answered && wire_datagram_receive(peer->socket, &message, &from, deadline, NULL)) {
+    while (!answered &&
+           wire_datagram_receive(peer->socket, &message, &from, NULL, deadline, NULL)) {
         answered = message.kind == MESSAGE_KIND_GOSSIP && message.gossip.kind == GOSSIP_KIND_ACK &&
                    message.gossip.sequence == peer->sequence;
         message_clear(&message);
@@ -139,7 +140,7 @@
         struct message message;
         fill_ping(peer, &message, in_force, heard);
         g_autoptr(GError) error = NULL;
-        bool sent = wire_datagram_send(peer->socket, &to, &message, &error);
+        bool sent = wire_datagram_send(peer->socket, &to, &message, NULL, &error);
         g_assert_no_error(error);
         g_assert_true(sent);
         message_clear(&message);
