Hand groups over within the connection budget

A daemon's pool limit was connections / owners - 3, so while a group moved the old and the new owner together went past the database's limit, and a lost group was dropped at once, whether or not its new owner could serve.

budget_plan holds the arithmetic: 2 sets of owners x owners x 2 connections for probes and evidence + 2 x owners being opened + numbers <= connections. Two sets, as the old and the new owners probe at the same time during a move. With 35 connections and 3 owners: 12 + 6 + 17, a share of 5. A configuration in which it can't hold is refused at the start, with the database and the values.

A daemon that loses a group stays in the routing of its own requests until every new owner says that it is warm at every database in reach (it asks them every 25 ms), for 5 s at most. Then new requests go to the new owners, and its connections close as what runs ends. A planned stop hands its groups over before it refuses new work.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -10,7 +10,7 @@
 
 #include "backend/clock.h"
 #include "core/error.h"
-#include "daemon/control_internal.h"
+#include "daemon/control_budget.h"
 #include "daemon/daemon.h"
 #include "daemon/transaction.h"
 #include "generated/errors.h"
@@ -77,6 +77,7 @@
     time_ns until = now + CONTROL_PERIOD_MS * NANOSECONDS_PER_MILLISECOND;
     until = MIN(until, control_groups_next_wakeup(control));
     until = MIN(until, control_members_next_wakeup(control));
+    until = MIN(until, control_budget_next_wakeup(control->budget));
     poll(waits, G_N_ELEMENTS(waits), backend_poll_ms(until, now));
     eventfd_t ignored;
     if (waits[0].revents != 0) {
@@ -98,6 +99,7 @@
         control_members_tick(control, now);
         control_ownership_tick(control, now);
         control_groups_tick(control, now);
+        control_budget_tick(control->budget, now);
         transaction_table_expire(control->daemon->transactions, now, false);
     }
     return NULL;
@@ -111,6 +113,7 @@
         event = take_event(control);
     }
     control_members_stop(control);
+    control_budget_free(control->budget);
     pthread_mutex_destroy(&control->inbox_lock);
     close(control->wake_fd);
     g_free(control);
@@ -125,6 +128,7 @@
     pthread_mutex_init(&control->inbox_lock, NULL);
     g_queue_init(&control->inbox);
     control->journal = daemon->journal;
+    control->budget = control_budget_new(control);
     if (!control_members_start(control, error)) {
         free_control(control);
         return NULL;
@@ -152,6 +156,11 @@
     control_post(control, &event);
 }
 
+bool control_holds_groups(struct control *control)
+{
+    return atomic_load(&control->groups_held) > 0;
+}
+
 GArray *control_list_members(struct control *control)
 {
     GArray *members = g_array_new(FALSE, TRUE, sizeof(struct control_member));
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -37,6 +37,10 @@
  * its groups go to others. */
 void control_set_leaving(struct control *control, bool leaving);
 
+/* True while requests are served from groups of this daemon, those being handed over included. Any
+ * thread. */
+bool control_holds_groups(struct control *control);
+
 /* One daemon of the deployment, for operators. */
 struct control_member {
     uint64_t id;
--- /dev/null
+++ b/src/daemon/control_budget.c
@@ -0,0 +1,340 @@
+/* Hand-over of groups; see the header. */
+#define G_LOG_DOMAIN "budget"
+#include "daemon/control_budget.h"
+
+#include "backend/clock.h"
+#include "daemon/daemon.h"
+#include "wire/datagram.h"
+
+/* A lost group is served for so long at most; then its pools close in any case, too. */
+#define HANDOVER_MAX_MS 5000
+
+/* How often the new owners are asked whether they are warm, and the ends of connections looked at.
+ */
+#define RELEASE_STEP_MS 25
+
+enum release_state {
+    RELEASE_STATE_HANDING_OVER, /* served here until the new owners are warm */
+    RELEASE_STATE_DRAINING,     /* only what runs goes on */
+};
+
+/* Databases of the group at which one new owner is warm. */
+struct warm_owner {
+    uint64_t id; /* 0 = none */
+    uint32_t databases;
+};
+
+/* A group that this daemon lost and still has connections of. */
+struct release {
+    uint32_t group;
+    enum release_state state;
+    struct group_runtime *runtime; /* one reference */
+    time_ns until;                 /* end of the time for hand-over */
+    uint32_t told;                 /* databases whose release was told to the owners */
+    struct warm_owner warm[OWNERS_MAX];
+};
+
+struct control_budget {
+    struct control *control;
+    GPtrArray *releases; /* of struct release; at most one of a group is HANDING_OVER */
+    time_ns next_step_at;
+};
+
+static void free_release(gpointer data)
+{
+    struct release *release = data;
+    group_runtime_unref(release->runtime);
+    g_free(release);
+}
+
+struct control_budget *control_budget_new(struct control *control)
+{
+    struct control_budget *budget = g_new0(struct control_budget, 1);
+    budget->control = control;
+    budget->releases = g_ptr_array_new_with_free_func(free_release);
+    return budget;
+}
+
+void control_budget_free(struct control_budget *budget)
+{
+    if (budget == NULL) {
+        return;
+    }
+    g_ptr_array_unref(budget->releases);
+    g_free(budget);
+}
+
+static uint32_t all_databases(const struct group_runtime *runtime)
+{
+    return (UINT32_C(1) << runtime->database_count) - 1;
+}
+
+/* Databases that this daemon reaches: no new owner can be warm at the others. */
+static uint32_t reachable_databases(struct group_runtime *runtime)
+{
+    struct group_view view;
+    uint32_t mask = 0;
+    group_runtime_read_view(runtime, &view);
+    for (uint32_t i = 0; i < view.database_count; i++) {
+        mask |= (uint32_t)view.databases[i].reachable << i;
+    }
+    return mask;
+}
+
+/* The group's release that still serves, or NULL. */
+static struct release *find_handing_over(struct control_budget *budget, uint32_t group)
+{
+    for (guint i = 0; i < budget->releases->len; i++) {
+        struct release *release = g_ptr_array_index(budget->releases, i);
+        if (release->group == group && release->state == RELEASE_STATE_HANDING_OVER) {
+            return release;
+        }
+    }
+    return NULL;
+}
+
+static void send_notice(struct control_budget *budget, const struct sockaddr_in *to,
+                        const struct budget_notice *notice)
+{
+    struct message message;
+    message_init(&message, MESSAGE_KIND_BUDGET_NOTICE);
+    message.budget_notice = *notice;
+    message.budget_notice.sender = membership_self(budget->control->membership).id;
+    wire_datagram_send(budget->control->socket, to, &message, NULL);
+    message_clear(&message);
+}
+
+/* The owners of a group other than this daemon, into `owners` (room for OWNERS_MAX). */
+static uint32_t other_owners(struct control_budget *budget, uint32_t group,
+                             struct member_entry *owners)
+{
+    struct member_entry all[OWNERS_MAX];
+    uint32_t all_count = 0;
+    uint32_t count = 0;
+    control_ownership_entries(budget->control, group, all, &all_count);
+    for (uint32_t i = 0; i < all_count; i++) {
+        if (!all[i].self) {
+            owners[count++] = all[i];
+        }
+    }
+    return count;
+}
+
+/* The entry of an owner, made where there is none; NULL if there is no room. */
+static struct warm_owner *warm_owner_of(struct release *release, uint64_t id)
+{
+    for (uint32_t i = 0; i < OWNERS_MAX; i++) {
+        struct warm_owner *owner = &release->warm[i];
+        if (owner->id == 0) {
+            owner->id = id;
+        }
+        if (owner->id == id) {
+            return owner;
+        }
+    }
+    return NULL;
+}
+
+/* Asks an owner about the databases at which it has not told to be warm. True if there are none. */
+static bool ask_owner(struct control_budget *budget, struct release *release,
+                      const struct member_entry *owner, uint32_t wanted)
+{
+    const struct warm_owner *warm = warm_owner_of(release, owner->id);
+    uint32_t missing = warm != NULL ? wanted & ~warm->databases : 0;
+    for (uint32_t i = 0; i < release->runtime->database_count; i++) {
+        struct budget_notice notice = {.group = release->group, .database = i, .asks = true};
+        if ((missing & (UINT32_C(1) << i)) != 0) {
+            send_notice(budget, &owner->address, &notice);
+        }
+    }
+    return missing == 0;
+}
+
+/* True if all new owners are warm, or there are none; asks those that are not. */
+static bool owners_are_warm(struct control_budget *budget, struct release *release)
+{
+    struct member_entry owners[OWNERS_MAX];
+    uint32_t count = other_owners(budget, release->group, owners);
+    uint32_t wanted = reachable_databases(release->runtime);
+    bool warm = true;
+    for (uint32_t i = 0; i < count; i++) {
+        warm = ask_owner(budget, release, &owners[i], wanted) && warm;
+    }
+    return warm;
+}
+
+/* From here on new requests go to the new owners. */
+static void start_draining(struct control_budget *budget, struct release *release)
+{
+    release->state = RELEASE_STATE_DRAINING;
+    control_groups_end(budget->control, release->group);
+}
+
+static void close_pools(struct release *release)
+{
+    for (uint32_t i = 0; i < release->runtime->database_count; i++) {
+        pool_peer_warm(release->runtime->databases[i].pool);
+    }
+}
+
+/* Tells the owners of a database that its numbers are free. */
+static void tell_released(struct control_budget *budget, const struct release *release,
+                          uint32_t database)
+{
+    struct member_entry owners[OWNERS_MAX];
+    uint32_t count = other_owners(budget, release->group, owners);
+    struct budget_notice notice = {.group = release->group, .database = database, .released = true};
+    for (uint32_t i = 0; i < count; i++) {
+        send_notice(budget, &owners[i].address, &notice);
+    }
+}
+
+static void note_released(struct control_budget *budget, const struct release *release)
+{
+    struct journal_entry entry = {.group = release->group, .database = -1};
+    g_strlcpy(entry.kind, "connections_released", sizeof(entry.kind));
+    g_strlcpy(entry.text, "by hand-over", sizeof(entry.text));
+    journal_add(budget->control->journal, &entry);
+}
+
+/* Lets connections go as the requests that run end. True if nothing is left. */
+static bool drain(struct control_budget *budget, struct release *release, time_ns now)
+{
+    if (!group_runtime_is_shared(release->runtime) || now >= release->until) {
+        close_pools(release);
+    }
+    for (uint32_t i = 0; i < release->runtime->database_count; i++) {
+        uint32_t bit = UINT32_C(1) << i;
+        if ((release->told & bit) == 0 && pool_is_released(release->runtime->databases[i].pool)) {
+            release->told |= bit;
+            tell_released(budget, release, i);
+        }
+    }
+    return release->told == all_databases(release->runtime) &&
+           !group_runtime_is_shared(release->runtime);
+}
+
+/* True if the release is over. */
+static bool step(struct control_budget *budget, struct release *release, time_ns now)
+{
+    if (release->state == RELEASE_STATE_HANDING_OVER) {
+        bool warm = owners_are_warm(budget, release);
+        if (!warm && now < release->until) {
+            return false;
+        }
+        if (!warm) {
+            g_message("Group %u is given up before its new owners are warm.", release->group);
+        }
+        start_draining(budget, release);
+    }
+    return drain(budget, release, now);
+}
+
+static void step_all(struct control_budget *budget, time_ns now)
+{
+    for (guint i = budget->releases->len; i > 0; i--) {
+        struct release *release = g_ptr_array_index(budget->releases, i - 1);
+        if (step(budget, release, now)) {
+            note_released(budget, release);
+            g_ptr_array_remove_index_fast(budget->releases, i - 1);
+        }
+    }
+    budget->next_step_at = now + RELEASE_STEP_MS * NANOSECONDS_PER_MILLISECOND;
+}
+
+static void set_position(struct group_runtime *runtime, int32_t position)
+{
+    for (uint32_t i = 0; i < runtime->database_count; i++) {
+        /* That the old owner lives is the safe guess: the numbers for hand-over come first. */
+        pool_set_position(runtime->databases[i].pool, position, true);
+    }
+}
+
+void control_budget_place(struct control_budget *budget, uint32_t group, int32_t position)
+{
+    struct release *release = find_handing_over(budget, group);
+    struct group_runtime *runtime = control_groups_runtime(budget->control, group);
+    if (release != NULL) {
+        g_ptr_array_remove_fast(budget->releases, release);
+    }
+    if (runtime != NULL) {
+        set_position(runtime, position);
+    }
+}
+
+void control_budget_release(struct control_budget *budget, uint32_t group)
+{
+    struct group_runtime *runtime = control_groups_runtime(budget->control, group);
+    if (find_handing_over(budget, group) != NULL) {
+        return;
+    }
+    struct release *release = g_new0(struct release, 1);
+    release->group = group;
+    release->runtime = group_runtime_ref(runtime);
+    release->until = backend_now() + HANDOVER_MAX_MS * NANOSECONDS_PER_MILLISECOND;
+    g_ptr_array_add(budget->releases, release);
+    set_position(runtime, -1);
+    budget->next_step_at = 0;
+}
+
+/* Tells the asker if this daemon can serve from a database. */
+static void answer(struct control_budget *budget, const struct budget_notice *asked,
+                   const struct sockaddr_in *from)
+{
+    struct group_runtime *runtime = control_groups_runtime(budget->control, asked->group);
+    if (runtime == NULL || asked->database >= runtime->database_count) {
+        return;
+    }
+    uint32_t reachable = reachable_databases(runtime);
+    bool ready = (reachable & (UINT32_C(1) << asked->database)) != 0 &&
+                 pool_is_warm(runtime->databases[asked->database].pool);
+    struct budget_notice notice = {.group = asked->group, .database = asked->database};
+    if (ready) {
+        send_notice(budget, from, &notice);
+    }
+}
+
+static void take_released(struct control_budget *budget, const struct budget_notice *notice)
+{
+    struct group_runtime *runtime = control_groups_runtime(budget->control, notice->group);
+    if (runtime != NULL && notice->database < runtime->database_count) {
+        pool_peer_released(runtime->databases[notice->database].pool);
+    }
+}
+
+static void take_warm(struct control_budget *budget, const struct budget_notice *notice)
+{
+    struct release *release = find_handing_over(budget, notice->group);
+    if (release == NULL || notice->database >= release->runtime->database_count) {
+        return;
+    }
+    struct warm_owner *owner = warm_owner_of(release, notice->sender);
+    if (owner != NULL) {
+        owner->databases |= UINT32_C(1) << notice->database;
+        budget->next_step_at = 0;
+    }
+}
+
+void control_budget_receive(struct control_budget *budget, const struct budget_notice *notice,
+                            const struct sockaddr_in *from)
+{
+    if (notice->asks) {
+        answer(budget, notice, from);
+    } else if (notice->released) {
+        take_released(budget, notice);
+    } else {
+        take_warm(budget, notice);
+    }
+}
+
+void control_budget_tick(struct control_budget *budget, time_ns now)
+{
+    if (budget->releases->len > 0 && now >= budget->next_step_at) {
+        step_all(budget, now);
+    }
+}
+
+time_ns control_budget_next_wakeup(const struct control_budget *budget)
+{
+    return budget->releases->len > 0 ? budget->next_step_at : UINT64_MAX;
+}
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -398,11 +398,18 @@
     return find_group(control, group) != NULL;
 }
 
+struct group_runtime *control_groups_runtime(struct control *control, uint32_t group)
+{
+    struct controlled_group *found = find_group(control, group);
+    return found != NULL ? found->runtime : NULL;
+}
+
 void control_groups_begin(struct control *control, uint32_t group)
 {
     struct group_runtime *runtime = daemon_begin_group(control->daemon, group);
     if (runtime != NULL) {
         start_group(control, runtime);
+        atomic_store(&control->groups_held, g_hash_table_size(control->groups));
     }
 }
 
@@ -414,6 +421,7 @@
     }
     daemon_end_group(control->daemon, id);
     g_hash_table_remove(control->groups, GUINT_TO_POINTER(id));
+    atomic_store(&control->groups_held, g_hash_table_size(control->groups));
 }
 
 void control_groups_stop(struct control *control)
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -66,6 +66,8 @@
     struct group_owners groups[];
 };
 
+struct control_budget;
+
 struct control {
     struct daemon *daemon;
     pthread_t thread;
@@ -82,6 +84,9 @@
     bool members_changed;
     uint64_t watcher_self;
 
+    struct control_budget *budget; /* control thread only */
+    _Atomic uint32_t groups_held;  /* size of `groups` */
+
     struct prober *prober;
     struct journal *journal;      /* the daemon's */
     struct member_table *members; /* RCU */
@@ -102,6 +107,8 @@
 void control_groups_tick(struct control *control, time_ns now);
 time_ns control_groups_next_wakeup(struct control *control);
 bool control_groups_runs(struct control *control, uint32_t group);
+/* The run time of a group that runs here, or NULL. */
+struct group_runtime *control_groups_runtime(struct control *control, uint32_t group);
 void control_groups_begin(struct control *control, uint32_t group);
 void control_groups_end(struct control *control, uint32_t id);
 /* Tells every group who its watchers are. */
--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -9,7 +9,7 @@
 
 #include "backend/clock.h"
 #include "core/error.h"
-#include "daemon/control_internal.h"
+#include "daemon/control_budget.h"
 #include "daemon/daemon.h"
 #include "generated/errors.h"
 #include "wire/address.h"
@@ -168,6 +168,8 @@
                                control->actions);
         } else if (message.kind == MESSAGE_KIND_OPINION) {
             receive_opinion(control, &message.opinion);
+        } else if (message.kind == MESSAGE_KIND_BUDGET_NOTICE) {
+            control_budget_receive(control->budget, &message.budget_notice, &from);
         }
         message_clear(&message);
         perform_all(control);
--- a/src/daemon/control_ownership.c
+++ b/src/daemon/control_ownership.c
@@ -6,7 +6,7 @@
 #include <urcu-bp.h>
 
 #include "backend/clock.h"
-#include "daemon/control_internal.h"
+#include "daemon/control_budget.h"
 #include "daemon/daemon.h"
 
 /* A daemon that finds no other claims its groups after this long. */
@@ -57,20 +57,23 @@
     journal_add(control->journal, &entry);
 }
 
-/* Starts the groups gained, ends those lost. */
+/* Starts the groups gained, hands over those lost. */
 static void apply_changes(struct control *control, const GArray *changes)
 {
     for (guint i = 0; i < changes->len; i++) {
         const struct ownership_change *change = &g_array_index(changes, struct ownership_change, i);
-        bool owned = ownership_position(control->ownership, change->group) >= 0;
+        int32_t position = ownership_position(control->ownership, change->group);
         bool runs = control_groups_runs(control, change->group);
-        if (owned && !runs) {
+        if (position >= 0 && !runs) {
             control_groups_begin(control, change->group);
             note_change(control, change->group, "ownership_gained");
-        } else if (!owned && runs) {
-            control_groups_end(control, change->group);
+        } else if (position < 0 && runs) {
+            control_budget_release(control->budget, change->group);
             note_change(control, change->group, "ownership_lost");
         }
+        if (position >= 0) {
+            control_budget_place(control->budget, change->group, position);
+        }
     }
     publish_owners(control);
     control_groups_set_watchers(control, backend_now());
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -11,6 +11,7 @@
 #include "core/error.h"
 #include "core/route.h"
 #include "daemon/admin_api.h"
+#include "daemon/budget_plan.h"
 #include "daemon/control.h"
 #include "daemon/daemon_metrics.h"
 #include "daemon/journal.h"
@@ -325,6 +326,11 @@
         configuration_unref(configuration);
         return false;
     }
+    if (!budget_plan_check(configuration, daemon->settings.ownership.owners_per_group, error)) {
+        g_prefix_error(error, "%s: ", path);
+        configuration_unref(configuration);
+        return false;
+    }
     daemon->zone = zone->id;
     daemon_set_configuration(daemon, configuration);
     configuration_unref(configuration);
@@ -443,10 +449,19 @@
     g_free(daemon);
 }
 
+/* Serves on until the groups are with their new owners. */
+static void hand_over_groups(struct daemon *daemon, time_ns deadline)
+{
+    control_set_leaving(daemon->control, true);
+    while (control_holds_groups(daemon->control) && backend_now() < deadline) {
+        g_usleep(STOP_POLL_US);
+    }
+}
+
 uint32_t daemon_stop(struct daemon *daemon, time_ns deadline)
 {
     if (daemon->control != NULL) {
-        control_set_leaving(daemon->control, true);
+        hand_over_groups(daemon, deadline);
     }
     atomic_store(&daemon->stopping, true);
     if (daemon->frontend != NULL) {
--- a/src/daemon/group_runtime.c
+++ b/src/daemon/group_runtime.c
@@ -4,12 +4,7 @@
 #include <glib.h>
 #include <urcu-bp.h>
 
-/* Control probes and evidence keep this many connections per database and daemon outside the pool.
- */
-#define CONTROL_CONNECTIONS 3
-
-/* Warm connections kept per database. */
-#define IDLE_CONNECTIONS_MIN 1
+#include "daemon/budget_plan.h"
 
 /* Old views are freed after a grace period, by the RCU helper thread. */
 struct published_view {
@@ -22,27 +17,21 @@
     g_free(caa_container_of(head, struct published_view, head));
 }
 
-/* This daemon's part of a database's connections. */
-static uint32_t pool_limit_of(const struct database_configuration *database, uint32_t owner_count)
-{
-    uint32_t part = database->connections / MAX(owner_count, 1);
-    return part > CONTROL_CONNECTIONS ? part - CONTROL_CONNECTIONS : 1;
-}
-
 static void start_database(struct database_runtime *database,
                            const struct database_configuration *configuration,
                            const struct group_runtime_options *options)
 {
     g_autofree char *application =
         g_strdup_printf("swiftworks/%s@%s", options->daemon_name, options->zone_name);
+    struct budget_plan plan;
+    budget_plan_make(&plan, configuration->connections, options->owner_count);
     struct pool_options pool_options = {
         .connection = {.host = configuration->host,
                        .port = configuration->port,
                        .database_name = "swiftworks",
                        .user = "swiftworks",
                        .application_name = application},
-        .limit = pool_limit_of(configuration, options->owner_count),
-        .idle_min = IDLE_CONNECTIONS_MIN,
+        .budget = &plan.options,
         .open_rate_per_second = options->open_rate_per_second,
     };
     database->configuration = *configuration;
@@ -85,7 +74,8 @@
                                         const struct group_configuration *group,
                                         const struct group_runtime_options *options)
 {
-    struct group_runtime *runtime = g_atomic_rc_box_new0(struct group_runtime);
+    struct group_runtime *runtime = g_new0(struct group_runtime, 1);
+    runtime->references = 1;
     runtime->configuration = configuration_ref(configuration);
     runtime->group = group;
     runtime->database_count = group->database_count;
@@ -107,12 +97,17 @@
 
 struct group_runtime *group_runtime_ref(struct group_runtime *runtime)
 {
-    return g_atomic_rc_box_acquire(runtime);
+    atomic_fetch_add(&runtime->references, 1);
+    return runtime;
 }
 
-static void clear_runtime(gpointer data)
+bool group_runtime_is_shared(const struct group_runtime *runtime)
+{
+    return atomic_load(&runtime->references) > 1;
+}
+
+static void free_runtime(struct group_runtime *runtime)
 {
-    struct group_runtime *runtime = data;
     evidence_remove_group(runtime->evidence, runtime->evidence_id);
     for (uint32_t i = 0; i < runtime->database_count; i++) {
         stop_database(&runtime->databases[i]);
@@ -121,11 +116,14 @@
     call_rcu(&last->head, free_published_view);
     pthread_mutex_destroy(&runtime->writes_lock);
     configuration_unref(runtime->configuration);
+    g_free(runtime);
 }
 
 void group_runtime_unref(struct group_runtime *runtime)
 {
-    g_atomic_rc_box_release_full(runtime, clear_runtime);
+    if (atomic_fetch_sub(&runtime->references, 1) == 1) {
+        free_runtime(runtime);
+    }
 }
 
 void group_runtime_read_view(struct group_runtime *runtime, struct group_view *view)
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -37,8 +37,9 @@
 /* Told when no write that began before a paused view runs any more. */
 typedef void (*group_drained_callback)(void *user, uint32_t group, uint64_t change);
 
-/* Reference counted: the control thread holds one, every task one. */
+/* Reference counted: the control thread holds one, the routing table one, every task one. */
 struct group_runtime {
+    _Atomic uint32_t references;
     struct configuration *configuration; /* holds the strings; one reference */
     const struct group_configuration *group;
     struct group_view
@@ -60,7 +61,8 @@
     void *on_drained_user;
 };
 
-/* Starts pools and evidence for a group. The view is empty until one is published. */
+/* Starts pools and evidence for a group. The view is empty until one is published, and the pools
+ * open nothing until they are told a position. */
 struct group_runtime *group_runtime_new(struct configuration *configuration,
                                         const struct group_configuration *group,
                                         const struct group_runtime_options *options);
@@ -70,6 +72,9 @@
 /* The last reference closes the pools; no connection may be out. */
 void group_runtime_unref(struct group_runtime *runtime);
 
+/* True if anybody besides the caller holds a reference. */
+bool group_runtime_is_shared(const struct group_runtime *runtime);
+
 /* Copies the newest view. Any thread, no lock (RCU). */
 void group_runtime_read_view(struct group_runtime *runtime, struct group_view *view);
 
