Try another owner where one does not serve the group; bound hand-over by a setting

While a group moves, views of its owners differ: a request forwarded to a daemon that has lost the group, does not have it yet, or is stopping came back as refused to the caller. Such a refusal says that nothing was run, so the daemon that forwards now tries the next owner, within the same request's deadline.

ownership.handover_max_ms replaces the constant of 5 s.

--- a/src/daemon/control_budget.c
+++ b/src/daemon/control_budget.c
@@ -6,9 +6,6 @@
 #include "daemon/daemon.h"
 #include "wire/datagram.h"
 
-/* A lost group is served for so long at most; then its pools close in any case, too. */
-#define HANDOVER_MAX_MS 5000
-
 /* How often the new owners are asked whether they are warm, and the ends of connections looked at.
  */
 #define RELEASE_STEP_MS 25
@@ -262,6 +259,13 @@
     }
 }
 
+/* A lost group is served for so long at most; then its pools close in any case, too. */
+static time_ns handover_max(const struct control_budget *budget)
+{
+    const struct settings *settings = &budget->control->daemon->settings;
+    return settings->ownership.handover_max_ms * NANOSECONDS_PER_MILLISECOND;
+}
+
 void control_budget_release(struct control_budget *budget, uint32_t group)
 {
     struct group_runtime *runtime = control_groups_runtime(budget->control, group);
@@ -271,7 +275,7 @@
     struct release *release = g_new0(struct release, 1);
     release->group = group;
     release->runtime = group_runtime_ref(runtime);
-    release->until = backend_now() + HANDOVER_MAX_MS * NANOSECONDS_PER_MILLISECOND;
+    release->until = backend_now() + handover_max(budget);
     g_ptr_array_add(budget->releases, release);
     set_position(runtime, -1);
     budget->next_step_at = 0;
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -109,6 +109,7 @@
         .zone_name = daemon->settings.daemon.zone,
         .evidence = daemon->evidence,
         .owner_count = daemon->settings.ownership.owners_per_group,
+        .handover_time = daemon->settings.ownership.handover_max_ms * NANOSECONDS_PER_MILLISECOND,
         .queue_limit = daemon->settings.routing.queue_limit,
         .open_rate_per_second = daemon->settings.backend.open_rate_per_second,
     };
--- a/src/daemon/forward.c
+++ b/src/daemon/forward.c
@@ -19,11 +19,15 @@
 /* When a caller should come back after no owner could be reached. */
 #define PEER_RETRY_AFTER_MS 300
 
+static bool is_in_transaction(const struct request *request)
+{
+    return request->transaction_id != NULL && request->transaction_id[0] != '\0';
+}
+
 static void run_here(struct task *task)
 {
     const struct request *request = task->request;
-    bool in_transaction = request->transaction_id != NULL && request->transaction_id[0] != '\0';
-    if (in_transaction) {
+    if (is_in_transaction(request)) {
         /* It goes on where it began, whoever owns the group now. */
         task_run_transaction(task);
         return;
@@ -79,6 +83,18 @@
     task_finish(task);
 }
 
+/* True if the daemon does not serve the group now: it ran nothing, so that another owner may. */
+static bool is_not_served(const struct task *task, const struct message *answer)
+{
+    if (is_in_transaction(task->request) || answer->kind != MESSAGE_KIND_REPLY ||
+        answer->reply.outcome != OUTCOME_REFUSED) {
+        return false;
+    }
+    uint32_t error = answer->reply.error_kind;
+    return error == ERROR_KIND_PEER_UNREACHABLE || error == ERROR_KIND_STOPPING ||
+           error == ERROR_KIND_NOT_READY;
+}
+
 /* Sends the request to one daemon. True if the task was answered. */
 static bool forward_to(struct task *task, const char *address)
 {
@@ -100,6 +116,10 @@
     if (result == PEER_CALL_NOT_SENT) {
         return false;
     }
+    if (result == PEER_CALL_ANSWERED && is_not_served(task, &in)) {
+        message_clear(&in);
+        return false;
+    }
     if (result == PEER_CALL_SENT_NO_ANSWER || in.kind != MESSAGE_KIND_REPLY) {
         answer_lost_hop(task);
     } else {
@@ -162,9 +182,8 @@
 
 void forward_or_run(struct task *task)
 {
-    const char *transaction_id = task->request->transaction_id;
-    bool in_transaction = transaction_id != NULL && transaction_id[0] != '\0';
-    bool forwarded = in_transaction ? forward_transaction(task) : forward_to_owner(task);
+    bool forwarded =
+        is_in_transaction(task->request) ? forward_transaction(task) : forward_to_owner(task);
     if (!forwarded) {
         run_here(task);
     }
--- a/src/daemon/group_runtime.c
+++ b/src/daemon/group_runtime.c
@@ -25,6 +25,7 @@
         g_strdup_printf("swiftworks/%s@%s", options->daemon_name, options->zone_name);
     struct budget_plan plan;
     budget_plan_make(&plan, configuration->connections, options->owner_count);
+    plan.options.handover_time = options->handover_time;
     struct pool_options pool_options = {
         .connection = {.host = configuration->host,
                        .port = configuration->port,
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -30,6 +30,7 @@
     const char *zone_name;
     struct evidence_service *evidence; /* outlives the group */
     uint32_t owner_count;              /* daemons that share the databases' connections */
+    time_ns handover_time;             /* see struct budget_options */
     uint32_t queue_limit;              /* requests queued before one database */
     uint32_t open_rate_per_second;
 };
