--- a/src/daemon/control_budget.c
+++ b/src/daemon/control_budget.c
@@ -281,6 +281,17 @@
     budget->next_step_at = 0;
 }
 
+void control_budget_succeed(struct control_budget *budget, uint32_t group)
+{
+    struct release *release = find_handing_over(budget, group);
+    if (release != NULL) {
+        /* Nothing is opened for a group that is about to go. */
+        start_draining(budget, release);
+        return;
+    }
+    control_budget_place(budget, group, ownership_position(budget->control->ownership, group));
+}
+
 /* Tells the asker if this daemon can serve from a database. */
 static void answer(struct control_budget *budget, const struct budget_notice *asked,
                    const struct sockaddr_in *from)
--- a/src/daemon/control_budget.h
+++ b/src/daemon/control_budget.h
@@ -21,6 +21,9 @@
  * then it is ended by control_groups_end, and its connections are closed as they come free. */
 void control_budget_release(struct control_budget *budget, uint32_t group);
 
+/* A new configuration gave the group, which runs here, another run time. */
+void control_budget_succeed(struct control_budget *budget, uint32_t group);
+
 /* What another daemon tells, or asks. */
 void control_budget_receive(struct control_budget *budget, const struct budget_notice *notice,
                             const struct sockaddr_in *from);
--- a/src/daemon/control_ownership.c
+++ b/src/daemon/control_ownership.c
@@ -7,6 +7,7 @@
 
 #include "backend/clock.h"
 #include "daemon/control_budget.h"
+#include "daemon/control_configuration.h"
 #include "daemon/daemon.h"
 
 /* A daemon that finds no other claims its groups after this long. */
@@ -159,6 +160,9 @@
 
 void control_ownership_tick(struct control *control, time_ns now)
 {
+    if (control->membership == NULL || !control_configuration_was_confirmed(control)) {
+        return;
+    }
     bool reliable = view_is_reliable(control, now);
     if (reliable == control->view_reliable) {
         return;
