--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -9,8 +9,8 @@
 
 #include "backend/clock.h"
 #include "core/error.h"
+#include "daemon/control_budget.h"
 #include "daemon/control_configuration.h"
-#include "daemon/control_internal.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_metrics.h"
 #include "generated/errors.h"
@@ -194,6 +194,8 @@
                                control->actions);
         } else if (message.kind == MESSAGE_KIND_OPINION) {
             receive_opinion(control, &message.opinion);
+        } else if (message.kind == MESSAGE_KIND_BUDGET_NOTICE) {
+            control_budget_receive(control->budget, &message.budget_notice, &from);
         }
         message_clear(&message);
         control_members_perform(control);
