--- a/src/backend/channel.c
+++ b/src/backend/channel.c
@@ -95,7 +95,6 @@
 {
     struct ending ended;
     while (endings_take(&channel->endings, now, &ended)) {
-        continue;
     }
     if (channel->state != CHANNEL_STATE_CLOSED ||
         endings_count(&channel->endings) > channel->options.endings_max) {
--- a/src/sim/checker.c
+++ b/src/sim/checker.c
@@ -255,7 +255,7 @@
 /* A client has one request at a time, so the order of answers is its session's order. */
 static void check_sessions(struct sim_run *run, struct checker_result *result)
 {
-    g_autofree struct session_state *sessions = g_new0(struct session_state, run->client_count);
+    struct session_state *sessions = g_new0(struct session_state, run->client_count);
     g_autoptr(GPtrArray) ordered = g_ptr_array_copy(run->history.attempts, NULL, NULL);
 
     g_ptr_array_sort(ordered, compare_ends);
@@ -277,6 +277,7 @@
             note_write(session, attempt);
         }
     }
+    g_free(sessions);
 }
 
 static void check_leaving(struct sim_run *run, struct checker_result *result)
--- a/src/sim/sim_fault.c
+++ b/src/sim/sim_fault.c
@@ -17,7 +17,7 @@
     bool drain;
 };
 
-static void fire(struct sim_run *run, uint32_t fault, struct sim_daemon *actor);
+static void fire(struct sim_run *run, uint32_t index, struct sim_daemon *actor);
 
 static time_ns end_of(const struct sim_run *run, const struct sim_fault *fault)
 {
--- a/src/sql/classify.c
+++ b/src/sql/classify.c
@@ -39,8 +39,8 @@
     return (uint32_t)g_utf8_strlen(sql, (gssize)octet) + 1;
 }
 
-__attribute__((format(printf, 3, 4)))
-static bool refuse(struct tree_search *search, gint64 octet, const char *format, ...)
+__attribute__((format(printf, 3, 4))) static bool refuse(struct tree_search *search, gint64 octet,
+                                                         const char *format, ...)
 {
     va_list arguments;
     va_start(arguments, format);
--- a/tests/backend/pool_budget_test.c
+++ b/tests/backend/pool_budget_test.c
@@ -164,7 +164,7 @@
 static void test_refuses_without_a_place(void)
 {
     struct world world;
-    struct backend_connection *held[CONNECTIONS];
+    struct backend_connection *held[CONNECTIONS] = {NULL};
     pthread_t thread;
     world_start(&world, 1);
     settle_at(&world, 0, 0);
--- a/tests/daemon/callers.c
+++ b/tests/daemon/callers.c
@@ -160,7 +160,7 @@
 
 void callers_await(struct callers *callers, unsigned more)
 {
-    unsigned targets[CALLERS_MAX];
+    unsigned targets[CALLERS_MAX] = {0};
     for (unsigned i = 0; i < callers->count; i++) {
         targets[i] = atomic_load(&callers->items[i].rounds) + more;
     }
--- a/tests/daemon/cluster_fixture.c
+++ b/tests/daemon/cluster_fixture.c
@@ -92,7 +92,7 @@
 {
     GString *text = g_string_new("{\"zones\": {\"imlil\": {\"id\": 1}, \"marrakech\": {\"id\": 2}, "
                                  "\"ouarzazate\": {\"id\": 3}}, ");
-    g_string_append_printf(text, "\"groups\": {\"bookings\": {\"id\": %u, \"databases\": [",
+    g_string_append_printf(text, "\"groups\": {\"bookings\": {\"id\": %d, \"databases\": [",
                            CLUSTER_GROUP);
     for (unsigned i = 0; i < cluster->options.databases; i++) {
         g_string_append_printf(text,
--- a/tests/daemon/test_sessions.c
+++ b/tests/daemon/test_sessions.c
@@ -145,7 +145,8 @@
     cluster_set_lag(cluster, 2, LONG_LAG_MS);
     cluster_cut(cluster, 2);
     await_reachable(cluster, 2, false);
-    g_assert_cmpuint(count_in_transaction(cluster, begin, 0, &session), ==, 1);
+    unsigned count = count_in_transaction(cluster, begin, 0, &session);
+    g_assert_cmpuint(count, ==, 1);
     faults_heal(&cluster->databases[2]->faults);
     await_reachable(cluster, 2, true);
     cluster_cut(cluster, 1);
