Bound a tenant's requests in flight, and end old idempotency keys

in_flight_limit is applied by each owner of a group; over it the answer is tenant_limit at once, with a spread Retry-After.

--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -11,6 +11,7 @@
 #include "daemon/control_budget.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_metrics.h"
+#include "daemon/ledger_upkeep.h"
 #include "daemon/task.h"
 
 /* Probe intervals without a good probe before a primary is suspected, at least. */
@@ -25,52 +26,48 @@
 /* Opening a control connection may take so long. */
 #define OPEN_TIMEOUT_MS 500
 
-/* How long the creation of a ledger table may take. */
-#define LEDGER_TIMEOUT_MS 2000
+/* Between two removals of old keys from a group's ledger. */
+#define LEDGER_EXPIRE_INTERVAL_MS 60000
 
-/* Makes sure of a group's ledger table ahead of the writes that need it, on a worker. */
-struct ledger_job {
-    struct worker_job job;
-    struct group_runtime *group;
-    int32_t primary;
-    uint64_t term;
-};
+static void make_sure_of_ledger(struct controlled_group *group, const struct group_view *view)
+{
+    if (group->ledger_term == view->term || view->primary < 0) {
+        return;
+    }
+    group->ledger_term = view->term;
+    ledger_upkeep_create(group->control->daemon->workers, group->runtime, view);
+}
 
-static void create_ledger(struct worker_job *job)
-{
-    struct ledger_job *ledger = (struct ledger_job *)job;
-    struct pool *pool = ledger->group->databases[ledger->primary].pool;
-    time_ns deadline = backend_now() + LEDGER_TIMEOUT_MS * NANOSECONDS_PER_MILLISECOND;
-    struct backend_connection *connection = pool_acquire(pool, deadline, NULL);
-    if (connection != NULL) {
-        struct execute_answer answer;
-        execute_answer_init(&answer);
-        enum execute_result result = adapter_create_ledger(connection, deadline, &answer);
-        if (result == EXECUTE_DONE) {
-            atomic_store(&ledger->group->ledger_term, ledger->term);
-        } else {
-            g_info("Ledger of group %u not made: %s.", ledger->group->group->id,
-                   execute_result_name(result));
+/* Longest time that a tenant of the group wants keys remembered, in days. */
+static uint32_t days_to_remember(struct daemon *daemon, uint32_t group)
+{
+    uint32_t days = 0;
+    struct configuration *configuration = daemon_take_configuration(daemon);
+    for (guint i = 0; configuration != NULL && i < configuration->tenants->len; i++) {
+        const struct tenant_route *route = g_ptr_array_index(configuration->tenants, i);
+        if (route->group == group) {
+            days = MAX(days, route->idempotency_days);
         }
-        execute_answer_clear(&answer);
-        pool_release(pool, connection, backend_connection_is_clean(connection));
     }
-    group_runtime_unref(ledger->group);
-    g_free(ledger);
+    configuration_unref(configuration);
+    return days;
 }
 
-static void make_sure_of_ledger(struct controlled_group *group, const struct group_view *view)
+/* Ends old keys now and then, at one owner of the group. A key lives as long as the group's longest
+ * bound: longer than its tenant asked for, never shorter. */
+static void expire_ledger(struct controlled_group *group, time_ns now)
 {
-    if (group->ledger_term == view->term || view->primary < 0) {
+    struct daemon *daemon = group->control->daemon;
+    bool first = ownership_position(group->control->ownership, group->id) == 0;
+    if (!first || now < group->ledger_expire_at) {
         return;
     }
-    group->ledger_term = view->term;
-    struct ledger_job *ledger = g_new0(struct ledger_job, 1);
-    ledger->job.run = create_ledger;
-    ledger->group = group_runtime_ref(group->runtime);
-    ledger->primary = view->primary;
-    ledger->term = view->term;
-    worker_pool_resume(group->control->daemon->workers, &ledger->job);
+    group->ledger_expire_at = now + LEDGER_EXPIRE_INTERVAL_MS * NANOSECONDS_PER_MILLISECOND;
+    const struct group_view *view = group_control_view(group->machine);
+    uint32_t days = days_to_remember(daemon, group->id);
+    if (days > 0 && route_write(view).database >= 0) {
+        ledger_upkeep_expire(daemon->workers, group->runtime, view, days);
+    }
 }
 
 static struct controlled_group *find_group(struct control *control, uint32_t id)
@@ -285,6 +282,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct controlled_group *group = value;
         task_expire_queued(control->daemon, group->runtime, now);
+        expire_ledger(group, now);
         if (now >= group->wake_at) {
             struct group_event tick = {.kind = GROUP_EVENT_TICK, .now = now};
             step(group, &tick);
--- a/src/daemon/forward.c
+++ b/src/daemon/forward.c
@@ -20,6 +20,10 @@
 /* Pause before the owners are looked at again; a new view ends it earlier. */
 #define OWNER_PAUSE_MS 20
 
+/* When a caller should come back after its tenant had too many requests in flight. */
+#define TENANT_RETRY_AFTER_MIN_MS 50
+#define TENANT_RETRY_AFTER_MAX_MS 150
+
 /* When a caller should come back after no owner could be reached. */
 #define PEER_RETRY_AFTER_MS 300
 
@@ -28,6 +32,13 @@
     return request->transaction_id != NULL && request->transaction_id[0] != '\0';
 }
 
+/* When a tenant over its limit should come back, spread so that its callers do not do so together.
+ */
+static uint32_t tenant_retry_after_ms(void)
+{
+    return (uint32_t)g_random_int_range(TENANT_RETRY_AFTER_MIN_MS, TENANT_RETRY_AFTER_MAX_MS);
+}
+
 static void run_here(struct task *task)
 {
     const struct request *request = task->request;
@@ -41,6 +52,12 @@
         task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_PEER_UNREACHABLE, NULL, PEER_RETRY_AFTER_MS);
         return;
     }
+    task->in_gate =
+        tenant_gate_enter(task->group->gate, task->route->tenant, task->route->in_flight_limit);
+    if (!task->in_gate) {
+        task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_TENANT_LIMIT, NULL, tenant_retry_after_ms());
+        return;
+    }
     if (request->kind == REQUEST_KIND_BEGIN) {
         task_run_begin(task);
         return;
--- a/src/daemon/group_runtime.c
+++ b/src/daemon/group_runtime.c
@@ -232,6 +232,7 @@
     runtime->database_count = group->database_count;
     pthread_mutex_init(&runtime->writes_lock, NULL);
     retry_budget_init(&runtime->retry_budget);
+    runtime->gate = tenant_gate_new();
     start_view(runtime);
     for (uint32_t i = 0; i < group->database_count; i++) {
         start_database(&runtime->databases[i], &runtime->group->databases[i], options, predecessor);
@@ -261,6 +262,7 @@
     struct published_view *last = caa_container_of(runtime->view, struct published_view, view);
     call_rcu(&last->head, free_published_view);
     pthread_mutex_destroy(&runtime->writes_lock);
+    tenant_gate_free(runtime->gate);
     free_group(runtime->group);
     g_free(runtime);
 }
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -52,6 +52,10 @@
     if (task->transaction != NULL) {
         roll_back(task);
     }
+    if (task->in_gate) {
+        tenant_gate_leave(task->group->gate, task->route->tenant);
+        task->in_gate = false;
+    }
     if (task->counts_as_write) {
         group_runtime_end_write(task->group);
         task->counts_as_write = false;
--- a/src/daemon/task.h
+++ b/src/daemon/task.h
@@ -54,6 +54,7 @@
     bool ticket_expired;   /* the queue handed the ticket back without a slot */
     time_ns slot_since;
     int32_t run_database; /* where the last step ran, or -1 */
+    bool in_gate;         /* counts among the tenant's requests of the group */
     bool resolve_only;    /* a commit whose transaction is gone */
     bool counts_as_write; /* in the group's writes_running */
 
