--- a/bench/run.sh
+++ b/bench/run.sh
@@ -7,6 +7,11 @@
 
 cd "$(dirname "$0")/.."
 readonly ALL_BENCHMARKS=(hop scaling replica_share failover_gap overload ownership)
+#        benchmarks: hop scaling replica_share failover_gap overload configuration
+set -euo pipefail
+
+cd "$(dirname "$0")/.."
+readonly ALL_BENCHMARKS=(hop scaling replica_share failover_gap overload configuration)
 
 machine() {
     jq -n --arg cpu "$(sed -n 's/^model name[^:]*: //p' /proc/cpuinfo | head -n 1)" \
