--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -8,6 +8,7 @@
 #include "backend/clock.h"
 #include "core/route.h"
 #include "daemon/control_internal.h"
+#include "daemon/control_budget.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_metrics.h"
 #include "daemon/task.h"
@@ -441,12 +442,19 @@
     return find_group(control, group) != NULL;
 }
 
+struct group_runtime *control_groups_runtime(struct control *control, uint32_t group)
+{
+    struct controlled_group *found = find_group(control, group);
+    return found != NULL ? found->runtime : NULL;
+}
+
 void control_groups_begin(struct control *control, uint32_t group)
 {
     struct group_runtime *runtime = daemon_begin_group(control->daemon, group);
     if (runtime != NULL) {
         start_group(control, runtime);
         pace_probes(control);
+        atomic_store(&control->groups_held, g_hash_table_size(control->groups));
     }
 }
 
@@ -469,6 +477,7 @@
     release_runtime(control, find_group(control, id));
     daemon_end_group(control->daemon, id);
     pace_probes(control);
+    atomic_store(&control->groups_held, g_hash_table_size(control->groups));
 }
 
 /* The group's run time in the routing table, with one reference, if it is another than the one that
@@ -492,6 +501,7 @@
         if (successor != NULL) {
             release_runtime(control, link->data);
             start_group(control, successor);
+            control_budget_succeed(control->budget, successor->group->id);
         }
     }
 }
--- a/src/daemon/forward.c
+++ b/src/daemon/forward.c
@@ -23,11 +23,15 @@
 /* When a caller should come back after no owner could be reached. */
 #define PEER_RETRY_AFTER_MS 300
 
+static bool is_in_transaction(const struct request *request)
+{
+    return request->transaction_id != NULL && request->transaction_id[0] != '\0';
+}
+
 static void run_here(struct task *task)
 {
     const struct request *request = task->request;
-    bool in_transaction = request->transaction_id != NULL && request->transaction_id[0] != '\0';
-    if (in_transaction) {
+    if (is_in_transaction(request)) {
         /* It goes on where it began, whoever owns the group now. */
         task_run_transaction(task);
         return;
@@ -229,9 +233,8 @@
 
 void forward_or_run(struct task *task)
 {
-    const char *transaction_id = task->request->transaction_id;
-    bool in_transaction = transaction_id != NULL && transaction_id[0] != '\0';
-    bool forwarded = in_transaction ? forward_transaction(task) : forward_to_owner(task);
+    bool forwarded =
+        is_in_transaction(task->request) ? forward_transaction(task) : forward_to_owner(task);
     if (!forwarded) {
         run_here(task);
     }
