--- a/bench/run.sh
+++ b/bench/run.sh
@@ -2,16 +2,11 @@
 # Runs the benchmarks with real processes and writes bench/results/DATE-COMMIT.json with commit and
 # machine, and plots beside it. A benchmark that fails is named in the result and fails the run.
 # Usage: bench/run.sh [BUILD_DIRECTORY [BENCHMARK...]]
-#        benchmarks: hop scaling replica_share failover_gap overload ownership
+#        benchmarks: hop scaling replica_share failover_gap overload ownership configuration
 set -euo pipefail
 
 cd "$(dirname "$0")/.."
-readonly ALL_BENCHMARKS=(hop scaling replica_share failover_gap overload ownership)
-#        benchmarks: hop scaling replica_share failover_gap overload configuration
-set -euo pipefail
-
-cd "$(dirname "$0")/.."
-readonly ALL_BENCHMARKS=(hop scaling replica_share failover_gap overload configuration)
+readonly ALL_BENCHMARKS=(hop scaling replica_share failover_gap overload ownership configuration)
 
 machine() {
     jq -n --arg cpu "$(sed -n 's/^model name[^:]*: //p' /proc/cpuinfo | head -n 1)" \
