--- a/bench/ownership.sh
+++ b/bench/ownership.sh
@@ -19,12 +19,13 @@
 readonly SETTLE_SECONDS=3
 readonly DOWN_SECONDS=${BENCH_DOWN_SECONDS:-8} # long enough for a killed daemon to be given up
 readonly LOAD_MAX_SECONDS=600
+readonly SESSIONS=${BENCH_SESSIONS:-24} # within what the databases can serve
 
 # The load goes to the daemon that stays, so that only the moves of groups can fail its requests.
 start_load() {
     cluster_start moves "$CLUSTER_BUILD/src/load/swiftworks-load" \
         --daemon "127.0.0.1:$(cluster_daemon_port "$STAYS" 0)" --run moves --tenant "$TENANT" --prepare \
-        --sessions 12 --read-share 0.5 --pause-ms 2 --operation-timeout-ms 10000 \
+        --sessions "$SESSIONS" --read-share 0.5 --pause-ms 2 --operation-timeout-ms 10000 \
         --duration "$LOAD_MAX_SECONDS" --history "$CLUSTER_DIRECTORY/moves.jsonl" \
         --summary "$CLUSTER_DIRECTORY/moves.json"
 }
