--- a/bench/run.sh
+++ b/bench/run.sh
@@ -24,7 +24,7 @@
     [ "${#benchmarks[@]}" -gt 0 ] || benchmarks=("${ALL_BENCHMARKS[@]}")
     local commit name status=0 changed=false
     commit=$(git rev-parse --short HEAD)
-    [ -z "$(git status --porcelain)" ] || changed=true
+    [ -z "$(git status --porcelain -- . ':!bench/results')" ] || changed=true
     local result
     result="bench/results/$(date -u +%Y%m%dT%H%M%SZ)-$commit.json"
     mkdir -p bench/results
