--- a/src/daemon/daemon_metrics.c
+++ b/src/daemon/daemon_metrics.c
@@ -1,9 +1,12 @@
 /* What the daemon measures; see the header. */
 #include "daemon/daemon_metrics.h"
 
+#include <math.h>
 #include <pthread.h>
 
+#include "backend/clock.h"
 #include "core/route.h"
+#include "daemon/control_configuration.h"
 #include "daemon/daemon.h"
 #include "daemon/task.h"
 #include "daemon/transaction.h"
@@ -30,6 +33,8 @@
     struct metric_histogram *seconds[TASK_USE_COUNT];
     struct metric_counter *routes[ROUTE_REASON_COUNT];
     struct metric_counter *replayed;
+    struct metric_counter *datagrams[DATAGRAM_DIRECTION_COUNT];
+    struct metric_counter *octets[DATAGRAM_DIRECTION_COUNT];
     pthread_mutex_t gap_lock; /* guards gap_since */
     GHashTable *gap_since;    /* group as pointer -> time_ns *, of groups without a primary */
 };
@@ -74,6 +79,20 @@
                                         "Outcomes found in the ledger instead of run.", NULL);
 }
 
+static void make_traffic(struct daemon_metrics *metrics)
+{
+    static const char *const directions[] = {"sent", "received"};
+    for (int direction = 0; direction < DATAGRAM_DIRECTION_COUNT; direction++) {
+        const struct metric_label label[] = {{"direction", directions[direction]}, {NULL, NULL}};
+        metrics->datagrams[direction] =
+            metrics_counter(metrics->registry, "swiftworks_control_datagrams_total",
+                            "Datagrams of the control plane between daemons.", label);
+        metrics->octets[direction] =
+            metrics_counter(metrics->registry, "swiftworks_control_octets_total",
+                            "Octets in these datagrams, without headers of UDP and IP.", label);
+    }
+}
+
 struct daemon_metrics *daemon_metrics_new(void)
 {
     struct daemon_metrics *metrics = g_new0(struct daemon_metrics, 1);
@@ -82,6 +101,7 @@
     metrics->gap_since = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     make_measures(metrics);
     make_requests(metrics);
+    make_traffic(metrics);
     return metrics;
 }
 
@@ -116,6 +136,27 @@
     return transaction_table_count(daemon->transactions);
 }
 
+static double read_configuration_version(void *user)
+{
+    struct daemon *daemon = user;
+    struct configuration_status status;
+    control_configuration_status(daemon->control, &status);
+    return (double)status.version;
+}
+
+/* Not a number while the configuration in force was never confirmed, or is static. */
+static double read_confirmed_age(void *user)
+{
+    struct daemon *daemon = user;
+    struct configuration_status status;
+    control_configuration_status(daemon->control, &status);
+    time_ns now = backend_now();
+    if (status.confirmed_at == 0 || now < status.confirmed_at) {
+        return status.confirmed_at == 0 ? (double)NAN : 0;
+    }
+    return (double)(now - status.confirmed_at) / (double)NANOSECONDS_PER_SECOND;
+}
+
 void daemon_metrics_watch(struct daemon_metrics *metrics, struct daemon *daemon)
 {
     metrics_gauge_function(metrics->registry, "swiftworks_tasks_open",
@@ -125,6 +166,12 @@
                            read_backlog, daemon);
     metrics_gauge_function(metrics->registry, "swiftworks_transactions_open",
                            "Interactive transactions open here.", NULL, read_transactions, daemon);
+    metrics_gauge_function(metrics->registry, "swiftworks_configuration_version",
+                           "Published version in force; 0: none, or static.", NULL,
+                           read_configuration_version, daemon);
+    metrics_gauge_function(metrics->registry, "swiftworks_configuration_confirmed_age_seconds",
+                           "Time since the configuration was last known to be the newest.", NULL,
+                           read_confirmed_age, daemon);
 }
 
 static void count_read_role(struct daemon_metrics *metrics, const struct reply *reply)
@@ -156,6 +203,13 @@
     }
 }
 
+void daemon_metrics_datagram(struct daemon_metrics *metrics, enum datagram_direction direction,
+                             size_t octets)
+{
+    metric_counter_add(metrics->datagrams[direction], 1);
+    metric_counter_add(metrics->octets[direction], octets);
+}
+
 void daemon_metrics_group_writable(struct daemon_metrics *metrics, uint32_t group, bool writable,
                                    time_ns now)
 {
