Ask the nearest owner first, and share out over the others

Cause: the owners of a group stand in the order of its zones, and a daemon that forwards asked them in that order, though the list was said to be nearest first. So one owner of three was asked for everything, from other zones too, over its third of the group's connections: in a fleet of 48 daemons before two groups one owner served 46 of 48 requests of each group, the other two their own caller's. Found by the threads and memory of that owner: 46 threads, 1,400 KB. Choice: the owners of the asking daemon's zone first, the others in an order of its own by rendezvous hashing, which needs no state. Members are found by id in a sorted table; a forwarded request read the whole table three times. Both new tests fail without it. Owners count a database's slots each for itself, as before; with three owners asked in place of one their sum matters more.

--- a/src/core/ownership.c
+++ b/src/core/ownership.c
@@ -35,6 +35,22 @@
     return XXH64(&id, sizeof(id), group);
 }
 
+int ownership_compare_for(const struct ownership_member *self, const struct ownership_member *left,
+                          const struct ownership_member *right)
+{
+    bool left_near = left->zone == self->zone;
+    bool right_near = right->zone == self->zone;
+    if (left_near != right_near) {
+        return left_near ? -1 : 1;
+    }
+    uint64_t left_rank = XXH64(&left->id, sizeof(left->id), self->id);
+    uint64_t right_rank = XXH64(&right->id, sizeof(right->id), self->id);
+    if (left_rank == right_rank) {
+        return 0;
+    }
+    return left_rank > right_rank ? -1 : 1;
+}
+
 void ownership_options_default(struct ownership_options *options)
 {
     options->owners = 3;
--- a/src/core/ownership.h
+++ b/src/core/ownership.h
@@ -69,6 +69,12 @@
  * group is not known. */
 size_t ownership_owners(const struct ownership *ownership, uint32_t group, uint64_t *owners);
 
+/* Orders two owners of a group as a daemon that owns it not asks them to serve for it: negative if
+ * `left` comes first. Those of its own zone come first; the others in an order of the daemon's own,
+ * so that the daemons that ask share out over the owners. */
+int ownership_compare_for(const struct ownership_member *self, const struct ownership_member *left,
+                          const struct ownership_member *right);
+
 /* This daemon's place among the group's owners if it may take it, see ownership_set_settled, or
  * -1. */
 int32_t ownership_position(const struct ownership *ownership, uint32_t group);
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -209,12 +209,26 @@
     control_post(control, &event);
 }
 
+static gint compare_owners(gconstpointer left, gconstpointer right, gpointer user)
+{
+    const struct member_entry *a = left;
+    const struct member_entry *b = right;
+    struct ownership_member first = {.id = a->id, .zone = (uint16_t)a->zone};
+    struct ownership_member second = {.id = b->id, .zone = (uint16_t)b->zone};
+    return ownership_compare_for(user, &first, &second);
+}
+
 void control_owners_of(struct control *control, uint32_t group, struct owner_list *owners)
 {
     struct member_entry entries[OWNERS_MAX];
     uint32_t count = 0;
     memset(owners, 0, sizeof(*owners));
+    struct ownership_member self = {
+        .id = control->self_id,
+        .zone = (uint16_t)control->daemon->zone,
+    };
     control_ownership_entries(control, group, entries, &count);
+    g_qsort_with_data(entries, (gint)count, sizeof(entries[0]), compare_owners, &self);
     for (uint32_t i = 0; i < count; i++) {
         if (entries[i].self) {
             owners->self = true;
@@ -226,15 +240,10 @@
 
 char *control_address_of(struct control *control, const char *daemon_name)
 {
-    char *address = NULL;
     uint64_t id = membership_id_of_name(daemon_name);
     rcu_read_lock();
-    const struct member_table *table = rcu_dereference(control->members);
-    for (uint32_t i = 0; i < table->count; i++) {
-        if (table->entries[i].id == id) {
-            address = g_strdup(table->entries[i].address_text);
-        }
-    }
+    const struct member_entry *entry = control_find_member(rcu_dereference(control->members), id);
+    char *address = entry != NULL ? g_strdup(entry->address_text) : NULL;
     rcu_read_unlock();
     return address;
 }
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -55,7 +55,7 @@
 /* All daemons at a moment. Immutable; replaced under RCU. */
 struct member_table {
     uint32_t count;
-    struct member_entry entries[];
+    struct member_entry entries[]; /* in the order of ids */
 };
 
 /* Owners of one group, by member id. */
@@ -90,6 +90,7 @@
     struct membership *membership; /* NULL until the number of this daemon's zone is known */
     struct membership_actions *actions;
     bool members_changed;
+    uint64_t self_id; /* this daemon's id as a member */
     uint64_t watcher_self;
     bool leaving;                                /* wished for this daemon */
     struct control_configuration *configuration; /* NULL if it is static */
@@ -129,6 +130,8 @@
 void control_groups_set_watchers(struct control *control, time_ns now);
 
 /* Members: control_members.c. */
+/* The entry of a member, or NULL. Any thread, in a read-side section. */
+const struct member_entry *control_find_member(const struct member_table *table, uint64_t id);
 /* Sends one datagram to another daemon, best effort, and counts it. Control thread only. */
 void control_send(struct control *control, const struct sockaddr_in *to,
                   const struct message *message);
--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -64,6 +64,21 @@
     entry->self = member->id == self;
 }
 
+static int compare_id(const void *key, const void *element)
+{
+    uint64_t id = *(const uint64_t *)key;
+    const struct member_entry *entry = element;
+    if (id == entry->id) {
+        return 0;
+    }
+    return id < entry->id ? -1 : 1;
+}
+
+const struct member_entry *control_find_member(const struct member_table *table, uint64_t id)
+{
+    return bsearch(&id, table->entries, table->count, sizeof(struct member_entry), compare_id);
+}
+
 /* Replaces the member table that request threads read. */
 static void publish_members(struct control *control)
 {
@@ -244,12 +259,12 @@
 bool control_members_start(struct control *control, GError **error)
 {
     const char *listen = peer_server_address(control->daemon->peer_server);
-    uint64_t self = membership_id_of_name(control->daemon->settings.daemon.name);
+    control->self_id = membership_id_of_name(control->daemon->settings.daemon.name);
     control->socket = wire_datagram_open(listen, NULL, error);
     control->actions = membership_actions_new();
     control->members = g_malloc0(sizeof(struct member_table));
-    control->watcher_self = watcher_id(self, control->daemon->incarnation);
-    control_ownership_start(control, self);
+    control->watcher_self = watcher_id(control->self_id, control->daemon->incarnation);
+    control_ownership_start(control, control->self_id);
     return control->socket >= 0;
 }
 
@@ -262,7 +277,7 @@
     membership_options_default(&options);
     options.random_seed = daemon->incarnation;
     struct membership_self self = {
-        .id = membership_id_of_name(daemon->settings.daemon.name),
+        .id = control->self_id,
         .start = daemon->incarnation,
         .address = to_member_address(&own_address),
         .zone = (uint16_t)daemon->zone,
--- a/src/daemon/control_ownership.c
+++ b/src/daemon/control_ownership.c
@@ -195,16 +195,6 @@
     return group < owners->group ? -1 : 1;
 }
 
-static const struct member_entry *find_member(const struct member_table *table, uint64_t id)
-{
-    for (uint32_t i = 0; i < table->count; i++) {
-        if (table->entries[i].id == id) {
-            return &table->entries[i];
-        }
-    }
-    return NULL;
-}
-
 void control_ownership_entries(struct control *control, uint32_t group, struct member_entry *owners,
                                uint32_t *count)
 {
@@ -215,7 +205,7 @@
     const struct group_owners *found =
         bsearch(&group, table->groups, table->count, sizeof(struct group_owners), compare_group);
     for (uint32_t i = 0; found != NULL && i < found->count; i++) {
-        const struct member_entry *entry = find_member(members, found->owners[i]);
+        const struct member_entry *entry = control_find_member(members, found->owners[i]);
         if (entry != NULL) {
             owners[(*count)++] = *entry;
         }
--- a/tests/core/ownership_test.c
+++ b/tests/core/ownership_test.c
@@ -253,6 +253,37 @@
     ownership_free(ownership);
 }
 
+/* Each daemon asks the owner of its own zone first; where there is none, each owner is asked first
+ * by a like share of the daemons, and by the same ones each time. */
+static void test_askers_share_out(void)
+{
+    enum { ASKERS = 900, OWNERS = 3 };
+    struct ownership_member owners[OWNERS];
+    uint32_t asked_first[OWNERS] = {0};
+    for (uint32_t i = 0; i < OWNERS; i++) {
+        owners[i] = (struct ownership_member){.id = member_number(i).id, .zone = (uint16_t)i};
+    }
+    for (uint32_t number = OWNERS; number < ASKERS + OWNERS; number++) {
+        struct ownership_member asker = {.id = member_number(number).id,
+                                         .zone = member_number(number).zone};
+        uint32_t first = 0;
+        for (uint32_t i = 1; i < OWNERS; i++) {
+            int order = ownership_compare_for(&asker, &owners[first], &owners[i]);
+            g_assert_cmpint(order, !=, 0);
+            g_assert_cmpint(ownership_compare_for(&asker, &owners[i], &owners[first]), ==, -order);
+            first = order < 0 ? first : i;
+        }
+        if (asker.zone < OWNERS) {
+            g_assert_cmpuint(first, ==, asker.zone);
+        }
+        asked_first[first]++;
+    }
+    for (uint32_t i = 0; i < OWNERS; i++) {
+        g_assert_cmpuint(asked_first[i], >, ASKERS / OWNERS * 8 / 10);
+        g_assert_cmpuint(asked_first[i], <, ASKERS / OWNERS * 12 / 10);
+    }
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -265,5 +296,6 @@
     g_test_add_func("/ownership/a-join-is-cheap", test_a_join_is_cheap);
     g_test_add_func("/ownership/groups-come-and-go", test_groups_come_and_go);
     g_test_add_func("/ownership/unsettled-takes-nothing-new", test_unsettled_takes_nothing_new);
+    g_test_add_func("/ownership/askers-share-out", test_askers_share_out);
     return g_test_run();
 }
--- a/tests/daemon/cluster_fixture.h
+++ b/tests/daemon/cluster_fixture.h
@@ -10,7 +10,7 @@
 #include "server.h"
 
 #define CLUSTER_DATABASES_MAX 5
-#define CLUSTER_DAEMONS_MAX   4
+#define CLUSTER_DAEMONS_MAX   6
 
 /* Number of the group in the configuration. */
 #define CLUSTER_GROUP 7
--- a/tests/daemon/test_forward.c
+++ b/tests/daemon/test_forward.c
@@ -72,6 +72,26 @@
     cluster_stop(cluster);
 }
 
+/* Each zone has an owner and a daemon that owns nothing: what that is asked stays in its zone. */
+static void test_nearest_owner_serves(void)
+{
+    static const char *const three_owners[] = {"ownership.owners_per_group=3", NULL};
+    struct cluster_options options = {.daemons = 6, .overrides = three_owners};
+    struct cluster *cluster = cluster_start(&options);
+    for (unsigned i = 0; i < options.daemons; i++) {
+        unsigned in_zone = (i + 3) % 6;
+        AWAIT(cluster_is_owner(cluster, i) != cluster_is_owner(cluster, in_zone));
+        struct http_answer answer;
+        call(cluster, i, &answer, (struct http_call){.sql = "SELECT * FROM stays"});
+        http_assert_done(&answer);
+        unsigned owner = cluster_is_owner(cluster, i) ? i : in_zone;
+        g_autofree char *part = g_strdup_printf("daemon=daemon-%u;", owner + 1);
+        g_assert_nonnull(strstr(answer.served_by, part));
+        http_answer_clear(&answer);
+    }
+    cluster_stop(cluster);
+}
+
 /* Stands where the owner's peer server stood: reads each request and closes without an answer. */
 struct mute_peer {
     struct wire_listener *listener;
@@ -213,5 +233,6 @@
     g_test_add_func("/daemon/forward/owner_serves", test_owner_serves);
     g_test_add_func("/daemon/forward/hop_cut_after_request", test_hop_cut_after_request);
     g_test_add_func("/daemon/forward/owner_out_of_reach", test_owner_out_of_reach);
+    g_test_add_func("/daemon/forward/nearest_owner_serves", test_nearest_owner_serves);
     return g_test_run();
 }
--- a/tests/daemon/test_workers.c
+++ b/tests/daemon/test_workers.c
@@ -145,24 +145,13 @@
     cluster_stop(cluster);
 }
 
-/* The daemon that does not own the group. */
-static unsigned find_forwarder(const struct cluster *cluster)
-{
-    struct group_runtime *group = daemon_take_group(cluster->daemons[0], CLUSTER_GROUP);
-    if (group == NULL) {
-        return 0;
-    }
-    group_runtime_unref(group);
-    return 1;
-}
-
 /* The only worker of a daemon sends a request on that gets no answer for long. */
 static void test_forwarding_holds_up_no_other(void)
 {
     struct cluster_options options = {
         .daemons = 2, .request_timeout_ms = 60000, .overrides = one_owner};
     struct cluster *cluster = cluster_start(&options);
-    unsigned forwarder = find_forwarder(cluster);
+    unsigned forwarder = cluster_is_owner(cluster, 0) ? 1 : 0;
     g_autofree char *holder = begin(cluster, 1 - forwarder);
     struct http_call insert = {.transaction = holder, .sql = "INSERT INTO stays VALUES ('a', '')"};
     g_free(await_done(post(cluster, 1 - forwarder, insert)));
