--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -38,7 +38,8 @@
     struct group_runtime *runtime; /* one reference */
     struct group_control *machine;
     time_ns wake_at;
-    uint64_t ledger_term; /* last term in which the ledger table was asked for */
+    uint64_t ledger_term;     /* last term in which the ledger table was asked for */
+    time_ns ledger_expire_at; /* next removal of old keys */
 };
 
 /* One daemon, as request threads see it. */
@@ -71,6 +72,7 @@
     struct group_owners groups[];
 };
 
+struct control_budget;
 struct control_configuration;
 
 struct control {
@@ -93,6 +95,9 @@
     bool leaving;                                /* wished for this daemon */
     struct control_configuration *configuration; /* NULL if it is static */
 
+    struct control_budget *budget; /* control thread only */
+    _Atomic uint32_t groups_held;  /* size of `groups` */
+
     struct prober *prober;
     struct journal *journal;      /* the daemon's */
     struct member_table *members; /* RCU */
@@ -115,6 +120,8 @@
 void control_groups_tick(struct control *control, time_ns now);
 time_ns control_groups_next_wakeup(struct control *control);
 bool control_groups_runs(struct control *control, uint32_t group);
+/* The run time of a group that runs here, or NULL. */
+struct group_runtime *control_groups_runtime(struct control *control, uint32_t group);
 void control_groups_begin(struct control *control, uint32_t group);
 void control_groups_end(struct control *control, uint32_t id);
 /* Takes on the successors of run times that a new configuration replaced. */
