--- a/src/backend/connection.c
+++ b/src/backend/connection.c
@@ -2,6 +2,8 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -152,11 +154,42 @@
     return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
 }
 
+bool backend_connection_end_is_awaited(int socket_fd)
+{
+    struct tcp_info info;
+    socklen_t length = sizeof info;
+    if (getsockopt(socket_fd, IPPROTO_TCP, TCP_INFO, &info, &length) != 0) {
+        return false;
+    }
+    return info.tcpi_state == TCP_FIN_WAIT2;
+}
+
 void backend_connection_break(struct backend_connection *connection)
 {
     connection->state = CONNECTION_STATE_BROKEN;
 }
 
+void backend_connection_make_interruptible(struct backend_connection *connection)
+{
+    int socket_fd = PQsocket(connection->pg);
+    connection->interrupt_fd = socket_fd >= 0 ? fcntl(socket_fd, F_DUPFD_CLOEXEC, 1) : -1;
+}
+
+void backend_connection_end_interruptible(struct backend_connection *connection)
+{
+    if (connection->interrupt_fd > 0) {
+        close(connection->interrupt_fd);
+    }
+    connection->interrupt_fd = -1;
+}
+
+void backend_connection_interrupt(const struct backend_connection *connection)
+{
+    if (connection->interrupt_fd > 0) {
+        shutdown(connection->interrupt_fd, SHUT_RD);
+    }
+}
+
 bool backend_connection_is_clean(const struct backend_connection *connection)
 {
     if (connection->state == CONNECTION_STATE_BROKEN ||
--- a/src/backend/connection.h
+++ b/src/backend/connection.h
@@ -37,6 +37,7 @@
 struct backend_connection {
     PGconn *pg;
     enum connection_state state;
+    int interrupt_fd;        /* see backend_connection_make_interruptible; 0 or below if none */
     uint32_t unread_answers; /* queries and syncs sent, whose answers are not read yet */
     /* Of the pool that it belongs to: */
     int32_t number; /* of the database's numbers, whose lock it holds; -1 for none */
@@ -71,9 +72,24 @@
 /* True if the database has closed its end of a socket that is being closed. Never waits. */
 bool backend_connection_has_ended(int socket_fd);
 
+/* True if the database's machine has taken notice of the close, so that only its process is
+ * awaited: it counts the connection until it runs again, however long that takes. */
+bool backend_connection_end_is_awaited(int socket_fd);
+
 /* Marks that nothing more may be sent: the state at the database is not known. */
 void backend_connection_break(struct backend_connection *connection);
 
+/* Lets backend_connection_interrupt reach the socket, by a descriptor of its own: libpq may close
+ * and lose its one while another thread interrupts. */
+void backend_connection_make_interruptible(struct backend_connection *connection);
+
+/* Takes that back. No thread may be interrupting. */
+void backend_connection_end_interruptible(struct backend_connection *connection);
+
+/* Ends the traffic of an interruptible connection that another thread uses: its waits end at once.
+ */
+void backend_connection_interrupt(const struct backend_connection *connection);
+
 /* True if it may serve another request: all answers read and no transaction open. */
 bool backend_connection_is_clean(const struct backend_connection *connection);
 
--- a/src/backend/endings.c
+++ b/src/backend/endings.c
@@ -36,8 +36,8 @@
 {
     for (guint i = 0; i < endings->items->len; i++) {
         *ended = g_array_index(endings->items, struct ending, i);
-        bool over = ended->socket_fd < 0 || now >= ended->until ||
-                    backend_connection_has_ended(ended->socket_fd);
+        bool over = ended->socket_fd < 0 || backend_connection_has_ended(ended->socket_fd) ||
+                    (now >= ended->until && !backend_connection_end_is_awaited(ended->socket_fd));
         if (over) {
             close_socket(ended);
             g_array_remove_index_fast(endings->items, i);
--- a/src/backend/pool.c
+++ b/src/backend/pool.c
@@ -41,10 +41,11 @@
     pthread_t thread;
     bool stopping;
     bool reachable;
-    bool draining;  /* nothing is kept warm */
-    GQueue waiters; /* of struct waiter */
-    GQueue idle;    /* of struct backend_connection; the most recently used at the head */
-    GQueue closing; /* of struct backend_connection, for the maintenance thread to close */
+    bool draining;    /* nothing is kept warm */
+    GQueue waiters;   /* of struct waiter */
+    GQueue idle;      /* of struct backend_connection; the most recently used at the head */
+    GHashTable *used; /* set of struct backend_connection handed out */
+    GQueue closing;   /* of struct backend_connection, for the maintenance thread to close */
     struct endings endings;
     uint32_t failures;    /* to open, in a row */
     time_ns next_open_at; /* earliest time of the next opening */
@@ -105,12 +106,19 @@
     wake_maintenance(pool);
 }
 
+static void note_used(struct pool *pool, struct backend_connection *connection)
+{
+    backend_connection_make_interruptible(connection);
+    g_hash_table_add(pool->used, connection);
+    pool->in_use++;
+}
+
 static void hand_over(struct pool *pool, struct waiter *waiter,
                       struct backend_connection *connection)
 {
     connection->state = CONNECTION_STATE_IN_USE;
     waiter->connection = connection;
-    pool->in_use++;
+    note_used(pool, connection);
     pthread_cond_signal(&waiter->ready);
 }
 
@@ -410,6 +418,7 @@
     g_queue_init(&pool->waiters);
     g_queue_init(&pool->idle);
     g_queue_init(&pool->closing);
+    pool->used = g_hash_table_new(g_direct_hash, g_direct_equal);
     pthread_mutex_init(&pool->lock, NULL);
     condition_init(&pool->work);
     pthread_create(&pool->thread, NULL, maintain, pool);
@@ -427,6 +436,7 @@
     wake_maintenance(pool);
     pthread_mutex_unlock(&pool->lock);
     pthread_join(pool->thread, NULL);
+    g_hash_table_destroy(pool->used);
     endings_clear(&pool->endings);
     pool_budget_free(pool->budget);
     pthread_cond_destroy(&pool->work);
@@ -466,7 +476,7 @@
     }
     if (connection != NULL) {
         connection->state = CONNECTION_STATE_IN_USE;
-        pool->in_use++;
+        note_used(pool, connection);
         return connection;
     }
     *down = is_down(pool, deadline);
@@ -491,6 +501,8 @@
 {
     bool clean = reusable && backend_connection_is_clean(connection);
     pthread_mutex_lock(&pool->lock);
+    g_hash_table_remove(pool->used, connection);
+    backend_connection_end_interruptible(connection);
     pool->in_use--;
     if (clean) {
         offer(pool, connection);
@@ -502,6 +514,18 @@
     pthread_mutex_unlock(&pool->lock);
 }
 
+void pool_abort_in_use(struct pool *pool)
+{
+    GHashTableIter iterator;
+    gpointer connection;
+    pthread_mutex_lock(&pool->lock);
+    g_hash_table_iter_init(&iterator, pool->used);
+    while (g_hash_table_iter_next(&iterator, &connection, NULL)) {
+        backend_connection_interrupt(connection);
+    }
+    pthread_mutex_unlock(&pool->lock);
+}
+
 void pool_set_position(struct pool *pool, int32_t position, bool handing_over)
 {
     pthread_mutex_lock(&pool->lock);
--- a/src/backend/pool.h
+++ b/src/backend/pool.h
@@ -84,6 +84,11 @@
 /* Tells what probes know. While not reachable, nothing is opened and waiters are refused. */
 void pool_set_reachable(struct pool *pool, bool reachable);
 
+/* Breaks the connections in use: their requests end as lost, or as not sent. For a database that
+ * has been replaced as primary, and may be paused or cut off: its answers count for nothing more.
+ */
+void pool_abort_in_use(struct pool *pool);
+
 /* Closes all idle connections, and keeps none warm until the limit is next set. */
 void pool_close_idle(struct pool *pool);
 
--- a/src/core/write_flow.c
+++ b/src/core/write_flow.c
@@ -147,7 +147,7 @@
     acknowledge_start(&flow->evidence, event->position, view->database_count);
     flow->state = state;
     flow->maybe_run = true;
-    if (flow->options.trust_commit) {
+    if (flow->options.trust_commit && state == WRITE_STATE_CONFIRMING) {
         return answer(flow, OUTCOME_DONE, ERROR_KIND_INTERNAL, 0);
     }
     struct write_step step = {
@@ -181,6 +181,9 @@
         if (flow->state == WRITE_STATE_CONFIRMING_CLOSED) {
             return answer_closed(flow);
         }
+        if (flow->state == WRITE_STATE_CONFIRMING_REUSED) {
+            return answer(flow, OUTCOME_REFUSED, ERROR_KIND_KEY_REUSED, 0);
+        }
         return answer(flow, OUTCOME_DONE, ERROR_KIND_INTERNAL, 0);
     }
     if (verdict == ACKNOWLEDGE_PENDING && event->kind == WRITE_EVENT_EVIDENCE) {
@@ -223,7 +226,7 @@
     case WRITE_EVENT_KEY_CLOSED:
         return confirm(flow, event, view, WRITE_STATE_CONFIRMING_CLOSED);
     case WRITE_EVENT_KEY_REUSED:
-        return answer(flow, OUTCOME_REFUSED, ERROR_KIND_KEY_REUSED, 0);
+        return confirm(flow, event, view, WRITE_STATE_CONFIRMING_REUSED);
     default:
         return after_lost(flow, event->now);
     }
@@ -241,7 +244,7 @@
     case WRITE_EVENT_KEY_CLOSED:
         return confirm(flow, event, view, WRITE_STATE_CONFIRMING_CLOSED);
     case WRITE_EVENT_KEY_REUSED:
-        return answer(flow, OUTCOME_REFUSED, ERROR_KIND_KEY_REUSED, 0);
+        return confirm(flow, event, view, WRITE_STATE_CONFIRMING_REUSED);
     default:
         return wait_step(flow, event->now);
     }
@@ -263,6 +266,7 @@
         return on_close_event(flow, event, view);
     case WRITE_STATE_CONFIRMING:
     case WRITE_STATE_CONFIRMING_CLOSED:
+    case WRITE_STATE_CONFIRMING_REUSED:
         return on_evidence(flow, event);
     case WRITE_STATE_ANSWERED:
         break;
--- a/src/core/write_flow.h
+++ b/src/core/write_flow.h
@@ -73,6 +73,9 @@
     WRITE_STATE_CONFIRMING, /* evidence for a commit run now or found in the ledger */
     WRITE_STATE_CLOSING,
     WRITE_STATE_CONFIRMING_CLOSED, /* evidence for a closed key */
+    WRITE_STATE_CONFIRMING_REUSED, /* evidence for another request under the key: a primary that is
+                                      being replaced may show a row that will not last, while
+                                      this write has run elsewhere */
     WRITE_STATE_WAITING,
     WRITE_STATE_ANSWERED,
 };
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -193,7 +193,14 @@
             pool_set_reachable(group->runtime->databases[i].pool, view->databases[i].reachable);
         }
     }
+    int32_t replaced = group->published_primary;
     group_runtime_publish(group->runtime, view, change);
+    if (replaced >= 0 && view->primary >= 0 && view->primary != replaced) {
+        pool_abort_in_use(group->runtime->databases[replaced].pool);
+    }
+    if (view->primary >= 0) {
+        group->published_primary = view->primary;
+    }
     daemon_metrics_group_writable(group->control->daemon->metrics, group->id,
                                   route_write(view).database >= 0, backend_now());
     worker_pool_wake(group->control->daemon->workers);
@@ -366,6 +373,7 @@
     struct controlled_group *group = g_new0(struct controlled_group, 1);
     struct group_control_options options;
     group->control = control;
+    group->published_primary = -1;
     group->id = runtime->group->id;
     group->runtime = runtime;
     group_control_options_init(&options);
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -38,8 +38,9 @@
     struct group_runtime *runtime; /* one reference */
     struct group_control *machine;
     time_ns wake_at;
-    uint64_t ledger_term;     /* last term in which the ledger table was asked for */
-    time_ns ledger_expire_at; /* next removal of old keys */
+    int32_t published_primary; /* last one that request threads were told of, or -1 */
+    uint64_t ledger_term;      /* last term in which the ledger table was asked for */
+    time_ns ledger_expire_at;  /* next removal of old keys */
 };
 
 /* One daemon, as request threads see it. */
--- a/tests/core/write_flow_test.c
+++ b/tests/core/write_flow_test.c
@@ -179,6 +179,27 @@
     assert_answer(&scenario, OUTCOME_UNKNOWN, ERROR_KIND_OUTCOME_UNKNOWN);
 }
 
+/* A primary that is being replaced shows a row that will not last: it may not be told as the truth,
+ * since this write may have run at the new primary. Found by the simulator. */
+static void test_key_reused_needs_evidence(void)
+{
+    struct scenario scenario;
+    start(&scenario, true);
+    feed_kind(&scenario, WRITE_EVENT_LOST);
+    feed_kind(&scenario, WRITE_EVENT_TIMER);
+    feed_at(&scenario, WRITE_EVENT_KEY_REUSED, 1, 9);
+    g_assert_cmpint(scenario.step.kind, ==, WRITE_STEP_EVIDENCE);
+    feed_evidence(&scenario, 1, 2, 1, 5);
+    feed_evidence(&scenario, 2, 2, 1, 5);
+    g_assert_cmpint(scenario.step.kind, ==, WRITE_STEP_WAIT);
+    scenario.view.primary = 1;
+    feed_kind(&scenario, WRITE_EVENT_TIMER);
+    feed_at(&scenario, WRITE_EVENT_KEY_REUSED, 2, 9);
+    feed_evidence(&scenario, 1, 2, 2, 9);
+    feed_evidence(&scenario, 2, 2, 2, 9);
+    assert_answer(&scenario, OUTCOME_REFUSED, ERROR_KIND_KEY_REUSED);
+}
+
 static void test_attempts_spent_closes_the_key(void)
 {
     struct scenario scenario;
@@ -229,6 +250,7 @@
     g_test_add_func("/write-flow/not-run", test_not_run_only_if_nothing_was_sent);
     g_test_add_func("/write-flow/refused-attempts", test_refused_attempts_do_not_count);
     g_test_add_func("/write-flow/lost-no-primary", test_lost_then_no_primary_is_unknown);
+    g_test_add_func("/write-flow/key-reused", test_key_reused_needs_evidence);
     g_test_add_func("/write-flow/attempts-spent", test_attempts_spent_closes_the_key);
     g_test_add_func("/write-flow/give-up", test_give_up_tells_not_run_only_before_sending);
     g_test_add_func("/write-flow/conflict", test_conflict_runs_again_without_a_key);
