--- a/bench/scale_fit.py
+++ b/bench/scale_fit.py
@@ -94,6 +94,8 @@
 
 def show(value):
     """A figure with three significant digits, large ones in full."""
+    if abs(value) < 1e-9:
+        return "0"
     if abs(value) >= 100:
         return f"{value:,.0f}"
     return f"{value:.3g}"
