Keep the deployment's process ids in memory; one header for ThreadSanitizer

A working directory removed from outside during a run took the id files with it and left six processes behind: a test removes it. The two headers that tell ThreadSanitizer of RCU were one too many; the build's own stays.

--- a/Makefile
+++ b/Makefile
@@ -37,8 +37,7 @@
 	UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 tools/run-tests.sh build-asan --timeout-multiplier 4
 
 test-tsan: | setup-build
-	[ -f build-tsan/build.ninja ] || meson setup build-tsan -Db_sanitize=thread -Db_lundef=false \
-		-Dc_args="-include $(CURDIR)/tools/tsan_rcu.h"
+	[ -f build-tsan/build.ninja ] || meson setup build-tsan -Db_sanitize=thread -Db_lundef=false
 	ninja -C build-tsan -j $(JOBS)
 	G_SLICE=always-malloc TSAN_OPTIONS="halt_on_error=1 suppressions=$(CURDIR)/tools/tsan-suppressions.txt" \
 		tools/run-tests.sh build-tsan --timeout-multiplier 8
--- a/tests/load/test_cluster.sh
+++ b/tests/load/test_cluster.sh
@@ -42,9 +42,12 @@
 killed=$(with_cluster 'cluster_start one sleep 60; cluster_pid one; cluster_kill one; cluster_pid one || echo gone')
 check forgets_a_killed_process [ "${killed##*$'\n'}" = gone ]
 
-with_cluster "echo $OTHER >\"\$CLUSTER_DIRECTORY/pids/other\"" >/dev/null
+with_cluster "CLUSTER_PIDS[other]=$OTHER" >/dev/null
 check leaves_other_processes_alone runs "$OTHER"
 
+orphaned=$(with_cluster 'cluster_start one sleep 60; cluster_pid one; rm -rf "$CLUSTER_DIRECTORY"')
+check ends_its_processes_without_its_directory runs_not "$orphaned"
+
 refused=$(with_cluster 'x=$(cluster_start one sleep 60); echo $?')
 check refuses_to_start_in_a_subshell [ "$refused" = 1 ]
 
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -12,6 +12,9 @@
 CLUSTER_PLATFORM_PORT=
 CLUSTER_DATABASES=()
 CLUSTER_DAEMONS=()
+# Name to process id of what was started and not waited for. In memory: a lost working directory must not
+# leave processes behind.
+declare -A CLUSTER_PIDS=()
 
 cluster_fail() {
     printf 'cluster: %s\n' "$*" >&2
@@ -22,7 +25,7 @@
 cluster_init() {
     CLUSTER_BUILD=$(cd "$1" && pwd) || cluster_fail "no build directory: $1"
     CLUSTER_DIRECTORY=$(mktemp -d "${TMPDIR:-/tmp}/swiftworks-cluster.XXXXXX")
-    mkdir "$CLUSTER_DIRECTORY/pids" "$CLUSTER_DIRECTORY/log"
+    mkdir "$CLUSTER_DIRECTORY/log"
     trap cluster_end EXIT
     trap 'exit 130' INT
     trap 'exit 143' TERM
@@ -68,13 +71,13 @@
     shift
     [ "$BASHPID" = "$$" ] || cluster_fail "$name would be started in a subshell"
     "$@" >>"$CLUSTER_DIRECTORY/log/$name" 2>&1 </dev/null &
-    echo $! >"$CLUSTER_DIRECTORY/pids/$name"
+    CLUSTER_PIDS[$name]=$!
 }
 
 # cluster_pid NAME: prints the process id; fails if the process was not started or has ended.
 cluster_pid() {
-    local pid parent
-    pid=$(cat "$CLUSTER_DIRECTORY/pids/$1" 2>/dev/null) || return 1
+    local pid=${CLUSTER_PIDS[$1]:-} parent
+    [ -n "$pid" ] || return 1
     parent=$(awk '/^PPid:/ {print $2}' "/proc/$pid/status" 2>/dev/null)
     [ "$parent" = "$$" ] || return 1
     echo "$pid"
@@ -89,10 +92,10 @@
 
 # cluster_wait NAME: waits for a process to end; returns its exit code.
 cluster_wait() {
-    local pid status=0
-    pid=$(cat "$CLUSTER_DIRECTORY/pids/$1")
+    local pid=${CLUSTER_PIDS[$1]:-} status=0
+    [ -n "$pid" ] || cluster_fail "$1 was not started"
     wait "$pid" || status=$?
-    rm -f "$CLUSTER_DIRECTORY/pids/$1"
+    unset "CLUSTER_PIDS[$1]"
     return "$status"
 }
 
@@ -103,10 +106,9 @@
 }
 
 cluster_stop_all() {
-    local file name pid
+    local name pid
     local -a names=()
-    for file in "$CLUSTER_DIRECTORY"/pids/*; do
-        name=$(basename "$file")
+    for name in "${!CLUSTER_PIDS[@]}"; do
         pid=$(cluster_pid "$name") || continue
         names+=("$name")
         kill -s TERM "$pid" 2>/dev/null || true
@@ -470,7 +472,7 @@
 cluster_reset() {
     cluster_stop_all
     rm -rf "${CLUSTER_DIRECTORY:?}"/*
-    mkdir "$CLUSTER_DIRECTORY/pids" "$CLUSTER_DIRECTORY/log"
+    mkdir "$CLUSTER_DIRECTORY/log"
     CLUSTER_DAEMONS=()
     CLUSTER_PLATFORM_PORT=
 }
