Give up calls at databases that are cut off or replaced

Cause: a call at work at a database that is cut off got no answer and no end of its connection: it waited for its deadline, or for 75% of it, though another primary led after some hundred milliseconds; and a transaction's next statement was sent into the cut connection of a replaced primary. Ruled out: detection and failover (the new primary served others meanwhile) and the pool, which refuses only those that wait for a connection. A group now knows the calls under way. When another database leads, the connections of writes at the old one are shut down: with a key the ledger of the new primary is asked, without one the answer is unknown at once. Reads, keyed writes and begins are also given up when their database is out of reach. Writes are not sent to a database that no longer leads by this daemon's knowledge.

--- a/src/daemon/group_runtime.c
+++ b/src/daemon/group_runtime.c
@@ -240,6 +240,7 @@
     runtime->database_count = group->database_count;
     pthread_mutex_init(&runtime->writes_lock, NULL);
     retry_budget_init(&runtime->retry_budget);
+    active_calls_init(&runtime->calls);
     start_view(runtime);
     for (uint32_t i = 0; i < group->database_count; i++) {
         start_database(&runtime->databases[i], &runtime->group->databases[i], options, predecessor);
@@ -264,6 +265,7 @@
     struct published_view *last = caa_container_of(runtime->view, struct published_view, view);
     call_rcu(&last->head, free_published_view);
     pthread_mutex_destroy(&runtime->writes_lock);
+    active_calls_clear(&runtime->calls);
     free_group(runtime->group);
     g_free(runtime);
 }
@@ -308,6 +310,7 @@
     runtime->drain_armed = change != 0;
     report_if_drained(runtime);
     pthread_mutex_unlock(&runtime->writes_lock);
+    active_calls_take_view(&runtime->calls, view);
     call_rcu(&previous->head, free_published_view);
 }
 
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -13,6 +13,7 @@
 #include "core/admission.h"
 #include "core/retry_budget.h"
 #include "core/types.h"
+#include "daemon/active_calls.h"
 
 struct evidence_link;
 struct shared_pool;
@@ -53,6 +54,7 @@
     uint32_t database_count;
     struct database_runtime databases[GROUP_DATABASES_MAX];
     struct retry_budget retry_budget;
+    struct active_calls calls;
     struct evidence_service *evidence; /* the daemon's */
     uint32_t evidence_group;           /* its number there */
     struct evidence_link *link;        /* one reference */
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -41,7 +41,7 @@
 /* Ends a transaction whose commit was never sent. */
 static void roll_back(struct task *task)
 {
-    adapter_rollback(task->transaction->connection, task->deadline);
+    transaction_rollback(task->transaction, task->deadline);
     transaction_table_end(task->daemon->transactions, task->transaction);
     task->transaction = NULL;
 }
--- a/src/daemon/task_begin.c
+++ b/src/daemon/task_begin.c
@@ -116,8 +116,8 @@
     task_finish(task);
 }
 
-/* Starts the transaction on its connection. */
-static enum execute_result begin_on(struct task *task, struct transaction *transaction)
+/* Starts the transaction on its connection, with its ledger table there. */
+static enum execute_result prepare_and_begin(struct task *task, struct transaction *transaction)
 {
     time_ns deadline = task_attempt_deadline(task);
     if (transaction->ledger_key != NULL && !transaction->options.read_only) {
@@ -130,6 +130,20 @@
     return adapter_begin(transaction->connection, &transaction->options, deadline, &task->run);
 }
 
+/* The same while waiting for it is of use. */
+static enum execute_result begin_on(struct task *task, struct transaction *transaction)
+{
+    struct active_call call;
+    bool read_only = transaction->options.read_only;
+    if (!transaction_enter(transaction, &call,
+                           read_only ? ACTIVE_CALL_READ : ACTIVE_CALL_KEYED_WRITE)) {
+        return EXECUTE_NOT_PRIMARY;
+    }
+    enum execute_result result = prepare_and_begin(task, transaction);
+    transaction_leave(transaction, &call);
+    return result;
+}
+
 /* True if nothing of the transaction was begun, and another attempt may do better. */
 static bool may_begin_again(struct task *task, enum execute_result result)
 {
--- a/src/daemon/task_read.c
+++ b/src/daemon/task_read.c
@@ -82,10 +82,14 @@
     if (connection == NULL) {
         return EXECUTE_NOT_SENT;
     }
+    struct active_call call;
     execute_answer_clear(&task->run);
+    active_calls_enter(&task->group->calls, &call, ACTIVE_CALL_READ, (uint32_t)step->database,
+                       connection);
     enum execute_result result =
         adapter_read(connection, step->guard, 0, task->request->statements,
                      task->request->statements_count, deadline, daemon_result_limits(), &task->run);
+    active_calls_leave(&task->group->calls, &call);
     pool_release(pool, connection, backend_connection_is_clean(connection));
     return result;
 }
--- a/src/daemon/task_transaction.c
+++ b/src/daemon/task_transaction.c
@@ -46,9 +46,9 @@
 
 static void run_statements(struct task *task, struct transaction *transaction)
 {
-    enum execute_result result = adapter_statement(
-        transaction->connection, task->request->statements, task->request->statements_count,
-        task->deadline, daemon_result_limits(), &task->run);
+    enum execute_result result =
+        transaction_run(transaction, task->request->statements, task->request->statements_count,
+                        task->deadline, daemon_result_limits(), &task->run);
     task_note_served(task, transaction->database, transaction_role_name(transaction));
     if (result == EXECUTE_DONE) {
         transaction->seen = task->run.position;
@@ -59,7 +59,7 @@
         task_finish(task);
         return;
     }
-    adapter_rollback(transaction->connection, task->deadline);
+    transaction_rollback(transaction, task->deadline);
     bool writes_in_read = transaction->options.read_only && result == EXECUTE_NOT_PRIMARY;
     transaction_table_end(task->daemon->transactions, transaction);
     /* In a read-only transaction the error tells of the statement, not of the database's role. */
@@ -68,7 +68,7 @@
 
 static void run_rollback(struct task *task, struct transaction *transaction)
 {
-    adapter_rollback(transaction->connection, task->deadline);
+    transaction_rollback(transaction, task->deadline);
     transaction_table_end(task->daemon->transactions, transaction);
     task->reply.outcome = OUTCOME_DONE;
     task_finish(task);
@@ -78,7 +78,7 @@
 static void run_read_commit(struct task *task, struct transaction *transaction)
 {
     struct log_position seen = transaction->seen;
-    adapter_rollback(transaction->connection, task->deadline);
+    transaction_rollback(transaction, task->deadline);
     transaction_table_end(task->daemon->transactions, transaction);
     task_note_seen(task, seen);
     task->reply.outcome = OUTCOME_DONE;
--- a/src/daemon/task_write.c
+++ b/src/daemon/task_write.c
@@ -112,9 +112,15 @@
                          &task->run);
 }
 
+static enum active_call_kind call_kind_of(const struct task *task)
+{
+    return task->ledger_key != NULL ? ACTIVE_CALL_KEYED_WRITE : ACTIVE_CALL_WRITE;
+}
+
 /* The same at the step's database; the slot is held. */
 static enum execute_result run_at(struct task *task)
 {
+    struct active_call call;
     struct pool *pool = task->group->databases[task->write_step.database].pool;
     struct backend_connection *connection = pool_acquire(pool, task->deadline, NULL);
     if (connection == NULL) {
@@ -122,7 +128,12 @@
     }
     execute_answer_clear(&task->run);
     task->run_database = task->write_step.database;
-    enum execute_result result = run_on(task, connection);
+    enum execute_result result = EXECUTE_NOT_PRIMARY;
+    if (active_calls_enter(&task->group->calls, &call, call_kind_of(task),
+                           (uint32_t)task->run_database, connection)) {
+        result = run_on(task, connection);
+        active_calls_leave(&task->group->calls, &call);
+    }
     pool_release(pool, connection, backend_connection_is_clean(connection));
     return result;
 }
--- a/src/daemon/transaction.c
+++ b/src/daemon/transaction.c
@@ -144,10 +144,65 @@
     return count;
 }
 
+bool transaction_enter(struct transaction *transaction, struct active_call *call,
+                       enum active_call_kind kind)
+{
+    bool entered = active_calls_enter(&transaction->group->calls, call, kind,
+                                      (uint32_t)transaction->database, transaction->connection);
+    if (!entered) {
+        backend_connection_break(transaction->connection);
+    }
+    return entered;
+}
+
+void transaction_leave(struct transaction *transaction, struct active_call *call)
+{
+    active_calls_leave(&transaction->group->calls, call);
+}
+
+/* What to wait for in an open transaction; what it has done can't be repeated. */
+static enum active_call_kind kind_of(const struct transaction *transaction)
+{
+    return transaction->options.read_only ? ACTIVE_CALL_READ : ACTIVE_CALL_WRITE;
+}
+
+enum execute_result transaction_run(struct transaction *transaction,
+                                    const struct sql_statement *statements, size_t count,
+                                    time_ns deadline, const struct result_limits *limits,
+                                    struct execute_answer *answer)
+{
+    struct active_call call;
+    if (!transaction_enter(transaction, &call, kind_of(transaction))) {
+        return EXECUTE_NOT_PRIMARY;
+    }
+    enum execute_result result =
+        adapter_statement(transaction->connection, statements, count, deadline, limits, answer);
+    transaction_leave(transaction, &call);
+    return result;
+}
+
+void transaction_rollback(struct transaction *transaction, time_ns deadline)
+{
+    struct active_call call;
+    if (transaction_enter(transaction, &call, kind_of(transaction))) {
+        adapter_rollback(transaction->connection, deadline);
+        transaction_leave(transaction, &call);
+    }
+}
+
 enum execute_result transaction_commit(struct transaction *transaction, time_ns deadline,
                                        struct execute_answer *answer)
 {
-    return adapter_commit(transaction->connection, &transaction->options, deadline, answer);
+    struct active_call call;
+    bool keyed = transaction->ledger_key != NULL;
+    if (!transaction_enter(transaction, &call,
+                           keyed ? ACTIVE_CALL_KEYED_WRITE : ACTIVE_CALL_WRITE)) {
+        return EXECUTE_NOT_PRIMARY;
+    }
+    enum execute_result result =
+        adapter_commit(transaction->connection, &transaction->options, deadline, answer);
+    transaction_leave(transaction, &call);
+    return result;
 }
 
 const char *transaction_role_name(const struct transaction *transaction)
--- a/src/daemon/transaction.h
+++ b/src/daemon/transaction.h
@@ -72,7 +72,23 @@
 /* Role of the database that it began at, as callers are told. */
 const char *transaction_role_name(const struct transaction *transaction);
 
-/* Commits; see adapter_commit. */
+/* Enters a call on the transaction's connection, see active_calls_enter. False if another database
+ * leads: the connection was broken, so that the database rolls back, and nothing may be sent. */
+bool transaction_enter(struct transaction *transaction, struct active_call *call,
+                       enum active_call_kind kind);
+
+void transaction_leave(struct transaction *transaction, struct active_call *call);
+
+/* Runs statements; see adapter_statement. NOT_PRIMARY also if another database leads by now. */
+enum execute_result transaction_run(struct transaction *transaction,
+                                    const struct sql_statement *statements, size_t count,
+                                    time_ns deadline, const struct result_limits *limits,
+                                    struct execute_answer *answer);
+
+/* Rolls back, and waits for it as long as that is of use. */
+void transaction_rollback(struct transaction *transaction, time_ns deadline);
+
+/* Commits; see adapter_commit. NOT_PRIMARY, rolled back, also if another database leads by now. */
 enum execute_result transaction_commit(struct transaction *transaction, time_ns deadline,
                                        struct execute_answer *answer);
 
--- a/tests/daemon/cluster_fixture.c
+++ b/tests/daemon/cluster_fixture.c
@@ -460,6 +460,15 @@
     slots_set_service_time(&cluster->databases[database]->slots, microseconds);
 }
 
+unsigned cluster_slots_used(const struct cluster *cluster, unsigned database)
+{
+    struct slots *slots = &cluster->databases[database]->slots;
+    pthread_mutex_lock(&slots->lock);
+    unsigned used = slots->used;
+    pthread_mutex_unlock(&slots->lock);
+    return used;
+}
+
 void cluster_isolate(struct cluster *cluster, unsigned database)
 {
     for (unsigned i = 0; i < cluster->options.databases; i++) {
--- a/tests/daemon/cluster_fixture.h
+++ b/tests/daemon/cluster_fixture.h
@@ -96,6 +96,9 @@
 /* Each statement at a database takes so long from now on. */
 void cluster_set_service_time(struct cluster *cluster, unsigned database, int64_t microseconds);
 
+/* Statements that a database is at work on. */
+unsigned cluster_slots_used(const struct cluster *cluster, unsigned database);
+
 /* Cuts a database off from the zones of all others, both ways, daemons included. */
 void cluster_isolate(struct cluster *cluster, unsigned database);
 
--- a/tests/daemon/fake_peer.c
+++ b/tests/daemon/fake_peer.c
@@ -122,7 +122,8 @@
     bool answered = false;
     struct message message;
     struct sockaddr_in from;
-    while (!answered && wire_datagram_receive(peer->socket, &message, &from, NULL, deadline, NULL)) {
+    while (!answered &&
+           wire_datagram_receive(peer->socket, &message, &from, NULL, deadline, NULL)) {
         answered = message.kind == MESSAGE_KIND_GOSSIP && message.gossip.kind == GOSSIP_KIND_ACK &&
                    message.gossip.sequence == peer->sequence;
         message_clear(&message);
--- a/tests/daemon/test_drain.c
+++ b/tests/daemon/test_drain.c
@@ -41,15 +41,6 @@
     pthread_mutex_unlock(&slots->lock);
 }
 
-static unsigned slots_used(struct cluster *cluster, unsigned database)
-{
-    struct slots *slots = &cluster->databases[database]->slots;
-    pthread_mutex_lock(&slots->lock);
-    unsigned used = slots->used;
-    pthread_mutex_unlock(&slots->lock);
-    return used;
-}
-
 static void drain(struct cluster *cluster, unsigned daemon, unsigned database, bool leaving)
 {
     control_drain_database(cluster->daemons[daemon]->control, CLUSTER_GROUP, database, leaving);
@@ -59,7 +50,7 @@
 static void expect_no_work(struct cluster *cluster, struct callers *callers, unsigned database)
 {
     callers_await(callers, ROUNDS);
-    AWAIT(slots_used(cluster, database) == 0);
+    AWAIT(cluster_slots_used(cluster, database) == 0);
     reset_peak(cluster, database);
     callers_await(callers, ROUNDS);
     g_assert_cmpuint(slots_peak(&cluster->databases[database]->slots), ==, 0);
--- a/tests/daemon/test_failover.c
+++ b/tests/daemon/test_failover.c
@@ -180,10 +180,118 @@
     cluster_stop(cluster);
 }
 
+/* Deadlines beyond the test's patience: what is at work at a database that is cut off must not wait
+ * for them. */
+static struct cluster *start_with_long_deadlines(void)
+{
+    static const char *const overrides[] = {"request.default_timeout_ms=60000",
+                                            "request.max_timeout_ms=60000", NULL};
+    struct cluster_options options = {
+        .daemons = 1, .request_timeout_ms = 60000, .overrides = overrides};
+    return cluster_start(&options);
+}
+
+/* Sends a request and cuts the database off where it is at work, then waits for the answer. */
+static void cut_under(struct cluster *cluster, struct http_call call, struct http_answer *answer)
+{
+    for (unsigned i = 0; i < 3; i++) {
+        cluster_set_service_time(cluster, i, 300000);
+    }
+    struct http_poster *poster = http_post_start(cluster_port(cluster, 0), &call);
+    int busy = -1;
+    while (busy < 0) {
+        for (unsigned i = 0; i < 3; i++) {
+            busy = cluster_slots_used(cluster, i) > 0 ? (int)i : busy;
+        }
+    }
+    cluster_cut(cluster, (unsigned)busy);
+    for (unsigned i = 0; i < 3; i++) {
+        cluster_set_service_time(cluster, i, 0);
+    }
+    AWAIT(http_has_ended(poster));
+    http_join(poster, answer);
+}
+
+static void test_keyed_write_under_way(void)
+{
+    struct cluster *cluster = start_with_long_deadlines();
+    struct http_answer answer;
+    cut_under(cluster,
+              (struct http_call){.sql = "INSERT INTO stays VALUES ('a', '')", .key = "key"},
+              &answer);
+    http_assert_done(&answer);
+    http_answer_clear(&answer);
+    int primary = cluster_primary(cluster);
+    g_assert_cmpint(primary, >, 0);
+    g_assert_cmpint(cluster_count(cluster, (unsigned)primary, "stays"), ==, 1);
+    cluster_stop(cluster);
+}
+
+/* Nothing was committed: without a key it may run again, or is told what it is. */
+static void test_unkeyed_write_under_way(void)
+{
+    struct cluster *cluster = start_with_long_deadlines();
+    struct http_answer answer;
+    cut_under(cluster, (struct http_call){.sql = "INSERT INTO stays VALUES ('a', '')"}, &answer);
+    g_assert_cmpstr(answer.outcome, !=, "refused");
+    bool done = strcmp(answer.outcome, "done") == 0;
+    http_answer_clear(&answer);
+    if (done) {
+        int primary = cluster_primary(cluster);
+        g_assert_cmpint(cluster_count(cluster, (unsigned)primary, "stays"), ==, 1);
+    }
+    cluster_stop(cluster);
+}
+
+static void test_read_under_way(void)
+{
+    struct cluster *cluster = start_with_long_deadlines();
+    struct http_answer answer;
+    cluster_await_replicated(cluster);
+    cut_under(cluster, (struct http_call){.sql = "SELECT count(*) FROM stays"}, &answer);
+    http_assert_done(&answer);
+    http_answer_clear(&answer);
+    cluster_stop(cluster);
+}
+
+/* A transaction at the replaced primary is over, whether a request of it is under way or not. */
+static void test_transaction_at_replaced_primary(void)
+{
+    struct cluster *cluster = start_with_long_deadlines();
+    struct http_answer answer;
+    char *ids[2];
+    for (unsigned i = 0; i < 2; i++) {
+        cluster_call(cluster, 0, &answer,
+                     (struct http_call){.path = "transactions", .body = "{\"begin\": true}"});
+        http_assert_done(&answer);
+        ids[i] = g_steal_pointer(&answer.transaction);
+        http_answer_clear(&answer);
+    }
+    struct http_call insert = {.transaction = ids[0], .sql = "INSERT INTO stays VALUES ('a', '')"};
+    cut_under(cluster, insert, &answer);
+    http_assert_error(&answer, "failed", "transaction_aborted");
+    http_answer_clear(&answer);
+    AWAIT(cluster_view(cluster, 0).primary > 0);
+    insert.transaction = ids[1];
+    struct http_poster *poster = http_post_start(cluster_port(cluster, 0), &insert);
+    AWAIT(http_has_ended(poster));
+    http_join(poster, &answer);
+    http_assert_error(&answer, "failed", "transaction_aborted");
+    http_answer_clear(&answer);
+    g_assert_cmpint(cluster_count(cluster, (unsigned)cluster_primary(cluster), "stays"), ==, 0);
+    g_free(ids[0]);
+    g_free(ids[1]);
+    cluster_stop(cluster);
+}
+
 int main(int argc, char **argv)
 {
     cluster_test_init(&argc, &argv);
     g_test_add_func("/daemon/failover/isolated_with_callers", test_primary_isolated_with_callers);
     g_test_add_func("/daemon/failover/twice", test_two_failovers);
+    g_test_add_func("/daemon/failover/keyed_write_under_way", test_keyed_write_under_way);
+    g_test_add_func("/daemon/failover/unkeyed_write_under_way", test_unkeyed_write_under_way);
+    g_test_add_func("/daemon/failover/read_under_way", test_read_under_way);
+    g_test_add_func("/daemon/failover/transaction", test_transaction_at_replaced_primary);
     return g_test_run();
 }
--- a/tests/daemon/test_transactions.c
+++ b/tests/daemon/test_transactions.c
@@ -58,15 +58,6 @@
     return daemon_open_transactions(cluster->daemons[daemon]);
 }
 
-static unsigned slots_used(struct cluster *cluster, unsigned database)
-{
-    struct slots *slots = &cluster->databases[database]->slots;
-    pthread_mutex_lock(&slots->lock);
-    unsigned used = slots->used;
-    pthread_mutex_unlock(&slots->lock);
-    return used;
-}
-
 static void test_through_all_daemons(void)
 {
     struct cluster *cluster = cluster_start(NULL);
@@ -236,7 +227,7 @@
     cluster_set_service_time(cluster, 0, 2000000);
     struct http_call insert = {.transaction = id, .sql = "INSERT INTO stays VALUES ('a', '')"};
     struct http_poster *poster = http_post_start(cluster_port(cluster, 0), &insert);
-    AWAIT(slots_used(cluster, 0) == 1);
+    AWAIT(cluster_slots_used(cluster, 0) == 1);
     expect_error(cluster, 1, (struct http_call){.transaction = id, .path = "commit"}, "refused",
                  "bad_request");
     http_join(poster, &answer);
@@ -296,7 +287,7 @@
     }
     struct http_call read = {.sql = "SELECT 1"};
     struct http_poster *poster = http_post_start(cluster_port(cluster, 0), &read);
-    AWAIT(slots_used(cluster, 1) + slots_used(cluster, 2) == 1);
+    AWAIT(cluster_slots_used(cluster, 1) + cluster_slots_used(cluster, 2) == 1);
     cluster_call(cluster, 0, &answer,
                  (struct http_call){.transaction = id, .path = "commit", .timeout_ms = 20});
     g_assert_cmpstr(answer.outcome, !=, "done");
--- a/tests/daemon/test_writes.c
+++ b/tests/daemon/test_writes.c
@@ -193,15 +193,6 @@
     return written;
 }
 
-static unsigned slots_used(struct cluster *cluster)
-{
-    struct slots *slots = &cluster->databases[0]->slots;
-    pthread_mutex_lock(&slots->lock);
-    unsigned used = slots->used;
-    pthread_mutex_unlock(&slots->lock);
-    return used;
-}
-
 /* COMMIT is under way in a cut link while its caller is answered, and takes effect after that. The
  * second round trip of a keyed write records its results before COMMIT; cut off during the first
  * statement of that round trip, COMMIT waits in the link. */
@@ -215,7 +206,7 @@
     cluster_set_service_time(cluster, 0, 200000);
     struct http_poster *poster = http_post_start(cluster_port(cluster, 0), &call);
     AWAIT(statements_written(cluster) == first_round_trip);
-    AWAIT(slots_used(cluster) == 1);
+    AWAIT(cluster_slots_used(cluster, 0) == 1);
     cluster_cut(cluster, 0);
     http_join(poster, &answer);
     http_assert_error(&answer, "unknown", "outcome_unknown");
