--- a/src/backend/connection.c
+++ b/src/backend/connection.c
@@ -169,27 +169,6 @@
     connection->state = CONNECTION_STATE_BROKEN;
 }
 
-void backend_connection_make_interruptible(struct backend_connection *connection)
-{
-    int socket_fd = PQsocket(connection->pg);
-    connection->interrupt_fd = socket_fd >= 0 ? fcntl(socket_fd, F_DUPFD_CLOEXEC, 1) : -1;
-}
-
-void backend_connection_end_interruptible(struct backend_connection *connection)
-{
-    if (connection->interrupt_fd > 0) {
-        close(connection->interrupt_fd);
-    }
-    connection->interrupt_fd = -1;
-}
-
-void backend_connection_interrupt(const struct backend_connection *connection)
-{
-    if (connection->interrupt_fd > 0) {
-        shutdown(connection->interrupt_fd, SHUT_RD);
-    }
-}
-
 bool backend_connection_is_clean(const struct backend_connection *connection)
 {
     if (connection->state == CONNECTION_STATE_BROKEN ||
