Give differences by common start and end instead of as merge patches

A merge patch needs both bundles parsed, on top of the parse that the new one needs anyway.

The tests of patches are replaced by as strict ones of differences: fixed and seeded random texts, nonsense, and from a peer a difference that leads elsewhere, is too long, or starts from another version.

--- a/src/daemon/configuration_fetch.c
+++ b/src/daemon/configuration_fetch.c
@@ -1,6 +1,8 @@
 /* The steps of an attempt to get a configuration; see the header. */
 #include "daemon/configuration_fetch.h"
 
+#include <malloc.h>
+#include <pthread.h>
 #include <string.h>
 
 #include "backend/clock.h"
@@ -8,7 +10,6 @@
 #include "configuration/problem.h"
 #include "configuration/version_store.h"
 #include "daemon/configuration_content.h"
-#include "daemon/configuration_patch.h"
 
 /* Longest time that one question to another daemon takes. */
 #define PEER_TIMEOUT_MS 2000
@@ -42,32 +43,41 @@
     g_strlcpy(fetch->result->text, text, FETCH_TEXT_SIZE);
 }
 
-/* Reads a whole content whose hash was checked. `difference` led to it from what this daemon has,
- * or is NULL: then it is worked out, for others. */
-static void take_content(struct fetch *fetch, struct configuration_mark mark, GBytes *content,
-                         GBytes *difference)
+/* Parses a content, one at a time in the process: a large one takes many times its size for a
+ * moment, which is given back to the system at once. */
+static struct configuration *parse(GBytes *content, GPtrArray *problems)
 {
+    static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
     gsize length = 0;
     const char *text = g_bytes_get_data(content, &length);
-    text = text != NULL ? text : "";
     struct configuration *configuration = NULL;
+    pthread_mutex_lock(&lock);
+    configuration_parse(text != NULL ? text : "", length, "published", &configuration, problems);
+    malloc_trim(0);
+    pthread_mutex_unlock(&lock);
+    return configuration;
+}
+
+/* Reads a whole content whose hash was checked, and works out the difference from what this daemon
+ * has, for those who have the same. */
+static void take_content(struct fetch *fetch, struct configuration_mark mark, GBytes *content)
+{
     g_autoptr(GPtrArray) problems = configuration_problems_new();
-    if (!configuration_parse(text, length, "published", &configuration, problems)) {
+    struct configuration *configuration = parse(content, problems);
+    if (configuration == NULL) {
         g_autofree char *first = configuration_problem_text(g_ptr_array_index(problems, 0));
         refuse(fetch, mark, first);
         fetch->result->unfit = true;
         return;
     }
-    g_autoptr(GBytes) made = NULL;
-    if (difference == NULL && fetch->have != NULL) {
+    struct configuration_difference difference = {0};
+    if (fetch->have != NULL) {
         struct configuration *before = published_configuration_content(fetch->have);
-        g_autoptr(GBytes) patch =
-            configuration_patch_make(configuration_canonical(before), content);
-        made = patch != NULL ? configuration_compress(patch) : NULL;
+        configuration_difference_make(configuration_canonical(before), content, &difference);
     }
     fetch->result->outcome = FETCH_OUTCOME_FOUND;
     fetch->result->published = published_configuration_new(
-        mark.version, configuration, mark_of_have(fetch), difference != NULL ? difference : made);
+        mark.version, configuration, mark_of_have(fetch), fetch->have != NULL ? &difference : NULL);
     configuration_unref(configuration);
 }
 
@@ -80,7 +90,7 @@
     enum platform_result result =
         version_store_get_bundle(fetch->means->store, hash, &content, &error);
     if (result == PLATFORM_RESULT_OK) {
-        take_content(fetch, fetch->result->head, content, NULL);
+        take_content(fetch, fetch->result->head, content);
     } else if (result == PLATFORM_RESULT_REFUSED) {
         refuse(fetch, fetch->result->head, error->message);
     } else {
@@ -122,15 +132,20 @@
 /* The whole content that a reply gives, or NULL. */
 static GBytes *content_of_reply(const struct fetch *fetch, const struct configuration_reply *reply)
 {
-    g_autoptr(GBytes) content = configuration_decompress(reply->content, reply->content_length);
-    if (content == NULL || reply->base_version == 0) {
-        return g_steal_pointer(&content);
+    if (reply->base_version == 0) {
+        return configuration_decompress(reply->content, reply->content_length);
     }
     if (fetch->have == NULL || reply->base_version != mark_of_have(fetch).version) {
         return NULL;
     }
     struct configuration *before = published_configuration_content(fetch->have);
-    return configuration_patch_apply(configuration_canonical(before), content);
+    g_autoptr(GBytes) between = g_bytes_new_static(reply->content, reply->content_length);
+    struct configuration_difference difference = {
+        .keep_start = reply->keep_start,
+        .keep_end = reply->keep_end,
+        .between = between,
+    };
+    return configuration_difference_apply(configuration_canonical(before), &difference);
 }
 
 /* True if a content is what the reply and the order say that it is. */
@@ -157,12 +172,8 @@
         refuse(fetch, told, "the content has another hash");
         return;
     }
-    g_autoptr(GBytes) difference = NULL;
-    if (reply->base_version != 0) {
-        difference = g_bytes_new(reply->content, reply->content_length);
-    }
-    fetch->result->difference = difference != NULL;
-    take_content(fetch, mark, content, difference);
+    fetch->result->difference = reply->base_version != 0;
+    take_content(fetch, mark, content);
 }
 
 /* Puts the question once. `base` is what a difference may start from; version 0: none. */
--- a/src/daemon/configuration_share.c
+++ b/src/daemon/configuration_share.c
@@ -12,8 +12,8 @@
 struct published_configuration {
     struct configuration_mark mark;
     struct configuration *configuration; /* one reference */
-    struct configuration_mark base;
-    GBytes *difference; /* compressed; NULL: none */
+    struct configuration_mark base;      /* of the difference; version 0: there is none */
+    struct configuration_difference difference;
     pthread_mutex_t lock;
     GBytes *whole; /* compressed; made when first asked for, under the lock */
 };
@@ -23,17 +23,20 @@
     struct published_configuration *in_force; /* under the lock; one reference, or NULL */
 };
 
-struct published_configuration *published_configuration_new(uint64_t version,
-                                                            struct configuration *configuration,
-                                                            struct configuration_mark base,
-                                                            GBytes *difference)
+struct published_configuration *
+published_configuration_new(uint64_t version, struct configuration *configuration,
+                            struct configuration_mark base,
+                            struct configuration_difference *difference)
 {
     struct published_configuration *published =
         g_atomic_rc_box_new0(struct published_configuration);
     published->mark = configuration_mark_of(version, configuration_hash(configuration));
     published->configuration = configuration_ref(configuration);
-    published->base = base;
-    published->difference = difference != NULL ? g_bytes_ref(difference) : NULL;
+    if (difference != NULL) {
+        published->base = base;
+        published->difference = *difference;
+        *difference = (struct configuration_difference){0};
+    }
     pthread_mutex_init(&published->lock, NULL);
     return published;
 }
@@ -48,7 +51,7 @@
 {
     struct published_configuration *published = data;
     configuration_unref(published->configuration);
-    g_clear_pointer(&published->difference, g_bytes_unref);
+    configuration_difference_clear(&published->difference);
     g_clear_pointer(&published->whole, g_bytes_unref);
     pthread_mutex_destroy(&published->lock);
 }
@@ -120,12 +123,12 @@
 static bool has_difference_for(const struct published_configuration *published,
                                const struct configuration_request *request)
 {
-    return published->difference != NULL && request->have_version == published->base.version &&
+    return published->base.version != 0 && request->have_version == published->base.version &&
            request->have_hash == published->base.hash;
 }
 
-static void fill_reply(struct published_configuration *published, GBytes *content,
-                       uint64_t base_version, struct configuration_reply *reply)
+static void fill_reply(const struct published_configuration *published, GBytes *content,
+                       struct configuration_reply *reply)
 {
     gsize length = 0;
     const uint8_t *octets = g_bytes_get_data(content, &length);
@@ -134,7 +137,6 @@
     }
     reply->version = published->mark.version;
     reply->hash = g_strdup(configuration_hash(published->configuration));
-    reply->base_version = base_version;
     reply->content = g_memdup2(octets, length);
     reply->content_length = length;
 }
@@ -147,10 +149,17 @@
     if (published == NULL) {
         return;
     }
-    if (published->mark.version >= request->version) {
-        bool difference = has_difference_for(published, request);
-        GBytes *content = difference ? published->difference : whole_content(published);
-        fill_reply(published, content, difference ? published->base.version : 0, reply);
+    if (published->mark.version < request->version) {
+        published_configuration_unref(published);
+        return;
+    }
+    if (has_difference_for(published, request)) {
+        fill_reply(published, published->difference.between, reply);
+        reply->base_version = published->base.version;
+        reply->keep_start = published->difference.keep_start;
+        reply->keep_end = published->difference.keep_end;
+    } else {
+        fill_reply(published, whole_content(published), reply);
     }
     published_configuration_unref(published);
 }
--- a/src/daemon/configuration_share.h
+++ b/src/daemon/configuration_share.h
@@ -7,17 +7,18 @@
 
 #include "configuration/configuration.h"
 #include "core/membership.h"
+#include "daemon/configuration_difference.h"
 #include "generated/messages.h"
 
 /* One published version. Reference counted; immutable but for what it works out when asked. */
 struct published_configuration;
 
-/* Takes a reference of the configuration. `difference` leads from the version `base` here, as
- * configuration_patch_make and configuration_compress give it; NULL if there is none. */
-struct published_configuration *published_configuration_new(uint64_t version,
-                                                            struct configuration *configuration,
-                                                            struct configuration_mark base,
-                                                            GBytes *difference);
+/* Takes a reference of the configuration, and over what `difference` holds: it leads from the
+ * version `base` here; NULL if there is none. */
+struct published_configuration *
+published_configuration_new(uint64_t version, struct configuration *configuration,
+                            struct configuration_mark base,
+                            struct configuration_difference *difference);
 
 /* References, from any thread. NULL may be given back. */
 struct published_configuration *
--- a/tests/daemon/fake_peer.c
+++ b/tests/daemon/fake_peer.c
@@ -37,6 +37,8 @@
     reply->version = answer->version;
     reply->hash = g_strdup(answer->hash);
     reply->base_version = answer->base_version;
+    reply->keep_start = answer->keep_start;
+    reply->keep_end = answer->keep_end;
     reply->content = g_memdup2(octets, length);
     reply->content_length = length;
 }
--- a/tests/daemon/fake_peer.h
+++ b/tests/daemon/fake_peer.h
@@ -18,6 +18,8 @@
     uint64_t version;
     const char *hash; /* as the reply tells it */
     uint64_t base_version;
+    uint32_t keep_start;
+    uint32_t keep_end;
     GBytes *content; /* before compression */
     bool spoilt;     /* not compressed at all */
 };
