--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 test-tsan: | setup-build
 	[ -f build-tsan/build.ninja ] || meson setup build-tsan -Db_sanitize=thread -Db_lundef=false
 	ninja -C build-tsan -j $(JOBS)
-	TSAN_OPTIONS="halt_on_error=1 suppressions=$(CURDIR)/tools/tsan-suppressions.txt" \
+	G_SLICE=always-malloc TSAN_OPTIONS="halt_on_error=1 suppressions=$(CURDIR)/tools/tsan-suppressions.txt" \
 		tools/run-tests.sh build-tsan --timeout-multiplier 8
 
 # Every guarantee with its mechanism off (must fail) and on (must pass), in the simulator.
--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -35,7 +35,9 @@
     options->backoff_max = 1000 * ms;
     options->heal_interval = 200 * ms;
     options->repair_after = 2000 * ms;
-    options->pause_max = 300 * ms;
+    options->pause_first = 75 * ms;
+    options->pause_max = 600 * ms;
+    options->pause_lease = 100 * ms;
     options->pause_poll = 4 * ms;
     options->own_stall_after = 200 * ms;
     options->tick_interval = 100 * ms;
@@ -318,3 +320,10 @@
     control->last_event_at = control->now;
     control->actions = NULL;
 }
+
+void group_control_set_detection(struct group_control *control, time_ns suspect_after,
+                                 time_ns unreachable_after)
+{
+    control->options.suspect_after = suspect_after;
+    control->options.unreachable_after = unreachable_after;
+}
--- a/src/core/group_control.h
+++ b/src/core/group_control.h
@@ -44,7 +44,9 @@
     time_ns backoff_max;
     time_ns heal_interval;     /* a member is told to follow at most this often */
     time_ns repair_after;      /* a stray promise is repaired after this time */
-    time_ns pause_max;         /* a planned change pauses writes at most this long */
+    time_ns pause_first;       /* a planned change pauses writes at most this long at first; */
+    time_ns pause_max;         /* doubled after each aborted change, up to this */
+    time_ns pause_lease;       /* others end the pause when its coordinator is silent so long */
     time_ns pause_poll;        /* probes while writes are paused */
     time_ns own_stall_after;   /* a longer gap between events means that this daemon stood still */
     time_ns tick_interval;     /* the shell feeds a tick at least this often */
@@ -200,6 +202,11 @@
 struct group_control *group_control_new(const struct group_control_options *options, time_ns now);
 void group_control_free(struct group_control *control);
 
+/* Changes the times after which a primary without good probes is suspected and a database avoided,
+ * as the probe interval changes. */
+void group_control_set_detection(struct group_control *control, time_ns suspect_after,
+                                 time_ns unreachable_after);
+
 /* Takes one event and overwrites `actions` with what the shell must do, in order. */
 void group_control_step(struct group_control *control, const struct group_event *event,
                         struct group_actions *actions);
--- a/src/daemon/control_configuration.c
+++ b/src/daemon/control_configuration.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "backend/clock.h"
+#include "daemon/budget_plan.h"
 #include "core/error.h"
 #include "daemon/control_configuration_internal.h"
 
@@ -92,6 +93,17 @@
     }
 }
 
+/* What was accepted comes into force; a database without room for its owners is not served. */
+static void check_budgets(struct control_configuration *self,
+                          const struct configuration *configuration)
+{
+    g_autoptr(GError) error = NULL;
+    uint32_t owners = self->control->daemon->settings.ownership.owners_per_group;
+    if (!budget_plan_check(configuration, owners, &error)) {
+        g_critical("Not served: %s.", error->message);
+    }
+}
+
 static void note_applied(struct control_configuration *self, const struct fetch_result *origin)
 {
     struct configuration *content = published_configuration_content(origin->published);
@@ -111,6 +123,7 @@
     struct configuration *content = published_configuration_content(origin->published);
     struct configuration_mark mark = published_configuration_mark(origin->published);
     check_zone(self, content);
+    check_budgets(self, content);
     daemon_set_configuration(control->daemon, content);
     control_groups_take_successors(control);
     if (control_is_settled(control)) {
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -38,7 +38,9 @@
     struct group_runtime *runtime; /* one reference */
     struct group_control *machine;
     time_ns wake_at;
-    uint64_t ledger_term; /* last term in which the ledger table was asked for */
+    int32_t published_primary; /* last one that request threads were told of, or -1 */
+    uint64_t ledger_term;      /* last term in which the ledger table was asked for */
+    time_ns ledger_expire_at;  /* next removal of old keys */
 };
 
 /* One daemon, as request threads see it. */
@@ -55,7 +57,7 @@
 /* All daemons at a moment. Immutable; replaced under RCU. */
 struct member_table {
     uint32_t count;
-    struct member_entry entries[];
+    struct member_entry entries[]; /* in the order of ids */
 };
 
 /* Owners of one group, by member id. */
@@ -71,6 +73,7 @@
     struct group_owners groups[];
 };
 
+struct control_budget;
 struct control_configuration;
 
 struct control {
@@ -89,10 +92,14 @@
     struct membership *membership; /* NULL until the number of this daemon's zone is known */
     struct membership_actions *actions;
     bool members_changed;
+    uint64_t self_id; /* this daemon's id as a member */
     uint64_t watcher_self;
     bool leaving;                                /* wished for this daemon */
     struct control_configuration *configuration; /* NULL if it is static */
 
+    struct control_budget *budget; /* control thread only */
+    _Atomic uint32_t groups_held;  /* size of `groups` */
+
     struct prober *prober;
     struct journal *journal;      /* the daemon's */
     struct member_table *members; /* RCU */
@@ -115,6 +122,8 @@
 void control_groups_tick(struct control *control, time_ns now);
 time_ns control_groups_next_wakeup(struct control *control);
 bool control_groups_runs(struct control *control, uint32_t group);
+/* The run time of a group that runs here, or NULL. */
+struct group_runtime *control_groups_runtime(struct control *control, uint32_t group);
 void control_groups_begin(struct control *control, uint32_t group);
 void control_groups_end(struct control *control, uint32_t id);
 /* Takes on the successors of run times that a new configuration replaced. */
@@ -123,6 +132,11 @@
 void control_groups_set_watchers(struct control *control, time_ns now);
 
 /* Members: control_members.c. */
+/* The entry of a member, or NULL. Any thread, in a read-side section. */
+const struct member_entry *control_find_member(const struct member_table *table, uint64_t id);
+/* Sends one datagram to another daemon, best effort, and counts it. Control thread only. */
+void control_send(struct control *control, const struct sockaddr_in *to,
+                  const struct message *message);
 bool control_members_start(struct control *control, GError **error);
 /* Joins the other daemons, in the zone that is known by now. */
 void control_members_join(struct control *control);
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -11,6 +11,7 @@
 #include "core/error.h"
 #include "core/route.h"
 #include "daemon/admin_api.h"
+#include "daemon/budget_plan.h"
 #include "daemon/configuration_share.h"
 #include "daemon/control.h"
 #include "daemon/daemon_metrics.h"
@@ -90,6 +91,7 @@
         .zone_name = daemon->settings.daemon.zone,
         .evidence = daemon->evidence,
         .owner_count = daemon->settings.ownership.owners_per_group,
+        .handover_time = daemon->settings.ownership.handover_max_ms * NANOSECONDS_PER_MILLISECOND,
         .queue_limit = daemon->settings.routing.queue_limit,
         .open_rate_per_second = daemon->settings.backend.open_rate_per_second,
     };
@@ -323,6 +325,11 @@
         configuration_unref(configuration);
         return false;
     }
+    if (!budget_plan_check(configuration, daemon->settings.ownership.owners_per_group, error)) {
+        g_prefix_error(error, "%s: ", path);
+        configuration_unref(configuration);
+        return false;
+    }
     if (zone->id >= MEMBERSHIP_ZONES_MAX) {
         g_set_error(error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION,
                     "%s: zone \"%s\" has an id above %d, which gossip can't carry", path,
@@ -466,10 +473,19 @@
     g_free(daemon);
 }
 
+/* Serves on until the groups are with their new owners. */
+static void hand_over_groups(struct daemon *daemon, time_ns deadline)
+{
+    control_set_leaving(daemon->control, true);
+    while (control_holds_groups(daemon->control) && backend_now() < deadline) {
+        g_usleep(STOP_POLL_US);
+    }
+}
+
 uint32_t daemon_stop(struct daemon *daemon, time_ns deadline)
 {
     if (daemon->control != NULL) {
-        control_set_leaving(daemon->control, true);
+        hand_over_groups(daemon, deadline);
     }
     atomic_store(&daemon->stopping, true);
     if (daemon->frontend != NULL) {
