Judge monotonic reads by what a majority held when it was read

The rule judged by hindsight: a write that no majority held when it was read could reach the final log later, and its absence from a read in between was counted. Now what a majority held at a read must be in every later read of the session and in the final log; reads that take back anything else are counted apart. Loss and stalls of the network end with the other faults, so that a run is not judged in the middle of a failover that they caused.

--- a/src/sim/checker.h
+++ b/src/sim/checker.h
@@ -9,7 +9,9 @@
 enum checker_rule {
     CHECKER_RULE_ACKNOWLEDGED_LOST, /* a write told done is not in the final log */
     CHECKER_RULE_READ_OWN_WRITES,   /* a read missed an acknowledged write of its session */
-    CHECKER_RULE_MONOTONIC_READS,   /* a read missed what an earlier read of its session saw */
+    CHECKER_RULE_MONOTONIC_READS,   /* a read missed what an earlier read of its session saw and a
+                                       majority held then */
+    CHECKER_RULE_DURABLE_LOST,      /* what a majority held at a read is not in the final log */
     CHECKER_RULE_AT_MOST_ONCE,      /* a write stands in the final log more than once */
     CHECKER_RULE_NOT_RUN,           /* a write told not run stands in the final log */
     CHECKER_RULE_KEY_REUSED,        /* a key was accepted with another body */
@@ -33,7 +35,8 @@
     uint64_t writes_unknown;
     uint64_t reads_done;
     uint64_t reads_by_replica;
-    uint64_t reads_of_lost_data; /* a read saw a write, never acknowledged, that was lost later */
+    uint64_t reads_taken_back; /* a read missed a write that an earlier one saw, but that no
+                                  majority held at that time: it was never acknowledged */
 };
 
 /* Judges a finished run. Clear the result with checker_result_clear(). */
--- a/src/sim/sim_client.c
+++ b/src/sim/sim_client.c
@@ -254,6 +254,7 @@
     attempt->error = reply->error;
     attempt->answered_id = reply->answered_id;
     attempt->seen = reply->seen;
+    attempt->durable = reply->durable;
     attempt->by_replica = reply->by_replica;
     if (reply->outcome == OUTCOME_DONE) {
         remember_session(client, reply->session);
--- a/src/sim/sim_daemon.h
+++ b/src/sim/sim_daemon.h
@@ -29,6 +29,7 @@
     struct log_position session;
     uint64_t answered_id; /* request the data belongs to */
     struct sim_entry *seen;
+    struct sim_entry *durable; /* the part of it that a majority held then */
     bool by_replica;
 };
 
@@ -58,6 +59,7 @@
     uint64_t sent_term;   /* of the view when the statement was sent */
     uint64_t answered_id; /* request the accepted answer belongs to */
     struct sim_entry *seen;
+    struct sim_entry *durable; /* the part of it that a majority held then */
 };
 
 /* Outstanding command of the control. */
--- a/src/sim/sim_database.c
+++ b/src/sim/sim_database.c
@@ -2,8 +2,11 @@
  * sim_replication.c. */
 #include "sim/sim_database.h"
 
+#include <stdlib.h>
 #include <string.h>
 
+#include "core/acknowledge.h"
+
 #include "sim/sim_replication.h"
 
 void sim_database_init(struct sim_database *database, struct sim_network *network, uint32_t index,
@@ -227,9 +230,36 @@
     reply(database, request, &answer);
 }
 
+static gint compare_offsets(gconstpointer first, gconstpointer second)
+{
+    const uint64_t *a = first;
+    const uint64_t *b = second;
+
+    return *a > *b ? -1 : *a < *b;
+}
+
+/* The last entry of a log that a majority of the group holds at this moment. The databases don't
+ * know it: it serves the checker. */
+static struct sim_entry *durable_part(const struct sim_database *database, struct sim_entry *log)
+{
+    uint64_t shared[GROUP_DATABASES_MAX];
+
+    for (uint32_t i = 0; i < database->peer_count; i++) {
+        const struct sim_entry *common = sim_entry_common(log, database->peers[i]->head);
+
+        shared[i] = sim_entry_position(common).offset;
+    }
+    qsort(shared, database->peer_count, sizeof(shared[0]), compare_offsets);
+    return sim_entry_up_to(log, shared[majority_of(database->peer_count) - 1]);
+}
+
 static void answer_read(struct sim_database *database, const struct sim_database_request *request)
 {
-    struct sim_database_reply answer = {.result = SIM_RESULT_OK, .seen = database->applied};
+    struct sim_database_reply answer = {
+        .result = SIM_RESULT_OK,
+        .seen = database->applied,
+        .durable = durable_part(database, database->applied),
+    };
 
     reply(database, request, &answer);
 }
--- a/src/sim/sim_database.h
+++ b/src/sim/sim_database.h
@@ -65,6 +65,7 @@
     struct database_status status;
     struct log_position position; /* of a commit, or of a ledger row or after it */
     struct sim_entry *seen;       /* READ: last entry visible to it */
+    struct sim_entry *durable;    /* READ: the last of these that a majority held then */
 };
 
 struct sim_database {
--- a/src/sim/sim_entry.c
+++ b/src/sim/sim_entry.c
@@ -46,7 +46,7 @@
     return entry == NULL ? none : entry->position;
 }
 
-static const struct sim_entry *ancestor_at(const struct sim_entry *log, uint64_t offset)
+struct sim_entry *sim_entry_up_to(struct sim_entry *log, uint64_t offset)
 {
     while (log != NULL && log->position.offset > offset) {
         if (log->jump != NULL && log->jump->position.offset >= offset) {
@@ -60,7 +60,8 @@
 
 bool sim_entry_contains(const struct sim_entry *log, const struct sim_entry *entry)
 {
-    return ancestor_at(log, entry->position.offset) == entry;
+    /* The log is not changed: the search returns one of its entries. */
+    return sim_entry_up_to((struct sim_entry *)log, entry->position.offset) == entry;
 }
 
 struct sim_entry *sim_entry_common(struct sim_entry *first, struct sim_entry *second)
--- a/src/sim/sim_entry.h
+++ b/src/sim/sim_entry.h
@@ -42,6 +42,9 @@
 /* True if the log that ends in `log` (may be NULL) has `entry`. */
 bool sim_entry_contains(const struct sim_entry *log, const struct sim_entry *entry);
 
+/* The last entry of the log up to an offset, or NULL. */
+struct sim_entry *sim_entry_up_to(struct sim_entry *log, uint64_t offset);
+
 /* The last entry that both logs have, or NULL. */
 struct sim_entry *sim_entry_common(struct sim_entry *first, struct sim_entry *second);
 
--- a/src/sim/sim_fault.c
+++ b/src/sim/sim_fault.c
@@ -327,6 +327,8 @@
 
 void sim_fault_heal(struct sim_run *run)
 {
+    run->network.options.datagram_loss = 0;
+    run->network.options.stream_stall = 0;
     for (uint32_t from = 0; from < SIM_ZONES_MAX; from++) {
         for (uint32_t to = 0; to < SIM_ZONES_MAX; to++) {
             run->network.cut_until[from][to] = 0;
--- a/src/sim/sim_history.h
+++ b/src/sim/sim_history.h
@@ -29,9 +29,10 @@
     enum sim_attempt_state state;
     enum outcome outcome;
     enum error_kind error;
-    uint64_t answered_id;   /* request the answer's data belongs to */
-    struct sim_entry *seen; /* of a read */
-    bool by_replica;        /* a read that a replica answered */
+    uint64_t answered_id;      /* request the answer's data belongs to */
+    struct sim_entry *seen;    /* of a read */
+    struct sim_entry *durable; /* the part of it that a majority held then */
+    bool by_replica;           /* a read that a replica answered */
 };
 
 /* One journal entry of a daemon. */
--- a/src/sim/sim_request.c
+++ b/src/sim/sim_request.c
@@ -131,6 +131,7 @@
         struct read_event event = {.kind = READ_EVENT_ANSWERED, .status = reply->status};
 
         flow->seen = reply->seen;
+        flow->durable = reply->durable;
         drive_read(flow, &event);
         return;
     }
@@ -360,6 +361,7 @@
         .session = step->seen,
         .answered_id = flow->answered_id,
         .seen = flow->seen,
+        .durable = flow->durable,
         .by_replica = step->database != flow->daemon->view.primary,
     };
 
--- a/src/sim/sim_run.h
+++ b/src/sim/sim_run.h
@@ -57,6 +57,7 @@
     uint32_t faults_fired;                /* bit per fault that an event set off */
     uint32_t fault_skips[SIM_FAULTS_MAX]; /* such events that still pass first */
     FILE *trace;                          /* of the core's events; NULL if not wanted */
+    time_ns trace_until;                  /* nothing later is recorded */
 };
 
 /* Builds the world, runs the scenario to its end, heals everything and lets the group settle. */
