Keep traces of found failures and of proofs, each with its stated outcomes

A watcher that learns of a newer primary looks at the other members before it tells them to follow: their status from before made it repeat what the coordinator had just done.

--- a/src/core/group_control_heal.c
+++ b/src/core/group_control_heal.c
@@ -13,6 +13,10 @@
     if (member->status.promised_term > control->known_term) {
         return false;
     }
+    /* Who promoted the primary told the others to follow it: look at them before telling again. */
+    if (member->observed_at < control->learned_at) {
+        return false;
+    }
     return member->status.role != DATABASE_ROLE_REPLICA ||
            member->status.term < control->known_term;
 }
--- a/src/core/group_control_internal.h
+++ b/src/core/group_control_internal.h
@@ -107,7 +107,8 @@
 
     uint64_t known_term; /* highest term with a known primary */
     int32_t known_primary;
-    time_ns led_at; /* when it was last seen to lead, moved forward by own stalls */
+    time_ns learned_at; /* when it became known */
+    time_ns led_at;     /* when it was last seen to lead, moved forward by own stalls */
     uint64_t promised_max;
     uint64_t promised_seen; /* promised_max when the start of an attempt was last considered */
     uint64_t proposed_max;  /* terms this watcher has tried: never tried again */
--- a/src/core/group_control_observe.c
+++ b/src/core/group_control_observe.c
@@ -88,6 +88,7 @@
 {
     control->known_term = term;
     control->known_primary = (int32_t)database;
+    control->learned_at = control->now;
     control->led_at = control->now;
     control->publish_due = true;
     control->opinion_due = true;
--- a/src/sim/replay.c
+++ b/src/sim/replay.c
@@ -3,8 +3,11 @@
 
 #include <inttypes.h>
 #include <stdarg.h>
+#include <stddef.h>
 
 #include "core/acknowledge.h"
+#include "core/error.h"
+#include "generated/errors.h"
 #include "sim/replay_outcome.h"
 #include "sim/trace_file.h"
 
@@ -34,9 +37,23 @@
     time_ns now;
     bool dump;
     FILE *output;
+    const struct mutation_switch *mutation; /* or NULL */
     int failures;
 };
 
+/* A test-only switch of the core's options. */
+struct mutation_switch {
+    const char *name;
+    size_t option;
+};
+
+static const struct mutation_switch MUTATIONS[] = {
+    {"single_watcher_deposes", offsetof(struct group_control_options, single_watcher_deposes)},
+    {"no_fence", offsetof(struct group_control_options, no_fence)},
+    {"ignore_leaving", offsetof(struct group_control_options, ignore_leaving)},
+    {"no_pause", offsetof(struct group_control_options, no_pause)},
+};
+
 static void free_daemon(gpointer data)
 {
     struct replay_daemon *daemon = data;
@@ -71,6 +88,9 @@
     struct group_control_options options;
 
     trace_options_of(&record->start, &options);
+    if (replay->mutation != NULL) {
+        *(bool *)((char *)&options + replay->mutation->option) = true;
+    }
     daemon->index = record->daemon;
     daemon->database_count = options.database_count;
     daemon->control = group_control_new(&options, record->at);
@@ -272,14 +292,29 @@
     check_counts(replay);
 }
 
-int replay_file(const char *path, const char *outcomes_path, bool dump, FILE *output,
+static bool find_mutation(struct replay *replay, const char *name, GError **error)
+{
+    if (name == NULL) {
+        return true;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(MUTATIONS); i++) {
+        if (g_str_equal(name, MUTATIONS[i].name)) {
+            replay->mutation = &MUTATIONS[i];
+            return true;
+        }
+    }
+    g_set_error(error, SW_ERROR, ERROR_KIND_BAD_REQUEST, "unknown mutation %s", name);
+    return false;
+}
+
+int replay_file(const char *path, const char *outcomes_path, const struct replay_options *options,
                 GError **error)
 {
     g_autoptr(GPtrArray) records = trace_read(path, error);
     g_autoptr(GPtrArray) outcomes = NULL;
-    struct replay replay = {.dump = dump, .output = output};
+    struct replay replay = {.dump = options->dump, .output = options->output};
 
-    if (records == NULL) {
+    if (records == NULL || !find_mutation(&replay, options->mutation, error)) {
         return -1;
     }
     outcomes = replay_outcomes_load(outcomes_path, error);
--- a/src/sim/replay.h
+++ b/src/sim/replay.h
@@ -13,10 +13,16 @@
 #include <stdbool.h>
 #include <stdio.h>
 
-/* Replays the trace at `path` against the outcomes at `outcomes_path`. Failures are printed to
- * `output`; with `dump`, every event and action as well. Returns the number of failures, or -1 with
- * an error if a file is not valid. */
-int replay_file(const char *path, const char *outcomes_path, bool dump, FILE *output,
+/* How to replay. */
+struct replay_options {
+    bool dump;            /* print every event and action */
+    const char *mutation; /* TEST ONLY: switch of the core's options to turn on, by name; or NULL */
+    FILE *output;         /* failures are printed here, and the dump */
+};
+
+/* Replays the trace at `path` against the outcomes at `outcomes_path`. Returns the number of
+ * failures, or -1 with an error if a file or the mutation's name is not valid. */
+int replay_file(const char *path, const char *outcomes_path, const struct replay_options *options,
                 GError **error);
 
 #endif
--- a/src/sim/swiftreplay.c
+++ b/src/sim/swiftreplay.c
@@ -5,7 +5,7 @@
 #include "sim/replay.h"
 
 /* Replays one trace; its outcomes stand beside it in a file with the ending .outcome. */
-static bool replay_one(const char *path, gboolean dump)
+static bool replay_one(const char *path, const struct replay_options *options)
 {
     g_autoptr(GString) outcomes = g_string_new(path);
     g_autoptr(GError) error = NULL;
@@ -15,7 +15,7 @@
         g_string_truncate(outcomes, outcomes->len - sizeof(".trace") + 1);
     }
     g_string_append(outcomes, ".outcome");
-    failures = replay_file(path, outcomes->str, dump, stdout, &error);
+    failures = replay_file(path, outcomes->str, options, &error);
     if (failures < 0) {
         fprintf(stderr, "swiftreplay: %s: %s\n", path, error->message);
         return false;
@@ -27,8 +27,11 @@
 int main(int argc, char **argv)
 {
     gboolean dump = FALSE;
+    g_autofree char *mutation = NULL;
     const GOptionEntry entries[] = {
         {"dump", 0, 0, G_OPTION_ARG_NONE, &dump, "Print every event and action", NULL},
+        {"mutation", 0, 0, G_OPTION_ARG_STRING, &mutation,
+         "Mechanism of the core to turn off, to see the outcomes fail", "M"},
         G_OPTION_ENTRY_NULL,
     };
     g_autoptr(GOptionContext) context = g_option_context_new("TRACE...");
@@ -45,8 +48,9 @@
         fprintf(stderr, "swiftreplay: a trace is needed\n");
         return 2;
     }
+    struct replay_options options = {.dump = dump, .mutation = mutation, .output = stdout};
     for (int i = 1; i < argc; i++) {
-        failed += replay_one(argv[i], dump) ? 0 : 1;
+        failed += replay_one(argv[i], &options) ? 0 : 1;
     }
     return failed == 0 ? 0 : 1;
 }
--- a/tests/core/group_control_test.c
+++ b/tests/core/group_control_test.c
@@ -474,7 +474,11 @@
     group_control_free(rig.control);
     rig.control = group_control_new(&rig.options, rig.now);
     set_watchers(&rig, 3);
+    probe(&rig, 2);
     probe(&rig, 0);
+    /* What was seen before the primary was known tells nothing: it may have been told since. */
+    g_assert_null(find_for(&rig, GROUP_ACTION_FOLLOW, 2));
+    rig.now += 10 * MS;
     probe(&rig, 2);
     const struct group_action *action = find_for(&rig, GROUP_ACTION_FOLLOW, 2);
     g_assert_nonnull(action);
--- /dev/null
+++ b/tests/sim/trace_replay_test.c
@@ -0,0 +1,85 @@
+/* Every kept trace holds, and fails with the mechanism off that it proves. */
+#include "sim/replay.h"
+
+struct proof {
+    const char *trace;
+    const char *mutation; /* NULL: the trace must hold */
+};
+
+static int replay(const struct proof *proof)
+{
+    g_autofree char *trace = g_strconcat(proof->trace, ".trace", NULL);
+    g_autofree char *outcome = g_strconcat(proof->trace, ".outcome", NULL);
+    g_autofree char *path = g_test_build_filename(G_TEST_DIST, "..", "traces", trace, NULL);
+    g_autofree char *outcome_path =
+        g_test_build_filename(G_TEST_DIST, "..", "traces", outcome, NULL);
+    struct replay_options options = {.mutation = proof->mutation, .output = stderr};
+    g_autoptr(GError) error = NULL;
+    int failures = replay_file(path, outcome_path, &options, &error);
+
+    g_assert_no_error(error);
+    return failures;
+}
+
+static void test_holds(gconstpointer proof)
+{
+    g_assert_cmpint(replay(proof), ==, 0);
+}
+
+static void test_fails(gconstpointer proof)
+{
+    g_assert_cmpint(replay(proof), >, 0);
+}
+
+/* No trace is left out by mistake. */
+static void test_all_listed(gconstpointer data)
+{
+    const struct proof *proofs = data;
+    g_autofree char *directory = g_test_build_filename(G_TEST_DIST, "..", "traces", NULL);
+    g_autoptr(GError) error = NULL;
+    g_autoptr(GDir) listing = g_dir_open(directory, 0, &error);
+    const char *name;
+
+    g_assert_no_error(error);
+    while ((name = g_dir_read_name(listing)) != NULL) {
+        bool listed = !g_str_has_suffix(name, ".trace");
+
+        for (const struct proof *proof = proofs; proof->trace != NULL; proof++) {
+            g_autofree char *file = g_strconcat(proof->trace, ".trace", NULL);
+
+            listed = listed || (proof->mutation == NULL && g_str_equal(file, name));
+        }
+        g_assert_true(listed);
+    }
+}
+
+int main(int argc, char **argv)
+{
+    static const struct proof PROOFS[] = {
+        {"coordinator_paused", NULL},
+        {"coordinator_paused", "no_fence"},
+        {"drain_beside_dead_watcher", NULL},
+        {"drain_primary", NULL},
+        {"drain_primary", "no_pause"},
+        {"drain_primary", "ignore_leaving"},
+        {"failover_during_failover", NULL},
+        {"failover_during_failover", "no_fence"},
+        {"pair_cut", NULL},
+        {"pair_cut", "single_watcher_deposes"},
+        {"two_coordinators", NULL},
+        {"two_coordinators", "no_fence"},
+        {"wake_at_once", NULL},
+        {"watchers_paused_and_cut", NULL},
+        {NULL, NULL},
+    };
+
+    g_test_init(&argc, &argv, NULL);
+    for (const struct proof *proof = PROOFS; proof->trace != NULL; proof++) {
+        const char *mutation = proof->mutation == NULL ? "holds" : proof->mutation;
+        g_autofree char *path = g_strjoin("/", "/trace", proof->trace, mutation, NULL);
+
+        g_test_add_data_func(path, proof, proof->mutation == NULL ? test_holds : test_fails);
+    }
+    g_test_add_data_func("/trace/all_listed", PROOFS, test_all_listed);
+    return g_test_run();
+}
