--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -249,6 +249,7 @@
         return;
     }
     control->members[database].wish = wish;
+    control->members[database].wished_at = control->now;
     control->members[database].heal_after = 0;
     control->change.not_before = 0;
     control->change.blocked_recorded = false;
@@ -319,3 +320,10 @@
     control->last_event_at = control->now;
     control->actions = NULL;
 }
+
+void group_control_set_detection(struct group_control *control, time_ns suspect_after,
+                                 time_ns unreachable_after)
+{
+    control->options.suspect_after = suspect_after;
+    control->options.unreachable_after = unreachable_after;
+}
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -6,11 +6,16 @@
 
 #include "backend/adapter.h"
 #include "backend/clock.h"
+#include "core/route.h"
 #include "daemon/control_internal.h"
+#include "daemon/control_budget.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_metrics.h"
+#include "daemon/ledger_upkeep.h"
 #include "daemon/task.h"
-#include "wire/datagram.h"
+
+/* Probe intervals without a good probe before a primary is suspected, at least. */
+#define PROBES_BEFORE_SUSPICION 4
 
 /* A fence, promotion or follow without an answer for so long is lost. */
 #define COMMAND_TIMEOUT_MS 300
@@ -21,52 +26,48 @@
 /* Opening a control connection may take so long. */
 #define OPEN_TIMEOUT_MS 500
 
-/* How long the creation of a ledger table may take. */
-#define LEDGER_TIMEOUT_MS 2000
+/* Between two removals of old keys from a group's ledger. */
+#define LEDGER_EXPIRE_INTERVAL_MS 60000
 
-/* Makes sure of a group's ledger table ahead of the writes that need it, on a worker. */
-struct ledger_job {
-    struct worker_job job;
-    struct group_runtime *group;
-    int32_t primary;
-    uint64_t term;
-};
+static void make_sure_of_ledger(struct controlled_group *group, const struct group_view *view)
+{
+    if (group->ledger_term == view->term || view->primary < 0) {
+        return;
+    }
+    group->ledger_term = view->term;
+    ledger_upkeep_create(group->control->daemon->workers, group->runtime, view);
+}
 
-static void create_ledger(struct worker_job *job)
-{
-    struct ledger_job *ledger = (struct ledger_job *)job;
-    struct pool *pool = ledger->group->databases[ledger->primary].pool;
-    time_ns deadline = backend_now() + LEDGER_TIMEOUT_MS * NANOSECONDS_PER_MILLISECOND;
-    struct backend_connection *connection = pool_acquire(pool, deadline, NULL);
-    if (connection != NULL) {
-        struct execute_answer answer;
-        execute_answer_init(&answer);
-        enum execute_result result = adapter_create_ledger(connection, deadline, &answer);
-        if (result == EXECUTE_DONE) {
-            atomic_store(&ledger->group->ledger_term, ledger->term);
-        } else {
-            g_info("Ledger of group %u not made: %s.", ledger->group->group->id,
-                   execute_result_name(result));
+/* Longest time that a tenant of the group wants keys remembered, in days. */
+static uint32_t days_to_remember(struct daemon *daemon, uint32_t group)
+{
+    uint32_t days = 0;
+    struct configuration *configuration = daemon_take_configuration(daemon);
+    for (guint i = 0; configuration != NULL && i < configuration->tenants->len; i++) {
+        const struct tenant_route *route = g_ptr_array_index(configuration->tenants, i);
+        if (route->group == group) {
+            days = MAX(days, route->idempotency_days);
         }
-        execute_answer_clear(&answer);
-        pool_release(pool, connection, backend_connection_is_clean(connection));
     }
-    group_runtime_unref(ledger->group);
-    g_free(ledger);
+    configuration_unref(configuration);
+    return days;
 }
 
-static void make_sure_of_ledger(struct controlled_group *group, const struct group_view *view)
+/* Ends old keys now and then, at one owner of the group. A key lives as long as the group's longest
+ * bound: longer than its tenant asked for, never shorter. */
+static void expire_ledger(struct controlled_group *group, time_ns now)
 {
-    if (group->ledger_term == view->term || view->primary < 0) {
+    struct daemon *daemon = group->control->daemon;
+    bool first = ownership_position(group->control->ownership, group->id) == 0;
+    if (!first || now < group->ledger_expire_at) {
         return;
     }
-    group->ledger_term = view->term;
-    struct ledger_job *ledger = g_new0(struct ledger_job, 1);
-    ledger->job.run = create_ledger;
-    ledger->group = group_runtime_ref(group->runtime);
-    ledger->primary = view->primary;
-    ledger->term = view->term;
-    worker_pool_resume(group->control->daemon->workers, &ledger->job);
+    group->ledger_expire_at = now + LEDGER_EXPIRE_INTERVAL_MS * NANOSECONDS_PER_MILLISECOND;
+    const struct group_view *view = group_control_view(group->machine);
+    uint32_t days = days_to_remember(daemon, group->id);
+    if (days > 0 && route_write(view).database >= 0) {
+        ledger_upkeep_expire(daemon->workers, group->runtime, view, days);
+    }
 }
 
 static struct controlled_group *find_group(struct control *control, uint32_t id)
@@ -80,14 +81,14 @@
     uint64_t id; /* of the core's action */
 };
 
-/* Called on the prober's thread. */
-static void on_command_done(void *user, uint32_t group, uint32_t database,
+/* Called on the prober's thread, which knows groups by the number of their run time. */
+static void on_command_done(void *user, uint32_t runtime, uint32_t database,
                             const struct channel_reply *reply)
 {
     struct pending_command *pending = user;
     struct control_event event = {
-        .kind = CONTROL_EVENT_GROUP,
-        .group = group,
+        .kind = CONTROL_EVENT_RUNTIME,
+        .runtime = runtime,
         .event = {.kind = GROUP_EVENT_COMMAND,
                   .now = reply->received_at,
                   .database = database,
@@ -110,12 +111,12 @@
 }
 
 /* Called on the prober's thread. */
-static void on_status(void *user, uint32_t group, uint32_t database, bool reachable,
+static void on_status(void *user, uint32_t runtime, uint32_t database, bool reachable,
                       const struct database_status *status, uint32_t round_trip_us, time_ns at)
 {
     struct control_event event = {
-        .kind = CONTROL_EVENT_GROUP,
-        .group = group,
+        .kind = CONTROL_EVENT_RUNTIME,
+        .runtime = runtime,
         .event = {.kind = GROUP_EVENT_PROBE,
                   .now = at,
                   .database = database,
@@ -150,7 +151,7 @@
     pending->control = group->control;
     pending->id = action->command;
     time_ns deadline = backend_now() + COMMAND_TIMEOUT_MS * NANOSECONDS_PER_MILLISECOND;
-    prober_submit(group->control->prober, group->id, action->database, &call, deadline,
+    prober_submit(group->control->prober, group->runtime->number, action->database, &call, deadline,
                   on_command_done, pending);
 }
 
@@ -176,7 +177,7 @@
     control_ownership_entries(group->control, group->id, owners, &count);
     for (uint32_t i = 0; i < count; i++) {
         if (!owners[i].self) {
-            wire_datagram_send(group->control->socket, &owners[i].address, &message, NULL);
+            control_send(group->control, &owners[i].address, &message);
         }
     }
     message_clear(&message);
@@ -186,11 +187,15 @@
 {
     const struct group_view *view = group_control_view(group->machine);
     for (uint32_t i = 0; i < view->database_count; i++) {
-        pool_set_reachable(group->runtime->databases[i].pool, view->databases[i].reachable);
+        /* Of a database not probed yet nothing is known: its pool may be a predecessor's, in use.
+         */
+        if (view->databases[i].observed_at > 0 || view->databases[i].reachable) {
+            pool_set_reachable(group->runtime->databases[i].pool, view->databases[i].reachable);
+        }
     }
     group_runtime_publish(group->runtime, view, change);
     daemon_metrics_group_writable(group->control->daemon->metrics, group->id,
-                                  view->primary >= 0 && !view->writes_paused, backend_now());
+                                  route_write(view).database >= 0, backend_now());
     worker_pool_wake(group->control->daemon->workers);
     make_sure_of_ledger(group, view);
 }
@@ -212,7 +217,7 @@
 {
     switch (action->kind) {
     case GROUP_ACTION_PROBE:
-        prober_probe_now(group->control->prober, group->id, action->database);
+        prober_probe_now(group->control->prober, group->runtime->number, action->database);
         break;
     case GROUP_ACTION_FENCE:
         submit_command(group, action, ADAPTER_COMMAND_FENCE);
@@ -248,9 +253,8 @@
     }
 }
 
-void control_groups_feed(struct control *control, uint32_t id, const struct group_event *event)
+static void feed(struct controlled_group *group, const struct group_event *event)
 {
-    struct controlled_group *group = find_group(control, id);
     if (group == NULL) {
         return;
     }
@@ -259,6 +263,17 @@
     step(group, &current);
 }
 
+void control_groups_feed(struct control *control, uint32_t id, const struct group_event *event)
+{
+    feed(find_group(control, id), event);
+}
+
+void control_groups_feed_runtime(struct control *control, uint32_t runtime,
+                                 const struct group_event *event)
+{
+    feed(g_hash_table_lookup(control->runtimes, GUINT_TO_POINTER(runtime)), event);
+}
+
 void control_groups_tick(struct control *control, time_ns now)
 {
     GHashTableIter iterator;
@@ -267,6 +282,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct controlled_group *group = value;
         task_expire_queued(control->daemon, group->runtime, now);
+        expire_ledger(group, now);
         if (now >= group->wake_at) {
             struct group_event tick = {.kind = GROUP_EVENT_TICK, .now = now};
             step(group, &tick);
@@ -312,16 +328,16 @@
     time_ns last = atomic_load(probed_at);
     bool due = now >= last + PROBE_NOW_INTERVAL_MS * NANOSECONDS_PER_MILLISECOND;
     if (due && atomic_compare_exchange_strong(probed_at, &last, now)) {
-        prober_probe_now(control->prober, group->group->id, database);
+        prober_probe_now(control->prober, group->number, database);
     }
 }
 
 /* Called under the group's writes lock, on any thread. */
-static void on_drained(void *user, uint32_t group, uint64_t change)
+static void on_drained(void *user, uint32_t runtime, uint64_t change)
 {
     struct control_event event = {
-        .kind = CONTROL_EVENT_GROUP,
-        .group = group,
+        .kind = CONTROL_EVENT_RUNTIME,
+        .runtime = runtime,
         .event = {.kind = GROUP_EVENT_WRITES_DRAINED, .now = backend_now(), .change = change},
     };
     control_post(user, &event);
@@ -341,7 +357,7 @@
             .user = "swiftworks",
             .application_name = application,
         };
-        prober_add(control->prober, group->id, i, &connection);
+        prober_add(control->prober, group->runtime->number, i, &connection);
     }
 }
 
@@ -368,6 +384,7 @@
     runtime->on_drained_user = control;
     group->machine = group_control_new(&options, backend_now());
     g_hash_table_insert(control->groups, GUINT_TO_POINTER(group->id), group);
+    g_hash_table_insert(control->runtimes, GUINT_TO_POINTER(runtime->number), group);
     add_probes(control, group);
 }
 
@@ -390,34 +407,106 @@
         .user = control,
     };
     control->groups = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_group);
+    control->runtimes = g_hash_table_new(g_direct_hash, g_direct_equal);
     control->prober = prober_new(&options);
 }
 
+/* Spreads the probes that this daemon may make over the databases it watches: a daemon that owns
+ * many groups probes each more rarely, and waits longer before it suspects a primary. */
+static void pace_probes(struct control *control)
+{
+    const struct settings *settings = &control->daemon->settings;
+    uint32_t databases = 0;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        databases += ((struct controlled_group *)value)->runtime->database_count;
+    }
+    uint32_t spread_ms = databases * 1000 / settings->backend.probes_per_second;
+    uint32_t interval_ms = MAX(settings->backend.probe_interval_ms, spread_ms);
+    uint32_t suspect_ms =
+        MAX(settings->failover.suspect_after_ms, interval_ms * PROBES_BEFORE_SUSPICION);
+    prober_set_interval(control->prober, interval_ms);
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        time_ns after = suspect_ms * NANOSECONDS_PER_MILLISECOND;
+        group_control_set_detection(((struct controlled_group *)value)->machine, after, after);
+    }
+}
+
 bool control_groups_runs(struct control *control, uint32_t group)
 {
     return find_group(control, group) != NULL;
 }
 
+struct group_runtime *control_groups_runtime(struct control *control, uint32_t group)
+{
+    struct controlled_group *found = find_group(control, group);
+    return found != NULL ? found->runtime : NULL;
+}
+
 void control_groups_begin(struct control *control, uint32_t group)
 {
     struct group_runtime *runtime = daemon_begin_group(control->daemon, group);
     if (runtime != NULL) {
         start_group(control, runtime);
+        pace_probes(control);
+        atomic_store(&control->groups_held, g_hash_table_size(control->groups));
     }
 }
 
-void control_groups_end(struct control *control, uint32_t id)
+/* Ends the control of a group's run time: its view stays as it is for what is in flight. */
+static void release_runtime(struct control *control, struct controlled_group *group)
 {
-    struct controlled_group *group = find_group(control, id);
+    uint32_t number = group->runtime->number;
+    struct group_view last;
     for (uint32_t i = 0; i < group->runtime->database_count; i++) {
-        prober_remove(control->prober, id, i);
+        prober_remove(control->prober, number, i);
     }
+    group_runtime_read_view(group->runtime, &last);
+    group_runtime_publish(group->runtime, &last, 0);
+    g_hash_table_remove(control->runtimes, GUINT_TO_POINTER(number));
+    g_hash_table_remove(control->groups, GUINT_TO_POINTER(group->id));
+}
+
+void control_groups_end(struct control *control, uint32_t id)
+{
+    release_runtime(control, find_group(control, id));
     daemon_end_group(control->daemon, id);
-    g_hash_table_remove(control->groups, GUINT_TO_POINTER(id));
+    pace_probes(control);
+    atomic_store(&control->groups_held, g_hash_table_size(control->groups));
+}
+
+/* The group's run time in the routing table, with one reference, if it is another than the one that
+ * is controlled; else NULL. */
+static struct group_runtime *take_successor(struct control *control,
+                                            const struct controlled_group *group)
+{
+    struct group_runtime *runtime = daemon_take_group(control->daemon, group->id);
+    if (runtime == group->runtime) {
+        group_runtime_unref(runtime);
+        return NULL;
+    }
+    return runtime;
+}
+
+void control_groups_take_successors(struct control *control)
+{
+    g_autoptr(GList) groups = g_hash_table_get_values(control->groups);
+    for (GList *link = groups; link != NULL; link = link->next) {
+        struct group_runtime *successor = take_successor(control, link->data);
+        if (successor != NULL) {
+            release_runtime(control, link->data);
+            start_group(control, successor);
+            control_budget_succeed(control->budget, successor->group->id);
+        }
+    }
 }
 
 void control_groups_stop(struct control *control)
 {
     prober_free(control->prober);
+    g_hash_table_destroy(control->runtimes);
     g_hash_table_destroy(control->groups);
 }
--- a/src/sim/scale_daemon.c
+++ b/src/sim/scale_daemon.c
@@ -86,6 +86,7 @@
             ask_store(fleet, daemon, SCALE_EVENT_FETCHED, STORE_FETCH_TIME);
             break;
         case CURRENCY_ACTION_READ_HEAD:
+            daemon->head_asked_at = fleet_now(fleet);
             ask_store(fleet, daemon, SCALE_EVENT_HEAD, STORE_HEAD_TIME);
             break;
         case CURRENCY_ACTION_APPLY:
@@ -117,7 +118,7 @@
     g_autoptr(GArray) actions = g_array_new(FALSE, FALSE, sizeof(struct currency_action));
     struct configuration_mark head = mark_of_version(version);
     membership_hear_configuration(daemon->membership, head);
-    membership_hear_store(daemon->membership, fleet_now(fleet));
+    membership_hear_store(daemon->membership, daemon->head_asked_at);
     currency_head_read(daemon->currency, head, fleet_now(fleet), actions);
     perform_currency(fleet, daemon, actions);
 }
@@ -342,7 +343,7 @@
 {
     uint64_t suspicions = membership_suspicions(daemon->membership);
     membership_tick(daemon->membership, fleet_now(fleet), fleet->actions);
-    fleet->measures.suspicions += membership_suspicions(daemon->membership) - suspicions;
+    scale_observe_suspicions(fleet, daemon, membership_suspicions(daemon->membership) - suspicions);
     perform_membership(fleet, daemon);
     settle_ownership(fleet, daemon);
     tick_currency(fleet, daemon);
@@ -428,22 +429,24 @@
 static void set_seeds(struct scale_fleet *fleet, struct scale_daemon *daemon)
 {
     uint32_t count = MIN(fleet->options.seeds, fleet->options.daemons);
-    g_autofree struct member_address *seeds = g_new0(struct member_address, count);
+    struct member_address *seeds = g_new0(struct member_address, count);
     for (uint32_t i = 0; i < count; i++) {
         uint32_t index = scale_network_random(fleet->network, fleet->options.daemons);
         seeds[i] = scale_daemon_address(&fleet->daemons[index]);
     }
     membership_set_seeds(daemon->membership, seeds, count);
+    g_free(seeds);
 }
 
 static void set_groups(struct scale_fleet *fleet, struct scale_daemon *daemon)
 {
-    g_autofree struct ownership_group *groups = g_new0(struct ownership_group, fleet->group_count);
+    struct ownership_group *groups = g_new0(struct ownership_group, fleet->group_count);
     for (uint32_t i = 0; i < fleet->group_count; i++) {
         groups[i] = fleet->groups[i].ownership;
     }
     g_autoptr(GArray) changes = g_array_new(FALSE, FALSE, sizeof(struct ownership_change));
     ownership_set_groups(daemon->ownership, groups, fleet->group_count, changes);
+    g_free(groups);
 }
 
 static void make_core(struct scale_fleet *fleet, struct scale_daemon *daemon)
--- a/tests/daemon/cluster_fixture.c
+++ b/tests/daemon/cluster_fixture.c
@@ -92,7 +92,7 @@
 {
     GString *text = g_string_new("{\"zones\": {\"imlil\": {\"id\": 1}, \"marrakech\": {\"id\": 2}, "
                                  "\"ouarzazate\": {\"id\": 3}}, ");
-    g_string_append_printf(text, "\"groups\": {\"bookings\": {\"id\": %u, \"databases\": [",
+    g_string_append_printf(text, "\"groups\": {\"bookings\": {\"id\": %d, \"databases\": [",
                            CLUSTER_GROUP);
     for (unsigned i = 0; i < cluster->options.databases; i++) {
         g_string_append_printf(text,
@@ -141,6 +141,15 @@
     return cluster;
 }
 
+static uint32_t count_running(const struct cluster *cluster)
+{
+    uint32_t running = 0;
+    for (unsigned i = 0; i < CLUSTER_DAEMONS_MAX; i++) {
+        running += cluster->daemons[i] != NULL;
+    }
+    return running;
+}
+
 /* Peer addresses of the daemons that run, as a setting. */
 static char *peers_setting(const struct cluster *cluster)
 {
@@ -186,10 +195,46 @@
     g_assert_no_error(error);
 }
 
+static gpointer run_stop(gpointer data)
+{
+    return GUINT_TO_POINTER(daemon_stop(data, backend_now() + STOP_PATIENCE_NS));
+}
+
 uint32_t cluster_stop_daemon(struct cluster *cluster, unsigned index)
+{
+    return GPOINTER_TO_UINT(run_stop(g_steal_pointer(&cluster->daemons[index])));
+}
+
+/* True if all daemons that run take no other for usable than each other. */
+static bool know_only_each_other(const struct cluster *cluster)
+{
+    for (unsigned i = 0; i < CLUSTER_DAEMONS_MAX; i++) {
+        if (cluster->daemons[i] == NULL) {
+            continue;
+        }
+        guint usable = 0;
+        g_autoptr(GArray) members = control_list_members(cluster->daemons[i]->control);
+        for (guint j = 0; j < members->len; j++) {
+            usable += g_array_index(members, struct control_member, j).usable;
+        }
+        if (usable != count_running(cluster)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+GThread *cluster_start_stop(struct cluster *cluster, unsigned index)
 {
     struct daemon *daemon = g_steal_pointer(&cluster->daemons[index]);
-    return daemon_stop(daemon, backend_now() + STOP_PATIENCE_NS);
+    GThread *stop = g_thread_new("stop", run_stop, daemon);
+    AWAIT(know_only_each_other(cluster));
+    return stop;
+}
+
+uint32_t cluster_join_stop(GThread *stop)
+{
+    return GPOINTER_TO_UINT(g_thread_join(stop));
 }
 
 unsigned cluster_port(const struct cluster *cluster, unsigned daemon)
@@ -199,13 +244,25 @@
 
 struct group_view cluster_view(const struct cluster *cluster, unsigned daemon)
 {
-    struct group_view view;
+    struct group_view view = {.primary = -1};
     struct group_runtime *group = daemon_take_group(cluster->daemons[daemon], CLUSTER_GROUP);
-    group_runtime_read_view(group, &view);
-    group_runtime_unref(group);
+    if (group != NULL) {
+        group_runtime_read_view(group, &view);
+        group_runtime_unref(group);
+    }
     return view;
 }
 
+bool cluster_is_owner(const struct cluster *cluster, unsigned daemon)
+{
+    struct group_runtime *group = daemon_take_group(cluster->daemons[daemon], CLUSTER_GROUP);
+    if (group == NULL) {
+        return false;
+    }
+    group_runtime_unref(group);
+    return true;
+}
+
 static bool knows_all(const struct cluster *cluster, unsigned daemon)
 {
     for (unsigned i = 0; i < CLUSTER_DAEMONS_MAX; i++) {
@@ -221,6 +278,7 @@
     return true;
 }
 
+/* An owner sees a primary and all databases. */
 static bool sees_group(const struct cluster *cluster, unsigned daemon)
 {
     struct group_view view = cluster_view(cluster, daemon);
@@ -231,12 +289,36 @@
     return all;
 }
 
+/* Owners of the group that a daemon knows of, itself among them. */
+static uint32_t count_owners(const struct cluster *cluster, unsigned daemon)
+{
+    struct owner_list owners;
+    control_owners_of(cluster->daemons[daemon]->control, CLUSTER_GROUP, &owners);
+    return owners.count + owners.self;
+}
+
+static bool is_ready(const struct cluster *cluster, unsigned daemon, uint32_t owners)
+{
+    struct control *control = cluster->daemons[daemon]->control;
+    bool owns = cluster_is_owner(cluster, daemon);
+    return control_is_settled(control) && knows_all(cluster, daemon) &&
+           count_owners(cluster, daemon) == owners && (!owns || sees_group(cluster, daemon));
+}
+
 static bool all_ready(const struct cluster *cluster)
 {
-    bool ready = true;
+    uint32_t owning = 0;
+    uint32_t limit = 0;
+    for (unsigned i = 0; i < CLUSTER_DAEMONS_MAX; i++) {
+        if (cluster->daemons[i] != NULL) {
+            owning += cluster_is_owner(cluster, i);
+            limit = cluster->daemons[i]->settings.ownership.owners_per_group;
+        }
+    }
+    bool ready = owning == MIN(count_running(cluster), limit);
     for (unsigned i = 0; i < CLUSTER_DAEMONS_MAX; i++) {
         if (cluster->daemons[i] != NULL) {
-            ready = ready && knows_all(cluster, i) && sees_group(cluster, i);
+            ready = ready && is_ready(cluster, i, owning);
         }
     }
     return ready;
--- a/tests/daemon/cluster_fixture.h
+++ b/tests/daemon/cluster_fixture.h
@@ -54,10 +54,16 @@
 /* Planned stop of a daemon within a generous bound. Returns how much it cut. */
 uint32_t cluster_stop_daemon(struct cluster *cluster, unsigned index);
 
+/* The same on a thread of its own; returns once the other daemons know that it leaves.
+ * cluster_join_stop waits for its end and returns how much it cut. */
+GThread *cluster_start_stop(struct cluster *cluster, unsigned index);
+uint32_t cluster_join_stop(GThread *stop);
+
 /* Stops all, and checks that no database saw a write of a lower term or too many connections. */
 void cluster_stop(struct cluster *cluster);
 
-/* Waits until every running daemon knows all others and sees a primary and all databases. */
+/* Waits until all running daemons know each other and the group's owners, and these see a primary
+ * and all databases. */
 void cluster_await_ready(struct cluster *cluster);
 
 unsigned cluster_port(const struct cluster *cluster, unsigned daemon);
@@ -69,7 +75,10 @@
 /* Runs a keyed write that must be done; returns the session token. The caller frees it. */
 char *cluster_write(struct cluster *cluster, unsigned daemon, const char *key, const char *sql);
 
-/* The daemon's present view of the group. */
+/* True if the daemon owns the group now. */
+bool cluster_is_owner(const struct cluster *cluster, unsigned daemon);
+
+/* The daemon's present view of the group; without a database if it does not own it. */
 struct group_view cluster_view(const struct cluster *cluster, unsigned daemon);
 
 /* Index of the database that leads by its own account in the highest term, or -1. */
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -9,6 +9,7 @@
 
 CLUSTER_DIRECTORY=
 CLUSTER_BUILD=
+CLUSTER_PLATFORM_PORT=
 CLUSTER_DATABASES=()
 CLUSTER_DAEMONS=()
 
@@ -146,6 +147,12 @@
     chmod 600 "$CLUSTER_DIRECTORY/token-keys"
 }
 
+# cluster_edit_configuration FILTER: changes the reduced configuration by a jq filter, before the start.
+cluster_edit_configuration() {
+    jq "$1" "$CLUSTER_DIRECTORY/configuration.json" >"$CLUSTER_DIRECTORY/configuration.tmp"
+    mv "$CLUSTER_DIRECTORY/configuration.tmp" "$CLUSTER_DIRECTORY/configuration.json"
+}
+
 cluster_databases_field() {
     jq -r --arg group "$CLUSTER_GROUP" ".groups[\$group].databases[].$1" \
         "$CLUSTER_DIRECTORY/configuration.json"
@@ -159,6 +166,22 @@
     cluster_await_port platform "$CLUSTER_PLATFORM_PORT"
 }
 
+# cluster_publish BASE_VERSION MESSAGE: makes the reduced configuration the next version.
+cluster_publish() {
+    "$CLUSTER_BUILD/src/ctl/swiftctl" publish --base "$1" --message "$2" --author operator \
+        --table-url "http://127.0.0.1:$CLUSTER_PLATFORM_PORT" "$CLUSTER_DIRECTORY/configuration.json"
+}
+
+# Settings by which a daemon finds its configuration: the published one, or without a platform the file.
+cluster_configuration_settings() {
+    if [ -n "$CLUSTER_PLATFORM_PORT" ]; then
+        printf '%s\n' "platform.table_endpoint=http://127.0.0.1:$CLUSTER_PLATFORM_PORT" \
+            "platform.object_endpoint=http://127.0.0.1:$CLUSTER_PLATFORM_PORT"
+    else
+        printf '%s\n' "configuration.file=$CLUSTER_DIRECTORY/configuration.json"
+    fi
+}
+
 # cluster_await_port NAME PORT: until the process listens there.
 cluster_await_port() {
     local tenths
@@ -240,12 +263,12 @@
         "daemon.admin_listen=127.0.0.1:$(cluster_daemon_port "$index" 1)"
         "daemon.peer_listen=127.0.0.1:$(cluster_daemon_port "$index" 2)"
         "daemon.peers=$CLUSTER_PEERS"
-        "configuration.file=$CLUSTER_DIRECTORY/configuration.json"
         "session.token_keys_file=$CLUSTER_DIRECTORY/token-keys"
         "${CLUSTER_DAEMON_SETTINGS[@]}"
     )
-    local -a arguments=()
-    for setting in "${settings[@]}"; do
+    local -a arguments=() from
+    mapfile -t from < <(cluster_configuration_settings)
+    for setting in "${from[@]}" "${settings[@]}"; do
         arguments+=(--set "$setting")
     done
     cluster_start "$name" "$CLUSTER_BUILD/src/daemon/swiftworksd" "${arguments[@]}"
@@ -260,10 +283,21 @@
         cluster_start_daemon "$index"
     done
     for ((index = 0; index < CLUSTER_DAEMON_COUNT; index++)); do
-        cluster_await_port "daemon-$((index + 1))" "$(cluster_daemon_port "$index" 0)"
+        cluster_await_daemon "$index"
     done
 }
 
+# cluster_await_daemon INDEX: until it serves a read.
+cluster_await_daemon() {
+    local name="daemon-$(($1 + 1))" tenant
+    cluster_await_port "$name" "$(cluster_daemon_port "$1" 0)"
+    tenant=$(cluster_tenants | head -n 1)
+    if ! cluster_sql_until_done "$1" "$tenant" '{"sql":"SELECT 1","access":"read"}'; then
+        cluster_show_log "$name"
+        cluster_fail "$name serves no read"
+    fi
+}
+
 # cluster_daemon_arguments: "--daemon HOST:PORT" for each daemon, for swiftworks-load.
 cluster_daemon_arguments() {
     local index
@@ -438,4 +472,5 @@
     rm -rf "${CLUSTER_DIRECTORY:?}"/*
     mkdir "$CLUSTER_DIRECTORY/pids" "$CLUSTER_DIRECTORY/log"
     CLUSTER_DAEMONS=()
+    CLUSTER_PLATFORM_PORT=
 }
