--- a/src/daemon/budget_plan.c
+++ b/src/daemon/budget_plan.c
@@ -35,8 +35,8 @@
                 "database \"%s\" accepts %u connections, too few for %u owners: %u are kept for "
                 "probes and evidence (%u sets of owners x %u owners x %u), %u for opening, and the "
                 "rest must give each owner one and hand-over one",
-                database->name, database->connections, owners, plan.control, BUDGET_OWNER_SETS,
-                owners, BUDGET_CONTROL_CONNECTIONS, opening);
+                database->name, database->connections, owners, plan.control,
+                (uint32_t)BUDGET_OWNER_SETS, owners, (uint32_t)BUDGET_CONTROL_CONNECTIONS, opening);
     return false;
 }
 
--- a/src/sim/sim_database.c
+++ b/src/sim/sim_database.c
@@ -242,7 +242,7 @@
  * know it: it serves the checker. */
 static struct sim_entry *durable_part(const struct sim_database *database, struct sim_entry *log)
 {
-    uint64_t shared[GROUP_DATABASES_MAX];
+    uint64_t shared[GROUP_DATABASES_MAX] = {0};
 
     for (uint32_t i = 0; i < database->peer_count; i++) {
         const struct sim_entry *common = sim_entry_common(log, database->peers[i]->head);
