Close connections to other daemons that nobody uses

Cause: peer_pool_close_idle was never called. A connection was given up only when a request to the same daemon came across it; else its socket stayed, also once the other side had closed it: after 100 s without requests 8 of 8 were in CLOSE_WAIT, up to 8 for each daemon ever asked. Choice: the control thread looks every 2 s; closing a socket waits for nothing. The new test waits without end without it.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -19,6 +19,9 @@
 /* The loop looks at everything at least this often. */
 #define CONTROL_PERIOD_MS 100
 
+/* Time between two looks for idle connections to other daemons. */
+#define PEERS_SWEEP_MS 2000
+
 void control_post(struct control *control, const struct control_event *event)
 {
     struct control_event *copy = g_new(struct control_event, 1);
@@ -96,6 +99,17 @@
     }
 }
 
+/* Closes connections to other daemons that nobody uses any more. */
+static void peers_tick(struct control *control, time_ns now)
+{
+    if (now < control->peers_sweep_at) {
+        return;
+    }
+    control->peers_sweep_at = now + PEERS_SWEEP_MS * NANOSECONDS_PER_MILLISECOND;
+    time_ns idle_since = now > PEER_POOL_IDLE_NS ? now - PEER_POOL_IDLE_NS : 0;
+    peer_pool_close_idle(control->daemon->peers, idle_since);
+}
+
 static void *control_main(void *data)
 {
     struct control *control = data;
@@ -110,6 +124,7 @@
         control_ownership_tick(control, now);
         control_groups_tick(control, now);
         control_budget_tick(control->budget, now);
+        peers_tick(control, now);
         transaction_table_expire(control->daemon->transactions, now, false);
     }
     return NULL;
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -91,6 +91,7 @@
     struct membership_actions *actions;
     bool members_changed;
     uint64_t self_id; /* this daemon's id as a member */
+    time_ns peers_sweep_at;
     uint64_t watcher_self;
     bool leaving;                                /* wished for this daemon */
     struct control_configuration *configuration; /* NULL if it is static */
--- a/tests/daemon/test_forward.c
+++ b/tests/daemon/test_forward.c
@@ -72,6 +72,23 @@
     cluster_stop(cluster);
 }
 
+/* A connection that the other daemon has closed does not stay open here. */
+static void test_closed_connections_end(void)
+{
+    struct cluster *cluster = start(2);
+    unsigned owner = owner_of(cluster);
+    struct peer_pool *peers = cluster->daemons[1 - owner]->peers;
+    g_autofree char *address = g_strdup(peer_server_address(cluster->daemons[owner]->peer_server));
+    struct http_answer answer;
+    call(cluster, 1 - owner, &answer, (struct http_call){.sql = "SELECT * FROM stays"});
+    expect_served_by_owner(cluster, &answer);
+    http_answer_clear(&answer);
+    g_assert_cmpuint(peer_pool_idle_count(peers, address), ==, 1);
+    cluster_stop_daemon(cluster, owner);
+    AWAIT(peer_pool_idle_count(peers, address) == 0);
+    cluster_stop(cluster);
+}
+
 /* Each zone has an owner and a daemon that owns nothing: what that is asked stays in its zone. */
 static void test_nearest_owner_serves(void)
 {
@@ -233,6 +250,7 @@
     g_test_add_func("/daemon/forward/owner_serves", test_owner_serves);
     g_test_add_func("/daemon/forward/hop_cut_after_request", test_hop_cut_after_request);
     g_test_add_func("/daemon/forward/owner_out_of_reach", test_owner_out_of_reach);
+    g_test_add_func("/daemon/forward/closed_connections_end", test_closed_connections_end);
     g_test_add_func("/daemon/forward/nearest_owner_serves", test_nearest_owner_serves);
     return g_test_run();
 }
