Notice a database that came back without its log and promises

Its status went back, was taken for a late answer, and the last good one said for ever that it leads: writes stopped and nobody failed over. Answers that stay behind now mean a lost memory. Such a member does not count for the majority of promises until it holds the current primary's log again, as it may have held what was acknowledged.

--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -39,6 +39,7 @@
     options->pause_max = 600 * ms;
     options->pause_lease = 100 * ms;
     options->pause_poll = 4 * ms;
+    options->forget_after = 150 * ms;
     options->own_stall_after = 200 * ms;
     options->tick_interval = 100 * ms;
     options->sample_interval = 2 * ms;
--- a/src/core/group_control.h
+++ b/src/core/group_control.h
@@ -42,16 +42,18 @@
     time_ns command_retry;     /* a lost command is sent again after this time */
     time_ns backoff;           /* first wait after a failed attempt; doubles to backoff_max */
     time_ns backoff_max;
-    time_ns heal_interval;     /* a member is told to follow at most this often */
-    time_ns repair_after;      /* a stray promise is repaired after this time */
-    time_ns pause_first;       /* a planned change pauses writes at most this long at first; */
-    time_ns pause_max;         /* doubled after each aborted change, up to this */
-    time_ns pause_lease;       /* others end the pause when its coordinator is silent so long */
-    time_ns pause_poll;        /* probes while writes are paused */
-    time_ns own_stall_after;   /* a longer gap between events means that this daemon stood still */
-    time_ns tick_interval;     /* the shell feeds a tick at least this often */
-    time_ns sample_interval;   /* between position samples */
-    time_ns publish_interval;  /* between views that differ in positions only */
+    time_ns heal_interval;    /* a member is told to follow at most this often */
+    time_ns repair_after;     /* a stray promise is repaired after this time */
+    time_ns pause_first;      /* a planned change pauses writes at most this long at first; */
+    time_ns pause_max;        /* doubled after each aborted change, up to this */
+    time_ns pause_lease;      /* others end the pause when its coordinator is silent so long */
+    time_ns pause_poll;       /* probes while writes are paused */
+    time_ns forget_after;     /* a database whose promise or term has gone back for so long has lost
+                                 what it held */
+    time_ns own_stall_after;  /* a longer gap between events means that this daemon stood still */
+    time_ns tick_interval;    /* the shell feeds a tick at least this often */
+    time_ns sample_interval;  /* between position samples */
+    time_ns publish_interval; /* between views that differ in positions only */
     uint32_t planned_attempts; /* planned changes aborted before it goes on without answers of
                                   silent watchers */
 
@@ -59,6 +61,8 @@
     bool no_fence;               /* TEST ONLY: promote without a majority's promises (mutation) */
     bool ignore_leaving;         /* TEST ONLY: drained databases stay in use (mutation) */
     bool no_pause;               /* TEST ONLY: change the primary without a pause (mutation) */
+    bool
+        trust_forgetful; /* TEST ONLY: count the grant of a database that lost its log (mutation) */
 };
 
 /* Fills in the default durations; identity fields are left zero. */
@@ -144,6 +148,7 @@
     GROUP_RECORD_FOLLOW,          /* `database` was told to follow */
     GROUP_RECORD_LEAVING,         /* `database` is marked leaving */
     GROUP_RECORD_RETURNED,        /* `database` is no longer leaving */
+    GROUP_RECORD_FORGOT,          /* `database` came back without what it had promised and held */
     GROUP_RECORD_DRAIN_BLOCKED,   /* no other database can take over from `database` */
     GROUP_RECORD_COUNT,
 };
--- a/src/core/group_control_change.c
+++ b/src/core/group_control_change.c
@@ -215,7 +215,7 @@
     const struct member *member = &control->members[database];
 
     return (int32_t)database != control->known_primary && member->wish != MEMBER_WISH_DRAIN &&
-           !member->status.leaving && observe_is_reachable(control, database) &&
+           !member->status.leaving && !member->forgot && observe_is_reachable(control, database) &&
            member->status.role == DATABASE_ROLE_REPLICA &&
            member->status.term == control->known_term;
 }
--- a/src/core/group_control_failover.c
+++ b/src/core/group_control_failover.c
@@ -3,6 +3,7 @@
  * term to one coordinator only, so at most one of them gets a majority in a term. */
 #include "core/group_control_internal.h"
 
+#include <glib.h>
 #include <string.h>
 
 static const struct log_position NO_POSITION = {0, 0};
@@ -169,6 +170,24 @@
     return majority_of(control->options.database_count);
 }
 
+/* A member that lost its memory may have held what was acknowledged, and promised what it no longer
+ * knows. So the others must make a majority without it; if too few of them are left for that, then
+ * all of them must grant. */
+static bool remembered_by_enough(const struct group_control *control)
+{
+    uint32_t remembering = 0;
+    uint32_t granted = 0;
+
+    for (uint32_t i = 0; i < control->options.database_count; i++) {
+        if (control->members[i].forgot || control->members[i].older_since != 0) {
+            continue;
+        }
+        remembering += 1;
+        granted += control->attempt.granted >> i & 1;
+    }
+    return control->options.trust_forgetful || granted >= MIN(grants_needed(control), remembering);
+}
+
 static void decide_target(struct group_control *control)
 {
     struct attempt *attempt = &control->attempt;
@@ -190,7 +209,7 @@
     uint32_t unanswered = control->options.database_count - answered;
     uint32_t awaited = observe_reachable_mask(control) & ~attempt->answered;
 
-    if (granted >= needed) {
+    if (granted >= needed && remembered_by_enough(control)) {
         if (attempt->majority_at == 0) {
             attempt->majority_at = control->now;
         }
--- a/src/core/group_control_internal.h
+++ b/src/core/group_control_internal.h
@@ -20,7 +20,8 @@
 struct member {
     struct database_status status;
     bool seen;
-    bool last_probe_failed;
+    time_ns older_since; /* its answers have gone back since then; 0 if not */
+    bool forgot;         /* lost its log and promises, and does not hold the primary's log yet */
     uint32_t failures;   /* probes failed in a row */
     time_ns good_at;     /* last good probe, moved forward by own stalls */
     time_ns observed_at; /* when status was asked for */
@@ -151,7 +152,9 @@
 /* group_control_observe.c */
 void observe_own_stall(struct group_control *control);
 void observe_probe(struct group_control *control, const struct group_event *event);
-void observe_status(struct group_control *control, uint32_t database,
+/* Takes a status; `observed_at` is when it was asked for, or 0 if that is not known. False if it is
+ * older than what is known, and was not taken. */
+bool observe_status(struct group_control *control, uint32_t database,
                     const struct database_status *status, time_ns observed_at);
 void observe_opinion(struct group_control *control, const struct group_opinion *opinion);
 void observe_watchers(struct group_control *control, const struct group_event *event);
--- a/src/core/group_control_names.c
+++ b/src/core/group_control_names.c
@@ -17,6 +17,7 @@
     [GROUP_RECORD_FOLLOW] = "follow",
     [GROUP_RECORD_LEAVING] = "leaving",
     [GROUP_RECORD_RETURNED] = "returned",
+    [GROUP_RECORD_FORGOT] = "forgot",
     [GROUP_RECORD_DRAIN_BLOCKED] = "drain_blocked",
 };
 
--- a/src/core/group_control_observe.c
+++ b/src/core/group_control_observe.c
@@ -108,16 +108,70 @@
     return status->term < member->status.term;
 }
 
-void observe_status(struct group_control *control, uint32_t database,
+/* An answer that goes back is a late one, or its database lost its memory: then it goes on. */
+static bool has_forgotten(struct group_control *control, struct member *member, time_ns observed_at)
+{
+    if (observed_at == 0) {
+        return false;
+    }
+    if (member->older_since == 0) {
+        member->older_since = control->now;
+    }
+    return control->now >= member->older_since + control->options.forget_after;
+}
+
+/* With a new promise, an answer is not a late one: a lower term, or a shorter log in the same term,
+ * shows that what was there before is lost. */
+static bool has_lost_log(const struct member *member, const struct database_status *status)
+{
+    if (!member->seen || status->promised_term <= member->status.promised_term) {
+        return false;
+    }
+    if (status->term != member->status.term) {
+        return status->term < member->status.term;
+    }
+    return log_position_compare(status->held, member->status.held) < 0;
+}
+
+/* A member that lost its memory counts again once it holds the log of the current primary. */
+static bool has_caught_up(const struct group_control *control, const struct database_status *status)
+{
+    return status->term == control->known_term && status->promised_term == status->term &&
+           status->held.term == status->term;
+}
+
+static void note_memory(struct group_control *control, uint32_t database,
+                        const struct database_status *status, bool lost)
+{
+    struct member *member = &control->members[database];
+
+    member->older_since = 0;
+    if (lost) {
+        member->forgot = true;
+        control_record(control, GROUP_RECORD_FORGOT, GROUP_REASON_NONE, status->term,
+                       (int32_t)database, status->held);
+    } else if (member->forgot && has_caught_up(control, status)) {
+        member->forgot = false;
+    }
+}
+
+static bool changes_routing(const struct member *member, const struct database_status *status)
+{
+    return !member->seen || member->status.leaving != status->leaving ||
+           member->status.role != status->role || member->status.term != status->term;
+}
+
+bool observe_status(struct group_control *control, uint32_t database,
                     const struct database_status *status, time_ns observed_at)
 {
     struct member *member = &control->members[database];
+    bool older = status_is_older(member, status);
+    bool lost = older || has_lost_log(member, status);
 
-    if (status_is_older(member, status)) {
-        return;
+    if (older && !has_forgotten(control, member, observed_at)) {
+        return false;
     }
-    if (!member->seen || member->status.leaving != status->leaving ||
-        member->status.role != status->role || member->status.term != status->term) {
+    if (changes_routing(member, status)) {
         control->publish_due = true;
     }
     member->status = *status;
@@ -132,7 +186,9 @@
         status->term > control->known_term) {
         learn_primary(control, status->term, database, status->held);
     }
+    note_memory(control, database, status, lost);
     control->positions_due = true;
+    return true;
 }
 
 static void smooth_round_trip(struct member *member, time_ns round_trip)
@@ -157,8 +213,9 @@
     member->failures = 0;
     member->good_at = control->now;
     smooth_round_trip(member, event->round_trip);
-    observe_status(control, event->database, &event->status, control->now - event->round_trip);
-    if ((int32_t)event->database == control->known_primary &&
+    bool taken =
+        observe_status(control, event->database, &event->status, control->now - event->round_trip);
+    if (taken && (int32_t)event->database == control->known_primary &&
         observe_leads(control, event->database)) {
         control->led_at = control->now;
     }
--- a/src/sim/replay.c
+++ b/src/sim/replay.c
@@ -52,6 +52,7 @@
     {"no_fence", offsetof(struct group_control_options, no_fence)},
     {"ignore_leaving", offsetof(struct group_control_options, ignore_leaving)},
     {"no_pause", offsetof(struct group_control_options, no_pause)},
+    {"trust_forgetful", offsetof(struct group_control_options, trust_forgetful)},
 };
 
 static void free_daemon(gpointer data)
--- a/src/sim/sim_database.c
+++ b/src/sim/sim_database.c
@@ -40,6 +40,19 @@
     database->followers = 0;
 }
 
+void sim_database_forget(struct sim_database *database)
+{
+    database->role = DATABASE_ROLE_REPLICA;
+    database->term = 0;
+    database->promised_term = 0;
+    database->promised_to = 0;
+    database->following = -1;
+    database->leaving = false;
+    database->head = NULL;
+    database->applied = NULL;
+    database->synchronized = false;
+}
+
 struct database_status sim_database_status(const struct sim_database *database)
 {
     struct database_status status = {
--- a/src/sim/sim_database.h
+++ b/src/sim/sim_database.h
@@ -109,6 +109,9 @@
 void sim_database_start(struct sim_database *database);
 void sim_database_kill(struct sim_database *database);
 
+/* Empties a dead database: it will start as new, with neither log nor promise. */
+void sim_database_forget(struct sim_database *database);
+
 struct database_status sim_database_status(const struct sim_database *database);
 
 /* Sends a request from its `from` node to the database; the answer comes to on_reply, or never. */
--- a/src/sim/sim_fault.c
+++ b/src/sim/sim_fault.c
@@ -198,9 +198,16 @@
     case SIM_FAULT_KILL_DATABASE:
         restart_database(database);
         break;
+    case SIM_FAULT_FORGET_DATABASE:
+        sim_database_forget(database);
+        restart_database(database);
+        break;
     case SIM_FAULT_LAG_DATABASE:
         database->options.apply_delay = run->scenario->database.apply_delay;
         break;
+    case SIM_FAULT_HOLD_DATABASE:
+        database->options.hold_delay = run->scenario->database.hold_delay;
+        break;
     case SIM_FAULT_LOSE_REQUESTS:
         database->request_loss = 0;
         break;
@@ -258,6 +265,7 @@
 {
     switch (fault->kind) {
     case SIM_FAULT_KILL_DATABASE:
+    case SIM_FAULT_FORGET_DATABASE:
         sim_database_kill(&run->databases[target]);
         break;
     case SIM_FAULT_PAUSE_DATABASE:
@@ -266,6 +274,9 @@
     case SIM_FAULT_LAG_DATABASE:
         run->databases[target].options.apply_delay = fault->amount;
         break;
+    case SIM_FAULT_HOLD_DATABASE:
+        run->databases[target].options.hold_delay = fault->amount;
+        break;
     case SIM_FAULT_LOSE_REQUESTS:
         run->databases[target].request_loss = fault->probability;
         break;
@@ -339,6 +350,7 @@
 
         database->node.paused_until = 0;
         database->options.apply_delay = run->scenario->database.apply_delay;
+        database->options.hold_delay = run->scenario->database.hold_delay;
         database->request_loss = 0;
         database->answer_loss = 0;
         restart_database(database);
--- a/src/sim/sim_run.c
+++ b/src/sim/sim_run.c
@@ -20,6 +20,7 @@
     [SIM_MUTATION_REUSE_CONNECTION] = "reuse_connection",
     [SIM_MUTATION_IGNORE_LEAVING] = "ignore_leaving",
     [SIM_MUTATION_NO_PAUSE] = "no_pause",
+    [SIM_MUTATION_TRUST_FORGETFUL] = "trust_forgetful",
 };
 
 const char *sim_mutation_name(enum sim_mutation mutation)
--- a/src/sim/sim_run.h
+++ b/src/sim/sim_run.h
@@ -27,6 +27,7 @@
     SIM_MUTATION_REUSE_CONNECTION, /* a connection is used again after a lost answer */
     SIM_MUTATION_IGNORE_LEAVING,
     SIM_MUTATION_NO_PAUSE,
+    SIM_MUTATION_TRUST_FORGETFUL,
     SIM_MUTATION_COUNT,
 };
 
--- a/src/sim/sim_scenario.c
+++ b/src/sim/sim_scenario.c
@@ -9,8 +9,10 @@
 
 static const char *const FAULT_KIND_NAMES[SIM_FAULT_COUNT] = {
     [SIM_FAULT_KILL_DATABASE] = "kill_database",
+    [SIM_FAULT_FORGET_DATABASE] = "forget_database",
     [SIM_FAULT_PAUSE_DATABASE] = "pause_database",
     [SIM_FAULT_LAG_DATABASE] = "lag_database",
+    [SIM_FAULT_HOLD_DATABASE] = "hold_database",
     [SIM_FAULT_LOSE_REQUESTS] = "lose_requests",
     [SIM_FAULT_LOSE_ANSWERS] = "lose_answers",
     [SIM_FAULT_CUT_ZONE] = "cut_zone",
--- a/src/sim/sim_scenario.h
+++ b/src/sim/sim_scenario.h
@@ -9,8 +9,10 @@
 
 enum sim_fault_kind {
     SIM_FAULT_KILL_DATABASE,
+    SIM_FAULT_FORGET_DATABASE, /* dies, and comes back empty and without its promise */
     SIM_FAULT_PAUSE_DATABASE,
     SIM_FAULT_LAG_DATABASE,  /* apply_delay becomes `amount` */
+    SIM_FAULT_HOLD_DATABASE, /* hold_delay becomes `amount` */
     SIM_FAULT_LOSE_REQUESTS, /* share `probability` of statements */
     SIM_FAULT_LOSE_ANSWERS,  /* share `probability` of answers to statements */
     SIM_FAULT_CUT_ZONE,      /* both ways from all other zones */
--- a/tests/core/group_control_test.c
+++ b/tests/core/group_control_test.c
@@ -450,6 +450,42 @@
     stop(&rig);
 }
 
+/* The primary restarted empty within the detection time. */
+static void test_forgetful_primary_is_replaced(void)
+{
+    struct rig rig;
+    start(&rig);
+    rig.databases[0] = (struct database_status){.role = DATABASE_ROLE_REPLICA};
+    rig.now += 50 * MS;
+    probe(&rig, 0);
+    g_assert_cmpint(group_control_view(rig.control)->primary, ==, 0);
+    g_assert_false(run(&rig, 100 * MS, GROUP_ACTION_FENCE));
+    g_assert_false(run(&rig, 50 * MS, GROUP_ACTION_FENCE));
+    g_assert_cmpint(group_control_view(rig.control)->primary, ==, -1);
+    peer_suspects(&rig, PEER1, 5);
+    g_assert_false(run(&rig, 200 * MS, GROUP_ACTION_FENCE));
+    peer_suspects(&rig, PEER1, 5);
+    for (int i = 0; i < 10 && find(&rig, GROUP_ACTION_FENCE) == NULL; i++) {
+        peer_suspects(&rig, PEER1, 5);
+        run(&rig, 50 * MS, GROUP_ACTION_FENCE);
+    }
+    const struct group_action *fence = find_for(&rig, GROUP_ACTION_FENCE, 0);
+    g_assert_nonnull(fence);
+    uint64_t commands[3];
+    for (uint32_t i = 0; i < 3; i++) {
+        commands[i] = find_for(&rig, GROUP_ACTION_FENCE, i)->command;
+    }
+    /* Its grant does not make a majority with one other: both others must grant. */
+    complete(&rig, commands[0], GROUP_COMMAND_OK, promise(&rig, 0, 6));
+    complete(&rig, commands[1], GROUP_COMMAND_OK, promise(&rig, 1, 6));
+    rig.now += 40 * MS;
+    feed(&rig, (struct group_event){.kind = GROUP_EVENT_TICK});
+    g_assert_null(find(&rig, GROUP_ACTION_PROMOTE));
+    complete(&rig, commands[2], GROUP_COMMAND_OK, promise(&rig, 2, 6));
+    g_assert_cmpuint(find(&rig, GROUP_ACTION_PROMOTE)->database, ==, 1);
+    stop(&rig);
+}
+
 static void test_interrupted_failover_is_taken_up(void)
 {
     struct rig rig;
@@ -720,6 +756,8 @@
     g_test_add_func("/group_control/own_stall_is_not_suspicion", test_own_stall_is_not_suspicion);
     g_test_add_func("/group_control/fenced_primary_is_not_trusted",
                     test_fenced_primary_is_not_trusted);
+    g_test_add_func("/group_control/forgetful_primary_is_replaced",
+                    test_forgetful_primary_is_replaced);
     g_test_add_func("/group_control/interrupted_failover_is_taken_up",
                     test_interrupted_failover_is_taken_up);
     g_test_add_func("/group_control/members_are_told_to_follow", test_members_are_told_to_follow);
