--- a/src/sim/trace_file.c
+++ b/src/sim/trace_file.c
@@ -27,7 +27,7 @@
     DURATION(backoff_max),      DURATION(heal_interval),     DURATION(repair_after),
     DURATION(pause_first),      DURATION(pause_max),         DURATION(pause_lease),
     DURATION(pause_poll),       DURATION(own_stall_after),   DURATION(tick_interval),
-    DURATION(sample_interval),  DURATION(publish_interval),
+    DURATION(sample_interval),  DURATION(publish_interval),  DURATION(forget_after),
 };
 
 static void write_record(FILE *file, const struct trace_record *record)
--- a/tests/sim/trace_replay_test.c
+++ b/tests/sim/trace_replay_test.c
@@ -66,6 +66,7 @@
         {"failover_during_failover", "no_fence"},
         {"pair_cut", NULL},
         {"pair_cut", "single_watcher_deposes"},
+        {"primary_came_back_empty", NULL},
         {"two_coordinators", NULL},
         {"two_coordinators", "no_fence"},
         {"wake_at_once", NULL},
