Halve the memory of a client connection; refuse headers that leave no room

Ruled out: our own state (a connection that has sent nothing costs 4.5 KB) and requests (all had ended). A second fault showed in the test: with a token of full size and 13,500 octets of other headers the request ran and its answer found no room, so that the connection was closed without one. Choice: 16 KB, and requests whose line and headers pass 7,168 octets are refused before they run; that leaves 4,500 for other headers beside the largest token. Tried: 8, 10, 12 and 24 KB leave 1,000, 2,000, 3,000 and 9,000. The new test fails before: a request is run without an answer.

--- a/src/frontend/call.c
+++ b/src/frontend/call.c
@@ -193,6 +193,14 @@
     }
 }
 
+/* Octets of the request line and all headers. */
+static size_t head_octets(struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+    return info != NULL ? info->header_size : 0;
+}
+
 static enum MHD_Result begin_call(struct call_shared *shared, struct MHD_Connection *connection,
                                   const char *url, const char *method, void **request_state)
 {
@@ -201,7 +209,12 @@
     struct frontend_call *call = call_new(shared, connection, &head);
     *request_state = call;
     bound_idle_time(call, shared->options.receive_s);
-    read_head(call, &head, method, url);
+    if (head_octets(connection) > CALL_HEAD_OCTETS_MAX) {
+        refuse(call, ERROR_KIND_TOO_LARGE,
+               "the headers are over " G_STRINGIFY(CALL_HEAD_OCTETS_MAX) " octets");
+    } else {
+        read_head(call, &head, method, url);
+    }
     if (call->refusal == NULL && announces_too_large(call)) {
         refuse_too_large(call);
     }
--- a/src/frontend/call.h
+++ b/src/frontend/call.h
@@ -19,6 +19,10 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+/* Request line and headers, at most; with a token of full size 4,500 octets are left for others.
+ * The connection's memory must hold the answer's headers besides. */
+#define CALL_HEAD_OCTETS_MAX 7168
+
 /* What all calls of a frontend share. */
 struct call_shared {
     struct frontend_options options;
--- a/src/frontend/frontend.c
+++ b/src/frontend/frontend.c
@@ -24,8 +24,10 @@
 #define DEFAULT_TIMEOUT_MS      10000
 #define DEFAULT_TIMEOUT_MS_MAX  60000
 
-/* Memory of one connection for its headers; holds a token of full size both ways. */
-#define CONNECTION_MEMORY_OCTETS (32 * 1024)
+/* Memory of one connection for its headers, which libmicrohttpd touches whole at the first request
+ * and keeps while the connection lives; holds headers of CALL_HEAD_OCTETS_MAX and an answer with a
+ * token of full size. */
+#define CONNECTION_MEMORY_OCTETS (16 * 1024)
 
 struct frontend {
     struct call_shared shared;
--- a/tests/frontend/harness.c
+++ b/tests/frontend/harness.c
@@ -4,6 +4,7 @@
 #include "generated/errors.h"
 
 #include <netinet/in.h>
+#include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -161,6 +162,7 @@
     char *body;
     char **headers;
     struct exchange exchange;
+    atomic_bool ended;
     pthread_t thread;
 };
 
@@ -169,6 +171,7 @@
     struct poster *poster = data;
     harness_post(poster->harness, poster->path, poster->body, strlen(poster->body),
                  (const char *const *)poster->headers, &poster->exchange);
+    atomic_store(&poster->ended, true);
     return NULL;
 }
 
@@ -184,6 +187,11 @@
     return poster;
 }
 
+bool harness_has_ended(struct poster *poster)
+{
+    return atomic_load(&poster->ended);
+}
+
 void harness_join(struct poster *poster, struct exchange *exchange)
 {
     pthread_join(poster->thread, NULL);
--- a/tests/frontend/harness.h
+++ b/tests/frontend/harness.h
@@ -60,6 +60,9 @@
 struct poster;
 struct poster *harness_post_start(struct harness *harness, const char *path, const char *body,
                                   const char *const *headers);
+/* True once the answer or the connection's end is there. */
+bool harness_has_ended(struct poster *poster);
+
 void harness_join(struct poster *poster, struct exchange *exchange);
 
 /* A connection of the test's own, for what a well-behaved client does not do. */
--- a/tests/frontend/test_frontend.c
+++ b/tests/frontend/test_frontend.c
@@ -278,6 +278,61 @@
     harness_stop(&harness);
 }
 
+/* Asks with a token of full size and `octets` of another header. Returns the status; the request
+ * was run if and only if that is 200, and then the whole token comes back. */
+static long post_large_head(struct harness *harness, unsigned octets)
+{
+    struct group_position sent[TOKEN_GROUPS_MAX];
+    for (uint32_t i = 0; i < TOKEN_GROUPS_MAX; i++) {
+        sent[i] = (struct group_position){UINT32_MAX - i, UINT64_MAX, UINT64_MAX};
+    }
+    sent[0].group = HARNESS_GROUP;
+    g_autofree char *token = token_encode(harness->keys, sent, TOKEN_GROUPS_MAX);
+    g_autofree char *session = g_strconcat("Swiftworks-Session: ", token, NULL);
+    g_autofree char *value = g_strnfill(octets, 'c');
+    g_autofree char *other = g_strconcat("Cookie: ", value, NULL);
+    const char *const headers[] = {session, other, NULL};
+    struct poster *poster =
+        harness_post_start(harness, STATEMENTS, "{\"sql\":\"SELECT 1\"}", headers);
+    struct submitted *submitted = NULL;
+    while (submitted == NULL && !harness_has_ended(poster)) {
+        submitted = harness_take_within(harness, 10);
+    }
+    if (submitted != NULL) {
+        struct reply reply;
+        reply_init(&reply);
+        harness_answer(submitted, &reply);
+    }
+    struct exchange exchange;
+    harness_join(poster, &exchange);
+    g_assert_true((exchange.status == 200) == (submitted != NULL));
+    if (submitted != NULL) {
+        assert_header(&exchange, "Swiftworks-Session", token);
+    }
+    long status = exchange.status;
+    exchange_clear(&exchange);
+    return status;
+}
+
+/* Headers are taken up to a bound, and above it refused: never run without room for the answer.
+ * Where the headers just fill the connection's memory, libmicrohttpd closes it without an answer.
+ */
+static void test_large_heads(void)
+{
+    enum { HEADS_SERVED = 4500, HEADS_ANSWERED = 12000, HEADS_MAX = 40000, STEP = 250 };
+    struct harness harness;
+    harness_start(&harness, NULL);
+    for (unsigned octets = 0; octets <= HEADS_SERVED; octets += STEP) {
+        g_assert_cmpint(post_large_head(&harness, octets), ==, 200);
+    }
+    for (unsigned octets = HEADS_SERVED + STEP; octets <= HEADS_MAX; octets += STEP) {
+        long status = post_large_head(&harness, octets);
+        bool closed = status == 0 && octets > HEADS_ANSWERED;
+        g_assert_true(status == 413 || status == 431 || closed);
+    }
+    harness_stop(&harness);
+}
+
 struct refusal_case {
     const char *path;
     const char *header; /* one more, or NULL */
@@ -653,6 +708,7 @@
     g_test_add_func("/frontend/session", test_session);
     g_test_add_func("/frontend/session-of-refusal", test_session_of_refusal);
     g_test_add_func("/frontend/session-full", test_session_full);
+    g_test_add_func("/frontend/large-heads", test_large_heads);
     g_test_add_func("/frontend/refusals", test_refusals);
     g_test_add_func("/frontend/not-ready", test_not_ready);
     g_test_add_func("/frontend/metrics", test_metrics);
