--- a/bench/capacity_load.py
+++ b/bench/capacity_load.py
@@ -126,8 +126,14 @@
         answer = client.run(f"{command} {count - opened}")
         opened = count
         time.sleep(0.3)
+        memory = Memory(daemon.pid)
         points.append(
-            {"connections": count, "private_kb": Memory(daemon.pid).private, "client": answer}
+            {
+                "connections": count,
+                "private_kb": memory.private,
+                "threads": memory.threads,
+                "client": answer,
+            }
         )
     return points
 
--- a/bench/capacity_probe.py
+++ b/bench/capacity_probe.py
@@ -75,9 +75,11 @@
 
     FIELDS = ("bytes_sent", "bytes_received", "segs_out", "segs_in")
 
-    def __init__(self):
-        command = ["ss", "-tinpHO", "state", "established"]
-        listing = subprocess.run(command, check=True, capture_output=True, text=True).stdout
+    def __init__(self, listing=None):
+        """Takes a listing of ss, or asks for one."""
+        if listing is None:
+            command = ["ss", "-tinpHO", "state", "established"]
+            listing = subprocess.run(command, check=True, capture_output=True, text=True).stdout
         self.at = time.monotonic()
         self.by_process = {}
         for line in listing.splitlines():
