--- a/src/sim/prove.c
+++ b/src/sim/prove.c
@@ -14,6 +14,12 @@
     enum checker_rule expected;
 };
 
+struct options {
+    gint64 seeds;
+    gint jobs;
+    char *directory;
+};
+
 static const struct row ROWS[] = {
     {"acknowledged by the current primary", "primary_killed", SIM_MUTATION_TRUST_COMMIT,
      CHECKER_RULE_ACKNOWLEDGED_LOST},
@@ -63,6 +69,21 @@
      CHECKER_RULE_ACKNOWLEDGED_LOST},
 };
 
+/* Outcome of one seed. */
+struct seed_outcome {
+    bool failed;
+    char *first; /* violation */
+    struct measure_gap gap;
+};
+
+/* One scenario over all seeds; the seeds run side by side. */
+struct batch {
+    const struct sim_scenario *scenario;
+    const struct row *row;
+    enum sim_mutation mutation;
+    struct seed_outcome *outcomes; /* by seed, from 1 */
+};
+
 /* Outcome of one scenario over all seeds. */
 struct tally {
     uint64_t failing_seeds;
@@ -70,41 +91,64 @@
     char *first_text;
 };
 
-static void run_seed(const struct sim_scenario *scenario, uint64_t seed, const struct row *row,
-                     enum sim_mutation mutation, struct tally *tally, GArray *gaps)
+/* On a thread of the pool: runs share nothing but the scenario, which is not changed. */
+static void run_seed(gpointer data, gpointer user_data)
 {
-    struct sim_run *run = sim_run_new(scenario, seed, mutation, false);
+    const struct batch *batch = user_data;
+    uint64_t seed = GPOINTER_TO_SIZE(data);
+    struct seed_outcome *outcome = &batch->outcomes[seed - 1];
+    struct sim_run *run = sim_run_new(batch->scenario, seed, batch->mutation, false);
     struct checker_result result;
-    struct measure_gap gap;
-    bool failed;
 
     sim_run_execute(run);
     checker_judge(run, &result);
-    failed =
-        mutation == SIM_MUTATION_NONE ? result.total > 0 : result.violations[row->expected] > 0;
-    if (failed) {
-        tally->failing_seeds += 1;
-        if (tally->first_text == NULL) {
-            tally->first_failing = seed;
-            tally->first_text = g_strdup(result.first);
-        }
-    }
-    gap = measure_first_gap(run);
-    if (gap.found && mutation == SIM_MUTATION_NONE) {
-        g_array_append_val(gaps, gap);
-    }
+    outcome->failed = batch->mutation == SIM_MUTATION_NONE
+                          ? result.total > 0
+                          : result.violations[batch->row->expected] > 0;
+    outcome->first = g_strdup(result.first);
+    outcome->gap = measure_first_gap(run);
     checker_result_clear(&result);
     sim_run_free(run);
 }
 
-static struct tally run_seeds(const struct sim_scenario *scenario, const struct row *row,
-                              enum sim_mutation mutation, uint64_t seeds, GArray *gaps)
+static struct tally sum_up(const struct batch *batch, uint64_t seeds, GArray *gaps)
 {
     struct tally tally = {0};
 
+    for (uint64_t i = 0; i < seeds; i++) {
+        struct seed_outcome *outcome = &batch->outcomes[i];
+
+        if (outcome->failed) {
+            tally.failing_seeds += 1;
+        }
+        if (outcome->failed && tally.first_text == NULL) {
+            tally.first_failing = i + 1;
+            tally.first_text = g_strdup(outcome->first);
+        }
+        if (outcome->gap.found && batch->mutation == SIM_MUTATION_NONE) {
+            g_array_append_val(gaps, outcome->gap);
+        }
+        g_free(outcome->first);
+    }
+    return tally;
+}
+
+static struct tally run_seeds(const struct sim_scenario *scenario, const struct row *row,
+                              enum sim_mutation mutation, const struct options *options,
+                              GArray *gaps)
+{
+    struct batch batch = {.scenario = scenario, .row = row, .mutation = mutation};
+    uint64_t seeds = (uint64_t)options->seeds;
+    GThreadPool *pool = g_thread_pool_new(run_seed, &batch, options->jobs, TRUE, NULL);
+    struct tally tally;
+
+    batch.outcomes = g_new0(struct seed_outcome, seeds);
     for (uint64_t seed = 1; seed <= seeds; seed++) {
-        run_seed(scenario, seed, row, mutation, &tally, gaps);
+        g_thread_pool_push(pool, GSIZE_TO_POINTER(seed), NULL);
     }
+    g_thread_pool_free(pool, FALSE, TRUE);
+    tally = sum_up(&batch, seeds, gaps);
+    g_free(batch.outcomes);
     return tally;
 }
 
@@ -119,16 +163,17 @@
 }
 
 /* Proves one row; false if it is wrong. */
-static bool prove_row(size_t index, const char *directory, uint64_t seeds)
+static bool prove_row(size_t index, const struct options *options)
 {
     const struct row *row = &ROWS[index];
     g_autofree char *file = g_strconcat(row->scenario, ".ini", NULL);
-    g_autofree char *path = g_build_filename(directory, file, NULL);
+    g_autofree char *path = g_build_filename(options->directory, file, NULL);
     g_autoptr(GError) error = NULL;
     g_autoptr(GArray) gaps = g_array_new(FALSE, FALSE, sizeof(struct measure_gap));
     struct sim_scenario *scenario = sim_scenario_load(path, &error);
     struct tally on = {0};
     struct tally off = {0};
+    uint64_t seeds = (uint64_t)options->seeds;
     bool right = true;
 
     if (scenario == NULL) {
@@ -136,11 +181,11 @@
         return false;
     }
     if (!already_run(index)) {
-        on = run_seeds(scenario, row, SIM_MUTATION_NONE, seeds, gaps);
+        on = run_seeds(scenario, row, SIM_MUTATION_NONE, options, gaps);
         right = on.failing_seeds == 0;
     }
     if (row->mutation != SIM_MUTATION_NONE) {
-        off = run_seeds(scenario, row, row->mutation, seeds, gaps);
+        off = run_seeds(scenario, row, row->mutation, options, gaps);
         right = right && off.failing_seeds > 0;
     }
     printf("%-38s %-28s on: %3" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT
@@ -164,11 +209,13 @@
 
 int prove_main(int argc, char **argv)
 {
-    gint64 seeds = 200;
-    g_autofree char *directory = g_strdup("tests/sim/scenarios");
+    struct options options = {
+        .seeds = 200, .jobs = 3, .directory = g_strdup("tests/sim/scenarios")};
     const GOptionEntry entries[] = {
-        {"seeds", 0, 0, G_OPTION_ARG_INT64, &seeds, "Seeds per row", "N"},
-        {"scenarios", 0, 0, G_OPTION_ARG_FILENAME, &directory, "Directory of scenarios", "DIR"},
+        {"seeds", 0, 0, G_OPTION_ARG_INT64, &options.seeds, "Seeds per row", "N"},
+        {"jobs", 0, 0, G_OPTION_ARG_INT, &options.jobs, "Runs side by side", "N"},
+        {"scenarios", 0, 0, G_OPTION_ARG_FILENAME, &options.directory, "Directory of scenarios",
+         "DIR"},
         G_OPTION_ENTRY_NULL,
     };
     g_autoptr(GOptionContext) context = g_option_context_new(NULL);
@@ -182,9 +229,14 @@
         fprintf(stderr, "swiftsim: %s\n", error->message);
         return 2;
     }
+    if (options.seeds < 1 || options.jobs < 1) {
+        fprintf(stderr, "swiftsim: --seeds and --jobs must be at least 1\n");
+        return 2;
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(ROWS); i++) {
-        wrong += prove_row(i, directory, (uint64_t)seeds) ? 0 : 1;
+        wrong += prove_row(i, &options) ? 0 : 1;
     }
     printf("%zu of %zu rows are right\n", G_N_ELEMENTS(ROWS) - wrong, G_N_ELEMENTS(ROWS));
+    g_free(options.directory);
     return wrong == 0 ? 0 : 1;
 }
