Mend a stray promise at once where it keeps writes from being confirmed

With one of three databases cut off and another bound by a promise that nobody led, writes stood still until the planned repair 2 s later, and longer where a daemon was dead.

--- a/src/core/group_control_change.c
+++ b/src/core/group_control_change.c
@@ -245,30 +245,6 @@
     return best;
 }
 
-/* A member that promised a term above the current one, after an attempt that went no further, can
- * neither follow nor confirm writes until a primary leads a still higher term. */
-static bool needs_repair(struct group_control *control)
-{
-    bool stray = control->promised_max > control->known_term;
-    bool member_stray = false;
-
-    for (uint32_t i = 0; i < control->options.database_count; i++) {
-        if (observe_is_reachable(control, i) &&
-            control->members[i].status.promised_term > control->known_term) {
-            member_stray = true;
-        }
-    }
-    if (!stray || !member_stray || observe_primary(control) == NO_DATABASE) {
-        control->repair_since = 0;
-        return false;
-    }
-    if (control->repair_since == 0) {
-        control->repair_since = control->now;
-    }
-    return control->now >= control->repair_since + control->options.repair_after +
-                               observe_rank(control, false) * control->options.rank_step;
-}
-
 static bool primary_must_leave(const struct group_control *control, int32_t primary)
 {
     const struct member *member = &control->members[primary];
@@ -309,13 +285,17 @@
 {
     struct change *change = &control->change;
     int32_t primary = observe_primary(control);
-    bool repair = needs_repair(control);
+    bool repair = repair_is_due(control);
     time_ns rank_wait;
 
     if (!control->in_membership || primary == NO_DATABASE || control->suspects ||
         control->attempt.state != ATTEMPT_STATE_IDLE || control->pause.id != 0) {
         return;
     }
+    if (repair_is_urgent(control)) {
+        failover_start(control, GROUP_REASON_STRAY_PROMISE, primary);
+        return;
+    }
     if (!repair && !primary_must_leave(control, primary)) {
         change->not_before = 0;
         change->aborts = 0;
--- a/src/core/group_control_internal.h
+++ b/src/core/group_control_internal.h
@@ -1,6 +1,7 @@
 /* State of one group's control, shared by its parts: observation (group_control_observe.c),
- * failover (group_control_failover.c), planned change (group_control_change.c), healing
- * (group_control_heal.c) and the step itself (group_control.c). Private to these files. */
+ * failover (group_control_failover.c), planned change (group_control_change.c), repair
+ * (group_control_repair.c), healing (group_control_heal.c) and the step itself (group_control.c).
+ * Private to these files. */
 #ifndef SW_CORE_GROUP_CONTROL_INTERNAL_H
 #define SW_CORE_GROUP_CONTROL_INTERNAL_H
 
@@ -187,6 +188,12 @@
 /* Ends the pause and the change after an attempt: the new primary leads, or it failed. */
 void change_attempt_ended(struct group_control *control, bool promoted);
 
+/* group_control_repair.c */
+/* True once a member has had a stray promise for long: a planned change is to mend it. */
+bool repair_is_due(struct group_control *control);
+/* True if stray promises keep writes from being confirmed: a new term is needed at once. */
+bool repair_is_urgent(struct group_control *control);
+
 /* group_control_heal.c */
 void heal_advance(struct group_control *control);
 bool heal_take_command(struct group_control *control, const struct group_event *event);
--- a/tests/core/group_control_test.c
+++ b/tests/core/group_control_test.c
@@ -546,6 +546,20 @@
     stop(&rig);
 }
 
+/* With one member away, the other's stray promise keeps every write from being confirmed. */
+static void test_urgent_stray_promise_is_repaired_at_once(void)
+{
+    struct rig rig;
+    start(&rig);
+    promise(&rig, 1, 8);
+    rig.reachable[2] = false;
+    g_assert_true(run(&rig, 1500 * MS, GROUP_ACTION_FENCE));
+    g_assert_cmpuint(find(&rig, GROUP_ACTION_FENCE)->term, ==, 9);
+    g_assert_true(recorded(&rig, GROUP_RECORD_FENCE_STARTED, GROUP_REASON_STRAY_PROMISE));
+    g_assert_false(group_control_view(rig.control)->writes_paused);
+    stop(&rig);
+}
+
 static void drain(struct rig *rig, uint32_t database)
 {
     feed(rig, (struct group_event){.kind = GROUP_EVENT_DRAIN, .database = database});
@@ -762,6 +776,8 @@
                     test_interrupted_failover_is_taken_up);
     g_test_add_func("/group_control/members_are_told_to_follow", test_members_are_told_to_follow);
     g_test_add_func("/group_control/stray_promise_is_repaired", test_stray_promise_is_repaired);
+    g_test_add_func("/group_control/urgent_stray_promise_is_repaired_at_once",
+                    test_urgent_stray_promise_is_repaired_at_once);
     g_test_add_func("/group_control/drain_replica", test_drain_replica);
     g_test_add_func("/group_control/drain_taken_back_elsewhere", test_drain_taken_back_elsewhere);
     g_test_add_func("/group_control/drain_taken_back_at_once", test_drain_taken_back_at_once);
