--- a/src/sim/checker.c
+++ b/src/sim/checker.c
@@ -175,7 +175,7 @@
         const struct sim_attempt *attempt = g_ptr_array_index(run->history.attempts, i);
         struct write_summary *summary;
 
-        if (attempt->is_read) {
+        if (attempt->work == SIM_WORK_READ || attempt->work == SIM_WORK_BEGIN) {
             continue;
         }
         summary = g_hash_table_lookup(by_operation, attempt->operation);
@@ -272,9 +272,9 @@
                     "request %" G_GUINT64_FORMAT " got the answer of %" G_GUINT64_FORMAT,
                     attempt->request_id, attempt->answered_id);
         }
-        if (attempt->is_read) {
+        if (attempt->work == SIM_WORK_READ) {
             check_read(session, attempt, result);
-        } else {
+        } else if (attempt->work != SIM_WORK_BEGIN) {
             note_write(session, attempt);
         }
     }
--- a/src/sim/measure.c
+++ b/src/sim/measure.c
@@ -35,7 +35,7 @@
     for (guint i = 0; i < run->history.attempts->len; i++) {
         const struct sim_attempt *attempt = g_ptr_array_index(run->history.attempts, i);
 
-        if (!attempt->is_read && attempt->state == SIM_ATTEMPT_ANSWERED &&
+        if (attempt->work == SIM_WORK_WRITE && attempt->state == SIM_ATTEMPT_ANSWERED &&
             attempt->outcome == OUTCOME_DONE) {
             g_array_append_val(times, attempt->ended_at);
         }
--- a/src/sim/sim_client.c
+++ b/src/sim/sim_client.c
@@ -9,6 +9,8 @@
 #define RESET_DELAY (2 * SIM_MILLISECOND)
 #define RETRY_DELAY (20 * SIM_MILLISECOND)
 
+static const char *const WORK_NAMES[] = {"read", "write", "begin", "commit"};
+
 struct attempt_message {
     uint64_t request_id;
 };
@@ -51,9 +53,11 @@
     sim_node_schedule(&client->node, world->now + delay, on_retry, client, NULL, 0);
 }
 
+/* To begin again is harmless: nothing was run. */
 static bool may_repeat(const struct sim_client *client)
 {
-    return client->operation == NULL || client->operation->key != 0;
+    return client->work == SIM_WORK_READ || client->work == SIM_WORK_BEGIN ||
+           client->operation->key != 0;
 }
 
 static void end_attempt(struct sim_client *client, struct sim_attempt *attempt,
@@ -156,14 +160,15 @@
     attempt->request_id = sim_world_next_id(world);
     attempt->client = client->index;
     attempt->daemon = daemon;
-    attempt->is_read = client->operation == NULL;
+    attempt->work = client->work;
     attempt->operation = client->operation;
     attempt->started_at = world->now;
     g_ptr_array_add(run->history.attempts, attempt);
     g_hash_table_insert(client->pending, &attempt->request_id, attempt);
     message.request.request_id = attempt->request_id;
     message.request.client = client->index;
-    message.request.is_read = attempt->is_read;
+    message.request.work = attempt->work;
+    message.request.transaction = client->transaction;
     message.request.operation = attempt->operation;
     message.request.session = client->session;
     message.request.deadline = world->now + scenario->request_deadline;
@@ -179,12 +184,16 @@
     struct sim_world *world = client->node.world;
     uint32_t count = client->run->daemon_count;
     uint32_t daemon = (uint32_t)sim_random_below(world, count);
-    bool keyed = client->operation != NULL && client->operation->key != 0;
+    bool keyed = client->work == SIM_WORK_WRITE && client->operation->key != 0;
 
     if (client->pinned_daemon >= 0) {
         client->attempt = send_to(client, (uint32_t)client->pinned_daemon);
         return;
     }
+    if (client->work == SIM_WORK_COMMIT) {
+        client->attempt = send_to(client, client->transaction_daemon);
+        return;
+    }
     client->attempt = send_to(client, daemon);
     if (keyed && count > 1 && sim_random_chance(world, client->run->scenario->same_key_share)) {
         send_to(client, (daemon + 1) % count);
@@ -209,6 +218,10 @@
         client->last_keyed = operation;
     }
     client->operation = operation;
+    client->work = SIM_WORK_WRITE;
+    if (client->pinned_daemon < 0 && sim_random_chance(world, scenario->transaction_share)) {
+        client->work = SIM_WORK_BEGIN;
+    }
 }
 
 static void start_next(struct sim_client *client)
@@ -219,6 +232,7 @@
         return;
     }
     client->operation = NULL;
+    client->work = SIM_WORK_READ;
     client->give_up_at = world->now + REPEAT_FOR;
     if (client->pinned_daemon >= 0 ||
         !sim_random_chance(world, client->run->scenario->read_share)) {
@@ -234,11 +248,27 @@
     }
 }
 
+/* The transaction is open; it is committed after the client's own work. */
+static void hold_transaction(struct sim_client *client, const struct sim_client_reply *reply)
+{
+    struct sim_world *world = client->node.world;
+    time_ns hold = sim_random_below(world, client->run->scenario->transaction_time);
+
+    client->transaction = reply->transaction;
+    client->transaction_daemon = client->attempt->daemon;
+    client->work = SIM_WORK_COMMIT;
+    sim_node_schedule(&client->node, world->now + hold, on_retry, client, NULL, 0);
+}
+
 static void after_answer(struct sim_client *client, const struct sim_client_reply *reply)
 {
     bool final = reply->outcome == OUTCOME_DONE || reply->outcome == OUTCOME_FAILED ||
                  reply->error == ERROR_KIND_KEY_CLOSED || reply->error == ERROR_KIND_KEY_REUSED;
 
+    if (client->work == SIM_WORK_BEGIN && reply->outcome == OUTCOME_DONE) {
+        hold_transaction(client, reply);
+        return;
+    }
     if (final || !may_repeat(client)) {
         finish_operation(client);
         return;
@@ -256,15 +286,14 @@
     attempt->seen = reply->seen;
     attempt->durable = reply->durable;
     attempt->by_replica = reply->by_replica;
-    if (reply->outcome == OUTCOME_DONE) {
+    if (reply->outcome == OUTCOME_DONE && attempt->work != SIM_WORK_BEGIN) {
         remember_session(client, reply->session);
     }
     sim_journal(client->node.world,
                 "client %u: %s %" G_GUINT64_FORMAT
                 " at daemon %u: outcome %d error %d at %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
-                client->index, attempt->is_read ? "read" : "write", attempt->request_id,
-                attempt->daemon, (int)reply->outcome, (int)reply->error, reply->session.term,
-                reply->session.offset);
+                client->index, WORK_NAMES[attempt->work], attempt->request_id, attempt->daemon,
+                (int)reply->outcome, (int)reply->error, reply->session.term, reply->session.offset);
 }
 
 void sim_client_on_reply(void *object, const void *payload)
--- a/src/sim/sim_client.h
+++ b/src/sim/sim_client.h
@@ -11,10 +11,13 @@
     uint32_t index;
     struct log_position session;
     struct sim_operation *operation; /* of the write under way; NULL: a read */
-    struct sim_attempt *attempt;     /* the one that it waits for */
-    GHashTable *pending;             /* request id -> struct sim_attempt without an answer yet */
-    int32_t pinned_daemon;           /* it writes there only, without pause; or -1 */
-    time_ns give_up_at;              /* the write is not repeated after this */
+    enum sim_work work;
+    uint64_t transaction;        /* open, to be committed */
+    uint32_t transaction_daemon; /* where it is open */
+    struct sim_attempt *attempt; /* the one that it waits for */
+    GHashTable *pending;         /* request id -> struct sim_attempt without an answer yet */
+    int32_t pinned_daemon;       /* it writes there only, without pause; or -1 */
+    time_ns give_up_at;          /* the write is not repeated after this */
     struct sim_operation *last_keyed;
 };
 
--- a/src/sim/sim_daemon.c
+++ b/src/sim/sim_daemon.c
@@ -416,13 +416,13 @@
 {
     uint64_t change = daemon->drain_change;
 
-    if (change == 0) {
+    if (change == 0 || daemon->transactions->len > 0) {
         return;
     }
     for (guint i = 0; i < daemon->running->len; i++) {
         const struct sim_flow *flow = g_ptr_array_index(daemon->running, i);
 
-        if (!flow->request.is_read) {
+        if (flow->request.work != SIM_WORK_READ) {
             return;
         }
     }
@@ -504,6 +504,7 @@
     sim_node_init(&daemon->node, run->world, zone);
     daemon->waiting = g_ptr_array_new();
     daemon->running = g_ptr_array_new();
+    daemon->transactions = g_ptr_array_new();
     daemon->issued = g_array_new(FALSE, TRUE, sizeof(struct trace_command));
     for (uint32_t i = 0; i < GROUP_DATABASES_MAX; i++) {
         daemon->idle[i] = g_ptr_array_new();
@@ -516,6 +517,7 @@
     group_control_free(daemon->control);
     g_ptr_array_unref(daemon->waiting);
     g_ptr_array_unref(daemon->running);
+    g_ptr_array_unref(daemon->transactions);
     g_array_unref(daemon->issued);
     for (uint32_t i = 0; i < GROUP_DATABASES_MAX; i++) {
         g_ptr_array_unref(daemon->idle[i]);
@@ -535,6 +537,7 @@
     memset(daemon->probes, 0, sizeof(daemon->probes));
     g_ptr_array_set_size(daemon->waiting, 0);
     g_ptr_array_set_size(daemon->running, 0);
+    g_ptr_array_set_size(daemon->transactions, 0);
     g_array_set_size(daemon->issued, 0);
     group_control_free(daemon->control);
     control_options(daemon, &options);
--- a/src/sim/sim_daemon.h
+++ b/src/sim/sim_daemon.h
@@ -14,7 +14,8 @@
 struct sim_client_request {
     uint64_t request_id;
     uint32_t client;
-    bool is_read;
+    enum sim_work work;
+    uint64_t transaction; /* of COMMIT */
     struct sim_operation *operation;
     struct log_position session;
     time_ns deadline;
@@ -31,6 +32,7 @@
     struct sim_entry *seen;
     struct sim_entry *durable; /* the part of it that a majority held then */
     bool by_replica;
+    uint64_t transaction; /* of BEGIN */
 };
 
 struct sim_flow;
@@ -56,12 +58,21 @@
     struct write_step write_step;
     struct read_step read_step;
     struct sim_connection *connection;
-    uint64_t sent_term;   /* of the view when the statement was sent */
-    uint64_t answered_id; /* request the accepted answer belongs to */
+    const struct sim_transaction *transaction; /* of a COMMIT that found it; else NULL */
+    time_ns unavailable_since;                 /* of BEGIN; 0 while a primary is known */
+    uint64_t sent_term;                        /* of the view when the statement was sent */
+    uint64_t answered_id;                      /* request the accepted answer belongs to */
     struct sim_entry *seen;
     struct sim_entry *durable; /* the part of it that a majority held then */
 };
 
+/* A transaction that is open at a daemon. It holds its connection. */
+struct sim_transaction {
+    uint64_t id;
+    struct sim_connection *connection;
+    uint64_t term; /* in which it began */
+};
+
 /* Outstanding command of the control. */
 struct sim_command {
     uint64_t id; /* 0: free */
@@ -87,6 +98,7 @@
     bool drain_wish[GROUP_DATABASES_MAX];
     GPtrArray *idle[GROUP_DATABASES_MAX]; /* of struct sim_connection */
     GPtrArray *waiting;                   /* flows that wait for a new view */
+    GPtrArray *transactions;              /* of struct sim_transaction, open */
     GPtrArray *running;                   /* flows with a statement or evidence under way */
     uint64_t drain_change;                /* planned change to report as drained; 0 if none */
 };
@@ -114,12 +126,29 @@
 /* sim_pool.c */
 /* Sends the flow's statement over an idle or a new connection. */
 void sim_pool_send(struct sim_flow *flow, struct sim_database_request *request);
+/* Sends it over the connection that the flow's transaction holds. */
+void sim_pool_send_held(struct sim_flow *flow, struct sim_database_request *request);
 /* Takes the connection from the flow: back to the idle ones, or closed. */
 void sim_pool_release(struct sim_flow *flow, bool healthy);
 /* In sim_request.c: the flow's statement was answered, or could not be sent. */
 void sim_flow_answered(struct sim_flow *flow, const struct sim_database_reply *reply);
 void sim_flow_not_sent(struct sim_flow *flow);
 
+/* sim_transaction.c */
+void sim_transaction_start(struct sim_flow *flow); /* a BEGIN */
+void sim_transaction_timer(struct sim_flow *flow);
+void sim_transaction_answered(struct sim_flow *flow, const struct sim_database_reply *reply);
+void sim_transaction_lost(struct sim_flow *flow);
+/* Takes the open transaction for its commit; NULL if the daemon does not have it. */
+struct sim_transaction *sim_transaction_take(struct sim_daemon *daemon, uint64_t id);
+
+/* sim_request.c, for sim_transaction.c */
+void sim_flow_answer(struct sim_flow *flow, struct sim_client_reply *reply);
+void sim_flow_wait_for_view(struct sim_flow *flow, time_ns until);
+void sim_flow_set_running(struct sim_flow *flow, bool running);
+/* The statement of the present step is given up at `at`. */
+void sim_flow_schedule_timeout(struct sim_flow *flow, time_ns at);
+
 /* sim_client.c: takes an answer; a sim_handler on a client. */
 void sim_client_on_reply(void *object, const void *payload);
 
--- a/src/sim/sim_database.c
+++ b/src/sim/sim_database.c
@@ -225,8 +225,10 @@
                            const struct sim_database_request *request)
 {
     struct sim_database_reply answer = {.result = SIM_RESULT_NOT_PRIMARY};
+    /* A fence, or another term, has rolled an open transaction back. */
+    bool rolled_back = request->kind == SIM_REQUEST_COMMIT && request->term != database->term;
 
-    if (may_write(database)) {
+    if (may_write(database) && !rolled_back) {
         answer.result = consult_ledger(database, request->operation);
         if (answer.result == SIM_RESULT_OK) {
             bool closes = request->kind == SIM_REQUEST_CLOSE_KEY;
@@ -346,6 +348,11 @@
         begin_wait(database, request);
         return;
     }
+    if (request->kind == SIM_REQUEST_BEGIN) {
+        reply_result(database, request,
+                     may_write(database) ? SIM_RESULT_OK : SIM_RESULT_NOT_PRIMARY);
+        return;
+    }
     write_or_close(database, request);
 }
 
@@ -408,6 +415,8 @@
         begin_wait(database, request);
         break;
     case SIM_REQUEST_WRITE:
+    case SIM_REQUEST_BEGIN:
+    case SIM_REQUEST_COMMIT:
     case SIM_REQUEST_CLOSE_KEY:
     case SIM_REQUEST_READ:
         queue_statement(database, request);
--- a/src/sim/sim_database.h
+++ b/src/sim/sim_database.h
@@ -25,6 +25,8 @@
     SIM_REQUEST_SET_LEAVING,
     SIM_REQUEST_OPEN,      /* a new connection */
     SIM_REQUEST_WRITE,     /* with the ledger row, if keyed, in one transaction */
+    SIM_REQUEST_BEGIN,     /* opens a transaction */
+    SIM_REQUEST_COMMIT,    /* runs what a transaction, begun in `term`, wrote */
     SIM_REQUEST_CLOSE_KEY, /* claim the key: recorded outcome, or never to run */
     SIM_REQUEST_READ,
     SIM_REQUEST_WAIT_HELD,
@@ -38,7 +40,7 @@
     sim_handler on_reply; /* takes a struct sim_database_reply */
     void *object;
     uint64_t tag;                    /* of the connection or command: comes back in the reply */
-    uint64_t term;                   /* FENCE, PROMOTE, FOLLOW */
+    uint64_t term;                   /* FENCE, PROMOTE, FOLLOW, COMMIT */
     uint64_t coordinator;            /* FENCE, PROMOTE, FOLLOW */
     uint32_t primary;                /* FOLLOW */
     bool leaving;                    /* SET_LEAVING */
--- a/src/sim/sim_history.h
+++ b/src/sim/sim_history.h
@@ -17,12 +17,20 @@
     SIM_ATTEMPT_LOST,     /* no answer */
 };
 
+/* What a request asks for. */
+enum sim_work {
+    SIM_WORK_READ,
+    SIM_WORK_WRITE,
+    SIM_WORK_BEGIN,  /* opens a transaction; the write runs at its commit */
+    SIM_WORK_COMMIT, /* ends it, or resolves it by its key */
+};
+
 /* One request of a client, and its answer. */
 struct sim_attempt {
     uint64_t request_id;
     uint32_t client;
     uint32_t daemon;
-    bool is_read;
+    enum sim_work work;
     struct sim_operation *operation; /* of a write */
     time_ns started_at;
     time_ns ended_at;
--- a/src/sim/sim_pool.c
+++ b/src/sim/sim_pool.c
@@ -99,10 +99,11 @@
 
 void sim_pool_send(struct sim_flow *flow, struct sim_database_request *request)
 {
-    uint32_t database =
-        (uint32_t)(flow->request.is_read ? flow->read_step.database : flow->write_step.database);
+    uint32_t database = (uint32_t)(flow->request.work == SIM_WORK_READ ? flow->read_step.database
+                                                                       : flow->write_step.database);
     GPtrArray *idle = flow->daemon->idle[database];
 
+    g_assert(flow->request.work != SIM_WORK_READ || flow->read_step.database >= 0);
     if (idle->len == 0) {
         open_connection(flow, database, request);
         return;
@@ -110,6 +111,11 @@
     send_over(flow, g_ptr_array_steal_index(idle, idle->len - 1), request);
 }
 
+void sim_pool_send_held(struct sim_flow *flow, struct sim_database_request *request)
+{
+    send_over(flow, flow->transaction->connection, request);
+}
+
 void sim_pool_release(struct sim_flow *flow, bool healthy)
 {
     struct sim_connection *connection = flow->connection;
--- a/src/sim/sim_request.c
+++ b/src/sim/sim_request.c
@@ -39,7 +39,7 @@
     sim_node_schedule(&flow->daemon->node, at, handler, flow, &message, sizeof(message));
 }
 
-static void set_running(struct sim_flow *flow, bool running)
+void sim_flow_set_running(struct sim_flow *flow, bool running)
 {
     struct sim_daemon *daemon = flow->daemon;
 
@@ -63,8 +63,10 @@
         return;
     }
     g_ptr_array_remove(flow->daemon->waiting, flow);
-    if (flow->request.is_read) {
+    if (flow->request.work == SIM_WORK_READ) {
         drive_read(flow, &(struct read_event){.kind = READ_EVENT_TIMER});
+    } else if (flow->request.work == SIM_WORK_BEGIN) {
+        sim_transaction_timer(flow);
     } else {
         drive_write(flow, &(struct write_event){.kind = WRITE_EVENT_TIMER});
     }
@@ -75,10 +77,14 @@
     struct write_event event = {.kind = WRITE_EVENT_LOST};
 
     sim_pool_release(flow, false);
-    if (flow->request.is_read) {
+    if (flow->request.work == SIM_WORK_READ) {
         drive_read(flow, &(struct read_event){.kind = READ_EVENT_LOST});
         return;
     }
+    if (flow->request.work == SIM_WORK_BEGIN) {
+        sim_transaction_lost(flow);
+        return;
+    }
     if (flow->daemon->run->mutation == SIM_MUTATION_LOST_IS_NOT_SENT) {
         event.kind = WRITE_EVENT_NOT_SENT;
     }
@@ -98,8 +104,10 @@
 
 void sim_flow_not_sent(struct sim_flow *flow)
 {
-    if (flow->request.is_read) {
+    if (flow->request.work == SIM_WORK_READ) {
         drive_read(flow, &(struct read_event){.kind = READ_EVENT_NOT_SENT});
+    } else if (flow->request.work == SIM_WORK_BEGIN) {
+        sim_transaction_lost(flow);
     } else {
         drive_write(flow, &(struct write_event){.kind = WRITE_EVENT_NOT_SENT});
     }
@@ -125,9 +133,13 @@
 
 void sim_flow_answered(struct sim_flow *flow, const struct sim_database_reply *reply)
 {
-    sim_pool_release(flow, true);
     flow->answered_id = reply->request_id;
-    if (flow->request.is_read) {
+    if (flow->request.work == SIM_WORK_BEGIN) {
+        sim_transaction_answered(flow, reply);
+        return;
+    }
+    sim_pool_release(flow, true);
+    if (flow->request.work == SIM_WORK_READ) {
         struct read_event event = {.kind = READ_EVENT_ANSWERED, .status = reply->status};
 
         flow->seen = reply->seen;
@@ -144,7 +156,7 @@
     drive_write(flow, &event);
 }
 
-static void answer_client(struct sim_flow *flow, struct sim_client_reply *reply)
+void sim_flow_answer(struct sim_flow *flow, struct sim_client_reply *reply)
 {
     struct sim_daemon *daemon = flow->daemon;
     struct sim_client *client = daemon->run->clients[flow->request.client];
@@ -168,7 +180,7 @@
     struct sim_client_reply reply = message->reply;
 
     (void)object;
-    answer_client(message->flow, &reply);
+    sim_flow_answer(message->flow, &reply);
 }
 
 static void answer_write(struct sim_flow *flow)
@@ -267,6 +279,11 @@
     schedule_step(flow, MIN(end, flow->write_step.until), on_evidence_end);
 }
 
+void sim_flow_schedule_timeout(struct sim_flow *flow, time_ns at)
+{
+    schedule_step(flow, at, on_statement_timeout);
+}
+
 static bool may_run_again(const struct sim_flow *flow)
 {
     return flow->write.options.keyed || flow->write.options.resend_unkeyed;
@@ -289,14 +306,20 @@
         timeout = flow->write_step.until;
     }
     flow->sent_term = daemon->view.term;
-    sim_pool_send(flow, &request);
+    if (flow->transaction != NULL && request.kind == SIM_REQUEST_WRITE) {
+        request.kind = SIM_REQUEST_COMMIT;
+        request.term = flow->transaction->term;
+        sim_pool_send_held(flow, &request);
+    } else {
+        sim_pool_send(flow, &request);
+    }
     schedule_step(flow, timeout, on_statement_timeout);
-    if (request.kind == SIM_REQUEST_WRITE) {
+    if (request.kind != SIM_REQUEST_CLOSE_KEY) {
         sim_fault_trigger(daemon->run, SIM_TRIGGER_WRITE_SENT, daemon);
     }
 }
 
-static void wait_for_view(struct sim_flow *flow, time_ns until)
+void sim_flow_wait_for_view(struct sim_flow *flow, time_ns until)
 {
     g_ptr_array_add(flow->daemon->waiting, flow);
     schedule_step(flow, until, on_step_timer);
@@ -317,7 +340,7 @@
     }
     flow->write_step = step;
     flow->step += 1;
-    set_running(flow, step.kind != WRITE_STEP_WAIT && step.kind != WRITE_STEP_ANSWER);
+    sim_flow_set_running(flow, step.kind != WRITE_STEP_WAIT && step.kind != WRITE_STEP_ANSWER);
     switch (step.kind) {
     case WRITE_STEP_EXECUTE:
     case WRITE_STEP_CLOSE_KEY:
@@ -327,7 +350,7 @@
         gather_evidence(flow);
         break;
     case WRITE_STEP_WAIT:
-        wait_for_view(flow, step.until);
+        sim_flow_wait_for_view(flow, step.until);
         break;
     case WRITE_STEP_ANSWER:
         answer_write(flow);
@@ -365,7 +388,7 @@
         .by_replica = step->database != flow->daemon->view.primary,
     };
 
-    answer_client(flow, &reply);
+    sim_flow_answer(flow, &reply);
 }
 
 static void drive_read(struct sim_flow *flow, struct read_event *event)
@@ -379,20 +402,20 @@
     flow->step += 1;
     switch (flow->read_step.kind) {
     case READ_STEP_READ:
-        set_running(flow, true);
+        sim_flow_set_running(flow, true);
         read_statement(flow);
         break;
     case READ_STEP_FRESHEN:
-        set_running(flow, false);
+        sim_flow_set_running(flow, false);
         sim_daemon_probe_now(daemon, (uint32_t)flow->read_step.database);
-        wait_for_view(flow, flow->read_step.until);
+        sim_flow_wait_for_view(flow, flow->read_step.until);
         break;
     case READ_STEP_WAIT:
-        set_running(flow, false);
-        wait_for_view(flow, flow->read_step.until);
+        sim_flow_set_running(flow, false);
+        sim_flow_wait_for_view(flow, flow->read_step.until);
         break;
     case READ_STEP_ANSWER:
-        set_running(flow, false);
+        sim_flow_set_running(flow, false);
         answer_read(flow);
         break;
     }
@@ -413,6 +436,33 @@
     drive_write(flow, &(struct write_event){.kind = WRITE_EVENT_START});
 }
 
+/* A commit whose transaction is not here: it was rolled back with its daemon, unless its commit was
+ * under way then. Only the key can tell. */
+static void start_commit(struct sim_flow *flow)
+{
+    struct sim_client_reply refused = {
+        .outcome = OUTCOME_REFUSED,
+        .error = ERROR_KIND_UNKNOWN_TRANSACTION,
+    };
+    struct write_options options = {
+        .deadline = flow->request.deadline,
+        .unavailable_wait_ms = UNAVAILABLE_WAIT_MS,
+        .keyed = flow->request.operation->key != 0,
+        .commit_only = true,
+        .attempts_max = WRITE_ATTEMPTS_MAX,
+        .trust_commit = flow->daemon->run->mutation == SIM_MUTATION_TRUST_COMMIT,
+    };
+
+    flow->transaction = sim_transaction_take(flow->daemon, flow->request.transaction);
+    if (flow->transaction == NULL && !options.keyed) {
+        sim_flow_answer(flow, &refused);
+        return;
+    }
+    options.resolve_only = flow->transaction == NULL;
+    write_flow_init(&flow->write, &options);
+    drive_write(flow, &(struct write_event){.kind = WRITE_EVENT_START});
+}
+
 static void start_read(struct sim_flow *flow)
 {
     struct read_options options = {
@@ -444,16 +494,27 @@
 
     flow->daemon = daemon;
     flow->request = *(const struct sim_client_request *)payload;
-    if (flow->request.is_read) {
+    switch (flow->request.work) {
+    case SIM_WORK_READ:
         start_read(flow);
-    } else {
+        break;
+    case SIM_WORK_WRITE:
         start_write(flow);
+        break;
+    case SIM_WORK_BEGIN:
+        sim_transaction_start(flow);
+        break;
+    case SIM_WORK_COMMIT:
+        start_commit(flow);
+        break;
     }
 }
 
 static bool superseded(const struct sim_flow *flow)
 {
-    if (flow->request.is_read || !flow->write.options.keyed) {
+    bool writes = flow->request.work == SIM_WORK_WRITE || flow->request.work == SIM_WORK_COMMIT;
+
+    if (!writes || !flow->write.options.keyed) {
         return false;
     }
     return flow->write_step.kind != WRITE_STEP_EVIDENCE &&
--- a/src/sim/sim_scenario.c
+++ b/src/sim/sim_scenario.c
@@ -167,6 +167,8 @@
     scenario->request_deadline = read_duration(reader, "deadline_ms", 5000);
     scenario->read_share = read_double(reader, "read_share", 0.4);
     scenario->unkeyed_share = read_double(reader, "unkeyed_share", 0.3);
+    scenario->transaction_share = read_double(reader, "transaction_share", 0);
+    scenario->transaction_time = read_duration(reader, "transaction_ms", 500);
     scenario->same_key_share = read_double(reader, "same_key_share", 0.05);
     scenario->reused_key_share = read_double(reader, "reused_key_share", 0.02);
 }
--- a/src/sim/sim_scenario.h
+++ b/src/sim/sim_scenario.h
@@ -84,9 +84,11 @@
     time_ns think_time;
     time_ns request_deadline;
     double read_share;
-    double unkeyed_share;    /* of writes */
-    double same_key_share;   /* of keyed writes sent to two daemons at once */
-    double reused_key_share; /* of keyed writes that repeat an old key with another body */
+    double unkeyed_share;     /* of writes */
+    double transaction_share; /* of writes: begun, held open, and committed */
+    time_ns transaction_time; /* held open up to so long */
+    double same_key_share;    /* of keyed writes sent to two daemons at once */
+    double reused_key_share;  /* of keyed writes that repeat an old key with another body */
     struct sim_network_options network;
     struct sim_database_options database;
     uint32_t fault_count;
