Cut no call in the stop of a daemon that callers still use

Cause: a planned stop took an idle moment for the end: connections that had been accepted, but whose request had not begun to arrive, were closed; and the listener was closed some time after its last accept, which reset connections the system had made in between. Callers got no answer and could not know whether their request was run. Ruled out: answers under way (the stop counted none cut, and none was seen to end early) and the daemon's refusals, which are whole. The stop now waits until no caller's connection stands, or all were quiet for 500 ms; and the listener drops what would make a new connection before the last ones are accepted, so that such a caller finds nobody listening.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -32,6 +32,9 @@
 #define SETTLE_TIMEOUT_MS 2000
 #define SETTLE_POLL_US    1000
 
+/* Callers' connections that stand are closed by a planned stop once they were quiet for so long. */
+#define CALLERS_QUIET_MS 500
+
 /* Pause between two looks at whether everything has ended. */
 #define STOP_POLL_US 5000
 
@@ -415,11 +418,24 @@
            (daemon->frontend == NULL || frontend_in_flight(daemon->frontend) == 0);
 }
 
+/* True if a request that was sent to this daemon may not have begun to arrive. */
+static bool callers_may_send(const struct daemon *daemon, time_ns quiet_for)
+{
+    return daemon->frontend != NULL && frontend_connections(daemon->frontend) > 0 &&
+           quiet_for < CALLERS_QUIET_MS * NANOSECONDS_PER_MILLISECOND;
+}
+
 /* Waits until all has ended. Returns what is left at the deadline. */
 static uint32_t wait_for_end(struct daemon *daemon, time_ns deadline)
 {
-    while (!everything_ended(daemon) && backend_now() < deadline) {
+    time_ns now = backend_now();
+    time_ns quiet_since = now;
+    bool ended = everything_ended(daemon);
+    while (now < deadline && (!ended || callers_may_send(daemon, now - quiet_since))) {
         g_usleep(STOP_POLL_US);
+        now = backend_now();
+        ended = everything_ended(daemon);
+        quiet_since = ended ? quiet_since : now;
     }
     return atomic_load(&daemon->tasks_open) + transaction_table_count(daemon->transactions);
 }
--- a/src/frontend/acceptor.c
+++ b/src/frontend/acceptor.c
@@ -3,6 +3,7 @@
 #include "frontend/listen.h"
 
 #include <errno.h>
+#include <linux/filter.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdatomic.h>
@@ -52,6 +53,15 @@
     poll(events, G_N_ELEMENTS(events), pause ? PAUSE_MS : -1);
 }
 
+/* From now on the system drops what would make another connection: a caller that tries is told, when
+ * it tries again, that nobody listens. Closing at once would reset connections made in between. */
+static void stop_listening(int listener)
+{
+    struct sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+    struct sock_fprog program = {.len = 1, .filter = &drop_all};
+    setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
 static void *run(void *data)
 {
     struct acceptor *acceptor = data;
@@ -63,6 +73,7 @@
             wait_for_events(acceptor, true);
         }
     }
+    stop_listening(acceptor->listener);
     accept_ready(acceptor);
     return NULL;
 }
--- a/tests/daemon/test_drain.c
+++ b/tests/daemon/test_drain.c
@@ -164,6 +164,28 @@
     check_stop(overrides);
 }
 
+/* Callers who go on calling the stopping daemon: it takes a call or says that it does not, and cuts
+ * none that reached it. */
+static void test_stop_under_own_callers(void)
+{
+    struct cluster *cluster = cluster_start(NULL);
+    struct callers callers;
+    callers_start(&callers, cluster, CALLERS);
+    atomic_store(&callers.refused_is_fine, true);
+    for (unsigned i = 0; i < 3; i++) {
+        callers_await(&callers, ROUNDS);
+        GThread *stop = cluster_start_stop(cluster, i);
+        callers_await(&callers, ROUNDS);
+        g_assert_cmpuint(cluster_join_stop(stop), ==, 0);
+        callers_await(&callers, ROUNDS);
+        cluster_start_daemon(cluster, i);
+        cluster_await_ready(cluster);
+        callers_use_daemons(&callers, cluster, CLUSTER_DAEMONS_MAX);
+    }
+    callers_stop(&callers, cluster);
+    cluster_stop(cluster);
+}
+
 /* Callers of the stopping daemon itself: each call that reached it gets a whole answer. */
 static void test_stop_with_own_callers(void)
 {
@@ -199,6 +221,7 @@
     g_test_add_func("/daemon/drain/two_databases", test_two_databases);
     g_test_add_func("/daemon/drain/open_transaction", test_primary_with_open_transaction);
     g_test_add_func("/daemon/drain/stop_with_own_callers", test_stop_with_own_callers);
+    g_test_add_func("/daemon/drain/stop_under_own_callers", test_stop_under_own_callers);
     g_test_add_func("/daemon/drain/stop_of_daemons", test_stop_of_daemons);
     g_test_add_func("/daemon/drain/stop_of_owners", test_stop_of_owners);
     return g_test_run();
