Give each program of whole deployments a loopback address of its own

Cause: programs run at the same time took ports from one range of one address. A daemon that still knew the address of one that had been stopped could so reach another program's daemon on the port given out again, and the deployments mixed: seen once in 180 runs of three loops in parallel, as "Another daemon runs under this name" and a member at an address of the other program. Ruled out: the daemons' own restarts, which were over by then. Daemons listen on 127.16.0.0/12 by the process's number. That a daemon takes gossip of another deployment at all is for the messages to change, not for the tests.

--- a/tests/daemon/cluster_fixture.c
+++ b/tests/daemon/cluster_fixture.c
@@ -32,6 +32,7 @@
     g_test_init(argc, argv, NULL);
     g_log_writer_default_set_use_stderr(TRUE);
     curl_global_init(CURL_GLOBAL_DEFAULT);
+    http_loopback(); /* made before there are other threads */
 }
 
 static const char *zone_of(unsigned index)
@@ -167,8 +168,8 @@
 {
     g_ptr_array_add(settings, g_strdup_printf("daemon.name=daemon-%u", index + 1));
     g_ptr_array_add(settings, g_strdup_printf("daemon.zone=%s", zone_of(index)));
-    g_ptr_array_add(settings, g_strdup("daemon.listen=127.0.0.1:0"));
-    g_ptr_array_add(settings, g_strdup("daemon.peer_listen=127.0.0.1:0"));
+    g_ptr_array_add(settings, g_strdup_printf("daemon.listen=%s:0", http_loopback()));
+    g_ptr_array_add(settings, g_strdup_printf("daemon.peer_listen=%s:0", http_loopback()));
     g_ptr_array_add(settings, peers_setting(cluster));
     g_ptr_array_add(
         settings, g_strdup_printf("configuration.file=%s/configuration.json", cluster->directory));
--- a/tests/daemon/http_call.c
+++ b/tests/daemon/http_call.c
@@ -3,11 +3,27 @@
 
 #include <curl/curl.h>
 #include <stdatomic.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <unistd.h>
 
 /* Longer than any request's deadline: an answer later than this was never sent. */
 #define PATIENCE_MS 60000L
 
+const char *http_loopback(void)
+{
+    static char address[INET_ADDRSTRLEN];
+    static gsize made = 0;
+    if (g_once_init_enter(&made)) {
+        /* 127.16.0.0/12 by the process's number, which has at most 22 bits: its lower 20. */
+        guint32 number = (guint32)getpid() & 0xfffff;
+        g_snprintf(address, sizeof(address), "127.%u.%u.%u", 16 + (number >> 16),
+                   (number >> 8) & 0xff, number & 0xff);
+        g_once_init_leave(&made, 1);
+    }
+    return address;
+}
+
 static char *body_of(const struct http_call *call)
 {
     if (call->body != NULL) {
@@ -30,10 +46,10 @@
     const char *tenant = call->tenant != NULL ? call->tenant : "refuge";
     const char *path = call->path != NULL ? call->path : "statements";
     if (call->transaction != NULL) {
-        return g_strdup_printf("http://127.0.0.1:%u/v1/tenants/%s/transactions/%s/%s", port, tenant,
-                               call->transaction, path);
+        return g_strdup_printf("http://%s:%u/v1/tenants/%s/transactions/%s/%s", http_loopback(),
+                               port, tenant, call->transaction, path);
     }
-    return g_strdup_printf("http://127.0.0.1:%u/v1/tenants/%s/%s", port, tenant, path);
+    return g_strdup_printf("http://%s:%u/v1/tenants/%s/%s", http_loopback(), port, tenant, path);
 }
 
 static struct curl_slist *add_header(struct curl_slist *list, const char *name, const char *value)
--- a/tests/daemon/http_call.h
+++ b/tests/daemon/http_call.h
@@ -35,7 +35,12 @@
     JsonNode *body;    /* NULL if it was no JSON */
 };
 
-/* Sends a request to a port on loopback and waits for its answer, on a connection of its own. */
+/* Loopback address of this process's daemons. Programs that run at the same time have different
+ * ones, so that a daemon which keeps the address of one that was stopped never reaches another
+ * program's on the port given out again. */
+const char *http_loopback(void);
+
+/* Sends a request to a port of a daemon and waits for its answer, on a connection of its own. */
 void http_post(unsigned port, const struct http_call *call, struct http_answer *answer);
 
 /* The same on a thread of its own; http_join waits for it. The call's strings are copied. */
