--- a/src/backend/connection.c
+++ b/src/backend/connection.c
@@ -2,6 +2,8 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -152,6 +154,16 @@
     return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
 }
 
+bool backend_connection_end_is_awaited(int socket_fd)
+{
+    struct tcp_info info;
+    socklen_t length = sizeof info;
+    if (getsockopt(socket_fd, IPPROTO_TCP, TCP_INFO, &info, &length) != 0) {
+        return false;
+    }
+    return info.tcpi_state == TCP_FIN_WAIT2;
+}
+
 void backend_connection_break(struct backend_connection *connection)
 {
     connection->state = CONNECTION_STATE_BROKEN;
--- a/src/core/group_control_internal.h
+++ b/src/core/group_control_internal.h
@@ -1,6 +1,7 @@
 /* State of one group's control, shared by its parts: observation (group_control_observe.c),
- * failover (group_control_failover.c), planned change (group_control_change.c), healing
- * (group_control_heal.c) and the step itself (group_control.c). Private to these files. */
+ * failover (group_control_failover.c), planned change (group_control_change.c), repair
+ * (group_control_repair.c), healing (group_control_heal.c) and the step itself (group_control.c).
+ * Private to these files. */
 #ifndef SW_CORE_GROUP_CONTROL_INTERNAL_H
 #define SW_CORE_GROUP_CONTROL_INTERNAL_H
 
@@ -20,7 +21,8 @@
 struct member {
     struct database_status status;
     bool seen;
-    bool last_probe_failed;
+    time_ns older_since; /* its answers have gone back since then; 0 if not */
+    bool forgot;         /* lost its log and promises, and does not hold the primary's log yet */
     uint32_t failures;   /* probes failed in a row */
     time_ns good_at;     /* last good probe, moved forward by own stalls */
     time_ns observed_at; /* when status was asked for */
@@ -108,7 +110,8 @@
 
     uint64_t known_term; /* highest term with a known primary */
     int32_t known_primary;
-    time_ns led_at; /* when it was last seen to lead, moved forward by own stalls */
+    time_ns learned_at; /* when it became known */
+    time_ns led_at;     /* when it was last seen to lead, moved forward by own stalls */
     uint64_t promised_max;
     uint64_t promised_seen; /* promised_max when the start of an attempt was last considered */
     uint64_t proposed_max;  /* terms this watcher has tried: never tried again */
@@ -150,7 +153,9 @@
 /* group_control_observe.c */
 void observe_own_stall(struct group_control *control);
 void observe_probe(struct group_control *control, const struct group_event *event);
-void observe_status(struct group_control *control, uint32_t database,
+/* Takes a status; `observed_at` is when it was asked for, or 0 if that is not known. False if it is
+ * older than what is known, and was not taken. */
+bool observe_status(struct group_control *control, uint32_t database,
                     const struct database_status *status, time_ns observed_at);
 void observe_opinion(struct group_control *control, const struct group_opinion *opinion);
 void observe_watchers(struct group_control *control, const struct group_event *event);
@@ -183,6 +188,12 @@
 /* Ends the pause and the change after an attempt: the new primary leads, or it failed. */
 void change_attempt_ended(struct group_control *control, bool promoted);
 
+/* group_control_repair.c */
+/* True once a member has had a stray promise for long: a planned change is to mend it. */
+bool repair_is_due(struct group_control *control);
+/* True if stray promises keep writes from being confirmed: a new term is needed at once. */
+bool repair_is_urgent(struct group_control *control);
+
 /* group_control_heal.c */
 void heal_advance(struct group_control *control);
 bool heal_take_command(struct group_control *control, const struct group_event *event);
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -10,8 +10,8 @@
 
 #include "backend/clock.h"
 #include "core/error.h"
+#include "daemon/control_budget.h"
 #include "daemon/control_configuration.h"
-#include "daemon/control_internal.h"
 #include "daemon/daemon.h"
 #include "daemon/transaction.h"
 #include "generated/errors.h"
@@ -19,6 +19,9 @@
 /* The loop looks at everything at least this often. */
 #define CONTROL_PERIOD_MS 100
 
+/* Time between two looks for idle connections to other daemons. */
+#define PEERS_SWEEP_MS 2000
+
 void control_post(struct control *control, const struct control_event *event)
 {
     struct control_event *copy = g_new(struct control_event, 1);
@@ -84,6 +87,7 @@
     time_ns until = now + CONTROL_PERIOD_MS * NANOSECONDS_PER_MILLISECOND;
     until = MIN(until, control_groups_next_wakeup(control));
     until = MIN(until, control_members_next_wakeup(control));
+    until = MIN(until, control_budget_next_wakeup(control->budget));
     until = MIN(until, control_configuration_next_wakeup(control));
     poll(waits, G_N_ELEMENTS(waits), backend_poll_ms(until, now));
     eventfd_t ignored;
@@ -95,6 +99,17 @@
     }
 }
 
+/* Closes connections to other daemons that nobody uses any more. */
+static void peers_tick(struct control *control, time_ns now)
+{
+    if (now < control->peers_sweep_at) {
+        return;
+    }
+    control->peers_sweep_at = now + PEERS_SWEEP_MS * NANOSECONDS_PER_MILLISECOND;
+    time_ns idle_since = now > PEER_POOL_IDLE_NS ? now - PEER_POOL_IDLE_NS : 0;
+    peer_pool_close_idle(control->daemon->peers, idle_since);
+}
+
 static void *control_main(void *data)
 {
     struct control *control = data;
@@ -108,6 +123,8 @@
         control_configuration_tick(control, now);
         control_ownership_tick(control, now);
         control_groups_tick(control, now);
+        control_budget_tick(control->budget, now);
+        peers_tick(control, now);
         transaction_table_expire(control->daemon->transactions, now, false);
     }
     return NULL;
@@ -123,6 +140,7 @@
         event = take_event(control);
     }
     control_members_stop(control);
+    control_budget_free(control->budget);
     pthread_mutex_destroy(&control->inbox_lock);
     close(control->wake_fd);
     g_free(control);
@@ -137,6 +155,7 @@
     pthread_mutex_init(&control->inbox_lock, NULL);
     g_queue_init(&control->inbox);
     control->journal = daemon->journal;
+    control->budget = control_budget_new(control);
     if (!control_members_start(control, error) || !control_configuration_start(control, error)) {
         free_control(control);
         return NULL;
@@ -167,6 +186,11 @@
     control_post(control, &event);
 }
 
+bool control_holds_groups(struct control *control)
+{
+    return atomic_load(&control->groups_held) > 0;
+}
+
 GArray *control_list_members(struct control *control)
 {
     GArray *members = g_array_new(FALSE, TRUE, sizeof(struct control_member));
@@ -200,12 +224,26 @@
     control_post(control, &event);
 }
 
+static gint compare_owners(gconstpointer left, gconstpointer right, gpointer user)
+{
+    const struct member_entry *a = left;
+    const struct member_entry *b = right;
+    struct ownership_member first = {.id = a->id, .zone = (uint16_t)a->zone};
+    struct ownership_member second = {.id = b->id, .zone = (uint16_t)b->zone};
+    return ownership_compare_for(user, &first, &second);
+}
+
 void control_owners_of(struct control *control, uint32_t group, struct owner_list *owners)
 {
     struct member_entry entries[OWNERS_MAX];
     uint32_t count = 0;
     memset(owners, 0, sizeof(*owners));
+    struct ownership_member self = {
+        .id = control->self_id,
+        .zone = (uint16_t)control->daemon->zone,
+    };
     control_ownership_entries(control, group, entries, &count);
+    g_qsort_with_data(entries, (gint)count, sizeof(entries[0]), compare_owners, &self);
     for (uint32_t i = 0; i < count; i++) {
         if (entries[i].self) {
             owners->self = true;
@@ -217,15 +255,10 @@
 
 char *control_address_of(struct control *control, const char *daemon_name)
 {
-    char *address = NULL;
     uint64_t id = membership_id_of_name(daemon_name);
     rcu_read_lock();
-    const struct member_table *table = rcu_dereference(control->members);
-    for (uint32_t i = 0; i < table->count; i++) {
-        if (table->entries[i].id == id) {
-            address = g_strdup(table->entries[i].address_text);
-        }
-    }
+    const struct member_entry *entry = control_find_member(rcu_dereference(control->members), id);
+    char *address = entry != NULL ? g_strdup(entry->address_text) : NULL;
     rcu_read_unlock();
     return address;
 }
--- a/src/daemon/control_ownership.c
+++ b/src/daemon/control_ownership.c
@@ -6,8 +6,8 @@
 #include <urcu-bp.h>
 
 #include "backend/clock.h"
+#include "daemon/control_budget.h"
 #include "daemon/control_configuration.h"
-#include "daemon/control_internal.h"
 #include "daemon/daemon.h"
 
 /* A daemon that finds no other claims its groups after this long. */
@@ -58,20 +58,23 @@
     journal_add(control->journal, &entry);
 }
 
-/* Starts the groups gained, ends those lost. */
+/* Starts the groups gained, hands over those lost. */
 static void apply_changes(struct control *control, const GArray *changes)
 {
     for (guint i = 0; i < changes->len; i++) {
         const struct ownership_change *change = &g_array_index(changes, struct ownership_change, i);
-        bool owned = ownership_position(control->ownership, change->group) >= 0;
+        int32_t position = ownership_position(control->ownership, change->group);
         bool runs = control_groups_runs(control, change->group);
-        if (owned && !runs) {
+        if (position >= 0 && !runs) {
             control_groups_begin(control, change->group);
             note_change(control, change->group, "ownership_gained");
-        } else if (!owned && runs) {
-            control_groups_end(control, change->group);
+        } else if (position < 0 && runs) {
+            control_budget_release(control->budget, change->group);
             note_change(control, change->group, "ownership_lost");
         }
+        if (position >= 0) {
+            control_budget_place(control->budget, change->group, position);
+        }
     }
     publish_owners(control);
     control_groups_set_watchers(control, backend_now());
@@ -192,16 +195,6 @@
     return group < owners->group ? -1 : 1;
 }
 
-static const struct member_entry *find_member(const struct member_table *table, uint64_t id)
-{
-    for (uint32_t i = 0; i < table->count; i++) {
-        if (table->entries[i].id == id) {
-            return &table->entries[i];
-        }
-    }
-    return NULL;
-}
-
 void control_ownership_entries(struct control *control, uint32_t group, struct member_entry *owners,
                                uint32_t *count)
 {
@@ -212,7 +205,7 @@
     const struct group_owners *found =
         bsearch(&group, table->groups, table->count, sizeof(struct group_owners), compare_group);
     for (uint32_t i = 0; found != NULL && i < found->count; i++) {
-        const struct member_entry *entry = find_member(members, found->owners[i]);
+        const struct member_entry *entry = control_find_member(members, found->owners[i]);
         if (entry != NULL) {
             owners[(*count)++] = *entry;
         }
--- a/src/daemon/group_runtime.c
+++ b/src/daemon/group_runtime.c
@@ -5,12 +5,7 @@
 #include <string.h>
 #include <urcu-bp.h>
 
-/* Control probes and evidence keep this many connections per database and daemon outside the pool.
- */
-#define CONTROL_CONNECTIONS 3
-
-/* Warm connections kept per database. */
-#define IDLE_CONNECTIONS_MIN 1
+#include "daemon/budget_plan.h"
 
 /* Old views are freed after a grace period, by the RCU helper thread. */
 struct published_view {
@@ -23,13 +18,6 @@
     g_free(caa_container_of(head, struct published_view, head));
 }
 
-/* This daemon's part of a database's connections. */
-static uint32_t pool_limit_of(const struct database_configuration *database, uint32_t owner_count)
-{
-    uint32_t part = database->connections / MAX(owner_count, 1);
-    return part > CONTROL_CONNECTIONS ? part - CONTROL_CONNECTIONS : 1;
-}
-
 /* A database's pool, shared by the run times of its group that follow each other. */
 struct shared_pool {
     struct pool *pool;
@@ -108,14 +96,16 @@
 {
     g_autofree char *application =
         g_strdup_printf("swiftworks/%s@%s", options->daemon_name, options->zone_name);
+    struct budget_plan plan;
+    budget_plan_make(&plan, configuration->connections, options->owner_count);
+    plan.options.handover_time = options->handover_time;
     struct pool_options pool_options = {
         .connection = {.host = configuration->host,
                        .port = configuration->port,
                        .database_name = "swiftworks",
                        .user = "swiftworks",
                        .application_name = application},
-        .limit = pool_limit_of(configuration, options->owner_count),
-        .idle_min = IDLE_CONNECTIONS_MIN,
+        .budget = &plan.options,
         .open_rate_per_second = options->open_rate_per_second,
     };
     struct shared_pool *shared = g_atomic_rc_box_new0(struct shared_pool);
@@ -123,15 +113,17 @@
     return shared;
 }
 
-/* The pool that the predecessor has of the same server, under the new limit; else a new one. */
+/* The pool that the predecessor has of the same server, if its numbers stay the same; else a new
+ * one. The database's locks keep both together within its connections. */
 static struct shared_pool *take_pool(const struct database_configuration *configuration,
                                      const struct group_runtime_options *options,
                                      struct group_runtime *predecessor)
 {
     for (uint32_t i = 0; predecessor != NULL && i < predecessor->database_count; i++) {
         struct database_runtime *database = &predecessor->databases[i];
-        if (same_server(&database->configuration, configuration)) {
-            pool_set_limit(database->pool, pool_limit_of(configuration, options->owner_count));
+        bool same = same_server(&database->configuration, configuration) &&
+                    database->configuration.connections == configuration->connections;
+        if (same) {
             return g_atomic_rc_box_acquire(database->shared);
         }
     }
@@ -213,7 +205,7 @@
     runtime->view = &first->view;
 }
 
-/* Keeps no connection warm to the servers that only the predecessor has. */
+/* Gives up the connections that only the predecessor has, as its requests end. */
 static void close_left_pools(const struct group_runtime *runtime, struct group_runtime *predecessor)
 {
     for (uint32_t i = 0; predecessor != NULL && i < predecessor->database_count; i++) {
@@ -223,7 +215,7 @@
             taken = taken || runtime->databases[j].shared == shared;
         }
         if (!taken) {
-            pool_close_idle(shared->pool);
+            pool_set_position(shared->pool, -1, false);
         }
     }
 }
@@ -240,6 +232,7 @@
     runtime->database_count = group->database_count;
     pthread_mutex_init(&runtime->writes_lock, NULL);
     retry_budget_init(&runtime->retry_budget);
+    runtime->gate = tenant_gate_new();
     active_calls_init(&runtime->calls);
     start_view(runtime);
     for (uint32_t i = 0; i < group->database_count; i++) {
@@ -256,6 +249,11 @@
     return runtime;
 }
 
+bool group_runtime_is_shared(const struct group_runtime *runtime)
+{
+    return atomic_load(&runtime->references) > 1;
+}
+
 static void free_runtime(struct group_runtime *runtime)
 {
     g_atomic_rc_box_release_full(runtime->link, close_evidence);
@@ -265,6 +263,7 @@
     struct published_view *last = caa_container_of(runtime->view, struct published_view, view);
     call_rcu(&last->head, free_published_view);
     pthread_mutex_destroy(&runtime->writes_lock);
+    tenant_gate_free(runtime->gate);
     active_calls_clear(&runtime->calls);
     free_group(runtime->group);
     g_free(runtime);
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -13,6 +13,7 @@
 #include "core/admission.h"
 #include "core/retry_budget.h"
 #include "core/types.h"
+#include "daemon/tenant_gate.h"
 #include "daemon/active_calls.h"
 
 struct evidence_link;
@@ -35,6 +36,7 @@
     const char *zone_name;
     struct evidence_service *evidence; /* outlives the group */
     uint32_t owner_count;              /* daemons that share the databases' connections */
+    time_ns handover_time;             /* see struct budget_options */
     uint32_t queue_limit;              /* requests queued before one database */
     uint32_t open_rate_per_second;
 };
@@ -42,9 +44,9 @@
 /* Told when no write that began before a paused view runs any more. */
 typedef void (*group_drained_callback)(void *user, uint32_t runtime_number, uint64_t change);
 
-/* Reference counted: the control thread holds one, every task one. When the configuration changes a
- * group's databases, a successor takes its place for new requests; those in flight end on the one
- * that they began with. */
+/* Reference counted: the control thread holds one, the routing table one, every task one. When the
+ * configuration changes a group's databases, a successor takes its place for new requests; those in
+ * flight end on the one that they began with. */
 struct group_runtime {
     _Atomic uint32_t references;
     struct group_configuration *group; /* a copy: a bundle lives no longer for it */
@@ -54,6 +56,7 @@
     uint32_t database_count;
     struct database_runtime databases[GROUP_DATABASES_MAX];
     struct retry_budget retry_budget;
+    struct tenant_gate *gate;
     struct active_calls calls;
     struct evidence_service *evidence; /* the daemon's */
     uint32_t evidence_group;           /* its number there */
@@ -70,9 +73,10 @@
     void *on_drained_user;
 };
 
-/* Starts pools and evidence for a group, which is copied. The view is empty until one is published.
- * What the predecessor (or NULL) has of the same databases is shared with it, so that both together
- * stay within the databases' limits of connections. */
+/* Starts pools and evidence for a group, which is copied. The view is empty until one is published,
+ * and pools open nothing until they are told a position. What the predecessor (or NULL) has of the
+ * same databases is shared with it, so that both together stay within the databases' limits of
+ * connections. */
 struct group_runtime *group_runtime_new(const struct group_configuration *group,
                                         const struct group_runtime_options *options,
                                         struct group_runtime *predecessor);
@@ -86,6 +90,9 @@
 /* The last reference closes the pools; no connection may be out. */
 void group_runtime_unref(struct group_runtime *runtime);
 
+/* True if anybody besides the caller holds a reference. */
+bool group_runtime_is_shared(const struct group_runtime *runtime);
+
 /* Copies the newest view. Any thread, no lock (RCU). */
 void group_runtime_read_view(struct group_runtime *runtime, struct group_view *view);
 
--- a/src/sim/sim_history.h
+++ b/src/sim/sim_history.h
@@ -17,21 +17,30 @@
     SIM_ATTEMPT_LOST,     /* no answer */
 };
 
+/* What a request asks for. */
+enum sim_work {
+    SIM_WORK_READ,
+    SIM_WORK_WRITE,
+    SIM_WORK_BEGIN,  /* opens a transaction; the write runs at its commit */
+    SIM_WORK_COMMIT, /* ends it, or resolves it by its key */
+};
+
 /* One request of a client, and its answer. */
 struct sim_attempt {
     uint64_t request_id;
     uint32_t client;
     uint32_t daemon;
-    bool is_read;
+    enum sim_work work;
     struct sim_operation *operation; /* of a write */
     time_ns started_at;
     time_ns ended_at;
     enum sim_attempt_state state;
     enum outcome outcome;
     enum error_kind error;
-    uint64_t answered_id;   /* request the answer's data belongs to */
-    struct sim_entry *seen; /* of a read */
-    bool by_replica;        /* a read that a replica answered */
+    uint64_t answered_id;      /* request the answer's data belongs to */
+    struct sim_entry *seen;    /* of a read */
+    struct sim_entry *durable; /* the part of it that a majority held then */
+    bool by_replica;           /* a read that a replica answered */
 };
 
 /* One journal entry of a daemon. */
--- a/src/sim/sim_run.h
+++ b/src/sim/sim_run.h
@@ -27,6 +27,7 @@
     SIM_MUTATION_REUSE_CONNECTION, /* a connection is used again after a lost answer */
     SIM_MUTATION_IGNORE_LEAVING,
     SIM_MUTATION_NO_PAUSE,
+    SIM_MUTATION_TRUST_FORGETFUL,
     SIM_MUTATION_COUNT,
 };
 
@@ -57,6 +58,7 @@
     uint32_t faults_fired;                /* bit per fault that an event set off */
     uint32_t fault_skips[SIM_FAULTS_MAX]; /* such events that still pass first */
     FILE *trace;                          /* of the core's events; NULL if not wanted */
+    time_ns trace_until;                  /* nothing later is recorded */
 };
 
 /* Builds the world, runs the scenario to its end, heals everything and lets the group settle. */
