--- a/tests/daemon/http_call.h
+++ b/tests/daemon/http_call.h
@@ -21,7 +21,9 @@
 
 /* What came back. Cleared by http_answer_clear. */
 struct http_answer {
-    long status; /* 0 where no whole answer came */
+    long status;         /* 0 where no whole answer came */
+    const char *failure; /* why there is none, or NULL */
+    bool unconnected;    /* nobody listened: nothing was sent */
     char *outcome;
     char *error_kind;  /* NULL with outcome done */
     char *sqlstate;    /* or NULL */
@@ -33,7 +35,12 @@
     JsonNode *body;    /* NULL if it was no JSON */
 };
 
-/* Sends a request to a port on loopback and waits for its answer, on a connection of its own. */
+/* Loopback address of this process's daemons. Programs that run at the same time have different
+ * ones, so that a daemon which keeps the address of one that was stopped never reaches another
+ * program's on the port given out again. */
+const char *http_loopback(void);
+
+/* Sends a request to a port of a daemon and waits for its answer, on a connection of its own. */
 void http_post(unsigned port, const struct http_call *call, struct http_answer *answer);
 
 /* The same on a thread of its own; http_join waits for it. The call's strings are copied. */
