End a drain beside open transactions, under one coordinator

Each watcher in turn paused writes for 600 ms and gave up, so that with transactions always open a drain never ended and writes stood still most of the time. Who sees another's change now waits for it; after three aborted pauses, at most 300 ms long, the change goes on and rolls back what is still open.

--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -36,7 +36,7 @@
     options->heal_interval = 200 * ms;
     options->repair_after = 2000 * ms;
     options->pause_first = 75 * ms;
-    options->pause_max = 600 * ms;
+    options->pause_max = 300 * ms;
     options->pause_lease = 100 * ms;
     options->pause_poll = 4 * ms;
     options->forget_after = 150 * ms;
--- a/src/core/group_control.h
+++ b/src/core/group_control.h
@@ -54,8 +54,8 @@
     time_ns tick_interval;    /* the shell feeds a tick at least this often */
     time_ns sample_interval;  /* between position samples */
     time_ns publish_interval; /* between views that differ in positions only */
-    uint32_t planned_attempts; /* planned changes aborted before it goes on without answers of
-                                  silent watchers */
+    uint32_t planned_attempts; /* planned changes aborted before one goes on although some writes
+                                  have not ended, or some watchers are silent */
 
     bool single_watcher_deposes; /* TEST ONLY: one watcher's suspicion is enough (mutation) */
     bool no_fence;               /* TEST ONLY: promote without a majority's promises (mutation) */
--- a/src/core/group_control_change.c
+++ b/src/core/group_control_change.c
@@ -43,6 +43,9 @@
     if (control->change.state != CHANGE_STATE_IDLE) {
         return;
     }
+    /* One coordinator at a time: the others take over only once it is silent. */
+    control->change.not_before = control->now + control->options.backoff_max * 2 +
+                                 observe_rank(control, false) * control->options.rank_step;
     if (pause->id != 0 && pause->id != opinion->change) {
         return;
     }
@@ -146,6 +149,27 @@
     control_wake_at(control, change->poll_at);
 }
 
+static void move(struct group_control *control)
+{
+    control->change.state = CHANGE_STATE_MOVING;
+    control->opinion_due = true;
+    failover_start(control, control->change.reason, (int32_t)control->change.target);
+}
+
+/* A drain must end, also where transactions are always open: after several pauses that were not
+ * enough, those still open are rolled back by the fence. Not while the target is behind: the old
+ * primary would be chosen again. */
+static bool may_force(const struct group_control *control)
+{
+    const struct change *change = &control->change;
+    const struct member *target = &control->members[change->target];
+    const struct member *leader = &control->members[control->known_primary];
+
+    return change->reason == GROUP_REASON_DRAIN &&
+           change->aborts >= control->options.planned_attempts &&
+           log_position_compare(target->status.held, leader->status.held) == 0;
+}
+
 static void advance_pausing(struct group_control *control)
 {
     struct change *change = &control->change;
@@ -159,7 +183,11 @@
         return;
     }
     if (control->now >= change->deadline) {
-        abort_change(control, GROUP_REASON_TIMEOUT);
+        if (may_force(control)) {
+            move(control);
+        } else {
+            abort_change(control, GROUP_REASON_TIMEOUT);
+        }
         return;
     }
     if (change->drained_at == 0 && owners_drained(control)) {
@@ -167,9 +195,7 @@
         change->poll_at = control->now;
     }
     if (change->drained_at != 0 && (control->options.no_pause || target_caught_up(control))) {
-        change->state = CHANGE_STATE_MOVING;
-        control->opinion_due = true;
-        failover_start(control, change->reason, (int32_t)change->target);
+        move(control);
         return;
     }
     poll_members(control);
--- a/tests/core/group_control_test.c
+++ b/tests/core/group_control_test.c
@@ -701,6 +701,53 @@
     stop(&rig);
 }
 
+/* Transactions are always open somewhere: the drain ends all the same, and pauses seldom. */
+static void test_drain_ends_beside_open_transactions(void)
+{
+    struct rig rig;
+    reach_pause(&rig);
+    time_ns started_at = rig.now;
+    time_ns paused = 0;
+    while (find(&rig, GROUP_ACTION_FENCE) == NULL && rig.now < started_at + 10000 * MS) {
+        rig.now += 5 * MS;
+        paused += group_control_view(rig.control)->writes_paused ? 5 * MS : 0;
+        uint32_t turn = (uint32_t)(rig.now / (5 * MS)) % 5;
+        if (turn < 3) {
+            probe(&rig, turn);
+        } else {
+            peer_calm(&rig, turn == 3 ? PEER1 : PEER2);
+        }
+    }
+    g_assert_nonnull(find(&rig, GROUP_ACTION_FENCE));
+    g_assert_cmpuint(rig.now - started_at, <, 5000 * MS);
+    g_assert_cmpuint(paused, <, 1000 * MS);
+    stop(&rig);
+}
+
+/* While another watcher runs the change, this one does not begin its own in between. */
+static void test_drain_has_one_coordinator(void)
+{
+    struct rig rig;
+    start(&rig);
+    peer_calm(&rig, PEER1);
+    peer_calm(&rig, PEER2);
+    struct group_opinion change = {
+        .watcher = PEER1, .term = 5, .primary = 0, .reachable = 7, .change = 99};
+    opinion(&rig, change);
+    drain(&rig, 0);
+    for (int i = 0; i < 60; i++) {
+        rig.now += 50 * MS;
+        probe(&rig, (uint32_t)i % 3);
+        g_assert_false(recorded(&rig, GROUP_RECORD_CHANGE_STARTED, GROUP_REASON_DRAIN));
+        /* Tries for 100 ms in each second. */
+        change.change = i % 20 < 2 ? 99 + (uint64_t)i : 0;
+        opinion(&rig, change);
+        g_assert_false(recorded(&rig, GROUP_RECORD_CHANGE_STARTED, GROUP_REASON_DRAIN));
+        peer_calm(&rig, PEER2);
+    }
+    stop(&rig);
+}
+
 static void test_pause_asked_by_a_peer(void)
 {
     struct rig rig;
@@ -783,6 +830,9 @@
     g_test_add_func("/group_control/drain_taken_back_at_once", test_drain_taken_back_at_once);
     g_test_add_func("/group_control/drain_primary", test_drain_primary);
     g_test_add_func("/group_control/drain_primary_times_out", test_drain_primary_times_out);
+    g_test_add_func("/group_control/drain_ends_beside_open_transactions",
+                    test_drain_ends_beside_open_transactions);
+    g_test_add_func("/group_control/drain_has_one_coordinator", test_drain_has_one_coordinator);
     g_test_add_func("/group_control/pause_asked_by_a_peer", test_pause_asked_by_a_peer);
     g_test_add_func("/suspicion/zone_votes", test_zone_votes);
     g_test_add_func("/suspicion/ranks_are_distinct", test_ranks_are_distinct);
