--- a/src/backend/connection.h
+++ b/src/backend/connection.h
@@ -71,6 +71,10 @@
 /* True if the database has closed its end of a socket that is being closed. Never waits. */
 bool backend_connection_has_ended(int socket_fd);
 
+/* True if the database's machine has taken notice of the close, so that only its process is
+ * awaited: it counts the connection until it runs again, however long that takes. */
+bool backend_connection_end_is_awaited(int socket_fd);
+
 /* Marks that nothing more may be sent: the state at the database is not known. */
 void backend_connection_break(struct backend_connection *connection);
 
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -19,6 +19,9 @@
 /* The loop looks at everything at least this often. */
 #define CONTROL_PERIOD_MS 100
 
+/* Time between two looks for idle connections to other daemons. */
+#define PEERS_SWEEP_MS 2000
+
 void control_post(struct control *control, const struct control_event *event)
 {
     struct control_event *copy = g_new(struct control_event, 1);
@@ -96,6 +99,17 @@
     }
 }
 
+/* Closes connections to other daemons that nobody uses any more. */
+static void peers_tick(struct control *control, time_ns now)
+{
+    if (now < control->peers_sweep_at) {
+        return;
+    }
+    control->peers_sweep_at = now + PEERS_SWEEP_MS * NANOSECONDS_PER_MILLISECOND;
+    time_ns idle_since = now > PEER_POOL_IDLE_NS ? now - PEER_POOL_IDLE_NS : 0;
+    peer_pool_close_idle(control->daemon->peers, idle_since);
+}
+
 static void *control_main(void *data)
 {
     struct control *control = data;
@@ -110,6 +124,7 @@
         control_ownership_tick(control, now);
         control_groups_tick(control, now);
         control_budget_tick(control->budget, now);
+        peers_tick(control, now);
         transaction_table_expire(control->daemon->transactions, now, false);
     }
     return NULL;
@@ -209,12 +224,26 @@
     control_post(control, &event);
 }
 
+static gint compare_owners(gconstpointer left, gconstpointer right, gpointer user)
+{
+    const struct member_entry *a = left;
+    const struct member_entry *b = right;
+    struct ownership_member first = {.id = a->id, .zone = (uint16_t)a->zone};
+    struct ownership_member second = {.id = b->id, .zone = (uint16_t)b->zone};
+    return ownership_compare_for(user, &first, &second);
+}
+
 void control_owners_of(struct control *control, uint32_t group, struct owner_list *owners)
 {
     struct member_entry entries[OWNERS_MAX];
     uint32_t count = 0;
     memset(owners, 0, sizeof(*owners));
+    struct ownership_member self = {
+        .id = control->self_id,
+        .zone = (uint16_t)control->daemon->zone,
+    };
     control_ownership_entries(control, group, entries, &count);
+    g_qsort_with_data(entries, (gint)count, sizeof(entries[0]), compare_owners, &self);
     for (uint32_t i = 0; i < count; i++) {
         if (entries[i].self) {
             owners->self = true;
@@ -226,15 +255,10 @@
 
 char *control_address_of(struct control *control, const char *daemon_name)
 {
-    char *address = NULL;
     uint64_t id = membership_id_of_name(daemon_name);
     rcu_read_lock();
-    const struct member_table *table = rcu_dereference(control->members);
-    for (uint32_t i = 0; i < table->count; i++) {
-        if (table->entries[i].id == id) {
-            address = g_strdup(table->entries[i].address_text);
-        }
-    }
+    const struct member_entry *entry = control_find_member(rcu_dereference(control->members), id);
+    char *address = entry != NULL ? g_strdup(entry->address_text) : NULL;
     rcu_read_unlock();
     return address;
 }
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -14,6 +14,7 @@
 #include "core/retry_budget.h"
 #include "core/types.h"
 #include "daemon/tenant_gate.h"
+#include "daemon/active_calls.h"
 
 struct evidence_link;
 struct shared_pool;
@@ -56,6 +57,7 @@
     struct database_runtime databases[GROUP_DATABASES_MAX];
     struct retry_budget retry_budget;
     struct tenant_gate *gate;
+    struct active_calls calls;
     struct evidence_service *evidence; /* the daemon's */
     uint32_t evidence_group;           /* its number there */
     struct evidence_link *link;        /* one reference */
--- a/tests/daemon/fake_peer.c
+++ b/tests/daemon/fake_peer.c
@@ -37,6 +37,8 @@
     reply->version = answer->version;
     reply->hash = g_strdup(answer->hash);
     reply->base_version = answer->base_version;
+    reply->keep_start = answer->keep_start;
+    reply->keep_end = answer->keep_end;
     reply->content = g_memdup2(octets, length);
     reply->content_length = length;
 }
@@ -122,7 +124,8 @@
     bool answered = false;
     struct message message;
     struct sockaddr_in from;
-    while (!answered && wire_datagram_receive(peer->socket, &message, &from, NULL, deadline, NULL)) {
+    while (!answered &&
+           wire_datagram_receive(peer->socket, &message, &from, NULL, deadline, NULL)) {
         answered = message.kind == MESSAGE_KIND_GOSSIP && message.gossip.kind == GOSSIP_KIND_ACK &&
                    message.gossip.sequence == peer->sequence;
         message_clear(&message);
