Send on at most 256 requests at once, and keep the connections

Cause: with 1,024 threads to send requests on and 8 idle connections kept to each daemon, 3,816 callers that connected and asked at once made the forwarder open up to 1,024 connections to the owner and close nearly all of them again, each with a thread there.

--- a/src/daemon/worker_pool.c
+++ b/src/daemon/worker_pool.c
@@ -9,9 +9,10 @@
 /* Threads of a lane that starts them when needed, at most. */
 #define LANE_THREADS_MAX 4096
 
-/* The same for requests that other daemons serve: at the target size a daemon forwards 408 requests
- * a second, which may each wait for 2 s while no primary is known. */
-#define FORWARDING_THREADS_MAX 1024
+/* The same for requests that other daemons serve. At the target size a daemon forwards 408 requests
+ * a second, and each may wait for 2 s while no primary is known: enough for three of ten. More
+ * would only open more connections to the owners when all callers come at once. */
+#define FORWARDING_THREADS_MAX 256
 
 /* One queue with its threads. */
 struct lane {
--- a/src/wire/peer_pool.h
+++ b/src/wire/peer_pool.h
@@ -14,7 +14,7 @@
 #define PEER_POOL_IDLE_NS (30 * NANOSECONDS_PER_SECOND)
 
 /* Idle connections kept to each peer, if the caller has no better number. */
-#define PEER_POOL_IDLE_MAX_DEFAULT 8
+#define PEER_POOL_IDLE_MAX_DEFAULT 64
 
 enum peer_call_result {
     PEER_CALL_NOT_SENT,       /* no octet of the request left this process: it was not run */
