--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -41,7 +41,7 @@
 /* Ends a transaction whose commit was never sent. */
 static void roll_back(struct task *task)
 {
-    adapter_rollback(task->transaction->connection, task->deadline);
+    transaction_rollback(task->transaction, task->deadline);
     transaction_table_end(task->daemon->transactions, task->transaction);
     task->transaction = NULL;
 }
@@ -52,6 +52,10 @@
     if (task->transaction != NULL) {
         roll_back(task);
     }
+    if (task->in_gate) {
+        tenant_gate_leave(task->group->gate, task->route->tenant);
+        task->in_gate = false;
+    }
     if (task->counts_as_write) {
         group_runtime_end_write(task->group);
         task->counts_as_write = false;
--- a/src/sim/sim_database.c
+++ b/src/sim/sim_database.c
@@ -2,8 +2,11 @@
  * sim_replication.c. */
 #include "sim/sim_database.h"
 
+#include <stdlib.h>
 #include <string.h>
 
+#include "core/acknowledge.h"
+
 #include "sim/sim_replication.h"
 
 void sim_database_init(struct sim_database *database, struct sim_network *network, uint32_t index,
@@ -37,6 +40,19 @@
     database->followers = 0;
 }
 
+void sim_database_forget(struct sim_database *database)
+{
+    database->role = DATABASE_ROLE_REPLICA;
+    database->term = 0;
+    database->promised_term = 0;
+    database->promised_to = 0;
+    database->following = -1;
+    database->leaving = false;
+    database->head = NULL;
+    database->applied = NULL;
+    database->synchronized = false;
+}
+
 struct database_status sim_database_status(const struct sim_database *database)
 {
     struct database_status status = {
@@ -209,8 +225,10 @@
                            const struct sim_database_request *request)
 {
     struct sim_database_reply answer = {.result = SIM_RESULT_NOT_PRIMARY};
+    /* A fence, or another term, has rolled an open transaction back. */
+    bool rolled_back = request->kind == SIM_REQUEST_COMMIT && request->term != database->term;
 
-    if (may_write(database)) {
+    if (may_write(database) && !rolled_back) {
         answer.result = consult_ledger(database, request->operation);
         if (answer.result == SIM_RESULT_OK) {
             bool closes = request->kind == SIM_REQUEST_CLOSE_KEY;
@@ -227,9 +245,36 @@
     reply(database, request, &answer);
 }
 
+static gint compare_offsets(gconstpointer first, gconstpointer second)
+{
+    const uint64_t *a = first;
+    const uint64_t *b = second;
+
+    return *a > *b ? -1 : *a < *b;
+}
+
+/* The last entry of a log that a majority of the group holds at this moment. The databases don't
+ * know it: it serves the checker. */
+static struct sim_entry *durable_part(const struct sim_database *database, struct sim_entry *log)
+{
+    uint64_t shared[GROUP_DATABASES_MAX] = {0};
+
+    for (uint32_t i = 0; i < database->peer_count; i++) {
+        const struct sim_entry *common = sim_entry_common(log, database->peers[i]->head);
+
+        shared[i] = sim_entry_position(common).offset;
+    }
+    qsort(shared, database->peer_count, sizeof(shared[0]), compare_offsets);
+    return sim_entry_up_to(log, shared[majority_of(database->peer_count) - 1]);
+}
+
 static void answer_read(struct sim_database *database, const struct sim_database_request *request)
 {
-    struct sim_database_reply answer = {.result = SIM_RESULT_OK, .seen = database->applied};
+    struct sim_database_reply answer = {
+        .result = SIM_RESULT_OK,
+        .seen = database->applied,
+        .durable = durable_part(database, database->applied),
+    };
 
     reply(database, request, &answer);
 }
@@ -303,6 +348,11 @@
         begin_wait(database, request);
         return;
     }
+    if (request->kind == SIM_REQUEST_BEGIN) {
+        reply_result(database, request,
+                     may_write(database) ? SIM_RESULT_OK : SIM_RESULT_NOT_PRIMARY);
+        return;
+    }
     write_or_close(database, request);
 }
 
@@ -365,6 +415,8 @@
         begin_wait(database, request);
         break;
     case SIM_REQUEST_WRITE:
+    case SIM_REQUEST_BEGIN:
+    case SIM_REQUEST_COMMIT:
     case SIM_REQUEST_CLOSE_KEY:
     case SIM_REQUEST_READ:
         queue_statement(database, request);
--- a/src/sim/sim_scenario.h
+++ b/src/sim/sim_scenario.h
@@ -9,8 +9,10 @@
 
 enum sim_fault_kind {
     SIM_FAULT_KILL_DATABASE,
+    SIM_FAULT_FORGET_DATABASE, /* dies, and comes back empty and without its promise */
     SIM_FAULT_PAUSE_DATABASE,
     SIM_FAULT_LAG_DATABASE,  /* apply_delay becomes `amount` */
+    SIM_FAULT_HOLD_DATABASE, /* hold_delay becomes `amount` */
     SIM_FAULT_LOSE_REQUESTS, /* share `probability` of statements */
     SIM_FAULT_LOSE_ANSWERS,  /* share `probability` of answers to statements */
     SIM_FAULT_CUT_ZONE,      /* both ways from all other zones */
@@ -82,9 +84,11 @@
     time_ns think_time;
     time_ns request_deadline;
     double read_share;
-    double unkeyed_share;    /* of writes */
-    double same_key_share;   /* of keyed writes sent to two daemons at once */
-    double reused_key_share; /* of keyed writes that repeat an old key with another body */
+    double unkeyed_share;     /* of writes */
+    double transaction_share; /* of writes: begun, held open, and committed */
+    time_ns transaction_time; /* held open up to so long */
+    double same_key_share;    /* of keyed writes sent to two daemons at once */
+    double reused_key_share;  /* of keyed writes that repeat an old key with another body */
     struct sim_network_options network;
     struct sim_database_options database;
     uint32_t fault_count;
--- a/tests/core/group_control_test.c
+++ b/tests/core/group_control_test.c
@@ -450,6 +450,42 @@
     stop(&rig);
 }
 
+/* The primary restarted empty within the detection time. */
+static void test_forgetful_primary_is_replaced(void)
+{
+    struct rig rig;
+    start(&rig);
+    rig.databases[0] = (struct database_status){.role = DATABASE_ROLE_REPLICA};
+    rig.now += 50 * MS;
+    probe(&rig, 0);
+    g_assert_cmpint(group_control_view(rig.control)->primary, ==, 0);
+    g_assert_false(run(&rig, 100 * MS, GROUP_ACTION_FENCE));
+    g_assert_false(run(&rig, 50 * MS, GROUP_ACTION_FENCE));
+    g_assert_cmpint(group_control_view(rig.control)->primary, ==, -1);
+    peer_suspects(&rig, PEER1, 5);
+    g_assert_false(run(&rig, 200 * MS, GROUP_ACTION_FENCE));
+    peer_suspects(&rig, PEER1, 5);
+    for (int i = 0; i < 10 && find(&rig, GROUP_ACTION_FENCE) == NULL; i++) {
+        peer_suspects(&rig, PEER1, 5);
+        run(&rig, 50 * MS, GROUP_ACTION_FENCE);
+    }
+    const struct group_action *fence = find_for(&rig, GROUP_ACTION_FENCE, 0);
+    g_assert_nonnull(fence);
+    uint64_t commands[3];
+    for (uint32_t i = 0; i < 3; i++) {
+        commands[i] = find_for(&rig, GROUP_ACTION_FENCE, i)->command;
+    }
+    /* Its grant does not make a majority with one other: both others must grant. */
+    complete(&rig, commands[0], GROUP_COMMAND_OK, promise(&rig, 0, 6));
+    complete(&rig, commands[1], GROUP_COMMAND_OK, promise(&rig, 1, 6));
+    rig.now += 40 * MS;
+    feed(&rig, (struct group_event){.kind = GROUP_EVENT_TICK});
+    g_assert_null(find(&rig, GROUP_ACTION_PROMOTE));
+    complete(&rig, commands[2], GROUP_COMMAND_OK, promise(&rig, 2, 6));
+    g_assert_cmpuint(find(&rig, GROUP_ACTION_PROMOTE)->database, ==, 1);
+    stop(&rig);
+}
+
 static void test_interrupted_failover_is_taken_up(void)
 {
     struct rig rig;
@@ -474,7 +510,11 @@
     group_control_free(rig.control);
     rig.control = group_control_new(&rig.options, rig.now);
     set_watchers(&rig, 3);
+    probe(&rig, 2);
     probe(&rig, 0);
+    /* What was seen before the primary was known tells nothing: it may have been told since. */
+    g_assert_null(find_for(&rig, GROUP_ACTION_FOLLOW, 2));
+    rig.now += 10 * MS;
     probe(&rig, 2);
     const struct group_action *action = find_for(&rig, GROUP_ACTION_FOLLOW, 2);
     g_assert_nonnull(action);
@@ -506,6 +546,20 @@
     stop(&rig);
 }
 
+/* With one member away, the other's stray promise keeps every write from being confirmed. */
+static void test_urgent_stray_promise_is_repaired_at_once(void)
+{
+    struct rig rig;
+    start(&rig);
+    promise(&rig, 1, 8);
+    rig.reachable[2] = false;
+    g_assert_true(run(&rig, 1500 * MS, GROUP_ACTION_FENCE));
+    g_assert_cmpuint(find(&rig, GROUP_ACTION_FENCE)->term, ==, 9);
+    g_assert_true(recorded(&rig, GROUP_RECORD_FENCE_STARTED, GROUP_REASON_STRAY_PROMISE));
+    g_assert_false(group_control_view(rig.control)->writes_paused);
+    stop(&rig);
+}
+
 static void drain(struct rig *rig, uint32_t database)
 {
     feed(rig, (struct group_event){.kind = GROUP_EVENT_DRAIN, .database = database});
@@ -716,10 +770,14 @@
     g_test_add_func("/group_control/own_stall_is_not_suspicion", test_own_stall_is_not_suspicion);
     g_test_add_func("/group_control/fenced_primary_is_not_trusted",
                     test_fenced_primary_is_not_trusted);
+    g_test_add_func("/group_control/forgetful_primary_is_replaced",
+                    test_forgetful_primary_is_replaced);
     g_test_add_func("/group_control/interrupted_failover_is_taken_up",
                     test_interrupted_failover_is_taken_up);
     g_test_add_func("/group_control/members_are_told_to_follow", test_members_are_told_to_follow);
     g_test_add_func("/group_control/stray_promise_is_repaired", test_stray_promise_is_repaired);
+    g_test_add_func("/group_control/urgent_stray_promise_is_repaired_at_once",
+                    test_urgent_stray_promise_is_repaired_at_once);
     g_test_add_func("/group_control/drain_replica", test_drain_replica);
     g_test_add_func("/group_control/drain_taken_back_elsewhere", test_drain_taken_back_elsewhere);
     g_test_add_func("/group_control/drain_taken_back_at_once", test_drain_taken_back_at_once);
