--- a/src/frontend/acceptor.c
+++ b/src/frontend/acceptor.c
@@ -53,8 +53,9 @@
     poll(events, G_N_ELEMENTS(events), pause ? PAUSE_MS : -1);
 }
 
-/* From now on the system drops what would make another connection: a caller that tries is told, when
- * it tries again, that nobody listens. Closing at once would reset connections made in between. */
+/* From now on the system drops what would make another connection: a caller that tries is told,
+ * when it tries again, that nobody listens. Closing at once would reset connections made in
+ * between. */
 static void stop_listening(int listener)
 {
     struct sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
