Keep traces of real daemons as proofs; fetch them when chaos breaks a promise

Three traces recorded from real daemons by the new tools/record-traces.sh, each with stated outcomes: the primary killed, the primary drained by an operator, and a coordinator stopped (SIGSTOP) in the middle of its attempt and continued after another one has ended it. 17 to 30 KB each.

tests/sim/trace_replay_test.c holds them, exactly as recorded, and sees their outcomes fail with the mechanism off: no_fence (all three), no_pause and ignore_leaving (drain). With a mutation, other decisions than recorded no longer count by themselves: the outcomes have to fail, which is stricter than before. single_watcher_deposes changes nothing that daemons_killed_primary states, and is found out by the decisions alone.

tools/chaos.sh: when a promise breaks it fetches the daemons' traces at once and keeps the run's files.

--- a/tests/sim/trace_file_test.c
+++ b/tests/sim/trace_file_test.c
@@ -5,6 +5,7 @@
 
 #include "sim/replay.h"
 #include "sim/replay_outcome.h"
+#include "sim/trace_merge.h"
 
 static char *new_path(void)
 {
@@ -129,6 +130,58 @@
     g_assert_cmpint(g_remove(path), ==, 0);
 }
 
+/* Of daemons on two machines, whose own clocks differ, the wall clock gives the order. */
+static void write_source(const char *path, time_ns from, time_ns step, time_ns to_wall)
+{
+    FILE *file = fopen(path, "wb");
+
+    g_assert_nonnull(file);
+    for (guint i = 0; i < 3; i++) {
+        struct trace_record record;
+
+        trace_record_init(&record);
+        record.at = from + i * step;
+        record.has_event = i > 0;
+        record.has_detection = i == 0;
+        record.wall_us = i == 0 ? (from + to_wall) / NANOSECONDS_PER_MICROSECOND : 0;
+        g_assert_true(trace_write(file, &record));
+        trace_record_clear(&record);
+    }
+    g_assert_cmpint(fclose(file), ==, 0);
+}
+
+static void test_merge(void)
+{
+    static const struct {
+        uint32_t daemon;
+        time_ns at;
+    } expected[] = {{0, 5000}, {1, 901000}, {1, 903000}, {0, 9000}, {1, 905000}, {0, 13000}};
+    g_autofree char *first = new_path();
+    g_autofree char *second = new_path();
+    g_autofree char *merged = new_path();
+    const char *const sources[] = {first, second, NULL};
+    g_autoptr(GError) error = NULL;
+
+    write_source(first, 5000, 4000, 1000000);
+    write_source(second, 901000, 2000, 105000);
+    g_assert_true(trace_merge(merged, sources, &error));
+    g_assert_no_error(error);
+    g_autoptr(GPtrArray) records = trace_read(merged, &error);
+    g_assert_no_error(error);
+    g_assert_cmpuint(records->len, ==, G_N_ELEMENTS(expected));
+    for (guint i = 0; i < records->len; i++) {
+        const struct trace_record *record = g_ptr_array_index(records, i);
+
+        g_assert_cmpuint(record->daemon, ==, expected[i].daemon);
+        g_assert_cmpuint(record->at, ==, expected[i].at);
+    }
+    g_assert_cmpint(g_remove(first), ==, 0);
+    g_assert_false(trace_merge(merged, sources, &error));
+    g_assert_nonnull(error);
+    g_assert_cmpint(g_remove(second), ==, 0);
+    g_assert_cmpint(g_remove(merged), ==, 0);
+}
+
 static void refuse_outcomes(const char *text)
 {
     g_autofree char *path = new_path();
@@ -156,6 +209,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/trace/round_trip", test_round_trip);
     g_test_add_func("/trace/truncated", test_truncated);
+    g_test_add_func("/trace/merge", test_merge);
     g_test_add_func("/trace/invalid_outcomes", test_invalid_outcomes);
     return g_test_run();
 }
--- a/tests/sim/trace_replay_test.c
+++ b/tests/sim/trace_replay_test.c
@@ -4,6 +4,7 @@
 struct proof {
     const char *trace;
     const char *mutation; /* NULL: the trace must hold */
+    bool decisions;       /* the mutation shows in the recorded decisions only */
 };
 
 static int replay(const struct proof *proof)
@@ -13,7 +14,12 @@
     g_autofree char *path = g_test_build_filename(G_TEST_DIST, "..", "traces", trace, NULL);
     g_autofree char *outcome_path =
         g_test_build_filename(G_TEST_DIST, "..", "traces", outcome, NULL);
-    struct replay_options options = {.mutation = proof->mutation, .output = stderr};
+    /* With a mutation other decisions are no proof by themselves: the outcomes have to fail. */
+    struct replay_options options = {
+        .mutation = proof->mutation,
+        .outcomes_only = proof->mutation != NULL && !proof->decisions,
+        .output = stderr,
+    };
     g_autoptr(GError) error = NULL;
     int failures = replay_file(path, outcome_path, &options, &error);
 
@@ -56,22 +62,31 @@
 int main(int argc, char **argv)
 {
     static const struct proof PROOFS[] = {
-        {"coordinator_paused", NULL},
-        {"coordinator_paused", "no_fence"},
-        {"drain_beside_dead_watcher", NULL},
-        {"drain_primary", NULL},
-        {"drain_primary", "no_pause"},
-        {"drain_primary", "ignore_leaving"},
-        {"failover_during_failover", NULL},
-        {"failover_during_failover", "no_fence"},
-        {"pair_cut", NULL},
-        {"pair_cut", "single_watcher_deposes"},
-        {"primary_came_back_empty", NULL},
-        {"two_coordinators", NULL},
-        {"two_coordinators", "no_fence"},
-        {"wake_at_once", NULL},
-        {"watchers_paused_and_cut", NULL},
-        {NULL, NULL},
+        {"coordinator_paused", NULL, false},
+        {"coordinator_paused", "no_fence", false},
+        {"daemons_drained_primary", NULL, false},
+        {"daemons_drained_primary", "no_fence", false},
+        {"daemons_drained_primary", "no_pause", false},
+        {"daemons_drained_primary", "ignore_leaving", false},
+        {"daemons_killed_primary", NULL, false},
+        {"daemons_killed_primary", "no_fence", false},
+        {"daemons_killed_primary", "single_watcher_deposes", true},
+        {"daemons_paused_coordinator", NULL, false},
+        {"daemons_paused_coordinator", "no_fence", false},
+        {"drain_beside_dead_watcher", NULL, false},
+        {"drain_primary", NULL, false},
+        {"drain_primary", "no_pause", false},
+        {"drain_primary", "ignore_leaving", false},
+        {"failover_during_failover", NULL, false},
+        {"failover_during_failover", "no_fence", false},
+        {"pair_cut", NULL, false},
+        {"pair_cut", "single_watcher_deposes", false},
+        {"primary_came_back_empty", NULL, false},
+        {"two_coordinators", NULL, false},
+        {"two_coordinators", "no_fence", false},
+        {"wake_at_once", NULL, false},
+        {"watchers_paused_and_cut", NULL, false},
+        {NULL, NULL, false},
     };
 
     g_test_init(&argc, &argv, NULL);
--- a/tools/chaos.sh
+++ b/tools/chaos.sh
@@ -2,7 +2,8 @@
 # Real processes under a fixed order of faults, with clients that write and read all the time; then the
 # checker judges every answer against the databases. At most 5 minutes. Prints a table with the write gap
 # of each fault; exits non-zero if a promise broke.
-# Usage: tools/chaos.sh [BUILD_DIRECTORY]   CLUSTER_KEEP=1 keeps logs and histories.
+# Usage: tools/chaos.sh [BUILD_DIRECTORY]   CLUSTER_KEEP=1 keeps logs and histories; a broken promise does
+#        too, with the daemons' traces as they were then (traces/README.md tells what to do with them).
 #        CHAOS_FAULTS="kill_primary stop_daemon" runs only these.
 set -euo pipefail
 
@@ -25,6 +26,7 @@
     pause_primary_and_daemon publish_and_platform_down kill_primary
 )
 LOADS=(mixed writers unkeyed)
+BROKEN_BEFORE=0
 
 now_ns() {
     python3 -c 'import time; print(time.monotonic_ns())'
@@ -218,6 +220,15 @@
     cluster_signal "$primary" CONT
 }
 
+# keep_traces NAME: after a promise broke, fetches the daemons' traces and keeps the run's files.
+keep_traces() {
+    [ "$CLUSTER_BROKEN" -gt "$BROKEN_BEFORE" ] || return 0
+    BROKEN_BEFORE=$CLUSTER_BROKEN
+    CLUSTER_KEEP=1
+    cluster_fetch_traces "$CLUSTER_DIRECTORY/traces/$1"
+    printf '  traces: %s\n' "$CLUSTER_DIRECTORY/traces/$1"
+}
+
 run_faults() {
     local fault
     local -a faults=("${ALL_FAULTS[@]}")
@@ -229,6 +240,7 @@
         echo "$fault $(now_ns)" >>"$CLUSTER_DIRECTORY/faults"
         "fault_$fault"
         sleep "$SETTLE_SECONDS"
+        keep_traces "$fault"
     done
     echo "end $(now_ns)" >>"$CLUSTER_DIRECTORY/faults"
 }
@@ -276,6 +288,7 @@
     end_loads
     show_gaps
     check_histories
+    keep_traces end
     conclude
 }
 
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -347,6 +347,17 @@
     "$CLUSTER_BUILD/src/ctl/swiftctl" "$@" --admin "http://127.0.0.1:$(cluster_daemon_port "$index" 1)"
 }
 
+# cluster_fetch_traces DIRECTORY: what each daemon that answers recorded of the group, as NAME.trace.
+cluster_fetch_traces() {
+    local index name
+    mkdir -p "$1"
+    for ((index = 0; index < CLUSTER_DAEMON_COUNT; index++)); do
+        name="daemon-$((index + 1))"
+        cluster_ctl "$index" trace "$CLUSTER_GROUP" "$1/$name.trace" --timeout-ms 5000 >/dev/null ||
+            printf 'cluster: no trace of %s\n' "$name" >&2
+    done
+}
+
 # cluster_violations: what the living databases counted against callers, summed: "over_limit lower_term".
 cluster_violations() {
     local index
--- /dev/null
+++ b/tools/record-traces.sh
@@ -0,0 +1,123 @@
+#!/usr/bin/env bash
+# Records traces from real daemons, as they are kept under traces/: a deployment for each, a fault, and
+# the merged trace of its three daemons. The stated outcomes are written by hand, see traces/README.md.
+# Usage: tools/record-traces.sh BUILD_DIRECTORY OUTPUT_DIRECTORY NAME...
+#        NAME is killed_primary, drained_primary, paused_coordinator.
+set -euo pipefail
+
+cd "$(dirname "$0")/.."
+# shellcheck source=tools/cluster.sh
+. tools/cluster.sh
+
+readonly EXAMPLE=atlas-huts
+readonly GROUP=bookings-toubkal
+readonly TENANT=hut-toubkal-refuge
+readonly DAEMONS=3
+readonly AWAIT_TURNS=200
+readonly REPLICA_LATER_SECONDS=0.25
+
+start_deployment() {
+    cluster_configure "$EXAMPLE" "$GROUP"
+    cluster_start_platform
+    cluster_publish 0 "opening" >/dev/null
+    cluster_start_databases --open-delay-ms 2
+    cluster_start_daemons "$DAEMONS"
+}
+
+# find_event KIND [TERM]: the index of the first daemon that tells of such an event.
+find_event() {
+    local index
+    for ((index = 0; index < DAEMONS; index++)); do
+        if [ -n "${PAUSED:-}" ] && [ "$index" -eq "$PAUSED" ]; then
+            continue
+        fi
+        if cluster_ctl "$index" events --output json |
+            jq -e --arg kind "$1" --argjson term "${2:-0}" \
+                '[.. | objects | select(.kind? == $kind and .term >= $term)] | length > 0' >/dev/null; then
+            echo "$index"
+            return 0
+        fi
+    done
+    return 1
+}
+
+# await_event KIND [TERM]: as find_event, until there is one.
+await_event() {
+    local turn
+    for ((turn = 0; turn < AWAIT_TURNS; turn++)); do
+        find_event "$@" && return 0
+        sleep 0.02
+    done
+    cluster_fail "no event $1"
+}
+
+record_killed_primary() {
+    local primary
+    primary=$(cluster_primary "$TENANT")
+    sleep 1
+    cluster_kill "$primary"
+    await_event promoted 2 >/dev/null
+    sleep 1
+}
+
+record_drained_primary() {
+    local primary
+    primary=$(cluster_primary "$TENANT")
+    sleep 1
+    cluster_ctl 0 drain database "$primary" >/dev/null
+    await_event leaving >/dev/null
+    sleep 1
+}
+
+# Two databases stand still, the second one before the loss of the first is noticed, so that the attempt to replace the primary has no majority; its coordinator
+# is stopped in the middle of it. Then one database goes on, and another daemon coordinates.
+record_paused_coordinator() {
+    local primary replica name
+    primary=$(cluster_primary "$TENANT")
+    for name in "${CLUSTER_DATABASES[@]}"; do
+        [ "$name" = "$primary" ] || replica=$name
+    done
+    sleep 1
+    cluster_signal "$primary" STOP
+    sleep "$REPLICA_LATER_SECONDS"
+    cluster_signal "$replica" STOP
+    PAUSED=$(await_event fence_started 2)
+    cluster_signal "daemon-$((PAUSED + 1))" STOP
+    cluster_signal "$replica" CONT
+    await_event promoted 2 >/dev/null
+    sleep 1
+    cluster_signal "daemon-$((PAUSED + 1))" CONT
+    PAUSED=
+    sleep 2
+    cluster_signal "$primary" CONT
+    sleep 1
+}
+
+# fetch_traces FILE: the traces of all daemons, merged.
+fetch_traces() {
+    local index
+    local -a traces=()
+    for ((index = 0; index < DAEMONS; index++)); do
+        traces+=("$CLUSTER_DIRECTORY/$index.trace")
+        cluster_ctl "$index" trace "$GROUP" "${traces[index]}" >/dev/null
+    done
+    "$CLUSTER_BUILD/src/sim/swiftreplay" --merge "$1" "${traces[@]}"
+    "$CLUSTER_BUILD/src/sim/swiftreplay" "$1"
+}
+
+main() {
+    local output name
+    [ "$#" -ge 3 ] || cluster_fail "usage: tools/record-traces.sh BUILD_DIRECTORY OUTPUT_DIRECTORY NAME..."
+    cluster_init "$1"
+    output=$(cd "$2" && pwd)
+    shift 2
+    for name; do
+        declare -F "record_$name" >/dev/null || cluster_fail "unknown trace: $name"
+        start_deployment
+        "record_$name"
+        fetch_traces "$output/daemons_$name.trace"
+        cluster_reset
+    done
+}
+
+main "$@"
