Record the writes whose outcome had to be found out, and replay them

Cause: traces had the control of groups only; what a lost answer led to could not be shown by a replay.

A daemon now keeps the write flow of each write that lost an answer, was short of evidence or asked the ledger: options, events, what the view said, the steps. A quarter of trace.memory_kb is for them. swiftreplay feeds them to core/write_flow again, compares each step, and holds three rules for every write: run again only with a key, told "not run" after a loss only with the key closed, told "done" only with a majority's evidence. Outcomes may state writes (write =, keyed =, ...).

--- a/bench/trace_cost.c
+++ b/bench/trace_cost.c
@@ -1,12 +1,12 @@
-/* What the trace costs the control thread: steps of a group's control with and without a recorder,
- * on made-up probes and opinions. Prints nanoseconds and octets for each step.
- * Usage: trace-cost [STEPS] */
+/* What traces cost: steps of a group's control on made-up probes and opinions, and plain writes,
+ * with and without a recorder. Prints nanoseconds and octets. Usage: trace-cost [STEPS] */
 #include <stdio.h>
 #include <stdlib.h>
 #include <time.h>
 
 #include "core/group_control.h"
 #include "trace/trace_recorder.h"
+#include "trace/write_trace.h"
 
 #define DATABASES     3
 #define STEPS_DEFAULT 400000
@@ -74,6 +74,46 @@
     return spent;
 }
 
+/* A write that is committed, and confirmed by the first two databases. */
+static void run_write(struct trace_recorder *recorder)
+{
+    static const enum write_event_kind EVENTS[] = {WRITE_EVENT_START, WRITE_EVENT_COMMITTED,
+                                                   WRITE_EVENT_EVIDENCE, WRITE_EVENT_EVIDENCE};
+    const struct write_options options = {
+        .deadline = NANOSECONDS_PER_SECOND, .keyed = true, .attempts_max = 4};
+    const struct group_view view = {.database_count = DATABASES,
+                                    .databases = {{.reachable = true}}};
+    struct write_flow flow;
+    struct write_step step = {0};
+
+    write_flow_init(&flow, &options);
+    struct write_trace *trace = write_trace_begin(recorder, 1, "hut-lepiney/stay-1", &options);
+    for (size_t i = 0; i < G_N_ELEMENTS(EVENTS); i++) {
+        const struct write_event event = {
+            .kind = EVENTS[i],
+            .now = i,
+            .database = i == 3 ? 1 : 0,
+            .position = {1, 10},
+            .status = {.held = {1, 10}, .promised_term = 1},
+        };
+        step = write_flow_next(&flow, &event, &view);
+        write_trace_note(trace, &event, &view, &step);
+    }
+    g_assert_cmpint(step.kind, ==, WRITE_STEP_ANSWER);
+    write_trace_end(trace);
+}
+
+/* Processor time of `writes` plain writes. */
+static uint64_t run_writes(struct trace_recorder *recorder, uint64_t writes)
+{
+    uint64_t began = thread_time_ns();
+
+    for (uint64_t i = 0; i < writes; i++) {
+        run_write(recorder);
+    }
+    return thread_time_ns() - began;
+}
+
 int main(int argc, char **argv)
 {
     uint64_t steps = argc > 1 ? strtoull(argv[1], NULL, 10) : STEPS_DEFAULT;
@@ -81,10 +121,14 @@
     struct trace_recorder *recorder = trace_recorder_new(MEMORY);
     uint64_t without = run(none, steps);
     uint64_t with = run(recorder, steps);
+    uint64_t writes_without = run_writes(none, steps);
+    uint64_t writes_with = run_writes(recorder, steps);
     g_autoptr(GByteArray) copy = trace_recorder_copy(recorder, 1);
 
     printf("step without recorder: %.0f ns\n", (double)without / (double)steps);
     printf("step with recorder:    %.0f ns\n", (double)with / (double)steps);
+    printf("plain write without recorder: %.0f ns\n", (double)writes_without / (double)steps);
+    printf("plain write with recorder:    %.0f ns\n", (double)writes_with / (double)steps);
     /* Few enough steps to lose none: the octets of each. */
     trace_recorder_free(recorder);
     recorder = trace_recorder_new(MEMORY);
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -25,6 +25,7 @@
 
 static void free_task(struct task *task)
 {
+    write_trace_end(task->write_trace);
     execute_answer_clear(&task->run);
     execute_answer_clear(&task->failure);
     reply_clear(&task->reply);
--- a/src/daemon/task.h
+++ b/src/daemon/task.h
@@ -10,6 +10,7 @@
 #include "daemon/group_runtime.h"
 #include "daemon/worker_pool.h"
 #include "generated/messages.h"
+#include "trace/write_trace.h"
 
 struct daemon;
 struct transaction;
@@ -44,6 +45,7 @@
     struct read_step read_step;
     struct write_flow write_flow;
     struct write_step write_step;
+    struct write_trace *write_trace; /* NULL if it is not recorded */
 
     uint32_t begin_attempts;   /* of BEGINNING, as the next two */
     uint32_t begin_excluded;   /* bit per database that was tried in vain */
--- a/src/daemon/task_write.c
+++ b/src/daemon/task_write.c
@@ -25,6 +25,7 @@
         task->counts_as_write = group_runtime_begin_write(task->group, &view);
     }
     task->write_step = write_flow_next(&task->write_flow, event, &view);
+    write_trace_note(task->write_trace, event, &view, &task->write_step);
     if (task->write_step.kind == WRITE_STEP_WAIT && task->counts_as_write) {
         group_runtime_end_write(task->group);
         task->counts_as_write = false;
@@ -279,6 +280,8 @@
         .attempts_max = WRITE_ATTEMPTS_MAX,
     };
     write_flow_init(&task->write_flow, &options);
+    task->write_trace =
+        write_trace_begin(task->daemon->traces, task->group->group->id, task->ledger_key, &options);
     task->state = TASK_STATE_WRITING;
     feed(task, WRITE_EVENT_START);
 }
--- a/src/sim/replay.c
+++ b/src/sim/replay.c
@@ -46,6 +46,7 @@
     uint32_t differences;
     FILE *output;
     const struct mutation_switch *mutation; /* or NULL */
+    const char *write_mutation;             /* likewise, of writes */
     int failures;
 };
 
@@ -369,19 +370,53 @@
     }
 }
 
-/* Moves the clock of the replay to a record; of daemons on several machines by the wall clock. */
-static void move_clock(struct replay *replay, const struct trace_record *record)
+/* When a record was made; of daemons on several machines by the wall clock. */
+static time_ns wall_time_of(const struct replay *replay, const struct trace_record *record)
 {
-    struct replay_daemon *daemon = find_daemon(replay, record->daemon);
-    time_ns to_wall = daemon != NULL ? daemon->to_wall : 0;
+    const struct replay_daemon *daemon = find_daemon(replay, record->daemon);
 
-    if (record->wall_us != 0) {
-        to_wall = record->wall_us * NANOSECONDS_PER_MICROSECOND - record->at;
+    if (record->wall_us != 0 && !record->has_write) {
+        return record->wall_us * NANOSECONDS_PER_MICROSECOND;
+    }
+    if (daemon != NULL) {
+        return record->at + daemon->to_wall;
     }
+    return record->wall_us != 0 ? record->wall_us * NANOSECONDS_PER_MICROSECOND : record->at;
+}
+
+static void feed_write(struct replay *replay, const struct trace_record *record)
+{
+    time_ns began = MAX(wall_time_of(replay, record), replay->started_at);
+    time_ns at = began - replay->started_at;
+    struct replayed_write write;
+    const struct replay_write_options options = {
+        .dump = replay->dump,
+        .decisions_changed = replay->decisions_changed,
+        .mutation = replay->write_mutation,
+        .output = replay->output,
+        .at_ms = (double)at / (double)NANOSECONDS_PER_MILLISECOND,
+    };
+
+    replay_write(&record->write, &options, &write);
+    replay->failures += (int)write.failures;
+    replay->differences += write.differences;
+    for (guint i = 0; i < replay->outcomes->len; i++) {
+        struct replay_outcome *outcome = g_ptr_array_index(replay->outcomes, i);
+
+        if (replay_outcome_matches_write(outcome, record->daemon, at, &write)) {
+            outcome->matches += 1;
+        }
+    }
+}
+
+static void move_clock(struct replay *replay, const struct trace_record *record)
+{
+    time_ns now = wall_time_of(replay, record);
+
     if (replay->started_at == 0) {
-        replay->started_at = record->at + to_wall;
+        replay->started_at = now;
     }
-    replay->now = MAX(replay->now, record->at + to_wall);
+    replay->now = MAX(replay->now, now);
 }
 
 /* False if a snapshot can't be taken. */
@@ -397,11 +432,14 @@
     if (record->has_snapshot && !restore_control(replay, record, error)) {
         return false;
     }
+    if (record->has_write) {
+        feed_write(replay, record);
+    }
     daemon = find_daemon(replay, record->daemon);
     if (daemon == NULL) {
         return true;
     }
-    if (record->wall_us != 0) {
+    if (record->wall_us != 0 && !record->has_write) {
         daemon->to_wall = record->wall_us * NANOSECONDS_PER_MICROSECOND - record->at;
     }
     if (record->has_detection) {
@@ -431,6 +469,10 @@
     if (name == NULL) {
         return true;
     }
+    if (replay_write_has_mutation(name)) {
+        replay->write_mutation = name;
+        return true;
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(MUTATIONS); i++) {
         if (g_str_equal(name, MUTATIONS[i].name)) {
             replay->mutation = &MUTATIONS[i];
--- a/src/sim/replay.h
+++ b/src/sim/replay.h
@@ -9,6 +9,8 @@
  * the recorded situation must lead to, not every step. Answers to commands are matched by what the
  * command was; an answer to a command that is not outstanding now is not fed.
  *
+ * Writes are replayed each on its own, see replay_write.h.
+ *
  * Checked in every trace: a step never asks to be woken at once; a view's term never goes back; a
  * promotion follows the grants of a majority in its term. */
 #ifndef SW_SIM_REPLAY_H
--- a/src/sim/replay_outcome.c
+++ b/src/sim/replay_outcome.c
@@ -58,6 +58,16 @@
     return group_reason_name((enum group_reason)value);
 }
 
+static const char *write_name(int value)
+{
+    return outcome_name((enum outcome)value);
+}
+
+static const char *error_name(int value)
+{
+    return error_entry_of((enum error_kind)value)->name;
+}
+
 static const char *expectation_name(int value)
 {
     return EXPECTATION_NAMES[value];
@@ -93,6 +103,12 @@
     outcome->reason = read_name(reader, "reason", GROUP_REASON_COUNT, reason_name);
     outcome->database = (int32_t)read_number(reader, "database", -1);
     outcome->term = read_number(reader, "term", -1);
+    outcome->write = read_name(reader, "write", OUTCOME_COUNT, write_name);
+    outcome->error = read_name(reader, "error", ERROR_KIND_COUNT, error_name);
+    outcome->keyed = (int32_t)read_number(reader, "keyed", -1);
+    outcome->resolves = (int32_t)read_number(reader, "resolves", -1);
+    outcome->replayed = (int32_t)read_number(reader, "replayed", -1);
+    outcome->executions = (int32_t)read_number(reader, "executions", -1);
     outcome->has_primary = has(reader, "primary");
     outcome->primary = (int32_t)read_number(reader, "primary", -1);
     outcome->paused = (int32_t)read_number(reader, "paused", -1);
@@ -161,15 +177,19 @@
            any_or(outcome->term, (int64_t)action->term);
 }
 
+static bool may_match(const struct replay_outcome *outcome, uint32_t daemon, time_ns at)
+{
+    return outcome->expect != OUTCOME_EXPECT_VIEW && at >= outcome->from && at <= outcome->until &&
+           any_or(outcome->daemon, daemon);
+}
+
 bool replay_outcome_matches(const struct replay_outcome *outcome, uint32_t daemon, time_ns at,
                             const struct group_action *action)
 {
     bool is_record = action->kind == GROUP_ACTION_RECORD_EVENT;
 
-    if (outcome->expect == OUTCOME_EXPECT_VIEW || at < outcome->from || at > outcome->until) {
-        return false;
-    }
-    if (!any_or(outcome->daemon, daemon) || !any_or(outcome->action, action->kind)) {
+    if (!may_match(outcome, daemon, at) || outcome->write >= 0 ||
+        !any_or(outcome->action, action->kind)) {
         return false;
     }
     if ((outcome->record >= 0 || outcome->reason >= 0) && !is_record) {
@@ -180,6 +200,19 @@
            subject_matches(outcome, action);
 }
 
+bool replay_outcome_matches_write(const struct replay_outcome *outcome, uint32_t daemon, time_ns at,
+                                  const struct replayed_write *write)
+{
+    bool has_error = write->outcome != OUTCOME_DONE;
+
+    return may_match(outcome, daemon, at) && write->answered &&
+           outcome->write == (int32_t)write->outcome &&
+           any_or(outcome->error, has_error ? (int64_t)write->error : -1) &&
+           any_or(outcome->keyed, write->keyed) && any_or(outcome->resolves, write->resolves) &&
+           any_or(outcome->replayed, write->replayed) &&
+           any_or(outcome->executions, write->executions);
+}
+
 bool replay_outcome_view_holds(const struct replay_outcome *outcome, const struct group_view *view)
 {
     if (outcome->has_primary && outcome->primary != view->primary) {
--- a/src/sim/replay_outcome.h
+++ b/src/sim/replay_outcome.h
@@ -6,6 +6,8 @@
  *                 expect = some | none | view
  *                 daemon =, action =, record =, reason =, database =, term = (any where absent)
  *                 from_ms =, until_ms = (since the first record)
+ *                 write = done | refused | failed | unknown (of a write, not of an action), with
+ *                 error =, keyed =, resolves =, replayed =, executions = (any where absent)
  *                 primary =, paused = (of expect = view: the daemon's view at until_ms)
  */
 #ifndef SW_SIM_REPLAY_OUTCOME_H
@@ -15,6 +17,7 @@
 #include <stdbool.h>
 
 #include "core/group_control.h"
+#include "sim/replay_write.h"
 
 enum outcome_expectation {
     OUTCOME_EXPECT_SOME, /* at least one matching action */
@@ -32,6 +35,12 @@
     int32_t reason; /* enum group_reason */
     int32_t database;
     int64_t term;
+    int32_t write; /* enum outcome: the outcome is about writes */
+    int32_t error; /* enum error_kind, of a write, as the four below */
+    int32_t keyed;
+    int32_t resolves;
+    int32_t replayed;
+    int32_t executions;
     int32_t primary; /* -1 here means no primary; see has_primary */
     bool has_primary;
     int32_t paused;
@@ -50,6 +59,11 @@
 bool replay_outcome_matches(const struct replay_outcome *outcome, uint32_t daemon, time_ns at,
                             const struct group_action *action);
 
+/* True if the write, which began at a time since the first record, is one that the outcome means.
+ */
+bool replay_outcome_matches_write(const struct replay_outcome *outcome, uint32_t daemon, time_ns at,
+                                  const struct replayed_write *write);
+
 /* True if the view is as the outcome states. */
 bool replay_outcome_view_holds(const struct replay_outcome *outcome, const struct group_view *view);
 
--- /dev/null
+++ b/src/sim/replay_write.h
@@ -0,0 +1,44 @@
+/* The replay of one recorded write into the core's write flow.
+ *
+ * Checked in every write: a write without a key is never run again once it may have run; after that
+ * nobody is told that it did not run, unless its key was found or made closed; "done" follows the
+ * evidence of a majority. */
+#ifndef SW_SIM_REPLAY_WRITE_H
+#define SW_SIM_REPLAY_WRITE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdio.h>
+
+#include "core/write_flow.h"
+#include "generated/messages.h"
+
+/* How to replay a write. */
+struct replay_write_options {
+    bool dump;
+    bool decisions_changed; /* steps otherwise than recorded are only counted */
+    const char *mutation;   /* TEST ONLY: a switch of write_options, or another name; or NULL */
+    FILE *output;
+    double at_ms; /* of the write's first event, for the output */
+};
+
+/* What came of it. */
+struct replayed_write {
+    bool answered;
+    enum outcome outcome;
+    enum error_kind error;
+    bool keyed;
+    bool resolves;       /* nothing was to be run: the outcome was asked for */
+    bool replayed;       /* the outcome came from the ledger */
+    uint32_t executions; /* times that it was run, or sent to be */
+    uint32_t failures;
+    uint32_t differences; /* steps otherwise than recorded */
+};
+
+/* True if the name is a switch of write_options. */
+bool replay_write_has_mutation(const char *name);
+
+void replay_write(const struct trace_write *write, const struct replay_write_options *options,
+                  struct replayed_write *result);
+
+#endif
--- a/src/sim/trace_merge.c
+++ b/src/sim/trace_merge.c
@@ -7,8 +7,10 @@
 #include "core/types.h"
 #include "trace/trace_file.h"
 
-/* One daemon's trace, and how far it is written. */
+/* The records of one daemon's control, or of its writes, which stand behind them; and how far they
+ * are written. */
 struct source {
+    uint32_t daemon;
     GPtrArray *records; /* of struct trace_record */
     guint next;
     time_ns to_wall; /* added to the daemon's own clock, it tells the wall clock */
@@ -25,18 +27,54 @@
                                                : NULL;
 }
 
-static bool read_source(const char *path, struct source *source, GError **error)
+static void free_record(gpointer data)
 {
-    const struct trace_record *first;
+    trace_record_clear(data);
+    g_free(data);
+}
 
-    *source = (struct source){.records = trace_read(path, error)};
-    if (source->records == NULL) {
-        return false;
+/* Moves the writes out of `records`. */
+static GPtrArray *take_writes(GPtrArray *records)
+{
+    GPtrArray *writes = g_ptr_array_new_with_free_func(free_record);
+
+    for (guint i = records->len; i > 0; i--) {
+        if (((struct trace_record *)g_ptr_array_index(records, i - 1))->has_write) {
+            g_ptr_array_insert(writes, 0, g_ptr_array_steal_index(records, i - 1));
+        }
+    }
+    return writes;
+}
+
+/* What is to be added to a daemon's own clock, so that it tells the wall clock. */
+static time_ns to_wall_of(const GPtrArray *records)
+{
+    const struct trace_record *first = records->len > 0 ? g_ptr_array_index(records, 0) : NULL;
+
+    if (first == NULL || first->wall_us == 0) {
+        return 0;
     }
-    first = next_record(source);
-    if (first != NULL && first->wall_us != 0) {
-        source->to_wall = first->wall_us * NANOSECONDS_PER_MICROSECOND - first->at;
+    return first->wall_us * NANOSECONDS_PER_MICROSECOND - first->at;
+}
+
+static void add_source(GArray *sources, uint32_t daemon, GPtrArray *records, time_ns to_wall)
+{
+    const struct source source = {.daemon = daemon, .records = records, .to_wall = to_wall};
+
+    g_array_append_val(sources, source);
+}
+
+/* Adds what one daemon recorded. */
+static bool read_trace(GArray *sources, uint32_t daemon, const char *path, GError **error)
+{
+    GPtrArray *records = trace_read(path, error);
+
+    if (records == NULL) {
+        return false;
     }
+    time_ns to_wall = to_wall_of(records);
+    add_source(sources, daemon, take_writes(records), to_wall);
+    add_source(sources, daemon, records, to_wall);
     return true;
 }
 
@@ -67,7 +105,7 @@
         struct source *source = &g_array_index(sources, struct source, i);
         struct trace_record *record = next_record(source);
 
-        record->daemon = i;
+        record->daemon = source->daemon;
         written = trace_write(file, record) && written;
         source->next += 1;
     }
@@ -95,12 +133,9 @@
 
     g_array_set_clear_func(sources, clear_source);
     for (guint i = 0; traces[i] != NULL; i++) {
-        struct source source;
-
-        if (!read_source(traces[i], &source, error)) {
+        if (!read_trace(sources, i, traces[i], error)) {
             return false;
         }
-        g_array_append_val(sources, source);
     }
     return write_file(path, sources, error);
 }
--- a/src/trace/trace_recorder.c
+++ b/src/trace/trace_recorder.c
@@ -11,6 +11,12 @@
 /* Octets of one record of an event, at most: 9 watchers of two numbers, and the rest. */
 #define RECORD_SIZE_MAX 1024
 
+/* One part of the memory in so many is for writes. */
+#define WRITES_SHARE 4
+
+/* Octets that hold a kept write, beside its own: structs, links, and the allocator's. */
+#define WRITE_OVERHEAD 160
+
 /* Commands whose answers may be outstanding. */
 #define COMMANDS_MAX 64
 
@@ -27,11 +33,20 @@
 
 G_STATIC_ASSERT(sizeof(struct segment) <= TRACE_SEGMENT_SIZE);
 
+/* One write. */
+struct kept_write {
+    uint32_t group;
+    GByteArray *octets;
+};
+
 struct trace_recorder {
     pthread_mutex_t lock; /* guards all below, and the segments */
     uint32_t segments_max;
     uint32_t groups; /* being recorded: half the segments at most, so that the others are history */
     GQueue segments; /* struct segment, oldest first */
+    size_t writes_max;
+    size_t writes_size; /* of `writes`, what holds them included */
+    GQueue writes;      /* struct kept_write, oldest first */
 };
 
 struct trace_group {
@@ -45,13 +60,23 @@
 {
     struct trace_recorder *recorder = g_new0(struct trace_recorder, 1);
     pthread_mutex_init(&recorder->lock, NULL);
-    recorder->segments_max = (uint32_t)(memory / TRACE_SEGMENT_SIZE);
+    recorder->writes_max = memory / WRITES_SHARE;
+    recorder->segments_max = (uint32_t)((memory - recorder->writes_max) / TRACE_SEGMENT_SIZE);
     g_queue_init(&recorder->segments);
+    g_queue_init(&recorder->writes);
     return recorder;
 }
 
+static void free_write(gpointer data)
+{
+    struct kept_write *write = data;
+    g_byte_array_unref(write->octets);
+    g_free(write);
+}
+
 void trace_recorder_free(struct trace_recorder *recorder)
 {
+    g_queue_clear_full(&recorder->writes, free_write);
     g_queue_clear_full(&recorder->segments, g_free);
     pthread_mutex_destroy(&recorder->lock);
     g_free(recorder);
@@ -213,6 +238,44 @@
     append(group, &record);
 }
 
+bool trace_recorder_is_on(const struct trace_recorder *recorder)
+{
+    return recorder->writes_max > 0;
+}
+
+static size_t size_of(const struct kept_write *write)
+{
+    return write->octets->len + WRITE_OVERHEAD;
+}
+
+void trace_recorder_keep_write(struct trace_recorder *recorder, uint32_t group,
+                               const struct trace_record *record)
+{
+    struct kept_write *write = g_new(struct kept_write, 1);
+    write->group = group;
+    write->octets = trace_record_encode(record);
+    pthread_mutex_lock(&recorder->lock);
+    g_queue_push_tail(&recorder->writes, write);
+    recorder->writes_size += size_of(write);
+    while (recorder->writes_size > recorder->writes_max) {
+        struct kept_write *oldest = g_queue_pop_head(&recorder->writes);
+        recorder->writes_size -= size_of(oldest);
+        free_write(oldest);
+    }
+    pthread_mutex_unlock(&recorder->lock);
+}
+
+/* Appends the group's writes. Called with the lock held. */
+static void copy_writes(const struct trace_recorder *recorder, uint32_t group, GByteArray *copy)
+{
+    for (GList *link = recorder->writes.head; link != NULL; link = link->next) {
+        const struct kept_write *write = link->data;
+        if (write->group == group) {
+            g_byte_array_append(copy, write->octets->data, write->octets->len);
+        }
+    }
+}
+
 GByteArray *trace_recorder_copy(struct trace_recorder *recorder, uint32_t group)
 {
     GByteArray *copy = g_byte_array_new();
@@ -223,6 +286,7 @@
             g_byte_array_append(copy, segment->octets, (guint)segment->used);
         }
     }
+    copy_writes(recorder, group, copy);
     pthread_mutex_unlock(&recorder->lock);
     return copy;
 }
--- a/src/trace/trace_recorder.h
+++ b/src/trace/trace_recorder.h
@@ -3,13 +3,17 @@
  * segment is given up for a new one. Each segment begins with the start of the control or with its
  * whole state, so that what is left can always be replayed. See docs/design/traces.md.
  *
- * The control thread records; any thread copies. */
+ * A quarter of the memory is for single writes, kept whole, the oldest given up first; see
+ * write_trace.h.
+ *
+ * The control thread records its groups; any thread records writes, and copies. */
 #ifndef SW_TRACE_TRACE_RECORDER_H
 #define SW_TRACE_TRACE_RECORDER_H
 
 #include <glib.h>
 
 #include "core/group_control.h"
+#include "generated/messages.h"
 
 /* Octets of one segment, allocated as a whole. */
 #define TRACE_SEGMENT_SIZE (64 * 1024)
@@ -45,7 +49,15 @@
 void trace_group_detection(struct trace_group *group, const struct group_control *control,
                            time_ns now, time_ns suspect_after, time_ns unreachable_after);
 
-/* What is left of a group's traces, oldest first: the content of a trace file. Empty if nothing. */
+/* True if there is memory to record anything. */
+bool trace_recorder_is_on(const struct trace_recorder *recorder);
+
+/* Keeps the record of a write of a group, in the place of the oldest ones. Any thread. */
+void trace_recorder_keep_write(struct trace_recorder *recorder, uint32_t group,
+                               const struct trace_record *record);
+
+/* What is left of a group's traces, oldest first, then of its writes: the content of a trace file.
+ * Empty if nothing. */
 GByteArray *trace_recorder_copy(struct trace_recorder *recorder, uint32_t group);
 
 #endif
--- a/tests/sim/trace_file_test.c
+++ b/tests/sim/trace_file_test.c
@@ -147,6 +147,13 @@
         g_assert_true(trace_write(file, &record));
         trace_record_clear(&record);
     }
+    /* A write stands behind the control's records, though it began before the last. */
+    struct trace_record write;
+    trace_record_init(&write);
+    write.at = from + step + 1;
+    write.has_write = true;
+    g_assert_true(trace_write(file, &write));
+    trace_record_clear(&write);
     g_assert_cmpint(fclose(file), ==, 0);
 }
 
@@ -155,7 +162,8 @@
     static const struct {
         uint32_t daemon;
         time_ns at;
-    } expected[] = {{0, 5000}, {1, 901000}, {1, 903000}, {0, 9000}, {1, 905000}, {0, 13000}};
+    } expected[] = {{0, 5000}, {1, 901000}, {1, 903000}, {1, 903001},
+                    {0, 9000}, {0, 9001},   {1, 905000}, {0, 13000}};
     g_autofree char *first = new_path();
     g_autofree char *second = new_path();
     g_autofree char *merged = new_path();
--- a/tests/trace/trace_recorder_test.c
+++ b/tests/trace/trace_recorder_test.c
@@ -10,8 +10,8 @@
 
 #define GROUP     5
 #define DATABASES 3
-#define SEGMENTS  4
-#define MEMORY    (SEGMENTS * TRACE_SEGMENT_SIZE)
+#define SEGMENTS  6 /* of the memory; a quarter is for writes */
+#define MEMORY    (8 * TRACE_SEGMENT_SIZE)
 #define STEP_MS   20
 
 /* Steps for one failover, and for more than the memory holds. */
--- a/tools/chaos.sh
+++ b/tools/chaos.sh
@@ -41,7 +41,8 @@
     VERSION=1
     cluster_start_databases --open-delay-ms 10 --zone-delay-us 1500 --replication-lag-ms 50 \
         --service-time-us 300
-    cluster_start_daemons "$DAEMONS"
+    # Room for the whole run.
+    cluster_start_daemons "$DAEMONS" trace.memory_kb=8192
 }
 
 start_loads() {
--- a/tools/record-traces.sh
+++ b/tools/record-traces.sh
@@ -2,7 +2,7 @@
 # Records traces from real daemons, as they are kept under traces/: a deployment for each, a fault, and
 # the merged trace of its three daemons. The stated outcomes are written by hand, see traces/README.md.
 # Usage: tools/record-traces.sh BUILD_DIRECTORY OUTPUT_DIRECTORY NAME...
-#        NAME is killed_primary, drained_primary, paused_coordinator.
+#        NAME is killed_primary, drained_primary, paused_coordinator, lost_answers.
 set -euo pipefail
 
 cd "$(dirname "$0")/.."
@@ -12,12 +12,15 @@
 readonly EXAMPLE=atlas-huts
 readonly GROUP=bookings-toubkal
 readonly TENANT=hut-toubkal-refuge
+readonly UNKEYED_TENANT=guides-imlil
 readonly DAEMONS=3
 readonly AWAIT_TURNS=200
 readonly REPLICA_LATER_SECONDS=0.25
 
 start_deployment() {
     cluster_configure "$EXAMPLE" "$GROUP"
+    # One tenant may write without keys, so that unknown outcomes occur.
+    cluster_edit_configuration '.templates.guide.route.writes_require_key = false'
     cluster_start_platform
     cluster_publish 0 "opening" >/dev/null
     cluster_start_databases --open-delay-ms 2
@@ -93,6 +96,39 @@
     sleep 1
 }
 
+# Answers of the database get lost after it has committed: of a write without a key, of one with a key,
+# of a transaction's commit. The caller asks again for what became of the keyed ones; a transaction that
+# was never committed has its key closed.
+record_lost_answers() {
+    local primary id insert='{"sql":"INSERT INTO cluster_probe (id) VALUES ($1)","parameters":["lost"],"access":"write"}'
+    primary=$(cluster_primary "$UNKEYED_TENANT")
+    lose_answer "$primary" COMMIT
+    cluster_sql 0 "$UNKEYED_TENANT" "$insert"
+    lose_answer "$primary" COMMIT
+    cluster_sql 0 "$UNKEYED_TENANT" "$insert" "Idempotency-Key: lost-1"
+    cluster_sql 0 "$UNKEYED_TENANT" "$insert" "Idempotency-Key: lost-1"
+    id=$(call_transaction transactions '{"begin":true,"access":"write"}' lost-2 | jq -r .transaction)
+    call_transaction "transactions/$id/statements" "$insert" lost-2
+    lose_answer "$primary" COMMIT
+    call_transaction "transactions/$id/commit" '{}' lost-2
+    call_transaction "transactions/$id/commit" '{}' lost-2
+    id=$(call_transaction transactions '{"begin":true,"access":"write"}' lost-3 | jq -r .transaction)
+    call_transaction "transactions/$id/rollback" '{}' lost-3
+    call_transaction "transactions/$id/commit" '{}' lost-3
+    sleep 0.5
+}
+
+# call_transaction PATH BODY KEY: a call of daemon-1; prints the answer's body.
+call_transaction() {
+    curl -s -m 10 -H 'Content-Type: application/json' -H "Idempotency-Key: $3" -d "$2" \
+        "http://127.0.0.1:$(cluster_daemon_port 0 0)/v1/tenants/$UNKEYED_TENANT/$1"
+}
+
+# lose_answer DATABASE MATCH: its next answer to such a statement does not come, and the connection ends.
+lose_answer() {
+    cluster_fault "$1" "name=close_after&count=1&match=$2"
+}
+
 # fetch_traces FILE: the traces of all daemons, merged.
 fetch_traces() {
     local index
