--- a/src/sim/prove.c
+++ b/src/sim/prove.c
@@ -14,10 +14,13 @@
     enum checker_rule expected;
 };
 
+/* Where scenarios are unless an option says so, from the root of the repository. */
+#define SCENARIO_DIRECTORY "tests/sim/scenarios"
+
 struct options {
     gint64 seeds;
     gint jobs;
-    char *directory;
+    char *directory; /* of the scenarios; owned */
 };
 
 static const struct row ROWS[] = {
@@ -213,8 +216,7 @@
 
 int prove_main(int argc, char **argv)
 {
-    struct options options = {
-        .seeds = 200, .jobs = 3, .directory = g_strdup("tests/sim/scenarios")};
+    struct options options = {.seeds = 200, .jobs = 3};
     const GOptionEntry entries[] = {
         {"seeds", 0, 0, G_OPTION_ARG_INT64, &options.seeds, "Seeds per row", "N"},
         {"jobs", 0, 0, G_OPTION_ARG_INT, &options.jobs, "Runs side by side", "N"},
@@ -237,6 +239,9 @@
         fprintf(stderr, "swiftsim: --seeds and --jobs must be at least 1\n");
         return 2;
     }
+    if (options.directory == NULL) {
+        options.directory = g_strdup(SCENARIO_DIRECTORY);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(ROWS); i++) {
         wrong += prove_row(i, &options) ? 0 : 1;
     }
