Tell what a failed wait saw, and end the test log with it

A wait in tests/daemon that gives up now prints every deployment that runs: each database's role, terms, positions and slots, each daemon's members, owners, open tasks and transactions, and its view. A caller's failed call is logged when it fails, among the daemons' lines, with its path, its transaction, who served it, and for a call without an answer libcurl's own words and times. The summary of the tests prints the failing subtests and the last 60 lines of each failing program before the counts. Tests: daemon-await (a wait in vain, in a subprocess); three cases of test_summarize.py.

--- a/tests/daemon/callers.c
+++ b/tests/daemon/callers.c
@@ -3,16 +3,21 @@
 
 #include <string.h>
 
-static void note_failure(struct caller *caller, const struct http_answer *answer)
+static void note_failure(struct caller *caller, const struct http_call *call,
+                         const struct http_answer *answer)
 {
     struct callers *callers = caller->callers;
     atomic_fetch_add(&callers->failures, 1);
     g_autofree char *body = answer->body != NULL ? json_to_string(answer->body, FALSE) : NULL;
+    g_autofree char *text = g_strdup_printf(
+        "caller %u of kind %d, round %u, %s %s, served by %s: status %ld: %s", caller->number,
+        caller->kind, atomic_load(&caller->rounds), call->path != NULL ? call->path : "statements",
+        call->transaction != NULL ? call->transaction : "", answer->served_by, answer->status,
+        body != NULL ? body : answer->failure);
+    g_message("A call failed: %s", text); /* now, in its place among the daemons' own lines */
     pthread_mutex_lock(&callers->lock);
     if (callers->first_failure->len == 0) {
-        g_string_printf(callers->first_failure, "caller %u of kind %d, round %u: status %ld: %s",
-                        caller->number, caller->kind, atomic_load(&caller->rounds), answer->status,
-                        body != NULL ? body : answer->failure);
+        g_string_assign(callers->first_failure, text);
     }
     pthread_mutex_unlock(&callers->lock);
 }
@@ -45,7 +50,7 @@
     }
     bool done = g_strcmp0(answer->outcome, "done") == 0;
     if (!done) {
-        note_failure(caller, answer);
+        note_failure(caller, call, answer);
     }
     return done;
 }
--- a/tests/daemon/cluster_fixture.c
+++ b/tests/daemon/cluster_fixture.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "backend/clock.h"
+#include "cluster_state.h"
 #include "daemon/control.h"
 #include "database_fixture.h"
 #include "frontend/frontend.h"
@@ -19,10 +20,23 @@
 
 const char *const cluster_zones[3] = {"imlil", "marrakech", "ouarzazate"};
 
+/* The deployments that run, of struct cluster; of the test's main thread. */
+static GPtrArray *deployments;
+
+static void give_up(const char *condition, const char *place)
+{
+    g_autoptr(GString) states = g_string_new(NULL);
+    for (guint i = 0; deployments != NULL && i < deployments->len; i++) {
+        g_autofree char *state = cluster_state_describe(g_ptr_array_index(deployments, i));
+        g_string_append_printf(states, "\n%s", state);
+    }
+    g_error("%s: in vain waited for: %s%s", place, condition, states->str);
+}
+
 void cluster_await_pause(gint64 since, const char *condition, const char *place)
 {
     if (g_get_monotonic_time() - since > PATIENCE_US) {
-        g_error("%s: in vain waited for: %s", place, condition);
+        give_up(condition, place);
     }
     g_usleep(PAUSE_US);
 }
@@ -129,6 +143,9 @@
 {
     struct cluster *cluster = g_new0(struct cluster, 1);
     g_autoptr(GError) error = NULL;
+    if (deployments == NULL) {
+        deployments = g_ptr_array_new();
+    }
     fill_options(&cluster->options, options);
     cluster->directory = g_dir_make_tmp("swiftworks-cluster-XXXXXX", &error);
     g_assert_no_error(error);
@@ -139,6 +156,7 @@
     write_file(cluster, "configuration.json", configuration);
     write_file(cluster, "token-keys",
                "1 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f\n");
+    g_ptr_array_add(deployments, cluster);
     return cluster;
 }
 
@@ -372,6 +390,7 @@
         }
     }
     check_violations(cluster);
+    g_ptr_array_remove(deployments, cluster);
     for (unsigned i = cluster->options.databases; i > 0; i--) {
         server_stop(cluster->databases[i - 1]);
     }
--- a/tests/daemon/cluster_fixture.h
+++ b/tests/daemon/cluster_fixture.h
@@ -112,7 +112,8 @@
 void cluster_lose_answers(struct cluster *cluster, unsigned database, enum answer_fault fault,
                           unsigned count, const char *match);
 
-/* Waits until an expression holds; fails the test after a generous bound. */
+/* Waits until an expression holds; fails the test after a generous bound, telling what was waited
+ * for and the state of all deployments that run. Main thread only. */
 #define AWAIT(condition)                                                                           \
     do {                                                                                           \
         gint64 await_since = g_get_monotonic_time();                                               \
--- a/tests/daemon/http_call.c
+++ b/tests/daemon/http_call.c
@@ -120,8 +120,24 @@
     read_body(answer, body);
 }
 
+/* Why there is no answer, and how far the call came: whether it was connected, and how long it
+ * took.
+ */
+static char *describe_failure(CURL *client, CURLcode result, const char *detail, unsigned port)
+{
+    curl_off_t connected_us = 0;
+    curl_off_t total_us = 0;
+    curl_easy_getinfo(client, CURLINFO_CONNECT_TIME_T, &connected_us);
+    curl_easy_getinfo(client, CURLINFO_TOTAL_TIME_T, &total_us);
+    return g_strdup_printf("%s (%s) at port %u, connected after %" G_GINT64_FORMAT
+                           " us, ended after %" G_GINT64_FORMAT " us",
+                           curl_easy_strerror(result), detail, port, (gint64)connected_us,
+                           (gint64)total_us);
+}
+
 void http_post(unsigned port, const struct http_call *call, struct http_answer *answer)
 {
+    char detail[CURL_ERROR_SIZE] = "";
     memset(answer, 0, sizeof(*answer));
     g_autofree char *body = body_of(call);
     g_autofree char *url = url_of(port, call);
@@ -129,6 +145,7 @@
     struct curl_slist *headers = headers_of(call);
     CURL *client = curl_easy_init();
     curl_easy_setopt(client, CURLOPT_URL, url);
+    curl_easy_setopt(client, CURLOPT_ERRORBUFFER, detail);
     curl_easy_setopt(client, CURLOPT_PROXY, "");
     curl_easy_setopt(client, CURLOPT_POSTFIELDS, body);
     curl_easy_setopt(client, CURLOPT_HTTPHEADER, headers);
@@ -142,7 +159,7 @@
     if (result == CURLE_OK) {
         read_answer(client, received->str, answer);
     } else {
-        answer->failure = curl_easy_strerror(result);
+        answer->failure = describe_failure(client, result, detail, port);
     }
     curl_easy_cleanup(client);
     curl_slist_free_all(headers);
@@ -201,6 +218,7 @@
 
 void http_answer_clear(struct http_answer *answer)
 {
+    g_free(answer->failure);
     g_free(answer->outcome);
     g_free(answer->error_kind);
     g_free(answer->sqlstate);
@@ -252,5 +270,5 @@
     }
     g_autofree char *body = answer->body != NULL ? json_to_string(answer->body, FALSE) : NULL;
     g_error("%s: expected %s %s, got status %ld: %s", place, outcome, kind != NULL ? kind : "",
-            answer->status, body != NULL ? body : "no answer");
+            answer->status, body != NULL ? body : answer->failure);
 }
--- a/tests/daemon/http_call.h
+++ b/tests/daemon/http_call.h
@@ -21,9 +21,9 @@
 
 /* What came back. Cleared by http_answer_clear. */
 struct http_answer {
-    long status;         /* 0 where no whole answer came */
-    const char *failure; /* why there is none, or NULL */
-    bool unconnected;    /* nobody listened: nothing was sent */
+    long status;      /* 0 where no whole answer came */
+    char *failure;    /* why there is none, or NULL */
+    bool unconnected; /* nobody listened: nothing was sent */
     char *outcome;
     char *error_kind;  /* NULL with outcome done */
     char *sqlstate;    /* or NULL */
--- /dev/null
+++ b/tests/daemon/test_await.c
@@ -0,0 +1,38 @@
+/* A wait that gives up says what it waited for, and what the deployment looked like. */
+#include "cluster_fixture.h"
+
+/* As if the wait had begun before the machine did: no time is left. */
+#define LONG_AGO (G_MININT64 / 2)
+
+static void give_up(void)
+{
+    struct cluster *cluster = cluster_start(NULL);
+    cluster_stop_daemon(cluster, 2);
+    cluster_await_pause(LONG_AGO, "pigs fly", "sty.c:1");
+}
+
+static void test_give_up(void)
+{
+    if (g_test_subprocess()) {
+        give_up();
+        return;
+    }
+    g_test_trap_subprocess(NULL, 0, G_TEST_SUBPROCESS_DEFAULT);
+    g_test_trap_assert_failed();
+    g_test_trap_assert_stderr("*sty.c:1: in vain waited for: pigs fly\n"
+                              "*refuge-1: primary of term 1, promised 1*held=1/*"
+                              "*refuge-2: replica of term 1*"
+                              "*daemon-1: owns the group, knows 2 owners, tasks open 0*"
+                              "*(itself)*"
+                              "*view: term 1, primary 0*"
+                              "*database 2: replica of term 1*"
+                              "*daemon-2:*");
+    g_test_trap_assert_stderr_unmatched("*daemon-3:*");
+}
+
+int main(int argc, char **argv)
+{
+    cluster_test_init(&argc, &argv);
+    g_test_add_func("/daemon/await/give_up", test_give_up);
+    return g_test_run();
+}
--- a/tests/load/test_summarize.py
+++ b/tests/load/test_summarize.py
@@ -47,6 +47,25 @@
         self.assertEqual((code, lines[-1]), (1, "1 passed, 1 failed"))
         self.assertIn("failed: pool", lines)
 
+    def test_last_lines_of_a_failing_program_come_before_the_counts(self):
+        logged = "".join(f"line {n}\n" for n in range(1000)) + "x" * 10000 + "\nin vain waited\n"
+        code, lines = self.run_summary([GOOD, {**DIED, "returncode": -5, "stderr": logged}])
+        self.assertEqual(code, 1)
+        self.assertEqual(lines[-4:-2], ["   " + "x" * 400, "   in vain waited"])
+        self.assertEqual(lines[0], "== pool (FAIL, code -5), its last lines:")
+        self.assertIn("   line 999", lines)
+        self.assertNotIn("   line 900", lines)
+        self.assertFalse(any("core" in line for line in lines))
+
+    def test_failing_subtests_are_kept_before_a_long_log(self):
+        logged = "".join(f"line {n}\n" for n in range(1000))
+        _, lines = self.run_summary([{**BAD, "stderr": logged}])
+        self.assertEqual(lines[1:3], ["   not ok 2 /wire/b", "   line 940"])
+
+    def test_last_lines_of_a_quiet_program_are_its_subtests(self):
+        _, lines = self.run_summary([BAD], "/wire/b: short read is lost, issue 3\n")
+        self.assertIn("   not ok 2 /wire/b", lines)
+
     def test_unfinished_and_skipped_do_not_pass(self):
         output = "not ok 1 /a # TODO later\nok 2 /b # SKIP no clock\n1..2\n"
         code, lines = self.run_summary([{"name": "x", "result": "FAIL", "stdout": output}])
--- a/tools/summarize_tests.py
+++ b/tools/summarize_tests.py
@@ -4,6 +4,9 @@
 Every TAP subtest counts. A program without subtests, or one that failed without a failing subtest
 (it died, timed out or broke its plan), counts as one test under the program's name.
 
+The last lines of output of each failing program come before the failures and counts, so that the
+end of a log is enough to see what happened.
+
 The file of known failures has lines "test-name: cause, issue", three at most. A failure of such a
 test is printed and passed over; a listed test that passes, or that was not run, is reported.
 
@@ -17,11 +20,23 @@
 from pathlib import Path
 
 KNOWN_RED_MAX = 3
+TAIL_LINES_MAX = 60
+TAIL_COLUMNS_MAX = 400
+FAILURE_STARTS = ("not ok", "Bail out!")
 TAP_LINE = re.compile(r"^(not ok|ok)\b\s*\d*\s*-?\s*([^#]*?)\s*(?:#\s*(.*))?$")
 PROGRAM_PASSED = ("OK", "EXPECTEDFAIL")
 PROGRAM_SKIPPED = "SKIP"
 
 
+@dataclass
+class FailedProgram:
+    """A test program that failed: its name, how, and the last lines of what it printed."""
+
+    name: str
+    result: str
+    tail: list
+
+
 @dataclass
 class Result:
     """The outcome of one test: "passed", "failed" or "skipped"."""
@@ -65,13 +80,30 @@
     return results
 
 
+def tail_of(entry):
+    """What a program printed last, each line cut short: its failures, then the end of its log."""
+    subtests = (entry.get("stdout") or "").splitlines()
+    lines = [*subtests, *(entry.get("stderr") or "").splitlines()]
+    dropped = subtests[: max(0, len(lines) - TAIL_LINES_MAX)]
+    failures = [line for line in dropped if line.startswith(FAILURE_STARTS)]
+    kept = failures[-TAIL_LINES_MAX:] + lines[-TAIL_LINES_MAX:]
+    return [line[:TAIL_COLUMNS_MAX] for line in kept]
+
+
 def read_log(path):
-    """All results in a log of `meson test`; none if there is no log."""
+    """All results in a log of `meson test`, and the programs that failed; none without a log."""
     results = []
+    failed_programs = []
     for line in path.read_text(encoding="utf-8").splitlines():
-        if line.strip():
-            results.extend(program_results(json.loads(line)))
-    return results
+        if not line.strip():
+            continue
+        entry = json.loads(line)
+        outcomes = program_results(entry)
+        results.extend(outcomes)
+        if any(result.outcome == "failed" for result in outcomes):
+            how = f"{entry['result']}, code {entry.get('returncode')}"
+            failed_programs.append(FailedProgram(entry["name"], how, tail_of(entry)))
+    return results, failed_programs
 
 
 def read_known_red(path):
@@ -91,6 +123,14 @@
     return known
 
 
+def print_tails(failed_programs):
+    """Prints what the failing programs said last."""
+    for program in failed_programs:
+        print(f"== {program.name} ({program.result}), its last lines:")
+        for line in program.tail:
+            print(f"   {line}")
+
+
 def summarize(results, known):
     """Prints the failures and the counts. Returns the exit code."""
     passed = sum(result.outcome == "passed" for result in results)
@@ -120,11 +160,12 @@
         return 2
     try:
         known = read_known_red(Path(arguments[1]))
-        results = read_log(Path(arguments[0]))
+        results, failed_programs = read_log(Path(arguments[0]))
     except (KnownRedError, OSError, json.JSONDecodeError) as error:
         print(f"failed: {error}")
         print("0 passed, 1 failed")
         return 1
+    print_tails(failed_programs)
     return summarize(results, known)
 
 
