Wait for the transaction's own statement before it is asked for anew

daemon-transactions failed now and then on a loaded machine: "expected refused bad_request, got done" from the case "busy", the only one that expects bad_request.

Cause: the test, not the daemon. It took "one slot of the database is used" for "the transaction runs its INSERT", and slowed every statement to 2 s. Each owner of a group makes the ledger's table when it learns of a primary; on a loaded machine the third owner's CREATE TABLE came after the slowdown and took the slot. The test then sent COMMIT before the INSERT had reached the daemon; the transaction was not in use, and COMMIT was rightly done. Likewise if COMMIT took over 2 s to get there.

Ruled out: an ended transaction that is answered from somewhere, or a key's outcome told for another request. The transaction has no key, and an id is taken and given back under one lock of the table (in_use).

Now the stand-in can hold statements that contain a text until they are released. The test waits until its own INSERT is held, so that neither other statements nor the speed of the machine decide the order.

--- a/standins/database/faults.c
+++ b/standins/database/faults.c
@@ -25,6 +25,7 @@
     faults->cut_all = false;
     g_hash_table_remove_all(faults->cut_zones);
     faults->frozen_until_us = 0;
+    g_clear_pointer(&faults->hold_match, g_free);
     for (size_t i = 0; i < ANSWER_FAULT_COUNT; i++) {
         faults->answers[i].count = 0;
         g_clear_pointer(&faults->answers[i].match, g_free);
@@ -87,6 +88,48 @@
     return waited;
 }
 
+void faults_hold(struct faults *faults, const char *match)
+{
+    pthread_mutex_lock(&faults->lock);
+    g_free(faults->hold_match);
+    faults->hold_match = g_strdup(match);
+    pthread_mutex_unlock(&faults->lock);
+}
+
+void faults_release(struct faults *faults)
+{
+    pthread_mutex_lock(&faults->lock);
+    g_clear_pointer(&faults->hold_match, g_free);
+    pthread_mutex_unlock(&faults->lock);
+}
+
+unsigned faults_held(struct faults *faults)
+{
+    pthread_mutex_lock(&faults->lock);
+    unsigned held = faults->held;
+    pthread_mutex_unlock(&faults->lock);
+    return held;
+}
+
+/* Lock held. */
+static bool is_held(const struct faults *faults, const char *sql)
+{
+    return faults->hold_match != NULL && strstr(sql, faults->hold_match) != NULL;
+}
+
+void faults_wait_held(struct faults *faults, const char *sql, const struct interrupt *interrupt)
+{
+    pthread_mutex_lock(&faults->lock);
+    faults->held++; /* seen by others only if it waits */
+    while (is_held(faults, sql) && !interrupt_pending(interrupt)) {
+        pthread_mutex_unlock(&faults->lock);
+        g_usleep(BLOCKED_POLL_US);
+        pthread_mutex_lock(&faults->lock);
+    }
+    faults->held--;
+    pthread_mutex_unlock(&faults->lock);
+}
+
 static bool plan_matches(const struct answer_fault_plan *plan, const char *sql)
 {
     if (plan->count == 0) {
--- a/standins/database/faults.h
+++ b/standins/database/faults.h
@@ -31,6 +31,8 @@
     GHashTable *cut_zones; /* set of owned char * */
     int64_t frozen_until_us;
     struct answer_fault_plan answers[ANSWER_FAULT_COUNT];
+    char *hold_match; /* statements that contain it wait; NULL: none do */
+    unsigned held;    /* statements that wait */
 };
 
 void faults_init(struct faults *faults);
@@ -49,6 +51,16 @@
 void faults_plan_answers(struct faults *faults, enum answer_fault fault, uint64_t count,
                          const char *match);
 
+/* Statements that contain `match` wait from now on, before they run, until faults_release. */
+void faults_hold(struct faults *faults, const char *match);
+void faults_release(struct faults *faults);
+
+/* Statements that wait so. */
+unsigned faults_held(struct faults *faults);
+
+/* Waits while the statement is held. Ends early if its client goes or the program stops. */
+void faults_wait_held(struct faults *faults, const char *sql, const struct interrupt *interrupt);
+
 /* Waits while connections of the zone (NULL: not known yet) are cut or frozen. Returns true if it
  * had to wait. Ends early when the program stops. */
 bool faults_wait(struct faults *faults, const char *zone, const struct interrupt *interrupt);
--- a/standins/database/query.c
+++ b/standins/database/query.c
@@ -160,6 +160,7 @@
                      const struct parameters *parameters, bool describe, struct sql_error *error)
 {
     faults_wait(&session->server->faults, session->zone, &session->interrupt);
+    faults_wait_held(&session->server->faults, statement->text, &session->interrupt);
     if (!check_not_failed(session, statement, error)) {
         return false;
     }
--- a/tests/daemon/cluster_fixture.c
+++ b/tests/daemon/cluster_fixture.c
@@ -499,3 +499,18 @@
 {
     faults_plan_answers(&cluster->databases[database]->faults, fault, count, match);
 }
+
+void cluster_hold_statements(struct cluster *cluster, unsigned database, const char *match)
+{
+    faults_hold(&cluster->databases[database]->faults, match);
+}
+
+void cluster_release_statements(struct cluster *cluster, unsigned database)
+{
+    faults_release(&cluster->databases[database]->faults);
+}
+
+unsigned cluster_held_statements(const struct cluster *cluster, unsigned database)
+{
+    return faults_held(&cluster->databases[database]->faults);
+}
--- a/tests/daemon/cluster_fixture.h
+++ b/tests/daemon/cluster_fixture.h
@@ -96,7 +96,7 @@
 /* Each statement at a database takes so long from now on. */
 void cluster_set_service_time(struct cluster *cluster, unsigned database, int64_t microseconds);
 
-/* Statements that a database is at work on. */
+/* Statements that a database is at work on, those of the daemons' own upkeep included. */
 unsigned cluster_slots_used(const struct cluster *cluster, unsigned database);
 
 /* Cuts a database off from the zones of all others, both ways, daemons included. */
@@ -112,6 +112,13 @@
 void cluster_lose_answers(struct cluster *cluster, unsigned database, enum answer_fault fault,
                           unsigned count, const char *match);
 
+/* Statements that contain `match` wait at a database, before they run, until they are released. */
+void cluster_hold_statements(struct cluster *cluster, unsigned database, const char *match);
+void cluster_release_statements(struct cluster *cluster, unsigned database);
+
+/* Statements that wait so. */
+unsigned cluster_held_statements(const struct cluster *cluster, unsigned database);
+
 /* Waits until an expression holds; fails the test after a generous bound. */
 #define AWAIT(condition)                                                                           \
     do {                                                                                           \
--- a/tests/daemon/test_transactions.c
+++ b/tests/daemon/test_transactions.c
@@ -6,6 +6,9 @@
 
 #include "daemon_probe.h"
 
+/* A deadline that a busy machine does not reach. */
+#define LONG_TIMEOUT_MS 20000
+
 /* Begins at a daemon and returns the id, which the caller frees. */
 static char *begin(struct cluster *cluster, unsigned daemon, const char *key, const char *access)
 {
@@ -219,17 +222,22 @@
     cluster_stop(cluster);
 }
 
+/* The transaction's statement is known to be at the database, and stays there until its transaction
+ * was asked for anew. */
 static void test_busy(void)
 {
     struct cluster *cluster = cluster_start(NULL);
     struct http_answer answer;
     g_autofree char *id = begin(cluster, 0, NULL, "write");
-    cluster_set_service_time(cluster, 0, 2000000);
-    struct http_call insert = {.transaction = id, .sql = "INSERT INTO stays VALUES ('a', '')"};
+    struct http_call insert = {.transaction = id,
+                               .sql = "INSERT INTO stays VALUES ('a', '')",
+                               .timeout_ms = LONG_TIMEOUT_MS};
+    cluster_hold_statements(cluster, 0, insert.sql);
     struct http_poster *poster = http_post_start(cluster_port(cluster, 0), &insert);
-    AWAIT(cluster_slots_used(cluster, 0) == 1);
-    expect_error(cluster, 1, (struct http_call){.transaction = id, .path = "commit"}, "refused",
-                 "bad_request");
+    AWAIT(cluster_held_statements(cluster, 0) == 1);
+    struct http_call commit = {.transaction = id, .path = "commit", .timeout_ms = LONG_TIMEOUT_MS};
+    expect_error(cluster, 1, commit, "refused", "bad_request");
+    cluster_release_statements(cluster, 0);
     http_join(poster, &answer);
     http_assert_done(&answer);
     http_answer_clear(&answer);
