Let moves that wait for each other end

Cause: a daemon that loses its place keeps its numbers until all new owners are warm, and a new owner becomes warm by the few numbers for hand-over. Where a second move begins before the first is over, the one can hold what the other waits for, until ownership.handover_max_ms ends: - an owner that lost its place again kept the numbers for hand-over; - of two new owners the first took all numbers for hand-over; - a refused number ran out its wait when its turn came again, so an owner tried the lowest of its share for ever and never the free ones.

Now a daemon without a place gives back the numbers for hand-over if it can serve without them, one that waits longer than 500 ms keeps fewer and fewer numbers of others, and the number that was not refused for longest is tried first.

Ruled out: that the time for hand-over is missed (close_by and the release's end hold: the move test sets them to 600 s, so that it hangs where production is late by 5 s and then gives the group up cold).

--- a/src/core/budget.c
+++ b/src/core/budget.c
@@ -10,6 +10,11 @@
 /* A number that another holds is tried again after this many times the wait of the others. */
 #define TAKEN_RETRY_FACTOR 4
 
+/* A move that is not over after this part of the time for hand-over, or after one wait before a
+ * number is tried again, may wait for another move: less is kept, and half of that each time. */
+#define YIELD_PART   8
+#define YIELD_FACTOR 2
+
 #define DEFAULT_RETRY_WAIT    (500 * NANOSECONDS_PER_MILLISECOND)
 #define DEFAULT_HANDOVER_TIME (10 * NANOSECONDS_PER_SECOND)
 
@@ -17,7 +22,8 @@
 
 struct budget_slot {
     enum budget_slot_state state;
-    time_ns retry_at; /* not to be tried before */
+    time_ns retry_at;   /* not to be tried before */
+    time_ns refused_at; /* when another was last found to hold it; 0: never */
 };
 
 struct budget {
@@ -26,6 +32,8 @@
     bool handing_over; /* the last change of place leaves the old owner alive */
     bool warm_told;
     bool released_told;
+    time_ns yield_at; /* when `keep` is lowered next */
+    uint32_t keep;    /* connections that a daemon keeps while others may wait for its numbers */
     time_ns close_by; /* end of the time for hand-over after the last change of place */
     time_ns wakeup;
     uint32_t numbers; /* worked out from the options */
@@ -143,16 +151,19 @@
     return MAX(1, MIN(budget->share, budget->options.handover));
 }
 
-/* The first free number of a span that may be tried now, or -1. */
+/* The free number of a span that may be tried now and was not refused for longest, or -1. In this
+ * order each of them has its turn, however many others are held elsewhere. */
 static int32_t free_number(const struct budget *budget, uint32_t start, uint32_t end, time_ns now)
 {
+    int32_t best = -1;
     for (uint32_t i = start; i < end; i++) {
-        bool free = budget->slots[i].state == BUDGET_SLOT_FREE;
-        if (free && budget->slots[i].retry_at <= now) {
-            return (int32_t)i;
+        const struct budget_slot *slot = &budget->slots[i];
+        bool free = slot->state == BUDGET_SLOT_FREE && slot->retry_at <= now;
+        if (free && (best < 0 || slot->refused_at < budget->slots[best].refused_at)) {
+            best = (int32_t)i;
         }
     }
-    return -1;
+    return best;
 }
 
 /* The number to try next, or -1. The share comes first, save where the old owner still holds it;
@@ -217,34 +228,60 @@
     return count;
 }
 
-/* After a change of place, gives back the numbers of other owners' shares: once this daemon is warm
- * without them, and at the latest when the time for hand-over ends, as two owners may each wait for
- * the other's. */
-static void close_others_numbers(struct budget *budget, time_ns now, GArray *actions)
+/* Closes numbers of other owners' shares until no more than `keep` are held. Without a place all
+ * shares are others'. */
+static void keep_of_others(struct budget *budget, uint32_t keep, GArray *actions)
 {
-    uint32_t others = held_of_others(budget);
-    bool warm = budget_held(budget) - others >= warm_count(budget);
-    if (others == 0 || (!warm && now < budget->close_by)) {
-        return;
+    uint32_t held = held_of_others(budget);
+    for (uint32_t i = 0; i < handover_start(budget) && held > keep; i++) {
+        if (!in_share(budget, i) && budget->slots[i].state == BUDGET_SLOT_HELD) {
+            close_slot(budget, i, actions);
+            held--;
+        }
     }
-    for (uint32_t i = 0; i < handover_start(budget); i++) {
-        if (!in_share(budget, i)) {
+}
+
+static void keep_of_handover(struct budget *budget, uint32_t keep, GArray *actions)
+{
+    uint32_t held = budget_held(budget) - held_of_others(budget);
+    for (uint32_t i = handover_start(budget); i < budget->numbers && held > keep; i++) {
+        if (budget->slots[i].state == BUDGET_SLOT_HELD) {
             close_slot(budget, i, actions);
+            held--;
         }
     }
 }
 
-/* Gives back the numbers for hand-over once the share itself is held. */
+/* After a change of place, gives back the numbers of other owners' shares: once this daemon is warm
+ * without them, and at the latest when the time for hand-over ends. As two owners may each wait for
+ * the other's, fewer and fewer are kept meanwhile. */
+static void close_others_numbers(struct budget *budget, time_ns now, GArray *actions)
+{
+    uint32_t own = budget_held(budget) - held_of_others(budget);
+    if (own >= warm_count(budget) || now >= budget->close_by) {
+        keep_of_others(budget, 0, actions);
+    } else {
+        keep_of_others(budget, budget->keep - MIN(own, budget->keep), actions);
+    }
+}
+
 static void close_handover_numbers(struct budget *budget, GArray *actions)
 {
-    if (held_in_share(budget) < budget->share) {
-        return;
+    for (uint32_t i = handover_start(budget); i < budget->numbers; i++) {
+        close_slot(budget, i, actions);
     }
-    for (uint32_t i = 0; i < budget->numbers; i++) {
-        if (in_handover(budget, i)) {
-            close_slot(budget, i, actions);
-        }
+}
+
+/* A daemon that serves without a place gives back what the new owners wait for: the numbers for
+ * hand-over, if it can do without them, and others as time goes on. New owners that compete for the
+ * numbers for hand-over then become warm by those of their shares. */
+static void yield_to_owners(struct budget *budget, GArray *actions)
+{
+    if (held_of_others(budget) >= MIN(budget->keep, warm_count(budget))) {
+        close_handover_numbers(budget, actions);
     }
+    keep_of_others(budget, budget->keep, actions);
+    keep_of_handover(budget, budget->keep, actions);
 }
 
 /* Without a place: serves on until another is warm or the time is over, then closes. */
@@ -254,6 +291,7 @@
         budget->handing_over = false;
         close_all(budget, actions);
     }
+    yield_to_owners(budget, actions);
     if (budget_counted(budget) == 0 && !budget->released_told) {
         budget->released_told = true;
         add_action(actions, BUDGET_ACTION_RELEASED, 0);
@@ -286,7 +324,9 @@
         tell_warm(budget, now, actions);
     }
     close_others_numbers(budget, now, actions);
-    close_handover_numbers(budget, actions);
+    if (held_in_share(budget) >= budget->share) {
+        close_handover_numbers(budget, actions);
+    }
     open_next(budget, now, actions);
 }
 
@@ -295,9 +335,10 @@
 {
     if (budget->position < 0) {
         bool waiting = budget->handing_over && budget_counted(budget) > 0;
-        return waiting ? budget->close_by : UINT64_MAX;
+        return waiting ? MIN(budget->yield_at, budget->close_by) : UINT64_MAX;
     }
-    time_ns wakeup = held_of_others(budget) > 0 ? budget->close_by : UINT64_MAX;
+    bool holds_others = held_of_others(budget) > 0;
+    time_ns wakeup = holds_others ? MIN(budget->yield_at, budget->close_by) : UINT64_MAX;
     if (budget->count[BUDGET_SLOT_OPENING] > 0) {
         return wakeup;
     }
@@ -309,8 +350,25 @@
     return wakeup;
 }
 
+static time_ns yield_wait(const struct budget_options *options)
+{
+    return MIN(options->retry_wait, options->handover_time / YIELD_PART);
+}
+
+/* Lowers what is kept as time goes on, from what makes an owner warm to one connection. */
+static void lower_keep(struct budget *budget, time_ns now)
+{
+    if (now < budget->yield_at) {
+        return;
+    }
+    bool first = budget->keep > warm_count(budget);
+    budget->keep = first ? warm_count(budget) : MAX(1, budget->keep / YIELD_FACTOR);
+    budget->yield_at = budget->keep > 1 ? now + yield_wait(&budget->options) : UINT64_MAX;
+}
+
 static void advance(struct budget *budget, time_ns now, GArray *actions)
 {
+    lower_keep(budget, now);
     if (budget->position < 0) {
         advance_without_place(budget, now, actions);
     } else {
@@ -335,6 +393,8 @@
         budget->position = position;
         budget->handing_over = handing_over;
         budget->close_by = now + budget->options.handover_time;
+        budget->yield_at = now + yield_wait(&budget->options);
+        budget->keep = budget->numbers;
         budget->warm_told = position < 0;
         budget->released_told = position < 0 && budget_counted(budget) == 0;
         forget_refusals(budget);
@@ -375,6 +435,7 @@
 void budget_number_taken(struct budget *budget, uint32_t number, time_ns now, GArray *actions)
 {
     set_free(budget, number, now + TAKEN_RETRY_FACTOR * budget->options.retry_wait);
+    budget->slots[number].refused_at = now;
     if (in_handover(budget, number)) {
         hold_back(budget, handover_start(budget), budget->numbers, now);
     } else if (in_share(budget, number)) {
