--- a/src/sim/main.c
+++ b/src/sim/main.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 
 #include "sim/explore.h"
+#include "sim/overload.h"
 #include "sim/scale.h"
 
 struct subcommand {
@@ -15,6 +16,7 @@
     {"run", "run a scenario once", run_main},
     {"explore", "run a scenario over seeds until one fails", explore_main},
     {"prove", "run every guarantee with its mechanism on and off", prove_main},
+    {"overload", "offer a group more than it can serve", overload_main},
     {"scale", "run many hollow daemons", scale_main},
 };
 
--- /dev/null
+++ b/src/sim/overload.c
@@ -0,0 +1,33 @@
+/* One overload run; see the header. */
+#include "sim/overload.h"
+
+#include <string.h>
+
+#include "sim/overload_load.h"
+
+/* Until the last operation has ended. */
+#define SETTLE_TIME (5 * SIM_SECOND)
+
+void overload_run(const struct overload_options *options, struct overload_result *result)
+{
+    struct sim_scenario scenario = *options->scenario;
+    struct sim_run *run;
+    struct overload_load *load;
+
+    scenario.clients = 0;
+    scenario.writers = false;
+    scenario.duration = OVERLOAD_TIME + OVERLOAD_REST_TIME;
+    scenario.settle = SETTLE_TIME;
+    run = sim_run_new(&scenario, options->seed, SIM_MUTATION_NONE, false);
+    load = overload_load_new(run, options);
+    sim_run_execute(run);
+    memset(result, 0, sizeof(*result));
+    overload_load_judge(load, result);
+    result->slots = scenario.database.slots;
+    for (uint32_t i = 0; i < run->database_count; i++) {
+        result->slots_peak = MAX(result->slots_peak, run->slots_peak[i]);
+        result->running_peak = MAX(result->running_peak, run->databases[i].running_peak);
+    }
+    overload_load_free(load);
+    sim_run_free(run);
+}
--- a/src/sim/sim_client.c
+++ b/src/sim/sim_client.c
@@ -165,6 +165,8 @@
     attempt->started_at = world->now;
     g_ptr_array_add(run->history.attempts, attempt);
     g_hash_table_insert(client->pending, &attempt->request_id, attempt);
+    message.request.from = &client->node;
+    message.request.on_reply = sim_client_on_reply;
     message.request.request_id = attempt->request_id;
     message.request.client = client->index;
     message.request.work = attempt->work;
--- a/src/sim/sim_daemon.c
+++ b/src/sim/sim_daemon.c
@@ -515,6 +515,7 @@
 void sim_daemon_free(struct sim_daemon *daemon)
 {
     group_control_free(daemon->control);
+    sim_admission_clear(daemon);
     g_ptr_array_unref(daemon->waiting);
     g_ptr_array_unref(daemon->running);
     g_ptr_array_unref(daemon->transactions);
@@ -557,9 +558,11 @@
         }
     }
     schedule_wake(daemon, world->now);
+    sim_admission_start(daemon);
 }
 
 void sim_daemon_kill(struct sim_daemon *daemon)
 {
     sim_node_kill(&daemon->node);
+    sim_admission_clear(daemon);
 }
--- a/src/sim/sim_daemon.h
+++ b/src/sim/sim_daemon.h
@@ -3,7 +3,9 @@
 #ifndef SW_SIM_DAEMON_H
 #define SW_SIM_DAEMON_H
 
+#include "core/admission.h"
 #include "core/read_flow.h"
+#include "core/retry_budget.h"
 #include "core/write_flow.h"
 #include "sim/sim_run.h"
 
@@ -12,6 +14,8 @@
 
 /* What a client sends. */
 struct sim_client_request {
+    struct sim_node *from;
+    sim_handler on_reply; /* takes a struct sim_client_reply */
     uint64_t request_id;
     uint32_t client;
     enum sim_work work;
@@ -60,8 +64,12 @@
     struct sim_connection *connection;
     const struct sim_transaction *transaction; /* of a COMMIT that found it; else NULL */
     time_ns unavailable_since;                 /* of BEGIN; 0 while a primary is known */
-    uint64_t sent_term;                        /* of the view when the statement was sent */
-    uint64_t answered_id;                      /* request the accepted answer belongs to */
+    struct admission_ticket ticket;
+    bool queued;           /* for a slot */
+    int32_t slot_database; /* whose slot the flow holds, or -1 */
+    time_ns slot_since;
+    uint64_t sent_term;   /* of the view when the statement was sent */
+    uint64_t answered_id; /* request the accepted answer belongs to */
     struct sim_entry *seen;
     struct sim_entry *durable; /* the part of it that a majority held then */
 };
@@ -101,6 +109,9 @@
     GPtrArray *transactions;              /* of struct sim_transaction, open */
     GPtrArray *running;                   /* flows with a statement or evidence under way */
     uint64_t drain_change;                /* planned change to report as drained; 0 if none */
+    struct admission admissions[GROUP_DATABASES_MAX];
+    bool admissions_begun;
+    struct retry_budget retry_budget;
 };
 
 /* sim_daemon.c */
@@ -134,6 +145,18 @@
 void sim_flow_answered(struct sim_flow *flow, const struct sim_database_reply *reply);
 void sim_flow_not_sent(struct sim_flow *flow);
 
+/* sim_admission.c */
+/* Begins with empty queues, and without what an earlier incarnation held. */
+void sim_admission_start(struct sim_daemon *daemon);
+void sim_admission_clear(struct sim_daemon *daemon);
+/* Takes a slot, a place in the queue, or neither; see admission_enter. */
+enum admission_verdict sim_admission_enter(struct sim_flow *flow, uint32_t database,
+                                           enum admission_class rank, uint32_t *retry_after_ms);
+/* Gives the flow's slot back, if it has one, and goes on with who is next. */
+void sim_admission_leave(struct sim_flow *flow);
+/* In sim_request.c: the flow left the queue, with a slot or with the time to come back after. */
+void sim_flow_dequeued(struct sim_flow *flow, bool admitted, uint32_t retry_after_ms);
+
 /* sim_transaction.c */
 void sim_transaction_start(struct sim_flow *flow); /* a BEGIN */
 void sim_transaction_timer(struct sim_flow *flow);
--- a/src/sim/sim_database.c
+++ b/src/sim/sim_database.c
@@ -30,6 +30,7 @@
 void sim_database_start(struct sim_database *database)
 {
     memset(database->slot_free_at, 0, sizeof(database->slot_free_at));
+    database->running = 0;
     sim_replication_start(database);
 }
 
@@ -344,6 +345,7 @@
     struct sim_database *database = object;
     const struct sim_database_request *request = payload;
 
+    database->running -= 1;
     if (request->kind == SIM_REQUEST_READ) {
         begin_wait(database, request);
         return;
@@ -362,6 +364,18 @@
            database->node.world->now > database->drained_at + database->leaving_bound;
 }
 
+static time_ns service_time(const struct sim_database *database)
+{
+    double spread = database->options.service_spread;
+    double part;
+
+    if (spread == 0) {
+        return database->options.service_time;
+    }
+    part = 1 - spread + 2 * spread * g_rand_double(database->node.world->random);
+    return (time_ns)(part * (double)database->options.service_time);
+}
+
 /* A statement waits for a slot, holds it for the service time, and takes effect at its end. */
 static void queue_statement(struct sim_database *database,
                             const struct sim_database_request *request)
@@ -383,7 +397,9 @@
         }
     }
     start = MAX(world->now, database->slot_free_at[slot]);
-    database->slot_free_at[slot] = start + database->options.service_time;
+    database->slot_free_at[slot] = start + service_time(database);
+    database->running += 1;
+    database->running_peak = MAX(database->running_peak, database->running);
     sim_node_schedule(&database->node, database->slot_free_at[slot], on_statement_done, database,
                       request, sizeof(*request));
 }
--- a/src/sim/sim_database.h
+++ b/src/sim/sim_database.h
@@ -11,10 +11,11 @@
 
 struct sim_database_options {
     uint32_t slots;
-    time_ns service_time; /* a statement holds its slot so long */
-    time_ns open_time;    /* to open a connection */
-    time_ns apply_delay;  /* a replica shows an entry so long after it holds it */
-    time_ns hold_delay;   /* a replica holds an entry so much later than the network needs */
+    time_ns service_time;  /* a statement holds its slot so long */
+    double service_spread; /* it differs from this by up to so large a part of it */
+    time_ns open_time;     /* to open a connection */
+    time_ns apply_delay;   /* a replica shows an entry so long after it holds it */
+    time_ns hold_delay;    /* a replica holds an entry so much later than the network needs */
 };
 
 enum sim_request_kind {
@@ -94,6 +95,8 @@
     uint32_t followers; /* bit per database that replicates from here */
 
     time_ns slot_free_at[SIM_SLOTS_MAX];
+    uint32_t running; /* statements that arrived and are not done */
+    uint32_t running_peak;
     GPtrArray *waiters; /* of struct sim_database_request with a wait */
 
     double request_loss;   /* share of statements lost on the way here */
--- a/src/sim/sim_request.c
+++ b/src/sim/sim_request.c
@@ -10,6 +10,11 @@
 /* Evidence is waited for so long, unless the deadline comes first. */
 #define EVIDENCE_WAIT (2000 * SIM_MILLISECOND)
 
+/* An attempt that can be made again may use up to this part of the time left, in percent. */
+#define ATTEMPT_TIME_PERCENT 75
+/* When a client should come back after the retry budget was spent. */
+#define RETRY_BUDGET_RETRY_AFTER_MS 500
+
 #define WRITE_ATTEMPTS_MAX 8
 #define READ_ATTEMPTS_MAX  12
 #define GUARD_WAIT_MS      50
@@ -77,6 +82,7 @@
     struct write_event event = {.kind = WRITE_EVENT_LOST};
 
     sim_pool_release(flow, false);
+    sim_admission_leave(flow);
     if (flow->request.work == SIM_WORK_READ) {
         drive_read(flow, &(struct read_event){.kind = READ_EVENT_LOST});
         return;
@@ -104,6 +110,7 @@
 
 void sim_flow_not_sent(struct sim_flow *flow)
 {
+    sim_admission_leave(flow);
     if (flow->request.work == SIM_WORK_READ) {
         drive_read(flow, &(struct read_event){.kind = READ_EVENT_NOT_SENT});
     } else if (flow->request.work == SIM_WORK_BEGIN) {
@@ -139,6 +146,7 @@
         return;
     }
     sim_pool_release(flow, true);
+    sim_admission_leave(flow);
     if (flow->request.work == SIM_WORK_READ) {
         struct read_event event = {.kind = READ_EVENT_ANSWERED, .status = reply->status};
 
@@ -159,14 +167,13 @@
 void sim_flow_answer(struct sim_flow *flow, struct sim_client_reply *reply)
 {
     struct sim_daemon *daemon = flow->daemon;
-    struct sim_client *client = daemon->run->clients[flow->request.client];
-    /* A client is a node first. */
-    struct sim_node *node = (struct sim_node *)client;
+    struct sim_node *node = flow->request.from;
 
     flow->step += 1;
     reply->request_id = flow->request.request_id;
+    /* A client is a node first. */
     sim_network_send(&daemon->run->network, daemon->node.zone, node, node->incarnation,
-                     sim_client_on_reply, client, reply, sizeof(*reply));
+                     flow->request.on_reply, node, reply, sizeof(*reply));
 }
 
 struct answer_message {
@@ -289,10 +296,23 @@
     return flow->write.options.keyed || flow->write.options.resend_unkeyed;
 }
 
-static void execute(struct sim_flow *flow)
+/* Until when one attempt may last: a part of the time left is kept to find out what became of it.
+ */
+static time_ns attempt_deadline(const struct sim_flow *flow, time_ns deadline)
+{
+    time_ns now = flow->daemon->node.world->now;
+
+    if (now >= deadline) {
+        return deadline;
+    }
+    return MIN(now + (deadline - now) / 100 * ATTEMPT_TIME_PERCENT, now + STATEMENT_TIMEOUT);
+}
+
+/* Sends the statement of the step; the slot is held, or none is needed. */
+static void send_write(struct sim_flow *flow)
 {
     struct sim_daemon *daemon = flow->daemon;
-    time_ns timeout = daemon->node.world->now + STATEMENT_TIMEOUT;
+    time_ns timeout = flow->write_step.until;
     struct sim_database_request request = {
         .kind = SIM_REQUEST_WRITE,
         .operation = flow->request.operation,
@@ -302,8 +322,8 @@
     if (flow->write_step.kind == WRITE_STEP_CLOSE_KEY) {
         request.kind = SIM_REQUEST_CLOSE_KEY;
     }
-    if (!may_run_again(flow) || timeout > flow->write_step.until) {
-        timeout = flow->write_step.until;
+    if (may_run_again(flow)) {
+        timeout = attempt_deadline(flow, timeout);
     }
     flow->sent_term = daemon->view.term;
     if (flow->transaction != NULL && request.kind == SIM_REQUEST_WRITE) {
@@ -319,6 +339,52 @@
     }
 }
 
+static bool retry_allowed(struct sim_flow *flow)
+{
+    if (flow->write.attempts <= 1) {
+        retry_budget_earn(&flow->daemon->retry_budget);
+        return true;
+    }
+    return retry_budget_spend(&flow->daemon->retry_budget);
+}
+
+static void give_up_write(struct sim_flow *flow, uint32_t retry_after_ms)
+{
+    struct write_event event = {
+        .kind = WRITE_EVENT_GIVE_UP,
+        .error = ERROR_KIND_OVERLOADED,
+        .retry_after_ms = retry_after_ms,
+    };
+
+    drive_write(flow, &event);
+}
+
+/* Takes a slot for the step, and sends its statement or waits in the queue. */
+static void execute(struct sim_flow *flow)
+{
+    bool closing = flow->write_step.kind == WRITE_STEP_CLOSE_KEY;
+    bool keyed = flow->write.options.keyed && !closing;
+    uint32_t retry_after_ms = 0;
+    enum admission_verdict verdict;
+
+    if (flow->transaction != NULL && !closing) {
+        send_write(flow);
+        return;
+    }
+    if (!closing && !retry_allowed(flow)) {
+        give_up_write(flow, RETRY_BUDGET_RETRY_AFTER_MS);
+        return;
+    }
+    verdict = sim_admission_enter(
+        flow, (uint32_t)flow->write_step.database,
+        keyed ? ADMISSION_CLASS_KEYED_WRITE : ADMISSION_CLASS_UNREPEATABLE, &retry_after_ms);
+    if (verdict == ADMISSION_ADMITTED) {
+        send_write(flow);
+    } else if (verdict == ADMISSION_REFUSED) {
+        give_up_write(flow, retry_after_ms);
+    }
+}
+
 void sim_flow_wait_for_view(struct sim_flow *flow, time_ns until)
 {
     g_ptr_array_add(flow->daemon->waiting, flow);
@@ -359,7 +425,8 @@
     sim_daemon_check_drained(daemon);
 }
 
-static void read_statement(struct sim_flow *flow)
+/* Sends the statement of the step; the slot is held. */
+static void send_read(struct sim_flow *flow)
 {
     struct sim_daemon *daemon = flow->daemon;
     struct sim_database_request request = {
@@ -370,8 +437,51 @@
 
     flow->sent_term = daemon->view.term;
     sim_pool_send(flow, &request);
-    schedule_step(flow, MIN(flow->read_step.until, daemon->node.world->now + STATEMENT_TIMEOUT),
-                  on_statement_timeout);
+    schedule_step(flow, attempt_deadline(flow, flow->read_step.until), on_statement_timeout);
+}
+
+static void give_up_read(struct sim_flow *flow, uint32_t retry_after_ms)
+{
+    struct read_event event = {
+        .kind = READ_EVENT_GIVE_UP,
+        .error = ERROR_KIND_OVERLOADED,
+        .retry_after_ms = retry_after_ms,
+    };
+
+    drive_read(flow, &event);
+}
+
+/* Takes a slot for the step, and sends its statement or waits in the queue. */
+static void read_statement(struct sim_flow *flow)
+{
+    uint32_t retry_after_ms = 0;
+    enum admission_verdict verdict = sim_admission_enter(flow, (uint32_t)flow->read_step.database,
+                                                         ADMISSION_CLASS_READ, &retry_after_ms);
+
+    if (verdict == ADMISSION_ADMITTED) {
+        send_read(flow);
+    } else if (verdict == ADMISSION_REFUSED) {
+        give_up_read(flow, retry_after_ms);
+    }
+}
+
+void sim_flow_dequeued(struct sim_flow *flow, bool admitted, uint32_t retry_after_ms)
+{
+    bool reads = flow->request.work == SIM_WORK_READ;
+
+    if (!admitted && reads) {
+        give_up_read(flow, retry_after_ms);
+    } else if (!admitted) {
+        give_up_write(flow, retry_after_ms);
+    } else if (reads) {
+        send_read(flow);
+    } else if (flow->write_step.database != flow->daemon->view.primary) {
+        /* Replaced while the write was queued. */
+        sim_admission_leave(flow);
+        drive_write(flow, &(struct write_event){.kind = WRITE_EVENT_NOT_PRIMARY});
+    } else {
+        send_write(flow);
+    }
 }
 
 static void answer_read(struct sim_flow *flow)
@@ -397,6 +507,10 @@
     struct route_read_request *route = &flow->read.options.route;
 
     event->now = daemon->node.world->now;
+    for (uint32_t i = 0; i < daemon->run->database_count; i++) {
+        route->in_flight[i] = daemon->admissions[i].in_flight;
+        route->slots[i] = daemon->admissions[i].slots;
+    }
     route->random = sim_random_below(daemon->node.world, 1 << 20);
     flow->read_step = read_flow_next(&flow->read, event, &daemon->view);
     flow->step += 1;
@@ -493,6 +607,7 @@
     struct sim_flow *flow = sim_world_allocate(daemon->node.world, sizeof(*flow));
 
     flow->daemon = daemon;
+    flow->slot_database = -1;
     flow->request = *(const struct sim_client_request *)payload;
     switch (flow->request.work) {
     case SIM_WORK_READ:
@@ -514,7 +629,7 @@
 {
     bool writes = flow->request.work == SIM_WORK_WRITE || flow->request.work == SIM_WORK_COMMIT;
 
-    if (!writes || !flow->write.options.keyed) {
+    if (!writes || !flow->write.options.keyed || flow->queued) {
         return false;
     }
     return flow->write_step.kind != WRITE_STEP_EVIDENCE &&
--- a/src/sim/sim_run.c
+++ b/src/sim/sim_run.c
@@ -5,9 +5,6 @@
 #include "sim/sim_daemon.h"
 #include "sim/sim_fault.h"
 
-/* The group elects its first primary before the load starts. */
-#define BOOTSTRAP_TIME (6 * SIM_SECOND)
-
 static const char *const MUTATION_NAMES[SIM_MUTATION_COUNT] = {
     [SIM_MUTATION_NONE] = "none",
     [SIM_MUTATION_TRUST_COMMIT] = "trust_commit",
@@ -109,7 +106,7 @@
 
 void sim_run_execute(struct sim_run *run)
 {
-    run->load_starts_at = run->world->now + BOOTSTRAP_TIME;
+    run->load_starts_at = run->world->now + SIM_BOOTSTRAP_TIME;
     run->clients_stop_at = run->load_starts_at + run->scenario->duration;
     add_daemons(run);
     sim_world_run(run->world, run->load_starts_at);
--- a/src/sim/sim_run.h
+++ b/src/sim/sim_run.h
@@ -11,6 +11,9 @@
 
 #include <stdio.h>
 
+/* The group elects its first primary before the load starts. */
+#define SIM_BOOTSTRAP_TIME (6 * SIM_SECOND)
+
 struct sim_daemon;
 struct sim_client;
 
@@ -52,6 +55,8 @@
     uint32_t client_count;
     struct sim_client **clients;
     struct sim_history history;
+    uint32_t slots_taken[GROUP_DATABASES_MAX]; /* of each database, at all daemons */
+    uint32_t slots_peak[GROUP_DATABASES_MAX];
     time_ns clients_stop_at;       /* end of the load and of the faults */
     struct sim_node operator_node; /* where faults and wishes are timed; never fails */
     time_ns load_starts_at;
--- a/src/sim/sim_scenario.c
+++ b/src/sim/sim_scenario.c
@@ -152,6 +152,7 @@
     reader->group = "database";
     database->slots = read_count(reader, "slots", 5, 1, SIM_SLOTS_MAX);
     database->service_time = read_duration(reader, "service_ms", 1);
+    database->service_spread = read_double(reader, "service_spread", 0);
     database->open_time = read_duration(reader, "open_ms", 10);
     database->apply_delay = read_duration(reader, "apply_delay_ms", 2);
     database->hold_delay = read_duration(reader, "hold_delay_ms", 0);
@@ -160,7 +161,7 @@
 static void read_clients_group(struct reader *reader, struct sim_scenario *scenario)
 {
     reader->group = "clients";
-    scenario->clients = read_count(reader, "count", 6, 1, 1000);
+    scenario->clients = read_count(reader, "count", 6, 0, 1000);
     scenario->writers = read_bool(reader, "writers", true);
     scenario->client_latency = read_duration(reader, "latency_ms", 1);
     scenario->think_time = read_duration(reader, "think_ms", 20);
