Begin no queued request that would end too late

Cause: a queued request was begun if its deadline had not passed yet. Under overload the queue is as long as deadlines allow, so nearly every request was begun just before its deadline, given up by the daemon, and run at the database in vain. The database's backlog of those made the next ones late too: the state outlasted the load.

A queued request is now begun only while two smoothed service times are left; otherwise it is refused at that moment. A request that finds a free slot is begun in any case, so a wrong estimate corrects itself.

/admission/too-late fails without the change. /admission/janitor held that a ticket is kept until its deadline; that is what kept callers waiting for an answer that was certain. It now holds both sides of the earlier moment.

--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -9,6 +9,10 @@
 /* Smoothing: each sample moves the average by 1/16. */
 #define SERVICE_TIME_SHIFT 4
 
+/* A request is begun only while so many service times are left before its deadline: one that ends
+ * after it has taken a slot from another in vain. */
+#define SERVICE_TIMES_LEFT 2
+
 /* Virtual cost of one request at weight 1. */
 #define VIRTUAL_COST UINT64_C(1000000)
 
@@ -52,6 +56,13 @@
     return (uint32_t)(drain / NANOSECONDS_PER_MILLISECOND) + 1;
 }
 
+/* True if the request, begun now, would probably end too late. */
+static bool is_hopeless(const struct admission *admission, const struct admission_ticket *ticket,
+                        time_ns now)
+{
+    return now + SERVICE_TIMES_LEFT * admission->service_time > ticket->deadline;
+}
+
 static int compare_tickets(gconstpointer a, gconstpointer b, gpointer unused)
 {
     const struct admission_ticket *first = a;
@@ -119,7 +130,7 @@
     GSequenceIter *place = g_sequence_get_begin_iter(queue);
     while (!g_sequence_iter_is_end(place)) {
         struct admission_ticket *ticket = g_sequence_get(place);
-        if (now >= ticket->deadline) {
+        if (is_hopeless(admission, ticket, now)) {
             g_sequence_remove(place);
             admission->queued--;
             admission->refused_total++;
@@ -146,7 +157,7 @@
     if (ticket == NULL) {
         return NULL;
     }
-    bool expired = now >= ticket->deadline;
+    bool expired = is_hopeless(admission, ticket, now);
     if (!expired && admission->in_flight >= admission->slots) {
         return NULL;
     }
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -64,12 +64,12 @@
 void admission_leave(struct admission *admission, time_ns held_for);
 
 /* Takes a queued ticket that is due: NULL if none. *admitted tells whether it has a slot now; if
- * not, its deadline has passed and it must be refused. Call until NULL after each leave. */
+ * not, it would end after its deadline and must be refused. Call until NULL after each leave. */
 struct admission_ticket *admission_next(struct admission *admission, time_ns now, bool *admitted);
 
-/* Takes a queued ticket whose deadline has passed, wherever it stands; NULL if none. For a janitor
- * that looks now and then, so that no caller waits past its deadline for a slot that does not come
- * free. */
+/* Takes a queued ticket that would end after its deadline even if it were begun now, wherever it
+ * stands; NULL if none. For a janitor that looks now and then, so that a caller has its answer as
+ * soon as that is certain. */
 struct admission_ticket *admission_take_expired(struct admission *admission, time_ns now);
 
 /* Time until the present queue is served, in milliseconds, at least 1. */
--- a/tests/core/admission_test.c
+++ b/tests/core/admission_test.c
@@ -4,6 +4,9 @@
 
 #include <string.h>
 
+/* What admission takes for the service time before any was measured. */
+#define SERVICE_TIME (5 * NANOSECONDS_PER_MILLISECOND)
+
 static const time_ns far_deadline = 100 * NANOSECONDS_PER_SECOND;
 
 static struct admission_ticket ticket_of(enum admission_class rank, uint32_t tenant)
@@ -121,21 +124,47 @@
     admission_clear(&admission);
 }
 
-/* A stuck database gives no slot back: those behind it still get their answer in time. */
+/* What would end after its deadline is not begun, however its turn comes: the slot goes to the next
+ * that can still be served. */
+static void test_too_late_at_its_turn_is_not_begun(void)
+{
+    struct admission admission;
+    struct admission_ticket running = ticket_of(ADMISSION_CLASS_READ, 0);
+    struct admission_ticket late = ticket_of(ADMISSION_CLASS_READ, 0);
+    struct admission_ticket in_time = ticket_of(ADMISSION_CLASS_READ, 0);
+    time_ns turn = NANOSECONDS_PER_SECOND - NANOSECONDS_PER_MILLISECOND;
+    bool admitted = true;
+    admission_init(&admission, 1, 100);
+    enter(&admission, &running);
+    late.deadline = NANOSECONDS_PER_SECOND;
+    g_assert_cmpint(enter(&admission, &late), ==, ADMISSION_QUEUED);
+    g_assert_cmpint(enter(&admission, &in_time), ==, ADMISSION_QUEUED);
+    admission_leave(&admission, SERVICE_TIME);
+    g_assert_true(admission_next(&admission, turn, &admitted) == &late);
+    g_assert_false(admitted);
+    g_assert_true(admission_next(&admission, turn, &admitted) == &in_time);
+    g_assert_true(admitted);
+    admission_leave(&admission, SERVICE_TIME);
+    admission_clear(&admission);
+}
+
+/* A stuck database gives no slot back: those behind it get their answer as soon as a slot would
+ * come too late. */
 static void test_janitor_takes_expired_from_the_middle(void)
 {
     struct admission admission;
     struct admission_ticket running = ticket_of(ADMISSION_CLASS_READ, 0);
     struct admission_ticket patient = ticket_of(ADMISSION_CLASS_READ, 0);
     struct admission_ticket hasty = ticket_of(ADMISSION_CLASS_READ, 0);
+    time_ns last_start = NANOSECONDS_PER_SECOND - 2 * SERVICE_TIME;
     admission_init(&admission, 1, 100);
     hasty.deadline = NANOSECONDS_PER_SECOND;
     enter(&admission, &running);
     enter(&admission, &patient);
     enter(&admission, &hasty);
-    g_assert_null(admission_take_expired(&admission, NANOSECONDS_PER_SECOND - 1));
-    g_assert_true(admission_take_expired(&admission, NANOSECONDS_PER_SECOND) == &hasty);
-    g_assert_null(admission_take_expired(&admission, NANOSECONDS_PER_SECOND));
+    g_assert_null(admission_take_expired(&admission, last_start));
+    g_assert_true(admission_take_expired(&admission, last_start + 1) == &hasty);
+    g_assert_null(admission_take_expired(&admission, last_start + 1));
     g_assert_true(serve_next(&admission) == &patient);
     admission_leave(&admission, 1);
     admission_clear(&admission);
@@ -166,6 +195,7 @@
     g_test_add_func("/admission/fair", test_tenants_share_equally);
     g_test_add_func("/admission/hopeless", test_hopeless_deadline_is_refused_at_once);
     g_test_add_func("/admission/expired", test_expired_in_queue_is_handed_back);
+    g_test_add_func("/admission/too-late", test_too_late_at_its_turn_is_not_begun);
     g_test_add_func("/admission/janitor", test_janitor_takes_expired_from_the_middle);
     g_test_add_func("/retry-budget/ratio", test_retry_budget_is_a_ratio);
     return g_test_run();
