Queue a request for at most half of its time

Cause: the queue grew until the last request in it would end at its deadline. Nobody was served by that who would not have been served otherwise; all who were served waited for nearly the whole of their time, and who was refused by expiry in the queue learned it just as late.

The estimated wait may now be half of the time to the deadline.

/admission/part-of-time fails without the change.

--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -13,6 +13,10 @@
  * after it has taken a slot from another in vain. */
 #define SERVICE_TIMES_LEFT 2
 
+/* A request may be queued if its wait is estimated at no more than this part of the time to its
+ * deadline, in percent. A longer queue serves no more requests, and serves each later. */
+#define QUEUE_TIME_PERCENT 50
+
 /* Virtual cost of one request at weight 1. */
 #define VIRTUAL_COST UINT64_C(1000000)
 
@@ -63,6 +67,17 @@
     return now + SERVICE_TIMES_LEFT * admission->service_time > ticket->deadline;
 }
 
+/* True if the request, queued now, would wait for too large a part of its time. */
+static bool waits_too_long(const struct admission *admission, const struct admission_ticket *ticket,
+                           time_ns now)
+{
+    time_ns left = ticket->deadline > now ? ticket->deadline - now : 0;
+    uint32_t ahead = queued_ahead(admission, ticket->rank);
+    /* Its own service counts too: an answer after the deadline is of no use. */
+    time_ns wait = time_to_serve(admission, ahead + 1) + admission->service_time;
+    return wait > left / 100 * QUEUE_TIME_PERCENT;
+}
+
 static int compare_tickets(gconstpointer a, gconstpointer b, gpointer unused)
 {
     const struct admission_ticket *first = a;
@@ -90,10 +105,7 @@
         admission->in_flight++;
         return ADMISSION_ADMITTED;
     }
-    /* Its own service counts too: an answer after the deadline is of no use. */
-    uint32_t ahead = queued_ahead(admission, ticket->rank);
-    time_ns wait = time_to_serve(admission, ahead + 1) + admission->service_time;
-    if (admission->queued >= admission->queue_limit || now + wait > ticket->deadline) {
+    if (admission->queued >= admission->queue_limit || waits_too_long(admission, ticket, now)) {
         admission->refused_total++;
         *retry_after_ms = admission_drain_ms(admission);
         return ADMISSION_REFUSED;
--- a/tests/core/admission_test.c
+++ b/tests/core/admission_test.c
@@ -107,6 +107,25 @@
     admission_clear(&admission);
 }
 
+/* The queue is never longer than half of the time that a request has. */
+static void test_wait_is_part_of_the_time(void)
+{
+    struct admission admission;
+    struct admission_ticket running = ticket_of(ADMISSION_CLASS_READ, 0);
+    struct admission_ticket short_of = ticket_of(ADMISSION_CLASS_READ, 0);
+    struct admission_ticket enough = ticket_of(ADMISSION_CLASS_READ, 0);
+    admission_init(&admission, 1, 100);
+    enter(&admission, &running);
+    /* One service time until the slot is free, and its own. */
+    short_of.deadline = 4 * SERVICE_TIME - NANOSECONDS_PER_MILLISECOND;
+    enough.deadline = 4 * SERVICE_TIME;
+    g_assert_cmpint(enter(&admission, &short_of), ==, ADMISSION_REFUSED);
+    g_assert_cmpint(enter(&admission, &enough), ==, ADMISSION_QUEUED);
+    g_assert_true(serve_next(&admission) == &enough);
+    admission_leave(&admission, SERVICE_TIME);
+    admission_clear(&admission);
+}
+
 static void test_expired_in_queue_is_handed_back(void)
 {
     struct admission admission;
@@ -194,6 +213,7 @@
     g_test_add_func("/admission/order", test_unrepeatable_writes_go_first);
     g_test_add_func("/admission/fair", test_tenants_share_equally);
     g_test_add_func("/admission/hopeless", test_hopeless_deadline_is_refused_at_once);
+    g_test_add_func("/admission/part-of-time", test_wait_is_part_of_the_time);
     g_test_add_func("/admission/expired", test_expired_in_queue_is_handed_back);
     g_test_add_func("/admission/too-late", test_too_late_at_its_turn_is_not_begun);
     g_test_add_func("/admission/janitor", test_janitor_takes_expired_from_the_middle);
