Never tell who asks a commit again that it was not run for want of time

Cause, found with a longer routing.unavailable_wait_ms in the tests: a commit that is asked again after its daemon stopped waited for that daemon's address, which the member table went on giving out, and ended at the deadline as refused, which says "not run"; it had been run. With the default of 2 s it was resolved by its key, but only after these 2 s. Ruled out: the write flow, which never saw the request.

Now the address of a member that is known to be gone is not given out, so that the commit is resolved at once, and a commit that could not be sent on in time is answered unknown, as it was for want of an owner.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -258,7 +258,8 @@
     uint64_t id = membership_id_of_name(daemon_name);
     rcu_read_lock();
     const struct member_entry *entry = control_find_member(rcu_dereference(control->members), id);
-    char *address = entry != NULL ? g_strdup(entry->address_text) : NULL;
+    bool present = entry != NULL && entry->present;
+    char *address = present ? g_strdup(entry->address_text) : NULL;
     rcu_read_unlock();
     return address;
 }
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -59,7 +59,8 @@
 /* Who owns a group. Any thread. */
 void control_owners_of(struct control *control, uint32_t group, struct owner_list *owners);
 
-/* Peer address of a daemon by name, or NULL; the caller frees it. Any thread. */
+/* Peer address of a daemon by name, or NULL if it is no member or known to be gone; the caller frees
+ * it. Any thread. */
 char *control_address_of(struct control *control, const char *daemon_name);
 
 /* Has a database probed now, if that was not asked for in the last few milliseconds. Any thread. */
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -49,7 +49,8 @@
     uint32_t zone;
     struct sockaddr_in address;
     char address_text[ADDRESS_TEXT_SIZE];
-    bool usable; /* alive or suspect, and not leaving */
+    bool present; /* alive or suspect */
+    bool usable;  /* present, and not leaving */
     bool self;
 };
 
--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -59,8 +59,9 @@
     entry->zone = member->zone;
     entry->address = to_socket_address(member->address);
     control_members_format(member, entry->address_text);
-    bool alive = member->state == MEMBER_STATE_ALIVE || member->state == MEMBER_STATE_SUSPECT;
-    entry->usable = alive && !member->leaving;
+    entry->present =
+        member->state == MEMBER_STATE_ALIVE || member->state == MEMBER_STATE_SUSPECT;
+    entry->usable = entry->present && !member->leaving;
     entry->self = member->id == self;
 }
 
--- a/src/daemon/forward.c
+++ b/src/daemon/forward.c
@@ -131,6 +131,17 @@
     return result;
 }
 
+/* The answer to a request that was not sent on, for this reason. A commit may have been run by an
+ * earlier request. */
+static void answer_not_forwarded(struct task *task, enum error_kind error)
+{
+    if (task->request->kind == REQUEST_KIND_COMMIT) {
+        task_refuse(task, OUTCOME_UNKNOWN, ERROR_KIND_OUTCOME_UNKNOWN, NULL, PEER_RETRY_AFTER_MS);
+        return;
+    }
+    task_refuse(task, OUTCOME_REFUSED, error, NULL, PEER_RETRY_AFTER_MS);
+}
+
 /* Sends the request to one daemon. False if that certainly did nothing, so that another may be
  * asked; otherwise the task was answered. */
 static bool forward_to(struct task *task, const char *address)
@@ -138,7 +149,7 @@
     struct message in;
     time_ns now = backend_now();
     if (now >= task->deadline) {
-        task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_DEADLINE, NULL, PEER_RETRY_AFTER_MS);
+        answer_not_forwarded(task, ERROR_KIND_DEADLINE);
         return true;
     }
     enum peer_call_result result = send_request(task, address, now, &in);
@@ -179,17 +190,6 @@
     return true;
 }
 
-/* The answer if no owner of the group takes the request. A commit may have been run by an earlier
- * request. */
-static void answer_no_owner(struct task *task)
-{
-    if (task->request->kind == REQUEST_KIND_COMMIT) {
-        task_refuse(task, OUTCOME_UNKNOWN, ERROR_KIND_OUTCOME_UNKNOWN, NULL, PEER_RETRY_AFTER_MS);
-        return;
-    }
-    task_refuse(task, OUTCOME_REFUSED, ERROR_KIND_PEER_UNREACHABLE, NULL, PEER_RETRY_AFTER_MS);
-}
-
 /* Sends the request to an owner of its group, nearest first. False if this daemon owns it, or is
  * taken for an owner by the one that forwarded. */
 static bool forward_to_owner(struct task *task)
@@ -208,7 +208,7 @@
         }
     }
     if (!wait_for_owner(task)) {
-        answer_no_owner(task);
+        answer_not_forwarded(task, ERROR_KIND_PEER_UNREACHABLE);
     }
     return true;
 }
--- a/tests/daemon/test_transactions.c
+++ b/tests/daemon/test_transactions.c
@@ -264,10 +264,13 @@
     cluster_stop(cluster);
 }
 
-/* A planned stop waits for the open transaction, which goes on through the other daemons. */
+/* A planned stop waits for the open transaction, which goes on through the other daemons. Nobody
+ * waits for a daemon that is known to be gone. */
 static void test_owner_stops(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    static const char *const overrides[] = {"routing.unavailable_wait_ms=60000", NULL};
+    struct cluster_options options = {.overrides = overrides};
+    struct cluster *cluster = cluster_start(&options);
     g_autofree char *id = begin(cluster, 0, "key", "write");
     GThread *stop = cluster_start_stop(cluster, 0);
     g_free(statement(cluster, 1, id, "INSERT INTO stays VALUES ('a', '')"));
@@ -281,6 +284,26 @@
     cluster_stop(cluster);
 }
 
+/* What was committed is never told "not run" to who asks again, however little time that leaves. */
+static void test_commit_asked_again_in_haste(void)
+{
+    enum { TIMES = 50 };
+    struct cluster *cluster = cluster_start(NULL);
+    g_autofree char *id = begin(cluster, 0, "key", "write");
+    g_free(statement(cluster, 0, id, "INSERT INTO stays VALUES ('a', '')"));
+    g_free(end(cluster, 0, id, "commit", "key"));
+    for (unsigned i = 0; i < TIMES; i++) {
+        struct http_answer answer;
+        struct http_call commit = {
+            .transaction = id, .path = "commit", .key = "key", .timeout_ms = 1 + i % 2};
+        cluster_call(cluster, i % 3, &answer, commit);
+        g_assert_cmpstr(answer.outcome, !=, "refused");
+        g_assert_cmpstr(answer.outcome, !=, "failed");
+        http_answer_clear(&answer);
+    }
+    cluster_stop(cluster);
+}
+
 /* A commit that waits for a worker past its deadline is not run; the transaction must end. */
 static void test_commit_after_deadline(void)
 {
@@ -327,6 +350,8 @@
     g_test_add_func("/daemon/transactions/busy", test_busy);
     g_test_add_func("/daemon/transactions/read_only", test_read_only);
     g_test_add_func("/daemon/transactions/owner_stops", test_owner_stops);
+    g_test_add_func("/daemon/transactions/commit_asked_again_in_haste",
+                    test_commit_asked_again_in_haste);
     g_test_add_func("/daemon/transactions/commit_after_deadline", test_commit_after_deadline);
     return g_test_run();
 }
