Tell a refusal before the request had arrived from one after

Cause: with a timeout of 1 ms a request may be over before it has arrived whole; the HTTP interface then refuses it without having looked at it, as it also does while stopping. The text says so, and docs/http-api.md says that such a refusal speaks of this request only. The test now tells the two apart.

--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -59,8 +59,7 @@
     entry->zone = member->zone;
     entry->address = to_socket_address(member->address);
     control_members_format(member, entry->address_text);
-    entry->present =
-        member->state == MEMBER_STATE_ALIVE || member->state == MEMBER_STATE_SUSPECT;
+    entry->present = member->state == MEMBER_STATE_ALIVE || member->state == MEMBER_STATE_SUSPECT;
     entry->usable = entry->present && !member->leaving;
     entry->self = member->id == self;
 }
--- a/tests/daemon/test_transactions.c
+++ b/tests/daemon/test_transactions.c
@@ -284,6 +284,17 @@
     cluster_stop(cluster);
 }
 
+/* The answer to a commit that was run before: nothing else may be told, unless its time was over
+ * before it had arrived whole. */
+static void expect_done_or_not_looked_at(const struct http_answer *answer)
+{
+    g_autofree char *body = answer->body != NULL ? json_to_string(answer->body, FALSE) : NULL;
+    bool late = body != NULL && strstr(body, "took longer to arrive") != NULL;
+    if (g_strcmp0(answer->outcome, "done") != 0 && !late) {
+        http_assert_error(answer, "unknown", "outcome_unknown");
+    }
+}
+
 /* What was committed is never told "not run" to who asks again, however little time that leaves. */
 static void test_commit_asked_again_in_haste(void)
 {
@@ -297,8 +308,7 @@
         struct http_call commit = {
             .transaction = id, .path = "commit", .key = "key", .timeout_ms = 1 + i % 2};
         cluster_call(cluster, i % 3, &answer, commit);
-        g_assert_cmpstr(answer.outcome, !=, "refused");
-        g_assert_cmpstr(answer.outcome, !=, "failed");
+        expect_done_or_not_looked_at(&answer);
         http_answer_clear(&answer);
     }
     cluster_stop(cluster);
