Don't let a new owner depose a primary that it has not seen yet

Cause: a watcher that knows no primary counts with term 0, and so took every promise, also the one that made the healthy primary, for a sign that this one was deposed. A daemon that had just become an owner and got the replicas' answers before the primary's fenced the primary after 300 ms, without a vote of the zones: open transactions were rolled back and writes without a key ended unknown. Each planned stop and each restart makes such an owner. Seen in drain/stop_under_own_callers under load (trial: 1 of 16 failures kept): a new owner began at 20:59.593, "fence_started ... no_primary" at 21:00.028, two calls answered "transaction_aborted". Ruled out there: a suspicion or votes (none in the log). Such a watcher now waits as for any lost primary: 1 s, then the zones' votes. Test: /group_control/new_watcher_does_not_depose, failing before (a fence within 1.9 s with the other watchers not heard yet).

--- a/src/core/group_control_observe.c
+++ b/src/core/group_control_observe.c
@@ -54,8 +54,13 @@
     return count;
 }
 
+/* Who has not heard of any primary can't tell the promise that made it from one that deposed it:
+ * the others are asked first, as when a primary is lost. */
 bool observe_deposed(const struct group_control *control)
 {
+    if (control->known_primary == NO_DATABASE) {
+        return false;
+    }
     return count_promised_beyond(control, control->known_term) >=
            majority_of(control->options.database_count);
 }
--- a/tests/core/group_control_test.c
+++ b/tests/core/group_control_test.c
@@ -239,6 +239,28 @@
     stop(&rig);
 }
 
+/* A watcher that takes the group up and doesn't reach its primary, while the others are healthy and
+ * not heard yet: promises are above the term it knows only since it knows none. */
+static void test_new_watcher_does_not_depose(void)
+{
+    struct rig rig;
+    start_with(&rig, 3, NULL);
+    group_control_free(rig.control);
+    rig.control = group_control_new(&rig.options, rig.now);
+    set_watchers(&rig, 3);
+    rig.reachable[0] = false;
+    g_assert_false(run(&rig, 1900 * MS, GROUP_ACTION_FENCE));
+    for (int second = 0; second < 10; second++) {
+        peer_calm(&rig, PEER1);
+        peer_calm(&rig, PEER2);
+        g_assert_false(run(&rig, 1000 * MS, GROUP_ACTION_FENCE));
+    }
+    /* Alone, it must do it all. */
+    set_watchers(&rig, 1);
+    g_assert_true(run(&rig, 1000 * MS, GROUP_ACTION_FENCE));
+    stop(&rig);
+}
+
 static void test_one_watcher_does_not_depose(void)
 {
     struct rig rig;
@@ -798,6 +820,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/group_control/healthy", test_healthy);
     g_test_add_func("/group_control/first_primary", test_first_primary);
+    g_test_add_func("/group_control/new_watcher_does_not_depose", test_new_watcher_does_not_depose);
     g_test_add_func("/group_control/one_watcher_does_not_depose", test_one_watcher_does_not_depose);
     g_test_add_func("/group_control/silent_watchers_abstain", test_silent_watchers_abstain);
     g_test_add_func("/group_control/isolated_watcher_does_not_depose",
