Give the hand-over numbers back before the next move needs them

Cause: an owner kept the numbers for hand-over until it held its whole share. A group that moved on before that left its new owner without a number to warm up with, while the old one served on until the new one would be warm: both waited for handover_max (5 s), and the requests at the new owner with them, up to their deadline: writes under a key ended unknown or refused, reads refused. Ruled out: a failover (none in the log, and with patient detection as well). The numbers now go back once the share holds as many as make a daemon warm, and an owner that lost its place gives them back as soon as it holds others.

--- a/src/core/budget.c
+++ b/src/core/budget.c
@@ -207,6 +207,16 @@
     return number >= handover_start(budget);
 }
 
+/* Connections held on numbers of any owner's share. */
+static uint32_t held_before_handover(const struct budget *budget)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < handover_start(budget); i++) {
+        count += budget->slots[i].state == BUDGET_SLOT_HELD;
+    }
+    return count;
+}
+
 /* Connections held on numbers that belong to another owner's share. */
 static uint32_t held_of_others(const struct budget *budget)
 {
@@ -234,16 +244,16 @@
     }
 }
 
-/* Gives back the numbers for hand-over once the share itself is held. */
-static void close_handover_numbers(struct budget *budget, GArray *actions)
+/* Gives back the numbers for hand-over once enough others are held: the next move's new owner needs
+ * them, and that move may come before the share is whole. */
+static void close_handover_numbers(struct budget *budget, uint32_t others, uint32_t enough,
+                                   GArray *actions)
 {
-    if (held_in_share(budget) < budget->share) {
+    if (others < enough) {
         return;
     }
-    for (uint32_t i = 0; i < budget->numbers; i++) {
-        if (in_handover(budget, i)) {
-            close_slot(budget, i, actions);
-        }
+    for (uint32_t i = handover_start(budget); i < budget->numbers; i++) {
+        close_slot(budget, i, actions);
     }
 }
 
@@ -254,6 +264,7 @@
         budget->handing_over = false;
         close_all(budget, actions);
     }
+    close_handover_numbers(budget, held_before_handover(budget), 1, actions);
     if (budget_counted(budget) == 0 && !budget->released_told) {
         budget->released_told = true;
         add_action(actions, BUDGET_ACTION_RELEASED, 0);
@@ -286,7 +297,7 @@
         tell_warm(budget, now, actions);
     }
     close_others_numbers(budget, now, actions);
-    close_handover_numbers(budget, actions);
+    close_handover_numbers(budget, held_in_share(budget), warm_count(budget), actions);
     open_next(budget, now, actions);
 }
 
--- a/tests/core/budget_test.c
+++ b/tests/core/budget_test.c
@@ -353,6 +353,77 @@
     }
 }
 
+/* Opens what the budget asks for until it holds `count` connections. */
+static void open_up_to(struct budget *budget, GArray *actions, uint32_t count)
+{
+    for (guint i = 0; i < actions->len && budget_held(budget) < count; i++) {
+        struct budget_action action = g_array_index(actions, struct budget_action, i);
+        if (action.kind == BUDGET_ACTION_OPEN) {
+            budget_opened(budget, action.number, 0, actions);
+        }
+    }
+    g_assert_cmpuint(budget_held(budget), ==, count);
+}
+
+/* Numbers for hand-over that the budget uses, and is not about to give back. */
+static uint32_t held_for_handover(const struct budget *budget, const struct budget_options *options)
+{
+    uint32_t count = 0;
+    uint32_t numbers = budget_numbers(options);
+    for (uint32_t i = numbers - options->handover; i < numbers; i++) {
+        count += budget_slot(budget, i) == BUDGET_SLOT_HELD;
+    }
+    return count;
+}
+
+/* The next move may come before this one is complete: its new owner needs numbers for hand-over
+ * while this one still serves. */
+static void test_handover_numbers_are_free_for_the_next_move(void)
+{
+    struct budget_options options;
+    budget_options_for(&options, 35, 1);
+    for (uint32_t own = 1; own <= options.handover; own++) {
+        struct budget *budget = budget_new(&options);
+        g_autoptr(GArray) actions = g_array_new(FALSE, FALSE, sizeof(struct budget_action));
+        budget_set_position(budget, 0, true, 0, actions);
+        open_up_to(budget, actions, options.handover);
+        g_assert_cmpuint(held_for_handover(budget, &options), ==, options.handover);
+        budget_peer_released(budget, 0, actions);
+        for (uint32_t i = 1; i < own; i++) {
+            open_up_to(budget, actions, options.handover + i);
+        }
+        g_assert_cmpuint(held_for_handover(budget, &options), ==, options.handover);
+        const struct budget_action *next =
+            &g_array_index(actions, struct budget_action, actions->len - 1);
+        g_assert_cmpint(next->kind, ==, BUDGET_ACTION_OPEN);
+        budget_opened(budget, next->number, 0, actions);
+        budget_set_position(budget, -1, true, 0, actions);
+        g_assert_cmpuint(held_for_handover(budget, &options), ==, 0);
+        g_assert_cmpuint(budget_held(budget), ==, own);
+        g_assert_true(budget_serving(budget));
+        budget_free(budget);
+    }
+}
+
+/* The share need not be whole for that: to open all of it takes a while. */
+static void test_handover_numbers_go_back_once_warm(void)
+{
+    struct budget_options options;
+    budget_options_for(&options, 35, 1);
+    struct budget *budget = budget_new(&options);
+    g_autoptr(GArray) actions = g_array_new(FALSE, FALSE, sizeof(struct budget_action));
+    budget_set_position(budget, 0, true, 0, actions);
+    open_up_to(budget, actions, options.handover);
+    budget_peer_released(budget, 0, actions);
+    open_up_to(budget, actions, 2 * options.handover - 1);
+    const struct budget_action *next =
+        &g_array_index(actions, struct budget_action, actions->len - 1);
+    budget_opened(budget, next->number, 0, actions);
+    g_assert_cmpuint(held_for_handover(budget, &options), ==, 0);
+    g_assert_cmpuint(budget_held(budget), ==, options.handover);
+    budget_free(budget);
+}
+
 static void test_shares_fit_the_limit(void)
 {
     for (uint32_t limit = 1; limit <= BUDGET_CONNECTIONS_MAX; limit++) {
@@ -374,6 +445,10 @@
     g_test_add_data_func("/budget/two-views-never-exceed/65", GUINT_TO_POINTER(65),
                          test_two_views_never_exceed);
     g_test_add_func("/budget/planned-move-keeps-a-server", test_planned_move_keeps_a_server);
+    g_test_add_func("/budget/handover-numbers-are-free-for-the-next-move",
+                    test_handover_numbers_are_free_for_the_next_move);
+    g_test_add_func("/budget/handover-numbers-go-back-once-warm",
+                    test_handover_numbers_go_back_once_warm);
     g_test_add_func("/budget/shares-fit-the-limit", test_shares_fit_the_limit);
     return g_test_run();
 }
