Decide in the core when a group is handed over

Cause: whether the new owners are warm was kept as one mask for each owner, wanted were the databases that the old owner reached at that very moment. An owner that restarted stayed warm in the old one's eyes, and after nine different senders further owners counted as warm unasked.

core/handover now holds this: a database counts as in reach for a second after the last good look, an answer for a second and only from who owns the group now; owners are asked again meanwhile. The time for hand-over bounds all of it, as before.

--- a/src/daemon/control_budget.c
+++ b/src/daemon/control_budget.c
@@ -3,6 +3,7 @@
 #include "daemon/control_budget.h"
 
 #include "backend/clock.h"
+#include "core/handover.h"
 #include "daemon/daemon.h"
 #include "wire/datagram.h"
 
@@ -15,20 +16,13 @@
     RELEASE_STATE_DRAINING,     /* only what runs goes on */
 };
 
-/* Databases of the group at which one new owner is warm. */
-struct warm_owner {
-    uint64_t id; /* 0 = none */
-    uint32_t databases;
-};
-
 /* A group that this daemon lost and still has connections of. */
 struct release {
     uint32_t group;
     enum release_state state;
     struct group_runtime *runtime; /* one reference */
-    time_ns until;                 /* end of the time for hand-over */
-    uint32_t told;                 /* databases whose release was told to the owners */
-    struct warm_owner warm[OWNERS_MAX];
+    struct handover handover;
+    uint32_t told; /* databases whose release was told to the owners */
 };
 
 struct control_budget {
@@ -66,7 +60,7 @@
     return (UINT32_C(1) << runtime->database_count) - 1;
 }
 
-/* Databases that this daemon reaches: no new owner can be warm at the others. */
+/* Databases that this daemon reaches, one bit each. */
 static uint32_t reachable_databases(struct group_runtime *runtime)
 {
     struct group_view view;
@@ -117,47 +111,35 @@
     return count;
 }
 
-/* The entry of an owner, made where there is none; NULL if there is no room. */
-static struct warm_owner *warm_owner_of(struct release *release, uint64_t id)
-{
-    for (uint32_t i = 0; i < OWNERS_MAX; i++) {
-        struct warm_owner *owner = &release->warm[i];
-        if (owner->id == 0) {
-            owner->id = id;
-        }
-        if (owner->id == id) {
-            return owner;
-        }
-    }
-    return NULL;
-}
-
-/* Asks an owner about the databases at which it has not told to be warm. True if there are none. */
-static bool ask_owner(struct control_budget *budget, struct release *release,
-                      const struct member_entry *owner, uint32_t wanted)
+/* Asks an owner about the databases at which it is not known to be warm. */
+static void ask_owner(struct control_budget *budget, const struct release *release,
+                      const struct member_entry *owner, time_ns now)
 {
-    const struct warm_owner *warm = warm_owner_of(release, owner->id);
-    uint32_t missing = warm != NULL ? wanted & ~warm->databases : 0;
+    uint32_t databases = handover_to_ask(&release->handover, owner->id, now);
     for (uint32_t i = 0; i < release->runtime->database_count; i++) {
         struct budget_notice notice = {.group = release->group, .database = i, .asks = true};
-        if ((missing & (UINT32_C(1) << i)) != 0) {
+        if ((databases & (UINT32_C(1) << i)) != 0) {
             send_notice(budget, &owner->address, &notice);
         }
     }
-    return missing == 0;
 }
 
-/* True if all new owners are warm, or there are none; asks those that are not. */
-static bool owners_are_warm(struct control_budget *budget, struct release *release)
+/* Asks the new owners, and says how far the hand-over is. */
+static enum handover_state step_handover(struct control_budget *budget, struct release *release,
+                                         time_ns now)
 {
     struct member_entry owners[OWNERS_MAX];
+    uint64_t ids[OWNERS_MAX];
     uint32_t count = other_owners(budget, release->group, owners);
-    uint32_t wanted = reachable_databases(release->runtime);
-    bool warm = true;
     for (uint32_t i = 0; i < count; i++) {
-        warm = ask_owner(budget, release, &owners[i], wanted) && warm;
+        ids[i] = owners[i].id;
+    }
+    handover_set_owners(&release->handover, ids, count);
+    handover_set_reachable(&release->handover, reachable_databases(release->runtime), now);
+    for (uint32_t i = 0; i < count; i++) {
+        ask_owner(budget, release, &owners[i], now);
     }
-    return warm;
+    return handover_state(&release->handover, now);
 }
 
 /* From here on new requests go to the new owners. */
@@ -197,7 +179,7 @@
 /* Lets connections go as the requests that run end. True if nothing is left. */
 static bool drain(struct control_budget *budget, struct release *release, time_ns now)
 {
-    if (!group_runtime_is_shared(release->runtime) || now >= release->until) {
+    if (!group_runtime_is_shared(release->runtime) || now >= release->handover.until) {
         close_pools(release);
     }
     for (uint32_t i = 0; i < release->runtime->database_count; i++) {
@@ -215,11 +197,11 @@
 static bool step(struct control_budget *budget, struct release *release, time_ns now)
 {
     if (release->state == RELEASE_STATE_HANDING_OVER) {
-        bool warm = owners_are_warm(budget, release);
-        if (!warm && now < release->until) {
+        enum handover_state state = step_handover(budget, release, now);
+        if (state == HANDOVER_STATE_WAITS) {
             return false;
         }
-        if (!warm) {
+        if (state == HANDOVER_STATE_TIMED_OUT) {
             g_message("Group %u is given up before its new owners are warm.", release->group);
         }
         start_draining(budget, release);
@@ -275,7 +257,7 @@
     struct release *release = g_new0(struct release, 1);
     release->group = group;
     release->runtime = group_runtime_ref(runtime);
-    release->until = backend_now() + handover_max(budget);
+    handover_init(&release->handover, runtime->database_count, handover_max(budget), backend_now());
     g_ptr_array_add(budget->releases, release);
     set_position(runtime, -1);
     budget->next_step_at = 0;
@@ -320,12 +302,8 @@
 static void take_warm(struct control_budget *budget, const struct budget_notice *notice)
 {
     struct release *release = find_handing_over(budget, notice->group);
-    if (release == NULL || notice->database >= release->runtime->database_count) {
-        return;
-    }
-    struct warm_owner *owner = warm_owner_of(release, notice->sender);
-    if (owner != NULL) {
-        owner->databases |= UINT32_C(1) << notice->database;
+    if (release != NULL) {
+        handover_told_warm(&release->handover, notice->sender, notice->database, backend_now());
         budget->next_step_at = 0;
     }
 }
