Replace the owner that is lost alone in its zone

Cause: only the members of a zone find one of them dead. A daemon that is alone in its zone was merely out of reach, for 6 h; in a deployment of four zones with a daemon each its groups ran with two owners and watchers so long, and a second loss left one.

Also: a member dropped from the list after 6 h stayed an owner for ever, as no action told of it. It is reported as gone.

--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -180,7 +180,7 @@
 
 /* Drops what has been remembered for long enough. Not while cut off: a shrinking list would make a
  * majority of the few that are left. */
-static void sweep(struct membership *membership, time_ns now)
+static void sweep(struct membership *membership, time_ns now, struct membership_actions *actions)
 {
     if (!membership_majority_reachable(membership, now, membership->options.zone_timeout)) {
         return;
@@ -197,6 +197,11 @@
         } else {
             expired = now > record->changed_at + membership->options.tombstone_time;
         }
+        if (expired && member_record_live(record)) {
+            struct member_record forgotten = *record;
+            forgotten.state = MEMBER_STATE_LEFT;
+            membership_report(actions, MEMBERSHIP_ACTION_MEMBER_GONE, &forgotten);
+        }
         if (expired) {
             membership_remove_at(membership, i - 1);
         }
@@ -217,10 +222,11 @@
     membership_probe_tick(membership, now, actions);
     membership_sync_tick(membership, now, actions);
     membership_zones_tick(membership, now, actions);
+    membership_absence_tick(membership, now, actions);
     if (now >= membership->next_sweep) {
         membership->next_sweep = now + SWEEP_INTERVAL;
         membership_work_out_relays(membership);
-        sweep(membership, now);
+        sweep(membership, now, actions);
     }
     if (now >= membership_push_due(membership)) {
         membership_push(membership, now, actions);
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -38,7 +38,8 @@
     uint16_t zone;
     uint16_t region;
     enum member_state state;
-    bool leaving;                            /* takes no new work and will leave */
+    bool leaving; /* takes no new work and will leave */
+    bool absent;  /* alone in its zone and not heard of: not dead, but replaced as owner */
     struct configuration_mark configuration; /* last known in force there; hash 0: not known */
 };
 
@@ -51,7 +52,8 @@
     uint32_t probe_helpers;    /* how many others are asked */
     uint32_t suspicion_factor; /* time-out in periods = factor x log10(members of the zone + 10) */
     uint32_t relays;           /* members of a zone that speak to each other zone */
-    time_ns zone_timeout;      /* a zone unheard of for longer is unreachable */
+    time_ns zone_timeout;      /* a zone unheard of for longer is unreachable, and its only member
+                                  absent */
     uint32_t transmit_factor;  /* one update is sent factor x log2(members of the zone + 1) times */
     uint32_t push_fanout;      /* members told at once of news, besides the piggyback */
     time_ns push_interval;     /* between two pushes, at least */
--- a/src/core/membership_internal.h
+++ b/src/core/membership_internal.h
@@ -24,6 +24,7 @@
     uint16_t region;
     uint8_t state; /* enum member_state */
     bool leaving;
+    bool absent;           /* see struct member; not told to others */
     bool queued;           /* stands in the queue of updates */
     uint8_t transmissions; /* times its newest update was sent */
 };
@@ -72,9 +73,11 @@
     uint32_t dead; /* that are remembered */
     uint32_t digests[MEMBERSHIP_BUCKETS];
 
-    time_ns zone_heard[MEMBERSHIP_AGE_COUNT]; /* when what it last answered was asked; 0: never */
-    uint64_t zones_reachable;                 /* bit per zone, as last told to the shell */
-    uint64_t relay_zones;                     /* bit per zone that this daemon speaks to */
+    time_ns zone_heard[MEMBERSHIP_AGE_COUNT];   /* when what it last answered was asked; 0: never */
+    time_ns zone_lone_at[MEMBERSHIP_ZONES_MAX]; /* when it last had one live member */
+    uint64_t zones_reachable;                   /* bit per zone, as last told to the shell */
+    uint64_t zones_absent;                      /* bit per zone that has an absent member */
+    uint64_t relay_zones;                       /* bit per zone that this daemon speaks to */
     bool asks_store;
     bool relays_stale; /* relay_zones must be worked out anew */
 
@@ -216,6 +219,10 @@
                            time_ns asked_at);
 void membership_zones_tick(struct membership *membership, time_ns now,
                            struct membership_actions *actions);
+
+/* Finds which members are alone in their zones and out of reach. */
+void membership_absence_tick(struct membership *membership, time_ns now,
+                             struct membership_actions *actions);
 void membership_work_out_relays(struct membership *membership);
 
 /* -- membership_sync.c: anti-entropy -- */
--- a/src/core/membership_merge.c
+++ b/src/core/membership_merge.c
@@ -65,6 +65,9 @@
     if (update->start != record->start) {
         record->configuration = (struct configuration_mark){0};
     }
+    if (update->start != record->start || update->incarnation != record->incarnation) {
+        record->absent = false; /* it spoke; its state alone others may tell */
+    }
     record->start = update->start;
     record->incarnation = update->incarnation;
     record->changed_at = now;
@@ -124,8 +127,9 @@
         return true;
     }
     return before->start != after->start || before->state != after->state ||
-           before->leaving != after->leaving || before->address != after->address ||
-           before->port != after->port || before->zone != after->zone;
+           before->leaving != after->leaving || before->absent != after->absent ||
+           before->address != after->address || before->port != after->port ||
+           before->zone != after->zone;
 }
 
 static void report_change(const struct member_record *before, const struct member_record *after,
--- a/src/core/membership_table.c
+++ b/src/core/membership_table.c
@@ -105,6 +105,7 @@
         .region = record->region,
         .state = (enum member_state)record->state,
         .leaving = record->leaving,
+        .absent = record->absent,
         .configuration = record->configuration,
     };
 }
--- a/src/core/membership_zones.c
+++ b/src/core/membership_zones.c
@@ -87,6 +87,87 @@
     }
 }
 
+/* -- Members that are alone in their zones -- */
+
+/* The only live member of a zone. */
+static struct member_record *lone_member(const struct membership *membership, uint16_t zone)
+{
+    for (guint i = 0; i < membership->records->len; i++) {
+        struct member_record *record = membership_record_at(membership, i);
+        if (record->zone == zone && member_record_live(record)) {
+            return record;
+        }
+    }
+    return NULL;
+}
+
+static void set_absent(struct membership *membership, struct member_record *record, bool absent,
+                       struct membership_actions *actions)
+{
+    uint64_t bit = UINT64_C(1) << record->zone;
+    membership->zones_absent =
+        absent ? membership->zones_absent | bit : membership->zones_absent & ~bit;
+    bool matters = record->absent != absent && member_record_live(record);
+    record->absent = absent;
+    if (matters) {
+        membership_report(actions, MEMBERSHIP_ACTION_MEMBER_CHANGED, record);
+    }
+}
+
+/* Nobody in its zone can say that the only member of it is dead. Where the zone is not heard of, it
+ * is absent: but only to those who reach a majority, as the one that is cut off may be this daemon,
+ * and so that no list shrinks to less than a majority. */
+static void check_lone_member(struct membership *membership, uint16_t zone, time_ns now,
+                              struct membership_actions *actions)
+{
+    time_ns timeout = membership->options.zone_timeout;
+    bool was_absent = (membership->zones_absent >> zone & 1) != 0;
+    bool heard = now <= membership->zone_heard[zone] + timeout;
+    membership->zone_lone_at[zone] = now;
+    if (heard && !was_absent) {
+        return;
+    }
+    struct member_record *record = lone_member(membership, zone);
+    if (heard || now <= record->changed_at + timeout) {
+        set_absent(membership, record, false, actions);
+    } else if (membership_majority_reachable(membership, now, timeout)) {
+        set_absent(membership, record, true, actions);
+    }
+}
+
+/* Where the zone has other members now, they will find an absent one dead within this time. */
+static void end_absence(struct membership *membership, uint16_t zone, time_ns now,
+                        struct membership_actions *actions)
+{
+    if (now <= membership->zone_lone_at[zone] + membership->options.zone_timeout) {
+        return;
+    }
+    for (guint i = 0; i < membership->records->len; i++) {
+        struct member_record *record = membership_record_at(membership, i);
+        if (record->zone == zone && record->absent) {
+            set_absent(membership, record, false, actions);
+        }
+    }
+    membership->zones_absent &= ~(UINT64_C(1) << zone);
+}
+
+void membership_absence_tick(struct membership *membership, time_ns now,
+                             struct membership_actions *actions)
+{
+    for (uint16_t zone = 0; zone < MEMBERSHIP_ZONES_MAX; zone++) {
+        if (zone == membership->self_zone) {
+            continue;
+        }
+        if (membership->live_in_zone[zone] == 1) {
+            check_lone_member(membership, zone, now, actions);
+        } else if ((membership->zones_absent >> zone & 1) != 0) {
+            end_absence(membership, zone, now, actions);
+        }
+    }
+}
+
+/* -- Relays -- */
+
 /* Rank of a member as relay to a zone: the highest speak to it. */
 static uint64_t relay_rank(uint64_t id, uint16_t zone)
 {
--- a/src/core/ownership.c
+++ b/src/core/ownership.c
@@ -25,7 +25,8 @@
     bool settled;
     size_t wanted;   /* owners that each group should have */
     GArray *groups;  /* struct group_owners, by group number */
-    GArray *members; /* struct ownership_member, by zone, then id */
+    GArray *members; /* struct ownership_member, by zone, then id: who may own */
+    GArray *absent;  /* struct ownership_member; also in `members` where there are too few others */
     uint64_t ranks_computed;
 };
 
@@ -82,6 +83,7 @@
     ownership->self_id = self_id;
     ownership->groups = g_array_new(FALSE, TRUE, sizeof(struct group_owners));
     ownership->members = g_array_new(FALSE, FALSE, sizeof(struct ownership_member));
+    ownership->absent = g_array_new(FALSE, FALSE, sizeof(struct ownership_member));
     return ownership;
 }
 
@@ -92,6 +94,7 @@
     }
     g_array_free(ownership->groups, TRUE);
     g_array_free(ownership->members, TRUE);
+    g_array_free(ownership->absent, TRUE);
     g_free(ownership);
 }
 
@@ -423,11 +426,11 @@
     work_out_all(ownership, changes);
 }
 
-/* Index of a member, or -1. */
-static int32_t member_index(const struct ownership *ownership, uint64_t id)
+/* Index of a member in one of the lists, or -1. */
+static int32_t index_in(const GArray *list, uint64_t id)
 {
-    for (guint i = 0; i < ownership->members->len; i++) {
-        if (member_at(ownership, i)->id == id) {
+    for (guint i = 0; i < list->len; i++) {
+        if (g_array_index(list, struct ownership_member, i).id == id) {
             return (int32_t)i;
         }
     }
@@ -446,9 +449,9 @@
     work_out_zone(ownership, member->zone, changes);
 }
 
-void ownership_remove_member(struct ownership *ownership, uint64_t id, GArray *changes)
+static void remove_member(struct ownership *ownership, uint64_t id, GArray *changes)
 {
-    int32_t index = member_index(ownership, id);
+    int32_t index = index_in(ownership->members, id);
     if (index < 0) {
         return;
     }
@@ -457,6 +460,64 @@
     work_out_zone(ownership, zone, changes);
 }
 
+/* Makes the member one of those who may own, in its zone. */
+static void keep_member(struct ownership *ownership, const struct ownership_member *member,
+                        GArray *changes)
+{
+    int32_t index = index_in(ownership->members, member->id);
+    if (index >= 0 && member_at(ownership, (guint)index)->zone == member->zone) {
+        return;
+    }
+    remove_member(ownership, member->id, changes);
+    add_member(ownership, member, changes);
+}
+
+static void set_absent(struct ownership *ownership, const struct ownership_member *member,
+                       bool absent)
+{
+    int32_t index = index_in(ownership->absent, member->id);
+    if (index >= 0) {
+        g_array_remove_index_fast(ownership->absent, (guint)index);
+    }
+    if (absent) {
+        g_array_append_val(ownership->absent, *member);
+    }
+}
+
+/* Members that may own and are not absent. */
+static guint count_present(const struct ownership *ownership)
+{
+    guint count = ownership->members->len;
+    for (guint i = 0; i < ownership->absent->len; i++) {
+        uint64_t id = g_array_index(ownership->absent, struct ownership_member, i).id;
+        count -= index_in(ownership->members, id) >= 0;
+    }
+    return count;
+}
+
+/* Absent members keep their groups where nobody could take their place. */
+static void place_absent(struct ownership *ownership, GArray *changes)
+{
+    bool replaceable = count_present(ownership) >= ownership->options.owners;
+    for (guint i = 0; i < ownership->absent->len; i++) {
+        struct ownership_member member =
+            g_array_index(ownership->absent, struct ownership_member, i);
+        if (replaceable) {
+            remove_member(ownership, member.id, changes);
+        } else {
+            keep_member(ownership, &member, changes);
+        }
+    }
+}
+
+void ownership_remove_member(struct ownership *ownership, uint64_t id, GArray *changes)
+{
+    struct ownership_member member = {.id = id};
+    set_absent(ownership, &member, false);
+    remove_member(ownership, id, changes);
+    place_absent(ownership, changes);
+}
+
 void ownership_set_member(struct ownership *ownership, const struct member *member, GArray *changes)
 {
     bool alive = member->state == MEMBER_STATE_ALIVE || member->state == MEMBER_STATE_SUSPECT;
@@ -464,13 +525,12 @@
         ownership_remove_member(ownership, member->id, changes);
         return;
     }
-    int32_t index = member_index(ownership, member->id);
-    if (index >= 0 && member_at(ownership, (guint)index)->zone == member->zone) {
-        return;
+    struct ownership_member placed = {member->id, member->zone};
+    set_absent(ownership, &placed, member->absent);
+    if (!member->absent) {
+        keep_member(ownership, &placed, changes);
     }
-    ownership_remove_member(ownership, member->id, changes);
-    struct ownership_member added = {member->id, member->zone};
-    add_member(ownership, &added, changes);
+    place_absent(ownership, changes);
 }
 
 size_t ownership_owners(const struct ownership *ownership, uint32_t group, uint64_t *owners)
@@ -508,7 +568,7 @@
 size_t ownership_memory(const struct ownership *ownership)
 {
     return sizeof(*ownership) + ownership->groups->len * sizeof(struct group_owners) +
-           ownership->members->len * sizeof(struct ownership_member);
+           (ownership->members->len + ownership->absent->len) * sizeof(struct ownership_member);
 }
 
 uint64_t ownership_ranks_computed(const struct ownership *ownership)
--- a/src/core/ownership.h
+++ b/src/core/ownership.h
@@ -53,7 +53,8 @@
                           size_t count, GArray *changes);
 
 /* Takes in what membership tells of a member: adds it while it is alive or suspect and not leaving,
- * else removes it. Appends what changed to `changes`. */
+ * else removes it. An absent one owns only where too few others are there to take its place.
+ * Appends what changed to `changes`. */
 void ownership_set_member(struct ownership *ownership, const struct member *member,
                           GArray *changes);
 
--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -60,7 +60,7 @@
     entry->address = to_socket_address(member->address);
     control_members_format(member, entry->address_text);
     bool alive = member->state == MEMBER_STATE_ALIVE || member->state == MEMBER_STATE_SUSPECT;
-    entry->usable = alive && !member->leaving;
+    entry->usable = alive && !member->leaving && !member->absent;
     entry->self = member->id == self;
 }
 
@@ -103,7 +103,10 @@
     g_autofree char *text = format_address(&address);
     g_strlcpy(entry.kind, what, sizeof(entry.kind));
     g_snprintf(entry.text, sizeof(entry.text), "member=%" G_GINT64_MODIFIER "x at %s%s", member->id,
-               text, member->leaving ? " leaving" : "");
+               text,
+               member->leaving  ? " leaving"
+               : member->absent ? " absent"
+                                : "");
     journal_add(control->journal, &entry);
     control->members_changed = true;
 }
--- a/src/sim/scale_daemon.c
+++ b/src/sim/scale_daemon.c
@@ -266,7 +266,7 @@
     g_autoptr(GArray) changes = g_array_new(FALSE, FALSE, sizeof(struct ownership_change));
     ownership_set_member(daemon->ownership, member, changes);
     bool alive = member->state == MEMBER_STATE_ALIVE || member->state == MEMBER_STATE_SUSPECT;
-    scale_holdings_changed(fleet, daemon, changes, alive);
+    scale_holdings_changed(fleet, daemon, changes, alive && !member->absent);
 }
 
 static void settle_ownership(struct scale_fleet *fleet, struct scale_daemon *daemon)
--- a/tests/core/ownership_test.c
+++ b/tests/core/ownership_test.c
@@ -49,6 +49,14 @@
     ownership_set_member(ownership, &member, changes);
 }
 
+static void set_absent(struct ownership *ownership, uint32_t number, bool absent)
+{
+    struct member member = member_number(number);
+    member.absent = absent;
+    g_autoptr(GArray) changes = g_array_new(FALSE, FALSE, sizeof(struct ownership_change));
+    ownership_set_member(ownership, &member, changes);
+}
+
 /* The same members in another order, with the groups known only afterwards. */
 static struct ownership *made_anew(GRand *random, const bool *present)
 {
@@ -192,6 +200,49 @@
     ownership_free(ownership);
 }
 
+/* Members 0 to 3, each alone in its zone; of them `missing` and `absent` as told in this order. */
+static struct ownership *four_members(int32_t missing, int32_t absent, bool absent_first)
+{
+    struct ownership *ownership = ownership_new(&options, member_number(0).id);
+    options.all_own_up_to = options.owners;
+    set_groups(ownership);
+    for (int32_t i = 0; i < 4; i++) {
+        set_member(ownership, (uint32_t)i, MEMBER_STATE_ALIVE, false);
+    }
+    for (int step = 0; step < 2; step++) {
+        if ((step == 0) == absent_first && absent >= 0) {
+            set_absent(ownership, (uint32_t)absent, true);
+        } else if ((step == 0) != absent_first && missing >= 0) {
+            set_member(ownership, (uint32_t)missing, MEMBER_STATE_LEFT, false);
+        }
+    }
+    ownership_options_default(&options);
+    return ownership;
+}
+
+/* An absent member is as one that left while enough others are there, else as one that is there;
+ * and all as before once it is back. */
+static void test_absent_member_is_replaced_if_possible(void)
+{
+    struct ownership *all = four_members(-1, -1, false);
+    struct ownership *without = four_members(2, -1, false);
+    struct ownership *absent = four_members(-1, 2, false);
+    assert_same_owners(absent, without);
+    set_absent(absent, 2, false);
+    assert_same_owners(absent, all);
+    struct ownership *two_left = four_members(3, -1, false);
+    struct ownership *absent_last = four_members(3, 2, false);
+    struct ownership *absent_first = four_members(3, 2, true);
+    assert_same_owners(absent_last, two_left);
+    assert_same_owners(absent_first, two_left);
+    ownership_free(all);
+    ownership_free(without);
+    ownership_free(absent);
+    ownership_free(two_left);
+    ownership_free(absent_last);
+    ownership_free(absent_first);
+}
+
 /* A member that comes costs ranks of its own zone only. */
 static void test_a_join_is_cheap(void)
 {
@@ -293,6 +344,8 @@
     g_test_add_func("/ownership/few-daemons-own-all", test_few_daemons_own_all);
     g_test_add_func("/ownership/load-is-bounded", test_load_is_bounded);
     g_test_add_func("/ownership/a-leaver-moves-few-groups", test_a_leaver_moves_few_groups);
+    g_test_add_func("/ownership/absent-member-is-replaced-if-possible",
+                    test_absent_member_is_replaced_if_possible);
     g_test_add_func("/ownership/a-join-is-cheap", test_a_join_is_cheap);
     g_test_add_func("/ownership/groups-come-and-go", test_groups_come_and_go);
     g_test_add_func("/ownership/unsettled-takes-nothing-new", test_unsettled_takes_nothing_new);
