--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -50,7 +50,7 @@
     struct sockaddr_in address;
     char address_text[ADDRESS_TEXT_SIZE];
     bool present; /* alive or suspect */
-    bool usable;  /* present, and not leaving */
+    bool usable;  /* present, not leaving, and not absent: see struct member */
     bool self;
 };
 
