Say on the wire which deployment a daemon is of

Cause: messages between daemons carried no identity of the deployment (gossip had a field for it, which was 1 everywhere). Addresses are given out again; two deployments that meet over one would mix their members, and a forwarded write could reach the other's databases, as group numbers and tenants' names may stand in both.

Now daemon.deployment names it. Gossip, opinions and notices of hand-over carry 32 bits of its hash; a peer connection says it by two control words before its first request. Datagrams of another deployment are dropped; requests on a connection of another are answered "refused", peer_unreachable, without being run, so that the sender goes on to another owner. Both are counted (swiftworks_foreign_messages_total) and told in the log once a minute.

Who says nothing, an older daemon or one without a name, is taken for an own one: a fleet is upgraded and named by rolling restarts. The new fields are left out by older daemons and skipped by them, as unknown control words are.

--- a/bench/capacity_cluster.py
+++ b/bench/capacity_cluster.py
@@ -264,6 +264,7 @@
         for daemon in daemons:
             values = [
                 f"daemon.name={daemon.name}",
+                f"daemon.deployment=capacity-{os.getpid()}",
                 f"daemon.zone={daemon.zone}",
                 f"daemon.listen=127.0.0.1:{daemon.port}",
                 f"daemon.admin_listen=127.0.0.1:{daemon.admin_port}",
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -1,6 +1,8 @@
 /* Membership's life cycle, its entry points and what it tells about the members. */
 #include "core/membership_internal.h"
 
+#include "core/deployment.h"
+
 #include <string.h>
 #include <xxhash.h>
 
@@ -10,7 +12,7 @@
 void membership_options_default(struct membership_options *options)
 {
     *options = (struct membership_options){
-        .deployment = 1,
+        .deployment = DEPLOYMENT_UNNAMED,
         .random_seed = 1,
         .probe_period = 500 * NANOSECONDS_PER_MILLISECOND,
         .probe_wait = 150 * NANOSECONDS_PER_MILLISECOND,
@@ -168,7 +170,8 @@
 void membership_receive(struct membership *membership, const struct gossip_message *message,
                         struct member_address from, time_ns now, struct membership_actions *actions)
 {
-    bool foreign = message->deployment != membership->options.deployment ||
+    bool foreign = message->deployment != MEMBERSHIP_DEPLOYMENT_FIXED ||
+                   deployment_differs(membership->options.deployment, message->deployment_hash) ||
                    message->sender.member == membership->self_id ||
                    message->sender.zone >= MEMBERSHIP_ZONES_MAX;
     if (foreign || is_silent(membership)) {
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -42,9 +42,13 @@
     struct configuration_mark configuration; /* last known in force there; hash 0: not known */
 };
 
+/* Field "deployment" of every gossip datagram: daemons from before deployments had names drop other
+ * values. */
+#define MEMBERSHIP_DEPLOYMENT_FIXED 1u
+
 /* Fixed settings. All times in nanoseconds; membership_options_default fills all but self's. */
 struct membership_options {
-    uint32_t deployment; /* datagrams of another deployment are dropped */
+    uint32_t deployment; /* identity, see core/deployment.h; datagrams of others are dropped */
     uint64_t random_seed;
     time_ns probe_period;      /* one member of the zone is probed per period */
     time_ns probe_wait;        /* after this without an answer, others are asked to probe */
--- a/src/core/membership_gossip.c
+++ b/src/core/membership_gossip.c
@@ -164,6 +164,7 @@
     size += field_size(message->heard_version);
     size += field_size(message->heard_hash);
     size += field_size(message->live_members);
+    size += field_size(message->deployment_hash);
     size += zones_size(message);
     size += digests_size(message);
     for (size_t i = 0; i < message->updates_count; i++) {
@@ -192,7 +193,8 @@
     const struct member_record *self = membership_self_record(membership);
     gossip_message_init(out);
     out->kind = kind;
-    out->deployment = membership->options.deployment;
+    out->deployment = MEMBERSHIP_DEPLOYMENT_FIXED;
+    out->deployment_hash = membership->options.deployment;
     out->sender = membership_update_of(self);
     out->sender.configuration_version = self->configuration.version;
     out->configuration_hash = self->configuration.hash;
--- a/src/daemon/control_budget.c
+++ b/src/daemon/control_budget.c
@@ -97,6 +97,7 @@
     message_init(&message, MESSAGE_KIND_BUDGET_NOTICE);
     message.budget_notice = *notice;
     message.budget_notice.sender = membership_self(budget->control->membership).id;
+    message.budget_notice.deployment_hash = budget->control->daemon->deployment;
     control_send(budget->control, to, &message);
     message_clear(&message);
 }
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -173,6 +173,7 @@
         .promised = opinion->promised,
         .change = opinion->change,
         .drained = opinion->drained,
+        .deployment_hash = group->control->daemon->deployment,
     };
     control_ownership_entries(group->control, group->id, owners, &count);
     for (uint32_t i = 0; i < count; i++) {
--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -8,11 +8,13 @@
 #include <xxhash.h>
 
 #include "backend/clock.h"
+#include "core/deployment.h"
 #include "core/error.h"
 #include "daemon/control_budget.h"
 #include "daemon/control_configuration.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_metrics.h"
+#include "daemon/foreign_traffic.h"
 #include "generated/errors.h"
 #include "wire/address.h"
 #include "wire/datagram.h"
@@ -186,6 +188,36 @@
     control_groups_feed(control, opinion->group, &event);
 }
 
+/* Identity of the deployment that a datagram says to be of. */
+static uint32_t deployment_of(const struct message *message)
+{
+    switch (message->kind) {
+    case MESSAGE_KIND_GOSSIP:
+        return message->gossip.deployment_hash;
+    case MESSAGE_KIND_OPINION:
+        return message->opinion.deployment_hash;
+    case MESSAGE_KIND_BUDGET_NOTICE:
+        return message->budget_notice.deployment_hash;
+    default:
+        return DEPLOYMENT_UNNAMED;
+    }
+}
+
+static void take_datagram(struct control *control, const struct message *message,
+                          const struct sockaddr_in *from, time_ns now)
+{
+    if (deployment_differs(control->daemon->deployment, deployment_of(message))) {
+        foreign_traffic_note(control->daemon, FOREIGN_TRAFFIC_DATAGRAM, from);
+    } else if (message->kind == MESSAGE_KIND_GOSSIP && control->membership != NULL) {
+        membership_receive(control->membership, &message->gossip, to_member_address(from), now,
+                           control->actions);
+    } else if (message->kind == MESSAGE_KIND_OPINION) {
+        receive_opinion(control, &message->opinion);
+    } else if (message->kind == MESSAGE_KIND_BUDGET_NOTICE) {
+        control_budget_receive(control->budget, &message->budget_notice, from);
+    }
+}
+
 void control_members_receive(struct control *control, time_ns now)
 {
     for (int i = 0; i < DATAGRAMS_PER_TURN; i++) {
@@ -204,14 +236,7 @@
             }
             break;
         }
-        if (message.kind == MESSAGE_KIND_GOSSIP && control->membership != NULL) {
-            membership_receive(control->membership, &message.gossip, to_member_address(&from), now,
-                               control->actions);
-        } else if (message.kind == MESSAGE_KIND_OPINION) {
-            receive_opinion(control, &message.opinion);
-        } else if (message.kind == MESSAGE_KIND_BUDGET_NOTICE) {
-            control_budget_receive(control->budget, &message.budget_notice, &from);
-        }
+        take_datagram(control, &message, &from, now);
         message_clear(&message);
         control_members_perform(control);
     }
@@ -275,6 +300,7 @@
     struct membership_options options;
     parse_address(peer_server_address(daemon->peer_server), &own_address);
     membership_options_default(&options);
+    options.deployment = daemon->deployment;
     options.random_seed = daemon->incarnation;
     struct membership_self self = {
         .id = control->self_id,
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -8,6 +8,7 @@
 #include "backend/adapter.h"
 #include "backend/clock.h"
 #include "configuration/problem.h"
+#include "core/deployment.h"
 #include "core/error.h"
 #include "core/route.h"
 #include "daemon/admin_api.h"
@@ -15,6 +16,7 @@
 #include "daemon/configuration_share.h"
 #include "daemon/control.h"
 #include "daemon/daemon_metrics.h"
+#include "daemon/foreign_traffic.h"
 #include "daemon/journal.h"
 #include "daemon/task.h"
 #include "daemon/transaction.h"
@@ -42,6 +44,9 @@
 /* Inbound connections from other daemons, at most. */
 #define PEER_CONNECTIONS_MAX 4096
 
+/* When a request that was meant for another deployment's daemon may be sent again. */
+#define FOREIGN_RETRY_AFTER_MS 300
+
 const struct result_limits *daemon_result_limits(void)
 {
     return &result_limits;
@@ -265,16 +270,36 @@
     pthread_mutex_unlock(&wait.lock);
 }
 
+/* Answers what was meant for a daemon of another deployment, which had this address before: nothing
+ * is run, so that an owner is looked for elsewhere. */
+static void refuse_foreign(const struct message *request, struct message *reply, void *user)
+{
+    foreign_traffic_note(user, FOREIGN_TRAFFIC_CONNECTION, NULL);
+    if (request->kind == MESSAGE_KIND_CONFIGURATION_REQUEST) {
+        message_init(reply, MESSAGE_KIND_CONFIGURATION_REPLY);
+    } else if (request->kind == MESSAGE_KIND_REQUEST) {
+        message_init(reply, MESSAGE_KIND_REPLY);
+        reply->reply.request_id = g_strdup(request->request.request_id);
+        reply->reply.outcome = OUTCOME_REFUSED;
+        reply->reply.error_kind = ERROR_KIND_PEER_UNREACHABLE;
+        reply->reply.error_text = g_strdup("The daemon at this address is of another deployment.");
+        reply->reply.retry_after_ms = FOREIGN_RETRY_AFTER_MS;
+    }
+}
+
 /* Start. */
 
 static bool start_peer_server(struct daemon *daemon, GError **error)
 {
     struct peer_server_options options = {
         .handler = serve_peer,
+        .foreign_handler = refuse_foreign,
+        .deployment = daemon->deployment,
         .user = daemon,
         .connections_max = PEER_CONNECTIONS_MAX,
     };
     daemon->peers = peer_pool_new(PEER_POOL_IDLE_MAX_DEFAULT);
+    peer_pool_set_deployment(daemon->peers, daemon->deployment);
     daemon->peer_server = peer_server_start(daemon->settings.daemon.peer_listen, &options, error);
     return daemon->peer_server != NULL;
 }
@@ -347,6 +372,16 @@
     return true;
 }
 
+/* Without a name the daemon can't tell its own deployment's messages from others'. */
+static void name_deployment(struct daemon *daemon)
+{
+    daemon->deployment = deployment_hash(daemon->settings.daemon.deployment);
+    if (daemon->deployment == DEPLOYMENT_UNNAMED) {
+        g_message(
+            "daemon.deployment is empty: daemons of every deployment are taken for own ones.");
+    }
+}
+
 /* Callers are served only once the other daemons are known, or none has answered. */
 static void wait_until_settled(struct daemon *daemon)
 {
@@ -396,6 +431,7 @@
     struct daemon *daemon = g_new0(struct daemon, 1);
     daemon->settings = *settings;
     daemon->incarnation = (uint64_t)g_get_real_time();
+    name_deployment(daemon);
     daemon->metrics = daemon_metrics_new();
     daemon->journal = journal_new();
     daemon->configuration_share = configuration_share_new();
--- a/src/daemon/daemon_metrics.c
+++ b/src/daemon/daemon_metrics.c
@@ -35,6 +35,7 @@
     struct metric_counter *replayed;
     struct metric_counter *datagrams[DATAGRAM_DIRECTION_COUNT];
     struct metric_counter *octets[DATAGRAM_DIRECTION_COUNT];
+    struct metric_counter *foreign[FOREIGN_TRAFFIC_COUNT];
     pthread_mutex_t gap_lock; /* guards gap_since */
     GHashTable *gap_since;    /* group as pointer -> time_ns *, of groups without a primary */
 };
@@ -91,6 +92,13 @@
             metrics_counter(metrics->registry, "swiftworks_control_octets_total",
                             "Octets in these datagrams, without headers of UDP and IP.", label);
     }
+    static const char *const ways[] = {"datagram", "connection"};
+    for (int way = 0; way < FOREIGN_TRAFFIC_COUNT; way++) {
+        const struct metric_label label[] = {{"over", ways[way]}, {NULL, NULL}};
+        metrics->foreign[way] =
+            metrics_counter(metrics->registry, "swiftworks_foreign_messages_total",
+                            "Messages of another deployment, dropped or refused.", label);
+    }
 }
 
 struct daemon_metrics *daemon_metrics_new(void)
@@ -210,6 +218,11 @@
     metric_counter_add(metrics->octets[direction], octets);
 }
 
+void daemon_metrics_foreign(struct daemon_metrics *metrics, enum foreign_traffic traffic)
+{
+    metric_counter_add(metrics->foreign[traffic], 1);
+}
+
 void daemon_metrics_group_writable(struct daemon_metrics *metrics, uint32_t group, bool writable,
                                    time_ns now)
 {
--- a/src/daemon/daemon_metrics.h
+++ b/src/daemon/daemon_metrics.h
@@ -4,6 +4,7 @@
 #define SW_DAEMON_DAEMON_METRICS_H
 
 #include "core/types.h"
+#include "daemon/foreign_traffic.h"
 #include "frontend/metrics.h"
 
 struct daemon;
@@ -34,6 +35,9 @@
 void daemon_metrics_datagram(struct daemon_metrics *metrics, enum datagram_direction direction,
                              size_t octets);
 
+/* Counts one message of another deployment. */
+void daemon_metrics_foreign(struct daemon_metrics *metrics, enum foreign_traffic traffic);
+
 /* Tells whether a group takes writes; the time between is the failover gap as this daemon sees it.
  */
 void daemon_metrics_group_writable(struct daemon_metrics *metrics, uint32_t group, bool writable,
--- /dev/null
+++ b/src/daemon/foreign_traffic.c
@@ -0,0 +1,36 @@
+/* What other deployments send to this daemon; see the header. */
+#define G_LOG_DOMAIN "members"
+#include "daemon/foreign_traffic.h"
+
+#include <glib.h>
+
+#include "backend/clock.h"
+#include "daemon/daemon.h"
+#include "daemon/daemon_metrics.h"
+#include "wire/address.h"
+
+/* Between two lines in the log, at least. */
+#define TOLD_INTERVAL_MS 60000
+
+/* True for one caller at a time, no more often than the interval. */
+static bool may_tell(struct daemon *daemon)
+{
+    time_ns now = backend_now();
+    time_ns until = atomic_load(&daemon->foreign_told_until);
+    time_ns next = now + TOLD_INTERVAL_MS * NANOSECONDS_PER_MILLISECOND;
+    return now >= until &&
+           atomic_compare_exchange_strong(&daemon->foreign_told_until, &until, next);
+}
+
+void foreign_traffic_note(struct daemon *daemon, enum foreign_traffic traffic,
+                          const struct sockaddr_in *from)
+{
+    atomic_fetch_add(&daemon->foreign_messages, 1);
+    daemon_metrics_foreign(daemon->metrics, traffic);
+    if (!may_tell(daemon)) {
+        return;
+    }
+    g_autofree char *address = from != NULL ? format_address(from) : NULL;
+    g_warning("Messages of another deployment are dropped%s%s.",
+              address != NULL ? ", the last from " : "", address != NULL ? address : "");
+}
--- a/src/sim/scale_fleet.c
+++ b/src/sim/scale_fleet.c
@@ -26,6 +26,7 @@
     scale_network_options_default(&options->network);
     options->network.seed = seed;
     membership_options_default(&options->membership);
+    options->membership.deployment = SCALE_DEPLOYMENT;
     currency_options_default(&options->currency);
     dissemination_options_default(&options->dissemination);
 }
--- a/src/sim/scale_fleet.h
+++ b/src/sim/scale_fleet.h
@@ -11,6 +11,9 @@
 #include "sim/scale_measure.h"
 #include "sim/scale_network.h"
 
+/* Identity of the fleet's deployment; of the length of any other. */
+#define SCALE_DEPLOYMENT UINT32_C(0x5CA1AB1E)
+
 #define SCALE_GROUP_DATABASES 3
 
 struct scale_fleet_options {
--- a/src/sim/scale_holdings.c
+++ b/src/sim/scale_holdings.c
@@ -92,6 +92,7 @@
     message.budget_notice.database = database;
     message.budget_notice.released = released;
     message.budget_notice.sender = daemon->id;
+    message.budget_notice.deployment_hash = SCALE_DEPLOYMENT;
     uint64_t owners[OWNERSHIP_OWNERS_MAX + 1];
     size_t count = ownership_owners(daemon->ownership, holding->group, owners);
     owners[count] = holding->removed;
--- a/src/sim/scale_watch.c
+++ b/src/sim/scale_watch.c
@@ -3,6 +3,7 @@
 
 #include "core/group_control.h"
 #include "generated/messages.h"
+#include "sim/scale_fleet.h"
 
 #include <glib.h>
 #include <malloc.h>
@@ -56,6 +57,7 @@
         .promised = opinion->promised,
         .change = opinion->change,
         .drained = opinion->drained,
+        .deployment_hash = SCALE_DEPLOYMENT,
     };
 }
 
--- a/src/wire/connection.c
+++ b/src/wire/connection.c
@@ -13,11 +13,14 @@
 #include <time.h>
 #include <unistd.h>
 
-#define CONTROL_BIT       UINT32_C(0x80000000)
-#define CONTROL_READY     (CONTROL_BIT | UINT32_C(0x10000))
-#define CONTROL_CLOSING   (CONTROL_BIT | UINT32_C(0x20000))
-#define CONTROL_CODE_MASK UINT32_C(0xffff0000)
-#define VERSION_MASK      UINT32_C(0x0000ffff)
+#define CONTROL_BIT             UINT32_C(0x80000000)
+#define CONTROL_READY           (CONTROL_BIT | UINT32_C(0x10000))
+#define CONTROL_CLOSING         (CONTROL_BIT | UINT32_C(0x20000))
+#define CONTROL_DEPLOYMENT_HIGH (CONTROL_BIT | UINT32_C(0x30000))
+#define CONTROL_DEPLOYMENT_LOW  (CONTROL_BIT | UINT32_C(0x40000))
+#define CONTROL_CODE_MASK       UINT32_C(0xffff0000)
+#define CONTROL_VALUE_MASK      UINT32_C(0x0000ffff)
+#define CONTROL_VALUE_BITS      16
 
 #define HEADER_LENGTH 4
 
@@ -241,6 +244,15 @@
     return send_control(connection, CONTROL_CLOSING, deadline, error);
 }
 
+bool wire_send_deployment(struct wire_connection *connection, uint32_t deployment, time_ns deadline,
+                          GError **error)
+{
+    uint32_t high = CONTROL_DEPLOYMENT_HIGH | (deployment >> CONTROL_VALUE_BITS);
+    uint32_t low = CONTROL_DEPLOYMENT_LOW | (deployment & CONTROL_VALUE_MASK);
+    return send_control(connection, high, deadline, error) &&
+           send_control(connection, low, deadline, error);
+}
+
 GByteArray *wire_frame_new(const struct message *message, GError **error)
 {
     if (!message_check(message, error)) {
@@ -273,6 +285,25 @@
     return wire_send_frame(connection, frame, deadline, error);
 }
 
+/* Notes what a control word says; unknown ones are skipped. */
+static void take_control(struct wire_connection *connection, uint32_t word)
+{
+    uint32_t value = word & CONTROL_VALUE_MASK;
+    switch (word & CONTROL_CODE_MASK) {
+    case CONTROL_CLOSING:
+        connection->peer_closing = true;
+        break;
+    case CONTROL_DEPLOYMENT_HIGH:
+        connection->peer_deployment = value << CONTROL_VALUE_BITS;
+        break;
+    case CONTROL_DEPLOYMENT_LOW:
+        connection->peer_deployment |= value;
+        break;
+    default:
+        break;
+    }
+}
+
 /* Reads words until one is a frame's length. */
 static bool receive_length(struct wire_connection *connection, uint32_t *length, time_ns deadline,
                            GError **error)
@@ -284,9 +315,7 @@
         if ((*length & CONTROL_BIT) == 0) {
             break;
         }
-        if ((*length & CONTROL_CODE_MASK) == CONTROL_CLOSING) {
-            connection->peer_closing = true;
-        }
+        take_control(connection, *length);
     }
     if (*length > WIRE_FRAME_MAX) {
         g_set_error(error, SW_ERROR, ERROR_KIND_TOO_LARGE, "a frame of %u octets, over %u", *length,
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -6,6 +6,10 @@
  * request. A connection is usable once READY came, so a peer that is paused, full or stopping is
  * known to be so before any request has left this process.
  *
+ * A connecting side that has a deployment's identity says it before its first request, by the two
+ * control words DEPLOYMENT_HIGH and DEPLOYMENT_LOW with 16 bits each. Unknown control words are
+ * skipped, as by daemons from before there were these.
+ *
  * Deadlines are monotonic (wire_clock_now). Failures raise SW_ERROR: ERROR_KIND_PEER_UNREACHABLE
  * for a broken or closed connection, ERROR_KIND_DEADLINE, ERROR_KIND_TOO_LARGE and
  * ERROR_KIND_BAD_REQUEST for what can't be encoded or decoded. After a failure a connection is only
@@ -34,9 +38,10 @@
 
 /* One end of a connection. Owned and used by one thread at a time. */
 struct wire_connection {
-    int socket;           /* non-blocking; owned */
-    uint64_t octets_sent; /* octets that the kernel took, control words included */
-    bool peer_closing;    /* CLOSING came: no further request may be sent */
+    int socket;               /* non-blocking; owned */
+    uint64_t octets_sent;     /* octets that the kernel took, control words included */
+    bool peer_closing;        /* CLOSING came: no further request may be sent */
+    uint32_t peer_deployment; /* identity that the connecting side said; 0: none */
 };
 
 enum wire_wait {
@@ -62,6 +67,10 @@
 /* Sends CLOSING: the accepting side wants no further request. */
 bool wire_send_closing(struct wire_connection *connection, time_ns deadline, GError **error);
 
+/* Says the identity of this side's deployment (core/deployment.h); the connecting side, once. */
+bool wire_send_deployment(struct wire_connection *connection, uint32_t deployment, time_ns deadline,
+                          GError **error);
+
 /* Encodes a message into a whole frame that the caller owns; NULL with `error` if it is over
  * WIRE_FRAME_MAX or breaks a bound of the schema, so that its receiver would refuse it. */
 GByteArray *wire_frame_new(const struct message *message, GError **error);
--- a/src/wire/peer_pool.c
+++ b/src/wire/peer_pool.c
@@ -2,6 +2,7 @@
  * need lets the older ones lapse. */
 #include "wire/peer_pool.h"
 
+#include "core/deployment.h"
 #include "core/error.h"
 #include "generated/errors.h"
 #include "wire/connection.h"
@@ -23,6 +24,7 @@
 
 struct peer_pool {
     unsigned idle_max;
+    uint32_t deployment; /* what new connections say; fixed before the first call */
     struct pool_stripe stripes[STRIPE_COUNT];
 };
 
@@ -55,6 +57,11 @@
     return pool;
 }
 
+void peer_pool_set_deployment(struct peer_pool *pool, uint32_t deployment)
+{
+    pool->deployment = deployment;
+}
+
 void peer_pool_free(struct peer_pool *pool)
 {
     for (size_t i = 0; i < STRIPE_COUNT; i++) {
@@ -152,6 +159,22 @@
     return PEER_CALL_ANSWERED;
 }
 
+/* Makes a connection that has said this side's deployment; NULL with `error` on failure. */
+static struct wire_connection *connect_peer(struct peer_pool *pool, const char *address,
+                                            time_ns deadline, GError **error)
+{
+    struct wire_connection *connection = wire_connect(address, deadline, error);
+    if (connection == NULL || pool->deployment == DEPLOYMENT_UNNAMED) {
+        return connection;
+    }
+    if (!wire_send_deployment(connection, pool->deployment, deadline, error)) {
+        g_prefix_error(error, "%s: ", address);
+        wire_close(connection);
+        return NULL;
+    }
+    return connection;
+}
+
 /* Hands an error on; NULL is none. */
 static void move_error(GError **error, GError *from)
 {
@@ -184,7 +207,7 @@
         }
         g_clear_error(&pooled_error);
     }
-    connection = wire_connect(address, deadline, error);
+    connection = connect_peer(pool, address, deadline, error);
     if (connection == NULL) {
         return PEER_CALL_NOT_SENT;
     }
--- a/src/wire/peer_pool.h
+++ b/src/wire/peer_pool.h
@@ -29,6 +29,10 @@
 /* A pool that keeps at most `idle_max` idle connections to each peer. */
 struct peer_pool *peer_pool_new(unsigned idle_max);
 
+/* New connections say this identity of a deployment (core/deployment.h) first; none does so before.
+ * To be called before the first peer_call. */
+void peer_pool_set_deployment(struct peer_pool *pool, uint32_t deployment);
+
 /* Closes all idle connections and frees the pool. No call may be running. */
 void peer_pool_free(struct peer_pool *pool);
 
--- a/src/wire/peer_server.c
+++ b/src/wire/peer_server.c
@@ -8,6 +8,7 @@
  */
 #include "wire/peer_server.h"
 
+#include "core/deployment.h"
 #include "core/error.h"
 #include "generated/errors.h"
 #include "wire/connection.h"
@@ -48,6 +49,11 @@
     return wire_clock_now() + duration;
 }
 
+static bool is_foreign(const struct peer_server *server, const struct wire_connection *connection)
+{
+    return deployment_differs(server->options.deployment, connection->peer_deployment);
+}
+
 /* Receives, handles and answers one request. False ends the connection. */
 static bool serve_request(struct peer_server *server, struct wire_connection *connection)
 {
@@ -59,19 +65,22 @@
         return false;
     }
     struct message reply;
+    bool foreign = is_foreign(server, connection);
     message_init(&reply, MESSAGE_KIND_NONE);
-    server->options.handler(&request, &reply, server->options.user);
+    peer_handler handler = foreign ? server->options.foreign_handler : server->options.handler;
+    handler(&request, &reply, server->options.user);
     message_clear(&request);
     bool answered = false;
     if (reply.kind != MESSAGE_KIND_NONE) {
         deadline = deadline_after(PEER_SERVER_TRANSFER_NS);
-        answered = wire_send(connection, &reply, deadline, &error);
+        answered = (!foreign || wire_send_closing(connection, deadline, &error)) &&
+                   wire_send(connection, &reply, deadline, &error);
     }
     if (error != NULL) {
         g_info("wire: answer not sent: %s", error->message);
     }
     message_clear(&reply);
-    return answered;
+    return answered && !foreign;
 }
 
 /* Serves until the connection fails or should be closed; true in the latter case. */
--- a/src/wire/peer_server.h
+++ b/src/wire/peer_server.h
@@ -25,6 +25,10 @@
 
 struct peer_server_options {
     peer_handler handler;
+    /* Requests of a connection that said another deployment (core/deployment.h) go here instead;
+     * the connection is closed after the answer. May be NULL where `deployment` is 0. */
+    peer_handler foreign_handler;
+    uint32_t deployment; /* identity of this side's */
     /* Called on each connection's thread as it starts and ends, e.g. to register it with RCU; may
      * be NULL. */
     void (*thread_started)(void *user);
--- a/tests/core/membership_test.c
+++ b/tests/core/membership_test.c
@@ -3,8 +3,13 @@
 
 #include <string.h>
 
+#include "core/deployment.h"
+
 #define MEMBERS 400
 
+/* The longest to encode. */
+#define OWN_DEPLOYMENT UINT32_MAX
+
 /* Merges many members by datagrams as another daemon would send them. */
 static void learn_members(struct membership *membership, struct membership_actions *actions)
 {
@@ -45,6 +50,8 @@
         struct message decoded;
         g_autoptr(GError) error = NULL;
         g_assert_true(message_decode(octets->data, octets->len, &decoded, &error));
+        g_assert_cmpuint(decoded.gossip.deployment, ==, MEMBERSHIP_DEPLOYMENT_FIXED);
+        g_assert_cmpuint(decoded.gossip.deployment_hash, ==, OWN_DEPLOYMENT);
         g_assert_cmpuint(decoded.gossip.updates_count, ==, action->message.updates_count);
         message_clear(&decoded);
     }
@@ -54,6 +61,7 @@
 {
     struct membership_options options;
     membership_options_default(&options);
+    options.deployment = OWN_DEPLOYMENT;
     struct membership_self self = {
         .id = membership_id_of_name("one"),
         .start = UINT64_C(1) << 40,
@@ -136,11 +144,53 @@
     membership_free(membership);
 }
 
+/* True if a datagram that says this identity is taken in. */
+static bool is_taken(uint32_t deployment)
+{
+    struct membership *membership = new_membership();
+    struct membership_actions *actions = membership_actions_new();
+    struct gossip_message message;
+    gossip_message_init(&message);
+    message.kind = GOSSIP_KIND_PING;
+    message.deployment = MEMBERSHIP_DEPLOYMENT_FIXED;
+    message.deployment_hash = deployment;
+    message.sender = (struct gossip_member){.member = 77, .start = 1, .address = 9, .port = 9};
+    struct member_address from = {9, 9};
+    membership_receive(membership, &message, from, 2 * NANOSECONDS_PER_SECOND, actions);
+    struct member member;
+    bool taken = membership_find(membership, 77, &member);
+    g_assert_true(taken == (membership_actions_count(actions) > 0));
+    membership_actions_free(actions);
+    membership_free(membership);
+    return taken;
+}
+
+/* Another deployment's daemon gets neither an answer nor a place in the list; an older one, which
+ * says nothing, does. */
+static void test_other_deployment_is_dropped(void)
+{
+    g_assert_true(is_taken(OWN_DEPLOYMENT));
+    g_assert_true(is_taken(DEPLOYMENT_UNNAMED));
+    g_assert_false(is_taken(deployment_hash("another")));
+}
+
+/* The names of two deployments differ in what is sent; no name is the same as none said. */
+static void test_deployment_hash(void)
+{
+    g_assert_cmpuint(deployment_hash(""), ==, DEPLOYMENT_UNNAMED);
+    g_assert_cmpuint(deployment_hash("one"), !=, DEPLOYMENT_UNNAMED);
+    g_assert_true(deployment_differs(deployment_hash("one"), deployment_hash("two")));
+    g_assert_false(deployment_differs(deployment_hash("one"), deployment_hash("one")));
+    g_assert_false(deployment_differs(deployment_hash(""), deployment_hash("two")));
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/membership/datagrams-are-bounded", test_datagrams_are_bounded);
     g_test_add_func("/membership/sync-answer-is-bounded", test_sync_answer_is_bounded);
+    g_test_add_func("/membership/other-deployment-is-dropped", test_other_deployment_is_dropped);
+    g_test_add_func("/membership/deployment-hash", test_deployment_hash);
     g_test_add_func("/membership/bad-updates-are-dropped", test_bad_updates_are_dropped);
     return g_test_run();
 }
--- a/tests/daemon/cluster_fixture.c
+++ b/tests/daemon/cluster_fixture.c
@@ -167,6 +167,7 @@
 static void add_settings(const struct cluster *cluster, unsigned index, GPtrArray *settings)
 {
     g_ptr_array_add(settings, g_strdup_printf("daemon.name=daemon-%u", index + 1));
+    g_ptr_array_add(settings, g_strdup_printf("daemon.deployment=%s", http_loopback()));
     g_ptr_array_add(settings, g_strdup_printf("daemon.zone=%s", zone_of(index)));
     g_ptr_array_add(settings, g_strdup_printf("daemon.listen=%s:0", http_loopback()));
     g_ptr_array_add(settings, g_strdup_printf("daemon.peer_listen=%s:0", http_loopback()));
--- a/tests/daemon/fake_peer.c
+++ b/tests/daemon/fake_peer.c
@@ -98,12 +98,10 @@
 static void fill_ping(struct fake_peer *peer, struct message *message,
                       struct configuration_mark in_force, struct configuration_mark heard)
 {
-    struct membership_options options;
-    membership_options_default(&options);
     message_init(message, MESSAGE_KIND_GOSSIP);
     struct gossip_message *gossip = &message->gossip;
     gossip->kind = GOSSIP_KIND_PING;
-    gossip->deployment = options.deployment;
+    gossip->deployment = MEMBERSHIP_DEPLOYMENT_FIXED;
     gossip->sequence = ++peer->sequence;
     gossip->sender.member = membership_id_of_name("fake");
     gossip->sender.start = 1;
--- a/tests/wire/test_peer_server.c
+++ b/tests/wire/test_peer_server.c
@@ -11,6 +11,9 @@
 
 #define CALLER_COUNT 8
 
+/* Identity of the server's deployment. */
+#define OWN_DEPLOYMENT UINT32_C(0xFFFF0007)
+
 /* A server that echoes request ids, and can hold its handlers at a gate. */
 struct echo {
     struct peer_server *server;
@@ -39,6 +42,13 @@
     fixture_reply(reply, request->request.request_id);
 }
 
+static void refuse_handler(const struct message *request, struct message *reply, void *user)
+{
+    (void)request;
+    (void)user;
+    fixture_reply(reply, "foreign");
+}
+
 static void echo_thread_started(void *user)
 {
     struct echo *echo = user;
@@ -55,6 +65,8 @@
 {
     struct peer_server_options options = {
         .handler = echo_handler,
+        .foreign_handler = refuse_handler,
+        .deployment = OWN_DEPLOYMENT,
         .thread_started = echo_thread_started,
         .thread_ending = echo_thread_ending,
         .user = echo,
@@ -315,6 +327,45 @@
     echo_free(&echo);
 }
 
+/* The id that the server answers with to a caller of this deployment. */
+static char *answer_to(struct echo *echo, uint32_t deployment, unsigned idle_after)
+{
+    struct peer_pool *pool = peer_pool_new(1);
+    const char *address = peer_server_address(echo->server);
+    struct message request;
+    struct message reply;
+    peer_pool_set_deployment(pool, deployment);
+    fixture_request(&request, "own");
+    enum peer_call_result result =
+        peer_call(pool, address, &request, &reply, fixture_deadline(), NULL);
+    g_assert_cmpint(result, ==, PEER_CALL_ANSWERED);
+    g_assert_cmpuint(peer_pool_idle_count(pool, address), ==, idle_after);
+    char *id = g_strdup(reply.reply.request_id);
+    message_clear(&reply);
+    message_clear(&request);
+    peer_pool_free(pool);
+    return id;
+}
+
+/* Who says another deployment is answered apart, once; who says nothing, as older daemons, is
+ * served. */
+static void test_other_deployment(void)
+{
+    struct echo echo;
+    echo_start(&echo, 4);
+    g_autofree char *own = answer_to(&echo, OWN_DEPLOYMENT, 1);
+    g_autofree char *unnamed = answer_to(&echo, 0, 1);
+    g_assert_cmpuint(echo.handled, ==, 2);
+    g_autofree char *other = answer_to(&echo, OWN_DEPLOYMENT + 1, 0);
+    g_autofree char *other_high = answer_to(&echo, OWN_DEPLOYMENT ^ 0x10000, 0);
+    g_assert_cmpstr(own, ==, "own");
+    g_assert_cmpstr(unnamed, ==, "own");
+    g_assert_cmpstr(other, ==, "foreign");
+    g_assert_cmpstr(other_high, ==, "foreign");
+    g_assert_cmpuint(echo.handled, ==, 2);
+    echo_free(&echo);
+}
+
 static void *open_gate(void *data)
 {
     echo_set_gate(data, false);
@@ -353,6 +404,7 @@
     g_test_add_func("/wire/peer-server/garbage", test_garbage);
     g_test_add_func("/wire/peer-server/stop-under-load", test_stop_under_load);
     g_test_add_func("/wire/peer-server/refuse-stopping", test_refuse_stopping);
+    g_test_add_func("/wire/peer-server/other-deployment", test_other_deployment);
     g_test_add_func("/wire/peer-server/stop-deadline", test_stop_deadline);
     return g_test_run();
 }
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -260,6 +260,7 @@
     local zone=${CLUSTER_ZONES[$((index % ${#CLUSTER_ZONES[@]}))]}
     local -a settings=(
         "daemon.name=$name"
+        "daemon.deployment=cluster-$$"
         "daemon.zone=$zone"
         "daemon.listen=127.0.0.1:$(cluster_daemon_port "$index" 0)"
         "daemon.admin_listen=127.0.0.1:$(cluster_daemon_port "$index" 1)"
