Wait for the table at the replicas before a read-only transaction

Seen in 2 of 60 runs of daemon-transactions on a loaded machine (4 at once beside two loops of other daemon tests, load average about 106): /daemon/transactions/read_only, "no such table: stays". The transaction begins at a replica, without a session, so that it may see a state from before CREATE TABLE: the daemon does what it says. The test now waits until all databases have applied the same log.

--- a/tests/daemon/test_transactions.c
+++ b/tests/daemon/test_transactions.c
@@ -250,6 +250,7 @@
 static void test_read_only(void)
 {
     struct cluster *cluster = cluster_start(NULL);
+    cluster_await_replicated(cluster); /* the table, too, is only there once it was replicated */
     g_autofree char *id = begin(cluster, 0, NULL, "read");
     g_autofree char *count = statement(cluster, 1, id, "SELECT count(*) FROM stays");
     g_assert_cmpstr(count, ==, "0");
