Keep changes of primary out of the tests of transactions

Its log has a failover: a primary that was not answered in time for 400 ms was suspected and replaced, and the lost answer to COMMIT was planned at the old one.

The time until a primary is suspected is 60 s in these tests now, so that the database at which something is planned stays the primary. Changes of primary have tests of their own (daemon-failover).

--- a/tests/daemon/test_transactions.c
+++ b/tests/daemon/test_transactions.c
@@ -9,6 +9,18 @@
 /* A deadline that a busy machine does not reach. */
 #define LONG_TIMEOUT_MS 20000
 
+/* No change of primary, which has its own tests, comes between where the machine is slow: what is
+ * planned at a database is then met. */
+static const char *const no_failover[] = {"failover.suspect_after_ms=60000", NULL};
+
+/* A deployment whose transactions may be idle for so long; 0 for the fixture's default. */
+static struct cluster *start(unsigned transaction_idle_ms)
+{
+    struct cluster_options options = {.transaction_idle_ms = transaction_idle_ms,
+                                      .overrides = no_failover};
+    return cluster_start(&options);
+}
+
 /* Begins at a daemon and returns the id, which the caller frees. */
 static char *begin(struct cluster *cluster, unsigned daemon, const char *key, const char *access)
 {
@@ -63,7 +75,7 @@
 
 static void test_through_all_daemons(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     struct http_answer answer;
     g_autofree char *id = begin(cluster, 0, "key", "write");
     g_free(statement(cluster, 1, id, "INSERT INTO stays VALUES ('a', '')"));
@@ -83,7 +95,7 @@
 
 static void test_rollback(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     g_autofree char *id = begin(cluster, 0, NULL, "write");
     g_free(statement(cluster, 0, id, "INSERT INTO stays VALUES ('a', '')"));
     g_free(end(cluster, 1, id, "rollback", NULL));
@@ -96,7 +108,7 @@
 /* Another tenant's transaction is not there. */
 static void test_other_tenant(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     g_autofree char *id = begin(cluster, 0, NULL, "write");
     struct http_call call = {.tenant = "agency", .transaction = id, .sql = "SELECT 1"};
     expect_error(cluster, 0, call, "refused", "unknown_transaction");
@@ -107,8 +119,7 @@
 
 static void test_idle(void)
 {
-    struct cluster_options options = {.transaction_idle_ms = 200};
-    struct cluster *cluster = cluster_start(&options);
+    struct cluster *cluster = start(200);
     g_autofree char *keyed = begin(cluster, 0, "key", "write");
     g_free(statement(cluster, 0, keyed, "INSERT INTO stays VALUES ('a', '')"));
     AWAIT(open_transactions(cluster, 0) == 0);
@@ -132,7 +143,7 @@
 /* The database's answer to COMMIT is lost: the key tells; asked again elsewhere, it tells again. */
 static void test_commit_answer_lost(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     struct http_answer answer;
     g_autofree char *id = begin(cluster, 0, "key", "write");
     g_free(statement(cluster, 0, id, "INSERT INTO stays VALUES ('a', '')"));
@@ -152,7 +163,7 @@
 
 static void test_unkeyed_commit_answer_lost(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     g_autofree char *id = begin(cluster, 0, NULL, "write");
     g_free(statement(cluster, 0, id, "INSERT INTO stays VALUES ('a', '')"));
     cluster_lose_answers(cluster, 0, ANSWER_FAULT_CLOSE, 1, "COMMIT");
@@ -165,8 +176,7 @@
 /* A key whose transaction was closed stands for that transaction for ever. */
 static void test_key_of_closed_transaction(void)
 {
-    struct cluster_options options = {.transaction_idle_ms = 200};
-    struct cluster *cluster = cluster_start(&options);
+    struct cluster *cluster = start(200);
     g_autofree char *id = begin(cluster, 0, "key", "write");
     AWAIT(open_transactions(cluster, 0) == 0);
     expect_error(cluster, 1, (struct http_call){.transaction = id, .path = "commit", .key = "key"},
@@ -184,7 +194,7 @@
 
 static void test_never_mix(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     g_autofree char *first = begin(cluster, 0, NULL, "write");
     g_autofree char *second = begin(cluster, 0, NULL, "write");
     g_autofree char *third = begin(cluster, 1, NULL, "write");
@@ -208,7 +218,7 @@
 
 static void test_failed_statement(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     g_autofree char *id = begin(cluster, 0, "key", "write");
     g_free(statement(cluster, 0, id, "INSERT INTO stays VALUES ('a', '')"));
     expect_error(cluster, 1,
@@ -226,7 +236,7 @@
  * was asked for anew. */
 static void test_busy(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     struct http_answer answer;
     g_autofree char *id = begin(cluster, 0, NULL, "write");
     struct http_call insert = {.transaction = id,
@@ -249,7 +259,7 @@
 /* A read-only transaction runs at a replica, and can't write. */
 static void test_read_only(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     cluster_await_replicated(cluster); /* the table, too, is only there once it was replicated */
     g_autofree char *id = begin(cluster, 0, NULL, "read");
     g_autofree char *count = statement(cluster, 1, id, "SELECT count(*) FROM stays");
@@ -268,7 +278,7 @@
 /* A planned stop waits for the open transaction, which goes on through the other daemons. */
 static void test_owner_stops(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     g_autofree char *id = begin(cluster, 0, "key", "write");
     GThread *stop = cluster_start_stop(cluster, 0);
     g_free(statement(cluster, 1, id, "INSERT INTO stays VALUES ('a', '')"));
@@ -285,7 +295,8 @@
 /* A commit that waits for a worker past its deadline is not run; the transaction must end. */
 static void test_commit_after_deadline(void)
 {
-    static const char *const overrides[] = {"daemon.worker_threads=1", NULL};
+    static const char *const overrides[] = {"daemon.worker_threads=1",
+                                            "failover.suspect_after_ms=60000", NULL};
     struct cluster_options options = {.daemons = 1, .overrides = overrides};
     struct cluster *cluster = cluster_start(&options);
     struct http_answer answer;
