Hand an accepted version to daemons

Cause: a version accepted in the moment before the platform goes down was known to its publisher alone; no daemon had read it, so it was in force nowhere until the store came back (make chaos, fault publish_and_platform_down).

A daemon asks the store first; while the store is silent it takes the publisher's word for the successor of what it has in force.

Ruled out: bundles handed over before the head moves (neither a publisher that dies nor a lost answer is helped, as no daemon may guess), acceptance only with a daemon's word (two writes in two places), daemons that publish; see docs/design/configuration.md.

--- a/src/configuration/publish.c
+++ b/src/configuration/publish.c
@@ -143,6 +143,24 @@
     }
 }
 
+/* The hash of the version before the one in force; the head was at it unless the move was found in
+ * the store later. */
+static char *find_base_hash(struct publish_run *run)
+{
+    uint64_t base = run->flow.version - 1;
+    if (base == 0) {
+        return NULL;
+    }
+    if (run->last_row != NULL && run->last_row->version == base) {
+        return g_strdup(run->last_row->hash);
+    }
+    struct version_row *row = NULL;
+    version_store_read_version(run->store, base, &row, NULL);
+    char *hash = row != NULL ? g_strdup(row->hash) : NULL;
+    version_row_free(row);
+    return hash;
+}
+
 bool publish_configuration(struct version_store *store, const struct publish_order *order,
                            struct publish_outcome *outcome, GError **error)
 {
@@ -162,7 +180,9 @@
     *outcome = (struct publish_outcome){.status = run.flow.status, .version = run.flow.version};
     bool in_force =
         run.flow.status == PUBLISH_STATUS_ACCEPTED || run.flow.status == PUBLISH_STATUS_UNCHANGED;
-    if (!in_force) {
+    if (in_force) {
+        outcome->base_hash = find_base_hash(&run);
+    } else {
         set_error(&run, error);
     }
     if (run.flow.status == PUBLISH_STATUS_CONFLICT) {
@@ -176,4 +196,5 @@
 void publish_outcome_clear(struct publish_outcome *outcome)
 {
     g_clear_pointer(&outcome->winner, version_row_free);
+    g_clear_pointer(&outcome->base_hash, g_free);
 }
--- a/src/configuration/publish.h
+++ b/src/configuration/publish.h
@@ -23,6 +23,7 @@
 struct publish_outcome {
     enum publish_status status;
     uint64_t version;           /* of ACCEPTED and UNCHANGED */
+    char *base_hash;            /* of the version before that one; NULL: none, or not known */
     struct version_row *winner; /* of CONFLICT; freed by publish_outcome_clear */
 };
 
--- a/src/daemon/admin_api.c
+++ b/src/daemon/admin_api.c
@@ -6,6 +6,8 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include "configuration/canonical.h"
+#include "configuration/configuration.h"
 #include "core/error.h"
 #include "daemon/admin_status.h"
 #include "daemon/control_configuration.h"
@@ -117,6 +119,37 @@
     admin_events_write(user, since, answer->body);
 }
 
+/* Takes in what a publisher hands over after it has moved the head; it comes into force after the
+ * answer. */
+static void handle_configuration(const struct admin_request *request, struct admin_answer *answer,
+                                 void *user)
+{
+    struct daemon *daemon = user;
+    g_autoptr(GError) error = NULL;
+    size_t length = 0;
+    const char *body = admin_request_body(request, &length);
+    g_autoptr(GBytes) content = g_bytes_new(body, length);
+    g_autofree char *hash = canonical_hash(content);
+    const char *base_hash = admin_query_text(request, "base_hash");
+    struct configuration_handover handover = {
+        .hash = hash,
+        .base_hash = base_hash != NULL ? base_hash : "",
+        .content = content,
+    };
+    if (!admin_query_number(request, "version", INT64_MAX, &handover.version, &error)) {
+        admin_answer_error(answer, error);
+    } else if (handover.version == 0) {
+        refuse(answer, ERROR_KIND_BAD_REQUEST, "Name the version.");
+    } else if (g_strcmp0(admin_query_text(request, "hash"), hash) != 0) {
+        refuse(answer, ERROR_KIND_BAD_REQUEST, "The content has another hash.");
+    } else if (!control_configuration_hand_over(daemon->control, &handover)) {
+        refuse(answer, ERROR_KIND_BAD_REQUEST, "This daemon's configuration is a file.");
+    } else {
+        g_string_append_printf(answer->body, "{\"version\":%" G_GUINT64_FORMAT "}",
+                               handover.version);
+    }
+}
+
 static void handle_explain(const struct admin_request *request, struct admin_answer *answer,
                            void *user)
 {
@@ -157,6 +190,7 @@
     admin_route(daemon->admin, "GET", "/v1/status", handle_status, daemon);
     admin_route(daemon->admin, "GET", "/v1/events", handle_events, daemon);
     admin_route(daemon->admin, "GET", "/v1/explain", handle_explain, daemon);
+    admin_route(daemon->admin, "POST", "/v1/configuration", handle_configuration, daemon);
     admin_route(daemon->admin, "POST", "/v1/drain", handle_drain, daemon);
     admin_route(daemon->admin, "POST", "/v1/undrain", handle_undrain, daemon);
     admin_route(daemon->admin, "POST", "/v1/stop", handle_stop, daemon);
@@ -172,6 +206,7 @@
     inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host));
     options.address = host;
     options.port = ntohs(address.sin_port);
+    options.body_octets_max = CONFIGURATION_BYTES_MAX;
     options.metrics = daemon_metrics_registry(daemon->metrics);
     options.ready = is_ready;
     options.user = daemon;
--- a/src/daemon/configuration_fetch.c
+++ b/src/daemon/configuration_fetch.c
@@ -110,23 +110,74 @@
            (fetch->order->source == FETCH_SOURCE_STORE && head == fetch->order->wanted.version);
 }
 
-static void ask_store(struct fetch *fetch)
+/* Reads the head into the result. `row` is the caller's; NULL unless something is published. */
+static void read_head(struct fetch *fetch, struct version_row **row)
 {
-    struct version_row *row = NULL;
     g_autoptr(GError) error = NULL;
-    enum platform_result result = version_store_read_head(fetch->means->store, &row, &error);
+    enum platform_result result = version_store_read_head(fetch->means->store, row, &error);
     fetch->result->head_known = result == PLATFORM_RESULT_OK || result == PLATFORM_RESULT_NOT_FOUND;
-    if (row != NULL) {
-        fetch->result->head = configuration_mark_of(row->version, row->hash);
+    if (*row != NULL) {
+        fetch->result->head = configuration_mark_of((*row)->version, (*row)->hash);
     }
     if (!fetch->result->head_known) {
         fail(fetch, error != NULL ? error->message : platform_result_name(result));
-    } else if (row != NULL && wants_head(fetch)) {
+    }
+}
+
+static void ask_store(struct fetch *fetch)
+{
+    struct version_row *row = NULL;
+    read_head(fetch, &row);
+    if (row != NULL && wants_head(fetch)) {
         get_bundle(fetch, row->hash);
     }
     version_row_free(row);
 }
 
+/* The publisher. */
+
+static bool is_same(struct configuration_mark left, struct configuration_mark right)
+{
+    return left.version == right.version && left.hash == right.hash;
+}
+
+/* Judges what was handed over by the store's head, which says what is accepted. */
+static void take_handed_by_head(struct fetch *fetch, const char *head_hash)
+{
+    struct configuration_mark handed = fetch->order->wanted;
+    if (fetch->result->head.version > handed.version) {
+        get_bundle(fetch, head_hash);
+    } else if (is_same(fetch->result->head, handed)) {
+        take_content(fetch, handed, fetch->order->content);
+    } else {
+        refuse(fetch, handed, "the store's head is not this version");
+    }
+}
+
+/* Judges it without the store: by the publisher's word, if it knew what is in force here. */
+static void take_handed_by_word(struct fetch *fetch)
+{
+    struct configuration_mark handed = fetch->order->wanted;
+    struct configuration_mark base = fetch->order->base;
+    if (base.version + 1 == handed.version && is_same(base, mark_of_have(fetch))) {
+        take_content(fetch, handed, fetch->order->content);
+    } else {
+        refuse(fetch, handed, "it does not follow the version in force here");
+    }
+}
+
+static void take_handed(struct fetch *fetch)
+{
+    struct version_row *row = NULL;
+    read_head(fetch, &row);
+    if (fetch->result->head_known) {
+        take_handed_by_head(fetch, row != NULL ? row->hash : "");
+    } else {
+        take_handed_by_word(fetch);
+    }
+    version_row_free(row);
+}
+
 /* Another daemon. */
 
 /* The whole content that a reply gives, or NULL. */
@@ -240,6 +291,8 @@
         fetch.result->outcome = FETCH_OUTCOME_NONE;
     } else if (order->source == FETCH_SOURCE_PEER) {
         ask_peer_twice(&fetch);
+    } else if (order->source == FETCH_SOURCE_PUBLISHER) {
+        take_handed(&fetch);
     } else {
         ask_store(&fetch);
     }
@@ -247,11 +300,17 @@
     return fetch.result;
 }
 
+void fetch_order_clear(struct fetch_order *order)
+{
+    g_clear_pointer(&order->content, g_bytes_unref);
+}
+
 void fetch_result_free(struct fetch_result *result)
 {
     if (result == NULL) {
         return;
     }
+    fetch_order_clear(&result->order);
     published_configuration_unref(result->published);
     g_free(result);
 }
--- a/src/daemon/configuration_fetcher.c
+++ b/src/daemon/configuration_fetcher.c
@@ -46,6 +46,7 @@
     pthread_mutex_lock(&worker->lock);
     while (!worker->stopping && !taken) {
         taken = take_from(worker, FETCH_SOURCE_PEER, order) ||
+                take_from(worker, FETCH_SOURCE_PUBLISHER, order) ||
                 take_from(worker, FETCH_SOURCE_STORE, order) ||
                 take_from(worker, FETCH_SOURCE_HEAD, order);
         if (!taken) {
@@ -102,6 +103,11 @@
 static void stop_worker(struct fetch_worker *worker)
 {
     pthread_join(worker->thread, NULL);
+    for (int source = 0; source < FETCH_SOURCE_COUNT; source++) {
+        if (worker->is_pending[source]) {
+            fetch_order_clear(&worker->pending[source]);
+        }
+    }
     pthread_cond_destroy(&worker->work);
     pthread_mutex_destroy(&worker->lock);
 }
@@ -116,16 +122,29 @@
     g_free(fetcher);
 }
 
+/* True if an order is not worth one that waits. */
+static bool is_outdone(const struct fetch_worker *worker, const struct fetch_order *order)
+{
+    return order->source == FETCH_SOURCE_PUBLISHER && worker->is_pending[order->source] &&
+           order->wanted.version < worker->pending[order->source].wanted.version;
+}
+
 void configuration_fetcher_submit(struct configuration_fetcher *fetcher,
                                   const struct fetch_order *order)
 {
     bool peer = order->source == FETCH_SOURCE_PEER;
     struct fetch_worker *worker = peer ? &fetcher->peer_worker : &fetcher->store_worker;
+    struct fetch_order left_out = *order;
     pthread_mutex_lock(&worker->lock);
-    worker->pending[order->source] = *order;
-    worker->is_pending[order->source] = true;
+    if (!is_outdone(worker, order)) {
+        left_out = worker->is_pending[order->source] ? worker->pending[order->source]
+                                                     : (struct fetch_order){0};
+        worker->pending[order->source] = *order;
+        worker->is_pending[order->source] = true;
+    }
     pthread_cond_signal(&worker->work);
     pthread_mutex_unlock(&worker->lock);
+    fetch_order_clear(&left_out);
 }
 
 bool configuration_fetcher_read_keys(const char *path, char **access_key, char **secret_key,
--- a/src/daemon/configuration_fetcher.h
+++ b/src/daemon/configuration_fetcher.h
@@ -28,8 +28,9 @@
 /* Lets the calls under way end, which their time-outs bound, and frees. */
 void configuration_fetcher_free(struct configuration_fetcher *fetcher);
 
-/* Queues an order, in place of one of the same source that has not begun: that one gets no result.
- * Any thread. */
+/* Queues an order and takes over what it owns; it goes in place of one of the same source that has
+ * not begun, which gets no result. Of two that publishers handed over, the lower version is the one
+ * that goes. Any thread. */
 void configuration_fetcher_submit(struct configuration_fetcher *fetcher,
                                   const struct fetch_order *order);
 
--- a/src/daemon/control_configuration.c
+++ b/src/daemon/control_configuration.c
@@ -5,6 +5,7 @@
 #include "backend/clock.h"
 #include "daemon/budget_plan.h"
 #include "core/error.h"
+#include "daemon/configuration_content.h"
 #include "daemon/control_configuration_internal.h"
 
 /* How often the members' configurations are looked through. */
@@ -21,7 +22,19 @@
 /* What the journal calls a source. */
 static const char *name_of(const struct fetch_order *order)
 {
-    return order->source == FETCH_SOURCE_PEER ? order->address : "the store";
+    switch (order->source) {
+    case FETCH_SOURCE_PEER:
+        return order->address;
+    case FETCH_SOURCE_PUBLISHER:
+        return "the publisher";
+    default:
+        return "the store";
+    }
+}
+
+bool configuration_is_from_store(const struct fetch_order *order)
+{
+    return order->source == FETCH_SOURCE_HEAD || order->source == FETCH_SOURCE_STORE;
 }
 
 void configuration_note_store(struct control_configuration *self, const struct fetch_result *result)
@@ -225,7 +238,9 @@
                       GArray *actions)
 {
     time_ns now = backend_now();
-    configuration_note_store(self, result);
+    if (configuration_is_from_store(&result->order)) {
+        configuration_note_store(self, result);
+    }
     if (!result->head_known) {
         currency_head_failed(self->currency, now);
         return;
@@ -266,7 +281,8 @@
         note_heard(self, mark, name_of(&result->order));
         self->origin = result;
         currency_fetched(self->currency, mark, now, actions);
-    } else if (result->order.source != FETCH_SOURCE_HEAD) {
+    } else if (result->order.source == FETCH_SOURCE_PEER ||
+               result->order.source == FETCH_SOURCE_STORE) {
         currency_fetch_failed(self->currency, now, actions);
     }
 }
@@ -278,7 +294,7 @@
     perform(self, actions);
     self->origin = NULL;
     g_array_set_size(actions, 0);
-    if (result->order.source != FETCH_SOURCE_PEER) {
+    if (configuration_is_from_store(&result->order) || result->head_known) {
         take_head(self, result, actions);
         perform(self, actions);
     }
@@ -339,6 +355,23 @@
     return control->configuration == NULL || control->configuration->confirmed;
 }
 
+bool control_configuration_hand_over(struct control *control,
+                                     const struct configuration_handover *handover)
+{
+    struct control_configuration *self = control->configuration;
+    if (self == NULL) {
+        return false;
+    }
+    struct fetch_order order = {
+        .source = FETCH_SOURCE_PUBLISHER,
+        .wanted = configuration_mark_of(handover->version, handover->hash),
+        .base = configuration_mark_of(handover->version - 1, handover->base_hash),
+        .content = g_bytes_ref(handover->content),
+    };
+    configuration_fetcher_submit(self->fetcher, &order);
+    return true;
+}
+
 /* Start and stop. */
 
 /* Called on the fetcher's threads. */
--- a/src/daemon/control_configuration.h
+++ b/src/daemon/control_configuration.h
@@ -39,6 +39,19 @@
 /* Any thread, while the control thread runs. */
 void control_configuration_status(struct control *control, struct configuration_status *status);
 
+/* What a publisher hands over after it has moved the head. Borrowed. */
+struct configuration_handover {
+    uint64_t version;
+    const char *hash;      /* of the content */
+    const char *base_hash; /* of the version before, as the publisher knows it; empty if not */
+    GBytes *content;       /* canonical JSON that has the hash */
+};
+
+/* Takes it in; it comes into force later, or is refused, which the journal tells. False if the
+ * configuration is static. Any thread, while the control thread runs. */
+bool control_configuration_hand_over(struct control *control,
+                                     const struct configuration_handover *handover);
+
 /* The rest is for the control thread's files. */
 
 /* Starts to look for a published configuration if the settings name a platform and no file. */
--- a/src/daemon/control_configuration_internal.h
+++ b/src/daemon/control_configuration_internal.h
@@ -38,6 +38,9 @@
 /* Adds an entry to the journal. */
 void configuration_note(struct control_configuration *self, const char *kind, const char *text);
 
+/* True for what the store was asked for. */
+bool configuration_is_from_store(const struct fetch_order *order);
+
 /* Logs it when the store begins to fail, in what way it does, and when it is well again. */
 void configuration_note_store(struct control_configuration *self,
                               const struct fetch_result *result);
--- a/src/daemon/control_configuration_search.c
+++ b/src/daemon/control_configuration_search.c
@@ -85,8 +85,7 @@
 
 bool configuration_join_by(struct control_configuration *self, const struct fetch_result *result)
 {
-    bool from_peer = result->order.source == FETCH_SOURCE_PEER;
-    if (!from_peer) {
+    if (configuration_is_from_store(&result->order)) {
         configuration_note_store(self, result);
         configuration_publish_status(self);
     }
@@ -96,7 +95,7 @@
     if (result->outcome == FETCH_OUTCOME_REFUSED && result->unfit) {
         pass_over(self, result->refused.version, result->text);
     }
-    if (from_peer) {
+    if (result->order.source == FETCH_SOURCE_PEER) {
         ask_next_seed(self);
     }
     return false;
--- a/tests/core/config_currency_test.c
+++ b/tests/core/config_currency_test.c
@@ -83,6 +83,29 @@
     fixture_clear(&fixture);
 }
 
+/* Content that comes unasked, from a publisher, in whatever order with what is heard. */
+static void test_content_unasked(void)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    fetched(&fixture, 3, SECONDS(1));
+    g_assert_true(has_action(&fixture, CURRENCY_ACTION_APPLY));
+    hear(&fixture, 5, 0, SECONDS(1));
+    fetched(&fixture, 4, SECONDS(1));
+    g_assert_false(has_action(&fixture, CURRENCY_ACTION_APPLY));
+    fetched(&fixture, 5, SECONDS(1));
+    g_assert_true(has_action(&fixture, CURRENCY_ACTION_APPLY));
+    fetched(&fixture, 5, SECONDS(1));
+    g_assert_false(has_action(&fixture, CURRENCY_ACTION_APPLY));
+    fetched(&fixture, 6, SECONDS(1));
+    g_assert_true(has_action(&fixture, CURRENCY_ACTION_APPLY));
+    hear(&fixture, 5, 77, SECONDS(1));
+    fetched(&fixture, 5, SECONDS(1));
+    g_assert_false(has_action(&fixture, CURRENCY_ACTION_APPLY));
+    g_assert_cmpuint(currency_newest(fixture.currency).version, ==, 6);
+    fixture_clear(&fixture);
+}
+
 /* What others had confirmed before a daemon started says nothing about what it was told since. */
 static void test_confirmation_before_the_start_does_not_count(void)
 {
@@ -241,6 +264,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/currency/fresh-daemon-waits-for-confirmation",
                     test_fresh_daemon_waits_for_confirmation);
+    g_test_add_func("/currency/content-unasked", test_content_unasked);
     g_test_add_func("/currency/confirmation-before-the-start-does-not-count",
                     test_confirmation_before_the_start_does_not_count);
     g_test_add_func("/currency/confirmation-while-behind-does-not-count",
--- a/tests/daemon/published_fixture.c
+++ b/tests/daemon/published_fixture.c
@@ -160,14 +160,25 @@
     return size * count;
 }
 
-char *published_admin_get(const struct published_cluster *test, unsigned daemon, const char *path,
-                          long *status)
+static char *admin_url(const struct published_cluster *test, unsigned daemon)
+{
+    return g_strdup_printf("http://127.0.0.1:%u",
+                           admin_port(test->cluster->daemons[daemon]->admin));
+}
+
+/* A POST if there is a body to send. */
+static char *admin_call(const struct published_cluster *test, unsigned daemon, const char *path,
+                        GBytes *sent, long *status)
 {
-    g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u%s",
-                                           admin_port(test->cluster->daemons[daemon]->admin), path);
+    g_autofree char *base = admin_url(test, daemon);
+    g_autofree char *url = g_strconcat(base, path, NULL);
     GString *body = g_string_new(NULL);
     CURL *curl = curl_easy_init();
     curl_easy_setopt(curl, CURLOPT_URL, url);
+    if (sent != NULL) {
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)g_bytes_get_size(sent));
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDS, g_bytes_get_data(sent, NULL));
+    }
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_octets);
     curl_easy_setopt(curl, CURLOPT_WRITEDATA, body);
     CURLcode code = curl_easy_perform(curl);
@@ -177,6 +188,45 @@
     return g_string_free(body, FALSE);
 }
 
+char *published_admin_get(const struct published_cluster *test, unsigned daemon, const char *path,
+                          long *status)
+{
+    return admin_call(test, daemon, path, NULL, status);
+}
+
+char *published_admin_post(const struct published_cluster *test, unsigned daemon, const char *path,
+                           GBytes *body, long *status)
+{
+    return admin_call(test, daemon, path, body, status);
+}
+
+static void add_daemon(const struct published_cluster *test, unsigned daemon, GPtrArray *words)
+{
+    g_ptr_array_add(words, g_strdup("--admin"));
+    g_ptr_array_add(words, admin_url(test, daemon));
+}
+
+enum exit_code published_by_ctl(const struct published_cluster *test, const char *bundle,
+                                uint64_t base, int daemon, GString *output)
+{
+    g_autofree char *file = g_build_filename(test->cluster->directory, "publish.json", NULL);
+    g_autoptr(GPtrArray) words = g_ptr_array_new_with_free_func(g_free);
+    bool written = g_file_set_contents(file, bundle, -1, NULL);
+    g_assert_true(written);
+    g_ptr_array_add(words, g_strdup("publish"));
+    g_ptr_array_add(words, g_strdup(file));
+    g_ptr_array_add(words, g_strdup_printf("--base=%" G_GUINT64_FORMAT, base));
+    g_ptr_array_add(words, g_strdup("--message=test"));
+    g_ptr_array_add(words, g_strdup_printf("--table-url=%s", publisher_url(test->publisher)));
+    for (unsigned i = 0; i < CLUSTER_DAEMONS_MAX; i++) {
+        if (test->cluster->daemons[i] != NULL && (daemon < 0 || i == (unsigned)daemon)) {
+            add_daemon(test, i, words);
+        }
+    }
+    g_ptr_array_add(words, NULL);
+    return ctl_run((const char *const *)words->pdata, output, output);
+}
+
 unsigned published_count_events(const struct published_cluster *test, unsigned daemon,
                                 const char *kind, const char *text)
 {
--- a/tests/daemon/published_fixture.h
+++ b/tests/daemon/published_fixture.h
@@ -4,6 +4,7 @@
 #define SW_TESTS_DAEMON_PUBLISHED_FIXTURE_H
 
 #include "cluster_fixture.h"
+#include "ctl/ctl.h"
 #include "daemon/control_configuration.h"
 #include "publisher.h"
 
@@ -54,6 +55,16 @@
 char *published_admin_get(const struct published_cluster *test, unsigned daemon, const char *path,
                           long *status);
 
+/* The same for a POST with a body. */
+char *published_admin_post(const struct published_cluster *test, unsigned daemon, const char *path,
+                           GBytes *body, long *status);
+
+/* Publishes a bundle by swiftctl on top of version `base`, and hands it to the daemons that run, or
+ * with `daemon` of 0 or above to that one alone. Returns the exit code; what swiftctl wrote goes to
+ * `output`. */
+enum exit_code published_by_ctl(const struct published_cluster *test, const char *bundle,
+                                uint64_t base, int daemon, GString *output);
+
 /* Entries of a kind in a daemon's journal, with `text` in them. */
 unsigned published_count_events(const struct published_cluster *test, unsigned daemon,
                                 const char *kind, const char *text);
--- a/tools/chaos.sh
+++ b/tools/chaos.sh
@@ -133,11 +133,12 @@
     cluster_platform_fault name=heal
 }
 
-# publish_change: makes a changed configuration the next version; the operator asks once.
+# publish_change: makes a changed configuration the next version; the operator asks once, and hands it to one daemon,
+# from which the others have to get it.
 publish_change() {
     local status=0
     cluster_edit_configuration ".description = \"change $VERSION\""
-    cluster_publish "$VERSION" "change $VERSION" || status=$?
+    cluster_publish "$VERSION" "change $VERSION" --admin "http://127.0.0.1:$(cluster_daemon_port 0 1)" || status=$?
     VERSION=$((VERSION + 1))
     promise "version $VERSION is accepted (exit code $status)" [ "$status" -eq 0 ]
 }
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -168,9 +168,9 @@
     cluster_await_port platform "$CLUSTER_PLATFORM_PORT"
 }
 
-# cluster_publish BASE_VERSION MESSAGE: makes the reduced configuration the next version.
+# cluster_publish BASE_VERSION MESSAGE [OPTION...]: makes the reduced configuration the next version.
 cluster_publish() {
-    "$CLUSTER_BUILD/src/ctl/swiftctl" publish --base "$1" --message "$2" --author operator \
+    "$CLUSTER_BUILD/src/ctl/swiftctl" publish --base "$1" --message "$2" --author operator "${@:3}" \
         --table-url "http://127.0.0.1:$CLUSTER_PLATFORM_PORT" "$CLUSTER_DIRECTORY/configuration.json"
 }
 
