Allow one change of a group's databases at a time

Cause: while a version spreads, daemons count majorities by the databases before and after. Two majorities that share no database could acknowledge a write and lose it by a failover. Nothing guarded that.

- A version that adds and removes more than one database of a group is refused before the head moves, against the head that the move is conditional on, naming group and databases.
- The next change is refused until an owner of the group says that the last one is done: most daemons know it, what went by the databases of before has ended, and a majority of the present ones holds what the primary then held (core/quorum_settling).
- A daemon that is not confirmed sends no fence, promotion or redirection: one that was cut off at an old version could depose a primary with databases the group no longer has.

Ruled out: both majorities for every acknowledgement during a change (a daemon that skipped versions, or begins in the middle, would have to know of it), members in the databases' log (needs functions that no database offers). See docs/design/configuration.md.

Before: without the third rule /daemon/configuration/cut_off_deposes_nobody fails, the primary was replaced by a daemon that had stopped to serve. After: it passes.

Tests replaced: /publish/* published two examples in turn that share group ids and no database, which is refused now; they publish an example with one changed weight. The ctl goldens published a file with a changed port; the published copy changes 'connections' instead, and the old file has a golden of its own that is refused. /publish/fault-at-each-call has one more call to hit.

--- a/src/configuration/publish.c
+++ b/src/configuration/publish.c
@@ -3,6 +3,8 @@
 
 #include <inttypes.h>
 
+#include "configuration/database_change.h"
+#include "configuration/problem.h"
 #include "core/error.h"
 
 /* One run of the flow. */
@@ -49,6 +51,67 @@
     keep_row(run, row);
 }
 
+/* Reads a version's bundle. OK with `configuration` NULL: no daemon can use it. */
+static enum platform_result read_bundle(struct publish_run *run, const char *hash,
+                                        struct configuration **configuration)
+{
+    g_autoptr(GBytes) canonical = NULL;
+    g_autoptr(GPtrArray) problems = configuration_problems_new();
+    enum platform_result result =
+        version_store_get_bundle(run->store, hash, &canonical, &run->last_error);
+
+    if (result == PLATFORM_RESULT_OK) {
+        gsize length = 0;
+        const char *text = g_bytes_get_data(canonical, &length);
+        configuration_parse(text != NULL ? text : "", length, "published", configuration, problems);
+    }
+    return result;
+}
+
+/* Reads what daemons may have in force: the base or, if they can't use it, the one before. OK with
+ * `before` NULL: nothing. */
+static enum platform_result read_base(struct publish_run *run, struct configuration **before)
+{
+    struct version_row *row = version_row_copy(run->last_row);
+    enum platform_result result = read_bundle(run, row->hash, before);
+
+    while (result == PLATFORM_RESULT_OK && *before == NULL && row->version > 1) {
+        uint64_t version = row->version - 1;
+        g_clear_pointer(&row, version_row_free);
+        result = version_store_read_version(run->store, version, &row, &run->last_error);
+        if (result == PLATFORM_RESULT_OK) {
+            result = read_bundle(run, row->hash, before);
+        }
+    }
+    version_row_free(row);
+    return result;
+}
+
+static bool allows(struct publish_run *run, const struct configuration *before)
+{
+    const struct publish_order *order = run->order;
+    g_autoptr(GPtrArray) changes = database_changes_find(before, order->configuration);
+
+    if (changes->len == 0) {
+        return true;
+    }
+    return database_changes_check(changes, &run->last_error) &&
+           (order->check == NULL ||
+            order->check(order->check_user, run->flow.request.base, changes, &run->last_error));
+}
+
+static void check_change(struct publish_run *run)
+{
+    struct configuration *before = NULL;
+    enum platform_result result = read_base(run, &before);
+
+    if (result == PLATFORM_RESULT_OK && before != NULL && !allows(run, before)) {
+        result = PLATFORM_RESULT_CONDITION_FAILED;
+    }
+    configuration_unref(before);
+    publish_flow_on_check(&run->flow, result, this_moment());
+}
+
 static void put_bundle(struct publish_run *run)
 {
     const struct configuration *configuration = run->order->configuration;
@@ -85,6 +148,9 @@
     case PUBLISH_ACTION_READ_VERSION:
         read_version(run);
         return;
+    case PUBLISH_ACTION_CHECK_CHANGE:
+        check_change(run);
+        return;
     case PUBLISH_ACTION_PUT_BUNDLE:
         put_bundle(run);
         return;
@@ -117,7 +183,7 @@
                 winner->author, winner->request_id, winner->message);
 }
 
-static void set_error(const struct publish_run *run, GError **error)
+static void set_error(struct publish_run *run, GError **error)
 {
     const struct publish_flow *flow = &run->flow;
     const char *cause = run->last_error != NULL ? run->last_error->message : "no answer";
@@ -131,6 +197,9 @@
                     "version %" PRIu64 " does not exist; the newest is %" PRIu64,
                     flow->request.base, flow->version);
         return;
+    case PUBLISH_STATUS_FORBIDDEN:
+        g_propagate_error(error, g_steal_pointer(&run->last_error));
+        return;
     case PUBLISH_STATUS_UNKNOWN:
         g_set_error(error, SW_ERROR, ERROR_KIND_OUTCOME_UNKNOWN,
                     "the move to version %" PRIu64 " got no answer (%s); ask again with request "
--- a/src/configuration/publish.h
+++ b/src/configuration/publish.h
@@ -6,6 +6,10 @@
 #include "configuration/publish_flow.h"
 #include "configuration/version_store.h"
 
+/* Whether changes of groups' databases (struct database_change) may follow version `base`, which is
+ * the head. False with `error` set if not. */
+typedef bool (*publish_check)(void *user, uint64_t base, const GPtrArray *changes, GError **error);
+
 /* Who publishes what, and for how long to try. */
 struct publish_order {
     const struct configuration *configuration;
@@ -14,6 +18,8 @@
     const char *message;
     bool has_base; /* false: on top of whatever the head is */
     uint64_t base;
+    publish_check check; /* asked if one changes; NULL: all that is valid may */
+    void *check_user;
     uint32_t timeout_ms;
     uint32_t retries_max; /* 0: as many as the time-out allows */
     struct backoff backoff;
@@ -34,7 +40,8 @@
 
 /* Publishes; blocks for about the time-out at most. True if the bundle is in force as
  * `outcome->version`. Otherwise `error` is set: publish_conflict (naming the winner), bad_request
- * (no such base), store_unavailable (not published, nor ever will), or outcome_unknown. */
+ * (no such base), invalid_configuration (it changes more than one database of a group), the error
+ * of the order's check, store_unavailable (not published, nor ever will), or outcome_unknown. */
 bool publish_configuration(struct version_store *store, const struct publish_order *order,
                            struct publish_outcome *outcome, GError **error);
 
--- a/src/configuration/publish_flow.c
+++ b/src/configuration/publish_flow.c
@@ -67,6 +67,11 @@
         finish(flow, PUBLISH_STATUS_UNCHANGED, row->version);
         return;
     }
+    /* The move's condition is that the head still is at base: what is allowed now stays allowed. */
+    if (row != NULL && !flow->change_allowed) {
+        flow->action = PUBLISH_ACTION_CHECK_CHANGE;
+        return;
+    }
     if (!flow->bundle_stored) {
         flow->action = PUBLISH_ACTION_PUT_BUNDLE;
         return;
@@ -126,6 +131,21 @@
     on_next_version(flow, row);
 }
 
+void publish_flow_on_check(struct publish_flow *flow, enum platform_result result,
+                           struct publish_moment moment)
+{
+    if (result == PLATFORM_RESULT_CONDITION_FAILED) {
+        finish(flow, PUBLISH_STATUS_FORBIDDEN, 0);
+        return;
+    }
+    if (result != PLATFORM_RESULT_OK) {
+        retry_after(flow, result, PUBLISH_ACTION_CHECK_CHANGE, moment);
+        return;
+    }
+    flow->change_allowed = true;
+    flow->action = flow->bundle_stored ? PUBLISH_ACTION_MOVE_HEAD : PUBLISH_ACTION_PUT_BUNDLE;
+}
+
 void publish_flow_on_bundle(struct publish_flow *flow, enum platform_result result,
                             struct publish_moment moment)
 {
--- a/src/configuration/publish_flow.h
+++ b/src/configuration/publish_flow.h
@@ -17,6 +17,7 @@
 enum publish_action {
     PUBLISH_ACTION_READ_HEAD,
     PUBLISH_ACTION_READ_VERSION, /* history row of version base + 1 */
+    PUBLISH_ACTION_CHECK_CHANGE, /* whether the bundle may follow the head, which is at base */
     PUBLISH_ACTION_PUT_BUNDLE,
     PUBLISH_ACTION_MOVE_HEAD, /* from base to base + 1 */
     PUBLISH_ACTION_WAIT,      /* wait_ms */
@@ -29,6 +30,7 @@
     PUBLISH_STATUS_UNCHANGED,   /* the head, version `version`, has this very bundle */
     PUBLISH_STATUS_CONFLICT,    /* version base + 1 is another's; never published, nor ever will */
     PUBLISH_STATUS_NO_BASE,     /* the base is above the head; not published */
+    PUBLISH_STATUS_FORBIDDEN,   /* it may not follow the base; not published */
     PUBLISH_STATUS_UNAVAILABLE, /* the store failed; not published, nor ever will */
     PUBLISH_STATUS_UNKNOWN,     /* the store failed after the move was sent: it may be published */
 };
@@ -51,6 +53,7 @@
     enum publish_action action_after_wait;
     uint32_t wait_ms;
     uint32_t attempt; /* retries so far */
+    bool change_allowed;
     bool bundle_stored;
     bool move_failed;     /* a move met a failed condition, and the head was not yet read again */
     bool move_unanswered; /* a move was sent without an answer: it may still take effect */
@@ -74,6 +77,11 @@
 void publish_flow_on_version(struct publish_flow *flow, enum platform_result result,
                              const struct version_row *row, struct publish_moment moment);
 
+/* Result of CHECK_CHANGE: OK: it may follow; CONDITION_FAILED: it may not; else the base could not
+ * be read. */
+void publish_flow_on_check(struct publish_flow *flow, enum platform_result result,
+                           struct publish_moment moment);
+
 /* Result of PUT_BUNDLE. */
 void publish_flow_on_bundle(struct publish_flow *flow, enum platform_result result,
                             struct publish_moment moment);
--- a/src/ctl/command_publish.c
+++ b/src/ctl/command_publish.c
@@ -7,6 +7,7 @@
 #include "ctl/commands.h"
 #include "ctl/handover.h"
 #include "ctl/output.h"
+#include "ctl/settled_check.h"
 #include "ctl/source.h"
 
 #define BASE_LATEST "latest"
@@ -188,6 +189,8 @@
     }
     order.configuration = configuration;
     g_auto(GStrv) admin_urls = find_admin_urls(options);
+    order.check = settled_check;
+    order.check_user = admin_urls;
     enum exit_code exit_code = publish_with_store(invocation, &order, admin_urls);
     configuration_unref(configuration);
     return exit_code;
--- a/src/ctl/handover.c
+++ b/src/ctl/handover.c
@@ -4,9 +4,7 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include <json-glib/json-glib.h>
-
-#include "platform/http_client.h"
+#include "ctl/daemon_status.h"
 
 /* How long to wait for daemons in all: a store that hangs holds one up for some seconds. */
 #define WAIT_MAX_MS 10000
@@ -20,10 +18,7 @@
 /* Calls without an answer after which a daemon counts as out of reach. */
 #define FAILURES_MAX 3
 
-#define CONNECT_TIMEOUT_MS 1000
-#define CALL_TIMEOUT_MS    3000
-#define ANSWER_BYTES_MAX   (16 * 1024 * 1024)
-#define STATUS_OK          200
+#define STATUS_OK 200
 
 /* One hand-over. */
 struct handover_run {
@@ -48,58 +43,29 @@
     daemon->reason = g_strdup(reason);
 }
 
-/* Sends one call. The answer's JSON object if it is one, with the status in `status`; else NULL.
- * The caller frees the parser. */
-static JsonParser *call(struct handover_run *run, struct handover_daemon *daemon,
-                        const struct http_request *request, long *status)
+/* Notes whether a call was answered. */
+static void note_call(struct handover_daemon *daemon, const GError *error)
 {
-    struct http_answer answer;
-    g_autoptr(GError) error = NULL;
-
-    if (http_client_call(run->client, request, &answer, &error) != HTTP_OUTCOME_ANSWERED) {
-        daemon->failures++;
+    daemon->failures = error != NULL ? daemon->failures + 1 : 0;
+    if (error != NULL) {
         set_reason(daemon, error->message);
-        return NULL;
-    }
-    daemon->failures = 0;
-    *status = answer.status;
-    JsonParser *parser = json_parser_new();
-    bool parsed = json_parser_load_from_data(parser, (const char *)answer.body->data,
-                                             (gssize)answer.body->len, NULL);
-    JsonNode *root = parsed ? json_parser_get_root(parser) : NULL;
-    if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root)) {
-        set_reason(daemon, "the answer is not a JSON object");
-        g_clear_object(&parser);
     }
-    g_byte_array_unref(answer.body);
-    return parser;
 }
 
 /* Asks what is in force at a daemon. */
 static void look(struct handover_run *run, struct handover_daemon *daemon)
 {
-    long status = 0;
-    g_autofree char *url = g_strconcat(daemon->url, "/v1/status", NULL);
-    const struct http_request request = {
-        .method = "GET",
-        .url = url,
-        .answer_bytes_max = ANSWER_BYTES_MAX,
-    };
-    g_autoptr(JsonParser) parser = call(run, daemon, &request, &status);
-    if (parser == NULL) {
-        return;
-    }
-    JsonObject *object = json_node_get_object(json_parser_get_root(parser));
-    JsonNode *node = json_object_get_member(object, "configuration");
-    if (status != STATUS_OK || node == NULL || !JSON_NODE_HOLDS_OBJECT(node)) {
-        set_reason(daemon, "it does not tell its configuration");
+    g_autoptr(GError) error = NULL;
+    g_autoptr(JsonNode) status = daemon_status_read(run->client, daemon->url, &error);
+
+    note_call(daemon, error);
+    if (status == NULL) {
         return;
     }
-    JsonObject *configuration = json_node_get_object(node);
-    uint64_t version =
-        (uint64_t)json_object_get_int_member_with_default(configuration, "version", 0);
+    uint64_t version = daemon_status_version(status);
     g_free(daemon->zone);
-    daemon->zone = g_strdup(json_object_get_string_member_with_default(object, "zone", ""));
+    daemon->zone = g_strdup(
+        json_object_get_string_member_with_default(json_node_get_object(status), "zone", ""));
     daemon->in_force = version >= run->version->version;
     if (!daemon->in_force && !daemon->refused) {
         g_autofree char *text = g_strdup_printf("it has version %" PRIu64 " in force", version);
@@ -108,10 +74,9 @@
 }
 
 /* Keeps the reason that a daemon gives for taking nothing. */
-static void note_refusal(struct handover_daemon *daemon, JsonParser *parser)
+static void note_refusal(struct handover_daemon *daemon, JsonNode *answer)
 {
-    JsonObject *object = json_node_get_object(json_parser_get_root(parser));
-    JsonNode *error = json_object_get_member(object, "error");
+    JsonNode *error = json_object_get_member(json_node_get_object(answer), "error");
     const char *text = NULL;
 
     if (error != NULL && JSON_NODE_HOLDS_OBJECT(error)) {
@@ -136,12 +101,13 @@
         .url = url,
         .body = body,
         .body_length = length,
-        .answer_bytes_max = ANSWER_BYTES_MAX,
         .is_write = true,
     };
-    g_autoptr(JsonParser) parser = call(run, daemon, &request, &status);
-    if (parser != NULL && status != STATUS_OK) {
-        note_refusal(daemon, parser);
+    g_autoptr(GError) error = NULL;
+    g_autoptr(JsonNode) answer = daemon_status_call(run->client, &request, &status, &error);
+    note_call(daemon, error);
+    if (answer != NULL && status != STATUS_OK) {
+        note_refusal(daemon, answer);
     }
 }
 
@@ -182,12 +148,9 @@
 
 GPtrArray *handover_run(char **urls, const struct handover_version *version)
 {
-    struct platform_settings settings = platform_settings_default();
-    settings.connect_timeout_ms = CONNECT_TIMEOUT_MS;
-    settings.call_timeout_ms = CALL_TIMEOUT_MS;
     struct handover_run run = {
         .version = version,
-        .client = http_client_new(&settings),
+        .client = daemon_status_client_new(),
         .daemons = g_ptr_array_new_with_free_func(free_daemon),
     };
     gint64 deadline = g_get_monotonic_time() + (gint64)WAIT_MAX_MS * 1000;
--- a/src/daemon/admin_status.c
+++ b/src/daemon/admin_status.c
@@ -6,6 +6,7 @@
 #include "backend/clock.h"
 #include "core/error.h"
 #include "core/position_samples.h"
+#include "core/quorum_settling.h"
 #include "core/route.h"
 #include "daemon/control.h"
 #include "daemon/control_configuration.h"
@@ -109,6 +110,9 @@
              view.primary >= 0 ? group->databases[view.primary].configuration.name : "");
     add_flag(builder, "writes_paused", view.writes_paused);
     add_flag(builder, "owned_here", owners.self);
+    enum quorum_settling_state settling = (enum quorum_settling_state)atomic_load(&group->settling);
+    add_flag(builder, "settled", settling == QUORUM_SETTLING_DONE);
+    add_text(builder, "unsettled_reason", quorum_settling_state_text(settling));
     add_number(builder, "owners", owners.count + (owners.self ? 1 : 0));
     add_number(builder, "reads", atomic_load(&group->reads));
     add_number(builder, "reads_by_primary_fallback", atomic_load(&group->primary_reads));
--- a/src/daemon/control_configuration.c
+++ b/src/daemon/control_configuration.c
@@ -300,6 +300,22 @@
     }
 }
 
+/* When most daemons were last known to have what is in force here. */
+static time_ns agreed_at(const struct control_configuration *self, time_ns peers_confirmed_at,
+                         time_ns now)
+{
+    size_t reachable = 0;
+    size_t known = 0;
+    bool newest =
+        currency_applied(self->currency).version != 0 &&
+        currency_applied(self->currency).version == currency_newest(self->currency).version;
+    if (!newest) {
+        return 0;
+    }
+    membership_reach(self->control->membership, now, UINT64_MAX, &reachable, &known);
+    return known <= 1 ? now : peers_confirmed_at;
+}
+
 static void tick_currency(struct control_configuration *self, time_ns now)
 {
     struct membership *membership = self->control->membership;
@@ -312,6 +328,7 @@
     g_autoptr(GArray) actions = g_array_new(FALSE, FALSE, sizeof(struct currency_action));
     currency_tick(self->currency, &evidence, now, actions);
     perform(self, actions);
+    control_groups_settle(self->control, agreed_at(self, evidence.peers_confirmed_at, now), now);
     if (now >= self->next_survey_at) {
         self->next_survey_at = now + SURVEY_INTERVAL_MS * NANOSECONDS_PER_MILLISECOND;
         configuration_survey(self);
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -26,6 +26,12 @@
 /* Opening a control connection may take so long. */
 #define OPEN_TIMEOUT_MS 500
 
+/* After the databases of a group changed and most daemons know: time for the news to reach the last
+ * daemon of a zone, and for what was begun under the databases of before to end: the longest
+ * transaction that a template allows, and its last statement. */
+#define SETTLING_SPREAD_MS 60000
+#define SETTLING_WORK_MS   360000
+
 /* Between two removals of old keys from a group's ledger. */
 #define LEDGER_EXPIRE_INTERVAL_MS 60000
 
@@ -213,8 +219,37 @@
     journal_add(group->control->journal, &entry);
 }
 
+/* Whose configuration may have been replaced must not change a group's primary: it might count a
+ * majority of databases that the group no longer has. The clock decides, as for requests. */
+static bool may_perform(const struct controlled_group *group, const struct group_action *action)
+{
+    bool changes_primary = action->kind == GROUP_ACTION_FENCE ||
+                           action->kind == GROUP_ACTION_PROMOTE ||
+                           action->kind == GROUP_ACTION_FOLLOW;
+    return !changes_primary || daemon_may_serve(group->control->daemon);
+}
+
+/* As if the command had got no answer: it is sent again later. */
+static void lose_command(struct controlled_group *group, const struct group_action *action)
+{
+    struct control_event event = {
+        .kind = CONTROL_EVENT_RUNTIME,
+        .runtime = group->runtime->number,
+        .event = {.kind = GROUP_EVENT_COMMAND,
+                  .now = backend_now(),
+                  .database = action->database,
+                  .command = action->command,
+                  .result = GROUP_COMMAND_LOST},
+    };
+    control_post(group->control, &event);
+}
+
 static void perform(struct controlled_group *group, const struct group_action *action)
 {
+    if (!may_perform(group, action)) {
+        lose_command(group, action);
+        return;
+    }
     switch (action->kind) {
     case GROUP_ACTION_PROBE:
         prober_probe_now(group->control->prober, group->runtime->number, action->database);
@@ -361,6 +396,27 @@
     }
 }
 
+static void start_settling(struct controlled_group *group)
+{
+    const struct settings *settings = &group->control->daemon->settings;
+    uint64_t wait_ms =
+        SETTLING_SPREAD_MS + SETTLING_WORK_MS + settings->configuration.currency_bound_ms;
+    quorum_settling_start(&group->settling, wait_ms * NANOSECONDS_PER_MILLISECOND);
+}
+
+void control_groups_settle(struct control *control, time_ns agreed_at, time_ns now)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct controlled_group *group = value;
+        bool agreed = agreed_at > group->started_at;
+        quorum_settling_observe(&group->settling, group_control_view(group->machine), agreed, now);
+        atomic_store(&group->runtime->settling, group->settling.state);
+    }
+}
+
 static void start_group(struct control *control, struct group_runtime *runtime)
 {
     struct controlled_group *group = g_new0(struct controlled_group, 1);
@@ -382,7 +438,9 @@
         control->daemon->settings.failover.suspect_after_ms * NANOSECONDS_PER_MILLISECOND;
     runtime->on_drained = on_drained;
     runtime->on_drained_user = control;
-    group->machine = group_control_new(&options, backend_now());
+    group->started_at = backend_now();
+    group->machine = group_control_new(&options, group->started_at);
+    start_settling(group);
     g_hash_table_insert(control->groups, GUINT_TO_POINTER(group->id), group);
     g_hash_table_insert(control->runtimes, GUINT_TO_POINTER(runtime->number), group);
     add_probes(control, group);
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -9,6 +9,7 @@
 #include "core/group_control.h"
 #include "core/membership.h"
 #include "core/ownership.h"
+#include "core/quorum_settling.h"
 #include "daemon/configuration_fetch.h"
 #include "daemon/control.h"
 #include "daemon/group_runtime.h"
@@ -37,6 +38,8 @@
     uint32_t id;
     struct group_runtime *runtime; /* one reference */
     struct group_control *machine;
+    time_ns started_at;
+    struct quorum_settling settling; /* of the databases that it has now */
     time_ns wake_at;
     uint64_t ledger_term;     /* last term in which the ledger table was asked for */
     time_ns ledger_expire_at; /* next removal of old keys */
@@ -128,6 +131,9 @@
 void control_groups_end(struct control *control, uint32_t id);
 /* Takes on the successors of run times that a new configuration replaced. */
 void control_groups_take_successors(struct control *control);
+/* Looks whether the last change of each group's databases is done. `agreed_at` is when most daemons
+ * were last known to have the configuration in force here; 0: they are not. */
+void control_groups_settle(struct control *control, time_ns agreed_at, time_ns now);
 /* Tells every group who its watchers are. */
 void control_groups_set_watchers(struct control *control, time_ns now);
 
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -61,9 +61,10 @@
     struct evidence_service *evidence; /* the daemon's */
     uint32_t evidence_group;           /* its number there */
     struct evidence_link *link;        /* one reference */
-    _Atomic uint64_t ledger_term;      /* term in which the ledger table was made sure of */
-    _Atomic uint64_t reads;            /* answered reads */
-    _Atomic uint64_t primary_reads;    /* of these, by the primary although replicas were allowed */
+    _Atomic uint32_t settling;      /* enum quorum_settling_state; written by the control thread */
+    _Atomic uint64_t ledger_term;   /* term in which the ledger table was made sure of */
+    _Atomic uint64_t reads;         /* answered reads */
+    _Atomic uint64_t primary_reads; /* of these, by the primary although replicas were allowed */
 
     pthread_mutex_t writes_lock; /* guards the three below */
     uint32_t writes_running;     /* writes and write transactions begun under an unpaused view */
--- a/tests/configuration/test_publish.c
+++ b/tests/configuration/test_publish.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#include "configuration/database_change.h"
 #include "configuration/problem.h"
 #include "core/error.h"
 #include "platform_fixture.h"
@@ -16,16 +17,20 @@
     struct configuration *second;
 };
 
-static struct configuration *parse_example(const char *directory)
+/* The example with another text in place of one that stands in it. */
+static struct configuration *parse_example(const char *from, const char *to)
 {
-    g_autofree char *path =
-        g_build_filename(g_getenv("CONFIGURATION_EXAMPLES"), directory, "configuration.json", NULL);
+    g_autofree char *path = g_build_filename(g_getenv("CONFIGURATION_EXAMPLES"), "atlas-huts",
+                                             "configuration.json", NULL);
     g_autofree char *text = NULL;
     g_autoptr(GPtrArray) problems = configuration_problems_new();
     struct configuration *configuration = NULL;
 
     g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-    g_assert_true(configuration_parse(text, strlen(text), path, &configuration, problems));
+    g_assert_nonnull(strstr(text, from));
+    g_autoptr(GString) edited = g_string_new(text);
+    g_string_replace(edited, from, to, 1);
+    g_assert_true(configuration_parse(edited->str, edited->len, path, &configuration, problems));
     return configuration;
 }
 
@@ -33,8 +38,8 @@
 {
     platform_fixture_start_plain(&test->platform);
     test->store = version_store_new(&test->platform.settings);
-    test->first = parse_example("atlas-huts");
-    test->second = parse_example("kitakaze-meters");
+    test->first = parse_example("{", "{");
+    test->second = parse_example("\"weight\": 220", "\"weight\": 221");
 }
 
 static void tear_down(struct publish_test *test, gconstpointer unused)
@@ -176,8 +181,9 @@
     g_assert_cmpuint(count_versions(test), ==, 3);
 }
 
-/* The calls of an undisturbed publication: read the head, put the bundle, move the head. Each fault
- * hits each call once; the version is made once all the same. */
+/* The calls of an undisturbed publication: read the head, get the base's bundle (if there is one),
+ * put the bundle, move the head. Each fault hits each call once; the version is made once all the
+ * same. */
 static void test_fault_at_each_call(struct publish_test *test, gconstpointer unused)
 {
     static const enum platform_fault_kind kinds[] = {PLATFORM_FAULT_ANSWER_LOST,
@@ -185,7 +191,7 @@
     uint64_t base = 0;
 
     for (guint kind = 0; kind < G_N_ELEMENTS(kinds); kind++) {
-        for (uint32_t call = 0; call < 3; call++) {
+        for (uint32_t call = 0; call < 4; call++) {
             g_autofree char *request_id = g_strdup_printf("r%u", (unsigned)base);
             struct publish_order order =
                 make_order(base % 2 == 0 ? test->first : test->second, request_id, base);
@@ -308,6 +314,78 @@
     g_assert_cmpuint(count_versions(test), ==, 1);
 }
 
+/* Whether a change of databases may follow; keeps what it was asked. */
+struct asked {
+    bool allow;
+    guint count;
+    uint64_t base;
+    char *group;
+};
+
+static bool on_check(void *user, uint64_t base, const GPtrArray *changes, GError **error)
+{
+    struct asked *asked = user;
+
+    asked->count++;
+    asked->base = base;
+    g_assert_cmpuint(changes->len, ==, 1);
+    const struct database_change *change = g_ptr_array_index(changes, 0);
+    g_free(asked->group);
+    asked->group = g_strdup(change->group_name);
+    if (!asked->allow) {
+        g_set_error(error, SW_ERROR, ERROR_KIND_NOT_READY, "not yet");
+    }
+    return asked->allow;
+}
+
+/* The example with one more database in a group. */
+static struct configuration *add_database(void)
+{
+    return parse_example("\"name\": \"toubkal-1\",",
+                         "\"name\": \"toubkal-4\", \"zone\": \"imlil\", \"host\": \"127.0.0.1\", "
+                         "\"port\": 21094, \"slots\": 5, \"connections\": 35}, "
+                         "{\"name\": \"toubkal-1\",");
+}
+
+/* A second change of databases waits until the one before is done; nothing is published then. */
+static void test_change_of_databases(struct publish_test *test, gconstpointer unused)
+{
+    struct asked asked = {0};
+    struct configuration *moved = parse_example("\"port\": 21000", "\"port\": 21091");
+    struct configuration *more = add_database();
+    struct publish_order order = make_order(test->first, "r1", 0);
+
+    assert_published(test, &order, 1);
+    order = make_order(test->second, "r2", 1);
+    order.check = on_check;
+    order.check_user = &asked;
+    assert_published(test, &order, 2);
+    g_assert_cmpuint(asked.count, ==, 0);
+    order = make_order(more, "r3", 2);
+    order.check = on_check;
+    order.check_user = &asked;
+    assert_refused(test, &order, ERROR_KIND_NOT_READY, "not yet");
+    g_assert_cmpuint(asked.base, ==, 2);
+    g_assert_cmpstr(asked.group, ==, "bookings-toubkal");
+    g_assert_cmpuint(count_versions(test), ==, 2);
+    asked.allow = true;
+    assert_published(test, &order, 3);
+    order = make_order(moved, "r4", 3);
+    order.check = on_check;
+    order.check_user = &asked;
+    g_assert_cmpuint(asked.count, ==, 2);
+    assert_refused(test, &order, ERROR_KIND_INVALID_CONFIGURATION,
+                   "one version may add or remove one database of a group, so that majorities "
+                   "before and after share one\n"
+                   "group \"bookings-toubkal\" adds toubkal-1 (127.0.0.1:21091) removes toubkal-4 "
+                   "(127.0.0.1:21094), toubkal-1 (127.0.0.1:21000)");
+    g_assert_cmpuint(asked.count, ==, 2);
+    g_assert_cmpuint(count_versions(test), ==, 3);
+    configuration_unref(moved);
+    configuration_unref(more);
+    g_free(asked.group);
+}
+
 static void add(const char *path, void (*function)(struct publish_test *, gconstpointer))
 {
     g_test_add(path, struct publish_test, NULL, set_up, function, tear_down);
@@ -323,6 +401,7 @@
     add("/publish/unchanged", test_same_bundle_makes_no_version);
     add("/publish/ask-again", test_asking_again_finds_the_version);
     add("/publish/fault-at-each-call", test_fault_at_each_call);
+    add("/publish/change-of-databases", test_change_of_databases);
     add("/publish/throttled/passing", test_throttling_is_waited_out);
     add("/publish/throttled/lasting", test_store_that_throttles_for_good);
     add("/publish/unreachable", test_unreachable_store);
--- a/tests/configuration/test_publish_flow.c
+++ b/tests/configuration/test_publish_flow.c
@@ -108,6 +108,16 @@
     publish_flow_on_version(flow, PLATFORM_RESULT_OK, &row, model_moment(model));
 }
 
+/* The head is at the publisher's base then, or was a moment ago. */
+static void step_check_change(struct model *model, struct publish_flow *flow)
+{
+    bool fails = model_chance(model, MODEL_FAULT_PERCENT);
+
+    g_assert_cmpuint(flow->request.base, >, 0);
+    publish_flow_on_check(flow, fails ? model_failure(model) : PLATFORM_RESULT_OK,
+                          model_moment(model));
+}
+
 static void step_put_bundle(struct model *model, guint publisher)
 {
     bool existed = model->bundle_stored[publisher];
@@ -154,6 +164,9 @@
     case PUBLISH_ACTION_READ_VERSION:
         step_read_version(model, flow);
         break;
+    case PUBLISH_ACTION_CHECK_CHANGE:
+        step_check_change(model, flow);
+        break;
     case PUBLISH_ACTION_PUT_BUNDLE:
         step_put_bundle(model, publisher);
         break;
@@ -288,6 +301,8 @@
     publish_flow_start(&flow, &request);
     g_assert_cmpint(flow.action, ==, PUBLISH_ACTION_READ_HEAD);
     publish_flow_on_head(&flow, PLATFORM_RESULT_OK, &head, moment);
+    g_assert_cmpint(flow.action, ==, PUBLISH_ACTION_CHECK_CHANGE);
+    publish_flow_on_check(&flow, PLATFORM_RESULT_OK, moment);
     g_assert_cmpint(flow.action, ==, PUBLISH_ACTION_PUT_BUNDLE);
     publish_flow_on_bundle(&flow, PLATFORM_RESULT_CONDITION_FAILED, moment);
     g_assert_cmpint(flow.action, ==, PUBLISH_ACTION_MOVE_HEAD);
@@ -401,6 +416,23 @@
     g_assert_cmpint(flow.status, ==, PUBLISH_STATUS_NO_BASE);
 }
 
+/* Nothing is stored or moved for a bundle that may not follow the base. */
+static void test_forbidden_change(void)
+{
+    struct publish_flow flow;
+    struct publish_request request = make_request(0);
+    struct version_row head = row_of(4, 1);
+
+    publish_flow_start(&flow, &request);
+    publish_flow_on_head(&flow, PLATFORM_RESULT_OK, &head, moment);
+    g_assert_cmpint(flow.action, ==, PUBLISH_ACTION_CHECK_CHANGE);
+    publish_flow_on_check(&flow, PLATFORM_RESULT_UNAVAILABLE, moment);
+    wait_for(&flow, PUBLISH_ACTION_CHECK_CHANGE);
+    publish_flow_on_check(&flow, PLATFORM_RESULT_CONDITION_FAILED, moment);
+    g_assert_cmpint(flow.action, ==, PUBLISH_ACTION_FINISH);
+    g_assert_cmpint(flow.status, ==, PUBLISH_STATUS_FORBIDDEN);
+}
+
 static void test_same_bundle_makes_no_version(void)
 {
     struct publish_flow flow;
@@ -425,6 +457,7 @@
     g_test_add_func("/publish-flow/deadline/unknown", test_deadline_after_a_lost_answer_is_unknown);
     g_test_add_func("/publish-flow/deadline/certain", test_deadline_before_the_move_is_certain);
     g_test_add_func("/publish-flow/no-base", test_base_above_the_head);
+    g_test_add_func("/publish-flow/forbidden-change", test_forbidden_change);
     g_test_add_func("/publish-flow/unchanged", test_same_bundle_makes_no_version);
     g_test_add_func("/publish-flow/seeded-races", test_seeded_races);
     return g_test_run();
--- a/tests/ctl/test_golden.c
+++ b/tests/ctl/test_golden.c
@@ -12,8 +12,10 @@
 #define GOLDEN_DIRECTORY "tests/ctl/golden"
 #define ATLAS            "examples/atlas-huts/configuration.json"
 #define CHANGED          "tests/ctl/data/changed.json"
-#define INVALID          "tests/ctl/data/invalid.json"
-#define WORDS_MAX        16
+/* Changes no group's databases. */
+#define PUBLISHED "tests/ctl/data/published.json"
+#define INVALID   "tests/ctl/data/invalid.json"
+#define WORDS_MAX 16
 
 /* A run of swiftctl and the golden file that holds its output. */
 struct golden_run {
@@ -200,10 +202,12 @@
         {"publish-conflict-json",
          {"publish", CHANGED, "--message", "mine", "--author", "kenji", "--base", "0", "-o",
           "json"}},
+        {"publish-databases",
+         {"publish", CHANGED, "--message", "winter rates", "--author", "kenji", "--base", "1"}},
         {"publish-json",
-         {"publish", CHANGED, "--message", "winter rates", "--author", "kenji", "--base", "1",
+         {"publish", PUBLISHED, "--message", "winter rates", "--author", "kenji", "--base", "1",
           "--request-id", "r2", "-o", "json"}},
-        {"publish-unchanged", {"publish", CHANGED, "--message", "again", "--base", "latest"}},
+        {"publish-unchanged", {"publish", PUBLISHED, "--message", "again", "--base", "latest"}},
         {"publish-back",
          {"publish", "@1", "--message", "back", "--author", "amina", "--base", "latest"}},
         {"publish-future", {"publish", ATLAS, "--message", "x", "--base", "99"}},
--- a/tests/daemon/test_configuration.c
+++ b/tests/daemon/test_configuration.c
@@ -215,6 +215,56 @@
     published_stop(test);
 }
 
+static uint64_t promised_term(const struct published_cluster *test, uint32_t database)
+{
+    struct group_runtime *group = daemon_take_group(test->cluster->daemons[0], CLUSTER_GROUP);
+    struct group_view view;
+    group_runtime_read_view(group, &view);
+    group_runtime_unref(group);
+    return view.databases[database].status.promised_term;
+}
+
+/* A daemon whose configuration may have been replaced might count a majority of databases that the
+ * group no longer has: it changes no primary until it is confirmed again. */
+static void test_cut_off_deposes_nobody(void)
+{
+    struct published_cluster *test = start_serving(BOUND_SHORT_MS, DAEMONS);
+    publisher_set_down(test->publisher, true);
+    cluster_stop_daemon(test->cluster, 1);
+    cluster_stop_daemon(test->cluster, 2);
+    AWAIT(!published_status(test, 0).serving);
+    uint64_t promised = promised_term(test, 1);
+    cluster_cut(test->cluster, 0);
+    /* The second attempt begins after the first one's commands were answered, or lost for good. */
+    AWAIT(published_count_events(test, 0, "fence_started", "") >= 2);
+    for (uint32_t i = 1; i < 3; i++) {
+        g_assert_cmpuint(promised_term(test, i), ==, promised);
+    }
+    publisher_set_down(test->publisher, false);
+    published_await(test, 1);
+    g_assert_cmpuint(promised_term(test, 1), >, promised);
+    published_stop(test);
+}
+
+/* The next change of a group's databases waits for the last one, of which its owners tell. */
+static void test_change_of_databases(void)
+{
+    struct published_cluster *test = start_serving(BOUND_LONG_MS, DAEMONS);
+    g_autofree char *first = published_hash(test, 0);
+    g_autofree char *more =
+        published_edit(test, "\"databases\": [",
+                       "\"databases\": [{\"name\": \"one-more\", \"zone\": \"imlil\", "
+                       "\"host\": \"127.0.0.1\", \"port\": 1, \"slots\": 1, "
+                       "\"connections\": 9},");
+    g_autoptr(GString) output = g_string_new(NULL);
+    enum exit_code exit_code = published_by_ctl(test, more, 1, -1, output);
+    g_assert_cmpint(exit_code, ==, EXIT_CODE_REFUSED);
+    g_assert_nonnull(strstr(output->str, "changes its databases"));
+    g_assert_nonnull(strstr(output->str, "daemons may still count by the databases"));
+    published_check_all_have(test, first);
+    published_stop(test);
+}
+
 /* What no daemon can parse is in force nowhere, whatever follows from that, until it is mended. */
 static void test_unfit_bundle(void)
 {
@@ -302,6 +352,8 @@
     g_test_add_func("/daemon/configuration/restart_with_hanging_store",
                     test_restart_with_hanging_store);
     g_test_add_func("/daemon/configuration/cut_off", test_cut_off);
+    g_test_add_func("/daemon/configuration/cut_off_deposes_nobody", test_cut_off_deposes_nobody);
+    g_test_add_func("/daemon/configuration/change_of_databases", test_change_of_databases);
     g_test_add_func("/daemon/configuration/unfit_bundle", test_unfit_bundle);
     g_test_add_func("/daemon/configuration/group_change", test_group_change);
     return g_test_run();
