Refuse zone ids that gossip can't carry

Cause: ids up to 1000000 were valid, but a daemon can't run in a zone with an id of 63 or more, as gossip numbers zones below that; it found out only when it started. A bundle with such an id is now refused, with place and range, by validate, publish and the daemons.

A bundle published earlier with such an id, of a zone without daemons, is not usable any more: publish one with another id before daemons are upgraded.

Before: a case with id 63 gave no fault. After: '63 is out of range; allowed: integer 1 to 62'.

--- a/src/configuration/parse_groups.c
+++ b/src/configuration/parse_groups.c
@@ -3,7 +3,10 @@
 
 #include <gio/gio.h>
 
-#define ZONE_ID_MAX              1000000
+#include "core/membership.h"
+
+/* Gossip between daemons can carry zone numbers below this bound only. */
+#define ZONE_ID_MAX              (MEMBERSHIP_ZONES_MAX - 1)
 #define GROUP_ID_MAX             1000000
 #define DATABASE_SLOTS_MAX       1000
 #define DATABASE_CONNECTIONS_MAX 100000
