Read a published bundle a slice of its tenants at a time

Cause: with 20,000 tenants a daemon's resident size peaked above its budget of 64 MB while a new version came in. json-glib's tree of the whole bundle held it (some 1.7 KB a tenant by these peaks), with what GLib's slice allocator keeps of it afterwards, and the canonical form was made again although published bundles are canonical.

Now a daemon keeps the text as it came and reads 1,000 tenants as a tree at a time. A text that can't be cut, or has any fault, is read as a whole, with the same faults as before.

Ruled out: deriving tenants from the parser's signals, as what they refer to may come later in the text; G_SLICE=always-malloc, which lowers the size between changes but not the peak.

cluster_await_daemon no longer cuts a long list of tenants with head, which failed under pipefail with that many.

--- a/src/configuration/bundle_parser.h
+++ b/src/configuration/bundle_parser.h
@@ -41,6 +41,10 @@
 void bundle_parse_tenants(struct bundle_parser *parser, const struct bundle_place *root,
                           JsonObject *bundle);
 
+/* The same for some tenants, which `section` has. */
+void bundle_parse_tenants_of(struct bundle_parser *parser, const struct bundle_place *root,
+                             JsonObject *section);
+
 /* A section of the bundle, as an object of at most `maximum` members; NULL after a fault. */
 JsonObject *bundle_parse_section(struct bundle_parser *parser, const struct bundle_place *root,
                                  JsonObject *bundle, const char *name, guint maximum);
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -91,6 +91,11 @@
 bool configuration_parse(const char *json, gsize length, const char *source,
                          struct configuration **out, GPtrArray *problems);
 
+/* The same for a bundle that is in its canonical form, as published ones are: it is kept as it is,
+ * which saves making it again, and a large one takes a small part of the memory meanwhile. */
+bool configuration_parse_canonical(GBytes *canonical, const char *source,
+                                   struct configuration **out, GPtrArray *problems);
+
 /* Takes one more reference; from any thread. */
 struct configuration *configuration_ref(struct configuration *configuration);
 
--- a/src/configuration/parse.c
+++ b/src/configuration/parse.c
@@ -1,6 +1,7 @@
 /* Parsing a bundle: the sections in the order in which they refer to each other, then the
  * bundle's canonical form. */
 #include "configuration/bundle_parser.h"
+#include "configuration/bundle_slices.h"
 
 #include <string.h>
 
@@ -133,15 +134,13 @@
     return strcmp((*a)->tenant, (*b)->tenant);
 }
 
-/* Sorts what was read and keeps the canonical form beside it. */
-static void finish(struct configuration *configuration, JsonNode *node)
+/* Sorts what was read. */
+static void sort_sections(struct configuration *configuration)
 {
     g_ptr_array_sort(configuration->zones, compare_zones);
     g_ptr_array_sort(configuration->groups, compare_groups);
     g_ptr_array_sort(configuration->templates, compare_templates);
     g_ptr_array_sort(configuration->tenants, compare_tenants);
-    configuration->canonical = canonical_json(node);
-    configuration->hash = canonical_hash(configuration->canonical);
 }
 
 static bool size_is_allowed(const char *source, gsize length, GPtrArray *problems)
@@ -155,31 +154,138 @@
     return false;
 }
 
+static void start_parser(struct bundle_parser *parser, const char *source, GPtrArray *problems)
+{
+    *parser = (struct bundle_parser){.reader = {source, problems}};
+    parser->configuration = configuration_new();
+    parser->database_names = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    parser->database_addresses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+/* The configuration if there was no fault; NULL else. */
+static struct configuration *end_parser(struct bundle_parser *parser, bool valid)
+{
+    g_hash_table_unref(parser->database_names);
+    g_hash_table_unref(parser->database_addresses);
+    if (!valid) {
+        configuration_unref(parser->configuration);
+        return NULL;
+    }
+    sort_sections(parser->configuration);
+    return parser->configuration;
+}
+
+/* Reads what a tree says; NULL after a fault. The canonical form is left to the caller. */
+static struct configuration *read_tree(JsonNode *node, const char *source, GPtrArray *problems)
+{
+    guint problems_before = problems->len;
+    struct bundle_parser parser;
+
+    start_parser(&parser, source, problems);
+    parse_sections(&parser, node);
+    return end_parser(&parser, problems->len == problems_before);
+}
+
+/* Reads one slice of tenants. */
+static void read_slice(struct bundle_parser *parser, const char *slice)
+{
+    struct bundle_place root = {NULL, NULL};
+    g_autoptr(JsonNode) node = bundle_reader_load(&parser->reader, slice, strlen(slice));
+
+    if (node != NULL && JSON_NODE_HOLDS_OBJECT(node)) {
+        bundle_parse_tenants_of(parser, &root, json_node_get_object(node));
+    }
+}
+
+/* True if the tenants stand in the order of a canonical bundle, so that none is there twice. */
+static bool are_ascending(const GPtrArray *tenants)
+{
+    for (guint i = 1; i < tenants->len; i++) {
+        const struct tenant_route *left = g_ptr_array_index(tenants, i - 1);
+        const struct tenant_route *right = g_ptr_array_index(tenants, i);
+        if (strcmp(left->tenant, right->tenant) >= 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Reads a canonical bundle with a slice of its tenants at a time. NULL if anything is not as
+ * expected: the whole text then tells the faults. */
+static struct configuration *read_slices(const char *json, gsize length, const char *source)
+{
+    g_autoptr(GPtrArray) problems = configuration_problems_new();
+    struct bundle_slices slices;
+    struct bundle_parser parser;
+    struct configuration *configuration = NULL;
+
+    if (bundle_slices_cut(json, length, &slices)) {
+        start_parser(&parser, source, problems);
+        JsonNode *rest = bundle_reader_load(&parser.reader, slices.rest, strlen(slices.rest));
+        if (rest != NULL) {
+            parse_sections(&parser, rest);
+            json_node_unref(rest);
+        }
+        for (guint i = 0; i < slices.slices->len && problems->len == 0; i++) {
+            read_slice(&parser, g_ptr_array_index(slices.slices, i));
+        }
+        const GPtrArray *tenants = parser.configuration->tenants;
+        bool valid = problems->len == 0 && tenants->len <= CONFIGURATION_TENANTS_MAX &&
+                     are_ascending(tenants);
+        configuration = end_parser(&parser, valid);
+    }
+    bundle_slices_clear(&slices);
+    return configuration;
+}
+
+static JsonNode *load_tree(const char *json, gsize length, const char *source, GPtrArray *problems)
+{
+    struct bundle_reader reader = {source, problems};
+
+    return size_is_allowed(source, length, problems) ? bundle_reader_load(&reader, json, length)
+                                                     : NULL;
+}
+
 bool configuration_parse(const char *json, gsize length, const char *source,
                          struct configuration **out, GPtrArray *problems)
 {
-    guint problems_before = problems->len;
-    struct bundle_parser parser = {.reader = {source, problems}};
+    g_autoptr(JsonNode) node = load_tree(json, length, source, problems);
 
-    *out = NULL;
-    if (!size_is_allowed(source, length, problems)) {
+    *out = node != NULL ? read_tree(node, source, problems) : NULL;
+    if (*out == NULL) {
         return false;
     }
-    g_autoptr(JsonNode) node = bundle_reader_load(&parser.reader, json, length);
-    if (node == NULL) {
-        return false;
+    (*out)->canonical = canonical_json(node);
+    (*out)->hash = canonical_hash((*out)->canonical);
+    return true;
+}
+
+/* Reads a whole text at once; NULL after a fault. */
+static struct configuration *read_whole(const char *json, gsize length, const char *source,
+                                        GPtrArray *problems)
+{
+    g_autoptr(JsonNode) node = load_tree(json, length, source, problems);
+
+    return node != NULL ? read_tree(node, source, problems) : NULL;
+}
+
+bool configuration_parse_canonical(GBytes *canonical, const char *source,
+                                   struct configuration **out, GPtrArray *problems)
+{
+    gsize length = 0;
+    const char *json = g_bytes_get_data(canonical, &length);
+
+    *out = NULL;
+    if (json != NULL && length <= CONFIGURATION_BYTES_MAX) {
+        *out = read_slices(json, length, source);
     }
-    parser.configuration = configuration_new();
-    parser.database_names = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    parser.database_addresses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    parse_sections(&parser, node);
-    g_hash_table_unref(parser.database_names);
-    g_hash_table_unref(parser.database_addresses);
-    if (problems->len > problems_before) {
-        configuration_unref(parser.configuration);
+    if (*out == NULL) {
+        *out = read_whole(json != NULL ? json : "", length, source, problems);
+    }
+    if (*out == NULL) {
         return false;
     }
-    finish(parser.configuration, node);
-    *out = parser.configuration;
+    (*out)->canonical = g_bytes_ref(canonical);
+    (*out)->hash = canonical_hash(canonical);
     return true;
 }
--- a/src/configuration/parse_tenants.c
+++ b/src/configuration/parse_tenants.c
@@ -163,19 +163,14 @@
     g_hash_table_insert(parser->configuration->tenants_by_name, route->tenant, route);
 }
 
-void bundle_parse_tenants(struct bundle_parser *parser, const struct bundle_place *root,
-                          JsonObject *bundle)
+void bundle_parse_tenants_of(struct bundle_parser *parser, const struct bundle_place *root,
+                             JsonObject *section)
 {
     struct bundle_place section_place = {root, "tenants"};
-    JsonObject *section =
-        bundle_parse_section(parser, root, bundle, "tenants", CONFIGURATION_TENANTS_MAX);
     JsonObjectIter iterator;
     const char *name = NULL;
     JsonNode *node = NULL;
 
-    if (section == NULL) {
-        return;
-    }
     json_object_iter_init_ordered(&iterator, section);
     while (json_object_iter_next_ordered(&iterator, &name, &node)) {
         struct bundle_place place = {&section_place, name};
@@ -183,3 +178,14 @@
         parse_tenant(parser, &place, name, node);
     }
 }
+
+void bundle_parse_tenants(struct bundle_parser *parser, const struct bundle_place *root,
+                          JsonObject *bundle)
+{
+    JsonObject *section =
+        bundle_parse_section(parser, root, bundle, "tenants", CONFIGURATION_TENANTS_MAX);
+
+    if (section != NULL) {
+        bundle_parse_tenants_of(parser, root, section);
+    }
+}
--- a/src/configuration/publish.c
+++ b/src/configuration/publish.c
@@ -61,9 +61,7 @@
         version_store_get_bundle(run->store, hash, &canonical, &run->last_error);
 
     if (result == PLATFORM_RESULT_OK) {
-        gsize length = 0;
-        const char *text = g_bytes_get_data(canonical, &length);
-        configuration_parse(text != NULL ? text : "", length, "published", configuration, problems);
+        configuration_parse_canonical(canonical, "published", configuration, problems);
     }
     return result;
 }
--- a/src/daemon/configuration_fetch.c
+++ b/src/daemon/configuration_fetch.c
@@ -48,11 +48,9 @@
 static struct configuration *parse(GBytes *content, GPtrArray *problems)
 {
     static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-    gsize length = 0;
-    const char *text = g_bytes_get_data(content, &length);
     struct configuration *configuration = NULL;
     pthread_mutex_lock(&lock);
-    configuration_parse(text != NULL ? text : "", length, "published", &configuration, problems);
+    configuration_parse_canonical(content, "published", &configuration, problems);
     malloc_trim(0);
     pthread_mutex_unlock(&lock);
     return configuration;
--- a/tests/configuration/test_parse.c
+++ b/tests/configuration/test_parse.c
@@ -239,6 +239,119 @@
     }
 }
 
+/* A canonical bundle of so many tenants, enough for several slices. */
+static GString *make_canonical(guint tenants)
+{
+    GString *text = g_string_new(
+        "{\"description\":\"a \\\"tenants\\\":{ in a text\",\"groups\":{\"main\":{\"databases\":[{"
+        "\"connections\":9,\"host\":\"127.0.0.1\",\"name\":\"main-1\",\"port\":21000,\"slots\":1,"
+        "\"zone\":\"north\"}],\"id\":1}},\"templates\":{\"plain\":{\"parameters\":{\"weight\":{"
+        "\"maximum\":1000,\"minimum\":1,\"type\":\"integer\"}},\"route\":{\"group\":\"main\","
+        "\"weight\":{\"parameter\":\"weight\"}}}},\"tenants\":{");
+    for (guint i = 0; i < tenants; i++) {
+        g_string_append_printf(text,
+                               "%s\"t%05u\":{\"description\":\"{,}\\\\\",\"parameters\":{"
+                               "\"weight\":%u},\"template\":\"plain\"}",
+                               i > 0 ? "," : "", i, i % 1000 + 1);
+    }
+    g_string_append(text, "},\"zones\":{\"north\":{\"id\":1}}}");
+    return text;
+}
+
+/* Parses a text both ways. True if it is valid; the faults must be the same. */
+static bool parse_both(const char *text, struct configuration **whole,
+                       struct configuration **canonical)
+{
+    g_autoptr(GPtrArray) whole_problems = configuration_problems_new();
+    g_autoptr(GPtrArray) canonical_problems = configuration_problems_new();
+    g_autoptr(GBytes) bytes = g_bytes_new(text, strlen(text));
+
+    bool valid = configuration_parse(text, strlen(text), "test", whole, whole_problems);
+    bool canonical_valid =
+        configuration_parse_canonical(bytes, "test", canonical, canonical_problems);
+    g_autofree char *whole_faults = configuration_problems_text(whole_problems);
+    g_autofree char *canonical_faults = configuration_problems_text(canonical_problems);
+    g_assert_cmpstr(canonical_faults, ==, whole_faults);
+    g_assert_true(valid == canonical_valid);
+    return valid;
+}
+
+static void check_same(const struct configuration *left, const struct configuration *right)
+{
+    g_assert_cmpstr(configuration_hash(left), ==, configuration_hash(right));
+    g_assert_true(g_bytes_equal(configuration_canonical(left), configuration_canonical(right)));
+    g_assert_cmpuint(left->tenants->len, ==, right->tenants->len);
+    for (guint i = 0; i < left->tenants->len; i++) {
+        const struct tenant_route *route = g_ptr_array_index(left->tenants, i);
+        const struct tenant_route *other = configuration_find_tenant(right, route->tenant);
+        g_assert_nonnull(other);
+        g_assert_true(tenant_route_equal(route, other));
+        g_assert_cmpstr(route->template_name, ==, other->template_name);
+    }
+    g_assert_cmpuint(left->groups->len, ==, right->groups->len);
+    g_assert_cmpuint(left->zones->len, ==, right->zones->len);
+}
+
+/* A canonical bundle reads the same by slices as at once, at the borders of a slice too. */
+static void test_slices_read_the_same(void)
+{
+    static const guint counts[] = {0, 1, 999, 1000, 1001, 2500};
+
+    for (gsize i = 0; i < G_N_ELEMENTS(counts); i++) {
+        struct configuration *whole = NULL;
+        struct configuration *canonical = NULL;
+        g_autoptr(GString) text = make_canonical(counts[i]);
+        bool valid = parse_both(text->str, &whole, &canonical);
+        g_assert_true(valid);
+        g_assert_cmpuint(whole->tenants->len, ==, counts[i]);
+        check_same(whole, canonical);
+        configuration_unref(whole);
+        configuration_unref(canonical);
+    }
+    g_autofree char *example = example_text("atlas-huts");
+    struct configuration *first = parse_text(example);
+    struct configuration *second = NULL;
+    g_autoptr(GPtrArray) problems = configuration_problems_new();
+    bool valid =
+        configuration_parse_canonical(configuration_canonical(first), "test", &second, problems);
+    g_assert_true(valid);
+    check_same(first, second);
+    configuration_unref(first);
+    configuration_unref(second);
+}
+
+/* A fault in any slice, a tenant given in two slices, and cut text give the faults of the whole. */
+static void test_slices_have_the_same_faults(void)
+{
+    static const char *const edits[][2] = {
+        {"\"t02100\":{", "\"t02100\":{\"colour\":1,"},
+        {"\"t00001\":{", "\"t00001\":7,\"t00001x\":{"},
+        {"\"t02100\":{", "\"t00003\":{"},
+        {"\"templates\":{", "\"template\":{"},
+        {"\"tenants\":{\"", "\"tenants\":{,\""},
+        {"},\"zones\"", ",\"zones\""},
+        {"\"tenants\":{", "\"tenants\":["},
+    };
+
+    for (gsize i = 0; i < G_N_ELEMENTS(edits); i++) {
+        struct configuration *whole = NULL;
+        struct configuration *canonical = NULL;
+        g_autoptr(GString) text = make_canonical(2500);
+        guint replaced = g_string_replace(text, edits[i][0], edits[i][1], 1);
+        g_assert_cmpuint(replaced, ==, 1);
+        bool valid = parse_both(text->str, &whole, &canonical);
+        g_assert_false(valid);
+    }
+    for (gsize cut = 1; cut < 400; cut++) {
+        struct configuration *whole = NULL;
+        struct configuration *canonical = NULL;
+        g_autoptr(GString) text = make_canonical(3);
+        g_string_truncate(text, text->len - MIN(cut, text->len));
+        bool valid = parse_both(text->str, &whole, &canonical);
+        g_assert_false(valid);
+    }
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -252,5 +365,7 @@
     g_test_add_func("/configuration/route/equal", test_routes_compare_by_content);
     g_test_add_func("/configuration/route/documented", test_fields_are_documented);
     g_test_add_func("/configuration/references", test_references_keep_it_alive);
+    g_test_add_func("/configuration/slices/same", test_slices_read_the_same);
+    g_test_add_func("/configuration/slices/faults", test_slices_have_the_same_faults);
     return g_test_run();
 }
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -293,7 +293,7 @@
 cluster_await_daemon() {
     local name="daemon-$(($1 + 1))" tenant
     cluster_await_port "$name" "$(cluster_daemon_port "$1" 0)"
-    tenant=$(cluster_tenants | head -n 1)
+    tenant=$(jq -r '.tenants | keys[0]' "$CLUSTER_DIRECTORY/configuration.json")
     if ! cluster_sql_until_done "$1" "$tenant" '{"sql":"SELECT 1","access":"read"}'; then
         cluster_show_log "$name"
         cluster_fail "$name serves no read"
