--- a/src/daemon/control_configuration.c
+++ b/src/daemon/control_configuration.c
@@ -5,6 +5,7 @@
 #include "backend/clock.h"
 #include "daemon/budget_plan.h"
 #include "core/error.h"
+#include "daemon/configuration_content.h"
 #include "daemon/control_configuration_internal.h"
 
 /* How often the members' configurations are looked through. */
@@ -21,7 +22,19 @@
 /* What the journal calls a source. */
 static const char *name_of(const struct fetch_order *order)
 {
-    return order->source == FETCH_SOURCE_PEER ? order->address : "the store";
+    switch (order->source) {
+    case FETCH_SOURCE_PEER:
+        return order->address;
+    case FETCH_SOURCE_PUBLISHER:
+        return "the publisher";
+    default:
+        return "the store";
+    }
+}
+
+bool configuration_is_from_store(const struct fetch_order *order)
+{
+    return order->source == FETCH_SOURCE_HEAD || order->source == FETCH_SOURCE_STORE;
 }
 
 void configuration_note_store(struct control_configuration *self, const struct fetch_result *result)
@@ -225,7 +238,9 @@
                       GArray *actions)
 {
     time_ns now = backend_now();
-    configuration_note_store(self, result);
+    if (configuration_is_from_store(&result->order)) {
+        configuration_note_store(self, result);
+    }
     if (!result->head_known) {
         currency_head_failed(self->currency, now);
         return;
@@ -266,7 +281,8 @@
         note_heard(self, mark, name_of(&result->order));
         self->origin = result;
         currency_fetched(self->currency, mark, now, actions);
-    } else if (result->order.source != FETCH_SOURCE_HEAD) {
+    } else if (result->order.source == FETCH_SOURCE_PEER ||
+               result->order.source == FETCH_SOURCE_STORE) {
         currency_fetch_failed(self->currency, now, actions);
     }
 }
@@ -278,12 +294,28 @@
     perform(self, actions);
     self->origin = NULL;
     g_array_set_size(actions, 0);
-    if (result->order.source != FETCH_SOURCE_PEER) {
+    if (configuration_is_from_store(&result->order) || result->head_known) {
         take_head(self, result, actions);
         perform(self, actions);
     }
 }
 
+/* When most daemons were last known to have what is in force here. */
+static time_ns agreed_at(const struct control_configuration *self, time_ns peers_confirmed_at,
+                         time_ns now)
+{
+    size_t reachable = 0;
+    size_t known = 0;
+    bool newest =
+        currency_applied(self->currency).version != 0 &&
+        currency_applied(self->currency).version == currency_newest(self->currency).version;
+    if (!newest) {
+        return 0;
+    }
+    membership_reach(self->control->membership, now, UINT64_MAX, &reachable, &known);
+    return known <= 1 ? now : peers_confirmed_at;
+}
+
 static void tick_currency(struct control_configuration *self, time_ns now)
 {
     struct membership *membership = self->control->membership;
@@ -296,6 +328,7 @@
     g_autoptr(GArray) actions = g_array_new(FALSE, FALSE, sizeof(struct currency_action));
     currency_tick(self->currency, &evidence, now, actions);
     perform(self, actions);
+    control_groups_settle(self->control, agreed_at(self, evidence.peers_confirmed_at, now), now);
     if (now >= self->next_survey_at) {
         self->next_survey_at = now + SURVEY_INTERVAL_MS * NANOSECONDS_PER_MILLISECOND;
         configuration_survey(self);
@@ -339,6 +372,23 @@
     return control->configuration == NULL || control->configuration->confirmed;
 }
 
+bool control_configuration_hand_over(struct control *control,
+                                     const struct configuration_handover *handover)
+{
+    struct control_configuration *self = control->configuration;
+    if (self == NULL) {
+        return false;
+    }
+    struct fetch_order order = {
+        .source = FETCH_SOURCE_PUBLISHER,
+        .wanted = configuration_mark_of(handover->version, handover->hash),
+        .base = configuration_mark_of(handover->version - 1, handover->base_hash),
+        .content = g_bytes_ref(handover->content),
+    };
+    configuration_fetcher_submit(self->fetcher, &order);
+    return true;
+}
+
 /* Start and stop. */
 
 /* Called on the fetcher's threads. */
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -168,9 +168,9 @@
     cluster_await_port platform "$CLUSTER_PLATFORM_PORT"
 }
 
-# cluster_publish BASE_VERSION MESSAGE: makes the reduced configuration the next version.
+# cluster_publish BASE_VERSION MESSAGE [OPTION...]: makes the reduced configuration the next version.
 cluster_publish() {
-    "$CLUSTER_BUILD/src/ctl/swiftctl" publish --base "$1" --message "$2" --author operator \
+    "$CLUSTER_BUILD/src/ctl/swiftctl" publish --base "$1" --message "$2" --author operator "${@:3}" \
         --table-url "http://127.0.0.1:$CLUSTER_PLATFORM_PORT" "$CLUSTER_DIRECTORY/configuration.json"
 }
 
@@ -294,7 +294,7 @@
 cluster_await_daemon() {
     local name="daemon-$(($1 + 1))" tenant
     cluster_await_port "$name" "$(cluster_daemon_port "$1" 0)"
-    tenant=$(cluster_tenants | head -n 1)
+    tenant=$(jq -r '.tenants | keys[0]' "$CLUSTER_DIRECTORY/configuration.json")
     if ! cluster_sql_until_done "$1" "$tenant" '{"sql":"SELECT 1","access":"read"}'; then
         cluster_show_log "$name"
         cluster_fail "$name serves no read"
