Export metrics of owned groups and their databases

Cause: lag, positions, roles, terms, connections, slots and queues were in `swiftctl status` only; no alert could be set on them.

The registry's metrics live as long as the process, and a group's must end when it goes to other owners. So a collector appends whole families at each scrape, from the groups that are owned at that moment: labels are bounded by what is owned.

Ruled out: gauges added and removed as groups come and go, which needs a registry that forgets, and a lock between it and the control thread.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -71,6 +71,28 @@
     return runtime;
 }
 
+static void release_group(gpointer data)
+{
+    group_runtime_unref(data);
+}
+
+GPtrArray *daemon_list_groups(struct daemon *daemon)
+{
+    GPtrArray *groups = g_ptr_array_new_with_free_func(release_group);
+    rcu_read_lock();
+    struct routing_table *table = rcu_dereference(daemon->table);
+    GHashTableIter iterator;
+    gpointer runtime;
+    if (table != NULL) {
+        g_hash_table_iter_init(&iterator, table->groups);
+        while (g_hash_table_iter_next(&iterator, NULL, &runtime)) {
+            g_ptr_array_add(groups, group_runtime_ref(runtime));
+        }
+    }
+    rcu_read_unlock();
+    return groups;
+}
+
 static void free_table(struct routing_table *table)
 {
     if (table == NULL) {
@@ -81,11 +103,6 @@
     g_free(table);
 }
 
-static void release_group(gpointer data)
-{
-    group_runtime_unref(data);
-}
-
 static struct group_runtime *start_group(struct daemon *daemon,
                                          const struct group_configuration *group,
                                          struct group_runtime *predecessor)
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -71,6 +71,10 @@
 /* A group's run time with one reference, or NULL if this daemon does not own it. Any thread. */
 struct group_runtime *daemon_take_group(struct daemon *daemon, uint32_t group);
 
+/* Run times of all groups that this daemon owns, one reference of each; freed with the array. Any
+ * thread. */
+GPtrArray *daemon_list_groups(struct daemon *daemon);
+
 /* Puts a configuration in force; control thread, or before threads start. Takes a reference. */
 void daemon_set_configuration(struct daemon *daemon, struct configuration *configuration);
 
--- a/src/daemon/daemon_metrics.c
+++ b/src/daemon/daemon_metrics.c
@@ -8,6 +8,7 @@
 #include "core/route.h"
 #include "daemon/control_configuration.h"
 #include "daemon/daemon.h"
+#include "daemon/group_metrics.h"
 #include "daemon/task.h"
 #include "daemon/transaction.h"
 
@@ -159,6 +160,7 @@
 
 void daemon_metrics_watch(struct daemon_metrics *metrics, struct daemon *daemon)
 {
+    metrics_collector(metrics->registry, group_metrics_collect, daemon);
     metrics_gauge_function(metrics->registry, "swiftworks_tasks_open",
                            "Requests begun and not answered.", NULL, read_tasks_open, daemon);
     metrics_gauge_function(metrics->registry, "swiftworks_worker_backlog",
--- a/src/frontend/metrics.c
+++ b/src/frontend/metrics.c
@@ -48,8 +48,10 @@
 };
 
 struct metrics {
-    pthread_mutex_t mutex; /* of the lists, not of the values */
-    GPtrArray *families;   /* of struct metric_family */
+    pthread_mutex_t mutex;                     /* of the lists, not of the values */
+    GPtrArray *families;                       /* of struct metric_family */
+    void (*collect)(GString *out, void *user); /* or NULL; fixed before the first rendering */
+    void *collect_user;
 };
 
 static void member_free(gpointer data)
@@ -368,6 +370,13 @@
     g_string_append_printf(out, "%" G_GUINT64_FORMAT "\n", metric_counter_value(&member->counter));
 }
 
+static void append_head(GString *out, const char *name, const char *help, const char *type)
+{
+    g_string_append_printf(out, "# HELP %s ", name);
+    append_escaped(out, help, false);
+    g_string_append_printf(out, "\n# TYPE %s %s\n", name, type);
+}
+
 static void render_family(GString *out, const struct metric_family *family)
 {
     static const struct {
@@ -378,14 +387,35 @@
         [METRIC_TYPE_GAUGE] = {"gauge", render_gauge},
         [METRIC_TYPE_HISTOGRAM] = {"histogram", render_histogram},
     };
-    g_string_append_printf(out, "# HELP %s ", family->name);
-    append_escaped(out, family->help, false);
-    g_string_append_printf(out, "\n# TYPE %s %s\n", family->name, types[family->type].name);
+    append_head(out, family->name, family->help, types[family->type].name);
     for (guint i = 0; i < family->members->len; i++) {
         types[family->type].render(out, family->name, g_ptr_array_index(family->members, i));
     }
 }
 
+void metrics_append_head(GString *out, const char *name, const char *help,
+                         enum metric_family_type type)
+{
+    append_head(out, name, help, type == METRIC_FAMILY_COUNTER ? "counter" : "gauge");
+}
+
+void metrics_append_sample(GString *out, const char *name, const struct metric_label *labels,
+                           double value)
+{
+    g_autofree char *text = render_labels(labels);
+    append_sample_name(out, name, "", text);
+    append_double(out, value);
+    g_string_append_c(out, '\n');
+}
+
+void metrics_collector(struct metrics *metrics, void (*collect)(GString *out, void *user),
+                       void *user)
+{
+    g_assert(metrics->collect == NULL);
+    metrics->collect = collect;
+    metrics->collect_user = user;
+}
+
 void metrics_render(struct metrics *metrics, GString *out)
 {
     pthread_mutex_lock(&metrics->mutex);
@@ -393,4 +423,7 @@
         render_family(out, g_ptr_array_index(metrics->families, i));
     }
     pthread_mutex_unlock(&metrics->mutex);
+    if (metrics->collect != NULL) {
+        metrics->collect(out, metrics->collect_user);
+    }
 }
--- a/src/frontend/metrics.h
+++ b/src/frontend/metrics.h
@@ -56,6 +56,26 @@
 int64_t metric_gauge_value(const struct metric_gauge *gauge);
 uint64_t metric_histogram_count(const struct metric_histogram *histogram);
 
+/* Families whose series come and go: they are made at each rendering. */
+enum metric_family_type {
+    METRIC_FAMILY_COUNTER,
+    METRIC_FAMILY_GAUGE,
+};
+
+/* Has `collect` append whole families after all others, by the two functions below. It is called on
+ * the thread that renders, without the registry's lock. One collector for each registry, set before
+ * the first rendering. */
+void metrics_collector(struct metrics *metrics, void (*collect)(GString *out, void *user),
+                       void *user);
+
+/* Begins a family. No other metric may have its name. */
+void metrics_append_head(GString *out, const char *name, const char *help,
+                         enum metric_family_type type);
+
+/* Appends one series of the family begun last. */
+void metrics_append_sample(GString *out, const char *name, const struct metric_label *labels,
+                           double value);
+
 /* Appends all metrics, in the order in which their names were first used. */
 void metrics_render(struct metrics *metrics, GString *out);
 
--- a/tests/frontend/test_metrics.c
+++ b/tests/frontend/test_metrics.c
@@ -45,6 +45,34 @@
     metrics_free(metrics);
 }
 
+/* Two series of one family, made at the rendering. */
+static void append_series(GString *out, void *user)
+{
+    const struct metric_label labels[] = {{"database", "a\""}, {NULL, NULL}};
+    metrics_append_head(out, "opened_total", "Opened.", METRIC_FAMILY_COUNTER);
+    metrics_append_sample(out, "opened_total", labels, *(const double *)user);
+    metrics_append_head(out, "limit", "Limit.", METRIC_FAMILY_GAUGE);
+    metrics_append_sample(out, "limit", NULL, 0.5);
+}
+
+static void test_collector(void)
+{
+    struct metrics *metrics = metrics_new();
+    double opened = 3;
+    metrics_gauge(metrics, "depth", "Depth.", NULL);
+    metrics_collector(metrics, append_series, &opened);
+    assert_rendered(metrics, "# HELP depth Depth.\n"
+                             "# TYPE depth gauge\n"
+                             "depth 0\n"
+                             "# HELP opened_total Opened.\n"
+                             "# TYPE opened_total counter\n"
+                             "opened_total{database=\"a\\\"\"} 3\n"
+                             "# HELP limit Limit.\n"
+                             "# TYPE limit gauge\n"
+                             "limit 0.5\n");
+    metrics_free(metrics);
+}
+
 static void test_histogram(void)
 {
     struct metrics *metrics = metrics_new();
@@ -137,6 +165,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/metrics/text", test_text);
+    g_test_add_func("/metrics/collector", test_collector);
     g_test_add_func("/metrics/histogram", test_histogram);
     g_test_add_func("/metrics/found-again", test_found_again);
     g_test_add_func("/metrics/threads", test_threads);
