--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -18,5 +18,6 @@
 extern const struct command command_stop;
 extern const struct command command_explain;
 extern const struct command command_events;
+extern const struct command command_log_level;
 
 #endif
--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -10,7 +10,7 @@
 static const struct command *const commands[] = {
     &command_validate, &command_diff,    &command_publish, &command_history,
     &command_show,     &command_status,  &command_drain,   &command_undrain,
-    &command_stop,     &command_explain, &command_events,
+    &command_stop,     &command_explain, &command_events,  &command_log_level,
 };
 
 static void write_help(GString *output)
--- a/src/daemon/admin_api.c
+++ b/src/daemon/admin_api.c
@@ -8,6 +8,7 @@
 
 #include "core/error.h"
 #include "daemon/admin_explain.h"
+#include "daemon/admin_log.h"
 #include "daemon/admin_status.h"
 #include "daemon/control_configuration.h"
 #include "daemon/control.h"
@@ -135,6 +136,25 @@
     }
 }
 
+static void handle_log_level(const struct admin_request *request, struct admin_answer *answer,
+                             void *user)
+{
+    g_autoptr(GError) error = NULL;
+    if (!admin_log_write(admin_query_text(request, "part"), answer->body, &error)) {
+        admin_answer_error(answer, error);
+    }
+}
+
+static void handle_set_log_level(const struct admin_request *request, struct admin_answer *answer,
+                                 void *user)
+{
+    g_autoptr(GError) error = NULL;
+    if (!admin_log_set(user, admin_query_text(request, "part"), admin_query_text(request, "level"),
+                       answer->body, &error)) {
+        admin_answer_error(answer, error);
+    }
+}
+
 static bool is_ready(GString *reason, void *user)
 {
     struct daemon *daemon = user;
@@ -161,6 +181,8 @@
     admin_route(daemon->admin, "GET", "/v1/status", handle_status, daemon);
     admin_route(daemon->admin, "GET", "/v1/events", handle_events, daemon);
     admin_route(daemon->admin, "GET", "/v1/explain", handle_explain, daemon);
+    admin_route(daemon->admin, "GET", "/v1/log-level", handle_log_level, daemon);
+    admin_route(daemon->admin, "POST", "/v1/log-level", handle_set_log_level, daemon);
     admin_route(daemon->admin, "POST", "/v1/drain", handle_drain, daemon);
     admin_route(daemon->admin, "POST", "/v1/undrain", handle_undrain, daemon);
     admin_route(daemon->admin, "POST", "/v1/stop", handle_stop, daemon);
--- a/tests/ctl/test_golden.c
+++ b/tests/ctl/test_golden.c
@@ -59,6 +59,15 @@
     {"GET /v1/explain?request=unheard-of", 200,
      "{\"daemon\":\"d1\",\"request\":\"unheard-of\",\"reaches_to\":\"2026-02-14T10:00:00Z\","
      "\"records\":[]}"},
+    {"GET /v1/log-level", 200,
+     "{\"parts\":[{\"part\":\"admin\",\"level\":\"message\"},"
+     "{\"part\":\"requests\",\"level\":\"info\"}]}"},
+    {"GET /v1/log-level?part=requests", 200,
+     "{\"parts\":[{\"part\":\"requests\",\"level\":\"info\"}]}"},
+    {"POST /v1/log-level?part=requests&level=debug", 200,
+     "{\"parts\":[{\"part\":\"requests\",\"level\":\"debug\"}]}"},
+    {"POST /v1/log-level?part=x&level=debug", 400,
+     "{\"error\":{\"kind\":\"bad_request\",\"text\":\"The log has no part x.\"}}"},
     {"GET /v1/events?since=0", 200, "[{\"at\":1,\"event\":\"started\"}]"},
 };
 
@@ -158,7 +167,7 @@
 static void test_help(void)
 {
     static const char *const commands[] = {"validate", "diff",  "publish", "history",
-                                           "show",     "drain", "explain"};
+                                           "show",     "drain", "explain", "log-level"};
     static const struct golden_run overview = {"help", {"--help"}};
     static const struct golden_run nothing = {"no-command", {NULL}};
     static const struct golden_run unknown = {"unknown-command", {"frobnicate"}};
@@ -266,6 +275,11 @@
         {"explain-two-tenants-usage", {"explain", "toubkal", "hut-lepiney"}},
         {"status-two-daemons-usage", {"status", "-a", "http://a:1", "-a", "http://b:1"}},
         {"explain-usage", {"explain", "hut-lepiney", "--access", "delete"}},
+        {"log-level", {"log-level"}},
+        {"log-level-part", {"log-level", "requests"}},
+        {"log-level-set", {"log-level", "requests", "debug", "-o", "json"}},
+        {"log-level-refused", {"log-level", "x", "debug"}},
+        {"log-level-usage", {"log-level", "requests", "debug", "now"}},
         {"events", {"events"}},
         {"events-usage", {"events", "--since", "-1"}},
     };
