--- a/src/ctl/command.c
+++ b/src/ctl/command.c
@@ -19,6 +19,17 @@
 #define ENVIRONMENT_ACCESS_KEY "AWS_ACCESS_KEY_ID"
 #define ENVIRONMENT_SECRET_KEY "AWS_SECRET_ACCESS_KEY"
 
+/* Adds options to the context, or hands them over where they are asked for. */
+static void add_entries(GOptionContext *context, struct invocation *invocation,
+                        const GOptionEntry *entries)
+{
+    if (invocation->list != NULL) {
+        invocation->list(invocation->list_user, entries);
+    } else {
+        g_option_context_add_main_entries(context, entries, NULL);
+    }
+}
+
 static void add_common_entries(GOptionContext *context, struct invocation *invocation,
                                gboolean *help)
 {
@@ -31,7 +42,7 @@
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
 
-    g_option_context_add_main_entries(context, entries, NULL);
+    add_entries(context, invocation, entries);
 }
 
 static void add_platform_entries(GOptionContext *context, struct invocation *invocation)
@@ -47,7 +58,7 @@
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
 
-    g_option_context_add_main_entries(context, entries, NULL);
+    add_entries(context, invocation, entries);
 }
 
 static void add_admin_entries(GOptionContext *context, struct invocation *invocation)
@@ -59,7 +70,7 @@
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
 
-    g_option_context_add_main_entries(context, entries, NULL);
+    add_entries(context, invocation, entries);
 }
 
 static GOptionContext *make_context(const struct command *command, struct invocation *invocation,
@@ -76,7 +87,7 @@
     g_option_context_set_summary(context, summary);
     g_option_context_set_description(context, examples);
     if (entries != NULL) {
-        g_option_context_add_main_entries(context, entries, NULL);
+        add_entries(context, invocation, entries);
     }
     if (command->options & COMMAND_OPTIONS_PLATFORM) {
         add_platform_entries(context, invocation);
@@ -159,6 +170,10 @@
     g_autoptr(GOptionContext) context = make_context(command, invocation, entries, &help);
     g_autoptr(GError) error = NULL;
 
+    if (invocation->list != NULL) {
+        *exit_code = EXIT_CODE_DONE;
+        return false;
+    }
     invocation->timeout_ms = DEFAULT_TIMEOUT_MS;
     bool parsed = parse_options(context, command, invocation, &error);
     if (parsed && help) {
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -32,6 +32,10 @@
     char *region;
     char **admin_urls; /* --admin, NULL if not given */
     gint timeout_ms;
+
+    /* Instead of a run: command_parse hands over each list of options, and ends the command. */
+    void (*list)(void *user, const GOptionEntry *entries);
+    void *list_user;
 };
 
 /* One command. */
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -20,4 +20,10 @@
 extern const struct command command_events;
 extern const struct command command_log_level;
 
+/* On swiftctl itself. */
+extern const struct command command_completion;
+
+/* All commands, in the order of --help. */
+const struct command *const *command_list(guint *count);
+
 #endif
--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -5,14 +5,20 @@
 
 #include "ctl/commands.h"
 
-#define NAME_WIDTH 10
+#define NAME_WIDTH 12
 
 static const struct command *const commands[] = {
-    &command_validate, &command_diff,    &command_publish, &command_history,
-    &command_show,     &command_status,  &command_drain,   &command_undrain,
-    &command_stop,     &command_explain, &command_events,  &command_log_level,
+    &command_validate, &command_diff,      &command_publish,    &command_history, &command_show,
+    &command_status,   &command_drain,     &command_undrain,    &command_stop,    &command_explain,
+    &command_events,   &command_log_level, &command_completion,
 };
 
+const struct command *const *command_list(guint *count)
+{
+    *count = G_N_ELEMENTS(commands);
+    return commands;
+}
+
 static void write_help(GString *output)
 {
     g_string_append(output, "Usage:\n  swiftctl COMMAND [OPTION...] [OPERAND...]\n\nCommands:\n");
--- a/tests/ctl/test_golden.c
+++ b/tests/ctl/test_golden.c
@@ -201,6 +201,7 @@
         {"show-tenant-json", {"show", "tenant", "hut-lepiney", "--from", ATLAS, "-o", "json"}},
         {"show-tenant-absent", {"show", "tenant", "nobody", "--from", ATLAS}},
         {"show-group", {"show", "group", "availability", "--from", ATLAS}},
+        {"completion-usage", {"completion", "fish"}},
         {"show-usage", {"show", "group", "--from", ATLAS}},
     };
 
