Wait for the end of a drain, and show it on a terminal

Cause: after `swiftctl drain` an operator had to poll `status` at every owner of the group, and slots in use there do not count open transactions.

Owners tell each other in their opinions which databases they use (an optional field, at most 4 octets, outside the core), so that one is asked. A database counts as unused half a second after its last request or connection in use, which covers requests routed by an older view; an owner that has not told for 4 s may use it. Progress is one line on standard error, on a terminal only. A wait that ends before the drain has exit code 9 and says what was missing.

`swiftctl` shows objects within an answer as rows (`configuration.version`) and their lists as tables: stragglers were JSON in a cell. `status` has connections in use, and those that the database accepts in all, beside this owner's part.

Ruled out: asking every owner from swiftctl: their admin listeners are on loopback by default, and their ports are not known.

With connections in use left out of the mask, daemon-drain-wait fails (`exit 0, expected 9`).

--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -4,6 +4,7 @@
 #define SW_CTL_COMMAND_H
 
 #include <stdbool.h>
+#include <stdio.h>
 
 #include <glib.h>
 
@@ -25,6 +26,7 @@
     GString *errors;  /* for standard error */
     char *format;     /* --output */
     bool json;
+    FILE *terminal; /* where progress is shown; NULL: nowhere */
     char *table_url;
     char *object_url;
     char *bucket;
--- a/src/ctl/command_admin.c
+++ b/src/ctl/command_admin.c
@@ -1,6 +1,4 @@
-/* swiftctl status, drain, undrain, stop and events: calls of a daemon's admin listener. */
-#include <string.h>
-
+/* swiftctl status, stop and events: calls of a daemon's admin listener. */
 #include "ctl/admin_client.h"
 #include "ctl/commands.h"
 
@@ -46,40 +44,6 @@
     return run_plain(command, invocation, "POST", "/v1/stop");
 }
 
-/* Drain and undrain take "database NAME" or "daemon". */
-static enum exit_code run_drain_path(const struct command *command, struct invocation *invocation,
-                                     const char *path)
-{
-    enum exit_code exit_code = EXIT_CODE_DONE;
-    g_autoptr(GString) query = g_string_new(NULL);
-
-    if (!command_parse(command, invocation, NULL, &exit_code)) {
-        return exit_code;
-    }
-    const char *what = command_operand(invocation, 0);
-    const char *name = command_operand(invocation, 1);
-    if (strcmp(what, "database") == 0 && name != NULL) {
-        admin_query_add(query, "database", name);
-    } else if (strcmp(what, "daemon") == 0 && name == NULL) {
-        admin_query_add(query, "daemon", "self");
-    } else {
-        g_autofree char *text =
-            g_strconcat(command->name, " database NAME, or ", command->name, " daemon", NULL);
-        return command_fail_text(invocation, EXIT_CODE_USAGE, "usage", text);
-    }
-    return admin_client_call(invocation, "POST", path, query->str);
-}
-
-static enum exit_code run_drain(const struct command *command, struct invocation *invocation)
-{
-    return run_drain_path(command, invocation, "/v1/drain");
-}
-
-static enum exit_code run_undrain(const struct command *command, struct invocation *invocation)
-{
-    return run_drain_path(command, invocation, "/v1/undrain");
-}
-
 const struct command command_status = {
     .name = "status",
     .operands = "",
@@ -89,30 +53,6 @@
     .run = run_status,
 };
 
-const struct command command_drain = {
-    .name = "drain",
-    .operands = "database NAME | daemon",
-    .summary = "Marks a database, or the daemon asked, as leaving.",
-    .details = "It gets no new work, and what runs there ends undisturbed.",
-    .examples = "  swiftctl drain database toubkal-1\n"
-                "  swiftctl drain daemon --admin http://10.0.0.7:7070\n",
-    .operands_min = 1,
-    .operands_max = 2,
-    .options = COMMAND_OPTIONS_ADMIN,
-    .run = run_drain,
-};
-
-const struct command command_undrain = {
-    .name = "undrain",
-    .operands = "database NAME | daemon",
-    .summary = "Takes the mark of leaving back.",
-    .examples = "  swiftctl undrain database toubkal-1\n",
-    .operands_min = 1,
-    .operands_max = 2,
-    .options = COMMAND_OPTIONS_ADMIN,
-    .run = run_undrain,
-};
-
 const struct command command_stop = {
     .name = "stop",
     .operands = "",
--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -37,7 +37,8 @@
                     "  5  no such file, version, tenant or group, or no record of the request\n"
                     "  6  the store or daemon did not answer; nothing was changed\n"
                     "  7  the change may have taken effect; ask again\n"
-                    "  8  the daemon refused\n");
+                    "  8  the daemon refused\n"
+                    "  9  what was waited for goes on; ask again\n");
 }
 
 static const struct command *find_command(const char *name)
@@ -64,7 +65,13 @@
 
 enum exit_code ctl_run(const char *const *words, GString *output, GString *errors)
 {
-    struct invocation invocation = {.output = output, .errors = errors};
+    return ctl_run_shown(words, output, errors, NULL);
+}
+
+enum exit_code ctl_run_shown(const char *const *words, GString *output, GString *errors,
+                             FILE *terminal)
+{
+    struct invocation invocation = {.output = output, .errors = errors, .terminal = terminal};
 
     if (words[0] == NULL) {
         write_help(errors);
--- a/src/ctl/exit_code.h
+++ b/src/ctl/exit_code.h
@@ -15,6 +15,7 @@
     EXIT_CODE_UNAVAILABLE = 6, /* the store or daemon did not answer; nothing was changed */
     EXIT_CODE_UNKNOWN = 7,     /* the change may have taken effect; ask again */
     EXIT_CODE_REFUSED = 8,     /* the daemon refused */
+    EXIT_CODE_NOT_YET = 9,     /* what was waited for goes on; ask again */
 };
 
 /* The exit code that fits an error; EXIT_CODE_INTERNAL for one of another domain. */
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -1,6 +1,7 @@
 /* swiftctl: the operators' program. */
 #include <locale.h>
 #include <stdio.h>
+#include <unistd.h>
 
 #include "ctl/ctl.h"
 
@@ -10,7 +11,9 @@
     g_autoptr(GString) errors = g_string_new(NULL);
 
     setlocale(LC_ALL, "");
-    enum exit_code exit_code = ctl_run((const char *const *)argv + 1, output, errors);
+    FILE *terminal = isatty(STDERR_FILENO) ? stderr : NULL;
+    enum exit_code exit_code =
+        ctl_run_shown((const char *const *)argv + 1, output, errors, terminal);
     fputs(output->str, stdout);
     fputs(errors->str, stderr);
     return exit_code;
--- a/src/ctl/output.c
+++ b/src/ctl/output.c
@@ -193,26 +193,39 @@
     }
 }
 
-static void write_object(JsonObject *object, GString *output)
+/* Adds an object's values as rows, and its tables after them; those of an object within it under
+ * its name and a dot. */
+static void add_object(JsonObject *object, const char *prefix, struct output_table *table,
+                       GString *tables)
 {
-    static const char *const columns[] = {"key", "value", NULL};
-    struct output_table *table = output_table_new(columns);
-    g_autoptr(GString) tables = g_string_new(NULL);
     JsonObjectIter iterator;
     const char *name = NULL;
     JsonNode *value = NULL;
 
     json_object_iter_init_ordered(&iterator, object);
     while (json_object_iter_next_ordered(&iterator, &name, &value)) {
+        g_autofree char *path = g_strconcat(prefix, name, NULL);
         if (is_table(value)) {
-            g_string_append_printf(tables, "\n%s:\n", name);
+            g_string_append_printf(tables, "\n%s:\n", path);
             write_array(json_node_get_array(value), tables);
+        } else if (JSON_NODE_HOLDS_OBJECT(value) && !is_position(value)) {
+            g_autofree char *inner = g_strconcat(path, ".", NULL);
+            add_object(json_node_get_object(value), inner, table, tables);
         } else {
             g_autofree char *text = value_text(value);
-            output_table_add(table, name);
+            output_table_add(table, path);
             output_table_add(table, text);
         }
     }
+}
+
+static void write_object(JsonObject *object, GString *output)
+{
+    static const char *const columns[] = {"key", "value", NULL};
+    struct output_table *table = output_table_new(columns);
+    g_autoptr(GString) tables = g_string_new(NULL);
+
+    add_object(object, "", table, tables);
     if (table->cells->len > 0) {
         output_table_write(table, output);
     }
--- a/src/daemon/admin_api.c
+++ b/src/daemon/admin_api.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "core/error.h"
+#include "daemon/admin_drain.h"
 #include "daemon/admin_explain.h"
 #include "daemon/admin_log.h"
 #include "daemon/admin_status.h"
@@ -65,6 +66,27 @@
     configuration_unref(configuration);
 }
 
+/* Tells how far the drain of a database is. */
+static void tell_progress(struct admin_answer *answer, struct daemon *daemon, const char *database)
+{
+    struct configuration *configuration = daemon_take_configuration(daemon);
+    uint32_t index = 0;
+    const struct group_configuration *group =
+        configuration != NULL ? configuration_find_database(configuration, database, &index) : NULL;
+    struct group_runtime *runtime = group != NULL ? daemon_take_group(daemon, group->id) : NULL;
+    if (group == NULL) {
+        refuse(answer, ERROR_KIND_BAD_REQUEST, "No database has this name.");
+    } else if (runtime == NULL) {
+        refuse_elsewhere(answer, daemon, group->id);
+    } else {
+        if (!admin_drain_database(daemon, runtime, database, answer->body)) {
+            refuse(answer, ERROR_KIND_NOT_READY, "The database is not in the group here yet.");
+        }
+        group_runtime_unref(runtime);
+    }
+    configuration_unref(configuration);
+}
+
 /* Marks the named database, or this daemon, as leaving or not. */
 static void mark(const struct admin_request *request, struct admin_answer *answer,
                  struct daemon *daemon, bool leaving)
@@ -87,6 +109,20 @@
     mark(request, answer, user, true);
 }
 
+/* How far a drain is, of a database of an owned group or of this daemon. */
+static void handle_drain_progress(const struct admin_request *request, struct admin_answer *answer,
+                                  void *user)
+{
+    const char *database = admin_query_text(request, "database");
+    if (admin_query_text(request, "daemon") != NULL) {
+        admin_drain_daemon(user, answer->body);
+    } else if (database != NULL) {
+        tell_progress(answer, user, database);
+    } else {
+        refuse(answer, ERROR_KIND_BAD_REQUEST, "Name a database, or daemon=self.");
+    }
+}
+
 static void handle_undrain(const struct admin_request *request, struct admin_answer *answer,
                            void *user)
 {
@@ -183,6 +219,7 @@
     admin_route(daemon->admin, "GET", "/v1/explain", handle_explain, daemon);
     admin_route(daemon->admin, "GET", "/v1/log-level", handle_log_level, daemon);
     admin_route(daemon->admin, "POST", "/v1/log-level", handle_set_log_level, daemon);
+    admin_route(daemon->admin, "GET", "/v1/drain", handle_drain_progress, daemon);
     admin_route(daemon->admin, "POST", "/v1/drain", handle_drain, daemon);
     admin_route(daemon->admin, "POST", "/v1/undrain", handle_undrain, daemon);
     admin_route(daemon->admin, "POST", "/v1/stop", handle_stop, daemon);
--- /dev/null
+++ b/src/daemon/admin_drain.h
@@ -0,0 +1,20 @@
+/* The JSON of how far a drain is. Any thread. */
+#ifndef SW_DAEMON_ADMIN_DRAIN_H
+#define SW_DAEMON_ADMIN_DRAIN_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+struct daemon;
+struct group_runtime;
+
+/* Of a database, by all owners' word: {"database", "leaving", "role", "slots_in_use",
+ * "connections_in_use", "owners": [{"address", "known", "unused"}], "owners_unused",
+ * "owners_count", "safe"}. False if the group does not have it. */
+bool admin_drain_database(struct daemon *daemon, struct group_runtime *group, const char *name,
+                          GString *out);
+
+/* Of this daemon: {"daemon", "leaving", "groups", "transactions_open", "tasks_open", "safe"}. */
+void admin_drain_daemon(struct daemon *daemon, GString *out);
+
+#endif
--- a/src/daemon/admin_status.c
+++ b/src/daemon/admin_status.c
@@ -30,7 +30,9 @@
     admin_json_flag(builder, "leaving", database->status.leaving);
     admin_json_number(builder, "round_trip_us", database->round_trip_us);
     admin_json_number(builder, "connections_open", counters.open);
+    admin_json_number(builder, "connections_in_use", counters.in_use);
     admin_json_number(builder, "connections_limit", counters.limit);
+    admin_json_number(builder, "connections_accepted", runtime->configuration.connections);
     admin_json_number(builder, "slots_in_use", atomic_load(&runtime->in_flight));
     admin_json_number(builder, "slots", runtime->configuration.slots);
     json_builder_end_object(builder);
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -247,8 +247,10 @@
     for (uint32_t i = 0; i < count; i++) {
         if (entries[i].self) {
             owners->self = true;
+            owners->self_watcher = entries[i].watcher;
             continue;
         }
+        owners->watchers[owners->count] = entries[i].watcher;
         memcpy(owners->addresses[owners->count++], entries[i].address_text, ADDRESS_TEXT_SIZE);
     }
 }
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -25,6 +25,8 @@
     bool self; /* this daemon is one of them */
     uint32_t count;
     char addresses[OWNERS_MAX][ADDRESS_TEXT_SIZE]; /* the others' peer addresses, nearest first */
+    uint64_t watchers[OWNERS_MAX];                 /* ids in opinions, in the same order */
+    uint64_t self_watcher;                         /* this daemon's, if it is an owner */
 };
 
 /* Starts the thread. The daemon's configuration is in force already. */
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -155,6 +155,42 @@
                   on_command_done, pending);
 }
 
+/* Bit per database that has requests or connections in use here. */
+static uint32_t busy_databases(struct group_runtime *runtime)
+{
+    uint32_t busy = 0;
+    for (uint32_t i = 0; i < runtime->database_count; i++) {
+        struct database_runtime *database = &runtime->databases[i];
+        struct pool_counters pool = pool_counters(database->pool);
+        pthread_mutex_lock(&database->admission_lock);
+        uint32_t queued = database->admission.queued;
+        pthread_mutex_unlock(&database->admission_lock);
+        bool used = queued > 0 || pool.in_use > 0 || pool.waiting > 0 ||
+                    atomic_load(&database->in_flight) > 0;
+        busy |= used ? UINT32_C(1) << i : 0;
+    }
+    return busy;
+}
+
+/* What this daemon uses of the group now; kept here as well as told. */
+static uint32_t note_own_uses(struct controlled_group *group, uint64_t watcher)
+{
+    struct group_uses *uses = &group->runtime->uses;
+    time_ns now = backend_now();
+    uint32_t used = group_uses_own(uses, group_control_view(group->machine),
+                                   busy_databases(group->runtime), now);
+    group_uses_note(uses, watcher, used, now);
+    return used;
+}
+
+void control_groups_note_uses(struct control *control, uint32_t id, uint64_t watcher, uint32_t used)
+{
+    struct controlled_group *group = find_group(control, id);
+    if (group != NULL) {
+        group_uses_note(&group->runtime->uses, watcher, used, backend_now());
+    }
+}
+
 /* Sends this watcher's opinion to the other owners of the group. */
 static void send_opinion(struct controlled_group *group, const struct group_opinion *opinion)
 {
@@ -173,6 +209,8 @@
         .promised = opinion->promised,
         .change = opinion->change,
         .drained = opinion->drained,
+        .has_uses = true,
+        .uses = note_own_uses(group, opinion->watcher),
     };
     control_ownership_entries(group->control, group->id, owners, &count);
     for (uint32_t i = 0; i < count; i++) {
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -117,6 +117,9 @@
 void control_groups_start(struct control *control);
 void control_groups_stop(struct control *control);
 void control_groups_feed(struct control *control, uint32_t id, const struct group_event *event);
+/* Keeps what another owner tells of its use of the group's databases. */
+void control_groups_note_uses(struct control *control, uint32_t id, uint64_t watcher,
+                              uint32_t used);
 void control_groups_feed_runtime(struct control *control, uint32_t runtime,
                                  const struct group_event *event);
 void control_groups_tick(struct control *control, time_ns now);
--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -184,6 +184,9 @@
                     .drained = opinion->drained},
     };
     control_groups_feed(control, opinion->group, &event);
+    if (opinion->has_uses) {
+        control_groups_note_uses(control, opinion->group, opinion->watcher, opinion->uses);
+    }
 }
 
 void control_members_receive(struct control *control, time_ns now)
--- a/src/daemon/group_runtime.c
+++ b/src/daemon/group_runtime.c
@@ -231,6 +231,7 @@
     runtime->group = copy_group(group);
     runtime->database_count = group->database_count;
     pthread_mutex_init(&runtime->writes_lock, NULL);
+    group_uses_init(&runtime->uses);
     retry_budget_init(&runtime->retry_budget);
     runtime->gate = tenant_gate_new();
     active_calls_init(&runtime->calls);
@@ -263,6 +264,7 @@
     struct published_view *last = caa_container_of(runtime->view, struct published_view, view);
     call_rcu(&last->head, free_published_view);
     pthread_mutex_destroy(&runtime->writes_lock);
+    group_uses_clear(&runtime->uses);
     tenant_gate_free(runtime->gate);
     active_calls_clear(&runtime->calls);
     free_group(runtime->group);
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -15,6 +15,7 @@
 #include "core/types.h"
 #include "daemon/tenant_gate.h"
 #include "daemon/active_calls.h"
+#include "daemon/group_uses.h"
 
 struct evidence_link;
 struct shared_pool;
@@ -58,6 +59,7 @@
     struct retry_budget retry_budget;
     struct tenant_gate *gate;
     struct active_calls calls;
+    struct group_uses uses;            /* what its owners tell of their use of the databases */
     struct evidence_service *evidence; /* the daemon's */
     uint32_t evidence_group;           /* its number there */
     struct evidence_link *link;        /* one reference */
--- /dev/null
+++ b/src/daemon/group_uses.c
@@ -0,0 +1,78 @@
+/* Owners' use of a group's databases; see the header. */
+#include "daemon/group_uses.h"
+
+#include <string.h>
+
+/* How long a database must not have been busy. */
+#define QUIET_MS 500
+
+void group_uses_init(struct group_uses *uses)
+{
+    memset(uses, 0, sizeof(*uses));
+    pthread_mutex_init(&uses->lock, NULL);
+}
+
+void group_uses_clear(struct group_uses *uses)
+{
+    pthread_mutex_destroy(&uses->lock);
+}
+
+static bool may_be_used(const struct database_view *database)
+{
+    return !database->status.leaving || database->status.role != DATABASE_ROLE_REPLICA;
+}
+
+uint32_t group_uses_own(struct group_uses *uses, const struct group_view *view, uint32_t busy,
+                        time_ns now)
+{
+    uint32_t used = 0;
+    for (uint32_t i = 0; i < view->database_count; i++) {
+        uint32_t bit = UINT32_C(1) << i;
+        if ((busy & bit) != 0 || may_be_used(&view->databases[i])) {
+            uses->quiet_since[i] = 0;
+            used |= bit;
+            continue;
+        }
+        if (uses->quiet_since[i] == 0) {
+            uses->quiet_since[i] = now;
+        }
+        if (now - uses->quiet_since[i] < QUIET_MS * NANOSECONDS_PER_MILLISECOND) {
+            used |= bit;
+        }
+    }
+    return used;
+}
+
+/* The owner's entry, or the one that was told longest ago. Called with the lock held. */
+static struct owner_uses *place_of(struct group_uses *uses, uint64_t watcher)
+{
+    struct owner_uses *oldest = &uses->owners[0];
+    for (uint32_t i = 0; i < GROUP_USES_OWNERS_MAX; i++) {
+        if (uses->owners[i].watcher == watcher) {
+            return &uses->owners[i];
+        }
+        if (uses->owners[i].at < oldest->at) {
+            oldest = &uses->owners[i];
+        }
+    }
+    return oldest;
+}
+
+void group_uses_note(struct group_uses *uses, uint64_t watcher, uint32_t used, time_ns now)
+{
+    pthread_mutex_lock(&uses->lock);
+    struct owner_uses *owner = place_of(uses, watcher);
+    *owner = (struct owner_uses){.watcher = watcher, .used = used, .at = now};
+    pthread_mutex_unlock(&uses->lock);
+}
+
+bool group_uses_is_unused(struct group_uses *uses, uint64_t watcher, uint32_t database, time_ns now,
+                          bool *known)
+{
+    pthread_mutex_lock(&uses->lock);
+    struct owner_uses owner = *place_of(uses, watcher);
+    pthread_mutex_unlock(&uses->lock);
+    time_ns until = owner.at + GROUP_USES_FRESH_MS * NANOSECONDS_PER_MILLISECOND;
+    *known = owner.watcher == watcher && now <= until;
+    return *known && (owner.used & (UINT32_C(1) << database)) == 0;
+}
--- a/tests/ctl/test_golden.c
+++ b/tests/ctl/test_golden.c
@@ -30,7 +30,8 @@
 
 static const struct admin_answer admin_answers[] = {
     {"GET /v1/status", 200,
-     "{\"daemon\":\"d1\",\"zone\":\"imlil\",\"configuration\":{\"version\":3},"
+     "{\"daemon\":\"d1\",\"zone\":\"imlil\",\"configuration\":{\"version\":3,\"straggler_count\":1,"
+     "\"stragglers\":[{\"id\":\"1f\",\"address\":\"127.0.0.1:7400\",\"version\":2}]},"
      "\"databases\":[{\"name\":\"toubkal-1\",\"role\":\"primary\",\"term\":4},"
      "{\"name\":\"toubkal-2\",\"role\":\"replica\",\"term\":4}],"
      "\"groups\":[{\"name\":\"bookings\",\"id\":1,\"databases\":[{\"name\":\"a\",\"role\":"
@@ -38,6 +39,11 @@
      "{\"name\":\"empty\",\"id\":2,\"databases\":[]},"
      "{\"name\":\"search\",\"id\":3,\"databases\":[{\"name\":\"b\",\"role\":\"replica\"}]}]}"},
     {"POST /v1/drain?database=toubkal-1", 200, "{\"draining\":\"toubkal-1\"}"},
+    {"GET /v1/drain?database=toubkal-1", 200,
+     "{\"database\":\"toubkal-1\",\"leaving\":true,\"role\":\"replica\",\"owners_unused\":3,"
+     "\"owners_count\":3,\"safe\":true}"},
+    {"GET /v1/drain?daemon=self", 200,
+     "{\"daemon\":\"d1\",\"leaving\":true,\"groups\":2,\"transactions_open\":1,\"safe\":false}"},
     {"POST /v1/drain?daemon=self", 200, "{\"draining\":\"d1\"}"},
     {"POST /v1/undrain?database=a%20b", 404,
      "{\"error\":{\"kind\":\"bad_request\",\"text\":\"no database a b\"}}"},
@@ -265,6 +271,8 @@
         {"status-json", {"status", "--output", "json"}},
         {"drain-database", {"drain", "database", "toubkal-1"}},
         {"drain-daemon", {"drain", "daemon"}},
+        {"drain-wait", {"drain", "database", "toubkal-1", "--wait"}},
+        {"drain-wait-not-yet", {"drain", "daemon", "--wait", "--timeout-ms", "300"}},
         {"drain-usage", {"drain", "toubkal-1"}},
         {"undrain-refused", {"undrain", "database", "a b"}},
         {"stop-refused", {"stop", "-o", "json"}},
