--- a/src/configuration/problem.c
+++ b/src/configuration/problem.c
@@ -18,16 +18,22 @@
     return g_ptr_array_new_with_free_func(problem_free);
 }
 
+/* json-glib makes no UTF-8 of half a surrogate pair ("\\ud800"), which a fault may quote. */
+static char *whole_characters(const char *text)
+{
+    return text != NULL ? g_utf8_make_valid(text, -1) : NULL;
+}
+
 void configuration_problems_add(GPtrArray *problems, const char *source, const char *path,
                                 const char *value, const char *fault, const char *allowed)
 {
     struct configuration_problem *problem = g_new0(struct configuration_problem, 1);
 
     problem->source = g_strdup(source);
-    problem->path = g_strdup(path);
-    problem->value = g_strdup(value);
-    problem->fault = g_strdup(fault);
-    problem->allowed = g_strdup(allowed);
+    problem->path = whole_characters(path);
+    problem->value = whole_characters(value);
+    problem->fault = whole_characters(fault);
+    problem->allowed = whole_characters(allowed);
     g_ptr_array_add(problems, problem);
 }
 
--- a/tests/configuration/test_parse_faults.c
+++ b/tests/configuration/test_parse_faults.c
@@ -47,6 +47,9 @@
 #define IDENTIFIER_RULE "1 to 63 characters of a-z, 0-9 and '_', starting with a letter or a digit"
 
 static const struct fault_case cases[] = {
+    {"half-surrogate", "\"imlil\"", "\"\\ud800\"",
+     "b.json: line 19, column 13: the text is not JSON (Parse error: unexpected string constant "
+     "\"\uFFFD\uFFFD\uFFFD: {\", expected character `:'); allowed: JSON in UTF-8\n"},
     {"not-json", "\"zones\": {\"north\"", "\"zones\" {\"north\"",
      "b.json: line 2, column 7: the text is not JSON (Parse error: unexpected string constant "
      "\"zones\", expected character `:'); allowed: JSON in UTF-8\n"},
