--- a/tests/ctl/test_golden.c
+++ b/tests/ctl/test_golden.c
@@ -1,5 +1,6 @@
 /* swiftctl's whole output, exit codes included, against golden files. Runs from the root of the
  * source tree. */
+#include "ctl/commands.h"
 #include "ctl/ctl.h"
 
 #include <arpa/inet.h>
@@ -75,6 +76,15 @@
     {"POST /v1/log-level?part=x&level=debug", 400,
      "{\"error\":{\"kind\":\"bad_request\",\"text\":\"The log has no part x.\"}}"},
     {"GET /v1/events?since=0", 200, "[{\"at\":1,\"event\":\"started\"}]"},
+    {"GET /a/v1/events?since=0", 200,
+     "{\"daemon\":\"d1\",\"events\":["
+     "{\"sequence\":8,\"time\":\"2026-02-14T10:00:01.000002Z\",\"kind\":\"suspected\",\"term\":4},"
+     "{\"sequence\":9,\"time\":\"2026-02-14T10:00:03.000000Z\",\"kind\":\"promoted\",\"term\":5}]"
+     "}"},
+    {"GET /b/v1/events?since=0", 200,
+     "{\"daemon\":\"d2\",\"events\":["
+     "{\"sequence\":3,\"time\":\"2026-02-14T10:00:02.000000Z\",\"kind\":\"confirmed\",\"term\":4}]"
+     "}"},
 };
 
 /* Keeps the URL with its query, as sent. */
@@ -172,8 +182,8 @@
 
 static void test_help(void)
 {
-    static const char *const commands[] = {"validate", "diff",  "publish", "history",
-                                           "show",     "drain", "explain", "log-level"};
+    guint count = 0;
+    const struct command *const *commands = command_list(&count);
     static const struct golden_run overview = {"help", {"--help"}};
     static const struct golden_run nothing = {"no-command", {NULL}};
     static const struct golden_run unknown = {"unknown-command", {"frobnicate"}};
@@ -181,9 +191,9 @@
     run_golden(&overview);
     run_golden(&nothing);
     run_golden(&unknown);
-    for (gsize i = 0; i < G_N_ELEMENTS(commands); i++) {
-        g_autofree char *golden = g_strconcat("help-", commands[i], NULL);
-        struct golden_run run = {golden, {commands[i], "--help"}};
+    for (guint i = 0; i < count; i++) {
+        g_autofree char *golden = g_strconcat("help-", commands[i]->name, NULL);
+        struct golden_run run = {golden, {commands[i]->name, "--help"}};
         run_golden(&run);
     }
 }
@@ -264,6 +274,21 @@
     refusing_port_close(&refusing);
 }
 
+/* The events of two daemons and of one that is down, in one order. */
+static void run_timeline(const char *url, const char *down)
+{
+    g_autofree char *first = g_strconcat(url, "/a", NULL);
+    g_autofree char *second = g_strconcat(url, "/b", NULL);
+    const struct golden_run runs[] = {
+        {"events-timeline", {"events", "-a", second, "-a", first, "-a", down}},
+        {"events-timeline-json", {"events", "-a", first, "-a", second, "-o", "json"}},
+        {"events-timeline-down", {"events", "-a", down, "-a", down}},
+        {"events-timeline-usage", {"events", "-a", first, "-a", second, "--since", "3"}},
+    };
+
+    run_all(runs, G_N_ELEMENTS(runs));
+}
+
 static void test_admin(void)
 {
     static const struct golden_run runs[] = {
@@ -300,8 +325,9 @@
 
     g_setenv("SWIFTWORKS_ADMIN_URL", url, TRUE);
     run_all(runs, G_N_ELEMENTS(runs));
-    MHD_stop_daemon(daemon);
     refusing_port_open(&refusing);
+    run_timeline(url, refusing.url);
+    MHD_stop_daemon(daemon);
     g_setenv("SWIFTWORKS_ADMIN_URL", refusing.url, TRUE);
     run_golden(&down);
     refusing_port_close(&refusing);
