Note refusal storms as events

From 50 refusals within a second on, of kinds that may be sent again, there is one event `refusals_began`, and once there were fewer than 10 a second for 5 s, `refusals_ended`, with count, time and foremost kind. A refusal costs one relaxed atomic addition; the control thread looks once a second.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -110,6 +110,21 @@
     peer_pool_close_idle(control->daemon->peers, idle_since);
 }
 
+/* Notes the begin and the end of a refusal storm. */
+static void refusals_tick(struct control *control, time_ns now)
+{
+    struct refusal_note note = refusal_watch_look(&control->daemon->refusals, now);
+    if (note.change == REFUSAL_CHANGE_NONE) {
+        return;
+    }
+    struct journal_entry entry = {.database = -1};
+    bool began = note.change == REFUSAL_CHANGE_BEGAN;
+    g_strlcpy(entry.kind, began ? "refusals_began" : "refusals_ended", sizeof(entry.kind));
+    g_snprintf(entry.text, sizeof(entry.text), "%" G_GUINT64_FORMAT " in %u s, most %s", note.count,
+               note.seconds, error_entry_of(note.foremost)->name);
+    journal_add(control->journal, &entry);
+}
+
 static void *control_main(void *data)
 {
     struct control *control = data;
@@ -125,6 +140,7 @@
         control_groups_tick(control, now);
         control_budget_tick(control->budget, now);
         peers_tick(control, now);
+        refusals_tick(control, now);
         transaction_table_expire(control->daemon->transactions, now, false);
     }
     return NULL;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -9,6 +9,7 @@
 
 #include "configuration/configuration.h"
 #include "daemon/group_runtime.h"
+#include "daemon/refusal_watch.h"
 #include "daemon/worker_pool.h"
 #include "frontend/frontend.h"
 #include "generated/messages.h"
@@ -50,6 +51,7 @@
     struct admin *admin;
     struct journal *journal;
     struct decision_log *decisions;
+    struct refusal_watch refusals;
     struct configuration_share *configuration_share; /* what other daemons get of it */
     _Atomic time_ns serve_until; /* latest time up to which the configuration in force may serve */
     _Atomic bool ready;          /* the control thread runs: other daemons are served */
--- /dev/null
+++ b/src/daemon/refusal_watch.c
@@ -0,0 +1,75 @@
+/* Refusal storms; see the header. */
+#include "daemon/refusal_watch.h"
+
+#include <string.h>
+
+void refusal_watch_count(struct refusal_watch *watch, enum error_kind kind)
+{
+    if (error_entry_of(kind)->retry == ERROR_RETRY_YES) {
+        atomic_fetch_add_explicit(&watch->counts[kind], 1, memory_order_relaxed);
+    }
+}
+
+/* Refusals since the last look, by kind. Returns their sum. */
+static uint64_t take_counts(struct refusal_watch *watch, uint64_t fresh[ERROR_KIND_COUNT])
+{
+    uint64_t sum = 0;
+    for (int kind = 0; kind < ERROR_KIND_COUNT; kind++) {
+        uint64_t count = atomic_load_explicit(&watch->counts[kind], memory_order_relaxed);
+        fresh[kind] = count - watch->seen[kind];
+        watch->seen[kind] = count;
+        sum += fresh[kind];
+    }
+    return sum;
+}
+
+static struct refusal_note make_note(const struct refusal_watch *watch, enum refusal_change change)
+{
+    struct refusal_note note = {.change = change, .seconds = watch->seconds};
+    for (int kind = 0; kind < ERROR_KIND_COUNT; kind++) {
+        note.count += watch->storm[kind];
+        if (watch->storm[kind] > watch->storm[note.foremost]) {
+            note.foremost = (enum error_kind)kind;
+        }
+    }
+    return note;
+}
+
+static struct refusal_note begin(struct refusal_watch *watch, const uint64_t *fresh)
+{
+    watch->is_storm = true;
+    watch->seconds = 1;
+    watch->quiet = 0;
+    memcpy(watch->storm, fresh, sizeof(watch->storm));
+    return make_note(watch, REFUSAL_CHANGE_BEGAN);
+}
+
+static struct refusal_note go_on(struct refusal_watch *watch, const uint64_t *fresh, uint64_t sum)
+{
+    for (int kind = 0; kind < ERROR_KIND_COUNT; kind++) {
+        watch->storm[kind] += fresh[kind];
+    }
+    watch->seconds++;
+    watch->quiet = sum < REFUSALS_END_PER_SECOND ? watch->quiet + 1 : 0;
+    if (watch->quiet < REFUSALS_QUIET_SECONDS) {
+        return (struct refusal_note){.change = REFUSAL_CHANGE_NONE};
+    }
+    watch->is_storm = false;
+    watch->seconds -= REFUSALS_QUIET_SECONDS;
+    return make_note(watch, REFUSAL_CHANGE_ENDED);
+}
+
+struct refusal_note refusal_watch_look(struct refusal_watch *watch, time_ns now)
+{
+    struct refusal_note none = {.change = REFUSAL_CHANGE_NONE};
+    uint64_t fresh[ERROR_KIND_COUNT];
+    if (now < watch->look_at) {
+        return none;
+    }
+    watch->look_at = now + NANOSECONDS_PER_SECOND;
+    uint64_t sum = take_counts(watch, fresh);
+    if (watch->is_storm) {
+        return go_on(watch, fresh, sum);
+    }
+    return sum >= REFUSALS_BEGIN_PER_SECOND ? begin(watch, fresh) : none;
+}
--- a/src/daemon/task_decision.c
+++ b/src/daemon/task_decision.c
@@ -185,5 +185,8 @@
     record->at_us = g_get_real_time();
     record->took_us = (now - task->started_at) / (NANOSECONDS_PER_MILLISECOND / 1000);
     decision_log_add(task->daemon->decisions, record);
+    if (record->outcome == OUTCOME_REFUSED) {
+        refusal_watch_count(&task->daemon->refusals, record->error);
+    }
     log_not_done(record);
 }
