--- a/src/ctl/command.c
+++ b/src/ctl/command.c
@@ -19,6 +19,17 @@
 #define ENVIRONMENT_ACCESS_KEY "AWS_ACCESS_KEY_ID"
 #define ENVIRONMENT_SECRET_KEY "AWS_SECRET_ACCESS_KEY"
 
+/* Adds options to the context, or hands them over where they are asked for. */
+static void add_entries(GOptionContext *context, struct invocation *invocation,
+                        const GOptionEntry *entries)
+{
+    if (invocation->list != NULL) {
+        invocation->list(invocation->list_user, entries);
+    } else {
+        g_option_context_add_main_entries(context, entries, NULL);
+    }
+}
+
 static void add_common_entries(GOptionContext *context, struct invocation *invocation,
                                gboolean *help)
 {
@@ -31,7 +42,7 @@
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
 
-    g_option_context_add_main_entries(context, entries, NULL);
+    add_entries(context, invocation, entries);
 }
 
 static void add_platform_entries(GOptionContext *context, struct invocation *invocation)
@@ -47,19 +58,19 @@
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
 
-    g_option_context_add_main_entries(context, entries, NULL);
+    add_entries(context, invocation, entries);
 }
 
 static void add_admin_entries(GOptionContext *context, struct invocation *invocation)
 {
     const GOptionEntry entries[] = {
-        {"admin", 'a', 0, G_OPTION_ARG_STRING, &invocation->admin_url,
+        {"admin", 'a', 0, G_OPTION_ARG_STRING_ARRAY, &invocation->admin_urls,
          "The daemon's admin listener (or " ENVIRONMENT_ADMIN_URL "; " DEFAULT_ADMIN_URL ")",
          "URL"},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
 
-    g_option_context_add_main_entries(context, entries, NULL);
+    add_entries(context, invocation, entries);
 }
 
 static GOptionContext *make_context(const struct command *command, struct invocation *invocation,
@@ -76,7 +87,7 @@
     g_option_context_set_summary(context, summary);
     g_option_context_set_description(context, examples);
     if (entries != NULL) {
-        g_option_context_add_main_entries(context, entries, NULL);
+        add_entries(context, invocation, entries);
     }
     if (command->options & COMMAND_OPTIONS_PLATFORM) {
         add_platform_entries(context, invocation);
@@ -124,6 +135,12 @@
                     command->operands);
         return false;
     }
+    bool several = invocation->admin_urls != NULL && g_strv_length(invocation->admin_urls) > 1;
+    if (several && !(command->options & COMMAND_OPTIONS_ADMINS)) {
+        g_set_error(error, G_OPTION_ERROR, G_OPTION_ERROR_BAD_VALUE,
+                    "--admin may be given once: %s asks one daemon", command->name);
+        return false;
+    }
     if (invocation->timeout_ms <= 0) {
         g_set_error(error, G_OPTION_ERROR, G_OPTION_ERROR_BAD_VALUE,
                     "--timeout-ms must be above 0");
@@ -153,6 +170,10 @@
     g_autoptr(GOptionContext) context = make_context(command, invocation, entries, &help);
     g_autoptr(GError) error = NULL;
 
+    if (invocation->list != NULL) {
+        *exit_code = EXIT_CODE_DONE;
+        return false;
+    }
     invocation->timeout_ms = DEFAULT_TIMEOUT_MS;
     bool parsed = parse_options(context, command, invocation, &error);
     if (parsed && help) {
@@ -238,7 +259,10 @@
     return true;
 }
 
-const char *command_admin_url(const struct invocation *invocation)
+const char *command_admin_url(const struct invocation *invocation, guint index)
 {
-    return setting(invocation->admin_url, ENVIRONMENT_ADMIN_URL, DEFAULT_ADMIN_URL);
+    if (invocation->admin_urls != NULL && invocation->admin_urls[0] != NULL) {
+        return index < g_strv_length(invocation->admin_urls) ? invocation->admin_urls[index] : NULL;
+    }
+    return index == 0 ? setting(NULL, ENVIRONMENT_ADMIN_URL, DEFAULT_ADMIN_URL) : NULL;
 }
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -16,6 +16,7 @@
 #include "daemon/configuration_share.h"
 #include "daemon/control.h"
 #include "daemon/daemon_metrics.h"
+#include "daemon/decision_log.h"
 #include "daemon/foreign_traffic.h"
 #include "daemon/journal.h"
 #include "daemon/task.h"
@@ -75,6 +76,28 @@
     return runtime;
 }
 
+static void release_group(gpointer data)
+{
+    group_runtime_unref(data);
+}
+
+GPtrArray *daemon_list_groups(struct daemon *daemon)
+{
+    GPtrArray *groups = g_ptr_array_new_with_free_func(release_group);
+    rcu_read_lock();
+    struct routing_table *table = rcu_dereference(daemon->table);
+    GHashTableIter iterator;
+    gpointer runtime;
+    if (table != NULL) {
+        g_hash_table_iter_init(&iterator, table->groups);
+        while (g_hash_table_iter_next(&iterator, NULL, &runtime)) {
+            g_ptr_array_add(groups, group_runtime_ref(runtime));
+        }
+    }
+    rcu_read_unlock();
+    return groups;
+}
+
 static void free_table(struct routing_table *table)
 {
     if (table == NULL) {
@@ -85,11 +108,6 @@
     g_free(table);
 }
 
-static void release_group(gpointer data)
-{
-    group_runtime_unref(data);
-}
-
 static struct group_runtime *start_group(struct daemon *daemon,
                                          const struct group_configuration *group,
                                          struct group_runtime *predecessor)
@@ -434,6 +452,7 @@
     name_deployment(daemon);
     daemon->metrics = daemon_metrics_new();
     daemon->journal = journal_new();
+    daemon->decisions = decision_log_new(settings->daemon.decisions_kept);
     daemon->configuration_share = configuration_share_new();
     daemon->workers = worker_pool_new(daemon->settings.daemon.worker_threads,
                                       daemon->settings.daemon.request_queue);
@@ -518,6 +537,7 @@
     evidence_free(daemon->evidence);
     token_keys_free(daemon->token_keys);
     journal_free(daemon->journal);
+    decision_log_free(daemon->decisions);
     configuration_share_free(daemon->configuration_share);
     daemon_metrics_free(daemon->metrics);
     rcu_barrier();
--- a/src/daemon/forward.c
+++ b/src/daemon/forward.c
@@ -8,6 +8,7 @@
 #include "daemon/control.h"
 #include "daemon/daemon.h"
 #include "daemon/task_begin.h"
+#include "daemon/task_decision.h"
 #include "daemon/task_transaction.h"
 #include "daemon/transaction.h"
 
@@ -152,6 +153,7 @@
         answer_not_forwarded(task, ERROR_KIND_DEADLINE);
         return true;
     }
+    task_note_forward(task, address);
     enum peer_call_result result = send_request(task, address, now, &in);
     if (result == PEER_CALL_NOT_SENT) {
         return false;
