Count queued reads as load when a read is routed

Cause: a read's route looked at the slots taken only. Where all are taken, replicas look alike but for the distance: reads queued at the nearest, and the others were chosen only at a moment in which they had a free slot. With shared slots that also kept an owner from asking for slots at the others.

--- a/src/core/route.h
+++ b/src/core/route.h
@@ -40,10 +40,11 @@
     uint32_t max_staleness_ms;   /* bound for what the session has not seen; 0 = no bound */
     uint32_t zone;               /* of the deciding daemon */
     time_ns now;
-    uint32_t guard_wait_max_ms;              /* longest wait at a replica for the position */
-    uint32_t excluded;                       /* bit per database already tried */
-    uint32_t in_flight[GROUP_DATABASES_MAX]; /* statements running per database */
-    uint32_t slots[GROUP_DATABASES_MAX];     /* statements it runs at once; 0 = unlimited */
+    uint32_t guard_wait_max_ms; /* longest wait at a replica for the position */
+    uint32_t excluded;          /* bit per database already tried */
+    uint32_t
+        in_flight[GROUP_DATABASES_MAX];  /* requests that run or wait for a slot, per database */
+    uint32_t slots[GROUP_DATABASES_MAX]; /* statements it runs at once; 0 = unlimited */
     bool replicas_allowed;
     bool primary_allowed; /* the primary's read allowance is not spent */
     uint64_t random;      /* breaks ties between equals */
--- a/src/daemon/admin_status.c
+++ b/src/daemon/admin_status.c
@@ -278,7 +278,8 @@
         .primary_allowed = true,
     };
     for (uint32_t i = 0; i < group->database_count; i++) {
-        request.in_flight[i] = atomic_load(&group->databases[i].in_flight);
+        request.in_flight[i] =
+            atomic_load(&group->databases[i].in_flight) + atomic_load(&group->databases[i].queued);
         request.slots[i] = group->databases[i].configuration.slots;
     }
     return route_read(view, &request);
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -26,8 +26,10 @@
     struct shared_pool *shared;                  /* one reference */
     pthread_mutex_t admission_lock;              /* guards admission */
     struct admission admission;
-    _Atomic time_ns probed_at;  /* last extra probe that a read asked for */
-    _Atomic uint32_t in_flight; /* slots taken by this daemon, for routing without the lock */
+    _Atomic time_ns probed_at; /* last extra probe that a read asked for */
+    /* For routing without the lock: slots taken by this daemon, and requests queued for one. */
+    _Atomic uint32_t in_flight;
+    _Atomic uint32_t queued;
 };
 
 /* Fixed settings of a group's run time. */
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -228,6 +228,7 @@
         task->slot_since = now;
         atomic_fetch_add(&runtime->in_flight, 1);
     }
+    atomic_store(&runtime->queued, runtime->admission.queued);
     pthread_mutex_unlock(&runtime->admission_lock);
     /* Once queued, another thread may run the task: nothing of it may be touched any more. */
     if (verdict == ADMISSION_REFUSED) {
@@ -254,6 +255,7 @@
         worker_pool_resume(daemon->workers, &task->job);
         ticket = admission_next(&runtime->admission, now, &admitted);
     }
+    atomic_store(&runtime->queued, runtime->admission.queued);
 }
 
 void task_expire_queued(struct daemon *daemon, struct group_runtime *group, time_ns now)
@@ -268,6 +270,7 @@
             worker_pool_resume(daemon->workers, &task->job);
             ticket = admission_take_expired(&database->admission, now);
         }
+        atomic_store(&database->queued, database->admission.queued);
         pthread_mutex_unlock(&database->admission_lock);
     }
 }
--- a/src/daemon/task_read.c
+++ b/src/daemon/task_read.c
@@ -41,7 +41,7 @@
     struct route_read_request *route = &task->read_flow.options.route;
     for (uint32_t i = 0; i < task->group->database_count; i++) {
         const struct database_runtime *database = &task->group->databases[i];
-        route->in_flight[i] = atomic_load(&database->in_flight);
+        route->in_flight[i] = atomic_load(&database->in_flight) + atomic_load(&database->queued);
         route->slots[i] = database->configuration.slots;
     }
     route->primary_allowed = primary_read_allowed(task);
--- a/src/sim/overload_load.h
+++ b/src/sim/overload_load.h
@@ -6,7 +6,7 @@
 
 /* The time of the load, and of the half load that follows. */
 #define OVERLOAD_TIME      (8 * SIM_SECOND)
-#define OVERLOAD_REST_TIME (6 * SIM_SECOND)
+#define OVERLOAD_REST_TIME (10 * SIM_SECOND)
 
 struct overload_load;
 
