--- a/src/daemon/group_runtime.c
+++ b/src/daemon/group_runtime.c
@@ -250,6 +250,11 @@
     return runtime;
 }
 
+uint32_t database_runtime_load(const struct database_runtime *database)
+{
+    return atomic_load(&database->in_flight) + atomic_load(&database->queued);
+}
+
 bool group_runtime_is_shared(const struct group_runtime *runtime)
 {
     return atomic_load(&runtime->references) > 1;
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -27,8 +27,10 @@
     struct shared_pool *shared;                  /* one reference */
     pthread_mutex_t admission_lock;              /* guards admission */
     struct admission admission;
-    _Atomic time_ns probed_at;  /* last extra probe that a read asked for */
-    _Atomic uint32_t in_flight; /* slots taken by this daemon, for routing without the lock */
+    _Atomic time_ns probed_at; /* last extra probe that a read asked for */
+    /* For routing without the lock: slots taken by this daemon, and requests queued for one. */
+    _Atomic uint32_t in_flight;
+    _Atomic uint32_t queued;
 };
 
 /* Fixed settings of a group's run time. */
@@ -96,6 +98,10 @@
 /* True if anybody besides the caller holds a reference. */
 bool group_runtime_is_shared(const struct group_runtime *runtime);
 
+/* Load of a database for routing: requests of this daemon that hold one of its slots or wait for
+ * one. Any thread. */
+uint32_t database_runtime_load(const struct database_runtime *database);
+
 /* Copies the newest view. Any thread, no lock (RCU). */
 void group_runtime_read_view(struct group_runtime *runtime, struct group_view *view);
 
