Run the control of groups in the hollow fleet, and faults of its databases

The fleet measured how a found change of primary spreads, not the change: no group_control ran, and databases had no state. Each owner now runs the real group_control of its groups, paced as the control thread and the prober do it (probes_per_second over the databases watched), over a model of databases with terms, promises and logs; opinions pass the real codec. A new primary is published to those that route to it.

The report gives each part of a change (detect, fence, promote, learn) and the whole, what both sides of a cut region serve, and the store's refused reads. A change for which fewer than a majority of the databases were left is counted apart (changes_blocked).

--- a/src/sim/scale_daemon.c
+++ b/src/sim/scale_daemon.c
@@ -23,6 +23,18 @@
 
 /* -- Currency -- */
 
+/* Counts a read against the store's rate, second by second. */
+static bool store_refuses(struct scale_fleet *fleet)
+{
+    time_ns second = fleet_now(fleet) / NANOSECONDS_PER_SECOND;
+    if (second != fleet->store_second) {
+        fleet->store_second = second;
+        fleet->store_reads = 0;
+    }
+    fleet->store_reads++;
+    return fleet->options.store_rate > 0 && fleet->store_reads > fleet->options.store_rate;
+}
+
 /* Asks the store something; the answer comes as an event, with number 0 if it can't. */
 static void ask_store(struct scale_fleet *fleet, struct scale_daemon *daemon,
                       enum scale_event_kind kind, time_ns work)
@@ -33,6 +45,7 @@
         .life = daemon->life,
         .number = fleet->publications->len - 1,
     };
+    bool refused = fleet->store_up && store_refuses(fleet);
     bool answered = fleet->store_up && scale_network_arrival(fleet->network, daemon->zone,
                                                              STORE_ZONE, true, &event.at);
     if (!answered) {
@@ -41,6 +54,10 @@
     } else {
         event.at += work + (event.at - fleet_now(fleet));
     }
+    if (refused) {
+        event.number = 0;
+        daemon->counters.store_refused++;
+    }
     daemon->counters.store_reads++;
     scale_network_add(fleet->network, &event);
 }
@@ -377,6 +394,9 @@
     case MESSAGE_KIND_BUDGET_NOTICE:
         scale_holdings_notice(fleet, daemon, &message.budget_notice);
         break;
+    case MESSAGE_KIND_OPINION:
+        scale_control_opinion(fleet, daemon, &message.opinion);
+        break;
     default:
         break;
     }
@@ -400,6 +420,10 @@
     case SCALE_EVENT_FETCHED:
         fetch_answered(fleet, daemon, event->number);
         return;
+    case SCALE_EVENT_ANSWER:
+        scale_control_answered(fleet, daemon, event->payload);
+        scale_payload_free(event->payload);
+        return;
     default:
         scale_holdings_event(fleet, daemon, event);
         return;
@@ -417,6 +441,11 @@
         return;
     }
     scale_cpu_begin(fleet);
+    if (event->kind == SCALE_EVENT_CONTROL) {
+        scale_control_due(fleet, daemon, event);
+        scale_cpu_end(fleet, daemon);
+        return;
+    }
     dispatch(fleet, daemon, event);
     perform_membership(fleet, daemon);
     schedule_wakeup(fleet, daemon);
--- /dev/null
+++ b/src/sim/scale_database.c
@@ -0,0 +1,269 @@
+/* The databases of the hollow fleet as control sees them: roles, terms, promises and logs; and the
+ * loss of their machines. Commands follow standins/database: a term is promised to one coordinator
+ * only. A replica in reach of its primary holds all that the primary does. */
+#include "sim/scale_fleet_internal.h"
+
+/* A database answers after this time, besides the way. */
+#define STATUS_TIME  (100 * 1000)
+#define COMMAND_TIME (2 * NANOSECONDS_PER_MILLISECOND)
+
+/* A primary's log grows by one entry in this time. */
+#define ENTRY_TIME NANOSECONDS_PER_MILLISECOND
+
+static struct scale_database *database_at(const struct scale_fleet *fleet, uint32_t group,
+                                          uint32_t place)
+{
+    return &fleet->databases[group * SCALE_GROUP_DATABASES + place];
+}
+
+void scale_databases_init(struct scale_fleet *fleet)
+{
+    uint32_t regions = fleet->options.network.zones / fleet->options.network.zones_per_region;
+    for (uint32_t group = 0; group < fleet->group_count; group++) {
+        fleet->groups[group].log_at = scale_network_now(fleet->network);
+        if (!fleet->options.watch.enabled) {
+            continue;
+        }
+        fleet->groups[group].term = 1;
+        uint32_t primary = group / MAX(1, regions) % SCALE_GROUP_DATABASES;
+        for (uint32_t place = 0; place < SCALE_GROUP_DATABASES; place++) {
+            database_at(fleet, group, place)->status = (struct database_status){
+                .role = place == primary ? DATABASE_ROLE_PRIMARY : DATABASE_ROLE_REPLICA,
+                .term = 1,
+                .promised_term = 1,
+                .held = {1, 1},
+                .applied = {1, 1},
+            };
+        }
+    }
+}
+
+static bool leads(const struct scale_database *database)
+{
+    const struct database_status *status = &database->status;
+    return !database->down && status->role == DATABASE_ROLE_PRIMARY &&
+           status->promised_term == status->term;
+}
+
+int32_t scale_fleet_primary(const struct scale_fleet *fleet, uint32_t group)
+{
+    int32_t primary = -1;
+    uint64_t term = 0;
+    for (uint32_t place = 0; place < SCALE_GROUP_DATABASES; place++) {
+        const struct scale_database *database = database_at(fleet, group, place);
+        if (leads(database) && database->status.term > term) {
+            term = database->status.term;
+            primary = (int32_t)place;
+        }
+    }
+    return primary;
+}
+
+static bool replicates(const struct scale_fleet *fleet, const struct scale_database *replica,
+                       const struct scale_database *primary)
+{
+    const struct database_status *status = &replica->status;
+    return !replica->down && status->role == DATABASE_ROLE_REPLICA &&
+           status->term == primary->status.term && status->promised_term == status->term &&
+           !scale_network_is_cut(fleet->network, primary->zone, replica->zone);
+}
+
+/* Lets the group's log grow until now. */
+static void advance_log(struct scale_fleet *fleet, uint32_t group)
+{
+    time_ns now = scale_network_now(fleet->network);
+    uint64_t entries = (now - fleet->groups[group].log_at) / ENTRY_TIME;
+    int32_t place = scale_fleet_primary(fleet, group);
+    fleet->groups[group].log_at += entries * ENTRY_TIME;
+    if (place < 0) {
+        return;
+    }
+    struct scale_database *primary = database_at(fleet, group, (uint32_t)place);
+    primary->status.held.offset += entries;
+    primary->status.applied = primary->status.held;
+    for (uint32_t i = 0; i < SCALE_GROUP_DATABASES; i++) {
+        struct scale_database *replica = database_at(fleet, group, i);
+        if (replicates(fleet, replica, primary)) {
+            replica->status.held = primary->status.held;
+            replica->status.applied = primary->status.held;
+        }
+    }
+}
+
+/* -- Commands -- */
+
+static bool fence(struct scale_database *database, const struct scale_question *question)
+{
+    struct database_status *status = &database->status;
+    bool again =
+        question->term == status->promised_term && question->coordinator == database->promised_to;
+    if (question->term <= status->promised_term && !again) {
+        return false;
+    }
+    status->promised_term = question->term;
+    database->promised_to = question->coordinator;
+    return true;
+}
+
+static bool promote(struct scale_fleet *fleet, struct scale_database *database,
+                    const struct scale_question *question, uint16_t coordinator_zone)
+{
+    struct database_status *status = &database->status;
+    if (question->term != status->promised_term || question->coordinator != database->promised_to) {
+        return false;
+    }
+    if (status->role == DATABASE_ROLE_PRIMARY && status->term == question->term) {
+        return true;
+    }
+    status->role = DATABASE_ROLE_PRIMARY;
+    status->term = question->term;
+    status->held = (struct log_position){question->term, status->held.offset + 1};
+    status->applied = status->held;
+    scale_observe_promoted(fleet, &fleet->groups[question->group], question->term,
+                           coordinator_zone);
+    return true;
+}
+
+static bool follow(struct scale_database *database, const struct scale_question *question)
+{
+    struct database_status *status = &database->status;
+    bool is_leader = status->role == DATABASE_ROLE_PRIMARY && status->term == question->term;
+    if (question->term < status->promised_term || is_leader) {
+        return false;
+    }
+    if (question->term > status->promised_term) {
+        status->promised_term = question->term;
+        database->promised_to = question->coordinator;
+    }
+    status->role = DATABASE_ROLE_REPLICA;
+    status->term = question->term;
+    return true;
+}
+
+static bool execute(struct scale_fleet *fleet, struct scale_database *database,
+                    const struct scale_question *question, uint16_t coordinator_zone)
+{
+    switch (question->kind) {
+    case SCALE_QUESTION_FENCE:
+        return fence(database, question);
+    case SCALE_QUESTION_PROMOTE:
+        return promote(fleet, database, question, coordinator_zone);
+    case SCALE_QUESTION_FOLLOW:
+        return follow(database, question);
+    case SCALE_QUESTION_SET_LEAVING:
+        database->status.leaving = question->leaving;
+        return true;
+    case SCALE_QUESTION_OPEN:
+    case SCALE_QUESTION_STATUS:
+        break;
+    }
+    return true;
+}
+
+void scale_database_ask(struct scale_fleet *fleet, const struct scale_event *event)
+{
+    struct scale_question *question = event->payload;
+    struct scale_database *database = database_at(fleet, question->group, question->place);
+    uint16_t zone = fleet->daemons[event->daemon].zone;
+    struct scale_event answer = *event;
+    answer.kind = SCALE_EVENT_ANSWER;
+    question->result = GROUP_COMMAND_LOST;
+    answer.at = question->asked_at + question->timeout;
+    if (!database->down) {
+        advance_log(fleet, question->group);
+        bool done = execute(fleet, database, question, zone);
+        time_ns at = 0;
+        if (scale_network_arrival(fleet->network, database->zone, zone, true, &at)) {
+            bool command = question->kind > SCALE_QUESTION_STATUS;
+            question->result = done ? GROUP_COMMAND_OK : GROUP_COMMAND_REFUSED;
+            question->status = database->status;
+            answer.at = at + (command ? COMMAND_TIME : STATUS_TIME);
+        }
+    }
+    scale_network_add(fleet->network, &answer);
+}
+
+/* -- Faults -- */
+
+/* Notes on a change under way that too few of the group's databases are left for it. */
+static void note_blocked(struct scale_fleet *fleet, uint32_t group)
+{
+    uint32_t left = 0;
+    for (uint32_t place = 0; place < SCALE_GROUP_DATABASES; place++) {
+        const struct scale_database *database = database_at(fleet, group, place);
+        left += !database->down && !fleet->zone_cut[database->zone];
+    }
+    struct scale_change *change = &fleet->groups[group].change;
+    if (change->open && change->promoted_at == 0 && left < SCALE_GROUP_DATABASES / 2 + 1) {
+        change->blocked = true;
+    }
+}
+
+void scale_fleet_fail_database(struct scale_fleet *fleet, uint32_t group, uint32_t place)
+{
+    struct scale_database *database = database_at(fleet, group, place);
+    if (database->down) {
+        return;
+    }
+    advance_log(fleet, group);
+    bool led = leads(database);
+    database->down = true;
+    if (led) {
+        scale_observe_failed(fleet, &fleet->groups[group]);
+    }
+    note_blocked(fleet, group);
+}
+
+void scale_fleet_return_database(struct scale_fleet *fleet, uint32_t group, uint32_t place)
+{
+    database_at(fleet, group, place)->down = false;
+}
+
+void scale_databases_zone_cut(struct scale_fleet *fleet, uint16_t zone)
+{
+    for (uint32_t group = 0; fleet->options.watch.enabled && group < fleet->group_count; group++) {
+        advance_log(fleet, group);
+        int32_t primary = scale_fleet_primary(fleet, group);
+        if (primary >= 0 && database_at(fleet, group, (uint32_t)primary)->zone == zone) {
+            scale_observe_failed(fleet, &fleet->groups[group]);
+        }
+        note_blocked(fleet, group);
+    }
+}
+
+/* Fails what stands in a zone; in one of its racks only, unless `rack` is negative. */
+static void fail_place(struct scale_fleet *fleet, uint16_t zone, int64_t rack)
+{
+    uint32_t zones = fleet->options.network.zones;
+    uint32_t racks = fleet->options.racks;
+    uint32_t regions = zones / fleet->options.network.zones_per_region;
+    for (uint32_t i = 0; i < fleet->options.daemons; i++) {
+        bool stands = fleet->daemons[i].zone == zone && (rack < 0 || i / zones % racks == rack);
+        if (stands) {
+            scale_fleet_kill(fleet, i, true);
+        }
+    }
+    for (uint32_t i = 0; i < fleet->group_count * SCALE_GROUP_DATABASES; i++) {
+        uint32_t group = i / SCALE_GROUP_DATABASES;
+        bool stands = fleet->databases[i].zone == zone &&
+                      (rack < 0 || group / MAX(1, regions) % racks == rack);
+        if (stands) {
+            scale_fleet_fail_database(fleet, group, i % SCALE_GROUP_DATABASES);
+        }
+    }
+}
+
+void scale_fleet_fail_rack(struct scale_fleet *fleet, uint16_t zone, uint32_t rack)
+{
+    fail_place(fleet, zone, rack);
+}
+
+void scale_fleet_fail_zone(struct scale_fleet *fleet, uint16_t zone)
+{
+    fail_place(fleet, zone, -1);
+}
+
+void scale_fleet_fail_coordinator(struct scale_fleet *fleet, uint32_t group)
+{
+    fleet->groups[group].kill_coordinator = true;
+}
--- a/src/sim/scale_day.c
+++ b/src/sim/scale_day.c
@@ -28,6 +28,7 @@
     DAY_EVENT_REPLACEMENT,
     DAY_EVENT_RESTART,
     DAY_EVENT_PRIMARY,
+    DAY_EVENT_DATABASE_BACK,
     DAY_EVENT_CONFIGURATION,
     DAY_EVENT_ZONE_CUT,
     DAY_EVENT_ZONE_HEAL,
@@ -100,7 +101,9 @@
     uint32_t groups = scale_fleet_groups(fleet);
     for (uint32_t i = 0; i < options->primary_changes && groups > 0; i++) {
         time_ns at = random_time(fleet, options->length);
-        add_event(schedule, at, DAY_EVENT_PRIMARY, scale_fleet_random(fleet, groups));
+        uint32_t group = scale_fleet_random(fleet, groups);
+        add_event(schedule, at, DAY_EVENT_PRIMARY, group);
+        add_event(schedule, at + REPLACE_TIME, DAY_EVENT_DATABASE_BACK, group);
     }
 }
 
@@ -132,6 +135,27 @@
     return (gint)left->kind - (gint)right->kind;
 }
 
+/* A group's primary changes: for a reason of no interest, or with control since its machine is
+ * lost. */
+static void change_primary(struct scale_fleet *fleet, uint32_t group)
+{
+    if (!scale_fleet_has_control(fleet)) {
+        scale_fleet_change_primary(fleet, group);
+        return;
+    }
+    int32_t primary = scale_fleet_primary(fleet, group);
+    if (primary >= 0) {
+        scale_fleet_fail_database(fleet, group, (uint32_t)primary);
+    }
+}
+
+static void return_databases(struct scale_fleet *fleet, uint32_t group)
+{
+    for (uint32_t place = 0; place < SCALE_GROUP_DATABASES; place++) {
+        scale_fleet_return_database(fleet, group, place);
+    }
+}
+
 static void perform(struct scale_fleet *fleet, const struct day_event *event)
 {
     switch (event->kind) {
@@ -145,7 +169,10 @@
         scale_fleet_stop(fleet, event->subject, DOWN_TIME);
         return;
     case DAY_EVENT_PRIMARY:
-        scale_fleet_change_primary(fleet, event->subject);
+        change_primary(fleet, event->subject);
+        return;
+    case DAY_EVENT_DATABASE_BACK:
+        return_databases(fleet, event->subject);
         return;
     case DAY_EVENT_CONFIGURATION:
         scale_fleet_publish(fleet);
@@ -176,7 +203,7 @@
     return count;
 }
 
-static void judge(struct scale_fleet *fleet, uint64_t newest, struct scale_day_outcome *outcome)
+void scale_day_judge(struct scale_fleet *fleet, uint64_t newest, struct scale_day_outcome *outcome)
 {
     *outcome = (struct scale_day_outcome){0};
     for (uint32_t i = 0; i < scale_fleet_daemons(fleet); i++) {
@@ -194,13 +221,19 @@
     }
 }
 
-void scale_day_run(struct scale_fleet *fleet, const struct scale_day_options *options,
-                   struct scale_day_outcome *outcome)
+uint64_t scale_day_start(struct scale_fleet *fleet)
 {
     scale_fleet_run(fleet, WARM_UP / 10);
     uint64_t newest = scale_fleet_publish(fleet);
     scale_fleet_run(fleet, WARM_UP);
     scale_fleet_measure_start(fleet);
+    return newest;
+}
+
+void scale_day_run(struct scale_fleet *fleet, const struct scale_day_options *options,
+                   struct scale_day_outcome *outcome)
+{
+    uint64_t newest = scale_day_start(fleet);
     g_autoptr(GArray) schedule = g_array_new(FALSE, FALSE, sizeof(struct day_event));
     add_random_events(fleet, options, schedule);
     add_cuts(options, schedule);
@@ -214,5 +247,5 @@
     time_ns end = MAX(start + options->length, scale_fleet_now(fleet));
     scale_fleet_run(fleet, end - scale_fleet_now(fleet) + SETTLE);
     newest = MAX(newest, scale_fleet_newest(fleet));
-    judge(fleet, newest, outcome);
+    scale_day_judge(fleet, newest, outcome);
 }
--- a/src/sim/scale_day.h
+++ b/src/sim/scale_day.h
@@ -31,6 +31,13 @@
 /* A day on which nothing happens. */
 void scale_day_options_quiet(struct scale_day_options *options, time_ns length);
 
+/* Starts the fleet, lets it settle with a first configuration, whose version it returns, and starts
+ * measuring. */
+uint64_t scale_day_start(struct scale_fleet *fleet);
+
+/* Looks at what runs: is all settled on this configuration? */
+void scale_day_judge(struct scale_fleet *fleet, uint64_t newest, struct scale_day_outcome *outcome);
+
 /* Starts the fleet, lets it settle, measures the day, and lets it settle again. */
 void scale_day_run(struct scale_fleet *fleet, const struct scale_day_options *options,
                    struct scale_day_outcome *outcome);
--- a/src/sim/scale_fleet.h
+++ b/src/sim/scale_fleet.h
@@ -13,6 +13,16 @@
 
 #define SCALE_GROUP_DATABASES 3
 
+/* How owners watch their groups' databases; as the settings of the same names. */
+struct scale_watch_settings {
+    bool enabled; /* false: groups have no control and change by scale_fleet_change_primary */
+    time_ns probe_interval;
+    time_ns probe_timeout;
+    time_ns open_timeout;
+    time_ns suspect_after;
+    uint32_t probes_per_second; /* of one daemon, at most */
+};
+
 struct scale_fleet_options {
     struct scale_network_options network;
     struct membership_options membership;
@@ -28,6 +38,9 @@
     uint32_t difference_octets; /* one change of configuration, as it travels */
     uint32_t seeds;             /* addresses in the machine list that a daemon starts with */
     bool encode;                /* datagrams pass the real codec; false: faster, no sizes */
+    uint32_t racks;             /* in each zone; daemons and databases stand in them in turn */
+    uint32_t store_rate;        /* reads the store answers in a second, refusing more; 0: all */
+    struct scale_watch_settings watch;
 };
 
 struct scale_fleet;
@@ -77,6 +90,37 @@
 /* A group gets a new primary, which one of its owners has just brought about. */
 void scale_fleet_change_primary(struct scale_fleet *fleet, uint32_t index);
 
+/* -- Faults of databases; with control of groups only -- */
+
+/* The machine of one of a group's databases is lost, or is back with what it held. Where it led, a
+ * change of primary is measured from now on. */
+void scale_fleet_fail_database(struct scale_fleet *fleet, uint32_t group, uint32_t place);
+void scale_fleet_return_database(struct scale_fleet *fleet, uint32_t group, uint32_t place);
+
+/* All machines of a rack, or of a whole zone, are lost: daemons and databases. */
+void scale_fleet_fail_rack(struct scale_fleet *fleet, uint16_t zone, uint32_t rack);
+void scale_fleet_fail_zone(struct scale_fleet *fleet, uint16_t zone);
+
+/* The daemon that next begins to fence databases of the group is lost at that moment. */
+void scale_fleet_fail_coordinator(struct scale_fleet *fleet, uint32_t group);
+
+/* True if groups are watched and changed by their control. */
+bool scale_fleet_has_control(const struct scale_fleet *fleet);
+
+/* The group's database that leads and may confirm writes; -1 if none does. */
+int32_t scale_fleet_primary(const struct scale_fleet *fleet, uint32_t group);
+
+/* True if the daemon owns the group and its control holds a primary as usable. */
+bool scale_fleet_leads(const struct scale_fleet *fleet, uint32_t index, uint32_t group);
+
+uint16_t scale_fleet_region(const struct scale_fleet *fleet, uint32_t daemon);
+uint16_t scale_fleet_zones(const struct scale_fleet *fleet);
+uint16_t scale_fleet_group_region(const struct scale_fleet *fleet, uint32_t group);
+
+/* True if a change of the group's primary is being measured, or was. */
+bool scale_fleet_was_changed(const struct scale_fleet *fleet, uint32_t group);
+uint32_t scale_fleet_racks(const struct scale_fleet *fleet);
+
 /* State for tests and measurements; NULL while a daemon is down. */
 uint32_t scale_fleet_daemons(const struct scale_fleet *fleet);
 uint32_t scale_fleet_groups(const struct scale_fleet *fleet);
--- a/src/sim/scale_fleet_internal.h
+++ b/src/sim/scale_fleet_internal.h
@@ -3,6 +3,7 @@
 #define SW_SIM_SCALE_FLEET_INTERNAL_H
 
 #include "core/budget.h"
+#include "core/group_control.h"
 #include "sim/scale_fleet.h"
 
 /* Kinds of events in the network's queue. */
@@ -21,6 +22,10 @@
     SCALE_EVENT_CLOSED,   /* the daemon learns of the end */
     SCALE_EVENT_LEAVE,    /* a planned stop ends; number: time until the next start, or 0 */
     SCALE_EVENT_START,    /* number: 1 for a replaced machine */
+    SCALE_EVENT_CONTROL,  /* a group's probes or its control are due; number: group, from: serial */
+    SCALE_EVENT_ASK,      /* a question reaches a database; payload: struct scale_question */
+    SCALE_EVENT_ANSWER,   /* its answer, or the lack of one, reaches the daemon; the same payload */
+    SCALE_EVENT_KILL,     /* the daemon's machine is lost */
 };
 
 /* A message on its way: encoded, or as it is. */
@@ -31,11 +36,56 @@
 
 void scale_payload_free(gpointer data);
 
+/* What a daemon asks of a database over its control connection. */
+enum scale_question_kind {
+    SCALE_QUESTION_OPEN, /* opens the connection */
+    SCALE_QUESTION_STATUS,
+    SCALE_QUESTION_FENCE,
+    SCALE_QUESTION_PROMOTE,
+    SCALE_QUESTION_FOLLOW,
+    SCALE_QUESTION_SET_LEAVING,
+};
+
+struct scale_question {
+    struct scale_payload payload; /* empty; first, so that all payloads are freed alike */
+    enum scale_question_kind kind;
+    uint32_t group;
+    uint32_t place;  /* of the database in the group */
+    uint32_t serial; /* of the control that asked */
+    uint64_t command;
+    uint64_t term;
+    uint64_t coordinator;
+    bool leaving;
+    time_ns asked_at;
+    time_ns timeout;
+    enum group_command_result result; /* of the answer */
+    struct database_status status;    /* of the answer, unless it is lost */
+};
+
+/* The control connection of one database. */
+struct scale_probe {
+    time_ns next_at;
+    bool open;
+    bool waiting;
+};
+
+/* The control of one group at a daemon. */
+struct scale_control {
+    struct group_control *machine;
+    uint32_t serial; /* tells its events from those of an earlier control of the group */
+    time_ns began_at;
+    time_ns wake_at;  /* of the machine */
+    time_ns event_at; /* of its next SCALE_EVENT_CONTROL */
+    uint64_t learned; /* term whose primary it holds as usable */
+    struct scale_probe probes[SCALE_GROUP_DATABASES];
+};
+
 /* The connections of one group at a daemon that owns it or hands it over. */
 struct scale_holding {
     uint32_t group;
     uint64_t removed; /* owner that the last change removed, or 0 */
     struct budget *budgets[SCALE_GROUP_DATABASES];
+    struct scale_control control; /* machine NULL without control */
 };
 
 struct scale_daemon {
@@ -53,6 +103,7 @@
     time_ns mark_at; /* when it began to leave */
     time_ns head_asked_at;
     time_ns wake_at; /* of its newest wake-up event */
+    time_ns probe_interval;
     struct membership *membership;
     struct ownership *ownership;
     struct dissemination *dissemination;
@@ -69,6 +120,21 @@
     uint32_t numbered;
     int32_t holder[BUDGET_CONNECTIONS_MAX]; /* daemon, or -1 */
     uint32_t holder_life[BUDGET_CONNECTIONS_MAX];
+    bool down; /* its machine is lost */
+    struct database_status status;
+    uint64_t promised_to;
+};
+
+/* One change of primary, from the loss of the old one. */
+struct scale_change {
+    bool open;
+    bool blocked; /* fewer than a majority of the databases were left at some time */
+    time_ns failed_at;
+    time_ns confirmed_at; /* watchers agreed first; 0: not yet, as below */
+    time_ns fenced_at;    /* a majority had promised, before the promotion */
+    time_ns promoted_at;
+    time_ns learned_at; /* the last owner held the new primary as usable */
+    uint64_t term;
 };
 
 /* What is true of a group. */
@@ -78,6 +144,9 @@
     time_ns changed_at;
     uint16_t changed_in; /* zone of the owner that published it */
     time_ns known_worst; /* longest time until a daemon that was not cut off knew */
+    time_ns log_at;      /* the log has grown until then */
+    struct scale_change change;
+    bool kill_coordinator;
 };
 
 /* One published configuration; its version is its index. */
@@ -96,6 +165,9 @@
     struct scale_database *databases;
     struct budget_options budget;
     bool store_up;
+    time_ns store_second; /* the store's reads are counted in it */
+    uint32_t store_reads;
+    uint32_t last_serial;                    /* of a control */
     GArray *publications;                    /* struct scale_publication; the first is unused */
     time_ns zone_healed_at[SCALE_ZONES_MAX]; /* end of the zone's last cut */
     bool zone_cut[SCALE_ZONES_MAX];
@@ -158,8 +230,44 @@
 bool scale_holdings_serve(const struct scale_daemon *daemon, uint32_t group);
 size_t scale_holdings_memory(const struct scale_daemon *daemon);
 
+struct scale_holding *scale_holdings_find(const struct scale_daemon *daemon, uint32_t group);
+
+/* -- scale_control.c: control of the groups that a daemon owns -- */
+
+/* A group is owned from now on; or its owners, or those of others, have changed. */
+void scale_control_begin(struct scale_fleet *fleet, struct scale_daemon *daemon,
+                         struct scale_holding *holding);
+void scale_control_end(struct scale_holding *holding);
+void scale_control_owners_changed(struct scale_fleet *fleet, struct scale_daemon *daemon);
+
+void scale_control_due(struct scale_fleet *fleet, struct scale_daemon *daemon,
+                       const struct scale_event *event);
+void scale_control_answered(struct scale_fleet *fleet, struct scale_daemon *daemon,
+                            const struct scale_question *question);
+void scale_control_opinion(struct scale_fleet *fleet, struct scale_daemon *daemon,
+                           const struct watcher_opinion *opinion);
+size_t scale_control_memory(const struct scale_daemon *daemon);
+
+/* -- scale_database.c: the databases' side of control -- */
+
+void scale_databases_init(struct scale_fleet *fleet);
+/* A question reaches its database; takes over the payload. */
+void scale_database_ask(struct scale_fleet *fleet, const struct scale_event *event);
+/* A zone has been cut off: groups led from there have lost their primary. */
+void scale_databases_zone_cut(struct scale_fleet *fleet, uint16_t zone);
+
 /* -- scale_observe.c: what is written down -- */
 
+void scale_observe_failed(struct scale_fleet *fleet, struct scale_group *group);
+void scale_observe_record(struct scale_fleet *fleet, struct scale_daemon *daemon, uint32_t group,
+                          const struct group_record *record);
+void scale_observe_promoted(struct scale_fleet *fleet, struct scale_group *group, uint64_t term,
+                            uint16_t zone);
+void scale_observe_learned(struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                           const struct scale_holding *holding);
+/* Ends the measurement of a group's last change, and of its spread. */
+void scale_observe_close(struct scale_fleet *fleet, struct scale_group *group);
+
 void scale_observe_applied(struct scale_fleet *fleet, const struct scale_daemon *daemon,
                            uint64_t before, uint64_t version);
 void scale_observe_status(struct scale_fleet *fleet, const struct scale_daemon *daemon,
--- a/src/sim/scale_holdings.c
+++ b/src/sim/scale_holdings.c
@@ -26,7 +26,7 @@
     }
 }
 
-static struct scale_holding *find_holding(const struct scale_daemon *daemon, uint32_t group)
+struct scale_holding *scale_holdings_find(const struct scale_daemon *daemon, uint32_t group)
 {
     return g_hash_table_lookup(daemon->holdings, GUINT_TO_POINTER(group));
 }
@@ -34,7 +34,7 @@
 static struct scale_holding *obtain_holding(struct scale_fleet *fleet, struct scale_daemon *daemon,
                                             uint32_t group)
 {
-    struct scale_holding *holding = find_holding(daemon, group);
+    struct scale_holding *holding = scale_holdings_find(daemon, group);
     if (holding == NULL) {
         holding = g_new0(struct scale_holding, 1);
         holding->group = group;
@@ -42,12 +42,14 @@
             holding->budgets[i] = budget_new(&fleet->budget);
         }
         g_hash_table_insert(daemon->holdings, GUINT_TO_POINTER(group), holding);
+        scale_control_begin(fleet, daemon, holding);
     }
     return holding;
 }
 
 static void holding_free(struct scale_holding *holding)
 {
+    scale_control_end(holding);
     for (uint32_t i = 0; i < SCALE_GROUP_DATABASES; i++) {
         budget_free(holding->budgets[i]);
     }
@@ -156,6 +158,9 @@
         holding->removed = change->removed;
         set_position(fleet, daemon, holding, change->position, handing_over);
     }
+    if (changes->len > 0) {
+        scale_control_owners_changed(fleet, daemon);
+    }
 }
 
 static bool holding_is_over(const struct scale_daemon *daemon, const struct scale_holding *holding)
@@ -212,7 +217,7 @@
 void scale_holdings_notice(struct scale_fleet *fleet, struct scale_daemon *daemon,
                            const struct budget_notice *notice)
 {
-    struct scale_holding *holding = find_holding(daemon, notice->group);
+    struct scale_holding *holding = scale_holdings_find(daemon, notice->group);
     if (holding == NULL || notice->database >= SCALE_GROUP_DATABASES) {
         return;
     }
@@ -233,7 +238,7 @@
 {
     uint32_t database = (uint32_t)(event->number >> NUMBER_BITS);
     uint32_t number = event->number & ((1u << NUMBER_BITS) - 1);
-    struct scale_holding *holding = find_holding(daemon, database / SCALE_GROUP_DATABASES);
+    struct scale_holding *holding = scale_holdings_find(daemon, database / SCALE_GROUP_DATABASES);
     if (holding == NULL) {
         return;
     }
@@ -390,7 +395,7 @@
 
 bool scale_holdings_serve(const struct scale_daemon *daemon, uint32_t group)
 {
-    const struct scale_holding *holding = find_holding(daemon, group);
+    const struct scale_holding *holding = scale_holdings_find(daemon, group);
     if (holding == NULL) {
         return false;
     }
--- a/src/sim/scale_measure.c
+++ b/src/sim/scale_measure.c
@@ -8,6 +8,7 @@
         [SCALE_TRAFFIC_CONFIGURATION] = "configuration",
         [SCALE_TRAFFIC_GROUP_STATUS] = "group_status",
         [SCALE_TRAFFIC_BUDGET] = "budget",
+        [SCALE_TRAFFIC_OPINION] = "opinion",
     };
     return names[traffic];
 }
@@ -17,7 +18,7 @@
     static const char *const names[SCALE_PART_COUNT] = {
         [SCALE_PART_MEMBERSHIP] = "membership", [SCALE_PART_OWNERSHIP] = "ownership",
         [SCALE_PART_BUDGETS] = "budgets",       [SCALE_PART_DISSEMINATION] = "dissemination",
-        [SCALE_PART_CURRENCY] = "currency",
+        [SCALE_PART_CURRENCY] = "currency",     [SCALE_PART_CONTROL] = "control",
     };
     return names[part];
 }
@@ -72,6 +73,11 @@
     scale_samples_init(&measures->status);
     scale_samples_init(&measures->status_all);
     scale_samples_init(&measures->status_healed);
+    scale_samples_init(&measures->change_detect);
+    scale_samples_init(&measures->change_fence);
+    scale_samples_init(&measures->change_promote);
+    scale_samples_init(&measures->change_learn);
+    scale_samples_init(&measures->change_whole);
     scale_samples_init(&measures->death_noticed);
     scale_samples_init(&measures->leave_noticed);
 }
@@ -84,6 +90,11 @@
     scale_samples_clear(&measures->status);
     scale_samples_clear(&measures->status_all);
     scale_samples_clear(&measures->status_healed);
+    scale_samples_clear(&measures->change_detect);
+    scale_samples_clear(&measures->change_fence);
+    scale_samples_clear(&measures->change_promote);
+    scale_samples_clear(&measures->change_learn);
+    scale_samples_clear(&measures->change_whole);
     scale_samples_clear(&measures->death_noticed);
     scale_samples_clear(&measures->leave_noticed);
 }
--- a/src/sim/scale_measure.h
+++ b/src/sim/scale_measure.h
@@ -13,6 +13,7 @@
     SCALE_TRAFFIC_CONFIGURATION,
     SCALE_TRAFFIC_GROUP_STATUS,
     SCALE_TRAFFIC_BUDGET,
+    SCALE_TRAFFIC_OPINION,
     SCALE_TRAFFIC_COUNT,
 };
 
@@ -25,6 +26,7 @@
     SCALE_PART_BUDGETS,
     SCALE_PART_DISSEMINATION,
     SCALE_PART_CURRENCY,
+    SCALE_PART_CONTROL,
     SCALE_PART_COUNT,
 };
 
@@ -39,7 +41,9 @@
     uint64_t core_ns;  /* processor time in core objects */
     uint64_t codec_ns; /* processor time to encode and decode */
     uint64_t store_reads;
-    time_ns running; /* virtual time that the daemon was up */
+    uint64_t store_refused; /* of these, over the store's rate */
+    uint64_t probes;        /* of databases, commands included */
+    time_ns running;        /* virtual time that the daemon was up */
 };
 
 /* A list of durations, for percentiles. */
@@ -64,6 +68,17 @@
     struct scale_samples status;     /* per daemon and change of primary: until known */
     struct scale_samples status_all; /* per change: until known to all not cut off */
     struct scale_samples status_healed;
+    /* Per change of primary: from the loss until watchers agree, until a majority has promised,
+     * until the new one leads, until all owners know; and in all. */
+    struct scale_samples change_detect;
+    struct scale_samples change_fence;
+    struct scale_samples change_promote;
+    struct scale_samples change_learn;
+    struct scale_samples change_whole;
+    uint64_t changes_blocked;           /* too few databases were left for one */
+    uint64_t changes_unfinished;        /* no new primary */
+    uint64_t changes_unlearned;         /* owners, not cut off, that did not learn of one */
+    uint64_t changes_unneeded;          /* terms begun in groups that had lost nothing */
     struct scale_samples death_noticed; /* per observer: until it holds the daemon dead */
     struct scale_samples leave_noticed; /* per observer: until it holds the daemon leaving */
     uint64_t suspicions;                /* raised by any daemon */
--- a/src/sim/scale_observe.c
+++ b/src/sim/scale_observe.c
@@ -152,3 +152,127 @@
         fleet->measures.stops++;
     }
 }
+
+/* -- Changes of primary -- */
+
+void scale_observe_failed(struct scale_fleet *fleet, struct scale_group *group)
+{
+    scale_observe_close(fleet, group);
+    group->change = (struct scale_change){
+        .open = true,
+        .failed_at = scale_network_now(fleet->network),
+        .term = group->term,
+    };
+}
+
+void scale_observe_record(struct scale_fleet *fleet, struct scale_daemon *daemon, uint32_t group,
+                          const struct group_record *record)
+{
+    time_ns now = scale_network_now(fleet->network);
+    struct scale_group *changed = &fleet->groups[group];
+    struct scale_change *change = &changed->change;
+    bool running = change->open && change->promoted_at == 0;
+    if (record->kind == GROUP_RECORD_CONFIRMED && running && change->confirmed_at == 0) {
+        change->confirmed_at = now;
+    }
+    if (record->kind == GROUP_RECORD_FENCE_MAJORITY && running) {
+        change->fenced_at = now;
+    }
+    if (record->kind != GROUP_RECORD_FENCE_STARTED) {
+        return;
+    }
+    fleet->measures.changes_unneeded += !running && now >= fleet->measures.started;
+    if (changed->kill_coordinator) {
+        changed->kill_coordinator = false;
+        struct scale_event event = {
+            .at = now,
+            .kind = SCALE_EVENT_KILL,
+            .daemon = daemon->index,
+            .life = daemon->life,
+        };
+        scale_network_add(fleet->network, &event);
+    }
+}
+
+void scale_observe_promoted(struct scale_fleet *fleet, struct scale_group *group, uint64_t term,
+                            uint16_t zone)
+{
+    time_ns now = scale_network_now(fleet->network);
+    group->term = term;
+    group->changed_at = now;
+    group->changed_in = zone;
+    if (group->change.open && group->change.promoted_at == 0) {
+        group->change.promoted_at = now;
+        group->change.term = term;
+    }
+}
+
+void scale_observe_learned(struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                           const struct scale_holding *holding)
+{
+    struct scale_change *change = &fleet->groups[holding->group].change;
+    bool counts = change->open && change->promoted_at > 0 &&
+                  holding->control.learned >= change->term &&
+                  holding->control.began_at < change->promoted_at &&
+                  !scale_was_cut(fleet, daemon->zone, change->failed_at);
+    if (counts) {
+        change->learned_at = scale_network_now(fleet->network);
+    }
+}
+
+/* Owners, not cut off, that don't hold the change's new primary as usable. */
+static uint32_t count_unlearned(const struct scale_fleet *fleet, uint32_t group)
+{
+    const struct scale_change *change = &fleet->groups[group].change;
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < fleet->options.daemons; i++) {
+        const struct scale_daemon *daemon = &fleet->daemons[i];
+        if (!daemon->running || ownership_position(daemon->ownership, group) < 0) {
+            continue;
+        }
+        const struct scale_holding *holding = scale_holdings_find(daemon, group);
+        count += holding != NULL && holding->control.began_at < change->promoted_at &&
+                 holding->control.learned < change->term &&
+                 !scale_was_cut(fleet, daemon->zone, change->failed_at);
+    }
+    return count;
+}
+
+static void close_change(struct scale_fleet *fleet, struct scale_group *group)
+{
+    const struct scale_change *change = &group->change;
+    struct scale_measures *measures = &fleet->measures;
+    if (change->failed_at < measures->started) {
+        return;
+    }
+    if (change->blocked) {
+        measures->changes_blocked++;
+        return;
+    }
+    if (change->promoted_at == 0 || change->learned_at == 0) {
+        measures->changes_unfinished++;
+        return;
+    }
+    time_ns confirmed_at = change->confirmed_at;
+    if (confirmed_at == 0 || confirmed_at > change->fenced_at) {
+        confirmed_at = change->fenced_at;
+    }
+    measures->changes_unlearned += count_unlearned(fleet, (uint32_t)(group - fleet->groups));
+    scale_samples_add(&measures->change_detect, confirmed_at - change->failed_at);
+    scale_samples_add(&measures->change_fence, change->fenced_at - confirmed_at);
+    scale_samples_add(&measures->change_promote, change->promoted_at - change->fenced_at);
+    scale_samples_add(&measures->change_learn, change->learned_at - change->promoted_at);
+    scale_samples_add(&measures->change_whole, change->learned_at - change->failed_at);
+}
+
+void scale_observe_close(struct scale_fleet *fleet, struct scale_group *group)
+{
+    if (group->known_worst > 0) {
+        scale_samples_add(&fleet->measures.status_all, group->known_worst);
+        group->known_worst = 0;
+    }
+    if (group->change.open) {
+        close_change(fleet, group);
+        group->change.open = false;
+    }
+}
--- a/src/sim/scale_report.c
+++ b/src/sim/scale_report.c
@@ -5,6 +5,11 @@
 #include <json-glib/json-glib.h>
 #include <sys/resource.h>
 
+/* A probe and its answer, both ways, without TCP and IP headers: measured at a real daemon by
+ * bench/capacity.py; see docs/CAPACITY.md. And IPv4 and UDP headers of a datagram. */
+#define PROBE_OCTETS  189
+#define HEADER_OCTETS 28
+
 /* One figure over all daemons. */
 struct spread {
     double sum;
@@ -87,6 +92,8 @@
     struct spread received = {0};
     struct spread received_octets = {0};
     struct spread store_reads = {0};
+    struct spread probes = {0};
+    struct spread control = {0};
     for (uint32_t i = 0; i < scale_fleet_daemons(fleet); i++) {
         struct scale_counters counters = scale_fleet_counters(fleet, i);
         if (counters.running == 0) {
@@ -106,6 +113,9 @@
         spread_add(&received, (double)counters.received / seconds);
         spread_add(&received_octets, (double)counters.received_octets / seconds);
         spread_add(&store_reads, (double)counters.store_reads / seconds);
+        spread_add(&probes, (double)counters.probes / seconds);
+        spread_add(&control, all_octets + HEADER_OCTETS * all_messages +
+                                 PROBE_OCTETS * (double)counters.probes / seconds);
     }
     for (int traffic = 0; traffic <= SCALE_TRAFFIC_COUNT; traffic++) {
         bool all = traffic == SCALE_TRAFFIC_COUNT;
@@ -117,6 +127,8 @@
     add_spread(builder, "received_per_s", &received);
     add_spread(builder, "received_octets_per_s", &received_octets);
     add_spread(builder, "store_reads_per_s", &store_reads);
+    add_spread(builder, "probes_per_s", &probes);
+    add_spread(builder, "control_octets_per_s", &control);
 }
 
 static void add_processor(JsonBuilder *builder, const struct scale_fleet *fleet)
@@ -169,6 +181,15 @@
     add_samples(builder, "primary", &measures->status);
     add_samples(builder, "primary_everywhere", &measures->status_all);
     add_samples(builder, "primary_after_heal", &measures->status_healed);
+    add_samples(builder, "change_detect", &measures->change_detect);
+    add_samples(builder, "change_fence", &measures->change_fence);
+    add_samples(builder, "change_promote", &measures->change_promote);
+    add_samples(builder, "change_learn", &measures->change_learn);
+    add_samples(builder, "change_whole", &measures->change_whole);
+    add_count(builder, "changes_blocked", measures->changes_blocked);
+    add_count(builder, "changes_unfinished", measures->changes_unfinished);
+    add_count(builder, "changes_unlearned", measures->changes_unlearned);
+    add_count(builder, "changes_unneeded", measures->changes_unneeded);
     add_samples(builder, "death_noticed", &measures->death_noticed);
     add_samples(builder, "leave_noticed", &measures->leave_noticed);
     add_count(builder, "suspicions", measures->suspicions);
@@ -193,6 +214,27 @@
     add_number(builder, "wall_seconds", run->wall_seconds);
 }
 
+static void add_fault(JsonBuilder *builder, const struct scale_fault_outcome *fault)
+{
+    begin_object(builder, "fault");
+    add_text(builder, "kind", scale_fault_name(fault->kind));
+    add_count(builder, "repeats", fault->repeats);
+    add_number(builder, "outage_s", (double)fault->outage / (double)NANOSECONDS_PER_SECOND);
+    add_count(builder, "settled", fault->settled);
+    add_number(builder, "settle_ms",
+               (double)fault->settle_time / (double)NANOSECONDS_PER_MILLISECOND);
+    add_count(builder, "daemons_hit", fault->daemons_hit);
+    add_count(builder, "daemons_hit_serving", fault->hit_serving);
+    add_count(builder, "daemons_others_serving", fault->others_serving);
+    add_count(builder, "groups_hit_led", fault->hit_led);
+    add_count(builder, "groups_others_led", fault->others_led);
+    add_count(builder, "groups_hit", fault->groups_hit);
+    add_count(builder, "state_octets_most", fault->state_most);
+    add_count(builder, "store_reads", fault->store_reads);
+    add_count(builder, "store_refused", fault->store_refused);
+    json_builder_end_object(builder);
+}
+
 char *scale_report_line(struct scale_fleet *fleet, const struct scale_day_options *day,
                         const struct scale_day_outcome *outcome, const struct scale_report_run *run)
 {
@@ -210,6 +252,9 @@
     json_builder_end_object(builder);
     add_measures(builder, fleet);
     add_outcome(builder, outcome, run);
+    if (run->fault != NULL) {
+        add_fault(builder, run->fault);
+    }
     json_builder_end_object(builder);
     g_autoptr(JsonNode) root = json_builder_get_root(builder);
     return json_to_string(root, FALSE);
--- a/src/sim/scale_report.h
+++ b/src/sim/scale_report.h
@@ -3,6 +3,7 @@
 #define SW_SIM_SCALE_REPORT_H
 
 #include "sim/scale_day.h"
+#include "sim/scale_fault.h"
 #include "sim/scale_fleet.h"
 #include "sim/scale_watch.h"
 
@@ -13,6 +14,7 @@
     uint32_t databases;
     uint32_t seed;
     double wall_seconds;
+    const struct scale_fault_outcome *fault; /* NULL for a day */
 };
 
 /* The report as one line of JSON. Free with g_free. */
--- a/src/sim/scale_transport.c
+++ b/src/sim/scale_transport.c
@@ -83,6 +83,9 @@
     case MESSAGE_KIND_BUDGET_NOTICE:
         budget_notice_copy(&to->budget_notice, &from->budget_notice);
         return;
+    case MESSAGE_KIND_OPINION:
+        watcher_opinion_copy(&to->opinion, &from->opinion);
+        return;
     default:
         g_assert_not_reached();
     }
--- /dev/null
+++ b/tests/sim/scale_change_test.c
@@ -0,0 +1,119 @@
+/* The whole change of primary in a hollow fleet of 48 daemons, with the real control of groups: its
+ * bound holds when machines, racks and a zone are lost, and when the coordinator dies with them.
+ * And what a region that is cut off serves, and how a fleet starts before a store that limits its
+ * rate.
+ */
+#include "scale_fixture.h"
+#include "sim/scale_fault.h"
+
+#define DAEMONS   48
+#define DATABASES 107
+
+/* A change of primary is over within this time. */
+#define CHANGE_BOUND SECONDS(8)
+
+static struct scale_fleet *run_fault(enum scale_fault_kind kind, uint32_t repeats, uint32_t seed,
+                                     uint32_t store_rate, struct scale_fault_outcome *outcome)
+{
+    struct scale_fleet_options options;
+    scale_fleet_options_default(&options, DAEMONS, DATABASES, seed);
+    options.encode = false;
+    options.watch.enabled = true;
+    options.store_rate = store_rate;
+    struct scale_fleet *fleet = scale_fleet_new(&options);
+    struct scale_fault_options fault = {.kind = kind, .repeats = repeats, .outage = SECONDS(60)};
+    scale_fault_run(fleet, &fault, outcome);
+    return fleet;
+}
+
+/* Every group that lost its primary has a new one that all its owners know, in time. */
+static void assert_changed(struct scale_fleet *fleet, uint32_t least)
+{
+    struct scale_measures *measures = scale_fleet_measures(fleet);
+    g_assert_cmpuint(measures->changes_blocked, ==, 0);
+    g_assert_cmpuint(measures->changes_unfinished, ==, 0);
+    g_assert_cmpuint(measures->changes_unlearned, ==, 0);
+    g_assert_cmpuint(measures->changes_unneeded, ==, 0);
+    g_assert_cmpuint(measures->change_whole.values->len, >=, least);
+    g_assert_cmpuint(scale_samples_percentile(&measures->change_whole, 1), <, CHANGE_BOUND);
+    g_assert_cmpuint(measures->budget_violations, ==, 0);
+    for (uint32_t group = 0; group < scale_fleet_groups(fleet); group++) {
+        g_assert_cmpint(scale_fleet_primary(fleet, group), >=, 0);
+    }
+}
+
+static void test_primaries_lost(void)
+{
+    struct scale_fault_outcome outcome;
+    struct scale_fleet *fleet = run_fault(SCALE_FAULT_PRIMARY, 20, 1, 0, &outcome);
+    assert_changed(fleet, 20);
+    scale_fleet_free(fleet);
+}
+
+static void test_coordinator_dies_too(void)
+{
+    struct scale_fault_outcome outcome;
+    struct scale_fleet *fleet = run_fault(SCALE_FAULT_COORDINATOR, 10, 2, 0, &outcome);
+    assert_changed(fleet, 10);
+    g_assert_cmpuint(fixture_count_running(fleet), <, DAEMONS);
+    scale_fleet_free(fleet);
+}
+
+static void test_racks_lost(void)
+{
+    for (uint32_t seed = 1; seed <= 3; seed++) {
+        struct scale_fault_outcome outcome;
+        struct scale_fleet *fleet = run_fault(SCALE_FAULT_RACK, 3, seed, 0, &outcome);
+        assert_changed(fleet, 1);
+        g_assert_true(outcome.settled);
+        scale_fleet_free(fleet);
+    }
+}
+
+static void test_zone_lost(void)
+{
+    struct scale_fault_outcome outcome;
+    struct scale_fleet *fleet = run_fault(SCALE_FAULT_ZONE, 1, 1, 0, &outcome);
+    assert_changed(fleet, 1);
+    scale_fleet_free(fleet);
+}
+
+/* Without the store and the majority a region must not serve by what may be old; its groups change
+ * no primary, since all their databases are in reach. */
+static void test_region_cut(void)
+{
+    struct scale_fault_outcome outcome;
+    struct scale_fleet *fleet = run_fault(SCALE_FAULT_REGION, 1, 1, 0, &outcome);
+    g_assert_cmpuint(outcome.daemons_hit, >, 0);
+    g_assert_cmpuint(outcome.hit_serving, ==, 0);
+    g_assert_cmpuint(outcome.others_serving, ==, DAEMONS - outcome.daemons_hit);
+    g_assert_cmpuint(outcome.others_led, ==, scale_fleet_groups(fleet) - outcome.groups_hit);
+    g_assert_true(outcome.settled);
+    g_assert_cmpuint(outcome.settle_time, <, SECONDS(8));
+    g_assert_cmpuint(scale_fleet_measures(fleet)->changes_unneeded, ==, 0);
+    scale_fleet_free(fleet);
+}
+
+/* The store answers fewer reads in a second than daemons start: they come into service all the
+ * same, and those that did not end never leave it. */
+static void test_store_limits_its_rate(void)
+{
+    struct scale_fault_outcome outcome;
+    struct scale_fleet *fleet = run_fault(SCALE_FAULT_STORE, 1, 1, 5, &outcome);
+    g_assert_cmpuint(outcome.store_refused, >, 0);
+    g_assert_true(outcome.settled);
+    g_assert_cmpuint(scale_fleet_measures(fleet)->stops, ==, 0);
+    scale_fleet_free(fleet);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/change/primaries-lost", test_primaries_lost);
+    g_test_add_func("/change/coordinator-dies-too", test_coordinator_dies_too);
+    g_test_add_func("/change/racks-lost", test_racks_lost);
+    g_test_add_func("/change/zone-lost", test_zone_lost);
+    g_test_add_func("/change/region-cut", test_region_cut);
+    g_test_add_func("/change/store-limits-its-rate", test_store_limits_its_rate);
+    return g_test_run();
+}
