--- a/bench/scale.sh
+++ b/bench/scale.sh
@@ -20,6 +20,7 @@
     scale -n "$daemons" --fault primary --repeats 40
     scale -n "$daemons" --fault coordinator --repeats 40
     scale -n "$daemons" --fault rack --repeats 3
+    scale -n "$daemons" --fault switch --outage 1
     scale -n "$daemons" --fault zone
     scale -n "$daemons" --fault region --outage 3
     scale -n "$daemons" --fault store
--- a/bench/scale_fit.py
+++ b/bench/scale_fit.py
@@ -53,7 +53,7 @@
 
 CHANGES = ["change_detect", "change_fence", "change_promote", "change_learn", "change_whole"]
 CHANGE_COUNTS = ["changes_blocked", "changes_unfinished", "changes_unlearned", "changes_unneeded"]
-FAULTS = ["primary", "coordinator", "rack", "zone"]
+FAULTS = ["primary", "coordinator", "rack", "switch", "zone"]
 TIMES = ["configuration_everywhere", "configuration_after_heal", "primary_everywhere", "primary_after_heal",
          "leave_noticed", "death_noticed"]
 COUNTS = ["suspicions", "false_suspicions", "false_deaths", "stopped_serving", "budget_violations",
@@ -151,8 +151,8 @@
 
 
 def fault_table(runs):
-    """Runs with a fault that no change of primary follows from: what was hit, and how it came back."""
-    print("\n### A region cut off, and a store before many restarts\n")
+    """Runs in which something comes back: what was hit, and when all had settled."""
+    print("\n### A region or switch cut off, and a store before many restarts\n")
     print("| Command | hit | of them serving before the heal | others serving | groups of the others led | settled after, ms "
           "| store reads | refused | sent, mean and busiest, B/s | fullest state, B |")
     print("|---|" + "---|" * 9)
@@ -160,7 +160,7 @@
         fault = run["fault"]
         rate = run["sent"]["all"]["octets_per_s"]
         settled = f"{fault['settle_ms']:.0f}" if fault["settled"] else "not"
-        region = fault["kind"] == "region"
+        region = fault["kind"] in ("region", "switch")
         print(f"| `{run['command']}` | {fault['daemons_hit']} | {fault['daemons_hit_serving'] if region else '-'} | "
               f"{fault['daemons_others_serving'] if region else '-'} | {fault['groups_others_led'] if region else '-'} | "
               f"{settled} | {fault['store_reads']:,} | {fault['store_refused']:,} | {show(rate['mean'])}, {show(rate['max'])} | "
@@ -218,7 +218,7 @@
         alike = {run["daemons"]: run for run in faults if run["fault"]["kind"] == kind}
         if alike:
             time_table(alike, f"Changes of primary, `--fault {kind}`", CHANGES, CHANGE_COUNTS)
-    others = [run for run in faults if run["fault"]["kind"] not in FAULTS]
+    others = [run for run in faults if run["fault"]["kind"] in ("region", "store", "switch")]
     if others:
         fault_table(others)
     if quiet:
--- a/src/sim/scale_control.c
+++ b/src/sim/scale_control.c
@@ -34,8 +34,10 @@
                 const struct scale_question *asked)
 {
     struct scale_question *question = g_memdup2(asked, sizeof(*asked));
-    const struct scale_database *database =
-        &fleet->databases[asked->group * SCALE_GROUP_DATABASES + asked->place];
+    uint32_t index = asked->group * SCALE_GROUP_DATABASES + asked->place;
+    const struct scale_database *database = &fleet->databases[index];
+    bool apart = scale_places_apart(fleet, scale_place_of_daemon(fleet, daemon),
+                                    scale_place_of_database(fleet, index));
     struct scale_event event = {
         .kind = SCALE_EVENT_ASK,
         .daemon = daemon->index,
@@ -44,7 +46,8 @@
     };
     question->asked_at = fleet_now(fleet);
     daemon->counters.probes++;
-    if (!scale_network_arrival(fleet->network, daemon->zone, database->zone, true, &event.at)) {
+    if (apart ||
+        !scale_network_arrival(fleet->network, daemon->zone, database->zone, true, &event.at)) {
         event.kind = SCALE_EVENT_ANSWER;
         event.at = question->asked_at + question->timeout;
         question->result = GROUP_COMMAND_LOST;
--- a/src/sim/scale_daemon.c
+++ b/src/sim/scale_daemon.c
@@ -45,9 +45,12 @@
         .life = daemon->life,
         .number = fleet->publications->len - 1,
     };
+    struct scale_place store = {STORE_ZONE, UINT32_MAX};
+    bool apart = scale_places_apart(fleet, scale_place_of_daemon(fleet, daemon), store);
     bool refused = fleet->store_up && store_refuses(fleet);
-    bool answered = fleet->store_up && scale_network_arrival(fleet->network, daemon->zone,
-                                                             STORE_ZONE, true, &event.at);
+    bool answered =
+        fleet->store_up && !apart &&
+        scale_network_arrival(fleet->network, daemon->zone, STORE_ZONE, true, &event.at);
     if (!answered) {
         event.number = 0;
         event.at = fleet_now(fleet) + NANOSECONDS_PER_SECOND;
--- a/src/sim/scale_database.c
+++ b/src/sim/scale_database.c
@@ -59,13 +59,20 @@
     return primary;
 }
 
+static struct scale_place place_of(const struct scale_fleet *fleet,
+                                   const struct scale_database *database)
+{
+    return scale_place_of_database(fleet, (uint32_t)(database - fleet->databases));
+}
+
 static bool replicates(const struct scale_fleet *fleet, const struct scale_database *replica,
                        const struct scale_database *primary)
 {
     const struct database_status *status = &replica->status;
     return !replica->down && status->role == DATABASE_ROLE_REPLICA &&
            status->term == primary->status.term && status->promised_term == status->term &&
-           !scale_network_is_cut(fleet->network, primary->zone, replica->zone);
+           !scale_network_is_cut(fleet->network, primary->zone, replica->zone) &&
+           !scale_places_apart(fleet, place_of(fleet, primary), place_of(fleet, replica));
 }
 
 /* Lets the group's log grow until now. */
@@ -164,7 +171,10 @@
 {
     struct scale_question *question = event->payload;
     struct scale_database *database = database_at(fleet, question->group, question->place);
-    uint16_t zone = fleet->daemons[event->daemon].zone;
+    const struct scale_daemon *daemon = &fleet->daemons[event->daemon];
+    uint16_t zone = daemon->zone;
+    bool apart =
+        scale_places_apart(fleet, place_of(fleet, database), scale_place_of_daemon(fleet, daemon));
     struct scale_event answer = *event;
     answer.kind = SCALE_EVENT_ANSWER;
     question->result = GROUP_COMMAND_LOST;
@@ -173,7 +183,7 @@
         advance_log(fleet, question->group);
         bool done = execute(fleet, database, question, zone);
         time_ns at = 0;
-        if (scale_network_arrival(fleet->network, database->zone, zone, true, &at)) {
+        if (!apart && scale_network_arrival(fleet->network, database->zone, zone, true, &at)) {
             bool command = question->kind > SCALE_QUESTION_STATUS;
             question->result = done ? GROUP_COMMAND_OK : GROUP_COMMAND_REFUSED;
             question->status = database->status;
@@ -185,13 +195,22 @@
 
 /* -- Faults -- */
 
+/* True if the database is cut off from most others. */
+static bool is_cut_off(const struct scale_fleet *fleet, const struct scale_database *database)
+{
+    struct scale_place place = place_of(fleet, database);
+    bool rack = fleet->rack_cut && place.zone == fleet->rack_cut_at.zone &&
+                place.rack == fleet->rack_cut_at.rack;
+    return rack || fleet->zone_cut[place.zone];
+}
+
 /* Notes on a change under way that too few of the group's databases are left for it. */
 static void note_blocked(struct scale_fleet *fleet, uint32_t group)
 {
     uint32_t left = 0;
     for (uint32_t place = 0; place < SCALE_GROUP_DATABASES; place++) {
         const struct scale_database *database = database_at(fleet, group, place);
-        left += !database->down && !fleet->zone_cut[database->zone];
+        left += !database->down && !is_cut_off(fleet, database);
     }
     struct scale_change *change = &fleet->groups[group].change;
     if (change->open && change->promoted_at == 0 && left < SCALE_GROUP_DATABASES / 2 + 1) {
@@ -219,12 +238,13 @@
     database_at(fleet, group, place)->down = false;
 }
 
-void scale_databases_zone_cut(struct scale_fleet *fleet, uint16_t zone)
+void scale_databases_cut(struct scale_fleet *fleet)
 {
     for (uint32_t group = 0; fleet->options.watch.enabled && group < fleet->group_count; group++) {
         advance_log(fleet, group);
         int32_t primary = scale_fleet_primary(fleet, group);
-        if (primary >= 0 && database_at(fleet, group, (uint32_t)primary)->zone == zone) {
+        bool lost = primary >= 0 && is_cut_off(fleet, database_at(fleet, group, (uint32_t)primary));
+        if (lost && !fleet->groups[group].change.open) {
             scale_observe_failed(fleet, &fleet->groups[group]);
         }
         note_blocked(fleet, group);
@@ -234,21 +254,16 @@
 /* Fails what stands in a zone; in one of its racks only, unless `rack` is negative. */
 static void fail_place(struct scale_fleet *fleet, uint16_t zone, int64_t rack)
 {
-    uint32_t zones = fleet->options.network.zones;
-    uint32_t racks = fleet->options.racks;
-    uint32_t regions = zones / fleet->options.network.zones_per_region;
     for (uint32_t i = 0; i < fleet->options.daemons; i++) {
-        bool stands = fleet->daemons[i].zone == zone && (rack < 0 || i / zones % racks == rack);
-        if (stands) {
+        struct scale_place place = scale_place_of_daemon(fleet, &fleet->daemons[i]);
+        if (place.zone == zone && (rack < 0 || place.rack == rack)) {
             scale_fleet_kill(fleet, i, true);
         }
     }
     for (uint32_t i = 0; i < fleet->group_count * SCALE_GROUP_DATABASES; i++) {
-        uint32_t group = i / SCALE_GROUP_DATABASES;
-        bool stands = fleet->databases[i].zone == zone &&
-                      (rack < 0 || group / MAX(1, regions) % racks == rack);
-        if (stands) {
-            scale_fleet_fail_database(fleet, group, i % SCALE_GROUP_DATABASES);
+        struct scale_place place = scale_place_of_database(fleet, i);
+        if (place.zone == zone && (rack < 0 || place.rack == rack)) {
+            scale_fleet_fail_database(fleet, i / SCALE_GROUP_DATABASES, i % SCALE_GROUP_DATABASES);
         }
     }
 }
@@ -258,6 +273,27 @@
     fail_place(fleet, zone, rack);
 }
 
+void scale_fleet_cut_rack(struct scale_fleet *fleet, uint16_t zone, uint32_t rack, bool cut)
+{
+    for (uint32_t group = 0; group < fleet->group_count; group++) {
+        advance_log(fleet, group);
+    }
+    fleet->rack_cut = cut;
+    fleet->rack_cut_at = (struct scale_place){zone, rack};
+    if (cut) {
+        scale_databases_cut(fleet);
+    } else {
+        fleet->rack_healed_at = scale_network_now(fleet->network);
+    }
+}
+
+bool scale_fleet_is_in_rack(const struct scale_fleet *fleet, uint32_t index, uint16_t zone,
+                            uint32_t rack)
+{
+    struct scale_place place = scale_place_of_daemon(fleet, &fleet->daemons[index]);
+    return place.zone == zone && place.rack == rack;
+}
+
 void scale_fleet_fail_zone(struct scale_fleet *fleet, uint16_t zone)
 {
     fail_place(fleet, zone, -1);
--- a/src/sim/scale_fault.c
+++ b/src/sim/scale_fault.c
@@ -17,9 +17,12 @@
 /* A configuration is published this often while a region is cut off: 1,200 a day. */
 #define PUBLISH_INTERVAL (72 * NANOSECONDS_PER_SECOND)
 
-/* The region that is cut off, and the zone that is lost. The store is in region 0. */
+/* The region and the switch that are cut off, and the zone that is lost. The store is in region 0.
+ */
 #define LOST_REGION 1
 #define LOST_ZONE   4
+#define SWITCH_ZONE 1
+#define SWITCH_RACK 0
 
 /* From a zone of one region to one of the next. */
 #define ZONES_PER_REGION 3
@@ -36,8 +39,9 @@
 {
     static const char *const names[SCALE_FAULT_COUNT] = {
         [SCALE_FAULT_PRIMARY] = "primary", [SCALE_FAULT_COORDINATOR] = "coordinator",
-        [SCALE_FAULT_RACK] = "rack",       [SCALE_FAULT_ZONE] = "zone",
-        [SCALE_FAULT_REGION] = "region",   [SCALE_FAULT_STORE] = "store",
+        [SCALE_FAULT_SWITCH] = "switch",   [SCALE_FAULT_RACK] = "rack",
+        [SCALE_FAULT_ZONE] = "zone",       [SCALE_FAULT_REGION] = "region",
+        [SCALE_FAULT_STORE] = "store",
     };
     return names[kind];
 }
@@ -103,12 +107,14 @@
 /* What each side has when the region has been cut off for long. */
 static void look_at_sides(const struct scale_fleet *fleet, struct scale_fault_outcome *outcome)
 {
+    bool region = outcome->kind == SCALE_FAULT_REGION;
     for (uint32_t i = 0; i < scale_fleet_daemons(fleet); i++) {
         size_t octets[SCALE_PART_COUNT];
         if (!scale_fleet_state(fleet, i, octets)) {
             continue;
         }
-        bool hit = scale_fleet_region(fleet, i) == LOST_REGION;
+        bool hit = region ? scale_fleet_region(fleet, i) == LOST_REGION
+                          : scale_fleet_is_in_rack(fleet, i, SWITCH_ZONE, SWITCH_RACK);
         bool serving = currency_serving(scale_fleet_currency(fleet, i));
         outcome->daemons_hit += hit;
         outcome->hit_serving += hit && serving;
@@ -120,7 +126,7 @@
         outcome->state_most = MAX(outcome->state_most, all);
     }
     for (uint32_t group = 0; group < scale_fleet_groups(fleet); group++) {
-        bool hit = scale_fleet_group_region(fleet, group) == LOST_REGION;
+        bool hit = region && scale_fleet_group_region(fleet, group) == LOST_REGION;
         bool led = is_led(fleet, group);
         outcome->groups_hit += hit;
         outcome->hit_led += hit && led;
@@ -128,18 +134,27 @@
     }
 }
 
-/* Cuts the region off, publishes as on a day, looks at both sides, and joins it again. */
-static uint64_t cut_region(struct scale_fleet *fleet, const struct scale_fault_options *options,
-                           struct scale_fault_outcome *outcome)
+static void set_cut(struct scale_fleet *fleet, enum scale_fault_kind kind, bool cut)
 {
-    scale_fleet_cut_region(fleet, LOST_REGION, true);
+    if (kind == SCALE_FAULT_REGION) {
+        scale_fleet_cut_region(fleet, LOST_REGION, cut);
+    } else {
+        scale_fleet_cut_rack(fleet, SWITCH_ZONE, SWITCH_RACK, cut);
+    }
+}
+
+/* Cuts the region or rack off, publishes as on a day, looks at both sides, and joins it again. */
+static uint64_t cut_off(struct scale_fleet *fleet, const struct scale_fault_options *options,
+                        struct scale_fault_outcome *outcome)
+{
+    set_cut(fleet, options->kind, true);
     time_ns end = scale_fleet_now(fleet) + options->outage;
     while (scale_fleet_now(fleet) < end) {
         scale_fleet_publish(fleet);
         scale_fleet_run(fleet, MIN(PUBLISH_INTERVAL, end - scale_fleet_now(fleet)));
     }
     look_at_sides(fleet, outcome);
-    scale_fleet_cut_region(fleet, LOST_REGION, false);
+    set_cut(fleet, options->kind, false);
     return scale_fleet_newest(fleet);
 }
 
@@ -192,13 +207,18 @@
     }
 }
 
+static bool is_cut(enum scale_fault_kind kind)
+{
+    return kind == SCALE_FAULT_REGION || kind == SCALE_FAULT_SWITCH;
+}
+
 void scale_fault_run(struct scale_fleet *fleet, const struct scale_fault_options *options,
                      struct scale_fault_outcome *outcome)
 {
     *outcome = (struct scale_fault_outcome){
         .kind = options->kind,
         .repeats = options->repeats,
-        .outage = options->kind == SCALE_FAULT_REGION ? options->outage : 0,
+        .outage = is_cut(options->kind) ? options->outage : 0,
     };
     uint64_t newest = scale_day_start(fleet);
     switch (options->kind) {
@@ -213,7 +233,8 @@
         scale_fleet_fail_zone(fleet, LOST_ZONE);
         break;
     case SCALE_FAULT_REGION:
-        newest = cut_region(fleet, options, outcome);
+    case SCALE_FAULT_SWITCH:
+        newest = cut_off(fleet, options, outcome);
         break;
     case SCALE_FAULT_STORE:
         restart_many(fleet, outcome);
--- a/src/sim/scale_fault.h
+++ b/src/sim/scale_fault.h
@@ -8,6 +8,7 @@
     SCALE_FAULT_PRIMARY,     /* machines of primaries are lost, one group after the other */
     SCALE_FAULT_COORDINATOR, /* the same, and the daemon that first begins to fence with each */
     SCALE_FAULT_RACK,        /* racks, one after the other, each in another region */
+    SCALE_FAULT_SWITCH,      /* a rack is cut off, and comes back */
     SCALE_FAULT_ZONE,        /* a zone */
     SCALE_FAULT_REGION,      /* a region is cut off, and comes back */
     SCALE_FAULT_STORE,       /* a third of the daemons ends at once and starts again */
@@ -17,7 +18,7 @@
 struct scale_fault_options {
     enum scale_fault_kind kind;
     uint32_t repeats; /* of primary, coordinator and rack */
-    time_ns outage;   /* of a region */
+    time_ns outage;   /* of a region or switch */
 };
 
 struct scale_fault_outcome {
--- a/src/sim/scale_fleet.c
+++ b/src/sim/scale_fleet.c
@@ -287,7 +287,7 @@
 {
     set_zone_cut(fleet, zone, cut, false);
     if (cut) {
-        scale_databases_zone_cut(fleet, zone);
+        scale_databases_cut(fleet);
     }
 }
 
@@ -318,7 +318,8 @@
     for (uint32_t i = 0; i < fleet->options.daemons; i++) {
         uint32_t index = (first + i) % fleet->options.daemons;
         const struct scale_daemon *daemon = &fleet->daemons[index];
-        if (!daemon->running || daemon->paused || fleet->zone_cut[daemon->zone]) {
+        if (!daemon->running || daemon->paused ||
+            scale_daemon_was_cut(fleet, daemon, scale_fleet_now(fleet))) {
             continue;
         }
         struct scale_event event = {
--- a/src/sim/scale_fleet.h
+++ b/src/sim/scale_fleet.h
@@ -101,6 +101,11 @@
 void scale_fleet_fail_rack(struct scale_fleet *fleet, uint16_t zone, uint32_t rack);
 void scale_fleet_fail_zone(struct scale_fleet *fleet, uint16_t zone);
 
+/* Cuts what stands in a rack off from all else, or joins it again: its switch. One at a time. */
+void scale_fleet_cut_rack(struct scale_fleet *fleet, uint16_t zone, uint32_t rack, bool cut);
+bool scale_fleet_is_in_rack(const struct scale_fleet *fleet, uint32_t index, uint16_t zone,
+                            uint32_t rack);
+
 /* The daemon that next begins to fence databases of the group is lost at that moment. */
 void scale_fleet_fail_coordinator(struct scale_fleet *fleet, uint32_t group);
 
--- a/src/sim/scale_fleet_internal.h
+++ b/src/sim/scale_fleet_internal.h
@@ -149,6 +149,12 @@
     bool kill_coordinator;
 };
 
+/* Where a machine stands. */
+struct scale_place {
+    uint16_t zone;
+    uint32_t rack;
+};
+
 /* One published configuration; its version is its index. */
 struct scale_publication {
     time_ns at;
@@ -172,6 +178,9 @@
     time_ns zone_healed_at[SCALE_ZONES_MAX]; /* end of the zone's last cut */
     bool zone_cut[SCALE_ZONES_MAX];
     bool zone_split[SCALE_ZONES_MAX];
+    struct scale_place rack_cut_at; /* the rack that is cut off, or was last */
+    bool rack_cut;
+    time_ns rack_healed_at;
     struct scale_measures measures;
 
     struct membership_actions *actions; /* reused */
@@ -207,6 +216,15 @@
 bool scale_transport_open(struct scale_fleet *fleet, struct scale_daemon *to,
                           struct scale_payload *payload, struct message *out);
 
+/* Where a daemon and a database (by its index over all groups) stand. */
+struct scale_place scale_place_of_daemon(const struct scale_fleet *fleet,
+                                         const struct scale_daemon *daemon);
+struct scale_place scale_place_of_database(const struct scale_fleet *fleet, uint32_t index);
+
+/* True if a rack that is cut off lies between two places. */
+bool scale_places_apart(const struct scale_fleet *fleet, struct scale_place one,
+                        struct scale_place other);
+
 /* True if something sent now from one daemon can't reach the other. */
 bool scale_transport_cut(const struct scale_fleet *fleet, const struct scale_daemon *from,
                          const struct scale_daemon *to);
@@ -253,8 +271,8 @@
 void scale_databases_init(struct scale_fleet *fleet);
 /* A question reaches its database; takes over the payload. */
 void scale_database_ask(struct scale_fleet *fleet, const struct scale_event *event);
-/* A zone has been cut off: groups led from there have lost their primary. */
-void scale_databases_zone_cut(struct scale_fleet *fleet, uint16_t zone);
+/* A zone or rack has been cut off: groups led from there have lost their primary. */
+void scale_databases_cut(struct scale_fleet *fleet);
 
 /* -- scale_observe.c: what is written down -- */
 
@@ -283,4 +301,8 @@
 /* True if the zone is cut off, or was at some time since `since`. */
 bool scale_was_cut(const struct scale_fleet *fleet, uint16_t zone, time_ns since);
 
+/* The same of a daemon: with its zone, or with its rack. */
+bool scale_daemon_was_cut(const struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                          time_ns since);
+
 #endif
--- a/src/sim/scale_holdings.c
+++ b/src/sim/scale_holdings.c
@@ -78,7 +78,10 @@
     uint16_t zone = fleet->databases[number >> NUMBER_BITS].zone;
     time_ns now = scale_network_now(fleet->network);
     time_ns at = 0;
-    if (!scale_network_arrival(fleet->network, daemon->zone, zone, true, &at)) {
+    bool apart =
+        scale_places_apart(fleet, scale_place_of_daemon(fleet, daemon),
+                           scale_place_of_database(fleet, (uint32_t)(number >> NUMBER_BITS)));
+    if (apart || !scale_network_arrival(fleet->network, daemon->zone, zone, true, &at)) {
         add_connection_event(fleet, daemon, SCALE_EVENT_FAILED, number, now + CONNECT_TIMEOUT);
         return;
     }
@@ -283,7 +286,11 @@
     const struct scale_daemon *daemon = &fleet->daemons[event->daemon];
     answer.kind = kind;
     answer.payload = NULL;
-    if (!scale_network_arrival(fleet->network, database->zone, daemon->zone, true, &answer.at)) {
+    uint32_t index = (uint32_t)(database - fleet->databases);
+    bool apart = scale_places_apart(fleet, scale_place_of_database(fleet, index),
+                                    scale_place_of_daemon(fleet, daemon));
+    if (apart ||
+        !scale_network_arrival(fleet->network, database->zone, daemon->zone, true, &answer.at)) {
         answer.kind = kind == SCALE_EVENT_OPENED ? SCALE_EVENT_OPENED : SCALE_EVENT_FAILED;
         answer.at = scale_network_now(fleet->network) + CONNECT_TIMEOUT;
     }
--- a/src/sim/scale_observe.c
+++ b/src/sim/scale_observe.c
@@ -6,6 +6,27 @@
     return fleet->zone_cut[zone] || fleet->zone_healed_at[zone] > since;
 }
 
+/* True if the daemon stands in the rack that is cut off, or was last. */
+static bool is_in_cut_rack(const struct scale_fleet *fleet, const struct scale_daemon *daemon)
+{
+    struct scale_place place = scale_place_of_daemon(fleet, daemon);
+    return place.zone == fleet->rack_cut_at.zone && place.rack == fleet->rack_cut_at.rack;
+}
+
+bool scale_daemon_was_cut(const struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                          time_ns since)
+{
+    bool rack = fleet->rack_cut || fleet->rack_healed_at > since;
+    return scale_was_cut(fleet, daemon->zone, since) || (rack && is_in_cut_rack(fleet, daemon));
+}
+
+/* The end of the last cut that the daemon was in; 0 if it was in none. */
+static time_ns healed_at(const struct scale_fleet *fleet, const struct scale_daemon *daemon)
+{
+    time_ns rack = is_in_cut_rack(fleet, daemon) ? fleet->rack_healed_at : 0;
+    return MAX(fleet->zone_healed_at[daemon->zone], rack);
+}
+
 static struct scale_publication *publication_at(struct scale_fleet *fleet, uint64_t version)
 {
     return &g_array_index(fleet->publications, struct scale_publication, version);
@@ -22,11 +43,11 @@
     if (!counts) {
         return;
     }
-    if (fleet->zone_cut[daemon->zone]) {
+    if (scale_daemon_was_cut(fleet, daemon, now)) {
         return;
     }
-    if (scale_was_cut(fleet, daemon->zone, publication->at)) {
-        time_ns since = MAX(publication->at, fleet->zone_healed_at[daemon->zone]);
+    if (scale_daemon_was_cut(fleet, daemon, publication->at)) {
+        time_ns since = MAX(publication->at, healed_at(fleet, daemon));
         scale_samples_add(&fleet->measures.configuration_healed, now - since);
         return;
     }
@@ -52,11 +73,10 @@
     if (!counts) {
         return;
     }
-    bool cut = scale_was_cut(fleet, daemon->zone, group->changed_at) ||
+    bool cut = scale_daemon_was_cut(fleet, daemon, group->changed_at) ||
                scale_was_cut(fleet, group->changed_in, group->changed_at);
     if (cut) {
-        time_ns healed =
-            MAX(fleet->zone_healed_at[daemon->zone], fleet->zone_healed_at[group->changed_in]);
+        time_ns healed = MAX(healed_at(fleet, daemon), fleet->zone_healed_at[group->changed_in]);
         scale_samples_add(&fleet->measures.status_healed,
                           now - MIN(now, MAX(healed, group->changed_at)));
         return;
@@ -86,8 +106,8 @@
     }
     bool counts = !gone->running && gone->ended_at >= fleet->measures.started &&
                   gone->ended_at >= observer->started_at &&
-                  !scale_was_cut(fleet, observer->zone, gone->ended_at) &&
-                  !scale_was_cut(fleet, gone->zone, gone->ended_at);
+                  !scale_daemon_was_cut(fleet, observer, gone->ended_at) &&
+                  !scale_daemon_was_cut(fleet, gone, gone->ended_at);
     if (counts) {
         scale_samples_add(&fleet->measures.death_noticed, now - gone->ended_at);
     }
@@ -102,8 +122,8 @@
     }
     bool counts = member->leaving && daemon->mark_at >= fleet->measures.started &&
                   daemon->mark_at >= observer->started_at &&
-                  !scale_was_cut(fleet, observer->zone, daemon->mark_at) &&
-                  !scale_was_cut(fleet, daemon->zone, daemon->mark_at);
+                  !scale_daemon_was_cut(fleet, observer, daemon->mark_at) &&
+                  !scale_daemon_was_cut(fleet, daemon, daemon->mark_at);
     if (counts && member->state == MEMBER_STATE_ALIVE) {
         scale_samples_add(&fleet->measures.leave_noticed, now - daemon->mark_at);
     }
@@ -148,7 +168,7 @@
 {
     time_ns now = scale_network_now(fleet->network);
     time_ns recent = now - MIN(now, 2 * fleet->options.currency.bound);
-    if (!serving && !daemon->leaving && !scale_was_cut(fleet, daemon->zone, recent)) {
+    if (!serving && !daemon->leaving && !scale_daemon_was_cut(fleet, daemon, recent)) {
         fleet->measures.stops++;
     }
 }
@@ -214,7 +234,7 @@
     bool counts = change->open && change->promoted_at > 0 &&
                   holding->control.learned >= change->term &&
                   holding->control.began_at < change->promoted_at &&
-                  !scale_was_cut(fleet, daemon->zone, change->failed_at);
+                  !scale_daemon_was_cut(fleet, daemon, change->failed_at);
     if (counts) {
         change->learned_at = scale_network_now(fleet->network);
     }
@@ -233,7 +253,7 @@
         const struct scale_holding *holding = scale_holdings_find(daemon, group);
         count += holding != NULL && holding->control.began_at < change->promoted_at &&
                  holding->control.learned < change->term &&
-                 !scale_was_cut(fleet, daemon->zone, change->failed_at);
+                 !scale_daemon_was_cut(fleet, daemon, change->failed_at);
     }
     return count;
 }
--- a/src/sim/scale_transport.c
+++ b/src/sim/scale_transport.c
@@ -107,6 +107,29 @@
     return payload;
 }
 
+struct scale_place scale_place_of_daemon(const struct scale_fleet *fleet,
+                                         const struct scale_daemon *daemon)
+{
+    uint32_t rack = daemon->index / fleet->options.network.zones % fleet->options.racks;
+    return (struct scale_place){daemon->zone, rack};
+}
+
+struct scale_place scale_place_of_database(const struct scale_fleet *fleet, uint32_t index)
+{
+    uint32_t regions = fleet->options.network.zones / fleet->options.network.zones_per_region;
+    uint32_t in_zone = index / SCALE_GROUP_DATABASES / MAX(1, regions);
+    return (struct scale_place){fleet->databases[index].zone, in_zone % fleet->options.racks};
+}
+
+bool scale_places_apart(const struct scale_fleet *fleet, struct scale_place one,
+                        struct scale_place other)
+{
+    struct scale_place cut = fleet->rack_cut_at;
+    bool one_in = one.zone == cut.zone && one.rack == cut.rack;
+    bool other_in = other.zone == cut.zone && other.rack == cut.rack;
+    return fleet->rack_cut && one_in != other_in;
+}
+
 bool scale_transport_cut(const struct scale_fleet *fleet, const struct scale_daemon *from,
                          const struct scale_daemon *to)
 {
@@ -115,6 +138,10 @@
                      to->index / fleet->options.network.zones % 2) {
         return true;
     }
+    if (scale_places_apart(fleet, scale_place_of_daemon(fleet, from),
+                           scale_place_of_daemon(fleet, to))) {
+        return true;
+    }
     return scale_network_is_cut(fleet->network, from->zone, to->zone);
 }
 
--- a/tests/sim/scale_change_test.c
+++ b/tests/sim/scale_change_test.c
@@ -70,6 +70,20 @@
     }
 }
 
+/* A switch fails and is mended: what is behind it is replaced, and comes back as replicas. */
+static void test_switch_cut(void)
+{
+    struct scale_fault_outcome outcome;
+    struct scale_fleet *fleet = run_fault(SCALE_FAULT_SWITCH, 1, 1, 0, &outcome);
+    assert_changed(fleet, 1);
+    g_assert_cmpuint(outcome.daemons_hit, >, 0);
+    g_assert_cmpuint(outcome.hit_serving, ==, 0);
+    g_assert_cmpuint(outcome.others_serving, ==, DAEMONS - outcome.daemons_hit);
+    g_assert_cmpuint(outcome.others_led, ==, scale_fleet_groups(fleet));
+    g_assert_true(outcome.settled);
+    scale_fleet_free(fleet);
+}
+
 static void test_zone_lost(void)
 {
     struct scale_fault_outcome outcome;
@@ -112,6 +126,7 @@
     g_test_add_func("/change/primaries-lost", test_primaries_lost);
     g_test_add_func("/change/coordinator-dies-too", test_coordinator_dies_too);
     g_test_add_func("/change/racks-lost", test_racks_lost);
+    g_test_add_func("/change/switch-cut", test_switch_cut);
     g_test_add_func("/change/zone-lost", test_zone_lost);
     g_test_add_func("/change/region-cut", test_region_cut);
     g_test_add_func("/change/store-limits-its-rate", test_store_limits_its_rate);
