Let a daemon that is cut off itself declare nobody dead

Cause: the daemons behind a lost switch suspect the rest of their zone, and after the time to refute hold them dead, since deaths are for the own zone to say. At the heal this news goes to all before those who live can refute it: ownership of a whole zone's groups moves for a moment.

Ruled out: counting how many of the own zone are suspect. A zone that loses most of its racks would then never tell of it, although it reaches the other zones.

A due suspicion is held while no majority was heard of within the time to refute; when a majority is back, the suspect has that time again. A minority takes no group in any case (ownership_set_settled).

--- a/src/core/membership_internal.h
+++ b/src/core/membership_internal.h
@@ -32,6 +32,7 @@
 struct suspicion {
     uint64_t id;
     time_ns deadline;
+    bool held; /* past its first deadline, while a majority was out of reach */
 };
 
 /* A probe of this daemon that awaits its answer. */
--- a/src/core/membership_probe.c
+++ b/src/core/membership_probe.c
@@ -81,22 +81,43 @@
 void membership_suspicion_start(struct membership *membership, uint64_t id, time_ns now)
 {
     membership_suspicion_end(membership, id);
-    struct suspicion suspicion = {id, now + suspicion_timeout(membership)};
+    struct suspicion suspicion = {.id = id, .deadline = now + suspicion_timeout(membership)};
     g_array_append_val(membership->suspicions, suspicion);
 }
 
+/* True if a due suspicion may not end in death yet. Who hears nothing of most members is likely to
+ * be cut off itself, as behind a lost switch, and would tell of deaths that were none once it is
+ * back. So it waits; and when most are in reach again, the suspect has its time to refute anew. */
+static bool hold_suspicion(const struct membership *membership, struct suspicion *suspicion,
+                           time_ns now)
+{
+    time_ns timeout = suspicion_timeout(membership);
+    if (!membership_majority_reachable(membership, now, timeout)) {
+        suspicion->held = true;
+        suspicion->deadline = now + membership->options.probe_period;
+        return true;
+    }
+    if (suspicion->held) {
+        suspicion->held = false;
+        suspicion->deadline = now + timeout;
+        return true;
+    }
+    return false;
+}
+
 static void end_due_suspicions(struct membership *membership, time_ns now,
                                struct membership_actions *actions)
 {
     guint i = 0;
     while (i < membership->suspicions->len) {
-        struct suspicion suspicion = g_array_index(membership->suspicions, struct suspicion, i);
-        if (suspicion.deadline > now) {
+        struct suspicion *suspicion = &g_array_index(membership->suspicions, struct suspicion, i);
+        if (suspicion->deadline > now || hold_suspicion(membership, suspicion, now)) {
             i++;
             continue;
         }
+        uint64_t id = suspicion->id;
         g_array_remove_index_fast(membership->suspicions, i);
-        struct member_record *record = membership_record(membership, suspicion.id);
+        struct member_record *record = membership_record(membership, id);
         if (record != NULL && record->state == MEMBER_STATE_SUSPECT) {
             membership_set_state(membership, record, MEMBER_STATE_DEAD, now, actions);
         }
--- a/tests/sim/scale_change_test.c
+++ b/tests/sim/scale_change_test.c
@@ -70,7 +70,8 @@
     }
 }
 
-/* A switch fails and is mended: what is behind it is replaced, and comes back as replicas. */
+/* A switch fails and is mended: what is behind it is replaced, and comes back as replicas. Those
+ * behind it hold nobody dead that only they can't reach, and tell nobody so when they are back. */
 static void test_switch_cut(void)
 {
     struct scale_fault_outcome outcome;
@@ -81,6 +82,7 @@
     g_assert_cmpuint(outcome.others_serving, ==, DAEMONS - outcome.daemons_hit);
     g_assert_cmpuint(outcome.others_led, ==, scale_fleet_groups(fleet));
     g_assert_true(outcome.settled);
+    g_assert_cmpuint(scale_fleet_measures(fleet)->false_deaths, ==, 0);
     scale_fleet_free(fleet);
 }
 
