--- a/tests/core/budget_move_test.c
+++ b/tests/core/budget_move_test.c
@@ -28,6 +28,13 @@
     uint32_t owners;
 } databases[] = {{27, 2}, {47, 3}};
 
+/* Holders of a number: none, or a daemon of whose end the database does not know yet. */
+#define NOBODY (-1)
+#define DEAD   (-2)
+
+/* Until the database notices that a daemon has died. */
+#define NOTICE_TIME (3 * NANOSECONDS_PER_SECOND)
+
 /* Something that a daemon's pool is told next. */
 struct task {
     uint32_t daemon;
@@ -46,7 +53,8 @@
     struct budget_options options;
     struct daemon daemons[DAEMONS];
     bool leaving[DAEMONS];
-    int32_t holder[BUDGET_CONNECTIONS_MAX]; /* of each number, or -1 */
+    int32_t holder[BUDGET_CONNECTIONS_MAX]; /* of each number, NOBODY or DEAD */
+    time_ns noticed_at;                     /* when the database notices who has died */
     uint32_t most;                          /* numbers held at one moment */
     bool served;                            /* some daemon could serve; then one always can */
     GQueue tasks;                           /* of struct task */
@@ -76,7 +84,7 @@
 {
     struct budget *budget = world->daemons[daemon].budget;
     GArray *actions = new_actions();
-    if (world->holder[number] >= 0) {
+    if (world->holder[number] != NOBODY) {
         budget_number_taken(budget, number, world->now, actions);
     } else {
         world->holder[number] = (int32_t)daemon;
@@ -89,7 +97,7 @@
 {
     GArray *actions = new_actions();
     g_assert_cmpint(world->holder[number], ==, (int32_t)daemon);
-    world->holder[number] = -1;
+    world->holder[number] = NOBODY;
     budget_closed(world->daemons[daemon].budget, number, world->now, actions);
     take_actions(world, daemon, actions);
 }
@@ -178,10 +186,23 @@
     }
 }
 
+/* Gives all numbers of one holder to another. */
+static void pass_numbers(struct world *world, int32_t from, int32_t to)
+{
+    for (uint32_t i = 0; i < BUDGET_CONNECTIONS_MAX; i++) {
+        if (world->holder[i] == from) {
+            world->holder[i] = to;
+        }
+    }
+}
+
 /* Lets the clock go on, and does what is due at each daemon. */
 static void advance_clock(struct world *world)
 {
     world->now += STEP;
+    if (world->now >= world->noticed_at) {
+        pass_numbers(world, DEAD, NOBODY);
+    }
     for (uint32_t i = 0; i < DAEMONS; i++) {
         struct daemon *daemon = &world->daemons[i];
         if (budget_next_wakeup(daemon->budget) <= world->now) {
@@ -209,7 +230,7 @@
 {
     uint32_t held = 0;
     for (uint32_t i = 0; i < BUDGET_CONNECTIONS_MAX; i++) {
-        held += world->holder[i] >= 0;
+        held += world->holder[i] != NOBODY;
     }
     world->most = MAX(world->most, held);
 }
@@ -261,7 +282,7 @@
     world->options.handover_time = HANDOVER_TIME;
     g_queue_init(&world->tasks);
     for (uint32_t i = 0; i < BUDGET_CONNECTIONS_MAX; i++) {
-        world->holder[i] = -1;
+        world->holder[i] = NOBODY;
     }
     for (uint32_t i = 0; i < DAEMONS; i++) {
         world->daemons[i] = (struct daemon){.budget = budget_new(&world->options), .position = -1};
@@ -333,13 +354,46 @@
     }
 }
 
-static void move_in_a_row(size_t database, uint32_t seed)
+static void drop_tasks(struct world *world, uint32_t daemon)
+{
+    for (guint left = g_queue_get_length(&world->tasks); left > 0; left--) {
+        struct task *task = g_queue_pop_head(&world->tasks);
+        if (task->daemon == daemon) {
+            g_free(task);
+        } else {
+            g_queue_push_tail(&world->tasks, task);
+        }
+    }
+}
+
+/* Ends a daemon at once. A fresh process of it is there, but owns nothing yet. */
+static void kill_daemon(struct world *world, uint32_t index)
+{
+    struct daemon *daemon = &world->daemons[index];
+    if (is_last(world, index)) {
+        return;
+    }
+    drop_tasks(world, index);
+    pass_numbers(world, (int32_t)index, DEAD);
+    world->noticed_at = world->now + NOTICE_TIME;
+    budget_free(daemon->budget);
+    *daemon = (struct daemon){.budget = budget_new(&world->options), .position = -1};
+    world->served = false;
+    set_leaving(world, index, true);
+}
+
+static void move_in_a_row(size_t database, uint32_t seed, bool kills)
 {
     struct world world;
     g_autoptr(GRand) random = g_rand_new_with_seed(seed);
     world_init(&world, database);
     for (uint32_t i = 0; i < MOVES; i++) {
-        turn(&world, (uint32_t)g_rand_int_range(random, 0, DAEMONS));
+        uint32_t daemon = (uint32_t)g_rand_int_range(random, 0, DAEMONS);
+        if (kills && g_rand_boolean(random)) {
+            kill_daemon(&world, daemon);
+        } else {
+            turn(&world, daemon);
+        }
         for (gint32 steps = g_rand_int_range(random, 0, STEPS_MAX); steps > 0; steps--) {
             step(&world);
         }
@@ -351,12 +405,13 @@
     world_clear(&world);
 }
 
-/* Moves in a row, each begun at any moment of those before, by seed. */
-static void test_moves_in_a_row(void)
+/* Moves in a row, each begun at any moment of those before, by seed; with or without daemons that
+ * die, old owners or new. */
+static void test_moves_in_a_row(gconstpointer data)
 {
     for (uint32_t seed = 1; seed <= SEEDS; seed++) {
         for (size_t i = 0; i < G_N_ELEMENTS(databases); i++) {
-            move_in_a_row(i, seed);
+            move_in_a_row(i, seed, GPOINTER_TO_INT(data));
         }
     }
 }
@@ -382,6 +437,8 @@
         g_autofree char *path = g_strdup_printf("/budget/moves/%s", all_moves[i].name);
         g_test_add_data_func(path, &all_moves[i], test_overlapping_moves);
     }
-    g_test_add_func("/budget/moves/in-a-row", test_moves_in_a_row);
+    g_test_add_data_func("/budget/moves/in-a-row", GINT_TO_POINTER(false), test_moves_in_a_row);
+    g_test_add_data_func("/budget/moves/in-a-row-with-kills", GINT_TO_POINTER(true),
+                         test_moves_in_a_row);
     return g_test_run();
 }
--- a/tests/daemon/published_fixture.c
+++ b/tests/daemon/published_fixture.c
@@ -51,6 +51,10 @@
     g_ptr_array_add(test->overrides, g_strdup_printf("platform.table_endpoint=%s", url));
     g_ptr_array_add(test->overrides,
                     g_strdup_printf("configuration.currency_bound_ms=%u", test->bound_ms));
+    if (test->handover_max_ms > 0) {
+        g_ptr_array_add(test->overrides,
+                        g_strdup_printf("ownership.handover_max_ms=%u", test->handover_max_ms));
+    }
     g_ptr_array_add(test->overrides, NULL);
     test->cluster->options.overrides = (const char *const *)test->overrides->pdata;
 }
--- a/tests/daemon/published_fixture.h
+++ b/tests/daemon/published_fixture.h
@@ -11,10 +11,11 @@
 struct published_cluster {
     struct cluster *cluster;
     struct publisher *publisher;
-    char *bundle;            /* the first bundle: that of the cluster's static file */
-    GPtrArray *overrides;    /* settings of the daemons started last */
-    uint32_t bound_ms;       /* configuration.currency_bound_ms of those started next */
-    bool daemons_lack_store; /* these find nobody at the platform's address */
+    char *bundle;             /* the first bundle: that of the cluster's static file */
+    GPtrArray *overrides;     /* settings of the daemons started last */
+    uint32_t bound_ms;        /* configuration.currency_bound_ms of those started next */
+    uint32_t handover_max_ms; /* ownership.handover_max_ms of those; 0: as it is by default */
+    bool daemons_lack_store;  /* these find nobody at the platform's address */
 };
 
 /* Databases and platform; no daemon yet, and nothing is published. */
--- a/tests/daemon/test_configuration.c
+++ b/tests/daemon/test_configuration.c
@@ -6,6 +6,7 @@
 
 #include "backend/clock.h"
 #include "core/error.h"
+#include "daemon/control.h"
 #include "generated/errors.h"
 
 #define DAEMONS 3
@@ -169,6 +170,47 @@
     published_stop(test);
 }
 
+static void cut_zone(struct cluster *cluster, const char *zone)
+{
+    for (unsigned i = 0; i < cluster->options.databases; i++) {
+        faults_cut_zone(&cluster->databases[i]->faults, zone);
+    }
+}
+
+static bool sees_a_database(const struct cluster *cluster, unsigned daemon)
+{
+    struct group_view view = cluster_view(cluster, daemon);
+    bool any = false;
+    for (uint32_t i = 0; i < view.database_count; i++) {
+        any = any || view.databases[i].reachable;
+    }
+    return any;
+}
+
+/* A group is taken out while its old owner waits for a new one that can't come: nobody is waited
+ * for any more. Its databases go on in a group of another number. */
+static void test_group_removed_in_a_move(void)
+{
+    struct published_cluster *test = published_start(BOUND_LONG_MS);
+    test->handover_max_ms = BOUND_LONG_MS;
+    g_free(published_publish(test, test->bundle, 1));
+    published_start_daemons(test, DAEMONS);
+    published_await(test, 1);
+    struct control *control = test->cluster->daemons[0]->control;
+    cut_zone(test->cluster, cluster_zones[2]);
+    AWAIT(!sees_a_database(test->cluster, 2));
+    control_set_leaving(control, true);
+    AWAIT(published_count_events(test, 0, "ownership_lost", "") > 0);
+    g_assert_true(control_holds_groups(control));
+    g_autofree char *bundle = published_edit(test, "\"id\": 7", "\"id\": 8");
+    g_free(published_publish(test, bundle, 2));
+    AWAIT(!control_holds_groups(control));
+    cluster_heal(test->cluster);
+    AWAIT(published_all_serve(test, 2));
+    published_check_read(test, 1, "refuge", NULL);
+    published_stop(test);
+}
+
 /* A store that takes its time still gives what is accepted. */
 static void test_slow_store(void)
 {
@@ -298,6 +340,7 @@
     g_test_add_func("/daemon/configuration/store_down_after_acceptance",
                     test_store_down_after_acceptance);
     g_test_add_func("/daemon/configuration/restart_without_store", test_restart_without_store);
+    g_test_add_func("/daemon/configuration/group_removed_in_a_move", test_group_removed_in_a_move);
     g_test_add_func("/daemon/configuration/slow_store", test_slow_store);
     g_test_add_func("/daemon/configuration/restart_with_hanging_store",
                     test_restart_with_hanging_store);
