Order refused numbers by a count

The time of the last refusal made each of the 128 numbers of a budget 8 octets larger, half as much again per database of an owned group. A count of refusals fits into what was padding, and gives the same order.

--- a/src/core/budget.c
+++ b/src/core/budget.c
@@ -22,8 +22,8 @@
 
 struct budget_slot {
     enum budget_slot_state state;
-    time_ns retry_at;   /* not to be tried before */
-    time_ns refused_at; /* when another was last found to hold it; 0: never */
+    uint32_t refusal; /* which refusal its last one was; 0: none yet */
+    time_ns retry_at; /* not to be tried before */
 };
 
 struct budget {
@@ -36,7 +36,8 @@
     uint32_t keep;    /* connections that a daemon keeps while others may wait for its numbers */
     time_ns close_by; /* end of the time for hand-over after the last change of place */
     time_ns wakeup;
-    uint32_t numbers; /* worked out from the options */
+    uint32_t refusals; /* so far: numbers that another was found to hold */
+    uint32_t numbers;  /* worked out from the options */
     uint32_t share;
     uint32_t count[BUDGET_SLOT_STATES]; /* slots in each state */
     struct budget_slot slots[BUDGET_CONNECTIONS_MAX];
@@ -159,7 +160,7 @@
     for (uint32_t i = start; i < end; i++) {
         const struct budget_slot *slot = &budget->slots[i];
         bool free = slot->state == BUDGET_SLOT_FREE && slot->retry_at <= now;
-        if (free && (best < 0 || slot->refused_at < budget->slots[best].refused_at)) {
+        if (free && (best < 0 || slot->refusal < budget->slots[best].refusal)) {
             best = (int32_t)i;
         }
     }
@@ -435,7 +436,8 @@
 void budget_number_taken(struct budget *budget, uint32_t number, time_ns now, GArray *actions)
 {
     set_free(budget, number, now + TAKEN_RETRY_FACTOR * budget->options.retry_wait);
-    budget->slots[number].refused_at = now;
+    budget->refusals++;
+    budget->slots[number].refusal = budget->refusals;
     if (in_handover(budget, number)) {
         hold_back(budget, handover_start(budget), budget->numbers, now);
     } else if (in_share(budget, number)) {
