--- a/src/core/budget.c
+++ b/src/core/budget.c
@@ -274,11 +274,11 @@
 }
 
 /* A daemon that serves without a place gives back what the new owners wait for: the numbers for
- * hand-over, if it can do without them, and others as time goes on. New owners that compete for the
- * numbers for hand-over then become warm by those of their shares. */
+ * hand-over, if it holds any others, and of those more and more as time goes on. New owners that
+ * compete for the numbers for hand-over then become warm by those of their shares. */
 static void yield_to_owners(struct budget *budget, GArray *actions)
 {
-    if (held_of_others(budget) >= MIN(budget->keep, warm_count(budget))) {
+    if (held_of_others(budget) > 0) {
         close_handover_numbers(budget, actions);
     }
     keep_of_others(budget, budget->keep, actions);
@@ -325,7 +325,7 @@
         tell_warm(budget, now, actions);
     }
     close_others_numbers(budget, now, actions);
-    if (held_in_share(budget) >= budget->share) {
+    if (held_in_share(budget) >= warm_count(budget)) {
         close_handover_numbers(budget, actions);
     }
     open_next(budget, now, actions);
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -4,6 +4,7 @@
 #define SW_CTL_COMMAND_H
 
 #include <stdbool.h>
+#include <stdio.h>
 
 #include <glib.h>
 
@@ -15,6 +16,7 @@
     COMMAND_OPTIONS_NONE = 0,
     COMMAND_OPTIONS_PLATFORM = 1 << 0, /* how to reach the platform's store */
     COMMAND_OPTIONS_ADMIN = 1 << 1,    /* how to reach a daemon */
+    COMMAND_OPTIONS_ADMINS = 1 << 2,   /* with the one above: several daemons may be named */
 };
 
 /* One run of swiftctl. Used by one thread. */
@@ -24,13 +26,18 @@
     GString *errors;  /* for standard error */
     char *format;     /* --output */
     bool json;
+    FILE *terminal; /* where progress is shown; NULL: nowhere */
     char *table_url;
     char *object_url;
     char *bucket;
     char *table;
     char *region;
-    char *admin_url;
+    char **admin_urls; /* --admin, NULL if not given */
     gint timeout_ms;
+
+    /* Instead of a run: command_parse hands over each list of options, and ends the command. */
+    void (*list)(void *user, const GOptionEntry *entries);
+    void *list_user;
 };
 
 /* One command. */
@@ -66,7 +73,8 @@
 bool command_platform_settings(struct invocation *invocation, struct platform_settings *settings,
                                GError **error);
 
-/* The daemon's admin URL from the option, else the environment, else the default. */
-const char *command_admin_url(const struct invocation *invocation);
+/* Admin URL number `index`, from the options, else the environment, else the default; NULL after
+ * the last. There is always one. */
+const char *command_admin_url(const struct invocation *invocation, guint index);
 
 #endif
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -9,6 +9,7 @@
 #include "core/group_control.h"
 #include "core/membership.h"
 #include "core/ownership.h"
+#include "core/quorum_settling.h"
 #include "daemon/configuration_fetch.h"
 #include "daemon/control.h"
 #include "daemon/group_runtime.h"
@@ -37,6 +38,8 @@
     uint32_t id;
     struct group_runtime *runtime; /* one reference */
     struct group_control *machine;
+    time_ns started_at;
+    struct quorum_settling settling; /* of the databases that it has now */
     time_ns wake_at;
     uint64_t ledger_term;     /* last term in which the ledger table was asked for */
     time_ns ledger_expire_at; /* next removal of old keys */
@@ -49,7 +52,8 @@
     uint32_t zone;
     struct sockaddr_in address;
     char address_text[ADDRESS_TEXT_SIZE];
-    bool usable; /* alive or suspect, and not leaving */
+    bool present; /* alive or suspect */
+    bool usable;  /* present, not leaving, and not absent: see struct member */
     bool self;
 };
 
@@ -117,6 +121,9 @@
 void control_groups_start(struct control *control);
 void control_groups_stop(struct control *control);
 void control_groups_feed(struct control *control, uint32_t id, const struct group_event *event);
+/* Keeps what another owner tells of its use of the group's databases. */
+void control_groups_note_uses(struct control *control, uint32_t id, uint64_t watcher,
+                              uint32_t used);
 void control_groups_feed_runtime(struct control *control, uint32_t runtime,
                                  const struct group_event *event);
 void control_groups_tick(struct control *control, time_ns now);
@@ -128,6 +135,9 @@
 void control_groups_end(struct control *control, uint32_t id);
 /* Takes on the successors of run times that a new configuration replaced. */
 void control_groups_take_successors(struct control *control);
+/* Looks whether the last change of each group's databases is done. `agreed_at` is when most daemons
+ * were last known to have the configuration in force here; 0: they are not. */
+void control_groups_settle(struct control *control, time_ns agreed_at, time_ns now);
 /* Tells every group who its watchers are. */
 void control_groups_set_watchers(struct control *control, time_ns now);
 
--- a/tests/configuration/test_parse_faults.c
+++ b/tests/configuration/test_parse_faults.c
@@ -47,6 +47,9 @@
 #define IDENTIFIER_RULE "1 to 63 characters of a-z, 0-9 and '_', starting with a letter or a digit"
 
 static const struct fault_case cases[] = {
+    {"half-surrogate", "\"imlil\"", "\"\\ud800\"",
+     "b.json: line 19, column 13: the text is not JSON (Parse error: unexpected string constant "
+     "\"\uFFFD\uFFFD\uFFFD: {\", expected character `:'); allowed: JSON in UTF-8\n"},
     {"not-json", "\"zones\": {\"north\"", "\"zones\" {\"north\"",
      "b.json: line 2, column 7: the text is not JSON (Parse error: unexpected string constant "
      "\"zones\", expected character `:'); allowed: JSON in UTF-8\n"},
@@ -79,11 +82,13 @@
     {"zone-type", "\"north\": {\"id\": 1}", "\"north\": 1",
      "b.json: /zones/north: 1 is not an object; allowed: an object\n"},
     {"zone-id-missing", "\"north\": {\"id\": 1}", "\"north\": {}",
-     "b.json: /zones/north/id: missing; allowed: integer 1 to 1000000\n"},
+     "b.json: /zones/north/id: missing; allowed: integer 1 to 62\n"},
     {"zone-id-zero", "\"north\": {\"id\": 1}", "\"north\": {\"id\": 0}",
-     "b.json: /zones/north/id: 0 is out of range; allowed: integer 1 to 1000000\n"},
+     "b.json: /zones/north/id: 0 is out of range; allowed: integer 1 to 62\n"},
+    {"zone-id-last", "\"north\": {\"id\": 1}", "\"north\": {\"id\": 63}",
+     "b.json: /zones/north/id: 63 is out of range; allowed: integer 1 to 62\n"},
     {"zone-id-type", "\"north\": {\"id\": 1}", "\"north\": {\"id\": \"1\"}",
-     "b.json: /zones/north/id: \"1\" is not an integer; allowed: integer 1 to 1000000\n"},
+     "b.json: /zones/north/id: \"1\" is not an integer; allowed: integer 1 to 62\n"},
     {"zone-id-taken", "\"south\": {\"id\": 2}", "\"south\": {\"id\": 1}",
      "b.json: /zones/south/id: 1 is taken by \"north\"; allowed: an id used once\n"},
     {"zone-member", "\"north\": {\"id\": 1}", "\"north\": {\"id\": 1, \"host\": \"x\"}",
--- a/tests/ctl/test_golden.c
+++ b/tests/ctl/test_golden.c
@@ -1,5 +1,6 @@
 /* swiftctl's whole output, exit codes included, against golden files. Runs from the root of the
  * source tree. */
+#include "ctl/commands.h"
 #include "ctl/ctl.h"
 
 #include <arpa/inet.h>
@@ -12,8 +13,10 @@
 #define GOLDEN_DIRECTORY "tests/ctl/golden"
 #define ATLAS            "examples/atlas-huts/configuration.json"
 #define CHANGED          "tests/ctl/data/changed.json"
-#define INVALID          "tests/ctl/data/invalid.json"
-#define WORDS_MAX        16
+/* Changes no group's databases. */
+#define PUBLISHED "tests/ctl/data/published.json"
+#define INVALID   "tests/ctl/data/invalid.json"
+#define WORDS_MAX 16
 
 /* A run of swiftctl and the golden file that holds its output. */
 struct golden_run {
@@ -30,7 +33,8 @@
 
 static const struct admin_answer admin_answers[] = {
     {"GET /v1/status", 200,
-     "{\"daemon\":\"d1\",\"zone\":\"imlil\",\"configuration\":{\"version\":3},"
+     "{\"daemon\":\"d1\",\"zone\":\"imlil\",\"configuration\":{\"version\":3,\"straggler_count\":1,"
+     "\"stragglers\":[{\"id\":\"1f\",\"address\":\"127.0.0.1:7400\",\"version\":2}]},"
      "\"databases\":[{\"name\":\"toubkal-1\",\"role\":\"primary\",\"term\":4},"
      "{\"name\":\"toubkal-2\",\"role\":\"replica\",\"term\":4}],"
      "\"groups\":[{\"name\":\"bookings\",\"id\":1,\"databases\":[{\"name\":\"a\",\"role\":"
@@ -38,6 +42,11 @@
      "{\"name\":\"empty\",\"id\":2,\"databases\":[]},"
      "{\"name\":\"search\",\"id\":3,\"databases\":[{\"name\":\"b\",\"role\":\"replica\"}]}]}"},
     {"POST /v1/drain?database=toubkal-1", 200, "{\"draining\":\"toubkal-1\"}"},
+    {"GET /v1/drain?database=toubkal-1", 200,
+     "{\"database\":\"toubkal-1\",\"leaving\":true,\"role\":\"replica\",\"owners_unused\":3,"
+     "\"owners_count\":3,\"safe\":true}"},
+    {"GET /v1/drain?daemon=self", 200,
+     "{\"daemon\":\"d1\",\"leaving\":true,\"groups\":2,\"transactions_open\":1,\"safe\":false}"},
     {"POST /v1/drain?daemon=self", 200, "{\"draining\":\"d1\"}"},
     {"POST /v1/undrain?database=a%20b", 404,
      "{\"error\":{\"kind\":\"bad_request\",\"text\":\"no database a b\"}}"},
@@ -45,7 +54,39 @@
      "{\"error\":{\"kind\":\"stopping\",\"text\":\"The daemon is stopping.\"}}"},
     {"GET /v1/explain?tenant=hut-lepiney&access=write", 200,
      "{\"database\":\"toubkal-1\",\"reason\":\"current_primary\"}"},
+    {"GET /v1/explain?tenant=hut-lepiney&access=read", 200,
+     "{\"database\":\"toubkal-2\",\"reason\":\"replica_fresh\"}"},
+    {"GET /v1/explain?request=stay-8841", 200,
+     "{\"daemon\":\"d1\",\"request\":\"stay-8841\",\"reaches_to\":\"2026-02-14T10:00:00Z\","
+     "\"records\":[{\"time\":\"2026-02-14T10:00:01Z\",\"daemon\":\"d1\",\"tenant\":\"hut-lepiney\","
+     "\"forwarded_to\":\"127.0.0.1:7400\",\"served_by\":\"d2\",\"served_by_admin_port\":1,"
+     "\"outcome\":\"done\",\"reason\":\"replica_fresh\",\"needed\":{\"term\":4,\"offset\":91},"
+     "\"databases\":[{\"name\":\"toubkal-2\",\"chosen\":true,\"reason\":\"replica_fresh\","
+     "\"applied\":{\"term\":4,\"offset\":92}},"
+     "{\"name\":\"toubkal-3\",\"chosen\":false,\"reason\":\"behind\","
+     "\"applied\":{\"term\":4,\"offset\":80}}]}]}"},
+    {"GET /v1/explain?request=unheard-of", 200,
+     "{\"daemon\":\"d1\",\"request\":\"unheard-of\",\"reaches_to\":\"2026-02-14T10:00:00Z\","
+     "\"records\":[]}"},
+    {"GET /v1/log-level", 200,
+     "{\"parts\":[{\"part\":\"admin\",\"level\":\"message\"},"
+     "{\"part\":\"requests\",\"level\":\"info\"}]}"},
+    {"GET /v1/log-level?part=requests", 200,
+     "{\"parts\":[{\"part\":\"requests\",\"level\":\"info\"}]}"},
+    {"POST /v1/log-level?part=requests&level=debug", 200,
+     "{\"parts\":[{\"part\":\"requests\",\"level\":\"debug\"}]}"},
+    {"POST /v1/log-level?part=x&level=debug", 400,
+     "{\"error\":{\"kind\":\"bad_request\",\"text\":\"The log has no part x.\"}}"},
     {"GET /v1/events?since=0", 200, "[{\"at\":1,\"event\":\"started\"}]"},
+    {"GET /a/v1/events?since=0", 200,
+     "{\"daemon\":\"d1\",\"events\":["
+     "{\"sequence\":8,\"time\":\"2026-02-14T10:00:01.000002Z\",\"kind\":\"suspected\",\"term\":4},"
+     "{\"sequence\":9,\"time\":\"2026-02-14T10:00:03.000000Z\",\"kind\":\"promoted\",\"term\":5}]"
+     "}"},
+    {"GET /b/v1/events?since=0", 200,
+     "{\"daemon\":\"d2\",\"events\":["
+     "{\"sequence\":3,\"time\":\"2026-02-14T10:00:02.000000Z\",\"kind\":\"confirmed\",\"term\":4}]"
+     "}"},
 };
 
 /* Keeps the URL with its query, as sent. */
@@ -143,8 +184,8 @@
 
 static void test_help(void)
 {
-    static const char *const commands[] = {"validate", "diff",  "publish", "history",
-                                           "show",     "drain", "explain"};
+    guint count = 0;
+    const struct command *const *commands = command_list(&count);
     static const struct golden_run overview = {"help", {"--help"}};
     static const struct golden_run nothing = {"no-command", {NULL}};
     static const struct golden_run unknown = {"unknown-command", {"frobnicate"}};
@@ -152,9 +193,9 @@
     run_golden(&overview);
     run_golden(&nothing);
     run_golden(&unknown);
-    for (gsize i = 0; i < G_N_ELEMENTS(commands); i++) {
-        g_autofree char *golden = g_strconcat("help-", commands[i], NULL);
-        struct golden_run run = {golden, {commands[i], "--help"}};
+    for (guint i = 0; i < count; i++) {
+        g_autofree char *golden = g_strconcat("help-", commands[i]->name, NULL);
+        struct golden_run run = {golden, {commands[i]->name, "--help"}};
         run_golden(&run);
     }
 }
@@ -178,6 +219,7 @@
         {"show-tenant-json", {"show", "tenant", "hut-lepiney", "--from", ATLAS, "-o", "json"}},
         {"show-tenant-absent", {"show", "tenant", "nobody", "--from", ATLAS}},
         {"show-group", {"show", "group", "availability", "--from", ATLAS}},
+        {"completion-usage", {"completion", "fish"}},
         {"show-usage", {"show", "group", "--from", ATLAS}},
     };
 
@@ -200,10 +242,12 @@
         {"publish-conflict-json",
          {"publish", CHANGED, "--message", "mine", "--author", "kenji", "--base", "0", "-o",
           "json"}},
+        {"publish-databases",
+         {"publish", CHANGED, "--message", "winter rates", "--author", "kenji", "--base", "1"}},
         {"publish-json",
-         {"publish", CHANGED, "--message", "winter rates", "--author", "kenji", "--base", "1",
+         {"publish", PUBLISHED, "--message", "winter rates", "--author", "kenji", "--base", "1",
           "--request-id", "r2", "-o", "json"}},
-        {"publish-unchanged", {"publish", CHANGED, "--message", "again", "--base", "latest"}},
+        {"publish-unchanged", {"publish", PUBLISHED, "--message", "again", "--base", "latest"}},
         {"publish-back",
          {"publish", "@1", "--message", "back", "--author", "amina", "--base", "latest"}},
         {"publish-future", {"publish", ATLAS, "--message", "x", "--base", "99"}},
@@ -234,6 +278,21 @@
     refusing_port_close(&refusing);
 }
 
+/* The events of two daemons and of one that is down, in one order. */
+static void run_timeline(const char *url, const char *down)
+{
+    g_autofree char *first = g_strconcat(url, "/a", NULL);
+    g_autofree char *second = g_strconcat(url, "/b", NULL);
+    const struct golden_run runs[] = {
+        {"events-timeline", {"events", "-a", second, "-a", first, "-a", down}},
+        {"events-timeline-json", {"events", "-a", first, "-a", second, "-o", "json"}},
+        {"events-timeline-down", {"events", "-a", down, "-a", down}},
+        {"events-timeline-usage", {"events", "-a", first, "-a", second, "--since", "3"}},
+    };
+
+    run_all(runs, G_N_ELEMENTS(runs));
+}
+
 static void test_admin(void)
 {
     static const struct golden_run runs[] = {
@@ -241,11 +300,24 @@
         {"status-json", {"status", "--output", "json"}},
         {"drain-database", {"drain", "database", "toubkal-1"}},
         {"drain-daemon", {"drain", "daemon"}},
+        {"drain-wait", {"drain", "database", "toubkal-1", "--wait"}},
+        {"drain-wait-not-yet", {"drain", "daemon", "--wait", "--timeout-ms", "300"}},
         {"drain-usage", {"drain", "toubkal-1"}},
         {"undrain-refused", {"undrain", "database", "a b"}},
         {"stop-refused", {"stop", "-o", "json"}},
         {"explain", {"explain", "hut-lepiney", "--access", "write"}},
+        {"explain-read", {"explain", "read", "hut-lepiney"}},
+        {"explain-request", {"explain", "stay-8841"}},
+        {"explain-request-json", {"explain", "stay-8841", "-o", "json"}},
+        {"explain-request-absent", {"explain", "unheard-of"}},
+        {"explain-two-tenants-usage", {"explain", "toubkal", "hut-lepiney"}},
+        {"status-two-daemons-usage", {"status", "-a", "http://a:1", "-a", "http://b:1"}},
         {"explain-usage", {"explain", "hut-lepiney", "--access", "delete"}},
+        {"log-level", {"log-level"}},
+        {"log-level-part", {"log-level", "requests"}},
+        {"log-level-set", {"log-level", "requests", "debug", "-o", "json"}},
+        {"log-level-refused", {"log-level", "x", "debug"}},
+        {"log-level-usage", {"log-level", "requests", "debug", "now"}},
         {"events", {"events"}},
         {"events-usage", {"events", "--since", "-1"}},
     };
@@ -257,8 +329,9 @@
 
     g_setenv("SWIFTWORKS_ADMIN_URL", url, TRUE);
     run_all(runs, G_N_ELEMENTS(runs));
-    MHD_stop_daemon(daemon);
     refusing_port_open(&refusing);
+    run_timeline(url, refusing.url);
+    MHD_stop_daemon(daemon);
     g_setenv("SWIFTWORKS_ADMIN_URL", refusing.url, TRUE);
     run_golden(&down);
     refusing_port_close(&refusing);
--- a/tests/daemon/test_transactions.c
+++ b/tests/daemon/test_transactions.c
@@ -6,6 +6,16 @@
 
 #include "daemon_probe.h"
 
+/* A deadline that a busy machine does not reach. */
+#define LONG_TIMEOUT_MS 20000
+
+/* A deployment whose transactions may be idle for so long; 0 for the fixture's default. */
+static struct cluster *start(unsigned transaction_idle_ms)
+{
+    struct cluster_options options = {.transaction_idle_ms = transaction_idle_ms};
+    return cluster_start(&options);
+}
+
 /* Begins at a daemon and returns the id, which the caller frees. */
 static char *begin(struct cluster *cluster, unsigned daemon, const char *key, const char *access)
 {
@@ -60,7 +70,7 @@
 
 static void test_through_all_daemons(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     struct http_answer answer;
     g_autofree char *id = begin(cluster, 0, "key", "write");
     g_free(statement(cluster, 1, id, "INSERT INTO stays VALUES ('a', '')"));
@@ -80,7 +90,7 @@
 
 static void test_rollback(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     g_autofree char *id = begin(cluster, 0, NULL, "write");
     g_free(statement(cluster, 0, id, "INSERT INTO stays VALUES ('a', '')"));
     g_free(end(cluster, 1, id, "rollback", NULL));
@@ -93,7 +103,7 @@
 /* Another tenant's transaction is not there. */
 static void test_other_tenant(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     g_autofree char *id = begin(cluster, 0, NULL, "write");
     struct http_call call = {.tenant = "agency", .transaction = id, .sql = "SELECT 1"};
     expect_error(cluster, 0, call, "refused", "unknown_transaction");
@@ -104,8 +114,7 @@
 
 static void test_idle(void)
 {
-    struct cluster_options options = {.transaction_idle_ms = 200};
-    struct cluster *cluster = cluster_start(&options);
+    struct cluster *cluster = start(200);
     g_autofree char *keyed = begin(cluster, 0, "key", "write");
     g_free(statement(cluster, 0, keyed, "INSERT INTO stays VALUES ('a', '')"));
     AWAIT(open_transactions(cluster, 0) == 0);
@@ -129,7 +138,7 @@
 /* The database's answer to COMMIT is lost: the key tells; asked again elsewhere, it tells again. */
 static void test_commit_answer_lost(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     struct http_answer answer;
     g_autofree char *id = begin(cluster, 0, "key", "write");
     g_free(statement(cluster, 0, id, "INSERT INTO stays VALUES ('a', '')"));
@@ -149,7 +158,7 @@
 
 static void test_unkeyed_commit_answer_lost(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     g_autofree char *id = begin(cluster, 0, NULL, "write");
     g_free(statement(cluster, 0, id, "INSERT INTO stays VALUES ('a', '')"));
     cluster_lose_answers(cluster, 0, ANSWER_FAULT_CLOSE, 1, "COMMIT");
@@ -162,8 +171,7 @@
 /* A key whose transaction was closed stands for that transaction for ever. */
 static void test_key_of_closed_transaction(void)
 {
-    struct cluster_options options = {.transaction_idle_ms = 200};
-    struct cluster *cluster = cluster_start(&options);
+    struct cluster *cluster = start(200);
     g_autofree char *id = begin(cluster, 0, "key", "write");
     AWAIT(open_transactions(cluster, 0) == 0);
     expect_error(cluster, 1, (struct http_call){.transaction = id, .path = "commit", .key = "key"},
@@ -181,7 +189,7 @@
 
 static void test_never_mix(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     g_autofree char *first = begin(cluster, 0, NULL, "write");
     g_autofree char *second = begin(cluster, 0, NULL, "write");
     g_autofree char *third = begin(cluster, 1, NULL, "write");
@@ -205,7 +213,7 @@
 
 static void test_failed_statement(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     g_autofree char *id = begin(cluster, 0, "key", "write");
     g_free(statement(cluster, 0, id, "INSERT INTO stays VALUES ('a', '')"));
     expect_error(cluster, 1,
@@ -219,17 +227,22 @@
     cluster_stop(cluster);
 }
 
+/* The transaction's statement is known to be at the database, and stays there until its transaction
+ * was asked for anew. */
 static void test_busy(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
     struct http_answer answer;
     g_autofree char *id = begin(cluster, 0, NULL, "write");
-    cluster_set_service_time(cluster, 0, 2000000);
-    struct http_call insert = {.transaction = id, .sql = "INSERT INTO stays VALUES ('a', '')"};
+    struct http_call insert = {.transaction = id,
+                               .sql = "INSERT INTO stays VALUES ('a', '')",
+                               .timeout_ms = LONG_TIMEOUT_MS};
+    cluster_hold_statements(cluster, 0, insert.sql);
     struct http_poster *poster = http_post_start(cluster_port(cluster, 0), &insert);
-    AWAIT(cluster_slots_used(cluster, 0) == 1);
-    expect_error(cluster, 1, (struct http_call){.transaction = id, .path = "commit"}, "refused",
-                 "bad_request");
+    AWAIT(cluster_held_statements(cluster, 0) == 1);
+    struct http_call commit = {.transaction = id, .path = "commit", .timeout_ms = LONG_TIMEOUT_MS};
+    expect_error(cluster, 1, commit, "refused", "bad_request");
+    cluster_release_statements(cluster, 0);
     http_join(poster, &answer);
     http_assert_done(&answer);
     http_answer_clear(&answer);
@@ -241,7 +254,8 @@
 /* A read-only transaction runs at a replica, and can't write. */
 static void test_read_only(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    struct cluster *cluster = start(0);
+    cluster_await_replicated(cluster); /* the table, too, is only there once it was replicated */
     g_autofree char *id = begin(cluster, 0, NULL, "read");
     g_autofree char *count = statement(cluster, 1, id, "SELECT count(*) FROM stays");
     g_assert_cmpstr(count, ==, "0");
@@ -256,10 +270,13 @@
     cluster_stop(cluster);
 }
 
-/* A planned stop waits for the open transaction, which goes on through the other daemons. */
+/* A planned stop waits for the open transaction, which goes on through the other daemons. Nobody
+ * waits for a daemon that is known to be gone. */
 static void test_owner_stops(void)
 {
-    struct cluster *cluster = cluster_start(NULL);
+    static const char *const overrides[] = {"routing.unavailable_wait_ms=60000", NULL};
+    struct cluster_options options = {.overrides = overrides};
+    struct cluster *cluster = cluster_start(&options);
     g_autofree char *id = begin(cluster, 0, "key", "write");
     GThread *stop = cluster_start_stop(cluster, 0);
     g_free(statement(cluster, 1, id, "INSERT INTO stays VALUES ('a', '')"));
@@ -273,10 +290,41 @@
     cluster_stop(cluster);
 }
 
+/* The answer to a commit that was run before: nothing else may be told, unless its time was over
+ * before it had arrived whole. */
+static void expect_done_or_not_looked_at(const struct http_answer *answer)
+{
+    g_autofree char *body = answer->body != NULL ? json_to_string(answer->body, FALSE) : NULL;
+    bool late = body != NULL && strstr(body, "took longer to arrive") != NULL;
+    if (g_strcmp0(answer->outcome, "done") != 0 && !late) {
+        http_assert_error(answer, "unknown", "outcome_unknown");
+    }
+}
+
+/* What was committed is never told "not run" to who asks again, however little time that leaves. */
+static void test_commit_asked_again_in_haste(void)
+{
+    enum { TIMES = 50 };
+    struct cluster *cluster = start(0);
+    g_autofree char *id = begin(cluster, 0, "key", "write");
+    g_free(statement(cluster, 0, id, "INSERT INTO stays VALUES ('a', '')"));
+    g_free(end(cluster, 0, id, "commit", "key"));
+    for (unsigned i = 0; i < TIMES; i++) {
+        struct http_answer answer;
+        struct http_call commit = {
+            .transaction = id, .path = "commit", .key = "key", .timeout_ms = 1 + i % 2};
+        cluster_call(cluster, i % 3, &answer, commit);
+        expect_done_or_not_looked_at(&answer);
+        http_answer_clear(&answer);
+    }
+    cluster_stop(cluster);
+}
+
 /* A commit that waits for a worker past its deadline is not run; the transaction must end. */
 static void test_commit_after_deadline(void)
 {
-    static const char *const overrides[] = {"daemon.worker_threads=1", NULL};
+    static const char *const overrides[] = {"daemon.worker_threads=1",
+                                            "failover.suspect_after_ms=60000", NULL};
     struct cluster_options options = {.daemons = 1, .overrides = overrides};
     struct cluster *cluster = cluster_start(&options);
     struct http_answer answer;
@@ -319,6 +367,8 @@
     g_test_add_func("/daemon/transactions/busy", test_busy);
     g_test_add_func("/daemon/transactions/read_only", test_read_only);
     g_test_add_func("/daemon/transactions/owner_stops", test_owner_stops);
+    g_test_add_func("/daemon/transactions/commit_asked_again_in_haste",
+                    test_commit_asked_again_in_haste);
     g_test_add_func("/daemon/transactions/commit_after_deadline", test_commit_after_deadline);
     return g_test_run();
 }
