Let the last word on a drain win, wherever it is said

Cause: an owner kept a request to drain, or to take that back, until the database told the mark it wished for, and the database took whatever came last. Two owners with opposite requests for a database out of reach raced once it was back, and the one that took the mark back was content as soon as it saw the database without a mark, so that the older drain mostly won. Each request now has an order that rides with the mark: swiftworks_set_leaving takes it, the database ignores a lower one than it took, and its status tells the highest. An owner drops its own request once the database tells of one as high. The order is the greater of the wall clock and one more than the owner knows of. Two tests of drains let the database keep orders, as it must now; what they hold is unchanged.

--- a/src/backend/adapter.c
+++ b/src/backend/adapter.c
@@ -17,7 +17,7 @@
     [ADAPTER_COMMAND_FENCE] = {"SELECT * FROM swiftworks_fence($1, $2)", 2},
     [ADAPTER_COMMAND_PROMOTE] = {"SELECT * FROM swiftworks_promote($1, $2)", 2},
     [ADAPTER_COMMAND_FOLLOW] = {"SELECT * FROM swiftworks_follow($1, $2, $3)", 3},
-    [ADAPTER_COMMAND_SET_LEAVING] = {"SELECT * FROM swiftworks_set_leaving($1)", 1},
+    [ADAPTER_COMMAND_SET_LEAVING] = {"SELECT * FROM swiftworks_set_leaving($1, $2)", 2},
     [ADAPTER_COMMAND_WAIT_HELD] = {"SELECT * FROM swiftworks_wait_held($1, $2, $3)", 3},
     [ADAPTER_COMMAND_WAIT_APPLIED] = {"SELECT * FROM swiftworks_wait_applied($1, $2, $3)", 3},
 };
@@ -129,6 +129,7 @@
     STATUS_FIELD_APPLIED_OFFSET,
     STATUS_FIELD_LEAVING,
     STATUS_FIELD_COUNT,
+    STATUS_FIELD_LEAVING_ORDER = STATUS_FIELD_COUNT, /* may be left out */
 };
 
 static bool parse_field(char *const *fields, enum status_field field, uint64_t *number)
@@ -143,10 +144,14 @@
         return false;
     }
     g_autofree char *inside = g_strndup(text + 1, strlen(text) - 2);
-    g_auto(GStrv) fields = g_strsplit(inside, ",", STATUS_FIELD_COUNT + 1);
-    if (g_strv_length(fields) < STATUS_FIELD_COUNT) {
+    g_auto(GStrv) fields = g_strsplit(inside, ",", STATUS_FIELD_LEAVING_ORDER + 2);
+    guint count = g_strv_length(fields);
+    if (count < STATUS_FIELD_COUNT) {
         return false;
     }
+    if (count > STATUS_FIELD_LEAVING_ORDER) {
+        parse_field(fields, STATUS_FIELD_LEAVING_ORDER, &status->leaving_order);
+    }
     status->role = parse_role(fields[STATUS_FIELD_ROLE]);
     status->leaving = g_str_equal(fields[STATUS_FIELD_LEAVING], "t");
     return parse_field(fields, STATUS_FIELD_TERM, &status->term) &&
@@ -165,6 +170,7 @@
     }
     status->role = parse_role(cell_text(result, "role"));
     status->leaving = g_strcmp0(cell_text(result, "leaving"), "t") == 0;
+    parse_number(result, "leaving_order", &status->leaving_order);
     return parse_number(result, "term", &status->term) &&
            parse_number(result, "promised_term", &status->promised_term) &&
            parse_number(result, "held_term", &status->held.term) &&
@@ -263,16 +269,19 @@
     char term[NUMBER_TEXT_SIZE];
     char offset[NUMBER_TEXT_SIZE];
     char wait_ms[NUMBER_TEXT_SIZE];
+    char order[NUMBER_TEXT_SIZE];
     bool waits =
         call->command == ADAPTER_COMMAND_WAIT_HELD || call->command == ADAPTER_COMMAND_WAIT_APPLIED;
     uint64_t term_number = waits ? call->position.term : call->term;
     g_snprintf(term, sizeof term, "%" G_GUINT64_FORMAT, term_number);
     g_snprintf(offset, sizeof offset, "%" G_GUINT64_FORMAT, call->position.offset);
     g_snprintf(wait_ms, sizeof wait_ms, "%u", (unsigned)call->wait_ms);
+    g_snprintf(order, sizeof order, "%" G_GUINT64_FORMAT, call->order);
     const char *coordinator = call->coordinator != NULL ? call->coordinator : "";
     texts[0] = term;
     if (call->command == ADAPTER_COMMAND_SET_LEAVING) {
         texts[0] = call->leaving ? "t" : "f";
+        texts[1] = order;
     } else if (call->command == ADAPTER_COMMAND_FOLLOW) {
         texts[1] = call->address;
         texts[2] = coordinator;
--- a/src/backend/adapter.h
+++ b/src/backend/adapter.h
@@ -160,6 +160,7 @@
     const char *coordinator; /* FENCE, PROMOTE, FOLLOW: who asks, for the database's log */
     const char *address;     /* FOLLOW: "host:port" */
     bool leaving;            /* SET_LEAVING */
+    uint64_t order;          /* SET_LEAVING */
     struct log_position position;
     uint32_t wait_ms;
 };
--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -244,14 +244,17 @@
     }
 }
 
-static void take_wish(struct group_control *control, uint32_t database, enum member_wish wish)
+/* The operator's last word wins, at whichever watcher it was said: its order is above all that this
+ * watcher knows of, and by the time of the request above those that it does not. */
+static void take_wish(struct group_control *control, const struct group_event *event,
+                      enum member_wish wish)
 {
-    if (control->members[database].wish == wish) {
-        return;
-    }
-    control->members[database].wish = wish;
-    control->members[database].wished_at = control->now;
-    control->members[database].heal_after = 0;
+    struct member *member = &control->members[event->database];
+    uint64_t known = MAX(member->status.leaving_order, member->wish_order);
+
+    member->wish = wish;
+    member->wish_order = MAX(event->order, known + 1);
+    member->heal_after = 0;
     control->change.not_before = 0;
     control->change.blocked_recorded = false;
     control->publish_due = true;
@@ -290,10 +293,10 @@
         observe_watchers(control, event);
         break;
     case GROUP_EVENT_DRAIN:
-        take_wish(control, event->database, MEMBER_WISH_DRAIN);
+        take_wish(control, event, MEMBER_WISH_DRAIN);
         break;
     case GROUP_EVENT_UNDRAIN:
-        take_wish(control, event->database, MEMBER_WISH_SERVE);
+        take_wish(control, event, MEMBER_WISH_SERVE);
         break;
     case GROUP_EVENT_WRITES_DRAINED:
         change_take_drained(control, event->change);
--- a/src/core/group_control.h
+++ b/src/core/group_control.h
@@ -117,6 +117,7 @@
     uint64_t command;                 /* COMMAND: id from the action */
     enum group_command_result result; /* COMMAND */
     uint64_t change;                  /* WRITES_DRAINED: id from the PUBLISH_VIEW action */
+    uint64_t order;                   /* DRAIN, UNDRAIN: wall-clock microseconds of the request */
     uint32_t watcher_count;           /* WATCHERS: the confirmed membership, this one included */
     struct group_watcher watchers[GROUP_WATCHERS_MAX];
 };
@@ -188,6 +189,7 @@
     uint64_t term;     /* FENCE, PROMOTE, FOLLOW */
     uint32_t primary;  /* FOLLOW */
     bool leaving;      /* SET_LEAVING */
+    uint64_t order;    /* SET_LEAVING: the database keeps the mark with the highest */
     uint64_t change;   /* PUBLISH_VIEW of a paused view: answer with WRITES_DRAINED; or 0 */
     struct group_opinion opinion; /* SEND_OPINION */
     struct group_record record;   /* RECORD_EVENT */
--- a/src/core/group_control_heal.c
+++ b/src/core/group_control_heal.c
@@ -49,40 +49,35 @@
     struct group_action *action = control_add_command(control, GROUP_ACTION_SET_LEAVING, database);
 
     action->leaving = leaving;
+    action->order = member->wish_order;
     member->heal_command = action->command;
     member->heal_after = control->now + control->options.heal_interval;
     control_record(control, leaving ? GROUP_RECORD_LEAVING : GROUP_RECORD_RETURNED,
                    GROUP_REASON_DRAIN, control->known_term, (int32_t)database, member->status.held);
 }
 
-/* A wish ends once the database says so itself, after this watcher's last command: from then on its
- * mark counts, and any watcher may be asked to change it. */
-static bool wish_is_fulfilled(const struct member *member)
+/* A wish ends once the database has taken it, or a newer one of another watcher. */
+static bool wish_has_ended(const struct member *member)
 {
-    bool leaves = member->wish == MEMBER_WISH_DRAIN;
-
-    return member->wish != MEMBER_WISH_NONE && member->heal_command == 0 &&
-           member->observed_at > member->wished_at && member->status.leaving == leaves;
+    return member->heal_command == 0 && member->status.leaving_order >= member->wish_order;
 }
 
 /* The primary is marked only once another leads. */
 static void heal_leaving(struct group_control *control, uint32_t database)
 {
     struct member *member = &control->members[database];
+    bool leaves = member->wish == MEMBER_WISH_DRAIN;
 
-    if (wish_is_fulfilled(member)) {
+    if (member->wish != MEMBER_WISH_NONE && wish_has_ended(member)) {
         member->wish = MEMBER_WISH_NONE;
+        control->publish_due = true;
     }
-
-    if (!observe_is_reachable(control, database) || control->options.ignore_leaving ||
-        control->now < member->heal_after) {
+    if (member->wish == MEMBER_WISH_NONE || !observe_is_reachable(control, database) ||
+        control->options.ignore_leaving || control->now < member->heal_after) {
         return;
     }
-    if (member->wish == MEMBER_WISH_DRAIN && !member->status.leaving &&
-        (int32_t)database != control->known_primary) {
-        set_leaving(control, database, true);
-    } else if (member->wish == MEMBER_WISH_SERVE && member->status.leaving) {
-        set_leaving(control, database, false);
+    if (!leaves || (int32_t)database != control->known_primary) {
+        set_leaving(control, database, leaves);
     }
 }
 
--- a/src/core/group_control_internal.h
+++ b/src/core/group_control_internal.h
@@ -28,7 +28,7 @@
     time_ns observed_at; /* when status was asked for */
     uint32_t round_trip_us;
     enum member_wish wish;
-    time_ns wished_at;
+    uint64_t wish_order;   /* of the newest wish, also after its end */
     time_ns stale_since;   /* needs to follow the current primary since then; 0 if not */
     uint64_t heal_command; /* outstanding follow or leaving command; 0 if none */
     time_ns heal_after;    /* no further command to it before this time */
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -55,6 +55,7 @@
     struct log_position held;    /* last entry in its log */
     struct log_position applied; /* last entry visible to reads */
     bool leaving;                /* marked for removal: no new work */
+    uint64_t leaving_order; /* of the request that set or took back that mark last; 0 if none */
 };
 
 /* One database as routing sees it. Immutable once published. */
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -219,7 +219,8 @@
         .group = group,
         .event = {.kind = leaving ? GROUP_EVENT_DRAIN : GROUP_EVENT_UNDRAIN,
                   .now = backend_now(),
-                  .database = database},
+                  .database = database,
+                  .order = (uint64_t)g_get_real_time()},
     };
     control_post(control, &event);
 }
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -146,6 +146,7 @@
         .coordinator = coordinator,
         .address = address,
         .leaving = action->leaving,
+        .order = action->order,
     };
     struct pending_command *pending = g_new0(struct pending_command, 1);
     pending->control = group->control;
--- a/src/sim/sim_daemon.c
+++ b/src/sim/sim_daemon.c
@@ -265,6 +265,7 @@
         .coordinator = daemon->watcher,
         .primary = action->primary,
         .leaving = action->leaving,
+        .order = action->order,
     };
 
     switch (action->kind) {
@@ -467,6 +468,7 @@
     struct group_event event = {
         .kind = drain ? GROUP_EVENT_DRAIN : GROUP_EVENT_UNDRAIN,
         .database = database,
+        .order = daemon->node.world->now / (NANOSECONDS_PER_MILLISECOND / 1000),
     };
 
     daemon->drain_wish[database] = drain;
--- a/src/sim/sim_database.c
+++ b/src/sim/sim_database.c
@@ -48,6 +48,7 @@
     database->promised_to = 0;
     database->following = -1;
     database->leaving = false;
+    database->leaving_order = 0;
     database->head = NULL;
     database->applied = NULL;
     database->synchronized = false;
@@ -62,6 +63,7 @@
         .held = sim_entry_position(database->head),
         .applied = sim_entry_position(database->applied),
         .leaving = database->leaving,
+        .leaving_order = database->leaving_order,
     };
     return status;
 }
@@ -408,7 +410,10 @@
         reply_result(database, request, follow(database, request));
         break;
     case SIM_REQUEST_SET_LEAVING:
-        database->leaving = request->leaving;
+        if (request->order >= database->leaving_order) {
+            database->leaving = request->leaving;
+            database->leaving_order = request->order;
+        }
         reply_result(database, request, SIM_RESULT_OK);
         break;
     case SIM_REQUEST_WAIT_HELD:
--- a/src/sim/sim_database.h
+++ b/src/sim/sim_database.h
@@ -44,6 +44,7 @@
     uint64_t coordinator;            /* FENCE, PROMOTE, FOLLOW */
     uint32_t primary;                /* FOLLOW */
     bool leaving;                    /* SET_LEAVING */
+    uint64_t order;                  /* SET_LEAVING */
     struct sim_operation *operation; /* WRITE, CLOSE_KEY */
     uint64_t request_id;             /* READ, WRITE: whose answer it is */
     struct log_position wanted;      /* READ, WAIT_HELD */
@@ -87,6 +88,7 @@
     uint64_t promised_to;
     int32_t following;
     bool leaving;
+    uint64_t leaving_order;
     struct sim_entry *head;    /* log held */
     struct sim_entry *applied; /* log visible to reads */
     bool synchronized;         /* the log came from the primary of this term */
--- a/src/sim/trace_file.c
+++ b/src/sim/trace_file.c
@@ -78,6 +78,7 @@
     record->applied_term = status->applied.term;
     record->applied_offset = status->applied.offset;
     record->leaving = status->leaving;
+    record->leaving_order = status->leaving_order;
 }
 
 static void status_of(const struct trace_status *record, struct database_status *status)
@@ -88,6 +89,7 @@
     status->held = (struct log_position){record->held_term, record->held_offset};
     status->applied = (struct log_position){record->applied_term, record->applied_offset};
     status->leaving = record->leaving;
+    status->leaving_order = record->leaving_order;
 }
 
 static void opinion_to_record(const struct group_opinion *opinion, struct watcher_opinion *record)
@@ -142,6 +144,7 @@
     to->round_trip = event->round_trip;
     to->result = event->result;
     to->change = event->change;
+    to->order = event->order;
     to->has_status = event->kind == GROUP_EVENT_PROBE || event->kind == GROUP_EVENT_COMMAND;
     status_to_record(&event->status, &to->status);
     to->has_opinion = event->kind == GROUP_EVENT_OPINION;
@@ -242,6 +245,7 @@
         .round_trip = from->round_trip,
         .result = (enum group_command_result)from->result,
         .change = from->change,
+        .order = from->order,
         .watcher_count = (uint32_t)from->watchers_count,
     };
     status_of(&from->status, &event->status);
--- a/standins/database/control.c
+++ b/standins/database/control.c
@@ -61,6 +61,7 @@
     result_add_int(result, applied.term);
     result_add_int(result, applied.offset);
     result_add_bool(result, database->leaving);
+    result_add_int(result, database->leaving_order);
     result_add_text(result, database->name);
     result->rows++;
 }
@@ -104,7 +105,11 @@
 static bool run_set_leaving(struct control_call *call)
 {
     const char *value = call->arguments[0];
-    call->database->leaving = strchr("tTyY1", value[0]) != NULL && value[0] != '\0';
+    uint64_t order = argument_number(call, 1);
+    if (order >= call->database->leaving_order) {
+        call->database->leaving = strchr("tTyY1", value[0]) != NULL && value[0] != '\0';
+        call->database->leaving_order = order;
+    }
     pthread_cond_broadcast(&call->database->changed);
     add_status(call);
     return true;
@@ -213,7 +218,7 @@
     {"wait_held", 3, COLUMNS_STATUS, run_wait_held},
     {"wait_applied", 3, COLUMNS_STATUS, run_wait_applied},
     {"last_commit", 0, COLUMNS_COMMIT, run_last_commit},
-    {"set_leaving", 1, COLUMNS_STATUS, run_set_leaving},
+    {"set_leaving", 2, COLUMNS_STATUS, run_set_leaving},
     {"log_after", 3, COLUMNS_LOG, run_log_after},
 };
 
@@ -229,6 +234,7 @@
         result_add_column(result, "applied_term", OID_INT8);
         result_add_column(result, "applied_offset", OID_INT8);
         result_add_column(result, "leaving", OID_BOOL);
+        result_add_column(result, "leaving_order", OID_INT8);
         result_add_column(result, "name", OID_TEXT);
         return;
     case COLUMNS_COMMIT:
--- a/standins/database/database.h
+++ b/standins/database/database.h
@@ -40,6 +40,7 @@
     uint64_t promised_term;
     char *promised_to; /* coordinator */
     bool leaving;
+    uint64_t leaving_order; /* of the request that set `leaving` */
     bool stopping;
     char *primary;         /* HOST:PORT to pull from, or NULL */
     uint64_t follow_count; /* rises with each change of what to pull from */
--- a/tests/backend/adapter_status_test.c
+++ b/tests/backend/adapter_status_test.c
@@ -24,6 +24,9 @@
     g_assert_cmpuint(status.applied.term, ==, 5);
     g_assert_cmpuint(status.applied.offset, ==, 40);
     g_assert_true(status.leaving);
+    g_assert_cmpuint(status.leaving_order, ==, 0);
+    g_assert_true(parse("(primary,1,1,1,2,1,2,f,1700000000000000,toubkal-1)", &status));
+    g_assert_cmpuint(status.leaving_order, ==, 1700000000000000);
     g_assert_true(parse("(primary,1,1,1,2,1,2,f)", &status));
     g_assert_cmpint(status.role, ==, DATABASE_ROLE_PRIMARY);
     g_assert_false(status.leaving);
--- a/tests/backend/adapter_transaction_test.c
+++ b/tests/backend/adapter_transaction_test.c
@@ -147,6 +147,7 @@
         .coordinator = coordinator,
         .address = "127.0.0.1:1",
         .leaving = true,
+        .order = 12,
     };
     execute_answer_clear(&fixture->answer);
     return adapter_run(fixture->connection, &call, backend_far(), &fixture->answer);
@@ -159,6 +160,7 @@
     g_assert_false(fixture->answer.status.leaving);
     assert_result(command(fixture, ADAPTER_COMMAND_SET_LEAVING, 0, NULL), EXECUTE_DONE);
     g_assert_true(fixture->answer.status.leaving);
+    g_assert_cmpuint(fixture->answer.status.leaving_order, ==, 12);
     assert_result(command(fixture, ADAPTER_COMMAND_FENCE, 5, "d1"), EXECUTE_DONE);
     g_assert_cmpuint(fixture->answer.status.promised_term, ==, 5);
     assert_result(command(fixture, ADAPTER_COMMAND_FENCE, 4, "d2"), EXECUTE_FAILED);
--- a/tests/core/group_control_test.c
+++ b/tests/core/group_control_test.c
@@ -587,6 +587,23 @@
     feed(rig, (struct group_event){.kind = GROUP_EVENT_DRAIN, .database = database});
 }
 
+/* The mark as the database keeps it: an older request changes nothing. */
+static void mark(struct rig *rig, uint32_t database, bool leaving, uint64_t order)
+{
+    struct database_status *status = &rig->databases[database];
+    if (order >= status->leaving_order) {
+        status->leaving = leaving;
+        status->leaving_order = order;
+    }
+}
+
+static void take_mark(struct rig *rig, const struct group_action *action)
+{
+    struct group_action taken = *action;
+    mark(rig, taken.database, taken.leaving, taken.order);
+    complete(rig, taken.command, GROUP_COMMAND_OK, rig->databases[taken.database]);
+}
+
 static void test_drain_replica(void)
 {
     struct rig rig;
@@ -596,8 +613,7 @@
     g_assert_nonnull(action);
     g_assert_true(action->leaving);
     g_assert_true(group_control_view(rig.control)->databases[1].status.leaving);
-    rig.databases[1].leaving = true;
-    complete(&rig, action->command, GROUP_COMMAND_OK, rig.databases[1]);
+    take_mark(&rig, action);
     feed(&rig, (struct group_event){.kind = GROUP_EVENT_UNDRAIN, .database = 1});
     action = find_for(&rig, GROUP_ACTION_SET_LEAVING, 1);
     g_assert_nonnull(action);
@@ -612,11 +628,10 @@
     start(&rig);
     drain(&rig, 1);
     const struct group_action *action = find_for(&rig, GROUP_ACTION_SET_LEAVING, 1);
-    rig.databases[1].leaving = true;
-    complete(&rig, action->command, GROUP_COMMAND_OK, rig.databases[1]);
+    take_mark(&rig, action);
     rig.now += 10 * MS;
     probe(&rig, 1);
-    rig.databases[1].leaving = false; /* by another watcher */
+    mark(&rig, 1, false, rig.databases[1].leaving_order + 1); /* by another watcher */
     g_assert_false(run(&rig, 2000 * MS, GROUP_ACTION_SET_LEAVING));
     g_assert_false(group_control_view(rig.control)->databases[1].status.leaving);
     stop(&rig);
@@ -628,18 +643,74 @@
     struct rig rig;
     start(&rig);
     drain(&rig, 1);
-    uint64_t command = find_for(&rig, GROUP_ACTION_SET_LEAVING, 1)->command;
+    struct group_action drained = *find_for(&rig, GROUP_ACTION_SET_LEAVING, 1);
     feed(&rig, (struct group_event){.kind = GROUP_EVENT_UNDRAIN, .database = 1});
     rig.now += 10 * MS;
     probe(&rig, 1);
-    rig.databases[1].leaving = true;
-    complete(&rig, command, GROUP_COMMAND_OK, rig.databases[1]);
+    take_mark(&rig, &drained);
     g_assert_true(find_for(&rig, GROUP_ACTION_SET_LEAVING, 1) != NULL ||
                   run(&rig, 2000 * MS, GROUP_ACTION_SET_LEAVING));
     g_assert_false(find_for(&rig, GROUP_ACTION_SET_LEAVING, 1)->leaving);
     stop(&rig);
 }
 
+static void wish(struct rig *rig, enum group_event_kind kind, uint64_t order)
+{
+    feed(rig, (struct group_event){.kind = kind, .database = 1, .order = order});
+}
+
+/* Asked while the database is out of reach, and taken back later at another watcher, whose command
+ * comes first once it is back. */
+static void test_drain_taken_back_while_out_of_reach(void)
+{
+    struct rig rig;
+    start(&rig);
+    rig.reachable[1] = false;
+    g_assert_false(run(&rig, 1000 * MS, GROUP_ACTION_SET_LEAVING));
+    wish(&rig, GROUP_EVENT_DRAIN, 700);
+    g_assert_false(run(&rig, 1000 * MS, GROUP_ACTION_SET_LEAVING));
+    g_assert_true(group_control_view(rig.control)->databases[1].status.leaving);
+    mark(&rig, 1, false, 900);
+    rig.reachable[1] = true;
+    g_assert_false(run(&rig, 2000 * MS, GROUP_ACTION_SET_LEAVING));
+    g_assert_false(group_control_view(rig.control)->databases[1].status.leaving);
+    stop(&rig);
+}
+
+/* The one that takes it back tells the database so although it is not marked: the older drain,
+ * still on its way to it, then changes nothing. */
+static void test_taking_back_comes_before_the_drain(void)
+{
+    struct rig rig;
+    start(&rig);
+    wish(&rig, GROUP_EVENT_UNDRAIN, 900);
+    const struct group_action *action = find_for(&rig, GROUP_ACTION_SET_LEAVING, 1);
+    g_assert_nonnull(action);
+    g_assert_false(action->leaving);
+    take_mark(&rig, action);
+    mark(&rig, 1, true, 700);
+    g_assert_false(run(&rig, 2000 * MS, GROUP_ACTION_SET_LEAVING));
+    g_assert_false(group_control_view(rig.control)->databases[1].status.leaving);
+    stop(&rig);
+}
+
+/* A clock that is behind does not put a request before one that its watcher knows of. */
+static void test_last_word_wins_over_clocks(void)
+{
+    struct rig rig;
+    start(&rig);
+    mark(&rig, 1, true, 5000);
+    probe(&rig, 1);
+    wish(&rig, GROUP_EVENT_UNDRAIN, 10);
+    g_assert_cmpuint(find_for(&rig, GROUP_ACTION_SET_LEAVING, 1)->order, ==, 5001);
+    wish(&rig, GROUP_EVENT_DRAIN, 10);
+    wish(&rig, GROUP_EVENT_DRAIN, 9000);
+    const struct group_action *action = find_for(&rig, GROUP_ACTION_SET_LEAVING, 1);
+    g_assert_cmpuint(action->order, ==, 9000);
+    g_assert_true(action->leaving);
+    stop(&rig);
+}
+
 /* Starts the drain of the primary up to the pause; returns the change's id. */
 static uint64_t reach_pause(struct rig *rig)
 {
@@ -851,6 +922,11 @@
     g_test_add_func("/group_control/drain_replica", test_drain_replica);
     g_test_add_func("/group_control/drain_taken_back_elsewhere", test_drain_taken_back_elsewhere);
     g_test_add_func("/group_control/drain_taken_back_at_once", test_drain_taken_back_at_once);
+    g_test_add_func("/group_control/drain_taken_back_while_out_of_reach",
+                    test_drain_taken_back_while_out_of_reach);
+    g_test_add_func("/group_control/taking_back_comes_before_the_drain",
+                    test_taking_back_comes_before_the_drain);
+    g_test_add_func("/group_control/last_word_wins_over_clocks", test_last_word_wins_over_clocks);
     g_test_add_func("/group_control/drain_primary", test_drain_primary);
     g_test_add_func("/group_control/drain_primary_times_out", test_drain_primary_times_out);
     g_test_add_func("/group_control/drain_ends_beside_open_transactions",
--- a/tests/daemon/test_drain.c
+++ b/tests/daemon/test_drain.c
@@ -28,6 +28,16 @@
     return leaving;
 }
 
+/* Order of the request that the database took last; 0 if none. */
+static uint64_t leaving_order(struct cluster *cluster, unsigned database)
+{
+    struct database *target = cluster->databases[database]->database;
+    pthread_mutex_lock(&target->lock);
+    uint64_t order = target->leaving_order;
+    pthread_mutex_unlock(&target->lock);
+    return order;
+}
+
 static bool all_see_leaving(struct cluster *cluster, unsigned database, bool leaving)
 {
     for (unsigned i = 0; i < CLUSTER_DAEMONS_MAX; i++) {
@@ -80,6 +90,21 @@
     cluster_stop(cluster);
 }
 
+/* The last word wins, at whichever daemon it was said, also if both come to the database at once.
+ */
+static void test_taken_back_while_out_of_reach(void)
+{
+    struct cluster *cluster = cluster_start(&patient);
+    cluster_cut(cluster, 1);
+    drain(cluster, 0, 1, true);
+    AWAIT(cluster_view(cluster, 0).databases[1].status.leaving);
+    drain(cluster, 2, 1, false);
+    cluster_heal(cluster);
+    AWAIT(leaving_order(cluster, 1) > 0 && !is_leaving(cluster, 1) &&
+          all_see_leaving(cluster, 1, false));
+    cluster_stop(cluster);
+}
+
 static void test_primary(void)
 {
     struct cluster *cluster = cluster_start(&patient);
@@ -224,6 +249,8 @@
 {
     cluster_test_init(&argc, &argv);
     g_test_add_func("/daemon/drain/replica", test_replica);
+    g_test_add_func("/daemon/drain/taken_back_while_out_of_reach",
+                    test_taken_back_while_out_of_reach);
     g_test_add_func("/daemon/drain/primary", test_primary);
     g_test_add_func("/daemon/drain/two_databases", test_two_databases);
     g_test_add_func("/daemon/drain/open_transaction", test_primary_with_open_transaction);
--- a/tests/standins/database_fencing_test.c
+++ b/tests/standins/database_fencing_test.c
@@ -40,7 +40,12 @@
     fixture_run(connection, "INSERT INTO holds VALUES (1)");
     fixture_run(connection, "SELECT * FROM swiftworks_follow(6, '127.0.0.1:1', 'd')");
     fixture_run_failing(connection, "INSERT INTO holds VALUES (2)", "25006");
-    PGresult *result = fixture_query(connection, "SELECT * FROM swiftworks_set_leaving(true)");
+    PGresult *result = fixture_query(connection, "SELECT * FROM swiftworks_set_leaving(true, 7)");
+    g_assert_cmpstr(PQgetvalue(result, 0, 7), ==, "t");
+    g_assert_cmpstr(PQgetvalue(result, 0, 8), ==, "7");
+    PQclear(result);
+    /* An older request changes nothing. */
+    result = fixture_query(connection, "SELECT * FROM swiftworks_set_leaving(false, 6)");
     g_assert_cmpstr(PQgetvalue(result, 0, 7), ==, "t");
     PQclear(result);
 }
