--- a/tests/daemon/test_configuration.c
+++ b/tests/daemon/test_configuration.c
@@ -45,12 +45,17 @@
 }
 
 /* A deployment that serves version 1. */
-static struct published_cluster *start_serving(uint32_t bound_ms, unsigned daemons)
+static void serve(struct published_cluster *test, unsigned daemons)
 {
-    struct published_cluster *test = published_start(bound_ms);
     g_free(published_publish(test, test->bundle, 1));
     published_start_daemons(test, daemons);
     published_await(test, 1);
+}
+
+static struct published_cluster *start_serving(uint32_t bound_ms, unsigned daemons)
+{
+    struct published_cluster *test = published_start(bound_ms);
+    serve(test, daemons);
     return test;
 }
 
@@ -270,7 +275,9 @@
  * group no longer has: it changes no primary until it is confirmed again. */
 static void test_cut_off_deposes_nobody(void)
 {
-    struct published_cluster *test = start_serving(BOUND_SHORT_MS, DAEMONS);
+    struct published_cluster *test = published_start(BOUND_SHORT_MS);
+    test->cluster->options.provokes_failures = true;
+    serve(test, DAEMONS);
     publisher_set_down(test->publisher, true);
     cluster_stop_daemon(test->cluster, 1);
     cluster_stop_daemon(test->cluster, 2);
