--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -9,6 +9,14 @@
 /* Smoothing: each sample moves the average by 1/16. */
 #define SERVICE_TIME_SHIFT 4
 
+/* A request is begun only while so many service times are left before its deadline: one that ends
+ * after it has taken a slot from another in vain. */
+#define SERVICE_TIMES_LEFT 2
+
+/* A request may be queued if its wait is estimated at no more than this part of the time to its
+ * deadline, in percent. A longer queue serves no more requests, and serves each later. */
+#define QUEUE_TIME_PERCENT 50
+
 /* Virtual cost of one request at weight 1. */
 #define VIRTUAL_COST UINT64_C(1000000)
 
@@ -52,6 +60,24 @@
     return (uint32_t)(drain / NANOSECONDS_PER_MILLISECOND) + 1;
 }
 
+/* True if the request, begun now, would probably end too late. */
+static bool is_hopeless(const struct admission *admission, const struct admission_ticket *ticket,
+                        time_ns now)
+{
+    return now + SERVICE_TIMES_LEFT * admission->service_time > ticket->deadline;
+}
+
+/* True if the request, queued now, would wait for too large a part of its time. */
+static bool waits_too_long(const struct admission *admission, const struct admission_ticket *ticket,
+                           time_ns now)
+{
+    time_ns left = ticket->deadline > now ? ticket->deadline - now : 0;
+    uint32_t ahead = queued_ahead(admission, ticket->rank);
+    /* Its own service counts too: an answer after the deadline is of no use. */
+    time_ns wait = time_to_serve(admission, ahead + 1) + admission->service_time;
+    return wait > left / 100 * QUEUE_TIME_PERCENT;
+}
+
 static int compare_tickets(gconstpointer a, gconstpointer b, gpointer unused)
 {
     const struct admission_ticket *first = a;
@@ -79,10 +105,7 @@
         admission->in_flight++;
         return ADMISSION_ADMITTED;
     }
-    /* Its own service counts too: an answer after the deadline is of no use. */
-    uint32_t ahead = queued_ahead(admission, ticket->rank);
-    time_ns wait = time_to_serve(admission, ahead + 1) + admission->service_time;
-    if (admission->queued >= admission->queue_limit || now + wait > ticket->deadline) {
+    if (admission->queued >= admission->queue_limit || waits_too_long(admission, ticket, now)) {
         admission->refused_total++;
         *retry_after_ms = admission_drain_ms(admission);
         return ADMISSION_REFUSED;
@@ -119,7 +142,7 @@
     GSequenceIter *place = g_sequence_get_begin_iter(queue);
     while (!g_sequence_iter_is_end(place)) {
         struct admission_ticket *ticket = g_sequence_get(place);
-        if (now >= ticket->deadline) {
+        if (is_hopeless(admission, ticket, now)) {
             g_sequence_remove(place);
             admission->queued--;
             admission->refused_total++;
@@ -146,7 +169,7 @@
     if (ticket == NULL) {
         return NULL;
     }
-    bool expired = now >= ticket->deadline;
+    bool expired = is_hopeless(admission, ticket, now);
     if (!expired && admission->in_flight >= admission->slots) {
         return NULL;
     }
