Refuse a platform key that others may read

The key of the platform's store was read whatever its mode was.

It is refused now unless it is a regular file without any permission of group or others, like the token keys. Faults name the file and do not quote it.

Tests: daemon-secrets failed before (a file of mode 640 was read) and passes; daemon-configuration, -configuration-peers: passed.

--- a/src/daemon/configuration_fetcher.c
+++ b/src/daemon/configuration_fetcher.c
@@ -2,12 +2,20 @@
 #define G_LOG_DOMAIN "configuration"
 #include "daemon/configuration_fetcher.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <pthread.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include "configuration/version_store.h"
 #include "core/error.h"
 #include "generated/errors.h"
 
+/* Size of a file with a secret, and bits of its mode that it may not have. */
+#define SECRET_OCTETS_MAX   4096
+#define SECRET_MODE_REFUSED 077
+
 /* One thread, and what it is to do next. */
 struct fetch_worker {
     struct configuration_fetcher *fetcher;
@@ -128,10 +136,47 @@
     pthread_mutex_unlock(&worker->lock);
 }
 
+static void set_keys_error(GError **error, const char *path, const char *fault)
+{
+    g_set_error(error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION, "%s: %s", path, fault);
+}
+
+/* Reads an open file with a secret into `text`, which has SECRET_OCTETS_MAX octets and is zero. */
+static bool read_secret(int file, const char *path, char *text, GError **error)
+{
+    struct stat status;
+    if (fstat(file, &status) != 0 || !S_ISREG(status.st_mode)) {
+        set_keys_error(error, path, "not a regular file");
+        return false;
+    }
+    if ((status.st_mode & SECRET_MODE_REFUSED) != 0) {
+        set_keys_error(error, path, "the file must not be open to group or others");
+        return false;
+    }
+    ssize_t length = read(file, text, SECRET_OCTETS_MAX);
+    if (length < 0 || length == SECRET_OCTETS_MAX) {
+        set_keys_error(error, path, length < 0 ? g_strerror(errno) : "the file is too large");
+        return false;
+    }
+    return true;
+}
+
+static bool open_secret(const char *path, char *text, GError **error)
+{
+    int file = open(path, O_RDONLY | O_CLOEXEC | O_NONBLOCK);
+    if (file < 0) {
+        set_keys_error(error, path, g_strerror(errno));
+        return false;
+    }
+    bool good = read_secret(file, path, text, error);
+    close(file);
+    return good;
+}
+
 bool configuration_fetcher_read_keys(const char *path, char **access_key, char **secret_key,
                                      GError **error)
 {
-    g_autofree char *text = NULL;
+    char text[SECRET_OCTETS_MAX] = "";
     *access_key = NULL;
     *secret_key = NULL;
     if (path[0] == '\0') {
@@ -139,13 +184,12 @@
         *secret_key = g_strdup("");
         return true;
     }
-    if (!g_file_get_contents(path, &text, NULL, error)) {
+    if (!open_secret(path, text, error)) {
         return false;
     }
     g_auto(GStrv) words = g_strsplit_set(g_strstrip(text), " \t\n", -1);
     if (g_strv_length(words) != 2) {
-        g_set_error(error, SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION,
-                    "%s: must hold an access key id, a space and the secret", path);
+        set_keys_error(error, path, "must hold an access key id, a space and the secret");
         return false;
     }
     *access_key = g_strdup(words[0]);
--- a/src/daemon/configuration_fetcher.h
+++ b/src/daemon/configuration_fetcher.h
@@ -33,7 +33,8 @@
 void configuration_fetcher_submit(struct configuration_fetcher *fetcher,
                                   const struct fetch_order *order);
 
-/* Reads "ACCESS-KEY-ID SECRET" from a file; both empty if the path is. The caller frees them. */
+/* Reads "ACCESS-KEY-ID SECRET" from a file that only its owner may use; both empty if the path is.
+ * The caller frees them. Errors do not quote the file. */
 bool configuration_fetcher_read_keys(const char *path, char **access_key, char **secret_key,
                                      GError **error);
 
