--- a/src/core/group_control_state.c
+++ b/src/core/group_control_state.c
@@ -8,7 +8,7 @@
 #include "group_control_layout.h"
 
 /* Words of one action in the digest. */
-#define ACTION_WORDS 21
+#define ACTION_WORDS 22
 
 static uint64_t digest_words(uint64_t digest, const uint64_t *words, size_t count)
 {
@@ -26,6 +26,7 @@
         action->term,
         action->primary,
         action->leaving,
+        action->order,
         action->change,
         opinion->watcher,
         opinion->sequence,
--- a/tests/daemon/test_traces.c
+++ b/tests/daemon/test_traces.c
@@ -62,7 +62,7 @@
 
 static void test_failover(void)
 {
-    const struct cluster_options options = {.databases = 3};
+    const struct cluster_options options = {.provokes_failures = true};
     struct cluster *cluster = cluster_start(&options);
     int primary = cluster_primary(cluster);
     cluster_isolate(cluster, (unsigned)primary);
