--- a/src/core/group_control_state.h
+++ b/src/core/group_control_state.h
@@ -23,8 +23,8 @@
 /* Copies the state between two steps to `to`, which has room for group_control_state_size(). */
 void group_control_save(const struct group_control *control, void *to);
 
-/* A control that goes on from a saved state; NULL if it can't be a state of this layout. Free it with
- * group_control_free(). */
+/* A control that goes on from a saved state; NULL if it can't be a state of this layout. Free it
+ * with group_control_free(). */
 struct group_control *group_control_restore(const void *from, size_t size);
 
 #endif
