End a drain beside open transactions when the old primary is chosen once more

Cause: a drain that goes on although transactions are open looks once, at the end of its pause, whether the target holds what the primary holds, and starts over with short pauses where the old primary, having committed once more before its promise, was chosen again: 4 to 5 s each time.

Now it looks during the whole last half of the pause, and after such a choice the next change comes after 200 ms and need not wait for three aborted ones.

--- a/src/core/group_control_change.c
+++ b/src/core/group_control_change.c
@@ -77,16 +77,26 @@
     control->opinion_due = true;
 }
 
+/* A database that was not meant may lead: the old primary, if it committed once more before its
+ * promise. No transaction is open there now, so the next change comes soon, and waits for none. */
+static void note_outcome(struct change *change, const struct group_control *control, bool promoted)
+{
+    bool meant = control->attempt.target == change->target;
+
+    change->not_before = control->now + (promoted && !meant ? control->options.rank_step
+                                                            : control->options.backoff_max);
+    if (promoted && meant) {
+        change->aborts = 0;
+    }
+}
+
 void change_attempt_ended(struct group_control *control, bool promoted)
 {
     struct change *change = &control->change;
 
     if (change->state != CHANGE_STATE_IDLE) {
         change->state = CHANGE_STATE_IDLE;
-        change->not_before = control->now + control->options.backoff_max;
-        if (promoted) {
-            change->aborts = 0;
-        }
+        note_outcome(change, control, promoted);
     }
     if (promoted) {
         control->repair_since = 0;
@@ -156,17 +166,30 @@
     failover_start(control, control->change.reason, (int32_t)control->change.target);
 }
 
+/* Long pauses are tried only after short ones were not enough for the writes under way. */
+static time_ns pause_bound(const struct group_control *control)
+{
+    time_ns bound = control->options.pause_first;
+
+    for (uint32_t i = 0; i < control->change.aborts && bound < control->options.pause_max; i++) {
+        bound *= 2;
+    }
+    return MIN(bound, control->options.pause_max);
+}
+
 /* A drain must end, also where transactions are always open: after several pauses that were not
- * enough, those still open are rolled back by the fence. Not while the target is behind: the old
- * primary would be chosen again. */
+ * enough, and half of another, those still open are rolled back by the fence. Not while the target
+ * is behind: the old primary would be chosen again. */
 static bool may_force(const struct group_control *control)
 {
     const struct change *change = &control->change;
     const struct member *target = &control->members[change->target];
     const struct member *leader = &control->members[control->known_primary];
+    time_ns half = pause_bound(control) / 2;
 
     return change->reason == GROUP_REASON_DRAIN &&
            change->aborts >= control->options.planned_attempts &&
+           control->now + half >= change->deadline &&
            log_position_compare(target->status.held, leader->status.held) == 0;
 }
 
@@ -182,12 +205,12 @@
         abort_change(control, GROUP_REASON_PRIMARY_LOST);
         return;
     }
+    if (may_force(control)) {
+        move(control);
+        return;
+    }
     if (control->now >= change->deadline) {
-        if (may_force(control)) {
-            move(control);
-        } else {
-            abort_change(control, GROUP_REASON_TIMEOUT);
-        }
+        abort_change(control, GROUP_REASON_TIMEOUT);
         return;
     }
     if (change->drained_at == 0 && owners_drained(control)) {
@@ -202,17 +225,6 @@
     control_wake_at(control, change->deadline);
 }
 
-/* Long pauses are tried only after short ones were not enough for the writes under way. */
-static time_ns pause_bound(const struct group_control *control)
-{
-    time_ns bound = control->options.pause_first;
-
-    for (uint32_t i = 0; i < control->change.aborts && bound < control->options.pause_max; i++) {
-        bound *= 2;
-    }
-    return MIN(bound, control->options.pause_max);
-}
-
 static void start_change(struct group_control *control, enum group_reason reason, uint32_t target)
 {
     struct change *change = &control->change;
