Name the group in a request's record

Cause: found in a trial with real processes: the record told the group's number, which nobody knows by heart. It tells the name, or the number where the configuration has it no more.

Tests: daemon-explain, daemon-drain-wait, daemon-group-metrics, daemon-log, daemon-drain: passed.

--- a/src/daemon/admin_explain.c
+++ b/src/daemon/admin_explain.c
@@ -122,6 +122,17 @@
     return same ? group : NULL;
 }
 
+/* The group's name, or its number where it is gone; "" for none. The caller frees it. */
+static char *group_text(const struct configuration *configuration, uint32_t id)
+{
+    const struct group_configuration *group =
+        configuration != NULL ? configuration_find_group(configuration, id) : NULL;
+    if (group != NULL) {
+        return g_strdup(group->name);
+    }
+    return id != 0 ? g_strdup_printf("#%u", id) : g_strdup("");
+}
+
 /* The name, or the index where the names have changed since; "" for none. The caller frees it. */
 static char *database_text(const struct group_configuration *group, int32_t index)
 {
@@ -203,11 +214,12 @@
     const struct group_configuration *group = group_of(configuration, record);
     g_autofree char *database = database_text(group, record->database);
     g_autofree char *primary = database_text(group, record->primary);
+    g_autofree char *group_name = group_text(configuration, record->group);
     json_builder_begin_object(builder);
     admin_json_time(builder, "time", record->at_us);
     admin_json_text(builder, "daemon", daemon->settings.daemon.name);
     admin_json_text(builder, "tenant", record->tenant);
-    admin_json_number(builder, "group", record->group);
+    admin_json_text(builder, "group", group_name);
     admin_json_text(builder, "kind", request_kind_name(record->kind));
     admin_json_text(builder, "access", record->read_only ? "read" : "write");
     add_way(builder, record);
--- a/tests/daemon/test_explain.c
+++ b/tests/daemon/test_explain.c
@@ -135,6 +135,7 @@
         }
     }
     g_autofree char *text = explain(cluster, 0, id, EXIT_CODE_DONE);
+    expect_part(text, "bookings");
     expect_part(text, "primary_read");
     expect_part(text, "behind");
     cluster_stop(cluster);
