Take the connections in the making before the listener closes

Cause: at a planned stop the listener dropped every packet for it, also the last one of a connection in the making. Its caller, who had heard the listener's answer, took the connection for made, sent its request, and was reset when the listener closed: no answer, and no way to know whether the request was run. The window is between the caller's two packets, which a caller that stands still widens. The listener now drops only what begins a connection, and takes what completes one for 100 ms before it closes. A planned stop takes so much longer.

--- a/src/frontend/acceptor.c
+++ b/src/frontend/acceptor.c
@@ -14,6 +14,17 @@
  * descriptors. */
 #define PAUSE_MS 10
 
+/* How long a stop waits for connections in the making: a round trip to their callers, and the time
+ * that these may stand still. */
+#define LAST_CONNECTIONS_MS 100
+
+/* Of a TCP header. */
+#define TCP_FLAGS_OFFSET 13
+#define TCP_FLAG_SYN     0x02
+#define TCP_FLAG_ACK     0x10
+
+#define BPF_WHOLE_PACKET 0xffffffff
+
 struct acceptor {
     struct acceptor_callbacks callbacks;
     int listener;
@@ -53,16 +64,37 @@
     poll(events, G_N_ELEMENTS(events), pause ? PAUSE_MS : -1);
 }
 
-/* From now on the system drops what would make another connection: a caller that tries is told,
+/* From now on the system drops what would begin another connection: a caller that tries is told,
  * when it tries again, that nobody listens. Closing at once would reset connections made in
- * between. */
+ * between. What completes a connection gets through: its caller may take it for made already, and
+ * send its request. */
 static void stop_listening(int listener)
 {
-    struct sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
-    struct sock_fprog program = {.len = 1, .filter = &drop_all};
+    struct sock_filter drop_begins[] = {
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+        BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TCP_FLAG_SYN | TCP_FLAG_ACK),
+        BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TCP_FLAG_SYN, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, BPF_WHOLE_PACKET),
+    };
+    struct sock_fprog program = {.len = G_N_ELEMENTS(drop_begins), .filter = drop_begins};
     setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
 }
 
+/* Accepts the connections that began before, as they are completed. */
+static void accept_last(struct acceptor *acceptor)
+{
+    gint64 until_us = g_get_monotonic_time() + LAST_CONNECTIONS_MS * 1000;
+    struct pollfd listener = {.fd = acceptor->listener, .events = POLLIN};
+    accept_ready(acceptor);
+    for (gint64 left_us = until_us - g_get_monotonic_time(); left_us > 0;
+         left_us = until_us - g_get_monotonic_time()) {
+        if (poll(&listener, 1, (int)(left_us / 1000) + 1) > 0 && !accept_ready(acceptor)) {
+            return;
+        }
+    }
+}
+
 static void *run(void *data)
 {
     struct acceptor *acceptor = data;
@@ -75,7 +107,7 @@
         }
     }
     stop_listening(acceptor->listener);
-    accept_ready(acceptor);
+    accept_last(acceptor);
     return NULL;
 }
 
--- a/src/frontend/acceptor.h
+++ b/src/frontend/acceptor.h
@@ -29,8 +29,8 @@
 /* The port bound. */
 uint16_t acceptor_port(const struct acceptor *acceptor);
 
-/* Takes the connections that the system has made already, which would be reset otherwise, then
- * closes the listener, ends the thread and frees the acceptor. */
+/* Takes the connections that the system has made already or is making, which would be reset
+ * otherwise, then closes the listener, ends the thread and frees the acceptor. Takes 100 ms. */
 void acceptor_stop(struct acceptor *acceptor);
 
 #endif
