Tell why the store could not list its versions

Cause: configuration-publish was seen failing once at the listing of versions, and its output did not say why. The assertion now shows the error of the store's client.

--- a/tests/configuration/test_publish.c
+++ b/tests/configuration/test_publish.c
@@ -88,8 +88,11 @@
 static guint count_versions(struct publish_test *test)
 {
     g_autoptr(GPtrArray) rows = g_ptr_array_new_with_free_func((GDestroyNotify)version_row_free);
+    g_autoptr(GError) error = NULL;
 
-    g_assert_cmpint(version_store_list(test->store, 0, 0, rows, NULL), ==, PLATFORM_RESULT_OK);
+    enum platform_result result = version_store_list(test->store, 0, 0, rows, &error);
+    g_assert_no_error(error);
+    g_assert_cmpint(result, ==, PLATFORM_RESULT_OK);
     return rows->len;
 }
 
