Start the daemons' tests with the table at all databases

Cause: the whole suite failed once at daemon-forward (nearest_owner_serves): "no such table: stays". The fixture's table was confirmed by two of three databases, and a read without a session may be answered by the third one before it has the table.

--- a/tests/daemon/cluster_fixture.c
+++ b/tests/daemon/cluster_fixture.c
@@ -357,6 +357,7 @@
     cluster_await_ready(cluster);
     g_free(cluster_write(cluster, 0, "make-stays",
                          "CREATE TABLE stays (id text PRIMARY KEY, guest text)"));
+    cluster_await_replicated(cluster);
     return cluster;
 }
 
--- a/tests/daemon/cluster_fixture.h
+++ b/tests/daemon/cluster_fixture.h
@@ -42,7 +42,7 @@
 void cluster_test_init(int *argc, char ***argv);
 
 /* Starts databases and daemons, waits until all know each other and the primary, and makes the
- * table "stays" (id text PRIMARY KEY, guest text). */
+ * table "stays" (id text PRIMARY KEY, guest text) at all databases. */
 struct cluster *cluster_start(const struct cluster_options *options);
 
 /* Starts databases only; daemons are started by cluster_start_daemon. */
