Have databases end transactions of a daemon that is paused

Cause: a daemon that is paused between two statements of a transaction, or between the statements of a single write and its COMMIT, held its locks at the database for as long as the pause was.

Now each connection's startup message sets idle_in_transaction_session_timeout to 10 s, and interactive transactions set it by SET LOCAL beside BEGIN to their tenant's transaction_idle_ms and 5 s. The stand-in honours both and ends the session with 25P03.

The daemon that goes on finds the session ended: before COMMIT is sent it looks for that without waiting, and an answer 25P03 to the round trip of COMMIT tells that none of it was run. Both are NOT_SENT, told as failed (transaction_aborted), where a COMMIT sent into the ended session was told as unknown before.

Shown failing first. Without the bound: transaction/paused, paused-keyed and paused-single-write of adapter_transaction_test, the other writer gets "conflict" after 10 s. With the bound, without the look at the session's end: the same tests, "lost" in place of "not_sent", and /daemon/transactions/ended_by_database, "unknown". With both all pass, also 40 runs of the latter, 4 at once, and 32 runs of adapter_transaction, 8 at once, beside other tests on a loaded machine.

Seen beside, on a load average above 119, and not caused by this: one run each of prober_test (failover-by-commands, "lost") and daemon-writes (unkeyed, a lost answer that met another COMMIT) failed.

--- a/src/backend/adapter.h
+++ b/src/backend/adapter.h
@@ -20,7 +20,8 @@
     /* The database had not applied the guard; no rows are passed on. */
     EXECUTE_GUARD_SHORT,
     /* Certainly not run, now or later: the connection was lost or the deadline passed before COMMIT
-     * was sent, so the database rolls back; or the database had no room. */
+     * was sent, so the database rolls back; the database had ended the session before COMMIT came;
+     * or it had no room. */
     EXECUTE_NOT_SENT,
     /* A read without a whole answer, or a write whose COMMIT was sent and not answered. */
     EXECUTE_LOST,
@@ -104,6 +105,7 @@
     struct adapter_key key;    /* a write's; claimed by the commit */
     struct log_position guard; /* a read's; as in adapter_read */
     uint32_t guard_wait_ms;
+    uint32_t idle_ms; /* the database ends it after such a pause; 0: the connection's bound */
 };
 
 /* Starts a transaction. Unless DONE, none is open after. A key that is taken already gives
--- a/src/backend/adapter_transaction.c
+++ b/src/backend/adapter_transaction.c
@@ -3,17 +3,37 @@
 #include "backend/adapter_internal.h"
 #include "backend/ledger.h"
 
+#define SQL_SET_IDLE_FORMAT "SET LOCAL idle_in_transaction_session_timeout = %u"
+
+/* Queries that start a transaction, at most: BEGIN, SET and one more. */
+#define START_QUERIES_MAX 3
+
+/* Queues the transaction's begin, and how long the database lets it pause. Returns how many queries
+ * that was. */
+static size_t send_begin(struct backend_connection *connection, const char *begin,
+                         const struct adapter_transaction_options *options)
+{
+    adapter_send_simple(connection, begin);
+    if (options->idle_ms == 0) {
+        return 1;
+    }
+    g_autofree char *set = g_strdup_printf(SQL_SET_IDLE_FORMAT, (unsigned)options->idle_ms);
+    adapter_send_simple(connection, set);
+    return 2;
+}
+
 /* Starts a read: the guard is checked once, before anything is read. */
 static enum execute_result begin_read(struct backend_connection *connection,
                                       const struct adapter_transaction_options *options,
                                       time_ns deadline, struct execute_answer *answer)
 {
-    struct query_reply replies[2];
-    adapter_send_simple(connection, "BEGIN READ ONLY");
+    struct query_reply replies[START_QUERIES_MAX];
+    size_t guard = send_begin(connection, "BEGIN READ ONLY", options);
+    size_t count = guard + 1;
     adapter_send_wait_applied(connection, options->guard, options->guard_wait_ms);
     enum execute_result result =
-        adapter_finish_uncommitted(connection, deadline, NULL, replies, 2, answer);
-    if (result == EXECUTE_DONE && !adapter_parse_status(&replies[1].result, &answer->status)) {
+        adapter_finish_uncommitted(connection, deadline, NULL, replies, count, answer);
+    if (result == EXECUTE_DONE && !adapter_parse_status(&replies[guard].result, &answer->status)) {
         adapter_take_nonsense(connection, "not a status row", answer);
         result = EXECUTE_NOT_SENT;
     } else if (result == EXECUTE_DONE &&
@@ -21,7 +41,7 @@
         result = EXECUTE_GUARD_SHORT;
     }
     answer->position = answer->status.applied;
-    pipeline_replies_clear(replies, 2);
+    pipeline_replies_clear(replies, count);
     return result;
 }
 
@@ -30,15 +50,16 @@
                                        const struct adapter_transaction_options *options,
                                        time_ns deadline, struct execute_answer *answer)
 {
-    struct query_reply replies[2];
-    size_t count = adapter_has_key(&options->key) ? 2 : 1;
-    adapter_send_simple(connection, "BEGIN");
-    if (count == 2) {
+    struct query_reply replies[START_QUERIES_MAX];
+    bool keyed = adapter_has_key(&options->key);
+    size_t lookup = send_begin(connection, "BEGIN", options);
+    size_t count = keyed ? lookup + 1 : lookup;
+    if (keyed) {
         ledger_send_lookup(connection, &options->key);
     }
     enum execute_result result =
         adapter_finish_uncommitted(connection, deadline, NULL, replies, count, answer);
-    bool taken = result == EXECUTE_DONE && count == 2 && ledger_lookup_found(&replies[1]);
+    bool taken = result == EXECUTE_DONE && keyed && ledger_lookup_found(&replies[lookup]);
     pipeline_replies_clear(replies, count);
     if (!taken) {
         return result;
--- a/src/backend/adapter_write.c
+++ b/src/backend/adapter_write.c
@@ -20,6 +20,9 @@
 #define SQLSTATE_CLASS_OPERATOR     "57P"
 #define SQLSTATE_COMPLETION_UNKNOWN "40003"
 
+/* The session was ended while its transaction waited for a query: nothing sent after was run. */
+#define SQLSTATE_IDLE_TRANSACTION "25P03"
+
 static bool leaves_commit_open(const char *sqlstate)
 {
     return g_str_has_prefix(sqlstate, SQLSTATE_CLASS_CONNECTION) ||
@@ -104,9 +107,20 @@
 }
 
 /* True if there is no use in sending COMMIT. */
-static bool is_too_late(const struct backend_connection *connection, time_ns deadline)
+static bool is_too_late(struct backend_connection *connection, time_ns deadline)
 {
-    return connection->state == CONNECTION_STATE_BROKEN || backend_now() >= deadline;
+    return backend_connection_was_ended(connection) || backend_now() >= deadline;
+}
+
+/* Judges a second round trip without a whole answer; `first` is the reply to its first query. */
+static enum execute_result take_lost_commit(const struct backend_connection *connection,
+                                            const struct query_reply *first,
+                                            struct execute_answer *answer)
+{
+    bool was_idle = first->status == QUERY_STATUS_ERROR &&
+                    strcmp(first->sqlstate, SQLSTATE_IDLE_TRANSACTION) == 0;
+    adapter_take_loss(connection, answer);
+    return was_idle ? EXECUTE_NOT_SENT : EXECUTE_LOST;
 }
 
 /* Commits a transaction whose key, if any, is claimed. Results are recorded in the key's row. */
@@ -130,7 +144,7 @@
         const struct query_reply *record = record_count > 0 ? &replies[0] : NULL;
         result = take_commit_batch(connection, record, replies + record_count, answer);
     } else {
-        adapter_take_loss(connection, answer);
+        result = take_lost_commit(connection, &replies[0], answer);
     }
     pipeline_replies_clear(replies, count);
     return result;
@@ -156,7 +170,7 @@
         taken = ledger_claim_failed(&replies[0]);
         result = take_commit_batch(connection, &replies[0], replies + 1, answer);
     } else {
-        adapter_take_loss(connection, answer);
+        result = take_lost_commit(connection, &replies[0], answer);
     }
     pipeline_replies_clear(replies, COMMIT_QUERIES + 1);
     return taken ? adapter_resolve_taken(connection, key, deadline, answer) : result;
--- a/src/backend/connection.c
+++ b/src/backend/connection.c
@@ -25,6 +25,7 @@
     to->user = g_strdup(from->user);
     to->password = g_strdup(from->password);
     to->application_name = g_strdup(from->application_name);
+    to->idle_transaction_ms = from->idle_transaction_ms;
 }
 
 void connection_settings_clear(struct connection_settings *settings)
@@ -37,14 +38,23 @@
     memset(settings, 0, sizeof *settings);
 }
 
+/* Parameters of the session, as the startup message tells them. The caller frees the text. */
+static char *session_options(const struct connection_settings *settings)
+{
+    uint32_t idle_ms = settings->idle_transaction_ms > 0 ? settings->idle_transaction_ms
+                                                         : CONNECTION_IDLE_TRANSACTION_MS;
+    return g_strdup_printf("-c idle_in_transaction_session_timeout=%u", (unsigned)idle_ms);
+}
+
 struct backend_connection *backend_connection_start(const struct connection_settings *settings)
 {
     struct backend_connection *connection = g_new0(struct backend_connection, 1);
     char port[PORT_TEXT_SIZE];
+    g_autofree char *options = session_options(settings);
     g_snprintf(port, sizeof port, "%u", (unsigned)settings->port);
     const char *const keywords[] = {
-        "hostaddr", "port",       "dbname",          "user", "password", "application_name",
-        "sslmode",  "gssencmode", "client_encoding", NULL};
+        "hostaddr", "port",       "dbname",          "user",    "password", "application_name",
+        "sslmode",  "gssencmode", "client_encoding", "options", NULL};
     const char *const values[] = {settings->host,
                                   port,
                                   settings->database_name,
@@ -54,6 +64,7 @@
                                   "disable",
                                   "disable",
                                   "UTF8",
+                                  options,
                                   NULL};
     connection->state = CONNECTION_STATE_OPENING;
     connection->number = -1;
@@ -182,14 +193,29 @@
            PQpipelineStatus(connection->pg) == PQ_PIPELINE_ON;
 }
 
-bool backend_connection_is_healthy(const struct backend_connection *connection)
+/* True if there is something to read, or the end. */
+static bool has_input(const struct backend_connection *connection)
 {
-    if (!backend_connection_is_clean(connection)) {
-        return false;
-    }
     char byte;
     ssize_t received = recv(PQsocket(connection->pg), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+bool backend_connection_is_healthy(const struct backend_connection *connection)
+{
+    return backend_connection_is_clean(connection) && !has_input(connection);
+}
+
+bool backend_connection_was_ended(struct backend_connection *connection)
+{
+    bool ended = connection->state == CONNECTION_STATE_BROKEN;
+    while (!ended && has_input(connection)) {
+        ended = PQconsumeInput(connection->pg) != 1;
+    }
+    if (ended) {
+        backend_connection_break(connection);
+    }
+    return ended;
 }
 
 short backend_connection_wait(const struct backend_connection *connection, short events,
--- a/src/backend/connection.h
+++ b/src/backend/connection.h
@@ -18,6 +18,12 @@
     CONNECTION_STATE_BROKEN, /* only closing is left */
 };
 
+/* The database ends a session that leaves a transaction open for so long without a word
+ * (PostgreSQL's idle_in_transaction_session_timeout, SQLSTATE 25P03): a daemon that is paused in a
+ * transaction holds its locks no longer. The daemon itself leaves none open but while it reads an
+ * answer; transactions of several requests ask for longer, see adapter_begin. */
+#define CONNECTION_IDLE_TRANSACTION_MS 10000
+
 /* Where and as whom to connect. The strings belong to whoever filled it in. */
 struct connection_settings {
     const char *host; /* an IP number */
@@ -26,6 +32,7 @@
     const char *user;
     const char *password;         /* or NULL */
     const char *application_name; /* "swiftworks/<daemon>@<zone>" */
+    uint32_t idle_transaction_ms; /* 0: CONNECTION_IDLE_TRANSACTION_MS */
 };
 
 /* Copies the settings with their strings; free the copy by connection_settings_clear. */
@@ -81,6 +88,10 @@
 /* True if it may serve another request: all answers read and no transaction open. */
 bool backend_connection_is_clean(const struct backend_connection *connection);
 
+/* True if the database has ended the session while nothing was asked of it; the connection is then
+ * BROKEN. False does not prove that it goes on. Never waits. */
+bool backend_connection_was_ended(struct backend_connection *connection);
+
 /* Cheap check before use, without a round trip: clean, the socket open and nothing to read. */
 bool backend_connection_is_healthy(const struct backend_connection *connection);
 
--- a/src/daemon/task_begin.c
+++ b/src/daemon/task_begin.c
@@ -12,6 +12,10 @@
 /* Pause before looking again for a database or a connection; a new view ends it earlier. */
 #define BEGIN_PAUSE_MS 10
 
+/* The database ends a transaction so much later than the daemon would: only if the daemon is paused
+ * or cut off. */
+#define IDLE_MARGIN_MS 5000
+
 /* Starts of one transaction that may be lost or refused by a database, at most. */
 #define BEGIN_ATTEMPTS_MAX 4
 
@@ -91,6 +95,7 @@
     transaction->options.key.request_id = transaction->id;
     transaction->options.guard = decision->guard;
     transaction->options.guard_wait_ms = decision->guard_wait_ms;
+    transaction->options.idle_ms = task->route->transaction_idle_ms + IDLE_MARGIN_MS;
     transaction->idle = task->route->transaction_idle_ms * NANOSECONDS_PER_MILLISECOND;
     transaction->total_until =
         task->started_at + task->route->transaction_total_ms * NANOSECONDS_PER_MILLISECOND;
--- a/standins/database/database.c
+++ b/standins/database/database.c
@@ -314,6 +314,7 @@
     transaction->has_snapshot = false;
     transaction->repeatable = false;
     transaction->read_only = false;
+    transaction->idle_ms = 0;
     transaction->state = TRANSACTION_IDLE;
 }
 
--- a/standins/database/database.h
+++ b/standins/database/database.h
@@ -25,6 +25,7 @@
     struct sql_handle snapshot;
     uint64_t snapshot_offset;
     bool writing;            /* owns the database's writer */
+    int64_t idle_ms;         /* longest idle time, by SET LOCAL; 0: as the session has it */
     bool aborted;            /* by a fence or the loss of the primary's role */
     struct log_entry *entry; /* what it has written so far */
     struct log_position last_commit;
--- a/standins/database/faults.c
+++ b/standins/database/faults.c
@@ -25,6 +25,7 @@
     faults->cut_all = false;
     g_hash_table_remove_all(faults->cut_zones);
     faults->frozen_until_us = 0;
+    faults->ends_idle_transactions = false;
     g_clear_pointer(&faults->hold_match, g_free);
     for (size_t i = 0; i < ANSWER_FAULT_COUNT; i++) {
         faults->answers[i].count = 0;
@@ -88,6 +89,21 @@
     return waited;
 }
 
+void faults_set_end_idle_transactions(struct faults *faults, bool ends)
+{
+    pthread_mutex_lock(&faults->lock);
+    faults->ends_idle_transactions = ends;
+    pthread_mutex_unlock(&faults->lock);
+}
+
+bool faults_end_idle_transactions(struct faults *faults)
+{
+    pthread_mutex_lock(&faults->lock);
+    bool ends = faults->ends_idle_transactions;
+    pthread_mutex_unlock(&faults->lock);
+    return ends;
+}
+
 void faults_hold(struct faults *faults, const char *match)
 {
     pthread_mutex_lock(&faults->lock);
--- a/standins/database/faults.h
+++ b/standins/database/faults.h
@@ -31,6 +31,7 @@
     GHashTable *cut_zones; /* set of owned char * */
     int64_t frozen_until_us;
     struct answer_fault_plan answers[ANSWER_FAULT_COUNT];
+    bool ends_idle_transactions;
     char *hold_match; /* statements that contain it wait; NULL: none do */
     unsigned held;    /* statements that wait */
 };
@@ -51,6 +52,10 @@
 void faults_plan_answers(struct faults *faults, enum answer_fault fault, uint64_t count,
                          const char *match);
 
+/* Open transactions count as idle for too long from now on, or no more. */
+void faults_set_end_idle_transactions(struct faults *faults, bool ends);
+bool faults_end_idle_transactions(struct faults *faults);
+
 /* Statements that contain `match` wait from now on, before they run, until faults_release. */
 void faults_hold(struct faults *faults, const char *match);
 void faults_release(struct faults *faults);
--- a/standins/database/query.c
+++ b/standins/database/query.c
@@ -1,6 +1,8 @@
 /* The simple and the extended query protocol of a session. See session.h. */
 #include "session.h"
 
+#include <string.h>
+
 #include "advisory.h"
 #include "control.h"
 
@@ -57,6 +59,19 @@
     return true;
 }
 
+/* Honours the one parameter that is known, for the transaction only; others are taken and
+ * forgotten.
+ */
+static void set_parameter(struct session *session, const struct statement *statement)
+{
+    const char *known = "SET LOCAL " IDLE_TRANSACTION_PARAMETER " = ";
+    if (g_str_has_prefix(statement->text, known)) {
+        const char *number = statement->text + strlen(known);
+        session->transaction.idle_ms = g_ascii_strtoll(number, NULL, 10);
+    }
+    message_command_complete(session->out, statement->tag);
+}
+
 static void complete(struct session *session, const struct statement *statement,
                      const struct result *result)
 {
@@ -144,7 +159,7 @@
         rollback(session);
         return true;
     case STATEMENT_SET:
-        message_command_complete(session->out, statement->tag);
+        set_parameter(session, statement);
         return true;
     case STATEMENT_REFUSED:
         return sql_error_set(error, "0A000", "%s is not supported", statement->tag);
--- a/standins/database/session.c
+++ b/standins/database/session.c
@@ -42,6 +42,7 @@
     session->server = server;
     session->interrupt.socket = socket;
     session->secret = g_random_int();
+    session->idle_transaction_ms = server->options.idle_transaction_ms;
     session->in = g_byte_array_new();
     session->out = g_byte_array_new();
     session->transaction.interrupt = &session->interrupt;
@@ -117,16 +118,33 @@
     }
 }
 
+/* When the open transaction, if any, has been idle for too long. */
+static int64_t idle_deadline(const struct session *session)
+{
+    const struct transaction *transaction = &session->transaction;
+    int64_t limit_ms =
+        transaction->idle_ms > 0 ? transaction->idle_ms : session->idle_transaction_ms;
+    bool limited = transaction->state != TRANSACTION_IDLE && limit_ms > 0;
+    return limited ? g_get_monotonic_time() + limit_ms * 1000 : G_MAXINT64;
+}
+
+/* True if an open transaction is to be ended, as idle for too long or by a fault. */
+static bool is_idle_too_long(struct session *session, int64_t deadline)
+{
+    bool open = session->transaction.state != TRANSACTION_IDLE;
+    return open && (g_get_monotonic_time() >= deadline ||
+                    faults_end_idle_transactions(&session->server->faults));
+}
+
 /* Waits for bytes that no fault holds back. Returns false if an open transaction was idle for too
  * long. */
 static bool wait_readable(struct session *session)
 {
-    int64_t limit_ms = session->server->options.idle_transaction_ms;
-    bool limited = session->transaction.state != TRANSACTION_IDLE && limit_ms > 0;
-    int64_t deadline = g_get_monotonic_time() + limit_ms * 1000;
+    int64_t deadline = idle_deadline(session);
+    bool open = session->transaction.state != TRANSACTION_IDLE;
     struct pollfd watch = {.fd = session->interrupt.socket, .events = POLLIN};
-    while (!limited || g_get_monotonic_time() < deadline) {
-        bool ready = poll(&watch, 1, limited ? (int)MIN(limit_ms, POLL_SLICE_MS) : -1) > 0;
+    while (!is_idle_too_long(session, deadline)) {
+        bool ready = poll(&watch, 1, open ? POLL_SLICE_MS : -1) > 0;
         if (ready && !faults_blocks(&session->server->faults, session->zone)) {
             return true;
         }
@@ -241,7 +259,17 @@
     return true;
 }
 
-/* Takes the zone from an application_name such as "swiftworks/NAME@ZONE". */
+/* Takes the one parameter that is known of "-c NAME=VALUE". */
+static void read_options(struct session *session, const char *options)
+{
+    const char *found = strstr(options, IDLE_TRANSACTION_PARAMETER "=");
+    if (found != NULL) {
+        const char *number = found + strlen(IDLE_TRANSACTION_PARAMETER "=");
+        session->idle_transaction_ms = g_ascii_strtoll(number, NULL, 10);
+    }
+}
+
+/* Takes the zone from an application_name such as "swiftworks/NAME@ZONE", and the options. */
 static void read_client(struct session *session, struct message_reader *reader)
 {
     g_autofree char *application = g_strdup("");
@@ -254,6 +282,8 @@
         if (g_str_equal(name, "application_name")) {
             g_free(application);
             application = g_strdup(value);
+        } else if (g_str_equal(name, "options")) {
+            read_options(session, value);
         }
     }
     const char *at = strrchr(application, '@');
--- a/standins/database/session.h
+++ b/standins/database/session.h
@@ -8,6 +8,9 @@
 #include "message.h"
 #include "server.h"
 
+/* How long an open transaction may be idle, in milliseconds: PostgreSQL's name for it. */
+#define IDLE_TRANSACTION_PARAMETER "idle_in_transaction_session_timeout"
+
 /* A parsed statement by name, or a bound one. */
 struct prepared {
     struct statement *statement;
@@ -31,6 +34,7 @@
     GByteArray *in;
     guint in_start; /* how much of `in` has been consumed */
     GByteArray *out;
+    int64_t idle_transaction_ms;    /* longest idle time of an open transaction; 0: no limit */
     enum answer_fault answer_fault; /* met by a statement since the last ready message */
     bool skip_to_sync;              /* after an error in the extended protocol */
     bool closing;
--- a/tests/backend/adapter_transaction_test.c
+++ b/tests/backend/adapter_transaction_test.c
@@ -172,6 +172,73 @@
     g_assert_true(backend_connection_is_clean(fixture->connection));
 }
 
+/* Ends before another transaction gives up waiting for its locks, and late enough not to end
+ * between two calls of a test. */
+#define SHORT_IDLE_MS 2000
+
+/* Another connection's write of a booking; waits for the locks of the one that is open. */
+static enum execute_result write_beside(struct fixture *fixture)
+{
+    struct execute_answer answer;
+    struct backend_connection *other = backend_open(fixture->server);
+    struct sql_statement statement = backend_statement("INSERT INTO bookings VALUES ('tazaghart')");
+    execute_answer_init(&answer);
+    enum execute_result result =
+        adapter_write(other, NULL, &statement, 1, backend_far(), NULL, &answer);
+    execute_answer_clear(&answer);
+    backend_connection_close(other);
+    return result;
+}
+
+/* The daemon is paused in a transaction, as it sends nothing: the database ends it, so that others
+ * get its locks. What it does after the pause is not run, and known not to be. */
+static void check_paused(struct fixture *fixture, const struct adapter_transaction_options *options)
+{
+    assert_result(begin(fixture, options), EXECUTE_DONE);
+    assert_result(run(fixture, WRITE_SQL), EXECUTE_DONE);
+    assert_result(write_beside(fixture), EXECUTE_DONE);
+    assert_result(commit(fixture, options), EXECUTE_NOT_SENT);
+    g_assert_false(backend_connection_is_clean(fixture->connection));
+    backend_expect(fixture->server, COUNT_SQL, "1");
+}
+
+static void test_paused(struct fixture *fixture, const void *unused)
+{
+    const struct adapter_transaction_options unkeyed = {.idle_ms = SHORT_IDLE_MS};
+    check_paused(fixture, &unkeyed);
+}
+
+static void test_paused_keyed(struct fixture *fixture, const void *unused)
+{
+    struct adapter_transaction_options keyed = WRITE;
+    keyed.idle_ms = SHORT_IDLE_MS;
+    check_paused(fixture, &keyed);
+}
+
+/* Between the two round trips of a single write, the connection's own bound holds. */
+static void test_paused_single_write(struct fixture *fixture, const void *unused)
+{
+    g_autoptr(GError) error = NULL;
+    struct connection_settings settings = backend_settings(fixture->server);
+    settings.idle_transaction_ms = SHORT_IDLE_MS;
+    backend_connection_close(fixture->connection);
+    fixture->connection = backend_connection_open(&settings, backend_far(), &error);
+    g_assert_no_error(error);
+    const struct adapter_transaction_options unkeyed = {.idle_ms = 0};
+    check_paused(fixture, &unkeyed);
+}
+
+/* The end of the session is known also if it comes to light by a statement. */
+static void test_paused_before_a_statement(struct fixture *fixture, const void *unused)
+{
+    const struct adapter_transaction_options unkeyed = {.idle_ms = SHORT_IDLE_MS};
+    assert_result(begin(fixture, &unkeyed), EXECUTE_DONE);
+    assert_result(run(fixture, WRITE_SQL), EXECUTE_DONE);
+    assert_result(write_beside(fixture), EXECUTE_DONE);
+    assert_result(run(fixture, WRITE_SQL), EXECUTE_NOT_SENT);
+    backend_expect(fixture->server, COUNT_SQL, "1");
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -184,6 +251,10 @@
     ADD("transaction/lost-commit", test_lost_commit);
     ADD("transaction/read-only", test_read_only);
     ADD("transaction/read-guard-short", test_read_guard_short);
+    ADD("transaction/paused", test_paused);
+    ADD("transaction/paused-keyed", test_paused_keyed);
+    ADD("transaction/paused-single-write", test_paused_single_write);
+    ADD("transaction/paused-before-a-statement", test_paused_before_a_statement);
     ADD("commands", test_commands);
     return g_test_run();
 }
--- a/tests/daemon/cluster_fixture.c
+++ b/tests/daemon/cluster_fixture.c
@@ -515,3 +515,17 @@
 {
     return faults_held(&cluster->databases[database]->faults);
 }
+
+void cluster_end_idle_transactions(struct cluster *cluster, unsigned database, bool ends)
+{
+    faults_set_end_idle_transactions(&cluster->databases[database]->faults, ends);
+}
+
+bool cluster_has_writer(const struct cluster *cluster, unsigned database)
+{
+    struct database *target = cluster->databases[database]->database;
+    pthread_mutex_lock(&target->lock);
+    bool writing = target->writer_owner != NULL;
+    pthread_mutex_unlock(&target->lock);
+    return writing;
+}
--- a/tests/daemon/cluster_fixture.h
+++ b/tests/daemon/cluster_fixture.h
@@ -119,6 +119,12 @@
 /* Statements that wait so. */
 unsigned cluster_held_statements(const struct cluster *cluster, unsigned database);
 
+/* Open transactions at a database count as idle for too long from now on, or no more. */
+void cluster_end_idle_transactions(struct cluster *cluster, unsigned database, bool ends);
+
+/* True while a transaction that writes is open at a database. */
+bool cluster_has_writer(const struct cluster *cluster, unsigned database);
+
 /* Waits until an expression holds; fails the test after a generous bound. */
 #define AWAIT(condition)                                                                           \
     do {                                                                                           \
--- a/tests/daemon/test_transactions.c
+++ b/tests/daemon/test_transactions.c
@@ -292,6 +292,36 @@
     cluster_stop(cluster);
 }
 
+/* Begins, writes, and lets the database end the transaction as idle for too long. */
+static char *begin_and_lose(struct cluster *cluster, const char *key)
+{
+    char *id = begin(cluster, 0, key, "write");
+    g_free(statement(cluster, 0, id, "INSERT INTO stays VALUES ('a', '')"));
+    cluster_end_idle_transactions(cluster, 0, true);
+    AWAIT(!cluster_has_writer(cluster, 0));
+    cluster_end_idle_transactions(cluster, 0, false);
+    return id;
+}
+
+/* The database has ended the transaction: it is rolled back, and its caller is told so. */
+static void test_ended_by_database(void)
+{
+    struct cluster *cluster = start(0);
+    g_autofree char *unkeyed = begin_and_lose(cluster, NULL);
+    expect_error(cluster, 1, (struct http_call){.transaction = unkeyed, .path = "commit"}, "failed",
+                 "transaction_aborted");
+    g_autofree char *keyed = begin_and_lose(cluster, "key");
+    expect_error(cluster, 1,
+                 (struct http_call){.transaction = keyed, .path = "commit", .key = "key"}, "failed",
+                 "transaction_aborted");
+    g_autofree char *continued = begin_and_lose(cluster, NULL);
+    expect_error(cluster, 1, (struct http_call){.transaction = continued, .sql = "SELECT 1"},
+                 "failed", "transaction_aborted");
+    AWAIT(open_transactions(cluster, 0) == 0);
+    g_assert_cmpint(cluster_count(cluster, 0, "stays"), ==, 0);
+    cluster_stop(cluster);
+}
+
 /* A commit that waits for a worker past its deadline is not run; the transaction must end. */
 static void test_commit_after_deadline(void)
 {
@@ -339,6 +369,7 @@
     g_test_add_func("/daemon/transactions/busy", test_busy);
     g_test_add_func("/daemon/transactions/read_only", test_read_only);
     g_test_add_func("/daemon/transactions/owner_stops", test_owner_stops);
+    g_test_add_func("/daemon/transactions/ended_by_database", test_ended_by_database);
     g_test_add_func("/daemon/transactions/commit_after_deadline", test_commit_after_deadline);
     return g_test_run();
 }
