Plan lost answers for requests, not for the ledger's upkeep

A test that plans "the next answer to COMMIT is lost" met now and then the COMMIT of the daemons' own upkeep of the ledger, which each owner of a group runs when it learns of a primary, on a loaded machine after the deployment counts as ready. The test's own COMMIT was then answered: daemon-writes, unkeyed, "expected unknown outcome_unknown, got done", 1 run, 7 ms after the third owner had learned of the primary.

The stand-in now passes over the COMMIT of a transaction that changed nothing or began by removing old keys. A read-only transaction's is met as before.

Also seen, once in 67 runs of daemon-transactions, 5 at once beside two loops of other daemon tests, load average about 160: an owner that joined late did not find the primary in time (fence_started, no_primary), and another database led from then on, while the test had planned the lost answer at the first one. The tests of transactions ask now which database leads.

--- a/standins/database/query.c
+++ b/standins/database/query.c
@@ -9,6 +9,9 @@
 /* How large an answer grows before it is sent on without a flush being asked for. */
 #define FLUSH_SIZE (1u << 20)
 
+/* First statement of the transaction that removes old keys from a daemons' ledger. */
+#define UPKEEP_SQL "DELETE FROM swiftworks_ledger"
+
 void session_fail(struct session *session, struct sql_error *error)
 {
     message_error(session->out, "ERROR", error);
@@ -171,6 +174,36 @@
     return false;
 }
 
+/* True of the COMMIT of a transaction that changed nothing, or began by removing old keys: the
+ * daemons' upkeep of the ledger, which runs beside requests at any time. */
+static bool ends_upkeep(const struct session *session, const struct statement *statement)
+{
+    const struct transaction *transaction = &session->transaction;
+    if (statement->command != STATEMENT_COMMIT || transaction->read_only) {
+        return false;
+    }
+    if (!transaction->writing || transaction->entry->statements->len == 0) {
+        return true;
+    }
+    const struct log_statement *first = g_ptr_array_index(transaction->entry->statements, 0);
+    return g_str_has_prefix(first->sql, UPKEEP_SQL);
+}
+
+/* Notes what becomes of the answer to a statement. Plans are made for requests. */
+static void meet_answer_fault(struct session *session, const struct statement *statement)
+{
+    pthread_mutex_lock(&session->server->database->lock);
+    bool upkeep = ends_upkeep(session, statement);
+    pthread_mutex_unlock(&session->server->database->lock);
+    if (upkeep) {
+        return;
+    }
+    enum answer_fault fault = faults_next_answer(&session->server->faults, statement->text);
+    if (fault != ANSWER_FAULT_NONE) {
+        session->answer_fault = fault;
+    }
+}
+
 bool session_execute(struct session *session, const struct statement *statement,
                      const struct parameters *parameters, bool describe, struct sql_error *error)
 {
@@ -179,10 +212,7 @@
     if (!check_not_failed(session, statement, error)) {
         return false;
     }
-    enum answer_fault fault = faults_next_answer(&session->server->faults, statement->text);
-    if (fault != ANSWER_FAULT_NONE) {
-        session->answer_fault = fault;
-    }
+    meet_answer_fault(session, statement);
     return run_statement(session, statement, parameters, describe, error);
 }
 
--- a/tests/daemon/test_transactions.c
+++ b/tests/daemon/test_transactions.c
@@ -21,6 +21,20 @@
     return cluster_start(&options);
 }
 
+/* The database that leads; it may be another than at the start, as a group's owner that joins late
+ * on a slow machine may find none. */
+static unsigned primary_of(const struct cluster *cluster)
+{
+    int primary = cluster_primary(cluster);
+    g_assert_cmpint(primary, >=, 0);
+    return (unsigned)primary;
+}
+
+static int64_t count_stays(const struct cluster *cluster)
+{
+    return cluster_count(cluster, primary_of(cluster), "stays");
+}
+
 /* Begins at a daemon and returns the id, which the caller frees. */
 static char *begin(struct cluster *cluster, unsigned daemon, const char *key, const char *access)
 {
@@ -82,7 +96,7 @@
     g_free(statement(cluster, 2, id, "INSERT INTO stays VALUES ('b', '')"));
     g_autofree char *own = statement(cluster, 0, id, "SELECT count(*) FROM stays");
     g_assert_cmpstr(own, ==, "2");
-    g_assert_cmpint(cluster_count(cluster, 0, "stays"), ==, 0);
+    g_assert_cmpint(count_stays(cluster), ==, 0);
     g_autofree char *session = end(cluster, 2, id, "commit", NULL);
     g_assert_nonnull(session);
     cluster_call(cluster, 1, &answer,
@@ -101,7 +115,7 @@
     g_free(end(cluster, 1, id, "rollback", NULL));
     expect_error(cluster, 2, (struct http_call){.transaction = id, .sql = "SELECT 1"}, "refused",
                  "unknown_transaction");
-    g_assert_cmpint(cluster_count(cluster, 0, "stays"), ==, 0);
+    g_assert_cmpint(count_stays(cluster), ==, 0);
     cluster_stop(cluster);
 }
 
@@ -136,7 +150,7 @@
         expect_error(cluster, i, (struct http_call){.transaction = unkeyed, .path = "commit"},
                      "unknown", "outcome_unknown");
     }
-    g_assert_cmpint(cluster_count(cluster, 0, "stays"), ==, 0);
+    g_assert_cmpint(count_stays(cluster), ==, 0);
     cluster_stop(cluster);
 }
 
@@ -147,7 +161,7 @@
     struct http_answer answer;
     g_autofree char *id = begin(cluster, 0, "key", "write");
     g_free(statement(cluster, 0, id, "INSERT INTO stays VALUES ('a', '')"));
-    cluster_lose_answers(cluster, 0, ANSWER_FAULT_CLOSE, 1, "COMMIT");
+    cluster_lose_answers(cluster, primary_of(cluster), ANSWER_FAULT_CLOSE, 1, "COMMIT");
     g_free(end(cluster, 0, id, "commit", NULL));
     for (unsigned i = 0; i < 3; i++) {
         cluster_call(cluster, i, &answer,
@@ -157,7 +171,7 @@
         g_assert_nonnull(answer.session);
         http_answer_clear(&answer);
     }
-    g_assert_cmpint(cluster_count(cluster, 0, "stays"), ==, 1);
+    g_assert_cmpint(count_stays(cluster), ==, 1);
     cluster_stop(cluster);
 }
 
@@ -166,10 +180,10 @@
     struct cluster *cluster = start(0);
     g_autofree char *id = begin(cluster, 0, NULL, "write");
     g_free(statement(cluster, 0, id, "INSERT INTO stays VALUES ('a', '')"));
-    cluster_lose_answers(cluster, 0, ANSWER_FAULT_CLOSE, 1, "COMMIT");
+    cluster_lose_answers(cluster, primary_of(cluster), ANSWER_FAULT_CLOSE, 1, "COMMIT");
     expect_error(cluster, 1, (struct http_call){.transaction = id, .path = "commit"}, "unknown",
                  "outcome_unknown");
-    g_assert_cmpint(cluster_count(cluster, 0, "stays"), ==, 1);
+    g_assert_cmpint(count_stays(cluster), ==, 1);
     cluster_stop(cluster);
 }
 
@@ -188,7 +202,7 @@
         cluster, 0,
         (struct http_call){.path = "transactions", .body = "{\"begin\": true}", .key = "key"},
         "refused", "key_reused");
-    g_assert_cmpint(cluster_count(cluster, 0, "stays"), ==, 0);
+    g_assert_cmpint(count_stays(cluster), ==, 0);
     cluster_stop(cluster);
 }
 
@@ -228,7 +242,7 @@
                  "unknown_transaction");
     expect_error(cluster, 0, (struct http_call){.transaction = id, .path = "commit", .key = "key"},
                  "failed", "transaction_aborted");
-    g_assert_cmpint(cluster_count(cluster, 0, "stays"), ==, 0);
+    g_assert_cmpint(count_stays(cluster), ==, 0);
     cluster_stop(cluster);
 }
 
@@ -242,17 +256,17 @@
     struct http_call insert = {.transaction = id,
                                .sql = "INSERT INTO stays VALUES ('a', '')",
                                .timeout_ms = LONG_TIMEOUT_MS};
-    cluster_hold_statements(cluster, 0, insert.sql);
+    cluster_hold_statements(cluster, primary_of(cluster), insert.sql);
     struct http_poster *poster = http_post_start(cluster_port(cluster, 0), &insert);
-    AWAIT(cluster_held_statements(cluster, 0) == 1);
+    AWAIT(cluster_held_statements(cluster, primary_of(cluster)) == 1);
     struct http_call commit = {.transaction = id, .path = "commit", .timeout_ms = LONG_TIMEOUT_MS};
     expect_error(cluster, 1, commit, "refused", "bad_request");
-    cluster_release_statements(cluster, 0);
+    cluster_release_statements(cluster, primary_of(cluster));
     http_join(poster, &answer);
     http_assert_done(&answer);
     http_answer_clear(&answer);
     g_free(end(cluster, 0, id, "commit", NULL));
-    g_assert_cmpint(cluster_count(cluster, 0, "stays"), ==, 1);
+    g_assert_cmpint(count_stays(cluster), ==, 1);
     cluster_stop(cluster);
 }
 
@@ -271,7 +285,7 @@
         (struct http_call){.transaction = other, .sql = "INSERT INTO stays VALUES ('a', '')"},
         "failed", "database_error");
     cluster_await_replicated(cluster);
-    g_assert_cmpint(cluster_count(cluster, 0, "stays"), ==, 0);
+    g_assert_cmpint(count_stays(cluster), ==, 0);
     cluster_stop(cluster);
 }
 
@@ -286,7 +300,7 @@
     g_autofree char *session = end(cluster, 1, id, "commit", NULL);
     g_assert_nonnull(session);
     g_assert_cmpuint(cluster_join_stop(stop), ==, 0);
-    g_assert_cmpint(cluster_count(cluster, 0, "stays"), ==, 2);
+    g_assert_cmpint(count_stays(cluster), ==, 2);
     /* The answer is to be had although its daemon is gone. */
     g_free(end(cluster, 2, id, "commit", "key"));
     cluster_stop(cluster);
@@ -297,9 +311,9 @@
 {
     char *id = begin(cluster, 0, key, "write");
     g_free(statement(cluster, 0, id, "INSERT INTO stays VALUES ('a', '')"));
-    cluster_end_idle_transactions(cluster, 0, true);
-    AWAIT(!cluster_has_writer(cluster, 0));
-    cluster_end_idle_transactions(cluster, 0, false);
+    cluster_end_idle_transactions(cluster, primary_of(cluster), true);
+    AWAIT(!cluster_has_writer(cluster, primary_of(cluster)));
+    cluster_end_idle_transactions(cluster, primary_of(cluster), false);
     return id;
 }
 
@@ -318,10 +332,20 @@
     expect_error(cluster, 1, (struct http_call){.transaction = continued, .sql = "SELECT 1"},
                  "failed", "transaction_aborted");
     AWAIT(open_transactions(cluster, 0) == 0);
-    g_assert_cmpint(cluster_count(cluster, 0, "stays"), ==, 0);
+    g_assert_cmpint(count_stays(cluster), ==, 0);
     cluster_stop(cluster);
 }
 
+/* Statements that the databases are at work on. */
+static unsigned slots_used(const struct cluster *cluster)
+{
+    unsigned used = 0;
+    for (unsigned i = 0; i < cluster->options.databases; i++) {
+        used += cluster_slots_used(cluster, i);
+    }
+    return used;
+}
+
 /* A commit that waits for a worker past its deadline is not run; the transaction must end. */
 static void test_commit_after_deadline(void)
 {
@@ -337,7 +361,7 @@
     }
     struct http_call read = {.sql = "SELECT 1"};
     struct http_poster *poster = http_post_start(cluster_port(cluster, 0), &read);
-    AWAIT(cluster_slots_used(cluster, 1) + cluster_slots_used(cluster, 2) == 1);
+    AWAIT(slots_used(cluster) == 1);
     cluster_call(cluster, 0, &answer,
                  (struct http_call){.transaction = id, .path = "commit", .timeout_ms = 20});
     g_assert_cmpstr(answer.outcome, !=, "done");
@@ -348,7 +372,7 @@
     http_answer_clear(&answer);
     AWAIT(open_transactions(cluster, 0) == 0);
     if (rolled_back) {
-        g_assert_cmpint(cluster_count(cluster, 0, "stays"), ==, 0);
+        g_assert_cmpint(count_stays(cluster), ==, 0);
     }
     cluster_stop(cluster);
 }
