--- a/tests/core/membership_test.c
+++ b/tests/core/membership_test.c
@@ -169,9 +169,12 @@
  * says nothing, does. */
 static void test_other_deployment_is_dropped(void)
 {
-    g_assert_true(is_taken(OWN_DEPLOYMENT));
-    g_assert_true(is_taken(DEPLOYMENT_UNNAMED));
-    g_assert_false(is_taken(deployment_hash("another")));
+    bool own = is_taken(OWN_DEPLOYMENT);
+    bool unnamed = is_taken(DEPLOYMENT_UNNAMED);
+    bool another = is_taken(deployment_hash("another"));
+    g_assert_true(own);
+    g_assert_true(unnamed);
+    g_assert_false(another);
 }
 
 /* The names of two deployments differ in what is sent; no name is the same as none said. */
