--- a/tests/wire/test_connection.c
+++ b/tests/wire/test_connection.c
@@ -174,6 +174,47 @@
     pair_close(&pair);
 }
 
+/* What the words before a message say of the other side's deployment. */
+static uint32_t deployment_after(const void *words, size_t length)
+{
+    struct pair pair = pair_new();
+    struct message message;
+    g_assert_cmpint(send(pair.left->socket, words, length, 0), ==, (gssize)length);
+    fixture_reply(&message, "r1");
+    g_assert_true(wire_send(pair.left, &message, fixture_deadline(), NULL));
+    message_clear(&message);
+    g_assert_true(wire_receive(pair.right, &message, fixture_deadline(), NULL));
+    g_assert_cmpstr(message.reply.request_id, ==, "r1");
+    g_assert_false(pair.right->peer_closing);
+    message_clear(&message);
+    uint32_t deployment = pair.right->peer_deployment;
+    pair_close(&pair);
+    return deployment;
+}
+
+/* Words that this version does not know are skipped, as older ones skip the deployment's. */
+static void test_deployment_words(void)
+{
+    uint32_t unsaid = deployment_after("", 0);
+    uint32_t unknown = deployment_after("\x80\x7f\xab\xcd", 4);
+    uint32_t said = deployment_after("\x80\x03\xab\xcd\x80\x04\x12\x34", 8);
+    uint32_t low = deployment_after("\x80\x04\x12\x34", 4);
+    g_assert_cmphex(unsaid, ==, 0);
+    g_assert_cmphex(unknown, ==, 0);
+    g_assert_cmphex(said, ==, 0xabcd1234);
+    g_assert_cmphex(low, ==, 0x1234);
+}
+
+static void test_deployment_sent(void)
+{
+    struct pair pair = pair_new();
+    uint8_t octets[8];
+    g_assert_true(wire_send_deployment(pair.left, 0xabcd1234, fixture_deadline(), NULL));
+    ssize_t received = recv(pair.right->socket, octets, sizeof(octets), MSG_PEEK);
+    g_assert_cmpmem(octets, (gsize)MAX(received, 0), "\x80\x03\xab\xcd\x80\x04\x12\x34", 8);
+    pair_close(&pair);
+}
+
 static void test_send_deadline(void)
 {
     struct pair pair = pair_new();
@@ -200,6 +241,8 @@
     g_test_add_func("/wire/connection/frame-bounds", test_frame_bounds);
     g_test_add_func("/wire/connection/bad-frames", test_bad_frames);
     g_test_add_func("/wire/connection/closing", test_closing);
+    g_test_add_func("/wire/connection/deployment-words", test_deployment_words);
+    g_test_add_func("/wire/connection/deployment-sent", test_deployment_sent);
     g_test_add_func("/wire/connection/send-deadline", test_send_deadline);
     return g_test_run();
 }
