Offer a version to all daemons before asking any

Cause: a daemon out of reach at the head of the list held up the next one's offer by its failed connections, and lengthened the moment in which only the publisher knows what was accepted. Found by reading; ruled out: threads, as an offer takes milliseconds.

Before: an offer, then looks at the same daemon. After: offers to all, then looks. /daemon/configuration/handover/* and /ctl/* pass.

--- a/src/ctl/handover.c
+++ b/src/ctl/handover.c
@@ -116,16 +116,28 @@
     return daemon->in_force || daemon->failures >= FAILURES_MAX;
 }
 
+/* Offers to all before anyone is asked: one out of reach must not keep the others waiting longer
+ * than its connection takes to fail. */
+static void offer_to_all(struct handover_run *run)
+{
+    for (guint i = 0; i < run->daemons->len; i++) {
+        struct handover_daemon *daemon = g_ptr_array_index(run->daemons, i);
+        if (!is_settled(daemon) && !daemon->refused) {
+            offer(run, daemon);
+        }
+    }
+}
+
 /* One round; true once there is nobody left to wait for. */
 static bool go_round(struct handover_run *run, guint round)
 {
     bool settled = true;
 
+    if (round % ROUNDS_PER_OFFER == 0) {
+        offer_to_all(run);
+    }
     for (guint i = 0; i < run->daemons->len; i++) {
         struct handover_daemon *daemon = g_ptr_array_index(run->daemons, i);
-        if (!is_settled(daemon) && !daemon->refused && round % ROUNDS_PER_OFFER == 0) {
-            offer(run, daemon);
-        }
         if (!is_settled(daemon)) {
             look(run, daemon);
         }
