Share a database's slots among its owners, in the daemon

Cause: as in the simulator, each daemon admitted up to all slots of a database.

Each database's run time has a slot_share beside its admission, under the same lock. A run time that follows another of the same database goes on with its part. A sole owner has all slots at once. Reads are routed by the part that this daemon has.

A read with no slot at a database here counts it as having one: the queued request is what brings slots there.

--- a/src/core/slot_share.c
+++ b/src/core/slot_share.c
@@ -131,7 +131,11 @@
 
 static void take_place(struct slot_share *share, uint32_t home, uint32_t before, time_ns now)
 {
-    if (home > before && (!share->placed || home > share->home)) {
+    bool grows = home > before && (!share->placed || home > share->home);
+    if (share->peer_count == 0) {
+        /* Nobody else has any. */
+        share->home_from = now;
+    } else if (grows) {
         /* One slot at once, that nothing stands still meanwhile. */
         share->home_before = MAX(before, 1);
         share->home_from = now + LEASE_TIME + LEASE_MARGIN;
@@ -415,10 +419,12 @@
     forget_past_peers(share, now);
 }
 
-bool slot_share_is_active(const struct slot_share *share, const struct slot_share_load *load,
-                          time_ns now)
+bool slot_share_is_active(const struct slot_share *share, time_ns now)
 {
-    bool active = now < share->home_from || MAX(load->demand, recent_demand(share)) > 0;
+    bool alone = share->peer_count == 0;
+    bool needs_more = recent_demand(share) > slot_share_limit(share, now);
+    bool changes = now < share->home_from || (!share->placed && now < share->home_until);
+    bool active = changes || (needs_more && !alone);
     for (uint32_t i = 0; i < share->peer_count; i++) {
         const struct slot_share_peer *peer = &share->peers[i];
         active = active || lent_now(peer, now) > 0 || peer->borrowed_in_use > 0 ||
--- a/src/core/slot_share.h
+++ b/src/core/slot_share.h
@@ -110,7 +110,6 @@
 #define SLOT_SHARE_TICK (10 * NANOSECONDS_PER_MILLISECOND)
 
 /* True if time alone may change something. */
-bool slot_share_is_active(const struct slot_share *share, const struct slot_share_load *load,
-                          time_ns now);
+bool slot_share_is_active(const struct slot_share *share, time_ns now);
 
 #endif
--- a/src/daemon/admin_status.c
+++ b/src/daemon/admin_status.c
@@ -280,7 +280,7 @@
     for (uint32_t i = 0; i < group->database_count; i++) {
         request.in_flight[i] =
             atomic_load(&group->databases[i].in_flight) + atomic_load(&group->databases[i].queued);
-        request.slots[i] = group->databases[i].configuration.slots;
+        request.slots[i] = MAX(atomic_load(&group->databases[i].slot_limit), 1);
     }
     return route_read(view, &request);
 }
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -117,6 +117,7 @@
     control_groups_start(control);
     while (!is_stopping(control)) {
         wait_for_input(control);
+        atomic_store(&control->slots_wanted, false);
         handle_inbox(control);
         time_ns now = backend_now();
         control_members_tick(control, now);
@@ -186,6 +187,13 @@
     control_post(control, &event);
 }
 
+void control_slots_wanted(struct control *control)
+{
+    if (!atomic_exchange(&control->slots_wanted, true)) {
+        eventfd_write(control->wake_fd, 1);
+    }
+}
+
 bool control_holds_groups(struct control *control)
 {
     return atomic_load(&control->groups_held) > 0;
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -63,6 +63,9 @@
 char *control_address_of(struct control *control, const char *daemon_name);
 
 /* Has a database probed now, if that was not asked for in the last few milliseconds. Any thread. */
+/* A request was queued for a slot: the other owners may have one to lend. Any thread. */
+void control_slots_wanted(struct control *control);
+
 void control_probe_now(struct control *control, struct group_runtime *group, uint32_t database);
 
 /* Asks for a database to be drained or taken back. Any thread. */
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -9,6 +9,7 @@
 #include "core/route.h"
 #include "daemon/control_internal.h"
 #include "daemon/control_budget.h"
+#include "daemon/control_slots.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_metrics.h"
 #include "daemon/ledger_upkeep.h"
@@ -282,6 +283,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct controlled_group *group = value;
         task_expire_queued(control->daemon, group->runtime, now);
+        control_slots_tick(group, now);
         expire_ledger(group, now);
         if (now >= group->wake_at) {
             struct group_event tick = {.kind = GROUP_EVENT_TICK, .now = now};
@@ -299,6 +301,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct controlled_group *group = value;
         next = MIN(next, group->wake_at);
+        next = MIN(next, control_slots_next_wakeup(group));
     }
     return next;
 }
@@ -502,6 +505,7 @@
             control_budget_succeed(control->budget, successor->group->id);
         }
     }
+    control_slots_place(control);
 }
 
 void control_groups_stop(struct control *control)
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -98,6 +98,7 @@
     struct control_configuration *configuration; /* NULL if it is static */
 
     struct control_budget *budget; /* control thread only */
+    _Atomic bool slots_wanted;     /* a request was queued since the slots were looked at */
     _Atomic uint32_t groups_held;  /* size of `groups` */
 
     struct prober *prober;
--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -10,6 +10,7 @@
 #include "backend/clock.h"
 #include "core/error.h"
 #include "daemon/control_budget.h"
+#include "daemon/control_slots.h"
 #include "daemon/control_configuration.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_metrics.h"
@@ -211,6 +212,8 @@
             receive_opinion(control, &message.opinion);
         } else if (message.kind == MESSAGE_KIND_BUDGET_NOTICE) {
             control_budget_receive(control->budget, &message.budget_notice, &from);
+        } else if (message.kind == MESSAGE_KIND_SLOT_NOTICE) {
+            control_slots_receive(control, &message.slot_notice);
         }
         message_clear(&message);
         control_members_perform(control);
--- a/src/daemon/control_ownership.c
+++ b/src/daemon/control_ownership.c
@@ -8,6 +8,7 @@
 #include "backend/clock.h"
 #include "daemon/control_budget.h"
 #include "daemon/control_configuration.h"
+#include "daemon/control_slots.h"
 #include "daemon/daemon.h"
 
 /* A daemon that finds no other claims its groups after this long. */
@@ -78,6 +79,7 @@
     }
     publish_owners(control);
     control_groups_set_watchers(control, backend_now());
+    control_slots_place(control);
 }
 
 void control_ownership_start(struct control *control, uint64_t self)
--- a/src/daemon/group_runtime.c
+++ b/src/daemon/group_runtime.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <urcu-bp.h>
 
+#include "backend/clock.h"
 #include "daemon/budget_plan.h"
 
 /* Old views are freed after a grace period, by the RCU helper thread. */
@@ -130,6 +131,33 @@
     return open_pool(configuration, options);
 }
 
+/* An incarnation of a share is told from the former ones by a number, which is not 0. */
+static uint64_t new_incarnation(void)
+{
+    return ((uint64_t)g_random_int() << 32 | g_random_int()) | 1;
+}
+
+/* Goes on with the part of the slots that the predecessor has of the same database, if there are as
+ * many; else begins without any. */
+static void start_share(struct database_runtime *database, struct group_runtime *predecessor,
+                        time_ns now)
+{
+    const struct database_configuration *configuration = &database->configuration;
+    slot_share_init(&database->share, configuration->slots, new_incarnation());
+    for (uint32_t i = 0; predecessor != NULL && i < predecessor->database_count; i++) {
+        struct database_runtime *former = &predecessor->databases[i];
+        if (!same_server(&former->configuration, configuration) ||
+            former->configuration.slots != configuration->slots) {
+            continue;
+        }
+        pthread_mutex_lock(&former->admission_lock);
+        database->share = former->share;
+        pthread_mutex_unlock(&former->admission_lock);
+    }
+    admission_set_slots(&database->admission, slot_share_limit(&database->share, now));
+    atomic_store(&database->slot_limit, database->admission.slots);
+}
+
 static void start_database(struct database_runtime *database,
                            const struct database_configuration *configuration,
                            const struct group_runtime_options *options,
@@ -140,6 +168,7 @@
     database->pool = database->shared->pool;
     pthread_mutex_init(&database->admission_lock, NULL);
     admission_init(&database->admission, configuration->slots, options->queue_limit);
+    start_share(database, predecessor, backend_now());
 }
 
 static void stop_database(struct database_runtime *database)
--- a/src/daemon/group_runtime.h
+++ b/src/daemon/group_runtime.h
@@ -12,6 +12,7 @@
 #include "configuration/configuration.h"
 #include "core/admission.h"
 #include "core/retry_budget.h"
+#include "core/slot_share.h"
 #include "core/types.h"
 #include "daemon/tenant_gate.h"
 #include "daemon/active_calls.h"
@@ -24,12 +25,14 @@
     struct database_configuration configuration; /* strings owned by the group's configuration */
     struct pool *pool;                           /* the one in `shared` */
     struct shared_pool *shared;                  /* one reference */
-    pthread_mutex_t admission_lock;              /* guards admission */
+    pthread_mutex_t admission_lock;              /* guards the next two */
     struct admission admission;
+    struct slot_share share;
     _Atomic time_ns probed_at; /* last extra probe that a read asked for */
     /* For routing without the lock: slots taken by this daemon, and requests queued for one. */
     _Atomic uint32_t in_flight;
     _Atomic uint32_t queued;
+    _Atomic uint32_t slot_limit; /* the admission's slots */
 };
 
 /* Fixed settings of a group's run time. */
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -206,6 +206,7 @@
                     uint32_t *retry_after_ms)
 {
     struct database_runtime *runtime = &task->group->databases[database];
+    struct control *control = task->daemon->control;
     *refused = false;
     if (task->slot_database == (int32_t)database) {
         return true;
@@ -231,6 +232,9 @@
     atomic_store(&runtime->queued, runtime->admission.queued);
     pthread_mutex_unlock(&runtime->admission_lock);
     /* Once queued, another thread may run the task: nothing of it may be touched any more. */
+    if (verdict == ADMISSION_QUEUED) {
+        control_slots_wanted(control);
+    }
     if (verdict == ADMISSION_REFUSED) {
         *refused = true;
         *retry_after_ms = spread(*retry_after_ms);
@@ -238,10 +242,10 @@
     return verdict == ADMISSION_ADMITTED;
 }
 
-/* Starts the queued tasks that are due at a database. Called with its admission_lock held. */
-static void start_queued(struct daemon *daemon, struct database_runtime *runtime, uint32_t database,
-                         time_ns now)
+void task_start_queued(struct daemon *daemon, struct group_runtime *group, uint32_t database,
+                       time_ns now)
 {
+    struct database_runtime *runtime = &group->databases[database];
     bool admitted = false;
     struct admission_ticket *ticket = admission_next(&runtime->admission, now, &admitted);
     while (ticket != NULL) {
@@ -287,7 +291,7 @@
     pthread_mutex_lock(&runtime->admission_lock);
     atomic_fetch_sub(&runtime->in_flight, 1);
     admission_leave(&runtime->admission, now - task->slot_since);
-    start_queued(task->daemon, runtime, database, now);
+    task_start_queued(task->daemon, task->group, database, now);
     pthread_mutex_unlock(&runtime->admission_lock);
 }
 
--- a/src/daemon/task.h
+++ b/src/daemon/task.h
@@ -91,7 +91,11 @@
 bool task_take_slot(struct task *task, uint32_t database, enum admission_class rank, bool *refused,
                     uint32_t *retry_after_ms);
 
-/* Refuses the tasks whose deadline has passed while they were queued for a slot of the group. */
+/* Starts the queued tasks that are due at a database. Called with its admission_lock held. */
+void task_start_queued(struct daemon *daemon, struct group_runtime *group, uint32_t database,
+                       time_ns now);
+
+/* Refuses the tasks that were queued for a slot of the group and would now end too late. */
 void task_expire_queued(struct daemon *daemon, struct group_runtime *group, time_ns now);
 
 /* Gives the slot back, if one is held, and starts the next in the queue. */
--- a/src/daemon/task_read.c
+++ b/src/daemon/task_read.c
@@ -42,7 +42,7 @@
     for (uint32_t i = 0; i < task->group->database_count; i++) {
         const struct database_runtime *database = &task->group->databases[i];
         route->in_flight[i] = atomic_load(&database->in_flight) + atomic_load(&database->queued);
-        route->slots[i] = database->configuration.slots;
+        route->slots[i] = MAX(atomic_load(&database->slot_limit), 1);
     }
     route->primary_allowed = primary_read_allowed(task);
     route->random = g_random_int();
--- a/src/sim/sim_request.c
+++ b/src/sim/sim_request.c
@@ -509,7 +509,7 @@
     event->now = daemon->node.world->now;
     for (uint32_t i = 0; i < daemon->run->database_count; i++) {
         route->in_flight[i] = daemon->admissions[i].in_flight + daemon->admissions[i].queued;
-        route->slots[i] = daemon->admissions[i].slots;
+        route->slots[i] = MAX(daemon->admissions[i].slots, 1);
     }
     route->random = sim_random_below(daemon->node.world, 1 << 20);
     flow->read_step = read_flow_next(&flow->read, event, &daemon->view);
--- a/tests/daemon/cluster_fixture.c
+++ b/tests/daemon/cluster_fixture.c
@@ -51,6 +51,7 @@
     options->databases = value_or(options->databases, 3);
     options->daemons = value_or(options->daemons, 3);
     options->slots = value_or(options->slots, 5);
+    options->database_slots = value_or(options->database_slots, options->slots);
     options->connections = value_or(options->connections, 35);
     options->request_timeout_ms = value_or(options->request_timeout_ms, 20000);
     options->transaction_idle_ms = value_or(options->transaction_idle_ms, 20000);
@@ -65,7 +66,7 @@
     options.zone = zone_of(index);
     options.role = index == 0 ? DATABASE_ROLE_PRIMARY : DATABASE_ROLE_REPLICA;
     options.primary = primary;
-    options.slots = cluster->options.slots;
+    options.slots = cluster->options.database_slots;
     options.connections = cluster->options.connections;
     cluster->databases[index] = fixture_start(&options);
 }
--- a/tests/daemon/cluster_fixture.h
+++ b/tests/daemon/cluster_fixture.h
@@ -24,6 +24,7 @@
     unsigned databases;           /* 3 */
     unsigned daemons;             /* 3 */
     unsigned slots;               /* 5 */
+    unsigned database_slots;      /* that the databases have; as many as configured */
     unsigned connections;         /* 35 */
     unsigned request_timeout_ms;  /* 20000 */
     unsigned transaction_idle_ms; /* 20000 */
