--- a/src/daemon/admin_explain.c
+++ b/src/daemon/admin_explain.c
@@ -31,7 +31,7 @@
     };
     for (uint32_t i = 0; i < group->database_count; i++) {
         request.in_flight[i] = database_runtime_load(&group->databases[i]);
-        request.slots[i] = group->databases[i].configuration.slots;
+        request.slots[i] = database_runtime_slots(&group->databases[i]);
     }
     return route_read(view, &request);
 }
--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -11,6 +11,7 @@
 #include "core/deployment.h"
 #include "core/error.h"
 #include "daemon/control_budget.h"
+#include "daemon/control_slots.h"
 #include "daemon/control_configuration.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_metrics.h"
@@ -204,6 +205,8 @@
         return message->opinion.deployment_hash;
     case MESSAGE_KIND_BUDGET_NOTICE:
         return message->budget_notice.deployment_hash;
+    case MESSAGE_KIND_SLOT_NOTICE:
+        return message->slot_notice.deployment_hash;
     default:
         return DEPLOYMENT_UNNAMED;
     }
@@ -221,6 +224,8 @@
         receive_opinion(control, &message->opinion);
     } else if (message->kind == MESSAGE_KIND_BUDGET_NOTICE) {
         control_budget_receive(control->budget, &message->budget_notice, from);
+    } else if (message->kind == MESSAGE_KIND_SLOT_NOTICE) {
+        control_slots_receive(control, &message->slot_notice);
     }
 }
 
--- a/src/daemon/task_read.c
+++ b/src/daemon/task_read.c
@@ -43,7 +43,7 @@
     for (uint32_t i = 0; i < task->group->database_count; i++) {
         const struct database_runtime *database = &task->group->databases[i];
         route->in_flight[i] = database_runtime_load(database);
-        route->slots[i] = database->configuration.slots;
+        route->slots[i] = database_runtime_slots(database);
     }
     route->primary_allowed = primary_read_allowed(task);
     route->random = g_random_int();
