Pace a hollow daemon's probes when it has handed a group over

Cause: the hollow daemon set its probe interval when it took a group or owners changed, not when it let one go, as the real one does (control_groups_end). One that had started first and handed over 70 groups kept an interval of 5.3 s, so groups that it watched with one other waited for it: at 190 and 760 daemons a lost zone left 2 groups of some 60 without a new primary after 15 s.

--- a/src/sim/scale_fleet_internal.h
+++ b/src/sim/scale_fleet_internal.h
@@ -256,6 +256,8 @@
 void scale_control_begin(struct scale_fleet *fleet, struct scale_daemon *daemon,
                          struct scale_holding *holding);
 void scale_control_end(struct scale_holding *holding);
+/* The daemon watches another number of databases than before: sets its probes to it. */
+void scale_control_pace(struct scale_fleet *fleet, struct scale_daemon *daemon);
 void scale_control_owners_changed(struct scale_fleet *fleet, struct scale_daemon *daemon);
 
 void scale_control_due(struct scale_fleet *fleet, struct scale_daemon *daemon,
--- a/src/sim/scale_holdings.c
+++ b/src/sim/scale_holdings.c
@@ -182,6 +182,7 @@
 void scale_holdings_tick(struct scale_fleet *fleet, struct scale_daemon *daemon)
 {
     time_ns now = scale_network_now(fleet->network);
+    guint held = g_hash_table_size(daemon->holdings);
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, daemon->holdings);
@@ -200,6 +201,9 @@
             holding_free(holding);
         }
     }
+    if (g_hash_table_size(daemon->holdings) != held) {
+        scale_control_pace(fleet, daemon);
+    }
 }
 
 time_ns scale_holdings_wakeup(const struct scale_daemon *daemon)
--- a/src/sim/scale_observe.c
+++ b/src/sim/scale_observe.c
@@ -1,6 +1,10 @@
 /* What the hollow fleet writes down of spread, detection and serving. */
 #include "sim/scale_fleet_internal.h"
 
+/* A second coordinator may still begin a term while a promotion becomes known; later ones have no
+ * reason to. */
+#define RACE_TIME (1 * NANOSECONDS_PER_SECOND)
+
 bool scale_was_cut(const struct scale_fleet *fleet, uint16_t zone, time_ns since)
 {
     return fleet->zone_cut[zone] || fleet->zone_healed_at[zone] > since;
@@ -201,7 +205,8 @@
     if (record->kind != GROUP_RECORD_FENCE_STARTED) {
         return;
     }
-    fleet->measures.changes_unneeded += !running && now >= fleet->measures.started;
+    bool settled = !running && now > changed->changed_at + RACE_TIME;
+    fleet->measures.changes_unneeded += settled && now >= fleet->measures.started;
     if (changed->kill_coordinator) {
         changed->kill_coordinator = false;
         struct scale_event event = {
