--- a/src/sim/scale_observe.c
+++ b/src/sim/scale_observe.c
@@ -5,6 +5,9 @@
  * reason to. */
 #define RACE_TIME (1 * NANOSECONDS_PER_SECOND)
 
+/* A daemon whose rack was cut off has refuted its death within this time after the heal. */
+#define REFUTE_TIME (5 * NANOSECONDS_PER_SECOND)
+
 bool scale_was_cut(const struct scale_fleet *fleet, uint16_t zone, time_ns since)
 {
     return fleet->zone_cut[zone] || fleet->zone_healed_at[zone] > since;
@@ -97,6 +100,15 @@
            !scale_transport_cut(fleet, daemon, observer);
 }
 
+/* True if the daemon's rack has just been joined again: that it was out of reach is no false news
+ * until it has refuted it. */
+static bool was_behind_switch(const struct scale_fleet *fleet, const struct scale_daemon *daemon)
+{
+    time_ns now = scale_network_now(fleet->network);
+    return is_in_cut_rack(fleet, daemon) && fleet->rack_healed_at > 0 &&
+           now < fleet->rack_healed_at + REFUTE_TIME;
+}
+
 static void observe_gone(struct scale_fleet *fleet, const struct scale_daemon *observer,
                          const struct scale_daemon *gone, const struct member *member)
 {
@@ -104,7 +116,7 @@
     if (member->state != MEMBER_STATE_DEAD || gone->start != member->start) {
         return;
     }
-    if (is_well(fleet, observer, gone)) {
+    if (is_well(fleet, observer, gone) && !was_behind_switch(fleet, gone)) {
         fleet->measures.false_deaths++;
         return;
     }
