Probe at once when the interval becomes shorter

Cause: a daemon that hands groups over probes the rest more often and suspects their primaries sooner, from that moment on; the next probe was still set by the longer interval. A daemon that starts first owns many groups until others join: 71 groups make an interval of 5.3 s, and then it suspected healthy primaries 400 ms after their last probe. Found in the hollow fleet, which paces as the control thread does; two such watchers in two zones would depose a primary.

Ruled out: to let only the prober's interval go down slowly. Detection would then have to follow each target's own interval.

The next probes are made at once (control_groups.c), and the shorter times count from the last event on (group_control_set_detection); what was found lost stays.

--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -322,9 +322,28 @@
     control->actions = NULL;
 }
 
+/* Probes made at a longer interval have not shown what the shorter times ask for: those count from
+ * now on. What was found lost stays so. */
+static void allow_fewer_probes(struct group_control *control, time_ns suspect_after,
+                               time_ns unreachable_after)
+{
+    if (suspect_after < control->options.suspect_after && !control->suspects) {
+        control->led_at = control->now;
+    }
+    if (unreachable_after >= control->options.unreachable_after) {
+        return;
+    }
+    for (uint32_t i = 0; i < control->options.database_count; i++) {
+        if (observe_is_reachable(control, i)) {
+            control->members[i].good_at = control->now;
+        }
+    }
+}
+
 void group_control_set_detection(struct group_control *control, time_ns suspect_after,
                                  time_ns unreachable_after)
 {
+    allow_fewer_probes(control, suspect_after, unreachable_after);
     control->options.suspect_after = suspect_after;
     control->options.unreachable_after = unreachable_after;
 }
--- a/src/core/group_control.h
+++ b/src/core/group_control.h
@@ -208,7 +208,8 @@
 void group_control_free(struct group_control *control);
 
 /* Changes the times after which a primary without good probes is suspected and a database avoided,
- * as the probe interval changes. */
+ * as the probe interval changes. Shorter times count from the last event on: the shell brings the
+ * next probes forward then. */
 void group_control_set_detection(struct group_control *control, time_ns suspect_after,
                                  time_ns unreachable_after);
 
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -411,8 +411,17 @@
     control->prober = prober_new(&options);
 }
 
+/* Brings the next probe of each of the group's databases forward. */
+static void probe_soon(struct control *control, const struct controlled_group *group)
+{
+    for (uint32_t i = 0; i < group->runtime->database_count; i++) {
+        prober_probe_now(control->prober, group->runtime->number, i);
+    }
+}
+
 /* Spreads the probes that this daemon may make over the databases it watches: a daemon that owns
- * many groups probes each more rarely, and waits longer before it suspects a primary. */
+ * many groups probes each more rarely, and waits longer before it suspects a primary. One that has
+ * handed groups over probes the others at once: their next probe was set by the longer interval. */
 static void pace_probes(struct control *control)
 {
     const struct settings *settings = &control->daemon->settings;
@@ -427,11 +436,17 @@
     uint32_t interval_ms = MAX(settings->backend.probe_interval_ms, spread_ms);
     uint32_t suspect_ms =
         MAX(settings->failover.suspect_after_ms, interval_ms * PROBES_BEFORE_SUSPICION);
+    bool sooner = interval_ms < control->probe_interval_ms;
+    control->probe_interval_ms = interval_ms;
     prober_set_interval(control->prober, interval_ms);
     g_hash_table_iter_init(&iterator, control->groups);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct controlled_group *group = value;
         time_ns after = suspect_ms * NANOSECONDS_PER_MILLISECOND;
-        group_control_set_detection(((struct controlled_group *)value)->machine, after, after);
+        group_control_set_detection(group->machine, after, after);
+        if (sooner) {
+            probe_soon(control, group);
+        }
     }
 }
 
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -101,6 +101,7 @@
     _Atomic uint32_t groups_held;  /* size of `groups` */
 
     struct prober *prober;
+    uint32_t probe_interval_ms;   /* of the prober, as set last */
     struct journal *journal;      /* the daemon's */
     struct member_table *members; /* RCU */
     struct ownership *ownership;  /* control thread only */
--- a/src/sim/scale_control.c
+++ b/src/sim/scale_control.c
@@ -342,6 +342,17 @@
 
 /* -- Begin, end and owners -- */
 
+/* Brings the group's next probes forward. */
+static void probe_soon(struct scale_fleet *fleet, struct scale_daemon *daemon,
+                       struct scale_holding *holding)
+{
+    for (uint32_t i = 0; i < SCALE_GROUP_DATABASES; i++) {
+        struct scale_probe *probe = &holding->control.probes[i];
+        probe->next_at = MIN(probe->next_at, fleet_now(fleet));
+    }
+    schedule(fleet, daemon, holding);
+}
+
 void scale_control_pace(struct scale_fleet *fleet, struct scale_daemon *daemon)
 {
     if (!fleet->options.watch.enabled) {
@@ -350,13 +361,18 @@
     const struct scale_watch_settings *settings = &fleet->options.watch;
     uint32_t databases = g_hash_table_size(daemon->holdings) * SCALE_GROUP_DATABASES;
     time_ns spread = databases * NANOSECONDS_PER_SECOND / settings->probes_per_second;
+    time_ns before = daemon->probe_interval;
     daemon->probe_interval = MAX(settings->probe_interval, spread);
     time_ns after = MAX(settings->suspect_after, daemon->probe_interval * PROBES_BEFORE_SUSPICION);
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, daemon->holdings);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        group_control_set_detection(((struct scale_holding *)value)->control.machine, after, after);
+        struct scale_holding *holding = value;
+        group_control_set_detection(holding->control.machine, after, after);
+        if (daemon->probe_interval < before) {
+            probe_soon(fleet, daemon, holding);
+        }
     }
 }
 
--- a/src/sim/scale_measure.h
+++ b/src/sim/scale_measure.h
@@ -75,10 +75,11 @@
     struct scale_samples change_promote;
     struct scale_samples change_learn;
     struct scale_samples change_whole;
-    uint64_t changes_blocked;    /* too few databases were left for one */
-    uint64_t changes_unfinished; /* no new primary */
-    uint64_t changes_unlearned;  /* owners, not cut off, that did not learn of one */
-    uint64_t changes_unneeded;   /* terms begun in groups that had lost nothing, or were changed */
+    uint64_t changes_blocked;     /* too few databases were left for one */
+    uint64_t primaries_suspected; /* by a watcher, though they led and were in its reach */
+    uint64_t changes_unfinished;  /* no new primary */
+    uint64_t changes_unlearned;   /* owners, not cut off, that did not learn of one */
+    uint64_t changes_unneeded;    /* terms begun in groups that had lost nothing, or were changed */
     struct scale_samples death_noticed; /* per observer: until it holds the daemon dead */
     struct scale_samples leave_noticed; /* per observer: until it holds the daemon leaving */
     uint64_t suspicions;                /* raised by any daemon */
--- a/src/sim/scale_observe.c
+++ b/src/sim/scale_observe.c
@@ -201,6 +201,19 @@
     };
 }
 
+/* True if the group's database leads and the daemon could ask it. */
+static bool leads_in_reach(const struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                           uint32_t group, int32_t place)
+{
+    if (place < 0 || scale_fleet_primary(fleet, group) != place) {
+        return false;
+    }
+    uint32_t index = group * SCALE_GROUP_DATABASES + (uint32_t)place;
+    return !scale_network_is_cut(fleet->network, daemon->zone, fleet->databases[index].zone) &&
+           !scale_places_apart(fleet, scale_place_of_daemon(fleet, daemon),
+                               scale_place_of_database(fleet, index));
+}
+
 void scale_observe_record(struct scale_fleet *fleet, struct scale_daemon *daemon, uint32_t group,
                           const struct group_record *record)
 {
@@ -208,6 +221,10 @@
     struct scale_group *changed = &fleet->groups[group];
     struct scale_change *change = &changed->change;
     bool running = change->open && change->promoted_at == 0;
+    if (record->kind == GROUP_RECORD_SUSPECTED &&
+        leads_in_reach(fleet, daemon, group, record->database)) {
+        fleet->measures.primaries_suspected++;
+    }
     if (record->kind == GROUP_RECORD_CONFIRMED && running && change->confirmed_at == 0) {
         change->confirmed_at = now;
     }
--- a/src/sim/scale_report.c
+++ b/src/sim/scale_report.c
@@ -187,6 +187,7 @@
     add_samples(builder, "change_learn", &measures->change_learn);
     add_samples(builder, "change_whole", &measures->change_whole);
     add_count(builder, "changes_blocked", measures->changes_blocked);
+    add_count(builder, "primaries_suspected", measures->primaries_suspected);
     add_count(builder, "changes_unfinished", measures->changes_unfinished);
     add_count(builder, "changes_unlearned", measures->changes_unlearned);
     add_count(builder, "changes_unneeded", measures->changes_unneeded);
--- a/tests/sim/scale_change_test.c
+++ b/tests/sim/scale_change_test.c
@@ -42,6 +42,23 @@
     }
 }
 
+/* Daemons that start first own many groups until the others are there, and probe each of their
+ * databases rarely. When they have handed groups over they probe the others more often, and must
+ * not suspect primaries that only their own interval kept them from seeing. */
+static void test_handing_over_suspects_nobody(void)
+{
+    for (uint32_t seed = 1; seed <= 3; seed++) {
+        struct scale_fleet_options options;
+        scale_fleet_options_default(&options, DAEMONS, DATABASES, seed);
+        options.encode = false;
+        options.watch.enabled = true;
+        struct scale_fleet *fleet = scale_fleet_new(&options);
+        scale_fleet_run(fleet, SECONDS(30));
+        g_assert_cmpuint(scale_fleet_measures(fleet)->primaries_suspected, ==, 0);
+        scale_fleet_free(fleet);
+    }
+}
+
 static void test_primaries_lost(void)
 {
     struct scale_fault_outcome outcome;
@@ -125,6 +142,7 @@
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/change/handing-over-suspects-nobody", test_handing_over_suspects_nobody);
     g_test_add_func("/change/primaries-lost", test_primaries_lost);
     g_test_add_func("/change/coordinator-dies-too", test_coordinator_dies_too);
     g_test_add_func("/change/racks-lost", test_racks_lost);
