--- a/src/sim/scale_watch.c
+++ b/src/sim/scale_watch.c
@@ -11,6 +11,10 @@
 #define DATABASES 3
 #define WATCHERS  3
 
+/* As in the daemon: probe intervals without a good probe before a primary is suspected, at least.
+ */
+#define PROBES_BEFORE_SUSPICION 4
+
 /* Virtual time moves in steps of this. */
 #define STEP (1 * NANOSECONDS_PER_MILLISECOND)
 
@@ -155,6 +159,9 @@
     options.preferred_zone = -1;
     options.database_count = DATABASES;
     options.seed = group + 1;
+    time_ns detection = watch->options->probe_interval * PROBES_BEFORE_SUSPICION;
+    options.suspect_after = MAX(options.suspect_after, detection);
+    options.unreachable_after = options.suspect_after;
     for (uint32_t i = 0; i < DATABASES; i++) {
         options.database_zone[i] = i;
         watched->probe_at[i] = watch->now + (group * 7 + i * 31) % 100 * STEP;
