Tell that nothing was run while a daemon starts

Cause: a daemon that starts is known to the others as soon as its control thread runs, a moment before it is ready to serve them. A request that was forwarded to it in that moment was closed without an answer, which its forwarder must take for a request that may have run: writes ended unknown, begins failed. Each restart of an owner opens this window. Found with the thread sanitizer, whose slowness widens it: of 88 runs of six drain cases, three at once, one of stop_of_owners failed with 11 calls unknown or aborted within 0.3 s of a daemon's start; no failover, no report of the sanitizer. Unknown outcomes in drain tests under it were seen twice before. The daemon now answers that it is not ready and ran nothing, and the forwarder asks the next owner or waits for this one, as for any refusal of that kind. Test: /daemon/forward/owner_not_ready, failing before (outcome unknown instead of refused). daemon-forward passes.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -36,6 +36,9 @@
 /* Callers' connections that stand are closed by a planned stop once they were quiet for so long. */
 #define CALLERS_QUIET_MS 500
 
+/* When to come back to a daemon that is not ready yet. */
+#define NOT_READY_RETRY_AFTER_MS 500
+
 /* Pause between two looks at whether everything has ended. */
 #define STOP_POLL_US 5000
 
@@ -239,6 +242,17 @@
     pthread_mutex_unlock(&wait->lock);
 }
 
+/* The others hear of this daemon a moment before it can run their requests. They must know that it
+ * ran nothing: without an answer they would take the outcome for unknown. */
+static void refuse_not_ready(const struct request *request, struct reply *reply)
+{
+    reply->request_id = g_strdup(request->request_id);
+    reply->outcome = OUTCOME_REFUSED;
+    reply->error_kind = ERROR_KIND_NOT_READY;
+    reply->error_text = g_strdup(error_entry_of(ERROR_KIND_NOT_READY)->text);
+    reply->retry_after_ms = NOT_READY_RETRY_AFTER_MS;
+}
+
 static void serve_peer(const struct message *request, struct message *reply, void *user)
 {
     struct daemon *daemon = user;
@@ -248,14 +262,18 @@
                                    &reply->configuration_reply);
         return;
     }
-    if (request->kind != MESSAGE_KIND_REQUEST || !atomic_load(&daemon->ready)) {
+    if (request->kind != MESSAGE_KIND_REQUEST) {
+        return;
+    }
+    message_init(reply, MESSAGE_KIND_REPLY);
+    if (!atomic_load(&daemon->ready)) {
+        refuse_not_ready(&request->request, &reply->reply);
         return;
     }
     struct peer_wait wait = {.lock = PTHREAD_MUTEX_INITIALIZER,
                              .answered = PTHREAD_COND_INITIALIZER};
     struct request *own = g_new0(struct request, 1);
     request_copy(own, &request->request);
-    message_init(reply, MESSAGE_KIND_REPLY);
     wait.reply = &reply->reply;
     task_submit(daemon, own, answer_peer, &wait);
     pthread_mutex_lock(&wait.lock);
--- a/tests/daemon/test_forward.c
+++ b/tests/daemon/test_forward.c
@@ -89,6 +89,26 @@
     cluster_stop(cluster);
 }
 
+/* The other daemons hear of an owner that starts before it is ready: it says that it ran nothing,
+ * so that the write it gets is done once it is, and never unknown. */
+static void test_owner_not_ready(void)
+{
+    struct cluster *cluster = start(2);
+    unsigned owner = owner_of(cluster);
+    struct http_call write = {.sql = "INSERT INTO stays VALUES ('a', '')"};
+    struct http_answer answer;
+    atomic_store(&cluster->daemons[owner]->ready, false);
+    call(cluster, 1 - owner, &answer, write);
+    http_assert_error(&answer, "refused", "peer_unreachable");
+    g_assert_nonnull(answer.retry_after);
+    http_answer_clear(&answer);
+    atomic_store(&cluster->daemons[owner]->ready, true);
+    call(cluster, 1 - owner, &answer, write);
+    http_assert_done(&answer);
+    http_answer_clear(&answer);
+    cluster_stop(cluster);
+}
+
 /* Each zone has an owner and a daemon that owns nothing: what that is asked stays in its zone. */
 static void test_nearest_owner_serves(void)
 {
@@ -251,6 +271,7 @@
     g_test_add_func("/daemon/forward/hop_cut_after_request", test_hop_cut_after_request);
     g_test_add_func("/daemon/forward/owner_out_of_reach", test_owner_out_of_reach);
     g_test_add_func("/daemon/forward/closed_connections_end", test_closed_connections_end);
+    g_test_add_func("/daemon/forward/owner_not_ready", test_owner_not_ready);
     g_test_add_func("/daemon/forward/nearest_owner_serves", test_nearest_owner_serves);
     return g_test_run();
 }
