Split the control's probes from its groups

Which databases are probed, how often, and what comes of it are now in control_probes.c; the functions moved as they were, with the prefix that makes them visible inside the control.

Ruled out: moving the commands of the prober too. They belong to the performing of actions.

--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -15,18 +15,9 @@
 #include "daemon/ledger_upkeep.h"
 #include "daemon/task.h"
 
-/* Probe intervals without a good probe before a primary is suspected, at least. */
-#define PROBES_BEFORE_SUSPICION 4
-
 /* A fence, promotion or follow without an answer for so long is lost. */
 #define COMMAND_TIMEOUT_MS 300
 
-/* Probes of a database that reads ask for are at least so far apart. */
-#define PROBE_NOW_INTERVAL_MS 2
-
-/* Opening a control connection may take so long. */
-#define OPEN_TIMEOUT_MS 500
-
 /* After the databases of a group changed and most daemons know: time for the news to reach the last
  * daemon of a zone, and for what was begun under the databases of before to end: the longest
  * transaction that a template allows, and its last statement. */
@@ -117,25 +108,6 @@
     g_free(pending);
 }
 
-/* Called on the prober's thread. */
-static void on_status(void *user, uint32_t runtime, uint32_t database, bool reachable,
-                      const struct database_status *status, uint32_t round_trip_us, time_ns at)
-{
-    struct control_event event = {
-        .kind = CONTROL_EVENT_RUNTIME,
-        .runtime = runtime,
-        .event = {.kind = GROUP_EVENT_PROBE,
-                  .now = at,
-                  .database = database,
-                  .reachable = reachable,
-                  .round_trip = round_trip_us * UINT64_C(1000)},
-    };
-    if (status != NULL) {
-        event.event.status = *status;
-    }
-    control_post(user, &event);
-}
-
 static void submit_command(struct controlled_group *group, const struct group_action *action,
                            enum adapter_command command)
 {
@@ -401,17 +373,6 @@
     }
 }
 
-void control_probe_now(struct control *control, struct group_runtime *group, uint32_t database)
-{
-    time_ns now = backend_now();
-    _Atomic time_ns *probed_at = &group->databases[database].probed_at;
-    time_ns last = atomic_load(probed_at);
-    bool due = now >= last + PROBE_NOW_INTERVAL_MS * NANOSECONDS_PER_MILLISECOND;
-    if (due && atomic_compare_exchange_strong(probed_at, &last, now)) {
-        prober_probe_now(control->prober, group->number, database);
-    }
-}
-
 /* Called under the group's writes lock, on any thread. */
 static void on_drained(void *user, uint32_t runtime, uint64_t change)
 {
@@ -423,24 +384,6 @@
     control_post(user, &event);
 }
 
-static void add_probes(struct control *control, const struct controlled_group *group)
-{
-    const struct settings *settings = &control->daemon->settings;
-    g_autofree char *application =
-        g_strdup_printf("swiftworks/%s@%s", settings->daemon.name, settings->daemon.zone);
-    for (uint32_t i = 0; i < group->runtime->database_count; i++) {
-        const struct database_configuration *database = &group->runtime->databases[i].configuration;
-        struct connection_settings connection = {
-            .host = database->host,
-            .port = database->port,
-            .database_name = "swiftworks",
-            .user = "swiftworks",
-            .application_name = application,
-        };
-        prober_add(control->prober, group->runtime->number, i, &connection);
-    }
-}
-
 static void start_settling(struct controlled_group *group)
 {
     const struct settings *settings = &group->control->daemon->settings;
@@ -489,7 +432,7 @@
     start_settling(group);
     g_hash_table_insert(control->groups, GUINT_TO_POINTER(group->id), group);
     g_hash_table_insert(control->runtimes, GUINT_TO_POINTER(runtime->number), group);
-    add_probes(control, group);
+    control_probes_add(control, group);
 }
 
 static void free_group(gpointer data)
@@ -503,61 +446,9 @@
 
 void control_groups_start(struct control *control)
 {
-    const struct settings *settings = &control->daemon->settings;
-    struct prober_options options = {
-        .interval_ms = settings->backend.probe_interval_ms,
-        .timeout_ms = settings->backend.probe_timeout_ms,
-        .open_timeout_ms = OPEN_TIMEOUT_MS,
-        .on_status = on_status,
-        .user = control,
-    };
     control->groups = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_group);
     control->runtimes = g_hash_table_new(g_direct_hash, g_direct_equal);
-    control->prober = prober_new(&options);
-}
-
-static void set_detection(struct controlled_group *group, time_ns after)
-{
-    trace_group_detection(group->trace, group->machine, backend_now(), after, after);
-    group_control_set_detection(group->machine, after, after);
-}
-
-/* Brings the next probe of each of the group's databases forward. */
-static void probe_soon(struct control *control, const struct controlled_group *group)
-{
-    for (uint32_t i = 0; i < group->runtime->database_count; i++) {
-        prober_probe_now(control->prober, group->runtime->number, i);
-    }
-}
-
-/* Spreads the probes that this daemon may make over the databases it watches: a daemon that owns
- * many groups probes each more rarely, and waits longer before it suspects a primary. One that has
- * handed groups over probes the others at once: their next probe was set by the longer interval. */
-static void pace_probes(struct control *control)
-{
-    const struct settings *settings = &control->daemon->settings;
-    uint32_t databases = 0;
-    GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, control->groups);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        databases += ((struct controlled_group *)value)->runtime->database_count;
-    }
-    uint32_t spread_ms = databases * 1000 / settings->backend.probes_per_second;
-    uint32_t interval_ms = MAX(settings->backend.probe_interval_ms, spread_ms);
-    uint32_t suspect_ms =
-        MAX(settings->failover.suspect_after_ms, interval_ms * PROBES_BEFORE_SUSPICION);
-    bool sooner = interval_ms < control->probe_interval_ms;
-    control->probe_interval_ms = interval_ms;
-    prober_set_interval(control->prober, interval_ms);
-    time_ns after = suspect_ms * NANOSECONDS_PER_MILLISECOND;
-    g_hash_table_iter_init(&iterator, control->groups);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        set_detection(value, after);
-        if (sooner) {
-            probe_soon(control, value);
-        }
-    }
+    control_probes_start(control);
 }
 
 bool control_groups_runs(struct control *control, uint32_t group)
@@ -576,7 +467,7 @@
     struct group_runtime *runtime = daemon_begin_group(control->daemon, group);
     if (runtime != NULL) {
         start_group(control, runtime);
-        pace_probes(control);
+        control_probes_pace(control);
         atomic_store(&control->groups_held, g_hash_table_size(control->groups));
     }
 }
@@ -586,9 +477,7 @@
 {
     uint32_t number = group->runtime->number;
     struct group_view last;
-    for (uint32_t i = 0; i < group->runtime->database_count; i++) {
-        prober_remove(control->prober, number, i);
-    }
+    control_probes_remove(control, group);
     group_runtime_read_view(group->runtime, &last);
     group_runtime_publish(group->runtime, &last, 0);
     g_hash_table_remove(control->runtimes, GUINT_TO_POINTER(number));
@@ -599,7 +488,7 @@
 {
     release_runtime(control, find_group(control, id));
     daemon_end_group(control->daemon, id);
-    pace_probes(control);
+    control_probes_pace(control);
     atomic_store(&control->groups_held, g_hash_table_size(control->groups));
 }
 
@@ -632,7 +521,7 @@
 
 void control_groups_stop(struct control *control)
 {
-    prober_free(control->prober);
+    control_probes_stop(control);
     g_hash_table_destroy(control->runtimes);
     g_hash_table_destroy(control->groups);
 }
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -145,6 +145,15 @@
 /* Tells every group who its watchers are. */
 void control_groups_set_watchers(struct control *control, time_ns now);
 
+/* Probes: control_probes.c. */
+void control_probes_start(struct control *control);
+void control_probes_stop(struct control *control);
+/* Probes the databases of the group's run time from now on, or no longer. */
+void control_probes_add(struct control *control, const struct controlled_group *group);
+void control_probes_remove(struct control *control, const struct controlled_group *group);
+/* Spreads the probes that this daemon may make over the databases of the groups it has now. */
+void control_probes_pace(struct control *control);
+
 /* Members: control_members.c. */
 /* The entry of a member, or NULL. Any thread, in a read-side section. */
 const struct member_entry *control_find_member(const struct member_table *table, uint64_t id);
