Bound the messages that share slots however many databases a daemon owns

Cause: an owner sent up to 27 messages of 63 octets a second for each database in demand; with the 7 that a daemon owns at the target size that is 12 KB/s by multiplication, beside 8 to 9 KB/s of gossip and probes: over the 18 KB/s of control. Ruled out: fewer renewals alone (8 of the 27). Choice: the gap between messages grows by 16 ms for each database that the daemon shares, and the renewal of a loan with it, up to half of the lease. Three databases go on as before.

--- a/src/core/slot_share.c
+++ b/src/core/slot_share.c
@@ -9,11 +9,15 @@
 /* The lender counts a loan for so much longer: statements that were begun under it end. */
 #define LEASE_MARGIN (500 * NANOSECONDS_PER_MILLISECOND)
 
-/* An ask is repeated after this time, which renews the loan. */
-#define ASK_INTERVAL (250 * NANOSECONDS_PER_MILLISECOND)
+/* Asks, and grants that nobody asked for, to one owner are at least so far apart; with many
+ * databases so much for each. */
+#define MESSAGE_GAP  (50 * NANOSECONDS_PER_MILLISECOND)
+#define DATABASE_GAP (16 * NANOSECONDS_PER_MILLISECOND)
 
-/* Asks, and grants that nobody asked for, to one owner are at least so far apart. */
-#define MESSAGE_GAP (50 * NANOSECONDS_PER_MILLISECOND)
+/* An ask is repeated after so many gaps, which renews the loan: at the latest when half of it is
+ * over. */
+#define ASK_GAPS         5
+#define ASK_INTERVAL_MAX (LEASE_TIME / 2)
 
 /* What was needed within the last one to two of these counts as needed. */
 #define DEMAND_SPAN (20 * NANOSECONDS_PER_MILLISECOND)
@@ -23,6 +27,13 @@
     memset(share, 0, sizeof(*share));
     share->incarnation = incarnation;
     share->slots = slots;
+    slot_share_set_pace(share, 1);
+}
+
+void slot_share_set_pace(struct slot_share *share, uint32_t databases)
+{
+    share->gap = MAX(MESSAGE_GAP, databases * DATABASE_GAP);
+    share->ask_interval = MIN(ASK_GAPS * share->gap, ASK_INTERVAL_MAX);
 }
 
 static struct slot_share_peer *find_peer(struct slot_share *share, uint64_t id)
@@ -223,17 +234,18 @@
     add_action(actions, share, peer, &message);
 }
 
-static bool ask_is_due(struct slot_share_peer *peer, uint32_t wanted, time_ns now)
+static bool ask_is_due(const struct slot_share *share, struct slot_share_peer *peer,
+                       uint32_t wanted, time_ns now)
 {
     time_ns last = *asked_at(peer, peer->ask_number);
     bool concerned =
         wanted > 0 || peer->told_wanted > 0 || peer->borrowed_in_use > 0 || peer->told_in_use > 0;
-    if (!concerned || now < last + MESSAGE_GAP) {
+    if (!concerned || now < last + share->gap) {
         return false;
     }
     bool needs_more = wanted > peer->told_wanted;
     bool gives_back = peer->borrowed_in_use < peer->told_in_use;
-    return needs_more || gives_back || now >= last + ASK_INTERVAL;
+    return needs_more || gives_back || now >= last + share->ask_interval;
 }
 
 /* Keeps as many of the loans as are needed, and asks each owner for what is missing. */
@@ -252,7 +264,7 @@
             continue;
         }
         peer->borrowed = MIN(peer->borrowed, wanted[i]);
-        if (ask_is_due(peer, wanted[i] + missing, now)) {
+        if (ask_is_due(share, peer, wanted[i] + missing, now)) {
             send_ask(share, peer, wanted[i] + missing, now, actions);
         }
     }
@@ -333,7 +345,7 @@
     for (uint32_t i = 0; i < share->peer_count; i++) {
         struct slot_share_peer *peer = &share->peers[i];
         bool known = peer->present && peer->ask_taken > 0 && now < peer->ask_taken_at + LEASE_TIME;
-        if (!known || now < peer->granted_at + MESSAGE_GAP) {
+        if (!known || now < peer->granted_at + share->gap) {
             continue;
         }
         uint32_t loan = possible_loan(share, peer, load, now);
--- a/src/core/slot_share.h
+++ b/src/core/slot_share.h
@@ -67,6 +67,8 @@
 struct slot_share {
     uint64_t incarnation; /* this one's; messages to an earlier one are told by it */
     uint32_t slots;
+    time_ns gap; /* between messages to one owner, unless asked */
+    time_ns ask_interval;
     uint32_t home;
     uint32_t home_before; /* counts until home_from, if it is less */
     time_ns home_from;
@@ -88,6 +90,10 @@
 /* Begins without a place. `incarnation` is a number that was never used before; not 0. */
 void slot_share_init(struct slot_share *share, uint32_t slots, uint64_t incarnation);
 
+/* Spaces messages by the databases whose slots this daemon shares in all, so that their rate stays
+ * bounded however many these are. */
+void slot_share_set_pace(struct slot_share *share, uint32_t databases);
+
 /* Tells the owners, in the order of their places, and this daemon's place, or -1. `turn` is a
  * number of the database: it moves the remainder of the division on, so that it falls to each place
  * in turn. */
--- a/src/daemon/control_slots.c
+++ b/src/daemon/control_slots.c
@@ -108,7 +108,7 @@
     return active ? now + SLOT_SHARE_TICK : UINT64_MAX;
 }
 
-static void place_group(struct controlled_group *group, time_ns now)
+static void place_group(struct controlled_group *group, uint32_t databases, time_ns now)
 {
     uint64_t owners[OWNERSHIP_OWNERS_MAX];
     struct control *control = group->control;
@@ -122,6 +122,7 @@
     for (uint32_t i = 0; i < group->runtime->database_count; i++) {
         struct database_runtime *database = &group->runtime->databases[i];
         pthread_mutex_lock(&database->admission_lock);
+        slot_share_set_pace(&database->share, databases);
         slot_share_set_place(&database->share, owners, count, place, i, now);
         apply_limit(group, i, now);
         pthread_mutex_unlock(&database->admission_lock);
@@ -132,10 +133,15 @@
 {
     GHashTableIter iterator;
     gpointer value;
+    uint32_t databases = 0;
     time_ns now = backend_now();
     g_hash_table_iter_init(&iterator, control->groups);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        place_group(value, now);
+        databases += ((struct controlled_group *)value)->runtime->database_count;
+    }
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        place_group(value, databases, now);
     }
 }
 
--- a/src/sim/sim_database.h
+++ b/src/sim/sim_database.h
@@ -7,10 +7,12 @@
 #include "sim/sim_network.h"
 
 /* Statements that a database runs at once, at most. */
-#define SIM_SLOTS_MAX 64
+#define SIM_SLOTS_MAX  64
+#define SIM_SHARED_MAX 1000
 
 struct sim_database_options {
     uint32_t slots;
+    uint32_t shared; /* databases whose slots each daemon shares in all, other groups included */
     time_ns service_time;  /* a statement holds its slot so long */
     double service_spread; /* it differs from this by up to so large a part of it */
     time_ns open_time;     /* to open a connection */
--- a/src/sim/sim_scenario.c
+++ b/src/sim/sim_scenario.c
@@ -151,6 +151,7 @@
 {
     reader->group = "database";
     database->slots = read_count(reader, "slots", 5, 1, SIM_SLOTS_MAX);
+    database->shared = read_count(reader, "shared", 1, 1, SIM_SHARED_MAX);
     database->service_time = read_duration(reader, "service_ms", 1);
     database->service_spread = read_double(reader, "service_spread", 0);
     database->open_time = read_duration(reader, "open_ms", 10);
