Simulate a primary whose links to its replicas are cut

Cause: failover.md lists that a primary which every watcher reaches, but which replicates to no majority, is not replaced. Nothing showed how long writes wait then.

The fault cut_replication cuts a database's links to the others of its group, and only these. Two expectations judge the time without an acknowledged write and the number of promoted primaries.

--- a/src/sim/checker.c
+++ b/src/sim/checker.c
@@ -5,6 +5,8 @@
 #include <stdarg.h>
 #include <string.h>
 
+#include "sim/measure.h"
+
 static const char *const RULE_NAMES[CHECKER_RULE_COUNT] = {
     [CHECKER_RULE_ACKNOWLEDGED_LOST] = "acknowledged_lost",
     [CHECKER_RULE_READ_OWN_WRITES] = "read_own_writes",
@@ -17,6 +19,8 @@
     [CHECKER_RULE_LEAVING] = "leaving",
     [CHECKER_RULE_FAILED_REQUEST] = "failed_request",
     [CHECKER_RULE_FALSE_FAILOVER] = "false_failover",
+    [CHECKER_RULE_WRITE_GAP] = "write_gap",
+    [CHECKER_RULE_FAILOVERS] = "failovers",
     [CHECKER_RULE_RECOVERY] = "recovery",
 };
 
@@ -324,6 +328,34 @@
     }
 }
 
+static void check_write_gap(struct sim_run *run, struct checker_result *result)
+{
+    time_ns bound = run->scenario->expect.write_gap_max;
+    time_ns gap = bound == 0 ? 0 : measure_longest_gap(run);
+
+    if (gap > bound) {
+        violate(result, CHECKER_RULE_WRITE_GAP, "no write landed for %" G_GUINT64_FORMAT " ms",
+                gap / SIM_MILLISECOND);
+    }
+}
+
+static void check_failovers(struct sim_run *run, struct checker_result *result)
+{
+    uint32_t bound = run->scenario->expect.failovers_max;
+    uint32_t count = 0;
+
+    for (guint i = 0; i < run->history.records->len; i++) {
+        const struct sim_record *record =
+            &g_array_index(run->history.records, struct sim_record, i);
+
+        count += record->at > run->load_starts_at && record->at < run->clients_stop_at &&
+                 record->record.kind == GROUP_RECORD_PROMOTED;
+    }
+    if (bound != 0 && count > bound) {
+        violate(result, CHECKER_RULE_FAILOVERS, "%u primaries were promoted", count);
+    }
+}
+
 void checker_judge(struct sim_run *run, struct checker_result *result)
 {
     struct sim_database *primary;
@@ -337,6 +369,8 @@
     }
     check_leaving(run, result);
     check_expectations(run, result);
+    check_write_gap(run, result);
+    check_failovers(run, result);
 }
 
 void checker_result_clear(struct checker_result *result)
--- a/src/sim/checker.h
+++ b/src/sim/checker.h
@@ -19,6 +19,8 @@
     CHECKER_RULE_LEAVING,           /* a drained database got new work after the bound */
     CHECKER_RULE_FAILED_REQUEST,    /* a request failed where none may (expectation) */
     CHECKER_RULE_FALSE_FAILOVER,    /* a primary was replaced where none may be (expectation) */
+    CHECKER_RULE_WRITE_GAP,         /* writes landed nowhere for too long (expectation) */
+    CHECKER_RULE_FAILOVERS,         /* more primaries were promoted than may be (expectation) */
     CHECKER_RULE_RECOVERY,          /* the healed group has no primary that all follow */
     CHECKER_RULE_COUNT,
 };
--- a/src/sim/measure.c
+++ b/src/sim/measure.c
@@ -60,6 +60,16 @@
     return longest;
 }
 
+time_ns measure_longest_gap(const struct sim_run *run)
+{
+    g_autoptr(GArray) times = acknowledged_times(run);
+    time_ns end = run->clients_stop_at;
+
+    g_array_prepend_val(times, run->load_starts_at);
+    g_array_append_val(times, end);
+    return longest_pause(times, run->load_starts_at, end);
+}
+
 static time_ns first_after(const GArray *times, time_ns from)
 {
     for (guint i = 0; i < times->len; i++) {
--- a/src/sim/measure.h
+++ b/src/sim/measure.h
@@ -17,6 +17,9 @@
 /* Measures the first replacement after the first fault. */
 struct measure_gap measure_first_gap(const struct sim_run *run);
 
+/* The longest time without an acknowledged write while the clients send. */
+time_ns measure_longest_gap(const struct sim_run *run);
+
 /* Prints median, 99th percentile and worst of the gaps, in milliseconds. `gaps` is sorted. */
 void measure_print(GArray *gaps, const char *title);
 
--- a/src/sim/sim_database.h
+++ b/src/sim/sim_database.h
@@ -103,6 +103,7 @@
 
     double request_loss;   /* share of statements lost on the way here */
     double answer_loss;    /* share of answers to statements lost */
+    bool replication_cut;  /* no replication to or from here */
     time_ns drained_at;    /* an operator wanted it drained then; 0 if not */
     time_ns leaving_bound; /* no new work later than this after the drain; 0: not judged */
     uint64_t late_work;    /* statements that arrived later still */
--- a/src/sim/sim_fault.c
+++ b/src/sim/sim_fault.c
@@ -214,6 +214,9 @@
     case SIM_FAULT_LOSE_ANSWERS:
         database->answer_loss = 0;
         break;
+    case SIM_FAULT_CUT_REPLICATION:
+        database->replication_cut = false;
+        break;
     case SIM_FAULT_KILL_DAEMON:
         restart_daemon(run, message->target);
         break;
@@ -283,6 +286,9 @@
     case SIM_FAULT_LOSE_ANSWERS:
         run->databases[target].answer_loss = fault->probability;
         break;
+    case SIM_FAULT_CUT_REPLICATION:
+        run->databases[target].replication_cut = true;
+        break;
     case SIM_FAULT_CUT_ZONE:
         cut_zone(run, target, until, true, true);
         break;
@@ -353,6 +359,7 @@
         database->options.hold_delay = run->scenario->database.hold_delay;
         database->request_loss = 0;
         database->answer_loss = 0;
+        database->replication_cut = false;
         restart_database(database);
     }
     for (uint32_t i = 0; i < run->daemon_count; i++) {
--- a/src/sim/sim_replication.c
+++ b/src/sim/sim_replication.c
@@ -93,6 +93,12 @@
     take_log(database, message->head);
 }
 
+/* True if the link between the two is open. */
+static bool is_linked(const struct sim_database *database, const struct sim_database *peer)
+{
+    return !database->replication_cut && !peer->replication_cut;
+}
+
 /* Sends the log as it stood when the push was due, to a replica that still follows. */
 static void on_push_due(void *object, const void *payload)
 {
@@ -101,7 +107,7 @@
     struct sim_database *replica = database->peers[due->replica];
 
     if (database->role != DATABASE_ROLE_PRIMARY || database->term != due->message.term ||
-        (database->followers >> due->replica & 1) == 0) {
+        (database->followers >> due->replica & 1) == 0 || !is_linked(database, replica)) {
         return;
     }
     sim_network_send(database->network, database->node.zone, &replica->node,
@@ -157,6 +163,9 @@
         return;
     }
     primary = database->peers[database->following];
+    if (!is_linked(database, primary)) {
+        return;
+    }
     sim_network_send(database->network, database->node.zone, &primary->node,
                      primary->node.incarnation, on_hello, primary, &message, sizeof(message));
 }
--- a/src/sim/sim_scenario.c
+++ b/src/sim/sim_scenario.c
@@ -19,6 +19,7 @@
     [SIM_FAULT_CUT_ZONE_OUT] = "cut_zone_out",
     [SIM_FAULT_CUT_ZONE_IN] = "cut_zone_in",
     [SIM_FAULT_CUT_PAIR] = "cut_pair",
+    [SIM_FAULT_CUT_REPLICATION] = "cut_replication",
     [SIM_FAULT_KILL_DAEMON] = "kill_daemon",
     [SIM_FAULT_PAUSE_DAEMON] = "pause_daemon",
     [SIM_FAULT_DRAIN] = "drain",
@@ -178,6 +179,8 @@
 {
     reader->group = "expect";
     expect->no_failover = read_bool(reader, "no_failover", false);
+    expect->write_gap_max = read_duration(reader, "write_gap_max_ms", 0);
+    expect->failovers_max = read_count(reader, "failovers_max", 0, 0, 1000);
     expect->leaving_bound = read_duration(reader, "leaving_bound_ms", 3000);
     expect->no_failed_requests = read_bool(reader, "no_failed_requests", false);
 }
--- a/src/sim/sim_scenario.h
+++ b/src/sim/sim_scenario.h
@@ -11,14 +11,15 @@
     SIM_FAULT_KILL_DATABASE,
     SIM_FAULT_FORGET_DATABASE, /* dies, and comes back empty and without its promise */
     SIM_FAULT_PAUSE_DATABASE,
-    SIM_FAULT_LAG_DATABASE,  /* apply_delay becomes `amount` */
-    SIM_FAULT_HOLD_DATABASE, /* hold_delay becomes `amount` */
-    SIM_FAULT_LOSE_REQUESTS, /* share `probability` of statements */
-    SIM_FAULT_LOSE_ANSWERS,  /* share `probability` of answers to statements */
-    SIM_FAULT_CUT_ZONE,      /* both ways from all other zones */
-    SIM_FAULT_CUT_ZONE_OUT,  /* nothing gets out */
-    SIM_FAULT_CUT_ZONE_IN,   /* nothing gets in */
-    SIM_FAULT_CUT_PAIR,      /* both ways between the primary's zone and one other */
+    SIM_FAULT_LAG_DATABASE,    /* apply_delay becomes `amount` */
+    SIM_FAULT_HOLD_DATABASE,   /* hold_delay becomes `amount` */
+    SIM_FAULT_LOSE_REQUESTS,   /* share `probability` of statements */
+    SIM_FAULT_LOSE_ANSWERS,    /* share `probability` of answers to statements */
+    SIM_FAULT_CUT_ZONE,        /* both ways from all other zones */
+    SIM_FAULT_CUT_ZONE_OUT,    /* nothing gets out */
+    SIM_FAULT_CUT_ZONE_IN,     /* nothing gets in */
+    SIM_FAULT_CUT_PAIR,        /* both ways between the primary's zone and one other */
+    SIM_FAULT_CUT_REPLICATION, /* a database's links to the others of its group, and only these */
     SIM_FAULT_KILL_DAEMON,
     SIM_FAULT_PAUSE_DAEMON,
     SIM_FAULT_DRAIN,
@@ -66,6 +67,8 @@
 struct sim_expectations {
     bool no_failover;        /* no primary is replaced */
     bool no_failed_requests; /* every answer is `done` */
+    time_ns write_gap_max;   /* no longer time without an acknowledged write; 0: not judged */
+    uint32_t failovers_max;  /* no more primaries are promoted; 0: not judged */
     time_ns leaving_bound;   /* a drained database gets no work later than this; 0: not judged,
                                 where faults keep a drained primary from being replaced */
 };
