Replace a primary that answers but replicates to no majority

Cause: a primary was suspected only when probes did not show it lead. With its links to the replicas cut, every probe succeeded, no write was confirmed, and nothing ended that.

A watcher now also suspects a primary when replicas that answer and follow it have held less than it, without any change, for failover.replication_stall_after_ms (1.5 s), so that no majority progresses, while the replicas are a majority without it. The zones vote as before. The attempt fences all members, but does not count the old primary's grant and does not choose it. Replacements for this reason become rarer, by the factor 2 up to 16. No message changes but the trace's start.

Ruled out: progress of any one replica as a sign of health (with five databases one good link hides three cut ones).

--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -18,6 +18,7 @@
     memset(options, 0, sizeof(*options));
     options->preferred_zone = -1;
     options->suspect_after = 400 * ms;
+    options->replication_stall_after = 1500 * ms;
     options->unreachable_after = 400 * ms;
     options->suspicion_expiry = 500 * ms;
     options->suspicion_repeat = 100 * ms;
@@ -315,6 +316,7 @@
     }
     observe_own_stall(control);
     take_event(control, event);
+    replication_advance(control);
     observe_suspicion(control);
     failover_advance(control);
     change_advance(control);
--- a/src/core/group_control.h
+++ b/src/core/group_control.h
@@ -25,22 +25,24 @@
     int32_t preferred_zone; /* zone preferred for a new primary, or -1 */
     uint64_t seed;          /* of the jitter */
 
-    time_ns suspect_after;     /* no good probe of the primary for so long: suspect it */
-    time_ns unreachable_after; /* no good probe for so long: routing avoids the database */
-    time_ns suspicion_expiry;  /* a peer's suspicion counts for so long after it was heard */
-    time_ns suspicion_repeat;  /* a suspicion is sent again this often */
-    time_ns opinion_interval;  /* an opinion is sent at least this often */
-    time_ns abstain_after;     /* a watcher silent for so long has no vote, if this one reaches a
-                                  majority of the databases */
-    time_ns peer_alive;        /* a peer heard within this time takes part in coordination */
-    time_ns bootstrap_wait;    /* wait before the first primary of a new group is chosen */
-    time_ns rank_step;         /* each rank waits this much longer before it coordinates */
-    time_ns jitter;            /* and up to this much more */
-    time_ns attempt_patience;  /* wait when another coordinator is seen at work */
-    time_ns fence_grace;       /* after a majority, wait this long for the other members */
-    time_ns attempt_timeout;   /* fencing, and promoting, may each take so long */
-    time_ns command_retry;     /* a lost command is sent again after this time */
-    time_ns backoff;           /* first wait after a failed attempt; doubles to backoff_max */
+    time_ns suspect_after;           /* no good probe of the primary for so long: suspect it */
+    time_ns replication_stall_after; /* replicas that answer, lag and take nothing for so long stand
+                                        still: at least `suspect_after` */
+    time_ns unreachable_after;       /* no good probe for so long: routing avoids the database */
+    time_ns suspicion_expiry;        /* a peer's suspicion counts for so long after it was heard */
+    time_ns suspicion_repeat;        /* a suspicion is sent again this often */
+    time_ns opinion_interval;        /* an opinion is sent at least this often */
+    time_ns abstain_after;    /* a watcher silent for so long has no vote, if this one reaches a
+                                 majority of the databases */
+    time_ns peer_alive;       /* a peer heard within this time takes part in coordination */
+    time_ns bootstrap_wait;   /* wait before the first primary of a new group is chosen */
+    time_ns rank_step;        /* each rank waits this much longer before it coordinates */
+    time_ns jitter;           /* and up to this much more */
+    time_ns attempt_patience; /* wait when another coordinator is seen at work */
+    time_ns fence_grace;      /* after a majority, wait this long for the other members */
+    time_ns attempt_timeout;  /* fencing, and promoting, may each take so long */
+    time_ns command_retry;    /* a lost command is sent again after this time */
+    time_ns backoff;          /* first wait after a failed attempt; doubles to backoff_max */
     time_ns backoff_max;
     time_ns heal_interval;    /* a member is told to follow at most this often */
     time_ns repair_after;     /* a stray promise is repaired after this time */
@@ -61,6 +63,7 @@
     bool no_fence;               /* TEST ONLY: promote without a majority's promises (mutation) */
     bool ignore_leaving;         /* TEST ONLY: drained databases stay in use (mutation) */
     bool no_pause;               /* TEST ONLY: change the primary without a pause (mutation) */
+    bool ignore_stalled_replication; /* TEST ONLY: such a primary is left to lead (mutation) */
     bool
         trust_forgetful; /* TEST ONLY: count the grant of a database that lost its log (mutation) */
 };
@@ -80,7 +83,8 @@
     uint64_t sequence;  /* grows with each opinion; an older one is dropped */
     uint64_t term;      /* highest term with a known primary */
     int32_t primary;    /* of that term, or -1 */
-    bool suspects;      /* can't reach that primary in that term */
+    bool suspects;      /* can't reach that primary in that term, or sees that it replicates to no
+                           majority */
     uint32_t reachable; /* bit per database it reaches */
     uint64_t promised;  /* highest promise it has seen */
     uint64_t change;    /* id of the planned change it runs, during which writes pause; or 0 */
@@ -164,6 +168,7 @@
     GROUP_REASON_REFUSED,       /* a newer term was promised to another coordinator */
     GROUP_REASON_TIMEOUT,
     GROUP_REASON_NEWER_PRIMARY,
+    GROUP_REASON_REPLICATION_STALLED, /* the primary leads, but replicates to no majority */
     GROUP_REASON_COUNT,
 };
 
--- a/src/core/group_control_failover.c
+++ b/src/core/group_control_failover.c
@@ -8,6 +8,10 @@
 
 static const struct log_position NO_POSITION = {0, 0};
 
+/* After so many failed attempts in a row a primary that replicates to no majority may be chosen
+ * again: better that one than none. */
+#define EXCLUSIONS_MAX 3
+
 static void send_fence(struct group_control *control, uint32_t database)
 {
     struct attempt *attempt = &control->attempt;
@@ -111,6 +115,8 @@
     attempt->state = ATTEMPT_STATE_FENCING;
     attempt->reason = reason;
     attempt->preferred = preferred;
+    attempt->excluded =
+        control->attempt_failures < EXCLUSIONS_MAX ? replication_excluded(control) : 0;
     attempt->term = highest + 1;
     attempt->deadline = control->now + control->options.attempt_timeout;
     control->proposed_max = attempt->term;
@@ -170,6 +176,12 @@
     return majority_of(control->options.database_count);
 }
 
+/* Members whose grants make the majority, and one of which will lead. */
+static uint32_t counted_grants(const struct attempt *attempt)
+{
+    return attempt->granted & ~attempt->excluded;
+}
+
 /* A member that lost its memory may have held what was acknowledged, and promised what it no longer
  * knows. So the others must make a majority without it; if too few of them are left for that, then
  * all of them must grant. */
@@ -183,7 +195,7 @@
             continue;
         }
         remembering += 1;
-        granted += control->attempt.granted >> i & 1;
+        granted += counted_grants(&control->attempt) >> i & 1;
     }
     return control->options.trust_forgetful || granted >= MIN(grants_needed(control), remembering);
 }
@@ -191,7 +203,7 @@
 static void decide_target(struct group_control *control)
 {
     struct attempt *attempt = &control->attempt;
-    int32_t target = choose_best(control, attempt->granted, attempt->status);
+    int32_t target = choose_best(control, counted_grants(attempt), attempt->status);
 
     attempt->target = (uint32_t)target;
     attempt->deadline = control->now + control->options.attempt_timeout;
@@ -204,10 +216,10 @@
 {
     struct attempt *attempt = &control->attempt;
     uint32_t needed = grants_needed(control);
-    uint32_t granted = (uint32_t)__builtin_popcount(attempt->granted);
-    uint32_t answered = (uint32_t)__builtin_popcount(attempt->answered);
+    uint32_t granted = (uint32_t)__builtin_popcount(counted_grants(attempt));
+    uint32_t answered = (uint32_t)__builtin_popcount(attempt->answered | attempt->excluded);
     uint32_t unanswered = control->options.database_count - answered;
-    uint32_t awaited = observe_reachable_mask(control) & ~attempt->answered;
+    uint32_t awaited = observe_reachable_mask(control) & ~(attempt->answered | attempt->excluded);
 
     if (granted >= needed && remembered_by_enough(control)) {
         if (attempt->majority_at == 0) {
@@ -345,6 +357,8 @@
     }
     if (control->known_primary == NO_DATABASE) {
         reason = GROUP_REASON_NO_PRIMARY;
+    } else if (replication_excluded(control) != 0) {
+        reason = GROUP_REASON_REPLICATION_STALLED;
     }
     failover_start(control, reason, NO_DATABASE);
 }
--- a/src/core/group_control_internal.h
+++ b/src/core/group_control_internal.h
@@ -1,7 +1,7 @@
 /* State of one group's control, shared by its parts: observation (group_control_observe.c),
  * failover (group_control_failover.c), planned change (group_control_change.c), repair
- * (group_control_repair.c), healing (group_control_heal.c) and the step itself (group_control.c).
- * Private to these files. */
+ * (group_control_repair.c), stalled replication (group_control_replication.c), healing
+ * (group_control_heal.c) and the step itself (group_control.c). Private to these files. */
 #ifndef SW_CORE_GROUP_CONTROL_INTERNAL_H
 #define SW_CORE_GROUP_CONTROL_INTERNAL_H
 
@@ -27,6 +27,9 @@
     time_ns good_at;     /* last good probe, moved forward by own stalls */
     time_ns observed_at; /* when status was asked for */
     uint32_t round_trip_us;
+    time_ns behind_since;          /* holds less than the primary, and its log has not changed since
+                                      then; 0 if not. Moved forward by own stalls */
+    struct log_position behind_at; /* what it held then */
     enum member_wish wish;
     uint64_t wish_order;   /* of the newest wish, also after its end */
     time_ns stale_since;   /* needs to follow the current primary since then; 0 if not */
@@ -54,6 +57,7 @@
     enum attempt_state state;
     enum group_reason reason;
     uint64_t term;
+    uint32_t excluded; /* members that must not lead, and whose grants don't count */
     int32_t preferred; /* database that should lead, or NO_DATABASE */
     uint32_t granted;
     uint32_t answered; /* granted or refused */
@@ -116,6 +120,13 @@
     uint64_t promised_seen; /* promised_max when the start of an attempt was last considered */
     uint64_t proposed_max;  /* terms this watcher has tried: never tried again */
 
+    /* The known primary replicates to no majority. Stays while it is not seen to lead, as when it
+     * was fenced for that. */
+    bool replication_stalled;
+    bool replication_doubted;    /* as it looks after half the bound: if the primary is replaced
+                                    meanwhile, others saw that too */
+    uint32_t stall_replacements; /* primaries replaced for that in a row */
+
     bool suspects;
     bool confirmed;
     time_ns start_at; /* an attempt starts then; 0 if none is planned */
@@ -194,6 +205,15 @@
 /* True if stray promises keep writes from being confirmed: a new term is needed at once. */
 bool repair_is_urgent(struct group_control *control);
 
+/* group_control_replication.c */
+/* Takes what the last probes say of the replicas' progress. */
+void replication_advance(struct group_control *control);
+/* Call before a newer primary becomes known. */
+void replication_primary_replaced(struct group_control *control);
+/* Mask of the primary that an attempt must not choose again, since it replicates to no majority; 0
+ * if there is none, or if the others that are reachable are no majority. */
+uint32_t replication_excluded(const struct group_control *control);
+
 /* group_control_heal.c */
 void heal_advance(struct group_control *control);
 bool heal_take_command(struct group_control *control, const struct group_event *event);
--- a/src/core/group_control_names.c
+++ b/src/core/group_control_names.c
@@ -30,6 +30,7 @@
     [GROUP_REASON_REFUSED] = "refused",
     [GROUP_REASON_TIMEOUT] = "timeout",
     [GROUP_REASON_NEWER_PRIMARY] = "newer_primary",
+    [GROUP_REASON_REPLICATION_STALLED] = "replication_stalled",
 };
 
 static const char *const EVENT_KIND_NAMES[] = {
--- a/src/core/group_control_observe.c
+++ b/src/core/group_control_observe.c
@@ -16,6 +16,9 @@
     control->led_at += gap;
     for (uint32_t i = 0; i < control->options.database_count; i++) {
         control->members[i].good_at += gap;
+        if (control->members[i].behind_since != 0) {
+            control->members[i].behind_since += gap;
+        }
     }
 }
 
@@ -91,6 +94,7 @@
 static void learn_primary(struct group_control *control, uint64_t term, uint32_t database,
                           struct log_position position)
 {
+    replication_primary_replaced(control);
     control->known_term = term;
     control->known_primary = (int32_t)database;
     control->learned_at = control->now;
@@ -383,21 +387,24 @@
 void observe_suspicion(struct group_control *control)
 {
     struct log_position none = {0, 0};
-    bool suspects = control->now >= suspicion_due(control);
+    bool lost = control->now >= suspicion_due(control);
+    bool suspects = lost || control->replication_stalled;
+    enum group_reason reason =
+        !lost && suspects ? GROUP_REASON_REPLICATION_STALLED : GROUP_REASON_NONE;
     bool confirmed;
 
     if (suspects != control->suspects) {
         control->suspects = suspects;
         control->opinion_due = true;
-        control_record(control, suspects ? GROUP_RECORD_SUSPECTED : GROUP_RECORD_CLEARED,
-                       GROUP_REASON_NONE, control->known_term, control->known_primary, none);
+        control_record(control, suspects ? GROUP_RECORD_SUSPECTED : GROUP_RECORD_CLEARED, reason,
+                       control->known_term, control->known_primary, none);
     }
-    if (!suspects) {
+    if (!lost) {
         control_wake_at(control, suspicion_due(control));
     }
     confirmed = zones_agree(control);
     if (confirmed && !control->confirmed) {
-        control_record(control, GROUP_RECORD_CONFIRMED, GROUP_REASON_NONE, control->known_term,
+        control_record(control, GROUP_RECORD_CONFIRMED, reason, control->known_term,
                        control->known_primary, none);
     }
     control->confirmed = confirmed;
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -476,6 +476,8 @@
     options.seed = XXH3_64bits_withSeed(&group->id, sizeof(group->id), control->watcher_self);
     options.suspect_after =
         control->daemon->settings.failover.suspect_after_ms * NANOSECONDS_PER_MILLISECOND;
+    options.replication_stall_after =
+        control->daemon->settings.failover.replication_stall_after_ms * NANOSECONDS_PER_MILLISECOND;
     runtime->on_drained = on_drained;
     runtime->on_drained_user = control;
     group->started_at = backend_now();
--- a/src/sim/replay.c
+++ b/src/sim/replay.c
@@ -53,6 +53,8 @@
     {"ignore_leaving", offsetof(struct group_control_options, ignore_leaving)},
     {"no_pause", offsetof(struct group_control_options, no_pause)},
     {"trust_forgetful", offsetof(struct group_control_options, trust_forgetful)},
+    {"ignore_stalled_replication",
+     offsetof(struct group_control_options, ignore_stalled_replication)},
 };
 
 static void free_daemon(gpointer data)
--- a/src/sim/sim_daemon.c
+++ b/src/sim/sim_daemon.c
@@ -496,6 +496,7 @@
     options->ignore_leaving = run->mutation == SIM_MUTATION_IGNORE_LEAVING;
     options->no_pause = run->mutation == SIM_MUTATION_NO_PAUSE;
     options->trust_forgetful = run->mutation == SIM_MUTATION_TRUST_FORGETFUL;
+    options->ignore_stalled_replication = run->mutation == SIM_MUTATION_IGNORE_STALLED_REPLICATION;
 }
 
 struct sim_daemon *sim_daemon_new(struct sim_run *run, uint32_t index, uint32_t zone)
--- a/src/sim/sim_run.c
+++ b/src/sim/sim_run.c
@@ -18,6 +18,7 @@
     [SIM_MUTATION_IGNORE_LEAVING] = "ignore_leaving",
     [SIM_MUTATION_NO_PAUSE] = "no_pause",
     [SIM_MUTATION_TRUST_FORGETFUL] = "trust_forgetful",
+    [SIM_MUTATION_IGNORE_STALLED_REPLICATION] = "ignore_stalled_replication",
 };
 
 const char *sim_mutation_name(enum sim_mutation mutation)
--- a/src/sim/trace_file.c
+++ b/src/sim/trace_file.c
@@ -19,15 +19,20 @@
     }
 
 static const struct duration_field DURATIONS[] = {
-    DURATION(suspect_after),    DURATION(unreachable_after), DURATION(suspicion_expiry),
-    DURATION(suspicion_repeat), DURATION(opinion_interval),  DURATION(abstain_after),
-    DURATION(peer_alive),       DURATION(bootstrap_wait),    DURATION(rank_step),
-    DURATION(jitter),           DURATION(attempt_patience),  DURATION(fence_grace),
-    DURATION(attempt_timeout),  DURATION(command_retry),     DURATION(backoff),
-    DURATION(backoff_max),      DURATION(heal_interval),     DURATION(repair_after),
-    DURATION(pause_first),      DURATION(pause_max),         DURATION(pause_lease),
-    DURATION(pause_poll),       DURATION(own_stall_after),   DURATION(tick_interval),
-    DURATION(sample_interval),  DURATION(publish_interval),  DURATION(forget_after),
+    DURATION(suspect_after),    DURATION(unreachable_after),
+    DURATION(suspicion_expiry), DURATION(suspicion_repeat),
+    DURATION(opinion_interval), DURATION(abstain_after),
+    DURATION(peer_alive),       DURATION(bootstrap_wait),
+    DURATION(rank_step),        DURATION(jitter),
+    DURATION(attempt_patience), DURATION(fence_grace),
+    DURATION(attempt_timeout),  DURATION(command_retry),
+    DURATION(backoff),          DURATION(backoff_max),
+    DURATION(heal_interval),    DURATION(repair_after),
+    DURATION(pause_first),      DURATION(pause_max),
+    DURATION(pause_lease),      DURATION(pause_poll),
+    DURATION(own_stall_after),  DURATION(tick_interval),
+    DURATION(sample_interval),  DURATION(publish_interval),
+    DURATION(forget_after),     DURATION(replication_stall_after),
 };
 
 static void write_record(FILE *file, const struct trace_record *record)
--- /dev/null
+++ b/tests/core/group_replication_test.c
@@ -0,0 +1,331 @@
+/* Stalled replication as one watcher sees it: a primary that answers and leads, while what it holds
+ * reaches no majority. */
+#include "core/group_control.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define MS NANOSECONDS_PER_MILLISECOND
+
+#define SELF 11
+#define PEER 22
+
+#define DATABASES 3
+
+/* One watcher, its three databases, and another watcher in another zone. */
+struct rig {
+    struct group_control *control;
+    struct group_actions actions;
+    struct group_control_options options;
+    struct database_status databases[DATABASES];
+    bool reachable[DATABASES];
+    bool peer_suspects;
+    uint64_t sequence;
+    time_ns now;
+    uint64_t fences[DATABASES]; /* commands of the last attempt */
+    uint64_t fence_term;        /* of the last attempt; 0 if there was none */
+    uint32_t promoted;          /* database that was told to lead last */
+    enum group_reason reason;   /* of the last attempt */
+    enum group_reason suspected_for;
+    uint32_t suspected; /* times */
+};
+
+static void note_record(struct rig *rig, const struct group_record *record)
+{
+    if (record->kind == GROUP_RECORD_FENCE_STARTED) {
+        rig->reason = record->reason;
+    }
+    if (record->kind == GROUP_RECORD_SUSPECTED) {
+        rig->suspected_for = record->reason;
+        rig->suspected += 1;
+    }
+}
+
+static void feed(struct rig *rig, struct group_event event)
+{
+    event.now = rig->now;
+    group_control_step(rig->control, &event, &rig->actions);
+    for (uint32_t i = 0; i < rig->actions.count; i++) {
+        const struct group_action *action = &rig->actions.items[i];
+
+        if (action->kind == GROUP_ACTION_FENCE) {
+            rig->fences[action->database] = action->command;
+            rig->fence_term = action->term;
+        }
+        if (action->kind == GROUP_ACTION_PROMOTE) {
+            rig->promoted = action->database;
+        }
+        if (action->kind == GROUP_ACTION_RECORD_EVENT) {
+            note_record(rig, &action->record);
+        }
+    }
+}
+
+static void probe(struct rig *rig, uint32_t database)
+{
+    feed(rig, (struct group_event){.kind = GROUP_EVENT_PROBE,
+                                   .database = database,
+                                   .reachable = rig->reachable[database],
+                                   .round_trip = MS,
+                                   .status = rig->databases[database]});
+}
+
+static void hear_peer(struct rig *rig)
+{
+    rig->sequence += 1;
+    feed(rig, (struct group_event){.kind = GROUP_EVENT_OPINION,
+                                   .opinion = {.watcher = PEER,
+                                               .sequence = rig->sequence,
+                                               .term = 5,
+                                               .primary = 0,
+                                               .suspects = rig->peer_suspects,
+                                               .reachable = 7}});
+}
+
+/* A healthy group: database 0 leads term 5, the others follow it, all hold offset 10. */
+static void start(struct rig *rig)
+{
+    struct group_event watchers = {.kind = GROUP_EVENT_WATCHERS,
+                                   .watcher_count = 2,
+                                   .watchers = {{.id = SELF, .zone = 0}, {.id = PEER, .zone = 1}}};
+
+    memset(rig, 0, sizeof(*rig));
+    rig->now = 1000 * MS;
+    rig->promoted = DATABASES;
+    rig->peer_suspects = true;
+    group_control_options_init(&rig->options);
+    rig->options.group = 7;
+    rig->options.watcher = SELF;
+    rig->options.database_count = DATABASES;
+    rig->options.jitter = 0;
+    for (uint32_t i = 0; i < DATABASES; i++) {
+        rig->options.database_zone[i] = i;
+        rig->reachable[i] = true;
+        rig->databases[i] = (struct database_status){
+            .role = i == 0 ? DATABASE_ROLE_PRIMARY : DATABASE_ROLE_REPLICA,
+            .term = 5,
+            .promised_term = 5,
+            .held = {5, 10},
+            .applied = {5, 10},
+        };
+    }
+    rig->control = group_control_new(&rig->options, rig->now);
+    feed(rig, watchers);
+}
+
+static void stop(struct rig *rig)
+{
+    group_control_free(rig->control);
+}
+
+/* Advances by whole rounds of probes; stops once an attempt begins. True if one did. */
+static bool run(struct rig *rig, time_ns duration)
+{
+    time_ns end = rig->now + duration;
+
+    rig->fence_term = 0;
+    while (rig->now < end && rig->fence_term == 0) {
+        rig->now += 100 * MS;
+        for (uint32_t i = 0; i < DATABASES; i++) {
+            probe(rig, i);
+        }
+        if (rig->fence_term == 0) {
+            hear_peer(rig);
+        }
+    }
+    return rig->fence_term != 0;
+}
+
+static void write_at_primary(struct rig *rig)
+{
+    rig->databases[0].held.offset += 1;
+}
+
+static void grant(struct rig *rig, uint32_t database)
+{
+    rig->databases[database].promised_term = rig->fence_term;
+    feed(rig, (struct group_event){.kind = GROUP_EVENT_COMMAND,
+                                   .command = rig->fences[database],
+                                   .result = GROUP_COMMAND_OK,
+                                   .status = rig->databases[database]});
+}
+
+/* The primary grants first and holds most, and yet another one leads: one that a majority without
+ * it promised. */
+static void test_replaced(void)
+{
+    struct rig rig;
+
+    start(&rig);
+    g_assert_false(run(&rig, 1000 * MS));
+    write_at_primary(&rig);
+    g_assert_false(run(&rig, 1400 * MS));
+    g_assert_true(run(&rig, 1000 * MS));
+    g_assert_cmpint(rig.suspected_for, ==, GROUP_REASON_REPLICATION_STALLED);
+    g_assert_cmpint(rig.reason, ==, GROUP_REASON_REPLICATION_STALLED);
+    grant(&rig, 0);
+    grant(&rig, 2);
+    g_assert_cmpuint(rig.promoted, ==, DATABASES);
+    grant(&rig, 1);
+    g_assert_cmpuint(rig.promoted, ==, 1);
+    stop(&rig);
+}
+
+/* Without the other zone nothing is done. */
+static void test_zones_vote(void)
+{
+    struct rig rig;
+
+    start(&rig);
+    g_assert_false(run(&rig, 1000 * MS));
+    rig.peer_suspects = false;
+    write_at_primary(&rig);
+    g_assert_false(run(&rig, 10000 * MS));
+    g_assert_cmpuint(rig.suspected, ==, 1);
+    stop(&rig);
+}
+
+/* Nothing to replicate: a stalled link can't be told from a calm one, and harms nobody. */
+static void test_idle(void)
+{
+    struct rig rig;
+
+    start(&rig);
+    g_assert_false(run(&rig, 30000 * MS));
+    g_assert_cmpuint(rig.suspected, ==, 0);
+    stop(&rig);
+}
+
+/* One replica holds all there is: writes are confirmed. */
+static void test_one_replica_suffices(void)
+{
+    struct rig rig;
+
+    start(&rig);
+    for (int i = 0; i < 100; i++) {
+        write_at_primary(&rig);
+        rig.databases[2].held = rig.databases[0].held;
+        g_assert_false(run(&rig, 100 * MS));
+    }
+    g_assert_cmpuint(rig.suspected, ==, 0);
+    stop(&rig);
+}
+
+/* Both replicas are far behind and catch up, slowly, while the primary goes on. */
+static void test_slow_progress(void)
+{
+    struct rig rig;
+
+    start(&rig);
+    g_assert_false(run(&rig, 500 * MS));
+    rig.databases[0].held.offset += 10000;
+    for (int i = 0; i < 20; i++) {
+        rig.databases[0].held.offset += 100;
+        rig.databases[1].held.offset += 1;
+        rig.databases[2].held.offset += 1;
+        g_assert_false(run(&rig, 1000 * MS));
+    }
+    g_assert_cmpuint(rig.suspected, ==, 0);
+    stop(&rig);
+}
+
+/* Positions applied don't count: a replica that holds the log may show it late. */
+static void test_late_applying(void)
+{
+    struct rig rig;
+
+    start(&rig);
+    rig.databases[0].held.offset = 20;
+    rig.databases[0].applied.offset = 20;
+    rig.databases[1].held.offset = 20;
+    rig.databases[2].held.offset = 20;
+    g_assert_false(run(&rig, 10000 * MS));
+    g_assert_cmpuint(rig.suspected, ==, 0);
+    stop(&rig);
+}
+
+/* Replicas that don't answer are no evidence, and the time of their silence does not count. */
+static void test_silent_replicas(void)
+{
+    struct rig rig;
+
+    start(&rig);
+    g_assert_false(run(&rig, 500 * MS));
+    write_at_primary(&rig);
+    rig.reachable[1] = false;
+    g_assert_false(run(&rig, 5000 * MS));
+    rig.reachable[2] = false;
+    g_assert_false(run(&rig, 5000 * MS));
+    rig.reachable[1] = true;
+    rig.reachable[2] = true;
+    g_assert_false(run(&rig, 1000 * MS));
+    g_assert_cmpuint(rig.suspected, ==, 0);
+    stop(&rig);
+}
+
+/* A watcher that stood still has not seen replicas stand still. */
+static void test_own_stall(void)
+{
+    struct rig rig;
+
+    start(&rig);
+    g_assert_false(run(&rig, 500 * MS));
+    write_at_primary(&rig);
+    g_assert_false(run(&rig, 500 * MS));
+    rig.now += 5000 * MS;
+    g_assert_false(run(&rig, 500 * MS));
+    g_assert_cmpuint(rig.suspected, ==, 0);
+    stop(&rig);
+}
+
+/* The old primary is told to follow the new one, which can replicate to nobody either. */
+static void lead(struct rig *rig, uint32_t leader, uint64_t term)
+{
+    for (uint32_t i = 0; i < DATABASES; i++) {
+        rig->databases[i].role = DATABASE_ROLE_REPLICA;
+        rig->databases[i].term = term;
+        rig->databases[i].promised_term = term;
+    }
+    rig->databases[leader].role = DATABASE_ROLE_PRIMARY;
+    rig->databases[leader].held = (struct log_position){term, 100 + term};
+}
+
+/* Where no database can replicate, replacements become rarer by the factor 2, up to 16. */
+static void test_backs_off(void)
+{
+    struct rig rig;
+    time_ns bound;
+
+    start(&rig);
+    feed(&rig, (struct group_event){.kind = GROUP_EVENT_WATCHERS,
+                                    .watcher_count = 1,
+                                    .watchers = {{.id = SELF, .zone = 0}}});
+    g_assert_false(run(&rig, 500 * MS));
+    write_at_primary(&rig);
+    bound = rig.options.replication_stall_after;
+    for (uint32_t i = 0; i < 6; i++) {
+        g_assert_false(run(&rig, bound - 100 * MS));
+        g_assert_true(run(&rig, 1000 * MS));
+        lead(&rig, 1 + i % 2, rig.fence_term);
+        for (uint32_t j = 0; j < DATABASES; j++) {
+            probe(&rig, j);
+        }
+        bound = MIN(bound * 2, 16 * rig.options.replication_stall_after);
+    }
+    stop(&rig);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/group_replication/replaced", test_replaced);
+    g_test_add_func("/group_replication/zones_vote", test_zones_vote);
+    g_test_add_func("/group_replication/idle", test_idle);
+    g_test_add_func("/group_replication/one_replica_suffices", test_one_replica_suffices);
+    g_test_add_func("/group_replication/slow_progress", test_slow_progress);
+    g_test_add_func("/group_replication/late_applying", test_late_applying);
+    g_test_add_func("/group_replication/silent_replicas", test_silent_replicas);
+    g_test_add_func("/group_replication/own_stall", test_own_stall);
+    g_test_add_func("/group_replication/backs_off", test_backs_off);
+    return g_test_run();
+}
--- a/tests/sim/sim_scenario_test.c
+++ b/tests/sim/sim_scenario_test.c
@@ -147,6 +147,8 @@
         "lost_answers",
         "one_watcher",
         "pair_cut",
+        "replication_cut",
+        "replication_cut_everywhere",
         "primary_cut_with_clients",
         "primary_killed",
         "primary_paused",
