Test stalled replication with five databases, and when no other can lead

The rig takes three or five databases. With five, a replica that keeps up does not hide three that take nothing, and leads next. Where a replica answers probes but no fence, the old primary leads again at the fourth attempt.

--- a/tests/core/group_replication_test.c
+++ b/tests/core/group_replication_test.c
@@ -10,22 +10,23 @@
 #define SELF 11
 #define PEER 22
 
-#define DATABASES 3
+#define DATABASES     3
+#define DATABASES_MAX 5
 
-/* One watcher, its three databases, and another watcher in another zone. */
+/* One watcher, its three or five databases, and another watcher in another zone. */
 struct rig {
     struct group_control *control;
     struct group_actions actions;
     struct group_control_options options;
-    struct database_status databases[DATABASES];
-    bool reachable[DATABASES];
+    struct database_status databases[DATABASES_MAX];
+    bool reachable[DATABASES_MAX];
     bool peer_suspects;
     uint64_t sequence;
     time_ns now;
-    uint64_t fences[DATABASES]; /* commands of the last attempt */
-    uint64_t fence_term;        /* of the last attempt; 0 if there was none */
-    uint32_t promoted;          /* database that was told to lead last */
-    enum group_reason reason;   /* of the last attempt */
+    uint64_t fences[DATABASES_MAX]; /* commands of the last attempt */
+    uint64_t fence_term;            /* of the last attempt; 0 if there was none */
+    uint32_t promoted;              /* database that was told to lead last */
+    enum group_reason reason;       /* of the last attempt */
     enum group_reason suspected_for;
     uint32_t suspected; /* times */
 };
@@ -83,7 +84,7 @@
 }
 
 /* A healthy group: database 0 leads term 5, the others follow it, all hold offset 10. */
-static void start(struct rig *rig)
+static void start_with(struct rig *rig, uint32_t count)
 {
     struct group_event watchers = {.kind = GROUP_EVENT_WATCHERS,
                                    .watcher_count = 2,
@@ -91,14 +92,14 @@
 
     memset(rig, 0, sizeof(*rig));
     rig->now = 1000 * MS;
-    rig->promoted = DATABASES;
+    rig->promoted = DATABASES_MAX;
     rig->peer_suspects = true;
     group_control_options_init(&rig->options);
     rig->options.group = 7;
     rig->options.watcher = SELF;
-    rig->options.database_count = DATABASES;
+    rig->options.database_count = count;
     rig->options.jitter = 0;
-    for (uint32_t i = 0; i < DATABASES; i++) {
+    for (uint32_t i = 0; i < rig->options.database_count; i++) {
         rig->options.database_zone[i] = i;
         rig->reachable[i] = true;
         rig->databases[i] = (struct database_status){
@@ -113,6 +114,11 @@
     feed(rig, watchers);
 }
 
+static void start(struct rig *rig)
+{
+    start_with(rig, DATABASES);
+}
+
 static void stop(struct rig *rig)
 {
     group_control_free(rig->control);
@@ -126,7 +132,7 @@
     rig->fence_term = 0;
     while (rig->now < end && rig->fence_term == 0) {
         rig->now += 100 * MS;
-        for (uint32_t i = 0; i < DATABASES; i++) {
+        for (uint32_t i = 0; i < rig->options.database_count; i++) {
             probe(rig, i);
         }
         if (rig->fence_term == 0) {
@@ -165,7 +171,7 @@
     g_assert_cmpint(rig.reason, ==, GROUP_REASON_REPLICATION_STALLED);
     grant(&rig, 0);
     grant(&rig, 2);
-    g_assert_cmpuint(rig.promoted, ==, DATABASES);
+    g_assert_cmpuint(rig.promoted, ==, DATABASES_MAX);
     grant(&rig, 1);
     g_assert_cmpuint(rig.promoted, ==, 1);
     stop(&rig);
@@ -315,6 +321,53 @@
     stop(&rig);
 }
 
+/* Of five, one replica keeps up and three take nothing: its progress is no sign of health. */
+static void test_one_of_five_keeps_up(void)
+{
+    struct rig rig;
+
+    start_with(&rig, 5);
+    for (int i = 0; i < 15; i++) {
+        write_at_primary(&rig);
+        rig.databases[4].held = rig.databases[0].held;
+        g_assert_false(run(&rig, 100 * MS));
+    }
+    write_at_primary(&rig);
+    g_assert_true(run(&rig, 500 * MS));
+    for (uint32_t i = 0; i < 3; i++) {
+        grant(&rig, i);
+        g_assert_cmpuint(rig.promoted, ==, DATABASES_MAX);
+    }
+    grant(&rig, 4);
+    rig.now += rig.options.fence_grace;
+    feed(&rig, (struct group_event){.kind = GROUP_EVENT_TICK});
+    g_assert_cmpuint(rig.promoted, ==, 4);
+    stop(&rig);
+}
+
+/* A replica answers probes but no fence: in the end the old primary leads again, better than none.
+ */
+static void test_chosen_again_after_failures(void)
+{
+    struct rig rig;
+    uint32_t attempts = 0;
+
+    start(&rig);
+    g_assert_false(run(&rig, 500 * MS));
+    write_at_primary(&rig);
+    while (rig.promoted == DATABASES_MAX && attempts < 10) {
+        g_assert_true(run(&rig, 6000 * MS));
+        attempts += 1;
+        grant(&rig, 0);
+        grant(&rig, 1);
+        rig.now += rig.options.fence_grace;
+        feed(&rig, (struct group_event){.kind = GROUP_EVENT_TICK});
+    }
+    g_assert_cmpuint(attempts, ==, 4);
+    g_assert_cmpuint(rig.promoted, ==, 0);
+    stop(&rig);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -327,5 +380,8 @@
     g_test_add_func("/group_replication/silent_replicas", test_silent_replicas);
     g_test_add_func("/group_replication/own_stall", test_own_stall);
     g_test_add_func("/group_replication/backs_off", test_backs_off);
+    g_test_add_func("/group_replication/one_of_five_keeps_up", test_one_of_five_keeps_up);
+    g_test_add_func("/group_replication/chosen_again_after_failures",
+                    test_chosen_again_after_failures);
     return g_test_run();
 }
