--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -19,6 +19,7 @@
 extern const struct command command_explain;
 extern const struct command command_events;
 extern const struct command command_log_level;
+extern const struct command command_trace;
 
 /* On swiftctl itself. */
 extern const struct command command_completion;
--- a/src/daemon/admin_api.c
+++ b/src/daemon/admin_api.c
@@ -19,8 +19,12 @@
 #include "daemon/daemon_metrics.h"
 #include "frontend/admin.h"
 #include "generated/errors.h"
+#include "trace/trace_recorder.h"
 #include "wire/address.h"
 
+/* A CBOR sequence (RFC 8742). */
+#define TYPE_TRACE "application/cbor-seq"
+
 static void refuse(struct admin_answer *answer, enum error_kind kind, const char *text)
 {
     g_autoptr(GError) error = g_error_new_literal(SW_ERROR, (gint)kind, text);
@@ -205,6 +209,27 @@
     }
 }
 
+/* What this daemon recorded of a group, also of one that it owns no more. */
+static void handle_trace(const struct admin_request *request, struct admin_answer *answer,
+                         void *user)
+{
+    struct daemon *daemon = user;
+    const char *name = admin_query_text(request, "group");
+    struct configuration *configuration = daemon_take_configuration(daemon);
+    const struct group_configuration *group =
+        configuration != NULL && name != NULL
+            ? configuration_find_group_by_name(configuration, name)
+            : NULL;
+    if (group == NULL) {
+        refuse(answer, ERROR_KIND_BAD_REQUEST, "No group has this name.");
+    } else {
+        g_autoptr(GByteArray) trace = trace_recorder_copy(daemon->traces, group->id);
+        g_string_append_len(answer->body, (const char *)trace->data, trace->len);
+        answer->content_type = TYPE_TRACE;
+    }
+    configuration_unref(configuration);
+}
+
 static void handle_log_level(const struct admin_request *request, struct admin_answer *answer,
                              void *user)
 {
@@ -250,6 +275,7 @@
     admin_route(daemon->admin, "GET", "/v1/status", handle_status, daemon);
     admin_route(daemon->admin, "GET", "/v1/events", handle_events, daemon);
     admin_route(daemon->admin, "GET", "/v1/explain", handle_explain, daemon);
+    admin_route(daemon->admin, "GET", "/v1/trace", handle_trace, daemon);
     admin_route(daemon->admin, "POST", "/v1/configuration", handle_configuration, daemon);
     admin_route(daemon->admin, "GET", "/v1/log-level", handle_log_level, daemon);
     admin_route(daemon->admin, "POST", "/v1/log-level", handle_set_log_level, daemon);
--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -9,6 +9,7 @@
 #include "core/route.h"
 #include "daemon/control_internal.h"
 #include "daemon/control_budget.h"
+#include "daemon/control_slots.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_metrics.h"
 #include "daemon/ledger_upkeep.h"
@@ -321,7 +322,9 @@
 static void step(struct controlled_group *group, const struct group_event *event)
 {
     struct group_actions actions;
+    trace_group_before(group->trace, group->machine, event->now);
     group_control_step(group->machine, event, &actions);
+    trace_group_after(group->trace, event, group->machine, &actions);
     group->wake_at = actions.wake_at;
     for (uint32_t i = 0; i < actions.count; i++) {
         perform(group, &actions.items[i]);
@@ -357,6 +360,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct controlled_group *group = value;
         task_expire_queued(control->daemon, group->runtime, now);
+        control_slots_tick(group, now);
         expire_ledger(group, now);
         if (now >= group->wake_at) {
             struct group_event tick = {.kind = GROUP_EVENT_TICK, .now = now};
@@ -374,6 +378,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct controlled_group *group = value;
         next = MIN(next, group->wake_at);
+        next = MIN(next, control_slots_next_wakeup(group));
     }
     return next;
 }
@@ -482,6 +487,7 @@
     runtime->on_drained_user = control;
     group->started_at = backend_now();
     group->machine = group_control_new(&options, group->started_at);
+    group->trace = trace_group_begin(control->daemon->traces, &options, group->started_at);
     start_settling(group);
     g_hash_table_insert(control->groups, GUINT_TO_POINTER(group->id), group);
     g_hash_table_insert(control->runtimes, GUINT_TO_POINTER(runtime->number), group);
@@ -491,6 +497,7 @@
 static void free_group(gpointer data)
 {
     struct controlled_group *group = data;
+    trace_group_end(group->trace);
     group_control_free(group->machine);
     group_runtime_unref(group->runtime);
     g_free(group);
@@ -511,8 +518,23 @@
     control->prober = prober_new(&options);
 }
 
+static void set_detection(struct controlled_group *group, time_ns after)
+{
+    trace_group_detection(group->trace, group->machine, backend_now(), after, after);
+    group_control_set_detection(group->machine, after, after);
+}
+
+/* Brings the next probe of each of the group's databases forward. */
+static void probe_soon(struct control *control, const struct controlled_group *group)
+{
+    for (uint32_t i = 0; i < group->runtime->database_count; i++) {
+        prober_probe_now(control->prober, group->runtime->number, i);
+    }
+}
+
 /* Spreads the probes that this daemon may make over the databases it watches: a daemon that owns
- * many groups probes each more rarely, and waits longer before it suspects a primary. */
+ * many groups probes each more rarely, and waits longer before it suspects a primary. One that has
+ * handed groups over probes the others at once: their next probe was set by the longer interval. */
 static void pace_probes(struct control *control)
 {
     const struct settings *settings = &control->daemon->settings;
@@ -527,11 +549,16 @@
     uint32_t interval_ms = MAX(settings->backend.probe_interval_ms, spread_ms);
     uint32_t suspect_ms =
         MAX(settings->failover.suspect_after_ms, interval_ms * PROBES_BEFORE_SUSPICION);
+    bool sooner = interval_ms < control->probe_interval_ms;
+    control->probe_interval_ms = interval_ms;
     prober_set_interval(control->prober, interval_ms);
+    time_ns after = suspect_ms * NANOSECONDS_PER_MILLISECOND;
     g_hash_table_iter_init(&iterator, control->groups);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        time_ns after = suspect_ms * NANOSECONDS_PER_MILLISECOND;
-        group_control_set_detection(((struct controlled_group *)value)->machine, after, after);
+        set_detection(value, after);
+        if (sooner) {
+            probe_soon(control, value);
+        }
     }
 }
 
@@ -602,6 +629,7 @@
             control_budget_succeed(control->budget, successor->group->id);
         }
     }
+    control_slots_place(control);
 }
 
 void control_groups_stop(struct control *control)
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -14,6 +14,7 @@
 #include "daemon/control.h"
 #include "daemon/group_runtime.h"
 #include "daemon/journal.h"
+#include "trace/trace_recorder.h"
 
 enum control_event_kind {
     CONTROL_EVENT_GROUP,         /* an event for a group's control */
@@ -38,6 +39,7 @@
     uint32_t id;
     struct group_runtime *runtime; /* one reference */
     struct group_control *machine;
+    struct trace_group *trace; /* of `machine`; NULL if it is not recorded */
     time_ns started_at;
     struct quorum_settling settling; /* of the databases that it has now */
     time_ns wake_at;
@@ -102,9 +104,11 @@
     struct control_configuration *configuration; /* NULL if it is static */
 
     struct control_budget *budget; /* control thread only */
+    _Atomic bool slots_wanted;     /* a request was queued since the slots were looked at */
     _Atomic uint32_t groups_held;  /* size of `groups` */
 
     struct prober *prober;
+    uint32_t probe_interval_ms;   /* of the prober, as set last */
     struct journal *journal;      /* the daemon's */
     struct member_table *members; /* RCU */
     struct ownership *ownership;  /* control thread only */
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -21,6 +21,7 @@
 #include "daemon/journal.h"
 #include "daemon/task.h"
 #include "daemon/transaction.h"
+#include "trace/trace_recorder.h"
 #include "wire/address.h"
 
 /* Bounds of one answer: what fits a forwarded reply. */
@@ -39,6 +40,11 @@
 /* Callers' connections that stand are closed by a planned stop once they were quiet for so long. */
 #define CALLERS_QUIET_MS 500
 
+#define OCTETS_PER_KIB 1024
+
+/* When to come back to a daemon that is not ready yet. */
+#define NOT_READY_RETRY_AFTER_MS 500
+
 /* Pause between two looks at whether everything has ended. */
 #define STOP_POLL_US 5000
 
@@ -262,6 +268,17 @@
     pthread_mutex_unlock(&wait->lock);
 }
 
+/* The others hear of this daemon a moment before it can run their requests. They must know that it
+ * ran nothing: without an answer they would take the outcome for unknown. */
+static void refuse_not_ready(const struct request *request, struct reply *reply)
+{
+    reply->request_id = g_strdup(request->request_id);
+    reply->outcome = OUTCOME_REFUSED;
+    reply->error_kind = ERROR_KIND_NOT_READY;
+    reply->error_text = g_strdup(error_entry_of(ERROR_KIND_NOT_READY)->text);
+    reply->retry_after_ms = NOT_READY_RETRY_AFTER_MS;
+}
+
 static void serve_peer(const struct message *request, struct message *reply, void *user)
 {
     struct daemon *daemon = user;
@@ -271,14 +288,18 @@
                                    &reply->configuration_reply);
         return;
     }
-    if (request->kind != MESSAGE_KIND_REQUEST || !atomic_load(&daemon->ready)) {
+    if (request->kind != MESSAGE_KIND_REQUEST) {
+        return;
+    }
+    message_init(reply, MESSAGE_KIND_REPLY);
+    if (!atomic_load(&daemon->ready)) {
+        refuse_not_ready(&request->request, &reply->reply);
         return;
     }
     struct peer_wait wait = {.lock = PTHREAD_MUTEX_INITIALIZER,
                              .answered = PTHREAD_COND_INITIALIZER};
     struct request *own = g_new0(struct request, 1);
     request_copy(own, &request->request);
-    message_init(reply, MESSAGE_KIND_REPLY);
     wait.reply = &reply->reply;
     task_submit(daemon, own, answer_peer, &wait);
     pthread_mutex_lock(&wait.lock);
@@ -452,6 +473,7 @@
     name_deployment(daemon);
     daemon->metrics = daemon_metrics_new();
     daemon->journal = journal_new();
+    daemon->traces = trace_recorder_new((size_t)daemon->settings.trace.memory_kb * OCTETS_PER_KIB);
     daemon->decisions = decision_log_new(settings->daemon.decisions_kept);
     daemon->configuration_share = configuration_share_new();
     daemon->workers = worker_pool_new(daemon->settings.daemon.worker_threads,
@@ -537,6 +559,7 @@
     evidence_free(daemon->evidence);
     token_keys_free(daemon->token_keys);
     journal_free(daemon->journal);
+    trace_recorder_free(daemon->traces);
     decision_log_free(daemon->decisions);
     configuration_share_free(daemon->configuration_share);
     daemon_metrics_free(daemon->metrics);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -53,6 +53,7 @@
     struct daemon_metrics *metrics;
     struct admin *admin;
     struct journal *journal;
+    struct trace_recorder *traces;
     struct decision_log *decisions;
     struct refusal_watch refusals;
     struct configuration_share *configuration_share; /* what other daemons get of it */
--- a/src/sim/scale_observe.c
+++ b/src/sim/scale_observe.c
@@ -1,6 +1,13 @@
 /* What the hollow fleet writes down of spread, detection and serving. */
 #include "sim/scale_fleet_internal.h"
 
+/* A second coordinator may still begin a term while a promotion becomes known; later ones have no
+ * reason to. */
+#define RACE_TIME (1 * NANOSECONDS_PER_SECOND)
+
+/* A daemon whose rack was cut off has refuted its death within this time after the heal. */
+#define REFUTE_TIME (5 * NANOSECONDS_PER_SECOND)
+
 bool scale_was_cut(const struct scale_fleet *fleet, uint16_t zone, time_ns since)
 {
     return fleet->zone_cut[zone] || fleet->zone_healed_at[zone] > since;
@@ -93,6 +100,15 @@
            !scale_transport_cut(fleet, daemon, observer);
 }
 
+/* True if the daemon's rack has just been joined again: that it was out of reach is no false news
+ * until it has refuted it. */
+static bool was_behind_switch(const struct scale_fleet *fleet, const struct scale_daemon *daemon)
+{
+    time_ns now = scale_network_now(fleet->network);
+    return is_in_cut_rack(fleet, daemon) && fleet->rack_healed_at > 0 &&
+           now < fleet->rack_healed_at + REFUTE_TIME;
+}
+
 static void observe_gone(struct scale_fleet *fleet, const struct scale_daemon *observer,
                          const struct scale_daemon *gone, const struct member *member)
 {
@@ -100,7 +116,7 @@
     if (member->state != MEMBER_STATE_DEAD || gone->start != member->start) {
         return;
     }
-    if (is_well(fleet, observer, gone)) {
+    if (is_well(fleet, observer, gone) && !was_behind_switch(fleet, gone)) {
         fleet->measures.false_deaths++;
         return;
     }
@@ -185,6 +201,19 @@
     };
 }
 
+/* True if the group's database leads and the daemon could ask it. */
+static bool leads_in_reach(const struct scale_fleet *fleet, const struct scale_daemon *daemon,
+                           uint32_t group, int32_t place)
+{
+    if (place < 0 || scale_fleet_primary(fleet, group) != place) {
+        return false;
+    }
+    uint32_t index = group * SCALE_GROUP_DATABASES + (uint32_t)place;
+    return !scale_network_is_cut(fleet->network, daemon->zone, fleet->databases[index].zone) &&
+           !scale_places_apart(fleet, scale_place_of_daemon(fleet, daemon),
+                               scale_place_of_database(fleet, index));
+}
+
 void scale_observe_record(struct scale_fleet *fleet, struct scale_daemon *daemon, uint32_t group,
                           const struct group_record *record)
 {
@@ -192,6 +221,10 @@
     struct scale_group *changed = &fleet->groups[group];
     struct scale_change *change = &changed->change;
     bool running = change->open && change->promoted_at == 0;
+    if (record->kind == GROUP_RECORD_SUSPECTED &&
+        leads_in_reach(fleet, daemon, group, record->database)) {
+        fleet->measures.primaries_suspected++;
+    }
     if (record->kind == GROUP_RECORD_CONFIRMED && running && change->confirmed_at == 0) {
         change->confirmed_at = now;
     }
@@ -201,7 +234,8 @@
     if (record->kind != GROUP_RECORD_FENCE_STARTED) {
         return;
     }
-    fleet->measures.changes_unneeded += !running && now >= fleet->measures.started;
+    bool settled = !running && now > changed->changed_at + RACE_TIME;
+    fleet->measures.changes_unneeded += settled && now >= fleet->measures.started;
     if (changed->kill_coordinator) {
         changed->kill_coordinator = false;
         struct scale_event event = {
--- a/tests/configuration/test_database_change.c
+++ b/tests/configuration/test_database_change.c
@@ -83,7 +83,8 @@
 {
     guint count = 0;
 
-    g_assert_true(is_allowed(make_group("abc", 1, "db-"), make_group("abc", 1, "node-"), &count));
+    bool allowed = is_allowed(make_group("abc", 1, "db-"), make_group("abc", 1, "node-"), &count);
+    g_assert_true(allowed);
     g_assert_cmpuint(count, ==, 0);
 }
 
@@ -92,7 +93,8 @@
 {
     guint count = 0;
 
-    g_assert_true(is_allowed(make_group("abc", 1, "db-"), make_group("def", 2, "db-"), &count));
+    bool allowed = is_allowed(make_group("abc", 1, "db-"), make_group("def", 2, "db-"), &count);
+    g_assert_true(allowed);
     g_assert_cmpuint(count, ==, 0);
 }
 
--- a/tests/daemon/cluster_fixture.h
+++ b/tests/daemon/cluster_fixture.h
@@ -24,6 +24,7 @@
     unsigned databases;           /* 3 */
     unsigned daemons;             /* 3 */
     unsigned slots;               /* 5 */
+    unsigned database_slots;      /* that the databases have; as many as configured */
     unsigned connections;         /* 35 */
     unsigned request_timeout_ms;  /* 20000 */
     unsigned transaction_idle_ms; /* 20000 */
@@ -123,6 +124,12 @@
 /* Statements that wait so. */
 unsigned cluster_held_statements(const struct cluster *cluster, unsigned database);
 
+/* Open transactions at a database count as idle for too long from now on, or no more. */
+void cluster_end_idle_transactions(struct cluster *cluster, unsigned database, bool ends);
+
+/* True while a transaction that writes is open at a database. */
+bool cluster_has_writer(const struct cluster *cluster, unsigned database);
+
 /* Waits until an expression holds; fails the test after a generous bound, telling what was waited
  * for and the state of all deployments that run. Main thread only. */
 #define AWAIT(condition)                                                                           \
