Count a replica's stall anew when probes become denser

Cause: the bound of stalled replication is at least suspect_after. When that gets shorter, as probes of a longer interval become denser, a replica that was behind for less than the long bound stood still at once by the short one, on the word of few probes. As for a lost primary, its time now counts from there.

Failing first: /group_replication/detection_gets_shorter.

--- a/src/core/group_control.c
+++ b/src/core/group_control.c
@@ -334,6 +334,7 @@
 {
     if (suspect_after < control->options.suspect_after && !control->suspects) {
         control->led_at = control->now;
+        replication_watch_anew(control);
     }
     if (unreachable_after >= control->options.unreachable_after) {
         return;
--- a/src/core/group_control_internal.h
+++ b/src/core/group_control_internal.h
@@ -208,6 +208,8 @@
 /* group_control_replication.c */
 /* Takes what the last probes say of the replicas' progress. */
 void replication_advance(struct group_control *control);
+/* The replicas' time without progress counts from now on. */
+void replication_watch_anew(struct group_control *control);
 /* Call before a newer primary becomes known. */
 void replication_primary_replaced(struct group_control *control);
 /* Mask of the primary that an attempt must not choose again, since it replicates to no majority; 0
--- a/src/core/group_control_replication.c
+++ b/src/core/group_control_replication.c
@@ -127,6 +127,13 @@
     control->replication_doubted = judge(control, bound / 2, control->replication_doubted);
 }
 
+void replication_watch_anew(struct group_control *control)
+{
+    for (uint32_t i = 0; i < control->options.database_count; i++) {
+        control->members[i].behind_since = 0;
+    }
+}
+
 void replication_primary_replaced(struct group_control *control)
 {
     if (control->replication_doubted && control->stall_replacements < REPLACEMENTS_COUNTED_MAX) {
@@ -134,9 +141,7 @@
     }
     control->replication_stalled = false;
     control->replication_doubted = false;
-    for (uint32_t i = 0; i < control->options.database_count; i++) {
-        control->members[i].behind_since = 0;
-    }
+    replication_watch_anew(control);
 }
 
 uint32_t replication_excluded(const struct group_control *control)
--- a/tests/core/group_replication_test.c
+++ b/tests/core/group_replication_test.c
@@ -382,6 +382,23 @@
     stop(&rig);
 }
 
+/* Probes made at a longer interval have not shown what the shorter times ask for. */
+static void test_detection_gets_shorter(void)
+{
+    struct rig rig;
+
+    start(&rig);
+    group_control_set_detection(rig.control, 8000 * MS, 8000 * MS);
+    expect_none(&rig, 500 * MS);
+    write_at_primary(&rig);
+    expect_none(&rig, 3000 * MS);
+    group_control_set_detection(rig.control, 400 * MS, 400 * MS);
+    expect_none(&rig, 1000 * MS);
+    g_assert_cmpuint(rig.suspected, ==, 0);
+    expect_attempt(&rig, 1000 * MS);
+    stop(&rig);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -397,5 +414,6 @@
     g_test_add_func("/group_replication/one_of_five_keeps_up", test_one_of_five_keeps_up);
     g_test_add_func("/group_replication/chosen_again_after_failures",
                     test_chosen_again_after_failures);
+    g_test_add_func("/group_replication/detection_gets_shorter", test_detection_gets_shorter);
     return g_test_run();
 }
