--- a/src/sim/sim_database.h
+++ b/src/sim/sim_database.h
@@ -7,10 +7,12 @@
 #include "sim/sim_network.h"
 
 /* Statements that a database runs at once, at most. */
-#define SIM_SLOTS_MAX 64
+#define SIM_SLOTS_MAX  64
+#define SIM_SHARED_MAX 1000
 
 struct sim_database_options {
     uint32_t slots;
+    uint32_t shared; /* databases whose slots each daemon shares in all, other groups included */
     time_ns service_time;  /* a statement holds its slot so long */
     double service_spread; /* it differs from this by up to so large a part of it */
     time_ns open_time;     /* to open a connection */
@@ -103,6 +105,7 @@
 
     double request_loss;   /* share of statements lost on the way here */
     double answer_loss;    /* share of answers to statements lost */
+    bool replication_cut;  /* no replication to or from here */
     time_ns drained_at;    /* an operator wanted it drained then; 0 if not */
     time_ns leaving_bound; /* no new work later than this after the drain; 0: not judged */
     uint64_t late_work;    /* statements that arrived later still */
--- a/src/sim/sim_scenario.c
+++ b/src/sim/sim_scenario.c
@@ -19,6 +19,7 @@
     [SIM_FAULT_CUT_ZONE_OUT] = "cut_zone_out",
     [SIM_FAULT_CUT_ZONE_IN] = "cut_zone_in",
     [SIM_FAULT_CUT_PAIR] = "cut_pair",
+    [SIM_FAULT_CUT_REPLICATION] = "cut_replication",
     [SIM_FAULT_KILL_DAEMON] = "kill_daemon",
     [SIM_FAULT_PAUSE_DAEMON] = "pause_daemon",
     [SIM_FAULT_DRAIN] = "drain",
@@ -151,6 +152,7 @@
 {
     reader->group = "database";
     database->slots = read_count(reader, "slots", 5, 1, SIM_SLOTS_MAX);
+    database->shared = read_count(reader, "shared", 1, 1, SIM_SHARED_MAX);
     database->service_time = read_duration(reader, "service_ms", 1);
     database->service_spread = read_double(reader, "service_spread", 0);
     database->open_time = read_duration(reader, "open_ms", 10);
@@ -178,6 +180,8 @@
 {
     reader->group = "expect";
     expect->no_failover = read_bool(reader, "no_failover", false);
+    expect->write_gap_max = read_duration(reader, "write_gap_max_ms", 0);
+    expect->failovers_max = read_count(reader, "failovers_max", 0, 0, 1000);
     expect->leaving_bound = read_duration(reader, "leaving_bound_ms", 3000);
     expect->no_failed_requests = read_bool(reader, "no_failed_requests", false);
 }
