End an idle transaction of the stand-in when its time is over, not at the next look

Cause: the stand-in looked every 50 ms whether an open transaction was idle for too long, and took a statement that came in between, however late. Its test sends one every 10 ms with a bound of 1 ms, and so ended only where a busy machine put 50 ms between two: on a quiet one it went on for ever (10 minutes, one run; a time-out in the whole suite). Ruled out: the shared slots and the held statements; all threads wait for bytes. Now it waits no longer than what is left.

--- a/standins/database/session.c
+++ b/standins/database/session.c
@@ -136,15 +136,24 @@
                     faults_end_idle_transactions(&session->server->faults));
 }
 
+/* How long to wait for bytes at once: not past the deadline of an open transaction. */
+static int wait_slice_ms(const struct session *session, int64_t deadline)
+{
+    if (session->transaction.state == TRANSACTION_IDLE) {
+        return -1;
+    }
+    int64_t left_ms = (deadline - g_get_monotonic_time()) / 1000 + 1;
+    return (int)CLAMP(left_ms, 0, POLL_SLICE_MS);
+}
+
 /* Waits for bytes that no fault holds back. Returns false if an open transaction was idle for too
  * long. */
 static bool wait_readable(struct session *session)
 {
     int64_t deadline = idle_deadline(session);
-    bool open = session->transaction.state != TRANSACTION_IDLE;
     struct pollfd watch = {.fd = session->interrupt.socket, .events = POLLIN};
     while (!is_idle_too_long(session, deadline)) {
-        bool ready = poll(&watch, 1, open ? POLL_SLICE_MS : -1) > 0;
+        bool ready = poll(&watch, 1, wait_slice_ms(session, deadline)) > 0;
         if (ready && !faults_blocks(&session->server->faults, session->zone)) {
             return true;
         }
