Translate opinions between core and wire in one place

A watcher's opinion was copied field by field at five places: into a message by the daemon and twice by the hollow fleet, and back by each of the two. One pair of functions in the core serves them; the shells add what the core does not know. The databases of all groups that run at a daemon, counted alike for the pace of probes and of shared slots, are counted by one function too. Behaviour stays as it was, also where the fleet's copies had come apart: scale_control.c sends opinions without the deployment's identity, which scale_watch.c counts.

--- a/src/daemon/control_groups.c
+++ b/src/daemon/control_groups.c
@@ -6,6 +6,7 @@
 
 #include "backend/adapter.h"
 #include "backend/clock.h"
+#include "core/group_opinion_message.h"
 #include "core/route.h"
 #include "daemon/control_internal.h"
 #include "daemon/control_budget.h"
@@ -178,21 +179,10 @@
     uint32_t count = 0;
     struct message message;
     message_init(&message, MESSAGE_KIND_OPINION);
-    message.opinion = (struct watcher_opinion){
-        .group = group->id,
-        .watcher = opinion->watcher,
-        .sequence = opinion->sequence,
-        .term = opinion->term,
-        .primary = opinion->primary,
-        .suspects = opinion->suspects,
-        .reachable = opinion->reachable,
-        .promised = opinion->promised,
-        .change = opinion->change,
-        .drained = opinion->drained,
-        .deployment_hash = group->control->daemon->deployment,
-        .has_uses = true,
-        .uses = note_own_uses(group, opinion->watcher),
-    };
+    message.opinion = group_opinion_to_message(opinion, group->id);
+    message.opinion.deployment_hash = group->control->daemon->deployment;
+    message.opinion.has_uses = true;
+    message.opinion.uses = note_own_uses(group, opinion->watcher);
     control_ownership_entries(group->control, group->id, owners, &count);
     for (uint32_t i = 0; i < count; i++) {
         if (!owners[i].self) {
@@ -453,6 +443,18 @@
     control_probes_start(control);
 }
 
+uint32_t control_groups_count_databases(const struct control *control)
+{
+    uint32_t count = 0;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        count += ((const struct controlled_group *)value)->runtime->database_count;
+    }
+    return count;
+}
+
 bool control_groups_runs(struct control *control, uint32_t group)
 {
     return find_group(control, group) != NULL;
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -133,6 +133,8 @@
 void control_groups_tick(struct control *control, time_ns now);
 time_ns control_groups_next_wakeup(struct control *control);
 bool control_groups_runs(struct control *control, uint32_t group);
+/* Databases of all groups that run here. */
+uint32_t control_groups_count_databases(const struct control *control);
 /* The run time of a group that runs here, or NULL. */
 struct group_runtime *control_groups_runtime(struct control *control, uint32_t group);
 void control_groups_begin(struct control *control, uint32_t group);
--- a/src/daemon/control_members.c
+++ b/src/daemon/control_members.c
@@ -10,6 +10,7 @@
 #include "backend/clock.h"
 #include "core/deployment.h"
 #include "core/error.h"
+#include "core/group_opinion_message.h"
 #include "daemon/control_budget.h"
 #include "daemon/control_slots.h"
 #include "daemon/control_configuration.h"
@@ -177,18 +178,7 @@
 
 static void receive_opinion(struct control *control, const struct watcher_opinion *opinion)
 {
-    struct group_event event = {
-        .kind = GROUP_EVENT_OPINION,
-        .opinion = {.watcher = opinion->watcher,
-                    .sequence = opinion->sequence,
-                    .term = opinion->term,
-                    .primary = (int32_t)opinion->primary,
-                    .suspects = opinion->suspects,
-                    .reachable = opinion->reachable,
-                    .promised = opinion->promised,
-                    .change = opinion->change,
-                    .drained = opinion->drained},
-    };
+    struct group_event event = group_opinion_event(opinion);
     control_groups_feed(control, opinion->group, &event);
     if (opinion->has_uses) {
         control_groups_note_uses(control, opinion->group, opinion->watcher, opinion->uses);
--- a/src/daemon/control_probes.c
+++ b/src/daemon/control_probes.c
@@ -106,13 +106,9 @@
 void control_probes_pace(struct control *control)
 {
     const struct settings *settings = &control->daemon->settings;
-    uint32_t databases = 0;
+    uint32_t databases = control_groups_count_databases(control);
     GHashTableIter iterator;
     gpointer value;
-    g_hash_table_iter_init(&iterator, control->groups);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        databases += ((struct controlled_group *)value)->runtime->database_count;
-    }
     uint32_t spread_ms = databases * 1000 / settings->backend.probes_per_second;
     uint32_t interval_ms = MAX(settings->backend.probe_interval_ms, spread_ms);
     uint32_t suspect_ms =
--- a/src/daemon/control_slots.c
+++ b/src/daemon/control_slots.c
@@ -133,13 +133,9 @@
 {
     GHashTableIter iterator;
     gpointer value;
-    uint32_t databases = 0;
+    uint32_t databases = control_groups_count_databases(control);
     time_ns now = backend_now();
     g_hash_table_iter_init(&iterator, control->groups);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        databases += ((struct controlled_group *)value)->runtime->database_count;
-    }
-    g_hash_table_iter_init(&iterator, control->groups);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         place_group(value, databases, now);
     }
--- a/src/sim/scale_control.c
+++ b/src/sim/scale_control.c
@@ -1,6 +1,7 @@
 /* Control of the groups that a hollow daemon owns: the real group_control of each, its probes and
  * commands over a control connection to each database, and opinions to the other owners. Paced as
  * the daemon's control thread and prober do it. */
+#include "core/group_opinion_message.h"
 #include "sim/scale_fleet_internal.h"
 
 #include <malloc.h>
@@ -99,18 +100,7 @@
     size_t count = ownership_owners(daemon->ownership, group, owners);
     struct message message;
     message_init(&message, MESSAGE_KIND_OPINION);
-    message.opinion = (struct watcher_opinion){
-        .group = group,
-        .watcher = opinion->watcher,
-        .sequence = opinion->sequence,
-        .term = opinion->term,
-        .primary = opinion->primary,
-        .suspects = opinion->suspects,
-        .reachable = opinion->reachable,
-        .promised = opinion->promised,
-        .change = opinion->change,
-        .drained = opinion->drained,
-    };
+    message.opinion = group_opinion_to_message(opinion, group);
     for (size_t i = 0; i < count; i++) {
         if (owners[i] != daemon->id) {
             struct scale_daemon *to = scale_daemon_of_id(fleet, owners[i]);
@@ -325,18 +315,7 @@
     if (holding == NULL || holding->control.machine == NULL) {
         return;
     }
-    struct group_event event = {
-        .kind = GROUP_EVENT_OPINION,
-        .opinion = {.watcher = opinion->watcher,
-                    .sequence = opinion->sequence,
-                    .term = opinion->term,
-                    .primary = (int32_t)opinion->primary,
-                    .suspects = opinion->suspects,
-                    .reachable = opinion->reachable,
-                    .promised = opinion->promised,
-                    .change = opinion->change,
-                    .drained = opinion->drained},
-    };
+    struct group_event event = group_opinion_event(opinion);
     step(fleet, daemon, holding, &event);
 }
 
--- a/src/sim/scale_watch.c
+++ b/src/sim/scale_watch.c
@@ -2,6 +2,7 @@
 #include "sim/scale_watch.h"
 
 #include "core/group_control.h"
+#include "core/group_opinion_message.h"
 #include "generated/messages.h"
 #include "sim/scale_fleet.h"
 
@@ -50,19 +51,8 @@
 static void to_message(const struct group_opinion *opinion, uint32_t group, struct message *message)
 {
     message_init(message, MESSAGE_KIND_OPINION);
-    message->opinion = (struct watcher_opinion){
-        .group = group,
-        .watcher = opinion->watcher,
-        .sequence = opinion->sequence,
-        .term = opinion->term,
-        .primary = opinion->primary,
-        .suspects = opinion->suspects,
-        .reachable = opinion->reachable,
-        .promised = opinion->promised,
-        .change = opinion->change,
-        .drained = opinion->drained,
-        .deployment_hash = SCALE_DEPLOYMENT,
-    };
+    message->opinion = group_opinion_to_message(opinion, group);
+    message->opinion.deployment_hash = SCALE_DEPLOYMENT;
 }
 
 /* An opinion goes to both other watchers: encoded once, sent twice. */
