--- a/src/backend/evidence.c
+++ b/src/backend/evidence.c
@@ -134,7 +134,7 @@
 /* Asks a member for what is wanted and not asked yet. */
 static void ask_if_wanted(struct evidence_member *member, time_ns now)
 {
-    struct log_position wanted;
+    struct log_position wanted = {0};
     if (channel_state(member->channel) != CHANNEL_STATE_OPEN || now < member->next_ask_at ||
         !wanted_position(member, &wanted)) {
         return;
@@ -175,7 +175,7 @@
 /* When a member must be looked at again, even if its connection brings nothing. */
 static time_ns member_wake_at(const struct evidence_member *member, time_ns now)
 {
-    struct log_position wanted;
+    struct log_position wanted = {0};
     time_ns at = channel_wake_at(member->channel);
     if (channel_state(member->channel) == CHANNEL_STATE_CLOSED) {
         at = MIN(at, member->next_open_at);
--- a/src/configuration/publish_flow.h
+++ b/src/configuration/publish_flow.h
@@ -10,8 +10,8 @@
 #include <stdint.h>
 
 #include "configuration/version_row.h"
-#include "platform/backoff.h"
-#include "platform/result.h"
+#include "storage/backoff.h"
+#include "storage/result.h"
 
 /* What to do next. */
 enum publish_action {
--- a/src/configuration/version_row.h
+++ b/src/configuration/version_row.h
@@ -5,7 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "platform/table_item.h"
+#include "storage/table_item.h"
 
 /* Partition and sort key of the head; a version's history row is sorted by its number. */
 #define VERSION_HEAD_PARTITION    "configuration"
--- a/src/configuration/version_store.c
+++ b/src/configuration/version_store.c
@@ -6,8 +6,8 @@
 #include "configuration/canonical.h"
 #include "configuration/configuration.h"
 #include "core/error.h"
-#include "platform/object_client.h"
-#include "platform/table_client.h"
+#include "storage/object_client.h"
+#include "storage/table_client.h"
 
 #define BUNDLE_KEY_PREFIX "bundles/"
 
--- a/src/configuration/version_store.h
+++ b/src/configuration/version_store.h
@@ -4,8 +4,8 @@
 #define SW_CONFIGURATION_VERSION_STORE_H
 
 #include "configuration/version_row.h"
-#include "platform/http_client.h"
-#include "platform/result.h"
+#include "storage/http_client.h"
+#include "storage/result.h"
 
 struct version_store;
 
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -9,7 +9,7 @@
 #include <glib.h>
 
 #include "ctl/exit_code.h"
-#include "platform/http_client.h"
+#include "storage/http_client.h"
 
 /* Groups of options that a command takes besides its own and --output. */
 enum command_options {
--- a/src/ctl/daemon_status.h
+++ b/src/ctl/daemon_status.h
@@ -4,7 +4,7 @@
 
 #include <json-glib/json-glib.h>
 
-#include "platform/http_client.h"
+#include "storage/http_client.h"
 
 /* A client of admin listeners, with time-outs that suit several daemons in turn. */
 struct http_client *daemon_status_client_new(void);
--- a/src/daemon/configuration_fetcher.h
+++ b/src/daemon/configuration_fetcher.h
@@ -6,7 +6,7 @@
 #include <glib.h>
 
 #include "daemon/configuration_fetch.h"
-#include "platform/http_client.h"
+#include "storage/http_client.h"
 
 struct configuration_fetcher;
 
--- /dev/null
+++ b/src/pooler/control.c
@@ -0,0 +1,266 @@
+/* The control thread: parts, event loop and planned stop; see the header. */
+#define G_LOG_DOMAIN "control"
+#include "pooler/control_internal.h"
+
+#include "core/error.h"
+#include "generated/errors.h"
+#include "pooler/log.h"
+#include "wire/address.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <urcu-bp.h>
+
+/* Looks at everything so often; events come in between. */
+#define TICK_MS 100
+
+/* The same while a change of primary is under way here. */
+#define TICK_BUSY_MS 20
+
+/* Descriptors that are not sessions: connections to databases, poolers and the store. */
+#define DESCRIPTORS_OWN 300
+
+static void (*reload_callback)(void);
+
+int control_listen(const char *address, int backlog, GError **error)
+{
+    struct sockaddr_in where;
+    int one = 1;
+    int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    bool good = handle >= 0 && parse_address(address, &where);
+    good = good && setsockopt(handle, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) == 0;
+    good = good && bind(handle, (const struct sockaddr *)&where, sizeof where) == 0;
+    good = good && listen(handle, backlog) == 0;
+    if (!good) {
+        g_set_error(error, SW_ERROR, ERROR_KIND_INTERNAL, "can't listen at %s: %s", address,
+                    g_strerror(errno));
+        if (handle >= 0) {
+            close(handle);
+        }
+        return -1;
+    }
+    return handle;
+}
+
+static bool is_changing(const struct control *control)
+{
+    if (!control->lease.held) {
+        return false;
+    }
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->controlled);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct controlled_group *group = value;
+        bool doubted = group->failover->minority_since != 0;
+        if (doubted || group->failover->state != FAILOVER_WATCHING) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void arm_tick(struct control *control)
+{
+    uint32_t ms = is_changing(control) ? TICK_BUSY_MS : TICK_MS;
+    struct timeval wait = {0, ms * 1000};
+    evtimer_add(control->tick, &wait);
+}
+
+static bool all_ended(const struct control *control)
+{
+    for (unsigned i = 0; i < control->workers_count; i++) {
+        if (!worker_ended(control->workers[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void look_at_everything(struct control *control)
+{
+    time_ns now = backend_now();
+    control_feeds_tick(control, now);
+    control_lease_tick(control, now);
+    control_coordinator_tick(control, now);
+    control_member_tick(control, now);
+    control_publish(control);
+    if (atomic_load(&control->shared.stop_at) != 0 && all_ended(control)) {
+        event_base_loopbreak(control->base);
+    }
+}
+
+static void on_tick(evutil_socket_t socket, short events, void *user)
+{
+    struct control *control = user;
+    /* Databases leave, and heartbeats fall due, without an event. */
+    time_ns now = backend_now();
+    static time_ns refreshed;
+    if (now > refreshed + NANOSECONDS_PER_SECOND) {
+        refreshed = now;
+        control->view_dirty = true;
+    }
+    look_at_everything(control);
+    arm_tick(control);
+}
+
+static void on_woken(evutil_socket_t socket, short events, void *user)
+{
+    struct control *control = user;
+    uint64_t count = 0;
+    if (read(control->wake, &count, sizeof count) < 0 && errno != EAGAIN) {
+        g_warning("A wake-up could not be read.");
+    }
+    look_at_everything(control);
+}
+
+void control_wake_soon(struct control *control)
+{
+    event_active(control->woken, EV_READ, 0);
+}
+
+static void on_terminate(evutil_socket_t signal_number, short events, void *user)
+{
+    struct control *control = user;
+    if (atomic_load(&control->shared.stop_at) != 0) {
+        return;
+    }
+    g_message("Planned stop: no new work, open transactions have %g s.",
+              control->settings->stop.grace_s / 2);
+    atomic_store(&control->shared.stop_at, backend_now());
+    control_lease_release(control);
+    for (unsigned i = 0; i < control->workers_count; i++) {
+        worker_wake(control->workers[i]);
+    }
+}
+
+static void on_reload(evutil_socket_t signal_number, short events, void *user)
+{
+    reload_callback();
+}
+
+static bool is_ready(void *user)
+{
+    return control_is_ready(user);
+}
+
+static char *print_metrics(void *user)
+{
+    const struct control *control = user;
+    struct metrics sum = {0};
+    uint32_t sessions = 0;
+    GString *out = g_string_new(NULL);
+    for (unsigned i = 0; i < control->workers_count; i++) {
+        metrics_add(&sum, worker_metrics(control->workers[i]));
+        sessions += worker_sessions(control->workers[i]);
+    }
+    metrics_print(&sum, out);
+    g_string_append_printf(out, "swiftworks_sessions %u\n", sessions);
+    g_string_append_printf(out, "swiftworks_coordinator %d\n", control->lease.held);
+    g_string_append_printf(out, "swiftworks_configuration_version %" G_GUINT64_FORMAT "\n",
+                           control->configuration == NULL ? 0 : control->configuration->version);
+    g_string_append_printf(out, "swiftworks_log_lines_left_out_total %" G_GUINT64_FORMAT "\n",
+                           pooler_log_left_out());
+    return g_string_free(out, FALSE);
+}
+
+static void start_events(struct control *control)
+{
+    control->base = event_base_new();
+    control->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    control->shared.control_wake = control->wake;
+    control->tick = evtimer_new(control->base, on_tick, control);
+    control->woken =
+        event_new(control->base, control->wake, EV_READ | EV_PERSIST, on_woken, control);
+    control->terminated = evsignal_new(control->base, SIGTERM, on_terminate, control);
+    control->reload = evsignal_new(control->base, SIGHUP, on_reload, control);
+    event_add(control->woken, NULL);
+    event_add(control->terminated, NULL);
+    event_add(control->reload, NULL);
+}
+
+static bool start_probes(struct control *control, GError **error)
+{
+    struct sockaddr_in ready;
+    struct sockaddr_in metrics;
+    const struct probe_server_callbacks callbacks = {is_ready, print_metrics, control};
+    parse_address(control->settings->pooler.readiness_listen, &ready);
+    parse_address(control->settings->pooler.metrics_listen, &metrics);
+    control->probes = probe_server_new(control->base, &ready, &metrics, &callbacks, error);
+    return control->probes != NULL;
+}
+
+static void start_clients(struct control *control)
+{
+    struct sockaddr_in store;
+    struct sockaddr_in promotion;
+    parse_address(control->settings->store.address, &store);
+    parse_address(control->settings->promotion.address, &promotion);
+    control->store = store_new(control->base, &store);
+    control->promotion =
+        promotion_new(control->base, &promotion, control->settings->pooler.name);
+}
+
+/* Signals go to the control thread. */
+static bool start_workers(struct control *control, GError **error)
+{
+    const struct pooler_settings *settings = control->settings;
+    sigset_t all;
+    sigset_t old;
+    parse_address(settings->pooler.listen, &control->shared.listen);
+    control->shared.stop_grace = (time_ns)(settings->stop.grace_s * (double)NANOSECONDS_PER_SECOND);
+    uint32_t own = MIN(DESCRIPTORS_OWN, settings->pooler.descriptors / 2);
+    control->shared.sessions_max =
+        (settings->pooler.descriptors - own) / control->workers_count;
+    sigfillset(&all);
+    pthread_sigmask(SIG_BLOCK, &all, &old);
+    bool good = true;
+    for (unsigned i = 0; good && i < control->workers_count; i++) {
+        control->workers[i] = worker_start(&control->shared, i, error);
+        good = control->workers[i] != NULL;
+    }
+    pthread_sigmask(SIG_SETMASK, &old, NULL);
+    return good;
+}
+
+static struct control *control_new(const struct pooler_settings *settings)
+{
+    struct control *control = g_new0(struct control, 1);
+    control->settings = settings;
+    control->started = backend_now();
+    control->incarnation = ((uint64_t)g_random_int() << 32 | g_random_int()) | 1;
+    control->address = g_strdup(settings->pooler.peer_listen);
+    control->workers_count = settings->pooler.workers;
+    control->workers = g_new0(struct worker *, control->workers_count);
+    control->groups = g_hash_table_new(g_str_hash, g_str_equal);
+    control->members = g_hash_table_new(g_str_hash, g_str_equal);
+    directory_init(&control->directory);
+    lease_record_init(&control->lease.record);
+    control_feeds_start(control);
+    return control;
+}
+
+bool control_run(const struct pooler_settings *settings, void (*reload)(void), GError **error)
+{
+    struct control *control = control_new(settings);
+    reload_callback = reload;
+    start_events(control);
+    start_clients(control);
+    bool good = start_probes(control, error) && control_coordinator_listen(control, error) &&
+                start_workers(control, error);
+    if (!good) {
+        return false;
+    }
+    g_message("Started.");
+    look_at_everything(control);
+    arm_tick(control);
+    event_base_dispatch(control->base);
+    for (unsigned i = 0; i < control->workers_count; i++) {
+        worker_join(control->workers[i]);
+    }
+    g_message("Stopped.");
+    return true;
+}
--- /dev/null
+++ b/src/pooler/control_coordinator.c
@@ -0,0 +1,276 @@
+/* The coordinator towards the poolers: hears their heartbeats, and answers with orders, permits and
+ * rows of the store that they lack. A pooler that is not the coordinator tells where that is. */
+#define G_LOG_DOMAIN "coordinator"
+#include "pooler/control_internal.h"
+
+#include <errno.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* How long a permit lasts. A change of primary waits for it where a pooler can't be heard. */
+#define PERMIT_MS 1000
+
+/* A pooler that was not heard for this long no longer counts. */
+#define POOLER_FORGOTTEN_NS (4000 * MS)
+#define LISTEN_BACKLOG      128
+
+/* A pooler that lacks a row for so long after it was learned here gets it from here. */
+#define CONFIGURATION_GRACE_NS (400 * MS)
+#define DIRECTORY_GRACE_NS     (1800 * MS)
+
+static void pooler_free(gpointer data)
+{
+    struct pooler_peer *pooler = data;
+    pooler_heartbeat_clear(&pooler->heartbeat);
+    g_free(pooler->name);
+    g_free(pooler);
+}
+
+static struct pooler_peer *pooler_of(struct control *control, const char *name)
+{
+    struct pooler_peer *pooler = g_hash_table_lookup(control->poolers, name);
+    if (pooler == NULL) {
+        pooler = g_new0(struct pooler_peer, 1);
+        pooler->name = g_strdup(name);
+        g_hash_table_insert(control->poolers, pooler->name, pooler);
+    }
+    return pooler;
+}
+
+static uint32_t count_poolers(const struct control *control)
+{
+    uint32_t count = g_hash_table_size(control->poolers);
+    return MAX(count, 1);
+}
+
+static void add_orders(struct control *control, struct pooler_grant *grant)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    grant->groups =
+        g_new0(struct pooler_group_order, g_hash_table_size(control->controlled) + 1);
+    g_hash_table_iter_init(&iterator, control->controlled);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct failover *failover = ((struct controlled_group *)value)->failover;
+        if (failover->phase == GROUP_PHASE_UNKNOWN) {
+            continue;
+        }
+        struct pooler_group_order *order = &grant->groups[grant->groups_count++];
+        order->service = g_strdup(failover->service);
+        order->epoch = failover->epoch;
+        order->phase = failover->phase;
+        order->primary = g_strdup(failover->primary == NULL ? "" : failover->primary);
+        order->term = failover->term;
+    }
+}
+
+static void add_row(struct pooler_grant *grant, enum store_table table,
+                    const struct known_row *known)
+{
+    struct pooler_row *row = &grant->rows[grant->rows_count++];
+    row->table = (uint32_t)table;
+    row->key = g_strdup(known->key);
+    row->version = known->version;
+    row->gone = known->gone;
+    if (known->value != NULL) {
+        gsize length = 0;
+        gconstpointer data = g_bytes_get_data(known->value, &length);
+        row->value = g_memdup2(data, length);
+        row->value_length = length;
+    }
+}
+
+static void add_missing(struct control *control, struct pooler_grant *grant,
+                        enum store_table table, uint64_t known_version, time_ns grace, time_ns now)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->feeds[table].rows);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct known_row *row = value;
+        if (row->version > known_version && now > row->learned_at + grace) {
+            add_row(grant, table, row);
+        }
+    }
+}
+
+static void add_rows(struct control *control, struct pooler_grant *grant,
+                     const struct pooler_heartbeat *heartbeat, time_ns now)
+{
+    guint most = g_hash_table_size(control->feeds[STORE_TABLE_CONFIGURATION].rows) +
+                 g_hash_table_size(control->feeds[STORE_TABLE_DIRECTORY].rows);
+    grant->rows = g_new0(struct pooler_row, most + 1);
+    add_missing(control, grant, STORE_TABLE_CONFIGURATION, heartbeat->configuration_row,
+                CONFIGURATION_GRACE_NS, now);
+    add_missing(control, grant, STORE_TABLE_DIRECTORY, heartbeat->directory_row,
+                DIRECTORY_GRACE_NS, now);
+}
+
+/* Answers a heartbeat, or sends the orders unasked, without a permit. */
+static void send_grant(struct control *control, struct peer *peer, struct pooler_peer *pooler,
+                       const struct pooler_heartbeat *heartbeat, time_ns now)
+{
+    struct pooler_grant grant;
+    pooler_grant_init(&grant);
+    grant.coordinator = g_strdup(control->settings->pooler.name);
+    bool holds = control_lease_holds(control, now, PERMIT_MS * MS);
+    if (!control->lease.held) {
+        grant.coordinator_address = g_strdup(control->coordinator_address);
+        peer_send(peer, pooler_grant_encode(&grant));
+        pooler_grant_clear(&grant);
+        return;
+    }
+    grant.token = control->lease.token;
+    grant.members = count_poolers(control);
+    add_orders(control, &grant);
+    if (heartbeat != NULL) {
+        grant.sequence = heartbeat->sequence;
+        grant.permit_ms = holds ? PERMIT_MS : 0;
+        add_rows(control, &grant, heartbeat, now);
+        pooler->permit_until = now + grant.permit_ms * MS;
+    }
+    peer_send(peer, pooler_grant_encode(&grant));
+    pooler_grant_clear(&grant);
+}
+
+static void take_heartbeat(struct control *control, struct peer *peer,
+                           struct pooler_heartbeat *heartbeat)
+{
+    time_ns now = backend_now();
+    struct pooler_peer *pooler = pooler_of(control, heartbeat->name);
+    bool new_life = pooler->incarnation != heartbeat->incarnation;
+    if (new_life) {
+        g_message("Pooler %s is heard, in zone %s.", heartbeat->name, heartbeat->zone);
+    }
+    pooler->incarnation = heartbeat->incarnation;
+    pooler->peer = peer;
+    pooler->heard_at = now;
+    pooler->stopping = heartbeat->stopping;
+    send_grant(control, peer, pooler, heartbeat, now);
+    pooler_heartbeat_clear(&pooler->heartbeat);
+    pooler->heartbeat = *heartbeat;
+    pooler_heartbeat_init(heartbeat);
+    control_wake_soon(control);
+}
+
+static bool on_frame(void *user, struct peer *peer, const uint8_t *data, size_t length)
+{
+    struct control *control = user;
+    struct pooler_heartbeat heartbeat = {0};
+    g_autoptr(GError) error = NULL;
+    if (!pooler_heartbeat_decode(data, length, &heartbeat, &error)) {
+        g_warning("A pooler's message can't be read: %s.", error->message);
+        return false;
+    }
+    if (control->lease.held) {
+        take_heartbeat(control, peer, &heartbeat);
+    } else {
+        send_grant(control, peer, NULL, NULL, backend_now());
+    }
+    pooler_heartbeat_clear(&heartbeat);
+    return true;
+}
+
+static void on_closed(void *user, struct peer *peer)
+{
+    struct control *control = user;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->poolers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct pooler_peer *pooler = value;
+        if (pooler->peer == peer) {
+            pooler->peer = NULL;
+        }
+    }
+    g_ptr_array_remove(control->connected, peer);
+}
+
+static void on_acceptable(evutil_socket_t listener, short events, void *user)
+{
+    struct control *control = user;
+    int handle = accept4(control->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (handle >= 0) {
+        struct peer *peer = peer_accept(control->base, handle, &control->pooler_callbacks);
+        g_ptr_array_add(control->connected, peer);
+    }
+}
+
+bool control_coordinator_listen(struct control *control, GError **error)
+{
+    control->pooler_callbacks = (struct peer_callbacks){on_frame, on_closed, control};
+    control->poolers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pooler_free);
+    control->connected = g_ptr_array_new();
+    control->listener = control_listen(control->address, LISTEN_BACKLOG, error);
+    if (control->listener < 0) {
+        return false;
+    }
+    control->acceptable = event_new(control->base, control->listener, EV_READ | EV_PERSIST,
+                                    on_acceptable, control);
+    event_add(control->acceptable, NULL);
+    return true;
+}
+
+void control_coordinator_stop(struct control *control)
+{
+    while (control->connected->len > 0) {
+        struct peer *peer = g_ptr_array_index(control->connected, 0);
+        g_ptr_array_remove_index(control->connected, 0);
+        peer_free(peer);
+    }
+    g_ptr_array_unref(control->connected);
+    g_hash_table_unref(control->poolers);
+    event_free(control->acceptable);
+    close(control->listener);
+}
+
+void control_coordinator_start(struct control *control)
+{
+    g_hash_table_remove_all(control->poolers);
+    control_member_set_coordinator(control, control->address);
+    control_groups_start(control, &control->feeds[STORE_TABLE_CONTROL]);
+}
+
+void control_coordinator_end(struct control *control)
+{
+    control_groups_end(control);
+    g_hash_table_remove_all(control->poolers);
+    /* Those who are connected ask somebody else. */
+    while (control->connected->len > 0) {
+        struct peer *peer = g_ptr_array_index(control->connected, 0);
+        g_ptr_array_remove_index(control->connected, 0);
+        peer_free(peer);
+    }
+}
+
+void control_coordinator_push(struct control *control)
+{
+    time_ns now = backend_now();
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->poolers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct pooler_peer *pooler = value;
+        if (pooler->peer != NULL) {
+            send_grant(control, pooler->peer, pooler, NULL, now);
+        }
+    }
+}
+
+void control_coordinator_tick(struct control *control, time_ns now)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    if (!control->lease.held) {
+        return;
+    }
+    g_hash_table_iter_init(&iterator, control->poolers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct pooler_peer *pooler = value;
+        if (now > pooler->heard_at + POOLER_FORGOTTEN_NS) {
+            g_message("Pooler %s is no longer heard.", pooler->name);
+            g_hash_table_iter_remove(&iterator);
+        }
+    }
+    control_groups_tick(control, now);
+}
--- /dev/null
+++ b/src/pooler/control_groups.c
@@ -0,0 +1,355 @@
+/* The groups under this coordinator: feeds each group's failover with the directory, the poolers'
+ * reports and the databases' answers, and carries out what it orders. */
+#define G_LOG_DOMAIN "failover"
+#include "pooler/control_internal.h"
+
+#include <inttypes.h>
+
+#define RECORD_PREFIX "group/"
+#define LEASE_KEY     "lease"
+
+/* Epochs of a coordinator start from its token, so that they are above any earlier one's. */
+#define EPOCH_SHIFT 32
+
+/* A promotion is ordered only while the lease holds for so much longer. */
+#define ORDER_MARGIN_NS (300 * MS)
+
+/* Control connections without use are closed. */
+#define CONNECTION_KEPT_NS (1500 * MS)
+
+/* A pooler heard within this counts for opinions. */
+#define OPINION_FRESH_NS (700 * MS)
+
+static struct controlled_group *controlled_of(struct control *control,
+                                              const struct failover *failover)
+{
+    return g_hash_table_lookup(control->controlled, failover->service);
+}
+
+static void on_command(void *user, const char *service, const char *database,
+                       const struct database_report *report)
+{
+    struct controlled_group *group = user;
+    failover_answered(group->failover, database, report, backend_now());
+    control_wake_soon(group->control);
+}
+
+static struct database_control *connection_of(struct controlled_group *group, const char *database)
+{
+    struct database_control *connection = g_hash_table_lookup(group->connections, database);
+    if (connection == NULL) {
+        connection = database_control_new(group->control->base, group->failover->service, database,
+                                          on_command, group);
+        g_hash_table_insert(group->connections, g_strdup(database), connection);
+    }
+    return connection;
+}
+
+static void ask(void *user, struct failover *failover, const char *database,
+                enum database_command command, uint64_t term)
+{
+    struct control *control = user;
+    struct controlled_group *group = controlled_of(control, failover);
+    const struct directory_entry *entry = g_hash_table_lookup(control->directory.entries, database);
+    if (entry == NULL) {
+        failover_find(failover, database)->asking = false;
+        return;
+    }
+    database_control_ask(connection_of(group, database), &entry->address, command, term);
+}
+
+static void on_recorded(void *user, const struct store_answer *answer)
+{
+    struct controlled_group *group = user;
+    if (answer->outcome == STORE_CONFLICT) {
+        control_lease_lost(group->control, "the lease has changed");
+        return;
+    }
+    if (!group->recording_done) {
+        failover_recorded(group->failover, answer->outcome == STORE_DONE, backend_now());
+    }
+    control_wake_soon(group->control);
+}
+
+/* Answers of the store may come after this coordinator has ended: its groups outlive it here. */
+static void record(void *user, struct failover *failover, bool done)
+{
+    struct control *control = user;
+    struct controlled_group *group = controlled_of(control, failover);
+    struct promotion_record record = {
+        .service = failover->service,
+        .candidate = done ? failover->primary : failover->candidate,
+        .term = done ? failover->term : failover->fence_term,
+        .token = control->lease.token,
+        .done = done,
+        .epoch = failover->epoch,
+    };
+    GByteArray *octets = promotion_record_encode(&record);
+    g_autofree char *key = g_strconcat(RECORD_PREFIX, failover->service, NULL);
+    struct store_put put = {key, octets->data, octets->len};
+    group->recording_done = done;
+    store_write(control->store, LEASE_KEY, control->lease.row_version, &put, 1, on_recorded,
+                group);
+    g_byte_array_unref(octets);
+}
+
+static enum failover_order order_of(enum promotion_outcome outcome)
+{
+    switch (outcome) {
+    case PROMOTION_ACCEPTED:
+        return FAILOVER_ORDER_ACCEPTED;
+    case PROMOTION_REFUSED:
+        return FAILOVER_ORDER_REFUSED;
+    default:
+        return FAILOVER_ORDER_OPEN;
+    }
+}
+
+static void on_ordered(void *user, enum promotion_outcome outcome)
+{
+    struct controlled_group *group = user;
+    g_message("Group %s: the order of promotion was %s.", group->failover->service,
+              promotion_outcome_name(outcome));
+    failover_ordered(group->failover, order_of(outcome), backend_now());
+    control_wake_soon(group->control);
+}
+
+static void promote(void *user, struct failover *failover, const char *candidate)
+{
+    struct control *control = user;
+    if (!control_lease_holds(control, backend_now(), ORDER_MARGIN_NS)) {
+        g_message("Group %s: no order of promotion, the lease ends too soon.", failover->service);
+        return;
+    }
+    g_message("Group %s: orders the promotion of %s under token %" PRIu64 ".", failover->service,
+              candidate, control->lease.token);
+    promotion_order(control->promotion, failover->service, candidate, control->lease.token,
+                    on_ordered, controlled_of(control, failover));
+}
+
+static void publish(void *user, struct failover *failover)
+{
+    control_coordinator_push(user);
+}
+
+static const struct pooler_group_report *report_of(const struct pooler_peer *pooler,
+                                                   const char *service)
+{
+    for (size_t i = 0; i < pooler->heartbeat.groups_count; i++) {
+        if (g_str_equal(pooler->heartbeat.groups[i].service, service)) {
+            return &pooler->heartbeat.groups[i];
+        }
+    }
+    return NULL;
+}
+
+static bool closed(void *user, struct failover *failover)
+{
+    struct control *control = user;
+    time_ns now = backend_now();
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->poolers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct pooler_peer *pooler = value;
+        const struct pooler_group_report *report = report_of(pooler, failover->service);
+        bool follows = report != NULL && report->epoch >= failover->epoch;
+        if (!follows && now <= pooler->permit_until) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool drained(void *user, struct failover *failover)
+{
+    struct control *control = user;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->poolers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct pooler_group_report *report = report_of(value, failover->service);
+        if (report == NULL || report->epoch < failover->epoch || report->in_flight > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void free_connection(gpointer data)
+{
+    database_control_free(data);
+}
+
+static void free_group(gpointer data)
+{
+    struct controlled_group *group = data;
+    g_hash_table_unref(group->connections);
+    failover_free(group->failover);
+    g_free(group);
+}
+
+static void continue_record(struct controlled_group *group, const struct feed *records)
+{
+    g_autofree char *key = g_strconcat(RECORD_PREFIX, group->failover->service, NULL);
+    const struct known_row *row = g_hash_table_lookup(records->rows, key);
+    struct promotion_record record = {0};
+    if (row == NULL || row->gone) {
+        return;
+    }
+    gsize length = 0;
+    const uint8_t *data = g_bytes_get_data(row->value, &length);
+    if (promotion_record_decode(data, length, &record, NULL)) {
+        failover_continue(group->failover, record.done ? NULL : record.candidate, record.term, 0,
+                          backend_now());
+    }
+    promotion_record_clear(&record);
+}
+
+static void add_group(struct control *control, const struct service *service)
+{
+    struct controlled_group *group = g_new0(struct controlled_group, 1);
+    group->control = control;
+    group->failover = failover_new(service->name, &control->failover_actions);
+    group->failover->epoch = control->lease.token << EPOCH_SHIFT;
+    group->failover->sync_replicas = service->sync_replicas;
+    group->connections =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_connection);
+    g_hash_table_insert(control->controlled, group->failover->service, group);
+    continue_record(group, &control->feeds[STORE_TABLE_CONTROL]);
+}
+
+static void add_groups(struct control *control)
+{
+    if (control->configuration == NULL) {
+        return;
+    }
+    GPtrArray *services = control->configuration->services;
+    for (guint i = 0; i < services->len; i++) {
+        const struct service *service = g_ptr_array_index(services, i);
+        struct controlled_group *group =
+            g_hash_table_lookup(control->controlled, service->name);
+        if (group == NULL) {
+            add_group(control, service);
+        } else {
+            group->failover->sync_replicas = service->sync_replicas;
+        }
+    }
+}
+
+void control_groups_start(struct control *control, struct feed *records)
+{
+    control->failover_actions = (struct failover_actions){
+        ask, record, promote, publish, closed, drained, control,
+    };
+    if (control->controlled == NULL) {
+        control->controlled = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
+    }
+    add_groups(control);
+}
+
+static gboolean retire(gpointer key, gpointer value, gpointer user)
+{
+    /* Calls under way may still come back to the group: it is kept, without its connections. */
+    g_hash_table_remove_all(((struct controlled_group *)value)->connections);
+    return TRUE;
+}
+
+void control_groups_end(struct control *control)
+{
+    if (control->controlled != NULL) {
+        g_hash_table_foreach_remove(control->controlled, retire, NULL);
+    }
+    (void)free_group;
+}
+
+static void update_members(struct control *control, struct controlled_group *group, time_ns now)
+{
+    struct failover *failover = group->failover;
+    time_ns heartbeat = control->settings->store.heartbeat_ms * MS;
+    for (guint i = failover->members->len; i > 0; i--) {
+        struct failover_member *member = g_ptr_array_index(failover->members, i - 1);
+        if (!g_hash_table_contains(control->directory.entries, member->id)) {
+            g_hash_table_remove(group->connections, member->id);
+            failover_remove_member(failover, member->id);
+        }
+    }
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->directory.entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct directory_entry *entry = value;
+        if (g_str_equal(entry->service, failover->service)) {
+            failover_set_member(failover, entry->id,
+                                !directory_entry_leaves(entry, now, heartbeat), entry->leads);
+        }
+    }
+}
+
+static void count_fault(const struct pooler_fault *fault, struct failover_opinion *opinion)
+{
+    switch (fault->kind) {
+    case DATABASE_FAULT_UNREACHABLE:
+    case DATABASE_FAULT_SILENT:
+        opinion->unreachable++;
+        break;
+    case DATABASE_FAULT_STALLED:
+        opinion->stalled++;
+        break;
+    case DATABASE_FAULT_REFUSING:
+        opinion->refusing++;
+        break;
+    default:
+        break;
+    }
+    opinion->oldest = MAX(opinion->oldest, fault->age_ms * MS);
+}
+
+static void gather(struct control *control, const struct failover *failover, time_ns now,
+                   struct failover_opinion *out)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    *out = (struct failover_opinion){0};
+    g_hash_table_iter_init(&iterator, control->poolers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct pooler_peer *pooler = value;
+        const struct pooler_group_report *report = report_of(pooler, failover->service);
+        if (report == NULL || now > pooler->heard_at + OPINION_FRESH_NS) {
+            continue;
+        }
+        out->poolers++;
+        for (size_t i = 0; i < report->faults_count; i++) {
+            if (g_strcmp0(report->faults[i].database, failover->primary) == 0) {
+                count_fault(&report->faults[i], out);
+            }
+        }
+    }
+}
+
+static void close_unused(struct controlled_group *group, time_ns now)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, group->connections);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        database_control_close_unused(value, now > CONNECTION_KEPT_NS ? now - CONNECTION_KEPT_NS
+                                                                      : 0);
+    }
+}
+
+void control_groups_tick(struct control *control, time_ns now)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    add_groups(control);
+    g_hash_table_iter_init(&iterator, control->controlled);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct controlled_group *group = value;
+        struct failover_opinion opinion;
+        update_members(control, group, now);
+        gather(control, group->failover, now, &opinion);
+        failover_tick(group->failover, &opinion, now);
+        close_unused(group, now);
+    }
+}
--- /dev/null
+++ b/src/pooler/control_internal.h
@@ -0,0 +1,194 @@
+/* The control thread: what it knows from the store and from other poolers, what it publishes to the
+ * workers, and, where this pooler is the coordinator, the control of all groups. Everything here
+ * belongs to that thread. */
+#ifndef SW_POOLER_CONTROL_INTERNAL_H
+#define SW_POOLER_CONTROL_INTERNAL_H
+
+#include <event2/event.h>
+#include <glib.h>
+
+#include "backend/clock.h"
+#include "generated/messages.h"
+#include "generated/pooler_settings.h"
+#include "pooler/control.h"
+#include "pooler/database_control.h"
+#include "pooler/directory.h"
+#include "pooler/failover.h"
+#include "pooler/peer.h"
+#include "pooler/probe_server.h"
+#include "pooler/promotion.h"
+#include "pooler/store.h"
+#include "pooler/view.h"
+#include "pooler/worker.h"
+
+#define MS NANOSECONDS_PER_MILLISECOND
+
+/* Heartbeats remembered, so that an answer is counted from its question's sending. */
+#define HEARTBEATS_KEPT 16
+
+/* One row of the store as last seen, kept to pass it on to poolers that the store turns away. */
+struct known_row {
+    char *key;
+    uint64_t version;
+    bool gone;
+    GBytes *value;
+    time_ns learned_at;
+};
+
+/* What is known of one table. */
+struct feed {
+    struct control *control;
+    enum store_table table;
+    GHashTable *rows; /* key -> struct known_row */
+    uint64_t version; /* changes are known up to this; 0: read the whole first */
+    time_ns current_at; /* when the store last told that this is so; 0: never */
+    bool calling;
+    time_ns next_at;
+    uint32_t failures; /* in a row */
+};
+
+/* Which database leads a group, by the newest order. */
+struct group_state {
+    struct group_shared *shared;
+    uint64_t epoch;
+    enum group_phase phase;
+    char *primary;
+    uint64_t term;
+};
+
+/* The lease of the coordinator. */
+struct lease {
+    uint64_t row_version;  /* of the row as last seen */
+    struct lease_record record; /* as last seen */
+    bool held;
+    uint64_t token;        /* under which it is held */
+    time_ns until;         /* the lease is good before this, by our clock */
+    bool calling;
+    time_ns next_at;
+    time_ns clock_sent;    /* bounds of the moment at which the store's clock was read */
+    time_ns clock_received;
+    uint64_t clock_ms;
+    time_ns call_sent;
+    uint64_t proposed_expiry_ms;
+    uint64_t proposed_token;
+    bool releasing;
+};
+
+/* A pooler as the coordinator knows it. */
+struct pooler_peer {
+    char *name;
+    struct peer *peer; /* NULL while it is not connected */
+    uint64_t incarnation;
+    time_ns heard_at;
+    time_ns permit_until; /* the last permit it was given ends by then */
+    bool stopping;
+    struct pooler_heartbeat heartbeat; /* newest */
+};
+
+/* A group as the coordinator controls it. */
+struct controlled_group {
+    struct control *control;
+    struct failover *failover;
+    GHashTable *connections; /* database id -> struct database_control */
+    uint64_t record_version; /* of its row; 0: none */
+    bool recording_done;
+};
+
+struct control {
+    const struct pooler_settings *settings;
+    struct event_base *base;
+    struct event *tick;
+    struct event *woken;
+    struct event *terminated;
+    struct event *reload;
+    int wake;
+    struct worker_shared shared;
+    struct worker **workers;
+    unsigned workers_count;
+    struct probe_server *probes;
+    struct store *store;
+    struct promotion *promotion;
+    struct directory directory;
+    struct configuration *configuration;
+    struct feed feeds[STORE_TABLE_COUNT];
+    GHashTable *groups;  /* service -> struct group_state */
+    GHashTable *members; /* database id -> struct member_shared, never removed */
+    bool view_dirty;
+    struct view *view;
+    time_ns started;
+    uint64_t incarnation;
+    char *address; /* of our peer listener */
+    /* As a pooler under a coordinator. */
+    struct peer *coordinator; /* connection, NULL for none */
+    char *coordinator_address;
+    uint64_t newest_token;
+    uint64_t sequence;
+    time_ns sent_at[HEARTBEATS_KEPT];
+    time_ns heartbeat_at; /* next one */
+    time_ns granted_at;
+    time_ns connected_at;
+    uint32_t members_told;
+    unsigned next_seed;
+    uint64_t reported_faults; /* digest of what was last told */
+    struct peer_callbacks coordinator_callbacks;
+    /* As the coordinator. */
+    struct lease lease;
+    int listener;
+    struct event *acceptable;
+    struct peer_callbacks pooler_callbacks;
+    GHashTable *poolers;  /* name -> struct pooler_peer */
+    GPtrArray *connected; /* of struct peer, accepted */
+    GHashTable *controlled; /* service -> struct controlled_group */
+    struct failover_actions failover_actions;
+    bool records_read;
+};
+
+/* control.c */
+void control_wake_soon(struct control *control);
+
+/* A listening socket at an address; -1 with `error` if it can not be had. */
+int control_listen(const char *address, int backlog, GError **error);
+
+/* control_view.c */
+struct member_shared *control_member(struct control *control, const char *id);
+struct group_state *control_group(struct control *control, const char *service);
+void control_publish(struct control *control);
+/* True if clients can be served. */
+bool control_is_ready(const struct control *control);
+
+/* control_store.c */
+void control_feeds_start(struct control *control);
+void control_feeds_tick(struct control *control, time_ns now);
+/* Takes a row from the store or from another pooler. */
+void control_take_row(struct control *control, enum store_table table, const char *key,
+                      uint64_t version, GBytes *value);
+
+/* control_lease.c */
+void control_lease_tick(struct control *control, time_ns now);
+/* True if the lease holds now and for `margin` more. */
+bool control_lease_holds(const struct control *control, time_ns now, time_ns margin);
+/* Gives the lease up, as at a planned stop. */
+void control_lease_release(struct control *control);
+/* The lease is no longer ours. */
+void control_lease_lost(struct control *control, const char *why);
+
+/* control_member.c: as a pooler under a coordinator */
+void control_member_tick(struct control *control, time_ns now);
+void control_member_set_coordinator(struct control *control, const char *address);
+void control_member_stop(struct control *control);
+
+/* control_coordinator.c: towards the poolers */
+bool control_coordinator_listen(struct control *control, GError **error);
+void control_coordinator_stop(struct control *control);
+void control_coordinator_start(struct control *control);
+void control_coordinator_end(struct control *control);
+void control_coordinator_tick(struct control *control, time_ns now);
+/* Sends the newest orders to all poolers at once. */
+void control_coordinator_push(struct control *control);
+
+/* control_groups.c: the groups under control */
+void control_groups_start(struct control *control, struct feed *records);
+void control_groups_end(struct control *control);
+void control_groups_tick(struct control *control, time_ns now);
+
+#endif
--- /dev/null
+++ b/src/pooler/control_lease.c
@@ -0,0 +1,229 @@
+/* The lease by which one pooler at a time is the coordinator: a row of the store that names the
+ * holder, its fencing token and its end by the store's steady clock. It is renewed under the
+ * condition that it is unchanged. The holder counts its lease by its own clock from before the
+ * renewal was sent, so that it ends here sooner than there. */
+#define G_LOG_DOMAIN "lease"
+#include "pooler/control_internal.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define LEASE_KEY "lease"
+
+#define LEASE_NS       (4000 * MS)
+#define RENEW_EVERY_NS (1300 * MS)
+#define RETRY_NS       (250 * MS)
+
+/* Who hears no coordinator for this long looks at the row. */
+#define SILENCE_NS  (900 * MS)
+#define LOOK_EVERY_NS (450 * MS)
+
+/* Kept free at the end of the lease: nothing is done in it. */
+#define MARGIN_NS (150 * MS)
+
+bool control_lease_holds(const struct control *control, time_ns now, time_ns margin)
+{
+    return control->lease.held && now + margin + MARGIN_NS < control->lease.until;
+}
+
+static void note_clock(struct lease *lease, const struct store_answer *answer, time_ns now)
+{
+    if (answer->clock_ms != 0) {
+        lease->clock_sent = lease->call_sent;
+        lease->clock_received = now;
+        lease->clock_ms = answer->clock_ms;
+    }
+}
+
+static void take_record(struct lease *lease, const struct store_row *row)
+{
+    gsize length = 0;
+    const uint8_t *data = g_bytes_get_data(row->value, &length);
+    struct lease_record record = {0};
+    g_autoptr(GError) error = NULL;
+    if (!lease_record_decode(data, length, &record, &error)) {
+        g_warning("The lease can't be read: %s.", error->message);
+        return;
+    }
+    lease_record_clear(&lease->record);
+    lease->record = record;
+    lease->row_version = row->version;
+}
+
+/* Reads the lease's row out of the control table; keeps the other rows for the groups' records. */
+static void take_rows(struct control *control, const struct store_answer *answer)
+{
+    for (guint i = 0; i < answer->rows->len; i++) {
+        const struct store_row *row = g_ptr_array_index(answer->rows, i);
+        if (!row->gone && g_str_equal(row->key, LEASE_KEY)) {
+            take_record(&control->lease, row);
+        }
+        control_take_row(control, STORE_TABLE_CONTROL, row->key, row->version,
+                         row->gone ? NULL : row->value);
+    }
+}
+
+void control_lease_lost(struct control *control, const char *why)
+{
+    if (!control->lease.held) {
+        return;
+    }
+    g_message("No longer the coordinator: %s.", why);
+    control->lease.held = false;
+    control_coordinator_end(control);
+}
+
+static void on_written(void *user, const struct store_answer *answer);
+
+/* Proposes to hold the lease from now on, under the condition that the row is as last seen. */
+static void propose(struct control *control, uint64_t token, bool give_up, time_ns now)
+{
+    struct lease *lease = &control->lease;
+    uint64_t store_now = lease->clock_ms + (now - lease->clock_received) / MS;
+    struct lease_record record = {
+        .holder = control->settings->pooler.name,
+        .address = control->address,
+        .incarnation = control->incarnation,
+        .token = token,
+        .expires_ms = give_up ? 0 : store_now + LEASE_NS / MS,
+    };
+    GByteArray *octets = lease_record_encode(&record);
+    struct store_put put = {LEASE_KEY, octets->data, octets->len};
+    lease->calling = true;
+    lease->call_sent = now;
+    lease->proposed_token = token;
+    lease->proposed_expiry_ms = record.expires_ms;
+    store_write(control->store, LEASE_KEY, lease->row_version, &put, 1, on_written, control);
+    g_byte_array_unref(octets);
+}
+
+/* The row is ours: until when, by our clock? The store's clock was read between the sending and the
+ * receipt of an earlier answer, so that the lease may end earlier by that much. */
+static void become_holder(struct control *control, time_ns proposed_at, time_ns now)
+{
+    struct lease *lease = &control->lease;
+    bool renewed = lease->held;
+    time_ns uncertainty = lease->clock_received - lease->clock_sent;
+    time_ns length = LEASE_NS > uncertainty ? LEASE_NS - uncertainty : 0;
+    lease->until = proposed_at + length;
+    lease->held = true;
+    lease->token = lease->proposed_token;
+    lease->next_at = now + RENEW_EVERY_NS;
+    if (!renewed) {
+        g_autofree char *token = g_strdup_printf("%" PRIu64, lease->token);
+        g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_MESSAGE, "SW_TOKEN", token, "MESSAGE",
+                         "Coordinator under token %s.", token);
+        control_coordinator_start(control);
+    }
+}
+
+static void on_written(void *user, const struct store_answer *answer)
+{
+    struct control *control = user;
+    struct lease *lease = &control->lease;
+    time_ns now = backend_now();
+    lease->calling = false;
+    lease->next_at = now + RETRY_NS;
+    switch (answer->outcome) {
+    case STORE_DONE:
+        lease->row_version = answer->version;
+        if (!lease->releasing) {
+            become_holder(control, lease->call_sent, now);
+        }
+        note_clock(lease, answer, now);
+        break;
+    case STORE_CONFLICT:
+        /* Ours all the same, if an earlier write without an answer was done. */
+        note_clock(lease, answer, now);
+        take_rows(control, answer);
+        if (lease->held && !g_str_equal(lease->record.holder, control->settings->pooler.name)) {
+            control_lease_lost(control, "another holds the lease");
+        }
+        lease->next_at = now;
+        break;
+    default:
+        break;
+    }
+    control_wake_soon(control);
+}
+
+static bool is_ours(const struct control *control)
+{
+    const struct lease_record *record = &control->lease.record;
+    return record->holder != NULL &&
+           g_str_equal(record->holder, control->settings->pooler.name);
+}
+
+static void consider(struct control *control, time_ns now)
+{
+    struct lease *lease = &control->lease;
+    const struct lease_record *record = &lease->record;
+    bool free = lease->row_version == 0 || record->expires_ms <= lease->clock_ms;
+    /* An earlier life of this machine's process is over. */
+    bool own_earlier = is_ours(control) && record->incarnation != control->incarnation;
+    bool renewable = is_ours(control) && !own_earlier && lease->held;
+    if (atomic_load(&control->shared.stop_at) != 0) {
+        return;
+    }
+    if (free || own_earlier) {
+        propose(control, record->token + 1, false, now);
+        return;
+    }
+    if (renewable || is_ours(control)) {
+        propose(control, record->token, false, now);
+        return;
+    }
+    control_member_set_coordinator(control, record->address);
+}
+
+static void on_looked(void *user, const struct store_answer *answer)
+{
+    struct control *control = user;
+    struct lease *lease = &control->lease;
+    time_ns now = backend_now();
+    lease->calling = false;
+    lease->next_at = now + LOOK_EVERY_NS / 2 +
+                     (time_ns)g_random_int_range(0, (gint32)(LOOK_EVERY_NS / MS)) * MS;
+    if (answer->outcome != STORE_DONE) {
+        return;
+    }
+    note_clock(lease, answer, now);
+    take_rows(control, answer);
+    consider(control, now);
+}
+
+static void look(struct control *control, time_ns now)
+{
+    control->lease.calling = true;
+    control->lease.call_sent = now;
+    store_read(control->store, STORE_TABLE_CONTROL, on_looked, control);
+}
+
+void control_lease_tick(struct control *control, time_ns now)
+{
+    struct lease *lease = &control->lease;
+    if (lease->held && now + MARGIN_NS >= lease->until) {
+        control_lease_lost(control, "the lease could not be renewed in time");
+    }
+    if (lease->calling || now < lease->next_at || lease->releasing) {
+        return;
+    }
+    bool stopping = atomic_load(&control->shared.stop_at) != 0;
+    bool silent = now > control->granted_at + SILENCE_NS;
+    if (lease->held) {
+        propose(control, lease->token, false, now);
+    } else if (silent && !stopping) {
+        look(control, now);
+    }
+}
+
+void control_lease_release(struct control *control)
+{
+    struct lease *lease = &control->lease;
+    if (!lease->held) {
+        return;
+    }
+    control_lease_lost(control, "a planned stop");
+    lease->releasing = true;
+    propose(control, lease->token, true, backend_now());
+}
--- /dev/null
+++ b/src/pooler/control_member.c
@@ -0,0 +1,298 @@
+/* This pooler under a coordinator: sends heartbeats with what it sees, and obeys the orders and
+ * permits that come back. A permit counts from the moment at which the heartbeat was sent that it
+ * answers, so that it ends here before it ends at the coordinator. */
+#define G_LOG_DOMAIN "member"
+#include "pooler/control_internal.h"
+
+#include "wire/address.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define HEARTBEAT_EVERY_NS (250 * MS)
+
+/* A coordinator that does not answer for this long is connected to anew. */
+#define GRANT_TIMEOUT_NS (800 * MS)
+#define CONNECT_EVERY_NS (250 * MS)
+
+static uint64_t epoch_followed(const struct control *control, const struct group_state *group)
+{
+    uint64_t epoch = UINT64_MAX;
+    for (unsigned i = 0; i < control->workers_count; i++) {
+        epoch = MIN(epoch, atomic_load(&group->shared->workers[i].epoch));
+    }
+    return epoch;
+}
+
+static uint32_t in_flight(const struct control *control, const struct group_state *group)
+{
+    uint32_t count = 0;
+    for (unsigned i = 0; i < control->workers_count; i++) {
+        count += atomic_load(&group->shared->workers[i].in_flight);
+    }
+    return count;
+}
+
+static void add_fault(struct pooler_group_report *report, const struct member_shared *member,
+                      time_ns now)
+{
+    unsigned fault = atomic_load(&member->fault);
+    if (fault == DATABASE_FAULT_NONE) {
+        return;
+    }
+    struct pooler_fault *added = &report->faults[report->faults_count++];
+    time_ns since = atomic_load(&member->fault_since);
+    added->database = g_strdup(member->id);
+    added->kind = (enum database_fault)fault;
+    added->age_ms = now > since ? (uint32_t)((now - since) / MS) : 0;
+}
+
+#define FAULTS_MAX 16
+
+static void fill_report(struct control *control, const struct group_state *group, time_ns now,
+                        struct pooler_group_report *report)
+{
+    report->service = g_strdup(group->shared->service);
+    report->epoch = epoch_followed(control, group);
+    report->in_flight = in_flight(control, group);
+    report->acknowledged_term = atomic_load(&group->shared->acknowledged_term);
+    report->acknowledged_offset = atomic_load(&group->shared->acknowledged_offset);
+    report->faults = g_new0(struct pooler_fault, FAULTS_MAX);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->directory.entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct directory_entry *entry = value;
+        const struct member_shared *member = g_hash_table_lookup(control->members, entry->id);
+        bool counts = member != NULL && g_str_equal(entry->service, group->shared->service);
+        if (counts && report->faults_count < FAULTS_MAX) {
+            add_fault(report, member, now);
+        }
+    }
+}
+
+static void fill_heartbeat(struct control *control, time_ns now, struct pooler_heartbeat *out)
+{
+    out->name = g_strdup(control->settings->pooler.name);
+    out->zone = g_strdup(control->settings->pooler.zone);
+    out->incarnation = control->incarnation;
+    out->sequence = ++control->sequence;
+    const struct known_row *row = g_hash_table_lookup(
+        control->feeds[STORE_TABLE_CONFIGURATION].rows, store_configuration_key);
+    out->configuration_row = row == NULL ? 0 : row->version;
+    out->directory_row = control->feeds[STORE_TABLE_DIRECTORY].version;
+    out->stopping = atomic_load(&control->shared.stop_at) != 0;
+    out->groups = g_new0(struct pooler_group_report, g_hash_table_size(control->groups) + 1);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        fill_report(control, value, now, &out->groups[out->groups_count++]);
+    }
+}
+
+static void send_heartbeat(struct control *control, time_ns now)
+{
+    struct pooler_heartbeat heartbeat;
+    pooler_heartbeat_init(&heartbeat);
+    fill_heartbeat(control, now, &heartbeat);
+    control->sent_at[heartbeat.sequence % HEARTBEATS_KEPT] = now;
+    control->heartbeat_at = now + HEARTBEAT_EVERY_NS;
+    peer_send(control->coordinator, pooler_heartbeat_encode(&heartbeat));
+    pooler_heartbeat_clear(&heartbeat);
+}
+
+/* When the heartbeat of this sequence was sent; 0 if it is no longer known. */
+static time_ns sending_of(const struct control *control, uint64_t sequence)
+{
+    bool known = sequence != 0 && sequence <= control->sequence &&
+                 sequence + HEARTBEATS_KEPT > control->sequence;
+    return known ? control->sent_at[sequence % HEARTBEATS_KEPT] : 0;
+}
+
+static void take_order(struct control *control, const struct pooler_group_order *order)
+{
+    struct group_state *group = control_group(control, order->service);
+    if (order->epoch <= group->epoch) {
+        return;
+    }
+    g_autofree char *epoch = g_strdup_printf("%" PRIu64, order->epoch);
+    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_SERVICE", order->service, "SW_EPOCH",
+                     epoch, "SW_PRIMARY", order->primary, "SW_PHASE",
+                     group_phase_name(order->phase), "MESSAGE", "Group %s: %s, primary %s.",
+                     order->service, group_phase_name(order->phase), order->primary);
+    group->epoch = order->epoch;
+    group->phase = order->phase;
+    group->term = order->term;
+    g_free(group->primary);
+    group->primary = order->primary == NULL || order->primary[0] == '\0'
+                         ? NULL
+                         : g_strdup(order->primary);
+    control->view_dirty = true;
+}
+
+static void take_permit(struct control *control, const struct pooler_group_order *order,
+                        time_ns until)
+{
+    struct group_state *group = control_group(control, order->service);
+    bool good = order->epoch == group->epoch && order->phase == GROUP_PHASE_OPEN;
+    if (!good) {
+        atomic_store(&group->shared->permit_until, 0);
+    } else if (until > atomic_load(&group->shared->permit_until)) {
+        atomic_store(&group->shared->permit_until, until);
+    }
+}
+
+static void take_rows(struct control *control, const struct pooler_grant *grant)
+{
+    for (size_t i = 0; i < grant->rows_count; i++) {
+        const struct pooler_row *row = &grant->rows[i];
+        if (row->table >= STORE_TABLE_CONTROL) {
+            continue;
+        }
+        g_autoptr(GBytes) value = row->gone ? NULL : g_bytes_new(row->value, row->value_length);
+        control_take_row(control, (enum store_table)row->table, row->key, row->version, value);
+    }
+}
+
+static void take_grant(struct control *control, const struct pooler_grant *grant, time_ns now)
+{
+    time_ns sent = sending_of(control, grant->sequence);
+    bool orders_changed = false;
+    control->newest_token = grant->token;
+    control->granted_at = now;
+    if (grant->members != 0 && grant->members != control->members_told) {
+        control->members_told = grant->members;
+        control->view_dirty = true;
+    }
+    for (size_t i = 0; i < grant->groups_count; i++) {
+        const struct pooler_group_order *order = &grant->groups[i];
+        const struct group_state *group = control_group(control, order->service);
+        orders_changed = orders_changed || order->epoch > group->epoch;
+        take_order(control, order);
+        take_permit(control, order, sent == 0 ? 0 : sent + grant->permit_ms * MS);
+    }
+    take_rows(control, grant);
+    control_publish(control);
+    if (orders_changed) {
+        control->heartbeat_at = 0; /* tells at once that the orders are followed */
+    }
+}
+
+static bool on_frame(void *user, struct peer *peer, const uint8_t *data, size_t length)
+{
+    struct control *control = user;
+    struct pooler_grant grant = {0};
+    g_autoptr(GError) error = NULL;
+    if (!pooler_grant_decode(data, length, &grant, &error)) {
+        g_warning("A coordinator's message can't be read: %s.", error->message);
+        return false;
+    }
+    bool good = grant.token != 0 && grant.token >= control->newest_token;
+    if (good) {
+        take_grant(control, &grant, backend_now());
+    } else if (grant.token == 0 && grant.coordinator_address != NULL &&
+               grant.coordinator_address[0] != '\0') {
+        control_member_set_coordinator(control, grant.coordinator_address);
+    }
+    pooler_grant_clear(&grant);
+    control_wake_soon(control);
+    return good;
+}
+
+static void on_closed(void *user, struct peer *peer)
+{
+    struct control *control = user;
+    if (control->coordinator == peer) {
+        control->coordinator = NULL;
+    }
+}
+
+void control_member_set_coordinator(struct control *control, const char *address)
+{
+    if (address == NULL || g_strcmp0(address, control->coordinator_address) == 0) {
+        return;
+    }
+    g_message("The coordinator is at %s.", address);
+    g_free(control->coordinator_address);
+    control->coordinator_address = g_strdup(address);
+    control->connected_at = 0;
+    control->heartbeat_at = 0;
+}
+
+/* The address to connect to: the coordinator's, or another pooler's that may know it. */
+static const char *next_address(struct control *control, time_ns now)
+{
+    const struct address_list *peers = &control->settings->pooler.peers;
+    bool lost = now > control->granted_at + GRANT_TIMEOUT_NS * 2;
+    bool try_seed = control->coordinator_address == NULL || (lost && control->next_seed % 2 == 1);
+    control->next_seed++;
+    if (try_seed && peers->count > 0) {
+        return peers->items[control->next_seed / 2 % peers->count];
+    }
+    return control->coordinator_address;
+}
+
+static void connect_anew(struct control *control, time_ns now)
+{
+    struct sockaddr_in address;
+    if (control->coordinator != NULL) {
+        peer_free(control->coordinator);
+        control->coordinator = NULL;
+    }
+    control->connected_at = now;
+    const char *text = next_address(control, now);
+    if (text == NULL || !parse_address(text, &address)) {
+        return;
+    }
+    control->coordinator_callbacks = (struct peer_callbacks){on_frame, on_closed, control};
+    control->coordinator = peer_connect(control->base, &address, &control->coordinator_callbacks);
+    control->heartbeat_at = now;
+}
+
+/* A new fault, or work that has ended, is told at once. */
+static uint64_t digest_of_faults(const struct control *control)
+{
+    uint64_t digest = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct member_shared *member = value;
+        digest = digest * 31 + atomic_load(&member->fault) + g_str_hash(member->id);
+    }
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct group_state *group = value;
+        digest = digest * 31 + epoch_followed(control, group);
+        digest += group->phase == GROUP_PHASE_DRAINING && in_flight(control, group) == 0;
+    }
+    return digest;
+}
+
+void control_member_tick(struct control *control, time_ns now)
+{
+    bool quiet = now > MAX(control->granted_at, control->connected_at) + GRANT_TIMEOUT_NS;
+    bool missing = control->coordinator == NULL && now > control->connected_at + CONNECT_EVERY_NS;
+    if (quiet || missing) {
+        connect_anew(control, now);
+    }
+    if (control->coordinator == NULL) {
+        return;
+    }
+    uint64_t digest = digest_of_faults(control);
+    bool news = digest != control->reported_faults;
+    if (news || now >= control->heartbeat_at) {
+        control->reported_faults = digest;
+        send_heartbeat(control, now);
+    }
+}
+
+void control_member_stop(struct control *control)
+{
+    if (control->coordinator != NULL) {
+        peer_free(control->coordinator);
+        control->coordinator = NULL;
+    }
+    g_clear_pointer(&control->coordinator_address, g_free);
+}
--- /dev/null
+++ b/src/pooler/control_store.c
@@ -0,0 +1,228 @@
+/* Follows the store's tables: the operators' configuration by a waiting watch, the databases'
+ * directory by regular looks at what changed. */
+#define G_LOG_DOMAIN "store"
+#include "pooler/control_internal.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* How long a watch for a new configuration waits in the store. */
+#define CONFIGURATION_WAIT_MS 2000
+
+/* Time between two looks at the directory. Changes of the primary come from the coordinator, and a
+ * draining database may take work for seconds, so this need not be short. */
+#define DIRECTORY_EVERY_NS (900 * MS)
+
+#define RETRY_MIN_NS (150 * MS)
+#define RETRY_MAX_NS (1200 * MS)
+
+static void free_row(gpointer data)
+{
+    struct known_row *row = data;
+    g_free(row->key);
+    g_clear_pointer(&row->value, g_bytes_unref);
+    g_free(row);
+}
+
+void control_feeds_start(struct control *control)
+{
+    for (int table = 0; table < STORE_TABLE_COUNT; table++) {
+        struct feed *feed = &control->feeds[table];
+        feed->control = control;
+        feed->table = (enum store_table)table;
+        feed->rows = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_row);
+    }
+}
+
+static void take_configuration(struct control *control, GBytes *value)
+{
+    gsize length = 0;
+    const char *text = g_bytes_get_data(value, &length);
+    g_autoptr(GError) error = NULL;
+    struct configuration *configuration = configuration_decode(text, length, &error);
+    if (configuration == NULL) {
+        g_warning("A configuration can't be read: %s.", error->message);
+        return;
+    }
+    if (control->configuration != NULL &&
+        configuration->version <= control->configuration->version) {
+        configuration_unref(configuration);
+        return;
+    }
+    g_autofree char *version = g_strdup_printf("%" PRIu64, configuration->version);
+    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_VERSION", version, "MESSAGE",
+                     "Configuration %s is in force: %u routes, %u services.", version,
+                     g_hash_table_size(configuration->routes), configuration->services->len);
+    g_clear_pointer(&control->configuration, configuration_unref);
+    control->configuration = configuration;
+    control->view_dirty = true;
+}
+
+static void take_directory_row(struct control *control, const char *id, uint64_t version,
+                               GBytes *value)
+{
+    struct directory_entry *entry = NULL;
+    if (value != NULL) {
+        gsize length = 0;
+        const char *text = g_bytes_get_data(value, &length);
+        g_autoptr(GError) error = NULL;
+        entry = directory_entry_decode(id, text, length, &error);
+        if (entry == NULL) {
+            g_warning("The record of database %s can't be read: %s.", id, error->message);
+            return;
+        }
+    }
+    bool draining = entry != NULL && entry->draining;
+    if (directory_take(&control->directory, id, version, entry, backend_now())) {
+        g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_DATABASE", id, "MESSAGE",
+                         "Database %s: its record %s.", id,
+                         value == NULL ? "is gone" : (draining ? "says draining" : "changed"));
+        control->view_dirty = true;
+    }
+}
+
+static void remember(struct feed *feed, const char *key, uint64_t version, GBytes *value)
+{
+    struct known_row *row = g_new0(struct known_row, 1);
+    row->key = g_strdup(key);
+    row->version = version;
+    row->gone = value == NULL;
+    row->value = value == NULL ? NULL : g_bytes_ref(value);
+    row->learned_at = backend_now();
+    g_hash_table_replace(feed->rows, row->key, row);
+}
+
+void control_take_row(struct control *control, enum store_table table, const char *key,
+                      uint64_t version, GBytes *value)
+{
+    struct feed *feed = &control->feeds[table];
+    const struct known_row *known = g_hash_table_lookup(feed->rows, key);
+    if (known != NULL && known->version >= version) {
+        return;
+    }
+    remember(feed, key, version, value);
+    if (table == STORE_TABLE_DIRECTORY) {
+        take_directory_row(control, key, version, value);
+    } else if (table == STORE_TABLE_CONFIGURATION && value != NULL &&
+               g_str_equal(key, store_configuration_key)) {
+        take_configuration(control, value);
+    }
+}
+
+static void take_rows(struct feed *feed, const struct store_answer *answer)
+{
+    for (guint i = 0; i < answer->rows->len; i++) {
+        const struct store_row *row = g_ptr_array_index(answer->rows, i);
+        control_take_row(feed->control, feed->table, row->key, row->version,
+                         row->gone ? NULL : row->value);
+    }
+}
+
+/* Rows that a whole listing lacks are gone. */
+static void drop_missing(struct feed *feed, const struct store_answer *answer)
+{
+    g_autoptr(GHashTable) present = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; i < answer->rows->len; i++) {
+        g_hash_table_add(present, ((struct store_row *)g_ptr_array_index(answer->rows, i))->key);
+    }
+    g_autoptr(GPtrArray) missing = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, feed->rows);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct known_row *row = value;
+        if (!row->gone && row->version < answer->version &&
+            !g_hash_table_contains(present, row->key)) {
+            g_ptr_array_add(missing, g_strdup(row->key));
+        }
+    }
+    for (guint i = 0; i < missing->len; i++) {
+        control_take_row(feed->control, feed->table, g_ptr_array_index(missing, i),
+                         answer->version, NULL);
+    }
+}
+
+static void note_good(struct feed *feed, time_ns now)
+{
+    if (feed->failures > 0) {
+        g_message("The store answers again for table %d, after %u failures.", (int)feed->table,
+                  feed->failures);
+    }
+    feed->failures = 0;
+    feed->current_at = now;
+    feed->next_at = feed->table == STORE_TABLE_DIRECTORY ? now + DIRECTORY_EVERY_NS : now;
+}
+
+static void note_failure(struct feed *feed, enum store_outcome outcome, time_ns now)
+{
+    if (feed->failures == 0) {
+        g_message("The store does not serve table %d: %s.", (int)feed->table,
+                  store_outcome_name(outcome));
+    }
+    time_ns wait = MIN(RETRY_MIN_NS << MIN(feed->failures, 4), RETRY_MAX_NS);
+    feed->failures++;
+    feed->next_at = now + wait / 2 + (time_ns)g_random_int_range(0, (gint32)(wait / 2000)) * 1000;
+}
+
+static void on_listing(void *user, const struct store_answer *answer)
+{
+    struct feed *feed = user;
+    time_ns now = backend_now();
+    feed->calling = false;
+    if (answer->outcome != STORE_DONE) {
+        note_failure(feed, answer->outcome, now);
+        return;
+    }
+    take_rows(feed, answer);
+    drop_missing(feed, answer);
+    feed->version = answer->version;
+    note_good(feed, now);
+    control_wake_soon(feed->control);
+}
+
+static void on_changes(void *user, const struct store_answer *answer)
+{
+    struct feed *feed = user;
+    time_ns now = backend_now();
+    feed->calling = false;
+    if (answer->outcome == STORE_HISTORY_GONE) {
+        g_message("The store has forgotten the changes of table %d; it is read whole.",
+                  (int)feed->table);
+        feed->version = 0;
+        feed->next_at = now;
+    } else if (answer->outcome != STORE_DONE) {
+        note_failure(feed, answer->outcome, now);
+        return;
+    } else {
+        take_rows(feed, answer);
+        feed->version = MAX(feed->version, answer->version);
+        note_good(feed, now);
+    }
+    control_wake_soon(feed->control);
+}
+
+static void call(struct feed *feed)
+{
+    struct control *control = feed->control;
+    feed->calling = true;
+    if (feed->version == 0) {
+        store_read(control->store, feed->table, on_listing, feed);
+        return;
+    }
+    uint32_t wait_ms = feed->table == STORE_TABLE_CONFIGURATION ? CONFIGURATION_WAIT_MS : 0;
+    store_watch(control->store, feed->table, feed->version, wait_ms, on_changes, feed);
+}
+
+void control_feeds_tick(struct control *control, time_ns now)
+{
+    time_ns heartbeat = control->settings->store.heartbeat_ms * MS;
+    for (int table = 0; table < STORE_TABLE_CONTROL; table++) {
+        struct feed *feed = &control->feeds[table];
+        if (!feed->calling && now >= feed->next_at) {
+            call(feed);
+        }
+    }
+    if (directory_forget(&control->directory, now, heartbeat * 16)) {
+        control->view_dirty = true;
+    }
+}
--- /dev/null
+++ b/src/pooler/control_view.c
@@ -0,0 +1,158 @@
+/* Builds the workers' view from configuration, directory and orders, and publishes it. */
+#define G_LOG_DOMAIN "control"
+#include "pooler/control_internal.h"
+
+#include <string.h>
+#include <urcu-bp.h>
+
+/* Connections to each database left for the coordinator and for poolers that come and go. */
+#define CONNECTIONS_SPARE 3
+
+/* Share of connections where nobody has told how many poolers there are. */
+#define MEMBERS_ASSUMED 12
+
+struct member_shared *control_member(struct control *control, const char *id)
+{
+    struct member_shared *member = g_hash_table_lookup(control->members, id);
+    if (member == NULL) {
+        member = g_new0(struct member_shared, 1);
+        member->id = g_strdup(id);
+        g_hash_table_insert(control->members, member->id, member);
+    }
+    return member;
+}
+
+struct group_state *control_group(struct control *control, const char *service)
+{
+    struct group_state *group = g_hash_table_lookup(control->groups, service);
+    if (group == NULL) {
+        group = g_new0(struct group_state, 1);
+        group->shared = g_new0(struct group_shared, 1);
+        group->shared->service = g_strdup(service);
+        group->phase = GROUP_PHASE_UNKNOWN;
+        g_hash_table_insert(control->groups, group->shared->service, group);
+    }
+    return group;
+}
+
+static uint32_t connections_of(const struct control *control, const struct service *service)
+{
+    uint32_t members = control->members_told > 0 ? control->members_told : MEMBERS_ASSUMED;
+    uint32_t room = service->max_connections > CONNECTIONS_SPARE
+                        ? service->max_connections - CONNECTIONS_SPARE
+                        : 1;
+    uint32_t share = room / (members * control->workers_count);
+    return MAX(share, 1);
+}
+
+static size_t count_members(const struct control *control, const char *service)
+{
+    size_t count = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->directory.entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        count += g_str_equal(((struct directory_entry *)value)->service, service);
+    }
+    return count;
+}
+
+static void fill_member(struct control *control, const struct directory_entry *entry, time_ns now,
+                        struct member_view *out)
+{
+    time_ns heartbeat = control->settings->store.heartbeat_ms * MS;
+    out->shared = control_member(control, entry->id);
+    out->address = entry->address;
+    out->slots = entry->slots;
+    out->same_zone = g_str_equal(entry->zone, control->settings->pooler.zone);
+    out->takes_work = !directory_entry_leaves(entry, now, heartbeat);
+}
+
+static void fill_group(struct control *control, const struct service *service, time_ns now,
+                       struct pooled_group *out)
+{
+    const struct group_state *state = control_group(control, service->name);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    *out = (struct pooled_group){
+        .shared = state->shared,
+        .epoch = state->epoch,
+        .phase = state->phase,
+        .term = state->term,
+        .primary = -1,
+        .sync_replicas = service->sync_replicas,
+        .connections = connections_of(control, service),
+    };
+    out->members = g_new0(struct member_view, count_members(control, service->name) + 1);
+    g_hash_table_iter_init(&iterator, control->directory.entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct directory_entry *entry = value;
+        if (!g_str_equal(entry->service, service->name)) {
+            continue;
+        }
+        if (state->primary != NULL && g_str_equal(state->primary, entry->id)) {
+            out->primary = (int)out->members_count;
+        }
+        fill_member(control, entry, now, &out->members[out->members_count]);
+        out->members_count++;
+    }
+}
+
+void control_publish(struct control *control)
+{
+    if (!control->view_dirty || control->configuration == NULL) {
+        return;
+    }
+    control->view_dirty = false;
+    time_ns now = backend_now();
+    GPtrArray *services = control->configuration->services;
+    struct view *view = g_new0(struct view, 1);
+    view->configuration = configuration_ref(control->configuration);
+    view->groups = g_new0(struct pooled_group, services->len + 1);
+    for (guint i = 0; i < services->len; i++) {
+        fill_group(control, g_ptr_array_index(services, i), now, &view->groups[i]);
+        view->groups_count++;
+    }
+    struct view *old = rcu_xchg_pointer(&control->shared.view, view);
+    control->view = view;
+    for (unsigned i = 0; i < control->workers_count; i++) {
+        worker_wake(control->workers[i]);
+    }
+    synchronize_rcu();
+    view_free(old);
+}
+
+/* True if some database is known that no fault stands against. */
+static bool any_database_answers(const struct control *control)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->directory.entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct directory_entry *entry = value;
+        const struct member_shared *member = g_hash_table_lookup(control->members, entry->id);
+        if (member == NULL || atomic_load(&member->fault) == DATABASE_FAULT_NONE) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool any_group_led(const struct control *control)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        if (((struct group_state *)value)->epoch != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool control_is_ready(const struct control *control)
+{
+    return control->configuration != NULL && atomic_load(&control->shared.stop_at) == 0 &&
+           any_group_led(control) && any_database_answers(control);
+}
--- /dev/null
+++ b/src/pooler/database.c
@@ -0,0 +1,208 @@
+/* One database as a worker knows it: its connections, how fast it answers, and its faults. */
+#include "pooler/worker_internal.h"
+
+#include <string.h>
+
+#define LATENCY_START_MS 15.0
+
+/* No answer at all while something is asked, for this long: silence. */
+#define SILENT_AFTER_NS (450 * NANOSECONDS_PER_MILLISECOND)
+
+/* A write without its answer for this long, while other answers come: replication stalls. */
+#define STALLED_AFTER_NS (600 * NANOSECONDS_PER_MILLISECOND)
+
+#define REFUSAL_KEPT_NS (500 * NANOSECONDS_PER_MILLISECOND)
+
+#define RETRY_MIN_NS (50 * NANOSECONDS_PER_MILLISECOND)
+#define RETRY_MAX_NS (800 * NANOSECONDS_PER_MILLISECOND)
+
+/* Wait after the database had too many connections. */
+#define OVERLOADED_WAIT_NS (150 * NANOSECONDS_PER_MILLISECOND)
+
+struct database *database_new(struct group *group, struct member_shared *shared)
+{
+    struct database *database = g_new0(struct database, 1);
+    database->group = group;
+    database->shared = shared;
+    database->servers = g_ptr_array_new();
+    database->latency_ms = LATENCY_START_MS;
+    return database;
+}
+
+void database_free(struct database *database)
+{
+    g_ptr_array_unref(database->servers);
+    g_free(database);
+}
+
+enum database_fault database_fault(const struct database *database)
+{
+    return (enum database_fault)atomic_load(&database->shared->fault);
+}
+
+void database_set_fault(struct database *database, enum database_fault fault, time_ns now)
+{
+    enum database_fault old = database_fault(database);
+    if (old == fault) {
+        return;
+    }
+    atomic_store(&database->shared->fault_since, now);
+    atomic_store(&database->shared->fault, (unsigned)fault);
+    g_log_structured("database", G_LOG_LEVEL_INFO, "SW_DATABASE", database->shared->id,
+                     "SW_SERVICE", database->group->shared->service, "MESSAGE",
+                     "Database %s: %s, before %s.", database->shared->id,
+                     database_fault_name(fault), database_fault_name(old));
+    worker_alert(database->group->worker);
+}
+
+void database_answered(struct database *database, time_ns now)
+{
+    atomic_store_explicit(&database->shared->answered_at, now, memory_order_relaxed);
+    database->failures = 0;
+    enum database_fault fault = database_fault(database);
+    if (fault == DATABASE_FAULT_SILENT || fault == DATABASE_FAULT_UNREACHABLE) {
+        database_set_fault(database, DATABASE_FAULT_NONE, now);
+    }
+}
+
+void database_open_failed(struct database *database, enum answer_code code)
+{
+    time_ns now = backend_now();
+    metrics_count(&database->group->worker->metrics, METRICS_CONNECTIONS_FAILED);
+    if (code == ANSWER_OVERLOADED || code == ANSWER_BUSY) {
+        database->retry_at = now + OVERLOADED_WAIT_NS;
+        return;
+    }
+    time_ns wait = RETRY_MIN_NS << MIN(database->failures, 4);
+    database->failures++;
+    database->retry_at = now + MIN(wait, RETRY_MAX_NS);
+    database_set_fault(database, DATABASE_FAULT_UNREACHABLE, now);
+}
+
+/* How much must be set up before the connection suits the session; lower is better. */
+static unsigned setup_cost(const struct server *server, const struct session *session)
+{
+    guint held = g_hash_table_size(server->values);
+    guint wanted = session->values == NULL ? 0 : g_hash_table_size(session->values);
+    return held > wanted ? 2 : held != wanted;
+}
+
+struct server *database_idle_server(const struct database *database,
+                                    const struct session *session)
+{
+    struct server *best = NULL;
+    unsigned best_cost = 0;
+    for (guint i = 0; i < database->servers->len; i++) {
+        struct server *server = g_ptr_array_index(database->servers, i);
+        if (server->state != SERVER_IDLE) {
+            continue;
+        }
+        unsigned cost = setup_cost(server, session);
+        if (best == NULL || cost < best_cost) {
+            best = server;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+static unsigned count_opening(const struct database *database)
+{
+    unsigned count = 0;
+    for (guint i = 0; i < database->servers->len; i++) {
+        const struct server *server = g_ptr_array_index(database->servers, i);
+        count += server->state == SERVER_CONNECTING || server->state == SERVER_STARTING;
+    }
+    return count;
+}
+
+bool database_may_open(const struct database *database, time_ns now)
+{
+    return database->servers->len < database->group->connections && now >= database->retry_at &&
+           count_opening(database) < 2;
+}
+
+void database_close_idle(struct database *database)
+{
+    for (guint i = database->servers->len; i > 0; i--) {
+        struct server *server = g_ptr_array_index(database->servers, i - 1);
+        if (server->state == SERVER_IDLE) {
+            server_close(server, ANSWER_NONE);
+        }
+    }
+}
+
+/* When the oldest statement without an answer was sent; 0 if there is none. */
+static time_ns oldest_sent(const struct database *database, bool writes_only)
+{
+    time_ns oldest = 0;
+    for (guint i = 0; i < database->servers->len; i++) {
+        const struct server *server = g_ptr_array_index(database->servers, i);
+        bool counts = server->state == SERVER_RUNNING && (!writes_only || server->running_writes);
+        if (counts && (oldest == 0 || server->sent_at < oldest)) {
+            oldest = server->sent_at;
+        }
+    }
+    return oldest;
+}
+
+/* Reads outside of transactions at a silent database go elsewhere. */
+static void give_up_reads(struct database *database)
+{
+    for (guint i = database->servers->len; i > 0; i--) {
+        if (i > database->servers->len) {
+            continue; /* closing one may close others */
+        }
+        struct server *server = g_ptr_array_index(database->servers, i - 1);
+        bool read = server->state == SERVER_RUNNING && !server->in_transaction &&
+                    !server->running_writes;
+        if (read || server->state == SERVER_IDLE) {
+            server_close(server, ANSWER_BUSY);
+        }
+    }
+}
+
+static void check_silence(struct database *database, time_ns now)
+{
+    time_ns sent = oldest_sent(database, false);
+    time_ns answered = atomic_load(&database->shared->answered_at);
+    bool silent = sent != 0 && now > MAX(sent, answered) + SILENT_AFTER_NS;
+    if (silent) {
+        database->retry_at = MAX(database->retry_at, now + RETRY_MIN_NS);
+        database_set_fault(database, DATABASE_FAULT_SILENT, now);
+        give_up_reads(database);
+    }
+}
+
+static void check_stall(struct database *database, time_ns now)
+{
+    time_ns sent = oldest_sent(database, true);
+    bool stalled = sent != 0 && now > sent + STALLED_AFTER_NS;
+    enum database_fault fault = database_fault(database);
+    if (stalled && fault == DATABASE_FAULT_NONE) {
+        database_set_fault(database, DATABASE_FAULT_STALLED, now);
+    } else if (!stalled && fault == DATABASE_FAULT_STALLED) {
+        database_set_fault(database, DATABASE_FAULT_NONE, now);
+    }
+}
+
+/* A primary that refused to lead is asked again after a while, unless another leads by then. */
+static void check_refusal(struct database *database, time_ns now)
+{
+    time_ns since = atomic_load(&database->shared->fault_since);
+    if (database_fault(database) == DATABASE_FAULT_REFUSING && now > since + REFUSAL_KEPT_NS) {
+        database_set_fault(database, DATABASE_FAULT_NONE, now);
+    }
+}
+
+void database_tick(struct database *database, time_ns now)
+{
+    check_refusal(database, now);
+    check_silence(database, now);
+    check_stall(database, now);
+    bool probe = database->takes_work && database_fault(database) != DATABASE_FAULT_NONE &&
+                 count_opening(database) == 0;
+    if (probe && database_may_open(database, now)) {
+        server_open(database);
+    }
+}
--- /dev/null
+++ b/src/pooler/database_control.c
@@ -0,0 +1,241 @@
+/* Commands to databases; see the header. */
+#define G_LOG_DOMAIN "failover"
+#include "pooler/database_control.h"
+
+#include "backend/clock.h"
+#include "pooler/wire.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Without an answer for this long, connecting included, the database did not answer. */
+#define COMMAND_TIMEOUT_MS 350
+
+struct database_control {
+    struct event_base *base;
+    char *service;
+    char *database;
+    database_control_callback *callback;
+    void *user;
+    int socket; /* -1: none */
+    struct event *readable;
+    struct event *writable;
+    struct event *timer;
+    struct buffer in;
+    struct buffer out;
+    bool started;  /* the database has answered the start */
+    bool asking;   /* a command has no answer yet */
+    enum database_command command;
+    uint64_t term;
+    bool has_report;
+    struct database_report report;
+    time_ns used;
+};
+
+static void on_event(evutil_socket_t socket, short events, void *user);
+static void on_timer(evutil_socket_t socket, short events, void *user);
+
+struct database_control *database_control_new(struct event_base *base, const char *service,
+                                              const char *database,
+                                              database_control_callback *callback, void *user)
+{
+    struct database_control *control = g_new0(struct database_control, 1);
+    control->base = base;
+    control->service = g_strdup(service);
+    control->database = g_strdup(database);
+    control->callback = callback;
+    control->user = user;
+    control->socket = -1;
+    control->timer = evtimer_new(base, on_timer, control);
+    return control;
+}
+
+static void disconnect(struct database_control *control)
+{
+    if (control->socket < 0) {
+        return;
+    }
+    event_free(control->readable);
+    event_free(control->writable);
+    close(control->socket);
+    control->socket = -1;
+    control->started = false;
+    buffer_clear(&control->in);
+    buffer_clear(&control->out);
+}
+
+void database_control_free(struct database_control *control)
+{
+    disconnect(control);
+    event_free(control->timer);
+    g_free(control->service);
+    g_free(control->database);
+    g_free(control);
+}
+
+static void finish(struct database_control *control, const struct database_report *report)
+{
+    if (!control->asking) {
+        return;
+    }
+    control->asking = false;
+    event_del(control->timer);
+    control->callback(control->user, control->service, control->database, report);
+}
+
+static void fail(struct database_control *control)
+{
+    disconnect(control);
+    finish(control, NULL);
+}
+
+static void write_command(struct database_control *control)
+{
+    switch (control->command) {
+    case DATABASE_COMMAND_STATUS:
+        wire_write_status(&control->out);
+        break;
+    case DATABASE_COMMAND_PAUSE:
+        wire_write_pause(&control->out, control->term);
+        break;
+    case DATABASE_COMMAND_RESUME:
+        wire_write_resume(&control->out);
+        break;
+    case DATABASE_COMMAND_STEP_DOWN:
+        wire_write_step_down(&control->out, control->term);
+        break;
+    }
+}
+
+static void flush(struct database_control *control)
+{
+    switch (buffer_send(&control->out, control->socket)) {
+    case TRANSFER_DONE:
+        break;
+    case TRANSFER_BLOCKED:
+        event_add(control->writable, NULL);
+        break;
+    case TRANSFER_ENDED:
+        fail(control);
+        break;
+    }
+}
+
+static void on_ready(struct database_control *control)
+{
+    if (!control->started) {
+        control->started = true;
+        write_command(control);
+        flush(control);
+        return;
+    }
+    finish(control, control->has_report ? &control->report : NULL);
+}
+
+static void process(struct database_control *control)
+{
+    while (control->socket >= 0) {
+        struct span content = buffer_content(&control->in);
+        size_t length = wire_message_length(content);
+        if (length == 0) {
+            return;
+        }
+        struct database_reply reply;
+        wire_read_reply((struct span){content.data, length}, &reply);
+        if (reply.kind == REPLY_ROW) {
+            control->has_report = wire_read_report(reply.content, &control->report);
+        }
+        bool refused_start = reply.kind == REPLY_ERROR && !control->started;
+        bool ready = reply.kind == REPLY_READY;
+        buffer_consume(&control->in, length);
+        if (refused_start) {
+            fail(control);
+        } else if (ready) {
+            on_ready(control);
+        }
+    }
+}
+
+static void on_event(evutil_socket_t socket, short events, void *user)
+{
+    struct database_control *control = user;
+    if (events & EV_WRITE) {
+        flush(control);
+        return;
+    }
+    switch (buffer_receive(&control->in, control->socket)) {
+    case TRANSFER_DONE:
+        process(control);
+        break;
+    case TRANSFER_BLOCKED:
+        break;
+    case TRANSFER_ENDED:
+        fail(control);
+        break;
+    }
+}
+
+static void on_timer(evutil_socket_t socket, short events, void *user)
+{
+    fail(user);
+}
+
+static bool connect_to(struct database_control *control, const struct sockaddr_in *address)
+{
+    int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (handle < 0) {
+        return false;
+    }
+    int one = 1;
+    setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    int result = connect(handle, (const struct sockaddr *)address, sizeof *address);
+    if (result != 0 && errno != EINPROGRESS) {
+        close(handle);
+        return false;
+    }
+    control->socket = handle;
+    control->readable =
+        event_new(control->base, handle, EV_READ | EV_PERSIST, on_event, control);
+    control->writable = event_new(control->base, handle, EV_WRITE, on_event, control);
+    wire_write_start(&control->out, control->service, control->database);
+    event_add(control->readable, NULL);
+    event_add(control->writable, NULL);
+    return true;
+}
+
+bool database_control_ask(struct database_control *control, const struct sockaddr_in *address,
+                          enum database_command command, uint64_t term)
+{
+    if (control->asking) {
+        return false;
+    }
+    struct timeval timeout = {0, COMMAND_TIMEOUT_MS * 1000};
+    control->asking = true;
+    control->command = command;
+    control->term = term;
+    control->has_report = false;
+    control->used = backend_now();
+    evtimer_add(control->timer, &timeout);
+    if (control->socket < 0) {
+        if (!connect_to(control, address)) {
+            struct timeval soon = {0, 0};
+            evtimer_add(control->timer, &soon);
+        }
+        return true;
+    }
+    if (control->started) {
+        write_command(control);
+        flush(control);
+    }
+    return true;
+}
+
+void database_control_close_unused(struct database_control *control, time_ns before)
+{
+    if (!control->asking && control->socket >= 0 && control->used < before) {
+        disconnect(control);
+    }
+}
--- /dev/null
+++ b/src/pooler/directory.h
@@ -0,0 +1,57 @@
+/* The directory: what each database has last recorded of itself, newest record by the store's
+ * version. Owned by the control thread. */
+#ifndef SW_POOLER_DIRECTORY_H
+#define SW_POOLER_DIRECTORY_H
+
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/types.h"
+
+/* A record that is gone for this long means that its database is leaving. A store that was down
+ * may have dropped the record of a database that is well, which then records itself again. */
+#define DIRECTORY_GONE_AFTER_HEARTBEATS 2
+
+struct directory_entry {
+    char *id;
+    char *service;
+    char *zone;
+    struct sockaddr_in address;
+    uint32_t slots;
+    bool draining;
+    bool leads;       /* it sees itself as primary */
+    uint64_t version; /* of the row */
+    time_ns gone_at;  /* when the row was seen to be gone; 0 while it stands */
+};
+
+struct directory {
+    GHashTable *entries; /* id -> struct directory_entry, owned; gone ones are kept for a while */
+};
+
+void directory_init(struct directory *directory);
+void directory_clear(struct directory *directory);
+
+/* Takes one row; `entry` (taken over) is NULL if the row is gone. True if anything but the row's
+ * version changed. Older rows than the known one are dropped. */
+bool directory_take(struct directory *directory, const char *id, uint64_t version,
+                    struct directory_entry *entry, time_ns now);
+
+/* Takes a whole listing as of `version`: entries older than it that are not in `ids` are gone. */
+bool directory_keep_only(struct directory *directory, GHashTable *ids, uint64_t version,
+                         time_ns now);
+
+/* True if the database takes no new work by what the directory tells. */
+bool directory_entry_leaves(const struct directory_entry *entry, time_ns now, time_ns heartbeat);
+
+/* Forgets entries that are gone for longer than `age`. True if there were any. */
+bool directory_forget(struct directory *directory, time_ns now, time_ns age);
+
+void directory_entry_free(struct directory_entry *entry);
+
+/* Decodes a database's record; the adapter implements it. NULL with `error` if it is malformed. */
+struct directory_entry *directory_entry_decode(const char *id, const char *text, size_t length,
+                                               GError **error);
+
+#endif
--- /dev/null
+++ b/src/pooler/failover.h
@@ -0,0 +1,136 @@
+/* The coordinator's control of one group: who leads, when another database has to, and the steps to
+ * it. A state machine without sockets or clock: events and time come in, commands go out through
+ * `struct failover_actions`.
+ *
+ * A change of primary goes: close the old primary at all poolers; fence it, so that it can acknowledge
+ * nothing more; choose a database whose log holds every acknowledged commit; record the intent under
+ * the coordinator's lease; order the promotion; wait until it leads; open it and resume the others.
+ *
+ * Why the chosen log is whole: an acknowledged commit is on the primary and on `sync_replicas`
+ * replicas. Once the old primary has itself said that it stepped down, its log holds every such
+ * commit, and a replica that has received as much is whole. Where it can't be asked, so many
+ * replicas are paused that each acknowledged commit is on one of them and no further one can be
+ * acknowledged; the most advanced of these is whole. */
+#ifndef SW_POOLER_FAILOVER_H
+#define SW_POOLER_FAILOVER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/types.h"
+#include "generated/messages.h"
+#include "pooler/wire.h"
+
+enum database_command {
+    DATABASE_COMMAND_STATUS,
+    DATABASE_COMMAND_PAUSE,     /* receive nothing until resumed, promoted or restarted */
+    DATABASE_COMMAND_RESUME,
+    DATABASE_COMMAND_STEP_DOWN, /* stop leading if of a lower term */
+};
+
+enum failover_state {
+    FAILOVER_SEARCHING,  /* nobody is known to lead */
+    FAILOVER_WATCHING,   /* the primary leads */
+    FAILOVER_DRAINING,   /* no new work for the primary; what is open may end */
+    FAILOVER_FENCING,    /* closed; the old primary is fenced */
+    FAILOVER_RECORDING,  /* the intent is being recorded */
+    FAILOVER_PROMOTING,  /* the promotion is ordered */
+    FAILOVER_CONFIRMING, /* ordered; waits until the candidate leads */
+};
+
+const char *failover_state_name(enum failover_state state);
+
+/* One database as the coordinator knows it. */
+struct failover_member {
+    char *id;
+    bool listed;     /* in the directory */
+    bool takes_work; /* neither draining nor gone */
+    bool says_leads; /* by its own record */
+    bool answered;   /* the last command was answered */
+    bool has_report;
+    bool fenced;     /* paused for this change, or stepped down */
+    struct database_report report; /* newest */
+    time_ns reported_at;
+    time_ns asked_at;
+    bool asking;
+    time_ns excluded_until; /* not a candidate before */
+    time_ns failing_since;  /* its commands go unanswered since then; 0: they are answered */
+};
+
+/* What the poolers say of the primary. Counted anew for each tick. */
+struct failover_opinion {
+    uint32_t poolers;     /* that were heard lately */
+    uint32_t unreachable; /* of these, for how many it is unreachable or silent */
+    uint32_t stalled;     /* for how many its writes get no answer */
+    uint32_t refusing;    /* how many it told that it does not lead */
+    time_ns oldest;       /* age of the oldest such fault */
+};
+
+struct failover;
+
+struct failover_actions {
+    /* Sends a command; the answer comes by failover_answered. */
+    void (*ask)(void *user, struct failover *failover, const char *database,
+                enum database_command command, uint64_t term);
+    /* Records the intent under the lease; the end comes by failover_recorded. */
+    void (*record)(void *user, struct failover *failover, bool done);
+    /* Orders the promotion of the candidate; the end comes by failover_ordered. */
+    void (*promote)(void *user, struct failover *failover, const char *candidate);
+    /* The order for the poolers has changed. */
+    void (*publish)(void *user, struct failover *failover);
+    /* True if no pooler sends anything more to the primary by an order older than this epoch. */
+    bool (*closed)(void *user, struct failover *failover);
+    /* True if nothing is open at the primary any more. */
+    bool (*drained)(void *user, struct failover *failover);
+    void *user;
+};
+
+struct failover {
+    char *service;
+    uint32_t sync_replicas;
+    const struct failover_actions *actions;
+    GPtrArray *members; /* of struct failover_member */
+    enum failover_state state;
+    time_ns since; /* of the state */
+    uint64_t epoch;
+    enum group_phase phase;
+    char *primary; /* id; NULL: unknown */
+    uint64_t term;       /* newest that is known */
+    uint64_t fence_term; /* of the change under way */
+    char *candidate;
+    time_ns ordered_at;
+    time_ns minority_since; /* some, but not most poolers can't reach the primary */
+};
+
+struct failover *failover_new(const char *service, const struct failover_actions *actions);
+void failover_free(struct failover *failover);
+
+/* Takes the directory's word on a member; adds it if it is new. */
+void failover_set_member(struct failover *failover, const char *id, bool takes_work,
+                         bool says_leads);
+/* The member has left the directory for good. */
+void failover_remove_member(struct failover *failover, const char *id);
+struct failover_member *failover_find(const struct failover *failover, const char *id);
+
+/* Starts from what an earlier coordinator recorded: a promotion that may be under way. */
+void failover_continue(struct failover *failover, const char *candidate, uint64_t term,
+                       uint64_t epoch, time_ns now);
+
+/* `report` is NULL if the database did not answer. */
+void failover_answered(struct failover *failover, const char *database,
+                       const struct database_report *report, time_ns now);
+void failover_recorded(struct failover *failover, bool good, time_ns now);
+
+/* How an order of promotion ended. */
+enum failover_order {
+    FAILOVER_ORDER_ACCEPTED,
+    FAILOVER_ORDER_REFUSED, /* the candidate can't lead */
+    FAILOVER_ORDER_OPEN,    /* try again */
+};
+void failover_ordered(struct failover *failover, enum failover_order end, time_ns now);
+
+void failover_tick(struct failover *failover, const struct failover_opinion *opinion,
+                   time_ns now);
+
+#endif
--- /dev/null
+++ b/src/pooler/freshness.c
@@ -0,0 +1,41 @@
+/* Samples of a primary's position; see the header. */
+#include "pooler/freshness.h"
+
+static const struct freshness_sample *sample_at(const struct freshness *freshness, size_t index)
+{
+    return &freshness->samples[(freshness->first + index) % FRESHNESS_SAMPLES];
+}
+
+void freshness_clear(struct freshness *freshness)
+{
+    freshness->count = 0;
+}
+
+void freshness_add(struct freshness *freshness, time_ns at, struct log_position position)
+{
+    if (freshness->count > 0) {
+        const struct freshness_sample *newest = sample_at(freshness, freshness->count - 1);
+        if (at < newest->at + FRESHNESS_SPACING_NS) {
+            return;
+        }
+    }
+    if (freshness->count == FRESHNESS_SAMPLES) {
+        freshness->first = (freshness->first + 1) % FRESHNESS_SAMPLES;
+        freshness->count--;
+    }
+    size_t place = (freshness->first + freshness->count) % FRESHNESS_SAMPLES;
+    freshness->samples[place] = (struct freshness_sample){at, position};
+    freshness->count++;
+}
+
+bool freshness_at(const struct freshness *freshness, time_ns moment, struct log_position *out)
+{
+    for (size_t i = 0; i < freshness->count; i++) {
+        const struct freshness_sample *sample = sample_at(freshness, i);
+        if (sample->at >= moment) {
+            *out = sample->position;
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/src/pooler/freshness.h
@@ -0,0 +1,37 @@
+/* Where a group's log stood when: samples of the primary's position, by which a read with a
+ * staleness bound learns the position that it must see. Pure; owned by one worker. */
+#ifndef SW_POOLER_FRESHNESS_H
+#define SW_POOLER_FRESHNESS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "core/types.h"
+
+/* Samples kept, and the least time between two of them: together they reach back 6.4 s. */
+#define FRESHNESS_SAMPLES    128
+#define FRESHNESS_SPACING_NS (50 * NANOSECONDS_PER_MILLISECOND)
+
+/* Every commit that was acknowledged before `at` stands at or below `position`. */
+struct freshness_sample {
+    time_ns at;
+    struct log_position position;
+};
+
+struct freshness {
+    struct freshness_sample samples[FRESHNESS_SAMPLES]; /* a ring */
+    size_t first;
+    size_t count;
+};
+
+/* Takes a sample; one too close behind the newest is left out. */
+void freshness_add(struct freshness *freshness, time_ns at, struct log_position position);
+
+/* Forgets all samples, as after a change of primary. */
+void freshness_clear(struct freshness *freshness);
+
+/* The least position that holds every commit acknowledged before `moment`. False if no sample is
+ * as young as that. */
+bool freshness_at(const struct freshness *freshness, time_ns moment, struct log_position *out);
+
+#endif
--- /dev/null
+++ b/src/pooler/group.c
@@ -0,0 +1,144 @@
+/* One group of databases as a worker knows it: who leads, and what waits for it. */
+#include "pooler/worker_internal.h"
+
+#include <string.h>
+
+struct group *group_of(struct worker *worker, struct group_shared *shared)
+{
+    struct group *group = g_hash_table_lookup(worker->groups, shared->service);
+    if (group == NULL) {
+        group = g_new0(struct group, 1);
+        group->worker = worker;
+        group->shared = shared;
+        group->databases = g_ptr_array_new();
+        g_queue_init(&group->queue);
+        g_hash_table_insert(worker->groups, shared->service, group);
+    }
+    return group;
+}
+
+static struct database *find_database(const struct group *group, const struct member_shared *shared)
+{
+    for (guint i = 0; i < group->databases->len; i++) {
+        struct database *database = g_ptr_array_index(group->databases, i);
+        if (database->shared == shared) {
+            return database;
+        }
+    }
+    return NULL;
+}
+
+static struct database *apply_member(struct group *group, const struct member_view *member)
+{
+    struct database *database = find_database(group, member->shared);
+    if (database == NULL) {
+        database = database_new(group, member->shared);
+        g_ptr_array_add(group->databases, database);
+    }
+    database->address = member->address;
+    database->slots = member->slots;
+    database->same_zone = member->same_zone;
+    database->takes_work = member->takes_work;
+    database->listed = true;
+    if (!member->takes_work) {
+        database_close_idle(database);
+    }
+    return database;
+}
+
+/* Databases that left the view lose their idle connections, and are freed once none is left. */
+static void drop_unlisted(struct group *group)
+{
+    for (guint i = group->databases->len; i > 0; i--) {
+        struct database *database = g_ptr_array_index(group->databases, i - 1);
+        if (database->listed) {
+            continue;
+        }
+        database->takes_work = false;
+        database_close_idle(database);
+        if (database->servers->len == 0 && group->primary != database) {
+            g_ptr_array_remove_index(group->databases, i - 1);
+            database_free(database);
+        }
+    }
+}
+
+/* Whatever still runs at a database that no longer leads is given up. */
+static void cut_former_primary(struct database *database)
+{
+    for (guint i = database->servers->len; i > 0; i--) {
+        if (i > database->servers->len) {
+            continue; /* closing one may close others */
+        }
+        struct server *server = g_ptr_array_index(database->servers, i - 1);
+        bool plain = server->in_transaction && server->session != NULL &&
+                     !server->session->read_only;
+        if (plain || (server->state == SERVER_RUNNING && server->running_writes)) {
+            server_close(server, ANSWER_IN_DOUBT);
+        }
+    }
+}
+
+static void apply_order(struct group *group, const struct pooled_group *view,
+                        struct database *primary)
+{
+    struct database *former = group->primary;
+    bool moved = primary != former || view->term != group->term;
+    group->primary = primary;
+    group->term = view->term;
+    group->phase = view->phase;
+    group->epoch = view->epoch;
+    if (moved) {
+        freshness_clear(&group->freshness);
+    }
+    if (former != NULL && (moved || view->phase == GROUP_PHASE_CLOSED)) {
+        cut_former_primary(former);
+    }
+}
+
+void group_apply(struct group *group, const struct pooled_group *view)
+{
+    struct database *primary = NULL;
+    group->sync_replicas = view->sync_replicas;
+    group->connections = view->connections;
+    for (guint i = 0; i < group->databases->len; i++) {
+        ((struct database *)g_ptr_array_index(group->databases, i))->listed = false;
+    }
+    for (size_t i = 0; i < view->members_count; i++) {
+        struct database *database = apply_member(group, &view->members[i]);
+        if ((int)i == view->primary) {
+            primary = database;
+        }
+    }
+    if (view->epoch != group->epoch || primary != group->primary) {
+        apply_order(group, view, primary);
+    }
+    drop_unlisted(group);
+    group_note_in_flight(group);
+    atomic_store(&group->shared->workers[group->worker->index].epoch, group->epoch);
+}
+
+void group_note_in_flight(struct group *group)
+{
+    uint32_t count = group->primary == NULL ? 0 : group->primary->in_flight;
+    struct worker_figures *figures = &group->shared->workers[group->worker->index];
+    uint32_t before = atomic_exchange(&figures->in_flight, count);
+    if (count == 0 && before != 0 && group->phase == GROUP_PHASE_DRAINING) {
+        worker_alert(group->worker);
+    }
+}
+
+void group_note_commit(struct group *group, struct log_position position)
+{
+    atomic_store(&group->shared->acknowledged_term, position.term);
+    atomic_store(&group->shared->acknowledged_offset, position.offset);
+}
+
+void group_tick(struct group *group, time_ns now)
+{
+    for (guint i = 0; i < group->databases->len; i++) {
+        database_tick(g_ptr_array_index(group->databases, i), now);
+    }
+    drop_unlisted(group);
+    router_run_queue(group);
+}
--- /dev/null
+++ b/src/pooler/metrics.h
@@ -0,0 +1,54 @@
+/* Counters and latency histograms. Each worker has its own, written by it alone; the control thread
+ * reads them all. */
+#ifndef SW_POOLER_METRICS_H
+#define SW_POOLER_METRICS_H
+
+#include <glib.h>
+#include <stdatomic.h>
+#include <stdint.h>
+
+#include "core/types.h"
+#include "pooler/configuration.h"
+#include "pooler/wire.h"
+
+#define METRICS_ROUTE_KINDS 3
+
+/* Upper bounds of the latency buckets, in milliseconds; the last bucket has none. */
+#define METRICS_BUCKETS 12
+extern const uint32_t metrics_bucket_ms[METRICS_BUCKETS - 1];
+
+enum metrics_counter {
+    METRICS_SESSIONS_OPENED,
+    METRICS_SESSIONS_CLOSED,
+    METRICS_CONNECTIONS_OPENED,
+    METRICS_CONNECTIONS_FAILED,
+    METRICS_CONNECTIONS_BROKEN,
+    METRICS_READS_AT_PRIMARY,
+    METRICS_READS_AT_REPLICA,
+    METRICS_RETRIES,
+    METRICS_LAGGING,
+    METRICS_PERMIT_MISSING,
+    METRICS_QUEUED,
+    METRICS_COUNTER_COUNT,
+};
+
+struct metrics {
+    _Atomic uint64_t counters[METRICS_COUNTER_COUNT];
+    _Atomic uint64_t answers[METRICS_ROUTE_KINDS][ANSWER_CODE_COUNT];
+    _Atomic uint64_t latency[METRICS_ROUTE_KINDS][METRICS_BUCKETS];
+    _Atomic uint64_t latency_sum_us[METRICS_ROUTE_KINDS];
+};
+
+void metrics_count(struct metrics *metrics, enum metrics_counter counter);
+
+/* One statement answered after `latency`. */
+void metrics_answer(struct metrics *metrics, enum route_kind kind, enum answer_code code,
+                    time_ns latency);
+
+/* Adds the figures of one worker to a sum. */
+void metrics_add(struct metrics *sum, const struct metrics *metrics);
+
+/* Writes the figures in Prometheus' text form. */
+void metrics_print(const struct metrics *metrics, GString *out);
+
+#endif
--- /dev/null
+++ b/src/pooler/peer.c
@@ -0,0 +1,154 @@
+/* Connections between poolers; see the header. */
+#include "pooler/peer.h"
+
+#include "pooler/buffer.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* A peer whose machine is dark is given up after this. */
+#define DARK_TIMEOUT_MS 1500
+
+struct peer {
+    int socket;
+    struct event_base *base;
+    struct event *readable;
+    struct event *writable;
+    struct buffer in;
+    struct buffer out;
+    const struct peer_callbacks *callbacks;
+    bool failed; /* closes at the next turn of the loop */
+};
+
+void peer_free(struct peer *peer)
+{
+    event_free(peer->readable);
+    event_free(peer->writable);
+    close(peer->socket);
+    buffer_clear(&peer->in);
+    buffer_clear(&peer->out);
+    g_free(peer);
+}
+
+static void close_peer(struct peer *peer)
+{
+    peer->callbacks->closed(peer->callbacks->user, peer);
+    peer_free(peer);
+}
+
+/* False if the connection is over. */
+static bool flush(struct peer *peer)
+{
+    switch (buffer_send(&peer->out, peer->socket)) {
+    case TRANSFER_DONE:
+        return true;
+    case TRANSFER_BLOCKED:
+        event_add(peer->writable, NULL);
+        return true;
+    case TRANSFER_ENDED:
+        break;
+    }
+    return false;
+}
+
+/* False if the connection is to be closed. */
+static bool take_frames(struct peer *peer)
+{
+    for (;;) {
+        struct span content = buffer_content(&peer->in);
+        uint32_t header = 0;
+        if (content.length < sizeof header) {
+            return true;
+        }
+        memcpy(&header, content.data, sizeof header);
+        size_t length = ntohl(header);
+        if (length > PEER_FRAME_MAX) {
+            return false;
+        }
+        if (content.length < sizeof header + length) {
+            return true;
+        }
+        const uint8_t *data = (const uint8_t *)content.data + sizeof header;
+        if (!peer->callbacks->frame(peer->callbacks->user, peer, data, length)) {
+            return false;
+        }
+        buffer_consume(&peer->in, sizeof header + length);
+    }
+}
+
+static void on_readable(evutil_socket_t socket, short events, void *user)
+{
+    struct peer *peer = user;
+    enum transfer transfer = buffer_receive(&peer->in, peer->socket);
+    bool good = transfer != TRANSFER_ENDED && !peer->failed;
+    good = good && (transfer == TRANSFER_BLOCKED || take_frames(peer));
+    if (!good) {
+        close_peer(peer);
+    }
+}
+
+static void on_writable(evutil_socket_t socket, short events, void *user)
+{
+    struct peer *peer = user;
+    if (peer->failed || !flush(peer)) {
+        close_peer(peer);
+    }
+}
+
+static struct peer *peer_new(struct event_base *base, int handle,
+                             const struct peer_callbacks *callbacks)
+{
+    int one = 1;
+    unsigned dark = DARK_TIMEOUT_MS;
+    setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &dark, sizeof dark);
+    struct peer *peer = g_new0(struct peer, 1);
+    peer->socket = handle;
+    peer->base = base;
+    peer->callbacks = callbacks;
+    peer->readable = event_new(base, handle, EV_READ | EV_PERSIST, on_readable, peer);
+    peer->writable = event_new(base, handle, EV_WRITE, on_writable, peer);
+    event_add(peer->readable, NULL);
+    return peer;
+}
+
+struct peer *peer_accept(struct event_base *base, int handle,
+                         const struct peer_callbacks *callbacks)
+{
+    return peer_new(base, handle, callbacks);
+}
+
+struct peer *peer_connect(struct event_base *base, const struct sockaddr_in *address,
+                          const struct peer_callbacks *callbacks)
+{
+    int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (handle < 0) {
+        return NULL;
+    }
+    int result = connect(handle, (const struct sockaddr *)address, sizeof *address);
+    if (result != 0 && errno != EINPROGRESS) {
+        close(handle);
+        return NULL;
+    }
+    struct peer *peer = peer_new(base, handle, callbacks);
+    event_add(peer->writable, NULL);
+    return peer;
+}
+
+void peer_send(struct peer *peer, GByteArray *message)
+{
+    uint32_t header = htonl(message->len);
+    bool idle = buffer_length(&peer->out) == 0;
+    buffer_append(&peer->out, &header, sizeof header);
+    buffer_append(&peer->out, message->data, message->len);
+    g_byte_array_unref(message);
+    if (idle && !event_pending(peer->writable, EV_WRITE, NULL) && !flush(peer)) {
+        /* The caller may still use the peer: it closes at the next turn of the loop. */
+        peer->failed = true;
+        event_active(peer->writable, EV_WRITE, 0);
+    }
+}
--- /dev/null
+++ b/src/pooler/router.c
@@ -0,0 +1,237 @@
+/* Where each statement goes: to the primary, or to any database that is fresh enough, by load and
+ * zone. What can't go at once waits in its group's queue, most urgent first. */
+#define G_LOG_DOMAIN "router"
+#include "pooler/worker_internal.h"
+
+/* Factors on a database's expected latency. */
+#define OTHER_ZONE_FACTOR 1.4
+#define PRIMARY_FACTOR    1.7
+#define OPENING_FACTOR    1.5
+
+/* For how long a database that lacked a position is passed over for it. */
+#define LACKING_KEPT_NS (60 * NANOSECONDS_PER_MILLISECOND)
+
+/* A replica rarely has a commit sooner than this. */
+#define REPLICATION_TYPICAL_NS (120 * NANOSECONDS_PER_MILLISECOND)
+
+/* What a statement asks of a database. */
+struct need {
+    bool primary;
+    bool permit; /* reads at the primary must be provably current */
+    bool has_position;
+    struct log_position position;
+};
+
+bool router_has_permit(const struct group *group, time_ns now)
+{
+    return group->phase != GROUP_PHASE_CLOSED &&
+           now < atomic_load(&group->shared->permit_until);
+}
+
+/* When the transaction or the single statement began. */
+static time_ns began_at(const struct session *session)
+{
+    return session->transaction == SESSION_TRANSACTION_NONE ? session->request.arrived
+                                                            : session->began;
+}
+
+/* The position that a read with a staleness bound must see; false if it is not known. */
+static bool find_position(const struct session *session, struct log_position *out)
+{
+    const struct session_route *route = &session->route;
+    time_ns bound = route->staleness_ms * NANOSECONDS_PER_MILLISECOND;
+    time_ns began = began_at(session);
+    time_ns moment = began > bound ? began - bound : 0;
+    if (!freshness_at(&route->group->freshness, moment, out)) {
+        return false;
+    }
+    bool own = route->kind == ROUTE_KIND_READ_YOUR_WRITES && session->has_own_commit;
+    if (own && log_position_compare(session->own_commit, *out) > 0) {
+        *out = session->own_commit;
+    }
+    return true;
+}
+
+static void find_need(const struct session *session, struct need *out)
+{
+    const struct session_route *route = &session->route;
+    bool plain = session->transaction != SESSION_TRANSACTION_NONE && !session->read_only;
+    bool single_write =
+        session->transaction == SESSION_TRANSACTION_NONE && session->request.writes;
+    *out = (struct need){.primary = plain || single_write};
+    if (single_write) {
+        out->permit = route->group->sync_replicas == 0;
+        return;
+    }
+    bool current = route->kind == ROUTE_KIND_PRIMARY;
+    if (!current) {
+        out->has_position = find_position(session, &out->position);
+    }
+    if (!out->has_position) {
+        out->primary = true;
+        out->permit = true;
+    }
+}
+
+static bool lacks(const struct session *session, const struct database *database,
+                  const struct need *need, time_ns now)
+{
+    if (!need->has_position || database == database->group->primary ||
+        log_position_covers(database->position, need->position)) {
+        return false;
+    }
+    bool lacked = now < database->lacking_at + LACKING_KEPT_NS &&
+                  log_position_covers(need->position, database->lacking);
+    bool own = session->has_own_commit &&
+               log_position_compare(session->own_commit, need->position) == 0;
+    return lacked || (own && now < session->own_commit_at + REPLICATION_TYPICAL_NS);
+}
+
+static double cost_of(const struct database *database)
+{
+    double cost = database->latency_ms * (database->in_flight + 1);
+    cost *= database->same_zone ? 1 : OTHER_ZONE_FACTOR;
+    cost *= database == database->group->primary ? PRIMARY_FACTOR : 1;
+    return cost;
+}
+
+/* The best database of a group for a statement: one with an idle connection, and one that another
+ * connection could be opened to. */
+struct choice {
+    struct server *server;
+    double server_cost;
+    struct database *to_open;
+    double open_cost;
+};
+
+static void weigh(struct database *database, const struct session *session, time_ns now,
+                  struct choice *choice)
+{
+    double cost = cost_of(database);
+    struct server *server = database_idle_server(database, session);
+    if (server != NULL) {
+        if (choice->server == NULL || cost < choice->server_cost) {
+            choice->server = server;
+            choice->server_cost = cost;
+        }
+    } else if (database_may_open(database, now) &&
+               (choice->to_open == NULL || cost < choice->open_cost)) {
+        choice->to_open = database;
+        choice->open_cost = cost;
+    }
+}
+
+static void choose(const struct session *session, const struct need *need, time_ns now,
+                   struct choice *choice)
+{
+    const struct group *group = session->route.group;
+    *choice = (struct choice){0};
+    if (need->primary) {
+        bool open = group->primary != NULL && group->phase == GROUP_PHASE_OPEN &&
+                    database_fault(group->primary) != DATABASE_FAULT_REFUSING &&
+                    (!need->permit || router_has_permit(group, now));
+        if (open) {
+            weigh(group->primary, session, now, choice);
+        }
+        return;
+    }
+    for (guint i = 0; i < group->databases->len; i++) {
+        struct database *database = g_ptr_array_index(group->databases, i);
+        bool closed = database == group->primary && group->phase != GROUP_PHASE_OPEN;
+        bool good = database->takes_work && !closed &&
+                    database_fault(database) <= DATABASE_FAULT_NONE;
+        if (good && !lacks(session, database, need, now)) {
+            weigh(database, session, now, choice);
+        }
+    }
+}
+
+static void count_read(const struct session *session, const struct database *database)
+{
+    if (session->request.writes || session->transaction != SESSION_TRANSACTION_NONE) {
+        return;
+    }
+    metrics_count(&session->worker->metrics, database == database->group->primary
+                                                 ? METRICS_READS_AT_PRIMARY
+                                                 : METRICS_READS_AT_REPLICA);
+}
+
+/* Sends the statement if a connection is there. True if it left. */
+static bool try_send(struct session *session)
+{
+    struct need need;
+    struct choice choice;
+    time_ns now = backend_now();
+    if (now < session->request.not_before) {
+        return false;
+    }
+    find_need(session, &need);
+    choose(session, &need, now, &choice);
+    bool open_too = choice.to_open != NULL &&
+                    (choice.server == NULL ||
+                     choice.open_cost * OPENING_FACTOR < choice.server_cost);
+    if (open_too) {
+        server_open(choice.to_open);
+    }
+    if (choice.server == NULL || choice.server->state != SERVER_IDLE) {
+        return false;
+    }
+    router_leave_queue(session);
+    session->state = SESSION_RUNNING;
+    session->request.attempts++;
+    count_read(session, choice.server->database);
+    server_run(choice.server, session, need.has_position ? &need.position : NULL);
+    return true;
+}
+
+static bool is_before(const struct session *a, const struct session *b)
+{
+    if (a->route.priority != b->route.priority) {
+        return a->route.priority < b->route.priority;
+    }
+    return a->request.arrived < b->request.arrived;
+}
+
+static void enter_queue(struct session *session)
+{
+    GQueue *queue = &session->route.group->queue;
+    GList *place = queue->tail;
+    while (place != NULL && is_before(session, place->data)) {
+        place = place->prev;
+    }
+    g_queue_insert_after(queue, place, session);
+    session->queue_link = place == NULL ? queue->head : place->next;
+    session->state = SESSION_QUEUED;
+}
+
+void router_leave_queue(struct session *session)
+{
+    if (session->queue_link != NULL) {
+        g_queue_delete_link(&session->route.group->queue, session->queue_link);
+        session->queue_link = NULL;
+    }
+}
+
+void router_submit(struct session *session)
+{
+    session->state = SESSION_QUEUED;
+    if (!try_send(session) && session->state == SESSION_QUEUED && session->queue_link == NULL) {
+        metrics_count(&session->worker->metrics, METRICS_QUEUED);
+        enter_queue(session);
+        worker_arm_tick(session->worker);
+    }
+}
+
+void router_run_queue(struct group *group)
+{
+    guint length = group->queue.length;
+    GList *link = group->queue.head;
+    while (link != NULL && length > 0) {
+        GList *next = link->next;
+        struct session *session = link->data;
+        length--;
+        bool left = try_send(session);
+        /* A connection that broke while it was used may have changed the queue. */
+        link = left ? group->queue.head : next;
+    }
+}
--- /dev/null
+++ b/src/pooler/view.h
@@ -0,0 +1,75 @@
+/* What the control thread publishes to the workers: an immutable view of configuration, groups and
+ * databases under read-copy-update, and a few figures for each group that change more often and are
+ * atomic. Workers read; only the control thread publishes. */
+#ifndef SW_POOLER_VIEW_H
+#define SW_POOLER_VIEW_H
+
+#include <netinet/in.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/types.h"
+#include "generated/messages.h"
+#include "pooler/configuration.h"
+
+#define WORKERS_MAX 64
+
+/* What one worker tells of a group. Written by that worker, read by the control thread. */
+struct worker_figures {
+    _Atomic uint64_t epoch;     /* newest order that the worker follows */
+    _Atomic uint32_t in_flight; /* statements and transactions open at the primary */
+};
+
+/* A database's fault as the workers see it; a new one wakes the control thread. */
+struct member_shared {
+    char *id;
+    _Atomic unsigned fault;         /* enum database_fault */
+    _Atomic time_ns fault_since;    /* when it began */
+    _Atomic time_ns answered_at;    /* last answer from the database */
+};
+
+/* Figures of one group. Never freed, so that a worker may keep a pointer. */
+struct group_shared {
+    char *service;
+    _Atomic time_ns permit_until; /* the primary may be read until then */
+    _Atomic uint64_t acknowledged_term;
+    _Atomic uint64_t acknowledged_offset; /* highest acknowledged commit, by the last writer */
+    struct worker_figures workers[WORKERS_MAX];
+};
+
+/* One database of a group. */
+struct member_view {
+    struct member_shared *shared;
+    struct sockaddr_in address;
+    uint32_t slots;
+    bool same_zone;
+    bool takes_work; /* neither draining nor gone */
+};
+
+/* One group and who leads it. */
+struct pooled_group {
+    struct group_shared *shared;
+    uint64_t epoch; /* of the coordinator's order; 0: none is known */
+    enum group_phase phase;
+    uint64_t term;
+    int primary; /* index of the member, -1: unknown */
+    uint32_t sync_replicas;
+    uint32_t connections; /* that each worker may open to one database */
+    struct member_view *members;
+    size_t members_count;
+};
+
+struct view {
+    struct configuration *configuration; /* NULL until one is known */
+    struct pooled_group *groups;
+    size_t groups_count;
+};
+
+/* NULL if the view has no such group. */
+const struct pooled_group *view_find_group(const struct view *view, const char *service);
+
+/* Frees what the view owns: arrays and its reference to the configuration. */
+void view_free(struct view *view);
+
+#endif
--- /dev/null
+++ b/src/pooler/worker.c
@@ -0,0 +1,286 @@
+/* The worker's thread: its event loop, listener, view and planned stop; see the header. */
+#define G_LOG_DOMAIN "worker"
+#include "pooler/worker_internal.h"
+
+#include "core/error.h"
+#include "generated/errors.h"
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Time between two looks at what waits or is silent, while anything is asked. */
+#define TICK_MS 50
+
+#define LISTEN_BACKLOG 512
+#define ACCEPTS_MAX    64
+
+/* A planned stop takes new clients this long at least: the entry has to notice first. */
+#define STOP_MIN_NS (2600 * NANOSECONDS_PER_MILLISECOND)
+
+/* Kept free before the end of the grace. */
+#define STOP_RESERVE_NS (700 * NANOSECONDS_PER_MILLISECOND)
+
+void worker_alert(struct worker *worker)
+{
+    uint64_t one = 1;
+    if (write(worker->shared->control_wake, &one, sizeof one) < 0) {
+        return; /* it is awake already */
+    }
+}
+
+void worker_wake(struct worker *worker)
+{
+    uint64_t one = 1;
+    if (write(worker->wake, &one, sizeof one) < 0) {
+        return; /* it is awake already */
+    }
+}
+
+bool worker_ended(const struct worker *worker)
+{
+    return atomic_load(&worker->has_ended);
+}
+
+uint32_t worker_sessions(const struct worker *worker)
+{
+    return atomic_load(&worker->session_count);
+}
+
+struct metrics *worker_metrics(struct worker *worker)
+{
+    return &worker->metrics;
+}
+
+void worker_settle(struct worker *worker)
+{
+    while (worker->groups_to_run->len > 0) {
+        guint last = worker->groups_to_run->len - 1;
+        struct group *group = g_ptr_array_remove_index(worker->groups_to_run, last);
+        router_run_queue(group);
+    }
+    for (guint i = 0; i < worker->closed->len; i++) {
+        server_free(g_ptr_array_index(worker->closed, i));
+    }
+    g_ptr_array_set_size(worker->closed, 0);
+    for (guint i = 0; i < worker->ended->len; i++) {
+        session_free(g_ptr_array_index(worker->ended, i));
+    }
+    g_ptr_array_set_size(worker->ended, 0);
+}
+
+void worker_arm_tick(struct worker *worker)
+{
+    if (!worker->tick_armed) {
+        struct timeval wait = {0, TICK_MS * 1000};
+        worker->tick_armed = true;
+        evtimer_add(worker->tick, &wait);
+    }
+}
+
+static void apply_view(struct worker *worker)
+{
+    rcu_read_lock();
+    const struct view *view = rcu_dereference(worker->shared->view);
+    if (view != NULL && view != worker->applied) {
+        worker->applied = view;
+        for (size_t i = 0; i < view->groups_count; i++) {
+            struct group *group = group_of(worker, view->groups[i].shared);
+            group_apply(group, &view->groups[i]);
+            g_ptr_array_add(worker->groups_to_run, group);
+        }
+        if (view->configuration != NULL) {
+            worker->transaction_idle =
+                view->configuration->transaction_idle_ms * NANOSECONDS_PER_MILLISECOND;
+        }
+        worker_alert(worker);
+    }
+    rcu_read_unlock();
+}
+
+static void end_loop(struct worker *worker)
+{
+    atomic_store(&worker->has_ended, true);
+    event_base_loopbreak(worker->base);
+    worker_alert(worker);
+}
+
+/* Transactions have half of the grace; then whatever is left ends. */
+static void check_stop(struct worker *worker, time_ns now)
+{
+    time_ns began = atomic_load(&worker->shared->stop_at);
+    if (began == 0) {
+        return;
+    }
+    worker->stopping = true;
+    bool last = now > began + worker->shared->stop_grace - STOP_RESERVE_NS;
+    for (GList *link = worker->sessions.head; link != NULL;) {
+        struct session *session = link->data;
+        link = link->next;
+        if (last && session->state != SESSION_RUNNING) {
+            session_end(session);
+        } else {
+            session_check_stop(session, now);
+        }
+    }
+    bool done = worker->sessions.length == 0 && now > began + STOP_MIN_NS;
+    if (done || now > began + worker->shared->stop_grace - STOP_RESERVE_NS / 3) {
+        end_loop(worker);
+        return;
+    }
+    worker_arm_tick(worker);
+}
+
+static void on_tick(evutil_socket_t socket, short events, void *user)
+{
+    struct worker *worker = user;
+    time_ns now = backend_now();
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    worker->tick_armed = false;
+    g_hash_table_iter_init(&iterator, worker->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        group_tick(value, now);
+    }
+    check_stop(worker, now);
+    if (worker->busy > 0) {
+        worker_arm_tick(worker);
+    }
+    worker_settle(worker);
+}
+
+static void on_wake(evutil_socket_t socket, short events, void *user)
+{
+    struct worker *worker = user;
+    uint64_t count = 0;
+    if (read(worker->wake, &count, sizeof count) < 0 && errno != EAGAIN) {
+        g_warning("A wake-up could not be read.");
+    }
+    apply_view(worker);
+    check_stop(worker, backend_now());
+    worker_settle(worker);
+}
+
+static void on_acceptable(evutil_socket_t listener, short events, void *user)
+{
+    struct worker *worker = user;
+    for (int i = 0; i < ACCEPTS_MAX; i++) {
+        int handle = accept4(worker->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (handle < 0) {
+            break;
+        }
+        int one = 1;
+        setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+        if (worker->sessions.length >= worker->shared->sessions_max) {
+            close(handle);
+            continue;
+        }
+        session_open(worker, handle);
+    }
+    worker_settle(worker);
+}
+
+static int listen_at(const struct sockaddr_in *address, GError **error)
+{
+    int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int one = 1;
+    bool good = handle >= 0;
+    good = good && setsockopt(handle, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) == 0;
+    good = good && setsockopt(handle, SOL_SOCKET, SO_REUSEPORT, &one, sizeof one) == 0;
+    good = good && bind(handle, (const struct sockaddr *)address, sizeof *address) == 0;
+    good = good && listen(handle, LISTEN_BACKLOG) == 0;
+    if (!good) {
+        g_set_error(error, SW_ERROR, ERROR_KIND_INTERNAL, "can't listen for clients: %s",
+                    g_strerror(errno));
+        if (handle >= 0) {
+            close(handle);
+        }
+        return -1;
+    }
+    return handle;
+}
+
+static void *run(void *user)
+{
+    struct worker *worker = user;
+    event_base_dispatch(worker->base);
+    return NULL;
+}
+
+static void free_group(gpointer data)
+{
+    struct group *group = data;
+    for (guint i = 0; i < group->databases->len; i++) {
+        database_free(g_ptr_array_index(group->databases, i));
+    }
+    g_ptr_array_unref(group->databases);
+    g_free(group);
+}
+
+struct worker *worker_start(struct worker_shared *shared, unsigned index, GError **error)
+{
+    int listener = listen_at(&shared->listen, error);
+    if (listener < 0) {
+        return NULL;
+    }
+    struct worker *worker = g_new0(struct worker, 1);
+    worker->shared = shared;
+    worker->index = index;
+    worker->listener = listener;
+    worker->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    worker->base = event_base_new();
+    worker->acceptable =
+        event_new(worker->base, listener, EV_READ | EV_PERSIST, on_acceptable, worker);
+    worker->woken = event_new(worker->base, worker->wake, EV_READ | EV_PERSIST, on_wake, worker);
+    worker->tick = evtimer_new(worker->base, on_tick, worker);
+    worker->groups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_group);
+    worker->ended = g_ptr_array_new();
+    worker->closed = g_ptr_array_new();
+    worker->groups_to_run = g_ptr_array_new();
+    g_queue_init(&worker->sessions);
+    event_add(worker->acceptable, NULL);
+    event_add(worker->woken, NULL);
+    pthread_create(&worker->thread, NULL, run, worker);
+    return worker;
+}
+
+/* Frees what the planned stop left open. After the thread has ended. */
+static void close_rest(struct worker *worker)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    while (worker->sessions.head != NULL) {
+        session_end(worker->sessions.head->data);
+    }
+    g_hash_table_iter_init(&iterator, worker->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct group *group = value;
+        for (guint i = 0; i < group->databases->len; i++) {
+            struct database *database = g_ptr_array_index(group->databases, i);
+            while (database->servers->len > 0) {
+                server_close(g_ptr_array_index(database->servers, 0), ANSWER_NONE);
+            }
+        }
+    }
+    g_ptr_array_set_size(worker->groups_to_run, 0);
+    worker_settle(worker);
+}
+
+void worker_join(struct worker *worker)
+{
+    pthread_join(worker->thread, NULL);
+    close_rest(worker);
+    event_free(worker->acceptable);
+    event_free(worker->woken);
+    event_free(worker->tick);
+    event_base_free(worker->base);
+    close(worker->listener);
+    close(worker->wake);
+    g_hash_table_unref(worker->groups);
+    g_ptr_array_unref(worker->ended);
+    g_ptr_array_unref(worker->closed);
+    g_ptr_array_unref(worker->groups_to_run);
+    g_free(worker);
+}
--- /dev/null
+++ b/src/pooler/worker_internal.h
@@ -0,0 +1,262 @@
+/* The structs of one worker: sessions of clients, groups with their databases, and connections to
+ * these. All belong to the worker's thread; nothing here is locked. */
+#ifndef SW_POOLER_WORKER_INTERNAL_H
+#define SW_POOLER_WORKER_INTERNAL_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <urcu-bp.h>
+
+#include "backend/clock.h"
+#include "pooler/buffer.h"
+#include "pooler/freshness.h"
+#include "pooler/metrics.h"
+#include "pooler/view.h"
+#include "pooler/wire.h"
+#include "pooler/worker.h"
+
+/* One client's connection, from its start to its end. */
+enum session_state {
+    SESSION_STARTING, /* has not named its database yet */
+    SESSION_IDLE,     /* nothing is asked */
+    SESSION_QUEUED,   /* a statement waits for a connection to a database */
+    SESSION_RUNNING,  /* a statement is at a database */
+    SESSION_ENDED,    /* closed; freed at the end of the callback */
+};
+
+enum session_transaction {
+    SESSION_TRANSACTION_NONE,
+    SESSION_TRANSACTION_REQUESTED, /* begun by the client, at no database yet */
+    SESSION_TRANSACTION_OPEN,      /* begun at a database */
+    SESSION_TRANSACTION_FAILED,    /* rolled back; the client must end it */
+};
+
+/* A name that a client prepared. */
+struct prepared {
+    bool writes;
+    char *shape;
+};
+
+/* What a session's route said when the transaction or single statement began. */
+struct session_route {
+    struct group *group;
+    enum route_kind kind;
+    uint32_t timeout_ms;
+    uint32_t target_ms;
+    uint32_t priority;
+    uint32_t staleness_ms;
+};
+
+/* The statement that a session asks at the moment. */
+struct session_request {
+    char *message; /* the client's message; the spans point into it */
+    struct statement statement;
+    bool writes;      /* a write, or the execution of a prepared one */
+    time_ns arrived;  /* when it was read */
+    time_ns deadline; /* of its route's timeout */
+    time_ns not_before; /* it is not sent again before */
+    uint32_t attempts;
+    bool may_have_run; /* it was sent to a database */
+};
+
+struct session {
+    struct worker *worker;
+    int socket;
+    struct event *readable;
+    struct event *writable;
+    struct event *timer;
+    struct buffer in;
+    struct buffer out;
+    enum session_state state;
+    enum session_transaction transaction;
+    bool read_only;        /* the transaction only reads */
+    bool statements_run;   /* the open transaction has run a statement */
+    char *database;        /* as named at the start; NULL before */
+    GHashTable *values;    /* name -> value; NULL while there is none */
+    GHashTable *prepared;  /* name -> struct prepared; NULL while there is none */
+    struct session_route route;
+    struct session_request request;
+    struct server *server; /* the connection that serves it, NULL for none */
+    bool has_own_commit;
+    struct log_position own_commit; /* last acknowledged commit of the session */
+    time_ns own_commit_at;
+    time_ns began; /* when the transaction's first message was read */
+    time_ns opened;
+    GList *queue_link; /* in the group's queue while SESSION_QUEUED */
+    GList *worker_link;
+};
+
+/* A connection to a database. */
+enum server_state {
+    SERVER_CONNECTING,
+    SERVER_STARTING, /* connected; the database has not answered the start */
+    SERVER_IDLE,
+    SERVER_RESERVED, /* inside a session's transaction, nothing is asked */
+    SERVER_RUNNING,  /* works for a session */
+    SERVER_CLEANING, /* rolls back */
+    SERVER_CLOSED,
+};
+
+/* What an answer that is still to come belongs to. */
+enum expected {
+    EXPECT_START,
+    EXPECT_SETUP, /* values and prepared names */
+    EXPECT_BEGIN,
+    EXPECT_STATEMENT,
+    EXPECT_ROLLBACK,
+};
+
+struct server {
+    struct database *database;
+    int socket;
+    struct event *readable;
+    struct event *writable;
+    struct event *timer; /* bound of connecting and of cleaning */
+    struct buffer in;
+    struct buffer out;
+    enum server_state state;
+    GByteArray *expected; /* of enum expected, oldest first */
+    GHashTable *values;   /* name -> value, as the database holds them */
+    GHashTable *prepared; /* mode and shape -> name at the database */
+    uint32_t names_given;
+    struct session *session; /* NULL: the session is gone, or there is none */
+    bool in_transaction;
+    time_ns sent_at; /* when the running statement was sent */
+    bool running_writes; /* the running statement is a write or a commit */
+    bool permitted;  /* the group's read permit held when it was sent */
+    uint64_t epoch;  /* of the group when it was sent */
+    /* The answer so far. */
+    struct buffer rows;
+    char *signature;
+    enum answer_code code;
+    char *error_text;
+};
+
+struct database {
+    struct group *group;
+    struct member_shared *shared;
+    struct sockaddr_in address;
+    uint32_t slots;
+    bool same_zone;
+    bool takes_work;
+    bool listed; /* in the newest view */
+    GPtrArray *servers; /* of struct server */
+    uint32_t in_flight; /* servers reserved or running */
+    uint32_t failures;  /* in a row, of opening a connection */
+    time_ns retry_at;   /* no connection is opened before */
+    double latency_ms;  /* moving average of answers */
+    struct log_position position; /* last seen */
+    struct log_position lacking;  /* a position that it lacked */
+    time_ns lacking_at;
+};
+
+struct group {
+    struct worker *worker;
+    struct group_shared *shared;
+    uint64_t epoch;
+    enum group_phase phase;
+    uint64_t term;
+    uint32_t sync_replicas;
+    uint32_t connections;
+    GPtrArray *databases; /* of struct database, owned */
+    struct database *primary;
+    GQueue queue; /* of struct session, most urgent first */
+    struct freshness freshness;
+};
+
+struct worker {
+    struct worker_shared *shared;
+    unsigned index;
+    pthread_t thread;
+    struct event_base *base;
+    int listener;
+    struct event *acceptable;
+    int wake;
+    struct event *woken;
+    struct event *tick;
+    bool tick_armed;
+    const struct view *applied; /* compared, never read */
+    time_ns transaction_idle; /* an open transaction that rests longer is rolled back */
+    GHashTable *groups; /* service -> struct group */
+    GQueue sessions;
+    GPtrArray *ended;         /* sessions to free after the callback */
+    GPtrArray *closed;        /* servers to free after the callback */
+    GPtrArray *groups_to_run; /* groups whose queue may move */
+    bool stopping;
+    uint32_t busy; /* sessions queued or running */
+    _Atomic uint32_t session_count;
+    _Atomic bool has_ended;
+    struct metrics metrics;
+};
+
+/* worker.c */
+/* Frees what ended and lets queues move. At the end of each callback of the event loop. */
+void worker_settle(struct worker *worker);
+/* Sees to it that the tick goes off while anything is asked. */
+void worker_arm_tick(struct worker *worker);
+/* Wakes the control thread. */
+void worker_alert(struct worker *worker);
+
+/* session.c */
+void session_open(struct worker *worker, int socket);
+/* Closes the client's connection; what runs for it is left to its server. */
+void session_end(struct session *session);
+void session_free(struct session *session);
+/* The statement is answered by the database. */
+void session_answer(struct session *session, struct server *server, enum transaction_state state,
+                    const struct log_position *position);
+/* The server broke or was given up while it worked for the session. */
+void session_server_lost(struct session *session, enum answer_code reason);
+/* The statement has not run and may go elsewhere: queues it again or refuses it. */
+void session_try_again(struct session *session, enum answer_code reason);
+/* Ends idle sessions of a worker that stops. */
+void session_check_stop(struct session *session, time_ns now);
+
+/* server.c */
+struct server *server_open(struct database *database);
+void server_free(struct server *server);
+/* Gives the connection up; a session that it serves is told with the reason. */
+void server_close(struct server *server, enum answer_code reason);
+/* Sends the session's statement, with what it needs before. The server is idle or the session's. */
+void server_run(struct server *server, struct session *session,
+                const struct log_position *after);
+/* The session needs it no longer: rolls back what is open and returns to the pool. */
+void server_release(struct server *server);
+
+/* database.c */
+struct database *database_new(struct group *group, struct member_shared *shared);
+void database_free(struct database *database);
+/* An idle connection that suits the session best; NULL if there is none. */
+struct server *database_idle_server(const struct database *database,
+                                    const struct session *session);
+bool database_may_open(const struct database *database, time_ns now);
+void database_set_fault(struct database *database, enum database_fault fault, time_ns now);
+enum database_fault database_fault(const struct database *database);
+/* Notes an answer. */
+void database_answered(struct database *database, time_ns now);
+/* Notes that a connection could not be opened. */
+void database_open_failed(struct database *database, enum answer_code code);
+/* Looks for silence and stalls, and opens connections anew where they failed. */
+void database_tick(struct database *database, time_ns now);
+/* Closes idle connections, as when it leaves. */
+void database_close_idle(struct database *database);
+
+/* router.c */
+/* Finds a connection for the session's statement and sends it, or leaves it queued. */
+void router_submit(struct session *session);
+void router_leave_queue(struct session *session);
+/* Lets waiting statements go where they can. */
+void router_run_queue(struct group *group);
+/* True if reads at the primary see every commit that was acknowledged until now. */
+bool router_has_permit(const struct group *group, time_ns now);
+
+/* group.c */
+struct group *group_of(struct worker *worker, struct group_shared *shared);
+void group_apply(struct group *group, const struct pooled_group *view);
+void group_tick(struct group *group, time_ns now);
+void group_note_in_flight(struct group *group);
+void group_note_commit(struct group *group, struct log_position position);
+
+#endif
--- a/src/settings/setting_table.c
+++ b/src/settings/setting_table.c
@@ -10,6 +10,9 @@
 
 #define OVERRIDE_PLACE "--set"
 
+/* Largest decimal that is taken. */
+#define DECIMAL_MAX 1e12
+
 /* Keys such as name[de] are kept, so that they are refused and not dropped in silence. */
 #define FILE_FLAGS G_KEY_FILE_KEEP_TRANSLATIONS
 
@@ -85,6 +88,17 @@
     return true;
 }
 
+static bool read_decimal(const char *text, double *out)
+{
+    char *end = NULL;
+    double number = g_ascii_strtod(text, &end);
+    if (end == text || *end != '\0' || !(number >= 0 && number <= DECIMAL_MAX)) {
+        return false;
+    }
+    *out = number;
+    return true;
+}
+
 static bool read_bool(const char *text, bool *out)
 {
     if (strcmp(text, "true") != 0 && strcmp(text, "false") != 0) {
@@ -157,6 +171,8 @@
         return read_u32(entry, text, value);
     case SETTING_TYPE_SIZE:
         return read_size(entry, text, value);
+    case SETTING_TYPE_DECIMAL:
+        return read_decimal(text, value);
     case SETTING_TYPE_BOOL:
         return read_bool(text, value);
     case SETTING_TYPE_TEXT:
@@ -183,6 +199,8 @@
         return g_strdup_printf("from %" PRIu64 " to %" PRIu64
                                " octets, or a number of KiB, MiB or GiB",
                                entry->min, entry->max);
+    case SETTING_TYPE_DECIMAL:
+        return g_strdup("a number of 0 or more");
     case SETTING_TYPE_BOOL:
         return g_strdup("true or false");
     case SETTING_TYPE_TEXT:
@@ -410,6 +428,9 @@
     case SETTING_TYPE_SIZE:
         g_string_append_printf(out, "%" PRIu64, *(const uint64_t *)value);
         break;
+    case SETTING_TYPE_DECIMAL:
+        g_string_append_printf(out, "%g", *(const double *)value);
+        break;
     case SETTING_TYPE_BOOL:
         g_string_append(out, *(const bool *)value ? "true" : "false");
         break;
--- a/src/settings/setting_table.h
+++ b/src/settings/setting_table.h
@@ -21,6 +21,7 @@
 enum setting_type {
     SETTING_TYPE_U32,          /* uint32_t */
     SETTING_TYPE_SIZE,         /* uint64_t, octets */
+    SETTING_TYPE_DECIMAL,      /* double, 0 or more */
     SETTING_TYPE_BOOL,         /* bool */
     SETTING_TYPE_TEXT,         /* char *, never NULL */
     SETTING_TYPE_CHOICE,       /* an enum of unsigned values: index into choices */
--- a/src/platform/backoff.c
+++ b/src/storage/backoff.c
@@ -1,5 +1,5 @@
 /* Exponential backoff with full jitter. */
-#include "platform/backoff.h"
+#include "storage/backoff.h"
 
 uint32_t backoff_wait_ms(const struct backoff *backoff, uint32_t attempt, uint32_t random)
 {
--- a/src/platform/http_client.c
+++ b/src/storage/http_client.c
@@ -1,5 +1,5 @@
 /* One bounded, signed HTTP request at a time, over libcurl. */
-#include "platform/http_client.h"
+#include "storage/http_client.h"
 
 #include <pthread.h>
 
--- a/src/platform/machine_list.c
+++ b/src/storage/machine_list.c
@@ -1,5 +1,5 @@
 /* The platform's list of machines. */
-#include "platform/machine_list.h"
+#include "storage/machine_list.h"
 
 #include <string.h>
 
--- a/src/platform/machine_list.h
+++ b/src/storage/machine_list.h
@@ -3,7 +3,7 @@
 #ifndef SW_PLATFORM_MACHINE_LIST_H
 #define SW_PLATFORM_MACHINE_LIST_H
 
-#include "platform/table_client.h"
+#include "storage/table_client.h"
 
 /* One machine of the list. */
 struct machine {
--- a/src/platform/object_client.c
+++ b/src/storage/object_client.c
@@ -1,5 +1,5 @@
 /* Client of the object store. */
-#include "platform/object_client.h"
+#include "storage/object_client.h"
 
 #include "core/error.h"
 
--- a/src/platform/object_client.h
+++ b/src/storage/object_client.h
@@ -2,8 +2,8 @@
 #ifndef SW_PLATFORM_OBJECT_CLIENT_H
 #define SW_PLATFORM_OBJECT_CLIENT_H
 
-#include "platform/http_client.h"
-#include "platform/result.h"
+#include "storage/http_client.h"
+#include "storage/result.h"
 
 struct object_client;
 
--- a/src/platform/result.c
+++ b/src/storage/result.c
@@ -1,5 +1,5 @@
 /* What became of a call to the platform. */
-#include "platform/result.h"
+#include "storage/result.h"
 
 const char *platform_result_name(enum platform_result result)
 {
--- a/src/platform/table_client.c
+++ b/src/storage/table_client.c
@@ -1,5 +1,5 @@
 /* Client of the table service. */
-#include "platform/table_client.h"
+#include "storage/table_client.h"
 
 #include <string.h>
 
--- a/src/platform/table_client.h
+++ b/src/storage/table_client.h
@@ -3,9 +3,9 @@
 #ifndef SW_PLATFORM_TABLE_CLIENT_H
 #define SW_PLATFORM_TABLE_CLIENT_H
 
-#include "platform/http_client.h"
-#include "platform/result.h"
-#include "platform/table_item.h"
+#include "storage/http_client.h"
+#include "storage/result.h"
+#include "storage/table_item.h"
 
 /* What must hold of the item now under a key for a write to take effect. */
 enum table_condition_kind {
--- a/src/platform/table_item.c
+++ b/src/storage/table_item.c
@@ -1,5 +1,5 @@
 /* One item of the table service. */
-#include "platform/table_item.h"
+#include "storage/table_item.h"
 
 #define TYPE_TEXT   "S"
 #define TYPE_NUMBER "N"
--- a/tests/platform/platform_fixture.h
+++ b/tests/storage/platform_fixture.h
@@ -2,7 +2,7 @@
 #ifndef SW_TESTS_PLATFORM_FIXTURE_H
 #define SW_TESTS_PLATFORM_FIXTURE_H
 
-#include "platform/http_client.h"
+#include "storage/http_client.h"
 #include "standins/platform/standin.h"
 
 /* Wait of a test's client for an answer: long enough never to pass by chance. */
--- a/tests/platform/test_backoff.c
+++ b/tests/storage/test_backoff.c
@@ -1,5 +1,5 @@
 /* Backoff: bounds and jitter. */
-#include "platform/backoff.h"
+#include "storage/backoff.h"
 
 #include <glib.h>
 
--- a/tests/platform/test_clients.c
+++ b/tests/storage/test_clients.c
@@ -1,7 +1,7 @@
 /* The platform's clients against the stand-in: typed results, and what each fault turns into. */
-#include "platform/machine_list.h"
-#include "platform/object_client.h"
-#include "platform/table_client.h"
+#include "storage/machine_list.h"
+#include "storage/object_client.h"
+#include "storage/table_client.h"
 
 #include "platform_fixture.h"
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -56,6 +56,8 @@
     files.update(cases.generate(sample_schema, SAMPLE_SCHEMA, "sample.h", "sample_cases"))
     setting_schema = read_json(ROOT, "schema/settings.json")
     files.update(settings.generate(setting_schema, "schema/settings.json"))
+    pooler_schema = read_json(ROOT, "schema/pooler_settings.json")
+    files.update(settings.generate(pooler_schema, "schema/pooler_settings.json"))
     return files
 
 
--- a/tools/generator/settings.py
+++ b/tools/generator/settings.py
@@ -1,5 +1,7 @@
 """settings.h, settings.c and docs/settings.md: the daemon's settings and their reference page."""
 
+import re
+
 from generator import writer
 from generator.schema import check_keys, check_name, check_unique, require
 
@@ -11,6 +13,7 @@
     "u32": ("U32", "uint32_t "),
     "duration_ms": ("U32", "uint32_t "),
     "size": ("SIZE", "uint64_t "),
+    "decimal": ("DECIMAL", "double "),
     "bool": ("BOOL", "bool "),
     "text": ("TEXT", "char *"),
     "choice": ("CHOICE", None),
@@ -134,7 +137,8 @@
             return f"up to {self.max} octets" + (", required" if self.required else "")
         if self.type == "address_list":
             return f"up to {self.max} of `IP:port`, separated by commas"
-        return {"address": "`IP:port`", "bool": "`true`, `false`"}[self.type]
+        return {"address": "`IP:port`", "bool": "`true`, `false`",
+                "decimal": "a number of 0 or more"}[self.type]
 
 
 def check_at_most(settings, path):
@@ -255,13 +259,23 @@
     return text
 
 
+def rename(text, struct):
+    """The text with the names of another struct of settings; its own file and guard."""
+    text = re.sub(r"\bsettings_(defaults|clear|read_text|read|print)\b", struct + r"_\1", text)
+    text = re.sub(r"\bstruct settings\b", f"struct {struct}", text)
+    text = text.replace("SETTINGS_COUNT", f"{struct.upper()}_COUNT")
+    text = text.replace("SW_GENERATED_SETTINGS_H", f"SW_GENERATED_{struct.upper()}_H")
+    return text.replace("generated/settings.h", f"generated/{struct}.h")
+
+
 def generate(schema, path):
     """Returns the files made from the schema of settings."""
-    check_keys(schema, ["settings"], ["comment"], path)
+    check_keys(schema, ["settings"], ["comment", "struct"], path)
+    struct = schema.get("struct", "settings")
     settings = [Setting(entry, i, path) for i, entry in enumerate(schema["settings"])]
     check_at_most(settings, path)
     return {
-        "src/generated/settings.h": make_header(settings, path),
-        "src/generated/settings.c": make_source(settings, path),
-        "docs/settings.md": make_page(settings, path),
+        f"src/generated/{struct}.h": rename(make_header(settings, path), struct),
+        f"src/generated/{struct}.c": rename(make_source(settings, path), struct),
+        f"docs/{struct.replace('_', '-')}.md": make_page(settings, path),
     }
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 readonly build_directory=${1:-build}
 readonly jobs=${LINT_JOBS:-$(nproc)}
-readonly part_directories=(src standins bench tests)
+readonly part_directories=(src platform standins bench tests)
 failures=0
 
 step() {
