Take no commit without a write for proof that a primary leads

Its answer was taken for a proof of leadership, so that its log position became a freshness sample and bounded reads ran on its stale log. Only a commit that wrote is a proof. Also, a shorter permit no longer hides an earlier, longer one.

--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -127,7 +127,7 @@
         grant.sequence = heartbeat->sequence;
         grant.permit_ms = holds ? PERMIT_MS : 0;
         add_rows(control, &grant, heartbeat, now);
-        pooler->permit_until = now + grant.permit_ms * MS;
+        pooler->permit_until = MAX(pooler->permit_until, now + grant.permit_ms * MS);
     }
     peer_send(peer, pooler_grant_encode(&grant));
     pooler_grant_clear(&grant);
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -295,6 +295,7 @@
     session->request.may_have_run = true;
     server->running_writes =
         session->request.writes || statement->kind == STATEMENT_COMMIT;
+    server->wrote = (server->in_transaction && server->wrote) || session->request.writes;
 }
 
 static void note_sending(struct server *server)
@@ -411,7 +412,9 @@
     }
     database->position = ready->position;
     bool leads = database == group->primary && server->epoch == group->epoch;
-    bool committed = server->code == ANSWER_NONE && server->running_writes &&
+    /* A commit that a replica received shows that nobody else could lead. One that wrote nothing
+     * asked no replica, and shows nothing. */
+    bool committed = server->code == ANSWER_NONE && server->running_writes && server->wrote &&
                      ready->state == TRANSACTION_STATE_NONE && group->sync_replicas > 0;
     if (leads && (server->permitted || committed) && ready->position.term >= group->term) {
         freshness_add(&group->freshness, server->sent_at, ready->position);
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -124,7 +124,8 @@
     struct session *session; /* NULL: the session is gone, or there is none */
     bool in_transaction;
     time_ns sent_at; /* when the running statement was sent */
-    bool running_writes; /* the running statement is a write or a commit */
+    bool running_writes; /* the running statement is a write, or a commit */
+    bool wrote;          /* the open transaction, or the single statement, has written */
     bool permitted;  /* the group's read permit held when it was sent */
     uint64_t epoch;  /* of the group when it was sent */
     /* The answer so far. */
