--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -14,6 +14,10 @@
 #define POOLER_FORGOTTEN_NS (4000 * MS)
 #define LISTEN_BACKLOG      128
 
+/* A new coordinator has not heard all poolers yet, and counts at least so many for a while. */
+#define POOLERS_ASSUMED   9
+#define POOLERS_GATHER_NS (3000 * MS)
+
 /* A pooler that lacks a row for so long after it was learned here gets it from here. */
 #define CONFIGURATION_GRACE_NS (400 * MS)
 #define DIRECTORY_GRACE_NS     (1800 * MS)
@@ -40,7 +44,8 @@
 static uint32_t count_poolers(const struct control *control)
 {
     uint32_t count = g_hash_table_size(control->poolers);
-    return MAX(count, 1);
+    bool early = backend_now() < control->coordinator_since + POOLERS_GATHER_NS;
+    return MAX(count, early ? POOLERS_ASSUMED : 1);
 }
 
 static void add_orders(struct control *control, struct pooler_grant *grant)
@@ -227,6 +232,7 @@
 void control_coordinator_start(struct control *control)
 {
     g_hash_table_remove_all(control->poolers);
+    control->coordinator_since = backend_now();
     control_member_set_coordinator(control, control->address);
     control_groups_start(control, &control->feeds[STORE_TABLE_CONTROL]);
 }
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -127,12 +127,14 @@
     time_ns heartbeat_at; /* next one */
     time_ns granted_at;
     time_ns connected_at;
+    bool connect_now; /* the coordinator's address has changed */
     uint32_t members_told;
     unsigned next_seed;
     uint64_t reported_faults; /* digest of what was last told */
     struct peer_callbacks coordinator_callbacks;
     /* As the coordinator. */
     struct lease lease;
+    time_ns coordinator_since;
     int listener;
     struct event *acceptable;
     struct peer_callbacks pooler_callbacks;
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -216,8 +216,8 @@
     g_message("The coordinator is at %s.", address);
     g_free(control->coordinator_address);
     control->coordinator_address = g_strdup(address);
-    control->connected_at = 0;
-    control->heartbeat_at = 0;
+    control->connect_now = true;
+    control_wake_soon(control);
 }
 
 /* The address to connect to: the coordinator's, or another pooler's that may know it. */
@@ -225,7 +225,8 @@
 {
     const struct address_list *peers = &control->settings->pooler.peers;
     bool lost = now > control->granted_at + GRANT_TIMEOUT_NS * 2;
-    bool try_seed = control->coordinator_address == NULL || (lost && control->next_seed % 2 == 1);
+    bool try_seed = control->coordinator_address == NULL ||
+                    (lost && !control->connect_now && control->next_seed % 2 == 1);
     control->next_seed++;
     if (try_seed && peers->count > 0) {
         return peers->items[control->next_seed / 2 % peers->count];
@@ -274,8 +275,9 @@
 {
     bool quiet = now > MAX(control->granted_at, control->connected_at) + GRANT_TIMEOUT_NS;
     bool missing = control->coordinator == NULL && now > control->connected_at + CONNECT_EVERY_NS;
-    if (quiet || missing) {
+    if (quiet || missing || control->connect_now) {
         connect_anew(control, now);
+        control->connect_now = false;
     }
     if (control->coordinator == NULL) {
         return;
--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -8,6 +8,13 @@
 /* No answer at all while something is asked, for this long: silence. */
 #define SILENT_AFTER_NS (450 * NANOSECONDS_PER_MILLISECOND)
 
+/* No answer for this long and some usual latencies, while other answers come: it is lost. */
+#define LOST_AFTER_NS  (250 * NANOSECONDS_PER_MILLISECOND)
+#define LOST_LATENCIES 3
+
+/* An idle connection beside others is kept this long. */
+#define UNUSED_KEPT_NS (1500 * NANOSECONDS_PER_MILLISECOND)
+
 /* A write without its answer for this long, while other answers come: replication stalls. */
 #define STALLED_AFTER_NS (600 * NANOSECONDS_PER_MILLISECOND)
 
@@ -98,7 +105,9 @@
             continue;
         }
         unsigned cost = setup_cost(server, session);
-        if (best == NULL || cost < best_cost) {
+        bool better = best == NULL || cost < best_cost ||
+                      (cost == best_cost && server->idle_since > best->idle_since);
+        if (better) {
             best = server;
             best_cost = cost;
         }
@@ -106,6 +115,17 @@
     return best;
 }
 
+struct server *database_any_idle(const struct database *database)
+{
+    for (guint i = 0; i < database->servers->len; i++) {
+        struct server *server = g_ptr_array_index(database->servers, i);
+        if (server->state == SERVER_IDLE) {
+            return server;
+        }
+    }
+    return NULL;
+}
+
 static unsigned count_opening(const struct database *database)
 {
     unsigned count = 0;
@@ -162,6 +182,26 @@
     }
 }
 
+/* While a database answers others, a statement without an answer for so long has lost it. Reads
+ * go elsewhere, and transactions are rolled back, in time for the client to try again. */
+static void give_up_lost_answers(struct database *database, time_ns now)
+{
+    time_ns answered = atomic_load(&database->shared->answered_at);
+    time_ns usual = (time_ns)(database->latency_ms * LOST_LATENCIES) * NANOSECONDS_PER_MILLISECOND;
+    for (guint i = database->servers->len; i > 0; i--) {
+        if (i > database->servers->len) {
+            continue; /* closing one may close others */
+        }
+        struct server *server = g_ptr_array_index(database->servers, i - 1);
+        bool lost = server->state == SERVER_RUNNING && !server->running_writes &&
+                    now > server->sent_at + LOST_AFTER_NS + usual &&
+                    answered > server->sent_at + LOST_AFTER_NS / 2;
+        if (lost) {
+            server_close(server, ANSWER_BUSY);
+        }
+    }
+}
+
 static void check_silence(struct database *database, time_ns now)
 {
     time_ns sent = oldest_sent(database, false);
@@ -186,6 +226,18 @@
     }
 }
 
+/* Connections beyond the first that are no longer used are closed: after a loss of power a database
+ * counts them for seconds, beside those that are opened then. */
+static void close_unused(struct database *database, time_ns now)
+{
+    for (guint i = database->servers->len; i > 0 && database->servers->len > 1; i--) {
+        struct server *server = g_ptr_array_index(database->servers, i - 1);
+        if (server->state == SERVER_IDLE && now > server->idle_since + UNUSED_KEPT_NS) {
+            server_close(server, ANSWER_NONE);
+        }
+    }
+}
+
 /* A primary that refused to lead is asked again after a while, unless another leads by then. */
 static void check_refusal(struct database *database, time_ns now)
 {
@@ -198,7 +250,9 @@
 void database_tick(struct database *database, time_ns now)
 {
     check_refusal(database, now);
+    close_unused(database, now);
     check_silence(database, now);
+    give_up_lost_answers(database, now);
     check_stall(database, now);
     bool probe = database->takes_work && database_fault(database) != DATABASE_FAULT_NONE &&
                  count_opening(database) == 0;
--- a/src/pooler/freshness.c
+++ b/src/pooler/freshness.c
@@ -28,14 +28,25 @@
     freshness->count++;
 }
 
-bool freshness_at(const struct freshness *freshness, time_ns moment, struct log_position *out)
+const struct freshness_sample *freshness_find(const struct freshness *freshness, time_ns moment)
 {
     for (size_t i = 0; i < freshness->count; i++) {
         const struct freshness_sample *sample = sample_at(freshness, i);
         if (sample->at >= moment) {
-            *out = sample->position;
-            return true;
+            return sample;
         }
     }
-    return false;
+    return NULL;
+}
+
+const struct freshness_sample *freshness_reached(const struct freshness *freshness,
+                                                 struct log_position position)
+{
+    for (size_t i = freshness->count; i > 0; i--) {
+        const struct freshness_sample *sample = sample_at(freshness, i - 1);
+        if (log_position_covers(position, sample->position)) {
+            return sample;
+        }
+    }
+    return NULL;
 }
--- a/src/pooler/freshness.h
+++ b/src/pooler/freshness.h
@@ -30,8 +30,12 @@
 /* Forgets all samples, as after a change of primary. */
 void freshness_clear(struct freshness *freshness);
 
-/* The least position that holds every commit acknowledged before `moment`. False if no sample is
- * as young as that. */
-bool freshness_at(const struct freshness *freshness, time_ns moment, struct log_position *out);
+/* The sample with the least position that holds every commit acknowledged before `moment`; NULL if
+ * none is as young as that. */
+const struct freshness_sample *freshness_find(const struct freshness *freshness, time_ns moment);
+
+/* The newest sample at or below a position: the primary had got there by then. NULL if none is. */
+const struct freshness_sample *freshness_reached(const struct freshness *freshness,
+                                                 struct log_position position);
 
 #endif
--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -90,6 +90,7 @@
     group->epoch = view->epoch;
     if (moved) {
         freshness_clear(&group->freshness);
+        group->led_at = 0;
     }
     if (former != NULL && (moved || view->phase == GROUP_PHASE_CLOSED)) {
         cut_former_primary(former);
--- /dev/null
+++ b/src/pooler/leadership.c
@@ -0,0 +1,113 @@
+/* Proof, without the coordinator, that a primary led at a moment: where the coordinator or the store
+ * is lost, reads at the primary go on by it.
+ *
+ * Another database is promoted only after the primary has stepped down, or after so many replicas
+ * were paused that it could acknowledge nothing. So if the primary, asked after some moment, leads,
+ * and as many replicas as a commit needs, asked after that moment, follow it in its term and are not
+ * paused, then nobody else led before that moment, and every commit that was acknowledged before it
+ * stands in the primary's log. */
+#define G_LOG_DOMAIN "leadership"
+#include "pooler/worker_internal.h"
+
+/* A check that is not over by then is given up. */
+#define CHECK_MAX_NS (300 * NANOSECONDS_PER_MILLISECOND)
+
+/* Statuses cost the databases slots: least time between two checks, and after one that failed. */
+#define CHECK_AGAIN_NS  (20 * NANOSECONDS_PER_MILLISECOND)
+#define CHECK_FAILED_NS (200 * NANOSECONDS_PER_MILLISECOND)
+
+void leadership_note(struct group *group, time_ns at)
+{
+    group->led_at = MAX(group->led_at, at);
+}
+
+static void finish(struct group *group)
+{
+    struct leadership_check *check = &group->check;
+    bool proven = check->primary_good && !check->refuted &&
+                  check->replicas_good >= MAX(group->sync_replicas, 1);
+    check->running = false;
+    if (!proven) {
+        group->check_again_at = backend_now() + CHECK_FAILED_NS;
+    } else {
+        leadership_note(group, check->started);
+        freshness_add(&group->freshness, check->started, check->position);
+        g_ptr_array_add(group->worker->groups_to_run, group);
+    }
+}
+
+static bool ask(struct database *database)
+{
+    struct server *server = database_any_idle(database);
+    if (server == NULL) {
+        if (database_may_open(database, backend_now())) {
+            server_open(database);
+        }
+        return false;
+    }
+    database->group->check.waiting++;
+    server_ask_status(server);
+    return true;
+}
+
+void leadership_check_start(struct group *group)
+{
+    struct leadership_check *check = &group->check;
+    time_ns now = backend_now();
+    bool under_way = check->running && now < check->started + CHECK_MAX_NS;
+    if (under_way || group->primary == NULL || now < group->check_again_at) {
+        return;
+    }
+    metrics_count(&group->worker->metrics, METRICS_PERMIT_MISSING);
+    group->check_again_at = now + CHECK_AGAIN_NS;
+    /* One more is awaited until all are asked, so that an answer meanwhile does not end it. */
+    *check = (struct leadership_check){.running = true, .started = now, .waiting = 1};
+    if (!ask(group->primary)) {
+        check->running = false;
+        return;
+    }
+    for (guint i = 0; i < group->databases->len; i++) {
+        struct database *database = g_ptr_array_index(group->databases, i);
+        if (database != group->primary && database->takes_work) {
+            ask(database);
+        }
+    }
+    check->waiting--;
+    if (check->waiting == 0 && check->running) {
+        finish(group);
+    }
+}
+
+static void take_report(struct group *group, const struct database *database,
+                        const struct database_report *report)
+{
+    struct leadership_check *check = &group->check;
+    if (database == group->primary) {
+        check->primary_good = report->leads && report->term >= group->term;
+        check->refuted = check->refuted || !check->primary_good;
+        check->position = report->received;
+        return;
+    }
+    bool follows = !report->leads && report->paused_term == 0;
+    if (follows && report->term == group->term) {
+        check->replicas_good++;
+    } else if (report->term > group->term || report->paused_term > group->term) {
+        check->refuted = true;
+    }
+}
+
+void leadership_check_answer(struct group *group, const struct database *database,
+                             const struct database_report *report)
+{
+    struct leadership_check *check = &group->check;
+    if (!check->running || check->waiting == 0) {
+        return;
+    }
+    check->waiting--;
+    if (report != NULL) {
+        take_report(group, database, report);
+    }
+    if (check->waiting == 0) {
+        finish(group);
+    }
+}
--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -11,8 +11,9 @@
 /* For how long a database that lacked a position is passed over for it. */
 #define LACKING_KEPT_NS (60 * NANOSECONDS_PER_MILLISECOND)
 
-/* A replica rarely has a commit sooner than this. */
-#define REPLICATION_TYPICAL_NS (120 * NANOSECONDS_PER_MILLISECOND)
+/* A replica's lag where it is not known, and how long a known one is believed. */
+#define LAG_TYPICAL_NS (20 * NANOSECONDS_PER_MILLISECOND)
+#define LAG_KEPT_NS    (500 * NANOSECONDS_PER_MILLISECOND)
 
 /* What a statement asks of a database. */
 struct need {
@@ -20,6 +21,7 @@
     bool permit; /* reads at the primary must be provably current */
     bool has_position;
     struct log_position position;
+    time_ns position_at; /* when the primary stood there */
 };
 
 bool router_has_permit(const struct group *group, time_ns now)
@@ -35,19 +37,24 @@
                                                             : session->began;
 }
 
-/* The position that a read with a staleness bound must see; false if it is not known. */
-static bool find_position(const struct session *session, struct log_position *out)
+/* The position that a read with a staleness bound must see, and when the primary stood there; false
+ * if it is not known. */
+static bool find_position(const struct session *session, struct need *out)
 {
     const struct session_route *route = &session->route;
     time_ns bound = route->staleness_ms * NANOSECONDS_PER_MILLISECOND;
     time_ns began = began_at(session);
     time_ns moment = began > bound ? began - bound : 0;
-    if (!freshness_at(&route->group->freshness, moment, out)) {
+    const struct freshness_sample *sample = freshness_find(&route->group->freshness, moment);
+    if (sample == NULL) {
         return false;
     }
+    out->position = sample->position;
+    out->position_at = sample->at;
     bool own = route->kind == ROUTE_KIND_READ_YOUR_WRITES && session->has_own_commit;
-    if (own && log_position_compare(session->own_commit, *out) > 0) {
-        *out = session->own_commit;
+    if (own && log_position_compare(session->own_commit, out->position) > 0) {
+        out->position = session->own_commit;
+        out->position_at = session->own_commit_at;
     }
     return true;
 }
@@ -65,7 +72,7 @@
     }
     bool current = route->kind == ROUTE_KIND_PRIMARY;
     if (!current) {
-        out->has_position = find_position(session, &out->position);
+        out->has_position = find_position(session, out);
     }
     if (!out->has_position) {
         out->primary = true;
@@ -73,8 +80,8 @@
     }
 }
 
-static bool lacks(const struct session *session, const struct database *database,
-                  const struct need *need, time_ns now)
+/* True if the database has not got so far yet by what is known of its lag. */
+static bool lacks(const struct database *database, const struct need *need, time_ns now)
 {
     if (!need->has_position || database == database->group->primary ||
         log_position_covers(database->position, need->position)) {
@@ -82,9 +89,9 @@
     }
     bool lacked = now < database->lacking_at + LACKING_KEPT_NS &&
                   log_position_covers(need->position, database->lacking);
-    bool own = session->has_own_commit &&
-               log_position_compare(session->own_commit, need->position) == 0;
-    return lacked || (own && now < session->own_commit_at + REPLICATION_TYPICAL_NS);
+    bool lag_known = now < database->lag_at + LAG_KEPT_NS;
+    time_ns lag = lag_known ? database->lag : LAG_TYPICAL_NS;
+    return lacked || now < need->position_at + lag;
 }
 
 static double cost_of(const struct database *database)
@@ -102,6 +109,7 @@
     double server_cost;
     struct database *to_open;
     double open_cost;
+    bool check; /* whether the primary still leads must be asked first */
 };
 
 static void weigh(struct database *database, const struct session *session, time_ns now,
@@ -128,9 +136,11 @@
     *choice = (struct choice){0};
     if (need->primary) {
         bool open = group->primary != NULL && group->phase == GROUP_PHASE_OPEN &&
-                    database_fault(group->primary) != DATABASE_FAULT_REFUSING &&
-                    (!need->permit || router_has_permit(group, now));
-        if (open) {
+                    database_fault(group->primary) != DATABASE_FAULT_REFUSING;
+        if (open && need->permit && !router_has_permit(group, now) &&
+            group->led_at < began_at(session)) {
+            choice->check = true;
+        } else if (open) {
             weigh(group->primary, session, now, choice);
         }
         return;
@@ -140,7 +150,7 @@
         bool closed = database == group->primary && group->phase != GROUP_PHASE_OPEN;
         bool good = database->takes_work && !closed &&
                     database_fault(database) <= DATABASE_FAULT_NONE;
-        if (good && !lacks(session, database, need, now)) {
+        if (good && !lacks(database, need, now)) {
             weigh(database, session, now, choice);
         }
     }
@@ -167,6 +177,10 @@
     }
     find_need(session, &need);
     choose(session, &need, now, &choice);
+    if (choice.check) {
+        leadership_check_start(session->route.group);
+        return false;
+    }
     bool open_too = choice.to_open != NULL &&
                     (choice.server == NULL ||
                      choice.open_cost * OPENING_FACTOR < choice.server_cost);
@@ -177,8 +191,8 @@
         return false;
     }
     router_leave_queue(session);
-    session->state = SESSION_RUNNING;
     session->request.attempts++;
+    session_sent(session);
     count_read(session, choice.server->database);
     server_run(choice.server, session, need.has_position ? &need.position : NULL);
     return true;
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -207,6 +207,10 @@
     } else if (reason != ANSWER_NONE) {
         metrics_count(&worker->metrics, METRICS_CONNECTIONS_BROKEN);
     }
+    if (server->checking) {
+        server->checking = false;
+        leadership_check_answer(database->group, database, NULL);
+    }
     struct session *session = server->session;
     server->session = NULL;
     if (session != NULL) {
@@ -318,6 +322,7 @@
     session->server = server;
     clear_answer(server);
     note_sending(server);
+    server->after = after == NULL ? (struct log_position){0} : *after;
     bring_setup(server, session);
     server->running_writes = false;
     if (session->transaction == SESSION_TRANSACTION_REQUESTED) {
@@ -330,9 +335,35 @@
     flush(server);
 }
 
+void server_ask_status(struct server *server)
+{
+    server->state = SERVER_RUNNING;
+    count_in_flight(server, true);
+    clear_answer(server);
+    note_sending(server);
+    server->running_writes = false;
+    server->wrote = false;
+    server->checking = true;
+    server->has_report = false;
+    wire_write_status(&server->out);
+    expect(server, EXPECT_STATUS);
+    flush(server);
+}
+
+static void on_status(struct server *server)
+{
+    struct group *group = server->database->group;
+    bool good = server->has_report && server->code == ANSWER_NONE;
+    server->checking = false;
+    server->state = SERVER_RESERVED;
+    leadership_check_answer(group, server->database, good ? &server->report : NULL);
+    server_release(server);
+}
+
 static void become_idle(struct server *server)
 {
     struct database *database = server->database;
+    server->idle_since = backend_now();
     server->state = SERVER_IDLE;
     server->in_transaction = false;
     if (!database->takes_work || database->servers->len > database->group->connections) {
@@ -379,6 +410,10 @@
 {
     struct session *session = server->session;
     server->in_transaction = state != TRANSACTION_STATE_NONE;
+    if (server->code == ANSWER_LAGGING) {
+        server->database->lacking = server->after;
+        server->database->lacking_at = backend_now();
+    }
     if (session == NULL) {
         server->state = SERVER_RESERVED;
         server_release(server);
@@ -399,6 +434,19 @@
     flush(server);
 }
 
+/* How far a replica is behind, by when the primary stood where the replica stands now. */
+static void note_lag(struct database *database, time_ns now)
+{
+    const struct freshness_sample *sample =
+        freshness_reached(&database->group->freshness, database->position);
+    if (database != database->group->primary && sample != NULL) {
+        /* Samples are sparse: the true lag is up to one spacing less. */
+        time_ns behind = now - sample->at;
+        database->lag = behind > FRESHNESS_SPACING_NS ? behind - FRESHNESS_SPACING_NS : 0;
+        database->lag_at = now;
+    }
+}
+
 /* What an answer tells of the database and of the group's log. */
 static void learn(struct server *server, const struct database_reply *ready)
 {
@@ -411,6 +459,12 @@
         return;
     }
     database->position = ready->position;
+    if (server->code == ANSWER_LAGGING) {
+        metrics_count(&group->worker->metrics, METRICS_LAGGING);
+        database->lacking = server->after;
+        database->lacking_at = now;
+    }
+    note_lag(database, now);
     bool leads = database == group->primary && server->epoch == group->epoch;
     /* A commit that a replica received shows that nobody else could lead. One that wrote nothing
      * asked no replica, and shows nothing. */
@@ -420,6 +474,7 @@
         freshness_add(&group->freshness, server->sent_at, ready->position);
     }
     if (leads && committed) {
+        leadership_note(group, server->sent_at);
         group_note_commit(group, ready->position);
     }
 }
@@ -466,6 +521,9 @@
         event_del(server->timer);
         become_idle(server);
         break;
+    case EXPECT_STATUS:
+        on_status(server);
+        break;
     }
 }
 
@@ -475,7 +533,11 @@
     wire_read_reply(message, &reply);
     switch (reply.kind) {
     case REPLY_ROW:
-        buffer_append(&server->rows, message.data, message.length);
+        if (server->checking) {
+            server->has_report = wire_read_report(reply.content, &server->report);
+        } else {
+            buffer_append(&server->rows, message.data, message.length);
+        }
         break;
     case REPLY_COMPLETE:
         g_free(server->signature);
--- a/src/pooler/session.c
+++ b/src/pooler/session.c
@@ -9,7 +9,7 @@
 #include <unistd.h>
 
 /* A statement that has not run goes to another database this often at most. */
-#define ATTEMPTS_MAX 4
+#define ATTEMPTS_MAX 6
 
 /* Share of the route's timeout that a statement may wait for a connection. */
 #define WAIT_SHARE 0.45
@@ -284,6 +284,12 @@
     g_free(session);
 }
 
+/* True once a configuration and the group orders are known, so that "no such database" is true. */
+static bool knows_routes(const struct worker *worker)
+{
+    return worker->applied != NULL;
+}
+
 /* Takes the session's route from the newest view. False if there is none. */
 static bool bind_route(struct session *session)
 {
@@ -410,6 +416,12 @@
     set_timer(session, session->request.arrived + (time_ns)((double)timeout * WAIT_SHARE));
 }
 
+void session_sent(struct session *session)
+{
+    session->state = SESSION_RUNNING;
+    set_timer(session, session->request.deadline);
+}
+
 /* Sends a statement of the open transaction on, or finds a connection for the first one. */
 static void submit(struct session *session)
 {
@@ -417,16 +429,12 @@
     worker_arm_tick(session->worker);
     if (session->transaction == SESSION_TRANSACTION_OPEN) {
         start_request_timer(session);
-        session->state = SESSION_RUNNING;
-        set_timer(session, session->request.deadline);
+        session_sent(session);
         server_run(session->server, session, NULL);
         return;
     }
     start_request_timer(session);
     router_submit(session);
-    if (session->state == SESSION_RUNNING) {
-        set_timer(session, session->request.deadline);
-    }
 }
 
 static void ask_database(struct session *session)
@@ -499,6 +507,7 @@
 /* Takes one message off the buffer. The statement's spans point into a copy of it. */
 static void take_message(struct session *session, size_t length)
 {
+    session->waits_for_view = false;
     struct session_request *request = &session->request;
     struct client_message message;
     g_free(request->message);
@@ -532,6 +541,10 @@
         if (length == 0) {
             break;
         }
+        if (!knows_routes(session->worker)) {
+            session->waits_for_view = true;
+            break;
+        }
         take_message(session, length);
     }
     if (session->worker->stopping) {
@@ -539,6 +552,13 @@
     }
 }
 
+void session_continue(struct session *session)
+{
+    if (session->waits_for_view) {
+        process(session);
+    }
+}
+
 static void note_own_commit(struct session *session, const struct log_position *position)
 {
     const struct session_request *request = &session->request;
@@ -610,19 +630,6 @@
     answer_error(session, code, text);
 }
 
-static void note_lagging(struct session *session, struct server *server)
-{
-    struct database *database = server->database;
-    struct log_position position;
-    metrics_count(&session->worker->metrics, METRICS_LAGGING);
-    database->lacking_at = backend_now();
-    database->lacking = session->has_own_commit ? session->own_commit : database->position;
-    if (freshness_at(&database->group->freshness, 0, &position) &&
-        log_position_compare(position, database->lacking) > 0) {
-        database->lacking = position;
-    }
-}
-
 static void answer_success(struct session *session, struct server *server,
                            enum transaction_state state, const struct log_position *position)
 {
@@ -644,9 +651,6 @@
 void session_answer(struct session *session, struct server *server, enum transaction_state state,
                     const struct log_position *position)
 {
-    if (server->code == ANSWER_LAGGING) {
-        note_lagging(session, server);
-    }
     if (server->code == ANSWER_READONLY && server->database == session->route.group->primary) {
         database_set_fault(server->database, DATABASE_FAULT_REFUSING, backend_now());
     }
@@ -696,11 +700,8 @@
     time_ns wait = (time_ns)((double)(request->deadline - request->arrived) * WAIT_SHARE);
     set_timer(session, MAX(request->arrived + wait, now + 20 * NANOSECONDS_PER_MILLISECOND));
     bool waits = reason == ANSWER_BUSY || reason == ANSWER_OVERLOADED;
-    request->not_before = waits && request->attempts > 1 ? now + BUSY_WAIT_NS : now;
+    request->not_before = waits ? now + (BUSY_WAIT_NS << MIN(request->attempts, 3)) / 2 : now;
     router_submit(session);
-    if (session->state == SESSION_RUNNING) {
-        set_timer(session, request->deadline);
-    }
 }
 
 void session_check_stop(struct session *session, time_ns now)
--- a/src/pooler/worker.c
+++ b/src/pooler/worker.c
@@ -80,10 +80,21 @@
     }
 }
 
+/* Sessions whose start came before the first view. */
+static void continue_waiting(struct worker *worker)
+{
+    for (GList *link = worker->sessions.head; link != NULL;) {
+        struct session *session = link->data;
+        link = link->next;
+        session_continue(session);
+    }
+}
+
 static void apply_view(struct worker *worker)
 {
     rcu_read_lock();
     const struct view *view = rcu_dereference(worker->shared->view);
+    bool first = worker->applied == NULL;
     if (view != NULL && view != worker->applied) {
         worker->applied = view;
         for (size_t i = 0; i < view->groups_count; i++) {
@@ -98,6 +109,9 @@
         worker_alert(worker);
     }
     rcu_read_unlock();
+    if (first && worker->applied != NULL) {
+        continue_waiting(worker);
+    }
 }
 
 static void end_loop(struct worker *worker)
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -84,6 +84,7 @@
     time_ns own_commit_at;
     time_ns began; /* when the transaction's first message was read */
     time_ns opened;
+    bool waits_for_view; /* its start came before any configuration was known */
     GList *queue_link; /* in the group's queue while SESSION_QUEUED */
     GList *worker_link;
 };
@@ -106,6 +107,7 @@
     EXPECT_BEGIN,
     EXPECT_STATEMENT,
     EXPECT_ROLLBACK,
+    EXPECT_STATUS, /* of a check of leadership */
 };
 
 struct server {
@@ -127,6 +129,11 @@
     bool running_writes; /* the running statement is a write, or a commit */
     bool wrote;          /* the open transaction, or the single statement, has written */
     bool permitted;  /* the group's read permit held when it was sent */
+    bool checking;   /* works for a check of leadership */
+    bool has_report;
+    struct database_report report;
+    time_ns idle_since;
+    struct log_position after; /* that the running statement must see */
     uint64_t epoch;  /* of the group when it was sent */
     /* The answer so far. */
     struct buffer rows;
@@ -151,6 +158,19 @@
     struct log_position position; /* last seen */
     struct log_position lacking;  /* a position that it lacked */
     time_ns lacking_at;
+    time_ns lag; /* by which it was behind the primary at lag_at */
+    time_ns lag_at;
+};
+
+/* A check of leadership under way; see leadership.c. */
+struct leadership_check {
+    bool running;
+    time_ns started;
+    uint32_t waiting; /* answers still to come */
+    bool refuted;     /* somebody told that the primary does not lead, or may not */
+    bool primary_good;
+    uint32_t replicas_good;
+    struct log_position position; /* of the primary */
 };
 
 struct group {
@@ -165,6 +185,9 @@
     struct database *primary;
     GQueue queue; /* of struct session, most urgent first */
     struct freshness freshness;
+    struct leadership_check check;
+    time_ns check_again_at;
+    time_ns led_at; /* the primary is known to have led at this moment; 0: never */
 };
 
 struct worker {
@@ -212,6 +235,10 @@
 void session_server_lost(struct session *session, enum answer_code reason);
 /* The statement has not run and may go elsewhere: queues it again or refuses it. */
 void session_try_again(struct session *session, enum answer_code reason);
+/* Its statement goes to a database. */
+void session_sent(struct session *session);
+/* Goes on with a session whose start came before the first view. */
+void session_continue(struct session *session);
 /* Ends idle sessions of a worker that stops. */
 void session_check_stop(struct session *session, time_ns now);
 
@@ -226,12 +253,26 @@
 /* The session needs it no longer: rolls back what is open and returns to the pool. */
 void server_release(struct server *server);
 
+/* Asks the database for its status, for a check of leadership. The server is idle. */
+void server_ask_status(struct server *server);
+
+/* leadership.c */
+/* Asks the primary and its replicas whether it still leads, unless that is under way. */
+void leadership_check_start(struct group *group);
+/* One of them answered, or did not (NULL). `asked` is when the check began. */
+void leadership_check_answer(struct group *group, const struct database *database,
+                             const struct database_report *report);
+/* The primary has shown that it led at this moment. */
+void leadership_note(struct group *group, time_ns at);
+
 /* database.c */
 struct database *database_new(struct group *group, struct member_shared *shared);
 void database_free(struct database *database);
 /* An idle connection that suits the session best; NULL if there is none. */
 struct server *database_idle_server(const struct database *database,
                                     const struct session *session);
+/* Any idle connection; NULL if there is none. */
+struct server *database_any_idle(const struct database *database);
 bool database_may_open(const struct database *database, time_ns now);
 void database_set_fault(struct database *database, enum database_fault fault, time_ns now);
 enum database_fault database_fault(const struct database *database);
