--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -62,8 +62,8 @@
 {
     struct controlled_group *group = user;
     if (answer->outcome == STORE_CONFLICT) {
-        control_lease_lost(group->control, "the lease has changed");
-        return;
+        /* Our own renewal may have come in between: the lease's row tells whose it is. */
+        control_lease_take(group->control, answer);
     }
     if (!group->recording_done) {
         failover_recorded(group->failover, answer->outcome == STORE_DONE, backend_now());
@@ -84,6 +84,11 @@
         .done = done,
         .epoch = failover->epoch,
     };
+    if (control->lease.calling && !done) {
+        /* A renewal is under way and changes the row that this depends on. */
+        failover_recorded(failover, false, backend_now());
+        return;
+    }
     GByteArray *octets = promotion_record_encode(&record);
     g_autofree char *key = g_strconcat(RECORD_PREFIX, failover->service, NULL);
     struct store_put put = {key, octets->data, octets->len};
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -169,6 +169,8 @@
 void control_lease_tick(struct control *control, time_ns now);
 /* True if the lease holds now and for `margin` more. */
 bool control_lease_holds(const struct control *control, time_ns now, time_ns margin);
+/* Takes the lease's row out of an answer of the store; ends the lease if it is another's. */
+void control_lease_take(struct control *control, const struct store_answer *answer);
 /* Gives the lease up, as at a planned stop. */
 void control_lease_release(struct control *control);
 /* The lease is no longer ours. */
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -73,6 +73,23 @@
     control_coordinator_end(control);
 }
 
+/* True if the row names this life of this pooler. */
+static bool is_ours(const struct control *control)
+{
+    const struct lease_record *record = &control->lease.record;
+    return record->holder != NULL &&
+           g_str_equal(record->holder, control->settings->pooler.name) &&
+           record->incarnation == control->incarnation;
+}
+
+void control_lease_take(struct control *control, const struct store_answer *answer)
+{
+    take_rows(control, answer);
+    if (control->lease.held && !is_ours(control)) {
+        control_lease_lost(control, "another holds the lease");
+    }
+}
+
 static void on_written(void *user, const struct store_answer *answer);
 
 /* Proposes to hold the lease from now on, under the condition that the row is as last seen. */
@@ -135,10 +152,7 @@
     case STORE_CONFLICT:
         /* Ours all the same, if an earlier write without an answer was done. */
         note_clock(lease, answer, now);
-        take_rows(control, answer);
-        if (lease->held && !g_str_equal(lease->record.holder, control->settings->pooler.name)) {
-            control_lease_lost(control, "another holds the lease");
-        }
+        control_lease_take(control, answer);
         lease->next_at = now;
         break;
     default:
@@ -147,32 +161,29 @@
     control_wake_soon(control);
 }
 
-static bool is_ours(const struct control *control)
+/* True if the row names an earlier life of this pooler, which is over, or this one, which has lost
+ * the lease meanwhile. */
+static bool is_own_earlier(const struct control *control)
 {
     const struct lease_record *record = &control->lease.record;
     return record->holder != NULL &&
            g_str_equal(record->holder, control->settings->pooler.name);
 }
 
+/* Each taking of the lease raises the token, also by the same pooler: what an earlier one ordered
+ * must rank below. */
 static void consider(struct control *control, time_ns now)
 {
     struct lease *lease = &control->lease;
     const struct lease_record *record = &lease->record;
     bool free = lease->row_version == 0 || record->expires_ms <= lease->clock_ms;
-    /* An earlier life of this machine's process is over. */
-    bool own_earlier = is_ours(control) && record->incarnation != control->incarnation;
-    bool renewable = is_ours(control) && !own_earlier && lease->held;
     if (atomic_load(&control->shared.stop_at) != 0) {
         return;
     }
-    if (free || own_earlier) {
+    if (free || is_own_earlier(control)) {
         propose(control, record->token + 1, false, now);
         return;
     }
-    if (renewable || is_ours(control)) {
-        propose(control, record->token, false, now);
-        return;
-    }
     control_member_set_coordinator(control, record->address);
 }
 
--- a/src/pooler/failover.c
+++ b/src/pooler/failover.c
@@ -24,7 +24,7 @@
 
 /* An ordered promotion that has no effect is ordered again after this. */
 #define ORDER_AGAIN_NS   (1500 * MS)
-#define ORDER_RETRY_NS   (120 * MS)
+#define ORDER_RETRY_NS   (50 * MS)
 #define CANDIDATE_DEAD_NS (1200 * MS)
 #define EXCLUDED_NS      (1500 * MS)
 
