--- a/src/pooler/failover.c
+++ b/src/pooler/failover.c
@@ -187,14 +187,12 @@
     return failover->members->len;
 }
 
-/* So many replicas must be paused where the old primary can't be asked. */
+/* So many replicas must be paused where the old primary can't be asked. Only one replica is counted
+ * on to hold a commit, whatever more a service asks for: no database tells how many it waited for. */
 static uint32_t pauses_needed(const struct failover *failover)
 {
     uint32_t count = members_count(failover);
-    if (failover->sync_replicas == 0 || count <= failover->sync_replicas) {
-        return 1;
-    }
-    return count - failover->sync_replicas;
+    return failover->sync_replicas == 0 || count <= 1 ? 1 : count - 1;
 }
 
 static void start_fencing(struct failover *failover, time_ns now)
