Test the control of a group on virtual time, and stand in for the platform

Found by the tests and mended: a coordinator that went on with a recorded promotion never resumed replicas that an earlier one had paused; a primary without acknowledgements was replaced again and again where replicas receive nothing whoever leads (the wait doubles now).

--- a/src/pooler/failover.c
+++ b/src/pooler/failover.c
@@ -19,6 +19,10 @@
 /* A primary that some poolers can't reach, while most can, is replaced after this. */
 #define MINORITY_MAX_NS (900 * MS)
 
+/* Least time between two changes for want of acknowledgements; doubles with each. */
+#define STALL_WAIT_MIN_NS (4000 * MS)
+#define STALL_WAIT_MAX_NS (60000 * MS)
+
 /* Search without anybody leading, before another database is promoted. */
 #define SEARCH_MAX_NS (600 * MS)
 
@@ -312,14 +316,26 @@
     return failover_find(failover, failover->primary);
 }
 
-/* Members that were paused and left so, as by an earlier coordinator, receive again. */
-static void resume_paused(struct failover *failover, time_ns now)
+/* Members that were paused and left so, as by an earlier coordinator or during a partition, receive
+ * again, and one that was replaced and still leads steps down. Each is asked once after the primary
+ * was opened, however late it can be reached. */
+static void settle_members(struct failover *failover, time_ns now)
 {
     for (guint i = 0; i < failover->members->len; i++) {
         struct failover_member *member = member_at(failover, i);
+        bool heard = member->has_report && member->reported_at >= failover->since;
+        if (is_primary(failover, member)) {
+            continue;
+        }
         bool paused = member->has_report && member->report.paused_term != 0;
-        if (paused && !is_primary(failover, member)) {
+        bool replaced = heard && member->report.leads && member->report.term < failover->term;
+        if (replaced) {
+            ask_every(failover, member, DATABASE_COMMAND_STEP_DOWN, failover->term, ASK_EVERY_NS,
+                      now);
+        } else if (paused) {
             ask_every(failover, member, DATABASE_COMMAND_RESUME, 0, ASK_EVERY_NS, now);
+        } else if (!heard) {
+            ask_every(failover, member, DATABASE_COMMAND_STATUS, 0, SEARCH_EVERY_NS, now);
         }
     }
 }
@@ -394,7 +410,11 @@
         begin_change(failover, false, "the primary does not answer", now);
         return;
     }
-    if (opinion->stalled > 0 && fresh) {
+    if (opinion->stalled > 0 && fresh && now >= failover->stall_again_at) {
+        /* Where replicas receive nothing whoever leads, changes would never end. */
+        failover->stall_wait = MIN(MAX(failover->stall_wait * 2, STALL_WAIT_MIN_NS),
+                                   STALL_WAIT_MAX_NS);
+        failover->stall_again_at = now + failover->stall_wait;
         begin_change(failover, false, "the primary's writes are not acknowledged", now);
         return;
     }
@@ -408,7 +428,7 @@
 
 static void watch(struct failover *failover, const struct failover_opinion *opinion, time_ns now)
 {
-    resume_paused(failover, now);
+    settle_members(failover, now);
     if (!check_leaving(failover, now)) {
         check_faults(failover, opinion, now);
     }
@@ -609,7 +629,7 @@
     if (leads) {
         open_primary(failover, candidate, now);
         failover->actions->record(failover->actions->user, failover, true);
-        resume_paused(failover, now);
+        settle_members(failover, now);
         return;
     }
     if (candidate->failing_since != 0 && now > candidate->failing_since + CANDIDATE_DEAD_NS) {
--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -15,10 +15,14 @@
 #define LAG_TYPICAL_NS (20 * NANOSECONDS_PER_MILLISECOND)
 #define LAG_KEPT_NS    (500 * NANOSECONDS_PER_MILLISECOND)
 
+/* A write that no replica has to receive must be over before the permit ends. */
+#define WRITE_MARGIN_NS (150 * NANOSECONDS_PER_MILLISECOND)
+
 /* What a statement asks of a database. */
 struct need {
     bool primary;
     bool permit; /* reads at the primary must be provably current */
+    bool writes; /* a write that no replica has to receive: it needs a permit, too */
     bool has_position;
     struct log_position position;
     time_ns position_at; /* when the primary stood there */
@@ -30,6 +34,16 @@
            now < atomic_load(&group->shared->permit_until);
 }
 
+bool router_may_write_on(const struct session *session)
+{
+    const struct group *group = session->route.group;
+    bool commits = session->request.writes || session->request.statement.kind == STATEMENT_COMMIT;
+    if (group->sync_replicas > 0 || session->read_only || !commits) {
+        return true;
+    }
+    return router_has_permit(group, backend_now() + WRITE_MARGIN_NS);
+}
+
 /* When the transaction or the single statement began. */
 static time_ns began_at(const struct session *session)
 {
@@ -68,6 +82,7 @@
     *out = (struct need){.primary = plain || single_write};
     if (single_write) {
         out->permit = route->group->sync_replicas == 0;
+        out->writes = out->permit;
         return;
     }
     bool current = route->kind == ROUTE_KIND_PRIMARY;
@@ -137,8 +152,9 @@
     if (need->primary) {
         bool open = group->primary != NULL && group->phase == GROUP_PHASE_OPEN &&
                     database_fault(group->primary) != DATABASE_FAULT_REFUSING;
-        if (open && need->permit && !router_has_permit(group, now) &&
-            group->led_at < began_at(session)) {
+        time_ns permitted_at = need->writes ? now + WRITE_MARGIN_NS : now;
+        bool proven = !need->writes && group->led_at >= began_at(session);
+        if (open && need->permit && !router_has_permit(group, permitted_at) && !proven) {
             choice->check = true;
         } else if (open) {
             weigh(group->primary, session, now, choice);
--- a/src/pooler/session.c
+++ b/src/pooler/session.c
@@ -430,6 +430,10 @@
     if (session->transaction == SESSION_TRANSACTION_OPEN) {
         start_request_timer(session);
         session_sent(session);
+        if (!router_may_write_on(session)) {
+            answer_lost(session, ANSWER_ABORTED);
+            return;
+        }
         server_run(session->server, session, NULL);
         return;
     }
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -291,6 +291,9 @@
 void router_leave_queue(struct session *session);
 /* Lets waiting statements go where they can. */
 void router_run_queue(struct group *group);
+/* False if a statement of the open transaction could be acknowledged by a replaced primary: where no
+ * replica has to receive commits, they need a permit. */
+bool router_may_write_on(const struct session *session);
 /* True if reads at the primary see every commit that was acknowledged until now. */
 bool router_has_permit(const struct group *group, time_ns now);
 
--- /dev/null
+++ b/standins/session_platform/row_store.c
@@ -0,0 +1,393 @@
+/* The store of rows; see the header. One thread serves; one lock guards the rows. A question for
+ * changes is answered at once, or again and again until its time is over. */
+#include "standins/session_platform/row_store.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/thread.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define LOOK_AGAIN_MS 5
+
+struct row {
+    char *table;
+    char *part;
+    char *key;
+    json_t *value; /* NULL: gone */
+    uint64_t version;
+};
+
+struct row_store {
+    GMutex lock;
+    GThread *thread;
+    struct event_base *base;
+    struct evhttp *http;
+    uint16_t port;
+    GPtrArray *rows; /* of struct row */
+    uint64_t version;
+    struct row_store_faults faults;
+    row_store_promote *promote;
+    void *user;
+    unsigned promotions;
+    uint64_t token;
+    bool token_fell;
+};
+
+static void free_row(gpointer data)
+{
+    struct row *row = data;
+    g_free(row->table);
+    g_free(row->part);
+    g_free(row->key);
+    json_decref(row->value);
+    g_free(row);
+}
+
+static struct row *find_row(struct row_store *store, const char *table, const char *part,
+                            const char *key)
+{
+    for (guint i = 0; i < store->rows->len; i++) {
+        struct row *row = g_ptr_array_index(store->rows, i);
+        if (strcmp(row->table, table) == 0 && strcmp(row->part, part) == 0 &&
+            strcmp(row->key, key) == 0) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+/* Takes the value. */
+static void put_row(struct row_store *store, const char *table, const char *part, const char *key,
+                    json_t *value)
+{
+    struct row *row = find_row(store, table, part, key);
+    if (row == NULL) {
+        row = g_new0(struct row, 1);
+        row->table = g_strdup(table);
+        row->part = g_strdup(part);
+        row->key = g_strdup(key);
+        g_ptr_array_add(store->rows, row);
+    }
+    json_decref(row->value);
+    row->value = value;
+    row->version = store->version;
+}
+
+static json_t *row_object(const struct row *row)
+{
+    json_t *object = json_pack("{s:s, s:s, s:s, s:I}", "table", row->table, "part", row->part,
+                               "tlsKey", row->key, "ver", (json_int_t)row->version);
+    if (row->value == NULL) {
+        json_object_set_new(object, "gone", json_true());
+    } else {
+        json_object_set(object, "value", row->value);
+    }
+    return object;
+}
+
+static json_t *answer_object(struct row_store *store, json_t *rows)
+{
+    json_int_t now = (json_int_t)(g_get_monotonic_time() / 1000);
+    return json_pack("{s:o, s:I, s:I}", "rows", rows, "ver", (json_int_t)store->version, "now_ms",
+                     now);
+}
+
+/* Takes the body. */
+static void reply(struct evhttp_request *request, int status, json_t *body)
+{
+    struct evbuffer *output = evbuffer_new();
+    if (body != NULL) {
+        char *text = json_dumps(body, JSON_COMPACT);
+        evbuffer_add(output, text, strlen(text));
+        free(text);
+        json_decref(body);
+    }
+    evhttp_send_reply(request, status, NULL, output);
+    evbuffer_free(output);
+}
+
+static const char *query_value(const struct evkeyvalq *query, const char *name)
+{
+    const char *value = evhttp_find_header(query, name);
+    return value == NULL ? "" : value;
+}
+
+static json_t *rows_after(struct row_store *store, const char *table, const char *part,
+                          uint64_t after, bool gone_too)
+{
+    json_t *rows = json_array();
+    for (guint i = 0; i < store->rows->len; i++) {
+        const struct row *row = g_ptr_array_index(store->rows, i);
+        bool wanted = strcmp(row->table, table) == 0 && row->version > after &&
+                      (part == NULL || strcmp(row->part, part) == 0) &&
+                      (gone_too || row->value != NULL);
+        if (wanted) {
+            json_array_append_new(rows, row_object(row));
+        }
+    }
+    return rows;
+}
+
+/* True if the call is not to be served. */
+static bool fails(struct row_store *store, struct evhttp_request *request)
+{
+    if (store->faults.refuse) {
+        reply(request, 503, NULL);
+    }
+    return store->faults.refuse || store->faults.silent;
+}
+
+static void on_get(struct evhttp_request *request, void *user)
+{
+    struct row_store *store = user;
+    struct evkeyvalq query;
+    evhttp_parse_query_str(evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request)), &query);
+    g_mutex_lock(&store->lock);
+    if (!fails(store, request)) {
+        json_t *rows = rows_after(store, query_value(&query, "table"),
+                                  query_value(&query, "part"), 0, false);
+        reply(request, 200, answer_object(store, rows));
+    }
+    g_mutex_unlock(&store->lock);
+    evhttp_clear_headers(&query);
+}
+
+struct watch {
+    struct row_store *store;
+    struct evhttp_request *request;
+    char *table;
+    uint64_t after;
+    gint64 until;
+};
+
+static void look(evutil_socket_t socket, short events, void *user)
+{
+    struct watch *watch = user;
+    struct row_store *store = watch->store;
+    g_mutex_lock(&store->lock);
+    bool failed = fails(store, watch->request);
+    json_t *rows = failed ? NULL : rows_after(store, watch->table, NULL, watch->after, true);
+    bool over = failed || json_array_size(rows) > 0 || g_get_monotonic_time() >= watch->until;
+    if (!failed && store->faults.no_history) {
+        reply(watch->request, 410, NULL);
+        json_decref(rows);
+        over = true;
+    } else if (!failed && over) {
+        reply(watch->request, 200, answer_object(store, rows));
+    } else {
+        json_decref(rows);
+    }
+    g_mutex_unlock(&store->lock);
+    if (over) {
+        g_free(watch->table);
+        g_free(watch);
+        return;
+    }
+    struct timeval soon = {0, LOOK_AGAIN_MS * 1000};
+    event_base_once(store->base, -1, EV_TIMEOUT, look, watch, &soon);
+}
+
+static void on_feed(struct evhttp_request *request, void *user)
+{
+    struct evkeyvalq query;
+    evhttp_parse_query_str(evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request)), &query);
+    struct watch *watch = g_new0(struct watch, 1);
+    watch->store = user;
+    watch->request = request;
+    watch->table = g_strdup(query_value(&query, "table"));
+    watch->after = g_ascii_strtoull(query_value(&query, "after"), NULL, 10);
+    watch->until = g_get_monotonic_time() +
+                   g_ascii_strtoll(query_value(&query, "waitMs"), NULL, 10) * 1000;
+    evhttp_clear_headers(&query);
+    look(-1, 0, watch);
+}
+
+static const char *member(json_t *object, const char *name)
+{
+    const char *value = json_string_value(json_object_get(object, name));
+    return value == NULL ? "" : value;
+}
+
+static struct row *row_of(struct row_store *store, json_t *item)
+{
+    return find_row(store, member(item, "table"), member(item, "part"), member(item, "tlsKey"));
+}
+
+static bool conditions_hold(struct row_store *store, json_t *body, json_t *present)
+{
+    size_t index = 0;
+    json_t *item = NULL;
+    bool hold = true;
+    json_array_foreach(json_object_get(body, "expectedRev"), index, item)
+    {
+        const struct row *row = row_of(store, item);
+        bool there = row != NULL && row->value != NULL;
+        uint64_t version = there ? row->version : 0;
+        hold = hold && version == (uint64_t)json_integer_value(json_object_get(item, "ver"));
+        if (there) {
+            json_array_append_new(present, row_object(row));
+        }
+    }
+    return hold;
+}
+
+static void write_rows(struct row_store *store, json_t *body)
+{
+    size_t index = 0;
+    json_t *item = NULL;
+    store->version++;
+    json_array_foreach(json_object_get(body, "put"), index, item)
+    {
+        put_row(store, member(item, "table"), member(item, "part"), member(item, "tlsKey"),
+                json_incref(json_object_get(item, "value")));
+    }
+}
+
+static json_t *body_of(struct evhttp_request *request)
+{
+    struct evbuffer *input = evhttp_request_get_input_buffer(request);
+    size_t length = evbuffer_get_length(input);
+    return json_loadb((const char *)evbuffer_pullup(input, -1), length, 0, NULL);
+}
+
+static void on_write(struct evhttp_request *request, void *user)
+{
+    struct row_store *store = user;
+    json_t *body = body_of(request);
+    json_t *present = json_array();
+    g_mutex_lock(&store->lock);
+    if (!fails(store, request)) {
+        bool hold = conditions_hold(store, body, present);
+        if (hold) {
+            write_rows(store, body);
+        }
+        if (!store->faults.lose_writes) {
+            reply(request, hold ? 200 : 412, answer_object(store, json_incref(present)));
+        }
+    }
+    g_mutex_unlock(&store->lock);
+    json_decref(present);
+    json_decref(body);
+}
+
+static void on_promotion(struct evhttp_request *request, void *user)
+{
+    struct row_store *store = user;
+    json_t *body = body_of(request);
+    const char *fence =
+        evhttp_find_header(evhttp_request_get_input_headers(request), "Swiftworks-Fencing-Token");
+    uint64_t token = fence == NULL ? 0 : g_ascii_strtoull(fence, NULL, 10);
+    g_mutex_lock(&store->lock);
+    store->promotions++;
+    store->token_fell = store->token_fell || token < store->token;
+    store->token = MAX(store->token, token);
+    g_mutex_unlock(&store->lock);
+    bool good = store->promote(store->user, member(body, "service"), member(body, "id"));
+    reply(request, good ? 200 : 409, NULL);
+    json_decref(body);
+}
+
+static gpointer serve(gpointer user)
+{
+    struct row_store *store = user;
+    event_base_loop(store->base, EVLOOP_NO_EXIT_ON_EMPTY);
+    return NULL;
+}
+
+struct row_store *row_store_start(row_store_promote *promote, void *user)
+{
+    struct sockaddr_in address;
+    socklen_t length = sizeof address;
+    evthread_use_pthreads();
+    struct row_store *store = g_new0(struct row_store, 1);
+    g_mutex_init(&store->lock);
+    store->promote = promote;
+    store->user = user;
+    store->rows = g_ptr_array_new_with_free_func(free_row);
+    store->base = event_base_new();
+    store->http = evhttp_new(store->base);
+    struct evhttp_bound_socket *bound =
+        evhttp_bind_socket_with_handle(store->http, "127.0.0.1", 0);
+    g_assert_nonnull(bound);
+    getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&address, &length);
+    store->port = ntohs(address.sin_port);
+    evhttp_set_cb(store->http, "/swiftworks/rows-get", on_get, store);
+    evhttp_set_cb(store->http, "/swiftworks/rows-feed", on_feed, store);
+    evhttp_set_cb(store->http, "/swiftworks/rows-tx", on_write, store);
+    evhttp_set_cb(store->http, "/promotion", on_promotion, store);
+    store->thread = g_thread_new("row-store", serve, store);
+    return store;
+}
+
+void row_store_stop(struct row_store *store)
+{
+    event_base_loopbreak(store->base);
+    g_thread_join(store->thread);
+    evhttp_free(store->http);
+    event_base_free(store->base);
+    g_ptr_array_unref(store->rows);
+    g_mutex_clear(&store->lock);
+    g_free(store);
+}
+
+uint16_t row_store_port(const struct row_store *store)
+{
+    return store->port;
+}
+
+void row_store_set_faults(struct row_store *store, const struct row_store_faults *faults)
+{
+    g_mutex_lock(&store->lock);
+    store->faults = *faults;
+    g_mutex_unlock(&store->lock);
+}
+
+void row_store_put(struct row_store *store, const char *table, const char *key, const char *text)
+{
+    json_t *value = text == NULL ? NULL : json_loads(text, 0, NULL);
+    g_mutex_lock(&store->lock);
+    store->version++;
+    put_row(store, table, "", key, value);
+    g_mutex_unlock(&store->lock);
+}
+
+char *row_store_get(struct row_store *store, const char *table, const char *key)
+{
+    char *text = NULL;
+    g_mutex_lock(&store->lock);
+    for (guint i = 0; i < store->rows->len; i++) {
+        const struct row *row = g_ptr_array_index(store->rows, i);
+        if (strcmp(row->table, table) == 0 && strcmp(row->key, key) == 0 && row->value != NULL) {
+            char *dumped = json_dumps(row->value, JSON_COMPACT | JSON_ENCODE_ANY);
+            g_free(text);
+            text = g_strdup(dumped);
+            free(dumped);
+        }
+    }
+    g_mutex_unlock(&store->lock);
+    return text;
+}
+
+unsigned row_store_promotions(struct row_store *store)
+{
+    g_mutex_lock(&store->lock);
+    unsigned count = store->promotions;
+    g_mutex_unlock(&store->lock);
+    return count;
+}
+
+uint64_t row_store_token(struct row_store *store, bool *fell)
+{
+    g_mutex_lock(&store->lock);
+    uint64_t token = store->token;
+    *fell = store->token_fell;
+    g_mutex_unlock(&store->lock);
+    return token;
+}
--- /dev/null
+++ b/tests/pooler/failover_rig.c
@@ -0,0 +1,227 @@
+/* The rig of the failover's tests; see the header. */
+#include "failover_rig.h"
+
+#include <string.h>
+
+#define MS NANOSECONDS_PER_MILLISECOND
+
+static struct rig_database *database_of(struct rig *rig, const char *id)
+{
+    for (unsigned i = 0; i < rig->count; i++) {
+        if (strcmp(rig->databases[i].id, id) == 0) {
+            return &rig->databases[i];
+        }
+    }
+    g_assert_not_reached();
+}
+
+static void ask(void *user, struct failover *failover, const char *id,
+                enum database_command command, uint64_t term)
+{
+    struct rig_database *database = database_of(user, id);
+    g_assert_false(database->asking);
+    database->asking = true;
+    database->asked = command;
+    database->asked_term = term;
+    database->commands[command]++;
+}
+
+static void record(void *user, struct failover *failover, bool done)
+{
+    struct rig *rig = user;
+    rig->records++;
+    rig->record_pending = !done;
+}
+
+static void promote(void *user, struct failover *failover, const char *candidate)
+{
+    struct rig *rig = user;
+    g_assert_true(rig->closed);
+    rig->orders++;
+    rig->order_pending = true;
+    g_strlcpy(rig->promoting, candidate, sizeof rig->promoting);
+    if (rig->first_order[0] == '\0') {
+        g_strlcpy(rig->first_order, candidate, sizeof rig->first_order);
+    }
+}
+
+static void publish(void *user, struct failover *failover)
+{
+    ((struct rig *)user)->published++;
+}
+
+static bool closed(void *user, struct failover *failover)
+{
+    return ((struct rig *)user)->closed;
+}
+
+static bool drained(void *user, struct failover *failover)
+{
+    return ((struct rig *)user)->drained;
+}
+
+struct rig *rig_new(unsigned count, uint32_t sync_replicas)
+{
+    struct rig *rig = g_new0(struct rig, 1);
+    rig->actions = (struct failover_actions){ask, record, promote, publish, closed, drained, rig};
+    rig->failover = failover_new("group", &rig->actions);
+    rig->failover->sync_replicas = sync_replicas;
+    rig->count = count;
+    rig->closed = true;
+    rig->drained = true;
+    rig->now = 1000 * MS;
+    rig->opinion.poolers = 6;
+    for (unsigned i = 0; i < count; i++) {
+        struct rig_database *database = &rig->databases[i];
+        g_snprintf(database->id, sizeof database->id, "d%u", i);
+        database->reachable = true;
+        database->leads = i == 0;
+        database->term = 1;
+        database->received = (struct log_position){1, 100};
+        failover_set_member(rig->failover, database->id, true, i == 0);
+    }
+    return rig;
+}
+
+void rig_free(struct rig *rig)
+{
+    failover_free(rig->failover);
+    g_free(rig);
+}
+
+static bool newer_leader(const struct rig *rig)
+{
+    for (unsigned i = 0; i < rig->count; i++) {
+        if (rig->databases[i].leads && rig->databases[i].term > 1) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void obey(struct rig *rig, struct rig_database *database)
+{
+    switch (database->asked) {
+    case DATABASE_COMMAND_PAUSE:
+        if (!database->leads && database->asked_term > database->term) {
+            database->paused = database->asked_term;
+        }
+        break;
+    case DATABASE_COMMAND_RESUME:
+        rig->resumed_early = rig->resumed_early || !newer_leader(rig);
+        database->paused = 0;
+        break;
+    case DATABASE_COMMAND_STEP_DOWN:
+        if (database->asked_term > database->term) {
+            database->leads = false;
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+static void answer(struct rig *rig, struct rig_database *database)
+{
+    database->asking = false;
+    if (!database->reachable) {
+        failover_answered(rig->failover, database->id, NULL, rig->now);
+        return;
+    }
+    obey(rig, database);
+    struct database_report report = {.leads = database->leads,
+                                     .term = database->term,
+                                     .received = database->received,
+                                     .paused_term = database->paused};
+    failover_answered(rig->failover, database->id, &report, rig->now);
+}
+
+static uint64_t newest_term(const struct rig *rig)
+{
+    uint64_t newest = 0;
+    for (unsigned i = 0; i < rig->count; i++) {
+        newest = MAX(newest, rig->databases[i].term);
+    }
+    return newest;
+}
+
+static void take_effect(struct rig *rig)
+{
+    if (rig->promoted_at == 0 || rig->now < rig->promoted_at) {
+        return;
+    }
+    struct rig_database *database = database_of(rig, rig->promoting);
+    rig->promoted_at = 0;
+    if (database->reachable && !database->leads) {
+        database->term = newest_term(rig) + 1;
+        database->leads = true;
+        database->paused = 0;
+    }
+}
+
+static void end_calls(struct rig *rig)
+{
+    if (rig->record_pending) {
+        rig->record_pending = false;
+        failover_recorded(rig->failover, !rig->record_fails, rig->now);
+    } else if (rig->order_pending) {
+        struct rig_database *database = database_of(rig, rig->promoting);
+        bool refused = rig->orders_refused || !database->reachable;
+        rig->order_pending = false;
+        if (!refused) {
+            rig->promoted_at = rig->now + RIG_PROMOTION_NS;
+        }
+        failover_ordered(rig->failover,
+                         refused ? FAILOVER_ORDER_REFUSED : FAILOVER_ORDER_ACCEPTED, rig->now);
+    }
+}
+
+static void step(struct rig *rig)
+{
+    rig->now += RIG_STEP_NS;
+    take_effect(rig);
+    for (unsigned i = 0; i < rig->count; i++) {
+        if (rig->databases[i].asking) {
+            answer(rig, &rig->databases[i]);
+        }
+    }
+    end_calls(rig);
+    failover_tick(rig->failover, &rig->opinion, rig->now);
+}
+
+void rig_run(struct rig *rig, uint32_t ms)
+{
+    for (time_ns end = rig->now + ms * MS; rig->now < end;) {
+        step(rig);
+    }
+}
+
+static bool is_open(const struct rig *rig, unsigned database)
+{
+    const struct failover *failover = rig->failover;
+    return failover->state == FAILOVER_WATCHING && failover->phase == GROUP_PHASE_OPEN &&
+           g_strcmp0(failover->primary, rig->databases[database].id) == 0;
+}
+
+void rig_run_until_open(struct rig *rig, unsigned database)
+{
+    for (int i = 0; i < 6000 && !is_open(rig, database); i++) {
+        step(rig);
+    }
+    g_assert_true(is_open(rig, database));
+}
+
+void rig_accuse(struct rig *rig, uint32_t unreachable, uint32_t stalled)
+{
+    rig->opinion.unreachable = unreachable;
+    rig->opinion.stalled = stalled;
+}
+
+unsigned rig_leaders(const struct rig *rig)
+{
+    unsigned leaders = 0;
+    for (unsigned i = 0; i < rig->count; i++) {
+        leaders += rig->databases[i].leads && rig->databases[i].reachable;
+    }
+    return leaders;
+}
--- /dev/null
+++ b/tests/pooler/failover_rig.h
@@ -0,0 +1,60 @@
+/* A group of made-up databases around the failover's state machine, on virtual time. Commands are
+ * answered one step later; a promotion takes effect after a while. */
+#ifndef SW_TESTS_POOLER_FAILOVER_RIG_H
+#define SW_TESTS_POOLER_FAILOVER_RIG_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "pooler/failover.h"
+
+#define RIG_DATABASES_MAX 5
+#define RIG_STEP_NS       (20 * NANOSECONDS_PER_MILLISECOND)
+#define RIG_PROMOTION_NS  (300 * NANOSECONDS_PER_MILLISECOND)
+
+struct rig_database {
+    char id[8];
+    bool reachable;
+    bool leads;
+    uint64_t term;
+    struct log_position received;
+    uint64_t paused;
+    enum database_command asked;
+    uint64_t asked_term;
+    bool asking;
+    unsigned commands[4]; /* counts by enum database_command */
+};
+
+struct rig {
+    struct failover *failover;
+    struct failover_actions actions;
+    struct failover_opinion opinion;
+    struct rig_database databases[RIG_DATABASES_MAX];
+    unsigned count;
+    time_ns now;
+    bool closed;  /* what the poolers say */
+    bool drained;
+    bool record_fails;
+    bool orders_refused;
+    unsigned records;
+    unsigned orders;
+    unsigned published;
+    bool record_pending;
+    bool order_pending;
+    char promoting[8];
+    time_ns promoted_at;
+    char first_order[8];
+    bool resumed_early; /* a replica was resumed while nobody led in the new term */
+};
+
+/* Databases "d0", "d1"...; d0 leads term 1 at position 1.100, the others hold the same. */
+struct rig *rig_new(unsigned count, uint32_t sync_replicas);
+void rig_free(struct rig *rig);
+void rig_run(struct rig *rig, uint32_t ms);
+/* Runs until the group is open under this primary; fails after two virtual minutes. */
+void rig_run_until_open(struct rig *rig, unsigned database);
+/* What poolers say of the primary from now on. */
+void rig_accuse(struct rig *rig, uint32_t unreachable, uint32_t stalled);
+unsigned rig_leaders(const struct rig *rig);
+
+#endif
--- /dev/null
+++ b/tests/pooler/test_directory.c
@@ -0,0 +1,87 @@
+/* The directory: newest record by the store's version, and when a database counts as leaving. */
+#include "pooler/directory.h"
+
+#define MS        NANOSECONDS_PER_MILLISECOND
+#define HEARTBEAT (1200 * MS)
+
+static struct directory_entry *entry(const char *id, bool draining)
+{
+    struct directory_entry *out = g_new0(struct directory_entry, 1);
+    out->id = g_strdup(id);
+    out->service = g_strdup("s");
+    out->zone = g_strdup("z");
+    out->draining = draining;
+    return out;
+}
+
+static const struct directory_entry *find(const struct directory *directory, const char *id)
+{
+    return g_hash_table_lookup(directory->entries, id);
+}
+
+static void test_older_rows_are_dropped(void)
+{
+    struct directory directory;
+    directory_init(&directory);
+    g_assert_true(directory_take(&directory, "a", 5, entry("a", true), 0));
+    g_assert_false(directory_take(&directory, "a", 4, entry("a", false), 0));
+    g_assert_true(find(&directory, "a")->draining);
+    directory_clear(&directory);
+}
+
+static void test_same_content_is_no_change(void)
+{
+    struct directory directory;
+    directory_init(&directory);
+    g_assert_true(directory_take(&directory, "a", 1, entry("a", false), 0));
+    g_assert_false(directory_take(&directory, "a", 2, entry("a", false), 0));
+    directory_clear(&directory);
+}
+
+static void test_draining_leaves_at_once(void)
+{
+    struct directory directory;
+    directory_init(&directory);
+    directory_take(&directory, "a", 1, entry("a", true), 0);
+    g_assert_true(directory_entry_leaves(find(&directory, "a"), 0, HEARTBEAT));
+    directory_clear(&directory);
+}
+
+/* A store that was down may drop the records of databases that are well. */
+static void test_gone_leaves_after_two_heartbeats(void)
+{
+    struct directory directory;
+    directory_init(&directory);
+    directory_take(&directory, "a", 1, entry("a", false), 0);
+    g_assert_true(directory_take(&directory, "a", 2, NULL, 1000 * MS));
+    g_assert_false(directory_entry_leaves(find(&directory, "a"), 3300 * MS, HEARTBEAT));
+    g_assert_true(directory_entry_leaves(find(&directory, "a"), 3400 * MS, HEARTBEAT));
+    g_assert_true(directory_take(&directory, "a", 3, entry("a", false), 3500 * MS));
+    g_assert_false(directory_entry_leaves(find(&directory, "a"), 9000 * MS, HEARTBEAT));
+    directory_clear(&directory);
+}
+
+static void test_forget(void)
+{
+    struct directory directory;
+    directory_init(&directory);
+    directory_take(&directory, "a", 1, entry("a", false), 0);
+    directory_take(&directory, "b", 2, entry("b", false), 0);
+    directory_take(&directory, "a", 3, NULL, 1000 * MS);
+    g_assert_false(directory_forget(&directory, 1500 * MS, 1000 * MS));
+    g_assert_true(directory_forget(&directory, 2000 * MS, 1000 * MS));
+    g_assert_null(find(&directory, "a"));
+    g_assert_nonnull(find(&directory, "b"));
+    directory_clear(&directory);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/pooler/directory/older-dropped", test_older_rows_are_dropped);
+    g_test_add_func("/pooler/directory/no-change", test_same_content_is_no_change);
+    g_test_add_func("/pooler/directory/draining", test_draining_leaves_at_once);
+    g_test_add_func("/pooler/directory/gone", test_gone_leaves_after_two_heartbeats);
+    g_test_add_func("/pooler/directory/forget", test_forget);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/pooler/test_failover.c
@@ -0,0 +1,247 @@
+/* The control of one group, by scenario, on virtual time. */
+#include "failover_rig.h"
+
+static void lose_primary(struct rig *rig)
+{
+    rig->databases[0].reachable = false;
+    rig_accuse(rig, rig->opinion.poolers, 0);
+}
+
+static void test_finds_the_leader(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig_free(rig);
+}
+
+static void test_lost_primary_most_advanced_replica(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[2].received.offset = 107;
+    lose_primary(rig);
+    rig_run_until_open(rig, 2);
+    g_assert_cmpuint(rig->failover->term, ==, 2);
+    g_assert_cmpuint(rig->databases[1].commands[DATABASE_COMMAND_PAUSE], >, 0);
+    rig_accuse(rig, 0, 0);
+    rig_run(rig, 1000);
+    g_assert_cmpuint(rig->databases[1].paused, ==, 0);
+    g_assert_false(rig->resumed_early);
+    rig_free(rig);
+}
+
+/* One replica alone may lack what the other one holds: nobody is promoted until both are paused. */
+static void test_waits_for_the_quorum(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[2].received.offset = 107;
+    lose_primary(rig);
+    rig_run(rig, 200);
+    rig->databases[2].reachable = false;
+    rig->databases[1].received.offset = 100;
+    unsigned orders = rig->orders;
+    if (orders == 0) {
+        rig_run(rig, 3000);
+        g_assert_cmpuint(rig->orders, ==, 0);
+    }
+    rig->databases[2].reachable = true;
+    rig_run_until_open(rig, 2);
+    rig_free(rig);
+}
+
+static void test_replica_lost_before_the_primary(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[2].reachable = false;
+    rig->databases[2].received.offset = 107;
+    lose_primary(rig);
+    rig_run(rig, 5000);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    /* It can't be carried out: the group is not even closed. */
+    g_assert_cmpint(rig->failover->phase, ==, GROUP_PHASE_OPEN);
+    rig->databases[2].reachable = true;
+    rig_run_until_open(rig, 2);
+    rig_free(rig);
+}
+
+/* However many replicas a service asks for, one is counted on. */
+static void test_two_synchronous_replicas_need_no_less(void)
+{
+    struct rig *rig = rig_new(3, 2);
+    rig_run_until_open(rig, 0);
+    rig->databases[2].received.offset = 107;
+    lose_primary(rig);
+    rig_run_until_open(rig, 2);
+    rig_free(rig);
+}
+
+static void test_planned_change(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->drained = false;
+    failover_set_member(rig->failover, "d0", false, true);
+    rig_run(rig, 200);
+    g_assert_cmpint(rig->failover->phase, ==, GROUP_PHASE_DRAINING);
+    g_assert_true(rig->databases[0].leads);
+    rig->drained = true;
+    rig->databases[0].received.offset = 120;
+    rig_run(rig, 100);
+    /* The replicas lack what the primary holds: it goes on leading until one has it. */
+    g_assert_true(rig->databases[0].leads);
+    rig->databases[1].received.offset = 120;
+    rig_run_until_open(rig, 1);
+    g_assert_false(rig->databases[0].leads);
+    rig_free(rig);
+}
+
+/* A pooler that can't be heard may still send to the old primary: the order waits for it. */
+static void test_waits_until_closed(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->closed = false;
+    lose_primary(rig);
+    rig_run(rig, 3000);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    g_assert_cmpint(rig->failover->phase, ==, GROUP_PHASE_CLOSED);
+    rig->closed = true;
+    rig_run(rig, 1000);
+    g_assert_cmpuint(rig->orders, >, 0);
+    rig_free(rig);
+}
+
+/* No order without its record; a record that failed is tried again. */
+static void test_record_comes_first(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->record_fails = true;
+    lose_primary(rig);
+    rig_run(rig, 2000);
+    g_assert_cmpuint(rig->records, >, 1);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig->record_fails = false;
+    rig_run(rig, 1000);
+    g_assert_cmpuint(rig->orders, ==, 1);
+    rig_free(rig);
+}
+
+static void test_refused_candidate(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->orders_refused = true;
+    lose_primary(rig);
+    while (rig->orders == 0 || rig->order_pending) {
+        rig_run(rig, 20);
+    }
+    rig->orders_refused = false;
+    rig_run_until_open(rig, g_str_equal(rig->first_order, "d1") ? 2 : 1);
+    rig_free(rig);
+}
+
+static void test_candidate_dies_after_the_order(void)
+{
+    struct rig *rig = rig_new(4, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[3].received.offset = 101;
+    lose_primary(rig);
+    while (rig->failover->state != FAILOVER_CONFIRMING) {
+        rig_run(rig, 20);
+    }
+    rig->databases[3].reachable = false;
+    rig_run(rig, 5000);
+    /* Two of three replicas are paused, not three: its log may hold more. */
+    g_assert_cmpuint(rig_leaders(rig), ==, 0);
+    rig->databases[3].reachable = true;
+    rig_run_until_open(rig, 3);
+    rig_free(rig);
+}
+
+static void test_goes_on_with_a_recorded_promotion(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig->databases[0].leads = false;
+    rig->databases[1].paused = 2;
+    rig->databases[2].paused = 2;
+    failover_continue(rig->failover, "d2", 2, 0, rig->now);
+    rig->record_pending = true;
+    rig_run_until_open(rig, 2);
+    g_assert_cmpstr(rig->first_order, ==, "d2");
+    rig_run(rig, 1000);
+    g_assert_cmpuint(rig->databases[1].paused, ==, 0);
+    rig_free(rig);
+}
+
+static void test_minority_does_not_depose_at_once(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig_accuse(rig, 1, 0);
+    rig_run(rig, 600);
+    g_assert_cmpint(rig->failover->state, ==, FAILOVER_WATCHING);
+    rig_accuse(rig, 0, 0);
+    rig_run(rig, 3000);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig_free(rig);
+}
+
+static void test_stalled_primary_is_replaced(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[0].received.offset = 130; /* of which no replica has anything */
+    rig_accuse(rig, 0, 2);
+    rig_run(rig, 2000);
+    g_assert_cmpuint(rig->orders, ==, 1);
+    g_assert_false(rig->databases[0].leads);
+    rig_free(rig);
+}
+
+/* A new primary that is alive is not deposed again, whatever the old one did. */
+static void test_one_change_is_enough(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    lose_primary(rig);
+    rig_run(rig, 1500);
+    rig_accuse(rig, 0, 0);
+    rig_run(rig, 60000);
+    g_assert_cmpuint(rig->orders, ==, 1);
+    g_assert_cmpuint(rig->failover->term, ==, 2);
+    rig_free(rig);
+}
+
+static void test_nobody_leads_at_start(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig->databases[0].leads = false;
+    rig->databases[1].received.offset = 101;
+    rig_run_until_open(rig, 1);
+    rig_free(rig);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/pooler/failover/finds-leader", test_finds_the_leader);
+    g_test_add_func("/pooler/failover/lost-primary", test_lost_primary_most_advanced_replica);
+    g_test_add_func("/pooler/failover/quorum", test_waits_for_the_quorum);
+    g_test_add_func("/pooler/failover/replica-lost-before", test_replica_lost_before_the_primary);
+    g_test_add_func("/pooler/failover/two-synchronous", test_two_synchronous_replicas_need_no_less);
+    g_test_add_func("/pooler/failover/planned", test_planned_change);
+    g_test_add_func("/pooler/failover/closed-first", test_waits_until_closed);
+    g_test_add_func("/pooler/failover/record-first", test_record_comes_first);
+    g_test_add_func("/pooler/failover/refused", test_refused_candidate);
+    g_test_add_func("/pooler/failover/candidate-dies", test_candidate_dies_after_the_order);
+    g_test_add_func("/pooler/failover/continues", test_goes_on_with_a_recorded_promotion);
+    g_test_add_func("/pooler/failover/minority", test_minority_does_not_depose_at_once);
+    g_test_add_func("/pooler/failover/stalled", test_stalled_primary_is_replaced);
+    g_test_add_func("/pooler/failover/one-change", test_one_change_is_enough);
+    g_test_add_func("/pooler/failover/nobody-leads", test_nobody_leads_at_start);
+    return g_test_run();
+}
