Prefer another database to the old primary when one is chosen

Found by the test of a stalled primary: the old primary, stepped down, held the longest log and was promoted again, with its replicas still out of reach.

--- a/src/pooler/failover.c
+++ b/src/pooler/failover.c
@@ -487,6 +487,9 @@
     }
 }
 
+/* Without another candidate for so long, the old primary may lead again. */
+#define PRIMARY_AGAIN_NS (1000 * MS)
+
 /* Counts fenced replicas, and finds the most advanced log among them. */
 static uint32_t count_fenced(const struct failover *failover, struct log_position *highest)
 {
@@ -505,14 +508,17 @@
     return fenced;
 }
 
-/* A member that may lead and holds at least `need`; the most advanced one that stays. */
+/* A member that may lead and holds at least `need`; the most advanced one that stays. The old
+ * primary only after a while: most often there is a reason why it is to be replaced. */
 static struct failover_member *choose(const struct failover *failover, struct log_position need,
                                       time_ns now)
 {
+    bool primary_too = now > failover->since + PRIMARY_AGAIN_NS;
     struct failover_member *best = NULL;
     for (guint i = 0; i < failover->members->len; i++) {
         struct failover_member *member = member_at(failover, i);
         bool good = member->fenced && member->answered && now >= member->excluded_until &&
+                    (primary_too || !is_primary(failover, member)) &&
                     log_position_covers(member->report.received, need);
         if (!good) {
             continue;
@@ -536,10 +542,6 @@
     struct failover_member *candidate = NULL;
     if (primary != NULL && primary->fenced) {
         candidate = choose(failover, primary->report.received, now);
-        bool only_primary = candidate != NULL && is_primary(failover, candidate);
-        if (only_primary && now < failover->since + CATCH_UP_NS * 2) {
-            candidate = NULL;
-        }
     }
     if (candidate == NULL && fenced >= pauses_needed(failover)) {
         candidate = choose(failover, highest, now);
