--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -3,7 +3,8 @@
 
 #include <string.h>
 
-#define LATENCY_START_MS 15.0
+/* Of a database that has not answered yet. */
+#define LATENCY_START_MS 5.0
 
 /* No answer at all while something is asked, for this long: silence. */
 #define SILENT_AFTER_NS (450 * NANOSECONDS_PER_MILLISECOND)
--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -8,6 +8,9 @@
 #define PRIMARY_FACTOR    1.7
 #define OPENING_FACTOR    1.5
 
+/* Differences below this are no reason to read at the primary. */
+#define LATENCY_FLOOR_MS 5.0
+
 /* For how long a database that lacked a position is passed over for it. */
 #define LACKING_KEPT_NS (60 * NANOSECONDS_PER_MILLISECOND)
 
@@ -111,7 +114,7 @@
 
 static double cost_of(const struct database *database)
 {
-    double cost = database->latency_ms * (database->in_flight + 1);
+    double cost = MAX(database->latency_ms, LATENCY_FLOOR_MS) * (database->in_flight + 1);
     cost *= database->same_zone ? 1 : OTHER_ZONE_FACTOR;
     cost *= database == database->group->primary ? PRIMARY_FACTOR : 1;
     return cost;
