--- /dev/null
+++ b/tests/pooler/test_fleet.c
@@ -0,0 +1,408 @@
+/* Poolers as processes, before stand-ins of the platform: what must hold when primaries, poolers and
+ * the store fail. Waits for states, never for times. */
+#include <arpa/inet.h>
+#include <gio/gio.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "standins/session_platform/line_group.h"
+#include "standins/session_platform/row_store.h"
+
+#define POOLERS     3
+#define DATABASES   3
+#define PATIENCE_US (60 * G_USEC_PER_SEC)
+#define LOOK_US     5000
+
+struct fixture {
+    struct line_group *group;
+    struct row_store *store;
+    GSubprocess *poolers[POOLERS];
+    uint16_t ports[POOLERS];
+    uint16_t peers[POOLERS];
+    uint16_t probes[POOLERS];
+    uint16_t metrics[POOLERS];
+    unsigned version;
+    GPtrArray *acknowledged; /* values whose write was acknowledged */
+    unsigned next_value;
+};
+
+static uint16_t free_port(void)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t length = sizeof address;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    int handle = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert_cmpint(bind(handle, (struct sockaddr *)&address, sizeof address), ==, 0);
+    getsockname(handle, (struct sockaddr *)&address, &length);
+    close(handle);
+    return ntohs(address.sin_port);
+}
+
+static bool on_promote(void *user, const char *service, const char *database)
+{
+    return line_group_promote(((struct fixture *)user)->group, database);
+}
+
+static void put_configuration(struct fixture *fixture, bool with_stale)
+{
+    static const char *const route =
+        "{\"name\":\"%s\",\"hostname\":\"%s\",\"pathPrefix\":\"/\",\"routeType\":\"%s\","
+        "\"timeoutMs\":3000,\"targetLatencyMs\":250,\"priority\":1,\"service\":\"ledger\","
+        "\"maxStalenessMs\":30000}";
+    g_autofree char *strict = g_strdup_printf(route, "r1", "strict", "primary");
+    g_autofree char *stale = g_strdup_printf(route, "r2", "stale", "bounded_staleness");
+    g_autofree char *text = g_strdup_printf(
+        "{\"version\":%u,\"routes\":[%s%s%s],\"services\":[{\"name\":\"ledger\",\"maxConns\":40,"
+        "\"syncReplicas\":1}],\"limits\":{\"txIdleMs\":30000}}",
+        ++fixture->version, strict, with_stale ? "," : "", with_stale ? stale : "");
+    row_store_put(fixture->store, "op", "config", text);
+}
+
+static void put_record(struct fixture *fixture, unsigned database, const char *state)
+{
+    static unsigned sequence;
+    g_autofree char *text = g_strdup_printf(
+        "{\"service\":\"ledger\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z%u\",\"version\":\"v1\","
+        "\"slots\":3,\"state\":\"%s\",\"coldRemainingMs\":0,\"dbRole\":\"%s\",\"sequence\":%u}",
+        line_group_port(fixture->group, database), database, state,
+        line_group_leads(fixture->group, database) ? "primary" : "replica", ++sequence);
+    row_store_put(fixture->store, "servers", line_group_id(fixture->group, database), text);
+}
+
+static char *setting(const char *name, uint16_t port)
+{
+    return g_strdup_printf("--set=%s=127.0.0.1:%u", name, port);
+}
+
+static void start_pooler(struct fixture *fixture, unsigned index)
+{
+    g_autoptr(GError) error = NULL;
+    g_autofree char *name = g_strdup_printf("--set=pooler.name=pooler-%u", index);
+    g_autofree char *zone = g_strdup_printf("--set=pooler.zone=z%u", index);
+    g_autofree char *listen = setting("pooler.listen", fixture->ports[index]);
+    g_autofree char *peer = setting("pooler.peer_listen", fixture->peers[index]);
+    g_autofree char *probe = setting("pooler.readiness_listen", fixture->probes[index]);
+    g_autofree char *metrics = setting("pooler.metrics_listen", fixture->metrics[index]);
+    g_autofree char *peers = setting("pooler.peers", fixture->peers[0]);
+    g_autofree char *store = setting("store.address", row_store_port(fixture->store));
+    g_autofree char *promotion = setting("promotion.address", row_store_port(fixture->store));
+    const char *const arguments[] = {
+        g_getenv("SWIFTWORKS_POOLER"), name, zone, listen, peer, probe, metrics, peers, store,
+        promotion, "--set=store.heartbeat_ms=300", "--set=stop.grace_s=4", NULL};
+    fixture->poolers[index] =
+        g_subprocess_newv(arguments, G_SUBPROCESS_FLAGS_STDOUT_SILENCE, &error);
+    g_assert_no_error(error);
+}
+
+static void set_up(struct fixture *fixture, gconstpointer unused)
+{
+    fixture->group = line_group_start("ledger", DATABASES, 1);
+    fixture->store = row_store_start(on_promote, fixture);
+    fixture->acknowledged = g_ptr_array_new_with_free_func(g_free);
+    put_configuration(fixture, true);
+    for (unsigned i = 0; i < DATABASES; i++) {
+        put_record(fixture, i, "ready");
+    }
+    for (unsigned i = 0; i < POOLERS; i++) {
+        fixture->ports[i] = free_port();
+        fixture->peers[i] = free_port();
+        fixture->probes[i] = free_port();
+        fixture->metrics[i] = free_port();
+    }
+    for (unsigned i = 0; i < POOLERS; i++) {
+        start_pooler(fixture, i);
+    }
+}
+
+static void kill_pooler(struct fixture *fixture, unsigned index)
+{
+    g_subprocess_force_exit(fixture->poolers[index]);
+    g_subprocess_wait(fixture->poolers[index], NULL, NULL);
+    g_clear_object(&fixture->poolers[index]);
+}
+
+static void tear_down(struct fixture *fixture, gconstpointer unused)
+{
+    for (unsigned i = 0; i < POOLERS; i++) {
+        if (fixture->poolers[i] != NULL) {
+            kill_pooler(fixture, i);
+        }
+    }
+    row_store_stop(fixture->store);
+    line_group_stop(fixture->group);
+    g_ptr_array_unref(fixture->acknowledged);
+}
+
+/* Asks one thing of a pooler over a session of its own; the answer's lines, NULL if it broke. */
+static char *ask(const struct fixture *fixture, unsigned pooler, const char *database,
+                 const char *text)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons(fixture->ports[pooler])};
+    struct timeval patience = {10, 0};
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    int handle = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(handle, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    if (connect(handle, (struct sockaddr *)&address, sizeof address) != 0) {
+        close(handle);
+        return NULL;
+    }
+    static unsigned id;
+    g_autofree char *request =
+        g_strdup_printf("STARTUP %s test\r\nQUERY id%u %s\r\n", database, ++id, text);
+    send(handle, request, strlen(request), MSG_NOSIGNAL);
+    FILE *stream = fdopen(handle, "r");
+    GString *answer = g_string_new(NULL);
+    char line[1024];
+    unsigned ready = 0;
+    while (ready < 2 && fgets(line, sizeof line, stream) != NULL) {
+        ready += g_str_has_prefix(line, "READY");
+        g_string_append(answer, line);
+    }
+    fclose(stream);
+    return g_string_free(answer, FALSE);
+}
+
+static bool succeeds(const struct fixture *fixture, unsigned pooler, const char *database,
+                     const char *text, const char *row)
+{
+    g_autofree char *answer = ask(fixture, pooler, database, text);
+    return answer != NULL && strstr(answer, "COMPLETE") != NULL &&
+           (row == NULL || strstr(answer, row) != NULL);
+}
+
+/* Writes new values through a pooler until one is acknowledged. */
+static void write_until_done(struct fixture *fixture, unsigned pooler)
+{
+    gint64 end = g_get_monotonic_time() + PATIENCE_US;
+    while (g_get_monotonic_time() < end) {
+        g_autofree char *value = g_strdup_printf("v%u", ++fixture->next_value);
+        g_autofree char *text = g_strdup_printf("WRITE hut %s", value);
+        if (succeeds(fixture, pooler, "strict", text, NULL)) {
+            g_ptr_array_add(fixture->acknowledged, g_steal_pointer(&value));
+            return;
+        }
+        g_usleep(LOOK_US);
+    }
+    g_error("no write was acknowledged");
+}
+
+static void assert_all_kept(struct fixture *fixture)
+{
+    bool fell = false;
+    for (guint i = 0; i < fixture->acknowledged->len; i++) {
+        const char *value = g_ptr_array_index(fixture->acknowledged, i);
+        g_assert_cmpuint(line_group_committed(fixture->group, "hut", value), ==, 1);
+    }
+    row_store_token(fixture->store, &fell);
+    g_assert_false(fell);
+}
+
+static void assert_read_sees_last(struct fixture *fixture, unsigned pooler)
+{
+    const char *value =
+        g_ptr_array_index(fixture->acknowledged, fixture->acknowledged->len - 1);
+    gint64 end = g_get_monotonic_time() + PATIENCE_US;
+    while (g_get_monotonic_time() < end) {
+        g_autofree char *answer = ask(fixture, pooler, "strict", "READ hut");
+        if (answer != NULL && strstr(answer, "ROW") != NULL) {
+            g_assert_nonnull(strstr(answer, value));
+            return;
+        }
+        g_usleep(LOOK_US);
+    }
+    g_error("no read was answered");
+}
+
+/* Which pooler holds the lease, by its metrics; POOLERS if none does. */
+static unsigned find_coordinator(const struct fixture *fixture)
+{
+    for (unsigned i = 0; i < POOLERS; i++) {
+        g_autoptr(GSocketClient) client = g_socket_client_new();
+        g_autoptr(GSocketConnection) connection = g_socket_client_connect_to_host(
+            client, "127.0.0.1", fixture->metrics[i], NULL, NULL);
+        if (connection == NULL) {
+            continue;
+        }
+        static const char request[] = "GET /metrics HTTP/1.0\r\n\r\n";
+        char answer[65536] = "";
+        gsize length = 0;
+        g_output_stream_write_all(g_io_stream_get_output_stream(G_IO_STREAM(connection)), request,
+                                  sizeof request - 1, NULL, NULL, NULL);
+        g_input_stream_read_all(g_io_stream_get_input_stream(G_IO_STREAM(connection)), answer,
+                                sizeof answer - 1, &length, NULL, NULL);
+        if (strstr(answer, "swiftworks_coordinator 1") != NULL) {
+            return i;
+        }
+    }
+    return POOLERS;
+}
+
+static unsigned wait_for_coordinator(const struct fixture *fixture, unsigned other_than)
+{
+    gint64 end = g_get_monotonic_time() + PATIENCE_US;
+    while (g_get_monotonic_time() < end) {
+        unsigned found = find_coordinator(fixture);
+        if (found != POOLERS && found != other_than) {
+            return found;
+        }
+        g_usleep(LOOK_US);
+    }
+    g_error("no coordinator was found");
+}
+
+static unsigned leader(const struct fixture *fixture)
+{
+    unsigned found = DATABASES;
+    uint64_t term = 0;
+    for (unsigned i = 0; i < DATABASES; i++) {
+        if (line_group_leads(fixture->group, i) && line_group_term(fixture->group, i) > term) {
+            term = line_group_term(fixture->group, i);
+            found = i;
+        }
+    }
+    return found;
+}
+
+static void test_calm(struct fixture *fixture, gconstpointer unused)
+{
+    write_until_done(fixture, 0);
+    assert_read_sees_last(fixture, 1);
+    write_until_done(fixture, 2);
+    assert_read_sees_last(fixture, 0);
+    assert_all_kept(fixture);
+}
+
+static void test_lost_primary(struct fixture *fixture, gconstpointer unused)
+{
+    for (unsigned i = 0; i < POOLERS; i++) {
+        write_until_done(fixture, i);
+    }
+    line_group_set_faults(fixture->group, 0, &(struct line_faults){.down = true});
+    for (unsigned i = 0; i < POOLERS; i++) {
+        write_until_done(fixture, i);
+        assert_read_sees_last(fixture, (i + 1) % POOLERS);
+    }
+    g_assert_cmpuint(leader(fixture), !=, 0);
+    assert_all_kept(fixture);
+}
+
+static void test_lost_primary_after_lost_coordinator(struct fixture *fixture,
+                                                     gconstpointer unused)
+{
+    write_until_done(fixture, 0);
+    unsigned coordinator = wait_for_coordinator(fixture, POOLERS);
+    kill_pooler(fixture, coordinator);
+    line_group_set_faults(fixture->group, 0, &(struct line_faults){.down = true});
+    write_until_done(fixture, (coordinator + 1) % POOLERS);
+    assert_read_sees_last(fixture, (coordinator + 2) % POOLERS);
+    assert_all_kept(fixture);
+}
+
+/* A machine's process that is started again takes its own lease over at once. */
+static void test_coordinator_comes_back(struct fixture *fixture, gconstpointer unused)
+{
+    write_until_done(fixture, 0);
+    unsigned coordinator = wait_for_coordinator(fixture, POOLERS);
+    kill_pooler(fixture, coordinator);
+    start_pooler(fixture, coordinator);
+    wait_for_coordinator(fixture, POOLERS);
+    write_until_done(fixture, coordinator);
+    assert_all_kept(fixture);
+}
+
+static void test_store_is_silent(struct fixture *fixture, gconstpointer unused)
+{
+    write_until_done(fixture, 0);
+    row_store_set_faults(fixture->store, &(struct row_store_faults){.silent = true});
+    gint64 end = g_get_monotonic_time() + PATIENCE_US;
+    while (find_coordinator(fixture) != POOLERS && g_get_monotonic_time() < end) {
+        g_usleep(LOOK_US);
+    }
+    /* Nobody holds the lease: reads at the primary go on by what the databases tell. */
+    write_until_done(fixture, 1);
+    assert_read_sees_last(fixture, 2);
+    row_store_set_faults(fixture->store, &(struct row_store_faults){0});
+    wait_for_coordinator(fixture, POOLERS);
+    line_group_set_faults(fixture->group, 0, &(struct line_faults){.down = true});
+    write_until_done(fixture, 0);
+    assert_all_kept(fixture);
+}
+
+/* The renewals are done, and their answers lost: the lease is kept or taken anew, the token never
+ * falls. */
+static void test_lost_answers_of_the_store(struct fixture *fixture, gconstpointer unused)
+{
+    write_until_done(fixture, 0);
+    row_store_set_faults(fixture->store, &(struct row_store_faults){.lose_writes = true});
+    line_group_set_faults(fixture->group, 0, &(struct line_faults){.down = true});
+    g_usleep(500000);
+    row_store_set_faults(fixture->store, &(struct row_store_faults){0});
+    write_until_done(fixture, 1);
+    assert_read_sees_last(fixture, 2);
+    assert_all_kept(fixture);
+}
+
+static void test_forgotten_history(struct fixture *fixture, gconstpointer unused)
+{
+    write_until_done(fixture, 0);
+    row_store_set_faults(fixture->store, &(struct row_store_faults){.no_history = true});
+    put_configuration(fixture, false);
+    gint64 end = g_get_monotonic_time() + PATIENCE_US;
+    for (;;) {
+        g_autofree char *answer = ask(fixture, 1, "stale", "READ hut");
+        if (answer != NULL && strstr(answer, "NODB") != NULL) {
+            break;
+        }
+        g_assert_cmpint(g_get_monotonic_time(), <, end);
+        g_usleep(LOOK_US);
+    }
+    write_until_done(fixture, 0);
+}
+
+static void test_leaving_primary(struct fixture *fixture, gconstpointer unused)
+{
+    write_until_done(fixture, 0);
+    put_record(fixture, 0, "draining");
+    gint64 end = g_get_monotonic_time() + PATIENCE_US;
+    while (line_group_leads(fixture->group, 0)) {
+        g_assert_cmpint(g_get_monotonic_time(), <, end);
+        write_until_done(fixture, 1);
+    }
+    write_until_done(fixture, 2);
+    assert_read_sees_last(fixture, 0);
+    assert_all_kept(fixture);
+}
+
+static void test_planned_stop(struct fixture *fixture, gconstpointer unused)
+{
+    write_until_done(fixture, 1);
+    g_subprocess_send_signal(fixture->poolers[1], SIGTERM);
+    g_subprocess_wait(fixture->poolers[1], NULL, NULL);
+    g_assert_true(g_subprocess_get_if_exited(fixture->poolers[1]));
+    g_assert_cmpint(g_subprocess_get_exit_status(fixture->poolers[1]), ==, 0);
+    g_clear_object(&fixture->poolers[1]);
+    write_until_done(fixture, 2);
+    assert_all_kept(fixture);
+}
+
+#define ADD(name, test)                                                                            \
+    g_test_add("/pooler/fleet/" name, struct fixture, NULL, set_up, test, tear_down)
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    ADD("calm", test_calm);
+    ADD("lost-primary", test_lost_primary);
+    ADD("lost-coordinator-and-primary", test_lost_primary_after_lost_coordinator);
+    ADD("coordinator-comes-back", test_coordinator_comes_back);
+    ADD("silent-store", test_store_is_silent);
+    ADD("lost-answers", test_lost_answers_of_the_store);
+    ADD("forgotten-history", test_forgotten_history);
+    ADD("leaving-primary", test_leaving_primary);
+    ADD("planned-stop", test_planned_stop);
+    return g_test_run();
+}
--- a/tests/pooler/test_worker.c
+++ b/tests/pooler/test_worker.c
@@ -539,7 +539,7 @@
 static void test_empty_commit_proves_nothing(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "stale");
-    fixture->staleness_ms = 1;
+    fixture->staleness_ms = 200;
     fixture->timeout_ms = 600;
     publish(fixture);
     good(client, "BEGIN", 'T');
@@ -547,7 +547,7 @@
     permit(fixture, 0);
     line_group_set_faults(fixture->group, 0, &(struct line_faults){.deaf = true});
     g_assert_true(line_group_promote(fixture->group, line_group_id(fixture->group, 1)));
-    g_usleep(20000);
+    g_usleep(300000); /* the samples of the transaction are too old by now */
     good(client, "COMMIT", 'I');
     bad(client, "READ hut", "BUSY", 'I');
     client_close(client);
