--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -4,7 +4,7 @@
 #include "pooler/worker_internal.h"
 
 /* Factors on a database's expected latency. */
-#define OTHER_ZONE_FACTOR 1.4
+#define OTHER_ZONE_FACTOR 3.0
 #define PRIMARY_FACTOR    1.7
 #define OPENING_FACTOR    1.5
 
