--- a/src/pooler/session.c
+++ b/src/pooler/session.c
@@ -419,6 +419,7 @@
 void session_sent(struct session *session)
 {
     session->state = SESSION_RUNNING;
+    session->request.sent = backend_now();
     set_timer(session, session->request.deadline);
 }
 
@@ -575,6 +576,24 @@
     }
 }
 
+/* A statement over its route's latency objective: where its time went. */
+static void log_slow(const struct session *session, const struct server *server, time_ns latency)
+{
+    const struct session_request *request = &session->request;
+    if (latency <= session->route.target_ms * NANOSECONDS_PER_MILLISECOND) {
+        return;
+    }
+    g_autofree char *id = span_copy(request->statement.id);
+    g_autofree char *waited =
+        g_strdup_printf("%.1f", (double)(request->sent - request->arrived) / 1e6);
+    g_autofree char *total = g_strdup_printf("%.1f", (double)latency / 1e6);
+    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_REQUEST", id, "SW_KIND",
+                     statement_kind_name(request->statement.kind), "SW_DATABASE",
+                     server->database->shared->id, "SW_MS", total, "SW_WAITED_MS", waited,
+                     "MESSAGE", "Request %s: slow, %s ms, of these %s before it was sent, %u attempts.",
+                     id, total, waited, request->attempts);
+}
+
 static void tell_success(struct session *session, struct server *server,
                          const struct log_position *position)
 {
@@ -582,8 +601,9 @@
     struct span signature = span_of(server->signature);
     buffer_append(&session->out, rows.data, rows.length);
     wire_write_complete(&session->out, &signature);
-    metrics_answer(&session->worker->metrics, session->route.kind, ANSWER_NONE,
-                   backend_now() - session->request.arrived);
+    time_ns latency = backend_now() - session->request.arrived;
+    metrics_answer(&session->worker->metrics, session->route.kind, ANSWER_NONE, latency);
+    log_slow(session, server, latency);
     finish(session, position);
 }
 
