Ask a pooler that is not yet the coordinator again, and wake up for heartbeats

After all are killed, poolers learned the coordinator's address before it knew itself; they closed the connection and came back after 250 ms.

Tried and reverted: a coordinator that reaches no replica of a doubted primary gave its lease up for others.

--- a/src/pooler/control.c
+++ b/src/pooler/control.c
@@ -20,6 +20,9 @@
 /* The same while a change of primary is under way here. */
 #define TICK_BUSY_MS 20
 
+/* Never sooner than this. */
+#define TICK_LEAST_MS 5
+
 /* Descriptors that are not sessions: connections to databases, poolers and the store. */
 #define DESCRIPTORS_OWN 300
 
@@ -63,10 +66,20 @@
     return false;
 }
 
+/* When the next thing falls due that no event tells of. */
+static time_ns next_due(const struct control *control, time_ns now)
+{
+    time_ns due = now + (is_changing(control) ? TICK_BUSY_MS : TICK_MS) * MS;
+    if (control->coordinator != NULL) {
+        due = MIN(due, control->heartbeat_at);
+    }
+    return MAX(due, now + TICK_LEAST_MS * MS);
+}
+
 static void arm_tick(struct control *control)
 {
-    uint32_t ms = is_changing(control) ? TICK_BUSY_MS : TICK_MS;
-    struct timeval wait = {0, ms * 1000};
+    time_ns now = backend_now();
+    struct timeval wait = {0, (suseconds_t)((next_due(control, now) - now) / 1000)};
     evtimer_add(control->tick, &wait);
 }
 
@@ -115,6 +128,7 @@
         g_warning("A wake-up could not be read.");
     }
     look_at_everything(control);
+    arm_tick(control);
 }
 
 void control_wake_soon(struct control *control)
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -15,6 +15,9 @@
 #define GRANT_TIMEOUT_NS (800 * MS)
 #define CONNECT_EVERY_NS (250 * MS)
 
+/* Wait before a pooler that is not the coordinator yet is asked again. */
+#define NOT_YET_NS (40 * MS)
+
 static uint64_t epoch_followed(const struct control *control, const struct group_state *group)
 {
     uint64_t epoch = UINT64_MAX;
@@ -179,6 +182,29 @@
     }
 }
 
+/* False if the connection is of no more use. */
+static bool take_answer(struct control *control, const struct pooler_grant *grant)
+{
+    time_ns now = backend_now();
+    if (grant->token != 0) {
+        bool current = grant->token >= control->newest_token;
+        if (current) {
+            take_grant(control, grant, now);
+        }
+        return current;
+    }
+    const char *address = grant->coordinator_address;
+    bool elsewhere = address != NULL && address[0] != '\0' &&
+                     g_strcmp0(address, control->coordinator_address) != 0;
+    if (elsewhere) {
+        control_member_set_coordinator(control, address);
+        return false;
+    }
+    /* It may be about to learn that it is the coordinator. */
+    control->heartbeat_at = now + NOT_YET_NS;
+    return true;
+}
+
 static bool on_frame(void *user, struct peer *peer, const uint8_t *data, size_t length)
 {
     struct control *control = user;
@@ -188,16 +214,10 @@
         g_warning("A coordinator's message can't be read: %s.", error->message);
         return false;
     }
-    bool good = grant.token != 0 && grant.token >= control->newest_token;
-    if (good) {
-        take_grant(control, &grant, backend_now());
-    } else if (grant.token == 0 && grant.coordinator_address != NULL &&
-               grant.coordinator_address[0] != '\0') {
-        control_member_set_coordinator(control, grant.coordinator_address);
-    }
+    bool keep = take_answer(control, &grant);
     pooler_grant_clear(&grant);
     control_wake_soon(control);
-    return good;
+    return keep;
 }
 
 static void on_closed(void *user, struct peer *peer)
