Cede the lease where the store leaves its holder, and shorten it

Now it leaves the lease to a pooler that the store answers; a stopping one does so, too. The lease lasts 2.2 s in place of 4 s, renewed each 0.6 s; permits are as long as the lease allows.

--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -18,6 +18,10 @@
 #define POOLERS_ASSUMED   9
 #define POOLERS_GATHER_NS (3000 * MS)
 
+/* What makes a pooler fit to take the lease over. */
+#define SUCCESSOR_HEARD_NS     (600 * MS)
+#define SUCCESSOR_STORE_AGE_MS 1300
+
 /* A pooler that lacks a row for so long after it was learned here gets it from here. */
 #define CONFIGURATION_GRACE_NS (400 * MS)
 #define DIRECTORY_GRACE_NS     (1800 * MS)
@@ -118,7 +122,6 @@
     struct pooler_grant grant;
     pooler_grant_init(&grant);
     grant.coordinator = g_strdup(control->settings->pooler.name);
-    bool holds = control_lease_holds(control, now, PERMIT_MS * MS);
     if (!control->lease.held) {
         grant.coordinator_address = g_strdup(control->coordinator_address);
         peer_send(peer, pooler_grant_encode(&grant));
@@ -130,7 +133,7 @@
     add_orders(control, &grant);
     if (heartbeat != NULL) {
         grant.sequence = heartbeat->sequence;
-        grant.permit_ms = holds ? PERMIT_MS : 0;
+        grant.permit_ms = (uint32_t)MIN(control_lease_left(control, now) / MS, PERMIT_MS);
         add_rows(control, &grant, heartbeat, now);
         pooler->permit_until = MAX(pooler->permit_until, now + grant.permit_ms * MS);
     }
@@ -249,6 +252,44 @@
     }
 }
 
+/* The pooler that heard the store last; NULL if none has lately. */
+static struct pooler_peer *find_successor(const struct control *control, time_ns now)
+{
+    struct pooler_peer *best = NULL;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->poolers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct pooler_peer *pooler = value;
+        bool good = pooler->peer != NULL && !pooler->stopping &&
+                    g_strcmp0(pooler->name, control->settings->pooler.name) != 0 &&
+                    now < pooler->heard_at + SUCCESSOR_HEARD_NS &&
+                    pooler->heartbeat.store_age_ms < SUCCESSOR_STORE_AGE_MS;
+        if (good && (best == NULL ||
+                     pooler->heartbeat.store_age_ms < best->heartbeat.store_age_ms)) {
+            best = pooler;
+        }
+    }
+    return best;
+}
+
+bool control_coordinator_cede(struct control *control)
+{
+    struct pooler_peer *successor = find_successor(control, backend_now());
+    if (successor == NULL) {
+        return false;
+    }
+    struct pooler_grant grant;
+    pooler_grant_init(&grant);
+    grant.coordinator = g_strdup(control->settings->pooler.name);
+    grant.token = control->lease.token;
+    grant.cedes = true;
+    g_message("Leaves the lease to %s.", successor->name);
+    peer_send(successor->peer, pooler_grant_encode(&grant));
+    pooler_grant_clear(&grant);
+    return true;
+}
+
 void control_coordinator_push(struct control *control)
 {
     time_ns now = backend_now();
--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -216,6 +216,7 @@
     struct controlled_group *group = g_new0(struct controlled_group, 1);
     group->control = control;
     group->failover = failover_new(service->name, &control->failover_actions);
+    group->failover->since = backend_now();
     group->failover->epoch = control->lease.token << EPOCH_SHIFT;
     group->failover->sync_replicas = service->sync_replicas;
     group->connections =
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -72,6 +72,8 @@
     uint64_t proposed_expiry_ms;
     uint64_t proposed_token;
     bool releasing;
+    uint64_t ceded_token; /* its holder has left the lease to us; 0: none has */
+    time_ns answered_at;  /* when a call about the lease was last answered */
 };
 
 /* A pooler as the coordinator knows it. */
@@ -169,10 +171,16 @@
 void control_lease_tick(struct control *control, time_ns now);
 /* True if the lease holds now and for `margin` more. */
 bool control_lease_holds(const struct control *control, time_ns now, time_ns margin);
+/* For how long the lease certainly holds; 0 if it does not. */
+time_ns control_lease_left(const struct control *control, time_ns now);
 /* Takes the lease's row out of an answer of the store; ends the lease if it is another's. */
 void control_lease_take(struct control *control, const struct store_answer *answer);
 /* Gives the lease up, as at a planned stop. */
 void control_lease_release(struct control *control);
+/* The holder under this token has left the lease to us. */
+void control_lease_ceded(struct control *control, uint64_t token);
+/* True if the store does not answer the holder, so that the lease had better go to another. */
+bool control_lease_is_failing(const struct control *control, time_ns now);
 /* The lease is no longer ours. */
 void control_lease_lost(struct control *control, const char *why);
 
@@ -187,6 +195,8 @@
 void control_coordinator_start(struct control *control);
 void control_coordinator_end(struct control *control);
 void control_coordinator_tick(struct control *control, time_ns now);
+/* Leaves the lease to a pooler that the store answers. False if there is none. */
+bool control_coordinator_cede(struct control *control);
 /* Sends the newest orders to all poolers at once. */
 void control_coordinator_push(struct control *control);
 
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -10,14 +10,17 @@
 
 #define LEASE_KEY "lease"
 
-#define LEASE_NS       (4000 * MS)
-#define RENEW_EVERY_NS (1300 * MS)
+#define LEASE_NS       (2200 * MS)
+#define RENEW_EVERY_NS (600 * MS)
 #define RETRY_NS       (250 * MS)
 
 /* Who hears no coordinator for this long looks at the row. */
 #define SILENCE_NS  (900 * MS)
 #define LOOK_EVERY_NS (450 * MS)
 
+/* A renewal without an answer for this long: the store is lost to the holder. */
+#define FAILING_NS (700 * MS)
+
 /* Kept free at the end of the lease: nothing is done in it. */
 #define MARGIN_NS (150 * MS)
 
@@ -26,6 +29,13 @@
     return control->lease.held && now + margin + MARGIN_NS < control->lease.until;
 }
 
+time_ns control_lease_left(const struct control *control, time_ns now)
+{
+    const struct lease *lease = &control->lease;
+    time_ns end = now + MARGIN_NS;
+    return lease->held && end < lease->until ? lease->until - end : 0;
+}
+
 static void note_clock(struct lease *lease, const struct store_answer *answer, time_ns now)
 {
     if (answer->clock_ms != 0) {
@@ -91,6 +101,9 @@
 }
 
 static void on_written(void *user, const struct store_answer *answer);
+static void log_answer(const struct control *control, const char *call,
+                       const struct store_answer *answer, time_ns now);
+static void consider(struct control *control, time_ns now);
 
 /* Proposes to hold the lease from now on, under the condition that the row is as last seen. */
 static void propose(struct control *control, uint64_t token, bool give_up, time_ns now)
@@ -123,6 +136,7 @@
     time_ns uncertainty = lease->clock_received - lease->clock_sent;
     time_ns length = LEASE_NS > uncertainty ? LEASE_NS - uncertainty : 0;
     lease->until = proposed_at + length;
+    lease->answered_at = now;
     lease->held = true;
     lease->token = lease->proposed_token;
     lease->next_at = now + RENEW_EVERY_NS;
@@ -141,6 +155,9 @@
     time_ns now = backend_now();
     lease->calling = false;
     lease->next_at = now + RETRY_NS;
+    if (!lease->held || answer->outcome != STORE_DONE) {
+        log_answer(control, "written", answer, now);
+    }
     switch (answer->outcome) {
     case STORE_DONE:
         lease->row_version = answer->version;
@@ -154,6 +171,9 @@
         note_clock(lease, answer, now);
         control_lease_take(control, answer);
         lease->next_at = now;
+        if (!lease->held && !lease->releasing) {
+            consider(control, now); /* the answer tells the row as it is, a reading may be behind */
+        }
         break;
     default:
         break;
@@ -180,13 +200,31 @@
     if (atomic_load(&control->shared.stop_at) != 0) {
         return;
     }
-    if (free || is_own_earlier(control)) {
+    bool ceded = lease->ceded_token != 0 && record->token == lease->ceded_token;
+    if (free || ceded || is_own_earlier(control)) {
         propose(control, record->token + 1, false, now);
         return;
     }
     control_member_set_coordinator(control, record->address);
 }
 
+/* What an answer of the store told of the lease, and how old the question was. */
+static void log_answer(const struct control *control, const char *call,
+                       const struct store_answer *answer, time_ns now)
+{
+    const struct lease *lease = &control->lease;
+    g_autofree char *token = g_strdup_printf("%" PRIu64, lease->record.token);
+    g_autofree char *left = g_strdup_printf(
+        "%" PRId64, (int64_t)lease->record.expires_ms - (int64_t)answer->clock_ms);
+    g_autofree char *took = g_strdup_printf("%" PRIu64, (now - lease->call_sent) / MS);
+    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_OUTCOME",
+                     store_outcome_name(answer->outcome), "SW_HOLDER",
+                     lease->record.holder == NULL ? "" : lease->record.holder, "SW_TOKEN", token,
+                     "SW_LEFT_MS", left, "SW_TOOK_MS", took, "MESSAGE", "Lease %s: %s, holder %s.",
+                     call, store_outcome_name(answer->outcome),
+                     lease->record.holder == NULL ? "nobody" : lease->record.holder);
+}
+
 static void on_looked(void *user, const struct store_answer *answer)
 {
     struct control *control = user;
@@ -196,10 +234,12 @@
     lease->next_at = now + LOOK_EVERY_NS / 2 +
                      (time_ns)g_random_int_range(0, (gint32)(LOOK_EVERY_NS / MS)) * MS;
     if (answer->outcome != STORE_DONE) {
+        log_answer(control, "not read", answer, now);
         return;
     }
     note_clock(lease, answer, now);
     take_rows(control, answer);
+    log_answer(control, "read", answer, now);
     consider(control, now);
 }
 
@@ -216,6 +256,9 @@
     if (lease->held && now + MARGIN_NS >= lease->until) {
         control_lease_lost(control, "the lease could not be renewed in time");
     }
+    if (control_lease_is_failing(control, now) && control_coordinator_cede(control)) {
+        control_lease_lost(control, "the store does not answer; it is left to another pooler");
+    }
     if (lease->calling || now < lease->next_at || lease->releasing) {
         return;
     }
@@ -228,12 +271,29 @@
     }
 }
 
+bool control_lease_is_failing(const struct control *control, time_ns now)
+{
+    const struct lease *lease = &control->lease;
+    return lease->held && lease->calling && now > lease->call_sent + FAILING_NS &&
+           now > lease->answered_at + FAILING_NS;
+}
+
+void control_lease_ceded(struct control *control, uint64_t token)
+{
+    g_message("The lease under token %" PRIu64 " is left to us.", token);
+    control->lease.ceded_token = token;
+    control->lease.next_at = 0;
+    control->granted_at = 0;
+    control_wake_soon(control);
+}
+
 void control_lease_release(struct control *control)
 {
     struct lease *lease = &control->lease;
     if (!lease->held) {
         return;
     }
+    control_coordinator_cede(control);
     control_lease_lost(control, "a planned stop");
     lease->releasing = true;
     propose(control, lease->token, true, backend_now());
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -74,6 +74,14 @@
     }
 }
 
+/* Time since the store last answered, by either feed. */
+static uint32_t store_age_ms(const struct control *control, time_ns now)
+{
+    time_ns newest = MAX(control->feeds[STORE_TABLE_CONFIGURATION].current_at,
+                         control->feeds[STORE_TABLE_DIRECTORY].current_at);
+    return newest == 0 ? UINT32_MAX : (uint32_t)MIN((now - newest) / MS, UINT32_MAX);
+}
+
 static void fill_heartbeat(struct control *control, time_ns now, struct pooler_heartbeat *out)
 {
     out->name = g_strdup(control->settings->pooler.name);
@@ -84,6 +92,7 @@
         control->feeds[STORE_TABLE_CONFIGURATION].rows, store_configuration_key);
     out->configuration_row = row == NULL ? 0 : row->version;
     out->directory_row = control->feeds[STORE_TABLE_DIRECTORY].version;
+    out->store_age_ms = store_age_ms(control, now);
     out->stopping = atomic_load(&control->shared.stop_at) != 0;
     out->groups = g_new0(struct pooler_group_report, g_hash_table_size(control->groups) + 1);
     GHashTableIter iterator;
@@ -186,6 +195,10 @@
 static bool take_answer(struct control *control, const struct pooler_grant *grant)
 {
     time_ns now = backend_now();
+    if (grant->cedes) {
+        control_lease_ceded(control, grant->token);
+        return true;
+    }
     if (grant->token != 0) {
         bool current = grant->token >= control->newest_token;
         if (current) {
--- a/tests/pooler/test_fleet.c
+++ b/tests/pooler/test_fleet.c
@@ -389,6 +389,21 @@
     assert_all_kept(fixture);
 }
 
+/* A coordinator that stops leaves the lease to another at once, under a higher token. */
+static void test_stopped_coordinator(struct fixture *fixture, gconstpointer unused)
+{
+    write_until_done(fixture, 0);
+    unsigned coordinator = wait_for_coordinator(fixture, POOLERS);
+    g_subprocess_send_signal(fixture->poolers[coordinator], SIGTERM);
+    unsigned successor = wait_for_coordinator(fixture, coordinator);
+    line_group_set_faults(fixture->group, 0, &(struct line_faults){.down = true});
+    write_until_done(fixture, successor);
+    g_subprocess_wait(fixture->poolers[coordinator], NULL, NULL);
+    g_assert_cmpint(g_subprocess_get_exit_status(fixture->poolers[coordinator]), ==, 0);
+    g_clear_object(&fixture->poolers[coordinator]);
+    assert_all_kept(fixture);
+}
+
 #define ADD(name, test)                                                                            \
     g_test_add("/pooler/fleet/" name, struct fixture, NULL, set_up, test, tear_down)
 
@@ -404,5 +419,6 @@
     ADD("forgotten-history", test_forgotten_history);
     ADD("leaving-primary", test_leaving_primary);
     ADD("planned-stop", test_planned_stop);
+    ADD("stopped-coordinator", test_stopped_coordinator);
     return g_test_run();
 }
