--- a/src/pooler/answer.c
+++ b/src/pooler/answer.c
@@ -21,11 +21,16 @@
 };
 
 static const char *const kind_names[STATEMENT_KIND_COUNT] = {
-    [STATEMENT_BEGIN] = "begin",     [STATEMENT_BEGIN_READ] = "begin_read",
-    [STATEMENT_COMMIT] = "commit",   [STATEMENT_ROLLBACK] = "rollback",
-    [STATEMENT_READ] = "read",       [STATEMENT_WRITE] = "write",
-    [STATEMENT_SET] = "set",         [STATEMENT_PREPARE] = "prepare",
-    [STATEMENT_EXECUTE] = "execute", [STATEMENT_DEALLOCATE] = "deallocate",
+    [STATEMENT_BEGIN] = "begin",
+    [STATEMENT_BEGIN_READ] = "begin_read",
+    [STATEMENT_COMMIT] = "commit",
+    [STATEMENT_ROLLBACK] = "rollback",
+    [STATEMENT_READ] = "read",
+    [STATEMENT_WRITE] = "write",
+    [STATEMENT_SET] = "set",
+    [STATEMENT_PREPARE] = "prepare",
+    [STATEMENT_EXECUTE] = "execute",
+    [STATEMENT_DEALLOCATE] = "deallocate",
     [STATEMENT_MALFORMED] = "malformed",
 };
 
--- a/src/pooler/control.c
+++ b/src/pooler/control.c
@@ -214,8 +214,7 @@
     parse_address(control->settings->store.address, &store);
     parse_address(control->settings->promotion.address, &promotion);
     control->store = store_new(control->base, &store);
-    control->promotion =
-        promotion_new(control->base, &promotion, control->settings->pooler.name);
+    control->promotion = promotion_new(control->base, &promotion, control->settings->pooler.name);
 }
 
 /* Signals go to the control thread. */
@@ -227,8 +226,7 @@
     parse_address(settings->pooler.listen, &control->shared.listen);
     control->shared.stop_grace = (time_ns)(settings->stop.grace_s * (double)NANOSECONDS_PER_SECOND);
     uint32_t own = MIN(DESCRIPTORS_OWN, settings->pooler.descriptors / 2);
-    control->shared.sessions_max =
-        (settings->pooler.descriptors - own) / control->workers_count;
+    control->shared.sessions_max = (settings->pooler.descriptors - own) / control->workers_count;
     sigfillset(&all);
     pthread_sigmask(SIG_BLOCK, &all, &old);
     bool good = true;
--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -52,24 +52,29 @@
     return MAX(count, early ? POOLERS_ASSUMED : 1);
 }
 
+static void add_order(struct pooler_grant *grant, const char *service, uint64_t epoch,
+                      enum group_phase phase, const char *primary, uint64_t term)
+{
+    struct pooler_group_order *order = &grant->groups[grant->groups_count++];
+    order->service = g_strdup(service);
+    order->epoch = epoch;
+    order->phase = phase;
+    order->primary = g_strdup(primary == NULL ? "" : primary);
+    order->term = term;
+}
+
 static void add_orders(struct control *control, struct pooler_grant *grant)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
-    grant->groups =
-        g_new0(struct pooler_group_order, g_hash_table_size(control->controlled) + 1);
+    grant->groups = g_new0(struct pooler_group_order, g_hash_table_size(control->controlled) + 1);
     g_hash_table_iter_init(&iterator, control->controlled);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct failover *failover = ((struct controlled_group *)value)->failover;
-        if (failover->phase == GROUP_PHASE_UNKNOWN) {
-            continue;
+        if (failover->phase != GROUP_PHASE_UNKNOWN) {
+            add_order(grant, failover->service, failover->epoch, failover->phase, failover->primary,
+                      failover->term);
         }
-        struct pooler_group_order *order = &grant->groups[grant->groups_count++];
-        order->service = g_strdup(failover->service);
-        order->epoch = failover->epoch;
-        order->phase = failover->phase;
-        order->primary = g_strdup(failover->primary == NULL ? "" : failover->primary);
-        order->term = failover->term;
     }
 }
 
@@ -89,8 +94,8 @@
     }
 }
 
-static void add_missing(struct control *control, struct pooler_grant *grant,
-                        enum store_table table, uint64_t known_version, time_ns grace, time_ns now)
+static void add_missing(struct control *control, struct pooler_grant *grant, enum store_table table,
+                        uint64_t known_version, time_ns grace, time_ns now)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -111,8 +116,38 @@
     grant->rows = g_new0(struct pooler_row, most + 1);
     add_missing(control, grant, STORE_TABLE_CONFIGURATION, heartbeat->configuration_row,
                 CONFIGURATION_GRACE_NS, now);
-    add_missing(control, grant, STORE_TABLE_DIRECTORY, heartbeat->directory_row,
-                DIRECTORY_GRACE_NS, now);
+    add_missing(control, grant, STORE_TABLE_DIRECTORY, heartbeat->directory_row, DIRECTORY_GRACE_NS,
+                now);
+}
+
+/* The orders as this pooler follows them, for one that has just started. They permit nothing. */
+static void add_followed(struct control *control, struct pooler_grant *grant)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    grant->groups = g_new0(struct pooler_group_order, g_hash_table_size(control->groups) + 1);
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct group_state *group = value;
+        if (group->epoch != 0) {
+            add_order(grant, group->shared->service, group->epoch, group->phase, group->primary,
+                      group->term);
+        }
+    }
+}
+
+/* The answer of a pooler that is not the coordinator: where that is, and what is known here. */
+static void send_hearsay(struct control *control, struct peer *peer,
+                         const struct pooler_heartbeat *heartbeat)
+{
+    struct pooler_grant grant;
+    pooler_grant_init(&grant);
+    grant.coordinator = g_strdup(control->settings->pooler.name);
+    grant.coordinator_address = g_strdup(control->coordinator_address);
+    add_followed(control, &grant);
+    add_rows(control, &grant, heartbeat, backend_now());
+    peer_send(peer, pooler_grant_encode(&grant));
+    pooler_grant_clear(&grant);
 }
 
 /* Answers a heartbeat, or sends the orders unasked, without a permit. */
@@ -122,12 +157,6 @@
     struct pooler_grant grant;
     pooler_grant_init(&grant);
     grant.coordinator = g_strdup(control->settings->pooler.name);
-    if (!control->lease.held) {
-        grant.coordinator_address = g_strdup(control->coordinator_address);
-        peer_send(peer, pooler_grant_encode(&grant));
-        pooler_grant_clear(&grant);
-        return;
-    }
     grant.token = control->lease.token;
     grant.members = count_poolers(control);
     add_orders(control, &grant);
@@ -173,7 +202,7 @@
     if (control->lease.held) {
         take_heartbeat(control, peer, &heartbeat);
     } else {
-        send_grant(control, peer, NULL, NULL, backend_now());
+        send_hearsay(control, peer, &heartbeat);
     }
     pooler_heartbeat_clear(&heartbeat);
     return true;
@@ -213,8 +242,8 @@
     if (control->listener < 0) {
         return false;
     }
-    control->acceptable = event_new(control->base, control->listener, EV_READ | EV_PERSIST,
-                                    on_acceptable, control);
+    control->acceptable =
+        event_new(control->base, control->listener, EV_READ | EV_PERSIST, on_acceptable, control);
     event_add(control->acceptable, NULL);
     return true;
 }
@@ -265,8 +294,8 @@
                     g_strcmp0(pooler->name, control->settings->pooler.name) != 0 &&
                     now < pooler->heard_at + SUCCESSOR_HEARD_NS &&
                     pooler->heartbeat.store_age_ms < SUCCESSOR_STORE_AGE_MS;
-        if (good && (best == NULL ||
-                     pooler->heartbeat.store_age_ms < best->heartbeat.store_age_ms)) {
+        if (good &&
+            (best == NULL || pooler->heartbeat.store_age_ms < best->heartbeat.store_age_ms)) {
             best = pooler;
         }
     }
--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -93,8 +93,7 @@
     g_autofree char *key = g_strconcat(RECORD_PREFIX, failover->service, NULL);
     struct store_put put = {key, octets->data, octets->len};
     group->recording_done = done;
-    store_write(control->store, LEASE_KEY, control->lease.row_version, &put, 1, on_recorded,
-                group);
+    store_write(control->store, LEASE_KEY, control->lease.row_version, &put, 1, on_recorded, group);
     g_byte_array_unref(octets);
 }
 
@@ -219,8 +218,7 @@
     group->failover->since = backend_now();
     group->failover->epoch = control->lease.token << EPOCH_SHIFT;
     group->failover->sync_replicas = service->sync_replicas;
-    group->connections =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_connection);
+    group->connections = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_connection);
     g_hash_table_insert(control->controlled, group->failover->service, group);
     continue_record(group, &control->feeds[STORE_TABLE_CONTROL]);
 }
@@ -233,8 +231,7 @@
     GPtrArray *services = control->configuration->services;
     for (guint i = 0; i < services->len; i++) {
         const struct service *service = g_ptr_array_index(services, i);
-        struct controlled_group *group =
-            g_hash_table_lookup(control->controlled, service->name);
+        struct controlled_group *group = g_hash_table_lookup(control->controlled, service->name);
         if (group == NULL) {
             add_group(control, service);
         } else {
@@ -286,8 +283,8 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct directory_entry *entry = value;
         if (g_str_equal(entry->service, failover->service)) {
-            failover_set_member(failover, entry->id,
-                                !directory_entry_leaves(entry, now, heartbeat), entry->leads);
+            failover_set_member(failover, entry->id, !directory_entry_leaves(entry, now, heartbeat),
+                                entry->leads);
         }
     }
 }
@@ -339,8 +336,8 @@
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, group->connections);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        database_control_close_unused(value, now > CONNECTION_KEPT_NS ? now - CONNECTION_KEPT_NS
-                                                                      : 0);
+        database_control_close_unused(value,
+                                      now > CONNECTION_KEPT_NS ? now - CONNECTION_KEPT_NS : 0);
     }
 }
 
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -39,8 +39,8 @@
 struct feed {
     struct control *control;
     enum store_table table;
-    GHashTable *rows; /* key -> struct known_row */
-    uint64_t version; /* changes are known up to this; 0: read the whole first */
+    GHashTable *rows;   /* key -> struct known_row */
+    uint64_t version;   /* changes are known up to this; 0: read the whole first */
     time_ns current_at; /* when the store last told that this is so; 0: never */
     bool calling;
     time_ns next_at;
@@ -58,14 +58,14 @@
 
 /* The lease of the coordinator. */
 struct lease {
-    uint64_t row_version;  /* of the row as last seen */
+    uint64_t row_version;       /* of the row as last seen */
     struct lease_record record; /* as last seen */
     bool held;
-    uint64_t token;        /* under which it is held */
-    time_ns until;         /* the lease is good before this, by our clock */
+    uint64_t token; /* under which it is held */
+    time_ns until;  /* the lease is good before this, by our clock */
     bool calling;
     time_ns next_at;
-    time_ns clock_sent;    /* bounds of the moment at which the store's clock was read */
+    time_ns clock_sent; /* bounds of the moment at which the store's clock was read */
     time_ns clock_received;
     uint64_t clock_ms;
     time_ns call_sent;
@@ -140,8 +140,8 @@
     int listener;
     struct event *acceptable;
     struct peer_callbacks pooler_callbacks;
-    GHashTable *poolers;  /* name -> struct pooler_peer */
-    GPtrArray *connected; /* of struct peer, accepted */
+    GHashTable *poolers;    /* name -> struct pooler_peer */
+    GPtrArray *connected;   /* of struct peer, accepted */
     GHashTable *controlled; /* service -> struct controlled_group */
     struct failover_actions failover_actions;
     bool records_read;
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -15,7 +15,7 @@
 #define RETRY_NS       (250 * MS)
 
 /* Who hears no coordinator for this long looks at the row. */
-#define SILENCE_NS  (900 * MS)
+#define SILENCE_NS    (900 * MS)
 #define LOOK_EVERY_NS (450 * MS)
 
 /* A renewal without an answer for this long: the store is lost to the holder. */
@@ -87,8 +87,7 @@
 static bool is_ours(const struct control *control)
 {
     const struct lease_record *record = &control->lease.record;
-    return record->holder != NULL &&
-           g_str_equal(record->holder, control->settings->pooler.name) &&
+    return record->holder != NULL && g_str_equal(record->holder, control->settings->pooler.name) &&
            record->incarnation == control->incarnation;
 }
 
@@ -186,8 +185,7 @@
 static bool is_own_earlier(const struct control *control)
 {
     const struct lease_record *record = &control->lease.record;
-    return record->holder != NULL &&
-           g_str_equal(record->holder, control->settings->pooler.name);
+    return record->holder != NULL && g_str_equal(record->holder, control->settings->pooler.name);
 }
 
 /* Each taking of the lease raises the token, also by the same pooler: what an earlier one ordered
@@ -214,8 +212,8 @@
 {
     const struct lease *lease = &control->lease;
     g_autofree char *token = g_strdup_printf("%" PRIu64, lease->record.token);
-    g_autofree char *left = g_strdup_printf(
-        "%" PRId64, (int64_t)lease->record.expires_ms - (int64_t)answer->clock_ms);
+    g_autofree char *left =
+        g_strdup_printf("%" PRId64, (int64_t)lease->record.expires_ms - (int64_t)answer->clock_ms);
     g_autofree char *took = g_strdup_printf("%" PRIu64, (now - lease->call_sent) / MS);
     g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_OUTCOME",
                      store_outcome_name(answer->outcome), "SW_HOLDER",
@@ -231,8 +229,8 @@
     struct lease *lease = &control->lease;
     time_ns now = backend_now();
     lease->calling = false;
-    lease->next_at = now + LOOK_EVERY_NS / 2 +
-                     (time_ns)g_random_int_range(0, (gint32)(LOOK_EVERY_NS / MS)) * MS;
+    lease->next_at =
+        now + LOOK_EVERY_NS / 2 + (time_ns)g_random_int_range(0, (gint32)(LOOK_EVERY_NS / MS)) * MS;
     if (answer->outcome != STORE_DONE) {
         log_answer(control, "not read", answer, now);
         return;
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -16,7 +16,8 @@
 #define CONNECT_EVERY_NS (250 * MS)
 
 /* Wait before a pooler that is not the coordinator yet is asked again. */
-#define NOT_YET_NS (40 * MS)
+#define NOT_YET_NS     (40 * MS)
+#define NOT_YET_FOR_NS (200 * MS)
 
 static uint64_t epoch_followed(const struct control *control, const struct group_state *group)
 {
@@ -137,9 +138,8 @@
     group->phase = order->phase;
     group->term = order->term;
     g_free(group->primary);
-    group->primary = order->primary == NULL || order->primary[0] == '\0'
-                         ? NULL
-                         : g_strdup(order->primary);
+    group->primary =
+        order->primary == NULL || order->primary[0] == '\0' ? NULL : g_strdup(order->primary);
     control->view_dirty = true;
 }
 
@@ -191,6 +191,17 @@
     }
 }
 
+/* What a pooler knows that is not the coordinator: enough to serve by, where neither the store nor
+ * a coordinator can be reached. It permits nothing, and obeys nobody. */
+static void take_hearsay(struct control *control, const struct pooler_grant *grant)
+{
+    for (size_t i = 0; i < grant->groups_count; i++) {
+        take_order(control, &grant->groups[i]);
+    }
+    take_rows(control, grant);
+    control_publish(control);
+}
+
 /* False if the connection is of no more use. */
 static bool take_answer(struct control *control, const struct pooler_grant *grant)
 {
@@ -206,6 +217,7 @@
         }
         return current;
     }
+    take_hearsay(control, grant);
     const char *address = grant->coordinator_address;
     bool elsewhere = address != NULL && address[0] != '\0' &&
                      g_strcmp0(address, control->coordinator_address) != 0;
@@ -214,7 +226,8 @@
         return false;
     }
     /* It may be about to learn that it is the coordinator. */
-    control->heartbeat_at = now + NOT_YET_NS;
+    bool early = now < control->connected_at + NOT_YET_FOR_NS;
+    control->heartbeat_at = now + (early ? NOT_YET_NS : HEARTBEAT_EVERY_NS);
     return true;
 }
 
@@ -261,8 +274,11 @@
     bool try_seed = control->coordinator_address == NULL ||
                     (lost && !control->connect_now && control->next_seed % 2 == 1);
     control->next_seed++;
-    if (try_seed && peers->count > 0) {
-        return peers->items[control->next_seed / 2 % peers->count];
+    for (size_t i = 0; try_seed && i < peers->count; i++) {
+        const char *seed = peers->items[(control->next_seed / 2 + i) % peers->count];
+        if (!g_str_equal(seed, control->address)) {
+            return seed;
+        }
     }
     return control->coordinator_address;
 }
--- a/src/pooler/control_store.c
+++ b/src/pooler/control_store.c
@@ -137,8 +137,8 @@
         }
     }
     for (guint i = 0; i < missing->len; i++) {
-        control_take_row(feed->control, feed->table, g_ptr_array_index(missing, i),
-                         answer->version, NULL);
+        control_take_row(feed->control, feed->table, g_ptr_array_index(missing, i), answer->version,
+                         NULL);
     }
 }
 
--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -95,8 +95,7 @@
     return held > wanted ? 2 : held != wanted;
 }
 
-struct server *database_idle_server(const struct database *database,
-                                    const struct session *session)
+struct server *database_idle_server(const struct database *database, const struct session *session)
 {
     struct server *best = NULL;
     unsigned best_cost = 0;
@@ -175,8 +174,8 @@
             continue; /* closing one may close others */
         }
         struct server *server = g_ptr_array_index(database->servers, i - 1);
-        bool read = server->state == SERVER_RUNNING && !server->in_transaction &&
-                    !server->running_writes;
+        bool read =
+            server->state == SERVER_RUNNING && !server->in_transaction && !server->running_writes;
         if (read || server->state == SERVER_IDLE) {
             server_close(server, ANSWER_BUSY);
         }
--- a/src/pooler/database_control.c
+++ b/src/pooler/database_control.c
@@ -26,8 +26,8 @@
     struct event *timer;
     struct buffer in;
     struct buffer out;
-    bool started;  /* the database has answered the start */
-    bool asking;   /* a command has no answer yet */
+    bool started; /* the database has answered the start */
+    bool asking;  /* a command has no answer yet */
     enum database_command command;
     uint64_t term;
     bool has_report;
@@ -197,8 +197,7 @@
         return false;
     }
     control->socket = handle;
-    control->readable =
-        event_new(control->base, handle, EV_READ | EV_PERSIST, on_event, control);
+    control->readable = event_new(control->base, handle, EV_READ | EV_PERSIST, on_event, control);
     control->writable = event_new(control->base, handle, EV_WRITE, on_event, control);
     wire_write_start(&control->out, control->service, control->database);
     event_add(control->readable, NULL);
--- a/src/pooler/failover.c
+++ b/src/pooler/failover.c
@@ -8,10 +8,10 @@
 #define MS NANOSECONDS_PER_MILLISECOND
 
 /* Time between two commands to one database. */
-#define ASK_EVERY_NS      (120 * MS)
-#define SEARCH_EVERY_NS   (400 * MS)
-#define CONFIRM_EVERY_NS  (40 * MS)
-#define CONFIRM_FIRST_NS  (150 * MS)
+#define ASK_EVERY_NS     (120 * MS)
+#define SEARCH_EVERY_NS  (400 * MS)
+#define CONFIRM_EVERY_NS (40 * MS)
+#define CONFIRM_FIRST_NS (150 * MS)
 
 /* Longest time that open work has before a planned change closes the primary. */
 #define DRAIN_MAX_NS (900 * MS)
@@ -27,10 +27,10 @@
 #define SEARCH_MAX_NS (600 * MS)
 
 /* An ordered promotion that has no effect is ordered again after this. */
-#define ORDER_AGAIN_NS   (1500 * MS)
-#define ORDER_RETRY_NS   (50 * MS)
+#define ORDER_AGAIN_NS    (1500 * MS)
+#define ORDER_RETRY_NS    (50 * MS)
 #define CANDIDATE_DEAD_NS (1200 * MS)
-#define EXCLUDED_NS      (1500 * MS)
+#define EXCLUDED_NS       (1500 * MS)
 
 /* A report older than this says nothing of now. */
 #define REPORT_FRESH_NS (400 * MS)
@@ -120,8 +120,8 @@
                          "SW_EPOCH", epoch, "SW_TERM", term, "SW_PRIMARY",
                          failover->primary == NULL ? "" : failover->primary, "SW_CANDIDATE",
                          failover->candidate == NULL ? "" : failover->candidate, "MESSAGE",
-                         "Group %s: %s, before %s.", failover->service,
-                         state_names[state], state_names[failover->state]);
+                         "Group %s: %s, before %s.", failover->service, state_names[state],
+                         state_names[failover->state]);
     }
     failover->state = state;
     failover->since = now;
@@ -192,7 +192,8 @@
 }
 
 /* So many replicas must be paused where the old primary can't be asked. Only one replica is counted
- * on to hold a commit, whatever more a service asks for: no database tells how many it waited for. */
+ * on to hold a commit, whatever more a service asks for: no database tells how many it waited for.
+ */
 static uint32_t pauses_needed(const struct failover *failover)
 {
     uint32_t count = members_count(failover);
@@ -213,8 +214,8 @@
 static void begin_change(struct failover *failover, bool planned, const char *why, time_ns now)
 {
     g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_MESSAGE, "SW_SERVICE", failover->service,
-                     "SW_PRIMARY", failover->primary == NULL ? "" : failover->primary,
-                     "MESSAGE", "Group %s changes its primary: %s.", failover->service, why);
+                     "SW_PRIMARY", failover->primary == NULL ? "" : failover->primary, "MESSAGE",
+                     "Group %s changes its primary: %s.", failover->service, why);
     failover->minority_since = 0;
     if (planned) {
         set_state(failover, FAILOVER_DRAINING, now);
@@ -273,8 +274,8 @@
 {
     for (guint i = 0; i < failover->members->len; i++) {
         const struct failover_member *member = member_at(failover, i);
-        bool heard = member->has_report && member->answered &&
-                     now < member->reported_at + SEARCH_EVERY_NS;
+        bool heard =
+            member->has_report && member->answered && now < member->reported_at + SEARCH_EVERY_NS;
         if (!heard && member->failing_since == 0) {
             return false;
         }
@@ -394,8 +395,8 @@
         return;
     }
     examine(failover, now);
-    bool fresh = primary->has_report && primary->answered &&
-                 now < primary->reported_at + REPORT_FRESH_NS;
+    bool fresh =
+        primary->has_report && primary->answered && now < primary->reported_at + REPORT_FRESH_NS;
     if (fresh && !primary->report.leads) {
         set_state(failover, FAILOVER_SEARCHING, now);
         publish(failover, GROUP_PHASE_CLOSED);
@@ -412,8 +413,8 @@
     }
     if (opinion->stalled > 0 && fresh && now >= failover->stall_again_at) {
         /* Where replicas receive nothing whoever leads, changes would never end. */
-        failover->stall_wait = MIN(MAX(failover->stall_wait * 2, STALL_WAIT_MIN_NS),
-                                   STALL_WAIT_MAX_NS);
+        failover->stall_wait =
+            MIN(MAX(failover->stall_wait * 2, STALL_WAIT_MIN_NS), STALL_WAIT_MAX_NS);
         failover->stall_again_at = now + failover->stall_wait;
         begin_change(failover, false, "the primary's writes are not acknowledged", now);
         return;
@@ -467,10 +468,9 @@
 {
     struct failover_member *primary = primary_of(failover);
     bool primary_answers = primary != NULL && primary->answered && primary->has_report;
-    bool catching_up = primary_answers && primary->report.leads &&
-                       now < failover->since + CATCH_UP_NS &&
-                       !(primary->reported_at > failover->since &&
-                         replica_caught_up(failover, primary));
+    bool catching_up =
+        primary_answers && primary->report.leads && now < failover->since + CATCH_UP_NS &&
+        !(primary->reported_at > failover->since && replica_caught_up(failover, primary));
     for (guint i = 0; i < failover->members->len; i++) {
         struct failover_member *member = member_at(failover, i);
         if (catching_up) {
@@ -481,8 +481,8 @@
             ask_every(failover, member, DATABASE_COMMAND_STEP_DOWN, failover->fence_term,
                       ASK_EVERY_NS, now);
         } else {
-            ask_every(failover, member, DATABASE_COMMAND_PAUSE, failover->fence_term,
-                      ASK_EVERY_NS, now);
+            ask_every(failover, member, DATABASE_COMMAND_PAUSE, failover->fence_term, ASK_EVERY_NS,
+                      now);
         }
     }
 }
@@ -661,8 +661,7 @@
     }
 }
 
-void failover_tick(struct failover *failover, const struct failover_opinion *opinion,
-                   time_ns now)
+void failover_tick(struct failover *failover, const struct failover_opinion *opinion, time_ns now)
 {
     switch (failover->state) {
     case FAILOVER_SEARCHING:
--- a/src/pooler/failover.h
+++ b/src/pooler/failover.h
@@ -2,9 +2,10 @@
  * it. A state machine without sockets or clock: events and time come in, commands go out through
  * `struct failover_actions`.
  *
- * A change of primary goes: close the old primary at all poolers; fence it, so that it can acknowledge
- * nothing more; choose a database whose log holds every acknowledged commit; record the intent under
- * the coordinator's lease; order the promotion; wait until it leads; open it and resume the others.
+ * A change of primary goes: close the old primary at all poolers; fence it, so that it can
+ * acknowledge nothing more; choose a database whose log holds every acknowledged commit; record the
+ * intent under the coordinator's lease; order the promotion; wait until it leads; open it and
+ * resume the others.
  *
  * Why the chosen log is whole: an acknowledged commit is on the primary and on `sync_replicas`
  * replicas. Once the old primary has itself said that it stepped down, its log holds every such
@@ -24,7 +25,7 @@
 
 enum database_command {
     DATABASE_COMMAND_STATUS,
-    DATABASE_COMMAND_PAUSE,     /* receive nothing until resumed, promoted or restarted */
+    DATABASE_COMMAND_PAUSE, /* receive nothing until resumed, promoted or restarted */
     DATABASE_COMMAND_RESUME,
     DATABASE_COMMAND_STEP_DOWN, /* stop leading if of a lower term */
 };
@@ -49,7 +50,7 @@
     bool says_leads; /* by its own record */
     bool answered;   /* the last command was answered */
     bool has_report;
-    bool fenced;     /* paused for this change, or stepped down */
+    bool fenced;                   /* paused for this change, or stepped down */
     struct database_report report; /* newest */
     time_ns reported_at;
     time_ns asked_at;
@@ -95,7 +96,7 @@
     time_ns since; /* of the state */
     uint64_t epoch;
     enum group_phase phase;
-    char *primary; /* id; NULL: unknown */
+    char *primary;       /* id; NULL: unknown */
     uint64_t term;       /* newest that is known */
     uint64_t fence_term; /* of the change under way */
     char *candidate;
@@ -132,7 +133,6 @@
 };
 void failover_ordered(struct failover *failover, enum failover_order end, time_ns now);
 
-void failover_tick(struct failover *failover, const struct failover_opinion *opinion,
-                   time_ns now);
+void failover_tick(struct failover *failover, const struct failover_opinion *opinion, time_ns now);
 
 #endif
--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -71,8 +71,8 @@
             continue; /* closing one may close others */
         }
         struct server *server = g_ptr_array_index(database->servers, i - 1);
-        bool plain = server->in_transaction && server->session != NULL &&
-                     !server->session->read_only;
+        bool plain =
+            server->in_transaction && server->session != NULL && !server->session->read_only;
         if (plain || (server->state == SERVER_RUNNING && server->running_writes)) {
             server_close(server, ANSWER_IN_DOUBT);
         }
--- a/src/pooler/leadership.c
+++ b/src/pooler/leadership.c
@@ -1,11 +1,11 @@
-/* Proof, without the coordinator, that a primary led at a moment: where the coordinator or the store
- * is lost, reads at the primary go on by it.
+/* Proof, without the coordinator, that a primary led at a moment: where the coordinator or the
+ * store is lost, reads at the primary go on by it.
  *
  * Another database is promoted only after the primary has stepped down, or after so many replicas
  * were paused that it could acknowledge nothing. So if the primary, asked after some moment, leads,
- * and as many replicas as a commit needs, asked after that moment, follow it in its term and are not
- * paused, then nobody else led before that moment, and every commit that was acknowledged before it
- * stands in the primary's log. */
+ * and as many replicas as a commit needs, asked after that moment, follow it in its term and are
+ * not paused, then nobody else led before that moment, and every commit that was acknowledged
+ * before it stands in the primary's log. */
 #define G_LOG_DOMAIN "leadership"
 #include "pooler/worker_internal.h"
 
--- a/src/pooler/main.c
+++ b/src/pooler/main.c
@@ -53,8 +53,8 @@
 
 static bool read_settings(struct pooler_settings *out, GError **error)
 {
-    return pooler_settings_read(out, options.settings_file,
-                                (const char *const *)options.overrides, error);
+    return pooler_settings_read(out, options.settings_file, (const char *const *)options.overrides,
+                                error);
 }
 
 /* Addresses and bounds of a running process stay as they are; a changed file is checked, and told
--- a/src/pooler/probe_server.h
+++ b/src/pooler/probe_server.h
@@ -16,7 +16,8 @@
 
 struct probe_server;
 
-/* `metrics_address` with port 0: no metrics are served. NULL with `error` if an address is taken. */
+/* `metrics_address` with port 0: no metrics are served. NULL with `error` if an address is taken.
+ */
 struct probe_server *probe_server_new(struct event_base *base,
                                       const struct sockaddr_in *ready_address,
                                       const struct sockaddr_in *metrics_address,
--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -33,8 +33,7 @@
 
 bool router_has_permit(const struct group *group, time_ns now)
 {
-    return group->phase != GROUP_PHASE_CLOSED &&
-           now < atomic_load(&group->shared->permit_until);
+    return group->phase != GROUP_PHASE_CLOSED && now < atomic_load(&group->shared->permit_until);
 }
 
 bool router_may_write_on(const struct session *session)
@@ -80,8 +79,7 @@
 {
     const struct session_route *route = &session->route;
     bool plain = session->transaction != SESSION_TRANSACTION_NONE && !session->read_only;
-    bool single_write =
-        session->transaction == SESSION_TRANSACTION_NONE && session->request.writes;
+    bool single_write = session->transaction == SESSION_TRANSACTION_NONE && session->request.writes;
     *out = (struct need){.primary = plain || single_write};
     if (single_write) {
         out->permit = route->group->sync_replicas == 0;
@@ -167,8 +165,8 @@
     for (guint i = 0; i < group->databases->len; i++) {
         struct database *database = g_ptr_array_index(group->databases, i);
         bool closed = database == group->primary && group->phase != GROUP_PHASE_OPEN;
-        bool good = database->takes_work && !closed &&
-                    database_fault(database) <= DATABASE_FAULT_NONE;
+        bool good =
+            database->takes_work && !closed && database_fault(database) <= DATABASE_FAULT_NONE;
         if (good && !lacks(database, need, now)) {
             weigh(database, session, now, choice);
         }
@@ -200,9 +198,9 @@
         leadership_check_start(session->route.group);
         return false;
     }
-    bool open_too = choice.to_open != NULL &&
-                    (choice.server == NULL ||
-                     choice.open_cost * OPENING_FACTOR < choice.server_cost);
+    bool open_too =
+        choice.to_open != NULL &&
+        (choice.server == NULL || choice.open_cost * OPENING_FACTOR < choice.server_cost);
     if (open_too) {
         server_open(choice.to_open);
     }
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -137,8 +137,7 @@
     server->expected = g_byte_array_new();
     server->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     server->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    server->readable =
-        event_new(worker->base, handle, EV_READ | EV_PERSIST, on_readable, server);
+    server->readable = event_new(worker->base, handle, EV_READ | EV_PERSIST, on_readable, server);
     server->writable = event_new(worker->base, handle, EV_WRITE, on_writable, server);
     server->timer = evtimer_new(worker->base, on_timer, server);
     wire_write_start(&server->out, database->group->shared->service, database->shared->id);
@@ -270,8 +269,7 @@
 /* The database's name for what the session prepared; prepares it there first if need be. */
 static const char *bring_prepared(struct server *server, const struct prepared *prepared)
 {
-    g_autofree char *key =
-        g_strconcat(prepared->writes ? "w " : "r ", prepared->shape, NULL);
+    g_autofree char *key = g_strconcat(prepared->writes ? "w " : "r ", prepared->shape, NULL);
     const char *name = g_hash_table_lookup(server->prepared, key);
     if (name != NULL) {
         return name;
@@ -297,8 +295,7 @@
     }
     expect(server, EXPECT_STATEMENT);
     session->request.may_have_run = true;
-    server->running_writes =
-        session->request.writes || statement->kind == STATEMENT_COMMIT;
+    server->running_writes = session->request.writes || statement->kind == STATEMENT_COMMIT;
     server->wrote = (server->in_transaction && server->wrote) || session->request.writes;
 }
 
@@ -490,8 +487,7 @@
         server_release(server);
         return;
     }
-    session_answer(session, server, ready->state,
-                   ready->has_position ? &ready->position : NULL);
+    session_answer(session, server, ready->state, ready->has_position ? &ready->position : NULL);
 }
 
 static void on_ready(struct server *server, const struct database_reply *ready)
--- a/src/pooler/session.c
+++ b/src/pooler/session.c
@@ -125,18 +125,16 @@
     const struct group *group = session->route.group;
     time_ns now = backend_now();
     g_autofree char *id = span_copy(request->statement.id);
-    g_autofree char *waited =
-        g_strdup_printf("%.1f", (double)(now - request->arrived) / 1e6);
-    g_autofree char *epoch =
-        g_strdup_printf("%" PRIu64, group == NULL ? 0 : group->epoch);
+    g_autofree char *waited = g_strdup_printf("%.1f", (double)(now - request->arrived) / 1e6);
+    g_autofree char *epoch = g_strdup_printf("%" PRIu64, group == NULL ? 0 : group->epoch);
     g_autofree char *queue = g_strdup_printf("%u", group == NULL ? 0 : group->queue.length);
     g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_REQUEST", id, "SW_KIND",
                      statement_kind_name(request->statement.kind), "SW_DATABASE",
                      session->database == NULL ? "" : session->database, "SW_ANSWER",
                      answer_meaning(code)->name, "SW_MS", waited, "SW_EPOCH", epoch, "SW_PHASE",
                      group == NULL ? "none" : group_phase_name(group->phase), "SW_QUEUE", queue,
-                     "SW_PERMIT",
-                     group != NULL && router_has_permit(group, now) ? "yes" : "no", "SW_PRIMARY",
+                     "SW_PERMIT", group != NULL && router_has_permit(group, now) ? "yes" : "no",
+                     "SW_PRIMARY",
                      group == NULL || group->primary == NULL ? "" : group->primary->shared->id,
                      "MESSAGE", "Request %s: %s (%s) after %s ms, %u attempts.", id,
                      answer_meaning(code)->name, text, waited, request->attempts);
@@ -235,8 +233,7 @@
     session->worker = worker;
     session->socket = socket;
     session->opened = backend_now();
-    session->readable =
-        event_new(worker->base, socket, EV_READ | EV_PERSIST, on_readable, session);
+    session->readable = event_new(worker->base, socket, EV_READ | EV_PERSIST, on_readable, session);
     session->writable = event_new(worker->base, socket, EV_WRITE, on_writable, session);
     session->timer = evtimer_new(worker->base, on_timer, session);
     event_add(session->readable, NULL);
@@ -296,16 +293,15 @@
     bool found = false;
     rcu_read_lock();
     const struct view *view = rcu_dereference(session->worker->shared->view);
-    const struct route *route =
-        view == NULL || view->configuration == NULL
-            ? NULL
-            : configuration_route(view->configuration, session->database);
+    const struct route *route = view == NULL || view->configuration == NULL
+                                    ? NULL
+                                    : configuration_route(view->configuration, session->database);
     struct group *group =
         route == NULL ? NULL : g_hash_table_lookup(session->worker->groups, route->service);
     if (group != NULL) {
         session->route = (struct session_route){
-            group, route->kind, route->timeout_ms, route->target_ms, route->priority,
-            route->staleness_ms};
+            group,           route->kind,        route->timeout_ms, route->target_ms,
+            route->priority, route->staleness_ms};
         found = true;
     }
     rcu_read_unlock();
@@ -339,16 +335,14 @@
     if (session->values == NULL) {
         session->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     }
-    g_hash_table_replace(session->values, span_copy(statement->name),
-                         span_copy(statement->value));
+    g_hash_table_replace(session->values, span_copy(statement->name), span_copy(statement->value));
     answer_own(session);
 }
 
 static void prepare(struct session *session, const struct statement *statement)
 {
     if (session->prepared == NULL) {
-        session->prepared =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_prepared);
+        session->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_prepared);
     }
     struct prepared *prepared = g_new0(struct prepared, 1);
     prepared->writes = statement->writes;
@@ -455,8 +449,7 @@
         }
         request->writes = prepared->writes;
     }
-    if (statement->kind == STATEMENT_COMMIT &&
-        session->transaction == SESSION_TRANSACTION_NONE) {
+    if (statement->kind == STATEMENT_COMMIT && session->transaction == SESSION_TRANSACTION_NONE) {
         answer_error(session, ANSWER_MALFORMED, "no transaction is open");
         return;
     }
@@ -590,8 +583,9 @@
     g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_REQUEST", id, "SW_KIND",
                      statement_kind_name(request->statement.kind), "SW_DATABASE",
                      server->database->shared->id, "SW_MS", total, "SW_WAITED_MS", waited,
-                     "MESSAGE", "Request %s: slow, %s ms, of these %s before it was sent, %u attempts.",
-                     id, total, waited, request->attempts);
+                     "MESSAGE",
+                     "Request %s: slow, %s ms, of these %s before it was sent, %u attempts.", id,
+                     total, waited, request->attempts);
 }
 
 static void tell_success(struct session *session, struct server *server,
@@ -657,8 +651,7 @@
 static void answer_success(struct session *session, struct server *server,
                            enum transaction_state state, const struct log_position *position)
 {
-    bool over = session->transaction == SESSION_TRANSACTION_NONE ||
-                state == TRANSACTION_STATE_NONE;
+    bool over = session->transaction == SESSION_TRANSACTION_NONE || state == TRANSACTION_STATE_NONE;
     note_own_commit(session, position);
     session->statements_run = true;
     if (over) {
@@ -696,8 +689,7 @@
         }
         return;
     }
-    bool read_alone =
-        session->transaction == SESSION_TRANSACTION_NONE && !session->request.writes;
+    bool read_alone = session->transaction == SESSION_TRANSACTION_NONE && !session->request.writes;
     bool not_begun = session->transaction == SESSION_TRANSACTION_REQUESTED;
     if (read_alone || not_begun) {
         session_try_again(session, ANSWER_BUSY);
@@ -736,8 +728,7 @@
     bool used = session->request.arrived != 0 && session->database != NULL &&
                 now > session->request.arrived + STOP_IDLE_NS;
     bool young = now < session->opened + STOP_IDLE_NS;
-    if ((at_rest && (used || !young)) ||
-        (session->state == SESSION_STARTING && !young)) {
+    if ((at_rest && (used || !young)) || (session->state == SESSION_STARTING && !young)) {
         session_end(session);
     }
 }
--- a/src/pooler/view.h
+++ b/src/pooler/view.h
@@ -24,9 +24,9 @@
 /* A database's fault as the workers see it; a new one wakes the control thread. */
 struct member_shared {
     char *id;
-    _Atomic unsigned fault;         /* enum database_fault */
-    _Atomic time_ns fault_since;    /* when it began */
-    _Atomic time_ns answered_at;    /* last answer from the database */
+    _Atomic unsigned fault;      /* enum database_fault */
+    _Atomic time_ns fault_since; /* when it began */
+    _Atomic time_ns answered_at; /* last answer from the database */
 };
 
 /* Figures of one group. Never freed, so that a worker may keep a pointer. */
--- a/src/pooler/wire.h
+++ b/src/pooler/wire.h
@@ -35,10 +35,10 @@
 
 /* What a code says about the statement that it answers. */
 struct answer_meaning {
-    const char *name;     /* for logs and metrics */
-    bool not_run;         /* a promise: the statement has not run */
-    bool elsewhere;       /* another database, or the same one later, may do it */
-    const char *advice;   /* short text for the client */
+    const char *name;   /* for logs and metrics */
+    bool not_run;       /* a promise: the statement has not run */
+    bool elsewhere;     /* another database, or the same one later, may do it */
+    const char *advice; /* short text for the client */
 };
 
 /* The meaning of a code; the table from kind to answer. */
--- a/src/pooler/worker.h
+++ b/src/pooler/worker.h
@@ -17,10 +17,10 @@
 
 /* What a worker shares with the control thread. */
 struct worker_shared {
-    struct view *view; /* under RCU */
-    _Atomic time_ns stop_at;   /* when the planned stop began; 0: not yet */
-    time_ns stop_grace;        /* how long a planned stop may take */
-    int control_wake;          /* eventfd that wakes the control thread */
+    struct view *view;       /* under RCU */
+    _Atomic time_ns stop_at; /* when the planned stop began; 0: not yet */
+    time_ns stop_grace;      /* how long a planned stop may take */
+    int control_wake;        /* eventfd that wakes the control thread */
     struct sockaddr_in listen;
     uint32_t sessions_max;
 };
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -53,9 +53,9 @@
 struct session_request {
     char *message; /* the client's message; the spans point into it */
     struct statement statement;
-    bool writes;      /* a write, or the execution of a prepared one */
-    time_ns arrived;  /* when it was read */
-    time_ns deadline; /* of its route's timeout */
+    bool writes;        /* a write, or the execution of a prepared one */
+    time_ns arrived;    /* when it was read */
+    time_ns deadline;   /* of its route's timeout */
     time_ns sent;       /* when it was last sent to a database */
     time_ns not_before; /* it is not sent again before */
     uint32_t attempts;
@@ -72,11 +72,11 @@
     struct buffer out;
     enum session_state state;
     enum session_transaction transaction;
-    bool read_only;        /* the transaction only reads */
-    bool statements_run;   /* the open transaction has run a statement */
-    char *database;        /* as named at the start; NULL before */
-    GHashTable *values;    /* name -> value; NULL while there is none */
-    GHashTable *prepared;  /* name -> struct prepared; NULL while there is none */
+    bool read_only;       /* the transaction only reads */
+    bool statements_run;  /* the open transaction has run a statement */
+    char *database;       /* as named at the start; NULL before */
+    GHashTable *values;   /* name -> value; NULL while there is none */
+    GHashTable *prepared; /* name -> struct prepared; NULL while there is none */
     struct session_route route;
     struct session_request request;
     struct server *server; /* the connection that serves it, NULL for none */
@@ -86,7 +86,7 @@
     time_ns began; /* when the transaction's first message was read */
     time_ns opened;
     bool waits_for_view; /* its start came before any configuration was known */
-    GList *queue_link; /* in the group's queue while SESSION_QUEUED */
+    GList *queue_link;   /* in the group's queue while SESSION_QUEUED */
     GList *worker_link;
 };
 
@@ -126,16 +126,16 @@
     uint32_t names_given;
     struct session *session; /* NULL: the session is gone, or there is none */
     bool in_transaction;
-    time_ns sent_at; /* when the running statement was sent */
+    time_ns sent_at;     /* when the running statement was sent */
     bool running_writes; /* the running statement is a write, or a commit */
     bool wrote;          /* the open transaction, or the single statement, has written */
-    bool permitted;  /* the group's read permit held when it was sent */
-    bool checking;   /* works for a check of leadership */
+    bool permitted;      /* the group's read permit held when it was sent */
+    bool checking;       /* works for a check of leadership */
     bool has_report;
     struct database_report report;
     time_ns idle_since;
     struct log_position after; /* that the running statement must see */
-    uint64_t epoch;  /* of the group when it was sent */
+    uint64_t epoch;            /* of the group when it was sent */
     /* The answer so far. */
     struct buffer rows;
     char *signature;
@@ -150,12 +150,12 @@
     uint32_t slots;
     bool same_zone;
     bool takes_work;
-    bool listed; /* in the newest view */
-    GPtrArray *servers; /* of struct server */
-    uint32_t in_flight; /* servers reserved or running */
-    uint32_t failures;  /* in a row, of opening a connection */
-    time_ns retry_at;   /* no connection is opened before */
-    double latency_ms;  /* moving average of answers */
+    bool listed;                  /* in the newest view */
+    GPtrArray *servers;           /* of struct server */
+    uint32_t in_flight;           /* servers reserved or running */
+    uint32_t failures;            /* in a row, of opening a connection */
+    time_ns retry_at;             /* no connection is opened before */
+    double latency_ms;            /* moving average of answers */
     struct log_position position; /* last seen */
     struct log_position lacking;  /* a position that it lacked */
     time_ns lacking_at;
@@ -203,8 +203,8 @@
     struct event *tick;
     bool tick_armed;
     const struct view *applied; /* compared, never read */
-    time_ns transaction_idle; /* an open transaction that rests longer is rolled back */
-    GHashTable *groups; /* service -> struct group */
+    time_ns transaction_idle;   /* an open transaction that rests longer is rolled back */
+    GHashTable *groups;         /* service -> struct group */
     GQueue sessions;
     GPtrArray *ended;         /* sessions to free after the callback */
     GPtrArray *closed;        /* servers to free after the callback */
@@ -249,8 +249,7 @@
 /* Gives the connection up; a session that it serves is told with the reason. */
 void server_close(struct server *server, enum answer_code reason);
 /* Sends the session's statement, with what it needs before. The server is idle or the session's. */
-void server_run(struct server *server, struct session *session,
-                const struct log_position *after);
+void server_run(struct server *server, struct session *session, const struct log_position *after);
 /* The session needs it no longer: rolls back what is open and returns to the pool. */
 void server_release(struct server *server);
 
@@ -270,8 +269,7 @@
 struct database *database_new(struct group *group, struct member_shared *shared);
 void database_free(struct database *database);
 /* An idle connection that suits the session best; NULL if there is none. */
-struct server *database_idle_server(const struct database *database,
-                                    const struct session *session);
+struct server *database_idle_server(const struct database *database, const struct session *session);
 /* Any idle connection; NULL if there is none. */
 struct server *database_any_idle(const struct database *database);
 bool database_may_open(const struct database *database, time_ns now);
@@ -292,8 +290,8 @@
 void router_leave_queue(struct session *session);
 /* Lets waiting statements go where they can. */
 void router_run_queue(struct group *group);
-/* False if a statement of the open transaction could be acknowledged by a replaced primary: where no
- * replica has to receive commits, they need a permit. */
+/* False if a statement of the open transaction could be acknowledged by a replaced primary: where
+ * no replica has to receive commits, they need a permit. */
 bool router_may_write_on(const struct session *session);
 /* True if reads at the primary see every commit that was acknowledged until now. */
 bool router_has_permit(const struct group *group, time_ns now);
--- a/standins/session_platform/line_group.c
+++ b/standins/session_platform/line_group.c
@@ -40,8 +40,8 @@
     struct bufferevent *events;
     bool started;
     bool mute;
-    char state; /* I, T or E */
-    bool plain; /* the open transaction may write */
+    char state;        /* I, T or E */
+    bool plain;        /* the open transaction may write */
     GPtrArray *writes; /* of struct entry, of the open transaction */
     GHashTable *values;
     GHashTable *prepared; /* name -> "MODE shape" */
@@ -164,7 +164,8 @@
     return received;
 }
 
-/* Commits what the connection wrote. False if too few replicas received it: then no answer comes. */
+/* Commits what the connection wrote. False if too few replicas received it: then no answer comes.
+ */
 static bool commit(struct connection *connection)
 {
     struct database *database = connection->database;
@@ -256,7 +257,8 @@
 static void run_execute(struct connection *connection, const char *id, const char *text,
                         char **words)
 {
-    const char *shape = words[1] == NULL ? NULL : g_hash_table_lookup(connection->prepared, words[1]);
+    const char *shape =
+        words[1] == NULL ? NULL : g_hash_table_lookup(connection->prepared, words[1]);
     if (shape == NULL) {
         refuse(connection, "NOSTMT");
     } else if (g_str_has_prefix(shape, "WRITE")) {
@@ -463,10 +465,10 @@
     struct sockaddr_in address = {.sin_family = AF_INET};
     socklen_t length = sizeof address;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    database->listener = evconnlistener_new_bind(
-        database->group->base, on_accept, database,
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_THREADSAFE, -1,
-        (struct sockaddr *)&address, sizeof address);
+    database->listener =
+        evconnlistener_new_bind(database->group->base, on_accept, database,
+                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_THREADSAFE, -1,
+                                (struct sockaddr *)&address, sizeof address);
     g_assert_nonnull(database->listener);
     getsockname(evconnlistener_get_fd(database->listener), (struct sockaddr *)&address, &length);
     database->port = ntohs(address.sin_port);
--- a/standins/session_platform/line_group.h
+++ b/standins/session_platform/line_group.h
@@ -1,6 +1,6 @@
 /* Stand-in for one group of databases that speak the platform's line format: a primary and replicas
- * in one thread, with terms, positions, pauses, promotion and faults. Replication is instant unless a
- * fault says otherwise. All functions may be called by the test's thread. */
+ * in one thread, with terms, positions, pauses, promotion and faults. Replication is instant unless
+ * a fault says otherwise. All functions may be called by the test's thread. */
 #ifndef SW_STANDINS_LINE_GROUP_H
 #define SW_STANDINS_LINE_GROUP_H
 
--- a/standins/session_platform/row_store.c
+++ b/standins/session_platform/row_store.c
@@ -151,8 +151,8 @@
     evhttp_parse_query_str(evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request)), &query);
     g_mutex_lock(&store->lock);
     if (!fails(store, request)) {
-        json_t *rows = rows_after(store, query_value(&query, "table"),
-                                  query_value(&query, "part"), 0, false);
+        json_t *rows =
+            rows_after(store, query_value(&query, "table"), query_value(&query, "part"), 0, false);
         reply(request, 200, answer_object(store, rows));
     }
     g_mutex_unlock(&store->lock);
@@ -203,8 +203,8 @@
     watch->request = request;
     watch->table = g_strdup(query_value(&query, "table"));
     watch->after = g_ascii_strtoull(query_value(&query, "after"), NULL, 10);
-    watch->until = g_get_monotonic_time() +
-                   g_ascii_strtoll(query_value(&query, "waitMs"), NULL, 10) * 1000;
+    watch->until =
+        g_get_monotonic_time() + g_ascii_strtoll(query_value(&query, "waitMs"), NULL, 10) * 1000;
     evhttp_clear_headers(&query);
     look(-1, 0, watch);
 }
@@ -313,8 +313,7 @@
     store->rows = g_ptr_array_new_with_free_func(free_row);
     store->base = event_base_new();
     store->http = evhttp_new(store->base);
-    struct evhttp_bound_socket *bound =
-        evhttp_bind_socket_with_handle(store->http, "127.0.0.1", 0);
+    struct evhttp_bound_socket *bound = evhttp_bind_socket_with_handle(store->http, "127.0.0.1", 0);
     g_assert_nonnull(bound);
     getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&address, &length);
     store->port = ntohs(address.sin_port);
--- a/standins/session_platform/row_store.h
+++ b/standins/session_platform/row_store.h
@@ -9,10 +9,10 @@
 
 /* What the store does wrong at the moment. */
 struct row_store_faults {
-    bool refuse;       /* every call gets 503 */
-    bool silent;       /* no call is answered, and nothing is done */
-    bool lose_writes;  /* writes are done and not answered */
-    bool no_history;   /* every question for changes gets 410 */
+    bool refuse;      /* every call gets 503 */
+    bool silent;      /* no call is answered, and nothing is done */
+    bool lose_writes; /* writes are done and not answered */
+    bool no_history;  /* every question for changes gets 410 */
 };
 
 /* Is told of a promotion; false: the database does not run. */
--- a/tests/pooler/failover_rig.c
+++ b/tests/pooler/failover_rig.c
@@ -171,8 +171,8 @@
         if (!refused) {
             rig->promoted_at = rig->now + RIG_PROMOTION_NS;
         }
-        failover_ordered(rig->failover,
-                         refused ? FAILOVER_ORDER_REFUSED : FAILOVER_ORDER_ACCEPTED, rig->now);
+        failover_ordered(rig->failover, refused ? FAILOVER_ORDER_REFUSED : FAILOVER_ORDER_ACCEPTED,
+                         rig->now);
     }
 }
 
--- a/tests/pooler/failover_rig.h
+++ b/tests/pooler/failover_rig.h
@@ -32,7 +32,7 @@
     struct rig_database databases[RIG_DATABASES_MAX];
     unsigned count;
     time_ns now;
-    bool closed;  /* what the poolers say */
+    bool closed; /* what the poolers say */
     bool drained;
     bool record_fails;
     bool orders_refused;
--- a/tests/pooler/test_fleet.c
+++ b/tests/pooler/test_fleet.c
@@ -1,5 +1,5 @@
-/* Poolers as processes, before stand-ins of the platform: what must hold when primaries, poolers and
- * the store fail. Waits for states, never for times. */
+/* Poolers as processes, before stand-ins of the platform: what must hold when primaries, poolers
+ * and the store fail. Waits for states, never for times. */
 #include <arpa/inet.h>
 #include <gio/gio.h>
 #include <glib.h>
@@ -90,9 +90,19 @@
     g_autofree char *peers = setting("pooler.peers", fixture->peers[0]);
     g_autofree char *store = setting("store.address", row_store_port(fixture->store));
     g_autofree char *promotion = setting("promotion.address", row_store_port(fixture->store));
-    const char *const arguments[] = {
-        g_getenv("SWIFTWORKS_POOLER"), name, zone, listen, peer, probe, metrics, peers, store,
-        promotion, "--set=store.heartbeat_ms=300", "--set=stop.grace_s=4", NULL};
+    const char *const arguments[] = {g_getenv("SWIFTWORKS_POOLER"),
+                                     name,
+                                     zone,
+                                     listen,
+                                     peer,
+                                     probe,
+                                     metrics,
+                                     peers,
+                                     store,
+                                     promotion,
+                                     "--set=store.heartbeat_ms=300",
+                                     "--set=stop.grace_s=4",
+                                     NULL};
     fixture->poolers[index] =
         g_subprocess_newv(arguments, G_SUBPROCESS_FLAGS_STDOUT_SILENCE, &error);
     g_assert_no_error(error);
@@ -203,8 +213,7 @@
 
 static void assert_read_sees_last(struct fixture *fixture, unsigned pooler)
 {
-    const char *value =
-        g_ptr_array_index(fixture->acknowledged, fixture->acknowledged->len - 1);
+    const char *value = g_ptr_array_index(fixture->acknowledged, fixture->acknowledged->len - 1);
     gint64 end = g_get_monotonic_time() + PATIENCE_US;
     while (g_get_monotonic_time() < end) {
         g_autofree char *answer = ask(fixture, pooler, "strict", "READ hut");
@@ -222,8 +231,8 @@
 {
     for (unsigned i = 0; i < POOLERS; i++) {
         g_autoptr(GSocketClient) client = g_socket_client_new();
-        g_autoptr(GSocketConnection) connection = g_socket_client_connect_to_host(
-            client, "127.0.0.1", fixture->metrics[i], NULL, NULL);
+        g_autoptr(GSocketConnection) connection =
+            g_socket_client_connect_to_host(client, "127.0.0.1", fixture->metrics[i], NULL, NULL);
         if (connection == NULL) {
             continue;
         }
@@ -290,8 +299,7 @@
     assert_all_kept(fixture);
 }
 
-static void test_lost_primary_after_lost_coordinator(struct fixture *fixture,
-                                                     gconstpointer unused)
+static void test_lost_primary_after_lost_coordinator(struct fixture *fixture, gconstpointer unused)
 {
     write_until_done(fixture, 0);
     unsigned coordinator = wait_for_coordinator(fixture, POOLERS);
@@ -316,7 +324,10 @@
 
 static void test_store_is_silent(struct fixture *fixture, gconstpointer unused)
 {
-    write_until_done(fixture, 0);
+    /* A pooler that has not met the store yet has nothing to serve by. */
+    for (unsigned i = 0; i < POOLERS; i++) {
+        write_until_done(fixture, i);
+    }
     row_store_set_faults(fixture->store, &(struct row_store_faults){.silent = true});
     gint64 end = g_get_monotonic_time() + PATIENCE_US;
     while (find_coordinator(fixture) != POOLERS && g_get_monotonic_time() < end) {
@@ -332,6 +343,20 @@
     assert_all_kept(fixture);
 }
 
+/* A pooler that starts while the store is silent learns from another one what to serve by. */
+static void test_start_while_the_store_is_silent(struct fixture *fixture, gconstpointer unused)
+{
+    for (unsigned i = 0; i < POOLERS; i++) {
+        write_until_done(fixture, i);
+    }
+    row_store_set_faults(fixture->store, &(struct row_store_faults){.silent = true});
+    kill_pooler(fixture, 2);
+    start_pooler(fixture, 2);
+    write_until_done(fixture, 2);
+    assert_read_sees_last(fixture, 2);
+    assert_all_kept(fixture);
+}
+
 /* The renewals are done, and their answers lost: the lease is kept or taken anew, the token never
  * falls. */
 static void test_lost_answers_of_the_store(struct fixture *fixture, gconstpointer unused)
@@ -415,6 +440,7 @@
     ADD("lost-coordinator-and-primary", test_lost_primary_after_lost_coordinator);
     ADD("coordinator-comes-back", test_coordinator_comes_back);
     ADD("silent-store", test_store_is_silent);
+    ADD("start-while-silent", test_start_while_the_store_is_silent);
     ADD("lost-answers", test_lost_answers_of_the_store);
     ADD("forgotten-history", test_forgotten_history);
     ADD("leaving-primary", test_leaving_primary);
--- a/tests/pooler/test_worker.c
+++ b/tests/pooler/test_worker.c
@@ -1,5 +1,5 @@
-/* A worker with its sessions, connections and routing, against stand-in databases: clients speak the
- * line format over loopback, and the test publishes the views that the control thread would. */
+/* A worker with its sessions, connections and routing, against stand-in databases: clients speak
+ * the line format over loopback, and the test publishes the views that the control thread would. */
 #include "pooler/worker.h"
 
 #include <arpa/inet.h>
@@ -379,8 +379,7 @@
     client_close(client);
 }
 
-static void test_transaction_stays_on_its_connection(struct fixture *fixture,
-                                                     gconstpointer unused)
+static void test_transaction_stays_on_its_connection(struct fixture *fixture, gconstpointer unused)
 {
     struct client *a = client_open(fixture, "strict");
     struct client *b = client_open(fixture, "strict");
@@ -650,8 +649,7 @@
     g_autofree char *line = g_strdup_printf("QUERY a1 WRITE hut %s\r\n", data);
     send(fileno(client->stream), line, strlen(line), MSG_NOSIGNAL);
     client_read(client);
-    g_assert_true(client->result[0] == '\0' ||
-                  g_str_has_prefix(client->result, "ERROR TOOLARGE"));
+    g_assert_true(client->result[0] == '\0' || g_str_has_prefix(client->result, "ERROR TOOLARGE"));
     g_assert_cmpuint(line_group_committed(fixture->group, "hut", data), ==, 0);
     client_close(client);
 }
@@ -664,8 +662,7 @@
     good(open, "WRITE hut 5", 'T');
     atomic_store(&fixture->shared.stop_at, backend_now());
     worker_wake(fixture->worker);
-    g_assert_null(fgets(idle->line, sizeof idle->line, idle->stream) == idle->line ? "line"
-                                                                                   : NULL);
+    g_assert_null(fgets(idle->line, sizeof idle->line, idle->stream) == idle->line ? "line" : NULL);
     good(open, "COMMIT", 'I');
     g_assert_cmpuint(line_group_committed(fixture->group, "hut", "5"), ==, 1);
     client_close(idle);
