--- a/src/pooler/buffer.c
+++ b/src/pooler/buffer.c
@@ -64,7 +64,7 @@
         capacity *= 2;
     }
     char *data = g_malloc(capacity);
-    if (held > 0) {
+    if (held > 0 && buffer->data != NULL) {
         memcpy(data, buffer->data + buffer->start, held);
     }
     g_free(buffer->data);
--- a/src/pooler/configuration.h
+++ b/src/pooler/configuration.h
@@ -58,6 +58,6 @@
 
 /* Decodes the row that holds the newest configuration. The adapter implements it. Errors are
  * SW_ERROR, ERROR_KIND_INVALID_CONFIGURATION. */
-struct configuration *configuration_decode(const char *text, size_t length, GError **error);
+struct configuration *configuration_decode(const char *content, size_t length, GError **error);
 
 #endif
--- a/src/pooler/control.c
+++ b/src/pooler/control.c
@@ -174,6 +174,8 @@
     metrics_print(&sum, out);
     g_string_append_printf(out, "swiftworks_sessions %u\n", sessions);
     g_string_append_printf(out, "swiftworks_coordinator %d\n", control->lease.held);
+    g_string_append_printf(out, "swiftworks_leases_ceded_to_this_total %" G_GUINT64_FORMAT "\n",
+                           control->lease.cessions);
     g_string_append_printf(out, "swiftworks_configuration_version %" G_GUINT64_FORMAT "\n",
                            control->configuration == NULL ? 0 : control->configuration->version);
     g_string_append_printf(out, "swiftworks_log_lines_left_out_total %" G_GUINT64_FORMAT "\n",
--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -269,16 +269,13 @@
     control_groups_start(control, &control->feeds[STORE_TABLE_CONTROL]);
 }
 
+/* Connections stay open: closing them at once would lose what was sent last, such as the cession of
+ * the lease. Heartbeats are answered by hearsay from now on. */
 void control_coordinator_end(struct control *control)
 {
     control_groups_end(control);
     g_hash_table_remove_all(control->poolers);
-    /* Those who are connected ask somebody else. */
-    while (control->connected->len > 0) {
-        struct peer *peer = g_ptr_array_index(control->connected, 0);
-        g_ptr_array_remove_index(control->connected, 0);
-        peer_free(peer);
-    }
+    g_clear_pointer(&control->coordinator_address, g_free);
 }
 
 /* The pooler that heard the store last; NULL if none has lately. */
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -73,6 +73,7 @@
     uint64_t proposed_token;
     bool releasing;
     uint64_t ceded_token; /* its holder has left the lease to us; 0: none has */
+    uint64_t cessions;    /* leases that were left to us so far */
     time_ns answered_at;  /* when a call about the lease was last answered */
 };
 
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -280,6 +280,7 @@
 {
     g_message("The lease under token %" PRIu64 " is left to us.", token);
     control->lease.ceded_token = token;
+    control->lease.cessions++;
     control->lease.next_at = 0;
     control->granted_at = 0;
     control_wake_soon(control);
--- a/src/pooler/directory.h
+++ b/src/pooler/directory.h
@@ -51,7 +51,7 @@
 void directory_entry_free(struct directory_entry *entry);
 
 /* Decodes a database's record; the adapter implements it. NULL with `error` if it is malformed. */
-struct directory_entry *directory_entry_decode(const char *id, const char *text, size_t length,
+struct directory_entry *directory_entry_decode(const char *id, const char *content, size_t length,
                                                GError **error);
 
 #endif
--- a/src/pooler/peer.h
+++ b/src/pooler/peer.h
@@ -27,7 +27,7 @@
                           const struct peer_callbacks *callbacks);
 
 /* Takes over an accepted socket. */
-struct peer *peer_accept(struct event_base *base, int socket,
+struct peer *peer_accept(struct event_base *base, int handle,
                          const struct peer_callbacks *callbacks);
 
 /* Closes without the closed callback, and frees. */
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -308,6 +308,12 @@
         server->database == group->primary && router_has_permit(group, server->sent_at);
 }
 
+static struct log_position position_or_none(const struct log_position *position)
+{
+    struct log_position none = {0};
+    return position == NULL ? none : *position;
+}
+
 void server_run(struct server *server, struct session *session, const struct log_position *after)
 {
     if (!holds_work(server)) {
@@ -319,7 +325,7 @@
     session->server = server;
     clear_answer(server);
     note_sending(server);
-    server->after = after == NULL ? (struct log_position){0} : *after;
+    server->after = position_or_none(after);
     bring_setup(server, session);
     server->running_writes = false;
     if (session->transaction == SESSION_TRANSACTION_REQUESTED) {
--- a/src/pooler/session.c
+++ b/src/pooler/session.c
@@ -21,7 +21,7 @@
 #define BUSY_WAIT_NS (15 * NANOSECONDS_PER_MILLISECOND)
 
 /* What a client is told about coming back, in milliseconds. */
-#define RETRY_AFTER_MS 200
+#define RETRY_AFTER_MS 200U
 
 static void process(struct session *session);
 
--- a/src/sim/main.c
+++ b/src/sim/main.c
@@ -4,7 +4,6 @@
 
 #include "sim/explore.h"
 #include "sim/overload.h"
-#include "sim/scale.h"
 
 struct subcommand {
     const char *name;
@@ -17,7 +16,6 @@
     {"explore", "run a scenario over seeds until one fails", explore_main},
     {"prove", "run every guarantee with its mechanism on and off", prove_main},
     {"overload", "offer a group more than it can serve", overload_main},
-    {"scale", "run many hollow daemons", scale_main},
 };
 
 static int print_usage(void)
--- a/standins/session_platform/line_group.c
+++ b/standins/session_platform/line_group.c
@@ -310,12 +310,13 @@
 static void run_control(struct connection *connection, char **words)
 {
     struct database *database = connection->database;
-    uint64_t term = words[1] == NULL ? 0 : g_ascii_strtoull(words[1], NULL, 10);
-    if (strcmp(words[0], "PAUSE") == 0 && !database->leads && term > database->term) {
+    const char *word = words[0] == NULL ? "" : words[0];
+    uint64_t term = words[0] == NULL || words[1] == NULL ? 0 : g_ascii_strtoull(words[1], NULL, 10);
+    if (strcmp(word, "PAUSE") == 0 && !database->leads && term > database->term) {
         database->paused = term;
-    } else if (strcmp(words[0], "RESUME") == 0) {
+    } else if (strcmp(word, "RESUME") == 0) {
         database->paused = 0;
-    } else if (strcmp(words[0], "STEPDOWN") == 0 && database->term < term) {
+    } else if (strcmp(word, "STEPDOWN") == 0 && database->term < term) {
         database->leads = false;
     }
     tell_status(connection);
--- a/standins/session_platform/row_store.c
+++ b/standins/session_platform/row_store.c
@@ -75,7 +75,7 @@
         row->key = g_strdup(key);
         g_ptr_array_add(store->rows, row);
     }
-    json_decref(row->value);
+    g_clear_pointer(&row->value, json_decref);
     row->value = value;
     row->version = store->version;
 }
@@ -303,7 +303,7 @@
 
 struct row_store *row_store_start(row_store_promote *promote, void *user)
 {
-    struct sockaddr_in address;
+    struct sockaddr_in address = {0};
     socklen_t length = sizeof address;
     evthread_use_pthreads();
     struct row_store *store = g_new0(struct row_store, 1);
--- a/tests/pooler/test_directory.c
+++ b/tests/pooler/test_directory.c
@@ -14,6 +14,14 @@
     return out;
 }
 
+/* Takes a record whose state is as told; true if the directory changed. */
+static bool take(struct directory *directory, const char *id, uint64_t version, bool draining,
+                 time_ns now)
+{
+    struct directory_entry *taken = entry(id, draining);
+    return directory_take(directory, id, version, taken, now);
+}
+
 static const struct directory_entry *find(const struct directory *directory, const char *id)
 {
     return g_hash_table_lookup(directory->entries, id);
@@ -23,8 +31,8 @@
 {
     struct directory directory;
     directory_init(&directory);
-    g_assert_true(directory_take(&directory, "a", 5, entry("a", true), 0));
-    g_assert_false(directory_take(&directory, "a", 4, entry("a", false), 0));
+    g_assert_true(take(&directory, "a", 5, true, 0));
+    g_assert_false(take(&directory, "a", 4, false, 0));
     g_assert_true(find(&directory, "a")->draining);
     directory_clear(&directory);
 }
@@ -33,8 +41,8 @@
 {
     struct directory directory;
     directory_init(&directory);
-    g_assert_true(directory_take(&directory, "a", 1, entry("a", false), 0));
-    g_assert_false(directory_take(&directory, "a", 2, entry("a", false), 0));
+    g_assert_true(take(&directory, "a", 1, false, 0));
+    g_assert_false(take(&directory, "a", 2, false, 0));
     directory_clear(&directory);
 }
 
@@ -42,7 +50,7 @@
 {
     struct directory directory;
     directory_init(&directory);
-    directory_take(&directory, "a", 1, entry("a", true), 0);
+    take(&directory, "a", 1, true, 0);
     g_assert_true(directory_entry_leaves(find(&directory, "a"), 0, HEARTBEAT));
     directory_clear(&directory);
 }
@@ -52,11 +60,11 @@
 {
     struct directory directory;
     directory_init(&directory);
-    directory_take(&directory, "a", 1, entry("a", false), 0);
+    take(&directory, "a", 1, false, 0);
     g_assert_true(directory_take(&directory, "a", 2, NULL, 1000 * MS));
     g_assert_false(directory_entry_leaves(find(&directory, "a"), 3300 * MS, HEARTBEAT));
     g_assert_true(directory_entry_leaves(find(&directory, "a"), 3400 * MS, HEARTBEAT));
-    g_assert_true(directory_take(&directory, "a", 3, entry("a", false), 3500 * MS));
+    g_assert_true(take(&directory, "a", 3, false, 3500 * MS));
     g_assert_false(directory_entry_leaves(find(&directory, "a"), 9000 * MS, HEARTBEAT));
     directory_clear(&directory);
 }
@@ -65,8 +73,8 @@
 {
     struct directory directory;
     directory_init(&directory);
-    directory_take(&directory, "a", 1, entry("a", false), 0);
-    directory_take(&directory, "b", 2, entry("b", false), 0);
+    take(&directory, "a", 1, false, 0);
+    take(&directory, "b", 2, false, 0);
     directory_take(&directory, "a", 3, NULL, 1000 * MS);
     g_assert_false(directory_forget(&directory, 1500 * MS, 1000 * MS));
     g_assert_true(directory_forget(&directory, 2000 * MS, 1000 * MS));
--- a/tests/pooler/test_fleet.c
+++ b/tests/pooler/test_fleet.c
@@ -226,24 +226,30 @@
     g_error("no read was answered");
 }
 
-/* Which pooler holds the lease, by its metrics; POOLERS if none does. */
+/* True if the pooler's metrics hold this line. */
+static bool tells(const struct fixture *fixture, unsigned pooler, const char *line)
+{
+    g_autoptr(GSocketClient) client = g_socket_client_new();
+    g_autoptr(GSocketConnection) connection =
+        g_socket_client_connect_to_host(client, "127.0.0.1", fixture->metrics[pooler], NULL, NULL);
+    static const char request[] = "GET /metrics HTTP/1.0\r\n\r\n";
+    char answer[65536] = "";
+    gsize length = 0;
+    if (connection == NULL) {
+        return false;
+    }
+    g_output_stream_write_all(g_io_stream_get_output_stream(G_IO_STREAM(connection)), request,
+                              sizeof request - 1, NULL, NULL, NULL);
+    g_input_stream_read_all(g_io_stream_get_input_stream(G_IO_STREAM(connection)), answer,
+                            sizeof answer - 1, &length, NULL, NULL);
+    return strstr(answer, line) != NULL;
+}
+
+/* Which pooler holds the lease; POOLERS if none does. */
 static unsigned find_coordinator(const struct fixture *fixture)
 {
     for (unsigned i = 0; i < POOLERS; i++) {
-        g_autoptr(GSocketClient) client = g_socket_client_new();
-        g_autoptr(GSocketConnection) connection =
-            g_socket_client_connect_to_host(client, "127.0.0.1", fixture->metrics[i], NULL, NULL);
-        if (connection == NULL) {
-            continue;
-        }
-        static const char request[] = "GET /metrics HTTP/1.0\r\n\r\n";
-        char answer[65536] = "";
-        gsize length = 0;
-        g_output_stream_write_all(g_io_stream_get_output_stream(G_IO_STREAM(connection)), request,
-                                  sizeof request - 1, NULL, NULL, NULL);
-        g_input_stream_read_all(g_io_stream_get_input_stream(G_IO_STREAM(connection)), answer,
-                                sizeof answer - 1, &length, NULL, NULL);
-        if (strstr(answer, "swiftworks_coordinator 1") != NULL) {
+        if (tells(fixture, i, "swiftworks_coordinator 1\n")) {
             return i;
         }
     }
@@ -417,10 +423,13 @@
 /* A coordinator that stops leaves the lease to another at once, under a higher token. */
 static void test_stopped_coordinator(struct fixture *fixture, gconstpointer unused)
 {
-    write_until_done(fixture, 0);
+    for (unsigned i = 0; i < POOLERS; i++) {
+        write_until_done(fixture, i); /* all are heard by the coordinator */
+    }
     unsigned coordinator = wait_for_coordinator(fixture, POOLERS);
     g_subprocess_send_signal(fixture->poolers[coordinator], SIGTERM);
     unsigned successor = wait_for_coordinator(fixture, coordinator);
+    g_assert_true(tells(fixture, successor, "swiftworks_leases_ceded_to_this_total 1\n"));
     line_group_set_faults(fixture->group, 0, &(struct line_faults){.down = true});
     write_until_done(fixture, successor);
     g_subprocess_wait(fixture->poolers[coordinator], NULL, NULL);
--- a/tests/pooler/test_worker.c
+++ b/tests/pooler/test_worker.c
@@ -222,7 +222,7 @@
 {
     struct client *client = client_begin(fixture, database);
     client_read(client);
-    g_assert_cmpint(client->state, ==, 'I');
+    g_assert_true(client->state == 'I');
     return client;
 }
 
@@ -254,7 +254,7 @@
         g_test_message("%s: %s", text, client->result);
     }
     g_assert_true(g_str_has_prefix(client->result, "COMPLETE "));
-    g_assert_cmpint(client->state, ==, state);
+    g_assert_true(client->state == state);
 }
 
 static void bad(struct client *client, const char *text, const char *code, char state)
@@ -265,7 +265,7 @@
         g_test_message("%s: %s", text, client->result);
     }
     g_assert_true(g_str_has_prefix(client->result, start));
-    g_assert_cmpint(client->state, ==, state);
+    g_assert_true(client->state == state);
 }
 
 static const struct line_run *find_run(GPtrArray *runs, const char *text)
@@ -288,7 +288,7 @@
     permit(fixture, PERMIT_FOREVER);
     publish(fixture);
     client_read(client);
-    g_assert_cmpint(client->state, ==, 'I');
+    g_assert_true(client->state == 'I');
     good(client, "WRITE hut 4", 'I');
     client_close(client);
 }
