--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -323,6 +323,7 @@
     server->state = SERVER_RUNNING;
     server->session = session;
     session->server = server;
+    session->request.sent_to = server->database->shared->id;
     clear_answer(server);
     note_sending(server);
     server->after = position_or_none(after);
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -53,11 +53,12 @@
 struct session_request {
     char *message; /* the client's message; the spans point into it */
     struct statement statement;
-    bool writes;        /* a write, or the execution of a prepared one */
-    time_ns arrived;    /* when it was read */
-    time_ns deadline;   /* of its route's timeout */
-    time_ns sent;       /* when it was last sent to a database */
-    time_ns not_before; /* it is not sent again before */
+    bool writes;         /* a write, or the execution of a prepared one */
+    time_ns arrived;     /* when it was read */
+    time_ns deadline;    /* of its route's timeout */
+    time_ns sent;        /* when it was last sent to a database */
+    const char *sent_to; /* id of that database, NULL: to none yet */
+    time_ns not_before;  /* it is not sent again before */
     uint32_t attempts;
     bool may_have_run; /* it was sent to a database */
 };
--- a/tests/daemon/test_log.c
+++ b/tests/daemon/test_log.c
@@ -114,7 +114,7 @@
 
 static void test_parts(void)
 {
-    static const char *const others[] = {"backend", "frontend", "wire", "platform"};
+    static const char *const others[] = {"backend", "frontend", "wire", "storage"};
     g_assert_cmpuint(check_domains("daemon"), >, 0);
     for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
         check_domains(others[i]);
