--- /dev/null
+++ b/src/pooler/session_internal.h
@@ -0,0 +1,40 @@
+/* Shared by the parts of a session: its connection (session.c), what the client asks
+ * (session_statement.c) and what it is told (session_answer.c). */
+#ifndef SW_POOLER_SESSION_INTERNAL_H
+#define SW_POOLER_SESSION_INTERNAL_H
+
+#include "pooler/worker_internal.h"
+
+/* Share of the route's timeout that a statement may wait for a connection. */
+#define WAIT_SHARE 0.45
+
+/* session.c */
+/* Sends what the client is to get; ends the session if its connection is over. */
+void session_flush(struct session *session);
+/* The session's only timer: of the statement, or of the transaction at rest. */
+void session_set_timer(struct session *session, time_ns at);
+/* Takes the messages that have come, as long as nothing is asked. */
+void session_process(struct session *session);
+
+/* session_statement.c */
+/* True once a configuration and the group orders are known, so that "no such database" is true. */
+bool session_knows_routes(const struct worker *worker);
+/* Takes the session's route from the newest view. False if there is none. */
+bool session_bind_route(struct session *session);
+/* Does what the session's request asks. */
+void session_ask(struct session *session);
+
+/* session_answer.c */
+/* True while a statement is queued or at a database. */
+bool session_is_busy(const struct session *session);
+/* Success of a statement that no database runs. */
+void session_answer_own(struct session *session);
+/* `text` NULL or empty: the code's own advice. */
+void session_answer_error(struct session *session, enum answer_code code, const char *text);
+/* Answers a statement whose connection is lost and that goes nowhere else. */
+void session_answer_lost(struct session *session, enum answer_code reason);
+/* The transaction is over at the database; the client has still to end it. */
+void session_fail_transaction(struct session *session);
+void session_end_transaction(struct session *session);
+
+#endif
--- /dev/null
+++ b/src/pooler/session_statement.c
@@ -0,0 +1,210 @@
+/* What a session's client asks: values, prepared names and transactions are kept here, all else is
+ * handed to the router. */
+#define G_LOG_DOMAIN "session"
+#include "pooler/session_internal.h"
+
+static void free_prepared(gpointer data)
+{
+    struct prepared *prepared = data;
+    g_free(prepared->shape);
+    g_free(prepared);
+}
+
+/* True once a configuration and the group orders are known, so that "no such database" is true. */
+bool session_knows_routes(const struct worker *worker)
+{
+    return worker->applied != NULL;
+}
+
+/* Takes the session's route from the newest view. False if there is none. */
+bool session_bind_route(struct session *session)
+{
+    bool found = false;
+    rcu_read_lock();
+    const struct view *view = rcu_dereference(session->worker->shared->view);
+    const struct route *route = view == NULL || view->configuration == NULL
+                                    ? NULL
+                                    : configuration_route(view->configuration, session->database);
+    struct group *group =
+        route == NULL ? NULL : g_hash_table_lookup(session->worker->groups, route->service);
+    if (group != NULL) {
+        session->route = (struct session_route){
+            group,           route->kind,        route->timeout_ms, route->target_ms,
+            route->priority, route->staleness_ms};
+        found = true;
+    }
+    rcu_read_unlock();
+    return found;
+}
+
+static void set_value(struct session *session, const struct statement *statement)
+{
+    if (session->values == NULL) {
+        session->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    }
+    g_hash_table_replace(session->values, span_copy(statement->name), span_copy(statement->value));
+    session_answer_own(session);
+}
+
+static void prepare(struct session *session, const struct statement *statement)
+{
+    if (session->prepared == NULL) {
+        session->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_prepared);
+    }
+    struct prepared *prepared = g_new0(struct prepared, 1);
+    prepared->writes = statement->writes;
+    prepared->shape = span_copy(statement->value);
+    g_hash_table_replace(session->prepared, span_copy(statement->name), prepared);
+    session_answer_own(session);
+}
+
+static const struct prepared *find_prepared(const struct session *session, struct span name)
+{
+    g_autofree char *text = span_copy(name);
+    return session->prepared == NULL ? NULL : g_hash_table_lookup(session->prepared, text);
+}
+
+static void deallocate(struct session *session, const struct statement *statement)
+{
+    g_autofree char *name = span_copy(statement->name);
+    if (session->prepared != NULL) {
+        g_hash_table_remove(session->prepared, name);
+    }
+    session_answer_own(session);
+}
+
+static void begin(struct session *session, bool read_only)
+{
+    if (session->transaction != SESSION_TRANSACTION_NONE) {
+        session_answer_error(session, ANSWER_MALFORMED, "a transaction is open");
+        return;
+    }
+    if (!session_bind_route(session)) {
+        session_answer_error(session, ANSWER_NO_DATABASE, NULL);
+        return;
+    }
+    session->transaction = SESSION_TRANSACTION_REQUESTED;
+    session->read_only = read_only;
+    session->statements_run = false;
+    session->began = session->request.arrived;
+    session_answer_own(session);
+}
+
+static void rollback(struct session *session)
+{
+    if (session->transaction == SESSION_TRANSACTION_NONE) {
+        session_answer_error(session, ANSWER_MALFORMED, "no transaction is open");
+        return;
+    }
+    session_end_transaction(session);
+    session_answer_own(session);
+}
+
+static void refuse_in_failed(struct session *session)
+{
+    if (session->request.statement.kind == STATEMENT_COMMIT) {
+        session_end_transaction(session);
+        session_answer_error(session, ANSWER_ABORTED, NULL);
+        return;
+    }
+    session_answer_error(session, ANSWER_MALFORMED, "the transaction failed; roll it back");
+}
+
+static void start_request_timer(struct session *session)
+{
+    time_ns timeout = session->route.timeout_ms * NANOSECONDS_PER_MILLISECOND;
+    session->request.deadline = session->request.arrived + timeout;
+    session_set_timer(session, session->request.arrived + (time_ns)((double)timeout * WAIT_SHARE));
+}
+
+void session_sent(struct session *session)
+{
+    session->state = SESSION_RUNNING;
+    session->request.sent = backend_now();
+    session_set_timer(session, session->request.deadline);
+}
+
+/* Sends a statement of the open transaction on, or finds a connection for the first one. */
+static void submit(struct session *session)
+{
+    session->worker->busy++;
+    worker_arm_tick(session->worker);
+    if (session->transaction == SESSION_TRANSACTION_OPEN) {
+        start_request_timer(session);
+        session_sent(session);
+        if (!router_may_write_on(session)) {
+            session_answer_lost(session, ANSWER_ABORTED);
+            return;
+        }
+        server_run(session->server, session, NULL);
+        return;
+    }
+    start_request_timer(session);
+    router_submit(session);
+}
+
+static void ask_database(struct session *session)
+{
+    struct session_request *request = &session->request;
+    const struct statement *statement = &request->statement;
+    request->writes = statement->writes;
+    if (statement->kind == STATEMENT_EXECUTE) {
+        const struct prepared *prepared = find_prepared(session, statement->name);
+        if (prepared == NULL) {
+            session_answer_error(session, ANSWER_NO_STATEMENT, "no such prepared statement");
+            return;
+        }
+        request->writes = prepared->writes;
+    }
+    if (statement->kind == STATEMENT_COMMIT && session->transaction == SESSION_TRANSACTION_NONE) {
+        session_answer_error(session, ANSWER_MALFORMED, "no transaction is open");
+        return;
+    }
+    if (session->transaction == SESSION_TRANSACTION_NONE && !session_bind_route(session)) {
+        session_answer_error(session, ANSWER_NO_DATABASE, NULL);
+        return;
+    }
+    submit(session);
+}
+
+static bool may_end_failed(enum statement_kind kind)
+{
+    return kind == STATEMENT_ROLLBACK;
+}
+
+void session_ask(struct session *session)
+{
+    const struct statement *statement = &session->request.statement;
+    bool failed = session->transaction == SESSION_TRANSACTION_FAILED;
+    if (failed && !may_end_failed(statement->kind)) {
+        refuse_in_failed(session);
+        return;
+    }
+    switch (statement->kind) {
+    case STATEMENT_BEGIN:
+    case STATEMENT_BEGIN_READ:
+        begin(session, statement->kind == STATEMENT_BEGIN_READ);
+        break;
+    case STATEMENT_ROLLBACK:
+        rollback(session);
+        break;
+    case STATEMENT_SET:
+        set_value(session, statement);
+        break;
+    case STATEMENT_PREPARE:
+        prepare(session, statement);
+        break;
+    case STATEMENT_DEALLOCATE:
+        deallocate(session, statement);
+        break;
+    case STATEMENT_READ:
+    case STATEMENT_WRITE:
+    case STATEMENT_EXECUTE:
+    case STATEMENT_COMMIT:
+        ask_database(session);
+        break;
+    default:
+        session_answer_error(session, ANSWER_MALFORMED, NULL);
+        break;
+    }
+}
