--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 BUILD := build
 
-.PHONY: all demo test lint test-asan test-tsan prove chaos bench generate-check clean \
+.PHONY: all demo test lint test-asan test-tsan prove chaos bench release generate-check clean \
 	setup-build setup-lint setup-bench
 
 all: $(BUILD)/build.ninja
@@ -54,8 +54,13 @@
 bench: setup-bench all
 	bench/run.sh $(BUILD)
 
+# Everything at -O3, warnings as errors, as the pooler is built for its machines.
+release: | setup-build
+	[ -f build-release/build.ninja ] || meson setup build-release --buildtype=release
+	ninja -C build-release -j $(JOBS)
+
 generate-check: | setup-build
 	tools/generate.py --check
 
 clean:
-	rm -rf $(BUILD) build-asan build-tsan
+	rm -rf $(BUILD) build-asan build-tsan build-release
--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -266,7 +266,7 @@
     g_hash_table_remove_all(control->poolers);
     control->coordinator_since = backend_now();
     control_member_set_coordinator(control, control->address);
-    control_groups_start(control, &control->feeds[STORE_TABLE_CONTROL]);
+    control_groups_start(control);
 }
 
 /* Connections stay open: closing them at once would lose what was sent last, such as the cession of
--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -26,6 +26,8 @@
     return g_hash_table_lookup(control->controlled, failover->service);
 }
 
+static void release_group(gpointer data);
+
 static void on_command(void *user, const char *service, const char *database,
                        const struct database_report *report)
 {
@@ -65,13 +67,14 @@
         /* Our own renewal may have come in between: the lease's row tells whose it is. */
         control_lease_take(group->control, answer);
     }
-    if (!group->recording_done) {
+    if (!group->recording_done && !group->retired) {
         failover_recorded(group->failover, answer->outcome == STORE_DONE, backend_now());
     }
     control_wake_soon(group->control);
+    release_group(group);
 }
 
-/* Answers of the store may come after this coordinator has ended: its groups outlive it here. */
+/* The answer may come after this coordinator has ended: the call holds the group. */
 static void record(void *user, struct failover *failover, bool done)
 {
     struct control *control = user;
@@ -93,7 +96,8 @@
     g_autofree char *key = g_strconcat(RECORD_PREFIX, failover->service, NULL);
     struct store_put put = {key, octets->data, octets->len};
     group->recording_done = done;
-    store_write(control->store, LEASE_KEY, control->lease.row_version, &put, 1, on_recorded, group);
+    store_write(control->store, LEASE_KEY, control->lease.row_version, &put, 1, on_recorded,
+                g_rc_box_acquire(group));
     g_byte_array_unref(octets);
 }
 
@@ -114,8 +118,11 @@
     struct controlled_group *group = user;
     g_message("Group %s: the order of promotion was %s.", group->failover->service,
               promotion_outcome_name(outcome));
-    failover_ordered(group->failover, order_of(outcome), backend_now());
+    if (!group->retired) {
+        failover_ordered(group->failover, order_of(outcome), backend_now());
+    }
     control_wake_soon(group->control);
+    release_group(group);
 }
 
 static void promote(void *user, struct failover *failover, const char *candidate)
@@ -128,7 +135,7 @@
     g_message("Group %s: orders the promotion of %s under token %" PRIu64 ".", failover->service,
               candidate, control->lease.token);
     promotion_order(control->promotion, failover->service, candidate, control->lease.token,
-                    on_ordered, controlled_of(control, failover));
+                    on_ordered, g_rc_box_acquire(controlled_of(control, failover)));
 }
 
 static void publish(void *user, struct failover *failover)
@@ -185,12 +192,17 @@
     database_control_free(data);
 }
 
-static void free_group(gpointer data)
+static void clear_group(gpointer data)
 {
     struct controlled_group *group = data;
     g_hash_table_unref(group->connections);
     failover_free(group->failover);
-    g_free(group);
+}
+
+/* Gives up one reference: the table's, or that of a call that has come back. */
+static void release_group(gpointer data)
+{
+    g_rc_box_release_full(data, clear_group);
 }
 
 static void continue_record(struct controlled_group *group, const struct feed *records)
@@ -212,7 +224,7 @@
 
 static void add_group(struct control *control, const struct service *service)
 {
-    struct controlled_group *group = g_new0(struct controlled_group, 1);
+    struct controlled_group *group = g_rc_box_new0(struct controlled_group);
     group->control = control;
     group->failover = failover_new(service->name, &control->failover_actions);
     group->failover->since = backend_now();
@@ -240,21 +252,23 @@
     }
 }
 
-void control_groups_start(struct control *control, struct feed *records)
+void control_groups_start(struct control *control)
 {
     control->failover_actions = (struct failover_actions){
         ask, record, promote, publish, closed, drained, control,
     };
     if (control->controlled == NULL) {
-        control->controlled = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
+        control->controlled = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, release_group);
     }
     add_groups(control);
 }
 
+/* Calls under way may still come back to the group: they hold it, and find it retired. */
 static gboolean retire(gpointer key, gpointer value, gpointer user)
 {
-    /* Calls under way may still come back to the group: it is kept, without its connections. */
-    g_hash_table_remove_all(((struct controlled_group *)value)->connections);
+    struct controlled_group *group = value;
+    group->retired = true;
+    g_hash_table_remove_all(group->connections);
     return TRUE;
 }
 
@@ -263,7 +277,6 @@
     if (control->controlled != NULL) {
         g_hash_table_foreach_remove(control->controlled, retire, NULL);
     }
-    (void)free_group;
 }
 
 static void update_members(struct control *control, struct controlled_group *group, time_ns now)
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -93,8 +93,8 @@
     struct control *control;
     struct failover *failover;
     GHashTable *connections; /* database id -> struct database_control */
-    uint64_t record_version; /* of its row; 0: none */
     bool recording_done;
+    bool retired; /* no longer under this coordinator */
 };
 
 struct control {
@@ -202,7 +202,7 @@
 void control_coordinator_push(struct control *control);
 
 /* control_groups.c: the groups under control */
-void control_groups_start(struct control *control, struct feed *records);
+void control_groups_start(struct control *control);
 void control_groups_end(struct control *control);
 void control_groups_tick(struct control *control, time_ns now);
 
--- /dev/null
+++ b/src/pooler/failover_change.c
@@ -0,0 +1,296 @@
+/* A change of primary, step by step: drain, fence, choose, record, order, confirm; see the header
+ * of failover.h for why it is safe. */
+#define G_LOG_DOMAIN "failover"
+#include "pooler/failover_internal.h"
+
+/* Of questions whether the candidate leads, and the first one after the order. */
+#define CONFIRM_EVERY_NS (40 * MS)
+#define CONFIRM_FIRST_NS (150 * MS)
+
+/* Longest time that open work has before a planned change closes the primary. */
+#define DRAIN_MAX_NS (900 * MS)
+
+/* An ordered promotion that has no effect is ordered again after this. */
+#define ORDER_AGAIN_NS    (1500 * MS)
+#define ORDER_RETRY_NS    (50 * MS)
+#define CANDIDATE_DEAD_NS (1200 * MS)
+#define EXCLUDED_NS       (1500 * MS)
+
+static uint32_t members_count(const struct failover *failover)
+{
+    return failover->members->len;
+}
+
+/* So many replicas must be paused where the old primary can't be asked. Only one replica is counted
+ * on to hold a commit, whatever more a service asks for: no database tells how many it waited for.
+ */
+uint32_t failover_pauses_needed(const struct failover *failover)
+{
+    uint32_t count = members_count(failover);
+    return failover->sync_replicas == 0 || count <= 1 ? 1 : count - 1;
+}
+
+static void start_fencing(struct failover *failover, time_ns now)
+{
+    for (guint i = 0; i < failover->members->len; i++) {
+        failover_member_at(failover, i)->fenced = false;
+        failover_member_at(failover, i)->asked_at = 0;
+    }
+    failover->fence_term = failover->term + 1;
+    failover_set_state(failover, FAILOVER_FENCING, now);
+    failover_publish(failover, GROUP_PHASE_CLOSED);
+}
+
+void failover_begin_change(struct failover *failover, bool planned, const char *why, time_ns now)
+{
+    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_MESSAGE, "SW_SERVICE", failover->service,
+                     "SW_PRIMARY", failover->primary == NULL ? "" : failover->primary, "MESSAGE",
+                     "Group %s changes its primary: %s.", failover->service, why);
+    failover->minority_since = 0;
+    if (planned) {
+        failover_set_state(failover, FAILOVER_DRAINING, now);
+        failover_publish(failover, GROUP_PHASE_DRAINING);
+    } else {
+        start_fencing(failover, now);
+    }
+}
+
+void failover_continue(struct failover *failover, const char *candidate, uint64_t term,
+                       uint64_t epoch, time_ns now)
+{
+    failover->term = MAX(failover->term, term);
+    failover->epoch = MAX(failover->epoch, epoch);
+    if (candidate == NULL) {
+        return;
+    }
+    g_free(failover->candidate);
+    failover->candidate = g_strdup(candidate);
+    failover->fence_term = term;
+    failover_set_state(failover, FAILOVER_RECORDING, now);
+    failover_publish(failover, GROUP_PHASE_CLOSED);
+    failover->actions->record(failover->actions->user, failover, false);
+}
+
+void failover_drain(struct failover *failover, time_ns now)
+{
+    bool drained = failover->actions->drained(failover->actions->user, failover);
+    if (drained || now > failover->since + DRAIN_MAX_NS) {
+        start_fencing(failover, now);
+    }
+}
+
+/* True if a replica that may lead has all that the primary has; only then it steps down, as it
+ * passes nothing on afterwards. */
+static bool replica_caught_up(const struct failover *failover,
+                              const struct failover_member *primary)
+{
+    for (guint i = 0; i < failover->members->len; i++) {
+        const struct failover_member *member = failover_member_at(failover, i);
+        if (member != primary && member->takes_work && member->has_report &&
+            member->reported_at > failover->since &&
+            log_position_covers(member->report.received, primary->report.received)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* How long a primary that answers may pass on what its replicas lack. */
+#define CATCH_UP_NS (250 * MS)
+
+static void fence(struct failover *failover, time_ns now)
+{
+    struct failover_member *primary = failover_primary(failover);
+    bool primary_answers = primary != NULL && primary->answered && primary->has_report;
+    bool catching_up =
+        primary_answers && primary->report.leads && now < failover->since + CATCH_UP_NS &&
+        !(primary->reported_at > failover->since && replica_caught_up(failover, primary));
+    for (guint i = 0; i < failover->members->len; i++) {
+        struct failover_member *member = failover_member_at(failover, i);
+        if (catching_up) {
+            failover_ask_every(failover, member, DATABASE_COMMAND_STATUS, 0, ASK_EVERY_NS / 4, now);
+        } else if (member->fenced) {
+            continue;
+        } else if (member == primary) {
+            failover_ask_every(failover, member, DATABASE_COMMAND_STEP_DOWN, failover->fence_term,
+                               ASK_EVERY_NS, now);
+        } else {
+            failover_ask_every(failover, member, DATABASE_COMMAND_PAUSE, failover->fence_term,
+                               ASK_EVERY_NS, now);
+        }
+    }
+}
+
+/* Without another candidate for so long, the old primary may lead again. */
+#define PRIMARY_AGAIN_NS (1000 * MS)
+
+/* Counts fenced replicas, and finds the most advanced log among them. */
+static uint32_t count_fenced(const struct failover *failover, struct log_position *highest)
+{
+    uint32_t fenced = 0;
+    *highest = (struct log_position){0};
+    for (guint i = 0; i < failover->members->len; i++) {
+        const struct failover_member *member = failover_member_at(failover, i);
+        if (!member->fenced || failover_is_primary(failover, member)) {
+            continue;
+        }
+        fenced++;
+        if (log_position_compare(member->report.received, *highest) > 0) {
+            *highest = member->report.received;
+        }
+    }
+    return fenced;
+}
+
+/* A member that may lead and holds at least `need`; the most advanced one that stays. The old
+ * primary only after a while: most often there is a reason why it is to be replaced. */
+static struct failover_member *choose(const struct failover *failover, struct log_position need,
+                                      time_ns now)
+{
+    bool primary_too = now > failover->since + PRIMARY_AGAIN_NS;
+    struct failover_member *best = NULL;
+    for (guint i = 0; i < failover->members->len; i++) {
+        struct failover_member *member = failover_member_at(failover, i);
+        bool good = member->fenced && member->answered && now >= member->excluded_until &&
+                    (primary_too || !failover_is_primary(failover, member)) &&
+                    log_position_covers(member->report.received, need);
+        if (!good) {
+            continue;
+        }
+        bool better = best == NULL || (member->takes_work && !best->takes_work) ||
+                      (member->takes_work == best->takes_work &&
+                       log_position_compare(member->report.received, best->report.received) > 0);
+        if (better) {
+            best = member;
+        }
+    }
+    return best;
+}
+
+/* The member to promote; NULL as long as no log is known to be whole. */
+static struct failover_member *find_candidate(const struct failover *failover, time_ns now)
+{
+    struct log_position highest;
+    const struct failover_member *primary = failover_primary(failover);
+    uint32_t fenced = count_fenced(failover, &highest);
+    struct failover_member *candidate = NULL;
+    if (primary != NULL && primary->fenced) {
+        candidate = choose(failover, primary->report.received, now);
+    }
+    if (candidate == NULL && fenced >= failover_pauses_needed(failover)) {
+        candidate = choose(failover, highest, now);
+    }
+    return candidate;
+}
+
+/* Somebody else was promoted meanwhile, or the primary leads in a newer term. */
+static bool newer_leader(struct failover *failover, time_ns now)
+{
+    struct failover_member *leader = failover_find_leader(failover, now);
+    if (leader == NULL || leader->report.term < failover->fence_term) {
+        return false;
+    }
+    failover_open(failover, leader, now);
+    return true;
+}
+
+void failover_fence(struct failover *failover, time_ns now)
+{
+    if (newer_leader(failover, now)) {
+        return;
+    }
+    if (failover->term > failover->fence_term) {
+        start_fencing(failover, now); /* a newer term showed up */
+        return;
+    }
+    fence(failover, now);
+    if (!failover->actions->closed(failover->actions->user, failover)) {
+        return;
+    }
+    struct failover_member *candidate = find_candidate(failover, now);
+    if (candidate == NULL) {
+        return;
+    }
+    g_free(failover->candidate);
+    failover->candidate = g_strdup(candidate->id);
+    failover_set_state(failover, FAILOVER_RECORDING, now);
+    failover->actions->record(failover->actions->user, failover, false);
+}
+
+void failover_recorded(struct failover *failover, bool good, time_ns now)
+{
+    if (failover->state != FAILOVER_RECORDING) {
+        return;
+    }
+    if (!good) {
+        failover->ordered_at = now;
+        return; /* tried again by the tick */
+    }
+    failover_set_state(failover, FAILOVER_PROMOTING, now);
+    failover->ordered_at = now;
+    failover->actions->promote(failover->actions->user, failover, failover->candidate);
+}
+
+void failover_ordered(struct failover *failover, enum failover_order end, time_ns now)
+{
+    if (failover->state != FAILOVER_PROMOTING) {
+        return;
+    }
+    struct failover_member *candidate = failover_find(failover, failover->candidate);
+    switch (end) {
+    case FAILOVER_ORDER_ACCEPTED:
+        failover_set_state(failover, FAILOVER_CONFIRMING, now);
+        break;
+    case FAILOVER_ORDER_REFUSED:
+        if (candidate != NULL) {
+            candidate->excluded_until = now + EXCLUDED_NS;
+        }
+        start_fencing(failover, now);
+        break;
+    case FAILOVER_ORDER_OPEN:
+        failover->ordered_at = now; /* ordered again by the tick */
+        break;
+    }
+}
+
+void failover_confirm(struct failover *failover, time_ns now)
+{
+    struct failover_member *candidate = failover_find(failover, failover->candidate);
+    if (candidate == NULL) {
+        start_fencing(failover, now);
+        return;
+    }
+    bool leads = candidate->has_report && candidate->answered && candidate->report.leads &&
+                 candidate->reported_at > failover->since;
+    if (leads) {
+        failover_open(failover, candidate, now);
+        failover->actions->record(failover->actions->user, failover, true);
+        failover_settle_members(failover, now);
+        return;
+    }
+    if (candidate->failing_since != 0 && now > candidate->failing_since + CANDIDATE_DEAD_NS) {
+        candidate->excluded_until = now + EXCLUDED_NS;
+        start_fencing(failover, now);
+        return;
+    }
+    if (now > failover->since + CONFIRM_FIRST_NS) {
+        failover_ask_every(failover, candidate, DATABASE_COMMAND_STATUS, 0, CONFIRM_EVERY_NS, now);
+    }
+    if (now > failover->since + ORDER_AGAIN_NS) {
+        failover_set_state(failover, FAILOVER_PROMOTING, now);
+        failover->actions->promote(failover->actions->user, failover, failover->candidate);
+    }
+}
+
+void failover_retry(struct failover *failover, time_ns now)
+{
+    if (now < failover->ordered_at + ORDER_RETRY_NS || now < failover->since + ORDER_RETRY_NS) {
+        return;
+    }
+    failover->ordered_at = now + ORDER_AGAIN_NS;
+    if (failover->state == FAILOVER_RECORDING) {
+        failover->actions->record(failover->actions->user, failover, false);
+    } else {
+        failover->actions->promote(failover->actions->user, failover, failover->candidate);
+    }
+}
