Permit reads only once workers follow the order; tell the coordinator what changes

A permit could reach a worker before the order that it belongs to, where a pooler came back from a partition: its worker still held the replaced primary as open.

--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -26,10 +26,33 @@
 #define CONFIGURATION_GRACE_NS (400 * MS)
 #define DIRECTORY_GRACE_NS     (1800 * MS)
 
+static void report_free(gpointer data)
+{
+    pooler_group_report_clear(data);
+    g_free(data);
+}
+
+const struct pooler_group_report *control_report_of(const struct pooler_peer *pooler,
+                                                    const char *service)
+{
+    return g_hash_table_lookup(pooler->reports, service);
+}
+
+/* Takes the heartbeat's reports over. What it does not tell is as it was. */
+static void take_reports(struct pooler_peer *pooler, struct pooler_heartbeat *heartbeat)
+{
+    for (size_t i = 0; i < heartbeat->groups_count; i++) {
+        struct pooler_group_report *report = g_new(struct pooler_group_report, 1);
+        *report = heartbeat->groups[i];
+        pooler_group_report_init(&heartbeat->groups[i]);
+        g_hash_table_replace(pooler->reports, report->service, report);
+    }
+}
+
 static void pooler_free(gpointer data)
 {
     struct pooler_peer *pooler = data;
-    pooler_heartbeat_clear(&pooler->heartbeat);
+    g_hash_table_unref(pooler->reports);
     g_free(pooler->name);
     g_free(pooler);
 }
@@ -40,6 +63,7 @@
     if (pooler == NULL) {
         pooler = g_new0(struct pooler_peer, 1);
         pooler->name = g_strdup(name);
+        pooler->reports = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, report_free);
         g_hash_table_insert(control->poolers, pooler->name, pooler);
     }
     return pooler;
@@ -63,7 +87,9 @@
     order->term = term;
 }
 
-static void add_orders(struct control *control, struct pooler_grant *grant)
+/* The orders that the pooler does not follow yet. */
+static void add_orders(struct control *control, const struct pooler_peer *pooler,
+                       struct pooler_grant *grant)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -71,7 +97,9 @@
     g_hash_table_iter_init(&iterator, control->controlled);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct failover *failover = ((struct controlled_group *)value)->failover;
-        if (failover->phase != GROUP_PHASE_UNKNOWN) {
+        const struct pooler_group_report *report = control_report_of(pooler, failover->service);
+        bool followed = report != NULL && report->epoch == failover->epoch;
+        if (failover->phase != GROUP_PHASE_UNKNOWN && !followed) {
             add_order(grant, failover->service, failover->epoch, failover->phase, failover->primary,
                       failover->term);
         }
@@ -159,7 +187,7 @@
     grant.coordinator = g_strdup(control->settings->pooler.name);
     grant.token = control->lease.token;
     grant.members = count_poolers(control);
-    add_orders(control, &grant);
+    add_orders(control, pooler, &grant);
     if (heartbeat != NULL) {
         grant.sequence = heartbeat->sequence;
         grant.permit_ms = (uint32_t)MIN(control_lease_left(control, now) / MS, PERMIT_MS);
@@ -179,14 +207,16 @@
     if (new_life) {
         g_message("Pooler %s is heard, in zone %s.", heartbeat->name, heartbeat->zone);
     }
+    if (pooler->peer != peer) {
+        g_hash_table_remove_all(pooler->reports);
+    }
     pooler->incarnation = heartbeat->incarnation;
     pooler->peer = peer;
     pooler->heard_at = now;
     pooler->stopping = heartbeat->stopping;
+    pooler->store_age_ms = heartbeat->store_age_ms;
+    take_reports(pooler, heartbeat);
     send_grant(control, peer, pooler, heartbeat, now);
-    pooler_heartbeat_clear(&pooler->heartbeat);
-    pooler->heartbeat = *heartbeat;
-    pooler_heartbeat_init(heartbeat);
     control_wake_soon(control);
 }
 
@@ -290,9 +320,8 @@
         bool good = pooler->peer != NULL && !pooler->stopping &&
                     g_strcmp0(pooler->name, control->settings->pooler.name) != 0 &&
                     now < pooler->heard_at + SUCCESSOR_HEARD_NS &&
-                    pooler->heartbeat.store_age_ms < SUCCESSOR_STORE_AGE_MS;
-        if (good &&
-            (best == NULL || pooler->heartbeat.store_age_ms < best->heartbeat.store_age_ms)) {
+                    pooler->store_age_ms < SUCCESSOR_STORE_AGE_MS;
+        if (good && (best == NULL || pooler->store_age_ms < best->store_age_ms)) {
             best = pooler;
         }
     }
@@ -330,6 +359,16 @@
     }
 }
 
+/* A pooler that is forgotten has to tell all again, which it does on a new connection. */
+static void drop_connection(struct control *control, struct pooler_peer *pooler)
+{
+    if (pooler->peer != NULL) {
+        g_ptr_array_remove(control->connected, pooler->peer);
+        peer_free(pooler->peer);
+        pooler->peer = NULL;
+    }
+}
+
 void control_coordinator_tick(struct control *control, time_ns now)
 {
     GHashTableIter iterator;
@@ -342,6 +381,7 @@
         struct pooler_peer *pooler = value;
         if (now > pooler->heard_at + POOLER_FORGOTTEN_NS) {
             g_message("Pooler %s is no longer heard.", pooler->name);
+            drop_connection(control, pooler);
             g_hash_table_iter_remove(&iterator);
         }
     }
--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -8,9 +8,6 @@
 #define RECORD_PREFIX "group/"
 #define LEASE_KEY     "lease"
 
-/* Epochs of a coordinator start from its token, so that they are above any earlier one's. */
-#define EPOCH_SHIFT 32
-
 /* A promotion is ordered only while the lease holds for so much longer. */
 #define ORDER_MARGIN_NS (300 * MS)
 
@@ -143,17 +140,6 @@
     control_coordinator_push(user);
 }
 
-static const struct pooler_group_report *report_of(const struct pooler_peer *pooler,
-                                                   const char *service)
-{
-    for (size_t i = 0; i < pooler->heartbeat.groups_count; i++) {
-        if (g_str_equal(pooler->heartbeat.groups[i].service, service)) {
-            return &pooler->heartbeat.groups[i];
-        }
-    }
-    return NULL;
-}
-
 static bool closed(void *user, struct failover *failover)
 {
     struct control *control = user;
@@ -163,7 +149,7 @@
     g_hash_table_iter_init(&iterator, control->poolers);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct pooler_peer *pooler = value;
-        const struct pooler_group_report *report = report_of(pooler, failover->service);
+        const struct pooler_group_report *report = control_report_of(pooler, failover->service);
         bool follows = report != NULL && report->epoch >= failover->epoch;
         if (!follows && now <= pooler->permit_until) {
             return false;
@@ -179,7 +165,7 @@
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, control->poolers);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct pooler_group_report *report = report_of(value, failover->service);
+        const struct pooler_group_report *report = control_report_of(value, failover->service);
         if (report == NULL || report->epoch < failover->epoch || report->in_flight > 0) {
             return false;
         }
@@ -330,7 +316,7 @@
     g_hash_table_iter_init(&iterator, control->poolers);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct pooler_peer *pooler = value;
-        const struct pooler_group_report *report = report_of(pooler, failover->service);
+        const struct pooler_group_report *report = control_report_of(pooler, failover->service);
         if (report == NULL || now > pooler->heard_at + OPINION_FRESH_NS) {
             continue;
         }
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -26,6 +26,9 @@
 /* Heartbeats remembered, so that an answer is counted from its question's sending. */
 #define HEARTBEATS_KEPT 16
 
+/* Epochs of a coordinator start from its token, so that they are above any earlier one's. */
+#define EPOCH_SHIFT 32
+
 /* One row of the store as last seen, kept to pass it on to poolers that the store turns away. */
 struct known_row {
     char *key;
@@ -54,6 +57,9 @@
     enum group_phase phase;
     char *primary;
     uint64_t term;
+    bool told; /* the coordinator has had a report on this connection */
+    uint64_t told_epoch;
+    size_t told_faults;
 };
 
 /* The lease of the coordinator. */
@@ -85,7 +91,8 @@
     time_ns heard_at;
     time_ns permit_until; /* the last permit it was given ends by then */
     bool stopping;
-    struct pooler_heartbeat heartbeat; /* newest */
+    uint32_t store_age_ms;
+    GHashTable *reports; /* service -> struct pooler_group_report, newest */
 };
 
 /* A group as the coordinator controls it. */
@@ -201,6 +208,10 @@
 /* Sends the newest orders to all poolers at once. */
 void control_coordinator_push(struct control *control);
 
+/* What the pooler last told of a group; NULL if nothing yet. */
+const struct pooler_group_report *control_report_of(const struct pooler_peer *pooler,
+                                                    const char *service);
+
 /* control_groups.c: the groups under control */
 void control_groups_start(struct control *control);
 void control_groups_end(struct control *control);
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -59,8 +59,6 @@
     report->service = g_strdup(group->shared->service);
     report->epoch = epoch_followed(control, group);
     report->in_flight = in_flight(control, group);
-    report->acknowledged_term = atomic_load(&group->shared->acknowledged_term);
-    report->acknowledged_offset = atomic_load(&group->shared->acknowledged_offset);
     report->faults = g_new0(struct pooler_fault, FAULTS_MAX);
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -83,6 +81,29 @@
     return newest == 0 ? UINT32_MAX : (uint32_t)MIN((now - newest) / MS, UINT32_MAX);
 }
 
+/* True if the coordinator does not know this of the group. Notes it as told. */
+static bool is_news(struct group_state *group, const struct pooler_group_report *report)
+{
+    bool same = group->told && group->told_epoch == report->epoch && group->told_faults == 0 &&
+                report->faults_count == 0;
+    bool watched = group->phase != GROUP_PHASE_OPEN;
+    group->told = true;
+    group->told_epoch = report->epoch;
+    group->told_faults = report->faults_count;
+    return !same || watched;
+}
+
+/* Another coordinator, or another connection to it, knows nothing yet. */
+static void forget_told(struct control *control)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        ((struct group_state *)value)->told = false;
+    }
+}
+
 static void fill_heartbeat(struct control *control, time_ns now, struct pooler_heartbeat *out)
 {
     out->name = g_strdup(control->settings->pooler.name);
@@ -100,7 +121,13 @@
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, control->groups);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        fill_report(control, value, now, &out->groups[out->groups_count++]);
+        struct pooler_group_report *report = &out->groups[out->groups_count];
+        fill_report(control, value, now, report);
+        if (is_news(value, report)) {
+            out->groups_count++;
+        } else {
+            pooler_group_report_clear(report);
+        }
     }
 }
 
@@ -143,11 +170,13 @@
     control->view_dirty = true;
 }
 
-static void take_permit(struct control *control, const struct pooler_group_order *order,
+/* The grant permits reads at the primaries that this coordinator has named, once the workers follow
+ * its order: a worker that still follows an older one would read at a replaced primary. */
+static void take_permit(struct control *control, struct group_state *group, uint64_t token,
                         time_ns until)
 {
-    struct group_state *group = control_group(control, order->service);
-    bool good = order->epoch == group->epoch && order->phase == GROUP_PHASE_OPEN;
+    bool good = group->phase == GROUP_PHASE_OPEN && group->epoch >> EPOCH_SHIFT == token &&
+                epoch_followed(control, group) == group->epoch;
     if (!good) {
         atomic_store(&group->shared->permit_until, 0);
     } else if (until > atomic_load(&group->shared->permit_until)) {
@@ -155,6 +184,16 @@
     }
 }
 
+static void take_permits(struct control *control, uint64_t token, time_ns until)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        take_permit(control, value, token, until);
+    }
+}
+
 static void take_rows(struct control *control, const struct pooler_grant *grant)
 {
     for (size_t i = 0; i < grant->rows_count; i++) {
@@ -171,6 +210,9 @@
 {
     time_ns sent = sending_of(control, grant->sequence);
     bool orders_changed = false;
+    if (grant->token != control->newest_token) {
+        forget_told(control);
+    }
     control->newest_token = grant->token;
     control->granted_at = now;
     if (grant->members != 0 && grant->members != control->members_told) {
@@ -182,8 +224,8 @@
         const struct group_state *group = control_group(control, order->service);
         orders_changed = orders_changed || order->epoch > group->epoch;
         take_order(control, order);
-        take_permit(control, order, sent == 0 ? 0 : sent + grant->permit_ms * MS);
     }
+    take_permits(control, grant->token, sent == 0 ? 0 : sent + grant->permit_ms * MS);
     take_rows(control, grant);
     control_publish(control);
     if (orders_changed) {
@@ -218,6 +260,7 @@
         return current;
     }
     take_hearsay(control, grant);
+    forget_told(control);
     const char *address = grant->coordinator_address;
     bool elsewhere = address != NULL && address[0] != '\0' &&
                      g_strcmp0(address, control->coordinator_address) != 0;
@@ -296,6 +339,7 @@
         return;
     }
     control->coordinator_callbacks = (struct peer_callbacks){on_frame, on_closed, control};
+    forget_told(control);
     control->coordinator = peer_connect(control->base, &address, &control->coordinator_callbacks);
     control->heartbeat_at = now;
 }
--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -129,12 +129,6 @@
     }
 }
 
-void group_note_commit(struct group *group, struct log_position position)
-{
-    atomic_store(&group->shared->acknowledged_term, position.term);
-    atomic_store(&group->shared->acknowledged_offset, position.offset);
-}
-
 void group_tick(struct group *group, time_ns now)
 {
     for (guint i = 0; i < group->databases->len; i++) {
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -479,7 +479,6 @@
     }
     if (leads && committed) {
         leadership_note(group, server->sent_at);
-        group_note_commit(group, ready->position);
     }
 }
 
--- a/src/pooler/view.h
+++ b/src/pooler/view.h
@@ -33,8 +33,6 @@
 struct group_shared {
     char *service;
     _Atomic time_ns permit_until; /* the primary may be read until then */
-    _Atomic uint64_t acknowledged_term;
-    _Atomic uint64_t acknowledged_offset; /* highest acknowledged commit, by the last writer */
     struct worker_figures workers[WORKERS_MAX];
 };
 
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -302,6 +302,5 @@
 void group_apply(struct group *group, const struct pooled_group *view);
 void group_tick(struct group *group, time_ns now);
 void group_note_in_flight(struct group *group);
-void group_note_commit(struct group *group, struct log_position position);
 
 #endif
