Confirm a stall by the replicas' logs before a primary is replaced

Cause: a write whose answer was lost looks like stalled replication to its pooler. A write that later ones overtake is no stall now, and the coordinator begins only if no replica got any further for 350 ms and all lack what the primary holds. The test lost-answers fails without it.

--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -217,7 +217,8 @@
 static void check_stall(struct database *database, time_ns now)
 {
     time_ns sent = oldest_sent(database, true);
-    bool stalled = sent != 0 && now > sent + STALLED_AFTER_NS;
+    /* A write that others overtake has lost its answer: replication goes on. */
+    bool stalled = sent != 0 && now > sent + STALLED_AFTER_NS && database->written_at < sent;
     enum database_fault fault = database_fault(database);
     if (stalled && fault == DATABASE_FAULT_NONE) {
         database_set_fault(database, DATABASE_FAULT_STALLED, now);
--- a/src/pooler/failover.c
+++ b/src/pooler/failover.c
@@ -12,6 +12,9 @@
 /* A primary that some poolers can't reach, while most can, is replaced after this. */
 #define MINORITY_MAX_NS (900 * MS)
 
+/* Replicas that get no further for so long confirm a stall. */
+#define STALL_SEEN_NS (350 * MS)
+
 /* Least time between two changes for want of acknowledgements; doubles with each. */
 #define STALL_WAIT_MIN_NS (4000 * MS)
 #define STALL_WAIT_MAX_NS (60000 * MS)
@@ -314,6 +317,27 @@
     return false;
 }
 
+/* True if no replica has got any further for a while, and all lack what the primary holds. An
+ * answer that was lost looks like a stall to its pooler, but replicas go on then. */
+static bool replication_stands(struct failover *failover, const struct failover_member *primary,
+                               time_ns now)
+{
+    struct log_position best = {0};
+    for (guint i = 0; i < failover->members->len; i++) {
+        const struct failover_member *member = failover_member_at(failover, i);
+        bool heard = member->has_report && member != primary;
+        if (heard && log_position_compare(member->report.received, best) > 0) {
+            best = member->report.received;
+        }
+    }
+    bool moved = log_position_compare(best, failover->stall_position) != 0;
+    if (moved || log_position_covers(best, primary->report.received)) {
+        failover->stall_position = best;
+        failover->stall_since = now;
+    }
+    return now >= failover->stall_since + STALL_SEEN_NS;
+}
+
 static void check_faults(struct failover *failover, const struct failover_opinion *opinion,
                          time_ns now)
 {
@@ -321,6 +345,7 @@
     bool doubted = opinion->unreachable + opinion->stalled + opinion->refusing > 0;
     if (!doubted) {
         failover->minority_since = 0;
+        failover->stall_since = now;
         return;
     }
     examine(failover, now);
@@ -340,7 +365,8 @@
         failover_begin_change(failover, false, "the primary does not answer", now);
         return;
     }
-    if (opinion->stalled > 0 && fresh && now >= failover->stall_again_at) {
+    bool stalled = opinion->stalled > 0 && fresh && replication_stands(failover, primary, now);
+    if (stalled && now >= failover->stall_again_at) {
         /* Where replicas receive nothing whoever leads, changes would never end. */
         failover->stall_wait =
             MIN(MAX(failover->stall_wait * 2, STALL_WAIT_MIN_NS), STALL_WAIT_MAX_NS);
--- a/src/pooler/failover.h
+++ b/src/pooler/failover.h
@@ -101,6 +101,8 @@
     uint64_t fence_term; /* of the change under way */
     char *candidate;
     time_ns ordered_at;
+    struct log_position stall_position; /* how far replicas had got at stall_since */
+    time_ns stall_since;
     time_ns stall_again_at; /* no change for want of acknowledgements before */
     time_ns stall_wait;
     time_ns minority_since; /* some, but not most poolers can't reach the primary */
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -479,6 +479,7 @@
     }
     if (leads && committed) {
         leadership_note(group, server->sent_at);
+        database->written_at = now;
     }
 }
 
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -160,6 +160,7 @@
     struct log_position position; /* last seen */
     struct log_position lacking;  /* a position that it lacked */
     time_ns lacking_at;
+    time_ns written_at; /* when a write was last acknowledged */
     time_ns lag; /* by which it was behind the primary at lag_at */
     time_ns lag_at;
 };
--- a/tests/pooler/test_failover.c
+++ b/tests/pooler/test_failover.c
@@ -202,6 +202,22 @@
     rig_free(rig);
 }
 
+/* Writes whose answers are lost look stalled to their poolers; replicas have everything. */
+static void test_lost_answers_depose_nobody(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig_accuse(rig, 0, 3);
+    for (int i = 0; i < 100; i++) {
+        rig->databases[0].received.offset += 2;
+        rig->databases[1].received.offset = rig->databases[0].received.offset - 1;
+        rig_run(rig, 40);
+    }
+    g_assert_cmpuint(rig->orders, ==, 0);
+    g_assert_cmpint(rig->failover->state, ==, FAILOVER_WATCHING);
+    rig_free(rig);
+}
+
 /* A new primary that is alive is not deposed again, whatever the old one did. */
 static void test_one_change_is_enough(void)
 {
@@ -241,6 +257,7 @@
     g_test_add_func("/pooler/failover/continues", test_goes_on_with_a_recorded_promotion);
     g_test_add_func("/pooler/failover/minority", test_minority_does_not_depose_at_once);
     g_test_add_func("/pooler/failover/stalled", test_stalled_primary_is_replaced);
+    g_test_add_func("/pooler/failover/lost-answers", test_lost_answers_depose_nobody);
     g_test_add_func("/pooler/failover/one-change", test_one_change_is_enough);
     g_test_add_func("/pooler/failover/nobody-leads", test_nobody_leads_at_start);
     return g_test_run();
