--- a/src/pooler/failover.c
+++ b/src/pooler/failover.c
@@ -19,6 +19,9 @@
 #define STALL_WAIT_MIN_NS (4000 * MS)
 #define STALL_WAIT_MAX_NS (60000 * MS)
 
+/* One answer may be lost: so many in a row are taken for silence while a leader is searched. */
+#define SEARCH_FAILURES 2
+
 /* Search without anybody leading, before another database is promoted. */
 #define SEARCH_MAX_NS (600 * MS)
 
@@ -186,11 +189,13 @@
     member->asking = false;
     member->answered = report != NULL;
     if (report == NULL) {
+        member->failures++;
         if (member->failing_since == 0) {
             member->failing_since = now;
         }
         return;
     }
+    member->failures = 0;
     member->failing_since = 0;
     member->has_report = true;
     member->report = *report;
@@ -209,7 +214,7 @@
         const struct failover_member *member = failover_member_at(failover, i);
         bool heard =
             member->has_report && member->answered && now < member->reported_at + SEARCH_EVERY_NS;
-        if (!heard && member->failing_since == 0) {
+        if (!heard && member->failures < SEARCH_FAILURES) {
             return false;
         }
     }
--- a/src/pooler/failover.h
+++ b/src/pooler/failover.h
@@ -56,6 +56,7 @@
     time_ns asked_at;
     bool asking;
     time_ns excluded_until; /* not a candidate before */
+    unsigned failures;      /* commands in a row that went unanswered */
     time_ns failing_since;  /* its commands go unanswered since then; 0: they are answered */
 };
 
--- a/tests/pooler/failover_rig.c
+++ b/tests/pooler/failover_rig.c
@@ -124,7 +124,9 @@
 static void answer(struct rig *rig, struct rig_database *database)
 {
     database->asking = false;
-    if (!database->reachable) {
+    bool lost = database->lose > 0;
+    database->lose -= lost;
+    if (!database->reachable || lost) {
         failover_answered(rig->failover, database->id, NULL, rig->now);
         return;
     }
--- a/tests/pooler/failover_rig.h
+++ b/tests/pooler/failover_rig.h
@@ -15,6 +15,7 @@
 struct rig_database {
     char id[8];
     bool reachable;
+    unsigned lose; /* answers that get lost from now on */
     bool leads;
     uint64_t term;
     struct log_position received;
--- a/tests/pooler/test_failover.c
+++ b/tests/pooler/test_failover.c
@@ -241,6 +241,24 @@
     rig_free(rig);
 }
 
+/* A new coordinator whose first question to the primary has lost its answer. */
+static void test_lost_answer_while_searching(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run(rig, 700); /* what was known is old by now */
+    failover_free(rig->failover);
+    rig->failover = failover_new("group", &rig->actions);
+    rig->failover->sync_replicas = 1;
+    for (unsigned i = 0; i < rig->count; i++) {
+        failover_set_member(rig->failover, rig->databases[i].id, true, i == 0);
+        rig->databases[i].asking = false;
+    }
+    rig->databases[0].lose = 1;
+    rig_run_until_open(rig, 0);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig_free(rig);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -260,5 +278,6 @@
     g_test_add_func("/pooler/failover/lost-answers", test_lost_answers_depose_nobody);
     g_test_add_func("/pooler/failover/one-change", test_one_change_is_enough);
     g_test_add_func("/pooler/failover/nobody-leads", test_nobody_leads_at_start);
+    g_test_add_func("/pooler/failover/lost-while-searching", test_lost_answer_while_searching);
     return g_test_run();
 }
