--- a/src/pooler/session_answer.c
+++ b/src/pooler/session_answer.c
@@ -213,7 +213,9 @@
 {
     enum answer_code code = server->code;
     const struct answer_meaning *meaning = answer_meaning(code);
-    g_autofree char *text = g_strdup(server->error_text);
+    /* A refusal tells the client when to come back; the database's own text does not. */
+    bool advised = meaning->not_run && meaning->elsewhere;
+    g_autofree char *text = advised ? NULL : g_strdup(server->error_text);
     bool alone = session->transaction == SESSION_TRANSACTION_NONE;
     if (may_begin_anew(session, code)) {
         server_release(server);
--- a/tests/pooler/test_explain.py
+++ b/tests/pooler/test_explain.py
@@ -14,7 +14,11 @@
     ("unknown end of a commit", "IN_DOUBT", ["answer=in_doubt", "kind=commit", "sent_to=i-"]),
     ("late for want of a primary", "LATE", ["slow,", "before it was sent", "changes its primary"]),
 ]
-IDS = {}
+IDS = {
+    "REFUSED": "9f5bd9702e396117",
+    "IN_DOUBT": "0101dee35fd6d782",
+    "LATE": "a0e05ba703ecfda6",
+}
 
 
 def explain(root, request):
