Serve from the database that says it leads until an order is known

After a loss of power, poolers waited up to 0.8 s for a coordinator, as the lease of one that was still dark had to end and connections to it hung. Before any order, work goes to the one database that says it leads: a replaced primary can acknowledge nothing, and reads are proven by statuses, which now count the replicas of the primary's own term. A connection without an answer is tried anew after 300 ms.

Starting one waits for its loop now.

--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -136,6 +136,7 @@
     time_ns sent_at[HEARTBEATS_KEPT];
     time_ns heartbeat_at; /* next one */
     time_ns granted_at;
+    time_ns answered_at; /* when any pooler last answered a heartbeat */
     time_ns connected_at;
     bool connect_now; /* the coordinator's address has changed */
     uint32_t members_told;
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -15,6 +15,10 @@
 #define GRANT_TIMEOUT_NS (800 * MS)
 #define CONNECT_EVERY_NS (250 * MS)
 
+/* A new connection without any answer for so long is tried anew: the first packet may have met a
+ * machine that was still dark, and is sent again by the kernel only after a second. */
+#define ANSWER_TIMEOUT_NS (300 * MS)
+
 /* Wait before a pooler that is not the coordinator yet is asked again. */
 #define NOT_YET_NS     (40 * MS)
 #define NOT_YET_FOR_NS (200 * MS)
@@ -283,6 +287,7 @@
         g_warning("A coordinator's message can't be read: %s.", error->message);
         return false;
     }
+    control->answered_at = backend_now();
     bool keep = take_answer(control, &grant);
     pooler_grant_clear(&grant);
     control_wake_soon(control);
@@ -367,8 +372,11 @@
 void control_member_tick(struct control *control, time_ns now)
 {
     bool quiet = now > MAX(control->granted_at, control->connected_at) + GRANT_TIMEOUT_NS;
+    bool unanswered = control->coordinator != NULL &&
+                      control->answered_at < control->connected_at &&
+                      now > control->connected_at + ANSWER_TIMEOUT_NS;
     bool missing = control->coordinator == NULL && now > control->connected_at + CONNECT_EVERY_NS;
-    if (quiet || missing || control->connect_now) {
+    if (quiet || unanswered || missing || control->connect_now) {
         connect_anew(control, now);
         control->connect_now = false;
     }
--- a/src/pooler/control_view.c
+++ b/src/pooler/control_view.c
@@ -68,10 +68,44 @@
     out->takes_work = !directory_entry_leaves(entry, now, heartbeat);
 }
 
+/* The one database that says of itself that it leads; NULL if none or several do. */
+static const char *find_self_declared(const struct control *control, const char *service)
+{
+    const char *found = NULL;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->directory.entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct directory_entry *entry = value;
+        if (!entry->leads || entry->gone_at != 0 || !g_str_equal(entry->service, service)) {
+            continue;
+        }
+        if (found != NULL) {
+            return NULL;
+        }
+        found = entry->id;
+    }
+    return found;
+}
+
+/* Before any order is known, as after a loss of power, work goes to the database that says it
+ * leads: a replaced one can acknowledge nothing, and reads there are proven by the databases'
+ * statuses. */
+static void fill_unordered(struct control *control, const struct service *service,
+                           struct group_state *assumed)
+{
+    if (assumed->epoch == 0 && service->sync_replicas > 0) {
+        assumed->primary = (char *)find_self_declared(control, service->name);
+        assumed->phase = assumed->primary == NULL ? GROUP_PHASE_UNKNOWN : GROUP_PHASE_OPEN;
+    }
+}
+
 static void fill_group(struct control *control, const struct service *service, time_ns now,
                        struct pooled_group *out)
 {
-    const struct group_state *state = control_group(control, service->name);
+    struct group_state assumed = *control_group(control, service->name);
+    const struct group_state *state = &assumed;
+    fill_unordered(control, service, &assumed);
     GHashTableIter iterator;
     gpointer value = NULL;
     *out = (struct pooled_group){
@@ -138,21 +172,8 @@
     return false;
 }
 
-static bool any_group_led(const struct control *control)
-{
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, control->groups);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        if (((struct group_state *)value)->epoch != 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 bool control_is_ready(const struct control *control)
 {
     return control->configuration != NULL && atomic_load(&control->shared.stop_at) == 0 &&
-           any_group_led(control) && any_database_answers(control);
+           any_database_answers(control);
 }
--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -83,7 +83,8 @@
                         struct database *primary)
 {
     struct database *former = group->primary;
-    bool moved = primary != former || view->term != group->term;
+    bool other_term = group->term != 0 && view->term != group->term;
+    bool moved = primary != former || other_term;
     group->primary = primary;
     group->term = view->term;
     group->phase = view->phase;
--- a/src/pooler/leadership.c
+++ b/src/pooler/leadership.c
@@ -21,19 +21,26 @@
     group->led_at = MAX(group->led_at, at);
 }
 
+/* True if the answers prove that the primary led when the check began. */
+static bool is_proven(const struct group *group)
+{
+    const struct leadership_check *check = &group->check;
+    uint64_t term = check->primary_term;
+    return check->primary_good && term >= group->term && check->newest_term <= term &&
+           check->replicas_term == term && check->replicas_good >= MAX(group->sync_replicas, 1);
+}
+
 static void finish(struct group *group)
 {
     struct leadership_check *check = &group->check;
-    bool proven = check->primary_good && !check->refuted &&
-                  check->replicas_good >= MAX(group->sync_replicas, 1);
     check->running = false;
-    if (!proven) {
+    if (!is_proven(group)) {
         group->check_again_at = backend_now() + CHECK_FAILED_NS;
-    } else {
-        leadership_note(group, check->started);
-        freshness_add(&group->freshness, check->started, check->position);
-        g_ptr_array_add(group->worker->groups_to_run, group);
+        return;
     }
+    leadership_note(group, check->started);
+    freshness_add(&group->freshness, check->started, check->position);
+    g_ptr_array_add(group->worker->groups_to_run, group);
 }
 
 static bool ask(struct database *database)
@@ -78,22 +85,32 @@
     }
 }
 
+/* Replicas count in the newest term that any of them tells. */
+static void take_replica(struct leadership_check *check, const struct database_report *report)
+{
+    check->newest_term = MAX(check->newest_term, MAX(report->term, report->paused_term));
+    bool follows = !report->leads && report->paused_term == 0;
+    if (!follows || report->term < check->replicas_term) {
+        return;
+    }
+    if (report->term > check->replicas_term) {
+        check->replicas_term = report->term;
+        check->replicas_good = 0;
+    }
+    check->replicas_good++;
+}
+
 static void take_report(struct group *group, const struct database *database,
                         const struct database_report *report)
 {
     struct leadership_check *check = &group->check;
-    if (database == group->primary) {
-        check->primary_good = report->leads && report->term >= group->term;
-        check->refuted = check->refuted || !check->primary_good;
-        check->position = report->received;
+    if (database != group->primary) {
+        take_replica(check, report);
         return;
     }
-    bool follows = !report->leads && report->paused_term == 0;
-    if (follows && report->term == group->term) {
-        check->replicas_good++;
-    } else if (report->term > group->term || report->paused_term > group->term) {
-        check->refuted = true;
-    }
+    check->primary_good = report->leads;
+    check->primary_term = report->term;
+    check->position = report->received;
 }
 
 void leadership_check_answer(struct group *group, const struct database *database,
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -161,7 +161,7 @@
     struct log_position lacking;  /* a position that it lacked */
     time_ns lacking_at;
     time_ns written_at; /* when a write was last acknowledged */
-    time_ns lag; /* by which it was behind the primary at lag_at */
+    time_ns lag;        /* by which it was behind the primary at lag_at */
     time_ns lag_at;
 };
 
@@ -169,10 +169,12 @@
 struct leadership_check {
     bool running;
     time_ns started;
-    uint32_t waiting; /* answers still to come */
-    bool refuted;     /* somebody told that the primary does not lead, or may not */
-    bool primary_good;
-    uint32_t replicas_good;
+    uint32_t waiting;  /* answers still to come */
+    bool primary_good; /* it says that it leads */
+    uint64_t primary_term;
+    uint64_t newest_term;         /* that any replica tells, or is paused for */
+    uint64_t replicas_term;       /* of the replicas counted */
+    uint32_t replicas_good;       /* that follow in that term and are not paused */
     struct log_position position; /* of the primary */
 };
 
--- a/standins/session_platform/line_group.c
+++ b/standins/session_platform/line_group.c
@@ -50,6 +50,7 @@
 struct line_group {
     GMutex lock;
     GThread *thread;
+    gint serving; /* atomic: the loop runs, so that a stop is not lost */
     struct event_base *base;
     char *service;
     unsigned count;
@@ -475,9 +476,25 @@
     database->port = ntohs(address.sin_port);
 }
 
+static void on_serving(evutil_socket_t socket, short events, void *user)
+{
+    struct line_group *group = user;
+    g_atomic_int_set(&group->serving, 1);
+}
+
+/* Waits until the loop runs: a stop that comes before is lost. */
+static void wait_until_serving(struct line_group *group)
+{
+    while (g_atomic_int_get(&group->serving) == 0) {
+        g_usleep(1000);
+    }
+}
+
 static gpointer serve(gpointer user)
 {
     struct line_group *group = user;
+    const struct timeval now = {0, 0};
+    event_base_once(group->base, -1, EV_TIMEOUT, on_serving, group, &now);
     event_base_loop(group->base, EVLOOP_NO_EXIT_ON_EMPTY);
     return NULL;
 }
@@ -504,6 +521,7 @@
         listen_database(database);
     }
     group->thread = g_thread_new("line-group", serve, group);
+    wait_until_serving(group);
     return group;
 }
 
--- a/standins/session_platform/row_store.c
+++ b/standins/session_platform/row_store.c
@@ -27,6 +27,7 @@
 struct row_store {
     GMutex lock;
     GThread *thread;
+    gint serving; /* atomic: the loop runs, so that a stop is not lost */
     struct event_base *base;
     struct evhttp *http;
     uint16_t port;
@@ -294,9 +295,25 @@
     json_decref(body);
 }
 
+static void on_serving(evutil_socket_t socket, short events, void *user)
+{
+    struct row_store *store = user;
+    g_atomic_int_set(&store->serving, 1);
+}
+
+/* Waits until the loop runs: a stop that comes before is lost. */
+static void wait_until_serving(struct row_store *store)
+{
+    while (g_atomic_int_get(&store->serving) == 0) {
+        g_usleep(1000);
+    }
+}
+
 static gpointer serve(gpointer user)
 {
     struct row_store *store = user;
+    const struct timeval now = {0, 0};
+    event_base_once(store->base, -1, EV_TIMEOUT, on_serving, store, &now);
     event_base_loop(store->base, EVLOOP_NO_EXIT_ON_EMPTY);
     return NULL;
 }
@@ -322,6 +339,7 @@
     evhttp_set_cb(store->http, "/swiftworks/rows-tx", on_write, store);
     evhttp_set_cb(store->http, "/promotion", on_promotion, store);
     store->thread = g_thread_new("row-store", serve, store);
+    wait_until_serving(store);
     return store;
 }
 
