--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -243,10 +243,38 @@
     }
 }
 
+/* Connections by which the queue of a group can move on; 0 while nothing but load may hold it up.
+ */
+static uint32_t count_usable(const struct group *group, time_ns now)
+{
+    const struct database *primary = group->primary;
+    bool led = primary != NULL && group->phase == GROUP_PHASE_OPEN &&
+               database_fault(primary) == DATABASE_FAULT_NONE && router_has_permit(group, now);
+    return led ? primary->servers->len : 0;
+}
+
+/* True if the statement would wait past its route's objective: with so many before it at the
+ * primary, and each connection's usual time. It is refused at once then, so that the client may try
+ * again, and those before it are in time. */
+static bool would_be_late(const struct session *session)
+{
+    const struct group *group = session->route.group;
+    uint32_t usable = count_usable(group, backend_now());
+    if (usable == 0) {
+        return false;
+    }
+    double wait_ms = group->primary->latency_ms * group->queue.length / usable;
+    return wait_ms > session->route.target_ms;
+}
+
 void router_submit(struct session *session)
 {
     session->state = SESSION_QUEUED;
     if (!try_send(session) && session->state == SESSION_QUEUED && session->queue_link == NULL) {
+        if (would_be_late(session)) {
+            session_refuse(session);
+            return;
+        }
         metrics_count(&session->worker->metrics, METRICS_QUEUED);
         enter_queue(session);
         worker_arm_tick(session->worker);
--- a/src/pooler/session_answer.c
+++ b/src/pooler/session_answer.c
@@ -289,6 +289,11 @@
     }
 }
 
+void session_refuse(struct session *session)
+{
+    session_answer_lost(session, ANSWER_BUSY);
+}
+
 void session_try_again(struct session *session, enum answer_code reason)
 {
     struct session_request *request = &session->request;
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -240,6 +240,8 @@
 void session_server_lost(struct session *session, enum answer_code reason);
 /* The statement has not run and may go elsewhere: queues it again or refuses it. */
 void session_try_again(struct session *session, enum answer_code reason);
+/* Its statement is not run, as it would be late; the client is told when to come back. */
+void session_refuse(struct session *session);
 /* Its statement goes to a database. */
 void session_sent(struct session *session);
 /* Goes on with a session whose start came before the first view. */
--- a/standins/session_platform/line_group.c
+++ b/standins/session_platform/line_group.c
@@ -406,6 +406,9 @@
     } else if (strcmp(words[0], "QUERY") == 0 && words[1] != NULL) {
         const char *text = strchr(line + strlen("QUERY "), ' ') + 1;
         bool own = strcmp(words[1], "-") == 0;
+        if (!own) {
+            g_usleep(database->faults.slow_ms * 1000);
+        }
         if (database->faults.busy && !own) {
             refuse(connection, "BUSY");
         } else {
--- a/standins/session_platform/line_group.h
+++ b/standins/session_platform/line_group.h
@@ -18,6 +18,7 @@
     bool lose_answers; /* runs statements, and never answers on that connection again */
     bool deaf;         /* receives nothing from the primary */
     bool lagging;      /* receives, but does not apply */
+    unsigned slow_ms;  /* each statement takes so long, one after the other */
     bool busy;         /* refuses statements for want of slots */
 };
 
--- a/tests/pooler/test_worker.c
+++ b/tests/pooler/test_worker.c
@@ -642,6 +642,40 @@
     }
 }
 
+/* What would wait past its objective is refused at once, while those before it are still served. */
+static void test_overload_is_refused_at_once(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *clients[40];
+    fixture->connections = 1;
+    publish(fixture);
+    for (size_t i = 0; i < G_N_ELEMENTS(clients); i++) {
+        clients[i] = client_open(fixture, "strict");
+    }
+    line_group_set_faults(fixture->group, 0, &(struct line_faults){.slow_ms = 30});
+    for (int i = 0; i < 20; i++) {
+        good(clients[0], "WRITE warm 1", 'I');
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(clients); i++) {
+        client_send(clients[i], "WRITE hut 1");
+    }
+    struct client *last = clients[G_N_ELEMENTS(clients) - 1];
+    client_read(last);
+    g_assert_true(g_str_has_prefix(last->result, "ERROR BUSY"));
+    g_assert_nonnull(strstr(last->result, "retry in"));
+    unsigned done_by_then = line_group_committed(fixture->group, "hut", "1");
+    unsigned done = 0;
+    for (size_t i = 0; i < G_N_ELEMENTS(clients) - 1; i++) {
+        client_read(clients[i]);
+        done += g_str_has_prefix(clients[i]->result, "COMPLETE");
+    }
+    g_assert_cmpuint(done, >, 0);
+    g_assert_cmpuint(done_by_then, <, done);
+    g_assert_cmpuint(line_group_committed(fixture->group, "hut", "1"), ==, done);
+    for (size_t i = 0; i < G_N_ELEMENTS(clients); i++) {
+        client_close(clients[i]);
+    }
+}
+
 static void test_too_large(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "strict");
@@ -698,6 +732,7 @@
     ADD("cut-by-a-change", set_up, test_transaction_cut_by_a_change);
     ADD("busy", set_up, test_busy_database_is_asked_again);
     ADD("connections-bounded", set_up, test_connections_are_bounded);
+    ADD("overload", set_up, test_overload_is_refused_at_once);
     ADD("too-large", set_up, test_too_large);
     ADD("planned-stop", set_up, test_planned_stop);
     return g_test_run();
