Log the share of reads at replicas; two missed statuses weigh as much as most poolers

The coordinator's own two missed statuses count as loss now. That some poolers can't reach a primary that answers is believed after 1.5 s in place of 0.9 s: answers that are lost look alike.

--- a/src/pooler/control.c
+++ b/src/pooler/control.c
@@ -23,6 +23,9 @@
 /* Never sooner than this. */
 #define TICK_LEAST_MS 5
 
+/* Time between two log lines of counts. */
+#define COUNTS_EVERY_NS (10 * NANOSECONDS_PER_SECOND)
+
 /* Descriptors that are not sessions: connections to databases, poolers and the store. */
 #define DESCRIPTORS_OWN 300
 
@@ -106,16 +109,40 @@
     }
 }
 
+static void add_up(const struct control *control, struct metrics *sum)
+{
+    for (unsigned i = 0; i < control->workers_count; i++) {
+        metrics_add(sum, worker_metrics(control->workers[i]));
+    }
+}
+
+/* The share of reads at replicas, and what was opened and moved, since the start. */
+static void log_counts(const struct control *control)
+{
+    struct metrics sum = {0};
+    add_up(control, &sum);
+    uint64_t replica = atomic_load(&sum.counters[METRICS_READS_AT_REPLICA]);
+    uint64_t primary = atomic_load(&sum.counters[METRICS_READS_AT_PRIMARY]);
+    g_autofree char *at_replica = g_strdup_printf("%" G_GUINT64_FORMAT, replica);
+    g_autofree char *at_primary = g_strdup_printf("%" G_GUINT64_FORMAT, primary);
+    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_READS_AT_REPLICA", at_replica,
+                     "SW_READS_AT_PRIMARY", at_primary, "MESSAGE",
+                     "Counts: %s reads at replicas, %s at primaries.", at_replica, at_primary);
+}
+
 static void on_tick(evutil_socket_t socket, short events, void *user)
 {
     struct control *control = user;
     /* Databases leave, and heartbeats fall due, without an event. */
     time_ns now = backend_now();
-    static time_ns refreshed;
-    if (now > refreshed + NANOSECONDS_PER_SECOND) {
-        refreshed = now;
+    if (now > control->refreshed_at + NANOSECONDS_PER_SECOND) {
+        control->refreshed_at = now;
         control->view_dirty = true;
     }
+    if (now > control->counted_at + COUNTS_EVERY_NS) {
+        control->counted_at = now;
+        log_counts(control);
+    }
     look_at_everything(control);
     arm_tick(control);
 }
@@ -167,8 +194,8 @@
     struct metrics sum = {0};
     uint32_t sessions = 0;
     GString *out = g_string_new(NULL);
+    add_up(control, &sum);
     for (unsigned i = 0; i < control->workers_count; i++) {
-        metrics_add(&sum, worker_metrics(control->workers[i]));
         sessions += worker_sessions(control->workers[i]);
     }
     metrics_print(&sum, out);
@@ -272,6 +299,7 @@
     look_at_everything(control);
     arm_tick(control);
     event_base_dispatch(control->base);
+    log_counts(control);
     for (unsigned i = 0; i < control->workers_count; i++) {
         worker_join(control->workers[i]);
     }
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -126,6 +126,8 @@
     bool view_dirty;
     struct view *view;
     time_ns started;
+    time_ns refreshed_at; /* the view was built anew for what changes with time alone */
+    time_ns counted_at;   /* counts were logged */
     uint64_t incarnation;
     char *address; /* of our peer listener */
     /* As a pooler under a coordinator. */
--- a/src/pooler/database_control.c
+++ b/src/pooler/database_control.c
@@ -12,7 +12,7 @@
 #include <unistd.h>
 
 /* Without an answer for this long, connecting included, the database did not answer. */
-#define COMMAND_TIMEOUT_MS 350
+#define COMMAND_TIMEOUT_MS 300
 
 struct database_control {
     struct event_base *base;
--- a/src/pooler/failover.c
+++ b/src/pooler/failover.c
@@ -10,7 +10,7 @@
 #define SEARCH_EVERY_NS (400 * MS)
 
 /* A primary that some poolers can't reach, while most can, is replaced after this. */
-#define MINORITY_MAX_NS (900 * MS)
+#define MINORITY_MAX_NS (1500 * MS)
 
 /* Replicas that get no further for so long confirm a stall. */
 #define STALL_SEEN_NS (350 * MS)
@@ -364,8 +364,11 @@
     if (!replicas_answer(failover, now)) {
         return;
     }
-    bool lost = !primary->answered && primary->failing_since != 0 &&
-                opinion->unreachable * 2 >= opinion->poolers;
+    /* Poolers without work for it have no opinion: two answers missed here weigh as much as most.
+     */
+    bool lost =
+        !primary->answered && opinion->unreachable > 0 &&
+        (opinion->unreachable * 2 >= opinion->poolers || primary->failures >= SEARCH_FAILURES);
     if (lost) {
         failover_begin_change(failover, false, "the primary does not answer", now);
         return;
--- a/tests/pooler/test_failover.c
+++ b/tests/pooler/test_failover.c
@@ -190,6 +190,20 @@
     rig_free(rig);
 }
 
+/* Most poolers have no work for the primary and say nothing of it; the coordinator hears nothing,
+ * too. */
+static void test_one_voice_and_own_silence(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[0].reachable = false;
+    rig->drained = false; /* what is open there never ends */
+    rig_accuse(rig, 1, 0);
+    rig_run(rig, 800);
+    g_assert_cmpuint(rig->orders, ==, 1);
+    rig_free(rig);
+}
+
 static void test_stalled_primary_is_replaced(void)
 {
     struct rig *rig = rig_new(3, 1);
@@ -274,6 +288,7 @@
     g_test_add_func("/pooler/failover/candidate-dies", test_candidate_dies_after_the_order);
     g_test_add_func("/pooler/failover/continues", test_goes_on_with_a_recorded_promotion);
     g_test_add_func("/pooler/failover/minority", test_minority_does_not_depose_at_once);
+    g_test_add_func("/pooler/failover/one-voice", test_one_voice_and_own_silence);
     g_test_add_func("/pooler/failover/stalled", test_stalled_primary_is_replaced);
     g_test_add_func("/pooler/failover/lost-answers", test_lost_answers_depose_nobody);
     g_test_add_func("/pooler/failover/one-change", test_one_change_is_enough);
