Close connections on which nobody waits for an answer that is lost

Cause: a write or commit whose answer is lost has no timer once its client has left. They are closed after 2 s, statuses after 0.4 s; a worker also goes on looking at a database with a fault while nothing is asked. The test orphan failed before.

--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -38,6 +38,23 @@
     return g_hash_table_lookup(pooler->reports, service);
 }
 
+/* Faults that a pooler tells anew, or no longer. */
+static void log_faults(const struct pooler_peer *pooler, const struct pooler_group_report *report)
+{
+    const struct pooler_group_report *before = control_report_of(pooler, report->service);
+    size_t known = before == NULL ? 0 : before->faults_count;
+    if (known == report->faults_count) {
+        return;
+    }
+    const struct pooler_fault *first = report->faults_count > 0 ? &report->faults[0] : NULL;
+    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_SERVICE", report->service, "SW_POOLER",
+                     pooler->name, "SW_DATABASE", first == NULL ? "" : first->database, "MESSAGE",
+                     "Pooler %s reports %zu faulty databases of group %s, first %s: %s.",
+                     pooler->name, report->faults_count, report->service,
+                     first == NULL ? "none" : first->database,
+                     first == NULL ? "none" : database_fault_name(first->kind));
+}
+
 /* Takes the heartbeat's reports over. What it does not tell is as it was. */
 static void take_reports(struct pooler_peer *pooler, struct pooler_heartbeat *heartbeat)
 {
@@ -45,6 +62,7 @@
         struct pooler_group_report *report = g_new(struct pooler_group_report, 1);
         *report = heartbeat->groups[i];
         pooler_group_report_init(&heartbeat->groups[i]);
+        log_faults(pooler, report);
         g_hash_table_replace(pooler->reports, report->service, report);
     }
 }
--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -13,6 +13,10 @@
 #define LOST_AFTER_NS  (250 * NANOSECONDS_PER_MILLISECOND)
 #define LOST_LATENCIES 3
 
+/* How long an answer is awaited that nobody waits for. */
+#define ORPHAN_MAX_NS (2000 * NANOSECONDS_PER_MILLISECOND)
+#define STATUS_MAX_NS (400 * NANOSECONDS_PER_MILLISECOND)
+
 /* An idle connection beside others is kept this long. */
 #define UNUSED_KEPT_NS (1500 * NANOSECONDS_PER_MILLISECOND)
 
@@ -202,6 +206,23 @@
     }
 }
 
+/* A statement whose client has left, and a status, have nobody who waits for them: without an
+ * answer their connections would be held for ever. */
+static void close_orphans(struct database *database, time_ns now)
+{
+    for (guint i = database->servers->len; i > 0; i--) {
+        if (i > database->servers->len) {
+            continue; /* closing one may close others */
+        }
+        struct server *server = g_ptr_array_index(database->servers, i - 1);
+        bool orphan = server->state == SERVER_RUNNING && server->session == NULL;
+        time_ns patience = server->checking ? STATUS_MAX_NS : ORPHAN_MAX_NS;
+        if (orphan && now > server->sent_at + patience) {
+            server_close(server, ANSWER_TIMEOUT);
+        }
+    }
+}
+
 static void check_silence(struct database *database, time_ns now)
 {
     time_ns sent = oldest_sent(database, false);
@@ -252,6 +273,7 @@
 {
     check_refusal(database, now);
     close_unused(database, now);
+    close_orphans(database, now);
     check_silence(database, now);
     give_up_lost_answers(database, now);
     check_stall(database, now);
--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -130,11 +130,16 @@
     }
 }
 
-void group_tick(struct group *group, time_ns now)
+bool group_tick(struct group *group, time_ns now)
 {
+    bool faulty = false;
     for (guint i = 0; i < group->databases->len; i++) {
-        database_tick(g_ptr_array_index(group->databases, i), now);
+        struct database *database = g_ptr_array_index(group->databases, i);
+        database_tick(database, now);
+        faulty =
+            faulty || (database->takes_work && database_fault(database) != DATABASE_FAULT_NONE);
     }
     drop_unlisted(group);
     router_run_queue(group);
+    return faulty;
 }
--- a/src/pooler/worker.c
+++ b/src/pooler/worker.c
@@ -153,13 +153,14 @@
     time_ns now = backend_now();
     GHashTableIter iterator;
     gpointer value = NULL;
+    bool faulty = false;
     worker->tick_armed = false;
     g_hash_table_iter_init(&iterator, worker->groups);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        group_tick(value, now);
+        faulty = group_tick(value, now) || faulty;
     }
     check_stop(worker, now);
-    if (worker->busy > 0) {
+    if (worker->busy > 0 || faulty) {
         worker_arm_tick(worker);
     }
     worker_settle(worker);
--- a/tests/pooler/test_worker.c
+++ b/tests/pooler/test_worker.c
@@ -459,6 +459,29 @@
     client_close(writer);
 }
 
+/* A write whose answer is lost, and whose client leaves: the connection is not held for ever. */
+static void test_lost_answer_without_a_client(struct fixture *fixture, gconstpointer unused)
+{
+    fixture->connections = 1;
+    publish(fixture);
+    struct client *client = client_open(fixture, "strict");
+    good(client, "READ warm", 'I');
+    line_group_set_faults(fixture->group, 0, &(struct line_faults){.lose_answers = true});
+    client_send(client, "WRITE hut lost");
+    while (line_group_committed(fixture->group, "hut", "lost") == 0) {
+        g_usleep(1000);
+    }
+    client_close(client);
+    line_group_set_faults(fixture->group, 0, &(struct line_faults){0});
+    client = client_open(fixture, "strict");
+    gint64 end = g_get_monotonic_time() + ANSWER_WAIT_S * G_USEC_PER_SEC;
+    do {
+        g_assert_cmpint(g_get_monotonic_time(), <, end);
+        ask(client, "WRITE hut kept");
+    } while (!g_str_has_prefix(client->result, "COMPLETE"));
+    client_close(client);
+}
+
 static void test_bounded_reads_use_replicas(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "stale");
@@ -721,6 +744,7 @@
     ADD("transaction-errors", set_up, test_transaction_errors);
     ADD("lost-answer-of-write", set_up, test_lost_answer_of_a_write);
     ADD("silent-database", set_up, test_read_moves_away_from_a_silent_database);
+    ADD("orphan", set_up, test_lost_answer_without_a_client);
     ADD("bounded-at-replicas", set_up, test_bounded_reads_use_replicas);
     ADD("own-writes", set_up, test_session_sees_its_own_write);
     ADD("own-writes-transaction", set_up, test_own_write_in_a_transaction);
