--- a/src/pooler/control.c
+++ b/src/pooler/control.c
@@ -2,15 +2,12 @@
 #define G_LOG_DOMAIN "control"
 #include "pooler/control_internal.h"
 
-#include "core/error.h"
-#include "generated/errors.h"
 #include "pooler/log.h"
 #include "wire/address.h"
 
 #include <errno.h>
 #include <signal.h>
 #include <sys/eventfd.h>
-#include <sys/socket.h>
 #include <unistd.h>
 #include <urcu-bp.h>
 
@@ -31,26 +28,6 @@
 
 static void (*reload_callback)(void);
 
-int control_listen(const char *address, int backlog, GError **error)
-{
-    struct sockaddr_in where;
-    int one = 1;
-    int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    bool good = handle >= 0 && parse_address(address, &where);
-    good = good && setsockopt(handle, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) == 0;
-    good = good && bind(handle, (const struct sockaddr *)&where, sizeof where) == 0;
-    good = good && listen(handle, backlog) == 0;
-    if (!good) {
-        g_set_error(error, SW_ERROR, ERROR_KIND_INTERNAL, "can't listen at %s: %s", address,
-                    g_strerror(errno));
-        if (handle >= 0) {
-            close(handle);
-        }
-        return -1;
-    }
-    return handle;
-}
-
 static bool is_changing(const struct control *control)
 {
     if (!control->lease.held) {
--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -2,9 +2,9 @@
  * rows of the store that they lack. A pooler that is not the coordinator tells where that is. */
 #define G_LOG_DOMAIN "coordinator"
 #include "pooler/control_internal.h"
+#include "pooler/socket.h"
+#include "wire/address.h"
 
-#include <errno.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 /* How long a permit lasts. A change of primary waits for it where a pooler can't be heard. */
@@ -274,7 +274,7 @@
 static void on_acceptable(evutil_socket_t listener, short events, void *user)
 {
     struct control *control = user;
-    int handle = accept4(control->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    int handle = socket_accept(control->listener);
     if (handle >= 0) {
         struct peer *peer = peer_accept(control->base, handle, &control->pooler_callbacks);
         g_ptr_array_add(control->connected, peer);
@@ -286,7 +286,9 @@
     control->pooler_callbacks = (struct peer_callbacks){on_frame, on_closed, control};
     control->poolers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pooler_free);
     control->connected = g_ptr_array_new();
-    control->listener = control_listen(control->address, LISTEN_BACKLOG, error);
+    struct sockaddr_in address;
+    parse_address(control->address, &address);
+    control->listener = socket_listen(&address, LISTEN_BACKLOG, false, error);
     if (control->listener < 0) {
         return false;
     }
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -161,9 +161,6 @@
 /* control.c */
 void control_wake_soon(struct control *control);
 
-/* A listening socket at an address; -1 with `error` if it can not be had. */
-int control_listen(const char *address, int backlog, GError **error);
-
 /* control_view.c */
 struct member_shared *control_member(struct control *control, const char *id);
 struct group_state *control_group(struct control *control, const char *service);
--- a/src/pooler/database_control.c
+++ b/src/pooler/database_control.c
@@ -3,11 +3,10 @@
 #include "pooler/database_control.h"
 
 #include "backend/clock.h"
+#include "pooler/socket.h"
 #include "pooler/wire.h"
 
-#include <errno.h>
 #include <glib.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -185,17 +184,10 @@
 
 static bool connect_to(struct database_control *control, const struct sockaddr_in *address)
 {
-    int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int handle = socket_connect(address, 0);
     if (handle < 0) {
         return false;
     }
-    int one = 1;
-    setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-    int result = connect(handle, (const struct sockaddr *)address, sizeof *address);
-    if (result != 0 && errno != EINPROGRESS) {
-        close(handle);
-        return false;
-    }
     control->socket = handle;
     control->readable = event_new(control->base, handle, EV_READ | EV_PERSIST, on_event, control);
     control->writable = event_new(control->base, handle, EV_WRITE, on_event, control);
--- a/src/pooler/peer.c
+++ b/src/pooler/peer.c
@@ -2,10 +2,9 @@
 #include "pooler/peer.h"
 
 #include "pooler/buffer.h"
+#include "pooler/socket.h"
 
 #include <arpa/inet.h>
-#include <errno.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -102,10 +101,7 @@
 static struct peer *peer_new(struct event_base *base, int handle,
                              const struct peer_callbacks *callbacks)
 {
-    int one = 1;
-    unsigned dark = DARK_TIMEOUT_MS;
-    setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-    setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &dark, sizeof dark);
+    socket_set_dark(handle, DARK_TIMEOUT_MS);
     struct peer *peer = g_new0(struct peer, 1);
     peer->socket = handle;
     peer->base = base;
@@ -125,15 +121,10 @@
 struct peer *peer_connect(struct event_base *base, const struct sockaddr_in *address,
                           const struct peer_callbacks *callbacks)
 {
-    int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int handle = socket_connect(address, DARK_TIMEOUT_MS);
     if (handle < 0) {
         return NULL;
     }
-    int result = connect(handle, (const struct sockaddr *)address, sizeof *address);
-    if (result != 0 && errno != EINPROGRESS) {
-        close(handle);
-        return NULL;
-    }
     struct peer *peer = peer_new(base, handle, callbacks);
     event_add(peer->writable, NULL);
     return peer;
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -3,10 +3,9 @@
  * uses. Prepared names at the database are our own, one for each mode and shape, so that sessions
  * share them and their names never clash. */
 #define G_LOG_DOMAIN "server"
+#include "pooler/socket.h"
 #include "pooler/worker_internal.h"
 
-#include <errno.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -104,28 +103,10 @@
     worker_settle(worker);
 }
 
-static int connect_to(const struct sockaddr_in *address)
-{
-    int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (handle < 0) {
-        return -1;
-    }
-    int one = 1;
-    unsigned dark = DARK_TIMEOUT_MS;
-    setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-    setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &dark, sizeof dark);
-    int result = connect(handle, (const struct sockaddr *)address, sizeof *address);
-    if (result != 0 && errno != EINPROGRESS) {
-        close(handle);
-        return -1;
-    }
-    return handle;
-}
-
 struct server *server_open(struct database *database)
 {
     struct worker *worker = database->group->worker;
-    int handle = connect_to(&database->address);
+    int handle = socket_connect(&database->address, DARK_TIMEOUT_MS);
     if (handle < 0) {
         database_open_failed(database, ANSWER_NONE);
         return NULL;
--- /dev/null
+++ b/src/pooler/socket.c
@@ -0,0 +1,73 @@
+/* Sockets of the pooler; see the header. */
+#include "pooler/socket.h"
+
+#include "core/error.h"
+#include "generated/errors.h"
+#include "wire/address.h"
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+static int new_socket(void)
+{
+    return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+}
+
+static bool set_option(int handle, int level, int option, int value)
+{
+    return setsockopt(handle, level, option, &value, sizeof value) == 0;
+}
+
+int socket_listen(const struct sockaddr_in *address, int backlog, bool shared, GError **error)
+{
+    int handle = new_socket();
+    bool good = handle >= 0;
+    good = good && set_option(handle, SOL_SOCKET, SO_REUSEADDR, 1);
+    good = good && (!shared || set_option(handle, SOL_SOCKET, SO_REUSEPORT, 1));
+    good = good && bind(handle, (const struct sockaddr *)address, sizeof *address) == 0;
+    good = good && listen(handle, backlog) == 0;
+    if (good) {
+        return handle;
+    }
+    g_autofree char *text = format_address(address);
+    g_set_error(error, SW_ERROR, ERROR_KIND_INTERNAL, "can't listen at %s: %s", text,
+                g_strerror(errno));
+    if (handle >= 0) {
+        close(handle);
+    }
+    return -1;
+}
+
+int socket_accept(int listener)
+{
+    int handle = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (handle >= 0) {
+        set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    }
+    return handle;
+}
+
+void socket_set_dark(int handle, unsigned dark_ms)
+{
+    set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, (int)dark_ms);
+}
+
+int socket_connect(const struct sockaddr_in *address, unsigned dark_ms)
+{
+    int handle = new_socket();
+    if (handle < 0) {
+        return -1;
+    }
+    set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    if (dark_ms != 0) {
+        socket_set_dark(handle, dark_ms);
+    }
+    int result = connect(handle, (const struct sockaddr *)address, sizeof *address);
+    if (result != 0 && errno != EINPROGRESS) {
+        close(handle);
+        return -1;
+    }
+    return handle;
+}
--- a/src/pooler/worker.c
+++ b/src/pooler/worker.c
@@ -1,14 +1,10 @@
 /* The worker's thread: its event loop, listener, view and planned stop; see the header. */
 #define G_LOG_DOMAIN "worker"
+#include "pooler/socket.h"
 #include "pooler/worker_internal.h"
 
-#include "core/error.h"
-#include "generated/errors.h"
-
 #include <errno.h>
-#include <netinet/tcp.h>
 #include <sys/eventfd.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 /* Time between two looks at what waits or is silent, while anything is asked. */
@@ -182,12 +178,10 @@
 {
     struct worker *worker = user;
     for (int i = 0; i < ACCEPTS_MAX; i++) {
-        int handle = accept4(worker->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        int handle = socket_accept(worker->listener);
         if (handle < 0) {
             break;
         }
-        int one = 1;
-        setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
         if (worker->sessions.length >= worker->shared->sessions_max) {
             close(handle);
             continue;
@@ -197,26 +191,6 @@
     worker_settle(worker);
 }
 
-static int listen_at(const struct sockaddr_in *address, GError **error)
-{
-    int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    int one = 1;
-    bool good = handle >= 0;
-    good = good && setsockopt(handle, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) == 0;
-    good = good && setsockopt(handle, SOL_SOCKET, SO_REUSEPORT, &one, sizeof one) == 0;
-    good = good && bind(handle, (const struct sockaddr *)address, sizeof *address) == 0;
-    good = good && listen(handle, LISTEN_BACKLOG) == 0;
-    if (!good) {
-        g_set_error(error, SW_ERROR, ERROR_KIND_INTERNAL, "can't listen for clients: %s",
-                    g_strerror(errno));
-        if (handle >= 0) {
-            close(handle);
-        }
-        return -1;
-    }
-    return handle;
-}
-
 static void *run(void *user)
 {
     struct worker *worker = user;
@@ -236,7 +210,7 @@
 
 struct worker *worker_start(struct worker_shared *shared, unsigned index, GError **error)
 {
-    int listener = listen_at(&shared->listen, error);
+    int listener = socket_listen(&shared->listen, LISTEN_BACKLOG, true, error);
     if (listener < 0) {
         return NULL;
     }
