--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -305,8 +305,8 @@
 /* group.c */
 struct group *group_of(struct worker *worker, struct group_shared *shared);
 void group_apply(struct group *group, const struct pooled_group *view);
-/* Looks at what waits or is silent. True while a database in use has a fault, which only a look at
- * it takes back. */
+/* Looks at what waits or is silent. True while a database in use has a fault: only a look at it
+ * takes that back. */
 bool group_tick(struct group *group, time_ns now);
 void group_note_in_flight(struct group *group);
 
