Close connections by what matches, in one place, and drop what nothing reads

Read once more: five loops over a database's connections each guarded against connections that close one another; one function walks a copy now. Fields and a function that nobody read are gone, and the tests' twin of free_port.

--- a/src/pooler/control.c
+++ b/src/pooler/control.c
@@ -248,7 +248,6 @@
 {
     struct control *control = g_new0(struct control, 1);
     control->settings = settings;
-    control->started = backend_now();
     control->incarnation = ((uint64_t)g_random_int() << 32 | g_random_int()) | 1;
     control->address = g_strdup(settings->pooler.peer_listen);
     control->workers_count = settings->pooler.workers;
--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -304,7 +304,6 @@
     default:
         break;
     }
-    opinion->oldest = MAX(opinion->oldest, fault->age_ms * MS);
 }
 
 static void gather(struct control *control, const struct failover *failover, time_ns now,
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -75,7 +75,6 @@
     time_ns clock_received;
     uint64_t clock_ms;
     time_ns call_sent;
-    uint64_t proposed_expiry_ms;
     uint64_t proposed_token;
     bool releasing;
     uint64_t ceded_token; /* its holder has left the lease to us; 0: none has */
@@ -124,8 +123,6 @@
     GHashTable *groups;  /* service -> struct group_state */
     GHashTable *members; /* database id -> struct member_shared, never removed */
     bool view_dirty;
-    struct view *view;
-    time_ns started;
     time_ns refreshed_at; /* the view was built anew for what changes with time alone */
     time_ns counted_at;   /* counts were logged */
     uint64_t incarnation;
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -121,7 +121,6 @@
     lease->calling = true;
     lease->call_sent = now;
     lease->proposed_token = token;
-    lease->proposed_expiry_ms = record.expires_ms;
     store_write(control->store, LEASE_KEY, lease->row_version, &put, 1, on_written, control);
     g_byte_array_unref(octets);
 }
--- a/src/pooler/control_view.c
+++ b/src/pooler/control_view.c
@@ -63,7 +63,6 @@
     time_ns heartbeat = control->settings->store.heartbeat_ms * MS;
     out->shared = control_member(control, entry->id);
     out->address = entry->address;
-    out->slots = entry->slots;
     out->same_zone = g_str_equal(entry->zone, control->settings->pooler.zone);
     out->takes_work = !directory_entry_leaves(entry, now, heartbeat);
 }
@@ -148,7 +147,6 @@
         view->groups_count++;
     }
     struct view *old = rcu_xchg_pointer(&control->shared.view, view);
-    control->view = view;
     for (unsigned i = 0; i < control->workers_count; i++) {
         worker_wake(control->workers[i]);
     }
--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -146,16 +146,29 @@
            count_opening(database) < 2;
 }
 
-void database_close_idle(struct database *database)
+void database_close_where(struct database *database, server_predicate *matches, time_ns now,
+                          enum answer_code reason)
 {
-    for (guint i = database->servers->len; i > 0; i--) {
-        struct server *server = g_ptr_array_index(database->servers, i - 1);
-        if (server->state == SERVER_IDLE) {
-            server_close(server, ANSWER_NONE);
+    /* Closing one may close others; closed ones are freed only after the callback. */
+    g_autoptr(GPtrArray) servers = g_ptr_array_copy(database->servers, NULL, NULL);
+    for (guint i = 0; i < servers->len; i++) {
+        struct server *server = g_ptr_array_index(servers, i);
+        if (server->state != SERVER_CLOSED && matches(server, now)) {
+            server_close(server, reason);
         }
     }
 }
 
+static bool is_idle(const struct server *server, time_ns now)
+{
+    return server->state == SERVER_IDLE;
+}
+
+void database_close_idle(struct database *database)
+{
+    database_close_where(database, is_idle, 0, ANSWER_NONE);
+}
+
 /* When the oldest statement without an answer was sent; 0 if there is none. */
 static time_ns oldest_sent(const struct database *database, bool writes_only)
 {
@@ -171,56 +184,32 @@
 }
 
 /* Reads outside of transactions at a silent database go elsewhere. */
-static void give_up_reads(struct database *database)
+static bool is_read_or_idle(const struct server *server, time_ns now)
 {
-    for (guint i = database->servers->len; i > 0; i--) {
-        if (i > database->servers->len) {
-            continue; /* closing one may close others */
-        }
-        struct server *server = g_ptr_array_index(database->servers, i - 1);
-        bool read =
-            server->state == SERVER_RUNNING && !server->in_transaction && !server->running_writes;
-        if (read || server->state == SERVER_IDLE) {
-            server_close(server, ANSWER_BUSY);
-        }
-    }
+    bool read =
+        server->state == SERVER_RUNNING && !server->in_transaction && !server->running_writes;
+    return read || is_idle(server, now);
 }
 
 /* While a database answers others, a statement without an answer for so long has lost it. Reads
  * go elsewhere, and transactions are rolled back, in time for the client to try again. */
-static void give_up_lost_answers(struct database *database, time_ns now)
+static bool has_lost_answer(const struct server *server, time_ns now)
 {
+    const struct database *database = server->database;
     time_ns answered = atomic_load(&database->shared->answered_at);
     time_ns usual = (time_ns)(database->latency_ms * LOST_LATENCIES) * NANOSECONDS_PER_MILLISECOND;
-    for (guint i = database->servers->len; i > 0; i--) {
-        if (i > database->servers->len) {
-            continue; /* closing one may close others */
-        }
-        struct server *server = g_ptr_array_index(database->servers, i - 1);
-        bool lost = server->state == SERVER_RUNNING && !server->running_writes &&
-                    now > server->sent_at + LOST_AFTER_NS + usual &&
-                    answered > server->sent_at + LOST_AFTER_NS / 2;
-        if (lost) {
-            server_close(server, ANSWER_BUSY);
-        }
-    }
+    return server->state == SERVER_RUNNING && !server->running_writes &&
+           now > server->sent_at + LOST_AFTER_NS + usual &&
+           answered > server->sent_at + LOST_AFTER_NS / 2;
 }
 
 /* A statement whose client has left, and a status, have nobody who waits for them: without an
  * answer their connections would be held for ever. */
-static void close_orphans(struct database *database, time_ns now)
+static bool is_orphan(const struct server *server, time_ns now)
 {
-    for (guint i = database->servers->len; i > 0; i--) {
-        if (i > database->servers->len) {
-            continue; /* closing one may close others */
-        }
-        struct server *server = g_ptr_array_index(database->servers, i - 1);
-        bool orphan = server->state == SERVER_RUNNING && server->session == NULL;
-        time_ns patience = server->checking ? STATUS_MAX_NS : ORPHAN_MAX_NS;
-        if (orphan && now > server->sent_at + patience) {
-            server_close(server, ANSWER_TIMEOUT);
-        }
-    }
+    time_ns patience = server->checking ? STATUS_MAX_NS : ORPHAN_MAX_NS;
+    return server->state == SERVER_RUNNING && server->session == NULL &&
+           now > server->sent_at + patience;
 }
 
 static void check_silence(struct database *database, time_ns now)
@@ -231,7 +220,7 @@
     if (silent) {
         database->retry_at = MAX(database->retry_at, now + RETRY_MIN_NS);
         database_set_fault(database, DATABASE_FAULT_SILENT, now);
-        give_up_reads(database);
+        database_close_where(database, is_read_or_idle, now, ANSWER_BUSY);
     }
 }
 
@@ -273,9 +262,9 @@
 {
     check_refusal(database, now);
     close_unused(database, now);
-    close_orphans(database, now);
+    database_close_where(database, is_orphan, now, ANSWER_TIMEOUT);
     check_silence(database, now);
-    give_up_lost_answers(database, now);
+    database_close_where(database, has_lost_answer, now, ANSWER_BUSY);
     check_stall(database, now);
     bool probe = database->takes_work && database_fault(database) != DATABASE_FAULT_NONE &&
                  count_opening(database) == 0;
--- a/src/pooler/failover.h
+++ b/src/pooler/failover.h
@@ -66,7 +66,6 @@
     uint32_t unreachable; /* of these, for how many it is unreachable or silent */
     uint32_t stalled;     /* for how many its writes get no answer */
     uint32_t refusing;    /* how many it told that it does not lead */
-    time_ns oldest;       /* age of the oldest such fault */
 };
 
 struct failover;
--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -36,7 +36,6 @@
         g_ptr_array_add(group->databases, database);
     }
     database->address = member->address;
-    database->slots = member->slots;
     database->same_zone = member->same_zone;
     database->takes_work = member->takes_work;
     database->listed = true;
@@ -63,20 +62,11 @@
     }
 }
 
-/* Whatever still runs at a database that no longer leads is given up. */
-static void cut_former_primary(struct database *database)
+/* Whatever still writes at a database that no longer leads is given up. */
+static bool is_writing(const struct server *server, time_ns now)
 {
-    for (guint i = database->servers->len; i > 0; i--) {
-        if (i > database->servers->len) {
-            continue; /* closing one may close others */
-        }
-        struct server *server = g_ptr_array_index(database->servers, i - 1);
-        bool plain =
-            server->in_transaction && server->session != NULL && !server->session->read_only;
-        if (plain || (server->state == SERVER_RUNNING && server->running_writes)) {
-            server_close(server, ANSWER_IN_DOUBT);
-        }
-    }
+    bool plain = server->in_transaction && server->session != NULL && !server->session->read_only;
+    return plain || (server->state == SERVER_RUNNING && server->running_writes);
 }
 
 static void apply_order(struct group *group, const struct pooled_group *view,
@@ -94,7 +84,7 @@
         group->led_at = 0;
     }
     if (former != NULL && (moved || view->phase == GROUP_PHASE_CLOSED)) {
-        cut_former_primary(former);
+        database_close_where(former, is_writing, 0, ANSWER_IN_DOUBT);
     }
 }
 
--- a/src/pooler/view.c
+++ b/src/pooler/view.c
@@ -2,17 +2,6 @@
 #include "pooler/view.h"
 
 #include <glib.h>
-#include <string.h>
-
-const struct pooled_group *view_find_group(const struct view *view, const char *service)
-{
-    for (size_t i = 0; i < view->groups_count; i++) {
-        if (strcmp(view->groups[i].shared->service, service) == 0) {
-            return &view->groups[i];
-        }
-    }
-    return NULL;
-}
 
 void view_free(struct view *view)
 {
--- a/src/pooler/view.h
+++ b/src/pooler/view.h
@@ -40,7 +40,6 @@
 struct member_view {
     struct member_shared *shared;
     struct sockaddr_in address;
-    uint32_t slots;
     bool same_zone;
     bool takes_work; /* neither draining nor gone */
 };
@@ -64,9 +63,6 @@
     size_t groups_count;
 };
 
-/* NULL if the view has no such group. */
-const struct pooled_group *view_find_group(const struct view *view, const char *service);
-
 /* Frees what the view owns: arrays and its reference to the configuration. */
 void view_free(struct view *view);
 
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -148,7 +148,6 @@
     struct group *group;
     struct member_shared *shared;
     struct sockaddr_in address;
-    uint32_t slots;
     bool same_zone;
     bool takes_work;
     bool listed;                  /* in the newest view */
@@ -287,6 +286,10 @@
 void database_open_failed(struct database *database, enum answer_code code);
 /* Looks for silence and stalls, and opens connections anew where they failed. */
 void database_tick(struct database *database, time_ns now);
+/* Closes the connections that match. */
+typedef bool server_predicate(const struct server *server, time_ns now);
+void database_close_where(struct database *database, server_predicate *matches, time_ns now,
+                          enum answer_code reason);
 /* Closes idle connections, as when it leaves. */
 void database_close_idle(struct database *database);
 
--- a/tests/pooler/test_fleet.c
+++ b/tests/pooler/test_fleet.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "free_port.h"
 #include "standins/session_platform/line_group.h"
 #include "standins/session_platform/row_store.h"
 
@@ -30,18 +31,6 @@
     unsigned next_value;
 };
 
-static uint16_t free_port(void)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    socklen_t length = sizeof address;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    int handle = socket(AF_INET, SOCK_STREAM, 0);
-    g_assert_cmpint(bind(handle, (struct sockaddr *)&address, sizeof address), ==, 0);
-    getsockname(handle, (struct sockaddr *)&address, &length);
-    close(handle);
-    return ntohs(address.sin_port);
-}
-
 static bool on_promote(void *user, const char *service, const char *database)
 {
     return line_group_promote(((struct fixture *)user)->group, database);
--- a/tests/pooler/test_worker.c
+++ b/tests/pooler/test_worker.c
@@ -12,6 +12,7 @@
 
 #include "backend/clock.h"
 #include "pooler/view.h"
+#include "free_port.h"
 #include "standins/session_platform/line_group.h"
 
 #define DATABASES      3
@@ -35,18 +36,6 @@
     bool with_route;
 };
 
-static uint16_t free_port(void)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    socklen_t length = sizeof address;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    int handle = socket(AF_INET, SOCK_STREAM, 0);
-    g_assert_cmpint(bind(handle, (struct sockaddr *)&address, sizeof address), ==, 0);
-    getsockname(handle, (struct sockaddr *)&address, &length);
-    close(handle);
-    return ntohs(address.sin_port);
-}
-
 static void add_route(struct configuration *configuration, const char *database,
                       enum route_kind kind, const struct fixture *fixture)
 {
@@ -80,7 +69,6 @@
     member->address.sin_family = AF_INET;
     member->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     member->address.sin_port = htons(line_group_port(fixture->group, index));
-    member->slots = 3;
     member->same_zone = index == 1;
     member->takes_work = true;
 }
