--- a/src/pooler/answer.c
+++ b/src/pooler/answer.c
@@ -34,12 +34,14 @@
     [STATEMENT_MALFORMED] = "malformed",
 };
 
-const struct answer_meaning *answer_meaning(enum answer_code code)
+const struct answer_meaning *
+answer_meaning(enum answer_code code)
 {
     return &meanings[code < ANSWER_CODE_COUNT ? code : ANSWER_OTHER];
 }
 
-const char *statement_kind_name(enum statement_kind kind)
+const char *
+statement_kind_name(enum statement_kind kind)
 {
     return kind_names[kind < STATEMENT_KIND_COUNT ? kind : STATEMENT_MALFORMED];
 }
--- a/src/pooler/buffer.c
+++ b/src/pooler/buffer.c
@@ -10,34 +10,40 @@
 #define CAPACITY_MIN 512
 #define RECEIVE_SIZE 16384
 
-struct span span_of(const char *text)
+struct span
+span_of(const char *text)
 {
     return (struct span){text, strlen(text)};
 }
 
-bool span_equals(struct span span, const char *text)
+bool
+span_equals(struct span span, const char *text)
 {
     size_t length = strlen(text);
     return span.length == length && memcmp(span.data, text, length) == 0;
 }
 
-char *span_copy(struct span span)
+char *
+span_copy(struct span span)
 {
     return g_strndup(span.data, span.length);
 }
 
-void buffer_clear(struct buffer *buffer)
+void
+buffer_clear(struct buffer *buffer)
 {
     g_free(buffer->data);
     *buffer = (struct buffer){0};
 }
 
-size_t buffer_length(const struct buffer *buffer)
+size_t
+buffer_length(const struct buffer *buffer)
 {
     return buffer->end - buffer->start;
 }
 
-struct span buffer_content(const struct buffer *buffer)
+struct span
+buffer_content(const struct buffer *buffer)
 {
     if (buffer->data == NULL) {
         return (struct span){"", 0};
@@ -45,7 +51,8 @@
     return (struct span){buffer->data + buffer->start, buffer_length(buffer)};
 }
 
-void buffer_consume(struct buffer *buffer, size_t length)
+void
+buffer_consume(struct buffer *buffer, size_t length)
 {
     buffer->start += length;
     if (buffer->start >= buffer->end) {
@@ -53,7 +60,8 @@
     }
 }
 
-char *buffer_reserve(struct buffer *buffer, size_t length)
+char *
+buffer_reserve(struct buffer *buffer, size_t length)
 {
     if (buffer->capacity - buffer->end >= length && buffer->data != NULL) {
         return buffer->data + buffer->end;
@@ -72,12 +80,14 @@
     return data + held;
 }
 
-void buffer_commit(struct buffer *buffer, size_t length)
+void
+buffer_commit(struct buffer *buffer, size_t length)
 {
     buffer->end += length;
 }
 
-void buffer_append(struct buffer *buffer, const void *data, size_t length)
+void
+buffer_append(struct buffer *buffer, const void *data, size_t length)
 {
     if (length == 0) {
         return;
@@ -86,12 +96,14 @@
     buffer_commit(buffer, length);
 }
 
-void buffer_append_text(struct buffer *buffer, const char *text)
+void
+buffer_append_text(struct buffer *buffer, const char *text)
 {
     buffer_append(buffer, text, strlen(text));
 }
 
-void buffer_append_format(struct buffer *buffer, const char *format, ...)
+void
+buffer_append_format(struct buffer *buffer, const char *format, ...)
 {
     va_list arguments;
     va_start(arguments, format);
@@ -100,12 +112,14 @@
     buffer_append_text(buffer, text);
 }
 
-static bool is_temporary(int error)
+static bool
+is_temporary(int error)
 {
     return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
 }
 
-enum transfer buffer_receive(struct buffer *buffer, int socket)
+enum transfer
+buffer_receive(struct buffer *buffer, int socket)
 {
     char room[RECEIVE_SIZE];
     ssize_t count = recv(socket, room, sizeof room, 0);
@@ -116,7 +130,8 @@
     return count < 0 && is_temporary(errno) ? TRANSFER_BLOCKED : TRANSFER_ENDED;
 }
 
-enum transfer buffer_send(struct buffer *buffer, int socket)
+enum transfer
+buffer_send(struct buffer *buffer, int socket)
 {
     while (buffer_length(buffer) > 0) {
         struct span content = buffer_content(buffer);
--- a/src/pooler/configuration.c
+++ b/src/pooler/configuration.c
@@ -1,7 +1,8 @@
 /* The configuration in force; see the header. */
 #include "pooler/configuration.h"
 
-static void route_free(gpointer data)
+static void
+route_free(gpointer data)
 {
     struct route *route = data;
     g_free(route->database);
@@ -9,14 +10,16 @@
     g_free(route);
 }
 
-static void service_free(gpointer data)
+static void
+service_free(gpointer data)
 {
     struct service *service = data;
     g_free(service->name);
     g_free(service);
 }
 
-struct configuration *configuration_new(void)
+struct configuration *
+configuration_new(void)
 {
     struct configuration *configuration = g_atomic_rc_box_new0(struct configuration);
     configuration->routes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, route_free);
@@ -24,30 +27,35 @@
     return configuration;
 }
 
-struct configuration *configuration_ref(struct configuration *configuration)
+struct configuration *
+configuration_ref(struct configuration *configuration)
 {
     return g_atomic_rc_box_acquire(configuration);
 }
 
-static void configuration_clear(gpointer data)
+static void
+configuration_clear(gpointer data)
 {
     struct configuration *configuration = data;
     g_hash_table_unref(configuration->routes);
     g_ptr_array_unref(configuration->services);
 }
 
-void configuration_unref(struct configuration *configuration)
+void
+configuration_unref(struct configuration *configuration)
 {
     g_atomic_rc_box_release_full(configuration, configuration_clear);
 }
 
-void configuration_add_route(struct configuration *configuration, struct route *route)
+void
+configuration_add_route(struct configuration *configuration, struct route *route)
 {
     g_hash_table_replace(configuration->routes, route->database, route);
 }
 
-void configuration_add_service(struct configuration *configuration, const char *name,
-                               uint32_t max_connections, uint32_t sync_replicas)
+void
+configuration_add_service(struct configuration *configuration, const char *name,
+                          uint32_t max_connections, uint32_t sync_replicas)
 {
     struct service *service = g_new0(struct service, 1);
     service->name = g_strdup(name);
@@ -56,14 +64,14 @@
     g_ptr_array_add(configuration->services, service);
 }
 
-const struct route *configuration_route(const struct configuration *configuration,
-                                        const char *database)
+const struct route *
+configuration_route(const struct configuration *configuration, const char *database)
 {
     return g_hash_table_lookup(configuration->routes, database);
 }
 
-const struct service *configuration_service(const struct configuration *configuration,
-                                            const char *name)
+const struct service *
+configuration_service(const struct configuration *configuration, const char *name)
 {
     for (guint i = 0; i < configuration->services->len; i++) {
         const struct service *service = g_ptr_array_index(configuration->services, i);
--- a/src/pooler/control.c
+++ b/src/pooler/control.c
@@ -28,7 +28,8 @@
 
 static void (*reload_callback)(void);
 
-static bool is_changing(const struct control *control)
+static bool
+is_changing(const struct control *control)
 {
     if (!control->lease.held) {
         return false;
@@ -47,7 +48,8 @@
 }
 
 /* When the next thing falls due that no event tells of. */
-static time_ns next_due(const struct control *control, time_ns now)
+static time_ns
+next_due(const struct control *control, time_ns now)
 {
     time_ns due = now + (is_changing(control) ? TICK_BUSY_MS : TICK_MS) * MS;
     if (control->coordinator != NULL) {
@@ -56,14 +58,16 @@
     return MAX(due, now + TICK_LEAST_MS * MS);
 }
 
-static void arm_tick(struct control *control)
+static void
+arm_tick(struct control *control)
 {
     time_ns now = backend_now();
     struct timeval wait = {0, (suseconds_t)((next_due(control, now) - now) / 1000)};
     evtimer_add(control->tick, &wait);
 }
 
-static bool all_ended(const struct control *control)
+static bool
+all_ended(const struct control *control)
 {
     for (unsigned i = 0; i < control->workers_count; i++) {
         if (!worker_ended(control->workers[i])) {
@@ -73,7 +77,8 @@
     return true;
 }
 
-static void look_at_everything(struct control *control)
+static void
+look_at_everything(struct control *control)
 {
     time_ns now = backend_now();
     control_feeds_tick(control, now);
@@ -86,7 +91,8 @@
     }
 }
 
-static void add_up(const struct control *control, struct metrics *sum)
+static void
+add_up(const struct control *control, struct metrics *sum)
 {
     for (unsigned i = 0; i < control->workers_count; i++) {
         metrics_add(sum, worker_metrics(control->workers[i]));
@@ -94,7 +100,8 @@
 }
 
 /* The share of reads at replicas, and what was opened and moved, since the start. */
-static void log_counts(const struct control *control)
+static void
+log_counts(const struct control *control)
 {
     struct metrics sum = {0};
     add_up(control, &sum);
@@ -107,7 +114,8 @@
                      "Counts: %s reads at replicas, %s at primaries.", at_replica, at_primary);
 }
 
-static void on_tick(evutil_socket_t socket, short events, void *user)
+static void
+on_tick(evutil_socket_t socket, short events, void *user)
 {
     struct control *control = user;
     /* Databases leave, and heartbeats fall due, without an event. */
@@ -124,7 +132,8 @@
     arm_tick(control);
 }
 
-static void on_woken(evutil_socket_t socket, short events, void *user)
+static void
+on_woken(evutil_socket_t socket, short events, void *user)
 {
     struct control *control = user;
     uint64_t count = 0;
@@ -135,12 +144,14 @@
     arm_tick(control);
 }
 
-void control_wake_soon(struct control *control)
+void
+control_wake_soon(struct control *control)
 {
     event_active(control->woken, EV_READ, 0);
 }
 
-static void on_terminate(evutil_socket_t signal_number, short events, void *user)
+static void
+on_terminate(evutil_socket_t signal_number, short events, void *user)
 {
     struct control *control = user;
     if (atomic_load(&control->shared.stop_at) != 0) {
@@ -155,17 +166,20 @@
     }
 }
 
-static void on_reload(evutil_socket_t signal_number, short events, void *user)
+static void
+on_reload(evutil_socket_t signal_number, short events, void *user)
 {
     reload_callback();
 }
 
-static bool is_ready(void *user)
+static bool
+is_ready(void *user)
 {
     return control_is_ready(user);
 }
 
-static char *print_metrics(void *user)
+static char *
+print_metrics(void *user)
 {
     const struct control *control = user;
     struct metrics sum = {0};
@@ -187,7 +201,8 @@
     return g_string_free(out, FALSE);
 }
 
-static void start_events(struct control *control)
+static void
+start_events(struct control *control)
 {
     control->base = event_base_new();
     control->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
@@ -202,7 +217,8 @@
     event_add(control->reload, NULL);
 }
 
-static bool start_probes(struct control *control, GError **error)
+static bool
+start_probes(struct control *control, GError **error)
 {
     struct sockaddr_in ready;
     struct sockaddr_in metrics;
@@ -213,7 +229,8 @@
     return control->probes != NULL;
 }
 
-static void start_clients(struct control *control)
+static void
+start_clients(struct control *control)
 {
     struct sockaddr_in store;
     struct sockaddr_in promotion;
@@ -224,7 +241,8 @@
 }
 
 /* Signals go to the control thread. */
-static bool start_workers(struct control *control, GError **error)
+static bool
+start_workers(struct control *control, GError **error)
 {
     const struct pooler_settings *settings = control->settings;
     sigset_t all;
@@ -244,7 +262,8 @@
     return good;
 }
 
-static struct control *control_new(const struct pooler_settings *settings)
+static struct control *
+control_new(const struct pooler_settings *settings)
 {
     struct control *control = g_new0(struct control, 1);
     control->settings = settings;
@@ -260,7 +279,8 @@
     return control;
 }
 
-bool control_run(const struct pooler_settings *settings, void (*reload)(void), GError **error)
+bool
+control_run(const struct pooler_settings *settings, void (*reload)(void), GError **error)
 {
     struct control *control = control_new(settings);
     reload_callback = reload;
--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -26,20 +26,22 @@
 #define CONFIGURATION_GRACE_NS (400 * MS)
 #define DIRECTORY_GRACE_NS     (1800 * MS)
 
-static void report_free(gpointer data)
+static void
+report_free(gpointer data)
 {
     pooler_group_report_clear(data);
     g_free(data);
 }
 
-const struct pooler_group_report *control_report_of(const struct pooler_peer *pooler,
-                                                    const char *service)
+const struct pooler_group_report *
+control_report_of(const struct pooler_peer *pooler, const char *service)
 {
     return g_hash_table_lookup(pooler->reports, service);
 }
 
 /* Faults that a pooler tells anew, or no longer. */
-static void log_faults(const struct pooler_peer *pooler, const struct pooler_group_report *report)
+static void
+log_faults(const struct pooler_peer *pooler, const struct pooler_group_report *report)
 {
     const struct pooler_group_report *before = control_report_of(pooler, report->service);
     size_t known = before == NULL ? 0 : before->faults_count;
@@ -56,7 +58,8 @@
 }
 
 /* Takes the heartbeat's reports over. What it does not tell is as it was. */
-static void take_reports(struct pooler_peer *pooler, struct pooler_heartbeat *heartbeat)
+static void
+take_reports(struct pooler_peer *pooler, struct pooler_heartbeat *heartbeat)
 {
     for (size_t i = 0; i < heartbeat->groups_count; i++) {
         struct pooler_group_report *report = g_new(struct pooler_group_report, 1);
@@ -67,7 +70,8 @@
     }
 }
 
-static void pooler_free(gpointer data)
+static void
+pooler_free(gpointer data)
 {
     struct pooler_peer *pooler = data;
     g_hash_table_unref(pooler->reports);
@@ -75,7 +79,8 @@
     g_free(pooler);
 }
 
-static struct pooler_peer *pooler_of(struct control *control, const char *name)
+static struct pooler_peer *
+pooler_of(struct control *control, const char *name)
 {
     struct pooler_peer *pooler = g_hash_table_lookup(control->poolers, name);
     if (pooler == NULL) {
@@ -87,15 +92,17 @@
     return pooler;
 }
 
-static uint32_t count_poolers(const struct control *control)
+static uint32_t
+count_poolers(const struct control *control)
 {
     uint32_t count = g_hash_table_size(control->poolers);
     bool early = backend_now() < control->coordinator_since + POOLERS_GATHER_NS;
     return MAX(count, early ? POOLERS_ASSUMED : 1);
 }
 
-static void add_order(struct pooler_grant *grant, const char *service, uint64_t epoch,
-                      enum group_phase phase, const char *primary, uint64_t term)
+static void
+add_order(struct pooler_grant *grant, const char *service, uint64_t epoch, enum group_phase phase,
+          const char *primary, uint64_t term)
 {
     struct pooler_group_order *order = &grant->groups[grant->groups_count++];
     order->service = g_strdup(service);
@@ -106,8 +113,8 @@
 }
 
 /* The orders that the pooler does not follow yet. */
-static void add_orders(struct control *control, const struct pooler_peer *pooler,
-                       struct pooler_grant *grant)
+static void
+add_orders(struct control *control, const struct pooler_peer *pooler, struct pooler_grant *grant)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -124,8 +131,8 @@
     }
 }
 
-static void add_row(struct pooler_grant *grant, enum store_table table,
-                    const struct known_row *known)
+static void
+add_row(struct pooler_grant *grant, enum store_table table, const struct known_row *known)
 {
     struct pooler_row *row = &grant->rows[grant->rows_count++];
     row->table = (uint32_t)table;
@@ -140,8 +147,9 @@
     }
 }
 
-static void add_missing(struct control *control, struct pooler_grant *grant, enum store_table table,
-                        uint64_t known_version, time_ns grace, time_ns now)
+static void
+add_missing(struct control *control, struct pooler_grant *grant, enum store_table table,
+            uint64_t known_version, time_ns grace, time_ns now)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -154,8 +162,9 @@
     }
 }
 
-static void add_rows(struct control *control, struct pooler_grant *grant,
-                     const struct pooler_heartbeat *heartbeat, time_ns now)
+static void
+add_rows(struct control *control, struct pooler_grant *grant,
+         const struct pooler_heartbeat *heartbeat, time_ns now)
 {
     guint most = g_hash_table_size(control->feeds[STORE_TABLE_CONFIGURATION].rows) +
                  g_hash_table_size(control->feeds[STORE_TABLE_DIRECTORY].rows);
@@ -167,7 +176,8 @@
 }
 
 /* The orders as this pooler follows them, for one that has just started. They permit nothing. */
-static void add_followed(struct control *control, struct pooler_grant *grant)
+static void
+add_followed(struct control *control, struct pooler_grant *grant)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -183,8 +193,8 @@
 }
 
 /* The answer of a pooler that is not the coordinator: where that is, and what is known here. */
-static void send_hearsay(struct control *control, struct peer *peer,
-                         const struct pooler_heartbeat *heartbeat)
+static void
+send_hearsay(struct control *control, struct peer *peer, const struct pooler_heartbeat *heartbeat)
 {
     struct pooler_grant grant;
     pooler_grant_init(&grant);
@@ -197,8 +207,9 @@
 }
 
 /* Answers a heartbeat, or sends the orders unasked, without a permit. */
-static void send_grant(struct control *control, struct peer *peer, struct pooler_peer *pooler,
-                       const struct pooler_heartbeat *heartbeat, time_ns now)
+static void
+send_grant(struct control *control, struct peer *peer, struct pooler_peer *pooler,
+           const struct pooler_heartbeat *heartbeat, time_ns now)
 {
     struct pooler_grant grant;
     pooler_grant_init(&grant);
@@ -216,8 +227,8 @@
     pooler_grant_clear(&grant);
 }
 
-static void take_heartbeat(struct control *control, struct peer *peer,
-                           struct pooler_heartbeat *heartbeat)
+static void
+take_heartbeat(struct control *control, struct peer *peer, struct pooler_heartbeat *heartbeat)
 {
     time_ns now = backend_now();
     struct pooler_peer *pooler = pooler_of(control, heartbeat->name);
@@ -238,7 +249,8 @@
     control_wake_soon(control);
 }
 
-static bool on_frame(void *user, struct peer *peer, const uint8_t *data, size_t length)
+static bool
+on_frame(void *user, struct peer *peer, const uint8_t *data, size_t length)
 {
     struct control *control = user;
     struct pooler_heartbeat heartbeat = {0};
@@ -256,7 +268,8 @@
     return true;
 }
 
-static void on_closed(void *user, struct peer *peer)
+static void
+on_closed(void *user, struct peer *peer)
 {
     struct control *control = user;
     GHashTableIter iterator;
@@ -271,7 +284,8 @@
     g_ptr_array_remove(control->connected, peer);
 }
 
-static void on_acceptable(evutil_socket_t listener, short events, void *user)
+static void
+on_acceptable(evutil_socket_t listener, short events, void *user)
 {
     struct control *control = user;
     int handle = socket_accept(control->listener);
@@ -281,7 +295,8 @@
     }
 }
 
-bool control_coordinator_listen(struct control *control, GError **error)
+bool
+control_coordinator_listen(struct control *control, GError **error)
 {
     control->pooler_callbacks = (struct peer_callbacks){on_frame, on_closed, control};
     control->poolers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pooler_free);
@@ -298,7 +313,8 @@
     return true;
 }
 
-void control_coordinator_stop(struct control *control)
+void
+control_coordinator_stop(struct control *control)
 {
     while (control->connected->len > 0) {
         struct peer *peer = g_ptr_array_index(control->connected, 0);
@@ -311,7 +327,8 @@
     close(control->listener);
 }
 
-void control_coordinator_start(struct control *control)
+void
+control_coordinator_start(struct control *control)
 {
     g_hash_table_remove_all(control->poolers);
     control->coordinator_since = backend_now();
@@ -321,7 +338,8 @@
 
 /* Connections stay open: closing them at once would lose what was sent last, such as the cession of
  * the lease. Heartbeats are answered by hearsay from now on. */
-void control_coordinator_end(struct control *control)
+void
+control_coordinator_end(struct control *control)
 {
     control_groups_end(control);
     g_hash_table_remove_all(control->poolers);
@@ -329,7 +347,8 @@
 }
 
 /* The pooler that heard the store last; NULL if none has lately. */
-static struct pooler_peer *find_successor(const struct control *control, time_ns now)
+static struct pooler_peer *
+find_successor(const struct control *control, time_ns now)
 {
     struct pooler_peer *best = NULL;
     GHashTableIter iterator;
@@ -348,7 +367,8 @@
     return best;
 }
 
-bool control_coordinator_cede(struct control *control)
+bool
+control_coordinator_cede(struct control *control)
 {
     struct pooler_peer *successor = find_successor(control, backend_now());
     if (successor == NULL) {
@@ -365,7 +385,8 @@
     return true;
 }
 
-void control_coordinator_push(struct control *control)
+void
+control_coordinator_push(struct control *control)
 {
     time_ns now = backend_now();
     GHashTableIter iterator;
@@ -380,7 +401,8 @@
 }
 
 /* A pooler that is forgotten has to tell all again, which it does on a new connection. */
-static void drop_connection(struct control *control, struct pooler_peer *pooler)
+static void
+drop_connection(struct control *control, struct pooler_peer *pooler)
 {
     if (pooler->peer != NULL) {
         g_ptr_array_remove(control->connected, pooler->peer);
@@ -389,7 +411,8 @@
     }
 }
 
-void control_coordinator_tick(struct control *control, time_ns now)
+void
+control_coordinator_tick(struct control *control, time_ns now)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -17,23 +17,25 @@
 /* A pooler heard within this counts for opinions. */
 #define OPINION_FRESH_NS (700 * MS)
 
-static struct controlled_group *controlled_of(struct control *control,
-                                              const struct failover *failover)
+static struct controlled_group *
+controlled_of(struct control *control, const struct failover *failover)
 {
     return g_hash_table_lookup(control->controlled, failover->service);
 }
 
 static void release_group(gpointer data);
 
-static void on_command(void *user, const char *service, const char *database,
-                       const struct database_report *report)
+static void
+on_command(void *user, const char *service, const char *database,
+           const struct database_report *report)
 {
     struct controlled_group *group = user;
     failover_answered(group->failover, database, report, backend_now());
     control_wake_soon(group->control);
 }
 
-static struct database_control *connection_of(struct controlled_group *group, const char *database)
+static struct database_control *
+connection_of(struct controlled_group *group, const char *database)
 {
     struct database_control *connection = g_hash_table_lookup(group->connections, database);
     if (connection == NULL) {
@@ -44,8 +46,9 @@
     return connection;
 }
 
-static void ask(void *user, struct failover *failover, const char *database,
-                enum database_command command, uint64_t term)
+static void
+ask(void *user, struct failover *failover, const char *database, enum database_command command,
+    uint64_t term)
 {
     struct control *control = user;
     struct controlled_group *group = controlled_of(control, failover);
@@ -57,7 +60,8 @@
     database_control_ask(connection_of(group, database), &entry->address, command, term);
 }
 
-static void on_recorded(void *user, const struct store_answer *answer)
+static void
+on_recorded(void *user, const struct store_answer *answer)
 {
     struct controlled_group *group = user;
     if (answer->outcome == STORE_CONFLICT) {
@@ -72,7 +76,8 @@
 }
 
 /* The answer may come after this coordinator has ended: the call holds the group. */
-static void record(void *user, struct failover *failover, bool done)
+static void
+record(void *user, struct failover *failover, bool done)
 {
     struct control *control = user;
     struct controlled_group *group = controlled_of(control, failover);
@@ -98,7 +103,8 @@
     g_byte_array_unref(octets);
 }
 
-static enum failover_order order_of(enum promotion_outcome outcome)
+static enum failover_order
+order_of(enum promotion_outcome outcome)
 {
     switch (outcome) {
     case PROMOTION_ACCEPTED:
@@ -110,7 +116,8 @@
     }
 }
 
-static void on_ordered(void *user, enum promotion_outcome outcome)
+static void
+on_ordered(void *user, enum promotion_outcome outcome)
 {
     struct controlled_group *group = user;
     g_message("Group %s: the order of promotion was %s.", group->failover->service,
@@ -122,7 +129,8 @@
     release_group(group);
 }
 
-static void promote(void *user, struct failover *failover, const char *candidate)
+static void
+promote(void *user, struct failover *failover, const char *candidate)
 {
     struct control *control = user;
     if (!control_lease_holds(control, backend_now(), ORDER_MARGIN_NS)) {
@@ -135,12 +143,14 @@
                     on_ordered, g_rc_box_acquire(controlled_of(control, failover)));
 }
 
-static void publish(void *user, struct failover *failover)
+static void
+publish(void *user, struct failover *failover)
 {
     control_coordinator_push(user);
 }
 
-static bool closed(void *user, struct failover *failover)
+static bool
+closed(void *user, struct failover *failover)
 {
     struct control *control = user;
     time_ns now = backend_now();
@@ -158,7 +168,8 @@
     return true;
 }
 
-static bool drained(void *user, struct failover *failover)
+static bool
+drained(void *user, struct failover *failover)
 {
     struct control *control = user;
     GHashTableIter iterator;
@@ -173,12 +184,14 @@
     return true;
 }
 
-static void free_connection(gpointer data)
+static void
+free_connection(gpointer data)
 {
     database_control_free(data);
 }
 
-static void clear_group(gpointer data)
+static void
+clear_group(gpointer data)
 {
     struct controlled_group *group = data;
     g_hash_table_unref(group->connections);
@@ -186,12 +199,14 @@
 }
 
 /* Gives up one reference: the table's, or that of a call that has come back. */
-static void release_group(gpointer data)
+static void
+release_group(gpointer data)
 {
     g_rc_box_release_full(data, clear_group);
 }
 
-static void continue_record(struct controlled_group *group, const struct feed *records)
+static void
+continue_record(struct controlled_group *group, const struct feed *records)
 {
     g_autofree char *key = g_strconcat(RECORD_PREFIX, group->failover->service, NULL);
     const struct known_row *row = g_hash_table_lookup(records->rows, key);
@@ -208,7 +223,8 @@
     promotion_record_clear(&record);
 }
 
-static void add_group(struct control *control, const struct service *service)
+static void
+add_group(struct control *control, const struct service *service)
 {
     struct controlled_group *group = g_rc_box_new0(struct controlled_group);
     group->control = control;
@@ -221,7 +237,8 @@
     continue_record(group, &control->feeds[STORE_TABLE_CONTROL]);
 }
 
-static void add_groups(struct control *control)
+static void
+add_groups(struct control *control)
 {
     if (control->configuration == NULL) {
         return;
@@ -238,7 +255,8 @@
     }
 }
 
-void control_groups_start(struct control *control)
+void
+control_groups_start(struct control *control)
 {
     control->failover_actions = (struct failover_actions){
         ask, record, promote, publish, closed, drained, control,
@@ -250,7 +268,8 @@
 }
 
 /* Calls under way may still come back to the group: they hold it, and find it retired. */
-static gboolean retire(gpointer key, gpointer value, gpointer user)
+static gboolean
+retire(gpointer key, gpointer value, gpointer user)
 {
     struct controlled_group *group = value;
     group->retired = true;
@@ -258,14 +277,16 @@
     return TRUE;
 }
 
-void control_groups_end(struct control *control)
+void
+control_groups_end(struct control *control)
 {
     if (control->controlled != NULL) {
         g_hash_table_foreach_remove(control->controlled, retire, NULL);
     }
 }
 
-static void update_members(struct control *control, struct controlled_group *group, time_ns now)
+static void
+update_members(struct control *control, struct controlled_group *group, time_ns now)
 {
     struct failover *failover = group->failover;
     time_ns heartbeat = control->settings->store.heartbeat_ms * MS;
@@ -288,7 +309,8 @@
     }
 }
 
-static void count_fault(const struct pooler_fault *fault, struct failover_opinion *opinion)
+static void
+count_fault(const struct pooler_fault *fault, struct failover_opinion *opinion)
 {
     switch (fault->kind) {
     case DATABASE_FAULT_UNREACHABLE:
@@ -306,8 +328,9 @@
     }
 }
 
-static void gather(struct control *control, const struct failover *failover, time_ns now,
-                   struct failover_opinion *out)
+static void
+gather(struct control *control, const struct failover *failover, time_ns now,
+       struct failover_opinion *out)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -328,7 +351,8 @@
     }
 }
 
-static void close_unused(struct controlled_group *group, time_ns now)
+static void
+close_unused(struct controlled_group *group, time_ns now)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -339,7 +363,8 @@
     }
 }
 
-void control_groups_tick(struct control *control, time_ns now)
+void
+control_groups_tick(struct control *control, time_ns now)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -24,19 +24,22 @@
 /* Kept free at the end of the lease: nothing is done in it. */
 #define MARGIN_NS (150 * MS)
 
-bool control_lease_holds(const struct control *control, time_ns now, time_ns margin)
+bool
+control_lease_holds(const struct control *control, time_ns now, time_ns margin)
 {
     return control->lease.held && now + margin + MARGIN_NS < control->lease.until;
 }
 
-time_ns control_lease_left(const struct control *control, time_ns now)
+time_ns
+control_lease_left(const struct control *control, time_ns now)
 {
     const struct lease *lease = &control->lease;
     time_ns end = now + MARGIN_NS;
     return lease->held && end < lease->until ? lease->until - end : 0;
 }
 
-static void note_clock(struct lease *lease, const struct store_answer *answer, time_ns now)
+static void
+note_clock(struct lease *lease, const struct store_answer *answer, time_ns now)
 {
     if (answer->clock_ms != 0) {
         lease->clock_sent = lease->call_sent;
@@ -45,7 +48,8 @@
     }
 }
 
-static void take_record(struct lease *lease, const struct store_row *row)
+static void
+take_record(struct lease *lease, const struct store_row *row)
 {
     gsize length = 0;
     const uint8_t *data = g_bytes_get_data(row->value, &length);
@@ -61,7 +65,8 @@
 }
 
 /* Reads the lease's row out of the control table; keeps the other rows for the groups' records. */
-static void take_rows(struct control *control, const struct store_answer *answer)
+static void
+take_rows(struct control *control, const struct store_answer *answer)
 {
     for (guint i = 0; i < answer->rows->len; i++) {
         const struct store_row *row = g_ptr_array_index(answer->rows, i);
@@ -73,7 +78,8 @@
     }
 }
 
-void control_lease_lost(struct control *control, const char *why)
+void
+control_lease_lost(struct control *control, const char *why)
 {
     if (!control->lease.held) {
         return;
@@ -84,14 +90,16 @@
 }
 
 /* True if the row names this life of this pooler. */
-static bool is_ours(const struct control *control)
+static bool
+is_ours(const struct control *control)
 {
     const struct lease_record *record = &control->lease.record;
     return record->holder != NULL && g_str_equal(record->holder, control->settings->pooler.name) &&
            record->incarnation == control->incarnation;
 }
 
-void control_lease_take(struct control *control, const struct store_answer *answer)
+void
+control_lease_take(struct control *control, const struct store_answer *answer)
 {
     take_rows(control, answer);
     if (control->lease.held && !is_ours(control)) {
@@ -105,7 +113,8 @@
 static void consider(struct control *control, time_ns now);
 
 /* Proposes to hold the lease from now on, under the condition that the row is as last seen. */
-static void propose(struct control *control, uint64_t token, bool give_up, time_ns now)
+static void
+propose(struct control *control, uint64_t token, bool give_up, time_ns now)
 {
     struct lease *lease = &control->lease;
     uint64_t store_now = lease->clock_ms + (now - lease->clock_received) / MS;
@@ -127,7 +136,8 @@
 
 /* The row is ours: until when, by our clock? The store's clock was read between the sending and the
  * receipt of an earlier answer, so that the lease may end earlier by that much. */
-static void become_holder(struct control *control, time_ns proposed_at, time_ns now)
+static void
+become_holder(struct control *control, time_ns proposed_at, time_ns now)
 {
     struct lease *lease = &control->lease;
     bool renewed = lease->held;
@@ -146,7 +156,8 @@
     }
 }
 
-static void on_written(void *user, const struct store_answer *answer)
+static void
+on_written(void *user, const struct store_answer *answer)
 {
     struct control *control = user;
     struct lease *lease = &control->lease;
@@ -181,7 +192,8 @@
 
 /* True if the row names an earlier life of this pooler, which is over, or this one, which has lost
  * the lease meanwhile. */
-static bool is_own_earlier(const struct control *control)
+static bool
+is_own_earlier(const struct control *control)
 {
     const struct lease_record *record = &control->lease.record;
     return record->holder != NULL && g_str_equal(record->holder, control->settings->pooler.name);
@@ -189,7 +201,8 @@
 
 /* Each taking of the lease raises the token, also by the same pooler: what an earlier one ordered
  * must rank below. */
-static void consider(struct control *control, time_ns now)
+static void
+consider(struct control *control, time_ns now)
 {
     struct lease *lease = &control->lease;
     const struct lease_record *record = &lease->record;
@@ -206,8 +219,9 @@
 }
 
 /* What an answer of the store told of the lease, and how old the question was. */
-static void log_answer(const struct control *control, const char *call,
-                       const struct store_answer *answer, time_ns now)
+static void
+log_answer(const struct control *control, const char *call, const struct store_answer *answer,
+           time_ns now)
 {
     const struct lease *lease = &control->lease;
     g_autofree char *token = g_strdup_printf("%" PRIu64, lease->record.token);
@@ -222,7 +236,8 @@
                      lease->record.holder == NULL ? "nobody" : lease->record.holder);
 }
 
-static void on_looked(void *user, const struct store_answer *answer)
+static void
+on_looked(void *user, const struct store_answer *answer)
 {
     struct control *control = user;
     struct lease *lease = &control->lease;
@@ -240,14 +255,16 @@
     consider(control, now);
 }
 
-static void look(struct control *control, time_ns now)
+static void
+look(struct control *control, time_ns now)
 {
     control->lease.calling = true;
     control->lease.call_sent = now;
     store_read(control->store, STORE_TABLE_CONTROL, on_looked, control);
 }
 
-void control_lease_tick(struct control *control, time_ns now)
+void
+control_lease_tick(struct control *control, time_ns now)
 {
     struct lease *lease = &control->lease;
     if (lease->held && now + MARGIN_NS >= lease->until) {
@@ -268,14 +285,16 @@
     }
 }
 
-bool control_lease_is_failing(const struct control *control, time_ns now)
+bool
+control_lease_is_failing(const struct control *control, time_ns now)
 {
     const struct lease *lease = &control->lease;
     return lease->held && lease->calling && now > lease->call_sent + FAILING_NS &&
            now > lease->answered_at + FAILING_NS;
 }
 
-void control_lease_ceded(struct control *control, uint64_t token)
+void
+control_lease_ceded(struct control *control, uint64_t token)
 {
     g_message("The lease under token %" PRIu64 " is left to us.", token);
     control->lease.ceded_token = token;
@@ -285,7 +304,8 @@
     control_wake_soon(control);
 }
 
-void control_lease_release(struct control *control)
+void
+control_lease_release(struct control *control)
 {
     struct lease *lease = &control->lease;
     if (!lease->held) {
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -23,7 +23,8 @@
 #define NOT_YET_NS     (40 * MS)
 #define NOT_YET_FOR_NS (200 * MS)
 
-static uint64_t epoch_followed(const struct control *control, const struct group_state *group)
+static uint64_t
+epoch_followed(const struct control *control, const struct group_state *group)
 {
     uint64_t epoch = UINT64_MAX;
     for (unsigned i = 0; i < control->workers_count; i++) {
@@ -32,7 +33,8 @@
     return epoch;
 }
 
-static uint32_t in_flight(const struct control *control, const struct group_state *group)
+static uint32_t
+in_flight(const struct control *control, const struct group_state *group)
 {
     uint32_t count = 0;
     for (unsigned i = 0; i < control->workers_count; i++) {
@@ -41,8 +43,8 @@
     return count;
 }
 
-static void add_fault(struct pooler_group_report *report, const struct member_shared *member,
-                      time_ns now)
+static void
+add_fault(struct pooler_group_report *report, const struct member_shared *member, time_ns now)
 {
     unsigned fault = atomic_load(&member->fault);
     if (fault == DATABASE_FAULT_NONE) {
@@ -57,8 +59,9 @@
 
 #define FAULTS_MAX 16
 
-static void fill_report(struct control *control, const struct group_state *group, time_ns now,
-                        struct pooler_group_report *report)
+static void
+fill_report(struct control *control, const struct group_state *group, time_ns now,
+            struct pooler_group_report *report)
 {
     report->service = g_strdup(group->shared->service);
     report->epoch = epoch_followed(control, group);
@@ -78,7 +81,8 @@
 }
 
 /* Time since the store last answered, by either feed. */
-static uint32_t store_age_ms(const struct control *control, time_ns now)
+static uint32_t
+store_age_ms(const struct control *control, time_ns now)
 {
     time_ns newest = MAX(control->feeds[STORE_TABLE_CONFIGURATION].current_at,
                          control->feeds[STORE_TABLE_DIRECTORY].current_at);
@@ -86,7 +90,8 @@
 }
 
 /* True if the coordinator does not know this of the group. Notes it as told. */
-static bool is_news(struct group_state *group, const struct pooler_group_report *report)
+static bool
+is_news(struct group_state *group, const struct pooler_group_report *report)
 {
     bool same = group->told && group->told_epoch == report->epoch && group->told_faults == 0 &&
                 report->faults_count == 0;
@@ -98,7 +103,8 @@
 }
 
 /* Another coordinator, or another connection to it, knows nothing yet. */
-static void forget_told(struct control *control)
+static void
+forget_told(struct control *control)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -108,7 +114,8 @@
     }
 }
 
-static void fill_heartbeat(struct control *control, time_ns now, struct pooler_heartbeat *out)
+static void
+fill_heartbeat(struct control *control, time_ns now, struct pooler_heartbeat *out)
 {
     out->name = g_strdup(control->settings->pooler.name);
     out->zone = g_strdup(control->settings->pooler.zone);
@@ -135,7 +142,8 @@
     }
 }
 
-static void send_heartbeat(struct control *control, time_ns now)
+static void
+send_heartbeat(struct control *control, time_ns now)
 {
     struct pooler_heartbeat heartbeat;
     pooler_heartbeat_init(&heartbeat);
@@ -147,14 +155,16 @@
 }
 
 /* When the heartbeat of this sequence was sent; 0 if it is no longer known. */
-static time_ns sending_of(const struct control *control, uint64_t sequence)
+static time_ns
+sending_of(const struct control *control, uint64_t sequence)
 {
     bool known = sequence != 0 && sequence <= control->sequence &&
                  sequence + HEARTBEATS_KEPT > control->sequence;
     return known ? control->sent_at[sequence % HEARTBEATS_KEPT] : 0;
 }
 
-static void take_order(struct control *control, const struct pooler_group_order *order)
+static void
+take_order(struct control *control, const struct pooler_group_order *order)
 {
     struct group_state *group = control_group(control, order->service);
     if (order->epoch <= group->epoch) {
@@ -176,8 +186,8 @@
 
 /* The grant permits reads at the primaries that this coordinator has named, once the workers follow
  * its order: a worker that still follows an older one would read at a replaced primary. */
-static void take_permit(struct control *control, struct group_state *group, uint64_t token,
-                        time_ns until)
+static void
+take_permit(struct control *control, struct group_state *group, uint64_t token, time_ns until)
 {
     bool good = group->phase == GROUP_PHASE_OPEN && group->epoch >> EPOCH_SHIFT == token &&
                 epoch_followed(control, group) == group->epoch;
@@ -188,7 +198,8 @@
     }
 }
 
-static void take_permits(struct control *control, uint64_t token, time_ns until)
+static void
+take_permits(struct control *control, uint64_t token, time_ns until)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -198,7 +209,8 @@
     }
 }
 
-static void take_rows(struct control *control, const struct pooler_grant *grant)
+static void
+take_rows(struct control *control, const struct pooler_grant *grant)
 {
     for (size_t i = 0; i < grant->rows_count; i++) {
         const struct pooler_row *row = &grant->rows[i];
@@ -210,7 +222,8 @@
     }
 }
 
-static void take_grant(struct control *control, const struct pooler_grant *grant, time_ns now)
+static void
+take_grant(struct control *control, const struct pooler_grant *grant, time_ns now)
 {
     time_ns sent = sending_of(control, grant->sequence);
     bool orders_changed = false;
@@ -239,7 +252,8 @@
 
 /* What a pooler knows that is not the coordinator: enough to serve by, where neither the store nor
  * a coordinator can be reached. It permits nothing, and obeys nobody. */
-static void take_hearsay(struct control *control, const struct pooler_grant *grant)
+static void
+take_hearsay(struct control *control, const struct pooler_grant *grant)
 {
     for (size_t i = 0; i < grant->groups_count; i++) {
         take_order(control, &grant->groups[i]);
@@ -249,7 +263,8 @@
 }
 
 /* False if the connection is of no more use. */
-static bool take_answer(struct control *control, const struct pooler_grant *grant)
+static bool
+take_answer(struct control *control, const struct pooler_grant *grant)
 {
     time_ns now = backend_now();
     if (grant->cedes) {
@@ -278,7 +293,8 @@
     return true;
 }
 
-static bool on_frame(void *user, struct peer *peer, const uint8_t *data, size_t length)
+static bool
+on_frame(void *user, struct peer *peer, const uint8_t *data, size_t length)
 {
     struct control *control = user;
     struct pooler_grant grant = {0};
@@ -294,7 +310,8 @@
     return keep;
 }
 
-static void on_closed(void *user, struct peer *peer)
+static void
+on_closed(void *user, struct peer *peer)
 {
     struct control *control = user;
     if (control->coordinator == peer) {
@@ -302,7 +319,8 @@
     }
 }
 
-void control_member_set_coordinator(struct control *control, const char *address)
+void
+control_member_set_coordinator(struct control *control, const char *address)
 {
     if (address == NULL || g_strcmp0(address, control->coordinator_address) == 0) {
         return;
@@ -315,7 +333,8 @@
 }
 
 /* The address to connect to: the coordinator's, or another pooler's that may know it. */
-static const char *next_address(struct control *control, time_ns now)
+static const char *
+next_address(struct control *control, time_ns now)
 {
     const struct address_list *peers = &control->settings->pooler.peers;
     bool lost = now > control->granted_at + GRANT_TIMEOUT_NS * 2;
@@ -331,7 +350,8 @@
     return control->coordinator_address;
 }
 
-static void connect_anew(struct control *control, time_ns now)
+static void
+connect_anew(struct control *control, time_ns now)
 {
     struct sockaddr_in address;
     if (control->coordinator != NULL) {
@@ -350,7 +370,8 @@
 }
 
 /* A new fault, or work that has ended, is told at once. */
-static uint64_t digest_of_faults(const struct control *control)
+static uint64_t
+digest_of_faults(const struct control *control)
 {
     uint64_t digest = 0;
     GHashTableIter iterator;
@@ -369,7 +390,8 @@
     return digest;
 }
 
-void control_member_tick(struct control *control, time_ns now)
+void
+control_member_tick(struct control *control, time_ns now)
 {
     bool quiet = now > MAX(control->granted_at, control->connected_at) + GRANT_TIMEOUT_NS;
     bool unanswered = control->coordinator != NULL &&
@@ -391,7 +413,8 @@
     }
 }
 
-void control_member_stop(struct control *control)
+void
+control_member_stop(struct control *control)
 {
     if (control->coordinator != NULL) {
         peer_free(control->coordinator);
--- a/src/pooler/control_store.c
+++ b/src/pooler/control_store.c
@@ -16,7 +16,8 @@
 #define RETRY_MIN_NS (150 * MS)
 #define RETRY_MAX_NS (1200 * MS)
 
-static void free_row(gpointer data)
+static void
+free_row(gpointer data)
 {
     struct known_row *row = data;
     g_free(row->key);
@@ -24,7 +25,8 @@
     g_free(row);
 }
 
-void control_feeds_start(struct control *control)
+void
+control_feeds_start(struct control *control)
 {
     for (int table = 0; table < STORE_TABLE_COUNT; table++) {
         struct feed *feed = &control->feeds[table];
@@ -34,7 +36,8 @@
     }
 }
 
-static void take_configuration(struct control *control, GBytes *value)
+static void
+take_configuration(struct control *control, GBytes *value)
 {
     gsize length = 0;
     const char *text = g_bytes_get_data(value, &length);
@@ -58,8 +61,8 @@
     control->view_dirty = true;
 }
 
-static void take_directory_row(struct control *control, const char *id, uint64_t version,
-                               GBytes *value)
+static void
+take_directory_row(struct control *control, const char *id, uint64_t version, GBytes *value)
 {
     struct directory_entry *entry = NULL;
     if (value != NULL) {
@@ -81,7 +84,8 @@
     }
 }
 
-static void remember(struct feed *feed, const char *key, uint64_t version, GBytes *value)
+static void
+remember(struct feed *feed, const char *key, uint64_t version, GBytes *value)
 {
     struct known_row *row = g_new0(struct known_row, 1);
     row->key = g_strdup(key);
@@ -92,8 +96,9 @@
     g_hash_table_replace(feed->rows, row->key, row);
 }
 
-void control_take_row(struct control *control, enum store_table table, const char *key,
-                      uint64_t version, GBytes *value)
+void
+control_take_row(struct control *control, enum store_table table, const char *key, uint64_t version,
+                 GBytes *value)
 {
     struct feed *feed = &control->feeds[table];
     const struct known_row *known = g_hash_table_lookup(feed->rows, key);
@@ -109,7 +114,8 @@
     }
 }
 
-static void take_rows(struct feed *feed, const struct store_answer *answer)
+static void
+take_rows(struct feed *feed, const struct store_answer *answer)
 {
     for (guint i = 0; i < answer->rows->len; i++) {
         const struct store_row *row = g_ptr_array_index(answer->rows, i);
@@ -119,7 +125,8 @@
 }
 
 /* Rows that a whole listing lacks are gone. */
-static void drop_missing(struct feed *feed, const struct store_answer *answer)
+static void
+drop_missing(struct feed *feed, const struct store_answer *answer)
 {
     g_autoptr(GHashTable) present = g_hash_table_new(g_str_hash, g_str_equal);
     for (guint i = 0; i < answer->rows->len; i++) {
@@ -142,7 +149,8 @@
     }
 }
 
-static void note_good(struct feed *feed, time_ns now)
+static void
+note_good(struct feed *feed, time_ns now)
 {
     if (feed->failures > 0) {
         g_message("The store answers again for table %d, after %u failures.", (int)feed->table,
@@ -153,7 +161,8 @@
     feed->next_at = feed->table == STORE_TABLE_DIRECTORY ? now + DIRECTORY_EVERY_NS : now;
 }
 
-static void note_failure(struct feed *feed, enum store_outcome outcome, time_ns now)
+static void
+note_failure(struct feed *feed, enum store_outcome outcome, time_ns now)
 {
     if (feed->failures == 0) {
         g_message("The store does not serve table %d: %s.", (int)feed->table,
@@ -164,7 +173,8 @@
     feed->next_at = now + wait / 2 + (time_ns)g_random_int_range(0, (gint32)(wait / 2000)) * 1000;
 }
 
-static void on_listing(void *user, const struct store_answer *answer)
+static void
+on_listing(void *user, const struct store_answer *answer)
 {
     struct feed *feed = user;
     time_ns now = backend_now();
@@ -180,7 +190,8 @@
     control_wake_soon(feed->control);
 }
 
-static void on_changes(void *user, const struct store_answer *answer)
+static void
+on_changes(void *user, const struct store_answer *answer)
 {
     struct feed *feed = user;
     time_ns now = backend_now();
@@ -201,7 +212,8 @@
     control_wake_soon(feed->control);
 }
 
-static void call(struct feed *feed)
+static void
+call(struct feed *feed)
 {
     struct control *control = feed->control;
     feed->calling = true;
@@ -213,7 +225,8 @@
     store_watch(control->store, feed->table, feed->version, wait_ms, on_changes, feed);
 }
 
-void control_feeds_tick(struct control *control, time_ns now)
+void
+control_feeds_tick(struct control *control, time_ns now)
 {
     time_ns heartbeat = control->settings->store.heartbeat_ms * MS;
     for (int table = 0; table < STORE_TABLE_CONTROL; table++) {
--- a/src/pooler/control_view.c
+++ b/src/pooler/control_view.c
@@ -11,7 +11,8 @@
 /* Share of connections where nobody has told how many poolers there are. */
 #define MEMBERS_ASSUMED 12
 
-struct member_shared *control_member(struct control *control, const char *id)
+struct member_shared *
+control_member(struct control *control, const char *id)
 {
     struct member_shared *member = g_hash_table_lookup(control->members, id);
     if (member == NULL) {
@@ -22,7 +23,8 @@
     return member;
 }
 
-struct group_state *control_group(struct control *control, const char *service)
+struct group_state *
+control_group(struct control *control, const char *service)
 {
     struct group_state *group = g_hash_table_lookup(control->groups, service);
     if (group == NULL) {
@@ -35,7 +37,8 @@
     return group;
 }
 
-static uint32_t connections_of(const struct control *control, const struct service *service)
+static uint32_t
+connections_of(const struct control *control, const struct service *service)
 {
     uint32_t members = control->members_told > 0 ? control->members_told : MEMBERS_ASSUMED;
     uint32_t room = service->max_connections > CONNECTIONS_SPARE
@@ -45,7 +48,8 @@
     return MAX(share, 1);
 }
 
-static size_t count_members(const struct control *control, const char *service)
+static size_t
+count_members(const struct control *control, const char *service)
 {
     size_t count = 0;
     GHashTableIter iterator;
@@ -57,8 +61,9 @@
     return count;
 }
 
-static void fill_member(struct control *control, const struct directory_entry *entry, time_ns now,
-                        struct member_view *out)
+static void
+fill_member(struct control *control, const struct directory_entry *entry, time_ns now,
+            struct member_view *out)
 {
     time_ns heartbeat = control->settings->store.heartbeat_ms * MS;
     out->shared = control_member(control, entry->id);
@@ -68,7 +73,8 @@
 }
 
 /* The one database that says of itself that it leads; NULL if none or several do. */
-static const char *find_self_declared(const struct control *control, const char *service)
+static const char *
+find_self_declared(const struct control *control, const char *service)
 {
     const char *found = NULL;
     GHashTableIter iterator;
@@ -90,8 +96,8 @@
 /* Before any order is known, as after a loss of power, work goes to the database that says it
  * leads: a replaced one can acknowledge nothing, and reads there are proven by the databases'
  * statuses. */
-static void fill_unordered(struct control *control, const struct service *service,
-                           struct group_state *assumed)
+static void
+fill_unordered(struct control *control, const struct service *service, struct group_state *assumed)
 {
     if (assumed->epoch == 0 && service->sync_replicas > 0) {
         assumed->primary = (char *)find_self_declared(control, service->name);
@@ -99,8 +105,9 @@
     }
 }
 
-static void fill_group(struct control *control, const struct service *service, time_ns now,
-                       struct pooled_group *out)
+static void
+fill_group(struct control *control, const struct service *service, time_ns now,
+           struct pooled_group *out)
 {
     struct group_state assumed = *control_group(control, service->name);
     const struct group_state *state = &assumed;
@@ -131,7 +138,8 @@
     }
 }
 
-void control_publish(struct control *control)
+void
+control_publish(struct control *control)
 {
     if (!control->view_dirty || control->configuration == NULL) {
         return;
@@ -155,7 +163,8 @@
 }
 
 /* True if some database is known that no fault stands against. */
-static bool any_database_answers(const struct control *control)
+static bool
+any_database_answers(const struct control *control)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -170,7 +179,8 @@
     return false;
 }
 
-bool control_is_ready(const struct control *control)
+bool
+control_is_ready(const struct control *control)
 {
     return control->configuration != NULL && atomic_load(&control->shared.stop_at) == 0 &&
            any_database_answers(control);
--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -31,7 +31,8 @@
 /* Wait after the database had too many connections. */
 #define OVERLOADED_WAIT_NS (150 * NANOSECONDS_PER_MILLISECOND)
 
-struct database *database_new(struct group *group, struct member_shared *shared)
+struct database *
+database_new(struct group *group, struct member_shared *shared)
 {
     struct database *database = g_new0(struct database, 1);
     database->group = group;
@@ -41,18 +42,21 @@
     return database;
 }
 
-void database_free(struct database *database)
+void
+database_free(struct database *database)
 {
     g_ptr_array_unref(database->servers);
     g_free(database);
 }
 
-enum database_fault database_fault(const struct database *database)
+enum database_fault
+database_fault(const struct database *database)
 {
     return (enum database_fault)atomic_load(&database->shared->fault);
 }
 
-void database_set_fault(struct database *database, enum database_fault fault, time_ns now)
+void
+database_set_fault(struct database *database, enum database_fault fault, time_ns now)
 {
     enum database_fault old = database_fault(database);
     if (old == fault) {
@@ -67,7 +71,8 @@
     worker_alert(database->group->worker);
 }
 
-void database_answered(struct database *database, time_ns now)
+void
+database_answered(struct database *database, time_ns now)
 {
     atomic_store_explicit(&database->shared->answered_at, now, memory_order_relaxed);
     database->failures = 0;
@@ -77,7 +82,8 @@
     }
 }
 
-void database_open_failed(struct database *database, enum answer_code code)
+void
+database_open_failed(struct database *database, enum answer_code code)
 {
     time_ns now = backend_now();
     metrics_count(&database->group->worker->metrics, METRICS_CONNECTIONS_FAILED);
@@ -92,14 +98,16 @@
 }
 
 /* How much must be set up before the connection suits the session; lower is better. */
-static unsigned setup_cost(const struct server *server, const struct session *session)
+static unsigned
+setup_cost(const struct server *server, const struct session *session)
 {
     guint held = g_hash_table_size(server->values);
     guint wanted = session->values == NULL ? 0 : g_hash_table_size(session->values);
     return held > wanted ? 2 : held != wanted;
 }
 
-struct server *database_idle_server(const struct database *database, const struct session *session)
+struct server *
+database_idle_server(const struct database *database, const struct session *session)
 {
     struct server *best = NULL;
     unsigned best_cost = 0;
@@ -119,7 +127,8 @@
     return best;
 }
 
-struct server *database_any_idle(const struct database *database)
+struct server *
+database_any_idle(const struct database *database)
 {
     for (guint i = 0; i < database->servers->len; i++) {
         struct server *server = g_ptr_array_index(database->servers, i);
@@ -130,7 +139,8 @@
     return NULL;
 }
 
-static unsigned count_opening(const struct database *database)
+static unsigned
+count_opening(const struct database *database)
 {
     unsigned count = 0;
     for (guint i = 0; i < database->servers->len; i++) {
@@ -140,14 +150,16 @@
     return count;
 }
 
-bool database_may_open(const struct database *database, time_ns now)
+bool
+database_may_open(const struct database *database, time_ns now)
 {
     return database->servers->len < database->group->connections && now >= database->retry_at &&
            count_opening(database) < 2;
 }
 
-void database_close_where(struct database *database, server_predicate *matches, time_ns now,
-                          enum answer_code reason)
+void
+database_close_where(struct database *database, server_predicate *matches, time_ns now,
+                     enum answer_code reason)
 {
     /* Closing one may close others; closed ones are freed only after the callback. */
     g_autoptr(GPtrArray) servers = g_ptr_array_copy(database->servers, NULL, NULL);
@@ -159,18 +171,21 @@
     }
 }
 
-static bool is_idle(const struct server *server, time_ns now)
+static bool
+is_idle(const struct server *server, time_ns now)
 {
     return server->state == SERVER_IDLE;
 }
 
-void database_close_idle(struct database *database)
+void
+database_close_idle(struct database *database)
 {
     database_close_where(database, is_idle, 0, ANSWER_NONE);
 }
 
 /* When the oldest statement without an answer was sent; 0 if there is none. */
-static time_ns oldest_sent(const struct database *database, bool writes_only)
+static time_ns
+oldest_sent(const struct database *database, bool writes_only)
 {
     time_ns oldest = 0;
     for (guint i = 0; i < database->servers->len; i++) {
@@ -184,7 +199,8 @@
 }
 
 /* Reads outside of transactions at a silent database go elsewhere. */
-static bool is_read_or_idle(const struct server *server, time_ns now)
+static bool
+is_read_or_idle(const struct server *server, time_ns now)
 {
     bool read =
         server->state == SERVER_RUNNING && !server->in_transaction && !server->running_writes;
@@ -193,7 +209,8 @@
 
 /* While a database answers others, a statement without an answer for so long has lost it. Reads
  * go elsewhere, and transactions are rolled back, in time for the client to try again. */
-static bool has_lost_answer(const struct server *server, time_ns now)
+static bool
+has_lost_answer(const struct server *server, time_ns now)
 {
     const struct database *database = server->database;
     time_ns answered = atomic_load(&database->shared->answered_at);
@@ -205,14 +222,16 @@
 
 /* A statement whose client has left, and a status, have nobody who waits for them: without an
  * answer their connections would be held for ever. */
-static bool is_orphan(const struct server *server, time_ns now)
+static bool
+is_orphan(const struct server *server, time_ns now)
 {
     time_ns patience = server->checking ? STATUS_MAX_NS : ORPHAN_MAX_NS;
     return server->state == SERVER_RUNNING && server->session == NULL &&
            now > server->sent_at + patience;
 }
 
-static void check_silence(struct database *database, time_ns now)
+static void
+check_silence(struct database *database, time_ns now)
 {
     time_ns sent = oldest_sent(database, false);
     time_ns answered = atomic_load(&database->shared->answered_at);
@@ -224,7 +243,8 @@
     }
 }
 
-static void check_stall(struct database *database, time_ns now)
+static void
+check_stall(struct database *database, time_ns now)
 {
     time_ns sent = oldest_sent(database, true);
     /* A write that others overtake has lost its answer: replication goes on. */
@@ -239,7 +259,8 @@
 
 /* Connections beyond the first that are no longer used are closed: after a loss of power a database
  * counts them for seconds, beside those that are opened then. */
-static void close_unused(struct database *database, time_ns now)
+static void
+close_unused(struct database *database, time_ns now)
 {
     for (guint i = database->servers->len; i > 0 && database->servers->len > 1; i--) {
         struct server *server = g_ptr_array_index(database->servers, i - 1);
@@ -250,7 +271,8 @@
 }
 
 /* A primary that refused to lead is asked again after a while, unless another leads by then. */
-static void check_refusal(struct database *database, time_ns now)
+static void
+check_refusal(struct database *database, time_ns now)
 {
     time_ns since = atomic_load(&database->shared->fault_since);
     if (database_fault(database) == DATABASE_FAULT_REFUSING && now > since + REFUSAL_KEPT_NS) {
@@ -258,7 +280,8 @@
     }
 }
 
-void database_tick(struct database *database, time_ns now)
+void
+database_tick(struct database *database, time_ns now)
 {
     check_refusal(database, now);
     close_unused(database, now);
--- a/src/pooler/database_control.c
+++ b/src/pooler/database_control.c
@@ -37,9 +37,9 @@
 static void on_event(evutil_socket_t socket, short events, void *user);
 static void on_timer(evutil_socket_t socket, short events, void *user);
 
-struct database_control *database_control_new(struct event_base *base, const char *service,
-                                              const char *database,
-                                              database_control_callback *callback, void *user)
+struct database_control *
+database_control_new(struct event_base *base, const char *service, const char *database,
+                     database_control_callback *callback, void *user)
 {
     struct database_control *control = g_new0(struct database_control, 1);
     control->base = base;
@@ -52,7 +52,8 @@
     return control;
 }
 
-static void disconnect(struct database_control *control)
+static void
+disconnect(struct database_control *control)
 {
     if (control->socket < 0) {
         return;
@@ -66,7 +67,8 @@
     buffer_clear(&control->out);
 }
 
-void database_control_free(struct database_control *control)
+void
+database_control_free(struct database_control *control)
 {
     disconnect(control);
     event_free(control->timer);
@@ -75,7 +77,8 @@
     g_free(control);
 }
 
-static void finish(struct database_control *control, const struct database_report *report)
+static void
+finish(struct database_control *control, const struct database_report *report)
 {
     if (!control->asking) {
         return;
@@ -85,13 +88,15 @@
     control->callback(control->user, control->service, control->database, report);
 }
 
-static void fail(struct database_control *control)
+static void
+fail(struct database_control *control)
 {
     disconnect(control);
     finish(control, NULL);
 }
 
-static void write_command(struct database_control *control)
+static void
+write_command(struct database_control *control)
 {
     switch (control->command) {
     case DATABASE_COMMAND_STATUS:
@@ -109,7 +114,8 @@
     }
 }
 
-static void flush(struct database_control *control)
+static void
+flush(struct database_control *control)
 {
     switch (buffer_send(&control->out, control->socket)) {
     case TRANSFER_DONE:
@@ -123,7 +129,8 @@
     }
 }
 
-static void on_ready(struct database_control *control)
+static void
+on_ready(struct database_control *control)
 {
     if (!control->started) {
         control->started = true;
@@ -134,7 +141,8 @@
     finish(control, control->has_report ? &control->report : NULL);
 }
 
-static void process(struct database_control *control)
+static void
+process(struct database_control *control)
 {
     while (control->socket >= 0) {
         struct span content = buffer_content(&control->in);
@@ -158,7 +166,8 @@
     }
 }
 
-static void on_event(evutil_socket_t socket, short events, void *user)
+static void
+on_event(evutil_socket_t socket, short events, void *user)
 {
     struct database_control *control = user;
     if (events & EV_WRITE) {
@@ -177,12 +186,14 @@
     }
 }
 
-static void on_timer(evutil_socket_t socket, short events, void *user)
+static void
+on_timer(evutil_socket_t socket, short events, void *user)
 {
     fail(user);
 }
 
-static bool connect_to(struct database_control *control, const struct sockaddr_in *address)
+static bool
+connect_to(struct database_control *control, const struct sockaddr_in *address)
 {
     int handle = socket_connect(address, 0);
     if (handle < 0) {
@@ -197,8 +208,9 @@
     return true;
 }
 
-bool database_control_ask(struct database_control *control, const struct sockaddr_in *address,
-                          enum database_command command, uint64_t term)
+bool
+database_control_ask(struct database_control *control, const struct sockaddr_in *address,
+                     enum database_command command, uint64_t term)
 {
     if (control->asking) {
         return false;
@@ -224,7 +236,8 @@
     return true;
 }
 
-void database_control_close_unused(struct database_control *control, time_ns before)
+void
+database_control_close_unused(struct database_control *control, time_ns before)
 {
     if (!control->asking && control->socket >= 0 && control->used < before) {
         disconnect(control);
--- a/src/pooler/directory.c
+++ b/src/pooler/directory.c
@@ -3,12 +3,14 @@
 
 #include <string.h>
 
-static void free_entry(gpointer data)
+static void
+free_entry(gpointer data)
 {
     directory_entry_free(data);
 }
 
-void directory_entry_free(struct directory_entry *entry)
+void
+directory_entry_free(struct directory_entry *entry)
 {
     if (entry == NULL) {
         return;
@@ -19,17 +21,20 @@
     g_free(entry);
 }
 
-void directory_init(struct directory *directory)
+void
+directory_init(struct directory *directory)
 {
     directory->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
 }
 
-void directory_clear(struct directory *directory)
+void
+directory_clear(struct directory *directory)
 {
     g_clear_pointer(&directory->entries, g_hash_table_unref);
 }
 
-static bool same_content(const struct directory_entry *a, const struct directory_entry *b)
+static bool
+same_content(const struct directory_entry *a, const struct directory_entry *b)
 {
     return g_str_equal(a->service, b->service) && g_str_equal(a->zone, b->zone) &&
            a->address.sin_addr.s_addr == b->address.sin_addr.s_addr &&
@@ -37,7 +42,8 @@
            a->draining == b->draining && a->leads == b->leads;
 }
 
-static bool mark_gone(struct directory_entry *known, uint64_t version, time_ns now)
+static bool
+mark_gone(struct directory_entry *known, uint64_t version, time_ns now)
 {
     bool changed = known->gone_at == 0;
     known->version = version;
@@ -47,8 +53,9 @@
     return changed;
 }
 
-bool directory_take(struct directory *directory, const char *id, uint64_t version,
-                    struct directory_entry *entry, time_ns now)
+bool
+directory_take(struct directory *directory, const char *id, uint64_t version,
+               struct directory_entry *entry, time_ns now)
 {
     struct directory_entry *known = g_hash_table_lookup(directory->entries, id);
     if (known != NULL && known->version >= version) {
@@ -64,8 +71,8 @@
     return changed;
 }
 
-bool directory_keep_only(struct directory *directory, GHashTable *ids, uint64_t version,
-                         time_ns now)
+bool
+directory_keep_only(struct directory *directory, GHashTable *ids, uint64_t version, time_ns now)
 {
     bool changed = false;
     GHashTableIter iterator;
@@ -80,7 +87,8 @@
     return changed;
 }
 
-bool directory_entry_leaves(const struct directory_entry *entry, time_ns now, time_ns heartbeat)
+bool
+directory_entry_leaves(const struct directory_entry *entry, time_ns now, time_ns heartbeat)
 {
     if (entry->draining) {
         return true;
@@ -89,7 +97,8 @@
            now >= entry->gone_at + heartbeat * DIRECTORY_GONE_AFTER_HEARTBEATS;
 }
 
-bool directory_forget(struct directory *directory, time_ns now, time_ns age)
+bool
+directory_forget(struct directory *directory, time_ns now, time_ns age)
 {
     guint before = g_hash_table_size(directory->entries);
     GHashTableIter iterator;
--- a/src/pooler/failover.c
+++ b/src/pooler/failover.c
@@ -31,19 +31,22 @@
 static const char *const state_names[] = {"searching", "watching",  "draining",  "fencing",
                                           "recording", "promoting", "confirming"};
 
-const char *failover_state_name(enum failover_state state)
+const char *
+failover_state_name(enum failover_state state)
 {
     return state_names[state];
 }
 
-static void free_member(gpointer data)
+static void
+free_member(gpointer data)
 {
     struct failover_member *member = data;
     g_free(member->id);
     g_free(member);
 }
 
-struct failover *failover_new(const char *service, const struct failover_actions *actions)
+struct failover *
+failover_new(const char *service, const struct failover_actions *actions)
 {
     struct failover *failover = g_new0(struct failover, 1);
     failover->service = g_strdup(service);
@@ -53,7 +56,8 @@
     return failover;
 }
 
-void failover_free(struct failover *failover)
+void
+failover_free(struct failover *failover)
 {
     g_ptr_array_unref(failover->members);
     g_free(failover->service);
@@ -62,12 +66,14 @@
     g_free(failover);
 }
 
-struct failover_member *failover_member_at(const struct failover *failover, guint index)
+struct failover_member *
+failover_member_at(const struct failover *failover, guint index)
 {
     return g_ptr_array_index(failover->members, index);
 }
 
-struct failover_member *failover_find(const struct failover *failover, const char *id)
+struct failover_member *
+failover_find(const struct failover *failover, const char *id)
 {
     for (guint i = 0; id != NULL && i < failover->members->len; i++) {
         if (strcmp(failover_member_at(failover, i)->id, id) == 0) {
@@ -77,8 +83,8 @@
     return NULL;
 }
 
-void failover_set_member(struct failover *failover, const char *id, bool takes_work,
-                         bool says_leads)
+void
+failover_set_member(struct failover *failover, const char *id, bool takes_work, bool says_leads)
 {
     struct failover_member *member = failover_find(failover, id);
     if (member == NULL) {
@@ -91,7 +97,8 @@
     member->says_leads = says_leads;
 }
 
-void failover_remove_member(struct failover *failover, const char *id)
+void
+failover_remove_member(struct failover *failover, const char *id)
 {
     struct failover_member *member = failover_find(failover, id);
     if (member != NULL) {
@@ -99,12 +106,14 @@
     }
 }
 
-bool failover_is_primary(const struct failover *failover, const struct failover_member *member)
+bool
+failover_is_primary(const struct failover *failover, const struct failover_member *member)
 {
     return failover->primary != NULL && strcmp(failover->primary, member->id) == 0;
 }
 
-void failover_set_state(struct failover *failover, enum failover_state state, time_ns now)
+void
+failover_set_state(struct failover *failover, enum failover_state state, time_ns now)
 {
     if (failover->state != state) {
         g_autofree char *epoch = g_strdup_printf("%" PRIu64, failover->epoch);
@@ -120,15 +129,17 @@
     failover->since = now;
 }
 
-void failover_publish(struct failover *failover, enum group_phase phase)
+void
+failover_publish(struct failover *failover, enum group_phase phase)
 {
     failover->phase = phase;
     failover->epoch++;
     failover->actions->publish(failover->actions->user, failover);
 }
 
-static void ask(struct failover *failover, struct failover_member *member,
-                enum database_command command, uint64_t term, time_ns now)
+static void
+ask(struct failover *failover, struct failover_member *member, enum database_command command,
+    uint64_t term, time_ns now)
 {
     member->asking = true;
     member->asked_at = now;
@@ -136,21 +147,24 @@
 }
 
 /* Asks unless a command is under way or was sent too lately. */
-void failover_ask_every(struct failover *failover, struct failover_member *member,
-                        enum database_command command, uint64_t term, time_ns every, time_ns now)
+void
+failover_ask_every(struct failover *failover, struct failover_member *member,
+                   enum database_command command, uint64_t term, time_ns every, time_ns now)
 {
     if (!member->asking && now >= member->asked_at + every) {
         ask(failover, member, command, term, now);
     }
 }
 
-static void note_term(struct failover *failover, const struct database_report *report)
+static void
+note_term(struct failover *failover, const struct database_report *report)
 {
     failover->term = MAX(failover->term, report->term);
     failover->term = MAX(failover->term, report->received.term);
 }
 
-void failover_open(struct failover *failover, struct failover_member *member, time_ns now)
+void
+failover_open(struct failover *failover, struct failover_member *member, time_ns now)
 {
     bool same = failover_is_primary(failover, member);
     if (!same) {
@@ -164,7 +178,8 @@
 }
 
 /* The one that leads in the newest term by a fresh report; NULL if there is none. */
-struct failover_member *failover_find_leader(const struct failover *failover, time_ns now)
+struct failover_member *
+failover_find_leader(const struct failover *failover, time_ns now)
 {
     struct failover_member *leader = NULL;
     for (guint i = 0; i < failover->members->len; i++) {
@@ -179,8 +194,9 @@
     return leader;
 }
 
-void failover_answered(struct failover *failover, const char *database,
-                       const struct database_report *report, time_ns now)
+void
+failover_answered(struct failover *failover, const char *database,
+                  const struct database_report *report, time_ns now)
 {
     struct failover_member *member = failover_find(failover, database);
     if (member == NULL) {
@@ -208,7 +224,8 @@
     }
 }
 
-static bool all_reported(const struct failover *failover, time_ns now)
+static bool
+all_reported(const struct failover *failover, time_ns now)
 {
     for (guint i = 0; i < failover->members->len; i++) {
         const struct failover_member *member = failover_member_at(failover, i);
@@ -221,7 +238,8 @@
     return failover->members->len > 0;
 }
 
-static bool enough_answer(const struct failover *failover)
+static bool
+enough_answer(const struct failover *failover)
 {
     uint32_t answering = 0;
     for (guint i = 0; i < failover->members->len; i++) {
@@ -231,7 +249,8 @@
     return answering >= failover_pauses_needed(failover);
 }
 
-static void search(struct failover *failover, time_ns now)
+static void
+search(struct failover *failover, time_ns now)
 {
     for (guint i = 0; i < failover->members->len; i++) {
         failover_ask_every(failover, failover_member_at(failover, i), DATABASE_COMMAND_STATUS, 0,
@@ -248,7 +267,8 @@
     }
 }
 
-struct failover_member *failover_primary(const struct failover *failover)
+struct failover_member *
+failover_primary(const struct failover *failover)
 {
     return failover_find(failover, failover->primary);
 }
@@ -256,7 +276,8 @@
 /* Members that were paused and left so, as by an earlier coordinator or during a partition, receive
  * again, and one that was replaced and still leads steps down. Each is asked once after the primary
  * was opened, however late it can be reached. */
-void failover_settle_members(struct failover *failover, time_ns now)
+void
+failover_settle_members(struct failover *failover, time_ns now)
 {
     for (guint i = 0; i < failover->members->len; i++) {
         struct failover_member *member = failover_member_at(failover, i);
@@ -277,7 +298,8 @@
     }
 }
 
-static bool has_ready_replica(const struct failover *failover)
+static bool
+has_ready_replica(const struct failover *failover)
 {
     for (guint i = 0; i < failover->members->len; i++) {
         const struct failover_member *member = failover_member_at(failover, i);
@@ -289,7 +311,8 @@
 }
 
 /* Asks the primary, and the others, so that no change begins that can't be carried out. */
-static void examine(struct failover *failover, time_ns now)
+static void
+examine(struct failover *failover, time_ns now)
 {
     for (guint i = 0; i < failover->members->len; i++) {
         failover_ask_every(failover, failover_member_at(failover, i), DATABASE_COMMAND_STATUS, 0,
@@ -297,7 +320,8 @@
     }
 }
 
-static bool replicas_answer(const struct failover *failover, time_ns now)
+static bool
+replicas_answer(const struct failover *failover, time_ns now)
 {
     uint32_t answering = 0;
     for (guint i = 0; i < failover->members->len; i++) {
@@ -308,7 +332,8 @@
     return answering >= failover_pauses_needed(failover);
 }
 
-static bool check_leaving(struct failover *failover, time_ns now)
+static bool
+check_leaving(struct failover *failover, time_ns now)
 {
     const struct failover_member *primary = failover_primary(failover);
     if (primary == NULL) {
@@ -324,8 +349,8 @@
 
 /* True if no replica has got any further for a while, and all lack what the primary holds. An
  * answer that was lost looks like a stall to its pooler, but replicas go on then. */
-static bool replication_stands(struct failover *failover, const struct failover_member *primary,
-                               time_ns now)
+static bool
+replication_stands(struct failover *failover, const struct failover_member *primary, time_ns now)
 {
     struct log_position best = {0};
     for (guint i = 0; i < failover->members->len; i++) {
@@ -343,8 +368,8 @@
     return now >= failover->stall_since + STALL_SEEN_NS;
 }
 
-static void check_faults(struct failover *failover, const struct failover_opinion *opinion,
-                         time_ns now)
+static void
+check_faults(struct failover *failover, const struct failover_opinion *opinion, time_ns now)
 {
     struct failover_member *primary = failover_primary(failover);
     bool doubted = opinion->unreachable + opinion->stalled + opinion->refusing > 0;
@@ -390,7 +415,8 @@
     }
 }
 
-static void watch(struct failover *failover, const struct failover_opinion *opinion, time_ns now)
+static void
+watch(struct failover *failover, const struct failover_opinion *opinion, time_ns now)
 {
     failover_settle_members(failover, now);
     if (!check_leaving(failover, now)) {
@@ -398,7 +424,8 @@
     }
 }
 
-void failover_tick(struct failover *failover, const struct failover_opinion *opinion, time_ns now)
+void
+failover_tick(struct failover *failover, const struct failover_opinion *opinion, time_ns now)
 {
     switch (failover->state) {
     case FAILOVER_SEARCHING:
--- a/src/pooler/failover_change.c
+++ b/src/pooler/failover_change.c
@@ -16,7 +16,8 @@
 #define CANDIDATE_DEAD_NS (1200 * MS)
 #define EXCLUDED_NS       (1500 * MS)
 
-static uint32_t members_count(const struct failover *failover)
+static uint32_t
+members_count(const struct failover *failover)
 {
     return failover->members->len;
 }
@@ -24,13 +25,15 @@
 /* So many replicas must be paused where the old primary can't be asked. Only one replica is counted
  * on to hold a commit, whatever more a service asks for: no database tells how many it waited for.
  */
-uint32_t failover_pauses_needed(const struct failover *failover)
+uint32_t
+failover_pauses_needed(const struct failover *failover)
 {
     uint32_t count = members_count(failover);
     return failover->sync_replicas == 0 || count <= 1 ? 1 : count - 1;
 }
 
-static void start_fencing(struct failover *failover, time_ns now)
+static void
+start_fencing(struct failover *failover, time_ns now)
 {
     for (guint i = 0; i < failover->members->len; i++) {
         failover_member_at(failover, i)->fenced = false;
@@ -41,7 +44,8 @@
     failover_publish(failover, GROUP_PHASE_CLOSED);
 }
 
-void failover_begin_change(struct failover *failover, bool planned, const char *why, time_ns now)
+void
+failover_begin_change(struct failover *failover, bool planned, const char *why, time_ns now)
 {
     g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_MESSAGE, "SW_SERVICE", failover->service,
                      "SW_PRIMARY", failover->primary == NULL ? "" : failover->primary, "MESSAGE",
@@ -55,8 +59,9 @@
     }
 }
 
-void failover_continue(struct failover *failover, const char *candidate, uint64_t term,
-                       uint64_t epoch, time_ns now)
+void
+failover_continue(struct failover *failover, const char *candidate, uint64_t term, uint64_t epoch,
+                  time_ns now)
 {
     failover->term = MAX(failover->term, term);
     failover->epoch = MAX(failover->epoch, epoch);
@@ -71,7 +76,8 @@
     failover->actions->record(failover->actions->user, failover, false);
 }
 
-void failover_drain(struct failover *failover, time_ns now)
+void
+failover_drain(struct failover *failover, time_ns now)
 {
     bool drained = failover->actions->drained(failover->actions->user, failover);
     if (drained || now > failover->since + DRAIN_MAX_NS) {
@@ -81,8 +87,8 @@
 
 /* True if a replica that may lead has all that the primary has; only then it steps down, as it
  * passes nothing on afterwards. */
-static bool replica_caught_up(const struct failover *failover,
-                              const struct failover_member *primary)
+static bool
+replica_caught_up(const struct failover *failover, const struct failover_member *primary)
 {
     for (guint i = 0; i < failover->members->len; i++) {
         const struct failover_member *member = failover_member_at(failover, i);
@@ -98,7 +104,8 @@
 /* How long a primary that answers may pass on what its replicas lack. */
 #define CATCH_UP_NS (250 * MS)
 
-static void fence(struct failover *failover, time_ns now)
+static void
+fence(struct failover *failover, time_ns now)
 {
     struct failover_member *primary = failover_primary(failover);
     bool primary_answers = primary != NULL && primary->answered && primary->has_report;
@@ -125,7 +132,8 @@
 #define PRIMARY_AGAIN_NS (1000 * MS)
 
 /* Counts fenced replicas, and finds the most advanced log among them. */
-static uint32_t count_fenced(const struct failover *failover, struct log_position *highest)
+static uint32_t
+count_fenced(const struct failover *failover, struct log_position *highest)
 {
     uint32_t fenced = 0;
     *highest = (struct log_position){0};
@@ -144,8 +152,8 @@
 
 /* A member that may lead and holds at least `need`; the most advanced one that stays. The old
  * primary only after a while: most often there is a reason why it is to be replaced. */
-static struct failover_member *choose(const struct failover *failover, struct log_position need,
-                                      time_ns now)
+static struct failover_member *
+choose(const struct failover *failover, struct log_position need, time_ns now)
 {
     bool primary_too = now > failover->since + PRIMARY_AGAIN_NS;
     struct failover_member *best = NULL;
@@ -168,7 +176,8 @@
 }
 
 /* The member to promote; NULL as long as no log is known to be whole. */
-static struct failover_member *find_candidate(const struct failover *failover, time_ns now)
+static struct failover_member *
+find_candidate(const struct failover *failover, time_ns now)
 {
     struct log_position highest;
     const struct failover_member *primary = failover_primary(failover);
@@ -184,7 +193,8 @@
 }
 
 /* Somebody else was promoted meanwhile, or the primary leads in a newer term. */
-static bool newer_leader(struct failover *failover, time_ns now)
+static bool
+newer_leader(struct failover *failover, time_ns now)
 {
     struct failover_member *leader = failover_find_leader(failover, now);
     if (leader == NULL || leader->report.term < failover->fence_term) {
@@ -194,7 +204,8 @@
     return true;
 }
 
-void failover_fence(struct failover *failover, time_ns now)
+void
+failover_fence(struct failover *failover, time_ns now)
 {
     if (newer_leader(failover, now)) {
         return;
@@ -217,7 +228,8 @@
     failover->actions->record(failover->actions->user, failover, false);
 }
 
-void failover_recorded(struct failover *failover, bool good, time_ns now)
+void
+failover_recorded(struct failover *failover, bool good, time_ns now)
 {
     if (failover->state != FAILOVER_RECORDING) {
         return;
@@ -231,7 +243,8 @@
     failover->actions->promote(failover->actions->user, failover, failover->candidate);
 }
 
-void failover_ordered(struct failover *failover, enum failover_order end, time_ns now)
+void
+failover_ordered(struct failover *failover, enum failover_order end, time_ns now)
 {
     if (failover->state != FAILOVER_PROMOTING) {
         return;
@@ -253,7 +266,8 @@
     }
 }
 
-void failover_confirm(struct failover *failover, time_ns now)
+void
+failover_confirm(struct failover *failover, time_ns now)
 {
     struct failover_member *candidate = failover_find(failover, failover->candidate);
     if (candidate == NULL) {
@@ -282,7 +296,8 @@
     }
 }
 
-void failover_retry(struct failover *failover, time_ns now)
+void
+failover_retry(struct failover *failover, time_ns now)
 {
     if (now < failover->ordered_at + ORDER_RETRY_NS || now < failover->since + ORDER_RETRY_NS) {
         return;
--- a/src/pooler/freshness.c
+++ b/src/pooler/freshness.c
@@ -1,17 +1,20 @@
 /* Samples of a primary's position; see the header. */
 #include "pooler/freshness.h"
 
-static const struct freshness_sample *sample_at(const struct freshness *freshness, size_t index)
+static const struct freshness_sample *
+sample_at(const struct freshness *freshness, size_t index)
 {
     return &freshness->samples[(freshness->first + index) % FRESHNESS_SAMPLES];
 }
 
-void freshness_clear(struct freshness *freshness)
+void
+freshness_clear(struct freshness *freshness)
 {
     freshness->count = 0;
 }
 
-void freshness_add(struct freshness *freshness, time_ns at, struct log_position position)
+void
+freshness_add(struct freshness *freshness, time_ns at, struct log_position position)
 {
     if (freshness->count > 0) {
         const struct freshness_sample *newest = sample_at(freshness, freshness->count - 1);
@@ -28,7 +31,8 @@
     freshness->count++;
 }
 
-const struct freshness_sample *freshness_find(const struct freshness *freshness, time_ns moment)
+const struct freshness_sample *
+freshness_find(const struct freshness *freshness, time_ns moment)
 {
     for (size_t i = 0; i < freshness->count; i++) {
         const struct freshness_sample *sample = sample_at(freshness, i);
@@ -39,8 +43,8 @@
     return NULL;
 }
 
-const struct freshness_sample *freshness_reached(const struct freshness *freshness,
-                                                 struct log_position position)
+const struct freshness_sample *
+freshness_reached(const struct freshness *freshness, struct log_position position)
 {
     for (size_t i = freshness->count; i > 0; i--) {
         const struct freshness_sample *sample = sample_at(freshness, i - 1);
--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -3,7 +3,8 @@
 
 #include <string.h>
 
-struct group *group_of(struct worker *worker, struct group_shared *shared)
+struct group *
+group_of(struct worker *worker, struct group_shared *shared)
 {
     struct group *group = g_hash_table_lookup(worker->groups, shared->service);
     if (group == NULL) {
@@ -17,7 +18,8 @@
     return group;
 }
 
-static struct database *find_database(const struct group *group, const struct member_shared *shared)
+static struct database *
+find_database(const struct group *group, const struct member_shared *shared)
 {
     for (guint i = 0; i < group->databases->len; i++) {
         struct database *database = g_ptr_array_index(group->databases, i);
@@ -28,7 +30,8 @@
     return NULL;
 }
 
-static struct database *apply_member(struct group *group, const struct member_view *member)
+static struct database *
+apply_member(struct group *group, const struct member_view *member)
 {
     struct database *database = find_database(group, member->shared);
     if (database == NULL) {
@@ -46,7 +49,8 @@
 }
 
 /* Databases that left the view lose their idle connections, and are freed once none is left. */
-static void drop_unlisted(struct group *group)
+static void
+drop_unlisted(struct group *group)
 {
     for (guint i = group->databases->len; i > 0; i--) {
         struct database *database = g_ptr_array_index(group->databases, i - 1);
@@ -63,14 +67,15 @@
 }
 
 /* Whatever still writes at a database that no longer leads is given up. */
-static bool is_writing(const struct server *server, time_ns now)
+static bool
+is_writing(const struct server *server, time_ns now)
 {
     bool plain = server->in_transaction && server->session != NULL && !server->session->read_only;
     return plain || (server->state == SERVER_RUNNING && server->running_writes);
 }
 
-static void apply_order(struct group *group, const struct pooled_group *view,
-                        struct database *primary)
+static void
+apply_order(struct group *group, const struct pooled_group *view, struct database *primary)
 {
     struct database *former = group->primary;
     bool other_term = group->term != 0 && view->term != group->term;
@@ -88,7 +93,8 @@
     }
 }
 
-void group_apply(struct group *group, const struct pooled_group *view)
+void
+group_apply(struct group *group, const struct pooled_group *view)
 {
     struct database *primary = NULL;
     group->sync_replicas = view->sync_replicas;
@@ -110,7 +116,8 @@
     atomic_store(&group->shared->workers[group->worker->index].epoch, group->epoch);
 }
 
-void group_note_in_flight(struct group *group)
+void
+group_note_in_flight(struct group *group)
 {
     uint32_t count = group->primary == NULL ? 0 : group->primary->in_flight;
     struct worker_figures *figures = &group->shared->workers[group->worker->index];
@@ -120,7 +127,8 @@
     }
 }
 
-bool group_tick(struct group *group, time_ns now)
+bool
+group_tick(struct group *group, time_ns now)
 {
     bool faulty = false;
     for (guint i = 0; i < group->databases->len; i++) {
--- a/src/pooler/leadership.c
+++ b/src/pooler/leadership.c
@@ -16,13 +16,15 @@
 #define CHECK_AGAIN_NS  (20 * NANOSECONDS_PER_MILLISECOND)
 #define CHECK_FAILED_NS (200 * NANOSECONDS_PER_MILLISECOND)
 
-void leadership_note(struct group *group, time_ns at)
+void
+leadership_note(struct group *group, time_ns at)
 {
     group->led_at = MAX(group->led_at, at);
 }
 
 /* True if the answers prove that the primary led when the check began. */
-static bool is_proven(const struct group *group)
+static bool
+is_proven(const struct group *group)
 {
     const struct leadership_check *check = &group->check;
     uint64_t term = check->primary_term;
@@ -30,7 +32,8 @@
            check->replicas_term == term && check->replicas_good >= MAX(group->sync_replicas, 1);
 }
 
-static void finish(struct group *group)
+static void
+finish(struct group *group)
 {
     struct leadership_check *check = &group->check;
     check->running = false;
@@ -43,7 +46,8 @@
     g_ptr_array_add(group->worker->groups_to_run, group);
 }
 
-static bool ask(struct database *database)
+static bool
+ask(struct database *database)
 {
     struct server *server = database_any_idle(database);
     if (server == NULL) {
@@ -57,7 +61,8 @@
     return true;
 }
 
-void leadership_check_start(struct group *group)
+void
+leadership_check_start(struct group *group)
 {
     struct leadership_check *check = &group->check;
     time_ns now = backend_now();
@@ -86,7 +91,8 @@
 }
 
 /* Replicas count in the newest term that any of them tells. */
-static void take_replica(struct leadership_check *check, const struct database_report *report)
+static void
+take_replica(struct leadership_check *check, const struct database_report *report)
 {
     check->newest_term = MAX(check->newest_term, MAX(report->term, report->paused_term));
     bool follows = !report->leads && report->paused_term == 0;
@@ -100,8 +106,9 @@
     check->replicas_good++;
 }
 
-static void take_report(struct group *group, const struct database *database,
-                        const struct database_report *report)
+static void
+take_report(struct group *group, const struct database *database,
+            const struct database_report *report)
 {
     struct leadership_check *check = &group->check;
     if (database != group->primary) {
@@ -113,8 +120,9 @@
     check->position = report->received;
 }
 
-void leadership_check_answer(struct group *group, const struct database *database,
-                             const struct database_report *report)
+void
+leadership_check_answer(struct group *group, const struct database *database,
+                        const struct database_report *report)
 {
     struct leadership_check *check = &group->check;
     if (!check->running || check->waiting == 0) {
--- a/src/pooler/log.c
+++ b/src/pooler/log.c
@@ -23,12 +23,14 @@
 static struct log_state state = {.lock = PTHREAD_MUTEX_INITIALIZER};
 static _Atomic uint64_t left_out_total;
 
-uint64_t pooler_log_left_out(void)
+uint64_t
+pooler_log_left_out(void)
 {
     return atomic_load(&left_out_total);
 }
 
-static const char *level_name(GLogLevelFlags level)
+static const char *
+level_name(GLogLevelFlags level)
 {
     if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL)) {
         return "error";
@@ -40,7 +42,8 @@
 }
 
 /* Called with the lock held. True if the line may be written. */
-static bool take_budget(bool severe, uint32_t *left_out_before)
+static bool
+take_budget(bool severe, uint32_t *left_out_before)
 {
     gint64 second = g_get_monotonic_time() / G_USEC_PER_SEC;
     *left_out_before = 0;
@@ -60,7 +63,8 @@
     return true;
 }
 
-static void write_text(const char *text)
+static void
+write_text(const char *text)
 {
     /* A line that the reader does not take is lost rather than waited for. */
     ssize_t written = write(STDOUT_FILENO, text, strlen(text));
@@ -69,7 +73,8 @@
     }
 }
 
-static void add_field(json_t *line, const GLogField *field)
+static void
+add_field(json_t *line, const GLogField *field)
 {
     if (strcmp(field->key, "GLIB_DOMAIN") == 0) {
         json_object_set_new(line, "part", json_string(field->value));
@@ -81,8 +86,8 @@
     }
 }
 
-static void write_line(GLogLevelFlags level, const GLogField *fields, gsize count,
-                       uint32_t left_out)
+static void
+write_line(GLogLevelFlags level, const GLogField *fields, gsize count, uint32_t left_out)
 {
     json_t *line = json_object();
     json_object_set_new(line, "time", json_real((double)g_get_real_time() / G_USEC_PER_SEC));
@@ -104,8 +109,8 @@
     write_text(ended);
 }
 
-static GLogWriterOutput write_log(GLogLevelFlags level, const GLogField *fields, gsize count,
-                                  gpointer unused)
+static GLogWriterOutput
+write_log(GLogLevelFlags level, const GLogField *fields, gsize count, gpointer unused)
 {
     bool severe = level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING);
     uint32_t left_out = 0;
@@ -118,7 +123,8 @@
     return G_LOG_WRITER_HANDLED;
 }
 
-void pooler_log_start(uint32_t lines_per_second)
+void
+pooler_log_start(uint32_t lines_per_second)
 {
     state.budget = lines_per_second;
     g_log_set_writer_func(write_log, NULL, NULL);
--- a/src/pooler/main.c
+++ b/src/pooler/main.c
@@ -28,7 +28,8 @@
 
 static struct options options;
 
-static bool read_command_line(int argc, char **argv, GError **error)
+static bool
+read_command_line(int argc, char **argv, GError **error)
 {
     const GOptionEntry entries[] = {
         {"settings", 'f', 0, G_OPTION_ARG_FILENAME, &options.settings_file,
@@ -51,7 +52,8 @@
     return true;
 }
 
-static bool read_settings(struct pooler_settings *out, GError **error)
+static bool
+read_settings(struct pooler_settings *out, GError **error)
 {
     return pooler_settings_read(out, options.settings_file, (const char *const *)options.overrides,
                                 error);
@@ -59,7 +61,8 @@
 
 /* Addresses and bounds of a running process stay as they are; a changed file is checked, and told
  * if it is wrong. */
-static void on_reload(void)
+static void
+on_reload(void)
 {
     struct pooler_settings settings = {0};
     g_autoptr(GError) error = NULL;
@@ -71,7 +74,8 @@
     pooler_settings_clear(&settings);
 }
 
-static int run(const struct pooler_settings *settings)
+static int
+run(const struct pooler_settings *settings)
 {
     g_autoptr(GError) error = NULL;
     signal(SIGPIPE, SIG_IGN);
@@ -83,7 +87,8 @@
     return EXIT_OK;
 }
 
-int main(int argc, char **argv)
+int
+main(int argc, char **argv)
 {
     struct pooler_settings settings = {0};
     g_autoptr(GError) error = NULL;
--- a/src/pooler/metrics.c
+++ b/src/pooler/metrics.c
@@ -26,23 +26,27 @@
     [ROUTE_KIND_READ_YOUR_WRITES] = "read_your_writes",
 };
 
-static void increase(_Atomic uint64_t *counter, uint64_t by)
+static void
+increase(_Atomic uint64_t *counter, uint64_t by)
 {
     atomic_fetch_add_explicit(counter, by, memory_order_relaxed);
 }
 
-static uint64_t value_of(const _Atomic uint64_t *counter)
+static uint64_t
+value_of(const _Atomic uint64_t *counter)
 {
     return atomic_load_explicit(counter, memory_order_relaxed);
 }
 
-void metrics_count(struct metrics *metrics, enum metrics_counter counter)
+void
+metrics_count(struct metrics *metrics, enum metrics_counter counter)
 {
     increase(&metrics->counters[counter], 1);
 }
 
-void metrics_answer(struct metrics *metrics, enum route_kind kind, enum answer_code code,
-                    time_ns latency)
+void
+metrics_answer(struct metrics *metrics, enum route_kind kind, enum answer_code code,
+               time_ns latency)
 {
     size_t bucket = 0;
     while (bucket < METRICS_BUCKETS - 1 &&
@@ -54,14 +58,16 @@
     increase(&metrics->latency_sum_us[kind], latency / NANOSECONDS_PER_MICROSECOND);
 }
 
-static void add_all(_Atomic uint64_t *sum, const _Atomic uint64_t *from, size_t count)
+static void
+add_all(_Atomic uint64_t *sum, const _Atomic uint64_t *from, size_t count)
 {
     for (size_t i = 0; i < count; i++) {
         increase(&sum[i], value_of(&from[i]));
     }
 }
 
-void metrics_add(struct metrics *sum, const struct metrics *metrics)
+void
+metrics_add(struct metrics *sum, const struct metrics *metrics)
 {
     add_all(sum->counters, metrics->counters, METRICS_COUNTER_COUNT);
     for (int kind = 0; kind < METRICS_ROUTE_KINDS; kind++) {
@@ -71,7 +77,8 @@
     }
 }
 
-static void print_latency(const struct metrics *metrics, int kind, GString *out)
+static void
+print_latency(const struct metrics *metrics, int kind, GString *out)
 {
     uint64_t count = 0;
     for (int bucket = 0; bucket < METRICS_BUCKETS; bucket++) {
@@ -90,7 +97,8 @@
                            (double)value_of(&metrics->latency_sum_us[kind]) / 1e6);
 }
 
-static void print_answers(const struct metrics *metrics, int kind, GString *out)
+static void
+print_answers(const struct metrics *metrics, int kind, GString *out)
 {
     for (int code = 0; code < ANSWER_CODE_COUNT; code++) {
         uint64_t count = value_of(&metrics->answers[kind][code]);
@@ -102,7 +110,8 @@
     }
 }
 
-void metrics_print(const struct metrics *metrics, GString *out)
+void
+metrics_print(const struct metrics *metrics, GString *out)
 {
     for (int counter = 0; counter < METRICS_COUNTER_COUNT; counter++) {
         g_string_append_printf(out, "swiftworks_%s_total %" PRIu64 "\n", counter_names[counter],
--- a/src/pooler/peer.c
+++ b/src/pooler/peer.c
@@ -23,7 +23,8 @@
     bool failed; /* closes at the next turn of the loop */
 };
 
-void peer_free(struct peer *peer)
+void
+peer_free(struct peer *peer)
 {
     event_free(peer->readable);
     event_free(peer->writable);
@@ -33,14 +34,16 @@
     g_free(peer);
 }
 
-static void close_peer(struct peer *peer)
+static void
+close_peer(struct peer *peer)
 {
     peer->callbacks->closed(peer->callbacks->user, peer);
     peer_free(peer);
 }
 
 /* False if the connection is over. */
-static bool flush(struct peer *peer)
+static bool
+flush(struct peer *peer)
 {
     switch (buffer_send(&peer->out, peer->socket)) {
     case TRANSFER_DONE:
@@ -55,7 +58,8 @@
 }
 
 /* False if the connection is to be closed. */
-static bool take_frames(struct peer *peer)
+static bool
+take_frames(struct peer *peer)
 {
     for (;;) {
         struct span content = buffer_content(&peer->in);
@@ -79,7 +83,8 @@
     }
 }
 
-static void on_readable(evutil_socket_t socket, short events, void *user)
+static void
+on_readable(evutil_socket_t socket, short events, void *user)
 {
     struct peer *peer = user;
     enum transfer transfer = buffer_receive(&peer->in, peer->socket);
@@ -90,7 +95,8 @@
     }
 }
 
-static void on_writable(evutil_socket_t socket, short events, void *user)
+static void
+on_writable(evutil_socket_t socket, short events, void *user)
 {
     struct peer *peer = user;
     if (peer->failed || !flush(peer)) {
@@ -98,8 +104,8 @@
     }
 }
 
-static struct peer *peer_new(struct event_base *base, int handle,
-                             const struct peer_callbacks *callbacks)
+static struct peer *
+peer_new(struct event_base *base, int handle, const struct peer_callbacks *callbacks)
 {
     socket_set_dark(handle, DARK_TIMEOUT_MS);
     struct peer *peer = g_new0(struct peer, 1);
@@ -112,14 +118,15 @@
     return peer;
 }
 
-struct peer *peer_accept(struct event_base *base, int handle,
-                         const struct peer_callbacks *callbacks)
+struct peer *
+peer_accept(struct event_base *base, int handle, const struct peer_callbacks *callbacks)
 {
     return peer_new(base, handle, callbacks);
 }
 
-struct peer *peer_connect(struct event_base *base, const struct sockaddr_in *address,
-                          const struct peer_callbacks *callbacks)
+struct peer *
+peer_connect(struct event_base *base, const struct sockaddr_in *address,
+             const struct peer_callbacks *callbacks)
 {
     int handle = socket_connect(address, DARK_TIMEOUT_MS);
     if (handle < 0) {
@@ -130,7 +137,8 @@
     return peer;
 }
 
-void peer_send(struct peer *peer, GByteArray *message)
+void
+peer_send(struct peer *peer, GByteArray *message)
 {
     uint32_t header = htonl(message->len);
     bool idle = buffer_length(&peer->out) == 0;
--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -31,12 +31,14 @@
     time_ns position_at; /* when the primary stood there */
 };
 
-bool router_has_permit(const struct group *group, time_ns now)
+bool
+router_has_permit(const struct group *group, time_ns now)
 {
     return group->phase != GROUP_PHASE_CLOSED && now < atomic_load(&group->shared->permit_until);
 }
 
-bool router_may_write_on(const struct session *session)
+bool
+router_may_write_on(const struct session *session)
 {
     const struct group *group = session->route.group;
     bool commits = session->request.writes || session->request.statement.kind == STATEMENT_COMMIT;
@@ -47,7 +49,8 @@
 }
 
 /* When the transaction or the single statement began. */
-static time_ns began_at(const struct session *session)
+static time_ns
+began_at(const struct session *session)
 {
     return session->transaction == SESSION_TRANSACTION_NONE ? session->request.arrived
                                                             : session->began;
@@ -55,7 +58,8 @@
 
 /* The position that a read with a staleness bound must see, and when the primary stood there; false
  * if it is not known. */
-static bool find_position(const struct session *session, struct need *out)
+static bool
+find_position(const struct session *session, struct need *out)
 {
     const struct session_route *route = &session->route;
     time_ns bound = route->staleness_ms * NANOSECONDS_PER_MILLISECOND;
@@ -75,7 +79,8 @@
     return true;
 }
 
-static void find_need(const struct session *session, struct need *out)
+static void
+find_need(const struct session *session, struct need *out)
 {
     const struct session_route *route = &session->route;
     bool plain = session->transaction != SESSION_TRANSACTION_NONE && !session->read_only;
@@ -97,7 +102,8 @@
 }
 
 /* True if the database has not got so far yet by what is known of its lag. */
-static bool lacks(const struct database *database, const struct need *need, time_ns now)
+static bool
+lacks(const struct database *database, const struct need *need, time_ns now)
 {
     if (!need->has_position || database == database->group->primary ||
         log_position_covers(database->position, need->position)) {
@@ -110,7 +116,8 @@
     return lacked || now < need->position_at + lag;
 }
 
-static double cost_of(const struct database *database)
+static double
+cost_of(const struct database *database)
 {
     double cost = MAX(database->latency_ms, LATENCY_FLOOR_MS) * (database->in_flight + 1);
     cost *= database->same_zone ? 1 : OTHER_ZONE_FACTOR;
@@ -128,8 +135,8 @@
     bool check; /* whether the primary still leads must be asked first */
 };
 
-static void weigh(struct database *database, const struct session *session, time_ns now,
-                  struct choice *choice)
+static void
+weigh(struct database *database, const struct session *session, time_ns now, struct choice *choice)
 {
     double cost = cost_of(database);
     struct server *server = database_idle_server(database, session);
@@ -145,8 +152,8 @@
     }
 }
 
-static void choose(const struct session *session, const struct need *need, time_ns now,
-                   struct choice *choice)
+static void
+choose(const struct session *session, const struct need *need, time_ns now, struct choice *choice)
 {
     const struct group *group = session->route.group;
     *choice = (struct choice){0};
@@ -173,7 +180,8 @@
     }
 }
 
-static void count_read(const struct session *session, const struct database *database)
+static void
+count_read(const struct session *session, const struct database *database)
 {
     if (session->request.writes || session->transaction != SESSION_TRANSACTION_NONE) {
         return;
@@ -184,7 +192,8 @@
 }
 
 /* Sends the statement if a connection is there. True if it left. */
-static bool try_send(struct session *session)
+static bool
+try_send(struct session *session)
 {
     struct need need;
     struct choice choice;
@@ -215,7 +224,8 @@
     return true;
 }
 
-static bool is_before(const struct session *a, const struct session *b)
+static bool
+is_before(const struct session *a, const struct session *b)
 {
     if (a->route.priority != b->route.priority) {
         return a->route.priority < b->route.priority;
@@ -223,7 +233,8 @@
     return a->request.arrived < b->request.arrived;
 }
 
-static void enter_queue(struct session *session)
+static void
+enter_queue(struct session *session)
 {
     GQueue *queue = &session->route.group->queue;
     GList *place = queue->tail;
@@ -235,7 +246,8 @@
     session->state = SESSION_QUEUED;
 }
 
-void router_leave_queue(struct session *session)
+void
+router_leave_queue(struct session *session)
 {
     if (session->queue_link != NULL) {
         g_queue_delete_link(&session->route.group->queue, session->queue_link);
@@ -245,7 +257,8 @@
 
 /* Connections by which the queue of a group can move on; 0 while nothing but load may hold it up.
  */
-static uint32_t count_usable(const struct group *group, time_ns now)
+static uint32_t
+count_usable(const struct group *group, time_ns now)
 {
     const struct database *primary = group->primary;
     bool led = primary != NULL && group->phase == GROUP_PHASE_OPEN &&
@@ -256,7 +269,8 @@
 /* True if the statement would wait past its route's objective: with so many before it at the
  * primary, and each connection's usual time. It is refused at once then, so that the client may try
  * again, and those before it are in time. */
-static bool would_be_late(const struct session *session)
+static bool
+would_be_late(const struct session *session)
 {
     const struct group *group = session->route.group;
     uint32_t usable = count_usable(group, backend_now());
@@ -267,7 +281,8 @@
     return wait_ms > session->route.target_ms;
 }
 
-void router_submit(struct session *session)
+void
+router_submit(struct session *session)
 {
     session->state = SESSION_QUEUED;
     if (!try_send(session) && session->state == SESSION_QUEUED && session->queue_link == NULL) {
@@ -281,7 +296,8 @@
     }
 }
 
-void router_run_queue(struct group *group)
+void
+router_run_queue(struct group *group)
 {
     guint length = group->queue.length;
     GList *link = group->queue.head;
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -23,19 +23,22 @@
 
 static void process(struct server *server);
 
-static void set_timer(struct server *server, uint32_t ms)
+static void
+set_timer(struct server *server, uint32_t ms)
 {
     struct timeval wait = {ms / 1000, (ms % 1000) * 1000};
     evtimer_add(server->timer, &wait);
 }
 
-static void expect(struct server *server, enum expected what)
+static void
+expect(struct server *server, enum expected what)
 {
     guint8 octet = (guint8)what;
     g_byte_array_append(server->expected, &octet, 1);
 }
 
-static void flush(struct server *server)
+static void
+flush(struct server *server)
 {
     if (server->state == SERVER_CONNECTING) {
         return;
@@ -52,7 +55,8 @@
     }
 }
 
-static void on_readable(evutil_socket_t socket, short events, void *user)
+static void
+on_readable(evutil_socket_t socket, short events, void *user)
 {
     struct server *server = user;
     struct worker *worker = server->database->group->worker;
@@ -69,7 +73,8 @@
     worker_settle(worker);
 }
 
-static void on_connected(struct server *server)
+static void
+on_connected(struct server *server)
 {
     int error = 0;
     socklen_t length = sizeof error;
@@ -83,7 +88,8 @@
     flush(server);
 }
 
-static void on_writable(evutil_socket_t socket, short events, void *user)
+static void
+on_writable(evutil_socket_t socket, short events, void *user)
 {
     struct server *server = user;
     struct worker *worker = server->database->group->worker;
@@ -95,7 +101,8 @@
     worker_settle(worker);
 }
 
-static void on_timer(evutil_socket_t socket, short events, void *user)
+static void
+on_timer(evutil_socket_t socket, short events, void *user)
 {
     struct server *server = user;
     struct worker *worker = server->database->group->worker;
@@ -103,7 +110,8 @@
     worker_settle(worker);
 }
 
-struct server *server_open(struct database *database)
+struct server *
+server_open(struct database *database)
 {
     struct worker *worker = database->group->worker;
     int handle = socket_connect(&database->address, DARK_TIMEOUT_MS);
@@ -130,7 +138,8 @@
     return server;
 }
 
-static void clear_answer(struct server *server)
+static void
+clear_answer(struct server *server)
 {
     buffer_clear(&server->rows);
     g_clear_pointer(&server->signature, g_free);
@@ -138,7 +147,8 @@
     server->code = ANSWER_NONE;
 }
 
-void server_free(struct server *server)
+void
+server_free(struct server *server)
 {
     event_free(server->readable);
     event_free(server->writable);
@@ -152,18 +162,21 @@
     g_free(server);
 }
 
-static void count_in_flight(struct server *server, bool begins)
+static void
+count_in_flight(struct server *server, bool begins)
 {
     server->database->in_flight += begins ? 1 : -1;
     group_note_in_flight(server->database->group);
 }
 
-static bool holds_work(const struct server *server)
+static bool
+holds_work(const struct server *server)
 {
     return server->state == SERVER_RESERVED || server->state == SERVER_RUNNING;
 }
 
-void server_close(struct server *server, enum answer_code reason)
+void
+server_close(struct server *server, enum answer_code reason)
 {
     enum server_state former = server->state;
     struct database *database = server->database;
@@ -200,7 +213,8 @@
 }
 
 /* True if the connection holds a value that the session lacks: only a reset removes it. */
-static bool needs_reset(const struct server *server, const struct session *session)
+static bool
+needs_reset(const struct server *server, const struct session *session)
 {
     if (g_hash_table_size(server->prepared) > PREPARED_MAX) {
         return true;
@@ -216,7 +230,8 @@
     return false;
 }
 
-static void bring_values(struct server *server, const struct session *session)
+static void
+bring_values(struct server *server, const struct session *session)
 {
     if (session->values == NULL) {
         return;
@@ -236,7 +251,8 @@
     }
 }
 
-static void bring_setup(struct server *server, const struct session *session)
+static void
+bring_setup(struct server *server, const struct session *session)
 {
     if (!server->in_transaction && needs_reset(server, session)) {
         wire_write_reset(&server->out);
@@ -248,7 +264,8 @@
 }
 
 /* The database's name for what the session prepared; prepares it there first if need be. */
-static const char *bring_prepared(struct server *server, const struct prepared *prepared)
+static const char *
+bring_prepared(struct server *server, const struct prepared *prepared)
 {
     g_autofree char *key = g_strconcat(prepared->writes ? "w " : "r ", prepared->shape, NULL);
     const char *name = g_hash_table_lookup(server->prepared, key);
@@ -262,8 +279,8 @@
     return given;
 }
 
-static void write_statement(struct server *server, struct session *session,
-                            const struct log_position *after)
+static void
+write_statement(struct server *server, struct session *session, const struct log_position *after)
 {
     const struct statement *statement = &session->request.statement;
     if (statement->kind == STATEMENT_EXECUTE) {
@@ -280,7 +297,8 @@
     server->wrote = (server->in_transaction && server->wrote) || session->request.writes;
 }
 
-static void note_sending(struct server *server)
+static void
+note_sending(struct server *server)
 {
     struct group *group = server->database->group;
     server->sent_at = backend_now();
@@ -289,13 +307,15 @@
         server->database == group->primary && router_has_permit(group, server->sent_at);
 }
 
-static struct log_position position_or_none(const struct log_position *position)
+static struct log_position
+position_or_none(const struct log_position *position)
 {
     struct log_position none = {0};
     return position == NULL ? none : *position;
 }
 
-void server_run(struct server *server, struct session *session, const struct log_position *after)
+void
+server_run(struct server *server, struct session *session, const struct log_position *after)
 {
     if (!holds_work(server)) {
         server->state = SERVER_RUNNING;
@@ -320,7 +340,8 @@
     flush(server);
 }
 
-void server_ask_status(struct server *server)
+void
+server_ask_status(struct server *server)
 {
     server->state = SERVER_RUNNING;
     count_in_flight(server, true);
@@ -335,7 +356,8 @@
     flush(server);
 }
 
-static void on_status(struct server *server)
+static void
+on_status(struct server *server)
 {
     struct group *group = server->database->group;
     bool good = server->has_report && server->code == ANSWER_NONE;
@@ -345,7 +367,8 @@
     server_release(server);
 }
 
-static void become_idle(struct server *server)
+static void
+become_idle(struct server *server)
 {
     struct database *database = server->database;
     server->idle_since = backend_now();
@@ -358,7 +381,8 @@
     g_ptr_array_add(database->group->worker->groups_to_run, database->group);
 }
 
-void server_release(struct server *server)
+void
+server_release(struct server *server)
 {
     if (server->session != NULL) {
         server->session->server = NULL;
@@ -381,7 +405,8 @@
     flush(server);
 }
 
-static void on_started(struct server *server)
+static void
+on_started(struct server *server)
 {
     event_del(server->timer);
     if (server->code != ANSWER_NONE) {
@@ -391,7 +416,8 @@
     become_idle(server);
 }
 
-static void on_begun(struct server *server, enum transaction_state state)
+static void
+on_begun(struct server *server, enum transaction_state state)
 {
     struct session *session = server->session;
     server->in_transaction = state != TRANSACTION_STATE_NONE;
@@ -420,7 +446,8 @@
 }
 
 /* How far a replica is behind, by when the primary stood where the replica stands now. */
-static void note_lag(struct database *database, time_ns now)
+static void
+note_lag(struct database *database, time_ns now)
 {
     const struct freshness_sample *sample =
         freshness_reached(&database->group->freshness, database->position);
@@ -433,7 +460,8 @@
 }
 
 /* What an answer tells of the database and of the group's log. */
-static void learn(struct server *server, const struct database_reply *ready)
+static void
+learn(struct server *server, const struct database_reply *ready)
 {
     struct database *database = server->database;
     struct group *group = database->group;
@@ -464,7 +492,8 @@
     }
 }
 
-static void on_statement_done(struct server *server, const struct database_reply *ready)
+static void
+on_statement_done(struct server *server, const struct database_reply *ready)
 {
     struct session *session = server->session;
     learn(server, ready);
@@ -478,7 +507,8 @@
     session_answer(session, server, ready->state, ready->has_position ? &ready->position : NULL);
 }
 
-static void on_ready(struct server *server, const struct database_reply *ready)
+static void
+on_ready(struct server *server, const struct database_reply *ready)
 {
     if (server->expected->len == 0) {
         server_close(server, ANSWER_BUSY);
@@ -511,7 +541,8 @@
     }
 }
 
-static void on_reply(struct server *server, struct span message)
+static void
+on_reply(struct server *server, struct span message)
 {
     struct database_reply reply;
     wire_read_reply(message, &reply);
@@ -546,7 +577,8 @@
     }
 }
 
-static void process(struct server *server)
+static void
+process(struct server *server)
 {
     database_answered(server->database, backend_now());
     while (server->state != SERVER_CLOSED) {
--- a/src/pooler/session.c
+++ b/src/pooler/session.c
@@ -8,7 +8,8 @@
 /* How long after a planned stop began a new session may sit without asking anything. */
 #define STOP_IDLE_NS (400 * NANOSECONDS_PER_MILLISECOND)
 
-void session_flush(struct session *session)
+void
+session_flush(struct session *session)
 {
     switch (buffer_send(&session->out, session->socket)) {
     case TRANSFER_DONE:
@@ -22,7 +23,8 @@
     }
 }
 
-static void on_readable(evutil_socket_t socket, short events, void *user)
+static void
+on_readable(evutil_socket_t socket, short events, void *user)
 {
     struct session *session = user;
     struct worker *worker = session->worker;
@@ -39,7 +41,8 @@
     worker_settle(worker);
 }
 
-static void on_writable(evutil_socket_t socket, short events, void *user)
+static void
+on_writable(evutil_socket_t socket, short events, void *user)
 {
     struct session *session = user;
     struct worker *worker = session->worker;
@@ -47,7 +50,8 @@
     worker_settle(worker);
 }
 
-void session_set_timer(struct session *session, time_ns at)
+void
+session_set_timer(struct session *session, time_ns at)
 {
     time_ns now = backend_now();
     time_ns wait = at > now ? at - now : 0;
@@ -56,7 +60,8 @@
     evtimer_add(session->timer, &value);
 }
 
-static void on_timer(evutil_socket_t socket, short events, void *user)
+static void
+on_timer(evutil_socket_t socket, short events, void *user)
 {
     struct session *session = user;
     struct worker *worker = session->worker;
@@ -76,7 +81,8 @@
     worker_settle(worker);
 }
 
-void session_open(struct worker *worker, int socket)
+void
+session_open(struct worker *worker, int socket)
 {
     struct session *session = g_new0(struct session, 1);
     session->worker = worker;
@@ -92,7 +98,8 @@
     metrics_count(&worker->metrics, METRICS_SESSIONS_OPENED);
 }
 
-void session_end(struct session *session)
+void
+session_end(struct session *session)
 {
     struct worker *worker = session->worker;
     if (session->state == SESSION_ENDED) {
@@ -116,7 +123,8 @@
     metrics_count(&worker->metrics, METRICS_SESSIONS_CLOSED);
 }
 
-void session_free(struct session *session)
+void
+session_free(struct session *session)
 {
     event_free(session->readable);
     event_free(session->writable);
@@ -130,7 +138,8 @@
     g_free(session);
 }
 
-static void start_session(struct session *session, const struct client_message *message)
+static void
+start_session(struct session *session, const struct client_message *message)
 {
     if (message->kind != CLIENT_MESSAGE_START) {
         wire_write_error(&session->out, ANSWER_MALFORMED, "a start is expected");
@@ -153,7 +162,8 @@
 }
 
 /* Takes one message off the buffer. The statement's spans point into a copy of it. */
-static void take_message(struct session *session, size_t length)
+static void
+take_message(struct session *session, size_t length)
 {
     session->waits_for_view = false;
     struct session_request *request = &session->request;
@@ -175,7 +185,8 @@
     }
 }
 
-void session_process(struct session *session)
+void
+session_process(struct session *session)
 {
     while (session->state == SESSION_STARTING || session->state == SESSION_IDLE) {
         struct span content = buffer_content(&session->in);
@@ -200,14 +211,16 @@
     }
 }
 
-void session_continue(struct session *session)
+void
+session_continue(struct session *session)
 {
     if (session->waits_for_view) {
         session_process(session);
     }
 }
 
-void session_check_stop(struct session *session, time_ns now)
+void
+session_check_stop(struct session *session, time_ns now)
 {
     bool at_rest = session->state == SESSION_IDLE &&
                    session->transaction == SESSION_TRANSACTION_NONE &&
--- a/src/pooler/session_answer.c
+++ b/src/pooler/session_answer.c
@@ -13,7 +13,8 @@
 /* What a client is told about coming back, in milliseconds. */
 #define RETRY_AFTER_MS 200U
 
-static enum transaction_state told_state(const struct session *session)
+static enum transaction_state
+told_state(const struct session *session)
 {
     switch (session->transaction) {
     case SESSION_TRANSACTION_NONE:
@@ -25,13 +26,15 @@
     }
 }
 
-bool session_is_busy(const struct session *session)
+bool
+session_is_busy(const struct session *session)
 {
     return session->state == SESSION_QUEUED || session->state == SESSION_RUNNING;
 }
 
 /* Writes the end of an answer; the session is idle from then on. */
-static void finish(struct session *session, const struct log_position *position)
+static void
+finish(struct session *session, const struct log_position *position)
 {
     wire_write_ready(&session->out, told_state(session), position);
     if (session_is_busy(session)) {
@@ -46,13 +49,15 @@
     session_flush(session);
 }
 
-void session_answer_own(struct session *session)
+void
+session_answer_own(struct session *session)
 {
     wire_write_complete(&session->out, NULL);
     finish(session, NULL);
 }
 
-static void log_refusal(const struct session *session, enum answer_code code, const char *text)
+static void
+log_refusal(const struct session *session, enum answer_code code, const char *text)
 {
     const struct session_request *request = &session->request;
     const struct group *group = session->route.group;
@@ -75,7 +80,8 @@
                      answer_meaning(code)->name, text, waited, request->attempts);
 }
 
-void session_answer_error(struct session *session, enum answer_code code, const char *text)
+void
+session_answer_error(struct session *session, enum answer_code code, const char *text)
 {
     const struct answer_meaning *meaning = answer_meaning(code);
     g_autofree char *advice = NULL;
@@ -95,7 +101,8 @@
 }
 
 /* The transaction is over at the database; the client has still to end it. */
-void session_fail_transaction(struct session *session)
+void
+session_fail_transaction(struct session *session)
 {
     if (session->server != NULL) {
         server_release(session->server);
@@ -103,7 +110,8 @@
     session->transaction = SESSION_TRANSACTION_FAILED;
 }
 
-void session_end_transaction(struct session *session)
+void
+session_end_transaction(struct session *session)
 {
     if (session->server != NULL) {
         server_release(session->server);
@@ -113,7 +121,8 @@
 }
 
 /* A statement in doubt: a write or commit that was sent, and whose end is not known. */
-static bool in_doubt(const struct session *session)
+static bool
+in_doubt(const struct session *session)
 {
     const struct session_request *request = &session->request;
     bool single = session->transaction == SESSION_TRANSACTION_NONE && request->writes;
@@ -122,7 +131,8 @@
 }
 
 /* Answers a statement whose connection is lost and that goes nowhere else. */
-void session_answer_lost(struct session *session, enum answer_code reason)
+void
+session_answer_lost(struct session *session, enum answer_code reason)
 {
     if (in_doubt(session)) {
         session_end_transaction(session);
@@ -142,7 +152,8 @@
     session_answer_error(session, ANSWER_ABORTED, NULL);
 }
 
-static void note_own_commit(struct session *session, const struct log_position *position)
+static void
+note_own_commit(struct session *session, const struct log_position *position)
 {
     const struct session_request *request = &session->request;
     bool committed = request->statement.kind == STATEMENT_COMMIT ||
@@ -155,7 +166,8 @@
 }
 
 /* A statement over its route's latency objective: where its time went. */
-static void log_slow(const struct session *session, const struct server *server, time_ns latency)
+static void
+log_slow(const struct session *session, const struct server *server, time_ns latency)
 {
     const struct session_request *request = &session->request;
     if (latency <= session->route.target_ms * NANOSECONDS_PER_MILLISECOND) {
@@ -174,8 +186,8 @@
                      total, waited, request->attempts);
 }
 
-static void tell_success(struct session *session, struct server *server,
-                         const struct log_position *position)
+static void
+tell_success(struct session *session, struct server *server, const struct log_position *position)
 {
     struct span rows = buffer_content(&server->rows);
     struct span signature = span_of(server->signature);
@@ -188,7 +200,8 @@
 }
 
 /* The database answered inside a transaction, or ended it. */
-static void follow_transaction(struct session *session, enum transaction_state state)
+static void
+follow_transaction(struct session *session, enum transaction_state state)
 {
     if (session->transaction != SESSION_TRANSACTION_OPEN) {
         return;
@@ -201,15 +214,16 @@
 }
 
 /* True if nothing of the transaction has run, so that it may begin anew elsewhere. */
-static bool may_begin_anew(const struct session *session, enum answer_code code)
+static bool
+may_begin_anew(const struct session *session, enum answer_code code)
 {
     const struct answer_meaning *meaning = answer_meaning(code);
     return session->transaction == SESSION_TRANSACTION_OPEN && !session->statements_run &&
            meaning->not_run && meaning->elsewhere;
 }
 
-static void answer_failure(struct session *session, struct server *server,
-                           enum transaction_state state)
+static void
+answer_failure(struct session *session, struct server *server, enum transaction_state state)
 {
     enum answer_code code = server->code;
     const struct answer_meaning *meaning = answer_meaning(code);
@@ -236,8 +250,9 @@
     session_answer_error(session, code, text);
 }
 
-static void answer_success(struct session *session, struct server *server,
-                           enum transaction_state state, const struct log_position *position)
+static void
+answer_success(struct session *session, struct server *server, enum transaction_state state,
+               const struct log_position *position)
 {
     bool over = session->transaction == SESSION_TRANSACTION_NONE || state == TRANSACTION_STATE_NONE;
     note_own_commit(session, position);
@@ -253,8 +268,9 @@
     }
 }
 
-void session_answer(struct session *session, struct server *server, enum transaction_state state,
-                    const struct log_position *position)
+void
+session_answer(struct session *session, struct server *server, enum transaction_state state,
+               const struct log_position *position)
 {
     if (server->code == ANSWER_READONLY && server->database == session->route.group->primary) {
         database_set_fault(server->database, DATABASE_FAULT_REFUSING, backend_now());
@@ -269,7 +285,8 @@
     }
 }
 
-void session_server_lost(struct session *session, enum answer_code reason)
+void
+session_server_lost(struct session *session, enum answer_code reason)
 {
     if (session->state != SESSION_RUNNING) {
         if (session->transaction == SESSION_TRANSACTION_OPEN) {
@@ -289,12 +306,14 @@
     }
 }
 
-void session_refuse(struct session *session)
+void
+session_refuse(struct session *session)
 {
     session_answer_lost(session, ANSWER_BUSY);
 }
 
-void session_try_again(struct session *session, enum answer_code reason)
+void
+session_try_again(struct session *session, enum answer_code reason)
 {
     struct session_request *request = &session->request;
     time_ns now = backend_now();
--- a/src/pooler/session_statement.c
+++ b/src/pooler/session_statement.c
@@ -3,7 +3,8 @@
 #define G_LOG_DOMAIN "session"
 #include "pooler/session_internal.h"
 
-static void free_prepared(gpointer data)
+static void
+free_prepared(gpointer data)
 {
     struct prepared *prepared = data;
     g_free(prepared->shape);
@@ -11,13 +12,15 @@
 }
 
 /* True once a configuration and the group orders are known, so that "no such database" is true. */
-bool session_knows_routes(const struct worker *worker)
+bool
+session_knows_routes(const struct worker *worker)
 {
     return worker->applied != NULL;
 }
 
 /* Takes the session's route from the newest view. False if there is none. */
-bool session_bind_route(struct session *session)
+bool
+session_bind_route(struct session *session)
 {
     bool found = false;
     rcu_read_lock();
@@ -37,7 +40,8 @@
     return found;
 }
 
-static void set_value(struct session *session, const struct statement *statement)
+static void
+set_value(struct session *session, const struct statement *statement)
 {
     if (session->values == NULL) {
         session->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -46,7 +50,8 @@
     session_answer_own(session);
 }
 
-static void prepare(struct session *session, const struct statement *statement)
+static void
+prepare(struct session *session, const struct statement *statement)
 {
     if (session->prepared == NULL) {
         session->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_prepared);
@@ -58,13 +63,15 @@
     session_answer_own(session);
 }
 
-static const struct prepared *find_prepared(const struct session *session, struct span name)
+static const struct prepared *
+find_prepared(const struct session *session, struct span name)
 {
     g_autofree char *text = span_copy(name);
     return session->prepared == NULL ? NULL : g_hash_table_lookup(session->prepared, text);
 }
 
-static void deallocate(struct session *session, const struct statement *statement)
+static void
+deallocate(struct session *session, const struct statement *statement)
 {
     g_autofree char *name = span_copy(statement->name);
     if (session->prepared != NULL) {
@@ -73,7 +80,8 @@
     session_answer_own(session);
 }
 
-static void begin(struct session *session, bool read_only)
+static void
+begin(struct session *session, bool read_only)
 {
     if (session->transaction != SESSION_TRANSACTION_NONE) {
         session_answer_error(session, ANSWER_MALFORMED, "a transaction is open");
@@ -90,7 +98,8 @@
     session_answer_own(session);
 }
 
-static void rollback(struct session *session)
+static void
+rollback(struct session *session)
 {
     if (session->transaction == SESSION_TRANSACTION_NONE) {
         session_answer_error(session, ANSWER_MALFORMED, "no transaction is open");
@@ -100,7 +109,8 @@
     session_answer_own(session);
 }
 
-static void refuse_in_failed(struct session *session)
+static void
+refuse_in_failed(struct session *session)
 {
     if (session->request.statement.kind == STATEMENT_COMMIT) {
         session_end_transaction(session);
@@ -110,14 +120,16 @@
     session_answer_error(session, ANSWER_MALFORMED, "the transaction failed; roll it back");
 }
 
-static void start_request_timer(struct session *session)
+static void
+start_request_timer(struct session *session)
 {
     time_ns timeout = session->route.timeout_ms * NANOSECONDS_PER_MILLISECOND;
     session->request.deadline = session->request.arrived + timeout;
     session_set_timer(session, session->request.arrived + (time_ns)((double)timeout * WAIT_SHARE));
 }
 
-void session_sent(struct session *session)
+void
+session_sent(struct session *session)
 {
     session->state = SESSION_RUNNING;
     session->request.sent = backend_now();
@@ -125,7 +137,8 @@
 }
 
 /* Sends a statement of the open transaction on, or finds a connection for the first one. */
-static void submit(struct session *session)
+static void
+submit(struct session *session)
 {
     session->worker->busy++;
     worker_arm_tick(session->worker);
@@ -143,7 +156,8 @@
     router_submit(session);
 }
 
-static void ask_database(struct session *session)
+static void
+ask_database(struct session *session)
 {
     struct session_request *request = &session->request;
     const struct statement *statement = &request->statement;
@@ -167,12 +181,14 @@
     submit(session);
 }
 
-static bool may_end_failed(enum statement_kind kind)
+static bool
+may_end_failed(enum statement_kind kind)
 {
     return kind == STATEMENT_ROLLBACK;
 }
 
-void session_ask(struct session *session)
+void
+session_ask(struct session *session)
 {
     const struct statement *statement = &session->request.statement;
     bool failed = session->transaction == SESSION_TRANSACTION_FAILED;
--- a/src/pooler/socket.c
+++ b/src/pooler/socket.c
@@ -10,17 +10,20 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-static int new_socket(void)
+static int
+new_socket(void)
 {
     return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 }
 
-static bool set_option(int handle, int level, int option, int value)
+static bool
+set_option(int handle, int level, int option, int value)
 {
     return setsockopt(handle, level, option, &value, sizeof value) == 0;
 }
 
-int socket_listen(const struct sockaddr_in *address, int backlog, bool shared, GError **error)
+int
+socket_listen(const struct sockaddr_in *address, int backlog, bool shared, GError **error)
 {
     int handle = new_socket();
     bool good = handle >= 0;
@@ -40,7 +43,8 @@
     return -1;
 }
 
-int socket_accept(int listener)
+int
+socket_accept(int listener)
 {
     int handle = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (handle >= 0) {
@@ -49,12 +53,14 @@
     return handle;
 }
 
-void socket_set_dark(int handle, unsigned dark_ms)
+void
+socket_set_dark(int handle, unsigned dark_ms)
 {
     set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, (int)dark_ms);
 }
 
-int socket_connect(const struct sockaddr_in *address, unsigned dark_ms)
+int
+socket_connect(const struct sockaddr_in *address, unsigned dark_ms)
 {
     int handle = new_socket();
     if (handle < 0) {
--- a/src/pooler/view.c
+++ b/src/pooler/view.c
@@ -3,7 +3,8 @@
 
 #include <glib.h>
 
-void view_free(struct view *view)
+void
+view_free(struct view *view)
 {
     if (view == NULL) {
         return;
--- a/src/pooler/worker.c
+++ b/src/pooler/worker.c
@@ -19,7 +19,8 @@
 /* Kept free before the end of the grace. */
 #define STOP_RESERVE_NS (700 * NANOSECONDS_PER_MILLISECOND)
 
-void worker_alert(struct worker *worker)
+void
+worker_alert(struct worker *worker)
 {
     uint64_t one = 1;
     if (write(worker->shared->control_wake, &one, sizeof one) < 0) {
@@ -27,7 +28,8 @@
     }
 }
 
-void worker_wake(struct worker *worker)
+void
+worker_wake(struct worker *worker)
 {
     uint64_t one = 1;
     if (write(worker->wake, &one, sizeof one) < 0) {
@@ -35,22 +37,26 @@
     }
 }
 
-bool worker_ended(const struct worker *worker)
+bool
+worker_ended(const struct worker *worker)
 {
     return atomic_load(&worker->has_ended);
 }
 
-uint32_t worker_sessions(const struct worker *worker)
+uint32_t
+worker_sessions(const struct worker *worker)
 {
     return atomic_load(&worker->session_count);
 }
 
-struct metrics *worker_metrics(struct worker *worker)
+struct metrics *
+worker_metrics(struct worker *worker)
 {
     return &worker->metrics;
 }
 
-void worker_settle(struct worker *worker)
+void
+worker_settle(struct worker *worker)
 {
     while (worker->groups_to_run->len > 0) {
         guint last = worker->groups_to_run->len - 1;
@@ -67,7 +73,8 @@
     g_ptr_array_set_size(worker->ended, 0);
 }
 
-void worker_arm_tick(struct worker *worker)
+void
+worker_arm_tick(struct worker *worker)
 {
     if (!worker->tick_armed) {
         struct timeval wait = {0, TICK_MS * 1000};
@@ -77,7 +84,8 @@
 }
 
 /* Sessions whose start came before the first view. */
-static void continue_waiting(struct worker *worker)
+static void
+continue_waiting(struct worker *worker)
 {
     for (GList *link = worker->sessions.head; link != NULL;) {
         struct session *session = link->data;
@@ -86,7 +94,8 @@
     }
 }
 
-static void apply_view(struct worker *worker)
+static void
+apply_view(struct worker *worker)
 {
     rcu_read_lock();
     const struct view *view = rcu_dereference(worker->shared->view);
@@ -110,7 +119,8 @@
     }
 }
 
-static void end_loop(struct worker *worker)
+static void
+end_loop(struct worker *worker)
 {
     atomic_store(&worker->has_ended, true);
     event_base_loopbreak(worker->base);
@@ -118,7 +128,8 @@
 }
 
 /* Transactions have half of the grace; then whatever is left ends. */
-static void check_stop(struct worker *worker, time_ns now)
+static void
+check_stop(struct worker *worker, time_ns now)
 {
     time_ns began = atomic_load(&worker->shared->stop_at);
     if (began == 0) {
@@ -143,7 +154,8 @@
     worker_arm_tick(worker);
 }
 
-static void on_tick(evutil_socket_t socket, short events, void *user)
+static void
+on_tick(evutil_socket_t socket, short events, void *user)
 {
     struct worker *worker = user;
     time_ns now = backend_now();
@@ -162,7 +174,8 @@
     worker_settle(worker);
 }
 
-static void on_wake(evutil_socket_t socket, short events, void *user)
+static void
+on_wake(evutil_socket_t socket, short events, void *user)
 {
     struct worker *worker = user;
     uint64_t count = 0;
@@ -174,7 +187,8 @@
     worker_settle(worker);
 }
 
-static void on_acceptable(evutil_socket_t listener, short events, void *user)
+static void
+on_acceptable(evutil_socket_t listener, short events, void *user)
 {
     struct worker *worker = user;
     for (int i = 0; i < ACCEPTS_MAX; i++) {
@@ -191,14 +205,16 @@
     worker_settle(worker);
 }
 
-static void *run(void *user)
+static void *
+run(void *user)
 {
     struct worker *worker = user;
     event_base_dispatch(worker->base);
     return NULL;
 }
 
-static void free_group(gpointer data)
+static void
+free_group(gpointer data)
 {
     struct group *group = data;
     for (guint i = 0; i < group->databases->len; i++) {
@@ -208,7 +224,8 @@
     g_free(group);
 }
 
-struct worker *worker_start(struct worker_shared *shared, unsigned index, GError **error)
+struct worker *
+worker_start(struct worker_shared *shared, unsigned index, GError **error)
 {
     int listener = socket_listen(&shared->listen, LISTEN_BACKLOG, true, error);
     if (listener < 0) {
@@ -236,7 +253,8 @@
 }
 
 /* Frees what the planned stop left open. After the thread has ended. */
-static void close_rest(struct worker *worker)
+static void
+close_rest(struct worker *worker)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -257,7 +275,8 @@
     worker_settle(worker);
 }
 
-void worker_join(struct worker *worker)
+void
+worker_join(struct worker *worker)
 {
     pthread_join(worker->thread, NULL);
     close_rest(worker);
--- a/standins/session_platform/line_group.c
+++ b/standins/session_platform/line_group.c
@@ -60,7 +60,8 @@
     GPtrArray *runs;
 };
 
-static void free_entry(gpointer data)
+static void
+free_entry(gpointer data)
 {
     struct entry *entry = data;
     g_free(entry->thing);
@@ -68,7 +69,8 @@
     g_free(entry);
 }
 
-static void free_run(gpointer data)
+static void
+free_run(gpointer data)
 {
     struct line_run *run = data;
     g_free(run->id);
@@ -78,7 +80,8 @@
     g_free(run);
 }
 
-static struct entry *entry_new(uint64_t term, const char *thing, const char *data)
+static struct entry *
+entry_new(uint64_t term, const char *thing, const char *data)
 {
     struct entry *entry = g_new0(struct entry, 1);
     entry->term = term;
@@ -87,7 +90,8 @@
     return entry;
 }
 
-static void free_connection(struct connection *connection)
+static void
+free_connection(struct connection *connection)
 {
     g_ptr_array_remove(connection->database->connections, connection);
     bufferevent_free(connection->events);
@@ -99,7 +103,8 @@
 
 static void say(struct connection *connection, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
-static void say(struct connection *connection, const char *format, ...)
+static void
+say(struct connection *connection, const char *format, ...)
 {
     if (connection->mute) {
         return;
@@ -110,7 +115,8 @@
     va_end(arguments);
 }
 
-static uint64_t position_term(const struct database *database, guint length)
+static uint64_t
+position_term(const struct database *database, guint length)
 {
     if (length == 0) {
         return 1;
@@ -118,7 +124,8 @@
     return ((struct entry *)g_ptr_array_index(database->log, length - 1))->term;
 }
 
-static void ready(struct connection *connection)
+static void
+ready(struct connection *connection)
 {
     const struct database *database = connection->database;
     guint length = database->leads ? database->log->len : database->applied;
@@ -126,7 +133,8 @@
         position_term(database, length), length);
 }
 
-static void refuse(struct connection *connection, const char *code)
+static void
+refuse(struct connection *connection, const char *code)
 {
     say(connection, "ERROR %s %s\r\n", code, connection->database->id);
     if (connection->state == 'T') {
@@ -136,7 +144,8 @@
 }
 
 /* A replica takes the primary's log unless a fault or a pause keeps it from that. */
-static bool receive(struct database *replica, const struct database *primary)
+static bool
+receive(struct database *replica, const struct database *primary)
 {
     bool able = replica != primary && !replica->leads && !replica->faults.deaf &&
                 !replica->faults.down && replica->paused == 0 && replica->term <= primary->term &&
@@ -156,7 +165,8 @@
     return true;
 }
 
-static unsigned replicate(struct database *primary)
+static unsigned
+replicate(struct database *primary)
 {
     unsigned received = 0;
     for (unsigned i = 0; i < primary->group->count; i++) {
@@ -167,7 +177,8 @@
 
 /* Commits what the connection wrote. False if too few replicas received it: then no answer comes.
  */
-static bool commit(struct connection *connection)
+static bool
+commit(struct connection *connection)
 {
     struct database *database = connection->database;
     if (connection->writes->len == 0) {
@@ -181,7 +192,8 @@
     return replicate(database) >= database->group->sync_replicas;
 }
 
-static const char *find_value(const struct database *database, const char *thing)
+static const char *
+find_value(const struct database *database, const char *thing)
 {
     guint length = database->leads ? database->log->len : database->applied;
     for (guint i = length; i > 0; i--) {
@@ -193,12 +205,14 @@
     return "none";
 }
 
-static gint compare_names(gconstpointer a, gconstpointer b)
+static gint
+compare_names(gconstpointer a, gconstpointer b)
 {
     return strcmp(a, b);
 }
 
-static char *values_text(GHashTable *values)
+static char *
+values_text(GHashTable *values)
 {
     GString *text = g_string_new(NULL);
     GList *names = g_list_sort(g_hash_table_get_keys(values), compare_names);
@@ -210,8 +224,8 @@
     return g_string_free(text, FALSE);
 }
 
-static void note_run(struct connection *connection, const char *id, const char *text,
-                     const char *shape)
+static void
+note_run(struct connection *connection, const char *id, const char *text, const char *shape)
 {
     struct line_run *run = g_new0(struct line_run, 1);
     run->database = connection->database->index;
@@ -223,7 +237,8 @@
     g_ptr_array_add(connection->database->group->runs, run);
 }
 
-static void answer_done(struct connection *connection, const char *id)
+static void
+answer_done(struct connection *connection, const char *id)
 {
     if (connection->database->faults.lose_answers) {
         connection->mute = true;
@@ -232,16 +247,18 @@
     ready(connection);
 }
 
-static void run_read(struct connection *connection, const char *id, const char *text,
-                     const char *shape, const char *thing)
+static void
+run_read(struct connection *connection, const char *id, const char *text, const char *shape,
+         const char *thing)
 {
     note_run(connection, id, text, shape);
     say(connection, "ROW %s\r\n", find_value(connection->database, thing));
     answer_done(connection, id);
 }
 
-static void run_write(struct connection *connection, const char *id, const char *text,
-                      const char *shape, const char *thing, const char *data)
+static void
+run_write(struct connection *connection, const char *id, const char *text, const char *shape,
+          const char *thing, const char *data)
 {
     if (!connection->database->leads) {
         refuse(connection, "READONLY");
@@ -255,8 +272,8 @@
     answer_done(connection, id);
 }
 
-static void run_execute(struct connection *connection, const char *id, const char *text,
-                        char **words)
+static void
+run_execute(struct connection *connection, const char *id, const char *text, char **words)
 {
     const char *shape =
         words[1] == NULL ? NULL : g_hash_table_lookup(connection->prepared, words[1]);
@@ -269,7 +286,8 @@
     }
 }
 
-static void run_begin(struct connection *connection, bool read_only)
+static void
+run_begin(struct connection *connection, bool read_only)
 {
     if (!read_only && !connection->database->leads) {
         refuse(connection, "READONLY");
@@ -281,7 +299,8 @@
     ready(connection);
 }
 
-static void run_end(struct connection *connection, const char *id, const char *text, bool commits)
+static void
+run_end(struct connection *connection, const char *id, const char *text, bool commits)
 {
     bool failed = connection->state != 'T';
     connection->state = 'I';
@@ -298,7 +317,8 @@
     answer_done(connection, id);
 }
 
-static void tell_status(struct connection *connection)
+static void
+tell_status(struct connection *connection)
 {
     const struct database *database = connection->database;
     guint length = database->log->len;
@@ -308,7 +328,8 @@
     ready(connection);
 }
 
-static void run_control(struct connection *connection, char **words)
+static void
+run_control(struct connection *connection, char **words)
 {
     struct database *database = connection->database;
     const char *word = words[0] == NULL ? "" : words[0];
@@ -323,13 +344,15 @@
     tell_status(connection);
 }
 
-static void done(struct connection *connection)
+static void
+done(struct connection *connection)
 {
     say(connection, "COMPLETE -\r\n");
     ready(connection);
 }
 
-static bool lacks(const struct database *database, const char *position)
+static bool
+lacks(const struct database *database, const char *position)
 {
     char *rest = NULL;
     uint64_t term = g_ascii_strtoull(position, &rest, 10);
@@ -339,7 +362,8 @@
     return held < term || (held == term && length < number);
 }
 
-static void run(struct connection *connection, const char *id, const char *text)
+static void
+run(struct connection *connection, const char *id, const char *text)
 {
     g_auto(GStrv) words = g_strsplit(text, " ", 5);
     const char *word = words[0] == NULL ? "" : words[0];
@@ -381,7 +405,8 @@
     }
 }
 
-static void start(struct connection *connection, char **words)
+static void
+start(struct connection *connection, char **words)
 {
     struct database *database = connection->database;
     bool right = words[1] != NULL && strcmp(words[1], database->group->service) == 0 &&
@@ -394,7 +419,8 @@
     }
 }
 
-static void take_line(struct connection *connection, const char *line)
+static void
+take_line(struct connection *connection, const char *line)
 {
     const struct database *database = connection->database;
     g_auto(GStrv) words = g_strsplit(line, " ", 4);
@@ -417,7 +443,8 @@
     }
 }
 
-static void on_read(struct bufferevent *events, void *user)
+static void
+on_read(struct bufferevent *events, void *user)
 {
     struct connection *connection = user;
     struct line_group *group = connection->database->group;
@@ -431,7 +458,8 @@
     g_mutex_unlock(&group->lock);
 }
 
-static void on_event(struct bufferevent *events, short what, void *user)
+static void
+on_event(struct bufferevent *events, short what, void *user)
 {
     struct connection *connection = user;
     struct line_group *group = connection->database->group;
@@ -440,8 +468,9 @@
     g_mutex_unlock(&group->lock);
 }
 
-static void on_accept(struct evconnlistener *listener, evutil_socket_t socket,
-                      struct sockaddr *address, int length, void *user)
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t socket, struct sockaddr *address,
+          int length, void *user)
 {
     struct database *database = user;
     g_mutex_lock(&database->group->lock);
@@ -465,7 +494,8 @@
     g_mutex_unlock(&database->group->lock);
 }
 
-static void listen_database(struct database *database)
+static void
+listen_database(struct database *database)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
     socklen_t length = sizeof address;
@@ -479,21 +509,24 @@
     database->port = ntohs(address.sin_port);
 }
 
-static void on_serving(evutil_socket_t socket, short events, void *user)
+static void
+on_serving(evutil_socket_t socket, short events, void *user)
 {
     struct line_group *group = user;
     g_atomic_int_set(&group->serving, 1);
 }
 
 /* Waits until the loop runs: a stop that comes before is lost. */
-static void wait_until_serving(struct line_group *group)
+static void
+wait_until_serving(struct line_group *group)
 {
     while (g_atomic_int_get(&group->serving) == 0) {
         g_usleep(1000);
     }
 }
 
-static gpointer serve(gpointer user)
+static gpointer
+serve(gpointer user)
 {
     struct line_group *group = user;
     const struct timeval now = {0, 0};
@@ -502,7 +535,8 @@
     return NULL;
 }
 
-struct line_group *line_group_start(const char *service, unsigned count, unsigned sync_replicas)
+struct line_group *
+line_group_start(const char *service, unsigned count, unsigned sync_replicas)
 {
     evthread_use_pthreads();
     struct line_group *group = g_new0(struct line_group, 1);
@@ -528,14 +562,16 @@
     return group;
 }
 
-static void close_connections(struct database *database)
+static void
+close_connections(struct database *database)
 {
     while (database->connections->len > 0) {
         free_connection(g_ptr_array_index(database->connections, 0));
     }
 }
 
-void line_group_stop(struct line_group *group)
+void
+line_group_stop(struct line_group *group)
 {
     event_base_loopbreak(group->base);
     g_thread_join(group->thread);
@@ -552,18 +588,20 @@
     g_free(group);
 }
 
-const char *line_group_id(const struct line_group *group, unsigned database)
+const char *
+line_group_id(const struct line_group *group, unsigned database)
 {
     return group->databases[database].id;
 }
 
-uint16_t line_group_port(const struct line_group *group, unsigned database)
+uint16_t
+line_group_port(const struct line_group *group, unsigned database)
 {
     return group->databases[database].port;
 }
 
-void line_group_set_faults(struct line_group *group, unsigned database,
-                           const struct line_faults *faults)
+void
+line_group_set_faults(struct line_group *group, unsigned database, const struct line_faults *faults)
 {
     g_mutex_lock(&group->lock);
     struct database *changed = &group->databases[database];
@@ -579,7 +617,8 @@
     g_mutex_unlock(&group->lock);
 }
 
-bool line_group_leads(struct line_group *group, unsigned database)
+bool
+line_group_leads(struct line_group *group, unsigned database)
 {
     g_mutex_lock(&group->lock);
     bool leads = group->databases[database].leads;
@@ -587,7 +626,8 @@
     return leads;
 }
 
-uint64_t line_group_term(struct line_group *group, unsigned database)
+uint64_t
+line_group_term(struct line_group *group, unsigned database)
 {
     g_mutex_lock(&group->lock);
     uint64_t term = group->databases[database].term;
@@ -595,7 +635,8 @@
     return term;
 }
 
-uint64_t line_group_paused(struct line_group *group, unsigned database)
+uint64_t
+line_group_paused(struct line_group *group, unsigned database)
 {
     g_mutex_lock(&group->lock);
     uint64_t paused = group->databases[database].paused;
@@ -603,7 +644,8 @@
     return paused;
 }
 
-bool line_group_promote(struct line_group *group, const char *id)
+bool
+line_group_promote(struct line_group *group, const char *id)
 {
     bool good = false;
     uint64_t newest = 0;
@@ -629,14 +671,16 @@
     return good;
 }
 
-void line_group_demote(struct line_group *group, unsigned database)
+void
+line_group_demote(struct line_group *group, unsigned database)
 {
     g_mutex_lock(&group->lock);
     group->databases[database].leads = false;
     g_mutex_unlock(&group->lock);
 }
 
-static gpointer copy_run(gconstpointer data, gpointer user)
+static gpointer
+copy_run(gconstpointer data, gpointer user)
 {
     const struct line_run *run = data;
     struct line_run *copy = g_new0(struct line_run, 1);
@@ -649,7 +693,8 @@
     return copy;
 }
 
-GPtrArray *line_group_runs(struct line_group *group)
+GPtrArray *
+line_group_runs(struct line_group *group)
 {
     g_mutex_lock(&group->lock);
     GPtrArray *copy = g_ptr_array_copy(group->runs, copy_run, NULL);
@@ -658,7 +703,8 @@
     return copy;
 }
 
-unsigned line_group_committed(struct line_group *group, const char *thing, const char *data)
+unsigned
+line_group_committed(struct line_group *group, const char *thing, const char *data)
 {
     unsigned count = 0;
     g_mutex_lock(&group->lock);
@@ -677,7 +723,8 @@
     return count;
 }
 
-unsigned line_group_connections(struct line_group *group, unsigned database)
+unsigned
+line_group_connections(struct line_group *group, unsigned database)
 {
     g_mutex_lock(&group->lock);
     unsigned count = group->databases[database].connections->len;
--- a/standins/session_platform/row_store.c
+++ b/standins/session_platform/row_store.c
@@ -41,7 +41,8 @@
     bool token_fell;
 };
 
-static void free_row(gpointer data)
+static void
+free_row(gpointer data)
 {
     struct row *row = data;
     g_free(row->table);
@@ -51,8 +52,8 @@
     g_free(row);
 }
 
-static struct row *find_row(struct row_store *store, const char *table, const char *part,
-                            const char *key)
+static struct row *
+find_row(struct row_store *store, const char *table, const char *part, const char *key)
 {
     for (guint i = 0; i < store->rows->len; i++) {
         struct row *row = g_ptr_array_index(store->rows, i);
@@ -65,8 +66,9 @@
 }
 
 /* Takes the value. */
-static void put_row(struct row_store *store, const char *table, const char *part, const char *key,
-                    json_t *value)
+static void
+put_row(struct row_store *store, const char *table, const char *part, const char *key,
+        json_t *value)
 {
     struct row *row = find_row(store, table, part, key);
     if (row == NULL) {
@@ -81,7 +83,8 @@
     row->version = store->version;
 }
 
-static json_t *row_object(const struct row *row)
+static json_t *
+row_object(const struct row *row)
 {
     json_t *object = json_pack("{s:s, s:s, s:s, s:I}", "table", row->table, "part", row->part,
                                "tlsKey", row->key, "ver", (json_int_t)row->version);
@@ -93,7 +96,8 @@
     return object;
 }
 
-static json_t *answer_object(struct row_store *store, json_t *rows)
+static json_t *
+answer_object(struct row_store *store, json_t *rows)
 {
     json_int_t now = (json_int_t)(g_get_monotonic_time() / 1000);
     return json_pack("{s:o, s:I, s:I}", "rows", rows, "ver", (json_int_t)store->version, "now_ms",
@@ -101,7 +105,8 @@
 }
 
 /* Takes the body. */
-static void reply(struct evhttp_request *request, int status, json_t *body)
+static void
+reply(struct evhttp_request *request, int status, json_t *body)
 {
     struct evbuffer *output = evbuffer_new();
     if (body != NULL) {
@@ -114,14 +119,16 @@
     evbuffer_free(output);
 }
 
-static const char *query_value(const struct evkeyvalq *query, const char *name)
+static const char *
+query_value(const struct evkeyvalq *query, const char *name)
 {
     const char *value = evhttp_find_header(query, name);
     return value == NULL ? "" : value;
 }
 
-static json_t *rows_after(struct row_store *store, const char *table, const char *part,
-                          uint64_t after, bool gone_too)
+static json_t *
+rows_after(struct row_store *store, const char *table, const char *part, uint64_t after,
+           bool gone_too)
 {
     json_t *rows = json_array();
     for (guint i = 0; i < store->rows->len; i++) {
@@ -137,7 +144,8 @@
 }
 
 /* True if the call is not to be served. */
-static bool fails(struct row_store *store, struct evhttp_request *request)
+static bool
+fails(struct row_store *store, struct evhttp_request *request)
 {
     if (store->faults.refuse) {
         reply(request, 503, NULL);
@@ -145,7 +153,8 @@
     return store->faults.refuse || store->faults.silent;
 }
 
-static void on_get(struct evhttp_request *request, void *user)
+static void
+on_get(struct evhttp_request *request, void *user)
 {
     struct row_store *store = user;
     struct evkeyvalq query;
@@ -168,7 +177,8 @@
     gint64 until;
 };
 
-static void look(evutil_socket_t socket, short events, void *user)
+static void
+look(evutil_socket_t socket, short events, void *user)
 {
     struct watch *watch = user;
     struct row_store *store = watch->store;
@@ -195,7 +205,8 @@
     event_base_once(store->base, -1, EV_TIMEOUT, look, watch, &soon);
 }
 
-static void on_feed(struct evhttp_request *request, void *user)
+static void
+on_feed(struct evhttp_request *request, void *user)
 {
     struct evkeyvalq query;
     evhttp_parse_query_str(evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request)), &query);
@@ -210,18 +221,21 @@
     look(-1, 0, watch);
 }
 
-static const char *member(json_t *object, const char *name)
+static const char *
+member(json_t *object, const char *name)
 {
     const char *value = json_string_value(json_object_get(object, name));
     return value == NULL ? "" : value;
 }
 
-static struct row *row_of(struct row_store *store, json_t *item)
+static struct row *
+row_of(struct row_store *store, json_t *item)
 {
     return find_row(store, member(item, "table"), member(item, "part"), member(item, "tlsKey"));
 }
 
-static bool conditions_hold(struct row_store *store, json_t *body, json_t *present)
+static bool
+conditions_hold(struct row_store *store, json_t *body, json_t *present)
 {
     size_t index = 0;
     json_t *item = NULL;
@@ -239,7 +253,8 @@
     return hold;
 }
 
-static void write_rows(struct row_store *store, json_t *body)
+static void
+write_rows(struct row_store *store, json_t *body)
 {
     size_t index = 0;
     json_t *item = NULL;
@@ -251,14 +266,16 @@
     }
 }
 
-static json_t *body_of(struct evhttp_request *request)
+static json_t *
+body_of(struct evhttp_request *request)
 {
     struct evbuffer *input = evhttp_request_get_input_buffer(request);
     size_t length = evbuffer_get_length(input);
     return json_loadb((const char *)evbuffer_pullup(input, -1), length, 0, NULL);
 }
 
-static void on_write(struct evhttp_request *request, void *user)
+static void
+on_write(struct evhttp_request *request, void *user)
 {
     struct row_store *store = user;
     json_t *body = body_of(request);
@@ -278,7 +295,8 @@
     json_decref(body);
 }
 
-static void on_promotion(struct evhttp_request *request, void *user)
+static void
+on_promotion(struct evhttp_request *request, void *user)
 {
     struct row_store *store = user;
     json_t *body = body_of(request);
@@ -295,21 +313,24 @@
     json_decref(body);
 }
 
-static void on_serving(evutil_socket_t socket, short events, void *user)
+static void
+on_serving(evutil_socket_t socket, short events, void *user)
 {
     struct row_store *store = user;
     g_atomic_int_set(&store->serving, 1);
 }
 
 /* Waits until the loop runs: a stop that comes before is lost. */
-static void wait_until_serving(struct row_store *store)
+static void
+wait_until_serving(struct row_store *store)
 {
     while (g_atomic_int_get(&store->serving) == 0) {
         g_usleep(1000);
     }
 }
 
-static gpointer serve(gpointer user)
+static gpointer
+serve(gpointer user)
 {
     struct row_store *store = user;
     const struct timeval now = {0, 0};
@@ -318,7 +339,8 @@
     return NULL;
 }
 
-struct row_store *row_store_start(row_store_promote *promote, void *user)
+struct row_store *
+row_store_start(row_store_promote *promote, void *user)
 {
     struct sockaddr_in address = {0};
     socklen_t length = sizeof address;
@@ -343,7 +365,8 @@
     return store;
 }
 
-void row_store_stop(struct row_store *store)
+void
+row_store_stop(struct row_store *store)
 {
     event_base_loopbreak(store->base);
     g_thread_join(store->thread);
@@ -354,19 +377,22 @@
     g_free(store);
 }
 
-uint16_t row_store_port(const struct row_store *store)
+uint16_t
+row_store_port(const struct row_store *store)
 {
     return store->port;
 }
 
-void row_store_set_faults(struct row_store *store, const struct row_store_faults *faults)
+void
+row_store_set_faults(struct row_store *store, const struct row_store_faults *faults)
 {
     g_mutex_lock(&store->lock);
     store->faults = *faults;
     g_mutex_unlock(&store->lock);
 }
 
-void row_store_put(struct row_store *store, const char *table, const char *key, const char *text)
+void
+row_store_put(struct row_store *store, const char *table, const char *key, const char *text)
 {
     json_t *value = text == NULL ? NULL : json_loads(text, 0, NULL);
     g_mutex_lock(&store->lock);
@@ -375,7 +401,8 @@
     g_mutex_unlock(&store->lock);
 }
 
-char *row_store_get(struct row_store *store, const char *table, const char *key)
+char *
+row_store_get(struct row_store *store, const char *table, const char *key)
 {
     char *text = NULL;
     g_mutex_lock(&store->lock);
@@ -392,7 +419,8 @@
     return text;
 }
 
-unsigned row_store_promotions(struct row_store *store)
+unsigned
+row_store_promotions(struct row_store *store)
 {
     g_mutex_lock(&store->lock);
     unsigned count = store->promotions;
@@ -400,7 +428,8 @@
     return count;
 }
 
-uint64_t row_store_token(struct row_store *store, bool *fell)
+uint64_t
+row_store_token(struct row_store *store, bool *fell)
 {
     g_mutex_lock(&store->lock);
     uint64_t token = store->token;
--- a/tests/pooler/failover_rig.c
+++ b/tests/pooler/failover_rig.c
@@ -5,7 +5,8 @@
 
 #define MS NANOSECONDS_PER_MILLISECOND
 
-static struct rig_database *database_of(struct rig *rig, const char *id)
+static struct rig_database *
+database_of(struct rig *rig, const char *id)
 {
     for (unsigned i = 0; i < rig->count; i++) {
         if (strcmp(rig->databases[i].id, id) == 0) {
@@ -15,8 +16,9 @@
     g_assert_not_reached();
 }
 
-static void ask(void *user, struct failover *failover, const char *id,
-                enum database_command command, uint64_t term)
+static void
+ask(void *user, struct failover *failover, const char *id, enum database_command command,
+    uint64_t term)
 {
     struct rig_database *database = database_of(user, id);
     g_assert_false(database->asking);
@@ -26,14 +28,16 @@
     database->commands[command]++;
 }
 
-static void record(void *user, struct failover *failover, bool done)
+static void
+record(void *user, struct failover *failover, bool done)
 {
     struct rig *rig = user;
     rig->records++;
     rig->record_pending = !done;
 }
 
-static void promote(void *user, struct failover *failover, const char *candidate)
+static void
+promote(void *user, struct failover *failover, const char *candidate)
 {
     struct rig *rig = user;
     g_assert_true(rig->closed);
@@ -45,22 +49,26 @@
     }
 }
 
-static void publish(void *user, struct failover *failover)
+static void
+publish(void *user, struct failover *failover)
 {
     ((struct rig *)user)->published++;
 }
 
-static bool closed(void *user, struct failover *failover)
+static bool
+closed(void *user, struct failover *failover)
 {
     return ((struct rig *)user)->closed;
 }
 
-static bool drained(void *user, struct failover *failover)
+static bool
+drained(void *user, struct failover *failover)
 {
     return ((struct rig *)user)->drained;
 }
 
-struct rig *rig_new(unsigned count, uint32_t sync_replicas)
+struct rig *
+rig_new(unsigned count, uint32_t sync_replicas)
 {
     struct rig *rig = g_new0(struct rig, 1);
     rig->actions = (struct failover_actions){ask, record, promote, publish, closed, drained, rig};
@@ -83,13 +91,15 @@
     return rig;
 }
 
-void rig_free(struct rig *rig)
+void
+rig_free(struct rig *rig)
 {
     failover_free(rig->failover);
     g_free(rig);
 }
 
-static bool newer_leader(const struct rig *rig)
+static bool
+newer_leader(const struct rig *rig)
 {
     for (unsigned i = 0; i < rig->count; i++) {
         if (rig->databases[i].leads && rig->databases[i].term > 1) {
@@ -99,7 +109,8 @@
     return false;
 }
 
-static void obey(struct rig *rig, struct rig_database *database)
+static void
+obey(struct rig *rig, struct rig_database *database)
 {
     switch (database->asked) {
     case DATABASE_COMMAND_PAUSE:
@@ -121,7 +132,8 @@
     }
 }
 
-static void answer(struct rig *rig, struct rig_database *database)
+static void
+answer(struct rig *rig, struct rig_database *database)
 {
     database->asking = false;
     bool lost = database->lose > 0;
@@ -138,7 +150,8 @@
     failover_answered(rig->failover, database->id, &report, rig->now);
 }
 
-static uint64_t newest_term(const struct rig *rig)
+static uint64_t
+newest_term(const struct rig *rig)
 {
     uint64_t newest = 0;
     for (unsigned i = 0; i < rig->count; i++) {
@@ -147,7 +160,8 @@
     return newest;
 }
 
-static void take_effect(struct rig *rig)
+static void
+take_effect(struct rig *rig)
 {
     if (rig->promoted_at == 0 || rig->now < rig->promoted_at) {
         return;
@@ -161,7 +175,8 @@
     }
 }
 
-static void end_calls(struct rig *rig)
+static void
+end_calls(struct rig *rig)
 {
     if (rig->record_pending) {
         rig->record_pending = false;
@@ -178,7 +193,8 @@
     }
 }
 
-static void step(struct rig *rig)
+static void
+step(struct rig *rig)
 {
     rig->now += RIG_STEP_NS;
     take_effect(rig);
@@ -191,21 +207,24 @@
     failover_tick(rig->failover, &rig->opinion, rig->now);
 }
 
-void rig_run(struct rig *rig, uint32_t ms)
+void
+rig_run(struct rig *rig, uint32_t ms)
 {
     for (time_ns end = rig->now + ms * MS; rig->now < end;) {
         step(rig);
     }
 }
 
-static bool is_open(const struct rig *rig, unsigned database)
+static bool
+is_open(const struct rig *rig, unsigned database)
 {
     const struct failover *failover = rig->failover;
     return failover->state == FAILOVER_WATCHING && failover->phase == GROUP_PHASE_OPEN &&
            g_strcmp0(failover->primary, rig->databases[database].id) == 0;
 }
 
-void rig_run_until_open(struct rig *rig, unsigned database)
+void
+rig_run_until_open(struct rig *rig, unsigned database)
 {
     for (int i = 0; i < 6000 && !is_open(rig, database); i++) {
         step(rig);
@@ -213,13 +232,15 @@
     g_assert_true(is_open(rig, database));
 }
 
-void rig_accuse(struct rig *rig, uint32_t unreachable, uint32_t stalled)
+void
+rig_accuse(struct rig *rig, uint32_t unreachable, uint32_t stalled)
 {
     rig->opinion.unreachable = unreachable;
     rig->opinion.stalled = stalled;
 }
 
-unsigned rig_leaders(const struct rig *rig)
+unsigned
+rig_leaders(const struct rig *rig)
 {
     unsigned leaders = 0;
     for (unsigned i = 0; i < rig->count; i++) {
--- a/tests/pooler/free_port.c
+++ b/tests/pooler/free_port.c
@@ -6,7 +6,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-uint16_t free_port(void)
+uint16_t
+free_port(void)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
     socklen_t length = sizeof address;
--- a/tests/pooler/test_directory.c
+++ b/tests/pooler/test_directory.c
@@ -4,7 +4,8 @@
 #define MS        NANOSECONDS_PER_MILLISECOND
 #define HEARTBEAT (1200 * MS)
 
-static struct directory_entry *entry(const char *id, bool draining)
+static struct directory_entry *
+entry(const char *id, bool draining)
 {
     struct directory_entry *out = g_new0(struct directory_entry, 1);
     out->id = g_strdup(id);
@@ -15,19 +16,21 @@
 }
 
 /* Takes a record whose state is as told; true if the directory changed. */
-static bool take(struct directory *directory, const char *id, uint64_t version, bool draining,
-                 time_ns now)
+static bool
+take(struct directory *directory, const char *id, uint64_t version, bool draining, time_ns now)
 {
     struct directory_entry *taken = entry(id, draining);
     return directory_take(directory, id, version, taken, now);
 }
 
-static const struct directory_entry *find(const struct directory *directory, const char *id)
+static const struct directory_entry *
+find(const struct directory *directory, const char *id)
 {
     return g_hash_table_lookup(directory->entries, id);
 }
 
-static void test_older_rows_are_dropped(void)
+static void
+test_older_rows_are_dropped(void)
 {
     struct directory directory;
     directory_init(&directory);
@@ -37,7 +40,8 @@
     directory_clear(&directory);
 }
 
-static void test_same_content_is_no_change(void)
+static void
+test_same_content_is_no_change(void)
 {
     struct directory directory;
     directory_init(&directory);
@@ -46,7 +50,8 @@
     directory_clear(&directory);
 }
 
-static void test_draining_leaves_at_once(void)
+static void
+test_draining_leaves_at_once(void)
 {
     struct directory directory;
     directory_init(&directory);
@@ -56,7 +61,8 @@
 }
 
 /* A store that was down may drop the records of databases that are well. */
-static void test_gone_leaves_after_two_heartbeats(void)
+static void
+test_gone_leaves_after_two_heartbeats(void)
 {
     struct directory directory;
     directory_init(&directory);
@@ -69,7 +75,8 @@
     directory_clear(&directory);
 }
 
-static void test_forget(void)
+static void
+test_forget(void)
 {
     struct directory directory;
     directory_init(&directory);
@@ -83,7 +90,8 @@
     directory_clear(&directory);
 }
 
-int main(int argc, char **argv)
+int
+main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/pooler/directory/older-dropped", test_older_rows_are_dropped);
--- a/tests/pooler/test_failover.c
+++ b/tests/pooler/test_failover.c
@@ -1,13 +1,15 @@
 /* The control of one group, by scenario, on virtual time. */
 #include "failover_rig.h"
 
-static void lose_primary(struct rig *rig)
+static void
+lose_primary(struct rig *rig)
 {
     rig->databases[0].reachable = false;
     rig_accuse(rig, rig->opinion.poolers, 0);
 }
 
-static void test_finds_the_leader(void)
+static void
+test_finds_the_leader(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig_run_until_open(rig, 0);
@@ -15,7 +17,8 @@
     rig_free(rig);
 }
 
-static void test_lost_primary_most_advanced_replica(void)
+static void
+test_lost_primary_most_advanced_replica(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig_run_until_open(rig, 0);
@@ -32,7 +35,8 @@
 }
 
 /* One replica alone may lack what the other one holds: nobody is promoted until both are paused. */
-static void test_waits_for_the_quorum(void)
+static void
+test_waits_for_the_quorum(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig_run_until_open(rig, 0);
@@ -51,7 +55,8 @@
     rig_free(rig);
 }
 
-static void test_replica_lost_before_the_primary(void)
+static void
+test_replica_lost_before_the_primary(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig_run_until_open(rig, 0);
@@ -68,7 +73,8 @@
 }
 
 /* However many replicas a service asks for, one is counted on. */
-static void test_two_synchronous_replicas_need_no_less(void)
+static void
+test_two_synchronous_replicas_need_no_less(void)
 {
     struct rig *rig = rig_new(3, 2);
     rig_run_until_open(rig, 0);
@@ -78,7 +84,8 @@
     rig_free(rig);
 }
 
-static void test_planned_change(void)
+static void
+test_planned_change(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig_run_until_open(rig, 0);
@@ -99,7 +106,8 @@
 }
 
 /* A pooler that can't be heard may still send to the old primary: the order waits for it. */
-static void test_waits_until_closed(void)
+static void
+test_waits_until_closed(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig_run_until_open(rig, 0);
@@ -115,7 +123,8 @@
 }
 
 /* No order without its record; a record that failed is tried again. */
-static void test_record_comes_first(void)
+static void
+test_record_comes_first(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig_run_until_open(rig, 0);
@@ -130,7 +139,8 @@
     rig_free(rig);
 }
 
-static void test_refused_candidate(void)
+static void
+test_refused_candidate(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig_run_until_open(rig, 0);
@@ -144,7 +154,8 @@
     rig_free(rig);
 }
 
-static void test_candidate_dies_after_the_order(void)
+static void
+test_candidate_dies_after_the_order(void)
 {
     struct rig *rig = rig_new(4, 1);
     rig_run_until_open(rig, 0);
@@ -162,7 +173,8 @@
     rig_free(rig);
 }
 
-static void test_goes_on_with_a_recorded_promotion(void)
+static void
+test_goes_on_with_a_recorded_promotion(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig->databases[0].leads = false;
@@ -177,7 +189,8 @@
     rig_free(rig);
 }
 
-static void test_minority_does_not_depose_at_once(void)
+static void
+test_minority_does_not_depose_at_once(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig_run_until_open(rig, 0);
@@ -192,7 +205,8 @@
 
 /* Most poolers have no work for the primary and say nothing of it; the coordinator hears nothing,
  * too. */
-static void test_one_voice_and_own_silence(void)
+static void
+test_one_voice_and_own_silence(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig_run_until_open(rig, 0);
@@ -204,7 +218,8 @@
     rig_free(rig);
 }
 
-static void test_stalled_primary_is_replaced(void)
+static void
+test_stalled_primary_is_replaced(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig_run_until_open(rig, 0);
@@ -217,7 +232,8 @@
 }
 
 /* Writes whose answers are lost look stalled to their poolers; replicas have everything. */
-static void test_lost_answers_depose_nobody(void)
+static void
+test_lost_answers_depose_nobody(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig_run_until_open(rig, 0);
@@ -233,7 +249,8 @@
 }
 
 /* A new primary that is alive is not deposed again, whatever the old one did. */
-static void test_one_change_is_enough(void)
+static void
+test_one_change_is_enough(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig_run_until_open(rig, 0);
@@ -246,7 +263,8 @@
     rig_free(rig);
 }
 
-static void test_nobody_leads_at_start(void)
+static void
+test_nobody_leads_at_start(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig->databases[0].leads = false;
@@ -256,7 +274,8 @@
 }
 
 /* A new coordinator whose first question to the primary has lost its answer. */
-static void test_lost_answer_while_searching(void)
+static void
+test_lost_answer_while_searching(void)
 {
     struct rig *rig = rig_new(3, 1);
     rig_run(rig, 700); /* what was known is old by now */
@@ -273,7 +292,8 @@
     rig_free(rig);
 }
 
-int main(int argc, char **argv)
+int
+main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/pooler/failover/finds-leader", test_finds_the_leader);
--- a/tests/pooler/test_fleet.c
+++ b/tests/pooler/test_fleet.c
@@ -31,12 +31,14 @@
     unsigned next_value;
 };
 
-static bool on_promote(void *user, const char *service, const char *database)
+static bool
+on_promote(void *user, const char *service, const char *database)
 {
     return line_group_promote(((struct fixture *)user)->group, database);
 }
 
-static void put_configuration(struct fixture *fixture, bool with_stale)
+static void
+put_configuration(struct fixture *fixture, bool with_stale)
 {
     static const char *const route =
         "{\"name\":\"%s\",\"hostname\":\"%s\",\"pathPrefix\":\"/\",\"routeType\":\"%s\","
@@ -51,7 +53,8 @@
     row_store_put(fixture->store, "op", "config", text);
 }
 
-static void put_record(struct fixture *fixture, unsigned database, const char *state)
+static void
+put_record(struct fixture *fixture, unsigned database, const char *state)
 {
     static unsigned sequence;
     g_autofree char *text = g_strdup_printf(
@@ -62,12 +65,14 @@
     row_store_put(fixture->store, "servers", line_group_id(fixture->group, database), text);
 }
 
-static char *setting(const char *name, uint16_t port)
+static char *
+setting(const char *name, uint16_t port)
 {
     return g_strdup_printf("--set=%s=127.0.0.1:%u", name, port);
 }
 
-static void start_pooler(struct fixture *fixture, unsigned index)
+static void
+start_pooler(struct fixture *fixture, unsigned index)
 {
     g_autoptr(GError) error = NULL;
     g_autofree char *name = g_strdup_printf("--set=pooler.name=pooler-%u", index);
@@ -97,7 +102,8 @@
     g_assert_no_error(error);
 }
 
-static void set_up(struct fixture *fixture, gconstpointer unused)
+static void
+set_up(struct fixture *fixture, gconstpointer unused)
 {
     fixture->group = line_group_start("ledger", DATABASES, 1);
     fixture->store = row_store_start(on_promote, fixture);
@@ -117,14 +123,16 @@
     }
 }
 
-static void kill_pooler(struct fixture *fixture, unsigned index)
+static void
+kill_pooler(struct fixture *fixture, unsigned index)
 {
     g_subprocess_force_exit(fixture->poolers[index]);
     g_subprocess_wait(fixture->poolers[index], NULL, NULL);
     g_clear_object(&fixture->poolers[index]);
 }
 
-static void tear_down(struct fixture *fixture, gconstpointer unused)
+static void
+tear_down(struct fixture *fixture, gconstpointer unused)
 {
     for (unsigned i = 0; i < POOLERS; i++) {
         if (fixture->poolers[i] != NULL) {
@@ -137,8 +145,8 @@
 }
 
 /* Asks one thing of a pooler over a session of its own; the answer's lines, NULL if it broke. */
-static char *ask(const struct fixture *fixture, unsigned pooler, const char *database,
-                 const char *text)
+static char *
+ask(const struct fixture *fixture, unsigned pooler, const char *database, const char *text)
 {
     struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons(fixture->ports[pooler])};
     struct timeval patience = {10, 0};
@@ -165,8 +173,9 @@
     return g_string_free(answer, FALSE);
 }
 
-static bool succeeds(const struct fixture *fixture, unsigned pooler, const char *database,
-                     const char *text, const char *row)
+static bool
+succeeds(const struct fixture *fixture, unsigned pooler, const char *database, const char *text,
+         const char *row)
 {
     g_autofree char *answer = ask(fixture, pooler, database, text);
     return answer != NULL && strstr(answer, "COMPLETE") != NULL &&
@@ -174,7 +183,8 @@
 }
 
 /* Writes new values through a pooler until one is acknowledged. */
-static void write_until_done(struct fixture *fixture, unsigned pooler)
+static void
+write_until_done(struct fixture *fixture, unsigned pooler)
 {
     gint64 end = g_get_monotonic_time() + PATIENCE_US;
     while (g_get_monotonic_time() < end) {
@@ -189,7 +199,8 @@
     g_error("no write was acknowledged");
 }
 
-static void assert_all_kept(struct fixture *fixture)
+static void
+assert_all_kept(struct fixture *fixture)
 {
     bool fell = false;
     for (guint i = 0; i < fixture->acknowledged->len; i++) {
@@ -200,7 +211,8 @@
     g_assert_false(fell);
 }
 
-static void assert_read_sees_last(struct fixture *fixture, unsigned pooler)
+static void
+assert_read_sees_last(struct fixture *fixture, unsigned pooler)
 {
     const char *value = g_ptr_array_index(fixture->acknowledged, fixture->acknowledged->len - 1);
     gint64 end = g_get_monotonic_time() + PATIENCE_US;
@@ -216,7 +228,8 @@
 }
 
 /* True if the pooler's metrics hold this line. */
-static bool tells(const struct fixture *fixture, unsigned pooler, const char *line)
+static bool
+tells(const struct fixture *fixture, unsigned pooler, const char *line)
 {
     g_autoptr(GSocketClient) client = g_socket_client_new();
     g_autoptr(GSocketConnection) connection =
@@ -235,7 +248,8 @@
 }
 
 /* Which pooler holds the lease; POOLERS if none does. */
-static unsigned find_coordinator(const struct fixture *fixture)
+static unsigned
+find_coordinator(const struct fixture *fixture)
 {
     for (unsigned i = 0; i < POOLERS; i++) {
         if (tells(fixture, i, "swiftworks_coordinator 1\n")) {
@@ -245,7 +259,8 @@
     return POOLERS;
 }
 
-static unsigned wait_for_coordinator(const struct fixture *fixture, unsigned other_than)
+static unsigned
+wait_for_coordinator(const struct fixture *fixture, unsigned other_than)
 {
     gint64 end = g_get_monotonic_time() + PATIENCE_US;
     while (g_get_monotonic_time() < end) {
@@ -258,7 +273,8 @@
     g_error("no coordinator was found");
 }
 
-static unsigned leader(const struct fixture *fixture)
+static unsigned
+leader(const struct fixture *fixture)
 {
     unsigned found = DATABASES;
     uint64_t term = 0;
@@ -271,7 +287,8 @@
     return found;
 }
 
-static void test_calm(struct fixture *fixture, gconstpointer unused)
+static void
+test_calm(struct fixture *fixture, gconstpointer unused)
 {
     write_until_done(fixture, 0);
     assert_read_sees_last(fixture, 1);
@@ -280,7 +297,8 @@
     assert_all_kept(fixture);
 }
 
-static void test_lost_primary(struct fixture *fixture, gconstpointer unused)
+static void
+test_lost_primary(struct fixture *fixture, gconstpointer unused)
 {
     for (unsigned i = 0; i < POOLERS; i++) {
         write_until_done(fixture, i);
@@ -294,7 +312,8 @@
     assert_all_kept(fixture);
 }
 
-static void test_lost_primary_after_lost_coordinator(struct fixture *fixture, gconstpointer unused)
+static void
+test_lost_primary_after_lost_coordinator(struct fixture *fixture, gconstpointer unused)
 {
     write_until_done(fixture, 0);
     unsigned coordinator = wait_for_coordinator(fixture, POOLERS);
@@ -306,7 +325,8 @@
 }
 
 /* A machine's process that is started again takes its own lease over at once. */
-static void test_coordinator_comes_back(struct fixture *fixture, gconstpointer unused)
+static void
+test_coordinator_comes_back(struct fixture *fixture, gconstpointer unused)
 {
     write_until_done(fixture, 0);
     unsigned coordinator = wait_for_coordinator(fixture, POOLERS);
@@ -317,7 +337,8 @@
     assert_all_kept(fixture);
 }
 
-static void test_store_is_silent(struct fixture *fixture, gconstpointer unused)
+static void
+test_store_is_silent(struct fixture *fixture, gconstpointer unused)
 {
     /* A pooler that has not met the store yet has nothing to serve by. */
     for (unsigned i = 0; i < POOLERS; i++) {
@@ -339,7 +360,8 @@
 }
 
 /* A pooler that starts while the store is silent learns from another one what to serve by. */
-static void test_start_while_the_store_is_silent(struct fixture *fixture, gconstpointer unused)
+static void
+test_start_while_the_store_is_silent(struct fixture *fixture, gconstpointer unused)
 {
     for (unsigned i = 0; i < POOLERS; i++) {
         write_until_done(fixture, i);
@@ -354,7 +376,8 @@
 
 /* The renewals are done, and their answers lost: the lease is kept or taken anew, the token never
  * falls. */
-static void test_lost_answers_of_the_store(struct fixture *fixture, gconstpointer unused)
+static void
+test_lost_answers_of_the_store(struct fixture *fixture, gconstpointer unused)
 {
     write_until_done(fixture, 0);
     row_store_set_faults(fixture->store, &(struct row_store_faults){.lose_writes = true});
@@ -366,7 +389,8 @@
     assert_all_kept(fixture);
 }
 
-static void test_forgotten_history(struct fixture *fixture, gconstpointer unused)
+static void
+test_forgotten_history(struct fixture *fixture, gconstpointer unused)
 {
     write_until_done(fixture, 0);
     row_store_set_faults(fixture->store, &(struct row_store_faults){.no_history = true});
@@ -383,7 +407,8 @@
     write_until_done(fixture, 0);
 }
 
-static void test_leaving_primary(struct fixture *fixture, gconstpointer unused)
+static void
+test_leaving_primary(struct fixture *fixture, gconstpointer unused)
 {
     write_until_done(fixture, 0);
     put_record(fixture, 0, "draining");
@@ -397,7 +422,8 @@
     assert_all_kept(fixture);
 }
 
-static void test_planned_stop(struct fixture *fixture, gconstpointer unused)
+static void
+test_planned_stop(struct fixture *fixture, gconstpointer unused)
 {
     write_until_done(fixture, 1);
     g_subprocess_send_signal(fixture->poolers[1], SIGTERM);
@@ -410,7 +436,8 @@
 }
 
 /* A coordinator that stops leaves the lease to another at once, under a higher token. */
-static void test_stopped_coordinator(struct fixture *fixture, gconstpointer unused)
+static void
+test_stopped_coordinator(struct fixture *fixture, gconstpointer unused)
 {
     for (unsigned i = 0; i < POOLERS; i++) {
         write_until_done(fixture, i); /* all are heard by the coordinator */
@@ -430,7 +457,8 @@
 #define ADD(name, test)                                                                            \
     g_test_add("/pooler/fleet/" name, struct fixture, NULL, set_up, test, tear_down)
 
-int main(int argc, char **argv)
+int
+main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     ADD("calm", test_calm);
--- a/tests/pooler/test_freshness.c
+++ b/tests/pooler/test_freshness.c
@@ -5,12 +5,14 @@
 
 #define MS NANOSECONDS_PER_MILLISECOND
 
-static struct log_position at(uint64_t offset)
+static struct log_position
+at(uint64_t offset)
 {
     return (struct log_position){1, offset};
 }
 
-static void test_least_sufficient_sample(void)
+static void
+test_least_sufficient_sample(void)
 {
     struct freshness freshness = {0};
     freshness_add(&freshness, 100 * MS, at(10));
@@ -22,7 +24,8 @@
     g_assert_cmpuint(freshness_find(&freshness, 0)->position.offset, ==, 10);
 }
 
-static void test_no_sample_young_enough(void)
+static void
+test_no_sample_young_enough(void)
 {
     struct freshness freshness = {0};
     g_assert_null(freshness_find(&freshness, 0));
@@ -30,7 +33,8 @@
     g_assert_null(freshness_find(&freshness, 101 * MS));
 }
 
-static void test_close_samples_are_left_out(void)
+static void
+test_close_samples_are_left_out(void)
 {
     struct freshness freshness = {0};
     freshness_add(&freshness, 100 * MS, at(10));
@@ -38,7 +42,8 @@
     g_assert_cmpuint(freshness.count, ==, 1);
 }
 
-static void test_ring_keeps_the_newest(void)
+static void
+test_ring_keeps_the_newest(void)
 {
     struct freshness freshness = {0};
     for (uint64_t i = 1; i <= 3 * FRESHNESS_SAMPLES; i++) {
@@ -48,7 +53,8 @@
     g_assert_cmpuint(freshness_find(&freshness, 0)->position.offset, ==, 2 * FRESHNESS_SAMPLES + 1);
 }
 
-static void test_reached(void)
+static void
+test_reached(void)
 {
     struct freshness freshness = {0};
     freshness_add(&freshness, 100 * MS, at(10));
@@ -58,7 +64,8 @@
     g_assert_cmpuint(freshness_reached(&freshness, at(25))->at, ==, 200 * MS);
 }
 
-static void test_clear(void)
+static void
+test_clear(void)
 {
     struct freshness freshness = {0};
     freshness_add(&freshness, 100 * MS, at(10));
@@ -66,7 +73,8 @@
     g_assert_null(freshness_find(&freshness, 0));
 }
 
-int main(int argc, char **argv)
+int
+main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/pooler/freshness/least-sufficient", test_least_sufficient_sample);
--- a/tests/pooler/test_line_wire.c
+++ b/tests/pooler/test_line_wire.c
@@ -3,20 +3,23 @@
 
 #include <glib.h>
 
-static struct client_message read_text(const char *text)
+static struct client_message
+read_text(const char *text)
 {
     struct client_message message;
     wire_read_client(span_of(text), &message);
     return message;
 }
 
-static void assert_span(struct span span, const char *text)
+static void
+assert_span(struct span span, const char *text)
 {
     g_autofree char *copy = span_copy(span);
     g_assert_cmpstr(copy, ==, text);
 }
 
-static void test_start(void)
+static void
+test_start(void)
 {
     struct client_message message = read_text("STARTUP lepu270 u3f1\r\n");
     g_assert_cmpint(message.kind, ==, CLIENT_MESSAGE_START);
@@ -24,7 +27,8 @@
     assert_span(message.user, "u3f1");
 }
 
-static void test_statements(void)
+static void
+test_statements(void)
 {
     static const struct {
         const char *line;
@@ -56,7 +60,8 @@
     }
 }
 
-static void test_statement_parts(void)
+static void
+test_statement_parts(void)
 {
     struct client_message message = read_text("QUERY i1 EXECUTE s1 1a4 some data\r\n");
     assert_span(message.statement.name, "s1");
@@ -68,7 +73,8 @@
 }
 
 /* The id of our own statements may not be smuggled in. */
-static void test_malformed(void)
+static void
+test_malformed(void)
 {
     g_assert_cmpint(read_text("\r\n").kind, ==, CLIENT_MESSAGE_MALFORMED);
     g_assert_cmpint(read_text("HELLO there\r\n").kind, ==, CLIENT_MESSAGE_MALFORMED);
@@ -77,14 +83,16 @@
     g_assert_cmpint(read_text("STARTUP\r\n").kind, ==, CLIENT_MESSAGE_MALFORMED);
 }
 
-static struct database_reply read_reply(const char *text)
+static struct database_reply
+read_reply(const char *text)
 {
     struct database_reply reply;
     wire_read_reply(span_of(text), &reply);
     return reply;
 }
 
-static void test_replies(void)
+static void
+test_replies(void)
 {
     struct database_reply reply = read_reply("READY T 3.1209\r\n");
     g_assert_cmpint(reply.kind, ==, REPLY_READY);
@@ -100,7 +108,8 @@
     assert_span(read_reply("COMPLETE 7.1f3.c\r\n").content, "7.1f3.c");
 }
 
-static void test_report(void)
+static void
+test_report(void)
 {
     struct database_report report;
     g_assert_true(wire_read_report(span_of("replica 3 3.1209 4 12 2 17"), &report));
@@ -113,19 +122,22 @@
     g_assert_false(wire_read_report(span_of("replica 3"), &report));
 }
 
-static void test_message_length(void)
+static void
+test_message_length(void)
 {
     g_assert_cmpuint(wire_message_length(span_of("READY I")), ==, 0);
     g_assert_cmpuint(wire_message_length(span_of("READY I -\r\nROW")), ==, 11);
 }
 
-static void assert_written(struct buffer *buffer, const char *text)
+static void
+assert_written(struct buffer *buffer, const char *text)
 {
     assert_span(buffer_content(buffer), text);
     buffer_clear(buffer);
 }
 
-static void test_writing(void)
+static void
+test_writing(void)
 {
     struct buffer out = {0};
     struct log_position position = {3, 7};
@@ -142,7 +154,8 @@
 }
 
 /* Every code that a client may be told has a word, and comes back as itself. */
-static void test_codes_round_trip(void)
+static void
+test_codes_round_trip(void)
 {
     for (int code = ANSWER_NONE + 1; code < ANSWER_OTHER; code++) {
         struct buffer out = {0};
@@ -154,7 +167,8 @@
     }
 }
 
-int main(int argc, char **argv)
+int
+main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/platform/line/start", test_start);
