--- a/tests/pooler/test_worker.c
+++ b/tests/pooler/test_worker.c
@@ -36,8 +36,9 @@
     bool with_route;
 };
 
-static void add_route(struct configuration *configuration, const char *database,
-                      enum route_kind kind, const struct fixture *fixture)
+static void
+add_route(struct configuration *configuration, const char *database, enum route_kind kind,
+          const struct fixture *fixture)
 {
     struct route *route = g_new0(struct route, 1);
     route->database = g_strdup(database);
@@ -49,7 +50,8 @@
     configuration_add_route(configuration, route);
 }
 
-static struct configuration *make_configuration(const struct fixture *fixture)
+static struct configuration *
+make_configuration(const struct fixture *fixture)
 {
     struct configuration *configuration = configuration_new();
     configuration->version = 1;
@@ -63,7 +65,8 @@
     return configuration;
 }
 
-static void fill_member(const struct fixture *fixture, unsigned index, struct member_view *member)
+static void
+fill_member(const struct fixture *fixture, unsigned index, struct member_view *member)
 {
     member->shared = fixture->members[index];
     member->address.sin_family = AF_INET;
@@ -73,7 +76,8 @@
     member->takes_work = true;
 }
 
-static void publish(struct fixture *fixture)
+static void
+publish(struct fixture *fixture)
 {
     struct view *view = g_new0(struct view, 1);
     view->configuration = make_configuration(fixture);
@@ -99,12 +103,14 @@
     view_free(old);
 }
 
-static void permit(struct fixture *fixture, time_ns until)
+static void
+permit(struct fixture *fixture, time_ns until)
 {
     atomic_store(&fixture->figures->permit_until, until);
 }
 
-static void set_up_unpublished(struct fixture *fixture, gconstpointer unused)
+static void
+set_up_unpublished(struct fixture *fixture, gconstpointer unused)
 {
     fixture->group = line_group_start("ledger", DATABASES, 1);
     fixture->shared.control_wake = eventfd(0, EFD_NONBLOCK);
@@ -130,14 +136,16 @@
     g_assert_no_error(error);
 }
 
-static void set_up(struct fixture *fixture, gconstpointer unused)
+static void
+set_up(struct fixture *fixture, gconstpointer unused)
 {
     set_up_unpublished(fixture, unused);
     permit(fixture, PERMIT_FOREVER);
     publish(fixture);
 }
 
-static void tear_down(struct fixture *fixture, gconstpointer unused)
+static void
+tear_down(struct fixture *fixture, gconstpointer unused)
 {
     fixture->shared.stop_grace = 0;
     atomic_store(&fixture->shared.stop_at, backend_now());
@@ -165,14 +173,16 @@
     char state;        /* of its READY */
 };
 
-static void send_line(struct client *client, const char *line)
+static void
+send_line(struct client *client, const char *line)
 {
     size_t length = strlen(line);
     g_assert_cmpint(send(fileno(client->stream), line, length, MSG_NOSIGNAL), ==, (ssize_t)length);
 }
 
 /* Connects without waiting for an answer. */
-static struct client *client_begin(const struct fixture *fixture, const char *database)
+static struct client *
+client_begin(const struct fixture *fixture, const char *database)
 {
     struct client *client = g_new0(struct client, 1);
     struct timeval patience = {ANSWER_WAIT_S, 0};
@@ -188,7 +198,8 @@
 }
 
 /* Reads one answer up to READY, or up to a final error. */
-static void client_read(struct client *client)
+static void
+client_read(struct client *client)
 {
     client->row[0] = '\0';
     client->result[0] = '\0';
@@ -206,7 +217,8 @@
     }
 }
 
-static struct client *client_open(const struct fixture *fixture, const char *database)
+static struct client *
+client_open(const struct fixture *fixture, const char *database)
 {
     struct client *client = client_begin(fixture, database);
     client_read(client);
@@ -214,27 +226,31 @@
     return client;
 }
 
-static void client_close(struct client *client)
+static void
+client_close(struct client *client)
 {
     fclose(client->stream);
     g_free(client);
 }
 
-static void client_send(struct client *client, const char *text)
+static void
+client_send(struct client *client, const char *text)
 {
     g_autofree char *line =
         g_strdup_printf("QUERY q%p-%u %s\r\n", (void *)client, ++client->next_id, text);
     send_line(client, line);
 }
 
-static void ask(struct client *client, const char *text)
+static void
+ask(struct client *client, const char *text)
 {
     client_send(client, text);
     client_read(client);
 }
 
 /* Asks and expects success in this state. */
-static void good(struct client *client, const char *text, char state)
+static void
+good(struct client *client, const char *text, char state)
 {
     ask(client, text);
     g_assert_cmpstr(client->line, !=, "");
@@ -245,7 +261,8 @@
     g_assert_true(client->state == state);
 }
 
-static void bad(struct client *client, const char *text, const char *code, char state)
+static void
+bad(struct client *client, const char *text, const char *code, char state)
 {
     ask(client, text);
     g_autofree char *start = g_strdup_printf("ERROR %s", code);
@@ -256,7 +273,8 @@
     g_assert_true(client->state == state);
 }
 
-static const struct line_run *find_run(GPtrArray *runs, const char *text)
+static const struct line_run *
+find_run(GPtrArray *runs, const char *text)
 {
     for (guint i = runs->len; i > 0; i--) {
         const struct line_run *run = g_ptr_array_index(runs, i - 1);
@@ -269,7 +287,8 @@
 
 /* ---- scenarios ---- */
 
-static void test_start_waits_for_the_first_view(struct fixture *fixture, gconstpointer unused)
+static void
+test_start_waits_for_the_first_view(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_begin(fixture, "strict");
     g_usleep(50000);
@@ -281,7 +300,8 @@
     client_close(client);
 }
 
-static void test_unknown_database(struct fixture *fixture, gconstpointer unused)
+static void
+test_unknown_database(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_begin(fixture, "nowhere");
     client_read(client);
@@ -290,7 +310,8 @@
     client_close(client);
 }
 
-static void test_removed_route(struct fixture *fixture, gconstpointer unused)
+static void
+test_removed_route(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "strict");
     good(client, "BEGIN", 'T');
@@ -305,7 +326,8 @@
     client_close(client);
 }
 
-static void test_reads_see_writes(struct fixture *fixture, gconstpointer unused)
+static void
+test_reads_see_writes(struct fixture *fixture, gconstpointer unused)
 {
     struct client *writer = client_open(fixture, "strict");
     struct client *reader = client_open(fixture, "strict");
@@ -316,7 +338,8 @@
     client_close(reader);
 }
 
-static void test_input_in_pieces_and_ahead(struct fixture *fixture, gconstpointer unused)
+static void
+test_input_in_pieces_and_ahead(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "strict");
     send_line(client, "QUERY a1 WRITE hut 1\r\nQUERY a2 READ hut\r\nQUERY a3 RE");
@@ -331,7 +354,8 @@
 }
 
 /* Names clash between sessions, and one connection serves both. */
-static void test_prepared_names_and_values(struct fixture *fixture, gconstpointer unused)
+static void
+test_prepared_names_and_values(struct fixture *fixture, gconstpointer unused)
 {
     struct client *a = client_open(fixture, "strict");
     struct client *b = client_open(fixture, "strict");
@@ -358,7 +382,8 @@
     client_close(b);
 }
 
-static void test_unknown_prepared_name(struct fixture *fixture, gconstpointer unused)
+static void
+test_unknown_prepared_name(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "strict");
     good(client, "PREPARE s1 READ shape", 'I');
@@ -367,7 +392,8 @@
     client_close(client);
 }
 
-static void test_transaction_stays_on_its_connection(struct fixture *fixture, gconstpointer unused)
+static void
+test_transaction_stays_on_its_connection(struct fixture *fixture, gconstpointer unused)
 {
     struct client *a = client_open(fixture, "strict");
     struct client *b = client_open(fixture, "strict");
@@ -388,7 +414,8 @@
     client_close(b);
 }
 
-static void test_rollback_and_client_gone(struct fixture *fixture, gconstpointer unused)
+static void
+test_rollback_and_client_gone(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "strict");
     good(client, "BEGIN", 'T');
@@ -405,7 +432,8 @@
     client_close(client);
 }
 
-static void test_transaction_errors(struct fixture *fixture, gconstpointer unused)
+static void
+test_transaction_errors(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "strict");
     bad(client, "COMMIT", "MALFORMED", 'I');
@@ -418,7 +446,8 @@
 }
 
 /* The write was run once and its answer lost: the client is told that its end is not known. */
-static void test_lost_answer_of_a_write(struct fixture *fixture, gconstpointer unused)
+static void
+test_lost_answer_of_a_write(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "strict");
     good(client, "READ warm", 'I');
@@ -431,8 +460,8 @@
     client_close(client);
 }
 
-static void test_read_moves_away_from_a_silent_database(struct fixture *fixture,
-                                                        gconstpointer unused)
+static void
+test_read_moves_away_from_a_silent_database(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "stale");
     struct client *writer = client_open(fixture, "strict");
@@ -448,7 +477,8 @@
 }
 
 /* A write whose answer is lost, and whose client leaves: the connection is not held for ever. */
-static void test_lost_answer_without_a_client(struct fixture *fixture, gconstpointer unused)
+static void
+test_lost_answer_without_a_client(struct fixture *fixture, gconstpointer unused)
 {
     fixture->connections = 1;
     publish(fixture);
@@ -470,7 +500,8 @@
     client_close(client);
 }
 
-static void test_bounded_reads_use_replicas(struct fixture *fixture, gconstpointer unused)
+static void
+test_bounded_reads_use_replicas(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "stale");
     struct client *writer = client_open(fixture, "strict");
@@ -486,7 +517,8 @@
     client_close(writer);
 }
 
-static void test_session_sees_its_own_write(struct fixture *fixture, gconstpointer unused)
+static void
+test_session_sees_its_own_write(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "own");
     const struct line_faults lagging = {.lagging = true};
@@ -503,7 +535,8 @@
     client_close(client);
 }
 
-static void test_own_write_in_a_transaction(struct fixture *fixture, gconstpointer unused)
+static void
+test_own_write_in_a_transaction(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "own");
     good(client, "WRITE hut 0", 'I');
@@ -520,7 +553,8 @@
 }
 
 /* Without a permit the databases themselves are asked whether the primary still leads. */
-static void test_leadership_without_a_coordinator(struct fixture *fixture, gconstpointer unused)
+static void
+test_leadership_without_a_coordinator(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "strict");
     good(client, "WRITE hut 4", 'I');
@@ -531,7 +565,8 @@
 }
 
 /* The replicas are paused: another may lead by now, whatever the old primary says of itself. */
-static void test_no_read_where_another_may_lead(struct fixture *fixture, gconstpointer unused)
+static void
+test_no_read_where_another_may_lead(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "strict");
     good(client, "WRITE hut 4", 'I');
@@ -546,7 +581,8 @@
 
 /* A commit that wrote nothing asked no replica: it does not show that the primary still leads, and
  * its position is no sample for bounded reads. */
-static void test_empty_commit_proves_nothing(struct fixture *fixture, gconstpointer unused)
+static void
+test_empty_commit_proves_nothing(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "stale");
     fixture->staleness_ms = 200;
@@ -563,7 +599,8 @@
     client_close(client);
 }
 
-static void test_change_of_primary(struct fixture *fixture, gconstpointer unused)
+static void
+test_change_of_primary(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "strict");
     good(client, "WRITE hut 4", 'I');
@@ -585,7 +622,8 @@
 }
 
 /* A group that is closed refuses in time, says when to come back, and has run nothing. */
-static void test_refusal_while_closed(struct fixture *fixture, gconstpointer unused)
+static void
+test_refusal_while_closed(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "strict");
     fixture->timeout_ms = 300;
@@ -600,7 +638,8 @@
     client_close(client);
 }
 
-static void test_transaction_cut_by_a_change(struct fixture *fixture, gconstpointer unused)
+static void
+test_transaction_cut_by_a_change(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "strict");
     good(client, "BEGIN", 'T');
@@ -615,7 +654,8 @@
     client_close(client);
 }
 
-static void test_busy_database_is_asked_again(struct fixture *fixture, gconstpointer unused)
+static void
+test_busy_database_is_asked_again(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "strict");
     line_group_set_faults(fixture->group, 0, &(struct line_faults){.busy = true});
@@ -629,7 +669,8 @@
 }
 
 /* Never more connections to a database than the share; what waits is served all the same. */
-static void test_connections_are_bounded(struct fixture *fixture, gconstpointer unused)
+static void
+test_connections_are_bounded(struct fixture *fixture, gconstpointer unused)
 {
     struct client *clients[12];
     fixture->connections = 2;
@@ -654,7 +695,8 @@
 }
 
 /* What would wait past its objective is refused at once, while those before it are still served. */
-static void test_overload_is_refused_at_once(struct fixture *fixture, gconstpointer unused)
+static void
+test_overload_is_refused_at_once(struct fixture *fixture, gconstpointer unused)
 {
     struct client *clients[40];
     fixture->connections = 1;
@@ -687,7 +729,8 @@
     }
 }
 
-static void test_too_large(struct fixture *fixture, gconstpointer unused)
+static void
+test_too_large(struct fixture *fixture, gconstpointer unused)
 {
     struct client *client = client_open(fixture, "strict");
     g_autofree char *data = g_strnfill(1200 * 1024, 'x');
@@ -699,7 +742,8 @@
     client_close(client);
 }
 
-static void test_planned_stop(struct fixture *fixture, gconstpointer unused)
+static void
+test_planned_stop(struct fixture *fixture, gconstpointer unused)
 {
     struct client *idle = client_open(fixture, "strict");
     struct client *open = client_open(fixture, "strict");
@@ -717,7 +761,8 @@
 #define ADD(name, set_up_function, test)                                                           \
     g_test_add("/pooler/worker/" name, struct fixture, NULL, set_up_function, test, tear_down)
 
-int main(int argc, char **argv)
+int
+main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     ADD("first-view", set_up_unpublished, test_start_waits_for_the_first_view);
