Relay the store's rows from the coordinator; only it and three followers ask the store

Now a grant holds what its receiver lacks, at once, with the version from which it is complete; rows above 12 KB are still read at the store. A pooler whose coordinator is not heard, or is not answered by the store, follows by itself. A planned stop leaves the lease to any pooler, as few ask the store.

--- a/src/pooler/control.c
+++ b/src/pooler/control.c
@@ -276,6 +276,7 @@
     directory_init(&control->directory);
     lease_record_init(&control->lease.record);
     control_feeds_start(control);
+    control_relay_start(control);
     return control;
 }
 
--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -22,9 +22,8 @@
 #define SUCCESSOR_HEARD_NS     (600 * MS)
 #define SUCCESSOR_STORE_AGE_MS 1300
 
-/* A pooler that lacks a row for so long after it was learned here gets it from here. */
-#define CONFIGURATION_GRACE_NS (400 * MS)
-#define DIRECTORY_GRACE_NS     (1800 * MS)
+/* Time between two choices of the poolers that follow the store. */
+#define FOLLOWERS_EVERY_NS (500 * MS)
 
 static void
 report_free(gpointer data)
@@ -75,6 +74,7 @@
 {
     struct pooler_peer *pooler = data;
     g_hash_table_unref(pooler->reports);
+    g_free(pooler->zone);
     g_free(pooler->name);
     g_free(pooler);
 }
@@ -131,50 +131,6 @@
     }
 }
 
-static void
-add_row(struct pooler_grant *grant, enum store_table table, const struct known_row *known)
-{
-    struct pooler_row *row = &grant->rows[grant->rows_count++];
-    row->table = (uint32_t)table;
-    row->key = g_strdup(known->key);
-    row->version = known->version;
-    row->gone = known->gone;
-    if (known->value != NULL) {
-        gsize length = 0;
-        gconstpointer data = g_bytes_get_data(known->value, &length);
-        row->value = g_memdup2(data, length);
-        row->value_length = length;
-    }
-}
-
-static void
-add_missing(struct control *control, struct pooler_grant *grant, enum store_table table,
-            uint64_t known_version, time_ns grace, time_ns now)
-{
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, control->feeds[table].rows);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct known_row *row = value;
-        if (row->version > known_version && now > row->learned_at + grace) {
-            add_row(grant, table, row);
-        }
-    }
-}
-
-static void
-add_rows(struct control *control, struct pooler_grant *grant,
-         const struct pooler_heartbeat *heartbeat, time_ns now)
-{
-    guint most = g_hash_table_size(control->feeds[STORE_TABLE_CONFIGURATION].rows) +
-                 g_hash_table_size(control->feeds[STORE_TABLE_DIRECTORY].rows);
-    grant->rows = g_new0(struct pooler_row, most + 1);
-    add_missing(control, grant, STORE_TABLE_CONFIGURATION, heartbeat->configuration_row,
-                CONFIGURATION_GRACE_NS, now);
-    add_missing(control, grant, STORE_TABLE_DIRECTORY, heartbeat->directory_row, DIRECTORY_GRACE_NS,
-                now);
-}
-
 /* The orders as this pooler follows them, for one that has just started. They permit nothing. */
 static void
 add_followed(struct control *control, struct pooler_grant *grant)
@@ -201,7 +157,9 @@
     grant.coordinator = g_strdup(control->settings->pooler.name);
     grant.coordinator_address = g_strdup(control->coordinator_address);
     add_followed(control, &grant);
-    add_rows(control, &grant, heartbeat, backend_now());
+    const row_versions_t known = {heartbeat->relay.configuration_row,
+                                  heartbeat->relay.directory_row};
+    control_relay_fill(control, &known, backend_now(), &grant.relay);
     peer_send(peer, pooler_grant_encode(&grant));
     pooler_grant_clear(&grant);
 }
@@ -216,17 +174,28 @@
     grant.coordinator = g_strdup(control->settings->pooler.name);
     grant.token = control->lease.token;
     grant.members = count_poolers(control);
+    grant.follows_store = pooler->follows_store;
     add_orders(control, pooler, &grant);
+    control_relay_fill(control, &pooler->known, now, &grant.relay);
+    pooler->known = (row_versions_t){grant.relay.configuration_row, grant.relay.directory_row};
     if (heartbeat != NULL) {
         grant.sequence = heartbeat->sequence;
         grant.permit_ms = (uint32_t)MIN(control_lease_left(control, now) / MS, PERMIT_MS);
-        add_rows(control, &grant, heartbeat, now);
         pooler->permit_until = MAX(pooler->permit_until, now + grant.permit_ms * MS);
     }
     peer_send(peer, pooler_grant_encode(&grant));
     pooler_grant_clear(&grant);
 }
 
+/* What the pooler knows, and what it knows better. Rows that were sent meanwhile count as known. */
+static void
+take_relay(struct control *control, struct pooler_peer *pooler, const struct pooler_relay *relay)
+{
+    control_relay_take(control, relay);
+    pooler->known.configuration = MAX(pooler->known.configuration, relay->configuration_row);
+    pooler->known.directory = MAX(pooler->known.directory, relay->directory_row);
+}
+
 static void
 take_heartbeat(struct control *control, struct peer *peer, struct pooler_heartbeat *heartbeat)
 {
@@ -234,11 +203,16 @@
     struct pooler_peer *pooler = pooler_of(control, heartbeat->name);
     bool new_life = pooler->incarnation != heartbeat->incarnation;
     if (new_life) {
+        control->followers_at = 0;
         g_message("Pooler %s is heard, in zone %s.", heartbeat->name, heartbeat->zone);
     }
     if (pooler->peer != peer) {
         g_hash_table_remove_all(pooler->reports);
+        pooler->known = (row_versions_t){0};
     }
+    take_relay(control, pooler, &heartbeat->relay);
+    g_free(pooler->zone);
+    pooler->zone = g_strdup(heartbeat->zone);
     pooler->incarnation = heartbeat->incarnation;
     pooler->peer = peer;
     pooler->heard_at = now;
@@ -346,9 +320,9 @@
     g_clear_pointer(&control->coordinator_address, g_free);
 }
 
-/* The pooler that heard the store last; NULL if none has lately. */
+/* The pooler that heard the store last, at most so long ago; NULL if none has. */
 static struct pooler_peer *
-find_successor(const struct control *control, time_ns now)
+find_successor(const struct control *control, uint32_t store_age_max_ms, time_ns now)
 {
     struct pooler_peer *best = NULL;
     GHashTableIter iterator;
@@ -359,7 +333,7 @@
         bool good = pooler->peer != NULL && !pooler->stopping &&
                     g_strcmp0(pooler->name, control->settings->pooler.name) != 0 &&
                     now < pooler->heard_at + SUCCESSOR_HEARD_NS &&
-                    pooler->store_age_ms < SUCCESSOR_STORE_AGE_MS;
+                    pooler->store_age_ms <= store_age_max_ms;
         if (good && (best == NULL || pooler->store_age_ms < best->store_age_ms)) {
             best = pooler;
         }
@@ -368,9 +342,11 @@
 }
 
 bool
-control_coordinator_cede(struct control *control)
+control_coordinator_cede(struct control *control, bool planned)
 {
-    struct pooler_peer *successor = find_successor(control, backend_now());
+    /* Few poolers ask the store. While it answers here, it will answer any other. */
+    uint32_t age = planned ? UINT32_MAX : SUCCESSOR_STORE_AGE_MS;
+    struct pooler_peer *successor = find_successor(control, age, backend_now());
     if (successor == NULL) {
         return false;
     }
@@ -391,6 +367,7 @@
     time_ns now = backend_now();
     GHashTableIter iterator;
     gpointer value = NULL;
+    control->rows_learned = false;
     g_hash_table_iter_init(&iterator, control->poolers);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct pooler_peer *pooler = value;
@@ -428,5 +405,12 @@
             g_hash_table_iter_remove(&iterator);
         }
     }
+    if (now > control->followers_at + FOLLOWERS_EVERY_NS) {
+        control->followers_at = now;
+        control_relay_choose(control);
+    }
+    if (control->rows_learned) {
+        control_coordinator_push(control);
+    }
     control_groups_tick(control, now);
 }
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -38,6 +38,12 @@
     time_ns learned_at;
 };
 
+/** @brief Versions up to which the two tables that others write are known. */
+typedef struct row_versions {
+    uint64_t configuration;
+    uint64_t directory;
+} row_versions_t;
+
 /* What is known of one table. */
 struct feed {
     struct control *control;
@@ -91,7 +97,10 @@
     time_ns permit_until; /* the last permit it was given ends by then */
     bool stopping;
     uint32_t store_age_ms;
-    GHashTable *reports; /* service -> struct pooler_group_report, newest */
+    char *zone;
+    row_versions_t known; /* what it knows of the store's tables */
+    bool follows_store;   /* by itself, beside the coordinator */
+    GHashTable *reports;  /* service -> struct pooler_group_report, newest */
 };
 
 /* A group as the coordinator controls it. */
@@ -141,6 +150,9 @@
     uint32_t members_told;
     unsigned next_seed;
     uint64_t reported_faults; /* digest of what was last told */
+    bool follows_store;       /* by itself, as the coordinator asked */
+    time_ns relied_until;     /* what the coordinator tells of the store is current until then */
+    row_versions_t told;      /* what the coordinator knew of the store's tables */
     struct peer_callbacks coordinator_callbacks;
     /* As the coordinator. */
     struct lease lease;
@@ -153,6 +165,8 @@
     GHashTable *controlled; /* service -> struct controlled_group */
     struct failover_actions failover_actions;
     bool records_read;
+    bool rows_learned;    /* and not yet told to the poolers */
+    time_ns followers_at; /* when the followers of the store were chosen */
 };
 
 /* control.c */
@@ -172,6 +186,25 @@
 void control_take_row(struct control *control, enum store_table table, const char *key,
                       uint64_t version, GBytes *value);
 
+/* control_relay.c */
+/** @brief Puts off this pooler's own look at the store, while others may tell it. */
+void control_relay_start(struct control *control);
+/** @brief Fills in what somebody lacks who knows the tables up to `known`. */
+void control_relay_fill(const struct control *control, const row_versions_t *known, time_ns now,
+                        struct pooler_relay *relay);
+/** @brief Takes over what another pooler knows of the store. */
+void control_relay_take(struct control *control, const struct pooler_relay *relay);
+/** @brief Notes how far the coordinator's rows can be relied on. */
+void control_relay_rely(struct control *control, const struct pooler_grant *grant, time_ns now);
+/** @return true if this pooler has to ask the store by itself. */
+bool control_relay_follows(const struct control *control, time_ns now);
+/** @return the versions up to which the tables are known here. */
+row_versions_t control_relay_versions(const struct control *control);
+/** @return milliseconds since the store last answered this pooler; UINT32_MAX for never. */
+uint32_t control_relay_age_ms(const struct control *control, time_ns now);
+/** @brief Chooses, at the coordinator, which poolers follow the store beside it. */
+void control_relay_choose(struct control *control);
+
 /* control_lease.c */
 void control_lease_tick(struct control *control, time_ns now);
 /* True if the lease holds now and for `margin` more. */
@@ -200,8 +233,9 @@
 void control_coordinator_start(struct control *control);
 void control_coordinator_end(struct control *control);
 void control_coordinator_tick(struct control *control, time_ns now);
-/* Leaves the lease to a pooler that the store answers. False if there is none. */
-bool control_coordinator_cede(struct control *control);
+/* Leaves the lease to a pooler that the store answers, or to any at a planned stop. False if there
+ * is none. */
+bool control_coordinator_cede(struct control *control, bool planned);
 /* Sends the newest orders to all poolers at once. */
 void control_coordinator_push(struct control *control);
 
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -243,8 +243,9 @@
     struct lease *lease = &control->lease;
     time_ns now = backend_now();
     lease->calling = false;
-    lease->next_at =
-        now + LOOK_EVERY_NS / 2 + (time_ns)g_random_int_range(0, (gint32)(LOOK_EVERY_NS / MS)) * MS;
+    /* Those that follow the store take the lease first, the others if they do not. */
+    time_ns every = control->follows_store ? LOOK_EVERY_NS : LOOK_EVERY_NS * 3;
+    lease->next_at = now + every / 2 + (time_ns)g_random_int_range(0, (gint32)(every / MS)) * MS;
     if (answer->outcome != STORE_DONE) {
         log_answer(control, "not read", answer, now);
         return;
@@ -270,7 +271,7 @@
     if (lease->held && now + MARGIN_NS >= lease->until) {
         control_lease_lost(control, "the lease could not be renewed in time");
     }
-    if (control_lease_is_failing(control, now) && control_coordinator_cede(control)) {
+    if (control_lease_is_failing(control, now) && control_coordinator_cede(control, false)) {
         control_lease_lost(control, "the store does not answer; it is left to another pooler");
     }
     if (lease->calling || now < lease->next_at || lease->releasing) {
@@ -311,7 +312,7 @@
     if (!lease->held) {
         return;
     }
-    control_coordinator_cede(control);
+    control_coordinator_cede(control, true);
     control_lease_lost(control, "a planned stop");
     lease->releasing = true;
     propose(control, lease->token, true, backend_now());
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -80,15 +80,6 @@
     }
 }
 
-/* Time since the store last answered, by either feed. */
-static uint32_t
-store_age_ms(const struct control *control, time_ns now)
-{
-    time_ns newest = MAX(control->feeds[STORE_TABLE_CONFIGURATION].current_at,
-                         control->feeds[STORE_TABLE_DIRECTORY].current_at);
-    return newest == 0 ? UINT32_MAX : (uint32_t)MIN((now - newest) / MS, UINT32_MAX);
-}
-
 /* True if the coordinator does not know this of the group. Notes it as told. */
 static bool
 is_news(struct group_state *group, const struct pooler_group_report *report)
@@ -121,11 +112,8 @@
     out->zone = g_strdup(control->settings->pooler.zone);
     out->incarnation = control->incarnation;
     out->sequence = ++control->sequence;
-    const struct known_row *row = g_hash_table_lookup(
-        control->feeds[STORE_TABLE_CONFIGURATION].rows, store_configuration_key);
-    out->configuration_row = row == NULL ? 0 : row->version;
-    out->directory_row = control->feeds[STORE_TABLE_DIRECTORY].version;
-    out->store_age_ms = store_age_ms(control, now);
+    control_relay_fill(control, &control->told, now, &out->relay);
+    out->store_age_ms = control_relay_age_ms(control, now);
     out->stopping = atomic_load(&control->shared.stop_at) != 0;
     out->groups = g_new0(struct pooler_group_report, g_hash_table_size(control->groups) + 1);
     GHashTableIter iterator;
@@ -209,19 +197,6 @@
     }
 }
 
-static void
-take_rows(struct control *control, const struct pooler_grant *grant)
-{
-    for (size_t i = 0; i < grant->rows_count; i++) {
-        const struct pooler_row *row = &grant->rows[i];
-        if (row->table >= STORE_TABLE_CONTROL) {
-            continue;
-        }
-        g_autoptr(GBytes) value = row->gone ? NULL : g_bytes_new(row->value, row->value_length);
-        control_take_row(control, (enum store_table)row->table, row->key, row->version, value);
-    }
-}
-
 static void
 take_grant(struct control *control, const struct pooler_grant *grant, time_ns now)
 {
@@ -243,7 +218,8 @@
         take_order(control, order);
     }
     take_permits(control, grant->token, sent == 0 ? 0 : sent + grant->permit_ms * MS);
-    take_rows(control, grant);
+    control_relay_take(control, &grant->relay);
+    control_relay_rely(control, grant, now);
     control_publish(control);
     if (orders_changed) {
         control->heartbeat_at = 0; /* tells at once that the orders are followed */
@@ -258,7 +234,7 @@
     for (size_t i = 0; i < grant->groups_count; i++) {
         take_order(control, &grant->groups[i]);
     }
-    take_rows(control, grant);
+    control_relay_take(control, &grant->relay);
     control_publish(control);
 }
 
@@ -359,6 +335,7 @@
         control->coordinator = NULL;
     }
     control->connected_at = now;
+    control->told = control_relay_versions(control);
     const char *text = next_address(control, now);
     if (text == NULL || !parse_address(text, &address)) {
         return;
--- /dev/null
+++ b/src/pooler/control_relay.c
@@ -0,0 +1,249 @@
+/**
+ * @file
+ * @brief Passes rows of the store from pooler to pooler.
+ *
+ * Each call at the store has its price, so only the coordinator and a few others follow its tables.
+ * The coordinator tells all the rest what changed, as it learns of it. Who hears no coordinator, or
+ * one that the store does not answer, follows the store by itself.
+ *
+ * A relay names, for each table, the version above which it holds all changes (its base) and the
+ * version up to which it holds them. The receiver knows the table up to that version afterwards if
+ * it knew it up to the base before.
+ */
+#define G_LOG_DOMAIN "relay"
+#include "pooler/control_internal.h"
+
+#include <string.h>
+
+/** A coordinator's rows are relied on for so long after it told that they are current. */
+#define RELIED_ON_NS (900 * MS)
+
+/** They are current if the store answered the coordinator within this, in milliseconds. */
+#define CURRENT_AGE_MS 1500
+
+/** A larger row is read at the store by those who need it: octets between zones cost more. */
+#define ROW_INLINE_MAX ((gsize)12 * 1024)
+
+/** A large row is passed on all the same once it is known for so long. */
+#define LARGE_ROW_WAIT_NS (500 * MS)
+
+/** A pooler that starts waits so long for somebody who tells it what the store holds. */
+#define START_WAIT_MIN_MS 200
+#define START_WAIT_MAX_MS 500
+
+/** Poolers that follow the store beside the coordinator, so that one of them can succeed it. */
+#define FOLLOWERS 3
+
+static uint32_t
+age_ms(const struct feed *feed, time_ns now)
+{
+    return feed->current_at == 0 ? UINT32_MAX
+                                 : (uint32_t)MIN((now - feed->current_at) / MS, UINT32_MAX - 1);
+}
+
+static void
+add_row(struct pooler_relay *relay, enum store_table table, const struct known_row *known)
+{
+    struct pooler_row *row = &relay->rows[relay->rows_count++];
+    row->table = (uint32_t)table;
+    row->key = g_strdup(known->key);
+    row->version = known->version;
+    row->gone = known->gone;
+    if (known->value != NULL) {
+        gsize len = 0;
+        gconstpointer data = g_bytes_get_data(known->value, &len);
+        row->value = g_memdup2(data, len);
+        row->value_length = len;
+    }
+}
+
+static bool
+is_too_large(const struct known_row *row, time_ns now)
+{
+    return row->value != NULL && g_bytes_get_size(row->value) > ROW_INLINE_MAX &&
+           now < row->learned_at + LARGE_ROW_WAIT_NS;
+}
+
+/* Adds the table's changes above the base. False if one is too large, so that the table is not told
+ * any further than the base. */
+static bool
+add_changes(const struct feed *feed, uint64_t base, time_ns now, struct pooler_relay *relay)
+{
+    size_t before = relay->rows_count;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, feed->rows);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct known_row *row = value;
+        if (row->version <= base) {
+            continue;
+        }
+        if (is_too_large(row, now)) {
+            while (relay->rows_count > before) {
+                pooler_row_clear(&relay->rows[--relay->rows_count]);
+            }
+            return false;
+        }
+        add_row(relay, feed->table, row);
+    }
+    return true;
+}
+
+static uint64_t
+fill_table(const struct feed *feed, uint64_t base, time_ns now, struct pooler_relay *relay)
+{
+    if (feed->version <= base) {
+        return base;
+    }
+    if (add_changes(feed, base, now, relay)) {
+        return feed->version;
+    }
+    relay->incomplete = true;
+    return base;
+}
+
+void
+control_relay_fill(const struct control *control, const row_versions_t *known, time_ns now,
+                   struct pooler_relay *relay)
+{
+    const struct feed *configuration = &control->feeds[STORE_TABLE_CONFIGURATION];
+    const struct feed *directory = &control->feeds[STORE_TABLE_DIRECTORY];
+    guint most = g_hash_table_size(configuration->rows) + g_hash_table_size(directory->rows);
+    relay->rows = g_new0(struct pooler_row, most + 1);
+    relay->store_age_ms = MAX(age_ms(configuration, now), age_ms(directory, now));
+    relay->configuration_base = known->configuration;
+    relay->directory_base = known->directory;
+    relay->configuration_row = fill_table(configuration, known->configuration, now, relay);
+    relay->directory_row = fill_table(directory, known->directory, now, relay);
+}
+
+static void
+take_version(struct feed *feed, uint64_t base, uint64_t version)
+{
+    if (base <= feed->version && version > feed->version) {
+        feed->version = version;
+    }
+}
+
+void
+control_relay_take(struct control *control, const struct pooler_relay *relay)
+{
+    for (size_t i = 0; i < relay->rows_count; i++) {
+        const struct pooler_row *row = &relay->rows[i];
+        if (row->table >= STORE_TABLE_CONTROL) {
+            continue;
+        }
+        g_autoptr(GBytes) value = row->gone ? NULL : g_bytes_new(row->value, row->value_length);
+        control_take_row(control, (enum store_table)row->table, row->key, row->version, value);
+    }
+    take_version(&control->feeds[STORE_TABLE_CONFIGURATION], relay->configuration_base,
+                 relay->configuration_row);
+    take_version(&control->feeds[STORE_TABLE_DIRECTORY], relay->directory_base,
+                 relay->directory_row);
+}
+
+void
+control_relay_rely(struct control *control, const struct pooler_grant *grant, time_ns now)
+{
+    bool current = grant->relay.store_age_ms < CURRENT_AGE_MS && !grant->relay.incomplete;
+    control->follows_store = grant->follows_store;
+    control->relied_until = current ? now + RELIED_ON_NS : 0;
+    control->told = (row_versions_t){grant->relay.configuration_row, grant->relay.directory_row};
+}
+
+bool
+control_relay_follows(const struct control *control, time_ns now)
+{
+    return control->lease.held || control->follows_store || now > control->relied_until;
+}
+
+row_versions_t
+control_relay_versions(const struct control *control)
+{
+    return (row_versions_t){control->feeds[STORE_TABLE_CONFIGURATION].version,
+                            control->feeds[STORE_TABLE_DIRECTORY].version};
+}
+
+uint32_t
+control_relay_age_ms(const struct control *control, time_ns now)
+{
+    return MIN(age_ms(&control->feeds[STORE_TABLE_CONFIGURATION], now),
+               age_ms(&control->feeds[STORE_TABLE_DIRECTORY], now));
+}
+
+static bool
+is_known_address(const struct control *control)
+{
+    const struct address_list *peers = &control->settings->pooler.peers;
+    for (size_t i = 0; i < peers->count; i++) {
+        if (g_str_equal(peers->items[i], control->address)) {
+            return true;
+        }
+    }
+    return peers->count == 0;
+}
+
+void
+control_relay_start(struct control *control)
+{
+    time_ns now = backend_now();
+    time_ns wait = (time_ns)g_random_int_range(START_WAIT_MIN_MS, START_WAIT_MAX_MS) * MS;
+    control->relied_until = is_known_address(control) ? 0 : now + wait;
+    control->lease.next_at = control->relied_until;
+}
+
+static gint
+compare_by_hash(gconstpointer a, gconstpointer b)
+{
+    guint first = g_str_hash((*(struct pooler_peer *const *)a)->name);
+    guint second = g_str_hash((*(struct pooler_peer *const *)b)->name);
+    return first < second ? -1 : first > second;
+}
+
+static bool
+zone_follows(const GPtrArray *poolers, const char *zone)
+{
+    for (guint i = 0; i < poolers->len; i++) {
+        const struct pooler_peer *pooler = g_ptr_array_index(poolers, i);
+        if (pooler->follows_store && g_str_equal(pooler->zone, zone)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Those from which a follower may be chosen, in an order of their own. */
+static GPtrArray *
+list_candidates(const struct control *control)
+{
+    GPtrArray *poolers = g_ptr_array_new();
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->poolers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct pooler_peer *pooler = value;
+        bool self = g_str_equal(pooler->name, control->settings->pooler.name);
+        pooler->follows_store = false;
+        if (pooler->peer != NULL && !pooler->stopping && !self) {
+            g_ptr_array_add(poolers, pooler);
+        }
+    }
+    g_ptr_array_sort(poolers, compare_by_hash);
+    return poolers;
+}
+
+void
+control_relay_choose(struct control *control)
+{
+    g_autoptr(GPtrArray) poolers = list_candidates(control);
+    unsigned chosen = 0;
+    for (int other_zones = 1; other_zones >= 0; other_zones--) {
+        for (guint i = 0; i < poolers->len && chosen < FOLLOWERS; i++) {
+            struct pooler_peer *pooler = g_ptr_array_index(poolers, i);
+            bool good = !pooler->follows_store &&
+                        (other_zones == 0 || !zone_follows(poolers, pooler->zone));
+            pooler->follows_store = pooler->follows_store || good;
+            chosen += good;
+        }
+    }
+}
--- a/src/pooler/control_store.c
+++ b/src/pooler/control_store.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 /* How long a watch for a new configuration waits in the store. */
-#define CONFIGURATION_WAIT_MS 2000
+#define CONFIGURATION_WAIT_MS 1000
 
 /* Time between two looks at the directory. Changes of the primary come from the coordinator, and a
  * draining database may take work for seconds, so this need not be short. */
@@ -106,6 +106,7 @@
         return;
     }
     remember(feed, key, version, value);
+    control->rows_learned = control->rows_learned || table != STORE_TABLE_CONTROL;
     if (table == STORE_TABLE_DIRECTORY) {
         take_directory_row(control, key, version, value);
     } else if (table == STORE_TABLE_CONFIGURATION && value != NULL &&
@@ -229,7 +230,8 @@
 control_feeds_tick(struct control *control, time_ns now)
 {
     time_ns heartbeat = control->settings->store.heartbeat_ms * MS;
-    for (int table = 0; table < STORE_TABLE_CONTROL; table++) {
+    bool follows = control_relay_follows(control, now);
+    for (int table = 0; follows && table < STORE_TABLE_CONTROL; table++) {
         struct feed *feed = &control->feeds[table];
         if (!feed->calling && now >= feed->next_at) {
             call(feed);
--- /dev/null
+++ b/tests/pooler/test_relay.c
@@ -0,0 +1,182 @@
+/**
+ * @file
+ * @brief Rows of the store passed from pooler to pooler: what is told, what is known afterwards,
+ * and who asks the store by itself.
+ */
+#include "pooler/control_internal.h"
+
+#include <string.h>
+
+#define LARGE_ROW 20000
+
+typedef struct fixture {
+    struct control *from;
+    struct control *to;
+    struct pooler_settings settings;
+} fixture_t;
+
+static struct control *
+control_new(const struct pooler_settings *settings)
+{
+    struct control *control = g_new0(struct control, 1);
+    control->settings = settings;
+    directory_init(&control->directory);
+    control_feeds_start(control);
+    return control;
+}
+
+static void
+control_free(struct control *control)
+{
+    for (int table = 0; table < STORE_TABLE_COUNT; table++) {
+        g_hash_table_unref(control->feeds[table].rows);
+    }
+    directory_clear(&control->directory);
+    g_free(control);
+}
+
+static void
+set_up(fixture_t *fixture, gconstpointer unused)
+{
+    fixture->from = control_new(&fixture->settings);
+    fixture->to = control_new(&fixture->settings);
+}
+
+static void
+tear_down(fixture_t *fixture, gconstpointer unused)
+{
+    control_free(fixture->from);
+    control_free(fixture->to);
+}
+
+/* A row of the configuration's table other than the configuration itself is kept, not decoded. */
+static void
+learn(struct control *control, const char *key, uint64_t version, gsize len)
+{
+    g_autofree char *octets = g_malloc0(len + 1);
+    g_autoptr(GBytes) value = len == 0 ? NULL : g_bytes_new(octets, len);
+    control_take_row(control, STORE_TABLE_CONFIGURATION, key, version, value);
+    control->feeds[STORE_TABLE_CONFIGURATION].version = version;
+    control->feeds[STORE_TABLE_CONFIGURATION].current_at = backend_now();
+    control->feeds[STORE_TABLE_DIRECTORY].current_at = backend_now();
+}
+
+static const struct known_row *
+row_of(const struct control *control, const char *key)
+{
+    return g_hash_table_lookup(control->feeds[STORE_TABLE_CONFIGURATION].rows, key);
+}
+
+/* Tells `to` what it lacks beyond `known`; returns how many rows that took. */
+static size_t
+relay(const fixture_t *fixture, row_versions_t known)
+{
+    struct pooler_relay message;
+    pooler_relay_init(&message);
+    control_relay_fill(fixture->from, &known, backend_now(), &message);
+    control_relay_take(fixture->to, &message);
+    size_t rows = message.rows_count;
+    pooler_relay_clear(&message);
+    return rows;
+}
+
+static void
+test_whole_table(fixture_t *fixture, gconstpointer unused)
+{
+    learn(fixture->from, "a", 4, 10);
+    learn(fixture->from, "b", 7, 10);
+    g_assert_cmpuint(relay(fixture, (row_versions_t){0}), ==, 2);
+    g_assert_cmpuint(row_of(fixture->to, "a")->version, ==, 4);
+    g_assert_cmpuint(row_of(fixture->to, "b")->version, ==, 7);
+    g_assert_cmpuint(control_relay_versions(fixture->to).configuration, ==, 7);
+}
+
+static void
+test_only_changes(fixture_t *fixture, gconstpointer unused)
+{
+    learn(fixture->from, "a", 4, 10);
+    relay(fixture, (row_versions_t){0});
+    learn(fixture->from, "b", 7, 10);
+    learn(fixture->from, "a", 9, 0);
+    g_assert_cmpuint(relay(fixture, control_relay_versions(fixture->to)), ==, 2);
+    g_assert_true(row_of(fixture->to, "a")->gone);
+    g_assert_cmpuint(control_relay_versions(fixture->to).configuration, ==, 9);
+    g_assert_cmpuint(relay(fixture, control_relay_versions(fixture->to)), ==, 0);
+}
+
+/* Changes above a version that the receiver never reached do not make it know the table. */
+static void
+test_gap(fixture_t *fixture, gconstpointer unused)
+{
+    learn(fixture->from, "a", 4, 10);
+    learn(fixture->from, "b", 7, 10);
+    g_assert_cmpuint(relay(fixture, (row_versions_t){.configuration = 5}), ==, 1);
+    g_assert_cmpuint(row_of(fixture->to, "b")->version, ==, 7);
+    g_assert_cmpuint(control_relay_versions(fixture->to).configuration, ==, 0);
+}
+
+/* An older pooler's news takes nothing back. */
+static void
+test_older_sender(fixture_t *fixture, gconstpointer unused)
+{
+    learn(fixture->from, "a", 4, 10);
+    learn(fixture->to, "a", 9, 12);
+    relay(fixture, (row_versions_t){0});
+    g_assert_cmpuint(row_of(fixture->to, "a")->version, ==, 9);
+    g_assert_cmpuint(control_relay_versions(fixture->to).configuration, ==, 9);
+}
+
+/* A large row is left to the store, and the receiver is told to ask there. */
+static void
+test_large_row(fixture_t *fixture, gconstpointer unused)
+{
+    struct pooler_grant grant;
+    time_ns now = backend_now();
+    learn(fixture->from, "a", 4, 10);
+    learn(fixture->from, "large", 6, LARGE_ROW);
+    pooler_grant_init(&grant);
+    control_relay_fill(fixture->from, &(row_versions_t){0}, now, &grant.relay);
+    g_assert_true(grant.relay.incomplete);
+    g_assert_cmpuint(grant.relay.rows_count, ==, 0);
+    control_relay_take(fixture->to, &grant.relay);
+    control_relay_rely(fixture->to, &grant, now);
+    g_assert_cmpuint(control_relay_versions(fixture->to).configuration, ==, 0);
+    g_assert_true(control_relay_follows(fixture->to, now));
+    pooler_grant_clear(&grant);
+}
+
+/* Only a coordinator that the store answers is relied on, and for a while only. */
+static void
+test_reliance(fixture_t *fixture, gconstpointer unused)
+{
+    struct pooler_grant grant;
+    time_ns now = backend_now();
+    pooler_grant_init(&grant);
+    grant.relay.store_age_ms = 300;
+    control_relay_rely(fixture->to, &grant, now);
+    g_assert_false(control_relay_follows(fixture->to, now + 500 * MS));
+    g_assert_true(control_relay_follows(fixture->to, now + 2000 * MS));
+    grant.relay.store_age_ms = 4000;
+    control_relay_rely(fixture->to, &grant, now);
+    g_assert_true(control_relay_follows(fixture->to, now + 1));
+    grant.relay.store_age_ms = 300;
+    grant.follows_store = true;
+    control_relay_rely(fixture->to, &grant, now);
+    g_assert_true(control_relay_follows(fixture->to, now + 1));
+    pooler_grant_clear(&grant);
+}
+
+#define ADD(name, test) g_test_add("/pooler/relay/" name, fixture_t, NULL, set_up, test, tear_down)
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    ADD("whole-table", test_whole_table);
+    ADD("only-changes", test_only_changes);
+    ADD("gap", test_gap);
+    ADD("older-sender", test_older_sender);
+    ADD("large-row", test_large_row);
+    ADD("reliance", test_reliance);
+    return g_test_run();
+}
