--- a/src/pooler/control.c
+++ b/src/pooler/control.c
@@ -248,6 +248,7 @@
     sigset_t all;
     sigset_t old;
     parse_address(settings->pooler.listen, &control->shared.listen);
+    parse_address(settings->pooler.forward_listen, &control->shared.forward_listen);
     control->shared.stop_grace = (time_ns)(settings->stop.grace_s * (double)NANOSECONDS_PER_SECOND);
     uint32_t own = MIN(DESCRIPTORS_OWN, settings->pooler.descriptors / 2);
     control->shared.sessions_max = (settings->pooler.descriptors - own) / control->workers_count;
@@ -275,8 +276,10 @@
     control->members = g_hash_table_new(g_str_hash, g_str_equal);
     directory_init(&control->directory);
     lease_record_init(&control->lease.record);
+    control->started_at = backend_now();
     control_feeds_start(control);
     control_relay_start(control);
+    control_owners_init(control);
     return control;
 }
 
--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -18,6 +18,10 @@
 #define POOLERS_ASSUMED   9
 #define POOLERS_GATHER_NS (3000 * MS)
 
+/* In its first moments it has heard a third of them, or more. */
+#define POOLERS_FIRST_NS     (400 * MS)
+#define POOLERS_FIRST_FACTOR 3
+
 /* What makes a pooler fit to take the lease over. */
 #define SUCCESSOR_HEARD_NS     (600 * MS)
 #define SUCCESSOR_STORE_AGE_MS 1300
@@ -74,6 +78,7 @@
 {
     struct pooler_peer *pooler = data;
     g_hash_table_unref(pooler->reports);
+    g_free(pooler->forward_address);
     g_free(pooler->zone);
     g_free(pooler->name);
     g_free(pooler);
@@ -92,12 +97,20 @@
     return pooler;
 }
 
+/* How many poolers share the databases' connections. One that has just become the coordinator goes
+ * by what the last one told; after a loss of all, it has heard only the quickest yet. */
 static uint32_t
 count_poolers(const struct control *control)
 {
     uint32_t count = g_hash_table_size(control->poolers);
-    bool early = backend_now() < control->coordinator_since + POOLERS_GATHER_NS;
-    return MAX(count, early ? POOLERS_ASSUMED : 1);
+    time_ns age = backend_now() - control->coordinator_since;
+    if (age > POOLERS_GATHER_NS) {
+        return MAX(count, 1);
+    }
+    if (control->members_before > 0) {
+        return MAX(count, control->members_before);
+    }
+    return MAX(age < POOLERS_FIRST_NS ? count * POOLERS_FIRST_FACTOR : count, POOLERS_ASSUMED);
 }
 
 static void
@@ -157,6 +170,7 @@
     grant.coordinator = g_strdup(control->settings->pooler.name);
     grant.coordinator_address = g_strdup(control->coordinator_address);
     add_followed(control, &grant);
+    control_owners_fill(control, 0, &grant);
     const row_versions_t known = {heartbeat->relay.configuration_row,
                                   heartbeat->relay.directory_row};
     control_relay_fill(control, &known, backend_now(), &grant.relay);
@@ -175,6 +189,7 @@
     grant.token = control->lease.token;
     grant.members = count_poolers(control);
     grant.follows_store = pooler->follows_store;
+    pooler->ownership_told = control_owners_fill(control, pooler->ownership_told, &grant);
     add_orders(control, pooler, &grant);
     control_relay_fill(control, &pooler->known, now, &grant.relay);
     pooler->known = (row_versions_t){grant.relay.configuration_row, grant.relay.directory_row};
@@ -209,10 +224,14 @@
     if (pooler->peer != peer) {
         g_hash_table_remove_all(pooler->reports);
         pooler->known = (row_versions_t){0};
+        pooler->ownership_told = 0;
     }
     take_relay(control, pooler, &heartbeat->relay);
     g_free(pooler->zone);
     pooler->zone = g_strdup(heartbeat->zone);
+    g_free(pooler->forward_address);
+    pooler->forward_address = g_strdup(heartbeat->forward_address);
+    pooler->workers = heartbeat->workers;
     pooler->incarnation = heartbeat->incarnation;
     pooler->peer = peer;
     pooler->heard_at = now;
@@ -306,6 +325,7 @@
 {
     g_hash_table_remove_all(control->poolers);
     control->coordinator_since = backend_now();
+    control->members_before = control->members_told;
     control_member_set_coordinator(control, control->address);
     control_groups_start(control);
 }
@@ -412,5 +432,6 @@
     if (control->rows_learned) {
         control_coordinator_push(control);
     }
+    control_owners_tick(control, now);
     control_groups_tick(control, now);
 }
--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -342,7 +342,7 @@
         if (report == NULL || now > pooler->heard_at + OPINION_FRESH_NS) {
             continue;
         }
-        out->poolers++;
+        out->poolers += !report->abstains;
         for (size_t i = 0; i < report->faults_count; i++) {
             if (g_strcmp0(report->faults[i].database, failover->primary) == 0) {
                 count_fault(&report->faults[i], out);
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -65,6 +65,7 @@
     uint64_t term;
     bool told; /* the coordinator has had a report on this connection */
     uint64_t told_epoch;
+    bool told_abstains;
     size_t told_faults;
 };
 
@@ -98,9 +99,12 @@
     bool stopping;
     uint32_t store_age_ms;
     char *zone;
-    row_versions_t known; /* what it knows of the store's tables */
-    bool follows_store;   /* by itself, beside the coordinator */
-    GHashTable *reports;  /* service -> struct pooler_group_report, newest */
+    char *forward_address;
+    uint32_t workers;
+    uint64_t ownership_told; /* newest version */
+    row_versions_t known;    /* what it knows of the store's tables */
+    bool follows_store;      /* by itself, beside the coordinator */
+    GHashTable *reports;     /* service -> struct pooler_group_report, newest */
 };
 
 /* A group as the coordinator controls it. */
@@ -157,6 +161,8 @@
     /* As the coordinator. */
     struct lease lease;
     time_ns coordinator_since;
+    uint32_t members_before; /* poolers by the coordinator before; 0: not known */
+    time_ns started_at;
     int listener;
     struct event *acceptable;
     struct peer_callbacks pooler_callbacks;
@@ -165,6 +171,9 @@
     GHashTable *controlled; /* service -> struct controlled_group */
     struct failover_actions failover_actions;
     bool records_read;
+    GHashTable *ownerships; /* service -> struct pooler_ownership */
+    uint64_t ownership_count;
+    time_ns owners_at;    /* when they are decided next */
     bool rows_learned;    /* and not yet told to the poolers */
     time_ns followers_at; /* when the followers of the store were chosen */
 };
@@ -176,6 +185,8 @@
 struct member_shared *control_member(struct control *control, const char *id);
 struct group_state *control_group(struct control *control, const char *service);
 void control_publish(struct control *control);
+/** @return true if other poolers hold the connections to the group's databases. */
+bool control_view_forwards(const struct control *control, const char *service);
 /* True if clients can be served. */
 bool control_is_ready(const struct control *control);
 
@@ -205,6 +216,19 @@
 /** @brief Chooses, at the coordinator, which poolers follow the store beside it. */
 void control_relay_choose(struct control *control);
 
+/* control_owners.c */
+void control_owners_init(struct control *control);
+/** @return who holds the connections to the group's databases; NULL if nobody has told. */
+const struct pooler_ownership *control_owners_of(const struct control *control,
+                                                 const char *service);
+/** @brief Adds what is newer than `told` to the grant. @return the newest version added. */
+uint64_t control_owners_fill(const struct control *control, uint64_t told,
+                             struct pooler_grant *grant);
+/** @brief Takes over what another pooler tells. */
+void control_owners_take(struct control *control, const struct pooler_grant *grant);
+/** @brief Names the owners, at the coordinator, and tells the poolers of changes. */
+void control_owners_tick(struct control *control, time_ns now);
+
 /* control_lease.c */
 void control_lease_tick(struct control *control, time_ns now);
 /* True if the lease holds now and for `margin` more. */
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -66,6 +66,7 @@
     report->service = g_strdup(group->shared->service);
     report->epoch = epoch_followed(control, group);
     report->in_flight = in_flight(control, group);
+    report->abstains = control_view_forwards(control, group->shared->service);
     report->faults = g_new0(struct pooler_fault, FAULTS_MAX);
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -84,11 +85,13 @@
 static bool
 is_news(struct group_state *group, const struct pooler_group_report *report)
 {
-    bool same = group->told && group->told_epoch == report->epoch && group->told_faults == 0 &&
+    bool same = group->told && group->told_abstains == report->abstains &&
+                group->told_epoch == report->epoch && group->told_faults == 0 &&
                 report->faults_count == 0;
     bool watched = group->phase != GROUP_PHASE_OPEN;
     group->told = true;
     group->told_epoch = report->epoch;
+    group->told_abstains = report->abstains;
     group->told_faults = report->faults_count;
     return !same || watched;
 }
@@ -114,6 +117,8 @@
     out->sequence = ++control->sequence;
     control_relay_fill(control, &control->told, now, &out->relay);
     out->store_age_ms = control_relay_age_ms(control, now);
+    out->forward_address = g_strdup(control->settings->pooler.forward_listen);
+    out->workers = control->workers_count;
     out->stopping = atomic_load(&control->shared.stop_at) != 0;
     out->groups = g_new0(struct pooler_group_report, g_hash_table_size(control->groups) + 1);
     GHashTableIter iterator;
@@ -218,6 +223,7 @@
         take_order(control, order);
     }
     take_permits(control, grant->token, sent == 0 ? 0 : sent + grant->permit_ms * MS);
+    control_owners_take(control, grant);
     control_relay_take(control, &grant->relay);
     control_relay_rely(control, grant, now);
     control_publish(control);
@@ -234,6 +240,7 @@
     for (size_t i = 0; i < grant->groups_count; i++) {
         take_order(control, &grant->groups[i]);
     }
+    control_owners_take(control, grant);
     control_relay_take(control, &grant->relay);
     control_publish(control);
 }
--- a/src/pooler/control_view.c
+++ b/src/pooler/control_view.c
@@ -2,6 +2,8 @@
 #define G_LOG_DOMAIN "control"
 #include "pooler/control_internal.h"
 
+#include "wire/address.h"
+
 #include <string.h>
 #include <urcu-bp.h>
 
@@ -11,6 +13,9 @@
 /* Share of connections where nobody has told how many poolers there are. */
 #define MEMBERS_ASSUMED 12
 
+/* A pooler that starts opens no connections before: with many poolers, these would be too many. */
+#define TOLD_SOON_NS (600 * MS)
+
 struct member_shared *
 control_member(struct control *control, const char *id)
 {
@@ -40,12 +45,80 @@
 static uint32_t
 connections_of(const struct control *control, const struct service *service)
 {
-    uint32_t members = control->members_told > 0 ? control->members_told : MEMBERS_ASSUMED;
+    bool told = control->members_told > 0;
+    if (!told && backend_now() < control->started_at + TOLD_SOON_NS) {
+        return 0;
+    }
+    uint32_t members = told ? control->members_told : MEMBERS_ASSUMED;
     uint32_t room = service->max_connections > CONNECTIONS_SPARE
                         ? service->max_connections - CONNECTIONS_SPARE
                         : 1;
     uint32_t share = room / (members * control->workers_count);
-    return MAX(share, 1);
+    return told ? share : MAX(share, 1);
+}
+
+static bool
+is_owner(const struct control *control, const struct pooler_ownership *ownership)
+{
+    for (size_t i = 0; i < ownership->owners_count; i++) {
+        if (g_str_equal(ownership->owners[i].address, control->settings->pooler.forward_listen)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+control_view_forwards(const struct control *control, const char *service)
+{
+    const struct pooler_ownership *ownership = control_owners_of(control, service);
+    return ownership != NULL && ownership->owners_count > 0 && !is_owner(control, ownership);
+}
+
+static void
+add_owner(const struct pooler_owner *owner, bool same_zone, struct pooled_group *out)
+{
+    owner_view_t *view = &out->owners[out->owners_count];
+    if (parse_address(owner->address, &view->address)) {
+        view->text = g_strdup(owner->address);
+        view->same_zone = same_zone;
+        out->owners_count++;
+    }
+}
+
+/* Near owners come first. Each pooler begins with another one, so that they share the load. */
+static void
+fill_owners(const struct control *control, const struct pooler_ownership *ownership,
+            struct pooled_group *out)
+{
+    guint start = g_str_hash(control->settings->pooler.name);
+    out->owners = g_new0(owner_view_t, ownership->owners_count);
+    for (int near = 1; near >= 0; near--) {
+        for (size_t i = 0; i < ownership->owners_count; i++) {
+            const struct pooler_owner *owner =
+                &ownership->owners[(start + i) % ownership->owners_count];
+            bool same_zone = g_str_equal(owner->zone, control->settings->pooler.zone);
+            if (same_zone == (near == 1)) {
+                add_owner(owner, same_zone, out);
+            }
+        }
+    }
+}
+
+/* Who opens connections to the group's databases: this pooler, as many as it is told, or its
+ * owners. */
+static void
+fill_connections(const struct control *control, const struct service *service,
+                 struct pooled_group *out)
+{
+    const struct pooler_ownership *ownership = control_owners_of(control, service->name);
+    if (ownership == NULL || ownership->owners_count == 0) {
+        out->connections = connections_of(control, service);
+    } else if (is_owner(control, ownership)) {
+        out->connections = ownership->connections;
+    } else {
+        fill_owners(control, ownership, out);
+    }
 }
 
 static size_t
@@ -121,8 +194,8 @@
         .term = state->term,
         .primary = -1,
         .sync_replicas = service->sync_replicas,
-        .connections = connections_of(control, service),
     };
+    fill_connections(control, service, out);
     out->members = g_new0(struct member_view, count_members(control, service->name) + 1);
     g_hash_table_iter_init(&iterator, control->directory.entries);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -283,6 +283,10 @@
 void
 database_tick(struct database *database, time_ns now)
 {
+    if (database->group->connections == 0 && database->servers->len == 0) {
+        database_set_fault(database, DATABASE_FAULT_NONE, now); /* others know */
+        return;
+    }
     check_refusal(database, now);
     close_unused(database, now);
     database_close_where(database, is_orphan, now, ANSWER_TIMEOUT);
--- /dev/null
+++ b/src/pooler/forward.c
@@ -0,0 +1,358 @@
+/**
+ * @file
+ * @brief Statements left to an owner of their group; see the header.
+ *
+ * What a lost link means: a single read, and a transaction that has had no answer yet, go to
+ * another owner, as the lost one rolls back what nobody waits for. A single write or a commit is in
+ * doubt, and any other transaction is over.
+ */
+#define G_LOG_DOMAIN "forward"
+#include "pooler/forward.h"
+
+#include "generated/messages.h"
+#include "pooler/peer.h"
+#include "pooler/session_internal.h"
+
+#include <inttypes.h>
+
+/** An owner that has said nothing for so long, while something is asked, is asked for a sign. */
+#define PING_AFTER_NS (150 * NANOSECONDS_PER_MILLISECOND)
+
+/** Without that sign for so long, it is given up. */
+#define SILENT_AFTER_NS (350 * NANOSECONDS_PER_MILLISECOND)
+
+/** A lost or unwilling owner is passed over for so long, twice as long each time it is lost. */
+#define AVOID_MIN_NS (100 * NANOSECONDS_PER_MILLISECOND)
+#define AVOID_MAX_NS (1600 * NANOSECONDS_PER_MILLISECOND)
+
+/** An owner that declines has lost the group, or stops. */
+#define DECLINED_NS (150 * NANOSECONDS_PER_MILLISECOND)
+
+/** An owner in another zone is taken where the near ones have so many statements more. */
+#define OTHER_ZONE_COST 12
+
+struct link {
+    struct worker *worker;
+    char *text;
+    struct sockaddr_in address;
+    struct peer *peer; /* NULL while there is no connection */
+    struct peer_callbacks callbacks;
+    GHashTable *channels; /* number -> session */
+    uint64_t last_channel;
+    uint32_t running;    /* statements without an answer */
+    time_ns quiet_since; /* the owner was last heard, or first asked after a rest */
+    time_ns pinged_at;
+    time_ns avoid_until;
+    uint32_t losses; /* in a row */
+};
+
+bool
+forward_is_open(const struct session *session)
+{
+    return session->forward.link != NULL;
+}
+
+static void
+stop_running(struct session *session)
+{
+    if (session->forward.running) {
+        session->forward.running = false;
+        session->forward.link->running--;
+    }
+}
+
+static void
+detach(struct session *session)
+{
+    stop_running(session);
+    g_hash_table_remove(session->forward.link->channels, &session->forward.channel);
+    session->forward.link = NULL;
+}
+
+/* The link has no connection any more. */
+static void
+lose(link_t *link, time_ns now)
+{
+    g_autoptr(GList) sessions = g_hash_table_get_values(link->channels);
+    g_message("The link to %s is lost, with %u statements under way.", link->text, link->running);
+    link->peer = NULL;
+    link->avoid_until = now + MIN(AVOID_MIN_NS << MIN(link->losses, 5U), AVOID_MAX_NS);
+    link->losses++;
+    for (GList *item = sessions; item != NULL; item = item->next) {
+        detach(item->data);
+    }
+    for (GList *item = sessions; item != NULL; item = item->next) {
+        session_server_lost(item->data, ANSWER_BUSY);
+    }
+}
+
+static void
+decline(struct session *session, link_t *link, time_ns now)
+{
+    detach(session);
+    link->avoid_until = now + DECLINED_NS;
+    session_try_again(session, ANSWER_MISROUTED);
+}
+
+static void
+take_answer(link_t *link, const struct forward_answer *answer)
+{
+    struct session *session = g_hash_table_lookup(link->channels, &answer->channel);
+    time_ns now = backend_now();
+    link->quiet_since = now;
+    link->losses = 0;
+    if (session == NULL || !session->forward.running) {
+        return;
+    }
+    stop_running(session);
+    if (answer->declined) {
+        decline(session, link, now);
+        return;
+    }
+    if (answer->state != TRANSACTION_STATE_OPEN) {
+        detach(session);
+    }
+    const struct log_position position = {answer->term, answer->offset};
+    session_pass_on(session, (enum answer_code)answer->code, (enum transaction_state)answer->state,
+                    (struct span){(const char *)answer->output, answer->output_length},
+                    answer->has_position ? &position : NULL);
+}
+
+static bool
+on_frame(void *user, struct peer *peer, const uint8_t *data, size_t len)
+{
+    link_t *link = user;
+    struct worker *worker = link->worker;
+    struct forward_answer answer = {0};
+    g_autoptr(GError) error = NULL;
+    if (!forward_answer_decode(data, len, &answer, &error)) {
+        g_warning("An owner's answer can't be read: %s.", error->message);
+        return false;
+    }
+    take_answer(link, &answer);
+    forward_answer_clear(&answer);
+    worker_settle(worker);
+    return true;
+}
+
+static void
+on_closed(void *user, struct peer *peer)
+{
+    link_t *link = user;
+    lose(link, backend_now());
+    worker_settle(link->worker);
+}
+
+link_t *
+link_of(struct worker *worker, const char *text, const struct sockaddr_in *address)
+{
+    link_t *link = g_hash_table_lookup(worker->links, text);
+    if (link == NULL) {
+        link = g_new0(link_t, 1);
+        link->worker = worker;
+        link->text = g_strdup(text);
+        link->address = *address;
+        link->callbacks = (struct peer_callbacks){on_frame, on_closed, link};
+        link->channels = g_hash_table_new(g_int64_hash, g_int64_equal);
+        g_hash_table_insert(worker->links, link->text, link);
+    }
+    return link;
+}
+
+void
+link_free(link_t *link)
+{
+    if (link->peer != NULL) {
+        peer_free(link->peer);
+    }
+    g_hash_table_unref(link->channels);
+    g_free(link->text);
+    g_free(link);
+}
+
+static bool
+link_connect(link_t *link)
+{
+    if (link->peer == NULL) {
+        link->peer = peer_connect(link->worker->base, &link->address, &link->callbacks);
+        link->quiet_since = backend_now();
+    }
+    return link->peer != NULL;
+}
+
+/* The owner with the fewest statements from here, near ones by preference. */
+static link_t *
+choose(const struct group *group, time_ns now)
+{
+    link_t *best = NULL;
+    uint32_t best_cost = 0;
+    for (guint i = 0; i < group->links->len; i++) {
+        link_t *link = g_ptr_array_index(group->links, i);
+        uint32_t cost = link->running + (i < group->links_near ? 0 : OTHER_ZONE_COST);
+        if (now >= link->avoid_until && (best == NULL || cost < best_cost)) {
+            best = link;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+static uint64_t
+age_us(time_ns now, time_ns at)
+{
+    return now > at ? (now - at) / NANOSECONDS_PER_MICROSECOND : 0;
+}
+
+static void
+fill_values(const struct session *session, struct forward_ask *ask)
+{
+    GHashTableIter iterator;
+    gpointer name = NULL;
+    gpointer value = NULL;
+    if (session->values == NULL) {
+        return;
+    }
+    ask->values = g_new0(struct session_value, g_hash_table_size(session->values));
+    g_hash_table_iter_init(&iterator, session->values);
+    while (g_hash_table_iter_next(&iterator, &name, &value)) {
+        struct session_value *out = &ask->values[ask->values_count++];
+        out->name = g_strdup(name);
+        out->value = g_strdup(value);
+    }
+}
+
+static void
+fill_prepared(const struct session *session, struct forward_ask *ask)
+{
+    const struct statement *statement = &session->request.statement;
+    if (statement->kind != STATEMENT_EXECUTE) {
+        return;
+    }
+    const struct prepared *prepared = session_find_prepared(session, statement->name);
+    ask->prepared = true;
+    ask->prepared_writes = prepared->writes;
+    ask->prepared_shape_length = strlen(prepared->shape);
+    ask->prepared_shape = g_memdup2(prepared->shape, ask->prepared_shape_length);
+}
+
+static void
+fill_opening(const struct session *session, time_ns now, struct forward_ask *ask)
+{
+    const struct session_route *route = &session->route;
+    ask->opens = true;
+    ask->service = g_strdup(route->group->shared->service);
+    ask->in_transaction = session->transaction != SESSION_TRANSACTION_NONE;
+    ask->read_only = session->read_only;
+    ask->route_kind = (uint32_t)route->kind;
+    ask->timeout_ms = route->timeout_ms;
+    ask->target_ms = route->target_ms;
+    ask->priority = route->priority;
+    ask->staleness_ms = route->staleness_ms;
+    ask->transaction_age_us = age_us(now, session->began);
+    ask->has_own_commit = session->has_own_commit;
+    ask->own_commit_term = session->own_commit.term;
+    ask->own_commit_offset = session->own_commit.offset;
+    ask->own_commit_age_us = age_us(now, session->own_commit_at);
+}
+
+static void
+send_statement(struct session *session, bool opens)
+{
+    link_t *link = session->forward.link;
+    struct session_request *request = &session->request;
+    struct forward_ask ask;
+    time_ns now = backend_now();
+    forward_ask_init(&ask);
+    ask.channel = session->forward.channel;
+    ask.message_length = request->message_length;
+    ask.message = g_memdup2(request->message, request->message_length);
+    ask.age_us = age_us(now, request->arrived);
+    fill_values(session, &ask);
+    fill_prepared(session, &ask);
+    if (opens) {
+        fill_opening(session, now, &ask);
+    }
+    if (link->running++ == 0) {
+        link->quiet_since = now;
+    }
+    session->forward.running = true;
+    request->may_have_run = true;
+    request->sent_to = link->text;
+    peer_send(link->peer, forward_ask_encode(&ask));
+    forward_ask_clear(&ask);
+}
+
+bool
+forward_start(struct session *session)
+{
+    link_t *link = choose(session->route.group, backend_now());
+    if (link == NULL || !link_connect(link)) {
+        return false;
+    }
+    session->forward.link = link;
+    session->forward.channel = ++link->last_channel;
+    g_hash_table_insert(link->channels, &session->forward.channel, session);
+    metrics_count(&session->worker->metrics, METRICS_FORWARDED);
+    send_statement(session, true);
+    return true;
+}
+
+void
+forward_continue(struct session *session)
+{
+    send_statement(session, false);
+}
+
+void
+forward_drop(struct session *session)
+{
+    link_t *link = session->forward.link;
+    if (link == NULL) {
+        return;
+    }
+    struct forward_ask ask;
+    forward_ask_init(&ask);
+    ask.channel = session->forward.channel;
+    ask.ends = true;
+    detach(session);
+    if (link->peer != NULL) {
+        peer_send(link->peer, forward_ask_encode(&ask));
+    }
+    forward_ask_clear(&ask);
+}
+
+static void
+ask_for_a_sign(link_t *link, time_ns now)
+{
+    struct forward_ask ask;
+    forward_ask_init(&ask);
+    link->pinged_at = now;
+    peer_send(link->peer, forward_ask_encode(&ask));
+    forward_ask_clear(&ask);
+}
+
+static void
+check(link_t *link, time_ns now)
+{
+    if (link->peer == NULL || link->running == 0) {
+        return;
+    }
+    bool pinged = link->pinged_at >= link->quiet_since;
+    if (pinged && now > link->pinged_at + SILENT_AFTER_NS) {
+        peer_free(link->peer);
+        lose(link, now);
+    } else if (!pinged && now > link->quiet_since + PING_AFTER_NS) {
+        ask_for_a_sign(link, now);
+    }
+}
+
+void
+forward_tick(struct worker *worker, time_ns now)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, worker->links);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        check(value, now);
+    }
+}
--- /dev/null
+++ b/src/pooler/forward.h
@@ -0,0 +1,66 @@
+/**
+ * @file
+ * @brief Statements that one pooler leaves to another.
+ *
+ * Where a group's databases take fewer connections than there are poolers, a few poolers own them.
+ * The others keep their clients' sessions and forward each transaction or single statement, with
+ * the session's values and the prepared name it uses, to an owner. The owner routes, queues and
+ * retries it as its own, and answers with what the client gets.
+ *
+ * Both sides belong to a worker's thread. A channel is one transaction or single statement; the
+ * pooler that forwards gives it its number.
+ */
+#ifndef SW_POOLER_FORWARD_H
+#define SW_POOLER_FORWARD_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/types.h"
+#include "pooler/wire.h"
+
+struct group;
+struct session;
+struct worker;
+
+/** @brief Connection of one worker to an owner; kept for the worker's life. */
+typedef struct link link_t;
+
+/** @brief Connection of another pooler's worker to this one. */
+typedef struct caller caller_t;
+
+/* forward.c: towards owners */
+
+/** @return the link to this address, made if there is none; `text` is the address as text. */
+link_t *link_of(struct worker *worker, const char *text, const struct sockaddr_in *address);
+void link_free(link_t *link);
+
+/** @brief Sends the session's statement to the best owner of its group.
+ *  @return false if no owner can be reached now. */
+bool forward_start(struct session *session);
+
+/** @brief Sends a further statement of the transaction that is open at the session's owner. */
+void forward_continue(struct session *session);
+
+/** @brief Nobody waits for the session's channel any more; nothing happens if it has none. */
+void forward_drop(struct session *session);
+
+/** @return true if the session's transaction or statement is at an owner. */
+bool forward_is_open(const struct session *session);
+
+/** @brief Asks quiet owners for a sign of life, and gives up on silent ones. */
+void forward_tick(struct worker *worker, time_ns now);
+
+/* forward_serve.c: for other poolers */
+
+/** @brief Takes over an accepted connection of another pooler. */
+void caller_accept(struct worker *worker, int handle);
+void caller_free(caller_t *caller);
+
+/** @brief The session's statement has not run and is not run here: its pooler asks another owner.
+ */
+void caller_decline(struct session *session);
+
+#endif
--- /dev/null
+++ b/src/pooler/forward_serve.c
@@ -0,0 +1,288 @@
+/**
+ * @file
+ * @brief Statements that other poolers leave to this one; see forward.h.
+ *
+ * Each channel is a session without a socket: it has what the statement needs of the client's
+ * session, and its answers go back as frames. It lives as long as its transaction is open.
+ */
+#define G_LOG_DOMAIN "forward"
+#include "pooler/forward.h"
+
+#include "generated/messages.h"
+#include "pooler/peer.h"
+#include "pooler/session_internal.h"
+
+struct caller {
+    struct worker *worker;
+    struct peer *peer;
+    struct peer_callbacks callbacks;
+    GHashTable *channels; /* number -> session */
+};
+
+static void
+send_answer(caller_t *caller, struct forward_answer *answer)
+{
+    peer_send(caller->peer, forward_answer_encode(answer));
+    forward_answer_clear(answer);
+}
+
+static enum transaction_state
+state_of(const struct session *session)
+{
+    return session_told_state(session);
+}
+
+static void
+on_answered(struct session *session, enum answer_code code, const struct log_position *position)
+{
+    struct span content = buffer_content(&session->out);
+    struct forward_answer answer;
+    forward_answer_init(&answer);
+    answer.channel = session->forwarded.channel;
+    answer.code = (uint32_t)code;
+    answer.state = (uint32_t)state_of(session);
+    answer.output = g_memdup2(content.data, content.length);
+    answer.output_length = content.length;
+    if (position != NULL) {
+        answer.has_position = true;
+        answer.term = position->term;
+        answer.offset = position->offset;
+    }
+    buffer_clear(&session->out);
+    send_answer(session->forwarded.caller, &answer);
+    if (session->transaction != SESSION_TRANSACTION_OPEN) {
+        session_end(session);
+    }
+}
+
+/* The route came with the statement. */
+static bool
+has_route(struct session *session)
+{
+    return true;
+}
+
+static void
+leave_channel(struct session *session)
+{
+    g_hash_table_remove(session->forwarded.caller->channels, &session->forwarded.channel);
+}
+
+static const client_ops_t forwarded_ops = {on_answered, has_route, leave_channel};
+
+void
+caller_decline(struct session *session)
+{
+    caller_t *caller = session->forwarded.caller;
+    struct forward_answer answer;
+    forward_answer_init(&answer);
+    answer.channel = session->forwarded.channel;
+    answer.declined = true;
+    session_end(session);
+    send_answer(caller, &answer);
+}
+
+static void
+decline(caller_t *caller, uint64_t channel)
+{
+    struct forward_answer answer;
+    forward_answer_init(&answer);
+    answer.channel = channel;
+    answer.declined = true;
+    send_answer(caller, &answer);
+}
+
+/* The transaction is no longer known here: it was rolled back. */
+static void
+tell_rolled_back(caller_t *caller, const struct forward_ask *ask)
+{
+    struct buffer out = {0};
+    struct forward_answer answer;
+    struct client_message message;
+    wire_read_client((struct span){(const char *)ask->message, ask->message_length}, &message);
+    bool ends = message.statement.kind == STATEMENT_COMMIT;
+    enum transaction_state state = ends ? TRANSACTION_STATE_NONE : TRANSACTION_STATE_FAILED;
+    forward_answer_init(&answer);
+    answer.channel = ask->channel;
+    answer.code = ANSWER_ABORTED;
+    answer.state = (uint32_t)state;
+    wire_write_error(&out, ANSWER_ABORTED, answer_meaning(ANSWER_ABORTED)->advice);
+    wire_write_ready(&out, state, NULL);
+    struct span content = buffer_content(&out);
+    answer.output = g_memdup2(content.data, content.length);
+    answer.output_length = content.length;
+    buffer_clear(&out);
+    send_answer(caller, &answer);
+}
+
+static time_ns
+moment(time_ns now, uint64_t age_us)
+{
+    time_ns age = age_us * NANOSECONDS_PER_MICROSECOND;
+    return now > age ? now - age : 0;
+}
+
+static void
+take_opening(struct session *session, const struct forward_ask *ask, time_ns now)
+{
+    session->route = (struct session_route){
+        g_hash_table_lookup(session->worker->groups, ask->service),
+        (enum route_kind)ask->route_kind,
+        ask->timeout_ms,
+        ask->target_ms,
+        ask->priority,
+        ask->staleness_ms,
+    };
+    session->transaction =
+        ask->in_transaction ? SESSION_TRANSACTION_REQUESTED : SESSION_TRANSACTION_NONE;
+    session->read_only = ask->read_only;
+    session->began = moment(now, ask->transaction_age_us);
+    session->has_own_commit = ask->has_own_commit;
+    session->own_commit = (struct log_position){ask->own_commit_term, ask->own_commit_offset};
+    session->own_commit_at = moment(now, ask->own_commit_age_us);
+}
+
+/* Takes the statement, and what it needs of the client's session. */
+static void
+take_statement(struct session *session, const struct forward_ask *ask, time_ns now)
+{
+    struct session_request *request = &session->request;
+    struct client_message message;
+    g_free(request->message);
+    *request = (struct session_request){.arrived = moment(now, ask->age_us)};
+    request->message = g_strndup((const char *)ask->message, ask->message_length);
+    request->message_length = ask->message_length;
+    wire_read_client((struct span){request->message, ask->message_length}, &message);
+    request->statement = message.statement;
+    g_clear_pointer(&session->values, g_hash_table_unref);
+    for (size_t i = 0; i < ask->values_count; i++) {
+        session_set_value(session, ask->values[i].name, ask->values[i].value);
+    }
+    if (ask->prepared) {
+        session_set_prepared(
+            session, request->statement.name, ask->prepared_writes,
+            (struct span){(const char *)ask->prepared_shape, ask->prepared_shape_length});
+    }
+}
+
+/* True if this pooler serves the group and does not stop. */
+static bool
+takes(const caller_t *caller, const struct forward_ask *ask)
+{
+    const struct group *group = g_hash_table_lookup(caller->worker->groups, ask->service);
+    return group != NULL && group->connections > 0 && !caller->worker->stopping;
+}
+
+static void
+run(caller_t *caller, const struct forward_ask *ask)
+{
+    time_ns now = backend_now();
+    struct session *session = g_hash_table_lookup(caller->channels, &ask->channel);
+    if (session == NULL && !ask->opens) {
+        tell_rolled_back(caller, ask);
+        return;
+    }
+    if (ask->opens && (session != NULL || !takes(caller, ask))) {
+        decline(caller, ask->channel);
+        return;
+    }
+    if (session == NULL) {
+        session = session_new(caller->worker, &forwarded_ops);
+        session->state = SESSION_IDLE;
+        session->forwarded.caller = caller;
+        session->forwarded.channel = ask->channel;
+        g_hash_table_insert(caller->channels, &session->forwarded.channel, session);
+        metrics_count(&caller->worker->metrics, METRICS_SERVED_FOR_OTHERS);
+        take_opening(session, ask, now);
+    }
+    if (session->state == SESSION_IDLE) {
+        take_statement(session, ask, now);
+        session_ask(session);
+    }
+}
+
+static void
+end(const caller_t *caller, uint64_t channel)
+{
+    struct session *session = g_hash_table_lookup(caller->channels, &channel);
+    if (session != NULL) {
+        session_end(session);
+    }
+}
+
+static void
+give_sign(caller_t *caller)
+{
+    struct forward_answer answer;
+    forward_answer_init(&answer);
+    send_answer(caller, &answer);
+}
+
+static bool
+on_frame(void *user, struct peer *peer, const uint8_t *data, size_t len)
+{
+    caller_t *caller = user;
+    struct worker *worker = caller->worker;
+    struct forward_ask ask = {0};
+    g_autoptr(GError) error = NULL;
+    if (!forward_ask_decode(data, len, &ask, &error)) {
+        g_warning("A forwarded statement can't be read: %s.", error->message);
+        return false;
+    }
+    if (ask.channel == 0) {
+        give_sign(caller);
+    } else if (ask.ends) {
+        end(caller, ask.channel);
+    } else {
+        run(caller, &ask);
+    }
+    forward_ask_clear(&ask);
+    worker_settle(worker);
+    return true;
+}
+
+static void
+end_all(const caller_t *caller)
+{
+    g_autoptr(GList) sessions = g_hash_table_get_values(caller->channels);
+    for (GList *item = sessions; item != NULL; item = item->next) {
+        session_end(item->data);
+    }
+}
+
+static void
+clear_caller(caller_t *caller)
+{
+    g_hash_table_unref(caller->channels);
+    g_free(caller);
+}
+
+static void
+on_closed(void *user, struct peer *peer)
+{
+    caller_t *caller = user;
+    struct worker *worker = caller->worker;
+    end_all(caller);
+    g_ptr_array_remove(worker->callers, caller);
+    clear_caller(caller);
+    worker_settle(worker);
+}
+
+void
+caller_accept(struct worker *worker, int handle)
+{
+    caller_t *caller = g_new0(caller_t, 1);
+    caller->worker = worker;
+    caller->callbacks = (struct peer_callbacks){on_frame, on_closed, caller};
+    caller->channels = g_hash_table_new(g_int64_hash, g_int64_equal);
+    caller->peer = peer_accept(worker->base, handle, &caller->callbacks);
+    g_ptr_array_add(worker->callers, caller);
+}
+
+void
+caller_free(caller_t *caller)
+{
+    end_all(caller);
+    peer_free(caller->peer);
+    clear_caller(caller);
+}
--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -12,6 +12,7 @@
         group->worker = worker;
         group->shared = shared;
         group->databases = g_ptr_array_new();
+        group->links = g_ptr_array_new();
         g_queue_init(&group->queue);
         g_hash_table_insert(worker->groups, shared->service, group);
     }
@@ -93,12 +94,37 @@
     }
 }
 
+static void
+apply_owners(struct group *group, const struct pooled_group *view)
+{
+    g_ptr_array_set_size(group->links, 0);
+    group->links_near = 0;
+    for (size_t i = 0; i < view->owners_count; i++) {
+        const owner_view_t *owner = &view->owners[i];
+        g_ptr_array_add(group->links, link_of(group->worker, owner->text, &owner->address));
+        group->links_near += owner->same_zone;
+    }
+}
+
+/* The group's connections have gone to other poolers. */
+static void
+close_connections(struct group *group)
+{
+    for (guint i = 0; i < group->databases->len; i++) {
+        database_close_idle(g_ptr_array_index(group->databases, i));
+    }
+}
+
 void
 group_apply(struct group *group, const struct pooled_group *view)
 {
     struct database *primary = NULL;
     group->sync_replicas = view->sync_replicas;
     group->connections = view->connections;
+    apply_owners(group, view);
+    if (group->connections == 0) {
+        close_connections(group);
+    }
     for (guint i = 0; i < group->databases->len; i++) {
         ((struct database *)g_ptr_array_index(group->databases, i))->listed = false;
     }
--- a/src/pooler/metrics.c
+++ b/src/pooler/metrics.c
@@ -18,6 +18,8 @@
     [METRICS_LAGGING] = "replicas_lagging",
     [METRICS_PERMIT_MISSING] = "read_permits_missing",
     [METRICS_QUEUED] = "statements_queued",
+    [METRICS_FORWARDED] = "forwarded",
+    [METRICS_SERVED_FOR_OTHERS] = "served_for_others",
 };
 
 static const char *const route_names[METRICS_ROUTE_KINDS] = {
--- a/src/pooler/metrics.h
+++ b/src/pooler/metrics.h
@@ -29,6 +29,8 @@
     METRICS_LAGGING,
     METRICS_PERMIT_MISSING,
     METRICS_QUEUED,
+    METRICS_FORWARDED,         /* transactions and single statements left to owners */
+    METRICS_SERVED_FOR_OTHERS, /* the same, taken from other poolers */
     METRICS_COUNTER_COUNT,
 };
 
--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -191,6 +191,30 @@
                                                  : METRICS_READS_AT_REPLICA);
 }
 
+bool
+router_forwards(const struct group *group)
+{
+    return group->connections == 0;
+}
+
+/* Leaves the statement to an owner of its group. One that came from another pooler goes back. */
+static bool
+try_forward(struct session *session)
+{
+    if (session->forwarded.caller != NULL) {
+        router_leave_queue(session);
+        caller_decline(session);
+        return true;
+    }
+    if (!forward_start(session)) {
+        return false;
+    }
+    router_leave_queue(session);
+    session->request.attempts++;
+    session_sent(session);
+    return true;
+}
+
 /* Sends the statement if a connection is there. True if it left. */
 static bool
 try_send(struct session *session)
@@ -201,6 +225,9 @@
     if (now < session->request.not_before) {
         return false;
     }
+    if (router_forwards(session->route.group)) {
+        return try_forward(session);
+    }
     find_need(session, &need);
     choose(session, &need, now, &choice);
     if (choice.check) {
--- a/src/pooler/session.c
+++ b/src/pooler/session.c
@@ -60,6 +60,17 @@
     evtimer_add(session->timer, &value);
 }
 
+static void
+give_up_server(struct session *session)
+{
+    struct server *server = session->server;
+    if (server != NULL) {
+        server->session = NULL;
+        session->server = NULL;
+        server_close(server, ANSWER_TIMEOUT);
+    }
+}
+
 static void
 on_timer(evutil_socket_t socket, short events, void *user)
 {
@@ -69,10 +80,8 @@
         router_leave_queue(session);
         session_answer_lost(session, ANSWER_BUSY);
     } else if (session->state == SESSION_RUNNING) {
-        struct server *server = session->server;
-        server->session = NULL;
-        session->server = NULL;
-        server_close(server, ANSWER_TIMEOUT);
+        give_up_server(session);
+        forward_drop(session);
         session_answer_lost(session, ANSWER_TIMEOUT);
     } else if (session->transaction == SESSION_TRANSACTION_OPEN) {
         g_info("A transaction rested for too long and was rolled back.");
@@ -81,19 +90,45 @@
     worker_settle(worker);
 }
 
-void
-session_open(struct worker *worker, int socket)
+struct session *
+session_new(struct worker *worker, const client_ops_t *client)
 {
     struct session *session = g_new0(struct session, 1);
     session->worker = worker;
-    session->socket = socket;
+    session->client = client;
     session->opened = backend_now();
-    session->readable = event_new(worker->base, socket, EV_READ | EV_PERSIST, on_readable, session);
-    session->writable = event_new(worker->base, socket, EV_WRITE, on_writable, session);
     session->timer = evtimer_new(worker->base, on_timer, session);
-    event_add(session->readable, NULL);
     g_queue_push_tail(&worker->sessions, session);
     session->worker_link = worker->sessions.tail;
+    return session;
+}
+
+static void
+on_answered(struct session *session, enum answer_code code, const struct log_position *position)
+{
+    session_flush(session);
+}
+
+static void
+close_connection(struct session *session)
+{
+    event_del(session->readable);
+    event_del(session->writable);
+    close(session->socket);
+    atomic_fetch_sub(&session->worker->session_count, 1);
+    metrics_count(&session->worker->metrics, METRICS_SESSIONS_CLOSED);
+}
+
+static const client_ops_t own_client = {on_answered, session_bind_route, close_connection};
+
+void
+session_open(struct worker *worker, int socket)
+{
+    struct session *session = session_new(worker, &own_client);
+    session->socket = socket;
+    session->readable = event_new(worker->base, socket, EV_READ | EV_PERSIST, on_readable, session);
+    session->writable = event_new(worker->base, socket, EV_WRITE, on_writable, session);
+    event_add(session->readable, NULL);
     atomic_fetch_add(&worker->session_count, 1);
     metrics_count(&worker->metrics, METRICS_SESSIONS_OPENED);
 }
@@ -110,24 +145,21 @@
     }
     router_leave_queue(session);
     session->state = SESSION_ENDED;
-    event_del(session->readable);
-    event_del(session->writable);
     event_del(session->timer);
-    close(session->socket);
+    session->client->close(session);
     if (session->server != NULL) {
         server_release(session->server);
     }
+    forward_drop(session);
     g_queue_delete_link(&worker->sessions, session->worker_link);
     g_ptr_array_add(worker->ended, session);
-    atomic_fetch_sub(&worker->session_count, 1);
-    metrics_count(&worker->metrics, METRICS_SESSIONS_CLOSED);
 }
 
 void
 session_free(struct session *session)
 {
-    event_free(session->readable);
-    event_free(session->writable);
+    g_clear_pointer(&session->readable, event_free);
+    g_clear_pointer(&session->writable, event_free);
     event_free(session->timer);
     buffer_clear(&session->in);
     buffer_clear(&session->out);
@@ -171,6 +203,7 @@
     g_free(request->message);
     *request = (struct session_request){.arrived = backend_now()};
     request->message = g_strndup(buffer_content(&session->in).data, length);
+    request->message_length = length;
     buffer_consume(&session->in, length);
     wire_read_client((struct span){request->message, length}, &message);
     request->statement = message.statement;
--- a/src/pooler/session_answer.c
+++ b/src/pooler/session_answer.c
@@ -13,8 +13,8 @@
 /* What a client is told about coming back, in milliseconds. */
 #define RETRY_AFTER_MS 200U
 
-static enum transaction_state
-told_state(const struct session *session)
+enum transaction_state
+session_told_state(const struct session *session)
 {
     switch (session->transaction) {
     case SESSION_TRANSACTION_NONE:
@@ -32,11 +32,10 @@
     return session->state == SESSION_QUEUED || session->state == SESSION_RUNNING;
 }
 
-/* Writes the end of an answer; the session is idle from then on. */
+/* The session is idle from now on, and its client gets the answer. */
 static void
-finish(struct session *session, const struct log_position *position)
+rest(struct session *session, enum answer_code code, const struct log_position *position)
 {
-    wire_write_ready(&session->out, told_state(session), position);
     if (session_is_busy(session)) {
         session->worker->busy--;
     }
@@ -46,14 +45,32 @@
     if (session->transaction == SESSION_TRANSACTION_OPEN) {
         session_set_timer(session, backend_now() + session->worker->transaction_idle);
     }
-    session_flush(session);
+    session->client->answered(session, code, position);
+}
+
+/* Writes the end of an answer. */
+static void
+finish(struct session *session, enum answer_code code, const struct log_position *position)
+{
+    wire_write_ready(&session->out, session_told_state(session), position);
+    rest(session, code, position);
+}
+
+/* Counts an answer where the client is. */
+static void
+count_answer(struct session *session, enum answer_code code)
+{
+    if (session->forwarded.caller == NULL) {
+        metrics_answer(&session->worker->metrics, session->route.kind, code,
+                       backend_now() - session->request.arrived);
+    }
 }
 
 void
 session_answer_own(struct session *session)
 {
     wire_write_complete(&session->out, NULL);
-    finish(session, NULL);
+    finish(session, ANSWER_NONE, NULL);
 }
 
 static void
@@ -93,11 +110,10 @@
     }
     log_refusal(session, code, text);
     if (session->request.arrived != 0) {
-        metrics_answer(&session->worker->metrics, session->route.kind, code,
-                       backend_now() - session->request.arrived);
+        count_answer(session, code);
     }
     wire_write_error(&session->out, code, text);
-    finish(session, NULL);
+    finish(session, code, NULL);
 }
 
 /* The transaction is over at the database; the client has still to end it. */
@@ -107,6 +123,7 @@
     if (session->server != NULL) {
         server_release(session->server);
     }
+    forward_drop(session);
     session->transaction = SESSION_TRANSACTION_FAILED;
 }
 
@@ -116,6 +133,7 @@
     if (session->server != NULL) {
         server_release(session->server);
     }
+    forward_drop(session);
     session->transaction = SESSION_TRANSACTION_NONE;
     session->read_only = false;
 }
@@ -194,9 +212,9 @@
     buffer_append(&session->out, rows.data, rows.length);
     wire_write_complete(&session->out, &signature);
     time_ns latency = backend_now() - session->request.arrived;
-    metrics_answer(&session->worker->metrics, session->route.kind, ANSWER_NONE, latency);
+    count_answer(session, ANSWER_NONE);
     log_slow(session, server, latency);
-    finish(session, position);
+    finish(session, ANSWER_NONE, position);
 }
 
 /* The database answered inside a transaction, or ended it. */
@@ -285,6 +303,41 @@
     }
 }
 
+static void
+follow_owner(struct session *session, enum transaction_state state)
+{
+    switch (state) {
+    case TRANSACTION_STATE_OPEN:
+        session->transaction = SESSION_TRANSACTION_OPEN;
+        break;
+    case TRANSACTION_STATE_FAILED:
+        session->transaction = SESSION_TRANSACTION_FAILED;
+        break;
+    default:
+        session->transaction = SESSION_TRANSACTION_NONE;
+        session->read_only = false;
+        break;
+    }
+}
+
+void
+session_pass_on(struct session *session, enum answer_code code, enum transaction_state state,
+                struct span output, const struct log_position *position)
+{
+    if (code == ANSWER_NONE) {
+        note_own_commit(session, position);
+    } else {
+        log_refusal(session, code, "by the owner");
+    }
+    follow_owner(session, state);
+    buffer_append(&session->out, output.data, output.length);
+    count_answer(session, code);
+    rest(session, code, position);
+    if (session->state == SESSION_IDLE) {
+        session_process(session);
+    }
+}
+
 void
 session_server_lost(struct session *session, enum answer_code reason)
 {
--- a/src/pooler/session_internal.h
+++ b/src/pooler/session_internal.h
@@ -9,6 +9,8 @@
 #define WAIT_SHARE 0.45
 
 /* session.c */
+/* A session without a connection of its own yet. */
+struct session *session_new(struct worker *worker, const client_ops_t *client);
 /* Sends what the client is to get; ends the session if its connection is over. */
 void session_flush(struct session *session);
 /* The session's only timer: of the statement, or of the transaction at rest. */
@@ -23,8 +25,18 @@
 bool session_bind_route(struct session *session);
 /* Does what the session's request asks. */
 void session_ask(struct session *session);
+/* What the session prepared under this name; NULL if nothing. */
+const struct prepared *session_find_prepared(const struct session *session, struct span name);
+void session_set_prepared(struct session *session, struct span name, bool writes,
+                          struct span shape);
+void session_set_value(struct session *session, const char *name, const char *value);
 
 /* session_answer.c */
+/* The state of the transaction that the client is told. */
+enum transaction_state session_told_state(const struct session *session);
+/* An owner's answer, as the client is to get it. */
+void session_pass_on(struct session *session, enum answer_code code, enum transaction_state state,
+                     struct span output, const struct log_position *position);
 /* True while a statement is queued or at a database. */
 bool session_is_busy(const struct session *session);
 /* Success of a statement that no database runs. */
--- a/src/pooler/session_statement.c
+++ b/src/pooler/session_statement.c
@@ -40,31 +40,45 @@
     return found;
 }
 
-static void
-set_value(struct session *session, const struct statement *statement)
+void
+session_set_value(struct session *session, const char *name, const char *value)
 {
     if (session->values == NULL) {
         session->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     }
-    g_hash_table_replace(session->values, span_copy(statement->name), span_copy(statement->value));
-    session_answer_own(session);
+    g_hash_table_replace(session->values, g_strdup(name), g_strdup(value));
 }
 
 static void
-prepare(struct session *session, const struct statement *statement)
+set_value(struct session *session, const struct statement *statement)
+{
+    g_autofree char *name = span_copy(statement->name);
+    g_autofree char *value = span_copy(statement->value);
+    session_set_value(session, name, value);
+    session_answer_own(session);
+}
+
+void
+session_set_prepared(struct session *session, struct span name, bool writes, struct span shape)
 {
     if (session->prepared == NULL) {
         session->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_prepared);
     }
     struct prepared *prepared = g_new0(struct prepared, 1);
-    prepared->writes = statement->writes;
-    prepared->shape = span_copy(statement->value);
-    g_hash_table_replace(session->prepared, span_copy(statement->name), prepared);
+    prepared->writes = writes;
+    prepared->shape = span_copy(shape);
+    g_hash_table_replace(session->prepared, span_copy(name), prepared);
+}
+
+static void
+prepare(struct session *session, const struct statement *statement)
+{
+    session_set_prepared(session, statement->name, statement->writes, statement->value);
     session_answer_own(session);
 }
 
-static const struct prepared *
-find_prepared(const struct session *session, struct span name)
+const struct prepared *
+session_find_prepared(const struct session *session, struct span name)
 {
     g_autofree char *text = span_copy(name);
     return session->prepared == NULL ? NULL : g_hash_table_lookup(session->prepared, text);
@@ -87,7 +101,7 @@
         session_answer_error(session, ANSWER_MALFORMED, "a transaction is open");
         return;
     }
-    if (!session_bind_route(session)) {
+    if (!session->client->bind_route(session)) {
         session_answer_error(session, ANSWER_NO_DATABASE, NULL);
         return;
     }
@@ -120,6 +134,9 @@
     session_answer_error(session, ANSWER_MALFORMED, "the transaction failed; roll it back");
 }
 
+/* Time that an owner's answer may take beyond the statement's deadline. */
+#define OWNER_ANSWERS_NS (20 * NANOSECONDS_PER_MILLISECOND)
+
 static void
 start_request_timer(struct session *session)
 {
@@ -133,7 +150,9 @@
 {
     session->state = SESSION_RUNNING;
     session->request.sent = backend_now();
-    session_set_timer(session, session->request.deadline);
+    /* An owner ends the statement itself at its deadline, and knows better how. */
+    time_ns patience = router_forwards(session->route.group) ? OWNER_ANSWERS_NS : 0;
+    session_set_timer(session, session->request.deadline + patience);
 }
 
 /* Sends a statement of the open transaction on, or finds a connection for the first one. */
@@ -145,6 +164,10 @@
     if (session->transaction == SESSION_TRANSACTION_OPEN) {
         start_request_timer(session);
         session_sent(session);
+        if (forward_is_open(session)) {
+            forward_continue(session);
+            return;
+        }
         if (!router_may_write_on(session)) {
             session_answer_lost(session, ANSWER_ABORTED);
             return;
@@ -163,7 +186,7 @@
     const struct statement *statement = &request->statement;
     request->writes = statement->writes;
     if (statement->kind == STATEMENT_EXECUTE) {
-        const struct prepared *prepared = find_prepared(session, statement->name);
+        const struct prepared *prepared = session_find_prepared(session, statement->name);
         if (prepared == NULL) {
             session_answer_error(session, ANSWER_NO_STATEMENT, "no such prepared statement");
             return;
@@ -174,7 +197,7 @@
         session_answer_error(session, ANSWER_MALFORMED, "no transaction is open");
         return;
     }
-    if (session->transaction == SESSION_TRANSACTION_NONE && !session_bind_route(session)) {
+    if (session->transaction == SESSION_TRANSACTION_NONE && !session->client->bind_route(session)) {
         session_answer_error(session, ANSWER_NO_DATABASE, NULL);
         return;
     }
--- a/src/pooler/view.h
+++ b/src/pooler/view.h
@@ -44,6 +44,13 @@
     bool takes_work; /* neither draining nor gone */
 };
 
+/** @brief A pooler that holds connections to a group's databases. */
+typedef struct owner_view {
+    char *text; /* its address, as text */
+    struct sockaddr_in address;
+    bool same_zone;
+} owner_view_t;
+
 /* One group and who leads it. */
 struct pooled_group {
     struct group_shared *shared;
@@ -52,7 +59,9 @@
     uint64_t term;
     int primary; /* index of the member, -1: unknown */
     uint32_t sync_replicas;
-    uint32_t connections; /* that each worker may open to one database */
+    uint32_t connections; /* that each worker may open to one database; 0: others own them */
+    owner_view_t *owners; /* those others, in this zone first */
+    size_t owners_count;
     struct member_view *members;
     size_t members_count;
 };
--- a/src/pooler/worker.c
+++ b/src/pooler/worker.c
@@ -140,7 +140,9 @@
     for (GList *link = worker->sessions.head; link != NULL;) {
         struct session *session = link->data;
         link = link->next;
-        if (last && session->state != SESSION_RUNNING) {
+        if (last && session->state == SESSION_QUEUED && session->forwarded.caller != NULL) {
+            caller_decline(session);
+        } else if (last && session->state != SESSION_RUNNING) {
             session_end(session);
         } else {
             session_check_stop(session, now);
@@ -167,6 +169,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         faulty = group_tick(value, now) || faulty;
     }
+    forward_tick(worker, now);
     check_stop(worker, now);
     if (worker->busy > 0 || faulty) {
         worker_arm_tick(worker);
@@ -205,6 +208,35 @@
     worker_settle(worker);
 }
 
+static void
+on_caller_acceptable(evutil_socket_t listener, short events, void *user)
+{
+    struct worker *worker = user;
+    int handle = socket_accept(worker->forward_listener);
+    if (handle >= 0) {
+        caller_accept(worker, handle);
+    }
+}
+
+/* Listens for other poolers' statements, if an address is given for that. */
+static bool
+listen_for_callers(struct worker *worker, GError **error)
+{
+    worker->forward_listener = -1;
+    if (worker->shared->forward_listen.sin_port == 0) {
+        return true;
+    }
+    worker->forward_listener =
+        socket_listen(&worker->shared->forward_listen, LISTEN_BACKLOG, true, error);
+    if (worker->forward_listener < 0) {
+        return false;
+    }
+    worker->forward_acceptable = event_new(worker->base, worker->forward_listener,
+                                           EV_READ | EV_PERSIST, on_caller_acceptable, worker);
+    event_add(worker->forward_acceptable, NULL);
+    return true;
+}
+
 static void *
 run(void *user)
 {
@@ -221,6 +253,7 @@
         database_free(g_ptr_array_index(group->databases, i));
     }
     g_ptr_array_unref(group->databases);
+    g_ptr_array_unref(group->links);
     g_free(group);
 }
 
@@ -242,12 +275,17 @@
     worker->woken = event_new(worker->base, worker->wake, EV_READ | EV_PERSIST, on_wake, worker);
     worker->tick = evtimer_new(worker->base, on_tick, worker);
     worker->groups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_group);
+    worker->links = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, (GDestroyNotify)link_free);
+    worker->callers = g_ptr_array_new();
     worker->ended = g_ptr_array_new();
     worker->closed = g_ptr_array_new();
     worker->groups_to_run = g_ptr_array_new();
     g_queue_init(&worker->sessions);
     event_add(worker->acceptable, NULL);
     event_add(worker->woken, NULL);
+    if (!listen_for_callers(worker, error)) {
+        return NULL; /* the process ends: nothing is taken back */
+    }
     pthread_create(&worker->thread, NULL, run, worker);
     return worker;
 }
@@ -258,6 +296,9 @@
 {
     GHashTableIter iterator;
     gpointer value = NULL;
+    while (worker->callers->len > 0) {
+        caller_free(g_ptr_array_remove_index(worker->callers, 0));
+    }
     while (worker->sessions.head != NULL) {
         session_end(worker->sessions.head->data);
     }
@@ -283,8 +324,14 @@
     event_free(worker->acceptable);
     event_free(worker->woken);
     event_free(worker->tick);
+    g_clear_pointer(&worker->forward_acceptable, event_free);
+    g_hash_table_unref(worker->links);
+    g_ptr_array_unref(worker->callers);
     event_base_free(worker->base);
     close(worker->listener);
+    if (worker->forward_listener >= 0) {
+        close(worker->forward_listener);
+    }
     close(worker->wake);
     g_hash_table_unref(worker->groups);
     g_ptr_array_unref(worker->ended);
--- a/src/pooler/worker.h
+++ b/src/pooler/worker.h
@@ -22,6 +22,7 @@
     time_ns stop_grace;      /* how long a planned stop may take */
     int control_wake;        /* eventfd that wakes the control thread */
     struct sockaddr_in listen;
+    struct sockaddr_in forward_listen; /* for other poolers' statements; port 0: nowhere */
     uint32_t sessions_max;
 };
 
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -11,6 +11,7 @@
 
 #include "backend/clock.h"
 #include "pooler/buffer.h"
+#include "pooler/forward.h"
 #include "pooler/freshness.h"
 #include "pooler/metrics.h"
 #include "pooler/view.h"
@@ -52,6 +53,7 @@
 /* The statement that a session asks at the moment. */
 struct session_request {
     char *message; /* the client's message; the spans point into it */
+    size_t message_length;
     struct statement statement;
     bool writes;         /* a write, or the execution of a prepared one */
     time_ns arrived;     /* when it was read */
@@ -63,8 +65,35 @@
     bool may_have_run; /* it was sent to a database */
 };
 
+/** @brief What differs between a client of this pooler and one whose pooler forwards to it. */
+typedef struct client_ops {
+    /** The answer to what was asked stands in the session's `out`. May end the session. */
+    void (*answered)(struct session *session, enum answer_code code,
+                     const struct log_position *position);
+    /** Takes the session's route from the newest view; false if there is none. */
+    bool (*bind_route)(struct session *session);
+    /** Closes the client's connection. */
+    void (*close)(struct session *session);
+} client_ops_t;
+
+/** @brief Where a session's statement or transaction is forwarded to; link NULL: nowhere. */
+typedef struct session_forward {
+    link_t *link;
+    uint64_t channel;
+    bool running; /* an answer is awaited */
+} session_forward_t;
+
+/** @brief Whom a forwarded session belongs to; caller NULL: to a client of this pooler. */
+typedef struct session_forwarded {
+    caller_t *caller;
+    uint64_t channel;
+} session_forwarded_t;
+
 struct session {
     struct worker *worker;
+    const client_ops_t *client;
+    session_forward_t forward;
+    session_forwarded_t forwarded;
     int socket;
     struct event *readable;
     struct event *writable;
@@ -186,6 +215,8 @@
     uint32_t sync_replicas;
     uint32_t connections;
     GPtrArray *databases; /* of struct database, owned */
+    GPtrArray *links;     /* to the group's owners, link_t, near ones first; empty if it has none */
+    guint links_near;     /* how many of them are in this zone */
     struct database *primary;
     GQueue queue; /* of struct session, most urgent first */
     struct freshness freshness;
@@ -208,6 +239,10 @@
     const struct view *applied; /* compared, never read */
     time_ns transaction_idle;   /* an open transaction that rests longer is rolled back */
     GHashTable *groups;         /* service -> struct group */
+    GHashTable *links;          /* address as text -> link_t */
+    GPtrArray *callers;         /* caller_t */
+    int forward_listener;       /* -1: none */
+    struct event *forward_acceptable;
     GQueue sessions;
     GPtrArray *ended;         /* sessions to free after the callback */
     GPtrArray *closed;        /* servers to free after the callback */
@@ -304,6 +339,8 @@
 bool router_may_write_on(const struct session *session);
 /* True if reads at the primary see every commit that was acknowledged until now. */
 bool router_has_permit(const struct group *group, time_ns now);
+/* True if other poolers hold the connections to the group's databases. */
+bool router_forwards(const struct group *group);
 
 /* group.c */
 struct group *group_of(struct worker *worker, struct group_shared *shared);
