Give groups owners below four connections a pooler, ten owners at most

Cause: many poolers with three connections each know little of a database's two or three slots: queues form at the databases beside free ones.

--- a/src/pooler/control_owners.c
+++ b/src/pooler/control_owners.c
@@ -18,11 +18,12 @@
 
 /** With fewer connections to a database for each pooler's worker than this, groups get owners;
  *  they lose them again only with one more. */
-#define DIRECT_MIN 2
+#define DIRECT_MIN 4
 
 /** Connections to a database that an owner should have at least. */
 #define OWNER_CONNECTIONS 5
 #define OWNERS_MIN        2
+#define OWNERS_MAX        10
 
 /** Left for the coordinator's own and for connections that a lost pooler's database still counts.
  */
@@ -189,7 +190,7 @@
 static uint32_t
 count_owners(uint32_t room, uint32_t zones, uint32_t candidates)
 {
-    uint32_t count = MAX(room / OWNER_CONNECTIONS, OWNERS_MIN);
+    uint32_t count = CLAMP(room / OWNER_CONNECTIONS, OWNERS_MIN, OWNERS_MAX);
     if (count > zones) {
         count -= count % zones;
     }
