--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -226,7 +226,10 @@
                              struct pooler_grant *grant);
 /** @brief Takes over what another pooler tells. */
 void control_owners_take(struct control *control, const struct pooler_grant *grant);
-/** @brief Names the owners, at the coordinator, and tells the poolers of changes. */
+/** @brief Names the owners of all groups. @return true if any has changed. */
+bool control_owners_decide(struct control *control, time_ns now);
+/** @brief Names the owners from time to time, at the coordinator, and tells the poolers of changes.
+ */
 void control_owners_tick(struct control *control, time_ns now);
 
 /* control_lease.c */
--- a/src/pooler/control_owners.c
+++ b/src/pooler/control_owners.c
@@ -278,6 +278,18 @@
     return true;
 }
 
+bool
+control_owners_decide(struct control *control, time_ns now)
+{
+    g_autoptr(GArray) candidates = list_candidates(control, now);
+    GPtrArray *services = control->configuration->services;
+    bool changed = false;
+    for (guint i = 0; candidates->len > 0 && i < services->len; i++) {
+        changed = decide_group(control, g_ptr_array_index(services, i), candidates) || changed;
+    }
+    return changed;
+}
+
 void
 control_owners_tick(struct control *control, time_ns now)
 {
@@ -288,13 +300,7 @@
         return;
     }
     control->owners_at = now + DECIDE_EVERY_NS;
-    g_autoptr(GArray) candidates = list_candidates(control, now);
-    GPtrArray *services = control->configuration->services;
-    bool changed = false;
-    for (guint i = 0; candidates->len > 0 && i < services->len; i++) {
-        changed = decide_group(control, g_ptr_array_index(services, i), candidates) || changed;
-    }
-    if (changed) {
+    if (control_owners_decide(control, now)) {
         control_coordinator_push(control);
     }
 }
--- a/src/pooler/forward.c
+++ b/src/pooler/forward.c
@@ -2,9 +2,9 @@
  * @file
  * @brief Statements left to an owner of their group; see the header.
  *
- * What a lost link means: a single read, and a transaction that has had no answer yet, go to
- * another owner, as the lost one rolls back what nobody waits for. A single write or a commit is in
- * doubt, and any other transaction is over.
+ * What a lost link means: what never left goes to another owner; a single read, and a transaction
+ * that has had no answer yet, go to another owner, as the lost one rolls back what nobody waits
+ * for. A single write or a commit is in doubt, and any other transaction is over.
  */
 #define G_LOG_DOMAIN "forward"
 #include "pooler/forward.h"
@@ -69,10 +69,26 @@
     session->forward.link = NULL;
 }
 
-/* The link has no connection any more. */
+/* A statement that never left has not run, whatever it is. */
+static void
+tell_lost(struct session *session, bool left)
+{
+    if (!left && session->state == SESSION_RUNNING) {
+        session->request.may_have_run = false;
+        session_try_again(session, ANSWER_BUSY);
+        if (session->state == SESSION_IDLE) {
+            session_process(session);
+        }
+        return;
+    }
+    session_server_lost(session, ANSWER_BUSY);
+}
+
+/* The link's connection is over; its peer is still there. */
 static void
 lose(link_t *link, time_ns now)
 {
+    bool left = peer_has_sent(link->peer);
     g_autoptr(GList) sessions = g_hash_table_get_values(link->channels);
     g_message("The link to %s is lost, with %u statements under way.", link->text, link->running);
     link->peer = NULL;
@@ -82,7 +98,7 @@
         detach(item->data);
     }
     for (GList *item = sessions; item != NULL; item = item->next) {
-        session_server_lost(item->data, ANSWER_BUSY);
+        tell_lost(item->data, left);
     }
 }
 
@@ -339,8 +355,9 @@
     }
     bool pinged = link->pinged_at >= link->quiet_since;
     if (pinged && now > link->pinged_at + SILENT_AFTER_NS) {
-        peer_free(link->peer);
+        struct peer *peer = link->peer;
         lose(link, now);
+        peer_free(peer);
     } else if (!pinged && now > link->quiet_since + PING_AFTER_NS) {
         ask_for_a_sign(link, now);
     }
--- a/src/pooler/peer.c
+++ b/src/pooler/peer.c
@@ -21,8 +21,15 @@
     struct buffer out;
     const struct peer_callbacks *callbacks;
     bool failed; /* closes at the next turn of the loop */
+    bool has_sent;
 };
 
+bool
+peer_has_sent(const struct peer *peer)
+{
+    return peer->has_sent;
+}
+
 void
 peer_free(struct peer *peer)
 {
@@ -45,7 +52,10 @@
 static bool
 flush(struct peer *peer)
 {
-    switch (buffer_send(&peer->out, peer->socket)) {
+    size_t before = buffer_length(&peer->out);
+    enum transfer transfer = buffer_send(&peer->out, peer->socket);
+    peer->has_sent = peer->has_sent || buffer_length(&peer->out) < before;
+    switch (transfer) {
     case TRANSFER_DONE:
         return true;
     case TRANSFER_BLOCKED:
--- /dev/null
+++ b/tests/pooler/test_forward.c
@@ -0,0 +1,193 @@
+/**
+ * @file
+ * @brief What becomes of forwarded statements when owners are lost, silent or unwilling.
+ */
+#include "worker_fixture.h"
+
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+static void
+set_up_two(struct fixture *fixture, gconstpointer unused)
+{
+    set_up_unpublished(fixture, unused);
+    start_owner(fixture, 0);
+    start_owner(fixture, 1);
+    permit(fixture, PERMIT_FOREVER);
+    publish(fixture);
+}
+
+static unsigned
+count_runs(struct fixture *fixture, const char *text)
+{
+    g_autoptr(GPtrArray) runs = line_group_runs(fixture->group);
+    unsigned count = 0;
+    for (guint i = 0; i < runs->len; i++) {
+        count += strstr(((struct line_run *)g_ptr_array_index(runs, i))->text, text) != NULL;
+    }
+    return count;
+}
+
+static void
+wait_for_run(struct fixture *fixture, const char *text)
+{
+    for (int i = 0; count_runs(fixture, text) == 0; i++) {
+        g_assert_cmpint(i, <, ANSWER_WAIT_S * 1000);
+        g_usleep(1000);
+    }
+}
+
+/* The near owner does the work, as long as it can. */
+static void
+test_near_owner(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *client = client_open(fixture, "strict");
+    good(client, "WRITE hut 4", 'I');
+    good(client, "READ hut", 'I');
+    g_assert_cmpstr(client->row, ==, "4");
+    uint64_t near = atomic_load(
+        &worker_metrics(fixture->owners[0].worker)->counters[METRICS_SERVED_FOR_OTHERS]);
+    g_assert_cmpuint(near, ==, 2);
+    client_close(client);
+}
+
+/* An open transaction is over with its owner, and keeps nothing. */
+static void
+test_lost_in_a_transaction(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *client = client_open(fixture, "strict");
+    good(client, "BEGIN", 'T');
+    good(client, "WRITE hut open", 'T');
+    stop_owner(fixture, 0);
+    ask(client, "COMMIT");
+    g_assert_true(g_str_has_prefix(client->result, "ERROR ABORTED"));
+    good(client, "READ hut", 'I');
+    g_assert_cmpstr(client->row, ==, "none");
+    g_assert_cmpuint(line_group_committed(fixture->group, "hut", "open"), ==, 0);
+    client_close(client);
+}
+
+/* A write under way may have run: nothing is promised, and it is not sent again. */
+static void
+test_lost_in_a_write(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *client = client_open(fixture, "strict");
+    good(client, "READ warm", 'I');
+    line_group_set_faults(fixture->group, 0, &(struct line_faults){.lose_answers = true});
+    client_send(client, "WRITE hut lost");
+    wait_for_run(fixture, "WRITE hut lost");
+    stop_owner(fixture, 0);
+    client_read(client);
+    g_assert_true(g_str_has_prefix(client->result, "ERROR INDOUBT"));
+    g_assert_cmpuint(count_runs(fixture, "WRITE hut lost"), ==, 1);
+    client_close(client);
+}
+
+/* A read under way goes to the other owner. */
+static void
+test_lost_in_a_read(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *client = client_open(fixture, "strict");
+    good(client, "WRITE hut 4", 'I');
+    line_group_set_faults(fixture->group, 0, &(struct line_faults){.lose_answers = true});
+    client_send(client, "READ hut");
+    wait_for_run(fixture, "READ hut");
+    line_group_set_faults(fixture->group, 0, &(struct line_faults){0});
+    stop_owner(fixture, 0);
+    client_read(client);
+    g_assert_cmpstr(client->row, ==, "4");
+    client_close(client);
+}
+
+/* An owner that has lost the group declines; the other one takes the statement. */
+static void
+test_declined(struct fixture *fixture, gconstpointer unused)
+{
+    fixture->owners[0].declines = true;
+    publish(fixture);
+    struct client *client = client_open(fixture, "strict");
+    good(client, "BEGIN", 'T');
+    good(client, "WRITE hut 4", 'T');
+    good(client, "COMMIT", 'I');
+    good(client, "READ hut", 'I');
+    g_assert_cmpstr(client->row, ==, "4");
+    client_close(client);
+}
+
+static int
+listen_in_silence(const struct sockaddr_in *address)
+{
+    int one = 1;
+    int handle = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(handle, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    g_assert_cmpint(bind(handle, (const struct sockaddr *)address, sizeof *address), ==, 0);
+    g_assert_cmpint(listen(handle, 8), ==, 0);
+    return handle;
+}
+
+/* An owner that takes connections and says nothing is given up, and reads go elsewhere. */
+static void
+test_silent_owner(struct fixture *fixture, gconstpointer unused)
+{
+    struct sockaddr_in address = fixture->owners[0].shared.forward_listen;
+    struct client *client = client_open(fixture, "strict");
+    good(client, "WRITE hut 4", 'I');
+    stop_owner(fixture, 0);
+    int silent = listen_in_silence(&address);
+    good(client, "READ hut", 'I');
+    good(client, "READ hut", 'I');
+    g_assert_cmpstr(client->row, ==, "4");
+    client_close(client);
+    close(silent);
+}
+
+/* Without any owner a statement is refused as not run, and the session goes on. */
+static void
+test_no_owner(struct fixture *fixture, gconstpointer unused)
+{
+    fixture->timeout_ms = 300;
+    publish(fixture);
+    struct client *client = client_open(fixture, "strict");
+    good(client, "WRITE hut 4", 'I');
+    stop_owner(fixture, 0);
+    stop_owner(fixture, 1);
+    bad(client, "READ hut", "BUSY", 'I');
+    bad(client, "WRITE hut 5", "BUSY", 'I');
+    g_assert_cmpuint(count_runs(fixture, "WRITE hut 5"), ==, 0);
+    client_close(client);
+}
+
+/* The owner rolls back what a client leaves behind, and its connection serves others. */
+static void
+test_client_gone(struct fixture *fixture, gconstpointer unused)
+{
+    fixture->connections = 1;
+    publish(fixture);
+    struct client *client = client_open(fixture, "strict");
+    good(client, "BEGIN", 'T');
+    good(client, "WRITE hut gone", 'T');
+    client_close(client);
+    client = client_open(fixture, "strict");
+    good(client, "WRITE hut kept", 'I');
+    g_assert_cmpuint(line_group_committed(fixture->group, "hut", "gone"), ==, 0);
+    client_close(client);
+}
+
+#define ADD(name, test)                                                                            \
+    g_test_add("/pooler/forward/" name, struct fixture, NULL, set_up_two, test, tear_down)
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    ADD("near-owner", test_near_owner);
+    ADD("lost-in-a-transaction", test_lost_in_a_transaction);
+    ADD("lost-in-a-write", test_lost_in_a_write);
+    ADD("lost-in-a-read", test_lost_in_a_read);
+    ADD("declined", test_declined);
+    ADD("silent-owner", test_silent_owner);
+    ADD("no-owner", test_no_owner);
+    ADD("client-gone", test_client_gone);
+    return g_test_run();
+}
--- a/tests/pooler/test_worker.c
+++ b/tests/pooler/test_worker.c
@@ -1,291 +1,11 @@
-/* A worker with its sessions, connections and routing, against stand-in databases: clients speak
- * the line format over loopback, and the test publishes the views that the control thread would. */
-#include "pooler/worker.h"
+/* A worker with its sessions, connections and routing. The scenarios that know nothing of the
+ * worker's inside are played a second time by one that forwards to an owner. */
+#include "worker_fixture.h"
 
 #include <arpa/inet.h>
-#include <stdio.h>
 #include <string.h>
-#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
-#include <urcu-bp.h>
-
-#include "backend/clock.h"
-#include "pooler/view.h"
-#include "free_port.h"
-#include "standins/session_platform/line_group.h"
-
-#define DATABASES      3
-#define ANSWER_WAIT_S  10
-#define MS             NANOSECONDS_PER_MILLISECOND
-#define PERMIT_FOREVER UINT64_MAX
-
-struct fixture {
-    struct line_group *group;
-    struct worker_shared shared;
-    struct worker *worker;
-    struct group_shared *figures;
-    struct member_shared *members[DATABASES];
-    uint64_t epoch;
-    int primary;
-    uint64_t term;
-    enum group_phase phase;
-    uint32_t connections;
-    uint32_t staleness_ms;
-    uint32_t timeout_ms;
-    bool with_route;
-};
-
-static void
-add_route(struct configuration *configuration, const char *database, enum route_kind kind,
-          const struct fixture *fixture)
-{
-    struct route *route = g_new0(struct route, 1);
-    route->database = g_strdup(database);
-    route->service = g_strdup("ledger");
-    route->kind = kind;
-    route->timeout_ms = fixture->timeout_ms;
-    route->target_ms = 250;
-    route->staleness_ms = fixture->staleness_ms;
-    configuration_add_route(configuration, route);
-}
-
-static struct configuration *
-make_configuration(const struct fixture *fixture)
-{
-    struct configuration *configuration = configuration_new();
-    configuration->version = 1;
-    configuration->transaction_idle_ms = 60000;
-    configuration_add_service(configuration, "ledger", 30, 1);
-    if (fixture->with_route) {
-        add_route(configuration, "strict", ROUTE_KIND_PRIMARY, fixture);
-        add_route(configuration, "stale", ROUTE_KIND_BOUNDED_STALENESS, fixture);
-        add_route(configuration, "own", ROUTE_KIND_READ_YOUR_WRITES, fixture);
-    }
-    return configuration;
-}
-
-static void
-fill_member(const struct fixture *fixture, unsigned index, struct member_view *member)
-{
-    member->shared = fixture->members[index];
-    member->address.sin_family = AF_INET;
-    member->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    member->address.sin_port = htons(line_group_port(fixture->group, index));
-    member->same_zone = index == 1;
-    member->takes_work = true;
-}
-
-static void
-publish(struct fixture *fixture)
-{
-    struct view *view = g_new0(struct view, 1);
-    view->configuration = make_configuration(fixture);
-    view->groups = g_new0(struct pooled_group, 1);
-    view->groups_count = 1;
-    view->groups[0] = (struct pooled_group){
-        .shared = fixture->figures,
-        .epoch = ++fixture->epoch,
-        .phase = fixture->phase,
-        .term = fixture->term,
-        .primary = fixture->primary,
-        .sync_replicas = 1,
-        .connections = fixture->connections,
-        .members = g_new0(struct member_view, DATABASES),
-        .members_count = DATABASES,
-    };
-    for (unsigned i = 0; i < DATABASES; i++) {
-        fill_member(fixture, i, &view->groups[0].members[i]);
-    }
-    struct view *old = rcu_xchg_pointer(&fixture->shared.view, view);
-    worker_wake(fixture->worker);
-    synchronize_rcu();
-    view_free(old);
-}
-
-static void
-permit(struct fixture *fixture, time_ns until)
-{
-    atomic_store(&fixture->figures->permit_until, until);
-}
-
-static void
-set_up_unpublished(struct fixture *fixture, gconstpointer unused)
-{
-    fixture->group = line_group_start("ledger", DATABASES, 1);
-    fixture->shared.control_wake = eventfd(0, EFD_NONBLOCK);
-    fixture->shared.listen.sin_family = AF_INET;
-    fixture->shared.listen.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    fixture->shared.listen.sin_port = htons(free_port());
-    fixture->shared.sessions_max = 100;
-    fixture->shared.stop_grace = 6 * NANOSECONDS_PER_SECOND;
-    fixture->figures = g_new0(struct group_shared, 1);
-    fixture->figures->service = g_strdup("ledger");
-    fixture->phase = GROUP_PHASE_OPEN;
-    fixture->term = 1;
-    fixture->connections = 4;
-    fixture->staleness_ms = 60000;
-    fixture->timeout_ms = 4000;
-    fixture->with_route = true;
-    for (unsigned i = 0; i < DATABASES; i++) {
-        fixture->members[i] = g_new0(struct member_shared, 1);
-        fixture->members[i]->id = g_strdup(line_group_id(fixture->group, i));
-    }
-    g_autoptr(GError) error = NULL;
-    fixture->worker = worker_start(&fixture->shared, 0, &error);
-    g_assert_no_error(error);
-}
-
-static void
-set_up(struct fixture *fixture, gconstpointer unused)
-{
-    set_up_unpublished(fixture, unused);
-    permit(fixture, PERMIT_FOREVER);
-    publish(fixture);
-}
-
-static void
-tear_down(struct fixture *fixture, gconstpointer unused)
-{
-    fixture->shared.stop_grace = 0;
-    atomic_store(&fixture->shared.stop_at, backend_now());
-    worker_wake(fixture->worker);
-    worker_join(fixture->worker);
-    line_group_stop(fixture->group);
-    view_free(fixture->shared.view);
-    for (unsigned i = 0; i < DATABASES; i++) {
-        g_free(fixture->members[i]->id);
-        g_free(fixture->members[i]);
-    }
-    g_free(fixture->figures->service);
-    g_free(fixture->figures);
-    close(fixture->shared.control_wake);
-}
-
-/* ---- a client ---- */
-
-struct client {
-    FILE *stream;
-    unsigned next_id;
-    char line[4096];
-    char row[4096];    /* of the last answer */
-    char result[4096]; /* its COMPLETE or ERROR line */
-    char state;        /* of its READY */
-};
-
-static void
-send_line(struct client *client, const char *line)
-{
-    size_t length = strlen(line);
-    g_assert_cmpint(send(fileno(client->stream), line, length, MSG_NOSIGNAL), ==, (ssize_t)length);
-}
-
-/* Connects without waiting for an answer. */
-static struct client *
-client_begin(const struct fixture *fixture, const char *database)
-{
-    struct client *client = g_new0(struct client, 1);
-    struct timeval patience = {ANSWER_WAIT_S, 0};
-    int handle = socket(AF_INET, SOCK_STREAM, 0);
-    g_assert_cmpint(connect(handle, (const struct sockaddr *)&fixture->shared.listen,
-                            sizeof fixture->shared.listen),
-                    ==, 0);
-    setsockopt(handle, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
-    client->stream = fdopen(handle, "r");
-    g_autofree char *start = g_strdup_printf("STARTUP %s user\r\n", database);
-    send_line(client, start);
-    return client;
-}
-
-/* Reads one answer up to READY, or up to a final error. */
-static void
-client_read(struct client *client)
-{
-    client->row[0] = '\0';
-    client->result[0] = '\0';
-    client->state = '-';
-    while (fgets(client->line, sizeof client->line, client->stream) != NULL) {
-        g_strchomp(client->line);
-        if (g_str_has_prefix(client->line, "ROW ")) {
-            g_strlcpy(client->row, client->line + 4, sizeof client->row);
-        } else if (g_str_has_prefix(client->line, "READY ")) {
-            client->state = client->line[6];
-            return;
-        } else {
-            g_strlcpy(client->result, client->line, sizeof client->result);
-        }
-    }
-}
-
-static struct client *
-client_open(const struct fixture *fixture, const char *database)
-{
-    struct client *client = client_begin(fixture, database);
-    client_read(client);
-    g_assert_true(client->state == 'I');
-    return client;
-}
-
-static void
-client_close(struct client *client)
-{
-    fclose(client->stream);
-    g_free(client);
-}
-
-static void
-client_send(struct client *client, const char *text)
-{
-    g_autofree char *line =
-        g_strdup_printf("QUERY q%p-%u %s\r\n", (void *)client, ++client->next_id, text);
-    send_line(client, line);
-}
-
-static void
-ask(struct client *client, const char *text)
-{
-    client_send(client, text);
-    client_read(client);
-}
-
-/* Asks and expects success in this state. */
-static void
-good(struct client *client, const char *text, char state)
-{
-    ask(client, text);
-    g_assert_cmpstr(client->line, !=, "");
-    if (!g_str_has_prefix(client->result, "COMPLETE ")) {
-        g_test_message("%s: %s", text, client->result);
-    }
-    g_assert_true(g_str_has_prefix(client->result, "COMPLETE "));
-    g_assert_true(client->state == state);
-}
-
-static void
-bad(struct client *client, const char *text, const char *code, char state)
-{
-    ask(client, text);
-    g_autofree char *start = g_strdup_printf("ERROR %s", code);
-    if (!g_str_has_prefix(client->result, start)) {
-        g_test_message("%s: %s", text, client->result);
-    }
-    g_assert_true(g_str_has_prefix(client->result, start));
-    g_assert_true(client->state == state);
-}
-
-static const struct line_run *
-find_run(GPtrArray *runs, const char *text)
-{
-    for (guint i = runs->len; i > 0; i--) {
-        const struct line_run *run = g_ptr_array_index(runs, i - 1);
-        if (strstr(run->text, text) != NULL) {
-            return run;
-        }
-    }
-    g_error("no database ran %s", text);
-}
-
-/* ---- scenarios ---- */
 
 static void
 test_start_waits_for_the_first_view(struct fixture *fixture, gconstpointer unused)
@@ -792,5 +512,32 @@
     ADD("overload", set_up, test_overload_is_refused_at_once);
     ADD("too-large", set_up, test_too_large);
     ADD("planned-stop", set_up, test_planned_stop);
+    ADD("forwarding/unknown-database", set_up_forwarding, test_unknown_database);
+    ADD("forwarding/removed-route", set_up_forwarding, test_removed_route);
+    ADD("forwarding/reads-see-writes", set_up_forwarding, test_reads_see_writes);
+    ADD("forwarding/input-in-pieces", set_up_forwarding, test_input_in_pieces_and_ahead);
+    ADD("forwarding/prepared-and-values", set_up_forwarding, test_prepared_names_and_values);
+    ADD("forwarding/unknown-prepared", set_up_forwarding, test_unknown_prepared_name);
+    ADD("forwarding/pinned", set_up_forwarding, test_transaction_stays_on_its_connection);
+    ADD("forwarding/rollback-and-gone", set_up_forwarding, test_rollback_and_client_gone);
+    ADD("forwarding/transaction-errors", set_up_forwarding, test_transaction_errors);
+    ADD("forwarding/lost-answer-of-write", set_up_forwarding, test_lost_answer_of_a_write);
+    ADD("forwarding/silent-database", set_up_forwarding,
+        test_read_moves_away_from_a_silent_database);
+    ADD("forwarding/orphan", set_up_forwarding, test_lost_answer_without_a_client);
+    ADD("forwarding/bounded-at-replicas", set_up_forwarding, test_bounded_reads_use_replicas);
+    ADD("forwarding/own-writes", set_up_forwarding, test_session_sees_its_own_write);
+    ADD("forwarding/own-writes-transaction", set_up_forwarding, test_own_write_in_a_transaction);
+    ADD("forwarding/leadership", set_up_forwarding, test_leadership_without_a_coordinator);
+    ADD("forwarding/another-may-lead", set_up_forwarding, test_no_read_where_another_may_lead);
+    ADD("forwarding/empty-commit", set_up_forwarding, test_empty_commit_proves_nothing);
+    ADD("forwarding/change-of-primary", set_up_forwarding, test_change_of_primary);
+    ADD("forwarding/refusal-while-closed", set_up_forwarding, test_refusal_while_closed);
+    ADD("forwarding/cut-by-a-change", set_up_forwarding, test_transaction_cut_by_a_change);
+    ADD("forwarding/busy", set_up_forwarding, test_busy_database_is_asked_again);
+    ADD("forwarding/connections-bounded", set_up_forwarding, test_connections_are_bounded);
+    ADD("forwarding/overload", set_up_forwarding, test_overload_is_refused_at_once);
+    ADD("forwarding/too-large", set_up_forwarding, test_too_large);
+    ADD("forwarding/planned-stop", set_up_forwarding, test_planned_stop);
     return g_test_run();
 }
