Tell a full database from a dead one, and keep replicas paused beside an old primary that may live

The old primary, reached by poolers that had no order yet, acknowledged a commit through a replica that was resumed before it had stepped down. Now a refusal shows that a database lives; replicas stay paused for 1.1 s after a change whose old primary is not known to be down. Tests failover/full-primary, replicas-wait (fail without).

--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -27,10 +27,14 @@
 
 static void
 on_command(void *user, const char *service, const char *database,
-           const struct database_report *report)
+           const struct database_report *report, bool refused)
 {
     struct controlled_group *group = user;
-    failover_answered(group->failover, database, report, backend_now());
+    if (refused) {
+        failover_refused(group->failover, database, backend_now());
+    } else {
+        failover_answered(group->failover, database, report, backend_now());
+    }
     control_wake_soon(group->control);
 }
 
--- a/src/pooler/database_control.c
+++ b/src/pooler/database_control.c
@@ -30,6 +30,7 @@
     enum database_command command;
     uint64_t term;
     bool has_report;
+    bool full; /* it answered that it has no room */
     struct database_report report;
     time_ns used;
 };
@@ -78,21 +79,28 @@
 }
 
 static void
-finish(struct database_control *control, const struct database_report *report)
+finish(struct database_control *control, const struct database_report *report, bool refused)
 {
     if (!control->asking) {
         return;
     }
     control->asking = false;
     event_del(control->timer);
-    control->callback(control->user, control->service, control->database, report);
+    control->callback(control->user, control->service, control->database, report, refused);
 }
 
 static void
 fail(struct database_control *control)
 {
     disconnect(control);
-    finish(control, NULL);
+    finish(control, NULL, false);
+}
+
+/* It lives, and takes no further connection, or has no slot for the command. */
+static bool
+is_full(enum answer_code code)
+{
+    return code == ANSWER_OVERLOADED || code == ANSWER_BUSY;
 }
 
 static void
@@ -138,7 +146,7 @@
         flush(control);
         return;
     }
-    finish(control, control->has_report ? &control->report : NULL);
+    finish(control, control->has_report ? &control->report : NULL, control->full);
 }
 
 static void
@@ -158,8 +166,10 @@
         bool refused_start = reply.kind == REPLY_ERROR && !control->started;
         bool ready = reply.kind == REPLY_READY;
         buffer_consume(&control->in, length);
+        control->full = reply.kind == REPLY_ERROR ? is_full(reply.code) : control->full;
         if (refused_start) {
-            fail(control);
+            disconnect(control);
+            finish(control, NULL, control->full);
         } else if (ready) {
             on_ready(control);
         }
@@ -220,6 +230,7 @@
     control->command = command;
     control->term = term;
     control->has_report = false;
+    control->full = false;
     control->used = backend_now();
     evtimer_add(control->timer, &timeout);
     if (control->socket < 0) {
--- a/src/pooler/database_control.h
+++ b/src/pooler/database_control.h
@@ -11,9 +11,9 @@
 
 struct database_control;
 
-/* `report` is NULL if the database did not answer. */
+/* `report` is NULL without one; `refused`: the database answered that it has no room now. */
 typedef void database_control_callback(void *user, const char *service, const char *database,
-                                       const struct database_report *report);
+                                       const struct database_report *report, bool refused);
 
 struct database_control *database_control_new(struct event_base *base, const char *service,
                                               const char *database,
--- a/src/pooler/failover.c
+++ b/src/pooler/failover.c
@@ -25,6 +25,12 @@
 /* Search without anybody leading, before another database is promoted. */
 #define SEARCH_MAX_NS (600 * MS)
 
+/* A primary is dark if all but one in so many poolers find it so. */
+#define FEW_LEFT 4
+
+/* Writes wait for replicas that are still paused, and are no sign of a stall. */
+#define STALLED_BY_PAUSE_NS (1000 * MS)
+
 /* A report older than this says nothing of now. */
 #define REPORT_FRESH_NS (400 * MS)
 
@@ -205,6 +211,7 @@
     member->asking = false;
     member->answered = report != NULL;
     if (report == NULL) {
+        member->refuses = false;
         member->failures++;
         if (member->failing_since == 0) {
             member->failing_since = now;
@@ -213,6 +220,7 @@
     }
     member->failures = 0;
     member->failing_since = 0;
+    member->refuses = false;
     member->has_report = true;
     member->report = *report;
     member->reported_at = now;
@@ -224,6 +232,27 @@
     }
 }
 
+void
+failover_refused(struct failover *failover, const char *database, time_ns now)
+{
+    struct failover_member *member = failover_find(failover, database);
+    if (member == NULL) {
+        return;
+    }
+    member->asking = false;
+    member->answered = true;
+    member->refuses = true;
+    member->failures = 0;
+    member->failing_since = 0;
+}
+
+/* What it is can't be asked now, and its record does not say that it leads. */
+static bool
+is_full_replica(const struct failover_member *member)
+{
+    return member->refuses && !member->says_leads;
+}
+
 static bool
 all_reported(const struct failover *failover, time_ns now)
 {
@@ -231,7 +260,8 @@
         const struct failover_member *member = failover_member_at(failover, i);
         bool heard =
             member->has_report && member->answered && now < member->reported_at + SEARCH_EVERY_NS;
-        if (!heard && member->failures < SEARCH_FAILURES) {
+        bool silent = member->failures >= SEARCH_FAILURES;
+        if (!heard && !silent && !is_full_replica(member)) {
             return false;
         }
     }
@@ -244,7 +274,7 @@
     uint32_t answering = 0;
     for (guint i = 0; i < failover->members->len; i++) {
         const struct failover_member *member = failover_member_at(failover, i);
-        answering += member->answered && !failover_is_primary(failover, member);
+        answering += member->answered && !member->refuses && !failover_is_primary(failover, member);
     }
     return answering >= failover_pauses_needed(failover);
 }
@@ -263,6 +293,7 @@
     }
     bool nobody = leader == NULL && all_reported(failover, now) && enough_answer(failover);
     if (nobody && now > failover->since + SEARCH_MAX_NS) {
+        failover->former_may_live = true;
         failover_begin_change(failover, false, "nobody leads", now);
     }
 }
@@ -273,6 +304,29 @@
     return failover_find(failover, failover->primary);
 }
 
+/* True if nobody but the primary leads, by what each member said after the primary was opened. */
+static bool
+nobody_else_leads(const struct failover *failover)
+{
+    for (guint i = 0; i < failover->members->len; i++) {
+        const struct failover_member *member = failover_member_at(failover, i);
+        bool heard = member->has_report && member->reported_at >= failover->since;
+        bool settled = heard && !member->report.leads;
+        bool paused = member->has_report && member->report.paused_term != 0;
+        if (!failover_is_primary(failover, member) && !settled && !paused) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* True if no old primary can make use of a replica that receives again. */
+static bool
+may_resume(const struct failover *failover, time_ns now)
+{
+    return now >= failover->resume_at || nobody_else_leads(failover);
+}
+
 /* Members that were paused and left so, as by an earlier coordinator or during a partition, receive
  * again, and one that was replaced and still leads steps down. Each is asked once after the primary
  * was opened, however late it can be reached. */
@@ -285,7 +339,8 @@
         if (failover_is_primary(failover, member)) {
             continue;
         }
-        bool paused = member->has_report && member->report.paused_term != 0;
+        bool paused =
+            member->has_report && member->report.paused_term != 0 && may_resume(failover, now);
         bool replaced = heard && member->report.leads && member->report.term < failover->term;
         if (replaced) {
             failover_ask_every(failover, member, DATABASE_COMMAND_STEP_DOWN, failover->term,
@@ -395,11 +450,15 @@
         !primary->answered && opinion->unreachable > 0 &&
         (opinion->unreachable * 2 >= opinion->poolers || primary->failures >= SEARCH_FAILURES);
     if (lost) {
+        /* Where only a few find it dark, it may live on with the others. */
+        failover->former_may_live =
+            opinion->unreachable * FEW_LEFT < opinion->poolers * (FEW_LEFT - 1);
         failover_begin_change(failover, false, "the primary does not answer", now);
         return;
     }
     bool stalled = opinion->stalled > 0 && fresh && replication_stands(failover, primary, now);
-    if (stalled && now >= failover->stall_again_at) {
+    if (stalled &&
+        now >= MAX(failover->stall_again_at, failover->resume_at + STALLED_BY_PAUSE_NS)) {
         /* Where replicas receive nothing whoever leads, changes would never end. */
         failover->stall_wait =
             MIN(MAX(failover->stall_wait * 2, STALL_WAIT_MIN_NS), STALL_WAIT_MAX_NS);
--- a/src/pooler/failover.h
+++ b/src/pooler/failover.h
@@ -11,7 +11,12 @@
  * replicas. Once the old primary has itself said that it stepped down, its log holds every such
  * commit, and a replica that has received as much is whole. Where it can't be asked, so many
  * replicas are paused that each acknowledged commit is on one of them and no further one can be
- * acknowledged; the most advanced of these is whole. */
+ * acknowledged; the most advanced of these is whole.
+ *
+ * A replica that is resumed may still receive from an old primary that lives on, which could then
+ * acknowledge commits that the new one lacks. Such a primary steps down by itself a second after it
+ * can reach the new one: until then the replicas stay paused, unless it has said that it stepped
+ * down, or nearly all poolers had found it dark. */
 #ifndef SW_POOLER_FAILOVER_H
 #define SW_POOLER_FAILOVER_H
 
@@ -48,6 +53,7 @@
     bool listed;     /* in the directory */
     bool takes_work; /* neither draining nor gone */
     bool says_leads; /* by its own record */
+    bool refuses;    /* the last command was refused for want of room */
     bool answered;   /* the last command was answered */
     bool has_report;
     bool fenced;                   /* paused for this change, or stepped down */
@@ -105,6 +111,9 @@
     time_ns stall_since;
     time_ns stall_again_at; /* no change for want of acknowledgements before */
     time_ns stall_wait;
+    bool former_may_live; /* the old primary has not said that it stepped down, and may not be dead
+                           */
+    time_ns resume_at;    /* replicas stay paused until then, unless it says so */
     time_ns minority_since; /* some, but not most poolers can't reach the primary */
 };
 
@@ -125,6 +134,8 @@
 /* `report` is NULL if the database did not answer. */
 void failover_answered(struct failover *failover, const char *database,
                        const struct database_report *report, time_ns now);
+/* The database answered that it can't answer now, for want of a slot or a connection. */
+void failover_refused(struct failover *failover, const char *database, time_ns now);
 void failover_recorded(struct failover *failover, bool good, time_ns now);
 
 /* How an order of promotion ended. */
--- a/src/pooler/failover_change.c
+++ b/src/pooler/failover_change.c
@@ -16,6 +16,9 @@
 #define CANDIDATE_DEAD_NS (1200 * MS)
 #define EXCLUDED_NS       (1500 * MS)
 
+/* An old primary steps down by itself within a second after it can reach the new one. */
+#define FORMER_LIVES_NS (1100 * MS)
+
 static uint32_t
 members_count(const struct failover *failover)
 {
@@ -278,6 +281,8 @@
                  candidate->reported_at > failover->since;
     if (leads) {
         failover_open(failover, candidate, now);
+        failover->resume_at = failover->former_may_live ? now + FORMER_LIVES_NS : 0;
+        failover->former_may_live = false;
         failover->actions->record(failover->actions->user, failover, true);
         failover_settle_members(failover, now);
         return;
--- a/tests/pooler/failover_rig.c
+++ b/tests/pooler/failover_rig.c
@@ -121,6 +121,7 @@
     case DATABASE_COMMAND_RESUME:
         rig->resumed_early = rig->resumed_early || !newer_leader(rig);
         database->paused = 0;
+        database->resumed_at = rig->now;
         break;
     case DATABASE_COMMAND_STEP_DOWN:
         if (database->asked_term > database->term) {
@@ -142,6 +143,10 @@
         failover_answered(rig->failover, database->id, NULL, rig->now);
         return;
     }
+    if (database->full) {
+        failover_refused(rig->failover, database->id, rig->now);
+        return;
+    }
     obey(rig, database);
     struct database_report report = {.leads = database->leads,
                                      .term = database->term,
--- a/tests/pooler/failover_rig.h
+++ b/tests/pooler/failover_rig.h
@@ -16,6 +16,8 @@
     char id[8];
     bool reachable;
     unsigned lose; /* answers that get lost from now on */
+    bool full;     /* answers, and refuses for want of connections or slots */
+    time_ns resumed_at;
     bool leads;
     uint64_t term;
     struct log_position received;
--- a/tests/pooler/test_failover.c
+++ b/tests/pooler/test_failover.c
@@ -1,6 +1,8 @@
 /* The control of one group, by scenario, on virtual time. */
 #include "failover_rig.h"
 
+#define MS NANOSECONDS_PER_MILLISECOND
+
 static void
 lose_primary(struct rig *rig)
 {
@@ -292,6 +294,85 @@
     rig_free(rig);
 }
 
+/* A primary that answers that it is full is not dead: after a loss of all poolers it still counts
+ * their old connections for seconds. */
+static void
+test_full_primary_while_searching(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig->databases[0].full = true;
+    rig_run(rig, 3500);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig->databases[0].full = false;
+    rig_run_until_open(rig, 0);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig_free(rig);
+}
+
+/* A full replica does not hold up the search: its record says that it is no primary. */
+static void
+test_full_replica_while_searching(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig->databases[2].full = true;
+    rig_run_until_open(rig, 0);
+    rig_free(rig);
+}
+
+static void
+test_full_primary_is_not_replaced(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[0].full = true;
+    rig_accuse(rig, 1, 0);
+    rig_run(rig, 1000);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig_free(rig);
+}
+
+/* A replica that is resumed beside an old primary that lives on would let that one acknowledge
+ * what the new primary lacks. It lives on for a second at most. */
+static void
+test_replicas_wait_for_an_old_primary(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig->databases[0].reachable = false;
+    while (!rig->databases[1].leads && !rig->databases[2].leads) {
+        rig_run(rig, 20);
+        g_assert_cmpuint(rig->now, <, 60 * NANOSECONDS_PER_SECOND);
+    }
+    time_ns led_at = rig->now;
+    rig_run(rig, 3000);
+    unsigned replica = rig->databases[1].leads ? 2 : 1;
+    g_assert_cmpuint(rig->databases[replica].paused, ==, 0);
+    g_assert_cmpuint(rig->databases[replica].resumed_at, >=, led_at + 1000 * MS);
+    rig_free(rig);
+}
+
+/* The old primary's own word is enough, and so is that of all poolers that it is dark. */
+static void
+test_replicas_do_not_wait(void)
+{
+    for (int dark = 0; dark <= 1; dark++) {
+        struct rig *rig = rig_new(3, 1);
+        rig_run_until_open(rig, 0);
+        rig->databases[0].reachable = dark == 0;
+        rig_accuse(rig, dark * rig->opinion.poolers, 0);
+        failover_set_member(rig->failover, rig->databases[0].id, dark == 1, true);
+        while (!rig->databases[1].leads && !rig->databases[2].leads) {
+            rig_run(rig, 20);
+            g_assert_cmpuint(rig->now, <, 60 * NANOSECONDS_PER_SECOND);
+        }
+        time_ns led_at = rig->now;
+        rig_accuse(rig, 0, 0);
+        rig_run(rig, 3000);
+        unsigned replica = rig->databases[1].leads ? 2 : 1;
+        g_assert_cmpuint(rig->databases[replica].resumed_at, <, led_at + 800 * MS);
+        rig_free(rig);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -314,5 +395,10 @@
     g_test_add_func("/pooler/failover/one-change", test_one_change_is_enough);
     g_test_add_func("/pooler/failover/nobody-leads", test_nobody_leads_at_start);
     g_test_add_func("/pooler/failover/lost-while-searching", test_lost_answer_while_searching);
+    g_test_add_func("/pooler/failover/full-primary", test_full_primary_while_searching);
+    g_test_add_func("/pooler/failover/full-replica", test_full_replica_while_searching);
+    g_test_add_func("/pooler/failover/full-primary-watched", test_full_primary_is_not_replaced);
+    g_test_add_func("/pooler/failover/replicas-wait", test_replicas_wait_for_an_old_primary);
+    g_test_add_func("/pooler/failover/replicas-do-not-wait", test_replicas_do_not_wait);
     return g_test_run();
 }
