--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -102,6 +102,7 @@
     g_autofree char *key = g_strconcat(RECORD_PREFIX, failover->service, NULL);
     struct store_put put = {key, octets->data, octets->len};
     group->recording_done = done;
+    control->store_calls[STORE_TABLE_CONTROL]++;
     store_write(control->store, LEASE_KEY, control->lease.row_version, &put, 1, on_recorded,
                 g_rc_box_acquire(group));
     g_byte_array_unref(octets);
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -171,7 +171,8 @@
     GHashTable *controlled; /* service -> struct controlled_group */
     struct failover_actions failover_actions;
     bool records_read;
-    GHashTable *ownerships; /* service -> struct pooler_ownership */
+    uint64_t store_calls[STORE_TABLE_COUNT]; /* since the start */
+    GHashTable *ownerships;                  /* service -> struct pooler_ownership */
     uint64_t ownership_count;
     time_ns owners_at;    /* when they are decided next */
     bool rows_learned;    /* and not yet told to the poolers */
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -130,6 +130,7 @@
     lease->calling = true;
     lease->call_sent = now;
     lease->proposed_token = token;
+    control->store_calls[STORE_TABLE_CONTROL]++;
     store_write(control->store, LEASE_KEY, lease->row_version, &put, 1, on_written, control);
     g_byte_array_unref(octets);
 }
@@ -261,6 +262,7 @@
 {
     control->lease.calling = true;
     control->lease.call_sent = now;
+    control->store_calls[STORE_TABLE_CONTROL]++;
     store_read(control->store, STORE_TABLE_CONTROL, on_looked, control);
 }
 
--- a/src/pooler/control_relay.c
+++ b/src/pooler/control_relay.c
@@ -22,14 +22,14 @@
 #define CURRENT_AGE_MS 1500
 
 /** A larger row is read at the store by those who need it: octets between zones cost more. */
-#define ROW_INLINE_MAX ((gsize)12 * 1024)
+#define ROW_INLINE_MAX ((gsize)24 * 1024)
 
 /** A large row is passed on all the same once it is known for so long. */
 #define LARGE_ROW_WAIT_NS (500 * MS)
 
 /** A pooler that starts waits so long for somebody who tells it what the store holds. */
-#define START_WAIT_MIN_MS 200
-#define START_WAIT_MAX_MS 500
+#define START_WAIT_MIN_MS 500
+#define START_WAIT_MAX_MS 900
 
 /** Poolers that follow the store beside the coordinator, so that one of them can succeed it. */
 #define FOLLOWERS 3
--- a/src/pooler/control_store.c
+++ b/src/pooler/control_store.c
@@ -218,6 +218,7 @@
 {
     struct control *control = feed->control;
     feed->calling = true;
+    control->store_calls[feed->table]++;
     if (feed->version == 0) {
         store_read(control->store, feed->table, on_listing, feed);
         return;
--- a/tests/pooler/test_relay.c
+++ b/tests/pooler/test_relay.c
@@ -7,7 +7,7 @@
 
 #include <string.h>
 
-#define LARGE_ROW 20000
+#define LARGE_ROW 30000
 
 typedef struct fixture {
     struct control *from;
