Count a commit as proof of leadership only if a write of its own transaction succeeded

A primary cut off from its replicas (primary_cut split) was taken to lead, and was read 0.7 s after its successor had acknowledged commits. A write that was refused no longer counts either. Test worker/empty-commit-after-a-write (failed first). Also, found by reading: a coordinator that took over a ceded lease waits for its predecessor's permits, and a replica's received term counts in the proof.

--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -325,6 +325,9 @@
 {
     g_hash_table_remove_all(control->poolers);
     control->coordinator_since = backend_now();
+    control->owed_until =
+        control->lease.ceded_token == 0 ? 0 : control->coordinator_since + PERMIT_MS * MS;
+    control->lease.ceded_token = 0;
     control->members_before = control->members_told;
     control_member_set_coordinator(control, control->address);
     control_groups_start(control);
--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -161,6 +161,9 @@
     time_ns now = backend_now();
     GHashTableIter iterator;
     gpointer value = NULL;
+    if (now <= control->owed_until) {
+        return false;
+    }
     g_hash_table_iter_init(&iterator, control->poolers);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct pooler_peer *pooler = value;
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -161,6 +161,7 @@
     /* As the coordinator. */
     struct lease lease;
     time_ns coordinator_since;
+    time_ns owed_until;      /* the permits of a coordinator that ceded its lease end by then */
     uint32_t members_before; /* poolers by the coordinator before; 0: not known */
     time_ns started_at;
     int listener;
--- a/src/pooler/leadership.c
+++ b/src/pooler/leadership.c
@@ -94,7 +94,8 @@
 static void
 take_replica(struct leadership_check *check, const struct database_report *report)
 {
-    check->newest_term = MAX(check->newest_term, MAX(report->term, report->paused_term));
+    uint64_t term = MAX(report->received.term, MAX(report->term, report->paused_term));
+    check->newest_term = MAX(check->newest_term, term);
     bool follows = !report->leads && report->paused_term == 0;
     if (!follows || report->term < check->replicas_term) {
         return;
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -294,7 +294,8 @@
     expect(server, EXPECT_STATEMENT);
     session->request.may_have_run = true;
     server->running_writes = session->request.writes || statement->kind == STATEMENT_COMMIT;
-    server->wrote = (server->in_transaction && server->wrote) || session->request.writes;
+    server->writes = session->request.writes;
+    server->wrote = server->in_transaction && server->wrote;
 }
 
 static void
@@ -439,6 +440,7 @@
     }
     session->transaction = SESSION_TRANSACTION_OPEN;
     session->statements_run = false;
+    server->wrote = false;
     clear_answer(server);
     note_sending(server);
     write_statement(server, session, NULL);
@@ -468,6 +470,7 @@
     time_ns now = backend_now();
     double latency = (double)(now - server->sent_at) / (double)NANOSECONDS_PER_MILLISECOND;
     database->latency_ms += LATENCY_WEIGHT * (latency - database->latency_ms);
+    server->wrote = server->wrote || (server->writes && server->code == ANSWER_NONE);
     if (!ready->has_position) {
         return;
     }
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -158,6 +158,7 @@
     bool in_transaction;
     time_ns sent_at;     /* when the running statement was sent */
     bool running_writes; /* the running statement is a write, or a commit */
+    bool writes;         /* the running statement is a write */
     bool wrote;          /* the open transaction, or the single statement, has written */
     bool permitted;      /* the group's read permit held when it was sent */
     bool checking;       /* works for a check of leadership */
--- a/tests/pooler/test_worker.c
+++ b/tests/pooler/test_worker.c
@@ -319,6 +319,27 @@
     client_close(client);
 }
 
+/* Nor does it where the same connection has served a write before. */
+static void
+test_empty_commit_after_a_write(struct fixture *fixture, gconstpointer unused)
+{
+    fixture->connections = 1;
+    fixture->staleness_ms = 200;
+    fixture->timeout_ms = 600;
+    publish(fixture);
+    struct client *client = client_open(fixture, "stale");
+    good(client, "WRITE hut 4", 'I');
+    good(client, "BEGIN", 'T');
+    good(client, "READ hut", 'T');
+    permit(fixture, 0);
+    line_group_set_faults(fixture->group, 0, &(struct line_faults){.deaf = true});
+    g_assert_true(line_group_promote(fixture->group, line_group_id(fixture->group, 1)));
+    g_usleep(300000); /* the samples of the transaction are too old by now */
+    good(client, "COMMIT", 'I');
+    bad(client, "READ hut", "BUSY", 'I');
+    client_close(client);
+}
+
 static void
 test_change_of_primary(struct fixture *fixture, gconstpointer unused)
 {
@@ -504,6 +525,7 @@
     ADD("leadership", set_up, test_leadership_without_a_coordinator);
     ADD("another-may-lead", set_up, test_no_read_where_another_may_lead);
     ADD("empty-commit", set_up, test_empty_commit_proves_nothing);
+    ADD("empty-commit-after-a-write", set_up, test_empty_commit_after_a_write);
     ADD("change-of-primary", set_up, test_change_of_primary);
     ADD("refusal-while-closed", set_up, test_refusal_while_closed);
     ADD("cut-by-a-change", set_up, test_transaction_cut_by_a_change);
@@ -530,6 +552,8 @@
     ADD("forwarding/own-writes-transaction", set_up_forwarding, test_own_write_in_a_transaction);
     ADD("forwarding/leadership", set_up_forwarding, test_leadership_without_a_coordinator);
     ADD("forwarding/another-may-lead", set_up_forwarding, test_no_read_where_another_may_lead);
+    ADD("forwarding/empty-commit-after-a-write", set_up_forwarding,
+        test_empty_commit_after_a_write);
     ADD("forwarding/empty-commit", set_up_forwarding, test_empty_commit_proves_nothing);
     ADD("forwarding/change-of-primary", set_up_forwarding, test_change_of_primary);
     ADD("forwarding/refusal-while-closed", set_up_forwarding, test_refusal_while_closed);
