--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -17,7 +17,10 @@
 #define ORPHAN_MAX_NS (2000 * NANOSECONDS_PER_MILLISECOND)
 #define STATUS_MAX_NS (400 * NANOSECONDS_PER_MILLISECOND)
 
-/* An idle connection beside others is kept this long. */
+/* Connections that are kept ready, used or not. */
+#define READY_CONNECTIONS 2
+
+/* An idle connection beside those is kept this long. */
 #define UNUSED_KEPT_NS (1500 * NANOSECONDS_PER_MILLISECOND)
 
 /* A write without its answer for this long, while other answers come: replication stalls. */
@@ -257,12 +260,22 @@
     }
 }
 
-/* Connections beyond the first that are no longer used are closed: after a loss of power a database
+void
+database_make_ready(struct database *database, time_ns now)
+{
+    bool wanted = database->takes_work && database_fault(database) == DATABASE_FAULT_NONE;
+    while (wanted && database->servers->len < READY_CONNECTIONS &&
+           database_may_open(database, now) && server_open(database) != NULL) {
+    }
+}
+
+/* Connections beyond these that are no longer used are closed: after a loss of power a database
  * counts them for seconds, beside those that are opened then. */
 static void
 close_unused(struct database *database, time_ns now)
 {
-    for (guint i = database->servers->len; i > 0 && database->servers->len > 1; i--) {
+    for (guint i = database->servers->len; i > 0 && database->servers->len > READY_CONNECTIONS;
+         i--) {
         struct server *server = g_ptr_array_index(database->servers, i - 1);
         if (server->state == SERVER_IDLE && now > server->idle_since + UNUSED_KEPT_NS) {
             server_close(server, ANSWER_NONE);
--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -115,6 +115,16 @@
     }
 }
 
+/* Opening takes long beside a statement. Nothing is opened before it is known who leads. */
+static void
+make_ready(struct group *group)
+{
+    time_ns now = backend_now();
+    for (guint i = 0; group->primary != NULL && i < group->databases->len; i++) {
+        database_make_ready(g_ptr_array_index(group->databases, i), now);
+    }
+}
+
 void
 group_apply(struct group *group, const struct pooled_group *view)
 {
@@ -138,6 +148,7 @@
         apply_order(group, view, primary);
     }
     drop_unlisted(group);
+    make_ready(group);
     group_note_in_flight(group);
     atomic_store(&group->shared->workers[group->worker->index].epoch, group->epoch);
 }
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -314,6 +314,8 @@
 /* Any idle connection; NULL if there is none. */
 struct server *database_any_idle(const struct database *database);
 bool database_may_open(const struct database *database, time_ns now);
+/* Opens what the next statements are likely to need. */
+void database_make_ready(struct database *database, time_ns now);
 void database_set_fault(struct database *database, enum database_fault fault, time_ns now);
 enum database_fault database_fault(const struct database *database);
 /* Notes an answer. */
--- a/tests/pooler/test_worker.c
+++ b/tests/pooler/test_worker.c
@@ -340,6 +340,18 @@
     client_close(client);
 }
 
+/* Connections are there before the first client asks. */
+static void
+test_ready_connections(struct fixture *fixture, gconstpointer unused)
+{
+    for (unsigned i = 0; i < DATABASES; i++) {
+        for (int k = 0; line_group_connections(fixture->group, i) < 2; k++) {
+            g_assert_cmpint(k, <, ANSWER_WAIT_S * 1000);
+            g_usleep(1000);
+        }
+    }
+}
+
 static void
 test_change_of_primary(struct fixture *fixture, gconstpointer unused)
 {
@@ -524,6 +536,7 @@
     ADD("own-writes-transaction", set_up, test_own_write_in_a_transaction);
     ADD("leadership", set_up, test_leadership_without_a_coordinator);
     ADD("another-may-lead", set_up, test_no_read_where_another_may_lead);
+    ADD("ready-connections", set_up, test_ready_connections);
     ADD("empty-commit", set_up, test_empty_commit_proves_nothing);
     ADD("empty-commit-after-a-write", set_up, test_empty_commit_after_a_write);
     ADD("change-of-primary", set_up, test_change_of_primary);
