--- a/tests/pooler/test_forward.c
+++ b/tests/pooler/test_forward.c
@@ -115,6 +115,27 @@
     client_close(client);
 }
 
+/* An owner that stops lets open transactions end, and takes no new ones. */
+static void
+test_stopping_owner(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *open = client_open(fixture, "strict");
+    struct client *other = client_open(fixture, "strict");
+    good(open, "BEGIN", 'T');
+    good(open, "WRITE hut open", 'T');
+    atomic_store(&fixture->owners[0].shared.stop_at, backend_now());
+    worker_wake(fixture->owners[0].worker);
+    for (unsigned i = 0; i < 5; i++) {
+        good(other, "WRITE inn 1", 'I');
+    }
+    good(open, "WRITE hut still-open", 'T');
+    good(open, "COMMIT", 'I');
+    good(open, "READ hut", 'I');
+    g_assert_cmpstr(open->row, ==, "still-open");
+    client_close(open);
+    client_close(other);
+}
+
 static int
 listen_in_silence(const struct sockaddr_in *address)
 {
@@ -186,6 +207,7 @@
     ADD("lost-in-a-write", test_lost_in_a_write);
     ADD("lost-in-a-read", test_lost_in_a_read);
     ADD("declined", test_declined);
+    ADD("stopping-owner", test_stopping_owner);
     ADD("silent-owner", test_silent_owner);
     ADD("no-owner", test_no_owner);
     ADD("client-gone", test_client_gone);
