--- a/tests/pooler/test_fleet.c
+++ b/tests/pooler/test_fleet.c
@@ -26,6 +26,9 @@
     uint16_t peers[POOLERS];
     uint16_t probes[POOLERS];
     uint16_t metrics[POOLERS];
+    uint16_t forwards[POOLERS];
+    bool storeless[POOLERS]; /* its way to the store leads nowhere */
+    unsigned max_connections;
     unsigned version;
     GPtrArray *acknowledged; /* values whose write was acknowledged */
     unsigned next_value;
@@ -47,9 +50,10 @@
     g_autofree char *strict = g_strdup_printf(route, "r1", "strict", "primary");
     g_autofree char *stale = g_strdup_printf(route, "r2", "stale", "bounded_staleness");
     g_autofree char *text = g_strdup_printf(
-        "{\"version\":%u,\"routes\":[%s%s%s],\"services\":[{\"name\":\"ledger\",\"maxConns\":40,"
+        "{\"version\":%u,\"routes\":[%s%s%s],\"services\":[{\"name\":\"ledger\",\"maxConns\":%u,"
         "\"syncReplicas\":1}],\"limits\":{\"txIdleMs\":30000}}",
-        ++fixture->version, strict, with_stale ? "," : "", with_stale ? stale : "");
+        ++fixture->version, strict, with_stale ? "," : "", with_stale ? stale : "",
+        fixture->max_connections);
     row_store_put(fixture->store, "op", "config", text);
 }
 
@@ -82,7 +86,9 @@
     g_autofree char *probe = setting("pooler.readiness_listen", fixture->probes[index]);
     g_autofree char *metrics = setting("pooler.metrics_listen", fixture->metrics[index]);
     g_autofree char *peers = setting("pooler.peers", fixture->peers[0]);
-    g_autofree char *store = setting("store.address", row_store_port(fixture->store));
+    g_autofree char *forward = setting("pooler.forward_listen", fixture->forwards[index]);
+    uint16_t store_port = fixture->storeless[index] ? free_port() : row_store_port(fixture->store);
+    g_autofree char *store = setting("store.address", store_port);
     g_autofree char *promotion = setting("promotion.address", row_store_port(fixture->store));
     const char *const arguments[] = {g_getenv("SWIFTWORKS_POOLER"),
                                      name,
@@ -92,6 +98,7 @@
                                      probe,
                                      metrics,
                                      peers,
+                                     forward,
                                      store,
                                      promotion,
                                      "--set=store.heartbeat_ms=300",
@@ -103,8 +110,9 @@
 }
 
 static void
-set_up(struct fixture *fixture, gconstpointer unused)
+set_up_with(struct fixture *fixture, unsigned max_connections)
 {
+    fixture->max_connections = max_connections;
     fixture->group = line_group_start("ledger", DATABASES, 1);
     fixture->store = row_store_start(on_promote, fixture);
     fixture->acknowledged = g_ptr_array_new_with_free_func(g_free);
@@ -117,12 +125,26 @@
         fixture->peers[i] = free_port();
         fixture->probes[i] = free_port();
         fixture->metrics[i] = free_port();
+        fixture->forwards[i] = free_port();
     }
     for (unsigned i = 0; i < POOLERS; i++) {
         start_pooler(fixture, i);
     }
 }
 
+static void
+set_up(struct fixture *fixture, gconstpointer unused)
+{
+    set_up_with(fixture, 40);
+}
+
+/* So few connections that two of the poolers own them. */
+static void
+set_up_owned(struct fixture *fixture, gconstpointer unused)
+{
+    set_up_with(fixture, 8);
+}
+
 static void
 kill_pooler(struct fixture *fixture, unsigned index)
 {
@@ -454,9 +476,86 @@
     assert_all_kept(fixture);
 }
 
+/* A pooler that the store turns away learns all from the coordinator, also what changes. */
+static void
+test_turned_away_by_the_store(struct fixture *fixture, gconstpointer unused)
+{
+    write_until_done(fixture, 0);
+    kill_pooler(fixture, 2);
+    fixture->storeless[2] = true;
+    start_pooler(fixture, 2);
+    write_until_done(fixture, 2);
+    put_configuration(fixture, false);
+    gint64 end = g_get_monotonic_time() + PATIENCE_US;
+    for (;;) {
+        g_autofree char *answer = ask(fixture, 2, "stale", "READ hut");
+        if (answer != NULL && strstr(answer, "NODB") != NULL) {
+            break;
+        }
+        g_assert_cmpint(g_get_monotonic_time(), <, end);
+        g_usleep(LOOK_US);
+    }
+    assert_all_kept(fixture);
+}
+
+static unsigned
+find_forwarding(const struct fixture *fixture)
+{
+    for (unsigned i = 0; i < POOLERS; i++) {
+        if (tells(fixture, i, "swiftworks_forwarded_total ") &&
+            !tells(fixture, i, "swiftworks_forwarded_total 0\n")) {
+            return i;
+        }
+    }
+    return POOLERS;
+}
+
+/* Two of three poolers own the group; each of the three serves all of it. */
+static void
+test_owners(struct fixture *fixture, gconstpointer unused)
+{
+    gint64 end = g_get_monotonic_time() + PATIENCE_US;
+    while (find_forwarding(fixture) == POOLERS) {
+        g_assert_cmpint(g_get_monotonic_time(), <, end);
+        for (unsigned i = 0; i < POOLERS; i++) {
+            write_until_done(fixture, i);
+        }
+    }
+    assert_read_sees_last(fixture, find_forwarding(fixture));
+    assert_all_kept(fixture);
+}
+
+/* Each pooler is lost in turn, and with it an owner or the coordinator. */
+static void
+test_lost_owners(struct fixture *fixture, gconstpointer unused)
+{
+    for (unsigned i = 0; i < POOLERS; i++) {
+        write_until_done(fixture, i);
+    }
+    for (unsigned i = 0; i < POOLERS; i++) {
+        kill_pooler(fixture, i);
+        write_until_done(fixture, (i + 1) % POOLERS);
+        assert_read_sees_last(fixture, (i + 2) % POOLERS);
+        start_pooler(fixture, i);
+    }
+    for (unsigned i = 0; i < POOLERS; i++) {
+        write_until_done(fixture, i);
+    }
+    assert_all_kept(fixture);
+}
+
+static void
+test_lost_primary_behind_owners(struct fixture *fixture, gconstpointer unused)
+{
+    test_lost_primary(fixture, unused);
+}
+
 #define ADD(name, test)                                                                            \
     g_test_add("/pooler/fleet/" name, struct fixture, NULL, set_up, test, tear_down)
 
+#define ADD_OWNED(name, test)                                                                      \
+    g_test_add("/pooler/fleet/" name, struct fixture, NULL, set_up_owned, test, tear_down)
+
 int
 main(int argc, char **argv)
 {
@@ -472,5 +571,9 @@
     ADD("leaving-primary", test_leaving_primary);
     ADD("planned-stop", test_planned_stop);
     ADD("stopped-coordinator", test_stopped_coordinator);
+    ADD("turned-away", test_turned_away_by_the_store);
+    ADD_OWNED("owners", test_owners);
+    ADD_OWNED("lost-owners", test_lost_owners);
+    ADD_OWNED("lost-primary-behind-owners", test_lost_primary_behind_owners);
     return g_test_run();
 }
