--- a/tests/pooler/test_relay.c
+++ b/tests/pooler/test_relay.c
@@ -53,8 +53,7 @@
 static void
 learn(struct control *control, const char *key, uint64_t version, gsize len)
 {
-    g_autofree char *octets = g_malloc0(len + 1);
-    g_autoptr(GBytes) value = len == 0 ? NULL : g_bytes_new(octets, len);
+    g_autoptr(GBytes) value = len == 0 ? NULL : g_bytes_new_take(g_malloc0(len), len);
     control_take_row(control, STORE_TABLE_CONFIGURATION, key, version, value);
     control->feeds[STORE_TABLE_CONFIGURATION].version = version;
     control->feeds[STORE_TABLE_CONFIGURATION].current_at = backend_now();
