--- a/src/pooler/forward.c
+++ b/src/pooler/forward.c
@@ -44,6 +44,7 @@
     time_ns pinged_at;
     time_ns avoid_until;
     uint32_t losses; /* in a row */
+    bool doubted;    /* lost, and not heard since: it gets no statement before it gives a sign */
 };
 
 bool
@@ -92,6 +93,7 @@
     g_autoptr(GList) sessions = g_hash_table_get_values(link->channels);
     g_message("The link to %s is lost, with %u statements under way.", link->text, link->running);
     link->peer = NULL;
+    link->doubted = true;
     link->avoid_until = now + MIN(AVOID_MIN_NS << MIN(link->losses, 5U), AVOID_MAX_NS);
     link->losses++;
     for (GList *item = sessions; item != NULL; item = item->next) {
@@ -110,6 +112,22 @@
     session_try_again(session, ANSWER_MISROUTED);
 }
 
+/* The owner gave a sign: what waits may go to it. */
+static void
+trust(link_t *link)
+{
+    GHashTableIter iterator;
+    gpointer group = NULL;
+    if (!link->doubted) {
+        return;
+    }
+    link->doubted = false;
+    g_hash_table_iter_init(&iterator, link->worker->groups);
+    while (g_hash_table_iter_next(&iterator, NULL, &group)) {
+        g_ptr_array_add(link->worker->groups_to_run, group);
+    }
+}
+
 static void
 take_answer(link_t *link, const struct forward_answer *answer)
 {
@@ -117,6 +135,7 @@
     time_ns now = backend_now();
     link->quiet_since = now;
     link->losses = 0;
+    trust(link);
     if (session == NULL || !session->forward.running) {
         return;
     }
@@ -196,6 +215,26 @@
     return link->peer != NULL;
 }
 
+static void
+ask_for_a_sign(link_t *link, time_ns now)
+{
+    struct forward_ask ask;
+    forward_ask_init(&ask);
+    link->pinged_at = now;
+    peer_send(link->peer, forward_ask_encode(&ask));
+    forward_ask_clear(&ask);
+}
+
+/* A lost owner may be frozen, and take connections all the same: it is asked first. */
+static void
+try_again(link_t *link, time_ns now)
+{
+    if (link->peer == NULL && now >= link->avoid_until && link_connect(link)) {
+        ask_for_a_sign(link, now);
+        worker_arm_tick(link->worker);
+    }
+}
+
 /* The owner with the fewest statements from here, near ones by preference. */
 static link_t *
 choose(const struct group *group, time_ns now)
@@ -205,6 +244,10 @@
     for (guint i = 0; i < group->links->len; i++) {
         link_t *link = g_ptr_array_index(group->links, i);
         uint32_t cost = link->running + (i < group->links_near ? 0 : OTHER_ZONE_COST);
+        if (link->doubted) {
+            try_again(link, now);
+            continue;
+        }
         if (now >= link->avoid_until && (best == NULL || cost < best_cost)) {
             best = link;
             best_cost = cost;
@@ -337,20 +380,10 @@
     forward_ask_clear(&ask);
 }
 
-static void
-ask_for_a_sign(link_t *link, time_ns now)
-{
-    struct forward_ask ask;
-    forward_ask_init(&ask);
-    link->pinged_at = now;
-    peer_send(link->peer, forward_ask_encode(&ask));
-    forward_ask_clear(&ask);
-}
-
 static void
 check(link_t *link, time_ns now)
 {
-    if (link->peer == NULL || link->running == 0) {
+    if (link->peer == NULL || (link->running == 0 && !link->doubted)) {
         return;
     }
     bool pinged = link->pinged_at >= link->quiet_since;
--- a/tests/pooler/test_forward.c
+++ b/tests/pooler/test_forward.c
@@ -157,8 +157,15 @@
     stop_owner(fixture, 0);
     int silent = listen_in_silence(&address);
     good(client, "READ hut", 'I');
-    good(client, "READ hut", 'I');
     g_assert_cmpstr(client->row, ==, "4");
+    /* It is asked for a sign from now on, and gets no statement. */
+    const _Atomic uint64_t *moved = &worker_metrics(fixture->worker)->counters[METRICS_RETRIES];
+    uint64_t before = atomic_load(moved);
+    for (unsigned i = 0; i < 60; i++) {
+        good(client, "READ hut", 'I');
+        g_usleep(20000);
+    }
+    g_assert_cmpuint(atomic_load(moved), ==, before);
     client_close(client);
     close(silent);
 }
