--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -23,8 +23,10 @@
 #define POOLERS_FIRST_FACTOR 3
 
 /* What makes a pooler fit to take the lease over. */
-#define SUCCESSOR_HEARD_NS     (600 * MS)
-#define SUCCESSOR_STORE_AGE_MS 1300
+#define SUCCESSOR_HEARD_NS (600 * MS)
+
+/* It has heard the store so long after this one's call went unanswered, at least. */
+#define HEARD_SINCE_MS ((uint64_t)100)
 
 /* Time between two choices of the poolers that follow the store. */
 #define FOLLOWERS_EVERY_NS (500 * MS)
@@ -343,9 +345,16 @@
     g_clear_pointer(&control->coordinator_address, g_free);
 }
 
-/* The pooler that heard the store last, at most so long ago; NULL if none has. */
+/* Time since the store last answered the pooler, in milliseconds. */
+static uint64_t
+store_age_ms(const struct pooler_peer *pooler, time_ns now)
+{
+    return pooler->store_age_ms + (now - pooler->heard_at) / MS;
+}
+
+/* The pooler that heard the store last, less than so long ago; NULL if none has. */
 static struct pooler_peer *
-find_successor(const struct control *control, uint32_t store_age_max_ms, time_ns now)
+find_successor(const struct control *control, uint64_t age_max_ms, time_ns now)
 {
     struct pooler_peer *best = NULL;
     GHashTableIter iterator;
@@ -356,8 +365,8 @@
         bool good = pooler->peer != NULL && !pooler->stopping &&
                     g_strcmp0(pooler->name, control->settings->pooler.name) != 0 &&
                     now < pooler->heard_at + SUCCESSOR_HEARD_NS &&
-                    pooler->store_age_ms <= store_age_max_ms;
-        if (good && (best == NULL || pooler->store_age_ms < best->store_age_ms)) {
+                    store_age_ms(pooler, now) < age_max_ms;
+        if (good && (best == NULL || store_age_ms(pooler, now) < store_age_ms(best, now))) {
             best = pooler;
         }
     }
@@ -367,9 +376,13 @@
 bool
 control_coordinator_cede(struct control *control, bool planned)
 {
-    /* Few poolers ask the store. While it answers here, it will answer any other. */
-    uint32_t age = planned ? UINT32_MAX : SUCCESSOR_STORE_AGE_MS;
-    struct pooler_peer *successor = find_successor(control, age, backend_now());
+    time_ns now = backend_now();
+    /* Few poolers ask the store. While it answers here, it will answer any other. Where it does
+     * not, only one will do that it has answered since: a store that is silent to all is not met
+     * sooner by another, and the permits would end with the lease. */
+    uint64_t silent_ms = (now - control->lease.call_sent) / MS;
+    uint64_t age_max_ms = planned ? UINT64_MAX : MAX(silent_ms, HEARD_SINCE_MS) - HEARD_SINCE_MS;
+    struct pooler_peer *successor = find_successor(control, age_max_ms, now);
     if (successor == NULL) {
         return false;
     }
--- a/tests/pooler/test_fleet.c
+++ b/tests/pooler/test_fleet.c
@@ -371,6 +371,10 @@
     while (find_coordinator(fixture) != POOLERS && g_get_monotonic_time() < end) {
         g_usleep(LOOK_US);
     }
+    /* The store answers nobody: to leave the lease to another would only end its permits sooner. */
+    for (unsigned i = 0; i < POOLERS; i++) {
+        g_assert_true(tells(fixture, i, "swiftworks_leases_ceded_to_this_total 0\n"));
+    }
     /* Nobody holds the lease: reads at the primary go on by what the databases tell. */
     write_until_done(fixture, 1);
     assert_read_sees_last(fixture, 2);
