Replace no primary before every member of its group is known

Now only the old primary's own word counts until the directory was told by an answering store for four heartbeats. Test failover/members-not-settled (failed first).

--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -381,6 +381,7 @@
         struct controlled_group *group = value;
         struct failover_opinion opinion;
         update_members(control, group, now);
+        group->failover->settled = control->directory_settled;
         gather(control, group->failover, now, &opinion);
         failover_tick(group->failover, &opinion, now);
         close_unused(group, now);
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -131,6 +131,8 @@
     struct store *store;
     struct promotion *promotion;
     struct directory directory;
+    bool directory_settled;        /* every living database has had the time to record itself */
+    time_ns directory_known_since; /* and the store answers; 0: not yet */
     struct configuration *configuration;
     struct feed feeds[STORE_TABLE_COUNT];
     GHashTable *groups;  /* service -> struct group_state */
--- a/src/pooler/control_store.c
+++ b/src/pooler/control_store.c
@@ -13,6 +13,12 @@
  * draining database may take work for seconds, so this need not be short. */
 #define DIRECTORY_EVERY_NS (900 * MS)
 
+/* A directory that the store told within this is current. */
+#define CURRENT_NS (2000 * MS)
+
+/* Heartbeats after which every living database has recorded itself. */
+#define SETTLED_HEARTBEATS 4
+
 #define RETRY_MIN_NS (150 * MS)
 #define RETRY_MAX_NS (1200 * MS)
 
@@ -227,11 +233,34 @@
     store_watch(control->store, feed->table, feed->version, wait_ms, on_changes, feed);
 }
 
+/* Databases record themselves each heartbeat. A store that was down may have dropped their records:
+ * after a start, those that live show within some heartbeats of a store that answers. */
+static void
+settle_directory(struct control *control, time_ns now)
+{
+    const struct feed *feed = &control->feeds[STORE_TABLE_DIRECTORY];
+    bool followed = feed->current_at != 0 && now < feed->current_at + CURRENT_NS;
+    time_ns wait = control->settings->store.heartbeat_ms * MS * SETTLED_HEARTBEATS;
+    if (control->directory_settled) {
+        return;
+    }
+    if (feed->version == 0 || (!followed && now > control->relied_until)) {
+        control->directory_known_since = 0;
+    } else if (control->directory_known_since == 0) {
+        control->directory_known_since = now;
+    } else if (now > control->directory_known_since + wait) {
+        control->directory_settled = true;
+        g_message("The directory is known: %u databases.",
+                  g_hash_table_size(control->directory.entries));
+    }
+}
+
 void
 control_feeds_tick(struct control *control, time_ns now)
 {
     time_ns heartbeat = control->settings->store.heartbeat_ms * MS;
     bool follows = control_relay_follows(control, now);
+    settle_directory(control, now);
     for (int table = 0; follows && table < STORE_TABLE_CONTROL; table++) {
         struct feed *feed = &control->feeds[table];
         if (!feed->calling && now >= feed->next_at) {
--- a/src/pooler/failover.c
+++ b/src/pooler/failover.c
@@ -59,6 +59,7 @@
     failover->actions = actions;
     failover->members = g_ptr_array_new_with_free_func(free_member);
     failover->phase = GROUP_PHASE_UNKNOWN;
+    failover->settled = true;
     return failover;
 }
 
--- a/src/pooler/failover.h
+++ b/src/pooler/failover.h
@@ -13,6 +13,10 @@
  * replicas are paused that each acknowledged commit is on one of them and no further one can be
  * acknowledged; the most advanced of these is whole.
  *
+ * All that holds only where every member is known. A store that was down may have dropped records
+ * of databases that are well, and a coordinator that has just started knows no others: until the
+ * members have settled, only the old primary's own word counts.
+ *
  * A replica that is resumed may still receive from an old primary that lives on, which could then
  * acknowledge commits that the new one lacks. Such a primary steps down by itself a second after it
  * can reach the new one: until then the replicas stay paused, unless it has said that it stepped
@@ -96,6 +100,7 @@
 struct failover {
     char *service;
     uint32_t sync_replicas;
+    bool settled; /* the members are certainly all of the group's */
     const struct failover_actions *actions;
     GPtrArray *members; /* of struct failover_member */
     enum failover_state state;
--- a/src/pooler/failover_change.c
+++ b/src/pooler/failover_change.c
@@ -32,6 +32,9 @@
 failover_pauses_needed(const struct failover *failover)
 {
     uint32_t count = members_count(failover);
+    if (!failover->settled) {
+        return UINT32_MAX;
+    }
     return failover->sync_replicas == 0 || count <= 1 ? 1 : count - 1;
 }
 
--- a/tests/pooler/test_failover.c
+++ b/tests/pooler/test_failover.c
@@ -294,6 +294,24 @@
     rig_free(rig);
 }
 
+/* A coordinator that has just started may know some members only: it replaces nobody by them. */
+static void
+test_members_not_settled(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig->failover->settled = false;
+    failover_remove_member(rig->failover, "d0");
+    failover_remove_member(rig->failover, "d1");
+    rig_run(rig, 3000);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    failover_set_member(rig->failover, "d0", true, true);
+    failover_set_member(rig->failover, "d1", true, false);
+    rig->failover->settled = true;
+    rig_run_until_open(rig, 0);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig_free(rig);
+}
+
 /* A primary that answers that it is full is not dead: after a loss of all poolers it still counts
  * their old connections for seconds. */
 static void
@@ -400,5 +418,6 @@
     g_test_add_func("/pooler/failover/full-primary-watched", test_full_primary_is_not_replaced);
     g_test_add_func("/pooler/failover/replicas-wait", test_replicas_wait_for_an_old_primary);
     g_test_add_func("/pooler/failover/replicas-do-not-wait", test_replicas_do_not_wait);
+    g_test_add_func("/pooler/failover/members-not-settled", test_members_not_settled);
     return g_test_run();
 }
