--- a/tests/pooler/free_port.c
+++ b/tests/pooler/free_port.c
@@ -3,18 +3,48 @@
 
 #include <glib.h>
 #include <netinet/in.h>
+#include <stdbool.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-uint16_t
-free_port(void)
+/* Below those that the kernel gives to outgoing connections: a client's own port would otherwise
+ * take the place of a listener that has not started yet. */
+#define PORT_FIRST 12000
+#define PORT_AFTER 32000
+#define TRIES      1000
+
+static bool
+is_free(uint16_t port)
 {
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    socklen_t length = sizeof address;
+    struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons(port)};
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     int handle = socket(AF_INET, SOCK_STREAM, 0);
-    g_assert_cmpint(bind(handle, (struct sockaddr *)&address, sizeof address), ==, 0);
-    getsockname(handle, (struct sockaddr *)&address, &length);
+    bool free = bind(handle, (struct sockaddr *)&address, sizeof address) == 0;
     close(handle);
-    return ntohs(address.sin_port);
+    return free;
+}
+
+/* Drawn anew by each process, so that tests that run at once seldom meet. */
+static uint16_t
+draw(void)
+{
+    static GRand *random;
+    if (random == NULL) {
+        random = g_rand_new();
+    }
+    return (uint16_t)g_rand_int_range(random, PORT_FIRST, PORT_AFTER);
+}
+
+uint16_t
+free_port(void)
+{
+    static bool given[PORT_AFTER];
+    for (int i = 0; i < TRIES; i++) {
+        uint16_t port = draw();
+        if (!given[port] && is_free(port)) {
+            given[port] = true;
+            return port;
+        }
+    }
+    g_error("no port is free");
 }
