--- a/standins/session_platform/line_group.c
+++ b/standins/session_platform/line_group.c
@@ -600,13 +600,50 @@
     return group->databases[database].port;
 }
 
-void
-line_group_set_faults(struct line_group *group, unsigned database, const struct line_faults *faults)
+/* What a test's thread has the loop's thread do. A connection's own lock is held around its
+ * callbacks, which take the group's: whoever holds the group's lock elsewhere must not touch a
+ * connection, or both threads wait for each other. */
+typedef struct loop_call {
+    struct line_group *group;
+    void (*action)(struct line_group *group, void *user);
+    void *user;
+    gint done;
+} loop_call_t;
+
+static void
+on_call(evutil_socket_t socket, short events, void *user)
 {
-    g_mutex_lock(&group->lock);
-    struct database *changed = &group->databases[database];
-    changed->faults = *faults;
-    if (faults->down) {
+    loop_call_t *call = user;
+    g_mutex_lock(&call->group->lock);
+    call->action(call->group, call->user);
+    g_mutex_unlock(&call->group->lock);
+    g_atomic_int_set(&call->done, 1);
+}
+
+static void
+call_in_loop(struct line_group *group, void (*action)(struct line_group *group, void *user),
+             void *user)
+{
+    loop_call_t call = {group, action, user, 0};
+    const struct timeval now = {0, 0};
+    event_base_once(group->base, -1, EV_TIMEOUT, on_call, &call, &now);
+    while (g_atomic_int_get(&call.done) == 0) {
+        g_usleep(100);
+    }
+}
+
+typedef struct change_of_faults {
+    unsigned database;
+    const struct line_faults *faults;
+} change_of_faults_t;
+
+static void
+change_faults(struct line_group *group, void *user)
+{
+    const change_of_faults_t *change = user;
+    struct database *changed = &group->databases[change->database];
+    changed->faults = *change->faults;
+    if (changed->faults.down) {
         close_connections(changed);
     }
     for (unsigned i = 0; i < group->count; i++) {
@@ -614,7 +651,13 @@
             replicate(&group->databases[i]);
         }
     }
-    g_mutex_unlock(&group->lock);
+}
+
+void
+line_group_set_faults(struct line_group *group, unsigned database, const struct line_faults *faults)
+{
+    change_of_faults_t change = {database, faults};
+    call_in_loop(group, change_faults, &change);
 }
 
 bool
@@ -644,21 +687,25 @@
     return paused;
 }
 
-bool
-line_group_promote(struct line_group *group, const char *id)
+typedef struct promotion {
+    const char *id;
+    bool good;
+} promotion_t;
+
+static void
+promote(struct line_group *group, void *user)
 {
-    bool good = false;
+    promotion_t *promotion = user;
     uint64_t newest = 0;
-    g_mutex_lock(&group->lock);
     for (unsigned i = 0; i < group->count; i++) {
         newest = MAX(newest, group->databases[i].term);
     }
     for (unsigned i = 0; i < group->count; i++) {
         struct database *database = &group->databases[i];
-        if (strcmp(database->id, id) != 0 || database->faults.down) {
+        if (strcmp(database->id, promotion->id) != 0 || database->faults.down) {
             continue;
         }
-        good = true;
+        promotion->good = true;
         if (!database->leads) {
             database->leads = true;
             database->term = newest + 1;
@@ -667,8 +714,14 @@
             replicate(database);
         }
     }
-    g_mutex_unlock(&group->lock);
-    return good;
+}
+
+bool
+line_group_promote(struct line_group *group, const char *id)
+{
+    promotion_t promotion = {id, false};
+    call_in_loop(group, promote, &promotion);
+    return promotion.good;
 }
 
 void
