Return after the loss of all poolers without waiting for one that knows more

Change: a starting pooler asks the store after 25 to 50 ms, and leaves it alone for 150 ms more only if another pooler has answered. Who is told that it is itself the coordinator takes its lease at once. The lease's row holds the size of the fleet, so that each pooler knows from its first look how many connections it may open, and a new coordinator knows whom it has still to hear before it names owners. A lease is looked at again as it ends.

--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -14,7 +14,8 @@
 #define POOLER_FORGOTTEN_NS (4000 * MS)
 #define LISTEN_BACKLOG      128
 
-/* A new coordinator has not heard all poolers yet, and counts at least so many for a while. */
+/* A new coordinator has not heard all poolers yet, and counts at least so many for a while, unless
+ * the lease's row tells. */
 #define POOLERS_ASSUMED   9
 #define POOLERS_GATHER_NS (3000 * MS)
 
@@ -101,8 +102,8 @@
 
 /* How many poolers share the databases' connections. One that has just become the coordinator goes
  * by what the last one told; after a loss of all, it has heard only the quickest yet. */
-static uint32_t
-count_poolers(const struct control *control)
+uint32_t
+control_coordinator_count(const struct control *control)
 {
     uint32_t count = g_hash_table_size(control->poolers);
     time_ns age = backend_now() - control->coordinator_since;
@@ -189,7 +190,7 @@
     pooler_grant_init(&grant);
     grant.coordinator = g_strdup(control->settings->pooler.name);
     grant.token = control->lease.token;
-    grant.members = count_poolers(control);
+    grant.members = control_coordinator_count(control);
     grant.follows_store = pooler->follows_store;
     pooler->ownership_told = control_owners_fill(control, pooler->ownership_told, &grant);
     add_orders(control, pooler, &grant);
@@ -330,7 +331,7 @@
     control->owed_until =
         control->lease.ceded_token == 0 ? 0 : control->coordinator_since + PERMIT_MS * MS;
     control->lease.ceded_token = 0;
-    control->members_before = control->members_told;
+    control->members_before = control_fleet_size(control);
     control_member_set_coordinator(control, control->address);
     control_groups_start(control);
 }
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -157,6 +157,7 @@
     unsigned next_seed;
     uint64_t reported_faults; /* digest of what was last told */
     bool follows_store;       /* by itself, as the coordinator asked */
+    bool start_answered;      /* another pooler has answered since the start */
     time_ns relied_until;     /* what the coordinator tells of the store is current until then */
     row_versions_t told;      /* what the coordinator knew of the store's tables */
     struct peer_callbacks coordinator_callbacks;
@@ -164,7 +165,7 @@
     struct lease lease;
     time_ns coordinator_since;
     time_ns owed_until;      /* the permits of a coordinator that ceded its lease end by then */
-    uint32_t members_before; /* poolers by the coordinator before; 0: not known */
+    uint32_t members_before; /* poolers as counted before this lease; 0: not known */
     time_ns started_at;
     int listener;
     struct event *acceptable;
@@ -191,6 +192,12 @@
 void control_publish(struct control *control);
 /** @return true if other poolers hold the connections to the group's databases. */
 bool control_view_forwards(const struct control *control, const char *service);
+/** @return how many poolers share the databases' connections, by the newest that is known here: the
+ *  coordinator's word, or the lease's row; 0 if neither is known. */
+uint32_t control_fleet_size(const struct control *control);
+/** @return connections to each database that every worker may open where nobody owns the group;
+ *  0 while the size of the fleet is not known. */
+uint32_t control_direct_share(const struct control *control, const struct service *service);
 /* True if clients can be served. */
 bool control_is_ready(const struct control *control);
 
@@ -204,6 +211,8 @@
 /* control_relay.c */
 /** @brief Puts off this pooler's own look at the store, while others may tell it. */
 void control_relay_start(struct control *control);
+/** @brief Puts it off once more, as another pooler has answered this one's first heartbeat. */
+void control_relay_peer_answered(struct control *control, time_ns now);
 /** @brief Fills in what somebody lacks who knows the tables up to `known`. */
 void control_relay_fill(const struct control *control, const row_versions_t *known, time_ns now,
                         struct pooler_relay *relay);
@@ -270,6 +279,9 @@
 /* Sends the newest orders to all poolers at once. */
 void control_coordinator_push(struct control *control);
 
+/** @return how many poolers share the databases' connections, as the coordinator counts them. */
+uint32_t control_coordinator_count(const struct control *control);
+
 /* What the pooler last told of a group; NULL if nothing yet. */
 const struct pooler_group_report *control_report_of(const struct pooler_peer *pooler,
                                                     const char *service);
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -18,6 +18,12 @@
 #define SILENCE_NS    (900 * MS)
 #define LOOK_EVERY_NS (450 * MS)
 
+/* A lease that is not renewed is looked at again as it ends, by poolers that follow the store
+ * within this after its end, by others within three times this: the first to look takes it. Less
+ * than a tenth of the lease, so that little is lost, and longer than a call at the store takes, so
+ * that most find it taken. */
+#define TAKE_SPREAD_MS 60
+
 /* A renewal without an answer for this long: the store is lost to the holder. */
 #define FAILING_NS (700 * MS)
 
@@ -72,6 +78,7 @@
         const struct store_row *row = g_ptr_array_index(answer->rows, i);
         if (!row->gone && g_str_equal(row->key, LEASE_KEY)) {
             take_record(&control->lease, row);
+            control->view_dirty = true; /* the size of the fleet may be known only now */
         }
         control_take_row(control, STORE_TABLE_CONTROL, row->key, row->version,
                          row->gone ? NULL : row->value);
@@ -124,6 +131,7 @@
         .incarnation = control->incarnation,
         .token = token,
         .expires_ms = give_up ? 0 : store_now + LEASE_NS / MS,
+        .poolers = lease->held ? control_coordinator_count(control) : lease->record.poolers,
     };
     GByteArray *octets = lease_record_encode(&record);
     struct store_put put = {LEASE_KEY, octets->data, octets->len};
@@ -237,6 +245,23 @@
                      lease->record.holder == NULL ? "nobody" : lease->record.holder);
 }
 
+/* When the row is looked at again: as the lease ends, if it is another's. Those that follow the
+ * store take it first, the others if they do not. */
+static time_ns
+next_look(const struct control *control, const struct store_answer *answer, time_ns now)
+{
+    const struct lease_record *record = &control->lease.record;
+    int share = control->follows_store ? 1 : 3;
+    bool runs = answer->outcome == STORE_DONE && record->expires_ms > answer->clock_ms;
+    if (runs) {
+        time_ns left = (record->expires_ms - answer->clock_ms) * MS;
+        return now + MIN(left, LEASE_NS) +
+               (time_ns)g_random_int_range(1, TAKE_SPREAD_MS * share) * MS;
+    }
+    time_ns every = LOOK_EVERY_NS * share;
+    return now + every / 2 + (time_ns)g_random_int_range(0, (gint32)(every / MS)) * MS;
+}
+
 static void
 on_looked(void *user, const struct store_answer *answer)
 {
@@ -244,15 +269,14 @@
     struct lease *lease = &control->lease;
     time_ns now = backend_now();
     lease->calling = false;
-    /* Those that follow the store take the lease first, the others if they do not. */
-    time_ns every = control->follows_store ? LOOK_EVERY_NS : LOOK_EVERY_NS * 3;
-    lease->next_at = now + every / 2 + (time_ns)g_random_int_range(0, (gint32)(every / MS)) * MS;
     if (answer->outcome != STORE_DONE) {
+        lease->next_at = next_look(control, answer, now);
         log_answer(control, "not read", answer, now);
         return;
     }
     note_clock(lease, answer, now);
     take_rows(control, answer);
+    lease->next_at = next_look(control, answer, now);
     log_answer(control, "read", answer, now);
     consider(control, now);
 }
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -264,6 +264,11 @@
     take_hearsay(control, grant);
     forget_told(control);
     const char *address = grant->coordinator_address;
+    if (g_strcmp0(address, control->address) == 0 && !control->lease.held) {
+        /* An earlier life of this pooler holds the lease, which only this one may take at once. */
+        control->lease.next_at = 0;
+        return false;
+    }
     bool elsewhere = address != NULL && address[0] != '\0' &&
                      g_strcmp0(address, control->coordinator_address) != 0;
     if (elsewhere) {
@@ -287,6 +292,7 @@
         return false;
     }
     control->answered_at = backend_now();
+    control_relay_peer_answered(control, control->answered_at);
     bool keep = take_answer(control, &grant);
     pooler_grant_clear(&grant);
     control_wake_soon(control);
--- a/src/pooler/control_owners.c
+++ b/src/pooler/control_owners.c
@@ -34,10 +34,11 @@
 /** A pooler that was not heard for this long owns nothing. */
 #define OWNER_HEARD_NS (1200 * MS)
 
-/** A new coordinator waits so long for poolers to connect: a little where nobody knows owners yet,
- *  longer where owners are at work that have to find the coordinator first. */
-#define GATHER_FIRST_NS (400 * MS)
-#define GATHER_KNOWN_NS (1500 * MS)
+/** A new coordinator waits until it hears as many poolers as the one before, but no longer than
+ *  this: a little where nothing is served without owners, longer where owners are at work, or all
+ *  poolers can serve by themselves. */
+#define GATHER_IDLE_NS   (400 * MS)
+#define GATHER_SERVED_NS (1500 * MS)
 
 /** A pooler that may own groups, and its place in the order of one group. */
 typedef struct candidate {
@@ -290,13 +291,36 @@
     return changed;
 }
 
+/* True if every group has owners, or poolers that share its connections. */
+static bool
+is_served(const struct control *control)
+{
+    GPtrArray *services = control->configuration->services;
+    for (guint i = 0; i < services->len; i++) {
+        const struct service *service = g_ptr_array_index(services, i);
+        bool served = control_owners_of(control, service->name) != NULL ||
+                      control_direct_share(control, service) > 0;
+        if (!served) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* True while more poolers are expected to be heard than have been. */
+static bool
+is_early(const struct control *control, time_ns now)
+{
+    bool complete = control->members_before > 0 &&
+                    g_hash_table_size(control->poolers) >= control->members_before;
+    time_ns gather = is_served(control) ? GATHER_SERVED_NS : GATHER_IDLE_NS;
+    return !complete && now < control->coordinator_since + gather;
+}
+
 void
 control_owners_tick(struct control *control, time_ns now)
 {
-    bool known = g_hash_table_size(control->ownerships) > 0;
-    time_ns gather = known ? GATHER_KNOWN_NS : GATHER_FIRST_NS;
-    bool early = now < control->coordinator_since + gather;
-    if (early || now < control->owners_at || control->configuration == NULL) {
+    if (control->configuration == NULL || now < control->owners_at || is_early(control, now)) {
         return;
     }
     control->owners_at = now + DECIDE_EVERY_NS;
--- a/src/pooler/control_relay.c
+++ b/src/pooler/control_relay.c
@@ -27,9 +27,16 @@
 /** A large row is passed on all the same once it is known for so long. */
 #define LARGE_ROW_WAIT_NS (500 * MS)
 
-/** A pooler that starts waits so long for somebody who tells it what the store holds. */
-#define START_WAIT_MIN_MS 500
-#define START_WAIT_MAX_MS 900
+/** A pooler that starts asks the store after this, unless another pooler has answered by then. A
+ * live one answers within a few milliseconds, from another zone as well; after the loss of all
+ * poolers nobody does, and each millisecond is one without service. */
+#define START_WAIT_MIN_MS 25
+#define START_WAIT_MAX_MS 50
+
+/** Once another pooler has answered, the store is left alone for so much longer, as the coordinator
+ *  tells the rest: three rounds of messages, on machines that answer slowly. Only once, as the one
+ *  that answered may know no coordinator either. */
+#define START_ANSWERED_NS (150 * MS)
 
 /** Poolers that follow the store beside the coordinator, so that one of them can succeed it. */
 #define FOLLOWERS 3
@@ -192,6 +199,17 @@
     control->lease.next_at = control->relied_until;
 }
 
+void
+control_relay_peer_answered(struct control *control, time_ns now)
+{
+    bool starting = control->granted_at == 0 && control->relied_until > now;
+    if (starting && !control->start_answered) {
+        control->start_answered = true;
+        control->relied_until = now + START_ANSWERED_NS;
+        control->lease.next_at = control->relied_until;
+    }
+}
+
 static gint
 compare_by_hash(gconstpointer a, gconstpointer b)
 {
--- a/src/pooler/control_view.c
+++ b/src/pooler/control_view.c
@@ -10,8 +10,8 @@
 /* Connections to each database left for the coordinator and for poolers that come and go. */
 #define CONNECTIONS_SPARE 3
 
-/* Share of connections where nobody has told how many poolers there are. */
-#define MEMBERS_ASSUMED 12
+/* Connections to each database of a pooler that nobody has told how many poolers there are. */
+#define CONNECTIONS_UNTOLD 1
 
 /* A pooler that starts opens no connections before: with many poolers, these would be too many. */
 #define TOLD_SOON_NS (600 * MS)
@@ -42,19 +42,31 @@
     return group;
 }
 
-static uint32_t
-connections_of(const struct control *control, const struct service *service)
+uint32_t
+control_fleet_size(const struct control *control)
 {
-    bool told = control->members_told > 0;
-    if (!told && backend_now() < control->started_at + TOLD_SOON_NS) {
-        return 0;
-    }
-    uint32_t members = told ? control->members_told : MEMBERS_ASSUMED;
+    return control->members_told > 0 ? control->members_told : control->lease.record.poolers;
+}
+
+uint32_t
+control_direct_share(const struct control *control, const struct service *service)
+{
+    uint32_t members = control_fleet_size(control);
     uint32_t room = service->max_connections > CONNECTIONS_SPARE
                         ? service->max_connections - CONNECTIONS_SPARE
                         : 1;
-    uint32_t share = room / (members * control->workers_count);
-    return told ? share : MAX(share, 1);
+    return members == 0 ? 0 : room / (members * control->workers_count);
+}
+
+/* A pooler that starts while neither the store nor a coordinator is there opens a few connections
+ * after a while. */
+static uint32_t
+connections_of(const struct control *control, const struct service *service)
+{
+    if (control_fleet_size(control) > 0) {
+        return control_direct_share(control, service);
+    }
+    return backend_now() < control->started_at + TOLD_SOON_NS ? 0 : CONNECTIONS_UNTOLD;
 }
 
 static bool
