Count only the statements ahead when a wait is predicted

A statement of an urgent route goes before others in the queue, but was refused by the length of all of it.

--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -293,7 +293,20 @@
     return led ? primary->servers->len : 0;
 }
 
-/* True if the statement would wait past its route's objective: with so many before it at the
+/* How many statements in its group's queue go before this one. */
+static uint32_t
+count_ahead(const struct session *session)
+{
+    uint32_t ahead = 0;
+    const GList *link = session->route.group->queue.head;
+    while (link != NULL && !is_before(session, link->data)) {
+        ahead++;
+        link = link->next;
+    }
+    return ahead;
+}
+
+/* True if the statement would be answered past its route's objective: with so many before it at the
  * primary, and each connection's usual time. It is refused at once then, so that the client may try
  * again, and those before it are in time. */
 static bool
@@ -304,7 +317,7 @@
     if (usable == 0) {
         return false;
     }
-    double wait_ms = group->primary->latency_ms * group->queue.length / usable;
+    double wait_ms = group->primary->latency_ms * count_ahead(session) / usable;
     return wait_ms > session->route.target_ms;
 }
 
