Keep owners in the lease's row; serve alone where no owner is reached; refuse at once what only a lost primary could serve

Owners stand in the lease's row, so that a pooler that starts after the loss of all forwards as soon as an owner answers. A link gets statements only after a sign of its owner, and a connection without a sign is tried anew after 120 ms.

--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -173,7 +173,7 @@
     grant.coordinator = g_strdup(control->settings->pooler.name);
     grant.coordinator_address = g_strdup(control->coordinator_address);
     add_followed(control, &grant);
-    control_owners_fill(control, 0, &grant);
+    control_owners_fill(control, 0, &grant.ownerships, &grant.ownerships_count);
     const row_versions_t known = {heartbeat->relay.configuration_row,
                                   heartbeat->relay.directory_row};
     control_relay_fill(control, &known, backend_now(), &grant.relay);
@@ -192,7 +192,8 @@
     grant.token = control->lease.token;
     grant.members = control_coordinator_count(control);
     grant.follows_store = pooler->follows_store;
-    pooler->ownership_told = control_owners_fill(control, pooler->ownership_told, &grant);
+    pooler->ownership_told = control_owners_fill(control, pooler->ownership_told, &grant.ownerships,
+                                                 &grant.ownerships_count);
     add_orders(control, pooler, &grant);
     control_relay_fill(control, &pooler->known, now, &grant.relay);
     pooler->known = (row_versions_t){grant.relay.configuration_row, grant.relay.directory_row};
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -234,11 +234,13 @@
 /** @return who holds the connections to the group's databases; NULL if nobody has told. */
 const struct pooler_ownership *control_owners_of(const struct control *control,
                                                  const char *service);
-/** @brief Adds what is newer than `told` to the grant. @return the newest version added. */
+/** @brief Copies what is newer than `told` into a new array. @return the newest version copied. */
 uint64_t control_owners_fill(const struct control *control, uint64_t told,
-                             struct pooler_grant *grant);
-/** @brief Takes over what another pooler tells. */
-void control_owners_take(struct control *control, const struct pooler_grant *grant);
+                             struct pooler_ownership **out, size_t *count);
+/** @brief Takes over what another pooler tells, or the lease's row. */
+void control_owners_take(struct control *control, const struct pooler_ownership *all, size_t count);
+/** @return true while a new coordinator expects to hear more poolers before it names owners. */
+bool control_owners_early(const struct control *control, time_ns now);
 /** @brief Names the owners of all groups. @return true if any has changed. */
 bool control_owners_decide(struct control *control, time_ns now);
 /** @brief Names the owners from time to time, at the coordinator, and tells the poolers of changes.
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -19,11 +19,15 @@
 #define LOOK_EVERY_NS (450 * MS)
 
 /* A lease that is not renewed is looked at again as it ends, by poolers that follow the store
- * within this after its end, by others within three times this: the first to look takes it. Less
- * than a tenth of the lease, so that little is lost, and longer than a call at the store takes, so
- * that most find it taken. */
+ * within this after its end: less than a tenth of the lease, so that little is lost, and longer
+ * than a call at the store takes, so that most find it taken. */
 #define TAKE_SPREAD_MS 60
 
+/* The others look after those, in a spread that grows with the fleet: about a look in 8 ms, a few
+ * times the length of a call, until one of them passes on who has taken it. */
+#define TAKE_SPREAD_OTHERS_MS     180
+#define TAKE_SPREAD_PER_POOLER_MS 8
+
 /* A renewal without an answer for this long: the store is lost to the holder. */
 #define FAILING_NS (700 * MS)
 
@@ -78,6 +82,8 @@
         const struct store_row *row = g_ptr_array_index(answer->rows, i);
         if (!row->gone && g_str_equal(row->key, LEASE_KEY)) {
             take_record(&control->lease, row);
+            const struct lease_record *record = &control->lease.record;
+            control_owners_take(control, record->ownerships, record->ownerships_count);
             control->view_dirty = true; /* the size of the fleet may be known only now */
         }
         control_take_row(control, STORE_TABLE_CONTROL, row->key, row->version,
@@ -126,14 +132,16 @@
     struct lease *lease = &control->lease;
     uint64_t store_now = lease->clock_ms + (now - lease->clock_received) / MS;
     struct lease_record record = {
-        .holder = control->settings->pooler.name,
-        .address = control->address,
+        .holder = g_strdup(control->settings->pooler.name),
+        .address = g_strdup(control->address),
         .incarnation = control->incarnation,
         .token = token,
         .expires_ms = give_up ? 0 : store_now + LEASE_NS / MS,
         .poolers = lease->held ? control_coordinator_count(control) : lease->record.poolers,
     };
+    control_owners_fill(control, 0, &record.ownerships, &record.ownerships_count);
     GByteArray *octets = lease_record_encode(&record);
+    lease_record_clear(&record);
     struct store_put put = {LEASE_KEY, octets->data, octets->len};
     lease->calling = true;
     lease->call_sent = now;
@@ -245,20 +253,31 @@
                      lease->record.holder == NULL ? "nobody" : lease->record.holder);
 }
 
-/* When the row is looked at again: as the lease ends, if it is another's. Those that follow the
- * store take it first, the others if they do not. */
+/* Moments at which poolers look at a lease that has ended. Those that follow the store take it
+ * first, the others if they do not. */
+static time_ns
+spread_of(const struct control *control)
+{
+    if (control->follows_store) {
+        return TAKE_SPREAD_MS * MS;
+    }
+    uint32_t spread = TAKE_SPREAD_PER_POOLER_MS * control_fleet_size(control);
+    return MAX(spread, TAKE_SPREAD_OTHERS_MS) * MS;
+}
+
+/* When the row is looked at again: as the lease ends, if it is another's. */
 static time_ns
 next_look(const struct control *control, const struct store_answer *answer, time_ns now)
 {
     const struct lease_record *record = &control->lease.record;
-    int share = control->follows_store ? 1 : 3;
     bool runs = answer->outcome == STORE_DONE && record->expires_ms > answer->clock_ms;
     if (runs) {
         time_ns left = (record->expires_ms - answer->clock_ms) * MS;
+        time_ns spread = spread_of(control);
         return now + MIN(left, LEASE_NS) +
-               (time_ns)g_random_int_range(1, TAKE_SPREAD_MS * share) * MS;
+               (time_ns)g_random_int_range(1, (gint32)(spread / MS)) * MS;
     }
-    time_ns every = LOOK_EVERY_NS * share;
+    time_ns every = control->follows_store ? LOOK_EVERY_NS : LOOK_EVERY_NS * 3;
     return now + every / 2 + (time_ns)g_random_int_range(0, (gint32)(every / MS)) * MS;
 }
 
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -223,7 +223,7 @@
         take_order(control, order);
     }
     take_permits(control, grant->token, sent == 0 ? 0 : sent + grant->permit_ms * MS);
-    control_owners_take(control, grant);
+    control_owners_take(control, grant->ownerships, grant->ownerships_count);
     control_relay_take(control, &grant->relay);
     control_relay_rely(control, grant, now);
     control_publish(control);
@@ -240,7 +240,7 @@
     for (size_t i = 0; i < grant->groups_count; i++) {
         take_order(control, &grant->groups[i]);
     }
-    control_owners_take(control, grant);
+    control_owners_take(control, grant->ownerships, grant->ownerships_count);
     control_relay_take(control, &grant->relay);
     control_publish(control);
 }
--- a/src/pooler/control_owners.c
+++ b/src/pooler/control_owners.c
@@ -89,17 +89,19 @@
 }
 
 uint64_t
-control_owners_fill(const struct control *control, uint64_t told, struct pooler_grant *grant)
+control_owners_fill(const struct control *control, uint64_t told, struct pooler_ownership **out,
+                    size_t *count)
 {
     uint64_t newest = told;
     GHashTableIter iterator;
     gpointer value = NULL;
-    grant->ownerships = g_new0(struct pooler_ownership, g_hash_table_size(control->ownerships) + 1);
+    *out = g_new0(struct pooler_ownership, g_hash_table_size(control->ownerships) + 1);
+    *count = 0;
     g_hash_table_iter_init(&iterator, control->ownerships);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct pooler_ownership *ownership = value;
         if (ownership->version > told) {
-            copy(&grant->ownerships[grant->ownerships_count++], ownership);
+            copy(&(*out)[(*count)++], ownership);
             newest = MAX(newest, ownership->version);
         }
     }
@@ -107,10 +109,10 @@
 }
 
 void
-control_owners_take(struct control *control, const struct pooler_grant *grant)
+control_owners_take(struct control *control, const struct pooler_ownership *all, size_t count)
 {
-    for (size_t i = 0; i < grant->ownerships_count; i++) {
-        const struct pooler_ownership *told = &grant->ownerships[i];
+    for (size_t i = 0; i < count; i++) {
+        const struct pooler_ownership *told = &all[i];
         const struct pooler_ownership *known = control_owners_of(control, told->service);
         if (known != NULL && known->version >= told->version) {
             continue;
@@ -307,9 +309,8 @@
     return true;
 }
 
-/* True while more poolers are expected to be heard than have been. */
-static bool
-is_early(const struct control *control, time_ns now)
+bool
+control_owners_early(const struct control *control, time_ns now)
 {
     bool complete = control->members_before > 0 &&
                     g_hash_table_size(control->poolers) >= control->members_before;
@@ -320,7 +321,8 @@
 void
 control_owners_tick(struct control *control, time_ns now)
 {
-    if (control->configuration == NULL || now < control->owners_at || is_early(control, now)) {
+    if (control->configuration == NULL || now < control->owners_at ||
+        control_owners_early(control, now)) {
         return;
     }
     control->owners_at = now + DECIDE_EVERY_NS;
--- a/src/pooler/control_view.c
+++ b/src/pooler/control_view.c
@@ -130,6 +130,7 @@
         out->connections = ownership->connections;
     } else {
         fill_owners(control, ownership, out);
+        out->alone_connections = control_direct_share(control, service);
     }
 }
 
--- a/src/pooler/forward.c
+++ b/src/pooler/forward.c
@@ -21,6 +21,11 @@
 /** Without that sign for so long, it is given up. */
 #define SILENT_AFTER_NS (350 * NANOSECONDS_PER_MILLISECOND)
 
+/** A new connection without a sign for so long is tried anew: a live owner answers within a few
+ *  milliseconds, and one that was dark when the first packet came is sent another only after a
+ *  second. */
+#define SIGN_WAIT_NS (120 * NANOSECONDS_PER_MILLISECOND)
+
 /** A lost or unwilling owner is passed over for so long, twice as long each time it is lost. */
 #define AVOID_MIN_NS (100 * NANOSECONDS_PER_MILLISECOND)
 #define AVOID_MAX_NS (1600 * NANOSECONDS_PER_MILLISECOND)
@@ -44,7 +49,8 @@
     time_ns pinged_at;
     time_ns avoid_until;
     uint32_t losses; /* in a row */
-    bool doubted;    /* lost, and not heard since: it gets no statement before it gives a sign */
+    bool doubted;    /* not heard since it was lost, or ever: it gets no statement before it gives a
+                        sign */
 };
 
 bool
@@ -124,6 +130,7 @@
     link->doubted = false;
     g_hash_table_iter_init(&iterator, link->worker->groups);
     while (g_hash_table_iter_next(&iterator, NULL, &group)) {
+        group_rejoin(group);
         g_ptr_array_add(link->worker->groups_to_run, group);
     }
 }
@@ -188,6 +195,7 @@
         link->text = g_strdup(text);
         link->address = *address;
         link->callbacks = (struct peer_callbacks){on_frame, on_closed, link};
+        link->doubted = true;
         link->channels = g_hash_table_new(g_int64_hash, g_int64_equal);
         g_hash_table_insert(worker->links, link->text, link);
     }
@@ -235,6 +243,29 @@
     }
 }
 
+bool
+forward_none_left(const struct group *group)
+{
+    for (guint i = 0; i < group->links->len; i++) {
+        if (!((const link_t *)g_ptr_array_index(group->links, i))->doubted) {
+            return false;
+        }
+    }
+    return group->links->len > 0;
+}
+
+void
+forward_try_again(const struct group *group)
+{
+    time_ns now = backend_now();
+    for (guint i = 0; i < group->links->len; i++) {
+        link_t *link = g_ptr_array_index(group->links, i);
+        if (link->doubted) {
+            try_again(link, now);
+        }
+    }
+}
+
 /* The owner with the fewest statements from here, near ones by preference. */
 static link_t *
 choose(const struct group *group, time_ns now)
@@ -387,7 +418,8 @@
         return;
     }
     bool pinged = link->pinged_at >= link->quiet_since;
-    if (pinged && now > link->pinged_at + SILENT_AFTER_NS) {
+    time_ns patience = link->doubted ? SIGN_WAIT_NS : SILENT_AFTER_NS;
+    if (pinged && now > link->pinged_at + patience) {
         struct peer *peer = link->peer;
         lose(link, now);
         peer_free(peer);
--- a/src/pooler/forward.h
+++ b/src/pooler/forward.h
@@ -50,6 +50,12 @@
 /** @return true if the session's transaction or statement is at an owner. */
 bool forward_is_open(const struct session *session);
 
+/** @return true if the group has owners, and each was lost and has given no sign since. */
+bool forward_none_left(const struct group *group);
+
+/** @brief Tries to reach the owners of a group that were lost. */
+void forward_try_again(const struct group *group);
+
 /** @brief Asks quiet owners for a sign of life, and gives up on silent ones. */
 void forward_tick(struct worker *worker, time_ns now);
 
--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -14,6 +14,7 @@
         group->databases = g_ptr_array_new();
         group->links = g_ptr_array_new();
         g_queue_init(&group->queue);
+        group->closed_since = backend_now();
         g_hash_table_insert(worker->groups, shared->service, group);
     }
     return group;
@@ -85,7 +86,14 @@
     group->term = view->term;
     group->phase = view->phase;
     group->epoch = view->epoch;
+    bool open = primary != NULL && view->phase == GROUP_PHASE_OPEN;
+    if (open) {
+        group->closed_since = 0;
+    } else if (group->closed_since == 0) {
+        group->closed_since = backend_now();
+    }
     if (moved) {
+        group->checks_failed = 0;
         freshness_clear(&group->freshness);
         group->led_at = 0;
     }
@@ -131,7 +139,13 @@
     struct database *primary = NULL;
     group->sync_replicas = view->sync_replicas;
     group->connections = view->connections;
+    group->alone_connections = view->alone_connections;
     apply_owners(group, view);
+    forward_try_again(group);
+    group->alone = group->alone && group->connections == 0 && forward_none_left(group);
+    if (group->alone) {
+        group->connections = group->alone_connections;
+    }
     if (group->connections == 0) {
         close_connections(group);
     }
@@ -153,6 +167,35 @@
     atomic_store(&group->shared->workers[group->worker->index].epoch, group->epoch);
 }
 
+bool
+group_go_alone(struct group *group)
+{
+    if (group->alone_connections == 0 || !forward_none_left(group)) {
+        return false;
+    }
+    g_log_structured("router", G_LOG_LEVEL_MESSAGE, "SW_SERVICE", group->shared->service, "MESSAGE",
+                     "Group %s: none of its %u owners can be reached, served by %u connections of "
+                     "its own.",
+                     group->shared->service, group->links->len, group->alone_connections);
+    group->alone = true;
+    group->connections = group->alone_connections;
+    make_ready(group);
+    return true;
+}
+
+void
+group_rejoin(struct group *group)
+{
+    if (!group->alone || forward_none_left(group)) {
+        return;
+    }
+    g_log_structured("router", G_LOG_LEVEL_MESSAGE, "SW_SERVICE", group->shared->service, "MESSAGE",
+                     "Group %s: an owner can be reached again.", group->shared->service);
+    group->alone = false;
+    group->connections = 0;
+    close_connections(group);
+}
+
 void
 group_note_in_flight(struct group *group)
 {
@@ -168,6 +211,9 @@
 group_tick(struct group *group, time_ns now)
 {
     bool faulty = false;
+    if (group->alone) {
+        forward_try_again(group);
+    }
     for (guint i = 0; i < group->databases->len; i++) {
         struct database *database = g_ptr_array_index(group->databases, i);
         database_tick(database, now);
--- a/src/pooler/leadership.c
+++ b/src/pooler/leadership.c
@@ -39,8 +39,10 @@
     check->running = false;
     if (!is_proven(group)) {
         group->check_again_at = backend_now() + CHECK_FAILED_NS;
+        group->checks_failed++;
         return;
     }
+    group->checks_failed = 0;
     leadership_note(group, check->started);
     freshness_add(&group->freshness, check->started, check->position);
     g_ptr_array_add(group->worker->groups_to_run, group);
--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -225,7 +225,7 @@
     if (now < session->request.not_before) {
         return false;
     }
-    if (router_forwards(session->route.group)) {
+    if (router_forwards(session->route.group) && !group_go_alone(session->route.group)) {
         return try_forward(session);
     }
     find_need(session, &need);
@@ -321,12 +321,51 @@
     return wait_ms > session->route.target_ms;
 }
 
+/* A primary that is out of reach for so long is out of this pooler's reach, or its group's change
+ * is held up: most changes are over within 0.6 s of the first sign, 0.3 s of these the promotion.
+ */
+#define PRIMARY_LOST_NS (700 * NANOSECONDS_PER_MILLISECOND)
+
+/* So many checks of leadership that fail in a row show that there is no proof to be had here. */
+#define PROOF_LOST_CHECKS 2
+
+/* True if the primary can't serve the statement now, nor has for a while. */
+static bool
+primary_is_lost(const struct session *session, const struct need *need, time_ns now)
+{
+    const struct group *group = session->route.group;
+    if (group->closed_since != 0) {
+        return now > group->closed_since + PRIMARY_LOST_NS;
+    }
+    enum database_fault fault = database_fault(group->primary);
+    bool concerns = fault != DATABASE_FAULT_NONE &&
+                    (fault != DATABASE_FAULT_STALLED || session->request.writes);
+    if (concerns) {
+        return now > atomic_load(&group->primary->shared->fault_since) + PRIMARY_LOST_NS;
+    }
+    return need->permit && !need->writes && !router_has_permit(group, now) &&
+           group->checks_failed >= PROOF_LOST_CHECKS && now < group->check_again_at;
+}
+
+/* True if only a primary can serve the statement, and it is lost to this pooler. Another pooler may
+ * reach it: the client learns at once that nothing has run, and asks there. */
+static bool
+is_hopeless(const struct session *session)
+{
+    struct need need;
+    if (router_forwards(session->route.group)) {
+        return false;
+    }
+    find_need(session, &need);
+    return need.primary && primary_is_lost(session, &need, backend_now());
+}
+
 void
 router_submit(struct session *session)
 {
     session->state = SESSION_QUEUED;
     if (!try_send(session) && session->state == SESSION_QUEUED && session->queue_link == NULL) {
-        if (would_be_late(session)) {
+        if (would_be_late(session) || is_hopeless(session)) {
             session_refuse(session);
             return;
         }
--- a/src/pooler/view.h
+++ b/src/pooler/view.h
@@ -62,6 +62,7 @@
     uint32_t connections; /* that each worker may open to one database; 0: others own them */
     owner_view_t *owners; /* those others, in this zone first */
     size_t owners_count;
+    uint32_t alone_connections; /* of this pooler's workers while they reach none of the owners */
     struct member_view *members;
     size_t members_count;
 };
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -214,16 +214,20 @@
     enum group_phase phase;
     uint64_t term;
     uint32_t sync_replicas;
-    uint32_t connections;
-    GPtrArray *databases; /* of struct database, owned */
-    GPtrArray *links;     /* to the group's owners, link_t, near ones first; empty if it has none */
-    guint links_near;     /* how many of them are in this zone */
+    uint32_t connections;       /* to each database; 0: statements go to the group's owners */
+    uint32_t alone_connections; /* the same while none of the owners can be reached */
+    bool alone;                 /* which is so now */
+    GPtrArray *databases;       /* of struct database, owned */
+    GPtrArray *links; /* to the group's owners, link_t, near ones first; empty if it has none */
+    guint links_near; /* how many of them are in this zone */
     struct database *primary;
     GQueue queue; /* of struct session, most urgent first */
     struct freshness freshness;
     struct leadership_check check;
     time_ns check_again_at;
-    time_ns led_at; /* the primary is known to have led at this moment; 0: never */
+    uint32_t checks_failed; /* in a row */
+    time_ns closed_since;   /* nobody has been open as the primary since then; 0: one is */
+    time_ns led_at;         /* the primary is known to have led at this moment; 0: never */
 };
 
 struct worker {
@@ -348,6 +352,11 @@
 /* group.c */
 struct group *group_of(struct worker *worker, struct group_shared *shared);
 void group_apply(struct group *group, const struct pooled_group *view);
+/** @brief Serves the group by connections of its own, if none of its owners can be reached.
+ *  @return false if it has none to open, or an owner may be reached. */
+bool group_go_alone(struct group *group);
+/** @brief Leaves the group to its owners again, as one of them has given a sign. */
+void group_rejoin(struct group *group);
 /* Looks at what waits or is silent. True while a database in use has a fault: only a look at it
  * takes that back. */
 bool group_tick(struct group *group, time_ns now);
--- a/tests/pooler/test_forward.c
+++ b/tests/pooler/test_forward.c
@@ -186,6 +186,39 @@
     client_close(client);
 }
 
+static uint64_t
+count_forwarded(const struct fixture *fixture)
+{
+    return atomic_load(&worker_metrics(fixture->worker)->counters[METRICS_FORWARDED]);
+}
+
+/* Out of reach of all owners, a worker serves by a few connections of its own, until an owner gives
+ * a sign again. */
+static void
+test_alone(struct fixture *fixture, gconstpointer unused)
+{
+    fixture->alone_connections = 1;
+    publish(fixture);
+    struct client *client = client_open(fixture, "strict");
+    good(client, "WRITE hut 4", 'I');
+    uint64_t forwarded = count_forwarded(fixture);
+    stop_owner(fixture, 0);
+    stop_owner(fixture, 1);
+    good(client, "READ hut", 'I');
+    g_assert_cmpstr(client->row, ==, "4");
+    good(client, "WRITE hut 5", 'I');
+    g_assert_cmpuint(count_runs(fixture, "WRITE hut 5"), ==, 1);
+    g_assert_cmpuint(count_forwarded(fixture), <=, forwarded + 2);
+    start_owner(fixture, 0);
+    publish(fixture);
+    forwarded = count_forwarded(fixture);
+    while (count_forwarded(fixture) == forwarded) {
+        good(client, "READ hut", 'I');
+        g_usleep(10000);
+    }
+    client_close(client);
+}
+
 /* The owner rolls back what a client leaves behind, and its connection serves others. */
 static void
 test_client_gone(struct fixture *fixture, gconstpointer unused)
@@ -218,5 +251,6 @@
     ADD("silent-owner", test_silent_owner);
     ADD("no-owner", test_no_owner);
     ADD("client-gone", test_client_gone);
+    ADD("alone", test_alone);
     return g_test_run();
 }
--- a/tests/pooler/test_owners.c
+++ b/tests/pooler/test_owners.c
@@ -104,6 +104,13 @@
     return control_owners_of(fixture->control, name);
 }
 
+static uint64_t
+fill(const fixture_t *fixture, uint64_t told, struct pooler_grant *grant)
+{
+    return control_owners_fill(fixture->control, told, &grant->ownerships,
+                               &grant->ownerships_count);
+}
+
 static unsigned
 count_in_zone(const struct pooler_ownership *ownership, const char *zone)
 {
@@ -183,17 +190,20 @@
 test_leaving_owner(fixture_t *fixture, gconstpointer unused)
 {
     struct pooler_grant before;
+    struct pooler_grant after;
     configure(fixture, 39);
     for (unsigned i = 0; i < 67; i++) {
         add_pooler(fixture, i);
     }
     decide(fixture);
     pooler_grant_init(&before);
-    uint64_t told = control_owners_fill(fixture->control, 0, &before);
+    uint64_t told = fill(fixture, 0, &before);
     g_assert_cmpuint(before.ownerships_count, ==, SERVICES);
     decide(fixture);
-    g_assert_cmpuint(control_owners_fill(fixture->control, told, &(struct pooler_grant){0}), ==,
-                     told);
+    pooler_grant_init(&after);
+    g_assert_cmpuint(fill(fixture, told, &after), ==, told);
+    g_assert_cmpuint(after.ownerships_count, ==, 0);
+    pooler_grant_clear(&after);
     g_hash_table_remove(fixture->control->poolers, "front-11");
     decide(fixture);
     for (size_t i = 0; i < before.ownerships_count; i++) {
@@ -217,19 +227,60 @@
     }
     decide(fixture);
     pooler_grant_init(&grant);
-    control_owners_fill(fixture->control, 0, &grant);
-    control_owners_take(other, &grant);
+    fill(fixture, 0, &grant);
+    control_owners_take(other, grant.ownerships, grant.ownerships_count);
     const struct pooler_ownership *taken = control_owners_of(other, "ledger-3");
     uint64_t version = taken->version;
     g_assert_cmpuint(version, ==, ownership(fixture, 3)->version);
     grant.ownerships[0].version = 1;
     grant.ownerships[0].connections = 77;
-    control_owners_take(other, &grant);
+    control_owners_take(other, grant.ownerships, grant.ownerships_count);
     g_assert_cmpuint(control_owners_of(other, grant.ownerships[0].service)->connections, !=, 77);
     pooler_grant_clear(&grant);
     control_free(other);
 }
 
+/* A pooler that starts after the loss of all knows from the lease's row how many share the
+ * connections, until a coordinator tells. */
+static void
+test_share_by_the_row(fixture_t *fixture, gconstpointer unused)
+{
+    struct control *control = fixture->control;
+    control->workers_count = 1;
+    configure(fixture, 16);
+    const struct service *service = g_ptr_array_index(control->configuration->services, 0);
+    g_assert_cmpuint(control_direct_share(control, service), ==, 0);
+    control->lease.record.poolers = 6;
+    g_assert_cmpuint(control_direct_share(control, service), ==, 2);
+    control->lease.record.poolers = 90;
+    g_assert_cmpuint(control_direct_share(control, service), ==, 0);
+    control->members_told = 3;
+    g_assert_cmpuint(control_direct_share(control, service), ==, 4);
+}
+
+/* A new coordinator names owners once it hears as many poolers as there were; it waits longer for
+ * the rest where all can serve meanwhile. */
+static void
+test_gathers(fixture_t *fixture, gconstpointer unused)
+{
+    struct control *control = fixture->control;
+    control->workers_count = 1;
+    control->coordinator_since = fixture->now;
+    control->members_before = 6;
+    control->members_told = 6;
+    configure(fixture, 16);
+    for (unsigned i = 0; i < 5; i++) {
+        add_pooler(fixture, i);
+    }
+    g_assert_true(control_owners_early(control, fixture->now + 500 * MS));
+    g_assert_false(control_owners_early(control, fixture->now + 2000 * MS));
+    configure(fixture, 6); /* too few for each */
+    g_assert_true(control_owners_early(control, fixture->now + 300 * MS));
+    g_assert_false(control_owners_early(control, fixture->now + 500 * MS));
+    add_pooler(fixture, 5);
+    g_assert_false(control_owners_early(control, fixture->now));
+}
+
 #define ADD(name, test) g_test_add("/pooler/owners/" name, fixture_t, NULL, set_up, test, tear_down)
 
 int
@@ -241,5 +292,7 @@
     ADD("spread", test_spread);
     ADD("leaving-owner", test_leaving_owner);
     ADD("told", test_told);
+    ADD("share-by-the-row", test_share_by_the_row);
+    ADD("gathers", test_gathers);
     return g_test_run();
 }
--- a/tests/pooler/test_relay.c
+++ b/tests/pooler/test_relay.c
@@ -165,6 +165,27 @@
     pooler_grant_clear(&grant);
 }
 
+/* After the loss of all poolers nobody answers one that starts: it asks the store soon, and no
+ * later for an answer of one that knows nothing either. */
+static void
+test_start(fixture_t *fixture, gconstpointer unused)
+{
+    struct control *control = fixture->to;
+    fixture->settings.pooler.peers.items = (char *[]){(char *)"10.0.0.1:8782"};
+    fixture->settings.pooler.peers.count = 1;
+    control->address = (char *)"10.0.0.2:8782";
+    control->started_at = backend_now();
+    control_relay_start(control);
+    g_assert_false(control_relay_follows(control, control->started_at));
+    g_assert_true(control_relay_follows(control, control->started_at + 100 * MS));
+    time_ns now = control->started_at + 5 * MS;
+    control_relay_peer_answered(control, now);
+    g_assert_false(control_relay_follows(control, now + 100 * MS));
+    control_relay_peer_answered(control, now + 100 * MS);
+    g_assert_true(control_relay_follows(control, now + 200 * MS));
+    g_assert_cmpuint(control->lease.next_at, <, now + 200 * MS);
+}
+
 #define ADD(name, test) g_test_add("/pooler/relay/" name, fixture_t, NULL, set_up, test, tear_down)
 
 int
@@ -177,5 +198,6 @@
     ADD("older-sender", test_older_sender);
     ADD("large-row", test_large_row);
     ADD("reliance", test_reliance);
+    ADD("start", test_start);
     return g_test_run();
 }
--- a/tests/pooler/test_worker.c
+++ b/tests/pooler/test_worker.c
@@ -387,6 +387,33 @@
     client_close(client);
 }
 
+/* Once a group has been closed for longer than a change takes, its statements are refused as they
+ * come, so that their clients can ask another pooler in time. */
+static void
+test_refusal_once_lost(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *client = client_open(fixture, "strict");
+    fixture->timeout_ms = 20000; /* the wait in the queue would be 9 s */
+    fixture->phase = GROUP_PHASE_CLOSED;
+    publish(fixture);
+    g_usleep(900 * 1000);
+    time_ns asked = backend_now();
+    bad(client, "WRITE hut 5", "BUSY", 'I');
+    g_assert_cmpuint(backend_now() - asked, <, 5000 * MS);
+    g_assert_nonnull(strstr(client->result, "retry in"));
+    fixture->phase = GROUP_PHASE_OPEN;
+    publish(fixture);
+    client_send(client, "WRITE hut 6");
+    client_read(client);
+    while (g_str_has_prefix(client->result, "ERROR BUSY")) {
+        client_send(client, "WRITE hut 6");
+        client_read(client);
+    }
+    g_assert_true(g_str_has_prefix(client->result, "COMPLETE"));
+    g_assert_cmpuint(line_group_committed(fixture->group, "hut", "5"), ==, 0);
+    client_close(client);
+}
+
 static void
 test_transaction_cut_by_a_change(struct fixture *fixture, gconstpointer unused)
 {
@@ -537,6 +564,7 @@
     ADD("empty-commit-after-a-write", set_up, test_empty_commit_after_a_write);
     ADD("change-of-primary", set_up, test_change_of_primary);
     ADD("refusal-while-closed", set_up, test_refusal_while_closed);
+    ADD("refusal-once-lost", set_up, test_refusal_once_lost);
     ADD("cut-by-a-change", set_up, test_transaction_cut_by_a_change);
     ADD("busy", set_up, test_busy_database_is_asked_again);
     ADD("connections-bounded", set_up, test_connections_are_bounded);
@@ -566,6 +594,7 @@
     ADD("forwarding/empty-commit", set_up_forwarding, test_empty_commit_proves_nothing);
     ADD("forwarding/change-of-primary", set_up_forwarding, test_change_of_primary);
     ADD("forwarding/refusal-while-closed", set_up_forwarding, test_refusal_while_closed);
+    ADD("forwarding/refusal-once-lost", set_up_forwarding, test_refusal_once_lost);
     ADD("forwarding/cut-by-a-change", set_up_forwarding, test_transaction_cut_by_a_change);
     ADD("forwarding/busy", set_up_forwarding, test_busy_database_is_asked_again);
     ADD("forwarding/connections-bounded", set_up_forwarding, test_connections_are_bounded);
--- a/tests/pooler/worker_fixture.c
+++ b/tests/pooler/worker_fixture.c
@@ -119,6 +119,7 @@
         make_view(fixture, fixture->figures, fixture->members, fixture->connections);
     if (name_owners(fixture, &view->groups[0]) > 0) {
         view->groups[0].connections = 0;
+        view->groups[0].alone_connections = fixture->alone_connections;
     }
     exchange_view(&fixture->shared, fixture->worker, view);
 }
--- a/tests/pooler/worker_fixture.h
+++ b/tests/pooler/worker_fixture.h
@@ -41,6 +41,7 @@
     uint64_t term;
     enum group_phase phase;
     uint32_t connections;
+    uint32_t alone_connections; /* of the worker, while it reaches no owner */
     uint32_t staleness_ms;
     uint32_t timeout_ms;
     bool with_route;
