Prefer strong machines as coordinator; leave the lease where the store refuses its holder; wait at the very first start

Change: heartbeats tell the processor that a machine grants, followers and successors are chosen by it first; a renewal that is overdue counts, however it fails; the wait at a start is a setting, long at the first start of all.

--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -236,6 +236,7 @@
     g_free(pooler->forward_address);
     pooler->forward_address = g_strdup(heartbeat->forward_address);
     pooler->workers = heartbeat->workers;
+    pooler->millicores = heartbeat->millicores;
     pooler->incarnation = heartbeat->incarnation;
     pooler->peer = peer;
     pooler->heard_at = now;
@@ -354,7 +355,17 @@
     return pooler->store_age_ms + (now - pooler->heard_at) / MS;
 }
 
-/* The pooler that heard the store last, less than so long ago; NULL if none has. */
+bool
+control_coordinator_prefers(const struct pooler_peer *pooler, const struct pooler_peer *than,
+                            time_ns now)
+{
+    if (than == NULL || pooler->millicores != than->millicores) {
+        return than == NULL || pooler->millicores > than->millicores;
+    }
+    return store_age_ms(pooler, now) < store_age_ms(than, now);
+}
+
+/* The best pooler that has heard the store less than so long ago; NULL if none has. */
 static struct pooler_peer *
 find_successor(const struct control *control, uint64_t age_max_ms, time_ns now)
 {
@@ -368,7 +379,7 @@
                     g_strcmp0(pooler->name, control->settings->pooler.name) != 0 &&
                     now < pooler->heard_at + SUCCESSOR_HEARD_NS &&
                     store_age_ms(pooler, now) < age_max_ms;
-        if (good && (best == NULL || store_age_ms(pooler, now) < store_age_ms(best, now))) {
+        if (good && control_coordinator_prefers(pooler, best, now)) {
             best = pooler;
         }
     }
@@ -382,7 +393,7 @@
     /* Few poolers ask the store. While it answers here, it will answer any other. Where it does
      * not, only one will do that it has answered since: a store that is silent to all is not met
      * sooner by another, and the permits would end with the lease. */
-    uint64_t silent_ms = (now - control->lease.call_sent) / MS;
+    uint64_t silent_ms = control_lease_overdue(control, now) / MS;
     uint64_t age_max_ms = planned ? UINT64_MAX : MAX(silent_ms, HEARD_SINCE_MS) - HEARD_SINCE_MS;
     struct pooler_peer *successor = find_successor(control, age_max_ms, now);
     if (successor == NULL) {
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -86,7 +86,7 @@
     bool releasing;
     uint64_t ceded_token; /* its holder has left the lease to us; 0: none has */
     uint64_t cessions;    /* leases that were left to us so far */
-    time_ns answered_at;  /* when a call about the lease was last answered */
+    time_ns answered_at;  /* when it was last taken or renewed */
 };
 
 /* A pooler as the coordinator knows it. */
@@ -101,6 +101,7 @@
     char *zone;
     char *forward_address;
     uint32_t workers;
+    uint32_t millicores;     /* processor that its machine grants */
     uint64_t ownership_told; /* newest version */
     row_versions_t known;    /* what it knows of the store's tables */
     bool follows_store;      /* by itself, beside the coordinator */
@@ -257,6 +258,8 @@
 void control_lease_take(struct control *control, const struct store_answer *answer);
 /* Gives the lease up, as at a planned stop. */
 void control_lease_release(struct control *control);
+/** @return for how long the holder's renewal has been due without being done. */
+time_ns control_lease_overdue(const struct control *control, time_ns now);
 /* The holder under this token has left the lease to us. */
 void control_lease_ceded(struct control *control, uint64_t token);
 /* True if the store does not answer the holder, so that the lease had better go to another. */
@@ -281,6 +284,11 @@
 /* Sends the newest orders to all poolers at once. */
 void control_coordinator_push(struct control *control);
 
+/** @return true if the lease had better be left to this pooler than to the other one (NULL: none):
+ *  to a strong machine first, as it will hear all the others, then to the one that heard the store
+ *  last. */
+bool control_coordinator_prefers(const struct pooler_peer *pooler, const struct pooler_peer *than,
+                                 time_ns now);
 /** @return how many poolers share the databases' connections, as the coordinator counts them. */
 uint32_t control_coordinator_count(const struct control *control);
 
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -28,7 +28,10 @@
 #define TAKE_SPREAD_OTHERS_MS     180
 #define TAKE_SPREAD_PER_POOLER_MS 8
 
-/* A renewal without an answer for this long: the store is lost to the holder. */
+/* A renewal that is overdue for this long, without an answer or refused each time: the store is
+ * lost to the holder. Two calls have been refused by then, and a third of the lease is left to pass
+ * it on.
+ */
 #define FAILING_NS (700 * MS)
 
 /* Kept free at the end of the lease: nothing is done in it. */
@@ -334,9 +337,14 @@
 bool
 control_lease_is_failing(const struct control *control, time_ns now)
 {
-    const struct lease *lease = &control->lease;
-    return lease->held && lease->calling && now > lease->call_sent + FAILING_NS &&
-           now > lease->answered_at + FAILING_NS;
+    return control->lease.held && control_lease_overdue(control, now) > FAILING_NS;
+}
+
+time_ns
+control_lease_overdue(const struct control *control, time_ns now)
+{
+    time_ns due = control->lease.answered_at + RENEW_EVERY_NS;
+    return now > due ? now - due : 0;
 }
 
 void
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -119,6 +119,8 @@
     out->store_age_ms = control_relay_age_ms(control, now);
     out->forward_address = g_strdup(control->settings->pooler.forward_listen);
     out->workers = control->workers_count;
+    out->millicores =
+        (uint32_t)(control->settings->pooler.cpu_share * control->workers_count * 1000);
     out->stopping = atomic_load(&control->shared.stop_at) != 0;
     out->groups = g_new0(struct pooler_group_report, g_hash_table_size(control->groups) + 1);
     GHashTableIter iterator;
--- a/src/pooler/control_relay.c
+++ b/src/pooler/control_relay.c
@@ -27,12 +27,6 @@
 /** A large row is passed on all the same once it is known for so long. */
 #define LARGE_ROW_WAIT_NS (500 * MS)
 
-/** A pooler that starts asks the store after this, unless another pooler has answered by then. A
- * live one answers within a few milliseconds, from another zone as well; after the loss of all
- * poolers nobody does, and each millisecond is one without service. */
-#define START_WAIT_MIN_MS 25
-#define START_WAIT_MAX_MS 50
-
 /** Once another pooler has answered, the store is left alone for so much longer, as the coordinator
  *  tells the rest: three rounds of messages, on machines that answer slowly. Only once, as the one
  *  that answered may know no coordinator either. */
@@ -194,7 +188,10 @@
 control_relay_start(struct control *control)
 {
     time_ns now = backend_now();
-    time_ns wait = (time_ns)g_random_int_range(START_WAIT_MIN_MS, START_WAIT_MAX_MS) * MS;
+    /* A live pooler answers within a few milliseconds, from another zone as well; after the loss of
+     * all nobody does, and each millisecond more is one without service. */
+    gint32 longest = (gint32)control->settings->pooler.start_wait_ms;
+    time_ns wait = (time_ns)g_random_int_range(longest / 2, longest) * MS;
     control->relied_until = is_known_address(control) ? 0 : now + wait;
     control->lease.next_at = control->relied_until;
 }
@@ -205,17 +202,24 @@
     bool starting = control->granted_at == 0 && control->relied_until > now;
     if (starting && !control->start_answered) {
         control->start_answered = true;
-        control->relied_until = now + START_ANSWERED_NS;
+        control->relied_until = MAX(control->relied_until, now + START_ANSWERED_NS);
         control->lease.next_at = control->relied_until;
     }
 }
 
+/* Strong machines first, as a follower becomes the coordinator, which hears all the others; among
+ * equals by hash, so that the same ones are chosen each time. */
 static gint
-compare_by_hash(gconstpointer a, gconstpointer b)
+compare_candidates(gconstpointer a, gconstpointer b)
 {
-    guint first = g_str_hash((*(struct pooler_peer *const *)a)->name);
-    guint second = g_str_hash((*(struct pooler_peer *const *)b)->name);
-    return first < second ? -1 : first > second;
+    const struct pooler_peer *first = *(struct pooler_peer *const *)a;
+    const struct pooler_peer *second = *(struct pooler_peer *const *)b;
+    if (first->millicores != second->millicores) {
+        return first->millicores > second->millicores ? -1 : 1;
+    }
+    guint first_hash = g_str_hash(first->name);
+    guint second_hash = g_str_hash(second->name);
+    return first_hash < second_hash ? -1 : first_hash > second_hash;
 }
 
 static bool
@@ -246,7 +250,7 @@
             g_ptr_array_add(poolers, pooler);
         }
     }
-    g_ptr_array_sort(poolers, compare_by_hash);
+    g_ptr_array_sort(poolers, compare_candidates);
     return poolers;
 }
 
--- a/tests/pooler/test_relay.c
+++ b/tests/pooler/test_relay.c
@@ -174,6 +174,7 @@
     fixture->settings.pooler.peers.items = (char *[]){(char *)"10.0.0.1:8782"};
     fixture->settings.pooler.peers.count = 1;
     control->address = (char *)"10.0.0.2:8782";
+    fixture->settings.pooler.start_wait_ms = 50;
     control->started_at = backend_now();
     control_relay_start(control);
     g_assert_false(control_relay_follows(control, control->started_at));
