--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -396,13 +396,24 @@
     return need.primary && primary_is_lost(session, &need, backend_now());
 }
 
+/* Why the statement had better not wait; NULL if it may. */
+static const char *
+find_refusal(const struct session *session)
+{
+    if (would_be_late(session)) {
+        return "it would be late";
+    }
+    return is_hopeless(session) ? "the primary is out of reach" : NULL;
+}
+
 void
 router_submit(struct session *session)
 {
     session->state = SESSION_QUEUED;
     if (!try_send(session) && session->state == SESSION_QUEUED && session->queue_link == NULL) {
-        if (would_be_late(session) || is_hopeless(session)) {
-            session_refuse(session);
+        const char *refusal = find_refusal(session);
+        if (refusal != NULL) {
+            session_refuse(session, refusal);
             return;
         }
         metrics_count(&session->worker->metrics, METRICS_QUEUED);
--- a/src/pooler/session_answer.c
+++ b/src/pooler/session_answer.c
@@ -90,8 +90,8 @@
                      request->sent_to == NULL ? "" : request->sent_to, "SW_ANSWER",
                      answer_meaning(code)->name, "SW_MS", waited, "SW_EPOCH", epoch, "SW_PHASE",
                      group == NULL ? "none" : group_phase_name(group->phase), "SW_QUEUE", queue,
-                     "SW_PERMIT", group != NULL && router_has_permit(group, now) ? "yes" : "no",
-                     "SW_PRIMARY",
+                     "SW_REASON", request->refusal == NULL ? "" : request->refusal, "SW_PERMIT",
+                     group != NULL && router_has_permit(group, now) ? "yes" : "no", "SW_PRIMARY",
                      group == NULL || group->primary == NULL ? "" : group->primary->shared->id,
                      "MESSAGE", "Request %s: %s (%s) after %s ms, %u attempts.", id,
                      answer_meaning(code)->name, text, waited, request->attempts);
@@ -360,8 +360,9 @@
 }
 
 void
-session_refuse(struct session *session)
+session_refuse(struct session *session, const char *reason)
 {
+    session->request.refusal = reason;
     session_answer_lost(session, ANSWER_BUSY);
 }
 
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -62,7 +62,8 @@
     const char *sent_to; /* id of that database, NULL: to none yet */
     time_ns not_before;  /* it is not sent again before */
     uint32_t attempts;
-    bool may_have_run; /* it was sent to a database */
+    bool may_have_run;   /* it was sent to a database */
+    const char *refusal; /* why it was refused as it came; NULL: it was not */
 };
 
 /** @brief What differs between a client of this pooler and one whose pooler forwards to it. */
@@ -282,7 +283,7 @@
 /* The statement has not run and may go elsewhere: queues it again or refuses it. */
 void session_try_again(struct session *session, enum answer_code reason);
 /* Its statement is not run, as it would be late; the client is told when to come back. */
-void session_refuse(struct session *session);
+void session_refuse(struct session *session, const char *reason);
 /* Its statement goes to a database. */
 void session_sent(struct session *session);
 /* Goes on with a session whose start came before the first view. */
