--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -30,7 +30,8 @@
 # Name, file, text as it stands, text with the mechanism off.
 MECHANISMS = [
     ("owners and forwarding", "src/pooler/control_owners.c", "#define DIRECT_MIN 4", "#define DIRECT_MIN 0"),
-    ("ready connections", "src/pooler/database.c", "#define READY_CONNECTIONS 2", "#define READY_CONNECTIONS 0"),
+    ("ready connections", "src/pooler/database.c",
+     "bool wanted = database->takes_work && database_fault(database) == DATABASE_FAULT_NONE;", "bool wanted = false;"),
     ("near databases first", "src/pooler/router.c", "#define OTHER_ZONE_FACTOR 3.0", "#define OTHER_ZONE_FACTOR 1.0"),
     ("replicas before the primary", "src/pooler/router.c", "#define PRIMARY_FACTOR    1.7",
      "#define PRIMARY_FACTOR    1.0"),
@@ -38,11 +39,11 @@
      "return group->phase != GROUP_PHASE_CLOSED && now < atomic_load(&group->shared->permit_until);",
      "return false;"),
     ("proof of leadership by statuses", "src/pooler/leadership.c",
-     "if (under_way || group->primary == NULL || now < group->check_again_at) {", "if (now != 0) {"),
+     "if (under_way || group->primary == NULL || now < group->check_again_at) {", "if (under_way || now != 0) {"),
     ("rows relayed from the coordinator", "src/pooler/control_relay.c",
      "return control->lease.held || control->follows_store || now > control->relied_until;", "return true;"),
     ("lease left to another pooler", "src/pooler/control_coordinator.c", "if (successor == NULL) {",
-     "if (successor != control) {"),
+     "if (successor == NULL || planned || !planned) {"),
     ("lease left where the store refuses", "src/pooler/control_lease.c",
      "return control->lease.held && control_lease_overdue(control, now) > FAILING_NS;",
      "return control->lease.held && control->lease.calling && control_lease_overdue(control, now) > FAILING_NS;"),
@@ -61,13 +62,15 @@
      "{{^bootstrap}}900{{/bootstrap}}"),
     ("serving alone without owners", "src/pooler/group.c",
      "if (group->alone_connections == 0 || !forward_none_left(group)) {", "if (group != NULL) {"),
-    ("refusal by predicted wait", "src/pooler/router.c", "if (would_be_late(session)) {", "if (false) {"),
+    ("refusal by predicted wait", "src/pooler/router.c", "if (would_be_late(session)) {",
+     "if (would_be_late(session) && false) {"),
     ("wait predicted from the queue's pace", "src/pooler/router.c",
      "wait_ms = MAX(wait_ms, group->interval_ms * ahead);", ""),
     ("refusal where the primary is lost", "src/pooler/router.c",
-     "return need.primary && primary_is_lost(session, &need, backend_now());", "return false;"),
+     "return need.primary && primary_is_lost(session, &need, backend_now());",
+     "return need.primary && primary_is_lost(session, &need, backend_now()) && false;"),
     ("first objective first", "src/pooler/router.c", "return objective_of(a) < objective_of(b);",
-     "return a->request.arrived < b->request.arrived;"),
+     "return objective_of(a) - objective_of(a) + a->request.arrived < b->request.arrived;"),
 ]
 
 
@@ -103,7 +106,9 @@
 
 def play_checkout(options, folder):
     """Rows of all plays in one checkout, each with its site, day, seed and figures."""
-    subprocess.run([options.bench, "build"], cwd=folder, check=True, capture_output=True)
+    built = subprocess.run([options.bench, "build"], cwd=folder, capture_output=True, text=True)
+    if built.returncode != 0:
+        raise RuntimeError(f"{folder} can't be built:\n{built.stdout[-2000:]}{built.stderr[-2000:]}")
     arguments = ["--bench", options.bench, "--base", str(folder), "--jobs", str(options.jobs)]
     for site in options.site:
         arguments += ["--site", site]
