--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -140,7 +140,7 @@
         .incarnation = control->incarnation,
         .token = token,
         .expires_ms = give_up ? 0 : store_now + LEASE_NS / MS,
-        .poolers = lease->held ? control_coordinator_count(control) : lease->record.poolers,
+        .poolers = lease->held ? control_coordinator_count(control) : control_fleet_size(control),
     };
     control_owners_fill(control, 0, &record.ownerships, &record.ownerships_count);
     GByteArray *octets = lease_record_encode(&record);
