--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -258,6 +258,8 @@
 void control_lease_take(struct control *control, const struct store_answer *answer);
 /* Gives the lease up, as at a planned stop. */
 void control_lease_release(struct control *control);
+/** @brief Fills in the owners of all groups, if the row stays small enough. @return the row. */
+GByteArray *control_lease_encode(const struct control *control, struct lease_record *record);
 /** @return for how long the holder's renewal has been due without being done. */
 time_ns control_lease_overdue(const struct control *control, time_ns now);
 /* The holder under this token has left the lease to us. */
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -128,6 +128,27 @@
                        const struct store_answer *answer, time_ns now);
 static void consider(struct control *control, time_ns now);
 
+/* The row's size, at most: half of what the store takes for a row (65,536 octets in base64). Owners
+ * of so many groups that it would be larger are left out; poolers that start learn them from others
+ * then. */
+#define LEASE_ROW_MAX ((guint)24 * 1024)
+
+GByteArray *
+control_lease_encode(const struct control *control, struct lease_record *record)
+{
+    control_owners_fill(control, 0, &record->ownerships, &record->ownerships_count);
+    GByteArray *octets = lease_record_encode(record);
+    if (octets->len <= LEASE_ROW_MAX) {
+        return octets;
+    }
+    size_t count = record->ownerships_count;
+    record->ownerships_count = 0;
+    g_byte_array_unref(octets);
+    octets = lease_record_encode(record);
+    record->ownerships_count = count;
+    return octets;
+}
+
 /* Proposes to hold the lease from now on, under the condition that the row is as last seen. */
 static void
 propose(struct control *control, uint64_t token, bool give_up, time_ns now)
@@ -142,8 +163,7 @@
         .expires_ms = give_up ? 0 : store_now + LEASE_NS / MS,
         .poolers = lease->held ? control_coordinator_count(control) : control_fleet_size(control),
     };
-    control_owners_fill(control, 0, &record.ownerships, &record.ownerships_count);
-    GByteArray *octets = lease_record_encode(&record);
+    GByteArray *octets = control_lease_encode(control, &record);
     lease_record_clear(&record);
     struct store_put put = {LEASE_KEY, octets->data, octets->len};
     lease->calling = true;
--- a/tests/pooler/test_lease.c
+++ b/tests/pooler/test_lease.c
@@ -60,6 +60,52 @@
     g_assert_true(control_coordinator_prefers(&recent, &strong, fixture->now));
 }
 
+/* Makes one group's owners known. */
+static void
+own(struct control *control, const char *service, size_t owners)
+{
+    struct pooler_ownership ownership = {.service = (char *)service, .version = 1};
+    ownership.owners = g_new0(struct pooler_owner, owners);
+    ownership.owners_count = owners;
+    for (size_t i = 0; i < owners; i++) {
+        ownership.owners[i].address = (char *)"10.0.0.1:7440";
+        ownership.owners[i].zone = (char *)"zone-1";
+    }
+    control_owners_take(control, &ownership, 1);
+    g_free(ownership.owners);
+}
+
+/* How many ownerships stand in the lease's row. */
+static size_t
+count_in_row(const struct control *control)
+{
+    struct lease_record record = {.holder = g_strdup("front-1"), .address = g_strdup("10.0.0.1:1")};
+    struct lease_record read = {0};
+    g_autoptr(GError) error = NULL;
+    GByteArray *octets = control_lease_encode(control, &record);
+    g_assert_cmpuint(octets->len, <, 32 * 1024);
+    g_assert_true(lease_record_decode(octets->data, octets->len, &read, &error));
+    g_assert_cmpstr(read.holder, ==, "front-1");
+    size_t count = read.ownerships_count;
+    lease_record_clear(&read);
+    lease_record_clear(&record);
+    g_byte_array_unref(octets);
+    return count;
+}
+
+/* The store takes rows of a bounded size: the lease must not be lost for its owners. */
+static void
+test_row_size(fixture_t *fixture, gconstpointer unused)
+{
+    struct control *control = &fixture->control;
+    control_owners_init(control);
+    own(control, "ledger-1", 10);
+    g_assert_cmpuint(count_in_row(control), ==, 1);
+    own(control, "ledger-2", 4000);
+    g_assert_cmpuint(count_in_row(control), ==, 0);
+    g_hash_table_unref(control->ownerships);
+}
+
 #define ADD(name, test) g_test_add("/pooler/lease/" name, fixture_t, NULL, set_up, test, NULL)
 
 int
@@ -68,5 +114,6 @@
     g_test_init(&argc, &argv, NULL);
     ADD("overdue", test_overdue);
     ADD("successor", test_successor);
+    ADD("row-size", test_row_size);
     return g_test_run();
 }
