--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -336,8 +336,8 @@
 }
 
 /* A statement is taken if its predicted wait is below this share of its route's objective: what is
- * left is for its run, the way, and waits that grow. Measured: at 1.0 the statements of scale-1
- * that were taken came late as a rule (worth 0.815 against 0.826). */
+ * left is for its run, the way, and waits that grow. Against 1.0 it gained
+ * on scale-1 in 3 of 3 plays and nothing on other days (docs/decisions-under-load.md). */
 #define ADMIT_SHARE 0.7
 
 /* True if the statement would be answered past its route's objective: with so many before it at the
