Read listings of the store page by page

A listing holds 500 rows at most; the rest was not asked for, so that of 600 databases 100 were unknown, and a listing after forgotten history took those beyond the first page for gone. The new test fails without the change (500 of 1,234 rows).

--- a/standins/session_platform/row_store.c
+++ b/standins/session_platform/row_store.c
@@ -16,6 +16,9 @@
 
 #define LOOK_AGAIN_MS 5
 
+/* Rows in one answer, at most, as the platform has it. */
+#define ROWS_MAX ((guint64)500)
+
 struct row {
     char *table;
     char *part;
@@ -153,17 +156,57 @@
     return store->faults.refuse || store->faults.silent;
 }
 
+static int
+compare_keys(const void *a, const void *b)
+{
+    json_t *const *first = a;
+    json_t *const *second = b;
+    return strcmp(json_string_value(json_object_get(*first, "tlsKey")),
+                  json_string_value(json_object_get(*second, "tlsKey")));
+}
+
+/* The rows from this key on, keys rising, so many at most. Takes `rows`. */
+static json_t *
+page_of(json_t *rows, const char *from, size_t limit, bool *more)
+{
+    json_t *page = json_array();
+    size_t count = json_array_size(rows);
+    json_t **sorted = g_new0(json_t *, count + 1);
+    for (size_t i = 0; i < count; i++) {
+        sorted[i] = json_array_get(rows, i);
+    }
+    qsort(sorted, count, sizeof(json_t *), compare_keys);
+    *more = false;
+    for (size_t i = 0; i < count; i++) {
+        const char *key = json_string_value(json_object_get(sorted[i], "tlsKey"));
+        bool wanted = strcmp(key, from) >= 0;
+        *more = *more || (wanted && json_array_size(page) >= limit);
+        if (wanted && !*more) {
+            json_array_append(page, sorted[i]);
+        }
+    }
+    g_free(sorted);
+    json_decref(rows);
+    return page;
+}
+
 static void
 on_get(struct evhttp_request *request, void *user)
 {
     struct row_store *store = user;
     struct evkeyvalq query;
     evhttp_parse_query_str(evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request)), &query);
+    guint64 limit = g_ascii_strtoull(query_value(&query, "limit"), NULL, 10);
     g_mutex_lock(&store->lock);
     if (!fails(store, request)) {
+        bool more = false;
         json_t *rows =
             rows_after(store, query_value(&query, "table"), query_value(&query, "part"), 0, false);
-        reply(request, 200, answer_object(store, rows));
+        rows = page_of(rows, query_value(&query, "from"),
+                       limit == 0 ? ROWS_MAX : MIN(limit, ROWS_MAX), &more);
+        json_t *answer = answer_object(store, rows);
+        json_object_set_new(answer, "more", json_boolean(more));
+        reply(request, 200, answer);
     }
     g_mutex_unlock(&store->lock);
     evhttp_clear_headers(&query);
--- /dev/null
+++ b/tests/pooler/test_store.c
@@ -0,0 +1,119 @@
+/**
+ * @file
+ * @brief The client of the store against its stand-in: listings that don't fit into one answer.
+ */
+#include "pooler/store.h"
+#include "standins/session_platform/row_store.h"
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+
+typedef struct fixture {
+    struct row_store *stand_in;
+    struct event_base *base;
+    struct store *store;
+    enum store_outcome outcome;
+    GHashTable *keys; /* of the rows that came */
+    uint64_t version;
+    bool answered;
+} fixture_t;
+
+static bool
+promote(void *user, const char *service, const char *database)
+{
+    return true;
+}
+
+static void
+set_up(fixture_t *fixture, gconstpointer unused)
+{
+    fixture->stand_in = row_store_start(promote, NULL);
+    fixture->base = event_base_new();
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(row_store_port(fixture->stand_in));
+    fixture->store = store_new(fixture->base, &address);
+    fixture->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+static void
+tear_down(fixture_t *fixture, gconstpointer unused)
+{
+    store_free(fixture->store);
+    event_base_free(fixture->base);
+    row_store_stop(fixture->stand_in);
+    g_hash_table_unref(fixture->keys);
+}
+
+static void
+put_databases(const fixture_t *fixture, unsigned count)
+{
+    for (unsigned i = 0; i < count; i++) {
+        g_autofree char *key = g_strdup_printf("database %u&", i);
+        row_store_put(fixture->stand_in, "servers", key, "{}");
+    }
+}
+
+static void
+on_listed(void *user, const struct store_answer *answer)
+{
+    fixture_t *fixture = user;
+    fixture->outcome = answer->outcome;
+    fixture->version = answer->version;
+    fixture->answered = true;
+    for (guint i = 0; i < answer->rows->len; i++) {
+        const struct store_row *row = g_ptr_array_index(answer->rows, i);
+        g_hash_table_add(fixture->keys, g_strdup(row->key));
+    }
+    event_base_loopbreak(fixture->base);
+}
+
+static void
+list(fixture_t *fixture)
+{
+    fixture->answered = false;
+    store_read(fixture->store, STORE_TABLE_DIRECTORY, on_listed, fixture);
+    event_base_dispatch(fixture->base);
+    g_assert_true(fixture->answered);
+}
+
+/* More databases than one answer holds: the rest must not be taken for gone. */
+static void
+test_pages(fixture_t *fixture, gconstpointer unused)
+{
+    put_databases(fixture, 1234);
+    list(fixture);
+    g_assert_cmpint((int)fixture->outcome, ==, (int)STORE_DONE);
+    g_assert_cmpuint(g_hash_table_size(fixture->keys), ==, 1234);
+    g_assert_cmpuint(fixture->version, ==, 1234);
+}
+
+static void
+test_one_page(fixture_t *fixture, gconstpointer unused)
+{
+    list(fixture);
+    g_assert_cmpuint(g_hash_table_size(fixture->keys), ==, 0);
+    put_databases(fixture, 500);
+    list(fixture);
+    g_assert_cmpuint(g_hash_table_size(fixture->keys), ==, 500);
+}
+
+static void
+test_refused(fixture_t *fixture, gconstpointer unused)
+{
+    put_databases(fixture, 600);
+    row_store_set_faults(fixture->stand_in, &(struct row_store_faults){.refuse = true});
+    list(fixture);
+    g_assert_cmpint((int)fixture->outcome, ==, (int)STORE_REFUSED);
+    g_assert_cmpuint(g_hash_table_size(fixture->keys), ==, 0);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add("/store/pages", fixture_t, NULL, set_up, test_pages, tear_down);
+    g_test_add("/store/one_page", fixture_t, NULL, set_up, test_one_page, tear_down);
+    g_test_add("/store/refused", fixture_t, NULL, set_up, test_refused, tear_down);
+    return g_test_run();
+}
