--- a/src/pooler/control.c
+++ b/src/pooler/control.c
@@ -55,6 +55,7 @@
     if (control->coordinator != NULL) {
         due = MIN(due, control->heartbeat_at);
     }
+    due = MIN(due, control_coordinator_due(control));
     if (control->granted_at == 0 && control->relied_until > now) {
         due = MIN(due, control->relied_until); /* the first look at the store after a start */
     }
--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -32,6 +32,11 @@
 /* Time between two choices of the poolers that follow the store. */
 #define FOLLOWERS_EVERY_NS (500 * MS)
 
+/* Least time between two looks at all groups. What many poolers tell in a moment is looked at
+ * together: at 300 poolers some 1,200 heartbeats come in a second. Short beside the shortest step
+ * of a change of primary, 40 ms. */
+#define COORDINATE_EVERY_NS (10 * MS)
+
 static void
 report_free(gpointer data)
 {
@@ -39,17 +44,12 @@
     g_free(data);
 }
 
-const struct pooler_group_report *
-control_report_of(const struct pooler_peer *pooler, const char *service)
-{
-    return g_hash_table_lookup(pooler->reports, service);
-}
-
 /* Faults that a pooler tells anew, or no longer. */
 static void
 log_faults(const struct pooler_peer *pooler, const struct pooler_group_report *report)
 {
-    const struct pooler_group_report *before = control_report_of(pooler, report->service);
+    const struct pooler_group_report *before =
+        g_hash_table_lookup(pooler->reports, report->service);
     size_t known = before == NULL ? 0 : before->faults_count;
     if (known == report->faults_count) {
         return;
@@ -72,7 +72,13 @@
         *report = heartbeat->groups[i];
         pooler_group_report_init(&heartbeat->groups[i]);
         log_faults(pooler, report);
-        g_hash_table_replace(pooler->reports, report->service, report);
+        bool empty = report->abstains && report->faults_count == 0 && report->in_flight == 0;
+        if (empty) {
+            g_hash_table_remove(pooler->reports, report->service);
+            report_free(report);
+        } else {
+            g_hash_table_replace(pooler->reports, report->service, report);
+        }
     }
 }
 
@@ -128,23 +134,27 @@
     order->term = term;
 }
 
-/* The orders that the pooler does not follow yet. */
+/* The orders that the pooler has not been sent yet. */
 static void
-add_orders(struct control *control, const struct pooler_peer *pooler, struct pooler_grant *grant)
+add_orders(const struct control *control, struct pooler_peer *pooler, struct pooler_grant *grant)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
+    grant->orders_version = control->orders_version;
+    if (pooler->orders_sent >= control->orders_version) {
+        return;
+    }
     grant->groups = g_new0(struct pooler_group_order, g_hash_table_size(control->controlled) + 1);
     g_hash_table_iter_init(&iterator, control->controlled);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct failover *failover = ((struct controlled_group *)value)->failover;
-        const struct pooler_group_report *report = control_report_of(pooler, failover->service);
-        bool followed = report != NULL && report->epoch == failover->epoch;
-        if (failover->phase != GROUP_PHASE_UNKNOWN && !followed) {
+        const struct controlled_group *group = value;
+        const struct failover *failover = group->failover;
+        if (group->orders_version > pooler->orders_sent) {
             add_order(grant, failover->service, failover->epoch, failover->phase, failover->primary,
                       failover->term);
         }
     }
+    pooler->orders_sent = control->orders_version;
 }
 
 /* The orders as this pooler follows them, for one that has just started. They permit nothing. */
@@ -229,6 +239,7 @@
         g_hash_table_remove_all(pooler->reports);
         pooler->known = (row_versions_t){0};
         pooler->ownership_told = 0;
+        pooler->orders_sent = 0;
     }
     take_relay(control, pooler, &heartbeat->relay);
     g_free(pooler->zone);
@@ -242,9 +253,14 @@
     pooler->heard_at = now;
     pooler->stopping = heartbeat->stopping;
     pooler->store_age_ms = heartbeat->store_age_ms;
+    bool news = new_life || heartbeat->groups_count > 0 || heartbeat->relay.rows_count > 0 ||
+                heartbeat->orders_followed != pooler->orders_followed;
+    pooler->orders_followed = heartbeat->orders_followed;
     take_reports(pooler, heartbeat);
     send_grant(control, peer, pooler, heartbeat, now);
-    control_wake_soon(control);
+    if (news) {
+        control_coordinator_wake(control);
+    }
 }
 
 static bool
@@ -334,6 +350,9 @@
         control->lease.ceded_token == 0 ? 0 : control->coordinator_since + PERMIT_MS * MS;
     control->lease.ceded_token = 0;
     control->members_before = control_fleet_size(control);
+    control->orders_version = control->lease.token << EPOCH_SHIFT;
+    control->ownership_decided = 0;
+    control->coordinated_at = 0;
     control_member_set_coordinator(control, control->address);
     control_groups_start(control);
 }
@@ -413,10 +432,16 @@
 void
 control_coordinator_push(struct control *control)
 {
-    time_ns now = backend_now();
+    control->push_wanted = true;
+}
+
+static void
+push(struct control *control, time_ns now)
+{
     GHashTableIter iterator;
     gpointer value = NULL;
     control->rows_learned = false;
+    control->push_wanted = false;
     g_hash_table_iter_init(&iterator, control->poolers);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct pooler_peer *pooler = value;
@@ -438,13 +463,25 @@
 }
 
 void
-control_coordinator_tick(struct control *control, time_ns now)
+control_coordinator_wake(struct control *control)
+{
+    control->coordination_due = true;
+    control_wake_soon(control);
+}
+
+time_ns
+control_coordinator_due(const struct control *control)
+{
+    return control->lease.held && control->coordination_due
+               ? control->coordinated_at + COORDINATE_EVERY_NS
+               : UINT64_MAX;
+}
+
+static void
+forget_silent(struct control *control, time_ns now)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
-    if (!control->lease.held) {
-        return;
-    }
     g_hash_table_iter_init(&iterator, control->poolers);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct pooler_peer *pooler = value;
@@ -454,13 +491,28 @@
             g_hash_table_iter_remove(&iterator);
         }
     }
+}
+
+void
+control_coordinator_tick(struct control *control, time_ns now)
+{
+    if (!control->lease.held) {
+        return;
+    }
+    if (now < control->coordinated_at + COORDINATE_EVERY_NS) {
+        control->coordination_due = true;
+        return;
+    }
+    control->coordinated_at = now;
+    control->coordination_due = false;
+    forget_silent(control, now);
     if (now > control->followers_at + FOLLOWERS_EVERY_NS) {
         control->followers_at = now;
         control_relay_choose(control);
     }
-    if (control->rows_learned) {
-        control_coordinator_push(control);
-    }
     control_owners_tick(control, now);
     control_groups_tick(control, now);
+    if (control->rows_learned || control->push_wanted) {
+        push(control, now);
+    }
 }
--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -150,45 +150,27 @@
 static void
 publish(void *user, struct failover *failover)
 {
-    control_coordinator_push(user);
+    struct control *control = user;
+    struct controlled_group *group = controlled_of(control, failover);
+    group->orders_version = ++control->orders_version;
+    control_coordinator_push(control);
+    control_coordinator_wake(control);
 }
 
 static bool
 closed(void *user, struct failover *failover)
 {
-    struct control *control = user;
-    time_ns now = backend_now();
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    if (now <= control->owed_until) {
-        return false;
-    }
-    g_hash_table_iter_init(&iterator, control->poolers);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct pooler_peer *pooler = value;
-        const struct pooler_group_report *report = control_report_of(pooler, failover->service);
-        bool follows = report != NULL && report->epoch >= failover->epoch;
-        if (!follows && now <= pooler->permit_until) {
-            return false;
-        }
-    }
-    return true;
+    const struct control *control = user;
+    const struct controlled_group *group = controlled_of(user, failover);
+    return backend_now() > control->owed_until && control->orders_held >= group->orders_version;
 }
 
 static bool
 drained(void *user, struct failover *failover)
 {
-    struct control *control = user;
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, control->poolers);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct pooler_group_report *report = control_report_of(value, failover->service);
-        if (report == NULL || report->epoch < failover->epoch || report->in_flight > 0) {
-            return false;
-        }
-    }
-    return true;
+    const struct control *control = user;
+    const struct controlled_group *group = controlled_of(user, failover);
+    return control->orders_reached >= group->orders_version && group->in_flight == 0;
 }
 
 static void
@@ -304,15 +286,11 @@
             failover_remove_member(failover, member->id);
         }
     }
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, control->directory.entries);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct directory_entry *entry = value;
-        if (g_str_equal(entry->service, failover->service)) {
-            failover_set_member(failover, entry->id, !directory_entry_leaves(entry, now, heartbeat),
-                                entry->leads);
-        }
+    const GPtrArray *entries = directory_group(&control->directory, failover->service);
+    for (guint i = 0; i < entries->len; i++) {
+        const struct directory_entry *entry = g_ptr_array_index(entries, i);
+        failover_set_member(failover, entry->id, !directory_entry_leaves(entry, now, heartbeat),
+                            entry->leads);
     }
 }
 
@@ -336,28 +314,61 @@
 }
 
 static void
-gather(struct control *control, const struct failover *failover, time_ns now,
-       struct failover_opinion *out)
+count_report(const struct pooler_group_report *report, bool fresh, struct controlled_group *group)
 {
+    group->in_flight += report->in_flight;
+    if (!fresh) {
+        return;
+    }
+    group->opinion.poolers += !report->abstains;
+    for (size_t i = 0; i < report->faults_count; i++) {
+        if (g_strcmp0(report->faults[i].database, group->failover->primary) == 0) {
+            count_fault(&report->faults[i], &group->opinion);
+        }
+    }
+}
+
+static void
+survey_pooler(struct control *control, const struct pooler_peer *pooler, time_ns now)
+{
+    bool fresh = now <= pooler->heard_at + OPINION_FRESH_NS;
     GHashTableIter iterator;
     gpointer value = NULL;
-    *out = (struct failover_opinion){0};
-    g_hash_table_iter_init(&iterator, control->poolers);
+    control->orders_reached = MIN(control->orders_reached, pooler->orders_followed);
+    if (now <= pooler->permit_until) {
+        control->orders_held = MIN(control->orders_held, pooler->orders_followed);
+    }
+    g_hash_table_iter_init(&iterator, pooler->reports);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct pooler_peer *pooler = value;
-        const struct pooler_group_report *report = control_report_of(pooler, failover->service);
-        if (report == NULL || now > pooler->heard_at + OPINION_FRESH_NS) {
-            continue;
-        }
-        out->poolers += !report->abstains;
-        for (size_t i = 0; i < report->faults_count; i++) {
-            if (g_strcmp0(report->faults[i].database, failover->primary) == 0) {
-                count_fault(&report->faults[i], out);
-            }
+        const struct pooler_group_report *report = value;
+        struct controlled_group *group = g_hash_table_lookup(control->controlled, report->service);
+        if (group != NULL) {
+            count_report(report, fresh, group);
         }
     }
 }
 
+/* What all poolers say of all groups, in one pass over what they have told: its cost is that of the
+ * connections held, not that of poolers times groups. */
+static void
+survey(struct control *control, time_ns now)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    control->orders_held = UINT64_MAX;
+    control->orders_reached = UINT64_MAX;
+    g_hash_table_iter_init(&iterator, control->controlled);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct controlled_group *group = value;
+        group->opinion = (struct failover_opinion){0};
+        group->in_flight = 0;
+    }
+    g_hash_table_iter_init(&iterator, control->poolers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        survey_pooler(control, value, now);
+    }
+}
+
 static void
 close_unused(struct controlled_group *group, time_ns now)
 {
@@ -376,14 +387,13 @@
     GHashTableIter iterator;
     gpointer value = NULL;
     add_groups(control);
+    survey(control, now);
     g_hash_table_iter_init(&iterator, control->controlled);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct controlled_group *group = value;
-        struct failover_opinion opinion;
         update_members(control, group, now);
         group->failover->settled = control->directory_settled;
-        gather(control, group->failover, now, &opinion);
-        failover_tick(group->failover, &opinion, now);
+        failover_tick(group->failover, &group->opinion, now);
         close_unused(group, now);
     }
 }
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -48,14 +48,34 @@
 struct feed {
     struct control *control;
     enum store_table table;
-    GHashTable *rows;   /* key -> struct known_row */
-    uint64_t version;   /* changes are known up to this; 0: read the whole first */
-    time_ns current_at; /* when the store last told that this is so; 0: never */
+    GHashTable *rows;         /* key -> struct known_row */
+    uint64_t version;         /* changes are known up to this; 0: read the whole first */
+    uint64_t changed_version; /* highest of the rows */
+    time_ns current_at;       /* when the store last told that this is so; 0: never */
     bool calling;
     time_ns next_at;
     uint32_t failures; /* in a row */
 };
 
+/** @brief What a pooler has told the coordinator of a group on this connection. */
+typedef struct told_report {
+    bool holds; /* connections to the group's databases */
+    size_t faults;
+    uint32_t in_flight;
+} told_report_t;
+
+/** @brief All that a group's published view is made of, as far as it changes. Equal inputs make
+ *  an equal view. Compared as bytes. */
+typedef struct view_inputs {
+    uint64_t epoch;
+    uint64_t ownership; /* version; 0: none is known */
+    uint64_t members;   /* digest of the directory's entries */
+    uint32_t connections;
+    uint32_t alone_connections;
+    uint32_t sync_replicas;
+    uint32_t unused;
+} view_inputs_t;
+
 /* Which database leads a group, by the newest order. */
 struct group_state {
     struct group_shared *shared;
@@ -63,10 +83,9 @@
     enum group_phase phase;
     char *primary;
     uint64_t term;
-    bool told; /* the coordinator has had a report on this connection */
-    uint64_t told_epoch;
-    bool told_abstains;
-    size_t told_faults;
+    told_report_t told;
+    struct pooled_group *view; /* as last published, with one reference; NULL: not yet */
+    view_inputs_t view_inputs; /* it was made of */
 };
 
 /* The lease of the coordinator. */
@@ -101,18 +120,24 @@
     char *zone;
     char *forward_address;
     uint32_t workers;
-    uint32_t millicores;     /* processor that its machine grants */
-    uint64_t ownership_told; /* newest version */
-    row_versions_t known;    /* what it knows of the store's tables */
-    bool follows_store;      /* by itself, beside the coordinator */
-    GHashTable *reports;     /* service -> struct pooler_group_report, newest */
+    uint32_t millicores;      /* processor that its machine grants */
+    uint64_t ownership_told;  /* newest version */
+    uint64_t orders_sent;     /* on this connection, up to this version */
+    uint64_t orders_followed; /* by all its workers, up to this version */
+    row_versions_t known;     /* what it knows of the store's tables */
+    bool follows_store;       /* by itself, beside the coordinator */
+    GHashTable *reports;      /* service -> struct pooler_group_report, newest; none is told of
+                                 groups to which it holds no connections */
 };
 
 /* A group as the coordinator controls it. */
 struct controlled_group {
     struct control *control;
     struct failover *failover;
-    GHashTable *connections; /* database id -> struct database_control */
+    GHashTable *connections;         /* database id -> struct database_control */
+    uint64_t orders_version;         /* at its newest order */
+    struct failover_opinion opinion; /* of the poolers, by the newest survey */
+    uint32_t in_flight;              /* open at the primary, by the same */
     bool recording_done;
     bool retired; /* no longer under this coordinator */
 };
@@ -156,11 +181,16 @@
     bool connect_now; /* the coordinator's address has changed */
     uint32_t members_told;
     unsigned next_seed;
-    uint64_t reported_faults; /* digest of what was last told */
-    bool follows_store;       /* by itself, as the coordinator asked */
-    bool start_answered;      /* another pooler has answered since the start */
-    time_ns relied_until;     /* what the coordinator tells of the store is current until then */
-    row_versions_t told;      /* what the coordinator knew of the store's tables */
+    uint64_t news_told;     /* of the workers' news, those that were last told */
+    uint64_t orders_taken;  /* version up to which orders have come from this coordinator */
+    uint64_t orders_view;   /* number of the view that holds them */
+    uint64_t orders_told;   /* version that was told as followed */
+    uint64_t view_number;   /* of the newest view */
+    uint64_t view_revision; /* of the newest state of a group in a view */
+    bool follows_store;     /* by itself, as the coordinator asked */
+    bool start_answered;    /* another pooler has answered since the start */
+    time_ns relied_until;   /* what the coordinator tells of the store is current until then */
+    row_versions_t told;    /* what the coordinator knew of the store's tables */
     struct peer_callbacks coordinator_callbacks;
     /* As the coordinator. */
     struct lease lease;
@@ -175,13 +205,21 @@
     GPtrArray *connected;   /* of struct peer, accepted */
     GHashTable *controlled; /* service -> struct controlled_group */
     struct failover_actions failover_actions;
+    uint64_t orders_version; /* rises with each order of any group; holds the lease's token */
+    bool push_wanted;        /* orders, owners or rows have changed that poolers are to be told */
+    time_ns coordinated_at;  /* the groups were last looked at */
+    bool coordination_due;   /* and are to be looked at again as soon as may be */
+    uint64_t orders_held; /* followed by all poolers that may hold a permit, by the last survey */
+    uint64_t orders_reached; /* followed by all poolers, by the same */
     bool records_read;
     uint64_t store_calls[STORE_TABLE_COUNT]; /* since the start */
     GHashTable *ownerships;                  /* service -> struct pooler_ownership */
     uint64_t ownership_count;
-    time_ns owners_at;    /* when they are decided next */
-    bool rows_learned;    /* and not yet told to the poolers */
-    time_ns followers_at; /* when the followers of the store were chosen */
+    uint64_t ownership_newest;  /* highest version of any */
+    uint64_t ownership_decided; /* digest of what they were last decided by */
+    time_ns owners_at;          /* when they are decided next */
+    bool rows_learned;          /* and not yet told to the poolers */
+    time_ns followers_at;       /* when the followers of the store were chosen */
 };
 
 /* control.c */
@@ -280,10 +318,15 @@
 void control_coordinator_start(struct control *control);
 void control_coordinator_end(struct control *control);
 void control_coordinator_tick(struct control *control, time_ns now);
+/** @brief Asks for a look at the groups as soon as one may be. */
+void control_coordinator_wake(struct control *control);
+/** @return when the groups are to be looked at next; UINT64_MAX: with the next tick. */
+time_ns control_coordinator_due(const struct control *control);
 /* Leaves the lease to a pooler that the store answers, or to any at a planned stop. False if there
  * is none. */
 bool control_coordinator_cede(struct control *control, bool planned);
-/* Sends the newest orders to all poolers at once. */
+/** @brief Sends all poolers what they lack, at the end of this look at the groups: one message for
+ *  each pooler, however many groups have changed. */
 void control_coordinator_push(struct control *control);
 
 /** @return true if the lease had better be left to this pooler than to the other one (NULL: none):
@@ -294,10 +337,6 @@
 /** @return how many poolers share the databases' connections, as the coordinator counts them. */
 uint32_t control_coordinator_count(const struct control *control);
 
-/* What the pooler last told of a group; NULL if nothing yet. */
-const struct pooler_group_report *control_report_of(const struct pooler_peer *pooler,
-                                                    const char *service);
-
 /* control_groups.c: the groups under control */
 void control_groups_start(struct control *control);
 void control_groups_end(struct control *control);
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -33,6 +33,25 @@
     return epoch;
 }
 
+/* True if all workers follow the view of this number. */
+static bool
+is_applied(const struct control *control, uint64_t view_number)
+{
+    for (unsigned i = 0; i < control->workers_count; i++) {
+        if (worker_view_number(control->workers[i]) < view_number) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* The version up to which all workers follow this coordinator's orders. */
+static uint64_t
+orders_followed(const struct control *control)
+{
+    return is_applied(control, control->orders_view) ? control->orders_taken : control->orders_told;
+}
+
 static uint32_t
 in_flight(const struct control *control, const struct group_state *group)
 {
@@ -63,37 +82,31 @@
 fill_report(struct control *control, const struct group_state *group, time_ns now,
             struct pooler_group_report *report)
 {
+    const GPtrArray *entries = directory_group(&control->directory, group->shared->service);
     report->service = g_strdup(group->shared->service);
-    report->epoch = epoch_followed(control, group);
-    report->in_flight = in_flight(control, group);
+    report->in_flight = group->phase == GROUP_PHASE_OPEN ? 0 : in_flight(control, group);
     report->abstains = control_view_forwards(control, group->shared->service);
     report->faults = g_new0(struct pooler_fault, FAULTS_MAX);
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, control->directory.entries);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct directory_entry *entry = value;
+    for (guint i = 0; i < entries->len && report->faults_count < FAULTS_MAX; i++) {
+        const struct directory_entry *entry = g_ptr_array_index(entries, i);
         const struct member_shared *member = g_hash_table_lookup(control->members, entry->id);
-        bool counts = member != NULL && g_str_equal(entry->service, group->shared->service);
-        if (counts && report->faults_count < FAULTS_MAX) {
+        if (member != NULL) {
             add_fault(report, member, now);
         }
     }
 }
 
-/* True if the coordinator does not know this of the group. Notes it as told. */
+/* True if the coordinator does not know this of the group. Notes it as told. What has never been
+ * told stands for a pooler that holds no connections, has no opinion, and nothing under way: so
+ * forwarders, which are nearly all, tell nothing of a group. */
 static bool
 is_news(struct group_state *group, const struct pooler_group_report *report)
 {
-    bool same = group->told && group->told_abstains == report->abstains &&
-                group->told_epoch == report->epoch && group->told_faults == 0 &&
-                report->faults_count == 0;
-    bool watched = group->phase != GROUP_PHASE_OPEN;
-    group->told = true;
-    group->told_epoch = report->epoch;
-    group->told_abstains = report->abstains;
-    group->told_faults = report->faults_count;
-    return !same || watched;
+    const told_report_t now = {!report->abstains, report->faults_count, report->in_flight};
+    const told_report_t before = group->told;
+    group->told = now;
+    return now.holds != before.holds || now.in_flight != before.in_flight || now.faults > 0 ||
+           before.faults > 0;
 }
 
 /* Another coordinator, or another connection to it, knows nothing yet. */
@@ -104,7 +117,7 @@
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, control->groups);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        ((struct group_state *)value)->told = false;
+        ((struct group_state *)value)->told = (told_report_t){0};
     }
 }
 
@@ -122,6 +135,8 @@
     out->millicores =
         (uint32_t)(control->settings->pooler.cpu_share * control->workers_count * 1000);
     out->stopping = atomic_load(&control->shared.stop_at) != 0;
+    /* Before what is open is counted: what these orders end is no more begun from then on. */
+    out->orders_followed = control->orders_told = orders_followed(control);
     out->groups = g_new0(struct pooler_group_report, g_hash_table_size(control->groups) + 1);
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -208,9 +223,9 @@
 take_grant(struct control *control, const struct pooler_grant *grant, time_ns now)
 {
     time_ns sent = sending_of(control, grant->sequence);
-    bool orders_changed = false;
     if (grant->token != control->newest_token) {
         forget_told(control);
+        control->orders_taken = control->orders_told = 0;
     }
     control->newest_token = grant->token;
     control->granted_at = now;
@@ -219,18 +234,16 @@
         control->view_dirty = true;
     }
     for (size_t i = 0; i < grant->groups_count; i++) {
-        const struct pooler_group_order *order = &grant->groups[i];
-        const struct group_state *group = control_group(control, order->service);
-        orders_changed = orders_changed || order->epoch > group->epoch;
-        take_order(control, order);
+        take_order(control, &grant->groups[i]);
     }
     take_permits(control, grant->token, sent == 0 ? 0 : sent + grant->permit_ms * MS);
     control_owners_take(control, grant->ownerships, grant->ownerships_count);
     control_relay_take(control, &grant->relay);
     control_relay_rely(control, grant, now);
     control_publish(control);
-    if (orders_changed) {
-        control->heartbeat_at = 0; /* tells at once that the orders are followed */
+    if (grant->orders_version > control->orders_taken) {
+        control->orders_taken = grant->orders_version;
+        control->orders_view = control->view_number;
     }
 }
 
@@ -357,29 +370,19 @@
     }
     control->coordinator_callbacks = (struct peer_callbacks){on_frame, on_closed, control};
     forget_told(control);
+    control->orders_taken = control->orders_told = 0;
     control->coordinator = peer_connect(control->base, &address, &control->coordinator_callbacks);
     control->heartbeat_at = now;
 }
 
-/* A new fault, or work that has ended, is told at once. */
-static uint64_t
-digest_of_faults(const struct control *control)
+/* A new fault, work that has ended, and orders that are followed from now on are told at once. */
+static bool
+has_news(struct control *control)
 {
-    uint64_t digest = 0;
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, control->members);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct member_shared *member = value;
-        digest = digest * 31 + atomic_load(&member->fault) + g_str_hash(member->id);
-    }
-    g_hash_table_iter_init(&iterator, control->groups);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct group_state *group = value;
-        digest = digest * 31 + epoch_followed(control, group);
-        digest += group->phase == GROUP_PHASE_DRAINING && in_flight(control, group) == 0;
-    }
-    return digest;
+    uint64_t news = atomic_load(&control->shared.news);
+    bool changed = news != control->news_told;
+    control->news_told = news;
+    return changed || orders_followed(control) != control->orders_told;
 }
 
 void
@@ -397,10 +400,7 @@
     if (control->coordinator == NULL) {
         return;
     }
-    uint64_t digest = digest_of_faults(control);
-    bool news = digest != control->reported_faults;
-    if (news || now >= control->heartbeat_at) {
-        control->reported_faults = digest;
+    if (has_news(control) || now >= control->heartbeat_at) {
         send_heartbeat(control, now);
     }
 }
--- a/src/pooler/control_owners.c
+++ b/src/pooler/control_owners.c
@@ -57,6 +57,7 @@
 static void
 set_ownership(struct control *control, struct pooler_ownership *ownership)
 {
+    control->ownership_newest = MAX(control->ownership_newest, ownership->version);
     g_hash_table_replace(control->ownerships, ownership->service, ownership);
     control->view_dirty = true;
 }
@@ -95,8 +96,12 @@
     uint64_t newest = told;
     GHashTableIter iterator;
     gpointer value = NULL;
-    *out = g_new0(struct pooler_ownership, g_hash_table_size(control->ownerships) + 1);
     *count = 0;
+    if (told >= control->ownership_newest) {
+        *out = NULL;
+        return told;
+    }
+    *out = g_new0(struct pooler_ownership, g_hash_table_size(control->ownerships) + 1);
     g_hash_table_iter_init(&iterator, control->ownerships);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct pooler_ownership *ownership = value;
@@ -281,15 +286,35 @@
     return true;
 }
 
+/* Everything that owners are decided by. Independent of the candidates' order. */
+static uint64_t
+digest_of(const struct control *control, const GArray *candidates)
+{
+    uint64_t digest = control->configuration->version + control->ownership_newest;
+    for (guint i = 0; i < candidates->len; i++) {
+        const struct pooler_peer *pooler = g_array_index(candidates, candidate_t, i).pooler;
+        uint64_t name = XXH3_64bits_withSeed(pooler->name, strlen(pooler->name), pooler->workers);
+        uint64_t zone = XXH3_64bits_withSeed(pooler->zone, strlen(pooler->zone), name);
+        digest +=
+            XXH3_64bits_withSeed(pooler->forward_address, strlen(pooler->forward_address), zone);
+    }
+    return digest;
+}
+
+/* The order of all candidates is worked out for each group, so only if anything has changed. */
 bool
 control_owners_decide(struct control *control, time_ns now)
 {
     g_autoptr(GArray) candidates = list_candidates(control, now);
     GPtrArray *services = control->configuration->services;
     bool changed = false;
+    if (digest_of(control, candidates) == control->ownership_decided) {
+        return false;
+    }
     for (guint i = 0; candidates->len > 0 && i < services->len; i++) {
         changed = decide_group(control, g_ptr_array_index(services, i), candidates) || changed;
     }
+    control->ownership_decided = digest_of(control, candidates);
     return changed;
 }
 
--- a/src/pooler/control_relay.c
+++ b/src/pooler/control_relay.c
@@ -42,10 +42,22 @@
                                  : (uint32_t)MIN((now - feed->current_at) / MS, UINT32_MAX - 1);
 }
 
+/* Room for one more row; doubles, as most messages carry none. */
+static struct pooler_row *
+next_row(struct pooler_relay *relay)
+{
+    size_t count = relay->rows_count++;
+    if ((count & (count - 1)) == 0) {
+        relay->rows = g_renew(struct pooler_row, relay->rows, count == 0 ? 1 : count * 2);
+    }
+    relay->rows[count] = (struct pooler_row){0};
+    return &relay->rows[count];
+}
+
 static void
 add_row(struct pooler_relay *relay, enum store_table table, const struct known_row *known)
 {
-    struct pooler_row *row = &relay->rows[relay->rows_count++];
+    struct pooler_row *row = next_row(relay);
     row->table = (uint32_t)table;
     row->key = g_strdup(known->key);
     row->version = known->version;
@@ -96,6 +108,9 @@
     if (feed->version <= base) {
         return base;
     }
+    if (feed->changed_version <= base) {
+        return feed->version; /* the store's version rises with every table's changes */
+    }
     if (add_changes(feed, base, now, relay)) {
         return feed->version;
     }
@@ -109,8 +124,6 @@
 {
     const struct feed *configuration = &control->feeds[STORE_TABLE_CONFIGURATION];
     const struct feed *directory = &control->feeds[STORE_TABLE_DIRECTORY];
-    guint most = g_hash_table_size(configuration->rows) + g_hash_table_size(directory->rows);
-    relay->rows = g_new0(struct pooler_row, most + 1);
     relay->store_age_ms = MAX(age_ms(configuration, now), age_ms(directory, now));
     relay->configuration_base = known->configuration;
     relay->directory_base = known->directory;
--- a/src/pooler/control_store.c
+++ b/src/pooler/control_store.c
@@ -99,6 +99,7 @@
     row->gone = value == NULL;
     row->value = value == NULL ? NULL : g_bytes_ref(value);
     row->learned_at = backend_now();
+    feed->changed_version = MAX(feed->changed_version, version);
     g_hash_table_replace(feed->rows, row->key, row);
 }
 
--- a/src/pooler/control_view.c
+++ b/src/pooler/control_view.c
@@ -6,6 +6,7 @@
 
 #include <string.h>
 #include <urcu-bp.h>
+#include <xxhash.h>
 
 /* Connections to each database left for the coordinator and for poolers that come and go. */
 #define CONNECTIONS_SPARE 3
@@ -117,36 +118,6 @@
     }
 }
 
-/* Who opens connections to the group's databases: this pooler, as many as it is told, or its
- * owners. */
-static void
-fill_connections(const struct control *control, const struct service *service,
-                 struct pooled_group *out)
-{
-    const struct pooler_ownership *ownership = control_owners_of(control, service->name);
-    if (ownership == NULL || ownership->owners_count == 0) {
-        out->connections = connections_of(control, service);
-    } else if (is_owner(control, ownership)) {
-        out->connections = ownership->connections;
-    } else {
-        fill_owners(control, ownership, out);
-        out->alone_connections = control_direct_share(control, service);
-    }
-}
-
-static size_t
-count_members(const struct control *control, const char *service)
-{
-    size_t count = 0;
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, control->directory.entries);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        count += g_str_equal(((struct directory_entry *)value)->service, service);
-    }
-    return count;
-}
-
 static void
 fill_member(struct control *control, const struct directory_entry *entry, time_ns now,
             struct member_view *out)
@@ -163,12 +134,10 @@
 find_self_declared(const struct control *control, const char *service)
 {
     const char *found = NULL;
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, control->directory.entries);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct directory_entry *entry = value;
-        if (!entry->leads || entry->gone_at != 0 || !g_str_equal(entry->service, service)) {
+    const GPtrArray *entries = directory_group(&control->directory, service);
+    for (guint i = 0; i < entries->len; i++) {
+        const struct directory_entry *entry = g_ptr_array_index(entries, i);
+        if (!entry->leads || entry->gone_at != 0) {
             continue;
         }
         if (found != NULL) {
@@ -191,37 +160,98 @@
     }
 }
 
+/* Everything of the directory that a group's view shows. */
+static uint64_t
+digest_of_members(const struct control *control, const GPtrArray *entries, time_ns now)
+{
+    time_ns heartbeat = control->settings->store.heartbeat_ms * MS;
+    uint64_t digest = entries->len;
+    for (guint i = 0; i < entries->len; i++) {
+        const struct directory_entry *entry = g_ptr_array_index(entries, i);
+        const uint64_t state[] = {entry->version, entry->gone_at,
+                                  directory_entry_leaves(entry, now, heartbeat),
+                                  g_str_hash(entry->id)};
+        digest ^= XXH3_64bits(state, sizeof state);
+    }
+    return digest;
+}
+
+/* Who opens connections to the group's databases: this pooler, as many as it is told, or its
+ * owners. */
 static void
-fill_group(struct control *control, const struct service *service, time_ns now,
-           struct pooled_group *out)
+find_inputs(const struct control *control, const struct service *service,
+            const struct group_state *state, time_ns now, view_inputs_t *out)
 {
-    struct group_state assumed = *control_group(control, service->name);
-    const struct group_state *state = &assumed;
-    fill_unordered(control, service, &assumed);
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    *out = (struct pooled_group){
-        .shared = state->shared,
+    const struct pooler_ownership *ownership = control_owners_of(control, service->name);
+    const GPtrArray *entries = directory_group(&control->directory, service->name);
+    *out = (view_inputs_t){
         .epoch = state->epoch,
-        .phase = state->phase,
-        .term = state->term,
-        .primary = -1,
+        .ownership = ownership == NULL ? 0 : ownership->version,
+        .members = digest_of_members(control, entries, now),
         .sync_replicas = service->sync_replicas,
     };
-    fill_connections(control, service, out);
-    out->members = g_new0(struct member_view, count_members(control, service->name) + 1);
-    g_hash_table_iter_init(&iterator, control->directory.entries);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct directory_entry *entry = value;
-        if (!g_str_equal(entry->service, service->name)) {
-            continue;
-        }
-        if (state->primary != NULL && g_str_equal(state->primary, entry->id)) {
-            out->primary = (int)out->members_count;
+    if (ownership == NULL || ownership->owners_count == 0) {
+        out->connections = connections_of(control, service);
+    } else if (is_owner(control, ownership)) {
+        out->connections = ownership->connections;
+    } else {
+        out->alone_connections = control_direct_share(control, service);
+    }
+}
+
+static void
+fill_members(struct control *control, const struct service *service, const char *primary,
+             time_ns now, struct pooled_group *out)
+{
+    const GPtrArray *entries = directory_group(&control->directory, service->name);
+    out->members = g_new0(struct member_view, entries->len + 1);
+    for (guint i = 0; i < entries->len; i++) {
+        const struct directory_entry *entry = g_ptr_array_index(entries, i);
+        if (primary != NULL && g_str_equal(primary, entry->id)) {
+            out->primary = (int)i;
         }
-        fill_member(control, entry, now, &out->members[out->members_count]);
-        out->members_count++;
+        fill_member(control, entry, now, &out->members[i]);
+    }
+    out->members_count = entries->len;
+}
+
+static struct pooled_group *
+make_group(struct control *control, const struct service *service, const struct group_state *state,
+           const view_inputs_t *inputs, time_ns now)
+{
+    struct group_state assumed = *state;
+    struct pooled_group *out = pooled_group_new();
+    fill_unordered(control, service, &assumed);
+    out->shared = state->shared;
+    out->revision = ++control->view_revision;
+    out->epoch = assumed.epoch;
+    out->phase = assumed.phase;
+    out->term = assumed.term;
+    out->primary = -1;
+    out->sync_replicas = inputs->sync_replicas;
+    out->connections = inputs->connections;
+    out->alone_connections = inputs->alone_connections;
+    if (control_view_forwards(control, service->name)) {
+        fill_owners(control, control_owners_of(control, service->name), out);
+    }
+    fill_members(control, service, assumed.primary, now, out);
+    return out;
+}
+
+/* The group as it is published now: the one of the last view, unless something of it changed. */
+static struct pooled_group *
+group_to_publish(struct control *control, const struct service *service, time_ns now)
+{
+    struct group_state *state = control_group(control, service->name);
+    view_inputs_t inputs;
+    find_inputs(control, service, state, now, &inputs);
+    bool same = state->view != NULL && memcmp(&inputs, &state->view_inputs, sizeof inputs) == 0;
+    if (!same) {
+        g_clear_pointer(&state->view, pooled_group_unref);
+        state->view = make_group(control, service, state, &inputs, now);
+        state->view_inputs = inputs;
     }
+    return pooled_group_ref(state->view);
 }
 
 void
@@ -234,10 +264,11 @@
     time_ns now = backend_now();
     GPtrArray *services = control->configuration->services;
     struct view *view = g_new0(struct view, 1);
+    view->number = ++control->view_number;
     view->configuration = configuration_ref(control->configuration);
-    view->groups = g_new0(struct pooled_group, services->len + 1);
+    view->groups = g_new0(struct pooled_group *, services->len + 1);
     for (guint i = 0; i < services->len; i++) {
-        fill_group(control, g_ptr_array_index(services, i), now, &view->groups[i]);
+        view->groups[i] = group_to_publish(control, g_ptr_array_index(services, i), now);
         view->groups_count++;
     }
     struct view *old = rcu_xchg_pointer(&control->shared.view, view);
--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -71,7 +71,7 @@
                      "SW_SERVICE", database->group->shared->service, "MESSAGE",
                      "Database %s: %s, before %s.", database->shared->id,
                      database_fault_name(fault), database_fault_name(old));
-    worker_alert(database->group->worker);
+    worker_tell_news(database->group->worker);
 }
 
 void
--- a/src/pooler/directory.c
+++ b/src/pooler/directory.c
@@ -21,18 +21,56 @@
     g_free(entry);
 }
 
+static void
+free_group(gpointer data)
+{
+    g_ptr_array_unref(data);
+}
+
 void
 directory_init(struct directory *directory)
 {
     directory->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
+    directory->groups = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_group);
 }
 
 void
 directory_clear(struct directory *directory)
 {
+    g_clear_pointer(&directory->groups, g_hash_table_unref);
     g_clear_pointer(&directory->entries, g_hash_table_unref);
 }
 
+const GPtrArray *
+directory_group(const struct directory *directory, const char *service)
+{
+    static const GPtrArray none = {NULL, 0};
+    const GPtrArray *group = g_hash_table_lookup(directory->groups, service);
+    return group == NULL ? &none : group;
+}
+
+static void
+join_group(struct directory *directory, struct directory_entry *entry)
+{
+    GPtrArray *group = g_hash_table_lookup(directory->groups, entry->service);
+    if (group == NULL) {
+        group = g_ptr_array_new();
+        g_hash_table_insert(directory->groups, g_strdup(entry->service), group);
+    }
+    g_ptr_array_add(group, entry);
+}
+
+static void
+leave_group(struct directory *directory, struct directory_entry *entry)
+{
+    GPtrArray *group = g_hash_table_lookup(directory->groups, entry->service);
+    g_ptr_array_remove(group, entry);
+    if (group->len == 0) {
+        g_hash_table_remove(directory->groups, entry->service);
+    }
+    directory->gone -= entry->gone_at != 0;
+}
+
 static bool
 same_content(const struct directory_entry *a, const struct directory_entry *b)
 {
@@ -43,12 +81,13 @@
 }
 
 static bool
-mark_gone(struct directory_entry *known, uint64_t version, time_ns now)
+mark_gone(struct directory *directory, struct directory_entry *known, uint64_t version, time_ns now)
 {
     bool changed = known->gone_at == 0;
     known->version = version;
     if (changed) {
         known->gone_at = now;
+        directory->gone++;
     }
     return changed;
 }
@@ -63,10 +102,14 @@
         return false;
     }
     if (entry == NULL) {
-        return known != NULL && mark_gone(known, version, now);
+        return known != NULL && mark_gone(directory, known, version, now);
     }
     bool changed = known == NULL || known->gone_at != 0 || !same_content(known, entry);
     entry->version = version;
+    if (known != NULL) {
+        leave_group(directory, known);
+    }
+    join_group(directory, entry);
     g_hash_table_replace(directory->entries, entry->id, entry);
     return changed;
 }
@@ -81,7 +124,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct directory_entry *entry = value;
         if (entry->version < version && !g_hash_table_contains(ids, entry->id)) {
-            changed = mark_gone(entry, version, now) || changed;
+            changed = mark_gone(directory, entry, version, now) || changed;
         }
     }
     return changed;
@@ -103,10 +146,14 @@
     guint before = g_hash_table_size(directory->entries);
     GHashTableIter iterator;
     gpointer value = NULL;
+    if (directory->gone == 0) {
+        return false;
+    }
     g_hash_table_iter_init(&iterator, directory->entries);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct directory_entry *entry = value;
         if (entry->gone_at != 0 && now >= entry->gone_at + age) {
+            leave_group(directory, entry);
             g_hash_table_iter_remove(&iterator);
         }
     }
--- a/src/pooler/directory.h
+++ b/src/pooler/directory.h
@@ -28,6 +28,8 @@
 
 struct directory {
     GHashTable *entries; /* id -> struct directory_entry, owned; gone ones are kept for a while */
+    GHashTable *groups;  /* service -> GPtrArray of its struct directory_entry, not owned */
+    uint32_t gone;       /* entries whose row is gone */
 };
 
 void directory_init(struct directory *directory);
@@ -42,6 +44,14 @@
 bool directory_keep_only(struct directory *directory, GHashTable *ids, uint64_t version,
                          time_ns now);
 
+/**
+ * @brief The databases of one group, those whose row is gone included. To walk over a group costs
+ * its own size this way, and not that of the whole deployment.
+ *
+ * @return array of struct directory_entry, never NULL; valid until the directory changes.
+ */
+const GPtrArray *directory_group(const struct directory *directory, const char *service);
+
 /* True if the database takes no new work by what the directory tells. */
 bool directory_entry_leaves(const struct directory_entry *entry, time_ns now, time_ns heartbeat);
 
--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -167,6 +167,13 @@
     atomic_store(&group->shared->workers[group->worker->index].epoch, group->epoch);
 }
 
+void
+group_refresh(struct group *group)
+{
+    forward_try_again(group);
+    make_ready(group);
+}
+
 bool
 group_go_alone(struct group *group)
 {
@@ -203,7 +210,7 @@
     struct worker_figures *figures = &group->shared->workers[group->worker->index];
     uint32_t before = atomic_exchange(&figures->in_flight, count);
     if (count == 0 && before != 0 && group->phase == GROUP_PHASE_DRAINING) {
-        worker_alert(group->worker);
+        worker_tell_news(group->worker);
     }
 }
 
--- a/src/pooler/session_statement.c
+++ b/src/pooler/session_statement.c
@@ -15,7 +15,7 @@
 bool
 session_knows_routes(const struct worker *worker)
 {
-    return worker->applied != NULL;
+    return worker->view_number != 0;
 }
 
 /* Takes the session's route from the newest view. False if there is none. */
--- a/src/pooler/view.c
+++ b/src/pooler/view.c
@@ -3,6 +3,35 @@
 
 #include <glib.h>
 
+struct pooled_group *
+pooled_group_new(void)
+{
+    return g_rc_box_new0(struct pooled_group);
+}
+
+struct pooled_group *
+pooled_group_ref(struct pooled_group *group)
+{
+    return g_rc_box_acquire(group);
+}
+
+static void
+clear_group(gpointer data)
+{
+    struct pooled_group *group = data;
+    for (size_t i = 0; i < group->owners_count; i++) {
+        g_free(group->owners[i].text);
+    }
+    g_free(group->owners);
+    g_free(group->members);
+}
+
+void
+pooled_group_unref(struct pooled_group *group)
+{
+    g_rc_box_release_full(group, clear_group);
+}
+
 void
 view_free(struct view *view)
 {
@@ -10,11 +39,7 @@
         return;
     }
     for (size_t i = 0; i < view->groups_count; i++) {
-        g_free(view->groups[i].members);
-        for (size_t owner = 0; owner < view->groups[i].owners_count; owner++) {
-            g_free(view->groups[i].owners[owner].text);
-        }
-        g_free(view->groups[i].owners);
+        pooled_group_unref(view->groups[i]);
     }
     g_free(view->groups);
     g_clear_pointer(&view->configuration, configuration_unref);
--- a/src/pooler/view.h
+++ b/src/pooler/view.h
@@ -51,10 +51,11 @@
     bool same_zone;
 } owner_view_t;
 
-/* One group and who leads it. */
+/* One group and who leads it. Immutable once published; views share it until it changes. */
 struct pooled_group {
     struct group_shared *shared;
-    uint64_t epoch; /* of the coordinator's order; 0: none is known */
+    uint64_t revision; /* differs from that of any other state of any group */
+    uint64_t epoch;    /* of the coordinator's order; 0: none is known */
     enum group_phase phase;
     uint64_t term;
     int primary; /* index of the member, -1: unknown */
@@ -68,12 +69,18 @@
 };
 
 struct view {
+    uint64_t number;                     /* rises with each view */
     struct configuration *configuration; /* NULL until one is known */
-    struct pooled_group *groups;
+    struct pooled_group **groups;        /* one reference each */
     size_t groups_count;
 };
 
-/* Frees what the view owns: arrays and its reference to the configuration. */
+/* A group with one reference. Only the control thread counts references. */
+struct pooled_group *pooled_group_new(void);
+struct pooled_group *pooled_group_ref(struct pooled_group *group);
+void pooled_group_unref(struct pooled_group *group);
+
+/* Frees what the view owns: its references to groups and to the configuration. */
 void view_free(struct view *view);
 
 #endif
--- a/src/pooler/worker.c
+++ b/src/pooler/worker.c
@@ -13,6 +13,10 @@
 #define LISTEN_BACKLOG 512
 #define ACCEPTS_MAX    64
 
+/* Connections are kept ready, and lost owners tried again, so often while nothing else asks for it.
+ */
+#define REFRESH_EVERY_NS (900 * NANOSECONDS_PER_MILLISECOND)
+
 /* A planned stop takes new clients this long at least: the entry has to notice first. */
 #define STOP_MIN_NS (2600 * NANOSECONDS_PER_MILLISECOND)
 
@@ -28,6 +32,13 @@
     }
 }
 
+void
+worker_tell_news(struct worker *worker)
+{
+    atomic_fetch_add(&worker->shared->news, 1);
+    worker_alert(worker);
+}
+
 void
 worker_wake(struct worker *worker)
 {
@@ -37,6 +48,12 @@
     }
 }
 
+uint64_t
+worker_view_number(const struct worker *worker)
+{
+    return atomic_load(&worker->view_number);
+}
+
 bool
 worker_ended(const struct worker *worker)
 {
@@ -94,27 +111,51 @@
     }
 }
 
+/* Most views change few groups, or none. */
+static void
+apply_group(struct worker *worker, const struct pooled_group *published, bool refresh)
+{
+    struct group *group = group_of(worker, published->shared);
+    if (group->revision != published->revision) {
+        group->revision = published->revision;
+        group_apply(group, published);
+        g_ptr_array_add(worker->groups_to_run, group);
+    } else if (refresh) {
+        group_refresh(group);
+    }
+}
+
+static void
+apply_groups(struct worker *worker, const struct view *view)
+{
+    time_ns now = backend_now();
+    bool refresh = now >= worker->refreshed_at + REFRESH_EVERY_NS;
+    if (refresh) {
+        worker->refreshed_at = now;
+    }
+    for (size_t i = 0; i < view->groups_count; i++) {
+        apply_group(worker, view->groups[i], refresh);
+    }
+}
+
+/* Views are told apart by number: another one may lie where a freed one lay. */
 static void
 apply_view(struct worker *worker)
 {
     rcu_read_lock();
     const struct view *view = rcu_dereference(worker->shared->view);
-    bool first = worker->applied == NULL;
-    if (view != NULL && view != worker->applied) {
-        worker->applied = view;
-        for (size_t i = 0; i < view->groups_count; i++) {
-            struct group *group = group_of(worker, view->groups[i].shared);
-            group_apply(group, &view->groups[i]);
-            g_ptr_array_add(worker->groups_to_run, group);
-        }
+    uint64_t before = worker->view_number;
+    if (view != NULL && view->number != before) {
+        apply_groups(worker, view);
         if (view->configuration != NULL) {
             worker->transaction_idle =
                 view->configuration->transaction_idle_ms * NANOSECONDS_PER_MILLISECOND;
         }
+        atomic_store(&worker->view_number, view->number);
         worker_alert(worker);
     }
     rcu_read_unlock();
-    if (first && worker->applied != NULL) {
+    if (before == 0 && worker->view_number != 0) {
         continue_waiting(worker);
     }
 }
--- a/src/pooler/worker.h
+++ b/src/pooler/worker.h
@@ -21,6 +21,7 @@
     _Atomic time_ns stop_at; /* when the planned stop began; 0: not yet */
     time_ns stop_grace;      /* how long a planned stop may take */
     int control_wake;        /* eventfd that wakes the control thread */
+    _Atomic uint64_t news; /* rises with each change that the coordinator should hear of at once */
     struct sockaddr_in listen;
     struct sockaddr_in forward_listen; /* for other poolers' statements; port 0: nowhere */
     uint32_t sessions_max;
@@ -32,6 +33,9 @@
 /* Wakes the worker, so that it looks at the view and at a planned stop. Any thread. */
 void worker_wake(struct worker *worker);
 
+/* Number of the newest view that the worker follows; 0: none yet. Any thread. */
+uint64_t worker_view_number(const struct worker *worker);
+
 /* True once the worker has ended its planned stop. Any thread. */
 bool worker_ended(const struct worker *worker);
 
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -211,6 +211,7 @@
 struct group {
     struct worker *worker;
     struct group_shared *shared;
+    uint64_t revision; /* of the published group that is followed; 0: none yet */
     uint64_t epoch;
     enum group_phase phase;
     uint64_t term;
@@ -244,12 +245,13 @@
     struct event *woken;
     struct event *tick;
     bool tick_armed;
-    const struct view *applied; /* compared, never read */
-    time_ns transaction_idle;   /* an open transaction that rests longer is rolled back */
-    GHashTable *groups;         /* service -> struct group */
-    GHashTable *links;          /* address as text -> link_t */
-    GPtrArray *callers;         /* caller_t */
-    int forward_listener;       /* -1: none */
+    _Atomic uint64_t view_number; /* of the view that is followed; 0: none yet */
+    time_ns refreshed_at;         /* groups whose view has not changed were looked after */
+    time_ns transaction_idle;     /* an open transaction that rests longer is rolled back */
+    GHashTable *groups;           /* service -> struct group */
+    GHashTable *links;            /* address as text -> link_t */
+    GPtrArray *callers;           /* caller_t */
+    int forward_listener;         /* -1: none */
     struct event *forward_acceptable;
     GQueue sessions;
     GPtrArray *ended;         /* sessions to free after the callback */
@@ -269,6 +271,8 @@
 void worker_arm_tick(struct worker *worker);
 /* Wakes the control thread. */
 void worker_alert(struct worker *worker);
+/* The same, for something that the coordinator should hear of at once. */
+void worker_tell_news(struct worker *worker);
 
 /* session.c */
 void session_open(struct worker *worker, int socket);
@@ -355,6 +359,8 @@
 /* group.c */
 struct group *group_of(struct worker *worker, struct group_shared *shared);
 void group_apply(struct group *group, const struct pooled_group *view);
+/* Keeps connections ready and tries lost owners again, while the view has not changed. */
+void group_refresh(struct group *group);
 /** @brief Serves the group by connections of its own, if none of its owners can be reached.
  *  @return false if it has none to open, or an owner may be reached. */
 bool group_go_alone(struct group *group);
--- a/tests/pooler/test_directory.c
+++ b/tests/pooler/test_directory.c
@@ -90,6 +90,39 @@
     directory_clear(&directory);
 }
 
+static bool
+take_into(struct directory *directory, const char *id, const char *service, uint64_t version)
+{
+    struct directory_entry *taken = entry(id, false);
+    g_free(taken->service);
+    taken->service = g_strdup(service);
+    return directory_take(directory, id, version, taken, 0);
+}
+
+/* A group's databases are found without a look at those of the other groups. */
+static void
+test_group(void)
+{
+    struct directory directory;
+    directory_init(&directory);
+    g_assert_cmpuint(directory_group(&directory, "ledger-1")->len, ==, 0);
+    take_into(&directory, "a", "ledger-1", 1);
+    take_into(&directory, "b", "ledger-1", 2);
+    take_into(&directory, "c", "ledger-2", 3);
+    g_assert_cmpuint(directory_group(&directory, "ledger-1")->len, ==, 2);
+    take_into(&directory, "a", "ledger-1", 4);
+    g_assert_cmpuint(directory_group(&directory, "ledger-1")->len, ==, 2);
+    take_into(&directory, "b", "ledger-2", 5);
+    g_assert_cmpuint(directory_group(&directory, "ledger-1")->len, ==, 1);
+    g_assert_true(directory_group(&directory, "ledger-1")->pdata[0] == find(&directory, "a"));
+    g_assert_cmpuint(directory_group(&directory, "ledger-2")->len, ==, 2);
+    directory_take(&directory, "c", 6, NULL, 1000 * MS);
+    g_assert_cmpuint(directory_group(&directory, "ledger-2")->len, ==, 2);
+    directory_forget(&directory, 9000 * MS, 1000 * MS);
+    g_assert_cmpuint(directory_group(&directory, "ledger-2")->len, ==, 1);
+    directory_clear(&directory);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -99,5 +132,6 @@
     g_test_add_func("/pooler/directory/draining", test_draining_leaves_at_once);
     g_test_add_func("/pooler/directory/gone", test_gone_leaves_after_two_heartbeats);
     g_test_add_func("/pooler/directory/forget", test_forget);
+    g_test_add_func("/pooler/directory/group", test_group);
     return g_test_run();
 }
--- a/tests/pooler/worker_fixture.c
+++ b/tests/pooler/worker_fixture.c
@@ -58,10 +58,14 @@
 {
     struct view *view = g_new0(struct view, 1);
     view->configuration = make_configuration(fixture);
-    view->groups = g_new0(struct pooled_group, 1);
+    static uint64_t published;
+    view->number = ++published;
+    view->groups = g_new0(struct pooled_group *, 1);
     view->groups_count = 1;
-    view->groups[0] = (struct pooled_group){
+    view->groups[0] = pooled_group_new();
+    *view->groups[0] = (struct pooled_group){
         .shared = figures,
+        .revision = published,
         .epoch = fixture->epoch,
         .phase = fixture->phase,
         .term = fixture->term,
@@ -72,7 +76,7 @@
         .members_count = DATABASES,
     };
     for (unsigned i = 0; i < DATABASES; i++) {
-        fill_member(fixture, i, members[i], &view->groups[0].members[i]);
+        fill_member(fixture, i, members[i], &view->groups[0]->members[i]);
     }
     return view;
 }
@@ -117,9 +121,9 @@
     }
     struct view *view =
         make_view(fixture, fixture->figures, fixture->members, fixture->connections);
-    if (name_owners(fixture, &view->groups[0]) > 0) {
-        view->groups[0].connections = 0;
-        view->groups[0].alone_connections = fixture->alone_connections;
+    if (name_owners(fixture, view->groups[0]) > 0) {
+        view->groups[0]->connections = 0;
+        view->groups[0]->alone_connections = fixture->alone_connections;
     }
     exchange_view(&fixture->shared, fixture->worker, view);
 }
