Open connections with growing, jittered pauses, and wait a moment for owners that are lost

Cause: a database at its limit resets connections. That was taken for a database out of reach, tried again each 50 ms, as answers on other connections ended the row of failures; hundreds of poolers did it at once.

Change: a database that answers on another connection is full, not lost; pauses double up to 2.4 s and are spread by chance; owners are lost to a pooler after 400 ms; then it opens what its statements need, and keeps it for 1.5 s once an owner is back.

--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -18,7 +18,7 @@
 #define STATUS_MAX_NS (400 * NANOSECONDS_PER_MILLISECOND)
 
 /* Connections that are kept ready, used or not. */
-#define READY_CONNECTIONS 2
+#define READY_CONNECTIONS 2U
 
 /* An idle connection beside those is kept this long. */
 #define UNUSED_KEPT_NS (1500 * NANOSECONDS_PER_MILLISECOND)
@@ -31,8 +31,14 @@
 #define RETRY_MIN_NS (50 * NANOSECONDS_PER_MILLISECOND)
 #define RETRY_MAX_NS (800 * NANOSECONDS_PER_MILLISECOND)
 
-/* Wait after the database had too many connections. */
-#define OVERLOADED_WAIT_NS (150 * NANOSECONDS_PER_MILLISECOND)
+/* Wait after the database had no room for another connection, doubled each time. The longest is a
+ * little below the 3 s for which a database counts connections of a machine that went dark. */
+#define FULL_WAIT_MIN_NS (150 * NANOSECONDS_PER_MILLISECOND)
+#define FULL_WAIT_MAX_NS (2400 * NANOSECONDS_PER_MILLISECOND)
+
+/* A database that answered on another connection within this lives: what it did not take, it had
+ * no room for. */
+#define LIVES_NS (500 * NANOSECONDS_PER_MILLISECOND)
 
 struct database *
 database_new(struct group *group, struct member_shared *shared)
@@ -78,26 +84,48 @@
 database_answered(struct database *database, time_ns now)
 {
     atomic_store_explicit(&database->shared->answered_at, now, memory_order_relaxed);
-    database->failures = 0;
     enum database_fault fault = database_fault(database);
     if (fault == DATABASE_FAULT_SILENT || fault == DATABASE_FAULT_UNREACHABLE) {
         database_set_fault(database, DATABASE_FAULT_NONE, now);
     }
 }
 
+/* A wait that doubles with each failure, by chance half of it or up to one and a half: hundreds of
+ * poolers that failed together don't come back together. */
+static time_ns
+backoff(time_ns least, time_ns most, uint32_t failures)
+{
+    time_ns wait = MIN(least << MIN(failures, 10U), most);
+    return wait / 2 + (time_ns)(g_random_double() * (double)wait);
+}
+
+/* Some databases reset a connection that they have no room for, some refuse it in words. */
+static bool
+is_full(const struct database *database, enum answer_code code, time_ns now)
+{
+    time_ns answered = atomic_load(&database->shared->answered_at);
+    bool lives = answered != 0 && now < answered + LIVES_NS;
+    return lives || code == ANSWER_OVERLOADED || code == ANSWER_BUSY;
+}
+
 void
 database_open_failed(struct database *database, enum answer_code code)
 {
     time_ns now = backend_now();
     metrics_count(&database->group->worker->metrics, METRICS_CONNECTIONS_FAILED);
-    if (code == ANSWER_OVERLOADED || code == ANSWER_BUSY) {
-        database->retry_at = now + OVERLOADED_WAIT_NS;
-        return;
+    if (is_full(database, code, now)) {
+        database->retry_at = now + backoff(FULL_WAIT_MIN_NS, FULL_WAIT_MAX_NS, database->failures);
+    } else {
+        database->retry_at = now + backoff(RETRY_MIN_NS, RETRY_MAX_NS, database->failures);
+        database_set_fault(database, DATABASE_FAULT_UNREACHABLE, now);
     }
-    time_ns wait = RETRY_MIN_NS << MIN(database->failures, 4);
     database->failures++;
-    database->retry_at = now + MIN(wait, RETRY_MAX_NS);
-    database_set_fault(database, DATABASE_FAULT_UNREACHABLE, now);
+}
+
+void
+database_opened(struct database *database)
+{
+    database->failures = 0;
 }
 
 /* How much must be set up before the connection suits the session; lower is better. */
@@ -271,11 +299,11 @@
 
 /* Connections beyond these that are no longer used are closed: after a loss of power a database
  * counts them for seconds, beside those that are opened then. */
-static void
-close_unused(struct database *database, time_ns now)
+void
+database_close_unused(struct database *database, time_ns now)
 {
-    for (guint i = database->servers->len; i > 0 && database->servers->len > READY_CONNECTIONS;
-         i--) {
+    guint kept = MIN(database->group->connections, READY_CONNECTIONS);
+    for (guint i = database->servers->len; i > 0 && database->servers->len > kept; i--) {
         struct server *server = g_ptr_array_index(database->servers, i - 1);
         if (server->state == SERVER_IDLE && now > server->idle_since + UNUSED_KEPT_NS) {
             server_close(server, ANSWER_NONE);
@@ -301,7 +329,7 @@
         return;
     }
     check_refusal(database, now);
-    close_unused(database, now);
+    database_close_unused(database, now);
     database_close_where(database, is_orphan, now, ANSWER_TIMEOUT);
     check_silence(database, now);
     database_close_where(database, has_lost_answer, now, ANSWER_BUSY);
--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -3,6 +3,11 @@
 
 #include <string.h>
 
+/* Owners that can't be reached for so long are taken for lost to this pooler. After the loss of all
+ * poolers, hundreds start together: the owners' machines take up to 0.3 s to start and answer, and
+ * connections opened meanwhile would be lacking to them. */
+#define ALONE_AFTER_NS (400 * NANOSECONDS_PER_MILLISECOND)
+
 struct group *
 group_of(struct worker *worker, struct group_shared *shared)
 {
@@ -128,6 +133,9 @@
 make_ready(struct group *group)
 {
     time_ns now = backend_now();
+    if (group->alone) {
+        return; /* what it opens may be lacking to the owners: only what a statement needs */
+    }
     for (guint i = 0; group->primary != NULL && i < group->databases->len; i++) {
         database_make_ready(g_ptr_array_index(group->databases, i), now);
     }
@@ -170,14 +178,33 @@
 void
 group_refresh(struct group *group)
 {
+    time_ns now = backend_now();
     forward_try_again(group);
     make_ready(group);
+    for (guint i = 0; i < group->databases->len; i++) {
+        database_close_unused(g_ptr_array_index(group->databases, i), now);
+    }
+}
+
+/* True once none of the owners could be reached for long enough. */
+static bool
+is_left_alone(struct group *group)
+{
+    time_ns now = backend_now();
+    if (!forward_none_left(group)) {
+        group->unreached_since = 0;
+        return false;
+    }
+    if (group->unreached_since == 0) {
+        group->unreached_since = now;
+    }
+    return now >= group->unreached_since + ALONE_AFTER_NS;
 }
 
 bool
 group_go_alone(struct group *group)
 {
-    if (group->alone_connections == 0 || !forward_none_left(group)) {
+    if (group->alone_connections == 0 || !is_left_alone(group)) {
         return false;
     }
     g_log_structured("router", G_LOG_LEVEL_MESSAGE, "SW_SERVICE", group->shared->service, "MESSAGE",
@@ -186,21 +213,23 @@
                      group->shared->service, group->links->len, group->alone_connections);
     group->alone = true;
     group->connections = group->alone_connections;
-    make_ready(group);
     return true;
 }
 
 void
 group_rejoin(struct group *group)
 {
-    if (!group->alone || forward_none_left(group)) {
+    if (forward_none_left(group)) {
+        return;
+    }
+    group->unreached_since = 0;
+    if (!group->alone) {
         return;
     }
     g_log_structured("router", G_LOG_LEVEL_MESSAGE, "SW_SERVICE", group->shared->service, "MESSAGE",
                      "Group %s: an owner can be reached again.", group->shared->service);
     group->alone = false;
-    group->connections = 0;
-    close_connections(group);
+    group->connections = 0; /* what is open is closed once it has not been used for a while */
 }
 
 void
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -212,7 +212,8 @@
     server->idle_since = backend_now();
     server->state = SERVER_IDLE;
     server->in_transaction = false;
-    if (!database->takes_work || database->servers->len > database->group->connections) {
+    uint32_t most = MAX(database->group->connections, database->group->alone_connections);
+    if (!database->takes_work || database->servers->len > most) {
         server_close(server, ANSWER_NONE);
         return;
     }
--- a/src/pooler/server_answer.c
+++ b/src/pooler/server_answer.c
@@ -24,6 +24,7 @@
         server_close(server, ANSWER_NONE);
         return;
     }
+    database_opened(server->database);
     server_become_idle(server);
 }
 
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -184,7 +184,8 @@
     bool listed;                  /* in the newest view */
     GPtrArray *servers;           /* of struct server */
     uint32_t in_flight;           /* servers reserved or running */
-    uint32_t failures;            /* in a row, of opening a connection */
+    uint32_t failures;            /* in a row, of opening a connection; answers on others don't end
+                                     the row */
     time_ns retry_at;             /* no connection is opened before */
     double latency_ms;            /* moving average of answers */
     struct log_position position; /* last seen */
@@ -219,6 +220,7 @@
     uint32_t connections;       /* to each database; 0: statements go to the group's owners */
     uint32_t alone_connections; /* the same while none of the owners can be reached */
     bool alone;                 /* which is so now */
+    time_ns unreached_since;    /* none of the owners could be reached since then; 0: one can */
     GPtrArray *databases;       /* of struct database, owned */
     GPtrArray *links; /* to the group's owners, link_t, near ones first; empty if it has none */
     guint links_near; /* how many of them are in this zone */
@@ -331,8 +333,12 @@
 enum database_fault database_fault(const struct database *database);
 /* Notes an answer. */
 void database_answered(struct database *database, time_ns now);
-/* Notes that a connection could not be opened. */
+/* Notes that a connection could not be opened, and waits longer each time. */
 void database_open_failed(struct database *database, enum answer_code code);
+/* Notes that one could. */
+void database_opened(struct database *database);
+/* Closes connections that have not been used for a while, beside those kept ready. */
+void database_close_unused(struct database *database, time_ns now);
 /* Looks for silence and stalls, and opens connections anew where they failed. */
 void database_tick(struct database *database, time_ns now);
 /* Closes the connections that match. */
--- a/standins/session_platform/line_group.c
+++ b/standins/session_platform/line_group.c
@@ -474,7 +474,8 @@
 {
     struct database *database = user;
     g_mutex_lock(&database->group->lock);
-    if (database->faults.down) {
+    bool full = database->faults.room != 0 && database->connections->len >= database->faults.room;
+    if (database->faults.down || full) {
         evutil_closesocket(socket);
         g_mutex_unlock(&database->group->lock);
         return;
--- a/standins/session_platform/line_group.h
+++ b/standins/session_platform/line_group.h
@@ -20,6 +20,7 @@
     bool lagging;      /* receives, but does not apply */
     unsigned slow_ms;  /* each statement takes so long, one after the other */
     bool busy;         /* refuses statements for want of slots */
+    unsigned room;     /* resets connections beyond so many; 0: takes any number */
 };
 
 /* One statement that a database ran. */
--- a/tests/pooler/test_forward.c
+++ b/tests/pooler/test_forward.c
@@ -233,6 +233,36 @@
     client_close(client);
 }
 
+static uint64_t
+count_opened(const struct fixture *fixture)
+{
+    return atomic_load(&worker_metrics(fixture->worker)->counters[METRICS_CONNECTIONS_OPENED]);
+}
+
+/* Owners that come back within a moment, as after the loss of all poolers, are waited for: what a
+ * forwarder opens meanwhile would be lacking to them, and it would do so each time. */
+static void
+test_short_loss(struct fixture *fixture, gconstpointer unused)
+{
+    fixture->alone_connections = 2;
+    publish(fixture);
+    struct client *client = client_open(fixture, "strict");
+    good(client, "WRITE hut 4", 'I');
+    for (unsigned round = 0; round < 3; round++) {
+        stop_owner(fixture, 0);
+        stop_owner(fixture, 1);
+        client_send(client, "READ hut");
+        g_usleep(50000);
+        start_owner(fixture, 0);
+        start_owner(fixture, 1);
+        publish(fixture);
+        client_read(client);
+        g_assert_cmpstr(client->row, ==, "4");
+    }
+    g_assert_cmpuint(count_opened(fixture), ==, 0);
+    client_close(client);
+}
+
 /* The owner rolls back what a client leaves behind, and its connection serves others. */
 static void
 test_client_gone(struct fixture *fixture, gconstpointer unused)
@@ -266,5 +296,6 @@
     ADD("no-owner", test_no_owner);
     ADD("client-gone", test_client_gone);
     ADD("alone", test_alone);
+    ADD("short-loss", test_short_loss);
     return g_test_run();
 }
--- a/tests/pooler/test_worker.c
+++ b/tests/pooler/test_worker.c
@@ -541,6 +541,44 @@
     }
 }
 
+static uint64_t
+count_opened(const struct fixture *fixture)
+{
+    return atomic_load(&worker_metrics(fixture->worker)->counters[METRICS_CONNECTIONS_OPENED]);
+}
+
+/* A database that has no room for more connections is asked for one ever more seldom, though it
+ * answers on those that it has, and is not taken for lost. */
+static void
+test_full_databases(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *clients[6];
+    fixture->connections = 10;
+    for (unsigned i = 0; i < DATABASES; i++) {
+        line_group_set_faults(fixture->group, i, &(struct line_faults){.slow_ms = 5, .room = 1});
+    }
+    publish(fixture);
+    for (size_t i = 0; i < G_N_ELEMENTS(clients); i++) {
+        clients[i] = client_open(fixture, "strict");
+    }
+    time_ns end = backend_now() + 2000 * MS;
+    while (backend_now() < end) {
+        for (size_t i = 0; i < G_N_ELEMENTS(clients); i++) {
+            client_send(clients[i], "WRITE hut 1");
+        }
+        for (size_t i = 0; i < G_N_ELEMENTS(clients); i++) {
+            client_read(clients[i]);
+        }
+        g_assert_cmpuint(atomic_load(&fixture->members[0]->fault), ==, DATABASE_FAULT_NONE);
+    }
+    /* Six within 2 s at each database: after 75, 150, 300, 600 and 1200 ms, all waits at their
+     * shortest, and two at once. */
+    g_assert_cmpuint(count_opened(fixture), <=, 12 * DATABASES);
+    for (size_t i = 0; i < G_N_ELEMENTS(clients); i++) {
+        client_close(clients[i]);
+    }
+}
+
 /* What would wait past its objective is refused at once, while those before it are still served. */
 static void
 test_overload_is_refused_at_once(struct fixture *fixture, gconstpointer unused)
@@ -670,6 +708,7 @@
     ADD("forwarding/refusal-once-lost", set_up_forwarding, test_refusal_once_lost);
     ADD("forwarding/cut-by-a-change", set_up_forwarding, test_transaction_cut_by_a_change);
     ADD("forwarding/busy", set_up_forwarding, test_busy_database_is_asked_again);
+    ADD("full-databases", set_up, test_full_databases);
     ADD("forwarding/connections-bounded", set_up_forwarding, test_connections_are_bounded);
     ADD("forwarding/overload", set_up_forwarding, test_overload_is_refused_at_once);
     ADD("forwarding/too-large", set_up_forwarding, test_too_large);
