--- a/src/pooler/control.c
+++ b/src/pooler/control.c
@@ -301,7 +301,8 @@
     control->started_at = backend_now();
     control_feeds_start(control);
     control_relay_start(control);
-    control_owners_init(control);
+    control->fleet = fleet_new();
+    control->fresh = g_hash_table_new(g_str_hash, g_str_equal);
     return control;
 }
 
--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -72,7 +72,7 @@
         *report = heartbeat->groups[i];
         pooler_group_report_init(&heartbeat->groups[i]);
         log_faults(pooler, report);
-        bool empty = report->abstains && report->faults_count == 0 && report->in_flight == 0;
+        bool empty = report->faults_count == 0 && report->in_flight == 0;
         if (empty) {
             g_hash_table_remove(pooler->reports, report->service);
             report_free(report);
@@ -183,7 +183,7 @@
     grant.coordinator = g_strdup(control->settings->pooler.name);
     grant.coordinator_address = g_strdup(control->coordinator_address);
     add_followed(control, &grant);
-    control_owners_fill(control, 0, &grant.ownerships, &grant.ownerships_count);
+    control_fleet_fill(control, heartbeat->fleet_version, &grant.fleet);
     const row_versions_t known = {heartbeat->relay.configuration_row,
                                   heartbeat->relay.directory_row};
     control_relay_fill(control, &known, backend_now(), &grant.relay);
@@ -202,8 +202,7 @@
     grant.token = control->lease.token;
     grant.members = control_coordinator_count(control);
     grant.follows_store = pooler->follows_store;
-    pooler->ownership_told = control_owners_fill(control, pooler->ownership_told, &grant.ownerships,
-                                                 &grant.ownerships_count);
+    pooler->fleet_told = control_fleet_fill(control, pooler->fleet_told, &grant.fleet);
     add_orders(control, pooler, &grant);
     control_relay_fill(control, &pooler->known, now, &grant.relay);
     pooler->known = (row_versions_t){grant.relay.configuration_row, grant.relay.directory_row};
@@ -238,7 +237,7 @@
     if (pooler->peer != peer) {
         g_hash_table_remove_all(pooler->reports);
         pooler->known = (row_versions_t){0};
-        pooler->ownership_told = 0;
+        pooler->fleet_told = heartbeat->fleet_version;
         pooler->orders_sent = 0;
     }
     take_relay(control, pooler, &heartbeat->relay);
@@ -351,7 +350,6 @@
     control->lease.ceded_token = 0;
     control->members_before = control_fleet_size(control);
     control->orders_version = control->lease.token << EPOCH_SHIFT;
-    control->ownership_decided = 0;
     control->coordinated_at = 0;
     control_member_set_coordinator(control, control->address);
     control_groups_start(control);
@@ -510,7 +508,7 @@
         control->followers_at = now;
         control_relay_choose(control);
     }
-    control_owners_tick(control, now);
+    control_fleet_tick(control, now);
     control_groups_tick(control, now);
     if (control->rows_learned || control->push_wanted) {
         push(control, now);
--- /dev/null
+++ b/src/pooler/control_fleet.c
@@ -0,0 +1,214 @@
+/**
+ * @file
+ * @brief The control thread's part in the fleet: the coordinator decides who belongs to it, by the
+ * poolers that it hears, and everybody passes the list on (fleet.h works the owners out of it).
+ *
+ * Everybody keeps the newest list that it was told, so that the loss of a coordinator changes
+ * nothing. A new coordinator goes on with what it was told as a pooler. Versions hold the lease's
+ * token, so that they rise from one coordinator to the next; under another token the whole list is
+ * told, as an earlier coordinator may have told changes that the new one never heard of.
+ */
+#define G_LOG_DOMAIN "fleet"
+#include "pooler/control_internal.h"
+
+#include <string.h>
+
+#define DECIDE_EVERY_NS (250 * MS)
+
+/** A pooler that was not heard for this long owns nothing. */
+#define OWNER_HEARD_NS (1200 * MS)
+
+/** A new coordinator waits until it hears as many poolers as the one before, but no longer than
+ *  this: a little where nothing is served without owners, longer where owners are at work, or all
+ *  poolers can serve by themselves. */
+#define GATHER_IDLE_NS   (400 * MS)
+#define GATHER_SERVED_NS (1500 * MS)
+
+/** The share of each pooler grows only once the fleet has lost one in so many: a fleet that loses
+ *  and regains a few does not move between connections of its own and owners' each time. */
+#define COUNTED_SLACK 8
+
+const fleet_owners_t *
+control_fleet_owners(const struct control *control, const struct service *service)
+{
+    return fleet_owners(control->fleet, service->name, service->max_connections);
+}
+
+static uint64_t
+token_of(uint64_t version)
+{
+    return version >> EPOCH_SHIFT;
+}
+
+uint64_t
+control_fleet_version(const struct control *control)
+{
+    uint64_t least = control->lease.held ? control->lease.token << EPOCH_SHIFT : 0;
+    return fleet_size(control->fleet) == 0 ? 0 : MAX(fleet_version(control->fleet), least);
+}
+
+static void
+add_member(struct pooler_fleet *out, const fleet_member_t *member)
+{
+    struct pooler_member *added = &out->members[out->members_count++];
+    added->address = g_strdup(member->address);
+    added->zone = g_strdup(member->zone);
+    added->workers = member->workers;
+    added->weight = member->weight;
+    added->gone = member->gone;
+}
+
+uint64_t
+control_fleet_fill(const struct control *control, uint64_t known, struct pooler_fleet *out)
+{
+    uint64_t version = control_fleet_version(control);
+    GHashTable *members = fleet_members(control->fleet);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    if (known >= version) {
+        return known;
+    }
+    out->version = version;
+    out->base = token_of(known) == token_of(version) ? known : 0;
+    out->counted = fleet_counted(control->fleet);
+    out->members = g_new0(struct pooler_member, g_hash_table_size(members) + 1);
+    g_hash_table_iter_init(&iterator, members);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const fleet_member_t *member = value;
+        if (out->base == 0 ? !member->gone : member->version > out->base) {
+            add_member(out, member);
+        }
+    }
+    return version;
+}
+
+void
+control_fleet_take(struct control *control, const struct pooler_fleet *told)
+{
+    fleet_t *fleet = control->fleet;
+    uint64_t known = control_fleet_version(control);
+    bool complete = told->base == 0 || known >= told->base;
+    if (told->version <= known || !complete) {
+        return;
+    }
+    for (size_t i = 0; i < told->members_count; i++) {
+        const struct pooler_member *member = &told->members[i];
+        if (member->gone) {
+            fleet_leave(fleet, member->address, told->version);
+        } else {
+            fleet_join(fleet, member->address, member->zone, member->workers, member->weight,
+                       told->version);
+        }
+    }
+    if (told->base == 0) {
+        fleet_leave_older(fleet, told->version);
+    }
+    fleet_set_counted(fleet, told->counted, told->version);
+    control->view_dirty = true;
+}
+
+static bool
+may_own(const struct pooler_peer *pooler, time_ns now)
+{
+    return pooler->peer != NULL && !pooler->stopping && now < pooler->heard_at + OWNER_HEARD_NS &&
+           pooler->forward_address != NULL && pooler->forward_address[0] != '\0';
+}
+
+static uint32_t
+join_heard(struct control *control, uint64_t version, GHashTable *heard, time_ns now)
+{
+    uint32_t joined = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->poolers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct pooler_peer *pooler = value;
+        if (may_own(pooler, now)) {
+            g_hash_table_add(heard, pooler->forward_address);
+            joined += fleet_join(control->fleet, pooler->forward_address, pooler->zone,
+                                 pooler->workers, pooler->millicores, version);
+        }
+    }
+    return joined;
+}
+
+static uint32_t
+leave_unheard(struct control *control, uint64_t version, GHashTable *heard)
+{
+    uint32_t left = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, fleet_members(control->fleet));
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const fleet_member_t *member = value;
+        if (!member->gone && !g_hash_table_contains(heard, member->address)) {
+            left += fleet_leave(control->fleet, member->address, version);
+        }
+    }
+    return left;
+}
+
+/* Shares fall at once as the fleet grows, and grow only once it is certainly smaller. */
+static uint32_t
+count_damped(uint32_t counted, uint32_t size)
+{
+    bool smaller = size < counted - counted / COUNTED_SLACK;
+    return size > counted || smaller ? size : counted;
+}
+
+bool
+control_fleet_decide(struct control *control, time_ns now)
+{
+    g_autoptr(GHashTable) heard = g_hash_table_new(g_str_hash, g_str_equal);
+    uint64_t version = MAX(control_fleet_version(control), control->lease.token << EPOCH_SHIFT) + 1;
+    uint32_t joined = join_heard(control, version, heard, now);
+    uint32_t left = leave_unheard(control, version, heard);
+    uint32_t size = fleet_size(control->fleet);
+    uint32_t counted = count_damped(fleet_counted(control->fleet), size);
+    bool changed = joined + left > 0 || counted != fleet_counted(control->fleet);
+    fleet_set_counted(control->fleet, counted, version);
+    if (changed) {
+        g_info("The fleet has %u poolers, counted as %u: %u have joined, %u have left.", size,
+               counted, joined, left);
+        control->view_dirty = true;
+    }
+    return changed;
+}
+
+/* True if every group has owners, or poolers that share its connections. */
+static bool
+is_served(const struct control *control)
+{
+    GPtrArray *services = control->configuration->services;
+    for (guint i = 0; i < services->len; i++) {
+        const struct service *service = g_ptr_array_index(services, i);
+        bool served = control_fleet_owners(control, service) != NULL ||
+                      control_direct_share(control, service) > 0;
+        if (!served) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+control_fleet_early(const struct control *control, time_ns now)
+{
+    bool complete = control->members_before > 0 &&
+                    g_hash_table_size(control->poolers) >= control->members_before;
+    time_ns gather = is_served(control) ? GATHER_SERVED_NS : GATHER_IDLE_NS;
+    return !complete && now < control->coordinator_since + gather;
+}
+
+void
+control_fleet_tick(struct control *control, time_ns now)
+{
+    if (control->configuration == NULL || now < control->fleet_at ||
+        control_fleet_early(control, now)) {
+        return;
+    }
+    control->fleet_at = now + DECIDE_EVERY_NS;
+    if (control_fleet_decide(control, now)) {
+        control_coordinator_push(control);
+    }
+}
--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -320,7 +320,7 @@
     if (!fresh) {
         return;
     }
-    group->opinion.poolers += !report->abstains;
+    group->reporters++;
     for (size_t i = 0; i < report->faults_count; i++) {
         if (g_strcmp0(report->faults[i].database, group->failover->primary) == 0) {
             count_fault(&report->faults[i], &group->opinion);
@@ -348,6 +348,41 @@
     }
 }
 
+static void
+find_fresh(struct control *control, time_ns now)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->poolers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct pooler_peer *pooler = value;
+        if (now <= pooler->heard_at + OPINION_FRESH_NS && pooler->forward_address != NULL) {
+            g_hash_table_add(control->fresh, pooler->forward_address);
+        }
+    }
+}
+
+/* How many poolers that were heard lately hold connections to the group's databases. */
+static uint32_t
+count_holders(struct control *control, const struct controlled_group *group, time_ns now)
+{
+    const struct service *service =
+        configuration_service(control->configuration, group->failover->service);
+    const fleet_owners_t *owners = service == NULL ? NULL : control_fleet_owners(control, service);
+    uint32_t count = 0;
+    if (g_hash_table_size(control->fresh) == 0) {
+        find_fresh(control, now);
+    }
+    if (owners == NULL || owners->direct) {
+        return g_hash_table_size(control->fresh);
+    }
+    for (guint i = 0; i < owners->members->len; i++) {
+        const fleet_member_t *owner = g_ptr_array_index(owners->members, i);
+        count += g_hash_table_contains(control->fresh, owner->address);
+    }
+    return count;
+}
+
 /* What all poolers say of all groups, in one pass over what they have told: its cost is that of the
  * connections held, not that of poolers times groups. */
 static void
@@ -355,12 +390,14 @@
 {
     GHashTableIter iterator;
     gpointer value = NULL;
+    g_hash_table_remove_all(control->fresh);
     control->orders_held = UINT64_MAX;
     control->orders_reached = UINT64_MAX;
     g_hash_table_iter_init(&iterator, control->controlled);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct controlled_group *group = value;
         group->opinion = (struct failover_opinion){0};
+        group->reporters = 0;
         group->in_flight = 0;
     }
     g_hash_table_iter_init(&iterator, control->poolers);
@@ -369,6 +406,16 @@
     }
 }
 
+/* The poolers whose opinion counts are those with connections, and those that report all the same,
+ * as they serve alone. Counted only where there is an opinion. */
+static void
+count_opinions(struct control *control, struct controlled_group *group, time_ns now)
+{
+    if (group->reporters > 0) {
+        group->opinion.poolers = MAX(count_holders(control, group, now), group->reporters);
+    }
+}
+
 static void
 close_unused(struct controlled_group *group, time_ns now)
 {
@@ -393,6 +440,7 @@
         struct controlled_group *group = value;
         update_members(control, group, now);
         group->failover->settled = control->directory_settled;
+        count_opinions(control, group, now);
         failover_tick(group->failover, &group->opinion, now);
         close_unused(group, now);
     }
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -14,6 +14,7 @@
 #include "pooler/database_control.h"
 #include "pooler/directory.h"
 #include "pooler/failover.h"
+#include "pooler/fleet.h"
 #include "pooler/peer.h"
 #include "pooler/probe_server.h"
 #include "pooler/promotion.h"
@@ -59,7 +60,6 @@
 
 /** @brief What a pooler has told the coordinator of a group on this connection. */
 typedef struct told_report {
-    bool holds; /* connections to the group's databases */
     size_t faults;
     uint32_t in_flight;
 } told_report_t;
@@ -68,8 +68,8 @@
  *  an equal view. Compared as bytes. */
 typedef struct view_inputs {
     uint64_t epoch;
-    uint64_t ownership; /* version; 0: none is known */
-    uint64_t members;   /* digest of the directory's entries */
+    uint64_t owners;  /* revision; 0: no fleet is known */
+    uint64_t members; /* digest of the directory's entries */
     uint32_t connections;
     uint32_t alone_connections;
     uint32_t sync_replicas;
@@ -121,13 +121,13 @@
     char *forward_address;
     uint32_t workers;
     uint32_t millicores;      /* processor that its machine grants */
-    uint64_t ownership_told;  /* newest version */
+    uint64_t fleet_told;      /* up to this version */
     uint64_t orders_sent;     /* on this connection, up to this version */
     uint64_t orders_followed; /* by all its workers, up to this version */
     row_versions_t known;     /* what it knows of the store's tables */
     bool follows_store;       /* by itself, beside the coordinator */
-    GHashTable *reports;      /* service -> struct pooler_group_report, newest; none is told of
-                                 groups to which it holds no connections */
+    GHashTable *reports;      /* service -> struct pooler_group_report, where there is something to
+                                 report */
 };
 
 /* A group as the coordinator controls it. */
@@ -137,6 +137,7 @@
     GHashTable *connections;         /* database id -> struct database_control */
     uint64_t orders_version;         /* at its newest order */
     struct failover_opinion opinion; /* of the poolers, by the newest survey */
+    uint32_t reporters;              /* poolers heard lately that report on it, by the same */
     uint32_t in_flight;              /* open at the primary, by the same */
     bool recording_done;
     bool retired; /* no longer under this coordinator */
@@ -213,13 +214,12 @@
     uint64_t orders_reached; /* followed by all poolers, by the same */
     bool records_read;
     uint64_t store_calls[STORE_TABLE_COUNT]; /* since the start */
-    GHashTable *ownerships;                  /* service -> struct pooler_ownership */
-    uint64_t ownership_count;
-    uint64_t ownership_newest;  /* highest version of any */
-    uint64_t ownership_decided; /* digest of what they were last decided by */
-    time_ns owners_at;          /* when they are decided next */
-    bool rows_learned;          /* and not yet told to the poolers */
-    time_ns followers_at;       /* when the followers of the store were chosen */
+    fleet_t *fleet;                          /* the poolers that share connections */
+    time_ns fleet_at;                        /* when it is decided next */
+    GHashTable *fresh;    /* of forward addresses: poolers heard lately, by this survey; empty until
+                             asked for */
+    bool rows_learned;    /* and not yet told to the poolers */
+    time_ns followers_at; /* when the followers of the store were chosen */
 };
 
 /* control.c */
@@ -230,7 +230,7 @@
 struct group_state *control_group(struct control *control, const char *service);
 void control_publish(struct control *control);
 /** @return true if other poolers hold the connections to the group's databases. */
-bool control_view_forwards(const struct control *control, const char *service);
+bool control_view_forwards(const struct control *control, const struct service *service);
 /** @return how many poolers share the databases' connections, by the newest that is known here: the
  *  coordinator's word, or the lease's row; 0 if neither is known. */
 uint32_t control_fleet_size(const struct control *control);
@@ -268,23 +268,24 @@
 /** @brief Chooses, at the coordinator, which poolers follow the store beside it. */
 void control_relay_choose(struct control *control);
 
-/* control_owners.c */
-void control_owners_init(struct control *control);
-/** @return who holds the connections to the group's databases; NULL if nobody has told. */
-const struct pooler_ownership *control_owners_of(const struct control *control,
-                                                 const char *service);
-/** @brief Copies what is newer than `told` into a new array. @return the newest version copied. */
-uint64_t control_owners_fill(const struct control *control, uint64_t told,
-                             struct pooler_ownership **out, size_t *count);
+/* control_fleet.c */
+/** @return who holds the connections to the service's databases; NULL if no fleet is known. */
+const fleet_owners_t *control_fleet_owners(const struct control *control,
+                                           const struct service *service);
+/** @return the version up to which the fleet is known here; 0: not at all. */
+uint64_t control_fleet_version(const struct control *control);
+/** @brief Fills in what somebody lacks who knows the fleet up to `known`.
+ *  @return the version up to which it is known then. */
+uint64_t control_fleet_fill(const struct control *control, uint64_t known,
+                            struct pooler_fleet *out);
 /** @brief Takes over what another pooler tells, or the lease's row. */
-void control_owners_take(struct control *control, const struct pooler_ownership *all, size_t count);
-/** @return true while a new coordinator expects to hear more poolers before it names owners. */
-bool control_owners_early(const struct control *control, time_ns now);
-/** @brief Names the owners of all groups. @return true if any has changed. */
-bool control_owners_decide(struct control *control, time_ns now);
-/** @brief Names the owners from time to time, at the coordinator, and tells the poolers of changes.
- */
-void control_owners_tick(struct control *control, time_ns now);
+void control_fleet_take(struct control *control, const struct pooler_fleet *told);
+/** @return true while a new coordinator expects to hear more poolers before it decides. */
+bool control_fleet_early(const struct control *control, time_ns now);
+/** @brief Decides who belongs to the fleet. @return true if anything has changed. */
+bool control_fleet_decide(struct control *control, time_ns now);
+/** @brief Decides from time to time, at the coordinator, and tells the poolers of changes. */
+void control_fleet_tick(struct control *control, time_ns now);
 
 /* control_lease.c */
 void control_lease_tick(struct control *control, time_ns now);
@@ -296,7 +297,7 @@
 void control_lease_take(struct control *control, const struct store_answer *answer);
 /* Gives the lease up, as at a planned stop. */
 void control_lease_release(struct control *control);
-/** @brief Fills in the owners of all groups, if the row stays small enough. @return the row. */
+/** @brief Fills in the fleet, if the row stays small enough. @return the row. */
 GByteArray *control_lease_encode(const struct control *control, struct lease_record *record);
 /** @return for how long the holder's renewal has been due without being done. */
 time_ns control_lease_overdue(const struct control *control, time_ns now);
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -86,7 +86,7 @@
         if (!row->gone && g_str_equal(row->key, LEASE_KEY)) {
             take_record(&control->lease, row);
             const struct lease_record *record = &control->lease.record;
-            control_owners_take(control, record->ownerships, record->ownerships_count);
+            control_fleet_take(control, &record->fleet);
             control->view_dirty = true; /* the size of the fleet may be known only now */
         }
         control_take_row(control, STORE_TABLE_CONTROL, row->key, row->version,
@@ -128,25 +128,23 @@
                        const struct store_answer *answer, time_ns now);
 static void consider(struct control *control, time_ns now);
 
-/* The row's size, at most: half of what the store takes for a row (65,536 octets in base64). Owners
- * of so many groups that it would be larger are left out; poolers that start learn them from others
+/* The row's size, at most: half of what the store takes for a row (65,536 bytes in base64). A fleet
+ * of so many poolers that it would be larger is left out; poolers that start learn it from others
  * then. */
 #define LEASE_ROW_MAX ((guint)24 * 1024)
 
 GByteArray *
 control_lease_encode(const struct control *control, struct lease_record *record)
 {
-    control_owners_fill(control, 0, &record->ownerships, &record->ownerships_count);
+    control_fleet_fill(control, 0, &record->fleet);
     GByteArray *octets = lease_record_encode(record);
     if (octets->len <= LEASE_ROW_MAX) {
         return octets;
     }
-    size_t count = record->ownerships_count;
-    record->ownerships_count = 0;
+    pooler_fleet_clear(&record->fleet);
+    pooler_fleet_init(&record->fleet);
     g_byte_array_unref(octets);
-    octets = lease_record_encode(record);
-    record->ownerships_count = count;
-    return octets;
+    return lease_record_encode(record);
 }
 
 /* Proposes to hold the lease from now on, under the condition that the row is as last seen. */
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -85,7 +85,6 @@
     const GPtrArray *entries = directory_group(&control->directory, group->shared->service);
     report->service = g_strdup(group->shared->service);
     report->in_flight = group->phase == GROUP_PHASE_OPEN ? 0 : in_flight(control, group);
-    report->abstains = control_view_forwards(control, group->shared->service);
     report->faults = g_new0(struct pooler_fault, FAULTS_MAX);
     for (guint i = 0; i < entries->len && report->faults_count < FAULTS_MAX; i++) {
         const struct directory_entry *entry = g_ptr_array_index(entries, i);
@@ -96,17 +95,15 @@
     }
 }
 
-/* True if the coordinator does not know this of the group. Notes it as told. What has never been
- * told stands for a pooler that holds no connections, has no opinion, and nothing under way: so
- * forwarders, which are nearly all, tell nothing of a group. */
+/* True if the coordinator does not know this of the group. Notes it as told. Without a report all
+ * is well, and nothing is under way: most poolers have nothing to tell of most groups. */
 static bool
 is_news(struct group_state *group, const struct pooler_group_report *report)
 {
-    const told_report_t now = {!report->abstains, report->faults_count, report->in_flight};
+    const told_report_t now = {report->faults_count, report->in_flight};
     const told_report_t before = group->told;
     group->told = now;
-    return now.holds != before.holds || now.in_flight != before.in_flight || now.faults > 0 ||
-           before.faults > 0;
+    return now.in_flight != before.in_flight || now.faults > 0 || before.faults > 0;
 }
 
 /* Another coordinator, or another connection to it, knows nothing yet. */
@@ -125,6 +122,7 @@
 fill_heartbeat(struct control *control, time_ns now, struct pooler_heartbeat *out)
 {
     out->name = g_strdup(control->settings->pooler.name);
+    out->fleet_version = control_fleet_version(control);
     out->zone = g_strdup(control->settings->pooler.zone);
     out->incarnation = control->incarnation;
     out->sequence = ++control->sequence;
@@ -237,7 +235,7 @@
         take_order(control, &grant->groups[i]);
     }
     take_permits(control, grant->token, sent == 0 ? 0 : sent + grant->permit_ms * MS);
-    control_owners_take(control, grant->ownerships, grant->ownerships_count);
+    control_fleet_take(control, &grant->fleet);
     control_relay_take(control, &grant->relay);
     control_relay_rely(control, grant, now);
     control_publish(control);
@@ -255,7 +253,7 @@
     for (size_t i = 0; i < grant->groups_count; i++) {
         take_order(control, &grant->groups[i]);
     }
-    control_owners_take(control, grant->ownerships, grant->ownerships_count);
+    control_fleet_take(control, &grant->fleet);
     control_relay_take(control, &grant->relay);
     control_publish(control);
 }
--- a/src/pooler/control_view.c
+++ b/src/pooler/control_view.c
@@ -71,25 +71,20 @@
 }
 
 static bool
-is_owner(const struct control *control, const struct pooler_ownership *ownership)
+is_owner(const struct control *control, const fleet_owners_t *owners)
 {
-    for (size_t i = 0; i < ownership->owners_count; i++) {
-        if (g_str_equal(ownership->owners[i].address, control->settings->pooler.forward_listen)) {
-            return true;
-        }
-    }
-    return false;
+    return fleet_owners_include(owners, control->settings->pooler.forward_listen);
 }
 
 bool
-control_view_forwards(const struct control *control, const char *service)
+control_view_forwards(const struct control *control, const struct service *service)
 {
-    const struct pooler_ownership *ownership = control_owners_of(control, service);
-    return ownership != NULL && ownership->owners_count > 0 && !is_owner(control, ownership);
+    const fleet_owners_t *owners = control_fleet_owners(control, service);
+    return owners != NULL && !owners->direct && !is_owner(control, owners);
 }
 
 static void
-add_owner(const struct pooler_owner *owner, bool same_zone, struct pooled_group *out)
+add_owner(const fleet_member_t *owner, bool same_zone, struct pooled_group *out)
 {
     owner_view_t *view = &out->owners[out->owners_count];
     if (parse_address(owner->address, &view->address)) {
@@ -101,15 +96,14 @@
 
 /* Near owners come first. Each pooler begins with another one, so that they share the load. */
 static void
-fill_owners(const struct control *control, const struct pooler_ownership *ownership,
-            struct pooled_group *out)
+fill_owners(const struct control *control, const fleet_owners_t *owners, struct pooled_group *out)
 {
     guint start = g_str_hash(control->settings->pooler.name);
-    out->owners = g_new0(owner_view_t, ownership->owners_count);
+    out->owners = g_new0(owner_view_t, owners->members->len);
     for (int near = 1; near >= 0; near--) {
-        for (size_t i = 0; i < ownership->owners_count; i++) {
-            const struct pooler_owner *owner =
-                &ownership->owners[(start + i) % ownership->owners_count];
+        for (guint i = 0; i < owners->members->len; i++) {
+            const fleet_member_t *owner =
+                g_ptr_array_index(owners->members, (start + i) % owners->members->len);
             bool same_zone = g_str_equal(owner->zone, control->settings->pooler.zone);
             if (same_zone == (near == 1)) {
                 add_owner(owner, same_zone, out);
@@ -182,18 +176,18 @@
 find_inputs(const struct control *control, const struct service *service,
             const struct group_state *state, time_ns now, view_inputs_t *out)
 {
-    const struct pooler_ownership *ownership = control_owners_of(control, service->name);
+    const fleet_owners_t *owners = control_fleet_owners(control, service);
     const GPtrArray *entries = directory_group(&control->directory, service->name);
     *out = (view_inputs_t){
         .epoch = state->epoch,
-        .ownership = ownership == NULL ? 0 : ownership->version,
+        .owners = owners == NULL ? 0 : owners->revision,
         .members = digest_of_members(control, entries, now),
         .sync_replicas = service->sync_replicas,
     };
-    if (ownership == NULL || ownership->owners_count == 0) {
+    if (owners == NULL || owners->direct) {
         out->connections = connections_of(control, service);
-    } else if (is_owner(control, ownership)) {
-        out->connections = ownership->connections;
+    } else if (is_owner(control, owners)) {
+        out->connections = owners->connections;
     } else {
         out->alone_connections = control_direct_share(control, service);
     }
@@ -231,8 +225,8 @@
     out->sync_replicas = inputs->sync_replicas;
     out->connections = inputs->connections;
     out->alone_connections = inputs->alone_connections;
-    if (control_view_forwards(control, service->name)) {
-        fill_owners(control, control_owners_of(control, service->name), out);
+    if (control_view_forwards(control, service)) {
+        fill_owners(control, control_fleet_owners(control, service), out);
     }
     fill_members(control, service, assumed.primary, now, out);
     return out;
--- /dev/null
+++ b/src/pooler/fleet.c
@@ -0,0 +1,427 @@
+/* Which poolers own a group's connections; see the header. */
+#include "pooler/fleet.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* With fewer connections to a database for each pooler's worker than this, groups get owners. */
+#define DIRECT_MIN 4
+
+/* Connections to a database that an owner should have at least. */
+#define OWNER_CONNECTIONS 5
+#define OWNERS_MIN        2
+#define OWNERS_MAX        10
+
+/* Left for the coordinator's own and for connections that a lost pooler's database still counts.
+ */
+#define CONNECTIONS_SPARE 3
+
+/* Changes that are remembered, to see whether a group is concerned by them. With more, its owners
+ * are worked out anew. */
+#define CHANGES_KEPT 64
+
+/* A member's place in the order of one group. */
+typedef struct candidate {
+    fleet_member_t *member;
+    double score;
+} candidate_t;
+
+struct fleet {
+    GHashTable *members; /* address -> fleet_member_t, owned */
+    GPtrArray *living;   /* of fleet_member_t */
+    GPtrArray *zones;    /* interned names; their places are the members' zone_index */
+    GArray *zone_sizes;  /* guint, living members of each */
+    GHashTable *owners;  /* service -> fleet_owners_t, owned */
+    fleet_member_t *changes[CHANGES_KEPT];
+    guint generation;   /* counts changes; the newest CHANGES_KEPT are known */
+    guint valid_from;   /* owners of an earlier generation are worked out anew */
+    uint64_t revisions; /* given so far */
+    uint64_t version;
+    uint32_t counted;
+    uint32_t workers_most;
+};
+
+static void
+free_member(gpointer data)
+{
+    fleet_member_t *member = data;
+    g_free(member->address);
+    g_free(member);
+}
+
+static void
+free_owners(gpointer data)
+{
+    fleet_owners_t *owners = data;
+    g_ptr_array_unref(owners->members);
+    g_free(owners);
+}
+
+fleet_t *
+fleet_new(void)
+{
+    fleet_t *fleet = g_new0(fleet_t, 1);
+    fleet->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_member);
+    fleet->living = g_ptr_array_new();
+    fleet->zones = g_ptr_array_new();
+    fleet->zone_sizes = g_array_new(FALSE, TRUE, sizeof(guint));
+    fleet->owners = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_owners);
+    fleet->workers_most = 1;
+    return fleet;
+}
+
+void
+fleet_free(fleet_t *fleet)
+{
+    g_hash_table_unref(fleet->owners);
+    g_array_unref(fleet->zone_sizes);
+    g_ptr_array_unref(fleet->zones);
+    g_ptr_array_unref(fleet->living);
+    g_hash_table_unref(fleet->members);
+    g_free(fleet);
+}
+
+uint32_t
+fleet_counted(const fleet_t *fleet)
+{
+    return fleet->counted;
+}
+
+uint32_t
+fleet_size(const fleet_t *fleet)
+{
+    return fleet->living->len;
+}
+
+uint64_t
+fleet_version(const fleet_t *fleet)
+{
+    return fleet->version;
+}
+
+GHashTable *
+fleet_members(const fleet_t *fleet)
+{
+    return fleet->members;
+}
+
+static void
+forget_owners(fleet_t *fleet)
+{
+    fleet->valid_from = ++fleet->generation;
+}
+
+static void
+note_change(fleet_t *fleet, fleet_member_t *member, uint64_t version)
+{
+    fleet->changes[fleet->generation % CHANGES_KEPT] = member;
+    fleet->generation++;
+    member->version = version;
+    fleet->version = MAX(fleet->version, version);
+}
+
+static guint
+zone_index(fleet_t *fleet, const char *zone)
+{
+    guint index = 0;
+    if (g_ptr_array_find(fleet->zones, zone, &index)) {
+        return index;
+    }
+    guint none = 0;
+    g_ptr_array_add(fleet->zones, (gpointer)zone);
+    g_array_append_val(fleet->zone_sizes, none);
+    return fleet->zones->len - 1;
+}
+
+/* How many owners a group has depends on the zones with members. */
+static void
+count_in_zone(fleet_t *fleet, guint index, int change)
+{
+    guint *size = &g_array_index(fleet->zone_sizes, guint, index);
+    guint before = *size;
+    *size = (guint)((int)before + change);
+    if ((before == 0) != (*size == 0)) {
+        forget_owners(fleet);
+    }
+}
+
+static void
+find_workers_most(fleet_t *fleet)
+{
+    uint32_t most = 1;
+    for (guint i = 0; i < fleet->living->len; i++) {
+        most = MAX(most, ((const fleet_member_t *)g_ptr_array_index(fleet->living, i))->workers);
+    }
+    if (most != fleet->workers_most) {
+        fleet->workers_most = most;
+        forget_owners(fleet);
+    }
+}
+
+static void
+take_out(fleet_t *fleet, fleet_member_t *member)
+{
+    g_ptr_array_remove_fast(fleet->living, member);
+    member->gone = true;
+    count_in_zone(fleet, member->zone_index, -1);
+}
+
+bool
+fleet_join(fleet_t *fleet, const char *address, const char *zone, uint32_t workers, uint32_t weight,
+           uint64_t version)
+{
+    fleet_member_t *member = g_hash_table_lookup(fleet->members, address);
+    const char *interned = g_intern_string(zone);
+    bool same = member != NULL && !member->gone && member->zone == interned &&
+                member->workers == workers && member->weight == weight;
+    if (same) {
+        member->confirmed = MAX(member->confirmed, version);
+        return false;
+    }
+    if (member == NULL) {
+        member = g_new0(fleet_member_t, 1);
+        member->address = g_strdup(address);
+        g_hash_table_insert(fleet->members, member->address, member);
+    } else if (!member->gone) {
+        take_out(fleet, member);
+        forget_owners(fleet);
+    }
+    member->zone = interned;
+    member->zone_index = zone_index(fleet, interned);
+    member->workers = workers;
+    member->weight = MAX(weight, 1);
+    member->gone = false;
+    member->confirmed = version;
+    g_ptr_array_add(fleet->living, member);
+    count_in_zone(fleet, member->zone_index, 1);
+    note_change(fleet, member, version);
+    find_workers_most(fleet);
+    return true;
+}
+
+bool
+fleet_leave(fleet_t *fleet, const char *address, uint64_t version)
+{
+    fleet_member_t *member = g_hash_table_lookup(fleet->members, address);
+    if (member == NULL || member->gone) {
+        return false;
+    }
+    take_out(fleet, member);
+    note_change(fleet, member, version);
+    find_workers_most(fleet);
+    return true;
+}
+
+void
+fleet_leave_older(fleet_t *fleet, uint64_t version)
+{
+    for (guint i = fleet->living->len; i > 0; i--) {
+        const fleet_member_t *member = g_ptr_array_index(fleet->living, i - 1);
+        if (member->confirmed < version) {
+            fleet_leave(fleet, member->address, version);
+        }
+    }
+}
+
+void
+fleet_set_counted(fleet_t *fleet, uint32_t counted, uint64_t version)
+{
+    if (fleet->counted != counted) {
+        fleet->counted = counted;
+        fleet->version = MAX(fleet->version, version);
+        forget_owners(fleet);
+    }
+}
+
+/* Weighted rendezvous hashing: the highest score wins, in proportion to the weights. */
+static double
+score_of(const fleet_member_t *member, uint64_t seed)
+{
+    uint64_t hash = XXH3_64bits_withSeed(member->address, strlen(member->address), seed);
+    double uniform = ((double)(hash >> 11) + 0.5) / (double)(UINT64_C(1) << 53);
+    return -(double)member->weight / log(uniform);
+}
+
+static bool
+is_better(const candidate_t *a, const candidate_t *b)
+{
+    if (a->score != b->score) {
+        return a->score > b->score;
+    }
+    return strcmp(a->member->address, b->member->address) < 0;
+}
+
+/* Puts the candidate into its place among the best ones; what falls out is forgotten. */
+static void
+insert(candidate_t *best, guint *count, guint most, const candidate_t *candidate)
+{
+    guint place = *count;
+    while (place > 0 && is_better(candidate, &best[place - 1])) {
+        place--;
+    }
+    if (place >= most) {
+        return;
+    }
+    *count = MIN(*count + 1, most);
+    for (guint i = *count - 1; i > place; i--) {
+        best[i] = best[i - 1];
+    }
+    best[place] = *candidate;
+}
+
+static guint
+count_zones(const fleet_t *fleet)
+{
+    guint count = 0;
+    for (guint i = 0; i < fleet->zone_sizes->len; i++) {
+        count += g_array_index(fleet->zone_sizes, guint, i) > 0;
+    }
+    return count;
+}
+
+/* Alike in all zones, if there may be more owners than zones. */
+static guint
+count_owners(const fleet_t *fleet, uint32_t room)
+{
+    guint zones = count_zones(fleet);
+    guint count = CLAMP(room / OWNER_CONNECTIONS, OWNERS_MIN, OWNERS_MAX);
+    return count > zones ? count - count % zones : count;
+}
+
+/* The best members of each zone first, then the second best of each, and so on. */
+static void
+choose(const fleet_t *fleet, uint64_t seed, guint count, GPtrArray *out)
+{
+    guint zones = fleet->zones->len;
+    g_autofree candidate_t *best = g_new(candidate_t, (gsize)zones * OWNERS_MAX);
+    g_autofree guint *counts = g_new0(guint, zones);
+    for (guint i = 0; i < fleet->living->len; i++) {
+        fleet_member_t *member = g_ptr_array_index(fleet->living, i);
+        const candidate_t candidate = {member, score_of(member, seed)};
+        guint zone = member->zone_index;
+        insert(&best[(gsize)zone * OWNERS_MAX], &counts[zone], OWNERS_MAX, &candidate);
+    }
+    g_ptr_array_set_size(out, 0);
+    for (guint rank = 0; rank < OWNERS_MAX && out->len < count; rank++) {
+        g_autofree candidate_t *row = g_new(candidate_t, zones);
+        guint length = 0;
+        for (guint zone = 0; zone < zones; zone++) {
+            if (rank < counts[zone]) {
+                insert(row, &length, zones, &best[(gsize)zone * OWNERS_MAX + rank]);
+            }
+        }
+        for (guint i = 0; i < length && out->len < count; i++) {
+            g_ptr_array_add(out, row[i].member);
+        }
+    }
+}
+
+static bool
+is_same(const GPtrArray *a, const GPtrArray *b)
+{
+    bool same = a->len == b->len;
+    for (guint i = 0; same && i < a->len; i++) {
+        same = g_ptr_array_index(a, i) == g_ptr_array_index(b, i);
+    }
+    return same;
+}
+
+static void
+decide(fleet_t *fleet, fleet_owners_t *owners)
+{
+    uint32_t room = owners->max_connections > CONNECTIONS_SPARE
+                        ? owners->max_connections - CONNECTIONS_SPARE
+                        : 1;
+    bool direct = room / (MAX(fleet->counted, 1) * fleet->workers_most) >= DIRECT_MIN;
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    uint32_t connections = 0;
+    if (!direct) {
+        owners->wanted = count_owners(fleet, room);
+        choose(fleet, owners->seed, owners->wanted, members);
+        connections = MAX(room / ((members->len + 1) * fleet->workers_most), 1);
+    }
+    bool same = owners->revision != 0 && owners->direct == direct &&
+                owners->connections == connections && is_same(owners->members, members);
+    if (same) {
+        return;
+    }
+    g_ptr_array_unref(owners->members);
+    owners->members = g_steal_pointer(&members);
+    owners->direct = direct;
+    owners->connections = connections;
+    owners->revision = ++fleet->revisions;
+}
+
+/* True if the change of this member may change the group's owners. */
+static bool
+concerns(const fleet_t *fleet, const fleet_owners_t *owners, const fleet_member_t *changed)
+{
+    if (owners->direct) {
+        return false;
+    }
+    if (changed->gone) {
+        return g_ptr_array_find(owners->members, changed, NULL);
+    }
+    guint in_zone = 0;
+    const candidate_t joined = {(fleet_member_t *)changed, score_of(changed, owners->seed)};
+    for (guint i = 0; i < owners->members->len; i++) {
+        fleet_member_t *member = g_ptr_array_index(owners->members, i);
+        const candidate_t owner = {member, score_of(member, owners->seed)};
+        in_zone += member->zone_index == changed->zone_index;
+        if (member->zone_index == changed->zone_index && is_better(&joined, &owner)) {
+            return true;
+        }
+    }
+    /* Or its zone has fewer of the owners than the others. */
+    return in_zone * count_zones(fleet) < owners->members->len ||
+           owners->members->len < owners->wanted;
+}
+
+static bool
+is_current(const fleet_t *fleet, const fleet_owners_t *owners)
+{
+    guint missed = fleet->generation - owners->generation;
+    if (owners->revision == 0 || owners->generation < fleet->valid_from || missed > CHANGES_KEPT) {
+        return false;
+    }
+    for (guint i = owners->generation; i != fleet->generation; i++) {
+        if (concerns(fleet, owners, fleet->changes[i % CHANGES_KEPT])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+const fleet_owners_t *
+fleet_owners(fleet_t *fleet, const char *service, uint32_t max_connections)
+{
+    fleet_owners_t *owners = g_hash_table_lookup(fleet->owners, service);
+    if (fleet->living->len == 0) {
+        return NULL;
+    }
+    if (owners == NULL) {
+        owners = g_new0(fleet_owners_t, 1);
+        owners->members = g_ptr_array_new();
+        owners->seed = XXH3_64bits(service, strlen(service));
+        g_hash_table_insert(fleet->owners, g_strdup(service), owners);
+    }
+    if (owners->max_connections != max_connections || !is_current(fleet, owners)) {
+        owners->max_connections = max_connections;
+        decide(fleet, owners);
+    }
+    owners->generation = fleet->generation;
+    return owners;
+}
+
+bool
+fleet_owners_include(const fleet_owners_t *owners, const char *address)
+{
+    for (guint i = 0; i < owners->members->len; i++) {
+        const fleet_member_t *member = g_ptr_array_index(owners->members, i);
+        if (g_str_equal(member->address, address)) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/tests/pooler/test_lease.c
+++ b/tests/pooler/test_lease.c
@@ -60,22 +60,17 @@
     g_assert_true(control_coordinator_prefers(&recent, &strong, fixture->now));
 }
 
-/* Makes one group's owners known. */
+/* Makes a fleet of so many poolers known. */
 static void
-own(struct control *control, const char *service, size_t owners)
+know(struct control *control, unsigned count)
 {
-    struct pooler_ownership ownership = {.service = (char *)service, .version = 1};
-    ownership.owners = g_new0(struct pooler_owner, owners);
-    ownership.owners_count = owners;
-    for (size_t i = 0; i < owners; i++) {
-        ownership.owners[i].address = (char *)"10.0.0.1:7440";
-        ownership.owners[i].zone = (char *)"zone-1";
+    for (unsigned i = 0; i < count; i++) {
+        g_autofree char *address = g_strdup_printf("10.0.%u.%u:7440", i / 250, i % 250 + 1);
+        fleet_join(control->fleet, address, "zone-1", 1, 120, i + 1);
     }
-    control_owners_take(control, &ownership, 1);
-    g_free(ownership.owners);
 }
 
-/* How many ownerships stand in the lease's row. */
+/* How many poolers stand in the lease's row. */
 static size_t
 count_in_row(const struct control *control)
 {
@@ -86,24 +81,24 @@
     g_assert_cmpuint(octets->len, <, 32 * 1024);
     g_assert_true(lease_record_decode(octets->data, octets->len, &read, &error));
     g_assert_cmpstr(read.holder, ==, "front-1");
-    size_t count = read.ownerships_count;
+    size_t count = read.fleet.members_count;
     lease_record_clear(&read);
     lease_record_clear(&record);
     g_byte_array_unref(octets);
     return count;
 }
 
-/* The store takes rows of a bounded size: the lease must not be lost for its owners. */
+/* The store takes rows of a bounded size: the lease must not be lost for its fleet. */
 static void
 test_row_size(fixture_t *fixture, gconstpointer unused)
 {
     struct control *control = &fixture->control;
-    control_owners_init(control);
-    own(control, "ledger-1", 10);
-    g_assert_cmpuint(count_in_row(control), ==, 1);
-    own(control, "ledger-2", 4000);
+    control->fleet = fleet_new();
+    know(control, 300);
+    g_assert_cmpuint(count_in_row(control), ==, 300);
+    know(control, 4000);
     g_assert_cmpuint(count_in_row(control), ==, 0);
-    g_hash_table_unref(control->ownerships);
+    fleet_free(control->fleet);
 }
 
 #define ADD(name, test) g_test_add("/pooler/lease/" name, fixture_t, NULL, set_up, test, NULL)
--- a/tests/pooler/test_owners.c
+++ b/tests/pooler/test_owners.c
@@ -33,7 +33,7 @@
     control->settings = settings;
     control->poolers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pooler);
     control->lease.token = 3;
-    control_owners_init(control);
+    control->fleet = fleet_new();
     return control;
 }
 
@@ -42,7 +42,7 @@
 {
     g_clear_pointer(&control->configuration, configuration_unref);
     g_hash_table_unref(control->poolers);
-    g_hash_table_unref(control->ownerships);
+    fleet_free(control->fleet);
     g_free(control);
 }
 
@@ -68,6 +68,7 @@
     pooler->peer = (struct peer *)fixture; /* compared with NULL only */
     pooler->heard_at = fixture->now;
     pooler->workers = 1;
+    pooler->millicores = 120;
     g_hash_table_replace(fixture->control->poolers, pooler->name, pooler);
 }
 
@@ -94,43 +95,94 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         ((struct pooler_peer *)value)->heard_at = fixture->now;
     }
-    control_owners_decide(fixture->control, fixture->now);
+    control_fleet_decide(fixture->control, fixture->now);
 }
 
-static const struct pooler_ownership *
-ownership(const fixture_t *fixture, unsigned service)
+static const fleet_owners_t *
+owners_at(struct control *control, const fixture_t *fixture, unsigned service)
 {
-    g_autofree char *name = g_strdup_printf("ledger-%u", service);
-    return control_owners_of(fixture->control, name);
+    GPtrArray *services = fixture->control->configuration->services;
+    return control_fleet_owners(control, g_ptr_array_index(services, service));
 }
 
-static uint64_t
-fill(const fixture_t *fixture, uint64_t told, struct pooler_grant *grant)
+static const fleet_owners_t *
+owners(const fixture_t *fixture, unsigned service)
 {
-    return control_owners_fill(fixture->control, told, &grant->ownerships,
-                               &grant->ownerships_count);
+    return owners_at(fixture->control, fixture, service);
+}
+
+static const fleet_member_t *
+owner_at(const fleet_owners_t *owners, guint index)
+{
+    return g_ptr_array_index(owners->members, index);
 }
 
 static unsigned
-count_in_zone(const struct pooler_ownership *ownership, const char *zone)
+count_in_zone(const fleet_owners_t *owners, const char *zone)
 {
     unsigned count = 0;
-    for (size_t i = 0; i < ownership->owners_count; i++) {
-        count += g_str_equal(ownership->owners[i].zone, zone);
+    for (guint i = 0; i < owners->members->len; i++) {
+        count += g_str_equal(owner_at(owners, i)->zone, zone);
     }
     return count;
 }
 
+/* The addresses of the owners, in their order. */
+static char *
+print_owners(const fleet_owners_t *owners)
+{
+    GString *text = g_string_new(NULL);
+    for (guint i = 0; i < owners->members->len; i++) {
+        g_string_append_printf(text, "%s ", owner_at(owners, i)->address);
+    }
+    return g_string_free(text, FALSE);
+}
+
 /* Where connections are enough, nobody owns. */
 static void
 test_direct(fixture_t *fixture, gconstpointer unused)
 {
     configure(fixture, 34);
+    g_assert_null(owners(fixture, 0));
     for (unsigned i = 0; i < 6; i++) {
         add_pooler(fixture, i);
     }
     decide(fixture);
-    g_assert_null(ownership(fixture, 0));
+    g_assert_true(owners(fixture, 0)->direct);
+    g_assert_cmpuint(owners(fixture, 0)->members->len, ==, 0);
+}
+
+/* A fleet that loses one pooler, and gets it back, does not move between connections of its own and
+ * owners': seven can't have four connections each of 27, six can. */
+static void
+test_damped(fixture_t *fixture, gconstpointer unused)
+{
+    configure(fixture, 30);
+    for (unsigned i = 0; i < 7; i++) {
+        add_pooler(fixture, i);
+    }
+    decide(fixture);
+    g_assert_false(owners(fixture, 0)->direct);
+    for (unsigned i = 7; i < 27; i++) {
+        add_pooler(fixture, i);
+    }
+    decide(fixture);
+    configure(fixture, 3 + 4 * 26);
+    g_assert_false(owners(fixture, 0)->direct);
+    g_hash_table_remove(fixture->control->poolers, "front-3");
+    decide(fixture);
+    g_assert_false(owners(fixture, 0)->direct);
+    for (unsigned i = 4; i < 8; i++) {
+        g_autofree char *name = g_strdup_printf("front-%u", i);
+        g_hash_table_remove(fixture->control->poolers, name);
+    }
+    decide(fixture);
+    g_assert_true(owners(fixture, 0)->direct);
+    add_pooler(fixture, 4);
+    add_pooler(fixture, 5);
+    add_pooler(fixture, 6);
+    decide(fixture);
+    g_assert_true(owners(fixture, 0)->direct);
 }
 
 /* The owners' connections, and one more owner's, stay within the database's. */
@@ -143,10 +195,9 @@
     for (uint32_t limit = 6; limit < 250; limit += 7) {
         configure(fixture, limit);
         decide(fixture);
-        const struct pooler_ownership *owned = ownership(fixture, 0);
-        g_assert_nonnull(owned);
-        g_assert_cmpuint(owned->owners_count, >=, 2);
-        g_assert_cmpuint((owned->owners_count + 1) * owned->connections, <=, MAX(limit - 3, 3));
+        const fleet_owners_t *owned = owners(fixture, 0);
+        g_assert_cmpuint(owned->members->len, >=, 2);
+        g_assert_cmpuint((owned->members->len + 1) * owned->connections, <=, MAX(limit - 3, 3));
     }
 }
 
@@ -160,13 +211,13 @@
     }
     decide(fixture);
     for (unsigned service = 0; service < SERVICES; service++) {
-        const struct pooler_ownership *owned = ownership(fixture, service);
-        unsigned each = (unsigned)owned->owners_count / ZONES;
+        const fleet_owners_t *owned = owners(fixture, service);
+        unsigned each = owned->members->len / ZONES;
         g_assert_cmpuint(count_in_zone(owned, "zone-0"), ==, each);
         g_assert_cmpuint(count_in_zone(owned, "zone-1"), ==, each);
         g_assert_cmpuint(count_in_zone(owned, "zone-2"), ==, each);
-        for (size_t i = 0; i < owned->owners_count; i++) {
-            g_hash_table_add(used, owned->owners[i].address);
+        for (guint i = 0; i < owned->members->len; i++) {
+            g_hash_table_add(used, owner_at(owned, i)->address);
         }
     }
     /* Groups do not all choose the same poolers. */
@@ -174,13 +225,11 @@
 }
 
 static unsigned
-count_kept(const struct pooler_ownership *before, const struct pooler_ownership *after)
+count_kept(char *const *before, const fleet_owners_t *after)
 {
     unsigned kept = 0;
-    for (size_t i = 0; i < before->owners_count; i++) {
-        for (size_t k = 0; k < after->owners_count; k++) {
-            kept += g_str_equal(before->owners[i].address, after->owners[k].address);
-        }
+    for (size_t i = 0; before[i] != NULL; i++) {
+        kept += before[i][0] != '\0' && fleet_owners_include(after, before[i]);
     }
     return kept;
 }
@@ -189,57 +238,160 @@
 static void
 test_leaving_owner(fixture_t *fixture, gconstpointer unused)
 {
-    struct pooler_grant before;
-    struct pooler_grant after;
+    struct pooler_fleet message;
+    char *before[SERVICES];
     configure(fixture, 39);
     for (unsigned i = 0; i < 67; i++) {
         add_pooler(fixture, i);
     }
     decide(fixture);
-    pooler_grant_init(&before);
-    uint64_t told = fill(fixture, 0, &before);
-    g_assert_cmpuint(before.ownerships_count, ==, SERVICES);
+    for (unsigned i = 0; i < SERVICES; i++) {
+        before[i] = print_owners(owners(fixture, i));
+    }
+    pooler_fleet_init(&message);
+    uint64_t told = control_fleet_fill(fixture->control, 0, &message);
+    g_assert_cmpuint(message.members_count, ==, 67);
+    pooler_fleet_clear(&message);
     decide(fixture);
-    pooler_grant_init(&after);
-    g_assert_cmpuint(fill(fixture, told, &after), ==, told);
-    g_assert_cmpuint(after.ownerships_count, ==, 0);
-    pooler_grant_clear(&after);
+    pooler_fleet_init(&message);
+    g_assert_cmpuint(control_fleet_fill(fixture->control, told, &message), ==, told);
+    g_assert_cmpuint(message.version, ==, 0);
+    pooler_fleet_clear(&message);
     g_hash_table_remove(fixture->control->poolers, "front-11");
     decide(fixture);
-    for (size_t i = 0; i < before.ownerships_count; i++) {
-        const struct pooler_ownership *old = &before.ownerships[i];
-        const struct pooler_ownership *now = control_owners_of(fixture->control, old->service);
-        g_assert_cmpuint(now->owners_count, ==, old->owners_count);
-        g_assert_cmpuint(count_kept(old, now), >=, old->owners_count - 1);
+    pooler_fleet_init(&message);
+    control_fleet_fill(fixture->control, told, &message);
+    g_assert_cmpuint(message.members_count, ==, 1);
+    g_assert_true(message.members[0].gone);
+    pooler_fleet_clear(&message);
+    for (unsigned i = 0; i < SERVICES; i++) {
+        const fleet_owners_t *now = owners(fixture, i);
+        g_auto(GStrv) old = g_strsplit(before[i], " ", -1);
+        guint count = g_strv_length(old) - 1;
+        g_assert_cmpuint(now->members->len, ==, count);
+        g_assert_cmpuint(count_kept(old, now), >=, count - 1);
+        g_free(before[i]);
     }
-    pooler_grant_clear(&before);
 }
 
-/* Another pooler takes over what is newer, and keeps what it has. */
+static void
+tell(const fixture_t *fixture, struct control *other)
+{
+    struct pooler_fleet message;
+    pooler_fleet_init(&message);
+    control_fleet_fill(fixture->control, control_fleet_version(other), &message);
+    control_fleet_take(other, &message);
+    pooler_fleet_clear(&message);
+}
+
+static void
+assert_same_owners(const fixture_t *fixture, struct control *other)
+{
+    for (unsigned i = 0; i < SERVICES; i++) {
+        g_autofree char *here = print_owners(owners(fixture, i));
+        g_autofree char *there = print_owners(owners_at(other, fixture, i));
+        g_assert_cmpstr(here, ==, there);
+    }
+}
+
+/* Whoever is told each change works out the same owners as one who is told the whole. */
 static void
 test_told(fixture_t *fixture, gconstpointer unused)
 {
     struct control *other = control_new(&fixture->settings);
-    struct pooler_grant grant;
+    struct control *late = control_new(&fixture->settings);
+    GRand *random = g_rand_new_with_seed(7);
+    configure(fixture, 39);
+    for (unsigned round = 0; round < 60; round++) {
+        unsigned index = (unsigned)g_rand_int_range(random, 0, 40);
+        g_autofree char *name = g_strdup_printf("front-%u", index);
+        if (!g_hash_table_remove(fixture->control->poolers, name)) {
+            add_pooler(fixture, index);
+        }
+        decide(fixture);
+        tell(fixture, other);
+        if (fleet_size(fixture->control->fleet) > 0) {
+            assert_same_owners(fixture, other);
+        }
+    }
+    tell(fixture, late);
+    assert_same_owners(fixture, late);
+    g_rand_free(random);
+    control_free(other);
+    control_free(late);
+}
+
+/* What is older than what is known is passed over, and so are changes of what is not known. */
+static void
+test_older(fixture_t *fixture, gconstpointer unused)
+{
+    struct control *other = control_new(&fixture->settings);
+    struct pooler_fleet old;
+    struct pooler_fleet change;
     configure(fixture, 39);
-    for (unsigned i = 0; i < 30; i++) {
+    add_pooler(fixture, 0);
+    decide(fixture);
+    pooler_fleet_init(&old);
+    uint64_t told = control_fleet_fill(fixture->control, 0, &old);
+    add_pooler(fixture, 1);
+    decide(fixture);
+    pooler_fleet_init(&change);
+    control_fleet_fill(fixture->control, told, &change);
+    control_fleet_take(other, &change);
+    g_assert_cmpuint(fleet_size(other->fleet), ==, 0);
+    tell(fixture, other);
+    control_fleet_take(other, &old);
+    g_assert_cmpuint(fleet_size(other->fleet), ==, 2);
+    pooler_fleet_clear(&old);
+    pooler_fleet_clear(&change);
+    control_free(other);
+}
+
+/* A new coordinator, which may not know what the last one told, tells the whole. */
+static void
+test_new_coordinator(fixture_t *fixture, gconstpointer unused)
+{
+    struct control *other = control_new(&fixture->settings);
+    configure(fixture, 39);
+    for (unsigned i = 0; i < 12; i++) {
         add_pooler(fixture, i);
     }
     decide(fixture);
-    pooler_grant_init(&grant);
-    fill(fixture, 0, &grant);
-    control_owners_take(other, grant.ownerships, grant.ownerships_count);
-    const struct pooler_ownership *taken = control_owners_of(other, "ledger-3");
-    uint64_t version = taken->version;
-    g_assert_cmpuint(version, ==, ownership(fixture, 3)->version);
-    grant.ownerships[0].version = 1;
-    grant.ownerships[0].connections = 77;
-    control_owners_take(other, grant.ownerships, grant.ownerships_count);
-    g_assert_cmpuint(control_owners_of(other, grant.ownerships[0].service)->connections, !=, 77);
-    pooler_grant_clear(&grant);
+    tell(fixture, other);
+    fleet_leave(fixture->control->fleet, "10.0.0.5:7440", 1); /* it had not heard of this one */
+    fixture->control->lease.held = true;
+    fixture->control->lease.token++;
+    tell(fixture, other);
+    g_assert_cmpuint(fleet_size(other->fleet), ==, 11);
+    assert_same_owners(fixture, other);
     control_free(other);
 }
 
+/* A machine of four times the processor owns about four times the groups. */
+static void
+test_weights(fixture_t *fixture, gconstpointer unused)
+{
+    fleet_t *fleet = fleet_new();
+    unsigned strong = 0;
+    unsigned all = 0;
+    for (unsigned i = 0; i < 60; i++) {
+        g_autofree char *address = g_strdup_printf("10.0.0.%u:7440", i + 1);
+        fleet_join(fleet, address, "zone", 1, i < 12 ? 480 : 120, i + 1);
+    }
+    fleet_set_counted(fleet, 60, 61);
+    for (unsigned i = 0; i < 300; i++) {
+        g_autofree char *service = g_strdup_printf("ledger-%u", i);
+        const fleet_owners_t *owners = fleet_owners(fleet, service, 60);
+        for (guint k = 0; k < owners->members->len; k++) {
+            strong += owner_at(owners, k)->weight == 480;
+            all++;
+        }
+    }
+    g_assert_cmpuint(strong * 100, >, all * 40);
+    g_assert_cmpuint(strong * 100, <, all * 60);
+    fleet_free(fleet);
+}
+
 /* A pooler that starts after the loss of all knows from the lease's row how many share the
  * connections, until a coordinator tells. */
 static void
@@ -272,13 +424,13 @@
     for (unsigned i = 0; i < 5; i++) {
         add_pooler(fixture, i);
     }
-    g_assert_true(control_owners_early(control, fixture->now + 500 * MS));
-    g_assert_false(control_owners_early(control, fixture->now + 2000 * MS));
+    g_assert_true(control_fleet_early(control, fixture->now + 500 * MS));
+    g_assert_false(control_fleet_early(control, fixture->now + 2000 * MS));
     configure(fixture, 6); /* too few for each */
-    g_assert_true(control_owners_early(control, fixture->now + 300 * MS));
-    g_assert_false(control_owners_early(control, fixture->now + 500 * MS));
+    g_assert_true(control_fleet_early(control, fixture->now + 300 * MS));
+    g_assert_false(control_fleet_early(control, fixture->now + 500 * MS));
     add_pooler(fixture, 5);
-    g_assert_false(control_owners_early(control, fixture->now));
+    g_assert_false(control_fleet_early(control, fixture->now));
 }
 
 #define ADD(name, test) g_test_add("/pooler/owners/" name, fixture_t, NULL, set_up, test, tear_down)
@@ -291,7 +443,11 @@
     ADD("budget", test_budget);
     ADD("spread", test_spread);
     ADD("leaving-owner", test_leaving_owner);
+    ADD("damped", test_damped);
     ADD("told", test_told);
+    ADD("older", test_older);
+    ADD("new-coordinator", test_new_coordinator);
+    ADD("weights", test_weights);
     ADD("share-by-the-row", test_share_by_the_row);
     ADD("gathers", test_gathers);
     return g_test_run();
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -29,7 +29,7 @@
 
 # Name, file, text as it stands, text with the mechanism off.
 MECHANISMS = [
-    ("owners and forwarding", "src/pooler/control_owners.c", "#define DIRECT_MIN 4", "#define DIRECT_MIN 0"),
+    ("owners and forwarding", "src/pooler/fleet.c", "#define DIRECT_MIN 4", "#define DIRECT_MIN 0"),
     ("ready connections", "src/pooler/database.c",
      "bool wanted = database->takes_work && database_fault(database) == DATABASE_FAULT_NONE;", "bool wanted = false;"),
     ("near databases first", "src/pooler/router.c", "#define OTHER_ZONE_FACTOR 3.0", "#define OTHER_ZONE_FACTOR 1.0"),
@@ -57,11 +57,11 @@
      "return control->members_told > 0 ? control->members_told : control->lease.record.poolers;",
      "return control->members_told;"),
     ("owners in the lease's row", "src/pooler/control_lease.c",
-     "control_owners_take(control, record->ownerships, record->ownerships_count);", "(void)record;"),
+     "control_fleet_take(control, &record->fleet);", "(void)record;"),
     ("short wait at a start", "deploy/settings.template", "{{^bootstrap}}50{{/bootstrap}}",
      "{{^bootstrap}}900{{/bootstrap}}"),
     ("serving alone without owners", "src/pooler/group.c",
-     "if (group->alone_connections == 0 || !forward_none_left(group)) {", "if (group != NULL) {"),
+     "if (group->alone_connections == 0 || !is_left_alone(group)) {", "if (group != NULL) {"),
     ("refusal by predicted wait", "src/pooler/router.c", "if (would_be_late(session)) {",
      "if (would_be_late(session) && false) {"),
     ("wait predicted from the queue's pace", "src/pooler/router.c",
