Ask other poolers before the store, and pass no more on than a message should hold

Cause: without a coordinator every pooler followed both tables by itself, each second, and looked at the lease; a large row was sent to each of them by the coordinator after half a second, over the link that its permits take: 300 copies of half a megabyte.

Change: all are told which poolers follow the store, and ask these as the coordinator falls silent; what they tell is relied on while the store answers them, and nobody else looks at the lease meanwhile. Whoever is told by nobody keeps to a hundredth of the store's calls, all together. What is more than 24 KB is left to the store, table by table, unless the store does not answer the receiver. A heartbeat describes its sender once on a connection. A follower that the store does not answer gives way to another pooler.

--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -87,6 +87,7 @@
 {
     struct pooler_peer *pooler = data;
     g_hash_table_unref(pooler->reports);
+    g_free(pooler->peer_address);
     g_free(pooler->forward_address);
     g_free(pooler->zone);
     g_free(pooler->name);
@@ -182,11 +183,14 @@
     pooler_grant_init(&grant);
     grant.coordinator = g_strdup(control->settings->pooler.name);
     grant.coordinator_address = g_strdup(control->coordinator_address);
-    add_followed(control, &grant);
+    if (heartbeat->orders_known < control->orders_known) {
+        grant.orders_version = control->orders_known;
+        add_followed(control, &grant);
+    }
     control_fleet_fill(control, heartbeat->fleet_version, &grant.fleet);
     const row_versions_t known = {heartbeat->relay.configuration_row,
                                   heartbeat->relay.directory_row};
-    control_relay_fill(control, &known, backend_now(), &grant.relay);
+    control_relay_fill(control, &known, heartbeat->lacks_store, backend_now(), &grant.relay);
     peer_send(peer, pooler_grant_encode(&grant));
     pooler_grant_clear(&grant);
 }
@@ -204,7 +208,9 @@
     grant.follows_store = pooler->follows_store;
     pooler->fleet_told = control_fleet_fill(control, pooler->fleet_told, &grant.fleet);
     add_orders(control, pooler, &grant);
-    control_relay_fill(control, &pooler->known, now, &grant.relay);
+    control_relay_tell_followers(control, pooler->followers_told, &grant);
+    pooler->followers_told = control->followers_version;
+    control_relay_fill(control, &pooler->known, pooler->lacks_store, now, &grant.relay);
     pooler->known = (row_versions_t){grant.relay.configuration_row, grant.relay.directory_row};
     if (heartbeat != NULL) {
         grant.sequence = heartbeat->sequence;
@@ -225,34 +231,69 @@
 }
 
 static void
-take_heartbeat(struct control *control, struct peer *peer, struct pooler_heartbeat *heartbeat)
+replace_text(char **text, const char *by)
+{
+    g_free(*text);
+    *text = g_strdup(by);
+}
+
+/* Another connection knows nothing yet of what was told on the last one. */
+static void
+start_connection(struct control *control, struct pooler_peer *pooler, struct peer *peer,
+                 const struct pooler_heartbeat *heartbeat)
+{
+    if (pooler->peer != NULL) {
+        g_hash_table_remove(control->introduced, pooler->peer);
+    }
+    g_hash_table_remove_all(pooler->reports);
+    g_hash_table_insert(control->introduced, peer, pooler);
+    pooler->peer = peer;
+    pooler->known = (row_versions_t){0};
+    pooler->fleet_told = heartbeat->fleet_version;
+    pooler->followers_told = 0;
+    pooler->orders_sent = 0;
+}
+
+/* The first heartbeat on a connection says who sends it. */
+static struct pooler_peer *
+introduce(struct control *control, struct peer *peer, const struct pooler_heartbeat *heartbeat)
 {
-    time_ns now = backend_now();
     struct pooler_peer *pooler = pooler_of(control, heartbeat->name);
-    bool new_life = pooler->incarnation != heartbeat->incarnation;
-    if (new_life) {
+    if (pooler->incarnation != heartbeat->incarnation) {
         control->followers_at = 0;
         g_message("Pooler %s is heard, in zone %s.", heartbeat->name, heartbeat->zone);
     }
     if (pooler->peer != peer) {
-        g_hash_table_remove_all(pooler->reports);
-        pooler->known = (row_versions_t){0};
-        pooler->fleet_told = heartbeat->fleet_version;
-        pooler->orders_sent = 0;
+        start_connection(control, pooler, peer, heartbeat);
     }
-    take_relay(control, pooler, &heartbeat->relay);
-    g_free(pooler->zone);
-    pooler->zone = g_strdup(heartbeat->zone);
-    g_free(pooler->forward_address);
-    pooler->forward_address = g_strdup(heartbeat->forward_address);
+    replace_text(&pooler->zone, heartbeat->zone);
+    replace_text(&pooler->forward_address, heartbeat->forward_address);
+    replace_text(&pooler->peer_address, heartbeat->peer_address);
     pooler->workers = heartbeat->workers;
     pooler->millicores = heartbeat->millicores;
     pooler->incarnation = heartbeat->incarnation;
-    pooler->peer = peer;
+    return pooler;
+}
+
+/* One that is not known, as this pooler has just become the coordinator, introduces itself once it
+ * is answered by hearsay. */
+static void
+take_heartbeat(struct control *control, struct peer *peer, struct pooler_heartbeat *heartbeat)
+{
+    time_ns now = backend_now();
+    bool introduces = heartbeat->name != NULL && heartbeat->name[0] != '\0';
+    struct pooler_peer *pooler = introduces ? introduce(control, peer, heartbeat)
+                                            : g_hash_table_lookup(control->introduced, peer);
+    if (pooler == NULL) {
+        send_hearsay(control, peer, heartbeat);
+        return;
+    }
+    take_relay(control, pooler, &heartbeat->relay);
     pooler->heard_at = now;
     pooler->stopping = heartbeat->stopping;
     pooler->store_age_ms = heartbeat->store_age_ms;
-    bool news = new_life || heartbeat->groups_count > 0 || heartbeat->relay.rows_count > 0 ||
+    pooler->lacks_store = heartbeat->lacks_store;
+    bool news = introduces || heartbeat->groups_count > 0 || heartbeat->relay.rows_count > 0 ||
                 heartbeat->orders_followed != pooler->orders_followed;
     pooler->orders_followed = heartbeat->orders_followed;
     take_reports(pooler, heartbeat);
@@ -285,16 +326,12 @@
 on_closed(void *user, struct peer *peer)
 {
     struct control *control = user;
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, control->poolers);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        struct pooler_peer *pooler = value;
-        if (pooler->peer == peer) {
-            pooler->peer = NULL;
-        }
+    struct pooler_peer *pooler = g_hash_table_lookup(control->introduced, peer);
+    if (pooler != NULL) {
+        pooler->peer = NULL;
+        g_hash_table_remove(control->introduced, peer);
     }
-    g_ptr_array_remove(control->connected, peer);
+    g_ptr_array_remove_fast(control->connected, peer);
 }
 
 static void
@@ -313,6 +350,7 @@
 {
     control->pooler_callbacks = (struct peer_callbacks){on_frame, on_closed, control};
     control->poolers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pooler_free);
+    control->introduced = g_hash_table_new(g_direct_hash, g_direct_equal);
     control->connected = g_ptr_array_new();
     struct sockaddr_in address;
     parse_address(control->address, &address);
@@ -335,6 +373,7 @@
         peer_free(peer);
     }
     g_ptr_array_unref(control->connected);
+    g_hash_table_unref(control->introduced);
     g_hash_table_unref(control->poolers);
     event_free(control->acceptable);
     close(control->listener);
@@ -343,7 +382,9 @@
 void
 control_coordinator_start(struct control *control)
 {
+    g_hash_table_remove_all(control->introduced);
     g_hash_table_remove_all(control->poolers);
+    control->followers_version++;
     control->coordinator_since = backend_now();
     control->owed_until =
         control->lease.ceded_token == 0 ? 0 : control->coordinator_since + PERMIT_MS * MS;
@@ -361,6 +402,7 @@
 control_coordinator_end(struct control *control)
 {
     control_groups_end(control);
+    g_hash_table_remove_all(control->introduced);
     g_hash_table_remove_all(control->poolers);
     g_clear_pointer(&control->coordinator_address, g_free);
 }
@@ -454,7 +496,8 @@
 drop_connection(struct control *control, struct pooler_peer *pooler)
 {
     if (pooler->peer != NULL) {
-        g_ptr_array_remove(control->connected, pooler->peer);
+        g_hash_table_remove(control->introduced, pooler->peer);
+        g_ptr_array_remove_fast(control->connected, pooler->peer);
         peer_free(pooler->peer);
         pooler->peer = NULL;
     }
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -56,6 +56,7 @@
     bool calling;
     time_ns next_at;
     uint32_t failures; /* in a row */
+    bool missing;      /* another pooler knows more, which was too large to be told */
 };
 
 /** @brief What a pooler has told the coordinator of a group on this connection. */
@@ -96,6 +97,8 @@
     uint64_t token; /* under which it is held */
     time_ns until;  /* the lease is good before this, by our clock */
     bool calling;
+    bool
+        invited; /* this pooler may take it now, and looks, whoever tells it what the store holds */
     time_ns next_at;
     time_ns clock_sent; /* bounds of the moment at which the store's clock was read */
     time_ns clock_received;
@@ -126,6 +129,10 @@
     uint64_t orders_followed; /* by all its workers, up to this version */
     row_versions_t known;     /* what it knows of the store's tables */
     bool follows_store;       /* by itself, beside the coordinator */
+    bool followed_store;      /* the same, before this choice of followers */
+    bool lacks_store;         /* the store does not answer it */
+    uint64_t followers_told;  /* up to this version */
+    char *peer_address;       /* where it takes messages of other poolers */
     GHashTable *reports;      /* service -> struct pooler_group_report, where there is something to
                                  report */
 };
@@ -181,7 +188,6 @@
     time_ns connected_at;
     bool connect_now; /* the coordinator's address has changed */
     uint32_t members_told;
-    unsigned next_seed;
     uint64_t news_told;     /* of the workers' news, those that were last told */
     uint64_t orders_taken;  /* version up to which orders have come from this coordinator */
     uint64_t orders_view;   /* number of the view that holds them */
@@ -189,6 +195,11 @@
     uint64_t view_number;   /* of the newest view */
     uint64_t view_revision; /* of the newest state of a group in a view */
     bool follows_store;     /* by itself, as the coordinator asked */
+    bool relayed;           /* others told what the store holds, as of the last look */
+    uint64_t orders_known;  /* version of the newest orders that any coordinator gave */
+    bool introduced_self;   /* the pooler at the other end has been told who we are */
+    unsigned next_address;  /* place in the order of addresses that are tried */
+    time_ns hearsay_at;     /* another pooler last told what it follows of the store */
     bool start_answered;    /* another pooler has answered since the start */
     time_ns relied_until;   /* what the coordinator tells of the store is current until then */
     row_versions_t told;    /* what the coordinator knew of the store's tables */
@@ -203,6 +214,7 @@
     struct event *acceptable;
     struct peer_callbacks pooler_callbacks;
     GHashTable *poolers;    /* name -> struct pooler_peer */
+    GHashTable *introduced; /* struct peer -> struct pooler_peer, not owned */
     GPtrArray *connected;   /* of struct peer, accepted */
     GHashTable *controlled; /* service -> struct controlled_group */
     struct failover_actions failover_actions;
@@ -220,6 +232,8 @@
                              asked for */
     bool rows_learned;    /* and not yet told to the poolers */
     time_ns followers_at; /* when the followers of the store were chosen */
+    GPtrArray *followers; /* their peer addresses, as chosen here or told last */
+    uint64_t followers_version; /* rises with each choice that changes them */
 };
 
 /* control.c */
@@ -252,15 +266,28 @@
 void control_relay_start(struct control *control);
 /** @brief Puts it off once more, as another pooler has answered this one's first heartbeat. */
 void control_relay_peer_answered(struct control *control, time_ns now);
-/** @brief Fills in what somebody lacks who knows the tables up to `known`. */
-void control_relay_fill(const struct control *control, const row_versions_t *known, time_ns now,
-                        struct pooler_relay *relay);
+/** @brief Fills in what somebody lacks who knows the tables up to `known`. More than a message
+ *  should hold is left to the store, unless the receiver lacks that. */
+void control_relay_fill(const struct control *control, const row_versions_t *known,
+                        bool lacks_store, time_ns now, struct pooler_relay *relay);
 /** @brief Takes over what another pooler knows of the store. */
 void control_relay_take(struct control *control, const struct pooler_relay *relay);
 /** @brief Notes how far the coordinator's rows can be relied on. */
 void control_relay_rely(struct control *control, const struct pooler_grant *grant, time_ns now);
-/** @return true if this pooler has to ask the store by itself. */
-bool control_relay_follows(const struct control *control, time_ns now);
+/** @brief The same for the rows of a pooler that is not the coordinator, and follows the store. */
+void control_relay_rely_on_hearsay(struct control *control, const struct pooler_relay *relay,
+                                   time_ns now);
+/** @return true if other poolers tell this one what the store holds. */
+bool control_relay_is_relayed(const struct control *control, time_ns now);
+/** @return true if this pooler has to ask the store about the table by itself. */
+bool control_relay_asks(const struct control *control, enum store_table table, time_ns now);
+/** @return true if the store does not answer this pooler. */
+bool control_relay_lacks_store(const struct control *control);
+/** @brief Tells who the followers are, if not yet told. */
+void control_relay_tell_followers(const struct control *control, uint64_t told,
+                                  struct pooler_grant *grant);
+/** @brief Takes over who the followers are. */
+void control_relay_take_followers(struct control *control, const struct pooler_grant *grant);
 /** @return the versions up to which the tables are known here. */
 row_versions_t control_relay_versions(const struct control *control);
 /** @return milliseconds since the store last answered this pooler; UINT32_MAX for never. */
@@ -301,6 +328,8 @@
 GByteArray *control_lease_encode(const struct control *control, struct lease_record *record);
 /** @return for how long the holder's renewal has been due without being done. */
 time_ns control_lease_overdue(const struct control *control, time_ns now);
+/* Looks at the lease at once, as this pooler may take it. */
+void control_lease_invite(struct control *control);
 /* The holder under this token has left the lease to us. */
 void control_lease_ceded(struct control *control, uint64_t token);
 /* True if the store does not answer the holder, so that the lease had better go to another. */
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -325,6 +325,7 @@
 look(struct control *control, time_ns now)
 {
     control->lease.calling = true;
+    control->lease.invited = false;
     control->lease.call_sent = now;
     control->store_calls[STORE_TABLE_CONTROL]++;
     store_read(control->store, STORE_TABLE_CONTROL, on_looked, control);
@@ -347,7 +348,7 @@
     bool silent = now > control->granted_at + SILENCE_NS;
     if (lease->held) {
         propose(control, lease->token, false, now);
-    } else if (silent && !stopping) {
+    } else if (silent && !stopping && (lease->invited || !control_relay_is_relayed(control, now))) {
         look(control, now);
     }
 }
@@ -365,15 +366,22 @@
     return now > due ? now - due : 0;
 }
 
+void
+control_lease_invite(struct control *control)
+{
+    control->lease.next_at = 0;
+    control->lease.invited = true;
+    control_wake_soon(control);
+}
+
 void
 control_lease_ceded(struct control *control, uint64_t token)
 {
     g_message("The lease under token %" PRIu64 " is left to us.", token);
     control->lease.ceded_token = token;
     control->lease.cessions++;
-    control->lease.next_at = 0;
     control->granted_at = 0;
-    control_wake_soon(control);
+    control_lease_invite(control);
 }
 
 void
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -15,6 +15,10 @@
 #define GRANT_TIMEOUT_NS (800 * MS)
 #define CONNECT_EVERY_NS (250 * MS)
 
+/* One that is not the coordinator, but tells what the store holds, is stayed with for this long: as
+ * long as a lease lasts, after which another pooler leads. */
+#define HEARSAY_KEPT_NS (2200 * MS)
+
 /* A new connection without any answer for so long is tried anew: the first packet may have met a
  * machine that was still dark, and is sent again by the kernel only after a second. */
 #define ANSWER_TIMEOUT_NS (300 * MS)
@@ -118,20 +122,33 @@
     }
 }
 
+/* What does not change while a connection lasts. */
 static void
-fill_heartbeat(struct control *control, time_ns now, struct pooler_heartbeat *out)
+fill_introduction(const struct control *control, struct pooler_heartbeat *out)
 {
     out->name = g_strdup(control->settings->pooler.name);
-    out->fleet_version = control_fleet_version(control);
     out->zone = g_strdup(control->settings->pooler.zone);
     out->incarnation = control->incarnation;
-    out->sequence = ++control->sequence;
-    control_relay_fill(control, &control->told, now, &out->relay);
-    out->store_age_ms = control_relay_age_ms(control, now);
     out->forward_address = g_strdup(control->settings->pooler.forward_listen);
+    out->peer_address = g_strdup(control->address);
     out->workers = control->workers_count;
     out->millicores =
         (uint32_t)(control->settings->pooler.cpu_share * control->workers_count * 1000);
+}
+
+static void
+fill_heartbeat(struct control *control, time_ns now, struct pooler_heartbeat *out)
+{
+    if (!control->introduced_self) {
+        fill_introduction(control, out);
+        control->introduced_self = true;
+    }
+    out->sequence = ++control->sequence;
+    out->fleet_version = control_fleet_version(control);
+    out->orders_known = control->orders_known;
+    out->lacks_store = control_relay_lacks_store(control);
+    control_relay_fill(control, &control->told, false, now, &out->relay);
+    out->store_age_ms = control_relay_age_ms(control, now);
     out->stopping = atomic_load(&control->shared.stop_at) != 0;
     /* Before what is open is counted: what these orders end is no more begun from then on. */
     out->orders_followed = control->orders_told = orders_followed(control);
@@ -238,6 +255,9 @@
     control_fleet_take(control, &grant->fleet);
     control_relay_take(control, &grant->relay);
     control_relay_rely(control, grant, now);
+    control_relay_take_followers(control, grant);
+    control->next_address = 0;
+    control->orders_known = MAX(control->orders_known, grant->orders_version);
     control_publish(control);
     if (grant->orders_version > control->orders_taken) {
         control->orders_taken = grant->orders_version;
@@ -248,13 +268,17 @@
 /* What a pooler knows that is not the coordinator: enough to serve by, where neither the store nor
  * a coordinator can be reached. It permits nothing, and obeys nobody. */
 static void
-take_hearsay(struct control *control, const struct pooler_grant *grant)
+take_hearsay(struct control *control, const struct pooler_grant *grant, time_ns now)
 {
+    control->hearsay_at = now;
+    control->orders_known = MAX(control->orders_known, grant->orders_version);
+
     for (size_t i = 0; i < grant->groups_count; i++) {
         take_order(control, &grant->groups[i]);
     }
     control_fleet_take(control, &grant->fleet);
     control_relay_take(control, &grant->relay);
+    control_relay_rely_on_hearsay(control, &grant->relay, now);
     control_publish(control);
 }
 
@@ -274,12 +298,14 @@
         }
         return current;
     }
-    take_hearsay(control, grant);
+    take_hearsay(control, grant, now);
     forget_told(control);
+    bool unknown = control->introduced_self;
+    control->introduced_self = false;
     const char *address = grant->coordinator_address;
     if (g_strcmp0(address, control->address) == 0 && !control->lease.held) {
         /* An earlier life of this pooler holds the lease, which only this one may take at once. */
-        control->lease.next_at = 0;
+        control_lease_invite(control);
         return false;
     }
     bool elsewhere = address != NULL && address[0] != '\0' &&
@@ -288,8 +314,9 @@
         control_member_set_coordinator(control, address);
         return false;
     }
-    /* It may be about to learn that it is the coordinator. */
-    bool early = now < control->connected_at + NOT_YET_FOR_NS;
+    /* It may be about to learn that it is the coordinator, or may not know us any more. */
+    bool early = now < control->connected_at + NOT_YET_FOR_NS ||
+                 (unknown && g_strcmp0(address, control->coordinator_address) == 0);
     control->heartbeat_at = now + (early ? NOT_YET_NS : HEARTBEAT_EVERY_NS);
     return true;
 }
@@ -334,22 +361,39 @@
     control_wake_soon(control);
 }
 
-/* The address to connect to: the coordinator's, or another pooler's that may know it. */
+/* An address by its place in the order in which they are tried: the coordinator's, then those of
+ * the poolers that follow the store, then those of the settings; NULL if there is none, or it is
+ * our own. Everybody begins with another follower. */
 static const char *
-next_address(struct control *control, time_ns now)
+address_at(const struct control *control, unsigned place)
 {
     const struct address_list *peers = &control->settings->pooler.peers;
-    bool lost = now > control->granted_at + GRANT_TIMEOUT_NS * 2;
-    bool try_seed = control->coordinator_address == NULL ||
-                    (lost && !control->connect_now && control->next_seed % 2 == 1);
-    control->next_seed++;
-    for (size_t i = 0; try_seed && i < peers->count; i++) {
-        const char *seed = peers->items[(control->next_seed / 2 + i) % peers->count];
-        if (!g_str_equal(seed, control->address)) {
-            return seed;
+    const GPtrArray *followers = control->followers;
+    unsigned start = g_str_hash(control->settings->pooler.name);
+    if (place == 0) {
+        return control->coordinator_address;
+    }
+    const char *address = place <= followers->len
+                              ? g_ptr_array_index(followers, (start + place) % followers->len)
+                              : peers->items[(start + place) % peers->count];
+    return g_strcmp0(address, control->address) == 0 ? NULL : address;
+}
+
+/* The address to connect to; NULL if there is none to try. */
+static const char *
+next_address(struct control *control)
+{
+    unsigned places = 1 + control->followers->len + (unsigned)control->settings->pooler.peers.count;
+    if (control->connect_now) {
+        control->next_address = 0;
+    }
+    for (unsigned tried = 0; tried < places; tried++) {
+        const char *address = address_at(control, control->next_address++ % places);
+        if (address != NULL) {
+            return address;
         }
     }
-    return control->coordinator_address;
+    return NULL;
 }
 
 static void
@@ -362,7 +406,8 @@
     }
     control->connected_at = now;
     control->told = control_relay_versions(control);
-    const char *text = next_address(control, now);
+    control->introduced_self = false;
+    const char *text = next_address(control);
     if (text == NULL || !parse_address(text, &address)) {
         return;
     }
@@ -383,10 +428,21 @@
     return changed || orders_followed(control) != control->orders_told;
 }
 
+/* How long to stay with a pooler that does not grant anything. One that follows the store is worth
+ * to be kept to for a while; it may still be that only this pooler has lost the coordinator. */
+static time_ns
+patience(const struct control *control, time_ns now)
+{
+    bool useful = now < control->hearsay_at + GRANT_TIMEOUT_NS &&
+                  control->hearsay_at > control->connected_at &&
+                  control_relay_is_relayed(control, now);
+    return useful ? HEARSAY_KEPT_NS : GRANT_TIMEOUT_NS;
+}
+
 void
 control_member_tick(struct control *control, time_ns now)
 {
-    bool quiet = now > MAX(control->granted_at, control->connected_at) + GRANT_TIMEOUT_NS;
+    bool quiet = now > MAX(control->granted_at, control->connected_at) + patience(control, now);
     bool unanswered = control->coordinator != NULL &&
                       control->answered_at < control->connected_at &&
                       now > control->connected_at + ANSWER_TIMEOUT_NS;
--- a/src/pooler/control_relay.c
+++ b/src/pooler/control_relay.c
@@ -15,17 +15,26 @@
 
 #include <string.h>
 
-/** A coordinator's rows are relied on for so long after it told that they are current. */
+/** Rows from another pooler are relied on for so long after it told that they are current. */
 #define RELIED_ON_NS (900 * MS)
 
-/** They are current if the store answered the coordinator within this, in milliseconds. */
-#define CURRENT_AGE_MS 1500
+/** A coordinator's are current if the store answered it within this, in milliseconds: a little more
+ *  than its lease, without which it is none. */
+#define GRANT_AGE_MS 2500
 
-/** A larger row is read at the store by those who need it: octets between zones cost more. */
-#define ROW_INLINE_MAX ((gsize)24 * 1024)
+/** Those of a pooler that follows the store beside it, if within this: two looks and a half. */
+#define HEARSAY_AGE_MS 2500
 
-/** A large row is passed on all the same once it is known for so long. */
-#define LARGE_ROW_WAIT_NS (500 * MS)
+/** More than this is read at the store by those who need it: bytes between zones cost more, and a
+ *  coordinator that sends each of 300 poolers half a megabyte has its link full for ten seconds,
+ *  in which nobody gets a permit. In bytes of all rows of a table in one message. */
+#define RELAYED_MAX ((gsize)24 * 1024)
+
+/** To one that the store does not answer, more is passed on all the same. */
+#define RELAYED_MAX_LACKING ((gsize)4 * 1024 * 1024)
+
+/** The store does not answer a pooler after so many failures in a row. */
+#define LACKING_FAILURES 2
 
 /** Once another pooler has answered, the store is left alone for so much longer, as the coordinator
  *  tells the rest: three rounds of messages, on machines that answer slowly. Only once, as the one
@@ -70,19 +79,13 @@
     }
 }
 
+/* Adds the table's changes above the base. False if they are too large, so that the table is not
+ * told any further than the base. */
 static bool
-is_too_large(const struct known_row *row, time_ns now)
-{
-    return row->value != NULL && g_bytes_get_size(row->value) > ROW_INLINE_MAX &&
-           now < row->learned_at + LARGE_ROW_WAIT_NS;
-}
-
-/* Adds the table's changes above the base. False if one is too large, so that the table is not told
- * any further than the base. */
-static bool
-add_changes(const struct feed *feed, uint64_t base, time_ns now, struct pooler_relay *relay)
+add_changes(const struct feed *feed, uint64_t base, gsize most, struct pooler_relay *relay)
 {
     size_t before = relay->rows_count;
+    gsize size = 0;
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, feed->rows);
@@ -91,7 +94,8 @@
         if (row->version <= base) {
             continue;
         }
-        if (is_too_large(row, now)) {
+        size += row->value == NULL ? 0 : g_bytes_get_size(row->value);
+        if (size > most) {
             while (relay->rows_count > before) {
                 pooler_row_clear(&relay->rows[--relay->rows_count]);
             }
@@ -103,7 +107,8 @@
 }
 
 static uint64_t
-fill_table(const struct feed *feed, uint64_t base, time_ns now, struct pooler_relay *relay)
+fill_table(const struct feed *feed, uint64_t base, gsize most, bool *incomplete,
+           struct pooler_relay *relay)
 {
     if (feed->version <= base) {
         return base;
@@ -111,24 +116,27 @@
     if (feed->changed_version <= base) {
         return feed->version; /* the store's version rises with every table's changes */
     }
-    if (add_changes(feed, base, now, relay)) {
+    if (add_changes(feed, base, most, relay)) {
         return feed->version;
     }
-    relay->incomplete = true;
+    *incomplete = true;
     return base;
 }
 
 void
-control_relay_fill(const struct control *control, const row_versions_t *known, time_ns now,
-                   struct pooler_relay *relay)
+control_relay_fill(const struct control *control, const row_versions_t *known, bool lacks_store,
+                   time_ns now, struct pooler_relay *relay)
 {
+    gsize most = lacks_store ? RELAYED_MAX_LACKING : RELAYED_MAX;
     const struct feed *configuration = &control->feeds[STORE_TABLE_CONFIGURATION];
     const struct feed *directory = &control->feeds[STORE_TABLE_DIRECTORY];
     relay->store_age_ms = MAX(age_ms(configuration, now), age_ms(directory, now));
     relay->configuration_base = known->configuration;
     relay->directory_base = known->directory;
-    relay->configuration_row = fill_table(configuration, known->configuration, now, relay);
-    relay->directory_row = fill_table(directory, known->directory, now, relay);
+    relay->configuration_row = fill_table(configuration, known->configuration, most,
+                                          &relay->configuration_incomplete, relay);
+    relay->directory_row =
+        fill_table(directory, known->directory, most, &relay->directory_incomplete, relay);
 }
 
 static void
@@ -156,19 +164,54 @@
                  relay->directory_row);
 }
 
+/* What was too large to be told is asked for at the store. */
+static void
+note_missing(struct control *control, const struct pooler_relay *relay)
+{
+    control->feeds[STORE_TABLE_CONFIGURATION].missing = relay->configuration_incomplete;
+    control->feeds[STORE_TABLE_DIRECTORY].missing = relay->directory_incomplete;
+}
+
 void
 control_relay_rely(struct control *control, const struct pooler_grant *grant, time_ns now)
 {
-    bool current = grant->relay.store_age_ms < CURRENT_AGE_MS && !grant->relay.incomplete;
+    bool current = grant->relay.store_age_ms < GRANT_AGE_MS;
     control->follows_store = grant->follows_store;
     control->relied_until = current ? now + RELIED_ON_NS : 0;
     control->told = (row_versions_t){grant->relay.configuration_row, grant->relay.directory_row};
+    note_missing(control, &grant->relay);
+}
+
+void
+control_relay_rely_on_hearsay(struct control *control, const struct pooler_relay *relay,
+                              time_ns now)
+{
+    row_versions_t known = control_relay_versions(control);
+    bool reached =
+        known.configuration >= relay->configuration_row && known.directory >= relay->directory_row;
+    if (relay->store_age_ms < HEARSAY_AGE_MS && reached) {
+        control->relied_until = MAX(control->relied_until, now + RELIED_ON_NS);
+        note_missing(control, relay);
+    }
 }
 
 bool
-control_relay_follows(const struct control *control, time_ns now)
+control_relay_is_relayed(const struct control *control, time_ns now)
 {
-    return control->lease.held || control->follows_store || now > control->relied_until;
+    return !control->lease.held && !control->follows_store && now <= control->relied_until;
+}
+
+bool
+control_relay_asks(const struct control *control, enum store_table table, time_ns now)
+{
+    return !control_relay_is_relayed(control, now) || control->feeds[table].missing;
+}
+
+bool
+control_relay_lacks_store(const struct control *control)
+{
+    return control->feeds[STORE_TABLE_CONFIGURATION].failures >= LACKING_FAILURES ||
+           control->feeds[STORE_TABLE_DIRECTORY].failures >= LACKING_FAILURES;
 }
 
 row_versions_t
@@ -220,13 +263,27 @@
     }
 }
 
-/* Strong machines first, as a follower becomes the coordinator, which hears all the others; among
- * equals by hash, so that the same ones are chosen each time. */
+/* One that follows the store, and that the store has not answered for so long, gives way to
+ * another: three looks. In milliseconds. */
+#define FOLLOWER_LOST_MS 2700
+
+static bool
+is_lost_follower(const struct pooler_peer *pooler)
+{
+    return pooler->followed_store && pooler->store_age_ms > FOLLOWER_LOST_MS;
+}
+
+/* Those that the store answers, as far as they ask it. Then strong machines first, as a follower
+ * becomes the coordinator, which hears all the others; among equals by hash, so that the same ones
+ * are chosen each time. */
 static gint
 compare_candidates(gconstpointer a, gconstpointer b)
 {
     const struct pooler_peer *first = *(struct pooler_peer *const *)a;
     const struct pooler_peer *second = *(struct pooler_peer *const *)b;
+    if (is_lost_follower(first) != is_lost_follower(second)) {
+        return is_lost_follower(first) ? 1 : -1;
+    }
     if (first->millicores != second->millicores) {
         return first->millicores > second->millicores ? -1 : 1;
     }
@@ -258,6 +315,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct pooler_peer *pooler = value;
         bool self = g_str_equal(pooler->name, control->settings->pooler.name);
+        pooler->followed_store = pooler->follows_store;
         pooler->follows_store = false;
         if (pooler->peer != NULL && !pooler->stopping && !self) {
             g_ptr_array_add(poolers, pooler);
@@ -267,6 +325,30 @@
     return poolers;
 }
 
+/* Poolers that lose the coordinator ask the followers, so all are told who these are. */
+static void
+name_followers(struct control *control, const GPtrArray *poolers)
+{
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    for (guint i = 0; i < poolers->len; i++) {
+        const struct pooler_peer *pooler = g_ptr_array_index(poolers, i);
+        if (pooler->follows_store && pooler->peer_address != NULL) {
+            g_ptr_array_add(names, g_strdup(pooler->peer_address));
+        }
+    }
+    bool same = names->len == control->followers->len;
+    for (guint i = 0; same && i < names->len; i++) {
+        same = g_str_equal(g_ptr_array_index(names, i), g_ptr_array_index(control->followers, i));
+    }
+    if (same) {
+        g_ptr_array_unref(names);
+        return;
+    }
+    g_ptr_array_unref(control->followers);
+    control->followers = names;
+    control->followers_version++;
+}
+
 void
 control_relay_choose(struct control *control)
 {
@@ -276,9 +358,37 @@
         for (guint i = 0; i < poolers->len && chosen < FOLLOWERS; i++) {
             struct pooler_peer *pooler = g_ptr_array_index(poolers, i);
             bool good = !pooler->follows_store &&
-                        (other_zones == 0 || !zone_follows(poolers, pooler->zone));
+                        (other_zones == 0 ||
+                         (!zone_follows(poolers, pooler->zone) && !is_lost_follower(pooler)));
             pooler->follows_store = pooler->follows_store || good;
             chosen += good;
         }
     }
+    name_followers(control, poolers);
+}
+
+void
+control_relay_tell_followers(const struct control *control, uint64_t told,
+                             struct pooler_grant *grant)
+{
+    if (told == control->followers_version) {
+        return;
+    }
+    grant->followers = g_new0(char *, control->followers->len + 1);
+    for (guint i = 0; i < control->followers->len; i++) {
+        grant->followers[grant->followers_count++] =
+            g_strdup(g_ptr_array_index(control->followers, i));
+    }
+}
+
+void
+control_relay_take_followers(struct control *control, const struct pooler_grant *grant)
+{
+    if (grant->followers_count == 0) {
+        return;
+    }
+    g_ptr_array_set_size(control->followers, 0);
+    for (size_t i = 0; i < grant->followers_count; i++) {
+        g_ptr_array_add(control->followers, g_strdup(grant->followers[i]));
+    }
 }
--- a/src/pooler/control_store.c
+++ b/src/pooler/control_store.c
@@ -19,6 +19,17 @@
 /* Heartbeats after which every living database has recorded itself. */
 #define SETTLED_HEARTBEATS 4
 
+/* Of the store's reading calls, what poolers may use that nobody tells what it holds. A stated
+ * choice: with the 16,000 calls a second of a fleet of 300, each looks once in 2 s at each table;
+ * half of it would be over the bound below, twice of it costs twice the calls for news that come
+ * 1 s sooner. */
+#define LAST_RESORT_SHARE  0.01
+#define LAST_RESORT_TABLES 2
+
+/* But each of them looks this often: news must be in force within 3 s where the bound is shortest.
+ */
+#define LAST_RESORT_MAX_NS (2000 * MS)
+
 #define RETRY_MIN_NS (150 * MS)
 #define RETRY_MAX_NS (1200 * MS)
 
@@ -157,6 +168,25 @@
     }
 }
 
+/* Time between two looks at a table of a pooler that asks because nobody tells it anything, as all
+ * others may do: together they keep to their share of the store's calls. */
+static time_ns
+last_resort_every(const struct control *control)
+{
+    double calls_per_s = control->settings->store.reads_per_s * LAST_RESORT_SHARE;
+    double every_s = control_fleet_size(control) * LAST_RESORT_TABLES / calls_per_s;
+    time_ns every = (time_ns)(every_s * (double)NANOSECONDS_PER_SECOND);
+    return CLAMP(every, DIRECTORY_EVERY_NS, LAST_RESORT_MAX_NS);
+}
+
+/* True if this pooler has to keep to such a share. A few poolers may ask as often as they like. */
+static bool
+is_last_resort(const struct control *control)
+{
+    return !control->lease.held && !control->follows_store &&
+           last_resort_every(control) > DIRECTORY_EVERY_NS;
+}
+
 static void
 note_good(struct feed *feed, time_ns now)
 {
@@ -167,6 +197,9 @@
     feed->failures = 0;
     feed->current_at = now;
     feed->next_at = feed->table == STORE_TABLE_DIRECTORY ? now + DIRECTORY_EVERY_NS : now;
+    if (is_last_resort(feed->control)) {
+        feed->next_at = now + last_resort_every(feed->control);
+    }
 }
 
 static void
@@ -230,7 +263,8 @@
         store_read(control->store, feed->table, on_listing, feed);
         return;
     }
-    uint32_t wait_ms = feed->table == STORE_TABLE_CONFIGURATION ? CONFIGURATION_WAIT_MS : 0;
+    bool waits = feed->table == STORE_TABLE_CONFIGURATION && !is_last_resort(control);
+    uint32_t wait_ms = waits ? CONFIGURATION_WAIT_MS : 0;
     store_watch(control->store, feed->table, feed->version, wait_ms, on_changes, feed);
 }
 
@@ -256,15 +290,36 @@
     }
 }
 
+/* Once nobody tells this pooler what the store holds, it asks by itself, and so may hundreds of
+ * others: not all at once. */
+static void
+note_relayed(struct control *control, time_ns now)
+{
+    bool relayed = control_relay_is_relayed(control, now);
+    bool lost = control->relayed && is_last_resort(control);
+    control->relayed = relayed;
+    if (relayed || !lost) {
+        return;
+    }
+    gint32 spread = (gint32)(last_resort_every(control) / MS);
+    for (int table = 0; table < STORE_TABLE_CONTROL; table++) {
+        struct feed *feed = &control->feeds[table];
+        if (feed->version != 0) { /* else it has just started, and can't serve before */
+            feed->next_at = now + (time_ns)g_random_int_range(0, spread) * MS;
+        }
+    }
+}
+
 void
 control_feeds_tick(struct control *control, time_ns now)
 {
     time_ns heartbeat = control->settings->store.heartbeat_ms * MS;
-    bool follows = control_relay_follows(control, now);
     settle_directory(control, now);
-    for (int table = 0; follows && table < STORE_TABLE_CONTROL; table++) {
+    note_relayed(control, now);
+    for (int table = 0; table < STORE_TABLE_CONTROL; table++) {
         struct feed *feed = &control->feeds[table];
-        if (!feed->calling && now >= feed->next_at) {
+        bool asks = control_relay_asks(control, feed->table, now);
+        if (asks && !feed->calling && now >= feed->next_at) {
             call(feed);
         }
     }
--- a/tests/pooler/test_relay.c
+++ b/tests/pooler/test_relay.c
@@ -21,6 +21,7 @@
     struct control *control = g_new0(struct control, 1);
     control->settings = settings;
     directory_init(&control->directory);
+    control->followers = g_ptr_array_new_with_free_func(g_free);
     control_feeds_start(control);
     return control;
 }
@@ -32,6 +33,7 @@
         g_hash_table_unref(control->feeds[table].rows);
     }
     directory_clear(&control->directory);
+    g_ptr_array_unref(control->followers);
     g_free(control);
 }
 
@@ -72,7 +74,7 @@
 {
     struct pooler_relay message;
     pooler_relay_init(&message);
-    control_relay_fill(fixture->from, &known, backend_now(), &message);
+    control_relay_fill(fixture->from, &known, false, backend_now(), &message);
     control_relay_take(fixture->to, &message);
     size_t rows = message.rows_count;
     pooler_relay_clear(&message);
@@ -125,23 +127,137 @@
     g_assert_cmpuint(control_relay_versions(fixture->to).configuration, ==, 9);
 }
 
-/* A large row is left to the store, and the receiver is told to ask there. */
+/* A large row is left to the store, and the receiver is told to ask there, and about that table
+ * only. One that the store does not answer is told all the same. */
 static void
 test_large_row(fixture_t *fixture, gconstpointer unused)
 {
     struct pooler_grant grant;
-    time_ns now = backend_now();
     learn(fixture->from, "a", 4, 10);
     learn(fixture->from, "large", 6, LARGE_ROW);
+    time_ns now = backend_now();
     pooler_grant_init(&grant);
-    control_relay_fill(fixture->from, &(row_versions_t){0}, now, &grant.relay);
-    g_assert_true(grant.relay.incomplete);
+    control_relay_fill(fixture->from, &(row_versions_t){0}, false, now, &grant.relay);
+    g_assert_true(grant.relay.configuration_incomplete);
     g_assert_cmpuint(grant.relay.rows_count, ==, 0);
     control_relay_take(fixture->to, &grant.relay);
     control_relay_rely(fixture->to, &grant, now);
     g_assert_cmpuint(control_relay_versions(fixture->to).configuration, ==, 0);
-    g_assert_true(control_relay_follows(fixture->to, now));
+    g_assert_true(control_relay_asks(fixture->to, STORE_TABLE_CONFIGURATION, now));
+    g_assert_false(control_relay_asks(fixture->to, STORE_TABLE_DIRECTORY, now));
+    pooler_grant_clear(&grant);
+    fixture->to->feeds[STORE_TABLE_CONFIGURATION].failures = 1;
+    g_assert_false(control_relay_lacks_store(fixture->to));
+    fixture->to->feeds[STORE_TABLE_CONFIGURATION].failures = 2;
+    g_assert_true(control_relay_lacks_store(fixture->to));
+    pooler_grant_init(&grant);
+    control_relay_fill(fixture->from, &(row_versions_t){0}, true, now, &grant.relay);
+    control_relay_take(fixture->to, &grant.relay);
+    control_relay_rely(fixture->to, &grant, now);
+    g_assert_cmpuint(control_relay_versions(fixture->to).configuration, ==, 6);
+    g_assert_false(control_relay_asks(fixture->to, STORE_TABLE_CONFIGURATION, now));
+    pooler_grant_clear(&grant);
+}
+
+/* Many small rows are as much as a large one: a fleet that starts reads thousands of databases'
+ * records at the store, not at one pooler. */
+static void
+test_many_rows(fixture_t *fixture, gconstpointer unused)
+{
+    struct pooler_relay message;
+    for (unsigned i = 0; i < 1000; i++) {
+        g_autofree char *key = g_strdup_printf("row-%u", i);
+        learn(fixture->from, key, i + 1, 100);
+    }
+    pooler_relay_init(&message);
+    control_relay_fill(fixture->from, &(row_versions_t){0}, false, backend_now(), &message);
+    g_assert_true(message.configuration_incomplete);
+    g_assert_cmpuint(message.rows_count, ==, 0);
+    pooler_relay_clear(&message);
+    pooler_relay_init(&message);
+    control_relay_fill(fixture->from, &(row_versions_t){.configuration = 900}, false, backend_now(),
+                       &message);
+    g_assert_false(message.configuration_incomplete);
+    g_assert_cmpuint(message.rows_count, ==, 100);
+    pooler_relay_clear(&message);
+}
+
+/* Without a coordinator, a pooler that follows the store is relied on, if the store answers it and
+ * nothing is missing of what it knows. */
+static void
+test_hearsay(fixture_t *fixture, gconstpointer unused)
+{
+    struct control *to = fixture->to;
+    struct pooler_relay message;
+    learn(fixture->from, "a", 4, 10);
+    time_ns now = backend_now();
+    pooler_relay_init(&message);
+    control_relay_fill(fixture->from, &(row_versions_t){0}, false, now, &message);
+    control_relay_rely_on_hearsay(to, &message, now);
+    g_assert_false(control_relay_is_relayed(to, now)); /* what it knows is not known yet */
+    control_relay_take(to, &message);
+    control_relay_rely_on_hearsay(to, &message, now);
+    g_assert_true(control_relay_is_relayed(to, now + 500 * MS));
+    g_assert_false(control_relay_is_relayed(to, now + 1500 * MS));
+    message.store_age_ms = 4000;
+    control_relay_rely_on_hearsay(to, &message, now + 1500 * MS);
+    g_assert_false(control_relay_is_relayed(to, now + 1500 * MS));
+    to->follows_store = true;
+    message.store_age_ms = 0;
+    control_relay_rely_on_hearsay(to, &message, now);
+    g_assert_false(control_relay_is_relayed(to, now));
+    pooler_relay_clear(&message);
+}
+
+static void
+add_pooler(struct control *control, const char *name, const char *zone, uint32_t millicores)
+{
+    struct pooler_peer *pooler = g_new0(struct pooler_peer, 1);
+    pooler->name = (char *)name;
+    pooler->zone = (char *)zone;
+    pooler->millicores = millicores;
+    pooler->peer = (struct peer *)control; /* compared with NULL only */
+    pooler->peer_address = (char *)name;
+    g_hash_table_insert(control->poolers, pooler->name, pooler);
+}
+
+/* Strong machines follow the store, one that it does not answer gives way, and all are told who
+ * they are. */
+static void
+test_followers(fixture_t *fixture, gconstpointer unused)
+{
+    struct control *from = fixture->from;
+    struct pooler_grant grant;
+    fixture->settings.pooler.name = (char *)"self";
+    from->poolers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    add_pooler(from, "self", "zone-1", 500);
+    add_pooler(from, "strong-1", "zone-1", 500);
+    add_pooler(from, "strong-2", "zone-2", 500);
+    add_pooler(from, "strong-3", "zone-3", 500);
+    add_pooler(from, "weak-1", "zone-1", 120);
+    control_relay_choose(from);
+    g_assert_cmpuint(from->followers->len, ==, 3);
+    uint64_t version = from->followers_version;
+    control_relay_choose(from);
+    g_assert_cmpuint(from->followers_version, ==, version);
+    ((struct pooler_peer *)g_hash_table_lookup(from->poolers, "strong-2"))->store_age_ms = 4000;
+    control_relay_choose(from);
+    g_assert_cmpuint(from->followers_version, >, version);
+    g_assert_false(
+        ((struct pooler_peer *)g_hash_table_lookup(from->poolers, "strong-2"))->follows_store);
+    pooler_grant_init(&grant);
+    control_relay_tell_followers(from, version, &grant);
+    g_assert_cmpuint(grant.followers_count, ==, 3);
+    control_relay_take_followers(fixture->to, &grant);
+    g_assert_cmpuint(fixture->to->followers->len, ==, 3);
+    pooler_grant_clear(&grant);
+    pooler_grant_init(&grant);
+    control_relay_tell_followers(from, from->followers_version, &grant);
+    g_assert_cmpuint(grant.followers_count, ==, 0);
+    control_relay_take_followers(fixture->to, &grant);
+    g_assert_cmpuint(fixture->to->followers->len, ==, 3);
     pooler_grant_clear(&grant);
+    g_hash_table_unref(from->poolers);
 }
 
 /* Only a coordinator that the store answers is relied on, and for a while only. */
@@ -153,15 +269,15 @@
     pooler_grant_init(&grant);
     grant.relay.store_age_ms = 300;
     control_relay_rely(fixture->to, &grant, now);
-    g_assert_false(control_relay_follows(fixture->to, now + 500 * MS));
-    g_assert_true(control_relay_follows(fixture->to, now + 2000 * MS));
+    g_assert_false(control_relay_asks(fixture->to, STORE_TABLE_DIRECTORY, now + 500 * MS));
+    g_assert_true(control_relay_asks(fixture->to, STORE_TABLE_DIRECTORY, now + 2000 * MS));
     grant.relay.store_age_ms = 4000;
     control_relay_rely(fixture->to, &grant, now);
-    g_assert_true(control_relay_follows(fixture->to, now + 1));
+    g_assert_true(control_relay_asks(fixture->to, STORE_TABLE_DIRECTORY, now + 1));
     grant.relay.store_age_ms = 300;
     grant.follows_store = true;
     control_relay_rely(fixture->to, &grant, now);
-    g_assert_true(control_relay_follows(fixture->to, now + 1));
+    g_assert_true(control_relay_asks(fixture->to, STORE_TABLE_DIRECTORY, now + 1));
     pooler_grant_clear(&grant);
 }
 
@@ -177,13 +293,14 @@
     fixture->settings.pooler.start_wait_ms = 50;
     control->started_at = backend_now();
     control_relay_start(control);
-    g_assert_false(control_relay_follows(control, control->started_at));
-    g_assert_true(control_relay_follows(control, control->started_at + 100 * MS));
+    g_assert_false(control_relay_asks(control, STORE_TABLE_DIRECTORY, control->started_at));
+    g_assert_true(
+        control_relay_asks(control, STORE_TABLE_DIRECTORY, control->started_at + 100 * MS));
     time_ns now = control->started_at + 5 * MS;
     control_relay_peer_answered(control, now);
-    g_assert_false(control_relay_follows(control, now + 100 * MS));
+    g_assert_false(control_relay_asks(control, STORE_TABLE_DIRECTORY, now + 100 * MS));
     control_relay_peer_answered(control, now + 100 * MS);
-    g_assert_true(control_relay_follows(control, now + 200 * MS));
+    g_assert_true(control_relay_asks(control, STORE_TABLE_DIRECTORY, now + 200 * MS));
     g_assert_cmpuint(control->lease.next_at, <, now + 200 * MS);
 }
 
@@ -198,6 +315,9 @@
     ADD("gap", test_gap);
     ADD("older-sender", test_older_sender);
     ADD("large-row", test_large_row);
+    ADD("many-rows", test_many_rows);
+    ADD("hearsay", test_hearsay);
+    ADD("followers", test_followers);
     ADD("reliance", test_reliance);
     ADD("start", test_start);
     return g_test_run();
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -41,7 +41,7 @@
     ("proof of leadership by statuses", "src/pooler/leadership.c",
      "if (under_way || group->primary == NULL || now < group->check_again_at) {", "if (under_way || now != 0) {"),
     ("rows relayed from the coordinator", "src/pooler/control_relay.c",
-     "return control->lease.held || control->follows_store || now > control->relied_until;", "return true;"),
+     "return !control->lease.held && !control->follows_store && now <= control->relied_until;", "return false;"),
     ("lease left to another pooler", "src/pooler/control_coordinator.c", "if (successor == NULL) {",
      "if (successor == NULL || planned || !planned) {"),
     ("lease left where the store refuses", "src/pooler/control_lease.c",
