Let a new coordinator name the leaders that are certain, and ask databases in turns

Cause: a new coordinator asked all databases of all groups at once who leads, each over a connection of its own, and ordered nothing before they had answered. Databases at their limit of slots refuse the question, so that permits were missing just when clients came back, and poolers asked for proofs with the same slots.

Change: the records of promotions are read once more after the lease is taken; who was promoted last, or has led from the beginning, leads for certain if that database alone says so. What is left to ask goes on for 32 groups at a time, for 0.6 s each. Groups without anything under way are looked at ten times a second.

Tests: a full primary is adopted and its group open at once, members left paused receive again in their turn, an adopted primary that is lost is replaced in a higher term, and a group without its turn asks nobody.

--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -14,6 +14,24 @@
 /* Control connections without use are closed. */
 #define CONNECTION_KEPT_NS (1500 * MS)
 
+/* A new coordinator waits so long for the records of promotions, some calls at the store, and asks
+ * the databases who leads from then on. */
+#define RECORDS_WAIT_NS (300 * MS)
+
+/* Groups whose databases are asked at once who leads, or whether they were left paused. Each takes
+ * up to three connections and slots; with more, the answers of a fleet of a thousand groups come
+ * too late on a machine of half a core, and the databases pass for silent. */
+#define QUESTIONED_MAX 32
+
+/* A group has its turn for so long, and the next one so long after the last began: databases that
+ * don't answer must not keep other groups from asking theirs. Two commands' time, and twice that.
+ */
+#define TURN_NS       (600 * MS)
+#define TURN_EVERY_NS (1200 * MS)
+
+/* All groups are looked at so often; in between, those where something is under way. */
+#define LOOK_EVERY_NS (100 * MS)
+
 /* A pooler heard within this counts for opinions. */
 #define OPINION_FRESH_NS (700 * MS)
 
@@ -30,6 +48,7 @@
            const struct database_report *report, bool refused)
 {
     struct controlled_group *group = user;
+    group->active = true;
     if (refused) {
         failover_refused(group->failover, database, backend_now());
     } else {
@@ -152,6 +171,7 @@
 {
     struct control *control = user;
     struct controlled_group *group = controlled_of(control, failover);
+    group->active = true;
     group->orders_version = ++control->orders_version;
     control_coordinator_push(control);
     control_coordinator_wake(control);
@@ -194,24 +214,83 @@
     g_rc_box_release_full(data, clear_group);
 }
 
-static void
-continue_record(struct controlled_group *group, const struct feed *records)
+/* Takes the group's newest record of a promotion. False if there has been none, or it can't be
+ * read, which is told. */
+static bool
+read_record(const struct controlled_group *group, struct promotion_record *out, bool *broken)
 {
+    const struct feed *records = &group->control->feeds[STORE_TABLE_CONTROL];
     g_autofree char *key = g_strconcat(RECORD_PREFIX, group->failover->service, NULL);
     const struct known_row *row = g_hash_table_lookup(records->rows, key);
-    struct promotion_record record = {0};
+    g_autoptr(GError) error = NULL;
+    promotion_record_init(out);
+    *broken = false;
     if (row == NULL || row->gone) {
-        return;
+        return false;
     }
     gsize length = 0;
     const uint8_t *data = g_bytes_get_data(row->value, &length);
-    if (promotion_record_decode(data, length, &record, NULL)) {
-        failover_continue(group->failover, record.done ? NULL : record.candidate, record.term,
-                          backend_now());
+    if (!promotion_record_decode(data, length, out, &error)) {
+        g_warning("The record of group %s can't be read: %s.", group->failover->service,
+                  error->message);
+        *broken = true;
+        return false;
+    }
+    return true;
+}
+
+/* Who leads for certain, without a question to the databases: only coordinators promote, each
+ * promotion is recorded before, and the records were read after the lease was taken. So it is who
+ * was promoted last, or who has led from the beginning, if this database alone says that it leads.
+ * NULL if that does not tell. */
+static const char *
+find_leader(const struct controlled_group *group, const struct promotion_record *record,
+            bool recorded)
+{
+    const struct control *control = group->control;
+    const char *leader = directory_leader(&control->directory, group->failover->service);
+    bool agrees = !recorded || g_strcmp0(leader, record->candidate) == 0;
+    return control->records_read && agrees ? leader : NULL;
+}
+
+static void
+start_group(struct controlled_group *group, time_ns now)
+{
+    struct failover *failover = group->failover;
+    struct promotion_record record;
+    bool broken = false;
+    bool recorded = read_record(group, &record, &broken);
+    if (recorded) {
+        failover_continue(failover, record.done ? NULL : record.candidate, record.term, now);
+    }
+    bool under_way = recorded && !record.done;
+    const char *leader = under_way || broken ? NULL : find_leader(group, &record, recorded);
+    if (leader != NULL) {
+        failover_adopt(failover, leader, recorded ? record.term : 0, now);
     }
     promotion_record_clear(&record);
 }
 
+static void
+update_members(struct control *control, struct controlled_group *group, time_ns now)
+{
+    struct failover *failover = group->failover;
+    time_ns heartbeat = control->settings->store.heartbeat_ms * MS;
+    for (guint i = failover->members->len; i > 0; i--) {
+        struct failover_member *member = g_ptr_array_index(failover->members, i - 1);
+        if (!g_hash_table_contains(control->directory.entries, member->id)) {
+            g_hash_table_remove(group->connections, member->id);
+            failover_remove_member(failover, member->id);
+        }
+    }
+    const GPtrArray *entries = directory_group(&control->directory, failover->service);
+    for (guint i = 0; i < entries->len; i++) {
+        const struct directory_entry *entry = g_ptr_array_index(entries, i);
+        failover_set_member(failover, entry->id, !directory_entry_leaves(entry, now, heartbeat),
+                            entry->leads);
+    }
+}
+
 static void
 add_group(struct control *control, const struct service *service)
 {
@@ -221,15 +300,18 @@
     group->failover->since = backend_now();
     group->failover->epoch = control->lease.token << EPOCH_SHIFT;
     group->failover->sync_replicas = service->sync_replicas;
+    group->failover->waits = true;
     group->connections = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_connection);
     g_hash_table_insert(control->controlled, group->failover->service, group);
-    continue_record(group, &control->feeds[STORE_TABLE_CONTROL]);
+    update_members(control, group, backend_now());
+    start_group(group, backend_now());
 }
 
 static void
 add_groups(struct control *control)
 {
-    if (control->configuration == NULL) {
+    bool known = control->records_read || backend_now() > control->records_until;
+    if (control->configuration == NULL || !known) {
         return;
     }
     GPtrArray *services = control->configuration->services;
@@ -244,6 +326,34 @@
     }
 }
 
+static void on_records(void *user, const struct store_answer *answer);
+
+/* Reads the records of promotions once more: an earlier coordinator may have written some after
+ * this pooler read them, and before it took the lease. None can be written by another one since. */
+static void
+read_records(struct control *control)
+{
+    control->records_token = control->lease.token;
+    control->store_calls[STORE_TABLE_CONTROL]++;
+    store_read(control->store, STORE_TABLE_CONTROL, on_records, control);
+}
+
+static void
+on_records(void *user, const struct store_answer *answer)
+{
+    struct control *control = user;
+    if (!control->lease.held || control->records_token != control->lease.token) {
+        return; /* it was asked by an earlier coordinator here */
+    }
+    if (answer->outcome == STORE_DONE) {
+        control_lease_take(control, answer);
+        control->records_read = control->lease.held;
+    } else if (backend_now() < control->records_until) {
+        read_records(control);
+    }
+    control_coordinator_wake(control);
+}
+
 void
 control_groups_start(struct control *control)
 {
@@ -253,7 +363,9 @@
     if (control->controlled == NULL) {
         control->controlled = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, release_group);
     }
-    add_groups(control);
+    control->records_read = false;
+    control->records_until = backend_now() + RECORDS_WAIT_NS;
+    read_records(control);
 }
 
 /* Calls under way may still come back to the group: they hold it, and find it retired. */
@@ -274,26 +386,6 @@
     }
 }
 
-static void
-update_members(struct control *control, struct controlled_group *group, time_ns now)
-{
-    struct failover *failover = group->failover;
-    time_ns heartbeat = control->settings->store.heartbeat_ms * MS;
-    for (guint i = failover->members->len; i > 0; i--) {
-        struct failover_member *member = g_ptr_array_index(failover->members, i - 1);
-        if (!g_hash_table_contains(control->directory.entries, member->id)) {
-            g_hash_table_remove(group->connections, member->id);
-            failover_remove_member(failover, member->id);
-        }
-    }
-    const GPtrArray *entries = directory_group(&control->directory, failover->service);
-    for (guint i = 0; i < entries->len; i++) {
-        const struct directory_entry *entry = g_ptr_array_index(entries, i);
-        failover_set_member(failover, entry->id, !directory_entry_leaves(entry, now, heartbeat),
-                            entry->leads);
-    }
-}
-
 static void
 count_fault(const struct pooler_fault *fault, struct failover_opinion *opinion)
 {
@@ -428,20 +520,91 @@
     }
 }
 
+/* Ends the turns of groups that have no questions any more, or had their time. Returns how many
+ * go on. */
+static unsigned
+end_turns(struct control *control, time_ns now)
+{
+    unsigned asking = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->controlled);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct controlled_group *group = value;
+        struct failover *failover = group->failover;
+        bool over = now >= group->turn_at + TURN_NS || !failover_has_questions(failover);
+        failover->waits = failover->waits || over;
+        asking += !failover->waits;
+        bool changing =
+            failover->state != FAILOVER_WATCHING && failover->state != FAILOVER_SEARCHING;
+        if (changing) {
+            group->turn_at = 0; /* replicas that it leaves paused are asked at once afterwards */
+        }
+    }
+    return asking;
+}
+
+static unsigned
+begin_turns(struct control *control, enum failover_state state, unsigned asking, time_ns now)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->controlled);
+    while (asking < QUESTIONED_MAX && g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct controlled_group *group = value;
+        struct failover *failover = group->failover;
+        bool rested = group->turn_at == 0 || now >= group->turn_at + TURN_EVERY_NS;
+        if (failover->state == state && failover->waits && rested &&
+            failover_has_questions(failover)) {
+            failover->waits = false;
+            group->turn_at = now;
+            asking++;
+        }
+    }
+    return asking;
+}
+
+/* Lets few groups at a time ask their databases what can wait: first those that nobody is known to
+ * lead. */
+static void
+take_turns(struct control *control, time_ns now)
+{
+    unsigned asking = end_turns(control, now);
+    asking = begin_turns(control, FAILOVER_SEARCHING, asking, now);
+    begin_turns(control, FAILOVER_WATCHING, asking, now);
+}
+
+static void
+look_at_group(struct control *control, struct controlled_group *group, time_ns now)
+{
+    struct failover *failover = group->failover;
+    update_members(control, group, now);
+    failover->settled = control->directory_settled;
+    count_opinions(control, group, now);
+    failover_tick(failover, &group->opinion, now);
+    close_unused(group, now);
+    bool questions = !failover->waits && failover_has_questions(failover);
+    group->active =
+        failover->state != FAILOVER_WATCHING || failover->minority_since != 0 || questions;
+}
+
 void
 control_groups_tick(struct control *control, time_ns now)
 {
     GHashTableIter iterator;
     gpointer value = NULL;
+    bool all = now >= control->groups_looked_at + LOOK_EVERY_NS;
+    if (all) {
+        control->groups_looked_at = now;
+    }
     add_groups(control);
     survey(control, now);
+    take_turns(control, now);
     g_hash_table_iter_init(&iterator, control->controlled);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct controlled_group *group = value;
-        update_members(control, group, now);
-        group->failover->settled = control->directory_settled;
-        count_opinions(control, group, now);
-        failover_tick(group->failover, &group->opinion, now);
-        close_unused(group, now);
+        if (all || group->active || group->reporters > 0) {
+            look_at_group(control, group, now);
+        }
     }
 }
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -146,6 +146,8 @@
     struct failover_opinion opinion; /* of the poolers, by the newest survey */
     uint32_t reporters;              /* poolers heard lately that report on it, by the same */
     uint32_t in_flight;              /* open at the primary, by the same */
+    time_ns turn_at; /* its databases may be asked what can wait since then; 0: never yet */
+    bool active;     /* something is under way: it is looked at each time */
     bool recording_done;
     bool retired; /* no longer under this coordinator */
 };
@@ -223,8 +225,11 @@
     time_ns coordinated_at;  /* the groups were last looked at */
     bool coordination_due;   /* and are to be looked at again as soon as may be */
     uint64_t orders_held; /* followed by all poolers that may hold a permit, by the last survey */
-    uint64_t orders_reached; /* followed by all poolers, by the same */
-    bool records_read;
+    uint64_t orders_reached;                 /* followed by all poolers, by the same */
+    bool records_read;                       /* of promotions, since the lease was taken */
+    time_ns records_until;                   /* they are waited for */
+    uint64_t records_token;                  /* they were asked for under this token */
+    time_ns groups_looked_at;                /* all of them, last */
     uint64_t store_calls[STORE_TABLE_COUNT]; /* since the start */
     fleet_t *fleet;                          /* the poolers that share connections */
     time_ns fleet_at;                        /* when it is decided next */
--- a/src/pooler/control_view.c
+++ b/src/pooler/control_view.c
@@ -123,25 +123,6 @@
     out->takes_work = !directory_entry_leaves(entry, now, heartbeat);
 }
 
-/* The one database that says of itself that it leads; NULL if none or several do. */
-static const char *
-find_self_declared(const struct control *control, const char *service)
-{
-    const char *found = NULL;
-    const GPtrArray *entries = directory_group(&control->directory, service);
-    for (guint i = 0; i < entries->len; i++) {
-        const struct directory_entry *entry = g_ptr_array_index(entries, i);
-        if (!entry->leads || entry->gone_at != 0) {
-            continue;
-        }
-        if (found != NULL) {
-            return NULL;
-        }
-        found = entry->id;
-    }
-    return found;
-}
-
 /* Before any order is known, as after a loss of power, work goes to the database that says it
  * leads: a replaced one can acknowledge nothing, and reads there are proven by the databases'
  * statuses. */
@@ -149,7 +130,7 @@
 fill_unordered(struct control *control, const struct service *service, struct group_state *assumed)
 {
     if (assumed->epoch == 0 && service->sync_replicas > 0) {
-        assumed->primary = (char *)find_self_declared(control, service->name);
+        assumed->primary = (char *)directory_leader(&control->directory, service->name);
         assumed->phase = assumed->primary == NULL ? GROUP_PHASE_UNKNOWN : GROUP_PHASE_OPEN;
     }
 }
--- a/src/pooler/directory.c
+++ b/src/pooler/directory.c
@@ -49,6 +49,24 @@
     return group == NULL ? &none : group;
 }
 
+const char *
+directory_leader(const struct directory *directory, const char *service)
+{
+    const char *found = NULL;
+    const GPtrArray *entries = directory_group(directory, service);
+    for (guint i = 0; i < entries->len; i++) {
+        const struct directory_entry *entry = g_ptr_array_index(entries, i);
+        if (!entry->leads || entry->gone_at != 0) {
+            continue;
+        }
+        if (found != NULL) {
+            return NULL;
+        }
+        found = entry->id;
+    }
+    return found;
+}
+
 static void
 join_group(struct directory *directory, struct directory_entry *entry)
 {
--- a/src/pooler/directory.h
+++ b/src/pooler/directory.h
@@ -52,6 +52,13 @@
  */
 const GPtrArray *directory_group(const struct directory *directory, const char *service);
 
+/**
+ * @brief The one database of a group that says of itself that it leads.
+ *
+ * @return its id; NULL if none or several say so. Valid until the directory changes.
+ */
+const char *directory_leader(const struct directory *directory, const char *service);
+
 /* True if the database takes no new work by what the directory tells. */
 bool directory_entry_leaves(const struct directory_entry *entry, time_ns now, time_ns heartbeat);
 
--- a/src/pooler/failover.c
+++ b/src/pooler/failover.c
@@ -201,6 +201,39 @@
     return leader;
 }
 
+void
+failover_adopt(struct failover *failover, const char *database, uint64_t term, time_ns now)
+{
+    struct failover_member *member = failover_find(failover, database);
+    failover->term = MAX(failover->term, term);
+    if (member != NULL) {
+        failover_open(failover, member, now);
+    }
+}
+
+/* True if the member, which does not lead, has said since the primary was opened how it stands. */
+static bool
+is_settled(const struct failover *failover, const struct failover_member *member)
+{
+    return member->has_report && member->reported_at >= failover->since &&
+           member->report.paused_term == 0 && !member->report.leads;
+}
+
+bool
+failover_has_questions(const struct failover *failover)
+{
+    if (failover->state != FAILOVER_WATCHING) {
+        return failover->state == FAILOVER_SEARCHING;
+    }
+    for (guint i = 0; i < failover->members->len; i++) {
+        const struct failover_member *member = failover_member_at(failover, i);
+        if (!failover_is_primary(failover, member) && !is_settled(failover, member)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 failover_answered(struct failover *failover, const char *database,
                   const struct database_report *report, time_ns now)
@@ -283,6 +316,10 @@
 static void
 search(struct failover *failover, time_ns now)
 {
+    if (failover->waits) {
+        failover->since = now;
+        return;
+    }
     for (guint i = 0; i < failover->members->len; i++) {
         failover_ask_every(failover, failover_member_at(failover, i), DATABASE_COMMAND_STATUS, 0,
                            SEARCH_EVERY_NS, now);
@@ -478,7 +515,9 @@
 static void
 watch(struct failover *failover, const struct failover_opinion *opinion, time_ns now)
 {
-    failover_settle_members(failover, now);
+    if (!failover->waits) {
+        failover_settle_members(failover, now);
+    }
     if (!check_leaving(failover, now)) {
         check_faults(failover, opinion, now);
     }
--- a/src/pooler/failover.h
+++ b/src/pooler/failover.h
@@ -101,6 +101,7 @@
     char *service;
     uint32_t sync_replicas;
     bool settled; /* the members are certainly all of the group's */
+    bool waits;   /* no questions to databases now: too many other groups have some */
     const struct failover_actions *actions;
     GPtrArray *members; /* of struct failover_member */
     enum failover_state state;
@@ -136,6 +137,14 @@
 void failover_continue(struct failover *failover, const char *candidate, uint64_t term,
                        time_ns now);
 
+/* The database leads for certain, without a question to it: opens it for work. Not if it is no
+ * member. `term` is the newest that is known; 0: none. */
+void failover_adopt(struct failover *failover, const char *database, uint64_t term, time_ns now);
+
+/* True if the coordinator has questions to the group's databases, which may wait: who leads, or
+ * whether members that don't were left paused. */
+bool failover_has_questions(const struct failover *failover);
+
 /* `report` is NULL if the database did not answer. */
 void failover_answered(struct failover *failover, const char *database,
                        const struct database_report *report, time_ns now);
--- a/tests/pooler/test_directory.c
+++ b/tests/pooler/test_directory.c
@@ -123,6 +123,32 @@
     directory_clear(&directory);
 }
 
+static void
+take_role(struct directory *directory, const char *id, uint64_t version, bool leads)
+{
+    struct directory_entry *taken = entry(id, false);
+    taken->leads = leads;
+    directory_take(directory, id, version, taken, 0);
+}
+
+/* A leader is known only where one database says that it leads, and is there. */
+static void
+test_leader(void)
+{
+    struct directory directory;
+    directory_init(&directory);
+    take_role(&directory, "a", 1, false);
+    g_assert_null(directory_leader(&directory, "s"));
+    take_role(&directory, "b", 2, true);
+    g_assert_cmpstr(directory_leader(&directory, "s"), ==, "b");
+    take_role(&directory, "a", 3, true);
+    g_assert_null(directory_leader(&directory, "s"));
+    take_role(&directory, "a", 4, false);
+    directory_take(&directory, "b", 5, NULL, 1000 * MS);
+    g_assert_null(directory_leader(&directory, "s"));
+    directory_clear(&directory);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -133,5 +159,6 @@
     g_test_add_func("/pooler/directory/gone", test_gone_leaves_after_two_heartbeats);
     g_test_add_func("/pooler/directory/forget", test_forget);
     g_test_add_func("/pooler/directory/group", test_group);
+    g_test_add_func("/pooler/directory/leader", test_leader);
     return g_test_run();
 }
--- a/tests/pooler/test_failover.c
+++ b/tests/pooler/test_failover.c
@@ -19,6 +19,60 @@
     rig_free(rig);
 }
 
+/* What is known for certain is not asked for: the group is open at once, while its databases have
+ * no slot for a question; what an earlier coordinator left paused receives again once it may ask.
+ */
+static void
+test_adopted_leader(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig->failover->waits = true;
+    rig->databases[0].full = true;
+    rig->databases[2].paused = 4;
+    failover_adopt(rig->failover, "d0", 3, rig->now);
+    g_assert_cmpint(rig->failover->phase, ==, GROUP_PHASE_OPEN);
+    g_assert_cmpstr(rig->failover->primary, ==, "d0");
+    g_assert_cmpuint(rig->published, ==, 1);
+    rig_run(rig, 1000);
+    g_assert_cmpuint(rig->databases[2].commands[DATABASE_COMMAND_STATUS], ==, 0);
+    g_assert_true(failover_has_questions(rig->failover));
+    rig->failover->waits = false;
+    rig_run(rig, 1000);
+    g_assert_cmpuint(rig->databases[2].paused, ==, 0);
+    g_assert_cmpuint(rig->databases[0].commands[DATABASE_COMMAND_STATUS], ==, 0);
+    g_assert_false(failover_has_questions(rig->failover));
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig_free(rig);
+}
+
+/* An adopted primary that is lost is replaced as any other, in a term above the real one. */
+static void
+test_adopted_leader_is_lost(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    failover_adopt(rig->failover, "d0", 0, rig->now);
+    lose_primary(rig);
+    rig_run_until_open(rig, 1);
+    g_assert_cmpuint(rig->failover->term, ==, 2);
+    rig_free(rig);
+}
+
+/* Without its turn, a group that nobody is known to lead asks nothing, and promotes nobody. */
+static void
+test_search_waits_for_its_turn(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig->failover->waits = true;
+    rig_run(rig, 3000);
+    g_assert_cmpuint(rig->databases[0].commands[DATABASE_COMMAND_STATUS], ==, 0);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    g_assert_true(failover_has_questions(rig->failover));
+    rig->failover->waits = false;
+    rig_run_until_open(rig, 0);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig_free(rig);
+}
+
 static void
 test_lost_primary_most_advanced_replica(void)
 {
@@ -396,6 +450,9 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/pooler/failover/finds-leader", test_finds_the_leader);
+    g_test_add_func("/pooler/failover/adopted", test_adopted_leader);
+    g_test_add_func("/pooler/failover/adopted-is-lost", test_adopted_leader_is_lost);
+    g_test_add_func("/pooler/failover/search-waits", test_search_waits_for_its_turn);
     g_test_add_func("/pooler/failover/lost-primary", test_lost_primary_most_advanced_replica);
     g_test_add_func("/pooler/failover/quorum", test_waits_for_the_quorum);
     g_test_add_func("/pooler/failover/replica-lost-before", test_replica_lost_before_the_primary);
