Open links to owners as statements need them, and ready connections within a bound

Cause: every pooler connected to every owner of every group as it learned of them, machines squared, and an owner of 33 groups opened two connections to each of 99 databases whether anybody asked or not.

Change: a link is opened for a statement, to owners of other zones once those of this zone have given no sign for 50 ms or have much to do; unused groups get ready connections while a worker has fewer than 48.

--- a/src/pooler/forward.c
+++ b/src/pooler/forward.c
@@ -33,6 +33,10 @@
 /** An owner that declines has lost the group, or stops. */
 #define DECLINED_NS (150 * NANOSECONDS_PER_MILLISECOND)
 
+/** Owners in other zones are tried where none of this zone has given a sign for so long: some
+ *  times the way there and back. */
+#define NEAR_FIRST_NS (50 * NANOSECONDS_PER_MILLISECOND)
+
 /** An owner in another zone is taken where the near ones have so many statements more. */
 #define OTHER_ZONE_COST 12
 
@@ -266,22 +270,42 @@
     }
 }
 
-/* The owner with the fewest statements from here, near ones by preference. */
+/* The reachable owner with the fewest statements from here, near ones by preference. */
 static link_t *
-choose(const struct group *group, time_ns now)
+choose_reachable(const struct group *group, time_ns now, uint32_t *best_cost)
 {
     link_t *best = NULL;
-    uint32_t best_cost = 0;
     for (guint i = 0; i < group->links->len; i++) {
         link_t *link = g_ptr_array_index(group->links, i);
         uint32_t cost = link->running + (i < group->links_near ? 0 : OTHER_ZONE_COST);
+        bool usable = !link->doubted && now >= link->avoid_until;
+        if (usable && (best == NULL || cost < *best_cost)) {
+            best = link;
+            *best_cost = cost;
+        }
+    }
+    return best;
+}
+
+/* Links are opened as they are needed: every pooler connected to every owner would be machines
+ * squared. Those of other zones only where the near ones are lost, or have much to do. */
+static link_t *
+choose(struct group *group, time_ns now)
+{
+    uint32_t cost = 0;
+    link_t *best = choose_reachable(group, now, &cost);
+    if (best != NULL) {
+        group->unreached_since = 0;
+    } else if (group->unreached_since == 0) {
+        group->unreached_since = now;
+    }
+    bool waited = best == NULL && now >= group->unreached_since + NEAR_FIRST_NS;
+    bool far_too = waited || group->links_near == 0 || (best != NULL && cost >= OTHER_ZONE_COST);
+    guint count = far_too ? group->links->len : group->links_near;
+    for (guint i = 0; i < count; i++) {
+        link_t *link = g_ptr_array_index(group->links, i);
         if (link->doubted) {
             try_again(link, now);
-            continue;
-        }
-        if (now >= link->avoid_until && (best == NULL || cost < best_cost)) {
-            best = link;
-            best_cost = cost;
         }
     }
     return best;
--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -3,6 +3,12 @@
 
 #include <string.h>
 
+/* Connections are kept ready for groups that nobody has asked for within this, only while a worker
+ * has fewer connections than that: one that owns dozens of groups would open hundreds for nothing.
+ */
+#define KEPT_READY_NS (10 * NANOSECONDS_PER_SECOND)
+#define READY_TOTAL   48
+
 /* Owners that can't be reached for so long are taken for lost to this pooler. After the loss of all
  * poolers, hundreds start together: the owners' machines take up to 0.3 s to start and answer, and
  * connections opened meanwhile would be lacking to them. */
@@ -133,8 +139,10 @@
 make_ready(struct group *group)
 {
     time_ns now = backend_now();
-    if (group->alone) {
-        return; /* what it opens may be lacking to the owners: only what a statement needs */
+    /* Alone, what it opens may be lacking to the owners: only what a statement needs. */
+    bool used = group->used_at != 0 && now < group->used_at + KEPT_READY_NS;
+    if (group->alone || (!used && group->worker->connections >= READY_TOTAL)) {
+        return;
     }
     for (guint i = 0; group->primary != NULL && i < group->databases->len; i++) {
         database_make_ready(g_ptr_array_index(group->databases, i), now);
@@ -149,7 +157,6 @@
     group->connections = view->connections;
     group->alone_connections = view->alone_connections;
     apply_owners(group, view);
-    forward_try_again(group);
     group->alone = group->alone && group->connections == 0 && forward_none_left(group);
     if (group->alone) {
         group->connections = group->alone_connections;
@@ -179,7 +186,11 @@
 group_refresh(struct group *group)
 {
     time_ns now = backend_now();
-    forward_try_again(group);
+    if (group->alone || group->queue.length > 0) {
+        forward_try_again(group);
+    } else {
+        group->unreached_since = 0; /* nobody waits: the next statement tries anew */
+    }
     make_ready(group);
     for (guint i = 0; i < group->databases->len; i++) {
         database_close_unused(g_ptr_array_index(group->databases, i), now);
@@ -191,14 +202,8 @@
 is_left_alone(struct group *group)
 {
     time_ns now = backend_now();
-    if (!forward_none_left(group)) {
-        group->unreached_since = 0;
-        return false;
-    }
-    if (group->unreached_since == 0) {
-        group->unreached_since = now;
-    }
-    return now >= group->unreached_since + ALONE_AFTER_NS;
+    return forward_none_left(group) && group->unreached_since != 0 &&
+           now >= group->unreached_since + ALONE_AFTER_NS;
 }
 
 bool
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -127,6 +127,7 @@
     event_add(server->writable, NULL);
     server_set_timer(server, CONNECT_TIMEOUT_MS);
     g_ptr_array_add(database->servers, server);
+    worker->connections++;
     metrics_count(&worker->metrics, METRICS_CONNECTIONS_OPENED);
     return server;
 }
@@ -185,6 +186,7 @@
     event_del(server->writable);
     event_del(server->timer);
     close(server->socket);
+    worker->connections--;
     g_ptr_array_remove(database->servers, server);
     g_ptr_array_add(worker->closed, server);
     g_ptr_array_add(worker->groups_to_run, database->group);
