Pass rows on packed, one at a time for each pooler, and keep the lease on strong machines

Change: rows travel packed (zlib) and wait until the receiver has confirmed those before, so that it gets the newest; who lacks nothing is sent nothing unasked. A free lease is left to stronger machines for 0.4 s, and a weak coordinator leaves it to a strong one after 3 s.

--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -26,6 +26,12 @@
 /* What makes a pooler fit to take the lease over. */
 #define SUCCESSOR_HEARD_NS (600 * MS)
 
+/* A weak machine leads for so long at least, before it leaves the lease to a stronger one that has
+ * heard the store within this: time for the fleet to be heard, and for groups without a primary to
+ * get one. In milliseconds the latter. */
+#define WEAK_LEADS_NS     (3000 * MS)
+#define STRONGER_HEARD_MS ((uint64_t)1500)
+
 /* It has heard the store so long after this one's call went unanswered, at least. */
 #define HEARD_SINCE_MS ((uint64_t)100)
 
@@ -195,6 +201,19 @@
     pooler_grant_clear(&grant);
 }
 
+/* True if a message to the pooler would tell it something. */
+static bool
+has_news_for(const struct control *control, const struct pooler_peer *pooler)
+{
+    row_versions_t here = control_relay_versions(control);
+    bool rows =
+        control_relay_is_confirmed(pooler) && (here.configuration > pooler->known.configuration ||
+                                               here.directory > pooler->known.directory);
+    return rows || pooler->orders_sent < control->orders_version ||
+           pooler->fleet_told < control_fleet_version(control) ||
+           pooler->followers_told != control->followers_version;
+}
+
 /* Answers a heartbeat, or sends the orders unasked, without a permit. */
 static void
 send_grant(struct control *control, struct peer *peer, struct pooler_peer *pooler,
@@ -210,8 +229,7 @@
     add_orders(control, pooler, &grant);
     control_relay_tell_followers(control, pooler->followers_told, &grant);
     pooler->followers_told = control->followers_version;
-    control_relay_fill(control, &pooler->known, pooler->lacks_store, now, &grant.relay);
-    pooler->known = (row_versions_t){grant.relay.configuration_row, grant.relay.directory_row};
+    control_relay_fill_for(control, pooler, now, &grant.relay);
     if (heartbeat != NULL) {
         grant.sequence = heartbeat->sequence;
         grant.permit_ms = (uint32_t)MIN(control_lease_left(control, now) / MS, PERMIT_MS);
@@ -226,6 +244,7 @@
 take_relay(struct control *control, struct pooler_peer *pooler, const struct pooler_relay *relay)
 {
     control_relay_take(control, relay);
+    pooler->confirmed = (row_versions_t){relay->configuration_row, relay->directory_row};
     pooler->known.configuration = MAX(pooler->known.configuration, relay->configuration_row);
     pooler->known.directory = MAX(pooler->known.directory, relay->directory_row);
 }
@@ -248,7 +267,7 @@
     g_hash_table_remove_all(pooler->reports);
     g_hash_table_insert(control->introduced, peer, pooler);
     pooler->peer = peer;
-    pooler->known = (row_versions_t){0};
+    pooler->known = pooler->confirmed = (row_versions_t){0};
     pooler->fleet_told = heartbeat->fleet_version;
     pooler->followers_told = 0;
     pooler->orders_sent = 0;
@@ -445,6 +464,19 @@
     return best;
 }
 
+static void
+cede_to(struct control *control, struct pooler_peer *successor)
+{
+    struct pooler_grant grant;
+    pooler_grant_init(&grant);
+    grant.coordinator = g_strdup(control->settings->pooler.name);
+    grant.token = control->lease.token;
+    grant.cedes = true;
+    g_message("Leaves the lease to %s.", successor->name);
+    peer_send(successor->peer, pooler_grant_encode(&grant));
+    pooler_grant_clear(&grant);
+}
+
 bool
 control_coordinator_cede(struct control *control, bool planned)
 {
@@ -458,14 +490,30 @@
     if (successor == NULL) {
         return false;
     }
-    struct pooler_grant grant;
-    pooler_grant_init(&grant);
-    grant.coordinator = g_strdup(control->settings->pooler.name);
-    grant.token = control->lease.token;
-    grant.cedes = true;
-    g_message("Leaves the lease to %s.", successor->name);
-    peer_send(successor->peer, pooler_grant_encode(&grant));
-    pooler_grant_clear(&grant);
+    cede_to(control, successor);
+    return true;
+}
+
+/* True if the lease had better be another pooler's, which is at hand: one of a stronger machine,
+ * that the store answers. */
+static struct pooler_peer *
+find_stronger(const struct control *control, time_ns now)
+{
+    struct pooler_peer *best = find_successor(control, STRONGER_HEARD_MS, now);
+    bool stronger = best != NULL && best->millicores > control_millicores(control);
+    return stronger && now > control->coordinator_since + WEAK_LEADS_NS ? best : NULL;
+}
+
+/* A weak machine that took the lease, as nobody else did, leaves it to a stronger one. */
+static bool
+hand_over(struct control *control, time_ns now)
+{
+    struct pooler_peer *stronger = find_stronger(control, now);
+    if (stronger == NULL || control->lease.calling) {
+        return false;
+    }
+    cede_to(control, stronger);
+    control_lease_lost(control, "a stronger machine takes over");
     return true;
 }
 
@@ -485,7 +533,7 @@
     g_hash_table_iter_init(&iterator, control->poolers);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct pooler_peer *pooler = value;
-        if (pooler->peer != NULL) {
+        if (pooler->peer != NULL && has_news_for(control, pooler)) {
             send_grant(control, pooler->peer, pooler, NULL, now);
         }
     }
@@ -547,6 +595,9 @@
     control->coordinated_at = now;
     control->coordination_due = false;
     forget_silent(control, now);
+    if (hand_over(control, now)) {
+        return;
+    }
     if (now > control->followers_at + FOLLOWERS_EVERY_NS) {
         control->followers_at = now;
         control_relay_choose(control);
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -36,6 +36,8 @@
     uint64_t version;
     bool gone;
     GBytes *value;
+    GBytes *packed; /* NULL: not worth it, or not packed yet */
+    bool is_packed; /* it was tried */
     time_ns learned_at;
 };
 
@@ -105,6 +107,7 @@
     uint64_t clock_ms;
     time_ns call_sent;
     uint64_t proposed_token;
+    time_ns free_since; /* it was first seen to be free; 0: it is not */
     bool releasing;
     uint64_t ceded_token; /* its holder has left the lease to us; 0: none has */
     uint64_t cessions;    /* leases that were left to us so far */
@@ -127,7 +130,8 @@
     uint64_t fleet_told;      /* up to this version */
     uint64_t orders_sent;     /* on this connection, up to this version */
     uint64_t orders_followed; /* by all its workers, up to this version */
-    row_versions_t known;     /* what it knows of the store's tables */
+    row_versions_t known;     /* what it knows of the store's tables, once what was sent has come */
+    row_versions_t confirmed; /* what it says that it knows */
     bool follows_store;       /* by itself, beside the coordinator */
     bool followed_store;      /* the same, before this choice of followers */
     bool lacks_store;         /* the store does not answer it */
@@ -275,6 +279,16 @@
  *  should hold is left to the store, unless the receiver lacks that. */
 void control_relay_fill(const struct control *control, const row_versions_t *known,
                         bool lacks_store, time_ns now, struct pooler_relay *relay);
+/** @brief Fills in no rows: what is known there stays as it is. */
+void control_relay_fill_nothing(const struct control *control, const row_versions_t *known,
+                                time_ns now, struct pooler_relay *relay);
+/** @return true if the pooler has confirmed all rows that it was sent. */
+bool control_relay_is_confirmed(const struct pooler_peer *pooler);
+/** @brief Fills in what a pooler under this coordinator lacks, and notes it as sent. Rows wait
+ * until those before are confirmed: where they come quicker than a link carries them, the newest
+ * ones are sent, and orders and permits are not held up behind the rest. */
+void control_relay_fill_for(const struct control *control, struct pooler_peer *pooler, time_ns now,
+                            struct pooler_relay *relay);
 /** @brief Takes over what another pooler knows of the store. */
 void control_relay_take(struct control *control, const struct pooler_relay *relay);
 /** @brief Notes how far the coordinator's rows can be relied on. */
@@ -323,6 +337,8 @@
 void control_lease_tick(struct control *control, time_ns now);
 /* True if the lease holds now and for `margin` more. */
 bool control_lease_holds(const struct control *control, time_ns now, time_ns margin);
+/* True if a pooler that sees a free lease leaves it to stronger machines for now. */
+bool control_lease_defers(struct control *control, bool free, time_ns now);
 /* For how long the lease certainly holds; 0 if it does not. */
 time_ns control_lease_left(const struct control *control, time_ns now);
 /* Takes the lease's row out of an answer of the store; ends the lease if it is another's. */
@@ -342,6 +358,9 @@
 /* The lease is no longer ours. */
 void control_lease_lost(struct control *control, const char *why);
 
+/** @return the processor that this machine grants, in thousandths of a core. */
+uint32_t control_millicores(const struct control *control);
+
 /* control_member.c: as a pooler under a coordinator */
 void control_member_tick(struct control *control, time_ns now);
 void control_member_set_coordinator(struct control *control, const char *address);
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -34,6 +34,11 @@
  */
 #define FAILING_NS (700 * MS)
 
+/* A free lease is left to stronger machines for so long: the coordinator hears all poolers, and a
+ * fleet of 300 is too much for a tenth of a core. Some times a call at the store and the spread of
+ * those that follow it. */
+#define WEAK_WAITS_NS (400 * MS)
+
 /* Kept free at the end of the lease: nothing is done in it. */
 #define MARGIN_NS (150 * MS)
 
@@ -237,6 +242,21 @@
     return record->holder != NULL && g_str_equal(record->holder, control->settings->pooler.name);
 }
 
+bool
+control_lease_defers(struct control *control, bool free, time_ns now)
+{
+    struct lease *lease = &control->lease;
+    if (!free) {
+        lease->free_since = 0;
+        return false;
+    }
+    if (lease->free_since == 0) {
+        lease->free_since = now;
+    }
+    bool weaker = control_millicores(control) < fleet_weight_most(control->fleet);
+    return weaker && now < lease->free_since + WEAK_WAITS_NS;
+}
+
 /* Each taking of the lease raises the token, also by the same pooler: what an earlier one ordered
  * must rank below. */
 static void
@@ -249,6 +269,10 @@
         return;
     }
     bool ceded = lease->ceded_token != 0 && record->token == lease->ceded_token;
+    if (control_lease_defers(control, free, backend_now()) && !ceded && !is_own_earlier(control)) {
+        lease->next_at = lease->free_since + WEAK_WAITS_NS;
+        return;
+    }
     if (free || ceded || is_own_earlier(control)) {
         propose(control, record->token + 1, false, now);
         return;
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -122,6 +122,12 @@
     }
 }
 
+uint32_t
+control_millicores(const struct control *control)
+{
+    return (uint32_t)(control->settings->pooler.cpu_share * control->workers_count * 1000);
+}
+
 /* What does not change while a connection lasts. */
 static void
 fill_introduction(const struct control *control, struct pooler_heartbeat *out)
@@ -132,8 +138,7 @@
     out->forward_address = g_strdup(control->settings->pooler.forward_listen);
     out->peer_address = g_strdup(control->address);
     out->workers = control->workers_count;
-    out->millicores =
-        (uint32_t)(control->settings->pooler.cpu_share * control->workers_count * 1000);
+    out->millicores = control_millicores(control);
 }
 
 static void
--- a/src/pooler/control_relay.c
+++ b/src/pooler/control_relay.c
@@ -12,6 +12,7 @@
  */
 #define G_LOG_DOMAIN "relay"
 #include "pooler/control_internal.h"
+#include "pooler/packing.h"
 
 #include <string.h>
 
@@ -63,19 +64,34 @@
     return &relay->rows[count];
 }
 
+/* What travels of the row's value: packed once, for all receivers. NULL if the row is gone. */
+static GBytes *
+content_of(struct known_row *known)
+{
+    if (known->value != NULL && !known->is_packed) {
+        known->is_packed = true;
+        known->packed =
+            g_bytes_get_size(known->value) < PACKING_MIN ? NULL : packing_pack(known->value);
+    }
+    return known->packed != NULL ? known->packed : known->value;
+}
+
 static void
-add_row(struct pooler_relay *relay, enum store_table table, const struct known_row *known)
+add_row(struct pooler_relay *relay, enum store_table table, struct known_row *known)
 {
     struct pooler_row *row = next_row(relay);
+    GBytes *content = content_of(known);
     row->table = (uint32_t)table;
     row->key = g_strdup(known->key);
     row->version = known->version;
     row->gone = known->gone;
-    if (known->value != NULL) {
+    if (content != NULL) {
         gsize len = 0;
-        gconstpointer data = g_bytes_get_data(known->value, &len);
+        gconstpointer data = g_bytes_get_data(content, &len);
         row->value = g_memdup2(data, len);
         row->value_length = len;
+        row->unpacked_length =
+            content == known->packed ? (uint32_t)g_bytes_get_size(known->value) : 0;
     }
 }
 
@@ -90,11 +106,11 @@
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, feed->rows);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct known_row *row = value;
+        struct known_row *row = value;
         if (row->version <= base) {
             continue;
         }
-        size += row->value == NULL ? 0 : g_bytes_get_size(row->value);
+        size += row->value == NULL ? 0 : g_bytes_get_size(content_of(row));
         if (size > most) {
             while (relay->rows_count > before) {
                 pooler_row_clear(&relay->rows[--relay->rows_count]);
@@ -123,6 +139,16 @@
     return base;
 }
 
+void
+control_relay_fill_nothing(const struct control *control, const row_versions_t *known, time_ns now,
+                           struct pooler_relay *relay)
+{
+    relay->store_age_ms = MAX(age_ms(&control->feeds[STORE_TABLE_CONFIGURATION], now),
+                              age_ms(&control->feeds[STORE_TABLE_DIRECTORY], now));
+    relay->configuration_base = relay->configuration_row = known->configuration;
+    relay->directory_base = relay->directory_row = known->directory;
+}
+
 void
 control_relay_fill(const struct control *control, const row_versions_t *known, bool lacks_store,
                    time_ns now, struct pooler_relay *relay)
@@ -139,25 +165,74 @@
         fill_table(directory, known->directory, most, &relay->directory_incomplete, relay);
 }
 
-static void
-take_version(struct feed *feed, uint64_t base, uint64_t version)
+bool
+control_relay_is_confirmed(const struct pooler_peer *pooler)
 {
-    if (base <= feed->version && version > feed->version) {
-        feed->version = version;
-    }
+    return pooler->confirmed.configuration >= pooler->known.configuration &&
+           pooler->confirmed.directory >= pooler->known.directory;
 }
 
 void
-control_relay_take(struct control *control, const struct pooler_relay *relay)
+control_relay_fill_for(const struct control *control, struct pooler_peer *pooler, time_ns now,
+                       struct pooler_relay *relay)
 {
+    if (!control_relay_is_confirmed(pooler)) {
+        control_relay_fill_nothing(control, &pooler->known, now, relay);
+        return;
+    }
+    control_relay_fill(control, &pooler->known, pooler->lacks_store, now, relay);
+    pooler->known = (row_versions_t){relay->configuration_row, relay->directory_row};
+}
+
+/* The value as it lies in the store; NULL if it is gone, or with `error`. */
+static GBytes *
+value_of(const struct pooler_row *row, GError **error)
+{
+    if (row->gone) {
+        return NULL;
+    }
+    if (row->unpacked_length == 0) {
+        return g_bytes_new(row->value, row->value_length);
+    }
+    return packing_unpack(row->value, row->value_length, row->unpacked_length, error);
+}
+
+/* False if a row can't be read: the tables are not known up to the sender's versions then. */
+static bool
+take_rows(struct control *control, const struct pooler_relay *relay)
+{
+    bool good = true;
     for (size_t i = 0; i < relay->rows_count; i++) {
         const struct pooler_row *row = &relay->rows[i];
+        g_autoptr(GError) error = NULL;
         if (row->table >= STORE_TABLE_CONTROL) {
             continue;
         }
-        g_autoptr(GBytes) value = row->gone ? NULL : g_bytes_new(row->value, row->value_length);
+        g_autoptr(GBytes) value = value_of(row, &error);
+        if (error != NULL) {
+            g_warning("Row %s from another pooler can't be read: %s.", row->key, error->message);
+            good = false;
+            continue;
+        }
         control_take_row(control, (enum store_table)row->table, row->key, row->version, value);
     }
+    return good;
+}
+
+static void
+take_version(struct feed *feed, uint64_t base, uint64_t version)
+{
+    if (base <= feed->version && version > feed->version) {
+        feed->version = version;
+    }
+}
+
+void
+control_relay_take(struct control *control, const struct pooler_relay *relay)
+{
+    if (!take_rows(control, relay)) {
+        return;
+    }
     take_version(&control->feeds[STORE_TABLE_CONFIGURATION], relay->configuration_base,
                  relay->configuration_row);
     take_version(&control->feeds[STORE_TABLE_DIRECTORY], relay->directory_base,
@@ -178,7 +253,9 @@
     bool current = grant->relay.store_age_ms < GRANT_AGE_MS;
     control->follows_store = grant->follows_store;
     control->relied_until = current ? now + RELIED_ON_NS : 0;
-    control->told = (row_versions_t){grant->relay.configuration_row, grant->relay.directory_row};
+    row_versions_t known = control_relay_versions(control); /* less, if a row could not be read */
+    control->told = (row_versions_t){MIN(grant->relay.configuration_row, known.configuration),
+                                     MIN(grant->relay.directory_row, known.directory)};
     note_missing(control, &grant->relay);
 }
 
--- a/src/pooler/control_store.c
+++ b/src/pooler/control_store.c
@@ -38,6 +38,7 @@
 {
     struct known_row *row = data;
     g_free(row->key);
+    g_clear_pointer(&row->packed, g_bytes_unref);
     g_clear_pointer(&row->value, g_bytes_unref);
     g_free(row);
 }
--- a/src/pooler/fleet.c
+++ b/src/pooler/fleet.c
@@ -94,6 +94,16 @@
     return fleet->living->len;
 }
 
+uint32_t
+fleet_weight_most(const fleet_t *fleet)
+{
+    uint32_t most = 0;
+    for (guint i = 0; i < fleet->living->len; i++) {
+        most = MAX(most, ((const fleet_member_t *)g_ptr_array_index(fleet->living, i))->weight);
+    }
+    return most;
+}
+
 uint64_t
 fleet_version(const fleet_t *fleet)
 {
--- a/src/pooler/fleet.h
+++ b/src/pooler/fleet.h
@@ -69,6 +69,9 @@
 /** @return how many poolers may own groups now. */
 uint32_t fleet_size(const fleet_t *fleet);
 
+/** @return the weight of the strongest member; 0 if there is none. */
+uint32_t fleet_weight_most(const fleet_t *fleet);
+
 /** @return the highest version of any change. */
 uint64_t fleet_version(const fleet_t *fleet);
 
--- a/tests/pooler/test_lease.c
+++ b/tests/pooler/test_lease.c
@@ -101,6 +101,30 @@
     fleet_free(control->fleet);
 }
 
+/* A weak machine leaves a free lease to a stronger one for a moment, each time it becomes free. */
+static void
+test_weak_defers(fixture_t *fixture, gconstpointer unused)
+{
+    struct control *control = &fixture->control;
+    time_ns now = fixture->now;
+    control->fleet = fleet_new();
+    control->workers_count = 1;
+    fixture->settings.pooler.cpu_share = 0.12;
+    g_assert_false(control_lease_defers(control, true, now)); /* nobody is known */
+    fleet_join(control->fleet, "10.0.0.1:7440", "zone-1", 1, 120, 1);
+    g_assert_false(control_lease_defers(control, true, now));
+    fleet_join(control->fleet, "10.0.0.2:7440", "zone-1", 1, 500, 2);
+    g_assert_false(control_lease_defers(control, false, now));
+    g_assert_true(control_lease_defers(control, true, now));
+    g_assert_true(control_lease_defers(control, true, now + 300 * MS));
+    g_assert_false(control_lease_defers(control, true, now + 500 * MS));
+    g_assert_false(control_lease_defers(control, false, now + 600 * MS));
+    g_assert_true(control_lease_defers(control, true, now + 5000 * MS));
+    fixture->settings.pooler.cpu_share = 0.5;
+    g_assert_false(control_lease_defers(control, true, now + 5000 * MS));
+    fleet_free(control->fleet);
+}
+
 #define ADD(name, test) g_test_add("/pooler/lease/" name, fixture_t, NULL, set_up, test, NULL)
 
 int
@@ -110,5 +134,6 @@
     ADD("overdue", test_overdue);
     ADD("successor", test_successor);
     ADD("row-size", test_row_size);
+    ADD("weak-defers", test_weak_defers);
     return g_test_run();
 }
--- a/tests/pooler/test_relay.c
+++ b/tests/pooler/test_relay.c
@@ -51,11 +51,22 @@
     control_free(fixture->to);
 }
 
+/* Bytes that can't be packed. */
+static GBytes *
+random_bytes(gsize len)
+{
+    guint8 *data = g_malloc(len);
+    for (gsize i = 0; i < len; i++) {
+        data[i] = (guint8)g_random_int();
+    }
+    return g_bytes_new_take(data, len);
+}
+
 /* A row of the configuration's table other than the configuration itself is kept, not decoded. */
 static void
 learn(struct control *control, const char *key, uint64_t version, gsize len)
 {
-    g_autoptr(GBytes) value = len == 0 ? NULL : g_bytes_new_take(g_malloc0(len), len);
+    g_autoptr(GBytes) value = len == 0 ? NULL : random_bytes(len);
     control_take_row(control, STORE_TABLE_CONFIGURATION, key, version, value);
     control->feeds[STORE_TABLE_CONFIGURATION].version = version;
     control->feeds[STORE_TABLE_CONFIGURATION].current_at = backend_now();
@@ -159,6 +170,53 @@
     pooler_grant_clear(&grant);
 }
 
+/* Rows that come quicker than they are confirmed are not queued: the newest one is sent then. */
+static void
+test_unconfirmed(fixture_t *fixture, gconstpointer unused)
+{
+    struct pooler_peer pooler = {0};
+    size_t sent = 0;
+    for (uint64_t version = 1; version <= 50; version++) {
+        struct pooler_relay message;
+        learn(fixture->from, "a", version, 1000);
+        pooler_relay_init(&message);
+        control_relay_fill_for(fixture->from, &pooler, backend_now(), &message);
+        sent += message.rows_count;
+        g_assert_cmpuint(message.configuration_row, ==, version <= 20 ? 1 : 21);
+        pooler_relay_clear(&message);
+        if (version == 20) {
+            pooler.confirmed.configuration = 1;
+        }
+    }
+    g_assert_cmpuint(sent, ==, 2);
+}
+
+/* A text that repeats itself is passed on packed, and lies there as it was; a broken one is not
+ * taken for known. */
+static void
+test_packed(fixture_t *fixture, gconstpointer unused)
+{
+    struct pooler_relay message;
+    g_autofree char *text = g_strnfill(40000, 'x');
+    g_autoptr(GBytes) value = g_bytes_new(text, 40000);
+    control_take_row(fixture->from, STORE_TABLE_CONFIGURATION, "a", 4, value);
+    fixture->from->feeds[STORE_TABLE_CONFIGURATION].version = 4;
+    pooler_relay_init(&message);
+    control_relay_fill(fixture->from, &(row_versions_t){0}, false, backend_now(), &message);
+    g_assert_cmpuint(message.rows_count, ==, 1);
+    g_assert_cmpuint(message.rows[0].value_length, <, 1000);
+    message.rows[0].unpacked_length++;
+    GLogLevelFlags fatal = g_log_set_always_fatal(G_LOG_FATAL_MASK); /* it warns */
+    control_relay_take(fixture->to, &message);
+    g_log_set_always_fatal(fatal);
+    g_assert_cmpuint(control_relay_versions(fixture->to).configuration, ==, 0);
+    message.rows[0].unpacked_length--;
+    control_relay_take(fixture->to, &message);
+    g_assert_cmpuint(control_relay_versions(fixture->to).configuration, ==, 4);
+    g_assert_true(g_bytes_equal(row_of(fixture->to, "a")->value, value));
+    pooler_relay_clear(&message);
+}
+
 /* Many small rows are as much as a large one: a fleet that starts reads thousands of databases'
  * records at the store, not at one pooler. */
 static void
@@ -315,6 +373,8 @@
     ADD("gap", test_gap);
     ADD("older-sender", test_older_sender);
     ADD("large-row", test_large_row);
+    ADD("unconfirmed", test_unconfirmed);
+    ADD("packed", test_packed);
     ADD("many-rows", test_many_rows);
     ADD("hearsay", test_hearsay);
     ADD("followers", test_followers);
