--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -29,7 +29,7 @@
 /* A weak machine leads for so long at least, before it leaves the lease to a stronger one that has
  * heard the store within this: time for the fleet to be heard, and for groups without a primary to
  * get one. In milliseconds the latter. */
-#define WEAK_LEADS_NS     (3000 * MS)
+#define WEAK_LEADS_NS     (1000 * MS)
 #define STRONGER_HEARD_MS ((uint64_t)1500)
 
 /* It has heard the store so long after this one's call went unanswered, at least. */
