Keep the fleet that a new or slow coordinator does not hear; count calls and bytes by reason

Change: who was never heard under this coordinator stays for 4 s, and where more than a quarter are silent over connections that stand, nobody is left out before that. Both tests fail without the change.

Calls at the store are counted by table and reason, bytes to other poolers by kind, connections by what they were opened for, in metrics and in the line of counts.

--- a/src/pooler/control.c
+++ b/src/pooler/control.c
@@ -103,16 +103,6 @@
     }
 }
 
-/* Calls at the store for configuration, directory and control rows. */
-static char *
-print_store_calls(const struct control *control)
-{
-    return g_strdup_printf("%" G_GUINT64_FORMAT "+%" G_GUINT64_FORMAT "+%" G_GUINT64_FORMAT,
-                           control->store_calls[STORE_TABLE_CONFIGURATION],
-                           control->store_calls[STORE_TABLE_DIRECTORY],
-                           control->store_calls[STORE_TABLE_CONTROL]);
-}
-
 /* The share of reads at replicas, and what was opened and moved, since the start. */
 static void
 log_counts(const struct control *control)
@@ -123,11 +113,21 @@
     uint64_t primary = atomic_load(&sum.counters[METRICS_READS_AT_PRIMARY]);
     g_autofree char *at_replica = g_strdup_printf("%" G_GUINT64_FORMAT, replica);
     g_autofree char *at_primary = g_strdup_printf("%" G_GUINT64_FORMAT, primary);
-    g_autofree char *calls = print_store_calls(control);
+    uint64_t opened = atomic_load(&sum.counters[METRICS_CONNECTIONS_OPENED]);
+    uint64_t failed = atomic_load(&sum.counters[METRICS_CONNECTIONS_FAILED]);
+    uint64_t forwarded = atomic_load(&sum.counters[METRICS_FORWARD_BYTES]);
+    g_autofree char *connections =
+        g_strdup_printf("%" G_GUINT64_FORMAT ", failed %" G_GUINT64_FORMAT, opened, failed);
+    g_autofree char *calls = control_counts_print_calls(&control->counts);
+    g_autofree char *bytes = control_counts_print_bytes(&control->counts);
+    g_autofree char *statements = g_strdup_printf("%" G_GUINT64_FORMAT, forwarded);
     g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_READS_AT_REPLICA", at_replica,
-                     "SW_READS_AT_PRIMARY", at_primary, "SW_STORE_CALLS", calls, "MESSAGE",
-                     "Counts: %s reads at replicas, %s at primaries, calls at the store: %s.",
-                     at_replica, at_primary, calls);
+                     "SW_READS_AT_PRIMARY", at_primary, "SW_CONNECTIONS", connections,
+                     "SW_STORE_CALLS", calls, "SW_PEER_BYTES", bytes, "SW_FORWARD_BYTES",
+                     statements, "MESSAGE",
+                     "Counts: %s reads at replicas, %s at primaries, connections opened: %s, calls "
+                     "at the store: %s.",
+                     at_replica, at_primary, connections, calls);
 }
 
 static void
@@ -212,12 +212,7 @@
                            control->lease.cessions);
     g_string_append_printf(out, "swiftworks_configuration_version %" G_GUINT64_FORMAT "\n",
                            control->configuration == NULL ? 0 : control->configuration->version);
-    static const char *const tables[STORE_TABLE_COUNT] = {"configuration", "directory", "control"};
-    for (int table = 0; table < STORE_TABLE_COUNT; table++) {
-        g_string_append_printf(out,
-                               "swiftworks_store_calls_total{table=\"%s\"} %" G_GUINT64_FORMAT "\n",
-                               tables[table], control->store_calls[table]);
-    }
+    control_counts_print_metrics(&control->counts, out);
     g_string_append_printf(out, "swiftworks_log_lines_left_out_total %" G_GUINT64_FORMAT "\n",
                            pooler_log_left_out());
     return g_string_free(out, FALSE);
--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -181,6 +181,21 @@
     }
 }
 
+/* Sends, and counts rows apart from the rest. */
+static void
+send_counted(struct control *control, struct peer *peer, const struct pooler_grant *grant,
+             peer_bytes_t kind)
+{
+    GByteArray *message = pooler_grant_encode(grant);
+    uint64_t rows = 0;
+    for (size_t i = 0; i < grant->relay.rows_count; i++) {
+        rows += grant->relay.rows[i].value_length;
+    }
+    control_counts_bytes(&control->counts, PEER_BYTES_ROWS, rows);
+    control_counts_bytes(&control->counts, kind, message->len - MIN(rows, message->len));
+    peer_send(peer, message);
+}
+
 /* The answer of a pooler that is not the coordinator: where that is, and what is known here. */
 static void
 send_hearsay(struct control *control, struct peer *peer, const struct pooler_heartbeat *heartbeat)
@@ -197,7 +212,7 @@
     const row_versions_t known = {heartbeat->relay.configuration_row,
                                   heartbeat->relay.directory_row};
     control_relay_fill(control, &known, heartbeat->lacks_store, backend_now(), &grant.relay);
-    peer_send(peer, pooler_grant_encode(&grant));
+    send_counted(control, peer, &grant, PEER_BYTES_HEARSAY);
     pooler_grant_clear(&grant);
 }
 
@@ -235,7 +250,7 @@
         grant.permit_ms = (uint32_t)MIN(control_lease_left(control, now) / MS, PERMIT_MS);
         pooler->permit_until = MAX(pooler->permit_until, now + grant.permit_ms * MS);
     }
-    peer_send(peer, pooler_grant_encode(&grant));
+    send_counted(control, peer, &grant, PEER_BYTES_GRANT);
     pooler_grant_clear(&grant);
 }
 
--- a/src/pooler/control_fleet.c
+++ b/src/pooler/control_fleet.c
@@ -18,6 +18,12 @@
 /** A pooler that was not heard for this long owns nothing. */
 #define OWNER_HEARD_NS (1200 * MS)
 
+/** One whose connection stands may be silent for so long, and one that a new coordinator has never
+ *  heard may take so long to come, where more than one in so many are silent. As long as a pooler
+ *  is remembered. */
+#define LOST_NS      (4000 * MS)
+#define SILENT_SHARE 4
+
 /** A new coordinator waits until it hears as many poolers as the one before, but no longer than
  *  this: a little where nothing is served without owners, longer where owners are at work, or all
  *  poolers can serve by themselves. */
@@ -107,15 +113,46 @@
     control->view_dirty = true;
 }
 
-static bool
-may_own(const struct pooler_peer *pooler, time_ns now)
+/** @brief What this coordinator knows of the poolers, by forward address. */
+typedef struct hearing {
+    GHashTable *heard;  /* lately */
+    GHashTable *silent; /* for a while, over a connection that still stands */
+    GHashTable *lost;   /* stopping, or without a connection */
+} hearing_t;
+
+static void
+hearing_init(hearing_t *hearing)
 {
-    return pooler->peer != NULL && !pooler->stopping && now < pooler->heard_at + OWNER_HEARD_NS &&
-           pooler->forward_address != NULL && pooler->forward_address[0] != '\0';
+    hearing->heard = g_hash_table_new(g_str_hash, g_str_equal);
+    hearing->silent = g_hash_table_new(g_str_hash, g_str_equal);
+    hearing->lost = g_hash_table_new(g_str_hash, g_str_equal);
+}
+
+static void
+hearing_clear(hearing_t *hearing)
+{
+    g_hash_table_unref(hearing->heard);
+    g_hash_table_unref(hearing->silent);
+    g_hash_table_unref(hearing->lost);
+}
+
+static void
+sort_pooler(hearing_t *hearing, const struct pooler_peer *pooler, time_ns now)
+{
+    if (pooler->forward_address == NULL || pooler->forward_address[0] == '\0') {
+        return;
+    }
+    if (pooler->peer == NULL || pooler->stopping || now >= pooler->heard_at + LOST_NS) {
+        g_hash_table_add(hearing->lost, pooler->forward_address);
+    } else if (now < pooler->heard_at + OWNER_HEARD_NS) {
+        g_hash_table_add(hearing->heard, pooler->forward_address);
+    } else {
+        g_hash_table_add(hearing->silent, pooler->forward_address);
+    }
 }
 
 static uint32_t
-join_heard(struct control *control, uint64_t version, GHashTable *heard, time_ns now)
+join_heard(struct control *control, uint64_t version, hearing_t *hearing, time_ns now)
 {
     uint32_t joined = 0;
     GHashTableIter iterator;
@@ -123,8 +160,9 @@
     g_hash_table_iter_init(&iterator, control->poolers);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct pooler_peer *pooler = value;
-        if (may_own(pooler, now)) {
-            g_hash_table_add(heard, pooler->forward_address);
+        sort_pooler(hearing, pooler, now);
+        if (pooler->forward_address != NULL &&
+            g_hash_table_contains(hearing->heard, pooler->forward_address)) {
             joined += fleet_join(control->fleet, pooler->forward_address, pooler->zone,
                                  pooler->workers, pooler->millicores, version);
         }
@@ -132,8 +170,25 @@
     return joined;
 }
 
+/* Owners that are gone cost little, as forwarders pass over those that don't answer; a fleet that
+ * shrinks to the few that a coordinator happens to hear is lost. So where many are silent at once,
+ * it is this coordinator that is slow, and who was never heard under it gets the time to come. */
+static bool
+stays(const struct control *control, const hearing_t *hearing, const char *address, time_ns now)
+{
+    uint32_t few = fleet_size(control->fleet) / SILENT_SHARE;
+    if (g_hash_table_contains(hearing->heard, address)) {
+        return true;
+    }
+    if (g_hash_table_contains(hearing->silent, address)) {
+        return g_hash_table_size(hearing->silent) > few;
+    }
+    return !g_hash_table_contains(hearing->lost, address) &&
+           now < control->coordinator_since + LOST_NS;
+}
+
 static uint32_t
-leave_unheard(struct control *control, uint64_t version, GHashTable *heard)
+leave_lost(struct control *control, uint64_t version, const hearing_t *hearing, time_ns now)
 {
     uint32_t left = 0;
     GHashTableIter iterator;
@@ -141,7 +196,7 @@
     g_hash_table_iter_init(&iterator, fleet_members(control->fleet));
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const fleet_member_t *member = value;
-        if (!member->gone && !g_hash_table_contains(heard, member->address)) {
+        if (!member->gone && !stays(control, hearing, member->address, now)) {
             left += fleet_leave(control->fleet, member->address, version);
         }
     }
@@ -159,10 +214,12 @@
 bool
 control_fleet_decide(struct control *control, time_ns now)
 {
-    g_autoptr(GHashTable) heard = g_hash_table_new(g_str_hash, g_str_equal);
+    hearing_t hearing;
+    hearing_init(&hearing);
     uint64_t version = MAX(control_fleet_version(control), control->lease.token << EPOCH_SHIFT) + 1;
-    uint32_t joined = join_heard(control, version, heard, now);
-    uint32_t left = leave_unheard(control, version, heard);
+    uint32_t joined = join_heard(control, version, &hearing, now);
+    uint32_t left = leave_lost(control, version, &hearing, now);
+    hearing_clear(&hearing);
     uint32_t size = fleet_size(control->fleet);
     uint32_t counted = count_damped(fleet_counted(control->fleet), size);
     bool changed = joined + left > 0 || counted != fleet_counted(control->fleet);
--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -120,7 +120,7 @@
     g_autofree char *key = g_strconcat(RECORD_PREFIX, failover->service, NULL);
     struct store_put put = {key, octets->data, octets->len};
     group->recording_done = done;
-    control->store_calls[STORE_TABLE_CONTROL]++;
+    control_counts_call(&control->counts, STORE_TABLE_CONTROL, CALL_RECORD);
     store_write(control->store, LEASE_KEY, control->lease.row_version, &put, 1, on_recorded,
                 g_rc_box_acquire(group));
     g_byte_array_unref(octets);
@@ -334,7 +334,7 @@
 read_records(struct control *control)
 {
     control->records_token = control->lease.token;
-    control->store_calls[STORE_TABLE_CONTROL]++;
+    control_counts_call(&control->counts, STORE_TABLE_CONTROL, CALL_RECORD);
     store_read(control->store, STORE_TABLE_CONTROL, on_records, control);
 }
 
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -11,6 +11,7 @@
 #include "generated/messages.h"
 #include "generated/pooler_settings.h"
 #include "pooler/control.h"
+#include "pooler/control_counts.h"
 #include "pooler/database_control.h"
 #include "pooler/directory.h"
 #include "pooler/failover.h"
@@ -229,14 +230,14 @@
     time_ns coordinated_at;  /* the groups were last looked at */
     bool coordination_due;   /* and are to be looked at again as soon as may be */
     uint64_t orders_held; /* followed by all poolers that may hold a permit, by the last survey */
-    uint64_t orders_reached;                 /* followed by all poolers, by the same */
-    bool records_read;                       /* of promotions, since the lease was taken */
-    time_ns records_until;                   /* they are waited for */
-    uint64_t records_token;                  /* they were asked for under this token */
-    time_ns groups_looked_at;                /* all of them, last */
-    uint64_t store_calls[STORE_TABLE_COUNT]; /* since the start */
-    fleet_t *fleet;                          /* the poolers that share connections */
-    time_ns fleet_at;                        /* when it is decided next */
+    uint64_t orders_reached;  /* followed by all poolers, by the same */
+    bool records_read;        /* of promotions, since the lease was taken */
+    time_ns records_until;    /* they are waited for */
+    uint64_t records_token;   /* they were asked for under this token */
+    time_ns groups_looked_at; /* all of them, last */
+    control_counts_t counts;  /* since the start */
+    fleet_t *fleet;           /* the poolers that share connections */
+    time_ns fleet_at;         /* when it is decided next */
     GHashTable *fresh;    /* of forward addresses: poolers heard lately, by this survey; empty until
                              asked for */
     bool rows_learned;    /* and not yet told to the poolers */
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -172,7 +172,7 @@
     lease->calling = true;
     lease->call_sent = now;
     lease->proposed_token = token;
-    control->store_calls[STORE_TABLE_CONTROL]++;
+    control_counts_call(&control->counts, STORE_TABLE_CONTROL, CALL_LEASE_WRITE);
     store_write(control->store, LEASE_KEY, lease->row_version, &put, 1, on_written, control);
     g_byte_array_unref(octets);
 }
@@ -351,7 +351,7 @@
     control->lease.calling = true;
     control->lease.invited = false;
     control->lease.call_sent = now;
-    control->store_calls[STORE_TABLE_CONTROL]++;
+    control_counts_call(&control->counts, STORE_TABLE_CONTROL, CALL_LEASE_LOOK);
     store_read(control->store, STORE_TABLE_CONTROL, on_looked, control);
 }
 
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -180,7 +180,9 @@
     fill_heartbeat(control, now, &heartbeat);
     control->sent_at[heartbeat.sequence % HEARTBEATS_KEPT] = now;
     control->heartbeat_at = now + HEARTBEAT_EVERY_NS;
-    peer_send(control->coordinator, pooler_heartbeat_encode(&heartbeat));
+    GByteArray *message = pooler_heartbeat_encode(&heartbeat);
+    control_counts_bytes(&control->counts, PEER_BYTES_HEARTBEAT, message->len);
+    peer_send(control->coordinator, message);
     pooler_heartbeat_clear(&heartbeat);
 }
 
--- a/src/pooler/control_store.c
+++ b/src/pooler/control_store.c
@@ -254,12 +254,28 @@
     control_wake_soon(feed->control);
 }
 
+static call_reason_t
+reason_of(const struct feed *feed)
+{
+    const struct control *control = feed->control;
+    if (control->lease.held) {
+        return CALL_COORDINATOR;
+    }
+    if (control->follows_store) {
+        return CALL_FOLLOWER;
+    }
+    if (feed->version == 0) {
+        return CALL_START;
+    }
+    return feed->missing ? CALL_MISSING : CALL_UNTOLD;
+}
+
 static void
 call(struct feed *feed)
 {
     struct control *control = feed->control;
     feed->calling = true;
-    control->store_calls[feed->table]++;
+    control_counts_call(&control->counts, feed->table, reason_of(feed));
     if (feed->version == 0) {
         store_read(control->store, feed->table, on_listing, feed);
         return;
--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -293,7 +293,8 @@
 {
     bool wanted = database->takes_work && database_fault(database) == DATABASE_FAULT_NONE;
     while (wanted && database->servers->len < READY_CONNECTIONS &&
-           database_may_open(database, now) && server_open(database) != NULL) {
+           database_may_open(database, now) &&
+           server_open(database, METRICS_OPENED_READY) != NULL) {
     }
 }
 
@@ -337,6 +338,6 @@
     bool probe = database->takes_work && database_fault(database) != DATABASE_FAULT_NONE &&
                  count_opening(database) == 0;
     if (probe && database_may_open(database, now)) {
-        server_open(database);
+        server_open(database, METRICS_OPENED_PROBE);
     }
 }
--- a/src/pooler/forward.c
+++ b/src/pooler/forward.c
@@ -227,13 +227,21 @@
     return link->peer != NULL;
 }
 
+static void
+send_ask(const link_t *link, const struct forward_ask *ask)
+{
+    GByteArray *message = forward_ask_encode(ask);
+    metrics_count_more(&link->worker->metrics, METRICS_FORWARD_BYTES, message->len);
+    peer_send(link->peer, message);
+}
+
 static void
 ask_for_a_sign(link_t *link, time_ns now)
 {
     struct forward_ask ask;
     forward_ask_init(&ask);
     link->pinged_at = now;
-    peer_send(link->peer, forward_ask_encode(&ask));
+    send_ask(link, &ask);
     forward_ask_clear(&ask);
 }
 
@@ -392,7 +400,7 @@
     session->forward.running = true;
     request->may_have_run = true;
     request->sent_to = link->text;
-    peer_send(link->peer, forward_ask_encode(&ask));
+    send_ask(link, &ask);
     forward_ask_clear(&ask);
 }
 
@@ -430,7 +438,7 @@
     ask.ends = true;
     detach(session);
     if (link->peer != NULL) {
-        peer_send(link->peer, forward_ask_encode(&ask));
+        send_ask(link, &ask);
     }
     forward_ask_clear(&ask);
 }
--- a/src/pooler/forward_serve.c
+++ b/src/pooler/forward_serve.c
@@ -22,7 +22,9 @@
 static void
 send_answer(caller_t *caller, struct forward_answer *answer)
 {
-    peer_send(caller->peer, forward_answer_encode(answer));
+    GByteArray *message = forward_answer_encode(answer);
+    metrics_count_more(&caller->worker->metrics, METRICS_FORWARD_BYTES, message->len);
+    peer_send(caller->peer, message);
     forward_answer_clear(answer);
 }
 
--- a/src/pooler/metrics.c
+++ b/src/pooler/metrics.c
@@ -20,6 +20,11 @@
     [METRICS_QUEUED] = "statements_queued",
     [METRICS_FORWARDED] = "forwarded",
     [METRICS_SERVED_FOR_OTHERS] = "served_for_others",
+    [METRICS_FORWARD_BYTES] = "forward_bytes_sent",
+    [METRICS_OPENED_READY] = "database_connections_opened_ready",
+    [METRICS_OPENED_STATEMENT] = "database_connections_opened_statement",
+    [METRICS_OPENED_PROOF] = "database_connections_opened_proof",
+    [METRICS_OPENED_PROBE] = "database_connections_opened_probe",
 };
 
 static const char *const route_names[METRICS_ROUTE_KINDS] = {
@@ -46,6 +51,12 @@
     increase(&metrics->counters[counter], 1);
 }
 
+void
+metrics_count_more(struct metrics *metrics, enum metrics_counter counter, uint64_t by)
+{
+    increase(&metrics->counters[counter], by);
+}
+
 void
 metrics_answer(struct metrics *metrics, enum route_kind kind, enum answer_code code,
                time_ns latency)
--- a/src/pooler/metrics.h
+++ b/src/pooler/metrics.h
@@ -31,6 +31,11 @@
     METRICS_QUEUED,
     METRICS_FORWARDED,         /* transactions and single statements left to owners */
     METRICS_SERVED_FOR_OTHERS, /* the same, taken from other poolers */
+    METRICS_FORWARD_BYTES,     /* sent between poolers for statements and answers */
+    METRICS_OPENED_READY,      /* connections opened to be ready */
+    METRICS_OPENED_STATEMENT,  /* for a statement that waits */
+    METRICS_OPENED_PROOF,      /* for a question whether the primary leads */
+    METRICS_OPENED_PROBE,      /* to see whether a faulty database is back */
     METRICS_COUNTER_COUNT,
 };
 
@@ -43,6 +48,8 @@
 
 void metrics_count(struct metrics *metrics, enum metrics_counter counter);
 
+void metrics_count_more(struct metrics *metrics, enum metrics_counter counter, uint64_t by);
+
 /* One statement answered after `latency`. */
 void metrics_answer(struct metrics *metrics, enum route_kind kind, enum answer_code code,
                     time_ns latency);
--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -255,7 +255,7 @@
         choice.to_open != NULL &&
         (choice.server == NULL || choice.open_cost * OPENING_FACTOR < choice.server_cost);
     if (open_too) {
-        server_open(choice.to_open);
+        server_open(choice.to_open, METRICS_OPENED_STATEMENT);
     }
     if (choice.server == NULL || choice.server->state != SERVER_IDLE) {
         return false;
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -104,7 +104,7 @@
 }
 
 struct server *
-server_open(struct database *database)
+server_open(struct database *database, enum metrics_counter why)
 {
     struct worker *worker = database->group->worker;
     int handle = socket_connect(&database->address, DARK_TIMEOUT_MS);
@@ -129,6 +129,7 @@
     g_ptr_array_add(database->servers, server);
     worker->connections++;
     metrics_count(&worker->metrics, METRICS_CONNECTIONS_OPENED);
+    metrics_count(&worker->metrics, why);
     return server;
 }
 
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -301,7 +301,8 @@
 void session_check_stop(struct session *session, time_ns now);
 
 /* server.c */
-struct server *server_open(struct database *database);
+/* Opens a connection; `why` is one of METRICS_OPENED_*. NULL if no socket could be had. */
+struct server *server_open(struct database *database, enum metrics_counter why);
 void server_free(struct server *server);
 /* Gives the connection up; a session that it serves is told with the reason. */
 void server_close(struct server *server, enum answer_code reason);
--- a/tests/pooler/test_owners.c
+++ b/tests/pooler/test_owners.c
@@ -367,6 +367,65 @@
     control_free(other);
 }
 
+static void
+silence(const fixture_t *fixture, unsigned from, unsigned to)
+{
+    for (unsigned i = from; i < to; i++) {
+        g_autofree char *name = g_strdup_printf("front-%u", i);
+        struct pooler_peer *pooler = g_hash_table_lookup(fixture->control->poolers, name);
+        pooler->heard_at = fixture->now - 2000 * MS;
+    }
+}
+
+/* Where many are silent at once, it is the coordinator that is slow: the fleet stays. A few that
+ * are silent, and whoever has lost its connection, are left out. */
+static void
+test_slow_coordinator(fixture_t *fixture, gconstpointer unused)
+{
+    struct control *control = fixture->control;
+    configure(fixture, 39);
+    for (unsigned i = 0; i < 40; i++) {
+        add_pooler(fixture, i);
+    }
+    decide(fixture);
+    silence(fixture, 0, 30);
+    control_fleet_decide(control, fixture->now);
+    g_assert_cmpuint(fleet_size(control->fleet), ==, 40);
+    control_fleet_decide(control, fixture->now + 2500 * MS); /* silent for 4.5 s */
+    g_assert_cmpuint(fleet_size(control->fleet), ==, 10);
+    decide(fixture);
+    g_assert_cmpuint(fleet_size(control->fleet), ==, 40);
+    silence(fixture, 0, 5);
+    control_fleet_decide(control, fixture->now);
+    g_assert_cmpuint(fleet_size(control->fleet), ==, 35);
+    decide(fixture);
+    ((struct pooler_peer *)g_hash_table_lookup(control->poolers, "front-7"))->peer = NULL;
+    control_fleet_decide(control, fixture->now);
+    g_assert_cmpuint(fleet_size(control->fleet), ==, 39);
+}
+
+/* A new coordinator keeps the fleet that it has not heard yet, for some seconds. */
+static void
+test_inherited_fleet(fixture_t *fixture, gconstpointer unused)
+{
+    struct control *control = fixture->control;
+    configure(fixture, 39);
+    for (unsigned i = 0; i < 40; i++) {
+        add_pooler(fixture, i);
+    }
+    decide(fixture);
+    g_hash_table_remove_all(control->poolers);
+    control->coordinator_since = fixture->now;
+    add_pooler(fixture, 3);
+    control_fleet_decide(control, fixture->now + 1000 * MS);
+    g_assert_cmpuint(fleet_size(control->fleet), ==, 40);
+    control_fleet_decide(control, fixture->now + 4500 * MS);
+    g_assert_cmpuint(fleet_size(control->fleet), ==, 0);
+    add_pooler(fixture, 3);
+    decide(fixture);
+    g_assert_cmpuint(fleet_size(control->fleet), ==, 1);
+}
+
 /* A machine of four times the processor owns about four times the groups. */
 static void
 test_weights(fixture_t *fixture, gconstpointer unused)
@@ -448,6 +507,8 @@
     ADD("older", test_older);
     ADD("new-coordinator", test_new_coordinator);
     ADD("weights", test_weights);
+    ADD("slow-coordinator", test_slow_coordinator);
+    ADD("inherited-fleet", test_inherited_fleet);
     ADD("share-by-the-row", test_share_by_the_row);
     ADD("gathers", test_gathers);
     return g_test_run();
