--- a/src/pooler/control_relay.c
+++ b/src/pooler/control_relay.c
@@ -239,6 +239,15 @@
                  relay->directory_row);
 }
 
+/* What the other side knows need not be told to it with the next heartbeat. */
+static void
+note_told(struct control *control, const struct pooler_relay *relay)
+{
+    row_versions_t known = control_relay_versions(control); /* less, if a row could not be read */
+    control->told = (row_versions_t){MIN(relay->configuration_row, known.configuration),
+                                     MIN(relay->directory_row, known.directory)};
+}
+
 /* What was too large to be told is asked for at the store. */
 static void
 note_missing(struct control *control, const struct pooler_relay *relay)
@@ -253,9 +262,7 @@
     bool current = grant->relay.store_age_ms < GRANT_AGE_MS;
     control->follows_store = grant->follows_store;
     control->relied_until = current ? now + RELIED_ON_NS : 0;
-    row_versions_t known = control_relay_versions(control); /* less, if a row could not be read */
-    control->told = (row_versions_t){MIN(grant->relay.configuration_row, known.configuration),
-                                     MIN(grant->relay.directory_row, known.directory)};
+    note_told(control, &grant->relay);
     note_missing(control, &grant->relay);
 }
 
@@ -264,6 +271,7 @@
                               time_ns now)
 {
     row_versions_t known = control_relay_versions(control);
+    note_told(control, relay);
     bool reached =
         known.configuration >= relay->configuration_row && known.directory >= relay->directory_row;
     if (relay->store_age_ms < HEARSAY_AGE_MS && reached) {
--- a/tests/pooler/test_relay.c
+++ b/tests/pooler/test_relay.c
@@ -257,6 +257,7 @@
     control_relay_rely_on_hearsay(to, &message, now);
     g_assert_true(control_relay_is_relayed(to, now + 500 * MS));
     g_assert_false(control_relay_is_relayed(to, now + 1500 * MS));
+    g_assert_cmpuint(to->told.configuration, ==, 4); /* and is not told it back */
     message.store_age_ms = 4000;
     control_relay_rely_on_hearsay(to, &message, now + 1500 * MS);
     g_assert_false(control_relay_is_relayed(to, now + 1500 * MS));
