--- a/src/pooler/buffer.h
+++ b/src/pooler/buffer.h
@@ -1,4 +1,4 @@
-/* Octets on their way in or out of a connection: appended at the end, consumed at the start. An
+/* Bytes on their way in or out of a connection: appended at the end, consumed at the start. An
  * empty buffer holds no memory, so that idle sessions cost little. Owned by one thread. */
 #ifndef SW_POOLER_BUFFER_H
 #define SW_POOLER_BUFFER_H
@@ -14,7 +14,7 @@
     size_t capacity;
 };
 
-/* A stretch of octets that belongs to somebody else. */
+/* A stretch of bytes that belongs to somebody else. */
 struct span {
     const char *data;
     size_t length;
@@ -37,13 +37,13 @@
 /* What the buffer holds; valid until the next change. */
 struct span buffer_content(const struct buffer *buffer);
 
-/* Drops octets at the start; the memory is freed with the last one. */
+/* Drops bytes at the start; the memory is freed with the last one. */
 void buffer_consume(struct buffer *buffer, size_t length);
 
-/* Room for at least `length` octets behind the end. */
+/* Room for at least `length` bytes behind the end. */
 char *buffer_reserve(struct buffer *buffer, size_t length);
 
-/* Takes over octets that were written into reserved room. */
+/* Takes over bytes that were written into reserved room. */
 void buffer_commit(struct buffer *buffer, size_t length);
 
 void buffer_append(struct buffer *buffer, const void *data, size_t length);
@@ -52,7 +52,7 @@
 
 /* What came of one system call. */
 enum transfer {
-    TRANSFER_DONE,    /* all was sent, or some octets came */
+    TRANSFER_DONE,    /* all was sent, or some bytes came */
     TRANSFER_BLOCKED, /* the socket takes or has no more at the moment */
     TRANSFER_ENDED,   /* the other side closed, or the connection broke */
 };
--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -116,14 +116,14 @@
         failover_recorded(failover, false, backend_now());
         return;
     }
-    GByteArray *octets = promotion_record_encode(&record);
+    GByteArray *bytes = promotion_record_encode(&record);
     g_autofree char *key = g_strconcat(RECORD_PREFIX, failover->service, NULL);
-    struct store_put put = {key, octets->data, octets->len};
+    struct store_put put = {key, bytes->data, bytes->len};
     group->recording_done = done;
     control_counts_call(&control->counts, STORE_TABLE_CONTROL, CALL_RECORD);
     store_write(control->store, LEASE_KEY, control->lease.row_version, &put, 1, on_recorded,
                 g_rc_box_acquire(group));
-    g_byte_array_unref(octets);
+    g_byte_array_unref(bytes);
 }
 
 static enum failover_order
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -142,13 +142,13 @@
 control_lease_encode(const struct control *control, struct lease_record *record)
 {
     control_fleet_fill(control, 0, &record->fleet);
-    GByteArray *octets = lease_record_encode(record);
-    if (octets->len <= LEASE_ROW_MAX) {
-        return octets;
+    GByteArray *bytes = lease_record_encode(record);
+    if (bytes->len <= LEASE_ROW_MAX) {
+        return bytes;
     }
     pooler_fleet_clear(&record->fleet);
     pooler_fleet_init(&record->fleet);
-    g_byte_array_unref(octets);
+    g_byte_array_unref(bytes);
     return lease_record_encode(record);
 }
 
@@ -166,15 +166,15 @@
         .expires_ms = give_up ? 0 : store_now + LEASE_NS / MS,
         .poolers = lease->held ? control_coordinator_count(control) : control_fleet_size(control),
     };
-    GByteArray *octets = control_lease_encode(control, &record);
+    GByteArray *bytes = control_lease_encode(control, &record);
     lease_record_clear(&record);
-    struct store_put put = {LEASE_KEY, octets->data, octets->len};
+    struct store_put put = {LEASE_KEY, bytes->data, bytes->len};
     lease->calling = true;
     lease->call_sent = now;
     lease->proposed_token = token;
     control_counts_call(&control->counts, STORE_TABLE_CONTROL, CALL_LEASE_WRITE);
     store_write(control->store, LEASE_KEY, lease->row_version, &put, 1, on_written, control);
-    g_byte_array_unref(octets);
+    g_byte_array_unref(bytes);
 }
 
 /* The row is ours: until when, by our clock? The store's clock was read between the sending and the
--- a/src/pooler/peer.h
+++ b/src/pooler/peer.h
@@ -30,7 +30,7 @@
 struct peer *peer_accept(struct event_base *base, int handle,
                          const struct peer_callbacks *callbacks);
 
-/* True if any octet has left: before that, the other side has nothing of what was sent. */
+/* True if any byte has left: before that, the other side has nothing of what was sent. */
 bool peer_has_sent(const struct peer *peer);
 
 /* Closes without the closed callback, and frees. */
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -26,8 +26,8 @@
 void
 server_expect(struct server *server, enum expected what)
 {
-    guint8 octet = (guint8)what;
-    g_byte_array_append(server->expected, &octet, 1);
+    guint8 byte = (guint8)what;
+    g_byte_array_append(server->expected, &byte, 1);
 }
 
 void
--- a/src/pooler/wire.h
+++ b/src/pooler/wire.h
@@ -9,7 +9,7 @@
 #include "core/types.h"
 #include "pooler/buffer.h"
 
-/* Longest message that is taken, in octets. */
+/* Longest message that is taken, in bytes. */
 #define WIRE_MESSAGE_MAX ((size_t)1024 * 1024)
 
 /* The closed list of answers other than success, towards clients and from databases. */
@@ -122,7 +122,7 @@
     uint32_t connections;
 };
 
-/* Length of the first whole message, its end included; 0 if more octets are needed. */
+/* Length of the first whole message, its end included; 0 if more bytes are needed. */
 size_t wire_message_length(struct span content);
 
 void wire_read_client(struct span message, struct client_message *out);
--- a/tests/pooler/test_lease.c
+++ b/tests/pooler/test_lease.c
@@ -77,14 +77,14 @@
     struct lease_record record = {.holder = g_strdup("front-1"), .address = g_strdup("10.0.0.1:1")};
     struct lease_record read = {0};
     g_autoptr(GError) error = NULL;
-    GByteArray *octets = control_lease_encode(control, &record);
-    g_assert_cmpuint(octets->len, <, 32 * 1024);
-    g_assert_true(lease_record_decode(octets->data, octets->len, &read, &error));
+    GByteArray *bytes = control_lease_encode(control, &record);
+    g_assert_cmpuint(bytes->len, <, 32 * 1024);
+    g_assert_true(lease_record_decode(bytes->data, bytes->len, &read, &error));
     g_assert_cmpstr(read.holder, ==, "front-1");
     size_t count = read.fleet.members_count;
     lease_record_clear(&read);
     lease_record_clear(&record);
-    g_byte_array_unref(octets);
+    g_byte_array_unref(bytes);
     return count;
 }
 
