Give a database fewer statements at once after it refused some

Change: a window for each database, narrowed to 0.7 by a refusal and widened by answers, as in congestion control; what does not fit waits in the owner's queue, most urgent first.

--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -40,6 +40,15 @@
  * no room for. */
 #define LIVES_NS (500 * NANOSECONDS_PER_MILLISECOND)
 
+/* A window after a refusal, and how often it may narrow: the statements that were on their way with
+ * the refused one are refused as well, and mean the same. Additive increase and multiplicative
+ * decrease, as in congestion control: many poolers that share a database come to shares alike. */
+#define NARROWED_TO        0.7
+#define NARROW_EVERY_NS    (50 * NANOSECONDS_PER_MILLISECOND)
+#define WINDOW_MIN         1.0
+#define WINDOW_START       64.0
+#define WIDENED_PER_ANSWER 0.5
+
 struct database *
 database_new(struct group *group, struct member_shared *shared)
 {
@@ -48,6 +57,7 @@
     database->shared = shared;
     database->servers = g_ptr_array_new();
     database->latency_ms = LATENCY_START_MS;
+    database->window = WINDOW_START;
     return database;
 }
 
@@ -170,6 +180,41 @@
     return NULL;
 }
 
+/* Statements that the database has; a transaction that rests takes no slot. */
+static uint32_t
+count_running(const struct database *database)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < database->servers->len; i++) {
+        const struct server *server = g_ptr_array_index(database->servers, i);
+        count += server->state == SERVER_RUNNING;
+    }
+    return count;
+}
+
+bool
+database_has_window(const struct database *database)
+{
+    return database->window >= WINDOW_START || count_running(database) < database->window;
+}
+
+void
+database_narrow(struct database *database, time_ns now)
+{
+    if (now < database->narrowed_at + NARROW_EVERY_NS) {
+        return;
+    }
+    database->narrowed_at = now;
+    database->window =
+        MAX(MIN(database->window, count_running(database)) * NARROWED_TO, WINDOW_MIN);
+}
+
+void
+database_widen(struct database *database)
+{
+    database->window = MIN(database->window + WIDENED_PER_ANSWER / database->window, WINDOW_START);
+}
+
 static unsigned
 count_opening(const struct database *database)
 {
--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -139,6 +139,9 @@
 weigh(struct database *database, const struct session *session, time_ns now, struct choice *choice)
 {
     double cost = cost_of(database);
+    if (!database_has_window(database)) {
+        return;
+    }
     struct server *server = database_idle_server(database, session);
     if (server != NULL) {
         if (choice->server == NULL || cost < choice->server_cost) {
@@ -319,7 +322,7 @@
     const struct database *primary = group->primary;
     bool led = primary != NULL && group->phase == GROUP_PHASE_OPEN &&
                database_fault(primary) == DATABASE_FAULT_NONE && router_has_permit(group, now);
-    return led ? primary->servers->len : 0;
+    return led ? MIN(primary->servers->len, (uint32_t)primary->window) : 0;
 }
 
 /* How many statements in its group's queue go before this one. */
--- a/src/pooler/server_answer.c
+++ b/src/pooler/server_answer.c
@@ -37,6 +37,9 @@
         server->database->lacking = server->after;
         server->database->lacking_at = backend_now();
     }
+    if (server->code == ANSWER_BUSY) {
+        database_narrow(server->database, backend_now());
+    }
     if (session == NULL) {
         server->state = SERVER_RESERVED;
         server_release(server);
@@ -82,6 +85,11 @@
     double latency = (double)(now - server->sent_at) / (double)NANOSECONDS_PER_MILLISECOND;
     database->latency_ms += LATENCY_WEIGHT * (latency - database->latency_ms);
     server->wrote = server->wrote || (server->writes && server->code == ANSWER_NONE);
+    if (server->code == ANSWER_BUSY) {
+        database_narrow(database, now);
+    } else if (server->code == ANSWER_NONE) {
+        database_widen(database);
+    }
     if (!ready->has_position) {
         return;
     }
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -184,6 +184,8 @@
     bool listed;                  /* in the newest view */
     GPtrArray *servers;           /* of struct server */
     uint32_t in_flight;           /* servers reserved or running */
+    double window;                /* statements that it is given at once, by what it refused */
+    time_ns narrowed_at;          /* when the window was last narrowed */
     uint32_t failures;            /* in a row, of opening a connection; answers on others don't end
                                      the row */
     time_ns retry_at;             /* no connection is opened before */
@@ -335,6 +337,12 @@
 void database_make_ready(struct database *database, time_ns now);
 void database_set_fault(struct database *database, enum database_fault fault, time_ns now);
 enum database_fault database_fault(const struct database *database);
+/* True if the database is given another statement now. */
+bool database_has_window(const struct database *database);
+/* A statement was refused for want of a slot: it is given fewer at once. */
+void database_narrow(struct database *database, time_ns now);
+/* A statement was run: it may be given more at once. */
+void database_widen(struct database *database);
 /* Notes an answer. */
 void database_answered(struct database *database, time_ns now);
 /* Notes that a connection could not be opened, and waits longer each time. */
--- /dev/null
+++ b/tests/pooler/test_window.c
@@ -0,0 +1,104 @@
+/**
+ * @file
+ * @brief How many statements a database is given at once, by what it refuses: halving and growing
+ * as in congestion control, so that poolers that share a database come to its slots.
+ */
+#include "pooler/worker_internal.h"
+
+#define MS      NANOSECONDS_PER_MILLISECOND
+#define SERVERS 20
+
+typedef struct fixture {
+    struct database *database;
+    struct server servers[SERVERS];
+    time_ns now;
+} fixture_t;
+
+static void
+set_up(fixture_t *fixture, gconstpointer unused)
+{
+    fixture->now = 100 * NANOSECONDS_PER_SECOND;
+    fixture->database = database_new(NULL, NULL);
+    for (unsigned i = 0; i < SERVERS; i++) {
+        g_ptr_array_add(fixture->database->servers, &fixture->servers[i]);
+    }
+}
+
+static void
+tear_down(fixture_t *fixture, gconstpointer unused)
+{
+    database_free(fixture->database);
+}
+
+static void
+run(fixture_t *fixture, unsigned statements)
+{
+    for (unsigned i = 0; i < SERVERS; i++) {
+        fixture->servers[i].state = i < statements ? SERVER_RUNNING : SERVER_RESERVED;
+    }
+}
+
+/* Nothing is held back before a refusal, and a resting transaction counts for nothing. */
+static void
+test_open(fixture_t *fixture, gconstpointer unused)
+{
+    run(fixture, SERVERS);
+    g_assert_true(database_has_window(fixture->database));
+    database_narrow(fixture->database, fixture->now);
+    g_assert_false(database_has_window(fixture->database));
+    run(fixture, 0);
+    g_assert_true(database_has_window(fixture->database));
+}
+
+/* Refusals of one moment count once; one statement always goes. */
+static void
+test_narrows(fixture_t *fixture, gconstpointer unused)
+{
+    run(fixture, 10);
+    database_narrow(fixture->database, fixture->now);
+    database_narrow(fixture->database, fixture->now + 10 * MS);
+    run(fixture, 6);
+    g_assert_true(database_has_window(fixture->database));
+    run(fixture, 7);
+    g_assert_false(database_has_window(fixture->database));
+    for (unsigned i = 1; i < 20; i++) {
+        database_narrow(fixture->database, fixture->now + i * 100 * MS);
+    }
+    run(fixture, 0);
+    g_assert_true(database_has_window(fixture->database));
+    run(fixture, 1);
+    g_assert_false(database_has_window(fixture->database));
+}
+
+/* It grows with what is run, about one statement for each two rounds, without end. */
+static void
+test_widens(fixture_t *fixture, gconstpointer unused)
+{
+    run(fixture, 4);
+    database_narrow(fixture->database, fixture->now);
+    run(fixture, 5);
+    g_assert_false(database_has_window(fixture->database));
+    for (unsigned i = 0; i < 40; i++) {
+        database_widen(fixture->database);
+    }
+    g_assert_true(database_has_window(fixture->database));
+    run(fixture, 10);
+    g_assert_false(database_has_window(fixture->database));
+    for (unsigned i = 0; i < 10000; i++) {
+        database_widen(fixture->database);
+    }
+    run(fixture, SERVERS);
+    g_assert_true(database_has_window(fixture->database));
+}
+
+#define ADD(name, test) g_test_add("/pooler/window/" name, fixture_t, NULL, set_up, test, tear_down)
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    ADD("open", test_open);
+    ADD("narrows", test_narrows);
+    ADD("widens", test_widens);
+    return g_test_run();
+}
