--- a/src/pooler/server_answer.c
+++ b/src/pooler/server_answer.c
@@ -34,8 +34,7 @@
     struct session *session = server->session;
     server->in_transaction = state != TRANSACTION_STATE_NONE;
     if (server->code == ANSWER_LAGGING) {
-        server->database->lacking = server->after;
-        server->database->lacking_at = backend_now();
+        database_lacked(server->database, server->after, backend_now());
     }
     if (server->code == ANSWER_BUSY) {
         database_narrow(server->database, backend_now());
@@ -93,11 +92,10 @@
     if (!ready->has_position) {
         return;
     }
-    database->position = ready->position;
+    database_reached(database, ready->position);
     if (server->code == ANSWER_LAGGING) {
         metrics_count(&group->worker->metrics, METRICS_LAGGING);
-        database->lacking = server->after;
-        database->lacking_at = now;
+        database_lacked(database, server->after, now);
     }
     note_lag(database, now);
     bool leads = database == group->primary && server->epoch == group->epoch;
