--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -180,35 +180,6 @@
     return NULL;
 }
 
-/* How long a database that lacked a position is passed over for it. A replica that receives has it
- * a moment later; one that receives nothing would be asked by every read first. Doubles with each
- * refusal, until it gets as far as it was asked for. */
-#define LACKING_MIN_NS (60 * NANOSECONDS_PER_MILLISECOND)
-#define LACKING_MAX_NS (480 * NANOSECONDS_PER_MILLISECOND)
-
-void
-database_lacked(struct database *database, struct log_position position, time_ns now)
-{
-    /* Of refusals that were under way together, the first one counts. */
-    bool again = now >= database->lacking_at + database->lacking_kept;
-    if (database->lacking_kept == 0) {
-        database->lacking_kept = LACKING_MIN_NS;
-    } else if (again) {
-        database->lacking_kept = MIN(database->lacking_kept * 2, LACKING_MAX_NS);
-    }
-    database->lacking = position;
-    database->lacking_at = now;
-}
-
-void
-database_reached(struct database *database, struct log_position position)
-{
-    if (log_position_covers(position, database->lacking)) {
-        database->lacking_kept = 0;
-    }
-    database->position = position;
-}
-
 /* Statements that the database has; a transaction that rests takes no slot. */
 static uint32_t
 count_running(const struct database *database)
--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -11,6 +11,9 @@
 /* Differences below this are no reason to read at the primary. */
 #define LATENCY_FLOOR_MS 5.0
 
+/* For how long a database that lacked a position is passed over for it. */
+#define LACKING_KEPT_NS (60 * NANOSECONDS_PER_MILLISECOND)
+
 /* A replica's lag where it is not known, and how long a known one is believed. */
 #define LAG_TYPICAL_NS (20 * NANOSECONDS_PER_MILLISECOND)
 #define LAG_KEPT_NS    (500 * NANOSECONDS_PER_MILLISECOND)
@@ -106,7 +109,7 @@
         log_position_covers(database->position, need->position)) {
         return false;
     }
-    bool lacked = now < database->lacking_at + database->lacking_kept &&
+    bool lacked = now < database->lacking_at + LACKING_KEPT_NS &&
                   log_position_covers(need->position, database->lacking);
     bool lag_known = now < database->lag_at + LAG_KEPT_NS;
     time_ns lag = lag_known ? database->lag : LAG_TYPICAL_NS;
--- a/src/pooler/server_answer.c
+++ b/src/pooler/server_answer.c
@@ -34,7 +34,8 @@
     struct session *session = server->session;
     server->in_transaction = state != TRANSACTION_STATE_NONE;
     if (server->code == ANSWER_LAGGING) {
-        database_lacked(server->database, server->after, backend_now());
+        server->database->lacking = server->after;
+        server->database->lacking_at = backend_now();
     }
     if (server->code == ANSWER_BUSY) {
         database_narrow(server->database, backend_now());
@@ -92,10 +93,11 @@
     if (!ready->has_position) {
         return;
     }
-    database_reached(database, ready->position);
+    database->position = ready->position;
     if (server->code == ANSWER_LAGGING) {
         metrics_count(&group->worker->metrics, METRICS_LAGGING);
-        database_lacked(database, server->after, now);
+        database->lacking = server->after;
+        database->lacking_at = now;
     }
     note_lag(database, now);
     bool leads = database == group->primary && server->epoch == group->epoch;
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -193,9 +193,8 @@
     struct log_position position; /* last seen */
     struct log_position lacking;  /* a position that it lacked */
     time_ns lacking_at;
-    time_ns lacking_kept; /* it is passed over for what it lacked for so long */
-    time_ns written_at;   /* when a write was last acknowledged */
-    time_ns lag;          /* by which it was behind the primary at lag_at */
+    time_ns written_at; /* when a write was last acknowledged */
+    time_ns lag;        /* by which it was behind the primary at lag_at */
     time_ns lag_at;
 };
 
@@ -338,11 +337,6 @@
 void database_make_ready(struct database *database, time_ns now);
 void database_set_fault(struct database *database, enum database_fault fault, time_ns now);
 enum database_fault database_fault(const struct database *database);
-/* The database lacked this position: it is passed over for a while, longer each time it still does.
- */
-void database_lacked(struct database *database, struct log_position position, time_ns now);
-/* The database stands at this position. */
-void database_reached(struct database *database, struct log_position position);
 /* True if the database is given another statement now. */
 bool database_has_window(const struct database *database);
 /* A statement was refused for want of a slot: it is given fewer at once. */
--- a/tests/pooler/test_database.c
+++ b/tests/pooler/test_window.c
@@ -1,7 +1,7 @@
 /**
  * @file
- * @brief What a worker learns of a database from its refusals: how many statements it is given at
- * once, and for how long it is passed over for what it lacks.
+ * @brief How many statements a database is given at once, by what it refuses: halving and growing
+ * as in congestion control, so that poolers that share a database come to its slots.
  */
 #include "pooler/worker_internal.h"
 
@@ -91,27 +91,7 @@
     g_assert_true(database_has_window(fixture->database));
 }
 
-/* A replica that receives nothing is passed over for longer each time; one that caught up is not.
- */
-static void
-test_lacking(fixture_t *fixture, gconstpointer unused)
-{
-    struct database *database = fixture->database;
-    time_ns now = fixture->now;
-    for (unsigned i = 0; i < 10; i++) {
-        database_lacked(database, (struct log_position){1, 100 + i}, now);
-        database_lacked(database, (struct log_position){1, 100 + i}, now + 5 * MS);
-        database_reached(database, (struct log_position){1, 90});
-        g_assert_cmpuint(database->lacking_kept, ==, MIN(60U << i, 480U) * MS);
-        now += database->lacking_kept + 10 * MS;
-    }
-    database_reached(database, (struct log_position){1, 200});
-    database_lacked(database, (struct log_position){1, 201}, now);
-    g_assert_cmpuint(database->lacking_kept, ==, 60 * MS);
-}
-
-#define ADD(name, test)                                                                            \
-    g_test_add("/pooler/database/" name, fixture_t, NULL, set_up, test, tear_down)
+#define ADD(name, test) g_test_add("/pooler/window/" name, fixture_t, NULL, set_up, test, tear_down)
 
 int
 main(int argc, char **argv)
@@ -120,6 +100,5 @@
     ADD("open", test_open);
     ADD("narrows", test_narrows);
     ADD("widens", test_widens);
-    ADD("lacking", test_lacking);
     return g_test_run();
 }
