--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -3,12 +3,6 @@
 
 #include <string.h>
 
-/* Connections are kept ready for groups that nobody has asked for within this, only while a worker
- * has fewer connections than that: one that owns dozens of groups would open hundreds for nothing.
- */
-#define KEPT_READY_NS (10 * NANOSECONDS_PER_SECOND)
-#define READY_TOTAL   48
-
 /* Owners that can't be reached for so long are taken for lost to this pooler. After the loss of all
  * poolers, hundreds start together: the owners' machines take up to 0.3 s to start and answer, and
  * connections opened meanwhile would be lacking to them. */
@@ -139,10 +133,8 @@
 make_ready(struct group *group)
 {
     time_ns now = backend_now();
-    /* Alone, what it opens may be lacking to the owners: only what a statement needs. */
-    bool used = group->used_at != 0 && now < group->used_at + KEPT_READY_NS;
-    if (group->alone || (!used && group->worker->connections >= READY_TOTAL)) {
-        return;
+    if (group->alone) {
+        return; /* what it opens may be lacking to the owners: only what a statement needs */
     }
     for (guint i = 0; group->primary != NULL && i < group->databases->len; i++) {
         database_make_ready(g_ptr_array_index(group->databases, i), now);
--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -413,7 +413,6 @@
 router_submit(struct session *session)
 {
     session->state = SESSION_QUEUED;
-    session->route.group->used_at = backend_now();
     if (!try_send(session) && session->state == SESSION_QUEUED && session->queue_link == NULL) {
         const char *refusal = find_refusal(session);
         if (refusal != NULL) {
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -127,7 +127,6 @@
     event_add(server->writable, NULL);
     server_set_timer(server, CONNECT_TIMEOUT_MS);
     g_ptr_array_add(database->servers, server);
-    worker->connections++;
     metrics_count(&worker->metrics, METRICS_CONNECTIONS_OPENED);
     metrics_count(&worker->metrics, why);
     return server;
@@ -187,7 +186,6 @@
     event_del(server->writable);
     event_del(server->timer);
     close(server->socket);
-    worker->connections--;
     g_ptr_array_remove(database->servers, server);
     g_ptr_array_add(worker->closed, server);
     g_ptr_array_add(worker->groups_to_run, database->group);
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -224,7 +224,6 @@
     bool alone;                 /* which is so now */
     time_ns unreached_since; /* none of the owners could be reached since then, as statements came;
                                 0: one can */
-    time_ns used_at;         /* a statement last came; 0: none yet */
     GPtrArray *databases;    /* of struct database, owned */
     GPtrArray *links; /* to the group's owners, link_t, near ones first; empty if it has none */
     guint links_near; /* how many of them are in this zone */
@@ -264,8 +263,7 @@
     GPtrArray *closed;        /* servers to free after the callback */
     GPtrArray *groups_to_run; /* groups whose queue may move */
     bool stopping;
-    uint32_t busy;        /* sessions queued or running */
-    uint32_t connections; /* to databases */
+    uint32_t busy; /* sessions queued or running */
     _Atomic uint32_t session_count;
     _Atomic bool has_ended;
     struct metrics metrics;
