--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -141,6 +141,15 @@
     out->millicores = control_millicores(control);
 }
 
+/* True if there is nothing to tell of the group, nor was last time. So it is with nearly all. */
+static bool
+is_quiet(const struct control *control, const struct group_state *group)
+{
+    bool resting = group->phase == GROUP_PHASE_OPEN || in_flight(control, group) == 0;
+    return resting && group->told.faults == 0 && group->told.in_flight == 0 &&
+           atomic_load(&group->shared->faults) == 0;
+}
+
 static void
 fill_heartbeat(struct control *control, time_ns now, struct pooler_heartbeat *out)
 {
@@ -163,6 +172,9 @@
     g_hash_table_iter_init(&iterator, control->groups);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct pooler_group_report *report = &out->groups[out->groups_count];
+        if (is_quiet(control, value)) {
+            continue;
+        }
         fill_report(control, value, now, report);
         if (is_news(value, report)) {
             out->groups_count++;
--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -74,15 +74,27 @@
     return (enum database_fault)atomic_load(&database->shared->fault);
 }
 
+/* Another worker may have changed it meanwhile: what was replaced counts. */
+static void
+count_fault(struct group_shared *shared, enum database_fault old, enum database_fault fault)
+{
+    if (old == DATABASE_FAULT_NONE && fault != DATABASE_FAULT_NONE) {
+        atomic_fetch_add(&shared->faults, 1);
+    } else if (old != DATABASE_FAULT_NONE && fault == DATABASE_FAULT_NONE) {
+        atomic_fetch_sub(&shared->faults, 1);
+    }
+}
+
 void
 database_set_fault(struct database *database, enum database_fault fault, time_ns now)
 {
-    enum database_fault old = database_fault(database);
-    if (old == fault) {
+    if (database_fault(database) == fault) {
         return;
     }
     atomic_store(&database->shared->fault_since, now);
-    atomic_store(&database->shared->fault, (unsigned)fault);
+    enum database_fault old =
+        (enum database_fault)atomic_exchange(&database->shared->fault, (unsigned)fault);
+    count_fault(database->group->shared, old, fault);
     g_log_structured("database", G_LOG_LEVEL_INFO, "SW_DATABASE", database->shared->id,
                      "SW_SERVICE", database->group->shared->service, "MESSAGE",
                      "Database %s: %s, before %s.", database->shared->id,
@@ -233,10 +245,25 @@
            count_opening(database) < 2;
 }
 
+static bool
+any_matches(const struct database *database, server_predicate *matches, time_ns now)
+{
+    for (guint i = 0; i < database->servers->len; i++) {
+        const struct server *server = g_ptr_array_index(database->servers, i);
+        if (server->state != SERVER_CLOSED && matches(server, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 database_close_where(struct database *database, server_predicate *matches, time_ns now,
                      enum answer_code reason)
 {
+    if (!any_matches(database, matches, now)) {
+        return;
+    }
     /* Closing one may close others; closed ones are freed only after the callback. */
     g_autoptr(GPtrArray) servers = g_ptr_array_copy(database->servers, NULL, NULL);
     for (guint i = 0; i < servers->len; i++) {
--- a/src/pooler/fleet.c
+++ b/src/pooler/fleet.c
@@ -54,6 +54,7 @@
 free_owners(gpointer data)
 {
     fleet_owners_t *owners = data;
+    g_array_unref(owners->scores);
     g_ptr_array_unref(owners->members);
     g_free(owners);
 }
@@ -327,6 +328,17 @@
     }
 }
 
+/* Kept, as each change of the fleet is compared with them. */
+static void
+note_scores(fleet_owners_t *owners)
+{
+    g_array_set_size(owners->scores, 0);
+    for (guint i = 0; i < owners->members->len; i++) {
+        double score = score_of(g_ptr_array_index(owners->members, i), owners->seed);
+        g_array_append_val(owners->scores, score);
+    }
+}
+
 static bool
 is_same(const GPtrArray *a, const GPtrArray *b)
 {
@@ -358,6 +370,7 @@
     }
     g_ptr_array_unref(owners->members);
     owners->members = g_steal_pointer(&members);
+    note_scores(owners);
     owners->direct = direct;
     owners->connections = connections;
     owners->revision = ++fleet->revisions;
@@ -377,7 +390,7 @@
     const candidate_t joined = {(fleet_member_t *)changed, score_of(changed, owners->seed)};
     for (guint i = 0; i < owners->members->len; i++) {
         fleet_member_t *member = g_ptr_array_index(owners->members, i);
-        const candidate_t owner = {member, score_of(member, owners->seed)};
+        const candidate_t owner = {member, g_array_index(owners->scores, double, i)};
         in_zone += member->zone_index == changed->zone_index;
         if (member->zone_index == changed->zone_index && is_better(&joined, &owner)) {
             return true;
@@ -413,6 +426,7 @@
     if (owners == NULL) {
         owners = g_new0(fleet_owners_t, 1);
         owners->members = g_ptr_array_new();
+        owners->scores = g_array_new(FALSE, FALSE, sizeof(double));
         owners->seed = XXH3_64bits(service, strlen(service));
         g_hash_table_insert(fleet->owners, g_strdup(service), owners);
     }
--- a/src/pooler/fleet.h
+++ b/src/pooler/fleet.h
@@ -38,6 +38,7 @@
     uint32_t connections; /* that each worker of an owner may open to one database */
     GPtrArray *members;   /* of fleet_member_t */
     /* Private. */
+    GArray *scores; /* double, of each member here */
     uint64_t seed;
     guint generation;
     guint wanted; /* owners, if there are as many members */
--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -240,10 +240,31 @@
     }
 }
 
+/* True if other poolers hold its connections, and nothing waits or is left here: so it is with most
+ * groups at most poolers. */
+static bool
+is_at_rest(const struct group *group)
+{
+    if (group->connections > 0 || group->queue.length > 0 ||
+        atomic_load(&group->shared->faults) > 0) {
+        return false;
+    }
+    for (guint i = 0; i < group->databases->len; i++) {
+        const struct database *database = g_ptr_array_index(group->databases, i);
+        if (database->servers->len > 0 || !database->listed) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool
 group_tick(struct group *group, time_ns now)
 {
     bool faulty = false;
+    if (is_at_rest(group)) {
+        return false;
+    }
     if (group->alone) {
         forward_try_again(group);
     }
--- a/src/pooler/view.h
+++ b/src/pooler/view.h
@@ -33,6 +33,7 @@
 struct group_shared {
     char *service;
     _Atomic time_ns permit_until; /* the primary may be read until then */
+    _Atomic uint32_t faults;      /* of its databases, as the workers see them */
     struct worker_figures workers[WORKERS_MAX];
 };
 
