Keep the fleet while many of it are missing, for up to 15 s

Change: a pooler is left out at once if it stops or its process ends, which shows in its connection breaking within a second of a heartbeat; where more than a quarter are missing without that, they stay.

--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -23,6 +23,10 @@
 #define POOLERS_FIRST_NS     (400 * MS)
 #define POOLERS_FIRST_FACTOR 3
 
+/* A connection that breaks so soon after a heartbeat was closed by its other end, four heartbeats
+ * being due in it; one to a machine that went dark or was cut off breaks after 1.5 s. */
+#define ENDED_WITHIN_NS (1000 * MS)
+
 /* What makes a pooler fit to take the lease over. */
 #define SUCCESSOR_HEARD_NS (600 * MS)
 
@@ -282,6 +286,7 @@
     g_hash_table_remove_all(pooler->reports);
     g_hash_table_insert(control->introduced, peer, pooler);
     pooler->peer = peer;
+    pooler->ended = false;
     pooler->known = pooler->confirmed = (row_versions_t){0};
     pooler->fleet_told = heartbeat->fleet_version;
     pooler->followers_told = 0;
@@ -363,6 +368,7 @@
     struct pooler_peer *pooler = g_hash_table_lookup(control->introduced, peer);
     if (pooler != NULL) {
         pooler->peer = NULL;
+        pooler->ended = backend_now() < pooler->heard_at + ENDED_WITHIN_NS;
         g_hash_table_remove(control->introduced, peer);
     }
     g_ptr_array_remove_fast(control->connected, peer);
--- a/src/pooler/control_fleet.c
+++ b/src/pooler/control_fleet.c
@@ -18,11 +18,14 @@
 /** A pooler that was not heard for this long owns nothing. */
 #define OWNER_HEARD_NS (1200 * MS)
 
-/** One whose connection stands may be silent for so long, and one that a new coordinator has never
- *  heard may take so long to come, where more than one in so many are silent. As long as a pooler
- *  is remembered. */
-#define LOST_NS      (4000 * MS)
-#define SILENT_SHARE 4
+/** One that a new coordinator has never heard has so long to come. As long as a pooler is
+ *  remembered. */
+#define UNHEARD_KEPT_NS (4000 * MS)
+
+/** Where more than one in so many are missing, they stay for so long: longer than a partition or a
+ *  loss of power that machines come back from, as the days show them (2 to 12 s). */
+#define MISSING_SHARE 4
+#define THIN_KEPT_NS  (15000 * MS)
 
 /** A new coordinator waits until it hears as many poolers as the one before, but no longer than
  *  this: a little where nothing is served without owners, longer where owners are at work, or all
@@ -115,25 +118,27 @@
 
 /** @brief What this coordinator knows of the poolers, by forward address. */
 typedef struct hearing {
-    GHashTable *heard;  /* lately */
-    GHashTable *silent; /* for a while, over a connection that still stands */
-    GHashTable *lost;   /* stopping, or without a connection */
+    GHashTable *heard; /* lately */
+    GHashTable *ended; /* stopping, or its process has ended */
+    GHashTable *known; /* heard at any time under this coordinator, and remembered */
+    bool thin;         /* many are missing: neither heard nor known to have ended */
 } hearing_t;
 
 static void
 hearing_init(hearing_t *hearing)
 {
     hearing->heard = g_hash_table_new(g_str_hash, g_str_equal);
-    hearing->silent = g_hash_table_new(g_str_hash, g_str_equal);
-    hearing->lost = g_hash_table_new(g_str_hash, g_str_equal);
+    hearing->ended = g_hash_table_new(g_str_hash, g_str_equal);
+    hearing->known = g_hash_table_new(g_str_hash, g_str_equal);
+    hearing->thin = false;
 }
 
 static void
 hearing_clear(hearing_t *hearing)
 {
     g_hash_table_unref(hearing->heard);
-    g_hash_table_unref(hearing->silent);
-    g_hash_table_unref(hearing->lost);
+    g_hash_table_unref(hearing->ended);
+    g_hash_table_unref(hearing->known);
 }
 
 static void
@@ -142,12 +147,11 @@
     if (pooler->forward_address == NULL || pooler->forward_address[0] == '\0') {
         return;
     }
-    if (pooler->peer == NULL || pooler->stopping || now >= pooler->heard_at + LOST_NS) {
-        g_hash_table_add(hearing->lost, pooler->forward_address);
-    } else if (now < pooler->heard_at + OWNER_HEARD_NS) {
+    g_hash_table_add(hearing->known, pooler->forward_address);
+    if (pooler->stopping || (pooler->peer == NULL && pooler->ended)) {
+        g_hash_table_add(hearing->ended, pooler->forward_address);
+    } else if (pooler->peer != NULL && now < pooler->heard_at + OWNER_HEARD_NS) {
         g_hash_table_add(hearing->heard, pooler->forward_address);
-    } else {
-        g_hash_table_add(hearing->silent, pooler->forward_address);
     }
 }
 
@@ -170,25 +174,52 @@
     return joined;
 }
 
+static bool
+is_missing(const hearing_t *hearing, const fleet_member_t *member)
+{
+    return !member->gone && !g_hash_table_contains(hearing->heard, member->address) &&
+           !g_hash_table_contains(hearing->ended, member->address);
+}
+
+/* Notes whether many members are missing, and since when. */
+static void
+find_thin(struct control *control, hearing_t *hearing, time_ns now)
+{
+    uint32_t missing = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, fleet_members(control->fleet));
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        missing += is_missing(hearing, value);
+    }
+    hearing->thin = missing > fleet_size(control->fleet) / MISSING_SHARE;
+    if (!hearing->thin) {
+        control->thin_since = 0;
+    } else if (control->thin_since == 0) {
+        control->thin_since = now;
+    }
+}
+
 /* Owners that are gone cost little, as forwarders pass over those that don't answer; a fleet that
- * shrinks to the few that a coordinator happens to hear is lost. So where many are silent at once,
- * it is this coordinator that is slow, and who was never heard under it gets the time to come. */
+ * shrinks to the few that a coordinator happens to hear is lost. So where many are missing, it is
+ * taken for this coordinator that is slow or cut off, and who was never heard under it gets the
+ * time to come. */
 static bool
-stays(const struct control *control, const hearing_t *hearing, const char *address, time_ns now)
+stays(const struct control *control, const hearing_t *hearing, const fleet_member_t *member,
+      time_ns now)
 {
-    uint32_t few = fleet_size(control->fleet) / SILENT_SHARE;
-    if (g_hash_table_contains(hearing->heard, address)) {
-        return true;
+    if (!is_missing(hearing, member)) {
+        return g_hash_table_contains(hearing->heard, member->address);
     }
-    if (g_hash_table_contains(hearing->silent, address)) {
-        return g_hash_table_size(hearing->silent) > few;
+    if (hearing->thin) {
+        return now < control->thin_since + THIN_KEPT_NS;
     }
-    return !g_hash_table_contains(hearing->lost, address) &&
-           now < control->coordinator_since + LOST_NS;
+    return !g_hash_table_contains(hearing->known, member->address) &&
+           now < control->coordinator_since + UNHEARD_KEPT_NS;
 }
 
 static uint32_t
-leave_lost(struct control *control, uint64_t version, const hearing_t *hearing, time_ns now)
+leave_missing(struct control *control, uint64_t version, const hearing_t *hearing, time_ns now)
 {
     uint32_t left = 0;
     GHashTableIter iterator;
@@ -196,7 +227,7 @@
     g_hash_table_iter_init(&iterator, fleet_members(control->fleet));
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const fleet_member_t *member = value;
-        if (!member->gone && !stays(control, hearing, member->address, now)) {
+        if (!member->gone && !stays(control, hearing, member, now)) {
             left += fleet_leave(control->fleet, member->address, version);
         }
     }
@@ -218,7 +249,8 @@
     hearing_init(&hearing);
     uint64_t version = MAX(control_fleet_version(control), control->lease.token << EPOCH_SHIFT) + 1;
     uint32_t joined = join_heard(control, version, &hearing, now);
-    uint32_t left = leave_lost(control, version, &hearing, now);
+    find_thin(control, &hearing, now);
+    uint32_t left = leave_missing(control, version, &hearing, now);
     hearing_clear(&hearing);
     uint32_t size = fleet_size(control->fleet);
     uint32_t counted = count_damped(fleet_counted(control->fleet), size);
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -123,6 +123,7 @@
     time_ns heard_at;
     time_ns permit_until; /* the last permit it was given ends by then */
     bool stopping;
+    bool ended; /* its connection broke while it was well: its process has ended */
     uint32_t store_age_ms;
     char *zone;
     char *forward_address;
@@ -238,6 +239,7 @@
     control_counts_t counts;  /* since the start */
     fleet_t *fleet;           /* the poolers that share connections */
     time_ns fleet_at;         /* when it is decided next */
+    time_ns thin_since;       /* many of it have been missing since then; 0: they are not */
     GHashTable *fresh;    /* of forward addresses: poolers heard lately, by this survey; empty until
                              asked for */
     bool rows_learned;    /* and not yet told to the poolers */
