--- a/tests/pooler/test_experiments.py
+++ b/tests/pooler/test_experiments.py
@@ -6,8 +6,10 @@
 import io
 import json
 import pathlib
+import random
 import sys
 import tempfile
+import tomllib
 import unittest
 
 ROOT = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else pathlib.Path(__file__).resolve().parents[2]
@@ -15,6 +17,7 @@
 
 import ablate  # noqa: E402
 import compare  # noqa: E402
+import pair_days  # noqa: E402
 
 # Part of the report of lanyu-homework, trouble-2, snapshot 8494ed6d.
 REPORT = {
@@ -64,6 +67,22 @@
                          ["b", "run", "s", "d", "--report", "r", "--no-cpu"])
         self.assertEqual(compare.command_of("b", "s", "d", 7, True, "r"),
                          ["b", "run", "s", "d", "--report", "r", "--seed", "7"])
+        self.assertEqual(compare.command_of("b", "s", "d", 0, True, "r", small=True),
+                         ["b", "run", "s", "d", "--report", "r", "--small"])
+
+    def test_pairs_of_troubles(self):
+        troubles = [{"kind": "release", "how": "primary"}, {"kind": "srv_crash", "for_s": 7.0}, {"kind": "lossy"}]
+        pairs = pair_days.pairs_of(troubles, random.Random(3))
+        self.assertEqual(len(pairs), 3)
+        self.assertEqual(pairs, pair_days.pairs_of(troubles, random.Random(3)))
+        base = 'name = "t"\nslot = "trouble"\nplan = [\n  { old = 1 },\n]\nfaults = [\n]\ntraffic = []\n'
+        text = pair_days.day_of(base, (troubles[0], troubles[1]), random.Random(3))
+        day = tomllib.loads(text)["day"][0]
+        self.assertEqual([item["kind"] for item in day["plan"]], ["release"])
+        self.assertEqual([item["kind"] for item in day["faults"]], ["srv_crash"])
+        self.assertEqual(day["faults"][0]["for_s"], 7.0)
+        self.assertLessEqual(day["plan"][0]["at"], day["faults"][0]["at"])
+        self.assertEqual(day["traffic"], [])
 
     def test_days_with_trouble(self):
         with tempfile.NamedTemporaryFile("w", suffix=".toml") as site:
--- a/tools/compare.py
+++ b/tools/compare.py
@@ -2,7 +2,7 @@
 """Compares two checkouts of this repository on the users' bench, in pairs of plays with the same seed.
 
 Use:  tools/compare.py --bench PROGRAM --base DIR --with DIR --site FILE [--day NAME]... [--seed N]... \
-          [--cpu] [--jobs N] [--save FILE] [--plot FILE.svg]
+          [--cpu] [--small] [--jobs N] [--save FILE] [--plot FILE.svg]
       tools/compare.py --load FILE [--plot FILE.svg]
 
 Plays each day of each site in both checkouts. Without --cpu processor time is not counted, and a play mostly
@@ -39,9 +39,11 @@
         return [day["name"] for day in tomllib.load(source)["day"] if day["slot"] != "quiet"]
 
 
-def command_of(bench, site, day, seed, cpu, report):
+def command_of(bench, site, day, seed, cpu, report, small=False):
     """The bench's command line for one play."""
     command = [bench, "run", site, day, "--report", report]
+    if small:
+        command += ["--small"]
     if seed:
         command += ["--seed", str(seed)]
     if not cpu:
@@ -59,11 +61,11 @@
     return figures, sorted(report.get("breaks") or {})
 
 
-def play(bench, checkout, site, day, seed, cpu):
+def play(bench, checkout, site, day, seed, cpu, small=False):
     """Plays one day in a checkout. The result names its figures, broken rules and snapshot."""
     with tempfile.TemporaryDirectory() as folder:
         path = os.path.join(folder, "report.json")
-        command = command_of(bench, os.path.abspath(site), day, seed, cpu, path)
+        command = command_of(bench, os.path.abspath(site), day, seed, cpu, path, small)
         done = subprocess.run(command, cwd=checkout, capture_output=True, text=True, timeout=PLAY_SECONDS)
         if not os.path.exists(path):
             raise RuntimeError(f"no report of {day} seed {seed}:\n{done.stdout[-2000:]}{done.stderr[-2000:]}")
@@ -86,7 +88,7 @@
                              "path": site})
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         plays = [(row, side, pool.submit(play, options.bench, checkout, row["path"], row["day"], row["seed"],
-                                         options.cpu))
+                                         options.cpu, options.small))
                  for row in rows for side, checkout in checkouts.items()]
         for row, side, running in plays:
             row[side] = running.result()
@@ -178,6 +180,7 @@
     parser.add_argument("--day", action="append", default=[], help="day, by name (all with trouble)")
     parser.add_argument("--seed", action="append", type=int, default=[], help="seed; 0 is the day's own")
     parser.add_argument("--cpu", action="store_true", help="count processor time")
+    parser.add_argument("--small", action="store_true", help="play the small twins of large days")
     parser.add_argument("--jobs", type=int, default=4, help="plays at once (4)")
     parser.add_argument("--save", help="keep the figures in this file")
     parser.add_argument("--load", help="show the figures of this file, play nothing")
