--- a/src/pooler/fleet.c
+++ b/src/pooler/fleet.c
@@ -297,35 +297,59 @@
 {
     guint zones = count_zones(fleet);
     guint count = CLAMP(room / OWNER_CONNECTIONS, OWNERS_MIN, OWNERS_MAX);
-    return count > zones ? count - count % zones : count;
+    return zones > 0 && count > zones ? count - count % zones : count;
 }
 
-/* The best members of each zone first, then the second best of each, and so on. */
+/* The best members of each zone, OWNERS_MAX places for each, and how many they are. */
+typedef struct ranking {
+    guint zones;
+    candidate_t *best;
+    guint *counts;
+} ranking_t;
+
 static void
-choose(const fleet_t *fleet, uint64_t seed, guint count, GPtrArray *out)
+rank(const fleet_t *fleet, uint64_t seed, ranking_t *out)
 {
-    guint zones = fleet->zones->len;
-    g_autofree candidate_t *best = g_new(candidate_t, (gsize)zones * OWNERS_MAX);
-    g_autofree guint *counts = g_new0(guint, zones);
+    out->zones = fleet->zones->len;
+    out->best = g_new(candidate_t, (gsize)out->zones * OWNERS_MAX);
+    out->counts = g_new0(guint, out->zones);
     for (guint i = 0; i < fleet->living->len; i++) {
         fleet_member_t *member = g_ptr_array_index(fleet->living, i);
         const candidate_t candidate = {member, score_of(member, seed)};
         guint zone = member->zone_index;
-        insert(&best[(gsize)zone * OWNERS_MAX], &counts[zone], OWNERS_MAX, &candidate);
+        insert(&out->best[(gsize)zone * OWNERS_MAX], &out->counts[zone], OWNERS_MAX, &candidate);
     }
-    g_ptr_array_set_size(out, 0);
-    for (guint rank = 0; rank < OWNERS_MAX && out->len < count; rank++) {
-        g_autofree candidate_t *row = g_new(candidate_t, zones);
-        guint length = 0;
-        for (guint zone = 0; zone < zones; zone++) {
-            if (rank < counts[zone]) {
-                insert(row, &length, zones, &best[(gsize)zone * OWNERS_MAX + rank]);
-            }
-        }
-        for (guint i = 0; i < length && out->len < count; i++) {
-            g_ptr_array_add(out, row[i].member);
+}
+
+/* Adds the zones' members of one rank, the best first. */
+static void
+add_rank(const ranking_t *ranking, guint place, guint count, GPtrArray *out)
+{
+    candidate_t *row = g_new(candidate_t, ranking->zones);
+    guint length = 0;
+    for (guint zone = 0; zone < ranking->zones; zone++) {
+        if (place < ranking->counts[zone]) {
+            insert(row, &length, ranking->zones, &ranking->best[(gsize)zone * OWNERS_MAX + place]);
         }
     }
+    for (guint i = 0; i < length && out->len < count; i++) {
+        g_ptr_array_add(out, row[i].member);
+    }
+    g_free(row);
+}
+
+/* The best members of each zone first, then the second best of each, and so on. */
+static void
+choose(const fleet_t *fleet, uint64_t seed, guint count, GPtrArray *out)
+{
+    ranking_t ranking;
+    rank(fleet, seed, &ranking);
+    g_ptr_array_set_size(out, 0);
+    for (guint place = 0; place < OWNERS_MAX && out->len < count; place++) {
+        add_rank(&ranking, place, count, out);
+    }
+    g_free(ranking.best);
+    g_free(ranking.counts);
 }
 
 /* Kept, as each change of the fleet is compared with them. */
--- a/src/pooler/forward.c
+++ b/src/pooler/forward.c
@@ -101,7 +101,10 @@
 {
     bool left = peer_has_sent(link->peer);
     g_autoptr(GList) sessions = g_hash_table_get_values(link->channels);
-    g_message("The link to %s is lost, with %u statements under way.", link->text, link->running);
+    if (!link->doubted || link->running > 0) { /* it was told already that it can't be reached */
+        g_message("The link to %s is lost, with %u statements under way.", link->text,
+                  link->running);
+    }
     link->peer = NULL;
     link->doubted = true;
     link->avoid_until = now + MIN(AVOID_MIN_NS << MIN(link->losses, 5U), AVOID_MAX_NS);
--- a/src/pooler/packing.c
+++ b/src/pooler/packing.c
@@ -16,12 +16,11 @@
     gsize length = 0;
     const Bytef *data = g_bytes_get_data(content, &length);
     uLongf size = compressBound((uLong)length);
-    g_autofree Bytef *packed = g_malloc(size);
+    Bytef *packed = g_malloc(size);
     int status = compress2(packed, &size, data, (uLong)length, LEVEL);
-    if (status != Z_OK || size >= length) {
-        return NULL;
-    }
-    return g_bytes_new(packed, size);
+    GBytes *out = status == Z_OK && size < length ? g_bytes_new(packed, size) : NULL;
+    g_free(packed);
+    return out;
 }
 
 GBytes *
@@ -32,12 +31,13 @@
         g_set_error(error, SW_ERROR, ERROR_KIND_BAD_REQUEST, "packed content of %zu bytes", length);
         return NULL;
     }
-    g_autofree Bytef *content = g_malloc(MAX(length, 1));
+    Bytef *content = g_malloc(MAX(length, 1));
     int status = uncompress(content, &unpacked, data, (uLong)size);
     if (status != Z_OK || unpacked != length) {
         g_set_error(error, SW_ERROR, ERROR_KIND_BAD_REQUEST, "packed content is broken: %s",
-                    zError(status));
+                    status == Z_OK ? "another length" : zError(status));
+        g_free(content);
         return NULL;
     }
-    return g_bytes_new_take(g_steal_pointer(&content), length);
+    return g_bytes_new_take(content, length);
 }
--- a/tests/pooler/test_database.c
+++ b/tests/pooler/test_database.c
@@ -91,7 +91,8 @@
     g_assert_true(database_has_window(fixture->database));
 }
 
-#define ADD(name, test) g_test_add("/pooler/database/" name, fixture_t, NULL, set_up, test, tear_down)
+#define ADD(name, test)                                                                            \
+    g_test_add("/pooler/database/" name, fixture_t, NULL, set_up, test, tear_down)
 
 int
 main(int argc, char **argv)
