--- a/src/pooler/fleet.c
+++ b/src/pooler/fleet.c
@@ -241,7 +241,6 @@
     if (fleet->counted != counted) {
         fleet->counted = counted;
         fleet->version = MAX(fleet->version, version);
-        forget_owners(fleet);
     }
 }
 
@@ -300,24 +299,41 @@
     return zones > 0 && count > zones ? count - count % zones : count;
 }
 
-/* The best members of each zone, OWNERS_MAX places for each, and how many they are. */
+/* The best members of each zone, and how many they are. */
 typedef struct ranking {
     guint zones;
+    guint depth; /* places for each zone */
     candidate_t *best;
     guint *counts;
 } ranking_t;
 
+/* So many of each zone give `count` owners; more only where a zone has not as many. */
+static guint
+find_depth(const fleet_t *fleet, guint count)
+{
+    guint zones = MAX(count_zones(fleet), 1);
+    guint depth = (count + zones - 1) / zones;
+    for (guint i = 0; i < fleet->zone_sizes->len; i++) {
+        guint size = g_array_index(fleet->zone_sizes, guint, i);
+        if (size > 0 && size < depth) {
+            return OWNERS_MAX;
+        }
+    }
+    return depth;
+}
+
 static void
-rank(const fleet_t *fleet, uint64_t seed, ranking_t *out)
+rank(const fleet_t *fleet, uint64_t seed, guint depth, ranking_t *out)
 {
     out->zones = fleet->zones->len;
-    out->best = g_new(candidate_t, (gsize)out->zones * OWNERS_MAX);
+    out->depth = depth;
+    out->best = g_new(candidate_t, (gsize)out->zones * depth);
     out->counts = g_new0(guint, out->zones);
     for (guint i = 0; i < fleet->living->len; i++) {
         fleet_member_t *member = g_ptr_array_index(fleet->living, i);
         const candidate_t candidate = {member, score_of(member, seed)};
         guint zone = member->zone_index;
-        insert(&out->best[(gsize)zone * OWNERS_MAX], &out->counts[zone], OWNERS_MAX, &candidate);
+        insert(&out->best[(gsize)zone * depth], &out->counts[zone], depth, &candidate);
     }
 }
 
@@ -329,7 +345,8 @@
     guint length = 0;
     for (guint zone = 0; zone < ranking->zones; zone++) {
         if (place < ranking->counts[zone]) {
-            insert(row, &length, ranking->zones, &ranking->best[(gsize)zone * OWNERS_MAX + place]);
+            insert(row, &length, ranking->zones,
+                   &ranking->best[(gsize)zone * ranking->depth + place]);
         }
     }
     for (guint i = 0; i < length && out->len < count; i++) {
@@ -343,9 +360,9 @@
 choose(const fleet_t *fleet, uint64_t seed, guint count, GPtrArray *out)
 {
     ranking_t ranking;
-    rank(fleet, seed, &ranking);
+    rank(fleet, seed, find_depth(fleet, count), &ranking);
     g_ptr_array_set_size(out, 0);
-    for (guint place = 0; place < OWNERS_MAX && out->len < count; place++) {
+    for (guint place = 0; place < ranking.depth && out->len < count; place++) {
         add_rank(&ranking, place, count, out);
     }
     g_free(ranking.best);
@@ -373,13 +390,25 @@
     return same;
 }
 
+/* Connections to a database that poolers share. */
+static uint32_t
+room_of(uint32_t max_connections)
+{
+    return max_connections > CONNECTIONS_SPARE ? max_connections - CONNECTIONS_SPARE : 1;
+}
+
+static bool
+is_direct(const fleet_t *fleet, uint32_t max_connections)
+{
+    uint32_t shares = MAX(fleet->counted, 1) * fleet->workers_most;
+    return room_of(max_connections) / shares >= DIRECT_MIN;
+}
+
 static void
 decide(fleet_t *fleet, fleet_owners_t *owners)
 {
-    uint32_t room = owners->max_connections > CONNECTIONS_SPARE
-                        ? owners->max_connections - CONNECTIONS_SPARE
-                        : 1;
-    bool direct = room / (MAX(fleet->counted, 1) * fleet->workers_most) >= DIRECT_MIN;
+    uint32_t room = room_of(owners->max_connections);
+    bool direct = is_direct(fleet, owners->max_connections);
     g_autoptr(GPtrArray) members = g_ptr_array_new();
     uint32_t connections = 0;
     if (!direct) {
@@ -429,7 +458,9 @@
 is_current(const fleet_t *fleet, const fleet_owners_t *owners)
 {
     guint missed = fleet->generation - owners->generation;
-    if (owners->revision == 0 || owners->generation < fleet->valid_from || missed > CHANGES_KEPT) {
+    bool known =
+        owners->revision != 0 && owners->generation >= fleet->valid_from && missed <= CHANGES_KEPT;
+    if (!known || owners->direct != is_direct(fleet, owners->max_connections)) {
         return false;
     }
     for (guint i = owners->generation; i != fleet->generation; i++) {
