Let rows for other poolers leave room on the link, and read large tables whole once changes were missed

A configuration of 1,440 routes packs to 22 KB: it was sent again with each heartbeat until it had come, by hearsay and offers, and poolers that nobody told anything read each version that they had missed, 200 KB each.

Change: half of the link, by the new setting pooler.link_mbps, may go to rows; who has waited 1.5 s reads the store; rows are not sent again before they are confirmed; a table with large rows is read whole where several changes may have been missed.

--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -213,9 +213,7 @@
         add_followed(control, &grant);
     }
     control_fleet_fill(control, heartbeat->fleet_version, &grant.fleet);
-    const row_versions_t known = {heartbeat->relay.configuration_row,
-                                  heartbeat->relay.directory_row};
-    control_relay_fill(control, &known, heartbeat->lacks_store, backend_now(), &grant.relay);
+    control_relay_fill_hearsay(control, peer, heartbeat, backend_now(), &grant.relay);
     send_counted(control, peer, &grant, PEER_BYTES_HEARSAY);
     pooler_grant_clear(&grant);
 }
@@ -371,6 +369,7 @@
         pooler->ended = backend_now() < pooler->heard_at + ENDED_WITHIN_NS;
         g_hash_table_remove(control->introduced, peer);
     }
+    g_hash_table_remove(control->listeners, peer);
     g_ptr_array_remove_fast(control->connected, peer);
 }
 
@@ -391,6 +390,7 @@
     control->pooler_callbacks = (struct peer_callbacks){on_frame, on_closed, control};
     control->poolers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pooler_free);
     control->introduced = g_hash_table_new(g_direct_hash, g_direct_equal);
+    control->listeners = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     control->connected = g_ptr_array_new();
     struct sockaddr_in address;
     parse_address(control->address, &address);
@@ -413,6 +413,7 @@
         peer_free(peer);
     }
     g_ptr_array_unref(control->connected);
+    g_hash_table_unref(control->listeners);
     g_hash_table_unref(control->introduced);
     g_hash_table_unref(control->poolers);
     event_free(control->acceptable);
@@ -566,6 +567,7 @@
 {
     if (pooler->peer != NULL) {
         g_hash_table_remove(control->introduced, pooler->peer);
+        g_hash_table_remove(control->listeners, pooler->peer);
         g_ptr_array_remove_fast(control->connected, pooler->peer);
         peer_free(pooler->peer);
         pooler->peer = NULL;
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -55,6 +55,7 @@
     GHashTable *rows;         /* key -> struct known_row */
     uint64_t version;         /* changes are known up to this; 0: read the whole first */
     uint64_t changed_version; /* highest of the rows */
+    gsize largest;            /* value that a row has had, in bytes */
     time_ns current_at;       /* when the store last told that this is so; 0: never */
     bool calling;
     time_ns next_at;
@@ -134,6 +135,7 @@
     uint64_t orders_followed; /* by all its workers, up to this version */
     row_versions_t known;     /* what it knows of the store's tables, once what was sent has come */
     row_versions_t confirmed; /* what it says that it knows */
+    time_ns rows_wait_since;  /* it lacks rows that wait for the link; 0: it does not */
     bool follows_store;       /* by itself, beside the coordinator */
     bool followed_store;      /* the same, before this choice of followers */
     bool lacks_store;         /* the store does not answer it */
@@ -211,6 +213,10 @@
     bool start_answered;    /* another pooler has answered since the start */
     time_ns relied_until;   /* what the coordinator tells of the store is current until then */
     row_versions_t told;    /* what the coordinator knew of the store's tables */
+    row_versions_t offered; /* rows up to these were sent to it, and not confirmed yet */
+    time_ns offered_at;
+    double row_bytes; /* that may be sent to other poolers now, beside all else on the link */
+    time_ns row_bytes_at;
     struct peer_callbacks coordinator_callbacks;
     /* As the coordinator. */
     struct lease lease;
@@ -223,7 +229,9 @@
     struct peer_callbacks pooler_callbacks;
     GHashTable *poolers;    /* name -> struct pooler_peer */
     GHashTable *introduced; /* struct peer -> struct pooler_peer, not owned */
-    GPtrArray *connected;   /* of struct peer, accepted */
+    GHashTable
+        *listeners;       /* struct peer -> row_versions_t, sent as hearsay and not confirmed yet */
+    GPtrArray *connected; /* of struct peer, accepted */
     GHashTable *controlled; /* service -> struct controlled_group */
     struct failover_actions failover_actions;
     uint64_t orders_version; /* rises with each order of any group; holds the lease's token */
@@ -269,6 +277,9 @@
 /* control_store.c */
 void control_feeds_start(struct control *control);
 void control_feeds_tick(struct control *control, time_ns now);
+/** @return true if the table is read whole, as that is less than the changes that may have been
+ *  missed. */
+bool control_feed_lists(const struct feed *feed, time_ns now);
 /* Takes a row from the store or from another pooler. */
 void control_take_row(struct control *control, enum store_table table, const char *key,
                       uint64_t version, GBytes *value);
@@ -290,8 +301,14 @@
 /** @brief Fills in what a pooler under this coordinator lacks, and notes it as sent. Rows wait
  * until those before are confirmed: where they come quicker than a link carries them, the newest
  * ones are sent, and orders and permits are not held up behind the rest. */
-void control_relay_fill_for(const struct control *control, struct pooler_peer *pooler, time_ns now,
+void control_relay_fill_for(struct control *control, struct pooler_peer *pooler, time_ns now,
                             struct pooler_relay *relay);
+/** @brief The same for a pooler that asks one that is not the coordinator, by what it knows. */
+void control_relay_fill_hearsay(struct control *control, struct peer *peer,
+                                const struct pooler_heartbeat *heartbeat, time_ns now,
+                                struct pooler_relay *relay);
+/** @brief Fills in what this pooler knows and the coordinator may lack, once in a while. */
+void control_relay_fill_offer(struct control *control, time_ns now, struct pooler_relay *relay);
 /** @brief Takes over what another pooler knows of the store. */
 void control_relay_take(struct control *control, const struct pooler_relay *relay);
 /** @brief Notes how far the coordinator's rows can be relied on. */
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -161,7 +161,7 @@
     out->fleet_version = control_fleet_version(control);
     out->orders_known = control->orders_known;
     out->lacks_store = control_relay_lacks_store(control);
-    control_relay_fill(control, &control->told, false, now, &out->relay);
+    control_relay_fill_offer(control, now, &out->relay);
     out->store_age_ms = control_relay_age_ms(control, now);
     out->stopping = atomic_load(&control->shared.stop_at) != 0;
     /* Before what is open is counted: what these orders end is no more begun from then on. */
@@ -425,6 +425,7 @@
     }
     control->connected_at = now;
     control->told = control_relay_versions(control);
+    control->offered_at = 0;
     control->introduced_self = false;
     const char *text = next_address(control);
     if (text == NULL || !parse_address(text, &address)) {
--- a/src/pooler/control_relay.c
+++ b/src/pooler/control_relay.c
@@ -31,6 +31,24 @@
  *  in which nobody gets a permit. In bytes of all rows of a table in one message. */
 #define RELAYED_MAX ((gsize)24 * 1024)
 
+/** Of its link, a pooler gives so much to rows for others, in bursts of so many seconds of it:
+ *  permits and statements go beside them. */
+#define ROWS_LINK_SHARE   0.5
+#define ROWS_BURST_S      0.1
+#define BYTES_PER_MEGABIT 125000.0
+
+/** Rows that wait for the link so long are read at the store: a quarter of the shortest bound
+ * within which a configuration must be in force on fleets of that size, 6 s. */
+#define ROWS_WAIT_NS (1500 * MS)
+
+/** More is not offered to a coordinator, which asks the store itself: all poolers that know more
+ * than a new coordinator offer it at once. */
+#define OFFERED_MAX ((gsize)4 * 1024)
+
+/** What a pooler knows better than the coordinator is told again after so long, if that does not
+ *  confirm it. */
+#define OFFER_AGAIN_NS (2000 * MS)
+
 /** To one that the store does not answer, more is passed on all the same. */
 #define RELAYED_MAX_LACKING ((gsize)4 * 1024 * 1024)
 
@@ -149,11 +167,10 @@
     relay->directory_base = relay->directory_row = known->directory;
 }
 
-void
-control_relay_fill(const struct control *control, const row_versions_t *known, bool lacks_store,
-                   time_ns now, struct pooler_relay *relay)
+static void
+fill_within(const struct control *control, const row_versions_t *known, gsize most, time_ns now,
+            struct pooler_relay *relay)
 {
-    gsize most = lacks_store ? RELAYED_MAX_LACKING : RELAYED_MAX;
     const struct feed *configuration = &control->feeds[STORE_TABLE_CONFIGURATION];
     const struct feed *directory = &control->feeds[STORE_TABLE_DIRECTORY];
     relay->store_age_ms = MAX(age_ms(configuration, now), age_ms(directory, now));
@@ -165,6 +182,13 @@
         fill_table(directory, known->directory, most, &relay->directory_incomplete, relay);
 }
 
+void
+control_relay_fill(const struct control *control, const row_versions_t *known, bool lacks_store,
+                   time_ns now, struct pooler_relay *relay)
+{
+    fill_within(control, known, lacks_store ? RELAYED_MAX_LACKING : RELAYED_MAX, now, relay);
+}
+
 bool
 control_relay_is_confirmed(const struct pooler_peer *pooler)
 {
@@ -172,18 +196,100 @@
            pooler->confirmed.directory >= pooler->known.directory;
 }
 
+/* How many bytes of rows may go out now. */
+static double
+row_bytes(struct control *control, time_ns now)
+{
+    double per_s = control->settings->pooler.link_mbps * BYTES_PER_MEGABIT * ROWS_LINK_SHARE;
+    double most = MAX(per_s * ROWS_BURST_S, (double)RELAYED_MAX);
+    double passed_s = (double)(now - control->row_bytes_at) / (double)NANOSECONDS_PER_SECOND;
+    control->row_bytes_at = now;
+    control->row_bytes = MIN(control->row_bytes + passed_s * per_s, most);
+    return control->row_bytes;
+}
+
+static void
+pay_for_rows(struct control *control, const struct pooler_relay *relay)
+{
+    for (size_t i = 0; i < relay->rows_count; i++) {
+        control->row_bytes -= (double)relay->rows[i].value_length;
+    }
+}
+
+/* Rows that have waited too long for the link are left to the store. */
+static void
+wait_for_link(const struct control *control, struct pooler_peer *pooler, time_ns now,
+              struct pooler_relay *relay)
+{
+    row_versions_t here = control_relay_versions(control);
+    control_relay_fill_nothing(control, &pooler->known, now, relay);
+    if (here.configuration <= pooler->known.configuration &&
+        here.directory <= pooler->known.directory) {
+        pooler->rows_wait_since = 0;
+        return;
+    }
+    if (pooler->rows_wait_since == 0) {
+        pooler->rows_wait_since = now;
+    }
+    bool late = now > pooler->rows_wait_since + ROWS_WAIT_NS;
+    relay->configuration_incomplete = late && here.configuration > pooler->known.configuration;
+    relay->directory_incomplete = late && here.directory > pooler->known.directory;
+}
+
 void
-control_relay_fill_for(const struct control *control, struct pooler_peer *pooler, time_ns now,
+control_relay_fill_for(struct control *control, struct pooler_peer *pooler, time_ns now,
                        struct pooler_relay *relay)
 {
     if (!control_relay_is_confirmed(pooler)) {
         control_relay_fill_nothing(control, &pooler->known, now, relay);
         return;
     }
+    if (row_bytes(control, now) <= 0) {
+        wait_for_link(control, pooler, now, relay);
+        return;
+    }
     control_relay_fill(control, &pooler->known, pooler->lacks_store, now, relay);
+    pay_for_rows(control, relay);
+    pooler->rows_wait_since = 0;
     pooler->known = (row_versions_t){relay->configuration_row, relay->directory_row};
 }
 
+void
+control_relay_fill_hearsay(struct control *control, struct peer *peer,
+                           const struct pooler_heartbeat *heartbeat, time_ns now,
+                           struct pooler_relay *relay)
+{
+    const row_versions_t known = {heartbeat->relay.configuration_row,
+                                  heartbeat->relay.directory_row};
+    const row_versions_t *sent = g_hash_table_lookup(control->listeners, peer);
+    bool confirmed = sent == NULL || (known.configuration >= sent->configuration &&
+                                      known.directory >= sent->directory);
+    if (!confirmed || row_bytes(control, now) <= 0) {
+        control_relay_fill_nothing(control, &known, now, relay);
+        return;
+    }
+    control_relay_fill(control, &known, heartbeat->lacks_store, now, relay);
+    pay_for_rows(control, relay);
+    row_versions_t *noted = g_new(row_versions_t, 1);
+    *noted = (row_versions_t){relay->configuration_row, relay->directory_row};
+    g_hash_table_replace(control->listeners, peer, noted);
+}
+
+void
+control_relay_fill_offer(struct control *control, time_ns now, struct pooler_relay *relay)
+{
+    row_versions_t known = control->told;
+    if (now < control->offered_at + OFFER_AGAIN_NS) {
+        known.configuration = MAX(known.configuration, control->offered.configuration);
+        known.directory = MAX(known.directory, control->offered.directory);
+    }
+    fill_within(control, &known, OFFERED_MAX, now, relay);
+    if (relay->rows_count > 0) {
+        control->offered = (row_versions_t){relay->configuration_row, relay->directory_row};
+        control->offered_at = now;
+    }
+}
+
 /* The value as it lies in the store; NULL if it is gone, or with `error`. */
 static GBytes *
 value_of(const struct pooler_row *row, GError **error)
--- a/src/pooler/control_store.c
+++ b/src/pooler/control_store.c
@@ -30,6 +30,11 @@
  */
 #define LAST_RESORT_MAX_NS (2000 * MS)
 
+/* A pooler that last asked so long ago may have missed several changes, and rows from this size on
+ * are not read twice. */
+#define BEHIND_NS (2000 * MS)
+#define LARGE_ROW ((gsize)32 * 1024)
+
 #define RETRY_MIN_NS (150 * MS)
 #define RETRY_MAX_NS (1200 * MS)
 
@@ -112,6 +117,7 @@
     row->value = value == NULL ? NULL : g_bytes_ref(value);
     row->learned_at = backend_now();
     feed->changed_version = MAX(feed->changed_version, version);
+    feed->largest = MAX(feed->largest, value == NULL ? 0 : g_bytes_get_size(value));
     g_hash_table_replace(feed->rows, row->key, row);
 }
 
@@ -227,7 +233,7 @@
     }
     take_rows(feed, answer);
     drop_missing(feed, answer);
-    feed->version = answer->version;
+    feed->version = MAX(feed->version, answer->version);
     note_good(feed, now);
     control_wake_soon(feed->control);
 }
@@ -254,6 +260,16 @@
     control_wake_soon(feed->control);
 }
 
+/* Changes are told one by one, each with its whole row. Where several may have been missed and a
+ * row is large, the table as it stands is less: a pooler that was behind by four configurations of
+ * 200 KB read them all, over a link of 2 Mbit/s. */
+bool
+control_feed_lists(const struct feed *feed, time_ns now)
+{
+    bool behind = feed->missing || now > feed->current_at + BEHIND_NS;
+    return feed->table == STORE_TABLE_CONFIGURATION && behind && feed->largest >= LARGE_ROW;
+}
+
 static call_reason_t
 reason_of(const struct feed *feed)
 {
@@ -276,7 +292,7 @@
     struct control *control = feed->control;
     feed->calling = true;
     control_counts_call(&control->counts, feed->table, reason_of(feed));
-    if (feed->version == 0) {
+    if (feed->version == 0 || control_feed_lists(feed, backend_now())) {
         store_read(control->store, feed->table, on_listing, feed);
         return;
     }
--- a/tests/pooler/test_relay.c
+++ b/tests/pooler/test_relay.c
@@ -40,6 +40,7 @@
 static void
 set_up(fixture_t *fixture, gconstpointer unused)
 {
+    fixture->settings.pooler.link_mbps = 1000;
     fixture->from = control_new(&fixture->settings);
     fixture->to = control_new(&fixture->settings);
 }
@@ -191,6 +192,90 @@
     g_assert_cmpuint(sent, ==, 2);
 }
 
+/* Rows for all poolers share the link with permits: they go out as it carries them, and who has
+ * waited too long reads the store. */
+static void
+test_link(fixture_t *fixture, gconstpointer unused)
+{
+    struct pooler_peer poolers[20] = {0};
+    unsigned sent = 0;
+    unsigned left_to_store = 0;
+    fixture->settings.pooler.link_mbps = 2; /* 125,000 bytes a second for rows */
+    learn(fixture->from, "a", 5, 20000);
+    time_ns start = backend_now();
+    for (unsigned ms = 0; ms < 2000; ms += 50) {
+        for (unsigned i = 0; i < G_N_ELEMENTS(poolers); i++) {
+            struct pooler_relay message;
+            pooler_relay_init(&message);
+            control_relay_fill_for(fixture->from, &poolers[i], start + ms * MS, &message);
+            sent += message.rows_count > 0;
+            left_to_store += message.configuration_incomplete;
+            pooler_relay_clear(&message);
+        }
+        g_assert_cmpuint(sent, <=, 2 + ms * 125 / 20000 + 1);
+        g_assert_true(left_to_store == 0 || ms > 1500);
+    }
+    g_assert_cmpuint(sent, >, 10);
+    g_assert_cmpuint(sent, <, 20);
+    g_assert_cmpuint(left_to_store, >, 0);
+}
+
+/* Changes of a large row that may have been missed are not read one by one. */
+static void
+test_missed_changes(fixture_t *fixture, gconstpointer unused)
+{
+    struct feed *feed = &fixture->from->feeds[STORE_TABLE_CONFIGURATION];
+    learn(fixture->from, "a", 5, 1000);
+    time_ns now = feed->current_at;
+    g_assert_false(control_feed_lists(feed, now + 5000 * MS));
+    learn(fixture->from, "a", 6, 100000);
+    now = feed->current_at;
+    g_assert_false(control_feed_lists(feed, now + 1000 * MS));
+    g_assert_true(control_feed_lists(feed, now + 5000 * MS));
+    feed->missing = true;
+    g_assert_true(control_feed_lists(feed, now));
+}
+
+/* A pooler that asks again before it has got what it was sent is not sent it again. */
+static void
+test_slow_listener(fixture_t *fixture, gconstpointer unused)
+{
+    struct pooler_heartbeat heartbeat;
+    struct peer *peer = (struct peer *)fixture; /* a key only */
+    unsigned sent = 0;
+    fixture->from->listeners = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    learn(fixture->from, "a", 5, 1000);
+    pooler_heartbeat_init(&heartbeat);
+    for (unsigned i = 0; i < 20; i++) {
+        struct pooler_relay message;
+        pooler_relay_init(&message);
+        control_relay_fill_hearsay(fixture->from, peer, &heartbeat, backend_now(), &message);
+        sent += message.rows_count > 0;
+        pooler_relay_clear(&message);
+    }
+    g_assert_cmpuint(sent, ==, 1);
+    g_hash_table_unref(fixture->from->listeners);
+}
+
+/* What a pooler knows better than the coordinator is told once, and again after a while. */
+static void
+test_offer(fixture_t *fixture, gconstpointer unused)
+{
+    struct control *control = fixture->from;
+    unsigned sent = 0;
+    learn(control, "a", 5, 1000);
+    time_ns start = backend_now();
+    for (unsigned ms = 0; ms < 3000; ms += 250) {
+        struct pooler_relay message;
+        pooler_relay_init(&message);
+        control_relay_fill_offer(control, start + ms * MS, &message);
+        g_assert_cmpuint(message.configuration_row, ==, 5);
+        sent += message.rows_count > 0;
+        pooler_relay_clear(&message);
+    }
+    g_assert_cmpuint(sent, ==, 2);
+}
+
 /* A text that repeats itself is passed on packed, and lies there as it was; a broken one is not
  * taken for known. */
 static void
@@ -375,6 +460,10 @@
     ADD("older-sender", test_older_sender);
     ADD("large-row", test_large_row);
     ADD("unconfirmed", test_unconfirmed);
+    ADD("link", test_link);
+    ADD("slow-listener", test_slow_listener);
+    ADD("offer", test_offer);
+    ADD("missed-changes", test_missed_changes);
     ADD("packed", test_packed);
     ADD("many-rows", test_many_rows);
     ADD("hearsay", test_hearsay);
