--- a/src/pooler/control_groups.c
+++ b/src/pooler/control_groups.c
@@ -16,7 +16,8 @@
 
 /* A new coordinator waits so long for the records of promotions, some calls at the store, and asks
  * the databases who leads from then on. */
-#define RECORDS_WAIT_NS (300 * MS)
+#define RECORDS_WAIT_NS  (300 * MS)
+#define RECORDS_AGAIN_NS (100 * MS)
 
 /* Groups whose databases are asked at once who leads, or whether they were left paused. Each takes
  * up to three connections and slots; with more, the answers of a fleet of a thousand groups come
@@ -334,6 +335,7 @@
 read_records(struct control *control)
 {
     control->records_token = control->lease.token;
+    control->records_again_at = 0;
     control_counts_call(&control->counts, STORE_TABLE_CONTROL, CALL_RECORD);
     store_read(control->store, STORE_TABLE_CONTROL, on_records, control);
 }
@@ -348,8 +350,8 @@
     if (answer->outcome == STORE_DONE) {
         control_lease_take(control, answer);
         control->records_read = control->lease.held;
-    } else if (backend_now() < control->records_until) {
-        read_records(control);
+    } else {
+        control->records_again_at = backend_now() + RECORDS_AGAIN_NS;
     }
     control_coordinator_wake(control);
 }
@@ -597,6 +599,10 @@
     if (all) {
         control->groups_looked_at = now;
     }
+    if (control->records_again_at != 0 && now >= control->records_again_at &&
+        now < control->records_until) {
+        read_records(control);
+    }
     add_groups(control);
     survey(control, now);
     take_turns(control, now);
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -78,7 +78,7 @@
     uint32_t connections;
     uint32_t alone_connections;
     uint32_t sync_replicas;
-    uint32_t unused;
+    uint32_t unused; /* in place of padding, which has no certain content */
 } view_inputs_t;
 
 /* Which database leads a group, by the newest order. */
@@ -101,8 +101,7 @@
     uint64_t token; /* under which it is held */
     time_ns until;  /* the lease is good before this, by our clock */
     bool calling;
-    bool
-        invited; /* this pooler may take it now, and looks, whoever tells it what the store holds */
+    bool invited; /* this pooler may take it now, and looks at once */
     time_ns next_at;
     time_ns clock_sent; /* bounds of the moment at which the store's clock was read */
     time_ns clock_received;
@@ -229,9 +228,8 @@
     struct peer_callbacks pooler_callbacks;
     GHashTable *poolers;    /* name -> struct pooler_peer */
     GHashTable *introduced; /* struct peer -> struct pooler_peer, not owned */
-    GHashTable
-        *listeners;       /* struct peer -> row_versions_t, sent as hearsay and not confirmed yet */
-    GPtrArray *connected; /* of struct peer, accepted */
+    GHashTable *listeners;  /* struct peer -> row_versions_t, sent and not confirmed yet */
+    GPtrArray *connected;   /* of struct peer, accepted */
     GHashTable *controlled; /* service -> struct controlled_group */
     struct failover_actions failover_actions;
     uint64_t orders_version; /* rises with each order of any group; holds the lease's token */
@@ -242,6 +240,7 @@
     uint64_t orders_reached;  /* followed by all poolers, by the same */
     bool records_read;        /* of promotions, since the lease was taken */
     time_ns records_until;    /* they are waited for */
+    time_ns records_again_at; /* they are asked for again; 0: they are on their way, or known */
     uint64_t records_token;   /* they were asked for under this token */
     time_ns groups_looked_at; /* all of them, last */
     control_counts_t counts;  /* since the start */
