--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -276,6 +276,8 @@
 /* control_store.c */
 void control_feeds_start(struct control *control);
 void control_feeds_tick(struct control *control, time_ns now);
+/** @brief The store has answered about the table: notes that, and when it is asked next. */
+void control_feed_answered(struct feed *feed, time_ns now);
 /** @return true if the table is read whole, as that is less than the changes that may have been
  *  missed. */
 bool control_feed_lists(const struct feed *feed, time_ns now);
--- a/src/pooler/control_store.c
+++ b/src/pooler/control_store.c
@@ -194,14 +194,16 @@
            last_resort_every(control) > DIRECTORY_EVERY_NS;
 }
 
-static void
-note_good(struct feed *feed, time_ns now)
+void
+control_feed_answered(struct feed *feed, time_ns now)
 {
     if (feed->failures > 0) {
         g_message("The store answers again for table %d, after %u failures.", (int)feed->table,
                   feed->failures);
     }
     feed->failures = 0;
+    feed->missing =
+        false; /* until another pooler says so again: not read over and over meanwhile */
     feed->current_at = now;
     feed->next_at = feed->table == STORE_TABLE_DIRECTORY ? now + DIRECTORY_EVERY_NS : now;
     if (is_last_resort(feed->control)) {
@@ -234,7 +236,7 @@
     take_rows(feed, answer);
     drop_missing(feed, answer);
     feed->version = MAX(feed->version, answer->version);
-    note_good(feed, now);
+    control_feed_answered(feed, now);
     control_wake_soon(feed->control);
 }
 
@@ -255,7 +257,7 @@
     } else {
         take_rows(feed, answer);
         feed->version = MAX(feed->version, answer->version);
-        note_good(feed, now);
+        control_feed_answered(feed, now);
     }
     control_wake_soon(feed->control);
 }
--- a/tests/pooler/test_relay.c
+++ b/tests/pooler/test_relay.c
@@ -234,6 +234,9 @@
     g_assert_true(control_feed_lists(feed, now + 5000 * MS));
     feed->missing = true;
     g_assert_true(control_feed_lists(feed, now));
+    fixture->settings.store.reads_per_s = 2000;
+    control_feed_answered(feed, now);
+    g_assert_false(control_feed_lists(feed, now)); /* and not again before it is said again */
 }
 
 /* A pooler that asks again before it has got what it was sent is not sent it again. */
