--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -27,18 +27,6 @@
  * being due in it; one to a machine that went dark or was cut off breaks after 1.5 s. */
 #define ENDED_WITHIN_NS (1000 * MS)
 
-/* What makes a pooler fit to take the lease over. */
-#define SUCCESSOR_HEARD_NS (600 * MS)
-
-/* A weak machine leads for so long at least, before it leaves the lease to a stronger one that has
- * heard the store within this: time for the fleet to be heard, and for groups without a primary to
- * get one. In milliseconds the latter. */
-#define WEAK_LEADS_NS     (1000 * MS)
-#define STRONGER_HEARD_MS ((uint64_t)1500)
-
-/* It has heard the store so long after this one's call went unanswered, at least. */
-#define HEARD_SINCE_MS ((uint64_t)100)
-
 /* Time between two choices of the poolers that follow the store. */
 #define FOLLOWERS_EVERY_NS (500 * MS)
 
@@ -448,97 +436,6 @@
     g_clear_pointer(&control->coordinator_address, g_free);
 }
 
-/* Time since the store last answered the pooler, in milliseconds. */
-static uint64_t
-store_age_ms(const struct pooler_peer *pooler, time_ns now)
-{
-    return pooler->store_age_ms + (now - pooler->heard_at) / MS;
-}
-
-bool
-control_coordinator_prefers(const struct pooler_peer *pooler, const struct pooler_peer *than,
-                            time_ns now)
-{
-    if (than == NULL || pooler->millicores != than->millicores) {
-        return than == NULL || pooler->millicores > than->millicores;
-    }
-    return store_age_ms(pooler, now) < store_age_ms(than, now);
-}
-
-/* The best pooler that has heard the store less than so long ago; NULL if none has. */
-static struct pooler_peer *
-find_successor(const struct control *control, uint64_t age_max_ms, time_ns now)
-{
-    struct pooler_peer *best = NULL;
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, control->poolers);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        struct pooler_peer *pooler = value;
-        bool good = pooler->peer != NULL && !pooler->stopping &&
-                    g_strcmp0(pooler->name, control->settings->pooler.name) != 0 &&
-                    now < pooler->heard_at + SUCCESSOR_HEARD_NS &&
-                    store_age_ms(pooler, now) < age_max_ms;
-        if (good && control_coordinator_prefers(pooler, best, now)) {
-            best = pooler;
-        }
-    }
-    return best;
-}
-
-static void
-cede_to(struct control *control, struct pooler_peer *successor)
-{
-    struct pooler_grant grant;
-    pooler_grant_init(&grant);
-    grant.coordinator = g_strdup(control->settings->pooler.name);
-    grant.token = control->lease.token;
-    grant.cedes = true;
-    g_message("Leaves the lease to %s.", successor->name);
-    peer_send(successor->peer, pooler_grant_encode(&grant));
-    pooler_grant_clear(&grant);
-}
-
-bool
-control_coordinator_cede(struct control *control, bool planned)
-{
-    time_ns now = backend_now();
-    /* Few poolers ask the store. While it answers here, it will answer any other. Where it does
-     * not, only one will do that it has answered since: a store that is silent to all is not met
-     * sooner by another, and the permits would end with the lease. */
-    uint64_t silent_ms = control_lease_overdue(control, now) / MS;
-    uint64_t age_max_ms = planned ? UINT64_MAX : MAX(silent_ms, HEARD_SINCE_MS) - HEARD_SINCE_MS;
-    struct pooler_peer *successor = find_successor(control, age_max_ms, now);
-    if (successor == NULL) {
-        return false;
-    }
-    cede_to(control, successor);
-    return true;
-}
-
-/* True if the lease had better be another pooler's, which is at hand: one of a stronger machine,
- * that the store answers. */
-static struct pooler_peer *
-find_stronger(const struct control *control, time_ns now)
-{
-    struct pooler_peer *best = find_successor(control, STRONGER_HEARD_MS, now);
-    bool stronger = best != NULL && best->millicores > control_millicores(control);
-    return stronger && now > control->coordinator_since + WEAK_LEADS_NS ? best : NULL;
-}
-
-/* A weak machine that took the lease, as nobody else did, leaves it to a stronger one. */
-static bool
-hand_over(struct control *control, time_ns now)
-{
-    struct pooler_peer *stronger = find_stronger(control, now);
-    if (stronger == NULL || control->lease.calling) {
-        return false;
-    }
-    cede_to(control, stronger);
-    control_lease_lost(control, "a stronger machine takes over");
-    return true;
-}
-
 void
 control_coordinator_push(struct control *control)
 {
@@ -618,7 +515,7 @@
     control->coordinated_at = now;
     control->coordination_due = false;
     forget_silent(control, now);
-    if (hand_over(control, now)) {
+    if (control_coordinator_hand_over(control, now)) {
         return;
     }
     if (now > control->followers_at + FOLLOWERS_EVERY_NS) {
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -397,6 +397,7 @@
 void control_coordinator_wake(struct control *control);
 /** @return when the groups are to be looked at next; UINT64_MAX: with the next tick. */
 time_ns control_coordinator_due(const struct control *control);
+/* control_succession.c */
 /* Leaves the lease to a pooler that the store answers, or to any at a planned stop. False if there
  * is none. */
 bool control_coordinator_cede(struct control *control, bool planned);
@@ -409,9 +410,18 @@
  *  last. */
 bool control_coordinator_prefers(const struct pooler_peer *pooler, const struct pooler_peer *than,
                                  time_ns now);
+/** @brief Leaves the lease to a stronger machine, if one is at hand. @return true if it did. */
+bool control_coordinator_hand_over(struct control *control, time_ns now);
 /** @return how many poolers share the databases' connections, as the coordinator counts them. */
 uint32_t control_coordinator_count(const struct control *control);
 
+/* control_survey.c */
+/** @brief Sums up what all poolers have told, into the groups and the versions of orders. */
+void control_survey(struct control *control, time_ns now);
+/** @brief Counts whose opinion of the group's primary matters, where there is one. */
+void control_survey_count_opinions(struct control *control, struct controlled_group *group,
+                                   time_ns now);
+
 /* control_groups.c: the groups under control */
 void control_groups_start(struct control *control);
 void control_groups_end(struct control *control);
--- /dev/null
+++ b/src/pooler/control_survey.c
@@ -0,0 +1,129 @@
+/* What the poolers tell the coordinator, summed up for each group: their opinions of its primary,
+ * what is open there, and which orders all of them follow. */
+#define G_LOG_DOMAIN "coordinator"
+#include "pooler/control_internal.h"
+
+/* A pooler heard within this counts for opinions. */
+#define OPINION_FRESH_NS (700 * MS)
+
+static void
+count_fault(const struct pooler_fault *fault, struct failover_opinion *opinion)
+{
+    switch (fault->kind) {
+    case DATABASE_FAULT_UNREACHABLE:
+    case DATABASE_FAULT_SILENT:
+        opinion->unreachable++;
+        break;
+    case DATABASE_FAULT_STALLED:
+        opinion->stalled++;
+        break;
+    case DATABASE_FAULT_REFUSING:
+        opinion->refusing++;
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+count_report(const struct pooler_group_report *report, bool fresh, struct controlled_group *group)
+{
+    group->in_flight += report->in_flight;
+    if (!fresh) {
+        return;
+    }
+    group->reporters++;
+    for (size_t i = 0; i < report->faults_count; i++) {
+        if (g_strcmp0(report->faults[i].database, group->failover->primary) == 0) {
+            count_fault(&report->faults[i], &group->opinion);
+        }
+    }
+}
+
+static void
+survey_pooler(struct control *control, const struct pooler_peer *pooler, time_ns now)
+{
+    bool fresh = now <= pooler->heard_at + OPINION_FRESH_NS;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    control->orders_reached = MIN(control->orders_reached, pooler->orders_followed);
+    if (now <= pooler->permit_until) {
+        control->orders_held = MIN(control->orders_held, pooler->orders_followed);
+    }
+    g_hash_table_iter_init(&iterator, pooler->reports);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct pooler_group_report *report = value;
+        struct controlled_group *group = g_hash_table_lookup(control->controlled, report->service);
+        if (group != NULL) {
+            count_report(report, fresh, group);
+        }
+    }
+}
+
+static void
+find_fresh(struct control *control, time_ns now)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->poolers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct pooler_peer *pooler = value;
+        if (now <= pooler->heard_at + OPINION_FRESH_NS && pooler->forward_address != NULL) {
+            g_hash_table_add(control->fresh, pooler->forward_address);
+        }
+    }
+}
+
+/* How many poolers that were heard lately hold connections to the group's databases. */
+static uint32_t
+count_holders(struct control *control, const struct controlled_group *group, time_ns now)
+{
+    const struct service *service =
+        configuration_service(control->configuration, group->failover->service);
+    const fleet_owners_t *owners = service == NULL ? NULL : control_fleet_owners(control, service);
+    uint32_t count = 0;
+    if (g_hash_table_size(control->fresh) == 0) {
+        find_fresh(control, now);
+    }
+    if (owners == NULL || owners->direct) {
+        return g_hash_table_size(control->fresh);
+    }
+    for (guint i = 0; i < owners->members->len; i++) {
+        const fleet_member_t *owner = g_ptr_array_index(owners->members, i);
+        count += g_hash_table_contains(control->fresh, owner->address);
+    }
+    return count;
+}
+
+/* What all poolers say of all groups, in one pass over what they have told: its cost is that of the
+ * connections held, not that of poolers times groups. */
+void
+control_survey(struct control *control, time_ns now)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_remove_all(control->fresh);
+    control->orders_held = UINT64_MAX;
+    control->orders_reached = UINT64_MAX;
+    g_hash_table_iter_init(&iterator, control->controlled);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct controlled_group *group = value;
+        group->opinion = (struct failover_opinion){0};
+        group->reporters = 0;
+        group->in_flight = 0;
+    }
+    g_hash_table_iter_init(&iterator, control->poolers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        survey_pooler(control, value, now);
+    }
+}
+
+/* The poolers whose opinion counts are those with connections, and those that report all the same,
+ * as they serve alone. Counted only where there is an opinion. */
+void
+control_survey_count_opinions(struct control *control, struct controlled_group *group, time_ns now)
+{
+    if (group->reporters > 0) {
+        group->opinion.poolers = MAX(count_holders(control, group, now), group->reporters);
+    }
+}
