Serve sessions as their tenants': keys, connections of one tenant, proof before each statement

Now a session is known by its key, whose holder is looked up in the configuration right before each statement's bytes go out; a connection belongs to one tenant, and the idle one unused for longest makes room for another's; a statement that needs a key goes out only while this pooler has proof that its configuration was the store's newest less than 4 of the 5 s ago. Proof travels with its age: from the store's answers by the store's own clock, from the coordinator counted from the heartbeat's sending, to the coordinator counted from the grant that the heartbeat tells. Owners look the key up themselves, and decline what a newer configuration may explain.

--- /dev/null
+++ b/src/pooler/access/access.c
@@ -0,0 +1,122 @@
+/* Whose a session is, and whether it may ask a database now; see the header. */
+#define G_LOG_DOMAIN "access"
+#include "pooler/access/access.h"
+
+#include "pooler/access/evidence.h"
+#include "pooler/session_internal.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Who is named to databases on routes that need no key. */
+#define NOBODY "public"
+
+const char *
+access_verdict_name(access_verdict_t verdict)
+{
+    static const char *const names[] = {"granted", "unknown_key", "unproven"};
+    return names[verdict];
+}
+
+const char *
+access_nobody(void)
+{
+    return g_intern_static_string(NOBODY);
+}
+
+/* Whose the key is by the newest configuration; NULL if nobody's. */
+static const char *
+find_holder(const struct session *session)
+{
+    const char *name = NULL;
+    rcu_read_lock();
+    const struct view *view = rcu_dereference(session->worker->shared->view);
+    if (view != NULL && view->configuration != NULL) {
+        const tenant_t *holder = configuration_holder(view->configuration, session->key);
+        bool keys = view->configuration->keys != NULL;
+        bool open = !keys || session->route.is_public;
+        name = holder != NULL ? holder->name : (open ? access_nobody() : NULL);
+    }
+    rcu_read_unlock();
+    return name;
+}
+
+static bool
+needs_key(const struct session *session)
+{
+    return session->worker->has_tenants && !session->route.is_public;
+}
+
+access_verdict_t
+access_check(struct session *session)
+{
+    const struct worker_shared *shared = session->worker->shared;
+    /* Read before the configuration: that one is as new as the proof, or newer. */
+    time_ns proven_at = atomic_load(&shared->configuration_proven_at);
+    const char *holder = find_holder(session);
+    bool open = session->transaction == SESSION_TRANSACTION_OPEN;
+    if (holder == NULL || (open && session->tenant != NULL && holder != session->tenant)) {
+        return ACCESS_UNKNOWN_KEY;
+    }
+    session->tenant = holder;
+    if (needs_key(session) && !evidence_holds(proven_at, shared->proof_lifetime, backend_now())) {
+        return ACCESS_UNPROVEN;
+    }
+    return ACCESS_GRANTED;
+}
+
+uint64_t
+access_configuration(const struct session *session)
+{
+    rcu_read_lock();
+    const struct view *view = rcu_dereference(session->worker->shared->view);
+    bool known = view != NULL && view->configuration != NULL;
+    uint64_t version = known ? view->configuration->version : 0;
+    rcu_read_unlock();
+    return version;
+}
+
+void
+access_refuse(struct session *session, access_verdict_t verdict)
+{
+    metrics_count(&session->worker->metrics,
+                  verdict == ACCESS_UNPROVEN ? METRICS_REFUSED_UNPROVEN : METRICS_REFUSED_KEYS);
+    session->request.refusal = access_verdict_name(verdict);
+    session->request.may_have_run = false;
+    if (session->transaction != SESSION_TRANSACTION_NONE) {
+        session_answer_lost(session, ANSWER_ABORTED);
+    } else {
+        session_answer_error(session,
+                             verdict == ACCESS_UNPROVEN ? ANSWER_BUSY : ANSWER_UNAUTHORIZED, NULL);
+    }
+}
+
+access_verdict_t
+access_check_at(struct session *session, struct server *server)
+{
+    access_verdict_t verdict = access_check(session);
+    bool matches =
+        server->database->group == session->route.group && server->tenant == session->tenant;
+    if (verdict == ACCESS_GRANTED && !matches) {
+        g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_WARNING, "SW_TENANT", session->tenant,
+                         "SW_DATABASE", server->database->shared->id, "MESSAGE",
+                         "A statement of %s met a connection of %s at %s: it is not sent.",
+                         session->tenant, server->tenant == NULL ? "nobody" : server->tenant,
+                         server->database->shared->id);
+        return ACCESS_UNKNOWN_KEY;
+    }
+    return verdict;
+}
+
+char *
+access_key_tag(const char *key)
+{
+    static gsize drawn = 0;
+    static uint64_t salt = 0;
+    if (g_once_init_enter(&drawn)) {
+        salt = (uint64_t)g_random_int() << 32 | g_random_int();
+        g_once_init_leave(&drawn, 1);
+    }
+    uint64_t hash = XXH3_64bits_withSeed(key, strlen(key), salt);
+    return g_strdup_printf("%08x", (unsigned)(hash >> 32));
+}
--- a/src/pooler/configuration.c
+++ b/src/pooler/configuration.c
@@ -39,6 +39,8 @@
     struct configuration *configuration = data;
     g_hash_table_unref(configuration->routes);
     g_ptr_array_unref(configuration->services);
+    g_clear_pointer(&configuration->keys, g_hash_table_unref);
+    g_clear_pointer(&configuration->tenants, g_hash_table_unref);
 }
 
 void
@@ -64,6 +66,49 @@
     g_ptr_array_add(configuration->services, service);
 }
 
+void
+configuration_require_keys(struct configuration *configuration)
+{
+    if (configuration->tenants == NULL) {
+        configuration->tenants = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+        configuration->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    }
+}
+
+tenant_t *
+configuration_add_tenant(struct configuration *configuration, const char *name)
+{
+    configuration_require_keys(configuration);
+    tenant_t *tenant = g_hash_table_lookup(configuration->tenants, name);
+    if (tenant == NULL) {
+        tenant = g_new0(tenant_t, 1);
+        tenant->name = g_intern_string(name);
+        g_hash_table_insert(configuration->tenants, (gpointer)tenant->name, tenant);
+    }
+    return tenant;
+}
+
+void
+configuration_add_key(struct configuration *configuration, const char *key, tenant_t *tenant)
+{
+    g_hash_table_replace(configuration->keys, g_strdup(key), tenant);
+}
+
+const tenant_t *
+configuration_holder(const struct configuration *configuration, const char *key)
+{
+    return configuration->keys == NULL || key == NULL
+               ? NULL
+               : g_hash_table_lookup(configuration->keys, key);
+}
+
+const tenant_t *
+configuration_tenant(const struct configuration *configuration, const char *name)
+{
+    return configuration->tenants == NULL ? NULL
+                                          : g_hash_table_lookup(configuration->tenants, name);
+}
+
 const struct route *
 configuration_route(const struct configuration *configuration, const char *database)
 {
--- a/src/pooler/configuration.h
+++ b/src/pooler/configuration.h
@@ -24,6 +24,7 @@
     uint32_t target_ms;    /* latency objective of an operation */
     uint32_t priority;     /* 0 is the most urgent */
     uint32_t staleness_ms; /* bound of ROUTE_KIND_BOUNDED_STALENESS and _READ_YOUR_WRITES */
+    bool is_public;        /* clients need no key */
 };
 
 /* One group of databases as configured. */
@@ -33,10 +34,19 @@
     uint32_t sync_replicas;   /* replicas that hold a commit before it is acknowledged */
 };
 
+/** @brief Somebody who is served: known by keys, and limited in operations. */
+typedef struct tenant {
+    const char *name;  /* interned: equal names are the same pointer */
+    double rate_per_s; /* operations a second over all poolers together; 0: not limited */
+    double burst;      /* operations beyond that which may come at once */
+} tenant_t;
+
 struct configuration {
     uint64_t version;
     GHashTable *routes;  /* database name -> struct route, owned */
     GPtrArray *services; /* of struct service, owned */
+    GHashTable *tenants; /* interned name -> tenant_t, owned; NULL: clients have no keys */
+    GHashTable *keys;    /* key, owned -> tenant_t; NULL with the tenants */
     uint32_t transaction_idle_ms;
 };
 
@@ -50,6 +60,17 @@
 void configuration_add_service(struct configuration *configuration, const char *name,
                                uint32_t max_connections, uint32_t sync_replicas);
 
+/** @brief From now on clients of routes that are not public need a key. */
+void configuration_require_keys(struct configuration *configuration);
+/** @return the tenant of this name, added if there is none. Not limited at first. */
+tenant_t *configuration_add_tenant(struct configuration *configuration, const char *name);
+void configuration_add_key(struct configuration *configuration, const char *key, tenant_t *tenant);
+
+/** @return the tenant that holds the key; NULL if nobody does. */
+const tenant_t *configuration_holder(const struct configuration *configuration, const char *key);
+/** @return the tenant of this name; NULL if there is none. */
+const tenant_t *configuration_tenant(const struct configuration *configuration, const char *name);
+
 /* NULL if there is none. */
 const struct route *configuration_route(const struct configuration *configuration,
                                         const char *database);
--- a/src/pooler/control.c
+++ b/src/pooler/control.c
@@ -266,6 +266,7 @@
     sigset_t old;
     parse_address(settings->pooler.listen, &control->shared.listen);
     parse_address(settings->pooler.forward_listen, &control->shared.forward_listen);
+    control->shared.proof_lifetime = evidence_lifetime(settings->access.revoke_ms);
     control->shared.stop_grace = (time_ns)(settings->stop.grace_s * (double)NANOSECONDS_PER_SECOND);
     uint32_t own = MIN(DESCRIPTORS_OWN, settings->pooler.descriptors / 2);
     control->shared.sessions_max = (settings->pooler.descriptors - own) / control->workers_count;
--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control_coordinator.c
@@ -194,6 +194,7 @@
 {
     struct pooler_grant grant;
     pooler_grant_init(&grant);
+    grant.sequence = heartbeat->sequence;
     grant.coordinator = g_strdup(control->settings->pooler.name);
     grant.coordinator_address = g_strdup(control->coordinator_address);
     if (heartbeat->orders_known < control->orders_known) {
@@ -228,6 +229,7 @@
     pooler_grant_init(&grant);
     grant.coordinator = g_strdup(control->settings->pooler.name);
     grant.token = control->lease.token;
+    grant.stamp = now;
     grant.members = control_coordinator_count(control);
     grant.follows_store = pooler->follows_store;
     pooler->fleet_told = control_fleet_fill(control, pooler->fleet_told, &grant.fleet);
@@ -246,9 +248,13 @@
 
 /* What the pooler knows, and what it knows better. Rows that were sent meanwhile count as known. */
 static void
-take_relay(struct control *control, struct pooler_peer *pooler, const struct pooler_relay *relay)
+take_relay(struct control *control, struct pooler_peer *pooler,
+           const struct pooler_heartbeat *heartbeat)
 {
+    const struct pooler_relay *relay = &heartbeat->relay;
     control_relay_take(control, relay);
+    /* It was sent after the grant whose stamp it tells. */
+    control_relay_take_proof(control, relay, heartbeat->grant_stamp);
     pooler->confirmed = (row_versions_t){relay->configuration_row, relay->directory_row};
     pooler->known.configuration = MAX(pooler->known.configuration, relay->configuration_row);
     pooler->known.directory = MAX(pooler->known.directory, relay->directory_row);
@@ -313,7 +319,7 @@
         send_hearsay(control, peer, heartbeat);
         return;
     }
-    take_relay(control, pooler, &heartbeat->relay);
+    take_relay(control, pooler, heartbeat);
     pooler->heard_at = now;
     pooler->stopping = heartbeat->stopping;
     pooler->store_age_ms = heartbeat->store_age_ms;
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -10,6 +10,7 @@
 #include "backend/clock.h"
 #include "generated/messages.h"
 #include "generated/pooler_settings.h"
+#include "pooler/access/evidence.h"
 #include "pooler/control.h"
 #include "pooler/control_counts.h"
 #include "pooler/database_control.h"
@@ -58,6 +59,7 @@
     gsize largest;            /* value that a row has had, in bytes */
     time_ns current_at;       /* when the store last told that this is so; 0: never */
     bool calling;
+    time_ns call_sent;
     time_ns next_at;
     uint32_t failures; /* in a row */
     bool missing;      /* another pooler knows more, which was too large to be told */
@@ -177,6 +179,9 @@
     bool directory_settled;        /* every living database has had the time to record itself */
     time_ns directory_known_since; /* and the store answers; 0: not yet */
     struct configuration *configuration;
+    bool configuration_unread; /* the newest one could not be decoded */
+    time_ns proven_at;         /* the configuration was the store's newest then; 0: never proven */
+    store_clock_t store_clock;
     struct feed feeds[STORE_TABLE_COUNT];
     GHashTable *groups;  /* service -> struct group_state */
     GHashTable *members; /* database id -> struct member_shared, never removed */
@@ -189,6 +194,7 @@
     struct peer *coordinator; /* connection, NULL for none */
     char *coordinator_address;
     uint64_t newest_token;
+    uint64_t grant_stamp; /* of the newest grant on this connection; 0: none */
     uint64_t sequence;
     time_ns sent_at[HEARTBEATS_KEPT];
     time_ns heartbeat_at; /* next one */
@@ -281,6 +287,9 @@
 /** @return true if the table is read whole, as that is less than the changes that may have been
  *  missed. */
 bool control_feed_lists(const struct feed *feed, time_ns now);
+/** @brief The configuration that is known here was the store's newest at that moment (0: nothing is
+ *  told). */
+void control_prove(struct control *control, time_ns moment);
 /* Takes a row from the store or from another pooler. */
 void control_take_row(struct control *control, enum store_table table, const char *key,
                       uint64_t version, GBytes *value);
@@ -312,6 +321,10 @@
 void control_relay_fill_offer(struct control *control, time_ns now, struct pooler_relay *relay);
 /** @brief Takes over what another pooler knows of the store. */
 void control_relay_take(struct control *control, const struct pooler_relay *relay);
+/** @brief Takes over, after the rows, what another pooler tells of how new the configuration is.
+ *  @param asked when that pooler was sent what it answers, by our clock; 0: it is not known. */
+void control_relay_take_proof(struct control *control, const struct pooler_relay *relay,
+                              time_ns asked);
 /** @brief Notes how far the coordinator's rows can be relied on. */
 void control_relay_rely(struct control *control, const struct pooler_grant *grant, time_ns now);
 /** @brief The same for the rows of a pooler that is not the coordinator, and follows the store. */
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -57,9 +57,11 @@
 }
 
 static void
-note_clock(struct lease *lease, const struct store_answer *answer, time_ns now)
+note_clock(struct control *control, const struct store_answer *answer, time_ns now)
 {
+    struct lease *lease = &control->lease;
     if (answer->clock_ms != 0) {
+        store_clock_note(&control->store_clock, lease->call_sent, now, answer->clock_ms);
         lease->clock_sent = lease->call_sent;
         lease->clock_received = now;
         lease->clock_ms = answer->clock_ms;
@@ -216,11 +218,11 @@
         if (!lease->releasing) {
             become_holder(control, lease->call_sent, now);
         }
-        note_clock(lease, answer, now);
+        note_clock(control, answer, now);
         break;
     case STORE_CONFLICT:
         /* Ours all the same, if an earlier write without an answer was done. */
-        note_clock(lease, answer, now);
+        note_clock(control, answer, now);
         control_lease_take(control, answer);
         lease->next_at = now;
         if (!lease->held && !lease->releasing) {
@@ -338,7 +340,7 @@
         log_answer(control, "not read", answer, now);
         return;
     }
-    note_clock(lease, answer, now);
+    note_clock(control, answer, now);
     take_rows(control, answer);
     lease->next_at = next_look(control, answer, now);
     log_answer(control, "read", answer, now);
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -162,6 +162,7 @@
     out->orders_known = control->orders_known;
     out->lacks_store = control_relay_lacks_store(control);
     control_relay_fill_offer(control, now, &out->relay);
+    out->grant_stamp = control->grant_stamp;
     out->store_age_ms = control_relay_age_ms(control, now);
     out->stopping = atomic_load(&control->shared.stop_at) != 0;
     /* Before what is open is counted: what these orders end is no more begun from then on. */
@@ -263,6 +264,7 @@
     }
     control->newest_token = grant->token;
     control->granted_at = now;
+    control->grant_stamp = grant->stamp;
     if (grant->members != 0 && grant->members != control->members_told) {
         control->members_told = grant->members;
         control->view_dirty = true;
@@ -273,6 +275,7 @@
     take_permits(control, grant->token, sent == 0 ? 0 : sent + grant->permit_ms * MS);
     control_fleet_take(control, &grant->fleet);
     control_relay_take(control, &grant->relay);
+    control_relay_take_proof(control, &grant->relay, sent);
     control_relay_rely(control, grant, now);
     control_relay_take_followers(control, grant);
     control->next_address = 0;
@@ -297,6 +300,7 @@
     }
     control_fleet_take(control, &grant->fleet);
     control_relay_take(control, &grant->relay);
+    control_relay_take_proof(control, &grant->relay, sending_of(control, grant->sequence));
     control_relay_rely_on_hearsay(control, &grant->relay, now);
     control_publish(control);
 }
@@ -426,6 +430,7 @@
     control->connected_at = now;
     control->told = control_relay_versions(control);
     control->offered_at = 0;
+    control->grant_stamp = 0;
     control->introduced_self = false;
     const char *text = next_address(control);
     if (text == NULL || !parse_address(text, &address)) {
--- a/src/pooler/control_relay.c
+++ b/src/pooler/control_relay.c
@@ -157,6 +157,15 @@
     return base;
 }
 
+/* What is known here up to there was the newest so long ago. */
+static void
+fill_proof(const struct control *control, time_ns now, struct pooler_relay *relay)
+{
+    const struct feed *feed = &control->feeds[STORE_TABLE_CONFIGURATION];
+    bool told = feed->changed_version <= relay->configuration_row;
+    relay->configuration_age_ms = told ? evidence_age_ms(control->proven_at, now) : 0;
+}
+
 void
 control_relay_fill_nothing(const struct control *control, const row_versions_t *known, time_ns now,
                            struct pooler_relay *relay)
@@ -165,6 +174,7 @@
                               age_ms(&control->feeds[STORE_TABLE_DIRECTORY], now));
     relay->configuration_base = relay->configuration_row = known->configuration;
     relay->directory_base = relay->directory_row = known->directory;
+    fill_proof(control, now, relay);
 }
 
 static void
@@ -180,6 +190,7 @@
                                           &relay->configuration_incomplete, relay);
     relay->directory_row =
         fill_table(directory, known->directory, most, &relay->directory_incomplete, relay);
+    fill_proof(control, now, relay);
 }
 
 void
@@ -345,6 +356,15 @@
                  relay->directory_row);
 }
 
+void
+control_relay_take_proof(struct control *control, const struct pooler_relay *relay, time_ns asked)
+{
+    const struct feed *feed = &control->feeds[STORE_TABLE_CONFIGURATION];
+    if (asked != 0 && feed->version >= relay->configuration_row) {
+        control_prove(control, evidence_from_age(asked, relay->configuration_age_ms));
+    }
+}
+
 /* What the other side knows need not be told to it with the next heartbeat. */
 static void
 note_told(struct control *control, const struct pooler_relay *relay)
--- a/src/pooler/control_store.c
+++ b/src/pooler/control_store.c
@@ -68,8 +68,10 @@
     struct configuration *configuration = configuration_decode(text, length, &error);
     if (configuration == NULL) {
         g_warning("A configuration can't be read: %s.", error->message);
+        control->configuration_unread = true;
         return;
     }
+    control->configuration_unread = false;
     if (control->configuration != NULL &&
         configuration->version <= control->configuration->version) {
         configuration_unref(configuration);
@@ -84,6 +86,14 @@
     control->view_dirty = true;
 }
 
+void
+control_prove(struct control *control, time_ns moment)
+{
+    if (control->configuration != NULL && !control->configuration_unread) {
+        control->proven_at = MAX(control->proven_at, moment);
+    }
+}
+
 static void
 take_directory_row(struct control *control, const char *id, uint64_t version, GBytes *value)
 {
@@ -237,9 +247,24 @@
     drop_missing(feed, answer);
     feed->version = MAX(feed->version, answer->version);
     control_feed_answered(feed, now);
+    if (feed->table == STORE_TABLE_CONFIGURATION) {
+        control_prove(feed->control, feed->call_sent); /* as of its first page */
+    }
     control_wake_soon(feed->control);
 }
 
+/* A watch waits in the store: its answer is as of the moment that the store's clock tells. */
+static void
+note_proof(struct feed *feed, const struct store_answer *answer, time_ns now)
+{
+    store_clock_t *clock = &feed->control->store_clock;
+    store_clock_note(clock, feed->call_sent, now, answer->clock_ms);
+    if (feed->table == STORE_TABLE_CONFIGURATION && answer->version != 0) {
+        control_prove(feed->control,
+                      store_clock_moment(clock, feed->call_sent, now, answer->clock_ms));
+    }
+}
+
 static void
 on_changes(void *user, const struct store_answer *answer)
 {
@@ -258,6 +283,7 @@
         take_rows(feed, answer);
         feed->version = MAX(feed->version, answer->version);
         control_feed_answered(feed, now);
+        note_proof(feed, answer, now);
     }
     control_wake_soon(feed->control);
 }
@@ -293,6 +319,7 @@
 {
     struct control *control = feed->control;
     feed->calling = true;
+    feed->call_sent = backend_now();
     control_counts_call(&control->counts, feed->table, reason_of(feed));
     if (feed->version == 0 || control_feed_lists(feed, backend_now())) {
         store_read(control->store, feed->table, on_listing, feed);
--- a/src/pooler/control_view.c
+++ b/src/pooler/control_view.c
@@ -229,12 +229,9 @@
     return pooled_group_ref(state->view);
 }
 
-void
-control_publish(struct control *control)
+static void
+publish_view(struct control *control)
 {
-    if (!control->view_dirty || control->configuration == NULL) {
-        return;
-    }
     control->view_dirty = false;
     time_ns now = backend_now();
     GPtrArray *services = control->configuration->services;
@@ -254,6 +251,19 @@
     view_free(old);
 }
 
+void
+control_publish(struct control *control)
+{
+    if (control->configuration == NULL) {
+        return;
+    }
+    if (control->view_dirty) {
+        publish_view(control);
+    }
+    /* After the view: a worker that sees this moment sees the configuration that it is told of. */
+    atomic_store(&control->shared.configuration_proven_at, control->proven_at);
+}
+
 /* True if some database is known that no fault stands against. */
 static bool
 any_database_answers(const struct control *control)
@@ -271,9 +281,17 @@
     return false;
 }
 
+/* Without proof that keys still stand, clients are better served elsewhere. */
+static bool
+may_serve_keys(const struct control *control)
+{
+    return control->configuration->keys == NULL ||
+           evidence_holds(control->proven_at, control->shared.proof_lifetime, backend_now());
+}
+
 bool
 control_is_ready(const struct control *control)
 {
     return control->configuration != NULL && atomic_load(&control->shared.stop_at) == 0 &&
-           any_database_answers(control);
+           may_serve_keys(control) && any_database_answers(control);
 }
--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -23,6 +23,13 @@
 /* An idle connection beside those is kept this long. */
 #define UNUSED_KEPT_NS (1500 * NANOSECONDS_PER_MILLISECOND)
 
+/* An idle connection of a tenant is kept this long: opening another holds a slot for about as long
+ * as a short statement, and most tenants are back within seconds. */
+#define TENANT_KEPT_NS (4000 * NANOSECONDS_PER_MILLISECOND)
+
+/* Connections to one database that are opened at the same time. */
+#define OPENING_MAX 2
+
 /* A write without its answer for this long, while other answers come: replication stalls. */
 #define STALLED_AFTER_NS (600 * NANOSECONDS_PER_MILLISECOND)
 
@@ -166,7 +173,7 @@
     unsigned best_cost = 0;
     for (guint i = 0; i < database->servers->len; i++) {
         struct server *server = g_ptr_array_index(database->servers, i);
-        if (server->state != SERVER_IDLE) {
+        if (server->state != SERVER_IDLE || server->tenant != session->tenant) {
             continue;
         }
         unsigned cost = setup_cost(server, session);
@@ -238,11 +245,50 @@
     return count;
 }
 
+/* The idle connection that was not used for longest; NULL if there is none. */
+static struct server *
+longest_idle(const struct database *database)
+{
+    struct server *found = NULL;
+    for (guint i = 0; i < database->servers->len; i++) {
+        struct server *server = g_ptr_array_index(database->servers, i);
+        bool older = found == NULL || server->idle_since < found->idle_since;
+        if (server->state == SERVER_IDLE && older) {
+            found = server;
+        }
+    }
+    return found;
+}
+
+bool
+database_make_room(struct database *database)
+{
+    if (database->servers->len < MAX(database->group->connections, 1)) {
+        return true;
+    }
+    struct server *idle = longest_idle(database);
+    if (idle == NULL) {
+        return false;
+    }
+    metrics_count(&database->group->worker->metrics, METRICS_OPENED_IN_PLACE);
+    server_close(idle, ANSWER_NONE);
+    return true;
+}
+
+/* A database that has no room for another connection may have it in place of an idle one, which is
+ * another tenant's: where all are of one tenant, one that is idle is used as it is. */
+static bool
+has_room(const struct database *database)
+{
+    const struct group *group = database->group;
+    return database->servers->len < group->connections ||
+           (group->worker->has_tenants && group->connections > 0 && longest_idle(database) != NULL);
+}
+
 bool
 database_may_open(const struct database *database, time_ns now)
 {
-    return database->servers->len < database->group->connections && now >= database->retry_at &&
-           count_opening(database) < 2;
+    return now >= database->retry_at && count_opening(database) < OPENING_MAX && has_room(database);
 }
 
 static bool
@@ -363,10 +409,13 @@
 void
 database_make_ready(struct database *database, time_ns now)
 {
+    if (database->group->worker->has_tenants) {
+        return; /* whose statements come next is not known */
+    }
     bool wanted = database->takes_work && database_fault(database) == DATABASE_FAULT_NONE;
     while (wanted && database->servers->len < READY_CONNECTIONS &&
            database_may_open(database, now) &&
-           server_open(database, METRICS_OPENED_READY) != NULL) {
+           server_open(database, access_nobody(), METRICS_OPENED_READY) != NULL) {
     }
 }
 
@@ -375,10 +424,12 @@
 void
 database_close_unused(struct database *database, time_ns now)
 {
-    guint kept = MIN(database->group->connections, READY_CONNECTIONS);
+    bool tenants = database->group->worker->has_tenants;
+    guint kept = tenants ? 0 : MIN(database->group->connections, READY_CONNECTIONS);
+    time_ns keep = tenants ? TENANT_KEPT_NS : UNUSED_KEPT_NS;
     for (guint i = database->servers->len; i > 0 && database->servers->len > kept; i--) {
         struct server *server = g_ptr_array_index(database->servers, i - 1);
-        if (server->state == SERVER_IDLE && now > server->idle_since + UNUSED_KEPT_NS) {
+        if (server->state == SERVER_IDLE && now > server->idle_since + keep) {
             server_close(server, ANSWER_NONE);
         }
     }
@@ -410,6 +461,6 @@
     bool probe = database->takes_work && database_fault(database) != DATABASE_FAULT_NONE &&
                  count_opening(database) == 0;
     if (probe && database_may_open(database, now)) {
-        server_open(database, METRICS_OPENED_PROBE);
+        server_open(database, access_nobody(), METRICS_OPENED_PROBE);
     }
 }
--- a/src/pooler/database_control.c
+++ b/src/pooler/database_control.c
@@ -13,6 +13,9 @@
 /* Without an answer for this long, connecting included, the database did not answer. */
 #define COMMAND_TIMEOUT_MS 300
 
+/* Who is named to the database: no statement of a client runs here. */
+#define OWN_TENANT "pooler"
+
 struct database_control {
     struct event_base *base;
     char *service;
@@ -212,7 +215,7 @@
     control->socket = handle;
     control->readable = event_new(control->base, handle, EV_READ | EV_PERSIST, on_event, control);
     control->writable = event_new(control->base, handle, EV_WRITE, on_event, control);
-    wire_write_start(&control->out, control->service, control->database);
+    wire_write_start(&control->out, control->service, OWN_TENANT, control->database);
     event_add(control->readable, NULL);
     event_add(control->writable, NULL);
     return true;
--- a/src/pooler/forward.c
+++ b/src/pooler/forward.c
@@ -373,6 +373,9 @@
     ask->target_ms = route->target_ms;
     ask->priority = route->priority;
     ask->staleness_ms = route->staleness_ms;
+    ask->key = g_strdup(session->key);
+    ask->is_public = route->is_public;
+    ask->configuration = access_configuration(session);
     ask->transaction_age_us = age_us(now, session->began);
     ask->has_own_commit = session->has_own_commit;
     ask->own_commit_term = session->own_commit.term;
--- a/src/pooler/forward_serve.c
+++ b/src/pooler/forward_serve.c
@@ -123,7 +123,9 @@
         ask->target_ms,
         ask->priority,
         ask->staleness_ms,
+        ask->is_public,
     };
+    session->key = g_strdup(ask->key);
     session->transaction =
         ask->in_transaction ? SESSION_TRANSACTION_REQUESTED : SESSION_TRANSACTION_NONE;
     session->read_only = ask->read_only;
@@ -164,6 +166,16 @@
     return group != NULL && group->connections > 0 && !caller->worker->stopping;
 }
 
+/* False if another owner may know more: of a key that is newer than the configuration here, or that
+ * it still stands. */
+static bool
+may_serve(struct session *session, const struct forward_ask *ask)
+{
+    access_verdict_t verdict = access_check(session);
+    bool behind = access_configuration(session) < ask->configuration;
+    return verdict == ACCESS_GRANTED || (verdict == ACCESS_UNKNOWN_KEY && !behind);
+}
+
 static void
 run(caller_t *caller, const struct forward_ask *ask)
 {
@@ -183,8 +195,12 @@
         session->forwarded.caller = caller;
         session->forwarded.channel = ask->channel;
         g_hash_table_insert(caller->channels, &session->forwarded.channel, session);
-        metrics_count(&caller->worker->metrics, METRICS_SERVED_FOR_OTHERS);
         take_opening(session, ask, now);
+        if (!may_serve(session, ask)) {
+            caller_decline(session);
+            return;
+        }
+        metrics_count(&caller->worker->metrics, METRICS_SERVED_FOR_OTHERS);
     }
     if (session->state == SESSION_IDLE) {
         take_statement(session, ask, now);
--- a/src/pooler/leadership.c
+++ b/src/pooler/leadership.c
@@ -54,7 +54,7 @@
     struct server *server = database_any_idle(database);
     if (server == NULL) {
         if (database_may_open(database, backend_now())) {
-            server_open(database, METRICS_OPENED_PROOF);
+            server_open(database, access_nobody(), METRICS_OPENED_PROOF);
         }
         return false;
     }
--- a/src/pooler/metrics.c
+++ b/src/pooler/metrics.c
@@ -25,6 +25,10 @@
     [METRICS_OPENED_STATEMENT] = "database_connections_opened_statement",
     [METRICS_OPENED_PROOF] = "database_connections_opened_proof",
     [METRICS_OPENED_PROBE] = "database_connections_opened_probe",
+    [METRICS_OPENED_IN_PLACE] = "database_connections_replaced",
+    [METRICS_FOUND_OPEN] = "database_connections_found_open",
+    [METRICS_REFUSED_KEYS] = "refused_unknown_key",
+    [METRICS_REFUSED_UNPROVEN] = "refused_without_proof",
 };
 
 static const char *const route_names[METRICS_ROUTE_KINDS] = {
--- a/src/pooler/metrics.h
+++ b/src/pooler/metrics.h
@@ -36,6 +36,10 @@
     METRICS_OPENED_STATEMENT,  /* for a statement that waits */
     METRICS_OPENED_PROOF,      /* for a question whether the primary leads */
     METRICS_OPENED_PROBE,      /* to see whether a faulty database is back */
+    METRICS_OPENED_IN_PLACE,   /* connections closed so that another tenant's has room */
+    METRICS_FOUND_OPEN,   /* statements and transactions that found a connection of their tenant */
+    METRICS_REFUSED_KEYS, /* starts and statements whose key nobody holds */
+    METRICS_REFUSED_UNPROVEN, /* statements refused for want of proof that their key stands */
     METRICS_COUNTER_COUNT,
 };
 
--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -18,6 +18,10 @@
 #define LAG_TYPICAL_NS (20 * NANOSECONDS_PER_MILLISECOND)
 #define LAG_KEPT_NS    (500 * NANOSECONDS_PER_MILLISECOND)
 
+/* A statement that a connection is being opened for asks for no other one meanwhile: longer than
+ * opening takes at a database that has slots (12 to 30 ms by the sites' sheets). */
+#define OPENING_PATIENCE_NS (50 * NANOSECONDS_PER_MILLISECOND)
+
 /* A write that no replica has to receive must be over before the permit ends. */
 #define WRITE_MARGIN_NS (150 * NANOSECONDS_PER_MILLISECOND)
 
@@ -255,19 +259,27 @@
         return false;
     }
     bool open_too =
-        choice.to_open != NULL &&
+        choice.to_open != NULL && now >= session->request.opened_at + OPENING_PATIENCE_NS &&
         (choice.server == NULL || choice.open_cost * OPENING_FACTOR < choice.server_cost);
     if (open_too) {
-        server_open(choice.to_open, METRICS_OPENED_STATEMENT);
+        session->request.opened_at = now;
+        server_open(choice.to_open, session->tenant, METRICS_OPENED_STATEMENT);
     }
     if (choice.server == NULL || choice.server->state != SERVER_IDLE) {
         return false;
     }
+    access_verdict_t verdict = access_check_at(session, choice.server);
+    if (verdict != ACCESS_GRANTED) {
+        router_leave_queue(session);
+        access_refuse(session, verdict);
+        return true;
+    }
     note_departure(session, now);
     router_leave_queue(session);
     session->request.attempts++;
     session_sent(session);
     count_read(session, choice.server->database);
+    metrics_count(&session->worker->metrics, METRICS_FOUND_OPEN);
     server_run(choice.server, session, need.has_position ? &need.position : NULL);
     return true;
 }
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -104,9 +104,12 @@
 }
 
 struct server *
-server_open(struct database *database, enum metrics_counter why)
+server_open(struct database *database, const char *tenant, enum metrics_counter why)
 {
     struct worker *worker = database->group->worker;
+    if (!database_make_room(database)) {
+        return NULL;
+    }
     int handle = socket_connect(&database->address, DARK_TIMEOUT_MS);
     if (handle < 0) {
         database_open_failed(database, ANSWER_NONE);
@@ -114,6 +117,7 @@
     }
     struct server *server = g_new0(struct server, 1);
     server->database = database;
+    server->tenant = tenant;
     server->socket = handle;
     server->state = SERVER_CONNECTING;
     server->expected = g_byte_array_new();
@@ -122,7 +126,7 @@
     server->readable = event_new(worker->base, handle, EV_READ | EV_PERSIST, on_readable, server);
     server->writable = event_new(worker->base, handle, EV_WRITE, on_writable, server);
     server->timer = evtimer_new(worker->base, on_timer, server);
-    wire_write_start(&server->out, database->group->shared->service, database->shared->id);
+    wire_write_start(&server->out, database->group->shared->service, tenant, database->shared->id);
     server_expect(server, EXPECT_START);
     event_add(server->writable, NULL);
     server_set_timer(server, CONNECT_TIMEOUT_MS);
--- a/src/pooler/server_answer.c
+++ b/src/pooler/server_answer.c
@@ -52,6 +52,13 @@
         session_try_again(session, code);
         return;
     }
+    access_verdict_t verdict = access_check_at(session, server);
+    if (verdict != ACCESS_GRANTED) {
+        server->state = SERVER_RESERVED;
+        server_release(server);
+        access_refuse(session, verdict);
+        return;
+    }
     session->transaction = SESSION_TRANSACTION_OPEN;
     session->statements_run = false;
     server->wrote = false;
--- a/src/pooler/session.c
+++ b/src/pooler/session.c
@@ -165,11 +165,29 @@
     buffer_clear(&session->out);
     g_free(session->request.message);
     g_free(session->database);
+    g_free(session->key);
     g_clear_pointer(&session->values, g_hash_table_unref);
     g_clear_pointer(&session->prepared, g_hash_table_unref);
     g_free(session);
 }
 
+static void
+refuse_start(struct session *session, access_verdict_t verdict)
+{
+    bool unproven = verdict == ACCESS_UNPROVEN;
+    enum answer_code code = unproven ? ANSWER_BUSY : ANSWER_UNAUTHORIZED;
+    g_autofree char *tag = access_key_tag(session->key);
+    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_DATABASE", session->database, "SW_KEY",
+                     tag, "SW_REASON", access_verdict_name(verdict), "MESSAGE",
+                     "A start for %s is refused: %s.", session->database,
+                     access_verdict_name(verdict));
+    metrics_count(&session->worker->metrics,
+                  unproven ? METRICS_REFUSED_UNPROVEN : METRICS_REFUSED_KEYS);
+    wire_write_error(&session->out, code, answer_meaning(code)->advice);
+    session_flush(session);
+    session_end(session);
+}
+
 static void
 start_session(struct session *session, const struct client_message *message)
 {
@@ -188,6 +206,12 @@
         session_end(session);
         return;
     }
+    session->key = span_copy(message->key);
+    access_verdict_t verdict = access_check(session);
+    if (verdict != ACCESS_GRANTED) {
+        refuse_start(session, verdict);
+        return;
+    }
     session->state = SESSION_IDLE;
     wire_write_ready(&session->out, TRANSACTION_STATE_NONE, NULL);
     session_flush(session);
--- a/src/pooler/session_statement.c
+++ b/src/pooler/session_statement.c
@@ -32,8 +32,8 @@
         route == NULL ? NULL : g_hash_table_lookup(session->worker->groups, route->service);
     if (group != NULL) {
         session->route = (struct session_route){
-            group,           route->kind,        route->timeout_ms, route->target_ms,
-            route->priority, route->staleness_ms};
+            group,           route->kind,         route->timeout_ms, route->target_ms,
+            route->priority, route->staleness_ms, route->is_public};
         found = true;
     }
     rcu_read_unlock();
@@ -215,6 +215,13 @@
 {
     const struct statement *statement = &session->request.statement;
     bool failed = session->transaction == SESSION_TRANSACTION_FAILED;
+    if (statement->kind != STATEMENT_ROLLBACK) {
+        access_verdict_t verdict = access_check(session);
+        if (verdict != ACCESS_GRANTED) {
+            access_refuse(session, verdict);
+            return;
+        }
+    }
     if (failed && !may_end_failed(statement->kind)) {
         refuse_in_failed(session);
         return;
--- a/src/pooler/wire.h
+++ b/src/pooler/wire.h
@@ -83,7 +83,7 @@
 struct client_message {
     enum client_message_kind kind;
     struct span database; /* of a start */
-    struct span user;     /* of a start */
+    struct span key;      /* of a start: says who the client is; a secret */
     struct statement statement;
 };
 
@@ -135,8 +135,9 @@
 void wire_write_complete(struct buffer *out, const struct span *signature);
 void wire_write_error(struct buffer *out, enum answer_code code, const char *text);
 
-/* Towards databases. `after` may be NULL. */
-void wire_write_start(struct buffer *out, const char *service, const char *database);
+/* Towards databases. `after` may be NULL. `tenant`: for whom the connection is. */
+void wire_write_start(struct buffer *out, const char *service, const char *tenant,
+                      const char *database);
 void wire_write_statement(struct buffer *out, struct span id, const struct log_position *after,
                           struct span text);
 void wire_write_execute(struct buffer *out, struct span id, const struct log_position *after,
--- a/src/pooler/worker.c
+++ b/src/pooler/worker.c
@@ -146,6 +146,7 @@
     const struct view *view = rcu_dereference(worker->shared->view);
     uint64_t before = worker->view_number;
     if (view != NULL && view->number != before) {
+        worker->has_tenants = view->configuration != NULL && view->configuration->keys != NULL;
         apply_groups(worker, view);
         if (view->configuration != NULL) {
             worker->transaction_idle =
--- a/src/pooler/worker.h
+++ b/src/pooler/worker.h
@@ -25,6 +25,9 @@
     struct sockaddr_in listen;
     struct sockaddr_in forward_listen; /* for other poolers' statements; port 0: nowhere */
     uint32_t sessions_max;
+    /* The configuration of the newest view was the store's newest then; 0: never proven. */
+    _Atomic time_ns configuration_proven_at;
+    time_ns proof_lifetime; /* for which that counts; 0: no proof is asked for */
 };
 
 /* Starts the thread. NULL with `error` if it can't listen. `index` counts from 0. */
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -10,6 +10,7 @@
 #include <urcu-bp.h>
 
 #include "backend/clock.h"
+#include "pooler/access/access.h"
 #include "pooler/buffer.h"
 #include "pooler/forward.h"
 #include "pooler/freshness.h"
@@ -48,6 +49,7 @@
     uint32_t target_ms;
     uint32_t priority;
     uint32_t staleness_ms;
+    bool is_public; /* needs no key */
 };
 
 /* The statement that a session asks at the moment. */
@@ -61,6 +63,7 @@
     time_ns sent;        /* when it was last sent to a database */
     const char *sent_to; /* id of that database, NULL: to none yet */
     time_ns not_before;  /* it is not sent again before */
+    time_ns opened_at;   /* a connection was last opened for it */
     uint32_t attempts;
     bool may_have_run;   /* it was sent to a database */
     const char *refusal; /* why it was refused as it came; NULL: it was not */
@@ -106,6 +109,8 @@
     bool read_only;       /* the transaction only reads */
     bool statements_run;  /* the open transaction has run a statement */
     char *database;       /* as named at the start; NULL before */
+    char *key;            /* as named at the start: a secret; NULL before */
+    const char *tenant;   /* who holds the key, interned; NULL before it was looked up */
     GHashTable *values;   /* name -> value; NULL while there is none */
     GHashTable *prepared; /* name -> struct prepared; NULL while there is none */
     struct session_route route;
@@ -144,6 +149,7 @@
 
 struct server {
     struct database *database;
+    const char *tenant; /* for whom it was opened, interned */
     int socket;
     struct event *readable;
     struct event *writable;
@@ -252,6 +258,7 @@
     bool tick_armed;
     _Atomic uint64_t view_number; /* of the view that is followed; 0: none yet */
     time_ns refreshed_at;         /* groups whose view has not changed were looked after */
+    bool has_tenants;             /* clients are known by keys */
     time_ns transaction_idle;     /* an open transaction that rests longer is rolled back */
     GHashTable *groups;           /* service -> struct group */
     GHashTable *links;            /* address as text -> link_t */
@@ -301,8 +308,9 @@
 void session_check_stop(struct session *session, time_ns now);
 
 /* server.c */
-/* Opens a connection; `why` is one of METRICS_OPENED_*. NULL if no socket could be had. */
-struct server *server_open(struct database *database, enum metrics_counter why);
+/* Opens a connection for a tenant, or, for questions of our own, as nobody's (access_nobody). `why`
+ * is one of METRICS_OPENED_*. NULL if no socket could be had. */
+struct server *server_open(struct database *database, const char *tenant, enum metrics_counter why);
 void server_free(struct server *server);
 /* Gives the connection up; a session that it serves is told with the reason. */
 void server_close(struct server *server, enum answer_code reason);
@@ -326,11 +334,14 @@
 /* database.c */
 struct database *database_new(struct group *group, struct member_shared *shared);
 void database_free(struct database *database);
-/* An idle connection that suits the session best; NULL if there is none. */
+/* An idle connection of the session's tenant that suits it best; NULL if there is none. */
 struct server *database_idle_server(const struct database *database, const struct session *session);
 /* Any idle connection; NULL if there is none. */
 struct server *database_any_idle(const struct database *database);
 bool database_may_open(const struct database *database, time_ns now);
+/* Makes room for a connection, where there is none, by closing the idle one unused for longest.
+ * False if none is idle. */
+bool database_make_room(struct database *database);
 /* Opens what the next statements are likely to need. */
 void database_make_ready(struct database *database, time_ns now);
 void database_set_fault(struct database *database, enum database_fault fault, time_ns now);
--- a/tests/pooler/test_line_wire.c
+++ b/tests/pooler/test_line_wire.c
@@ -24,7 +24,7 @@
     struct client_message message = read_text("STARTUP lepu270 u3f1\r\n");
     g_assert_cmpint(message.kind, ==, CLIENT_MESSAGE_START);
     assert_span(message.database, "lepu270");
-    assert_span(message.user, "u3f1");
+    assert_span(message.key, "u3f1");
 }
 
 static void
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -69,6 +69,8 @@
     ("refusal where the primary is lost", "src/pooler/router.c",
      "return need.primary && primary_is_lost(session, &need, backend_now());",
      "return need.primary && primary_is_lost(session, &need, backend_now()) && false;"),
+    ("proof that keys stand", "src/pooler/access/evidence.c",
+     "return lifetime == 0 || (proven_at != 0 && now < proven_at + lifetime);", "return true;"),
     ("first objective first", "src/pooler/router.c", "return objective_of(a) < objective_of(b);",
      "return objective_of(a) - objective_of(a) + a->request.arrived < b->request.arrived;"),
 ]
