Bound each tenant's operations over all machines: shares with one home each

A tenant's limit is divided into five shares; each is counted by one pooler, found by weighted rendezvous hashing over the fleet. A pooler asks a home for leave when an operation begins, between its client's sending and any database, so what runs in a window is what homes gave leave for in it. A home counts only while its list of members is current; members that leave keep their places for 10 s, and those that join count 5 s later, so that no share has two homes.

--- a/src/pooler/configuration.h
+++ b/src/pooler/configuration.h
@@ -37,7 +37,8 @@
 /** @brief Somebody who is served: known by keys, and limited in operations. */
 typedef struct tenant {
     const char *name;  /* interned: equal names are the same pointer */
-    double rate_per_s; /* operations a second over all poolers together; 0: not limited */
+    bool limited;      /* in operations over all poolers together */
+    double rate_per_s; /* so many a second */
     double burst;      /* operations beyond that which may come at once */
 } tenant_t;
 
--- a/src/pooler/control_fleet.c
+++ b/src/pooler/control_fleet.c
@@ -10,6 +10,8 @@
  */
 #define G_LOG_DOMAIN "fleet"
 #include "pooler/control_internal.h"
+#include "pooler/rate/roster.h"
+#include "wire/address.h"
 
 #include <string.h>
 
@@ -65,6 +67,8 @@
     added->workers = member->workers;
     added->weight = member->weight;
     added->gone = member->gone;
+    added->away = member->away;
+    added->entering = member->entering;
 }
 
 uint64_t
@@ -84,7 +88,8 @@
     g_hash_table_iter_init(&iterator, members);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const fleet_member_t *member = value;
-        if (out->base == 0 ? !member->gone : member->version > out->base) {
+        bool listed = !member->gone || member->away;
+        if (out->base == 0 ? listed : member->version > out->base) {
             add_member(out, member);
         }
     }
@@ -108,6 +113,7 @@
             fleet_join(fleet, member->address, member->zone, member->workers, member->weight,
                        told->version);
         }
+        fleet_set_counting(fleet, member->address, member->away, member->entering, told->version);
     }
     if (told->base == 0) {
         fleet_leave_older(fleet, told->version);
@@ -116,6 +122,76 @@
     control->view_dirty = true;
 }
 
+void
+control_fleet_rely(struct control *control, time_ns moment)
+{
+    control->roster_until = MAX(control->roster_until, moment + ROSTER_CURRENT_NS);
+}
+
+static bool
+is_listed(const fleet_member_t *member)
+{
+    return !member->gone || member->away;
+}
+
+static size_t
+count_listed(const struct control *control)
+{
+    size_t count = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, fleet_members(control->fleet));
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        count += is_listed(value);
+    }
+    return count;
+}
+
+static void
+fill_roster_member(const struct control *control, const fleet_member_t *member,
+                   roster_member_t *out)
+{
+    if (!parse_address(member->address, &out->socket_address)) {
+        g_warning("A pooler's address can't be read: %s.", member->address);
+    }
+    out->address = g_strdup(member->address);
+    out->weight = member->weight;
+    out->same_zone = g_str_equal(member->zone, control->settings->pooler.zone);
+    out->self = g_str_equal(member->address, control->settings->pooler.forward_listen);
+    out->away = member->gone;
+    out->entering = member->entering;
+}
+
+static roster_t *
+make_roster(const struct control *control)
+{
+    roster_t *roster = roster_new(fleet_generation(control->fleet), count_listed(control));
+    size_t place = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, fleet_members(control->fleet));
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        if (is_listed(value)) {
+            fill_roster_member(control, value, &roster->members[place++]);
+        }
+    }
+    return roster;
+}
+
+roster_t *
+control_fleet_roster(struct control *control)
+{
+    uint64_t generation = fleet_generation(control->fleet);
+    if (generation != 0 && (control->roster == NULL || control->roster->revision != generation)) {
+        g_clear_pointer(&control->roster, roster_unref);
+        control->roster = make_roster(control);
+        if (control->shared.counting != NULL) {
+            counting_set_roster(control->shared.counting, control->roster, backend_now());
+        }
+    }
+    return control->roster;
+}
+
 /** @brief What this coordinator knows of the poolers, by forward address. */
 typedef struct hearing {
     GHashTable *heard; /* lately */
@@ -234,6 +310,39 @@
     return left;
 }
 
+/* Since when the member's state is as it is, as far as this coordinator knows. */
+static time_ns
+settled_since(struct control *control, fleet_member_t *member, time_ns now)
+{
+    if (member->seen_version != member->version) {
+        member->seen_version = member->version;
+        member->seen_at = now;
+    }
+    return MAX(member->seen_at, control->coordinator_since);
+}
+
+/* Who is away for long loses its place in counting operations; who has had one for long enough that
+ * whoever had it before has stopped, counts. */
+static uint32_t
+settle_counting(struct control *control, uint64_t version, time_ns now)
+{
+    uint32_t changed = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, fleet_members(control->fleet));
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        fleet_member_t *member = value;
+        time_ns since = settled_since(control, member, now);
+        bool lost = member->away && now >= since + ROSTER_AWAY_NS;
+        bool entered = !member->gone && member->entering && now >= since + ROSTER_ENTERING_NS;
+        if (lost || entered) {
+            changed += fleet_set_counting(control->fleet, member->address, member->away && !lost,
+                                          member->entering && !entered, version);
+        }
+    }
+    return changed;
+}
+
 /* Shares fall at once as the fleet grows, and grow only once it is certainly smaller. */
 static uint32_t
 count_damped(uint32_t counted, uint32_t size)
@@ -252,9 +361,10 @@
     find_thin(control, &hearing, now);
     uint32_t left = leave_missing(control, version, &hearing, now);
     hearing_clear(&hearing);
+    uint32_t settled = settle_counting(control, version, now);
     uint32_t size = fleet_size(control->fleet);
     uint32_t counted = count_damped(fleet_counted(control->fleet), size);
-    bool changed = joined + left > 0 || counted != fleet_counted(control->fleet);
+    bool changed = joined + left + settled > 0 || counted != fleet_counted(control->fleet);
     fleet_set_counted(control->fleet, counted, version);
     if (changed) {
         g_info("The fleet has %u poolers, counted as %u: %u have joined, %u have left.", size,
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -251,6 +251,8 @@
     time_ns groups_looked_at; /* all of them, last */
     control_counts_t counts;  /* since the start */
     fleet_t *fleet;           /* the poolers that share connections */
+    roster_t *roster;         /* those of them that count operations; NULL: none is known */
+    time_ns roster_until;     /* it is relied on until then */
     time_ns fleet_at;         /* when it is decided next */
     time_ns thin_since;       /* many of it have been missing since then; 0: they are not */
     GHashTable *fresh;    /* of forward addresses: poolers heard lately, by this survey; empty until
@@ -363,6 +365,11 @@
 /** @return true while a new coordinator expects to hear more poolers before it decides. */
 bool control_fleet_early(const struct control *control, time_ns now);
 /** @brief Decides who belongs to the fleet. @return true if anything has changed. */
+/** @return the roster as it is to be published; NULL if no fleet is known. */
+roster_t *control_fleet_roster(struct control *control);
+/** @brief The fleet as it is known here was the coordinator's at that moment, or later. */
+void control_fleet_rely(struct control *control, time_ns moment);
+/** @brief Decides who belongs to the fleet. @return true if anything has changed. */
 bool control_fleet_decide(struct control *control, time_ns now);
 /** @brief Decides from time to time, at the coordinator, and tells the poolers of changes. */
 void control_fleet_tick(struct control *control, time_ns now);
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control_lease.c
@@ -328,6 +328,18 @@
     return now + every / 2 + (time_ns)g_random_int_range(0, (gint32)(every / MS)) * MS;
 }
 
+/* The holder has told others of no later change of the fleet than one lease's length before: it
+ * wrote the row so often, or it was no longer the holder. */
+static void
+rely_on_row(struct control *control)
+{
+    const struct lease *lease = &control->lease;
+    uint64_t told = lease->record.fleet.version;
+    if (told != 0 && control_fleet_version(control) == told && lease->call_sent > LEASE_NS) {
+        control_fleet_rely(control, lease->call_sent - LEASE_NS);
+    }
+}
+
 static void
 on_looked(void *user, const struct store_answer *answer)
 {
@@ -342,6 +354,7 @@
     }
     note_clock(control, answer, now);
     take_rows(control, answer);
+    rely_on_row(control);
     lease->next_at = next_look(control, answer, now);
     log_answer(control, "read", answer, now);
     consider(control, now);
--- a/src/pooler/control_member.c
+++ b/src/pooler/control_member.c
@@ -274,6 +274,9 @@
     }
     take_permits(control, grant->token, sent == 0 ? 0 : sent + grant->permit_ms * MS);
     control_fleet_take(control, &grant->fleet);
+    if (sent != 0 && control_fleet_version(control) >= grant->fleet.version) {
+        control_fleet_rely(control, sent);
+    }
     control_relay_take(control, &grant->relay);
     control_relay_take_proof(control, &grant->relay, sent);
     control_relay_rely(control, grant, now);
--- a/src/pooler/control_view.c
+++ b/src/pooler/control_view.c
@@ -238,6 +238,8 @@
     struct view *view = g_new0(struct view, 1);
     view->number = ++control->view_number;
     view->configuration = configuration_ref(control->configuration);
+    roster_t *roster = control_fleet_roster(control);
+    view->roster = roster == NULL ? NULL : roster_ref(roster);
     view->groups = g_new0(struct pooled_group *, services->len + 1);
     for (guint i = 0; i < services->len; i++) {
         view->groups[i] = group_to_publish(control, g_ptr_array_index(services, i), now);
@@ -262,6 +264,9 @@
     }
     /* After the view: a worker that sees this moment sees the configuration that it is told of. */
     atomic_store(&control->shared.configuration_proven_at, control->proven_at);
+    if (control->shared.counting != NULL) {
+        counting_rely_until(control->shared.counting, control->roster_until);
+    }
 }
 
 /* True if some database is known that no fault stands against. */
--- a/src/pooler/fleet.c
+++ b/src/pooler/fleet.c
@@ -198,6 +198,8 @@
         take_out(fleet, member);
         forget_owners(fleet);
     }
+    member->entering = member->entering || (member->gone ? !member->away : member->version == 0);
+    member->away = false;
     member->zone = interned;
     member->zone_index = zone_index(fleet, interned);
     member->workers = workers;
@@ -219,18 +221,46 @@
         return false;
     }
     take_out(fleet, member);
+    member->away = true;
     note_change(fleet, member, version);
     find_workers_most(fleet);
     return true;
 }
 
+bool
+fleet_set_counting(fleet_t *fleet, const char *address, bool away, bool entering, uint64_t version)
+{
+    fleet_member_t *member = g_hash_table_lookup(fleet->members, address);
+    if (member == NULL) {
+        return false;
+    }
+    member->confirmed = MAX(member->confirmed, version);
+    if (member->away == away && member->entering == entering) {
+        return false;
+    }
+    member->away = away;
+    member->entering = entering;
+    note_change(fleet, member, version);
+    return true;
+}
+
+uint64_t
+fleet_generation(const fleet_t *fleet)
+{
+    return fleet->generation;
+}
+
 void
 fleet_leave_older(fleet_t *fleet, uint64_t version)
 {
-    for (guint i = fleet->living->len; i > 0; i--) {
-        const fleet_member_t *member = g_ptr_array_index(fleet->living, i - 1);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, fleet->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const fleet_member_t *member = value;
         if (member->confirmed < version) {
             fleet_leave(fleet, member->address, version);
+            fleet_set_counting(fleet, member->address, false, member->entering, version);
         }
     }
 }
--- a/src/pooler/fleet.h
+++ b/src/pooler/fleet.h
@@ -18,6 +18,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/types.h"
+
 /** @brief A pooler that may own groups. Lives as long as its fleet. */
 typedef struct fleet_member {
     char *address;    /* where it takes forwarded statements */
@@ -26,9 +28,14 @@
     uint32_t weight;  /* twice the weight, twice the groups; above 0 */
     uint64_t version; /* of its last change */
     bool gone;
+    bool away;     /* gone, and may come back: it keeps its place in counting operations */
+    bool entering; /* has a place in counting operations, and does not count yet */
     /* Private. */
     uint64_t confirmed; /* newest version of which it was told that it is there */
     guint zone_index;
+    /* For the coordinator: when it first saw the member's state of this version. */
+    uint64_t seen_version;
+    time_ns seen_at;
 } fleet_member_t;
 
 /** @brief Who holds the connections to one group's databases. */
@@ -58,6 +65,14 @@
 /** @brief Marks a member as gone. @return false if it was not there. */
 bool fleet_leave(fleet_t *fleet, const char *address, uint64_t version);
 
+/** @brief Sets a member's part in counting operations (rate/roster.h), as of `version`.
+ *  @return true if anything has changed. */
+bool fleet_set_counting(fleet_t *fleet, const char *address, bool away, bool entering,
+                        uint64_t version);
+
+/** @return a number that differs after each change of any member. */
+uint64_t fleet_generation(const fleet_t *fleet);
+
 /** @brief Takes all members out that no call has named as there in `version` or since. */
 void fleet_leave_older(fleet_t *fleet, uint64_t version);
 
--- a/src/pooler/forward.c
+++ b/src/pooler/forward.c
@@ -84,6 +84,10 @@
 static void
 tell_lost(struct session *session, bool left)
 {
+    if (session->state == SESSION_ADMITTING) {
+        admission_lost(session);
+        return;
+    }
     if (!left && session->state == SESSION_RUNNING) {
         session->request.may_have_run = false;
         session_try_again(session, ANSWER_BUSY);
@@ -154,6 +158,12 @@
         return;
     }
     stop_running(session);
+    if (session->forward.leave) {
+        const admission_answer_t leave = {answer->declined, answer->refused, answer->retry_ms};
+        detach(session);
+        admission_answered(session, &leave);
+        return;
+    }
     if (answer->declined) {
         decline(session, link, now);
         return;
@@ -383,6 +393,24 @@
     ask->own_commit_age_us = age_us(now, session->own_commit_at);
 }
 
+static void
+open_channel(struct session *session, link_t *link, bool leave)
+{
+    session->forward = (session_forward_t){link, ++link->last_channel, false, leave};
+    g_hash_table_insert(link->channels, &session->forward.channel, session);
+}
+
+/* Something is asked whose answer is awaited. */
+static void
+note_asking(struct session *session, time_ns now)
+{
+    link_t *link = session->forward.link;
+    if (link->running++ == 0) {
+        link->quiet_since = now;
+    }
+    session->forward.running = true;
+}
+
 static void
 send_statement(struct session *session, bool opens)
 {
@@ -400,16 +428,31 @@
     if (opens) {
         fill_opening(session, now, &ask);
     }
-    if (link->running++ == 0) {
-        link->quiet_since = now;
-    }
-    session->forward.running = true;
+    note_asking(session, now);
     request->may_have_run = true;
     request->sent_to = link->text;
     send_ask(link, &ask);
     forward_ask_clear(&ask);
 }
 
+bool
+forward_ask_leave(struct session *session, link_t *link, const char *tenant)
+{
+    time_ns now = backend_now();
+    if (now < link->avoid_until || !link_connect(link)) {
+        return false;
+    }
+    struct forward_ask ask;
+    forward_ask_init(&ask);
+    open_channel(session, link, true);
+    note_asking(session, now);
+    ask.channel = session->forward.channel;
+    ask.admits = g_strdup(tenant);
+    send_ask(link, &ask);
+    forward_ask_clear(&ask);
+    return true;
+}
+
 bool
 forward_start(struct session *session)
 {
@@ -417,9 +460,7 @@
     if (link == NULL || !link_connect(link)) {
         return false;
     }
-    session->forward.link = link;
-    session->forward.channel = ++link->last_channel;
-    g_hash_table_insert(link->channels, &session->forward.channel, session);
+    open_channel(session, link, false);
     metrics_count(&session->worker->metrics, METRICS_FORWARDED);
     send_statement(session, true);
     return true;
@@ -443,7 +484,7 @@
     ask.channel = session->forward.channel;
     ask.ends = true;
     detach(session);
-    if (link->peer != NULL) {
+    if (link->peer != NULL && !session->forward.leave) {
         send_ask(link, &ask);
     }
     forward_ask_clear(&ask);
--- a/src/pooler/metrics.c
+++ b/src/pooler/metrics.c
@@ -28,6 +28,10 @@
     [METRICS_OPENED_IN_PLACE] = "database_connections_replaced",
     [METRICS_FOUND_OPEN] = "database_connections_found_open",
     [METRICS_REFUSED_KEYS] = "refused_unknown_key",
+    [METRICS_REFUSED_RATE] = "refused_above_limit",
+    [METRICS_REFUSED_NO_HOME] = "refused_without_home",
+    [METRICS_LEAVE_ASKED] = "leave_asked",
+    [METRICS_LEAVE_UNANSWERED] = "leave_unanswered",
     [METRICS_REFUSED_UNPROVEN] = "refused_without_proof",
 };
 
--- a/src/pooler/metrics.h
+++ b/src/pooler/metrics.h
@@ -40,6 +40,11 @@
     METRICS_FOUND_OPEN,   /* statements and transactions that found a connection of their tenant */
     METRICS_REFUSED_KEYS, /* starts and statements whose key nobody holds */
     METRICS_REFUSED_UNPROVEN, /* statements refused for want of proof that their key stands */
+    METRICS_REFUSED_RATE,     /* operations above their tenant's limit */
+    METRICS_REFUSED_NO_HOME,  /* operations for which no home of the limit gave leave or refused it
+                               */
+    METRICS_LEAVE_ASKED,      /* questions for leave to begin an operation, sent to other poolers */
+    METRICS_LEAVE_UNANSWERED, /* of these, without an answer in time */
     METRICS_COUNTER_COUNT,
 };
 
--- /dev/null
+++ b/src/pooler/rate/admission.c
@@ -0,0 +1,306 @@
+/* Leave to begin an operation; see the header. */
+#define G_LOG_DOMAIN "rate"
+#include "pooler/rate/admission.h"
+
+#include "pooler/rate/counting.h"
+#include "pooler/session_internal.h"
+
+/* A home that has not answered for so long is passed over for this operation: some times the way to
+ * another zone and back (4 ms), on a machine whose quota of a tenth of a second is spent. */
+#define ANSWER_WAIT_NS (60 * NANOSECONDS_PER_MILLISECOND)
+
+/* A home that declined, or did not answer, is asked last for so long: a coordinator's next answer
+ * to it comes within a quarter of a second. */
+#define AVOID_NS (250 * NANOSECONDS_PER_MILLISECOND)
+
+/* What a client is told that no home can give leave: when the next one is likely to. */
+#define NO_HOME_RETRY_MS 300U
+
+/** @brief One home of a tenant's limit. */
+typedef struct home {
+    link_t *link; /* NULL: this pooler */
+    bool near;
+    time_ns empty_until; /* it has refused; none of its shares has leave before */
+    time_ns avoid_until;
+} home_t;
+
+/** @brief The homes of one tenant's limit, as of one roster. */
+typedef struct homes {
+    uint64_t revision;
+    unsigned count;
+    home_t homes[ROSTER_SHARES];
+} homes_t;
+
+GHashTable *
+admission_homes_new(void)
+{
+    return g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+}
+
+static bool
+has_home(const homes_t *homes, const link_t *link)
+{
+    for (unsigned i = 0; i < homes->count; i++) {
+        if (homes->homes[i].link == link) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Members that don't count are left out. */
+static void
+find_homes(struct worker *worker, const roster_t *roster, const char *tenant, homes_t *out)
+{
+    size_t places[ROSTER_SHARES];
+    out->revision = roster->revision;
+    out->count = 0;
+    if (roster->count == 0) {
+        return;
+    }
+    roster_homes(roster, tenant, places);
+    for (unsigned i = 0; i < ROSTER_SHARES; i++) {
+        const roster_member_t *member = &roster->members[places[i]];
+        link_t *link =
+            member->self ? NULL : link_of(worker, member->address, &member->socket_address);
+        if (!member->away && !member->entering && !has_home(out, link)) {
+            out->homes[out->count++] = (home_t){link, member->same_zone, 0, 0};
+        }
+    }
+}
+
+static homes_t *
+homes_of(struct worker *worker, const char *tenant)
+{
+    homes_t *homes = g_hash_table_lookup(worker->homes, tenant);
+    rcu_read_lock();
+    const struct view *view = rcu_dereference(worker->shared->view);
+    const roster_t *roster = view == NULL ? NULL : view->roster;
+    if (homes == NULL) {
+        homes = g_new0(homes_t, 1);
+        g_hash_table_insert(worker->homes, (gpointer)tenant, homes);
+    }
+    if (roster != NULL && homes->revision != roster->revision) {
+        find_homes(worker, roster, tenant, homes);
+    }
+    rcu_read_unlock();
+    return homes;
+}
+
+/* False if the tenant is not limited, or not known. */
+static bool
+find_limit(const struct worker *worker, const char *name, tenant_t *out)
+{
+    rcu_read_lock();
+    const struct view *view = rcu_dereference(worker->shared->view);
+    const tenant_t *tenant = view == NULL || view->configuration == NULL
+                                 ? NULL
+                                 : configuration_tenant(view->configuration, name);
+    bool limited = tenant != NULL && tenant->limited;
+    if (limited) {
+        *out = *tenant;
+    }
+    rcu_read_unlock();
+    return limited;
+}
+
+/* Low is better: this pooler, then homes of this zone, then those of others; last, those that did
+ * not answer. */
+static unsigned
+cost_of(const home_t *home, time_ns now)
+{
+    if (now < home->avoid_until) {
+        return 3;
+    }
+    return home->link == NULL ? 0 : (home->near ? 1 : 2);
+}
+
+/* The home to ask next; -1 if there is none. */
+static int
+choose(const struct session *session, const homes_t *homes, time_ns now)
+{
+    int best = -1;
+    for (unsigned i = 0; i < homes->count; i++) {
+        const home_t *home = &homes->homes[i];
+        bool asked = (session->request.homes_asked & (1U << i)) != 0;
+        if (asked || now < home->empty_until) {
+            continue;
+        }
+        if (best < 0 || cost_of(home, now) < cost_of(&homes->homes[best], now)) {
+            best = (int)i;
+        }
+    }
+    return best;
+}
+
+static void
+admit(struct session *session)
+{
+    session_route(session);
+}
+
+/* When the first home has leave again; 0 if none has refused. */
+static time_ns
+first_leave(const homes_t *homes, time_ns now)
+{
+    time_ns first = 0;
+    for (unsigned i = 0; i < homes->count; i++) {
+        time_ns until = homes->homes[i].empty_until;
+        if (until > now && (first == 0 || until < first)) {
+            first = until;
+        }
+    }
+    return first;
+}
+
+static void
+refuse(struct session *session, const homes_t *homes, time_ns now)
+{
+    time_ns first = first_leave(homes, now);
+    uint32_t wait_ms = NO_HOME_RETRY_MS;
+    if (first != 0) {
+        wait_ms = (uint32_t)((first - now) / NANOSECONDS_PER_MILLISECOND) + 1;
+    }
+    metrics_count(&session->worker->metrics,
+                  first != 0 ? METRICS_REFUSED_RATE : METRICS_REFUSED_NO_HOME);
+    session->request.refusal = first != 0 ? "the tenant is at its limit" : "no home of its limit";
+    session_refuse_operation(session, first != 0 ? ANSWER_OVERLOADED : ANSWER_BUSY, wait_ms);
+}
+
+static void
+note_refusal(home_t *home, time_ns now, time_ns wait)
+{
+    home->empty_until = now + wait;
+}
+
+/* Asks this pooler's own shares. True if leave was given. */
+static bool
+ask_here(struct session *session, const tenant_t *tenant, home_t *home, time_ns now)
+{
+    time_ns wait = 0;
+    switch (counting_take(session->worker->shared->counting, tenant, now, &wait)) {
+    case LEAVE_GIVEN:
+        return true;
+    case LEAVE_REFUSED:
+        note_refusal(home, now, wait);
+        break;
+    case LEAVE_DECLINED:
+        home->avoid_until = now + AVOID_NS;
+        break;
+    }
+    return false;
+}
+
+static void
+ask_next(struct session *session, const tenant_t *tenant)
+{
+    homes_t *homes = homes_of(session->worker, tenant->name);
+    time_ns now = backend_now();
+    for (int i = choose(session, homes, now); i >= 0; i = choose(session, homes, now)) {
+        home_t *home = &homes->homes[i];
+        session->request.homes_asked |= 1U << i;
+        session->request.home = (unsigned)i;
+        session->request.homes_revision = homes->revision;
+        if (home->link == NULL) {
+            if (ask_here(session, tenant, home, now)) {
+                admit(session);
+                return;
+            }
+        } else if (forward_ask_leave(session, home->link, tenant->name)) {
+            metrics_count(&session->worker->metrics, METRICS_LEAVE_ASKED);
+            session->state = SESSION_ADMITTING;
+            session_set_timer(session, now + ANSWER_WAIT_NS);
+            return;
+        }
+    }
+    refuse(session, homes, now);
+}
+
+void
+admission_begin(struct session *session)
+{
+    tenant_t tenant;
+    session->request.homes_asked = 0;
+    bool counted = session->worker->shared->counting != NULL && session->forwarded.caller == NULL;
+    if (!counted || !find_limit(session->worker, session->tenant, &tenant)) {
+        admit(session);
+        return;
+    }
+    ask_next(session, &tenant);
+}
+
+/* The home that was asked last; NULL if the homes have changed since. */
+static home_t *
+asked_home(struct session *session)
+{
+    homes_t *homes = homes_of(session->worker, session->tenant);
+    bool same = homes->revision == session->request.homes_revision;
+    if (!same) {
+        session->request.homes_asked = 0;
+    }
+    return same ? &homes->homes[session->request.home] : NULL;
+}
+
+static void
+go_on(struct session *session)
+{
+    tenant_t tenant;
+    if (find_limit(session->worker, session->tenant, &tenant)) {
+        ask_next(session, &tenant);
+    } else {
+        admit(session);
+    }
+    if (session->state == SESSION_IDLE) {
+        session_process(session);
+    }
+}
+
+void
+admission_answered(struct session *session, const admission_answer_t *answer)
+{
+    time_ns now = backend_now();
+    home_t *home = asked_home(session);
+    if (!answer->declined && !answer->refused) {
+        admit(session);
+        if (session->state == SESSION_IDLE) {
+            session_process(session);
+        }
+        return;
+    }
+    if (home != NULL && answer->refused) {
+        note_refusal(home, now, answer->retry_ms * NANOSECONDS_PER_MILLISECOND);
+    } else if (home != NULL) {
+        home->avoid_until = now + AVOID_NS;
+    }
+    go_on(session);
+}
+
+void
+admission_lost(struct session *session)
+{
+    home_t *home = asked_home(session);
+    metrics_count(&session->worker->metrics, METRICS_LEAVE_UNANSWERED);
+    if (home != NULL) {
+        home->avoid_until = backend_now() + AVOID_NS;
+    }
+    go_on(session);
+}
+
+admission_answer_t
+admission_give(struct worker *worker, const char *name)
+{
+    tenant_t tenant;
+    time_ns wait = 0;
+    if (worker->shared->counting == NULL || !find_limit(worker, name, &tenant)) {
+        return (admission_answer_t){.declined = true};
+    }
+    switch (counting_take(worker->shared->counting, &tenant, backend_now(), &wait)) {
+    case LEAVE_GIVEN:
+        return (admission_answer_t){0};
+    case LEAVE_REFUSED:
+        return (admission_answer_t){.refused = true,
+                                    .retry_ms = (uint32_t)(wait / NANOSECONDS_PER_MILLISECOND) + 1};
+    default:
+        return (admission_answer_t){.declined = true};
+    }
+}
--- /dev/null
+++ b/src/pooler/rate/admission.h
@@ -0,0 +1,44 @@
+/**
+ * @file
+ * @brief Leave to begin an operation, asked for a session at the homes of its tenant's limit
+ * (roster.h). All functions belong to the session's worker.
+ *
+ * A single statement, or a transaction with its first statement, is one operation. Its leave is
+ * asked for where the client is, before the statement is routed or forwarded, so that what is above
+ * a limit takes no connection, slot or place in a queue.
+ */
+#ifndef SW_POOLER_RATE_ADMISSION_H
+#define SW_POOLER_RATE_ADMISSION_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/types.h"
+
+struct session;
+struct worker;
+
+/** @brief What came of asking a home, as it tells. */
+typedef struct admission_answer {
+    bool declined; /* it does not count the tenant's operations now */
+    bool refused;
+    uint32_t retry_ms;
+} admission_answer_t;
+
+/** @return an empty table of the homes that a worker knows, by tenant. */
+GHashTable *admission_homes_new(void);
+
+/** @brief Asks for leave; the statement goes on to the router once it is given. */
+void admission_begin(struct session *session);
+
+/** @brief The home that was asked has answered. */
+void admission_answered(struct session *session, const admission_answer_t *answer);
+
+/** @brief The home that was asked can't be reached, or takes too long: another one is asked. */
+void admission_lost(struct session *session);
+
+/** @brief Answers another pooler's question, as a home. */
+admission_answer_t admission_give(struct worker *worker, const char *tenant);
+
+#endif
--- /dev/null
+++ b/src/pooler/rate/counting.h
@@ -0,0 +1,56 @@
+/**
+ * @file
+ * @brief The shares of tenants' limits that this pooler counts (roster.h). One for all workers of
+ * the process; any thread.
+ */
+#ifndef SW_POOLER_RATE_COUNTING_H
+#define SW_POOLER_RATE_COUNTING_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/types.h"
+#include "pooler/configuration.h"
+#include "pooler/rate/bucket.h"
+#include "pooler/rate/roster.h"
+
+/** @brief By how much a limit may be exceeded by all machines together, as the settings say. */
+typedef struct rate_bounds {
+    double window_s; /* any span of so many seconds */
+    double overage;  /* share of the limit over the window */
+    double slack;    /* operations beyond that */
+} rate_bounds_t;
+
+/** @brief What came of asking a home. */
+typedef enum leave {
+    LEAVE_GIVEN,
+    LEAVE_REFUSED,  /* the share is used up */
+    LEAVE_DECLINED, /* this pooler does not count any share of the tenant now */
+} leave_t;
+
+typedef struct counting counting_t;
+
+counting_t *counting_new(const rate_bounds_t *bounds);
+void counting_free(counting_t *counting);
+
+/** @brief Takes over which shares are this pooler's; what it no longer counts is forgotten. */
+void counting_set_roster(counting_t *counting, const roster_t *roster, time_ns now);
+
+/** @brief The list of members is relied on until then. */
+void counting_rely_until(counting_t *counting, time_ns until);
+
+/** @brief Asks for leave to begin one operation, of all shares that this pooler counts.
+ *  @param wait if refused: until one of them has leave again; 0 if never. */
+leave_t counting_take(counting_t *counting, const tenant_t *tenant, time_ns now, time_ns *wait);
+
+/** @return tokens that a share's bucket begins with.
+ *
+ *  What all buckets together begin with, three times in a window, is no more than what the limit
+ *  may be exceeded by, after what each bucket may hold more than its share as it has to hold one.
+ */
+double rate_start_tokens(const rate_bounds_t *bounds, const tenant_t *tenant);
+
+/** @return how one share of the tenant's limit fills. */
+bucket_limit_t rate_share(const tenant_t *tenant);
+
+#endif
--- /dev/null
+++ b/src/pooler/rate/roster.c
@@ -0,0 +1,73 @@
+/* Which poolers count the operations of each tenant; see the header. */
+#include "pooler/rate/roster.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+static void
+clear(gpointer data)
+{
+    roster_t *roster = data;
+    for (size_t i = 0; i < roster->count; i++) {
+        g_free(roster->members[i].address);
+    }
+    g_free(roster->members);
+}
+
+roster_t *
+roster_new(uint64_t revision, size_t count)
+{
+    roster_t *roster = g_rc_box_new0(roster_t);
+    roster->revision = revision;
+    roster->count = count;
+    roster->members = g_new0(roster_member_t, count);
+    return roster;
+}
+
+roster_t *
+roster_ref(roster_t *roster)
+{
+    return g_rc_box_acquire(roster);
+}
+
+void
+roster_unref(roster_t *roster)
+{
+    g_rc_box_release_full(roster, clear);
+}
+
+/* Weighted rendezvous hashing: the highest score wins, in proportion to the weights. */
+static double
+score_of(const roster_member_t *member, uint64_t seed)
+{
+    uint64_t hash = XXH3_64bits_withSeed(member->address, strlen(member->address), seed);
+    double uniform = ((double)(hash >> 11) + 0.5) / (double)(UINT64_C(1) << 53);
+    return -(double)member->weight / log(uniform);
+}
+
+static size_t
+home_of(const roster_t *roster, uint64_t seed)
+{
+    size_t best = 0;
+    double best_score = -1;
+    for (size_t i = 0; i < roster->count; i++) {
+        double score = score_of(&roster->members[i], seed);
+        bool same = score == best_score;
+        if (score > best_score ||
+            (same && strcmp(roster->members[i].address, roster->members[best].address) < 0)) {
+            best = i;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+void
+roster_homes(const roster_t *roster, const char *tenant, size_t out[ROSTER_SHARES])
+{
+    uint64_t seed = XXH3_64bits(tenant, strlen(tenant));
+    for (unsigned share = 0; share < ROSTER_SHARES && roster->count > 0; share++) {
+        out[share] = home_of(roster, seed + share);
+    }
+}
--- a/src/pooler/session.c
+++ b/src/pooler/session.c
@@ -76,7 +76,10 @@
 {
     struct session *session = user;
     struct worker *worker = session->worker;
-    if (session->state == SESSION_QUEUED) {
+    if (session->state == SESSION_ADMITTING) {
+        forward_drop(session);
+        admission_lost(session);
+    } else if (session->state == SESSION_QUEUED) {
         router_leave_queue(session);
         session_answer_lost(session, ANSWER_BUSY);
     } else if (session->state == SESSION_RUNNING) {
--- a/src/pooler/session_answer.c
+++ b/src/pooler/session_answer.c
@@ -29,7 +29,8 @@
 bool
 session_is_busy(const struct session *session)
 {
-    return session->state == SESSION_QUEUED || session->state == SESSION_RUNNING;
+    return session->state == SESSION_ADMITTING || session->state == SESSION_QUEUED ||
+           session->state == SESSION_RUNNING;
 }
 
 /* The session is idle from now on, and its client gets the answer. */
@@ -359,6 +360,18 @@
     }
 }
 
+void
+session_refuse_operation(struct session *session, enum answer_code code, uint32_t retry_ms)
+{
+    g_autofree char *text =
+        g_strdup_printf("%s; retry in %u ms", answer_meaning(code)->advice, retry_ms);
+    if (session->transaction != SESSION_TRANSACTION_NONE) {
+        session_answer_lost(session, ANSWER_ABORTED);
+        return;
+    }
+    session_answer_error(session, code, text);
+}
+
 void
 session_refuse(struct session *session, const char *reason)
 {
--- a/src/pooler/session_statement.c
+++ b/src/pooler/session_statement.c
@@ -175,6 +175,12 @@
         server_run(session->server, session, NULL);
         return;
     }
+    admission_begin(session);
+}
+
+void
+session_route(struct session *session)
+{
     start_request_timer(session);
     router_submit(session);
 }
--- a/src/pooler/view.c
+++ b/src/pooler/view.c
@@ -42,6 +42,7 @@
         pooled_group_unref(view->groups[i]);
     }
     g_free(view->groups);
+    g_clear_pointer(&view->roster, roster_unref);
     g_clear_pointer(&view->configuration, configuration_unref);
     g_free(view);
 }
--- a/src/pooler/view.h
+++ b/src/pooler/view.h
@@ -12,6 +12,7 @@
 #include "core/types.h"
 #include "generated/messages.h"
 #include "pooler/configuration.h"
+#include "pooler/rate/roster.h"
 
 #define WORKERS_MAX 64
 
@@ -72,6 +73,7 @@
 struct view {
     uint64_t number;                     /* rises with each view */
     struct configuration *configuration; /* NULL until one is known */
+    roster_t *roster;                    /* one reference; NULL until a fleet is known */
     struct pooled_group **groups;        /* one reference each */
     size_t groups_count;
 };
--- a/src/pooler/worker.c
+++ b/src/pooler/worker.c
@@ -318,6 +318,7 @@
     worker->tick = evtimer_new(worker->base, on_tick, worker);
     worker->groups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_group);
     worker->links = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, (GDestroyNotify)link_free);
+    worker->homes = admission_homes_new();
     worker->callers = g_ptr_array_new();
     worker->ended = g_ptr_array_new();
     worker->closed = g_ptr_array_new();
@@ -367,6 +368,7 @@
     event_free(worker->woken);
     event_free(worker->tick);
     g_clear_pointer(&worker->forward_acceptable, event_free);
+    g_hash_table_unref(worker->homes);
     g_hash_table_unref(worker->links);
     g_ptr_array_unref(worker->callers);
     event_base_free(worker->base);
--- a/src/pooler/worker.h
+++ b/src/pooler/worker.h
@@ -11,6 +11,7 @@
 #include <stdatomic.h>
 
 #include "pooler/metrics.h"
+#include "pooler/rate/counting.h"
 #include "pooler/view.h"
 
 struct worker;
@@ -28,6 +29,7 @@
     /* The configuration of the newest view was the store's newest then; 0: never proven. */
     _Atomic time_ns configuration_proven_at;
     time_ns proof_lifetime; /* for which that counts; 0: no proof is asked for */
+    counting_t *counting;   /* of tenants' operations; NULL: none are counted */
 };
 
 /* Starts the thread. NULL with `error` if it can't listen. `index` counts from 0. */
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -15,17 +15,19 @@
 #include "pooler/forward.h"
 #include "pooler/freshness.h"
 #include "pooler/metrics.h"
+#include "pooler/rate/admission.h"
 #include "pooler/view.h"
 #include "pooler/wire.h"
 #include "pooler/worker.h"
 
 /* One client's connection, from its start to its end. */
 enum session_state {
-    SESSION_STARTING, /* has not named its database yet */
-    SESSION_IDLE,     /* nothing is asked */
-    SESSION_QUEUED,   /* a statement waits for a connection to a database */
-    SESSION_RUNNING,  /* a statement is at a database */
-    SESSION_ENDED,    /* closed; freed at the end of the callback */
+    SESSION_STARTING,  /* has not named its database yet */
+    SESSION_IDLE,      /* nothing is asked */
+    SESSION_ADMITTING, /* leave to begin an operation is asked for */
+    SESSION_QUEUED,    /* a statement waits for a connection to a database */
+    SESSION_RUNNING,   /* a statement is at a database */
+    SESSION_ENDED,     /* closed; freed at the end of the callback */
 };
 
 enum session_transaction {
@@ -57,13 +59,16 @@
     char *message; /* the client's message; the spans point into it */
     size_t message_length;
     struct statement statement;
-    bool writes;         /* a write, or the execution of a prepared one */
-    time_ns arrived;     /* when it was read */
-    time_ns deadline;    /* of its route's timeout */
-    time_ns sent;        /* when it was last sent to a database */
-    const char *sent_to; /* id of that database, NULL: to none yet */
-    time_ns not_before;  /* it is not sent again before */
-    time_ns opened_at;   /* a connection was last opened for it */
+    bool writes;             /* a write, or the execution of a prepared one */
+    time_ns arrived;         /* when it was read */
+    time_ns deadline;        /* of its route's timeout */
+    time_ns sent;            /* when it was last sent to a database */
+    const char *sent_to;     /* id of that database, NULL: to none yet */
+    time_ns not_before;      /* it is not sent again before */
+    time_ns opened_at;       /* a connection was last opened for it */
+    uint32_t homes_asked;    /* bit set: homes of the tenant's limit asked for leave */
+    uint32_t home;           /* the one asked last */
+    uint64_t homes_revision; /* these are the homes of that roster */
     uint32_t attempts;
     bool may_have_run;   /* it was sent to a database */
     const char *refusal; /* why it was refused as it came; NULL: it was not */
@@ -85,6 +90,7 @@
     link_t *link;
     uint64_t channel;
     bool running; /* an answer is awaited */
+    bool leave;   /* no statement, but leave to begin an operation is asked for */
 } session_forward_t;
 
 /** @brief Whom a forwarded session belongs to; caller NULL: to a client of this pooler. */
@@ -262,6 +268,7 @@
     time_ns transaction_idle;     /* an open transaction that rests longer is rolled back */
     GHashTable *groups;           /* service -> struct group */
     GHashTable *links;            /* address as text -> link_t */
+    GHashTable *homes;            /* tenant, interned -> homes of its limit, as asked last */
     GPtrArray *callers;           /* caller_t */
     int forward_listener;         /* -1: none */
     struct event *forward_acceptable;
@@ -300,6 +307,10 @@
 void session_try_again(struct session *session, enum answer_code reason);
 /* Its statement is not run, as it would be late; the client is told when to come back. */
 void session_refuse(struct session *session, const char *reason);
+/* The operation is not begun; the client is told when to come back. */
+void session_refuse_operation(struct session *session, enum answer_code code, uint32_t retry_ms);
+/* The operation may begin: its statement goes to the router. */
+void session_route(struct session *session);
 /* Its statement goes to a database. */
 void session_sent(struct session *session);
 /* Goes on with a session whose start came before the first view. */
