Send a tenant's statements to one owner of their zone

Owners of the zone are now ranked for each tenant by rendezvous hashing, and the first one is taken while it has at most six statements more under way than the least busy.

--- a/src/pooler/forward.c
+++ b/src/pooler/forward.c
@@ -14,6 +14,8 @@
 #include "pooler/session_internal.h"
 
 #include <inttypes.h>
+#include <string.h>
+#include <xxhash.h>
 
 /** An owner that has said nothing for so long, while something is asked, is asked for a sign. */
 #define PING_AFTER_NS (150 * NANOSECONDS_PER_MILLISECOND)
@@ -37,6 +39,10 @@
  *  times the way there and back. */
 #define NEAR_FIRST_NS (50 * NANOSECONDS_PER_MILLISECOND)
 
+/** A tenant's owner is passed over where another one has so many statements from here less: below
+ *  OTHER_ZONE_COST, so that a statement leaves its zone for load alone. */
+#define TENANT_COST 6
+
 /** An owner in another zone is taken where the near ones have so many statements more. */
 #define OTHER_ZONE_COST 12
 
@@ -291,30 +297,67 @@
     }
 }
 
-/* The reachable owner with the fewest statements from here, near ones by preference. */
+/** @brief An owner that a statement may go to. */
+typedef struct candidate {
+    link_t *link; /* NULL: none */
+    uint32_t cost;
+    uint64_t rank; /* of the owner for the tenant: the same at all poolers */
+} candidate_t;
+
+static bool
+is_usable(const link_t *link, time_ns now)
+{
+    return !link->doubted && now >= link->avoid_until;
+}
+
+/* Statements from here under way there, near ones by preference. */
+static uint32_t
+cost_of(const struct group *group, guint place)
+{
+    const link_t *link = g_ptr_array_index(group->links, place);
+    return link->running + (place < group->links_near ? 0 : OTHER_ZONE_COST);
+}
+
+static uint32_t
+least_cost(const struct group *group, time_ns now)
+{
+    uint32_t least = UINT32_MAX;
+    for (guint i = 0; i < group->links->len; i++) {
+        if (is_usable(g_ptr_array_index(group->links, i), now)) {
+            least = MIN(least, cost_of(group, i));
+        }
+    }
+    return least;
+}
+
+/* The owner that the tenant's statements of this zone go to, so that they meet connections that are
+ * open for it; another one where that has much more to do than the least busy. */
 static link_t *
-choose_reachable(const struct group *group, time_ns now, uint32_t *best_cost)
+choose_reachable(const struct group *group, const char *tenant, time_ns now, uint32_t *best_cost)
 {
-    link_t *best = NULL;
+    candidate_t best = {0};
+    uint64_t seed = XXH3_64bits(tenant, strlen(tenant));
+    uint32_t least = least_cost(group, now);
     for (guint i = 0; i < group->links->len; i++) {
         link_t *link = g_ptr_array_index(group->links, i);
-        uint32_t cost = link->running + (i < group->links_near ? 0 : OTHER_ZONE_COST);
-        bool usable = !link->doubted && now >= link->avoid_until;
-        if (usable && (best == NULL || cost < *best_cost)) {
-            best = link;
-            *best_cost = cost;
+        const candidate_t candidate = {link, cost_of(group, i),
+                                       XXH3_64bits_withSeed(link->text, strlen(link->text), seed)};
+        bool taken = is_usable(link, now) && candidate.cost <= least + TENANT_COST;
+        if (taken && (best.link == NULL || candidate.rank > best.rank)) {
+            best = candidate;
         }
     }
-    return best;
+    *best_cost = best.cost;
+    return best.link;
 }
 
 /* Links are opened as they are needed: every pooler connected to every owner would be machines
  * squared. Those of other zones only where the near ones are lost, or have much to do. */
 static link_t *
-choose(struct group *group, time_ns now)
+choose(struct group *group, const char *tenant, time_ns now)
 {
     uint32_t cost = 0;
-    link_t *best = choose_reachable(group, now, &cost);
+    link_t *best = choose_reachable(group, tenant, now, &cost);
     if (best != NULL) {
         group->unreached_since = 0;
     } else if (group->unreached_since == 0) {
@@ -456,7 +499,7 @@
 bool
 forward_start(struct session *session)
 {
-    link_t *link = choose(session->route.group, backend_now());
+    link_t *link = choose(session->route.group, session->tenant, backend_now());
     if (link == NULL || !link_connect(link)) {
         return false;
     }
