Learn a database's time from statements that ran; name the tenant in a request's log line

Cause: the moving average took refusals in, which come within a millisecond: a database that was full or lagging looked quick, and got more.

--- a/src/pooler/server_answer.c
+++ b/src/pooler/server_answer.c
@@ -90,7 +90,10 @@
     struct group *group = database->group;
     time_ns now = backend_now();
     double latency = (double)(now - server->sent_at) / (double)NANOSECONDS_PER_MILLISECOND;
-    database->latency_ms += LATENCY_WEIGHT * (latency - database->latency_ms);
+    if (server->code == ANSWER_NONE || !answer_meaning(server->code)->not_run) {
+        /* A refusal comes at once: counted, it would make a full or lagging database look quick. */
+        database->latency_ms += LATENCY_WEIGHT * (latency - database->latency_ms);
+    }
     server->wrote = server->wrote || (server->writes && server->code == ANSWER_NONE);
     if (server->code == ANSWER_BUSY) {
         database_narrow(database, now);
--- a/src/pooler/session_answer.c
+++ b/src/pooler/session_answer.c
@@ -84,7 +84,8 @@
     g_autofree char *waited = g_strdup_printf("%.1f", (double)(now - request->arrived) / 1e6);
     g_autofree char *epoch = g_strdup_printf("%" PRIu64, group == NULL ? 0 : group->epoch);
     g_autofree char *queue = g_strdup_printf("%u", group == NULL ? 0 : group->queue.length);
-    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_REQUEST", id, "SW_KIND",
+    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_REQUEST", id, "SW_TENANT",
+                     session->tenant == NULL ? "" : session->tenant, "SW_KIND",
                      statement_kind_name(request->statement.kind), "SW_ROUTE",
                      session->database == NULL ? "" : session->database, "SW_SERVICE",
                      group == NULL ? "" : group->shared->service, "SW_SENT_TO",
