Believe a far replica's lag until one statement has found otherwise

A lag above 600 ms is believed until a statement tells otherwise, one being sent each 500 ms; a replica behind everything that is known counts as behind by that much.

--- a/src/pooler/freshness.c
+++ b/src/pooler/freshness.c
@@ -43,6 +43,12 @@
     return NULL;
 }
 
+const struct freshness_sample *
+freshness_oldest(const struct freshness *freshness)
+{
+    return freshness->count == 0 ? NULL : sample_at(freshness, 0);
+}
+
 const struct freshness_sample *
 freshness_reached(const struct freshness *freshness, struct log_position position)
 {
--- a/src/pooler/freshness.h
+++ b/src/pooler/freshness.h
@@ -34,6 +34,9 @@
  * none is as young as that. */
 const struct freshness_sample *freshness_find(const struct freshness *freshness, time_ns moment);
 
+/* The oldest sample; NULL if there is none. */
+const struct freshness_sample *freshness_oldest(const struct freshness *freshness);
+
 /* The newest sample at or below a position: the primary had got there by then. NULL if none is. */
 const struct freshness_sample *freshness_reached(const struct freshness *freshness,
                                                  struct log_position position);
--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -18,6 +18,9 @@
 #define LAG_TYPICAL_NS (20 * NANOSECONDS_PER_MILLISECOND)
 #define LAG_KEPT_NS    (500 * NANOSECONDS_PER_MILLISECOND)
 
+/* A replica this far behind is far behind: some times the usual lag of the slowest site, 150 ms. */
+#define LAG_LONG_NS (600 * NANOSECONDS_PER_MILLISECOND)
+
 /* A statement that a connection is being opened for asks for no other one meanwhile: longer than
  * opening takes at a database that has slots (12 to 30 ms by the sites' sheets). */
 #define OPENING_PATIENCE_NS (50 * NANOSECONDS_PER_MILLISECOND)
@@ -116,10 +119,26 @@
     bool lacked = now < database->lacking_at + LACKING_KEPT_NS &&
                   log_position_covers(need->position, database->lacking);
     bool lag_known = now < database->lag_at + LAG_KEPT_NS;
-    time_ns lag = lag_known ? database->lag : LAG_TYPICAL_NS;
+    time_ns lag = lag_known || database->lag > LAG_LONG_NS ? database->lag : LAG_TYPICAL_NS;
     return lacked || now < need->position_at + lag;
 }
 
+/* A replica that was far behind is believed to be so until a statement has found out otherwise: one
+ * at a time is sent to try. */
+static bool
+may_try(const struct database *database, time_ns now)
+{
+    return database->lag > LAG_LONG_NS && now >= database->lag_at + LAG_KEPT_NS;
+}
+
+static void
+note_try(struct database *database, time_ns now)
+{
+    if (may_try(database, now)) {
+        database->lag_at = now;
+    }
+}
+
 static double
 cost_of(const struct database *database)
 {
@@ -181,7 +200,7 @@
         bool closed = database == group->primary && group->phase != GROUP_PHASE_OPEN;
         bool good =
             database->takes_work && !closed && database_fault(database) <= DATABASE_FAULT_NONE;
-        if (good && !lacks(database, need, now)) {
+        if (good && (!lacks(database, need, now) || may_try(database, now))) {
             weigh(database, session, now, choice);
         }
     }
@@ -278,6 +297,7 @@
     router_leave_queue(session);
     session->request.attempts++;
     session_sent(session);
+    note_try(choice.server->database, now);
     count_read(session, choice.server->database);
     metrics_count(&session->worker->metrics, METRICS_FOUND_OPEN);
     server_run(choice.server, session, need.has_position ? &need.position : NULL);
--- a/src/pooler/server_answer.c
+++ b/src/pooler/server_answer.c
@@ -72,8 +72,11 @@
 static void
 note_lag(struct database *database, time_ns now)
 {
-    const struct freshness_sample *sample =
-        freshness_reached(&database->group->freshness, database->position);
+    const struct freshness *freshness = &database->group->freshness;
+    const struct freshness_sample *sample = freshness_reached(freshness, database->position);
+    if (sample == NULL) {
+        sample = freshness_oldest(freshness); /* it is behind by more than is known */
+    }
     if (database != database->group->primary && sample != NULL) {
         /* Samples are sparse: the true lag is up to one spacing less. */
         time_ns behind = now - sample->at;
