Hold the greater part of a database's connections in its zone, and send there what only a primary can serve

Where clients have keys, an owner in a database's zone has four parts of its connections, one elsewhere one part (10 and 2 of 53); writes, plain transactions and strict reads go to an owner near the primary, as they cross zones in any case.

--- a/src/pooler/control.c
+++ b/src/pooler/control.c
@@ -6,6 +6,7 @@
 #include "wire/address.h"
 
 #include <errno.h>
+#include <inttypes.h>
 #include <signal.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -103,6 +104,27 @@
     }
 }
 
+static uint64_t
+count_of(const struct metrics *sum, enum metrics_counter counter)
+{
+    return atomic_load(&sum->counters[counter]);
+}
+
+/* How often a statement met a connection of its tenant, and what limits and keys refused. */
+static char *
+print_tenant_counts(const struct metrics *sum)
+{
+    return g_strdup_printf(
+        "sent %" PRIu64 ", opened %" PRIu64 ", in place of others %" PRIu64
+        ", above limits %" PRIu64 ", no home %" PRIu64 ", unknown keys %" PRIu64
+        ", no proof %" PRIu64 ", leave asked %" PRIu64 ", unanswered %" PRIu64,
+        count_of(sum, METRICS_FOUND_OPEN), count_of(sum, METRICS_OPENED_STATEMENT),
+        count_of(sum, METRICS_OPENED_IN_PLACE), count_of(sum, METRICS_REFUSED_RATE),
+        count_of(sum, METRICS_REFUSED_NO_HOME), count_of(sum, METRICS_REFUSED_KEYS),
+        count_of(sum, METRICS_REFUSED_UNPROVEN), count_of(sum, METRICS_LEAVE_ASKED),
+        count_of(sum, METRICS_LEAVE_UNANSWERED));
+}
+
 /* The share of reads at replicas, and what was opened and moved, since the start. */
 static void
 log_counts(const struct control *control)
@@ -118,12 +140,13 @@
     uint64_t forwarded = atomic_load(&sum.counters[METRICS_FORWARD_BYTES]);
     g_autofree char *connections =
         g_strdup_printf("%" G_GUINT64_FORMAT ", failed %" G_GUINT64_FORMAT, opened, failed);
+    g_autofree char *tenants = print_tenant_counts(&sum);
     g_autofree char *calls = control_counts_print_calls(&control->counts);
     g_autofree char *bytes = control_counts_print_bytes(&control->counts);
     g_autofree char *statements = g_strdup_printf("%" G_GUINT64_FORMAT, forwarded);
     g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_READS_AT_REPLICA", at_replica,
-                     "SW_READS_AT_PRIMARY", at_primary, "SW_CONNECTIONS", connections,
-                     "SW_STORE_CALLS", calls, "SW_PEER_BYTES", bytes, "SW_FORWARD_BYTES",
+                     "SW_READS_AT_PRIMARY", at_primary, "SW_CONNECTIONS", connections, "SW_TENANTS",
+                     tenants, "SW_STORE_CALLS", calls, "SW_PEER_BYTES", bytes, "SW_FORWARD_BYTES",
                      statements, "MESSAGE",
                      "Counts: %s reads at replicas, %s at primaries, connections opened: %s, calls "
                      "at the store: %s.",
--- a/src/pooler/control_internal.h
+++ b/src/pooler/control_internal.h
@@ -80,7 +80,7 @@
     uint32_t connections;
     uint32_t alone_connections;
     uint32_t sync_replicas;
-    uint32_t unused; /* in place of padding, which has no certain content */
+    uint32_t keyed; /* clients have keys; also in place of padding, whose content is not certain */
 } view_inputs_t;
 
 /* Which database leads a group, by the newest order. */
--- a/src/pooler/control_view.c
+++ b/src/pooler/control_view.c
@@ -89,6 +89,7 @@
     owner_view_t *view = &out->owners[out->owners_count];
     if (parse_address(owner->address, &view->address)) {
         view->text = g_strdup(owner->address);
+        view->zone = owner->zone;
         view->same_zone = same_zone;
         out->owners_count++;
     }
@@ -119,10 +120,23 @@
     time_ns heartbeat = control->settings->store.heartbeat_ms * MS;
     out->shared = control_member(control, entry->id);
     out->address = entry->address;
+    out->zone = g_intern_string(entry->zone);
     out->same_zone = g_str_equal(entry->zone, control->settings->pooler.zone);
     out->takes_work = !directory_entry_leaves(entry, now, heartbeat);
 }
 
+/* Where connections are a tenant's each, most of them are where most statements reach the database.
+ */
+static void
+fill_share(const struct control *control, const struct service *service, struct member_view *out)
+{
+    const fleet_owners_t *owners = control_fleet_owners(control, service);
+    bool keyed = control->configuration->keys != NULL && owners != NULL && !owners->direct &&
+                 is_owner(control, owners);
+    out->connections =
+        keyed ? fleet_owners_share(control->fleet, owners, out->zone, out->same_zone) : 0;
+}
+
 /* Before any order is known, as after a loss of power, work goes to the database that says it
  * leads: a replaced one can acknowledge nothing, and reads there are proven by the databases'
  * statuses. */
@@ -164,6 +178,7 @@
         .owners = owners == NULL ? 0 : owners->revision,
         .members = digest_of_members(control, entries, now),
         .sync_replicas = service->sync_replicas,
+        .keyed = control->configuration->keys != NULL,
     };
     if (owners == NULL || owners->direct) {
         out->connections = connections_of(control, service);
@@ -186,6 +201,7 @@
             out->primary = (int)i;
         }
         fill_member(control, entry, now, &out->members[i]);
+        fill_share(control, service, &out->members[i]);
     }
     out->members_count = entries->len;
 }
--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -260,10 +260,18 @@
     return found;
 }
 
+uint32_t
+database_connections(const struct database *database)
+{
+    const struct group *group = database->group;
+    bool own = !group->alone && group->connections > 0 && database->connections > 0;
+    return own ? database->connections : group->connections;
+}
+
 bool
 database_make_room(struct database *database)
 {
-    if (database->servers->len < MAX(database->group->connections, 1)) {
+    if (database->servers->len < MAX(database_connections(database), 1)) {
         return true;
     }
     struct server *idle = longest_idle(database);
@@ -280,9 +288,9 @@
 static bool
 has_room(const struct database *database)
 {
-    const struct group *group = database->group;
-    return database->servers->len < group->connections ||
-           (group->worker->has_tenants && group->connections > 0 && longest_idle(database) != NULL);
+    uint32_t most = database_connections(database);
+    bool keyed = database->group->worker->has_tenants;
+    return database->servers->len < most || (keyed && most > 0 && longest_idle(database) != NULL);
 }
 
 bool
--- a/src/pooler/fleet.c
+++ b/src/pooler/fleet.c
@@ -17,6 +17,11 @@
  */
 #define CONNECTIONS_SPARE 3
 
+/* An owner in a database's zone has so many times the connections of one in another zone: three
+ * owners of nine have the greater half. Measured at 83 machines with 84 tenants: see
+ * docs/design/tenants.md. */
+#define NEAR_PARTS 4
+
 /* Changes that are remembered, to see whether a group is concerned by them. With more, its owners
  * are worked out anew. */
 #define CHANGES_KEPT 64
@@ -523,6 +528,21 @@
     return owners;
 }
 
+uint32_t
+fleet_owners_share(const fleet_t *fleet, const fleet_owners_t *owners, const char *zone, bool near)
+{
+    const char *interned = g_intern_string(zone);
+    guint parts = 0;
+    for (guint i = 0; i < owners->members->len; i++) {
+        const fleet_member_t *member = g_ptr_array_index(owners->members, i);
+        parts += member->zone == interned ? NEAR_PARTS : 1;
+    }
+    /* One more is counted, as an owner that is gone may still hold some. */
+    uint32_t room = room_of(owners->max_connections) / fleet->workers_most;
+    uint32_t share = room * (near ? NEAR_PARTS : 1) / (parts + NEAR_PARTS);
+    return MAX(share, 1);
+}
+
 bool
 fleet_owners_include(const fleet_owners_t *owners, const char *address)
 {
--- a/src/pooler/fleet.h
+++ b/src/pooler/fleet.h
@@ -98,6 +98,12 @@
  *  next call for the same group, and the fleet's end. */
 const fleet_owners_t *fleet_owners(fleet_t *fleet, const char *service, uint32_t max_connections);
 
+/** @brief Divides the connections to one database among a group's owners, where each tenant has its
+ *  own: more to those in the database's zone, through which most statements reach it.
+ *  @return how many each worker of an owner may open, `near` for one of that zone. */
+uint32_t fleet_owners_share(const fleet_t *fleet, const fleet_owners_t *owners, const char *zone,
+                            bool near);
+
 /** @return true if the pooler at this address is one of them. */
 bool fleet_owners_include(const fleet_owners_t *owners, const char *address);
 
--- a/src/pooler/forward.c
+++ b/src/pooler/forward.c
@@ -49,6 +49,7 @@
 struct link {
     struct worker *worker;
     char *text;
+    const char *zone; /* interned; NULL: not known */
     struct sockaddr_in address;
     struct peer *peer; /* NULL while there is no connection */
     struct peer_callbacks callbacks;
@@ -225,6 +226,12 @@
     return link;
 }
 
+void
+link_set_zone(link_t *link, const char *zone)
+{
+    link->zone = zone;
+}
+
 void
 link_free(link_t *link)
 {
@@ -310,21 +317,51 @@
     return !link->doubted && now >= link->avoid_until;
 }
 
+/** @brief What a statement looks for in an owner. */
+typedef struct wish {
+    const char *tenant;
+    const char *zone; /* near which it is best served; NULL: this pooler's */
+} wish_t;
+
+static bool
+is_near(const struct group *group, guint place, const wish_t *wish)
+{
+    const link_t *link = g_ptr_array_index(group->links, place);
+    return wish->zone == NULL ? place < group->links_near : link->zone == wish->zone;
+}
+
+/* Where only the primary can serve a statement, its zone has to be reached in any case: there the
+ * owners hold most of the connections to it. */
+static wish_t
+wish_of(const struct session *session)
+{
+    const struct group *group = session->route.group;
+    wish_t wish = {session->tenant, group->primary == NULL ? NULL : group->primary->zone};
+    bool zoned = wish.zone != NULL && session->worker->has_tenants && router_wants_primary(session);
+    for (guint i = 0; zoned && i < group->links->len; i++) {
+        if (is_near(group, i, &wish)) {
+            return wish;
+        }
+    }
+    wish.zone = NULL;
+    return wish;
+}
+
 /* Statements from here under way there, near ones by preference. */
 static uint32_t
-cost_of(const struct group *group, guint place)
+cost_of(const struct group *group, guint place, const wish_t *wish)
 {
     const link_t *link = g_ptr_array_index(group->links, place);
-    return link->running + (place < group->links_near ? 0 : OTHER_ZONE_COST);
+    return link->running + (is_near(group, place, wish) ? 0 : OTHER_ZONE_COST);
 }
 
 static uint32_t
-least_cost(const struct group *group, time_ns now)
+least_cost(const struct group *group, const wish_t *wish, time_ns now)
 {
     uint32_t least = UINT32_MAX;
     for (guint i = 0; i < group->links->len; i++) {
         if (is_usable(g_ptr_array_index(group->links, i), now)) {
-            least = MIN(least, cost_of(group, i));
+            least = MIN(least, cost_of(group, i, wish));
         }
     }
     return least;
@@ -333,14 +370,14 @@
 /* The owner that the tenant's statements of this zone go to, so that they meet connections that are
  * open for it; another one where that has much more to do than the least busy. */
 static link_t *
-choose_reachable(const struct group *group, const char *tenant, time_ns now, uint32_t *best_cost)
+choose_reachable(const struct group *group, const wish_t *wish, time_ns now, uint32_t *best_cost)
 {
     candidate_t best = {0};
-    uint64_t seed = XXH3_64bits(tenant, strlen(tenant));
-    uint32_t least = least_cost(group, now);
+    uint64_t seed = XXH3_64bits(wish->tenant, strlen(wish->tenant));
+    uint32_t least = least_cost(group, wish, now);
     for (guint i = 0; i < group->links->len; i++) {
         link_t *link = g_ptr_array_index(group->links, i);
-        const candidate_t candidate = {link, cost_of(group, i),
+        const candidate_t candidate = {link, cost_of(group, i, wish),
                                        XXH3_64bits_withSeed(link->text, strlen(link->text), seed)};
         bool taken = is_usable(link, now) && candidate.cost <= least + TENANT_COST;
         if (taken && (best.link == NULL || candidate.rank > best.rank)) {
@@ -354,21 +391,21 @@
 /* Links are opened as they are needed: every pooler connected to every owner would be machines
  * squared. Those of other zones only where the near ones are lost, or have much to do. */
 static link_t *
-choose(struct group *group, const char *tenant, time_ns now)
+choose(struct group *group, const wish_t *wish, time_ns now)
 {
     uint32_t cost = 0;
-    link_t *best = choose_reachable(group, tenant, now, &cost);
+    link_t *best = choose_reachable(group, wish, now, &cost);
     if (best != NULL) {
         group->unreached_since = 0;
     } else if (group->unreached_since == 0) {
         group->unreached_since = now;
     }
     bool waited = best == NULL && now >= group->unreached_since + NEAR_FIRST_NS;
-    bool far_too = waited || group->links_near == 0 || (best != NULL && cost >= OTHER_ZONE_COST);
-    guint count = far_too ? group->links->len : group->links_near;
-    for (guint i = 0; i < count; i++) {
+    bool lonely = wish->zone == NULL && group->links_near == 0;
+    bool far_too = waited || lonely || (best != NULL && cost >= OTHER_ZONE_COST);
+    for (guint i = 0; i < group->links->len; i++) {
         link_t *link = g_ptr_array_index(group->links, i);
-        if (link->doubted) {
+        if (link->doubted && (far_too || is_near(group, i, wish))) {
             try_again(link, now);
         }
     }
@@ -499,7 +536,8 @@
 bool
 forward_start(struct session *session)
 {
-    link_t *link = choose(session->route.group, session->tenant, backend_now());
+    const wish_t wish = wish_of(session);
+    link_t *link = choose(session->route.group, &wish, backend_now());
     if (link == NULL || !link_connect(link)) {
         return false;
     }
--- a/src/pooler/forward.h
+++ b/src/pooler/forward.h
@@ -35,6 +35,8 @@
 
 /** @return the link to this address, made if there is none; `text` is the address as text. */
 link_t *link_of(struct worker *worker, const char *text, const struct sockaddr_in *address);
+/** @brief Notes in which zone the owner is; interned, NULL: not known. */
+void link_set_zone(link_t *link, const char *zone);
 void link_free(link_t *link);
 
 /** @brief Sends the session's statement to the best owner of its group.
--- a/src/pooler/group.c
+++ b/src/pooler/group.c
@@ -46,7 +46,9 @@
         g_ptr_array_add(group->databases, database);
     }
     database->address = member->address;
+    database->zone = member->zone;
     database->same_zone = member->same_zone;
+    database->connections = member->connections;
     database->takes_work = member->takes_work;
     database->listed = true;
     if (!member->takes_work) {
@@ -114,7 +116,9 @@
     group->links_near = 0;
     for (size_t i = 0; i < view->owners_count; i++) {
         const owner_view_t *owner = &view->owners[i];
-        g_ptr_array_add(group->links, link_of(group->worker, owner->text, &owner->address));
+        link_t *link = link_of(group->worker, owner->text, &owner->address);
+        link_set_zone(link, owner->zone);
+        g_ptr_array_add(group->links, link);
         group->links_near += owner->same_zone;
     }
 }
--- a/src/pooler/router.c
+++ b/src/pooler/router.c
@@ -217,6 +217,14 @@
                                                  : METRICS_READS_AT_REPLICA);
 }
 
+bool
+router_wants_primary(const struct session *session)
+{
+    bool plain = session->transaction != SESSION_TRANSACTION_NONE && !session->read_only;
+    bool writes = session->transaction == SESSION_TRANSACTION_NONE && session->request.writes;
+    return plain || writes || session->route.kind == ROUTE_KIND_PRIMARY;
+}
+
 bool
 router_forwards(const struct group *group)
 {
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -217,7 +217,7 @@
     server->idle_since = backend_now();
     server->state = SERVER_IDLE;
     server->in_transaction = false;
-    uint32_t most = MAX(database->group->connections, database->group->alone_connections);
+    uint32_t most = MAX(database_connections(database), database->group->alone_connections);
     if (!database->takes_work || database->servers->len > most) {
         server_close(server, ANSWER_NONE);
         return;
--- a/src/pooler/view.h
+++ b/src/pooler/view.h
@@ -42,14 +42,17 @@
 struct member_view {
     struct member_shared *shared;
     struct sockaddr_in address;
+    const char *zone; /* interned; NULL: not known */
     bool same_zone;
-    bool takes_work; /* neither draining nor gone */
+    bool takes_work;      /* neither draining nor gone */
+    uint32_t connections; /* that each worker may open to it; 0: as many as to the others */
 };
 
 /** @brief A pooler that holds connections to a group's databases. */
 typedef struct owner_view {
     char *text; /* its address, as text */
     struct sockaddr_in address;
+    const char *zone; /* interned; NULL: not known */
     bool same_zone;
 } owner_view_t;
 
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker_internal.h
@@ -191,7 +191,9 @@
     struct group *group;
     struct member_shared *shared;
     struct sockaddr_in address;
+    const char *zone; /* interned; NULL: not known */
     bool same_zone;
+    uint32_t connections; /* that it may get from here; 0: as the group's others */
     bool takes_work;
     bool listed;                  /* in the newest view */
     GPtrArray *servers;           /* of struct server */
@@ -350,6 +352,8 @@
 /* Any idle connection; NULL if there is none. */
 struct server *database_any_idle(const struct database *database);
 bool database_may_open(const struct database *database, time_ns now);
+/* How many connections to it may be open here. */
+uint32_t database_connections(const struct database *database);
 /* Makes room for a connection, where there is none, by closing the idle one unused for longest.
  * False if none is idle. */
 bool database_make_room(struct database *database);
@@ -391,6 +395,8 @@
 bool router_may_write_on(const struct session *session);
 /* True if reads at the primary see every commit that was acknowledged until now. */
 bool router_has_permit(const struct group *group, time_ns now);
+/* True if only the primary can serve the session's statement, whatever else is known. */
+bool router_wants_primary(const struct session *session);
 /* True if other poolers hold the connections to the group's databases. */
 bool router_forwards(const struct group *group);
 
