Test keys, connections of tenants, proof and limits: at a worker, over a hop, and in a rig of poolers on virtual time

The stand-in of the databases records for whom each connection is. With one mechanism off (list of any age, no wait when entering, places lost at once, full buckets at a start) a history breaks the bound each time.

--- a/src/pooler/control_fleet.c
+++ b/src/pooler/control_fleet.c
@@ -333,8 +333,8 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         fleet_member_t *member = value;
         time_ns since = settled_since(control, member, now);
-        bool lost = member->away && now >= since + ROSTER_AWAY_NS;
-        bool entered = !member->gone && member->entering && now >= since + ROSTER_ENTERING_NS;
+        bool lost = roster_loses_place(member->away, since, now);
+        bool entered = !member->gone && roster_may_count(member->entering, since, now);
         if (lost || entered) {
             changed += fleet_set_counting(control->fleet, member->address, member->away && !lost,
                                           member->entering && !entered, version);
--- a/src/pooler/rate/roster.c
+++ b/src/pooler/rate/roster.c
@@ -5,6 +5,18 @@
 #include <string.h>
 #include <xxhash.h>
 
+bool
+roster_loses_place(bool away, time_ns since, time_ns now)
+{
+    return away && now >= since + ROSTER_AWAY_NS;
+}
+
+bool
+roster_may_count(bool entering, time_ns since, time_ns now)
+{
+    return entering && now >= since + ROSTER_ENTERING_NS;
+}
+
 static void
 clear(gpointer data)
 {
--- a/src/pooler/rate/roster.h
+++ b/src/pooler/rate/roster.h
@@ -46,6 +46,12 @@
 /** Twice as long: a machine that lost power or was cut off is mostly back by then. */
 #define ROSTER_AWAY_NS (UINT64_C(10000) * 1000 * 1000)
 
+/** @return true if a member that has been away since then loses its places. */
+bool roster_loses_place(bool away, time_ns since, time_ns now);
+
+/** @return true if a member that has been entering since then counts from now on. */
+bool roster_may_count(bool entering, time_ns since, time_ns now);
+
 /** @brief A pooler that has a place in counting operations. */
 typedef struct roster_member {
     char *address; /* where it takes questions, as text */
--- a/standins/session_platform/line_group.c
+++ b/standins/session_platform/line_group.c
@@ -45,6 +45,7 @@
     GPtrArray *writes; /* of struct entry, of the open transaction */
     GHashTable *values;
     GHashTable *prepared; /* name -> "MODE shape" */
+    char *tenant;         /* as named at the start */
 };
 
 struct line_group {
@@ -74,6 +75,7 @@
 {
     struct line_run *run = data;
     g_free(run->id);
+    g_free(run->tenant);
     g_free(run->text);
     g_free(run->values);
     g_free(run->shape);
@@ -98,6 +100,7 @@
     g_ptr_array_unref(connection->writes);
     g_hash_table_unref(connection->values);
     g_hash_table_unref(connection->prepared);
+    g_free(connection->tenant);
     g_free(connection);
 }
 
@@ -231,6 +234,7 @@
     run->database = connection->database->index;
     run->connection = connection->number;
     run->id = g_strdup(id);
+    run->tenant = g_strdup(connection->tenant);
     run->text = g_strdup(text);
     run->values = values_text(connection->values);
     run->shape = g_strdup(shape);
@@ -412,6 +416,7 @@
     bool right = words[1] != NULL && strcmp(words[1], database->group->service) == 0 &&
                  (words[2] == NULL || words[3] == NULL || strcmp(words[3], database->id) == 0);
     connection->started = right;
+    connection->tenant = g_strdup(words[1] == NULL ? NULL : words[2]);
     if (right) {
         ready(connection);
     } else {
@@ -741,6 +746,7 @@
     copy->database = run->database;
     copy->connection = run->connection;
     copy->id = g_strdup(run->id);
+    copy->tenant = g_strdup(run->tenant);
     copy->text = g_strdup(run->text);
     copy->values = g_strdup(run->values);
     copy->shape = g_strdup(run->shape);
--- a/standins/session_platform/line_group.h
+++ b/standins/session_platform/line_group.h
@@ -29,6 +29,7 @@
     unsigned connection; /* counts connections of the group */
     char *id;
     char *text;
+    char *tenant; /* as named at the connection's start */
     char *values; /* "name=value;" sorted by name, as they were in force */
     char *shape;  /* of a prepared statement, else "" */
 };
--- /dev/null
+++ b/tests/pooler/test_access.c
@@ -0,0 +1,372 @@
+/* Whose statements run, on which connections, and when not: keys, public routes, proof that a key
+ * still stands, and limits of operations, at one worker and over a forwarding hop. */
+#include "worker_fixture.h"
+
+#include <string.h>
+#include <urcu-bp.h>
+
+#define ADD(path, set_up_by, test)                                                                 \
+    g_test_add("/access/" path, struct fixture, NULL, set_up_by, test, tear_down)
+
+static const char *const two_tenants[] = {"toubkal key-t", "imlil key-i", NULL};
+static const char *const imlil_only[] = {"imlil key-i", NULL};
+
+static void
+set_keys(struct fixture *fixture, const char *const *keys)
+{
+    fixture->keys = keys;
+    fixture->version++;
+    publish(fixture);
+}
+
+static void
+set_up_keyed(struct fixture *fixture, gconstpointer unused)
+{
+    set_up(fixture, unused);
+    set_keys(fixture, two_tenants);
+}
+
+static void
+set_up_keyed_forwarding(struct fixture *fixture, gconstpointer unused)
+{
+    set_up_forwarding(fixture, unused);
+    set_keys(fixture, two_tenants);
+}
+
+/* Both workers need proof from now on, and have it until the given moment. */
+static void
+prove_until(struct fixture *fixture, time_ns until)
+{
+    struct worker_shared *all[] = {&fixture->shared, &fixture->owners[0].shared};
+    for (unsigned i = 0; i < G_N_ELEMENTS(all); i++) {
+        all[i]->proof_lifetime = NANOSECONDS_PER_SECOND;
+        atomic_store(&all[i]->configuration_proven_at, until - NANOSECONDS_PER_SECOND);
+    }
+}
+
+static time_ns
+in_an_hour(void)
+{
+    return backend_now() + 3600 * NANOSECONDS_PER_SECOND;
+}
+
+static void
+expect_refused_start(const struct fixture *fixture, const char *key, const char *code)
+{
+    struct client *client = client_begin_as(fixture, "strict", key);
+    client_read(client);
+    g_autofree char *start = g_strdup_printf("ERROR %s", code);
+    g_assert_true(g_str_has_prefix(client->result, start));
+    g_assert_null(strstr(client->result, key)); /* a key is a secret */
+    client_close(client);
+}
+
+/* Databases are told the tenant, never the key, and a connection serves one tenant. */
+static void
+test_connections_are_a_tenants(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *first = client_open_as(fixture, "strict", "key-t");
+    struct client *second = client_open_as(fixture, "strict", "key-i");
+    for (unsigned i = 0; i < 6; i++) {
+        good(first, "WRITE a of-toubkal", 'I');
+        good(second, "WRITE b of-imlil", 'I');
+    }
+    g_autoptr(GPtrArray) runs = line_group_runs(fixture->group);
+    for (guint i = 0; i < runs->len; i++) {
+        const struct line_run *run = g_ptr_array_index(runs, i);
+        const char *expected = strstr(run->text, "of-toubkal") != NULL ? "toubkal" : "imlil";
+        g_assert_cmpstr(run->tenant, ==, expected);
+    }
+    g_assert_cmpuint(runs->len, ==, 12);
+    client_close(first);
+    client_close(second);
+}
+
+/* With one connection, that of a tenant that is at rest makes room for another's. */
+static void
+test_idle_connection_makes_room(struct fixture *fixture, gconstpointer unused)
+{
+    fixture->connections = 1;
+    publish(fixture);
+    struct client *first = client_open_as(fixture, "strict", "key-t");
+    struct client *second = client_open_as(fixture, "strict", "key-i");
+    good(first, "WRITE a 1", 'I');
+    good(second, "WRITE b 2", 'I');
+    good(first, "WRITE c 3", 'I');
+    g_assert_cmpuint(line_group_connections(fixture->group, 0), <=, 2);
+    client_close(first);
+    client_close(second);
+}
+
+/* A transaction at rest keeps its connection: nobody takes it away. */
+static void
+test_open_transaction_keeps_its_connection(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *first = client_open_as(fixture, "strict", "key-t");
+    struct client *second = client_open_as(fixture, "strict", "key-i");
+    good(first, "BEGIN", 'T');
+    good(first, "WRITE a 1", 'T');
+    good(second, "WRITE b 2", 'I');
+    good(first, "COMMIT", 'I');
+    g_assert_cmpuint(line_group_committed(fixture->group, "a", "1"), ==, 1);
+    client_close(first);
+    client_close(second);
+}
+
+static void
+test_unknown_key(struct fixture *fixture, gconstpointer unused)
+{
+    expect_refused_start(fixture, "key-of-nobody", "UNAUTH");
+}
+
+static void
+test_public_route_needs_no_key(struct fixture *fixture, gconstpointer unused)
+{
+    prove_until(fixture, 1); /* nor proof */
+    struct client *client = client_open_as(fixture, "public", "key-of-nobody");
+    good(client, "READ a", 'I');
+    g_autoptr(GPtrArray) runs = line_group_runs(fixture->group);
+    g_assert_cmpstr(find_run(runs, "READ a")->tenant, ==, "public");
+    client_close(client);
+}
+
+/* A key that goes away: the transaction is rolled back, nothing runs any more, others go on. */
+static void
+test_key_goes_away(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *rest = client_open_as(fixture, "strict", "key-t");
+    struct client *open = client_open_as(fixture, "strict", "key-t");
+    struct client *other = client_open_as(fixture, "strict", "key-i");
+    good(rest, "WRITE a 1", 'I');
+    good(open, "BEGIN", 'T');
+    good(open, "WRITE b 2", 'T');
+    set_keys(fixture, imlil_only);
+    bad(rest, "WRITE c 3", "UNAUTH", 'I');
+    bad(open, "COMMIT", "ABORTED", 'I');
+    good(other, "WRITE d 4", 'I');
+    g_assert_cmpuint(line_group_committed(fixture->group, "b", "2"), ==, 0);
+    g_assert_cmpuint(line_group_committed(fixture->group, "c", "3"), ==, 0);
+    expect_refused_start(fixture, "key-t", "UNAUTH");
+    client_close(rest);
+    client_close(open);
+    client_close(other);
+}
+
+/* A statement that waits for a slot is not run once its key has gone. */
+static void
+test_key_goes_away_in_the_queue(struct fixture *fixture, gconstpointer unused)
+{
+    struct line_faults busy = {.busy = true};
+    struct line_faults none = {0};
+    struct client *client = client_open_as(fixture, "strict", "key-t");
+    good(client, "WRITE a 1", 'I');
+    line_group_set_faults(fixture->group, 0, &busy);
+    client_send(client, "WRITE b 2");
+    g_usleep(60 * 1000);
+    set_keys(fixture, imlil_only);
+    line_group_set_faults(fixture->group, 0, &none);
+    client_read(client);
+    g_assert_true(g_str_has_prefix(client->result, "ERROR "));
+    g_assert_cmpuint(line_group_committed(fixture->group, "b", "2"), ==, 0);
+    client_close(client);
+}
+
+/* Without proof that is young enough, what needs a key is refused at once, truly, with when to come
+ * back. */
+static void
+test_no_proof(struct fixture *fixture, gconstpointer unused)
+{
+    prove_until(fixture, in_an_hour());
+    struct client *client = client_open_as(fixture, "strict", "key-t");
+    good(client, "WRITE a 1", 'I');
+    prove_until(fixture, 1);
+    time_ns before = backend_now();
+    bad(client, "WRITE b 2", "BUSY", 'I');
+    g_assert_cmpuint(backend_now() - before, <, NANOSECONDS_PER_SECOND);
+    g_assert_nonnull(strstr(client->result, "retry in"));
+    expect_refused_start(fixture, "key-t", "BUSY");
+    prove_until(fixture, in_an_hour());
+    good(client, "WRITE c 3", 'I');
+    g_assert_cmpuint(line_group_committed(fixture->group, "b", "2"), ==, 0);
+    client_close(client);
+}
+
+static void
+test_no_proof_in_a_transaction(struct fixture *fixture, gconstpointer unused)
+{
+    prove_until(fixture, in_an_hour());
+    struct client *client = client_open_as(fixture, "strict", "key-t");
+    good(client, "BEGIN", 'T');
+    good(client, "WRITE a 1", 'T');
+    prove_until(fixture, 1);
+    bad(client, "WRITE b 2", "ABORTED", 'E');
+    good(client, "ROLLBACK", 'I');
+    g_assert_cmpuint(line_group_committed(fixture->group, "a", "1"), ==, 0);
+    client_close(client);
+}
+
+/* ---- over a forwarding hop ---- */
+
+/* An owner that does not know the key, and has an older configuration, does not refuse: another one
+ * may know it, or it does itself a moment later. */
+static void
+test_owner_behind(struct fixture *fixture, gconstpointer unused)
+{
+    fixture->owners_behind = 1;
+    fixture->owners_keys = imlil_only;
+    publish(fixture);
+    struct client *client = client_open_as(fixture, "strict", "key-t");
+    client_send(client, "WRITE a 1");
+    g_usleep(100 * 1000);
+    g_assert_cmpuint(line_group_committed(fixture->group, "a", "1"), ==, 0);
+    fixture->owners_behind = 0;
+    fixture->owners_keys = NULL;
+    publish(fixture);
+    client_read(client);
+    g_assert_true(g_str_has_prefix(client->result, "COMPLETE "));
+    client_close(client);
+}
+
+/* One whose configuration is as new, or newer, refuses: the key has gone. */
+static void
+test_owner_knows_of_the_end(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *client = client_open_as(fixture, "strict", "key-t");
+    good(client, "WRITE a 1", 'I');
+    fixture->owners_keys = imlil_only;
+    publish(fixture);
+    bad(client, "WRITE b 2", "UNAUTH", 'I');
+    g_assert_cmpuint(line_group_committed(fixture->group, "b", "2"), ==, 0);
+    client_close(client);
+}
+
+/* The owner needs proof of its own. */
+static void
+test_owner_without_proof(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *client = client_open_as(fixture, "strict", "key-t");
+    good(client, "WRITE a 1", 'I');
+    fixture->owners[0].shared.proof_lifetime = NANOSECONDS_PER_SECOND;
+    atomic_store(&fixture->owners[0].shared.configuration_proven_at, 1);
+    ask(client, "WRITE b 2");
+    g_assert_true(g_str_has_prefix(client->result, "ERROR "));
+    g_assert_cmpuint(line_group_committed(fixture->group, "b", "2"), ==, 0);
+    client_close(client);
+}
+
+/* ---- limits ---- */
+
+/* The worker's own pooler is the only one that counts. */
+static void
+count_here(struct fixture *fixture, double rate_per_s, double burst)
+{
+    const rate_bounds_t bounds = {5, 0, 0};
+    roster_t *roster = roster_new(1, 1);
+    roster->members[0] = (roster_member_t){
+        .address = g_strdup("127.0.0.1:1"), .weight = 1, .same_zone = true, .self = true};
+    fixture->roster = roster;
+    fixture->rate_per_s = rate_per_s;
+    fixture->burst = burst;
+    fixture->shared.counting = counting_new(&bounds);
+    counting_set_roster(fixture->shared.counting, roster, 1);
+    counting_rely_until(fixture->shared.counting, in_an_hour());
+    set_keys(fixture, two_tenants);
+}
+
+static void
+stop_counting(struct fixture *fixture)
+{
+    counting_t *counting = fixture->shared.counting;
+    fixture->keys = imlil_only; /* nobody asks any more */
+    fixture->rate_per_s = 0;
+    publish(fixture);
+    g_usleep(20 * 1000);
+    fixture->shared.counting = NULL;
+    counting_free(counting);
+    roster_unref(fixture->roster);
+    fixture->roster = NULL;
+}
+
+/* Above the limit it is refused at once, with when to come back, and nothing runs; another tenant
+ * has its own. */
+static void
+test_limit(struct fixture *fixture, gconstpointer unused)
+{
+    count_here(fixture, 0.05, 10);
+    struct client *client = client_open_as(fixture, "strict", "key-t");
+    struct client *other = client_open_as(fixture, "strict", "key-i");
+    for (unsigned i = 0; i < 10; i++) {
+        good(client, "WRITE a 1", 'I');
+    }
+    bad(client, "WRITE b 2", "OVERLOAD", 'I');
+    g_assert_nonnull(strstr(client->result, "retry in"));
+    bad(client, "READ a", "OVERLOAD", 'I');
+    good(other, "WRITE c 3", 'I');
+    g_assert_cmpuint(line_group_committed(fixture->group, "b", "2"), ==, 0);
+    client_close(client);
+    client_close(other);
+    stop_counting(fixture);
+}
+
+/* A transaction counts once, and ends also above the limit. */
+static void
+test_transaction_counts_once(struct fixture *fixture, gconstpointer unused)
+{
+    count_here(fixture, 0.05, 5);
+    struct client *client = client_open_as(fixture, "strict", "key-t");
+    for (unsigned i = 0; i < 5; i++) {
+        good(client, "BEGIN", 'T');
+        good(client, "WRITE a 1", 'T');
+        good(client, "READ a", 'T');
+        good(client, "COMMIT", 'I');
+    }
+    good(client, "BEGIN", 'T');
+    bad(client, "WRITE a 1", "ABORTED", 'E');
+    good(client, "ROLLBACK", 'I');
+    client_close(client);
+    stop_counting(fixture);
+}
+
+/* Where nobody that counts can be reached, it is refused as busy: the limit may not be reached. */
+static void
+test_no_home(struct fixture *fixture, gconstpointer unused)
+{
+    count_here(fixture, 5, 5);
+    counting_t *counting = fixture->shared.counting;
+    const rate_bounds_t bounds = {5, 0, 0};
+    fixture->shared.counting = counting_new(&bounds); /* its list is not relied on */
+    struct client *client = client_open_as(fixture, "strict", "key-t");
+    bad(client, "WRITE a 1", "BUSY", 'I');
+    g_assert_nonnull(strstr(client->result, "retry in"));
+    client_close(client);
+    stop_counting(fixture);
+    counting_free(counting);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    ADD("connections-are-a-tenants", set_up_keyed, test_connections_are_a_tenants);
+    ADD("idle-connection-makes-room", set_up_keyed, test_idle_connection_makes_room);
+    ADD("open-transaction", set_up_keyed, test_open_transaction_keeps_its_connection);
+    ADD("unknown-key", set_up_keyed, test_unknown_key);
+    ADD("public", set_up_keyed, test_public_route_needs_no_key);
+    ADD("key-goes-away", set_up_keyed, test_key_goes_away);
+    ADD("key-goes-away-queued", set_up_keyed, test_key_goes_away_in_the_queue);
+    ADD("no-proof", set_up_keyed, test_no_proof);
+    ADD("no-proof-in-transaction", set_up_keyed, test_no_proof_in_a_transaction);
+    ADD("limit", set_up_keyed, test_limit);
+    ADD("transaction-counts-once", set_up_keyed, test_transaction_counts_once);
+    ADD("no-home", set_up_keyed, test_no_home);
+    ADD("forwarding/connections", set_up_keyed_forwarding, test_connections_are_a_tenants);
+    ADD("forwarding/unknown-key", set_up_keyed_forwarding, test_unknown_key);
+    ADD("forwarding/public", set_up_keyed_forwarding, test_public_route_needs_no_key);
+    ADD("forwarding/key-goes-away", set_up_keyed_forwarding, test_key_goes_away);
+    ADD("forwarding/no-proof", set_up_keyed_forwarding, test_no_proof);
+    ADD("forwarding/owner-behind", set_up_keyed_forwarding, test_owner_behind);
+    ADD("forwarding/owner-knows-of-the-end", set_up_keyed_forwarding, test_owner_knows_of_the_end);
+    ADD("forwarding/owner-without-proof", set_up_keyed_forwarding, test_owner_without_proof);
+    ADD("forwarding/limit", set_up_keyed_forwarding, test_limit);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/pooler/test_rate.c
@@ -0,0 +1,492 @@
+/* Limits of tenants: the bucket, who counts which share, and a rig of a few poolers on virtual time
+ * that are cut off, killed, restarted and added at random, while one tenant asks for as much as it
+ * can. Over any window no more runs than the limit and what it may be exceeded by; with one of the
+ * mechanisms off, more does. */
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#include "backend/clock.h"
+#include "pooler/rate/counting.h"
+
+#define MS     NANOSECONDS_PER_MILLISECOND
+#define SECOND NANOSECONDS_PER_SECOND
+
+static const rate_bounds_t bounds = {5, 0.1, 20};
+
+/* ---- bucket ---- */
+
+static void
+test_bucket(void)
+{
+    const bucket_limit_t limit = {10, 5};
+    bucket_t bucket = {5, SECOND};
+    time_ns wait = 0;
+    for (unsigned i = 0; i < 5; i++) {
+        g_assert_true(bucket_take(&bucket, &limit, SECOND, &wait));
+    }
+    g_assert_false(bucket_take(&bucket, &limit, SECOND, &wait));
+    g_assert_cmpuint(wait, >=, 100 * MS);
+    g_assert_cmpuint(wait, <=, 101 * MS);
+    g_assert_true(bucket_take(&bucket, &limit, SECOND + wait, &wait));
+    g_assert_false(bucket_take(&bucket, &limit, SECOND + 100 * MS, &wait)); /* back in time */
+}
+
+static void
+test_bucket_that_never_fills(void)
+{
+    const bucket_limit_t limit = {0, 1};
+    bucket_t bucket = {0, SECOND};
+    time_ns wait = 7;
+    g_assert_false(bucket_take(&bucket, &limit, 9 * SECOND, &wait));
+    g_assert_cmpuint(wait, ==, 0);
+}
+
+/* ---- roster ---- */
+
+static roster_t *
+make_roster(uint64_t revision, unsigned count)
+{
+    roster_t *roster = roster_new(revision, count);
+    for (unsigned i = 0; i < count; i++) {
+        roster->members[i].address = g_strdup_printf("10.0.0.%u:7440", i + 1);
+        roster->members[i].weight = 120;
+    }
+    return roster;
+}
+
+/* A member that comes or goes moves its own shares only. */
+static void
+test_homes_stay(void)
+{
+    roster_t *before = make_roster(1, 40);
+    roster_t *after = make_roster(2, 41);
+    unsigned moved = 0;
+    for (unsigned tenant = 0; tenant < 100; tenant++) {
+        size_t old_homes[ROSTER_SHARES];
+        size_t new_homes[ROSTER_SHARES];
+        g_autofree char *name = g_strdup_printf("tenant-%u", tenant);
+        roster_homes(before, name, old_homes);
+        roster_homes(after, name, new_homes);
+        for (unsigned i = 0; i < ROSTER_SHARES; i++) {
+            g_assert_true(new_homes[i] == old_homes[i] || new_homes[i] == 40);
+            moved += new_homes[i] != old_homes[i];
+        }
+    }
+    g_assert_cmpuint(moved, >, 0);
+    g_assert_cmpuint(moved, <, 40); /* 500 / 41 on average */
+    roster_unref(before);
+    roster_unref(after);
+}
+
+/* ---- counting ---- */
+
+static const tenant_t *
+make_tenant(double rate, double burst)
+{
+    static tenant_t tenant;
+    tenant = (tenant_t){g_intern_static_string("toubkal"), true, rate, burst};
+    return &tenant;
+}
+
+static unsigned
+take_all(counting_t *counting, const tenant_t *tenant, time_ns now)
+{
+    unsigned given = 0;
+    time_ns wait = 0;
+    while (counting_take(counting, tenant, now, &wait) == LEAVE_GIVEN) {
+        given++;
+    }
+    return given;
+}
+
+/* Alone, a pooler counts all shares: rate and burst are the tenant's. */
+static void
+test_counting_alone(void)
+{
+    const tenant_t *tenant = make_tenant(50, 20);
+    counting_t *counting = counting_new(&bounds);
+    roster_t *roster = make_roster(1, 1);
+    time_ns wait = 0;
+    roster->members[0].self = true;
+    g_assert_cmpint(counting_take(counting, tenant, SECOND, &wait), ==, LEAVE_DECLINED);
+    counting_set_roster(counting, roster, SECOND);
+    g_assert_cmpint(counting_take(counting, tenant, SECOND, &wait), ==, LEAVE_DECLINED);
+    counting_rely_until(counting, 100 * SECOND);
+    unsigned first = take_all(counting, tenant, SECOND);
+    g_assert_cmpuint(first, <=, (unsigned)((50 * 5 + 20) * 0.1 + 20) / 3);
+    g_assert_cmpuint(take_all(counting, tenant, 60 * SECOND), ==, 20);
+    g_assert_cmpuint(take_all(counting, tenant, 61 * SECOND), ==, 20);
+    g_assert_cmpint(counting_take(counting, tenant, 61 * SECOND, &wait), ==, LEAVE_REFUSED);
+    g_assert_cmpuint(wait, >, 0);
+    g_assert_cmpint(counting_take(counting, tenant, 100 * SECOND, &wait), ==, LEAVE_DECLINED);
+    roster_unref(roster);
+    counting_free(counting);
+}
+
+/* A burst smaller than the number of shares still lets operations through. */
+static void
+test_small_burst(void)
+{
+    const tenant_t *tenant = make_tenant(2, 1);
+    counting_t *counting = counting_new(&bounds);
+    roster_t *roster = make_roster(1, 1);
+    roster->members[0].self = true;
+    counting_set_roster(counting, roster, 0);
+    counting_rely_until(counting, 100 * SECOND);
+    g_assert_cmpuint(take_all(counting, tenant, 10 * SECOND), >, 0);
+    roster_unref(roster);
+    counting_free(counting);
+}
+
+static void
+test_entering_and_away_do_not_count(void)
+{
+    const tenant_t *tenant = make_tenant(50, 20);
+    counting_t *counting = counting_new(&bounds);
+    roster_t *roster = make_roster(1, 1);
+    time_ns wait = 0;
+    roster->members[0].self = true;
+    roster->members[0].entering = true;
+    counting_set_roster(counting, roster, 0);
+    counting_rely_until(counting, 100 * SECOND);
+    g_assert_cmpint(counting_take(counting, tenant, SECOND, &wait), ==, LEAVE_DECLINED);
+    roster->members[0].entering = false;
+    roster->members[0].away = true;
+    counting_set_roster(counting, roster, 0);
+    g_assert_cmpint(counting_take(counting, tenant, SECOND, &wait), ==, LEAVE_DECLINED);
+    roster_unref(roster);
+    counting_free(counting);
+}
+
+/* ---- a rig of a few poolers ---- */
+
+#define MACHINES   5
+#define STEP       (20 * MS)
+#define LENGTH     (60 * SECOND)
+#define HEARTBEAT  (250 * MS)
+#define UNHEARD_NS (1200 * MS)
+#define ROW_NS     (2200 * MS) /* a lease's length: so old may the store's row be */
+#define HISTORIES  400
+
+/* Which mechanism is off. */
+typedef enum mutation {
+    MUTATION_NONE,
+    MUTATION_NOT_CURRENT, /* counts by a list of any age */
+    MUTATION_NO_ENTERING, /* counts as soon as it has a place */
+    MUTATION_NOT_AWAY,    /* who is not heard loses its places at once */
+    MUTATION_FULL_START,  /* buckets begin full */
+    MUTATION_COUNT,
+} mutation_t;
+
+/* The coordinator's view of a machine. */
+typedef struct listed {
+    bool present; /* has been heard at any time, and not lost its places */
+    bool away;
+    bool entering;
+    time_ns since; /* away or entering */
+    time_ns heard_at;
+} listed_t;
+
+typedef struct machine {
+    bool runs;
+    time_ns back_at;   /* starts again then */
+    time_ns cut_until; /* hears no coordinator before */
+    time_ns beat_at;
+    time_ns started_at;
+    counting_t *counting;
+    uint64_t revision; /* of the list that it knows */
+    listed_t list[MACHINES];
+} machine_t;
+
+typedef struct rig {
+    GRand *rand;
+    mutation_t mutation;
+    bool calm; /* troubles are rare, and strike a fleet that is whole */
+    time_ns now;
+    time_ns without_until; /* there is no coordinator before */
+    time_ns since;         /* of the coordinator */
+    uint64_t revision;
+    listed_t list[MACHINES];
+    listed_t row[MACHINES]; /* the list as the store has it */
+    uint64_t row_revision;
+    time_ns row_at;
+    machine_t machines[MACHINES];
+    GArray *given; /* time_ns of each leave */
+} rig_t;
+
+static const rate_bounds_t generous = {5, 10, 10000};
+
+static void
+tell(rig_t *rig, unsigned index, const listed_t *list, uint64_t revision)
+{
+    machine_t *machine = &rig->machines[index];
+    unsigned count = 0;
+    if (machine->revision == revision) {
+        return;
+    }
+    machine->revision = revision;
+    memcpy(machine->list, list, sizeof machine->list);
+    for (unsigned i = 0; i < MACHINES; i++) {
+        count += list[i].present;
+    }
+    roster_t *roster = roster_new(revision, count);
+    count = 0;
+    for (unsigned i = 0; i < MACHINES; i++) {
+        if (list[i].present) {
+            roster->members[count++] = (roster_member_t){
+                .address = g_strdup_printf("10.0.0.%u:7440", i + 1),
+                .weight = 100,
+                .self = i == index,
+                .away = list[i].away,
+                .entering = list[i].entering && rig->mutation != MUTATION_NO_ENTERING,
+            };
+        }
+    }
+    counting_set_roster(machine->counting, roster, rig->now);
+    roster_unref(roster);
+}
+
+static void
+rely(rig_t *rig, machine_t *machine, time_ns moment)
+{
+    bool forever = rig->mutation == MUTATION_NOT_CURRENT;
+    counting_rely_until(machine->counting, forever ? UINT64_MAX / 2 : moment + ROSTER_CURRENT_NS);
+}
+
+static bool
+has_coordinator(const rig_t *rig)
+{
+    return rig->now >= rig->without_until;
+}
+
+static void
+heartbeat(rig_t *rig, unsigned index)
+{
+    machine_t *machine = &rig->machines[index];
+    bool heard = machine->runs && has_coordinator(rig) && rig->now >= machine->cut_until;
+    if (!heard || rig->now < machine->beat_at) {
+        return;
+    }
+    time_ns sent = rig->now - (time_ns)g_rand_int_range(rig->rand, 0, 20) * MS;
+    listed_t *listed = &rig->list[index];
+    machine->beat_at = rig->now + HEARTBEAT;
+    listed->heard_at = rig->now;
+    if (!listed->present) {
+        *listed = (listed_t){true, false, true, rig->now, rig->now};
+        rig->revision++;
+    } else if (listed->away) {
+        listed->away = false;
+        listed->since = rig->now;
+        rig->revision++;
+    }
+    tell(rig, index, rig->list, rig->revision);
+    rely(rig, machine, sent);
+}
+
+static void
+coordinate(rig_t *rig)
+{
+    if (!has_coordinator(rig)) {
+        return;
+    }
+    for (unsigned i = 0; i < MACHINES; i++) {
+        listed_t *listed = &rig->list[i];
+        time_ns since = MAX(listed->since, rig->since);
+        bool heard = rig->now < MAX(listed->heard_at, rig->since) + UNHEARD_NS;
+        if (!listed->present) {
+            continue;
+        }
+        if (!listed->away && !heard) {
+            *listed = (listed_t){rig->mutation != MUTATION_NOT_AWAY, true, listed->entering,
+                                 rig->now, listed->heard_at};
+            rig->revision++;
+        } else if (roster_loses_place(listed->away, since, rig->now)) {
+            listed->present = false;
+            rig->revision++;
+        } else if (!listed->away && roster_may_count(listed->entering, since, rig->now)) {
+            listed->entering = false;
+            rig->revision++;
+        }
+    }
+    if (rig->now >= rig->row_at + 600 * MS) {
+        rig->row_at = rig->now;
+        rig->row_revision = rig->revision;
+        memcpy(rig->row, rig->list, sizeof rig->row);
+    }
+}
+
+static void
+start(rig_t *rig, unsigned index)
+{
+    machine_t *machine = &rig->machines[index];
+    const rate_bounds_t *with = rig->mutation == MUTATION_FULL_START ? &generous : &bounds;
+    machine->counting = counting_new(with);
+    machine->runs = true;
+    machine->revision = 0;
+    machine->started_at = rig->now;
+    machine->beat_at = rig->now;
+    if (rig->row_revision != 0) {
+        tell(rig, index, rig->row, rig->row_revision);
+        rely(rig, machine, rig->now > ROW_NS ? rig->now - ROW_NS : 0);
+    }
+}
+
+static void
+stop(rig_t *rig, unsigned index)
+{
+    machine_t *machine = &rig->machines[index];
+    machine->runs = false;
+    g_clear_pointer(&machine->counting, counting_free);
+    /* One in four is away for long. */
+    int longest = g_rand_int_range(rig->rand, 0, 4) == 0 ? 15000 : 2500;
+    machine->back_at = rig->now + (time_ns)g_rand_int_range(rig->rand, 200, longest) * MS;
+}
+
+/* Once in `seconds`, for each machine. */
+static bool
+strikes(rig_t *rig, double seconds)
+{
+    return g_rand_double(rig->rand) < (double)STEP / (double)SECOND / seconds;
+}
+
+static void
+trouble(rig_t *rig)
+{
+    for (unsigned i = 0; i < MACHINES; i++) {
+        machine_t *machine = &rig->machines[i];
+        bool rested = rig->now > machine->started_at + 2500 * MS;
+        if (machine->runs && rested && strikes(rig, rig->calm ? 60 : 8)) {
+            stop(rig, i);
+        } else if (!machine->runs && rig->now >= machine->back_at) {
+            start(rig, i);
+        } else if (machine->runs && strikes(rig, rig->calm ? 30 : 6)) {
+            machine->cut_until = rig->now + (time_ns)g_rand_int_range(rig->rand, 500, 25000) * MS;
+        }
+    }
+    if (has_coordinator(rig) && strikes(rig, 10)) {
+        rig->without_until = rig->now + (time_ns)g_rand_int_range(rig->rand, 0, 4000) * MS;
+        rig->since = rig->without_until;
+    }
+}
+
+/* Every running machine is asked by somebody for all that it gives. */
+static void
+ask_all(rig_t *rig, const tenant_t *tenant)
+{
+    for (unsigned i = 0; i < MACHINES; i++) {
+        const machine_t *machine = &rig->machines[i];
+        unsigned given = machine->runs ? take_all(machine->counting, tenant, rig->now) : 0;
+        for (unsigned k = 0; k < given; k++) {
+            g_array_append_val(rig->given, rig->now);
+        }
+    }
+}
+
+/* The most that was given in any window. */
+static unsigned
+most_in_window(const GArray *given)
+{
+    unsigned most = 0;
+    guint first = 0;
+    time_ns window = (time_ns)(bounds.window_s * (double)SECOND);
+    for (guint i = 0; i < given->len; i++) {
+        while (g_array_index(given, time_ns, first) + window < g_array_index(given, time_ns, i)) {
+            first++;
+        }
+        most = MAX(most, i - first + 1);
+    }
+    return most;
+}
+
+static unsigned
+play(unsigned seed, mutation_t mutation, const tenant_t *tenant)
+{
+    rig_t rig = {.mutation = mutation, .calm = seed % 2, .now = 20 * SECOND, .revision = 1};
+    rig.rand = g_rand_new_with_seed(seed);
+    rig.given = g_array_new(FALSE, FALSE, sizeof(time_ns));
+    for (unsigned i = 0; i < MACHINES; i++) {
+        start(&rig, i);
+    }
+    time_ns end = rig.now + LENGTH;
+    for (; rig.now < end; rig.now += STEP) {
+        trouble(&rig);
+        coordinate(&rig);
+        for (unsigned i = 0; i < MACHINES; i++) {
+            heartbeat(&rig, i);
+        }
+        ask_all(&rig, tenant);
+    }
+    unsigned most = most_in_window(rig.given);
+    for (unsigned i = 0; i < MACHINES; i++) {
+        g_clear_pointer(&rig.machines[i].counting, counting_free);
+    }
+    g_array_unref(rig.given);
+    g_rand_free(rig.rand);
+    return most;
+}
+
+static unsigned
+allowed(const tenant_t *tenant)
+{
+    double limit = tenant->rate_per_s * bounds.window_s + tenant->burst;
+    return (unsigned)(limit * (1 + bounds.overage) + bounds.slack);
+}
+
+/* Rates and bursts: small tenants, one whose burst is large, and a large one. */
+static void
+test_never_over_the_bound(void)
+{
+    static const double limits[][2] = {{5, 5}, {20, 20}, {20, 200}, {60, 60}, {199, 199}};
+    for (unsigned i = 0; i < G_N_ELEMENTS(limits); i++) {
+        unsigned highest = 0;
+        for (unsigned seed = 0; seed < HISTORIES; seed++) {
+            const tenant_t *tenant = make_tenant(limits[i][0], limits[i][1]);
+            unsigned most = play(seed, MUTATION_NONE, tenant);
+            if (most > allowed(tenant)) {
+                g_test_message("seed %u, %g a second: %u in a window, allowed %u", seed,
+                               limits[i][0], most, allowed(tenant));
+            }
+            g_assert_cmpuint(most, <=, allowed(tenant));
+            highest = MAX(highest, most);
+        }
+        g_test_message("%g a second: at most %u of %u", limits[i][0], highest,
+                       allowed(make_tenant(limits[i][0], limits[i][1])));
+    }
+}
+
+/* Without any one of the mechanisms, some history breaks the bound. */
+static void
+test_mutations_break_it(void)
+{
+    for (mutation_t mutation = MUTATION_NONE + 1; mutation < MUTATION_COUNT; mutation++) {
+        unsigned broken = 0;
+        unsigned most = 0;
+        /* A full bucket at each start matters where bursts are large. */
+        bool bursts = mutation == MUTATION_FULL_START;
+        const tenant_t *tenant = bursts ? make_tenant(20, 200) : make_tenant(199, 199);
+        for (unsigned seed = 0; seed < HISTORIES && broken == 0; seed++) {
+            unsigned given = play(seed, mutation, tenant);
+            most = MAX(most, given);
+            broken += given > allowed(tenant);
+        }
+        g_test_message("mutation %d: %s, %u in a window, allowed %u", (int)mutation,
+                       broken > 0 ? "found" : "not found", most, allowed(tenant));
+        g_assert_cmpuint(broken, >, 0);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/rate/bucket", test_bucket);
+    g_test_add_func("/rate/bucket-never-fills", test_bucket_that_never_fills);
+    g_test_add_func("/rate/homes-stay", test_homes_stay);
+    g_test_add_func("/rate/counting-alone", test_counting_alone);
+    g_test_add_func("/rate/small-burst", test_small_burst);
+    g_test_add_func("/rate/entering-and-away", test_entering_and_away_do_not_count);
+    g_test_add_func("/rate/never-over-the-bound", test_never_over_the_bound);
+    g_test_add_func("/rate/mutations", test_mutations_break_it);
+    return g_test_run();
+}
--- a/tests/pooler/worker_fixture.c
+++ b/tests/pooler/worker_fixture.c
@@ -22,14 +22,34 @@
     route->timeout_ms = fixture->timeout_ms;
     route->target_ms = kind == ROUTE_KIND_READ_YOUR_WRITES ? fixture->own_target_ms : 250;
     route->staleness_ms = fixture->staleness_ms;
+    route->is_public = g_str_has_prefix(database, "public");
     configuration_add_route(configuration, route);
 }
 
+static void
+add_keys(struct configuration *configuration, const struct fixture *fixture,
+         const char *const *keys)
+{
+    configuration_require_keys(configuration);
+    for (const char *const *pair = keys; *pair != NULL; pair++) {
+        g_auto(GStrv) words = g_strsplit(*pair, " ", 2);
+        tenant_t *tenant = configuration_add_tenant(configuration, words[0]);
+        tenant->limited = fixture->rate_per_s > 0;
+        tenant->rate_per_s = fixture->rate_per_s;
+        tenant->burst = fixture->burst;
+        configuration_add_key(configuration, words[1], tenant);
+    }
+}
+
 static struct configuration *
-make_configuration(const struct fixture *fixture)
+make_configuration(const struct fixture *fixture, uint64_t version, const char *const *keys)
 {
     struct configuration *configuration = configuration_new();
-    configuration->version = 1;
+    configuration->version = version;
+    if (keys != NULL) {
+        add_keys(configuration, fixture, keys);
+        add_route(configuration, "public", ROUTE_KIND_BOUNDED_STALENESS, fixture);
+    }
     configuration->transaction_idle_ms = 60000;
     configuration_add_service(configuration, "ledger", 30, 1);
     if (fixture->with_route) {
@@ -54,10 +74,12 @@
 
 static struct view *
 make_view(const struct fixture *fixture, struct group_shared *figures,
-          struct member_shared *const *members, uint32_t connections)
+          struct member_shared *const *members, uint32_t connections, uint64_t version,
+          const char *const *keys)
 {
     struct view *view = g_new0(struct view, 1);
-    view->configuration = make_configuration(fixture);
+    view->configuration = make_configuration(fixture, version, keys);
+    view->roster = fixture->roster == NULL ? NULL : roster_ref(fixture->roster);
     static uint64_t published;
     view->number = ++published;
     view->groups = g_new0(struct pooled_group *, 1);
@@ -115,12 +137,15 @@
         owner_t *owner = &fixture->owners[i];
         if (owner->worker != NULL) {
             uint32_t connections = owner->declines ? 0 : fixture->connections;
-            exchange_view(&owner->shared, owner->worker,
-                          make_view(fixture, owner->figures, owner->members, connections));
+            exchange_view(
+                &owner->shared, owner->worker,
+                make_view(fixture, owner->figures, owner->members, connections,
+                          fixture->version - fixture->owners_behind,
+                          fixture->owners_keys == NULL ? fixture->keys : fixture->owners_keys));
         }
     }
-    struct view *view =
-        make_view(fixture, fixture->figures, fixture->members, fixture->connections);
+    struct view *view = make_view(fixture, fixture->figures, fixture->members, fixture->connections,
+                                  fixture->version);
     if (name_owners(fixture, view->groups[0]) > 0) {
         view->groups[0]->connections = 0;
         view->groups[0]->alone_connections = fixture->alone_connections;
@@ -203,6 +228,7 @@
     fixture->timeout_ms = 4000;
     fixture->own_target_ms = 250;
     fixture->with_route = true;
+    fixture->version = 100;
     start_shared(fixture, &fixture->shared);
     fixture->worker = worker_start(&fixture->shared, 0, &error);
     g_assert_no_error(error);
@@ -272,7 +298,7 @@
 
 /* Connects without waiting for an answer. */
 struct client *
-client_begin(const struct fixture *fixture, const char *database)
+client_begin_as(const struct fixture *fixture, const char *database, const char *key)
 {
     struct client *client = g_new0(struct client, 1);
     struct timeval patience = {ANSWER_WAIT_S, 0};
@@ -282,11 +308,17 @@
                     ==, 0);
     setsockopt(handle, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
     client->stream = fdopen(handle, "r");
-    g_autofree char *start = g_strdup_printf("STARTUP %s user\r\n", database);
+    g_autofree char *start = g_strdup_printf("STARTUP %s %s\r\n", database, key);
     send_line(client, start);
     return client;
 }
 
+struct client *
+client_begin(const struct fixture *fixture, const char *database)
+{
+    return client_begin_as(fixture, database, "user");
+}
+
 /* Reads one answer up to READY, or up to a final error. */
 void
 client_read(struct client *client)
@@ -310,7 +342,13 @@
 struct client *
 client_open(const struct fixture *fixture, const char *database)
 {
-    struct client *client = client_begin(fixture, database);
+    return client_open_as(fixture, database, "user");
+}
+
+struct client *
+client_open_as(const struct fixture *fixture, const char *database, const char *key)
+{
+    struct client *client = client_begin_as(fixture, database, key);
     client_read(client);
     g_assert_true(client->state == 'I');
     return client;
--- a/tests/pooler/worker_fixture.h
+++ b/tests/pooler/worker_fixture.h
@@ -46,6 +46,13 @@
     uint32_t timeout_ms;
     uint32_t own_target_ms; /* objective of the route "own"; the others have 250 ms */
     bool with_route;
+    uint64_t version;        /* of the configuration */
+    uint64_t owners_behind;  /* by so many versions the owners' configuration is older */
+    const char *const *keys; /* "tenant key" each, NULL at the end; NULL: clients need no keys */
+    const char *const *owners_keys; /* the same, as the owners know them; NULL: as all */
+    double rate_per_s;              /* of each tenant; 0: not limited */
+    double burst;
+    roster_t *roster; /* of the pooler itself, where operations are counted */
     owner_t owners[OWNERS];
 };
 
@@ -77,6 +84,10 @@
 
 /** @brief Connects without waiting for an answer. */
 struct client *client_begin(const struct fixture *fixture, const char *database);
+/** @brief The same with a key. */
+struct client *client_begin_as(const struct fixture *fixture, const char *database,
+                               const char *key);
+struct client *client_open_as(const struct fixture *fixture, const char *database, const char *key);
 struct client *client_open(const struct fixture *fixture, const char *database);
 void client_close(struct client *client);
 void send_line(struct client *client, const char *line);
