--- a/tests/pooler/worker_fixture.c
+++ b/tests/pooler/worker_fixture.c
@@ -145,7 +145,7 @@
         }
     }
     struct view *view = make_view(fixture, fixture->figures, fixture->members, fixture->connections,
-                                  fixture->version);
+                                  fixture->version, fixture->keys);
     if (name_owners(fixture, view->groups[0]) > 0) {
         view->groups[0]->connections = 0;
         view->groups[0]->alone_connections = fixture->alone_connections;
