Let a share hold one operation more than its part of the burst

Cause: whole operations only are given leave for, so a tenant with a burst of 7 in five shares of 1.4 had a burst of 5, and small tenants were refused 5 to 25 times a second at peaks below their limit. The five operations come from what a limit may be exceeded by (a quarter of the slack at most), and buckets begin with as much less.

--- a/src/pooler/rate/counting.c
+++ b/src/pooler/rate/counting.c
@@ -11,6 +11,9 @@
  * come back, once more. */
 #define STARTS_IN_WINDOW 3
 
+/* Of the operations by which a limit may be exceeded, so many make up for fractions. */
+#define FRACTIONS_PART 0.25
+
 /* A tenant's shares that are counted here. */
 typedef struct counted {
     bool mine[ROSTER_SHARES];
@@ -136,27 +139,28 @@
 }
 
 bucket_limit_t
-rate_share(const tenant_t *tenant)
+rate_share(const rate_bounds_t *bounds, const tenant_t *tenant)
 {
+    double more = fmin(bounds->slack * FRACTIONS_PART / ROSTER_SHARES, 1);
     return (bucket_limit_t){tenant->rate_per_s / ROSTER_SHARES,
-                            fmax(tenant->burst / ROSTER_SHARES, 1)};
+                            fmax(tenant->burst / ROSTER_SHARES + more, 1)};
 }
 
 double
 rate_start_tokens(const rate_bounds_t *bounds, const tenant_t *tenant)
 {
     double limit = tenant->rate_per_s * bounds->window_s + tenant->burst;
-    double more = rate_share(tenant).room * ROSTER_SHARES - tenant->burst;
+    double more = rate_share(bounds, tenant).room * ROSTER_SHARES - tenant->burst;
     double exceeded = limit * bounds->overage + bounds->slack - more;
     double tokens = fmax(exceeded, 0) / (STARTS_IN_WINDOW * ROSTER_SHARES);
-    return fmin(tokens, rate_share(tenant).room);
+    return fmin(tokens, rate_share(bounds, tenant).room);
 }
 
 static leave_t
 take_any(counting_t *counting, const tenant_t *tenant, time_ns now, time_ns *wait)
 {
     counted_t *counted = counted_of(counting, tenant);
-    const bucket_limit_t limit = rate_share(tenant);
+    const bucket_limit_t limit = rate_share(&counting->bounds, tenant);
     leave_t result = LEAVE_DECLINED;
     *wait = 0;
     for (unsigned i = 0; i < ROSTER_SHARES; i++) {
--- a/src/pooler/rate/counting.h
+++ b/src/pooler/rate/counting.h
@@ -50,7 +50,9 @@
  */
 double rate_start_tokens(const rate_bounds_t *bounds, const tenant_t *tenant);
 
-/** @return how one share of the tenant's limit fills. */
-bucket_limit_t rate_share(const tenant_t *tenant);
+/** @return how one share of the tenant's limit fills. A share holds up to one operation more than
+ * its part of the burst: whole operations only are given leave for, so that up to one for each
+ * share would be lost to fractions. It is taken from what the limit may be exceeded by. */
+bucket_limit_t rate_share(const rate_bounds_t *bounds, const tenant_t *tenant);
 
 #endif
