Give up silent links at rest, and take back a statement that has not left the machine before its proof runs out

Cause: open connections may go silent for good without a reset. The accepting side of a link between poolers never asks, so what was open on it stayed; the kernel now asks after 8 s. A statement whose bytes a cut holds up could reach its database when the link heals, up to 2.5 s later, after its key was gone by the bound: where the kernel still holds its bytes 1 s after the sending, the connection is reset, which drops them.

--- a/src/pooler/control.c
+++ b/src/pooler/control.c
@@ -292,6 +292,8 @@
     const rate_bounds_t bounds = {settings->rate.window_s, settings->rate.overage,
                                   settings->rate.slack};
     control->shared.counting = counting_new(&bounds);
+    control->shared.held_max =
+        settings->access.revoke_ms * MS - evidence_lifetime(settings->access.revoke_ms);
     control->shared.proof_lifetime = evidence_lifetime(settings->access.revoke_ms);
     control->shared.stop_grace = (time_ns)(settings->stop.grace_s * (double)NANOSECONDS_PER_SECOND);
     uint32_t own = MIN(DESCRIPTORS_OWN, settings->pooler.descriptors / 2);
--- a/src/pooler/database.c
+++ b/src/pooler/database.c
@@ -1,4 +1,5 @@
 /* One database as a worker knows it: its connections, how fast it answers, and its faults. */
+#include "pooler/socket.h"
 #include "pooler/worker_internal.h"
 
 #include <string.h>
@@ -387,6 +388,16 @@
            now > server->sent_at + patience;
 }
 
+/* A statement that has not left this machine, so long after it was sent, is taken back: it needs a
+ * key, and its proof may run out before the far end gets it. */
+static bool
+is_held_up(const struct server *server, time_ns now)
+{
+    const struct worker *worker = server->database->group->worker;
+    return server->state == SERVER_RUNNING && now > server->sent_at + worker->shared->held_max &&
+           socket_holds_bytes(server->socket);
+}
+
 static void
 check_silence(struct database *database, time_ns now)
 {
@@ -463,6 +474,9 @@
     check_refusal(database, now);
     database_close_unused(database, now);
     database_close_where(database, is_orphan, now, ANSWER_TIMEOUT);
+    if (database->group->worker->shared->held_max != 0) {
+        database_close_where(database, is_held_up, now, ANSWER_TIMEOUT);
+    }
     check_silence(database, now);
     database_close_where(database, has_lost_answer, now, ANSWER_BUSY);
     check_stall(database, now);
--- a/src/pooler/peer.c
+++ b/src/pooler/peer.c
@@ -12,6 +12,10 @@
 /* A peer whose machine is dark is given up after this. */
 #define DARK_TIMEOUT_MS 1500
 
+/* A connection at rest whose far end has gone silent is given up after twice this: on the accepting
+ * side nothing else shows it, and what is open on it would be held. */
+#define REST_MS 8000
+
 struct peer {
     int socket;
     struct event_base *base;
@@ -118,6 +122,7 @@
 peer_new(struct event_base *base, int handle, const struct peer_callbacks *callbacks)
 {
     socket_set_dark(handle, DARK_TIMEOUT_MS);
+    socket_keep_alive(handle, REST_MS);
     struct peer *peer = g_new0(struct peer, 1);
     peer->socket = handle;
     peer->base = base;
--- a/src/pooler/server.c
+++ b/src/pooler/server.c
@@ -189,6 +189,9 @@
     event_del(server->readable);
     event_del(server->writable);
     event_del(server->timer);
+    if (former == SERVER_RUNNING && socket_holds_bytes(server->socket)) {
+        socket_reset_on_close(server->socket); /* what has not arrived is not to arrive later */
+    }
     close(server->socket);
     g_ptr_array_remove(database->servers, server);
     g_ptr_array_add(worker->closed, server);
--- a/src/pooler/socket.c
+++ b/src/pooler/socket.c
@@ -6,7 +6,9 @@
 #include "wire/address.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -59,6 +61,30 @@
     set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, (int)dark_ms);
 }
 
+void
+socket_keep_alive(int handle, unsigned rest_ms)
+{
+    int rest_s = (int)MAX(rest_ms / 1000, 1U);
+    set_option(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPIDLE, rest_s);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPINTVL, MAX(rest_s / 4, 1));
+    set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, 4);
+}
+
+void
+socket_reset_on_close(int handle)
+{
+    const struct linger none = {1, 0};
+    setsockopt(handle, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+}
+
+bool
+socket_holds_bytes(int handle)
+{
+    int held = 0;
+    return ioctl(handle, SIOCOUTQ, &held) == 0 && held > 0;
+}
+
 int
 socket_connect(const struct sockaddr_in *address, unsigned dark_ms)
 {
--- a/src/pooler/socket.h
+++ b/src/pooler/socket.h
@@ -20,4 +20,14 @@
 /* Sets how long the kernel waits for a far end that is dark. */
 void socket_set_dark(int handle, unsigned dark_ms);
 
+/** @brief Has the kernel ask, on a connection at rest, whether the far end is still there: it may
+ * have gone silent without a reset. Given up after twice the time. */
+void socket_keep_alive(int handle, unsigned rest_ms);
+
+/** @brief Lets the connection be reset as it is closed: what it still holds is not sent. */
+void socket_reset_on_close(int handle);
+
+/** @return true if bytes that were sent have not been acknowledged by the far end's machine. */
+bool socket_holds_bytes(int handle);
+
 #endif
--- a/src/pooler/worker.h
+++ b/src/pooler/worker.h
@@ -29,6 +29,7 @@
     /* The configuration of the newest view was the store's newest then; 0: never proven. */
     _Atomic time_ns configuration_proven_at;
     time_ns proof_lifetime; /* for which that counts; 0: no proof is asked for */
+    time_ns held_max;       /* a statement that has not left by then is taken back; 0: never */
     counting_t *counting;   /* of tenants' operations; NULL: none are counted */
 };
 
