Lay the pooler out in rooms by a statement's way

Cause: src/pooler was one flat folder of 60 files. Client sessions, routing, databases, forwarding and the worker they belong to, access and rate, control, and what all share have a folder each now. Files moved and includes follow; behaviour unchanged (pooler tests pass as before).

--- a/src/pooler/access/access.c
+++ b/src/pooler/access/access.c
@@ -3,7 +3,7 @@
 #include "pooler/access/access.h"
 
 #include "pooler/access/evidence.h"
-#include "pooler/session_internal.h"
+#include "pooler/client/session_internal.h"
 
 #include <string.h>
 #include <xxhash.h>
--- a/src/pooler/session.c
+++ b/src/pooler/client/session.c
@@ -1,7 +1,7 @@
 /* A client's session: its connection, its timer and its planned end. One statement is asked at a
  * time; what the client sends ahead stays in its buffer. */
 #define G_LOG_DOMAIN "session"
-#include "pooler/session_internal.h"
+#include "pooler/client/session_internal.h"
 
 #include <unistd.h>
 
--- a/src/pooler/session_answer.c
+++ b/src/pooler/client/session_answer.c
@@ -1,6 +1,6 @@
 /* What a session's client is told: answers of databases, refusals, and unknown ends. */
 #define G_LOG_DOMAIN "session"
-#include "pooler/session_internal.h"
+#include "pooler/client/session_internal.h"
 
 #include <inttypes.h>
 
--- a/src/pooler/session_internal.h
+++ b/src/pooler/client/session_internal.h
@@ -3,7 +3,7 @@
 #ifndef SW_POOLER_SESSION_INTERNAL_H
 #define SW_POOLER_SESSION_INTERNAL_H
 
-#include "pooler/worker_internal.h"
+#include "pooler/worker/worker_internal.h"
 
 /* Share of the route's timeout that a statement may wait for a connection. */
 #define WAIT_SHARE 0.45
--- a/src/pooler/session_statement.c
+++ b/src/pooler/client/session_statement.c
@@ -1,7 +1,7 @@
 /* What a session's client asks: values, prepared names and transactions are kept here, all else is
  * handed to the router. */
 #define G_LOG_DOMAIN "session"
-#include "pooler/session_internal.h"
+#include "pooler/client/session_internal.h"
 
 static void
 free_prepared(gpointer data)
--- a/src/pooler/control.c
+++ b/src/pooler/control/control.c
@@ -1,8 +1,8 @@
 /* The control thread: parts, event loop and planned stop; see the header. */
 #define G_LOG_DOMAIN "control"
-#include "pooler/control_internal.h"
+#include "pooler/control/control_internal.h"
 
-#include "pooler/log.h"
+#include "pooler/shared/log.h"
 #include "wire/address.h"
 
 #include <errno.h>
--- a/src/pooler/control_coordinator.c
+++ b/src/pooler/control/control_coordinator.c
@@ -1,8 +1,8 @@
 /* The coordinator towards the poolers: hears their heartbeats, and answers with orders, permits and
  * rows of the store that they lack. A pooler that is not the coordinator tells where that is. */
 #define G_LOG_DOMAIN "coordinator"
-#include "pooler/control_internal.h"
-#include "pooler/socket.h"
+#include "pooler/control/control_internal.h"
+#include "pooler/shared/socket.h"
 #include "wire/address.h"
 
 #include <unistd.h>
--- a/src/pooler/control_counts.c
+++ b/src/pooler/control/control_counts.c
@@ -1,5 +1,5 @@
 /* Calls at the store and bytes between poolers, counted; see the header. */
-#include "pooler/control_counts.h"
+#include "pooler/control/control_counts.h"
 
 static const char *const reason_names[CALL_REASON_COUNT] = {
     "coordinator", "follower", "start", "missing", "untold", "lease_look", "lease_write", "record"};
--- a/src/pooler/control_counts.h
+++ b/src/pooler/control/control_counts.h
@@ -10,7 +10,7 @@
 #include <glib.h>
 #include <stdint.h>
 
-#include "pooler/store.h"
+#include "pooler/control/store.h"
 
 /** @brief Why the store is called. */
 typedef enum call_reason {
--- a/src/pooler/control_fleet.c
+++ b/src/pooler/control/control_fleet.c
@@ -9,7 +9,7 @@
  * told, as an earlier coordinator may have told changes that the new one never heard of.
  */
 #define G_LOG_DOMAIN "fleet"
-#include "pooler/control_internal.h"
+#include "pooler/control/control_internal.h"
 #include "pooler/rate/roster.h"
 #include "wire/address.h"
 
--- a/src/pooler/control_groups.c
+++ b/src/pooler/control/control_groups.c
@@ -1,7 +1,7 @@
 /* The groups under this coordinator: feeds each group's failover with the directory, the poolers'
  * reports and the databases' answers, and carries out what it orders. */
 #define G_LOG_DOMAIN "failover"
-#include "pooler/control_internal.h"
+#include "pooler/control/control_internal.h"
 
 #include <inttypes.h>
 
--- a/src/pooler/control_lease.c
+++ b/src/pooler/control/control_lease.c
@@ -3,7 +3,7 @@
  * condition that it is unchanged. The holder counts its lease by its own clock from before the
  * renewal was sent, so that it ends here sooner than there. */
 #define G_LOG_DOMAIN "lease"
-#include "pooler/control_internal.h"
+#include "pooler/control/control_internal.h"
 
 #include <inttypes.h>
 #include <string.h>
--- a/src/pooler/control_member.c
+++ b/src/pooler/control/control_member.c
@@ -2,7 +2,7 @@
  * permits that come back. A permit counts from the moment at which the heartbeat was sent that it
  * answers, so that it ends here before it ends at the coordinator. */
 #define G_LOG_DOMAIN "member"
-#include "pooler/control_internal.h"
+#include "pooler/control/control_internal.h"
 
 #include "wire/address.h"
 
--- a/src/pooler/control_relay.c
+++ b/src/pooler/control/control_relay.c
@@ -11,8 +11,8 @@
  * it knew it up to the base before.
  */
 #define G_LOG_DOMAIN "relay"
-#include "pooler/control_internal.h"
-#include "pooler/packing.h"
+#include "pooler/control/control_internal.h"
+#include "pooler/control/packing.h"
 
 #include <string.h>
 
--- a/src/pooler/control_store.c
+++ b/src/pooler/control/control_store.c
@@ -1,7 +1,7 @@
 /* Follows the store's tables: the operators' configuration by a waiting watch, the databases'
  * directory by regular looks at what changed. */
 #define G_LOG_DOMAIN "store"
-#include "pooler/control_internal.h"
+#include "pooler/control/control_internal.h"
 
 #include <inttypes.h>
 #include <string.h>
--- a/src/pooler/control_succession.c
+++ b/src/pooler/control/control_succession.c
@@ -1,7 +1,7 @@
 /* Whom the coordinator leaves its lease to: at a planned stop, where the store does not answer it,
  * and where a stronger machine is at hand. */
 #define G_LOG_DOMAIN "coordinator"
-#include "pooler/control_internal.h"
+#include "pooler/control/control_internal.h"
 
 /* What makes a pooler fit to take the lease over. */
 #define SUCCESSOR_HEARD_NS (600 * MS)
--- a/src/pooler/control_survey.c
+++ b/src/pooler/control/control_survey.c
@@ -1,7 +1,7 @@
 /* What the poolers tell the coordinator, summed up for each group: their opinions of its primary,
  * what is open there, and which orders all of them follow. */
 #define G_LOG_DOMAIN "coordinator"
-#include "pooler/control_internal.h"
+#include "pooler/control/control_internal.h"
 
 /* A pooler heard within this counts for opinions. */
 #define OPINION_FRESH_NS (700 * MS)
--- a/src/pooler/control_view.c
+++ b/src/pooler/control/control_view.c
@@ -1,6 +1,6 @@
 /* Builds the workers' view from configuration, directory and orders, and publishes it. */
 #define G_LOG_DOMAIN "control"
-#include "pooler/control_internal.h"
+#include "pooler/control/control_internal.h"
 
 #include "wire/address.h"
 
--- a/src/pooler/database_control.c
+++ b/src/pooler/control/database_control.c
@@ -1,10 +1,10 @@
 /* Commands to databases; see the header. */
 #define G_LOG_DOMAIN "failover"
-#include "pooler/database_control.h"
+#include "pooler/control/database_control.h"
 
 #include "backend/clock.h"
-#include "pooler/socket.h"
-#include "pooler/wire.h"
+#include "pooler/shared/socket.h"
+#include "pooler/shared/wire.h"
 
 #include <glib.h>
 #include <sys/socket.h>
--- a/src/pooler/database_control.h
+++ b/src/pooler/control/database_control.h
@@ -7,7 +7,7 @@
 #include <event2/event.h>
 #include <netinet/in.h>
 
-#include "pooler/failover.h"
+#include "pooler/control/failover.h"
 
 struct database_control;
 
--- a/src/pooler/directory.c
+++ b/src/pooler/control/directory.c
@@ -1,5 +1,5 @@
 /* The directory of databases; see the header. */
-#include "pooler/directory.h"
+#include "pooler/control/directory.h"
 
 #include <string.h>
 
--- a/src/pooler/failover.c
+++ b/src/pooler/control/failover.c
@@ -1,7 +1,7 @@
 /* The control of one group: its members, the search for a leader and the watch over it; see the
  * header. */
 #define G_LOG_DOMAIN "failover"
-#include "pooler/failover_internal.h"
+#include "pooler/control/failover_internal.h"
 
 #include <inttypes.h>
 #include <string.h>
--- a/src/pooler/failover.h
+++ b/src/pooler/control/failover.h
@@ -30,7 +30,7 @@
 
 #include "core/types.h"
 #include "generated/messages.h"
-#include "pooler/wire.h"
+#include "pooler/shared/wire.h"
 
 enum database_command {
     DATABASE_COMMAND_STATUS,
--- a/src/pooler/failover_change.c
+++ b/src/pooler/control/failover_change.c
@@ -1,7 +1,7 @@
 /* A change of primary, step by step: drain, fence, choose, record, order, confirm; see the header
  * of failover.h for why it is safe. */
 #define G_LOG_DOMAIN "failover"
-#include "pooler/failover_internal.h"
+#include "pooler/control/failover_internal.h"
 
 /* Of questions whether the candidate leads, and the first one after the order. */
 #define CONFIRM_EVERY_NS (40 * MS)
--- a/src/pooler/failover_internal.h
+++ b/src/pooler/control/failover_internal.h
@@ -3,7 +3,7 @@
 #ifndef SW_POOLER_FAILOVER_INTERNAL_H
 #define SW_POOLER_FAILOVER_INTERNAL_H
 
-#include "pooler/failover.h"
+#include "pooler/control/failover.h"
 
 #define MS NANOSECONDS_PER_MILLISECOND
 
--- a/src/pooler/fleet.c
+++ b/src/pooler/control/fleet.c
@@ -1,5 +1,5 @@
 /* Which poolers own a group's connections; see the header. */
-#include "pooler/fleet.h"
+#include "pooler/control/fleet.h"
 
 #include <math.h>
 #include <string.h>
--- a/src/pooler/packing.c
+++ b/src/pooler/control/packing.c
@@ -1,5 +1,5 @@
 /* Compressed contents of rows; see the header. */
-#include "pooler/packing.h"
+#include "pooler/control/packing.h"
 
 #include "core/error.h"
 #include "generated/errors.h"
--- a/src/pooler/database.c
+++ b/src/pooler/databases/database.c
@@ -1,6 +1,6 @@
 /* One database as a worker knows it: its connections, how fast it answers, and its faults. */
-#include "pooler/socket.h"
-#include "pooler/worker_internal.h"
+#include "pooler/shared/socket.h"
+#include "pooler/worker/worker_internal.h"
 
 #include <string.h>
 
--- a/src/pooler/server.c
+++ b/src/pooler/databases/server.c
@@ -3,8 +3,8 @@
  * uses. Prepared names at the database are our own, one for each mode and shape, so that sessions
  * share them and their names never clash. */
 #define G_LOG_DOMAIN "server"
-#include "pooler/server_internal.h"
-#include "pooler/socket.h"
+#include "pooler/databases/server_internal.h"
+#include "pooler/shared/socket.h"
 
 #include <string.h>
 #include <sys/socket.h>
--- a/src/pooler/server_answer.c
+++ b/src/pooler/databases/server_answer.c
@@ -1,7 +1,7 @@
 /* What a database answers, and what that tells of the database and of its group's log; see
  * server.c. */
 #define G_LOG_DOMAIN "server"
-#include "pooler/server_internal.h"
+#include "pooler/databases/server_internal.h"
 
 #define LATENCY_WEIGHT 0.1
 
--- a/src/pooler/server_internal.h
+++ b/src/pooler/databases/server_internal.h
@@ -3,7 +3,7 @@
 #ifndef SW_POOLER_SERVER_INTERNAL_H
 #define SW_POOLER_SERVER_INTERNAL_H
 
-#include "pooler/worker_internal.h"
+#include "pooler/worker/worker_internal.h"
 
 /* server.c */
 /** @brief Bounds what is awaited; the connection is given up then. */
--- a/src/pooler/server_run.c
+++ b/src/pooler/databases/server_run.c
@@ -1,7 +1,7 @@
 /* What is sent to a database for a session: its values, the prepared name that its statement uses,
  * and the statement; see server.c. */
 #define G_LOG_DOMAIN "server"
-#include "pooler/server_internal.h"
+#include "pooler/databases/server_internal.h"
 
 #include <string.h>
 
--- a/src/pooler/forward.c
+++ b/src/pooler/forwarding/forward.c
@@ -7,11 +7,11 @@
  * for. A single write or a commit is in doubt, and any other transaction is over.
  */
 #define G_LOG_DOMAIN "forward"
-#include "pooler/forward.h"
+#include "pooler/forwarding/forward.h"
 
 #include "generated/messages.h"
-#include "pooler/peer.h"
-#include "pooler/session_internal.h"
+#include "pooler/shared/peer.h"
+#include "pooler/client/session_internal.h"
 
 #include <inttypes.h>
 #include <string.h>
--- a/src/pooler/forward.h
+++ b/src/pooler/forwarding/forward.h
@@ -19,7 +19,7 @@
 #include <stdint.h>
 
 #include "core/types.h"
-#include "pooler/wire.h"
+#include "pooler/shared/wire.h"
 
 struct group;
 struct session;
--- a/src/pooler/forward_serve.c
+++ b/src/pooler/forwarding/forward_serve.c
@@ -6,11 +6,11 @@
  * session, and its answers go back as frames. It lives as long as its transaction is open.
  */
 #define G_LOG_DOMAIN "forward"
-#include "pooler/forward.h"
+#include "pooler/forwarding/forward.h"
 
 #include "generated/messages.h"
-#include "pooler/peer.h"
-#include "pooler/session_internal.h"
+#include "pooler/shared/peer.h"
+#include "pooler/client/session_internal.h"
 
 struct caller {
     struct worker *worker;
--- a/src/pooler/main.c
+++ b/src/pooler/main.c
@@ -7,8 +7,8 @@
 #include <stdlib.h>
 
 #include "generated/pooler_settings.h"
-#include "pooler/control.h"
-#include "pooler/log.h"
+#include "pooler/control/control.h"
+#include "pooler/shared/log.h"
 
 /* Exit codes. */
 #define EXIT_OK       0
--- a/src/pooler/rate/admission.c
+++ b/src/pooler/rate/admission.c
@@ -3,7 +3,7 @@
 #include "pooler/rate/admission.h"
 
 #include "pooler/rate/counting.h"
-#include "pooler/session_internal.h"
+#include "pooler/client/session_internal.h"
 
 /* A home that has not answered for so long is passed over for this operation: some times the way to
  * another zone and back (4 ms), on a machine whose quota of a tenth of a second is spent. */
--- a/src/pooler/rate/counting.h
+++ b/src/pooler/rate/counting.h
@@ -10,7 +10,7 @@
 #include <stdint.h>
 
 #include "core/types.h"
-#include "pooler/configuration.h"
+#include "pooler/shared/configuration.h"
 #include "pooler/rate/bucket.h"
 #include "pooler/rate/roster.h"
 
--- a/src/pooler/freshness.c
+++ b/src/pooler/routing/freshness.c
@@ -1,5 +1,5 @@
 /* Samples of a primary's position; see the header. */
-#include "pooler/freshness.h"
+#include "pooler/routing/freshness.h"
 
 static const struct freshness_sample *
 sample_at(const struct freshness *freshness, size_t index)
--- a/src/pooler/group.c
+++ b/src/pooler/routing/group.c
@@ -1,5 +1,5 @@
 /* One group of databases as a worker knows it: who leads, and what waits for it. */
-#include "pooler/worker_internal.h"
+#include "pooler/worker/worker_internal.h"
 
 #include <string.h>
 
--- a/src/pooler/leadership.c
+++ b/src/pooler/routing/leadership.c
@@ -7,7 +7,7 @@
  * not paused, then nobody else led before that moment, and every commit that was acknowledged
  * before it stands in the primary's log. */
 #define G_LOG_DOMAIN "leadership"
-#include "pooler/worker_internal.h"
+#include "pooler/worker/worker_internal.h"
 
 /* A check that is not over by then is given up. */
 #define CHECK_MAX_NS (300 * NANOSECONDS_PER_MILLISECOND)
--- a/src/pooler/router.c
+++ b/src/pooler/routing/router.c
@@ -1,7 +1,7 @@
 /* Where each statement goes: to the primary, or to any database that is fresh enough, by load and
  * zone. What can't go at once waits in its group's queue, most urgent first. */
 #define G_LOG_DOMAIN "router"
-#include "pooler/worker_internal.h"
+#include "pooler/worker/worker_internal.h"
 
 /* Factors on a database's expected latency. */
 #define OTHER_ZONE_FACTOR 3.0
--- a/src/pooler/answer.c
+++ b/src/pooler/shared/answer.c
@@ -1,5 +1,5 @@
-/* The table from the kind of an answer to what it means; see pooler/wire.h. */
-#include "pooler/wire.h"
+/* The table from the kind of an answer to what it means; see pooler/shared/wire.h. */
+#include "pooler/shared/wire.h"
 
 static const struct answer_meaning meanings[ANSWER_CODE_COUNT] = {
     [ANSWER_NONE] = {"done", false, false, ""},
--- a/src/pooler/buffer.c
+++ b/src/pooler/shared/buffer.c
@@ -1,5 +1,5 @@
 /* Buffers of connections; see the header. */
-#include "pooler/buffer.h"
+#include "pooler/shared/buffer.h"
 
 #include <errno.h>
 #include <stdarg.h>
--- a/src/pooler/configuration.c
+++ b/src/pooler/shared/configuration.c
@@ -1,5 +1,5 @@
 /* The configuration in force; see the header. */
-#include "pooler/configuration.h"
+#include "pooler/shared/configuration.h"
 
 static void
 route_free(gpointer data)
--- a/src/pooler/log.c
+++ b/src/pooler/shared/log.c
@@ -1,5 +1,5 @@
 /* The log's writer; see the header. */
-#include "pooler/log.h"
+#include "pooler/shared/log.h"
 
 #include <glib.h>
 #include <jansson.h>
--- a/src/pooler/metrics.c
+++ b/src/pooler/shared/metrics.c
@@ -1,5 +1,5 @@
 /* Counters and histograms; see the header. */
-#include "pooler/metrics.h"
+#include "pooler/shared/metrics.h"
 
 #include <inttypes.h>
 
--- a/src/pooler/metrics.h
+++ b/src/pooler/shared/metrics.h
@@ -8,8 +8,8 @@
 #include <stdint.h>
 
 #include "core/types.h"
-#include "pooler/configuration.h"
-#include "pooler/wire.h"
+#include "pooler/shared/configuration.h"
+#include "pooler/shared/wire.h"
 
 #define METRICS_ROUTE_KINDS 3
 
--- a/src/pooler/peer.c
+++ b/src/pooler/shared/peer.c
@@ -1,8 +1,8 @@
 /* Connections between poolers; see the header. */
-#include "pooler/peer.h"
+#include "pooler/shared/peer.h"
 
-#include "pooler/buffer.h"
-#include "pooler/socket.h"
+#include "pooler/shared/buffer.h"
+#include "pooler/shared/socket.h"
 
 #include <arpa/inet.h>
 #include <string.h>
--- a/src/pooler/socket.c
+++ b/src/pooler/shared/socket.c
@@ -1,5 +1,5 @@
 /* Sockets of the pooler; see the header. */
-#include "pooler/socket.h"
+#include "pooler/shared/socket.h"
 
 #include "core/error.h"
 #include "generated/errors.h"
--- a/src/pooler/view.c
+++ b/src/pooler/shared/view.c
@@ -1,5 +1,5 @@
 /* The published view; see the header. */
-#include "pooler/view.h"
+#include "pooler/shared/view.h"
 
 #include <glib.h>
 
--- a/src/pooler/view.h
+++ b/src/pooler/shared/view.h
@@ -11,7 +11,7 @@
 
 #include "core/types.h"
 #include "generated/messages.h"
-#include "pooler/configuration.h"
+#include "pooler/shared/configuration.h"
 #include "pooler/rate/roster.h"
 
 #define WORKERS_MAX 64
--- a/src/pooler/wire.h
+++ b/src/pooler/shared/wire.h
@@ -7,7 +7,7 @@
 #include <stdbool.h>
 
 #include "core/types.h"
-#include "pooler/buffer.h"
+#include "pooler/shared/buffer.h"
 
 /* Longest message that is taken, in bytes. */
 #define WIRE_MESSAGE_MAX ((size_t)1024 * 1024)
--- a/src/pooler/worker.c
+++ b/src/pooler/worker/worker.c
@@ -1,7 +1,7 @@
 /* The worker's thread: its event loop, listener, view and planned stop; see the header. */
 #define G_LOG_DOMAIN "worker"
-#include "pooler/socket.h"
-#include "pooler/worker_internal.h"
+#include "pooler/shared/socket.h"
+#include "pooler/worker/worker_internal.h"
 
 #include <errno.h>
 #include <sys/eventfd.h>
--- a/src/pooler/worker.h
+++ b/src/pooler/worker/worker.h
@@ -10,9 +10,9 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
-#include "pooler/metrics.h"
+#include "pooler/shared/metrics.h"
 #include "pooler/rate/counting.h"
-#include "pooler/view.h"
+#include "pooler/shared/view.h"
 
 struct worker;
 
--- a/src/pooler/worker_internal.h
+++ b/src/pooler/worker/worker_internal.h
@@ -11,14 +11,14 @@
 
 #include "backend/clock.h"
 #include "pooler/access/access.h"
-#include "pooler/buffer.h"
-#include "pooler/forward.h"
-#include "pooler/freshness.h"
-#include "pooler/metrics.h"
+#include "pooler/shared/buffer.h"
+#include "pooler/forwarding/forward.h"
+#include "pooler/routing/freshness.h"
+#include "pooler/shared/metrics.h"
 #include "pooler/rate/admission.h"
-#include "pooler/view.h"
-#include "pooler/wire.h"
-#include "pooler/worker.h"
+#include "pooler/shared/view.h"
+#include "pooler/shared/wire.h"
+#include "pooler/worker/worker.h"
 
 /* One client's connection, from its start to its end. */
 enum session_state {
--- a/tests/pooler/failover_rig.h
+++ b/tests/pooler/failover_rig.h
@@ -6,7 +6,7 @@
 #include <glib.h>
 #include <stdbool.h>
 
-#include "pooler/failover.h"
+#include "pooler/control/failover.h"
 
 #define RIG_DATABASES_MAX 5
 #define RIG_STEP_NS       (20 * NANOSECONDS_PER_MILLISECOND)
--- a/tests/pooler/test_database.c
+++ b/tests/pooler/test_database.c
@@ -3,7 +3,7 @@
  * @brief How many statements a database is given at once, by what it refuses: halving and growing
  * as in congestion control, so that poolers that share a database come to its slots.
  */
-#include "pooler/worker_internal.h"
+#include "pooler/worker/worker_internal.h"
 
 #define MS      NANOSECONDS_PER_MILLISECOND
 #define SERVERS 20
--- a/tests/pooler/test_directory.c
+++ b/tests/pooler/test_directory.c
@@ -1,5 +1,5 @@
 /* The directory: newest record by the store's version, and when a database counts as leaving. */
-#include "pooler/directory.h"
+#include "pooler/control/directory.h"
 
 #define MS        NANOSECONDS_PER_MILLISECOND
 #define HEARTBEAT (1200 * MS)
--- a/tests/pooler/test_freshness.c
+++ b/tests/pooler/test_freshness.c
@@ -1,5 +1,5 @@
 /* Samples of a primary's position: which one a read with a staleness bound must see. */
-#include "pooler/freshness.h"
+#include "pooler/routing/freshness.h"
 
 #include <glib.h>
 
--- a/tests/pooler/test_lease.c
+++ b/tests/pooler/test_lease.c
@@ -2,7 +2,7 @@
  * @file
  * @brief When the coordinator takes the store for lost to it, and whom it leaves the lease to.
  */
-#include "pooler/control_internal.h"
+#include "pooler/control/control_internal.h"
 
 #include <string.h>
 
--- a/tests/pooler/test_line_wire.c
+++ b/tests/pooler/test_line_wire.c
@@ -1,5 +1,5 @@
 /* The line format of clients and databases: every statement, and malformed input. */
-#include "pooler/wire.h"
+#include "pooler/shared/wire.h"
 
 #include <glib.h>
 
--- a/tests/pooler/test_owners.c
+++ b/tests/pooler/test_owners.c
@@ -3,7 +3,7 @@
  * @brief Which poolers own a group's connections: when, how many, spread over zones, and how little
  * changes when poolers come and go.
  */
-#include "pooler/control_internal.h"
+#include "pooler/control/control_internal.h"
 
 #include <string.h>
 
--- a/tests/pooler/test_relay.c
+++ b/tests/pooler/test_relay.c
@@ -3,7 +3,7 @@
  * @brief Rows of the store passed from pooler to pooler: what is told, what is known afterwards,
  * and who asks the store by itself.
  */
-#include "pooler/control_internal.h"
+#include "pooler/control/control_internal.h"
 
 #include <string.h>
 
--- a/tests/pooler/test_store.c
+++ b/tests/pooler/test_store.c
@@ -2,7 +2,7 @@
  * @file
  * @brief The client of the store against its stand-in: listings that don't fit into one answer.
  */
-#include "pooler/store.h"
+#include "pooler/control/store.h"
 #include "standins/session_platform/row_store.h"
 
 #include <arpa/inet.h>
--- a/tests/pooler/worker_fixture.h
+++ b/tests/pooler/worker_fixture.h
@@ -10,8 +10,8 @@
 #include <stdio.h>
 
 #include "backend/clock.h"
-#include "pooler/view.h"
-#include "pooler/worker.h"
+#include "pooler/shared/view.h"
+#include "pooler/worker/worker.h"
 #include "standins/session_platform/line_group.h"
 
 #define DATABASES      3
