--- a/tests/pooler/test_access.c
+++ b/tests/pooler/test_access.c
@@ -2,9 +2,15 @@
  * still stands, and limits of operations, at one worker and over a forwarding hop. */
 #include "worker_fixture.h"
 
+#include <arpa/inet.h>
 #include <string.h>
+#include <unistd.h>
 #include <urcu-bp.h>
 
+#include "free_port.h"
+#include "pooler/shared/socket.h"
+#include "wire/address.h"
+
 #define ADD(path, set_up_by, test)                                                                 \
     g_test_add("/access/" path, struct fixture, NULL, set_up_by, test, tear_down)
 
@@ -256,14 +262,18 @@
 
 /* ---- limits ---- */
 
-/* The worker's own pooler is the only one that counts. */
+/* The worker's own pooler is the only one that counts, or one of two. */
 static void
-count_here(struct fixture *fixture, double rate_per_s, double burst)
+count_with(struct fixture *fixture, double rate_per_s, double burst, const char *other)
 {
     const rate_bounds_t bounds = {5, 0, 0};
-    roster_t *roster = roster_new(1, 1);
+    roster_t *roster = roster_new(1, other == NULL ? 1 : 2);
     roster->members[0] = (roster_member_t){
         .address = g_strdup("127.0.0.1:1"), .weight = 1, .same_zone = true, .self = true};
+    if (other != NULL) {
+        roster->members[1] = (roster_member_t){.address = g_strdup(other), .weight = 1};
+        g_assert_true(parse_address(other, &roster->members[1].socket_address));
+    }
     fixture->roster = roster;
     fixture->rate_per_s = rate_per_s;
     fixture->burst = burst;
@@ -273,6 +283,12 @@
     set_keys(fixture, two_tenants);
 }
 
+static void
+count_here(struct fixture *fixture, double rate_per_s, double burst)
+{
+    count_with(fixture, rate_per_s, burst, NULL);
+}
+
 static void
 stop_counting(struct fixture *fixture)
 {
@@ -343,6 +359,34 @@
     counting_free(counting);
 }
 
+/* A home that takes connections and says nothing holds nobody up: another one is asked, and once
+ * that has no leave left, the answer comes soon. */
+static void
+test_silent_home(struct fixture *fixture, gconstpointer unused)
+{
+    g_autoptr(GError) error = NULL;
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(free_port());
+    int silent = socket_listen(&address, 4, false, &error);
+    g_autofree char *text = format_address(&address);
+    g_assert_no_error(error);
+    count_with(fixture, 0.05, 10, text);
+    struct client *client = client_open_as(fixture, "strict", "key-t");
+    bool refused = false;
+    for (unsigned i = 0; i < 20 && !refused; i++) {
+        time_ns before = backend_now();
+        ask(client, "WRITE a 1");
+        refused = g_str_has_prefix(client->result, "ERROR ");
+        g_assert_cmpuint(backend_now() - before, <, 2 * NANOSECONDS_PER_SECOND);
+    }
+    g_assert_true(refused);
+    g_assert_nonnull(strstr(client->result, "retry in"));
+    client_close(client);
+    stop_counting(fixture);
+    close(silent);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -359,6 +403,7 @@
     ADD("limit", set_up_keyed, test_limit);
     ADD("transaction-counts-once", set_up_keyed, test_transaction_counts_once);
     ADD("no-home", set_up_keyed, test_no_home);
+    ADD("silent-home", set_up_keyed, test_silent_home);
     ADD("forwarding/connections", set_up_keyed_forwarding, test_connections_are_a_tenants);
     ADD("forwarding/unknown-key", set_up_keyed_forwarding, test_unknown_key);
     ADD("forwarding/public", set_up_keyed_forwarding, test_public_route_needs_no_key);
