--- a/src/pooler/databases/database.c
+++ b/src/pooler/databases/database.c
@@ -30,7 +30,7 @@
 
 /* Connections to one database that are opened at the same time. Where they are a tenant's each,
  * one: what is opened serves that tenant alone, takes the place of another's, and holds a slot
- * meanwhile. Against two it served 0.010 of worth more (docs/design/tenants.md). */
+ * meanwhile. Against two, worth rose in 7 of 10 pairs of plays, by 0.003 in the middle. */
 #define OPENING_MAX       2
 #define OPENING_MAX_KEYED 1
 
