--- a/src/pooler/rate/admission.h
+++ b/src/pooler/rate/admission.h
@@ -38,7 +38,8 @@
 /** @brief The home that was asked can't be reached, or takes too long: another one is asked. */
 void admission_lost(struct session *session);
 
-/** @brief Answers another pooler's question, as a home. */
-admission_answer_t admission_give(struct worker *worker, const char *tenant);
+/** @brief Answers another pooler's question, as a home.
+ *  @param name of the tenant. */
+admission_answer_t admission_give(struct worker *worker, const char *name);
 
 #endif
