Refuse above a limit at once while one of its homes is silent, and say that it is the limit

Once a home has refused, or is known to have none left, those that lately did not answer are no longer waited for, and the refusal tells of the limit.

--- a/src/pooler/rate/admission.c
+++ b/src/pooler/rate/admission.c
@@ -115,15 +115,33 @@
     return home->link == NULL ? 0 : (home->near ? 1 : 2);
 }
 
-/* The home to ask next; -1 if there is none. */
+/* When the first home has leave again; 0 if none has refused. What refused this operation may have
+ * leave by now, as the others were asked meanwhile: it still was refused. */
+static time_ns
+first_leave(const struct session *session, const homes_t *homes, time_ns now)
+{
+    time_ns first = session->request.leave_at;
+    for (unsigned i = 0; i < homes->count; i++) {
+        time_ns until = homes->homes[i].empty_until;
+        if (until > now && (first == 0 || until < first)) {
+            first = until;
+        }
+    }
+    return first;
+}
+
+/* The home to ask next; -1 if there is none. Once one has refused, those that lately did not answer
+ * are not waited for: the tenant is near its limit, and is to hear so at once. */
 static int
 choose(const struct session *session, const homes_t *homes, time_ns now)
 {
     int best = -1;
+    bool at_limit = first_leave(session, homes, now) != 0;
     for (unsigned i = 0; i < homes->count; i++) {
         const home_t *home = &homes->homes[i];
         bool asked = (session->request.homes_asked & (1U << i)) != 0;
-        if (asked || now < home->empty_until) {
+        bool quiet = at_limit && now < home->avoid_until;
+        if (asked || quiet || now < home->empty_until) {
             continue;
         }
         if (best < 0 || cost_of(home, now) < cost_of(&homes->homes[best], now)) {
@@ -139,27 +157,13 @@
     session_route(session);
 }
 
-/* When the first home has leave again; 0 if none has refused. */
-static time_ns
-first_leave(const homes_t *homes, time_ns now)
-{
-    time_ns first = 0;
-    for (unsigned i = 0; i < homes->count; i++) {
-        time_ns until = homes->homes[i].empty_until;
-        if (until > now && (first == 0 || until < first)) {
-            first = until;
-        }
-    }
-    return first;
-}
-
 static void
 refuse(struct session *session, const homes_t *homes, time_ns now)
 {
-    time_ns first = first_leave(homes, now);
+    time_ns first = first_leave(session, homes, now);
     uint32_t wait_ms = NO_HOME_RETRY_MS;
     if (first != 0) {
-        wait_ms = (uint32_t)((first - now) / NANOSECONDS_PER_MILLISECOND) + 1;
+        wait_ms = first > now ? (uint32_t)((first - now) / NANOSECONDS_PER_MILLISECOND) + 1 : 1;
     }
     metrics_count(&session->worker->metrics,
                   first != 0 ? METRICS_REFUSED_RATE : METRICS_REFUSED_NO_HOME);
@@ -168,9 +172,11 @@
 }
 
 static void
-note_refusal(home_t *home, time_ns now, time_ns wait)
+note_refusal(struct session *session, home_t *home, time_ns now, time_ns wait)
 {
+    time_ns first = session->request.leave_at;
     home->empty_until = now + wait;
+    session->request.leave_at = first == 0 ? home->empty_until : MIN(first, home->empty_until);
 }
 
 /* Asks this pooler's own shares. True if leave was given. */
@@ -182,7 +188,7 @@
     case LEAVE_GIVEN:
         return true;
     case LEAVE_REFUSED:
-        note_refusal(home, now, wait);
+        note_refusal(session, home, now, wait);
         break;
     case LEAVE_DECLINED:
         home->avoid_until = now + AVOID_NS;
@@ -268,7 +274,7 @@
         return;
     }
     if (home != NULL && answer->refused) {
-        note_refusal(home, now, answer->retry_ms * NANOSECONDS_PER_MILLISECOND);
+        note_refusal(session, home, now, answer->retry_ms * NANOSECONDS_PER_MILLISECOND);
     } else if (home != NULL) {
         home->avoid_until = now + AVOID_NS;
     }
--- a/src/pooler/worker/worker_internal.h
+++ b/src/pooler/worker/worker_internal.h
@@ -68,6 +68,7 @@
     time_ns opened_at;       /* a connection was last opened for it */
     uint32_t homes_asked;    /* bit set: homes of the tenant's limit asked for leave */
     uint32_t home;           /* the one asked last */
+    time_ns leave_at;        /* the first of those that refused has leave again; 0: none refused */
     uint64_t homes_revision; /* these are the homes of that roster */
     uint32_t attempts;
     bool may_have_run;   /* it was sent to a database */
--- a/tests/pooler/test_access.c
+++ b/tests/pooler/test_access.c
@@ -382,6 +382,12 @@
     }
     g_assert_true(refused);
     g_assert_nonnull(strstr(client->result, "retry in"));
+    /* From then on a refusal waits for nobody, and tells of the limit. */
+    for (unsigned i = 0; i < 3; i++) {
+        time_ns before = backend_now();
+        bad(client, "WRITE a 1", "OVERLOAD", 'I');
+        g_assert_cmpuint(backend_now() - before, <, 50 * MS);
+    }
     client_close(client);
     stop_counting(fixture);
     close(silent);
