Choose owners by tenant only where there are tenants; the choice in a file of its own

Cause: read in the code: without tenants every session is nobody's, and all poolers of a zone ranked its owners alike, so that one owner got all statements of a group until it had six more than another.

--- a/src/pooler/forwarding/forward.c
+++ b/src/pooler/forwarding/forward.c
@@ -7,15 +7,13 @@
  * for. A single write or a commit is in doubt, and any other transaction is over.
  */
 #define G_LOG_DOMAIN "forward"
-#include "pooler/forwarding/forward.h"
+#include "pooler/forwarding/forward_internal.h"
 
 #include "generated/messages.h"
 #include "pooler/shared/peer.h"
 #include "pooler/client/session_internal.h"
 
-#include <inttypes.h>
 #include <string.h>
-#include <xxhash.h>
 
 /** An owner that has said nothing for so long, while something is asked, is asked for a sign. */
 #define PING_AFTER_NS (150 * NANOSECONDS_PER_MILLISECOND)
@@ -35,35 +33,6 @@
 /** An owner that declines has lost the group, or stops. */
 #define DECLINED_NS (150 * NANOSECONDS_PER_MILLISECOND)
 
-/** Owners in other zones are tried where none of this zone has given a sign for so long: some
- *  times the way there and back. */
-#define NEAR_FIRST_NS (50 * NANOSECONDS_PER_MILLISECOND)
-
-/** A tenant's owner is passed over where another one has so many statements from here less: below
- *  OTHER_ZONE_COST, so that a statement leaves its zone for load alone. */
-#define TENANT_COST 6
-
-/** An owner in another zone is taken where the near ones have so many statements more. */
-#define OTHER_ZONE_COST 12
-
-struct link {
-    struct worker *worker;
-    char *text;
-    const char *zone; /* interned; NULL: not known */
-    struct sockaddr_in address;
-    struct peer *peer; /* NULL while there is no connection */
-    struct peer_callbacks callbacks;
-    GHashTable *channels; /* number -> session */
-    uint64_t last_channel;
-    uint32_t running;    /* statements without an answer */
-    time_ns quiet_since; /* the owner was last heard, or first asked after a rest */
-    time_ns pinged_at;
-    time_ns avoid_until;
-    uint32_t losses; /* in a row */
-    bool doubted;    /* not heard since it was lost, or ever: it gets no statement before it gives a
-                        sign */
-};
-
 bool
 forward_is_open(const struct session *session)
 {
@@ -272,8 +241,8 @@
 }
 
 /* A lost owner may be frozen, and take connections all the same: it is asked first. */
-static void
-try_again(link_t *link, time_ns now)
+void
+link_try_again(link_t *link, time_ns now)
 {
     if (link->peer == NULL && now >= link->avoid_until && link_connect(link)) {
         ask_for_a_sign(link, now);
@@ -299,117 +268,9 @@
     for (guint i = 0; i < group->links->len; i++) {
         link_t *link = g_ptr_array_index(group->links, i);
         if (link->doubted) {
-            try_again(link, now);
-        }
-    }
-}
-
-/** @brief An owner that a statement may go to. */
-typedef struct candidate {
-    link_t *link; /* NULL: none */
-    uint32_t cost;
-    uint64_t rank; /* of the owner for the tenant: the same at all poolers */
-} candidate_t;
-
-static bool
-is_usable(const link_t *link, time_ns now)
-{
-    return !link->doubted && now >= link->avoid_until;
-}
-
-/** @brief What a statement looks for in an owner. */
-typedef struct wish {
-    const char *tenant;
-    const char *zone; /* near which it is best served; NULL: this pooler's */
-} wish_t;
-
-static bool
-is_near(const struct group *group, guint place, const wish_t *wish)
-{
-    const link_t *link = g_ptr_array_index(group->links, place);
-    return wish->zone == NULL ? place < group->links_near : link->zone == wish->zone;
-}
-
-/* Where only the primary can serve a statement, its zone has to be reached in any case: there the
- * owners hold most of the connections to it. */
-static wish_t
-wish_of(const struct session *session)
-{
-    const struct group *group = session->route.group;
-    wish_t wish = {session->tenant, group->primary == NULL ? NULL : group->primary->zone};
-    bool zoned = wish.zone != NULL && session->worker->has_tenants && router_wants_primary(session);
-    for (guint i = 0; zoned && i < group->links->len; i++) {
-        if (is_near(group, i, &wish)) {
-            return wish;
-        }
-    }
-    wish.zone = NULL;
-    return wish;
-}
-
-/* Statements from here under way there, near ones by preference. */
-static uint32_t
-cost_of(const struct group *group, guint place, const wish_t *wish)
-{
-    const link_t *link = g_ptr_array_index(group->links, place);
-    return link->running + (is_near(group, place, wish) ? 0 : OTHER_ZONE_COST);
-}
-
-static uint32_t
-least_cost(const struct group *group, const wish_t *wish, time_ns now)
-{
-    uint32_t least = UINT32_MAX;
-    for (guint i = 0; i < group->links->len; i++) {
-        if (is_usable(g_ptr_array_index(group->links, i), now)) {
-            least = MIN(least, cost_of(group, i, wish));
-        }
-    }
-    return least;
-}
-
-/* The owner that the tenant's statements of this zone go to, so that they meet connections that are
- * open for it; another one where that has much more to do than the least busy. */
-static link_t *
-choose_reachable(const struct group *group, const wish_t *wish, time_ns now, uint32_t *best_cost)
-{
-    candidate_t best = {0};
-    uint64_t seed = XXH3_64bits(wish->tenant, strlen(wish->tenant));
-    uint32_t least = least_cost(group, wish, now);
-    for (guint i = 0; i < group->links->len; i++) {
-        link_t *link = g_ptr_array_index(group->links, i);
-        const candidate_t candidate = {link, cost_of(group, i, wish),
-                                       XXH3_64bits_withSeed(link->text, strlen(link->text), seed)};
-        bool taken = is_usable(link, now) && candidate.cost <= least + TENANT_COST;
-        if (taken && (best.link == NULL || candidate.rank > best.rank)) {
-            best = candidate;
-        }
-    }
-    *best_cost = best.cost;
-    return best.link;
-}
-
-/* Links are opened as they are needed: every pooler connected to every owner would be machines
- * squared. Those of other zones only where the near ones are lost, or have much to do. */
-static link_t *
-choose(struct group *group, const wish_t *wish, time_ns now)
-{
-    uint32_t cost = 0;
-    link_t *best = choose_reachable(group, wish, now, &cost);
-    if (best != NULL) {
-        group->unreached_since = 0;
-    } else if (group->unreached_since == 0) {
-        group->unreached_since = now;
-    }
-    bool waited = best == NULL && now >= group->unreached_since + NEAR_FIRST_NS;
-    bool lonely = wish->zone == NULL && group->links_near == 0;
-    bool far_too = waited || lonely || (best != NULL && cost >= OTHER_ZONE_COST);
-    for (guint i = 0; i < group->links->len; i++) {
-        link_t *link = g_ptr_array_index(group->links, i);
-        if (link->doubted && (far_too || is_near(group, i, wish))) {
-            try_again(link, now);
+            link_try_again(link, now);
         }
     }
-    return best;
 }
 
 static uint64_t
@@ -536,8 +397,7 @@
 bool
 forward_start(struct session *session)
 {
-    const wish_t wish = wish_of(session);
-    link_t *link = choose(session->route.group, &wish, backend_now());
+    link_t *link = owner_choose(session, backend_now());
     if (link == NULL || !link_connect(link)) {
         return false;
     }
--- /dev/null
+++ b/src/pooler/forwarding/forward_internal.h
@@ -0,0 +1,39 @@
+/**
+ * @file
+ * @brief Shared by the parts of forwarding: links to owners (forward.c) and the choice of one
+ * (owner_choice.c).
+ */
+#ifndef SW_POOLER_FORWARD_INTERNAL_H
+#define SW_POOLER_FORWARD_INTERNAL_H
+
+#include "pooler/forwarding/forward.h"
+
+#include "pooler/shared/peer.h"
+
+struct link {
+    struct worker *worker;
+    char *text;
+    const char *zone; /* interned; NULL: not known */
+    struct sockaddr_in address;
+    struct peer *peer; /* NULL while there is no connection */
+    struct peer_callbacks callbacks;
+    GHashTable *channels; /* number -> session */
+    uint64_t last_channel;
+    uint32_t running;    /* statements without an answer */
+    time_ns quiet_since; /* the owner was last heard, or first asked after a rest */
+    time_ns pinged_at;
+    time_ns avoid_until;
+    uint32_t losses; /* in a row */
+    bool doubted;    /* not heard since it was lost, or ever: it gets no statement before it gives a
+                        sign */
+};
+
+/** @brief Connects to a lost owner again, if it is time to, and asks it for a sign: it may be
+ * frozen, and take connections all the same. */
+void link_try_again(link_t *link, time_ns now);
+
+/** @return the owner that the session's statement goes to; NULL if none can be reached now. Opens
+ *  links to those that may be reached soon. */
+link_t *owner_choose(const struct session *session, time_ns now);
+
+#endif
