--- a/tools/try.sh
+++ b/tools/try.sh
@@ -3,9 +3,13 @@
 # published configuration, three stand-in databases of one group of the hut franchise, and three
 # daemons. README.md and docs/OPERATIONS.md show calls against it.
 # Usage: tools/try.sh [BUILD_DIRECTORY]   CLUSTER_KEEP=1 keeps the logs.
+#        tools/try.sh pooler [--check] [BUILD_DIRECTORY]   the session pooler instead: try_pooler.sh
 set -euo pipefail
 
 cd "$(dirname "$0")/.."
+if [ "${1:-}" = pooler ]; then
+    exec tools/try_pooler.sh "${@:2}"
+fi
 # shellcheck source=tools/cluster.sh
 . tools/cluster.sh
 
