--- a/tools/pair_days.py
+++ b/tools/pair_days.py
@@ -24,7 +24,7 @@
 import tomllib
 
 # What operators plan stands under `plan` of a day, all else under `faults`.
-PLANNED = {"add_nodes", "big_config", "config_change", "config_storm", "hup", "release", "roll_term"}
+PLANNED = {"add_nodes", "big_config", "config_change", "config_storm", "hup", "release", "revoke", "roll_term"}
 # Seconds from the start of traffic between which the first trouble begins, and from it to the second.
 FIRST_AT = (2.0, 14.0)
 SECOND_AFTER = (0.0, 5.0)
