Let a test's answerer go on until no client asks; explain a request that was refused

The thread now ends once the clients have, so that all are taken; what is asserted is the same. pooler try: it explained the answer to a request that, tokens having come back meanwhile, had succeeded, and has no line. It takes the id of one that was refused; its poolers may log 2,000 lines a second, so that none is left out.

--- a/tests/frontend/test_frontend_order.c
+++ b/tests/frontend/test_frontend_order.c
@@ -4,6 +4,8 @@
 #include "harness.h"
 
 #include <curl/curl.h>
+#include <stdatomic.h>
+#include <stdbool.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -360,13 +362,23 @@
     harness_stop(&harness);
 }
 
-static void *answer_all(void *data)
+struct load_answerer {
+    struct harness *harness;
+    atomic_bool last; /* no client asks any more: what is there is the rest */
+};
+
+/* Answers everything that clients ask, late or not. */
+static void *answer_load(void *data)
 {
-    struct harness *harness = data;
-    struct submitted *submitted = harness_take_within(harness, 100);
-    while (submitted != NULL) {
-        harness_answer_text(submitted, "x", 1, 1);
-        submitted = harness_take_within(harness, 100);
+    struct load_answerer *answerer = data;
+    bool last = false;
+    while (!last) {
+        last = atomic_load(&answerer->last);
+        struct submitted *submitted = harness_take_within(answerer->harness, 100);
+        while (submitted != NULL) {
+            harness_answer_text(submitted, "x", 1, 1);
+            submitted = harness_take_within(answerer->harness, 100);
+        }
     }
     return NULL;
 }
@@ -398,14 +410,16 @@
         for (size_t i = 0; i < G_N_ELEMENTS(clients); i++) {
             pthread_create(&clients[i], NULL, post_until_refused, &harness);
         }
-        pthread_t answerer;
-        pthread_create(&answerer, NULL, answer_all, &harness);
+        pthread_t answering;
+        struct load_answerer answerer = {&harness, false};
+        pthread_create(&answering, NULL, answer_load, &answerer);
         harness_answer_text(harness_take(&harness), "x", 1, 1);
         frontend_stop(harness.frontend);
         for (size_t i = 0; i < G_N_ELEMENTS(clients); i++) {
             pthread_join(clients[i], NULL);
         }
-        pthread_join(answerer, NULL);
+        atomic_store(&answerer.last, true);
+        pthread_join(answering, NULL);
         harness.frontend = NULL;
         harness_stop(&harness);
     }
--- a/tools/try_pooler.sh
+++ b/tools/try_pooler.sh
@@ -57,7 +57,7 @@
         --set="pooler.readiness_listen=127.0.0.1:$(port_of "$index" 3)" \
         --set="pooler.metrics_listen=127.0.0.1:$(port_of "$index" 4)" \
         --set="pooler.peers=127.0.0.1:$(port_of 0 1)" --set="store.address=$store" --set="promotion.address=$store" \
-        --set=store.heartbeat_ms=400 --set=access.revoke_ms=5000 >"$directory/pooler-$index.log" &
+        --set=store.heartbeat_ms=400 --set=access.revoke_ms=5000 --set=log.lines_per_second=2000 >"$directory/pooler-$index.log" &
     pids+=("$!")
 }
 
@@ -114,9 +114,11 @@
     done
     expect 'COMPLETE' "$answer"
     expect '^promoted' "$(cat "$directory/platform.log")"
-    echo '== what was said of that request'
-    tools/explain.py "$(cut -d' ' -f1 <<<"$(ask 1 beds key-agency --rate 40 --seconds 0.5 'READ x' >/dev/null; ask 1 beds key-agency 'READ x')")" \
-        "$directory"/pooler-*.log
+    echo '== what was said of a request above the limit'
+    answer=$(ask 1 beds key-agency 'READ a' 'READ b' 'READ c' 'READ d' 'READ e' 'READ f' 'READ g' 'READ h' 'READ i' \
+        'READ j' 'READ k' 'READ l')
+    expect 'ERROR OVERLOAD' "$answer"
+    tools/explain.py "$(sed -n '/ERROR OVERLOAD/{s/ .*//p;q}' <<<"$answer")" "$directory"/pooler-*.log
 }
 
 show() {
