--- a/src/pooler/forwarding/forward.c
+++ b/src/pooler/forwarding/forward.c
@@ -134,10 +134,10 @@
         return;
     }
     stop_running(session);
-    if (session->forward.leave) {
-        const admission_answer_t leave = {answer->declined, answer->refused, answer->retry_ms};
+    if (session->forward.wants_token) {
+        const admission_answer_t token = {answer->declined, answer->refused, answer->retry_ms};
         detach(session);
-        admission_answered(session, &leave);
+        admission_answered(session, &token);
         return;
     }
     if (answer->declined) {
@@ -335,9 +335,9 @@
 }
 
 static void
-open_channel(struct session *session, link_t *link, bool leave)
+open_channel(struct session *session, link_t *link, bool wants_token)
 {
-    session->forward = (session_forward_t){link, ++link->last_channel, false, leave};
+    session->forward = (session_forward_t){link, ++link->last_channel, false, wants_token};
     g_hash_table_insert(link->channels, &session->forward.channel, session);
 }
 
@@ -377,7 +377,7 @@
 }
 
 bool
-forward_ask_leave(struct session *session, link_t *link, const char *tenant)
+forward_ask_token(struct session *session, link_t *link, const char *tenant)
 {
     time_ns now = backend_now();
     if (now < link->avoid_until || !link_connect(link)) {
@@ -425,7 +425,7 @@
     ask.channel = session->forward.channel;
     ask.ends = true;
     detach(session);
-    if (link->peer != NULL && !session->forward.leave) {
+    if (link->peer != NULL && !session->forward.wants_token) {
         send_ask(link, &ask);
     }
     forward_ask_clear(&ask);
--- a/src/pooler/forwarding/forward.h
+++ b/src/pooler/forwarding/forward.h
@@ -43,9 +43,9 @@
  *  @return false if no owner can be reached now. */
 bool forward_start(struct session *session);
 
-/** @brief Asks the pooler at the other end for leave to begin one operation of the tenant.
+/** @brief Asks the pooler at the other end for a token to begin one operation of the tenant.
  *  @return false if it can't be asked now. */
-bool forward_ask_leave(struct session *session, link_t *link, const char *tenant);
+bool forward_ask_token(struct session *session, link_t *link, const char *tenant);
 
 /** @brief Sends a further statement of the transaction that is open at the session's owner. */
 void forward_continue(struct session *session);
--- a/src/pooler/forwarding/forward_serve.c
+++ b/src/pooler/forwarding/forward_serve.c
@@ -227,15 +227,15 @@
 
 /* Tells whether an operation of a tenant may begin. */
 static void
-give_leave(caller_t *caller, const struct forward_ask *ask)
+give_token(caller_t *caller, const struct forward_ask *ask)
 {
-    admission_answer_t leave = admission_give(caller->worker, ask->admits);
+    admission_answer_t token = admission_give(caller->worker, ask->admits);
     struct forward_answer answer;
     forward_answer_init(&answer);
     answer.channel = ask->channel;
-    answer.declined = leave.declined;
-    answer.refused = leave.refused;
-    answer.retry_ms = leave.retry_ms;
+    answer.declined = token.declined;
+    answer.refused = token.refused;
+    answer.retry_ms = token.retry_ms;
     send_answer(caller, &answer);
 }
 
@@ -253,7 +253,7 @@
     if (ask.channel == 0) {
         give_sign(caller);
     } else if (ask.admits != NULL && ask.admits[0] != '\0') {
-        give_leave(caller, &ask);
+        give_token(caller, &ask);
     } else if (ask.ends) {
         end(caller, ask.channel);
     } else {
--- a/src/pooler/rate/admission.c
+++ b/src/pooler/rate/admission.c
@@ -1,4 +1,4 @@
-/* Leave to begin an operation; see the header. */
+/* Tokens to begin operations; see the header. */
 #define G_LOG_DOMAIN "rate"
 #include "pooler/rate/admission.h"
 
@@ -13,14 +13,14 @@
  * to it comes within a quarter of a second. */
 #define AVOID_NS (250 * NANOSECONDS_PER_MILLISECOND)
 
-/* What a client is told that no home can give leave: when the next one is likely to. */
+/* What a client is told that no home can give a token: when the next one is likely to. */
 #define NO_HOME_RETRY_MS 300U
 
 /** @brief One home of a tenant's limit. */
 typedef struct home {
     link_t *link; /* NULL: this pooler */
     bool near;
-    time_ns empty_until; /* it has refused; none of its shares has leave before */
+    time_ns empty_until; /* it has refused; none of its shares has a token before */
     time_ns avoid_until;
 } home_t;
 
@@ -115,12 +115,12 @@
     return home->link == NULL ? 0 : (home->near ? 1 : 2);
 }
 
-/* When the first home has leave again; 0 if none has refused. What refused this operation may have
- * leave by now, as the others were asked meanwhile: it still was refused. */
+/* When the first home has a token again; 0 if none has refused. What refused this operation may
+ * have one by now, as the others were asked meanwhile: it still was refused. */
 static time_ns
-first_leave(const struct session *session, const homes_t *homes, time_ns now)
+first_token(const struct session *session, const homes_t *homes, time_ns now)
 {
-    time_ns first = session->request.leave_at;
+    time_ns first = session->request.token_at;
     for (unsigned i = 0; i < homes->count; i++) {
         time_ns until = homes->homes[i].empty_until;
         if (until > now && (first == 0 || until < first)) {
@@ -136,7 +136,7 @@
 choose(const struct session *session, const homes_t *homes, time_ns now)
 {
     int best = -1;
-    bool at_limit = first_leave(session, homes, now) != 0;
+    bool at_limit = first_token(session, homes, now) != 0;
     for (unsigned i = 0; i < homes->count; i++) {
         const home_t *home = &homes->homes[i];
         bool asked = (session->request.homes_asked & (1U << i)) != 0;
@@ -160,7 +160,7 @@
 static void
 refuse(struct session *session, const homes_t *homes, time_ns now)
 {
-    time_ns first = first_leave(session, homes, now);
+    time_ns first = first_token(session, homes, now);
     uint32_t wait_ms = NO_HOME_RETRY_MS;
     if (first != 0) {
         wait_ms = first > now ? (uint32_t)((first - now) / NANOSECONDS_PER_MILLISECOND) + 1 : 1;
@@ -174,23 +174,23 @@
 static void
 note_refusal(struct session *session, home_t *home, time_ns now, time_ns wait)
 {
-    time_ns first = session->request.leave_at;
+    time_ns first = session->request.token_at;
     home->empty_until = now + wait;
-    session->request.leave_at = first == 0 ? home->empty_until : MIN(first, home->empty_until);
+    session->request.token_at = first == 0 ? home->empty_until : MIN(first, home->empty_until);
 }
 
-/* Asks this pooler's own shares. True if leave was given. */
+/* Asks this pooler's own shares. True if a token was granted. */
 static bool
 ask_here(struct session *session, const tenant_t *tenant, home_t *home, time_ns now)
 {
     time_ns wait = 0;
     switch (counting_take(session->worker->shared->counting, tenant, now, &wait)) {
-    case LEAVE_GIVEN:
+    case TOKEN_GRANTED:
         return true;
-    case LEAVE_REFUSED:
+    case TOKEN_REFUSED:
         note_refusal(session, home, now, wait);
         break;
-    case LEAVE_DECLINED:
+    case TOKEN_DECLINED:
         home->avoid_until = now + AVOID_NS;
         break;
     }
@@ -212,8 +212,8 @@
                 admit(session);
                 return;
             }
-        } else if (forward_ask_leave(session, home->link, tenant->name)) {
-            metrics_count(&session->worker->metrics, METRICS_LEAVE_ASKED);
+        } else if (forward_ask_token(session, home->link, tenant->name)) {
+            metrics_count(&session->worker->metrics, METRICS_TOKENS_ASKED);
             session->state = SESSION_ADMITTING;
             session_set_timer(session, now + ANSWER_WAIT_NS);
             return;
@@ -285,7 +285,7 @@
 admission_lost(struct session *session)
 {
     home_t *home = asked_home(session);
-    metrics_count(&session->worker->metrics, METRICS_LEAVE_UNANSWERED);
+    metrics_count(&session->worker->metrics, METRICS_TOKENS_UNANSWERED);
     if (home != NULL) {
         home->avoid_until = backend_now() + AVOID_NS;
     }
@@ -301,9 +301,9 @@
         return (admission_answer_t){.declined = true};
     }
     switch (counting_take(worker->shared->counting, &tenant, backend_now(), &wait)) {
-    case LEAVE_GIVEN:
+    case TOKEN_GRANTED:
         return (admission_answer_t){0};
-    case LEAVE_REFUSED:
+    case TOKEN_REFUSED:
         return (admission_answer_t){.refused = true,
                                     .retry_ms = (uint32_t)(wait / NANOSECONDS_PER_MILLISECOND) + 1};
     default:
--- a/src/pooler/rate/admission.h
+++ b/src/pooler/rate/admission.h
@@ -1,9 +1,9 @@
 /**
  * @file
- * @brief Leave to begin an operation, asked for a session at the homes of its tenant's limit
+ * @brief Tokens to begin operations, asked for a session at the homes of its tenant's limit
  * (roster.h). All functions belong to the session's worker.
  *
- * A single statement, or a transaction with its first statement, is one operation. Its leave is
+ * A single statement, or a transaction with its first statement, is one operation. Its token is
  * asked for where the client is, before the statement is routed or forwarded, so that what is above
  * a limit takes no connection, slot or place in a queue.
  */
@@ -29,7 +29,7 @@
 /** @return an empty table of the homes that a worker knows, by tenant. */
 GHashTable *admission_homes_new(void);
 
-/** @brief Asks for leave; the statement goes on to the router once it is given. */
+/** @brief Asks for a token; the statement goes on to the router once it is granted. */
 void admission_begin(struct session *session);
 
 /** @brief The home that was asked has answered. */
--- a/src/pooler/rate/counting.c
+++ b/src/pooler/rate/counting.c
@@ -156,12 +156,12 @@
     return fmin(tokens, rate_share(bounds, tenant).room);
 }
 
-static leave_t
+static token_answer_t
 take_any(counting_t *counting, const tenant_t *tenant, time_ns now, time_ns *wait)
 {
     counted_t *counted = counted_of(counting, tenant);
     const bucket_limit_t limit = rate_share(&counting->bounds, tenant);
-    leave_t result = LEAVE_DECLINED;
+    token_answer_t result = TOKEN_DECLINED;
     *wait = 0;
     for (unsigned i = 0; i < ROSTER_SHARES; i++) {
         time_ns share_wait = 0;
@@ -174,18 +174,18 @@
                 (bucket_t){rate_start_tokens(&counting->bounds, tenant), counting->changed_at};
         }
         if (bucket_take(&counted->buckets[i], &limit, now, &share_wait)) {
-            return LEAVE_GIVEN;
+            return TOKEN_GRANTED;
         }
-        result = LEAVE_REFUSED;
+        result = TOKEN_REFUSED;
         *wait = *wait == 0 || (share_wait != 0 && share_wait < *wait) ? share_wait : *wait;
     }
     return result;
 }
 
-leave_t
+token_answer_t
 counting_take(counting_t *counting, const tenant_t *tenant, time_ns now, time_ns *wait)
 {
-    leave_t result = LEAVE_DECLINED;
+    token_answer_t result = TOKEN_DECLINED;
     pthread_mutex_lock(&counting->lock);
     if (counting->roster != NULL && !counting->entering && now < counting->until) {
         result = take_any(counting, tenant, now, wait);
--- a/src/pooler/rate/counting.h
+++ b/src/pooler/rate/counting.h
@@ -22,11 +22,11 @@
 } rate_bounds_t;
 
 /** @brief What came of asking a home. */
-typedef enum leave {
-    LEAVE_GIVEN,
-    LEAVE_REFUSED,  /* the share is used up */
-    LEAVE_DECLINED, /* this pooler does not count any share of the tenant now */
-} leave_t;
+typedef enum token_answer {
+    TOKEN_GRANTED,
+    TOKEN_REFUSED,  /* the share is used up */
+    TOKEN_DECLINED, /* this pooler does not count any share of the tenant now */
+} token_answer_t;
 
 typedef struct counting counting_t;
 
@@ -39,9 +39,10 @@
 /** @brief The list of members is relied on until then. */
 void counting_rely_until(counting_t *counting, time_ns until);
 
-/** @brief Asks for leave to begin one operation, of all shares that this pooler counts.
- *  @param wait if refused: until one of them has leave again; 0 if never. */
-leave_t counting_take(counting_t *counting, const tenant_t *tenant, time_ns now, time_ns *wait);
+/** @brief Asks for a token to begin one operation, of all shares that this pooler counts.
+ *  @param wait if refused: until one of them has a token again; 0 if never. */
+token_answer_t counting_take(counting_t *counting, const tenant_t *tenant, time_ns now,
+                             time_ns *wait);
 
 /** @return tokens that a share's bucket begins with.
  *
@@ -51,7 +52,7 @@
 double rate_start_tokens(const rate_bounds_t *bounds, const tenant_t *tenant);
 
 /** @return how one share of the tenant's limit fills. A share holds up to one operation more than
- * its part of the burst: whole operations only are given leave for, so that up to one for each
+ * its part of the burst: only whole tokens are given, so that up to one for each
  * share would be lost to fractions. It is taken from what the limit may be exceeded by. */
 bucket_limit_t rate_share(const rate_bounds_t *bounds, const tenant_t *tenant);
 
--- a/src/pooler/rate/roster.h
+++ b/src/pooler/rate/roster.h
@@ -5,9 +5,9 @@
  * A tenant's limit holds over all poolers together, cut off or not. It is divided into shares of
  * equal size, once and for all. Each share is counted by one pooler at a time, its home: the member
  * that comes first by weighted rendezvous hashing of tenant, share and member. A pooler that takes
- * an operation asks a home for leave; a home that has none left sends it to the tenant's other
- * ones. Because leave is asked for after the client has sent its request, and before a database
- * gets it, what runs in any span of time is no more than what homes gave leave for in it.
+ * an operation asks a home for a token; a home that has none left sends it to the tenant's other
+ * ones. Because the token is asked for after the client has sent its request, and before a database
+ * gets it, what runs in any span of time is no more than the tokens that homes gave in it.
  *
  * No two poolers may count one share at the same time. So
  * - a home counts only while its list of members is current: a coordinator answered a heartbeat
@@ -16,11 +16,12 @@
  *   that was killed is back in 1 to 4 s), and it has stopped counting long before they are over;
  * - a member that joins takes its places at once, so that whoever had them stops, and counts only
  *   ROSTER_ENTERING_NS later, when also those have stopped who did not hear of it.
- * Meanwhile such a share gives no leave. The other shares do, so that a tenant has the greater part
- * of its limit.
+ * Meanwhile such a share gives no tokens. The other shares do, so that a tenant has the greater
+ * part of its limit.
  *
- * A process that starts has forgotten what it gave leave for. Its buckets begin with a part of what
- * the limit may be exceeded by (rate_start_tokens), so that this can happen some times in a window.
+ * A process that starts has forgotten the tokens that it gave. Its buckets begin with a part of
+ * what the limit may be exceeded by (rate_start_tokens), so that this can happen some times in a
+ * window.
  */
 #ifndef SW_POOLER_RATE_ROSTER_H
 #define SW_POOLER_RATE_ROSTER_H
--- a/src/pooler/shared/metrics.c
+++ b/src/pooler/shared/metrics.c
@@ -30,8 +30,8 @@
     [METRICS_REFUSED_KEYS] = "refused_unknown_key",
     [METRICS_REFUSED_RATE] = "refused_above_limit",
     [METRICS_REFUSED_NO_HOME] = "refused_without_home",
-    [METRICS_LEAVE_ASKED] = "leave_asked",
-    [METRICS_LEAVE_UNANSWERED] = "leave_unanswered",
+    [METRICS_TOKENS_ASKED] = "tokens_asked",
+    [METRICS_TOKENS_UNANSWERED] = "tokens_unanswered",
     [METRICS_REFUSED_UNPROVEN] = "refused_without_proof",
 };
 
--- a/src/pooler/shared/metrics.h
+++ b/src/pooler/shared/metrics.h
@@ -41,10 +41,10 @@
     METRICS_REFUSED_KEYS, /* starts and statements whose key nobody holds */
     METRICS_REFUSED_UNPROVEN, /* statements refused for want of proof that their key stands */
     METRICS_REFUSED_RATE,     /* operations above their tenant's limit */
-    METRICS_REFUSED_NO_HOME,  /* operations for which no home of the limit gave leave or refused it
-                               */
-    METRICS_LEAVE_ASKED,      /* questions for leave to begin an operation, sent to other poolers */
-    METRICS_LEAVE_UNANSWERED, /* of these, without an answer in time */
+    METRICS_REFUSED_NO_HOME, /* operations for which no home of the limit granted or refused a token
+                              */
+    METRICS_TOKENS_ASKED,    /* tokens to begin operations, asked of other poolers */
+    METRICS_TOKENS_UNANSWERED, /* of these, without an answer in time */
     METRICS_COUNTER_COUNT,
 };
 
--- a/src/pooler/worker/worker_internal.h
+++ b/src/pooler/worker/worker_internal.h
@@ -24,7 +24,7 @@
 enum session_state {
     SESSION_STARTING,  /* has not named its database yet */
     SESSION_IDLE,      /* nothing is asked */
-    SESSION_ADMITTING, /* leave to begin an operation is asked for */
+    SESSION_ADMITTING, /* a token to begin an operation is asked for */
     SESSION_QUEUED,    /* a statement waits for a connection to a database */
     SESSION_RUNNING,   /* a statement is at a database */
     SESSION_ENDED,     /* closed; freed at the end of the callback */
@@ -59,16 +59,16 @@
     char *message; /* the client's message; the spans point into it */
     size_t message_length;
     struct statement statement;
-    bool writes;             /* a write, or the execution of a prepared one */
-    time_ns arrived;         /* when it was read */
-    time_ns deadline;        /* of its route's timeout */
-    time_ns sent;            /* when it was last sent to a database */
-    const char *sent_to;     /* id of that database, NULL: to none yet */
-    time_ns not_before;      /* it is not sent again before */
-    time_ns opened_at;       /* a connection was last opened for it */
-    uint32_t homes_asked;    /* bit set: homes of the tenant's limit asked for leave */
-    uint32_t home;           /* the one asked last */
-    time_ns leave_at;        /* the first of those that refused has leave again; 0: none refused */
+    bool writes;          /* a write, or the execution of a prepared one */
+    time_ns arrived;      /* when it was read */
+    time_ns deadline;     /* of its route's timeout */
+    time_ns sent;         /* when it was last sent to a database */
+    const char *sent_to;  /* id of that database, NULL: to none yet */
+    time_ns not_before;   /* it is not sent again before */
+    time_ns opened_at;    /* a connection was last opened for it */
+    uint32_t homes_asked; /* bit set: homes of the tenant's limit asked for a token */
+    uint32_t home;        /* the one asked last */
+    time_ns token_at;     /* the first of those that refused has a token again; 0: none refused */
     uint64_t homes_revision; /* these are the homes of that roster */
     uint32_t attempts;
     bool may_have_run;   /* it was sent to a database */
@@ -90,8 +90,8 @@
 typedef struct session_forward {
     link_t *link;
     uint64_t channel;
-    bool running; /* an answer is awaited */
-    bool leave;   /* no statement, but leave to begin an operation is asked for */
+    bool running;     /* an answer is awaited */
+    bool wants_token; /* no statement, but a token to begin an operation is asked for */
 } session_forward_t;
 
 /** @brief Whom a forwarded session belongs to; caller NULL: to a client of this pooler. */
--- a/tests/pooler/test_access.c
+++ b/tests/pooler/test_access.c
@@ -360,7 +360,7 @@
 }
 
 /* A home that takes connections and says nothing holds nobody up: another one is asked, and once
- * that has no leave left, the answer comes soon. */
+ * that has no token left, the answer comes soon. */
 static void
 test_silent_home(struct fixture *fixture, gconstpointer unused)
 {
--- a/tests/pooler/test_rate.c
+++ b/tests/pooler/test_rate.c
@@ -94,7 +94,7 @@
 {
     unsigned given = 0;
     time_ns wait = 0;
-    while (counting_take(counting, tenant, now, &wait) == LEAVE_GIVEN) {
+    while (counting_take(counting, tenant, now, &wait) == TOKEN_GRANTED) {
         given++;
     }
     return given;
@@ -110,17 +110,17 @@
     roster_t *roster = make_roster(1, 1);
     time_ns wait = 0;
     roster->members[0].self = true;
-    g_assert_cmpint(counting_take(counting, tenant, SECOND, &wait), ==, LEAVE_DECLINED);
+    g_assert_cmpint(counting_take(counting, tenant, SECOND, &wait), ==, TOKEN_DECLINED);
     counting_set_roster(counting, roster, SECOND);
-    g_assert_cmpint(counting_take(counting, tenant, SECOND, &wait), ==, LEAVE_DECLINED);
+    g_assert_cmpint(counting_take(counting, tenant, SECOND, &wait), ==, TOKEN_DECLINED);
     counting_rely_until(counting, 100 * SECOND);
     unsigned first = take_all(counting, tenant, SECOND);
     g_assert_cmpuint(first, <=, (unsigned)((50 * 5 + 20) * 0.1 + 20) / 3);
     g_assert_cmpuint(take_all(counting, tenant, 60 * SECOND), ==, 20 + ROSTER_SHARES);
     g_assert_cmpuint(take_all(counting, tenant, 61 * SECOND), ==, 20 + ROSTER_SHARES);
-    g_assert_cmpint(counting_take(counting, tenant, 61 * SECOND, &wait), ==, LEAVE_REFUSED);
+    g_assert_cmpint(counting_take(counting, tenant, 61 * SECOND, &wait), ==, TOKEN_REFUSED);
     g_assert_cmpuint(wait, >, 0);
-    g_assert_cmpint(counting_take(counting, tenant, 100 * SECOND, &wait), ==, LEAVE_DECLINED);
+    g_assert_cmpint(counting_take(counting, tenant, 100 * SECOND, &wait), ==, TOKEN_DECLINED);
     roster_unref(roster);
     counting_free(counting);
 }
@@ -151,11 +151,11 @@
     roster->members[0].entering = true;
     counting_set_roster(counting, roster, 0);
     counting_rely_until(counting, 100 * SECOND);
-    g_assert_cmpint(counting_take(counting, tenant, SECOND, &wait), ==, LEAVE_DECLINED);
+    g_assert_cmpint(counting_take(counting, tenant, SECOND, &wait), ==, TOKEN_DECLINED);
     roster->members[0].entering = false;
     roster->members[0].away = true;
     counting_set_roster(counting, roster, 0);
-    g_assert_cmpint(counting_take(counting, tenant, SECOND, &wait), ==, LEAVE_DECLINED);
+    g_assert_cmpint(counting_take(counting, tenant, SECOND, &wait), ==, TOKEN_DECLINED);
     roster_unref(roster);
     counting_free(counting);
 }
@@ -213,7 +213,7 @@
     uint64_t row_revision;
     time_ns row_at;
     machine_t machines[MACHINES];
-    GArray *given; /* time_ns of each leave */
+    GArray *given; /* time_ns of each token */
 } rig_t;
 
 static const rate_bounds_t generous = {5, 10, 10000};
