Count a refused operation as over: its session was not among the busy ones

Cause: read in the code: the worker counts a statement as busy before its token is asked for, and takes it off the count only for a session that waits or runs. One refused by this pooler's own share did neither, so that the worker looked after nothing each 50 ms from then on.

--- a/src/pooler/rate/admission.c
+++ b/src/pooler/rate/admission.c
@@ -151,12 +151,6 @@
     return best;
 }
 
-static void
-admit(struct session *session)
-{
-    session_route(session);
-}
-
 static void
 refuse(struct session *session, const homes_t *homes, time_ns now)
 {
@@ -209,12 +203,11 @@
         session->request.homes_revision = homes->revision;
         if (home->link == NULL) {
             if (ask_here(session, tenant, home, now)) {
-                admit(session);
+                session_route(session);
                 return;
             }
         } else if (forward_ask_token(session, home->link, tenant->name)) {
             metrics_count(&session->worker->metrics, METRICS_TOKENS_ASKED);
-            session->state = SESSION_ADMITTING;
             session_set_timer(session, now + ANSWER_WAIT_NS);
             return;
         }
@@ -226,10 +219,11 @@
 admission_begin(struct session *session)
 {
     tenant_t tenant;
+    session->state = SESSION_ADMITTING;
     session->request.homes_asked = 0;
     bool counted = session->worker->shared->counting != NULL && session->forwarded.caller == NULL;
     if (!counted || !find_limit(session->worker, session->tenant, &tenant)) {
-        admit(session);
+        session_route(session);
         return;
     }
     ask_next(session, &tenant);
@@ -254,7 +248,7 @@
     if (find_limit(session->worker, session->tenant, &tenant)) {
         ask_next(session, &tenant);
     } else {
-        admit(session);
+        session_route(session);
     }
     if (session->state == SESSION_IDLE) {
         session_process(session);
@@ -267,7 +261,7 @@
     time_ns now = backend_now();
     home_t *home = asked_home(session);
     if (!answer->declined && !answer->refused) {
-        admit(session);
+        session_route(session);
         if (session->state == SESSION_IDLE) {
             session_process(session);
         }
--- a/tests/pooler/test_access.c
+++ b/tests/pooler/test_access.c
@@ -9,6 +9,7 @@
 
 #include "free_port.h"
 #include "pooler/shared/socket.h"
+#include "pooler/worker/worker_internal.h"
 #include "wire/address.h"
 
 #define ADD(path, set_up_by, test)                                                                 \
@@ -319,6 +320,8 @@
     bad(client, "READ a", "OVERLOAD", 'I');
     good(other, "WRITE c 3", 'I');
     g_assert_cmpuint(line_group_committed(fixture->group, "b", "2"), ==, 0);
+    g_usleep(20 * 1000);
+    g_assert_cmpuint(fixture->worker->busy, ==, 0); /* nothing is looked after any more */
     client_close(client);
     client_close(other);
     stop_counting(fixture);
