--- a/tools/try_pooler.sh
+++ b/tools/try_pooler.sh
@@ -37,6 +37,7 @@
 
 start_platform() {
     cp examples/hut-sessions/configuration.json "$configuration"
+    : >"$directory/platform.log" # it is read before the process has begun to write
     "$build/standins/session_platform/swiftworks-session-standin" "$configuration" >"$directory/platform.log" &
     platform_pid=$!
     pids+=("$platform_pid")
