Go back to a coordinator that returned at its old address; rely on a list of members for 7 s

Four seconds after their last grant its shares of limits gave no tokens. Where others follow orders of a later coordinator, it goes there now, once a second at most. A fleet of 300 goes without a coordinator for 6.1 s, so a list is relied on for 7 s, and who joins waits 8 s, who is away keeps its places for 16 s.

--- a/src/pooler/control/control_internal.h
+++ b/src/pooler/control/control_internal.h
@@ -193,6 +193,8 @@
     /* As a pooler under a coordinator. */
     struct peer *coordinator; /* connection, NULL for none */
     char *coordinator_address;
+    bool at_coordinator;   /* the connection is to that address */
+    time_ns redirected_at; /* a connection to another pooler was last left for it */
     uint64_t newest_token;
     uint64_t grant_stamp; /* of the newest grant on this connection; 0: none */
     uint64_t sequence;
@@ -404,6 +406,9 @@
 
 /* control_member.c: as a pooler under a coordinator */
 void control_member_tick(struct control *control, time_ns now);
+/** @return true if this pooler had better connect to the coordinator at the address that it was
+ * told by another one: it is not the one that it knows, or a newer one has come up there. */
+bool control_member_moves(const struct control *control, const char *address, time_ns now);
 void control_member_set_coordinator(struct control *control, const char *address);
 void control_member_stop(struct control *control);
 
--- a/src/pooler/control/control_member.c
+++ b/src/pooler/control/control_member.c
@@ -23,6 +23,12 @@
  * machine that was still dark, and is sent again by the kernel only after a second. */
 #define ANSWER_TIMEOUT_NS (300 * MS)
 
+/* A coordinator that came back at its old address is tried so often, as what is told of it may be
+ * outdated: each try in vain costs ANSWER_TIMEOUT_NS without what another pooler tells. Without it
+ * poolers stayed with others for up to 7 s after a restart of the coordinator, and what needs it
+ * (permits, counting of operations) was gone. */
+#define REDIRECT_EVERY_NS (1000 * MS)
+
 /* Wait before a pooler that is not the coordinator yet is asked again. */
 #define NOT_YET_NS     (40 * MS)
 #define NOT_YET_FOR_NS (200 * MS)
@@ -308,6 +314,20 @@
     control_publish(control);
 }
 
+bool
+control_member_moves(const struct control *control, const char *address, time_ns now)
+{
+    if (address == NULL || address[0] == '\0') {
+        return false;
+    }
+    if (g_strcmp0(address, control->coordinator_address) != 0) {
+        return true;
+    }
+    /* Others follow orders of a later one than that which granted anything here. */
+    bool newer = control->orders_known >> EPOCH_SHIFT > control->newest_token;
+    return newer && !control->at_coordinator && now > control->redirected_at + REDIRECT_EVERY_NS;
+}
+
 /* False if the connection is of no more use. */
 static bool
 take_answer(struct control *control, const struct pooler_grant *grant)
@@ -334,10 +354,10 @@
         control_lease_invite(control);
         return false;
     }
-    bool elsewhere = address != NULL && address[0] != '\0' &&
-                     g_strcmp0(address, control->coordinator_address) != 0;
-    if (elsewhere) {
+    if (control_member_moves(control, address, now)) {
         control_member_set_coordinator(control, address);
+        control->redirected_at = now;
+        control->connect_now = true;
         return false;
     }
     /* It may be about to learn that it is the coordinator, or may not know us any more. */
@@ -436,6 +456,7 @@
     control->grant_stamp = 0;
     control->introduced_self = false;
     const char *text = next_address(control);
+    control->at_coordinator = g_strcmp0(text, control->coordinator_address) == 0;
     if (text == NULL || !parse_address(text, &address)) {
         return;
     }
--- a/src/pooler/rate/roster.h
+++ b/src/pooler/rate/roster.h
@@ -37,15 +37,15 @@
  *  tenant near its limit asks more homes in vain, one round trip each. */
 #define ROSTER_SHARES 5
 
-/** A list of members is relied on for so long: longer than the fleet goes without a coordinator
- *  after one was lost, 3.4 s. */
-#define ROSTER_CURRENT_NS (UINT64_C(4000) * 1000 * 1000)
+/** A list of members is relied on for so long: longer than a fleet of 300 goes without a
+ * coordinator after one was lost, 6.1 s. With 4 s, tenants were refused from then on. */
+#define ROSTER_CURRENT_NS (UINT64_C(7000) * 1000 * 1000)
 
 /** Longer than that by what a heartbeat may take. */
-#define ROSTER_ENTERING_NS (UINT64_C(5000) * 1000 * 1000)
+#define ROSTER_ENTERING_NS (UINT64_C(8000) * 1000 * 1000)
 
 /** Twice as long: a machine that lost power or was cut off is mostly back by then. */
-#define ROSTER_AWAY_NS (UINT64_C(10000) * 1000 * 1000)
+#define ROSTER_AWAY_NS (UINT64_C(16000) * 1000 * 1000)
 
 /** @return true if a member that has been away since then loses its places. */
 bool roster_loses_place(bool away, time_ns since, time_ns now);
--- a/tests/pooler/test_owners.c
+++ b/tests/pooler/test_owners.c
@@ -490,6 +490,29 @@
     g_assert_cmpuint(control_direct_share(control, service), ==, 4);
 }
 
+/* A coordinator that comes back at the address that is known: a pooler that stays with another one
+ * hears of its orders, and goes to it; not where it is already, nor over and over. */
+static void
+test_coordinator_at_its_old_address(fixture_t *fixture, gconstpointer unused)
+{
+    struct control *control = fixture->control;
+    time_ns now = fixture->now + 10 * NANOSECONDS_PER_SECOND;
+    g_free(control->coordinator_address);
+    control->coordinator_address = g_strdup("10.0.0.1:8082");
+    control->newest_token = 1;
+    control->orders_known = UINT64_C(1) << EPOCH_SHIFT;
+    g_assert_false(control_member_moves(control, NULL, now));
+    g_assert_false(control_member_moves(control, "10.0.0.1:8082", now));
+    g_assert_true(control_member_moves(control, "10.0.0.2:8082", now));
+    control->orders_known = (UINT64_C(2) << EPOCH_SHIFT) + 3;
+    g_assert_true(control_member_moves(control, "10.0.0.1:8082", now));
+    control->redirected_at = now - NANOSECONDS_PER_MILLISECOND;
+    g_assert_false(control_member_moves(control, "10.0.0.1:8082", now));
+    control->redirected_at = 0;
+    control->at_coordinator = true;
+    g_assert_false(control_member_moves(control, "10.0.0.1:8082", now));
+}
+
 /* A new coordinator names owners once it hears as many poolers as there were; it waits longer for
  * the rest where all can serve meanwhile. */
 static void
@@ -532,5 +555,6 @@
     ADD("inherited-fleet", test_inherited_fleet);
     ADD("share-by-the-row", test_share_by_the_row);
     ADD("gathers", test_gathers);
+    ADD("coordinator-at-its-old-address", test_coordinator_at_its_old_address);
     return g_test_run();
 }
