A database's record is used only if all of it is as a database writes it

Others may write records as well. One that could not be read left the old one in force, a missing or wrongly typed field got a default (slots of another type counted as not told, a missing zone as the empty text), and an unknown state was taken for draining. Now every field is checked; a record that does not fit counts as none, also in place of a good one: its database takes no new work once a missing record would have meant so, and stays a member of its group. One line a record and version with the reason, and a counter.

Records tell when their database started. One with an earlier start than the known one is a late write of an earlier life and changes nothing.

--- a/src/pooler/control/control_counts.c
+++ b/src/pooler/control/control_counts.c
@@ -183,6 +183,8 @@
             print_store(counts, out, (enum store_table)table, (call_reason_t)reason);
         }
     }
+    g_string_append_printf(out, "swiftworks_records_unusable_total %" G_GUINT64_FORMAT "\n",
+                           counts->records_unusable);
     for (int direction = 0; direction < PEER_DIRECTIONS; direction++) {
         for (int kind = 0; kind < PEER_BYTES_COUNT; kind++) {
             g_string_append_printf(
--- a/src/pooler/control/control_store.c
+++ b/src/pooler/control/control_store.c
@@ -115,25 +115,46 @@
     }
 }
 
+/* The database that the record names; NULL if it can't be used. Others than databases may write
+ * records, too: such a one counts as none, also where it replaces a good one. */
+static struct directory_entry *
+read_record(struct control *control, const char *id, uint64_t version, GBytes *value)
+{
+    gsize length = 0;
+    const char *text = g_bytes_get_data(value, &length);
+    g_autoptr(GError) error = NULL;
+    struct directory_entry *entry = directory_entry_decode(id, text, length, &error);
+    if (entry == NULL) {
+        g_autofree char *row = g_strdup_printf("%" PRIu64, version);
+        control->counts.records_unusable++;
+        g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_WARNING, "SW_DATABASE", id, "SW_ROW", row,
+                         "SW_ERROR", error->message, "MESSAGE",
+                         "The record of database %s names none to use: %s.", id, error->message);
+    }
+    return entry;
+}
+
+/* What has changed, for the log. */
+static const char *
+change_of(const struct directory_entry *entry, GBytes *value)
+{
+    if (value == NULL) {
+        return "is gone";
+    }
+    if (entry == NULL) {
+        return "can't be used";
+    }
+    return entry->draining ? "says draining" : "changed";
+}
+
 static void
 take_directory_row(struct control *control, const char *id, uint64_t version, GBytes *value)
 {
-    struct directory_entry *entry = NULL;
-    if (value != NULL) {
-        gsize length = 0;
-        const char *text = g_bytes_get_data(value, &length);
-        g_autoptr(GError) error = NULL;
-        entry = directory_entry_decode(id, text, length, &error);
-        if (entry == NULL) {
-            g_warning("The record of database %s can't be read: %s.", id, error->message);
-            return;
-        }
-    }
-    bool draining = entry != NULL && entry->draining;
+    struct directory_entry *entry = value == NULL ? NULL : read_record(control, id, version, value);
+    const char *change = change_of(entry, value);
     if (directory_take(&control->directory, id, version, entry, backend_now())) {
         g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_DATABASE", id, "MESSAGE",
-                         "Database %s: its record %s.", id,
-                         value == NULL ? "is gone" : (draining ? "says draining" : "changed"));
+                         "Database %s: its record %s.", id, change);
         control->view_dirty = true;
     }
 }
--- a/src/pooler/control/directory.c
+++ b/src/pooler/control/directory.c
@@ -95,7 +95,7 @@
     return g_str_equal(a->service, b->service) && g_str_equal(a->zone, b->zone) &&
            a->address.sin_addr.s_addr == b->address.sin_addr.s_addr &&
            a->address.sin_port == b->address.sin_port && a->slots == b->slots &&
-           a->draining == b->draining && a->leads == b->leads;
+           a->draining == b->draining && a->leads == b->leads && a->born_ms == b->born_ms;
 }
 
 static bool
@@ -110,6 +110,14 @@
     return changed;
 }
 
+/* True if the entry is of an earlier life of the database than the known one: a write that the
+ * store did late. */
+static bool
+is_of_earlier_life(const struct directory_entry *known, const struct directory_entry *entry)
+{
+    return entry->born_ms != 0 && entry->born_ms < known->born_ms;
+}
+
 bool
 directory_take(struct directory *directory, const char *id, uint64_t version,
                struct directory_entry *entry, time_ns now)
@@ -122,9 +130,15 @@
     if (entry == NULL) {
         return known != NULL && mark_gone(directory, known, version, now);
     }
+    if (known != NULL && is_of_earlier_life(known, entry)) {
+        known->version = version;
+        directory_entry_free(entry);
+        return false;
+    }
     bool changed = known == NULL || known->gone_at != 0 || !same_content(known, entry);
+    bool starts = known == NULL || known->gone_at != 0 || known->born_ms != entry->born_ms;
     entry->version = version;
-    entry->stands_since = known == NULL || known->gone_at != 0 ? now : known->stands_since;
+    entry->stands_since = starts ? now : known->stands_since;
     if (known != NULL) {
         leave_group(directory, known);
     }
--- a/src/pooler/control/directory.h
+++ b/src/pooler/control/directory.h
@@ -25,6 +25,7 @@
     uint32_t slots; /* statements that it runs at once; 0: not told */
     bool draining;
     bool leads;           /* it sees itself as primary */
+    uint64_t born_ms;     /* when it started, by its own clock, since 1970; 0: not told */
     uint64_t version;     /* of the row */
     time_ns gone_at;      /* when the row was seen to be gone; 0 while it stands */
     time_ns stands_since; /* when the row was first seen, or seen again after it was gone */
@@ -41,8 +42,9 @@
 void directory_init(struct directory *directory);
 void directory_clear(struct directory *directory);
 
-/* Takes one row; `entry` (taken over) is NULL if the row is gone. True if anything but the row's
- * version changed. Older rows than the known one are dropped. */
+/* Takes one row; `entry` (taken over) is NULL if the row is gone, or names no database that can be
+ * used. True if anything but the row's version changed. Older rows than the known one are dropped,
+ * and what a database wrote before it started again counts as nothing new. */
 bool directory_take(struct directory *directory, const char *id, uint64_t version,
                     struct directory_entry *entry, time_ns now);
 
--- a/tests/pooler/test_directory.c
+++ b/tests/pooler/test_directory.c
@@ -233,6 +233,31 @@
     directory_clear(&directory);
 }
 
+/* Takes a record of a database that was started at that moment. */
+static bool
+take_born(struct directory *directory, uint64_t version, uint64_t born_ms, time_ns now)
+{
+    struct directory_entry *taken = entry("a", false);
+    taken->born_ms = born_ms;
+    return directory_take(directory, "a", version, taken, now);
+}
+
+/* One that has started again is another one; what its earlier life wrote comes too late. */
+static void
+test_started_again(void)
+{
+    struct directory directory;
+    directory_init(&directory);
+    take_born(&directory, 1, 5000, 100 * MS);
+    g_assert_false(take_born(&directory, 2, 5000, 200 * MS));
+    g_assert_true(take_born(&directory, 3, 7000, 300 * MS));
+    g_assert_cmpuint(find(&directory, "a")->stands_since, ==, 300 * MS);
+    g_assert_false(take_born(&directory, 4, 5000, 400 * MS));
+    g_assert_cmpuint(find(&directory, "a")->born_ms, ==, 7000);
+    g_assert_cmpuint(find(&directory, "a")->version, ==, 4);
+    directory_clear(&directory);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -247,5 +272,6 @@
     g_test_add_func("/pooler/directory/forget", test_forget);
     g_test_add_func("/pooler/directory/group", test_group);
     g_test_add_func("/pooler/directory/leader", test_leader);
+    g_test_add_func("/pooler/directory/started-again", test_started_again);
     return g_test_run();
 }
--- a/tests/pooler/test_relay.c
+++ b/tests/pooler/test_relay.c
@@ -590,7 +590,8 @@
         g_autofree char *key = g_strdup_printf("database-%u", i);
         g_autofree char *text = g_strdup_printf(
             "{\"service\":\"s%u\",\"address\":\"10.0.0.1:%u\",\"zone\":\"a\",\"slots\":4,"
-            "\"state\":\"ready\",\"dbRole\":\"primary\"}",
+            "\"version\":\"v1\",\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1,"
+            "\"dbRole\":\"primary\"}",
             i, 1000 + i);
         g_autoptr(GBytes) value = g_bytes_new(text, strlen(text));
         control_take_row(control, STORE_TABLE_DIRECTORY, key, version, value);
