A database that has started again under its id is another one

Nothing read when a database started: a reborn replica without its log counted among those that hold each commit, and a reborn primary went on by its own word. Now what is believed of it ends with its start: connections, windows and faults at the workers, statuses, pauses and its part in a choice at the coordinator. Its log counts again once it has shown what it holds: a leader at least what the others that kept theirs hold, a replica what the primary held after its start. Where a commit may have been on it and on the old primary alone, the primary's own word is needed, unless that is gone or has lost its log too; where all members are fenced, the most that any of them holds. Records of promotions tell the candidate's start, so that a new coordinator sees a restart since.

A worker refuses a primary whose log is shorter than before the connection was opened, as the coordinator hears of a restart later.

--- a/src/pooler/control/control_groups.c
+++ b/src/pooler/control/control_groups.c
@@ -109,6 +109,8 @@
         .token = control->lease.token,
         .done = done,
     };
+    const struct failover_member *member = failover_find(failover, record.candidate);
+    record.born_ms = member == NULL ? 0 : member->born_ms;
     if (control->lease.calling && !done) {
         /* A renewal is under way and changes the row that this depends on. */
         failover_recorded(failover, false, backend_now());
@@ -237,6 +239,15 @@
     return true;
 }
 
+/* True if the database of the record has not started again since, as far as that is told. */
+static bool
+is_same_life(const struct control *control, const struct promotion_record *record)
+{
+    const struct directory_entry *entry =
+        g_hash_table_lookup(control->directory.entries, record->candidate);
+    return record->born_ms == 0 || entry == NULL || entry->born_ms == record->born_ms;
+}
+
 /* Who leads for certain, without a question to the databases: only coordinators promote, each
  * promotion is recorded before, and the records were read after the lease was taken. So it is who
  * was promoted last, or who has led from the beginning, if this database alone says that it leads.
@@ -247,7 +258,8 @@
 {
     const struct control *control = group->control;
     const char *leader = directory_leader(&control->directory, group->failover->service);
-    bool agrees = !recorded || g_strcmp0(leader, record->candidate) == 0;
+    bool agrees =
+        !recorded || (g_strcmp0(leader, record->candidate) == 0 && is_same_life(control, record));
     return control->records_read && agrees ? leader : NULL;
 }
 
@@ -266,15 +278,28 @@
     promotion_record_clear(&record);
 }
 
+/* A connection to a database's earlier life is of no more use. */
+static void
+note_birth(struct controlled_group *group, const char *database, uint64_t born_ms, time_ns now)
+{
+    if (failover_note_birth(group->failover, database, born_ms, now)) {
+        g_hash_table_remove(group->connections, database);
+    }
+}
+
 static void
 start_group(struct controlled_group *group, time_ns now)
 {
+    const struct control *control = group->control;
     struct failover *failover = group->failover;
     struct promotion_record record;
     bool broken = false;
     bool recorded = read_record(group, &record, &broken);
+    bool stands = recorded && is_same_life(control, &record);
     if (recorded) {
-        failover_continue(failover, record.done ? NULL : record.candidate, record.term, now);
+        bool goes_on = !record.done && stands;
+        failover_continue(failover, goes_on ? record.candidate : NULL, record.term, now);
+        note_birth(group, record.candidate, record.born_ms, now);
     }
     bool under_way = recorded && !record.done;
     if (recorded && record.done) {
@@ -334,6 +359,7 @@
         }
         failover_set_member(failover, entry->id, !directory_entry_leaves(entry, now, heartbeat),
                             entry->leads);
+        note_birth(group, entry->id, entry->born_ms, now);
     }
 }
 
--- a/src/pooler/control/control_internal.h
+++ b/src/pooler/control/control_internal.h
@@ -333,7 +333,7 @@
 void control_wake_soon(struct control *control);
 
 /* control_view.c */
-struct member_shared *control_member(struct control *control, const char *id);
+struct member_shared *control_member(struct control *control, const struct directory_entry *entry);
 struct group_state *control_group(struct control *control, const char *service);
 void control_publish(struct control *control);
 /** @return true if other poolers hold the connections to the group's databases. */
--- a/src/pooler/control/control_view.c
+++ b/src/pooler/control/control_view.c
@@ -17,14 +17,16 @@
 /* A pooler that starts opens no connections before: with many poolers, these would be too many. */
 #define TOLD_SOON_NS (600 * MS)
 
+/* That of an earlier life stays, as workers may still have it. */
 struct member_shared *
-control_member(struct control *control, const char *id)
+control_member(struct control *control, const struct directory_entry *entry)
 {
-    struct member_shared *member = g_hash_table_lookup(control->members, id);
-    if (member == NULL) {
+    struct member_shared *member = g_hash_table_lookup(control->members, entry->id);
+    if (member == NULL || member->born_ms != entry->born_ms) {
         member = g_new0(struct member_shared, 1);
-        member->id = g_strdup(id);
-        g_hash_table_insert(control->members, member->id, member);
+        member->id = g_strdup(entry->id);
+        member->born_ms = entry->born_ms;
+        g_hash_table_replace(control->members, member->id, member);
     }
     return member;
 }
@@ -120,7 +122,7 @@
             struct member_view *out)
 {
     time_ns heartbeat = control->settings->store.heartbeat_ms * MS;
-    out->shared = control_member(control, entry->id);
+    out->shared = control_member(control, entry);
     out->address = entry->address;
     out->zone = g_intern_string(entry->zone);
     out->same_zone = g_str_equal(entry->zone, control->settings->pooler.zone);
--- a/src/pooler/control/failover.c
+++ b/src/pooler/control/failover.c
@@ -6,9 +6,6 @@
 #include <inttypes.h>
 #include <string.h>
 
-/* Time between two statuses of a database while nobody is known to lead. */
-#define SEARCH_EVERY_NS (400 * MS)
-
 /* A primary that some poolers can't reach, while most can, is replaced after this. */
 #define MINORITY_MAX_NS (1500 * MS)
 
@@ -201,7 +198,7 @@
     for (guint i = 0; i < failover->members->len; i++) {
         struct failover_member *member = failover_member_at(failover, i);
         bool leads = member->has_report && member->answered && member->report.leads &&
-                     member->report.term >= failover->term &&
+                     member->unproven_since == 0 && member->report.term >= failover->term &&
                      now < member->reported_at + REPORT_FRESH_NS;
         if (leads && (leader == NULL || member->report.term > leader->report.term)) {
             leader = member;
@@ -234,6 +231,9 @@
     if (failover->state != FAILOVER_WATCHING) {
         return failover->state == FAILOVER_SEARCHING;
     }
+    if (failover_has_unproven(failover)) {
+        return true;
+    }
     for (guint i = 0; i < failover->members->len; i++) {
         const struct failover_member *member = failover_member_at(failover, i);
         if (!failover_is_primary(failover, member) && !is_settled(failover, member)) {
@@ -334,6 +334,9 @@
         failover_ask_every(failover, failover_member_at(failover, i), DATABASE_COMMAND_STATUS, 0,
                            SEARCH_EVERY_NS, now);
     }
+    if (all_reported(failover, now)) {
+        failover_prove_members(failover);
+    }
     struct failover_member *leader = failover_find_leader(failover, now);
     if (leader != NULL && all_reported(failover, now)) {
         failover_open(failover, leader, now);
@@ -564,8 +567,10 @@
 static void
 watch(struct failover *failover, const struct failover_opinion *opinion, time_ns now)
 {
+    failover_prove_members(failover);
     if (!failover->waits) {
         failover_settle_members(failover, now);
+        failover_ask_unproven(failover, now);
     }
     if (!check_leaving(failover, now)) {
         check_faults(failover, opinion, now);
--- a/src/pooler/control/failover.h
+++ b/src/pooler/control/failover.h
@@ -17,6 +17,11 @@
  * of databases that are well, and a coordinator that has just started knows no others: until the
  * members have settled, only the old primary's own word counts.
  *
+ * A database that has started again may have lost its log. Until it is seen to hold as much as
+ * those that it is compared with, it neither leads by its own word, nor does its log count among
+ * those that hold each commit: where a commit may have been on it and on the old primary alone, the
+ * old primary's log is needed, unless that is gone for good.
+ *
  * A replica that is resumed may still receive from an old primary that lives on, which could then
  * acknowledge commits that the new one lacks. Such a primary steps down by itself a second after it
  * can reach the new one: until then the replicas stay paused, unless it has said that it stepped
@@ -69,6 +74,9 @@
     unsigned failures;      /* commands in a row that went unanswered */
     time_ns unanswered_at;  /* the newest of these was sent then */
     time_ns failing_since;  /* its commands go unanswered since then; 0: they are answered */
+    uint64_t born_ms;       /* when it started, by its own word; 0: not known */
+    time_ns unproven_since; /* it has started again: whether its log still holds what it held is not
+                               known since then; 0: it does */
 };
 
 /* What the poolers say of the primary. Counted anew for each tick. */
@@ -132,6 +140,10 @@
 /* Takes the directory's word on a member; adds it if it is new. */
 void failover_set_member(struct failover *failover, const char *id, bool takes_work,
                          bool says_leads);
+/* Takes over when the member started. True if it has started again since it was heard last: nothing
+ * that it said before counts any more, and an open command to it is given up. A birth that an
+ * earlier coordinator recorded may come after a later one. */
+bool failover_note_birth(struct failover *failover, const char *id, uint64_t born_ms, time_ns now);
 /* The member has left the directory for good. */
 void failover_remove_member(struct failover *failover, const char *id);
 struct failover_member *failover_find(const struct failover *failover, const char *id);
--- a/src/pooler/control/failover_change.c
+++ b/src/pooler/control/failover_change.c
@@ -46,8 +46,8 @@
     return failover->sync_replicas == 0 ? 1 : MAX(count_replicas(failover), 1);
 }
 
-static void
-start_fencing(struct failover *failover, time_ns now)
+void
+failover_start_fencing(struct failover *failover, time_ns now)
 {
     for (guint i = 0; i < failover->members->len; i++) {
         failover_member_at(failover, i)->fenced = false;
@@ -69,7 +69,7 @@
         failover_set_state(failover, FAILOVER_DRAINING, now);
         failover_publish(failover, GROUP_PHASE_DRAINING);
     } else {
-        start_fencing(failover, now);
+        failover_start_fencing(failover, now);
     }
 }
 
@@ -101,7 +101,7 @@
 {
     bool drained = failover->actions->drained(failover->actions->user, failover);
     if (drained || now > failover->since + DRAIN_MAX_NS) {
-        start_fencing(failover, now);
+        failover_start_fencing(failover, now);
     }
 }
 
@@ -203,11 +203,15 @@
     const struct failover_member *primary = failover_primary(failover);
     uint32_t fenced = count_fenced(failover, &highest);
     struct failover_member *candidate = NULL;
-    if (primary != NULL && primary->fenced) {
+    bool primary_fenced = primary != NULL && primary->fenced;
+    if (primary_fenced && primary->unproven_since == 0) {
         candidate = choose(failover, primary->report.received, now);
     }
-    if (candidate == NULL && fenced >= failover_pauses_needed(failover)) {
-        candidate = choose(failover, highest, now);
+    if (candidate == NULL && fenced >= failover_pauses_needed(failover) &&
+        failover_replicas_suffice(failover)) {
+        bool primary_ahead = primary_fenced && primary->unproven_since != 0 &&
+                             log_position_compare(primary->report.received, highest) > 0;
+        candidate = choose(failover, primary_ahead ? primary->report.received : highest, now);
     }
     return candidate;
 }
@@ -231,7 +235,7 @@
         return;
     }
     if (failover->term > failover->fence_term) {
-        start_fencing(failover, now); /* a newer term showed up */
+        failover_start_fencing(failover, now); /* a newer term showed up */
         return;
     }
     fence(failover, now);
@@ -278,7 +282,7 @@
         if (candidate != NULL) {
             candidate->excluded_until = now + EXCLUDED_NS;
         }
-        start_fencing(failover, now);
+        failover_start_fencing(failover, now);
         break;
     case FAILOVER_ORDER_OPEN:
         failover->ordered_at = now; /* ordered again by the tick */
@@ -291,7 +295,7 @@
 {
     struct failover_member *candidate = failover_find(failover, failover->candidate);
     if (candidate == NULL) {
-        start_fencing(failover, now);
+        failover_start_fencing(failover, now);
         return;
     }
     bool leads = candidate->has_report && candidate->answered && candidate->report.leads &&
@@ -306,7 +310,7 @@
     }
     if (candidate->failing_since != 0 && now > candidate->failing_since + CANDIDATE_DEAD_NS) {
         candidate->excluded_until = now + EXCLUDED_NS;
-        start_fencing(failover, now);
+        failover_start_fencing(failover, now);
         return;
     }
     if (now > failover->since + CONFIRM_FIRST_NS) {
--- a/src/pooler/control/failover_internal.h
+++ b/src/pooler/control/failover_internal.h
@@ -10,6 +10,10 @@
 /* Time between two commands to one database. */
 #define ASK_EVERY_NS (120 * MS)
 
+/* Time between two statuses of a database while nobody is known to lead, or its log does not count.
+ */
+#define SEARCH_EVERY_NS (400 * MS)
+
 /* failover.c */
 struct failover_member *failover_member_at(const struct failover *failover, guint index);
 bool failover_is_primary(const struct failover *failover, const struct failover_member *member);
@@ -29,7 +33,19 @@
 /* Members that were left paused receive again; one that was replaced steps down. */
 void failover_settle_members(struct failover *failover, time_ns now);
 
+/* failover_restart.c */
+/* Lets the logs of members count again that have shown since their start that they are whole. */
+void failover_prove_members(struct failover *failover);
+bool failover_has_unproven(const struct failover *failover);
+/* Asks such members, and the primary that they are compared with. */
+void failover_ask_unproven(struct failover *failover, time_ns now);
+/* True if all replicas together hold each commit, once they are paused: none of them may have lost
+ * one that only the old primary holds besides, or that one has lost its log as well, or is gone. */
+bool failover_replicas_suffice(const struct failover *failover);
+
 /* failover_change.c */
+/* Closes the group, and fences the old primary in a new term. */
+void failover_start_fencing(struct failover *failover, time_ns now);
 /* So many replicas must be paused where the old primary can't be asked. */
 uint32_t failover_pauses_needed(const struct failover *failover);
 /* Begins a change; a planned one lets open work end first. `why` is logged. */
--- a/src/pooler/databases/server.c
+++ b/src/pooler/databases/server.c
@@ -123,6 +123,7 @@
     server->socket = handle;
     server->state = SERVER_CONNECTING;
     server->sent_at = backend_now();
+    server->after = database->position; /* it holds at least this, unless it has lost its log */
     server->expected = g_byte_array_new();
     server->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     server->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/src/pooler/databases/server_answer.c
+++ b/src/pooler/databases/server_answer.c
@@ -46,14 +46,36 @@
     server_release(server);
 }
 
+/* A primary that holds less than it did before this connection was opened has started again without
+ * its log: it may lack acknowledged commits, and goes on leading by its own word until the
+ * coordinator hears of it. Replicas may be rolled back by a change of primary. */
+static bool
+has_lost_log(const struct server *server, const struct database_reply *ready)
+{
+    const struct group *group = server->database->group;
+    return server->database == group->primary && ready != NULL && ready->has_position &&
+           !log_position_covers(ready->position, server->after);
+}
+
+/* `ready` is NULL if the database refused the start. */
 static void
-on_started(struct server *server)
+on_started(struct server *server, const struct database_reply *ready)
 {
+    struct database *database = server->database;
     event_del(server->timer);
     if (server->code != ANSWER_NONE) {
         server_close(server, ANSWER_NONE);
         return;
     }
+    if (has_lost_log(server, ready)) {
+        g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_MESSAGE, "SW_DATABASE", database->shared->id,
+                         "SW_SERVICE", database->group->shared->service, "MESSAGE",
+                         "Database %s leads with a shorter log than it had: no work for it.",
+                         database->shared->id);
+        database_set_fault(database, DATABASE_FAULT_REFUSING, backend_now());
+        server_close(server, ANSWER_NONE);
+        return;
+    }
     count_use(server, DATABASE_USE_OPENING);
     database_opened(server->database, backend_now() - server->sent_at);
     server_become_idle(server);
@@ -202,7 +224,7 @@
     g_byte_array_remove_index(server->expected, 0);
     switch (what) {
     case EXPECT_START:
-        on_started(server);
+        on_started(server, ready);
         break;
     case EXPECT_SETUP:
         if (server->code != ANSWER_NONE) {
@@ -247,7 +269,7 @@
         g_free(server->error_text);
         server->error_text = span_copy(reply.content);
         if (server->state == SERVER_STARTING) {
-            on_started(server);
+            on_started(server, NULL);
         }
         break;
     case REPLY_READY:
--- a/src/pooler/routing/group.c
+++ b/src/pooler/routing/group.c
@@ -71,6 +71,7 @@
         database_close_idle(database);
         if (database->servers->len == 0 && group->primary != database) {
             g_ptr_array_remove_index(group->databases, i - 1);
+            database_set_fault(database, DATABASE_FAULT_NONE, backend_now());
             database_free(database);
         }
     }
--- a/src/pooler/shared/view.h
+++ b/src/pooler/shared/view.h
@@ -23,9 +23,11 @@
     _Atomic uint32_t in_flight; /* statements and transactions open at the primary */
 };
 
-/* A database's fault as the workers see it; a new one wakes the control thread. */
+/* A database's fault as the workers see it; a new one wakes the control thread. One that has
+ * started again gets another of these, so that nothing of its earlier life is taken over. */
 struct member_shared {
     char *id;
+    uint64_t born_ms;            /* as struct directory_entry tells it */
     _Atomic unsigned fault;      /* enum database_fault */
     _Atomic time_ns fault_since; /* when it began */
     _Atomic time_ns answered_at; /* last answer from the database */
--- a/standins/session_platform/line_group.c
+++ b/standins/session_platform/line_group.c
@@ -750,6 +750,22 @@
     call_in_loop(group, change_faults, &change);
 }
 
+static void
+lose_log(struct line_group *group, void *user)
+{
+    struct database *database = &group->databases[*(const unsigned *)user];
+    close_connections(database);
+    g_ptr_array_set_size(database->log, 0);
+    database->applied = 0;
+    database->paused = 0;
+}
+
+void
+line_group_lose_log(struct line_group *group, unsigned database)
+{
+    call_in_loop(group, lose_log, &database);
+}
+
 void
 line_group_set_slots(struct line_group *group, unsigned database, unsigned slots, unsigned pace)
 {
--- a/standins/session_platform/line_group.h
+++ b/standins/session_platform/line_group.h
@@ -68,6 +68,10 @@
 /* Turns it into a replica of its term. */
 void line_group_demote(struct line_group *group, unsigned database);
 
+/* Lets it start again under its id without its log: connections break, and what it holds is gone.
+ * It leads if it did. */
+void line_group_lose_log(struct line_group *group, unsigned database);
+
 /* A copy of the runs so far; the caller frees it by g_ptr_array_unref. */
 GPtrArray *line_group_runs(struct line_group *group);
 /* Every run so far and the newest leader's log as lines of JSON: {"run": ...} and {"commit": ...}.
--- a/tests/pooler/failover_rig.c
+++ b/tests/pooler/failover_rig.c
@@ -86,7 +86,9 @@
         database->leads = i == 0;
         database->term = 1;
         database->received = (struct log_position){1, 100};
+        database->born_ms = 1000;
         failover_set_member(rig->failover, database->id, true, i == 0);
+        failover_note_birth(rig->failover, database->id, database->born_ms, rig->now);
     }
     return rig;
 }
@@ -253,3 +255,18 @@
     }
     return leaders;
 }
+
+void
+rig_restart(struct rig *rig, unsigned database, bool keeps_log)
+{
+    struct rig_database *restarted = &rig->databases[database];
+    restarted->born_ms += 1000;
+    restarted->paused = 0;
+    restarted->asking = false;
+    restarted->reachable = true;
+    if (!keeps_log) {
+        restarted->leads = false;
+        restarted->received = (struct log_position){0};
+    }
+    failover_note_birth(rig->failover, restarted->id, restarted->born_ms, rig->now);
+}
--- a/tests/pooler/failover_rig.h
+++ b/tests/pooler/failover_rig.h
@@ -26,6 +26,7 @@
     uint64_t asked_term;
     bool asking;
     unsigned commands[4]; /* counts by enum database_command */
+    uint64_t born_ms;
 };
 
 struct rig {
@@ -59,5 +60,8 @@
 /* What poolers say of the primary from now on. */
 void rig_accuse(struct rig *rig, uint32_t unreachable, uint32_t stalled);
 unsigned rig_leaders(const struct rig *rig);
+/* The database starts again under its id, with its log or without, and the coordinator hears so. It
+ * leads if it did; without a log it is a replica. */
+void rig_restart(struct rig *rig, unsigned database, bool keeps_log);
 
 #endif
--- a/tests/pooler/test_failover.c
+++ b/tests/pooler/test_failover.c
@@ -519,6 +519,141 @@
     rig_free(rig);
 }
 
+/* A replica that has started again without its log may have held what only the primary holds
+ * besides: nobody is promoted by what the replicas hold until the primary has said what it has. */
+static void
+test_restarted_replica_does_not_count(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig_run(rig, 1000);
+    rig->databases[0].received.offset = 107;
+    rig->databases[1].received.offset = 107; /* acknowledged by these two */
+    rig_restart(rig, 1, false);
+    lose_primary(rig);
+    rig_run(rig, 5000);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig->databases[0].reachable = true;
+    rig_accuse(rig, 0, 0);
+    rig->databases[1].received = rig->databases[0].received;
+    rig_run_until_open(rig, 0);
+    rig_free(rig);
+}
+
+/* Once it has received what the primary held after its start, it counts as before. */
+static void
+test_restarted_replica_catches_up(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[0].received.offset = 107;
+    rig_restart(rig, 1, false);
+    rig_run(rig, 500);
+    rig->databases[1].received.offset = 107;
+    rig->databases[1].received.term = 1;
+    rig_run(rig, 1000);
+    lose_primary(rig);
+    rig_run_until_open(rig, 1);
+    rig_free(rig);
+}
+
+/* A primary that has started again without its log does not go on by its own word that it leads. */
+static void
+test_restarted_primary_without_its_log(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[2].received.offset = 107;
+    rig_restart(rig, 0, false);
+    rig->databases[0].leads = true;
+    g_assert_cmpint(rig->failover->phase, ==, GROUP_PHASE_CLOSED);
+    rig_run_until_open(rig, 2);
+    rig_free(rig);
+}
+
+/* With its log it does, once the others have said what they hold. */
+static void
+test_restarted_primary_with_its_log(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[0].received.offset = 107;
+    rig->databases[2].reachable = false;
+    rig_restart(rig, 0, true);
+    g_assert_cmpint(rig->failover->phase, ==, GROUP_PHASE_CLOSED);
+    rig_run_until_open(rig, 0);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig_free(rig);
+}
+
+/* Two of three without their logs: the one that has kept its own leads. */
+static void
+test_restarted_primary_and_replica(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[2].received.offset = 107;
+    rig_restart(rig, 0, false);
+    rig_restart(rig, 1, false);
+    rig_run_until_open(rig, 2);
+    rig_free(rig);
+}
+
+/* All have started again, and hold what they hold: more is not to be had. */
+static void
+test_all_restarted(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[1].received.offset = 103;
+    for (unsigned i = 0; i < rig->count; i++) {
+        rig_restart(rig, i, i == 1);
+    }
+    rig_run_until_open(rig, 1);
+    rig_free(rig);
+}
+
+/* A pause ends with the process: a choice that counted on it is made again. */
+static void
+test_restart_during_a_change(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->record_fails = true;
+    lose_primary(rig);
+    while (rig->failover->state != FAILOVER_RECORDING) {
+        rig_run(rig, 20);
+    }
+    rig_restart(rig, 2, true);
+    g_assert_cmpint(rig->failover->state, ==, FAILOVER_FENCING);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig->record_fails = false;
+    rig->databases[0].reachable = true; /* it is needed, as the replica does not count */
+    rig_accuse(rig, 0, 0);
+    for (int i = 0; i < 500 && rig->failover->phase != GROUP_PHASE_OPEN; i++) {
+        rig_run(rig, 20);
+    }
+    g_assert_cmpint(rig->failover->phase, ==, GROUP_PHASE_OPEN);
+    rig_free(rig);
+}
+
+/* An answer of its earlier life is no answer, and an earlier birth that a record tells leaves the
+ * later one as it is. */
+static void
+test_births(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    g_assert_false(failover_note_birth(rig->failover, "d1", 1000, rig->now));
+    g_assert_false(failover_note_birth(rig->failover, "d1", 0, rig->now));
+    g_assert_false(failover_note_birth(rig->failover, "d9", 2000, rig->now));
+    g_assert_true(failover_note_birth(rig->failover, "d1", 500, rig->now));
+    g_assert_cmpuint(failover_find(rig->failover, "d1")->born_ms, ==, 1000);
+    g_assert_false(failover_find(rig->failover, "d1")->has_report);
+    g_assert_true(failover_has_questions(rig->failover));
+    rig_free(rig);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -555,5 +690,17 @@
     g_test_add_func("/pooler/failover/replicas-wait", test_replicas_wait_for_an_old_primary);
     g_test_add_func("/pooler/failover/replicas-do-not-wait", test_replicas_do_not_wait);
     g_test_add_func("/pooler/failover/members-not-settled", test_members_not_settled);
+    g_test_add_func("/pooler/failover/restarted-replica", test_restarted_replica_does_not_count);
+    g_test_add_func("/pooler/failover/restarted-replica-catches-up",
+                    test_restarted_replica_catches_up);
+    g_test_add_func("/pooler/failover/restarted-primary-without-log",
+                    test_restarted_primary_without_its_log);
+    g_test_add_func("/pooler/failover/restarted-primary-with-log",
+                    test_restarted_primary_with_its_log);
+    g_test_add_func("/pooler/failover/restarted-primary-and-replica",
+                    test_restarted_primary_and_replica);
+    g_test_add_func("/pooler/failover/all-restarted", test_all_restarted);
+    g_test_add_func("/pooler/failover/restart-during-a-change", test_restart_during_a_change);
+    g_test_add_func("/pooler/failover/births", test_births);
     return g_test_run();
 }
--- a/tests/pooler/test_worker.c
+++ b/tests/pooler/test_worker.c
@@ -404,6 +404,28 @@
     client_close(client);
 }
 
+/* A primary that has started again without its log gets no work, whatever it says of itself: reads
+ * there would miss acknowledged commits. */
+static void
+test_primary_without_its_log(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *client = client_open(fixture, "strict");
+    fixture->timeout_ms = 400;
+    publish(fixture);
+    wait_until_followed(fixture);
+    good(client, "WRITE hut 4", 'I');
+    const struct line_faults deaf = {.deaf = true};
+    line_group_set_faults(fixture->group, 1, &deaf);
+    line_group_set_faults(fixture->group, 2, &deaf);
+    line_group_lose_log(fixture->group, 0);
+    for (int i = 0; i < 3; i++) {
+        bad(client, "READ hut", "BUSY", 'I');
+    }
+    g_autoptr(GPtrArray) runs = line_group_runs(fixture->group);
+    g_assert_cmpuint(runs->len, ==, 1);
+    client_close(client);
+}
+
 /* A group that is closed refuses in time, says when to come back, and has run nothing. */
 static void
 test_refusal_while_closed(struct fixture *fixture, gconstpointer unused)
@@ -870,6 +892,7 @@
     ADD("empty-commit", set_up, test_empty_commit_proves_nothing);
     ADD("empty-commit-after-a-write", set_up, test_empty_commit_after_a_write);
     ADD("change-of-primary", set_up, test_change_of_primary);
+    ADD("primary-without-its-log", set_up, test_primary_without_its_log);
     ADD("refusal-while-closed", set_up, test_refusal_while_closed);
     ADD("refusal-once-lost", set_up, test_refusal_once_lost);
     ADD("first-objective-first", set_up, test_first_objective_first);
