Poolers that start are told the store's tables by mirrors in their zone

Now a few poolers in each zone, one for each hundred and strong machines first, are named to all, in grants, to whoever introduces itself, and in the lease's row. Who lacks the tables asks one of them over a connection of its own and gets all rows as one compressed message, made once for all; what has changed since goes beside it. A mirror without tables or room on its link gives a sign and answers in turn. After two mirrors, or where none is named in time, a pooler reads the store; one that serves already and lacks a change gives one mirror a tenth of the bound on it.

The lease's row holds the fleet compressed: 2,000 poolers fit, 500 did before, so that a pooler knows the owners before there is a coordinator. A look at the lease reads that row alone, not each group's record.

--- a/src/pooler/control/control.c
+++ b/src/pooler/control/control.c
@@ -60,6 +60,9 @@
     if (control->granted_at == 0 && control->relied_until > now) {
         due = MIN(due, control->relied_until); /* the first look at the store after a start */
     }
+    if (control_mirrors_is_asked(control)) {
+        due = MIN(due, now + TICK_LEAST_MS * MS); /* as the link has room again */
+    }
     return MAX(due, now + TICK_LEAST_MS * MS);
 }
 
@@ -86,6 +89,7 @@
 look_at_everything(struct control *control)
 {
     time_ns now = backend_now();
+    control_mirrors_tick(control, now);
     control_feeds_tick(control, now);
     control_lease_tick(control, now);
     control_coordinator_tick(control, now);
--- a/src/pooler/control/control_coordinator.c
+++ b/src/pooler/control/control_coordinator.c
@@ -132,6 +132,13 @@
     peer_send(peer, message);
 }
 
+/* True of the first heartbeat on a connection. */
+static bool
+introduces_itself(const struct pooler_heartbeat *heartbeat)
+{
+    return heartbeat->name != NULL && heartbeat->name[0] != '\0';
+}
+
 /* The answer of a pooler that is not the coordinator: where that is, and what is known here. */
 static void
 send_hearsay(struct control *control, struct peer *peer, const struct pooler_heartbeat *heartbeat)
@@ -141,6 +148,9 @@
     grant.sequence = heartbeat->sequence;
     grant.coordinator = g_strdup(control->settings->pooler.name);
     grant.coordinator_address = g_strdup(control->coordinator_address);
+    if (introduces_itself(heartbeat)) {
+        grant.mirrors_count = control_mirrors_copy(control, &grant.mirrors);
+    }
     control_news_fill_hearsay(control, heartbeat, &grant);
     control_relay_fill_hearsay(control, peer, heartbeat, backend_now(), &grant.relay);
     send_counted(control, peer, &grant, PEER_BYTES_HEARSAY);
@@ -175,6 +185,7 @@
     control_news_fill(control, pooler, &grant);
     control_followers_tell(control, pooler->followers_told, &grant);
     pooler->followers_told = control->followers_version;
+    control_mirrors_tell(control, pooler, &grant);
     control_relay_fill_for(control, pooler, now, &grant.relay);
     if (heartbeat != NULL) {
         grant.sequence = heartbeat->sequence;
@@ -220,6 +231,7 @@
     pooler->fleet_told = heartbeat->fleet_version;
     pooler->fleet_known = 0;
     pooler->followers_told = 0;
+    pooler->mirrors_told = 0;
     pooler->orders_sent = 0;
 }
 
@@ -250,7 +262,7 @@
 take_heartbeat(struct control *control, struct peer *peer, struct pooler_heartbeat *heartbeat)
 {
     time_ns now = backend_now();
-    bool introduces = heartbeat->name != NULL && heartbeat->name[0] != '\0';
+    bool introduces = introduces_itself(heartbeat);
     struct pooler_peer *pooler = introduces ? introduce(control, peer, heartbeat)
                                             : g_hash_table_lookup(control->introduced, peer);
     if (pooler == NULL) {
@@ -288,7 +300,9 @@
         return false;
     }
     control_counts_heartbeat(&control->counts, PEER_RECEIVED, &heartbeat, length);
-    if (control->lease.held) {
+    if (heartbeat.wants_tables) {
+        control_mirrors_question(control, peer, &heartbeat, backend_now());
+    } else if (control->lease.held) {
         take_heartbeat(control, peer, &heartbeat);
     } else {
         send_hearsay(control, peer, &heartbeat);
@@ -308,6 +322,7 @@
         g_hash_table_remove(control->introduced, peer);
     }
     g_hash_table_remove(control->listeners, peer);
+    control_mirrors_forget(control, peer);
     g_ptr_array_remove_fast(control->connected, peer);
 }
 
@@ -364,6 +379,7 @@
     g_hash_table_remove_all(control->introduced);
     g_hash_table_remove_all(control->poolers);
     control->followers_version++;
+    control->mirrors.version++;
     control->coordinator_since = backend_now();
     control->owed_until =
         control->lease.ceded_token == 0 ? 0 : control->coordinator_since + PERMIT_MS * MS;
@@ -430,6 +446,7 @@
     if (pooler->peer != NULL) {
         g_hash_table_remove(control->introduced, pooler->peer);
         g_hash_table_remove(control->listeners, pooler->peer);
+        control_mirrors_forget(control, pooler->peer);
         g_ptr_array_remove_fast(control->connected, pooler->peer);
         peer_free(pooler->peer);
         pooler->peer = NULL;
@@ -486,6 +503,7 @@
     if (now > control->followers_at + FOLLOWERS_EVERY_NS) {
         control->followers_at = now;
         control_followers_choose(control);
+        control_mirrors_choose(control);
     }
     control_fleet_tick(control, now);
     control_groups_tick(control, now);
--- a/src/pooler/control/control_counts.c
+++ b/src/pooler/control/control_counts.c
@@ -86,7 +86,8 @@
                      const struct pooler_grant *grant, size_t length)
 {
     uint64_t left = length;
-    count_part(counts, direction, PEER_BYTES_ROWS, bytes_of_rows(&grant->relay), &left);
+    uint64_t rows = bytes_of_rows(&grant->relay) + grant->tables_length;
+    count_part(counts, direction, PEER_BYTES_ROWS, rows, &left);
     count_part(counts, direction, PEER_BYTES_ORDERS, bytes_of_orders(grant), &left);
     count_part(counts, direction, PEER_BYTES_FLEET, bytes_of_fleet(&grant->fleet), &left);
     count_part(counts, direction, kind, left, &left);
@@ -183,6 +184,10 @@
             print_store(counts, out, (enum store_table)table, (call_reason_t)reason);
         }
     }
+    g_string_append_printf(out,
+                           "swiftworks_tables_sent_total %" G_GUINT64_FORMAT
+                           "\nswiftworks_tables_received_total %" G_GUINT64_FORMAT "\n",
+                           counts->tables_sent, counts->tables_received);
     g_string_append_printf(out, "swiftworks_records_unusable_total %" G_GUINT64_FORMAT "\n",
                            counts->records_unusable);
     for (int direction = 0; direction < PEER_DIRECTIONS; direction++) {
--- a/src/pooler/control/control_counts.h
+++ b/src/pooler/control/control_counts.h
@@ -47,6 +47,8 @@
     uint64_t calls[STORE_TABLE_COUNT][CALL_REASON_COUNT];
     uint64_t answered[STORE_TABLE_COUNT][CALL_REASON_COUNT]; /* bytes of the store's answers */
     uint64_t bytes[PEER_DIRECTIONS][PEER_BYTES_COUNT];
+    uint64_t tables_sent;      /* whole tables, as a mirror */
+    uint64_t tables_received;  /* the same, from one */
     uint64_t records_unusable; /* records of databases that name none to use, each version once */
 } control_counts_t;
 
--- a/src/pooler/control/control_internal.h
+++ b/src/pooler/control/control_internal.h
@@ -17,6 +17,7 @@
 #include "pooler/control/directory.h"
 #include "pooler/control/failover.h"
 #include "pooler/control/fleet.h"
+#include "pooler/control/mirrors.h"
 #include "pooler/shared/peer.h"
 #include "pooler/control/probe_server.h"
 #include "pooler/control/promotion.h"
@@ -80,6 +81,27 @@
     uint64_t fleet;  /* the same of the members */
 } news_cache_t;
 
+/** @brief All rows of both tables, as one compressed message for every pooler that lacks them. */
+typedef struct table_snapshot {
+    GBytes *packed;         /* NULL: not made yet */
+    uint32_t length;        /* bytes before compression; 0: it is not compressed */
+    row_versions_t through; /* it holds the tables up to these */
+} table_snapshot_t;
+
+/** @brief Whom this pooler asks for the store's tables, and who asks it. Starts from zeros. */
+typedef struct mirrors {
+    GPtrArray *known; /* of struct pooler_mirror, as chosen here or told last; NULL: none */
+    uint64_t version; /* rises with each choice that changes them */
+    mirror_questions_t questions;
+    char *asked;       /* the one that was asked last; NULL: none */
+    struct peer *peer; /* the connection to it; NULL: there is none */
+    struct peer_callbacks callbacks;
+    time_ns lacks_since; /* see mirror_view_t; 0: nothing is lacking, or it is waited for */
+    bool expected;       /* the tables come from mirrors: the store is left alone */
+    GArray *waiting;     /* questions to this one that wait; NULL: none has come yet */
+    table_snapshot_t snapshot;
+} mirrors_t;
+
 /* What is known of one table. */
 struct feed {
     struct control *control;
@@ -183,6 +205,7 @@
     bool takes_deltas;       /* it takes rows that are told by their difference */
     bool takes_news;         /* it takes orders and members that are told packed */
     uint64_t followers_told; /* up to this version */
+    uint64_t mirrors_told;   /* the same */
     char *peer_address;      /* where it takes messages of other poolers */
     GHashTable *reports;     /* service -> struct pooler_group_report, where there is something to
                                 report */
@@ -327,6 +350,7 @@
     time_ns followers_at; /* when the followers of the store were chosen */
     GPtrArray *followers; /* their peer addresses, as chosen here or told last */
     uint64_t followers_version; /* rises with each choice that changes them */
+    mirrors_t mirrors;
 };
 
 /* control.c */
@@ -391,6 +415,13 @@
 /** @return the versions up to which the tables are known here. */
 row_versions_t control_relay_versions(const struct control *control);
 
+/** @brief Fills in all rows of both tables, whatever their size, uncompressed. */
+void control_relay_fill_whole(const struct control *control, struct pooler_relay *relay);
+/** @return true if the link has room for rows to other poolers now. */
+bool control_relay_may_send(struct control *control, time_ns now);
+/** @brief Takes sent bytes of rows off that room. */
+void control_relay_pay(struct control *control, size_t bytes);
+
 /* control_reliance.c */
 /** @brief Puts off this pooler's own look at the store, while others may tell it. */
 void control_reliance_start(struct control *control);
@@ -401,6 +432,9 @@
  *  @param asked when that pooler was sent what it answers, by our clock; 0: it is not known. */
 void control_reliance_renew(struct control *control, const struct pooler_relay *relay,
                             time_ns asked);
+/** @brief The same for tables that a mirror has told. */
+void control_reliance_take_tables(struct control *control, const struct pooler_relay *relay,
+                                  time_ns asked);
 /** @brief Takes over, after the rows, how new the other pooler knows the tables to be. Parameters
  * as of control_reliance_renew().
  *  @return when all that is known here was the store's newest, by that; 0: it is not told. */
@@ -441,6 +475,34 @@
 /** @brief Chooses, at the coordinator, which poolers follow the store beside it. */
 void control_followers_choose(struct control *control);
 
+/* control_mirrors.c */
+/** @brief Chooses, at the coordinator, which poolers pass the store's tables on. */
+void control_mirrors_choose(struct control *control);
+/** @brief Copies the mirrors that are known. @return how many. */
+size_t control_mirrors_copy(const struct control *control, struct pooler_mirror **out);
+/** @brief Tells a pooler under this coordinator who they are, if it was not told yet. */
+void control_mirrors_tell(const struct control *control, struct pooler_peer *pooler,
+                          struct pooler_grant *grant);
+/** @brief Takes over who they are; nothing if none are told. */
+void control_mirrors_take(struct control *control, const struct pooler_mirror *mirrors,
+                          size_t count);
+/** @brief A pooler asks for the tables. */
+void control_mirrors_question(struct control *control, struct peer *peer,
+                              const struct pooler_heartbeat *question, time_ns now);
+/** @brief The connection of a pooler that may have asked is over. */
+void control_mirrors_forget(struct control *control, const struct peer *peer);
+/** @return true while questions to this pooler wait. */
+bool control_mirrors_is_asked(const struct control *control);
+/** @brief Fills in the tables as a whole, or what has changed since `known`, whatever its size. */
+void control_mirrors_fill(struct control *control, const row_versions_t *known, bool takes_deltas,
+                          time_ns now, struct pooler_grant *grant);
+/** @brief Takes over what a mirror has told. @param asked when it was asked, by our clock.
+ *  @return false with `error` if that can't be read. */
+bool control_mirrors_take_tables(struct control *control, const struct pooler_grant *grant,
+                                 time_ns asked, GError **error);
+/** @brief Answers those who wait, and asks a mirror for tables that are lacking here. */
+void control_mirrors_tick(struct control *control, time_ns now);
+
 /* control_fleet.c */
 /** @return who holds the connections to the service's databases; NULL if no fleet is known. */
 const fleet_owners_t *control_fleet_owners(const struct control *control,
@@ -479,8 +541,12 @@
 void control_lease_take(struct control *control, const struct store_answer *answer);
 /* Gives the lease up, as at a planned stop. */
 void control_lease_release(struct control *control);
-/** @brief Fills in the fleet, if the row stays small enough. @return the row. */
+/** @brief Fills in the fleet, compressed where it is large, if the row stays small enough for the
+ *  store. @return the row. */
 GByteArray *control_lease_encode(const struct control *control, struct lease_record *record);
+/** @brief Reads such a row. @return false with `error` if it can't be read. */
+bool control_lease_decode(const uint8_t *data, gsize length, struct lease_record *out,
+                          GError **error);
 /** @return for how long the holder's renewal has been due without being done. */
 time_ns control_lease_overdue(const struct control *control, time_ns now);
 /* Looks at the lease at once, as this pooler may take it. */
--- a/src/pooler/control/control_lease.c
+++ b/src/pooler/control/control_lease.c
@@ -4,6 +4,7 @@
  * renewal was sent, so that it ends here sooner than there. */
 #define G_LOG_DOMAIN "lease"
 #include "pooler/control/control_internal.h"
+#include "pooler/control/packing.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -68,6 +69,32 @@
     }
 }
 
+/* Puts a compressed fleet in its place. @return false with `error` if it can't be read. */
+static bool
+unpack_fleet(struct lease_record *record, GError **error)
+{
+    if (record->packed_fleet_unpacked == 0) {
+        return true;
+    }
+    g_autoptr(GBytes) content = packing_unpack(record->packed_fleet, record->packed_fleet_length,
+                                               record->packed_fleet_unpacked, error);
+    gsize length = 0;
+    const uint8_t *data = content == NULL ? NULL : g_bytes_get_data(content, &length);
+    struct pooler_fleet fleet = {0};
+    if (data == NULL || !pooler_fleet_decode(data, length, &fleet, error)) {
+        return false;
+    }
+    pooler_fleet_clear(&record->fleet);
+    record->fleet = fleet;
+    return true;
+}
+
+bool
+control_lease_decode(const uint8_t *data, gsize length, struct lease_record *out, GError **error)
+{
+    return lease_record_decode(data, length, out, error) && unpack_fleet(out, error);
+}
+
 static void
 take_record(struct lease *lease, const struct store_row *row)
 {
@@ -75,8 +102,9 @@
     const uint8_t *data = g_bytes_get_data(row->value, &length);
     struct lease_record record = {0};
     g_autoptr(GError) error = NULL;
-    if (!lease_record_decode(data, length, &record, &error)) {
+    if (!control_lease_decode(data, length, &record, &error)) {
         g_warning("The lease can't be read: %s.", error->message);
+        lease_record_clear(&record);
         return;
     }
     lease_record_clear(&lease->record);
@@ -94,6 +122,7 @@
             take_record(&control->lease, row);
             const struct lease_record *record = &control->lease.record;
             control_fleet_take(control, &record->fleet);
+            control_mirrors_take(control, record->mirrors, record->mirrors_count);
             control->view_dirty = true; /* the size of the fleet may be known only now */
         }
         control_take_row(control, STORE_TABLE_CONTROL, row->key, row->version,
@@ -135,21 +164,53 @@
                        const struct store_answer *answer, time_ns now);
 static void consider(struct control *control, time_ns now);
 
-/* The row's size, at most: half of what the store takes for a row (65,536 bytes in base64). A fleet
- * of so many poolers that it would be larger is left out; poolers that start learn it from others
- * then. */
-#define LEASE_ROW_MAX ((guint)24 * 1024)
+/* The row's size, at most: in base64 it fits into the 65,536 bytes that the store takes for a row.
+ * A fleet of so many poolers that it would be larger is left out; poolers that start learn it from
+ * others then. */
+#define LEASE_ROW_MAX ((guint)40 * 1024)
+
+/* From this size on the fleet is compressed, in bytes of the row. */
+#define LEASE_PACKED_FROM ((guint)4 * 1024)
+
+static void
+leave_out_fleet(struct lease_record *record)
+{
+    pooler_fleet_clear(&record->fleet);
+    pooler_fleet_init(&record->fleet);
+}
+
+static void
+pack_fleet(struct lease_record *record)
+{
+    g_autoptr(GBytes) content = g_byte_array_free_to_bytes(pooler_fleet_encode(&record->fleet));
+    g_autoptr(GBytes) packed = packing_pack(content);
+    leave_out_fleet(record);
+    if (packed != NULL) {
+        gsize size = 0;
+        gconstpointer data = g_bytes_get_data(packed, &size);
+        record->packed_fleet = g_memdup2(data, size);
+        record->packed_fleet_length = size;
+        record->packed_fleet_unpacked = (uint32_t)g_bytes_get_size(content);
+    }
+}
 
 GByteArray *
 control_lease_encode(const struct control *control, struct lease_record *record)
 {
     control_fleet_fill(control, 0, &record->fleet);
     GByteArray *bytes = lease_record_encode(record);
+    if (bytes->len < LEASE_PACKED_FROM) {
+        return bytes;
+    }
+    pack_fleet(record);
+    g_byte_array_unref(bytes);
+    bytes = lease_record_encode(record);
     if (bytes->len <= LEASE_ROW_MAX) {
         return bytes;
     }
-    pooler_fleet_clear(&record->fleet);
-    pooler_fleet_init(&record->fleet);
+    g_clear_pointer(&record->packed_fleet, g_free);
+    record->packed_fleet_length = 0;
+    record->packed_fleet_unpacked = 0;
     g_byte_array_unref(bytes);
     return lease_record_encode(record);
 }
@@ -168,6 +229,7 @@
         .expires_ms = give_up ? 0 : store_now + LEASE_NS / MS,
         .poolers = lease->held ? control_coordinator_count(control) : control_fleet_size(control),
     };
+    record.mirrors_count = control_mirrors_copy(control, &record.mirrors);
     GByteArray *bytes = control_lease_encode(control, &record);
     lease_record_clear(&record);
     struct store_put put = {LEASE_KEY, bytes->data, bytes->len};
@@ -371,7 +433,7 @@
     control->lease.invited = false;
     control->lease.call_sent = now;
     control_counts_call(&control->counts, STORE_TABLE_CONTROL, CALL_LEASE_LOOK);
-    store_read(control->store, STORE_TABLE_CONTROL, on_looked, control);
+    store_read_row(control->store, STORE_TABLE_CONTROL, LEASE_KEY, on_looked, control);
 }
 
 void
--- a/src/pooler/control/control_member.c
+++ b/src/pooler/control/control_member.c
@@ -301,6 +301,7 @@
     control->follows_store = grant->follows_store;
     control_reliance_renew(control, &grant->relay, sent);
     control_followers_take(control, grant);
+    control_mirrors_take(control, grant->mirrors, grant->mirrors_count);
     control->next_address = 0;
     control->orders_known = MAX(control->orders_known, grant->orders_version);
     control_publish(control);
@@ -322,6 +323,7 @@
         take_order(control, &grant->groups[i]);
     }
     control_fleet_take(control, &grant->fleet);
+    control_mirrors_take(control, grant->mirrors, grant->mirrors_count);
     control_relay_take(control, &grant->relay);
     control_reliance_renew(control, &grant->relay, sending_of(control, grant->sequence));
     control_publish(control);
--- /dev/null
+++ b/src/pooler/control/control_mirrors.c
@@ -0,0 +1,476 @@
+/**
+ * @file
+ * @brief The control thread's part in mirrors (mirrors.h): the coordinator names them, a pooler
+ * that lacks the store's tables asks one over a connection of its own, and a mirror sends its
+ * tables as one compressed message, made once for all who ask.
+ *
+ * A mirror that has nothing yet, or whose link is taken, gives a sign of life at once and answers
+ * in the order of the questions. What it sends tells its age, as all rows do that poolers pass on,
+ * and is relied on by that (control_reliance.c). A lost connection is a question without an answer.
+ */
+#define G_LOG_DOMAIN "mirrors"
+#include "pooler/control/control_internal.h"
+#include "pooler/control/packing.h"
+
+#include "wire/address.h"
+
+#include <inttypes.h>
+
+/** A pooler whose question waits. */
+typedef struct mirror_request {
+    struct peer *peer;
+    uint64_t sequence;
+    row_versions_t known;
+    bool takes_deltas;
+} mirror_request_t;
+
+/* ---- who the mirrors are ---- */
+
+static const GPtrArray *
+known_mirrors(const struct control *control)
+{
+    static const GPtrArray none = {NULL, 0};
+    return control->mirrors.known == NULL ? &none : control->mirrors.known;
+}
+
+static bool
+is_mirror(const struct control *control)
+{
+    const GPtrArray *known = known_mirrors(control);
+    return mirrors_count_others(known, control->address) < known->len;
+}
+
+static void
+replace_known(struct control *control, GPtrArray *mirrors)
+{
+    if (control->mirrors.known != NULL) {
+        g_ptr_array_unref(control->mirrors.known);
+    }
+    control->mirrors.known = mirrors;
+}
+
+/* Poolers that are connected and stay. The coordinator has enough to do. */
+static GArray *
+list_candidates(const struct control *control)
+{
+    GArray *candidates = g_array_new(FALSE, FALSE, sizeof(mirror_candidate_t));
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->poolers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct pooler_peer *pooler = value;
+        bool self = g_str_equal(pooler->name, control->settings->pooler.name);
+        bool named = pooler->peer_address != NULL && pooler->peer_address[0] != '\0';
+        if (pooler->peer != NULL && !pooler->stopping && !self && named) {
+            const mirror_candidate_t candidate = {pooler->peer_address, pooler->zone,
+                                                  pooler->millicores};
+            g_array_append_val(candidates, candidate);
+        }
+    }
+    return candidates;
+}
+
+void
+control_mirrors_choose(struct control *control)
+{
+    g_autoptr(GArray) candidates = list_candidates(control);
+    GPtrArray *chosen =
+        mirrors_choose((mirror_candidate_t *)(void *)candidates->data, candidates->len);
+    if (mirrors_equal(chosen, known_mirrors(control))) {
+        g_ptr_array_unref(chosen);
+        return;
+    }
+    g_info("%u poolers mirror the store's tables, before %u.", chosen->len,
+           known_mirrors(control)->len);
+    replace_known(control, chosen);
+    control->mirrors.version++;
+}
+
+size_t
+control_mirrors_copy(const struct control *control, struct pooler_mirror **out)
+{
+    const GPtrArray *known = known_mirrors(control);
+    *out = g_new0(struct pooler_mirror, known->len + 1);
+    for (guint i = 0; i < known->len; i++) {
+        const struct pooler_mirror *mirror = known->pdata[i];
+        (*out)[i].address = g_strdup(mirror->address);
+        (*out)[i].zone = g_strdup(mirror->zone);
+    }
+    return known->len;
+}
+
+void
+control_mirrors_tell(const struct control *control, struct pooler_peer *pooler,
+                     struct pooler_grant *grant)
+{
+    if (pooler->mirrors_told != control->mirrors.version) {
+        grant->mirrors_count = control_mirrors_copy(control, &grant->mirrors);
+        pooler->mirrors_told = control->mirrors.version;
+    }
+}
+
+void
+control_mirrors_take(struct control *control, const struct pooler_mirror *mirrors, size_t count)
+{
+    if (count == 0 || control->lease.held) {
+        return; /* not told, or chosen here */
+    }
+    GPtrArray *told = mirrors_new();
+    for (size_t i = 0; i < count; i++) {
+        mirrors_add(told, mirrors[i].address, mirrors[i].zone);
+    }
+    replace_known(control, told);
+}
+
+/* ---- as a mirror ---- */
+
+static bool
+has_tables(const struct control *control)
+{
+    return control->configuration != NULL &&
+           control->feeds[STORE_TABLE_CONFIGURATION].version != 0 &&
+           control->feeds[STORE_TABLE_DIRECTORY].version != 0;
+}
+
+/* Changes beyond what the message of whole tables holds go beside it, until they are as large as a
+ * message of changes may be. */
+static const table_snapshot_t *
+current_snapshot(struct control *control, time_ns now)
+{
+    table_snapshot_t *snapshot = &control->mirrors.snapshot;
+    if (snapshot->packed != NULL) {
+        struct pooler_relay since;
+        pooler_relay_init(&since);
+        control_relay_fill(control, &(relay_receiver_t){.known = snapshot->through}, now, &since);
+        bool small = !since.configuration_incomplete && !since.directory_incomplete;
+        pooler_relay_clear(&since);
+        if (small) {
+            return snapshot;
+        }
+        g_clear_pointer(&snapshot->packed, g_bytes_unref);
+    }
+    struct pooler_relay whole;
+    pooler_relay_init(&whole);
+    control_relay_fill_whole(control, &whole);
+    g_autoptr(GBytes) content = g_byte_array_free_to_bytes(pooler_relay_encode(&whole));
+    pooler_relay_clear(&whole);
+    snapshot->through = control_relay_versions(control);
+    snapshot->length = (uint32_t)g_bytes_get_size(content);
+    snapshot->packed = packing_pack(content);
+    if (snapshot->packed == NULL) { /* a handful of rows: unpacked, it is no larger */
+        snapshot->packed = g_bytes_ref(content);
+        snapshot->length = 0;
+    }
+    return snapshot;
+}
+
+/* True of who knows nothing of a table. */
+static bool
+lacks_all(const row_versions_t *known)
+{
+    return known->configuration == 0 || known->directory == 0;
+}
+
+void
+control_mirrors_fill(struct control *control, const row_versions_t *known, bool takes_deltas,
+                     time_ns now, struct pooler_grant *grant)
+{
+    relay_receiver_t to = {*known, true, takes_deltas};
+    if (lacks_all(known)) {
+        const table_snapshot_t *snapshot = current_snapshot(control, now);
+        gsize size = 0;
+        gconstpointer data = g_bytes_get_data(snapshot->packed, &size);
+        grant->tables = g_memdup2(data, size);
+        grant->tables_length = size;
+        grant->tables_unpacked = snapshot->length;
+        to.known = snapshot->through;
+    }
+    control_relay_fill(control, &to, now, &grant->relay);
+}
+
+static void
+send_answer(struct control *control, struct peer *peer, const struct pooler_grant *grant)
+{
+    GByteArray *message = pooler_grant_encode(grant);
+    control_counts_grant(&control->counts, PEER_SENT, PEER_BYTES_HEARSAY, grant, message->len);
+    control_relay_pay(control, message->len);
+    peer_send(peer, message);
+}
+
+static void
+answer(struct control *control, const mirror_request_t *request, time_ns now)
+{
+    struct pooler_grant grant;
+    pooler_grant_init(&grant);
+    grant.sequence = request->sequence;
+    grant.coordinator = g_strdup(control->settings->pooler.name);
+    control_mirrors_fill(control, &request->known, request->takes_deltas, now, &grant);
+    control->counts.tables_sent++;
+    send_answer(control, request->peer, &grant);
+    pooler_grant_clear(&grant);
+}
+
+static void
+send_sign(struct control *control, const mirror_request_t *request)
+{
+    struct pooler_grant grant;
+    pooler_grant_init(&grant);
+    grant.sequence = request->sequence;
+    grant.coordinator = g_strdup(control->settings->pooler.name);
+    send_answer(control, request->peer, &grant);
+    pooler_grant_clear(&grant);
+}
+
+/* True if the pooler that asks would be told anything. */
+static bool
+knows_more(const struct control *control, const row_versions_t *known)
+{
+    row_versions_t here = control_relay_versions(control);
+    return here.configuration > known->configuration || here.directory > known->directory;
+}
+
+static bool
+may_answer(struct control *control, const mirror_request_t *request, time_ns now)
+{
+    return has_tables(control) && knows_more(control, &request->known) &&
+           control_relay_may_send(control, now);
+}
+
+void
+control_mirrors_question(struct control *control, struct peer *peer,
+                         const struct pooler_heartbeat *question, time_ns now)
+{
+    const mirror_request_t request = {
+        .peer = peer,
+        .sequence = question->sequence,
+        .known = {question->relay.configuration_row, question->relay.directory_row},
+        .takes_deltas = question->takes_deltas,
+    };
+    if (control->mirrors.waiting == NULL) {
+        control->mirrors.waiting = g_array_new(FALSE, FALSE, sizeof(mirror_request_t));
+    }
+    if (control->mirrors.waiting->len == 0 && may_answer(control, &request, now)) {
+        answer(control, &request, now);
+        return;
+    }
+    send_sign(control, &request);
+    g_array_append_val(control->mirrors.waiting, request);
+    control_wake_soon(control);
+}
+
+void
+control_mirrors_forget(struct control *control, const struct peer *peer)
+{
+    GArray *waiting = control->mirrors.waiting;
+    for (guint i = waiting == NULL ? 0 : waiting->len; i > 0; i--) {
+        if (g_array_index(waiting, mirror_request_t, i - 1).peer == peer) {
+            g_array_remove_index(waiting, i - 1);
+        }
+    }
+}
+
+static void
+answer_waiting(struct control *control, time_ns now)
+{
+    GArray *waiting = control->mirrors.waiting;
+    while (waiting != NULL && waiting->len > 0) {
+        const mirror_request_t request = g_array_index(waiting, mirror_request_t, 0);
+        if (!may_answer(control, &request, now)) {
+            return;
+        }
+        g_array_remove_index(waiting, 0);
+        answer(control, &request, now);
+    }
+}
+
+bool
+control_mirrors_is_asked(const struct control *control)
+{
+    return control->mirrors.waiting != NULL && control->mirrors.waiting->len > 0;
+}
+
+/* ---- as a pooler that lacks the tables ---- */
+
+static void
+close_question(struct control *control)
+{
+    g_clear_pointer(&control->mirrors.peer, peer_free);
+    control->mirrors.questions.asked_at = 0;
+    control->mirrors.questions.signed_on = false;
+}
+
+bool
+control_mirrors_take_tables(struct control *control, const struct pooler_grant *grant,
+                            time_ns asked, GError **error)
+{
+    gsize length = grant->tables_length;
+    g_autoptr(GBytes) content =
+        grant->tables_unpacked == 0
+            ? g_bytes_new(grant->tables, length)
+            : packing_unpack(grant->tables, length, grant->tables_unpacked, error);
+    if (content == NULL) {
+        return false;
+    }
+    struct pooler_relay whole = {0};
+    const uint8_t *data = g_bytes_get_data(content, &length);
+    if (length > 0) {
+        if (!pooler_relay_decode(data, length, &whole, error)) {
+            return false;
+        }
+        control_relay_take(control, &whole);
+        pooler_relay_clear(&whole);
+    }
+    control_relay_take(control, &grant->relay);
+    control_reliance_take_tables(control, &grant->relay, asked);
+    return true;
+}
+
+static void
+log_taken(const struct control *control, size_t length, time_ns now)
+{
+    const mirrors_t *mirrors = &control->mirrors;
+    g_autofree char *bytes = g_strdup_printf("%zu", length);
+    g_autofree char *took = g_strdup_printf("%" PRIu64, (now - mirrors->questions.asked_at) / MS);
+    g_autofree char *turn = g_strdup_printf("%u", mirrors->questions.asked);
+    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_MIRROR", mirrors->asked, "SW_BYTES", bytes,
+                     "SW_TOOK_MS", took, "SW_TURN", turn, "MESSAGE",
+                     "The store's tables come from %s: %s bytes, %s ms.", mirrors->asked, bytes,
+                     took);
+}
+
+/* False closes the connection: the question has its answer, or none that can be read. */
+static bool
+on_frame(void *user, struct peer *peer, const uint8_t *data, size_t length)
+{
+    struct control *control = user;
+    mirrors_t *mirrors = &control->mirrors;
+    struct pooler_grant grant = {0};
+    g_autoptr(GError) error = NULL;
+    if (!pooler_grant_decode(data, length, &grant, &error)) {
+        g_warning("A mirror's message can't be read: %s.", error->message);
+        return false;
+    }
+    control_counts_grant(&control->counts, PEER_RECEIVED, PEER_BYTES_HEARSAY, &grant, length);
+    bool sign = grant.relay.configuration_row == 0 && grant.relay.directory_row == 0;
+    if (sign) {
+        mirrors->questions.signed_on = true;
+    } else if (control_mirrors_take_tables(control, &grant, mirrors->questions.asked_at, &error)) {
+        control->counts.tables_received++;
+        log_taken(control, length, backend_now());
+        control_publish(control);
+    } else {
+        g_warning("A mirror's tables can't be read: %s.", error->message);
+    }
+    pooler_grant_clear(&grant);
+    control_wake_soon(control);
+    return sign;
+}
+
+static void
+on_closed(void *user, struct peer *peer)
+{
+    struct control *control = user;
+    control->mirrors.peer = NULL;
+    control->mirrors.questions.asked_at = 0;
+    control->mirrors.questions.signed_on = false;
+    control_wake_soon(control);
+}
+
+static void
+ask(struct control *control, const char *address, time_ns now)
+{
+    struct sockaddr_in socket_address;
+    mirrors_t *mirrors = &control->mirrors;
+    close_question(control);
+    mirrors->questions.asked++;
+    g_free(mirrors->asked);
+    mirrors->asked = g_strdup(address);
+    if (address == NULL || !parse_address(address, &socket_address)) {
+        return;
+    }
+    mirrors->callbacks = (struct peer_callbacks){on_frame, on_closed, control};
+    mirrors->peer = peer_connect(control->base, &socket_address, &mirrors->callbacks);
+    if (mirrors->peer == NULL) {
+        return;
+    }
+    row_versions_t known = control_relay_versions(control);
+    struct pooler_heartbeat question;
+    pooler_heartbeat_init(&question);
+    question.wants_tables = true;
+    question.takes_deltas = true;
+    question.relay.configuration_row = known.configuration;
+    question.relay.directory_row = known.directory;
+    mirrors->questions.asked_at = now;
+    peer_send(mirrors->peer, pooler_heartbeat_encode(&question));
+    pooler_heartbeat_clear(&question);
+}
+
+static bool
+is_missing(const struct control *control)
+{
+    return control->feeds[STORE_TABLE_CONFIGURATION].missing ||
+           control->feeds[STORE_TABLE_DIRECTORY].missing;
+}
+
+/* Somebody may name the mirrors: a coordinator, or the lease's row, which was not read yet. */
+static bool
+may_be_told(const struct control *control)
+{
+    return control->lease.clock_received == 0 || control->granted_at != 0;
+}
+
+static mirror_view_t
+view_of(const struct control *control)
+{
+    const GPtrArray *known = known_mirrors(control);
+    row_versions_t here = control_relay_versions(control);
+    return (mirror_view_t){
+        .starts = lacks_all(&here),
+        .bound = control->settings->store.apply_ms * MS,
+        .reads_store = control->lease.held || control->follows_store || is_mirror(control),
+        .may_be_told = may_be_told(control),
+        .mirrors = mirrors_count_others(known, control->address),
+        .lacks_since = control->mirrors.lacks_since,
+    };
+}
+
+/* The store is read by this pooler after all; it is told once. */
+static void
+log_helps_itself(const struct control *control)
+{
+    if (control->mirrors.questions.asked > 0) {
+        g_message("None of %u mirrors asked has told the store's tables, the last %s.",
+                  control->mirrors.questions.asked, control->mirrors.asked);
+    }
+}
+
+void
+control_mirrors_tick(struct control *control, time_ns now)
+{
+    mirrors_t *mirrors = &control->mirrors;
+    answer_waiting(control, now);
+    row_versions_t here = control_relay_versions(control);
+    if (!lacks_all(&here) && !is_missing(control)) {
+        close_question(control);
+        mirrors->questions = (mirror_questions_t){0};
+        mirrors->lacks_since = 0;
+        mirrors->expected = false;
+        return;
+    }
+    if (mirrors->lacks_since == 0 && now >= control->relied_until) {
+        mirrors->lacks_since = now;
+    }
+    const mirror_view_t view = view_of(control);
+    mirror_step_t step = mirror_next_step(&mirrors->questions, &view, now);
+    if (step == MIRROR_STEP_ASK) {
+        guint seed = g_str_hash(control->settings->pooler.name);
+        ask(control,
+            mirrors_at(mirrors->known, control->settings->pooler.zone, control->address, seed,
+                       mirrors->questions.asked),
+            now);
+    } else if (step == MIRROR_STEP_STORE && mirrors->expected) {
+        log_helps_itself(control);
+        close_question(control);
+    }
+    mirrors->expected = step != MIRROR_STEP_STORE;
+}
--- a/src/pooler/control/control_relay.c
+++ b/src/pooler/control/control_relay.c
@@ -240,6 +240,30 @@
     fill_within(control, &to->known, most, to->takes_deltas, now, relay);
 }
 
+/* Rows that are gone say nothing to who knows none. */
+static void
+add_table(const struct feed *feed, struct pooler_relay *relay)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, feed->rows);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct known_row *row = value;
+        if (!row->gone) {
+            add_row(relay, feed->table, row, &(content_t){.bytes = row->value});
+        }
+    }
+}
+
+void
+control_relay_fill_whole(const struct control *control, struct pooler_relay *relay)
+{
+    add_table(&control->feeds[STORE_TABLE_CONFIGURATION], relay);
+    add_table(&control->feeds[STORE_TABLE_DIRECTORY], relay);
+    relay->configuration_row = control->feeds[STORE_TABLE_CONFIGURATION].version;
+    relay->directory_row = control->feeds[STORE_TABLE_DIRECTORY].version;
+}
+
 bool
 control_relay_is_confirmed(const struct pooler_peer *pooler)
 {
@@ -267,11 +291,23 @@
     return control->row_bytes;
 }
 
+bool
+control_relay_may_send(struct control *control, time_ns now)
+{
+    return row_bytes(control, now) > 0;
+}
+
+void
+control_relay_pay(struct control *control, size_t bytes)
+{
+    control->row_bytes -= (double)bytes;
+}
+
 static void
 pay_for_rows(struct control *control, const struct pooler_relay *relay)
 {
     for (size_t i = 0; i < relay->rows_count; i++) {
-        control->row_bytes -= (double)relay->rows[i].value_length;
+        control_relay_pay(control, relay->rows[i].value_length);
     }
 }
 
--- a/src/pooler/control/control_reliance.c
+++ b/src/pooler/control/control_reliance.c
@@ -81,8 +81,15 @@
 void
 control_reliance_renew(struct control *control, const struct pooler_relay *relay, time_ns asked)
 {
-    time_ns known_at = control_reliance_prove(control, relay, asked);
+    control_reliance_take_tables(control, relay, asked);
     note_told(control, relay);
+}
+
+void
+control_reliance_take_tables(struct control *control, const struct pooler_relay *relay,
+                             time_ns asked)
+{
+    time_ns known_at = control_reliance_prove(control, relay, asked);
     note_missing(control, relay);
     if (known_at != 0) {
         control->told_as_of = MAX(control->told_as_of, known_at);
@@ -108,7 +115,8 @@
 bool
 control_reliance_asks(const struct control *control, enum store_table table, time_ns now)
 {
-    return !control_reliance_holds(control, now) || control->feeds[table].missing;
+    bool asks = !control_reliance_holds(control, now) || control->feeds[table].missing;
+    return asks && !control->mirrors.expected;
 }
 
 bool
--- /dev/null
+++ b/src/pooler/control/mirrors.c
@@ -0,0 +1,166 @@
+/* Who passes the store's tables on, and when a pooler asks them; see the header. */
+#include "pooler/control/mirrors.h"
+
+#include <string.h>
+
+/* How long the open question may take. */
+static time_ns
+patience(const mirror_questions_t *questions, const mirror_view_t *view)
+{
+    time_ns wait = questions->signed_on ? MIRROR_ANSWER_NS : MIRROR_SIGN_NS;
+    return view->starts ? wait : MIN(wait, (time_ns)((double)view->bound * MIRROR_CHANGE_PART));
+}
+
+mirror_step_t
+mirror_next_step(const mirror_questions_t *questions, const mirror_view_t *view, time_ns now)
+{
+    if (view->reads_store) {
+        return MIRROR_STEP_STORE;
+    }
+    if (questions->asked_at != 0 && now < questions->asked_at + patience(questions, view)) {
+        return MIRROR_STEP_WAIT;
+    }
+    if (questions->asked < MIN(view->mirrors, view->starts ? MIRRORS_ASKED : 1)) {
+        return MIRROR_STEP_ASK;
+    }
+    bool told_soon = view->starts && view->may_be_told && now < view->lacks_since + MIRROR_NAMED_NS;
+    return view->mirrors == 0 && told_soon ? MIRROR_STEP_WAIT : MIRROR_STEP_STORE;
+}
+
+static void
+free_mirror(gpointer data)
+{
+    struct pooler_mirror *mirror = data;
+    pooler_mirror_clear(mirror);
+    g_free(mirror);
+}
+
+GPtrArray *
+mirrors_new(void)
+{
+    return g_ptr_array_new_with_free_func(free_mirror);
+}
+
+void
+mirrors_add(GPtrArray *mirrors, const char *address, const char *zone)
+{
+    struct pooler_mirror *mirror = g_new0(struct pooler_mirror, 1);
+    mirror->address = g_strdup(address == NULL ? "" : address);
+    mirror->zone = g_strdup(zone == NULL ? "" : zone);
+    g_ptr_array_add(mirrors, mirror);
+}
+
+/* Strong machines first; among equals by hash, so that the choice stays as poolers come and go. */
+static int
+compare(const void *a, const void *b)
+{
+    const mirror_candidate_t *first = a;
+    const mirror_candidate_t *second = b;
+    if (first->millicores != second->millicores) {
+        return first->millicores > second->millicores ? -1 : 1;
+    }
+    guint first_hash = g_str_hash(first->address);
+    guint second_hash = g_str_hash(second->address);
+    if (first_hash != second_hash) {
+        return first_hash < second_hash ? -1 : 1;
+    }
+    return strcmp(first->address, second->address);
+}
+
+/* How many candidates there are in each zone. */
+static GHashTable *
+count_zones(const mirror_candidate_t *candidates, size_t count)
+{
+    GHashTable *zones = g_hash_table_new(g_str_hash, g_str_equal);
+    for (size_t i = 0; i < count; i++) {
+        guint known = GPOINTER_TO_UINT(g_hash_table_lookup(zones, candidates[i].zone));
+        g_hash_table_insert(zones, (gpointer)candidates[i].zone, GUINT_TO_POINTER(known + 1));
+    }
+    return zones;
+}
+
+static unsigned
+count_in_zone(const GPtrArray *mirrors, const char *zone)
+{
+    unsigned count = 0;
+    for (guint i = 0; i < mirrors->len; i++) {
+        count += g_str_equal(((const struct pooler_mirror *)mirrors->pdata[i])->zone, zone);
+    }
+    return count;
+}
+
+GPtrArray *
+mirrors_choose(mirror_candidate_t *candidates, size_t count)
+{
+    GPtrArray *mirrors = mirrors_new();
+    g_autoptr(GHashTable) zones = count_zones(candidates, count);
+    qsort(candidates, count, sizeof *candidates, compare);
+    for (size_t i = 0; i < count; i++) {
+        guint poolers = GPOINTER_TO_UINT(g_hash_table_lookup(zones, candidates[i].zone));
+        unsigned most = (poolers + MIRROR_POOLERS - 1) / MIRROR_POOLERS;
+        if (count_in_zone(mirrors, candidates[i].zone) < most) {
+            mirrors_add(mirrors, candidates[i].address, candidates[i].zone);
+        }
+    }
+    return mirrors;
+}
+
+bool
+mirrors_equal(const GPtrArray *a, const GPtrArray *b)
+{
+    if (a->len != b->len) {
+        return false;
+    }
+    for (guint i = 0; i < a->len; i++) {
+        const struct pooler_mirror *first = a->pdata[i];
+        const struct pooler_mirror *second = b->pdata[i];
+        if (!g_str_equal(first->address, second->address)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* The mirrors of one zone, or of all others, without this pooler: their number, and the one at the
+ * place that the turn falls on. */
+static unsigned
+pick(const GPtrArray *mirrors, const char *zone, bool same, const char *own, unsigned place,
+     const char **out)
+{
+    unsigned count = 0;
+    for (guint i = 0; i < mirrors->len; i++) {
+        const struct pooler_mirror *mirror = mirrors->pdata[i];
+        if (g_str_equal(mirror->zone, zone) != same || g_str_equal(mirror->address, own)) {
+            continue;
+        }
+        if (count == place) {
+            *out = mirror->address;
+        }
+        count++;
+    }
+    return count;
+}
+
+const char *
+mirrors_at(const GPtrArray *mirrors, const char *zone, const char *own, guint seed, unsigned turn)
+{
+    const char *address = NULL;
+    unsigned near = pick(mirrors, zone, true, own, UINT_MAX, &address);
+    unsigned far = pick(mirrors, zone, false, own, UINT_MAX, &address);
+    if (turn < near) {
+        pick(mirrors, zone, true, own, (seed + turn) % near, &address);
+    } else if (turn < near + far) {
+        pick(mirrors, zone, false, own, (seed + turn) % far, &address);
+    }
+    return address;
+}
+
+unsigned
+mirrors_count_others(const GPtrArray *mirrors, const char *own)
+{
+    unsigned count = mirrors->len;
+    for (guint i = 0; i < mirrors->len; i++) {
+        count -= g_str_equal(((const struct pooler_mirror *)mirrors->pdata[i])->address, own);
+    }
+    return count;
+}
--- /dev/null
+++ b/src/pooler/control/mirrors.h
@@ -0,0 +1,107 @@
+/**
+ * @file
+ * @brief Mirrors: poolers that pass the store's tables on, as a whole, to poolers that lack them.
+ *
+ * A pooler that starts lacks both tables, and so does one that was told of more than a message of
+ * changes holds. At a thousand groups the tables are a megabyte: read at the store by every pooler
+ * of a fleet that has lost power, they are a second of its link and the dearest thing in a day. So
+ * a few poolers in each zone, strong machines first, are named to all, by the coordinator and in
+ * the lease's row, and are asked instead. Mirrors themselves read the store.
+ *
+ * How many there are follows from the poolers of a zone, so that one mirror has as much to send in
+ * a large fleet as in a small one. A mirror that gives no sign costs MIRROR_SIGN_NS; after
+ * MIRRORS_ASKED of them, or where none is named in time, a pooler helps itself at the store. One
+ * that serves already, and lacks a change, asks one mirror, for a part of the time within which the
+ * change must be in force.
+ *
+ * Pure; time comes in.
+ */
+#ifndef SW_POOLER_MIRRORS_H
+#define SW_POOLER_MIRRORS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/types.h"
+#include "generated/messages.h"
+
+/** @brief One mirror for each so many poolers of a zone, or part of them. */
+#define MIRROR_POOLERS 100
+
+/** @brief Mirrors that a pooler asks before it reads the store. */
+#define MIRRORS_ASKED 2
+
+/** @brief A mirror that has given no sign for so long is given up: it is dark, or gone. Longer than
+ *  machines that start together take to start. */
+#define MIRROR_SIGN_NS (400 * NANOSECONDS_PER_MILLISECOND)
+
+/** @brief One that has given a sign has so long to send the tables, as it may be about to read them
+ *  itself, and others wait for its link. */
+#define MIRROR_ANSWER_NS (1500 * NANOSECONDS_PER_MILLISECOND)
+
+/** @brief The same for a change, as a part of the bound within which it must be in force: its news
+ *  and a look at the store have the rest. */
+#define MIRROR_CHANGE_PART 0.1
+
+/** @brief So long after its usual wait a starting pooler goes on waiting to be told who the mirrors
+ *  are, if somebody may tell it: some rounds of the coordinator's choice. */
+#define MIRROR_NAMED_NS (1500 * NANOSECONDS_PER_MILLISECOND)
+
+/** @brief A pooler's questions since it has lacked the tables. Start from zeros. */
+typedef struct mirror_questions {
+    unsigned asked;   /* mirrors so far */
+    time_ns asked_at; /* the open question was sent then; 0: none is open */
+    bool signed_on;   /* the mirror has given a sign of life */
+} mirror_questions_t;
+
+/** @brief What the decision needs besides. */
+typedef struct mirror_view {
+    bool reads_store;    /* this pooler is a mirror, the coordinator, or follows the store */
+    bool starts;         /* it knows nothing of a table, and serves nobody */
+    time_ns bound;       /* within which a change must be in force */
+    bool may_be_told;    /* somebody may yet name the mirrors */
+    unsigned mirrors;    /* that are known, without this pooler */
+    time_ns lacks_since; /* the usual wait of a start has ended, or the tables were found lacking */
+} mirror_view_t;
+
+/** @brief What to do about tables that are lacking. */
+typedef enum mirror_step {
+    MIRROR_STEP_WAIT,
+    MIRROR_STEP_ASK,   /* the next mirror */
+    MIRROR_STEP_STORE, /* read the store */
+} mirror_step_t;
+
+/** @return what to do now. An open question that has taken too long counts as failed. */
+mirror_step_t mirror_next_step(const mirror_questions_t *questions, const mirror_view_t *view,
+                               time_ns now);
+
+/** @brief A pooler as a mirror may be chosen from. */
+typedef struct mirror_candidate {
+    const char *address;
+    const char *zone;
+    uint32_t millicores; /* processor that its machine grants, in thousandths of a core */
+} mirror_candidate_t;
+
+/** @brief Chooses the mirrors, the same ones from the same candidates in any order. Sorts them.
+ *  @return of pooler_mirror, freed with it. */
+GPtrArray *mirrors_choose(mirror_candidate_t *candidates, size_t count);
+
+/** @return true if both name the same poolers in the same order. */
+bool mirrors_equal(const GPtrArray *a, const GPtrArray *b);
+
+/** @brief A list to add pooler_mirror to, which frees them. */
+GPtrArray *mirrors_new(void);
+void mirrors_add(GPtrArray *mirrors, const char *address, const char *zone);
+
+/** @brief The mirror that a pooler asks as its `turn`th, from 0: those of its own zone first, and
+ *  another one for each pooler, by `seed`, so that all have as much to send.
+ *  @param own its own address, which is never returned.
+ *  @return the address; NULL if there are no so many. */
+const char *mirrors_at(const GPtrArray *mirrors, const char *zone, const char *own, guint seed,
+                       unsigned turn);
+
+/** @return how many there are without the one at this address. */
+unsigned mirrors_count_others(const GPtrArray *mirrors, const char *own);
+
+#endif
--- a/src/pooler/control/store.h
+++ b/src/pooler/control/store.h
@@ -56,6 +56,10 @@
 /* All rows of a table as of one moment. */
 void store_read(struct store *store, enum store_table table, store_callback *callback, void *user);
 
+/* The row under this key, with what else is as of one moment; no row if there is none. */
+void store_read_row(struct store *store, enum store_table table, const char *key,
+                    store_callback *callback, void *user);
+
 /* The changes after a version; waits for the first one for `wait_ms` at most. One at a time for
  * each table. */
 void store_watch(struct store *store, enum store_table table, uint64_t after, uint32_t wait_ms,
--- a/tests/pooler/test_lease.c
+++ b/tests/pooler/test_lease.c
@@ -65,7 +65,9 @@
 know(struct control *control, unsigned count)
 {
     for (unsigned i = 0; i < count; i++) {
-        g_autofree char *address = g_strdup_printf("10.0.%u.%u:7440", i / 250, i % 250 + 1);
+        uint32_t spread = i * 2654435761U; /* not packed better than real ones are */
+        g_autofree char *address = g_strdup_printf("10.%u.%u.%u:7440", spread >> 24,
+                                                   spread >> 16 & 255, spread >> 8 & 255);
         fleet_join(control->fleet, address, "zone-1", 1, 120, i + 1);
     }
 }
@@ -78,8 +80,8 @@
     struct lease_record read = {0};
     g_autoptr(GError) error = NULL;
     GByteArray *bytes = control_lease_encode(control, &record);
-    g_assert_cmpuint(bytes->len, <, 32 * 1024);
-    g_assert_true(lease_record_decode(bytes->data, bytes->len, &read, &error));
+    g_assert_cmpuint(bytes->len * 4 / 3, <, 65536); /* in base64, what the store takes */
+    g_assert_true(control_lease_decode(bytes->data, bytes->len, &read, &error));
     g_assert_cmpstr(read.holder, ==, "front-1");
     size_t count = read.fleet.members_count;
     lease_record_clear(&read);
@@ -94,9 +96,15 @@
 {
     struct control *control = &fixture->control;
     control->fleet = fleet_new();
+    know(control, 30);
+    g_assert_cmpuint(count_in_row(control), ==, 30);
     know(control, 300);
     g_assert_cmpuint(count_in_row(control), ==, 300);
-    know(control, 4000);
+    know(control, 1000);
+    g_assert_cmpuint(count_in_row(control), ==, 1000);
+    know(control, 2000);
+    g_assert_cmpuint(count_in_row(control), ==, 2000);
+    know(control, 8000);
     g_assert_cmpuint(count_in_row(control), ==, 0);
     fleet_free(control->fleet);
 }
--- a/tests/pooler/test_store.c
+++ b/tests/pooler/test_store.c
@@ -77,6 +77,22 @@
     g_assert_true(fixture->answered);
 }
 
+/* One row of many, and none where there is none. */
+static void
+test_one_row(fixture_t *fixture, gconstpointer unused)
+{
+    static const char *const keys[] = {"database 3&", "database 4", "zone"};
+    put_databases(fixture, 20);
+    for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+        g_hash_table_remove_all(fixture->keys);
+        store_read_row(fixture->store, STORE_TABLE_DIRECTORY, keys[i], on_listed, fixture);
+        event_base_dispatch(fixture->base);
+        g_assert_cmpint((int)fixture->outcome, ==, (int)STORE_DONE);
+        g_assert_cmpuint(g_hash_table_size(fixture->keys), ==, i == 0);
+        g_assert_true(i > 0 || g_hash_table_contains(fixture->keys, keys[i]));
+    }
+}
+
 /* More databases than one answer holds: the rest must not be taken for gone. */
 static void
 test_pages(fixture_t *fixture, gconstpointer unused)
@@ -126,6 +142,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add("/store/pages", fixture_t, NULL, set_up, test_pages, tear_down);
+    g_test_add("/store/one_row", fixture_t, NULL, set_up, test_one_row, tear_down);
     g_test_add("/store/one_page", fixture_t, NULL, set_up, test_one_page, tear_down);
     g_test_add("/store/refused", fixture_t, NULL, set_up, test_refused, tear_down);
     g_test_add("/store/unreadable", fixture_t, NULL, set_up, test_unreadable, tear_down);
