--- a/src/pooler/control/control_internal.h
+++ b/src/pooler/control/control_internal.h
@@ -92,6 +92,7 @@
 typedef struct mirrors {
     GPtrArray *known; /* of struct pooler_mirror, as chosen here or told last; NULL: none */
     uint64_t version; /* rises with each choice that changes them */
+    size_t heard;     /* poolers to choose from, as of the last look */
     mirror_questions_t questions;
     char *asked;       /* the one that was asked last; NULL: none */
     struct peer *peer; /* the connection to it; NULL: there is none */
--- a/src/pooler/control/control_mirrors.c
+++ b/src/pooler/control/control_mirrors.c
@@ -76,7 +76,16 @@
     g_autoptr(GArray) candidates = list_candidates(control);
     GPtrArray *chosen =
         mirrors_choose((mirror_candidate_t *)(void *)candidates->data, candidates->len);
-    if (mirrors_equal(chosen, known_mirrors(control))) {
+    const mirror_gathering_t gathering = {
+        .since = control->coordinator_since,
+        .heard = candidates->len,
+        .heard_before = control->mirrors.heard,
+        .known = known_mirrors(control)->len,
+        .chosen = chosen->len,
+    };
+    control->mirrors.heard = candidates->len;
+    if (mirrors_equal(chosen, known_mirrors(control)) ||
+        !mirrors_are_gathered(&gathering, backend_now())) {
         g_ptr_array_unref(chosen);
         return;
     }
--- a/src/pooler/control/mirrors.c
+++ b/src/pooler/control/mirrors.c
@@ -3,6 +3,9 @@
 
 #include <string.h>
 
+/* A fleet that has grown by more than one in so many since the last look still connects. */
+#define GROWTH_SLACK 8
+
 /* How long the open question may take. */
 static time_ns
 patience(const mirror_questions_t *questions, const mirror_view_t *view)
@@ -105,6 +108,18 @@
     return mirrors;
 }
 
+bool
+mirrors_are_gathered(const mirror_gathering_t *gathering, time_ns now)
+{
+    if (now >= gathering->since + MIRRORS_KEPT_NS) {
+        return true;
+    }
+    if (gathering->known > 0) {
+        return gathering->chosen >= gathering->known;
+    }
+    return gathering->heard * GROWTH_SLACK <= gathering->heard_before * (GROWTH_SLACK + 1);
+}
+
 bool
 mirrors_equal(const GPtrArray *a, const GPtrArray *b)
 {
--- a/src/pooler/control/mirrors.h
+++ b/src/pooler/control/mirrors.h
@@ -45,8 +45,13 @@
 #define MIRROR_CHANGE_PART 0.1
 
 /** @brief So long after its usual wait a starting pooler goes on waiting to be told who the mirrors
- *  are, if somebody may tell it: some rounds of the coordinator's choice. */
-#define MIRROR_NAMED_NS (1500 * NANOSECONDS_PER_MILLISECOND)
+ *  are, if somebody may tell it: at the very first start a coordinator gathers its fleet, and may
+ *  leave the lease to a stronger machine. */
+#define MIRROR_NAMED_NS (3000 * NANOSECONDS_PER_MILLISECOND)
+
+/** @brief A new coordinator keeps the mirrors that it was told, for as long as poolers take to
+ *  connect to it, rather than name fewer. */
+#define MIRRORS_KEPT_NS (3000 * NANOSECONDS_PER_MILLISECOND)
 
 /** @brief A pooler's questions since it has lacked the tables. Start from zeros. */
 typedef struct mirror_questions {
@@ -87,6 +92,19 @@
  *  @return of pooler_mirror, freed with it. */
 GPtrArray *mirrors_choose(mirror_candidate_t *candidates, size_t count);
 
+/** @brief What the decision whether a choice is good yet needs. */
+typedef struct mirror_gathering {
+    time_ns since;       /* the coordinator has led since then */
+    size_t heard;        /* poolers that it hears now */
+    size_t heard_before; /* the same as of the last look */
+    guint known;         /* mirrors that are named now */
+    guint chosen;        /* that would be named instead */
+} mirror_gathering_t;
+
+/** @return true if the chosen ones are to be named now. A fleet that still connects would name the
+ *  few that were quickest, to all. */
+bool mirrors_are_gathered(const mirror_gathering_t *gathering, time_ns now);
+
 /** @return true if both name the same poolers in the same order. */
 bool mirrors_equal(const GPtrArray *a, const GPtrArray *b);
 
