--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -6,7 +6,7 @@
 readonly BUILD_PACKAGES=(
     build-essential pkg-config meson ninja-build
     liburcu-dev libglib2.0-dev libcbor-dev libmicrohttpd-dev libpq-dev libcurl4-openssl-dev
-    libjson-glib-dev libsodium-dev libxxhash-dev zlib1g-dev libpg-query-dev libsqlite3-dev libevent-dev libjansson-dev
+    libjson-glib-dev libsodium-dev libxxhash-dev zlib1g-dev libpg-query-dev libsqlite3-dev libevent-dev libjansson-dev libyajl-dev
     python3 curl jq bc
 )
 readonly LINT_PACKAGES=(clang-format clang-tidy cppcheck)
