Owners of all groups are ranked without a logarithm for each member

A pooler that starts works out the owners of each group among all members: 985 times 1,000 scores, 184 million instructions, which grows as the square of the fleet.

--- a/src/pooler/control/fleet.c
+++ b/src/pooler/control/fleet.c
@@ -198,6 +198,7 @@
     if (member == NULL) {
         member = g_new0(fleet_member_t, 1);
         member->address = g_strdup(address);
+        member->address_length = strlen(address);
         g_hash_table_insert(fleet->members, member->address, member);
     } else if (!member->gone) {
         take_out(fleet, member);
@@ -285,13 +286,33 @@
     fleet->version = MAX(fleet->version, version);
 }
 
+/* The member's draw for a group, above 0 and below 1. */
+static double
+draw_of(const fleet_member_t *member, uint64_t seed)
+{
+    uint64_t hash = XXH3_64bits_withSeed(member->address, member->address_length, seed);
+    return ((double)(hash >> 11) + 0.5) / (double)(UINT64_C(1) << 53);
+}
+
 /* Weighted rendezvous hashing: the highest score wins, in proportion to the weights. */
+static double
+score_of_draw(const fleet_member_t *member, double draw)
+{
+    return -(double)member->weight / log(draw);
+}
+
 static double
 score_of(const fleet_member_t *member, uint64_t seed)
 {
-    uint64_t hash = XXH3_64bits_withSeed(member->address, strlen(member->address), seed);
-    double uniform = ((double)(hash >> 11) + 0.5) / (double)(UINT64_C(1) << 53);
-    return -(double)member->weight / log(uniform);
+    return score_of_draw(member, draw_of(member, seed));
+}
+
+/* Whether the score may reach this much, without the logarithm that it takes: -log(x) is at least
+ * 1 - x. A pooler that starts ranks all members for all groups, and nearly none of them matters. */
+static bool
+may_reach(const fleet_member_t *member, double draw, double score)
+{
+    return (double)member->weight >= score * (1 - draw);
 }
 
 static bool
@@ -372,9 +393,14 @@
     out->counts = g_new0(guint, out->zones);
     for (guint i = 0; i < fleet->living->len; i++) {
         fleet_member_t *member = g_ptr_array_index(fleet->living, i);
-        const candidate_t candidate = {member, score_of(member, seed)};
+        double draw = draw_of(member, seed);
         guint zone = member->zone_index;
-        insert(&out->best[(gsize)zone * depth], &out->counts[zone], depth, &candidate);
+        candidate_t *best = &out->best[(gsize)zone * depth];
+        if (out->counts[zone] == depth && !may_reach(member, draw, best[depth - 1].score)) {
+            continue;
+        }
+        const candidate_t candidate = {member, score_of_draw(member, draw)};
+        insert(best, &out->counts[zone], depth, &candidate);
     }
 }
 
--- a/src/pooler/control/fleet.h
+++ b/src/pooler/control/fleet.h
@@ -22,7 +22,8 @@
 
 /** @brief A pooler that may own groups. Lives as long as its fleet. */
 typedef struct fleet_member {
-    char *address;    /* where it takes forwarded statements */
+    char *address; /* where it takes forwarded statements */
+    size_t address_length;
     const char *zone; /* interned */
     uint32_t workers; /* its threads that open connections */
     uint32_t weight;  /* twice the weight, twice the groups; above 0 */
--- a/tests/pooler/test_owners.c
+++ b/tests/pooler/test_owners.c
@@ -5,7 +5,9 @@
  */
 #include "pooler/control/control_internal.h"
 
+#include <math.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define SERVICES 8
 #define ZONES    3
@@ -476,6 +478,50 @@
     fleet_free(fleet);
 }
 
+/* Which of a zone's members has the highest score by the formula alone: the first owner there. */
+static const char *
+best_of_zone(const GPtrArray *addresses, const char *service, unsigned zone)
+{
+    uint64_t seed = XXH3_64bits(service, strlen(service));
+    const char *best = NULL;
+    double best_score = 0;
+    for (guint i = zone; i < addresses->len; i += ZONES) {
+        const char *address = addresses->pdata[i];
+        uint64_t hash = XXH3_64bits_withSeed(address, strlen(address), seed);
+        double draw = ((double)(hash >> 11) + 0.5) / (double)(UINT64_C(1) << 53);
+        double score = -(i % 20 == 0 ? 1000.0 : 120.0) / log(draw);
+        if (score > best_score) {
+            best = address;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+/* A pooler that starts works out the owners of all groups among all members, most of whom can be
+ * passed over by a bound on their scores. The owners are those of the full scores, as poolers of
+ * every version must find the same ones. */
+static void
+test_bounded_scores(fixture_t *fixture, gconstpointer unused)
+{
+    fleet_t *fleet = fleet_new();
+    g_autoptr(GPtrArray) addresses = g_ptr_array_new_with_free_func(g_free);
+    for (unsigned i = 0; i < 985; i++) {
+        g_autofree char *zone = g_strdup_printf("zone-%u", i % ZONES);
+        g_ptr_array_add(addresses, g_strdup_printf("10.%u.%u.%u:7440", i % 7, i / 200, i % 200));
+        fleet_join(fleet, addresses->pdata[i], zone, 1, i % 20 == 0 ? 1000 : 120, i + 1);
+    }
+    fleet_set_counted(fleet, 985, 985);
+    for (unsigned i = 0; i < 200; i++) {
+        g_autofree char *service = g_strdup_printf("ledger-%u", i);
+        const fleet_owners_t *owners = fleet_owners(fleet, service, 400);
+        for (unsigned zone = 0; zone < ZONES; zone++) {
+            g_assert_true(fleet_owners_include(owners, best_of_zone(addresses, service, zone)));
+        }
+    }
+    fleet_free(fleet);
+}
+
 /* A pooler that starts after the loss of all knows from the lease's row how many share the
  * connections, until a coordinator tells. */
 static void
@@ -686,6 +732,7 @@
     ADD("older", test_older);
     ADD("new-coordinator", test_new_coordinator);
     ADD("weights", test_weights);
+    ADD("bounded-scores", test_bounded_scores);
     ADD("slow-coordinator", test_slow_coordinator);
     ADD("inherited-fleet", test_inherited_fleet);
     ADD("share-by-the-row", test_share_by_the_row);
