A mirror that the store does not answer declines, and asks another one

Those who asked it would have waited 1.5 s for each such mirror, where the store turns a third of the machines away as all start.

--- a/src/pooler/control/control_mirrors.c
+++ b/src/pooler/control/control_mirrors.c
@@ -5,7 +5,8 @@
  * tables as one compressed message, made once for all who ask.
  *
  * A mirror that has nothing yet, or whose link is taken, gives a sign of life at once and answers
- * in the order of the questions. What it sends tells its age, as all rows do that poolers pass on,
+ * in the order of the questions. One that has nothing and that the store does not answer declines,
+ * and asks another mirror itself. What it sends tells its age, as all rows do that poolers pass on,
  * and is relied on by that (control_reliance.c). A lost connection is a question without an answer.
  */
 #define G_LOG_DOMAIN "mirrors"
@@ -219,13 +220,16 @@
     pooler_grant_clear(&grant);
 }
 
+/* A sign of life; with `declines` the tables won't come from here. */
 static void
-send_sign(struct control *control, const mirror_request_t *request)
+send_sign(struct control *control, const mirror_request_t *request, bool declines)
 {
     struct pooler_grant grant;
     pooler_grant_init(&grant);
     grant.sequence = request->sequence;
     grant.coordinator = g_strdup(control->settings->pooler.name);
+    grant.relay.configuration_incomplete = declines;
+    grant.relay.directory_incomplete = declines;
     send_answer(control, request->peer, &grant);
     pooler_grant_clear(&grant);
 }
@@ -238,6 +242,15 @@
     return here.configuration > known->configuration || here.directory > known->directory;
 }
 
+/* The store does not tell the tables to this mirror, which has none. */
+static bool
+is_without(const struct control *control)
+{
+    bool fails = control->feeds[STORE_TABLE_CONFIGURATION].failures > 0 ||
+                 control->feeds[STORE_TABLE_DIRECTORY].failures > 0;
+    return fails && !has_tables(control);
+}
+
 static bool
 may_answer(struct control *control, const mirror_request_t *request, time_ns now)
 {
@@ -262,7 +275,10 @@
         answer(control, &request, now);
         return;
     }
-    send_sign(control, &request);
+    send_sign(control, &request, is_without(control));
+    if (is_without(control)) {
+        return;
+    }
     g_array_append_val(control->mirrors.waiting, request);
     control_wake_soon(control);
 }
@@ -284,11 +300,16 @@
     GArray *waiting = control->mirrors.waiting;
     while (waiting != NULL && waiting->len > 0) {
         const mirror_request_t request = g_array_index(waiting, mirror_request_t, 0);
-        if (!may_answer(control, &request, now)) {
+        bool declines = is_without(control);
+        if (!declines && !may_answer(control, &request, now)) {
             return;
         }
         g_array_remove_index(waiting, 0);
-        answer(control, &request, now);
+        if (declines) {
+            send_sign(control, &request, true);
+        } else {
+            answer(control, &request, now);
+        }
     }
 }
 
@@ -361,6 +382,7 @@
     }
     control_counts_grant(&control->counts, PEER_RECEIVED, PEER_BYTES_HEARSAY, &grant, length);
     bool sign = grant.relay.configuration_row == 0 && grant.relay.directory_row == 0;
+    bool declines = sign && grant.relay.configuration_incomplete;
     if (sign) {
         mirrors->questions.signed_on = true;
     } else if (control_mirrors_take_tables(control, &grant, mirrors->questions.asked_at, &error)) {
@@ -372,7 +394,7 @@
     }
     pooler_grant_clear(&grant);
     control_wake_soon(control);
-    return sign;
+    return sign && !declines;
 }
 
 static void
@@ -436,7 +458,8 @@
     return (mirror_view_t){
         .starts = lacks_all(&here),
         .bound = control->settings->store.apply_ms * MS,
-        .reads_store = control->lease.held || control->follows_store || is_mirror(control),
+        .reads_store = control->lease.held || control->follows_store ||
+                       (is_mirror(control) && !is_without(control)),
         .may_be_told = may_be_told(control),
         .mirrors = mirrors_count_others(known, control->address),
         .lacks_since = control->mirrors.lacks_since,
