--- a/standins/session_platform/line_group.c
+++ b/standins/session_platform/line_group.c
@@ -656,7 +656,7 @@
 close_connections(struct database *database)
 {
     while (database->connections->len > 0) {
-        free_connection(g_ptr_array_index(database->connections, 0));
+        free_connection(g_ptr_array_steal_index_fast(database->connections, 0));
     }
 }
 
--- a/tests/pooler/test_directory.c
+++ b/tests/pooler/test_directory.c
@@ -249,10 +249,13 @@
     struct directory directory;
     directory_init(&directory);
     take_born(&directory, 1, 5000, 100 * MS);
-    g_assert_false(take_born(&directory, 2, 5000, 200 * MS));
-    g_assert_true(take_born(&directory, 3, 7000, 300 * MS));
+    bool renewed = take_born(&directory, 2, 5000, 200 * MS);
+    bool started = take_born(&directory, 3, 7000, 300 * MS);
+    g_assert_false(renewed);
+    g_assert_true(started);
     g_assert_cmpuint(find(&directory, "a")->stands_since, ==, 300 * MS);
-    g_assert_false(take_born(&directory, 4, 5000, 400 * MS));
+    bool late = take_born(&directory, 4, 5000, 400 * MS);
+    g_assert_false(late);
     g_assert_cmpuint(find(&directory, "a")->born_ms, ==, 7000);
     g_assert_cmpuint(find(&directory, "a")->version, ==, 4);
     directory_clear(&directory);
--- a/tests/pooler/test_records.c
+++ b/tests/pooler/test_records.c
@@ -116,9 +116,9 @@
 static void
 test_not_a_record(void)
 {
-    static const char *const texts[] = {"",      "null",   "[]",        "3",
-                                        "\"a\"", "{",      "{}",        "{\"service\":\"s\"}",
-                                        "\xff",  GOOD "x", "[" GOOD "]"};
+    static const char *const texts[] = {"",      "null",     "[]",          "3",
+                                        "\"a\"", "{",        "{}",          "{\"service\":\"s\"}",
+                                        "\xff",  (GOOD "x"), ("[" GOOD "]")};
     for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
         g_assert_false(is_usable(texts[i]));
     }
