The list of mirrors stays within what a message holds

At one for each 40 poolers of a zone it would have had more than the 128 entries that are read from 5,120 poolers on, and grants with it would have been refused. Test: choice-is-bounded (20,000 poolers).

--- a/src/pooler/control/control_mirrors.c
+++ b/src/pooler/control/control_mirrors.c
@@ -206,13 +206,20 @@
     peer_send(peer, message);
 }
 
+static void
+init_answer(const struct control *control, const mirror_request_t *request,
+            struct pooler_grant *grant)
+{
+    pooler_grant_init(grant);
+    grant->sequence = request->sequence;
+    grant->coordinator = g_strdup(control->settings->pooler.name);
+}
+
 static void
 answer(struct control *control, const mirror_request_t *request, time_ns now)
 {
     struct pooler_grant grant;
-    pooler_grant_init(&grant);
-    grant.sequence = request->sequence;
-    grant.coordinator = g_strdup(control->settings->pooler.name);
+    init_answer(control, request, &grant);
     control_mirrors_fill(control, &request->known, request->takes_deltas, now, &grant);
     control->counts.tables_sent++;
     send_answer(control, request->peer, &grant);
@@ -224,9 +231,7 @@
 send_sign(struct control *control, const mirror_request_t *request, bool declines)
 {
     struct pooler_grant grant;
-    pooler_grant_init(&grant);
-    grant.sequence = request->sequence;
-    grant.coordinator = g_strdup(control->settings->pooler.name);
+    init_answer(control, request, &grant);
     grant.relay.configuration_incomplete = declines;
     grant.relay.directory_incomplete = declines;
     send_answer(control, request->peer, &grant);
--- a/src/pooler/control/mirrors.c
+++ b/src/pooler/control/mirrors.c
@@ -106,16 +106,27 @@
     return count;
 }
 
+/* Poolers for each mirror, so that with a last one for each zone no more than the most are named.
+ */
+static size_t
+poolers_for_each(size_t count, guint zones)
+{
+    size_t most = MIRRORS_MOST > zones ? MIRRORS_MOST - zones : 1;
+    return MAX(MIRROR_POOLERS, (count + most - 1) / most);
+}
+
 GPtrArray *
 mirrors_choose(mirror_candidate_t *candidates, size_t count)
 {
     GPtrArray *mirrors = mirrors_new();
     g_autoptr(GHashTable) zones = count_zones(candidates, count);
+    size_t each = poolers_for_each(count, g_hash_table_size(zones));
     qsort(candidates, count, sizeof *candidates, compare);
     for (size_t i = 0; i < count; i++) {
         guint poolers = GPOINTER_TO_UINT(g_hash_table_lookup(zones, candidates[i].zone));
-        unsigned most = (poolers + MIRROR_POOLERS - 1) / MIRROR_POOLERS;
-        if (count_in_zone(mirrors, candidates[i].zone) < most) {
+        size_t most = (poolers + each - 1) / each;
+        bool fits = mirrors->len < MIRRORS_MOST;
+        if (fits && count_in_zone(mirrors, candidates[i].zone) < most) {
             mirrors_add(mirrors, candidates[i].address, candidates[i].zone);
         }
     }
--- a/src/pooler/control/mirrors.h
+++ b/src/pooler/control/mirrors.h
@@ -31,6 +31,10 @@
  *  last of them is told after 0.15 s by half of a link of 1 Gbit/s. */
 #define MIRROR_POOLERS 40
 
+/** @brief At most so many are named, as messages and the lease's row hold no more. Beyond, at 5,000
+ *  poolers, each has more of them to tell. */
+#define MIRRORS_MOST 128
+
 /** @brief Questions that a starting pooler asks before it reads the store, at least. */
 #define MIRRORS_ASKED 2
 
--- a/tests/pooler/test_mirrors.c
+++ b/tests/pooler/test_mirrors.c
@@ -138,6 +138,22 @@
     }
 }
 
+/* However many poolers there are, the list fits into a message, with mirrors in each zone. */
+static void
+test_choice_is_bounded(void)
+{
+    g_autoptr(GArray) fleet = make_fleet(20000);
+    g_autoptr(GPtrArray) mirrors = choose(fleet);
+    unsigned in_zone[ZONES] = {0};
+    g_assert_cmpuint(mirrors->len, <=, MIRRORS_MOST);
+    for (guint i = 0; i < mirrors->len; i++) {
+        in_zone[((const struct pooler_mirror *)mirrors->pdata[i])->zone[1] - '0']++;
+    }
+    for (unsigned zone = 0; zone < ZONES; zone++) {
+        g_assert_cmpuint(in_zone[zone], >=, MIRRORS_MOST / ZONES - 2);
+    }
+}
+
 /* The quickest few of a fleet that connects are not named to all, and a new coordinator names no
  * fewer than it was told while poolers connect to it. */
 static void
@@ -407,6 +423,7 @@
     g_test_add_func("/pooler/mirrors/mirror-that-starts", test_mirror_that_starts);
     g_test_add_func("/pooler/mirrors/change", test_change);
     g_test_add_func("/pooler/mirrors/choice", test_choice);
+    g_test_add_func("/pooler/mirrors/choice-is-bounded", test_choice_is_bounded);
     g_test_add_func("/pooler/mirrors/gathering", test_gathering);
     g_test_add_func("/pooler/mirrors/turns", test_turns);
     g_test_add_func("/pooler/mirrors/return-of-all", test_return_of_all);
