--- /dev/null
+++ b/tests/pooler/control_fixture.h
@@ -0,0 +1,17 @@
+/**
+ * @file
+ * @brief A control thread's state without its event loop, workers and sockets, for tests of what it
+ * decides and passes on.
+ */
+#ifndef SW_TESTS_POOLER_CONTROL_FIXTURE_H
+#define SW_TESTS_POOLER_CONTROL_FIXTURE_H
+
+#include "pooler/control/control_internal.h"
+
+/** @brief Knows nothing yet. `settings` must outlive it. */
+struct control *control_fixture_new(const struct pooler_settings *settings);
+
+/** @brief Frees it with all that it has learned. */
+void control_fixture_free(struct control *control);
+
+#endif
--- a/tests/pooler/test_mirrors.c
+++ b/tests/pooler/test_mirrors.c
@@ -3,7 +3,7 @@
  * @brief Poolers that pass the store's tables on: who they are, whom a pooler asks when, and what
  * the return of a whole fleet costs the store by these decisions, at several sizes.
  */
-#include "pooler/control/control_internal.h"
+#include "control_fixture.h"
 
 #include <string.h>
 
@@ -237,46 +237,20 @@
     struct pooler_settings settings;
 } fixture_t;
 
-static struct control *
-control_new(const struct pooler_settings *settings)
-{
-    struct control *control = g_new0(struct control, 1);
-    control->settings = settings;
-    control->address = g_strdup("10.0.0.1:8782");
-    control->groups = g_hash_table_new(g_str_hash, g_str_equal);
-    directory_init(&control->directory);
-    control_feeds_start(control);
-    return control;
-}
-
-static void
-control_free(struct control *control)
-{
-    for (int table = 0; table < STORE_TABLE_COUNT; table++) {
-        g_hash_table_unref(control->feeds[table].rows);
-    }
-    g_clear_pointer(&control->configuration, configuration_unref);
-    g_clear_pointer(&control->mirrors.snapshot.packed, g_bytes_unref);
-    g_hash_table_unref(control->groups);
-    directory_clear(&control->directory);
-    g_free(control->address);
-    g_free(control);
-}
-
 static void
 set_up(fixture_t *fixture, gconstpointer unused)
 {
     fixture->settings.pooler.link_mbps = 1000;
     fixture->settings.store.apply_ms = 8000;
-    fixture->mirror = control_new(&fixture->settings);
-    fixture->starting = control_new(&fixture->settings);
+    fixture->mirror = control_fixture_new(&fixture->settings);
+    fixture->starting = control_fixture_new(&fixture->settings);
 }
 
 static void
 tear_down(fixture_t *fixture, gconstpointer unused)
 {
-    control_free(fixture->mirror);
-    control_free(fixture->starting);
+    control_fixture_free(fixture->mirror);
+    control_fixture_free(fixture->starting);
 }
 
 /* A configuration of so many services, and three databases for each. */
@@ -359,8 +333,8 @@
     size_t bytes = ask_mirror(fixture);
     g_assert_cmpuint(bytes, <, 400);
     g_assert_cmpuint(control_relay_versions(fixture->starting).directory, ==, 9);
-    control_free(fixture->starting);
-    fixture->starting = control_new(&fixture->settings);
+    control_fixture_free(fixture->starting);
+    fixture->starting = control_fixture_new(&fixture->settings);
     ask_mirror(fixture);
     g_assert_true(fixture->mirror->mirrors.snapshot.packed == made);
     g_assert_cmpuint(control_relay_versions(fixture->starting).directory, ==, 9);
@@ -394,7 +368,6 @@
     struct lease_record read = {0};
     g_autoptr(GError) error = NULL;
     struct control *control = fixture->mirror;
-    control->fleet = fleet_new();
     const struct pooler_mirror told = {(char *)"10.0.0.1:8782", (char *)"z1"};
     control_mirrors_take(control, &told, 1);
     lease_record_init(&record);
@@ -407,7 +380,6 @@
     g_assert_cmpuint(fixture->starting->mirrors.known->len, ==, 1);
     lease_record_clear(&read);
     lease_record_clear(&record);
-    fleet_free(control->fleet);
 }
 
 #define ADD(name, test)                                                                            \
--- a/tests/pooler/test_records.c
+++ b/tests/pooler/test_records.c
@@ -3,7 +3,7 @@
  * @brief Records of databases as the platform's store holds them: others may write there as well,
  * so a record is used only if every field of it is as a database writes it.
  */
-#include "pooler/control/control_internal.h"
+#include "control_fixture.h"
 
 #include <string.h>
 
@@ -148,25 +148,6 @@
     }
 }
 
-static struct control *
-control_new(void)
-{
-    struct control *control = g_new0(struct control, 1);
-    directory_init(&control->directory);
-    control_feeds_start(control);
-    return control;
-}
-
-static void
-control_free(struct control *control)
-{
-    for (int table = 0; table < STORE_TABLE_COUNT; table++) {
-        g_hash_table_unref(control->feeds[table].rows);
-    }
-    directory_clear(&control->directory);
-    g_free(control);
-}
-
 static void
 take(struct control *control, const char *id, uint64_t version, const char *text)
 {
@@ -186,7 +167,7 @@
 static void
 test_in_place_of_a_good_one(void)
 {
-    struct control *control = control_new();
+    struct control *control = control_fixture_new(NULL);
     take(control, "b", 1, "{\"service\":7}");
     g_assert_null(find(control, "b"));
     take(control, "a", 2, GOOD);
@@ -202,7 +183,7 @@
     g_assert_cmpuint(find(control, "a")->gone_at, !=, 0);
     take(control, "a", 5, GOOD);
     g_assert_cmpuint(find(control, "a")->gone_at, ==, 0);
-    control_free(control);
+    control_fixture_free(control);
 }
 
 int
--- a/tests/pooler/test_relay.c
+++ b/tests/pooler/test_relay.c
@@ -3,7 +3,7 @@
  * @brief Rows of the store passed from pooler to pooler: what is told, what is known afterwards,
  * and who asks the store by itself.
  */
-#include "pooler/control/control_internal.h"
+#include "control_fixture.h"
 
 #include <string.h>
 
@@ -15,42 +15,20 @@
     struct pooler_settings settings;
 } fixture_t;
 
-static struct control *
-control_new(const struct pooler_settings *settings)
-{
-    struct control *control = g_new0(struct control, 1);
-    control->settings = settings;
-    directory_init(&control->directory);
-    control->followers = g_ptr_array_new_with_free_func(g_free);
-    control_feeds_start(control);
-    return control;
-}
-
-static void
-control_free(struct control *control)
-{
-    for (int table = 0; table < STORE_TABLE_COUNT; table++) {
-        g_hash_table_unref(control->feeds[table].rows);
-    }
-    directory_clear(&control->directory);
-    g_ptr_array_unref(control->followers);
-    g_free(control);
-}
-
 static void
 set_up(fixture_t *fixture, gconstpointer unused)
 {
     fixture->settings.pooler.link_mbps = 1000;
     fixture->settings.store.apply_ms = 3000;
-    fixture->from = control_new(&fixture->settings);
-    fixture->to = control_new(&fixture->settings);
+    fixture->from = control_fixture_new(&fixture->settings);
+    fixture->to = control_fixture_new(&fixture->settings);
 }
 
 static void
 tear_down(fixture_t *fixture, gconstpointer unused)
 {
-    control_free(fixture->from);
-    control_free(fixture->to);
+    control_fixture_free(fixture->from);
+    control_fixture_free(fixture->to);
 }
 
 /* Bytes that can't be packed. */
@@ -546,7 +524,8 @@
     struct control *control = fixture->to;
     fixture->settings.pooler.peers.items = (char *[]){(char *)"10.0.0.1:8782"};
     fixture->settings.pooler.peers.count = 1;
-    control->address = (char *)"10.0.0.2:8782";
+    g_free(control->address);
+    control->address = g_strdup("10.0.0.2:8782");
     fixture->settings.pooler.start_wait_ms = 50;
     control->started_at = backend_now();
     control_reliance_start(control);
--- a/tests/pooler/test_reliance.c
+++ b/tests/pooler/test_reliance.c
@@ -11,7 +11,7 @@
  * that is late, or that leaves out what the receiver lacks. `forgotten-history` is that course;
  * `tests/soak/soak.py --seed 1 --seconds 70 --faults=incident` showed it on processes.
  */
-#include "pooler/control/control_internal.h"
+#include "control_fixture.h"
 #include "standins/session_platform/row_store.h"
 
 #include <arpa/inet.h>
@@ -39,18 +39,13 @@
 static struct control *
 control_new(fixture_t *fixture)
 {
-    struct control *control = g_new0(struct control, 1);
+    struct control *control = control_fixture_new(&fixture->settings);
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_port = htons(row_store_port(fixture->store))};
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    control->settings = &fixture->settings;
     control->base = fixture->base;
     control->store = store_new(fixture->base, &address);
     control->woken = event_new(fixture->base, -1, EV_PERSIST, do_nothing, NULL);
-    directory_init(&control->directory);
-    control->followers = g_ptr_array_new_with_free_func(g_free);
-    control->fleet = fleet_new();
-    control_feeds_start(control);
     return control;
 }
 
@@ -59,13 +54,7 @@
 {
     store_free(control->store);
     event_free(control->woken);
-    for (int table = 0; table < STORE_TABLE_COUNT; table++) {
-        g_hash_table_unref(control->feeds[table].rows);
-    }
-    directory_clear(&control->directory);
-    g_ptr_array_unref(control->followers);
-    fleet_free(control->fleet);
-    g_free(control);
+    control_fixture_free(control);
 }
 
 static bool
