--- a/review/rig.py
+++ b/review/rig.py
@@ -13,6 +13,7 @@
 import random
 import re
 import secrets
+import shutil
 import signal
 import subprocess
 import sys
@@ -886,6 +887,13 @@
     code = IMPOSSIBLE
     with tempfile.TemporaryDirectory() as directory:
         rig = Rig(directory)
+
+        def stop(*_):
+            rig.end()
+            shutil.rmtree(directory, ignore_errors=True)
+            os._exit(IMPOSSIBLE)
+
+        signal.signal(signal.SIGTERM, stop)
         try:
             broken = asyncio.run(play(case, rig, trouble, limit_s))
             for line in broken:
@@ -894,14 +902,14 @@
             code = BROKEN if broken else ENDED
             if not broken:
                 print("the rule held")
-        except (Impossible, asyncio.TimeoutError, OSError) as error:
+        except Exception as error:  # whatever else went wrong is no verdict
             print(f"could not run: {error or type(error).__name__}")
             rig.record.add("RULE", f"could not run: {error or type(error).__name__}")
         finally:
             rig.end()
             rig.record.add("exit", str(code))
-            for pooler in rig.poolers:
-                if os.environ.get("LOGS") and pooler.log.exists():
-                    (pathlib.Path(os.environ["LOGS"]) / pooler.log.name).write_bytes(pooler.log.read_bytes())
             rig.record.write(folder / "record.txt")
+            if os.environ.get("LOGS"):  # a folder for the poolers' logs
+                for pooler in rig.poolers:
+                    (pathlib.Path(os.environ["LOGS"]) / pooler.log.name).write_bytes(pooler.log.read_bytes())
     sys.exit(code)
