Review case 2: the usual reads in place of a replica far away

The case now has eight poolers and a traffic of reads, which keeps the up-to-date replica busy: its answer to PAUSE comes some 50 ms after that of the replica that is behind.

--- a/review/rig.py
+++ b/review/rig.py
@@ -226,7 +226,6 @@
         self.deaf = False  # receives nothing
         self.cut_from_store = False
         self.draining = False
-        self.answer_delay_s = 0.0  # one way, of the links to all callers
         self.slot = asyncio.Semaphore(slots)
         self.waiting = 0
         self.apply_lag_s = 0.0
@@ -342,9 +341,7 @@
         self.writes, self.prepared, self.values = [], {}, {}
 
     async def send(self, *lines):
-        """Sends an answer, over a link that may be long."""
-        if self.database.answer_delay_s:
-            await asyncio.sleep(self.database.answer_delay_s)
+        """Sends an answer."""
         self.writer.write("".join(line + "\r\n" for line in lines).encode("latin-1"))
         await self.writer.drain()
 
@@ -381,8 +378,6 @@
     async def statement(self, name, text):
         """Runs one statement."""
         database = self.database
-        if database.answer_delay_s:
-            await asyncio.sleep(database.answer_delay_s)
         if name != "-":
             database.group.note_sent(database, name, text)
         whole = text
@@ -469,7 +464,7 @@
 
     async def read(self, name, thing, whole):
         """READ."""
-        if not await self.work(WORK_MS):
+        if not await self.work(self.database.group.work_ms):
             return
         value = self.database.value(thing)
         signature = self.database.group.note_run(self.database, name, whole, value, dict(self.values))
@@ -477,7 +472,7 @@
 
     async def write(self, name, thing, data, whole):
         """WRITE."""
-        if not await self.work(WORK_MS):
+        if not await self.work(self.database.group.work_ms):
             return
         if not self.database.leads:
             await self.error("READONLY")
@@ -538,6 +533,7 @@
     def __init__(self, platform, record, service, host, max_connections=32):
         self.platform, self.record, self.service, self.host = platform, record, service, host
         self.max_connections = max_connections
+        self.work_ms = WORK_MS
         self.databases = {}
         self.runs = []  # (time, database, id, text, row, session values of the connection)
         self.sent = []  # (time, database, id, text): all statements that came with an id
