--- a/src/pooler/control/control.c
+++ b/src/pooler/control/control.c
@@ -297,6 +297,7 @@
     g_string_append_printf(out, "swiftworks_configuration_age_seconds %.3f\n",
                            (double)configuration_age_ms(control) / 1000);
     g_string_append_printf(out, "swiftworks_store_era %" G_GUINT64_FORMAT "\n", control->store_era);
+    control_groups_print_metrics(control, out);
     control_counts_print_metrics(&control->counts, out);
     g_string_append_printf(out, "swiftworks_log_lines_left_out_total %" G_GUINT64_FORMAT "\n",
                            pooler_log_left_out());
--- a/src/pooler/control/control_groups.c
+++ b/src/pooler/control/control_groups.c
@@ -2,7 +2,9 @@
  * databases' answers to each group's failover, and executes its commands. */
 #define G_LOG_DOMAIN "failover"
 #include "pooler/control/control_internal.h"
+#include "wire/address.h"
 
+#include <arpa/inet.h>
 #include <inttypes.h>
 
 #define RECORD_PREFIX "group/"
@@ -18,6 +20,10 @@
 #define RECORDS_WAIT_NS  (300 * MS)
 #define RECORDS_AGAIN_NS (100 * MS)
 
+/* Interval of reading them after that. Without them no primary is replaced that does not report
+ * itself that it stepped down. */
+#define RECORDS_LATE_NS (500 * MS)
+
 /* Maximum number of groups with low-priority status queries at a time: which database leads, or
  * whether replicas were left paused. Each group takes up to three connections and slots. With more
  * groups, on a machine of half a core, the answers of a thousand groups come so late that the
@@ -39,8 +45,6 @@
     return g_hash_table_lookup(control->controlled, failover->service);
 }
 
-static void release_group(gpointer data);
-
 static void
 on_command_answered(void *user, const char *service, const char *database,
                     const struct database_report *report, bool refused)
@@ -93,7 +97,7 @@
         failover_recorded(group->failover, answer->outcome == STORE_DONE, backend_now());
     }
     control_wake_soon(group->control);
-    release_group(group);
+    control_group_unref(group);
 }
 
 /* The call keeps a reference to the group, as the answer may come after the lease has ended. */
@@ -150,7 +154,7 @@
         failover_promotion_answered(group->failover, promotion_result_of(outcome), backend_now());
     }
     control_wake_soon(group->control);
-    release_group(group);
+    control_group_unref(group);
 }
 
 static void
@@ -207,14 +211,20 @@
 {
     struct controlled_group *group = data;
     g_hash_table_unref(group->connections);
+    g_clear_pointer(&group->membership, g_bytes_unref);
     failover_free(group->failover);
 }
 
-/* Drops one reference: that of the table, or of a finished call. */
+void
+control_group_unref(struct controlled_group *group)
+{
+    g_rc_box_release_full(group, clear_group);
+}
+
 static void
 release_group(gpointer data)
 {
-    g_rc_box_release_full(data, clear_group);
+    control_group_unref(data);
 }
 
 /* Reads the group's newest record of a promotion. False if there is none, or if it is malformed,
@@ -278,24 +288,16 @@
     return certain && agrees ? leader : NULL;
 }
 
-/* Removes a member. If no primary is known, the database of the last recorded promotion is taken as
- * the primary, as it may be the removed one: then all remaining members count as its replicas. */
 static void
 remove_member(struct controlled_group *group, const char *database)
 {
-    struct promotion_record record;
-    bool unreadable = false;
     g_hash_table_remove(group->connections, database);
     failover_remove_member(group->failover, database);
-    if (read_record(group, &record, &unreadable) && record.done) {
-        failover_note_promoted(group->failover, record.candidate);
-    }
-    promotion_record_clear(&record);
 }
 
-/* Notes the database's start time, and drops the connection to its earlier process. */
-static void
-note_start(struct controlled_group *group, const char *database, uint64_t born_ms, time_ns now)
+void
+control_group_note_start(struct controlled_group *group, const char *database, uint64_t born_ms,
+                         time_ns now)
 {
     if (failover_note_start(group->failover, database, born_ms, now)) {
         g_hash_table_remove(group->connections, database);
@@ -314,12 +316,13 @@
     if (recorded) {
         bool resumes = !record.done && same_start && is_last_record(control, &record, recorded);
         failover_resume_promotion(failover, resumes ? record.candidate : NULL, record.term, now);
-        note_start(group, record.candidate, record.born_ms, now);
+        control_group_note_start(group, record.candidate, record.born_ms, now);
     }
     bool unfinished = recorded && !record.done;
     if (recorded && record.done) {
-        failover_note_promoted(failover, record.candidate);
+        failover_note_recorded_primary(failover, record.candidate, record.born_ms, now);
     }
+    control_membership_apply(group, now);
     const char *leader =
         unfinished || unreadable ? NULL : find_certain_leader(group, &record, recorded);
     if (leader != NULL) {
@@ -355,6 +358,25 @@
                      failover->service, database, failover->members->len);
 }
 
+static void
+log_joined(const struct controlled_group *group, const struct directory_entry *entry)
+{
+    g_autofree char *address = format_address(&entry->address);
+    g_autofree char *born = g_strdup_printf("%" PRIu64, entry->born_ms);
+    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "SW_SERVICE", group->failover->service,
+                     "SW_DATABASE", entry->id, "SW_BORN_MS", born, "MESSAGE",
+                     "Group %s: %s at %s is a member, as a %s by its row.",
+                     group->failover->service, entry->id, address,
+                     entry->leads ? "primary" : "replica");
+}
+
+static uint64_t
+endpoint_of(const struct directory_entry *entry)
+{
+    uint64_t address = ntohl(entry->address.sin_addr.s_addr);
+    return address << 16 | ntohs(entry->address.sin_port);
+}
+
 static void
 update_members(struct control *control, struct controlled_group *group, time_ns now)
 {
@@ -373,9 +395,14 @@
             remove_left_member(group, entry->id);
             continue;
         }
+        if (failover_find(failover, entry->id) == NULL) {
+            log_joined(group, entry);
+        }
         failover_set_member(failover, entry->id, control_takes_work(control, entry, now),
                             entry->leads);
-        note_start(group, entry->id, entry->born_ms, now);
+        failover_note_absent(failover, entry->id, entry->deleted_at);
+        failover_note_endpoint(failover, entry->id, endpoint_of(entry));
+        control_group_note_start(group, entry->id, entry->born_ms, now);
     }
 }
 
@@ -389,6 +416,8 @@
     group->failover->epoch = control->lease.token << EPOCH_SHIFT;
     group->failover->sync_replicas = service->sync_replicas;
     group->failover->queries_deferred = true;
+    group->failover->settled = false;
+    group->failover->gone_after = control_directory_forget_age(control);
     group->connections = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_connection);
     g_hash_table_insert(control->controlled, group->failover->service, group);
     update_members(control, group, backend_now());
@@ -414,6 +443,18 @@
     }
 }
 
+/* Groups that were added without the records learn from them who else may hold commits. */
+static void
+apply_late_records(struct control *control)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, control->controlled);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        control_membership_apply(value, backend_now());
+    }
+}
+
 static void on_records(void *user, const struct store_answer *answer);
 
 /* Reads the records of promotions once more under the lease: an earlier coordinator may have
@@ -438,8 +479,11 @@
     if (answer->outcome == STORE_DONE) {
         control_lease_apply_answer(control, answer);
         control->records_read = control->lease.held;
+        apply_late_records(control);
     } else {
-        control->records_retry_at = backend_now() + RECORDS_AGAIN_NS;
+        time_ns now = backend_now();
+        bool late = now > control->records_until;
+        control->records_retry_at = now + (late ? RECORDS_LATE_NS : RECORDS_AGAIN_NS);
     }
     control_coordinator_wake(control);
 }
@@ -550,7 +594,7 @@
 {
     struct failover *failover = group->failover;
     update_members(control, group, now);
-    failover->settled = control->directory_settled;
+    failover->settled = control->directory_settled && control->records_read;
     control_reports_count_poolers(control, group, now);
     failover_tick(failover, &group->faults, now);
     close_unused(group, now);
@@ -568,8 +612,7 @@
     if (all) {
         control->groups_checked_at = now;
     }
-    if (control->records_retry_at != 0 && now >= control->records_retry_at &&
-        now < control->records_until) {
+    if (control->records_retry_at != 0 && now >= control->records_retry_at) {
         read_records(control);
     }
     add_groups(control);
@@ -582,4 +625,28 @@
             update_group(control, group, now);
         }
     }
+    if (all) {
+        control_membership_write(control, now);
+    }
+}
+
+void
+control_groups_print_metrics(const struct control *control, GString *out)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    time_ns now = backend_now();
+    if (control->controlled == NULL) {
+        return;
+    }
+    g_hash_table_iter_init(&iterator, control->controlled);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct failover *failover = ((const struct controlled_group *)value)->failover;
+        if (failover->blocked_since != 0) {
+            g_string_append_printf(
+                out, "swiftworks_primary_change_waits_seconds{service=\"%s\"} %.1f\n",
+                failover->service,
+                (double)(now - failover->blocked_since) / (double)NANOSECONDS_PER_SECOND);
+        }
+    }
 }
--- a/src/pooler/control/control_internal.h
+++ b/src/pooler/control/control_internal.h
@@ -245,10 +245,14 @@
     struct failover_faults faults; /* reported by the poolers, by the newest aggregation */
     uint32_t reporters;            /* poolers with a recent heartbeat that report on the group */
     uint32_t in_flight;            /* statements open at the primary, by all poolers' reports */
-    time_ns query_slot_at; /* start of its last slot for low-priority status queries; 0: none */
-    bool active;           /* processed on every tick: a change or queries in progress */
-    bool recording_done;   /* the record being written is that of a finished promotion */
-    bool retired;          /* no longer controlled here; late answers are ignored */
+    time_ns query_slot_at;   /* start of its last slot for low-priority status queries; 0: none */
+    bool active;             /* processed on every tick: a change or queries in progress */
+    bool recording_done;     /* the record being written is that of a finished promotion */
+    GBytes *membership;      /* the record of its members that the store has; NULL: not known */
+    uint64_t membership_era; /* store era of that record */
+    uint64_t membership_revision; /* `failover->membership_revision` of that record */
+    bool membership_applied;      /* the record of an earlier coordinator was applied */
+    bool retired;                 /* no longer controlled here; late answers are ignored */
 };
 
 /** Poolers of other zones that are pinged at the same time. */
@@ -375,6 +379,8 @@
     time_ns records_until;      /* groups are not added before, unless the records were read */
     time_ns records_retry_at;   /* the records are read again; 0: a read is in progress or done */
     uint64_t records_token;     /* of the lease under which the records are being read */
+    bool membership_calling;    /* a write of records of members is in progress */
+    time_ns membership_due_at;  /* the next such write is not sent before */
     time_ns groups_checked_at;  /* all groups were last processed, not just the active ones */
     control_counts_t counts;    /* since the start */
     fleet_t *fleet;             /* the poolers that share the connections to the databases */
@@ -449,6 +455,8 @@
 
 /* control_store.c: reads of the store's tables */
 void control_feeds_tick(struct control *control, time_ns now);
+/** @return for how long a database whose row was deleted is kept in the directory. */
+time_ns control_directory_forget_age(const struct control *control);
 /** @brief Notes that the store has answered about the table, and schedules the next call. */
 void control_feed_answered(struct feed *feed, time_ns now);
 /** @return true if the next call should list the full table, because the changes that may have been
@@ -734,5 +742,18 @@
 void control_groups_start(struct control *control);
 void control_groups_end(struct control *control);
 void control_groups_tick(struct control *control, time_ns now);
+/** @brief Notes a database's start time, and drops the connection to its earlier process. */
+void control_group_note_start(struct controlled_group *group, const char *database,
+                              uint64_t born_ms, time_ns now);
+/** @brief Drops one reference: that of the table, or of a finished call. */
+void control_group_unref(struct controlled_group *group);
+/** @brief Appends, for each group whose change of primary waits, for how long, as metrics. */
+void control_groups_print_metrics(const struct control *control, GString *out);
+
+/* control_membership.c: records of the groups' members in the store */
+/** @brief Applies the record that an earlier coordinator has left, once for each lease. */
+void control_membership_apply(struct controlled_group *group, time_ns now);
+/** @brief Writes the records that have changed since they were last written. */
+void control_membership_write(struct control *control, time_ns now);
 
 #endif
--- a/src/pooler/control/control_store.c
+++ b/src/pooler/control/control_store.c
@@ -323,6 +323,15 @@
     }
 }
 
+/* Heartbeats after which a database whose row is deleted is dropped. */
+#define FORGET_HEARTBEATS 16
+
+time_ns
+control_directory_forget_age(const struct control *control)
+{
+    return control->settings->store.heartbeat_ms * MS * FORGET_HEARTBEATS;
+}
+
 void
 control_feeds_tick(struct control *control, time_ns now)
 {
@@ -339,7 +348,7 @@
     }
     directory_note_departed(&control->directory, control->feeds[STORE_TABLE_DIRECTORY].as_of,
                             heartbeat);
-    if (directory_forget(&control->directory, now, heartbeat * 16)) {
+    if (directory_forget(&control->directory, now, control_directory_forget_age(control))) {
         control->view_dirty = true;
     }
 }
--- a/src/pooler/control/failover.c
+++ b/src/pooler/control/failover.c
@@ -58,6 +58,7 @@
     failover->service = g_strdup(service);
     failover->actions = actions;
     failover->members = g_ptr_array_new_with_free_func(free_member);
+    failover->departed = g_ptr_array_new_with_free_func(failover_free_departed);
     failover->phase = GROUP_PHASE_UNKNOWN;
     failover->settled = true;
     return failover;
@@ -67,8 +68,10 @@
 failover_free(struct failover *failover)
 {
     g_ptr_array_unref(failover->members);
+    g_ptr_array_unref(failover->departed);
     g_free(failover->service);
     g_free(failover->primary);
+    g_free(failover->recorded_primary);
     g_free(failover->candidate);
     g_free(failover);
 }
@@ -90,30 +93,6 @@
     return NULL;
 }
 
-void
-failover_set_member(struct failover *failover, const char *id, bool takes_work,
-                    bool reports_leading)
-{
-    struct failover_member *member = failover_find(failover, id);
-    if (member == NULL) {
-        member = g_new0(struct failover_member, 1);
-        member->id = g_strdup(id);
-        g_ptr_array_add(failover->members, member);
-    }
-    member->listed = true;
-    member->takes_work = takes_work;
-    member->reports_leading = reports_leading;
-}
-
-void
-failover_remove_member(struct failover *failover, const char *id)
-{
-    struct failover_member *member = failover_find(failover, id);
-    if (member != NULL) {
-        g_ptr_array_remove(failover->members, member);
-    }
-}
-
 bool
 failover_member_has_left(const struct failover *failover, const char *id, time_ns deleted_at)
 {
@@ -187,8 +166,10 @@
     if (!same) {
         g_free(failover->primary);
         failover->primary = g_strdup(member->id);
+        failover->membership_revision++;
     }
     failover->minority_since = 0;
+    failover->blocked_since = 0;
     failover_set_state(failover, FAILOVER_WATCHING, now);
     g_clear_pointer(&failover->candidate, g_free);
     failover_publish(failover, GROUP_PHASE_OPEN);
@@ -215,7 +196,7 @@
 {
     struct failover_member *member = failover_find(failover, database);
     failover->term = MAX(failover->term, term);
-    if (member != NULL) {
+    if (member != NULL && member->log_unverified_since == 0) {
         failover_open(failover, member, now);
     }
 }
@@ -235,7 +216,7 @@
     if (failover->state != FAILOVER_WATCHING) {
         return failover->state == FAILOVER_SEARCHING;
     }
-    if (failover_has_unverified_log(failover)) {
+    if (failover_has_unverified_log(failover) || failover_has_unknown_absence(failover)) {
         return true;
     }
     for (guint i = 0; i < failover->members->len; i++) {
@@ -273,6 +254,10 @@
     member->report = *report;
     member->reported_at = now;
     note_term(failover, report);
+    failover_note_alive(failover, member, now);
+    if (failover_is_primary(failover, member)) {
+        failover_note_primary_log(failover, member);
+    }
     if (failover->state == FAILOVER_FENCING) {
         bool paused = !report->leads && report->paused_term >= failover->fence_term;
         bool stepped_down = failover_is_primary(failover, member) && !report->leads;
@@ -287,6 +272,7 @@
     if (member == NULL) {
         return;
     }
+    failover_note_alive(failover, member, now);
     member->command_pending = false;
     member->answered = true;
     member->at_capacity = true;
@@ -294,6 +280,57 @@
     member->failing_since = 0;
 }
 
+static bool
+has_recent_answer(const struct failover_member *member, time_ns now)
+{
+    return member->answered && member->has_report && now < member->reported_at + REPORT_FRESH_NS;
+}
+
+/* A change of primary that is needed and not possible is logged after this time. */
+#define BLOCKED_LOG_AFTER_NS (1000 * MS)
+
+static void
+append_id(GString *list, const char *id)
+{
+    g_string_append_printf(list, "%s%s", list->len == 0 ? "" : " ", id);
+}
+
+/* Otherwise an operator would see that the group has no primary, and no reaction. */
+void
+failover_log_blocked(struct failover *failover, time_ns now)
+{
+    if (failover->blocked_since == 0) {
+        failover->blocked_since = now;
+        failover->blocked_logged = false;
+    }
+    if (failover->blocked_logged || now < failover->blocked_since + BLOCKED_LOG_AFTER_NS) {
+        return;
+    }
+    failover->blocked_logged = true;
+    g_autoptr(GString) unanswered = g_string_new(NULL);
+    g_autoptr(GString) departed = g_string_new(NULL);
+    for (guint i = 0; i < failover->members->len; i++) {
+        const struct failover_member *member = failover_member_at(failover, i);
+        if (!failover_is_primary(failover, member) && !has_recent_answer(member, now)) {
+            append_id(unanswered, member->id);
+        }
+    }
+    for (guint i = 0; i < failover->departed->len; i++) {
+        const struct departed_member *member = g_ptr_array_index(failover->departed, i);
+        append_id(departed, member->id);
+    }
+    const char *primary = failover->primary == NULL ? "" : failover->primary;
+    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_MESSAGE, "SW_SERVICE", failover->service,
+                     "SW_PRIMARY", primary, "SW_SILENT", unanswered->str, "SW_DEPARTED",
+                     departed->str, "MESSAGE",
+                     "Group %s: its primary %s can't be replaced yet; members %s; no answer from: "
+                     "%s; departed with commits that no replica is known to hold: %s.",
+                     failover->service, primary[0] == '\0' ? "(not known)" : primary,
+                     failover->settled ? "known" : "may be incomplete",
+                     unanswered->len == 0 ? "none" : unanswered->str,
+                     departed->len == 0 ? "none" : departed->str);
+}
+
 /* True if the member has no capacity for a status query, and its row does not say that it leads. */
 static bool
 is_replica_at_capacity(const struct failover_member *member)
@@ -316,8 +353,23 @@
     return failover->members->len > 0;
 }
 
+/* The most advanced log that a replica has reported. */
+static struct log_position
+highest_reported(const struct failover *failover)
+{
+    struct log_position highest = {0};
+    for (guint i = 0; i < failover->members->len; i++) {
+        const struct failover_member *member = failover_member_at(failover, i);
+        bool reported = member->has_report && !failover_is_primary(failover, member);
+        if (reported && log_position_compare(member->report.received, highest) > 0) {
+            highest = member->report.received;
+        }
+    }
+    return highest;
+}
+
 static bool
-enough_replicas_answer(const struct failover *failover)
+enough_replicas_answer(const struct failover *failover, time_ns now)
 {
     uint32_t answering = 0;
     for (guint i = 0; i < failover->members->len; i++) {
@@ -325,7 +377,8 @@
         answering +=
             member->answered && !member->at_capacity && !failover_is_primary(failover, member);
     }
-    return answering >= failover_pauses_needed(failover);
+    return answering >= failover_pauses_needed(failover) &&
+           failover_covers_departed(failover, highest_reported(failover), now);
 }
 
 static void
@@ -347,12 +400,15 @@
         failover_open(failover, leader, now);
         return;
     }
-    bool no_leader =
-        leader == NULL && all_reported(failover, now) && enough_replicas_answer(failover);
-    if (no_leader && now > failover->since + SEARCH_MAX_NS) {
-        failover->former_may_be_alive = true;
-        failover_begin_change(failover, false, "no database leads", now);
+    if (leader != NULL || !all_reported(failover, now) || now <= failover->since + SEARCH_MAX_NS) {
+        return;
     }
+    if (!enough_replicas_answer(failover, now)) {
+        failover_log_blocked(failover, now);
+        return;
+    }
+    failover->former_may_be_alive = true;
+    failover_begin_change(failover, false, "no database leads", now);
 }
 
 struct failover_member *
@@ -434,12 +490,6 @@
     }
 }
 
-static bool
-has_recent_answer(const struct failover_member *member, time_ns now)
-{
-    return member->answered && member->has_report && now < member->reported_at + REPORT_FRESH_NS;
-}
-
 static bool
 replicas_answer(const struct failover *failover, time_ns now)
 {
@@ -448,7 +498,26 @@
         const struct failover_member *member = failover_member_at(failover, i);
         answering += !failover_is_primary(failover, member) && has_recent_answer(member, now);
     }
-    return answering >= failover_pauses_needed(failover);
+    return answering >= failover_pauses_needed(failover) &&
+           failover_covers_departed(failover, highest_reported(failover), now);
+}
+
+bool
+failover_follow_renamed_primary(struct failover *failover, time_ns now)
+{
+    struct failover_member *leader = failover_find_leader(failover, now);
+    const struct failover_member *primary = failover_primary(failover);
+    bool may_answer = primary != NULL && primary->failures == 0;
+    if (leader == NULL || leader == primary || may_answer) {
+        return false;
+    }
+    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_MESSAGE, "SW_SERVICE", failover->service,
+                     "SW_PRIMARY", failover->primary == NULL ? "" : failover->primary,
+                     "SW_DATABASE", leader->id, "MESSAGE",
+                     "Group %s: %s leads in the term of the primary, which does not answer.",
+                     failover->service, leader->id);
+    failover_open(failover, leader, now);
+    return true;
 }
 
 static bool
@@ -459,11 +528,18 @@
         failover_begin_change(failover, false, "the primary has left the group", now);
         return true;
     }
-    if (!primary->takes_work && has_ready_replica(failover)) {
-        failover_begin_change(failover, true, "the primary is draining or leaving", now);
-        return true;
+    if (primary->takes_work || !has_ready_replica(failover)) {
+        return false;
     }
-    return false;
+    if (primary->absent_since != 0) {
+        query_members(failover, now);
+        if (!has_recent_answer(primary, now) && !replicas_answer(failover, now)) {
+            failover_log_blocked(failover, now);
+            return false;
+        }
+    }
+    failover_begin_change(failover, true, "the primary is draining or leaving", now);
+    return true;
 }
 
 /* True if no replica has advanced for a while, and none has all that the primary holds. A lost
@@ -489,37 +565,6 @@
     return now >= failover->stall_since + STALL_CONFIRMED_NS;
 }
 
-/* A change of primary that is needed and not possible is logged after this time. */
-#define BLOCKED_LOG_AFTER_NS (1000 * MS)
-
-/* Logs, once for each series of fault reports, why a change can't start. Otherwise an operator
- * would see that most poolers can't reach the primary, and no reaction. */
-static void
-log_blocked_change(struct failover *failover, time_ns now)
-{
-    if (failover->blocked_since == 0) {
-        failover->blocked_since = now;
-        failover->blocked_logged = false;
-    }
-    if (failover->blocked_logged || now < failover->blocked_since + BLOCKED_LOG_AFTER_NS) {
-        return;
-    }
-    failover->blocked_logged = true;
-    g_autoptr(GString) unanswered = g_string_new(NULL);
-    for (guint i = 0; i < failover->members->len; i++) {
-        const struct failover_member *member = failover_member_at(failover, i);
-        if (!failover_is_primary(failover, member) && !has_recent_answer(member, now)) {
-            g_string_append_printf(unanswered, "%s%s", unanswered->len == 0 ? "" : " ", member->id);
-        }
-    }
-    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_MESSAGE, "SW_SERVICE", failover->service,
-                     "SW_PRIMARY", failover->primary, "SW_SILENT", unanswered->str, "MESSAGE",
-                     "Group %s: poolers report faults of the primary, which can't be replaced yet; "
-                     "members %s; no answer from: %s.",
-                     failover->service, failover->settled ? "known" : "may be incomplete",
-                     unanswered->str);
-}
-
 static void
 check_primary_faults(struct failover *failover, const struct failover_faults *faults, time_ns now)
 {
@@ -540,7 +585,7 @@
         return;
     }
     if (!replicas_answer(failover, now)) {
-        log_blocked_change(failover, now);
+        failover_log_blocked(failover, now);
         return;
     }
     failover->blocked_since = 0;
@@ -580,8 +625,9 @@
     if (!failover->queries_deferred) {
         failover_reconcile_members(failover, now);
         failover_query_unverified(failover, now);
+        failover_query_absence(failover, now);
     }
-    if (!check_primary_leaving(failover, now)) {
+    if (!failover_follow_renamed_primary(failover, now) && !check_primary_leaving(failover, now)) {
         check_primary_faults(failover, faults, now);
     }
 }
@@ -589,6 +635,7 @@
 void
 failover_tick(struct failover *failover, const struct failover_faults *faults, time_ns now)
 {
+    failover_release_departed(failover);
     switch (failover->state) {
     case FAILOVER_SEARCHING:
         search(failover, now);
--- a/src/pooler/control/failover.h
+++ b/src/pooler/control/failover.h
@@ -22,6 +22,11 @@
  * rows of running databases, and a coordinator that has just started knows no others. Until the
  * members have settled, only a step-down that the old primary itself reports allows a change.
  *
+ * A database that leaves takes its log with it, and may have been the only replica that confirmed
+ * some commits. These are then in the primary's log only. A departed member is therefore needed
+ * until another replica holds all that the primary held after the departure. As long as none does,
+ * no replica is promoted in place of a primary that can't be queried (failover_departed.c).
+ *
  * A restarted database may have lost its log. Until its log is seen to hold at least as much as the
  * logs that it is compared with, the database is not accepted as the primary even if it reports
  * that it leads, and its log does not count among those that hold each commit. If a commit may have
@@ -65,9 +70,26 @@
 /** @return the state's name for the log. */
 const char *failover_state_name(enum failover_state state);
 
+/** @brief What is known of the commits that a database whose row was deleted has confirmed. */
+struct confirmed_log {
+    struct log_position position; /* it may have confirmed the commits up to here */
+    bool final;                   /* and none after it */
+};
+
+/** @brief A database that is no longer a member, and that may have confirmed commits of which the
+ * remaining replicas hold no copy. */
+struct departed_member {
+    char *id;
+    uint64_t endpoint; /* this and the next as in struct failover_member */
+    uint64_t born_ms;
+    time_ns since; /* it has confirmed no commit since then */
+    struct confirmed_log confirmed;
+};
+
 /** @brief One database of the group, as the coordinator knows it. */
 struct failover_member {
     char *id;
+    uint64_t endpoint;    /* its address and port as one number; 0: not known */
     bool listed;          /* in the directory */
     bool takes_work;      /* neither draining nor leaving */
     bool reports_leading; /* by its directory row */
@@ -87,6 +109,8 @@
     /* The database restarted, and it is not known since then whether its log is still complete; 0:
      * it is complete. */
     time_ns log_unverified_since;
+    time_ns absent_since; /* its directory row has been deleted since then; 0: it is present */
+    struct confirmed_log confirmed; /* while it is absent */
 };
 
 /** @brief Faults of the primary that poolers report. Counted anew for each tick. */
@@ -125,14 +149,20 @@
     bool settled;          /* `members` is certainly complete */
     bool queries_deferred; /* no low-priority status queries now: too many other groups send some */
     const struct failover_actions *actions;
-    GPtrArray *members; /* of struct failover_member */
+    GPtrArray *members;  /* of struct failover_member */
+    GPtrArray *departed; /* of struct departed_member; their logs are needed */
+    time_ns gone_after;  /* a database whose row has been deleted for this long does not return */
+    uint64_t membership_revision; /* rises with each change of what is recorded of the members */
     enum failover_state state;
     time_ns since; /* when the state was entered */
     uint64_t epoch;
     enum group_phase phase;
-    char *primary;       /* id; NULL: not known */
-    uint64_t term;       /* newest known */
-    uint64_t fence_term; /* of the change in progress */
+    char *primary;                /* id; NULL: not known */
+    char *recorded_primary;       /* by the records of earlier coordinators; NULL: none */
+    time_ns primary_absent_since; /* of a primary that is no member */
+    uint64_t primary_born_ms;     /* the same, as in struct failover_member */
+    uint64_t term;                /* newest known */
+    uint64_t fence_term;          /* of the change in progress */
     char *candidate;
     time_ns promotion_tried_at;         /* last attempt to record or order the promotion */
     struct log_position stall_position; /* the most advanced replica's, at stall_since */
@@ -142,7 +172,7 @@
     /* The old primary has not reported that it stepped down, and may be running. */
     bool former_may_be_alive;
     time_ns resume_at;     /* replicas stay paused until then, unless it reports a step-down */
-    time_ns blocked_since; /* poolers report faults and no change is possible; 0: not so */
+    time_ns blocked_since; /* a change is needed and not possible; 0: not so */
     bool blocked_logged;
     time_ns minority_since; /* a minority of the poolers can't reach the primary; 0: not so */
 };
@@ -162,8 +192,18 @@
  * @return true if the member has restarted.
  */
 bool failover_note_start(struct failover *failover, const char *id, uint64_t born_ms, time_ns now);
-/** @brief Removes a member that has left the directory. */
+/** @brief Notes whether the directory row of a member has been deleted.
+ *  @param since 0: it is present. */
+void failover_note_absent(struct failover *failover, const char *id, time_ns since);
+/** @brief Notes where a member listens. A database that starts where an absent one has listened has
+ *  its log, and replaces it. */
+void failover_note_endpoint(struct failover *failover, const char *id, uint64_t endpoint);
+/** @brief Removes a member that has left the directory. Its log may still be needed. */
 void failover_remove_member(struct failover *failover, const char *id);
+/** @brief Notes a database that an earlier coordinator recorded as a member. If it is no member
+ * now, and not the primary, it has departed. */
+void failover_note_recorded_member(struct failover *failover, const char *id, uint64_t endpoint,
+                                   uint64_t born_ms, struct confirmed_log confirmed, time_ns now);
 struct failover_member *failover_find(const struct failover *failover, const char *id);
 /** @return true if the member, whose row was deleted at `deleted_at`, has left: a command sent
  * since then had no answer, and the member is neither the primary nor the candidate. */
@@ -175,12 +215,13 @@
 void failover_resume_promotion(struct failover *failover, const char *candidate, uint64_t term,
                                time_ns now);
 
-/** @brief Takes the database that was promoted last, by its record, as the primary, if no primary
- * is known and the database is no member. All members then count as its replicas. */
-void failover_note_promoted(struct failover *failover, const char *database);
+/** @brief Notes the primary by the records of earlier coordinators. If no primary is known and the
+ * database is no member, it is taken as the primary: all members then count as its replicas. */
+void failover_note_recorded_primary(struct failover *failover, const char *database,
+                                    uint64_t born_ms, time_ns now);
 
 /** @brief Opens the group with a database that is certain to lead, without querying it. Does
- * nothing if it is no member.
+ * nothing if it is no member, or has restarted.
  *  @param term newest known term; 0: none. */
 void failover_adopt_primary(struct failover *failover, const char *database, uint64_t term,
                             time_ns now);
--- a/src/pooler/control/failover_change.c
+++ b/src/pooler/control/failover_change.c
@@ -3,6 +3,8 @@
 #define G_LOG_DOMAIN "failover"
 #include "pooler/control/failover_internal.h"
 
+#include <inttypes.h>
+
 /* Interval of the queries whether the candidate leads, and time from the order to the first one. */
 #define CONFIRM_EVERY_NS (40 * MS)
 #define CONFIRM_FIRST_NS (150 * MS)
@@ -90,14 +92,6 @@
     failover->actions->record(failover->actions->user, failover, false);
 }
 
-void
-failover_note_promoted(struct failover *failover, const char *database)
-{
-    if (failover->primary == NULL && failover_find(failover, database) == NULL) {
-        failover->primary = g_strdup(database);
-    }
-}
-
 void
 failover_drain(struct failover *failover, time_ns now)
 {
@@ -219,33 +213,62 @@
     if (primary_fenced && primary->log_unverified_since == 0) {
         candidate = choose_candidate(failover, primary->report.received, now);
     }
-    if (candidate == NULL && fenced >= failover_pauses_needed(failover) &&
-        failover_replicas_suffice(failover)) {
-        bool primary_ahead = primary_fenced && primary->log_unverified_since != 0 &&
-                             log_position_compare(primary->report.received, highest) > 0;
-        candidate =
-            choose_candidate(failover, primary_ahead ? primary->report.received : highest, now);
+    if (candidate != NULL || fenced < failover_pauses_needed(failover) ||
+        !failover_replicas_suffice(failover)) {
+        return candidate;
+    }
+    /* A restarted primary that is ahead of the replicas has kept its log. */
+    bool primary_ahead = primary_fenced && primary->log_unverified_since != 0 &&
+                         log_position_compare(primary->report.received, highest) > 0;
+    if (primary_ahead) {
+        return choose_candidate(failover, primary->report.received, now);
     }
-    return candidate;
+    return failover_covers_departed(failover, highest, now)
+               ? choose_candidate(failover, highest, now)
+               : NULL;
 }
 
-/* True if another member was promoted meanwhile, or the primary leads in a newer term. Opens the
- * group with that one. */
+/* True if another member was promoted meanwhile, or the primary leads in a newer term, or is back
+ * under another id. Opens the group with that one. */
 static bool
-follow_newer_leader(struct failover *failover, time_ns now)
+follow_leader(struct failover *failover, time_ns now)
 {
     struct failover_member *leader = failover_find_leader(failover, now);
-    if (leader == NULL || leader->report.term < failover->fence_term) {
-        return false;
+    if (leader != NULL && leader->report.term >= failover->fence_term) {
+        failover_open(failover, leader, now);
+        return true;
     }
-    failover_open(failover, leader, now);
-    return true;
+    return failover_follow_renamed_primary(failover, now);
+}
+
+/* Logs the logs that the choice of the candidate was based on. */
+static void
+log_choice(const struct failover *failover, const struct failover_member *candidate)
+{
+    g_autoptr(GString) logs = g_string_new(NULL);
+    for (guint i = 0; i < failover->members->len; i++) {
+        const struct failover_member *member = failover_member_at(failover, i);
+        const struct log_position *received = &member->report.received;
+        g_string_append_printf(logs, "%s%s=", logs->len == 0 ? "" : " ", member->id);
+        if (!member->has_report) {
+            g_string_append(logs, "unknown");
+            continue;
+        }
+        g_string_append_printf(logs, "%" PRIu64 ".%" PRIu64 "%s%s", received->term,
+                               received->offset, member->fenced ? "" : ",not-fenced",
+                               member->log_unverified_since == 0 ? "" : ",unverified");
+    }
+    g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_MESSAGE, "SW_SERVICE", failover->service,
+                     "SW_PRIMARY", failover->primary == NULL ? "" : failover->primary,
+                     "SW_CANDIDATE", candidate->id, "SW_LOGS", logs->str, "MESSAGE",
+                     "Group %s: %s is to be promoted; logs: %s.", failover->service, candidate->id,
+                     logs->str);
 }
 
 void
 failover_fence(struct failover *failover, time_ns now)
 {
-    if (follow_newer_leader(failover, now)) {
+    if (follow_leader(failover, now)) {
         return;
     }
     if (failover->term > failover->fence_term) {
@@ -258,10 +281,13 @@
     }
     struct failover_member *candidate = find_candidate(failover, now);
     if (candidate == NULL) {
+        failover_log_blocked(failover, now);
         return;
     }
+    failover->blocked_since = 0;
     g_free(failover->candidate);
     failover->candidate = g_strdup(candidate->id);
+    log_choice(failover, candidate);
     failover_set_state(failover, FAILOVER_RECORDING, now);
     failover->actions->record(failover->actions->user, failover, false);
 }
--- a/src/pooler/control/failover_internal.h
+++ b/src/pooler/control/failover_internal.h
@@ -1,8 +1,8 @@
 /**
  * @file
  * @brief Shared by the parts of failover: the search for and the monitoring of a primary
- * (failover.c), the change of primary (failover_change.c) and restarted members
- * (failover_restart.c).
+ * (failover.c), the change of primary (failover_change.c), restarted members (failover_restart.c)
+ * and departed ones (failover_departed.c).
  */
 #ifndef SW_POOLER_FAILOVER_INTERNAL_H
 #define SW_POOLER_FAILOVER_INTERNAL_H
@@ -33,8 +33,14 @@
                            time_ns now);
 /* The member that leads in the newest term, by a recent report; NULL if there is none. */
 struct failover_member *failover_find_leader(const struct failover *failover, time_ns now);
+/* Opens the group with another member that leads in the primary's term, if the primary does not
+ * answer: the primary has restarted with its log, under another id. Returns true if there is one.
+ */
+bool failover_follow_renamed_primary(struct failover *failover, time_ns now);
 /* Opens the group with the member as its primary. */
 void failover_open(struct failover *failover, struct failover_member *member, time_ns now);
+/* Logs, once for each time, that a change is needed and not possible, and what it waits for. */
+void failover_log_blocked(struct failover *failover, time_ns now);
 /* Resumes members that were left paused, and has a replaced primary step down. */
 void failover_reconcile_members(struct failover *failover, time_ns now);
 
@@ -50,6 +56,24 @@
  */
 bool failover_replicas_suffice(const struct failover *failover);
 
+/* failover_departed.c */
+void failover_free_departed(gpointer data);
+/* Drops the departed members of which a replica holds all that they may have confirmed, and those
+ * and the absent members that have restarted with their log under another id. */
+void failover_release_departed(struct failover *failover);
+/* True if a log up to `highest` holds all that departed members may have confirmed. Also true where
+ * that is not known, once neither they nor the primary count as returning. */
+bool failover_covers_departed(const struct failover *failover, struct log_position highest,
+                              time_ns now);
+/* True if queries are needed to learn whether the replicas hold what an absent member confirmed. */
+bool failover_has_unknown_absence(const struct failover *failover);
+/* Sends these queries. */
+void failover_query_absence(struct failover *failover, time_ns now);
+/* Learns from a report of the primary what absent members may have confirmed at most. */
+void failover_note_primary_log(struct failover *failover, const struct failover_member *primary);
+/* Notes that an absent member has answered, so it may still confirm commits. */
+void failover_note_alive(struct failover *failover, struct failover_member *member, time_ns now);
+
 /* failover_change.c */
 /* Closes the group and starts fencing the old primary, in a new term. */
 void failover_start_fencing(struct failover *failover, time_ns now);
--- a/src/pooler/control/failover_restart.c
+++ b/src/pooler/control/failover_restart.c
@@ -29,6 +29,7 @@
         .reports_leading = member->reports_leading,
         .born_ms = born_ms,
         .log_unverified_since = now,
+        .absent_since = member->absent_since,
     };
 }
 
@@ -53,6 +54,7 @@
     if (member == NULL || born_ms == 0 || member->born_ms == born_ms) {
         return false;
     }
+    failover->membership_revision++;
     if (member->born_ms == 0) {
         member->born_ms = born_ms;
         return false;
--- a/tests/pooler/control_fixture.h
+++ b/tests/pooler/control_fixture.h
@@ -14,6 +14,13 @@
 /** @brief Connects it to the store at this port of 127.0.0.1. The event loop must outlive it. */
 void control_fixture_use_store(struct control *control, struct event_base *base, uint16_t port);
 
+/** @brief Creates the state of a pooler that takes part in the lease, with the store and the
+ * promotion service at this port of 127.0.0.1.
+ *  @param settings filled; must outlive it. */
+struct control *control_fixture_pooler_new(struct pooler_settings *settings,
+                                           struct event_base *base, uint16_t port, unsigned index);
+void control_fixture_pooler_free(struct control *control);
+
 /** @brief Frees the state. */
 void control_fixture_free(struct control *control);
 
--- a/tests/pooler/failover_rig.c
+++ b/tests/pooler/failover_rig.c
@@ -75,6 +75,7 @@
         (struct failover_actions){send_command, record, promote, publish, closed, drained, rig};
     rig->failover = failover_new("group", &rig->actions);
     rig->failover->sync_replicas = sync_replicas;
+    rig->failover->gone_after = RIG_GONE_AFTER_NS;
     rig->count = count;
     rig->closed = true;
     rig->drained = true;
@@ -241,6 +242,15 @@
     g_assert_true(is_open(rig, database));
 }
 
+void
+rig_leave(struct rig *rig, unsigned database, uint32_t ms)
+{
+    rig->databases[database].reachable = false;
+    failover_note_absent(rig->failover, rig->databases[database].id, rig->now);
+    rig_run(rig, ms);
+    failover_remove_member(rig->failover, rig->databases[database].id);
+}
+
 void
 rig_set_faults(struct rig *rig, uint32_t unreachable, uint32_t stalled)
 {
--- a/tests/pooler/failover_rig.h
+++ b/tests/pooler/failover_rig.h
@@ -14,6 +14,7 @@
 #define RIG_DATABASES_MAX 5
 #define RIG_STEP_NS       (20 * NANOSECONDS_PER_MILLISECOND)
 #define RIG_PROMOTION_NS  (300 * NANOSECONDS_PER_MILLISECOND)
+#define RIG_GONE_AFTER_NS (20 * NANOSECONDS_PER_SECOND)
 
 struct rig_database {
     char id[8];
@@ -62,6 +63,9 @@
 void rig_run(struct rig *rig, uint32_t ms);
 /** @brief Runs until the group is open with this primary. Fails after two virtual minutes. */
 void rig_run_until_open(struct rig *rig, unsigned database);
+/** @brief A database ends, its row is deleted, and after this time it is removed from the members.
+ */
+void rig_leave(struct rig *rig, unsigned database, uint32_t ms);
 /** @brief Sets how many poolers report faults of the primary from now on. */
 void rig_set_faults(struct rig *rig, uint32_t unreachable, uint32_t stalled);
 /** @return number of reachable databases that lead. */
--- a/tests/pooler/test_failover.c
+++ b/tests/pooler/test_failover.c
@@ -91,6 +91,252 @@
     rig_free(rig);
 }
 
+/* Loss of acknowledged commits: a leaving replica alone confirms commits while the other replicas
+ * receive nothing, ends, and the primary fails. Its commits are only in the primary's log then: no
+ * replica is promoted, and the primary leads again when it is back. */
+static void
+test_left_replica_held_the_commits(void)
+{
+    struct rig *rig = rig_new(4, 1);
+    rig_run_until_open(rig, 0);
+    rig_run(rig, 1000);
+    rig->databases[0].received.offset = rig->databases[3].received.offset = 187;
+    rig_leave(rig, 3, 4800);
+    fail_primary(rig);
+    rig_run(rig, 60000);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig->databases[0].reachable = true;
+    rig_set_faults(rig, 0, 0);
+    rig_run_until_open(rig, 0);
+    rig_free(rig);
+}
+
+/* The same where the replica failed and did not return: its row is deleted and, long after, no
+ * longer in the directory. The primary is lost only then. */
+static void
+test_lost_replica_held_the_commits(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[0].received.offset = rig->databases[2].received.offset = 187;
+    rig_leave(rig, 2, 60000);
+    fail_primary(rig);
+    rig_run(rig, 60000);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    g_assert_cmpint(rig->failover->phase, ==, GROUP_PHASE_OPEN);
+    rig->databases[0].reachable = true;
+    rig_set_faults(rig, 0, 0);
+    rig_run_until_open(rig, 0);
+    rig_free(rig);
+}
+
+/* A departed member delays no change of primary once another replica holds what the primary held
+ * after the departure. */
+static void
+test_left_replica_is_not_needed(void)
+{
+    struct rig *rig = rig_new(4, 1);
+    rig_run_until_open(rig, 0);
+    rig_run(rig, 1000);
+    rig->databases[0].received.offset = rig->databases[3].received.offset = 187;
+    rig_leave(rig, 3, 1000);
+    g_assert_cmpuint(rig->failover->departed->len, ==, 1);
+    rig->databases[2].received.offset = 187;
+    rig_run(rig, 1000);
+    g_assert_cmpuint(rig->failover->departed->len, ==, 0);
+    g_assert_false(failover_has_queries(rig->failover));
+    time_ns failed_at = rig->now;
+    fail_primary(rig);
+    rig_run_until_open(rig, 2);
+    g_assert_cmpuint(rig->now - failed_at, <, 1000 * MS);
+    rig_free(rig);
+}
+
+/* Replicas that receive the log all the time: a departure is settled by one round of queries. */
+static void
+test_departure_costs_few_queries(void)
+{
+    struct rig *rig = rig_new(4, 1);
+    rig_run_until_open(rig, 0);
+    rig_run(rig, 1000);
+    unsigned before = rig->databases[0].command_counts[DATABASE_COMMAND_STATUS];
+    rig_leave(rig, 3, 4800);
+    g_assert_cmpuint(rig->failover->departed->len, ==, 0);
+    g_assert_cmpuint(rig->databases[0].command_counts[DATABASE_COMMAND_STATUS] - before, <=, 2);
+    rig_free(rig);
+}
+
+/* A primary that fails together with a replica has reported nothing since: what that replica
+ * confirmed is not known. The primary is waited for as long as it may return, and then the most
+ * advanced replica leads, if it holds all that was ever reported. */
+static void
+test_primary_and_replica_fail_together(void)
+{
+    struct rig *rig = rig_new(4, 1);
+    rig_run_until_open(rig, 0);
+    rig_run(rig, 1000);
+    fail_primary(rig);
+    time_ns failed_at = rig->now;
+    failover_note_absent(rig->failover, "d0", rig->now);
+    failover_set_member(rig->failover, "d0", false, true);
+    rig_leave(rig, 3, 4800);
+    g_assert_cmpuint(rig->failover->departed->len, ==, 1);
+    for (unsigned i = 0; i < 1000 && rig_leaders(rig) == 0; i++) {
+        rig_run(rig, 100);
+    }
+    g_assert_cmpuint(rig_leaders(rig), ==, 1);
+    g_assert_cmpuint(rig->now, >=, failed_at + RIG_GONE_AFTER_NS);
+    g_assert_cmpuint(rig->now, <, failed_at + RIG_GONE_AFTER_NS + 2000 * MS);
+    rig_free(rig);
+}
+
+/* The same where a commit is known that no remaining replica holds: none is promoted. */
+static void
+test_known_commit_is_waited_for(void)
+{
+    struct rig *rig = rig_new(4, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[0].received.offset = rig->databases[3].received.offset = 187;
+    rig_set_faults(rig, 0, 1); /* has the members queried */
+    rig_run(rig, 200);
+    fail_primary(rig);
+    failover_note_absent(rig->failover, "d0", rig->now);
+    rig_leave(rig, 3, 4800);
+    rig_run(rig, 120000);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig_free(rig);
+}
+
+/* A departed member that returns with its log is a member again, and its log counts. */
+static void
+test_departed_member_returns(void)
+{
+    struct rig *rig = rig_new(4, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[0].received.offset = rig->databases[3].received.offset = 187;
+    rig_leave(rig, 3, 4800);
+    fail_primary(rig);
+    rig_run(rig, 1000);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig->databases[3].reachable = true;
+    failover_set_member(rig->failover, "d3", true, false);
+    failover_note_start(rig->failover, "d3", rig->databases[3].born_ms, rig->now);
+    rig_run_until_open(rig, 3);
+    rig_free(rig);
+}
+
+/* If it returns without its log, the commits are still in the primary's log only. */
+static void
+test_departed_member_returns_empty(void)
+{
+    struct rig *rig = rig_new(4, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[0].received.offset = rig->databases[3].received.offset = 187;
+    rig_leave(rig, 3, 4800);
+    fail_primary(rig);
+    failover_set_member(rig->failover, "d3", true, false);
+    rig_restart(rig, 3, false);
+    rig_run(rig, 60000);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig_free(rig);
+}
+
+/* A member whose row was deleted and that answers may still confirm commits: what the primary
+ * reported before counts no longer. */
+static void
+test_absent_member_answers(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig_run(rig, 1000);
+    failover_note_absent(rig->failover, "d2", rig->now);
+    rig_run(rig, 1000);
+    g_assert_true(failover_find(rig->failover, "d2")->confirmed.final);
+    rig->databases[0].received.offset = rig->databases[2].received.offset = 187;
+    rig_set_faults(rig, 0, 1); /* has the members queried */
+    rig_run(rig, 200);
+    rig_set_faults(rig, 0, 0);
+    rig->databases[2].reachable = false;
+    fail_primary(rig);
+    failover_remove_member(rig->failover, "d2");
+    rig_run(rig, 60000);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig_free(rig);
+}
+
+/* A new coordinator that knows the departed member and the primary only from their record. */
+static void
+test_recorded_members(void)
+{
+    for (unsigned last = 186; last <= 187; last++) {
+        struct rig *rig = rig_new(4, 1);
+        const struct confirmed_log confirmed = {{1, last}, true};
+        rig->databases[0].reachable = rig->databases[3].reachable = false;
+        rig->databases[2].received.offset = 186;
+        failover_remove_member(rig->failover, "d0");
+        failover_remove_member(rig->failover, "d3");
+        failover_note_recorded_primary(rig->failover, "d0", 1000, rig->now);
+        failover_note_recorded_member(rig->failover, "d0", 0, 1000, (struct confirmed_log){0},
+                                      rig->now);
+        failover_note_recorded_member(rig->failover, "d1", 0, 1000, (struct confirmed_log){0},
+                                      rig->now);
+        failover_note_recorded_member(rig->failover, "d3", 0, 1000, confirmed, rig->now);
+        rig_run(rig, 5000);
+        g_assert_cmpuint(rig->orders, ==, last == 186);
+        rig_free(rig);
+    }
+}
+
+/* A primary that restarted with its log under another id leads in the same term. The group opens
+ * with it, as a departed member keeps the replicas from being promoted. */
+static void
+test_primary_returns_under_another_id(void)
+{
+    struct rig *rig = rig_new(5, 1);
+    struct rig_database *renamed = &rig->databases[4];
+    failover_remove_member(rig->failover, "d4");
+    rig_run_until_open(rig, 0);
+    rig->databases[0].received.offset = rig->databases[3].received.offset = 187;
+    rig_leave(rig, 3, 4800);
+    fail_primary(rig);
+    rig_run(rig, 10000);
+    *renamed = rig->databases[0];
+    g_strlcpy(renamed->id, "d4", sizeof renamed->id);
+    renamed->reachable = true;
+    failover_set_member(rig->failover, "d4", true, true);
+    time_ns returned_at = rig->now;
+    rig_run_until_open(rig, 4);
+    g_assert_cmpuint(rig->now - returned_at, <, 1000 * MS);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig_free(rig);
+}
+
+/* A replica that restarted under another id, where it had listened, replaces its former self if it
+ * has kept its log: the change of primary does not wait for the former id. */
+static void
+test_replica_returns_under_another_id(void)
+{
+    for (unsigned keeps_log = 0; keeps_log <= 1; keeps_log++) {
+        struct rig *rig = rig_new(4, 1);
+        failover_remove_member(rig->failover, "d3");
+        g_ptr_array_set_size(rig->failover->departed, 0);
+        failover_note_endpoint(rig->failover, "d2", 7);
+        rig_run_until_open(rig, 0);
+        rig_run(rig, 1000);
+        failover_note_absent(rig->failover, "d2", rig->now);
+        rig->databases[2].reachable = false;
+        fail_primary(rig);
+        rig_run(rig, 2000);
+        g_assert_cmpuint(rig->orders, ==, 0);
+        rig->databases[3].received.offset = keeps_log ? 100 : 0;
+        failover_set_member(rig->failover, "d3", true, false);
+        failover_note_endpoint(rig->failover, "d3", 7);
+        rig_run(rig, 2000);
+        g_assert_cmpuint(rig->orders, ==, keeps_log);
+        rig_free(rig);
+    }
+}
+
 /* One replica alone may not have a commit that the other one has: no database is promoted until
  * both are paused. */
 static void
@@ -155,7 +401,7 @@
 {
     struct rig *rig = rig_new(3, 1);
     failover_remove_member(rig->failover, "d0");
-    failover_note_promoted(rig->failover, "d0");
+    failover_note_recorded_primary(rig->failover, "d0", 0, rig->now);
     rig->databases[2].reachable = false;
     rig->databases[2].received.offset = 107;
     rig_run(rig, 5000);
@@ -685,6 +931,23 @@
     g_test_add_func("/pooler/failover/adopted-fails", test_adopted_leader_fails);
     g_test_add_func("/pooler/failover/search-deferred", test_search_while_queries_deferred);
     g_test_add_func("/pooler/failover/failed-primary", test_failed_primary_most_advanced_replica);
+    g_test_add_func("/pooler/failover/left-replica-held-the-commits",
+                    test_left_replica_held_the_commits);
+    g_test_add_func("/pooler/failover/lost-replica-held-the-commits",
+                    test_lost_replica_held_the_commits);
+    g_test_add_func("/pooler/failover/left-replica-not-needed", test_left_replica_is_not_needed);
+    g_test_add_func("/pooler/failover/departure-few-queries", test_departure_costs_few_queries);
+    g_test_add_func("/pooler/failover/primary-and-replica-fail",
+                    test_primary_and_replica_fail_together);
+    g_test_add_func("/pooler/failover/known-commit-waited-for", test_known_commit_is_waited_for);
+    g_test_add_func("/pooler/failover/departed-returns", test_departed_member_returns);
+    g_test_add_func("/pooler/failover/departed-returns-empty", test_departed_member_returns_empty);
+    g_test_add_func("/pooler/failover/absent-member-answers", test_absent_member_answers);
+    g_test_add_func("/pooler/failover/recorded-members", test_recorded_members);
+    g_test_add_func("/pooler/failover/primary-under-another-id",
+                    test_primary_returns_under_another_id);
+    g_test_add_func("/pooler/failover/replica-under-another-id",
+                    test_replica_returns_under_another_id);
     g_test_add_func("/pooler/failover/all-replicas-paused", test_waits_for_all_replicas);
     g_test_add_func("/pooler/failover/replica-fails-before", test_replica_fails_before_the_primary);
     g_test_add_func("/pooler/failover/dropped-primary", test_dropped_primary_needs_all_replicas);
--- a/tests/pooler/test_lease_era.c
+++ b/tests/pooler/test_lease_era.c
@@ -9,8 +9,6 @@
 #include "control_fixture.h"
 #include "standins/session_platform/row_store.h"
 
-#include <arpa/inet.h>
-
 #define POOLERS 3
 
 /* Length of a lease, and maximum time until one of a few poolers acquires a free one. */
@@ -36,41 +34,8 @@
 static struct control *
 pooler_new(fixture_t *fixture, unsigned index)
 {
-    struct pooler_settings *settings = &fixture->settings[index];
-    struct sockaddr_in address = {.sin_family = AF_INET,
-                                  .sin_port = htons(row_store_port(fixture->store))};
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    settings->pooler.name = g_strdup_printf("pooler-%u", index);
-    settings->pooler.zone = "z1";
-    settings->pooler.link_mbps = 1000;
-    settings->store.heartbeat_ms = 1200;
-    settings->store.apply_ms = 3000;
-    settings->store.reads_per_s = 2000;
-    struct control *control = control_fixture_new(settings);
-    g_free(control->address);
-    control->address = g_strdup_printf("10.0.0.%u:8782", index + 1);
-    control->incarnation = index + 1;
-    control->follows_store = true;
-    control_fixture_use_store(control, fixture->base, row_store_port(fixture->store));
-    control->promotion = promotion_new(fixture->base, &address, settings->pooler.name);
-    control->poolers = g_hash_table_new(g_str_hash, g_str_equal);
-    control->poolers_by_peer = g_hash_table_new(g_direct_hash, g_direct_equal);
-    control->responsive_addresses = g_hash_table_new(g_str_hash, g_str_equal);
-    return control;
-}
-
-static void
-pooler_free(struct control *control)
-{
-    g_free((char *)control->settings->pooler.name);
-    g_hash_table_unref(control->poolers);
-    g_hash_table_unref(control->poolers_by_peer);
-    g_hash_table_unref(control->responsive_addresses);
-    g_clear_pointer(&control->controlled, g_hash_table_unref);
-    g_free(control->coordinator_address);
-    lease_record_clear(&control->lease.record);
-    promotion_free(control->promotion);
-    control_fixture_free(control);
+    return control_fixture_pooler_new(&fixture->settings[index], fixture->base,
+                                      row_store_port(fixture->store), index);
 }
 
 static void
@@ -88,7 +53,7 @@
 tear_down(fixture_t *fixture, gconstpointer unused)
 {
     for (unsigned i = 0; i < POOLERS; i++) {
-        pooler_free(fixture->poolers[i]);
+        control_fixture_pooler_free(fixture->poolers[i]);
     }
     row_store_stop(fixture->store);
     event_base_free(fixture->base);
@@ -247,7 +212,7 @@
     wait_until_held(fixture, 2, TAKEN_WITHIN_NS);
     fixture->running[2] = false;
     row_store_restore(fixture->store, copied);
-    pooler_free(fixture->poolers[0]);
+    control_fixture_pooler_free(fixture->poolers[0]);
     fixture->poolers[0] = pooler_new(fixture, 0);
     fixture->poolers[0]->incarnation = 9;
     fixture->running[0] = true;
--- /dev/null
+++ b/tests/pooler/test_membership.c
@@ -0,0 +1,255 @@
+/**
+ * @file
+ * @brief Records of the groups' members in the store: what a coordinator that starts after
+ * databases have gone learns of them. Each coordinator is a control thread's state without its
+ * event loop, with a simulated store.
+ */
+#include "control_fixture.h"
+#include "standins/session_platform/row_store.h"
+
+#define COORDINATORS 2
+#define TIMEOUT_NS   (8000 * MS)
+
+typedef struct fixture {
+    struct row_store *store;
+    struct event_base *base;
+    struct pooler_settings settings[COORDINATORS];
+    struct control *coordinators[COORDINATORS];
+} fixture_t;
+
+static bool
+refuse_promotion(void *user, const char *service, const char *database)
+{
+    return false;
+}
+
+static void
+put_database(fixture_t *fixture, const char *id, const char *role, unsigned born)
+{
+    g_autofree char *row = g_strdup_printf(
+        "{\"service\":\"ledger\",\"address\":\"127.0.0.1:1\",\"zone\":\"z1\",\"version\":\"v1\","
+        "\"slots\":3,\"state\":\"ready\",\"coldRemainingMs\":0,\"dbRole\":\"%s\",\"sequence\":4,"
+        "\"born\":%u}",
+        role, born);
+    row_store_put(fixture->store, "servers", id, row);
+}
+
+static void
+set_up(fixture_t *fixture, gconstpointer unused)
+{
+    fixture->base = event_base_new();
+    fixture->store = row_store_start(refuse_promotion, NULL);
+    row_store_put(fixture->store, "op", store_configuration_key,
+                  "{\"version\":5,\"routes\":[],\"limits\":{},"
+                  "\"services\":[{\"name\":\"ledger\",\"maxConns\":9,\"syncReplicas\":1}]}");
+    put_database(fixture, "a", "primary", 1000);
+    put_database(fixture, "b", "replica", 1000);
+    put_database(fixture, "c", "replica", 1000);
+    for (unsigned i = 0; i < COORDINATORS; i++) {
+        fixture->coordinators[i] = control_fixture_pooler_new(&fixture->settings[i], fixture->base,
+                                                              row_store_port(fixture->store), i);
+    }
+}
+
+static void
+tear_down(fixture_t *fixture, gconstpointer unused)
+{
+    for (unsigned i = 0; i < COORDINATORS; i++) {
+        control_lease_end(fixture->coordinators[i], "the test is over");
+        control_fixture_pooler_free(fixture->coordinators[i]);
+    }
+    row_store_stop(fixture->store);
+    event_base_free(fixture->base);
+}
+
+static void
+step(fixture_t *fixture, struct control *control)
+{
+    struct timeval soon = {0, 1000};
+    time_ns now = backend_now();
+    control_feeds_tick(control, now);
+    control_lease_tick(control, now);
+    if (control->lease.held) {
+        control_groups_tick(control, now);
+    }
+    event_base_loopexit(fixture->base, &soon);
+    event_base_dispatch(fixture->base);
+}
+
+static const struct failover *
+failover_of(const struct control *control)
+{
+    const struct controlled_group *group =
+        control->controlled == NULL ? NULL : g_hash_table_lookup(control->controlled, "ledger");
+    return group == NULL ? NULL : group->failover;
+}
+
+static bool
+has_group(const struct control *control)
+{
+    return failover_of(control) != NULL;
+}
+
+static bool
+has_recorded_all(const struct control *control)
+{
+    const struct controlled_group *group =
+        control->controlled == NULL ? NULL : g_hash_table_lookup(control->controlled, "ledger");
+    return group != NULL && group->failover->members->len == 3 &&
+           group->failover->primary != NULL && group->membership != NULL &&
+           group->membership_era == control->store_era &&
+           group->membership_revision == group->failover->membership_revision;
+}
+
+static bool
+is_recorded_in_the_next_era(const struct control *control)
+{
+    const struct controlled_group *group =
+        control->controlled == NULL ? NULL : g_hash_table_lookup(control->controlled, "ledger");
+    return group != NULL && group->membership != NULL && group->membership_era == 1;
+}
+
+static bool
+has_records(const struct control *control)
+{
+    return has_group(control) && control->records_read;
+}
+
+static void
+run_until(fixture_t *fixture, unsigned coordinator, bool (*reached)(const struct control *))
+{
+    struct control *control = fixture->coordinators[coordinator];
+    time_ns until = backend_now() + TIMEOUT_NS;
+    while (!reached(control)) {
+        g_assert_cmpuint(backend_now(), <, until);
+        step(fixture, control);
+    }
+}
+
+/* Lets the calls that were sent be answered. */
+static void
+finish_calls(fixture_t *fixture)
+{
+    for (unsigned i = 0; i < 50; i++) {
+        event_base_loop(fixture->base, EVLOOP_NONBLOCK);
+        g_usleep(1000);
+    }
+}
+
+/* Ends the first coordinator, after which the primary and a replica are gone. */
+static void
+lose_databases(fixture_t *fixture)
+{
+    run_until(fixture, 0, has_recorded_all);
+    control_lease_release(fixture->coordinators[0]);
+    finish_calls(fixture);
+    row_store_put(fixture->store, "servers", "a", NULL);
+    row_store_put(fixture->store, "servers", "c", NULL);
+}
+
+static void
+assert_lost_databases_known(const struct control *control)
+{
+    const struct failover *failover = failover_of(control);
+    g_assert_cmpstr(failover->primary, ==, "a");
+    g_assert_cmpuint(failover->members->len, ==, 1);
+    g_assert_cmpuint(failover->departed->len, ==, 1);
+    const struct departed_member *departed = g_ptr_array_index(failover->departed, 0);
+    g_assert_cmpstr(departed->id, ==, "c");
+    g_assert_cmpuint(departed->born_ms, ==, 1000);
+    g_assert_false(departed->confirmed.final);
+}
+
+/* Loss of acknowledged commits by a new coordinator: it has never seen the primary and the replica
+ * that hold them, and would promote the one that is left. */
+static void
+test_members_of_an_earlier_coordinator(fixture_t *fixture, gconstpointer unused)
+{
+    lose_databases(fixture);
+    run_until(fixture, 1, has_group);
+    assert_lost_databases_known(fixture->coordinators[1]);
+}
+
+/* The same where the records are read only after the groups were added. Until then no primary is
+ * replaced. */
+static void
+test_records_read_late(fixture_t *fixture, gconstpointer unused)
+{
+    struct control *control = fixture->coordinators[1];
+    lose_databases(fixture);
+    time_ns until = backend_now() + TIMEOUT_NS;
+    while (!control->lease.held) {
+        g_assert_cmpuint(backend_now(), <, until);
+        step(fixture, control);
+    }
+    row_store_set_faults(fixture->store, &(struct row_store_faults){.refuse = true});
+    finish_calls(fixture);
+    g_hash_table_remove_all(control->feeds[STORE_TABLE_CONTROL].rows);
+    control->records_read = false;
+    control->records_retry_at = backend_now();
+    control->directory_settled = true;
+    run_until(fixture, 1, has_group);
+    for (unsigned i = 0; i < 100; i++) {
+        step(fixture, control);
+    }
+    g_assert_false(failover_of(control)->settled);
+    row_store_set_faults(fixture->store, &(struct row_store_faults){0});
+    run_until(fixture, 1, has_records);
+    assert_lost_databases_known(control);
+}
+
+/* A restart between two coordinators shows in the start time: the log does not count. */
+static void
+test_restart_between_coordinators(fixture_t *fixture, gconstpointer unused)
+{
+    lose_databases(fixture);
+    put_database(fixture, "c", "replica", 2000);
+    run_until(fixture, 1, has_group);
+    const struct failover_member *member =
+        failover_find(failover_of(fixture->coordinators[1]), "c");
+    g_assert_cmpuint(member->born_ms, ==, 2000);
+    g_assert_cmpuint(member->log_unverified_since, !=, 0);
+}
+
+/* A restored store may have lost the record: it is written again. */
+static void
+test_restored_store(fixture_t *fixture, gconstpointer unused)
+{
+    run_until(fixture, 0, has_recorded_all);
+    row_store_restore(fixture->store, 0);
+    put_database(fixture, "a", "primary", 1000);
+    put_database(fixture, "b", "replica", 1000);
+    put_database(fixture, "c", "replica", 1000);
+    run_until(fixture, 0, is_recorded_in_the_next_era);
+    g_autofree char *row = row_store_get(fixture->store, "pooler", "members/ledger");
+    g_assert_nonnull(row);
+}
+
+/* Equal members are not recorded again, neither by the same coordinator nor by the next one. */
+static void
+test_unchanged_members(fixture_t *fixture, gconstpointer unused)
+{
+    run_until(fixture, 0, has_recorded_all);
+    control_lease_release(fixture->coordinators[0]);
+    finish_calls(fixture);
+    run_until(fixture, 1, has_recorded_all);
+    const uint64_t *calls =
+        &fixture->coordinators[1]->counts.calls[STORE_TABLE_CONTROL][CALL_RECORD];
+    g_assert_cmpuint(*calls, ==, 1); /* the records were read */
+}
+
+#define ADD(name, test)                                                                            \
+    g_test_add("/pooler/membership/" name, fixture_t, NULL, set_up, test, tear_down)
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_log_set_always_fatal(G_LOG_LEVEL_ERROR);
+    ADD("earlier-coordinator", test_members_of_an_earlier_coordinator);
+    ADD("read-late", test_records_read_late);
+    ADD("restart-between", test_restart_between_coordinators);
+    ADD("restored-store", test_restored_store);
+    ADD("unchanged", test_unchanged_members);
+    return g_test_run();
+}
