Failover: a database that lost its log unnoticed is not taken at its word

Cause: the primary's answer "replica, 0.0" counted as its word that it had stepped down, so that any log covered it. That it had started again is known only from its row, which could not come. The same on related paths: a replica that starts again behind a cut counted with its empty log; a new coordinator to which the primary had never answered before.

Now an answer that tells less than the same database told before, with no promotion in between, is taken as a restart, and the log does not count until it is seen to be complete; and a primary that stepped down counts as complete only if it holds a log, and no less than what its replicas have reported since the group was opened. A replica that a promotion rolled back is told by the term.

Tests failing before: /pooler/failover/unnoticed-restart-of-primary and restarted-primary-unknown-before (d1 promoted, d2 expected), unnoticed-restart-of-replica (one order, none expected). /pooler/failover/rolled-back-replica held before and after.

--- a/src/pooler/control/failover.c
+++ b/src/pooler/control/failover.c
@@ -152,11 +152,10 @@
     }
 }
 
-static void
-note_term(struct failover *failover, const struct database_report *report)
+uint64_t
+failover_newest_term(const struct failover *failover, const struct database_report *report)
 {
-    failover->term = MAX(failover->term, report->term);
-    failover->term = MAX(failover->term, report->received.term);
+    return MAX(failover->term, MAX(report->term, report->received.term));
 }
 
 void
@@ -170,6 +169,7 @@
     }
     failover->minority_since = 0;
     failover->blocked_since = 0;
+    failover->led_since = now;
     failover_set_state(failover, FAILOVER_WATCHING, now);
     g_clear_pointer(&failover->candidate, g_free);
     failover_publish(failover, GROUP_PHASE_OPEN);
@@ -247,13 +247,16 @@
         }
         return;
     }
+    failover_check_regress(failover, member, report, now);
+    failover->term = failover_newest_term(failover, report);
+    member->answered = true;
     member->failures = 0;
     member->failing_since = 0;
     member->at_capacity = false;
     member->has_report = true;
     member->report = *report;
     member->reported_at = now;
-    note_term(failover, report);
+    member->reported_in_term = failover->term;
     failover_note_alive(failover, member, now);
     if (failover_is_primary(failover, member)) {
         failover_note_primary_log(failover, member);
--- a/src/pooler/control/failover.h
+++ b/src/pooler/control/failover.h
@@ -99,6 +99,7 @@
     bool fenced;                   /* paused for the current change, or stepped down */
     struct database_report report; /* newest status */
     time_ns reported_at;
+    uint64_t reported_in_term; /* the newest term that was known then */
     time_ns command_sent_at;
     bool command_pending;
     time_ns excluded_until; /* not eligible as the candidate before */
@@ -159,6 +160,7 @@
     enum group_phase phase;
     char *primary;                /* id; NULL: not known */
     char *recorded_primary;       /* by the records of earlier coordinators; NULL: none */
+    time_ns led_since;            /* the group was last opened with a primary */
     time_ns primary_absent_since; /* of a primary that is no member */
     uint64_t primary_born_ms;     /* the same, as in struct failover_member */
     uint64_t term;                /* newest known */
--- a/src/pooler/control/failover_change.c
+++ b/src/pooler/control/failover_change.c
@@ -279,6 +279,7 @@
     if (!failover->actions->closed(failover->actions->user, failover)) {
         return;
     }
+    failover_check_primary_log(failover, now);
     struct failover_member *candidate = find_candidate(failover, now);
     if (candidate == NULL) {
         failover_log_blocked(failover, now);
--- a/src/pooler/control/failover_internal.h
+++ b/src/pooler/control/failover_internal.h
@@ -27,6 +27,9 @@
 void failover_set_state(struct failover *failover, enum failover_state state, time_ns now);
 /* Raises the epoch and has the group order sent to the poolers. */
 void failover_publish(struct failover *failover, enum group_phase phase);
+/* The newest term that is known, counting this report. */
+uint64_t failover_newest_term(const struct failover *failover,
+                              const struct database_report *report);
 /* Sends a command, unless one is pending or was sent less than `every` ago. */
 void failover_send_command(struct failover *failover, struct failover_member *member,
                            enum database_command command, uint64_t term, time_ns every,
@@ -45,6 +48,12 @@
 void failover_reconcile_members(struct failover *failover, time_ns now);
 
 /* failover_restart.c */
+/* Notes a restart that a report shows by a position below an earlier one. To be called before the
+ * report is taken. */
+void failover_check_regress(struct failover *failover, struct failover_member *member,
+                            const struct database_report *report, time_ns now);
+/* Marks the log of a fenced primary as unverified if it is empty, or a replica is ahead of it. */
+void failover_check_primary_log(struct failover *failover, time_ns now);
 /* Clears log_unverified_since of restarted members whose reports show a complete log. */
 void failover_verify_logs(struct failover *failover);
 bool failover_has_unverified_log(const struct failover *failover);
--- a/src/pooler/control/failover_restart.c
+++ b/src/pooler/control/failover_restart.c
@@ -1,6 +1,10 @@
 /* Members that have restarted, perhaps without their log. Earlier reports of such a member are
  * dropped, and its log counts again once its reports show that the log is complete. See failover.h
- * for why. A restart keeps the complete log or loses all of it. */
+ * for why. A restart keeps the complete log or loses all of it.
+ *
+ * A restart shows in the start time that a member's row tells. A member that is partitioned from
+ * the store can't update its row, so a lost log also shows in a position below an earlier one, or,
+ * of a primary, below that of a replica. */
 #define G_LOG_DOMAIN "failover"
 #include "pooler/control/failover_internal.h"
 
@@ -8,14 +12,15 @@
 #include <string.h>
 
 static void
-log_start(const struct failover *failover, const struct failover_member *member)
+log_restart(const struct failover *failover, const struct failover_member *member,
+            const char *evidence)
 {
     g_autofree char *born = g_strdup_printf("%" PRIu64, member->born_ms);
     g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_MESSAGE, "SW_SERVICE", failover->service,
                      "SW_DATABASE", member->id, "SW_BORN_MS", born, "SW_PRIMARY",
                      failover->primary == NULL ? "" : failover->primary, "MESSAGE",
-                     "Group %s: %s has restarted; its log does not count until it is verified.",
-                     failover->service, member->id);
+                     "Group %s: %s %s; its log does not count until it is verified.",
+                     failover->service, member->id, evidence);
 }
 
 /* Drops what the member has reported, and keeps what its directory row says. */
@@ -24,12 +29,14 @@
 {
     *member = (struct failover_member){
         .id = member->id,
+        .endpoint = member->endpoint,
         .listed = member->listed,
         .takes_work = member->takes_work,
         .reports_leading = member->reports_leading,
         .born_ms = born_ms,
         .log_unverified_since = now,
         .absent_since = member->absent_since,
+        .confirmed = member->confirmed,
     };
 }
 
@@ -47,6 +54,56 @@
     return failover->state == FAILOVER_WATCHING || failover->state == FAILOVER_DRAINING;
 }
 
+static void
+note_restart(struct failover *failover, struct failover_member *member, uint64_t born_ms,
+             const char *evidence, time_ns now)
+{
+    bool counted = member->fenced || g_strcmp0(failover->candidate, member->id) == 0;
+    reset_member(member, born_ms, now);
+    log_restart(failover, member, evidence);
+    if (has_candidate(failover) && counted) {
+        failover_start_fencing(failover, now); /* the restart has ended its pause */
+    } else if (is_led(failover) && failover_is_primary(failover, member)) {
+        failover_set_state(failover, FAILOVER_SEARCHING, now);
+        failover_publish(failover, GROUP_PHASE_CLOSED);
+    }
+}
+
+void
+failover_check_regress(struct failover *failover, struct failover_member *member,
+                       const struct database_report *report, time_ns now)
+{
+    bool regressed =
+        member->has_report && log_position_compare(report->received, member->report.received) < 0;
+    /* A promotion rolls back replicas that were ahead of the promoted one. */
+    bool promoted = member->reported_in_term != failover_newest_term(failover, report) ||
+                    failover->state == FAILOVER_PROMOTING || failover->state == FAILOVER_CONFIRMING;
+    if (regressed && !promoted) {
+        note_restart(failover, member, member->born_ms, "reports less of the log than before", now);
+    }
+}
+
+void
+failover_check_primary_log(struct failover *failover, time_ns now)
+{
+    struct failover_member *primary = failover_primary(failover);
+    if (primary == NULL || !primary->fenced || primary->log_unverified_since != 0) {
+        return;
+    }
+    bool behind = primary->report.received.offset == 0;
+    for (guint i = 0; i < failover->members->len; i++) {
+        const struct failover_member *member = failover_member_at(failover, i);
+        bool counts = member->has_report && member->log_unverified_since == 0 &&
+                      member->reported_at >= failover->led_since;
+        behind = behind || (counts && !log_position_covers(primary->report.received,
+                                                           member->report.received));
+    }
+    if (behind) {
+        primary->log_unverified_since = now;
+        log_restart(failover, primary, "holds no log, or less than a replica");
+    }
+}
+
 bool
 failover_note_start(struct failover *failover, const char *id, uint64_t born_ms, time_ns now)
 {
@@ -59,15 +116,7 @@
         member->born_ms = born_ms;
         return false;
     }
-    bool counted = member->fenced || g_strcmp0(failover->candidate, id) == 0;
-    reset_member(member, MAX(member->born_ms, born_ms), now);
-    log_start(failover, member);
-    if (has_candidate(failover) && counted) {
-        failover_start_fencing(failover, now); /* the restart has ended its pause */
-    } else if (is_led(failover) && failover_is_primary(failover, member)) {
-        failover_set_state(failover, FAILOVER_SEARCHING, now);
-        failover_publish(failover, GROUP_PHASE_CLOSED);
-    }
+    note_restart(failover, member, MAX(member->born_ms, born_ms), "has restarted", now);
     return true;
 }
 
--- a/tests/pooler/failover_rig.c
+++ b/tests/pooler/failover_rig.c
@@ -268,6 +268,16 @@
     return leaders;
 }
 
+void
+rig_lose_log(struct rig *rig, unsigned database)
+{
+    struct rig_database *restarted = &rig->databases[database];
+    restarted->leads = false;
+    restarted->term = 0;
+    restarted->paused = 0;
+    restarted->received = (struct log_position){0};
+}
+
 void
 rig_restart(struct rig *rig, unsigned database, bool keeps_log)
 {
--- a/tests/pooler/failover_rig.h
+++ b/tests/pooler/failover_rig.h
@@ -70,6 +70,8 @@
 void rig_set_faults(struct rig *rig, uint32_t unreachable, uint32_t stalled);
 /** @return number of reachable databases that lead. */
 unsigned rig_leaders(const struct rig *rig);
+/** @brief A database starts again knowing nothing, as a replica, and nobody is notified. */
+void rig_lose_log(struct rig *rig, unsigned database);
 /** @brief Restarts a database, with or without its log, and notifies the coordinator. With its log
  * it keeps its role; without, it is a replica. */
 void rig_restart(struct rig *rig, unsigned database, bool keeps_log);
--- a/tests/pooler/test_failover.c
+++ b/tests/pooler/test_failover.c
@@ -854,6 +854,96 @@
     rig_free(rig);
 }
 
+/* During the change of primary, the replica that holds the commits answers last. */
+static void
+delay_last_replica(struct rig *rig)
+{
+    while (rig->failover->state != FAILOVER_FENCING) {
+        rig_run(rig, 20);
+        g_assert_cmpuint(rig->now, <, 60 * NANOSECONDS_PER_SECOND);
+    }
+    rig->databases[2].lost_answers = 2;
+}
+
+/* Loss of acknowledged commits: the primary starts again knowing nothing, and its row can't say so.
+ * It answers that it does not lead, at position 0.0. That is no step-down: a replica that is behind
+ * must not be promoted by its word. */
+static void
+test_unnoticed_restart_of_the_primary(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig_run(rig, 1000);
+    rig->databases[0].received.offset = rig->databases[2].received.offset = 140;
+    rig_lose_log(rig, 0);
+    rig_set_faults(rig, 2, 0);
+    delay_last_replica(rig);
+    rig_run_until_open(rig, 2);
+    g_assert_cmpstr(rig->first_promoted, ==, "d2");
+    rig_free(rig);
+}
+
+/* The same for a new coordinator, to which the primary has never reported a log, while the replica
+ * that it hears of is not empty, or is empty as well. */
+static void
+test_restarted_primary_unknown_before(void)
+{
+    for (unsigned offset = 0; offset <= 100; offset += 100) {
+        struct rig *rig = rig_new(3, 1);
+        rig->databases[1].received = (struct log_position){offset > 0, offset};
+        rig->databases[2].received.offset = 140;
+        rig_lose_log(rig, 0);
+        failover_adopt_primary(rig->failover, "d0", 1, rig->now);
+        rig_set_faults(rig, 2, 0);
+        delay_last_replica(rig);
+        rig_run_until_open(rig, 2);
+        g_assert_cmpstr(rig->first_promoted, ==, "d2");
+        rig_free(rig);
+    }
+}
+
+/* A replica that starts again knowing nothing may have lost a commit whose only other copy is at
+ * the primary. Its row can't say so, but it reports less than before. */
+static void
+test_unnoticed_restart_of_a_replica(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[0].received.offset = rig->databases[1].received.offset = 107;
+    rig_run(rig, 1000);
+    rig_lose_log(rig, 1);
+    fail_primary(rig);
+    rig_run(rig, 10000);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    rig->databases[0].reachable = true;
+    rig_set_faults(rig, 0, 0);
+    rig_run(rig, 1000);
+    g_assert_true(rig->databases[0].leads);
+    rig_free(rig);
+}
+
+/* Replicas that were ahead of the promoted one are rolled back. That is no restart. */
+static void
+test_rolled_back_replica(void)
+{
+    struct rig *rig = rig_new(3, 1);
+    rig_run_until_open(rig, 0);
+    rig->databases[2].received.offset = 105;
+    rig_run(rig, 1000);
+    rig_set_faults(rig, 0, 1); /* has the members queried */
+    rig_run(rig, 200);
+    rig_set_faults(rig, 0, 0);
+    rig->databases[1].leads = true;
+    rig->databases[0].leads = false;
+    rig->databases[1].term = rig->databases[0].term = rig->databases[2].term = 2;
+    rig->databases[2].received.offset = 100;
+    failover_set_member(rig->failover, "d0", false, false);
+    rig_run_until_open(rig, 1);
+    rig_run(rig, 1000);
+    g_assert_cmpuint(failover_find(rig->failover, "d2")->log_unverified_since, ==, 0);
+    rig_free(rig);
+}
+
 /* Two of three restart without their logs: the one that still has its log leads. */
 static void
 test_restarted_primary_and_replica(void)
@@ -986,6 +1076,13 @@
                     test_restarted_primary_with_its_log);
     g_test_add_func("/pooler/failover/restarted-primary-and-replica",
                     test_restarted_primary_and_replica);
+    g_test_add_func("/pooler/failover/unnoticed-restart-of-primary",
+                    test_unnoticed_restart_of_the_primary);
+    g_test_add_func("/pooler/failover/restarted-primary-unknown-before",
+                    test_restarted_primary_unknown_before);
+    g_test_add_func("/pooler/failover/unnoticed-restart-of-replica",
+                    test_unnoticed_restart_of_a_replica);
+    g_test_add_func("/pooler/failover/rolled-back-replica", test_rolled_back_replica);
     g_test_add_func("/pooler/failover/all-restarted", test_all_restarted);
     g_test_add_func("/pooler/failover/restart-during-a-change", test_restart_during_a_change);
     g_test_add_func("/pooler/failover/start-times", test_start_times);
