--- a/src/pooler/client/session.c
+++ b/src/pooler/client/session.c
@@ -238,7 +238,7 @@
     struct client_message message;
     g_free(request->message);
     *request = (struct session_request){.arrived = backend_now()};
-    request->message = g_strndup(buffer_content(&session->in).data, length);
+    request->message = g_memdup2(buffer_content(&session->in).data, length);
     request->message_length = length;
     buffer_consume(&session->in, length);
     wire_read_client((struct span){request->message, length}, &message);
--- a/src/pooler/forwarding/forward_serve.c
+++ b/src/pooler/forwarding/forward_serve.c
@@ -155,7 +155,7 @@
     struct client_message message;
     g_free(request->message);
     *request = (struct session_request){.arrived = time_before(now, ask->age_us)};
-    request->message = g_strndup((const char *)ask->message, ask->message_length);
+    request->message = g_memdup2(ask->message, ask->message_length);
     request->message_length = ask->message_length;
     wire_read_client((struct span){request->message, ask->message_length}, &message);
     request->statement = message.statement;
--- a/standins/session_platform/line_group.c
+++ b/standins/session_platform/line_group.c
@@ -419,7 +419,9 @@
     } else if (strcmp(word, "COMMIT") == 0 || strcmp(word, "ROLLBACK") == 0) {
         run_end(connection, id, text, word[0] == 'C');
     } else if (strcmp(word, "SET") == 0) {
-        g_hash_table_replace(connection->values, g_strdup(words[1]), g_strdup(words[2]));
+        const char *name = text + strlen("SET ");
+        const char *value = strchr(name, ' ') + 1;
+        g_hash_table_replace(connection->values, g_strdup(words[1]), g_strdup(value));
         send_complete(connection);
     } else if (strcmp(word, "PREPARE") == 0) {
         char *shape = g_strdup_printf("%s %s", words[2], words[3]);
@@ -536,7 +538,7 @@
     struct evbuffer *input = bufferevent_get_input(connection->events);
     char *line = NULL;
     while (connection->work_timer == NULL &&
-           (line = evbuffer_readln(input, NULL, EVBUFFER_EOL_CRLF)) != NULL) {
+           (line = evbuffer_readln(input, NULL, EVBUFFER_EOL_CRLF_STRICT)) != NULL) {
         handle_line(connection, line);
         free(line);
     }
--- /dev/null
+++ b/tests/pooler/test_client_input.c
@@ -0,0 +1,160 @@
+/**
+ * @file
+ * @brief Bytes that clients may send: empty fields, control characters, bytes that are no text, and
+ * fields of the largest size. Each input is sent to a worker that serves the statement itself and
+ * to one that forwards it to an owner. It is executed as it was sent, or rejected and not executed.
+ */
+#include "pooler/shared/wire.h"
+#include "worker_fixture.h"
+
+#include <string.h>
+#include <sys/socket.h>
+
+/** @brief One input and what becomes of it. */
+typedef struct input {
+    const char *name;
+    const char *text; /* sent as the text of a statement */
+    size_t length;
+    const char *code;   /* expected error; NULL: success */
+    const char *values; /* the session's values when the next read runs; NULL: none */
+} input_t;
+
+#define INPUT(name, text, code, values)                                                            \
+    {                                                                                              \
+        name, text, sizeof(text) - 1, code, values                                                 \
+    }
+
+static const input_t inputs[] = {
+    INPUT("blank-value", "SET colour  ", NULL, "colour= ;"),
+    INPUT("missing-name", "SET", "MALFORMED", NULL),
+    INPUT("empty-name", "SET  value", "MALFORMED", NULL),
+    INPUT("utf8-value", "SET colour gr\xc3\xbcn", NULL, "colour=gr\xc3\xbcn;"),
+    INPUT("lf-in-value", "SET colour one\nQUERY b SET colour two", "MALFORMED", NULL),
+    INPUT("lf-in-data", "WRITE thing one\nQUERY b WRITE other two", "MALFORMED", NULL),
+    INPUT("cr-in-data", "WRITE thing one\rtwo", "MALFORMED", NULL),
+    INPUT("cr-at-the-end", "WRITE thing one\r", "MALFORMED", NULL),
+    INPUT("nul-in-data", "WRITE thing one\0two", "MALFORMED", NULL),
+    INPUT("nul-in-thing", "READ thing\0", "MALFORMED", NULL),
+    INPUT("empty-data", "WRITE thing ", NULL, NULL),
+    INPUT("no-utf8-data", "WRITE thing \xff\xfe", NULL, NULL),
+    INPUT("empty-thing", "READ ", "MALFORMED", NULL),
+    INPUT("missing-thing", "READ", "MALFORMED", NULL),
+    INPUT("empty-text", "", "MALFORMED", NULL),
+    INPUT("unknown-prepared", "EXECUTE nothing thing", "NOSTMT", NULL),
+    INPUT("empty-prepared", "EXECUTE  thing", "MALFORMED", NULL),
+    INPUT("empty-shape", "PREPARE s1 READ ", "MALFORMED", NULL),
+    INPUT("empty-deallocate", "DEALLOCATE ", "MALFORMED", NULL),
+};
+
+static void
+send_bytes(const struct client *client, const void *data, size_t length)
+{
+    const char *next = data;
+    while (length > 0) {
+        ssize_t sent = send(fileno(client->stream), next, length, MSG_NOSIGNAL);
+        g_assert_cmpint(sent, >, 0);
+        next += sent;
+        length -= (size_t)sent;
+    }
+}
+
+static void
+execute_bytes(struct client *client, const char *text, size_t length)
+{
+    g_autoptr(GString) message = g_string_new("QUERY input ");
+    g_string_append_len(message, text, (gssize)length);
+    g_string_append(message, "\r\n");
+    send_bytes(client, message->str, message->len);
+    client_read(client);
+}
+
+/* The statements that databases ran for clients, apart from reads of "marker". */
+static unsigned
+count_other_runs(struct fixture *fixture)
+{
+    g_autoptr(GPtrArray) runs = line_group_runs(fixture->group);
+    unsigned count = 0;
+    for (guint i = 0; i < runs->len; i++) {
+        const struct line_run *run = g_ptr_array_index(runs, i);
+        count += strcmp(run->id, "-") != 0 && strcmp(run->text, "READ marker") != 0;
+    }
+    return count;
+}
+
+static void
+assert_values(struct fixture *fixture, const char *values)
+{
+    g_autoptr(GPtrArray) runs = line_group_runs(fixture->group);
+    g_assert_cmpstr(find_run(runs, "READ marker")->values, ==, values == NULL ? "" : values);
+}
+
+static void
+test_input(struct fixture *fixture, gconstpointer data)
+{
+    const input_t *input = data;
+    struct client *other = client_open(fixture, "strict");
+    expect_success(other, "SET colour one", 'I');
+    expect_success(other, "READ marker", 'I'); /* the connection holds a value of that name */
+    client_close(other);
+    struct client *client = client_open(fixture, "strict");
+    unsigned before = count_other_runs(fixture);
+    execute_bytes(client, input->text, input->length);
+    if (input->code != NULL) {
+        g_autofree char *prefix = g_strdup_printf("ERROR %s", input->code);
+        g_assert_true(g_str_has_prefix(client->result, prefix));
+        g_assert_cmpuint(count_other_runs(fixture), ==, before);
+    } else {
+        g_assert_true(g_str_has_prefix(client->result, "COMPLETE"));
+    }
+    g_assert_cmpint(client->state, ==, 'I');
+    expect_success(client, "READ marker", 'I');
+    assert_values(fixture, input->values);
+    client_close(client);
+}
+
+/* A start with bytes that are no text is refused, and the worker serves others. */
+static void
+test_start(struct fixture *fixture, gconstpointer unused)
+{
+    static const struct {
+        const char *text;
+        size_t length;
+    } starts[] = {
+        {"STARTUP \r\n", 10},
+        {"STARTUP\r\n", 9},
+        {"STARTUP strict a\nSTARTUP strict b\r\n", 35},
+        {"STARTUP strict a\0b\r\n", 20},
+        {"\r\n", 2},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(starts); i++) {
+        struct client *client = client_connect(fixture);
+        send_bytes(client, starts[i].text, starts[i].length);
+        client_read(client);
+        g_assert_true(g_str_has_prefix(client->result, "ERROR "));
+        client_close(client);
+    }
+    struct client *client = client_open(fixture, "strict");
+    expect_success(client, "READ marker", 'I');
+    client_close(client);
+}
+
+static void
+add_inputs(const char *mode, void (*set_up_by)(struct fixture *, gconstpointer))
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(inputs); i++) {
+        g_autofree char *path = g_strdup_printf("/pooler/client-input/%s/%s", mode, inputs[i].name);
+        g_test_add(path, struct fixture, &inputs[i], set_up_by, test_input, tear_down);
+    }
+    g_autofree char *start = g_strdup_printf("/pooler/client-input/%s/start", mode);
+    g_test_add(start, struct fixture, NULL, set_up_by, test_start, tear_down);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_log_set_always_fatal(G_LOG_LEVEL_ERROR);
+    add_inputs("direct", set_up);
+    add_inputs("forwarded", set_up_forwarding);
+    return g_test_run();
+}
--- a/tests/pooler/worker_fixture.c
+++ b/tests/pooler/worker_fixture.c
@@ -307,7 +307,7 @@
 }
 
 struct client *
-client_begin_as(const struct fixture *fixture, const char *database, const char *key)
+client_connect(const struct fixture *fixture)
 {
     struct client *client = g_new0(struct client, 1);
     struct timeval timeout = {ANSWER_WAIT_S, 0};
@@ -317,6 +317,13 @@
                     ==, 0);
     setsockopt(handle, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
     client->stream = fdopen(handle, "r");
+    return client;
+}
+
+struct client *
+client_begin_as(const struct fixture *fixture, const char *database, const char *key)
+{
+    struct client *client = client_connect(fixture);
     g_autofree char *start = g_strdup_printf("STARTUP %s %s\r\n", database, key);
     send_line(client, start);
     return client;
--- a/tests/pooler/worker_fixture.h
+++ b/tests/pooler/worker_fixture.h
@@ -91,6 +91,8 @@
 /** @brief Sets the end of the read permit at all workers. */
 void permit(struct fixture *fixture, time_ns until);
 
+/** @brief Connects a client that sends nothing yet. */
+struct client *client_connect(const struct fixture *fixture);
 /** @brief Connects a client without waiting for the answer. */
 struct client *client_begin(const struct fixture *fixture, const char *database);
 /** @brief The same with a key. */
