Session values: an empty one is passed on as it was set, and their size is limited

Callers lost their connections: where statements are forwarded, `SET colour ` ended the owner's process with signal 11, and the statement ran under the value `(null)`. Bytes that are no UTF-8 in a value, its name or a key broke the connection between the poolers, with all that was forwarded on it.

Cause: an empty text is decoded as NULL, which the owner took for the value; texts between poolers must be UTF-8, which nothing had checked. Related: a key and a service of an ask that are empty; and a session could set any number of values of 1 MiB, over the 8 MiB that a message between poolers may have and the memory of a machine.

Now an empty value is one at the owner too. Values that are no UTF-8 text are rejected with MALFORMED.

Tests failing before: /pooler/client-input/forwarded/empty-value and missing-value (signal 11), and direct and forwarded no-utf8-value, no-utf8-name, largest-values (8 of 8 taken), many-values (5,000 taken).

--- a/src/pooler/client/session.c
+++ b/src/pooler/client/session.c
@@ -216,6 +216,12 @@
         return;
     }
     session->key = span_copy(message->key);
+    if (!g_utf8_validate(session->key, -1, NULL)) {
+        wire_write_error(&session->out, ANSWER_MALFORMED, "the start is not UTF-8 text");
+        session_flush(session);
+        session_end(session);
+        return;
+    }
     access_verdict_t verdict = access_check(session);
     if (verdict != ACCESS_GRANTED) {
         refuse_start(session, verdict);
--- a/src/pooler/client/session_statement.c
+++ b/src/pooler/client/session_statement.c
@@ -3,6 +3,8 @@
 #define G_LOG_DOMAIN "session"
 #include "pooler/client/session_internal.h"
 
+#include <string.h>
+
 static void
 free_prepared(gpointer data)
 {
@@ -47,11 +49,54 @@
     g_hash_table_replace(session->values, g_strdup(name), g_strdup(value));
 }
 
+/* Limits of a session's values, and the same of its prepared statements. All values go with each
+ * forwarded statement: a message between poolers has room for them. */
+#define SESSION_VALUES_MAX   4096
+#define SESSION_PREPARED_MAX 4096
+#define SESSION_STATE_MAX    WIRE_MESSAGE_MAX
+
+static size_t
+values_size(const struct session *session, const char *without)
+{
+    size_t size = 0;
+    GHashTableIter iterator;
+    gpointer name = NULL;
+    gpointer value = NULL;
+    if (session->values == NULL) {
+        return 0;
+    }
+    g_hash_table_iter_init(&iterator, session->values);
+    while (g_hash_table_iter_next(&iterator, &name, &value)) {
+        if (strcmp(name, without) != 0) {
+            size += strlen(name) + strlen(value);
+        }
+    }
+    return size;
+}
+
+/* True if the session may have one more value of this name. */
+static bool
+has_room_for_value(const struct session *session, const char *name, const char *value)
+{
+    bool fits = values_size(session, name) + strlen(name) + strlen(value) <= SESSION_STATE_MAX;
+    bool held = session->values != NULL && g_hash_table_contains(session->values, name);
+    bool full = session->values != NULL && g_hash_table_size(session->values) >= SESSION_VALUES_MAX;
+    return fits && (held || !full);
+}
+
 static void
 set_value(struct session *session, const struct statement *statement)
 {
     g_autofree char *name = span_copy(statement->name);
     g_autofree char *value = span_copy(statement->value);
+    if (!g_utf8_validate(name, -1, NULL) || !g_utf8_validate(value, -1, NULL)) {
+        session_answer_error(session, ANSWER_MALFORMED, "the value is not UTF-8 text");
+        return;
+    }
+    if (!has_room_for_value(session, name, value)) {
+        session_answer_error(session, ANSWER_TOO_LARGE, "the session has too many values");
+        return;
+    }
     session_set_value(session, name, value);
     session_answer_locally(session);
 }
@@ -68,13 +113,6 @@
     g_hash_table_replace(session->prepared, span_copy(name), prepared);
 }
 
-static void
-prepare(struct session *session, const struct statement *statement)
-{
-    session_set_prepared(session, statement->name, statement->writes, statement->value);
-    session_answer_locally(session);
-}
-
 const struct prepared *
 session_find_prepared(const struct session *session, struct span name)
 {
@@ -82,6 +120,39 @@
     return session->prepared == NULL ? NULL : g_hash_table_lookup(session->prepared, text);
 }
 
+/* True if the session may have one more prepared statement of this name. */
+static bool
+has_room_for_prepared(const struct session *session, const struct statement *statement)
+{
+    size_t size = statement->name.length + statement->value.length;
+    bool held = session_find_prepared(session, statement->name) != NULL;
+    GHashTableIter iterator;
+    gpointer name = NULL;
+    gpointer prepared = NULL;
+    if (session->prepared == NULL) {
+        return size <= SESSION_STATE_MAX;
+    }
+    g_hash_table_iter_init(&iterator, session->prepared);
+    while (g_hash_table_iter_next(&iterator, &name, &prepared)) {
+        if (!span_equals(statement->name, name)) {
+            size += strlen(name) + strlen(((const struct prepared *)prepared)->shape);
+        }
+    }
+    bool full = g_hash_table_size(session->prepared) >= SESSION_PREPARED_MAX;
+    return size <= SESSION_STATE_MAX && (held || !full);
+}
+
+static void
+prepare(struct session *session, const struct statement *statement)
+{
+    if (!has_room_for_prepared(session, statement)) {
+        session_answer_error(session, ANSWER_TOO_LARGE, "the session has too many statements");
+        return;
+    }
+    session_set_prepared(session, statement->name, statement->writes, statement->value);
+    session_answer_locally(session);
+}
+
 static void
 deallocate(struct session *session, const struct statement *statement)
 {
--- a/src/pooler/forwarding/forward_serve.c
+++ b/src/pooler/forwarding/forward_serve.c
@@ -137,7 +137,7 @@
         ask->is_public,
         ask->configuration,
     };
-    session->key = g_strdup(ask->key);
+    session->key = g_strdup(ask->key == NULL ? "" : ask->key);
     session->transaction =
         ask->in_transaction ? SESSION_TRANSACTION_REQUESTED : SESSION_TRANSACTION_NONE;
     session->read_only = ask->read_only;
@@ -162,7 +162,11 @@
     operation_timing_begin(&session->timing, STAGE_OWN, now);
     g_clear_pointer(&session->values, g_hash_table_unref);
     for (size_t i = 0; i < ask->values_count; i++) {
-        session_set_value(session, ask->values[i].name, ask->values[i].value);
+        /* An empty text is decoded as NULL. */
+        const char *value = ask->values[i].value == NULL ? "" : ask->values[i].value;
+        if (ask->values[i].name != NULL) {
+            session_set_value(session, ask->values[i].name, value);
+        }
     }
     if (ask->prepared) {
         session_set_prepared(
@@ -175,7 +179,8 @@
 static bool
 accepts(const caller_t *caller, const struct forward_ask *ask)
 {
-    const struct group *group = g_hash_table_lookup(caller->worker->groups, ask->service);
+    const struct group *group =
+        ask->service == NULL ? NULL : g_hash_table_lookup(caller->worker->groups, ask->service);
     return group != NULL && group->connections > 0 && !caller->worker->stopping;
 }
 
--- a/tests/pooler/test_client_input.c
+++ b/tests/pooler/test_client_input.c
@@ -25,10 +25,14 @@
     }
 
 static const input_t inputs[] = {
+    INPUT("empty-value", "SET colour ", NULL, "colour=;"),
+    INPUT("missing-value", "SET colour", NULL, "colour=;"),
     INPUT("blank-value", "SET colour  ", NULL, "colour= ;"),
     INPUT("missing-name", "SET", "MALFORMED", NULL),
     INPUT("empty-name", "SET  value", "MALFORMED", NULL),
     INPUT("utf8-value", "SET colour gr\xc3\xbcn", NULL, "colour=gr\xc3\xbcn;"),
+    INPUT("no-utf8-value", "SET colour \xff", "MALFORMED", NULL),
+    INPUT("no-utf8-name", "SET \xff value", "MALFORMED", NULL),
     INPUT("lf-in-value", "SET colour one\nQUERY b SET colour two", "MALFORMED", NULL),
     INPUT("lf-in-data", "WRITE thing one\nQUERY b WRITE other two", "MALFORMED", NULL),
     INPUT("cr-in-data", "WRITE thing one\rtwo", "MALFORMED", NULL),
@@ -112,6 +116,65 @@
     client_close(client);
 }
 
+/* The values of a session are as large as its limit allows, and reach the database. One more is
+ * rejected, and the session goes on with those that it has. */
+static void
+test_largest_values(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *client = client_open(fixture, "strict");
+    g_autofree char *value = g_strnfill(WIRE_MESSAGE_MAX / 4, 'v');
+    unsigned taken = 0;
+    for (unsigned i = 0; i < 8; i++) {
+        g_autofree char *text = g_strdup_printf("SET name%u %s", i, value);
+        execute_bytes(client, text, strlen(text));
+        bool complete = g_str_has_prefix(client->result, "COMPLETE");
+        g_assert_true(complete || g_str_has_prefix(client->result, "ERROR TOOLARGE"));
+        taken += complete;
+    }
+    g_assert_cmpuint(taken, ==, 3);
+    expect_success(client, "READ marker", 'I');
+    g_autoptr(GPtrArray) runs = line_group_runs(fixture->group);
+    const struct line_run *run = find_run(runs, "READ marker");
+    g_assert_cmpuint(strlen(run->values), ==, 3 * (strlen("name0=;") + strlen(value)));
+    client_close(client);
+}
+
+/* The same for many small ones: a session has a limited number of values. */
+static void
+test_many_values(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *client = client_open(fixture, "strict");
+    unsigned taken = 0;
+    for (unsigned i = 0; i < 5000; i++) {
+        g_autofree char *text = g_strdup_printf("SET name%u v", i);
+        execute_bytes(client, text, strlen(text));
+        taken += g_str_has_prefix(client->result, "COMPLETE");
+    }
+    g_assert_cmpuint(taken, ==, 4096);
+    expect_success(client, "SET name0 other", 'I');
+    expect_success(client, "READ marker", 'I');
+    client_close(client);
+}
+
+/* The same for prepared statements. */
+static void
+test_largest_prepared(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *client = client_open(fixture, "strict");
+    g_autofree char *shape = g_strnfill(WIRE_MESSAGE_MAX / 4, 's');
+    unsigned taken = 0;
+    for (unsigned i = 0; i < 8; i++) {
+        g_autofree char *text = g_strdup_printf("PREPARE name%u READ %s", i, shape);
+        execute_bytes(client, text, strlen(text));
+        taken += g_str_has_prefix(client->result, "COMPLETE");
+    }
+    g_assert_cmpuint(taken, ==, 3);
+    expect_success(client, "DEALLOCATE name0", 'I');
+    expect_success(client, "PREPARE name0 READ shape", 'I');
+    expect_success(client, "EXECUTE name0 marker", 'I');
+    client_close(client);
+}
+
 /* A start with bytes that are no text is refused, and the worker serves others. */
 static void
 test_start(struct fixture *fixture, gconstpointer unused)
@@ -124,6 +187,7 @@
         {"STARTUP\r\n", 9},
         {"STARTUP strict a\nSTARTUP strict b\r\n", 35},
         {"STARTUP strict a\0b\r\n", 20},
+        {"STARTUP strict \xff\r\n", 18},
         {"\r\n", 2},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(starts); i++) {
@@ -145,6 +209,12 @@
         g_autofree char *path = g_strdup_printf("/pooler/client-input/%s/%s", mode, inputs[i].name);
         g_test_add(path, struct fixture, &inputs[i], set_up_by, test_input, tear_down);
     }
+    g_autofree char *largest = g_strdup_printf("/pooler/client-input/%s/largest-values", mode);
+    g_test_add(largest, struct fixture, NULL, set_up_by, test_largest_values, tear_down);
+    g_autofree char *many = g_strdup_printf("/pooler/client-input/%s/many-values", mode);
+    g_test_add(many, struct fixture, NULL, set_up_by, test_many_values, tear_down);
+    g_autofree char *prepared = g_strdup_printf("/pooler/client-input/%s/largest-prepared", mode);
+    g_test_add(prepared, struct fixture, NULL, set_up_by, test_largest_prepared, tear_down);
     g_autofree char *start = g_strdup_printf("/pooler/client-input/%s/start", mode);
     g_test_add(start, struct fixture, NULL, set_up_by, test_start, tear_down);
 }
