A database that ends a statement with READY alone ends no pooler

A reply without COMPLETE or ERROR was taken for a success without a signature: send_success() passed NULL on, and the process ended; after a setup of the session, the setup's "-" was passed to the client as the statement's signature.

Now each statement of a client, and each setup, needs its own completion.

Tests failing before: /pooler/client-input/direct/ready-alone and forwarded/ready-alone.

--- a/src/pooler/databases/server_answer.c
+++ b/src/pooler/databases/server_answer.c
@@ -216,6 +216,20 @@
     session_answer(session, server, ready->state, ready->has_position ? &ready->position : NULL);
 }
 
+/* True if the database has answered a statement of a client, or the setup of its session, with
+ * READY alone. Each of them is completed for itself: the signature of the one before does not
+ * count. */
+static bool
+lacks_completion(struct server *server, enum expected what)
+{
+    bool signed_off = server->signature != NULL && server->signature[0] != '\0';
+    bool needed = what == EXPECT_STATEMENT || what == EXPECT_SETUP;
+    if (what == EXPECT_SETUP || what == EXPECT_BEGIN) {
+        g_clear_pointer(&server->signature, g_free);
+    }
+    return needed && server->code == ANSWER_NONE && !signed_off;
+}
+
 static void
 on_ready(struct server *server, const struct database_reply *ready)
 {
@@ -225,6 +239,13 @@
     }
     enum expected what = (enum expected)server->expected->data[0];
     g_byte_array_remove_index(server->expected, 0);
+    if (lacks_completion(server, what)) {
+        g_warning("Database %s ended a statement neither with a signature nor with an error; "
+                  "closing the connection.",
+                  server->database->shared->id);
+        server_close(server, ANSWER_IN_DOUBT);
+        return;
+    }
     switch (what) {
     case EXPECT_START:
         on_started(server, ready);
--- a/standins/session_platform/line_group.c
+++ b/standins/session_platform/line_group.c
@@ -273,7 +273,9 @@
     if (connection->database->faults.lose_answers) {
         connection->suppress_replies = true;
     }
-    send_reply(connection, "COMPLETE signature-%s\r\n", id);
+    if (!connection->database->faults.no_completion) {
+        send_reply(connection, "COMPLETE signature-%s\r\n", id);
+    }
     send_ready(connection);
 }
 
--- a/standins/session_platform/line_group.h
+++ b/standins/session_platform/line_group.h
@@ -21,6 +21,7 @@
     bool unresponsive;   /* reads requests and answers none */
     bool lose_answers;   /* runs statements and does not answer them, nor any later one on that
                             connection */
+    bool no_completion;  /* ends statements of clients with READY alone */
     bool no_replication; /* copies no log from the primary; as a primary, it is not copied from */
     bool lagging;        /* receives the log but does not apply it */
     unsigned slow_ms;    /* each statement takes this long, one after the other */
--- a/tests/pooler/test_client_input.c
+++ b/tests/pooler/test_client_input.c
@@ -202,6 +202,23 @@
     client_close(client);
 }
 
+/* A database that ends a statement with READY alone gives an error for that statement, and does not
+ * end the process. The setup of a session that comes before it is no completion of it. */
+static void
+test_ready_alone(struct fixture *fixture, gconstpointer unused)
+{
+    struct client *client = client_open(fixture, "strict");
+    expect_success(client, "SET colour one", 'I');
+    line_group_set_faults(fixture->group, 0, &(struct line_faults){.no_completion = true});
+    execute(client, "WRITE thing data");
+    g_assert_true(g_str_has_prefix(client->result, "ERROR INDOUBT"));
+    execute(client, "READ thing");
+    g_assert_true(g_str_has_prefix(client->result, "ERROR "));
+    line_group_set_faults(fixture->group, 0, &(struct line_faults){0});
+    expect_success(client, "READ marker", 'I');
+    client_close(client);
+}
+
 static void
 add_inputs(const char *mode, void (*set_up_by)(struct fixture *, gconstpointer))
 {
@@ -215,6 +232,8 @@
     g_test_add(many, struct fixture, NULL, set_up_by, test_many_values, tear_down);
     g_autofree char *prepared = g_strdup_printf("/pooler/client-input/%s/largest-prepared", mode);
     g_test_add(prepared, struct fixture, NULL, set_up_by, test_largest_prepared, tear_down);
+    g_autofree char *ready = g_strdup_printf("/pooler/client-input/%s/ready-alone", mode);
+    g_test_add(ready, struct fixture, NULL, set_up_by, test_ready_alone, tear_down);
     g_autofree char *start = g_strdup_printf("/pooler/client-input/%s/start", mode);
     g_test_add(start, struct fixture, NULL, set_up_by, test_start, tear_down);
 }
