Orders of promotions: none leaves the process after its lease has ended

Cause: the lease was checked as an order was put into the queue of one HTTP connection, which sends it once the call before it is answered or has timed out. The end of the lease left the queue as it was, and a group repeated its order after 50 ms although the first had no answer yet.

Now orders wait in the coordinator, one is sent at a time, and each is sent only while the lease lasts for 300 ms more; connecting may not last longer than the lease. What waits when the lease ends is dropped, and an unanswered call's connection is reset, so that the kernel doesn't deliver it later. The same for commands to databases. A group has one order at a time.

Tests failing before: /pooler/orders/lease-ended and lease-expired (2 orders that came late, expected 0), repeated (6 orders, 3 expected).

--- a/src/pooler/control/control_groups.c
+++ b/src/pooler/control/control_groups.c
@@ -9,9 +9,6 @@
 
 #define RECORD_PREFIX "group/"
 
-/* A promotion is ordered only if the lease is valid for longer than this. */
-#define ORDER_MARGIN_NS (300 * MS)
-
 /* Idle control connections are closed after this time. */
 #define CONNECTION_KEPT_NS (1500 * MS)
 
@@ -131,45 +128,10 @@
     g_byte_array_unref(bytes);
 }
 
-static enum failover_promotion_result
-promotion_result_of(enum promotion_outcome outcome)
-{
-    switch (outcome) {
-    case PROMOTION_ACCEPTED:
-        return FAILOVER_PROMOTION_ACCEPTED;
-    case PROMOTION_REFUSED:
-        return FAILOVER_PROMOTION_REFUSED;
-    default:
-        return FAILOVER_PROMOTION_RETRY;
-    }
-}
-
-static void
-on_promotion_answered(void *user, enum promotion_outcome outcome)
-{
-    struct controlled_group *group = user;
-    g_message("Group %s: the order of the promotion was %s.", group->failover->service,
-              promotion_outcome_name(outcome));
-    if (!group->retired) {
-        failover_promotion_answered(group->failover, promotion_result_of(outcome), backend_now());
-    }
-    control_wake_soon(group->control);
-    control_group_unref(group);
-}
-
 static void
 promote(void *user, struct failover *failover, const char *candidate)
 {
-    struct control *control = user;
-    if (!control_lease_holds(control, backend_now(), ORDER_MARGIN_NS)) {
-        g_message("Group %s: promotion not ordered: the lease expires too soon.",
-                  failover->service);
-        return;
-    }
-    g_message("Group %s: ordering the promotion of %s with token %" PRIu64 ".", failover->service,
-              candidate, control->lease.token);
-    promotion_order(control->promotion, failover->service, candidate, control->lease.token,
-                    on_promotion_answered, g_rc_box_acquire(group_of(control, failover)));
+    control_orders_add(group_of(user, failover), candidate);
 }
 
 static void
@@ -517,6 +479,7 @@
 {
     if (control->controlled != NULL) {
         g_hash_table_foreach_remove(control->controlled, retire, NULL);
+        control_orders_drop(control);
     }
 }
 
--- a/src/pooler/control/control_internal.h
+++ b/src/pooler/control/control_internal.h
@@ -379,6 +379,8 @@
     time_ns records_until;      /* groups are not added before, unless the records were read */
     time_ns records_retry_at;   /* the records are read again; 0: a read is in progress or done */
     uint64_t records_token;     /* of the lease under which the records are being read */
+    GQueue orders;              /* of promotions, that wait to be sent (control_orders.c) */
+    void *order_sent;           /* the one that was sent and is not answered yet; NULL: none */
     bool membership_calling;    /* a write of records of members is in progress */
     time_ns membership_due_at;  /* the next such write is not sent before */
     time_ns groups_checked_at;  /* all groups were last processed, not just the active ones */
@@ -750,6 +752,14 @@
 /** @brief Appends, for each group whose change of primary waits, for how long, as metrics. */
 void control_groups_print_metrics(const struct control *control, GString *out);
 
+/* control_orders.c: orders of promotions */
+/** @brief Orders the promotion of a database, unless the group has an order that is not answered. */
+void control_orders_add(struct controlled_group *group, const char *candidate);
+/** @brief Sends the next order, if none is unanswered and the lease permits it. */
+void control_orders_send(struct control *control);
+/** @brief Drops the orders that have not been sent, as the lease has ended. */
+void control_orders_drop(struct control *control);
+
 /* control_membership.c: records of the groups' members in the store */
 /** @brief Applies the record that an earlier coordinator has left, once for each lease. */
 void control_membership_apply(struct controlled_group *group, time_ns now);
--- a/src/pooler/control/database_control.c
+++ b/src/pooler/control/database_control.c
@@ -71,9 +71,21 @@
     buffer_clear(&control->out);
 }
 
+/* A command that the database has not received by now must not reach it later, as another
+ * coordinator may have taken over: closing resets the connection. */
+static void
+reset_on_close(struct database_control *control)
+{
+    const struct linger linger = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(control->socket, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
 void
 database_control_free(struct database_control *control)
 {
+    if (control->command_pending && control->socket >= 0) {
+        reset_on_close(control);
+    }
     disconnect(control);
     event_free(control->timer);
     g_free(control->service);
--- a/src/pooler/control/promotion.h
+++ b/src/pooler/control/promotion.h
@@ -30,10 +30,16 @@
                                 const char *holder);
 void promotion_free(struct promotion *promotion);
 
-/** @brief Orders the promotion of a database.
+/** @brief Orders the promotion of a database. Only one order may be unanswered at a time.
  *  @param token fencing token of the coordinator's lease. The service refuses lower tokens than the
- *  highest it has seen. */
+ *  highest it has seen.
+ *  @param timeout_ms for connecting, and for the answer. */
 void promotion_order(struct promotion *promotion, const char *service, const char *database,
-                     uint64_t token, promotion_callback *callback, void *user);
+                     uint64_t token, uint32_t timeout_ms, promotion_callback *callback,
+                     void *user);
+
+/** @brief Gives up an unanswered order: what has not left this machine is not sent. Its callback
+ *  comes later, with PROMOTION_UNKNOWN. */
+void promotion_abort(struct promotion *promotion);
 
 #endif
--- a/standins/session_platform/row_store.c
+++ b/standins/session_platform/row_store.c
@@ -435,6 +435,11 @@
         evhttp_find_header(evhttp_request_get_input_headers(request), "Swiftworks-Fencing-Token");
     uint64_t token = fence == NULL ? 0 : g_ascii_strtoull(fence, NULL, 10);
     g_mutex_lock(&store->lock);
+    if (store->faults.hold_promotions) {
+        g_mutex_unlock(&store->lock);
+        json_decref(body);
+        return;
+    }
     store->promotions++;
     store->token_fell = store->token_fell || token < store->token;
     record_holder(store, request, token);
--- a/standins/session_platform/row_store.h
+++ b/standins/session_platform/row_store.h
@@ -11,6 +11,7 @@
 struct row_store_faults {
     bool refuse;                  /* every request gets 503 */
     bool unresponsive;            /* no request is answered or carried out */
+    bool hold_promotions;         /* no promotion is answered or carried out */
     bool lose_writes;             /* writes are carried out and not answered */
     bool empty;                   /* listings are answered without a body */
     bool no_history;              /* every request for changes gets 410 */
