--- a/src/pooler/control/control_groups.c
+++ b/src/pooler/control/control_groups.c
@@ -357,7 +357,11 @@
             remove_left_member(group, entry->id);
             continue;
         }
-        if (failover_find(failover, entry->id) == NULL) {
+        bool member = failover_find(failover, entry->id) != NULL;
+        if (!member && group->started && entry->deleted_at != 0) {
+            continue; /* it has restarted under another id */
+        }
+        if (!member) {
             log_joined(group, entry);
         }
         failover_set_member(failover, entry->id, control_takes_work(control, entry, now),
@@ -384,6 +388,7 @@
     g_hash_table_insert(control->controlled, group->failover->service, group);
     update_members(control, group, backend_now());
     start_group(group, backend_now());
+    group->started = true;
 }
 
 static void
--- a/src/pooler/control/control_internal.h
+++ b/src/pooler/control/control_internal.h
@@ -252,6 +252,7 @@
     uint64_t membership_era; /* store era of that record */
     uint64_t membership_revision; /* `failover->membership_revision` of that record */
     bool membership_applied;      /* the record of an earlier coordinator was applied */
+    bool started;                 /* its members and records as of the start were applied */
     bool retired;                 /* no longer controlled here; late answers are ignored */
 };
 
--- a/tests/pooler/test_membership.c
+++ b/tests/pooler/test_membership.c
@@ -225,6 +225,35 @@
     g_assert_nonnull(row);
 }
 
+/* A database that has restarted under another id where it listened stays dropped, although its
+ * deleted row is still known: it must not be added and dropped, and recorded, again and again. */
+static void
+test_restarted_under_another_id(fixture_t *fixture, gconstpointer unused)
+{
+    struct control *control = fixture->coordinators[0];
+    run_until(fixture, 0, has_recorded_all);
+    struct failover *failover = (struct failover *)failover_of(control);
+    const struct database_report report = {.term = 1, .received = {1, 100}};
+    row_store_put(fixture->store, "servers", "c", NULL);
+    put_database(fixture, "d", "replica", 1000);
+    time_ns until = backend_now() + TIMEOUT_NS;
+    while (failover_find(failover, "d") == NULL) {
+        g_assert_cmpuint(backend_now(), <, until);
+        step(fixture, control);
+    }
+    failover_answered(failover, "d", &report, backend_now());
+    while (failover_find(failover, "c") != NULL) {
+        g_assert_cmpuint(backend_now(), <, until);
+        step(fixture, control);
+    }
+    uint64_t revision = failover->membership_revision;
+    for (unsigned i = 0; i < 500; i++) {
+        step(fixture, control);
+    }
+    g_assert_null(failover_find(failover, "c"));
+    g_assert_cmpuint(failover->membership_revision, ==, revision);
+}
+
 /* Equal members are not recorded again, neither by the same coordinator nor by the next one. */
 static void
 test_unchanged_members(fixture_t *fixture, gconstpointer unused)
@@ -250,6 +279,7 @@
     ADD("read-late", test_records_read_late);
     ADD("restart-between", test_restart_between_coordinators);
     ADD("restored-store", test_restored_store);
+    ADD("restarted-under-another-id", test_restarted_under_another_id);
     ADD("unchanged", test_unchanged_members);
     return g_test_run();
 }
