Failover: the members are known as of the fencing before a replica is promoted

Cause: the coordinator counted the members by the directory as it had last read it, up to one interval ago, while a replica that had joined since counted for the primary at once. Now a replica is promoted by the replicas' logs only if the directory was read after the group was closed; the read is sent at once as the fencing begins, beside the commands to the databases. A primary that reports its own step-down needs no such read. What stays: a replica whose row is written only after it confirmed its first commit.

Test failing before: /pooler/failover/new-replica-not-known-yet (the group was open with another replica after 2 s, closed expected).

--- a/src/pooler/control/control_groups.c
+++ b/src/pooler/control/control_groups.c
@@ -563,6 +563,10 @@
     struct failover *failover = group->failover;
     update_members(control, group, now);
     failover->settled = control->directory_settled && control->records_read;
+    failover->members_as_of = control->feeds[STORE_TABLE_DIRECTORY].as_of;
+    if (failover->state == FAILOVER_FENCING && failover->members_as_of < failover->since) {
+        control_feed_read_soon(&control->feeds[STORE_TABLE_DIRECTORY], now);
+    }
     control_reports_count_poolers(control, group, now);
     failover_tick(failover, &group->faults, now);
     close_unused(group, now);
--- a/src/pooler/control/control_internal.h
+++ b/src/pooler/control/control_internal.h
@@ -458,6 +458,8 @@
 
 /* control_store.c: reads of the store's tables */
 void control_feeds_tick(struct control *control, time_ns now);
+/** @brief Has the table's changes read at the next tick, without the usual interval. */
+void control_feed_read_soon(struct feed *feed, time_ns now);
 /** @return for how long a database whose row was deleted is kept in the directory. */
 time_ns control_directory_forget_age(const struct control *control);
 /** @brief Notes that the store has answered about the table, and schedules the next call. */
--- a/src/pooler/control/control_store.c
+++ b/src/pooler/control/control_store.c
@@ -323,6 +323,15 @@
     }
 }
 
+void
+control_feed_read_soon(struct feed *feed, time_ns now)
+{
+    if (feed->failures == 0) {
+        feed->next_at = MIN(feed->next_at, now);
+        control_wake_soon(feed->control);
+    }
+}
+
 /* Heartbeats after which a database whose row is deleted is dropped. */
 #define FORGET_HEARTBEATS 16
 
--- a/src/pooler/control/failover.c
+++ b/src/pooler/control/failover.c
@@ -61,6 +61,7 @@
     failover->departed = g_ptr_array_new_with_free_func(failover_free_departed);
     failover->phase = GROUP_PHASE_UNKNOWN;
     failover->settled = true;
+    failover->members_as_of = UINT64_MAX;
     return failover;
 }
 
--- a/src/pooler/control/failover.h
+++ b/src/pooler/control/failover.h
@@ -148,6 +148,7 @@
     char *service;
     uint32_t sync_replicas;
     bool settled;          /* `members` is certainly complete */
+    time_ns members_as_of; /* the members were the directory's newest at this time */
     bool queries_deferred; /* no low-priority status queries now: too many other groups send some */
     const struct failover_actions *actions;
     GPtrArray *members;  /* of struct failover_member */
--- a/src/pooler/control/failover_change.c
+++ b/src/pooler/control/failover_change.c
@@ -213,7 +213,9 @@
     if (primary_fenced && primary->log_unverified_since == 0) {
         candidate = choose_candidate(failover, primary->report.received, now);
     }
-    if (candidate != NULL || fenced < failover_pauses_needed(failover) ||
+    /* A replica that has joined since its row was last asked for may have confirmed commits. */
+    bool members_known = failover->members_as_of >= failover->since;
+    if (candidate != NULL || fenced < failover_pauses_needed(failover) || !members_known ||
         !failover_replicas_suffice(failover)) {
         return candidate;
     }
--- a/tests/pooler/test_failover.c
+++ b/tests/pooler/test_failover.c
@@ -337,6 +337,27 @@
     }
 }
 
+/* Loss of acknowledged commits: a new replica confirms commits before its row has come. The members
+ * have to be known as of the fencing, when it can't have confirmed any more without a row. */
+static void
+test_new_replica_not_known_yet(void)
+{
+    struct rig *rig = rig_new(4, 1);
+    failover_remove_member(rig->failover, "d3");
+    g_ptr_array_set_size(rig->failover->departed, 0);
+    rig_run_until_open(rig, 0);
+    rig->databases[0].received.offset = rig->databases[3].received.offset = 187;
+    rig->failover->members_as_of = rig->now;
+    fail_primary(rig);
+    rig_run(rig, 2000);
+    g_assert_cmpint(rig->failover->phase, ==, GROUP_PHASE_CLOSED);
+    g_assert_cmpuint(rig->orders, ==, 0);
+    failover_set_member(rig->failover, "d3", true, false);
+    rig->failover->members_as_of = rig->now;
+    rig_run_until_open(rig, 3);
+    rig_free(rig);
+}
+
 /* One replica alone may not have a commit that the other one has: no database is promoted until
  * both are paused. */
 static void
@@ -1038,6 +1059,7 @@
                     test_primary_returns_under_another_id);
     g_test_add_func("/pooler/failover/replica-under-another-id",
                     test_replica_returns_under_another_id);
+    g_test_add_func("/pooler/failover/new-replica-not-known-yet", test_new_replica_not_known_yet);
     g_test_add_func("/pooler/failover/all-replicas-paused", test_waits_for_all_replicas);
     g_test_add_func("/pooler/failover/replica-fails-before", test_replica_fails_before_the_primary);
     g_test_add_func("/pooler/failover/dropped-primary", test_dropped_primary_needs_all_replicas);
