--- a/standins/session_platform/row_store.c
+++ b/standins/session_platform/row_store.c
@@ -605,6 +605,20 @@
     g_mutex_unlock(&store->lock);
 }
 
+void
+row_store_drop(struct row_store *store, const char *table, const char *key)
+{
+    g_mutex_lock(&store->lock);
+    for (guint i = 0; i < store->rows->len; i++) {
+        const struct row *row = g_ptr_array_index(store->rows, i);
+        if (strcmp(row->table, table) == 0 && strcmp(row->key, key) == 0) {
+            store->version++;
+            put_row(store, table, row->part, key, NULL);
+        }
+    }
+    g_mutex_unlock(&store->lock);
+}
+
 void
 row_store_renew(struct row_store *store, const char *table, const char *key)
 {
--- a/standins/session_platform/row_store.h
+++ b/standins/session_platform/row_store.h
@@ -40,6 +40,8 @@
 
 /* Writes a row as operators and databases do; `text` is JSON. NULL deletes the row. */
 void row_store_put(struct row_store *store, const char *table, const char *key, const char *text);
+/* Deletes a row that poolers have written, as operators do. */
+void row_store_drop(struct row_store *store, const char *table, const char *key);
 /* Writes a row unchanged, as databases do with each heartbeat. Its version rises, but requests for
  * changes do not report it. */
 void row_store_renew(struct row_store *store, const char *table, const char *key);
--- a/tests/pooler/test_membership.c
+++ b/tests/pooler/test_membership.c
@@ -170,6 +170,19 @@
     assert_lost_databases_known(fixture->coordinators[1]);
 }
 
+/* An operator who gives up the commits of lost databases deletes the record: the next coordinator
+ * goes by the databases that are left. */
+static void
+test_deleted_record(fixture_t *fixture, gconstpointer unused)
+{
+    lose_databases(fixture);
+    row_store_drop(fixture->store, "pooler", "members/ledger");
+    run_until(fixture, 1, has_group);
+    const struct failover *failover = failover_of(fixture->coordinators[1]);
+    g_assert_cmpuint(failover->members->len, ==, 1);
+    g_assert_cmpuint(failover->departed->len, ==, 0);
+}
+
 /* The same where the records are read only after the groups were added. Until then no primary is
  * replaced. */
 static void
@@ -276,6 +289,7 @@
     g_test_init(&argc, &argv, NULL);
     g_log_set_always_fatal(G_LOG_LEVEL_ERROR);
     ADD("earlier-coordinator", test_members_of_an_earlier_coordinator);
+    ADD("deleted-record", test_deleted_record);
     ADD("read-late", test_records_read_late);
     ADD("restart-between", test_restart_between_coordinators);
     ADD("restored-store", test_restored_store);
