--- a/tests/pooler/test_line_wire.c
+++ b/tests/pooler/test_line_wire.c
@@ -167,6 +167,72 @@
     }
 }
 
+/* Number of random changes of valid messages, and of messages of random bytes. */
+#define CORRUPT_MESSAGES 20000
+
+static void
+assert_within(struct span part, struct span whole)
+{
+    if (part.length > 0) {
+        g_assert_true(part.data >= whole.data);
+        g_assert_true(part.data + part.length <= whole.data + whole.length);
+    }
+}
+
+/* Whatever the bytes, reading ends, and what was read lies within them. A message that was
+ * understood holds none of the bytes that another reader could take for its end. */
+static void
+read_any(struct span bytes)
+{
+    struct client_message message;
+    struct database_reply reply;
+    struct database_report report;
+    size_t length = wire_message_length(bytes);
+    g_assert_cmpuint(length, <=, bytes.length);
+    wire_read_client((struct span){bytes.data, length}, &message);
+    if (message.kind == CLIENT_MESSAGE_STATEMENT) {
+        assert_within(message.statement.id, bytes);
+        assert_within(message.statement.text, bytes);
+        assert_within(message.statement.name, bytes);
+        assert_within(message.statement.value, bytes);
+        for (size_t i = 0; i + 2 < length; i++) {
+            g_assert_null(memchr("\r\n\0", bytes.data[i], 3));
+        }
+    }
+    wire_read_reply((struct span){bytes.data, length}, &reply);
+    assert_within(reply.content, bytes);
+    wire_read_report(reply.content, &report);
+}
+
+static void
+test_random_bytes(void)
+{
+    static const char *const valid[] = {
+        "STARTUP lepu270 u3f1\r\n",
+        "QUERY 5c0e WRITE 1a4 xkqpwnzd\r\n",
+        "QUERY 5c0e PREPARE s1 WRITE q2c\r\nQUERY 5c0f EXECUTE s1 1a4 data\r\n",
+        "QUERY 5c0e SET name value\r\n",
+        "ROW replica 3 3.1209 0 12 2 17\r\nCOMPLETE -\r\nREADY I 3.1204\r\n",
+        "ERROR READONLY i-7f3a91c2\r\nREADY E 3.1209\r\n",
+    };
+    static const char likely[] = "\r\n\0 -.IT9A";
+    for (unsigned i = 0; i < CORRUPT_MESSAGES; i++) {
+        const char *from = valid[i % G_N_ELEMENTS(valid)];
+        size_t length = strlen(from);
+        g_autofree char *bytes = g_memdup2(from, length);
+        gint32 changes = i % 7 == 0 ? (gint32)length : g_test_rand_int_range(1, 5);
+        for (gint32 change = 0; change < changes; change++) {
+            gint32 place = g_test_rand_int_range(0, (gint32)length);
+            bool any = g_test_rand_int_range(0, 2) == 0;
+            bytes[place] = any ? (char)g_test_rand_int_range(0, 256)
+                               : likely[g_test_rand_int_range(0, (gint32)sizeof likely - 1)];
+        }
+        size_t kept = (size_t)g_test_rand_int_range(0, (gint32)length + 1);
+        g_autofree char *exact = g_memdup2(bytes, kept); /* bounds are checked by sanitizers */
+        read_any((struct span){exact, kept});
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -180,5 +246,6 @@
     g_test_add_func("/platform/line/length", test_message_length);
     g_test_add_func("/platform/line/writing", test_writing);
     g_test_add_func("/platform/line/codes", test_codes_round_trip);
+    g_test_add_func("/platform/line/random-bytes", test_random_bytes);
     return g_test_run();
 }
