--- a/src/pooler/control/control_groups.c
+++ b/src/pooler/control/control_groups.c
@@ -17,8 +17,8 @@
 #define RECORDS_WAIT_NS  (300 * MS)
 #define RECORDS_AGAIN_NS (100 * MS)
 
-/* Interval of reading them after that. Without them no primary is replaced that does not report
- * itself that it stepped down. */
+/* Interval of reading them after that. Until they are read, a primary is replaced only if it reports
+ * that it stepped down. */
 #define RECORDS_LATE_NS (500 * MS)
 
 /* Maximum number of groups with low-priority status queries at a time: which database leads, or
@@ -359,7 +359,7 @@
         }
         bool member = failover_find(failover, entry->id) != NULL;
         if (!member && group->started && entry->deleted_at != 0) {
-            continue; /* it has restarted under another id */
+            continue; /* dropped, as it has restarted under another id */
         }
         if (!member) {
             log_joined(group, entry);
--- a/src/pooler/control/control_internal.h
+++ b/src/pooler/control/control_internal.h
@@ -380,8 +380,8 @@
     time_ns records_until;      /* groups are not added before, unless the records were read */
     time_ns records_retry_at;   /* the records are read again; 0: a read is in progress or done */
     uint64_t records_token;     /* of the lease under which the records are being read */
-    GQueue orders;              /* of promotions, that wait to be sent (control_orders.c) */
-    void *order_sent;           /* the one that was sent and is not answered yet; NULL: none */
+    GQueue orders;              /* of struct order (control_orders.c), that wait to be sent */
+    struct order *order_sent;   /* the one that was sent and is not answered yet; NULL: none */
     bool membership_calling;    /* a write of records of members is in progress */
     time_ns membership_due_at;  /* the next such write is not sent before */
     time_ns groups_checked_at;  /* all groups were last processed, not just the active ones */
@@ -637,7 +637,7 @@
 /** @return true if this pooler holds the lease for more than `margin` from now on. */
 bool control_lease_holds(const struct control *control, time_ns now, time_ns margin);
 /** @return true if the lease before this one had expired when this one was acquired, and with it
- * all read permits that were given under it. A lease that was given up, or taken over early by a
+ *  all read permits that were given under it. A lease that was given up, or taken over early by a
  *  restarted holder, had not. */
 bool control_lease_predecessor_expired(const struct control *control);
 /** @return true if this pooler does not take a free lease yet, so that a stronger machine can take
