--- a/src/pooler/control/control_groups.c
+++ b/src/pooler/control/control_groups.c
@@ -17,8 +17,8 @@
 #define RECORDS_WAIT_NS  (300 * MS)
 #define RECORDS_AGAIN_NS (100 * MS)
 
-/* Interval of reading them after that. Until they are read, a primary is replaced only if it reports
- * that it stepped down. */
+/* Interval of reading them after that. Until they are read, a primary is replaced only if it
+ * reports that it stepped down. */
 #define RECORDS_LATE_NS (500 * MS)
 
 /* Maximum number of groups with low-priority status queries at a time: which database leads, or
