The record of members may name no primary

An empty text is decoded as NULL, as with the empty values of sessions.

Now such a record names no primary, and a member without an id is passed over. Test failing before: /pooler/membership/recorded-without-primary (signal 11).

--- a/src/pooler/control/control_membership.c
+++ b/src/pooler/control/control_membership.c
@@ -103,7 +103,7 @@
 recorded_start(const struct membership_record *record, const char *id)
 {
     for (size_t i = 0; i < record->members_count; i++) {
-        if (strcmp(record->members[i].id, id) == 0) {
+        if (g_strcmp0(record->members[i].id, id) == 0) {
             return record->members[i].born_ms;
         }
     }
@@ -114,12 +114,16 @@
 apply_record(struct controlled_group *group, const struct membership_record *record, time_ns now)
 {
     struct failover *failover = group->failover;
-    if (failover->recorded_primary == NULL && record->primary[0] != '\0') {
+    /* An empty text is decoded as NULL. */
+    if (failover->recorded_primary == NULL && record->primary != NULL) {
         failover_note_recorded_primary(failover, record->primary,
                                        recorded_start(record, record->primary), now);
     }
     for (size_t i = 0; i < record->members_count; i++) {
         const struct recorded_member *member = &record->members[i];
+        if (member->id == NULL) {
+            continue;
+        }
         const struct confirmed_log confirmed = {{member->term, member->offset}, member->final};
         control_group_note_start(group, member->id, member->born_ms, now);
         failover_note_recorded_member(failover, member->id, member->endpoint, member->born_ms,
--- a/tests/pooler/test_membership.c
+++ b/tests/pooler/test_membership.c
@@ -183,6 +183,28 @@
     g_assert_cmpuint(failover->departed->len, ==, 0);
 }
 
+static bool
+has_recorded_without_primary(const struct control *control)
+{
+    const struct controlled_group *group =
+        control->controlled == NULL ? NULL : g_hash_table_lookup(control->controlled, "ledger");
+    return group != NULL && group->failover->primary == NULL && group->membership != NULL &&
+           group->membership_revision == group->failover->membership_revision;
+}
+
+/* Crash of each next coordinator: the record of a group whose primary was not known names none. */
+static void
+test_recorded_without_primary(fixture_t *fixture, gconstpointer unused)
+{
+    put_database(fixture, "a", "replica", 1000);
+    run_until(fixture, 0, has_recorded_without_primary);
+    control_lease_release(fixture->coordinators[0]);
+    finish_calls(fixture);
+    run_until(fixture, 1, has_group);
+    g_assert_cmpuint(failover_of(fixture->coordinators[1])->members->len, ==, 3);
+    g_assert_null(failover_of(fixture->coordinators[1])->recorded_primary);
+}
+
 /* The same where the records are read only after the groups were added. Until then no primary is
  * replaced. */
 static void
@@ -289,6 +311,7 @@
     g_test_init(&argc, &argv, NULL);
     g_log_set_always_fatal(G_LOG_LEVEL_ERROR);
     ADD("earlier-coordinator", test_members_of_an_earlier_coordinator);
+    ADD("recorded-without-primary", test_recorded_without_primary);
     ADD("deleted-record", test_deleted_record);
     ADD("read-late", test_records_read_late);
     ADD("restart-between", test_restart_between_coordinators);
