Review case 6: a reborn replica that has received part of its log again lets a shorter log be promoted

A replica crashes behind its cut from the store and starts again empty, while the other one receives nothing; the primary crashes before it has its log again. The other one is promoted without what the first had confirmed.

--- a/review/rig2.py
+++ b/review/rig2.py
@@ -234,6 +234,7 @@
         self.term = 1
         self.paused = 0
         self.deaf = False  # receives nothing
+        self.per_round = None  # commits that it receives at most in each LAG_MS; None: all
         self.running = False
         self.recorded = True  # keeps its entry in the store
         self.draining = False
@@ -317,7 +318,7 @@
         if same < len(self.log):
             del self.log[same:]  # it was ahead, and is rolled back
             self.applied = min(self.applied, same)
-        self.log.extend(source.log[same:])
+        self.log.extend(source.log[same : None if self.per_round is None else same + self.per_round])
         self.term = source.term
 
     def confirms(self, primary, length):
